--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# The ways to build and prove cresspond. `make test` is what CI runs.
+
+SEED ?= 1
+VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
+LDFLAGS = -ldflags "-X main.version=$(VERSION)"
+
+.PHONY: build vet unit rehearsal test generate
+
+build:
+	go build $(LDFLAGS) -o bin/ ./cmd/cresspondd ./cmd/cresspond ./rehearsal/cmd/rehearse
+
+vet:
+	@test -z "$$(gofmt -l . )" || { gofmt -l .; echo "these files are not formatted"; exit 1; }
+	go vet ./... ./rehearsal/...
+
+unit:
+	go test -race -count=1 ./... ./rehearsal/...
+
+rehearsal: build
+	bin/rehearse run small --seed $(SEED)
+
+test: vet rehearsal unit
+
+# Needs protoc, protoc-gen-go and protoc-gen-twirp; what they make is committed.
+generate:
+	protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative wire/fellowapi/fellow.proto
--- /dev/null
+++ b/connection/frontdoor/frontdoor.go
@@ -0,0 +1,211 @@
+// Package frontdoor is where callers' connections end: it reads a request, checks it against the
+// spec in force, and hands back a stream or a plain word on why there is none.
+package frontdoor
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cresspond/cresspond/epoch/table"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/request/dispatch"
+	"github.com/cresspond/cresspond/wire/callerapi"
+)
+
+// Door serves callers.
+type Door struct {
+	clock  clock.Clock
+	table  func() *table.Table
+	actor  *dispatch.Actor
+	ctx    context.Context
+	served atomic.Int64
+	// Invalid counts requests that were wrong.
+	Invalid atomic.Uint64
+}
+
+// New makes a door; ctx ends when the daemon may wait no longer.
+func New(ctx context.Context, c clock.Clock, tables func() *table.Table, actor *dispatch.Actor) *Door {
+	return &Door{clock: c, table: tables, actor: actor, ctx: ctx}
+}
+
+// Open counts the requests that were read and are not yet answered whole.
+func (d *Door) Open() int64 { return d.served.Load() }
+
+const (
+	mostName     = 256
+	leastPortion = time.Millisecond
+)
+
+type fault struct {
+	status        int
+	field, reason string
+}
+
+// Handle serves one request.
+func (d *Door) Handle(ctx *fasthttp.RequestCtx) {
+	if !ctx.IsPost() {
+		d.invalid(ctx, fault{fasthttp.StatusMethodNotAllowed, "", "only POST is served here"})
+		return
+	}
+	// The handler's buffers are reused once it returns, so everything kept is copied here.
+	request, prompt, wrong := d.read(ctx)
+	if wrong != nil {
+		d.invalid(ctx, *wrong)
+		return
+	}
+	d.served.Add(1)
+	flight := dispatch.NewFlight(d.ctx, request, prompt)
+	if !d.actor.Let(flight) {
+		flight.Cancel()
+		d.served.Add(-1)
+		Fail(ctx, fasthttp.StatusServiceUnavailable, callerapi.Error{Outcome: callerapi.Refused, Reason: "this daemon is stopping", RetryAfterMs: 1000})
+		return
+	}
+	select {
+	case verdict := <-flight.Told:
+		flight.Cancel()
+		d.served.Add(-1)
+		Fail(ctx, verdict.Status, callerapi.Error{Outcome: callerapi.Outcome(verdict.Kind), Reason: verdict.Reason, RetryAfterMs: verdict.ComeBack.Milliseconds()})
+	case stream := <-flight.Started:
+		ctx.SetContentType("application/x-ndjson")
+		ctx.Response.Header.Set(callerapi.HeaderAttempt, request.Attempt)
+		ctx.Response.ImmediateHeaderFlush = true
+		// A reader, not a writer: fasthttp ends a writer's stream with a clean last chunk whatever became of it.
+		ctx.SetBodyStream(&counted{stream, d}, -1)
+	}
+}
+
+// counted lets the door know when an answer has been written, or given up.
+type counted struct {
+	io.ReadCloser
+	door *Door
+}
+
+// Close ends the count.
+func (c *counted) Close() error {
+	c.door.served.Add(-1)
+	return c.ReadCloser.Close()
+}
+
+func (d *Door) invalid(ctx *fasthttp.RequestCtx, f fault) {
+	if f.status == fasthttp.StatusServiceUnavailable {
+		Fail(ctx, f.status, callerapi.Error{Outcome: callerapi.Refused, Reason: f.reason, RetryAfterMs: 1000})
+		return
+	}
+	d.Invalid.Add(1)
+	Fail(ctx, f.status, callerapi.Error{Outcome: callerapi.Invalid, Reason: f.reason, Field: f.field})
+}
+
+// Fail writes an answer that is no stream.
+func Fail(ctx *fasthttp.RequestCtx, status int, body callerapi.Error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic("broken invariant: an error cannot be encoded: " + err.Error())
+	}
+	ctx.ResetBody()
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	if body.RetryAfterMs > 0 {
+		ctx.Response.Header.Set("Retry-After", strconv.FormatInt((body.RetryAfterMs+999)/1000, 10))
+	}
+	ctx.SetBody(data)
+}
+
+// read gives the checked request, or the first thing wrong with it.
+func (d *Door) read(ctx *fasthttp.RequestCtx) (dispatch.Request, string, *fault) {
+	var none dispatch.Request
+	t := d.table()
+	if t == nil {
+		return none, "", &fault{fasthttp.StatusServiceUnavailable, "", "no spec is in force here yet"}
+	}
+	body := ctx.PostBody()
+	if len(body) > t.Spec.Limits.MostBodyBytes {
+		return none, "", &fault{fasthttp.StatusRequestEntityTooLarge, "", fmt.Sprintf("the body is larger than %d bytes", t.Spec.Limits.MostBodyBytes)}
+	}
+	attempt := string(ctx.Request.Header.Peek(callerapi.HeaderAttempt))
+	if !plainName(attempt) {
+		return none, "", &fault{fasthttp.StatusBadRequest, callerapi.HeaderAttempt, "must be 1 to 256 plain characters"}
+	}
+	if len(ctx.Request.Header.PeekAll(callerapi.HeaderAttempt)) != 1 {
+		return none, "", &fault{fasthttp.StatusBadRequest, callerapi.HeaderAttempt, "stands twice"}
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	var g callerapi.Generate
+	if err := decoder.Decode(&g); err != nil {
+		if typed, ok := err.(*json.UnmarshalTypeError); ok {
+			return none, "", &fault{fasthttp.StatusBadRequest, typed.Field, "a " + typed.Value + " does not fit here"}
+		}
+		// Of an unknown field the decoder's words hold the name.
+		if _, name, found := strings.Cut(err.Error(), "unknown field "); found {
+			return none, "", &fault{fasthttp.StatusBadRequest, strings.Trim(name, `"`), "is not known"}
+		}
+		return none, "", &fault{fasthttp.StatusBadRequest, "", "the body is not JSON: " + strings.TrimPrefix(err.Error(), "json: ")}
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return none, "", &fault{fasthttp.StatusBadRequest, "", "something follows the JSON body"}
+	}
+	for _, named := range []struct{ field, value string }{{"route", g.Route}, {"house", g.House}, {"model", g.Model}} {
+		if named.value == "" {
+			return none, "", &fault{fasthttp.StatusBadRequest, named.field, "is missing"}
+		}
+	}
+	for _, named := range []struct{ field, value string }{{"session", g.Session}, {"prefix", g.Prefix}} {
+		if len(named.value) > mostName {
+			return none, "", &fault{fasthttp.StatusBadRequest, named.field, "is longer than 256 bytes"}
+		}
+	}
+	if g.Prompt == "" {
+		return none, "", &fault{fasthttp.StatusBadRequest, "prompt", "is missing"}
+	}
+	deadline := time.Duration(g.DeadlineMs) * time.Millisecond
+	if g.DeadlineMs <= 0 || g.DeadlineMs > t.Spec.Limits.MostDeadlineMs {
+		return none, "", &fault{fasthttp.StatusBadRequest, "deadlineMs", fmt.Sprintf("must be from 1 to %d", t.Spec.Limits.MostDeadlineMs)}
+	}
+	route, known := t.Route(g.Route)
+	switch {
+	case !known:
+		return none, "", &fault{fasthttp.StatusNotFound, "route", "no such route"}
+	case route.House != g.House:
+		return none, "", &fault{fasthttp.StatusForbidden, "house", "this route is not of that house"}
+	}
+	if _, known := t.Model(g.Model); !known {
+		return none, "", &fault{fasthttp.StatusNotFound, "model", "no such model"}
+	}
+	if _, known := t.Adapter(g.Adapter); !known && g.Adapter != "" {
+		return none, "", &fault{fasthttp.StatusNotFound, "adapter", "no such adapter"}
+	}
+	if !t.Allows(g.Route, g.Model, "") {
+		return none, "", &fault{fasthttp.StatusForbidden, "model", "is not allowed on this route"}
+	}
+	if !t.Allows(g.Route, g.Model, g.Adapter) {
+		return none, "", &fault{fasthttp.StatusForbidden, "adapter", "is not allowed on this route with this model"}
+	}
+	return dispatch.Request{
+		Attempt: attempt, Route: g.Route, House: g.House, Worth: route.Worth, Rank: route.Rank, Model: g.Model, Adapter: g.Adapter,
+		Prefix: g.Prefix, Session: g.Session, Bytes: len(body), Deadline: d.clock.Elapsed() + clock.Mark(max(deadline, leastPortion)),
+		Repeatable: g.Repeatable, EndSession: g.EndSession, MostHeld: route.MostHeld,
+	}, g.Prompt, nil
+}
+
+// plainName lets through what can stand in a header unchanged.
+func plainName(name string) bool {
+	if name == "" || len(name) > mostName {
+		return false
+	}
+	for i := range len(name) {
+		if name[i] <= ' ' || name[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/connection/operators/operators.go
@@ -0,0 +1,248 @@
+// Package operators is the desk where operators' and the platform's requests are served.
+package operators
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+// Daemon is what the desk needs of its daemon.
+type Daemon interface {
+	Command(ctx context.Context, command statemachine.Command) (operatorapi.Answer, bool)
+	Look(ctx context.Context, what, key string) ([]byte, bool)
+	Ready() (bool, string)
+	Status() operatorapi.Status
+	Counters() string
+}
+
+// Desk serves operators.
+type Desk struct{ daemon Daemon }
+
+// New makes a desk.
+func New(daemon Daemon) *Desk { return &Desk{daemon} }
+
+// commandLimit is how long a command is tried before its outcome is called unknown.
+const commandLimit = 8 * time.Second
+
+// Handle serves one request.
+func (d *Desk) Handle(ctx *fasthttp.RequestCtx, path string) {
+	posts := map[string]func(*fasthttp.RequestCtx){
+		operatorapi.PathPropose: d.propose,
+		operatorapi.PathReview:  d.act(statemachine.OpReview),
+		operatorapi.PathSign:    d.act(statemachine.OpSign),
+		operatorapi.PathRoll:    d.act(statemachine.OpRoll),
+		operatorapi.PathZone:    d.zone,
+		operatorapi.PathDrain:   d.drain,
+	}
+	gets := map[string]func(*fasthttp.RequestCtx){
+		operatorapi.PathSpec:     d.spec,
+		operatorapi.PathHistory:  func(c *fasthttp.RequestCtx) { d.look(c, "history", "") },
+		operatorapi.PathProposal: func(c *fasthttp.RequestCtx) { d.look(c, "proposal", string(c.QueryArgs().Peek("id"))) },
+		operatorapi.PathClosures: func(c *fasthttp.RequestCtx) { d.look(c, "closures", "") },
+		operatorapi.PathTrace:    d.trace,
+		operatorapi.PathStatus:   func(c *fasthttp.RequestCtx) { answer(c, fasthttp.StatusOK, d.daemon.Status()) },
+		operatorapi.PathReady:    d.ready,
+		operatorapi.PathLive:     func(c *fasthttp.RequestCtx) { answer(c, fasthttp.StatusOK, map[string]bool{"live": true}) },
+		operatorapi.PathCounters: func(c *fasthttp.RequestCtx) { c.SetContentType("text/plain"); c.SetBodyString(d.daemon.Counters()) },
+	}
+	serve, isPost := posts[path]
+	if !isPost {
+		serve = gets[path]
+	}
+	switch {
+	case serve == nil:
+		fail(ctx, fasthttp.StatusNotFound, operatorapi.Error{Outcome: "invalid", Reason: "nothing is served at this path"})
+	case isPost != ctx.IsPost() || !isPost && !ctx.IsGet() && !ctx.IsHead():
+		fail(ctx, fasthttp.StatusMethodNotAllowed, operatorapi.Error{Outcome: "invalid", Reason: "this path takes another method"})
+	default:
+		serve(ctx)
+	}
+}
+
+func answer(ctx *fasthttp.RequestCtx, status int, body any) {
+	data, err := json.MarshalIndent(body, "", "  ")
+	if err != nil {
+		panic("broken invariant: an answer cannot be encoded: " + err.Error())
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(data, '\n'))
+}
+
+func fail(ctx *fasthttp.RequestCtx, status int, body operatorapi.Error) { answer(ctx, status, body) }
+
+// read takes a body strictly; it says false when it has answered with what is wrong.
+func read(ctx *fasthttp.RequestCtx, into any) bool {
+	decoder := json.NewDecoder(bytes.NewReader(ctx.PostBody()))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(into)
+	if err == nil {
+		if _, after := decoder.Token(); after == io.EOF {
+			return true
+		}
+		fail(ctx, fasthttp.StatusBadRequest, operatorapi.Error{Outcome: "invalid", Reason: "something follows the JSON body"})
+		return false
+	}
+	field, reason := "", "the body cannot be read: "+strings.TrimPrefix(err.Error(), "json: ")
+	if typed, ok := err.(*json.UnmarshalTypeError); ok {
+		field, reason = typed.Field, "a "+typed.Value+" does not fit here"
+	}
+	fail(ctx, fasthttp.StatusBadRequest, operatorapi.Error{Outcome: "invalid", Reason: reason, Field: field})
+	return false
+}
+
+// needs answers with the first empty field, if there is one.
+func needs(ctx *fasthttp.RequestCtx, fields ...[2]string) bool {
+	for _, field := range fields {
+		if field[1] == "" || len(field[1]) > 200 {
+			fail(ctx, fasthttp.StatusBadRequest, operatorapi.Error{Outcome: "invalid", Reason: "must be 1 to 200 bytes long", Field: field[0]})
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Desk) command(ctx *fasthttp.RequestCtx, command statemachine.Command) {
+	bounded, cancel := context.WithTimeout(context.Background(), commandLimit)
+	defer cancel()
+	got, known := d.daemon.Command(bounded, command)
+	if !known {
+		// The command may still be applied: whoever asks again with the same ids finds out.
+		fail(ctx, fasthttp.StatusServiceUnavailable, operatorapi.Error{Outcome: "unknown", Reason: "the control group gave no answer in time; ask again with the same ids"})
+		return
+	}
+	status := map[statemachine.Verdict]int{
+		statemachine.Done: fasthttp.StatusOK, statemachine.Conflict: fasthttp.StatusConflict, statemachine.Forbidden: fasthttp.StatusForbidden,
+		statemachine.Missing: fasthttp.StatusNotFound, statemachine.Malformed: fasthttp.StatusBadRequest,
+	}[got.Verdict]
+	if status == fasthttp.StatusOK {
+		answer(ctx, status, got)
+		return
+	}
+	if status == 0 {
+		status = fasthttp.StatusInternalServerError
+	}
+	fail(ctx, status, operatorapi.Error{Outcome: string(got.Verdict), Reason: got.Reason, Faults: got.Faults, Winner: got.Winner, Epoch: got.Epoch})
+}
+
+func (d *Desk) propose(ctx *fasthttp.RequestCtx) {
+	var body operatorapi.Propose
+	if !read(ctx, &body) || !needs(ctx, [2]string{"proposalId", body.ProposalID}, [2]string{"operator", body.Operator}) {
+		return
+	}
+	if len(body.Spec) == 0 {
+		fail(ctx, fasthttp.StatusBadRequest, operatorapi.Error{Outcome: "invalid", Reason: "is missing", Field: "spec"})
+		return
+	}
+	d.command(ctx, statemachine.Command{Op: statemachine.OpPropose, ProposalID: body.ProposalID, Base: body.Base, Operator: body.Operator, Note: body.Note, Spec: body.Spec})
+}
+
+func (d *Desk) act(op statemachine.Op) func(*fasthttp.RequestCtx) {
+	return func(ctx *fasthttp.RequestCtx) {
+		var body operatorapi.Act
+		if read(ctx, &body) && needs(ctx, [2]string{"proposalId", body.ProposalID}, [2]string{"operator", body.Operator}) {
+			d.command(ctx, statemachine.Command{Op: op, ProposalID: body.ProposalID, Operator: body.Operator, Note: body.Note})
+		}
+	}
+}
+
+func (d *Desk) zone(ctx *fasthttp.RequestCtx) {
+	var body operatorapi.Zone
+	if !read(ctx, &body) || !needs(ctx, [2]string{"zone", string(body.Zone)}, [2]string{"operator", body.Operator}) {
+		return
+	}
+	if body.Closed == nil {
+		fail(ctx, fasthttp.StatusBadRequest, operatorapi.Error{Outcome: "invalid", Reason: "is missing", Field: "closed"})
+		return
+	}
+	d.command(ctx, statemachine.Command{Op: statemachine.OpClosure, Zone: body.Zone, Closed: *body.Closed, Operator: body.Operator})
+}
+
+func (d *Desk) drain(ctx *fasthttp.RequestCtx) {
+	var body operatorapi.Drain
+	if !read(ctx, &body) || !needs(ctx, [2]string{"engine", string(body.Engine)}, [2]string{"operator", body.Operator}) {
+		return
+	}
+	if body.Draining == nil {
+		fail(ctx, fasthttp.StatusBadRequest, operatorapi.Error{Outcome: "invalid", Reason: "is missing", Field: "draining"})
+		return
+	}
+	d.command(ctx, statemachine.Command{Op: statemachine.OpClosure, Engine: body.Engine, Closed: *body.Draining, Operator: body.Operator})
+}
+
+// find reads part of the state; it says false when it has answered why not.
+func (d *Desk) find(ctx *fasthttp.RequestCtx, what, key string) ([]byte, bool) {
+	bounded, cancel := context.WithTimeout(context.Background(), commandLimit)
+	defer cancel()
+	result, known := d.daemon.Look(bounded, what, key)
+	if !known {
+		fail(ctx, fasthttp.StatusServiceUnavailable, operatorapi.Error{Outcome: "unknown", Reason: "the control group gave no answer in time"})
+		return nil, false
+	}
+	if len(result) == 0 {
+		fail(ctx, fasthttp.StatusNotFound, operatorapi.Error{Outcome: "missing", Reason: "there is no such " + what})
+		return nil, false
+	}
+	return result, true
+}
+
+func (d *Desk) look(ctx *fasthttp.RequestCtx, what, key string) {
+	if result, ok := d.find(ctx, what, key); ok {
+		ctx.SetContentType("application/json")
+		ctx.SetBody(result)
+	}
+}
+
+// spec reads a bundle back, byte for byte.
+func (d *Desk) spec(ctx *fasthttp.RequestCtx) {
+	key := string(ctx.QueryArgs().Peek("epoch"))
+	if key == "" {
+		key = "0"
+	}
+	if _, err := strconv.ParseUint(key, 10, 64); err != nil {
+		fail(ctx, fasthttp.StatusBadRequest, operatorapi.Error{Outcome: "invalid", Reason: "must be a number", Field: "epoch"})
+		return
+	}
+	result, ok := d.find(ctx, "spec", key)
+	if !ok {
+		return
+	}
+	var proposal statemachine.Proposal
+	if err := json.Unmarshal(result, &proposal); err != nil {
+		fail(ctx, fasthttp.StatusInternalServerError, operatorapi.Error{Outcome: "unknown", Reason: "the answer of the control group cannot be read"})
+		return
+	}
+	ctx.Response.Header.Set(operatorapi.HeaderEpoch, fmt.Sprint(proposal.Epoch))
+	ctx.SetContentType("application/json")
+	ctx.SetBody(proposal.Spec)
+}
+
+func (d *Desk) trace(ctx *fasthttp.RequestCtx) {
+	change := string(ctx.QueryArgs().Peek("change"))
+	kind, number, _ := strings.Cut(change, ":")
+	if _, err := strconv.ParseUint(number, 10, 64); err != nil || kind != "spec" && kind != "closure" {
+		fail(ctx, fasthttp.StatusBadRequest, operatorapi.Error{Outcome: "invalid", Reason: "must be spec:N or closure:N", Field: "change"})
+		return
+	}
+	d.look(ctx, "trace", change)
+}
+
+func (d *Desk) ready(ctx *fasthttp.RequestCtx) {
+	ready, why := d.daemon.Ready()
+	status := fasthttp.StatusOK
+	if !ready {
+		status = fasthttp.StatusServiceUnavailable
+	}
+	answer(ctx, status, map[string]any{"ready": ready, "reason": why})
+}
--- /dev/null
+++ b/epoch/table/table.go
@@ -0,0 +1,111 @@
+// Package table is what a spec looks like to the request path: built whole off the path, then
+// swapped in by one pointer and never changed after.
+package table
+
+import (
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/statemachine"
+)
+
+// Route is one route ready for look-up.
+type Route struct {
+	spec.Route
+	models   map[string]bool
+	adapters map[string]bool
+}
+
+// Table is one epoch of the spec together with one epoch of the closures.
+type Table struct {
+	Epoch    ident.Epoch
+	Closures statemachine.Closures
+	Spec     *spec.Spec
+	// Raw is the bundle as it was proposed, byte for byte.
+	Raw []byte
+
+	routes   map[string]*Route
+	engines  map[ident.EngineID]spec.Engine
+	models   map[string]spec.Model
+	adapters map[string]spec.Adapter
+}
+
+// Build makes the table for a bundle.
+func Build(epoch ident.Epoch, raw []byte, parsed *spec.Spec, closures statemachine.Closures) *Table {
+	t := &Table{
+		Epoch: epoch, Closures: closures, Spec: parsed, Raw: raw,
+		routes: make(map[string]*Route, len(parsed.Routes)), engines: map[ident.EngineID]spec.Engine{},
+		models: map[string]spec.Model{}, adapters: map[string]spec.Adapter{},
+	}
+	for _, route := range parsed.Routes {
+		built := &Route{Route: route, models: map[string]bool{}, adapters: map[string]bool{}}
+		for _, model := range route.Models {
+			built.models[model] = true
+		}
+		for _, adapter := range route.Adapters {
+			built.adapters[adapter] = true
+		}
+		t.routes[route.Name] = built
+	}
+	for _, engine := range parsed.Engines {
+		t.engines[engine.ID] = engine
+	}
+	for _, model := range parsed.Models {
+		t.models[model.Name] = model
+	}
+	for _, adapter := range parsed.Adapters {
+		t.adapters[adapter.Name] = adapter
+	}
+	return t
+}
+
+// WithClosures gives the same bundle under other closures.
+func (t *Table) WithClosures(closures statemachine.Closures) *Table {
+	copied := *t
+	copied.Closures = closures
+	return &copied
+}
+
+// Route gives a route by name.
+func (t *Table) Route(name string) (*Route, bool) {
+	route, ok := t.routes[name]
+	return route, ok
+}
+
+// Model and Adapter give entries of the catalogue.
+func (t *Table) Model(name string) (spec.Model, bool) { model, ok := t.models[name]; return model, ok }
+
+// Adapter gives an adapter by name.
+func (t *Table) Adapter(name string) (spec.Adapter, bool) {
+	adapter, ok := t.adapters[name]
+	return adapter, ok
+}
+
+// Engine gives an engine the bundle allows.
+func (t *Table) Engine(id ident.EngineID) (spec.Engine, bool) {
+	engine, ok := t.engines[id]
+	return engine, ok
+}
+
+// Allows says whether the bundle lets this route use this model and adapter.
+func (t *Table) Allows(route, model, adapter string) bool {
+	found, ok := t.routes[route]
+	return ok && found.models[model] && (adapter == "" || found.adapters[adapter] && t.adapters[adapter].Model == model)
+}
+
+// Open says whether an engine may be sent anything new: allowed, in an open zone, not being drained by an operator.
+func (t *Table) Open(id ident.EngineID) bool {
+	engine, ok := t.engines[id]
+	if !ok {
+		return false
+	}
+	_, zoneShut := t.Closures.Zones[engine.Zone]
+	_, draining := t.Closures.Engines[id]
+	return !zoneShut && !draining
+}
+
+// SeatIdle is how long a seat outlasts its session's last request.
+func (t *Table) SeatIdle() time.Duration {
+	return time.Duration(t.Spec.Limits.SeatIdleMs) * time.Millisecond
+}
--- /dev/null
+++ b/process/daemon/daemon.go
@@ -0,0 +1,486 @@
+// Package daemon puts the actors of one cresspondd process together and runs them.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/cresspond/cresspond/connection/frontdoor"
+	"github.com/cresspond/cresspond/connection/operators"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/engines"
+	"github.com/cresspond/cresspond/process/fellows"
+	"github.com/cresspond/cresspond/process/formation"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/membership"
+	"github.com/cresspond/cresspond/process/placement"
+	"github.com/cresspond/cresspond/process/raft"
+	"github.com/cresspond/cresspond/process/replica"
+	"github.com/cresspond/cresspond/process/rollout"
+	"github.com/cresspond/cresspond/process/seats"
+	"github.com/cresspond/cresspond/process/snowflake"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/process/store"
+	"github.com/cresspond/cresspond/request/dispatch"
+	"github.com/cresspond/cresspond/wire/callerapi"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+)
+
+// tenureMargin is taken off the end of each tenure for clock-rate error.
+const tenureMargin = time.Second
+
+// Daemon is one process.
+type Daemon struct {
+	config  config.Config
+	version string
+	nodeID  ident.NodeID
+	clock   clock.Clock
+	log     log.Interface
+
+	links     *fellows.Links
+	keeper    *rollout.Keeper
+	members   *membership.Membership
+	watcher   *engines.Watcher
+	generator *snowflake.Generator
+	dispatch  *dispatch.Actor
+	door      *frontdoor.Door
+	desk      *operators.Desk
+	placer    *placement.Actor
+	home      *seats.Home
+
+	replicaConfig replica.Config
+	store         *store.Store
+	replica       atomic.Pointer[replica.Replica]
+	group         atomic.Pointer[ident.GroupID]
+	adopted       chan ident.GroupID
+	forming       atomic.Bool
+	draining      atomic.Bool
+	broken        chan error
+
+	fleetMutex sync.Mutex
+	fleetWants map[ident.NodeID]fleetWant
+
+	counters counters
+}
+
+// fleetWant is what another daemon last said it holds and has seated.
+type fleetWant struct {
+	heard  clock.Mark
+	demand []*fellowapi.Demand
+	seats  []*fellowapi.Seat
+}
+
+type counters struct {
+	foreignGroup, garbage, held, acquired, renewed, tenureFailed atomic.Uint64
+	bytesOwnZone, bytesOtherZone, junkEngines, lastLookStops     atomic.Uint64
+}
+
+// Option sets one thing of a daemon.
+type Option func(*Daemon)
+
+// WithClock replaces the machine's clocks.
+func WithClock(c clock.Clock) Option { return func(d *Daemon) { d.clock = c } }
+
+// WithReplicaConfig replaces the group's times.
+func WithReplicaConfig(c replica.Config) Option { return func(d *Daemon) { d.replicaConfig = c } }
+
+// New makes a daemon from checked settings.
+func New(c config.Config, version string, logger log.Interface, options ...Option) *Daemon {
+	var life [4]byte
+	if _, err := rand.Read(life[:]); err != nil {
+		panic("broken invariant: no randomness: " + err.Error())
+	}
+	d := &Daemon{
+		config: c, version: version, clock: clock.System{},
+		// Each life of a daemon is a holder of its own, so an earlier life's ids can't be minted again.
+		nodeID:        ident.NodeID(c.Name + "#" + hex.EncodeToString(life[:])),
+		replicaConfig: replica.DefaultConfig(), adopted: make(chan ident.GroupID, 1), broken: make(chan error, 4),
+		fleetWants: map[ident.NodeID]fleetWant{}, home: seats.NewHome(),
+	}
+	d.log = logger.WithField("node", string(d.nodeID))
+	for _, option := range options {
+		option(d)
+	}
+	none := ident.GroupID("")
+	d.group.Store(&none)
+	d.generator = snowflake.New(d.clock, tenureMargin)
+	return d
+}
+
+// Run runs the daemon until stop says so, then drains it; hurry ends the draining at once.
+func (d *Daemon) Run(stop, hurry <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if d.config.Serves(config.Control) {
+		opened, err := store.Open(d.config.Data, newMember)
+		if err != nil {
+			return err
+		}
+		defer opened.Close()
+		d.store = opened
+	}
+	fellowListener, err := net.Listen("tcp", d.config.FellowListen)
+	if err != nil {
+		return eris.Wrapf(err, "fellowListen %s cannot be used", d.config.FellowListen)
+	}
+	defer fellowListener.Close()
+	callerListener, err := net.Listen("tcp", d.config.Listen)
+	if err != nil {
+		return eris.Wrapf(err, "listen %s cannot be used", d.config.Listen)
+	}
+	defer callerListener.Close()
+
+	d.links = fellows.New(ctx, d.config.ReachedAt())
+	d.keeper = rollout.New(d.clock.Wall, d.poke)
+	d.watcher = engines.New(d.clock, d.config.Platform, d.poke)
+	d.members = membership.New(d.clock, d, d.config.Seeds, d.config.ReachedAt())
+	d.dispatch = dispatch.NewActor(routing{d})
+	d.placer = placement.NewActor(planning{d}, d.clock)
+	streams, cutStreams := context.WithCancel(context.Background())
+	defer cutStreams()
+	d.door = frontdoor.New(streams, d.clock, d.keeper.Table, d.dispatch)
+	d.desk = operators.New(d)
+
+	run := func(actor func(context.Context)) { go actor(ctx) }
+	run(d.keeper.Run)
+	run(d.members.Run)
+	run(d.runTenancy)
+	if d.config.Serves(config.Route) {
+		run(d.dispatch.Run)
+	}
+	if d.config.Serves(config.Route) || d.config.Serves(config.Place) {
+		run(d.watcher.Run)
+	}
+	if d.config.Serves(config.Place) {
+		run(d.placer.Run)
+	}
+
+	fellowServer := &http.Server{Handler: fellowapi.NewFellowServer(d), ReadHeaderTimeout: 5 * time.Second}
+	go func() { d.fail(fellowServer.Serve(fellowListener), "the fellow listener failed") }()
+	defer fellowServer.Close()
+	callerServer := &fasthttp.Server{
+		Handler: d.handle, Name: "cresspond", MaxRequestBodySize: 4 << 20, ReadTimeout: 20 * time.Second, WriteTimeout: 5 * time.Minute,
+		IdleTimeout: time.Minute, NoDefaultServerHeader: true, Concurrency: 8192, CloseOnShutdown: true, Logger: quiet{}, ReadBufferSize: 16 << 10,
+		ErrorHandler: badRequest,
+	}
+	go func() { d.fail(callerServer.Serve(callerListener), "the listener failed") }()
+
+	if d.store != nil {
+		go d.runControl(ctx)
+	}
+	d.log.WithFields(log.Fields{"listen": callerListener.Addr().String(), "fellows": fellowListener.Addr().String(),
+		"serve": d.serve(), "zone": string(d.config.Zone), "version": d.version}).Info("started")
+
+	select {
+	case <-stop:
+	case err := <-d.broken:
+		d.log.WithError(err).Error("stepping aside")
+		return err
+	}
+	d.drain(callerServer, hurry)
+	return nil
+}
+
+func newMember() raft.MemberID {
+	var raw [8]byte
+	if _, err := rand.Read(raw[:]); err != nil {
+		panic("broken invariant: no randomness: " + err.Error())
+	}
+	return raft.MemberID(binary.BigEndian.Uint64(raw[:])>>1 | 1)
+}
+
+// quiet drops the library's own lines: broken connections are counted, not told.
+type quiet struct{}
+
+// Printf drops a line.
+func (quiet) Printf(string, ...any) {}
+
+// badRequest answers what could not even be read as HTTP.
+func badRequest(ctx *fasthttp.RequestCtx, err error) {
+	status := fasthttp.StatusBadRequest
+	if err == fasthttp.ErrBodyTooLarge {
+		status = fasthttp.StatusRequestEntityTooLarge
+	}
+	frontdoor.Fail(ctx, status, callerapi.Error{Outcome: callerapi.Invalid, Reason: "the request cannot be read: " + err.Error()})
+	ctx.SetConnectionClose()
+}
+
+func (d *Daemon) fail(err error, what string) {
+	if err != nil && err != http.ErrServerClosed && !strings.Contains(err.Error(), "closed") {
+		d.broken <- eris.Wrap(err, what)
+	}
+}
+
+func (d *Daemon) handle(ctx *fasthttp.RequestCtx) {
+	if d.draining.Load() {
+		// Whoever is answered now should connect elsewhere next time.
+		ctx.SetConnectionClose()
+	}
+	path := string(ctx.Path())
+	if path == callerapi.PathGenerate && d.config.Serves(config.Route) {
+		d.door.Handle(ctx)
+		return
+	}
+	d.desk.Handle(ctx, path)
+}
+
+func (d *Daemon) poke() { d.dispatch.Poke() }
+
+func (d *Daemon) serve() []string {
+	out := make([]string, 0, len(d.config.Serve))
+	for _, role := range d.config.Serve {
+		out = append(out, string(role))
+	}
+	return out
+}
+
+// Group is the group this daemon knows.
+func (d *Daemon) Group() ident.GroupID { return *d.group.Load() }
+
+// learnGroup takes up the group's name; it says false when another is known already.
+func (d *Daemon) learnGroup(group ident.GroupID) bool {
+	known := d.group.Load()
+	if group == "" || *known == group {
+		return true
+	}
+	if *known != "" {
+		d.counters.foreignGroup.Add(1)
+		return false
+	}
+	return d.group.CompareAndSwap(known, &group) || d.Group() == group
+}
+
+// runControl brings this member into its group, or forms it, and then runs it.
+func (d *Daemon) runControl(ctx context.Context) {
+	group, restored, err := d.findGroup(ctx)
+	if err != nil {
+		d.broken <- err
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if !d.learnGroup(group) {
+		d.broken <- eris.Errorf("the data folder belongs to group %s, and fellows belong to %s", group, d.Group())
+		return
+	}
+	self := raft.Member{ID: d.store.Member, Name: d.config.Name, Address: d.config.ReachedAt()}
+	made, err := replica.New(self, group, restored, d.replicaConfig, d.clock, d.store, d.links,
+		replica.WithChanged(d.stateChanged), replica.WithFatal(func(err error) { d.broken <- eris.Wrap(err, "the disk failed") }))
+	if err != nil {
+		d.broken <- eris.Wrap(err, "the data folder cannot be read")
+		return
+	}
+	d.replica.Store(made)
+	d.log.WithField("group", string(group)).Info("member of the group")
+	go d.runJoin(ctx, made, self)
+	made.Run(ctx)
+}
+
+// stateChanged is called by the replica when the spec in force or the closures are others.
+func (d *Daemon) stateChanged(state *statemachine.State) {
+	closures := state.Closures.Clone()
+	epoch, raw := state.Epoch(), []byte(nil)
+	if inForce, ok := state.InForce(); ok {
+		raw = inForce.Spec
+	}
+	// Not waited for: building a table must not hold up the group.
+	go d.keeper.Offer(epoch, raw, &closures)
+}
+
+func (d *Daemon) findGroup(ctx context.Context) (ident.GroupID, raft.Restored, error) {
+	var none raft.Restored
+	remembered, err := d.store.Group()
+	if err != nil {
+		return "", none, err
+	}
+	if remembered != "" {
+		restored, err := d.store.Load()
+		return remembered, restored, err
+	}
+	ticker := time.NewTicker(200 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		verdict, group, members := formation.Decide(d.store.Member, d.askSeeds(ctx))
+		switch verdict {
+		case formation.Join:
+			return group, none, nil
+		case formation.Form:
+			return d.form(members)
+		}
+		select {
+		case <-ctx.Done():
+			return "", none, nil
+		case group := <-d.adopted:
+			return group, none, nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// form writes the first state of a new group; it counts once it is synced.
+func (d *Daemon) form(members raft.Membership) (ident.GroupID, raft.Restored, error) {
+	var raw [8]byte
+	if _, err := rand.Read(raw[:]); err != nil {
+		panic("broken invariant: no randomness: " + err.Error())
+	}
+	group := ident.GroupID(hex.EncodeToString(raw[:]))
+	first := raft.Snapshot{Index: 1, Term: 1, Membership: members, Data: statemachine.New().Snapshot()}
+	if err := d.store.Write(group, raft.Save{HardState: raft.HardState{Term: 1}, Snapshot: &first}); err != nil {
+		return "", raft.Restored{}, err
+	}
+	d.log.WithField("members", len(members.Members)).Info("formed a new group")
+	restored, err := d.store.Load()
+	return group, restored, err
+}
+
+func (d *Daemon) askSeeds(ctx context.Context) []formation.Seed {
+	out := make([]formation.Seed, len(d.config.Seeds))
+	var wait sync.WaitGroup
+	for place, address := range d.config.Seeds {
+		out[place].Address = address
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			identity := d.identity()
+			if address != d.config.ReachedAt() {
+				bounded, cancel := context.WithTimeout(ctx, time.Second)
+				defer cancel()
+				answer, err := d.links.To(address).Identify(bounded, &fellowapi.Nothing{})
+				if err != nil {
+					return
+				}
+				identity = answer
+			}
+			out[place] = formation.Seed{Address: address, Answered: true, Member: raft.MemberID(identity.MemberId),
+				Name: nameOf(identity.NodeId), Group: ident.GroupID(identity.Group), ServesControl: identity.ServesControl}
+		}()
+	}
+	wait.Wait()
+	return out
+}
+
+// nameOf is the configured name within a node id.
+func nameOf(node string) string {
+	name, _, _ := strings.Cut(node, "#")
+	return name
+}
+
+// runJoin asks to be taken in until this member votes.
+func (d *Daemon) runJoin(ctx context.Context, made *replica.Replica, self raft.Member) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		member, known := made.Condition().Members.Find(self.ID)
+		leader := d.members.View().LeaderAddress
+		if (!known || !member.Voter) && leader != "" && leader != self.Address {
+			bounded, cancel := context.WithTimeout(ctx, time.Second)
+			// A lost call is made again on the next beat.
+			_, _ = d.links.To(leader).Join(bounded, &fellowapi.JoinRequest{Group: string(d.Group()), MemberId: uint64(self.ID), Name: self.Name, Address: self.Address})
+			cancel()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// runTenancy acquires a worker id and renews it.
+func (d *Daemon) runTenancy(ctx context.Context) {
+	const beat = 250 * time.Millisecond
+	renewEvery := d.replicaConfig.Tenure / 3
+	ticker := time.NewTicker(beat)
+	defer ticker.Stop()
+	var renewed clock.Mark
+	for {
+		asked := d.clock.Elapsed()
+		worker, held := d.generator.Worker()
+		switch {
+		case d.draining.Load():
+		case !held:
+			result, ok := d.submitOnce(ctx, statemachine.Command{Op: statemachine.OpAcquire, NodeID: d.nodeID})
+			if ok && result.Grant != nil {
+				d.generator.Take(*result.Grant, asked)
+				renewed = asked
+				d.counters.acquired.Add(1)
+				d.log.WithField("workerId", int64(result.Grant.WorkerID)).Info("worker id acquired")
+			}
+		case asked.Since(renewed) >= renewEvery:
+			result, ok := d.submitOnce(ctx, statemachine.Command{Op: statemachine.OpRenew, NodeID: d.nodeID, WorkerID: worker})
+			switch {
+			case ok && result.Grant != nil:
+				d.generator.Take(*result.Grant, asked)
+				renewed = asked
+				d.counters.renewed.Add(1)
+			case ok && result.Verdict == statemachine.Mismatch:
+				// The group no longer knows this tenure: nothing may be minted under it from now on.
+				d.generator.Drop()
+				d.counters.tenureFailed.Add(1)
+				d.log.Warn("worker id lost")
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// drain stops taking new work, finishes what was read, hands over and lets go.
+func (d *Daemon) drain(server *fasthttp.Server, hurry <-chan struct{}) {
+	limit, cancel := context.WithTimeout(context.Background(), time.Duration(d.config.DrainMs)*time.Millisecond)
+	defer cancel()
+	go func() {
+		select {
+		case <-hurry:
+			cancel()
+		case <-limit.Done():
+		}
+	}()
+	d.draining.Store(true)
+	d.log.Info("draining")
+	if d.config.Serves(config.Place) {
+		d.placer.StandDown()
+		bounded, done := context.WithTimeout(limit, time.Second)
+		d.submitOnce(bounded, statemachine.Command{Op: statemachine.OpDropClaim, NodeID: d.nodeID})
+		done()
+	}
+	if held := d.replica.Load(); held != nil && held.Condition().Leads {
+		held.HandOver()
+	}
+	// The platform needs a moment to see that this daemon is not ready; until then it may still hand connections over.
+	notice := time.NewTimer(noticeLag)
+	defer notice.Stop()
+	select {
+	case <-notice.C:
+	case <-limit.Done():
+	}
+	if err := server.ShutdownWithContext(limit); err != nil {
+		d.log.WithField("open", d.door.Open()).Warn("stopped before all answers were written")
+	}
+	bounded, done := context.WithTimeout(context.Background(), 2*time.Second)
+	defer done()
+	if worker, last, held := d.generator.Drop(); held {
+		d.submit(bounded, statemachine.Command{Op: statemachine.OpRelease, NodeID: d.nodeID, WorkerID: worker, Last: last})
+	}
+	d.log.Info("stopped")
+}
+
+// noticeLag is how long a stopping daemon goes on taking connections that are still handed to it.
+const noticeLag = 1500 * time.Millisecond
--- /dev/null
+++ b/process/daemon/fellow.go
@@ -0,0 +1,445 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/membership"
+	"github.com/cresspond/cresspond/process/raft"
+	"github.com/cresspond/cresspond/process/replica"
+	"github.com/cresspond/cresspond/process/rollout"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+// reachLimit is how long an acknowledgement waits for daemons in contact.
+const reachLimit = 1800 * time.Millisecond
+
+// ours says whether a message is of this daemon's group; one that names none is from a fresh daemon.
+func (d *Daemon) ours(group string) error {
+	if known := d.Group(); group != "" && known != "" && group != string(known) {
+		d.counters.foreignGroup.Add(1)
+		return twirp.NewError(twirp.FailedPrecondition, "this daemon belongs to another group")
+	}
+	return nil
+}
+
+// Raft takes raft messages.
+func (d *Daemon) Raft(_ context.Context, in *fellowapi.RaftBatch) (*fellowapi.Nothing, error) {
+	messages, sound := fellowapi.ToRaft(in.Messages)
+	if !sound || in.Group == "" {
+		d.counters.garbage.Add(1)
+		return nil, twirp.NewError(twirp.InvalidArgument, "these are no raft messages")
+	}
+	if err := d.ours(in.Group); err != nil {
+		return nil, err
+	}
+	if d.store == nil {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "this daemon does not serve control")
+	}
+	held := d.replica.Load()
+	if held == nil {
+		for _, message := range messages {
+			// Only a group that was told this folder's identity can name it.
+			if message.To == d.store.Member {
+				select {
+				case d.adopted <- ident.GroupID(in.Group):
+				default:
+				}
+				break
+			}
+		}
+		return &fellowapi.Nothing{}, nil
+	}
+	held.Receive(ident.GroupID(in.Group), in.Address, messages)
+	return &fellowapi.Nothing{}, nil
+}
+
+func (d *Daemon) identity() *fellowapi.Identity {
+	out := &fellowapi.Identity{NodeId: string(d.nodeID), Group: string(d.Group()), ServesControl: d.store != nil}
+	if d.store != nil {
+		out.MemberId = uint64(d.store.Member)
+		if remembered, err := d.store.Group(); err == nil && remembered != "" {
+			out.Group = string(remembered)
+		}
+	}
+	if t := d.keeper.Table(); t != nil {
+		out.SpecEpoch = uint64(t.Epoch)
+	}
+	return out
+}
+
+// Identify says who this is.
+func (d *Daemon) Identify(context.Context, *fellowapi.Nothing) (*fellowapi.Identity, error) {
+	return d.identity(), nil
+}
+
+// Join takes a new data folder into the group, if this daemon leads.
+func (d *Daemon) Join(_ context.Context, in *fellowapi.JoinRequest) (*fellowapi.SubmitReply, error) {
+	if err := d.ours(in.Group); err != nil {
+		return nil, err
+	}
+	held := d.replica.Load()
+	if held == nil || !held.Condition().Leads {
+		return d.redirect(), nil
+	}
+	if in.MemberId == 0 || in.Name == "" || in.Address == "" || in.Group == "" {
+		return nil, twirp.NewError(twirp.InvalidArgument, "a member needs an identity, a name and an address")
+	}
+	held.Join(raft.Member{ID: raft.MemberID(in.MemberId), Name: in.Name, Address: in.Address})
+	return &fellowapi.SubmitReply{Outcome: string(replica.Applied)}, nil
+}
+
+func (d *Daemon) redirect() *fellowapi.SubmitReply {
+	return &fellowapi.SubmitReply{Outcome: string(replica.NotLeader), LeaderAddress: d.leaderAddress()}
+}
+
+// leaderAddress is where the leader is, as far as this daemon knows.
+func (d *Daemon) leaderAddress() string {
+	if held := d.replica.Load(); held != nil {
+		if leader := held.Condition().Leader; leader.Address != "" {
+			return leader.Address
+		}
+	}
+	return d.members.View().LeaderAddress
+}
+
+// Leads says whether this daemon leads the group.
+func (d *Daemon) Leads() bool {
+	held := d.replica.Load()
+	return held != nil && held.Condition().Leads
+}
+
+// Plans says whether this daemon plans.
+func (d *Daemon) Plans() bool { return d.config.Serves(config.Place) && d.placer.Condition().Held }
+
+// ops lists the commands that may come from outside the leader.
+var ops = map[statemachine.Op]bool{
+	statemachine.OpAcquire: true, statemachine.OpRenew: true, statemachine.OpRelease: true,
+	statemachine.OpPropose: true, statemachine.OpReview: true, statemachine.OpSign: true, statemachine.OpRoll: true,
+	statemachine.OpClosure: true, statemachine.OpClaim: true, statemachine.OpDropClaim: true,
+}
+
+// Submit takes a command, if this daemon leads.
+func (d *Daemon) Submit(ctx context.Context, in *fellowapi.SubmitRequest) (*fellowapi.SubmitReply, error) {
+	if err := d.ours(in.Group); err != nil {
+		return nil, err
+	}
+	var command statemachine.Command
+	if err := json.Unmarshal(in.Command, &command); err != nil || !ops[command.Op] {
+		d.counters.garbage.Add(1)
+		return nil, twirp.NewError(twirp.InvalidArgument, "this is no command")
+	}
+	answer, outcome := d.lead(ctx, command)
+	if outcome == replica.NotLeader {
+		return d.redirect(), nil
+	}
+	data, err := json.Marshal(answer)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &fellowapi.SubmitReply{Outcome: string(outcome), Result: data}, nil
+}
+
+// lead carries a command out as the leader.
+func (d *Daemon) lead(ctx context.Context, command statemachine.Command) (operatorapi.Answer, replica.Outcome) {
+	held := d.replica.Load()
+	if held == nil || !held.Condition().Leads {
+		return operatorapi.Answer{}, replica.NotLeader
+	}
+	if command.Op == statemachine.OpPropose {
+		// A bundle with faults never gets into the log.
+		if _, faults := spec.Parse(command.Spec); len(faults) > 0 {
+			return operatorapi.Answer{Result: statemachine.Result{Verdict: statemachine.Malformed, Reason: "the bundle has faults"}, Faults: faults}, replica.Applied
+		}
+	}
+	began := d.clock.Elapsed()
+	got := held.Submit(ctx, command)
+	answer := operatorapi.Answer{Result: got.Result}
+	if got.Outcome != replica.Applied || got.Result.Verdict != statemachine.Done {
+		return answer, got.Outcome
+	}
+	var specEpoch, closureEpoch ident.Epoch
+	switch command.Op {
+	case statemachine.OpRoll:
+		specEpoch = got.Result.Proposal.Epoch
+	case statemachine.OpClosure:
+		closureEpoch = got.Result.Closures.Epoch
+	default:
+		return answer, got.Outcome
+	}
+	// Acknowledged means: on a majority's disks, and in force at every daemon in contact.
+	reach := d.members.AwaitReach(ctx, specEpoch, closureEpoch, reachLimit-d.clock.Elapsed().Since(began))
+	answer.InForceAt, answer.Missing = reach.Have, reach.Lack
+	return answer, got.Outcome
+}
+
+// submitOnce brings a command to the leader, following one redirect.
+func (d *Daemon) submitOnce(ctx context.Context, command statemachine.Command) (operatorapi.Answer, bool) {
+	if answer, outcome := d.lead(ctx, command); outcome != replica.NotLeader {
+		return answer, outcome == replica.Applied
+	}
+	data, err := json.Marshal(command)
+	if err != nil {
+		panic("broken invariant: a command cannot be encoded: " + err.Error())
+	}
+	address := d.leaderAddress()
+	for range 2 {
+		if address == "" || address == d.config.ReachedAt() {
+			return operatorapi.Answer{}, false
+		}
+		bounded, cancel := context.WithTimeout(ctx, 4*time.Second)
+		reply, err := d.links.To(address).Submit(bounded, &fellowapi.SubmitRequest{Group: string(d.Group()), Command: data})
+		cancel()
+		if err != nil {
+			return operatorapi.Answer{}, false
+		}
+		if reply.Outcome == string(replica.NotLeader) {
+			address = reply.LeaderAddress
+			continue
+		}
+		var answer operatorapi.Answer
+		if json.Unmarshal(reply.Result, &answer) != nil {
+			return operatorapi.Answer{}, false
+		}
+		return answer, reply.Outcome == string(replica.Applied)
+	}
+	return operatorapi.Answer{}, false
+}
+
+// submit brings a command to the leader, again and again until ctx ends. All commands may be sent
+// again: each finds what it did before.
+func (d *Daemon) submit(ctx context.Context, command statemachine.Command) (operatorapi.Answer, bool) {
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		if answer, ok := d.submitOnce(ctx, command); ok {
+			return answer, true
+		}
+		select {
+		case <-ctx.Done():
+			return operatorapi.Answer{}, false
+		case <-ticker.C:
+		}
+	}
+}
+
+// Read answers a linearizable read, if this daemon leads.
+func (d *Daemon) Read(ctx context.Context, in *fellowapi.ReadRequest) (*fellowapi.ReadReply, error) {
+	if err := d.ours(in.Group); err != nil {
+		return nil, err
+	}
+	result, outcome := d.look(ctx, in.What, in.Key)
+	return &fellowapi.ReadReply{Outcome: string(outcome), Result: result, LeaderAddress: d.leaderAddress()}, nil
+}
+
+// look reads part of the state at a linearizable point; a result of nothing means that it isn't there.
+func (d *Daemon) look(ctx context.Context, what, key string) ([]byte, replica.Outcome) {
+	held := d.replica.Load()
+	if held == nil || !held.Condition().Leads {
+		return nil, replica.NotLeader
+	}
+	var result []byte
+	outcome := held.Read(ctx, func(state *statemachine.State) { result = lookUp(state, what, key) })
+	if what == "trace" && outcome == replica.Applied {
+		result = d.trace(key, result)
+	}
+	return result, outcome
+}
+
+func lookUp(state *statemachine.State, what, key string) []byte {
+	encode := func(value any) []byte {
+		data, err := json.Marshal(value)
+		if err != nil {
+			panic("broken invariant: the state cannot be encoded: " + err.Error())
+		}
+		return data
+	}
+	switch what {
+	case "spec":
+		epoch, err := strconv.ParseUint(key, 10, 64)
+		if err != nil {
+			return nil
+		}
+		if epoch == 0 {
+			epoch = uint64(state.Epoch())
+		}
+		if found, ok := state.At(ident.Epoch(epoch)); ok {
+			return encode(found)
+		}
+	case "history":
+		list := []statemachine.Proposal{}
+		for _, id := range state.History {
+			brief := *state.Proposals[id]
+			brief.Spec = nil
+			list = append(list, brief)
+		}
+		return encode(list)
+	case "proposal":
+		if found := state.Proposals[key]; found != nil {
+			return encode(found)
+		}
+	case "closures":
+		return encode(state.Closures)
+	case "trace":
+		return encode(map[string]uint64{"spec": uint64(state.Epoch()), "closure": uint64(state.Closures.Epoch)})
+	}
+	return nil
+}
+
+// Look reads part of the state through whoever leads.
+func (d *Daemon) Look(ctx context.Context, what, key string) ([]byte, bool) {
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		result, outcome := d.look(ctx, what, key)
+		if outcome == replica.Applied {
+			return result, true
+		}
+		if address := d.leaderAddress(); address != "" && address != d.config.ReachedAt() {
+			bounded, cancel := context.WithTimeout(ctx, 2*time.Second)
+			reply, err := d.links.To(address).Read(bounded, &fellowapi.ReadRequest{Group: string(d.Group()), What: what, Key: key})
+			cancel()
+			if err == nil && reply.Outcome == string(replica.Applied) {
+				return reply.Result, true
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil, false
+		case <-ticker.C:
+		}
+	}
+}
+
+// Describe is this daemon's own row, as told in each pull.
+func (d *Daemon) Describe() *fellowapi.PullRequest {
+	request := &fellowapi.PullRequest{
+		Group: string(d.Group()), NodeId: string(d.nodeID), Address: d.config.ReachedAt(), Zone: string(d.config.Zone), Serve: d.serve(),
+		Ready: !d.draining.Load(),
+	}
+	if t := d.keeper.Table(); t != nil {
+		request.SpecEpoch, request.ClosureEpoch = uint64(t.Epoch), uint64(t.Closures.Epoch)
+	}
+	if d.store != nil {
+		request.MemberId = uint64(d.store.Member)
+	}
+	for _, step := range d.keeper.Steps() {
+		request.Steps = append(request.Steps, &fellowapi.Step{Change: step.Change, Step: step.Step, UnixMs: step.At.UnixMilli()})
+	}
+	request.Draining = d.drainingEngines()
+	return request
+}
+
+func (d *Daemon) drainingEngines() []*fellowapi.DrainingEngine {
+	var out []*fellowapi.DrainingEngine
+	now := d.clock.Elapsed()
+	for id, engine := range d.watcher.View().Engines {
+		if engine.Draining {
+			out = append(out, &fellowapi.DrainingEngine{Engine: string(id), Address: engine.Address, KnownMsAgo: now.Since(engine.DrainKnown).Milliseconds()})
+		}
+	}
+	return out
+}
+
+// Pull serves a fellow's pull.
+func (d *Daemon) Pull(ctx context.Context, in *fellowapi.PullRequest) (*fellowapi.PullReply, error) {
+	if err := d.ours(in.Group); err != nil {
+		return nil, err
+	}
+	if in.NodeId == "" || in.Address == "" {
+		d.counters.garbage.Add(1)
+		return nil, twirp.NewError(twirp.InvalidArgument, "a pull says who asks")
+	}
+	d.members.Served(in)
+	d.hearDraining(in.Draining)
+	now := d.clock.Elapsed()
+	reply := &fellowapi.PullReply{Group: string(d.Group()), NodeId: string(d.nodeID), LeaderAddress: d.leaderAddress(), IsLeader: d.Leads()}
+	if t := d.keeper.Table(); t != nil {
+		reply.SpecEpoch, reply.ClosureEpoch = uint64(t.Epoch), uint64(t.Closures.Epoch)
+		if in.SpecEpoch < uint64(t.Epoch) {
+			reply.Spec = t.Raw
+		}
+		if in.ClosureEpoch < uint64(t.Closures.Epoch) {
+			reply.Closures = rollout.EncodeClosures(t.Closures)
+		}
+	}
+	for _, fellow := range d.members.View().InContact(now, 5*time.Second) {
+		if string(fellow.NodeID) != in.NodeId {
+			reply.Contacts = append(reply.Contacts, contactOf(fellow, now))
+		}
+	}
+	reply.Draining = d.drainingEngines()
+	if d.config.Serves(config.Route) {
+		snapshot := d.dispatch.Snapshot()
+		for _, demand := range snapshot.Demands {
+			reply.Demand = append(reply.Demand, &fellowapi.Demand{Model: demand.Model, Adapter: demand.Adapter, Worth: demand.Worth, Held: int64(demand.Held), Running: int64(demand.Running)})
+		}
+		for _, seat := range snapshot.Seats {
+			reply.Seats = append(reply.Seats, &fellowapi.Seat{Engine: string(seat.Engine), Model: seat.Model, Adapter: seat.Adapter, Sessions: int64(seat.Sessions)})
+		}
+	}
+	return reply, nil
+}
+
+func contactOf(fellow membership.Fellow, now clock.Mark) *fellowapi.Contact {
+	return &fellowapi.Contact{
+		NodeId: string(fellow.NodeID), Address: fellow.Address, Zone: string(fellow.Zone), Serve: fellow.Serve,
+		HeardMsAgo: now.Since(fellow.Heard).Milliseconds(), SpecEpoch: uint64(fellow.SpecEpoch), ClosureEpoch: uint64(fellow.ClosureEpoch),
+		Ready: fellow.Ready, Steps: fellow.Steps,
+	}
+}
+
+func (d *Daemon) hearDraining(leaving []*fellowapi.DrainingEngine) {
+	for _, engine := range leaving {
+		d.watcher.HeardDraining(ident.EngineID(engine.Engine), engine.Address, time.Duration(engine.KnownMsAgo)*time.Millisecond)
+	}
+}
+
+// PullFrom asks another daemon.
+func (d *Daemon) PullFrom(ctx context.Context, address string, request *fellowapi.PullRequest) (*fellowapi.PullReply, error) {
+	return d.links.To(address).Pull(ctx, request)
+}
+
+// Learn takes over what a reply brought.
+func (d *Daemon) Learn(reply *fellowapi.PullReply) {
+	if !d.learnGroup(ident.GroupID(reply.Group)) {
+		return
+	}
+	if len(reply.Spec) > 0 || len(reply.Closures) > 0 {
+		d.keeper.Offer(ident.Epoch(reply.SpecEpoch), reply.Spec, rollout.DecodeClosures(reply.Closures))
+	}
+	d.hearDraining(reply.Draining)
+	d.fleetMutex.Lock()
+	defer d.fleetMutex.Unlock()
+	d.fleetWants[ident.NodeID(reply.NodeId)] = fleetWant{heard: d.clock.Elapsed(), demand: reply.Demand, seats: reply.Seats}
+}
+
+// Seat answers for the sessions whose home this daemon is.
+func (d *Daemon) Seat(_ context.Context, in *fellowapi.SeatRequest) (*fellowapi.SeatReply, error) {
+	if in.Session == "" {
+		return nil, twirp.NewError(twirp.InvalidArgument, "a seat belongs to a session")
+	}
+	if in.Ended {
+		d.home.End(in.Session)
+		return &fellowapi.SeatReply{}, nil
+	}
+	engine, found := d.home.Claim(d.clock.Elapsed(), d.seatIdle(), in.Session, ident.EngineID(in.Engine), ident.EngineID(in.Replaces))
+	return &fellowapi.SeatReply{Engine: string(engine), Found: found}, nil
+}
+
+func (d *Daemon) seatIdle() time.Duration {
+	if t := d.keeper.Table(); t != nil {
+		return t.SeatIdle()
+	}
+	return time.Minute
+}
--- /dev/null
+++ b/process/daemon/pages.go
@@ -0,0 +1,159 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/rollout"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+// Command brings an operator's command to the leader, and gives up when ctx ends.
+func (d *Daemon) Command(ctx context.Context, command statemachine.Command) (operatorapi.Answer, bool) {
+	return d.submit(ctx, command)
+}
+
+// Status is this daemon's own word.
+func (d *Daemon) Status() operatorapi.Status {
+	now := d.clock.Elapsed()
+	ready, why := d.Ready()
+	out := operatorapi.Status{NodeID: d.nodeID, Version: d.version, Zone: d.config.Zone, Serve: d.serve(), Ready: ready, NotReady: why,
+		Group: d.Group(), Leader: d.leaderAddress(), Fellows: []operatorapi.Fellow{}, Engines: []operatorapi.Engine{}}
+	t := d.keeper.Table()
+	if t != nil {
+		out.SpecEpoch, out.ClosureEpoch = t.Epoch, t.Closures.Epoch
+	}
+	if worker, held := d.generator.Worker(); held {
+		number := int64(worker)
+		out.WorkerID = &number
+	}
+	if held := d.replica.Load(); held != nil {
+		condition := held.Condition()
+		out.Raft = &operatorapi.RaftStatus{Role: condition.Role.String(), Term: uint64(condition.Term), Commit: uint64(condition.Commit), Stalled: condition.Stalled}
+		for _, member := range condition.Members.Members {
+			out.Raft.Members = append(out.Raft.Members, operatorapi.RaftMember{Name: member.Name, Address: member.Address, Voter: member.Voter})
+		}
+	}
+	if d.config.Serves(config.Place) {
+		condition := d.placer.Condition()
+		out.Planner = &operatorapi.PlannerStatus{Held: condition.Held, Claim: condition.Claim, InFlight: condition.InFlight}
+	}
+	for _, fellow := range d.members.View().InContact(now, 30*time.Second) {
+		out.Fellows = append(out.Fellows, operatorapi.Fellow{NodeID: fellow.NodeID, Address: fellow.Address, Zone: fellow.Zone, Serve: fellow.Serve,
+			HeardMsAgo: now.Since(fellow.Heard).Milliseconds(), SpecEpoch: fellow.SpecEpoch, ClosureEpoch: fellow.ClosureEpoch, Ready: fellow.Ready})
+	}
+	for _, engine := range d.watcher.View().Engines {
+		row := operatorapi.Engine{ID: engine.ID, Address: engine.Address, Zone: engine.Zone, Condition: string(engine.Condition), Draining: engine.Draining,
+			Open: t != nil && t.Open(engine.ID), CallSeq: engine.Report.CallSeq, Models: []string{}}
+		for _, held := range engine.Report.Models {
+			row.Models = append(row.Models, held.Model+":"+string(held.State))
+		}
+		out.Engines = append(out.Engines, row)
+	}
+	slices.SortFunc(out.Engines, func(a, b operatorapi.Engine) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return out
+}
+
+// Counters lists this daemon's counters, a line each.
+func (d *Daemon) Counters() string {
+	var out strings.Builder
+	say := func(name string, value uint64) { fmt.Fprintf(&out, "%s %d\n", name, value) }
+	c := &d.counters
+	say("fellow_foreign_group", c.foreignGroup.Load())
+	say("fellow_garbage", c.garbage.Load())
+	say("tenure_acquired", c.acquired.Load())
+	say("tenure_renewed", c.renewed.Load())
+	say("tenure_lost", c.tenureFailed.Load())
+	say("mint_refused", d.generator.Refusals())
+	say("pulls", d.members.Pulls.Load())
+	say("pulls_failed", d.members.Failed.Load())
+	say("raft_sent", d.links.Sent.Load())
+	say("raft_dropped", d.links.Dropped.Load())
+	say("raft_failed", d.links.Failed.Load())
+	say("offers_refused", d.keeper.Refused.Load())
+	w := &d.watcher.Counters
+	say("engine_reports_failed", w.FailedReports.Load())
+	say("engine_reports_junk", w.JunkReports.Load())
+	say("engine_lives", w.Lives.Load())
+	say("engine_set_aside", w.SetAsides.Load())
+	if d.config.Serves(config.Route) {
+		s := d.dispatch.Snapshot()
+		say("requests_invalid", d.door.Invalid.Load())
+		say("requests_let_in", s.Counters.LetIn)
+		say("requests_held", s.Counters.Held)
+		say("requests_held_now", uint64(s.Held))
+		say("requests_refused", s.Counters.RefusedHere)
+		say("requests_replayed", s.Counters.Replays)
+		say("requests_whole", s.Counters.Whole)
+		say("requests_broken_off", s.Counters.CutOff)
+		say("requests_lost", s.Counters.Lost)
+		say("callers_left", s.Counters.CallersLeft)
+		say("sessions_reseated", s.Counters.Reseated)
+		say("goes_first", s.FirstGoes)
+		say("goes_again", s.Retries)
+		say("goes_again_denied", s.Denied)
+		say("goes_refused_by_engine", s.Counters.EngineRefusals)
+		say("goes_stopped_at_last_look", c.lastLookStops.Load())
+		say("bytes_own_zone", c.bytesOwnZone.Load())
+		say("bytes_other_zone", c.bytesOtherZone.Load())
+		say("engines_junk_streams", c.junkEngines.Load())
+	}
+	if d.config.Serves(config.Place) {
+		p := d.placer.Condition().Counters
+		say("orders", p.Orders)
+		say("orders_done", p.Done)
+		say("orders_refused", p.Refused)
+		say("orders_void", p.Void)
+		say("orders_never_arrived", p.NeverArrived)
+		say("orders_failed", p.Failed)
+	}
+	return out.String()
+}
+
+// trace gathers every daemon's steps for one change; state tells the newest epochs of the group.
+func (d *Daemon) trace(change string, state []byte) []byte {
+	var newest map[string]uint64
+	_ = json.Unmarshal(state, &newest)
+	kind, number := "", uint64(0)
+	if before, after, found := strings.Cut(change, ":"); found {
+		kind = before
+		_, _ = fmt.Sscanf(after, "%d", &number)
+	}
+	out := operatorapi.Trace{Change: change, Rows: []operatorapi.TraceRow{}, Epoch: ident.Epoch(newest[kind])}
+	out.Known = number > 0 && number <= newest[kind]
+	now := d.clock.Elapsed()
+	for _, fellow := range d.members.View().InContact(now, time.Minute) {
+		row := operatorapi.TraceRow{NodeID: fellow.NodeID, Zone: fellow.Zone, HeardMsAgo: now.Since(fellow.Heard).Milliseconds()}
+		for _, step := range fellow.Steps {
+			if step.Change != change {
+				continue
+			}
+			switch step.Step {
+			case rollout.Learned:
+				row.LearnedMs = step.UnixMs
+			case rollout.Built:
+				row.BuiltMs = step.UnixMs
+			case rollout.InForce:
+				row.InForceMs = step.UnixMs
+			}
+		}
+		held := fellow.SpecEpoch
+		if kind == "closure" {
+			held = fellow.ClosureEpoch
+		}
+		row.Missing = uint64(held) < number
+		out.Rows = append(out.Rows, row)
+	}
+	data, err := json.Marshal(out)
+	if err != nil {
+		panic("broken invariant: a trace cannot be encoded: " + err.Error())
+	}
+	return data
+}
--- /dev/null
+++ b/process/daemon/routing.go
@@ -0,0 +1,232 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/cresspond/cresspond/connection/enginelink"
+	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/placement"
+	"github.com/cresspond/cresspond/process/seats"
+	"github.com/cresspond/cresspond/process/snowflake"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/request/dispatch"
+	"github.com/cresspond/cresspond/request/relay"
+	"github.com/cresspond/cresspond/wire/callerapi"
+	"github.com/cresspond/cresspond/wire/engineapi"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+)
+
+const (
+	// stallLimit is how long the next piece of a stream is waited for.
+	stallLimit = 8 * time.Second
+	// runOver is how long a stream that began in time may go on past its deadline.
+	runOver = 15 * time.Second
+	// seatLimit bounds the question to a session's home; a daemon that gets no answer decides alone.
+	seatLimit = 300 * time.Millisecond
+)
+
+// Ready says whether this daemon takes new work, and if not, why.
+func (d *Daemon) Ready() (bool, string) {
+	if d.draining.Load() {
+		return false, "it is stopping"
+	}
+	if ready, why := d.members.Ready(); !ready {
+		return false, why
+	}
+	if d.config.Serves(config.Route) && d.config.Platform != "" && d.watcher.View().ListRead == 0 {
+		return false, "the platform's list of engines has not been read yet"
+	}
+	return true, ""
+}
+
+// World is what the request path may look at now.
+func (d *Daemon) World() dispatch.World {
+	_, notReady := d.members.Ready()
+	return dispatch.World{
+		Now: d.clock.Elapsed(), Table: d.keeper.Table(), Engines: d.watcher.View(), NotReady: notReady, Mint: d.generator.Mint,
+		Zone: d.config.Zone, ShareSeats: true,
+	}
+}
+
+// lastLook is the last check before the first byte: what it reads is what is in force at that moment.
+func (d *Daemon) lastLook(flight *dispatch.Flight, send dispatch.Send) string {
+	t := d.keeper.Table()
+	engine := d.watcher.View().Engines[send.Engine]
+	switch {
+	case t == nil || !t.Allows(flight.Request.Route, flight.Request.Model, flight.Request.Adapter):
+		return "the spec in force no longer allows this"
+	case !t.Open(send.Engine):
+		return "the engine's zone is closed, or it is being drained"
+	case engine == nil || engine.Address != send.Address || !engine.Usable():
+		return "the engine is leaving or not sound"
+	case d.clock.Elapsed() >= send.Deadline:
+		return "the deadline has passed"
+	case send.Stamped && !d.generator.Held():
+		return "the worker id has lapsed"
+	case flight.Context().Err() != nil:
+		return "the caller has left"
+	}
+	if ready, why := d.members.Ready(); !ready {
+		return why
+	}
+	return ""
+}
+
+// errBroken makes the connection end without its last chunk.
+var errBroken = errors.New("the answer is not whole")
+
+// Carry runs one go to its end.
+func (d *Daemon) Carry(flight *dispatch.Flight, send dispatch.Send, firstPiece func()) (dispatch.GoOutcome, string) {
+	left := send.Deadline.Since(d.clock.Elapsed())
+	began := false
+	result := enginelink.Carry(flight.Context(), enginelink.Go{
+		Address: send.Address, Attempt: flight.Request.Attempt,
+		Work: engineapi.Generate{Model: flight.Request.Model, Adapter: flight.Request.Adapter, Prefix: flight.Request.Prefix,
+			Prompt: flight.Prompt, Session: flight.Request.Session, DeadlineMs: max(1, left.Milliseconds())},
+		MayLeave: func() string {
+			reason := d.lastLook(flight, send)
+			if reason != "" {
+				d.counters.lastLookStops.Add(1)
+			}
+			return reason
+		},
+		Piece: func(line []byte) bool {
+			if !began {
+				began = true
+				firstPiece()
+			}
+			return flight.Piece(line)
+		},
+		FirstLimit: max(left, time.Millisecond), StallLimit: stallLimit, Limit: left + runOver,
+	})
+	bytes := uint64(result.Sent + result.Received)
+	if send.Zone == d.config.Zone {
+		d.counters.bytesOwnZone.Add(bytes)
+	} else {
+		d.counters.bytesOtherZone.Add(bytes)
+	}
+	if result.Junk {
+		d.counters.junkEngines.Add(1)
+		d.watcher.SetAside(send.Engine)
+	}
+	if began {
+		switch result.Outcome {
+		case dispatch.Whole:
+			flight.Finish(nil, nil)
+		default:
+			last := relay.Line(callerapi.Piece{Attempt: flight.Request.Attempt, N: result.Pieces, Outcome: callerapi.BrokenOff, Reason: result.Reason})
+			flight.Finish(last, errBroken)
+		}
+	}
+	return result.Outcome, result.Reason
+}
+
+// seatHome is the address of the daemon that keeps a session's seat.
+func (d *Daemon) seatHome(session string) string {
+	var routers []string
+	for _, fellow := range d.members.View().InContact(d.clock.Elapsed(), 3*time.Second) {
+		if fellow.Serves(string(config.Route)) {
+			routers = append(routers, fellow.Address)
+		}
+	}
+	slices.Sort(routers)
+	return seats.Of(session, routers)
+}
+
+// seatVia asks the home, wherever it is.
+func (d *Daemon) seatVia(request *fellowapi.SeatRequest) (*fellowapi.SeatReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), seatLimit)
+	defer cancel()
+	home := d.seatHome(request.Session)
+	if home == "" || home == d.config.ReachedAt() {
+		return d.Seat(ctx, request)
+	}
+	return d.links.To(home).Seat(ctx, request)
+}
+
+// routing is the daemon as the dispatch actor sees it.
+type routing struct{ *Daemon }
+
+// Seat asks a session's home for its seat.
+func (r routing) Seat(ask dispatch.AskSeat) (ident.EngineID, bool) {
+	reply, err := r.seatVia(&fellowapi.SeatRequest{Session: ask.Session, Model: ask.Model, Adapter: ask.Adapter, Engine: string(ask.Engine), Replaces: string(ask.Replaces)})
+	if err != nil {
+		// A home that can't be reached must not hold up the session: the wish stands.
+		return ask.Engine, ask.Engine != ""
+	}
+	return ident.EngineID(reply.Engine), reply.Found
+}
+
+// EndSeat tells a session's home that it has ended.
+func (r routing) EndSeat(session string) {
+	// A home that misses this forgets the seat when it has been idle long enough.
+	_, _ = r.seatVia(&fellowapi.SeatRequest{Session: session, Ended: true})
+}
+
+// planning is the daemon as the placement actor sees it.
+type planning struct{ *Daemon }
+
+// Input gathers what the plan looks at.
+func (p planning) Input() placement.Input {
+	now := p.clock.Elapsed()
+	in := placement.Input{Now: now, Table: p.keeper.Table(), Engines: p.watcher.View()}
+	if p.config.Serves(config.Route) {
+		snapshot := p.dispatch.Snapshot()
+		for _, demand := range snapshot.Demands {
+			in.Demand = append(in.Demand, placement.Demand(demand))
+		}
+		for _, seat := range snapshot.Seats {
+			in.Seats = append(in.Seats, placement.Seats(seat))
+		}
+	}
+	p.fleetMutex.Lock()
+	defer p.fleetMutex.Unlock()
+	for node, wants := range p.fleetWants {
+		// Demand goes stale soon; seats are believed for longer, so a daemon cut off keeps them.
+		if now.Since(wants.heard) > wantsKept {
+			delete(p.fleetWants, node)
+			continue
+		}
+		if now.Since(wants.heard) < demandFresh {
+			for _, demand := range wants.demand {
+				in.Demand = append(in.Demand, placement.Demand{Model: demand.Model, Adapter: demand.Adapter, Worth: demand.Worth, Held: int(demand.Held), Running: int(demand.Running)})
+			}
+		}
+		for _, seat := range wants.seats {
+			in.Seats = append(in.Seats, placement.Seats{Engine: ident.EngineID(seat.Engine), Model: seat.Model, Adapter: seat.Adapter, Sessions: int(seat.Sessions)})
+		}
+	}
+	return in
+}
+
+const (
+	wantsKept   = 10 * time.Second
+	demandFresh = 2 * time.Second
+)
+
+// Claim asks the group for the claim.
+func (p planning) Claim(ctx context.Context) (*statemachine.Claim, bool) {
+	answer, ok := p.submitOnce(ctx, statemachine.Command{Op: statemachine.OpClaim, NodeID: p.nodeID})
+	if !ok || answer.Verdict != statemachine.Done || answer.Claim == nil {
+		return nil, false
+	}
+	return answer.Claim, true
+}
+
+// Mint stamps an order.
+func (p planning) Mint() (ident.MintedID, snowflake.Verdict) { return p.generator.Mint() }
+
+// Order sends an order.
+func (p planning) Order(ctx context.Context, address string, order engineapi.Order, limit time.Duration, mayLeave func() bool) (*engineapi.OrderAnswer, bool) {
+	return enginelink.Order(ctx, address, order, limit, func() bool { return mayLeave() && p.generator.Held() })
+}
+
+// MayStand says whether this daemon should try to plan.
+func (p planning) MayStand() bool {
+	ready, _ := p.Ready()
+	return ready && p.generator.Held()
+}
--- /dev/null
+++ b/process/fellows/fellows.go
@@ -0,0 +1,104 @@
+// Package fellows carries messages to other daemons over twirp.
+package fellows
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/raft"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+)
+
+// Links keeps one client and one line of raft batches for each fellow.
+type Links struct {
+	http    *http.Client
+	mutex   sync.Mutex
+	clients map[string]fellowapi.Fellow
+	lines   map[string]chan batch
+	ctx     context.Context
+	self    string
+	// Dropped counts raft batches that found their line full; raft sends again.
+	Dropped, Failed, Sent atomic.Uint64
+}
+
+type batch struct {
+	group    ident.GroupID
+	messages []raft.Message
+}
+
+const (
+	lineLength = 64
+	sendLimit  = time.Second
+)
+
+// New makes links that live as long as ctx.
+func New(ctx context.Context, self string) *Links {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext,
+		MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+	}
+	return &Links{http: &http.Client{Transport: transport}, clients: map[string]fellowapi.Fellow{}, lines: map[string]chan batch{}, ctx: ctx, self: self}
+}
+
+// To gives the client for a fellow's address.
+func (l *Links) To(address string) fellowapi.Fellow {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	client, known := l.clients[address]
+	if !known {
+		client = fellowapi.NewFellowProtobufClient("http://"+address, l.http)
+		l.clients[address] = client
+	}
+	return client
+}
+
+// Send puts raft messages on the line to a member and never waits.
+func (l *Links) Send(group ident.GroupID, member raft.Member, messages []raft.Message) {
+	if member.Address == "" {
+		return
+	}
+	l.mutex.Lock()
+	line, known := l.lines[member.Address]
+	if !known {
+		line = make(chan batch, lineLength)
+		l.lines[member.Address] = line
+		go l.run(member.Address, line)
+	}
+	l.mutex.Unlock()
+	select {
+	case line <- batch{group, messages}:
+	default:
+		l.Dropped.Add(1)
+	}
+}
+
+func (l *Links) run(address string, line chan batch) {
+	client := l.To(address)
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case next := <-line:
+			messages := next.messages
+			// What piled up meanwhile goes along in one call.
+			for more := len(line); more > 0 && len(messages) < 256; more-- {
+				if following := <-line; following.group == next.group {
+					messages = append(messages, following.messages...)
+				}
+			}
+			ctx, cancel := context.WithTimeout(l.ctx, sendLimit)
+			_, err := client.Raft(ctx, &fellowapi.RaftBatch{Group: string(next.group), Address: l.self, Messages: fellowapi.FromRaft(messages)})
+			cancel()
+			if err != nil {
+				l.Failed.Add(1)
+			} else {
+				l.Sent.Add(uint64(len(messages)))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/process/formation/formation.go
@@ -0,0 +1,63 @@
+// Package formation decides whether a control daemon with an empty data folder may form a group,
+// must wait, or belongs to one that exists. A second group must never form.
+package formation
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/raft"
+)
+
+// Seed is what one seed address answered.
+type Seed struct {
+	Address       string
+	Answered      bool
+	Member        raft.MemberID
+	Name          string
+	Group         ident.GroupID
+	ServesControl bool
+}
+
+// Verdict says what to do.
+type Verdict uint8
+
+const (
+	// Wait and ask again.
+	Wait Verdict = iota
+	// Join the group that somebody remembers.
+	Join
+	// Form a group of all seeds that serve control.
+	Form
+)
+
+// Decide looks at what all seeds answered. Only when every one answers and none remembers a group
+// may one form, and only the one with the lowest identity forms it.
+func Decide(self raft.MemberID, seeds []Seed) (Verdict, ident.GroupID, raft.Membership) {
+	for _, seed := range seeds {
+		if seed.Answered && seed.Group != "" {
+			return Join, seed.Group, raft.Membership{}
+		}
+	}
+	var members []raft.Member
+	for _, seed := range seeds {
+		if !seed.Answered {
+			return Wait, "", raft.Membership{}
+		}
+		if seed.ServesControl {
+			members = append(members, raft.Member{ID: seed.Member, Name: seed.Name, Address: seed.Address, Voter: true})
+		}
+	}
+	slices.SortFunc(members, func(a, b raft.Member) int { return cmp.Compare(a.ID, b.ID) })
+	// One process listed under two addresses would vote twice.
+	for i := 1; i < len(members); i++ {
+		if members[i].ID == members[i-1].ID {
+			return Wait, "", raft.Membership{}
+		}
+	}
+	if len(members) == 0 || members[0].ID != self {
+		return Wait, "", raft.Membership{}
+	}
+	return Form, "", raft.Membership{Members: members}
+}
--- /dev/null
+++ b/process/membership/membership.go
@@ -0,0 +1,333 @@
+// Package membership is how daemons find each other and keep in touch: every daemon pulls from the
+// leader and from fellows, tells what it has in force, and so learns what is newer and who lives.
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cresspond/cresspond/process/actor"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+)
+
+const (
+	pullEvery = 150 * time.Millisecond
+	// PullTimeout bounds one pull.
+	PullTimeout = 700 * time.Millisecond
+	// ContactWindow is how long a daemon counts as in contact after it was heard.
+	ContactWindow = 1500 * time.Millisecond
+	// aloneAfter is how long a daemon that hears nobody goes on calling itself ready.
+	aloneAfter = 2500 * time.Millisecond
+	// settleAfter is how long a fresh daemon looks for the leader before fellows alone suffice.
+	settleAfter = 2 * time.Second
+	forgetAfter = 60 * time.Second
+)
+
+// Fellow is another daemon, or this one, as last heard.
+type Fellow struct {
+	NodeID       ident.NodeID
+	Address      string
+	Zone         ident.ZoneID
+	Serve        []string
+	Heard        clock.Mark
+	SpecEpoch    ident.Epoch
+	ClosureEpoch ident.Epoch
+	Ready        bool
+	Steps        []*fellowapi.Step
+}
+
+// Serves says whether the fellow has a role.
+func (f Fellow) Serves(role string) bool { return slices.Contains(f.Serve, role) }
+
+// View is what is known of the fleet of daemons at one moment; it is never changed.
+type View struct {
+	Fellows map[ident.NodeID]Fellow
+	// LeaderAddress is where the group's leader was last known to be.
+	LeaderAddress string
+	Group         ident.GroupID
+	// HeardLeader and HeardAny are when a pull was last answered.
+	HeardLeader, HeardAny clock.Mark
+	// NewestSpec and NewestClosure are the highest epochs anyone told of.
+	NewestSpec, NewestClosure ident.Epoch
+	// Settled says that this daemon has made sure that what it has is not old.
+	Settled bool
+	Started clock.Mark
+}
+
+// InContact lists the fellows heard within the window.
+func (v *View) InContact(now clock.Mark, window time.Duration) []Fellow {
+	var out []Fellow
+	for _, fellow := range v.Fellows {
+		if now.Since(fellow.Heard) <= window {
+			out = append(out, fellow)
+		}
+	}
+	slices.SortFunc(out, func(a, b Fellow) int {
+		switch {
+		case a.NodeID < b.NodeID:
+			return -1
+		case a.NodeID > b.NodeID:
+			return 1
+		}
+		return 0
+	})
+	return out
+}
+
+// Fleet is what the actor needs of its daemon.
+type Fleet interface {
+	// Describe is this daemon's own row and what it wants said in a pull.
+	Describe() *fellowapi.PullRequest
+	// Learn takes over what a reply brought, and returns when it is in force.
+	Learn(reply *fellowapi.PullReply)
+	// PullFrom asks another daemon.
+	PullFrom(ctx context.Context, address string, request *fellowapi.PullRequest) (*fellowapi.PullReply, error)
+	// Leads says whether this daemon leads the group.
+	Leads() bool
+	// Plans says whether this daemon plans, and so must hear from all.
+	Plans() bool
+}
+
+// Membership is the actor.
+type Membership struct {
+	clock    clock.Clock
+	fleet    Fleet
+	seeds    []string
+	self     string
+	box      *actor.Mailbox[any]
+	view     atomic.Pointer[View]
+	asking   map[string]bool
+	waiters  []*waiter
+	seedTurn int
+	Pulls    atomic.Uint64
+	Failed   atomic.Uint64
+}
+
+type (
+	pulled struct {
+		address string
+		reply   *fellowapi.PullReply
+		err     error
+	}
+	served struct{ request *fellowapi.PullRequest }
+	waiter struct {
+		spec, closure ident.Epoch
+		until         clock.Mark
+		window        time.Duration
+		done          chan Reach
+	}
+)
+
+// Reach says who has a change in force, and who was in contact and has not.
+type Reach struct {
+	Have, Lack []ident.NodeID
+}
+
+// New makes the actor; self is this daemon's own fellow address.
+func New(c clock.Clock, fleet Fleet, seeds []string, self string) *Membership {
+	m := &Membership{clock: c, fleet: fleet, seeds: seeds, self: self, box: actor.NewMailbox[any](512), asking: map[string]bool{}}
+	m.view.Store(&View{Fellows: map[ident.NodeID]Fellow{}, Started: c.Elapsed()})
+	return m
+}
+
+// View gives the newest view.
+func (m *Membership) View() *View { return m.view.Load() }
+
+// Run runs the actor.
+func (m *Membership) Run(ctx context.Context) {
+	m.box.Run(ctx, pullEvery, m.take, func() { m.beat(ctx) })
+}
+
+// Served notes a fellow's pull.
+func (m *Membership) Served(request *fellowapi.PullRequest) { m.box.Offer(served{request}) }
+
+// AwaitReach waits until every daemon in contact has the epochs in force, or until within has passed.
+func (m *Membership) AwaitReach(ctx context.Context, spec, closure ident.Epoch, within time.Duration) Reach {
+	w := &waiter{spec: spec, closure: closure, until: m.clock.Elapsed() + clock.Mark(within), window: ContactWindow, done: make(chan Reach, 1)}
+	if !m.box.Send(w) {
+		return Reach{}
+	}
+	select {
+	case reach := <-w.done:
+		return reach
+	case <-ctx.Done():
+	case <-m.box.Done():
+	}
+	return Reach{}
+}
+
+func (m *Membership) beat(ctx context.Context) {
+	view := m.view.Load()
+	targets := map[string]bool{}
+	if view.LeaderAddress != "" {
+		targets[view.LeaderAddress] = true
+	}
+	contacts := view.InContact(m.clock.Elapsed(), 10*time.Second)
+	if m.fleet.Plans() {
+		for _, contact := range contacts {
+			targets[contact.Address] = true
+		}
+	} else if len(contacts) > 0 {
+		targets[contacts[rand.IntN(len(contacts))].Address] = true
+	}
+	// A seed a beat, in turn, so that a split that healed is noticed from either side.
+	targets[m.seeds[m.seedTurn%len(m.seeds)]] = true
+	m.seedTurn++
+	for address := range targets {
+		if address == m.self || address == "" || m.asking[address] {
+			continue
+		}
+		m.asking[address] = true
+		request := m.fleet.Describe()
+		go func() {
+			bounded, cancel := context.WithTimeout(ctx, PullTimeout)
+			defer cancel()
+			reply, err := m.fleet.PullFrom(bounded, address, request)
+			if err == nil {
+				m.fleet.Learn(reply)
+			}
+			m.box.Send(pulled{address, reply, err})
+		}()
+	}
+	m.note(m.fleet.Describe())
+	m.update(func(next *View, now clock.Mark) {
+		for id, fellow := range next.Fellows {
+			if now.Since(fellow.Heard) > forgetAfter {
+				delete(next.Fellows, id)
+			}
+		}
+	})
+}
+
+func (m *Membership) take(event any) {
+	switch e := event.(type) {
+	case pulled:
+		delete(m.asking, e.address)
+		m.Pulls.Add(1)
+		m.takeReply(e)
+	case served:
+		m.note(e.request)
+	case *waiter:
+		m.waiters = append(m.waiters, e)
+	}
+	m.tellWaiters()
+}
+
+// update is the one place where the view is replaced.
+func (m *Membership) update(change func(next *View, now clock.Mark)) {
+	now := m.clock.Elapsed()
+	next := *m.view.Load()
+	fellows := make(map[ident.NodeID]Fellow, len(next.Fellows)+1)
+	for id, fellow := range next.Fellows {
+		fellows[id] = fellow
+	}
+	next.Fellows = fellows
+	change(&next, now)
+	own := m.fleet.Describe()
+	if m.fleet.Leads() {
+		next.LeaderAddress, next.HeardLeader, next.HeardAny = m.self, now, now
+	}
+	if !next.Settled {
+		current := uint64(next.NewestSpec) <= own.SpecEpoch && uint64(next.NewestClosure) <= own.ClosureEpoch && own.SpecEpoch > 0
+		fromLeader := next.HeardLeader > 0
+		fromFellows := next.HeardAny > 0 && now.Since(next.Started) > settleAfter
+		next.Settled = current && (fromLeader || fromFellows)
+	}
+	m.view.Store(&next)
+	m.tellWaiters()
+}
+
+// note takes a daemon's own word on itself.
+func (m *Membership) note(request *fellowapi.PullRequest) {
+	m.update(func(next *View, now clock.Mark) {
+		fellow := Fellow{
+			NodeID: ident.NodeID(request.NodeId), Address: request.Address, Zone: ident.ZoneID(request.Zone), Serve: request.Serve,
+			Heard: now, SpecEpoch: ident.Epoch(request.SpecEpoch), ClosureEpoch: ident.Epoch(request.ClosureEpoch),
+			Ready: request.Ready, Steps: request.Steps,
+		}
+		// A new life at the same address puts an end to the old one.
+		for id, other := range next.Fellows {
+			if id != fellow.NodeID && other.Address == fellow.Address {
+				delete(next.Fellows, id)
+			}
+		}
+		next.Fellows[fellow.NodeID] = fellow
+	})
+}
+
+func (m *Membership) takeReply(e pulled) {
+	if e.err != nil {
+		m.Failed.Add(1)
+		m.update(func(next *View, _ clock.Mark) {
+			if next.LeaderAddress == e.address {
+				next.LeaderAddress = ""
+			}
+		})
+		return
+	}
+	m.update(func(next *View, now clock.Mark) {
+		next.HeardAny = now
+		if e.reply.Group != "" {
+			next.Group = ident.GroupID(e.reply.Group)
+		}
+		if e.reply.IsLeader {
+			next.HeardLeader, next.LeaderAddress = now, e.address
+		} else if e.reply.LeaderAddress != "" {
+			next.LeaderAddress = e.reply.LeaderAddress
+		}
+		next.NewestSpec = max(next.NewestSpec, ident.Epoch(e.reply.SpecEpoch))
+		next.NewestClosure = max(next.NewestClosure, ident.Epoch(e.reply.ClosureEpoch))
+		for _, contact := range e.reply.Contacts {
+			id := ident.NodeID(contact.NodeId)
+			heard := now - clock.Mark(time.Duration(contact.HeardMsAgo)*time.Millisecond)
+			if known, ok := next.Fellows[id]; ok && known.Heard >= heard || id == "" || heard < 0 {
+				continue
+			}
+			next.Fellows[id] = Fellow{
+				NodeID: id, Address: contact.Address, Zone: ident.ZoneID(contact.Zone), Serve: contact.Serve, Heard: heard,
+				SpecEpoch: ident.Epoch(contact.SpecEpoch), ClosureEpoch: ident.Epoch(contact.ClosureEpoch), Ready: contact.Ready, Steps: contact.Steps,
+			}
+		}
+	})
+}
+
+func (m *Membership) tellWaiters() {
+	now := m.clock.Elapsed()
+	view := m.view.Load()
+	m.waiters = slices.DeleteFunc(m.waiters, func(w *waiter) bool {
+		var reach Reach
+		for _, fellow := range view.InContact(now, w.window) {
+			if fellow.SpecEpoch >= w.spec && fellow.ClosureEpoch >= w.closure {
+				reach.Have = append(reach.Have, fellow.NodeID)
+			} else {
+				reach.Lack = append(reach.Lack, fellow.NodeID)
+			}
+		}
+		if len(reach.Lack) > 0 && now < w.until {
+			return false
+		}
+		w.done <- reach
+		return true
+	})
+}
+
+// Ready says whether this daemon may take new work, and if not, why.
+func (m *Membership) Ready() (bool, string) {
+	view, now, own := m.view.Load(), m.clock.Elapsed(), m.fleet.Describe()
+	switch {
+	case own.SpecEpoch == 0:
+		return false, "no spec is in force here yet"
+	case !view.Settled:
+		return false, "it is not yet sure that the spec here is the newest"
+	case uint64(view.NewestSpec) > own.SpecEpoch || uint64(view.NewestClosure) > own.ClosureEpoch:
+		return false, "a newer spec or closure is known and not yet in force here"
+	case now.Since(view.HeardAny) > aloneAfter:
+		return false, "neither the leader nor any fellow has been heard lately"
+	}
+	return true, ""
+}
--- /dev/null
+++ b/process/placement/actor.go
@@ -0,0 +1,193 @@
+package placement
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cresspond/cresspond/process/actor"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/snowflake"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/wire/engineapi"
+)
+
+// Surroundings is what the actor needs of its daemon.
+type Surroundings interface {
+	// Input gives what the plan looks at.
+	Input() Input
+	// Claim asks the group for the claim, or for more time under it.
+	Claim(ctx context.Context) (*statemachine.Claim, bool)
+	// Mint stamps an order.
+	Mint() (ident.MintedID, snowflake.Verdict)
+	// Order sends an order; see enginelink.Order.
+	Order(ctx context.Context, address string, order engineapi.Order, limit time.Duration, mayLeave func() bool) (*engineapi.OrderAnswer, bool)
+	// MayStand says whether this daemon should try for the claim.
+	MayStand() bool
+}
+
+// Condition is what others may see of the planner.
+type Condition struct {
+	Claim    ident.ClaimNumber
+	Held     bool
+	InFlight int
+	Counters Counters
+}
+
+// holding is a claim as this daemon may use it: until a moment of its own clock, counted from before it asked.
+type holding struct {
+	number ident.ClaimNumber
+	until  clock.Mark
+}
+
+// Actor plans while it holds the claim.
+type Actor struct {
+	around    Surroundings
+	clock     clock.Clock
+	box       *actor.Mailbox[any]
+	planner   *Planner
+	held      atomic.Pointer[holding]
+	asking    bool
+	askedAt   clock.Mark
+	condition atomic.Pointer[Condition]
+	stopped   bool
+}
+
+type (
+	claimed struct {
+		asked clock.Mark
+		claim *statemachine.Claim
+		ok    bool
+	}
+	answered struct {
+		engine ident.EngineID
+		order  engineapi.Order
+		answer *engineapi.OrderAnswer
+		sent   bool
+	}
+	standDown struct{ done chan struct{} }
+)
+
+const (
+	planEvery  = 200 * time.Millisecond
+	renewEvery = time.Second
+	// claimMargin is taken off the end of a claim for clock-rate error.
+	claimMargin = 500 * time.Millisecond
+)
+
+// NewActor makes the actor.
+func NewActor(around Surroundings, c clock.Clock) *Actor {
+	a := &Actor{around: around, clock: c, box: actor.NewMailbox[any](64), planner: NewPlanner()}
+	a.condition.Store(&Condition{})
+	return a
+}
+
+// Condition tells where the planner stands.
+func (a *Actor) Condition() Condition { return *a.condition.Load() }
+
+// Run runs the actor until ctx ends.
+func (a *Actor) Run(ctx context.Context) {
+	a.box.Run(ctx, planEvery, func(event any) { a.take(event) }, func() { a.beat(ctx) })
+}
+
+// StandDown gives up planning for good; it returns when no further order can leave.
+func (a *Actor) StandDown() {
+	done := make(chan struct{})
+	if a.box.Send(standDown{done}) {
+		select {
+		case <-done:
+		case <-a.box.Done():
+		}
+	}
+}
+
+// commands says whether this daemon may command engines under this claim now.
+func (a *Actor) commands(number ident.ClaimNumber) bool {
+	held := a.held.Load()
+	return held != nil && held.number == number && a.clock.Elapsed() < held.until
+}
+
+func (a *Actor) beat(ctx context.Context) {
+	now := a.clock.Elapsed()
+	held := a.held.Load()
+	if held != nil && now >= held.until {
+		a.held.Store(nil)
+		held = nil
+	}
+	if !a.stopped && !a.asking && now.Since(a.askedAt) >= renewEvery && a.around.MayStand() {
+		a.asking, a.askedAt = true, now
+		go func() {
+			bounded, cancel := context.WithTimeout(ctx, renewEvery)
+			defer cancel()
+			claim, ok := a.around.Claim(bounded)
+			a.box.Send(claimed{now, claim, ok})
+		}()
+	}
+	if held != nil {
+		a.plan(ctx, held.number)
+	}
+	a.condition.Store(&Condition{Claim: a.number(), Held: a.held.Load() != nil, InFlight: len(a.planner.inFlight), Counters: a.planner.Counters})
+}
+
+func (a *Actor) number() ident.ClaimNumber {
+	if held := a.held.Load(); held != nil {
+		return held.number
+	}
+	return 0
+}
+
+func (a *Actor) plan(ctx context.Context, number ident.ClaimNumber) {
+	for _, directed := range a.planner.Step(a.around.Input()) {
+		stamp, verdict := a.around.Mint()
+		if verdict != snowflake.Minted {
+			// Without a tenure nothing may be ordered.
+			a.planner.Withdraw(directed.Engine)
+			continue
+		}
+		order, ok := a.planner.Stamp(directed.Engine, stamp, number)
+		if !ok {
+			continue
+		}
+		go func() {
+			answer, sent := a.around.Order(ctx, directed.Address, order, orderLimit, func() bool { return a.commands(number) })
+			a.box.Send(answered{directed.Engine, order, answer, sent})
+		}()
+	}
+}
+
+func (a *Actor) take(event any) {
+	switch e := event.(type) {
+	case claimed:
+		a.asking = false
+		a.takeClaim(e)
+	case answered:
+		if e.order.Claim != a.number() {
+			return
+		}
+		if !e.sent {
+			a.planner.Withdraw(e.engine)
+			return
+		}
+		a.planner.Answered(a.clock.Elapsed(), e.engine, e.order, e.answer)
+	case standDown:
+		a.stopped = true
+		a.held.Store(nil)
+		close(e.done)
+	}
+}
+
+// takeClaim is the one place where the claim is taken up.
+func (a *Actor) takeClaim(e claimed) {
+	if !e.ok || a.stopped {
+		return
+	}
+	span := time.Duration(e.claim.Until-e.claim.Now)*time.Millisecond - claimMargin
+	if held := a.held.Load(); held == nil || held.number != e.claim.Number {
+		// A fresh claim starts from the reports alone: whatever was ordered before is seen there or is void.
+		counters := a.planner.Counters
+		a.planner = NewPlanner()
+		a.planner.Counters = counters
+	}
+	a.held.Store(&holding{number: e.claim.Number, until: e.asked + clock.Mark(span)})
+}
--- /dev/null
+++ b/process/raft/log.go
@@ -0,0 +1,87 @@
+package raft
+
+// replicaLog is the log in memory: a snapshot's place and the entries behind it.
+type replicaLog struct {
+	snapshot Snapshot
+	entries  []Entry
+	stable   Index
+}
+
+func (l *replicaLog) first() Index { return l.snapshotBase() + 1 }
+
+// snapshotBase is the place before the first entry kept.
+func (l *replicaLog) snapshotBase() Index {
+	if len(l.entries) > 0 {
+		return l.entries[0].Index - 1
+	}
+	return l.snapshot.Index
+}
+
+func (l *replicaLog) last() Index {
+	if n := len(l.entries); n > 0 {
+		return l.entries[n-1].Index
+	}
+	return l.snapshot.Index
+}
+
+// term gives the term of the entry at index, if it is still known.
+func (l *replicaLog) term(index Index) (Term, bool) {
+	if index == 0 {
+		return 0, true
+	}
+	if index == l.snapshot.Index {
+		return l.snapshot.Term, true
+	}
+	if len(l.entries) == 0 || index < l.entries[0].Index || index > l.last() {
+		return 0, false
+	}
+	return l.entries[index-l.entries[0].Index].Term, true
+}
+
+func (l *replicaLog) lastTerm() Term {
+	term, _ := l.term(l.last())
+	return term
+}
+
+// from gives up to most entries from index on.
+func (l *replicaLog) from(index Index, most int) []Entry {
+	if len(l.entries) == 0 || index < l.entries[0].Index || index > l.last() {
+		return nil
+	}
+	tail := l.entries[index-l.entries[0].Index:]
+	if len(tail) > most {
+		tail = tail[:most]
+	}
+	return append([]Entry(nil), tail...)
+}
+
+func (l *replicaLog) truncateFrom(index Index) {
+	if len(l.entries) == 0 || index > l.last() {
+		return
+	}
+	at := int(index) - int(l.entries[0].Index)
+	if at < 0 {
+		at = 0
+	}
+	l.entries = append([]Entry(nil), l.entries[:at]...)
+	if l.stable >= index {
+		l.stable = index - 1
+	}
+}
+
+// compactTo drops entries up to and with index.
+func (l *replicaLog) compactTo(index Index) {
+	if len(l.entries) == 0 || index < l.entries[0].Index {
+		return
+	}
+	at := int(index) - int(l.entries[0].Index) + 1
+	if at > len(l.entries) {
+		at = len(l.entries)
+	}
+	l.entries = append([]Entry(nil), l.entries[at:]...)
+}
+
+// upToDate says whether a log that ends at (index, term) holds at least what this one does.
+func (l *replicaLog) upToDate(index Index, term Term) bool {
+	return term > l.lastTerm() || (term == l.lastTerm() && index >= l.last())
+}
--- /dev/null
+++ b/process/raft/types.go
@@ -0,0 +1,240 @@
+// Package raft is the agreement core of the worker-id group: a pure state machine that is
+// stepped by events and answers with effects. It owns no clock, disk or socket.
+package raft
+
+import (
+	"encoding/json"
+	"slices"
+)
+
+// MemberID names one data folder; a wiped machine comes back as another member.
+type MemberID uint64
+
+// Term numbers the reigns of leaders.
+type Term uint64
+
+// Index numbers the places of the log.
+type Index uint64
+
+// EntryKind tells what an entry holds.
+type EntryKind uint8
+
+const (
+	// EntryCommand holds a command for the replicated state.
+	EntryCommand EntryKind = iota
+	// EntryEmpty is what a new leader writes first, to commit what came before it.
+	EntryEmpty
+	// EntryMembership holds a new membership.
+	EntryMembership
+)
+
+// Entry is one place of the log.
+type Entry struct {
+	Term  Term
+	Index Index
+	Kind  EntryKind
+	Data  []byte
+}
+
+// Member is one machine of the group.
+type Member struct {
+	ID      MemberID `json:"id"`
+	Name    string   `json:"name"`
+	Address string   `json:"address"`
+	Voter   bool     `json:"voter"`
+}
+
+// Membership is who belongs to the group.
+type Membership struct {
+	Members []Member `json:"members"`
+}
+
+// Encode gives the form that is kept in the log.
+func (m Membership) Encode() []byte {
+	data, err := json.Marshal(m)
+	if err != nil {
+		panic("broken invariant: a membership cannot be encoded: " + err.Error())
+	}
+	return data
+}
+
+// DecodeMembership reads the form kept in the log.
+func DecodeMembership(data []byte) (Membership, error) {
+	var m Membership
+	err := json.Unmarshal(data, &m)
+	return m, err
+}
+
+// Find gives the member with this id.
+func (m Membership) Find(id MemberID) (Member, bool) {
+	for _, member := range m.Members {
+		if member.ID == id {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
+
+// Voters lists the ids that count for a majority.
+func (m Membership) Voters() []MemberID {
+	var voters []MemberID
+	for _, member := range m.Members {
+		if member.Voter {
+			voters = append(voters, member.ID)
+		}
+	}
+	return voters
+}
+
+// With gives a copy in which this member is added or replaced.
+func (m Membership) With(member Member) Membership {
+	out := m.Without(member.ID)
+	out.Members = append(out.Members, member)
+	return out
+}
+
+// Without gives a copy that lacks this member.
+func (m Membership) Without(id MemberID) Membership {
+	kept := slices.DeleteFunc(slices.Clone(m.Members), func(member Member) bool { return member.ID == id })
+	return Membership{Members: kept}
+}
+
+// MessageKind tells what a message asks or says.
+type MessageKind uint8
+
+const (
+	MsgPreVote MessageKind = iota + 1
+	MsgPreVoteReply
+	MsgVote
+	MsgVoteReply
+	MsgAppend
+	MsgAppendReply
+	MsgHeartbeat
+	MsgHeartbeatReply
+	MsgSnapshot
+	MsgTimeoutNow
+)
+
+// Message is what members say to each other.
+type Message struct {
+	Kind     MessageKind
+	From, To MemberID
+	Term     Term
+	LogIndex Index
+	LogTerm  Term
+	Commit   Index
+	Reject   bool
+	Hint     Index
+	ReadMark uint64
+	Entries  []Entry
+	Snapshot *Snapshot
+}
+
+// Snapshot is the whole replicated state up to one entry.
+type Snapshot struct {
+	Index      Index
+	Term       Term
+	Membership Membership
+	Data       []byte
+}
+
+// HardState is what must be on disk before anything that depends on it is said.
+type HardState struct {
+	Term Term
+	Vote MemberID
+}
+
+// Save is one write to disk. Entries replace all from their first index on.
+type Save struct {
+	HardState HardState
+	Entries   []Entry
+	// TruncateFrom, when not zero, removes all entries from there on, before Entries are written.
+	TruncateFrom Index
+	Snapshot     *Snapshot
+	// CompactTo, when not zero, removes entries up to and with it.
+	CompactTo Index
+}
+
+// Role is what a member is in its term.
+type Role uint8
+
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// ReadReady says that the state applied up to Index answers the read asked with Ref.
+type ReadReady struct {
+	Ref   uint64
+	Index Index
+	OK    bool
+}
+
+// Effects is what a step wants done.
+type Effects struct {
+	// Save goes to disk. Later leaves only when this and every earlier save is synced.
+	Save  *Save
+	Later []Message
+	// Now may leave at once.
+	Now []Message
+	// Install is a snapshot the replicated state must take over before Committed is applied.
+	Install   *Snapshot
+	Committed []Entry
+	Reads     []ReadReady
+	// Proposed says where a proposal was put; zero when it was refused.
+	Proposed     Index
+	ProposedTerm Term
+}
+
+// Event is what steps the core.
+type Event interface{ raftEvent() }
+
+// Tick is one beat of the clock.
+type Tick struct{}
+
+// Receive is a message from another member, or from itself once its save is synced.
+type Receive struct{ Message Message }
+
+// Propose asks the leader to put a command in the log.
+type Propose struct{ Data []byte }
+
+// ProposeMembership asks for a membership that differs in one member.
+type ProposeMembership struct{ Membership Membership }
+
+// Read asks for a point at which a read is linearizable.
+type Read struct{ Ref uint64 }
+
+// Persisted says that the log is synced up to this entry.
+type Persisted struct {
+	Index Index
+	Term  Term
+}
+
+// DiskStalled says that a save has been waiting too long.
+type DiskStalled struct{ Stalled bool }
+
+// Transfer asks the leader to hand over.
+type Transfer struct{}
+
+// Compact hands in a snapshot of the applied state; Keep entries stay before it.
+type Compact struct {
+	Index Index
+	Data  []byte
+	Keep  int
+}
+
+func (Tick) raftEvent()              {}
+func (Receive) raftEvent()           {}
+func (Propose) raftEvent()           {}
+func (ProposeMembership) raftEvent() {}
+func (Read) raftEvent()              {}
+func (Persisted) raftEvent()         {}
+func (DiskStalled) raftEvent()       {}
+func (Transfer) raftEvent()          {}
+func (Compact) raftEvent()           {}
--- /dev/null
+++ b/process/replica/actor.go
@@ -0,0 +1,373 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/cresspond/cresspond/process/actor"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/raft"
+	"github.com/cresspond/cresspond/process/statemachine"
+)
+
+// Disk is where a member keeps its state; a write returns when it is synced.
+type Disk interface {
+	Write(group ident.GroupID, save raft.Save) error
+}
+
+// Links carries raft messages to other members; it may lose them, and must not block.
+type Links interface {
+	Send(group ident.GroupID, member raft.Member, messages []raft.Message)
+}
+
+// Tick is how often the core's clock beats.
+const Tick = 50 * time.Millisecond
+
+// stallAfter is how long a write may take before this member counts its disk as stalled.
+const stallAfter = 700 * time.Millisecond
+
+// Condition is what others may know of this member, read without asking the actor.
+type Condition struct {
+	Group   ident.GroupID
+	Role    raft.Role
+	Term    raft.Term
+	Leads   bool
+	Leader  raft.Member
+	Members raft.Membership
+	Commit  raft.Index
+	Stalled bool
+	Now     ident.GroupTime
+}
+
+// Replica is the actor around a core.
+type Replica struct {
+	self    raft.Member
+	core    *Core
+	clock   clock.Clock
+	disk    Disk
+	links   Links
+	changed func(*statemachine.State)
+	fatal   func(error)
+	box     *actor.Mailbox[any]
+
+	group     ident.GroupID
+	condition atomic.Pointer[Condition]
+	// Refused counts batches of other groups, for other members, or before a group is known.
+	Refused atomic.Uint64
+
+	refs    uint64
+	waiting map[uint64]func(Answer)
+
+	writes      chan write
+	outstanding []clock.Mark
+	stalled     bool
+	joins       map[raft.MemberID]raft.Member
+	heardAt     map[raft.MemberID]string
+}
+
+type write struct {
+	group ident.GroupID
+	save  *raft.Save
+	later []raft.Message
+}
+
+type (
+	received struct {
+		group    ident.GroupID
+		address  string
+		messages []raft.Message
+	}
+	written struct {
+		write write
+		err   error
+	}
+	submitted struct {
+		command statemachine.Command
+		answer  func(Answer)
+	}
+	readAsked struct{ answer func(Answer) }
+	handOver  struct{}
+	joinAsked struct{ member raft.Member }
+)
+
+// Option sets one thing of a replica.
+type Option func(*Replica)
+
+// WithChanged calls back, on the actor, when the spec in force or the closures changed. The state may not be kept.
+func WithChanged(changed func(*statemachine.State)) Option {
+	return func(r *Replica) { r.changed = changed }
+}
+
+// WithFatal is called when the disk failed; this member must then leave.
+func WithFatal(fatal func(error)) Option {
+	return func(r *Replica) { r.fatal = fatal }
+}
+
+// New makes a replica from what the disk holds.
+func New(self raft.Member, group ident.GroupID, restored raft.Restored, config Config, c clock.Clock, disk Disk, links Links, options ...Option) (*Replica, error) {
+	random := rand.New(rand.NewPCG(uint64(self.ID), uint64(c.Elapsed())))
+	member := raft.New(self.ID, config.Timing, restored, random)
+	core, err := NewCore(config, member, restored.Snapshot.Data, c.Elapsed(), c.Wall)
+	if err != nil {
+		return nil, err
+	}
+	r := &Replica{
+		self: self, core: core, clock: c, disk: disk, links: links, group: group,
+		changed: func(*statemachine.State) {}, fatal: func(error) {},
+		box: actor.NewMailbox[any](1024), waiting: map[uint64]func(Answer){},
+		writes: make(chan write, 4096), joins: map[raft.MemberID]raft.Member{}, heardAt: map[raft.MemberID]string{},
+	}
+	for _, option := range options {
+		option(r)
+	}
+	r.publish()
+	return r, nil
+}
+
+// Condition tells where this member stands.
+func (r *Replica) Condition() Condition { return *r.condition.Load() }
+
+// Run runs the actor until ctx ends.
+func (r *Replica) Run(ctx context.Context) {
+	go r.runDisk(ctx)
+	r.changed(r.core.State())
+	r.box.Run(ctx, Tick, r.take, r.beat)
+}
+
+// runDisk is the one place that writes; the actor never waits for it.
+func (r *Replica) runDisk(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case next := <-r.writes:
+			var err error
+			if next.save != nil {
+				err = r.disk.Write(next.group, *next.save)
+			}
+			if !r.box.Send(written{next, err}) {
+				return
+			}
+		}
+	}
+}
+
+// Receive takes raft messages from another member.
+func (r *Replica) Receive(group ident.GroupID, address string, messages []raft.Message) {
+	r.box.Offer(received{group, address, messages})
+}
+
+// Submit puts a command forward and waits for its answer.
+func (r *Replica) Submit(ctx context.Context, command statemachine.Command) Answer {
+	return r.ask(ctx, func(answer func(Answer)) any { return submitted{command, answer} })
+}
+
+// Read runs look on the state at a linearizable point.
+func (r *Replica) Read(ctx context.Context, look func(*statemachine.State)) Outcome {
+	return r.ask(ctx, func(answer func(Answer)) any {
+		return readAsked{func(a Answer) {
+			if a.Outcome == Applied {
+				look(a.State)
+			}
+			answer(a)
+		}}
+	}).Outcome
+}
+
+func (r *Replica) ask(ctx context.Context, event func(func(Answer)) any) Answer {
+	answers := make(chan Answer, 1)
+	if !r.box.Send(event(func(a Answer) { answers <- a })) {
+		return Answer{Outcome: NotLeader}
+	}
+	select {
+	case a := <-answers:
+		return a
+	case <-ctx.Done():
+	case <-r.box.Done():
+	}
+	return Answer{Outcome: Unknown}
+}
+
+// HandOver asks a leader to pass its office on.
+func (r *Replica) HandOver() { r.box.Send(handOver{}) }
+
+// Join asks a leader to take a member into the group, first as a learner.
+func (r *Replica) Join(member raft.Member) { r.box.Send(joinAsked{member}) }
+
+func (r *Replica) take(event any) {
+	now := r.clock.Elapsed()
+	switch e := event.(type) {
+	case received:
+		r.receive(now, e)
+	case written:
+		r.finishWrite(now, e)
+	case submitted:
+		r.refs++
+		r.waiting[r.refs] = e.answer
+		r.carryOut(r.core.Submit(now, r.refs, e.command))
+	case readAsked:
+		r.refs++
+		r.waiting[r.refs] = e.answer
+		r.carryOut(r.core.Read(now, r.refs))
+	case handOver:
+		r.carryOut(r.core.Step(now, raft.Transfer{}))
+	case joinAsked:
+		if r.core.Leads() {
+			r.joins[e.member.ID] = e.member
+		}
+	}
+}
+
+func (r *Replica) receive(now clock.Mark, e received) {
+	for _, message := range e.messages {
+		if message.To != r.self.ID {
+			r.Refused.Add(1)
+			continue
+		}
+		if r.group == "" {
+			// Only a group that was told this folder's identity can address it, so it may be joined.
+			r.group = e.group
+		}
+		if r.group != e.group {
+			r.Refused.Add(1)
+			continue
+		}
+		r.heardAt[message.From] = e.address
+		r.carryOut(r.core.Step(now, raft.Receive{Message: message}))
+	}
+}
+
+func (r *Replica) finishWrite(now clock.Mark, e written) {
+	r.outstanding = r.outstanding[1:]
+	if e.err != nil {
+		// What a failed write left behind is unknown, so nothing may be said that rests on it.
+		r.fatal(e.err)
+		return
+	}
+	if r.stalled && len(r.outstanding) == 0 {
+		r.stalled = false
+		r.carryOut(r.core.Step(now, raft.DiskStalled{Stalled: false}))
+	}
+	if save := e.write.save; save != nil {
+		last := raft.Persisted{}
+		if n := len(save.Entries); n > 0 {
+			last = raft.Persisted{Index: save.Entries[n-1].Index, Term: save.Entries[n-1].Term}
+		} else if save.Snapshot != nil {
+			last = raft.Persisted{Index: save.Snapshot.Index, Term: save.Snapshot.Term}
+		}
+		if last.Index > 0 {
+			r.carryOut(r.core.Step(now, last))
+		}
+	}
+	r.send(now, e.write.later)
+}
+
+func (r *Replica) beat() {
+	now := r.clock.Elapsed()
+	if !r.stalled && len(r.outstanding) > 0 && now.Since(r.outstanding[0]) > stallAfter {
+		r.stalled = true
+		r.carryOut(r.core.Step(now, raft.DiskStalled{Stalled: true}))
+	}
+	r.carryOut(r.core.Step(now, raft.Tick{}))
+	if r.core.Leads() {
+		if next, ok := NextMembership(r.core.Raft(), r.joins); ok {
+			r.carryOut(r.core.Step(now, raft.ProposeMembership{Membership: next}))
+		}
+	} else {
+		clear(r.joins)
+	}
+}
+
+func (r *Replica) carryOut(effects Effects) {
+	now := r.clock.Elapsed()
+	switch {
+	case effects.Save != nil || len(effects.Later) > 0 && len(r.outstanding) > 0 && !r.stalled:
+		r.outstanding = append(r.outstanding, now)
+		r.writes <- write{group: r.group, save: effects.Save, later: effects.Later}
+	case len(r.outstanding) == 0:
+		// Nothing unsynced lies before these, so they need not pass by the disk.
+		defer r.send(now, effects.Later)
+	}
+	// With a stalled disk the rest is not said at all: a member that can't write is silent.
+	for _, answer := range effects.Answers {
+		if reply, ok := r.waiting[answer.Ref]; ok {
+			delete(r.waiting, answer.Ref)
+			reply(answer)
+		}
+	}
+	if effects.Changed {
+		r.changed(r.core.State())
+	}
+	r.publish()
+	r.send(now, effects.Now)
+}
+
+// send groups messages by member; those to this member itself are taken at once.
+func (r *Replica) send(now clock.Mark, messages []raft.Message) {
+	byMember := map[raft.MemberID][]raft.Message{}
+	for _, message := range messages {
+		if message.To == r.self.ID {
+			r.carryOut(r.core.Step(now, raft.Receive{Message: message}))
+			continue
+		}
+		byMember[message.To] = append(byMember[message.To], message)
+	}
+	for id, batch := range byMember {
+		member, known := r.core.Raft().Membership().Find(id)
+		if !known {
+			// A fresh member has no membership yet, and a removed one is in none: they are answered where they spoke from.
+			member = raft.Member{ID: id, Address: r.heardAt[id]}
+		}
+		r.links.Send(r.group, member, batch)
+	}
+}
+
+func (r *Replica) publish() {
+	core := r.core.Raft()
+	condition := Condition{
+		Group: r.group, Role: core.Role(), Term: core.Term(), Leads: r.core.Leads(), Members: core.Membership(),
+		Commit: core.CommitIndex(), Stalled: r.stalled, Now: r.core.State().Now,
+	}
+	condition.Leader, _ = condition.Members.Find(core.LeaderID())
+	r.condition.Store(&condition)
+}
+
+// NextMembership says the next single step by which those who asked to join are taken in: first as
+// learners, then, once they have caught up, in the place of the old identity of the same machine.
+func NextMembership(core *raft.Core, joins map[raft.MemberID]raft.Member) (raft.Membership, bool) {
+	current := core.Membership()
+	for id, wanted := range joins {
+		if member, known := current.Find(id); known {
+			if member.Voter {
+				delete(joins, id)
+			}
+			continue
+		}
+		wanted.Voter = false
+		return current.With(wanted), true
+	}
+	for _, learner := range current.Members {
+		if learner.Voter || core.MatchOf(learner.ID) == 0 || core.MatchOf(learner.ID)+8 < core.LastIndex() {
+			continue
+		}
+		replaced := false
+		for _, old := range current.Members {
+			if old.ID != learner.ID && (old.Name == learner.Name || old.Address == learner.Address) {
+				return current.Without(old.ID), true
+			}
+			replaced = replaced || old.Voter
+		}
+		// A learner becomes a voter only where a voter's place is free: the group stays at three.
+		if replaced && len(current.Voters()) < wantedVoters {
+			learner.Voter = true
+			return current.With(learner), true
+		}
+	}
+	return raft.Membership{}, false
+}
+
+// wantedVoters is how many machines vote.
+const wantedVoters = 3
--- /dev/null
+++ b/process/replica/core.go
@@ -0,0 +1,273 @@
+// Package replica joins the raft core to the replicated state: a pure core that keeps the group's
+// time, answers commands and reads, and an actor that gives it clock, disk and fellows.
+package replica
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/raft"
+	"github.com/cresspond/cresspond/process/statemachine"
+)
+
+// Config holds the times of the group.
+type Config struct {
+	Timing raft.Timing
+	// Tenure is how long a worker id is granted for.
+	Tenure time.Duration
+	// ClaimSpan is how long the planner's claim lasts, ClaimGap the quiet time between two claims.
+	ClaimSpan, ClaimGap time.Duration
+	// CompactEvery is how many entries are applied between snapshots, Keep how many stay before one.
+	CompactEvery, Keep int
+}
+
+// DefaultConfig gives the times of the design.
+func DefaultConfig() Config {
+	return Config{
+		Timing: raft.Timing{Heartbeat: 2, Election: 16},
+		Tenure: 30 * time.Second, ClaimSpan: 4 * time.Second, ClaimGap: 3 * time.Second,
+		CompactEvery: 2000, Keep: 200,
+	}
+}
+
+// Outcome tells how a command or a read ended.
+type Outcome string
+
+const (
+	Applied   Outcome = "applied"
+	NotLeader Outcome = "not-leader"
+	// Unknown says that the command may still be applied, or not.
+	Unknown Outcome = "unknown"
+)
+
+// Answer is what the asker with this Ref is told.
+type Answer struct {
+	Ref     uint64
+	Outcome Outcome
+	Result  statemachine.Result
+	// State is given to a read: it may be read until the answer is handled, and not kept.
+	State *statemachine.State
+}
+
+// Effects is what a step wants done.
+type Effects struct {
+	Save    *raft.Save
+	Later   []raft.Message
+	Now     []raft.Message
+	Answers []Answer
+	// Changed says that the spec in force or the closures are others than before.
+	Changed bool
+}
+
+type pending struct {
+	ref  uint64
+	term raft.Term
+}
+
+// Core is one member's agreement and replicated state.
+type Core struct {
+	config Config
+	raft   *raft.Core
+	state  *statemachine.State
+
+	applied      raft.Index
+	sinceCompact int
+	pending      map[raft.Index]pending
+	reads        map[uint64]raft.Index
+
+	// timeMark is when, on this machine's clock, the group's time was last seen to rise.
+	timeMark clock.Mark
+	wall     func() time.Time
+	// ledSince is when this member began to lead with all before it applied.
+	ledSince  clock.Mark
+	leads     bool
+	reclaimAt raft.Index
+}
+
+// NewCore makes a member from what its disk holds.
+func NewCore(config Config, member *raft.Core, snapshot []byte, now clock.Mark, wall func() time.Time) (*Core, error) {
+	state, err := statemachine.Restore(snapshot)
+	if err != nil {
+		return nil, err
+	}
+	return &Core{config: config, raft: member, state: state, applied: member.SnapshotIndex(), timeMark: now, wall: wall,
+		pending: map[raft.Index]pending{}, reads: map[uint64]raft.Index{}}, nil
+}
+
+// Raft gives the agreement core, for looking only.
+func (c *Core) Raft() *raft.Core { return c.raft }
+
+// State gives the replicated state, for looking only.
+func (c *Core) State() *statemachine.State { return c.state }
+
+// Leads says whether this member leads and has applied all that was committed before.
+func (c *Core) Leads() bool { return c.leads }
+
+// groupNow is the group's time as the leader stamps it: the last in the log, carried on by elapsed
+// time. The time of day is asked once, when the group is new.
+func (c *Core) groupNow(now clock.Mark) ident.GroupTime {
+	if c.state.Now == 0 {
+		return ident.GroupTime(c.wall().UnixMilli())
+	}
+	return c.state.Now.Add(now.Since(c.timeMark))
+}
+
+// Submit puts a command forward; the answer comes with its ref.
+func (c *Core) Submit(now clock.Mark, ref uint64, command statemachine.Command) Effects {
+	if !c.leads {
+		return Effects{Answers: []Answer{{Ref: ref, Outcome: NotLeader}}}
+	}
+	// All that depends on time or config is stamped here, so that apply is the same everywhere.
+	command.At = c.groupNow(now)
+	command.SpanMs = c.config.Tenure.Milliseconds()
+	if command.Op == statemachine.OpClaim {
+		command.SpanMs, command.GapMs = c.config.ClaimSpan.Milliseconds(), c.config.ClaimGap.Milliseconds()
+	}
+	data, err := json.Marshal(command)
+	if err != nil {
+		panic("broken invariant: a command cannot be encoded: " + err.Error())
+	}
+	effects := c.raft.Step(raft.Propose{Data: data})
+	if effects.Proposed == 0 {
+		out := c.digest(now, effects)
+		out.Answers = append(out.Answers, Answer{Ref: ref, Outcome: NotLeader})
+		return out
+	}
+	c.pending[effects.Proposed] = pending{ref: ref, term: effects.ProposedTerm}
+	return c.digest(now, effects)
+}
+
+// Read asks for a linearizable look at the state.
+func (c *Core) Read(now clock.Mark, ref uint64) Effects {
+	return c.digest(now, c.raft.Step(raft.Read{Ref: ref}))
+}
+
+// Step passes an event on to the agreement core.
+func (c *Core) Step(now clock.Mark, event raft.Event) Effects {
+	effects := c.raft.Step(event)
+	out := c.digest(now, effects)
+	if _, beat := event.(raft.Tick); beat {
+		c.reclaim(now, &out)
+	}
+	return out
+}
+
+// reclaim is the leader's expiry check.
+func (c *Core) reclaim(now clock.Mark, out *Effects) {
+	// A new leader lets a full tenure pass first: holders may have renewed with one who is gone.
+	if !c.leads || now.Since(c.ledSince) < c.config.Tenure || c.reclaimAt > c.applied {
+		return
+	}
+	if !c.state.Workers.Due(c.groupNow(now)) {
+		return
+	}
+	more := c.Submit(now, 0, statemachine.Command{Op: statemachine.OpReclaim})
+	c.reclaimAt = c.raft.LastIndex()
+	out.merge(more)
+}
+
+func (e *Effects) merge(more Effects) {
+	if more.Save != nil {
+		if e.Save == nil {
+			e.Save = more.Save
+		} else {
+			e.Save.HardState = more.Save.HardState
+			e.Save.Entries = append(e.Save.Entries, more.Save.Entries...)
+			if more.Save.Snapshot != nil {
+				e.Save.Snapshot, e.Save.CompactTo = more.Save.Snapshot, more.Save.CompactTo
+			}
+		}
+	}
+	e.Later = append(e.Later, more.Later...)
+	e.Now = append(e.Now, more.Now...)
+	e.Answers = append(e.Answers, more.Answers...)
+	e.Changed = e.Changed || more.Changed
+}
+
+// digest applies what was committed and turns raft effects into the replica's.
+func (c *Core) digest(now clock.Mark, effects raft.Effects) Effects {
+	out := Effects{Save: effects.Save, Later: effects.Later, Now: effects.Now}
+	specBefore, closuresBefore := c.state.Epoch(), c.state.Closures.Epoch
+	if effects.Install != nil {
+		state, err := statemachine.Restore(effects.Install.Data)
+		if err != nil {
+			panic("broken invariant: a snapshot from the leader cannot be read: " + err.Error())
+		}
+		c.state, c.applied, c.sinceCompact, c.timeMark = state, effects.Install.Index, 0, now
+	}
+	for _, entry := range effects.Committed {
+		c.apply(now, entry, &out)
+	}
+	for _, read := range effects.Reads {
+		if !read.OK {
+			out.Answers = append(out.Answers, Answer{Ref: read.Ref, Outcome: NotLeader})
+			continue
+		}
+		c.reads[read.Ref] = read.Index
+	}
+	for ref, index := range c.reads {
+		if c.applied >= index {
+			out.Answers = append(out.Answers, Answer{Ref: ref, Outcome: Applied, State: c.state})
+			delete(c.reads, ref)
+		}
+	}
+	c.noteLeading(now, &out)
+	out.Changed = c.state.Epoch() != specBefore || c.state.Closures.Epoch != closuresBefore
+	if c.sinceCompact >= c.config.CompactEvery {
+		c.sinceCompact = 0
+		out.merge(c.digest(now, c.raft.Step(raft.Compact{Index: c.applied, Data: c.state.Snapshot(), Keep: c.config.Keep})))
+	}
+	return out
+}
+
+func (c *Core) apply(now clock.Mark, entry raft.Entry, out *Effects) {
+	c.applied = entry.Index
+	c.sinceCompact++
+	var result statemachine.Result
+	if entry.Kind == raft.EntryCommand {
+		before := c.state.Now
+		result = c.state.Apply(entry.Data)
+		if c.state.Now > before {
+			c.timeMark = now
+		}
+	}
+	waiting, ok := c.pending[entry.Index]
+	if !ok {
+		return
+	}
+	delete(c.pending, entry.Index)
+	if waiting.ref == 0 {
+		return
+	}
+	// Another leader's entry in that place means that the command was never committed.
+	if waiting.term != entry.Term {
+		out.Answers = append(out.Answers, Answer{Ref: waiting.ref, Outcome: NotLeader})
+		return
+	}
+	out.Answers = append(out.Answers, Answer{Ref: waiting.ref, Outcome: Applied, Result: result})
+}
+
+// noteLeading is the one place where this member begins or ceases to lead.
+func (c *Core) noteLeading(now clock.Mark, out *Effects) {
+	leads := c.raft.Role() == raft.Leader && c.raft.CommittedInTerm() && c.applied == c.raft.CommitIndex()
+	if c.raft.Role() == raft.Leader && c.leads {
+		return
+	}
+	if leads == c.leads {
+		return
+	}
+	c.leads = leads
+	if leads {
+		c.ledSince, c.reclaimAt = now, 0
+		return
+	}
+	// Whoever waits is told the truth: nobody here knows whether the command will be committed.
+	for index, waiting := range c.pending {
+		if waiting.ref != 0 {
+			out.Answers = append(out.Answers, Answer{Ref: waiting.ref, Outcome: Unknown})
+		}
+		delete(c.pending, index)
+	}
+}
--- /dev/null
+++ b/process/rollout/rollout.go
@@ -0,0 +1,172 @@
+// Package rollout keeps the spec and the closures that are in force on this daemon. It takes only
+// what is newer, builds the table off the request path, and swaps one pointer.
+package rollout
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/epoch/table"
+	"github.com/cresspond/cresspond/process/actor"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/statemachine"
+)
+
+// Step is one thing this daemon did with one change; the tracer shows them.
+type Step struct {
+	Change string    `json:"change"`
+	Step   string    `json:"step"`
+	At     time.Time `json:"at"`
+}
+
+// The steps of a change.
+const (
+	Learned = "learned"
+	Built   = "built"
+	InForce = "in-force"
+)
+
+// SpecChange and ClosureChange name changes for the tracer.
+func SpecChange(epoch ident.Epoch) string { return fmt.Sprintf("spec:%d", epoch) }
+
+// ClosureChange names one epoch of the closures.
+func ClosureChange(epoch ident.Epoch) string { return fmt.Sprintf("closure:%d", epoch) }
+
+// mostSteps is how many steps are remembered.
+const mostSteps = 48
+
+// Keeper is the actor that holds what is in force.
+type Keeper struct {
+	box   *actor.Mailbox[offer]
+	wall  func() time.Time
+	table atomic.Pointer[table.Table]
+	steps atomic.Pointer[[]Step]
+	// early holds closures learned before any spec.
+	early statemachine.Closures
+	// Refused counts offers that were garbage or that differ from what has the same epoch.
+	Refused atomic.Uint64
+	onSwap  func()
+}
+
+type offer struct {
+	epoch    ident.Epoch
+	raw      []byte
+	closures *statemachine.Closures
+	done     chan struct{}
+}
+
+// New makes a keeper; onSwap is called after each change that is in force.
+func New(wall func() time.Time, onSwap func()) *Keeper {
+	k := &Keeper{box: actor.NewMailbox[offer](64), wall: wall, onSwap: onSwap}
+	k.steps.Store(&[]Step{})
+	return k
+}
+
+// Run runs the actor.
+func (k *Keeper) Run(ctx context.Context) { k.box.Run(ctx, 0, k.take, nil) }
+
+// Table is what is in force, or nil.
+func (k *Keeper) Table() *table.Table { return k.table.Load() }
+
+// Steps lists what was done lately.
+func (k *Keeper) Steps() []Step { return *k.steps.Load() }
+
+// Offer hands in what was learned; either part may be empty. It returns when the offer is in force or passed by.
+func (k *Keeper) Offer(epoch ident.Epoch, raw []byte, closures *statemachine.Closures) {
+	done := make(chan struct{})
+	if !k.box.Send(offer{epoch, raw, closures, done}) {
+		return
+	}
+	select {
+	case <-done:
+	case <-k.box.Done():
+	}
+}
+
+func (k *Keeper) note(change, step string) {
+	old := *k.steps.Load()
+	if len(old) >= mostSteps {
+		old = old[len(old)-mostSteps+1:]
+	}
+	next := append(append(make([]Step, 0, len(old)+1), old...), Step{change, step, k.wall()})
+	k.steps.Store(&next)
+}
+
+func (k *Keeper) take(o offer) {
+	defer close(o.done)
+	held := k.table.Load()
+	next := held
+	var changes []string
+	if o.epoch > 0 && len(o.raw) > 0 {
+		switch {
+		case held != nil && o.epoch < held.Epoch:
+			// An older spec is never taken, whoever offers it.
+		case held != nil && o.epoch == held.Epoch:
+			if !bytes.Equal(held.Raw, o.raw) {
+				k.Refused.Add(1)
+			}
+		default:
+			change := SpecChange(o.epoch)
+			parsed, faults := spec.Parse(o.raw)
+			if len(faults) > 0 {
+				k.Refused.Add(1)
+				return
+			}
+			k.note(change, Learned)
+			closures := k.early
+			if held != nil {
+				closures = held.Closures
+			}
+			next = table.Build(o.epoch, o.raw, parsed, closures)
+			k.note(change, Built)
+			changes = append(changes, change)
+		}
+	}
+	if o.closures != nil && o.closures.Epoch > k.closureEpoch() {
+		change := ClosureChange(o.closures.Epoch)
+		k.note(change, Learned)
+		if next != nil {
+			next = next.WithClosures(*o.closures)
+			changes = append(changes, change)
+		}
+		k.early = *o.closures
+	}
+	if next == held {
+		return
+	}
+	k.table.Store(next)
+	for _, change := range changes {
+		k.note(change, InForce)
+	}
+	k.onSwap()
+}
+
+func (k *Keeper) closureEpoch() ident.Epoch {
+	if held := k.table.Load(); held != nil {
+		return held.Closures.Epoch
+	}
+	return k.early.Epoch
+}
+
+// EncodeClosures and DecodeClosures are the form in which closures travel between daemons.
+func EncodeClosures(closures statemachine.Closures) []byte {
+	data, err := json.Marshal(closures)
+	if err != nil {
+		panic("broken invariant: closures cannot be encoded: " + err.Error())
+	}
+	return data
+}
+
+// DecodeClosures reads them; it gives nil for garbage.
+func DecodeClosures(data []byte) *statemachine.Closures {
+	var closures statemachine.Closures
+	if len(data) == 0 || json.Unmarshal(data, &closures) != nil {
+		return nil
+	}
+	return &closures
+}
--- /dev/null
+++ b/process/snowflake/snowflake.go
@@ -0,0 +1,165 @@
+// Package snowflake mints ids under a worker id: 41 bits of time, 10 of worker, 12 of sequence.
+package snowflake
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/workerid"
+)
+
+const (
+	workerBits   = 10
+	sequenceBits = 12
+	timeBits     = 41
+	sequenceMask = 1<<sequenceBits - 1
+	// Epoch is the fixed moment from which the time bits count: 2024-01-01 UTC.
+	Epoch ident.GroupTime = 1704067200000
+)
+
+// Verdict is the outcome of one minting.
+type Verdict string
+
+const (
+	Minted Verdict = "minted"
+	// NoTenure says that no tenure is held, or that it has lapsed.
+	NoTenure Verdict = "no-tenure"
+	// Backward says that the clock went back or stands at or below the floor.
+	Backward Verdict = "backward"
+	// OutOfBits says that the time no longer fits.
+	OutOfBits Verdict = "out-of-bits"
+)
+
+// window is what a grant allows; it is replaced whole.
+type window struct {
+	worker ident.WorkerID
+	// base is the group's time at mark, as told by the grant.
+	base ident.GroupTime
+	mark clock.Mark
+	// floor and ceiling bound the timestamps; both ends are shut.
+	floor, ceiling ident.GroupTime
+	// until is when minting stops on the holder's own clock.
+	until clock.Mark
+}
+
+// at is the group's time as this window carries it on.
+func (w *window) at(now clock.Mark) ident.GroupTime {
+	return w.base + ident.GroupTime(now.Since(w.mark)/time.Millisecond)
+}
+
+// Generator mints ids while a tenure lasts. Its clock is the group's time carried on by the
+// machine's boot-time clock, so that a jump of the time of day moves nothing.
+type Generator struct {
+	clock  clock.Clock
+	margin time.Duration
+	window atomic.Pointer[window]
+	// last packs the last timestamp and sequence given out.
+	last     atomic.Uint64
+	refusals atomic.Uint64
+}
+
+// New makes a generator; margin is taken off the end of each tenure for clock-rate error.
+func New(c clock.Clock, margin time.Duration) *Generator {
+	return &Generator{clock: c, margin: margin}
+}
+
+// Take takes up a grant. asked is read from the clock before the request was sent, so the
+// holder's tenure never outlasts the group's.
+func (g *Generator) Take(grant workerid.Grant, asked clock.Mark) {
+	span := time.Duration(grant.LeaseExpiry-grant.Now) * time.Millisecond
+	next := &window{
+		worker: grant.WorkerID, base: grant.Now, mark: asked,
+		floor: grant.Floor, ceiling: grant.LeaseExpiry, until: asked + clock.Mark(span-g.margin),
+	}
+	if held := g.window.Load(); held != nil {
+		if held.worker != grant.WorkerID {
+			// Another worker id starts another sequence of ids; the old one's last must not hold it back.
+			g.last.Store(0)
+		} else {
+			// The group's time may lag the holder's after an election; the holder's own goes on, bounded by the ceiling.
+			next.base = max(next.base, held.at(asked))
+		}
+	}
+	g.window.Store(next)
+}
+
+// Drop forgets the tenure and gives the last timestamp minted under it.
+func (g *Generator) Drop() (ident.WorkerID, ident.GroupTime, bool) {
+	held := g.window.Swap(nil)
+	if held == nil {
+		return 0, 0, false
+	}
+	return held.worker, ident.GroupTime(g.last.Load()>>sequenceBits) + Epoch, true
+}
+
+// Held says whether a tenure is held that has not lapsed on this machine's clock.
+func (g *Generator) Held() bool {
+	held := g.window.Load()
+	return held != nil && g.clock.Elapsed() < held.until
+}
+
+// Worker is the worker id held, if any.
+func (g *Generator) Worker() (ident.WorkerID, bool) {
+	held := g.window.Load()
+	if held == nil || g.clock.Elapsed() >= held.until {
+		return 0, false
+	}
+	return held.worker, true
+}
+
+// Refusals counts mintings that were refused.
+func (g *Generator) Refusals() uint64 { return g.refusals.Load() }
+
+// Mint gives the next id, or why there is none.
+func (g *Generator) Mint() (ident.MintedID, Verdict) {
+	for {
+		held := g.window.Load()
+		now := g.clock.Elapsed()
+		if held == nil || now >= held.until {
+			g.refusals.Add(1)
+			return 0, NoTenure
+		}
+		at := held.at(now)
+		// Outside the window an id could meet one of another holder, so that is an error and not a wait.
+		if at <= held.floor || at > held.ceiling || at <= Epoch {
+			g.refusals.Add(1)
+			return 0, Backward
+		}
+		stamp := uint64(at - Epoch)
+		if stamp>>timeBits != 0 {
+			g.refusals.Add(1)
+			return 0, OutOfBits
+		}
+		last := g.last.Load()
+		lastStamp := last >> sequenceBits
+		next := stamp << sequenceBits
+		switch {
+		case stamp < lastStamp:
+			g.refusals.Add(1)
+			return 0, Backward
+		case stamp == lastStamp:
+			if last&sequenceMask == sequenceMask {
+				// The millisecond is used up: spin into the next one.
+				continue
+			}
+			next = last + 1
+		}
+		if !g.last.CompareAndSwap(last, next) {
+			continue
+		}
+		// The window may have been replaced or dropped meanwhile; only the one still in force vouches for the id.
+		if g.window.Load() != held {
+			continue
+		}
+		return ident.MintedID(stamp<<(workerBits+sequenceBits) | uint64(held.worker)<<sequenceBits | next&sequenceMask), Minted
+	}
+}
+
+// Parts takes an id apart.
+func Parts(id ident.MintedID) (at ident.GroupTime, worker ident.WorkerID, sequence int) {
+	raw := uint64(id)
+	return ident.GroupTime(raw>>(workerBits+sequenceBits)) + Epoch,
+		ident.WorkerID(raw >> sequenceBits & (1<<workerBits - 1)), int(raw & sequenceMask)
+}
--- /dev/null
+++ b/process/statemachine/statemachine.go
@@ -0,0 +1,412 @@
+// Package statemachine is the whole replicated state of the group. Apply is its only writer,
+// and every command carries the group's time as the leader stamped it, so all members agree.
+package statemachine
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/workerid"
+)
+
+// Op names a command.
+type Op string
+
+const (
+	OpAcquire Op = "ACQUIRE"
+	OpRenew   Op = "RENEW"
+	OpRelease Op = "RELEASE"
+	// OpReclaim ends lapsed tenures; the leader's expiry check proposes it.
+	OpReclaim   Op = "RECLAIM"
+	OpPropose   Op = "PROPOSE"
+	OpReview    Op = "REVIEW"
+	OpSign      Op = "SIGN"
+	OpRoll      Op = "ROLL"
+	OpClosure   Op = "CLOSURE"
+	OpClaim     Op = "CLAIM"
+	OpDropClaim Op = "DROP-CLAIM"
+)
+
+// Command is the form of an entry in the log.
+type Command struct {
+	Op Op `json:"op"`
+	// At is the group's time, stamped by the leader; whatever a sender wrote there is replaced.
+	At       ident.GroupTime `json:"at"`
+	NodeID   ident.NodeID    `json:"nodeId,omitempty"`
+	WorkerID ident.WorkerID  `json:"workerId,omitempty"`
+	// Last is the last timestamp minted, handed in with RELEASE.
+	Last ident.GroupTime `json:"last,omitempty"`
+	// SpanMs is how long a tenure or a claim lasts, stamped by the leader from its config.
+	SpanMs int64 `json:"spanMs,omitempty"`
+
+	ProposalID string      `json:"proposalId,omitempty"`
+	Base       ident.Epoch `json:"base,omitempty"`
+	Operator   string      `json:"operator,omitempty"`
+	Note       string      `json:"note,omitempty"`
+	Spec       []byte      `json:"spec,omitempty"`
+
+	Zone   ident.ZoneID   `json:"zone,omitempty"`
+	Engine ident.EngineID `json:"engine,omitempty"`
+	Closed bool           `json:"closed,omitempty"`
+
+	// GapMs is the quiet time between one claim's end and the next claim, stamped by the leader.
+	GapMs int64 `json:"gapMs,omitempty"`
+}
+
+// Verdict is the outcome of a command.
+type Verdict string
+
+const (
+	Done      Verdict = "done"
+	Conflict  Verdict = "conflict"
+	Forbidden Verdict = "forbidden"
+	Missing   Verdict = "missing"
+	Waiting   Verdict = "waiting"
+	Mismatch  Verdict = "mismatch"
+	Exhausted Verdict = "exhausted"
+	Malformed Verdict = "malformed"
+)
+
+// Stage is how far a proposal has come.
+type Stage string
+
+const (
+	Proposed Stage = "proposed"
+	Reviewed Stage = "reviewed"
+	Signed   Stage = "signed"
+	Rolled   Stage = "rolled"
+	Lost     Stage = "lost"
+)
+
+// Mark is one operator's act on a proposal.
+type Mark struct {
+	Operator string          `json:"operator"`
+	At       ident.GroupTime `json:"at"`
+	Note     string          `json:"note,omitempty"`
+}
+
+// Proposal is one bundle on its way to being in force.
+type Proposal struct {
+	ID       string      `json:"proposalId"`
+	Base     ident.Epoch `json:"base"`
+	Stage    Stage       `json:"stage"`
+	Proposed Mark        `json:"proposed"`
+	Reviews  []Mark      `json:"reviews,omitempty"`
+	Signs    []Mark      `json:"signs,omitempty"`
+	Rolled   *Mark       `json:"rolled,omitempty"`
+	Epoch    ident.Epoch `json:"epoch,omitempty"`
+	Spec     []byte      `json:"spec,omitempty"`
+}
+
+// Closures is which zones are shut and which engines an operator is draining.
+type Closures struct {
+	Epoch   ident.Epoch                    `json:"epoch"`
+	Zones   map[ident.ZoneID]ClosureMark   `json:"zones"`
+	Engines map[ident.EngineID]ClosureMark `json:"engines"`
+}
+
+// ClosureMark says who closed what, and when.
+type ClosureMark struct {
+	Operator string          `json:"operator"`
+	At       ident.GroupTime `json:"at"`
+	Epoch    ident.Epoch     `json:"epoch"`
+}
+
+// Claim is the right to plan and to command engines.
+type Claim struct {
+	Number ident.ClaimNumber `json:"number"`
+	NodeID ident.NodeID      `json:"nodeId"`
+	Until  ident.GroupTime   `json:"until"`
+	Now    ident.GroupTime   `json:"now"`
+}
+
+// Result is what a command gives back.
+type Result struct {
+	Verdict  Verdict         `json:"verdict"`
+	Reason   string          `json:"reason,omitempty"`
+	Grant    *workerid.Grant `json:"grant,omitempty"`
+	Proposal *Proposal       `json:"proposal,omitempty"`
+	Closures *Closures       `json:"closures,omitempty"`
+	Claim    *Claim          `json:"claim,omitempty"`
+	// Epoch is the spec epoch in force after the command.
+	Epoch ident.Epoch `json:"epoch,omitempty"`
+	// Winner names the proposal that was rolled on the base a loser built on.
+	Winner string `json:"winner,omitempty"`
+}
+
+// State is the replicated state.
+type State struct {
+	Now       ident.GroupTime      `json:"now"`
+	Workers   *workerid.Table      `json:"workers"`
+	Proposals map[string]*Proposal `json:"proposals"`
+	// History lists the proposals in force, by epoch, from 1.
+	History  []string `json:"history"`
+	Closures Closures `json:"closures"`
+	Claim    Claim    `json:"claim"`
+}
+
+// New makes the state before the first entry.
+func New() *State {
+	return &State{
+		Workers:   workerid.New(),
+		Proposals: map[string]*Proposal{},
+		Closures:  Closures{Zones: map[ident.ZoneID]ClosureMark{}, Engines: map[ident.EngineID]ClosureMark{}},
+	}
+}
+
+// Snapshot gives the form that is kept on disk and sent to members who lag.
+func (s *State) Snapshot() []byte {
+	data, err := json.Marshal(s)
+	if err != nil {
+		panic("broken invariant: the replicated state cannot be encoded: " + err.Error())
+	}
+	return data
+}
+
+// Restore reads a snapshot.
+func Restore(data []byte) (*State, error) {
+	s := New()
+	if len(data) == 0 {
+		return s, nil
+	}
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, err
+	}
+	s.Workers.Rebuild()
+	return s, nil
+}
+
+// Epoch is the spec epoch in force; zero before the first roll.
+func (s *State) Epoch() ident.Epoch { return ident.Epoch(len(s.History)) }
+
+// InForce gives the proposal that is in force.
+func (s *State) InForce() (*Proposal, bool) { return s.At(s.Epoch()) }
+
+// At gives the proposal that was put in force with this epoch.
+func (s *State) At(epoch ident.Epoch) (*Proposal, bool) {
+	if epoch == 0 || int(epoch) > len(s.History) {
+		return nil, false
+	}
+	return s.Proposals[s.History[epoch-1]], true
+}
+
+// Apply takes one committed command.
+func (s *State) Apply(data []byte) Result {
+	var command Command
+	if err := json.Unmarshal(data, &command); err != nil {
+		return Result{Verdict: Malformed, Reason: err.Error()}
+	}
+	// The group's time never goes back, whatever a leader stamped.
+	s.Now = max(s.Now, command.At)
+	result := s.apply(command)
+	result.Epoch = s.Epoch()
+	return result
+}
+
+func (s *State) apply(c Command) Result {
+	span := time.Duration(c.SpanMs) * time.Millisecond
+	switch c.Op {
+	case OpAcquire:
+		return grantResult(s.Workers.Acquire(c.NodeID, s.Now, span))
+	case OpRenew:
+		return grantResult(s.Workers.Renew(c.NodeID, c.WorkerID, s.Now, span))
+	case OpRelease:
+		if s.Workers.Release(c.NodeID, c.WorkerID, c.Last) == workerid.Mismatch {
+			return Result{Verdict: Mismatch}
+		}
+		return Result{Verdict: Done}
+	case OpReclaim:
+		s.Workers.Reclaim(s.Now)
+		return Result{Verdict: Done}
+	case OpPropose:
+		return s.propose(c)
+	case OpReview, OpSign:
+		return s.mark(c)
+	case OpRoll:
+		return s.roll(c)
+	case OpClosure:
+		return s.close(c)
+	case OpClaim:
+		return s.claim(c)
+	case OpDropClaim:
+		if s.Claim.NodeID == c.NodeID && s.Claim.Until > s.Now {
+			s.Claim.Until = s.Now
+		}
+		return Result{Verdict: Done}
+	}
+	return Result{Verdict: Malformed, Reason: "unknown op " + string(c.Op)}
+}
+
+func grantResult(grant workerid.Grant, verdict workerid.Verdict) Result {
+	switch verdict {
+	case workerid.Granted:
+		return Result{Verdict: Done, Grant: &grant}
+	case workerid.Exhausted:
+		return Result{Verdict: Exhausted, Reason: "no worker id is free"}
+	}
+	return Result{Verdict: Mismatch, Reason: "no such tenure"}
+}
+
+func (s *State) propose(c Command) Result {
+	if known := s.Proposals[c.ProposalID]; known != nil {
+		// The same proposal sent again finds itself, so a lost answer can be asked for anew.
+		if known.Base == c.Base && known.Proposed.Operator == c.Operator && slices.Equal(known.Spec, c.Spec) {
+			return Result{Verdict: Done, Proposal: known.brief()}
+		}
+		return Result{Verdict: Conflict, Reason: "this proposal id stands for another bundle", Proposal: known.brief()}
+	}
+	if c.Base != s.Epoch() {
+		return s.lostTo(c.Base)
+	}
+	made := &Proposal{ID: c.ProposalID, Base: c.Base, Stage: Proposed, Spec: c.Spec,
+		Proposed: Mark{Operator: c.Operator, At: s.Now, Note: c.Note}}
+	s.Proposals[c.ProposalID] = made
+	return Result{Verdict: Done, Proposal: made.brief()}
+}
+
+// lostTo answers one whose base is no longer, or not yet, in force.
+func (s *State) lostTo(base ident.Epoch) Result {
+	result := Result{Verdict: Conflict, Reason: "the base is not the epoch in force"}
+	if winner, ok := s.At(base + 1); ok {
+		result.Winner = winner.ID
+	}
+	return result
+}
+
+func (s *State) mark(c Command) Result {
+	proposal := s.Proposals[c.ProposalID]
+	if proposal == nil {
+		return Result{Verdict: Missing, Reason: "no such proposal"}
+	}
+	mark := Mark{Operator: c.Operator, At: s.Now, Note: c.Note}
+	done := &proposal.Reviews
+	if c.Op == OpSign {
+		done = &proposal.Signs
+	}
+	if slices.ContainsFunc(*done, func(m Mark) bool { return m.Operator == c.Operator }) {
+		return Result{Verdict: Done, Proposal: proposal.brief()}
+	}
+	if proposal.Stage == Lost || proposal.Stage == Rolled {
+		return Result{Verdict: Conflict, Reason: "the proposal is " + string(proposal.Stage), Proposal: proposal.brief()}
+	}
+	if c.Op == OpSign {
+		if c.Operator == proposal.Proposed.Operator {
+			return Result{Verdict: Forbidden, Reason: "an author may not sign off the own bundle", Proposal: proposal.brief()}
+		}
+		if len(proposal.Reviews) == 0 {
+			return Result{Verdict: Forbidden, Reason: "the bundle has not been reviewed", Proposal: proposal.brief()}
+		}
+	}
+	*done = append(*done, mark)
+	proposal.advance()
+	return Result{Verdict: Done, Proposal: proposal.brief()}
+}
+
+// advance is the one place where an open proposal moves on.
+func (p *Proposal) advance() {
+	switch {
+	case len(p.Signs) > 0:
+		p.Stage = Signed
+	case len(p.Reviews) > 0:
+		p.Stage = Reviewed
+	}
+}
+
+func (s *State) roll(c Command) Result {
+	proposal := s.Proposals[c.ProposalID]
+	if proposal == nil {
+		return Result{Verdict: Missing, Reason: "no such proposal"}
+	}
+	switch {
+	case proposal.Stage == Rolled:
+		return Result{Verdict: Done, Proposal: proposal.brief()}
+	case proposal.Base != s.Epoch():
+		result := s.lostTo(proposal.Base)
+		result.Proposal = proposal.brief()
+		return result
+	case proposal.Stage != Signed:
+		return Result{Verdict: Forbidden, Reason: "the bundle has not been signed off", Proposal: proposal.brief()}
+	}
+	proposal.Stage, proposal.Epoch = Rolled, s.Epoch()+1
+	proposal.Rolled = &Mark{Operator: c.Operator, At: s.Now, Note: c.Note}
+	s.History = append(s.History, proposal.ID)
+	for _, other := range s.Proposals {
+		if other.Base == proposal.Base && other.Stage != Rolled {
+			other.Stage = Lost
+		}
+	}
+	return Result{Verdict: Done, Proposal: proposal.brief()}
+}
+
+// brief is a copy without the bundle itself.
+func (p *Proposal) brief() *Proposal {
+	copied := *p
+	copied.Spec = nil
+	return &copied
+}
+
+func (s *State) close(c Command) Result {
+	mark := ClosureMark{Operator: c.Operator, At: s.Now, Epoch: s.Closures.Epoch + 1}
+	next := s.Closures.Clone()
+	changed := false
+	if c.Zone != "" {
+		changed = setClosure(next.Zones, c.Zone, c.Closed, mark)
+	}
+	if c.Engine != "" {
+		changed = setClosure(next.Engines, c.Engine, c.Closed, mark) || changed
+	}
+	// What is closed already stays as it was, so a repeated order changes nothing.
+	if changed {
+		next.Epoch++
+		s.Closures = next
+	}
+	out := s.Closures.Clone()
+	return Result{Verdict: Done, Closures: &out}
+}
+
+func setClosure[K comparable](marks map[K]ClosureMark, key K, closed bool, mark ClosureMark) bool {
+	_, already := marks[key]
+	if already == closed {
+		return false
+	}
+	if closed {
+		marks[key] = mark
+	} else {
+		delete(marks, key)
+	}
+	return true
+}
+
+// Clone copies the closures, so that readers keep what they hold.
+func (c Closures) Clone() Closures {
+	out := Closures{Epoch: c.Epoch, Zones: map[ident.ZoneID]ClosureMark{}, Engines: map[ident.EngineID]ClosureMark{}}
+	for zone, mark := range c.Zones {
+		out.Zones[zone] = mark
+	}
+	for engine, mark := range c.Engines {
+		out.Engines[engine] = mark
+	}
+	return out
+}
+
+func (s *State) claim(c Command) Result {
+	live := s.Claim.Until > s.Now
+	switch {
+	case live && s.Claim.NodeID == c.NodeID:
+		s.Claim.Until = max(s.Claim.Until, s.Now.Add(time.Duration(c.SpanMs)*time.Millisecond))
+	case live || s.Now < s.Claim.Until+ident.GroupTime(c.GapMs) && s.Claim.Number > 0:
+		// A successor waits out the old claim and the quiet gap, so no engine is commanded in quick turns.
+		return Result{Verdict: Waiting, Reason: "another claim is in force or has just ended", Claim: s.claimNow()}
+	default:
+		s.Claim = Claim{Number: s.Claim.Number + 1, NodeID: c.NodeID, Until: s.Now.Add(time.Duration(c.SpanMs) * time.Millisecond)}
+	}
+	return Result{Verdict: Done, Claim: s.claimNow()}
+}
+
+func (s *State) claimNow() *Claim {
+	claim := s.Claim
+	claim.Now = s.Now
+	return &claim
+}
--- /dev/null
+++ b/process/workerid/workerid_test.go
@@ -0,0 +1,145 @@
+package workerid
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+const span = 30 * time.Second
+
+func TestAcquireGivesTheLowestFreeIDAndTheSameOneAgain(t *testing.T) {
+	table := New()
+	for want := range ident.WorkerID(5) {
+		grant, verdict := table.Acquire(ident.NodeID(fmt.Sprint("node", want)), 1000, span)
+		if verdict != Granted || grant.WorkerID != want || grant.LeaseExpiry != 31000 {
+			t.Fatalf("got %+v, %s", grant, verdict)
+		}
+	}
+	if grant, _ := table.Acquire("node3", 2000, span); grant.WorkerID != 3 || grant.LeaseExpiry != 31000 {
+		t.Fatalf("an unexpired tenure must be given again as it is, got %+v", grant)
+	}
+	if verdict := table.Release("node1", 1, 1500); verdict != Released {
+		t.Fatal(verdict)
+	}
+	if grant, _ := table.Acquire("other", 3000, span); grant.WorkerID != 1 || grant.Floor != 1500 {
+		t.Fatalf("the lowest free id and its floor must be given, got %+v", grant)
+	}
+}
+
+func TestRenewAndReleaseAreRefusedToOthers(t *testing.T) {
+	table := New()
+	table.Acquire("a", 1000, span)
+	table.Acquire("b", 1000, span)
+	if _, verdict := table.Renew("a", 1, 2000, span); verdict != Mismatch {
+		t.Fatal("a renewed b's id:", verdict)
+	}
+	if verdict := table.Release("a", 1, 2000); verdict != Mismatch {
+		t.Fatal("a released b's id:", verdict)
+	}
+	if _, verdict := table.Renew("a", 0, 31000, span); verdict != Mismatch {
+		t.Fatal("a lapsed tenure was renewed:", verdict)
+	}
+	if grant, verdict := table.Renew("b", 1, 20000, span); verdict != Granted || grant.LeaseExpiry != 50000 {
+		t.Fatal(grant, verdict)
+	}
+}
+
+func TestAnExhaustedPoolIsAnError(t *testing.T) {
+	table := New()
+	for i := range MaxWorkerID + 1 {
+		if _, verdict := table.Acquire(ident.NodeID(fmt.Sprint(i)), 1000, span); verdict != Granted {
+			t.Fatal(i, verdict)
+		}
+	}
+	if _, verdict := table.Acquire("one more", 1000, span); verdict != Exhausted {
+		t.Fatal(verdict)
+	}
+	if n := table.Reclaim(31000); n != int(MaxWorkerID)+1 {
+		t.Fatal(n, "were reclaimed")
+	}
+	if grant, verdict := table.Acquire("one more", 31001, span); verdict != Granted || grant.Floor != 31000 {
+		t.Fatal(grant, verdict)
+	}
+}
+
+// A deed is one command of a made-up history; the numbers pick node, kind and time.
+type deed struct {
+	Kind, Node uint8
+	Wait       uint16
+}
+
+// TestTenuresNeverOverlap runs made-up histories, and holds that no timestamp can be minted twice
+// under one worker id: each grant's window lies above the floor left by all before it.
+func TestTenuresNeverOverlap(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(7)
+	parameters.MinSuccessfulTests = 300
+	properties := gopter.NewProperties(parameters)
+	deeds := gen.SliceOfN(60, gen.Struct(typeOf(deed{}), map[string]gopter.Gen{"Kind": gen.UInt8(), "Node": gen.UInt8Range(0, 5), "Wait": gen.UInt16Range(0, 15000)}))
+	properties.Property("windows of one worker id are apart", prop.ForAll(func(history []deed) bool {
+		table := New()
+		now := ident.GroupTime(1)
+		ceilings := map[ident.WorkerID]ident.GroupTime{}
+		holders := map[ident.WorkerID]ident.NodeID{}
+		held := map[ident.NodeID]ident.WorkerID{}
+		for _, d := range history {
+			now += ident.GroupTime(d.Wait)
+			node := ident.NodeID(fmt.Sprint(d.Node))
+			switch d.Kind % 4 {
+			case 0:
+				grant, verdict := table.Acquire(node, now, span)
+				if verdict != Granted {
+					return false
+				}
+				fresh := holders[grant.WorkerID] != node
+				// A new holder mints above the floor, which must cover all that was allowed before.
+				if fresh && grant.Floor < ceilings[grant.WorkerID] || fresh && now <= grant.Floor {
+					return false
+				}
+				holders[grant.WorkerID], held[node] = node, grant.WorkerID
+				ceilings[grant.WorkerID] = max(ceilings[grant.WorkerID], grant.LeaseExpiry)
+			case 1:
+				if worker, ok := held[node]; ok {
+					if grant, verdict := table.Renew(node, worker, now, span); verdict == Granted {
+						ceilings[worker] = max(ceilings[worker], grant.LeaseExpiry)
+					}
+				}
+			case 2:
+				if worker, ok := held[node]; ok && holders[worker] == node {
+					if table.Release(node, worker, now) == Released {
+						ceilings[worker], holders[worker] = min(now, ceilings[worker]), ""
+					}
+				}
+			case 3:
+				table.Reclaim(now)
+			}
+			if len(table.Tenures) != len(table.Nodes) {
+				return false
+			}
+			for worker, tenure := range table.Tenures {
+				if table.Nodes[tenure.NodeID] != worker {
+					return false
+				}
+				if tenure.LeaseExpiry <= now {
+					holders[worker] = ""
+				}
+			}
+			for worker, node := range holders {
+				if _, stands := table.Tenures[worker]; !stands && node != "" {
+					holders[worker] = ""
+				}
+			}
+		}
+		return true
+	}, deeds))
+	properties.TestingRun(t)
+}
+
+func typeOf(value any) reflect.Type { return reflect.TypeOf(value) }
--- /dev/null
+++ b/rehearsal/checker/checker.go
@@ -0,0 +1,667 @@
+// Package checker judges a run by its history: what the engines wrote down, what the callers saw,
+// and what was done to the fleet. Each rule counts what it checked; a rule that checked nothing fails.
+package checker
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/rehearsal/caller"
+	"github.com/cresspond/cresspond/rehearsal/journal"
+	"github.com/cresspond/cresspond/wire/callerapi"
+)
+
+// Act is one thing done to the fleet.
+type Act struct {
+	At      time.Duration
+	Kind    string
+	Subject string
+	// Epoch and Body belong to a roll or a closure that was acknowledged.
+	Epoch uint64
+	Body  []byte
+}
+
+// The kinds of acts.
+const (
+	Rolled        = "rolled"
+	ZoneClosed    = "zone-closed"
+	ZoneOpened    = "zone-opened"
+	EngineLeaving = "engine-leaving"
+	EngineKilled  = "engine-killed"
+	EngineStarted = "engine-started"
+	Crashed       = "crashed"
+	StopAsked     = "stop-asked"
+	Stopped       = "stopped"
+	Refused       = "refused-bundle"
+)
+
+// Sight is one look at what a daemon has in force.
+type Sight struct {
+	At           time.Duration
+	Daemon       string
+	Life         string
+	SpecEpoch    uint64
+	ClosureEpoch uint64
+}
+
+// ReadBack is what reading an acknowledged change back gave.
+type ReadBack struct {
+	Epoch uint64
+	Body  []byte
+	Err   string
+}
+
+// Exit is how a daemon that was asked to stop ended.
+type Exit struct {
+	Daemon string
+	Code   int
+}
+
+// History is all that is known of a run.
+type History struct {
+	Journals  []journal.Line
+	Calls     []caller.Record
+	Acts      []Act
+	Sights    []Sight
+	ReadBacks []ReadBack
+	Exits     []Exit
+	// ClosureWanted and ClosureSeen are the closures acknowledged and read back at the end.
+	ClosureWanted, ClosureSeen []string
+	// ZoneOf tells where engines stand; EndOf, to which address a stopped daemon belonged.
+	ZoneOf map[string]string
+	// LoadsAtOnce, LoadGap, Slots and RetryShare are what the bundle set.
+	LoadsAtOnce int
+	LoadGap     time.Duration
+	Slots       int
+	RetryShare  float64
+}
+
+// Finding is the outcome of one rule.
+type Finding struct {
+	Rule       string
+	Checked    int
+	Violations []string
+}
+
+// OK says whether the rule held and was checked at all.
+func (f Finding) OK() bool { return f.Checked > 0 && len(f.Violations) == 0 }
+
+const (
+	specLimit    = 2 * time.Second
+	drainLimit   = 3 * time.Second
+	closureLimit = 5 * time.Second
+	recoverLimit = 12 * time.Second
+	// quickTurn is how soon after another claim's order an order would be a quick turn.
+	quickTurn = 2 * time.Second
+)
+
+// Check runs all rules.
+func Check(h *History) []Finding {
+	slices.SortStableFunc(h.Journals, func(a, b journal.Line) int { return cmp.Compare(a.At, b.At) })
+	slices.SortStableFunc(h.Acts, func(a, b Act) int { return cmp.Compare(a.At, b.At) })
+	begins := map[string][]journal.Line{}
+	for _, line := range h.Journals {
+		if line.Kind == journal.Begin {
+			begins[line.Attempt] = append(begins[line.Attempt], line)
+		}
+	}
+	return []Finding{
+		onceOnly(h, begins), refusedNeverRuns(h, begins), ownAnswers(h), wholeOnly(h), oneRun(h), allowedOnly(h),
+		specInForce(h), neverOlder(h), readBack(h), drained(h), zoneClosed(h), plannedStops(h, begins),
+		oneCommander(h), withinRoom(h), storePace(h), retryShare(h), coldEngines(h), recovery(h), seatsKept(h), stampsUnique(h),
+	}
+}
+
+func (f *Finding) fault(format string, args ...any) {
+	f.Violations = append(f.Violations, fmt.Sprintf(format, args...))
+}
+
+func onceOnly(h *History, begins map[string][]journal.Line) Finding {
+	f := Finding{Rule: "an unrepeatable request never runs twice"}
+	for _, call := range h.Calls {
+		if call.Request.Repeatable || len(begins[call.Attempt]) == 0 {
+			continue
+		}
+		f.Checked++
+		if n := len(begins[call.Attempt]); n > 1 {
+			f.fault("%s ran %d times", call.Attempt, n)
+		}
+	}
+	return f
+}
+
+func refusedNeverRuns(h *History, begins map[string][]journal.Line) Finding {
+	f := Finding{Rule: "a refused request never runs"}
+	for _, call := range h.Calls {
+		if call.Outcome != callerapi.Refused && call.Outcome != callerapi.Invalid {
+			continue
+		}
+		f.Checked++
+		if len(begins[call.Attempt]) > 0 {
+			f.fault("%s was refused (%s) and ran at %s", call.Attempt, call.Reason, begins[call.Attempt][0].Engine)
+		}
+	}
+	return f
+}
+
+func ownAnswers(h *History) Finding {
+	f := Finding{Rule: "no caller gets another's answer"}
+	for _, call := range h.Calls {
+		f.Checked += call.Pieces
+		for _, fault := range call.Faults {
+			if strings.HasPrefix(fault, "foreign") {
+				f.fault("%s: %s", call.Attempt, fault)
+			}
+		}
+	}
+	return f
+}
+
+func wholeOnly(h *History) Finding {
+	f := Finding{Rule: "no cut-off answer looks whole"}
+	ends := map[string]int{}
+	for _, line := range h.Journals {
+		if line.Kind == journal.End {
+			ends[line.Run] = line.Pieces
+		}
+	}
+	for _, call := range h.Calls {
+		if call.Status != 200 {
+			continue
+		}
+		f.Checked++
+		switch {
+		case call.Final != call.CleanEnd:
+			f.fault("%s: final line %t, clean end %t", call.Attempt, call.Final, call.CleanEnd)
+		case call.Final && ends[call.Run] != call.Pieces:
+			f.fault("%s: %d pieces came, and the engine made %d", call.Attempt, call.Pieces, ends[call.Run])
+		}
+	}
+	return f
+}
+
+func oneRun(h *History) Finding {
+	f := Finding{Rule: "no stream skips, repeats or splices"}
+	for _, call := range h.Calls {
+		f.Checked += call.Pieces
+		for _, fault := range call.Faults {
+			if !strings.HasPrefix(fault, "foreign") {
+				f.fault("%s: %s", call.Attempt, fault)
+			}
+		}
+	}
+	return f
+}
+
+type service struct{ engine, route, model, adapter string }
+
+// services lists what one bundle allows.
+func services(body []byte) map[service]bool {
+	parsed, faults := spec.Parse(body)
+	out := map[service]bool{}
+	if len(faults) > 0 {
+		return out
+	}
+	modelOf := map[string]string{}
+	for _, adapter := range parsed.Adapters {
+		modelOf[adapter.Name] = adapter.Model
+	}
+	for _, engine := range parsed.Engines {
+		for _, route := range parsed.Routes {
+			for _, model := range route.Models {
+				out[service{string(engine.ID), route.Name, model, ""}] = true
+			}
+			for _, adapter := range route.Adapters {
+				out[service{string(engine.ID), route.Name, modelOf[adapter], adapter}] = true
+			}
+		}
+	}
+	return out
+}
+
+func allowedOnly(h *History) Finding {
+	f := Finding{Rule: "no request reaches a service no bundle allowed"}
+	ever := map[service]bool{}
+	for _, act := range h.Acts {
+		if act.Kind == Rolled {
+			for one := range services(act.Body) {
+				ever[one] = true
+			}
+		}
+	}
+	for _, line := range h.Journals {
+		if line.Kind != journal.Arrive {
+			continue
+		}
+		f.Checked++
+		if !ever[service{line.Engine, line.Route, line.Model, line.Adapter}] {
+			f.fault("%s reached %s with route %s, model %s, adapter %s", line.Attempt, line.Engine, line.Route, line.Model, line.Adapter)
+		}
+	}
+	return f
+}
+
+func specInForce(h *History) Finding {
+	f := Finding{Rule: "an acknowledged bundle is in force within 2 s"}
+	var rolls []Act
+	for _, act := range h.Acts {
+		if act.Kind == Rolled {
+			rolls = append(rolls, act)
+		}
+	}
+	allowed := make([]map[service]bool, len(rolls))
+	for i, roll := range rolls {
+		allowed[i] = services(roll.Body)
+	}
+	for _, line := range h.Journals {
+		if line.Kind != journal.Arrive {
+			continue
+		}
+		// What arrives must be allowed by some bundle in force within the last two seconds.
+		newest := -1
+		for i, roll := range rolls {
+			if roll.At+specLimit <= line.At {
+				newest = i
+			}
+		}
+		if newest < 1 {
+			continue
+		}
+		f.Checked++
+		if !slices.ContainsFunc(allowed[newest:], func(set map[service]bool) bool {
+			return set[service{line.Engine, line.Route, line.Model, line.Adapter}]
+		}) {
+			f.fault("%s reached %s on route %s %v after epoch %d was acknowledged", line.Attempt, line.Engine, line.Route,
+				(line.At - rolls[newest].At).Round(time.Millisecond), rolls[newest].Epoch)
+		}
+	}
+	for _, sight := range h.Sights {
+		for _, roll := range rolls {
+			if sight.At >= roll.At+specLimit && sight.SpecEpoch > 0 {
+				f.Checked++
+				if sight.SpecEpoch < roll.Epoch {
+					f.fault("%s had epoch %d in force %v after epoch %d was acknowledged", sight.Daemon, sight.SpecEpoch, (sight.At - roll.At).Round(time.Millisecond), roll.Epoch)
+				}
+			}
+		}
+	}
+	return f
+}
+
+func neverOlder(h *History) Finding {
+	f := Finding{Rule: "no daemon falls back to an older bundle"}
+	newest := map[string]Sight{}
+	for _, sight := range h.Sights {
+		before, known := newest[sight.Life]
+		if known {
+			f.Checked++
+			if sight.SpecEpoch < before.SpecEpoch || sight.ClosureEpoch < before.ClosureEpoch {
+				f.fault("%s went from epoch %d/%d to %d/%d", sight.Daemon, before.SpecEpoch, before.ClosureEpoch, sight.SpecEpoch, sight.ClosureEpoch)
+			}
+		}
+		newest[sight.Life] = sight
+	}
+	return f
+}
+
+func readBack(h *History) Finding {
+	f := Finding{Rule: "acknowledged bundles and closures read back whole"}
+	wanted := map[uint64][]byte{}
+	refused := map[string]bool{}
+	for _, act := range h.Acts {
+		switch act.Kind {
+		case Rolled:
+			wanted[act.Epoch] = act.Body
+		case Refused:
+			refused[string(act.Body)] = true
+		}
+	}
+	seen := map[uint64]bool{}
+	for _, back := range h.ReadBacks {
+		f.Checked++
+		seen[back.Epoch] = true
+		switch want, acknowledged := wanted[back.Epoch]; {
+		case back.Err != "":
+			f.fault("epoch %d could not be read back: %s", back.Epoch, back.Err)
+		case acknowledged && !bytes.Equal(want, back.Body):
+			f.fault("epoch %d read back other than it was acknowledged", back.Epoch)
+		case refused[string(back.Body)]:
+			f.fault("epoch %d is a bundle that was refused or lost its race", back.Epoch)
+		}
+	}
+	for epoch := range wanted {
+		if !seen[epoch] {
+			f.fault("epoch %d was not read back", epoch)
+		}
+	}
+	f.Checked += len(h.ClosureWanted)
+	if !slices.Equal(h.ClosureWanted, h.ClosureSeen) {
+		f.fault("closures acknowledged are %v, and %v were read back", h.ClosureWanted, h.ClosureSeen)
+	}
+	return f
+}
+
+func drained(h *History) Finding {
+	f := Finding{Rule: "nothing to a draining engine after 3 s"}
+	for _, act := range h.Acts {
+		if act.Kind != EngineLeaving {
+			continue
+		}
+		f.Checked++
+		for _, line := range h.Journals {
+			if line.Kind == journal.Arrive && line.Engine == act.Subject && line.At > act.At+drainLimit {
+				f.fault("%s reached %s %v after it was leaving", line.Attempt, line.Engine, (line.At - act.At).Round(time.Millisecond))
+			}
+		}
+	}
+	return f
+}
+
+func zoneClosed(h *History) Finding {
+	f := Finding{Rule: "nothing to a closed zone after 5 s"}
+	for i, act := range h.Acts {
+		if act.Kind != ZoneClosed {
+			continue
+		}
+		opened := time.Duration(1<<63 - 1)
+		for _, later := range h.Acts[i:] {
+			if later.Kind == ZoneOpened && later.Subject == act.Subject {
+				opened = later.At
+				break
+			}
+		}
+		f.Checked++
+		for _, line := range h.Journals {
+			if line.Kind == journal.Arrive && h.ZoneOf[line.Engine] == act.Subject && line.At > act.At+closureLimit && line.At < opened {
+				f.fault("%s reached %s %v after its zone %s was closed", line.Attempt, line.Engine, (line.At - act.At).Round(time.Millisecond), act.Subject)
+			}
+		}
+	}
+	return f
+}
+
+func plannedStops(h *History, begins map[string][]journal.Line) Finding {
+	f := Finding{Rule: "no read request is dropped in a planned stop"}
+	for i, act := range h.Acts {
+		if act.Kind != StopAsked {
+			continue
+		}
+		stopped := time.Duration(1<<63 - 1)
+		for _, later := range h.Acts[i:] {
+			if later.Kind == Stopped && later.Subject == act.Subject {
+				stopped = later.At
+				break
+			}
+		}
+		for _, call := range h.Calls {
+			// Those that were in hand at some time between the word to stop and the end.
+			if call.Daemon != act.Subject || call.End < act.At || call.Began > stopped || !call.Sent {
+				continue
+			}
+			f.Checked++
+			answered := call.Status != 0 && (call.Whole() || call.Outcome == callerapi.Refused || call.Outcome == callerapi.Invalid || call.Outcome == callerapi.Replay)
+			// One that was never read shows no answer and no run; one whose engine failed is told so.
+			unread := call.Status == 0 && len(begins[call.Attempt]) == 0
+			engineFailed := call.Outcome == callerapi.Unknown || call.Outcome == callerapi.BrokenOff
+			if !answered && !unread && !engineFailed {
+				f.fault("%s at %s: status %d, final %t", call.Attempt, call.Daemon, call.Status, call.Final)
+			}
+		}
+	}
+	for _, exit := range h.Exits {
+		f.Checked++
+		if exit.Code != 0 {
+			f.fault("%s was asked to stop and ended with %d", exit.Daemon, exit.Code)
+		}
+	}
+	return f
+}
+
+func isOrder(line journal.Line) bool {
+	return line.Kind == journal.Order || line.Kind == journal.OrderRefused
+}
+
+func oneCommander(h *History) Finding {
+	f := Finding{Rule: "one commander of an engine, and no quick turns"}
+	last := map[string]journal.Line{}
+	for _, line := range h.Journals {
+		if !isOrder(line) {
+			continue
+		}
+		f.Checked++
+		before, known := last[line.Engine]
+		if known && line.Claim < before.Claim {
+			f.fault("%s was ordered under claim %d after claim %d", line.Engine, line.Claim, before.Claim)
+		}
+		if known && line.Claim != before.Claim && line.At-before.At < quickTurn {
+			f.fault("%s was ordered under claim %d %v after claim %d", line.Engine, line.Claim, (line.At - before.At).Round(time.Millisecond), before.Claim)
+		}
+		last[line.Engine] = line
+	}
+	holders := map[uint64]string{}
+	for _, line := range h.Journals {
+		if isOrder(line) {
+			// The worker id stands in the stamp, so two daemons under one claim would show.
+			worker := workerOf(line.Stamp)
+			if known, ok := holders[line.Claim]; ok && known != worker {
+				f.fault("claim %d was used under worker ids %s and %s", line.Claim, known, worker)
+			}
+			holders[line.Claim] = worker
+		}
+	}
+	return f
+}
+
+func workerOf(stamp string) string {
+	var id uint64
+	_, _ = fmt.Sscanf(stamp, "%d", &id)
+	return fmt.Sprint(id >> 12 & 1023)
+}
+
+func withinRoom(h *History) Finding {
+	f := Finding{Rule: "no engine is ordered past its room"}
+	for _, line := range h.Journals {
+		if !isOrder(line) {
+			continue
+		}
+		f.Checked++
+		if line.Kind == journal.OrderRefused && (line.Reason == "no room" || line.Reason == "no adapter place") {
+			f.fault("%s was ordered to %s %s%s: %s", line.Engine, line.Order, line.Model, line.Adapter, line.Reason)
+		}
+	}
+	return f
+}
+
+func storePace(h *History) Finding {
+	f := Finding{Rule: "loads keep to the store's pace"}
+	loading := map[string]bool{}
+	var lastBegin time.Duration
+	for _, line := range h.Journals {
+		key := line.Engine + "/" + line.Model
+		switch line.Kind {
+		case journal.LoadBegin:
+			f.Checked++
+			loading[key] = true
+			if len(loading) > h.LoadsAtOnce {
+				f.fault("%d loads at once when %s loaded %s", len(loading), line.Engine, line.Model)
+			}
+			// Half the gap allows for the way an order takes; the plan itself keeps the whole.
+			if lastBegin > 0 && line.At-lastBegin < h.LoadGap/2 {
+				f.fault("%s loaded %s %v after the load before", line.Engine, line.Model, (line.At - lastBegin).Round(time.Millisecond))
+			}
+			lastBegin = line.At
+		case journal.LoadEnd:
+			delete(loading, key)
+		case journal.Start:
+			for other := range loading {
+				if strings.HasPrefix(other, line.Engine+"/") {
+					delete(loading, other)
+				}
+			}
+		}
+	}
+	return f
+}
+
+// Retries counts arrivals at engines beyond the first of each attempt.
+func Retries(h *History) (first, again int) {
+	arrivals := map[string]int{}
+	for _, line := range h.Journals {
+		if line.Kind == journal.Arrive {
+			arrivals[line.Attempt]++
+		}
+	}
+	for _, n := range arrivals {
+		first++
+		again += n - 1
+	}
+	return first, again
+}
+
+func retryShare(h *History) Finding {
+	f := Finding{Rule: "retries stay a modest share"}
+	first, again := Retries(h)
+	f.Checked = first
+	// A few retries are allowed to a daemon that has sent nothing yet.
+	if limit := h.RetryShare*float64(first) + 30; float64(again) > limit {
+		f.fault("%d retries on %d first goes", again, first)
+	}
+	return f
+}
+
+func coldEngines(h *History) Finding {
+	f := Finding{Rule: "no cold engine is flooded"}
+	for _, start := range h.Journals {
+		if start.Kind != journal.Start {
+			continue
+		}
+		// The first second after an engine's first arrival in this life.
+		var first time.Duration
+		count := 0
+		for _, line := range h.Journals {
+			if line.Kind != journal.Arrive || line.Engine != start.Engine || line.At < start.At {
+				continue
+			}
+			if first == 0 {
+				first = line.At
+			}
+			if line.At-first > time.Second {
+				break
+			}
+			count++
+		}
+		if first == 0 {
+			continue
+		}
+		f.Checked++
+		if limit := 6 * h.Slots; count > limit {
+			f.fault("%s got %d requests in the first second of a life, more than %d", start.Engine, count, limit)
+		}
+	}
+	return f
+}
+
+// Recovery gives, for each crash, how long it took until a request that began after it got a whole answer.
+func Recovery(h *History) []time.Duration {
+	var out []time.Duration
+	for _, act := range h.Acts {
+		if act.Kind != Crashed && act.Kind != EngineKilled {
+			continue
+		}
+		best := time.Duration(-1)
+		for _, call := range h.Calls {
+			if call.Began >= act.At && call.Whole() && (best < 0 || call.End-act.At < best) {
+				best = call.End - act.At
+			}
+		}
+		out = append(out, best)
+	}
+	return out
+}
+
+func recovery(h *History) Finding {
+	f := Finding{Rule: "service is back within 12 s of a crash"}
+	for i, took := range Recovery(h) {
+		f.Checked++
+		if took < 0 || took > recoverLimit {
+			f.fault("crash %d: back after %v", i+1, took.Round(time.Millisecond))
+		}
+	}
+	// The control group too must act again: a change asked for right after its leader died is acknowledged in time.
+	for i, act := range h.Acts {
+		if act.Kind != Crashed || !strings.HasPrefix(act.Subject, "core") {
+			continue
+		}
+		for _, later := range h.Acts[i:] {
+			if later.Kind == Rolled || later.Kind == ZoneClosed || later.Kind == ZoneOpened {
+				f.Checked++
+				if later.At-act.At > recoverLimit {
+					f.fault("the group acknowledged nothing for %v after %s died", (later.At - act.At).Round(time.Millisecond), act.Subject)
+				}
+				break
+			}
+		}
+	}
+	return f
+}
+
+func seatsKept(h *History) Finding {
+	f := Finding{Rule: "a seated session keeps its engine while it may"}
+	last := map[string]journal.Line{}
+	for _, line := range h.Journals {
+		if line.Kind != journal.Begin || line.Session == "" {
+			continue
+		}
+		before, known := last[line.Session]
+		last[line.Session] = line
+		if !known {
+			continue
+		}
+		f.Checked++
+		if before.Engine != line.Engine && !h.seatLost(before, line) {
+			f.fault("session %s moved from %s to %s without need", line.Session, before.Engine, line.Engine)
+		}
+	}
+	return f
+}
+
+// seatLost says whether the engine a session left was dead, leaving or closed, or doubted after a crash, since it was last used.
+func (h *History) seatLost(before, now journal.Line) bool {
+	for _, act := range h.Acts {
+		if act.At > now.At {
+			break
+		}
+		switch act.Kind {
+		case EngineKilled, EngineLeaving:
+			if act.Subject == before.Engine && (act.At >= before.At || act.Kind == EngineLeaving) {
+				return true
+			}
+		case ZoneClosed:
+			if act.Subject == h.ZoneOf[before.Engine] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func stampsUnique(h *History) Finding {
+	f := Finding{Rule: "no two orders bear one minted id"}
+	seen := map[string]string{}
+	for _, line := range h.Journals {
+		if !isOrder(line) {
+			continue
+		}
+		f.Checked++
+		if other, twice := seen[line.Stamp]; twice {
+			f.fault("%s and %s were ordered under stamp %s", other, line.Engine, line.Stamp)
+		}
+		seen[line.Stamp] = line.Engine
+	}
+	return f
+}
--- /dev/null
+++ b/rehearsal/cmd/rehearse/main.go
@@ -0,0 +1,263 @@
+// Command rehearse brings a whole deployment up on one machine, makes its failures happen, and
+// judges the history by the rules of what must never happen.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/cresspond/cresspond/rehearsal/checker"
+	"github.com/cresspond/cresspond/rehearsal/deployment"
+	"github.com/cresspond/cresspond/rehearsal/engine"
+	"github.com/cresspond/cresspond/rehearsal/fleet"
+	"github.com/cresspond/cresspond/rehearsal/journal"
+	"github.com/cresspond/cresspond/rehearsal/scenario"
+	"github.com/cresspond/cresspond/wire/callerapi"
+)
+
+// version is set by the build.
+var version = "0.1.0-dev"
+
+func main() {
+	app := kingpin.New("rehearse", "Rehearses a cresspond deployment on one machine, with failures.")
+	app.Version(version)
+	app.HelpFlag.Short('h')
+	app.Terminate(func(status int) {
+		if status != 0 {
+			status = 2
+		}
+		os.Exit(status)
+	})
+
+	run := app.Command("run", "Run a deployment's day with failures and judge it: small, consortium or cooperativa.")
+	runName := run.Arg("deployment", "The deployment.").Required().Enum("small", "consortium", "cooperativa")
+	runSeed := run.Flag("seed", "Seed of the run.").Default("1").Uint64()
+	runScale := run.Flag("scale", "Share of the deployment's load.").Default("1").Float64()
+	runProgram := run.Flag("cresspondd", "The daemon to run; by default the one beside this program.").String()
+	runFolder := run.Flag("folder", "Folder for logs and journals; by default a new one, removed after a run without violations.").String()
+	runKeep := run.Flag("keep", "Keep the folder.").Bool()
+
+	up := app.Command("up", "Bring a deployment up, serve one request, and leave it running until interrupted.")
+	upName := up.Arg("deployment", "The deployment.").Required().Enum("small", "consortium", "cooperativa")
+	upProgram := up.Flag("cresspondd", "The daemon to run; by default the one beside this program.").String()
+	upFolder := up.Flag("folder", "Folder for logs and journals.").String()
+	upOnce := up.Flag("once", "End after the one request.").Bool()
+
+	stand := app.Command("engine", "Be a stand-in engine.").Hidden()
+	standName := stand.Flag("deployment", "The deployment.").Required().String()
+	standID := stand.Flag("id", "The engine's id.").Required().String()
+	standListen := stand.Flag("listen", "IP:port.").Required().String()
+	standJournal := stand.Flag("journal", "File to write down all that happens.").Required().String()
+
+	var err error
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case run.FullCommand():
+		err = rehearse(*runName, *runSeed, *runScale, *runProgram, *runFolder, *runKeep)
+	case up.FullCommand():
+		err = bringUp(*upName, *upProgram, *upFolder, *upOnce)
+	case stand.FullCommand():
+		err = beEngine(*standName, *standID, *standListen, *standJournal)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "rehearse: "+err.Error())
+		os.Exit(1)
+	}
+}
+
+func beEngine(name, id, listen, path string) error {
+	d, known := deployment.Named(name)
+	if !known {
+		return fmt.Errorf("no such deployment: %s", name)
+	}
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	writer, err := journal.NewWriter(path, id)
+	if err != nil {
+		return err
+	}
+	sizes := map[string]int64{}
+	for i := range d.Models {
+		sizes[deployment.ModelName(i)] = deployment.Size(i)
+	}
+	return engine.New(engine.Config{ID: id, Room: d.Room, Sizes: sizes, Slots: d.Slots, AdapterPlaces: d.AdapterPlaces,
+		LoadTime: 600 * time.Millisecond, AdapterTime: 150 * time.Millisecond, PieceTime: 12 * time.Millisecond, ReportLag: 150 * time.Millisecond}, writer).Serve(listener)
+}
+
+// lay prepares a fleet.
+func lay(name, program, folder string) (*fleet.Fleet, error) {
+	d, _ := deployment.Named(name)
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	if program == "" {
+		program = filepath.Join(filepath.Dir(self), "cresspondd")
+	}
+	if _, err := os.Stat(program); err != nil {
+		return nil, fmt.Errorf("the daemon cannot be run: %w", err)
+	}
+	if folder == "" {
+		if folder, err = os.MkdirTemp("", "rehearse-"); err != nil {
+			return nil, err
+		}
+	}
+	return fleet.New(d, folder, program, self)
+}
+
+func sayer() func(string, ...any) {
+	began := time.Now()
+	return func(format string, args ...any) {
+		fmt.Printf("%7.2f s  %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
+	}
+}
+
+func rehearse(name string, seed uint64, scale float64, program, folder string, keep bool) error {
+	f, err := lay(name, program, folder)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	fmt.Printf("deployment %s, seed %d, scale %g, folder %s\n", name, seed, scale, f.Folder)
+	r := scenario.New(f, seed, sayer())
+	counters, err := r.Day(context.Background(), scale)
+	if err != nil {
+		return err
+	}
+	history, err := r.Finish()
+	if err != nil {
+		return err
+	}
+	bad := report(history, counters)
+	if bad > 0 {
+		return fmt.Errorf("%d rules did not hold or were not checked (seed %d, folder %s)", bad, seed, f.Folder)
+	}
+	if !keep {
+		return os.RemoveAll(f.Folder)
+	}
+	return nil
+}
+
+// report prints the table and says how many rules failed.
+func report(history *checker.History, counters map[string]uint64) int {
+	bad := 0
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(out, "\nrule\tchecked\tviolations")
+	findings := checker.Check(history)
+	for _, finding := range findings {
+		note := ""
+		if finding.Checked == 0 {
+			note = "  nothing was checked"
+		}
+		if !finding.OK() {
+			bad++
+		}
+		fmt.Fprintf(out, "%s\t%d\t%d%s\n", finding.Rule, finding.Checked, len(finding.Violations), note)
+	}
+	out.Flush()
+	for _, finding := range findings {
+		for i, violation := range finding.Violations {
+			if i == 5 {
+				fmt.Printf("  ... and %d more\n", len(finding.Violations)-i)
+				break
+			}
+			fmt.Printf("  %s: %s\n", finding.Rule, violation)
+		}
+	}
+	figures(history, counters)
+	return bad
+}
+
+func figures(history *checker.History, counters map[string]uint64) {
+	outcomes := map[string]int{}
+	var waits []time.Duration
+	for _, call := range history.Calls {
+		switch {
+		case call.Whole():
+			outcomes["served"]++
+			waits = append(waits, call.FirstPiece-call.Began)
+		case call.Outcome != "":
+			outcomes[string(call.Outcome)]++
+		default:
+			outcomes["no answer"]++
+		}
+	}
+	slices.Sort(waits)
+	first, again := checker.Retries(history)
+	begins := map[string]int{}
+	orders := 0
+	for _, line := range history.Journals {
+		switch line.Kind {
+		case journal.Begin:
+			begins[line.Attempt]++
+		case journal.Order:
+			orders++
+		}
+	}
+	duplicates := 0
+	for _, n := range begins {
+		if n > 1 {
+			duplicates++
+		}
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(out, "\nfigure\tvalue")
+	for _, name := range []string{"served", string(callerapi.Refused), string(callerapi.BrokenOff), string(callerapi.Unknown), string(callerapi.Invalid), string(callerapi.Replay), "no answer"} {
+		fmt.Fprintf(out, "%s\t%d\n", name, outcomes[name])
+	}
+	fmt.Fprintf(out, "first goes\t%d\nretries\t%d (%.2f %%)\n", first, again, 100*float64(again)/float64(max(1, first)))
+	fmt.Fprintf(out, "repeatable requests that ran more than once\t%d\norders taken\t%d\n", duplicates, orders)
+	fmt.Fprintf(out, "bytes to engines in the own zone\t%d\nbytes to engines in other zones\t%d\n", counters["bytes_own_zone"], counters["bytes_other_zone"])
+	if len(waits) > 0 {
+		fmt.Fprintf(out, "first piece after, median / 99 %%\t%v / %v\n", waits[len(waits)/2].Round(time.Millisecond), waits[len(waits)*99/100].Round(time.Millisecond))
+	}
+	for i, took := range checker.Recovery(history) {
+		fmt.Fprintf(out, "crash %d: a whole answer after\t%v\n", i+1, took.Round(time.Millisecond))
+	}
+	out.Flush()
+}
+
+func bringUp(name, program, folder string, once bool) error {
+	f, err := lay(name, program, folder)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	say := sayer()
+	r := scenario.New(f, 1, say)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := r.Begin(ctx); err != nil {
+		return err
+	}
+	kind := f.Deployment.Kinds[0]
+	if err := r.Await("an edge is handed connections", func() bool {
+		record := r.Call(fmt.Sprintf("first-request-%d", time.Now().UnixNano()), callerapi.Generate{Route: kind.Route, House: kind.House, Model: deployment.ModelName(0), DeadlineMs: kind.DeadlineMs})
+		return record.Whole()
+	}); err != nil {
+		return err
+	}
+	say("one request was served whole")
+	for _, p := range f.Daemons {
+		fmt.Printf("%-8s zone %-10s callers and operators at %s\n", p.Name, p.Zone, p.Address)
+	}
+	if once {
+		return nil
+	}
+	fmt.Println("running until interrupted")
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	return nil
+}
--- /dev/null
+++ b/rehearsal/deployment/deployment.go
@@ -0,0 +1,155 @@
+// Package deployment describes the deployments that are rehearsed: their machines, catalogue and mix of requests.
+package deployment
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// Kind is one kind of request.
+type Kind struct {
+	Route      string
+	House      string
+	Worth      int64
+	Rank       int
+	PerSecond  float64
+	DeadlineMs int64
+	Repeatable bool
+	// SessionOf is how many requests a session has; zero means no session.
+	SessionOf int
+}
+
+// Deployment is one fleet.
+type Deployment struct {
+	Name          string
+	Zones         []ident.ZoneID
+	EdgeZones     []int
+	Cores         int
+	Engines       int
+	Room          int64
+	Slots         int
+	AdapterPlaces int
+	Models        int
+	Adapters      int
+	Kinds         []Kind
+}
+
+// Named gives a deployment by name.
+func Named(name string) (Deployment, bool) {
+	switch name {
+	case "consortium":
+		return Deployment{
+			Name: name, Zones: []ident.ZoneID{"hsinchu", "taipei", "taoyuan"}, EdgeZones: []int{0, 0, 0, 1, 1, 2, 2}, Cores: 3,
+			Engines: 9, Room: 100, Slots: 6, AdapterPlaces: 8, Models: 27, Adapters: 28,
+			Kinds: []Kind{
+				{Route: "triage-north", House: "north-engineering", Worth: 60, Rank: 1, PerSecond: 14, DeadlineMs: 15000, Repeatable: true, SessionOf: 4},
+				{Route: "triage-harbour", House: "harbour-engineering", Worth: 60, Rank: 1, PerSecond: 14, DeadlineMs: 15000, SessionOf: 4},
+				{Route: "overnight", House: "north-engineering", Worth: 10, Rank: 5, PerSecond: 3, DeadlineMs: 30000},
+				{Route: "review-north", House: "north-engineering", Worth: 90, Rank: 0, PerSecond: 6, DeadlineMs: 8000, SessionOf: 2},
+				{Route: "review-harbour", House: "harbour-engineering", Worth: 90, Rank: 0, PerSecond: 6, DeadlineMs: 8000, SessionOf: 2},
+			},
+		}, true
+	case "cooperativa":
+		return Deployment{
+			Name: name, Zones: []ident.ZoneID{"centro", "coyoacan", "polanco"}, EdgeZones: []int{0, 0, 0, 1, 1, 1, 2, 2}, Cores: 3,
+			Engines: 9, Room: 100, Slots: 6, AdapterPlaces: 4, Models: 28, Adapters: 34,
+			Kinds: []Kind{
+				{Route: "studio-plans", House: "escritorio", Worth: 50, Rank: 1, PerSecond: 22, DeadlineMs: 20000, SessionOf: 5},
+				{Route: "reconcile", House: "escritorio", Worth: 20, Rank: 4, PerSecond: 2, DeadlineMs: 30000, Repeatable: true},
+				{Route: "counter", House: "escritorio", Worth: 95, Rank: 0, PerSecond: 9, DeadlineMs: 8000, SessionOf: 2},
+			},
+		}, true
+	case "small":
+		return Deployment{
+			Name: name, Zones: []ident.ZoneID{"a", "b", "c"}, EdgeZones: []int{0}, Cores: 3,
+			Engines: 3, Room: 100, Slots: 4, AdapterPlaces: 4, Models: 4, Adapters: 3,
+			Kinds: []Kind{
+				{Route: "main", House: "one", Worth: 50, Rank: 1, PerSecond: 8, DeadlineMs: 10000, SessionOf: 3},
+				{Route: "other", House: "two", Worth: 50, Rank: 1, PerSecond: 8, DeadlineMs: 10000, Repeatable: true},
+			},
+		}, true
+	}
+	return Deployment{}, false
+}
+
+// ModelName and AdapterName name the catalogue.
+func ModelName(i int) string { return fmt.Sprintf("model-%02d", i) }
+
+// AdapterName names an adapter.
+func AdapterName(i int) string { return fmt.Sprintf("adapter-%02d", i) }
+
+// EngineID names an engine.
+func EngineID(i int) ident.EngineID { return ident.EngineID(fmt.Sprintf("engine-%d", i)) }
+
+// Size is a model's size: each fills a large share of an engine.
+func Size(i int) int64 { return []int64{28, 34, 45, 30}[i%4] }
+
+// ModelsFor lists the models a kind of request may name. Some are shared, some are its own.
+func (d Deployment) ModelsFor(kind int) []int {
+	var out []int
+	for i := range d.Models {
+		if i < 2 || i%len(d.Kinds) == kind {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// AdapterModel is the model an adapter belongs to.
+func (d Deployment) AdapterModel(adapter int) int { return adapter % d.Models }
+
+// LoadsAtOnce and LoadGap are the store's pace.
+const (
+	LoadsAtOnce = 3
+	LoadGap     = 150 * time.Millisecond
+)
+
+// Spec makes the deployment's bundle. Routes in without are left out.
+func (d Deployment) Spec(note string, without map[string]bool) []byte {
+	s := spec.Spec{
+		Name:   d.Name + " " + note,
+		Store:  spec.Store{LoadsAtOnce: LoadsAtOnce, LoadGapMs: LoadGap.Milliseconds()},
+		Limits: spec.Limits{MostBodyBytes: 64 << 10, MostHeld: 400, MostHeldBytes: 16 << 20, MostDeadlineMs: 60000, SeatIdleMs: 20000, RetryShare: 0.1},
+	}
+	for _, zone := range d.Zones {
+		s.Zones = append(s.Zones, spec.Zone{Name: zone})
+	}
+	for i := range d.Engines {
+		s.Engines = append(s.Engines, spec.Engine{ID: EngineID(i), Zone: d.EngineZone(i), Room: d.Room, AdapterPlaces: d.AdapterPlaces, Slots: d.Slots})
+	}
+	for i := range d.Models {
+		s.Models = append(s.Models, spec.Model{Name: ModelName(i), Size: Size(i)})
+	}
+	for i := range d.Adapters {
+		s.Adapters = append(s.Adapters, spec.Adapter{Name: AdapterName(i), Model: ModelName(d.AdapterModel(i))})
+	}
+	for k, kind := range d.Kinds {
+		if without[kind.Route] {
+			continue
+		}
+		route := spec.Route{Name: kind.Route, House: kind.House, Worth: kind.Worth, Rank: kind.Rank}
+		allowed := map[int]bool{}
+		for _, model := range d.ModelsFor(k) {
+			route.Models = append(route.Models, ModelName(model))
+			allowed[model] = true
+		}
+		for i := range d.Adapters {
+			if allowed[d.AdapterModel(i)] {
+				route.Adapters = append(route.Adapters, AdapterName(i))
+			}
+		}
+		s.Routes = append(s.Routes, route)
+	}
+	data, err := json.MarshalIndent(s, "", " ")
+	if err != nil {
+		panic("broken invariant: a bundle cannot be encoded: " + err.Error())
+	}
+	return data
+}
+
+// EngineZone spreads engines over the zones.
+func (d Deployment) EngineZone(i int) ident.ZoneID { return d.Zones[i%len(d.Zones)] }
--- /dev/null
+++ b/rehearsal/engine/engine.go
@@ -0,0 +1,313 @@
+// Package engine is a stand-in for an engine: it loads models at its own pace, runs work in slots,
+// reports with a lag, and writes down all it does.
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cresspond/cresspond/rehearsal/journal"
+	"github.com/cresspond/cresspond/wire/engineapi"
+)
+
+// Config is what a stand-in is told.
+type Config struct {
+	ID            string
+	Room          int64
+	Sizes         map[string]int64
+	Slots         int
+	AdapterPlaces int
+	LoadTime      time.Duration
+	AdapterTime   time.Duration
+	PieceTime     time.Duration
+	ReportLag     time.Duration
+	// Fault makes it break the rules: "gap", "repeat", "foreign", "early", "endless", "stall", "junk-report", "hang", "drop".
+	Fault string
+	// FaultFrom is how many requests go well before the fault begins.
+	FaultFrom int
+}
+
+// Engine is one stand-in.
+type Engine struct {
+	config  Config
+	journal *journal.Writer
+
+	mutex   sync.Mutex
+	callSeq uint64
+	models  map[string]*model
+	busy    int
+	leaving bool
+	runs    int
+	arrived int
+	report  engineapi.Report
+}
+
+type model struct {
+	state    engineapi.ModelState
+	adapters []string
+	pending  []string
+}
+
+// New makes a stand-in.
+func New(config Config, writer *journal.Writer) *Engine {
+	e := &Engine{config: config, journal: writer, models: map[string]*model{}, report: engineapi.Report{Models: []engineapi.ModelReport{}}}
+	writer.Write(journal.Line{Kind: journal.Start})
+	return e
+}
+
+// Serve serves until the listener closes.
+func (e *Engine) Serve(listener net.Listener) error {
+	go func() {
+		for range time.Tick(e.config.ReportLag) {
+			e.mutex.Lock()
+			e.report = e.makeReport()
+			e.mutex.Unlock()
+		}
+	}()
+	mux := http.NewServeMux()
+	mux.HandleFunc(engineapi.PathReport, e.handleReport)
+	mux.HandleFunc(engineapi.PathOrder, e.handleOrder)
+	mux.HandleFunc(engineapi.PathGenerate, e.handleGenerate)
+	mux.HandleFunc("/stand-in/leave", func(w http.ResponseWriter, _ *http.Request) {
+		e.mutex.Lock()
+		e.leaving = true
+		e.mutex.Unlock()
+		e.journal.Write(journal.Line{Kind: journal.Leaving})
+	})
+	return http.Serve(listener, mux)
+}
+
+func (e *Engine) makeReport() engineapi.Report {
+	report := engineapi.Report{CallSeq: e.callSeq, Saturated: e.busy >= e.config.Slots, Busy: e.busy, Draining: e.leaving, Models: []engineapi.ModelReport{}}
+	for name, held := range e.models {
+		report.Models = append(report.Models, engineapi.ModelReport{Model: name, State: held.state, Adapters: slices.Clone(held.adapters)})
+	}
+	slices.SortFunc(report.Models, func(a, b engineapi.ModelReport) int { return strings.Compare(a.Model, b.Model) })
+	return report
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (e *Engine) handleReport(w http.ResponseWriter, _ *http.Request) {
+	e.mutex.Lock()
+	report, fault := e.report, e.config.Fault == "junk-report" && e.arrived >= e.config.FaultFrom
+	e.mutex.Unlock()
+	if fault {
+		_, _ = io.WriteString(w, `{"call-seq":-3,"models":[{"model":`)
+		return
+	}
+	answer(w, http.StatusOK, report)
+}
+
+func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
+	var order engineapi.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		answer(w, http.StatusBadRequest, engineapi.OrderAnswer{Reason: "not an order"})
+		return
+	}
+	e.mutex.Lock()
+	e.callSeq++
+	reason := e.take(order)
+	e.mutex.Unlock()
+	line := journal.Line{Kind: journal.Order, Model: order.Model, Adapter: order.Adapter, Order: string(order.Kind),
+		Stamp: strconv.FormatInt(int64(order.Stamp), 10), Claim: uint64(order.Claim), Reason: reason}
+	if reason != "" {
+		line.Kind = journal.OrderRefused
+		e.journal.Write(line)
+		answer(w, http.StatusConflict, engineapi.OrderAnswer{Reason: reason})
+		return
+	}
+	e.journal.Write(line)
+	answer(w, http.StatusAccepted, engineapi.OrderAnswer{Taken: true})
+}
+
+// take starts an order, or says why not. The mutex is held.
+func (e *Engine) take(order engineapi.Order) string {
+	held := e.models[order.Model]
+	switch order.Kind {
+	case engineapi.Load:
+		if held != nil {
+			return "held already"
+		}
+		used := int64(0)
+		for name := range e.models {
+			used += e.config.Sizes[name]
+		}
+		if used+e.config.Sizes[order.Model] > e.config.Room {
+			return "no room"
+		}
+		loading := &model{state: engineapi.Loading}
+		e.models[order.Model] = loading
+		e.journal.Write(journal.Line{Kind: journal.LoadBegin, Model: order.Model})
+		time.AfterFunc(e.config.LoadTime, func() {
+			e.mutex.Lock()
+			loading.state = engineapi.Loaded
+			e.mutex.Unlock()
+			e.journal.Write(journal.Line{Kind: journal.LoadEnd, Model: order.Model})
+		})
+	case engineapi.Unload:
+		if held == nil || held.state != engineapi.Loaded {
+			return "not loaded"
+		}
+		held.state = engineapi.Unloading
+		time.AfterFunc(e.config.LoadTime/4, func() {
+			e.mutex.Lock()
+			delete(e.models, order.Model)
+			e.mutex.Unlock()
+		})
+	case engineapi.LoadAdapter:
+		places := 0
+		for _, other := range e.models {
+			places += len(other.adapters) + len(other.pending)
+		}
+		switch {
+		case held == nil || held.state != engineapi.Loaded:
+			return "its model is not loaded"
+		case slices.Contains(held.adapters, order.Adapter) || slices.Contains(held.pending, order.Adapter):
+			return "held already"
+		case places >= e.config.AdapterPlaces:
+			return "no adapter place"
+		}
+		held.pending = append(held.pending, order.Adapter)
+		time.AfterFunc(e.config.AdapterTime, func() {
+			e.mutex.Lock()
+			defer e.mutex.Unlock()
+			held.pending = slices.DeleteFunc(held.pending, func(name string) bool { return name == order.Adapter })
+			held.adapters = append(held.adapters, order.Adapter)
+		})
+	case engineapi.UnloadAdapter:
+		if held == nil || !slices.Contains(held.adapters, order.Adapter) {
+			return "not held"
+		}
+		held.adapters = slices.DeleteFunc(slices.Clone(held.adapters), func(name string) bool { return name == order.Adapter })
+	default:
+		return "no such kind of order"
+	}
+	return ""
+}
+
+// PiecesFor is how many pieces an attempt's answer has; it follows from its id, so that the checker knows it too.
+func PiecesFor(attempt string) int {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(attempt))
+	return 4 + int(hash.Sum32()%24)
+}
+
+func (e *Engine) handleGenerate(w http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get(engineapi.HeaderAttempt)
+	var work engineapi.Generate
+	if err := json.NewDecoder(r.Body).Decode(&work); err != nil || attempt == "" {
+		answer(w, http.StatusBadRequest, engineapi.Refusal{Refused: true, Reason: "not a request"})
+		return
+	}
+	route, _, _ := strings.Cut(strings.TrimPrefix(work.Prompt, "route="), ";")
+	line := journal.Line{Kind: journal.Arrive, Attempt: attempt, Route: route, Model: work.Model, Adapter: work.Adapter, Session: work.Session}
+	e.journal.Write(line)
+	e.mutex.Lock()
+	e.arrived++
+	held := e.models[work.Model]
+	reason := ""
+	switch {
+	case held == nil || held.state != engineapi.Loaded:
+		reason = "the model is not loaded"
+	case work.Adapter != "" && !slices.Contains(held.adapters, work.Adapter):
+		reason = "the adapter is not loaded"
+	case e.busy >= e.config.Slots:
+		reason = "all slots are taken"
+	}
+	fault := ""
+	if e.arrived > e.config.FaultFrom {
+		fault = e.config.Fault
+	}
+	if reason == "" {
+		e.busy++
+		e.runs++
+	}
+	run := fmt.Sprintf("%s-%d-%d", e.config.ID, journal.Now(), e.runs)
+	e.mutex.Unlock()
+	if reason != "" {
+		line.Kind, line.Reason = journal.Refuse, reason
+		e.journal.Write(line)
+		answer(w, http.StatusServiceUnavailable, engineapi.Refusal{Refused: true, Reason: reason})
+		return
+	}
+	defer func() {
+		e.mutex.Lock()
+		e.busy--
+		e.mutex.Unlock()
+	}()
+	line.Kind, line.Run = journal.Begin, run
+	e.journal.Write(line)
+	if e.stream(w, r, attempt, run, fault) {
+		line.Kind, line.Pieces = journal.End, PiecesFor(attempt)
+	} else {
+		line.Kind = journal.Cancel
+	}
+	e.journal.Write(line)
+}
+
+// stream writes the pieces; it says false when the stream did not reach its end.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, attempt, run, fault string) bool {
+	switch fault {
+	case "hang":
+		<-r.Context().Done()
+		return false
+	case "drop":
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	pieces := PiecesFor(attempt)
+	encoder := json.NewEncoder(w)
+	beat := time.NewTicker(e.config.PieceTime)
+	defer beat.Stop()
+	for n := 0; n < pieces; n++ {
+		select {
+		case <-r.Context().Done():
+			return false
+		case <-beat.C:
+		}
+		piece := engineapi.Piece{Attempt: attempt, N: n, Text: fmt.Sprintf("%s/%s/%d ", attempt, run, n)}
+		if n == 2 {
+			switch fault {
+			case "gap":
+				piece.N++
+			case "repeat":
+				piece.N--
+			case "foreign":
+				piece.Attempt = "someone-else"
+			case "early":
+				return false
+			case "stall":
+				<-r.Context().Done()
+				return false
+			case "abort":
+				panic(http.ErrAbortHandler)
+			case "junk":
+				_, _ = io.WriteString(w, "{not json\n")
+			}
+		}
+		if encoder.Encode(piece) != nil {
+			return false
+		}
+		if flusher, ok := w.(http.Flusher); ok {
+			flusher.Flush()
+		}
+		if fault == "endless" && n == pieces-1 {
+			pieces++
+		}
+	}
+	return encoder.Encode(engineapi.Piece{Attempt: attempt, N: pieces, Final: true, Pieces: pieces}) == nil
+}
