--- /dev/null
+++ b/rehearsal/fleet/fleet.go
@@ -0,0 +1,347 @@
+// Package fleet runs a whole deployment as processes on one machine.
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/rehearsal/deployment"
+	"github.com/cresspond/cresspond/rehearsal/platform"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+	"github.com/cresspond/cresspond/wire/platformapi"
+)
+
+// Process is one process of the fleet.
+type Process struct {
+	Name    string
+	Zone    ident.ZoneID
+	Address string
+	Fellow  string
+	Journal string
+	Core    bool
+	args    []string
+	log     string
+
+	mutex sync.Mutex
+	cmd   *exec.Cmd
+	done  chan struct{}
+	code  int
+}
+
+// Fleet is a deployment that runs.
+type Fleet struct {
+	Deployment deployment.Deployment
+	Folder     string
+	Daemons    []*Process
+	Engines    []*Process
+	Platform   *platform.Platform
+	program    string
+	self       string
+	leaving    map[string]bool
+	gone       map[string]bool
+	mutex      sync.Mutex
+	client     *http.Client
+}
+
+// New lays a fleet out in a folder; program is the cresspondd to run, self the rehearse program.
+func New(d deployment.Deployment, folder, program, self string) (*Fleet, error) {
+	f := &Fleet{Deployment: d, Folder: folder, program: program, self: self, leaving: map[string]bool{}, gone: map[string]bool{},
+		client: &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	f.Platform = platform.New(listener)
+	var seeds []string
+	number := 0
+	add := func(name string, zone ident.ZoneID, core bool) error {
+		number++
+		listen, err := freeAddress(number)
+		if err != nil {
+			return err
+		}
+		fellow, err := freeAddress(number)
+		if err != nil {
+			return err
+		}
+		p := &Process{Name: name, Zone: zone, Address: listen, Fellow: fellow, Core: core, log: filepath.Join(folder, name+".log")}
+		if core {
+			seeds = append(seeds, fellow)
+		}
+		f.Daemons = append(f.Daemons, p)
+		return nil
+	}
+	for i := range d.Cores {
+		if err := add(fmt.Sprintf("core-%d", i), d.Zones[i%len(d.Zones)], true); err != nil {
+			return nil, err
+		}
+	}
+	for i, zone := range d.EdgeZones {
+		if err := add(fmt.Sprintf("edge-%d", i), d.Zones[zone], false); err != nil {
+			return nil, err
+		}
+	}
+	for _, p := range f.Daemons {
+		settings := config.Default()
+		settings.Name, settings.Zone, settings.Listen, settings.FellowListen = p.Name, p.Zone, p.Address, p.Fellow
+		settings.Seeds, settings.Platform = seeds, f.Platform.Address()
+		settings.Serve = []config.Role{config.Route}
+		if p.Core {
+			settings.Serve = []config.Role{config.Control, config.Place}
+			settings.Data = filepath.Join(folder, p.Name+".data")
+		}
+		data, err := json.MarshalIndent(settings, "", "  ")
+		if err != nil {
+			return nil, err
+		}
+		path := filepath.Join(folder, p.Name+".json")
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			return nil, err
+		}
+		p.args = []string{program, "--config", path}
+	}
+	for i := range d.Engines {
+		number++
+		address, err := freeAddress(number)
+		if err != nil {
+			return nil, err
+		}
+		name := string(deployment.EngineID(i))
+		p := &Process{Name: name, Zone: d.EngineZone(i), Address: address, Journal: filepath.Join(folder, name+".journal"), log: filepath.Join(folder, name+".log")}
+		p.args = []string{self, "engine", "--deployment", d.Name, "--id", name, "--listen", address, "--journal", p.Journal}
+		f.Engines = append(f.Engines, p)
+	}
+	return f, nil
+}
+
+// freeAddress finds a port on a loopback address of the process's own, so that no outgoing connection can be given it.
+func freeAddress(number int) (string, error) {
+	host := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff, number)
+	listener, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// Start starts a process.
+func (p *Process) Start() error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(p.args[0], p.args[1:]...)
+	cmd.Stdout, cmd.Stderr = log, log
+	// A runner that dies takes its fleet with it.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() {
+		_ = cmd.Wait()
+		p.mutex.Lock()
+		p.code = cmd.ProcessState.ExitCode()
+		p.mutex.Unlock()
+		close(done)
+	}()
+	return nil
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(signal syscall.Signal) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(signal)
+	}
+}
+
+// Kill ends the process at once and waits for it.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	p.Wait()
+}
+
+// Wait waits for the process to end and gives its exit code.
+func (p *Process) Wait() int {
+	p.mutex.Lock()
+	done := p.done
+	p.mutex.Unlock()
+	if done == nil {
+		return 0
+	}
+	<-done
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.code
+}
+
+// Running says whether the process runs.
+func (p *Process) Running() bool {
+	p.mutex.Lock()
+	done := p.done
+	p.mutex.Unlock()
+	if done == nil {
+		return false
+	}
+	select {
+	case <-done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Folder is the data folder of a core daemon.
+func (f *Fleet) DataOf(p *Process) string { return filepath.Join(f.Folder, p.Name+".data") }
+
+// Start starts everything.
+func (f *Fleet) Start() error {
+	f.Publish()
+	for _, p := range append(append([]*Process{}, f.Engines...), f.Daemons...) {
+		if err := p.Start(); err != nil {
+			return fmt.Errorf("%s cannot be started: %w", p.Name, err)
+		}
+	}
+	return nil
+}
+
+// Publish tells the platform's list what there is.
+func (f *Fleet) Publish() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	list := []platformapi.Engine{}
+	for _, p := range f.Engines {
+		if !f.gone[p.Name] {
+			list = append(list, platformapi.Engine{ID: ident.EngineID(p.Name), Address: p.Address, Zone: p.Zone, Draining: f.leaving[p.Name]})
+		}
+	}
+	f.Platform.Set(list)
+}
+
+// Leave marks an engine as leaving in the platform's list.
+func (f *Fleet) Leave(p *Process) {
+	f.mutex.Lock()
+	f.leaving[p.Name] = true
+	f.mutex.Unlock()
+	f.Publish()
+}
+
+// Stop ends everything.
+func (f *Fleet) Stop() {
+	for _, p := range append(append([]*Process{}, f.Daemons...), f.Engines...) {
+		if p.Running() {
+			p.Signal(syscall.SIGCONT)
+			p.Kill()
+		}
+	}
+}
+
+// Edges lists the daemons that carry traffic.
+func (f *Fleet) Edges() []*Process {
+	var out []*Process
+	for _, p := range f.Daemons {
+		if !p.Core {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Ready asks a daemon whether it is ready.
+func (f *Fleet) Ready(p *Process) bool {
+	response, err := f.client.Get("http://" + p.Address + operatorapi.PathReady)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// Status asks a daemon for its own word.
+func (f *Fleet) Status(p *Process) (operatorapi.Status, error) {
+	var status operatorapi.Status
+	_, err := f.Get(p, operatorapi.PathStatus, &status)
+	return status, err
+}
+
+// Get reads a page of a daemon.
+func (f *Fleet) Get(p *Process, path string, into any) ([]byte, error) {
+	response, err := f.client.Get("http://" + p.Address + path)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return data, fmt.Errorf("%s: status %d: %s", path, response.StatusCode, bytes.TrimSpace(data))
+	}
+	if into == nil {
+		return data, nil
+	}
+	return data, json.Unmarshal(data, into)
+}
+
+// Post sends an act to a daemon.
+func (f *Fleet) Post(p *Process, path string, body, into any) (int, error) {
+	data, err := json.Marshal(body)
+	if propose, ok := body.(operatorapi.Propose); ok {
+		data, err = propose.Encode()
+	}
+	if err != nil {
+		return 0, err
+	}
+	response, err := f.client.Post("http://"+p.Address+path, "application/json", bytes.NewReader(data))
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return response.StatusCode, fmt.Errorf("%s: status %d: %s", path, response.StatusCode, bytes.TrimSpace(answer))
+	}
+	if into == nil {
+		return response.StatusCode, nil
+	}
+	return response.StatusCode, json.Unmarshal(answer, into)
+}
+
+// Leader finds the daemon that leads the group.
+func (f *Fleet) Leader() *Process {
+	for _, p := range f.Daemons {
+		if !p.Core || !p.Running() {
+			continue
+		}
+		if status, err := f.Status(p); err == nil && status.Raft != nil && status.Raft.Role == "leader" {
+			return p
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/rehearsal/journal/journal.go
@@ -0,0 +1,101 @@
+// Package journal is what the stand-ins write down, so that the checker can judge a run by its history.
+package journal
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+)
+
+// Kind names a line.
+type Kind string
+
+const (
+	// Start: an engine's process came up. Begin: work began to run. End: it ran to its end. Cancel: its caller closed.
+	Start  Kind = "start"
+	Begin  Kind = "begin"
+	End    Kind = "end"
+	Cancel Kind = "cancel"
+	// Refuse: the engine refused work. Arrive: a request came, whatever became of it.
+	Arrive Kind = "arrive"
+	Refuse Kind = "refuse"
+	// Order: an order came and was taken. OrderRefused: it was refused.
+	Order        Kind = "order"
+	OrderRefused Kind = "order-refused"
+	LoadBegin    Kind = "load-begin"
+	LoadEnd      Kind = "load-end"
+	// Leaving: the engine was told to empty itself.
+	Leaving Kind = "leaving"
+)
+
+// Line is one thing that happened at an engine.
+type Line struct {
+	At      time.Duration `json:"at"`
+	Engine  string        `json:"engine"`
+	Kind    Kind          `json:"kind"`
+	Attempt string        `json:"attempt,omitempty"`
+	Run     string        `json:"run,omitempty"`
+	Route   string        `json:"route,omitempty"`
+	Model   string        `json:"model,omitempty"`
+	Adapter string        `json:"adapter,omitempty"`
+	Session string        `json:"session,omitempty"`
+	Pieces  int           `json:"pieces,omitempty"`
+	Reason  string        `json:"reason,omitempty"`
+	Stamp   string        `json:"stamp,omitempty"`
+	Claim   uint64        `json:"claim,omitempty"`
+	Order   string        `json:"order,omitempty"`
+}
+
+// Now is the clock of all journals: it is the same for all processes of one machine.
+func Now() time.Duration { return time.Duration(clock.System{}.Elapsed()) }
+
+// Writer appends lines; each is handed to the system at once, so a killed process loses none.
+type Writer struct {
+	mutex  sync.Mutex
+	file   *os.File
+	engine string
+}
+
+// NewWriter opens a journal for appending.
+func NewWriter(path, engine string) (*Writer, error) {
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	return &Writer{file: file, engine: engine}, err
+}
+
+// Write appends one line.
+func (w *Writer) Write(line Line) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	line.At, line.Engine = Now(), w.engine
+	data, err := json.Marshal(line)
+	if err != nil {
+		panic("broken invariant: a journal line cannot be encoded: " + err.Error())
+	}
+	if _, err := w.file.Write(append(data, '\n')); err != nil {
+		panic("a journal cannot be written: " + err.Error())
+	}
+}
+
+// Read reads a whole journal.
+func Read(path string) ([]Line, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	var lines []Line
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		var line Line
+		if err := json.Unmarshal(scanner.Bytes(), &line); err != nil {
+			return nil, err
+		}
+		lines = append(lines, line)
+	}
+	return lines, scanner.Err()
+}
--- /dev/null
+++ b/rehearsal/platform/platform.go
@@ -0,0 +1,48 @@
+// Package platform is a stand-in for the platform: it keeps a list of engines that lags behind the truth.
+package platform
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cresspond/cresspond/wire/platformapi"
+)
+
+// Platform is the stand-in.
+type Platform struct {
+	mutex   sync.Mutex
+	list    platformapi.List
+	address string
+}
+
+// New starts serving on a listener.
+func New(listener net.Listener) *Platform {
+	p := &Platform{address: listener.Addr().String(), list: platformapi.List{Engines: []platformapi.Engine{}}}
+	mux := http.NewServeMux()
+	mux.HandleFunc(platformapi.PathEngines, func(w http.ResponseWriter, _ *http.Request) {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(p.list)
+	})
+	go func() { _ = http.Serve(listener, mux) }()
+	return p
+}
+
+// Address is where the list is read.
+func (p *Platform) Address() string { return p.address }
+
+// Lag is how long the list lags behind.
+const Lag = 300 * time.Millisecond
+
+// Set replaces the list after the lag.
+func (p *Platform) Set(engines []platformapi.Engine) {
+	time.AfterFunc(Lag, func() {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		p.list = platformapi.List{Engines: engines}
+	})
+}
--- /dev/null
+++ b/rehearsal/scenario/day.go
@@ -0,0 +1,150 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cresspond/cresspond/rehearsal/checker"
+	"github.com/cresspond/cresspond/rehearsal/fleet"
+)
+
+// Begin brings the fleet up, rolls the first bundle and waits until it serves.
+func (r *Run) Begin(ctx context.Context) error {
+	if err := r.Fleet.Start(); err != nil {
+		return err
+	}
+	if err := r.Await("the group has a leader", func() bool { return r.Fleet.Leader() != nil }); err != nil {
+		return err
+	}
+	r.Say("the group has formed")
+	r.Look(ctx)
+	if err := r.Roll("first", 0); err != nil {
+		return err
+	}
+	if err := r.Await("all edges are ready", r.AllReady); err != nil {
+		return err
+	}
+	if err := r.Await("models are loaded", func() bool { return r.Loaded() >= min(r.Fleet.Deployment.Models, r.Fleet.Deployment.Engines) }); err != nil {
+		return err
+	}
+	r.Say("%d models are loaded", r.Loaded())
+	return nil
+}
+
+// Day is the main rehearsal: a whole day in short, with a failure of each kind.
+func (r *Run) Day(ctx context.Context, scale float64) (map[string]uint64, error) {
+	looking, stopLooking := context.WithCancel(ctx)
+	defer stopLooking()
+	if err := r.Begin(looking); err != nil {
+		return nil, err
+	}
+	loading, stopLoading := context.WithCancel(ctx)
+	defer stopLoading()
+	r.Load(loading, scale)
+	r.Pause(3 * time.Second)
+
+	engines, edges := r.Fleet.Engines, r.Fleet.Edges()
+	killed := engines[r.random.IntN(len(engines))]
+	killed.Kill()
+	r.Act(checker.Act{Kind: checker.EngineKilled, Subject: killed.Name})
+	r.Pause(2 * time.Second)
+	if err := killed.Start(); err != nil {
+		return nil, err
+	}
+	r.Act(checker.Act{Kind: checker.EngineStarted, Subject: killed.Name})
+	r.Pause(2 * time.Second)
+
+	leader := r.Fleet.Leader()
+	if leader == nil {
+		return nil, fmt.Errorf("no leader was found")
+	}
+	r.Crash(leader)
+	// The last route goes away: from two seconds after the word on, nothing of it may reach an engine.
+	last := r.Fleet.Deployment.Kinds[len(r.Fleet.Deployment.Kinds)-1].Route
+	r.without[last] = true
+	if err := r.Roll("second", 1); err != nil {
+		return nil, err
+	}
+	r.Pause(4 * time.Second)
+	if err := leader.Start(); err != nil {
+		return nil, err
+	}
+	delete(r.without, last)
+	if err := r.RefuseOnes(2); err != nil {
+		return nil, err
+	}
+	if err := r.Race(2); err != nil {
+		return nil, err
+	}
+	r.Pause(2 * time.Second)
+
+	if len(edges) > 1 {
+		crashed := edges[r.random.IntN(len(edges))]
+		r.Crash(crashed)
+		r.Pause(2 * time.Second)
+		if err := crashed.Start(); err != nil {
+			return nil, err
+		}
+	}
+	shut := r.Fleet.Deployment.Zones[r.random.IntN(len(r.Fleet.Deployment.Zones))]
+	if err := r.Zone(shut, true); err != nil {
+		return nil, err
+	}
+	r.Pause(7 * time.Second)
+	if err := r.Zone(shut, false); err != nil {
+		return nil, err
+	}
+	r.Pause(2 * time.Second)
+	leaving := r.pickOther(engines, killed)
+	r.Act(checker.Act{Kind: checker.EngineLeaving, Subject: leaving.Name})
+	r.Fleet.Leave(leaving)
+	r.Pause(5 * time.Second)
+	leaving.Kill()
+	if err := r.Zone(shut, true); err != nil {
+		return nil, err
+	}
+
+	if err := r.Await("all edges are ready", r.AllReady); err != nil {
+		return nil, err
+	}
+	stopping := edges[r.random.IntN(len(edges))]
+	r.StopGracefully(stopping)
+	if err := stopping.Start(); err != nil {
+		return nil, err
+	}
+	if err := r.Await("all edges are ready", r.AllReady); err != nil {
+		return nil, err
+	}
+	r.Pause(2 * time.Second)
+	stopLoading()
+	r.calls.Wait()
+	if err := r.ReadBack(); err != nil {
+		return nil, err
+	}
+	counters := r.Counters()
+	stopLooking()
+	r.looks.Wait()
+	for _, p := range append(edges, r.cores()...) {
+		r.StopGracefully(p)
+	}
+	return counters, nil
+}
+
+func (r *Run) cores() []*fleet.Process {
+	var out []*fleet.Process
+	for _, p := range r.Fleet.Daemons {
+		if p.Core {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func (r *Run) pickOther(from []*fleet.Process, not *fleet.Process) *fleet.Process {
+	for {
+		if one := from[r.random.IntN(len(from))]; one != not {
+			return one
+		}
+	}
+}
--- /dev/null
+++ b/wire/operatorapi/operatorapi.go
@@ -0,0 +1,182 @@
+// Package operatorapi holds the forms that operators and their tools speak.
+package operatorapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+
+	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/statemachine"
+)
+
+const (
+	PathPropose  = "/v1/spec/propose"
+	PathReview   = "/v1/spec/review"
+	PathSign     = "/v1/spec/sign"
+	PathRoll     = "/v1/spec/roll"
+	PathSpec     = "/v1/spec"
+	PathHistory  = "/v1/spec/history"
+	PathProposal = "/v1/spec/proposal"
+	PathZone     = "/v1/zone"
+	PathDrain    = "/v1/engine"
+	PathClosures = "/v1/closures"
+	PathStatus   = "/v1/status"
+	PathTrace    = "/v1/trace"
+	PathReady    = "/ready"
+	PathLive     = "/live"
+	PathCounters = "/counters"
+	// HeaderEpoch carries the epoch of a bundle that is read back.
+	HeaderEpoch = "X-Spec-Epoch"
+)
+
+// Propose hands in a bundle; Spec is kept byte for byte.
+type Propose struct {
+	ProposalID string          `json:"proposalId"`
+	Base       ident.Epoch     `json:"base"`
+	Operator   string          `json:"operator"`
+	Note       string          `json:"note"`
+	Spec       json.RawMessage `json:"spec"`
+}
+
+// Encode gives the wire form with the bundle as it is; json.Marshal would change its white space.
+func (p Propose) Encode() ([]byte, error) {
+	raw := bytes.TrimSpace(p.Spec)
+	head, err := json.Marshal(struct {
+		ProposalID string      `json:"proposalId"`
+		Base       ident.Epoch `json:"base"`
+		Operator   string      `json:"operator"`
+		Note       string      `json:"note"`
+	}{p.ProposalID, p.Base, p.Operator, p.Note})
+	if err != nil {
+		return nil, err
+	}
+	return slices.Concat(head[:len(head)-1], []byte(`,"spec":`), raw, []byte("}")), nil
+}
+
+// Act reviews, signs or rolls a proposal.
+type Act struct {
+	ProposalID string `json:"proposalId"`
+	Operator   string `json:"operator"`
+	Note       string `json:"note"`
+}
+
+// Zone closes or opens a zone.
+type Zone struct {
+	Zone     ident.ZoneID `json:"zone"`
+	Closed   *bool        `json:"closed"`
+	Operator string       `json:"operator"`
+}
+
+// Drain starts or ends an operator's draining of an engine.
+type Drain struct {
+	Engine   ident.EngineID `json:"engine"`
+	Draining *bool          `json:"draining"`
+	Operator string         `json:"operator"`
+}
+
+// Answer is what an act gives back.
+type Answer struct {
+	statemachine.Result
+	// InForceAt lists the daemons that have the change in force, Missing those in contact that had not in time.
+	InForceAt []ident.NodeID `json:"inForceAt,omitempty"`
+	Missing   []ident.NodeID `json:"missing,omitempty"`
+	Faults    []spec.Fault   `json:"faults,omitempty"`
+}
+
+// Error is the body of an answer that is no success.
+type Error struct {
+	Outcome string       `json:"outcome"`
+	Reason  string       `json:"reason"`
+	Field   string       `json:"field,omitempty"`
+	Faults  []spec.Fault `json:"faults,omitempty"`
+	Winner  string       `json:"winner,omitempty"`
+	Epoch   ident.Epoch  `json:"epoch,omitempty"`
+}
+
+// Status is one daemon's own word.
+type Status struct {
+	NodeID       ident.NodeID   `json:"nodeId"`
+	Version      string         `json:"version"`
+	Zone         ident.ZoneID   `json:"zone"`
+	Serve        []string       `json:"serve"`
+	Ready        bool           `json:"ready"`
+	NotReady     string         `json:"notReady,omitempty"`
+	Group        ident.GroupID  `json:"group,omitempty"`
+	Leader       string         `json:"leader,omitempty"`
+	SpecEpoch    ident.Epoch    `json:"specEpoch"`
+	ClosureEpoch ident.Epoch    `json:"closureEpoch"`
+	WorkerID     *int64         `json:"workerId,omitempty"`
+	Raft         *RaftStatus    `json:"raft,omitempty"`
+	Planner      *PlannerStatus `json:"planner,omitempty"`
+	Fellows      []Fellow       `json:"fellows"`
+	Engines      []Engine       `json:"engines"`
+}
+
+// RaftStatus is a member's place in the group.
+type RaftStatus struct {
+	Role    string       `json:"role"`
+	Term    uint64       `json:"term"`
+	Commit  uint64       `json:"commit"`
+	Stalled bool         `json:"stalled"`
+	Members []RaftMember `json:"members"`
+}
+
+// RaftMember is one member of the group.
+type RaftMember struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Voter   bool   `json:"voter"`
+}
+
+// PlannerStatus is where the planner stands.
+type PlannerStatus struct {
+	Held     bool              `json:"held"`
+	Claim    ident.ClaimNumber `json:"claim,omitempty"`
+	InFlight int               `json:"inFlight"`
+}
+
+// Fellow is another daemon as this one knows it.
+type Fellow struct {
+	NodeID       ident.NodeID `json:"nodeId"`
+	Address      string       `json:"address"`
+	Zone         ident.ZoneID `json:"zone"`
+	Serve        []string     `json:"serve"`
+	HeardMsAgo   int64        `json:"heardMsAgo"`
+	SpecEpoch    ident.Epoch  `json:"specEpoch"`
+	ClosureEpoch ident.Epoch  `json:"closureEpoch"`
+	Ready        bool         `json:"ready"`
+}
+
+// Engine is an engine as this daemon knows it.
+type Engine struct {
+	ID        ident.EngineID `json:"id"`
+	Address   string         `json:"address"`
+	Zone      ident.ZoneID   `json:"zone"`
+	Condition string         `json:"condition"`
+	Draining  bool           `json:"draining"`
+	Open      bool           `json:"open"`
+	CallSeq   uint64         `json:"callSeq"`
+	Models    []string       `json:"models"`
+}
+
+// Trace follows one change through all daemons.
+type Trace struct {
+	Change string      `json:"change"`
+	Rows   []TraceRow  `json:"rows"`
+	Known  bool        `json:"known"`
+	Epoch  ident.Epoch `json:"epoch"`
+}
+
+// TraceRow is one daemon's steps, by wall clock in milliseconds; zero where a step is not known.
+type TraceRow struct {
+	NodeID     ident.NodeID `json:"nodeId"`
+	Zone       ident.ZoneID `json:"zone"`
+	LearnedMs  int64        `json:"learnedMs,omitempty"`
+	BuiltMs    int64        `json:"builtMs,omitempty"`
+	InForceMs  int64        `json:"inForceMs,omitempty"`
+	HeardMsAgo int64        `json:"heardMsAgo"`
+	// Missing says that the daemon has not got this change; Passed that it holds a later one.
+	Missing bool `json:"missing"`
+}
