Give each session's seat two homes, so one crash does not move it

Ruled out: a stale cache at the routing daemon, since both engines came from homes. A first home that knows no seat is now checked against the second, which holds a copy. Conclusion: one crash no longer moves a session; two homes lost at once still can.

--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -433,8 +433,8 @@
 		d.home.End(in.Session)
 		return &fellowapi.SeatReply{}, nil
 	}
-	engine, found := d.home.Claim(d.clock.Elapsed(), d.seatIdle(), in.Session, ident.EngineID(in.Engine), ident.EngineID(in.Replaces))
-	return &fellowapi.SeatReply{Engine: string(engine), Found: found}, nil
+	engine, found, fresh := d.home.Claim(d.clock.Elapsed(), d.seatIdle(), in.Session, ident.EngineID(in.Engine), ident.EngineID(in.Replaces))
+	return &fellowapi.SeatReply{Engine: string(engine), Found: found, Fresh: fresh}, nil
 }
 
 func (d *Daemon) seatIdle() time.Duration {
--- a/process/daemon/routing.go
+++ b/process/daemon/routing.go
@@ -125,8 +125,8 @@
 	return result.Outcome, result.Reason
 }
 
-// seatHome is the address of the daemon that keeps a session's seat.
-func (d *Daemon) seatHome(session string) string {
+// seatHomes are the addresses of the two daemons that keep a session's seat.
+func (d *Daemon) seatHomes(session string) (first, second string) {
 	var routers []string
 	for _, fellow := range d.members.View().InContact(d.clock.Elapsed(), 3*time.Second) {
 		if fellow.Serves(string(config.Route)) {
@@ -137,34 +137,57 @@
 	return seats.Of(session, routers)
 }
 
-// seatVia asks the home, wherever it is.
-func (d *Daemon) seatVia(request *fellowapi.SeatRequest) (*fellowapi.SeatReply, error) {
+// seatAt asks one home; nil means that it can't be reached.
+func (d *Daemon) seatAt(home string, request *fellowapi.SeatRequest) *fellowapi.SeatReply {
+	if home == "" {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), seatLimit)
 	defer cancel()
-	home := d.seatHome(request.Session)
-	if home == "" || home == d.config.ReachedAt() {
-		return d.Seat(ctx, request)
+	ask := d.links.To(home).Seat
+	if home == d.config.ReachedAt() {
+		ask = d.Seat
+	}
+	reply, err := ask(ctx, request)
+	if err != nil {
+		return nil
 	}
-	return d.links.To(home).Seat(ctx, request)
+	return reply
 }
 
 // routing is the daemon as the dispatch actor sees it.
 type routing struct{ *Daemon }
 
-// Seat asks a session's home for its seat.
+// Seat asks a session's homes for its seat. The first decides; the second keeps a copy, and knows
+// better where the first is gone or has just come back with nothing.
 func (r routing) Seat(ask dispatch.AskSeat) (ident.EngineID, bool) {
-	reply, err := r.seatVia(&fellowapi.SeatRequest{Session: ask.Session, Model: ask.Model, Adapter: ask.Adapter, Engine: string(ask.Engine), Replaces: string(ask.Replaces)})
-	if err != nil {
-		// A home that can't be reached must not hold up the session: the wish stands.
+	first, second := r.seatHomes(ask.Session)
+	request := &fellowapi.SeatRequest{Session: ask.Session, Model: ask.Model, Adapter: ask.Adapter, Engine: string(ask.Engine), Replaces: string(ask.Replaces)}
+	decided := r.seatAt(first, request)
+	if decided != nil && (!decided.Found || !decided.Fresh) {
+		return ident.EngineID(decided.Engine), decided.Found
+	}
+	copied := r.seatAt(second, request)
+	switch {
+	case copied == nil && decided == nil:
+		// Homes that can't be reached must not hold up the session: the wish stands.
 		return ask.Engine, ask.Engine != ""
+	case copied == nil:
+		return ident.EngineID(decided.Engine), true
+	case decided != nil && !copied.Fresh && copied.Found && copied.Engine != decided.Engine:
+		// The first home had forgotten, so it is told what the second one knows.
+		r.seatAt(first, &fellowapi.SeatRequest{Session: ask.Session, Engine: copied.Engine, Replaces: decided.Engine})
 	}
-	return ident.EngineID(reply.Engine), reply.Found
+	return ident.EngineID(copied.Engine), copied.Found
 }
 
-// EndSeat tells a session's home that it has ended.
+// EndSeat tells a session's homes that it has ended.
 func (r routing) EndSeat(session string) {
+	first, second := r.seatHomes(session)
 	// A home that misses this forgets the seat when it has been idle long enough.
-	_, _ = r.seatVia(&fellowapi.SeatRequest{Session: session, Ended: true})
+	for _, home := range []string{first, second} {
+		r.seatAt(home, &fellowapi.SeatRequest{Session: session, Ended: true})
+	}
 }
 
 // planning is the daemon as the placement actor sees it.
--- a/process/seats/seats.go
+++ b/process/seats/seats.go
@@ -31,7 +31,7 @@
 
 // Claim gives the session's seat. One without a seat takes the wished engine; one whose seat is the
 // engine that was found gone takes the wished one instead.
-func (h *Home) Claim(now clock.Mark, idle time.Duration, session string, wished, replaces ident.EngineID) (ident.EngineID, bool) {
+func (h *Home) Claim(now clock.Mark, idle time.Duration, session string, wished, replaces ident.EngineID) (engine ident.EngineID, found, fresh bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if now.Since(h.swept) > idle/2 {
@@ -45,13 +45,13 @@
 	held, known := h.seats[session]
 	if known && now.Since(held.used) <= idle && held.engine != replaces {
 		h.seats[session] = seat{held.engine, now}
-		return held.engine, true
+		return held.engine, true, false
 	}
 	if wished == "" || !known && len(h.seats) >= most {
-		return "", false
+		return "", false, false
 	}
 	h.seats[session] = seat{wished, now}
-	return wished, true
+	return wished, true, true
 }
 
 // End forgets a session.
@@ -61,19 +61,22 @@
 	delete(h.seats, session)
 }
 
-// Of picks the home of a session among daemons: the one with the highest weight, so that
-// a daemon that leaves moves only the sessions it was home to.
-func Of(session string, addresses []string) string {
-	best, bestWeight := "", uint64(0)
+// Of picks the first and the second home of a session among daemons: those with the highest weights,
+// so that a daemon that leaves moves only the sessions it was home to, and to where they are known.
+func Of(session string, addresses []string) (first, second string) {
+	var firstWeight, secondWeight uint64
 	for _, address := range addresses {
 		hash := fnv.New64a()
 		_, _ = hash.Write([]byte(session + "\x00" + address))
 		// A last stir, since FNV's high bits hardly depend on the last bytes.
 		weight := hash.Sum64() * 0x9E3779B97F4A7C15
 		weight ^= weight >> 29
-		if best == "" || weight > bestWeight || weight == bestWeight && address < best {
-			best, bestWeight = address, weight
+		switch {
+		case first == "" || weight > firstWeight:
+			first, second, firstWeight, secondWeight = address, first, weight, firstWeight
+		case second == "" || weight > secondWeight:
+			second, secondWeight = address, weight
 		}
 	}
-	return best
+	return first, second
 }
