Look at one daemon over sockets as callers, engines, operators and fellows do

Cause: the caller path and the desks had no tests of their own. Found: a repeatable request that an engine dropped went back to the same engine and used the budget up there (8 of 8 unknown on two engines, one of them sound). A record now passes engines by that it went to in vain, and three failed goes in a row set an engine aside.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -73,6 +73,9 @@
 	fleetMutex sync.Mutex
 	fleetWants map[ident.NodeID]fleetWant
 
+	// stallLimit is how long the next piece of a stream is waited for, runOver how long one may outlast its deadline.
+	stallLimit, runOver time.Duration
+
 	counters counters
 }
 
@@ -97,6 +100,11 @@
 // WithReplicaConfig replaces the group's times.
 func WithReplicaConfig(c replica.Config) Option { return func(d *Daemon) { d.replicaConfig = c } }
 
+// WithStreamLimits replaces how long the next piece is waited for, and how long a stream may outlast its deadline.
+func WithStreamLimits(stall, over time.Duration) Option {
+	return func(d *Daemon) { d.stallLimit, d.runOver = stall, over }
+}
+
 // New makes a daemon from checked settings.
 func New(c config.Config, version string, logger log.Interface, options ...Option) *Daemon {
 	var life [4]byte
@@ -108,7 +116,7 @@
 		// Each life of a daemon is a holder of its own, so an earlier life's ids can't be minted again.
 		nodeID:        ident.NodeID(c.Name + "#" + hex.EncodeToString(life[:])),
 		replicaConfig: replica.DefaultConfig(), adopted: make(chan ident.GroupID, 1), broken: make(chan error, 4),
-		fleetWants: map[ident.NodeID]fleetWant{}, home: seats.NewHome(),
+		fleetWants: map[ident.NodeID]fleetWant{}, home: seats.NewHome(), stallLimit: stallLimit, runOver: runOver,
 	}
 	d.log = logger.WithField("node", string(d.nodeID))
 	for _, option := range options {
--- a/process/daemon/routing.go
+++ b/process/daemon/routing.go
@@ -101,7 +101,7 @@
 			}
 			return flight.Piece(line)
 		},
-		FirstLimit: max(left, time.Millisecond), StallLimit: stallLimit, Limit: left + runOver,
+		FirstLimit: max(left, time.Millisecond), StallLimit: d.stallLimit, Limit: left + d.runOver,
 	})
 	bytes := uint64(result.Sent + result.Received)
 	if send.Zone == d.config.Zone {
@@ -109,6 +109,12 @@
 	} else {
 		d.counters.bytesOtherZone.Add(bytes)
 	}
+	switch result.Outcome {
+	case dispatch.Whole:
+		d.watcher.GoWent(send.Engine, true)
+	case dispatch.Lost, dispatch.NeverSent, dispatch.Cut:
+		d.watcher.GoWent(send.Engine, false)
+	}
 	if result.Junk {
 		d.counters.junkEngines.Add(1)
 		d.watcher.SetAside(send.Engine)
--- a/process/engines/engines.go
+++ b/process/engines/engines.go
@@ -52,6 +52,7 @@
 	failed     int
 	good       int
 	asideUntil clock.Mark
+	goesFailed int
 	listed     clock.Mark
 }
 
@@ -106,9 +107,11 @@
 	askTimeout   = 800 * time.Millisecond
 	failedFor    = 2
 	goodAgainFor = 2
-	asideFor     = 3 * time.Second
-	forgetAfter  = 30 * time.Second
-	mostReport   = 1 << 20
+	// goesFailedFor is how many goes in a row must fail before an engine rests.
+	goesFailedFor = 3
+	asideFor      = 3 * time.Second
+	forgetAfter   = 30 * time.Second
+	mostReport    = 1 << 20
 )
 
 type (
@@ -130,6 +133,10 @@
 		ago     time.Duration
 	}
 	setAside struct{ id ident.EngineID }
+	goWent   struct {
+		id   ident.EngineID
+		well bool
+	}
 )
 
 // New makes a watcher; onChange is called after each new view.
@@ -152,6 +159,9 @@
 	w.box.Offer(heardDraining{id, address, ago})
 }
 
+// GoWent tells how a go ended: reports may come while goes fail, so both are listened to.
+func (w *Watcher) GoWent(id ident.EngineID, well bool) { w.box.Offer(goWent{id, well}) }
+
 // SetAside rests an engine that sent junk.
 func (w *Watcher) SetAside(id ident.EngineID) { w.box.Offer(setAside{id}) }
 
@@ -237,6 +247,21 @@
 			return
 		}
 		next.Engines[e.id] = engine.leaving(now - clock.Mark(e.ago))
+	case goWent:
+		engine, known := next.Engines[e.id]
+		if !known || e.well && engine.goesFailed == 0 {
+			return
+		}
+		copied := *engine
+		copied.goesFailed++
+		if e.well {
+			copied.goesFailed = 0
+		} else if copied.goesFailed >= goesFailedFor {
+			w.Counters.SetAsides.Add(1)
+			copied.goesFailed = 0
+			copied.turn(SetAside, now)
+		}
+		next.Engines[e.id] = &copied
 	case setAside:
 		engine, known := next.Engines[e.id]
 		if !known {
--- /dev/null
+++ b/rehearsal/endtoend/harness_test.go
@@ -0,0 +1,303 @@
+// Package endtoend runs one whole daemon against stand-ins, and looks at it as callers, engines,
+// operators and fellows do: over sockets.
+package endtoend
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/daemon"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/rehearsal/caller"
+	"github.com/cresspond/cresspond/rehearsal/engine"
+	"github.com/cresspond/cresspond/rehearsal/journal"
+	"github.com/cresspond/cresspond/rehearsal/platform"
+	"github.com/cresspond/cresspond/wire/callerapi"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+	"github.com/cresspond/cresspond/wire/platformapi"
+)
+
+// bench is one daemon with its stand-ins.
+type bench struct {
+	t        *testing.T
+	address  string
+	fellow   string
+	data     string
+	platform *platform.Platform
+	engines  []platformapi.Engine
+	journals []string
+	stands   []*engine.Engine
+	stop     chan struct{}
+	hurry    chan struct{}
+	ended    chan error
+	bundle   []byte
+}
+
+func free(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func testSpec(engines int) spec.Spec {
+	s := spec.Spec{
+		Name: "bench", Zones: []spec.Zone{{Name: "here"}, {Name: "there"}},
+		Models:   []spec.Model{{Name: "m", Size: 10}, {Name: "other", Size: 10}},
+		Adapters: []spec.Adapter{{Name: "a", Model: "m"}, {Name: "b", Model: "other"}},
+		Routes: []spec.Route{
+			{Name: "r", House: "h", Worth: 10, Models: []string{"m"}, Adapters: []string{"a"}},
+			{Name: "high", House: "h", Worth: 90, Models: []string{"m"}},
+			{Name: "rival", House: "k", Worth: 10, Models: []string{"m"}},
+		},
+		Store:  spec.Store{LoadsAtOnce: 4},
+		Limits: spec.Limits{MostBodyBytes: 4096, MostHeld: 50, MostHeldBytes: 1 << 20, MostDeadlineMs: 30000, SeatIdleMs: 20000, RetryShare: 0.1},
+	}
+	for i := range engines {
+		s.Engines = append(s.Engines, spec.Engine{ID: ident.EngineID(fmt.Sprintf("e%d", i)), Zone: "here", Room: 25, AdapterPlaces: 4, Slots: 4})
+	}
+	return s
+}
+
+func encode(t *testing.T, value any) []byte {
+	t.Helper()
+	data, err := json.MarshalIndent(value, "", "   ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// start brings up a daemon and its engines, rolls a bundle and waits until model m is held by all engines that should hold it.
+func start(t *testing.T, change func(*spec.Spec), configs ...engine.Config) *bench {
+	t.Helper()
+	t.Parallel()
+	b := &bench{t: t, address: free(t), fellow: free(t), data: t.TempDir(), stop: make(chan struct{}), hurry: make(chan struct{}), ended: make(chan error, 1)}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	b.platform = platform.New(listener)
+	for i, c := range configs {
+		c.ID = fmt.Sprintf("e%d", i)
+		c.Room, c.Sizes, c.AdapterPlaces = 25, map[string]int64{"m": 10, "other": 10}, 4
+		if c.Slots == 0 {
+			c.Slots = 4
+		}
+		c.LoadTime, c.AdapterTime, c.ReportLag = 20*time.Millisecond, 20*time.Millisecond, 20*time.Millisecond
+		if c.PieceTime == 0 {
+			c.PieceTime = 3 * time.Millisecond
+		}
+		path := filepath.Join(t.TempDir(), c.ID)
+		writer, err := journal.NewWriter(path, c.ID)
+		if err != nil {
+			t.Fatal(err)
+		}
+		engineListener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { engineListener.Close() })
+		stand := engine.New(c, writer)
+		go func() { _ = stand.Serve(engineListener) }()
+		b.stands = append(b.stands, stand)
+		b.journals = append(b.journals, path)
+		b.engines = append(b.engines, platformapi.Engine{ID: ident.EngineID(c.ID), Address: engineListener.Addr().String(), Zone: "here"})
+	}
+	b.platform.Set(b.engines)
+	b.run()
+	t.Cleanup(b.end)
+	s := testSpec(len(configs))
+	if change != nil {
+		change(&s)
+	}
+	b.bundle = encode(t, s)
+	b.await("the group acts", func() bool { return b.status().Raft != nil && b.status().Raft.Role == "leader" })
+	b.roll("first", 0, b.bundle)
+	b.await("the daemon is ready", func() bool { return b.status().Ready })
+	b.await("an engine holds m", func() bool { return strings.Contains(fmt.Sprint(b.status().Engines), "m:loaded") })
+	return b
+}
+
+// run starts the daemon on its data folder.
+func (b *bench) run() {
+	settings := config.Default()
+	settings.Name, settings.Zone, settings.Listen, settings.FellowListen = "one", "here", b.address, b.fellow
+	settings.Seeds, settings.Serve = []string{b.fellow}, []config.Role{config.Route, config.Control, config.Place}
+	settings.Data, settings.Platform = b.data, b.platform.Address()
+	if faults := settings.Check(""); len(faults) > 0 {
+		b.t.Fatal(faults)
+	}
+	d := daemon.New(settings, "test", &log.Logger{Handler: discard.Default}, daemon.WithStreamLimits(400*time.Millisecond, time.Second))
+	go func() { b.ended <- d.Run(b.stop, b.hurry) }()
+}
+
+func (b *bench) end() {
+	select {
+	case <-b.stop:
+	default:
+		close(b.stop)
+		close(b.hurry)
+		<-b.ended
+	}
+}
+
+// await waits for a condition; the guard only ends a hang.
+func (b *bench) await(what string, holds func() bool) {
+	b.t.Helper()
+	guard := time.After(60 * time.Second)
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for !holds() {
+		select {
+		case <-guard:
+			b.t.Fatalf("waited in vain until %s; status %+v", what, b.status())
+		case <-tick.C:
+		}
+	}
+}
+
+func (b *bench) status() (status operatorapi.Status) {
+	b.get(operatorapi.PathStatus, &status)
+	return status
+}
+
+var client = &http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func (b *bench) get(path string, into any) (int, []byte) {
+	response, err := client.Get("http://" + b.address + path)
+	if err != nil {
+		return 0, nil
+	}
+	defer response.Body.Close()
+	data, _ := io.ReadAll(response.Body)
+	if into != nil {
+		_ = json.Unmarshal(data, into)
+	}
+	return response.StatusCode, data
+}
+
+func (b *bench) post(path string, body []byte) (int, operatorapi.Error, []byte) {
+	b.t.Helper()
+	response, err := client.Post("http://"+b.address+path, "application/json", strings.NewReader(string(body)))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	data, _ := io.ReadAll(response.Body)
+	var word operatorapi.Error
+	_ = json.Unmarshal(data, &word)
+	return response.StatusCode, word, data
+}
+
+func (b *bench) propose(id string, base uint64, operator string, bundle []byte) (int, operatorapi.Error) {
+	b.t.Helper()
+	body, err := operatorapi.Propose{ProposalID: id, Base: ident.Epoch(base), Operator: operator, Spec: bundle}.Encode()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	status, word, _ := b.post(operatorapi.PathPropose, body)
+	return status, word
+}
+
+func (b *bench) act(path, id, operator string) (int, operatorapi.Error) {
+	b.t.Helper()
+	status, word, _ := b.post(path, encode(b.t, operatorapi.Act{ProposalID: id, Operator: operator}))
+	return status, word
+}
+
+func (b *bench) roll(id string, base uint64, bundle []byte) {
+	b.t.Helper()
+	if status, word := b.propose(id, base, "ana", bundle); status != 200 {
+		b.t.Fatal(status, word)
+	}
+	for _, step := range []struct{ path, operator string }{{operatorapi.PathReview, "berta"}, {operatorapi.PathSign, "chen"}, {operatorapi.PathRoll, "ana"}} {
+		if status, word := b.act(step.path, id, step.operator); status != 200 {
+			b.t.Fatal(step.path, status, word)
+		}
+	}
+}
+
+// lines reads what all engines wrote down of one kind for one attempt; an empty attempt takes all.
+func (b *bench) lines(kind journal.Kind, attempt string) (out []journal.Line) {
+	b.t.Helper()
+	for _, path := range b.journals {
+		all, err := journal.Read(path)
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		for _, line := range all {
+			if line.Kind == kind && (attempt == "" || line.Attempt == attempt) {
+				out = append(out, line)
+			}
+		}
+	}
+	return out
+}
+
+func work() callerapi.Generate {
+	return callerapi.Generate{Route: "r", House: "h", Model: "m", Prompt: "route=r;x", DeadlineMs: 10000}
+}
+
+func (b *bench) call(attempt string, request callerapi.Generate) caller.Record {
+	return caller.Send(context.Background(), b.address, attempt, request)
+}
+
+// wire writes a request as bytes.
+func wire(attempt string, body []byte) string {
+	return fmt.Sprintf("POST /v1/generate HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nX-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", attempt, len(body), body)
+}
+
+// closing asks for the connection to be closed after the answer.
+func closing(request string) string {
+	return strings.Replace(request, "Host: x\r\n", "Host: x\r\nConnection: close\r\n", 1)
+}
+
+// dial opens a raw connection.
+func (b *bench) dial() *net.TCPConn {
+	b.t.Helper()
+	conn, err := net.Dial("tcp", b.address)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(60 * time.Second))
+	return conn.(*net.TCPConn)
+}
+
+// rest reads all that comes until the connection closes.
+func rest(conn net.Conn) string {
+	data, _ := io.ReadAll(bufio.NewReader(conn))
+	return string(data)
+}
+
+func (b *bench) counter(name string) uint64 {
+	_, page := b.get(operatorapi.PathCounters, nil)
+	for line := range strings.Lines(string(page)) {
+		var found string
+		var value uint64
+		if n, _ := fmt.Sscanf(line, "%s %d", &found, &value); n == 2 && found == name {
+			return value
+		}
+	}
+	b.t.Fatalf("there is no counter %s", name)
+	return 0
+}
--- /dev/null
+++ b/rehearsal/endtoend/operator_test.go
@@ -0,0 +1,196 @@
+package endtoend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/cresspond/cresspond/process/raft"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/rehearsal/engine"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+func decode(t *testing.T, response *http.Response, into any) {
+	t.Helper()
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(into); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestSpecStages(t *testing.T) {
+	b := start(t, nil, engine.Config{})
+	second := testSpec(1)
+	second.Name = "second"
+	bundle := append([]byte("\n\t"), encode(t, second)...)
+	expect := func(what string, status, want int, word operatorapi.Error) {
+		t.Helper()
+		if status != want {
+			t.Errorf("%s: status %d, %+v; want %d", what, status, word, want)
+		}
+	}
+	status, word := b.propose("p2", 0, "ana", bundle)
+	expect("a stale base", status, 409, word)
+	if word.Winner != "first" || word.Epoch != 1 {
+		t.Errorf("the loser is not told the winner: %+v", word)
+	}
+	status, word = b.propose("p2", 7, "ana", bundle)
+	expect("a base that is not there yet", status, 409, word)
+	status, word = b.propose("p2", 1, "ana", bundle)
+	expect("a sound proposal", status, 200, word)
+	status, word = b.propose("p2", 1, "ana", bundle)
+	expect("the same one again", status, 200, word)
+	status, word = b.propose("p2", 1, "ana", b.bundle)
+	expect("the same id for another bundle", status, 409, word)
+	status, word = b.act(operatorapi.PathRoll, "p2", "ana")
+	expect("an unsigned roll", status, 403, word)
+	status, word = b.act(operatorapi.PathSign, "p2", "berta")
+	expect("a sign-off before review", status, 403, word)
+	status, word = b.act(operatorapi.PathReview, "p2", "berta")
+	expect("a review", status, 200, word)
+	status, word = b.act(operatorapi.PathSign, "p2", "ana")
+	expect("the author's own sign-off", status, 403, word)
+	status, word = b.act(operatorapi.PathSign, "nothing", "berta")
+	expect("an unknown proposal", status, 404, word)
+	if now := b.status().SpecEpoch; now != 1 {
+		t.Errorf("epoch %d is in force", now)
+	}
+	status, word = b.propose("rival", 1, "eva", b.bundle)
+	expect("a rival on the same base", status, 200, word)
+	status, word = b.act(operatorapi.PathSign, "p2", "berta")
+	expect("a sign-off", status, 200, word)
+	status, word = b.act(operatorapi.PathRoll, "p2", "ana")
+	expect("a roll", status, 200, word)
+	status, word = b.act(operatorapi.PathRoll, "p2", "ana")
+	expect("the same roll again", status, 200, word)
+	status, word = b.act(operatorapi.PathReview, "rival", "berta")
+	expect("the loser of the race", status, 409, word)
+	if now := b.status().SpecEpoch; now != 2 {
+		t.Errorf("epoch %d is in force after one roll asked for twice", now)
+	}
+	if _, back := b.get(operatorapi.PathSpec+"?epoch=2", nil); !bytes.Equal(back, bytes.TrimSpace(bundle)) {
+		t.Error("the bundle does not read back byte for byte")
+	}
+	if _, back := b.get(operatorapi.PathSpec+"?epoch=1", nil); !bytes.Equal(back, b.bundle) {
+		t.Error("the first bundle does not read back byte for byte")
+	}
+	var history []statemachine.Proposal
+	b.get(operatorapi.PathHistory, &history)
+	if len(history) != 2 || history[1].Signs[0].Operator != "berta" {
+		t.Errorf("history: %+v", history)
+	}
+	var trace operatorapi.Trace
+	b.get(operatorapi.PathTrace+"?change=spec:2", &trace)
+	if !trace.Known || len(trace.Rows) != 1 || trace.Rows[0].Missing || trace.Rows[0].InForceMs < trace.Rows[0].BuiltMs || trace.Rows[0].BuiltMs < trace.Rows[0].LearnedMs || trace.Rows[0].LearnedMs == 0 {
+		t.Errorf("trace: %+v", trace)
+	}
+}
+
+func TestFaultyBundlesAreRefusedWithEveryFault(t *testing.T) {
+	b := start(t, nil, engine.Config{})
+	s := testSpec(1)
+	s.Name = ""
+	s.Engines[0].Zone = "nowhere"
+	s.Models[0].Size = 0
+	s.Models = append(s.Models, s.Models[1])
+	s.Routes[0].Models = append(s.Routes[0].Models, "none")
+	s.Limits.RetryShare = 2
+	status, word := b.propose("faulty", 1, "ana", encode(t, s))
+	if status != 400 {
+		t.Fatal(status, word)
+	}
+	for _, path := range []string{"name", "engines[0].zone", "models[0].size", "models[2].name", "routes[0].models[1]", "limits.retryShare"} {
+		found := false
+		for _, fault := range word.Faults {
+			found = found || fault.Path == path
+		}
+		if !found {
+			t.Errorf("no fault at %s in %v", path, word.Faults)
+		}
+	}
+	for name, bundle := range map[string]string{
+		"unknown field": strings.Replace(string(b.bundle), `"zones"`, `"zonen"`, 1),
+		"twice":         strings.Replace(string(b.bundle), `"name"`, `"name": "x", "Name"`, 1),
+		"wrong type":    strings.Replace(string(b.bundle), `"worth": 10`, `"worth": "much"`, 1),
+		"a list":        `[]`,
+		"a number":      `5`,
+		"null":          `null`,
+	} {
+		if status, word := b.propose("bad-"+name, 1, "ana", []byte(bundle)); status != 400 || len(word.Faults) == 0 {
+			t.Errorf("%s: %d %+v", name, status, word)
+		}
+	}
+	for path, body := range map[string]string{
+		operatorapi.PathRoll: `{"proposalId":"x"}`, operatorapi.PathZone: `{"zone":"here","operator":"ana"}`, operatorapi.PathReview: `{`,
+		operatorapi.PathSign: `{"proposalId":5,"operator":"a"}`, operatorapi.PathDrain: `{"engine":"","draining":true,"operator":"a"}`,
+	} {
+		if status, word, _ := b.post(path, []byte(body)); status != 400 || word.Reason == "" {
+			t.Errorf("%s %s: %d %+v", path, body, status, word)
+		}
+	}
+	if now := b.status().SpecEpoch; now != 1 {
+		t.Errorf("epoch %d is in force", now)
+	}
+}
+
+func TestGarbageFromFellowsIsRefusedAndCounted(t *testing.T) {
+	b := start(t, nil, engine.Config{})
+	group := string(b.status().Group)
+	fellow := fellowapi.NewFellowProtobufClient("http://"+b.fellow, http.DefaultClient)
+	ctx := context.Background()
+	garbage := []*fellowapi.RaftBatch{
+		{Group: group, Messages: []*fellowapi.RaftMessage{{Kind: 99, From: 1, To: 1, Term: 1}}},
+		{Group: group, Messages: []*fellowapi.RaftMessage{{Kind: uint32(raft.MsgSnapshot), From: 1, To: 1, Term: 1}}},
+		{Group: group, Messages: []*fellowapi.RaftMessage{{Kind: uint32(raft.MsgAppend), From: 1, To: 1, Term: 1, LogIndex: 5, Entries: []*fellowapi.RaftEntry{{Index: 9, Term: 1}}}}},
+		{Group: group, Messages: []*fellowapi.RaftMessage{{Kind: uint32(raft.MsgAppend), From: 1, To: 1, Term: 1, Entries: []*fellowapi.RaftEntry{{Index: 1, Term: 1, Kind: uint32(raft.EntryMembership), Data: []byte("{")}}}}},
+		{Group: "", Messages: nil},
+	}
+	for i, batch := range garbage {
+		if _, err := fellow.Raft(ctx, batch); err == nil {
+			t.Errorf("garbage %d was taken", i)
+		}
+	}
+	if n := b.counter("fellow_garbage"); n != uint64(len(garbage)) {
+		t.Errorf("%d were counted", n)
+	}
+	before := b.counter("fellow_foreign_group")
+	if _, err := fellow.Raft(ctx, &fellowapi.RaftBatch{Group: "another", Messages: []*fellowapi.RaftMessage{{Kind: uint32(raft.MsgHeartbeat), From: 1, To: 1, Term: 99}}}); err == nil {
+		t.Error("another group's message was taken")
+	}
+	if _, err := fellow.Submit(ctx, &fellowapi.SubmitRequest{Group: "another", Command: []byte(`{"op":"CLOSURE","zone":"here","closed":true}`)}); err == nil {
+		t.Error("another group's command was taken")
+	}
+	if _, err := fellow.Submit(ctx, &fellowapi.SubmitRequest{Group: group, Command: []byte(`{"op":"RECLAIM"}`)}); err == nil {
+		t.Error("a command that is the leader's alone was taken")
+	}
+	if _, err := fellow.Pull(ctx, &fellowapi.PullRequest{Group: "another", NodeId: "x", Address: "y"}); err == nil {
+		t.Error("another group's pull was served")
+	}
+	if n := b.counter("fellow_foreign_group"); n != before+3 {
+		t.Errorf("%d foreign messages were counted", n-before)
+	}
+	if record := b.call("after", work()); !record.Whole() {
+		t.Errorf("%+v", record)
+	}
+}
+
+func TestAJunkReportSetsAnEngineAside(t *testing.T) {
+	b := start(t, nil, engine.Config{Fault: "junk-report", FaultFrom: 1})
+	if record := b.call("one", work()); !record.Whole() {
+		t.Fatalf("%+v", record)
+	}
+	b.await("the engine is set aside", func() bool { return b.status().Engines[0].Condition == "set-aside" })
+	request := work()
+	request.DeadlineMs = 300
+	if record := b.call("two", request); record.Outcome != "refused" {
+		t.Errorf("%+v", record)
+	}
+	if b.counter("engine_reports_junk") == 0 {
+		t.Error("the junk was not counted")
+	}
+}
--- a/rehearsal/engine/engine.go
+++ b/rehearsal/engine/engine.go
@@ -64,6 +64,13 @@
 	return e
 }
 
+// SetFault makes the stand-in break the rules from now on, or stop doing so.
+func (e *Engine) SetFault(fault string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.config.Fault, e.config.FaultFrom = fault, 0
+}
+
 // Serve serves until the listener closes.
 func (e *Engine) Serve(listener net.Listener) error {
 	go func() {
--- a/request/dispatch/core.go
+++ b/request/dispatch/core.go
@@ -467,8 +467,9 @@
 	}
 	var best *engines.Engine
 	bestScore := 0.0
+	othersFit := len(record.failed) > 0 && c.anotherFits(record)
 	for _, engine := range c.world.Engines.Engines {
-		if !c.fit(engine, record) {
+		if !c.fit(engine, record) || othersFit && slices.Contains(record.failed, engine.ID) {
 			continue
 		}
 		room := c.room(engine)
@@ -491,6 +492,16 @@
 	return best, best != nil
 }
 
+// anotherFits says whether any engine that has not failed this record yet could serve it.
+func (c *Core) anotherFits(record *Record) bool {
+	for _, engine := range c.world.Engines.Engines {
+		if !slices.Contains(record.failed, engine.ID) && c.fit(engine, record) {
+			return true
+		}
+	}
+	return false
+}
+
 // room is how many more goes an engine may get from here now.
 func (c *Core) room(engine *engines.Engine) int {
 	allowedEngine, ok := c.world.Table.Engine(engine.ID)
@@ -568,9 +579,13 @@
 		}
 		c.fullUntil[record.Engine] = c.world.Now + clock.Mark(refusalRest)
 		// It is proven that the work never ran, so it may go again, within the budget.
+		if e.Outcome == NeverSent {
+			record.failed = append(record.failed, record.Engine)
+		}
 		c.again(record, true, true, e.Reason)
 	case Lost:
 		c.Counters.Lost++
+		record.failed = append(record.failed, record.Engine)
 		// Only the caller's own word lets a request that may have run go again.
 		c.again(record, false, true, e.Reason)
 	}
