--- /dev/null
+++ b/rehearsal/checker/checker_test.go
@@ -0,0 +1,142 @@
+package checker
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/rehearsal/caller"
+	"github.com/cresspond/cresspond/rehearsal/deployment"
+	"github.com/cresspond/cresspond/rehearsal/journal"
+	"github.com/cresspond/cresspond/wire/callerapi"
+)
+
+const ms = time.Millisecond
+
+// soundHistory is a short run in which every rule is checked and holds.
+func soundHistory() *History {
+	d, _ := deployment.Named("small")
+	first, second := d.Spec("first", nil), d.Spec("second", map[string]bool{"other": true})
+	at := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	line := func(s float64, engine string, kind journal.Kind, attempt string) journal.Line {
+		return journal.Line{At: at(s), Engine: engine, Kind: kind, Attempt: attempt, Route: "main", Model: "model-00", Run: "run-" + attempt, Session: "s", Pieces: 3}
+	}
+	order := func(s float64, stamp string, claim uint64) journal.Line {
+		return journal.Line{At: at(s), Engine: "engine-0", Kind: journal.Order, Order: "load", Model: "model-00", Stamp: stamp, Claim: claim}
+	}
+	whole := func(attempt string, began, end float64) caller.Record {
+		return caller.Record{Attempt: attempt, Daemon: "d", Began: at(began), End: at(end), Connected: true, Sent: true, Status: 200, Pieces: 3, Final: true, CleanEnd: true, Run: "run-" + attempt}
+	}
+	return &History{
+		Journals: []journal.Line{
+			{At: at(1), Engine: "engine-0", Kind: journal.Start},
+			order(2, "4096", 1), {At: at(2), Engine: "engine-0", Kind: journal.LoadBegin, Model: "model-00"}, {At: at(3), Engine: "engine-0", Kind: journal.LoadEnd, Model: "model-00"},
+			order(9, "8192", 2), {At: at(9), Engine: "engine-0", Kind: journal.LoadBegin, Model: "model-01"},
+			line(4, "engine-0", journal.Arrive, "one"), line(4, "engine-0", journal.Begin, "one"), line(5, "engine-0", journal.End, "one"),
+			line(11, "engine-0", journal.Arrive, "two"), line(11, "engine-0", journal.Begin, "two"), line(12, "engine-0", journal.End, "two"),
+		},
+		Calls: []caller.Record{
+			whole("one", 4, 5), whole("two", 11, 12),
+			{Attempt: "three", Daemon: "d", Began: at(4), End: at(5), Sent: true, Status: 503, Outcome: callerapi.Refused, CleanEnd: true},
+		},
+		Acts: []Act{
+			{At: at(0), Kind: Rolled, Epoch: 1, Body: first}, {At: at(6), Kind: Rolled, Epoch: 2, Body: second},
+			{At: at(5), Kind: Crashed, Subject: "core-0"}, {At: at(7), Kind: Refused, Body: []byte("lost")},
+			{At: at(7), Kind: EngineLeaving, Subject: "engine-1"}, {At: at(7), Kind: ZoneClosed, Subject: "c"},
+			{At: at(11), Kind: StopAsked, Subject: "d"}, {At: at(13), Kind: Stopped, Subject: "d"},
+		},
+		Sights:    []Sight{{At: at(1), Daemon: "d", Life: "d#1", SpecEpoch: 1}, {At: at(9), Daemon: "d", Life: "d#1", SpecEpoch: 2, ClosureEpoch: 1}},
+		ReadBacks: []ReadBack{{Epoch: 1, Body: first}, {Epoch: 2, Body: second}},
+		Exits:     []Exit{{Daemon: "d"}}, ClosureWanted: []string{"c"}, ClosureSeen: []string{"c"},
+		ZoneOf:      map[string]string{"engine-0": "a", "engine-1": "b", "engine-2": "c"},
+		LoadsAtOnce: 1, LoadGap: 150 * ms, Slots: 4, RetryShare: 0.1,
+	}
+}
+
+func TestASoundHistoryPasses(t *testing.T) {
+	for _, finding := range Check(soundHistory()) {
+		if !finding.OK() {
+			t.Errorf("%s: %d checked, %v", finding.Rule, finding.Checked, finding.Violations)
+		}
+	}
+}
+
+func TestAnEmptyHistoryFailsEveryRule(t *testing.T) {
+	for _, finding := range Check(&History{}) {
+		if finding.OK() {
+			t.Errorf("%s passed with nothing checked", finding.Rule)
+		}
+	}
+}
+
+// TestEachRuleBites breaks the history in one way at a time; the rule named, and only it, must say so.
+func TestEachRuleBites(t *testing.T) {
+	arrive := func(h *History, s float64, change func(*journal.Line)) {
+		line := journal.Line{At: time.Duration(s * float64(time.Second)), Engine: "engine-0", Kind: journal.Arrive, Attempt: "extra", Route: "main", Model: "model-00"}
+		change(&line)
+		h.Journals = append(h.Journals, line)
+	}
+	breaks := map[string]func(*History){
+		"an unrepeatable request never runs twice": func(h *History) {
+			h.Journals = append(h.Journals, journal.Line{At: 12 * time.Second, Engine: "engine-0", Kind: journal.Begin, Attempt: "two", Session: "t"})
+		},
+		"a refused request never runs": func(h *History) {
+			h.Journals = append(h.Journals, journal.Line{At: 12 * time.Second, Engine: "engine-0", Kind: journal.Begin, Attempt: "three"})
+		},
+		"no caller gets another's answer":                func(h *History) { h.Calls[0].Faults = []string{"foreign piece"} },
+		"no cut-off answer looks whole":                  func(h *History) { h.Calls[0].Final = false },
+		"no stream skips, repeats or splices":            func(h *History) { h.Calls[0].Faults = []string{"splice"} },
+		"no request reaches a service no bundle allowed": func(h *History) { arrive(h, 1.5, func(l *journal.Line) { l.Model = "model-99" }) },
+		"an acknowledged bundle is in force within 2 s": func(h *History) {
+			arrive(h, 9.5, func(l *journal.Line) { l.Route, l.Model = "other", "model-01" })
+		},
+		"no daemon falls back to an older bundle": func(h *History) {
+			h.Sights = append(h.Sights, Sight{At: 9500 * ms, Daemon: "d", Life: "d#1", SpecEpoch: 2})
+		},
+		"acknowledged bundles and closures read back whole": func(h *History) { h.ReadBacks[1].Body = []byte("{}") },
+		"nothing to a draining engine after 3 s":            func(h *History) { arrive(h, 10.1, func(l *journal.Line) { l.Engine = "engine-1" }) },
+		"nothing to a closed zone after 5 s":                func(h *History) { arrive(h, 12.1, func(l *journal.Line) { l.Engine = "engine-2" }) },
+		"no read request is dropped in a planned stop": func(h *History) {
+			h.Calls = append(h.Calls, caller.Record{Attempt: "dropped", Daemon: "d", Began: 11 * time.Second, End: 12 * time.Second, Sent: true})
+			h.Journals = append(h.Journals, journal.Line{At: 11500 * ms, Engine: "engine-0", Kind: journal.Begin, Attempt: "dropped"})
+		},
+		"one commander of an engine, and no quick turns": func(h *History) { h.Journals[4].At = 3 * time.Second },
+		"no engine is ordered past its room": func(h *History) {
+			h.Journals[4].Kind, h.Journals[4].Reason = journal.OrderRefused, "no room"
+		},
+		"loads keep to the store's pace": func(h *History) { h.Journals[5].At = 2500 * ms },
+		"retries stay a modest share": func(h *History) {
+			for range 40 {
+				arrive(h, 13, func(l *journal.Line) {})
+			}
+		},
+		"no cold engine is flooded": func(h *History) {
+			for i := range 40 {
+				arrive(h, 4.5, func(l *journal.Line) { l.Attempt = string(rune('A' + i)) })
+			}
+		},
+		"service is back within 12 s of a crash": func(h *History) {
+			h.Acts[2].At = 1 * time.Second
+			h.Calls[0].Began = 0
+			h.Calls[1].End = 20 * time.Second
+		},
+		"a seated session keeps its engine while it may": func(h *History) { h.Journals[10].Engine = "engine-2" },
+		"no two orders bear one minted id":               func(h *History) { h.Journals[4].Stamp = "4096" },
+	}
+	findings := Check(soundHistory())
+	if len(breaks) != len(findings) {
+		t.Fatalf("%d rules and %d ways to break them", len(findings), len(breaks))
+	}
+	for rule, breakIt := range breaks {
+		h := soundHistory()
+		breakIt(h)
+		for _, finding := range Check(h) {
+			switch {
+			case finding.Rule == rule && len(finding.Violations) == 0:
+				t.Errorf("%s: its break was not caught", rule)
+			case finding.Rule != rule && len(finding.Violations) > 0 && !strings.Contains(rule, "planned stop"):
+				t.Errorf("the break of %q was called a break of %q: %v", rule, finding.Rule, finding.Violations)
+			}
+		}
+	}
+}
