Believe an order lost only after any report lag; test the plan, the store and the state

An order whose answer was lost was called never arrived when a report asked for 3 s later lacked it, though that report was stale. Ruled out: the counting of orders under way, since each breach followed a lost answer. Conclusion: a lost answer costs one engine 15 s of planning, and never its room.

--- a/process/placement/plan.go
+++ b/process/placement/plan.go
@@ -97,6 +97,8 @@
 const (
 	// orderLimit is how long an order's answer is waited for.
 	orderLimit = 1500 * time.Millisecond
+	// reportLagLimit is how far behind the truth a report may be; an engine whose order was lost gets no other for that long.
+	reportLagLimit = 15 * time.Second
 	// minStay is how long a model stays at least once it was loaded, so that the fleet doesn't flap.
 	minStay = 8 * time.Second
 	// quietFor is how long nobody has asked for a model before it counts as not wanted.
@@ -180,8 +182,8 @@
 			continue
 		}
 		if engine.Report.CallSeq < flight.Expect {
-			// The report can't yet reflect the order. Only when it was asked for long after is the order known not to have arrived.
-			if flight.State == Unsure && engine.Asked.Since(flight.Sent) > 2*orderLimit {
+			// The report can't yet reflect the order. Only when reports asked for longer after than any lag still lack it, it never arrived.
+			if flight.State == Unsure && engine.Asked.Since(flight.Sent) > reportLagLimit {
 				p.Counters.NeverArrived++
 				delete(p.inFlight, id)
 			}
--- /dev/null
+++ b/process/statemachine/statemachine_test.go
@@ -0,0 +1,120 @@
+package statemachine
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// command makes one command of a made-up history out of a few bytes.
+func command(raw []uint8) Command {
+	ops := []Op{OpAcquire, OpRenew, OpRelease, OpReclaim, OpPropose, OpReview, OpSign, OpRoll, OpClosure, OpClaim, OpDropClaim}
+	names := []string{"ana", "berta", "chen"}
+	return Command{
+		Op: ops[int(raw[0])%len(ops)], At: ident.GroupTime(raw[1]) * 700, NodeID: ident.NodeID(names[raw[2]%3]), WorkerID: ident.WorkerID(raw[3] % 3),
+		SpanMs: 30000, GapMs: 3000, ProposalID: fmt.Sprint("p", raw[4]%6), Base: ident.Epoch(raw[5] % 3), Operator: names[raw[2]%3],
+		Spec: []byte{raw[6] % 2}, Zone: ident.ZoneID(names[raw[3]%3]), Closed: raw[6]%2 == 0,
+	}
+}
+
+// TestHistories runs made-up histories and holds what must be true after every command, whether or
+// not the state went through a snapshot on the way.
+func TestHistories(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(23)
+	parameters.MinSuccessfulTests = 60
+	properties := gopter.NewProperties(parameters)
+	properties.Property("invariants hold and snapshots change nothing", prop.ForAll(func(history [][]uint8) string {
+		straight, snapped := New(), New()
+		var now ident.GroupTime
+		var claims ident.ClaimNumber
+		for i, raw := range history {
+			data, err := json.Marshal(command(raw))
+			if err != nil {
+				return err.Error()
+			}
+			before := straight.Epoch()
+			a := straight.Apply(data)
+			if restored, err := Restore(snapped.Snapshot()); err == nil {
+				snapped = restored
+			} else {
+				return err.Error()
+			}
+			b := snapped.Apply(data)
+			if x, y := fmt.Sprintf("%+v", a.Verdict), fmt.Sprintf("%+v", b.Verdict); x != y {
+				return fmt.Sprintf("step %d: %s, and %s after a snapshot", i, x, y)
+			}
+			switch {
+			case straight.Now < now:
+				return "the group's time went back"
+			case straight.Epoch() < before || straight.Epoch() > before+1:
+				return "the epoch jumped"
+			case straight.Claim.Number < claims:
+				return "the claim's number fell"
+			}
+			now, claims = straight.Now, straight.Claim.Number
+			for epoch, id := range straight.History {
+				p := straight.Proposals[id]
+				if p.Stage != Rolled || p.Epoch != ident.Epoch(epoch+1) || p.Base != ident.Epoch(epoch) {
+					return fmt.Sprintf("%s stands at epoch %d as %s on base %d", id, epoch+1, p.Stage, p.Base)
+				}
+				signedByOther := false
+				for _, mark := range p.Signs {
+					if mark.Operator == p.Proposed.Operator {
+						return id + " was signed by its author"
+					}
+					signedByOther = true
+				}
+				if !signedByOther || len(p.Reviews) == 0 {
+					return id + " is in force unsigned or unreviewed"
+				}
+			}
+		}
+		if string(straight.Snapshot()) != string(snapped.Snapshot()) {
+			return "the states differ at the end"
+		}
+		return ""
+	}, gen.SliceOfN(120, gen.SliceOfN(7, gen.UInt8()))))
+	properties.TestingRun(t)
+}
+
+func TestAClaimWaitsOutTheOldOneAndTheGap(t *testing.T) {
+	s := New()
+	apply := func(op Op, node string, at ident.GroupTime) Result {
+		data, err := json.Marshal(Command{Op: op, NodeID: ident.NodeID(node), At: at, SpanMs: 4000, GapMs: 3000})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s.Apply(data)
+	}
+	if r := apply(OpClaim, "a", 1000); r.Verdict != Done || r.Claim.Number != 1 {
+		t.Fatal(r)
+	}
+	if r := apply(OpClaim, "a", 2000); r.Verdict != Done || r.Claim.Number != 1 || r.Claim.Until != 6000 {
+		t.Fatal(r)
+	}
+	for _, at := range []ident.GroupTime{3000, 6000, 8999} {
+		if r := apply(OpClaim, "b", at); r.Verdict != Waiting {
+			t.Fatal(at, r)
+		}
+	}
+	// The old holder too gets a new number once its claim has lapsed, and waits like any other.
+	if r := apply(OpClaim, "a", 8999); r.Verdict != Waiting {
+		t.Fatal(r)
+	}
+	if r := apply(OpClaim, "b", 9000); r.Verdict != Done || r.Claim.Number != 2 {
+		t.Fatal(r)
+	}
+	apply(OpDropClaim, "b", 9500)
+	if r := apply(OpClaim, "a", 12499); r.Verdict != Waiting {
+		t.Fatal(r)
+	}
+	if r := apply(OpClaim, "a", 12500); r.Verdict != Done || r.Claim.Number != 3 {
+		t.Fatal(r)
+	}
+}
--- /dev/null
+++ b/process/store/store_test.go
@@ -0,0 +1,145 @@
+package store
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/cresspond/cresspond/process/raft"
+)
+
+func newMember() raft.MemberID { return 7 }
+
+func open(t *testing.T, folder string) *Store {
+	t.Helper()
+	s, err := Open(folder, newMember)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestWhatWasWrittenIsThereAfterReopening(t *testing.T) {
+	folder := t.TempDir()
+	s := open(t, folder)
+	members := raft.Membership{Members: []raft.Member{{ID: 7, Name: "a", Address: "x", Voter: true}}}
+	saves := []raft.Save{
+		{HardState: raft.HardState{Term: 1}, Snapshot: &raft.Snapshot{Index: 1, Term: 1, Membership: members, Data: []byte("first")}},
+		{HardState: raft.HardState{Term: 2, Vote: 7}, Entries: []raft.Entry{{Term: 2, Index: 2, Data: []byte("a")}, {Term: 2, Index: 3, Kind: raft.EntryEmpty}, {Term: 2, Index: 4, Data: []byte("c")}}},
+		{HardState: raft.HardState{Term: 3}, TruncateFrom: 4, Entries: []raft.Entry{{Term: 3, Index: 4, Data: []byte("d")}, {Term: 3, Index: 5, Data: []byte("e")}}},
+		{HardState: raft.HardState{Term: 3, Vote: 9}, Snapshot: &raft.Snapshot{Index: 4, Term: 3, Membership: members, Data: []byte("second")}, CompactTo: 2},
+	}
+	for _, save := range saves {
+		if err := s.Write("group", save); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.Close()
+	again := open(t, folder)
+	defer again.Close()
+	if group, err := again.Group(); err != nil || group != "group" || again.Member != 7 {
+		t.Fatal(group, err, again.Member)
+	}
+	got, err := again.Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.HardState != (raft.HardState{Term: 3, Vote: 9}) || string(got.Snapshot.Data) != "second" || got.Snapshot.Index != 4 || !reflect.DeepEqual(got.Snapshot.Membership, members) {
+		t.Fatalf("%+v", got)
+	}
+	var seen []string
+	for _, entry := range got.Entries {
+		seen = append(seen, string(entry.Data))
+	}
+	if strings.Join(seen, ",") != ",d,e" || got.Entries[0].Index != 3 {
+		t.Fatalf("%+v", got.Entries)
+	}
+}
+
+func TestAFolderThatCannotServeIsRefusedWithAClearLine(t *testing.T) {
+	folder := t.TempDir()
+	s := open(t, folder)
+	if _, err := Open(folder, newMember); err == nil || !strings.Contains(err.Error(), "in use") {
+		t.Errorf("a folder in use was opened: %v", err)
+	}
+	if err := s.Write("g", raft.Save{HardState: raft.HardState{Term: 1}}); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	path := filepath.Join(folder, "member.sqlite")
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i < len(data); i++ {
+		data[i] ^= 0x5a
+	}
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(folder, newMember); err == nil || !strings.Contains(err.Error(), "damaged") {
+		t.Errorf("a damaged file was opened: %v", err)
+	}
+	file := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(file, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(file, newMember); err == nil {
+		t.Error("a file was taken for a folder")
+	}
+}
+
+func TestAFullDiskIsAnErrorAndLeavesTheOldStateWhole(t *testing.T) {
+	s := open(t, t.TempDir())
+	defer s.Close()
+	if err := s.Write("g", raft.Save{HardState: raft.HardState{Term: 1}, Entries: []raft.Entry{{Term: 1, Index: 1, Data: []byte("kept")}}}); err != nil {
+		t.Fatal(err)
+	}
+	// SQLite's own bound on the file stands in for a disk that is full.
+	if _, err := s.db.Exec("PRAGMA max_page_count = 12"); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Write("g", raft.Save{HardState: raft.HardState{Term: 9}, Entries: []raft.Entry{{Term: 9, Index: 2, Data: make([]byte, 1<<20)}}}); err == nil {
+		t.Fatal("a write onto a full disk was called synced")
+	}
+	got, err := s.Load()
+	if err != nil || got.HardState.Term != 1 || len(got.Entries) != 1 || string(got.Entries[0].Data) != "kept" {
+		t.Fatalf("%+v %v", got, err)
+	}
+}
+
+func TestAnyRunOfAppendsAndCutsReadsBack(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(11)
+	parameters.MinSuccessfulTests = 25
+	properties := gopter.NewProperties(parameters)
+	properties.Property("the log on disk is the log in memory", prop.ForAll(func(steps []uint8) bool {
+		s := open(t, t.TempDir())
+		defer s.Close()
+		var model []raft.Entry
+		for i, step := range steps {
+			save := raft.Save{HardState: raft.HardState{Term: raft.Term(i + 1)}}
+			if step%3 == 0 && len(model) > 0 {
+				from := int(step) % len(model)
+				save.TruncateFrom = raft.Index(from + 1)
+				model = model[:from]
+			}
+			for range step % 4 {
+				entry := raft.Entry{Term: raft.Term(i + 1), Index: raft.Index(len(model) + 1), Data: []byte{step}}
+				model = append(model, entry)
+				save.Entries = append(save.Entries, entry)
+			}
+			if s.Write("g", save) != nil {
+				return false
+			}
+		}
+		got, err := s.Load()
+		return err == nil && len(got.Entries) == len(model) && (len(model) == 0 || reflect.DeepEqual(got.Entries, model))
+	}, gen.SliceOfN(12, gen.UInt8())))
+	properties.TestingRun(t)
+}
