--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -482,6 +482,7 @@
 	if err := server.ShutdownWithContext(limit); err != nil {
 		d.log.WithField("open", d.door.Open()).Warn("stopped before all answers were written")
 	}
+	d.handSeatsOver(limit)
 	bounded, done := context.WithTimeout(context.Background(), 2*time.Second)
 	defer done()
 	if worker, last, held := d.generator.Drop(); held {
--- a/process/daemon/routing.go
+++ b/process/daemon/routing.go
@@ -132,15 +132,32 @@
 }
 
 // seatHomes are the addresses of the two daemons that keep a session's seat.
+// Any daemon can be a home, whatever it serves, so that the restart of a lone routing daemon loses none.
 func (d *Daemon) seatHomes(session string) (first, second string) {
-	var routers []string
+	var daemons []string
 	for _, fellow := range d.members.View().InContact(d.clock.Elapsed(), 3*time.Second) {
-		if fellow.Serves(string(config.Route)) {
-			routers = append(routers, fellow.Address)
+		// A daemon that is stopping hands its seats over, and takes no more.
+		if fellow.Ready {
+			daemons = append(daemons, fellow.Address)
+		}
+	}
+	slices.Sort(daemons)
+	return seats.Of(session, daemons)
+}
+
+// handSeatsOver gives the seats whose home this daemon is to the homes they have without it.
+func (d *Daemon) handSeatsOver(ctx context.Context) {
+	for session, engine := range d.home.All() {
+		if ctx.Err() != nil {
+			return
+		}
+		first, second := d.seatHomes(session)
+		for _, home := range []string{first, second} {
+			if home != d.config.ReachedAt() {
+				d.seatAt(home, &fellowapi.SeatRequest{Session: session, Engine: string(engine)})
+			}
 		}
 	}
-	slices.Sort(routers)
-	return seats.Of(session, routers)
 }
 
 // seatAt asks one home; nil means that it can't be reached.
--- a/process/seats/seats.go
+++ b/process/seats/seats.go
@@ -54,6 +54,17 @@
 	return wished, true, true
 }
 
+// All lists the seats that are kept here.
+func (h *Home) All() map[string]ident.EngineID {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	out := make(map[string]ident.EngineID, len(h.seats))
+	for session, held := range h.seats {
+		out[session] = held.engine
+	}
+	return out
+}
+
 // End forgets a session.
 func (h *Home) End(session string) {
 	h.mutex.Lock()
--- a/rehearsal/cmd/rehearse/main.go
+++ b/rehearsal/cmd/rehearse/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"text/tabwriter"
 	"time"
@@ -252,6 +253,18 @@
 	for _, p := range f.Daemons {
 		fmt.Printf("%-8s zone %-10s callers and operators at %s\n", p.Name, p.Zone, p.Address)
 	}
+	// What an operator at a shell needs to try things out.
+	var daemons []string
+	for _, p := range f.Daemons {
+		daemons = append(daemons, p.Address)
+	}
+	hints := fmt.Sprintf("export CRESSPOND_DAEMONS=%s\nexport EDGE=%s\n", strings.Join(daemons, ","), f.Edges()[0].Address)
+	if err := os.WriteFile(filepath.Join(f.Folder, "env"), []byte(hints), 0o600); err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(f.Folder, "bundle.json"), f.Deployment.Spec("second", nil), 0o600); err != nil {
+		return err
+	}
 	if once {
 		return nil
 	}
