Let one keeper weigh the bids for each engine's slots over the whole fleet

Ruled out: the order within a router, which was right. Also found: goes that began late and met their own deadline set sound engines aside and moved sessions; seats are now kept for 4 s of doubt. Equal bids take turns in the plan. Conclusion: worth decides over the fleet, for one more call a go.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/cresspond/cresspond/process/formation"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/membership"
+	"github.com/cresspond/cresspond/process/permits"
 	"github.com/cresspond/cresspond/process/placement"
 	"github.com/cresspond/cresspond/process/raft"
 	"github.com/cresspond/cresspond/process/replica"
@@ -60,6 +61,8 @@
 	desk      *operators.Desk
 	placer    *placement.Actor
 	home      *seats.Home
+	slots     *permits.Keeper
+	permitIDs atomic.Uint64
 
 	replicaConfig replica.Config
 	store         *store.Store
@@ -89,6 +92,7 @@
 type counters struct {
 	foreignGroup, garbage, held, acquired, renewed, tenureFailed atomic.Uint64
 	bytesOwnZone, bytesOtherZone, junkEngines, lastLookStops     atomic.Uint64
+	permitsUnasked                                               atomic.Uint64
 }
 
 // Option sets one thing of a daemon.
@@ -156,6 +160,7 @@
 	d.watcher = engines.New(d.clock, d.config.Platform, d.poke)
 	d.members = membership.New(d.clock, d, d.config.Seeds, d.config.ReachedAt())
 	d.dispatch = dispatch.NewActor(routing{d})
+	d.slots = permits.NewKeeper(d.yard)
 	d.placer = placement.NewActor(planning{d}, d.clock)
 	streams, cutStreams := context.WithCancel(context.Background())
 	defer cutStreams()
@@ -168,6 +173,7 @@
 	run(d.runTenancy)
 	if d.config.Serves(config.Route) {
 		run(d.dispatch.Run)
+		run(d.slots.Run)
 	}
 	if d.config.Serves(config.Route) || d.config.Serves(config.Place) {
 		run(d.watcher.Run)
--- a/process/daemon/pages.go
+++ b/process/daemon/pages.go
@@ -102,6 +102,8 @@
 		say("goes_again", s.Retries)
 		say("goes_again_denied", s.Denied)
 		say("goes_refused_by_engine", s.Counters.EngineRefusals)
+		say("goes_held_back", s.Counters.HeldBack)
+		say("permits_unasked", c.permitsUnasked.Load())
 		say("goes_stopped_at_last_look", c.lastLookStops.Load())
 		say("bytes_own_zone", c.bytesOwnZone.Load())
 		say("bytes_other_zone", c.bytesOtherZone.Load())
--- a/process/daemon/routing.go
+++ b/process/daemon/routing.go
@@ -4,11 +4,16 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cresspond/cresspond/connection/enginelink"
+	"github.com/twitchtv/twirp"
+
+	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/permits"
 	"github.com/cresspond/cresspond/process/placement"
 	"github.com/cresspond/cresspond/process/seats"
 	"github.com/cresspond/cresspond/process/snowflake"
@@ -25,6 +30,8 @@
 	stallLimit = 8 * time.Second
 	// runOver is how long a stream that began in time may go on past its deadline.
 	runOver = 15 * time.Second
+	// enoughTime is how much time a go must have had for its failure to count against the engine.
+	enoughTime = 2 * time.Second
 	// seatLimit bounds the question to a session's home; a daemon that gets no answer decides alone.
 	seatLimit = 300 * time.Millisecond
 )
@@ -48,7 +55,7 @@
 	_, notReady := d.members.Ready()
 	return dispatch.World{
 		Now: d.clock.Elapsed(), Table: d.keeper.Table(), Engines: d.watcher.View(), NotReady: notReady, Mint: d.generator.Mint,
-		Zone: d.config.Zone, ShareSeats: true,
+		Zone: d.config.Zone, ShareSeats: true, Permits: true,
 	}
 }
 
@@ -81,6 +88,12 @@
 
 // Carry runs one go to its end.
 func (d *Daemon) Carry(flight *dispatch.Flight, send dispatch.Send, firstPiece func()) (dispatch.GoOutcome, string) {
+	giveBack, granted := d.askPermit(flight, send)
+	if !granted {
+		return dispatch.HeldBack, "no slot of the engine is free"
+	}
+	refused := false
+	defer func() { giveBack(refused) }()
 	left := send.Deadline.Since(d.clock.Elapsed())
 	began := false
 	result := enginelink.Carry(flight.Context(), enginelink.Go{
@@ -109,11 +122,15 @@
 	} else {
 		d.counters.bytesOtherZone.Add(bytes)
 	}
+	refused = result.Outcome == dispatch.EngineRefused || result.Outcome == dispatch.NeverSent
 	switch result.Outcome {
 	case dispatch.Whole:
 		d.watcher.GoWent(send.Engine, true)
 	case dispatch.Lost, dispatch.NeverSent, dispatch.Cut:
-		d.watcher.GoWent(send.Engine, false)
+		// One that began late and ran into its own deadline says nothing against the engine.
+		if d.clock.Elapsed() < send.Deadline || left >= enoughTime {
+			d.watcher.GoWent(send.Engine, false)
+		}
 	}
 	if result.Junk {
 		d.counters.junkEngines.Add(1)
@@ -131,6 +148,108 @@
 	return result.Outcome, result.Reason
 }
 
+// keeperOf is the address of the daemon that keeps an engine's slots.
+func (d *Daemon) keeperOf(engine ident.EngineID) string {
+	var routers []string
+	for _, fellow := range d.members.View().InContact(d.clock.Elapsed(), keeperWindow) {
+		if fellow.Serves(string(config.Route)) && fellow.Ready {
+			routers = append(routers, fellow.Address)
+		}
+	}
+	slices.Sort(routers)
+	keeper, _ := seats.Of("engine "+string(engine), routers)
+	return keeper
+}
+
+const (
+	// keeperWindow is how lately a daemon must have been heard to keep slots.
+	keeperWindow = 1500 * time.Millisecond
+	// permitWait is how long a bid waits at the keeper before it is weighed anew here.
+	permitWait  = 150 * time.Millisecond
+	permitLimit = 400 * time.Millisecond
+	slotSettles = 10 * time.Millisecond
+)
+
+// askPermit asks the engine's keeper for a slot. A keeper that can't be reached must not hold up the go:
+// the engine's own refusal then bounds what it gets.
+func (d *Daemon) askPermit(flight *dispatch.Flight, send dispatch.Send) (giveBack func(refused bool), granted bool) {
+	keeper := d.keeperOf(send.Engine)
+	request := &fellowapi.PermitRequest{Engine: string(send.Engine), Id: string(d.nodeID) + "/" + strconv.FormatUint(d.permitIDs.Add(1), 10),
+		NodeId: string(d.nodeID), Seated: send.Seated, Worth: send.Worth, Rank: int64(send.Rank), House: send.House, Slots: int64(send.Slots)}
+	client := fellowapi.Fellow(d)
+	if keeper != "" && keeper != d.config.ReachedAt() {
+		client = d.links.To(keeper)
+	}
+	ctx, cancel := context.WithTimeout(flight.Context(), permitLimit)
+	defer cancel()
+	reply, err := client.Permit(ctx, request)
+	if err != nil {
+		d.counters.permitsUnasked.Add(1)
+		return func(bool) {}, flight.Context().Err() == nil
+	}
+	if !reply.Granted {
+		return nil, false
+	}
+	return func(refused bool) {
+		// An engine frees a slot a moment after its last byte, so the slot is not given on at once.
+		time.AfterFunc(slotSettles, func() {
+			ctx, cancel := context.WithTimeout(context.Background(), permitLimit)
+			defer cancel()
+			// A keeper that misses this hears it from the daemon's silence, or takes the slot back in time.
+			_, _ = client.Permit(ctx, &fellowapi.PermitRequest{Engine: request.Engine, Id: request.Id, Release: true, Refused: refused})
+		})
+	}, true
+}
+
+// Permit serves bids for the slots of engines kept here.
+func (d *Daemon) Permit(ctx context.Context, in *fellowapi.PermitRequest) (*fellowapi.PermitReply, error) {
+	if in.Engine == "" || in.Id == "" {
+		return nil, twirp.NewError(twirp.InvalidArgument, "a permit is for an engine, and has an id")
+	}
+	if !d.config.Serves(config.Route) {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "this daemon keeps no slots")
+	}
+	if in.Release {
+		d.slots.Release(ident.EngineID(in.Engine), in.Id, in.Refused)
+		return &fellowapi.PermitReply{}, nil
+	}
+	granted := d.slots.Ask(ctx, permits.Ask{ID: in.Id, Node: ident.NodeID(in.NodeId), Engine: ident.EngineID(in.Engine), Seated: in.Seated,
+		Worth: in.Worth, Rank: int(in.Rank), House: in.House, Until: d.clock.Elapsed() + clock.Mark(permitWait)})
+	return &fellowapi.PermitReply{Granted: granted}, nil
+}
+
+// yard is what the keeper of slots may look at.
+func (d *Daemon) yard() permits.Yard {
+	now, t, view := d.clock.Elapsed(), d.keeper.Table(), d.watcher.View()
+	return permits.Yard{
+		Now: now,
+		Capacity: func(id ident.EngineID) int {
+			engine, known := view.Engines[id]
+			if t == nil || !known || !engine.Usable() {
+				return 0
+			}
+			allowed, _ := t.Engine(id)
+			return engine.Capacity(now, allowed.Slots)
+		},
+		Busy: func(id ident.EngineID) int {
+			if engine, known := view.Engines[id]; known {
+				return engine.Report.Busy
+			}
+			return 0
+		},
+		Asked: func(id ident.EngineID) clock.Mark {
+			if engine, known := view.Engines[id]; known {
+				return engine.Asked
+			}
+			return 0
+		},
+		Lives: func(node ident.NodeID) bool {
+			fellow, known := d.members.View().Fellows[node]
+			return node == d.nodeID || known && now.Since(fellow.Heard) < 3*time.Second
+		},
+	}
+}
+
 // seatHomes are the addresses of the two daemons that keep a session's seat.
 // Any daemon can be a home, whatever it serves, so that the restart of a lone routing daemon loses none.
 func (d *Daemon) seatHomes(session string) (first, second string) {
--- a/process/engines/engines.go
+++ b/process/engines/engines.go
@@ -48,12 +48,16 @@
 	// Life counts the restarts seen: the counter went back, or the address changed.
 	Life int
 	// WarmFrom is when this life, or its return, began; goes ramp up from there.
-	WarmFrom   clock.Mark
+	WarmFrom clock.Mark
+	// Turned is when its condition last changed.
+	Turned     clock.Mark
 	failed     int
 	good       int
 	asideUntil clock.Mark
 	goesFailed int
-	listed     clock.Mark
+	// fullAt is how many goes it ran when it last called itself saturated; zero while that is not known.
+	fullAt int
+	listed clock.Mark
 }
 
 // Holds says whether the engine reports the model as loaded, with the adapter if one is named.
@@ -74,6 +78,21 @@
 	return false
 }
 
+// rampSpan is how long an engine that has just come, or come back, takes to get its whole share of goes.
+const rampSpan = 4 * time.Second
+
+// Capacity is how many goes the engine may be given at once now. What it called full goes before what the
+// bundle says, and a cold one is let ramp up.
+func (e *Engine) Capacity(now clock.Mark, slots int) int {
+	if e.fullAt > 0 {
+		slots = min(slots, e.fullAt)
+	}
+	if warm := now.Since(e.WarmFrom); warm < rampSpan {
+		return max(1, int(float64(slots)*float64(warm)/float64(rampSpan)))
+	}
+	return slots
+}
+
 // Usable says whether anything new may be sent, as far as its own condition goes.
 func (e *Engine) Usable() bool { return e.Condition == Sound && !e.Draining }
 
@@ -291,7 +310,7 @@
 		e.WarmFrom = now
 	}
 	if condition != e.Condition {
-		e.failed, e.good = 0, 0
+		e.failed, e.good, e.Turned = 0, 0, now
 	}
 	e.Condition = condition
 }
@@ -346,7 +365,14 @@
 			engine.Life++
 			engine.WarmFrom = now
 			// Whoever was leaving has left; the list says so again if the new life leaves too.
-			engine.Draining = false
+			engine.Draining, engine.fullAt = false, 0
+		}
+		switch {
+		case read.report.Saturated && read.report.Busy > 0:
+			engine.fullAt = read.report.Busy
+		case read.report.Busy >= engine.fullAt:
+			// It runs as many and has room, so it can take more than was thought.
+			engine.fullAt = 0
 		}
 		engine.Report, engine.Asked = read.report, read.asked
 		if read.report.Draining && !engine.Draining {
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -280,6 +280,35 @@
 	}
 }
 
+func TestEqualBidsTakeTurns(t *testing.T) {
+	y := newYard(3)
+	y.demand = nil
+	// Eight models of one worth are asked for all the time, and not all have room.
+	for m := range modelCount {
+		y.demand = append(y.demand, Demand{Model: fmt.Sprint("m", m), Worth: 50, Held: 1})
+	}
+	seen := map[string]bool{}
+	room := 0
+	for range 800 {
+		y.beat()
+		stands := 0
+		for m := range modelCount {
+			if y.holds(fmt.Sprint("m", m), "") {
+				seen[fmt.Sprint("m", m)] = true
+				stands++
+			}
+		}
+		room = max(room, stands)
+	}
+	// Sixteen seconds at least for each stay: in 160 s an engine changes hands nine times at most.
+	if len(seen) != modelCount || y.unloads == 0 && room < modelCount || y.unloads > 10*engineCount*2 {
+		t.Errorf("%d of %d models had their turn; %d stood at once; %d unloads", len(seen), modelCount, room, y.unloads)
+	}
+	for _, fault := range y.faults {
+		t.Error(fault)
+	}
+}
+
 func TestHighestWorthIsLoadedFirstAndIdleModelsDoNotPushOut(t *testing.T) {
 	y := newYard(1)
 	y.demand = []Demand{{Model: "m1", Worth: 20, Held: 9}, {Model: "m6", Worth: 70, Held: 1}}
--- a/process/placement/plan.go
+++ b/process/placement/plan.go
@@ -74,7 +74,9 @@
 	since    map[place]clock.Mark
 	wantedAt map[want]wish
 	restful  map[place]clock.Mark
-	Counters Counters
+	// lackSince is since when something has been asked for that stands nowhere.
+	lackSince map[want]clock.Mark
+	Counters  Counters
 }
 
 type place struct {
@@ -91,7 +93,7 @@
 
 // NewPlanner makes the plan of a fresh claim: it knows of no order, and reads what is under way from reports.
 func NewPlanner() *Planner {
-	return &Planner{inFlight: map[ident.EngineID]*InFlight{}, since: map[place]clock.Mark{}, wantedAt: map[want]wish{}, restful: map[place]clock.Mark{}}
+	return &Planner{inFlight: map[ident.EngineID]*InFlight{}, since: map[place]clock.Mark{}, wantedAt: map[want]wish{}, restful: map[place]clock.Mark{}, lackSince: map[want]clock.Mark{}}
 }
 
 const (
@@ -103,6 +105,9 @@
 	minStay = 8 * time.Second
 	// quietFor is how long nobody has asked for a model before it counts as not wanted.
 	quietFor = 5 * time.Second
+	// turnAfter is how long a bid waits before it may take the room of an equal one, which has then stayed turnStay at least.
+	turnAfter = 3 * time.Second
+	turnStay  = 2 * minStay
 	// failedRest is how long a failed or refused order is not tried again on that engine.
 	failedRest = 2 * time.Second
 )
@@ -307,6 +312,11 @@
 			// More waits than all who hold it can run at once: one more replica.
 			need = standing + 1
 		}
+		if standing > 0 || held[key] == 0 {
+			delete(p.lackSince, key)
+		} else if _, known := p.lackSince[key]; !known {
+			p.lackSince[key] = in.Now
+		}
 		if need > standing {
 			out = append(out, wanted{want: key, worth: worth[key], held: held[key]})
 		}
@@ -502,11 +512,15 @@
 			if held.State != engineapi.Loaded || p.seated(in, id, held.Model, "") {
 				continue
 			}
-			if in.Now.Since(p.since[place{engine: id, model: held.Model}]) < minStay {
+			stayed := in.Now.Since(p.since[place{engine: id, model: held.Model}])
+			if stayed < minStay {
 				continue
 			}
 			cost := p.cost(in, want{model: held.Model})
-			if cost >= w.worth || bestCost >= 0 && cost >= bestCost {
+			// Equal bids take turns, so that whoever came first does not keep a rival out for good.
+			lacking, lacks := p.lackSince[w.want]
+			turn := cost == w.worth && stayed >= turnStay && lacks && in.Now.Since(lacking) >= turnAfter
+			if cost >= w.worth && !turn || bestCost >= 0 && cost >= bestCost {
 				continue
 			}
 			best, bestModel, bestCost = engine, held.Model, cost
--- a/rehearsal/checker/checker.go
+++ b/rehearsal/checker/checker.go
@@ -83,6 +83,36 @@
 	LoadGap     time.Duration
 	Slots       int
 	RetryShare  float64
+	// Contest lists the classes that bid for the same room at the same time, where the scenario makes one.
+	Contest []Class
+}
+
+// Class is one kind of request in a contest.
+type Class struct {
+	Name  string
+	House string
+	Worth int64
+	// Burst says that this class asks for far more than its usual.
+	Burst bool
+	// Prefix begins the attempt ids of the class.
+	Prefix string
+}
+
+// Share is the part of a class that was served whole.
+func (h *History) Share(c Class) (share float64, count int) {
+	whole := 0
+	for _, call := range h.Calls {
+		if strings.HasPrefix(call.Attempt, c.Prefix) {
+			count++
+			if call.Whole() {
+				whole++
+			}
+		}
+	}
+	if count == 0 {
+		return 0, 0
+	}
+	return float64(whole) / float64(count), count
 }
 
 // Finding is the outcome of one rule.
@@ -117,7 +147,7 @@
 	return []Finding{
 		onceOnly(h, begins), refusedNeverRuns(h, begins), ownAnswers(h), wholeOnly(h), oneRun(h), allowedOnly(h),
 		specInForce(h), neverOlder(h), readBack(h), drained(h), zoneClosed(h), plannedStops(h, begins),
-		oneCommander(h), withinRoom(h), storePace(h), retryShare(h), coldEngines(h), recovery(h), seatsKept(h), stampsUnique(h),
+		oneCommander(h), withinRoom(h), storePace(h), retryShare(h), coldEngines(h), recovery(h), seatsKept(h), stampsUnique(h), noFlapping(h), worthFirst(h), noHouseFavoured(h),
 	}
 }
 
@@ -357,8 +387,15 @@
 			continue
 		}
 		f.Checked++
+		// Another engine in its place is not leaving.
+		replaced := time.Duration(1<<63 - 1)
+		for _, later := range h.Acts {
+			if later.Kind == EngineStarted && later.Subject == act.Subject && later.At > act.At {
+				replaced = min(replaced, later.At)
+			}
+		}
 		for _, line := range h.Journals {
-			if line.Kind == journal.Arrive && line.Engine == act.Subject && line.At > act.At+drainLimit {
+			if line.Kind == journal.Arrive && line.Engine == act.Subject && line.At > act.At+drainLimit && line.At < replaced {
 				f.fault("%s reached %s %v after it was leaving", line.Attempt, line.Engine, (line.At - act.At).Round(time.Millisecond))
 			}
 		}
@@ -673,3 +710,64 @@
 	}
 	return f
 }
+
+// minStay is how long a model must stay once its loading began.
+const minStay = 8 * time.Second
+
+func noFlapping(h *History) Finding {
+	f := Finding{Rule: "no model is unloaded within 8 s of its loading"}
+	begun := map[string]time.Duration{}
+	for _, line := range h.Journals {
+		key := line.Engine + "/" + line.Model
+		switch {
+		case line.Kind == journal.LoadBegin:
+			f.Checked++
+			begun[key] = line.At
+		case line.Kind == journal.Order && line.Order == "unload":
+			if at, known := begun[key]; known && line.At-at < minStay {
+				f.fault("%s had %s for %v", line.Engine, line.Model, (line.At - at).Round(time.Millisecond))
+			}
+		}
+	}
+	return f
+}
+
+// shareSlack is by how much chance may favour one class over another.
+const shareSlack = 0.05
+
+func worthFirst(h *History) Finding {
+	f := Finding{Rule: "in a contest the higher worth is served first"}
+	for _, a := range h.Contest {
+		for _, b := range h.Contest {
+			if a.Worth <= b.Worth {
+				continue
+			}
+			high, n := h.Share(a)
+			low, m := h.Share(b)
+			f.Checked += n + m
+			if high < low-shareSlack {
+				f.fault("%s (worth %d) was served %.3f of %d, %s (worth %d) %.3f of %d", a.Name, a.Worth, high, n, b.Name, b.Worth, low, m)
+			}
+		}
+	}
+	return f
+}
+
+func noHouseFavoured(h *History) Finding {
+	f := Finding{Rule: "in a contest no house's burst takes a rival's room"}
+	for _, calm := range h.Contest {
+		for _, burst := range h.Contest {
+			if calm.Burst || !burst.Burst || calm.Worth != burst.Worth || calm.House == burst.House {
+				continue
+			}
+			share, n := h.Share(calm)
+			other, m := h.Share(burst)
+			f.Checked += n + m
+			// With turns, the rival that asks for its usual is served at least as well as the one that floods.
+			if share < other-shareSlack || share < 0.9 {
+				f.fault("%s was served %.3f of %d while %s burst and was served %.3f of %d", calm.Name, share, n, burst.Name, other, m)
+			}
+		}
+	}
+	return f
+}
--- a/rehearsal/checker/checker_test.go
+++ b/rehearsal/checker/checker_test.go
@@ -33,10 +33,10 @@
 			order(2, "4096", 1), {At: at(2), Engine: "engine-0", Kind: journal.LoadBegin, Model: "model-00"}, {At: at(3), Engine: "engine-0", Kind: journal.LoadEnd, Model: "model-00"},
 			order(9, "8192", 2), {At: at(9), Engine: "engine-0", Kind: journal.LoadBegin, Model: "model-01"},
 			line(4, "engine-0", journal.Arrive, "one"), line(4, "engine-0", journal.Begin, "one"), line(5, "engine-0", journal.End, "one"),
-			line(11, "engine-0", journal.Arrive, "two"), line(11, "engine-0", journal.Begin, "two"), line(12, "engine-0", journal.End, "two"),
+			line(11, "engine-0", journal.Arrive, "two"), line(11, "engine-0", journal.Begin, "two"), line(12, "engine-0", journal.End, "two"), line(5, "engine-0", journal.End, "four"), line(5, "engine-0", journal.End, "five"),
 		},
 		Calls: []caller.Record{
-			whole("one", 4, 5), whole("two", 11, 12),
+			whole("one", 4, 5), whole("two", 11, 12), whole("four", 4, 5), whole("five", 4, 5),
 			{Attempt: "three", Daemon: "d", Began: at(4), End: at(5), Sent: true, Status: 503, Outcome: callerapi.Refused, CleanEnd: true},
 		},
 		Acts: []Act{
@@ -48,6 +48,7 @@
 		Sights:    []Sight{{At: at(1), Daemon: "d", Life: "d#1", SpecEpoch: 1, Ready: true}, {At: at(9), Daemon: "d", Life: "d#1", SpecEpoch: 2, ClosureEpoch: 1, Ready: true}},
 		ReadBacks: []ReadBack{{Epoch: 1, Body: first}, {Epoch: 2, Body: second}},
 		Exits:     []Exit{{Daemon: "d"}}, ClosureWanted: []string{"c"}, ClosureSeen: []string{"c"},
+		Contest:     []Class{{Name: "high", House: "x", Worth: 9, Prefix: "four"}, {Name: "calm", House: "y", Worth: 5, Prefix: "five"}, {Name: "burst", House: "x", Worth: 5, Burst: true, Prefix: "three"}},
 		ZoneOf:      map[string]string{"engine-0": "a", "engine-1": "b", "engine-2": "c"},
 		LoadsAtOnce: 1, LoadGap: 150 * ms, Slots: 4, RetryShare: 0.1,
 	}
@@ -116,12 +117,17 @@
 			}
 		},
 		"service is back within 12 s of a crash": func(h *History) {
-			h.Acts[2].At = 1 * time.Second
-			h.Calls[0].Began = 0
-			h.Calls[1].End = 20 * time.Second
+			h.Acts = append(h.Acts, Act{At: 30 * time.Second, Kind: Crashed, Subject: "edge-1"})
 		},
-		"a seated session keeps its engine while it may": func(h *History) { h.Journals[10].Engine = "engine-2" },
-		"no two orders bear one minted id":               func(h *History) { h.Journals[4].Stamp = "4096" },
+		"a seated session keeps its engine while it may": func(h *History) { h.Journals[10].Engine, h.Journals[10].Session = "engine-2", "s" },
+		"no model is unloaded within 8 s of its loading": func(h *History) {
+			h.Journals = append(h.Journals, journal.Line{At: 16 * time.Second, Engine: "engine-0", Kind: journal.Order, Order: "unload", Model: "model-01", Stamp: "8193", Claim: 2})
+		},
+		"in a contest the higher worth is served first": func(h *History) { h.Contest[0].Prefix, h.Contest[2].Prefix = "three", "none" },
+		"in a contest no house's burst takes a rival's room": func(h *History) {
+			h.Contest[1].Prefix, h.Contest[2].Prefix = "three", "four"
+		},
+		"no two orders bear one minted id": func(h *History) { h.Journals[4].Stamp = "4096" },
 	}
 	findings := Check(soundHistory())
 	if len(breaks) != len(findings) {
--- a/rehearsal/endtoend/caller_test.go
+++ b/rehearsal/endtoend/caller_test.go
@@ -379,6 +379,24 @@
 	}
 }
 
+func TestAnEngineSmallerThanTheBundleSaysIsFilledAndNotFlooded(t *testing.T) {
+	b := start(t, func(s *spec.Spec) { s.Engines[0].Slots = 4 }, engine.Config{Slots: 2, PieceTime: 5 * time.Millisecond})
+	var wait sync.WaitGroup
+	for i := range 12 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			if record := b.call(fmt.Sprint("small-", i), work()); !record.Whole() {
+				t.Errorf("%+v", record)
+			}
+		}()
+	}
+	wait.Wait()
+	if refused := len(b.lines(journal.Refuse, "")); refused > 4 {
+		t.Errorf("the engine had to refuse %d times", refused)
+	}
+}
+
 func TestAPlannedStopFinishesWhatWasRead(t *testing.T) {
 	b := start(t, nil, engine.Config{PieceTime: 40 * time.Millisecond, Slots: 2})
 	var wait sync.WaitGroup
--- a/rehearsal/endtoend/harness_test.go
+++ b/rehearsal/endtoend/harness_test.go
@@ -10,8 +10,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,9 +49,13 @@
 	bundle   []byte
 }
 
+var benches atomic.Int64
+
 func free(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// An address of its own for each listener: no other test and no outgoing connection can be given its port.
+	number := int(benches.Add(1))
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 130+os.Getpid()>>8&0x3f, os.Getpid()&0xff, number))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -57,7 +63,7 @@
 	return listener.Addr().String()
 }
 
-func testSpec(engines int) spec.Spec {
+func testSpec(engines, slots int) spec.Spec {
 	s := spec.Spec{
 		Name: "bench", Zones: []spec.Zone{{Name: "here"}, {Name: "there"}},
 		Models:   []spec.Model{{Name: "m", Size: 10}, {Name: "other", Size: 10}},
@@ -71,7 +77,7 @@
 		Limits: spec.Limits{MostBodyBytes: 4096, MostHeld: 50, MostHeldBytes: 1 << 20, MostDeadlineMs: 30000, SeatIdleMs: 20000, RetryShare: 0.1},
 	}
 	for i := range engines {
-		s.Engines = append(s.Engines, spec.Engine{ID: ident.EngineID(fmt.Sprintf("e%d", i)), Zone: "here", Room: 25, AdapterPlaces: 4, Slots: 4})
+		s.Engines = append(s.Engines, spec.Engine{ID: ident.EngineID(fmt.Sprintf("e%d", i)), Zone: "here", Room: 25, AdapterPlaces: 4, Slots: slots})
 	}
 	return s
 }
@@ -125,7 +131,11 @@
 	b.platform.Set(b.engines)
 	b.run()
 	t.Cleanup(b.end)
-	s := testSpec(len(configs))
+	slots := 4
+	if len(configs) > 0 && configs[0].Slots > 0 {
+		slots = configs[0].Slots
+	}
+	s := testSpec(len(configs), slots)
 	if change != nil {
 		change(&s)
 	}
--- a/rehearsal/endtoend/operator_test.go
+++ b/rehearsal/endtoend/operator_test.go
@@ -25,7 +25,7 @@
 
 func TestSpecStages(t *testing.T) {
 	b := start(t, nil, engine.Config{})
-	second := testSpec(1)
+	second := testSpec(1, 4)
 	second.Name = "second"
 	bundle := append([]byte("\n\t"), encode(t, second)...)
 	expect := func(what string, status, want int, word operatorapi.Error) {
@@ -93,7 +93,7 @@
 
 func TestFaultyBundlesAreRefusedWithEveryFault(t *testing.T) {
 	b := start(t, nil, engine.Config{})
-	s := testSpec(1)
+	s := testSpec(1, 4)
 	s.Name = ""
 	s.Engines[0].Zone = "nowhere"
 	s.Models[0].Size = 0
--- a/rehearsal/fleet/fleet.go
+++ b/rehearsal/fleet/fleet.go
@@ -63,7 +63,7 @@
 // New lays a fleet out in a folder; program is the cresspondd to run, self the rehearse program.
 func New(d deployment.Deployment, folder, program, self string) (*Fleet, error) {
 	f := &Fleet{Links: newLinks(), Deployment: d, Folder: folder, program: program, self: self, leaving: map[string]bool{}, gone: map[string]bool{},
-		client: &http.Client{Timeout: 9 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+		client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, err
 	}
--- a/rehearsal/scenario/day.go
+++ b/rehearsal/scenario/day.go
@@ -52,10 +52,10 @@
 	killed.Kill()
 	r.Act(checker.Act{Kind: checker.EngineKilled, Subject: killed.Name, Asked: asked})
 	r.Pause(2 * time.Second)
+	r.Act(checker.Act{Kind: checker.EngineStarted, Subject: killed.Name})
 	if err := killed.Start(); err != nil {
 		return nil, err
 	}
-	r.Act(checker.Act{Kind: checker.EngineStarted, Subject: killed.Name})
 	r.Pause(2 * time.Second)
 
 	leader := r.Fleet.Leader()
--- a/rehearsal/scenario/names.go
+++ b/rehearsal/scenario/names.go
@@ -14,12 +14,21 @@
 	unchecked []string
 }
 
+const (
+	noDrain   = "nothing to a draining engine after 3 s"
+	noClosure = "nothing to a closed zone after 5 s"
+	noBids    = "in a contest the higher worth is served first"
+	noHouses  = "in a contest no house's burst takes a rival's room"
+)
+
 var plays = map[string]play{
-	"day":     {run: (*Run).Day},
-	"loss":    {run: (*Run).Loss, unchecked: []string{"nothing to a draining engine after 3 s"}},
-	"rolling": {run: (*Run).Rolling, unchecked: []string{"nothing to a closed zone after 5 s"}},
-	"splits":  {run: (*Run).Splits, unchecked: []string{"nothing to a draining engine after 3 s"}},
-	"freezes": {run: (*Run).Freezes, unchecked: []string{"nothing to a draining engine after 3 s"}},
+	"day":     {run: (*Run).Day, unchecked: []string{noBids, noHouses}},
+	"loss":    {run: (*Run).Loss, unchecked: []string{noDrain, noBids, noHouses}},
+	"rolling": {run: (*Run).Rolling, unchecked: []string{noClosure, noBids, noHouses}},
+	"splits":  {run: (*Run).Splits, unchecked: []string{noDrain, noBids, noHouses}},
+	// The Cooperativa is one house, so its market has no rival.
+	"market":  {run: (*Run).Market, unchecked: []string{noDrain, noClosure, noHouses}},
+	"freezes": {run: (*Run).Freezes, unchecked: []string{noDrain, noBids, noHouses}},
 }
 
 // Names lists the scenarios.
--- a/rehearsal/scenario/rolling.go
+++ b/rehearsal/scenario/rolling.go
@@ -64,9 +64,6 @@
 	p.Kill()
 	r.Act(checker.Act{Kind: checker.EngineKilled, Subject: p.Name, Asked: asked})
 	r.Fleet.Stay(p)
-	if err := p.Start(); err != nil {
-		return err
-	}
 	r.Act(checker.Act{Kind: checker.EngineStarted, Subject: p.Name})
-	return nil
+	return p.Start()
 }
--- a/request/budget/budget.go
+++ b/request/budget/budget.go
@@ -1,15 +1,30 @@
 // Package budget keeps retries a modest share of first goes.
 package budget
 
-// Budget is a bucket that first goes fill and further goes empty. It belongs to one actor.
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/cresspond/cresspond/process/clock"
+)
+
+// Budget is a bucket that first goes fill and further goes empty, with a trickle beside it, so that a
+// record that never ran is not kept waiting for good where no first goes come. It belongs to one actor.
 type Budget struct {
 	share, most, tokens float64
+	trickle             *rate.Limiter
 	FirstGoes, Retries  uint64
 	Denied              uint64
 }
 
+// tricklePerSecond is how many goes a second the trickle allows.
+const tricklePerSecond = 0.2
+
 // New makes a budget; a few tokens are there at first, so that a quiet daemon may retry at all.
-func New(share float64) *Budget { return &Budget{share: share, most: 10, tokens: 2} }
+func New(share float64) *Budget {
+	return &Budget{share: share, most: 10, tokens: 2, trickle: rate.NewLimiter(tricklePerSecond, 1)}
+}
 
 // SetShare takes up the share of a new spec.
 func (b *Budget) SetShare(share float64) { b.share = share }
@@ -21,13 +36,18 @@
 }
 
 // Retry asks for one more go.
-func (b *Budget) Retry() bool {
-	// A share of nothing switches retries off, whatever is left in the bucket.
-	if b.tokens < 1 || b.share == 0 {
-		b.Denied++
-		return false
+func (b *Budget) Retry(now clock.Mark) bool {
+	switch {
+	case b.share == 0:
+		// A share of nothing switches retries off, whatever is left in the bucket.
+	case b.tokens >= 1:
+		b.tokens--
+		b.Retries++
+		return true
+	case b.trickle.AllowN(time.Unix(0, int64(now)), 1):
+		b.Retries++
+		return true
 	}
-	b.tokens--
-	b.Retries++
-	return true
+	b.Denied++
+	return false
 }
--- a/request/dispatch/core.go
+++ b/request/dispatch/core.go
@@ -24,6 +24,8 @@
 	Zone     ident.ZoneID
 	// Fellows says whether seats are shared with other routing daemons.
 	ShareSeats bool
+	// Permits says that a keeper is asked before each go leaves.
+	Permits bool
 }
 
 // Event is what steps the core.
@@ -75,6 +77,12 @@
 	// Stamped says that the record was held or retried, so the tenure must still be held as it leaves.
 	Stamped  bool
 	Deadline clock.Mark
+	// The bid, for the engine's keeper.
+	Seated bool
+	Slots  int
+	House  string
+	Worth  int64
+	Rank   int
 }
 
 // AskSeat tells the actor to ask the session's home for its seat; Engine is the seat wished for.
@@ -101,7 +109,7 @@
 
 // Counters count what happened.
 type Counters struct {
-	LetIn, Held, Sent, Whole, CutOff, Lost, RefusedHere, EngineRefusals, Replays, Reseated, CallersLeft, SlotsFull uint64
+	LetIn, Held, Sent, Whole, CutOff, Lost, RefusedHere, EngineRefusals, Replays, Reseated, CallersLeft, HeldBack uint64
 }
 
 type routeKey struct {
@@ -117,8 +125,9 @@
 	seats    map[string]*Seat
 	running  map[ident.EngineID]int
 	// history is how many ran here on each engine since its newest report was asked for.
-	history   map[ident.EngineID][]ranSince
-	fullUntil map[ident.EngineID]clock.Mark
+	history map[ident.EngineID][]ranSince
+	// refusedAt is when an engine last refused, or could not be reached.
+	refusedAt map[ident.EngineID]clock.Mark
 	prefixes  map[string]ident.EngineID
 	turns     map[string]float64
 	heldBytes int64
@@ -135,7 +144,7 @@
 func NewCore() *Core {
 	return &Core{
 		records: map[RecordID]*Record{}, attempts: map[string]RecordID{}, past: map[string]clock.Mark{}, seats: map[string]*Seat{},
-		running: map[ident.EngineID]int{}, history: map[ident.EngineID][]ranSince{}, fullUntil: map[ident.EngineID]clock.Mark{},
+		running: map[ident.EngineID]int{}, history: map[ident.EngineID][]ranSince{}, refusedAt: map[ident.EngineID]clock.Mark{},
 		prefixes: map[string]ident.EngineID{}, turns: map[string]float64{}, heldBy: map[string]int{}, Budget: budget.New(0.1),
 	}
 }
@@ -144,8 +153,15 @@
 	mostPast     = 100000
 	pastKept     = 10 * time.Minute
 	mostPrefixes = 10000
-	rampSpan     = 4 * time.Second
 	refusalRest  = 250 * time.Millisecond
+	// refusalDoubt bounds how long a refusal is believed when no report comes.
+	refusalDoubt = 2 * time.Second
+	// seatPatience is how long a seat is kept at an engine in doubt; it outlasts the rest of one set aside.
+	seatPatience = 4 * time.Second
+	// leastLeft is how much time a held record must have left to be sent.
+	leastLeft = 150 * time.Millisecond
+	// pauseBeforeNext keeps a record that came back from going out again in the same breath.
+	pauseBeforeNext = 20 * time.Millisecond
 )
 
 // Step takes one event and runs the passes.
@@ -250,13 +266,16 @@
 		c.refuse(record, 429, "too much is held already", c.comeBack())
 		return false
 	}
-	stamp, verdict := c.world.Mint()
-	// Holding needs a tenure: without a stamp a replay could not be told from a fresh attempt.
-	if verdict != snowflake.Minted {
-		c.refuse(record, 503, "no worker id is held here, so nothing can be held", time.Second)
-		return false
+	// One stamp for the holding, and one for each go after the first.
+	if len(record.Stamps) <= record.Goes {
+		stamp, verdict := c.world.Mint()
+		// Holding needs a tenure: without a stamp a replay could not be told from a fresh attempt.
+		if verdict != snowflake.Minted {
+			c.refuse(record, 503, "no worker id is held here, so nothing can be held", time.Second)
+			return false
+		}
+		record.Stamps = append(record.Stamps, stamp)
 	}
-	record.Stamps = append(record.Stamps, stamp)
 	record.move(Held)
 	c.heldCount++
 	c.heldBy[record.Route]++
@@ -305,7 +324,9 @@
 // passLate refuses what waited past its deadline.
 func (c *Core) passLate() {
 	for _, record := range c.records {
-		if record.stage == Held && c.world.Now >= record.Deadline {
+		// One with hardly any time left would most likely run and be cut off: its refusal is at least certain.
+		least := min(leastLeft, record.Deadline.Since(record.Arrived)/8)
+		if record.stage == Held && record.Deadline.Since(c.world.Now) <= least {
 			c.refuse(record, 503, "no room was found before the deadline", c.comeBack())
 		}
 	}
@@ -378,11 +399,20 @@
 	if !ok {
 		return false
 	}
+	if record.needsToken {
+		if !c.Budget.Retry(c.world.Now) {
+			record.notBefore = c.world.Now + clock.Mark(refusalRest)
+			return false
+		}
+		record.needsToken = false
+	}
 	c.unhold(record)
 	record.move(Going)
 	record.Engine = picked.ID
 	record.Goes++
-	if record.Goes == 1 {
+	if record.Goes == 1 && !record.counted {
+		// A go that was held back and comes again is still the first one.
+		record.counted = true
 		c.Budget.First()
 	}
 	c.Counters.Sent++
@@ -395,10 +425,16 @@
 		c.prefixes[record.Model+"\x00"+record.Prefix] = picked.ID
 	}
 	c.out.Sends = append(c.out.Sends, Send{ID: record.ID, Engine: picked.ID, Address: picked.Address, Zone: picked.Zone,
-		Stamped: len(record.Stamps) > 0, Deadline: record.Deadline})
+		Stamped: len(record.Stamps) > 0, Deadline: record.Deadline, Seated: record.seatOf == picked.ID,
+		Slots: c.slotsOf(picked.ID), House: record.House, Worth: record.Worth, Rank: record.Rank})
 	return true
 }
 
+func (c *Core) slotsOf(id ident.EngineID) int {
+	allowedEngine, _ := c.world.Table.Engine(id)
+	return allowedEngine.Slots
+}
+
 // serveTurn counts a house's turn. One that was quiet joins at the present count and brings no credit.
 func (c *Core) serveTurn(house string) {
 	least := -1.0
@@ -464,6 +500,10 @@
 		if seated != nil && c.fit(seated, record) {
 			return seated, c.room(seated) > 0
 		}
+		// An engine in doubt for a moment is not gone: its sessions wait a little before they are seated elsewhere.
+		if seated != nil && !seated.Draining && c.world.Table.Open(seated.ID) && seated.Condition != engines.Sound && c.world.Now.Since(seated.Turned) < seatPatience {
+			return nil, false
+		}
 	}
 	var best *engines.Engine
 	bestScore := 0.0
@@ -477,7 +517,8 @@
 			continue
 		}
 		allowedEngine, _ := c.world.Table.Engine(engine.ID)
-		score := float64(room) / float64(allowedEngine.Slots)
+		// Between engines with room, the one that is less busy as far as reports tell.
+		score := (float64(room) - float64(engine.Report.Busy)) / float64(allowedEngine.Slots)
 		if record.Prefix != "" && c.prefixes[record.Model+"\x00"+record.Prefix] == engine.ID {
 			score += 4
 		}
@@ -505,18 +546,22 @@
 // room is how many more goes an engine may get from here now.
 func (c *Core) room(engine *engines.Engine) int {
 	allowedEngine, ok := c.world.Table.Engine(engine.ID)
-	if !ok || c.world.Now < c.fullUntil[engine.ID] {
+	if !ok {
 		return 0
 	}
-	if engine.Report.Saturated && engine.Asked > 0 && c.running[engine.ID] > 0 {
+	// After a refusal only a report asked for later can show that there is room again.
+	if at, refused := c.refusedAt[engine.ID]; refused && engine.Asked <= at && c.world.Now.Since(at) < refusalDoubt {
 		return 0
 	}
-	slots := allowedEngine.Slots
-	// A cold engine is let ramp up.
-	if warm := c.world.Now.Since(engine.WarmFrom); warm < rampSpan {
-		slots = max(1, int(float64(slots)*float64(warm)/float64(rampSpan)))
+	if !c.world.Permits && engine.Report.Saturated && engine.Asked > 0 && c.running[engine.ID] > 0 {
+		return 0
 	}
+	slots := engine.Capacity(c.world.Now, allowedEngine.Slots)
 	own := c.running[engine.ID]
+	if c.world.Permits {
+		// The engine's keeper counts for all daemons; here only the asking is bounded.
+		return slots - own
+	}
 	// What the report shows beyond what this daemon had running when it was asked is others' work.
 	others := max(0, engine.Report.Busy-c.ranAt(engine.ID, engine.Asked))
 	return slots - own - others
@@ -572,12 +617,13 @@
 	case HeldBack:
 		// Nothing went out, so this was no go, and the budget is for goes.
 		record.Goes--
+		c.Counters.HeldBack++
 		c.again(record, true, false, e.Reason)
 	case NeverSent, EngineRefused:
 		if e.Outcome == EngineRefused {
 			c.Counters.EngineRefusals++
 		}
-		c.fullUntil[record.Engine] = c.world.Now + clock.Mark(refusalRest)
+		c.refusedAt[record.Engine] = c.world.Now
 		// It is proven that the work never ran, so it may go again, within the budget.
 		if e.Outcome == NeverSent {
 			record.failed = append(record.failed, record.Engine)
@@ -601,11 +647,24 @@
 		c.refuse(record, 502, reason, 0)
 	case c.world.Now >= record.Deadline:
 		c.refuse(record, 503, "the deadline has passed", c.comeBack())
-	case counts && !c.Budget.Retry():
-		c.refuse(record, 503, "the engine could not take it, and the budget for retries is used up", c.comeBack())
+	case counts && !c.Budget.Retry(c.world.Now):
+		if record.mayHaveRun {
+			c.refuse(record, 502, reason, 0)
+			return
+		}
+		// It never ran and its time is not up, so it waits for the budget as it would for a slot.
+		record.needsToken = true
+		if c.hold(record) {
+			record.notBefore = c.world.Now + clock.Mark(refusalRest)
+		}
 	default:
 		if c.hold(record) {
-			record.notBefore = c.world.Now + clock.Mark(50*time.Millisecond)
+			pause := pauseBeforeNext
+			if counts {
+				// What failed a moment ago most likely fails again at once.
+				pause = refusalRest
+			}
+			record.notBefore = c.world.Now + clock.Mark(pause)
 		}
 	}
 }
--- a/request/dispatch/record.go
+++ b/request/dispatch/record.go
@@ -69,6 +69,9 @@
 	notBefore clock.Mark
 	// mayHaveRun says that an earlier go was lost, so no refusal may be promised.
 	mayHaveRun bool
+	// needsToken says that the retry budget was empty: it waits for its next go until there is a token.
+	needsToken bool
+	counted    bool
 	// failed lists engines that this record went to in vain; they are passed by while another fits.
 	failed     []ident.EngineID
 	lastReason string
