Roll bundles of twenty thousand routes, and test settings and bundles by properties

Cause: bundles over 4 MiB were cut off by the limit meant for callers' bodies, and growth was not rehearsed. Only a proposal may now be as large as a bundle; callers keep theirs.

--- /dev/null
+++ b/epoch/spec/spec_test.go
@@ -0,0 +1,128 @@
+package spec
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// made builds a sound bundle of the given sizes.
+func made(zones, engines, models, routes int) Spec {
+	s := Spec{Name: "made", Store: Store{LoadsAtOnce: 1},
+		Limits: Limits{MostBodyBytes: 1, MostHeld: 1, MostHeldBytes: 1, MostDeadlineMs: 1, SeatIdleMs: 1, RetryShare: 0.1}}
+	for i := range zones {
+		s.Zones = append(s.Zones, Zone{Name: zoneName(i)})
+	}
+	for i := range engines {
+		s.Engines = append(s.Engines, Engine{ID: engineID(i), Zone: zoneName(i % zones), Room: 100, Slots: 1})
+	}
+	for i := range models {
+		s.Models = append(s.Models, Model{Name: fmt.Sprint("m", i), Size: int64(1 + i%100)})
+		s.Adapters = append(s.Adapters, Adapter{Name: fmt.Sprint("a", i), Model: fmt.Sprint("m", i)})
+	}
+	for i := range routes {
+		s.Routes = append(s.Routes, Route{Name: fmt.Sprint("r", i), House: "h", Models: []string{fmt.Sprint("m", i%models)}, Adapters: []string{fmt.Sprint("a", i%models)}})
+	}
+	return s
+}
+
+func parse(t *testing.T, s Spec) (*Spec, []Fault) {
+	t.Helper()
+	data, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Parse(data)
+}
+
+// breaks are ways to spoil a sound bundle, with where the fault must be told.
+var breaks = []struct {
+	path  string
+	spoil func(*Spec)
+}{
+	{"zones", func(s *Spec) { s.Zones = nil }},
+	{"zones[0].name", func(s *Spec) { s.Zones[0].Name = "" }},
+	{"engines[0].zone", func(s *Spec) { s.Engines[0].Zone = "nowhere" }},
+	{"engines[0].room", func(s *Spec) { s.Engines[0].Room = 0 }},
+	{"engines[0].slots", func(s *Spec) { s.Engines[0].Slots = -1 }},
+	{"models[0].size", func(s *Spec) { s.Models[0].Size = 101 }},
+	{"adapters[0].model", func(s *Spec) { s.Adapters[0].Model = "none" }},
+	{"routes[0].models", func(s *Spec) { s.Routes[0].Models = nil }},
+	{"routes[0].adapters[0]", func(s *Spec) { s.Routes[0].Adapters[0] = "none" }},
+	{"routes[0].worth", func(s *Spec) { s.Routes[0].Worth = -1 }},
+	{"store.loadsAtOnce", func(s *Spec) { s.Store.LoadsAtOnce = 0 }},
+	{"limits.mostDeadlineMs", func(s *Spec) { s.Limits.MostDeadlineMs = 0 }},
+	{"routes[1].name", func(s *Spec) { s.Routes = append(s.Routes[:1:1], s.Routes[0]) }},
+}
+
+func TestSoundBundlesPassAndAnySetOfFaultsIsToldWhole(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(5)
+	parameters.MinSuccessfulTests = 150
+	properties := gopter.NewProperties(parameters)
+	size := gen.IntRange(1, 6)
+	properties.Property("every fault put in is told, and none else where there is none", prop.ForAll(func(zones, engines, models, routes int, chosen []bool) string {
+		s := made(zones, engines, models, routes)
+		if back, faults := parse(t, s); len(faults) > 0 || !reflect.DeepEqual(*back, s) {
+			return fmt.Sprint("a sound bundle: ", faults)
+		}
+		var wanted []string
+		for i, put := range chosen {
+			// Some spoils undo others' places; those that remove lists stand alone.
+			if put && breaks[i].path != "zones" && breaks[i].path != "routes[0].models" {
+				breaks[i].spoil(&s)
+				wanted = append(wanted, breaks[i].path)
+			}
+		}
+		_, faults := parse(t, s)
+		told := fmt.Sprint(faults)
+		for _, path := range wanted {
+			if !strings.Contains(told, path+": ") {
+				return path + " is not told in " + told
+			}
+		}
+		if len(wanted) == 0 && len(faults) > 0 {
+			return told
+		}
+		return ""
+	}, size, size, size, size, gen.SliceOfN(len(breaks), gen.Bool())))
+	properties.Property("no bytes make it panic, and only a whole bundle passes", prop.ForAll(func(at int, with uint8) bool {
+		data, err := json.Marshal(made(2, 2, 2, 2))
+		if err != nil {
+			return false
+		}
+		cut := data[:at%len(data)]
+		if _, faults := Parse(cut); len(faults) == 0 {
+			return false
+		}
+		data[at%len(data)] = with
+		Parse(data)
+		return true
+	}, gen.IntRange(0, 1<<16), gen.UInt8()))
+	properties.TestingRun(t)
+	for _, one := range breaks {
+		s := made(2, 2, 2, 2)
+		one.spoil(&s)
+		if _, faults := parse(t, s); !strings.Contains(fmt.Sprint(faults), one.path+": ") {
+			t.Errorf("%s is not told in %v", one.path, faults)
+		}
+	}
+}
+
+func TestKeysThatStandTwiceAreRefused(t *testing.T) {
+	for _, text := range []string{`{"name":"a","name":"b"}`, `{"limits":{"mostHeld":1,"MostHeld":2}}`, `{"zones":[{"name":"a","name":"b"}]}`} {
+		if _, faults := Parse([]byte(text)); len(faults) == 0 || faults[0].Reason != "stands twice" {
+			t.Errorf("%s: %v", text, faults)
+		}
+	}
+}
+
+func zoneName(i int) ident.ZoneID   { return ident.ZoneID(fmt.Sprint("z", i)) }
+func engineID(i int) ident.EngineID { return ident.EngineID(fmt.Sprint("e", i)) }
--- /dev/null
+++ b/process/config/config_test.go
@@ -0,0 +1,60 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+const sound = `{"name":"edge-1","zone":"a","listen":"127.0.0.1:7000","fellowListen":"127.0.0.1:7001","seeds":["127.0.0.1:7001"],"serve":["route"]}`
+
+func TestSoundSettingsPassAndDefaultsHold(t *testing.T) {
+	c, faults := Read(write(t, sound))
+	if len(faults) > 0 || len(c.Check("f")) > 0 || c.DrainMs != 30000 || c.ReachedAt() != "127.0.0.1:7001" || !c.Serves(Route) || c.Serves(Control) {
+		t.Errorf("%+v %v %v", c, faults, c.Check("f"))
+	}
+}
+
+func TestAllFaultsAreToldAtOnceWithFileAndField(t *testing.T) {
+	path := write(t, `{"name":"a b","listen":"host:7000","fellowListen":"127.0.0.1","seeds":["127.0.0.1:1","127.0.0.1:1"],"serve":["control","dance"],"drainMs":-4,"log":"loud"}`)
+	c, faults := Read(path)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	told := ""
+	for _, fault := range c.Check(path) {
+		if !strings.HasPrefix(fault.String(), path+": ") {
+			t.Errorf("%s does not name the file", fault)
+		}
+		told += fault.Field + "|" + fault.Reason + "\n"
+	}
+	for _, field := range []string{"name|", "zone|is missing", "listen|must be an IP number", "fellowListen|", "seeds|holds something twice", "serve[1]|", "data|is needed to serve control", "drainMs|", "log|"} {
+		if !strings.Contains(told, field) {
+			t.Errorf("%q is not told in\n%s", field, told)
+		}
+	}
+}
+
+func TestFilesThatCannotBeReadAreToldPlainly(t *testing.T) {
+	for name, text := range map[string]string{
+		"unknown field": strings.Replace(sound, "zone", "zoen", 1), "wrong type": strings.Replace(sound, `"a"`, `5`, 1),
+		"not JSON": "name = edge", "something after": sound + "{}", "empty": "",
+	} {
+		if _, faults := Read(write(t, text)); len(faults) != 1 || faults[0].Reason == "" {
+			t.Errorf("%s: %v", name, faults)
+		}
+	}
+	if _, faults := Read("/nowhere/at/all.json"); len(faults) != 1 {
+		t.Error("a missing file was read")
+	}
+}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -19,6 +19,7 @@
 
 	"github.com/cresspond/cresspond/connection/frontdoor"
 	"github.com/cresspond/cresspond/connection/operators"
+	"github.com/cresspond/cresspond/epoch/spec"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/engines"
@@ -38,6 +39,7 @@
 	"github.com/cresspond/cresspond/request/dispatch"
 	"github.com/cresspond/cresspond/wire/callerapi"
 	"github.com/cresspond/cresspond/wire/fellowapi"
+	"github.com/cresspond/cresspond/wire/operatorapi"
 )
 
 // tenureMargin is taken off the end of each tenure for clock-rate error.
@@ -186,7 +188,7 @@
 	go func() { d.fail(fellowServer.Serve(fellowListener), "the fellow listener failed") }()
 	defer fellowServer.Close()
 	callerServer := &fasthttp.Server{
-		Handler: d.handle, Name: "cresspond", MaxRequestBodySize: 4 << 20, ReadTimeout: 20 * time.Second, WriteTimeout: 5 * time.Minute,
+		Handler: d.handle, Name: "cresspond", MaxRequestBodySize: mostCallerBody, HeaderReceived: bodyLimit, ReadTimeout: 20 * time.Second, WriteTimeout: 5 * time.Minute,
 		IdleTimeout: time.Minute, NoDefaultServerHeader: true, Concurrency: 8192, CloseOnShutdown: true, Logger: quiet{}, ReadBufferSize: 16 << 10,
 		ErrorHandler: badRequest,
 	}
@@ -217,6 +219,20 @@
 	return raft.MemberID(binary.BigEndian.Uint64(raw[:])>>1 | 1)
 }
 
+const (
+	mostCallerBody = 4 << 20
+	// mostBundleBody leaves room for a bundle's largest size and what is said around it.
+	mostBundleBody = spec.MostBytes + 64<<10
+)
+
+// bodyLimit lets only a proposal be as large as a bundle may be.
+func bodyLimit(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if string(header.RequestURI()) == operatorapi.PathPropose {
+		return fasthttp.RequestConfig{MaxRequestBodySize: mostBundleBody}
+	}
+	return fasthttp.RequestConfig{}
+}
+
 // quiet drops the library's own lines: broken connections are counted, not told.
 type quiet struct{}
 
--- a/rehearsal/deployment/deployment.go
+++ b/rehearsal/deployment/deployment.go
@@ -110,6 +110,11 @@
 
 // Spec makes the deployment's bundle. Routes in without are left out.
 func (d Deployment) Spec(note string, without map[string]bool) []byte {
+	return d.Grown(note, without, 0)
+}
+
+// Grown makes a bundle with so many more routes, which nobody asks for.
+func (d Deployment) Grown(note string, without map[string]bool, extra int) []byte {
 	s := spec.Spec{
 		Name:   d.Name + " " + note,
 		Store:  spec.Store{LoadsAtOnce: LoadsAtOnce, LoadGapMs: LoadGap.Milliseconds()},
@@ -144,6 +149,9 @@
 		}
 		s.Routes = append(s.Routes, route)
 	}
+	for i := range extra {
+		s.Routes = append(s.Routes, spec.Route{Name: fmt.Sprintf("grown-%06d", i), House: d.Kinds[0].House, Worth: int64(i % 100), Rank: i % 7, Models: []string{ModelName(i % d.Models)}})
+	}
 	data, err := json.MarshalIndent(s, "", " ")
 	if err != nil {
 		panic("broken invariant: a bundle cannot be encoded: " + err.Error())
--- a/rehearsal/scenario/names.go
+++ b/rehearsal/scenario/names.go
@@ -26,6 +26,7 @@
 	"loss":    {run: (*Run).Loss, unchecked: []string{noDrain, noBids, noHouses}},
 	"rolling": {run: (*Run).Rolling, unchecked: []string{noClosure, noBids, noHouses}},
 	"splits":  {run: (*Run).Splits, unchecked: []string{noDrain, noBids, noHouses}},
+	"growth":  {run: (*Run).Growth, unchecked: []string{noDrain, noClosure, noBids, noHouses}},
 	// The Cooperativa is one house, so its market has no rival.
 	"market":  {run: (*Run).Market, unchecked: []string{noDrain, noClosure, noHouses}},
 	"freezes": {run: (*Run).Freezes, unchecked: []string{noDrain, noBids, noHouses}},
--- a/rehearsal/scenario/scenario.go
+++ b/rehearsal/scenario/scenario.go
@@ -121,7 +121,10 @@
 
 // Roll takes a bundle all the way, and notes it as acknowledged.
 func (r *Run) Roll(note string, base uint64) error {
-	body := r.Fleet.Deployment.Spec(note, r.without)
+	return r.rollBody(note, base, r.Fleet.Deployment.Spec(note, r.without))
+}
+
+func (r *Run) rollBody(note string, base uint64, body []byte) error {
 	id := fmt.Sprintf("%s-%d", note, r.Seed)
 	if _, err := r.Ask(operatorapi.PathPropose, operatorapi.Propose{ProposalID: id, Base: ident.Epoch(base), Operator: "ana", Spec: body}, nil); err != nil {
 		return err
