--- a/rehearsal/scenario/day.go
+++ b/rehearsal/scenario/day.go
@@ -36,90 +36,100 @@
 
 // Day is the main rehearsal: a whole day in short, with a failure of each kind.
 func (r *Run) Day(ctx context.Context, scale float64) (map[string]uint64, error) {
-	looking, stopLooking := context.WithCancel(ctx)
-	defer stopLooking()
-	if err := r.Begin(looking); err != nil {
-		return nil, err
-	}
-	loading, stopLoading := context.WithCancel(ctx)
-	defer stopLoading()
-	r.Load(loading, scale)
-	r.Pause(3 * time.Second)
+	return r.underLoad(ctx, scale, func() error {
+		r.Pause(3 * time.Second)
 
-	engines, edges := r.Fleet.Engines, r.Fleet.Edges()
-	killed := engines[r.random.IntN(len(engines))]
-	asked := journal.Now()
-	killed.Kill()
-	r.Act(checker.Act{Kind: checker.EngineKilled, Subject: killed.Name, Asked: asked})
-	r.Pause(2 * time.Second)
-	r.Act(checker.Act{Kind: checker.EngineStarted, Subject: killed.Name})
-	if err := killed.Start(); err != nil {
-		return nil, err
-	}
-	r.Pause(2 * time.Second)
+		engines, edges := r.Fleet.Engines, r.Fleet.Edges()
+		killed := engines[r.random.IntN(len(engines))]
+		asked := journal.Now()
+		killed.Kill()
+		r.Act(checker.Act{Kind: checker.EngineKilled, Subject: killed.Name, Asked: asked})
+		r.Pause(2 * time.Second)
+		r.Act(checker.Act{Kind: checker.EngineStarted, Subject: killed.Name})
+		if err := killed.Start(); err != nil {
+			return err
+		}
+		r.Pause(2 * time.Second)
 
-	leader := r.Fleet.Leader()
-	if leader == nil {
-		return nil, fmt.Errorf("no leader was found")
-	}
-	r.Crash(leader)
-	// The last route goes away: from two seconds after the word on, nothing of it may reach an engine.
-	last := r.Fleet.Deployment.Kinds[len(r.Fleet.Deployment.Kinds)-1].Route
-	r.without[last] = true
-	if err := r.Roll("second", 1); err != nil {
-		return nil, err
-	}
-	r.Pause(4 * time.Second)
-	if err := leader.Start(); err != nil {
-		return nil, err
-	}
-	delete(r.without, last)
-	if err := r.RefuseOnes(2); err != nil {
-		return nil, err
-	}
-	if err := r.Race(2); err != nil {
-		return nil, err
-	}
-	r.Pause(2 * time.Second)
+		leader := r.Fleet.Leader()
+		if leader == nil {
+			return fmt.Errorf("no leader was found")
+		}
+		r.Crash(leader)
+		// The last route goes away: from two seconds after the word on, nothing of it may reach an engine.
+		last := r.Fleet.Deployment.Kinds[len(r.Fleet.Deployment.Kinds)-1].Route
+		r.without[last] = true
+		if err := r.Roll("second", 1); err != nil {
+			return err
+		}
+		r.Pause(4 * time.Second)
+		if err := leader.Start(); err != nil {
+			return err
+		}
+		delete(r.without, last)
+		if err := r.RefuseOnes(2); err != nil {
+			return err
+		}
+		if err := r.Race(2); err != nil {
+			return err
+		}
+		r.Pause(2 * time.Second)
 
-	if len(edges) > 1 {
-		crashed := edges[r.random.IntN(len(edges))]
-		r.Crash(crashed)
+		if len(edges) > 1 {
+			crashed := edges[r.random.IntN(len(edges))]
+			r.Crash(crashed)
+			r.Pause(2 * time.Second)
+			if err := crashed.Start(); err != nil {
+				return err
+			}
+		}
+		shut := r.Fleet.Deployment.Zones[r.random.IntN(len(r.Fleet.Deployment.Zones))]
+		if err := r.Zone(shut, true); err != nil {
+			return err
+		}
+		r.Pause(7 * time.Second)
+		if err := r.Zone(shut, false); err != nil {
+			return err
+		}
 		r.Pause(2 * time.Second)
-		if err := crashed.Start(); err != nil {
-			return nil, err
+		leaving := r.pickOther(engines, killed)
+		r.Act(checker.Act{Kind: checker.EngineLeaving, Subject: leaving.Name})
+		r.Fleet.Leave(leaving)
+		r.Pause(5 * time.Second)
+		leaving.Kill()
+		if err := r.Zone(shut, true); err != nil {
+			return err
 		}
-	}
-	shut := r.Fleet.Deployment.Zones[r.random.IntN(len(r.Fleet.Deployment.Zones))]
-	if err := r.Zone(shut, true); err != nil {
-		return nil, err
-	}
-	r.Pause(7 * time.Second)
-	if err := r.Zone(shut, false); err != nil {
-		return nil, err
-	}
-	r.Pause(2 * time.Second)
-	leaving := r.pickOther(engines, killed)
-	r.Act(checker.Act{Kind: checker.EngineLeaving, Subject: leaving.Name})
-	r.Fleet.Leave(leaving)
-	r.Pause(5 * time.Second)
-	leaving.Kill()
-	if err := r.Zone(shut, true); err != nil {
-		return nil, err
-	}
 
-	if err := r.Await("all edges are ready", r.AllReady); err != nil {
-		return nil, err
-	}
-	stopping := edges[r.random.IntN(len(edges))]
-	r.StopGracefully(stopping)
-	if err := stopping.Start(); err != nil {
+		if err := r.Await("all edges are ready", r.AllReady); err != nil {
+			return err
+		}
+		stopping := edges[r.random.IntN(len(edges))]
+		r.StopGracefully(stopping)
+		if err := stopping.Start(); err != nil {
+			return err
+		}
+		if err := r.Await("all edges are ready", r.AllReady); err != nil {
+			return err
+		}
+		r.Pause(2 * time.Second)
+		return nil
+	})
+}
+
+// underLoad brings the fleet up, sends the deployment's mix while body makes things happen, and winds the day up.
+func (r *Run) underLoad(ctx context.Context, scale float64, body func() error) (map[string]uint64, error) {
+	looking, stopLooking := context.WithCancel(ctx)
+	defer stopLooking()
+	if err := r.Begin(looking); err != nil {
 		return nil, err
 	}
-	if err := r.Await("all edges are ready", r.AllReady); err != nil {
+	loading, stopLoading := context.WithCancel(ctx)
+	defer stopLoading()
+	r.Load(loading, scale)
+	if err := body(); err != nil {
 		return nil, err
 	}
-	r.Pause(2 * time.Second)
 	return r.finishDay(stopLoading, stopLooking)
 }
 
--- a/rehearsal/scenario/loss.go
+++ b/rehearsal/scenario/loss.go
@@ -39,139 +39,133 @@
 
 // Loss loses disks and machines in every way that the brief names.
 func (r *Run) Loss(ctx context.Context, scale float64) (map[string]uint64, error) {
-	looking, stopLooking := context.WithCancel(ctx)
-	defer stopLooking()
-	if err := r.Begin(looking); err != nil {
-		return nil, err
-	}
-	loading, stopLoading := context.WithCancel(ctx)
-	defer stopLoading()
-	r.Load(loading, scale)
-	cores := r.cores()
-	epoch := uint64(1)
-	roll := func(note string) error {
-		err := r.Roll(note, epoch)
-		epoch++
-		return err
-	}
-
-	r.Say("a core machine's disk is wiped right after an acknowledgement, and it is back at the old address")
-	if err := roll("before-wipe"); err != nil {
-		return nil, err
-	}
-	if err := r.lose(cores[0]); err != nil {
-		return nil, err
-	}
-	if err := cores[0].Start(); err != nil {
-		return nil, err
-	}
-	if err := roll("after-wipe"); err != nil {
-		return nil, err
-	}
-	if err := r.awaitWhole(); err != nil {
-		return nil, err
-	}
+	return r.underLoad(ctx, scale, func() error {
+		cores := r.cores()
+		epoch := uint64(1)
+		roll := func(note string) error {
+			err := r.Roll(note, epoch)
+			epoch++
+			return err
+		}
 
-	r.Say("a core machine is replaced by an empty one at a new address")
-	if err := r.lose(cores[1]); err != nil {
-		return nil, err
-	}
-	if err := r.Fleet.Move(cores[1]); err != nil {
-		return nil, err
-	}
-	if err := cores[1].Start(); err != nil {
-		return nil, err
-	}
-	if err := roll("after-move"); err != nil {
-		return nil, err
-	}
-	if err := r.awaitWhole(); err != nil {
-		return nil, err
-	}
+		r.Say("a core machine's disk is wiped right after an acknowledgement, and it is back at the old address")
+		if err := roll("before-wipe"); err != nil {
+			return err
+		}
+		if err := r.lose(cores[0]); err != nil {
+			return err
+		}
+		if err := cores[0].Start(); err != nil {
+			return err
+		}
+		if err := roll("after-wipe"); err != nil {
+			return err
+		}
+		if err := r.awaitWhole(); err != nil {
+			return err
+		}
 
-	r.Say("the other two are wiped in turn, so that no disk is left that formed the group")
-	for _, p := range []*fleet.Process{cores[2], cores[0]} {
-		if err := r.lose(p); err != nil {
-			return nil, err
+		r.Say("a core machine is replaced by an empty one at a new address")
+		if err := r.lose(cores[1]); err != nil {
+			return err
+		}
+		if err := r.Fleet.Move(cores[1]); err != nil {
+			return err
 		}
-		if err := p.Start(); err != nil {
-			return nil, err
+		if err := cores[1].Start(); err != nil {
+			return err
+		}
+		if err := roll("after-move"); err != nil {
+			return err
 		}
 		if err := r.awaitWhole(); err != nil {
-			return nil, err
+			return err
 		}
-	}
-	if err := r.Zone(r.Fleet.Deployment.Zones[0], true); err != nil {
-		return nil, err
-	}
-	if err := roll("after-turns"); err != nil {
-		return nil, err
-	}
 
-	r.Say("all daemons are killed at once, right after an acknowledgement")
-	for _, p := range r.Fleet.Daemons {
-		p.Kill()
-	}
-	r.Act(checker.Act{Kind: checker.Crashed, Subject: "core, all at once"})
-	for _, p := range r.Fleet.Daemons {
-		if err := p.Start(); err != nil {
-			return nil, err
+		r.Say("the other two are wiped in turn, so that no disk is left that formed the group")
+		for _, p := range []*fleet.Process{cores[2], cores[0]} {
+			if err := r.lose(p); err != nil {
+				return err
+			}
+			if err := p.Start(); err != nil {
+				return err
+			}
+			if err := r.awaitWhole(); err != nil {
+				return err
+			}
+		}
+		if err := r.Zone(r.Fleet.Deployment.Zones[0], true); err != nil {
+			return err
+		}
+		if err := roll("after-turns"); err != nil {
+			return err
 		}
-	}
-	if err := roll("after-all"); err != nil {
-		return nil, err
-	}
-	if err := r.Await("all edges are ready", r.AllReady); err != nil {
-		return nil, err
-	}
-	if err := r.awaitWhole(); err != nil {
-		return nil, err
-	}
-	r.Pause(2 * time.Second)
 
-	r.Say("two disks are lost for good, and the group is recovered from the third and the living daemons")
-	for _, p := range cores {
-		p.Kill()
-	}
-	for _, p := range cores[1:] {
-		if err := r.Fleet.Wipe(p); err != nil {
-			return nil, err
+		r.Say("all daemons are killed at once, right after an acknowledgement")
+		for _, p := range r.Fleet.Daemons {
+			p.Kill()
 		}
-	}
-	kept := r.Fleet.DataOf(cores[0]) + ".kept"
-	if err := os.Rename(r.Fleet.DataOf(cores[0]), kept); err != nil {
-		return nil, err
-	}
-	refused := 0
-	if err := r.Await("the recovery is let in", func() bool {
-		said, err := r.Fleet.Recover(cores[0], kept)
-		if err != nil {
-			refused++
-			return false
+		r.Act(checker.Act{Kind: checker.Crashed, Subject: "core, all at once"})
+		for _, p := range r.Fleet.Daemons {
+			if err := p.Start(); err != nil {
+				return err
+			}
 		}
-		r.Say("%s", said)
-		return true
-	}); err != nil {
-		return nil, err
-	}
-	// Right after the loss a leader was still heard lately, and a recovery must be refused for that.
-	if refused == 0 {
-		return nil, fmt.Errorf("the group was recovered though it had been alive a moment before")
-	}
-	for _, p := range cores {
-		if err := p.Start(); err != nil {
-			return nil, err
+		if err := roll("after-all"); err != nil {
+			return err
 		}
-	}
-	if err := roll("after-recovery"); err != nil {
-		return nil, err
-	}
-	if err := r.awaitWhole(); err != nil {
-		return nil, err
-	}
-	if err := r.Await("all edges are ready", r.AllReady); err != nil {
-		return nil, err
-	}
-	r.Pause(4 * time.Second)
-	return r.finishDay(stopLoading, stopLooking)
+		if err := r.Await("all edges are ready", r.AllReady); err != nil {
+			return err
+		}
+		if err := r.awaitWhole(); err != nil {
+			return err
+		}
+		r.Pause(2 * time.Second)
+
+		r.Say("two disks are lost for good, and the group is recovered from the third and the living daemons")
+		for _, p := range cores {
+			p.Kill()
+		}
+		for _, p := range cores[1:] {
+			if err := r.Fleet.Wipe(p); err != nil {
+				return err
+			}
+		}
+		kept := r.Fleet.DataOf(cores[0]) + ".kept"
+		if err := os.Rename(r.Fleet.DataOf(cores[0]), kept); err != nil {
+			return err
+		}
+		refused := 0
+		if err := r.Await("the recovery is let in", func() bool {
+			said, err := r.Fleet.Recover(cores[0], kept)
+			if err != nil {
+				refused++
+				return false
+			}
+			r.Say("%s", said)
+			return true
+		}); err != nil {
+			return err
+		}
+		// Right after the loss a leader was still heard lately, and a recovery must be refused for that.
+		if refused == 0 {
+			return fmt.Errorf("the group was recovered though it had been alive a moment before")
+		}
+		for _, p := range cores {
+			if err := p.Start(); err != nil {
+				return err
+			}
+		}
+		if err := roll("after-recovery"); err != nil {
+			return err
+		}
+		if err := r.awaitWhole(); err != nil {
+			return err
+		}
+		if err := r.Await("all edges are ready", r.AllReady); err != nil {
+			return err
+		}
+		r.Pause(4 * time.Second)
+		return nil
+	})
 }
--- a/rehearsal/scenario/market.go
+++ b/rehearsal/scenario/market.go
@@ -34,76 +34,71 @@
 // Market overloads the fleet: one house bursts on a model that all use, rivals and higher bids go on as
 // usual, a rare model is suddenly asked for, and at the end an engine dies in the thick of it.
 func (r *Run) Market(ctx context.Context, scale float64) (map[string]uint64, error) {
-	looking, stopLooking := context.WithCancel(ctx)
-	defer stopLooking()
-	if err := r.Begin(looking); err != nil {
-		return nil, err
-	}
 	d := r.Fleet.Deployment
-	loading, stopLoading := context.WithCancel(ctx)
-	defer stopLoading()
-	r.Load(loading, scale/4)
-	r.Pause(3 * time.Second)
+	var classes []checker.Class
+	rare := checker.Class{Name: "the rare model", Prefix: "rare-"}
+	counters, err := r.underLoad(ctx, scale/4, func() error {
+		r.Pause(3 * time.Second)
 
-	highest, burst := 0, 0
-	for k, kind := range d.Kinds {
-		if kind.Worth > d.Kinds[highest].Worth {
-			highest = k
+		highest, burst := 0, 0
+		for k, kind := range d.Kinds {
+			if kind.Worth > d.Kinds[highest].Worth {
+				highest = k
+			}
+			if kind.PerSecond > d.Kinds[burst].PerSecond {
+				burst = k
+			}
 		}
-		if kind.PerSecond > d.Kinds[burst].PerSecond {
-			burst = k
+		classes = []checker.Class{
+			{Name: "the highest bid", House: d.Kinds[highest].House, Worth: d.Kinds[highest].Worth, Prefix: "contest-high-"},
+			{Name: "the burst", House: d.Kinds[burst].House, Worth: d.Kinds[burst].Worth, Burst: true, Prefix: "contest-burst-"},
 		}
-	}
-	classes := []checker.Class{
-		{Name: "the highest bid", House: d.Kinds[highest].House, Worth: d.Kinds[highest].Worth, Prefix: "contest-high-"},
-		{Name: "the burst", House: d.Kinds[burst].House, Worth: d.Kinds[burst].Worth, Burst: true, Prefix: "contest-burst-"},
-	}
-	rival := -1
-	for k, kind := range d.Kinds {
-		if kind.Worth == d.Kinds[burst].Worth && kind.House != d.Kinds[burst].House {
-			rival = k
-			classes = append(classes, checker.Class{Name: "the rival", House: kind.House, Worth: kind.Worth, Prefix: "contest-rival-"})
+		rival := -1
+		for k, kind := range d.Kinds {
+			if kind.Worth == d.Kinds[burst].Worth && kind.House != d.Kinds[burst].House {
+				rival = k
+				classes = append(classes, checker.Class{Name: "the rival", House: kind.House, Worth: kind.Worth, Prefix: "contest-rival-"})
+			}
 		}
-	}
-	r.history.Contest = classes
-	const model = 0
-	bursting, stopBurst := context.WithCancel(ctx)
-	defer stopBurst()
-	r.Say("%s bursts", d.Kinds[burst].Route)
-	deadline := 4 * time.Second
-	go r.contest(bursting, classes[0], d.Kinds[highest], model, 10, deadline)
-	go r.contest(bursting, classes[1], d.Kinds[burst], model, 400, deadline)
-	if rival >= 0 {
-		go r.contest(bursting, classes[2], d.Kinds[rival], model, 10, deadline)
-	}
-	r.Pause(8 * time.Second)
-	r.Say("a rare model is asked for by the highest bid")
-	models := d.ModelsFor(highest)
-	rare := checker.Class{Name: "the rare model", Prefix: "rare-"}
-	asking, stopAsking := context.WithCancel(ctx)
-	go r.contest(asking, rare, d.Kinds[highest], models[len(models)-1], 10, 8*time.Second)
-	r.Pause(4 * time.Second)
-	dying := r.pickOther(r.Fleet.Engines, nil)
-	r.Say("%s dies in the thick of it", dying.Name)
-	if err := r.replace(dying); err != nil {
+		r.history.Contest = classes
+		const model = 0
+		bursting, stopBurst := context.WithCancel(ctx)
+		defer stopBurst()
+		r.Say("%s bursts", d.Kinds[burst].Route)
+		deadline := 4 * time.Second
+		go r.contest(bursting, classes[0], d.Kinds[highest], model, 10, deadline)
+		go r.contest(bursting, classes[1], d.Kinds[burst], model, 400, deadline)
+		if rival >= 0 {
+			go r.contest(bursting, classes[2], d.Kinds[rival], model, 10, deadline)
+		}
+		r.Pause(8 * time.Second)
+		r.Say("a rare model is asked for by the highest bid")
+		models := d.ModelsFor(highest)
+		asking, stopAsking := context.WithCancel(ctx)
+		go r.contest(asking, rare, d.Kinds[highest], models[len(models)-1], 10, 8*time.Second)
+		r.Pause(4 * time.Second)
+		dying := r.pickOther(r.Fleet.Engines, nil)
+		r.Say("%s dies in the thick of it", dying.Name)
+		if err := r.replace(dying); err != nil {
+			stopAsking()
+			return err
+		}
+		r.Pause(4 * time.Second)
 		stopAsking()
-		return nil, err
-	}
-	r.Pause(4 * time.Second)
-	stopAsking()
-	stopBurst()
-	// The highest bid goes on, so that there is something to recover.
-	after, stopAfter := context.WithCancel(ctx)
-	defer stopAfter()
-	go r.contest(after, checker.Class{Prefix: "after-"}, d.Kinds[highest], model, 10, deadline)
-	r.Pause(4 * time.Second)
-	edges := r.Fleet.Edges()
-	r.Crash(edges[r.random.IntN(len(edges))])
-	if err := r.restartCrashed(edges); err != nil {
-		return nil, err
-	}
-	stopAfter()
-	counters, err := r.finishDay(stopLoading, stopLooking)
+		stopBurst()
+		// The highest bid goes on, so that there is something to recover.
+		after, stopAfter := context.WithCancel(ctx)
+		defer stopAfter()
+		go r.contest(after, checker.Class{Prefix: "after-"}, d.Kinds[highest], model, 10, deadline)
+		r.Pause(4 * time.Second)
+		edges := r.Fleet.Edges()
+		r.Crash(edges[r.random.IntN(len(edges))])
+		if err := r.restartCrashed(edges); err != nil {
+			return err
+		}
+		stopAfter()
+		return nil
+	})
 	for _, class := range append(classes, rare) {
 		share, count := r.history.Share(class)
 		r.Say("%s: %.3f of %d served", class.Name, share, count)
--- a/rehearsal/scenario/rolling.go
+++ b/rehearsal/scenario/rolling.go
@@ -12,50 +12,44 @@
 // Rolling restarts every daemon as planned, one after the other, under load, and replaces engines one
 // by one, the last at short notice.
 func (r *Run) Rolling(ctx context.Context, scale float64) (map[string]uint64, error) {
-	looking, stopLooking := context.WithCancel(ctx)
-	defer stopLooking()
-	if err := r.Begin(looking); err != nil {
-		return nil, err
-	}
-	loading, stopLoading := context.WithCancel(ctx)
-	defer stopLoading()
-	r.Load(loading, scale)
-	r.Pause(2 * time.Second)
-	for _, p := range r.Fleet.Edges() {
-		r.StopGracefully(p)
-		if err := p.Start(); err != nil {
-			return nil, err
+	return r.underLoad(ctx, scale, func() error {
+		r.Pause(2 * time.Second)
+		for _, p := range r.Fleet.Edges() {
+			r.StopGracefully(p)
+			if err := p.Start(); err != nil {
+				return err
+			}
+			if err := r.Await(p.Name+" is ready", func() bool { return r.Fleet.Ready(p) }); err != nil {
+				return err
+			}
 		}
-		if err := r.Await(p.Name+" is ready", func() bool { return r.Fleet.Ready(p) }); err != nil {
-			return nil, err
+		for _, p := range r.cores() {
+			r.StopGracefully(p)
+			if err := p.Start(); err != nil {
+				return err
+			}
+			if err := r.awaitWhole(); err != nil {
+				return err
+			}
 		}
-	}
-	for _, p := range r.cores() {
-		r.StopGracefully(p)
-		if err := p.Start(); err != nil {
-			return nil, err
+		for i, p := range r.Fleet.Engines[:3] {
+			r.Act(checker.Act{Kind: checker.EngineLeaving, Subject: p.Name})
+			r.Fleet.Leave(p)
+			if i < 2 {
+				r.Pause(4 * time.Second)
+			} else {
+				r.Pause(500 * time.Millisecond)
+			}
+			if err := r.replace(p); err != nil {
+				return err
+			}
 		}
-		if err := r.awaitWhole(); err != nil {
-			return nil, err
+		if err := r.Roll("after-rolling", 1); err != nil {
+			return err
 		}
-	}
-	for i, p := range r.Fleet.Engines[:3] {
-		r.Act(checker.Act{Kind: checker.EngineLeaving, Subject: p.Name})
-		r.Fleet.Leave(p)
-		if i < 2 {
-			r.Pause(4 * time.Second)
-		} else {
-			r.Pause(500 * time.Millisecond)
-		}
-		if err := r.replace(p); err != nil {
-			return nil, err
-		}
-	}
-	if err := r.Roll("after-rolling", 1); err != nil {
-		return nil, err
-	}
-	r.Pause(3 * time.Second)
-	return r.finishDay(stopLoading, stopLooking)
+		r.Pause(3 * time.Second)
+		return nil
+	})
 }
 
 // replace ends an engine and puts a fresh one in its place.
--- a/rehearsal/scenario/splits.go
+++ b/rehearsal/scenario/splits.go
@@ -32,88 +32,82 @@
 
 // Splits cuts links in every way that the brief names, and heals them again.
 func (r *Run) Splits(ctx context.Context, scale float64) (map[string]uint64, error) {
-	looking, stopLooking := context.WithCancel(ctx)
-	defer stopLooking()
-	if err := r.Begin(looking); err != nil {
-		return nil, err
-	}
-	loading, stopLoading := context.WithCancel(ctx)
-	defer stopLoading()
-	r.Load(loading, scale)
-	epoch := uint64(1)
-	ways := []struct {
-		what    string
-		out, in bool
-	}{{"the leader is cut off both ways", true, true}, {"the leader hears and is not heard", true, false}, {"the leader is heard and does not hear", false, true}}
-	for _, way := range ways {
-		leader, err := r.awaitLeader()
-		if err != nil {
-			return nil, err
+	return r.underLoad(ctx, scale, func() error {
+		epoch := uint64(1)
+		ways := []struct {
+			what    string
+			out, in bool
+		}{{"the leader is cut off both ways", true, true}, {"the leader hears and is not heard", true, false}, {"the leader is heard and does not hear", false, true}}
+		for _, way := range ways {
+			leader, err := r.awaitLeader()
+			if err != nil {
+				return err
+			}
+			r.Say("%s: %s", way.what, leader.Name)
+			r.cutOff([]*fleet.Process{leader}, way.out, way.in)
+			r.Act(checker.Act{Kind: checker.Crashed, Subject: leader.Name + ", cut off"})
+			if err := r.Roll(fmt.Sprint("split-", epoch), epoch); err != nil {
+				return err
+			}
+			epoch++
+			r.Pause(2 * time.Second)
+			r.Fleet.Links.Heal()
+			r.Pause(2 * time.Second)
 		}
-		r.Say("%s: %s", way.what, leader.Name)
-		r.cutOff([]*fleet.Process{leader}, way.out, way.in)
-		r.Act(checker.Act{Kind: checker.Crashed, Subject: leader.Name + ", cut off"})
-		if err := r.Roll(fmt.Sprint("split-", epoch), epoch); err != nil {
-			return nil, err
+
+		edge := r.Fleet.Edges()[0]
+		r.Say("one daemon alone: %s", edge.Name)
+		r.cutOff([]*fleet.Process{edge}, true, true)
+		last := r.Fleet.Deployment.Kinds[len(r.Fleet.Deployment.Kinds)-1].Route
+		r.without[last] = true
+		if err := r.Roll("alone", epoch); err != nil {
+			return err
 		}
 		epoch++
-		r.Pause(2 * time.Second)
+		if err := r.Await("the lone daemon says that it is not ready", func() bool { return !r.Fleet.Ready(edge) }); err != nil {
+			return err
+		}
+		r.Pause(3 * time.Second)
 		r.Fleet.Links.Heal()
-		r.Pause(2 * time.Second)
-	}
-
-	edge := r.Fleet.Edges()[0]
-	r.Say("one daemon alone: %s", edge.Name)
-	r.cutOff([]*fleet.Process{edge}, true, true)
-	last := r.Fleet.Deployment.Kinds[len(r.Fleet.Deployment.Kinds)-1].Route
-	r.without[last] = true
-	if err := r.Roll("alone", epoch); err != nil {
-		return nil, err
-	}
-	epoch++
-	if err := r.Await("the lone daemon says that it is not ready", func() bool { return !r.Fleet.Ready(edge) }); err != nil {
-		return nil, err
-	}
-	r.Pause(3 * time.Second)
-	r.Fleet.Links.Heal()
-	if err := r.Await("all edges are ready", r.AllReady); err != nil {
-		return nil, err
-	}
+		if err := r.Await("all edges are ready", r.AllReady); err != nil {
+			return err
+		}
 
-	r.Say("the whole core is cut off from the edges, which go on")
-	r.cutOff(r.cores(), true, true)
-	r.Act(checker.Act{Kind: checker.Crashed, Subject: "the core is cut off"})
-	r.Pause(8 * time.Second)
-	r.Fleet.Links.Heal()
-	if err := r.Await("all edges are ready", r.AllReady); err != nil {
-		return nil, err
-	}
+		r.Say("the whole core is cut off from the edges, which go on")
+		r.cutOff(r.cores(), true, true)
+		r.Act(checker.Act{Kind: checker.Crashed, Subject: "the core is cut off"})
+		r.Pause(8 * time.Second)
+		r.Fleet.Links.Heal()
+		if err := r.Await("all edges are ready", r.AllReady); err != nil {
+			return err
+		}
 
-	r.Say("one zone is away")
-	zone := r.Fleet.Deployment.Zones[len(r.Fleet.Deployment.Zones)-1]
-	var away []*fleet.Process
-	for _, p := range r.Fleet.Daemons {
-		if p.Zone == zone {
-			away = append(away, p)
+		r.Say("one zone is away")
+		zone := r.Fleet.Deployment.Zones[len(r.Fleet.Deployment.Zones)-1]
+		var away []*fleet.Process
+		for _, p := range r.Fleet.Daemons {
+			if p.Zone == zone {
+				away = append(away, p)
+			}
 		}
-	}
-	r.cutOff(away, true, true)
-	r.Pause(6 * time.Second)
-	r.Fleet.Links.Heal()
-	if err := r.awaitWhole(); err != nil {
-		return nil, err
-	}
-	if r.Fleet.Links.Stopped == 0 {
-		return nil, fmt.Errorf("no cut stopped anything")
-	}
-	if err := r.Zone(zone, true); err != nil {
-		return nil, err
-	}
-	if err := r.Roll("healed", epoch); err != nil {
-		return nil, err
-	}
-	r.Pause(6 * time.Second)
-	return r.finishDay(stopLoading, stopLooking)
+		r.cutOff(away, true, true)
+		r.Pause(6 * time.Second)
+		r.Fleet.Links.Heal()
+		if err := r.awaitWhole(); err != nil {
+			return err
+		}
+		if r.Fleet.Links.Stopped == 0 {
+			return fmt.Errorf("no cut stopped anything")
+		}
+		if err := r.Zone(zone, true); err != nil {
+			return err
+		}
+		if err := r.Roll("healed", epoch); err != nil {
+			return err
+		}
+		r.Pause(6 * time.Second)
+		return nil
+	})
 }
 
 func (r *Run) awaitLeader() (leader *fleet.Process, err error) {
@@ -123,66 +117,60 @@
 
 // Freezes stops processes for a while and lets them go on: they must not act on what they believed before.
 func (r *Run) Freezes(ctx context.Context, scale float64) (map[string]uint64, error) {
-	looking, stopLooking := context.WithCancel(ctx)
-	defer stopLooking()
-	if err := r.Begin(looking); err != nil {
-		return nil, err
-	}
-	loading, stopLoading := context.WithCancel(ctx)
-	defer stopLoading()
-	r.Load(loading, scale)
-	r.Pause(2 * time.Second)
-	edges := r.Fleet.Edges()
+	return r.underLoad(ctx, scale, func() error {
+		r.Pause(2 * time.Second)
+		edges := r.Fleet.Edges()
 
-	r.Say("%s freezes for longer than its tenure", edges[0].Name)
-	edges[0].Signal(syscall.SIGSTOP)
-	frozen := time.Now()
+		r.Say("%s freezes for longer than its tenure", edges[0].Name)
+		edges[0].Signal(syscall.SIGSTOP)
+		frozen := time.Now()
 
-	leader, err := r.awaitLeader()
-	if err != nil {
-		return nil, err
-	}
-	r.Say("%s, who leads, freezes", leader.Name)
-	leader.Signal(syscall.SIGSTOP)
-	r.Act(checker.Act{Kind: checker.Crashed, Subject: leader.Name + ", frozen"})
-	// While a routing daemon is frozen a route goes away: it must not send for it when it wakes.
-	last := r.Fleet.Deployment.Kinds[len(r.Fleet.Deployment.Kinds)-1].Route
-	r.without[last] = true
-	if err := r.Roll("frozen", 1); err != nil {
-		return nil, err
-	}
-	leader.Signal(syscall.SIGCONT)
-	r.Pause(2 * time.Second)
+		leader, err := r.awaitLeader()
+		if err != nil {
+			return err
+		}
+		r.Say("%s, who leads, freezes", leader.Name)
+		leader.Signal(syscall.SIGSTOP)
+		r.Act(checker.Act{Kind: checker.Crashed, Subject: leader.Name + ", frozen"})
+		// While a routing daemon is frozen a route goes away: it must not send for it when it wakes.
+		last := r.Fleet.Deployment.Kinds[len(r.Fleet.Deployment.Kinds)-1].Route
+		r.without[last] = true
+		if err := r.Roll("frozen", 1); err != nil {
+			return err
+		}
+		leader.Signal(syscall.SIGCONT)
+		r.Pause(2 * time.Second)
 
-	planner := r.planner()
-	if planner == nil {
-		return nil, fmt.Errorf("nobody plans")
-	}
-	r.Say("%s, who plans, freezes past its claim", planner.Name)
-	planner.Signal(syscall.SIGSTOP)
-	if err := r.Await("another plans", func() bool { other := r.planner(); return other != nil && other != planner }); err != nil {
-		return nil, err
-	}
-	r.Pause(2 * time.Second)
-	planner.Signal(syscall.SIGCONT)
-	r.Pause(3 * time.Second)
+		planner := r.planner()
+		if planner == nil {
+			return fmt.Errorf("nobody plans")
+		}
+		r.Say("%s, who plans, freezes past its claim", planner.Name)
+		planner.Signal(syscall.SIGSTOP)
+		if err := r.Await("another plans", func() bool { other := r.planner(); return other != nil && other != planner }); err != nil {
+			return err
+		}
+		r.Pause(2 * time.Second)
+		planner.Signal(syscall.SIGCONT)
+		r.Pause(3 * time.Second)
 
-	r.Say("%s freezes for a moment, and a zone closes meanwhile", edges[1].Name)
-	edges[1].Signal(syscall.SIGSTOP)
-	if err := r.Zone(r.Fleet.Deployment.Zones[0], true); err != nil {
-		return nil, err
-	}
-	r.Pause(5500 * time.Millisecond)
-	edges[1].Signal(syscall.SIGCONT)
-	if left := 33*time.Second - time.Since(frozen); left > 0 {
-		r.Pause(left)
-	}
-	edges[0].Signal(syscall.SIGCONT)
-	if err := r.Await("all edges are ready", r.AllReady); err != nil {
-		return nil, err
-	}
-	r.Pause(4 * time.Second)
-	return r.finishDay(stopLoading, stopLooking)
+		r.Say("%s freezes for a moment, and a zone closes meanwhile", edges[1].Name)
+		edges[1].Signal(syscall.SIGSTOP)
+		if err := r.Zone(r.Fleet.Deployment.Zones[0], true); err != nil {
+			return err
+		}
+		r.Pause(5500 * time.Millisecond)
+		edges[1].Signal(syscall.SIGCONT)
+		if left := 33*time.Second - time.Since(frozen); left > 0 {
+			r.Pause(left)
+		}
+		edges[0].Signal(syscall.SIGCONT)
+		if err := r.Await("all edges are ready", r.AllReady); err != nil {
+			return err
+		}
+		r.Pause(4 * time.Second)
+		return nil
+	})
 }
 
 // planner finds the daemon that holds the claim; a frozen one does not answer.
