End with 2 on wrong usage in all three programs

Cause: kingpin's MustParse ends with 1 through its own default program, past the exit code set on ours. Tried by hand: no daemon named, an unknown deployment, an unknown flag.

--- a/cmd/cresspond/main.go
+++ b/cmd/cresspond/main.go
@@ -87,7 +87,10 @@
 	traceKind := trace.Arg("kind", "spec or closure.").Required().Enum("spec", "closure")
 	traceEpoch := trace.Arg("epoch", "Its epoch.").Required().Uint64()
 
-	chosenCommand := kingpin.MustParse(app.Parse(os.Args[1:]))
+	chosenCommand, err := app.Parse(os.Args[1:])
+	if err != nil {
+		app.Fatalf("%s, try --help", err)
+	}
 	t := &tool{asJSON: *asJSON, client: &http.Client{Timeout: 12 * time.Second}}
 	for _, daemon := range *daemons {
 		t.daemons = append(t.daemons, strings.FieldsFunc(daemon, func(r rune) bool { return r == ',' || r == ' ' || r == '\n' })...)
@@ -98,7 +101,6 @@
 		}
 	}
 	yes, no := true, false
-	var err error
 	switch chosenCommand {
 	case propose.FullCommand():
 		needsOperator()
--- a/cmd/cresspondd/main.go
+++ b/cmd/cresspondd/main.go
@@ -45,7 +45,9 @@
 	level := app.Flag("log", "Least level to log: debug, info, warn, error.").String()
 	recoverFrom := app.Flag("recover-from", "Recover a group whose majority is lost for good: fellow IP:port of a living daemon; give it once for EACH that lives. Writes the empty data folder and ends.").Strings()
 	survivor := app.Flag("survivor", "With --recover-from: the data folder of a control daemon that survived, stopped.").String()
-	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		app.Fatalf("%s, try --help", err)
+	}
 
 	settings, faults := config.Read(*file)
 	override := func(into *string, value string) {
--- a/rehearsal/cmd/rehearse/main.go
+++ b/rehearsal/cmd/rehearse/main.go
@@ -61,8 +61,11 @@
 	standListen := stand.Flag("listen", "IP:port.").Required().String()
 	standJournal := stand.Flag("journal", "File to write down all that happens.").Required().String()
 
-	var err error
-	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	chosenCommand, err := app.Parse(os.Args[1:])
+	if err != nil {
+		app.Fatalf("%s, try --help", err)
+	}
+	switch chosenCommand {
 	case run.FullCommand():
 		err = rehearse(*runName, *runScenario, *runSeed, *runScale, *runProgram, *runFolder, *runKeep)
 	case up.FullCommand():
