Remember the newest attempts, refuse closures of unknown names, measure the overhead

Cause: after 100000 attempts in ten minutes new ones were not remembered, so a replay of one would have run again; the oldest is forgotten now instead. And a zone whose name was mistyped was called closed while nothing was shut: it is a 404 now. rehearse gains all and overhead. Tests: a full memory forgets the oldest first; unknown names leave the closures at epoch 0; without a tenure direct first goes go on and nothing is held; what may have run is never called refused.

--- a/epoch/table/table.go
+++ b/epoch/table/table.go
@@ -3,6 +3,7 @@
 package table
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cresspond/cresspond/epoch/spec"
@@ -88,6 +89,11 @@
 	return engine, ok
 }
 
+// HasZone says whether the bundle names a zone.
+func (t *Table) HasZone(name ident.ZoneID) bool {
+	return slices.ContainsFunc(t.Spec.Zones, func(zone spec.Zone) bool { return zone.Name == name })
+}
+
 // Allows says whether the bundle lets this route use this model and adapter.
 func (t *Table) Allows(route, model, adapter string) bool {
 	found, ok := t.routes[route]
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -186,6 +186,12 @@
 			return operatorapi.Answer{Result: statemachine.Result{Verdict: statemachine.Malformed, Reason: "the bundle has faults"}, Faults: faults}, replica.Applied
 		}
 	}
+	if t := d.keeper.Table(); command.Op == statemachine.OpClosure && command.Closed && t != nil {
+		// A name that the bundle does not know is a slip: called closed, it would shut nothing.
+		if _, known := t.Engine(command.Engine); command.Engine != "" && !known || command.Zone != "" && !t.HasZone(command.Zone) {
+			return operatorapi.Answer{Result: statemachine.Result{Verdict: statemachine.Missing, Reason: "the bundle in force has no such zone or engine"}}, replica.Applied
+		}
+	}
 	began := d.clock.Elapsed()
 	got := held.Submit(ctx, command)
 	answer := operatorapi.Answer{Result: got.Result}
--- a/rehearsal/cmd/rehearse/main.go
+++ b/rehearsal/cmd/rehearse/main.go
@@ -49,6 +49,16 @@
 	runFolder := run.Flag("folder", "Folder for logs and journals; by default a new one, removed after a run without violations.").String()
 	runKeep := run.Flag("keep", "Keep the folder.").Bool()
 
+	all := app.Command("all", "Run every scenario of both deployments, for each seed, and print one table.")
+	allSeeds := all.Flag("seed", "A seed; give it once for each.").Default("1").Uint64List()
+	allScale := all.Flag("scale", "Share of the deployments' load.").Default("0.5").Float64()
+	allProgram := all.Flag("cresspondd", "The daemon to run; by default the one beside this program.").String()
+
+	over := app.Command("overhead", "Compare requests through a routing daemon with the engine asked straight.")
+	overRounds := over.Flag("rounds", "How many rounds.").Default("5").Int()
+	overEach := over.Flag("each", "Requests of each kind in a round.").Default("60").Int()
+	overProgram := over.Flag("cresspondd", "The daemon to run; by default the one beside this program.").String()
+
 	up := app.Command("up", "Bring a deployment up, serve one request, and leave it running until interrupted.")
 	upName := up.Arg("deployment", "The deployment.").Required().Enum("small", "consortium", "cooperativa")
 	upProgram := up.Flag("cresspondd", "The daemon to run; by default the one beside this program.").String()
@@ -68,6 +78,10 @@
 	switch chosenCommand {
 	case run.FullCommand():
 		err = rehearse(*runName, *runScenario, *runSeed, *runScale, *runProgram, *runFolder, *runKeep)
+	case all.FullCommand():
+		err = rehearseAll(*allSeeds, *allScale, *allProgram)
+	case over.FullCommand():
+		err = overhead(*overRounds, *overEach, *overProgram)
 	case up.FullCommand():
 		err = bringUp(*upName, *upProgram, *upFolder, *upOnce)
 	case stand.FullCommand():
@@ -144,8 +158,7 @@
 	if err != nil {
 		return err
 	}
-	bad := report(history, counters, scenario.Unchecked(what))
-	if bad > 0 {
+	if bad := report(history, counters, scenario.Unchecked(what)); bad > 0 {
 		return fmt.Errorf("%d rules did not hold or were not checked (seed %d, folder %s)", bad, seed, f.Folder)
 	}
 	if !keep {
@@ -154,6 +167,32 @@
 	return nil
 }
 
+// rehearseAll runs everything, one after the other, and goes on where one fails.
+func rehearseAll(seeds []uint64, scale float64, program string) error {
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(out, "\ndeployment\tscenario\tseed\toutcome")
+	failed := 0
+	for _, seed := range seeds {
+		for _, name := range []string{"consortium", "cooperativa"} {
+			for _, what := range scenario.Names() {
+				outcome := "all rules hold"
+				if err := rehearse(name, what, seed, scale, program, "", false); err != nil {
+					failed++
+					outcome = err.Error()
+				}
+				fmt.Fprintf(out, "%s\t%s\t%d\t%s\n", name, what, seed, outcome)
+			}
+		}
+	}
+	if err := out.Flush(); err != nil {
+		return err
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d of %d rehearsals failed", failed, len(seeds)*2*len(scenario.Names()))
+	}
+	return nil
+}
+
 // report prints the table and says how many rules failed.
 func report(history *checker.History, counters map[string]uint64, unchecked map[string]bool) int {
 	bad := 0
@@ -235,6 +274,20 @@
 	out.Flush()
 }
 
+func overhead(rounds, each int, program string) error {
+	if rounds < 1 || each < 1 {
+		return fmt.Errorf("there must be at least one round of one request")
+	}
+	f, err := lay("small", program, "")
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	return scenario.New(f, 1, sayer()).Overhead(ctx, rounds, each)
+}
+
 func bringUp(name, program, folder string, once bool) error {
 	f, err := lay(name, program, folder)
 	if err != nil {
--- a/rehearsal/endtoend/operator_test.go
+++ b/rehearsal/endtoend/operator_test.go
@@ -133,8 +133,15 @@
 			t.Errorf("%s %s: %d %+v", path, body, status, word)
 		}
 	}
-	if now := b.status().SpecEpoch; now != 1 {
-		t.Errorf("epoch %d is in force", now)
+	for path, body := range map[string]string{
+		operatorapi.PathZone: `{"zone":"nowhere","closed":true,"operator":"ana"}`, operatorapi.PathDrain: `{"engine":"none","draining":true,"operator":"ana"}`,
+	} {
+		if status, word, _ := b.post(path, []byte(body)); status != 404 {
+			t.Errorf("%s %s: %d %+v", path, body, status, word)
+		}
+	}
+	if now := b.status(); now.SpecEpoch != 1 || now.ClosureEpoch != 0 {
+		t.Errorf("epochs %d and %d are in force", now.SpecEpoch, now.ClosureEpoch)
 	}
 }
 
--- a/request/dispatch/core.go
+++ b/request/dispatch/core.go
@@ -122,8 +122,10 @@
 	// order is the held records in the order of their bids, kept between passes.
 	attempts map[string]RecordID
 	past     map[string]clock.Mark
-	seats    map[string]*Seat
-	running  map[ident.EngineID]int
+	// pastOrder lists the past attempts from the oldest on, so that the oldest are forgotten first.
+	pastOrder []pastAttempt
+	seats     map[string]*Seat
+	running   map[ident.EngineID]int
 	// history is how many ran here on each engine since its newest report was asked for.
 	history map[ident.EngineID][]ranSince
 	// refusedAt is when an engine last refused, or could not be reached.
@@ -253,8 +255,10 @@
 	record.move(Ended)
 	delete(c.records, record.ID)
 	delete(c.attempts, record.Attempt)
-	if len(c.past) < mostPast {
-		c.past[record.Attempt] = c.world.Now
+	c.past[record.Attempt] = c.world.Now
+	c.pastOrder = append(c.pastOrder, pastAttempt{record.Attempt, c.world.Now})
+	if len(c.pastOrder) > mostPast {
+		c.forgetOldest()
 	}
 }
 
@@ -676,6 +680,20 @@
 	}
 }
 
+type pastAttempt struct {
+	attempt string
+	at      clock.Mark
+}
+
+// forgetOldest drops the oldest past attempt, unless its id was refused and came again since.
+func (c *Core) forgetOldest() {
+	oldest := c.pastOrder[0]
+	c.pastOrder = c.pastOrder[1:]
+	if c.past[oldest.attempt] == oldest.at {
+		delete(c.past, oldest.attempt)
+	}
+}
+
 // forget drops what has been idle for long.
 func (c *Core) forget() {
 	if c.world.Table == nil {
@@ -688,10 +706,8 @@
 			c.out.EndSeats = append(c.out.EndSeats, session)
 		}
 	}
-	for attempt, at := range c.past {
-		if c.world.Now.Since(at) > pastKept {
-			delete(c.past, attempt)
-		}
+	for len(c.pastOrder) > 0 && c.world.Now.Since(c.pastOrder[0].at) > pastKept {
+		c.forgetOldest()
 	}
 }
 
--- /dev/null
+++ b/request/dispatch/core_test.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/epoch/table"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/engines"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/snowflake"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/wire/engineapi"
+)
+
+// world is one engine that holds model m, in a spec that allows it.
+func world(now clock.Mark, minted bool) World {
+	s := &spec.Spec{Name: "x", Zones: []spec.Zone{{Name: "z"}}, Engines: []spec.Engine{{ID: "e", Zone: "z", Room: 10, Slots: 1}},
+		Models: []spec.Model{{Name: "m", Size: 5}}, Routes: []spec.Route{{Name: "r", House: "h", Models: []string{"m"}}},
+		Limits: spec.Limits{MostHeld: 10, MostHeldBytes: 1000, RetryShare: 0.1, SeatIdleMs: 60000}}
+	return World{Now: now, Table: table.Build(1, nil, s, statemachine.Closures{}), Zone: "z",
+		Engines: &engines.View{Engines: map[ident.EngineID]*engines.Engine{"e": {ID: "e", Zone: "z", Condition: engines.Sound, Asked: now,
+			Report: engineapi.Report{Models: []engineapi.ModelReport{{Model: "m", State: engineapi.Loaded}}}}}},
+		Mint: func() (ident.MintedID, snowflake.Verdict) {
+			if minted {
+				return 1, snowflake.Minted
+			}
+			return 0, snowflake.NoTenure
+		}}
+}
+
+func arrive(id RecordID, deadline clock.Mark) Arrive {
+	return Arrive{ID: id, Request: Request{Attempt: fmt.Sprint("a", id), Route: "r", House: "h", Model: "m", Deadline: deadline}}
+}
+
+const start = clock.Mark(time.Hour)
+
+func TestWithoutATenureDirectFirstGoesContinueAndNothingIsHeldOrRepeated(t *testing.T) {
+	c := NewCore()
+	w := world(start, false)
+	first := c.Step(w, arrive(1, start+clock.Mark(10*time.Second)))
+	if len(first.Sends) != 1 || first.Sends[0].Stamped {
+		t.Fatalf("a direct first go needs no tenure: %+v", first)
+	}
+	second := c.Step(w, arrive(2, start+clock.Mark(10*time.Second)))
+	if len(second.Sends) != 0 || len(second.Tells) != 1 || second.Tells[0].Verdict.Kind != Refused {
+		t.Fatalf("what would have to be held must be refused at once: %+v", second)
+	}
+	after := c.Step(w, Went{ID: 1, Outcome: EngineRefused})
+	if len(after.Sends) != 0 || len(after.Tells) != 1 || after.Tells[0].Verdict.Kind != Refused {
+		t.Fatalf("a second go needs a stamp: %+v", after)
+	}
+}
+
+func TestWhatMayHaveRunIsNeverCalledRefused(t *testing.T) {
+	for _, repeatable := range []bool{false, true} {
+		c := NewCore()
+		event := arrive(1, start+clock.Mark(2*time.Second))
+		event.Request.Repeatable = repeatable
+		c.Step(world(start, true), event)
+		effects := c.Step(world(start, true), Went{ID: 1, Outcome: Lost, Reason: "gone"})
+		for later := start; len(effects.Tells) == 0 && later < start+clock.Mark(5*time.Second); later += clock.Mark(100 * time.Millisecond) {
+			w := world(later, true)
+			w.Engines = &engines.View{}
+			effects = c.Step(w, Beat{})
+		}
+		if len(effects.Tells) != 1 || effects.Tells[0].Verdict.Kind != Unknown {
+			t.Errorf("repeatable %t: %+v", repeatable, effects)
+		}
+	}
+}
+
+func TestPastAttemptsAreKnownAndTheOldestForgottenFirst(t *testing.T) {
+	c := NewCore()
+	now := start
+	for i := range RecordID(mostPast + 10) {
+		now++
+		c.Step(world(now, true), arrive(i, now+clock.Mark(time.Minute)))
+		c.Step(world(now, true), Went{ID: i, Outcome: Whole})
+		if i > 100 {
+			// Filling the rest one by one through the passes takes long; the book-keeping is the same.
+			for j := i + 1; j < mostPast+10; j++ {
+				now++
+				c.end(&Record{ID: j, Request: Request{Attempt: fmt.Sprint("a", j)}, stage: Going})
+			}
+			break
+		}
+	}
+	replayed := func(id RecordID) bool {
+		effects := c.Step(world(now, true), arrive(id, now+clock.Mark(time.Minute)))
+		return len(effects.Tells) == 1 && effects.Tells[0].Verdict.Kind == Replay
+	}
+	if !replayed(mostPast+9) || !replayed(50) || replayed(3) {
+		t.Error("the newest must be known, and the oldest forgotten")
+	}
+	if len(c.past) > mostPast+1 || len(c.pastOrder) > mostPast+1 {
+		t.Errorf("%d attempts are kept", len(c.past))
+	}
+}
