--- /dev/null
+++ b/process/formation/formation_test.go
@@ -0,0 +1,76 @@
+package formation
+
+import (
+	"testing"
+
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/raft"
+)
+
+// seeds are three control daemons with empty folders.
+func seeds() []Seed {
+	return []Seed{
+		{Address: "a", Answered: true, Member: 30, Name: "core-0", ServesControl: true},
+		{Address: "b", Answered: true, Member: 10, Name: "core-1", ServesControl: true},
+		{Address: "c", Answered: true, Member: 20, Name: "core-2", ServesControl: true},
+	}
+}
+
+func TestOnlyOneOfTheSeedsForms(t *testing.T) {
+	for self, want := range map[raft.MemberID]Verdict{10: Form, 20: Wait, 30: Wait, 5: Wait} {
+		verdict, _, members := Decide(self, seeds())
+		if verdict != want || want == Form && (len(members.Voters()) != 3 || members.Members[0].ID != 10) {
+			t.Errorf("member %d: %v %+v", self, verdict, members)
+		}
+	}
+}
+
+func TestNothingFormsWhileASeedIsSilentOrRemembers(t *testing.T) {
+	for i := range 3 {
+		silent := seeds()
+		silent[i].Answered = false
+		if verdict, _, _ := Decide(10, silent); verdict != Wait {
+			t.Errorf("seed %d is silent: %v", i, verdict)
+		}
+		remembers := seeds()
+		remembers[i].Group = "g"
+		if verdict, group, _ := Decide(10, remembers); verdict != Join || group != "g" {
+			t.Errorf("seed %d remembers: %v %s", i, verdict, group)
+		}
+		// Even with all others silent, one that remembers is enough to know that a group exists.
+		for j := range remembers {
+			remembers[j].Answered = j == i
+		}
+		if verdict, _, _ := Decide(10, remembers); verdict != Join {
+			t.Errorf("only seed %d answers, and remembers: %v", i, verdict)
+		}
+	}
+}
+
+func TestFewerControlDaemonsFormASmallerGroup(t *testing.T) {
+	some := seeds()
+	some[0].ServesControl, some[1].ServesControl = false, false
+	if verdict, _, members := Decide(20, some); verdict != Form || len(members.Members) != 1 {
+		t.Errorf("%v %+v", verdict, members)
+	}
+	some[2].ServesControl = false
+	if verdict, _, _ := Decide(20, some); verdict != Wait {
+		t.Errorf("nobody serves control: %v", verdict)
+	}
+}
+
+func TestTheLatestGenerationIsJoinedAndOneProcessIsNotTwoVoters(t *testing.T) {
+	generations := seeds()
+	generations[0].Group, generations[1].Group, generations[2].Group = "g", "g.2", "g.1"
+	if verdict, group, _ := Decide(10, generations); verdict != Join || group != "g.2" {
+		t.Errorf("%v %s", verdict, group)
+	}
+	if ident.GroupID("h.9").Succeeds("g") || ident.GroupID("g").Succeeds("g") || !ident.GroupID("g").Next().Succeeds("g") {
+		t.Error("generations are told apart wrongly")
+	}
+	twice := seeds()
+	twice[2].Member = twice[1].Member
+	if verdict, _, _ := Decide(10, twice); verdict != Wait {
+		t.Errorf("one process under two addresses: %v", verdict)
+	}
+}
