--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -100,12 +100,6 @@
 // Option sets one thing of a daemon.
 type Option func(*Daemon)
 
-// WithClock replaces the machine's clocks.
-func WithClock(c clock.Clock) Option { return func(d *Daemon) { d.clock = c } }
-
-// WithReplicaConfig replaces the group's times.
-func WithReplicaConfig(c replica.Config) Option { return func(d *Daemon) { d.replicaConfig = c } }
-
 // WithStreamLimits replaces how long the next piece is waited for, and how long a stream may outlast its deadline.
 func WithStreamLimits(stall, over time.Duration) Option {
 	return func(d *Daemon) { d.stallLimit, d.runOver = stall, over }
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -367,9 +367,6 @@
 	}
 	spec, closure := d.InForce()
 	request.SpecEpoch, request.ClosureEpoch = uint64(spec), uint64(closure)
-	if d.store != nil {
-		request.MemberId = uint64(d.store.Member)
-	}
 	for _, step := range d.keeper.Steps() {
 		request.Steps = append(request.Steps, &fellowapi.Step{Change: step.Change, Step: step.Step, UnixMs: step.At.UnixMilli()})
 	}
--- a/process/daemon/pages.go
+++ b/process/daemon/pages.go
@@ -79,6 +79,9 @@
 	say("raft_sent", d.links.Sent.Load())
 	say("raft_dropped", d.links.Dropped.Load())
 	say("raft_failed", d.links.Failed.Load())
+	if held := d.replica.Load(); held != nil {
+		say("raft_refused", held.Refused.Load())
+	}
 	say("offers_refused", d.keeper.Refused.Load())
 	w := &d.watcher.Counters
 	say("engine_reports_failed", w.FailedReports.Load())
--- a/process/daemon/routing.go
+++ b/process/daemon/routing.go
@@ -175,7 +175,7 @@
 func (d *Daemon) askPermit(flight *dispatch.Flight, send dispatch.Send) (giveBack func(refused bool), granted bool) {
 	keeper := d.keeperOf(send.Engine)
 	request := &fellowapi.PermitRequest{Engine: string(send.Engine), Id: string(d.nodeID) + "/" + strconv.FormatUint(d.permitIDs.Add(1), 10),
-		NodeId: string(d.nodeID), Seated: send.Seated, Worth: send.Worth, Rank: int64(send.Rank), House: send.House, Slots: int64(send.Slots)}
+		NodeId: string(d.nodeID), Seated: send.Seated, Worth: send.Worth, Rank: int64(send.Rank), House: send.House}
 	client := fellowapi.Fellow(d)
 	if keeper != "" && keeper != d.config.ReachedAt() {
 		client = d.links.To(keeper)
--- a/process/raft/log.go
+++ b/process/raft/log.go
@@ -7,16 +7,6 @@
 	stable   Index
 }
 
-func (l *replicaLog) first() Index { return l.snapshotBase() + 1 }
-
-// snapshotBase is the place before the first entry kept.
-func (l *replicaLog) snapshotBase() Index {
-	if len(l.entries) > 0 {
-		return l.entries[0].Index - 1
-	}
-	return l.snapshot.Index
-}
-
 func (l *replicaLog) last() Index {
 	if n := len(l.entries); n > 0 {
 		return l.entries[n-1].Index
--- a/rehearsal/checker/checker.go
+++ b/rehearsal/checker/checker.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/snowflake"
 	"github.com/cresspond/cresspond/rehearsal/caller"
 	"github.com/cresspond/cresspond/rehearsal/journal"
 	"github.com/cresspond/cresspond/wire/callerapi"
@@ -499,9 +501,10 @@
 }
 
 func workerOf(stamp string) string {
-	var id uint64
+	var id ident.MintedID
 	_, _ = fmt.Sscanf(stamp, "%d", &id)
-	return fmt.Sprint(id >> 12 & 1023)
+	_, worker, _ := snowflake.Parts(id)
+	return fmt.Sprint(worker)
 }
 
 func withinRoom(h *History) Finding {
--- a/request/dispatch/core.go
+++ b/request/dispatch/core.go
@@ -79,7 +79,6 @@
 	Deadline clock.Mark
 	// The bid, for the engine's keeper.
 	Seated bool
-	Slots  int
 	House  string
 	Worth  int64
 	Rank   int
@@ -118,8 +117,7 @@
 
 // Core is the state of one routing daemon.
 type Core struct {
-	records map[RecordID]*Record
-	// order is the held records in the order of their bids, kept between passes.
+	records  map[RecordID]*Record
 	attempts map[string]RecordID
 	past     map[string]clock.Mark
 	// pastOrder lists the past attempts from the oldest on, so that the oldest are forgotten first.
@@ -430,15 +428,10 @@
 	}
 	c.out.Sends = append(c.out.Sends, Send{ID: record.ID, Engine: picked.ID, Address: picked.Address, Zone: picked.Zone,
 		Stamped: len(record.Stamps) > 0, Deadline: record.Deadline, Seated: record.seatOf == picked.ID,
-		Slots: c.slotsOf(picked.ID), House: record.House, Worth: record.Worth, Rank: record.Rank})
+		House: record.House, Worth: record.Worth, Rank: record.Rank})
 	return true
 }
 
-func (c *Core) slotsOf(id ident.EngineID) int {
-	allowedEngine, _ := c.world.Table.Engine(id)
-	return allowedEngine.Slots
-}
-
 // serveTurn counts a house's turn. One that was quiet joins at the present count and brings no credit.
 func (c *Core) serveTurn(house string) {
 	least := -1.0
