Order bids, count houses' turns and believe refusals in one place each

Cause: a read of the whole change. The order of bids and the turns of houses stood in the dispatch and again in the keeper of slots; so did the rule that only a later report ends a refusal; and two look-ups listed daemons in contact by the same loop. request/bid, engines.StillRefuses and fellowsFor now serve both sides. Behaviour is as it was. Checked: make test passes whole, tests unchanged but for how a bid is written down.

--- a/process/daemon/routing.go
+++ b/process/daemon/routing.go
@@ -13,11 +13,13 @@
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/membership"
 	"github.com/cresspond/cresspond/process/permits"
 	"github.com/cresspond/cresspond/process/placement"
 	"github.com/cresspond/cresspond/process/seats"
 	"github.com/cresspond/cresspond/process/snowflake"
 	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/request/bid"
 	"github.com/cresspond/cresspond/request/dispatch"
 	"github.com/cresspond/cresspond/request/relay"
 	"github.com/cresspond/cresspond/wire/callerapi"
@@ -148,15 +150,21 @@
 	return result.Outcome, result.Reason
 }
 
-// keeperOf is the address of the daemon that keeps an engine's slots.
-func (d *Daemon) keeperOf(engine ident.EngineID) string {
-	var routers []string
-	for _, fellow := range d.members.View().InContact(d.clock.Elapsed(), keeperWindow) {
-		if fellow.Serves(string(config.Route)) && fellow.Ready {
-			routers = append(routers, fellow.Address)
+// fellowsFor lists, in order, the addresses of daemons heard within the window that fit and are not stopping.
+func (d *Daemon) fellowsFor(window time.Duration, fits func(membership.Fellow) bool) []string {
+	var addresses []string
+	for _, fellow := range d.members.View().InContact(d.clock.Elapsed(), window) {
+		if fellow.Ready && fits(fellow) {
+			addresses = append(addresses, fellow.Address)
 		}
 	}
-	slices.Sort(routers)
+	slices.Sort(addresses)
+	return addresses
+}
+
+// keeperOf is the address of the daemon that keeps an engine's slots.
+func (d *Daemon) keeperOf(engine ident.EngineID) string {
+	routers := d.fellowsFor(keeperWindow, func(f membership.Fellow) bool { return f.Serves(string(config.Route)) })
 	keeper, _ := seats.Of("engine "+string(engine), routers)
 	return keeper
 }
@@ -213,8 +221,8 @@
 		d.slots.Release(ident.EngineID(in.Engine), in.Id, in.Refused)
 		return &fellowapi.PermitReply{}, nil
 	}
-	granted := d.slots.Ask(ctx, permits.Ask{ID: in.Id, Node: ident.NodeID(in.NodeId), Engine: ident.EngineID(in.Engine), Seated: in.Seated,
-		Worth: in.Worth, Rank: int(in.Rank), House: in.House, Until: d.clock.Elapsed() + clock.Mark(permitWait)})
+	granted := d.slots.Ask(ctx, permits.Ask{ID: in.Id, Node: ident.NodeID(in.NodeId), Engine: ident.EngineID(in.Engine),
+		Bid: bid.Bid{Seated: in.Seated, Worth: in.Worth, Rank: int(in.Rank), House: in.House}, Until: d.clock.Elapsed() + clock.Mark(permitWait)})
 	return &fellowapi.PermitReply{Granted: granted}, nil
 }
 
@@ -253,15 +261,8 @@
 // seatHomes are the addresses of the two daemons that keep a session's seat.
 // Any daemon can be a home, whatever it serves, so that the restart of a lone routing daemon loses none.
 func (d *Daemon) seatHomes(session string) (first, second string) {
-	var daemons []string
-	for _, fellow := range d.members.View().InContact(d.clock.Elapsed(), 3*time.Second) {
-		// A daemon that is stopping hands its seats over, and takes no more.
-		if fellow.Ready {
-			daemons = append(daemons, fellow.Address)
-		}
-	}
-	slices.Sort(daemons)
-	return seats.Of(session, daemons)
+	// A daemon that is stopping hands its seats over, and takes no more.
+	return seats.Of(session, d.fellowsFor(3*time.Second, func(membership.Fellow) bool { return true }))
 }
 
 // handSeatsOver gives the seats whose home this daemon is to the homes they have without it.
--- a/process/engines/engines.go
+++ b/process/engines/engines.go
@@ -93,6 +93,15 @@
 	return slots
 }
 
+// refusalDoubt bounds how long a refusal is believed when no report comes.
+const refusalDoubt = 2 * time.Second
+
+// StillRefuses says whether an engine that refused then must be taken to refuse still: only a report
+// that was asked for later can show that there is room again.
+func StillRefuses(then, asked, now clock.Mark) bool {
+	return asked <= then && now.Since(then) < refusalDoubt
+}
+
 // Usable says whether anything new may be sent, as far as its own condition goes.
 func (e *Engine) Usable() bool { return e.Condition == Sound && !e.Draining }
 
--- a/process/permits/permits.go
+++ b/process/permits/permits.go
@@ -4,14 +4,15 @@
 package permits
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
 
 	"github.com/cresspond/cresspond/process/actor"
 	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/engines"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/request/bid"
 )
 
 // Ask is one daemon's bid for a slot.
@@ -19,10 +20,7 @@
 	ID     string
 	Node   ident.NodeID
 	Engine ident.EngineID
-	Seated bool
-	Worth  int64
-	Rank   int
-	House  string
+	bid.Bid
 	// Until is when the asker stops waiting.
 	Until clock.Mark
 }
@@ -54,7 +52,7 @@
 	waiting []Ask
 	// since is when this keeper first heard of the engine.
 	since clock.Mark
-	turns map[string]float64
+	turns bid.Turns
 	// refusedAt is when the engine last refused a go that had a slot.
 	refusedAt clock.Mark
 }
@@ -75,14 +73,12 @@
 	// longestGo bounds how long a slot stays given when nobody gives it back.
 	longestGo  = 90 * time.Second
 	mostHouses = 1000
-	// refusalDoubt bounds how long a refusal is believed when no report comes.
-	refusalDoubt = 2 * time.Second
 )
 
 func (c *Core) desk(now clock.Mark, id ident.EngineID) *engineDesk {
 	desk := c.engines[id]
 	if desk == nil {
-		desk = &engineDesk{granted: map[string]grant{}, since: now, turns: map[string]float64{}}
+		desk = &engineDesk{granted: map[string]grant{}, since: now, turns: bid.Turns{}}
 		c.engines[id] = desk
 	}
 	return desk
@@ -146,20 +142,11 @@
 		free = min(free, yard.Capacity(id)-yard.Busy(id))
 	}
 	// An engine that refused is not what it was taken for: nothing more goes out before a later report is read.
-	if desk.refusedAt > 0 && yard.Asked(id) <= desk.refusedAt && yard.Now.Since(desk.refusedAt) < refusalDoubt {
+	if desk.refusedAt > 0 && engines.StillRefuses(desk.refusedAt, yard.Asked(id), yard.Now) {
 		free = 0
 	}
 	for free > 0 && len(desk.waiting) > 0 {
-		slices.SortStableFunc(desk.waiting, func(a, b Ask) int {
-			seated := func(x Ask) int {
-				if x.Seated {
-					return 0
-				}
-				return 1
-			}
-			return cmp.Or(cmp.Compare(seated(a), seated(b)), cmp.Compare(b.Worth, a.Worth), cmp.Compare(a.Rank, b.Rank),
-				cmp.Compare(desk.turns[a.House], desk.turns[b.House]))
-		})
+		slices.SortStableFunc(desk.waiting, func(a, b Ask) int { return desk.turns.Compare(a.Bid, b.Bid) })
 		best := desk.waiting[0]
 		desk.waiting = desk.waiting[1:]
 		desk.granted[best.ID] = grant{best.Node, yard.Now}
@@ -171,18 +158,18 @@
 	return out
 }
 
-// turn counts a house's turn. One that was quiet joins at the present count and brings no credit.
+// turn counts a house's turn.
 func (d *engineDesk) turn(house string) {
-	least := -1.0
-	for _, ask := range d.waiting {
-		if turn := d.turns[ask.House]; least < 0 || turn < least {
-			least = turn
-		}
-	}
 	if len(d.turns) > mostHouses {
 		clear(d.turns)
 	}
-	d.turns[house] = max(d.turns[house], least) + 1
+	d.turns.Serve(house, func(yield func(string) bool) {
+		for _, ask := range d.waiting {
+			if !yield(ask.House) {
+				return
+			}
+		}
+	})
 }
 
 // Keeper is the actor around the core.
--- a/process/permits/permits_test.go
+++ b/process/permits/permits_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/request/bid"
 )
 
 // stand is a keeper's core with made-up daemons that ask, run and give back.
@@ -40,7 +41,7 @@
 }
 
 func (s *stand) ask(id string, node ident.NodeID, worth int64, house string) {
-	s.hear(s.core.Ask(s.yard(), Ask{ID: id, Node: node, Engine: "e", Worth: worth, House: house, Until: s.now + clock.Mark(150*time.Millisecond)}))
+	s.hear(s.core.Ask(s.yard(), Ask{ID: id, Node: node, Engine: "e", Bid: bid.Bid{Worth: worth, House: house}, Until: s.now + clock.Mark(150*time.Millisecond)}))
 }
 
 func TestNeverMoreThanTheCapacityAndNothingLeaks(t *testing.T) {
--- a/request/dispatch/core.go
+++ b/request/dispatch/core.go
@@ -10,6 +10,7 @@
 	"github.com/cresspond/cresspond/process/engines"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/snowflake"
+	"github.com/cresspond/cresspond/request/bid"
 	"github.com/cresspond/cresspond/request/budget"
 )
 
@@ -129,7 +130,7 @@
 	// refusedAt is when an engine last refused, or could not be reached.
 	refusedAt map[ident.EngineID]clock.Mark
 	prefixes  map[string]ident.EngineID
-	turns     map[string]float64
+	turns     bid.Turns
 	heldBytes int64
 	heldCount int
 	heldBy    map[string]int
@@ -145,7 +146,7 @@
 	return &Core{
 		records: map[RecordID]*Record{}, attempts: map[string]RecordID{}, past: map[string]clock.Mark{}, seats: map[string]*Seat{},
 		running: map[ident.EngineID]int{}, history: map[ident.EngineID][]ranSince{}, refusedAt: map[ident.EngineID]clock.Mark{},
-		prefixes: map[string]ident.EngineID{}, turns: map[string]float64{}, heldBy: map[string]int{}, Budget: budget.New(0.1),
+		prefixes: map[string]ident.EngineID{}, turns: bid.Turns{}, heldBy: map[string]int{}, Budget: budget.New(0.1),
 	}
 }
 
@@ -154,8 +155,6 @@
 	pastKept     = 10 * time.Minute
 	mostPrefixes = 10000
 	refusalRest  = 250 * time.Millisecond
-	// refusalDoubt bounds how long a refusal is believed when no report comes.
-	refusalDoubt = 2 * time.Second
 	// seatPatience is how long a seat is kept at an engine in doubt; it outlasts the rest of one set aside.
 	seatPatience = 4 * time.Second
 	// leastLeft is how much time a held record must have left to be sent.
@@ -369,19 +368,12 @@
 
 // compareBids puts the record that goes first in front.
 func (c *Core) compareBids(a, b *Record) int {
-	seated := func(r *Record) int {
-		if r.Session != "" && (c.seats[r.Session] != nil || r.seatOf != "") {
-			return 0
-		}
-		return 1
-	}
-	return cmp.Or(
-		cmp.Compare(seated(a), seated(b)),
-		cmp.Compare(b.Worth, a.Worth),
-		cmp.Compare(a.Rank, b.Rank),
-		cmp.Compare(c.turns[a.House], c.turns[b.House]),
-		cmp.Compare(a.ID, b.ID),
-	)
+	return cmp.Or(c.turns.Compare(c.bidOf(a), c.bidOf(b)), cmp.Compare(a.ID, b.ID))
+}
+
+func (c *Core) bidOf(r *Record) bid.Bid {
+	seated := r.Session != "" && (c.seats[r.Session] != nil || r.seatOf != "")
+	return bid.Bid{Seated: seated, Worth: r.Worth, Rank: r.Rank, House: r.House}
 }
 
 // try sends a record if there is room for it now.
@@ -432,17 +424,15 @@
 	return true
 }
 
-// serveTurn counts a house's turn. One that was quiet joins at the present count and brings no credit.
+// serveTurn counts a house's turn among those whose records wait.
 func (c *Core) serveTurn(house string) {
-	least := -1.0
-	for _, record := range c.records {
-		if record.stage == Held || record.stage == LetIn {
-			if turn := c.turns[record.House]; least < 0 || turn < least {
-				least = turn
+	c.turns.Serve(house, func(yield func(string) bool) {
+		for _, record := range c.records {
+			if (record.stage == Held || record.stage == LetIn) && !yield(record.House) {
+				return
 			}
 		}
-	}
-	c.turns[house] = max(c.turns[house], least) + 1
+	})
 }
 
 // findSeat makes sure that the session's seat, if it has one anywhere, is known.
@@ -546,8 +536,7 @@
 	if !ok {
 		return 0
 	}
-	// After a refusal only a report asked for later can show that there is room again.
-	if at, refused := c.refusedAt[engine.ID]; refused && engine.Asked <= at && c.world.Now.Since(at) < refusalDoubt {
+	if at, refused := c.refusedAt[engine.ID]; refused && engines.StillRefuses(at, engine.Asked, c.world.Now) {
 		return 0
 	}
 	if !c.world.Permits && engine.Report.Saturated && engine.Asked > 0 && c.running[engine.ID] > 0 {
