--- a/cmd/cresspond/main.go
+++ b/cmd/cresspond/main.go
@@ -29,6 +29,8 @@
 	daemons []string
 	client  *http.Client
 	asJSON  bool
+	// notEverywhere says that the answer was no acknowledgement.
+	notEverywhere bool
 }
 
 func main() {
@@ -71,15 +73,24 @@
 	zones := app.Command("zone", "Close or open a zone.")
 	zoneClose := zones.Command("close", "Send nothing more to a zone's engines.")
 	zoneCloseName := zoneClose.Arg("zone", "The zone.").Required().String()
+	const baseHelp = "The closure epoch that this builds on; zone list shows it."
+	zoneCloseBase := zoneClose.Flag("base", baseHelp).Required().Uint64()
 	zoneOpen := zones.Command("open", "Open a zone again.")
 	zoneOpenName := zoneOpen.Arg("zone", "The zone.").Required().String()
+	zoneOpenBase := zoneOpen.Flag("base", baseHelp).Required().Uint64()
 	zoneList := zones.Command("list", "List what is closed.")
 
 	engine := app.Command("engine", "Drain an engine, or take it up again.")
 	engineDrain := engine.Command("drain", "Send nothing more to an engine.")
 	engineDrainID := engineDrain.Arg("engine", "The engine.").Required().String()
+	engineDrainBase := engineDrain.Flag("base", baseHelp).Required().Uint64()
 	engineResume := engine.Command("resume", "Send to an engine again.")
 	engineResumeID := engineResume.Arg("engine", "The engine.").Required().String()
+	engineResumeBase := engineResume.Flag("base", baseHelp).Required().Uint64()
+
+	daemon := app.Command("daemon", "Say what became of a daemon.")
+	daemonLost := daemon.Command("lost", "Declare that a silent daemon will never serve again, so that changes need not wait for it.")
+	daemonLostID := daemonLost.Arg("daemon", "Its full name with the mark of its life, as trace and status show it.").Required().String()
 
 	status := app.Command("status", "Show a daemon's own word on itself, its fellows and the engines.")
 	counters := app.Command("counters", "Show a daemon's counters.")
@@ -113,18 +124,21 @@
 		err = t.page(operatorapi.PathProposal+"?id="+url.QueryEscape(*showID), showProposal)
 	case zoneClose.FullCommand():
 		needsOperator()
-		err = t.post(operatorapi.PathZone, operatorapi.Zone{Zone: ident.ZoneID(*zoneCloseName), Closed: &yes, Operator: *operator})
+		err = t.post(operatorapi.PathZone, operatorapi.Zone{Zone: ident.ZoneID(*zoneCloseName), Closed: &yes, Base: epochOf(zoneCloseBase), Operator: *operator})
 	case zoneOpen.FullCommand():
 		needsOperator()
-		err = t.post(operatorapi.PathZone, operatorapi.Zone{Zone: ident.ZoneID(*zoneOpenName), Closed: &no, Operator: *operator})
+		err = t.post(operatorapi.PathZone, operatorapi.Zone{Zone: ident.ZoneID(*zoneOpenName), Closed: &no, Base: epochOf(zoneOpenBase), Operator: *operator})
 	case zoneList.FullCommand():
 		err = t.page(operatorapi.PathClosures, showIndented)
 	case engineDrain.FullCommand():
 		needsOperator()
-		err = t.post(operatorapi.PathDrain, operatorapi.Drain{Engine: ident.EngineID(*engineDrainID), Draining: &yes, Operator: *operator})
+		err = t.post(operatorapi.PathDrain, operatorapi.Drain{Engine: ident.EngineID(*engineDrainID), Draining: &yes, Base: epochOf(engineDrainBase), Operator: *operator})
 	case engineResume.FullCommand():
 		needsOperator()
-		err = t.post(operatorapi.PathDrain, operatorapi.Drain{Engine: ident.EngineID(*engineResumeID), Draining: &no, Operator: *operator})
+		err = t.post(operatorapi.PathDrain, operatorapi.Drain{Engine: ident.EngineID(*engineResumeID), Draining: &no, Base: epochOf(engineResumeBase), Operator: *operator})
+	case daemonLost.FullCommand():
+		needsOperator()
+		err = t.post(operatorapi.PathLost, operatorapi.Lost{Daemon: ident.NodeID(*daemonLostID), Operator: *operator})
 	case status.FullCommand():
 		err = t.page(operatorapi.PathStatus, t.showStatus)
 	case counters.FullCommand():
@@ -139,6 +153,17 @@
 		fmt.Fprintln(os.Stderr, "cresspond: "+err.Error())
 		os.Exit(1)
 	}
+	if t.notEverywhere {
+		os.Exit(exitNotEverywhere)
+	}
+}
+
+// exitNotEverywhere says that a change is committed, and not yet in force at all daemons that may be serving.
+const exitNotEverywhere = 3
+
+func epochOf(number *uint64) *ident.Epoch {
+	epoch := ident.Epoch(*number)
+	return &epoch
 }
 
 // ask goes from daemon to daemon until one gives an outcome; all acts may be asked again.
@@ -161,7 +186,8 @@
 			last = fmt.Errorf("%s broke off its answer: %w", daemon, err)
 			continue
 		}
-		if response.StatusCode == http.StatusOK {
+		if response.StatusCode == http.StatusOK || response.StatusCode == http.StatusAccepted {
+			t.notEverywhere = response.StatusCode == http.StatusAccepted
 			return data, nil
 		}
 		last = explain(daemon, response.StatusCode, data)
@@ -185,9 +211,12 @@
 		fmt.Fprintf(&out, " (%s)", word.Field)
 	}
 	if word.Winner != "" {
-		fmt.Fprintf(&out, "; proposal %s won", word.Winner)
+		fmt.Fprintf(&out, "; %s won", word.Winner)
 	}
-	if word.Epoch > 0 {
+	if word.Closures != nil {
+		fmt.Fprintf(&out, "; closures are at epoch %d", word.Closures.Epoch)
+	}
+	if word.Epoch > 0 && word.Closures == nil {
 		fmt.Fprintf(&out, "; epoch %d is in force", word.Epoch)
 	}
 	for _, fault := range word.Faults {
@@ -268,11 +297,15 @@
 	if answer.Closures != nil {
 		fmt.Printf("closures are at epoch %d: %d zones closed, %d engines draining\n", answer.Closures.Epoch, len(answer.Closures.Zones), len(answer.Closures.Engines))
 	}
-	if len(answer.InForceAt) > 0 {
-		fmt.Printf("in force at %d daemons\n", len(answer.InForceAt))
-	}
-	for _, node := range answer.Missing {
-		fmt.Printf("not yet in force at %s\n", node)
+	switch {
+	case answer.Acknowledged:
+		fmt.Printf("acknowledged: in force at all %d daemons\n", len(answer.InForceAt))
+	case len(answer.Missing) > 0:
+		fmt.Printf("committed, and NOT yet in force everywhere: at %d daemons, lacking at\n", len(answer.InForceAt))
+		for _, node := range answer.Missing {
+			fmt.Printf("  %s\n", node)
+		}
+		fmt.Println("give the same command again to see whether it has got there; a daemon that is gone for good: daemon lost NAME")
 	}
 	return nil
 }
@@ -379,11 +412,20 @@
 			// A daemon that came later, or that went straight to a newer epoch, has no steps of its own for this one.
 			inForce = "holds it or a later one"
 		}
-		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%d ms ago\n", row.NodeID, row.Zone, step(row.LearnedMs), step(row.BuiltMs), inForce, row.HeardMsAgo)
+		heard := fmt.Sprintf("%d ms ago", row.HeardMsAgo)
+		if row.HeardMsAgo < 0 {
+			heard = "not for a minute or more"
+		}
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%s\n", row.NodeID, row.Zone, step(row.LearnedMs), step(row.BuiltMs), inForce, heard)
 	}
 	if err := out.Flush(); err != nil {
 		return err
 	}
+	if trace.Acknowledged {
+		fmt.Println("in force at every daemon that may be serving")
+	} else {
+		fmt.Println("NOT yet in force at every daemon that may be serving")
+	}
 	if first > 0 {
 		fmt.Printf("first learned at %s by that daemon's clock; %d daemons lack it\n", time.UnixMilli(first).UTC().Format(time.RFC3339Nano), missing)
 	}
--- a/connection/frontdoor/frontdoor.go
+++ b/connection/frontdoor/frontdoor.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"strconv"
 	"strings"
@@ -64,10 +65,11 @@
 	}
 	d.served.Add(1)
 	flight := dispatch.NewFlight(d.ctx, request, prompt)
+	flight.Arrived = d.clock.Elapsed()
 	if !d.actor.Let(flight) {
 		flight.Cancel()
 		d.served.Add(-1)
-		Fail(ctx, fasthttp.StatusServiceUnavailable, callerapi.Error{Outcome: callerapi.Refused, Reason: "this daemon is stopping", RetryAfterMs: 1000})
+		Fail(ctx, fasthttp.StatusServiceUnavailable, callerapi.Error{Outcome: callerapi.Unknown, Reason: "this daemon is stopping, and cannot tell whether another has this attempt", RetryAfterMs: 1000})
 		return
 	}
 	select {
@@ -98,7 +100,8 @@
 
 func (d *Door) invalid(ctx *fasthttp.RequestCtx, f fault) {
 	if f.status == fasthttp.StatusServiceUnavailable {
-		Fail(ctx, f.status, callerapi.Error{Outcome: callerapi.Refused, Reason: f.reason, RetryAfterMs: 1000})
+		// A daemon without a spec knows nothing of others, so it can promise nothing for them.
+		Fail(ctx, f.status, callerapi.Error{Outcome: callerapi.Unknown, Reason: f.reason, RetryAfterMs: 1000})
 		return
 	}
 	d.Invalid.Add(1)
@@ -192,11 +195,18 @@
 	}
 	return dispatch.Request{
 		Attempt: attempt, Route: g.Route, House: g.House, Worth: route.Worth, Rank: route.Rank, Model: g.Model, Adapter: g.Adapter,
-		Prefix: g.Prefix, Session: g.Session, Bytes: len(body), Deadline: d.clock.Elapsed() + clock.Mark(max(deadline, leastPortion)),
+		Prefix: g.Prefix, Session: g.Session, Bytes: len(body), Digest: digestOf(body), Deadline: d.clock.Elapsed() + clock.Mark(max(deadline, leastPortion)),
 		Repeatable: g.Repeatable, EndSession: g.EndSession, MostHeld: route.MostHeld,
 	}, g.Prompt, nil
 }
 
+// digestOf is a short mark of a body.
+func digestOf(body []byte) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write(body)
+	return hash.Sum64()
+}
+
 // plainName lets through what can stand in a header unchanged.
 func plainName(name string) bool {
 	if name == "" || len(name) > mostName {
--- /dev/null
+++ b/process/daemon/attempts.go
@@ -0,0 +1,303 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/cresspond/cresspond/process/attempts"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/membership"
+	"github.com/cresspond/cresspond/process/seats"
+	"github.com/cresspond/cresspond/request/dispatch"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+)
+
+const (
+	// sightWindow is how lately a daemon must have been heard to be in sight.
+	sightWindow = 3 * time.Second
+	// doubtSpan is how long one that fell silent, or has just begun, leaves doubt about what it knew.
+	doubtSpan = 8 * time.Second
+	// homeLimit bounds the wait for a home's answer.
+	homeLimit = 200 * time.Millisecond
+	// rememberAtOnce is how many attempts are handed over in one message.
+	rememberAtOnce = 1000
+	rehomeEvery    = 300 * time.Millisecond
+)
+
+// homes are the daemons to ask about an attempt.
+type homes struct {
+	// ask lists their addresses; knowers holds those that would know of an earlier claim, with each one's partner.
+	ask     []string
+	knowers map[string]string
+	// alone says that no other daemon is known.
+	alone bool
+	// fewInSight says that most routing daemons may be on the other side of a split.
+	fewInSight bool
+}
+
+// homesOf finds the homes of an attempt: those it has among the daemons in sight, and those it had
+// among all that were heard before the latest of them fell silent.
+func homesOf(attempt string, view *membership.View, now clock.Mark, self string) homes {
+	leaderSeen := view.HeardLeader > 0 && now.Since(view.HeardLeader) <= sightWindow
+	var current, before, stopping []string
+	routersSeen, routersKnown := 0, 0
+	for _, fellow := range view.Fellows {
+		silent := now.Since(fellow.Heard)
+		if !fellow.Ready {
+			// One that stops hands its memory on, and is asked while it is there.
+			if silent <= sightWindow {
+				stopping = append(stopping, fellow.Address)
+			}
+			continue
+		}
+		if silent <= sightWindow {
+			current = append(current, fellow.Address)
+		}
+		if silent <= sightWindow+doubtSpan {
+			before = append(before, fellow.Address)
+		}
+		if fellow.Serves(string(config.Route)) && (silent <= sightWindow+doubtSpan || !leaderSeen) {
+			routersKnown++
+			if silent <= sightWindow {
+				routersSeen++
+			}
+		}
+	}
+	if len(before) == 0 {
+		// Where all stop together, they are each other's homes to the last.
+		before, stopping = stopping, nil
+	}
+	h := homes{knowers: map[string]string{}, alone: len(before) <= 1 && len(stopping) == 0}
+	// Where the two halves of a split are equal, the one that sees the leader goes on.
+	h.fewInSight = 2*routersSeen < routersKnown || 2*routersSeen == routersKnown && !leaderSeen
+	key := "attempt " + attempt
+	add := func(from []string, knows bool) {
+		slices.Sort(from)
+		first, second := seats.Of(key, from)
+		for home, partner := range map[string]string{first: second, second: first} {
+			if home == "" {
+				continue
+			}
+			if !slices.Contains(h.ask, home) {
+				h.ask = append(h.ask, home)
+			}
+			if knows {
+				h.knowers[home] = partner
+			}
+		}
+	}
+	add(before, true)
+	add(current, false)
+	add(slices.Concat(before, stopping), false)
+	if !slices.Contains(h.ask, self) {
+		// What this daemon remembers itself costs nothing to ask.
+		h.ask = append(h.ask, self)
+	}
+	return h
+}
+
+// askHomes puts one question to all homes of an attempt at once, and weighs what they say.
+func (d *Daemon) askHomes(ask attempts.Ask) attempts.Verdict {
+	self := d.config.ReachedAt()
+	h := homesOf(ask.Attempt, d.members.View(), d.clock.Elapsed(), self)
+	type said struct {
+		home  string
+		reply *fellowapi.AttemptReply
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), homeLimit)
+	defer cancel()
+	answers := make(chan said, len(h.ask))
+	for _, home := range h.ask {
+		client := fellowapi.Fellow(d)
+		if home != self {
+			client = d.links.To(home)
+			d.counters.attemptCalls.Add(1)
+		}
+		request := &fellowapi.AttemptRequest{Attempt: ask.Attempt, Owner: ask.Owner, Digest: ask.Digest, AgeMs: ask.Age.Milliseconds(), Act: string(ask.Act), Partner: h.knowers[home]}
+		go func() {
+			reply, err := client.Attempt(ctx, request)
+			if err != nil {
+				reply = nil
+			}
+			answers <- said{home, reply}
+		}()
+	}
+	var heard attempts.Answers
+	for range h.ask {
+		answer := <-answers
+		if answer.reply == nil {
+			continue
+		}
+		heard.Words = append(heard.Words, attempts.Word(answer.reply.Word))
+		_, knows := h.knowers[answer.home]
+		heard.Knew = heard.Knew || knows && !answer.reply.Fresh
+		// A daemon that may be cut off must not be the only one that knows.
+		heard.Written = heard.Written || answer.home != self || h.alone
+	}
+	heard.Knew = heard.Knew && !h.fewInSight
+	verdict := attempts.Weigh(heard)
+	if verdict == attempts.Doubt {
+		d.counters.attemptDoubts.Add(1)
+	}
+	return verdict
+}
+
+// askFor makes the question about one record of this daemon.
+func (d *Daemon) askFor(act attempts.Act, id dispatch.RecordID, request dispatch.Request, arrived clock.Mark) attempts.Ask {
+	return attempts.Ask{Attempt: request.Attempt, Owner: string(d.nodeID) + "/" + strconv.FormatUint(uint64(id), 10),
+		Digest: request.Digest, Age: d.clock.Elapsed().Since(arrived), Act: act}
+}
+
+// Refuse makes sure, before a caller is told that its work never runs, that no other daemon has sent it
+// or will: the word that may be given comes back.
+func (r routing) Refuse(flight *dispatch.Flight, wanted dispatch.Verdict) dispatch.Verdict {
+	switch r.askHomes(r.askFor(attempts.Refuse, flight.ID, flight.Request, flight.Arrived)) {
+	case attempts.Replay, attempts.Other:
+		return dispatch.Verdict{Kind: dispatch.Replay, Status: 409, Reason: "this attempt id was taken by another daemon and is not run again"}
+	case attempts.Doubt:
+		return dispatch.Verdict{Kind: dispatch.Unknown, Status: wanted.Status, Reason: wanted.Reason + "; whether another daemon has this attempt cannot be told now", ComeBack: max(wanted.ComeBack, time.Second)}
+	}
+	return wanted
+}
+
+// young says whether this life may lack attempts of the one before. Where it saw the group before any
+// bundle was in force, nothing can have run that it does not know of.
+func (d *Daemon) young() bool {
+	view := d.members.View()
+	return !view.BeforeAll && d.clock.Elapsed().Since(view.Started) < doubtSpan
+}
+
+// Attempt answers for the attempts whose home this daemon is.
+func (d *Daemon) Attempt(_ context.Context, in *fellowapi.AttemptRequest) (*fellowapi.AttemptReply, error) {
+	act := attempts.Act(in.Act)
+	if in.Attempt == "" || in.Owner == "" || act != attempts.Claim && act != attempts.Refuse && act != attempts.Free {
+		d.counters.garbage.Add(1)
+		return nil, twirp.NewError(twirp.InvalidArgument, "this asks nothing about an attempt")
+	}
+	reply, young := &fellowapi.AttemptReply{}, d.young()
+	if !d.attempts.Do(func(now clock.Mark, memory *attempts.Memory) {
+		reply.Word = string(memory.Take(now, attempts.Ask{Attempt: in.Attempt, Owner: in.Owner, Digest: in.Digest,
+			Age: time.Duration(in.AgeMs) * time.Millisecond, Act: act}))
+		reply.Fresh = young && !memory.Whole(in.Partner)
+	}) {
+		return nil, twirp.NewError(twirp.Unavailable, "this daemon is stopping")
+	}
+	return reply, nil
+}
+
+// Remember takes attempts over from another home.
+func (d *Daemon) Remember(_ context.Context, in *fellowapi.Attempts) (*fellowapi.Nothing, error) {
+	d.attempts.Do(func(now clock.Mark, memory *attempts.Memory) {
+		for _, one := range in.Attempts {
+			memory.Learn(now, one.Attempt, attempts.Entry{Owner: one.Owner, Digest: one.Digest, Refused: one.Refused,
+				At: now - clock.Mark(time.Duration(one.AgeMs)*time.Millisecond)})
+		}
+		if in.From != "" && in.Whole {
+			memory.LearnWhole(in.From)
+		}
+	})
+	return &fellowapi.Nothing{}, nil
+}
+
+// runRehoming hands attempts to the homes they come to have as daemons come and go.
+func (d *Daemon) runRehoming(ctx context.Context) {
+	ticker := time.NewTicker(rehomeEvery)
+	defer ticker.Stop()
+	before := map[string]ident.NodeID{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := d.homeLives()
+		d.rehome(ctx, before, now)
+		before = now
+	}
+}
+
+// homeLives lists the daemons in sight that can be homes, by address.
+func (d *Daemon) homeLives() map[string]ident.NodeID {
+	out := map[string]ident.NodeID{}
+	for _, fellow := range d.members.View().InContact(d.clock.Elapsed(), sightWindow) {
+		if fellow.Ready {
+			out[fellow.Address] = fellow.NodeID
+		}
+	}
+	return out
+}
+
+func addressesOf(lives map[string]ident.NodeID) []string {
+	out := make([]string, 0, len(lives))
+	for address := range lives {
+		out = append(out, address)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// handOver gives all that is remembered here to the homes it has without this daemon.
+func (d *Daemon) handOver(ctx context.Context) {
+	after := d.homeLives()
+	before := maps.Clone(after)
+	before[d.config.ReachedAt()] = d.nodeID
+	delete(after, d.config.ReachedAt())
+	d.rehome(ctx, before, after)
+}
+
+// rehome tells each home that an attempt has now, and did not have before in the same life.
+func (d *Daemon) rehome(ctx context.Context, before, after map[string]ident.NodeID) {
+	same := len(before) == len(after)
+	for address, life := range after {
+		same = same && before[address] == life
+	}
+	if same {
+		return
+	}
+	d.rehomeSeats(ctx, before, after)
+	oldAddresses, newAddresses := addressesOf(before), addressesOf(after)
+	batches, wholes := map[string][]*fellowapi.AttemptMemory{}, map[string]bool{}
+	young, self := d.young(), d.config.ReachedAt()
+	d.attempts.Do(func(now clock.Mark, memory *attempts.Memory) {
+		memory.Each(func(attempt string, entry attempts.Entry) {
+			for _, home := range newcomers("attempt "+attempt, before, after, oldAddresses, newAddresses) {
+				if home == self {
+					continue
+				}
+				batches[home] = append(batches[home], &fellowapi.AttemptMemory{Attempt: attempt, Owner: entry.Owner, Digest: entry.Digest,
+					AgeMs: now.Since(entry.At).Milliseconds(), Refused: entry.Refused})
+			}
+		})
+		for address, life := range after {
+			// A life that follows another is told whether this is all that it shares with this daemon.
+			if before[address] != life && address != self {
+				wholes[address] = !young || memory.Whole(address)
+				batches[address] = append(batches[address], nil...)
+			}
+		}
+	})
+	for home, batch := range batches {
+		told := true
+		for part := range slices.Chunk(batch, rememberAtOnce) {
+			bounded, cancel := context.WithTimeout(ctx, time.Second)
+			// A home that misses this is not the only one that knows.
+			_, err := d.links.To(home).Remember(bounded, &fellowapi.Attempts{Attempts: part})
+			cancel()
+			told = told && err == nil
+			d.counters.attemptsMoved.Add(uint64(len(part)))
+		}
+		if told && wholes[home] {
+			bounded, cancel := context.WithTimeout(ctx, time.Second)
+			// One that misses this counts as young for some seconds more.
+			_, _ = d.links.To(home).Remember(bounded, &fellowapi.Attempts{From: self, Whole: true})
+			cancel()
+		}
+	}
+}
--- /dev/null
+++ b/process/daemon/attempts_test.go
@@ -0,0 +1,130 @@
+package daemon
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/membership"
+)
+
+const minute = clock.Mark(time.Minute)
+
+// fleetOf is a view of routing daemons, all heard just now by one that sees the leader.
+func fleetOf(size int) *membership.View {
+	view := &membership.View{Fellows: map[ident.NodeID]membership.Fellow{}, HeardLeader: minute}
+	for i := range size {
+		id := ident.NodeID(fmt.Sprintf("d%d#1", i))
+		view.Fellows[id] = membership.Fellow{NodeID: id, Address: fmt.Sprintf("10.0.0.%d:1", i), Serve: []string{"route"}, Heard: minute, Ready: true}
+	}
+	return view
+}
+
+// TestWhoAsksLaterMeetsWhoWroteOrDoubts: one daemon writes an attempt down at its homes, then some daemons
+// die, stop or come, and another asks. It must ask a living home that was written to, or have none that counts as knowing.
+func TestWhoAsksLaterMeetsWhoWroteOrDoubts(t *testing.T) {
+	met, doubted := 0, 0
+	run := func(seed uint64, silentFor time.Duration) (unsafe bool) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		view := fleetOf(2 + random.IntN(10))
+		attempt := fmt.Sprint("attempt-", seed)
+		written := homesOf(attempt, view, minute, "10.0.0.0:1").ask
+		dead := map[string]bool{}
+		ids := make([]ident.NodeID, 0, len(view.Fellows))
+		for id := range view.Fellows {
+			ids = append(ids, id)
+		}
+		slices.Sort(ids)
+		now := minute + clock.Mark(silentFor)
+		for _, id := range ids {
+			fellow := view.Fellows[id]
+			fellow.Heard = now
+			switch random.IntN(4) {
+			case 0:
+				if id != "d1#1" {
+					fellow.Heard = minute
+					dead[fellow.Address] = true
+				}
+			case 1:
+				fellow.Ready = random.IntN(3) > 0
+			}
+			view.Fellows[id] = fellow
+		}
+		for i := range random.IntN(3) {
+			id := ident.NodeID(fmt.Sprintf("new%d#1", i))
+			view.Fellows[id] = membership.Fellow{NodeID: id, Address: fmt.Sprintf("10.0.1.%d:1", i), Serve: []string{"route"}, Heard: now, Ready: true}
+		}
+		view.HeardLeader = now
+		later := homesOf(attempt, view, now, "10.0.0.1:1")
+		knows, meets := false, false
+		for _, home := range later.ask {
+			if dead[home] {
+				continue
+			}
+			fresh := home[:6] == "10.0.1"
+			_, knower := later.knowers[home]
+			knows = knows || knower && !fresh
+			meets = meets || slices.Contains(written, home)
+		}
+		if meets {
+			met++
+		} else if !knows {
+			doubted++
+		}
+		return knows && !meets
+	}
+	for seed := range uint64(20_000) {
+		if run(seed, time.Second) || run(seed, 5*time.Second) {
+			t.Fatalf("seed %d: a home that was never told counts as knowing", seed)
+		}
+	}
+	if met == 0 || doubted == 0 {
+		t.Fatalf("met %d, doubted %d: the histories are too tame", met, doubted)
+	}
+	// The broken variant forgets those who fell silent at once: that must show.
+	caught := false
+	for seed := range uint64(20_000) {
+		caught = caught || run(seed, sightWindow+doubtSpan+time.Second)
+	}
+	if !caught {
+		t.Error("forgetting the silent at once was not caught")
+	}
+}
+
+func TestOnlyOneSideOfASplitTakesWhatMayNotRunTwice(t *testing.T) {
+	for size := 2; size <= 11; size++ {
+		for there := 0; there <= size; there++ {
+			for _, leaderHere := range []bool{true, false} {
+				// Each side hears its own daemons now, and heard the others two seconds before the sight window's end.
+				now := minute + clock.Mark(sightWindow+2*time.Second)
+				side := func(from, to int, seesLeader bool) bool {
+					if from == to {
+						return false
+					}
+					view := fleetOf(size)
+					for i := from; i < to; i++ {
+						id := ident.NodeID(fmt.Sprintf("d%d#1", i))
+						fellow := view.Fellows[id]
+						fellow.Heard = now
+						view.Fellows[id] = fellow
+					}
+					if seesLeader {
+						view.HeardLeader = now
+					}
+					return !homesOf("x", view, now, fmt.Sprintf("10.0.0.%d:1", from)).fewInSight
+				}
+				here, other := side(0, there, leaderHere), side(there, size, !leaderHere)
+				if here && other {
+					t.Errorf("%d daemons split at %d: both sides go on", size, there)
+				}
+				if !here && !other {
+					t.Errorf("%d daemons split at %d, leader here %t: neither side goes on", size, there, leaderHere)
+				}
+			}
+		}
+	}
+}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/cresspond/cresspond/connection/frontdoor"
 	"github.com/cresspond/cresspond/connection/operators"
 	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/process/attempts"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/engines"
@@ -64,6 +65,7 @@
 	placer    *placement.Actor
 	home      *seats.Home
 	slots     *permits.Keeper
+	attempts  *attempts.Home
 	permitIDs atomic.Uint64
 
 	replicaConfig replica.Config
@@ -73,7 +75,9 @@
 	adopted       chan ident.GroupID
 	forming       atomic.Bool
 	draining      atomic.Bool
-	broken        chan error
+	// enlistedAt is when the group wrote this life down as one that may be serving; zero before.
+	enlistedAt atomic.Int64
+	broken     chan error
 
 	fleetMutex sync.Mutex
 	fleetWants map[ident.NodeID]fleetWant
@@ -94,7 +98,7 @@
 type counters struct {
 	foreignGroup, garbage, held, acquired, renewed, tenureFailed atomic.Uint64
 	bytesOwnZone, bytesOtherZone, junkEngines, lastLookStops     atomic.Uint64
-	permitsUnasked                                               atomic.Uint64
+	permitsUnasked, attemptCalls, attemptDoubts, attemptsMoved   atomic.Uint64
 }
 
 // Option sets one thing of a daemon.
@@ -152,12 +156,13 @@
 	defer callerListener.Close()
 
 	d.links = fellows.New(ctx, d.config.ReachedAt(), d.config.FellowListen)
-	d.keeper = rollout.New(d.clock.Wall, d.poke)
+	d.keeper = rollout.New(d.clock.Wall, d.swapped)
 	d.watcher = engines.New(d.clock, d.config.Platform, d.poke)
 	d.members = membership.New(d.clock, d, d.config.Seeds, d.config.ReachedAt())
 	d.dispatch = dispatch.NewActor(routing{d})
 	d.slots = permits.NewKeeper(d.yard)
 	d.placer = placement.NewActor(planning{d}, d.clock)
+	d.attempts = attempts.NewHome(d.clock)
 	streams, cutStreams := context.WithCancel(context.Background())
 	defer cutStreams()
 	d.door = frontdoor.New(streams, d.clock, d.keeper.Table, d.dispatch)
@@ -166,6 +171,8 @@
 	run := func(actor func(context.Context)) { go actor(ctx) }
 	run(d.keeper.Run)
 	run(d.members.Run)
+	run(d.attempts.Run)
+	run(d.runRehoming)
 	run(d.runTenancy)
 	if d.config.Serves(config.Route) {
 		run(d.dispatch.Run)
@@ -285,8 +292,9 @@
 		if !d.group.CompareAndSwap(known, &group) {
 			return d.Group() == group
 		}
-		// What the lost generation granted counts no more.
+		// What the lost generation granted counts no more, and the next may not know of this daemon.
 		d.generator.Drop()
+		d.enlistedAt.Store(0)
 		d.log.WithField("group", string(group)).Warn("the group was recovered; following its next generation")
 		if d.store != nil && d.remembers() {
 			d.broken <- eris.Errorf("this data folder belongs to group %s, which was recovered as %s; move the folder away, and the machine joins as a new member", *known, group)
@@ -413,19 +421,13 @@
 				identity = answer
 			}
 			out[place] = formation.Seed{Address: address, Answered: true, Member: raft.MemberID(identity.MemberId),
-				Name: nameOf(identity.NodeId), Group: ident.GroupID(identity.Group), ServesControl: identity.ServesControl}
+				Name: ident.NodeID(identity.NodeId).Name(), Group: ident.GroupID(identity.Group), ServesControl: identity.ServesControl}
 		}()
 	}
 	wait.Wait()
 	return out
 }
 
-// nameOf is the configured name within a node id.
-func nameOf(node string) string {
-	name, _, _ := strings.Cut(node, "#")
-	return name
-}
-
 // runJoin asks to be taken in until this member votes.
 func (d *Daemon) runJoin(ctx context.Context, made *replica.Replica, self raft.Member) {
 	ticker := time.NewTicker(time.Second)
@@ -457,6 +459,9 @@
 	for {
 		asked := d.clock.Elapsed()
 		worker, held := d.generator.Worker()
+		if !d.draining.Load() && d.enlistedAt.Load() == 0 {
+			d.enlist(ctx)
+		}
 		switch {
 		case d.draining.Load():
 		case !held:
@@ -489,6 +494,39 @@
 	}
 }
 
+// enlist has the group write down that this life may be serving, so that no change counts as in force
+// everywhere without it.
+func (d *Daemon) enlist(ctx context.Context) {
+	answer, ok := d.submitOnce(ctx, statemachine.Command{Op: statemachine.OpEnlist, NodeID: d.nodeID, Address: d.config.ReachedAt()})
+	switch {
+	case ok && answer.Verdict == statemachine.Done:
+		d.enlistedAt.Store(int64(d.clock.Elapsed()))
+	case ok && answer.Verdict == statemachine.Forbidden:
+		d.stepAside(eris.New(answer.Reason))
+	}
+}
+
+// EnlistedAt is when the group wrote this life down; zero before.
+func (d *Daemon) EnlistedAt() clock.Mark { return clock.Mark(d.enlistedAt.Load()) }
+
+// stepAside ends the daemon, once.
+func (d *Daemon) stepAside(why error) {
+	select {
+	case d.broken <- why:
+	default:
+	}
+}
+
+// swapped is called after each change that is in force here.
+func (d *Daemon) swapped() {
+	if t := d.keeper.Table(); t != nil {
+		if mark, lost := t.Closures.Lost[d.nodeID]; lost {
+			d.stepAside(eris.Errorf("this daemon was declared lost by %s, and so must not serve; start it again", mark.Operator))
+		}
+	}
+	d.poke()
+}
+
 // drain stops taking new work, finishes what was read, hands over and lets go.
 func (d *Daemon) drain(server *fasthttp.Server, hurry <-chan struct{}) {
 	limit, cancel := context.WithTimeout(context.Background(), time.Duration(d.config.DrainMs)*time.Millisecond)
@@ -521,12 +559,12 @@
 	if err := server.ShutdownWithContext(limit); err != nil {
 		d.log.WithField("open", d.door.Open()).Warn("stopped before all answers were written")
 	}
-	d.handSeatsOver(limit)
+	d.handOver(limit)
 	bounded, done := context.WithTimeout(context.Background(), 2*time.Second)
 	defer done()
-	if worker, last, held := d.generator.Drop(); held {
-		d.submit(bounded, statemachine.Command{Op: statemachine.OpRelease, NodeID: d.nodeID, WorkerID: worker, Last: last})
-	}
+	// Without a tenure too, the group hears that this life serves no more.
+	worker, last, _ := d.generator.Drop()
+	d.submit(bounded, statemachine.Command{Op: statemachine.OpRelease, NodeID: d.nodeID, WorkerID: worker, Last: last})
 	d.log.Info("stopped")
 }
 
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -21,6 +22,9 @@
 	"github.com/cresspond/cresspond/wire/operatorapi"
 )
 
+// lostAfter is how long a daemon must have been silent before it may be declared lost.
+const lostAfter = 10 * time.Second
+
 // reachLimit is how long an acknowledgement waits for daemons in contact.
 const reachLimit = 1800 * time.Millisecond
 
@@ -143,6 +147,21 @@
 	return held != nil && held.Condition().Leads
 }
 
+// FirstRollAgo is, where this daemon leads, how long any bundle has been in force: negative while none
+// was, and zero where this daemon can't tell.
+func (d *Daemon) FirstRollAgo() time.Duration {
+	held := d.replica.Load()
+	if held == nil {
+		return 0
+	}
+	condition := held.Condition()
+	// A recovered group may have lost its first bundles, so it can't tell when the first came.
+	if !condition.Leads || condition.Group.Recovered() {
+		return 0
+	}
+	return condition.FirstRollAgo
+}
+
 // Plans says whether this daemon plans.
 func (d *Daemon) Plans() bool { return d.config.Serves(config.Place) && d.placer.Condition().Held }
 
@@ -150,7 +169,7 @@
 var ops = map[statemachine.Op]bool{
 	statemachine.OpAcquire: true, statemachine.OpRenew: true, statemachine.OpRelease: true,
 	statemachine.OpPropose: true, statemachine.OpReview: true, statemachine.OpSign: true, statemachine.OpRoll: true,
-	statemachine.OpClosure: true, statemachine.OpClaim: true, statemachine.OpDropClaim: true,
+	statemachine.OpClosure: true, statemachine.OpEnlist: true, statemachine.OpLost: true, statemachine.OpClaim: true, statemachine.OpDropClaim: true,
 }
 
 // Submit takes a command, if this daemon leads.
@@ -192,6 +211,13 @@
 			return operatorapi.Answer{Result: statemachine.Result{Verdict: statemachine.Missing, Reason: "the bundle in force has no such zone or engine"}}, replica.Applied
 		}
 	}
+	if fellow, known := d.members.View().Fellows[command.Lost]; command.Op == statemachine.OpLost && known {
+		// One that speaks is not lost: it can be stopped as planned, and then needs no such word.
+		if ago := d.clock.Elapsed().Since(fellow.Heard); ago < lostAfter {
+			return operatorapi.Answer{Result: statemachine.Result{Verdict: statemachine.Conflict,
+				Reason: fmt.Sprintf("%s was heard %d ms ago; stop it instead", command.Lost, ago.Milliseconds())}}, replica.Applied
+		}
+	}
 	began := d.clock.Elapsed()
 	got := held.Submit(ctx, command)
 	answer := operatorapi.Answer{Result: got.Result}
@@ -202,14 +228,15 @@
 	switch command.Op {
 	case statemachine.OpRoll:
 		specEpoch = got.Result.Proposal.Epoch
-	case statemachine.OpClosure:
+	case statemachine.OpClosure, statemachine.OpLost:
 		closureEpoch = got.Result.Closures.Epoch
 	default:
 		return answer, got.Outcome
 	}
-	// Acknowledged means: on a majority's disks, and in force at every daemon in contact.
-	reach := d.members.AwaitReach(ctx, specEpoch, closureEpoch, reachLimit-d.clock.Elapsed().Since(began))
-	answer.InForceAt, answer.Missing = reach.Have, reach.Lack
+	// Acknowledged means: on a majority's disks, and in force at every daemon that may be serving.
+	reach := d.members.AwaitReach(ctx, specEpoch, closureEpoch, reachLimit-d.clock.Elapsed().Since(began),
+		func() []ident.NodeID { return held.Condition().Serving })
+	answer.InForceAt, answer.Missing, answer.Acknowledged = reach.Have, reach.Lack, reach.All
 	return answer, got.Outcome
 }
 
@@ -286,6 +313,13 @@
 	return result, outcome
 }
 
+// newest is what a trace needs of the state.
+type newest struct {
+	Spec    uint64         `json:"spec"`
+	Closure uint64         `json:"closure"`
+	Serving []ident.NodeID `json:"serving"`
+}
+
 func lookUp(state *statemachine.State, what, key string) []byte {
 	encode := func(value any) []byte {
 		data, err := json.Marshal(value)
@@ -321,7 +355,7 @@
 	case "closures":
 		return encode(state.Closures)
 	case "trace":
-		return encode(map[string]uint64{"spec": uint64(state.Epoch()), "closure": uint64(state.Closures.Epoch)})
+		return encode(newest{Spec: uint64(state.Epoch()), Closure: uint64(state.Closures.Epoch), Serving: state.ServingNow()})
 	}
 	return nil
 }
@@ -400,7 +434,7 @@
 	d.members.Served(in)
 	d.hearDraining(in.Draining)
 	now := d.clock.Elapsed()
-	reply := &fellowapi.PullReply{Group: string(d.Group()), NodeId: string(d.nodeID), LeaderAddress: d.leaderAddress(), IsLeader: d.Leads()}
+	reply := &fellowapi.PullReply{Group: string(d.Group()), NodeId: string(d.nodeID), LeaderAddress: d.leaderAddress(), IsLeader: d.Leads(), FirstRollMsAgo: d.FirstRollAgo().Milliseconds()}
 	if t := d.keeper.Table(); t != nil {
 		reply.SpecEpoch, reply.ClosureEpoch = uint64(t.Epoch), uint64(t.Closures.Epoch)
 		if in.SpecEpoch < uint64(t.Epoch) {
@@ -470,6 +504,11 @@
 		d.home.End(in.Session)
 		return &fellowapi.SeatReply{}, nil
 	}
+	if in.Engine == "" {
+		// Only asked for: nothing is claimed, nor does it count as used.
+		engine, used, found := d.home.Find(d.clock.Elapsed(), d.seatIdle(), in.Session)
+		return &fellowapi.SeatReply{Engine: string(engine), Found: found, UsedMsAgo: used.Milliseconds()}, nil
+	}
 	engine, found, fresh := d.home.Claim(d.clock.Elapsed(), d.seatIdle(), in.Session, ident.EngineID(in.Engine), ident.EngineID(in.Replaces))
 	return &fellowapi.SeatReply{Engine: string(engine), Found: found, Fresh: fresh}, nil
 }
--- a/process/daemon/pages.go
+++ b/process/daemon/pages.go
@@ -106,6 +106,9 @@
 		say("goes_again_denied", s.Denied)
 		say("goes_refused_by_engine", s.Counters.EngineRefusals)
 		say("goes_held_back", s.Counters.HeldBack)
+		say("attempt_calls", c.attemptCalls.Load())
+		say("attempt_doubts", c.attemptDoubts.Load())
+		say("attempts_moved", c.attemptsMoved.Load())
 		say("permits_unasked", c.permitsUnasked.Load())
 		say("goes_stopped_at_last_look", c.lastLookStops.Load())
 		say("bytes_own_zone", c.bytesOwnZone.Load())
@@ -126,18 +129,25 @@
 
 // trace gathers every daemon's steps for one change; state tells the newest epochs of the group.
 func (d *Daemon) trace(change string, state []byte) []byte {
-	var newest map[string]uint64
-	_ = json.Unmarshal(state, &newest)
+	var known newest
+	_ = json.Unmarshal(state, &known)
 	kind, number := "", uint64(0)
 	if before, after, found := strings.Cut(change, ":"); found {
 		kind = before
 		_, _ = fmt.Sscanf(after, "%d", &number)
 	}
-	out := operatorapi.Trace{Change: change, Rows: []operatorapi.TraceRow{}, Epoch: ident.Epoch(newest[kind])}
-	out.Known = number > 0 && number <= newest[kind]
+	epoch := known.Spec
+	if kind == "closure" {
+		epoch = known.Closure
+	}
+	out := operatorapi.Trace{Change: change, Rows: []operatorapi.TraceRow{}, Epoch: ident.Epoch(epoch), Known: number > 0 && number <= epoch}
 	now := d.clock.Elapsed()
+	unheard := known.Serving
 	for _, fellow := range d.members.View().InContact(now, time.Minute) {
 		row := operatorapi.TraceRow{NodeID: fellow.NodeID, Zone: fellow.Zone, HeardMsAgo: now.Since(fellow.Heard).Milliseconds()}
+		if at := slices.Index(unheard, fellow.NodeID); at >= 0 {
+			row.Serving, unheard = true, slices.Delete(unheard, at, at+1)
+		}
 		for _, step := range fellow.Steps {
 			if step.Change != change {
 				continue
@@ -158,6 +168,11 @@
 		row.Missing = uint64(held) < number
 		out.Rows = append(out.Rows, row)
 	}
+	for _, node := range unheard {
+		// It may be serving and has not been heard for long, so the change can't count as in force there.
+		out.Rows = append(out.Rows, operatorapi.TraceRow{NodeID: node, HeardMsAgo: -1, Missing: true, Serving: true})
+	}
+	out.Acknowledged = out.Known && !slices.ContainsFunc(out.Rows, func(row operatorapi.TraceRow) bool { return row.Serving && row.Missing })
 	data, err := json.Marshal(out)
 	if err != nil {
 		panic("broken invariant: a trace cannot be encoded: " + err.Error())
--- a/process/daemon/routing.go
+++ b/process/daemon/routing.go
@@ -10,6 +10,7 @@
 	"github.com/cresspond/cresspond/connection/enginelink"
 	"github.com/twitchtv/twirp"
 
+	"github.com/cresspond/cresspond/process/attempts"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/ident"
@@ -96,6 +97,11 @@
 	}
 	refused := false
 	defer func() { giveBack(refused) }()
+	// The homes are asked while the engine is dialled; the first byte waits for both.
+	claimed := make(chan attempts.Verdict, 1)
+	go func() { claimed <- d.askHomes(d.askFor(attempts.Claim, flight.ID, flight.Request, flight.Arrived)) }()
+	var claim attempts.Verdict
+	departed := false
 	left := send.Deadline.Since(d.clock.Elapsed())
 	began := false
 	result := enginelink.Carry(flight.Context(), enginelink.Go{
@@ -103,10 +109,14 @@
 		Work: engineapi.Generate{Model: flight.Request.Model, Adapter: flight.Request.Adapter, Prefix: flight.Request.Prefix,
 			Prompt: flight.Prompt, Session: flight.Request.Session, DeadlineMs: max(1, left.Milliseconds())},
 		MayLeave: func() string {
-			reason := d.lastLook(flight, send)
-			if reason != "" {
+			claim = <-claimed
+			reason := ""
+			if !mayGo(claim, flight.Request.Repeatable) {
+				reason = "this attempt may be another daemon's"
+			} else if reason = d.lastLook(flight, send); reason != "" {
 				d.counters.lastLookStops.Add(1)
 			}
+			departed = reason == ""
 			return reason
 		},
 		Piece: func(line []byte) bool {
@@ -118,6 +128,9 @@
 		},
 		FirstLimit: max(left, time.Millisecond), StallLimit: d.stallLimit, Limit: left + d.runOver,
 	})
+	if outcome, reason := d.afterClaim(flight, result.Outcome, claim, claimed, departed); outcome != result.Outcome {
+		return outcome, reason
+	}
 	bytes := uint64(result.Sent + result.Received)
 	if send.Zone == d.config.Zone {
 		d.counters.bytesOwnZone.Add(bytes)
@@ -150,6 +163,40 @@
 	return result.Outcome, result.Reason
 }
 
+// mayGo says whether a go may leave on what the homes said. Where they can't be asked, only the caller's
+// own word that the work may run twice lets it go.
+func mayGo(claim attempts.Verdict, repeatable bool) bool {
+	return claim == attempts.May || claim == attempts.Doubt && repeatable
+}
+
+// afterClaim frees the claim of a go that provably never ran, so that the same attempt may come again
+// anywhere, and says what becomes of one that the homes held back.
+func (d *Daemon) afterClaim(flight *dispatch.Flight, outcome dispatch.GoOutcome, claim attempts.Verdict, claimed <-chan attempts.Verdict, departed bool) (dispatch.GoOutcome, string) {
+	if departed && outcome != dispatch.EngineRefused {
+		return outcome, ""
+	}
+	if claim == "" {
+		// The engine could not even be dialled; the claim may be on its way still.
+		claim = <-claimed
+	}
+	if mayGo(claim, flight.Request.Repeatable) || claim == attempts.Doubt {
+		d.askHomes(d.askFor(attempts.Free, flight.ID, flight.Request, flight.Arrived))
+	}
+	switch claim {
+	case attempts.Replay:
+		return dispatch.KnownElsewhere, "this attempt id is known to another daemon and is not run again"
+	case attempts.Other:
+		return dispatch.KnownElsewhere, "this attempt id stands for another request"
+	case attempts.Refused:
+		return dispatch.RefusedElsewhere, "another daemon refused this attempt meanwhile"
+	case attempts.Doubt:
+		if !flight.Request.Repeatable {
+			return dispatch.Doubted, "whether this attempt has run through another daemon cannot be told now"
+		}
+	}
+	return outcome, ""
+}
+
 // fellowsFor lists, in order, the addresses of daemons heard within the window that fit and are not stopping.
 func (d *Daemon) fellowsFor(window time.Duration, fits func(membership.Fellow) bool) []string {
 	var addresses []string
@@ -265,21 +312,37 @@
 	return seats.Of(session, d.fellowsFor(3*time.Second, func(membership.Fellow) bool { return true }))
 }
 
-// handSeatsOver gives the seats whose home this daemon is to the homes they have without it.
-func (d *Daemon) handSeatsOver(ctx context.Context) {
+// rehomeSeats gives the seats whose home this daemon was to the homes that have come to be.
+func (d *Daemon) rehomeSeats(ctx context.Context, before, after map[string]ident.NodeID) {
+	self := d.config.ReachedAt()
+	oldAddresses, newAddresses := addressesOf(before), addressesOf(after)
+	unreached := map[string]bool{}
 	for session, engine := range d.home.All() {
-		if ctx.Err() != nil {
-			return
+		oldFirst, oldSecond := seats.Of(session, oldAddresses)
+		if ctx.Err() != nil || oldFirst != self && oldSecond != self {
+			continue
 		}
-		first, second := d.seatHomes(session)
-		for _, home := range []string{first, second} {
-			if home != d.config.ReachedAt() {
-				d.seatAt(home, &fellowapi.SeatRequest{Session: session, Engine: string(engine)})
+		for _, home := range newcomers(session, before, after, oldAddresses, newAddresses) {
+			if home != self && !unreached[home] {
+				unreached[home] = d.seatAt(home, &fellowapi.SeatRequest{Session: session, Engine: string(engine)}) == nil
 			}
 		}
 	}
 }
 
+// newcomers lists the homes that something has now, and did not have before in the same life.
+func newcomers(key string, before, after map[string]ident.NodeID, oldAddresses, newAddresses []string) []string {
+	oldFirst, oldSecond := seats.Of(key, oldAddresses)
+	newFirst, newSecond := seats.Of(key, newAddresses)
+	var out []string
+	for _, home := range []string{newFirst, newSecond} {
+		if home != "" && ((home != oldFirst && home != oldSecond) || before[home] != after[home]) {
+			out = append(out, home)
+		}
+	}
+	return out
+}
+
 // seatAt asks one home; nil means that it can't be reached.
 func (d *Daemon) seatAt(home string, request *fellowapi.SeatRequest) *fellowapi.SeatReply {
 	if home == "" {
@@ -301,9 +364,24 @@
 // routing is the daemon as the dispatch actor sees it.
 type routing struct{ *Daemon }
 
-// Seat asks a session's homes for its seat. The first decides; the second keeps a copy, and knows
-// better where the first is gone or has just come back with nothing.
+// Seat asks for a session's seat, and remembers it here too, so that it outlives its homes.
 func (r routing) Seat(ask dispatch.AskSeat) (ident.EngineID, bool) {
+	engine, found := r.seatOf(ask)
+	if found {
+		r.home.Note(r.clock.Elapsed(), ask.Session, engine)
+	}
+	return engine, found
+}
+
+// seatOf asks a session's homes. The first decides; the second keeps a copy, and knows better where the
+// first is gone or has just come back with nothing. Where neither knew of it, and daemons were lost
+// lately, all are asked.
+func (r routing) seatOf(ask dispatch.AskSeat) (ident.EngineID, bool) {
+	if ask.Engine != "" && ask.Replaces == "" && r.lostLately() {
+		if engine, known := r.askAllForSeat(ask.Session); known {
+			ask.Engine = engine
+		}
+	}
 	first, second := r.seatHomes(ask.Session)
 	request := &fellowapi.SeatRequest{Session: ask.Session, Model: ask.Model, Adapter: ask.Adapter, Engine: string(ask.Engine), Replaces: string(ask.Replaces)}
 	decided := r.seatAt(first, request)
@@ -324,6 +402,37 @@
 	return ident.EngineID(copied.Engine), copied.Found
 }
 
+// lostLately says whether daemons were lost or have begun anew so lately that seats may have gone with them.
+func (d *Daemon) lostLately() bool {
+	now := d.clock.Elapsed()
+	for _, fellow := range d.members.View().Fellows {
+		silent := now.Since(fellow.Heard)
+		if fellow.Ready && (silent > keeperWindow && silent <= sightWindow+doubtSpan || now.Since(fellow.Met) < doubtSpan) {
+			return true
+		}
+	}
+	return false
+}
+
+// askAllForSeat asks every daemon in sight for a session's seat; the one used last counts.
+func (d *Daemon) askAllForSeat(session string) (ident.EngineID, bool) {
+	asked := addressesOf(d.homeLives())
+	replies := make(chan *fellowapi.SeatReply, len(asked))
+	for _, address := range asked {
+		go func() { replies <- d.seatAt(address, &fellowapi.SeatRequest{Session: session}) }()
+	}
+	var newest *fellowapi.SeatReply
+	for range asked {
+		if reply := <-replies; reply != nil && reply.Found && (newest == nil || reply.UsedMsAgo < newest.UsedMsAgo) {
+			newest = reply
+		}
+	}
+	if newest == nil {
+		return "", false
+	}
+	return ident.EngineID(newest.Engine), true
+}
+
 // EndSeat tells a session's homes that it has ended.
 func (r routing) EndSeat(session string) {
 	first, second := r.seatHomes(session)
--- a/process/ident/ident.go
+++ b/process/ident/ident.go
@@ -10,6 +10,12 @@
 // NodeID names one life of a daemon: its configured name, a '#', and a random mark made at start.
 type NodeID string
 
+// Name is the daemon's configured name.
+func (n NodeID) Name() string {
+	name, _, _ := strings.Cut(string(n), "#")
+	return name
+}
+
 // WorkerID is the small number the group grants for minting ids.
 type WorkerID int64
 
@@ -45,6 +51,12 @@
 	return before != "" && root == beforeRoot && generation > beforeGeneration
 }
 
+// Recovered says whether this is a later generation than the first.
+func (g GroupID) Recovered() bool {
+	_, generation := g.parts()
+	return generation > 0
+}
+
 // Next names the generation after this one.
 func (g GroupID) Next() GroupID {
 	root, generation := g.parts()
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -22,19 +22,19 @@
 	// ContactWindow is how long a daemon counts as in contact after it was heard.
 	ContactWindow = 1500 * time.Millisecond
 	// aloneAfter is how long a daemon that hears nobody goes on calling itself ready.
-	aloneAfter = 2500 * time.Millisecond
-	// settleAfter is how long a fresh daemon looks for the leader before fellows alone suffice.
-	settleAfter = 2 * time.Second
+	aloneAfter  = 2500 * time.Millisecond
 	forgetAfter = 60 * time.Second
 )
 
 // Fellow is another daemon, or this one, as last heard.
 type Fellow struct {
-	NodeID       ident.NodeID
-	Address      string
-	Zone         ident.ZoneID
-	Serve        []string
-	Heard        clock.Mark
+	NodeID  ident.NodeID
+	Address string
+	Zone    ident.ZoneID
+	Serve   []string
+	Heard   clock.Mark
+	// Met is when this life was first heard of here, if that was after the view's own beginning.
+	Met          clock.Mark
 	SpecEpoch    ident.Epoch
 	ClosureEpoch ident.Epoch
 	Ready        bool
@@ -56,7 +56,9 @@
 	NewestSpec, NewestClosure ident.Epoch
 	// Settled says that this daemon has made sure that what it has is not old.
 	Settled bool
-	Started clock.Mark
+	// BeforeAll says that this life began before any bundle was in force, so nothing can have run before it.
+	BeforeAll bool
+	Started   clock.Mark
 }
 
 // InContact lists the fellows heard within the window.
@@ -91,6 +93,10 @@
 	PullFrom(ctx context.Context, address string, request *fellowapi.PullRequest) (*fellowapi.PullReply, error)
 	// Leads says whether this daemon leads the group.
 	Leads() bool
+	// FirstRollAgo is, where this daemon leads, how long any bundle has been in force; negative while none was, zero if it can't tell.
+	FirstRollAgo() time.Duration
+	// EnlistedAt is when the group wrote this life down as one that may be serving; zero before.
+	EnlistedAt() clock.Mark
 	// Plans says whether this daemon plans, and so must hear from all.
 	Plans() bool
 }
@@ -121,14 +127,16 @@
 	waiter struct {
 		spec, closure ident.Epoch
 		until         clock.Mark
-		window        time.Duration
+		serving       func() []ident.NodeID
 		done          chan Reach
 	}
 )
 
-// Reach says who has a change in force, and who was in contact and has not.
+// Reach says who has a change in force, and who may be serving or was in contact and has not. All
+// says that nobody lacked it.
 type Reach struct {
 	Have, Lack []ident.NodeID
+	All        bool
 }
 
 // New makes the actor; self is this daemon's own fellow address.
@@ -149,9 +157,10 @@
 // Served notes a fellow's pull.
 func (m *Membership) Served(request *fellowapi.PullRequest) { m.box.Offer(served{request}) }
 
-// AwaitReach waits until every daemon in contact has the epochs in force, or until within has passed.
-func (m *Membership) AwaitReach(ctx context.Context, spec, closure ident.Epoch, within time.Duration) Reach {
-	w := &waiter{spec: spec, closure: closure, until: m.clock.Elapsed() + clock.Mark(within), window: ContactWindow, done: make(chan Reach, 1)}
+// AwaitReach waits until every daemon that may be serving, and every one in contact, has the epochs in
+// force, or until within has passed.
+func (m *Membership) AwaitReach(ctx context.Context, spec, closure ident.Epoch, within time.Duration, serving func() []ident.NodeID) Reach {
+	w := &waiter{spec: spec, closure: closure, until: m.clock.Elapsed() + clock.Mark(within), serving: serving, done: make(chan Reach, 1)}
 	if !m.box.Send(w) {
 		return Reach{}
 	}
@@ -199,6 +208,10 @@
 	}
 	m.note(m.fleet.Describe())
 	m.update(func(next *View, now clock.Mark) {
+		// Out of the leader's sight nobody is forgotten: those who fell silent may be on the other side of a split.
+		if now.Since(next.HeardLeader) > ContactWindow {
+			return
+		}
 		for id, fellow := range next.Fellows {
 			if now.Since(fellow.Heard) > forgetAfter {
 				delete(next.Fellows, id)
@@ -221,6 +234,11 @@
 	m.tellWaiters()
 }
 
+// beforeAll says whether a life that has lasted so long began before the first bundle was in force.
+func beforeAll(firstRollAgo, lived time.Duration) bool {
+	return firstRollAgo < 0 || firstRollAgo > 0 && firstRollAgo < lived
+}
+
 // update is the one place where the view is replaced.
 func (m *Membership) update(change func(next *View, now clock.Mark)) {
 	now := m.clock.Elapsed()
@@ -234,12 +252,14 @@
 	ownSpec, ownClosure := m.fleet.InForce()
 	if m.fleet.Leads() {
 		next.LeaderAddress, next.HeardLeader, next.HeardAny = m.self, now, now
+		next.BeforeAll = next.BeforeAll || beforeAll(m.fleet.FirstRollAgo(), now.Since(next.Started))
 	}
 	if !next.Settled {
 		current := next.NewestSpec <= ownSpec && next.NewestClosure <= ownClosure && ownSpec > 0
-		fromLeader := next.HeardLeader > 0
-		fromFellows := next.HeardAny > 0 && now.Since(next.Started) > settleAfter
-		next.Settled = current && (fromLeader || fromFellows)
+		// Only the leader's word counts, and only from after the group knew that this life may be serving:
+		// what is acknowledged later waits for it, and what was acknowledged before the leader had.
+		enlisted := m.fleet.EnlistedAt()
+		next.Settled = current && enlisted > 0 && next.HeardLeader > enlisted
 	}
 	m.view.Store(&next)
 	m.tellWaiters()
@@ -253,16 +273,29 @@
 			Heard: now, SpecEpoch: ident.Epoch(request.SpecEpoch), ClosureEpoch: ident.Epoch(request.ClosureEpoch),
 			Ready: request.Ready, Steps: request.Steps,
 		}
-		// A new life at the same address puts an end to the old one.
-		for id, other := range next.Fellows {
-			if id != fellow.NodeID && other.Address == fellow.Address {
-				delete(next.Fellows, id)
-			}
-		}
-		next.Fellows[fellow.NodeID] = fellow
+		next.meet(fellow)
 	})
 }
 
+// meet takes a fellow into the view. Of two lives with one name or one address the one heard later is the one that lives.
+func (v *View) meet(fellow Fellow) {
+	for id, other := range v.Fellows {
+		if id == fellow.NodeID || other.Address != fellow.Address && id.Name() != fellow.NodeID.Name() {
+			continue
+		}
+		if other.Heard > fellow.Heard {
+			return
+		}
+		delete(v.Fellows, id)
+		// It follows another life, so what that one knew is gone.
+		fellow.Met = fellow.Heard
+	}
+	if known, again := v.Fellows[fellow.NodeID]; again {
+		fellow.Met = known.Met
+	}
+	v.Fellows[fellow.NodeID] = fellow
+}
+
 func (m *Membership) takeReply(e pulled) {
 	if e.err != nil {
 		m.Failed.Add(1)
@@ -281,6 +314,7 @@
 		}
 		if e.reply.IsLeader {
 			next.HeardLeader, next.LeaderAddress = max(next.HeardLeader, e.asked), e.address
+			next.BeforeAll = next.BeforeAll || beforeAll(time.Duration(e.reply.FirstRollMsAgo)*time.Millisecond, e.asked.Since(next.Started))
 		} else if e.reply.LeaderAddress != "" {
 			next.LeaderAddress = e.reply.LeaderAddress
 		}
@@ -292,10 +326,10 @@
 			if known, ok := next.Fellows[id]; ok && known.Heard >= heard || id == "" || heard < 0 {
 				continue
 			}
-			next.Fellows[id] = Fellow{
+			next.meet(Fellow{
 				NodeID: id, Address: contact.Address, Zone: ident.ZoneID(contact.Zone), Serve: contact.Serve, Heard: heard,
 				SpecEpoch: ident.Epoch(contact.SpecEpoch), ClosureEpoch: ident.Epoch(contact.ClosureEpoch), Ready: contact.Ready, Steps: contact.Steps,
-			}
+			})
 		}
 	})
 }
@@ -304,15 +338,23 @@
 	now := m.clock.Elapsed()
 	view := m.view.Load()
 	m.waiters = slices.DeleteFunc(m.waiters, func(w *waiter) bool {
+		asked := w.serving()
+		for _, fellow := range view.InContact(now, ContactWindow) {
+			if !slices.Contains(asked, fellow.NodeID) {
+				asked = append(slices.Clip(asked), fellow.NodeID)
+			}
+		}
 		var reach Reach
-		for _, fellow := range view.InContact(now, w.window) {
-			if fellow.SpecEpoch >= w.spec && fellow.ClosureEpoch >= w.closure {
-				reach.Have = append(reach.Have, fellow.NodeID)
+		for _, node := range asked {
+			// Epochs only rise, so an old word that it has them still holds.
+			if fellow, known := view.Fellows[node]; known && fellow.SpecEpoch >= w.spec && fellow.ClosureEpoch >= w.closure {
+				reach.Have = append(reach.Have, node)
 			} else {
-				reach.Lack = append(reach.Lack, fellow.NodeID)
+				reach.Lack = append(reach.Lack, node)
 			}
 		}
-		if len(reach.Lack) > 0 && now < w.until {
+		reach.All = len(reach.Lack) == 0
+		if !reach.All && now < w.until {
 			return false
 		}
 		w.done <- reach
--- a/process/replica/actor.go
+++ b/process/replica/actor.go
@@ -40,6 +40,10 @@
 	Commit  raft.Index
 	Stalled bool
 	Now     ident.GroupTime
+	// FirstRollAgo is how long any bundle has been in force by the state applied so far; negative while none was.
+	FirstRollAgo time.Duration
+	// Serving lists the daemons that may be serving, by the state applied so far.
+	Serving []ident.NodeID
 }
 
 // Replica is the actor around a core.
@@ -329,7 +333,7 @@
 	core := r.core.Raft()
 	condition := Condition{
 		Group: r.group, Role: core.Role(), Term: core.Term(), Leads: r.core.Leads(), Members: core.Membership(),
-		Commit: core.CommitIndex(), Stalled: r.stalled, Now: r.core.State().Now,
+		Commit: core.CommitIndex(), Stalled: r.stalled, Now: r.core.State().Now, FirstRollAgo: r.core.FirstRollAgo(r.clock.Elapsed()), Serving: r.core.State().ServingNow(),
 	}
 	condition.Leader, _ = condition.Members.Find(core.LeaderID())
 	r.condition.Store(&condition)
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -116,6 +116,15 @@
 	return c.state.Now.Add(now.Since(c.timeMark))
 }
 
+// FirstRollAgo is how long ago the first bundle came in force, in the group's time; negative when none has.
+func (c *Core) FirstRollAgo(now clock.Mark) time.Duration {
+	first, any := c.state.At(1)
+	if !any || first.Rolled == nil {
+		return -1
+	}
+	return max(time.Millisecond, time.Duration(c.groupNow(now)-first.Rolled.At)*time.Millisecond)
+}
+
 // Submit puts a command forward; the answer comes with its ref.
 func (c *Core) Submit(now clock.Mark, ref uint64, command statemachine.Command) Effects {
 	if !c.leads {
--- a/process/seats/seats.go
+++ b/process/seats/seats.go
@@ -54,6 +54,24 @@
 	return wished, true, true
 }
 
+// Note remembers a seat that its homes gave, so that it outlives them.
+func (h *Home) Note(now clock.Mark, session string, engine ident.EngineID) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if _, known := h.seats[session]; known || len(h.seats) < most {
+		h.seats[session] = seat{engine, now}
+	}
+}
+
+// Find gives a seat and when it was last used, and changes nothing.
+func (h *Home) Find(now clock.Mark, idle time.Duration, session string) (engine ident.EngineID, used time.Duration, found bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	held, known := h.seats[session]
+	used = now.Since(held.used)
+	return held.engine, used, known && used <= idle
+}
+
 // All lists the seats that are kept here.
 func (h *Home) All() map[string]ident.EngineID {
 	h.mutex.Lock()
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -3,7 +3,9 @@
 package statemachine
 
 import (
+	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -27,6 +29,10 @@
 	OpClosure   Op = "CLOSURE"
 	OpClaim     Op = "CLAIM"
 	OpDropClaim Op = "DROP-CLAIM"
+	// OpEnlist says that a life of a daemon is about to serve.
+	OpEnlist Op = "ENLIST"
+	// OpLost is an operator's word that a daemon will never serve again.
+	OpLost Op = "LOST"
 )
 
 // Command is the form of an entry in the log.
@@ -50,6 +56,11 @@
 	Zone   ident.ZoneID   `json:"zone,omitempty"`
 	Engine ident.EngineID `json:"engine,omitempty"`
 	Closed bool           `json:"closed,omitempty"`
+	// Based says that a closure names in Base the closure epoch it builds on; earlier builds did not.
+	Based bool `json:"based,omitempty"`
+	// Address is where a daemon that enlists is reached, Lost which one is declared lost.
+	Address string       `json:"address,omitempty"`
+	Lost    ident.NodeID `json:"lost,omitempty"`
 
 	// GapMs is the quiet time between one claim's end and the next claim, stamped by the leader.
 	GapMs int64 `json:"gapMs,omitempty"`
@@ -105,6 +116,29 @@
 	Epoch   ident.Epoch                    `json:"epoch"`
 	Zones   map[ident.ZoneID]ClosureMark   `json:"zones"`
 	Engines map[ident.EngineID]ClosureMark `json:"engines"`
+	// Lost lists the lives of daemons that an operator declared lost: one that hears of itself here stops.
+	Lost map[ident.NodeID]ClosureMark `json:"lost,omitempty"`
+}
+
+// ClosureAct is one closure or opening, so that one sent again finds itself.
+type ClosureAct struct {
+	Epoch    ident.Epoch    `json:"epoch"`
+	Operator string         `json:"operator"`
+	Zone     ident.ZoneID   `json:"zone,omitempty"`
+	Engine   ident.EngineID `json:"engine,omitempty"`
+	Closed   bool           `json:"closed"`
+}
+
+// mostActs is how many closures and openings are remembered, mostLost how many lost daemons.
+const (
+	mostActs = 64
+	mostLost = 64
+)
+
+// Serving is one life of a daemon that may be serving.
+type Serving struct {
+	Address string          `json:"address"`
+	Since   ident.GroupTime `json:"since"`
 }
 
 // ClosureMark says who closed what, and when.
@@ -144,7 +178,12 @@
 	// History lists the proposals in force, by epoch, from 1.
 	History  []string `json:"history"`
 	Closures Closures `json:"closures"`
-	Claim    Claim    `json:"claim"`
+	// Acts lists the newest closures and openings.
+	Acts  []ClosureAct `json:"acts,omitempty"`
+	Claim Claim        `json:"claim"`
+	// Serving holds every daemon that may be serving: it has enlisted, and has neither stopped as planned,
+	// nor been followed by another life of its name, nor been declared lost.
+	Serving map[ident.NodeID]Serving `json:"serving,omitempty"`
 }
 
 // New makes the state before the first entry.
@@ -153,6 +192,7 @@
 		Workers:   workerid.New(),
 		Proposals: map[string]*Proposal{},
 		Closures:  Closures{Zones: map[ident.ZoneID]ClosureMark{}, Engines: map[ident.EngineID]ClosureMark{}},
+		Serving:   map[ident.NodeID]Serving{},
 	}
 }
 
@@ -213,6 +253,8 @@
 	case OpRenew:
 		return grantResult(s.Workers.Renew(c.NodeID, c.WorkerID, s.Now, span))
 	case OpRelease:
+		// Whoever lets go of its worker id has stopped serving.
+		delete(s.Serving, c.NodeID)
 		if s.Workers.Release(c.NodeID, c.WorkerID, c.Last) == workerid.Mismatch {
 			return Result{Verdict: Mismatch}
 		}
@@ -228,6 +270,10 @@
 		return s.roll(c)
 	case OpClosure:
 		return s.close(c)
+	case OpEnlist:
+		return s.enlist(c)
+	case OpLost:
+		return s.lose(c)
 	case OpClaim:
 		return s.claim(c)
 	case OpDropClaim:
@@ -348,6 +394,9 @@
 }
 
 func (s *State) close(c Command) Result {
+	if c.Based && c.Base != s.Closures.Epoch {
+		return s.closureLost(c)
+	}
 	mark := ClosureMark{Operator: c.Operator, At: s.Now, Epoch: s.Closures.Epoch + 1}
 	next := s.Closures.Clone()
 	changed := false
@@ -361,11 +410,75 @@
 	if changed {
 		next.Epoch++
 		s.Closures = next
+		s.Acts = append(s.Acts, ClosureAct{Epoch: next.Epoch, Operator: c.Operator, Zone: c.Zone, Engine: c.Engine, Closed: c.Closed})
+		s.Acts = s.Acts[max(0, len(s.Acts)-mostActs):]
 	}
+	return s.closuresNow()
+}
+
+func (s *State) closuresNow() Result {
 	out := s.Closures.Clone()
 	return Result{Verdict: Done, Closures: &out}
 }
 
+// closureLost answers a closure whose base is not the closures in force: it may be one that was asked
+// for already and lost its answer, else another operator was first.
+func (s *State) closureLost(c Command) Result {
+	result := s.closuresNow()
+	for _, act := range s.Acts {
+		if act.Epoch != c.Base+1 {
+			continue
+		}
+		if act == (ClosureAct{Epoch: act.Epoch, Operator: c.Operator, Zone: c.Zone, Engine: c.Engine, Closed: c.Closed}) {
+			return result
+		}
+		result.Winner = act.Operator
+	}
+	result.Verdict, result.Reason = Conflict, "the base is not the closure epoch in force"
+	return result
+}
+
+// enlist notes a life that is about to serve. An earlier one of its name is over, since a name runs once.
+func (s *State) enlist(c Command) Result {
+	if _, lost := s.Closures.Lost[c.NodeID]; lost {
+		return Result{Verdict: Forbidden, Reason: "this daemon was declared lost"}
+	}
+	for other := range s.Serving {
+		if other != c.NodeID && other.Name() == c.NodeID.Name() {
+			delete(s.Serving, other)
+		}
+	}
+	if _, known := s.Serving[c.NodeID]; !known {
+		s.Serving[c.NodeID] = Serving{Address: c.Address, Since: s.Now}
+	}
+	return Result{Verdict: Done}
+}
+
+// lose takes an operator's word that a daemon will never serve again.
+func (s *State) lose(c Command) Result {
+	if _, already := s.Closures.Lost[c.Lost]; already {
+		return s.closuresNow()
+	}
+	if _, serving := s.Serving[c.Lost]; !serving {
+		return Result{Verdict: Missing, Reason: "no such daemon may be serving"}
+	}
+	delete(s.Serving, c.Lost)
+	next := s.Closures.Clone()
+	next.Epoch++
+	next.Lost[c.Lost] = ClosureMark{Operator: c.Operator, At: s.Now, Epoch: next.Epoch}
+	for len(next.Lost) > mostLost {
+		oldest := slices.MinFunc(slices.Sorted(maps.Keys(next.Lost)), func(a, b ident.NodeID) int {
+			return cmp.Compare(next.Lost[a].Epoch, next.Lost[b].Epoch)
+		})
+		delete(next.Lost, oldest)
+	}
+	s.Closures = next
+	return s.closuresNow()
+}
+
+// ServingNow lists the daemons that may be serving.
+func (s *State) ServingNow() []ident.NodeID { return slices.Sorted(maps.Keys(s.Serving)) }
+
 func setClosure[K comparable](marks map[K]ClosureMark, key K, closed bool, mark ClosureMark) bool {
 	_, already := marks[key]
 	if already == closed {
@@ -381,13 +494,16 @@
 
 // Clone copies the closures, so that readers keep what they hold.
 func (c Closures) Clone() Closures {
-	out := Closures{Epoch: c.Epoch, Zones: map[ident.ZoneID]ClosureMark{}, Engines: map[ident.EngineID]ClosureMark{}}
+	out := Closures{Epoch: c.Epoch, Zones: map[ident.ZoneID]ClosureMark{}, Engines: map[ident.EngineID]ClosureMark{}, Lost: map[ident.NodeID]ClosureMark{}}
 	for zone, mark := range c.Zones {
 		out.Zones[zone] = mark
 	}
 	for engine, mark := range c.Engines {
 		out.Engines[engine] = mark
 	}
+	for node, mark := range c.Lost {
+		out.Lost[node] = mark
+	}
 	return out
 }
 
--- a/rehearsal/caller/caller.go
+++ b/rehearsal/caller/caller.go
@@ -26,12 +26,14 @@
 	Began, End time.Duration
 	// Connected says that the connection was made, Sent that the whole request was handed to the system.
 	Connected, Sent bool
-	Status          int
-	Outcome         callerapi.Outcome
-	Reason          string
-	RetryAfter      bool
-	Pieces          int
-	FirstPiece      time.Duration
+	// GaveUp says that the caller itself closed the connection before it had its answer.
+	GaveUp     bool
+	Status     int
+	Outcome    callerapi.Outcome
+	Reason     string
+	RetryAfter bool
+	Pieces     int
+	FirstPiece time.Duration
 	// Final: the final line came. CleanEnd: the HTTP message ended as it should.
 	Final, CleanEnd bool
 	// Faults lists what was wrong with the pieces: foreign, gap, splice.
@@ -47,7 +49,7 @@
 // Send sends one request over a connection of its own.
 func Send(ctx context.Context, daemon, attempt string, request callerapi.Generate) (record Record) {
 	record = Record{Attempt: attempt, Daemon: daemon, Request: request, Began: journal.Now()}
-	defer func() { record.End = journal.Now() }()
+	defer func() { record.End, record.GaveUp = journal.Now(), ctx.Err() != nil && !record.Whole() }()
 	dialer := net.Dialer{Timeout: 2 * time.Second}
 	conn, err := dialer.DialContext(ctx, "tcp", daemon)
 	if err != nil {
--- a/rehearsal/cmd/rehearse/main.go
+++ b/rehearsal/cmd/rehearse/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -158,6 +159,9 @@
 	if err != nil {
 		return err
 	}
+	if err := writeCalls(filepath.Join(f.Folder, "calls.jsonl"), history); err != nil {
+		return err
+	}
 	if bad := report(history, counters, scenario.Unchecked(what)); bad > 0 {
 		return fmt.Errorf("%d rules did not hold or were not checked (seed %d, folder %s)", bad, seed, f.Folder)
 	}
@@ -167,6 +171,22 @@
 	return nil
 }
 
+// writeCalls leaves what every caller saw beside the engines' journals.
+func writeCalls(path string, history *checker.History) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	encoder := json.NewEncoder(file)
+	for _, call := range history.Calls {
+		if err := encoder.Encode(call); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // rehearseAll runs everything, one after the other, and goes on where one fails.
 func rehearseAll(seeds []uint64, scale float64, program string) error {
 	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
--- /dev/null
+++ b/rehearsal/scenario/behind.go
@@ -0,0 +1,134 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/cresspond/cresspond/rehearsal/fleet"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+// Behind rolls bundles and closes zones while some daemons cannot hear of it and go on: nothing may be
+// called acknowledged that is not in force there too.
+func (r *Run) Behind(ctx context.Context, scale float64) (map[string]uint64, error) {
+	return r.underLoad(ctx, scale, func() error {
+		edges, zones := r.Fleet.Edges(), r.Fleet.Deployment.Zones
+		last := r.Fleet.Deployment.Kinds[len(r.Fleet.Deployment.Kinds)-1].Route
+		epoch := uint64(0)
+		// roll takes the last route away, or brings it back, so that an old bundle shows in what arrives.
+		roll := func(note string, without bool) error {
+			epoch++
+			delete(r.without, last)
+			if without {
+				r.without[last] = true
+			}
+			return r.Roll(note, epoch)
+		}
+		heal := func() error {
+			r.heal()
+			return r.Await("all edges are ready", r.AllReady)
+		}
+		r.Pause(2 * time.Second)
+
+		together := edges[:len(edges)/2+1]
+		r.Say("%d routers are cut off together from all others, and go on", len(together))
+		r.cutOff(together, true, true)
+		r.Pause(time.Second)
+		if err := roll("behind-their-back", true); err != nil {
+			return err
+		}
+		if err := r.Zone(zones[0], true); err != nil {
+			return err
+		}
+		r.Pause(7 * time.Second)
+		r.Say("one of them starts again beside those that are behind: %s", together[0].Name)
+		r.Crash(together[0])
+		if err := together[0].Start(); err != nil {
+			return err
+		}
+		r.Pause(4 * time.Second)
+		if err := heal(); err != nil {
+			return err
+		}
+		if err := r.Zone(zones[0], false); err != nil {
+			return err
+		}
+
+		frozen := edges[r.random.IntN(len(edges))]
+		r.Say("%s freezes during a roll, and wakes", frozen.Name)
+		frozen.Signal(syscall.SIGSTOP)
+		if err := roll("while-frozen", false); err != nil {
+			return err
+		}
+		r.Pause(3 * time.Second)
+		frozen.Signal(syscall.SIGCONT)
+		if err := r.Await("all edges are ready", r.AllReady); err != nil {
+			return err
+		}
+
+		for round := range 3 {
+			leader, err := r.awaitLeader()
+			if err != nil {
+				return err
+			}
+			r.Say("%s, who leads, dies about when it would have answered a roll", leader.Name)
+			wait := time.Duration(r.random.IntN(60)) * time.Millisecond
+			dying := time.AfterFunc(wait, leader.Kill)
+			err = roll(fmt.Sprint("answer-lost-", round), round%2 == 0)
+			dying.Stop()
+			leader.Kill()
+			if err != nil {
+				return err
+			}
+			if err := leader.Start(); err != nil {
+				return err
+			}
+			if err := r.awaitWhole(); err != nil {
+				return err
+			}
+		}
+
+		if err := r.declareLost(edges[0]); err != nil {
+			return err
+		}
+		if err := roll("at-last", false); err != nil {
+			return err
+		}
+		r.Pause(3 * time.Second)
+		return nil
+	})
+}
+
+// declareLost has an operator give up a router that is cut off and lives: it must stop once it hears of it.
+func (r *Run) declareLost(p *fleet.Process) error {
+	status, err := r.Fleet.Status(p)
+	if err != nil {
+		return err
+	}
+	word := operatorapi.Lost{Daemon: status.NodeID, Operator: "berta"}
+	if code, _ := r.Ask(operatorapi.PathLost, word, nil); code != http.StatusConflict {
+		return fmt.Errorf("a daemon that is heard was declared lost, with status %d", code)
+	}
+	if code, _ := r.Ask(operatorapi.PathLost, operatorapi.Lost{Daemon: "nobody#0", Operator: "berta"}, nil); code != http.StatusNotFound {
+		return fmt.Errorf("an unknown daemon was declared lost, with status %d", code)
+	}
+	r.Say("%s is cut off for good, as it seems, and is declared lost", p.Name)
+	r.cutOff([]*fleet.Process{p}, true, true)
+	if err := r.Await("it may be declared lost", func() bool {
+		code, _ := r.Ask(operatorapi.PathLost, word, nil)
+		return code == http.StatusOK
+	}); err != nil {
+		return err
+	}
+	r.heal()
+	if err := r.Await("it has stopped", func() bool { return !p.Running() }); err != nil {
+		return err
+	}
+	if err := p.Start(); err != nil {
+		return err
+	}
+	return r.Await("all edges are ready", r.AllReady)
+}
--- a/rehearsal/scenario/day.go
+++ b/rehearsal/scenario/day.go
@@ -121,6 +121,7 @@
 func (r *Run) underLoad(ctx context.Context, scale float64, body func() error) (map[string]uint64, error) {
 	looking, stopLooking := context.WithCancel(ctx)
 	defer stopLooking()
+	r.following = looking
 	if err := r.Begin(looking); err != nil {
 		return nil, err
 	}
@@ -137,6 +138,19 @@
 func (r *Run) finishDay(stopLoading, stopLooking func()) (map[string]uint64, error) {
 	stopLoading()
 	r.calls.Wait()
+	// Nothing is broken any more, so whatever was committed comes in force everywhere.
+	acknowledged := make(chan struct{})
+	go func() { r.acks.Wait(); close(acknowledged) }()
+	if err := r.Await("all changes are acknowledged", func() bool {
+		select {
+		case <-acknowledged:
+			return true
+		default:
+			return false
+		}
+	}); err != nil {
+		return nil, err
+	}
 	if err := r.ReadBack(); err != nil {
 		return nil, err
 	}
--- a/rehearsal/scenario/names.go
+++ b/rehearsal/scenario/names.go
@@ -29,6 +29,8 @@
 	"growth":  {run: (*Run).Growth, unchecked: []string{noDrain, noClosure, noBids, noHouses}},
 	// The Cooperativa is one house, so its market has no rival.
 	"market":  {run: (*Run).Market, unchecked: []string{noDrain, noClosure, noHouses}},
+	"behind":  {run: (*Run).Behind, unchecked: []string{noDrain, noBids, noHouses}},
+	"resend":  {run: (*Run).Resend, unchecked: []string{noDrain, noClosure, noBids, noHouses}},
 	"freezes": {run: (*Run).Freezes, unchecked: []string{noDrain, noBids, noHouses}},
 }
 
--- a/rehearsal/scenario/splits.go
+++ b/rehearsal/scenario/splits.go
@@ -12,10 +12,12 @@
 
 // cutOff cuts a set of daemons from all others: out, in, or both ways.
 func (r *Run) cutOff(some []*fleet.Process, out, in bool) {
-	inside := map[string]bool{}
+	inside, names := map[string]bool{}, ""
 	for _, p := range some {
 		inside[p.Name] = true
+		names += " " + p.Name
 	}
+	r.Act(checker.Act{Kind: checker.Split, Subject: names})
 	for _, a := range r.Fleet.Daemons {
 		for _, b := range r.Fleet.Daemons {
 			if inside[a.Name] && !inside[b.Name] {
@@ -30,6 +32,12 @@
 	}
 }
 
+// heal ends all cuts.
+func (r *Run) heal() {
+	r.Fleet.Links.Heal()
+	r.Act(checker.Act{Kind: checker.Healed})
+}
+
 // Splits cuts links in every way that the brief names, and heals them again.
 func (r *Run) Splits(ctx context.Context, scale float64) (map[string]uint64, error) {
 	return r.underLoad(ctx, scale, func() error {
@@ -51,7 +59,7 @@
 			}
 			epoch++
 			r.Pause(2 * time.Second)
-			r.Fleet.Links.Heal()
+			r.heal()
 			r.Pause(2 * time.Second)
 		}
 
@@ -68,7 +76,7 @@
 			return err
 		}
 		r.Pause(3 * time.Second)
-		r.Fleet.Links.Heal()
+		r.heal()
 		if err := r.Await("all edges are ready", r.AllReady); err != nil {
 			return err
 		}
@@ -77,7 +85,7 @@
 		r.cutOff(r.cores(), true, true)
 		r.Act(checker.Act{Kind: checker.Crashed, Subject: "the core is cut off"})
 		r.Pause(8 * time.Second)
-		r.Fleet.Links.Heal()
+		r.heal()
 		if err := r.Await("all edges are ready", r.AllReady); err != nil {
 			return err
 		}
@@ -92,7 +100,7 @@
 		}
 		r.cutOff(away, true, true)
 		r.Pause(6 * time.Second)
-		r.Fleet.Links.Heal()
+		r.heal()
 		if err := r.awaitWhole(); err != nil {
 			return err
 		}
--- a/request/dispatch/actor.go
+++ b/request/dispatch/actor.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cresspond/cresspond/process/actor"
+	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/snowflake"
 )
@@ -16,6 +17,8 @@
 type Flight struct {
 	ID      RecordID
 	Request Request
+	// Arrived is when it was read.
+	Arrived clock.Mark
 	// Prompt and the rest of the work are kept here, so the records stay small.
 	Prompt string
 
@@ -121,6 +124,8 @@
 	Carry(flight *Flight, send Send, firstPiece func()) (GoOutcome, string)
 	// Seat asks the home of a session.
 	Seat(ask AskSeat) (ident.EngineID, bool)
+	// Refuse makes sure that a refusal will be true, and gives the word that may be told.
+	Refuse(flight *Flight, wanted Verdict) Verdict
 	// EndSeat tells the home of a session that it has ended.
 	EndSeat(session string)
 }
@@ -209,7 +214,13 @@
 func (a *Actor) step(event Event) {
 	effects := a.core.Step(a.around.World(), event)
 	for _, tell := range effects.Tells {
-		if flight := a.flights[tell.ID]; flight != nil {
+		flight := a.flights[tell.ID]
+		switch {
+		case flight == nil:
+		case tell.Verdict.Kind == Refused:
+			// A refusal is a promise for the whole fleet, so the attempt's homes hear of it first.
+			go func() { flight.tell(a.around.Refuse(flight, tell.Verdict)) }()
+		default:
 			flight.tell(tell.Verdict)
 		}
 	}
--- a/request/dispatch/core.go
+++ b/request/dispatch/core.go
@@ -120,7 +120,7 @@
 type Core struct {
 	records  map[RecordID]*Record
 	attempts map[string]RecordID
-	past     map[string]clock.Mark
+	past     map[string]pastAttempt
 	// pastOrder lists the past attempts from the oldest on, so that the oldest are forgotten first.
 	pastOrder []pastAttempt
 	seats     map[string]*Seat
@@ -144,7 +144,7 @@
 // NewCore makes an empty core.
 func NewCore() *Core {
 	return &Core{
-		records: map[RecordID]*Record{}, attempts: map[string]RecordID{}, past: map[string]clock.Mark{}, seats: map[string]*Seat{},
+		records: map[RecordID]*Record{}, attempts: map[string]RecordID{}, past: map[string]pastAttempt{}, seats: map[string]*Seat{},
 		running: map[ident.EngineID]int{}, history: map[ident.EngineID][]ranSince{}, refusedAt: map[ident.EngineID]clock.Mark{},
 		prefixes: map[string]ident.EngineID{}, turns: bid.Turns{}, heldBy: map[string]int{}, Budget: budget.New(0.1),
 	}
@@ -161,6 +161,8 @@
 	leastLeft = 150 * time.Millisecond
 	// pauseBeforeNext keeps a record that came back from going out again in the same breath.
 	pauseBeforeNext = 20 * time.Millisecond
+	// doubtRest is when to come back with an attempt of which nobody could be asked.
+	doubtRest = 2 * time.Second
 )
 
 // Step takes one event and runs the passes.
@@ -205,11 +207,17 @@
 		c.out.Tells = append(c.out.Tells, Tell{e.ID, Verdict{Kind: Refused, Status: 503, Reason: "the deadline has passed"}})
 		return
 	}
-	_, inHand := c.attempts[request.Attempt]
-	_, known := c.past[request.Attempt]
-	if inHand || known {
+	earlier, known := c.past[request.Attempt]
+	if id, inHand := c.attempts[request.Attempt]; inHand {
+		earlier, known = pastAttempt{digest: c.records[id].Digest}, true
+	}
+	if known {
 		c.Counters.Replays++
-		c.out.Tells = append(c.out.Tells, Tell{e.ID, Verdict{Kind: Replay, Status: 409, Reason: "this attempt id is known here and is not run again"}})
+		reason := "this attempt id is known here and is not run again"
+		if earlier.digest != request.Digest {
+			reason = "this attempt id stands for another request"
+		}
+		c.out.Tells = append(c.out.Tells, Tell{e.ID, Verdict{Kind: Replay, Status: 409, Reason: reason}})
 		return
 	}
 	record := &Record{ID: e.ID, Request: request, Arrived: c.world.Now}
@@ -225,17 +233,21 @@
 	}
 }
 
+// tell ends a record with its last word.
+func (c *Core) tell(record *Record, verdict Verdict) {
+	c.out.Tells = append(c.out.Tells, Tell{record.ID, verdict})
+	c.end(record)
+}
+
 // refuse ends a record that never ran; from here on it can't be sent, since an ended record has no way on.
 func (c *Core) refuse(record *Record, status int, reason string, comeBack time.Duration) {
 	if record.mayHaveRun {
 		// An earlier go may have run, so a refusal would be a false promise.
-		c.out.Tells = append(c.out.Tells, Tell{record.ID, Verdict{Kind: Unknown, Status: 502, Reason: record.lastReason}})
-		c.end(record)
+		c.tell(record, Verdict{Kind: Unknown, Status: 502, Reason: record.lastReason})
 		return
 	}
 	c.Counters.RefusedHere++
-	c.out.Tells = append(c.out.Tells, Tell{record.ID, Verdict{Kind: Refused, Status: status, Reason: reason, ComeBack: comeBack}})
-	c.end(record)
+	c.tell(record, Verdict{Kind: Refused, Status: status, Reason: reason, ComeBack: comeBack})
 	// A refused attempt has not run, so its id may be used again.
 	delete(c.past, record.Attempt)
 }
@@ -252,8 +264,8 @@
 	record.move(Ended)
 	delete(c.records, record.ID)
 	delete(c.attempts, record.Attempt)
-	c.past[record.Attempt] = c.world.Now
-	c.pastOrder = append(c.pastOrder, pastAttempt{record.Attempt, c.world.Now})
+	c.past[record.Attempt] = pastAttempt{record.Attempt, c.world.Now, record.Digest}
+	c.pastOrder = append(c.pastOrder, c.past[record.Attempt])
 	if len(c.pastOrder) > mostPast {
 		c.forgetOldest()
 	}
@@ -600,6 +612,15 @@
 	case CallerLeft:
 		c.Counters.CallersLeft++
 		c.end(record)
+	case KnownElsewhere:
+		c.tell(record, Verdict{Kind: Replay, Status: 409, Reason: e.Reason})
+	case RefusedElsewhere:
+		c.tell(record, Verdict{Kind: Refused, Status: 503, Reason: e.Reason, ComeBack: c.comeBack()})
+		delete(c.past, record.Attempt)
+	case Doubted:
+		c.tell(record, Verdict{Kind: Unknown, Status: 503, Reason: e.Reason, ComeBack: doubtRest})
+		// It never ran here, so it may come again.
+		delete(c.past, record.Attempt)
 	case HeldBack:
 		// Nothing went out, so this was no go, and the budget is for goes.
 		record.Goes--
@@ -665,13 +686,14 @@
 type pastAttempt struct {
 	attempt string
 	at      clock.Mark
+	digest  uint64
 }
 
 // forgetOldest drops the oldest past attempt, unless its id was refused and came again since.
 func (c *Core) forgetOldest() {
 	oldest := c.pastOrder[0]
 	c.pastOrder = c.pastOrder[1:]
-	if c.past[oldest.attempt] == oldest.at {
+	if c.past[oldest.attempt] == oldest {
 		delete(c.past, oldest.attempt)
 	}
 }
--- a/request/dispatch/record.go
+++ b/request/dispatch/record.go
@@ -34,16 +34,18 @@
 
 // Request is what a caller asked for, already checked against the spec.
 type Request struct {
-	Attempt    string
-	Route      string
-	House      string
-	Worth      int64
-	Rank       int
-	Model      string
-	Adapter    string
-	Prefix     string
-	Session    string
-	Bytes      int
+	Attempt string
+	Route   string
+	House   string
+	Worth   int64
+	Rank    int
+	Model   string
+	Adapter string
+	Prefix  string
+	Session string
+	Bytes   int
+	// Digest tells it from another request under the same attempt id.
+	Digest     uint64
 	Deadline   clock.Mark
 	Repeatable bool
 	EndSession bool
@@ -125,6 +127,12 @@
 	Lost
 	// CallerLeft: the caller went away, and the go was cancelled.
 	CallerLeft
+	// KnownElsewhere: another daemon has this attempt, so nothing was sent.
+	KnownElsewhere
+	// RefusedElsewhere: another daemon refused this attempt while it was held here, so nothing was sent.
+	RefusedElsewhere
+	// Doubted: nobody could tell whether another daemon has this attempt, so nothing was sent.
+	Doubted
 )
 
 // VerdictKind is what a caller is told when no stream is handed over.
--- a/wire/operatorapi/operatorapi.go
+++ b/wire/operatorapi/operatorapi.go
@@ -22,6 +22,7 @@
 	PathZone     = "/v1/zone"
 	PathDrain    = "/v1/engine"
 	PathClosures = "/v1/closures"
+	PathLost     = "/v1/daemon/lost"
 	PathStatus   = "/v1/status"
 	PathTrace    = "/v1/trace"
 	PathReady    = "/ready"
@@ -62,10 +63,17 @@
 	Note       string `json:"note"`
 }
 
-// Zone closes or opens a zone.
+// Zone closes or opens a zone. Base is the closure epoch it builds on.
 type Zone struct {
 	Zone     ident.ZoneID `json:"zone"`
 	Closed   *bool        `json:"closed"`
+	Base     *ident.Epoch `json:"base"`
+	Operator string       `json:"operator"`
+}
+
+// Lost declares that a life of a daemon will never serve again.
+type Lost struct {
+	Daemon   ident.NodeID `json:"daemon"`
 	Operator string       `json:"operator"`
 }
 
@@ -73,13 +81,17 @@
 type Drain struct {
 	Engine   ident.EngineID `json:"engine"`
 	Draining *bool          `json:"draining"`
+	Base     *ident.Epoch   `json:"base"`
 	Operator string         `json:"operator"`
 }
 
 // Answer is what an act gives back.
 type Answer struct {
 	statemachine.Result
-	// InForceAt lists the daemons that have the change in force, Missing those in contact that had not in time.
+	// Acknowledged says of a roll or a closure that it is in force at every daemon that may be serving.
+	// Without it the change is committed, and in force wherever it got to.
+	Acknowledged bool `json:"acknowledged,omitempty"`
+	// InForceAt lists the daemons that have the change in force, Missing those that may be serving without it.
 	InForceAt []ident.NodeID `json:"inForceAt,omitempty"`
 	Missing   []ident.NodeID `json:"missing,omitempty"`
 	Faults    []spec.Fault   `json:"faults,omitempty"`
@@ -93,6 +105,8 @@
 	Faults  []spec.Fault `json:"faults,omitempty"`
 	Winner  string       `json:"winner,omitempty"`
 	Epoch   ident.Epoch  `json:"epoch,omitempty"`
+	// Closures is what won over a closure that lost its race.
+	Closures *statemachine.Closures `json:"closures,omitempty"`
 }
 
 // Status is one daemon's own word.
@@ -169,6 +183,8 @@
 	Rows   []TraceRow  `json:"rows"`
 	Known  bool        `json:"known"`
 	Epoch  ident.Epoch `json:"epoch"`
+	// Acknowledged says that every daemon that may be serving has the change, or a later one.
+	Acknowledged bool `json:"acknowledged"`
 }
 
 // TraceRow is one daemon's steps, by wall clock in milliseconds; zero where a step is not known.
@@ -179,6 +195,7 @@
 	BuiltMs    int64        `json:"builtMs,omitempty"`
 	InForceMs  int64        `json:"inForceMs,omitempty"`
 	HeardMsAgo int64        `json:"heardMsAgo"`
-	// Missing says that the daemon has not got this change; Passed that it holds a later one.
+	// Missing says that the daemon has not got this change, Serving that the group counts it as one that may be serving.
 	Missing bool `json:"missing"`
+	Serving bool `json:"serving"`
 }
