Sum every row on disk, so that a turned bit is not believed

Cause: SQLite's quick_check looks at the tree and not at what the rows hold.

Ruled out: the write path.

Triggers take that word back when an earlier build writes into the folder, so folders go on either way, and the form number stays. A folder that lacks a key it must have, has one it can't have, or is shorter than a header, steps aside instead of passing for a new one.

--- a/process/store/store.go
+++ b/process/store/store.go
@@ -5,8 +5,11 @@
 import (
 	"database/sql"
 	"encoding/binary"
+	"fmt"
+	"hash/crc32"
 	"os"
 	"path/filepath"
+	"slices"
 
 	_ "github.com/mattn/go-sqlite3" // the SQLite driver
 	"github.com/rotisserie/eris"
@@ -25,6 +28,8 @@
 	lock *os.File
 	// Member is the identity made with the folder.
 	Member raft.MemberID
+	// strict says that every row must have its sum.
+	strict bool
 }
 
 const tables = `
@@ -33,6 +38,111 @@
 CREATE TABLE IF NOT EXISTS snapshot (one INTEGER PRIMARY KEY CHECK (one = 1), idx INTEGER NOT NULL, term INTEGER NOT NULL, membership BLOB NOT NULL, data BLOB);
 `
 
+// Each row carries a sum, since SQLite believes a turned bit in what it holds for us. Rows of builds that
+// knew of no sums have none: the triggers take the sum off a row that such a build changes, and with the
+// first row without one the word that all have one goes.
+const untouched = `
+CREATE TRIGGER IF NOT EXISTS meta_unsummed AFTER UPDATE OF value ON meta WHEN NEW.value IS NOT OLD.value AND NEW.sum IS OLD.sum
+BEGIN UPDATE meta SET sum = NULL WHERE key = NEW.key; DELETE FROM meta WHERE key = 'all-summed'; END;
+CREATE TRIGGER IF NOT EXISTS meta_added AFTER INSERT ON meta WHEN NEW.sum IS NULL BEGIN DELETE FROM meta WHERE key = 'all-summed'; END;
+CREATE TRIGGER IF NOT EXISTS log_added AFTER INSERT ON log WHEN NEW.sum IS NULL BEGIN DELETE FROM meta WHERE key = 'all-summed'; END;
+CREATE TRIGGER IF NOT EXISTS snapshot_added AFTER INSERT ON snapshot WHEN NEW.sum IS NULL BEGIN DELETE FROM meta WHERE key = 'all-summed'; END;
+`
+
+// summed lists the tables whose rows carry sums.
+var summed = []string{"meta", "log", "snapshot"}
+
+// keys are all that a group's folder must hold in meta; allSummed may stand beside them.
+var keys = []string{"form", "member", "group", "term", "vote"}
+
+// sqliteHeader is how long the head of a SQLite file is.
+const sqliteHeader = 100
+
+// allSummed says that every row has its sum, so that one without is damaged.
+const allSummed = "all-summed"
+
+// sumOf is a row's sum.
+func sumOf(parts ...any) int64 {
+	sum := crc32.New(crc32.MakeTable(crc32.Castagnoli))
+	for _, part := range parts {
+		if raw, isRaw := part.([]byte); isRaw {
+			_ = binary.Write(sum, binary.BigEndian, uint64(len(raw)))
+			_, _ = sum.Write(raw)
+			continue
+		}
+		_, _ = fmt.Fprint(sum, part, ";")
+	}
+	return int64(sum.Sum32())
+}
+
+// holds says whether a row is what was written. One without a sum can't be told, where there may be such.
+func (s *Store) holds(sum sql.NullInt64, parts ...any) bool {
+	if !sum.Valid {
+		return !s.strict
+	}
+	return sum.Int64 == sumOf(parts...)
+}
+
+// addSums gives the tables of an earlier build their sums.
+func (s *Store) addSums() error {
+	for _, name := range summed {
+		var has int
+		if err := s.db.QueryRow("SELECT count(*) FROM pragma_table_info(?) WHERE name = 'sum'", name).Scan(&has); err != nil {
+			return eris.Wrapf(err, "table %s cannot be read", name)
+		}
+		if has > 0 {
+			continue
+		}
+		if _, err := s.db.Exec("ALTER TABLE " + name + " ADD COLUMN sum INTEGER"); err != nil {
+			return eris.Wrapf(err, "table %s cannot be given sums", name)
+		}
+	}
+	_, err := s.db.Exec(untouched)
+	return eris.Wrap(err, "the tables cannot be guarded")
+}
+
+// checkKeys makes sure that a folder which belongs to a group still says all that it must, so that a
+// damaged one is not taken for a new one.
+func (s *Store) checkKeys() error {
+	rows, err := s.db.Query("SELECT key FROM meta")
+	if err != nil {
+		return eris.Wrap(err, "the folder's keys cannot be read")
+	}
+	defer rows.Close()
+	found := map[string]bool{}
+	for rows.Next() {
+		var key string
+		if err := rows.Scan(&key); err != nil {
+			return eris.Wrap(err, "the folder's keys cannot be read")
+		}
+		if key != allSummed && !slices.Contains(keys, key) {
+			return eris.Errorf("the folder is damaged (it has the unknown key %q)", key)
+		}
+		found[key] = true
+	}
+	if err := rows.Err(); err != nil {
+		return eris.Wrap(err, "the folder's keys cannot be read")
+	}
+	var written int
+	if err := s.db.QueryRow("SELECT (SELECT count(*) FROM log) + (SELECT count(*) FROM snapshot)").Scan(&written); err != nil {
+		return eris.Wrap(err, "the folder's tables cannot be read")
+	}
+	s.strict = found[allSummed]
+	needed := keys[:0:0]
+	if len(found) > 0 || written > 0 {
+		needed = []string{"form", "member"}
+	}
+	if written > 0 || found["group"] || found["term"] || found["vote"] {
+		needed = keys
+	}
+	for _, key := range needed {
+		if !found[key] {
+			return eris.Errorf("the folder is damaged (it lacks the key %q)", key)
+		}
+	}
+	return nil
+}
+
 // Open locks and opens the data folder, and makes its identity if it is new.
 func Open(folder string, newMember func() raft.MemberID) (*Store, error) {
 	if err := os.MkdirAll(folder, 0o700); err != nil {
@@ -57,6 +167,10 @@
 
 func (s *Store) open(folder string, newMember func() raft.MemberID) error {
 	path := filepath.Join(folder, "member.sqlite")
+	// SQLite takes a file that is too short for a header for a new one.
+	if info, err := os.Stat(path); err == nil && info.Size() > 0 && info.Size() < sqliteHeader {
+		return eris.Errorf("%s is damaged (%d bytes long); move the folder away, and the machine joins again as a new member", path, info.Size())
+	}
 	db, err := sql.Open("sqlite3", "file:"+path+"?_journal_mode=DELETE&_synchronous=EXTRA&_locking_mode=EXCLUSIVE&_busy_timeout=0")
 	if err != nil {
 		return eris.Wrapf(err, "%s cannot be opened", path)
@@ -70,6 +184,12 @@
 	if _, err := db.Exec(tables); err != nil {
 		return eris.Wrapf(err, "%s cannot be written", path)
 	}
+	if err := s.addSums(); err != nil {
+		return err
+	}
+	if err := s.checkKeys(); err != nil {
+		return eris.Wrapf(err, "%s cannot be trusted; move the folder away, and the machine joins again as a new member", path)
+	}
 	version, found, err := s.number("form")
 	if err != nil {
 		return err
@@ -94,6 +214,9 @@
 		if err := putNumber(tx, "form", FormVersion); err != nil {
 			return err
 		}
+		if err := putNumber(tx, allSummed, 1); err != nil {
+			return err
+		}
 		if err := tx.Commit(); err != nil {
 			return eris.Wrap(err, "the identity cannot be written")
 		}
@@ -127,10 +250,14 @@
 
 func (s *Store) blob(key string) ([]byte, bool, error) {
 	var value []byte
-	err := s.db.QueryRow("SELECT value FROM meta WHERE key = ?", key).Scan(&value)
+	var sum sql.NullInt64
+	err := s.db.QueryRow("SELECT value, sum FROM meta WHERE key = ?", key).Scan(&value, &sum)
 	if err == sql.ErrNoRows {
 		return nil, false, nil
 	}
+	if err == nil && !s.holds(sum, key, value) {
+		return nil, false, eris.Errorf("%s is damaged", key)
+	}
 	return value, err == nil, eris.Wrapf(err, "%s cannot be read", key)
 }
 
@@ -150,7 +277,7 @@
 }
 
 func put(tx *sql.Tx, key string, value []byte) error {
-	_, err := tx.Exec("INSERT INTO meta (key, value) VALUES (?, ?) ON CONFLICT (key) DO UPDATE SET value = excluded.value", key, value)
+	_, err := tx.Exec("INSERT INTO meta (key, value, sum) VALUES (?, ?, ?) ON CONFLICT (key) DO UPDATE SET value = excluded.value, sum = excluded.sum", key, value, sumOf(key, value))
 	return eris.Wrapf(err, "%s cannot be written", key)
 }
 
@@ -174,18 +301,22 @@
 	out.HardState = raft.HardState{Term: raft.Term(term), Vote: raft.MemberID(vote)}
 	var index, snapshotTerm uint64
 	var membership, data []byte
-	err = s.db.QueryRow("SELECT idx, term, membership, data FROM snapshot").Scan(&index, &snapshotTerm, &membership, &data)
+	var sum sql.NullInt64
+	err = s.db.QueryRow("SELECT idx, term, membership, data, sum FROM snapshot").Scan(&index, &snapshotTerm, &membership, &data, &sum)
 	if err != nil && err != sql.ErrNoRows {
 		return out, eris.Wrap(err, "the snapshot cannot be read")
 	}
 	if err == nil {
+		if !s.holds(sum, index, snapshotTerm, membership, data) {
+			return out, eris.New("the snapshot is damaged")
+		}
 		decoded, err := raft.DecodeMembership(membership)
 		if err != nil {
 			return out, eris.Wrap(err, "the membership cannot be read")
 		}
 		out.Snapshot = raft.Snapshot{Index: raft.Index(index), Term: raft.Term(snapshotTerm), Membership: decoded, Data: data}
 	}
-	rows, err := s.db.Query("SELECT idx, term, kind, data FROM log ORDER BY idx")
+	rows, err := s.db.Query("SELECT idx, term, kind, data, sum FROM log ORDER BY idx")
 	if err != nil {
 		return out, eris.Wrap(err, "the log cannot be read")
 	}
@@ -194,9 +325,12 @@
 		var entryIndex, entryTerm uint64
 		var kind uint8
 		var entryData []byte
-		if err := rows.Scan(&entryIndex, &entryTerm, &kind, &entryData); err != nil {
+		if err := rows.Scan(&entryIndex, &entryTerm, &kind, &entryData, &sum); err != nil {
 			return out, eris.Wrap(err, "the log cannot be read")
 		}
+		if !s.holds(sum, entryIndex, entryTerm, kind, entryData) {
+			return out, eris.Errorf("the log is damaged at %d", entryIndex)
+		}
 		if n := len(out.Entries); n > 0 && uint64(out.Entries[n-1].Index)+1 != entryIndex {
 			return out, eris.Errorf("the log has a hole before %d", entryIndex)
 		}
@@ -222,8 +356,9 @@
 		return err
 	}
 	if save.Snapshot != nil {
-		_, err := tx.Exec("INSERT OR REPLACE INTO snapshot (one, idx, term, membership, data) VALUES (1, ?, ?, ?, ?)",
-			uint64(save.Snapshot.Index), uint64(save.Snapshot.Term), save.Snapshot.Membership.Encode(), save.Snapshot.Data)
+		_, err := tx.Exec("INSERT OR REPLACE INTO snapshot (one, idx, term, membership, data, sum) VALUES (1, ?, ?, ?, ?, ?)",
+			uint64(save.Snapshot.Index), uint64(save.Snapshot.Term), save.Snapshot.Membership.Encode(), save.Snapshot.Data,
+			sumOf(uint64(save.Snapshot.Index), uint64(save.Snapshot.Term), save.Snapshot.Membership.Encode(), save.Snapshot.Data))
 		if err != nil {
 			return eris.Wrap(err, "the snapshot cannot be written")
 		}
@@ -239,8 +374,8 @@
 		}
 	}
 	for _, entry := range save.Entries {
-		if _, err := tx.Exec("INSERT INTO log (idx, term, kind, data) VALUES (?, ?, ?, ?)",
-			uint64(entry.Index), uint64(entry.Term), uint8(entry.Kind), entry.Data); err != nil {
+		if _, err := tx.Exec("INSERT INTO log (idx, term, kind, data, sum) VALUES (?, ?, ?, ?, ?)",
+			uint64(entry.Index), uint64(entry.Term), uint8(entry.Kind), entry.Data, sumOf(uint64(entry.Index), uint64(entry.Term), uint8(entry.Kind), entry.Data)); err != nil {
 			return eris.Wrap(err, "the log cannot be written")
 		}
 	}
