Drop held requests whose callers have left, and still answer half-closed ones

Cause: while a request was held nobody looked at its connection, so a caller that had gone kept its place until the deadline, and could still be sent to an engine.

Ruled out: reading the connection (a pipelined request would be taken from the library), and taking the end of what the caller says for its leaving (callers that close their sending side must be answered). What tells the two apart is the reset that answers anything sent to a closed connection, so one interim answer is sent.

Before: the test waits in vain for two dropped callers. After: both are dropped, neither reaches an engine, and the half-closed one is answered whole.

--- a/connection/frontdoor/frontdoor.go
+++ b/connection/frontdoor/frontdoor.go
@@ -72,12 +72,18 @@
 		Fail(ctx, fasthttp.StatusServiceUnavailable, callerapi.Error{Outcome: callerapi.Unknown, Reason: "this daemon is stopping, and cannot tell whether another has this attempt", RetryAfterMs: 1000})
 		return
 	}
-	select {
-	case verdict := <-flight.Told:
+	verdict, stream := d.await(ctx, flight)
+	switch {
+	case stream == nil && verdict == nil:
+		// The caller has left, so nobody reads what is written here.
+		flight.Cancel()
+		d.served.Add(-1)
+		ctx.SetConnectionClose()
+	case verdict != nil:
 		flight.Cancel()
 		d.served.Add(-1)
 		Fail(ctx, verdict.Status, callerapi.Error{Outcome: callerapi.Outcome(verdict.Kind), Reason: verdict.Reason, RetryAfterMs: verdict.ComeBack.Milliseconds()})
-	case stream := <-flight.Started:
+	default:
 		ctx.SetContentType("application/x-ndjson")
 		ctx.Response.Header.Set(callerapi.HeaderAttempt, request.Attempt)
 		ctx.Response.ImmediateHeaderFlush = true
@@ -86,6 +92,26 @@
 	}
 }
 
+// await waits for the verdict or the stream of a flight; neither means that the caller left meanwhile.
+func (d *Door) await(ctx *fasthttp.RequestCtx, flight *dispatch.Flight) (*dispatch.Verdict, *dispatch.Stream) {
+	// Callers older than HTTP/1.1 know of no interim answers.
+	caller := newWatch(ctx.Conn(), ctx.Request.Header.IsHTTP11())
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	for {
+		select {
+		case verdict := <-flight.Told:
+			return &verdict, nil
+		case stream := <-flight.Started:
+			return nil, stream
+		case <-look.C:
+			if caller.gone() {
+				return nil, nil
+			}
+		}
+	}
+}
+
 // counted lets the door know when an answer has been written, or given up.
 type counted struct {
 	io.ReadCloser
--- a/rehearsal/endtoend/caller_test.go
+++ b/rehearsal/endtoend/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -213,21 +214,14 @@
 
 func TestARefusedRequestMayComeAgainAndNeverRan(t *testing.T) {
 	b := start(t, nil, engine.Config{})
-	yes, no := true, false
-	zone := func(closed *bool) {
-		base := b.status().ClosureEpoch
-		if status, word, _ := b.post(operatorapi.PathZone, encode(t, operatorapi.Zone{Zone: "here", Closed: closed, Base: &base, Operator: "ana"})); status != 200 {
-			t.Fatal(status, word)
-		}
-	}
-	zone(&yes)
+	b.zone(true)
 	request := work()
 	request.DeadlineMs = 300
 	record := b.call("late", request)
 	if record.Status != 503 || record.Outcome != callerapi.Refused || !record.RetryAfter {
 		t.Fatalf("%+v", record)
 	}
-	zone(&no)
+	b.zone(false)
 	if n := len(b.lines(journal.Arrive, "late")); n != 0 {
 		t.Fatalf("it reached an engine %d times", n)
 	}
@@ -309,6 +303,44 @@
 	}
 }
 
+// zone shuts or opens the engines' zone.
+func (b *bench) zone(closed bool) {
+	b.t.Helper()
+	base := b.status().ClosureEpoch
+	if status, word, _ := b.post(operatorapi.PathZone, encode(b.t, operatorapi.Zone{Zone: "here", Closed: &closed, Base: &base, Operator: "ana"})); status != 200 {
+		b.t.Fatal(status, word)
+	}
+}
+
+// TestCallersThatLeaveWhileHeldAreDropped: whoever is gone gives its place up at once, however it went, and
+// no engine hears of it; one that only said all it had to say is answered.
+func TestCallersThatLeaveWhileHeldAreDropped(t *testing.T) {
+	b := start(t, nil, engine.Config{})
+	b.zone(true)
+	request := work()
+	request.DeadlineMs = 30000
+	conns := map[string]*net.TCPConn{}
+	for _, name := range []string{"closes", "resets", "half"} {
+		conns[name] = b.dial()
+		fmt.Fprint(conns[name], closing(wire(name, encode(t, request))))
+	}
+	b.await("all are held", func() bool { return b.counter("requests_held_now") == 3 })
+	conns["closes"].Close()
+	_ = conns["resets"].SetLinger(0)
+	conns["resets"].Close()
+	_ = conns["half"].CloseWrite()
+	b.await("those who left are dropped", func() bool { return b.counter("requests_held_now") == 1 && b.counter("callers_left") == 2 })
+	b.zone(false)
+	if raw := rest(conns["half"]); !strings.Contains(raw, `"final":true`) || !strings.HasSuffix(raw, "0\r\n\r\n") {
+		t.Errorf("got %q", raw)
+	}
+	for _, name := range []string{"closes", "resets"} {
+		if n := len(b.lines(journal.Arrive, name)); n != 0 {
+			t.Errorf("%s left and reached an engine", name)
+		}
+	}
+}
+
 func TestASlowReaderHoldsUpNobody(t *testing.T) {
 	b := start(t, nil, engine.Config{})
 	for i := range 3 {
