Stall and slow the disks, and make the clocks of whole daemons jump

Also: figures on how long the refused had waited, and how many of them had their model standing before their deadline.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -84,6 +84,8 @@
 
 	// stallLimit is how long the next piece of a stream is waited for, runOver how long one may outlast its deadline.
 	stallLimit, runOver time.Duration
+	// aroundDisk stands between the member and its data folder.
+	aroundDisk func(replica.Disk) replica.Disk
 
 	counters counters
 }
@@ -109,6 +111,14 @@
 	return func(d *Daemon) { d.stallLimit, d.runOver = stall, over }
 }
 
+// WithClock replaces the machine's clocks.
+func WithClock(c clock.Clock) Option { return func(d *Daemon) { d.clock = c } }
+
+// WithDisk puts something between the member and its data folder.
+func WithDisk(around func(replica.Disk) replica.Disk) Option {
+	return func(d *Daemon) { d.aroundDisk = around }
+}
+
 // New makes a daemon from checked settings.
 func New(c config.Config, version string, logger log.Interface, options ...Option) *Daemon {
 	var life [4]byte
@@ -120,7 +130,7 @@
 		// Each life of a daemon is a holder of its own, so an earlier life's ids can't be minted again.
 		nodeID:        ident.NodeID(c.Name + "#" + hex.EncodeToString(life[:])),
 		replicaConfig: replica.DefaultConfig(), adopted: make(chan ident.GroupID, 1), broken: make(chan error, 4),
-		fleetWants: map[ident.NodeID]fleetWant{}, home: seats.NewHome(), stallLimit: stallLimit, runOver: runOver,
+		fleetWants: map[ident.NodeID]fleetWant{}, home: seats.NewHome(), aroundDisk: func(disk replica.Disk) replica.Disk { return disk }, stallLimit: stallLimit, runOver: runOver,
 	}
 	d.log = logger.WithField("node", string(d.nodeID))
 	for _, option := range options {
@@ -333,7 +343,7 @@
 		// A fresh member belongs to whichever generation addresses it first.
 		group = ""
 	}
-	made, err := replica.New(self, group, restored, d.replicaConfig, d.clock, d.store, d.links,
+	made, err := replica.New(self, group, restored, d.replicaConfig, d.clock, d.aroundDisk(d.store), d.links,
 		replica.WithChanged(d.stateChanged), replica.WithFatal(func(err error) { d.broken <- eris.Wrap(err, "the disk failed") }))
 	if err != nil {
 		d.broken <- eris.Wrap(err, "the data folder cannot be read")
--- a/rehearsal/cmd/rehearse/main.go
+++ b/rehearsal/cmd/rehearse/main.go
@@ -288,6 +288,11 @@
 	if len(waits) > 0 {
 		fmt.Fprintf(out, "first piece after, median / 99 %%\t%v / %v\n", waits[len(waits)/2].Round(time.Millisecond), waits[len(waits)*99/100].Round(time.Millisecond))
 	}
+	if refused, couldHave := checker.Refusals(history); len(refused) > 0 {
+		fmt.Fprintf(out, "refused after, least / median / most\t%v / %v / %v\n", refused[0].Round(time.Millisecond),
+			refused[len(refused)/2].Round(time.Millisecond), refused[len(refused)-1].Round(time.Millisecond))
+		fmt.Fprintf(out, "refused though the model stood before the deadline\t%d\n", couldHave)
+	}
 	for i, took := range checker.Recovery(history) {
 		fmt.Fprintf(out, "crash %d: a whole answer after\t%v\n", i+1, took.Round(time.Millisecond))
 	}
--- a/rehearsal/endtoend/harness_test.go
+++ b/rehearsal/endtoend/harness_test.go
@@ -47,6 +47,11 @@
 	hurry    chan struct{}
 	ended    chan error
 	bundle   []byte
+	// name and seeds are set where there are more daemons than one, options where one is not ordinary.
+	name    string
+	seeds   []string
+	options []daemon.Option
+	ran     bool
 }
 
 var benches atomic.Int64
@@ -93,9 +98,64 @@
 
 // start brings up a daemon and its engines, rolls a bundle and waits until model m is held by all engines that should hold it.
 func start(t *testing.T, change func(*spec.Spec), configs ...engine.Config) *bench {
+	t.Helper()
+	b := prepare(t, configs...)
+	b.run()
+	b.await("the group acts", func() bool { return b.status().Raft != nil && b.status().Raft.Role == "leader" })
+	b.begin(change, configs...)
+	return b
+}
+
+// several brings up a group of daemons that serve everything, with one engine; each may have options of its own.
+func several(t *testing.T, size int, options func(i int) []daemon.Option) []*bench {
+	t.Helper()
+	first := prepare(t, engine.Config{Slots: 8})
+	out, seeds := []*bench{}, []string{}
+	for i := range size {
+		b := first
+		if i > 0 {
+			b = &bench{t: t, platform: first.platform, engines: first.engines, journals: first.journals}
+			b.place()
+		}
+		b.name, b.options = fmt.Sprint("d", i), options(i)
+		out, seeds = append(out, b), append(seeds, b.fellow)
+	}
+	for _, b := range out {
+		b.seeds = seeds
+		b.run()
+	}
+	first.await("the group has a leader", func() bool { return leaderOf(out) != nil })
+	first.begin(nil, engine.Config{Slots: 8})
+	for _, b := range out {
+		b.await("all are ready", func() bool { return b.status().Ready })
+	}
+	return out
+}
+
+// leaderOf finds the daemon that leads.
+func leaderOf(some []*bench) *bench {
+	for _, b := range some {
+		if raft := b.status().Raft; raft != nil && raft.Role == "leader" {
+			return b
+		}
+	}
+	return nil
+}
+
+// place gives a daemon its addresses and its folder.
+func (b *bench) place() {
+	b.address, b.fellow, b.data, b.name = free(b.t), free(b.t), b.t.TempDir(), "one"
+	b.stop, b.hurry, b.ended = make(chan struct{}), make(chan struct{}), make(chan error, 1)
+	b.seeds = []string{b.fellow}
+	b.t.Cleanup(b.end)
+}
+
+// prepare makes the stand-ins around a daemon that does not run yet.
+func prepare(t *testing.T, configs ...engine.Config) *bench {
 	t.Helper()
 	t.Parallel()
-	b := &bench{t: t, address: free(t), fellow: free(t), data: t.TempDir(), stop: make(chan struct{}), hurry: make(chan struct{}), ended: make(chan error, 1)}
+	b := &bench{t: t}
+	b.place()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -129,8 +189,12 @@
 		b.engines = append(b.engines, platformapi.Engine{ID: ident.EngineID(c.ID), Address: engineListener.Addr().String(), Zone: "here"})
 	}
 	b.platform.Set(b.engines)
-	b.run()
-	t.Cleanup(b.end)
+	return b
+}
+
+// begin rolls the first bundle and waits until the engines hold what they should.
+func (b *bench) begin(change func(*spec.Spec), configs ...engine.Config) {
+	b.t.Helper()
 	slots := 4
 	if len(configs) > 0 && configs[0].Slots > 0 {
 		slots = configs[0].Slots
@@ -139,34 +203,35 @@
 	if change != nil {
 		change(&s)
 	}
-	b.bundle = encode(t, s)
-	b.await("the group acts", func() bool { return b.status().Raft != nil && b.status().Raft.Role == "leader" })
+	b.bundle = encode(b.t, s)
 	b.roll("first", 0, b.bundle)
 	b.await("the daemon is ready", func() bool { return b.status().Ready })
 	b.await("an engine holds m", func() bool { return strings.Contains(fmt.Sprint(b.status().Engines), "m:loaded") })
-	return b
 }
 
 // run starts the daemon on its data folder.
 func (b *bench) run() {
 	settings := config.Default()
-	settings.Name, settings.Zone, settings.Listen, settings.FellowListen = "one", "here", b.address, b.fellow
-	settings.Seeds, settings.Serve = []string{b.fellow}, []config.Role{config.Route, config.Control, config.Place}
+	settings.Name, settings.Zone, settings.Listen, settings.FellowListen = b.name, "here", b.address, b.fellow
+	settings.Seeds, settings.Serve = b.seeds, []config.Role{config.Route, config.Control, config.Place}
 	settings.Data, settings.Platform = b.data, b.platform.Address()
 	if faults := settings.Check(""); len(faults) > 0 {
 		b.t.Fatal(faults)
 	}
-	d := daemon.New(settings, "test", &log.Logger{Handler: discard.Default}, daemon.WithStreamLimits(1500*time.Millisecond, time.Second))
+	d := daemon.New(settings, "test", &log.Logger{Handler: discard.Default}, append([]daemon.Option{daemon.WithStreamLimits(1500*time.Millisecond, time.Second)}, b.options...)...)
+	b.ran = true
 	go func() { b.ended <- d.Run(b.stop, b.hurry) }()
 }
 
 func (b *bench) end() {
-	select {
-	case <-b.stop:
-	default:
-		close(b.stop)
-		close(b.hurry)
-		<-b.ended
+	if b.ran {
+		select {
+		case <-b.stop:
+		default:
+			close(b.stop)
+			close(b.hurry)
+			<-b.ended
+		}
 	}
 }
 
