Refuse at once what the plan will not load before the deadline

Cause: a request for a model that higher bids kept out was held until its deadline and refused then: the refused had waited 8 to 30 s.

Ruled out: adding slots or shortening the turn of equal bids (flapping), and holding the answer back (not accepted). Refusing while a zone is closed was tried and taken back: an operator may open it at any time.

Change: the planner publishes for how long each lacking model or adapter is likely to stay so; routing daemons refuse what can't be served in time, with that time as Retry-After, but for sessions to be reseated.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -79,6 +79,9 @@
 	enlistedAt atomic.Int64
 	broken     chan error
 
+	// lacks is what the planner last said that it will not load soon.
+	lacks atomic.Pointer[heardLacks]
+
 	fleetMutex sync.Mutex
 	fleetWants map[ident.NodeID]fleetWant
 
@@ -97,6 +100,11 @@
 	seats  []*fellowapi.Seat
 }
 
+type heardLacks struct {
+	heard clock.Mark
+	waits map[dispatch.Wanted]time.Duration
+}
+
 type counters struct {
 	foreignGroup, garbage, held, acquired, renewed, tenureFailed atomic.Uint64
 	bytesOwnZone, bytesOtherZone, junkEngines, lastLookStops     atomic.Uint64
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -18,6 +18,7 @@
 	"github.com/cresspond/cresspond/process/replica"
 	"github.com/cresspond/cresspond/process/rollout"
 	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/request/dispatch"
 	"github.com/cresspond/cresspond/wire/fellowapi"
 	"github.com/cresspond/cresspond/wire/operatorapi"
 )
@@ -450,6 +451,12 @@
 		}
 	}
 	reply.Draining = d.drainingEngines()
+	if d.Plans() {
+		for _, lack := range d.placer.Condition().Lacks {
+			reply.Lacks = append(reply.Lacks, &fellowapi.Lack{Model: lack.Model, Adapter: lack.Adapter, WaitMs: lack.Wait.Milliseconds()})
+		}
+		reply.Plans = true
+	}
 	if d.config.Serves(config.Route) {
 		snapshot := d.dispatch.Snapshot()
 		for _, demand := range snapshot.Demands {
@@ -490,6 +497,13 @@
 		d.keeper.Offer(ident.Epoch(reply.SpecEpoch), reply.Spec, rollout.DecodeClosures(reply.Closures))
 	}
 	d.hearDraining(reply.Draining)
+	if reply.Plans {
+		lacks := make(map[dispatch.Wanted]time.Duration, len(reply.Lacks))
+		for _, lack := range reply.Lacks {
+			lacks[dispatch.Wanted{Model: lack.Model, Adapter: lack.Adapter}] = time.Duration(lack.WaitMs) * time.Millisecond
+		}
+		d.lacks.Store(&heardLacks{d.clock.Elapsed(), lacks})
+	}
 	d.fleetMutex.Lock()
 	defer d.fleetMutex.Unlock()
 	d.fleetWants[ident.NodeID(reply.NodeId)] = fleetWant{heard: d.clock.Elapsed(), demand: reply.Demand, seats: reply.Seats}
--- a/process/daemon/pages.go
+++ b/process/daemon/pages.go
@@ -95,6 +95,7 @@
 		say("requests_held", s.Counters.Held)
 		say("requests_held_now", uint64(s.Held))
 		say("requests_refused", s.Counters.RefusedHere)
+		say("requests_refused_as_hopeless", s.Counters.Hopeless)
 		say("requests_replayed", s.Counters.Replays)
 		say("requests_whole", s.Counters.Whole)
 		say("requests_broken_off", s.Counters.CutOff)
--- a/process/daemon/routing.go
+++ b/process/daemon/routing.go
@@ -57,11 +57,30 @@
 func (d *Daemon) World() dispatch.World {
 	_, notReady := d.members.Ready()
 	return dispatch.World{
-		Now: d.clock.Elapsed(), Table: d.keeper.Table(), Engines: d.watcher.View(), NotReady: notReady, Mint: d.generator.Mint,
+		Lacks: d.lacksNow(),
+		Now:   d.clock.Elapsed(), Table: d.keeper.Table(), Engines: d.watcher.View(), NotReady: notReady, Mint: d.generator.Mint,
 		Zone: d.config.Zone, ShareSeats: true, Permits: true,
 	}
 }
 
+// lacksFresh is for how long the planner's word on what it will not load is believed.
+const lacksFresh = 1500 * time.Millisecond
+
+// lacksNow is what will not be loaded soon, by the newest word of whoever plans.
+func (d *Daemon) lacksNow() map[dispatch.Wanted]time.Duration {
+	if d.Plans() {
+		out := map[dispatch.Wanted]time.Duration{}
+		for _, lack := range d.placer.Condition().Lacks {
+			out[dispatch.Wanted{Model: lack.Model, Adapter: lack.Adapter}] = lack.Wait
+		}
+		return out
+	}
+	if heard := d.lacks.Load(); heard != nil && d.clock.Elapsed().Since(heard.heard) < lacksFresh {
+		return heard.waits
+	}
+	return nil
+}
+
 // lastLook is the last check before the first byte: what it reads is what is in force at that moment.
 func (d *Daemon) lastLook(flight *dispatch.Flight, send dispatch.Send) string {
 	t := d.keeper.Table()
--- a/process/placement/actor.go
+++ b/process/placement/actor.go
@@ -32,6 +32,7 @@
 	Claim    ident.ClaimNumber
 	Held     bool
 	InFlight int
+	Lacks    []Lack
 	Counters Counters
 }
 
@@ -127,7 +128,7 @@
 	if held != nil {
 		a.plan(ctx, held.number)
 	}
-	a.condition.Store(&Condition{Claim: a.number(), Held: a.held.Load() != nil, InFlight: len(a.planner.inFlight), Counters: a.planner.Counters})
+	a.condition.Store(&Condition{Claim: a.number(), Held: a.held.Load() != nil, InFlight: len(a.planner.inFlight), Lacks: a.planner.Lacks, Counters: a.planner.Counters})
 }
 
 func (a *Actor) number() ident.ClaimNumber {
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -347,3 +347,44 @@
 		t.Error(fault)
 	}
 }
+
+// TestLacksSayWhatHigherBidsKeepOut: what is asked for and kept out by higher bids that have lasted is
+// lacking for long; what has room, or whose rivals have gone quiet, is not.
+func TestLacksSayWhatHigherBidsKeepOut(t *testing.T) {
+	y := newYard(5)
+	wait := func(model string) time.Duration {
+		for _, lack := range y.planner.Lacks {
+			if lack.Model == model && lack.Adapter == "" {
+				return lack.Wait
+			}
+		}
+		return 0
+	}
+	y.demand = nil
+	for m := range modelCount {
+		y.demand = append(y.demand, Demand{Model: fmt.Sprint("m", m), Worth: 50, Running: 50, Held: 50})
+	}
+	// The low bid asks for what the others leave no room for.
+	y.demand[modelCount-1] = Demand{Model: fmt.Sprint("m", modelCount-1), Worth: 5, Held: 1}
+	low := y.demand[modelCount-1].Model
+	for range 300 {
+		y.beat()
+	}
+	if y.holds(low, "") {
+		t.Fatal("the low bid was served before the higher ones had enough")
+	}
+	if got := wait(low); got < 8*time.Second {
+		t.Errorf("kept out for a minute, and lacking for %v only", got)
+	}
+	for _, fault := range y.faults {
+		t.Error(fault)
+	}
+	// The others go quiet: the low bid is served, and nothing is lacking.
+	y.demand = y.demand[modelCount-1:]
+	for range 120 {
+		y.beat()
+	}
+	if !y.holds(low, "") || wait(low) != 0 {
+		t.Errorf("%s stands %t, lacking for %v", low, y.holds(low, ""), wait(low))
+	}
+}
--- a/process/placement/plan.go
+++ b/process/placement/plan.go
@@ -76,7 +76,13 @@
 	restful  map[place]clock.Mark
 	// lackSince is since when something has been asked for that stands nowhere.
 	lackSince map[want]clock.Mark
-	Counters  Counters
+	// wantedSince is since when something has been asked for without a quiet spell, seatedSince since when
+	// somebody has sat on it.
+	wantedSince map[want]clock.Mark
+	seatedSince map[place]clock.Mark
+	// Lacks lists what is asked for and could not be served in the newest step.
+	Lacks    []Lack
+	Counters Counters
 }
 
 type place struct {
@@ -93,7 +99,8 @@
 
 // NewPlanner makes the plan of a fresh claim: it knows of no order, and reads what is under way from reports.
 func NewPlanner() *Planner {
-	return &Planner{inFlight: map[ident.EngineID]*InFlight{}, since: map[place]clock.Mark{}, wantedAt: map[want]wish{}, restful: map[place]clock.Mark{}, lackSince: map[want]clock.Mark{}}
+	return &Planner{inFlight: map[ident.EngineID]*InFlight{}, since: map[place]clock.Mark{}, wantedAt: map[want]wish{}, restful: map[place]clock.Mark{}, lackSince: map[want]clock.Mark{},
+		wantedSince: map[want]clock.Mark{}, seatedSince: map[place]clock.Mark{}}
 }
 
 const (
@@ -120,9 +127,12 @@
 	p.settle(in)
 	p.remember(in)
 	var orders []Directed
+	p.Lacks = nil
 	for _, wanted := range p.wants(in) {
 		if order, ok := p.serve(in, wanted); ok {
 			orders = append(orders, order)
+		} else if standing, _ := p.standing(in, wanted.want); standing == 0 && !wanted.idle {
+			p.lack(in, wanted)
 		}
 	}
 	return orders
@@ -263,9 +273,26 @@
 			if in.Now.Since(old.at) < quietFor {
 				worth = max(worth, old.worth)
 			}
+			if _, known := p.wantedSince[key]; !known || in.Now.Since(old.at) >= quietFor {
+				p.wantedSince[key] = in.Now
+			}
 			p.wantedAt[key] = wish{in.Now, worth}
 		}
 	}
+	sat := map[place]bool{}
+	for _, seat := range in.Seats {
+		for _, key := range []place{{seat.Engine, seat.Model, ""}, {seat.Engine, seat.Model, seat.Adapter}} {
+			sat[key] = sat[key] || seat.Sessions > 0
+			if _, known := p.seatedSince[key]; !known && sat[key] {
+				p.seatedSince[key] = in.Now
+			}
+		}
+	}
+	for key := range p.seatedSince {
+		if !sat[key] {
+			delete(p.seatedSince, key)
+		}
+	}
 	for key, at := range p.restful {
 		if in.Now >= at {
 			delete(p.restful, key)
--- a/request/dispatch/core.go
+++ b/request/dispatch/core.go
@@ -25,10 +25,15 @@
 	Zone     ident.ZoneID
 	// Fellows says whether seats are shared with other routing daemons.
 	ShareSeats bool
+	// Lacks is for how long what is asked for is not likely to be loaded anywhere.
+	Lacks map[Wanted]time.Duration
 	// Permits says that a keeper is asked before each go leaves.
 	Permits bool
 }
 
+// Wanted is one model, or one adapter of it.
+type Wanted struct{ Model, Adapter string }
+
 // Event is what steps the core.
 type Event interface{ dispatchEvent() }
 
@@ -109,7 +114,7 @@
 
 // Counters count what happened.
 type Counters struct {
-	LetIn, Held, Sent, Whole, CutOff, Lost, RefusedHere, EngineRefusals, Replays, Reseated, CallersLeft, HeldBack uint64
+	LetIn, Held, Sent, Whole, CutOff, Lost, RefusedHere, EngineRefusals, Replays, Reseated, CallersLeft, HeldBack, Hopeless uint64
 }
 
 type routeKey struct {
@@ -161,6 +166,8 @@
 	leastLeft = 150 * time.Millisecond
 	// pauseBeforeNext keeps a record that came back from going out again in the same breath.
 	pauseBeforeNext = 20 * time.Millisecond
+	// longestComeBack bounds what a refused caller is told to wait.
+	longestComeBack = 30 * time.Second
 	// doubtRest is when to come back with an attempt of which nobody could be asked.
 	doubtRest = 2 * time.Second
 )
@@ -197,6 +204,7 @@
 		c.forget()
 	}
 	c.passLate()
+	c.passHopeless()
 	c.passBids()
 	return c.out
 }
@@ -336,13 +344,59 @@
 
 // passLate refuses what waited past its deadline.
 func (c *Core) passLate() {
+	var late []*Record
 	for _, record := range c.records {
 		// One with hardly any time left would most likely run and be cut off: its refusal is at least certain.
 		least := min(leastLeft, record.Deadline.Since(record.Arrived)/8)
 		if record.stage == Held && record.Deadline.Since(c.world.Now) <= least {
-			c.refuse(record, 503, "no room was found before the deadline", c.comeBack())
+			late = append(late, record)
+		}
+	}
+	// A seed replays only if no effect follows a map's order.
+	for _, record := range inOrder(late) {
+		c.refuse(record, 503, "no room was found before the deadline", c.comeBack())
+	}
+}
+
+func inOrder(records []*Record) []*Record {
+	slices.SortFunc(records, func(a, b *Record) int { return cmp.Compare(a.ID, b.ID) })
+	return records
+}
+
+// passHopeless refuses at once what nothing can serve before its deadline: what it asks for stands nowhere,
+// and the plan is not likely to load it in time. Whoever has a seat waits to be reseated.
+func (c *Core) passHopeless() {
+	if len(c.world.Lacks) == 0 || c.world.Table == nil {
+		return
+	}
+	var hopeless []*Record
+	for _, record := range c.records {
+		if record.stage == Held && record.seatOf == "" && c.hopeless(record) {
+			hopeless = append(hopeless, record)
 		}
 	}
+	for _, record := range inOrder(hopeless) {
+		c.refuse(record, 503, "what it asks for is not likely to be loaded before the deadline", c.waitFor(record))
+		c.Counters.Hopeless++
+	}
+}
+
+// waitFor is how long what a record asks for is likely to be lacking.
+func (c *Core) waitFor(record *Record) time.Duration {
+	return min(longestComeBack, max(time.Second, c.world.Lacks[Wanted{record.Model, ""}], c.world.Lacks[Wanted{record.Model, record.Adapter}]))
+}
+
+func (c *Core) hopeless(record *Record) bool {
+	left := record.Deadline.Since(c.world.Now)
+	if c.world.Lacks[Wanted{record.Model, ""}] <= left && c.world.Lacks[Wanted{record.Model, record.Adapter}] <= left {
+		return false
+	}
+	for _, engine := range c.world.Engines.Engines {
+		if engine.Holds(record.Model, record.Adapter) && engine.Usable() && c.world.Table.Open(engine.ID) {
+			return false
+		}
+	}
+	return true
 }
 
 // passBids lets waiting records bid, the highest first, and sends those for whom there is room.
@@ -710,6 +764,7 @@
 			c.out.EndSeats = append(c.out.EndSeats, session)
 		}
 	}
+	slices.Sort(c.out.EndSeats)
 	for len(c.pastOrder) > 0 && c.world.Now.Since(c.pastOrder[0].at) > pastKept {
 		c.forgetOldest()
 	}
--- a/request/dispatch/core_test.go
+++ b/request/dispatch/core_test.go
@@ -99,3 +99,47 @@
 		t.Errorf("%d attempts are kept", len(c.past))
 	}
 }
+
+func TestWhatWillNotBeLoadedInTimeIsRefusedAtOnceAndNothingElse(t *testing.T) {
+	lacking := func(wait time.Duration, adapter string) World {
+		w := world(start, true)
+		w.Engines.Engines["e"].Report.Models = nil
+		w.Lacks = map[Wanted]time.Duration{{Model: "m", Adapter: adapter}: wait}
+		return w
+	}
+	deadline := start + clock.Mark(10*time.Second)
+	for name, one := range map[string]struct {
+		world   World
+		refused bool
+	}{
+		"not before the deadline":              {lacking(11*time.Second, ""), true},
+		"in time":                              {lacking(9*time.Second, ""), false},
+		"of an adapter that is not asked for":  {lacking(time.Minute, "a"), false},
+		"nobody plans, so nothing is known":    {func() World { w := lacking(0, ""); w.Lacks = nil; return w }(), false},
+		"it stands, whatever the planner says": {func() World { w := world(start, true); w.Lacks = lacking(time.Minute, "").Lacks; return w }(), false},
+	} {
+		c := NewCore()
+		out := c.Step(one.world, arrive(1, deadline))
+		if len(out.Tells) == 0 {
+			// It is held first; the next event finds it.
+			out = c.Step(one.world, Beat{})
+		}
+		refused := len(out.Tells) == 1 && out.Tells[0].Verdict.Kind == Refused
+		if refused != one.refused {
+			t.Errorf("%s: %+v", name, out)
+		}
+		if refused && (out.Tells[0].Verdict.ComeBack < 10*time.Second || out.Tells[0].Verdict.ComeBack > longestComeBack) {
+			t.Errorf("%s: come back after %v", name, out.Tells[0].Verdict.ComeBack)
+		}
+	}
+	// A session that must be reseated waits to the end.
+	c := NewCore()
+	w := lacking(time.Minute, "")
+	event := arrive(1, deadline)
+	event.Request.Session = "s"
+	c.seats["s"] = &Seat{Engine: "gone"}
+	c.Step(w, event)
+	if out := c.Step(w, Beat{}); len(out.Tells) != 0 {
+		t.Errorf("a seated session was given up: %+v", out)
+	}
+}
