Fetch the bundles from before a daemon's life, so that they outlive all disks

Cause: a daemon kept only bundles that were in force in its own life. Once all daemons had been restarted, the earlier epochs stood on the control disks alone; with those lost, a recovery could not give them back. And when the bound on what is kept was reached, the newest bundles were the ones not kept.

Ruled out: the recovery itself, which takes the longest history of all witnesses.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -191,6 +191,7 @@
 	run(d.members.Run)
 	run(d.attempts.Run)
 	run(d.runRehoming)
+	run(d.runHistory)
 	run(d.runTenancy)
 	if d.config.Serves(config.Route) {
 		run(d.dispatch.Run)
--- /dev/null
+++ b/process/daemon/history.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+)
+
+const (
+	// historyEvery is how often earlier bundles that are lacking are asked for, historyAtOnce how many.
+	historyEvery  = 500 * time.Millisecond
+	historyAtOnce = 8
+	historyLimit  = 2 * time.Second
+)
+
+// runHistory fetches the bundles that were in force before this life began, so that they outlive the
+// disks that hold them.
+func (d *Daemon) runHistory(ctx context.Context) {
+	ticker := time.NewTicker(historyEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		t := d.keeper.Table()
+		if t == nil {
+			continue
+		}
+		asked := 0
+		// The newest first, since the bound on their size drops the oldest.
+		for epoch := t.Epoch - 1; epoch >= 1 && asked < historyAtOnce && d.keeper.Lacks(epoch); epoch-- {
+			if _, known := d.keeper.Recall(epoch); known {
+				continue
+			}
+			asked++
+			if raw := d.fetchBundle(ctx, epoch); len(raw) > 0 {
+				d.keeper.Remember(epoch, raw)
+			}
+		}
+	}
+}
+
+// fetchBundle asks the group for an earlier bundle, and a fellow where there is no group.
+func (d *Daemon) fetchBundle(ctx context.Context, epoch ident.Epoch) []byte {
+	bounded, cancel := context.WithTimeout(ctx, historyLimit)
+	defer cancel()
+	if d.leaderAddress() != "" {
+		var proposal statemachine.Proposal
+		if found, ok := d.Look(bounded, "spec", fmt.Sprint(epoch)); ok && json.Unmarshal(found, &proposal) == nil {
+			return proposal.Spec
+		}
+		return nil
+	}
+	fellows := d.members.View().InContact(d.clock.Elapsed(), sightWindow)
+	if len(fellows) == 0 {
+		return nil
+	}
+	recalled, err := d.links.To(fellows[rand.IntN(len(fellows))].Address).Recall(bounded, &fellowapi.RecallRequest{Epoch: uint64(epoch)})
+	if err != nil {
+		return nil
+	}
+	if _, faults := spec.Parse(recalled.Spec); len(faults) > 0 {
+		return nil
+	}
+	return recalled.Spec
+}
--- a/process/rollout/rollout.go
+++ b/process/rollout/rollout.go
@@ -55,6 +55,8 @@
 	// past holds the bundles that were in force here, so that a lost group's can be recalled.
 	past      sync.Map
 	pastBytes int
+	// dropped is the newest epoch that was dropped for want of room: it and all before are not kept.
+	dropped atomic.Uint64
 	// Refused counts offers that were garbage or that differ from what has the same epoch.
 	Refused atomic.Uint64
 	onSwap  func()
@@ -64,7 +66,9 @@
 	epoch    ident.Epoch
 	raw      []byte
 	closures *statemachine.Closures
-	done     chan struct{}
+	// past says that it was in force before, and is only to be remembered.
+	past bool
+	done chan struct{}
 }
 
 // New makes a keeper; onSwap is called after each change that is in force.
@@ -94,16 +98,43 @@
 
 // Offer hands in what was learned; either part may be empty. It returns when the offer is in force or passed by.
 func (k *Keeper) Offer(epoch ident.Epoch, raw []byte, closures *statemachine.Closures) {
-	done := make(chan struct{})
-	if !k.box.Send(offer{epoch, raw, closures, done}) {
+	k.send(offer{epoch: epoch, raw: raw, closures: closures})
+}
+
+// Remember hands in a bundle that was in force before this life began.
+func (k *Keeper) Remember(epoch ident.Epoch, raw []byte) {
+	k.send(offer{epoch: epoch, raw: raw, past: true})
+}
+
+// Lacks says whether an earlier bundle would be kept if it were handed in.
+func (k *Keeper) Lacks(epoch ident.Epoch) bool { return uint64(epoch) > k.dropped.Load() }
+
+func (k *Keeper) send(o offer) {
+	o.done = make(chan struct{})
+	if !k.box.Send(o) {
 		return
 	}
 	select {
-	case <-done:
+	case <-o.done:
 	case <-k.box.Done():
 	}
 }
 
+// keep remembers a bundle, and drops the oldest ones where they grow too many.
+func (k *Keeper) keep(epoch ident.Epoch, raw []byte) {
+	if _, known := k.past.LoadOrStore(epoch, raw); known {
+		return
+	}
+	k.pastBytes += len(raw)
+	for k.pastBytes > mostPastBytes {
+		oldest := epoch
+		k.past.Range(func(key, _ any) bool { oldest = min(oldest, key.(ident.Epoch)); return true })
+		dropped, _ := k.past.LoadAndDelete(oldest)
+		k.pastBytes -= len(dropped.([]byte))
+		k.dropped.Store(max(k.dropped.Load(), uint64(oldest)))
+	}
+}
+
 func (k *Keeper) note(change, step string) {
 	old := *k.steps.Load()
 	if len(old) >= mostSteps {
@@ -115,6 +146,10 @@
 
 func (k *Keeper) take(o offer) {
 	defer close(o.done)
+	if o.past {
+		k.keep(o.epoch, o.raw)
+		return
+	}
 	held := k.table.Load()
 	next := held
 	var changes []string
@@ -156,9 +191,8 @@
 		return
 	}
 	k.table.Store(next)
-	if next.Raw != nil && (held == nil || held.Epoch != next.Epoch) && k.pastBytes+len(next.Raw) <= mostPastBytes {
-		k.past.Store(next.Epoch, next.Raw)
-		k.pastBytes += len(next.Raw)
+	if next.Raw != nil && (held == nil || held.Epoch != next.Epoch) {
+		k.keep(next.Epoch, next.Raw)
 	}
 	for _, change := range changes {
 		k.note(change, InForce)
--- a/rehearsal/fleet/fleet.go
+++ b/rehearsal/fleet/fleet.go
@@ -181,7 +181,7 @@
 	return reached, nil
 }
 
-// Recover runs the operators' procedure for a lost majority on a stopped core daemon.
+// Recover runs the operators' procedure for a lost majority on a stopped core daemon; survivor may be empty.
 func (f *Fleet) Recover(p *Process, survivor string) ([]byte, error) {
 	args := append([]string{}, p.args[1:]...)
 	for _, edge := range f.Edges() {
@@ -189,7 +189,10 @@
 			args = append(args, "--recover-from", edge.Reached)
 		}
 	}
-	return exec.Command(p.args[0], append(args, "--survivor", survivor)...).CombinedOutput()
+	if survivor != "" {
+		args = append(args, "--survivor", survivor)
+	}
+	return exec.Command(p.args[0], args...).CombinedOutput()
 }
 
 // freeAddress finds a port on a loopback address of the process's own, so that no outgoing connection can be given it.
--- a/rehearsal/scenario/loss.go
+++ b/rehearsal/scenario/loss.go
@@ -122,7 +122,9 @@
 		}
 		r.Pause(2 * time.Second)
 
-		r.Say("two disks are lost for good, and the group is recovered from the third and the living daemons")
+		// With every other seed no disk is left at all: the living daemons, none older than the last epochs, hold all that was.
+		noneLeft := r.Seed%2 == 1
+		r.Say("two disks are lost for good, and the third too: %t; the group is recovered from what is left and the living daemons", noneLeft)
 		for _, p := range cores {
 			p.Kill()
 		}
@@ -135,6 +137,9 @@
 		if err := os.Rename(r.Fleet.DataOf(cores[0]), kept); err != nil {
 			return err
 		}
+		if noneLeft {
+			kept = ""
+		}
 		refused := 0
 		if err := r.Await("the recovery is let in", func() bool {
 			said, err := r.Fleet.Recover(cores[0], kept)
