Find a new leader sooner: terms with hearsay, shorter questions; race at two leaders

Cause: found by two operators who close zones through a leader that is cut off and through the rest, at once: until anything could be read or committed took 2 to 8 s, and once the 12 s were passed. Daemons told each other the old leader's address in turn, so one that had dropped it took it up again; and a question to it was waited for 2 to 4 s.

Change: the leader's term goes with its address; one that could not be reached counts again only when a newer term, or the leader itself, is heard. Reads wait 0.7 s, commands 1.2 s (and 1.8 s more where the answer waits for all), and end as soon as another is known to lead; all can be sent again.

At two leaders on one base never both were told that theirs was taken; who got no answer and asked again was told who had won.

--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -26,6 +26,38 @@
 // lostAfter is how long a daemon must have been silent before it may be declared lost.
 const lostAfter = 10 * time.Second
 
+// submitLimit is how long a leader's answer is waited for; a command that is sent again finds itself, so one
+// that may have gone to a leader who is cut off is better sent again soon.
+const submitLimit = 1200 * time.Millisecond
+
+// readLimit is how long a leader's answer to a read is waited for.
+const readLimit = 700 * time.Millisecond
+
+// whileLeader bounds a question to the leader by a time, and by another being known to lead.
+func (d *Daemon) whileLeader(ctx context.Context, address string, limit time.Duration) (context.Context, context.CancelFunc) {
+	bounded, cancel := context.WithTimeout(ctx, limit)
+	go func() {
+		ticker := time.NewTicker(100 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-bounded.Done():
+				return
+			case <-ticker.C:
+				if leader := d.leaderAddress(); leader != "" && leader != address {
+					cancel()
+				}
+			}
+		}
+	}()
+	return bounded, cancel
+}
+
+// spreads says whether a command changes what must be in force everywhere.
+func spreads(op statemachine.Op) bool {
+	return op == statemachine.OpRoll || op == statemachine.OpClosure || op == statemachine.OpLost
+}
+
 // reachLimit is how long an acknowledgement waits for daemons in contact.
 const reachLimit = 1800 * time.Millisecond
 
@@ -134,12 +166,19 @@
 
 // leaderAddress is where the leader is, as far as this daemon knows.
 func (d *Daemon) leaderAddress() string {
+	address, _ := d.leaderAndTerm()
+	return address
+}
+
+// leaderAndTerm is where the leader is and in which term it leads, as far as this daemon knows.
+func (d *Daemon) leaderAndTerm() (string, uint64) {
 	if held := d.replica.Load(); held != nil {
-		if leader := held.Condition().Leader; leader.Address != "" {
-			return leader.Address
+		if condition := held.Condition(); condition.Leader.Address != "" {
+			return condition.Leader.Address, uint64(condition.Term)
 		}
 	}
-	return d.members.View().LeaderAddress
+	view := d.members.View()
+	return view.LeaderAddress, view.LeaderTerm
 }
 
 // Leads says whether this daemon leads the group.
@@ -255,7 +294,12 @@
 		if address == "" || address == d.config.ReachedAt() {
 			return operatorapi.Answer{}, false
 		}
-		bounded, cancel := context.WithTimeout(ctx, 4*time.Second)
+		limit := submitLimit
+		if spreads(command.Op) {
+			// The leader answers these when they are everywhere, or when it has waited long enough for that.
+			limit += reachLimit
+		}
+		bounded, cancel := d.whileLeader(ctx, address, limit)
 		reply, err := d.links.To(address).Submit(bounded, &fellowapi.SubmitRequest{Group: string(d.Group()), Command: data})
 		cancel()
 		if err != nil {
@@ -371,7 +415,7 @@
 			return result, true
 		}
 		if address := d.leaderAddress(); address != "" && address != d.config.ReachedAt() {
-			bounded, cancel := context.WithTimeout(ctx, 2*time.Second)
+			bounded, cancel := d.whileLeader(ctx, address, readLimit)
 			reply, err := d.links.To(address).Read(bounded, &fellowapi.ReadRequest{Group: string(d.Group()), What: what, Key: key})
 			cancel()
 			if err == nil && reply.Outcome == string(replica.Applied) {
@@ -435,7 +479,8 @@
 	d.members.Served(in)
 	d.hearDraining(in.Draining)
 	now := d.clock.Elapsed()
-	reply := &fellowapi.PullReply{Group: string(d.Group()), NodeId: string(d.nodeID), LeaderAddress: d.leaderAddress(), IsLeader: d.Leads(), FirstRollMsAgo: d.FirstRollAgo().Milliseconds()}
+	leader, term := d.leaderAndTerm()
+	reply := &fellowapi.PullReply{Group: string(d.Group()), NodeId: string(d.nodeID), LeaderAddress: leader, LeaderTerm: term, IsLeader: d.Leads(), FirstRollMsAgo: d.FirstRollAgo().Milliseconds()}
 	if t := d.keeper.Table(); t != nil {
 		reply.SpecEpoch, reply.ClosureEpoch = uint64(t.Epoch), uint64(t.Closures.Epoch)
 		if in.SpecEpoch < uint64(t.Epoch) {
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -49,7 +49,10 @@
 	Fellows map[ident.NodeID]Fellow
 	// LeaderAddress is where the group's leader was last known to be.
 	LeaderAddress string
-	Group         ident.GroupID
+	// LeaderTerm is the newest term in which a leader was heard of. Unreached is the term of one that could
+	// not be reached: hearsay of it counts for nothing, or stale words of it would go round among daemons.
+	LeaderTerm, Unreached uint64
+	Group                 ident.GroupID
 	// HeardLeader and HeardAny are when a pull was last answered.
 	HeardLeader, HeardAny clock.Mark
 	// NewestSpec and NewestClosure are the highest epochs anyone told of.
@@ -301,7 +304,7 @@
 		m.Failed.Add(1)
 		m.update(func(next *View, _ clock.Mark) {
 			if next.LeaderAddress == e.address {
-				next.LeaderAddress = ""
+				next.LeaderAddress, next.Unreached = "", next.LeaderTerm
 			}
 		})
 		return
@@ -309,14 +312,22 @@
 	m.update(func(next *View, now clock.Mark) {
 		// A reply may have waited in a frozen machine's buffers: it vouches for the moment it was asked for.
 		next.HeardAny = max(next.HeardAny, e.asked)
-		if e.reply.Group != "" {
-			next.Group = ident.GroupID(e.reply.Group)
+		if group := ident.GroupID(e.reply.Group); group != "" {
+			if group != next.Group {
+				// Another generation counts its terms anew.
+				next.LeaderTerm, next.Unreached = 0, 0
+			}
+			next.Group = group
 		}
-		if e.reply.IsLeader {
-			next.HeardLeader, next.LeaderAddress = max(next.HeardLeader, e.asked), e.address
+		switch {
+		case e.reply.IsLeader && e.reply.LeaderTerm < next.LeaderTerm:
+			// One that was followed by another and has not noticed yet.
+		case e.reply.IsLeader:
+			next.HeardLeader, next.LeaderAddress, next.LeaderTerm = max(next.HeardLeader, e.asked), e.address, e.reply.LeaderTerm
 			next.BeforeAll = next.BeforeAll || beforeAll(time.Duration(e.reply.FirstRollMsAgo)*time.Millisecond, e.asked.Since(next.Started))
-		} else if e.reply.LeaderAddress != "" {
-			next.LeaderAddress = e.reply.LeaderAddress
+		case e.reply.LeaderAddress != "" && (e.reply.LeaderTerm > max(next.LeaderTerm, next.Unreached) ||
+			next.LeaderAddress == "" && e.reply.LeaderTerm == next.LeaderTerm && next.Unreached < next.LeaderTerm || e.reply.LeaderTerm == 0):
+			next.LeaderAddress, next.LeaderTerm = e.reply.LeaderAddress, max(next.LeaderTerm, e.reply.LeaderTerm)
 		}
 		next.NewestSpec = max(next.NewestSpec, ident.Epoch(e.reply.SpecEpoch))
 		next.NewestClosure = max(next.NewestClosure, ident.Epoch(e.reply.ClosureEpoch))
--- a/rehearsal/scenario/scenario.go
+++ b/rehearsal/scenario/scenario.go
@@ -44,11 +44,13 @@
 	shut      map[string]bool
 	// resending says that callers send an attempt again elsewhere where its outcome stays open.
 	resending bool
+	// silent is when a daemon last gave an operator no answer.
+	silent map[*fleet.Process]time.Time
 }
 
 // New prepares a run.
 func New(f *fleet.Fleet, seed uint64, say func(string, ...any)) *Run {
-	r := &Run{Fleet: f, Seed: seed, Say: say, random: rand.New(rand.NewPCG(seed, 1)), without: map[string]bool{}, shut: map[string]bool{}}
+	r := &Run{Fleet: f, Seed: seed, Say: say, random: rand.New(rand.NewPCG(seed, 1)), without: map[string]bool{}, shut: map[string]bool{}, silent: map[*fleet.Process]time.Time{}}
 	r.following = context.Background()
 	r.history.ZoneOf = map[string]string{}
 	for _, engine := range f.Engines {
@@ -106,6 +108,8 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.random.Shuffle(len(running), func(i, j int) { running[i], running[j] = running[j], running[i] })
+	// As an operator would, one that gave no answer a moment ago is tried last.
+	slices.SortStableFunc(running, func(a, b *fleet.Process) int { return r.silent[a].Compare(r.silent[b]) })
 	return running
 }
 
@@ -120,6 +124,9 @@
 				return status, err
 			}
 			last = err
+			r.mutex.Lock()
+			r.silent[p] = time.Now()
+			r.mutex.Unlock()
 		}
 	}
 	return 0, fmt.Errorf("no daemon gave an outcome: %w", last)
--- a/rehearsal/scenario/splits.go
+++ b/rehearsal/scenario/splits.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"syscall"
 	"time"
 
 	"github.com/cresspond/cresspond/rehearsal/checker"
 	"github.com/cresspond/cresspond/rehearsal/fleet"
+	"github.com/cresspond/cresspond/wire/operatorapi"
 )
 
 // cutOff cuts a set of daemons from all others: out, in, or both ways.
@@ -54,6 +56,10 @@
 			r.Say("%s: %s", way.what, leader.Name)
 			r.cutOff([]*fleet.Process{leader}, way.out, way.in)
 			r.Act(checker.Act{Kind: checker.Crashed, Subject: leader.Name + ", cut off"})
+			settle, err := r.raceAtTwoLeaders(leader)
+			if err != nil {
+				return err
+			}
 			if err := r.Roll(fmt.Sprint("split-", epoch), epoch); err != nil {
 				return err
 			}
@@ -61,6 +67,9 @@
 			r.Pause(2 * time.Second)
 			r.heal()
 			r.Pause(2 * time.Second)
+			if err := settle(); err != nil {
+				return err
+			}
 		}
 
 		edge := r.Fleet.Edges()[0]
@@ -118,6 +127,49 @@
 	})
 }
 
+// raceAtTwoLeaders has one operator close a zone through a leader that is cut off, and may not know it
+// yet, and another close another zone through the rest, both on the same closures. What settle does is for
+// after the split: who got no answer asks again, and is told that the other won; then all is opened.
+func (r *Run) raceAtTwoLeaders(old *fleet.Process) (settle func() error, err error) {
+	base, err := r.closureEpoch()
+	if err != nil {
+		return nil, err
+	}
+	zones, yes := r.Fleet.Deployment.Zones, true
+	mine := operatorapi.Zone{Zone: zones[0], Closed: &yes, Base: &base, Operator: "ana"}
+	theirs := operatorapi.Zone{Zone: zones[1], Closed: &yes, Base: &base, Operator: "berta"}
+	there := make(chan int, 1)
+	go func() {
+		status, _ := r.Fleet.Post(old, operatorapi.PathZone, theirs, nil)
+		there <- status
+	}()
+	status, _ := r.Ask(operatorapi.PathZone, mine, nil)
+	r.Act(checker.Act{Kind: checker.ZoneClosing, Subject: string(mine.Zone)})
+	thereStatus := <-there
+	won := func(status int) bool { return status == http.StatusOK || status == http.StatusAccepted }
+	r.Say("two operators at two leaders: %d, and %d at the one that is cut off", status, thereStatus)
+	if won(status) && won(thereStatus) || !won(status) && status != http.StatusConflict {
+		return nil, fmt.Errorf("two operators at two leaders were answered with %d and %d", status, thereStatus)
+	}
+	return func() error {
+		for _, act := range []struct {
+			body operatorapi.Zone
+			won  bool
+		}{{mine, won(status)}, {theirs, !won(status)}} {
+			again, err := r.Ask(operatorapi.PathZone, act.body, nil)
+			if won(again) != act.won || !act.won && again != http.StatusConflict {
+				return fmt.Errorf("%s, asked for again, was answered with %d: %w", act.body.Zone, again, err)
+			}
+		}
+		for _, zone := range zones[:2] {
+			if err := r.Zone(zone, false); err != nil {
+				return err
+			}
+		}
+		return nil
+	}, nil
+}
+
 func (r *Run) awaitLeader() (leader *fleet.Process, err error) {
 	err = r.Await("the group has a leader", func() bool { leader = r.Fleet.Leader(); return leader != nil })
 	return leader, err
