Tell the group of an order before it leaves, so that no successor orders past the room

The successor, who knows orders from reports alone, saw room where a load was, and ordered past it; the engine refused, five times in a row.

Ruled out: two planners at once (the claims rose by one, 3 s apart), and the same planner's own orders, which it counts until a report settles them.

Change: the claim carries, for each engine, the call-seq that tells of all orders given; it is committed before an order leaves, and without that the order does not leave.

--- a/process/daemon/routing.go
+++ b/process/daemon/routing.go
@@ -503,8 +503,8 @@
 )
 
 // Claim asks the group for the claim.
-func (p planning) Claim(ctx context.Context) (*statemachine.Claim, bool) {
-	answer, ok := p.submitOnce(ctx, statemachine.Command{Op: statemachine.OpClaim, NodeID: p.nodeID})
+func (p planning) Claim(ctx context.Context, orders map[ident.EngineID]uint64, turn uint64) (*statemachine.Claim, bool) {
+	answer, ok := p.submitOnce(ctx, statemachine.Command{Op: statemachine.OpClaim, NodeID: p.nodeID, Orders: orders, OrdersTurn: turn})
 	if !ok || answer.Verdict != statemachine.Done || answer.Claim == nil {
 		return nil, false
 	}
--- a/process/placement/actor.go
+++ b/process/placement/actor.go
@@ -17,8 +17,8 @@
 type Surroundings interface {
 	// Input gives what the plan looks at.
 	Input() Input
-	// Claim asks the group for the claim, or for more time under it.
-	Claim(ctx context.Context) (*statemachine.Claim, bool)
+	// Claim asks the group for the claim, or for more time under it, and tells what was ordered.
+	Claim(ctx context.Context, orders map[ident.EngineID]uint64, turn uint64) (*statemachine.Claim, bool)
 	// Mint stamps an order.
 	Mint() (ident.MintedID, snowflake.Verdict)
 	// Order sends an order; see enginelink.Order.
@@ -53,6 +53,8 @@
 	askedAt   clock.Mark
 	condition atomic.Pointer[Condition]
 	stopped   bool
+	// turn numbers what the group is told of the orders.
+	turn uint64
 }
 
 type (
@@ -118,10 +120,11 @@
 	}
 	if !a.stopped && !a.asking && now.Since(a.askedAt) >= renewEvery && a.around.MayStand() {
 		a.asking, a.askedAt = true, now
+		orders, turn := a.tell(held)
 		go func() {
 			bounded, cancel := context.WithTimeout(ctx, renewEvery)
 			defer cancel()
-			claim, ok := a.around.Claim(bounded)
+			claim, ok := a.around.Claim(bounded, orders, turn)
 			a.box.Send(claimed{now, claim, ok})
 		}()
 	}
@@ -138,8 +141,37 @@
 	return 0
 }
 
+// tell is what the group is told of the orders given so far.
+func (a *Actor) tell(held *holding) (orders map[ident.EngineID]uint64, turn uint64) {
+	if held == nil {
+		return nil, 0
+	}
+	a.turn++
+	return a.planner.Ordered(), a.turn
+}
+
+// tellLimit bounds the wait until the group has written down that orders are about to leave.
+const tellLimit = 1500 * time.Millisecond
+
 func (a *Actor) plan(ctx context.Context, number ident.ClaimNumber) {
-	for _, directed := range a.planner.Step(a.around.Input()) {
+	given := a.planner.Step(a.around.Input())
+	if len(given) == 0 {
+		return
+	}
+	// The group knows of an order before it leaves: a successor whose reports lag behind must not order as if
+	// it had not been given, however this daemon ends.
+	orders, turn := a.tell(a.held.Load())
+	told := make(chan bool, len(given))
+	go func() {
+		bounded, cancel := context.WithTimeout(ctx, tellLimit)
+		defer cancel()
+		claim, ok := a.around.Claim(bounded, orders, turn)
+		ok = ok && claim.Number == number
+		for range given {
+			told <- ok
+		}
+	}()
+	for _, directed := range given {
 		stamp, verdict := a.around.Mint()
 		if verdict != snowflake.Minted {
 			// Without a tenure nothing may be ordered.
@@ -151,6 +183,10 @@
 			continue
 		}
 		go func() {
+			if !<-told {
+				a.box.Send(answered{directed.Engine, order, nil, false})
+				return
+			}
 			answer, sent := a.around.Order(ctx, directed.Address, order, orderLimit, func() bool { return a.commands(number) })
 			a.box.Send(answered{directed.Engine, order, answer, sent})
 		}()
@@ -185,9 +221,10 @@
 	}
 	span := time.Duration(e.claim.Until-e.claim.Now)*time.Millisecond - claimMargin
 	if held := a.held.Load(); held == nil || held.number != e.claim.Number {
-		// A fresh claim starts from the reports alone: whatever was ordered before is seen there or is void.
+		// A fresh claim starts from the reports alone, once they can tell of what was ordered before.
 		counters := a.planner.Counters
 		a.planner = NewPlanner()
+		a.planner.Inherit(a.clock.Elapsed(), e.claim.Orders)
 		a.planner.Counters = counters
 	}
 	a.held.Store(&holding{number: e.claim.Number, until: e.asked + clock.Mark(span)})
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -50,6 +50,7 @@
 	faults   []string
 	loads    int
 	unloads  int
+	tookOver clock.Mark
 	// lose is the share of order answers that are lost, half of them with the order itself.
 	lose float64
 }
@@ -272,6 +273,18 @@
 				y.seats = nil
 			case 4:
 				y.engines[ident.EngineID(fmt.Sprint("e", y.random.IntN(engineCount)))].staleUntil = y.now + clock.Mark(time.Duration(y.random.IntN(8000))*time.Millisecond)
+			case 5:
+				// Another daemon takes the claim up: all it knows is what was told with the last renewal.
+				if y.now.Since(y.tookOver) > 8*time.Second {
+					told := y.planner.Ordered()
+					counters := y.planner.Counters
+					y.planner = NewPlanner()
+					y.planner.Counters = counters
+					y.planner.Inherit(y.now, told)
+					// The old claim's end and the gap pass before the next may order.
+					y.now += clock.Mark(7 * time.Second)
+					y.tookOver = y.now
+				}
 			case 3:
 				y.restart(ident.EngineID(fmt.Sprint("e", y.random.IntN(engineCount))))
 			}
--- a/process/placement/plan.go
+++ b/process/placement/plan.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -85,6 +86,10 @@
 	// somebody has sat on it.
 	wantedSince map[want]clock.Mark
 	seatedSince map[place]clock.Mark
+	// ordered is the call-seq each engine must show before its reports tell of all that this claim ordered,
+	// inherited the same of the claims before, began when this claim did.
+	ordered, inherited map[ident.EngineID]uint64
+	began              clock.Mark
 	// Lacks lists what is asked for and could not be served in the newest step.
 	Lacks    []Lack
 	Counters Counters
@@ -105,7 +110,8 @@
 // NewPlanner makes the plan of a fresh claim: it knows of no order, and reads what is under way from reports.
 func NewPlanner() *Planner {
 	return &Planner{inFlight: map[ident.EngineID]*InFlight{}, since: map[place]clock.Mark{}, wantedAt: map[want]wish{}, restful: map[place]clock.Mark{}, lackSince: map[want]clock.Mark{},
-		wantedSince: map[want]clock.Mark{}, seatedSince: map[place]clock.Mark{}}
+		wantedSince: map[want]clock.Mark{}, seatedSince: map[place]clock.Mark{},
+		ordered: map[ident.EngineID]uint64{}, inherited: map[ident.EngineID]uint64{}}
 }
 
 const (
@@ -124,12 +130,39 @@
 	failedRest = 2 * time.Second
 )
 
+// Inherit takes over what earlier claims ordered. An engine gets no order before its report can tell of that.
+func (p *Planner) Inherit(now clock.Mark, orders map[ident.EngineID]uint64) {
+	p.began = now
+	maps.Copy(p.inherited, orders)
+}
+
+// Ordered is the call-seq each engine must show before its reports tell of all orders, this claim's and earlier ones'.
+func (p *Planner) Ordered() map[ident.EngineID]uint64 {
+	out := maps.Clone(p.inherited)
+	for id, seq := range p.ordered {
+		out[id] = max(out[id], seq)
+	}
+	return out
+}
+
+// meet forgets what was inherited for engines whose reports tell of it by now, or were asked for so long
+// after the claim began that the engine must be another life.
+func (p *Planner) meet(in Input) {
+	for id, seq := range p.inherited {
+		engine := in.Engines.Engines[id]
+		if engine != nil && (engine.Report.CallSeq >= seq || engine.Asked.Since(p.began) > reportLagLimit) {
+			delete(p.inherited, id)
+		}
+	}
+}
+
 // Step settles what the reports show, and gives the orders to send now.
 func (p *Planner) Step(in Input) []Directed {
 	if in.Table == nil {
 		return nil
 	}
 	p.settle(in)
+	p.meet(in)
 	p.remember(in)
 	var orders []Directed
 	p.Lacks = nil
@@ -185,6 +218,7 @@
 		if flight.Kind == engineapi.Load {
 			p.loaded = false
 		}
+		p.ordered[engine] = flight.Expect - 1
 		delete(p.inFlight, engine)
 	}
 }
@@ -198,11 +232,13 @@
 			// A new life of the engine: what was ordered before is void.
 			p.Counters.Void++
 			delete(p.inFlight, id)
+			delete(p.ordered, id)
 			continue
 		case engine.Life != flight.Life:
 			// The new life was not known of when the order left, so it may be the one that got it: only its
 			// reports can tell, and its counter began anew.
 			flight.Life, flight.Expect = engine.Life, 1
+			p.ordered[id] = 1
 		case flight.answered > 0 && engine.Asked > flight.answered:
 			flight.ofThisLife = true
 		}
@@ -474,7 +510,8 @@
 // free says whether this engine could be given an order about what is wanted.
 func (p *Planner) free(in Input, engine *engines.Engine, w wanted) bool {
 	_, resting := p.restful[place{engine.ID, w.model, w.adapter}]
-	return p.commandable(in, engine) && p.inFlight[engine.ID] == nil && !resting
+	_, untold := p.inherited[engine.ID]
+	return p.commandable(in, engine) && p.inFlight[engine.ID] == nil && !resting && !untold
 }
 
 // room is what is left on an engine, counting all that is loaded, coming, or not yet surely gone.
@@ -510,7 +547,8 @@
 				shown = held.Model
 			}
 		}
-		if flight := p.inFlight[id]; flight != nil && flight.Kind == engineapi.Load && flight.Model != shown {
+		_, untold := p.inherited[id]
+		if flight := p.inFlight[id]; flight != nil && flight.Kind == engineapi.Load && flight.Model != shown || untold && shown == "" {
 			loading++
 		}
 	}
@@ -636,6 +674,7 @@
 // give notes an order as under way; from now on the engine gets no other until this one is settled.
 func (p *Planner) give(in Input, engine *engines.Engine, order engineapi.Order) Directed {
 	p.Counters.Orders++
+	p.ordered[engine.ID] = engine.Report.CallSeq + 1
 	p.inFlight[engine.ID] = &InFlight{Order: order, State: Sending, Sent: in.Now, Expect: engine.Report.CallSeq + 1, Life: engine.Life, address: engine.Address}
 	return Directed{Engine: engine.ID, Address: engine.Address, Order: order}
 }
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -64,6 +64,10 @@
 
 	// GapMs is the quiet time between one claim's end and the next claim, stamped by the leader.
 	GapMs int64 `json:"gapMs,omitempty"`
+	// Orders is, with CLAIM, the call-seq each engine must show before its reports tell of all orders given.
+	Orders map[ident.EngineID]uint64 `json:"orders,omitempty"`
+	// OrdersTurn numbers the tellings of one claim, so that one that comes late changes nothing.
+	OrdersTurn uint64 `json:"ordersTurn,omitempty"`
 }
 
 // Verdict is the outcome of a command.
@@ -154,6 +158,10 @@
 	NodeID ident.NodeID      `json:"nodeId"`
 	Until  ident.GroupTime   `json:"until"`
 	Now    ident.GroupTime   `json:"now"`
+	// Orders is the call-seq each engine must show before its reports tell of all orders given under this
+	// claim and those before: its holder says so before each order leaves.
+	Orders     map[ident.EngineID]uint64 `json:"orders,omitempty"`
+	OrdersTurn uint64                    `json:"ordersTurn,omitempty"`
 }
 
 // Result is what a command gives back.
@@ -512,11 +520,14 @@
 	switch {
 	case live && s.Claim.NodeID == c.NodeID:
 		s.Claim.Until = max(s.Claim.Until, s.Now.Add(time.Duration(c.SpanMs)*time.Millisecond))
+		if c.OrdersTurn > s.Claim.OrdersTurn {
+			s.Claim.Orders, s.Claim.OrdersTurn = c.Orders, c.OrdersTurn
+		}
 	case live || s.Now < s.Claim.Until+ident.GroupTime(c.GapMs) && s.Claim.Number > 0:
 		// A successor waits out the old claim and the quiet gap, so no engine is commanded in quick turns.
 		return Result{Verdict: Waiting, Reason: "another claim is in force or has just ended", Claim: s.claimNow()}
 	default:
-		s.Claim = Claim{Number: s.Claim.Number + 1, NodeID: c.NodeID, Until: s.Now.Add(time.Duration(c.SpanMs) * time.Millisecond)}
+		s.Claim = Claim{Number: s.Claim.Number + 1, NodeID: c.NodeID, Orders: s.Claim.Orders, Until: s.Now.Add(time.Duration(c.SpanMs) * time.Millisecond)}
 	}
 	return Result{Verdict: Done, Claim: s.claimNow()}
 }
