Ask for a lost seat before replacing it; keep the order of the platform's lists

TestALostSeatIsAskedForBeforeItIsReplaced failed before: the go left before the home was asked.

Change: a seat on an engine that can't be used is asked for at the session's home, which says who replaced it; the stand-in's lists are numbered.

--- a/rehearsal/platform/platform.go
+++ b/rehearsal/platform/platform.go
@@ -18,6 +18,8 @@
 	address string
 	// trouble is what is wrong with the list: "" nothing, "gone", "empty", "junk" or "strangers".
 	trouble string
+	// asked and set number the lists, so that of two set in one breath the later one stays.
+	asked, set uint64
 }
 
 // New starts serving on a listener.
@@ -63,9 +65,15 @@
 
 // Set replaces the list after the lag.
 func (p *Platform) Set(engines []platformapi.Engine) {
+	p.mutex.Lock()
+	p.asked++
+	number := p.asked
+	p.mutex.Unlock()
 	time.AfterFunc(Lag, func() {
 		p.mutex.Lock()
 		defer p.mutex.Unlock()
-		p.list = platformapi.List{Engines: engines}
+		if number > p.set {
+			p.set, p.list = number, platformapi.List{Engines: engines}
+		}
 	})
 }
--- a/request/dispatch/core.go
+++ b/request/dispatch/core.go
@@ -506,15 +506,22 @@
 	if record.Session == "" {
 		return true
 	}
-	if seat := c.seats[record.Session]; seat != nil {
-		record.seatKnown, record.seatOf = true, seat.Engine
-		return true
+	replaces := ident.EngineID("")
+	if seat := c.seats[record.Session]; seat != nil && !record.seatAsked {
+		record.seatOf = seat.Engine
+		known := c.world.Engines.Engines[seat.Engine]
+		if !c.world.ShareSeats || known != nil && c.fit(known, record) {
+			record.seatKnown = true
+			return true
+		}
+		// The seat is lost; but another daemon may have given the session a new one since, so its home is asked.
+		record.seatKnown, replaces = false, seat.Engine
 	}
 	if !record.seatKnown && !record.seatAsked {
 		// The home hears at once which engine would be taken, so that asking and taking are one act.
 		if wished, ok := c.pick(record); ok {
 			record.seatAsked = true
-			c.out.AskSeats = append(c.out.AskSeats, AskSeat{ID: record.ID, Session: record.Session, Model: record.Model, Adapter: record.Adapter, Engine: wished.ID})
+			c.out.AskSeats = append(c.out.AskSeats, AskSeat{ID: record.ID, Session: record.Session, Model: record.Model, Adapter: record.Adapter, Engine: wished.ID, Replaces: replaces})
 		}
 	}
 	return record.seatKnown
--- a/request/dispatch/core_test.go
+++ b/request/dispatch/core_test.go
@@ -143,3 +143,29 @@
 		t.Errorf("a seated session was given up: %+v", out)
 	}
 }
+
+// TestALostSeatIsAskedForBeforeItIsReplaced: this daemon remembers a seat on an engine that is gone; another
+// daemon has given the session a new one since, and the home's word on that stands.
+func TestALostSeatIsAskedForBeforeItIsReplaced(t *testing.T) {
+	c := NewCore()
+	w := world(start, true)
+	w.ShareSeats = true
+	// Two engines hold the model; the home says that the session sits on the one that would not be picked.
+	s := w.Table.Spec
+	s.Engines = append(s.Engines, spec.Engine{ID: "f", Zone: "z", Room: 10, Slots: 1})
+	w.Table = table.Build(1, nil, s, statemachine.Closures{})
+	other := *w.Engines.Engines["e"]
+	other.ID = "f"
+	w.Engines.Engines["f"] = &other
+	c.seats["s"] = &Seat{Engine: "gone"}
+	event := arrive(1, start+clock.Mark(10*time.Second))
+	event.Request.Session = "s"
+	out := c.Step(w, event)
+	if len(out.Sends) != 0 || len(out.AskSeats) != 1 || out.AskSeats[0].Replaces != "gone" || out.AskSeats[0].Engine != "e" {
+		t.Fatalf("the home was not asked first: %+v", out)
+	}
+	out = c.Step(w, SeatTold{ID: 1, Session: "s", Engine: "f"})
+	if len(out.Sends) != 1 || out.Sends[0].Engine != "f" {
+		t.Fatalf("the home's word did not stand: %+v", out)
+	}
+}
