Say once what spreads everywhere, and ask the one check whether an engine fits

Cause: reading the change again, two things stood twice. Which commands must be in force everywhere was listed by the desk and by the daemon, so a new one could be waited for by one and called acknowledged by the other; it is a method of the command now. Whether an engine may serve a record was spelt out again where hopeless records are given up; that calls the check that picks engines use.

--- a/connection/operators/operators.go
+++ b/connection/operators/operators.go
@@ -129,8 +129,7 @@
 		statemachine.Missing: fasthttp.StatusNotFound, statemachine.Malformed: fasthttp.StatusBadRequest,
 	}[got.Verdict]
 	if status == fasthttp.StatusOK {
-		spreads := command.Op == statemachine.OpRoll || command.Op == statemachine.OpClosure || command.Op == statemachine.OpLost
-		if spreads && !got.Acknowledged {
+		if command.Op.Spreads() && !got.Acknowledged {
 			// Committed, and not yet in force everywhere: this is no acknowledgement.
 			status = fasthttp.StatusAccepted
 		}
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -53,11 +53,6 @@
 	return bounded, cancel
 }
 
-// spreads says whether a command changes what must be in force everywhere.
-func spreads(op statemachine.Op) bool {
-	return op == statemachine.OpRoll || op == statemachine.OpClosure || op == statemachine.OpLost
-}
-
 // reachLimit is how long an acknowledgement waits for daemons in contact.
 const reachLimit = 1800 * time.Millisecond
 
@@ -295,7 +290,7 @@
 			return operatorapi.Answer{}, false
 		}
 		limit := submitLimit
-		if spreads(command.Op) {
+		if command.Op.Spreads() {
 			// The leader answers these when they are everywhere, or when it has waited long enough for that.
 			limit += reachLimit
 		}
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -35,6 +35,9 @@
 	OpLost Op = "LOST"
 )
 
+// Spreads says whether a command changes what must be in force everywhere.
+func (op Op) Spreads() bool { return op == OpRoll || op == OpClosure || op == OpLost }
+
 // Command is the form of an entry in the log.
 type Command struct {
 	Op Op `json:"op"`
--- a/request/dispatch/core.go
+++ b/request/dispatch/core.go
@@ -392,7 +392,7 @@
 		return false
 	}
 	for _, engine := range c.world.Engines.Engines {
-		if engine.Holds(record.Model, record.Adapter) && engine.Usable() && c.world.Table.Open(engine.ID) {
+		if c.fit(engine, record) {
 			return false
 		}
 	}
