--- /dev/null
+++ b/epoch/forward/forward.go
@@ -0,0 +1,102 @@
+// Package forward is the bundle's section on opaque requests: paths by host and prefix, the pools of
+// engines that serve them, and what a pool's engines may hold.
+package forward
+
+import "encoding/json"
+
+// Class says what may be done again.
+type Class string
+
+const (
+	// Repeatable requests may run more than once.
+	Repeatable Class = "repeatable"
+	// Once requests run at most once for each attempt of a client.
+	Once Class = "once"
+	// Stream requests are answered by events, and run at most once unless the path is resumable.
+	Stream Class = "stream"
+)
+
+// Section is all that a bundle says of opaque requests.
+type Section struct {
+	// Revision is the operator's own number of this bundle; it rises from bundle to bundle.
+	Revision uint64 `json:"revision" validate:"gt=0"`
+	Paths    []Path `json:"paths" validate:"dive"`
+	Pools    []Pool `json:"pools" validate:"dive"`
+	Limits   Limits `json:"limits"`
+	// Note is kept and given back, and not read here.
+	Note json.RawMessage `json:"note,omitempty"`
+}
+
+// Path is one route of opaque requests.
+type Path struct {
+	Name string `json:"name" validate:"required,max=200"`
+	Host string `json:"host" validate:"required,max=255"`
+	// Prefix begins and ends with a slash; the longest that begins a request's path wins.
+	Prefix string `json:"prefix" validate:"required,startswith=/,endswith=/,max=1024"`
+	Class  Class  `json:"class" validate:"oneof=repeatable once stream"`
+	// Resumable streams may be taken up at another engine after their last event.
+	Resumable bool `json:"resumable,omitempty"`
+	// Affine requests name a model, and share parts of prompts that engines keep.
+	Affine bool `json:"affine,omitempty"`
+	// DeadlineMs is the longest time a request is held and run, TargetMs the time within which it is worth
+	// most, GapTargetMs the longest pause between events that keeps a stream in time.
+	DeadlineMs  int64 `json:"deadlineMs" validate:"gt=0,lte=3600000"`
+	TargetMs    int64 `json:"targetMs" validate:"gte=0"`
+	GapTargetMs int64 `json:"gapTargetMs,omitempty" validate:"gte=0"`
+	// Rank is the urgency; zero is served first.
+	Rank int `json:"rank" validate:"gte=0,lte=1000000"`
+	// Attempts is the greatest number of engines that one request may be sent to.
+	Attempts int     `json:"attempts" validate:"gte=1,lte=100"`
+	Shares   []Share `json:"shares" validate:"required,min=1,dive"`
+	// Note is kept and given back, and not read here.
+	Note json.RawMessage `json:"note,omitempty"`
+}
+
+// Share is the part of a path's requests that goes to one pool.
+type Share struct {
+	Pool   string `json:"pool" validate:"required"`
+	Weight int64  `json:"weight" validate:"gte=0"`
+}
+
+// Pool is a set of engines that serve the same paths; they register under its name.
+type Pool struct {
+	Name       string `json:"name" validate:"required,max=200"`
+	HealthPath string `json:"healthPath,omitempty"`
+	// MostConnections is how many connections one engine takes from all daemons together; zero is unknown.
+	MostConnections int `json:"mostConnections,omitempty" validate:"gte=0"`
+	// Catalogue is there for pools whose engines hold models.
+	Catalogue *Catalogue `json:"catalogue,omitempty"`
+	// Note is kept and given back, and not read here.
+	Note json.RawMessage `json:"note,omitempty"`
+}
+
+// Catalogue is what a pool's engines may hold, and how much of it.
+type Catalogue struct {
+	Slots        int   `json:"slots" validate:"gte=0"`
+	MemoryTokens int64 `json:"memoryTokens" validate:"gte=0"`
+	// RoomMb is for models and adapters together.
+	RoomMb        float64 `json:"roomMb" validate:"gte=0"`
+	AdapterPlaces int     `json:"adapterPlaces" validate:"gte=0"`
+	// LoadsPerSecond is the pace of the store of weights, over all engines.
+	LoadsPerSecond float64 `json:"loadsPerSecond" validate:"gte=0"`
+	Models         []Model `json:"models" validate:"dive"`
+}
+
+// Model is one entry of a pool's catalogue; its adapters are named a1, a2 and so on.
+type Model struct {
+	Name          string  `json:"name" validate:"required,max=200"`
+	SizeMb        float64 `json:"sizeMb" validate:"gt=0"`
+	LoadMs        int64   `json:"loadMs" validate:"gte=0"`
+	Adapters      int     `json:"adapters" validate:"gte=0,lte=1000000"`
+	AdapterSizeMb float64 `json:"adapterSizeMb" validate:"gte=0"`
+}
+
+// Limits bound what a client may send; zero leaves the daemon's own limit.
+type Limits struct {
+	MostHeaderBytes int   `json:"mostHeaderBytes,omitempty" validate:"gte=0"`
+	MostBodyBytes   int64 `json:"mostBodyBytes,omitempty" validate:"gte=0"`
+	HeaderTimeoutMs int64 `json:"headerTimeoutMs,omitempty" validate:"gte=0"`
+	IdleTimeoutMs   int64 `json:"idleTimeoutMs,omitempty" validate:"gte=0"`
+	// Note is kept and given back, and not read here.
+	Note json.RawMessage `json:"note,omitempty"`
+}
--- /dev/null
+++ b/epoch/forward/index.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"net"
+	"strings"
+)
+
+// Index is a section ready for look-up; it is built whole and never changed.
+type Index struct {
+	Section *Section
+	// hosts holds the paths of each host by prefix.
+	hosts  map[string]map[string]*Path
+	pools  map[string]*Pool
+	models map[string]map[string]*Model
+}
+
+// NewIndex builds it.
+func NewIndex(section *Section) *Index {
+	index := &Index{Section: section, hosts: map[string]map[string]*Path{}, pools: map[string]*Pool{}, models: map[string]map[string]*Model{}}
+	for place := range section.Paths {
+		path := &section.Paths[place]
+		host := strings.ToLower(path.Host)
+		if index.hosts[host] == nil {
+			index.hosts[host] = map[string]*Path{}
+		}
+		index.hosts[host][path.Prefix] = path
+	}
+	for place := range section.Pools {
+		pool := &section.Pools[place]
+		index.pools[pool.Name] = pool
+		if pool.Catalogue == nil {
+			continue
+		}
+		models := make(map[string]*Model, len(pool.Catalogue.Models))
+		for at := range pool.Catalogue.Models {
+			models[pool.Catalogue.Models[at].Name] = &pool.Catalogue.Models[at]
+		}
+		index.models[pool.Name] = models
+	}
+	return index
+}
+
+// Lookup finds the path with the longest prefix that begins the request's path.
+func (i *Index) Lookup(host, path string) (*Path, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	prefixes := i.hosts[strings.ToLower(host)]
+	if prefixes == nil {
+		return nil, false
+	}
+	// One look-up for each slash, the longest first, whatever the number of paths.
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if found, ok := prefixes[path[:end+1]]; ok {
+			return found, true
+		}
+	}
+	return nil, false
+}
+
+// Pool gives a pool by name.
+func (i *Index) Pool(name string) (*Pool, bool) { pool, ok := i.pools[name]; return pool, ok }
+
+// Model gives an entry of a pool's catalogue.
+func (i *Index) Model(pool, name string) (*Model, bool) {
+	model, ok := i.models[pool][name]
+	return model, ok
+}
--- a/epoch/table/table.go
+++ b/epoch/table/table.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/epoch/spec"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/statemachine"
@@ -25,6 +26,8 @@
 	Spec     *spec.Spec
 	// Raw is the bundle as it was proposed, byte for byte.
 	Raw []byte
+	// Forward is what the bundle says of opaque requests; nil where it says nothing.
+	Forward *forward.Index
 
 	routes   map[string]*Route
 	engines  map[ident.EngineID]spec.Engine
@@ -39,6 +42,9 @@
 		routes: make(map[string]*Route, len(parsed.Routes)), engines: map[ident.EngineID]spec.Engine{},
 		models: map[string]spec.Model{}, adapters: map[string]spec.Adapter{},
 	}
+	if parsed.Forward != nil {
+		t.Forward = forward.NewIndex(parsed.Forward)
+	}
 	for _, route := range parsed.Routes {
 		built := &Route{Route: route, models: map[string]bool{}, adapters: map[string]bool{}}
 		for _, model := range route.Models {
--- /dev/null
+++ b/process/registry/types.go
@@ -0,0 +1,110 @@
+// Package registry keeps the engines that register themselves: soft state that every control daemon hears
+// a part of, and that spreads over the fleet as differences.
+package registry
+
+import (
+	"slices"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// Held is one model that an engine holds, with its adapters.
+type Held struct {
+	Model      string
+	Generation uint64
+	Adapters   []string
+}
+
+// Target names a model, or one adapter of it.
+type Target struct{ Model, Adapter string }
+
+// Coming is something that the planner has ordered an engine to load.
+type Coming struct {
+	Target
+	// Ready is when it is expected to be there, by this daemon's own clock.
+	Ready clock.Mark
+}
+
+// Word is what an engine says of itself when it beats.
+type Word struct {
+	ID       ident.EngineID
+	Pool     string
+	Address  string
+	Zone     ident.ZoneID
+	Software string
+	Slots    int
+	Leaving  bool
+	// LeaveMs is the time left to an engine that is taken away at short notice; zero is none told.
+	LeaveMs int64
+	// ColdMs is how much longer it is slow from its start.
+	ColdMs int64
+	Phase  string
+	Models []Held
+	// CallSeq rises with each beat, so that a late one can be known.
+	CallSeq uint64
+}
+
+// Plan is what the planner last told of an engine. Of two the one with the higher claim, then turn, counts.
+type Plan struct {
+	Claim ident.ClaimNumber
+	Turn  uint64
+	// Models is what its newest report showed; Retiring is about to be unloaded and gets nothing new.
+	Models   []Held
+	Retiring []Target
+	Coming   []Coming
+	// Active, Queued and the memory in tokens are as reported.
+	Active, Queued     int
+	MemoryUsed, Memory int64
+	// Told is when this daemon heard it.
+	Told clock.Mark
+}
+
+// Engine is one registered engine as this daemon knows it. It is never changed once it is in a view.
+type Engine struct {
+	Word
+	// Heard is when a control daemon last heard a beat, by this daemon's own clock.
+	Heard clock.Mark
+	// Silent engines have missed their beats; Gone ones said so, or were followed at their address.
+	Silent, Gone bool
+	// Known is when this daemon first knew of it.
+	Known clock.Mark
+	Plan  *Plan
+}
+
+// Usable says whether anything new may be sent to it.
+func (e *Engine) Usable() bool { return !e.Leaving && !e.Gone && !e.Silent }
+
+// Models is what the engine holds, by the newest word there is.
+func (e *Engine) Models() []Held {
+	if e.Plan != nil && e.Plan.Models != nil {
+		return e.Plan.Models
+	}
+	return e.Word.Models
+}
+
+// Holds says whether it holds a model and, unless that is empty, an adapter of it, and is not about to let go of it.
+func (e *Engine) Holds(model, adapter string) bool {
+	if e.Plan != nil {
+		for _, retiring := range e.Plan.Retiring {
+			if retiring.Model == model && (retiring.Adapter == "" || retiring.Adapter == adapter) {
+				return false
+			}
+		}
+	}
+	for _, held := range e.Models() {
+		if held.Model == model {
+			return adapter == "" || slices.Contains(held.Adapters, adapter)
+		}
+	}
+	return false
+}
+
+// View is all registered engines at one moment; it is never changed.
+type View struct {
+	// Version rises with each change.
+	Version uint64
+	Engines map[ident.EngineID]*Engine
+	// Pools lists the engines of each pool, by id.
+	Pools map[string][]*Engine
+}
