--- /dev/null
+++ b/rehearsal/platformkit/engine/batch.go
@@ -0,0 +1,374 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/form"
+)
+
+// Pace is how fast an engine is, and how much it takes at once.
+type Pace struct {
+	Slots int
+	// Waiting is how many more it queues.
+	Waiting int
+	// Memory is in tokens, for running requests and kept parts together.
+	Memory int64
+	// A step gives each running request a token; it takes Step, PerRun more for each request that runs, and
+	// the time that the prompts read in it take.
+	Step, PerRun time.Duration
+	ReadPerMs    float64
+	// ReadAtOnce is the most of prompts read in one step.
+	ReadAtOnce int
+	// Stride is how many tokens one event holds.
+	Stride int
+}
+
+// Job is one request in an engine's hands.
+type Job struct {
+	Number   uint64
+	Prompt   form.Prompt
+	Urgency  int
+	Deadline clock.Mark
+	// From is the last event that the caller has already; the run goes on behind it.
+	From int
+	// Probe takes a place and is done at once.
+	Probe bool
+
+	// Read and Kept count the tokens that were read, and that had not to be.
+	Read, Kept int
+	toRead     int
+	made       int
+	began      bool
+	running    bool
+	own        int64
+	pinned     []*kept
+}
+
+// Began says whether its first token is out.
+func (j *Job) Began() bool { return j.began }
+
+// tokens is how many tokens of its own run it makes.
+func (j *Job) tokens(stride int) int { return max(1, j.Prompt.TokensOut-j.From*stride) }
+
+// kept is one part of a prompt that the engine keeps; it stands for all parts before it too.
+type kept struct {
+	key    string
+	before *kept
+	tokens int64
+	// users are running requests, used is when it last was.
+	users int
+	used  uint64
+}
+
+// Sign is one thing that a step brought.
+type Sign struct {
+	Job *Job
+	// Event is the number of an event that is ready; zero is none. Last: it was the last one.
+	Event int
+	Last  bool
+	// Expired: its deadline has passed. PutBack: it had to make room and waits again.
+	Expired, PutBack bool
+}
+
+// Batch decides what an engine works on. It knows no clock and no socket.
+type Batch struct {
+	pace    Pace
+	queue   []*Job
+	running []*Job
+	parts   map[string]*kept
+	turn    uint64
+	held    int64
+}
+
+// NewBatch makes one.
+func NewBatch(pace Pace) *Batch { return &Batch{pace: pace, parts: map[string]*kept{}} }
+
+// Queued and Active count.
+func (b *Batch) Queued() int { return len(b.queue) }
+
+// Active counts the requests that hold a slot.
+func (b *Batch) Active() int { return len(b.running) }
+
+// Memory is what can't give way, and what is used in all.
+func (b *Batch) Memory() (fixed, all int64) {
+	for _, job := range b.running {
+		fixed += job.own
+	}
+	all = fixed + b.held
+	for _, part := range b.parts {
+		if part.users > 0 {
+			fixed += part.tokens
+		}
+	}
+	return fixed, all
+}
+
+// Idle says that a step would do nothing.
+func (b *Batch) Idle() bool { return len(b.queue) == 0 && len(b.running) == 0 }
+
+// Offer takes a request in; false turns it away as full.
+func (b *Batch) Offer(job *Job) bool {
+	if b.pace.Memory > 0 && int64(job.Prompt.TokensIn+job.Prompt.TokensOut) > b.pace.Memory {
+		return false
+	}
+	free := b.pace.Slots - len(b.running)
+	if len(b.queue) >= max(0, free)+b.pace.Waiting {
+		return false
+	}
+	b.enqueue(job)
+	return true
+}
+
+func (b *Batch) enqueue(job *Job) {
+	b.queue = append(b.queue, job)
+	// The more urgent go first, then those that came first.
+	slices.SortStableFunc(b.queue, func(x, y *Job) int {
+		return cmp.Or(cmp.Compare(x.Urgency, y.Urgency), cmp.Compare(x.Number, y.Number))
+	})
+}
+
+// Remove forgets a request whose caller has left.
+func (b *Batch) Remove(job *Job) {
+	b.queue = slices.DeleteFunc(b.queue, func(other *Job) bool { return other == job })
+	if job.running {
+		b.release(job)
+	}
+}
+
+// Drop takes the waiting requests that match out; those that have begun stay.
+func (b *Batch) Drop(match func(*Job) bool) (dropped []*Job) {
+	b.queue = slices.DeleteFunc(b.queue, func(job *Job) bool {
+		if job.began || !match(job) {
+			return false
+		}
+		dropped = append(dropped, job)
+		return true
+	})
+	return dropped
+}
+
+// Works says whether any request that matches is running, or was put back after it began.
+func (b *Batch) Works(match func(*Job) bool) bool {
+	return slices.ContainsFunc(b.running, match) || slices.ContainsFunc(b.queue, func(job *Job) bool { return job.began && match(job) })
+}
+
+// Forget drops all kept parts of a model, or of an adapter of it.
+func (b *Batch) Forget(owner string) {
+	for key, part := range b.parts {
+		if part.users == 0 && (keyOwner(key) == owner) {
+			b.held -= part.tokens
+			delete(b.parts, key)
+		}
+	}
+}
+
+func keyOwner(key string) string {
+	for i := range key {
+		if key[i] == '|' {
+			return key[:i]
+		}
+	}
+	return key
+}
+
+func (b *Batch) release(job *Job) {
+	b.running = slices.DeleteFunc(b.running, func(other *Job) bool { return other == job })
+	for _, part := range job.pinned {
+		part.users--
+	}
+	job.pinned, job.own, job.running = nil, 0, false
+}
+
+// room makes room for more tokens by giving up kept parts, those unused longest first.
+func (b *Batch) room(more int64) bool {
+	if b.pace.Memory == 0 {
+		return true
+	}
+	for {
+		_, all := b.Memory()
+		if all+more <= b.pace.Memory {
+			return true
+		}
+		var oldest *kept
+		for _, part := range b.parts {
+			// Of parts used at the same time the later in the prompt goes first; a key is longer the later it is.
+			if part.users == 0 && (oldest == nil || part.used < oldest.used ||
+				part.used == oldest.used && (len(part.key) > len(oldest.key) || len(part.key) == len(oldest.key) && part.key < oldest.key)) {
+				oldest = part
+			}
+		}
+		if oldest == nil {
+			return false
+		}
+		b.held -= oldest.tokens
+		delete(b.parts, oldest.key)
+	}
+}
+
+// chain gives the keys of a prompt's parts.
+func chain(prompt form.Prompt) []string {
+	key := prompt.WriteModel() + "|"
+	keys := make([]string, 0, len(prompt.Parts))
+	for _, part := range prompt.Parts {
+		key += part.ID + ","
+		keys = append(keys, key)
+	}
+	return keys
+}
+
+// admit gives waiting requests slots, in order; the first that finds no room stops the rest.
+func (b *Batch) admit(now clock.Mark, signs []Sign) []Sign {
+	for len(b.queue) > 0 {
+		job := b.queue[0]
+		if job.Deadline != 0 && now >= job.Deadline {
+			b.queue = b.queue[1:]
+			signs = append(signs, Sign{Job: job, Expired: true})
+			continue
+		}
+		if len(b.running) >= b.pace.Slots {
+			return signs
+		}
+		if job.Probe {
+			b.queue = b.queue[1:]
+			signs = append(signs, Sign{Job: job, Last: true})
+			continue
+		}
+		if !b.seat(job) {
+			return signs
+		}
+		b.queue = b.queue[1:]
+	}
+	return signs
+}
+
+func (b *Batch) seat(job *Job) bool {
+	b.turn++
+	keptTokens := int64(0)
+	var pinned []*kept
+	for _, key := range chain(job.Prompt) {
+		part := b.parts[key]
+		if part == nil {
+			break
+		}
+		part.users++
+		part.used = b.turn
+		pinned = append(pinned, part)
+		keptTokens += part.tokens
+	}
+	// What was made before it was put back, or at another engine, is read like a prompt.
+	whole := int64(job.Prompt.TokensIn) + int64(job.From*b.pace.Stride) + int64(job.made)
+	need := max(0, whole-keptTokens)
+	if !b.room(need + 1) {
+		for _, part := range pinned {
+			part.users--
+		}
+		return false
+	}
+	job.pinned, job.own, job.running = pinned, need, true
+	job.toRead = int(need)
+	job.Kept += int(min(keptTokens, whole))
+	b.running = append(b.running, job)
+	return true
+}
+
+// keep turns what a request has read into parts that others can use.
+func (b *Batch) keep(job *Job) {
+	keys := chain(job.Prompt)
+	for place := len(job.pinned); place < len(keys); place++ {
+		tokens := int64(job.Prompt.Parts[place].Tokens)
+		part := b.parts[keys[place]]
+		if part == nil {
+			part = &kept{key: keys[place], tokens: tokens}
+			b.parts[part.key] = part
+			b.held += tokens
+		}
+		// Its own copy becomes the common one.
+		job.own = max(0, job.own-tokens)
+		part.users++
+		part.used = b.turn
+		job.pinned = append(job.pinned, part)
+	}
+}
+
+// Begin starts a step: it says how long it takes, and what became of those that waited. Zero: nothing to do.
+func (b *Batch) Begin(now clock.Mark) (time.Duration, []Sign) {
+	signs := b.admit(now, nil)
+	if len(b.running) == 0 {
+		return 0, signs
+	}
+	reading := b.pace.ReadAtOnce
+	read := 0
+	for _, job := range b.running {
+		now := min(job.toRead, reading)
+		reading -= now
+		read += now
+	}
+	took := b.pace.Step + time.Duration(len(b.running))*b.pace.PerRun
+	if b.pace.ReadPerMs > 0 {
+		took += time.Duration(float64(read) / b.pace.ReadPerMs * float64(time.Millisecond))
+	}
+	return took, signs
+}
+
+// End finishes the step: prompts are read on, and each request whose prompt is read has one token more.
+func (b *Batch) End(now clock.Mark) (signs []Sign) {
+	b.turn++
+	reading := b.pace.ReadAtOnce
+	for _, job := range slices.Clone(b.running) {
+		if !job.running {
+			continue
+		}
+		if job.Deadline != 0 && now >= job.Deadline {
+			b.release(job)
+			signs = append(signs, Sign{Job: job, Expired: true})
+			continue
+		}
+		if job.toRead > 0 {
+			part := min(job.toRead, reading)
+			reading -= part
+			job.toRead -= part
+			job.Read += part
+			if job.toRead > 0 {
+				continue
+			}
+			b.keep(job)
+		}
+		for !b.room(1) {
+			back := b.newestLeastUrgent()
+			b.release(back)
+			b.enqueue(back)
+			signs = append(signs, Sign{Job: back, PutBack: true})
+			if back == job {
+				break
+			}
+		}
+		if !job.running {
+			continue
+		}
+		job.own++
+		job.made++
+		job.began = true
+		all := job.tokens(b.pace.Stride)
+		sign := Sign{Job: job, Last: job.made >= all}
+		if stride := max(1, b.pace.Stride); job.made%stride == 0 || sign.Last {
+			sign.Event = job.From + (job.made+stride-1)/stride
+		}
+		if sign.Last {
+			b.release(job)
+		}
+		// The first token is told too, even if its event is not full yet.
+		if sign.Event > 0 || job.made == 1 {
+			signs = append(signs, sign)
+		}
+	}
+	return signs
+}
+
+func (b *Batch) newestLeastUrgent() *Job {
+	return slices.MaxFunc(b.running, func(x, y *Job) int {
+		return cmp.Or(cmp.Compare(x.Urgency, y.Urgency), cmp.Compare(x.Number, y.Number))
+	})
+}
--- /dev/null
+++ b/rehearsal/platformkit/engine/batch_test.go
@@ -0,0 +1,200 @@
+package engine
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/form"
+)
+
+func pace() Pace {
+	return Pace{Slots: 2, Waiting: 1, Memory: 100, Step: time.Millisecond, PerRun: time.Millisecond, ReadPerMs: 10, ReadAtOnce: 20, Stride: 2}
+}
+
+func job(number uint64, in, out int, parts ...form.Part) *Job {
+	return &Job{Number: number, Urgency: 5, Prompt: form.Prompt{Model: "m", TokensIn: in, TokensOut: out, Parts: parts}}
+}
+
+// through runs a batch until it idles and gives the events of each job, the time it took, and how often one was put back.
+func through(t *testing.T, b *Batch) (events map[uint64][]int, took time.Duration, back int) {
+	t.Helper()
+	events = map[uint64][]int{}
+	for steps := 0; ; steps++ {
+		if steps > 10000 {
+			t.Fatal("the batch never ends")
+		}
+		step, _ := b.Begin(clock.Mark(took))
+		if step == 0 {
+			return events, took, back
+		}
+		took += step
+		for _, sign := range b.End(clock.Mark(took)) {
+			if sign.PutBack {
+				back++
+			}
+			if sign.Event > 0 {
+				events[sign.Job.Number] = append(events[sign.Job.Number], sign.Event)
+			}
+		}
+		if _, all := b.Memory(); all > b.pace.Memory {
+			t.Fatalf("%d tokens of memory are used of %d", all, b.pace.Memory)
+		}
+	}
+}
+
+func TestABatchSlowsAsMoreRunAndReadsPromptsInPieces(t *testing.T) {
+	b := NewBatch(pace())
+	b.Offer(job(1, 30, 4))
+	events, alone, _ := through(t, b)
+	if len(events[1]) != 2 || alone != 5*2*time.Millisecond+3*time.Millisecond {
+		t.Fatal(events, alone)
+	}
+	b.Offer(job(2, 30, 4))
+	b.Offer(job(3, 30, 4))
+	if _, both, _ := through(t, b); both <= alone || both >= 2*alone {
+		t.Fatal(alone, both)
+	}
+}
+
+func TestKeptPartsAreNotReadAgainAndThoseUnusedLongestGiveWay(t *testing.T) {
+	b := NewBatch(pace())
+	shared := form.Part{ID: "aa", Tokens: 20}
+	first := job(1, 30, 2, shared, form.Part{ID: "b1", Tokens: 10})
+	b.Offer(first)
+	through(t, b)
+	second := job(2, 30, 2, shared, form.Part{ID: "b2", Tokens: 10})
+	b.Offer(second)
+	through(t, b)
+	if first.Read != 30 || second.Read != 10 || second.Kept != 20 {
+		t.Fatal(first.Read, second.Read, second.Kept)
+	}
+	// A part behind one that is not kept is read again.
+	third := job(3, 30, 2, form.Part{ID: "cc", Tokens: 20}, form.Part{ID: "b2", Tokens: 10})
+	b.Offer(third)
+	through(t, b)
+	if third.Read != 30 {
+		t.Fatal(third.Read)
+	}
+	// Another adapter shares nothing.
+	other := job(4, 30, 2, shared)
+	other.Prompt.Adapter = "a1"
+	b.Offer(other)
+	through(t, b)
+	if other.Read != 30 {
+		t.Fatal(other.Read)
+	}
+	big := job(5, 90, 2)
+	b.Offer(big)
+	through(t, b)
+	again := job(6, 30, 2, shared)
+	b.Offer(again)
+	through(t, b)
+	if again.Read != 30 {
+		t.Fatal("a part was kept that had to give way")
+	}
+}
+
+func TestTheNewestOfTheLeastUrgentIsPutBackWhenMemoryRunsOut(t *testing.T) {
+	b := NewBatch(pace())
+	early, urgent := job(1, 40, 30), job(2, 40, 30)
+	urgent.Urgency = 0
+	b.Offer(early)
+	b.Offer(urgent)
+	events, _, back := through(t, b)
+	if back == 0 || len(events[1]) != 15 || len(events[2]) != 15 {
+		t.Fatal(back, events)
+	}
+	if early.Read <= 40 || urgent.Read != 40 {
+		t.Fatal("the wrong one was put back", early.Read, urgent.Read)
+	}
+	for number, list := range events {
+		for place, id := range list {
+			if id != place+1 {
+				t.Fatal("events of", number, list)
+			}
+		}
+	}
+}
+
+func TestABatchTurnsAwayWhatIsTooLargeOrTooMuchAndGoesOnBehindAnEvent(t *testing.T) {
+	b := NewBatch(pace())
+	if b.Offer(job(1, 90, 20)) {
+		t.Fatal("a request larger than the memory was taken")
+	}
+	taken := 0
+	for n := range 5 {
+		if b.Offer(job(uint64(n), 10, 4)) {
+			taken++
+		}
+	}
+	if taken != 3 {
+		t.Fatal(taken)
+	}
+	through(t, b)
+	resumed := job(9, 10, 8)
+	resumed.From = 2
+	b.Offer(resumed)
+	if events, _, _ := through(t, b); len(events[9]) != 2 || events[9][0] != 3 || events[9][1] != 4 {
+		t.Fatal(events)
+	}
+	late := job(10, 10, 4)
+	late.Deadline = 5
+	b.Offer(late)
+	if _, signs := b.Begin(6); len(signs) != 1 || !signs[0].Expired || late.Began() {
+		t.Fatal(signs)
+	}
+}
+
+func room() Room {
+	return Room{Catalogue: form.EngineID{WeightsMb: 100, AdapterCapacity: 1, Models: []form.CatalogModel{
+		{Label: "m", WeightsMb: 60, LoadTimeS: 2, Adapters: 3, AdapterSizeMb: 5}, {Label: "n", WeightsMb: 60, LoadTimeS: 1}, {Label: "o", WeightsMb: 30, LoadTimeS: 1}}},
+		DiskShare: 0.5, AdapterTime: time.Millisecond, FenceChecked: true}
+}
+
+func TestOrdersAreTakenOneAtATimeAndAnsweredByThePage(t *testing.T) {
+	fence := func(n uint64) *uint64 { return &n }
+	h := NewHoldings(room(), nil, map[string]bool{})
+	order := func(operation, model, adapter string) form.Order {
+		return form.Order{Operation: operation, Model: model, Adapter: adapter, Owner: "o", Fence: fence(5)}
+	}
+	stale, unowned, unexpected := order(form.Load, "m", ""), order(form.Load, "m", ""), order(form.Load, "m", "")
+	stale.Fence, unowned.Owner, unexpected.Expected = fence(4), "", fence(7)
+	for _, step := range []struct {
+		what   string
+		order  form.Order
+		status int
+		over   bool
+		store  bool
+		takes  time.Duration
+	}{
+		{"no owner", unowned, http.StatusBadRequest, false, false, 0},
+		{"no such order", order("grow", "m", ""), http.StatusBadRequest, false, false, 0},
+		{"no such model", order(form.Load, "x", ""), http.StatusBadRequest, false, false, 0},
+		{"an adapter without its model", order(form.Load, "m", "a1"), http.StatusMisdirectedRequest, false, false, 0},
+		{"another call-seq", unexpected, http.StatusConflict, false, false, 0},
+		{"a load", order(form.Load, "m", ""), http.StatusAccepted, false, true, 2 * time.Second},
+		{"a lower fence", stale, http.StatusPreconditionFailed, false, false, 0},
+		{"held already", order(form.Load, "m", ""), http.StatusOK, false, false, 0},
+		{"an adapter", order(form.Load, "m", "a1"), http.StatusAccepted, false, false, time.Millisecond},
+		{"no such adapter", order(form.Load, "m", "a4"), http.StatusBadRequest, false, false, 0},
+		{"an eviction", order(form.Evict, "m", ""), http.StatusAccepted, false, false, 0},
+		{"from its own disk", order(form.Load, "m", ""), http.StatusAccepted, false, false, time.Second},
+		{"over the room", order(form.Load, "n", ""), http.StatusAccepted, true, true, time.Second},
+	} {
+		got := h.Take(step.order)
+		if got.Status != step.status || got.Over != step.over || got.Store != step.store || got.Takes != step.takes {
+			t.Errorf("%s: %+v", step.what, got)
+		}
+		if got.Status == http.StatusAccepted {
+			if again := h.Take(order(form.Load, "o", "")); again.Status != http.StatusConflict {
+				t.Errorf("%s: another order beside it got %d", step.what, again.Status)
+			}
+			h.Finish(1)
+		}
+	}
+	if h.callSeq != 5 {
+		t.Error("orders taken:", h.callSeq)
+	}
+}
--- /dev/null
+++ b/rehearsal/platformkit/engine/beat.go
@@ -0,0 +1,160 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cresspond/cresspond/rehearsal/platformkit/form"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/history"
+)
+
+// mostAnswer is the longest acknowledgement that is taken for one.
+const mostAnswer = 4 << 10
+
+// controlClient is what engines call the control daemons with.
+func controlClient(patience time.Duration) *http.Client {
+	return &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil},
+		CheckRedirect: func(_ *http.Request, via []*http.Request) error {
+			if len(via) > 2 {
+				return errors.New("redirected more than twice")
+			}
+			return nil
+		}}
+}
+
+// caller is how one life calls the control daemons.
+type caller struct {
+	*life
+	client *http.Client
+	// target is where the last acknowledgement wants later beats, held until a beat fails there.
+	target string
+	turn   int
+	seq    uint64
+}
+
+func (l *life) beat() {
+	c := &caller{life: l, client: controlClient(time.Second)}
+	c.turn = l.random.IntN(64)
+	pause, failures := time.Duration(0), 0
+	for {
+		if pause > 0 {
+			timer := time.NewTimer(pause)
+			select {
+			case <-l.ctx.Done():
+				timer.Stop()
+				return
+			case <-timer.C:
+			case <-l.hurry:
+				timer.Stop()
+			}
+		}
+		if !l.gate.pass(l.ctx) {
+			return
+		}
+		if c.once() {
+			pause, failures = l.Config.BeatPeriod, 0
+			continue
+		}
+		// The next daemon is called after a pause that grows, up to one beat.
+		failures++
+		pause = min(l.Config.BeatPeriod, 10*time.Millisecond<<min(failures, 10))
+	}
+}
+
+// pick gives the daemon to call next.
+func (c *caller) pick() string {
+	if c.target != "" {
+		return c.target
+	}
+	list := c.Config.Controls()
+	if len(list) == 0 {
+		return ""
+	}
+	return list[c.turn%len(list)]
+}
+
+// once sends one beat and says whether it was acknowledged.
+func (c *caller) once() bool {
+	daemon := c.pick()
+	if daemon == "" {
+		return false
+	}
+	c.seq++
+	beat := form.Registration{Backend: c.Config.Service, Address: c.Config.Address, Zone: c.Config.Zone, Generation: c.Config.Software, Slots: c.slots(),
+		State: form.StateReady, CallSeq: c.seq}
+	if left := c.Config.Cold - c.Book.Now().Since(c.began); left > 0 {
+		beat.ColdLeftMs = left.Milliseconds()
+	}
+	if c.Config.Model {
+		beat.Phase = "colocated"
+		c.do(func() { beat.Models = c.holdings.List() })
+	}
+	leaving := c.leaving.Load()
+	if leaving {
+		beat.State = form.StateDraining
+		if by := c.remaining.Load(); by != 0 {
+			beat.RemainingMs = max(0, time.Duration(by-int64(c.Book.Now())).Milliseconds())
+		}
+	}
+	asked := c.Book.Now()
+	status, body, err := call(c.ctx, c.client, http.MethodPut, daemon, form.PathEngines+c.id, encode(beat))
+	if err != nil || status < 200 || status > 299 || len(body) > mostAnswer || c.Book.Now().Since(asked) > time.Second {
+		c.target = ""
+		c.turn++
+		return false
+	}
+	var answer form.Registered
+	if json.Unmarshal(body, &answer) == nil {
+		c.target = answer.BeatTarget
+	}
+	if leaving {
+		c.ackOnce.Do(func() {
+			c.Book.Note(func(*history.History) { c.record.DrainAcked, c.record.DrainBy = c.Book.Now(), daemon })
+			close(c.acked)
+		})
+	}
+	return true
+}
+
+// depart says that the life ends; it is tried at a few daemons.
+func (l *life) depart() {
+	client := controlClient(time.Second)
+	list := l.Config.Controls
+	if list == nil {
+		return
+	}
+	for _, daemon := range list() {
+		status, _, err := call(l.ctx, client, http.MethodDelete, daemon, form.PathEngines+l.id, nil)
+		if err == nil && status >= 200 && status < 300 {
+			l.Book.Note(func(*history.History) {
+				if l.record.DrainAcked == 0 {
+					l.record.DrainAcked, l.record.DrainBy = l.Book.Now(), daemon
+				}
+			})
+			return
+		}
+	}
+}
+
+// call makes one call to a control daemon.
+func call(ctx context.Context, client *http.Client, method, daemon, path string, body []byte) (int, []byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+daemon+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, mostAnswer+1))
+	return response.StatusCode, data, err
+}
--- /dev/null
+++ b/rehearsal/platformkit/engine/faults.go
@@ -0,0 +1,83 @@
+package engine
+
+import (
+	"sync"
+)
+
+// Fault is one way to go wrong with one request.
+type Fault struct {
+	Kind FaultKind
+	// At is the byte of the answer, head included, at which it happens.
+	At int
+	// Reset closes with a reset and not with an end.
+	Reset bool
+	// Status is what an own failure answers with.
+	Status int
+}
+
+// FaultKind names a way to go wrong.
+type FaultKind string
+
+const (
+	// Break closes the connection after At bytes of the answer.
+	Break FaultKind = "break"
+	// Surplus writes a whole answer more behind a whole answer; LateSurplus does so before the next answer.
+	Surplus     FaultKind = "surplus"
+	LateSurplus FaultKind = "late-surplus"
+	// Junk writes bytes that are no answer.
+	Junk FaultKind = "junk"
+	// Foreign answers with another's attempt id, NoID with none.
+	Foreign FaultKind = "foreign"
+	NoID    FaultKind = "no-id"
+	// Silence runs the request and says nothing more after At bytes, until the caller closes.
+	Silence FaultKind = "silence"
+	// Own is the engine's own failure, after it has run.
+	Own FaultKind = "own"
+	// Unread closes before it has read the request.
+	Unread FaultKind = "unread"
+)
+
+// faults hands out what is to go wrong next.
+type faults struct {
+	mutex sync.Mutex
+	next  []Fault
+	// each is asked where nothing is set for the next one.
+	each func(attempt string) *Fault
+}
+
+// Inject makes the next requests go wrong, one each.
+func (e *Engine) Inject(some ...Fault) {
+	e.faults.mutex.Lock()
+	defer e.faults.mutex.Unlock()
+	e.faults.next = append(e.faults.next, some...)
+}
+
+// LoseOrders takes the next orders without an answer.
+func (e *Engine) LoseOrders(count int) {
+	e.orderFaults.mutex.Lock()
+	defer e.orderFaults.mutex.Unlock()
+	for range count {
+		e.orderFaults.next = append(e.orderFaults.next, Fault{Kind: Break})
+	}
+}
+
+// FaultEach asks for each request what is to go wrong; nil stops that.
+func (e *Engine) FaultEach(choose func(attempt string) *Fault) {
+	e.faults.mutex.Lock()
+	defer e.faults.mutex.Unlock()
+	e.faults.each = choose
+}
+
+func (f *faults) take(attempt string) *Fault {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if len(f.next) > 0 {
+		fault := f.next[0]
+		f.next = f.next[1:]
+		return &fault
+	}
+	if f.each != nil {
+		return f.each(attempt)
+	}
+	return nil
+}
--- /dev/null
+++ b/rehearsal/platformkit/history/history.go
@@ -0,0 +1,272 @@
+// Package history is what the stand-ins have seen on their own sockets, for the judge.
+package history
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/form"
+)
+
+// Arrival is one request as it came to an engine, and what became of it there.
+type Arrival struct {
+	At clock.Mark
+	// Engine is the life of the engine, Service the service it belongs to.
+	Engine, Service string
+	Attempt         string
+	Method, URI     string
+	Host            string
+	BodyDigest      string
+	Target          string
+	LastEvent       string
+	DeadlineMs      int64
+	Prompt          form.Prompt
+	// Probe is a request for the health page.
+	Probe bool
+	// Status is what the engine answered with; zero is nothing. NotRun: turned away by its own word.
+	Status int
+	NotRun bool
+	// Began is when work on it began; zero is never. Run names that work.
+	Began clock.Mark
+	Run   string
+	// Ended is when the engine had done with it; Whole: it wrote the answer whole.
+	Ended clock.Mark
+	Whole bool
+	// Broke says that the engine itself broke the answer off, or made junk of it. Left: the caller closed.
+	Broke, Left bool
+	// Events are written up to this id; From is the last id of the run that it went on from.
+	From, Events int
+	// ReadTokens were read anew, Kept were not read again.
+	ReadTokens, KeptTokens int
+}
+
+// Ran says whether the engine has begun working on it.
+func (a *Arrival) Ran() bool { return a.Began != 0 }
+
+// Order is one order as it came to an engine.
+type Order struct {
+	At      clock.Mark
+	Engine  string
+	Service string
+	Order   form.Order
+	Status  int
+	// Over says that it would have gone beyond the engine's room.
+	Over bool
+	// Store says that the load came from the store of weights.
+	Store bool
+	// Done is when it was carried out.
+	Done clock.Mark
+}
+
+// Life is one life of an engine.
+type Life struct {
+	Engine, Service, Zone, Address string
+	Began                          clock.Mark
+	Ended                          clock.Mark
+	// DrainAsked is when it first said that it leaves; DrainAcked, when that was acknowledged.
+	DrainAsked, DrainAcked clock.Mark
+	DrainBy                string
+	// Holds is what it held at its start.
+	Holds []form.Holding
+	Slots int
+	// Crashed says that the end was not planned.
+	Crashed bool
+}
+
+// Event is one event of a stream, as a client saw it.
+type Event struct {
+	At   clock.Mark
+	ID   string
+	Data string
+}
+
+// Try is one try of a client, as it saw it on its socket.
+type Try struct {
+	// Request is common to all tries for one answer; Kind names the sort of request, Session whose it is.
+	Request, Kind, Session string
+	Zone                   string
+	Attempt                string
+	Daemon                 string
+	Host, Method, URI      string
+	BodyDigest             string
+	BodyBytes              int
+	Prompt                 form.Prompt
+	LastEvent              string
+	// DeadlineMs is what the try said; AimMs and Class what its route says, where the client knows.
+	DeadlineMs int64
+	AimMs      int64
+	Class      string
+	Resumable  bool
+	// Probe marks the few requests that show which configuration is in force. Absent: the route is not there.
+	Probe  bool
+	Absent bool
+	// Began is before the connection; Sent is when the last byte was handed over; zero is never.
+	Began, Sent, First, Ended clock.Mark
+	Connected                 bool
+	// FirstOnConnection: no other request went before it there.
+	FirstOnConnection bool
+	Status            int
+	Attempted         string
+	Seal              string
+	RetryAfterMs      int64
+	HasRetryAfter     bool
+	Encoding          string
+	BodyOut           []byte
+	Events            []Event
+	// Whole says that by its framing the answer came whole.
+	Whole bool
+	// GaveUp: the client closed first.
+	GaveUp bool
+	// Junk is what came that is no answer in the protocol, Surplus what came while no request waited.
+	Junk, Surplus string
+	Err           string
+}
+
+// Success says that it counts as one: 2xx with the whole body.
+func (t *Try) Success() bool { return t.Status >= 200 && t.Status < 300 && t.Whole }
+
+// Promise says that the answer promises that the request has not run and never will.
+func (t *Try) Promise() bool {
+	switch t.Status {
+	case 429, 503, 408, 421:
+		return true
+	}
+	return false
+}
+
+// Outcome is what an operator's call ended with.
+type Outcome string
+
+const (
+	Acknowledged Outcome = "acknowledged"
+	Refused      Outcome = "refused"
+	Unclear      Outcome = "unclear"
+)
+
+// Change is one change of the configuration, with all its sendings.
+type Change struct {
+	Operator   string
+	Base       uint64
+	Generation uint64
+	// Whole is the configuration that it makes; nil if it cannot be known.
+	Whole *form.Config
+	// Fault says why it is invalid; empty is valid.
+	Fault           string
+	Patch           bool
+	Began, Answered clock.Mark
+	Outcome         Outcome
+	Status          int
+	Sendings        int
+	By              string
+}
+
+// ReadBack is the configuration as read at the end.
+type ReadBack struct {
+	At     clock.Mark
+	Config *form.Config
+	Raw    []byte
+	Err    string
+}
+
+// Trouble is one thing done to the fleet from outside, unplanned unless Planned says so.
+type Trouble struct {
+	From clock.Mark
+	// Until is zero while it goes on.
+	Until   clock.Mark
+	Kind    string
+	Machine string
+	Core    bool
+	Planned bool
+}
+
+// Kinds of trouble.
+const (
+	Killed  = "killed"
+	Started = "started"
+	Frozen  = "frozen"
+	Stopped = "stopped"
+	Reload  = "reload"
+	Closing = "closing"
+	OwnEnd  = "own-end"
+	// Link is trouble of the links between engines and daemons, or of an engine itself.
+	Link = "link"
+)
+
+// Look is one question for readiness.
+type Look struct {
+	At      clock.Mark
+	Machine string
+	Ready   bool
+}
+
+// History is all that is known of a day.
+type History struct {
+	Began, Ended clock.Mark
+	Tries        []*Try
+	Arrivals     []*Arrival
+	Orders       []*Order
+	Lives        []*Life
+	Changes      []*Change
+	ReadBacks    []ReadBack
+	Troubles     []*Trouble
+	Looks        []Look
+	// Cores and Edges name the machines.
+	Cores, Edges []string
+}
+
+// Book gathers a history from many hands.
+type Book struct {
+	Clock clock.Clock
+
+	mutex   sync.Mutex
+	history History
+}
+
+// NewBook begins one.
+func NewBook(c clock.Clock) *Book {
+	return &Book{Clock: c, history: History{Began: c.Elapsed()}}
+}
+
+// Now is the time by the book's clock.
+func (b *Book) Now() clock.Mark { return b.Clock.Elapsed() }
+
+// Note changes the history; what it is given must not be kept.
+func (b *Book) Note(change func(*History)) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	change(&b.history)
+}
+
+// Trouble notes the beginning of a trouble, and gives back what ends it.
+func (b *Book) Trouble(t Trouble) (over func()) {
+	noted := &t
+	b.Note(func(h *History) { noted.From = b.Now(); h.Troubles = append(h.Troubles, noted) })
+	return func() { b.Note(func(*History) { noted.Until = b.Now() }) }
+}
+
+// Read copies the history; all that goes on later is left out.
+func (b *Book) Read() *History {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	out := b.history
+	out.Ended = b.Now()
+	out.Tries = copies(out.Tries)
+	out.Arrivals = copies(out.Arrivals)
+	out.Orders = copies(out.Orders)
+	out.Lives = copies(out.Lives)
+	out.Changes = copies(out.Changes)
+	out.Troubles = copies(out.Troubles)
+	out.ReadBacks = slices.Clone(out.ReadBacks)
+	out.Looks = slices.Clone(out.Looks)
+	return &out
+}
+
+func copies[T any](list []*T) []*T {
+	out := make([]*T, len(list))
+	for place, item := range list {
+		one := *item
+		out[place] = &one
+	}
+	return out
+}
