Start the daemon from the platform's boot file, with a deploy file and a readiness address

The users' platform hands each process a TOML file; platform/ turns it into the daemon's settings, and cmd/cresspond-platform puts both together. New settings of the product: readyListen, operatorListen, opaqueOnly, attempts, trouble, machine, bounds. SIGHUP and a changed file read seeds and bounds again.

--- /dev/null
+++ b/cmd/cresspond-platform/main.go
@@ -0,0 +1,142 @@
+// Command cresspond-platform is the daemon on the users' platform: the same daemon as cresspondd, with the
+// platform's settings file and its forms towards clients, engines and operators.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/apex/log"
+	jsonlog "github.com/apex/log/handlers/json"
+
+	"github.com/cresspond/cresspond/platform"
+	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/daemon"
+)
+
+// version is set by the build.
+var version = "0.1.0-dev"
+
+func main() {
+	app := kingpin.New("cresspond-platform", "The cresspond daemon on a users' platform.")
+	app.Version(version)
+	app.HelpFlag.Short('h')
+	app.Terminate(func(status int) {
+		// kingpin ends with 1 on wrong flags; wrong settings of any kind end with 2 here.
+		if status != 0 {
+			status = 2
+		}
+		os.Exit(status)
+	})
+	file := app.Flag("config", "Settings file, TOML.").Short('c').Envar(platform.SettingsVariable).String()
+	checkOnly := app.Flag("check", "Check the settings, say what is wrong, and end.").Bool()
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		app.Fatalf("%s, try --help", err)
+	}
+	settings, faults := readAtStart(*file)
+	if len(faults) > 0 {
+		for _, fault := range faults {
+			fmt.Fprintln(os.Stderr, "cresspond-platform: "+fault.String())
+		}
+		os.Exit(2)
+	}
+	if *checkOnly {
+		fmt.Println("the settings are sound")
+		return
+	}
+	log.SetHandler(jsonlog.New(os.Stderr))
+	log.SetLevel(log.MustParseLevel(settings.Log))
+	boundMemory(settings.Machine.MemoryMb)
+
+	// A client, an engine or a log's reader that went away must not end the daemon.
+	signal.Ignore(syscall.SIGPIPE)
+	stop := make(chan struct{})
+	stops := make(chan os.Signal, 2)
+	signal.Notify(stops, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		// A second signal changes nothing: what was read is finished within the grace all the same.
+		<-stops
+		close(stop)
+	}()
+	made := daemon.New(settings, version, log.Log,
+		daemon.WithReadiness(func(*daemon.Daemon) daemon.Handler { return platform.Readiness{} }),
+	)
+	go watch(*file, made.Reload)
+	if err := made.Run(stop, nil); err != nil {
+		fmt.Fprintln(os.Stderr, "cresspond-platform: "+err.Error())
+		os.Exit(1)
+	}
+}
+
+// readAtStart gives a file that is just being written a moment.
+func readAtStart(file string) (config.Config, []config.Fault) {
+	const looks, between = 5, 200 * time.Millisecond
+	settings, faults := platform.ReadSettings(file)
+	for range looks {
+		if len(faults) == 0 {
+			break
+		}
+		<-time.After(between)
+		settings, faults = platform.ReadSettings(file)
+	}
+	return settings, faults
+}
+
+// boundMemory keeps the heap well under what the machine kills for.
+func boundMemory(megabytes int64) {
+	const share = 85
+	if megabytes > 0 {
+		debug.SetMemoryLimit(megabytes << 20 / 100 * share)
+	}
+}
+
+// watch reads the settings again when it is told to, and when the file looks changed.
+func watch(file string, reload func(config.Config)) {
+	const lookEvery = 2 * time.Second
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGHUP)
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	read := stampOf(file)
+	for pending := false; ; {
+		select {
+		case <-told:
+			pending = true
+		case <-ticker.C:
+		}
+		stamp := stampOf(file)
+		if !pending && stamp == read {
+			continue
+		}
+		settings, faults := platform.ReadSettings(file)
+		if len(faults) > 0 {
+			// It may be half written; what is in force stays, and the next beat looks again.
+			if !pending {
+				log.WithField("fault", faults[0].String()).Warn("the settings cannot be read again yet")
+			}
+			pending = true
+			continue
+		}
+		pending, read = false, stamp
+		reload(settings)
+	}
+}
+
+// stamp is what a changed file differs in.
+type stamp struct {
+	size     int64
+	modified time.Time
+}
+
+func stampOf(file string) stamp {
+	info, err := os.Stat(file)
+	if err != nil {
+		return stamp{}
+	}
+	return stamp{info.Size(), info.ModTime()}
+}
--- a/process/config/config.go
+++ b/process/config/config.go
@@ -41,15 +41,110 @@
 	Seeds         []string `json:"seeds" validate:"required,min=1,max=7,unique,dive,ipport"`
 	Serve         []Role   `json:"serve" validate:"required,min=1,unique,dive,oneof=route control place"`
 	Data          string   `json:"data" validate:"required_if_control"`
-	Platform      string   `json:"platform" validate:"omitempty,ipport"`
+	// ReadyListen is an address of its own for the platform's question whether this daemon is ready; empty
+	// leaves it on Listen alone.
+	ReadyListen string `json:"readyListen,omitempty" validate:"omitempty,ipport"`
+	// OperatorListen is an address of its own for operators and engines; empty leaves them on Listen.
+	OperatorListen string `json:"operatorListen,omitempty" validate:"omitempty,ipport"`
+	// OpaqueOnly says that Listen carries the clients' opaque requests and nothing else.
+	OpaqueOnly bool `json:"opaqueOnly,omitempty"`
+	// Attempts says how far attempts are known: over the fleet, or by the daemon they came to.
+	Attempts AttemptScope `json:"attempts,omitempty" validate:"omitempty,oneof=fleet local"`
+	// Trouble says what to do about a disk or an address that can't be used.
+	Trouble  Trouble `json:"trouble,omitempty" validate:"omitempty,oneof=end wait"`
+	Platform string  `json:"platform" validate:"omitempty,ipport"`
 	// DrainMs is how long a stopping daemon may take to finish what it has read.
 	DrainMs int64 `json:"drainMs" validate:"gte=0,lte=600000"`
 	// Log is the least level that is logged.
 	Log string `json:"log" validate:"oneof=debug info warn error"`
+	// Machine is what this daemon may use, Bounds the times and amounts that the deployment holds it to.
+	Machine Machine `json:"machine"`
+	Bounds  Bounds  `json:"bounds"`
+}
+
+// AttemptScope says how far attempts are known.
+type AttemptScope string
+
+const (
+	// FleetAttempts are known to all daemons, so that one attempt may arrive at several.
+	FleetAttempts AttemptScope = "fleet"
+	// LocalAttempts arrive once, each under an id of its own, so nobody else need know of them.
+	LocalAttempts AttemptScope = "local"
+)
+
+// Trouble says what to do about a disk or an address that can't be used.
+type Trouble string
+
+const (
+	// EndOnTrouble ends the daemon and says why, so that a person looks first.
+	EndOnTrouble Trouble = "end"
+	// WaitOnTrouble keeps the daemon up: it steps aside from its group, tries again, and sets damaged files
+	// aside to join as a new member.
+	WaitOnTrouble Trouble = "wait"
+)
+
+// Machine is what this daemon may use of its machine; zero is unknown.
+type Machine struct {
+	MemoryMb int64   `json:"memoryMb,omitempty" validate:"gte=0"`
+	MostFds  int     `json:"mostFds,omitempty" validate:"gte=0"`
+	LinkMbps float64 `json:"linkMbps,omitempty" validate:"gte=0"`
+	// CPU is the share of a core, times how fast it runs.
+	CPU float64 `json:"cpu,omitempty" validate:"gte=0"`
+}
+
+// Bounds are the times and amounts that a deployment holds its daemons to.
+type Bounds struct {
+	// BeatMs is how often an engine says that it lives.
+	BeatMs int64 `json:"beatMs" validate:"gt=0"`
+	// ContactMs is how long daemons must have been whole and joined before bounds hold for them.
+	ContactMs int64 `json:"contactMs" validate:"gt=0"`
+	// AcknowledgeMs is how long an operator waits at most for an acknowledgement.
+	AcknowledgeMs int64 `json:"acknowledgeMs" validate:"gt=0"`
+	// CatchUpMs is how soon after its start a new member must vote.
+	CatchUpMs int64 `json:"catchUpMs" validate:"gt=0"`
+	// LeaveMs is how long after its leaving was acknowledged an engine may still be sent requests.
+	LeaveMs int64 `json:"leaveMs" validate:"gt=0"`
+	// AddressReuseMs is when the address of an engine that ended may be another's.
+	AddressReuseMs int64 `json:"addressReuseMs" validate:"gte=0"`
+	// ApplyMs is when an acknowledged bundle must be in force everywhere, RevertMs how soon after one was
+	// seen in force a daemon may no longer go by an older one.
+	ApplyMs  int64 `json:"applyMs" validate:"gt=0"`
+	RevertMs int64 `json:"revertMs" validate:"gte=0"`
+	// RetryRatio and RetrySlack bound, within RetryWindowMs and over all daemons, how many attempts go to a
+	// pool beyond the first of each request.
+	RetryRatio    float64 `json:"retryRatio" validate:"gte=0"`
+	RetryWindowMs int64   `json:"retryWindowMs" validate:"gt=0"`
+	RetrySlack    float64 `json:"retrySlack" validate:"gte=0"`
+	// RetryAfterMs is when a refused client comes back if it was not told; zero is not known.
+	RetryAfterMs int64 `json:"retryAfterMs,omitempty" validate:"gte=0"`
+	// RecoverMs is when requests must be served again after all machines were down.
+	RecoverMs int64 `json:"recoverMs" validate:"gt=0"`
+	// PassMs is how long an event may take through a daemon, LossSlackMs how long a request that was read may
+	// lie unanswered in one that stops.
+	PassMs      int64 `json:"passMs" validate:"gt=0"`
+	LossSlackMs int64 `json:"lossSlackMs" validate:"gte=0"`
+	// FenceChecked says that engines refuse orders under a lower fence than they have seen. LeaseMs is the
+	// least time between orders of two planners, ThawSlackMs how long after a thaw an order may still come.
+	FenceChecked bool  `json:"fenceChecked,omitempty"`
+	LeaseMs      int64 `json:"leaseMs" validate:"gt=0"`
+	ThawSlackMs  int64 `json:"thawSlackMs" validate:"gte=0"`
+	// OriginWindowMs is the window over which loads from the store are counted, OriginExcess how far they may
+	// pass its pace within it.
+	OriginWindowMs int64   `json:"originWindowMs" validate:"gt=0"`
+	OriginExcess   float64 `json:"originExcess" validate:"gte=0"`
+}
+
+// DefaultBounds are the bounds of a deployment that says nothing.
+func DefaultBounds() Bounds {
+	return Bounds{BeatMs: 1000, ContactMs: 3000, AcknowledgeMs: 4000, CatchUpMs: 4000, LeaveMs: 2000, AddressReuseMs: 2000, ApplyMs: 2000,
+		RevertMs: 250, RetryRatio: 0.2, RetryWindowMs: 10000, RetrySlack: 10, RecoverMs: 12000, PassMs: 120, LossSlackMs: 200, LeaseMs: 3000,
+		ThawSlackMs: 300, OriginWindowMs: 5000, OriginExcess: 1}
 }
 
 // Default gives the settings that need not be said.
-func Default() Config { return Config{DrainMs: 30000, Log: "info"} }
+func Default() Config {
+	return Config{DrainMs: 30000, Log: "info", Attempts: FleetAttempts, Trouble: EndOnTrouble, Bounds: DefaultBounds()}
+}
 
 // Serves says whether the daemon has a role.
 func (c Config) Serves(role Role) bool { return slices.Contains(c.Serve, role) }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -48,7 +49,9 @@
 
 // Daemon is one process.
 type Daemon struct {
-	config  config.Config
+	config config.Config
+	// current is config with what a later reading of the settings changed.
+	current atomic.Pointer[config.Config]
 	version string
 	nodeID  ident.NodeID
 	clock   clock.Clock
@@ -90,9 +93,18 @@
 	// aroundDisk stands between the member and its data folder.
 	aroundDisk func(replica.Disk) replica.Disk
 
+	// controlMakers and readyMakers make what stands before the desk, at the operators' and the readiness address.
+	controlMakers, readyMakers []func(*Daemon) Handler
+	control, ready             []Handler
+
 	counters counters
 }
 
+// Handler serves some of the requests of a listener; it says false of one that it leaves to the next.
+type Handler interface {
+	Handle(ctx *fasthttp.RequestCtx) bool
+}
+
 // fleetWant is what another daemon last said it holds and has seated.
 type fleetWant struct {
 	heard  clock.Mark
@@ -127,6 +139,16 @@
 	return func(d *Daemon) { d.aroundDisk = around }
 }
 
+// WithControl puts a handler before the desk, for operators and engines.
+func WithControl(make func(*Daemon) Handler) Option {
+	return func(d *Daemon) { d.controlMakers = append(d.controlMakers, make) }
+}
+
+// WithReadiness puts a handler before the page that says whether this daemon is ready.
+func WithReadiness(make func(*Daemon) Handler) Option {
+	return func(d *Daemon) { d.readyMakers = append(d.readyMakers, make) }
+}
+
 // New makes a daemon from checked settings.
 func New(c config.Config, version string, logger log.Interface, options ...Option) *Daemon {
 	var life [4]byte
@@ -147,9 +169,27 @@
 	none := ident.GroupID("")
 	d.group.Store(&none)
 	d.generator = snowflake.New(d.clock, tenureMargin)
+	d.current.Store(&c)
 	return d
 }
 
+// Config is the settings as last read. Only seeds and bounds change in a daemon's life.
+func (d *Daemon) Config() config.Config { return *d.current.Load() }
+
+// Bounds are what the deployment holds its daemons to, as last read.
+func (d *Daemon) Bounds() config.Bounds { return d.current.Load().Bounds }
+
+// Reload takes over what may change in a daemon's life from settings that were read again.
+func (d *Daemon) Reload(c config.Config) {
+	next := d.Config()
+	if slices.Equal(next.Seeds, c.Seeds) && next.Bounds == c.Bounds && next.DrainMs == c.DrainMs {
+		return
+	}
+	next.Seeds, next.Bounds, next.DrainMs = c.Seeds, c.Bounds, c.DrainMs
+	d.current.Store(&next)
+	d.log.WithField("seeds", next.Seeds).Info("settings read again")
+}
+
 // Run runs the daemon until stop says so, then drains it; hurry ends the draining at once.
 func (d *Daemon) Run(stop, hurry <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -162,21 +202,34 @@
 		defer opened.Close()
 		d.store = opened
 	}
-	fellowListener, err := net.Listen("tcp", d.config.FellowListen)
+	fellowListener, err := d.listen(stop, "fellowListen", d.config.FellowListen)
 	if err != nil {
-		return eris.Wrapf(err, "fellowListen %s cannot be used", d.config.FellowListen)
+		return err
 	}
 	defer fellowListener.Close()
-	callerListener, err := net.Listen("tcp", d.config.Listen)
+	callerListener, err := d.listen(stop, "listen", d.config.Listen)
 	if err != nil {
-		return eris.Wrapf(err, "listen %s cannot be used", d.config.Listen)
+		return err
 	}
 	defer callerListener.Close()
+	var operatorListener, readyListener net.Listener
+	if d.config.OperatorListen != "" {
+		if operatorListener, err = d.listen(stop, "operatorListen", d.config.OperatorListen); err != nil {
+			return err
+		}
+		defer operatorListener.Close()
+	}
+	if d.config.ReadyListen != "" {
+		if readyListener, err = d.listen(stop, "readyListen", d.config.ReadyListen); err != nil {
+			return err
+		}
+		defer readyListener.Close()
+	}
 
 	d.links = fellows.New(ctx, d.config.ReachedAt(), d.config.FellowListen)
 	d.keeper = rollout.New(d.clock.Wall, d.swapped)
 	d.watcher = engines.New(d.clock, d.config.Platform, d.poke)
-	d.members = membership.New(d.clock, d, d.config.Seeds, d.config.ReachedAt())
+	d.members = membership.New(d.clock, d, func() []string { return d.current.Load().Seeds }, d.config.ReachedAt())
 	d.dispatch = dispatch.NewActor(routing{d})
 	d.slots = permits.NewKeeper(d.yard)
 	d.placer = placement.NewActor(planning{d}, d.clock)
@@ -185,6 +238,12 @@
 	defer cutStreams()
 	d.door = frontdoor.New(streams, d.clock, d.keeper.Table, d.dispatch)
 	d.desk = operators.New(d)
+	for _, make := range d.controlMakers {
+		d.control = append(d.control, make(d))
+	}
+	for _, make := range d.readyMakers {
+		d.ready = append(d.ready, make(d))
+	}
 
 	run := func(actor func(context.Context)) { go actor(ctx) }
 	run(d.keeper.Run)
@@ -207,12 +266,18 @@
 	fellowServer := &http.Server{Handler: fellowapi.NewFellowServer(d), ReadHeaderTimeout: 5 * time.Second}
 	go func() { d.fail(fellowServer.Serve(fellowListener), "the fellow listener failed") }()
 	defer fellowServer.Close()
-	callerServer := &fasthttp.Server{
-		Handler: d.handle, Name: "cresspond", MaxRequestBodySize: mostCallerBody, HeaderReceived: bodyLimit, ReadTimeout: 20 * time.Second, WriteTimeout: 5 * time.Minute,
-		IdleTimeout: time.Minute, NoDefaultServerHeader: true, Concurrency: 8192, CloseOnShutdown: true, Logger: quiet{}, ReadBufferSize: 16 << 10,
-		ErrorHandler: badRequest,
+	servers := []*fasthttp.Server{d.server(d.handle)}
+	go func() { d.fail(servers[0].Serve(callerListener), "the listener failed") }()
+	if operatorListener != nil {
+		operatorServer := d.server(d.handleOperator)
+		servers = append(servers, operatorServer)
+		go func() { d.fail(operatorServer.Serve(operatorListener), "the operators' listener failed") }()
+	}
+	if readyListener != nil {
+		// It goes on answering to the very end, so it is none of those that are drained.
+		readyServer := d.server(d.handleReady)
+		go func() { d.fail(readyServer.Serve(readyListener), "the readiness listener failed") }()
 	}
-	go func() { d.fail(callerServer.Serve(callerListener), "the listener failed") }()
 
 	if d.store != nil {
 		go d.runControl(ctx)
@@ -226,7 +291,7 @@
 		d.log.WithError(err).Error("stepping aside")
 		return err
 	}
-	d.drain(callerServer, hurry)
+	d.drain(servers, hurry)
 	return nil
 }
 
@@ -275,14 +340,91 @@
 	}
 }
 
+// server is one listener's server.
+func (d *Daemon) server(handle fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: handle, Name: "cresspond", MaxRequestBodySize: mostCallerBody, HeaderReceived: bodyLimit, ReadTimeout: 20 * time.Second, WriteTimeout: 5 * time.Minute,
+		IdleTimeout: time.Minute, NoDefaultServerHeader: true, Concurrency: 8192, CloseOnShutdown: true, Logger: quiet{}, ReadBufferSize: 16 << 10,
+		ErrorHandler: badRequest,
+	}
+}
+
+// listen takes an address; where the settings say to wait, for as long as another has it.
+func (d *Daemon) listen(stop <-chan struct{}, field, address string) (net.Listener, error) {
+	const again = 200 * time.Millisecond
+	ticker := time.NewTicker(again)
+	defer ticker.Stop()
+	for told := false; ; told = true {
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return listener, nil
+		}
+		err = eris.Wrapf(err, "%s %s cannot be used", field, address)
+		if d.config.Trouble != config.WaitOnTrouble {
+			return nil, err
+		}
+		if !told {
+			d.log.WithError(err).Warn("waiting for an address")
+		}
+		select {
+		case <-stop:
+			return nil, err
+		case <-ticker.C:
+		}
+	}
+}
+
+// handle serves what comes to Listen.
 func (d *Daemon) handle(ctx *fasthttp.RequestCtx) {
+	d.letGo(ctx)
+	path := string(ctx.Path())
+	switch {
+	case d.config.Serves(config.Route) && d.config.OpaqueOnly:
+		// No opaque path is served before a bundle with paths is in force.
+		frontdoor.Fail(ctx, fasthttp.StatusServiceUnavailable, callerapi.Error{Outcome: callerapi.Unknown, Reason: "no paths are in force here yet"})
+	case path == callerapi.PathGenerate && d.config.Serves(config.Route):
+		d.door.Handle(ctx)
+	default:
+		d.operate(ctx)
+	}
+}
+
+// letGo lets whoever is answered by a stopping daemon connect elsewhere next time.
+func (d *Daemon) letGo(ctx *fasthttp.RequestCtx) {
 	if d.draining.Load() {
-		// Whoever is answered now should connect elsewhere next time.
 		ctx.SetConnectionClose()
 	}
+}
+
+// handleOperator serves what comes to OperatorListen.
+func (d *Daemon) handleOperator(ctx *fasthttp.RequestCtx) {
+	d.letGo(ctx)
+	d.operate(ctx)
+}
+
+// operate serves operators and engines.
+func (d *Daemon) operate(ctx *fasthttp.RequestCtx) {
+	for _, handler := range d.control {
+		if handler.Handle(ctx) {
+			return
+		}
+	}
+	d.desk.Handle(ctx, string(ctx.Path()))
+}
+
+// readyPages are what ReadyListen serves: it is for looking only.
+var readyPages = []string{operatorapi.PathReady, operatorapi.PathLive, operatorapi.PathCounters, operatorapi.PathStatus}
+
+// handleReady serves what comes to ReadyListen.
+func (d *Daemon) handleReady(ctx *fasthttp.RequestCtx) {
+	for _, handler := range d.ready {
+		if handler.Handle(ctx) {
+			return
+		}
+	}
 	path := string(ctx.Path())
-	if path == callerapi.PathGenerate && d.config.Serves(config.Route) {
-		d.door.Handle(ctx)
+	if !slices.Contains(readyPages, path) {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
 	d.desk.Handle(ctx, path)
@@ -422,9 +564,10 @@
 }
 
 func (d *Daemon) askSeeds(ctx context.Context) []formation.Seed {
-	out := make([]formation.Seed, len(d.config.Seeds))
+	seeds := d.Config().Seeds
+	out := make([]formation.Seed, len(seeds))
 	var wait sync.WaitGroup
-	for place, address := range d.config.Seeds {
+	for place, address := range seeds {
 		out[place].Address = address
 		wait.Add(1)
 		go func() {
@@ -547,8 +690,8 @@
 }
 
 // drain stops taking new work, finishes what was read, hands over and lets go.
-func (d *Daemon) drain(server *fasthttp.Server, hurry <-chan struct{}) {
-	limit, cancel := context.WithTimeout(context.Background(), time.Duration(d.config.DrainMs)*time.Millisecond)
+func (d *Daemon) drain(servers []*fasthttp.Server, hurry <-chan struct{}) {
+	limit, cancel := context.WithTimeout(context.Background(), time.Duration(d.Config().DrainMs)*time.Millisecond)
 	defer cancel()
 	go func() {
 		select {
@@ -575,8 +718,10 @@
 	case <-notice.C:
 	case <-limit.Done():
 	}
-	if err := server.ShutdownWithContext(limit); err != nil {
-		d.log.WithField("open", d.door.Open()).Warn("stopped before all answers were written")
+	for _, server := range servers {
+		if err := server.ShutdownWithContext(limit); err != nil {
+			d.log.WithField("open", d.door.Open()).Warn("stopped before all answers were written")
+		}
 	}
 	d.handOver(limit)
 	bounded, done := context.WithTimeout(context.Background(), 2*time.Second)
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -108,7 +108,7 @@
 type Membership struct {
 	clock    clock.Clock
 	fleet    Fleet
-	seeds    []string
+	seeds    func() []string
 	self     string
 	box      *actor.Mailbox[any]
 	view     atomic.Pointer[View]
@@ -143,7 +143,7 @@
 }
 
 // New makes the actor; self is this daemon's own fellow address.
-func New(c clock.Clock, fleet Fleet, seeds []string, self string) *Membership {
+func New(c clock.Clock, fleet Fleet, seeds func() []string, self string) *Membership {
 	m := &Membership{clock: c, fleet: fleet, seeds: seeds, self: self, box: actor.NewMailbox[any](512), asking: map[string]bool{}}
 	m.view.Store(&View{Fellows: map[ident.NodeID]Fellow{}, Started: c.Elapsed()})
 	return m
@@ -191,7 +191,8 @@
 		targets[contacts[rand.IntN(len(contacts))].Address] = true
 	}
 	// A seed a beat, in turn, so that a split that healed is noticed from either side.
-	targets[m.seeds[m.seedTurn%len(m.seeds)]] = true
+	seeds := m.seeds()
+	targets[seeds[m.seedTurn%len(seeds)]] = true
 	m.seedTurn++
 	for address := range targets {
 		if address == m.self || address == "" || m.asking[address] {
