Keep the engines that register themselves, and spread what changes as differences

Engines beat to any control daemon. A pure core joins words so that order does not matter: the higher call-seq counts, silence holds up to a call-seq, leaving never ends. Each daemon numbers its changes and tells a peer only what came after the peer's cursor; control daemons tell each other of beats too, so that only one that hears what all the others hear judges silence. A leave is a command of the group (LEAVE, at most 4096 remembered) and is acknowledged when it is committed and known to all in contact, or 300 ms later.

--- a/process/actor/actor.go
+++ b/process/actor/actor.go
@@ -42,6 +42,9 @@
 	}
 }
 
+// Waiting is how many events have not been taken yet.
+func (m *Mailbox[E]) Waiting() int { return len(m.events) }
+
 // Done is closed when the actor has ended.
 func (m *Mailbox[E]) Done() <-chan struct{} { return m.done }
 
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -32,6 +32,7 @@
 	"github.com/cresspond/cresspond/process/permits"
 	"github.com/cresspond/cresspond/process/placement"
 	"github.com/cresspond/cresspond/process/raft"
+	"github.com/cresspond/cresspond/process/registry"
 	"github.com/cresspond/cresspond/process/replica"
 	"github.com/cresspond/cresspond/process/rollout"
 	"github.com/cresspond/cresspond/process/seats"
@@ -57,19 +58,23 @@
 	clock   clock.Clock
 	log     log.Interface
 
-	links     *fellows.Links
-	keeper    *rollout.Keeper
-	members   *membership.Membership
-	watcher   *engines.Watcher
-	generator *snowflake.Generator
-	dispatch  *dispatch.Actor
-	door      *frontdoor.Door
-	desk      *operators.Desk
-	placer    *placement.Actor
-	home      *seats.Home
-	slots     *permits.Keeper
-	attempts  *attempts.Home
-	permitIDs atomic.Uint64
+	links    *fellows.Links
+	keeper   *rollout.Keeper
+	members  *membership.Membership
+	registry *registry.Registry
+	hearsay  hearsay
+	// leavesNoted is how many leaves of the replicated state the registry was told of; only the replica's actor uses it.
+	leavesNoted uint64
+	watcher     *engines.Watcher
+	generator   *snowflake.Generator
+	dispatch    *dispatch.Actor
+	door        *frontdoor.Door
+	desk        *operators.Desk
+	placer      *placement.Actor
+	home        *seats.Home
+	slots       *permits.Keeper
+	attempts    *attempts.Home
+	permitIDs   atomic.Uint64
 
 	replicaConfig replica.Config
 	store         *store.Store
@@ -121,6 +126,7 @@
 	foreignGroup, garbage, held, acquired, renewed, tenureFailed atomic.Uint64
 	bytesOwnZone, bytesOtherZone, junkEngines, lastLookStops     atomic.Uint64
 	permitsUnasked, attemptCalls, attemptDoubts, attemptsMoved   atomic.Uint64
+	leavesUnknown                                                atomic.Uint64
 }
 
 // Option sets one thing of a daemon.
@@ -230,6 +236,8 @@
 	d.keeper = rollout.New(d.clock.Wall, d.swapped)
 	d.watcher = engines.New(d.clock, d.config.Platform, d.poke)
 	d.members = membership.New(d.clock, d, func() []string { return d.current.Load().Seeds }, d.config.ReachedAt())
+	d.registry = registry.New(d.clock, string(d.nodeID), d.config.Serves(config.Control), d.beatPeriod, d.contact)
+	d.registry.Subscribe(d.poke)
 	d.dispatch = dispatch.NewActor(routing{d})
 	d.slots = permits.NewKeeper(d.yard)
 	d.placer = placement.NewActor(planning{d}, d.clock)
@@ -248,6 +256,7 @@
 	run := func(actor func(context.Context)) { go actor(ctx) }
 	run(d.keeper.Run)
 	run(d.members.Run)
+	run(d.registry.Run)
 	run(d.attempts.Run)
 	run(d.runRehoming)
 	run(d.runHistory)
@@ -508,6 +517,7 @@
 
 // stateChanged is called by the replica when the spec in force or the closures are others.
 func (d *Daemon) stateChanged(state *statemachine.State) {
+	d.noteLeft(state)
 	closures := state.Closures.Clone()
 	epoch, raw := state.Epoch(), []byte(nil)
 	if inForce, ok := state.InForce(); ok {
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -15,6 +15,7 @@
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/membership"
 	"github.com/cresspond/cresspond/process/raft"
+	"github.com/cresspond/cresspond/process/registry"
 	"github.com/cresspond/cresspond/process/replica"
 	"github.com/cresspond/cresspond/process/rollout"
 	"github.com/cresspond/cresspond/process/statemachine"
@@ -205,6 +206,7 @@
 	statemachine.OpAcquire: true, statemachine.OpRenew: true, statemachine.OpRelease: true,
 	statemachine.OpPropose: true, statemachine.OpReview: true, statemachine.OpSign: true, statemachine.OpRoll: true,
 	statemachine.OpClosure: true, statemachine.OpEnlist: true, statemachine.OpLost: true, statemachine.OpClaim: true, statemachine.OpDropClaim: true,
+	statemachine.OpLeave: true,
 }
 
 // Submit takes a command, if this daemon leads.
@@ -256,6 +258,10 @@
 	began := d.clock.Elapsed()
 	got := held.Submit(ctx, command)
 	answer := operatorapi.Answer{Result: got.Result}
+	if command.Op == statemachine.OpLeave && got.Outcome == replica.Applied {
+		d.awaitLeave(ctx, command.Engine)
+		return answer, got.Outcome
+	}
 	if got.Outcome != replica.Applied || got.Result.Verdict != statemachine.Done {
 		return answer, got.Outcome
 	}
@@ -472,6 +478,7 @@
 		return nil, twirp.NewError(twirp.InvalidArgument, "a pull says who asks")
 	}
 	d.members.Served(in)
+	d.registry.Saw(ident.NodeID(in.NodeId), registry.Cursor{Life: in.RegistryLife, Seen: in.RegistrySeen})
 	d.hearDraining(in.Draining)
 	now := d.clock.Elapsed()
 	leader, term := d.leaderAndTerm()
@@ -491,6 +498,7 @@
 		}
 	}
 	reply.Draining = d.drainingEngines()
+	d.tellRegistry(in, reply)
 	if d.Plans() {
 		for _, lack := range d.placer.Condition().Lacks {
 			reply.Lacks = append(reply.Lacks, &fellowapi.Lack{Model: lack.Model, Adapter: lack.Adapter, WaitMs: lack.Wait.Milliseconds()})
@@ -523,11 +531,6 @@
 	}
 }
 
-// PullFrom asks another daemon.
-func (d *Daemon) PullFrom(ctx context.Context, address string, request *fellowapi.PullRequest) (*fellowapi.PullReply, error) {
-	return d.links.To(address).Pull(ctx, request)
-}
-
 // Learn takes over what a reply brought.
 func (d *Daemon) Learn(reply *fellowapi.PullReply) {
 	if !d.learnGroup(ident.GroupID(reply.Group)) {
--- /dev/null
+++ b/process/daemon/registry.go
@@ -0,0 +1,207 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/membership"
+	"github.com/cresspond/cresspond/process/registry"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+)
+
+const (
+	// leaveLimit is how long an engine that leaves waits for its acknowledgement; it then asks the next daemon.
+	leaveLimit = 800 * time.Millisecond
+	// leaveReach is how long the acknowledgement waits for all in contact to know.
+	leaveReach = 300 * time.Millisecond
+	// leftLately is for how long a fresh control daemon tells all of those who left.
+	leftLately = time.Minute
+)
+
+// RegisterWord says what became of an engine's word.
+type RegisterWord string
+
+const (
+	Acknowledged RegisterWord = "acknowledged"
+	// Unregistered says that the word may not be everywhere it must be: it is to be said again, to another daemon.
+	Unregistered RegisterWord = "unknown"
+)
+
+// Registry is what this daemon knows of the engines that register themselves.
+func (d *Daemon) Registry() *registry.Registry { return d.registry }
+
+// Register takes what an engine says of itself.
+func (d *Daemon) Register(ctx context.Context, word registry.Word) RegisterWord {
+	if !d.config.Serves(config.Control) {
+		return Unregistered
+	}
+	hearing, ok := d.registry.Hear(word)
+	if !ok {
+		return Unregistered
+	}
+	if !word.Leaving {
+		return Acknowledged
+	}
+	return d.leave(ctx, word.ID, hearing)
+}
+
+// Deregister takes an engine's word that it is gone.
+func (d *Daemon) Deregister(ctx context.Context, id ident.EngineID) RegisterWord {
+	if !d.config.Serves(config.Control) {
+		return Unregistered
+	}
+	hearing, ok := d.registry.End(id)
+	if !ok {
+		return Unregistered
+	}
+	return d.leave(ctx, id, hearing)
+}
+
+// leave has the group write down that an engine leaves. All hear of it from here meanwhile, since it does no
+// harm to know it early; the acknowledgement rests on the group, so that it outlives this daemon.
+func (d *Daemon) leave(ctx context.Context, id ident.EngineID, hearing registry.Hearing) RegisterWord {
+	bounded, cancel := context.WithTimeout(ctx, leaveLimit)
+	defer cancel()
+	if hearing.Left {
+		// Said again: it is written down, and need only have had the time to get about.
+		d.awaitReach(bounded, hearing.Change, leaveReach-d.clock.Elapsed().Since(hearing.LeftAt))
+		return Acknowledged
+	}
+	answer, ok := d.submit(bounded, statemachine.Command{Op: statemachine.OpLeave, Engine: id})
+	if !ok || answer.Verdict != statemachine.Done {
+		d.counters.leavesUnknown.Add(1)
+		return Unregistered
+	}
+	d.registry.Leave([]ident.EngineID{id}, false, true)
+	return Acknowledged
+}
+
+// awaitLeave is called at the leader when a leave is committed: it waits until all in contact know.
+func (d *Daemon) awaitLeave(ctx context.Context, id ident.EngineID) {
+	change := d.registry.Leave([]ident.EngineID{id}, false, true)
+	d.awaitReach(ctx, change, leaveReach)
+}
+
+func (d *Daemon) awaitReach(ctx context.Context, change uint64, within time.Duration) bool {
+	return d.registry.AwaitReach(ctx, change, within, func() []ident.NodeID {
+		var peers []ident.NodeID
+		for _, fellow := range d.members.View().InContact(d.clock.Elapsed(), membership.ContactWindow) {
+			if fellow.NodeID != d.nodeID {
+				peers = append(peers, fellow.NodeID)
+			}
+		}
+		return peers
+	})
+}
+
+// noteLeft takes over who left by the replicated state. It is called on the replica's actor, and so waits for nothing.
+func (d *Daemon) noteLeft(state *statemachine.State) {
+	lately, before := []ident.EngineID{}, []ident.EngineID{}
+	// After a snapshot all are noted again, which changes nothing.
+	for _, left := range state.LeftSince(d.leavesNoted) {
+		if left.At.Add(leftLately) < state.Now {
+			before = append(before, left.Engine)
+		} else {
+			lately = append(lately, left.Engine)
+		}
+	}
+	d.leavesNoted = state.Leaves
+	if len(lately) > 0 || len(before) > 0 {
+		go func() {
+			d.registry.Remember(before)
+			d.registry.Leave(lately, false, true)
+		}()
+	}
+}
+
+// tellRegistry puts into a reply what changed here since the asker's last question.
+func (d *Daemon) tellRegistry(in *fellowapi.PullRequest, reply *fellowapi.PullReply) {
+	wanted := make([]ident.EngineID, 0, len(in.RegistryWanted))
+	for _, id := range in.RegistryWanted {
+		wanted = append(wanted, ident.EngineID(id))
+	}
+	// Only those who may have to judge an engine's silence need to hear of each beat.
+	beats := d.config.Serves(config.Control) && slices.Contains(in.Serve, string(config.Control))
+	difference := d.registry.Since(registry.Cursor{Life: in.RegistryLife, Seen: in.RegistrySeen}, wanted, beats)
+	reply.RegistryLife, reply.RegistrySeen, reply.RegistryWhole, reply.RegistryMore = difference.Life, difference.Seen, difference.Whole, difference.More
+	reply.Engines = registry.Encode(d.clock.Elapsed(), difference.Records)
+}
+
+// PullFrom asks another daemon, and takes over what it tells of engines.
+func (d *Daemon) PullFrom(ctx context.Context, address string, request *fellowapi.PullRequest) (*fellowapi.PullReply, error) {
+	cursor, wanted := d.registry.Asked(address)
+	request.RegistryLife, request.RegistrySeen = cursor.Life, cursor.Seen
+	for _, id := range wanted {
+		request.RegistryWanted = append(request.RegistryWanted, string(id))
+	}
+	asked := d.clock.Elapsed()
+	reply, err := d.links.To(address).Pull(ctx, request)
+	if err != nil || !d.ofOurs(reply) {
+		return reply, err
+	}
+	d.registry.Learn(address, registry.Difference{Cursor: registry.Cursor{Life: reply.RegistryLife, Seen: reply.RegistrySeen},
+		Whole: reply.RegistryWhole, More: reply.RegistryMore, Records: registry.Decode(d.clock.Elapsed(), reply.Engines)})
+	if !reply.RegistryMore {
+		d.hearsay.note(address, asked)
+	}
+	return reply, nil
+}
+
+// ofOurs says whether a reply is of this daemon's group, or of one where neither knows a group yet.
+func (d *Daemon) ofOurs(reply *fellowapi.PullReply) bool {
+	known := d.Group()
+	return known == "" || reply.Group == "" || reply.Group == string(known) || ident.GroupID(reply.Group).Succeeds(known)
+}
+
+// hearsay is up to when each other control daemon has told what it heard.
+type hearsay struct {
+	mutex sync.Mutex
+	upTo  map[string]clock.Mark
+}
+
+func (h *hearsay) note(address string, asked clock.Mark) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.upTo == nil {
+		h.upTo = map[string]clock.Mark{}
+	}
+	h.upTo[address] = max(h.upTo[address], asked)
+}
+
+func (h *hearsay) of(address string) clock.Mark {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.upTo[address]
+}
+
+// beatPeriod is how often engines that register themselves beat.
+func (d *Daemon) beatPeriod() time.Duration { return time.Duration(d.Bounds().BeatMs) * time.Millisecond }
+
+// contact says how well this daemon hears what other control daemons hear. One that is cut off from any that
+// lives can't tell an engine's silence from its own deafness.
+func (d *Daemon) contact() registry.Contact {
+	now := d.clock.Elapsed()
+	out := registry.Contact{Horizon: now}
+	others := 0
+	for _, fellow := range d.members.View().InContact(now, membership.ContactWindow) {
+		if fellow.NodeID == d.nodeID || !fellow.Serves(string(config.Control)) {
+			continue
+		}
+		others++
+		out.Horizon = min(out.Horizon, d.hearsay.of(fellow.Address))
+	}
+	out.May = now.Since(out.Horizon) <= d.beatPeriod() && (others > 0 || d.alone())
+	return out
+}
+
+// alone says whether this daemon is the whole group.
+func (d *Daemon) alone() bool {
+	held := d.replica.Load()
+	return held != nil && len(held.Condition().Members.Voters()) == 1 && held.Condition().Leads
+}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -190,6 +190,9 @@
 	} else if len(contacts) > 0 {
 		targets[contacts[rand.IntN(len(contacts))].Address] = true
 	}
+	for _, address := range controlToAsk(contacts, m.self, view.LeaderAddress) {
+		targets[address] = true
+	}
 	// A seed a beat, in turn, so that a split that healed is noticed from either side.
 	seeds := m.seeds()
 	targets[seeds[m.seedTurn%len(seeds)]] = true
@@ -224,6 +227,30 @@
 	})
 }
 
+// controlToAsk lists the daemons serving control to ask besides the leader: one that serves it too asks them
+// all, since only together they know which engines are silent; any other asks one, so that news reaches it
+// while the leader is frozen or cut off.
+func controlToAsk(contacts []Fellow, self, leader string) []string {
+	serves := false
+	var others []string
+	for _, contact := range contacts {
+		switch {
+		case !contact.Serves(controlRole):
+		case contact.Address == self:
+			serves = true
+		case contact.Address != leader:
+			others = append(others, contact.Address)
+		}
+	}
+	if serves || len(others) == 0 {
+		return others
+	}
+	return []string{others[rand.IntN(len(others))]}
+}
+
+// controlRole is the role of the group's members.
+const controlRole = "control"
+
 func (m *Membership) take(event any) {
 	switch e := event.(type) {
 	case pulled:
--- /dev/null
+++ b/process/registry/core.go
@@ -0,0 +1,556 @@
+package registry
+
+import (
+	"cmp"
+	"container/list"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+const (
+	// missedBeats is how many periods without a beat make an engine silent.
+	missedBeats = 3.5
+	// forgetAfter is how long an engine that can't be used any more is still told of, so that a daemon that was
+	// out of touch for a while learns of its end.
+	forgetAfter = 10 * time.Minute
+	// mostEnded bounds those, mostLeft the ids that are known to have left.
+	mostEnded = 4096
+	mostLeft  = 8192
+	// coldSlack is by how much the end of an engine's slow start may move before all are told.
+	coldSlack = time.Second
+)
+
+// Cursor is how much of a peer's changes has been seen.
+type Cursor struct {
+	// Life tells one life of a peer from the next, which counts its changes anew.
+	Life string
+	Seen uint64
+}
+
+// Record is what one daemon tells another of an engine.
+type Record struct {
+	ID      ident.EngineID
+	CallSeq uint64
+	// Digest stands for the newest word's content, so that a beat that brings nothing new needs no words.
+	Digest uint64
+	Heard  clock.Mark
+	// Word is nil where the hearer has it already.
+	Word                  *Word
+	Leaving, Silent, Gone bool
+	// Plan is nil where the hearer has it already, or there is none.
+	Plan *Plan
+}
+
+// Difference is what changed at a daemon since a cursor.
+type Difference struct {
+	Cursor
+	// Whole says that it begins anew; More, that it goes on in the next.
+	Whole, More bool
+	Records     []Record
+}
+
+// Contact is how well a control daemon hears what the others hear.
+type Contact struct {
+	// May is false where it is cut off, so that missing beats may well have come elsewhere.
+	May bool
+	// Horizon is the moment up to which all beats heard by the others are known here.
+	Horizon clock.Mark
+}
+
+// Hearing is what became of a word.
+type Hearing struct {
+	// Late words were heard before, or came after a newer one.
+	Late bool
+	// Left says that the group has written down that the engine leaves, and LeftAt since when that is known here.
+	Left   bool
+	LeftAt clock.Mark
+	// Change numbers the newest change of the engine here.
+	Change uint64
+}
+
+// entry is one engine. Its parts carry the number of their last change, so that a peer is sent only what it lacks.
+type entry struct {
+	word Word
+	// worded is false for an engine of which only its leaving is known.
+	worded           bool
+	digest           uint64
+	heard, known     clock.Mark
+	leaving          bool
+	silent, gone     bool
+	plan             *Plan
+	wordAt, planAt   uint64
+	changed, beaten  uint64
+	byChange, byBeat *list.Element
+	// coldTo is the end of its slow start, as all were last told.
+	coldTo clock.Mark
+}
+
+// departure is what is known of an id that left.
+type departure struct {
+	gone, committed bool
+	at              clock.Mark
+}
+
+// Core is what one daemon knows of the engines that register themselves. It decides from what it is told and
+// the moments given along alone.
+//
+// What two daemons know of an engine is joined so that order does not matter: of two words the higher call-seq
+// counts, silence holds up to a call-seq, and leaving and being gone never end.
+type Core struct {
+	life    string
+	control bool
+	period  time.Duration
+
+	// changes counts what happened here; newest is the number of the last change that all are told of.
+	changes, newest uint64
+	entries         map[ident.EngineID]*entry
+	byAddress       map[string][]ident.EngineID
+	// byChange and byBeat list the engines by their last change, and by that or their last beat here.
+	byChange, byBeat *list.List
+
+	left      map[ident.EngineID]departure
+	leftOrder *list.List
+
+	cursors map[string]Cursor
+	wants   map[string]map[ident.EngineID]bool
+
+	// listening is since when beats could be heard here without a break.
+	listening, judged clock.Mark
+
+	view  *View
+	dirty map[ident.EngineID]bool
+}
+
+// NewCore makes the core of one life of a daemon; control says that engines beat to it.
+func NewCore(life string, control bool, period time.Duration, now clock.Mark) *Core {
+	return &Core{
+		life: life, control: control, period: period, entries: map[ident.EngineID]*entry{}, byAddress: map[string][]ident.EngineID{},
+		byChange: list.New(), byBeat: list.New(), left: map[ident.EngineID]departure{}, leftOrder: list.New(),
+		cursors: map[string]Cursor{}, wants: map[string]map[ident.EngineID]bool{}, listening: now, judged: now,
+		view: &View{Engines: map[ident.EngineID]*Engine{}, Pools: map[string][]*Engine{}}, dirty: map[ident.EngineID]bool{},
+	}
+}
+
+// Newest numbers the last change that all are told of.
+func (c *Core) Newest() uint64 { return c.newest }
+
+// Hear takes what an engine says of itself to this daemon.
+func (c *Core) Hear(now clock.Mark, word Word) Hearing {
+	word = tidy(word)
+	departed, left := c.left[word.ID]
+	hearing := Hearing{Left: left && departed.committed, LeftAt: departed.at}
+	if left && departed.gone {
+		// An id that is gone never comes back.
+		hearing.Late = true
+		return hearing
+	}
+	e := c.entry(now, word.ID)
+	hearing.Late = e.worded && word.CallSeq <= e.word.CallSeq
+	if !hearing.Late {
+		c.takeWord(e, word, digestOf(word), now, false)
+		c.beat(e)
+		c.displace(now, e)
+	}
+	if word.Leaving {
+		// Leaving never ends, so even a late word of it counts.
+		c.leave(now, e, false)
+	}
+	hearing.Change = e.changed
+	return hearing
+}
+
+// End takes an engine's word to this daemon that it is gone.
+func (c *Core) End(now clock.Mark, id ident.EngineID) Hearing {
+	change := c.Leave(now, id, true, false)
+	departed := c.left[id]
+	return Hearing{Left: departed.committed, LeftAt: departed.at, Change: change}
+}
+
+// Leave notes that an engine leaves, or is gone; committed, that the group has written it down. It gives the
+// number of the engine's newest change.
+func (c *Core) Leave(now clock.Mark, id ident.EngineID, gone, committed bool) uint64 {
+	known, again := c.left[id]
+	if !again {
+		known.at = now
+	}
+	if committed && !known.committed {
+		known.at, known.committed = now, true
+	}
+	known.gone = known.gone || gone
+	c.depart(id, known)
+	e := c.entry(now, id)
+	c.leave(now, e, gone)
+	return e.changed
+}
+
+// Remember notes ids that left so long ago that nobody need be told.
+func (c *Core) Remember(now clock.Mark, ids []ident.EngineID) {
+	for _, id := range ids {
+		if e := c.entries[id]; e != nil {
+			c.Leave(now, id, false, true)
+			continue
+		}
+		c.depart(id, departure{committed: true, at: now, gone: c.left[id].gone})
+	}
+}
+
+// depart is the one place where an id's departure is written down.
+func (c *Core) depart(id ident.EngineID, known departure) {
+	if _, again := c.left[id]; !again {
+		c.leftOrder.PushBack(id)
+		for c.leftOrder.Len() > mostLeft {
+			delete(c.left, c.leftOrder.Remove(c.leftOrder.Front()).(ident.EngineID))
+		}
+	}
+	c.left[id] = known
+}
+
+// leave is the one place where an engine begins to leave, or is gone.
+func (c *Core) leave(now clock.Mark, e *entry, gone bool) {
+	if e.leaving && (e.gone || !gone) {
+		return
+	}
+	e.leaving, e.gone = true, e.gone || gone
+	if e.gone {
+		known, again := c.left[e.word.ID]
+		if !again {
+			known.at = now
+		}
+		known.gone = true
+		c.depart(e.word.ID, known)
+		e.plan, e.word.Models = nil, nil
+	}
+	c.changedNow(e)
+}
+
+// entry finds an engine, or makes one of which nothing is known yet.
+func (c *Core) entry(now clock.Mark, id ident.EngineID) *entry {
+	if e := c.entries[id]; e != nil {
+		return e
+	}
+	e := &entry{word: Word{ID: id}, known: now, heard: now}
+	departed, left := c.left[id]
+	e.leaving, e.gone = left, departed.gone
+	e.byChange, e.byBeat = c.byChange.PushBack(e), c.byBeat.PushBack(e)
+	c.entries[id] = e
+	c.changedNow(e)
+	return e
+}
+
+// takeWord is the one place where an engine's word is replaced.
+func (c *Core) takeWord(e *entry, word Word, digest uint64, heard clock.Mark, silent bool) {
+	coldTo := heard + clock.Mark(time.Duration(word.ColdMs)*time.Millisecond)
+	moved := coldTo.Since(e.coldTo)
+	fresh := !e.worded || digest != e.digest || max(moved, -moved) > coldSlack && max(coldTo, e.coldTo) > heard
+	changes := fresh || silent != e.silent
+	if !e.worded || e.word.Address != word.Address {
+		c.moveAddress(e.word.ID, e.word.Address, word.Address)
+	}
+	if e.gone {
+		word.Models = nil
+	}
+	e.word, e.worded, e.digest, e.heard, e.silent = word, true, digest, heard, silent
+	if word.Leaving {
+		e.leaving = true
+	}
+	if !changes {
+		return
+	}
+	c.changedNow(e)
+	if fresh {
+		e.wordAt, e.coldTo = e.changed, coldTo
+	}
+}
+
+func (c *Core) moveAddress(id ident.EngineID, from, to string) {
+	if from != "" {
+		c.byAddress[from] = slices.DeleteFunc(c.byAddress[from], func(other ident.EngineID) bool { return other == id })
+		if len(c.byAddress[from]) == 0 {
+			delete(c.byAddress, from)
+		}
+	}
+	if to != "" {
+		c.byAddress[to] = append(c.byAddress[to], id)
+	}
+}
+
+// displace puts out of use whoever was at an address before. It is silence and not an end, because a late word
+// read from a frozen machine's buffers must not end the engine that is there now; that follows in Judge.
+func (c *Core) displace(now clock.Mark, e *entry) {
+	for _, id := range c.byAddress[e.word.Address] {
+		if other := c.entries[id]; other != e && !other.silent && !other.gone && other.heard <= now {
+			other.silent = true
+			c.changedNow(other)
+		}
+	}
+}
+
+// changedNow numbers a change that all are told of.
+func (c *Core) changedNow(e *entry) {
+	c.changes++
+	e.changed, e.beaten, c.newest = c.changes, c.changes, c.changes
+	c.byChange.MoveToBack(e.byChange)
+	c.byBeat.MoveToBack(e.byBeat)
+	c.dirty[e.word.ID] = true
+}
+
+// beat numbers a beat heard here, of which only control daemons are told.
+func (c *Core) beat(e *entry) {
+	c.changes++
+	e.beaten = c.changes
+	c.byBeat.MoveToBack(e.byBeat)
+}
+
+// TellPlan takes the planner's word.
+func (c *Core) TellPlan(now clock.Mark, plans map[ident.EngineID]Plan) {
+	for _, id := range slices.Sorted(maps.Keys(plans)) {
+		if e := c.entries[id]; e != nil {
+			plan := plans[id]
+			plan.Told = now
+			c.takePlan(e, &plan)
+		}
+	}
+}
+
+func (c *Core) takePlan(e *entry, plan *Plan) {
+	if e.gone || e.plan != nil && cmp.Or(cmp.Compare(plan.Claim, e.plan.Claim), cmp.Compare(plan.Turn, e.plan.Turn)) <= 0 {
+		return
+	}
+	e.plan = plan
+	c.changedNow(e)
+	e.planAt = e.changed
+}
+
+// Asked is the cursor to ask a peer with, and the engines of which its whole word is wanted.
+func (c *Core) Asked(peer string) (Cursor, []ident.EngineID) {
+	return c.cursors[peer], slices.Sorted(maps.Keys(c.wants[peer]))
+}
+
+// Since gives what changed here since a cursor, at most so many records, and what is wanted besides. With
+// beats it tells beats too.
+func (c *Core) Since(cursor Cursor, wanted []ident.EngineID, beats bool, most int) Difference {
+	out := Difference{Cursor: Cursor{Life: c.life, Seen: c.changes}}
+	seen := cursor.Seen
+	if cursor.Life != c.life || seen > c.changes {
+		seen, out.Whole = 0, true
+	}
+	order, numberOf := c.byChange, func(e *entry) uint64 { return e.changed }
+	if beats {
+		order, numberOf = c.byBeat, func(e *entry) uint64 { return e.beaten }
+	}
+	var changed []*entry
+	for at := order.Back(); at != nil; at = at.Prev() {
+		e := at.Value.(*entry)
+		if numberOf(e) <= seen {
+			break
+		}
+		changed = append(changed, e)
+	}
+	// The oldest go first, so that the cursor can tell how far it came.
+	slices.Reverse(changed)
+	if len(changed) > most {
+		changed = changed[:most]
+		out.More, out.Seen = true, numberOf(changed[most-1])
+	}
+	for _, e := range changed {
+		out.Records = append(out.Records, e.record(e.wordAt > seen, e.planAt > seen))
+	}
+	for _, id := range wanted {
+		if e := c.entries[id]; e != nil {
+			out.Records = append(out.Records, e.record(true, true))
+		}
+	}
+	return out
+}
+
+func (e *entry) record(word, plan bool) Record {
+	out := Record{ID: e.word.ID, CallSeq: e.word.CallSeq, Digest: e.digest, Heard: e.heard, Leaving: e.leaving, Silent: e.silent, Gone: e.gone}
+	if word && e.worded {
+		copied := e.word
+		out.Word = &copied
+	}
+	if plan {
+		out.Plan = e.plan
+	}
+	return out
+}
+
+// Learn takes what a peer told.
+func (c *Core) Learn(now clock.Mark, peer string, difference Difference) {
+	if known := c.cursors[peer]; known.Life != difference.Life || known.Seen < difference.Seen {
+		c.cursors[peer] = difference.Cursor
+	}
+	delete(c.wants, peer)
+	for _, record := range difference.Records {
+		if !c.learn(now, record) {
+			if c.wants[peer] == nil {
+				c.wants[peer] = map[ident.EngineID]bool{}
+			}
+			c.wants[peer][record.ID] = true
+		}
+	}
+}
+
+// learn joins a record with what is known; it says false where the whole word is wanted.
+func (c *Core) learn(now clock.Mark, r Record) bool {
+	e := c.entries[r.ID]
+	if e == nil && r.Word == nil && !r.Leaving && !r.Gone {
+		return false
+	}
+	if e == nil {
+		if r.Gone && now.Since(r.Heard) > forgetAfter {
+			return true
+		}
+		e = c.entry(now, r.ID)
+	}
+	lacking := false
+	switch {
+	case !e.worded && r.Word == nil:
+		e.heard = min(e.heard, r.Heard)
+	case !e.worded || r.CallSeq > e.word.CallSeq || r.CallSeq == e.word.CallSeq && r.Digest > e.digest:
+		// Two contents under one number are an engine's slip; daemons then agree on one by its digest.
+		switch {
+		case r.Word != nil:
+			c.takeWord(e, *r.Word, r.Digest, r.Heard, r.Silent)
+		case r.Digest == e.digest:
+			word := e.word
+			word.CallSeq = r.CallSeq
+			// What was said of a slow start was said at the earlier beat.
+			word.ColdMs = max(0, e.coldTo.Since(r.Heard).Milliseconds())
+			c.takeWord(e, word, e.digest, r.Heard, r.Silent)
+		default:
+			lacking = true
+		}
+	case r.CallSeq == e.word.CallSeq:
+		// Each way of a word makes it look later than it was, so the earliest is the truest.
+		e.heard = min(e.heard, r.Heard)
+		if r.Silent && !e.silent {
+			e.silent = true
+			c.changedNow(e)
+		}
+	case r.Silent && !e.silent:
+		// Whoever took it for silent has not heard the newest beat, and has told others: they hear otherwise now.
+		c.changedNow(e)
+	}
+	if r.Leaving || r.Gone {
+		c.leave(now, e, r.Gone)
+	}
+	if r.Plan != nil {
+		c.takePlan(e, r.Plan)
+	}
+	return !lacking
+}
+
+// Judge lets time pass, with engines beating every period: it decides who is silent, where this daemon can know, and forgets whom nobody needs.
+func (c *Core) Judge(now clock.Mark, period time.Duration, contact Contact) {
+	c.period = period
+	// A daemon that stood still has missed what was said meanwhile.
+	if now.Since(c.judged) > max(2*c.period, time.Second) {
+		c.listening = now
+	}
+	c.judged = now
+	limit := time.Duration(missedBeats * float64(c.period))
+	horizon := min(now, contact.Horizon)
+	mayJudge := c.control && contact.May && now.Since(c.listening) >= 2*c.period
+	var ended, quieted, followed, forgotten []*entry
+	for at := c.byChange.Front(); at != nil; at = at.Next() {
+		e := at.Value.(*entry)
+		// What was missed before this daemon listened, or knew the engine, says nothing.
+		quiet := horizon.Since(max(e.heard, e.known, c.listening))
+		if mayJudge && e.worded && !e.gone && quiet > limit {
+			switch {
+			case !e.silent:
+				quieted = append(quieted, e)
+			case c.followed(e):
+				followed = append(followed, e)
+			}
+		}
+		if e.gone || e.silent || !e.worded {
+			ended = append(ended, e)
+			if now.Since(e.heard) > forgetAfter {
+				forgotten = append(forgotten, e)
+			}
+		}
+	}
+	for _, e := range quieted {
+		e.silent = true
+		c.changedNow(e)
+	}
+	for _, e := range followed {
+		c.leave(now, e, true)
+	}
+	if len(ended) > mostEnded {
+		slices.SortFunc(ended, func(a, b *entry) int { return cmp.Or(cmp.Compare(a.heard, b.heard), cmp.Compare(a.word.ID, b.word.ID)) })
+		forgotten = ended[:len(ended)-mostEnded]
+	}
+	for _, e := range forgotten {
+		c.forget(e)
+	}
+}
+
+// followed says whether another engine beats at a silent one's address.
+func (c *Core) followed(e *entry) bool {
+	return slices.ContainsFunc(c.byAddress[e.word.Address], func(id ident.EngineID) bool {
+		other := c.entries[id]
+		return other != e && !other.silent && !other.gone && other.heard > e.heard
+	})
+}
+
+func (c *Core) forget(e *entry) {
+	c.moveAddress(e.word.ID, e.word.Address, "")
+	c.byChange.Remove(e.byChange)
+	c.byBeat.Remove(e.byBeat)
+	delete(c.entries, e.word.ID)
+	c.dirty[e.word.ID] = true
+}
+
+// Heard gives when each engine was last heard, by the newest word that came here.
+func (c *Core) Heard() map[ident.EngineID]clock.Mark {
+	out := make(map[ident.EngineID]clock.Mark, len(c.entries))
+	for id, e := range c.entries {
+		out[id] = e.heard
+	}
+	return out
+}
+
+// View gives all engines as they are now; it is a new one only if something changed since the last.
+func (c *Core) View() *View {
+	if len(c.dirty) == 0 {
+		return c.view
+	}
+	next := &View{Version: c.view.Version + 1, Engines: maps.Clone(c.view.Engines), Pools: maps.Clone(c.view.Pools)}
+	pools := map[string]bool{}
+	for id := range c.dirty {
+		if before := next.Engines[id]; before != nil {
+			pools[before.Pool] = true
+			delete(next.Engines, id)
+		}
+		e := c.entries[id]
+		if e == nil || !e.worded {
+			// Of an engine that only its leaving is known of there is nothing to show.
+			continue
+		}
+		shown := &Engine{Word: e.word, Heard: e.heard, Silent: e.silent, Gone: e.gone, Known: e.known, Plan: e.plan}
+		shown.Leaving = e.leaving
+		next.Engines[id] = shown
+		pools[shown.Pool] = true
+	}
+	for pool := range pools {
+		delete(next.Pools, pool)
+	}
+	for _, engine := range next.Engines {
+		if pools[engine.Pool] && !engine.Gone {
+			next.Pools[engine.Pool] = append(next.Pools[engine.Pool], engine)
+		}
+	}
+	for pool := range pools {
+		slices.SortFunc(next.Pools[pool], func(a, b *Engine) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	clear(c.dirty)
+	c.view = next
+	return next
+}
--- /dev/null
+++ b/process/registry/registry.go
@@ -0,0 +1,190 @@
+package registry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cresspond/cresspond/process/actor"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// mostRecords bounds what is told at once; the rest follows with the next question.
+const mostRecords = 512
+
+// judgeEvery is how often time is let pass.
+const judgeEvery = 200 * time.Millisecond
+
+// Registry is the actor around a core.
+type Registry struct {
+	clock   clock.Clock
+	core    *Core
+	period  func() time.Duration
+	contact func() Contact
+	life    string
+	box     *actor.Mailbox[func(now clock.Mark)]
+	view    atomic.Pointer[View]
+	newest  atomic.Uint64
+	// unpublished are those who wait for what they brought to be in the view; putOff is since when.
+	unpublished []chan struct{}
+	putOff      clock.Mark
+
+	mutex       sync.Mutex
+	subscribers []func()
+	reach       reach
+}
+
+// New makes the actor of one life of a daemon. period is how often engines beat; contact says how well a
+// control daemon hears the others.
+func New(c clock.Clock, life string, control bool, period func() time.Duration, contact func() Contact) *Registry {
+	r := &Registry{clock: c, core: NewCore(life, control, period(), c.Elapsed()), period: period, contact: contact, life: life,
+		box: actor.NewMailbox[func(clock.Mark)](1024), reach: reach{seen: map[ident.NodeID]uint64{}, told: make(chan struct{})}}
+	r.view.Store(r.core.View())
+	return r
+}
+
+// Run runs the actor until ctx ends.
+func (r *Registry) Run(ctx context.Context) {
+	r.box.Run(ctx, judgeEvery, func(event func(clock.Mark)) {
+		event(r.clock.Elapsed())
+		r.publish()
+	}, func() {
+		r.core.Judge(r.clock.Elapsed(), r.period(), r.contact())
+		r.publish()
+	})
+}
+
+// View is all engines as they are now.
+func (r *Registry) View() *View { return r.view.Load() }
+
+// Subscribe has notify called after each change of the view; it must not wait.
+func (r *Registry) Subscribe(notify func()) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.subscribers = append(r.subscribers, notify)
+}
+
+// publishWithin bounds how long a view is put off while events pile up.
+const publishWithin = 10 * time.Millisecond
+
+// publish is the one place where the view is replaced. While more is waiting it is put off, so that many
+// changes at once cost one view.
+func (r *Registry) publish() {
+	now := r.clock.Elapsed()
+	if r.box.Waiting() > 0 && (r.putOff == 0 || now.Since(r.putOff) < publishWithin) {
+		if r.putOff == 0 {
+			r.putOff = now
+		}
+		return
+	}
+	r.putOff = 0
+	r.newest.Store(r.core.Newest())
+	next := r.core.View()
+	changed := next != r.view.Load()
+	r.view.Store(next)
+	for _, done := range r.unpublished {
+		close(done)
+	}
+	r.unpublished = r.unpublished[:0]
+	if !changed {
+		return
+	}
+	r.mutex.Lock()
+	subscribers := r.subscribers
+	r.mutex.Unlock()
+	for _, notify := range subscribers {
+		notify()
+	}
+}
+
+// ask has the actor do something, and waits until that is in the view; it says false when the actor has ended.
+func (r *Registry) ask(do func(now clock.Mark)) bool {
+	done := make(chan struct{})
+	if !r.box.Send(func(now clock.Mark) { do(now); r.unpublished = append(r.unpublished, done) }) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-r.box.Done():
+		return false
+	}
+}
+
+// Hear takes what an engine says of itself.
+func (r *Registry) Hear(word Word) (hearing Hearing, ok bool) {
+	ok = r.ask(func(now clock.Mark) { hearing = r.core.Hear(now, word) })
+	return hearing, ok
+}
+
+// End takes an engine's word that it is gone.
+func (r *Registry) End(id ident.EngineID) (hearing Hearing, ok bool) {
+	ok = r.ask(func(now clock.Mark) { hearing = r.core.End(now, id) })
+	return hearing, ok
+}
+
+// Leave notes that engines leave, or are gone; committed, that the group has written it down. It gives the
+// number of the newest change that this made.
+func (r *Registry) Leave(ids []ident.EngineID, gone, committed bool) (change uint64) {
+	r.ask(func(now clock.Mark) {
+		for _, id := range ids {
+			change = max(change, r.core.Leave(now, id, gone, committed))
+		}
+	})
+	return change
+}
+
+// Remember notes ids that left so long ago that nobody need be told.
+func (r *Registry) Remember(ids []ident.EngineID) {
+	r.ask(func(now clock.Mark) { r.core.Remember(now, ids) })
+}
+
+// TellPlan takes the planner's word on engines; it spreads like all else.
+func (r *Registry) TellPlan(plans map[ident.EngineID]Plan) {
+	r.box.Send(func(now clock.Mark) { r.core.TellPlan(now, plans) })
+}
+
+// Heard gives when each engine was last heard by a control daemon, as far as is known here.
+func (r *Registry) Heard() (heard map[ident.EngineID]clock.Mark) {
+	r.ask(func(clock.Mark) { heard = r.core.Heard() })
+	return heard
+}
+
+// Asked is the cursor to ask a peer with, and the engines that are wanted whole.
+func (r *Registry) Asked(peer string) (cursor Cursor, wanted []ident.EngineID) {
+	r.ask(func(clock.Mark) { cursor, wanted = r.core.Asked(peer) })
+	return cursor, wanted
+}
+
+// Since answers a peer's question; beats says whether it needs to be told of beats.
+func (r *Registry) Since(cursor Cursor, wanted []ident.EngineID, beats bool) (difference Difference) {
+	if cursor.Life == r.life && !beats && len(wanted) == 0 && cursor.Seen >= r.newest.Load() {
+		// Nothing is new, so the actor need not be woken.
+		return Difference{Cursor: cursor}
+	}
+	r.ask(func(clock.Mark) { difference = r.core.Since(cursor, wanted, beats, mostRecords) })
+	return difference
+}
+
+// Learn takes what a peer told, and returns when it is in the view.
+func (r *Registry) Learn(peer string, difference Difference) {
+	if len(difference.Records) == 0 && !difference.Whole {
+		r.box.Send(func(now clock.Mark) { r.core.Learn(now, peer, difference) })
+		return
+	}
+	r.ask(func(now clock.Mark) { r.core.Learn(now, peer, difference) })
+}
+
+// Saw notes how much of this daemon's changes a peer has.
+func (r *Registry) Saw(peer ident.NodeID, cursor Cursor) {
+	if cursor.Life == r.life {
+		r.reach.saw(peer, cursor.Seen)
+	}
+}
+
+// AwaitReach waits until all peers asked for have seen a change here, or until within has passed.
+func (r *Registry) AwaitReach(ctx context.Context, change uint64, within time.Duration, peers func() []ident.NodeID) bool {
+	return r.reach.await(ctx, change, within, peers)
+}
--- /dev/null
+++ b/process/registry/wire.go
@@ -0,0 +1,90 @@
+package registry
+
+import (
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+)
+
+// Moments travel as how long ago, or how long until: daemons share no clock.
+
+func msSince(now, earlier clock.Mark) int64 { return now.Since(earlier).Milliseconds() }
+
+func msAgo(now clock.Mark, ms int64) clock.Mark {
+	return now - clock.Mark(time.Duration(ms)*time.Millisecond)
+}
+
+// Encode gives the wire form of records, as told now.
+func Encode(now clock.Mark, records []Record) []*fellowapi.RegisteredEngine {
+	out := make([]*fellowapi.RegisteredEngine, 0, len(records))
+	for _, r := range records {
+		row := &fellowapi.RegisteredEngine{Id: string(r.ID), CallSeq: r.CallSeq, Digest: r.Digest, HeardMsAgo: msSince(now, r.Heard),
+			Ends: r.Leaving, Silent: r.Silent, Gone: r.Gone}
+		if word := r.Word; word != nil {
+			row.Worded, row.Leaving = true, word.Leaving
+			row.Pool, row.Address, row.Zone, row.Software, row.Slots = word.Pool, word.Address, string(word.Zone), word.Software, int64(word.Slots)
+			row.LeaveMs, row.ColdMs, row.Phase, row.Models = word.LeaveMs, word.ColdMs, word.Phase, encodeHeld(word.Models)
+		}
+		if plan := r.Plan; plan != nil {
+			row.Plan = &fellowapi.EnginePlan{Claim: uint64(plan.Claim), Turn: plan.Turn, Models: encodeHeld(plan.Models), ModelsKnown: plan.Models != nil,
+				Active: int64(plan.Active), Queued: int64(plan.Queued), MemoryUsed: plan.MemoryUsed, Memory: plan.Memory, ToldMsAgo: msSince(now, plan.Told)}
+			for _, target := range plan.Retiring {
+				row.Plan.Retiring = append(row.Plan.Retiring, &fellowapi.PlanTarget{Model: target.Model, Adapter: target.Adapter})
+			}
+			for _, coming := range plan.Coming {
+				row.Plan.Coming = append(row.Plan.Coming, &fellowapi.PlanTarget{Model: coming.Model, Adapter: coming.Adapter, ReadyMs: -msSince(now, coming.Ready)})
+			}
+		}
+		out = append(out, row)
+	}
+	return out
+}
+
+// Decode reads records that were told at a moment; rows without an id are dropped.
+func Decode(told clock.Mark, rows []*fellowapi.RegisteredEngine) []Record {
+	out := make([]Record, 0, len(rows))
+	for _, row := range rows {
+		if row.GetId() == "" {
+			continue
+		}
+		r := Record{ID: ident.EngineID(row.Id), CallSeq: row.CallSeq, Digest: row.Digest, Heard: msAgo(told, max(0, row.HeardMsAgo)),
+			Leaving: row.Ends, Silent: row.Silent, Gone: row.Gone}
+		if row.Worded {
+			r.Word = &Word{ID: r.ID, Pool: row.Pool, Address: row.Address, Zone: ident.ZoneID(row.Zone), Software: row.Software, Slots: int(row.Slots),
+				Leaving: row.Leaving, LeaveMs: row.LeaveMs, ColdMs: row.ColdMs, Phase: row.Phase, Models: decodeHeld(row.Models), CallSeq: row.CallSeq}
+		}
+		if plan := row.Plan; plan != nil {
+			r.Plan = &Plan{Claim: ident.ClaimNumber(plan.Claim), Turn: plan.Turn, Active: int(plan.Active), Queued: int(plan.Queued),
+				MemoryUsed: plan.MemoryUsed, Memory: plan.Memory, Told: msAgo(told, max(0, plan.ToldMsAgo))}
+			if plan.ModelsKnown {
+				r.Plan.Models = decodeHeld(plan.Models)
+			}
+			for _, target := range plan.Retiring {
+				r.Plan.Retiring = append(r.Plan.Retiring, Target{target.Model, target.Adapter})
+			}
+			for _, target := range plan.Coming {
+				r.Plan.Coming = append(r.Plan.Coming, Coming{Target{target.Model, target.Adapter}, msAgo(told, -target.ReadyMs)})
+			}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+func encodeHeld(models []Held) []*fellowapi.HeldModel {
+	out := make([]*fellowapi.HeldModel, 0, len(models))
+	for _, held := range models {
+		out = append(out, &fellowapi.HeldModel{Model: held.Model, Generation: held.Generation, Adapters: held.Adapters})
+	}
+	return out
+}
+
+func decodeHeld(models []*fellowapi.HeldModel) []Held {
+	out := make([]Held, 0, len(models))
+	for _, held := range models {
+		out = append(out, Held{Model: held.Model, Generation: held.Generation, Adapters: held.Adapters})
+	}
+	return out
+}
--- a/process/replica/actor.go
+++ b/process/replica/actor.go
@@ -100,7 +100,7 @@
 // Option sets one thing of a replica.
 type Option func(*Replica)
 
-// WithChanged calls back, on the actor, when the spec in force or the closures changed. The state may not be kept.
+// WithChanged calls back, on the actor, when the spec in force, the closures or the engines that left changed. The state may not be kept.
 func WithChanged(changed func(*statemachine.State)) Option {
 	return func(r *Replica) { r.changed = changed }
 }
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -59,7 +59,7 @@
 	Later   []raft.Message
 	Now     []raft.Message
 	Answers []Answer
-	// Changed says that the spec in force or the closures are others than before.
+	// Changed says that the spec in force, the closures or the engines that left are others than before.
 	Changed bool
 }
 
@@ -200,7 +200,7 @@
 // digest applies what was committed and turns raft effects into the replica's.
 func (c *Core) digest(now clock.Mark, effects raft.Effects) Effects {
 	out := Effects{Save: effects.Save, Later: effects.Later, Now: effects.Now}
-	specBefore, closuresBefore := c.state.Epoch(), c.state.Closures.Epoch
+	specBefore, closuresBefore, leavesBefore := c.state.Epoch(), c.state.Closures.Epoch, c.state.Leaves
 	if effects.Install != nil {
 		state, err := statemachine.Restore(effects.Install.Data)
 		if err != nil {
@@ -225,7 +225,7 @@
 		}
 	}
 	c.noteLeading(now, &out)
-	out.Changed = c.state.Epoch() != specBefore || c.state.Closures.Epoch != closuresBefore
+	out.Changed = c.state.Epoch() != specBefore || c.state.Closures.Epoch != closuresBefore || c.state.Leaves != leavesBefore
 	if c.sinceCompact >= c.config.CompactEvery {
 		c.sinceCompact = 0
 		out.merge(c.digest(now, c.raft.Step(raft.Compact{Index: c.applied, Data: c.state.Snapshot(), Keep: c.config.Keep})))
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -33,6 +33,8 @@
 	OpEnlist Op = "ENLIST"
 	// OpLost is an operator's word that a daemon will never serve again.
 	OpLost Op = "LOST"
+	// OpLeave says that an engine that registered itself is about to end, or has.
+	OpLeave Op = "LEAVE"
 )
 
 // Spreads says whether a command changes what must be in force everywhere.
@@ -195,8 +197,21 @@
 	// Serving holds every daemon that may be serving: it has enlisted, and has neither stopped as planned,
 	// nor been followed by another life of its name, nor been declared lost.
 	Serving map[ident.NodeID]Serving `json:"serving,omitempty"`
+	// Left lists the engines that said they leave, the newest last; Leaves counts all there ever were.
+	Left   []Left `json:"left,omitempty"`
+	Leaves uint64 `json:"leaves,omitempty"`
 }
 
+// Left is one engine that said it leaves.
+type Left struct {
+	Engine ident.EngineID  `json:"engine"`
+	At     ident.GroupTime `json:"at"`
+}
+
+// mostLeft is how many engines that left are remembered: an engine's id is new with each start, so one that
+// left long ago is not spoken of any more.
+const mostLeft = 4096
+
 // New makes the state before the first entry.
 func New() *State {
 	return &State{
@@ -285,6 +300,8 @@
 		return s.enlist(c)
 	case OpLost:
 		return s.lose(c)
+	case OpLeave:
+		return s.leave(c)
 	case OpClaim:
 		return s.claim(c)
 	case OpDropClaim:
@@ -487,6 +504,25 @@
 	return s.closuresNow()
 }
 
+// leave notes an engine that leaves; said again, it changes nothing.
+func (s *State) leave(c Command) Result {
+	if c.Engine == "" {
+		return Result{Verdict: Malformed, Reason: "no engine is named"}
+	}
+	if slices.ContainsFunc(s.Left, func(left Left) bool { return left.Engine == c.Engine }) {
+		return Result{Verdict: Done}
+	}
+	// A new list, so that whoever holds the old one may go on reading it.
+	s.Left = append(slices.Clone(s.Left[max(0, len(s.Left)-mostLeft+1):]), Left{Engine: c.Engine, At: s.Now})
+	s.Leaves++
+	return Result{Verdict: Done}
+}
+
+// LeftSince lists the engines that left since so many had.
+func (s *State) LeftSince(leaves uint64) []Left {
+	return s.Left[len(s.Left)-int(min(uint64(len(s.Left)), s.Leaves-min(leaves, s.Leaves))):]
+}
+
 // ServingNow lists the daemons that may be serving.
 func (s *State) ServingNow() []ident.NodeID { return slices.Sorted(maps.Keys(s.Serving)) }
 
