Plan models on pools of engines: the pure plan, its actor, and a claim that tells of loads

Engines that register themselves are ordered by reports that lag and by the number of orders they expect, and loads from the store keep to a window that has to outlive the planner. So CLAIM carries what is about to be loaded, asks for a number above any heard, and may go on after a lapse that nobody used. The hold on a claim is shared with the planner of sessions. Not yet wired to a registry.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -87,8 +87,13 @@
 	enlistedAt atomic.Int64
 	broken     chan error
 
+	// pools plans for engines that register themselves, where the daemon was put together so.
+	pools *poolPlanning
+
 	// lacks is what the planner last said that it will not load soon.
 	lacks atomic.Pointer[heardLacks]
+	// poolLacks is the same of the pools.
+	poolLacks atomic.Pointer[heardPoolLacks]
 
 	fleetMutex sync.Mutex
 	fleetWants map[ident.NodeID]fleetWant
@@ -241,6 +246,7 @@
 	d.dispatch = dispatch.NewActor(routing{d})
 	d.slots = permits.NewKeeper(d.yard)
 	d.placer = placement.NewActor(planning{d}, d.clock)
+	d.pools.make(d)
 	d.attempts = attempts.NewHome(d.clock)
 	streams, cutStreams := context.WithCancel(context.Background())
 	defer cutStreams()
@@ -270,6 +276,7 @@
 	}
 	if d.config.Serves(config.Place) {
 		run(d.placer.Run)
+		d.pools.run(run)
 	}
 
 	fellowServer := &http.Server{Handler: fellowapi.NewFellowServer(d), ReadHeaderTimeout: 5 * time.Second}
@@ -714,6 +721,7 @@
 	d.log.Info("draining")
 	if d.config.Serves(config.Place) {
 		d.placer.StandDown()
+		d.pools.standDown()
 		bounded, done := context.WithTimeout(limit, time.Second)
 		d.submitOnce(bounded, statemachine.Command{Op: statemachine.OpDropClaim, NodeID: d.nodeID})
 		done()
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -120,7 +120,7 @@
 	}
 	out.TenureUntilMs = int64(d.generator.Ceiling())
 	if d.config.Serves(config.Place) {
-		out.Claim = uint64(d.placer.Condition().Claim)
+		out.Claim = uint64(max(d.placer.Condition().Claim, d.pools.condition().Claim))
 	}
 	return out
 }
@@ -199,7 +199,9 @@
 }
 
 // Plans says whether this daemon plans.
-func (d *Daemon) Plans() bool { return d.config.Serves(config.Place) && d.placer.Condition().Held }
+func (d *Daemon) Plans() bool {
+	return d.config.Serves(config.Place) && (d.placer.Condition().Held || d.pools.condition().Held)
+}
 
 // ops lists the commands that may come from outside the leader.
 var ops = map[statemachine.Op]bool{
@@ -503,6 +505,9 @@
 		for _, lack := range d.placer.Condition().Lacks {
 			reply.Lacks = append(reply.Lacks, &fellowapi.Lack{Model: lack.Model, Adapter: lack.Adapter, WaitMs: lack.Wait.Milliseconds()})
 		}
+		for _, lack := range d.pools.condition().Lacks {
+			reply.Lacks = append(reply.Lacks, &fellowapi.Lack{Pool: lack.Pool, Model: lack.Model, Adapter: lack.Adapter, WaitMs: lack.Wait.Milliseconds()})
+		}
 		reply.Plans = true
 	}
 	if d.config.Serves(config.Route) {
@@ -542,7 +547,11 @@
 	d.hearDraining(reply.Draining)
 	if reply.Plans {
 		lacks := make(map[dispatch.Wanted]time.Duration, len(reply.Lacks))
+		d.hearPoolLacks(reply.Lacks)
 		for _, lack := range reply.Lacks {
+			if lack.Pool != "" {
+				continue
+			}
 			lacks[dispatch.Wanted{Model: lack.Model, Adapter: lack.Adapter}] = time.Duration(lack.WaitMs) * time.Millisecond
 		}
 		d.lacks.Store(&heardLacks{d.clock.Elapsed(), lacks})
--- a/process/daemon/pages.go
+++ b/process/daemon/pages.go
@@ -124,6 +124,7 @@
 		say("orders_void", p.Void)
 		say("orders_never_arrived", p.NeverArrived)
 		say("orders_failed", p.Failed)
+		d.pools.count(say)
 	}
 	return out.String()
 }
--- /dev/null
+++ b/process/daemon/poolplanning.go
@@ -0,0 +1,205 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/poolplacement"
+	"github.com/cresspond/cresspond/process/registry"
+	"github.com/cresspond/cresspond/process/snowflake"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+)
+
+// registeredEngines is what the planner of pools needs of the registry.
+type registeredEngines interface {
+	View() *registry.View
+	TellPlan(plans map[ident.EngineID]registry.Plan)
+}
+
+// poolPlanning is the planner of pools, where the daemon was put together with one. A nil one plans nothing.
+type poolPlanning struct {
+	client   poolplacement.EngineClient
+	settings poolplacement.Settings
+	placer   *poolplacement.Actor
+}
+
+// WithPoolPlanning has the daemon place models on engines that register themselves, where it serves that.
+// The claim's times are the deployment's, so all members of the group must be put together with the same.
+func WithPoolPlanning(client poolplacement.EngineClient, settings poolplacement.Settings) Option {
+	return func(d *Daemon) {
+		d.pools = &poolPlanning{client: client, settings: settings}
+		d.replicaConfig.ClaimSpan, d.replicaConfig.ClaimGap = settings.Span, settings.Gap
+	}
+}
+
+// make makes the actor, before any other of the daemon's runs.
+func (p *poolPlanning) make(d *Daemon) {
+	if p == nil || d.poolEngines() == nil {
+		return
+	}
+	if p.settings.Owner == "" {
+		p.settings.Owner = string(d.nodeID)
+	}
+	p.placer = poolplacement.NewActor(poolPlanner{d}, p.client, p.settings, d.clock, d.log)
+}
+
+func (p *poolPlanning) run(run func(func(context.Context))) {
+	if p != nil && p.placer != nil {
+		run(p.placer.Run)
+	}
+}
+
+func (p *poolPlanning) condition() poolplacement.Condition {
+	if p == nil || p.placer == nil {
+		return poolplacement.Condition{}
+	}
+	return p.placer.Condition()
+}
+
+func (p *poolPlanning) standDown() {
+	if p != nil && p.placer != nil {
+		p.placer.StandDown()
+	}
+}
+
+func (p *poolPlanning) count(say func(name string, value uint64)) {
+	if p == nil || p.placer == nil {
+		return
+	}
+	c := p.condition().Counters
+	say("pool_orders", c.Orders)
+	say("pool_loads", c.Loads)
+	say("pool_unloads", c.Evicts)
+	say("pool_adapter_loads", c.AdapterLoads)
+	say("pool_adapter_unloads", c.AdapterEvicts)
+	say("pool_orders_done", c.Done)
+	say("pool_orders_held_already", c.Already)
+	say("pool_orders_refused", c.Refused)
+	say("pool_orders_never_arrived", c.NeverArrived)
+	say("pool_orders_failed", c.Failed)
+	say("pool_orders_unsent", c.Unsent)
+	say("pool_orders_void", c.Void)
+	say("pool_plans_cancelled", c.Cancelled)
+	say("pool_reports", c.Reports)
+	say("pool_reports_failed", c.FailedReports)
+	say("pool_reports_stale", c.StaleReports)
+}
+
+// poolEngines is the registry, where there is one.
+func (d *Daemon) poolEngines() registeredEngines { return nil }
+
+// poolPlanner is the daemon as the planner of pools sees it.
+type poolPlanner struct{ *Daemon }
+
+// Input gathers what the plan looks at.
+func (p poolPlanner) Input() poolplacement.Input {
+	now := p.clock.Elapsed()
+	in := poolplacement.Input{Now: now, View: p.poolEngines().View()}
+	if t := p.keeper.Table(); t != nil && t.Forward != nil {
+		in.Section = t.Forward.Section
+	}
+	p.fleetMutex.Lock()
+	defer p.fleetMutex.Unlock()
+	for _, wants := range p.fleetWants {
+		if now.Since(wants.heard) >= demandFresh {
+			continue
+		}
+		for _, demand := range wants.demand {
+			if demand.Pool == "" {
+				continue
+			}
+			in.Demand = append(in.Demand, poolplacement.Demand{Pool: demand.Pool, Model: demand.Model, Adapter: demand.Adapter, Held: int(demand.Held), Running: int(demand.Running),
+				Tokens: demand.Tokens, Arrivals: demand.Arrivals, Oldest: time.Duration(demand.OldestMs)*time.Millisecond + oldestSince(demand, now.Since(wants.heard)), Rank: int(demand.Rank)})
+		}
+	}
+	return in
+}
+
+func oldestSince(demand *fellowapi.Demand, ago time.Duration) time.Duration {
+	if demand.Held == 0 {
+		return 0
+	}
+	return ago
+}
+
+// Claim asks the group for the claim.
+func (p poolPlanner) Claim(ctx context.Context, told *statemachine.Told, whole bool) poolplacement.ClaimAnswer {
+	answer, ok := p.submitOnce(ctx, statemachine.Command{Op: statemachine.OpClaim, NodeID: p.nodeID, Told: told, Whole: whole, Resume: true, Above: p.heardClaim()})
+	switch {
+	case !ok || answer.Claim == nil:
+		return poolplacement.ClaimAnswer{}
+	case answer.Verdict == statemachine.Done:
+		return poolplacement.ClaimAnswer{Granted: answer.Claim}
+	}
+	return poolplacement.ClaimAnswer{Wait: time.Duration(answer.Claim.Until-answer.Claim.Now)*time.Millisecond + p.replicaConfig.ClaimGap}
+}
+
+// heardClaim is the highest claim number that this daemon has heard of, so that none is ever given out twice.
+func (d *Daemon) heardClaim() ident.ClaimNumber {
+	var highest ident.ClaimNumber
+	if d.pools == nil || d.poolEngines() == nil {
+		return 0
+	}
+	for _, engine := range d.poolEngines().View().Engines {
+		if engine.Plan != nil {
+			highest = max(highest, engine.Plan.Claim)
+		}
+	}
+	return highest
+}
+
+// Mint stamps an order, LeaseHeld says whether the lease it was minted under still holds.
+func (p poolPlanner) Mint() (ident.MintedID, snowflake.Verdict) { return p.generator.Mint() }
+
+// LeaseHeld says whether the lease of the worker id still holds.
+func (p poolPlanner) LeaseHeld() bool { return p.generator.Held() }
+
+// MayStand says whether this daemon should try to plan.
+func (p poolPlanner) MayStand() bool {
+	ready, _ := p.members.Ready()
+	return ready && !p.draining.Load() && p.generator.Held() && p.config.Serves(config.Place)
+}
+
+// First says whether this daemon should have the claim before others: the leader renews it without a call,
+// and one loss less takes both away.
+func (p poolPlanner) First() bool { return p.Leads() }
+
+// Tell spreads the plan.
+func (p poolPlanner) Tell(plans map[ident.EngineID]registry.Plan) { p.poolEngines().TellPlan(plans) }
+
+// PoolTarget names a model, or one adapter of it, of a pool.
+type PoolTarget struct{ Pool, Model, Adapter string }
+
+type heardPoolLacks struct {
+	heard clock.Mark
+	waits map[PoolTarget]time.Duration
+}
+
+// hearPoolLacks takes the planner's word on what will not be loaded soon.
+func (d *Daemon) hearPoolLacks(lacks []*fellowapi.Lack) {
+	waits := map[PoolTarget]time.Duration{}
+	for _, lack := range lacks {
+		if lack.Pool != "" {
+			waits[PoolTarget{lack.Pool, lack.Model, lack.Adapter}] = time.Duration(lack.WaitMs) * time.Millisecond
+		}
+	}
+	d.poolLacks.Store(&heardPoolLacks{d.clock.Elapsed(), waits})
+}
+
+// PoolLack is for how long something is not likely to be there, by the planner's newest word; the request
+// path asks it before it holds a request.
+func (d *Daemon) PoolLack(pool, model, adapter string) (wait time.Duration, lacking bool) {
+	heard := d.poolLacks.Load()
+	if heard == nil || d.clock.Elapsed().Since(heard.heard) >= lacksFresh {
+		return 0, false
+	}
+	if wait, lacking = heard.waits[PoolTarget{pool, model, ""}]; lacking {
+		return wait, true
+	}
+	wait, lacking = heard.waits[PoolTarget{pool, model, adapter}]
+	return wait, lacking
+}
--- a/process/daemon/routing.go
+++ b/process/daemon/routing.go
@@ -487,6 +487,9 @@
 		}
 		if now.Since(wants.heard) < demandFresh {
 			for _, demand := range wants.demand {
+				if demand.Pool != "" {
+					continue
+				}
 				in.Demand = append(in.Demand, placement.Demand{Model: demand.Model, Adapter: demand.Adapter, Worth: demand.Worth, Held: int(demand.Held), Running: int(demand.Running)})
 			}
 		}
@@ -504,7 +507,7 @@
 
 // Claim asks the group for the claim.
 func (p planning) Claim(ctx context.Context, orders map[ident.EngineID]uint64, turn uint64) (*statemachine.Claim, bool) {
-	answer, ok := p.submitOnce(ctx, statemachine.Command{Op: statemachine.OpClaim, NodeID: p.nodeID, Orders: orders, OrdersTurn: turn})
+	answer, ok := p.submitOnce(ctx, statemachine.Command{Op: statemachine.OpClaim, NodeID: p.nodeID, Orders: orders, OrdersTurn: turn, Above: p.heardClaim()})
 	if !ok || answer.Verdict != statemachine.Done || answer.Claim == nil {
 		return nil, false
 	}
@@ -522,5 +525,7 @@
 // MayStand says whether this daemon should try to plan.
 func (p planning) MayStand() bool {
 	ready, _ := p.Ready()
-	return ready && p.generator.Held()
+	// A bundle without engines of the platform's list leaves nothing to plan for sessions.
+	t := p.keeper.Table()
+	return ready && p.generator.Held() && (p.pools == nil || t != nil && len(t.Spec.Engines) > 0)
 }
--- a/process/placement/actor.go
+++ b/process/placement/actor.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cresspond/cresspond/process/actor"
+	"github.com/cresspond/cresspond/process/claim"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/snowflake"
@@ -36,19 +37,13 @@
 	Counters Counters
 }
 
-// holding is a claim as this daemon may use it: until a moment of its own clock, counted from before it asked.
-type holding struct {
-	number ident.ClaimNumber
-	until  clock.Mark
-}
-
 // Actor plans while it holds the claim.
 type Actor struct {
 	around    Surroundings
 	clock     clock.Clock
 	box       *actor.Mailbox[any]
 	planner   *Planner
-	held      atomic.Pointer[holding]
+	claim     *claim.Holder
 	asking    bool
 	askedAt   clock.Mark
 	condition atomic.Pointer[Condition]
@@ -81,7 +76,7 @@
 
 // NewActor makes the actor.
 func NewActor(around Surroundings, c clock.Clock) *Actor {
-	a := &Actor{around: around, clock: c, box: actor.NewMailbox[any](64), planner: NewPlanner()}
+	a := &Actor{around: around, clock: c, box: actor.NewMailbox[any](64), planner: NewPlanner(), claim: claim.NewHolder(c, claimMargin)}
 	a.condition.Store(&Condition{})
 	return a
 }
@@ -105,19 +100,9 @@
 	}
 }
 
-// commands says whether this daemon may command engines under this claim now.
-func (a *Actor) commands(number ident.ClaimNumber) bool {
-	held := a.held.Load()
-	return held != nil && held.number == number && a.clock.Elapsed() < held.until
-}
-
 func (a *Actor) beat(ctx context.Context) {
 	now := a.clock.Elapsed()
-	held := a.held.Load()
-	if held != nil && now >= held.until {
-		a.held.Store(nil)
-		held = nil
-	}
+	number, held := a.claim.Held()
 	if !a.stopped && !a.asking && now.Since(a.askedAt) >= renewEvery && a.around.MayStand() {
 		a.asking, a.askedAt = true, now
 		orders, turn := a.tell(held)
@@ -128,22 +113,16 @@
 			a.box.Send(claimed{now, claim, ok})
 		}()
 	}
-	if held != nil {
-		a.plan(ctx, held.number)
-	}
-	a.condition.Store(&Condition{Claim: a.number(), Held: a.held.Load() != nil, InFlight: len(a.planner.inFlight), Lacks: a.planner.Lacks, Counters: a.planner.Counters})
-}
-
-func (a *Actor) number() ident.ClaimNumber {
-	if held := a.held.Load(); held != nil {
-		return held.number
+	if held {
+		a.plan(ctx, number)
 	}
-	return 0
+	number, held = a.claim.Held()
+	a.condition.Store(&Condition{Claim: number, Held: held, InFlight: len(a.planner.inFlight), Lacks: a.planner.Lacks, Counters: a.planner.Counters})
 }
 
 // tell is what the group is told of the orders given so far.
-func (a *Actor) tell(held *holding) (orders map[ident.EngineID]uint64, turn uint64) {
-	if held == nil {
+func (a *Actor) tell(held bool) (orders map[ident.EngineID]uint64, turn uint64) {
+	if !held {
 		return nil, 0
 	}
 	a.turn++
@@ -160,7 +139,7 @@
 	}
 	// The group knows of an order before it leaves: a successor whose reports lag behind must not order as if
 	// it had not been given, however this daemon ends.
-	orders, turn := a.tell(a.held.Load())
+	orders, turn := a.tell(true)
 	told := make(chan bool, len(given))
 	go func() {
 		bounded, cancel := context.WithTimeout(ctx, tellLimit)
@@ -187,7 +166,7 @@
 				a.box.Send(answered{directed.Engine, order, nil, false})
 				return
 			}
-			answer, sent := a.around.Order(ctx, directed.Address, order, orderLimit, func() bool { return a.commands(number) })
+			answer, sent := a.around.Order(ctx, directed.Address, order, orderLimit, func() bool { return a.claim.Commands(number) })
 			a.box.Send(answered{directed.Engine, order, answer, sent})
 		}()
 	}
@@ -199,7 +178,7 @@
 		a.asking = false
 		a.takeClaim(e)
 	case answered:
-		if e.order.Claim != a.number() {
+		if number, held := a.claim.Held(); !held || e.order.Claim != number {
 			return
 		}
 		if !e.sent {
@@ -209,7 +188,7 @@
 		a.planner.Answered(a.clock.Elapsed(), e.engine, e.order, e.answer)
 	case standDown:
 		a.stopped = true
-		a.held.Store(nil)
+		a.claim.Drop()
 		close(e.done)
 	}
 }
@@ -219,13 +198,11 @@
 	if !e.ok || a.stopped {
 		return
 	}
-	span := time.Duration(e.claim.Until-e.claim.Now)*time.Millisecond - claimMargin
-	if held := a.held.Load(); held == nil || held.number != e.claim.Number {
+	if a.claim.Take(e.asked, e.claim) {
 		// A fresh claim starts from the reports alone, once they can tell of what was ordered before.
 		counters := a.planner.Counters
 		a.planner = NewPlanner()
 		a.planner.Inherit(a.clock.Elapsed(), e.claim.Orders)
 		a.planner.Counters = counters
 	}
-	a.held.Store(&holding{number: e.claim.Number, until: e.asked + clock.Mark(span)})
 }
--- /dev/null
+++ b/process/poolplacement/demand.go
@@ -0,0 +1,124 @@
+package poolplacement
+
+import (
+	"math"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/registry"
+)
+
+const (
+	// slowSpan is over how long the rate is smoothed by which something stays where it is.
+	slowSpan = 40 * time.Second
+	// heldSpan is over how long held requests are smoothed where some engine could serve them.
+	heldSpan = 700 * time.Millisecond
+	// forgetAfter is how long after the last request something is forgotten.
+	forgetAfter = 10 * time.Minute
+)
+
+// asks is what the fleet asks for of one pool.
+type asks struct {
+	models   map[string]*ask
+	adapters map[registry.Target]*ask
+	// tokens is the whole pool's tokens a second.
+	tokens float64
+}
+
+// ask is what is asked for of one model, or of one adapter.
+type ask struct {
+	held, running    int
+	tokens, arrivals float64
+	oldest           time.Duration
+	rank             int
+	// slow is the rate of requests over a longer time, heldSlow the smoothed number held.
+	slow, heldSlow float64
+	last           clock.Mark
+}
+
+// rate is how often it is asked for, by the present or by the longer past.
+func (a *ask) rate() float64 {
+	if a == nil {
+		return 0
+	}
+	return max(a.slow, a.arrivals)
+}
+
+func (a *ask) add(d Demand) {
+	if d.Held > 0 && (a.held == 0 || d.Rank < a.rank) {
+		a.rank = d.Rank
+	}
+	a.held += d.Held
+	a.running += d.Running
+	a.tokens += d.Tokens
+	a.arrivals += d.Arrivals
+	a.oldest = max(a.oldest, d.Oldest)
+}
+
+// hear takes up the newest demand of the fleet, and carries the longer past on.
+func (p *Planner) hear(in Input) {
+	for _, pool := range p.asks {
+		pool.tokens = 0
+		for _, a := range pool.models {
+			a.held, a.running, a.tokens, a.arrivals, a.oldest = 0, 0, 0, 0, 0
+		}
+		for _, a := range pool.adapters {
+			a.held, a.running, a.tokens, a.arrivals, a.oldest = 0, 0, 0, 0, 0
+		}
+	}
+	for _, demand := range in.Demand {
+		made := p.pools[demand.Pool]
+		if made == nil || made.models[demand.Model] == nil {
+			continue
+		}
+		pool := p.asks[demand.Pool]
+		if pool == nil {
+			pool = &asks{models: map[string]*ask{}, adapters: map[registry.Target]*ask{}}
+			p.asks[demand.Pool] = pool
+		}
+		pool.tokens += demand.Tokens
+		model := pool.models[demand.Model]
+		if model == nil {
+			model = &ask{}
+			pool.models[demand.Model] = model
+		}
+		model.add(demand)
+		if demand.Adapter == "" {
+			continue
+		}
+		target := registry.Target{Model: demand.Model, Adapter: demand.Adapter}
+		adapter := pool.adapters[target]
+		if adapter == nil {
+			adapter = &ask{}
+			pool.adapters[target] = adapter
+		}
+		adapter.add(demand)
+	}
+	since := in.Now.Since(p.stepped)
+	slow, quick := share(since, slowSpan), share(since, heldSpan)
+	for _, pool := range p.asks {
+		for name, a := range pool.models {
+			if a.carry(in.Now, slow, quick) {
+				delete(pool.models, name)
+			}
+		}
+		for target, a := range pool.adapters {
+			if a.carry(in.Now, slow, quick) {
+				delete(pool.adapters, target)
+			}
+		}
+	}
+}
+
+// share is how much of the newest value a smoothed one takes up after a while.
+func share(since, span time.Duration) float64 { return 1 - math.Exp(-float64(since)/float64(span)) }
+
+// carry says whether it is forgotten.
+func (a *ask) carry(now clock.Mark, slow, quick float64) bool {
+	a.slow += (a.arrivals - a.slow) * slow
+	a.heldSlow += (float64(a.held) - a.heldSlow) * quick
+	if a.held+a.running > 0 || a.arrivals > 0.01 {
+		a.last = now
+	}
+	return now.Since(a.last) > forgetAfter
+}
--- /dev/null
+++ b/process/poolplacement/types.go
@@ -0,0 +1,134 @@
+// Package poolplacement decides which engine of a pool holds which models and adapters, and orders it. The
+// plan is a pure step over the catalogue, the registered engines, the demand of the fleet and the engines'
+// reports; the actor beside it holds the claim, asks for the reports, and stamps and sends the orders.
+package poolplacement
+
+import (
+	"context"
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/registry"
+)
+
+// Kind says what an order wants done.
+type Kind string
+
+const (
+	Load  Kind = "load"
+	Evict Kind = "evict"
+)
+
+// Order is one order to one life of an engine. With an adapter it concerns that adapter alone.
+type Order struct {
+	Engine         ident.EngineID
+	Kind           Kind
+	Model, Adapter string
+	// Expected is how many orders the engine must have taken; it refuses where that differs.
+	Expected uint64
+	// Owner and Claim are the fence. Stamp is the minted id of this order: it stays on our side.
+	Owner string
+	Claim ident.ClaimNumber
+	Stamp ident.MintedID
+}
+
+// Target is what the order is about.
+func (o Order) Target() registry.Target { return registry.Target{Model: o.Model, Adapter: o.Adapter} }
+
+// Answer is what became of an order as far as its sender knows.
+type Answer uint8
+
+const (
+	// NoAnswer: it may have been taken, or not.
+	NoAnswer Answer = iota
+	// Unsent: not a byte of it left.
+	Unsent
+	// Taken: it is being done.
+	Taken
+	// Already: what it wants holds already.
+	Already
+	// Refused: another is under way, or the engine has taken another number of orders.
+	Refused
+	// Outdated: the engine has seen a higher claim.
+	Outdated
+	// Elsewhere: another engine answers at that address.
+	Elsewhere
+	// Malformed: the engine knows no such order.
+	Malformed
+)
+
+// Report is what an engine says of itself when asked; it lags by some hundred milliseconds.
+type Report struct {
+	Models []registry.Held
+	// Saturated says that an order is under way, Taken how many orders were taken in this life.
+	Saturated bool
+	Taken     uint64
+	// Active and Queued count requests; MemoryUsed can't give way, both in tokens.
+	Active, Queued     int
+	MemoryUsed, Memory int64
+}
+
+// EngineClient speaks to engines in the way of a deployment.
+type EngineClient interface {
+	// Report asks an engine about itself; any other engine at that address must give an error.
+	Report(ctx context.Context, address string, id ident.EngineID) (Report, error)
+	// Order gives one order on a connection of its own, once. mayLeave is asked right before the first byte,
+	// and nothing is left on its way when ctx ends.
+	Order(ctx context.Context, address string, order Order, mayLeave func() bool) Answer
+}
+
+// Settings are the times of a deployment.
+type Settings struct {
+	// Owner names the holder of a claim towards engines.
+	Owner string
+	// Window is the span over which loads from the store are counted.
+	Window time.Duration
+	// Span is how long a claim lasts, Gap the quiet time between two claims, Renew how often it is prolonged.
+	Span, Gap, Renew time.Duration
+	// OrderLimit is how long an order may be on its way and its answer waited for.
+	OrderLimit time.Duration
+	// Notice is how long before an unload all daemons hear of it, where somebody uses what goes.
+	Notice time.Duration
+	// Rest and Busy are how often an engine is asked for its report, at rest and while an order is under way.
+	Rest, Busy time.Duration
+	// Beat is how often the plan is made.
+	Beat time.Duration
+}
+
+// DefaultSettings are for a deployment whose holders of the claim must not take turns within the lease.
+func DefaultSettings(owner string, lease time.Duration) Settings {
+	s := Settings{Owner: owner, Window: 5 * time.Second, Span: 2 * time.Second, Renew: 500 * time.Millisecond, OrderLimit: 800 * time.Millisecond,
+		Notice: 400 * time.Millisecond, Rest: time.Second, Busy: 150 * time.Millisecond, Beat: 100 * time.Millisecond}
+	// An order may reach its engine as late as its limit after the claim was last looked at.
+	s.Gap = lease + s.OrderLimit
+	return s
+}
+
+// Demand is what the whole fleet asks for of one model and adapter of a pool.
+type Demand struct {
+	Pool           string
+	Model, Adapter string
+	Held, Running  int
+	// Tokens and Arrivals are smoothed numbers a second.
+	Tokens, Arrivals float64
+	// Oldest is how long the oldest held request has waited, Rank the most urgent rank of those held.
+	Oldest time.Duration
+	Rank   int
+}
+
+// Input is what one step looks at.
+type Input struct {
+	Now     clock.Mark
+	Section *forward.Section
+	View    *registry.View
+	Demand  []Demand
+}
+
+// Lack is something that is asked for, stands nowhere, and is not likely to be there before Wait has passed.
+type Lack struct {
+	Pool           string
+	Model, Adapter string
+	Wait           time.Duration
+}
--- a/process/replica/actor.go
+++ b/process/replica/actor.go
@@ -44,6 +44,8 @@
 	FirstRollAgo time.Duration
 	// Serving lists the daemons that may be serving, by the state applied so far.
 	Serving []ident.NodeID
+	// Claim is the planner's claim by the state applied so far.
+	Claim statemachine.Claim
 }
 
 // Replica is the actor around a core.
@@ -333,7 +335,7 @@
 	core := r.core.Raft()
 	condition := Condition{
 		Group: r.group, Role: core.Role(), Term: core.Term(), Leads: r.core.Leads(), Members: core.Membership(),
-		Commit: core.CommitIndex(), Stalled: r.stalled, Now: r.core.State().Now, FirstRollAgo: r.core.FirstRollAgo(r.clock.Elapsed()), Serving: r.core.State().ServingNow(),
+		Commit: core.CommitIndex(), Stalled: r.stalled, Now: r.core.State().Now, FirstRollAgo: r.core.FirstRollAgo(r.clock.Elapsed()), Serving: r.core.State().ServingNow(), Claim: r.core.State().Claim,
 	}
 	condition.Leader, _ = condition.Members.Find(core.LeaderID())
 	r.condition.Store(&condition)
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -73,6 +73,43 @@
 	Orders map[ident.EngineID]uint64 `json:"orders,omitempty"`
 	// OrdersTurn numbers the tellings of one claim, so that one that comes late changes nothing.
 	OrdersTurn uint64 `json:"ordersTurn,omitempty"`
+	// Told is, with CLAIM, what the planner of pools is about to order; Whole asks for all that was told before.
+	Told  *Told `json:"told,omitempty"`
+	Whole bool  `json:"whole,omitempty"`
+	// Resume is, with CLAIM, the asker's word that it goes on where it stood, if its claim lapsed and nobody got another.
+	Resume bool `json:"resume,omitempty"`
+	// Above is, with CLAIM, the highest claim number that the asker has heard of; a fresh claim is above it.
+	Above ident.ClaimNumber `json:"above,omitempty"`
+}
+
+// Told is what a planner of pools tells the group before its orders leave.
+type Told struct {
+	// Orders is, by engine, how many orders it must show to have taken before its reports tell of these.
+	Orders map[ident.EngineID]uint64 `json:"orders,omitempty"`
+	// Loads is how many of the orders may fetch weights from the store.
+	Loads int `json:"loads,omitempty"`
+	// KeepMs is for how long a load counts, and an order may be missing from reports.
+	KeepMs int64 `json:"keepMs,omitempty"`
+}
+
+// History is what the planners of pools have told: it goes on from claim to claim.
+type History struct {
+	// Since is when the first of it was told: of what was before nothing is known.
+	Since  ident.GroupTime              `json:"since"`
+	Orders map[ident.EngineID]ToldOrder `json:"orders,omitempty"`
+	Loads  []ToldLoads                  `json:"loads,omitempty"`
+}
+
+// ToldOrder is the newest order told of for one engine.
+type ToldOrder struct {
+	Taken uint64          `json:"taken"`
+	At    ident.GroupTime `json:"at"`
+}
+
+// ToldLoads is a number of loads told of at one moment.
+type ToldLoads struct {
+	At    ident.GroupTime `json:"at"`
+	Count int             `json:"count"`
 }
 
 // Verdict is the outcome of a command.
@@ -167,6 +204,8 @@
 	// claim and those before: its holder says so before each order leaves.
 	Orders     map[ident.EngineID]uint64 `json:"orders,omitempty"`
 	OrdersTurn uint64                    `json:"ordersTurn,omitempty"`
+	// Pools is what the planners of pools told; a result has it where it was asked for.
+	Pools *History `json:"pools,omitempty"`
 }
 
 // Result is what a command gives back.
@@ -308,6 +347,10 @@
 		if s.Claim.NodeID == c.NodeID && s.Claim.Until > s.Now {
 			s.Claim.Until = s.Now
 		}
+		if s.Claim.NodeID == c.NodeID {
+			// It let go for good, so a late word of it must not take the claim up again.
+			s.Claim.NodeID = ""
+		}
 		return Result{Verdict: Done}
 	}
 	return Result{Verdict: Malformed, Reason: "unknown op " + string(c.Op)}
@@ -556,23 +599,57 @@
 
 func (s *State) claim(c Command) Result {
 	live := s.Claim.Until > s.Now
+	span := time.Duration(c.SpanMs) * time.Millisecond
 	switch {
-	case live && s.Claim.NodeID == c.NodeID:
-		s.Claim.Until = max(s.Claim.Until, s.Now.Add(time.Duration(c.SpanMs)*time.Millisecond))
+	case s.Claim.Number > 0 && s.Claim.NodeID == c.NodeID && (live || c.Resume):
+		s.Claim.Until = max(s.Claim.Until, s.Now.Add(span))
 		if c.OrdersTurn > s.Claim.OrdersTurn {
 			s.Claim.Orders, s.Claim.OrdersTurn = c.Orders, c.OrdersTurn
 		}
 	case live || s.Now < s.Claim.Until+ident.GroupTime(c.GapMs) && s.Claim.Number > 0:
 		// A successor waits out the old claim and the quiet gap, so no engine is commanded in quick turns.
-		return Result{Verdict: Waiting, Reason: "another claim is in force or has just ended", Claim: s.claimNow()}
+		return Result{Verdict: Waiting, Reason: "another claim is in force or has just ended", Claim: s.claimNow(false)}
 	default:
-		s.Claim = Claim{Number: s.Claim.Number + 1, NodeID: c.NodeID, Orders: s.Claim.Orders, Until: s.Now.Add(time.Duration(c.SpanMs) * time.Millisecond)}
+		s.Claim = Claim{Number: max(s.Claim.Number, c.Above) + 1, NodeID: c.NodeID, Orders: s.Claim.Orders, Pools: s.Claim.Pools, Until: s.Now.Add(span)}
 	}
-	return Result{Verdict: Done, Claim: s.claimNow()}
+	if c.Told != nil {
+		s.Claim.Pools = s.Claim.Pools.add(s.Now, *c.Told)
+	}
+	return Result{Verdict: Done, Claim: s.claimNow(c.Whole)}
 }
 
-func (s *State) claimNow() *Claim {
+// add takes in what was told, and forgets what no longer counts. What comes twice only counts for more.
+func (h *History) add(now ident.GroupTime, told Told) *History {
+	next := &History{Since: now, Orders: map[ident.EngineID]ToldOrder{}}
+	kept := now - ident.GroupTime(told.KeepMs)
+	if h != nil {
+		next.Since = h.Since
+		for engine, order := range h.Orders {
+			if order.At > kept {
+				next.Orders[engine] = order
+			}
+		}
+		for _, loads := range h.Loads {
+			if loads.At > kept {
+				next.Loads = append(next.Loads, loads)
+			}
+		}
+	}
+	for engine, taken := range told.Orders {
+		next.Orders[engine] = ToldOrder{Taken: max(taken, next.Orders[engine].Taken), At: now}
+	}
+	if told.Loads > 0 {
+		next.Loads = append(next.Loads, ToldLoads{At: now, Count: told.Loads})
+	}
+	return next
+}
+
+// claimNow copies the claim; the pools' history goes along only where it was asked for, since it may be long.
+func (s *State) claimNow(whole bool) *Claim {
 	claim := s.Claim
 	claim.Now = s.Now
+	if !whole {
+		claim.Pools = nil
+	}
 	return &claim
 }
