Forward opaque requests: connections of our own, records, and the gateway, thin

Cause: the users' platform speaks opaque requests on routes, which the product had no way for. What: engineconn carries one attempt and says what became of it, forwarding chooses, holds, sends and answers, the gateway reads and passes on. Not yet wired into the daemon; no tests yet.

--- /dev/null
+++ b/connection/engineconn/engineconn.go
@@ -0,0 +1,496 @@
+// Package engineconn carries attempts to engines over connections that it owns. It never sends a request
+// twice: what became of an attempt is a value, and whoever asked decides.
+package engineconn
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/valyala/bytebufferpool"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/wire/dialect"
+)
+
+// Outcome is what became of an attempt, as far as this daemon can know.
+type Outcome uint8
+
+const (
+	// HeldBack: the last look before the first byte found a reason not to send.
+	HeldBack Outcome = iota
+	// NeverSent: no byte of the request left this daemon.
+	NeverSent
+	// Refused: the engine gave its word that it has not run and never will.
+	Refused
+	// Misdirected: another engine answered, or it does not hold what was asked for; it has not run.
+	Misdirected
+	// Answered: a whole head came that bears this attempt's id; the body is still to be read.
+	Answered
+	// Lost: bytes went out and no head came, so it may have run.
+	Lost
+	// Junk: bytes went out, and what came back is no answer to this attempt, so it may have run.
+	Junk
+)
+
+func (o Outcome) String() string {
+	return [...]string{"held-back", "never-sent", "refused", "misdirected", "answered", "lost", "junk"}[o]
+}
+
+// Attempt is one attempt at an engine.
+type Attempt struct {
+	Engine  ident.EngineID
+	Address string
+	// ID is the client's own id of its try, which the answer must bear.
+	ID string
+	// Head is dressed, and bears nothing that concerns one connection only.
+	Head *fasthttp.RequestHeader
+	Body []byte
+	// Careful attempts may not be made again, so they take a kept connection only well inside its time.
+	Careful bool
+	// MostConnections bounds this daemon's connections to the engine; zero is no bound.
+	MostConnections int
+	// Left is how long an answer is waited for, its body included.
+	Left time.Duration
+	// LastLook is asked right before the first byte; it gives a reason not to send.
+	LastLook func() string
+	// Cancel ends the attempt from elsewhere by closing its connection.
+	Cancel *Cancel
+}
+
+// Cancel ends whatever a request has under way.
+type Cancel struct {
+	mutex sync.Mutex
+	done  bool
+	stop  func()
+}
+
+// Now ends it, and whatever begins after.
+func (c *Cancel) Now() {
+	c.mutex.Lock()
+	stop := c.stop
+	c.done, c.stop = true, nil
+	c.mutex.Unlock()
+	if stop != nil {
+		stop()
+	}
+}
+
+// Done says whether it was ended.
+func (c *Cancel) Done() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.done
+}
+
+// set names what to stop; it says false when it has already ended.
+func (c *Cancel) set(stop func()) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.stop = stop
+	return !c.done
+}
+
+// Counters are counted over a daemon's life.
+type Counters struct {
+	Dialled, DialsFailed, Reused, FoundStale, Surplus, Foreign, Junk, BytesSent, BytesReceived atomic.Uint64
+}
+
+// Pools keeps the connections to all engines.
+type Pools struct {
+	Counters Counters
+	clock    clock.Clock
+	dialect  dialect.Dialect
+	dial     func(ctx context.Context, address string) (net.Conn, error)
+
+	mutex   sync.Mutex
+	engines map[engineKey]*pool
+}
+
+// engineKey holds the address too, since an address may pass to another engine, and the other way round.
+type engineKey struct {
+	id      ident.EngineID
+	address string
+}
+
+// pool is the connections to one engine.
+type pool struct {
+	idle []*link
+	open int
+}
+
+// Option sets one thing of the pools.
+type Option func(*Pools)
+
+// WithDial replaces how engines are dialled.
+func WithDial(dial func(ctx context.Context, address string) (net.Conn, error)) Option {
+	return func(p *Pools) { p.dial = dial }
+}
+
+// New makes empty pools.
+func New(c clock.Clock, d dialect.Dialect, options ...Option) *Pools {
+	p := &Pools{clock: c, dialect: d, dial: dialTCP, engines: map[engineKey]*pool{}}
+	for _, option := range options {
+		option(p)
+	}
+	return p
+}
+
+const (
+	// dialLimit bounds how long an engine may take to come up; a lost opening packet is sent again after a second.
+	dialLimit = 800 * time.Millisecond
+	// userTimeout is how long sent bytes may stay unacknowledged: a cut says nothing by itself.
+	userTimeout = 3 * time.Second
+	// readerSize bounds the head of an answer.
+	readerSize = 8 << 10
+	// mostRefusal is how much of a refusal's body is read to keep the connection.
+	mostRefusal = 64 << 10
+	// keptUnsaid is how long a connection is kept whose engine said nothing of it.
+	keptUnsaid = 2 * time.Second
+	// carefulUnsaid is the same for attempts that can't be made again: whole seconds alone are said.
+	carefulUnsaid = 300 * time.Millisecond
+	// keptMargin is taken off the time that an engine said.
+	keptMargin = 300 * time.Millisecond
+	// mostKept is how long a connection is kept at most.
+	mostKept = 20 * time.Second
+)
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		Timeout:         dialLimit,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return raw.Control(func(fd uintptr) {
+				// Where it can't be set, the keep-alive probes still find a peer that is gone.
+				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+			})
+		},
+	}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
+// take gives a kept connection that fits, or room for a fresh one.
+func (p *Pools) take(key engineKey, careful bool, most int) (kept *link, room bool) {
+	now := p.clock.Elapsed()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	connections := p.engines[key]
+	if connections == nil {
+		connections = &pool{}
+		p.engines[key] = connections
+	}
+	p.sweep(connections, now)
+	// The one used last is the least likely to be closed by the engine.
+	for place := len(connections.idle) - 1; place >= 0; place-- {
+		candidate := connections.idle[place]
+		if careful && now.Since(candidate.idleSince) > candidate.carefulFor() {
+			continue
+		}
+		connections.idle = append(connections.idle[:place], connections.idle[place+1:]...)
+		return candidate, true
+	}
+	if most > 0 && connections.open >= most {
+		if len(connections.idle) == 0 {
+			return nil, false
+		}
+		// Those left are too old for a careful attempt; the oldest makes room.
+		p.drop(connections, 0)
+	}
+	connections.open++
+	return nil, true
+}
+
+// sweep closes what has been idle for too long.
+func (p *Pools) sweep(connections *pool, now clock.Mark) {
+	for place := len(connections.idle) - 1; place >= 0; place-- {
+		if one := connections.idle[place]; now.Since(one.idleSince) >= one.keptFor() {
+			p.drop(connections, place)
+		}
+	}
+}
+
+func (p *Pools) drop(connections *pool, place int) {
+	_ = connections.idle[place].Close()
+	connections.idle = append(connections.idle[:place], connections.idle[place+1:]...)
+	connections.open--
+}
+
+// gone counts a connection as closed.
+func (p *Pools) gone(key engineKey) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if connections := p.engines[key]; connections != nil {
+		if connections.open--; connections.open <= 0 && len(connections.idle) == 0 {
+			delete(p.engines, key)
+		}
+	}
+}
+
+// keep puts a connection back.
+func (p *Pools) keep(key engineKey, one *link) {
+	one.idleSince = p.clock.Elapsed()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	connections := p.engines[key]
+	if connections == nil {
+		_ = one.Close()
+		return
+	}
+	connections.idle = append(connections.idle, one)
+}
+
+// Sweep closes connections that were idle for too long, and all idle ones to engines that are not to be kept.
+func (p *Pools) Sweep(keep func(ident.EngineID) bool) {
+	now := p.clock.Elapsed()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for key, connections := range p.engines {
+		if keep != nil && !keep(key.id) {
+			for len(connections.idle) > 0 {
+				p.drop(connections, 0)
+			}
+		}
+		p.sweep(connections, now)
+		if connections.open <= 0 && len(connections.idle) == 0 {
+			delete(p.engines, key)
+		}
+	}
+}
+
+// Open counts the connections, busy and idle.
+func (p *Pools) Open() (busy, idle int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, connections := range p.engines {
+		busy += connections.open - len(connections.idle)
+		idle += len(connections.idle)
+	}
+	return busy, idle
+}
+
+// Send makes an attempt and waits for the head of its answer.
+func (p *Pools) Send(a Attempt) *Answer {
+	key := engineKey{a.Engine, a.Address}
+	for {
+		one, room := p.take(key, a.Careful, a.MostConnections)
+		if !room {
+			return &Answer{Outcome: HeldBack, Reason: "no connection to the engine is free"}
+		}
+		fresh := one == nil
+		if fresh {
+			made, reason := p.fresh(a, key)
+			if made == nil {
+				return &Answer{Outcome: NeverSent, Reason: reason}
+			}
+			one = made
+		}
+		// Bytes or an end on a kept connection belong to no request of ours, so another one is taken.
+		if !fresh && one.stirs() {
+			p.Counters.FoundStale.Add(1)
+			_ = one.Close()
+			p.gone(key)
+			continue
+		}
+		if !fresh {
+			p.Counters.Reused.Add(1)
+		}
+		return p.over(one, a, key)
+	}
+}
+
+func (p *Pools) fresh(a Attempt, key engineKey) (*link, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), max(a.Left, time.Millisecond))
+	defer cancel()
+	if !a.Cancel.set(cancel) {
+		p.gone(key)
+		return nil, "the caller has left"
+	}
+	raw, err := p.dial(ctx, a.Address)
+	if err != nil {
+		p.Counters.DialsFailed.Add(1)
+		p.gone(key)
+		return nil, "the engine could not be reached"
+	}
+	p.Counters.Dialled.Add(1)
+	return newLink(raw, &p.Counters), ""
+}
+
+// over makes the attempt over a connection.
+func (p *Pools) over(one *link, a Attempt, key engineKey) *Answer {
+	answer := &Answer{pools: p, key: key, link: one, cancel: a.Cancel}
+	if !a.Cancel.set(func() { _ = one.Close() }) {
+		answer.shut()
+		return answer.end(NeverSent, "the caller has left")
+	}
+	limit := time.Now().Add(a.Left)
+	_ = one.SetDeadline(limit)
+	buffer := bytebufferpool.Get()
+	defer bytebufferpool.Put(buffer)
+	buffer.B = append(appendHead(buffer.B[:0], a.Head, len(a.Body)), a.Body...)
+	if reason := a.LastLook(); reason != "" {
+		// Nothing was said on it, so it is as good as before.
+		answer.giveBack()
+		return answer.end(HeldBack, reason)
+	}
+	sent, err := one.Write(buffer.B)
+	p.Counters.BytesSent.Add(uint64(sent))
+	if err != nil && sent == 0 {
+		// Not one byte was taken, which no engine can run.
+		answer.shut()
+		return answer.end(NeverSent, "the connection to the engine was broken")
+	}
+	// A failed write is no proof: what went before the failure may have been enough to run. The engine may
+	// also have said why it would not read the rest, so its answer is looked for all the same.
+	answer.response = fasthttp.AcquireResponse()
+	answer.response.StreamBody = true
+	answer.response.SkipBody = a.Head.IsHead()
+	if err := answer.response.ReadLimitBody(one.reader, 0); err != nil {
+		answer.shut()
+		if isNetwork(err) {
+			return answer.end(Lost, "the engine gave no answer")
+		}
+		p.Counters.Junk.Add(1)
+		return answer.end(Junk, "the engine sent what is no answer")
+	}
+	answer.Head = p.dialect.ReadHead(&answer.response.Header)
+	if answer.Head.Attempt != a.ID {
+		// Not a byte of another request's answer may go on.
+		p.Counters.Foreign.Add(1)
+		answer.shut()
+		return answer.end(Junk, "the engine's answer is not to this attempt")
+	}
+	answer.body = answer.response.BodyStream()
+	answer.measured = answer.body == nil || answer.response.Header.ContentLength() >= -1
+	answer.whole = answer.body == nil
+	if err != nil {
+		// The request did not go out whole, so only the engine's word that it did not run counts.
+		answer.tainted = true
+	}
+	if answer.Head.NotRun {
+		answer.drain()
+		if answer.Head.Misdirected {
+			return answer.end(Misdirected, "the engine is another one, or does not hold what was asked for")
+		}
+		return answer.end(Refused, "the engine refused")
+	}
+	answer.Outcome = Answered
+	return answer
+}
+
+// Answer is what became of an attempt and, where it was answered, the answer.
+type Answer struct {
+	Outcome Outcome
+	Reason  string
+	Head    dialect.Head
+
+	pools    *Pools
+	key      engineKey
+	link     *link
+	cancel   *Cancel
+	response *fasthttp.Response
+	body     io.Reader
+	// measured bodies say themselves where they end; whole ones have come to it.
+	measured, whole, tainted bool
+	failed                   error
+}
+
+var errUnmeasured = errors.New("the body does not say where it ends")
+
+// Response is the head of the answer, until Close.
+func (a *Answer) Response() *fasthttp.Response { return a.response }
+
+// Read gives bytes of the body; io.EOF says that all of it has come.
+func (a *Answer) Read(p []byte) (int, error) {
+	if a.failed != nil {
+		return 0, a.failed
+	}
+	if a.whole {
+		return 0, io.EOF
+	}
+	n, err := a.body.Read(p)
+	switch {
+	case err == io.EOF && a.measured:
+		a.whole = true
+	case err == io.EOF:
+		// An engine that fails ends such a body in the same way, so it can't be told whole.
+		a.failed = errUnmeasured
+		err = errUnmeasured
+	case err != nil:
+		a.failed = err
+	}
+	return n, err
+}
+
+// Whole says whether the body has come to its end.
+func (a *Answer) Whole() bool { return a.whole }
+
+// drain reads a refusal to its end, so that the connection can be kept.
+func (a *Answer) drain() {
+	if n, err := io.CopyN(io.Discard, a, mostRefusal); err == nil && n == mostRefusal {
+		a.failed = errUnmeasured
+	}
+}
+
+// Close lets go of the answer; its connection is kept only if all of it came and nothing more.
+func (a *Answer) Close() {
+	if a.link == nil {
+		a.release()
+		return
+	}
+	if a.whole && a.failed == nil && !a.tainted && !a.Head.Closes && a.link.reader.Buffered() == 0 {
+		a.link.keepFor = a.Head.KeepFor
+		a.giveBack()
+	} else {
+		if a.whole && a.link.reader.Buffered() > 0 {
+			a.pools.Counters.Surplus.Add(1)
+		}
+		a.shut()
+	}
+	a.release()
+}
+
+func (a *Answer) release() {
+	if a.response != nil {
+		a.body = nil
+		fasthttp.ReleaseResponse(a.response)
+		a.response = nil
+	}
+}
+
+// end sets an outcome without a body.
+func (a *Answer) end(outcome Outcome, reason string) *Answer {
+	a.Outcome, a.Reason = outcome, reason
+	if outcome != Answered {
+		a.Close()
+	}
+	return a
+}
+
+func (a *Answer) shut() {
+	if a.link == nil {
+		return
+	}
+	a.cancel.set(nil)
+	_ = a.link.Close()
+	a.link = nil
+	a.pools.gone(a.key)
+}
+
+func (a *Answer) giveBack() {
+	if !a.cancel.set(nil) {
+		// It was ended meanwhile, so its connection is closed or about to be.
+		a.shut()
+		return
+	}
+	_ = a.link.SetDeadline(time.Time{})
+	a.pools.keep(a.key, a.link)
+	a.link = nil
+}
--- /dev/null
+++ b/connection/gateway/gateway.go
@@ -0,0 +1,318 @@
+// Package gateway is where opaque requests come in and their answers go out: it reads a request by the
+// table in force, has forwarding decide, makes the attempts, and passes on what an engine answered.
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cresspond/cresspond/connection/engineconn"
+	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/registry"
+	"github.com/cresspond/cresspond/request/forwarding"
+	"github.com/cresspond/cresspond/wire/dialect"
+)
+
+// Surroundings is what a gateway looks at.
+type Surroundings struct {
+	Clock   clock.Clock
+	Dialect dialect.Dialect
+	// Index is the table in force, View the engines, Held whether a worker id is held.
+	Index func() *forward.Index
+	View  func() *registry.View
+	Held  func() bool
+	// Draining says that whoever is answered should connect elsewhere next time.
+	Draining func() bool
+	Settings forwarding.Settings
+}
+
+// Counters are counted over a daemon's life.
+type Counters struct {
+	Read, Unreadable, TooLarge, Whole, Streams, StreamsWhole, StreamsBroken, Events, Resumed, CallersLeft, LastLookStops, Unsealed atomic.Uint64
+}
+
+// Gateway serves opaque requests.
+type Gateway struct {
+	Surroundings
+	Counters Counters
+	actor    *forwarding.Actor
+	pools    *engineconn.Pools
+	watcher  *watcher
+	open     atomic.Int64
+}
+
+// New makes a gateway.
+func New(s Surroundings, actor *forwarding.Actor, pools *engineconn.Pools) *Gateway {
+	return &Gateway{Surroundings: s, actor: actor, pools: pools, watcher: newWatcher()}
+}
+
+// Open counts the requests that were read and are not yet answered whole.
+func (g *Gateway) Open() int64 { return g.open.Load() }
+
+// CutAll ends whatever is under way: the daemon may wait no longer.
+func (g *Gateway) CutAll() { g.watcher.cutAll() }
+
+const (
+	// mostWhole is how much of an answer is gathered before any of it goes on.
+	mostWhole = 256 << 10
+	// writeSlack is how long past its deadline an answer may take to be read by its caller.
+	writeSlack = 20 * time.Second
+	// longestWait bounds requests of which nothing says how long they may take.
+	longestWait = time.Hour
+)
+
+// flight is one request under way here.
+type flight struct {
+	*Gateway
+	ctx    *fasthttp.RequestCtx
+	record *forwarding.Record
+	cancel engineconn.Cancel
+	left   atomic.Bool
+	head   fasthttp.RequestHeader
+	body   []byte
+	send   *forwarding.Send
+	// lastEvent is the last one passed on.
+	lastEvent string
+	begun     bool
+}
+
+// Handle serves one request.
+func (g *Gateway) Handle(ctx *fasthttp.RequestCtx) {
+	g.Counters.Read.Add(1)
+	ctx.Response.Header.SetNoDefaultContentType(true)
+	arrived := g.Clock.Elapsed()
+	ask, err := g.Dialect.ReadAsk(&ctx.Request.Header)
+	if err != nil {
+		g.Counters.Unreadable.Add(1)
+		g.plain(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	host, prefixed := string(ctx.Request.Header.Host()), pathOf(ctx.Request.Header.RequestURI())
+	record := forwarding.Record{Ask: ask, Host: host, Prefixed: prefixed, Arrived: arrived, Deadline: arrived + clock.Mark(longestWait)}
+	if index := g.Index(); index != nil {
+		if most := index.Section.Limits.MostBodyBytes; most > 0 && int64(len(ctx.Request.Body())) > most {
+			g.Counters.TooLarge.Add(1)
+			g.plain(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is too large")
+			ctx.SetConnectionClose()
+			return
+		}
+		if path, found := index.Lookup(host, prefixed); found {
+			record.Path = path
+			limit := time.Duration(path.DeadlineMs) * time.Millisecond
+			if ask.Deadline > 0 {
+				limit = min(limit, ask.Deadline)
+			}
+			record.Deadline = arrived + clock.Mark(limit)
+		}
+	}
+	f := &flight{Gateway: g, ctx: ctx, record: forwarding.NewRecord(record), body: ctx.Request.Body()}
+	ctx.Request.Header.CopyTo(&f.head)
+	engineconn.HopByHop(&f.head)
+	g.open.Add(1)
+	g.watcher.add(f)
+	if !g.actor.Admit(f.record) {
+		f.end(forwarding.Answer{Status: fasthttp.StatusServiceUnavailable, Cause: forwarding.Stopping, ComeBack: time.Second})
+		f.done()
+		return
+	}
+	// An answer goes out as soon as it is there, also where another request waits behind it.
+	_ = ctx.SetWriteDeadline(time.Now().Add(record.Deadline.Since(arrived) + writeSlack))
+	if stream := f.serve(); stream != nil {
+		ctx.SetBodyStream(stream, stream.length)
+		return
+	}
+	f.done()
+}
+
+// done ends the count of a request.
+func (f *flight) done() {
+	f.watcher.remove(f)
+	f.open.Add(-1)
+}
+
+// pathOf is the path of a request's target as it was sent.
+func pathOf(target []byte) string {
+	if len(target) > 0 && target[0] != '/' {
+		// A target may name scheme and host too.
+		if at := bytes.Index(target, []byte("://")); at >= 0 {
+			target = target[at+3:]
+			if slash := bytes.IndexByte(target, '/'); slash >= 0 {
+				target = target[slash:]
+			} else {
+				target = []byte{'/'}
+			}
+		}
+	}
+	if at := bytes.IndexAny(target, "?#"); at >= 0 {
+		target = target[:at]
+	}
+	return string(target)
+}
+
+// plain answers with a line of our own.
+func (g *Gateway) plain(ctx *fasthttp.RequestCtx, status int, reason string) {
+	ctx.ResetBody()
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("text/plain; charset=utf-8")
+	ctx.SetBodyString(reason + "\n")
+}
+
+// end writes our own final answer.
+func (f *flight) end(answer forwarding.Answer) {
+	if answer.Status == 0 {
+		// Nobody is there to read, or what has begun must not look whole.
+		f.ctx.SetConnectionClose()
+		return
+	}
+	f.plain(f.ctx, answer.Status, "cresspond: "+strings.ReplaceAll(answer.Cause.String(), "-", " "))
+	f.Dialect.Refuse(&f.ctx.Response.Header, answer.ComeBack)
+	if f.Draining() {
+		f.ctx.SetConnectionClose()
+	}
+}
+
+// next waits for the next step.
+func (f *flight) next() forwarding.Step { return f.actor.Next(f.record) }
+
+// serve makes attempts until there is an answer; it gives a stream where the answer is passed on as it comes.
+func (f *flight) serve() *stream {
+	step := f.next()
+	for {
+		if step.End != nil {
+			f.end(*step.End)
+			return nil
+		}
+		answer := f.attempt(step.Send)
+		outcome := outcomeOf(answer.Outcome)
+		if answer.Outcome == engineconn.Answered {
+			var stream *stream
+			if stream, outcome = f.take(answer); stream != nil {
+				return stream
+			}
+			switch outcome {
+			case forwarding.Whole:
+				f.report(outcome)
+				return nil
+			case forwarding.Failed:
+				// The engine's own failure stands ready, unless another attempt is made.
+				step = f.report(outcome)
+				if step.Pass {
+					return nil
+				}
+				f.ctx.Response.Reset()
+				f.ctx.Response.Header.SetNoDefaultContentType(true)
+				continue
+			}
+		}
+		step = f.report(outcome)
+	}
+}
+
+// report tells how the attempt ended, and gives the next step unless the request was served.
+func (f *flight) report(outcome forwarding.Outcome) forwarding.Step {
+	if f.left.Load() && outcome != forwarding.Whole {
+		outcome = forwarding.Left
+	}
+	f.actor.Attempted(f.record, outcome, f.lastEvent)
+	if outcome == forwarding.Whole {
+		return forwarding.Step{}
+	}
+	return f.next()
+}
+
+func outcomeOf(outcome engineconn.Outcome) forwarding.Outcome {
+	switch outcome {
+	case engineconn.HeldBack:
+		return forwarding.HeldBack
+	case engineconn.NeverSent:
+		return forwarding.NeverSent
+	case engineconn.Refused:
+		return forwarding.EngineRefused
+	case engineconn.Misdirected:
+		return forwarding.Misdirected
+	case engineconn.Junk:
+		return forwarding.Junk
+	}
+	return forwarding.Lost
+}
+
+// attempt makes one attempt and waits for the head of its answer.
+func (f *flight) attempt(send *forwarding.Send) *engineconn.Answer {
+	f.send = send
+	left := f.record.Deadline.Since(f.Clock.Elapsed())
+	f.Dialect.Dress(&f.head, dialect.Dress{Engine: string(send.Engine), Left: left, Urgency: send.Urgency, LastEvent: send.LastEvent, Resumes: send.Resumes})
+	return f.pools.Send(engineconn.Attempt{
+		Engine: send.Engine, Address: send.Address, ID: f.record.Ask.Attempt, Head: &f.head, Body: f.body, Careful: send.Careful,
+		MostConnections: send.MostConnections, Left: left + f.Settings.DeadlineSlack, LastLook: f.lastLook, Cancel: &f.cancel,
+	})
+}
+
+// lastLook is the last check before the first byte: what it reads is what is in force at that moment.
+func (f *flight) lastLook() string {
+	reason := ""
+	engine := f.View().Engines[f.send.Engine]
+	switch {
+	case !forwarding.Leads(f.Index(), f.record.Host, f.record.Prefixed, f.send.Pool):
+		reason = "the table in force no longer leads there"
+	case engine == nil || engine.Address != f.send.Address || engine.Pool != f.send.Pool || !engine.Usable():
+		reason = "the engine is leaving or gone"
+	case f.Clock.Elapsed() >= f.record.Deadline:
+		reason = "the deadline has passed"
+	case f.left.Load():
+		reason = "the caller has left"
+	case f.send.Stamped && !f.Held():
+		reason = "the worker id has lapsed"
+	}
+	if reason != "" {
+		f.Counters.LastLookStops.Add(1)
+	}
+	return reason
+}
+
+// take turns an engine's answer into ours: whole, as a stream, or not at all.
+func (f *flight) take(answer *engineconn.Answer) (*stream, forwarding.Outcome) {
+	status := answer.Response().StatusCode()
+	if status >= 200 && status < 300 && !answer.Head.Sealed {
+		// A success without the engine's stamp is nobody's.
+		f.Counters.Unsealed.Add(1)
+		answer.Close()
+		return nil, forwarding.Junk
+	}
+	if answer.Head.Events {
+		return f.takeEvents(answer)
+	}
+	body, err := io.ReadAll(io.LimitReader(answer, mostWhole))
+	if err != nil {
+		answer.Close()
+		return nil, forwarding.Lost
+	}
+	f.copyHead(answer)
+	if !answer.Whole() && len(body) == mostWhole {
+		return f.takeLong(answer, body), forwarding.Whole
+	}
+	if len(body) > 0 {
+		f.ctx.Response.SetBodyRaw(body)
+	}
+	answer.Close()
+	f.Counters.Whole.Add(1)
+	if status >= fasthttp.StatusInternalServerError {
+		return nil, forwarding.Failed
+	}
+	return nil, forwarding.Whole
+}
+
+// copyHead takes over the engine's head, but for what concerns its connection only.
+func (f *flight) copyHead(answer *engineconn.Answer) {
+	answer.Response().Header.CopyTo(&f.ctx.Response.Header)
+	f.ctx.Response.Header.SetNoDefaultContentType(true)
+	engineconn.HopByHopAnswer(&f.ctx.Response.Header)
+	if f.Draining() {
+		f.ctx.SetConnectionClose()
+	}
+}
--- /dev/null
+++ b/request/forwarding/core.go
@@ -0,0 +1,456 @@
+package forwarding
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/registry"
+)
+
+// World is what the passes may look at; it is gathered anew for each event.
+type World struct {
+	Now clock.Mark
+	// Index is the table in force; Current says that it is known to be new enough.
+	Index   *forward.Index
+	Current bool
+	View    *registry.View
+	Zone    ident.ZoneID
+	// Edges is how many daemons route, this one included.
+	Edges int
+	Mint  func() (ident.MintedID, bool)
+	// Lacks says for how long a model or adapter is not likely to be loaded, where the planner said so.
+	Lacks func(pool, model, adapter string) (time.Duration, bool)
+}
+
+// Counters are counted over a daemon's life.
+type Counters struct {
+	Admitted, Held, Sent, SentAgain, AgainDenied, HeldBack, NeverSent, EngineRefused, Misdirected, Lost, Junk, Cut uint64
+	Whole, Failed, Refused, Broken, BrokenOff, CallersLeft, NoPath, Resumed                                        uint64
+}
+
+// Core decides what becomes of records. It belongs to one actor.
+type Core struct {
+	settings Settings
+	Counters Counters
+
+	sequence, token uint64
+	held            []*Record
+	engines         map[ident.EngineID]*engineState
+	budgets         map[string]*window
+	demands         map[demandKey]*demandState
+	running         int
+}
+
+// NewCore makes an empty core.
+func NewCore(settings Settings) *Core {
+	return &Core{settings: settings, engines: map[ident.EngineID]*engineState{}, budgets: map[string]*window{}, demands: map[demandKey]*demandState{}}
+}
+
+// step gives a record's sender the next thing to do. A record has at most one that is not yet taken.
+func (r *Record) step(s Step) { r.steps <- s }
+
+// Admit takes a record in and looks at it at once.
+func (c *Core) Admit(r *Record, w World) {
+	c.Counters.Admitted++
+	c.sequence++
+	r.sequence = c.sequence
+	switch {
+	case w.Index == nil || r.Path == nil && !w.Current:
+		// Only a table that is known to be new enough can say that there is no such path.
+		c.finish(r, w, NoTable, time.Second)
+		return
+	case r.Path == nil:
+		c.Counters.NoPath++
+		c.finish(r, w, NoPath, 0)
+		return
+	}
+	r.pool = drawPool(r.Path, r.Ask.Attempt)
+	r.needs = r.Ask.TokensIn + r.Ask.TokensOut
+	c.arrived(r, w.Now)
+	c.look(r, w)
+}
+
+// drawPool draws a pool by the weights of the path, the same for the same attempt.
+func drawPool(path *forward.Path, attempt string) string {
+	var sum uint64
+	for _, share := range path.Shares {
+		sum += uint64(share.Weight)
+	}
+	if sum == 0 {
+		return path.Shares[0].Pool
+	}
+	drawn := xxhash.Sum64String(attempt) % sum
+	for _, share := range path.Shares {
+		if drawn < uint64(share.Weight) {
+			return share.Pool
+		}
+		drawn -= uint64(share.Weight)
+	}
+	return path.Shares[len(path.Shares)-1].Pool
+}
+
+// Leads says whether the table in force still sends a request to a pool.
+func Leads(index *forward.Index, host, prefixed, pool string) bool {
+	if index == nil {
+		return false
+	}
+	path, found := index.Lookup(host, prefixed)
+	return found && leadsTo(path, pool)
+}
+
+func leadsTo(path *forward.Path, pool string) bool {
+	return slices.ContainsFunc(path.Shares, func(share forward.Share) bool { return share.Pool == pool && share.Weight > 0 })
+}
+
+// rerouted takes up the table in force for a record. It says false when the record has ended.
+func (c *Core) rerouted(r *Record, w World) bool {
+	if w.Index == nil {
+		c.finish(r, w, NoTable, time.Second)
+		return false
+	}
+	path, found := w.Index.Lookup(r.Host, r.Prefixed)
+	switch {
+	case !found && w.Current:
+		c.finish(r, w, NoPath, 0)
+		return false
+	case !found:
+		c.finish(r, w, NoTable, time.Second)
+		return false
+	}
+	r.Path = path
+	if r.mayHaveRun && (!r.mayRepeat() || !leadsTo(path, r.pool)) {
+		// What may have run goes on only where, and if, the newest table lets it.
+		c.finish(r, w, Broken, 0)
+		return false
+	}
+	if !leadsTo(path, r.pool) {
+		wasHeld := r.stage == Held
+		if wasHeld {
+			c.demand(r).held--
+		}
+		r.pool = drawPool(path, r.Ask.Attempt)
+		if wasHeld {
+			c.demand(r).held++
+		}
+	}
+	return true
+}
+
+// look sends a record, holds it, or ends it.
+func (c *Core) look(r *Record, w World) {
+	if !c.rerouted(r, w) {
+		return
+	}
+	left := r.Deadline.Since(w.Now)
+	if left <= c.least(r) {
+		c.finish(r, w, Late, c.comeBack(r, w))
+		return
+	}
+	if r.attempts > 0 && r.attempts >= r.Path.Attempts {
+		c.finish(r, w, Spent, c.comeBack(r, w))
+		return
+	}
+	chosen, why := c.choose(r, w)
+	if chosen == nil {
+		c.hold(r, w, why)
+		return
+	}
+	c.send(r, w, chosen)
+}
+
+// send hands an attempt to the record's sender.
+func (c *Core) send(r *Record, w World, chosen *registry.Engine) {
+	again := r.attempts > 0
+	if again {
+		if !c.stamp(r, w) {
+			c.finish(r, w, NoLease, c.comeBack(r, w))
+			return
+		}
+		if !c.budget(r.pool).allows(w.Now, c.settings, w.Edges) {
+			c.Counters.AgainDenied++
+			c.finish(r, w, Spent, c.comeBack(r, w))
+			return
+		}
+		// The attempt is counted before it leaves, since it can't be called back.
+		c.budget(r.pool).again(w.Now)
+		c.Counters.SentAgain++
+	}
+	if r.stage == Held {
+		c.unhold(r)
+	}
+	r.move(Sending)
+	r.engine, r.sentAt = chosen.ID, w.Now
+	state := c.engine(chosen.ID)
+	r.unread = state.unread(r)
+	state.took(r, w)
+	c.demand(r).running++
+	c.running++
+	pool, _ := w.Index.Pool(r.pool)
+	r.step(Step{Send: &Send{
+		Engine: chosen.ID, Address: chosen.Address, Zone: chosen.Zone, Pool: r.pool, Left: r.Deadline.Since(w.Now),
+		Urgency: r.Path.Rank, Careful: !r.mayRepeat(), LastEvent: r.resumeAt(), Resumes: r.resumeAt() != "",
+		MostConnections: connectionShare(pool, w.Edges), Stamped: len(r.stamps) > 0,
+	}})
+}
+
+// resumeAt is the event after which the next attempt goes on.
+func (r *Record) resumeAt() string {
+	if r.lastEvent != "" {
+		return r.lastEvent
+	}
+	return r.Ask.LastEvent
+}
+
+// connectionShare is this daemon's part of the connections that an engine takes.
+func connectionShare(pool *forward.Pool, edges int) int {
+	if pool == nil || pool.MostConnections == 0 {
+		return 0
+	}
+	return max(1, pool.MostConnections/max(edges, 1))
+}
+
+// stamp mints an id for a record that is held or tried again; without a lease neither is allowed.
+func (c *Core) stamp(r *Record, w World) bool {
+	id, minted := w.Mint()
+	if minted {
+		r.stamps = append(r.stamps, id)
+	}
+	return minted
+}
+
+// hold keeps a record until an engine can take it, or ends it if none will in time.
+func (c *Core) hold(r *Record, w World, why lack) {
+	if wait, hopeless := c.hopeless(r, w, why); hopeless {
+		c.finish(r, w, NoRoom, wait)
+		return
+	}
+	if r.stage == Held {
+		return
+	}
+	if !c.stamp(r, w) {
+		c.finish(r, w, NoLease, c.comeBack(r, w))
+		return
+	}
+	r.move(Held)
+	r.heldAt = w.Now
+	c.Counters.Held++
+	c.held = append(c.held, r)
+	c.demand(r).held++
+}
+
+// unhold takes a record out of those held.
+func (c *Core) unhold(r *Record) {
+	if place := slices.Index(c.held, r); place >= 0 {
+		c.held = slices.Delete(c.held, place, place+1)
+		c.demand(r).held--
+	}
+}
+
+// finish ends a record with our own answer.
+func (c *Core) finish(r *Record, w World, cause Cause, comeBack time.Duration) {
+	if r.stage == Held {
+		c.unhold(r)
+	}
+	r.move(Ended)
+	answer := finalAnswer(r, cause, comeBack)
+	switch {
+	case cause == CallerLeft:
+		c.Counters.CallersLeft++
+	case answer.Status == 0:
+		c.Counters.BrokenOff++
+	case r.mayHaveRun:
+		c.Counters.Broken++
+	default:
+		c.Counters.Refused++
+	}
+	r.step(Step{End: &answer})
+}
+
+// rankOf is the rank by which a record that waits is served; waiting raises it, so that none starves.
+func rankOf(r *Record, now clock.Mark) float64 {
+	span := max(r.Deadline.Since(r.Arrived), time.Millisecond)
+	return float64(r.Path.Rank) - 4*float64(now.Since(r.Arrived))/float64(span)
+}
+
+// Pass looks at all that are held, the most urgent first.
+func (c *Core) Pass(w World) {
+	if len(c.held) == 0 {
+		return
+	}
+	waiting := slices.Clone(c.held)
+	ranks := make(map[*Record]float64, len(waiting))
+	for _, r := range waiting {
+		ranks[r] = rankOf(r, w.Now)
+	}
+	slices.SortFunc(waiting, func(a, b *Record) int {
+		if order := cmp.Compare(ranks[a], ranks[b]); order != 0 {
+			return order
+		}
+		return cmp.Compare(a.sequence, b.sequence)
+	})
+	for _, r := range waiting {
+		if r.stage == Held {
+			c.look(r, w)
+		}
+	}
+}
+
+// HeldNow counts those that wait.
+func (c *Core) HeldNow() int { return len(c.held) }
+
+// Outcome is how an attempt ended that gave no whole answer, or that it did.
+type Outcome uint8
+
+const (
+	// HeldBack: the last look found a reason not to send.
+	HeldBack Outcome = iota
+	// NeverSent: the engine could not be reached.
+	NeverSent
+	// EngineRefused: the engine gave its word that it has not run.
+	EngineRefused
+	// Misdirected: another engine is there, or it lacks what was asked for.
+	Misdirected
+	// Lost: it may have run, and nothing of it goes on.
+	Lost
+	// Junk: the same, and the engine broke the rules.
+	Junk
+	// Cut: an answer that has begun broke off.
+	Cut
+	// Failed: the engine's whole answer is a failure of its own; it goes on as it is.
+	Failed
+	// Whole: the engine's whole answer went on.
+	Whole
+	// Left: the caller went away.
+	Left
+)
+
+// Attempted takes up how an attempt ended, and gives the next step unless the record is served.
+func (c *Core) Attempted(r *Record, outcome Outcome, w World) {
+	if r.stage != Sending && r.stage != Passing {
+		return
+	}
+	c.settle(r, outcome, w)
+	if outcome != HeldBack && outcome != NeverSent {
+		r.attempts++
+		if !r.first {
+			r.first = true
+			c.Counters.Sent++
+			c.budget(r.pool).first(w.Now, c.settings.RetryWindow)
+		}
+	}
+	if outcome != HeldBack {
+		r.tried = append(r.tried, r.engine)
+	}
+	switch outcome {
+	case HeldBack:
+		c.Counters.HeldBack++
+		c.look(r, w)
+	case NeverSent:
+		c.Counters.NeverSent++
+		c.look(r, w)
+	case EngineRefused:
+		c.Counters.EngineRefused++
+		c.look(r, w)
+	case Misdirected:
+		c.Counters.Misdirected++
+		c.look(r, w)
+	case Lost, Junk, Cut:
+		switch outcome {
+		case Lost:
+			c.Counters.Lost++
+		case Junk:
+			c.Counters.Junk++
+		case Cut:
+			c.Counters.Cut++
+		}
+		r.mayHaveRun = true
+		switch {
+		case !r.mayRepeat() || r.begun && r.lastEvent == "":
+			cause := Broken
+			if w.Now >= r.Deadline {
+				cause = Late
+			}
+			c.finish(r, w, cause, 0)
+		default:
+			if r.begun {
+				c.Counters.Resumed++
+			}
+			c.look(r, w)
+		}
+	case Whole:
+		c.Counters.Whole++
+		r.move(Ended)
+	case Failed:
+		c.failed(r, w)
+	case Left:
+		c.finish(r, w, CallerLeft, 0)
+	}
+	c.Pass(w)
+}
+
+// failed lets an engine's own failure go on, unless the request may be repeated and another engine can take it now.
+func (c *Core) failed(r *Record, w World) {
+	r.mayHaveRun = true
+	if r.repeatable() && r.attempts < r.Path.Attempts && r.Deadline.Since(w.Now) > c.least(r) && Leads(w.Index, r.Host, r.Prefixed, r.pool) {
+		if chosen, _ := c.choose(r, w); chosen != nil && c.budget(r.pool).allows(w.Now, c.settings, w.Edges) {
+			c.send(r, w, chosen)
+			return
+		}
+	}
+	c.Counters.Failed++
+	r.move(Ended)
+	r.step(Step{Pass: true})
+}
+
+// settle notes at the engine that an attempt has ended.
+func (c *Core) settle(r *Record, outcome Outcome, w World) {
+	c.demand(r).running--
+	c.running--
+	c.engine(r.engine).ended(r, outcome, w)
+}
+
+// Begun notes that bytes of the answer go on to the caller, up to and with this event.
+func (c *Core) Begun(r *Record, w World) {
+	if r.stage == Sending {
+		r.move(Passing)
+	}
+	if !r.begun {
+		r.begun = true
+		c.engine(r.engine).began(r, w)
+	}
+}
+
+// CallerLeft drops a record that waits; one under way is ended by its sender.
+func (c *Core) CallerLeft(r *Record, w World) {
+	if r.stage == Held || r.stage == Admitted {
+		c.finish(r, w, CallerLeft, 0)
+	}
+}
+
+// Stop ends all that wait.
+func (c *Core) Stop(w World) {
+	for _, r := range slices.Clone(c.held) {
+		c.finish(r, w, Stopping, time.Second)
+	}
+}
+
+// NextLook is when the records that wait must be looked at again even if nothing happens.
+func (c *Core) NextLook(now clock.Mark) (clock.Mark, bool) {
+	if len(c.held) == 0 {
+		return 0, false
+	}
+	next := c.held[0].Deadline
+	for _, r := range c.held {
+		next = min(next, r.Deadline-clock.Mark(c.least(r)))
+	}
+	// What is about to come or to rest out can't be told in one moment, so there is an upper bound.
+	return max(min(next, now+clock.Mark(lookAgain)), now+clock.Mark(time.Millisecond)), true
+}
+
+const lookAgain = 50 * time.Millisecond
--- /dev/null
+++ b/request/forwarding/record.go
@@ -0,0 +1,131 @@
+// Package forwarding is the way of opaque requests through a routing daemon: which engine serves one, who
+// waits, what may be tried again, and the final answer. The core is pure; the actor beside it has the I/O.
+package forwarding
+
+import (
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/wire/dialect"
+)
+
+// Stage is where a record stands.
+type Stage uint8
+
+const (
+	// Admitted: read, and not yet looked at by the passes.
+	Admitted Stage = iota
+	// Held: waiting for an engine, stamped with a minted id.
+	Held
+	// Sending: an attempt was handed to a sender; the bytes may be on their way.
+	Sending
+	// Passing: bytes of an engine's answer went on to the caller.
+	Passing
+	// Ended: nothing more will happen.
+	Ended
+)
+
+func (s Stage) String() string {
+	return [...]string{"admitted", "held", "sending", "passing", "ended"}[s]
+}
+
+// allowed lists the ways from each stage to the next.
+var allowed = map[Stage][]Stage{
+	Admitted: {Held, Sending, Ended},
+	Held:     {Sending, Ended},
+	// An attempt that did not run, or may be made again, leads back to holding or to the next one.
+	Sending: {Held, Sending, Passing, Ended},
+	// A stream that may be taken up goes on at another engine, within the answer that has begun.
+	Passing: {Held, Sending, Passing, Ended},
+}
+
+// move is the one function by which a record changes its stage.
+func (r *Record) move(to Stage) {
+	for _, way := range allowed[r.stage] {
+		if way == to {
+			r.stage = to
+			return
+		}
+	}
+	panic("broken invariant: a record may not go from " + r.stage.String() + " to " + to.String())
+}
+
+// Record is one request on its way.
+type Record struct {
+	Ask dialect.Ask
+	// Path is what served it by the table in force when it was read; nil is none.
+	Path *forward.Path
+	// Host and Prefixed are what it is looked up by, again, before each attempt.
+	Host, Prefixed string
+	Arrived        clock.Mark
+	Deadline       clock.Mark
+
+	stage Stage
+	// pool is drawn once, so that all attempts go to the same.
+	pool string
+	// sequence orders those that wait by arrival.
+	sequence uint64
+	// Attempts is how many engines it was sent to, tried which; engine is the newest.
+	attempts int
+	tried    []ident.EngineID
+	engine   ident.EngineID
+	// stamps are the minted ids of its holding and of each retry.
+	stamps []ident.MintedID
+	// mayHaveRun says that an attempt may have run, so no refusal may be promised.
+	mayHaveRun bool
+	// begun says that the caller has bytes of an answer.
+	begun bool
+	// lastEvent is the last event passed on, if any was.
+	lastEvent string
+	// offered says that an engine able to run it was asked.
+	offered bool
+	heldAt  clock.Mark
+	sentAt  clock.Mark
+	// needs is the tokens of memory, and unread those of its prompt that the engine chosen has not kept.
+	needs, unread int
+	first         bool
+	steps         chan Step
+	token         uint64
+}
+
+// Stage tells where the record stands.
+func (r *Record) Stage() Stage { return r.stage }
+
+// repeatable says whether the request may run more than once.
+func (r *Record) repeatable() bool { return r.Path != nil && r.Path.Class == forward.Repeatable }
+
+// resumable says whether an answer that broke off may go on at another engine.
+func (r *Record) resumable() bool {
+	return r.Path != nil && r.Path.Class == forward.Stream && r.Path.Resumable
+}
+
+// mayRepeat says whether another attempt may be made although an earlier one may have run.
+func (r *Record) mayRepeat() bool { return r.repeatable() || r.resumable() }
+
+// Step is what the record's sender does next: one of the three.
+type Step struct {
+	Send *Send
+	End  *Answer
+	// Pass lets the engine's own failure go on, since no better answer is to be had.
+	Pass bool
+}
+
+// Send is one attempt to make.
+type Send struct {
+	Engine  ident.EngineID
+	Address string
+	Zone    ident.ZoneID
+	Pool    string
+	Left    time.Duration
+	Urgency int
+	// Careful attempts can't be made again.
+	Careful bool
+	// LastEvent takes a stream up after this event, if Resumes.
+	LastEvent       string
+	Resumes         bool
+	MostConnections int
+	// Stamped says that it was held or tried before, which only a lease allows.
+	Stamped bool
+}
--- /dev/null
+++ b/request/forwarding/settings.go
@@ -0,0 +1,22 @@
+package forwarding
+
+import "time"
+
+// Settings are what a deployment may set of forwarding.
+type Settings struct {
+	// RetryRatio is the share of first sends that may be sent again in any RetryWindow, over the fleet;
+	// RetrySlack is a number that may go beside it.
+	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
+	// RetryUse is the part of both that is used, since daemons can't count together.
+	RetryUse float64
+	// DeadlineSlack is how long past the deadline the engine's own last word is waited for.
+	DeadlineSlack time.Duration
+	// ReportFresh is for how long a report on an engine is believed.
+	ReportFresh time.Duration
+}
+
+// DefaultSettings are modest ones.
+func DefaultSettings() Settings {
+	return Settings{RetryRatio: 0.1, RetrySlack: 10, RetryWindow: 10 * time.Second, RetryUse: 0.5, DeadlineSlack: 50 * time.Millisecond, ReportFresh: 2 * time.Second}
+}
