Put the gateway into the daemon, behind an option

Cause: the request path for opaque requests has to be reachable. What: WithForwarding; whatever the product does not serve itself goes to the gateway. Tests: a request goes through unchanged, events go on as they come.

--- a/cmd/cresspond-platform/main.go
+++ b/cmd/cresspond-platform/main.go
@@ -65,6 +65,7 @@
 	}()
 	made := daemon.New(settings, version, log.Log,
 		daemon.WithReadiness(func(*daemon.Daemon) daemon.Handler { return platform.Readiness{} }),
+		daemon.WithForwarding(platform.Dialect()),
 	)
 	go watch(*file, made.Reload)
 	if err := made.Run(stop, nil); err != nil {
--- /dev/null
+++ b/connection/gateway/gateway_test.go
@@ -0,0 +1,286 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"github.com/cresspond/cresspond/connection/engineconn"
+	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/registry"
+	"github.com/cresspond/cresspond/request/forwarding"
+	"github.com/cresspond/cresspond/wire/dialect"
+)
+
+var _ = fasthttputil.NewInmemoryListener
+
+// arrival is one request as an engine read it.
+type arrival struct {
+	request *http.Request
+	body    string
+	// conn is the connection it came on, number how many came on it before.
+	conn   net.Conn
+	number int
+}
+
+// standIn is an engine that answers over raw sockets, with whatever bytes a test wants.
+type standIn struct {
+	id       ident.EngineID
+	listener net.Listener
+	// answer writes the answer; it says whether the connection is kept.
+	answer func(a arrival) bool
+	mutex  sync.Mutex
+	came   []arrival
+	conns  atomic.Int64
+	closed chan struct{}
+}
+
+func newStandIn(t testing.TB, id ident.EngineID, answer func(a arrival) bool) *standIn {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &standIn{id: id, listener: listener, answer: answer, closed: make(chan struct{}, 64)}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *standIn) serve(conn net.Conn) {
+	defer func() { conn.Close(); s.closed <- struct{}{} }()
+	reader := bufio.NewReader(conn)
+	for number := 0; ; number++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		a := arrival{request, string(body), conn, number}
+		s.mutex.Lock()
+		s.came = append(s.came, a)
+		s.mutex.Unlock()
+		if !s.answer(a) {
+			return
+		}
+	}
+}
+
+func (s *standIn) arrivals() []arrival {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return append([]arrival(nil), s.came...)
+}
+
+func (s *standIn) registered(pool string) *registry.Engine {
+	return &registry.Engine{Word: registry.Word{ID: s.id, Pool: pool, Address: s.listener.Addr().String(), Slots: 64}}
+}
+
+// whole is a sealed answer of a length.
+func whole(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nCresspond-Seal: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func idOf(a arrival) string { return a.request.Header.Get("X-Attempt-Id") }
+
+func say(a arrival, text string) { _, _ = io.WriteString(a.conn, text) }
+
+// fixture is a gateway before stand-in engines.
+type fixture struct {
+	t        testing.TB
+	gateway  *Gateway
+	address  string
+	index    atomic.Pointer[forward.Index]
+	view     atomic.Pointer[registry.View]
+	held     atomic.Bool
+	draining atomic.Bool
+	actor    *forwarding.Actor
+	pools    *engineconn.Pools
+}
+
+func path(name string, class forward.Class) forward.Path {
+	return forward.Path{Name: name, Host: "h.example", Prefix: "/" + name + "/", Class: class, DeadlineMs: 5000, TargetMs: 1000, Attempts: 3, Shares: []forward.Share{{Pool: "p", Weight: 1}}}
+}
+
+func newFixture(t testing.TB, engines ...*standIn) *fixture {
+	t.Helper()
+	f := &fixture{t: t}
+	f.held.Store(true)
+	resumable := path("resume", forward.Stream)
+	resumable.Resumable = true
+	f.index.Store(forward.NewIndex(&forward.Section{Revision: 1, Pools: []forward.Pool{{Name: "p"}},
+		Paths: []forward.Path{path("once", forward.Once), path("again", forward.Repeatable), path("stream", forward.Stream), resumable}}))
+	f.engines(engines...)
+	settings := forwarding.DefaultSettings()
+	settings.RetrySlack = 1000
+	var minted atomic.Int64
+	f.actor = forwarding.NewActor(settings, func() forwarding.World {
+		return forwarding.World{Now: clock.System{}.Elapsed(), Index: f.index.Load(), Current: true, View: f.view.Load(), Edges: 1,
+			Mint: func() (ident.MintedID, bool) { return ident.MintedID(minted.Add(1)), f.held.Load() }}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.actor.Run(ctx)
+	f.pools = engineconn.New(clock.System{}, dialect.Own())
+	f.gateway = New(Surroundings{Clock: clock.System{}, Dialect: dialect.Own(), Index: f.index.Load, View: f.view.Load,
+		Held: f.held.Load, Draining: f.draining.Load, Settings: settings}, f.actor, f.pools)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: f.gateway.Handle, DisablePreParseMultipartForm: true, Logger: quiet{}, CloseOnShutdown: true}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { listener.Close() })
+	f.address = listener.Addr().String()
+	return f
+}
+
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// engines replaces the registered engines.
+func (f *fixture) engines(engines ...*standIn) {
+	view := &registry.View{Engines: map[ident.EngineID]*registry.Engine{}, Pools: map[string][]*registry.Engine{}}
+	for _, one := range engines {
+		engine := one.registered("p")
+		view.Engines[one.id] = engine
+		view.Pools["p"] = append(view.Pools["p"], engine)
+	}
+	f.view.Store(view)
+}
+
+func (f *fixture) dial() net.Conn {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", f.address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	return conn
+}
+
+// ask is a request of a client.
+func ask(path, id, body string, fields ...string) string {
+	return fmt.Sprintf("POST /%s/x?q=%%41 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s",
+		path, id, len(body), strings.Join(append(fields, ""), "\r\n"), body)
+}
+
+// result is what a client got.
+type result struct {
+	status int
+	head   http.Header
+	body   string
+	// err is why the answer does not look whole.
+	err error
+}
+
+func read(reader *bufio.Reader) result {
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return result{err: err}
+	}
+	body, err := io.ReadAll(response.Body)
+	return result{response.StatusCode, response.Header, string(body), err}
+}
+
+// call sends a request on a connection of its own.
+func (f *fixture) call(text string) result {
+	f.t.Helper()
+	conn := f.dial()
+	defer conn.Close()
+	if _, err := io.WriteString(conn, text); err != nil {
+		f.t.Fatal(err)
+	}
+	return read(bufio.NewReader(conn))
+}
+
+func TestARequestGoesThroughUnchanged(t *testing.T) {
+	engine := newStandIn(t, "e1", func(a arrival) bool { say(a, whole(idOf(a), "pong")); return true })
+	f := newFixture(t, engine)
+	for range 3 {
+		got := f.call(ask("once", "a1", "ping", "X-Own: 1", "Connection: X-Hop", "X-Hop: 2", "TE: trailers", "Upgrade: x", "Cresspond-Deadline-Ms: 900"))
+		if got.status != 200 || got.body != "pong" || got.err != nil || got.head.Get("Cresspond-Seal") != "s" || got.head.Get("X-Attempt-Id") != "a1" {
+			t.Fatalf("%+v", got)
+		}
+	}
+	came := engine.arrivals()
+	a := came[0]
+	if a.request.Method != "POST" || a.request.RequestURI != "/once/x?q=%41" || a.body != "ping" || a.request.Host != "h.example" || a.request.Header.Get("X-Own") != "1" {
+		t.Errorf("%+v", a.request)
+	}
+	for _, gone := range []string{"X-Hop", "TE", "Upgrade", "Connection"} {
+		if a.request.Header.Get(gone) != "" {
+			t.Errorf("%s went along", gone)
+		}
+	}
+	if a.request.Header.Get("Cresspond-Engine") != "e1" || a.request.Header.Get("Cresspond-Deadline-Ms") == "" || a.request.Header.Get("Cresspond-Deadline-Ms") > "900" && len(a.request.Header.Get("Cresspond-Deadline-Ms")) > 2 {
+		t.Errorf("%+v", a.request.Header)
+	}
+	if engine.conns.Load() != 1 {
+		t.Errorf("%d connections", engine.conns.Load())
+	}
+}
+
+func TestEventsGoOnAsTheyCome(t *testing.T) {
+	next := make(chan string)
+	engine := newStandIn(t, "e1", func(a arrival) bool {
+		say(a, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+idOf(a)+"\r\nCresspond-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for event := range next {
+			if event == "" {
+				say(a, "0\r\n\r\n")
+				return true
+			}
+			say(a, fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
+		}
+		return false
+	})
+	f := newFixture(t, engine)
+	conn := f.dial()
+	_, _ = io.WriteString(conn, ask("stream", "a1", "go"))
+	reader := bufio.NewReader(conn)
+	next <- "id: 1\ndata: x\n\n"
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	buffer := make([]byte, 100)
+	for n := 2; n < 6; n++ {
+		got, err := response.Body.Read(buffer)
+		if err != nil || string(buffer[:got]) != fmt.Sprintf("id: %d\ndata: x\n\n", n-1) {
+			t.Fatalf("%q %v", buffer[:got], err)
+		}
+		next <- fmt.Sprintf("id: %d\ndata: x\n\n", n)
+	}
+	next <- ""
+	rest, err := io.ReadAll(response.Body)
+	if err != nil || string(rest) != "id: 5\ndata: x\n\n" {
+		t.Fatalf("%q %v", rest, err)
+	}
+}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
+	"errors"
 	"net"
 	"net/http"
 	"slices"
@@ -107,6 +108,8 @@
 	controlMakers, readyMakers []func(*Daemon) Handler
 	control, ready             []Handler
 
+	forwardSide forwardSide
+
 	counters counters
 }
 
@@ -258,6 +261,9 @@
 	for _, make := range d.readyMakers {
 		d.ready = append(d.ready, make(d))
 	}
+	if d.forwards() {
+		d.startForwarding(ctx)
+	}
 
 	run := func(actor func(context.Context)) { go actor(ctx) }
 	run(d.keeper.Run)
@@ -343,8 +349,12 @@
 // badRequest answers what could not even be read as HTTP.
 func badRequest(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
-	if err == fasthttp.ErrBodyTooLarge {
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case err == fasthttp.ErrBodyTooLarge:
 		status = fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, &small):
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	}
 	frontdoor.Fail(ctx, status, callerapi.Error{Outcome: callerapi.Invalid, Reason: "the request cannot be read: " + err.Error()})
 	ctx.SetConnectionClose()
@@ -361,7 +371,8 @@
 	return &fasthttp.Server{
 		Handler: handle, Name: "cresspond", MaxRequestBodySize: mostCallerBody, HeaderReceived: bodyLimit, ReadTimeout: 20 * time.Second, WriteTimeout: 5 * time.Minute,
 		IdleTimeout: time.Minute, NoDefaultServerHeader: true, Concurrency: 8192, CloseOnShutdown: true, Logger: quiet{}, ReadBufferSize: 16 << 10,
-		ErrorHandler: badRequest,
+		// A form is some caller's body like any other, and goes on byte for byte.
+		ErrorHandler: badRequest, DisablePreParseMultipartForm: true,
 	}
 }
 
@@ -395,8 +406,10 @@
 	d.letGo(ctx)
 	path := string(ctx.Path())
 	switch {
+	case d.isForwarded(ctx, path):
+		d.forwardSide.gateway.Handle(ctx)
 	case d.config.Serves(config.Route) && d.config.OpaqueOnly:
-		// No opaque path is served before a bundle with paths is in force.
+		// Nothing else is served there, not even by a daemon put together without forwarding.
 		frontdoor.Fail(ctx, fasthttp.StatusServiceUnavailable, callerapi.Error{Outcome: callerapi.Unknown, Reason: "no paths are in force here yet"})
 	case path == callerapi.PathGenerate && d.config.Serves(config.Route):
 		d.door.Handle(ctx)
@@ -446,7 +459,12 @@
 	d.desk.Handle(ctx, path)
 }
 
-func (d *Daemon) poke() { d.dispatch.Poke() }
+func (d *Daemon) poke() {
+	d.dispatch.Poke()
+	if d.forwardSide.actor != nil {
+		d.forwardSide.actor.Poke()
+	}
+}
 
 func (d *Daemon) serve() []string {
 	out := make([]string, 0, len(d.config.Serve))
--- /dev/null
+++ b/process/daemon/forward.go
@@ -0,0 +1,167 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cresspond/cresspond/connection/engineconn"
+	"github.com/cresspond/cresspond/connection/gateway"
+	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/registry"
+	"github.com/cresspond/cresspond/process/snowflake"
+	"github.com/cresspond/cresspond/request/forwarding"
+	"github.com/cresspond/cresspond/wire/dialect"
+)
+
+// forwardSide is what a daemon that forwards opaque requests has beside the rest.
+type forwardSide struct {
+	dialect  dialect.Dialect
+	settings forwarding.Settings
+	// view gives the registered engines, lacks what the planner will not load soon.
+	view  func() *registry.View
+	lacks func(pool, model, adapter string) (time.Duration, bool)
+
+	actor   *forwarding.Actor
+	pools   *engineconn.Pools
+	gateway *gateway.Gateway
+	// edges is how many daemons route, as last counted, edgesAt when that was.
+	edges, edgesAt atomic.Int64
+}
+
+// WithForwarding has the daemon serve the paths of opaque requests that a bundle names.
+func WithForwarding(d dialect.Dialect) Option {
+	return func(daemon *Daemon) { daemon.forwardSide.dialect = d }
+}
+
+// forwardSettings takes what forwarding is held to from the daemon's own settings.
+func forwardSettings(c config.Config) forwarding.Settings {
+	s := forwarding.DefaultSettings()
+	s.RetryRatio, s.RetrySlack, s.RetryWindow = c.Bounds.RetryRatio, c.Bounds.RetrySlack, time.Duration(c.Bounds.RetryWindowMs)*time.Millisecond
+	return s
+}
+
+// WithEngineView replaces where the registered engines are looked up.
+func WithEngineView(view func() *registry.View) Option {
+	return func(d *Daemon) { d.forwardSide.view = view }
+}
+
+// forwards says whether opaque requests are served here.
+func (d *Daemon) forwards() bool {
+	return d.forwardSide.dialect != nil && d.config.Serves(config.Route)
+}
+
+// startForwarding puts the request path together.
+func (d *Daemon) startForwarding(ctx context.Context) {
+	side := &d.forwardSide
+	side.settings = forwardSettings(d.config)
+	if side.view == nil {
+		side.view = d.registry.View
+	}
+	side.pools = engineconn.New(d.clock, side.dialect)
+	side.actor = forwarding.NewActor(side.settings, d.forwardWorld)
+	side.gateway = gateway.New(gateway.Surroundings{
+		Clock: d.clock, Dialect: side.dialect, Index: d.forwardIndex, View: side.view, Held: d.generator.Held,
+		Draining: d.draining.Load, Settings: side.settings,
+	}, side.actor, side.pools)
+	go side.actor.Run(ctx)
+	go d.runSweeps(ctx)
+}
+
+// sweepEvery is how often connections that engines have let go of are closed here too.
+const sweepEvery = 5 * time.Second
+
+func (d *Daemon) runSweeps(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		view := d.forwardSide.view()
+		d.forwardSide.pools.Sweep(func(id ident.EngineID) bool {
+			engine, known := view.Engines[id]
+			return known && !engine.Gone
+		})
+		d.forwardSide.actor.Ask(func(core *forwarding.Core, _ forwarding.World) { core.Forget(view) })
+	}
+}
+
+// forwardIndex is the bundle's section in force; nil is none.
+func (d *Daemon) forwardIndex() *forward.Index {
+	if t := d.keeper.Table(); t != nil {
+		return t.Forward
+	}
+	return nil
+}
+
+// forwardWorld is what forwarding may look at now.
+func (d *Daemon) forwardWorld() forwarding.World {
+	now := d.clock.Elapsed()
+	current, _ := d.members.Ready()
+	return forwarding.World{
+		Now: now, Index: d.forwardIndex(), Current: current, View: d.forwardSide.view(), Zone: d.config.Zone,
+		Edges: d.edges(now), Lacks: d.forwardSide.lacks,
+		Mint: func() (ident.MintedID, bool) {
+			id, verdict := d.generator.Mint()
+			return id, verdict == snowflake.Minted
+		},
+	}
+}
+
+const (
+	// edgesCounted is how long a count of the daemons that route is used.
+	edgesCounted = time.Second
+	// edgesHeard is how lately one must have been heard of to count; one that is only cut off still sends.
+	edgesHeard = 20 * time.Second
+)
+
+// edges counts the daemons that route.
+func (d *Daemon) edges(now clock.Mark) int {
+	side := &d.forwardSide
+	if counted := side.edges.Load(); counted > 0 && now.Since(clock.Mark(side.edgesAt.Load())) < edgesCounted {
+		return int(counted)
+	}
+	count := 1
+	for _, fellow := range d.members.View().InContact(now, edgesHeard) {
+		if fellow.NodeID != d.nodeID && fellow.Serves(string(config.Route)) {
+			count++
+		}
+	}
+	side.edges.Store(int64(count))
+	side.edgesAt.Store(int64(now))
+	return count
+}
+
+// isForwarded says whether a request is for the gateway: all that the product itself does not serve, and
+// what the bundle in force names outright.
+func (d *Daemon) isForwarded(ctx *fasthttp.RequestCtx, path string) bool {
+	if !d.forwards() {
+		return false
+	}
+	if d.config.OpaqueOnly || !strings.HasPrefix(path, "/v1/") {
+		return true
+	}
+	index := d.forwardIndex()
+	if index == nil {
+		return false
+	}
+	_, found := index.Lookup(string(ctx.Request.Header.Host()), path)
+	return found
+}
+
+// ForwardDemands lists what opaque requests ask for here.
+func (d *Daemon) ForwardDemands() []forwarding.Demand {
+	if !d.forwards() {
+		return nil
+	}
+	return d.forwardSide.actor.Demands()
+}
