Take engines' words over HTTP, in the product's own form and in the platform's

PUT and DELETE /v1/engines/ID, GET /v1/engines; on the users' platform the same words in its names, translated without a decision of their own. A bad field is named and changes nothing; a late word is acknowledged and passed over.

--- a/cmd/cresspond-platform/main.go
+++ b/cmd/cresspond-platform/main.go
@@ -66,6 +66,7 @@
 	made := daemon.New(settings, version, log.Log,
 		daemon.WithReadiness(func(*daemon.Daemon) daemon.Handler { return platform.Readiness{} }),
 		daemon.WithForwarding(platform.Dialect()),
+		daemon.WithControl(func(d *daemon.Daemon) daemon.Handler { return platform.NewEngines(d) }),
 	)
 	go watch(*file, made.Reload)
 	if err := made.Run(stop, nil); err != nil {
--- a/connection/operators/operators.go
+++ b/connection/operators/operators.go
@@ -25,6 +25,7 @@
 	Ready() (bool, string)
 	Status() operatorapi.Status
 	Counters() string
+	Registrar
 }
 
 // Desk serves operators.
@@ -38,6 +39,10 @@
 
 // Handle serves one request.
 func (d *Desk) Handle(ctx *fasthttp.RequestCtx, path string) {
+	if id, own := strings.CutPrefix(path, operatorapi.PathEngines); own && (id == "" || id[0] == '/' && id != "/") {
+		d.engines(ctx, strings.TrimPrefix(id, "/"))
+		return
+	}
 	posts := map[string]func(*fasthttp.RequestCtx){
 		operatorapi.PathPropose: d.propose,
 		operatorapi.PathReview:  d.act(statemachine.OpReview),
--- a/process/daemon/registry.go
+++ b/process/daemon/registry.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/cresspond/cresspond/process/registry"
 	"github.com/cresspond/cresspond/process/statemachine"
 	"github.com/cresspond/cresspond/wire/fellowapi"
+	"github.com/cresspond/cresspond/wire/operatorapi"
 )
 
 const (
@@ -24,62 +26,53 @@
 	leftLately = time.Minute
 )
 
-// RegisterWord says what became of an engine's word.
-type RegisterWord string
-
-const (
-	Acknowledged RegisterWord = "acknowledged"
-	// Unregistered says that the word may not be everywhere it must be: it is to be said again, to another daemon.
-	Unregistered RegisterWord = "unknown"
-)
-
 // Registry is what this daemon knows of the engines that register themselves.
 func (d *Daemon) Registry() *registry.Registry { return d.registry }
 
 // Register takes what an engine says of itself.
-func (d *Daemon) Register(ctx context.Context, word registry.Word) RegisterWord {
+func (d *Daemon) Register(ctx context.Context, word registry.Word) registry.Outcome {
 	if !d.config.Serves(config.Control) {
-		return Unregistered
+		return registry.Outcome{Verdict: registry.Unknown}
 	}
 	hearing, ok := d.registry.Hear(word)
 	if !ok {
-		return Unregistered
+		return registry.Outcome{Verdict: registry.Unknown}
 	}
 	if !word.Leaving {
-		return Acknowledged
+		return registry.Outcome{Verdict: registry.Acknowledged}
 	}
 	return d.leave(ctx, word.ID, hearing)
 }
 
 // Deregister takes an engine's word that it is gone.
-func (d *Daemon) Deregister(ctx context.Context, id ident.EngineID) RegisterWord {
+func (d *Daemon) Deregister(ctx context.Context, id ident.EngineID) registry.Outcome {
 	if !d.config.Serves(config.Control) {
-		return Unregistered
+		return registry.Outcome{Verdict: registry.Unknown}
 	}
 	hearing, ok := d.registry.End(id)
 	if !ok {
-		return Unregistered
+		return registry.Outcome{Verdict: registry.Unknown}
 	}
 	return d.leave(ctx, id, hearing)
 }
 
 // leave has the group write down that an engine leaves. All hear of it from here meanwhile, since it does no
 // harm to know it early; the acknowledgement rests on the group, so that it outlives this daemon.
-func (d *Daemon) leave(ctx context.Context, id ident.EngineID, hearing registry.Hearing) RegisterWord {
+func (d *Daemon) leave(ctx context.Context, id ident.EngineID, hearing registry.Hearing) registry.Outcome {
 	bounded, cancel := context.WithTimeout(ctx, leaveLimit)
 	defer cancel()
 	if hearing.Left {
 		// Said again: it is written down, and need only have had the time to get about.
 		d.awaitReach(bounded, hearing.Change, leaveReach-d.clock.Elapsed().Since(hearing.LeftAt))
-		return Acknowledged
+		return registry.Outcome{Verdict: registry.Acknowledged}
 	}
 	answer, ok := d.submit(bounded, statemachine.Command{Op: statemachine.OpLeave, Engine: id})
 	if !ok || answer.Verdict != statemachine.Done {
 		d.counters.leavesUnknown.Add(1)
-		return Unregistered
+		return registry.Outcome{Verdict: registry.Unknown}
 	}
 	d.registry.Leave([]ident.EngineID{id}, false, true)
-	return Acknowledged
+	return registry.Outcome{Verdict: registry.Acknowledged}
 }
 
 // awaitLeave is called at the leader when a leave is committed: it waits until all in contact know.
@@ -120,6 +113,35 @@
 	}
 }
 
+// Engines lists the engines that register themselves, as this daemon knows them.
+func (d *Daemon) Engines() operatorapi.Engines {
+	view, heard, now := d.registry.View(), d.registry.Heard(), d.clock.Elapsed()
+	out := operatorapi.Engines{Version: view.Version, Engines: []operatorapi.RegisteredEngine{}}
+	for id, engine := range view.Engines {
+		row := operatorapi.RegisteredEngine{ID: id, HeardMsAgo: now.Since(max(heard[id], engine.Heard)).Milliseconds(), Condition: operatorapi.EngineUsable,
+			Registration: operatorapi.Registration{Pool: engine.Pool, Address: engine.Address, Zone: engine.Zone, Software: engine.Software, Slots: engine.Slots,
+				Leaving: engine.Leaving, LeaveMs: engine.LeaveMs, ColdMs: max(0, engine.ColdMs-now.Since(engine.Heard).Milliseconds()), Phase: engine.Phase,
+				Models: []operatorapi.HeldModel{}, CallSeq: engine.CallSeq}}
+		switch {
+		case engine.Gone:
+			row.Condition = operatorapi.EngineGone
+		case engine.Silent:
+			row.Condition = operatorapi.EngineSilent
+		case engine.Leaving:
+			row.Condition = operatorapi.EngineLeaving
+		}
+		for _, held := range engine.Models() {
+			row.Models = append(row.Models, operatorapi.HeldModel{Model: held.Model, Generation: held.Generation, Adapters: held.Adapters})
+		}
+		if engine.Plan != nil {
+			row.Claim, row.Turn = engine.Plan.Claim, engine.Plan.Turn
+		}
+		out.Engines = append(out.Engines, row)
+	}
+	slices.SortFunc(out.Engines, func(a, b operatorapi.RegisteredEngine) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
 // tellRegistry puts into a reply what changed here since the asker's last question.
 func (d *Daemon) tellRegistry(in *fellowapi.PullRequest, reply *fellowapi.PullReply) {
 	wanted := make([]ident.EngineID, 0, len(in.RegistryWanted))
@@ -181,7 +203,9 @@
 }
 
 // beatPeriod is how often engines that register themselves beat.
-func (d *Daemon) beatPeriod() time.Duration { return time.Duration(d.Bounds().BeatMs) * time.Millisecond }
+func (d *Daemon) beatPeriod() time.Duration {
+	return time.Duration(d.Bounds().BeatMs) * time.Millisecond
+}
 
 // contact says how well this daemon hears what other control daemons hear. One that is cut off from any that
 // lives can't tell an engine's silence from its own deafness.
--- /dev/null
+++ b/rehearsal/endtoend/registering_test.go
@@ -0,0 +1,141 @@
+package endtoend
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/cresspond/cresspond/process/daemon"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+// say calls an engine's own path at a daemon.
+func (b *bench) say(method, id string, body any) (int, operatorapi.Error) {
+	b.t.Helper()
+	text := ""
+	if body != nil {
+		text = string(encode(b.t, body))
+	}
+	request, err := http.NewRequest(method, "http://"+b.address+operatorapi.PathEngines+"/"+id, strings.NewReader(text))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, operatorapi.Error{}
+	}
+	defer response.Body.Close()
+	var word operatorapi.Error
+	_ = json.NewDecoder(response.Body).Decode(&word)
+	return response.StatusCode, word
+}
+
+// condition is what a daemon says of one registered engine; empty if it does not know it.
+func (b *bench) condition(id string) string {
+	var list operatorapi.Engines
+	b.get(operatorapi.PathEngines, &list)
+	for _, engine := range list.Engines {
+		if string(engine.ID) == id {
+			return engine.Condition
+		}
+	}
+	return ""
+}
+
+func registration(number int, callSeq uint64) operatorapi.Registration {
+	return operatorapi.Registration{Pool: "p", Address: fmt.Sprintf("10.0.0.%d:80", number), Zone: "here", Slots: 4, CallSeq: callSeq,
+		Models: []operatorapi.HeldModel{{Model: "m", Generation: 1, Adapters: []string{"a"}}}}
+}
+
+func TestEnginesThatRegisterAreKnownEverywhereAndLeaveForGood(t *testing.T) {
+	all := several(t, 3, func(int) []daemon.Option { return nil })
+	everywhere := func(id, condition string) {
+		t.Helper()
+		for _, b := range all {
+			b.await(id+" is "+condition, func() bool { return b.condition(id) == condition })
+		}
+	}
+	for i, b := range all {
+		if status, word := b.say("PUT", fmt.Sprint("r", i), registration(i, 1)); status != 200 {
+			t.Fatal(status, word)
+		}
+	}
+	for i := range all {
+		everywhere(fmt.Sprint("r", i), operatorapi.EngineUsable)
+	}
+	leaving := registration(0, 2)
+	leaving.Leaving = true
+	if status, word := all[1].say("PUT", "r0", leaving); status != 200 {
+		t.Fatal(status, word)
+	}
+	// It was told to one daemon, and acknowledged: all that are in contact know it already.
+	for _, b := range all {
+		if condition := b.condition("r0"); condition != operatorapi.EngineLeaving {
+			t.Errorf("%s: r0 is %q", b.name, condition)
+		}
+	}
+	for i, b := range all {
+		leaving.CallSeq++
+		if status, _ := b.say("PUT", "r0", leaving); status != 200 {
+			t.Error("said again:", status)
+		}
+		if status, _ := b.say("DELETE", fmt.Sprint("never-known-", i), nil); status != 200 {
+			t.Error("an unknown one ends:", status)
+		}
+	}
+	if status, _ := all[2].say("DELETE", "r1", nil); status != 200 {
+		t.Error(status)
+	}
+	everywhere("r1", operatorapi.EngineGone)
+	for i, b := range all {
+		// Neither is taken up again, whoever is told.
+		if status, _ := b.say("PUT", "r1", registration(1, 99)); status != 200 {
+			t.Error(status)
+		}
+		if status, _ := b.say("PUT", "r0", registration(0, uint64(90+i))); status != 200 {
+			t.Error(status)
+		}
+		if status, _ := b.say("PUT", fmt.Sprint("never-known-", i), registration(50+i, 1)); status != 200 {
+			t.Error(status)
+		}
+	}
+	for i, b := range all {
+		for _, other := range all {
+			id := fmt.Sprint("never-known-", i)
+			if condition := other.condition(id); condition == operatorapi.EngineUsable || b.condition("r0") == operatorapi.EngineUsable || b.condition("r1") == operatorapi.EngineUsable {
+				t.Errorf("%s at %s: %q", id, other.name, condition)
+			}
+		}
+	}
+	// Who misses its beats is silent everywhere.
+	everywhere("r2", operatorapi.EngineSilent)
+	if status, _ := all[0].say("PUT", "r2", registration(2, 2)); status != 200 {
+		t.Error(status)
+	}
+	everywhere("r2", operatorapi.EngineUsable)
+}
+
+func TestABadRegistrationNamesItsField(t *testing.T) {
+	all := several(t, 1, func(int) []daemon.Option { return nil })
+	b := all[0]
+	for field, change := range map[string]func(*operatorapi.Registration){
+		"pool":                  func(r *operatorapi.Registration) { r.Pool = "" },
+		"address":               func(r *operatorapi.Registration) { r.Address = "nowhere" },
+		"slots":                 func(r *operatorapi.Registration) { r.Slots = 0 },
+		"callSeq":               func(r *operatorapi.Registration) { r.CallSeq = 0 },
+		"coldMs":                func(r *operatorapi.Registration) { r.ColdMs = -1 },
+		"models[0].model":       func(r *operatorapi.Registration) { r.Models[0].Model = "" },
+		"models[0].adapters[0]": func(r *operatorapi.Registration) { r.Models[0].Adapters[0] = "" },
+	} {
+		r := registration(1, 1)
+		change(&r)
+		if status, word := b.say("PUT", "r1", r); status != 400 || word.Field != field {
+			t.Errorf("%s: %d %+v", field, status, word)
+		}
+	}
+	if condition := b.condition("r1"); condition != "" {
+		t.Errorf("taken all the same: %s", condition)
+	}
+}
--- /dev/null
+++ b/wire/operatorapi/engines.go
@@ -0,0 +1,60 @@
+package operatorapi
+
+import "github.com/cresspond/cresspond/process/ident"
+
+// PathEngines lists the engines that register themselves; an engine's own path is behind it and a slash.
+const PathEngines = "/v1/engines"
+
+// HeldModel is one model that an engine holds, with its adapters.
+type HeldModel struct {
+	Model      string   `json:"model" validate:"required,max=200"`
+	Generation uint64   `json:"generation"`
+	Adapters   []string `json:"adapters" validate:"max=65536,dive,required,max=200"`
+}
+
+// Registration is what an engine says of itself, again and again.
+type Registration struct {
+	Pool     string       `json:"pool" validate:"required,max=200"`
+	Address  string       `json:"address" validate:"required,ipport"`
+	Zone     ident.ZoneID `json:"zone" validate:"max=200"`
+	Software string       `json:"software" validate:"max=200"`
+	Slots    int          `json:"slots" validate:"gte=1,lte=1000000"`
+	Leaving  bool         `json:"leaving"`
+	LeaveMs  int64        `json:"leaveMs,omitempty" validate:"gte=0"`
+	ColdMs   int64        `json:"coldMs,omitempty" validate:"gte=0"`
+	Phase    string       `json:"phase,omitempty" validate:"max=200"`
+	Models   []HeldModel  `json:"models" validate:"max=65536,dive"`
+	// CallSeq rises with each call, so that a late one can be known.
+	CallSeq uint64 `json:"callSeq" validate:"required"`
+}
+
+// The conditions of a registered engine.
+const (
+	EngineUsable  = "usable"
+	EngineLeaving = "leaving"
+	EngineSilent  = "silent"
+	EngineGone    = "gone"
+)
+
+// RegisteredEngine is one row of the list.
+type RegisteredEngine struct {
+	ID ident.EngineID `json:"id"`
+	Registration
+	Condition string `json:"condition"`
+	// HeardMsAgo is when any control daemon last heard it, as far as the answering daemon knows.
+	HeardMsAgo int64 `json:"heardMsAgo"`
+	// Claim and Turn are of the planner's newest word on it.
+	Claim ident.ClaimNumber `json:"claim,omitempty"`
+	Turn  uint64            `json:"turn,omitempty"`
+}
+
+// Engines is the list.
+type Engines struct {
+	Version uint64             `json:"version"`
+	Engines []RegisteredEngine `json:"engines"`
+}
+
+// Registered answers an engine.
+type Registered struct {
+	Outcome string `json:"outcome"`
+}
