--- a/cmd/cresspond-platform/main.go
+++ b/cmd/cresspond-platform/main.go
@@ -67,6 +67,7 @@
 		daemon.WithReadiness(func(*daemon.Daemon) daemon.Handler { return platform.Readiness{} }),
 		daemon.WithForwarding(platform.Dialect()),
 		daemon.WithControl(func(d *daemon.Daemon) daemon.Handler { return platform.NewEngines(d) }),
+		daemon.WithPoolPlanning(platform.NewEngineClient(), daemon.PoolSettings(settings)),
 	)
 	go watch(*file, made.Reload)
 	if err := made.Run(stop, nil); err != nil {
--- a/process/daemon/poolplanning.go
+++ b/process/daemon/poolplanning.go
@@ -14,12 +14,6 @@
 	"github.com/cresspond/cresspond/wire/fellowapi"
 )
 
-// registeredEngines is what the planner of pools needs of the registry.
-type registeredEngines interface {
-	View() *registry.View
-	TellPlan(plans map[ident.EngineID]registry.Plan)
-}
-
 // poolPlanning is the planner of pools, where the daemon was put together with one. A nil one plans nothing.
 type poolPlanning struct {
 	client   poolplacement.EngineClient
@@ -27,6 +21,13 @@
 	placer   *poolplacement.Actor
 }
 
+// PoolSettings are the planner's settings for a deployment with these bounds.
+func PoolSettings(c config.Config) poolplacement.Settings {
+	settings := poolplacement.DefaultSettings("", time.Duration(c.Bounds.LeaseMs)*time.Millisecond)
+	settings.Window = time.Duration(c.Bounds.OriginWindowMs) * time.Millisecond
+	return settings
+}
+
 // WithPoolPlanning has the daemon place models on engines that register themselves, where it serves that.
 // The claim's times are the deployment's, so all members of the group must be put together with the same.
 func WithPoolPlanning(client poolplacement.EngineClient, settings poolplacement.Settings) Option {
@@ -38,7 +39,7 @@
 
 // make makes the actor, before any other of the daemon's runs.
 func (p *poolPlanning) make(d *Daemon) {
-	if p == nil || d.poolEngines() == nil {
+	if p == nil {
 		return
 	}
 	if p.settings.Owner == "" {
@@ -89,16 +90,13 @@
 	say("pool_reports_stale", c.StaleReports)
 }
 
-// poolEngines is the registry, where there is one.
-func (d *Daemon) poolEngines() registeredEngines { return nil }
-
 // poolPlanner is the daemon as the planner of pools sees it.
 type poolPlanner struct{ *Daemon }
 
 // Input gathers what the plan looks at.
 func (p poolPlanner) Input() poolplacement.Input {
 	now := p.clock.Elapsed()
-	in := poolplacement.Input{Now: now, View: p.poolEngines().View()}
+	in := poolplacement.Input{Now: now, View: p.registry.View()}
 	if t := p.keeper.Table(); t != nil && t.Forward != nil {
 		in.Section = t.Forward.Section
 	}
@@ -141,10 +139,10 @@
 // heardClaim is the highest claim number that this daemon has heard of, so that none is ever given out twice.
 func (d *Daemon) heardClaim() ident.ClaimNumber {
 	var highest ident.ClaimNumber
-	if d.pools == nil || d.poolEngines() == nil {
+	if d.pools == nil {
 		return 0
 	}
-	for _, engine := range d.poolEngines().View().Engines {
+	for _, engine := range d.registry.View().Engines {
 		if engine.Plan != nil {
 			highest = max(highest, engine.Plan.Claim)
 		}
@@ -169,7 +167,7 @@
 func (p poolPlanner) First() bool { return p.Leads() }
 
 // Tell spreads the plan.
-func (p poolPlanner) Tell(plans map[ident.EngineID]registry.Plan) { p.poolEngines().TellPlan(plans) }
+func (p poolPlanner) Tell(plans map[ident.EngineID]registry.Plan) { p.registry.TellPlan(plans) }
 
 // PoolTarget names a model, or one adapter of it, of a pool.
 type PoolTarget struct{ Pool, Model, Adapter string }
--- a/process/poolplacement/actor.go
+++ b/process/poolplacement/actor.go
@@ -186,7 +186,6 @@
 		}
 		a.around.Tell(plans)
 	}
-	var told statemachine.Told
 	var orders []Order
 	addresses := map[ident.EngineID]string{}
 	for _, order := range given {
@@ -202,27 +201,20 @@
 		}
 		orders = append(orders, stamped)
 		addresses[stamped.Engine] = address
-		if stamped.Kind == Load {
-			if told.Orders == nil {
-				told.Orders = map[ident.EngineID]uint64{}
-			}
-			told.Orders[stamped.Engine] = stamped.Expected + 1
-			if a.planner.Fetches(stamped) {
-				told.Loads++
-			}
-		}
 	}
 	if len(orders) > 0 {
-		go a.send(ctx, number, told, orders, addresses)
+		go a.send(ctx, number, a.planner.Told(orders), orders, addresses)
 	}
 }
 
 // send tells the group of the loads first, so that a successor counts them however this daemon ends, and
 // then sends all orders. An unload can only make room, so it needs no telling.
-func (a *Actor) send(ctx context.Context, number ident.ClaimNumber, told statemachine.Told, orders []Order, addresses map[ident.EngineID]string) {
+func (a *Actor) send(ctx context.Context, number ident.ClaimNumber, told *statemachine.Told, orders []Order, addresses map[ident.EngineID]string) {
 	mayLeave := func() bool { return a.claim.Commands(number) && a.around.LeaseHeld() }
+	asked := a.clock.Elapsed()
 	give := func(order Order) {
-		bounded, cancel := context.WithTimeout(ctx, a.settings.OrderLimit)
+		// The limit counts from before the telling, so that what was told of is not on its way for longer.
+		bounded, cancel := context.WithTimeout(ctx, a.settings.OrderLimit-a.clock.Elapsed().Since(asked))
 		defer cancel()
 		a.box.Send(answered{order, a.client.Order(bounded, addresses[order.Engine], order, mayLeave)})
 	}
@@ -231,13 +223,11 @@
 			go give(order)
 		}
 	}
-	if len(told.Orders) == 0 {
+	if told == nil {
 		return
 	}
-	told.KeepMs = (a.settings.Window + a.settings.OrderLimit + oldLag).Milliseconds()
-	asked := a.clock.Elapsed()
-	bounded, cancel := context.WithTimeout(ctx, a.settings.Span)
-	answer := a.around.Claim(bounded, &told, false)
+	bounded, cancel := context.WithTimeout(ctx, a.settings.OrderLimit)
+	answer := a.around.Claim(bounded, told, false)
 	cancel()
 	known := answer.Granted != nil && answer.Granted.Number == number
 	if known {
@@ -319,16 +309,5 @@
 	counters := a.planner.Counters
 	a.planner, a.plannerOf = NewPlanner(a.settings, now), granted.Number
 	a.planner.Counters = counters
-	if granted.Pools == nil {
-		return
-	}
-	orders := map[ident.EngineID]uint64{}
-	for engine, order := range granted.Pools.Orders {
-		orders[engine] = order.Taken
-	}
-	var loads []Inherited
-	for _, told := range granted.Pools.Loads {
-		loads = append(loads, Inherited{Loads: told.Count, Ago: time.Duration(granted.Now-told.At) * time.Millisecond})
-	}
-	a.planner.Inherit(now, orders, loads, time.Duration(granted.Now-granted.Pools.Since)*time.Millisecond)
+	a.planner.Inherit(now, granted)
 }
--- a/process/poolplacement/plan.go
+++ b/process/poolplacement/plan.go
@@ -10,6 +10,7 @@
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/registry"
+	"github.com/cresspond/cresspond/process/statemachine"
 )
 
 const (
@@ -50,8 +51,8 @@
 	// inherited is what earlier claims told of engines that have not been met yet.
 	inherited      map[ident.EngineID]uint64
 	began, stepped clock.Mark
-	Lacks     []Lack
-	Counters  Counters
+	Lacks          []Lack
+	Counters       Counters
 }
 
 // pool is a pool's catalogue, ready for the plan.
@@ -128,25 +129,47 @@
 		pace: pace{window: settings.Window, unknownUntil: now + clock.Mark(settings.Window)}, began: now, stepped: now}
 }
 
-// Inherited is one thing that earlier claims told: Loads loads, Ago before now.
-type Inherited struct {
-	Loads int
-	Ago   time.Duration
-}
-
-// Inherit takes over what earlier claims told of their orders. known is for how long all was told.
-func (p *Planner) Inherit(now clock.Mark, orders map[ident.EngineID]uint64, loads []Inherited, known time.Duration) {
-	maps.Copy(p.inherited, orders)
-	p.pace.unknownUntil = now + clock.Mark(max(0, p.settings.Window-known))
-	for _, told := range loads {
-		for range told.Loads {
+// Inherit takes over what earlier claims told of their orders: what nobody told of for a window's length may
+// have been any number.
+func (p *Planner) Inherit(now clock.Mark, granted *statemachine.Claim) {
+	told := granted.Pools
+	if told == nil {
+		return
+	}
+	ago := func(at ident.GroupTime) clock.Mark {
+		return now - clock.Mark(time.Duration(granted.Now-at)*time.Millisecond)
+	}
+	for engine, order := range told.Orders {
+		p.inherited[engine] = order.Taken
+	}
+	p.pace.unknownUntil = max(now, ago(told.Since)+clock.Mark(p.settings.Window))
+	for _, loads := range told.Loads {
+		for range loads.Count {
 			p.keys++
 			// It was told of before it left, and may have been on its way for as long as an order's limit.
-			p.pace.begin(p.keys, now-clock.Mark(told.Ago)+clock.Mark(p.settings.OrderLimit))
+			p.pace.begin(p.keys, ago(loads.At)+clock.Mark(p.settings.OrderLimit))
 		}
 	}
 }
 
+// Told is what the group must know of an order before it leaves; an unload can only make room.
+func (p *Planner) Told(orders []Order) *statemachine.Told {
+	told := statemachine.Told{Orders: map[ident.EngineID]uint64{}, KeepMs: (p.settings.Window + p.settings.OrderLimit + oldLag).Milliseconds()}
+	for _, order := range orders {
+		if order.Kind != Load {
+			continue
+		}
+		told.Orders[order.Engine] = order.Expected + 1
+		if e := p.engines[order.Engine]; e != nil && e.flight != nil && e.flight.key != 0 {
+			told.Loads++
+		}
+	}
+	if len(told.Orders) == 0 {
+		return nil
+	}
+	return &told
+}
+
 // Step settles nothing: it takes up what is new, and gives the orders to send now.
 func (p *Planner) Step(in Input) []Order {
 	if in.Section == nil || in.View == nil {
@@ -353,12 +376,6 @@
 	return order
 }
 
-// Fetches says whether an order that was given may fetch weights from the store.
-func (p *Planner) Fetches(order Order) bool {
-	e := p.engines[order.Engine]
-	return e != nil && e.flight != nil && e.flight.key != 0
-}
-
 // Stamp notes the id and the claim that an order is sent under.
 func (p *Planner) Stamp(engine ident.EngineID, stamp ident.MintedID, claim ident.ClaimNumber) (Order, string, bool) {
 	e := p.engines[engine]
