--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -285,8 +285,8 @@
 		d.pools.run(run)
 	}
 
-	fellowServer := &http.Server{Handler: fellowapi.NewFellowServer(d), ReadHeaderTimeout: 5 * time.Second}
-	go func() { d.fail(fellowServer.Serve(fellowListener), "the fellow listener failed") }()
+	fellowServer := &http.Server{Handler: d.links.Traffic.Serve(fellowapi.NewFellowServer(d)), ReadHeaderTimeout: 5 * time.Second}
+	go func() { d.fail(fellowServer.Serve(d.links.Traffic.Listen(fellowListener)), "the fellow listener failed") }()
 	defer fellowServer.Close()
 	servers := []*fasthttp.Server{d.server(d.handle)}
 	go func() { d.fail(servers[0].Serve(callerListener), "the listener failed") }()
--- a/process/daemon/pages.go
+++ b/process/daemon/pages.go
@@ -70,6 +70,12 @@
 	c := &d.counters
 	say("fellow_foreign_group", c.foreignGroup.Load())
 	say("fellow_garbage", c.garbage.Load())
+	t := &d.links.Traffic
+	say("fellow_bytes_sent", t.Sent.Load())
+	say("fellow_bytes_received", t.Received.Load())
+	say("fellow_calls_made", t.Asked.Load())
+	say("fellow_calls_served", t.Answered.Load())
+	say("fellow_connections_opened", t.Opened.Load())
 	say("tenure_acquired", c.acquired.Load())
 	say("tenure_renewed", c.renewed.Load())
 	say("tenure_lost", c.tenureFailed.Load())
--- a/process/fellows/fellows.go
+++ b/process/fellows/fellows.go
@@ -24,6 +24,8 @@
 	self    string
 	// Dropped counts raft batches that found their line full; raft sends again.
 	Dropped, Failed, Sent atomic.Uint64
+	// Traffic is what talking to peers costs.
+	Traffic Traffic
 }
 
 type batch struct {
@@ -45,11 +47,13 @@
 			dialer.LocalAddr = &net.TCPAddr{IP: ip}
 		}
 	}
+	l := &Links{clients: map[string]fellowapi.Fellow{}, lines: map[string]chan batch{}, ctx: ctx, self: self}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         l.Traffic.dial(dialer.DialContext),
 		MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 	}
-	return &Links{http: &http.Client{Transport: transport}, clients: map[string]fellowapi.Fellow{}, lines: map[string]chan batch{}, ctx: ctx, self: self}
+	l.http = &http.Client{Transport: countedCalls{transport, &l.Traffic}}
+	return l
 }
 
 // To gives the client for a fellow's address.
