--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -18,15 +18,15 @@
 	"github.com/cresspond/cresspond/process/snowflake"
 	"github.com/cresspond/cresspond/request/forwarding"
 	"github.com/cresspond/cresspond/wire/dialect"
+	"github.com/cresspond/cresspond/wire/fellowapi"
 )
 
 // forwardSide is what a daemon that forwards opaque requests has beside the rest.
 type forwardSide struct {
 	dialect  dialect.Dialect
 	settings forwarding.Settings
-	// view gives the registered engines, lacks what the planner will not load soon.
-	view  func() *registry.View
-	lacks func(pool, model, adapter string) (time.Duration, bool)
+	// view gives the registered engines.
+	view func() *registry.View
 
 	actor   *forwarding.Actor
 	pools   *engineconn.Pools
@@ -109,7 +109,7 @@
 	current, _ := d.members.Ready()
 	return forwarding.World{
 		Now: now, Index: d.forwardIndex(), Current: current, View: d.forwardSide.view(), Zone: d.config.Zone,
-		Edges: d.edges(now), Lacks: d.forwardSide.lacks,
+		Edges: d.edges(now), Lacks: d.PoolLack,
 		Mint: func() (ident.MintedID, bool) {
 			id, verdict := d.generator.Mint()
 			return id, verdict == snowflake.Minted
@@ -158,10 +158,16 @@
 	return found
 }
 
-// ForwardDemands lists what opaque requests ask for here.
-func (d *Daemon) ForwardDemands() []forwarding.Demand {
-	if !d.forwards() {
+// forwardDemands lists what opaque requests ask for here, for whoever plans.
+func (d *Daemon) forwardDemands() []*fellowapi.Demand {
+	if d.forwardSide.actor == nil {
 		return nil
 	}
-	return d.forwardSide.actor.Demands()
+	demands := d.forwardSide.actor.Demands()
+	out := make([]*fellowapi.Demand, 0, len(demands))
+	for _, one := range demands {
+		out = append(out, &fellowapi.Demand{Pool: one.Pool, Model: one.Model, Adapter: one.Adapter, Held: int64(one.Held), Running: int64(one.Running),
+			Tokens: one.Tokens, Arrivals: one.Arrivals, OldestMs: one.Oldest.Milliseconds(), Rank: int64(one.Rank)})
+	}
+	return out
 }
