--- a/connection/engineconn/engineconn.go
+++ b/connection/engineconn/engineconn.go
@@ -51,15 +51,17 @@
 	Address string
 	// ID is the client's own id of its try, which the answer must bear.
 	ID string
-	// Head is dressed, and bears nothing that concerns one connection only.
-	Head *fasthttp.RequestHeader
-	Body []byte
+	// Head bears nothing that concerns one connection only; Dress writes what is this attempt's own, once the
+	// engine is reached.
+	Head  *fasthttp.RequestHeader
+	Dress func()
+	Body  []byte
 	// Careful attempts may not be made again, so they take a kept connection only well inside its time.
 	Careful bool
 	// MostConnections bounds this daemon's connections to the engine; zero is no bound.
 	MostConnections int
-	// Left is how long an answer is waited for, its body included.
-	Left time.Duration
+	// Until is how long an answer is waited for, its body included.
+	Until clock.Mark
 	// LastLook is asked right before the first byte; it gives a reason not to send.
 	LastLook func() string
 	// Cancel ends the attempt from elsewhere by closing its connection.
@@ -151,6 +153,8 @@
 	userTimeout = 3 * time.Second
 	// readerSize bounds the head of an answer.
 	readerSize = 8 << 10
+	// mostSkipped is how many answers to earlier requests may stand before the one to this.
+	mostSkipped = 2
 	// mostRefusal is how much of a refusal's body is read to keep the connection.
 	mostRefusal = 64 << 10
 	// keptUnsaid is how long a connection is kept whose engine said nothing of it.
@@ -236,7 +240,6 @@
 
 // keep puts a connection back.
 func (p *Pools) keep(key engineKey, one *link) {
-	one.idleSince = p.clock.Elapsed()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	connections := p.engines[key]
@@ -307,7 +310,7 @@
 }
 
 func (p *Pools) fresh(a Attempt, key engineKey) (*link, string) {
-	ctx, cancel := context.WithTimeout(context.Background(), max(a.Left, time.Millisecond))
+	ctx, cancel := context.WithTimeout(context.Background(), max(a.Until.Since(p.clock.Elapsed()), time.Millisecond))
 	defer cancel()
 	if !a.Cancel.set(cancel) {
 		p.gone(key)
@@ -320,7 +323,9 @@
 		return nil, "the engine could not be reached"
 	}
 	p.Counters.Dialled.Add(1)
-	return newLink(raw, &p.Counters), ""
+	made := newLink(raw, &p.Counters)
+	made.idleSince = p.clock.Elapsed()
+	return made, ""
 }
 
 // over makes the attempt over a connection.
@@ -330,8 +335,8 @@
 		answer.shut()
 		return answer.end(NeverSent, "the caller has left")
 	}
-	limit := time.Now().Add(a.Left)
-	_ = one.SetDeadline(limit)
+	_ = one.SetDeadline(time.Now().Add(a.Until.Since(p.clock.Elapsed())))
+	a.Dress()
 	buffer := bytebufferpool.Get()
 	defer bytebufferpool.Put(buffer)
 	buffer.B = append(appendHead(buffer.B[:0], a.Head, len(a.Body)), a.Body...)
@@ -349,29 +354,27 @@
 	}
 	// A failed write is no proof: what went before the failure may have been enough to run. The engine may
 	// also have said why it would not read the rest, so its answer is looked for all the same.
-	answer.response = fasthttp.AcquireResponse()
-	answer.response.StreamBody = true
-	answer.response.SkipBody = a.Head.IsHead()
-	if err := answer.response.ReadLimitBody(one.reader, 0); err != nil {
-		answer.shut()
-		if isNetwork(err) {
-			return answer.end(Lost, "the engine gave no answer")
+	for skipped := 0; ; skipped++ {
+		if outcome, reason := answer.readHead(a.Head.IsHead()); outcome != Answered {
+			answer.shut()
+			return answer.end(outcome, reason)
 		}
-		p.Counters.Junk.Add(1)
-		return answer.end(Junk, "the engine sent what is no answer")
-	}
-	answer.Head = p.dialect.ReadHead(&answer.response.Header)
-	if answer.Head.Attempt != a.ID {
-		// Not a byte of another request's answer may go on.
+		if answer.Head.Attempt == a.ID {
+			break
+		}
+		// Not a byte of another request's answer may go on. It may be one too many to an earlier request, with
+		// ours behind it; then it says itself whose it is and where it ends.
 		p.Counters.Foreign.Add(1)
-		answer.shut()
-		return answer.end(Junk, "the engine's answer is not to this attempt")
+		answer.tainted = true
+		if answer.Head.Attempt == "" || skipped >= mostSkipped || answer.Head.Events || !answer.drain() {
+			answer.shut()
+			return answer.end(Junk, "the engine's answer is not to this attempt")
+		}
+		answer.release()
+		answer.whole, answer.failed = false, nil
 	}
-	answer.body = answer.response.BodyStream()
-	answer.measured = answer.body == nil || answer.response.Header.ContentLength() >= -1
-	answer.whole = answer.body == nil
 	if err != nil {
-		// The request did not go out whole, so only the engine's word that it did not run counts.
+		// The request did not go out whole, so the connection can't be told to be at its end.
 		answer.tainted = true
 	}
 	if answer.Head.NotRun {
@@ -385,6 +388,25 @@
 	return answer
 }
 
+// readHead reads one head, and makes its body ready to be read.
+func (a *Answer) readHead(head bool) (Outcome, string) {
+	a.response = fasthttp.AcquireResponse()
+	a.response.StreamBody = true
+	a.response.SkipBody = head
+	if err := a.response.ReadLimitBody(a.link.reader, 0); err != nil {
+		if isNetwork(err) {
+			return Lost, "the engine gave no answer"
+		}
+		a.pools.Counters.Junk.Add(1)
+		return Junk, "the engine sent what is no answer"
+	}
+	a.Head = a.pools.dialect.ReadHead(&a.response.Header)
+	a.body = a.response.BodyStream()
+	a.measured = a.body == nil || a.response.Header.ContentLength() >= -1
+	a.whole = a.body == nil
+	return Answered, ""
+}
+
 // Answer is what became of an attempt and, where it was answered, the answer.
 type Answer struct {
 	Outcome Outcome
@@ -432,11 +454,12 @@
 // Whole says whether the body has come to its end.
 func (a *Answer) Whole() bool { return a.whole }
 
-// drain reads a refusal to its end, so that the connection can be kept.
-func (a *Answer) drain() {
-	if n, err := io.CopyN(io.Discard, a, mostRefusal); err == nil && n == mostRefusal {
+// drain reads a short body to its end, so that what comes behind it can be read; it says whether there was one.
+func (a *Answer) drain() bool {
+	if _, err := io.CopyN(io.Discard, a, mostRefusal); err == nil {
 		a.failed = errUnmeasured
 	}
+	return a.whole
 }
 
 // Close lets go of the answer; its connection is kept only if all of it came and nothing more.
@@ -446,7 +469,7 @@
 		return
 	}
 	if a.whole && a.failed == nil && !a.tainted && !a.Head.Closes && a.link.reader.Buffered() == 0 {
-		a.link.keepFor = a.Head.KeepFor
+		a.link.keepFor, a.link.idleSince = a.Head.KeepFor, a.pools.clock.Elapsed()
 		a.giveBack()
 	} else {
 		if a.whole && a.link.reader.Buffered() > 0 {
--- /dev/null
+++ b/connection/engineconn/engineconn_test.go
@@ -0,0 +1,461 @@
+package engineconn
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/wire/dialect"
+)
+
+// hands is a clock that a test moves.
+type hands struct{ at atomic.Int64 }
+
+func (h *hands) Elapsed() clock.Mark     { return clock.Mark(h.at.Load()) }
+func (h *hands) Wall() time.Time         { return time.Now() }
+func (h *hands) advance(d time.Duration) { h.at.Add(int64(d)) }
+func newHands() *hands                   { h := &hands{}; h.advance(time.Hour); return h }
+func until(h *hands) clock.Mark          { return h.Elapsed() + clock.Mark(20*time.Second) }
+func say(conn net.Conn, text string)     { _, _ = io.WriteString(conn, text) }
+func sealed(id, body string) string      { return answerOf("200 OK", id, "Cresspond-Seal: s\r\n", body) }
+func refusal(status, id string) string   { return answerOf(status, id, "Cresspond-Not-Run: 1\r\n", "no") }
+func answerOf(status, id, fields, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, fields, len(body), body)
+}
+
+// engine answers the requests of each connection by their numbers.
+type engine struct {
+	address string
+	mutex   sync.Mutex
+	ids     []string
+	conns   int
+	ended   chan int
+}
+
+// listen runs an engine; answer gets the number of the connection and of the request on it, and says
+// whether the connection is kept.
+func listen(t testing.TB, answer func(conn net.Conn, id string, connection, number int) bool) *engine {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	e := &engine{address: listener.Addr().String(), ended: make(chan int, 10000)}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			e.mutex.Lock()
+			connection := e.conns
+			e.conns++
+			e.mutex.Unlock()
+			go func() {
+				defer func() { conn.Close(); e.ended <- connection }()
+				reader := bufio.NewReader(conn)
+				for number := 0; ; number++ {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, request.Body); err != nil {
+						return
+					}
+					id := request.Header.Get("X-Attempt-Id")
+					e.mutex.Lock()
+					e.ids = append(e.ids, id)
+					e.mutex.Unlock()
+					if !answer(conn, id, connection, number) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return e
+}
+
+func (e *engine) seen() (ids []string, conns int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return append([]string(nil), e.ids...), e.conns
+}
+
+// attempt is a plain attempt.
+func attempt(h *hands, address, id string) Attempt {
+	head := &fasthttp.RequestHeader{}
+	head.SetMethod("POST")
+	head.SetRequestURI("/x")
+	head.SetHost("h.example")
+	head.Set("X-Attempt-Id", id)
+	return Attempt{Engine: "e", Address: address, ID: id, Head: head, Dress: func() {}, Body: []byte("body"), Until: until(h),
+		LastLook: func() string { return "" }, Cancel: &Cancel{}}
+}
+
+// carry makes an attempt and reads its answer.
+func carry(p *Pools, a Attempt) (Outcome, string, error) {
+	answer := p.Send(a)
+	if answer.Outcome != Answered {
+		return answer.Outcome, "", nil
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answer)
+	return answer.Outcome, string(body), err
+}
+
+// TestAnAnswerCutAtAnyByteIsNeverWhole: in each form that an answer may have, nothing but all of its bytes is
+// whole, and nothing but a whole head is an engine's word that it did not run.
+func TestAnAnswerCutAtAnyByteIsNeverWhole(t *testing.T) {
+	chunked := "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nCresspond-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\npon\r\n1\r\ng\r\n0\r\n\r\n"
+	for form, whole := range map[string]string{
+		"measured": sealed("a", "pong"), "chunked": chunked, "interim": "HTTP/1.1 100 Continue\r\n\r\n" + sealed("a", "pong"),
+		"refusal": refusal("503 Service Unavailable", "a"), "misdirected": refusal("421 Misdirected Request", "a"), "foreign": sealed("b", "pong"),
+		"nameless": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npong", "unmeasured": "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nCresspond-Seal: s\r\n\r\npong",
+		"after-foreign": sealed("b", "ping") + sealed("a", "pong"),
+	} {
+		h := newHands()
+		pools := New(h, dialect.Own())
+		var cut atomic.Int64
+		e := listen(t, func(conn net.Conn, _ string, _, _ int) bool {
+			at := int(cut.Load())
+			say(conn, whole[:at])
+			if at%2 == 0 {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+			return false
+		})
+		head := strings.LastIndex(whole, "\r\n\r\n") + 4
+		if form == "chunked" {
+			head = strings.Index(whole, "\r\n\r\n") + 4
+		}
+		for at := range len(whole) + 1 {
+			cut.Store(int64(at))
+			outcome, body, err := carry(pools, attempt(h, e.address, "a"))
+			name := fmt.Sprintf("%s cut at %d of %d: %s %q %v", form, at, len(whole), outcome, body, err)
+			all := at == len(whole)
+			switch {
+			case outcome == NeverSent || outcome == HeldBack:
+				t.Errorf("%s: what was sent was called never sent", name)
+			case outcome == Refused && (form != "refusal" || at < head), outcome == Misdirected && (form != "misdirected" || at < head):
+				t.Errorf("%s: taken for the engine's word", name)
+			case outcome == Answered && err == nil && (!all || body != "pong" || form == "unmeasured"):
+				t.Errorf("%s: looks whole", name)
+			case outcome == Answered && (form == "foreign" || form == "nameless"):
+				t.Errorf("%s: another's answer", name)
+			case all && at%2 != 0 && (form == "measured" || form == "chunked" || form == "interim" || form == "after-foreign") && (outcome != Answered || err != nil):
+				t.Errorf("%s: not whole", name)
+			case !strings.HasPrefix("pong", body):
+				t.Errorf("%s: not its body", name)
+			}
+		}
+		// Only the whole answer at the end leaves a connection that may be used again.
+		mayKeep := form == "measured" || form == "chunked" || form == "interim" || form == "refusal" || form == "misdirected"
+		if busy, idle := pools.Open(); busy != 0 || idle > 1 || idle == 1 && !mayKeep {
+			t.Errorf("%s: %d busy and %d idle left", form, busy, idle)
+		}
+	}
+}
+
+func TestNothingIsSentWhereNobodyListens(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener.Close()
+	h := newHands()
+	pools := New(h, dialect.Own())
+	if outcome, _, _ := carry(pools, attempt(h, listener.Addr().String(), "a")); outcome != NeverSent {
+		t.Error(outcome)
+	}
+	if busy, idle := pools.Open(); busy+idle != 0 {
+		t.Error(busy, idle)
+	}
+}
+
+func TestAResetAfterTheRequestIsNoProof(t *testing.T) {
+	h := newHands()
+	pools := New(h, dialect.Own())
+	e := listen(t, func(conn net.Conn, _ string, _, _ int) bool { _ = conn.(*net.TCPConn).SetLinger(0); return false })
+	if outcome, _, _ := carry(pools, attempt(h, e.address, "a")); outcome != Lost {
+		t.Error(outcome)
+	}
+}
+
+// untilStirs waits until something has come on the idle connections.
+func untilStirs(p *Pools) {
+	for {
+		p.mutex.Lock()
+		for _, connections := range p.engines {
+			for _, one := range connections.idle {
+				if one.stirs() {
+					p.mutex.Unlock()
+					return
+				}
+			}
+		}
+		p.mutex.Unlock()
+		runtime.Gosched()
+	}
+}
+
+func TestAKeptConnectionIsUsedAgainAndNotOneThatStirs(t *testing.T) {
+	for name, trouble := range map[string]func(conn net.Conn){
+		"ended":   func(conn net.Conn) { conn.Close() },
+		"reset":   func(conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0); conn.Close() },
+		"surplus": func(conn net.Conn) { say(conn, sealed("a1", "late")) },
+	} {
+		h := newHands()
+		pools := New(h, dialect.Own())
+		var first net.Conn
+		e := listen(t, func(conn net.Conn, id string, connection, _ int) bool {
+			if connection == 0 {
+				first = conn
+			}
+			say(conn, sealed(id, "to "+id))
+			return true
+		})
+		for _, id := range []string{"a0", "a1"} {
+			if _, body, err := carry(pools, attempt(h, e.address, id)); body != "to "+id || err != nil {
+				t.Fatal(name, body, err)
+			}
+		}
+		if ids, conns := e.seen(); len(ids) != 2 || conns != 1 {
+			t.Fatal(name, ids, conns)
+		}
+		trouble(first)
+		untilStirs(pools)
+		if outcome, body, err := carry(pools, attempt(h, e.address, "a2")); body != "to a2" || err != nil {
+			t.Error(name, outcome, body, err)
+		}
+		if ids, conns := e.seen(); len(ids) != 3 || conns != 2 || pools.Counters.FoundStale.Load() != 1 {
+			t.Error(name, ids, conns)
+		}
+	}
+}
+
+func TestSurplusBytesBehindAnAnswerEndTheConnection(t *testing.T) {
+	h := newHands()
+	pools := New(h, dialect.Own())
+	e := listen(t, func(conn net.Conn, id string, connection, _ int) bool {
+		more := ""
+		if connection == 0 {
+			more = sealed(id, "again")
+		}
+		say(conn, sealed(id, "to "+id)+more)
+		return true
+	})
+	for _, id := range []string{"a0", "a1"} {
+		if _, body, err := carry(pools, attempt(h, e.address, id)); body != "to "+id || err != nil {
+			t.Fatal(body, err)
+		}
+	}
+	if _, conns := e.seen(); conns != 2 || pools.Counters.Surplus.Load() != 1 {
+		t.Error(conns, pools.Counters.Surplus.Load())
+	}
+}
+
+func TestALateAnswerInTheNextOnesPlaceDoesNotGoOn(t *testing.T) {
+	for _, behind := range []bool{true, false} {
+		h := newHands()
+		pools := New(h, dialect.Own())
+		e := listen(t, func(conn net.Conn, id string, connection, number int) bool {
+			switch {
+			case connection == 0 && number == 1 && behind:
+				say(conn, sealed("a0", "late")+sealed(id, "to "+id))
+			case connection == 0 && number == 1:
+				say(conn, sealed("a0", "late"))
+				return false
+			default:
+				say(conn, sealed(id, "to "+id))
+			}
+			return true
+		})
+		if _, body, err := carry(pools, attempt(h, e.address, "a0")); body != "to a0" || err != nil {
+			t.Fatal(body, err)
+		}
+		outcome, body, err := carry(pools, attempt(h, e.address, "a1"))
+		if behind && (outcome != Answered || body != "to a1" || err != nil) || !behind && (outcome != Lost && outcome != Junk) {
+			t.Errorf("%t: %s %q %v", behind, outcome, body, err)
+		}
+		if _, body, err := carry(pools, attempt(h, e.address, "a2")); body != "to a2" || err != nil {
+			t.Error(body, err)
+		}
+		if ids, conns := e.seen(); len(ids) != 3 || conns != 2 {
+			t.Errorf("%v over %d connections", ids, conns)
+		}
+	}
+}
+
+func TestACarefulAttemptTakesAKeptConnectionOnlyWellInsideItsTime(t *testing.T) {
+	for _, c := range []struct {
+		says      string
+		idle      time.Duration
+		careful   bool
+		wantConns int
+	}{
+		{"", 200 * time.Millisecond, true, 1}, {"", 400 * time.Millisecond, true, 2}, {"", 400 * time.Millisecond, false, 1}, {"", 3 * time.Second, false, 2},
+		{"Keep-Alive: timeout=4, max=9\r\n", time.Second, true, 1}, {"Keep-Alive: timeout=4\r\n", 2 * time.Second, true, 2},
+		{"Keep-Alive: timeout=4\r\n", 3 * time.Second, false, 1}, {"Keep-Alive: timeout=4\r\n", 3900 * time.Millisecond, false, 2},
+		{"Connection: close\r\n", 0, false, 2},
+	} {
+		h := newHands()
+		pools := New(h, dialect.Own())
+		e := listen(t, func(conn net.Conn, id string, _, _ int) bool {
+			say(conn, answerOf("200 OK", id, "Cresspond-Seal: s\r\n"+c.says, "pong"))
+			return true
+		})
+		for _, id := range []string{"a0", "a1"} {
+			a := attempt(h, e.address, id)
+			a.Careful = c.careful
+			if _, body, err := carry(pools, a); body != "pong" || err != nil {
+				t.Fatal(body, err)
+			}
+			h.advance(c.idle)
+		}
+		if _, conns := e.seen(); conns != c.wantConns {
+			t.Errorf("%+v: %d connections", c, conns)
+		}
+	}
+}
+
+func TestConnectionsToAnEngineAreBounded(t *testing.T) {
+	h := newHands()
+	pools := New(h, dialect.Own())
+	let := make(chan struct{})
+	e := listen(t, func(conn net.Conn, id string, _, _ int) bool { <-let; say(conn, sealed(id, "pong")); return true })
+	const most = 3
+	outcomes := make(chan Outcome, 20)
+	for n := range 20 {
+		go func() {
+			a := attempt(h, e.address, fmt.Sprint(n))
+			a.MostConnections = most
+			outcome, _, _ := carry(pools, a)
+			outcomes <- outcome
+		}()
+	}
+	for range 20 - most {
+		if outcome := <-outcomes; outcome != HeldBack {
+			t.Error(outcome)
+		}
+	}
+	close(let)
+	for range most {
+		if outcome := <-outcomes; outcome != Answered {
+			t.Error(outcome)
+		}
+	}
+	if _, conns := e.seen(); conns != most {
+		t.Error(conns)
+	}
+	if busy, idle := pools.Open(); busy != 0 || idle != most {
+		t.Error(busy, idle)
+	}
+	pools.Sweep(nil)
+	h.advance(time.Minute)
+	pools.Sweep(nil)
+	if busy, idle := pools.Open(); busy+idle != 0 {
+		t.Error(busy, idle)
+	}
+}
+
+func TestCancellingEndsTheConnection(t *testing.T) {
+	h := newHands()
+	pools := New(h, dialect.Own())
+	come := make(chan struct{})
+	e := listen(t, func(conn net.Conn, _ string, _, _ int) bool {
+		close(come)
+		_, _ = conn.Read(make([]byte, 1))
+		return false
+	})
+	a := attempt(h, e.address, "a")
+	go func() { <-come; a.Cancel.Now() }()
+	if outcome, _, _ := carry(pools, a); outcome != Lost {
+		t.Error(outcome)
+	}
+	<-e.ended
+	// What begins after it was ended does not leave.
+	if outcome, _, _ := carry(pools, a); outcome != NeverSent {
+		t.Error(outcome)
+	}
+	if ids, _ := e.seen(); len(ids) != 1 {
+		t.Error(ids)
+	}
+}
+
+func TestTheLastLookHoldsBackAndKeepsTheConnection(t *testing.T) {
+	h := newHands()
+	pools := New(h, dialect.Own())
+	e := listen(t, func(conn net.Conn, id string, _, _ int) bool { say(conn, sealed(id, "pong")); return true })
+	a := attempt(h, e.address, "a")
+	a.LastLook = func() string { return "no" }
+	if outcome, _, _ := carry(pools, a); outcome != HeldBack {
+		t.Error(outcome)
+	}
+	if outcome, _, _ := carry(pools, attempt(h, e.address, "b")); outcome != Answered {
+		t.Error(outcome)
+	}
+	if ids, conns := e.seen(); len(ids) != 1 || ids[0] != "b" || conns != 1 {
+		t.Error(ids, conns)
+	}
+}
+
+// TestNothingIsSmuggled: however a client framed its request, an engine gets one request with one framing.
+func TestNothingIsSmuggled(t *testing.T) {
+	for name, raw := range map[string]string{
+		"chunked":      "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nTransfer-Encoding: chunked\r\nTrailer: X-Late\r\n\r\n4\r\nbody\r\n0\r\nX-Late: 1\r\n\r\n",
+		"connection":   "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nConnection: Content-Length, Host, X-Hop\r\nX-Hop: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"get-body":     "GET /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nContent-Length: 4\r\n\r\nbody",
+		"head-less":    "GET /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n\r\n",
+		"expect":       "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\nbody",
+		"ten":          "POST /x HTTP/1.0\r\nHost: h\r\nX-Attempt-Id: a\r\nContent-Length: 4\r\n\r\nbody",
+		"inner":        "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nContent-Length: 36\r\n\r\nGET /other HTTP/1.1\r\nHost: inner\r\n\r\n",
+		"empty-post":   "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n",
+		"upper-chunks": "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nTransfer-Encoding: Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	} {
+		var request fasthttp.Request
+		if err := request.ReadLimitBody(bufio.NewReader(strings.NewReader(raw)), 0); err != nil {
+			// A request that can't be read is not sent on.
+			continue
+		}
+		if request.MayContinue() {
+			if err := request.ContinueReadBody(bufio.NewReader(strings.NewReader("body")), 0); err != nil {
+				t.Fatal(name, err)
+			}
+		}
+		var head fasthttp.RequestHeader
+		request.Header.CopyTo(&head)
+		HopByHop(&head)
+		body := request.Body()
+		sent := string(append(appendHead(nil, &head, len(body)), body...))
+		reader := bufio.NewReader(strings.NewReader(sent))
+		got, err := http.ReadRequest(reader)
+		if err != nil {
+			t.Fatal(name, err, sent)
+		}
+		read, err := io.ReadAll(got.Body)
+		if err != nil || string(read) != string(body) || len(got.TransferEncoding) != 0 || got.Host != "h" || got.Proto != "HTTP/1.1" {
+			t.Errorf("%s: %q %v in %q", name, read, err, sent)
+		}
+		for _, field := range []string{"Trailer", "X-Late", "X-Hop", "Connection", "Expect", "Transfer-Encoding"} {
+			if _, there := got.Header[field]; there {
+				t.Errorf("%s: %s went along in %q", name, field, sent)
+			}
+		}
+		if _, err := reader.ReadByte(); err != io.EOF {
+			t.Errorf("%s: bytes behind the request in %q", name, sent)
+		}
+	}
+}
--- a/connection/gateway/gateway.go
+++ b/connection/gateway/gateway.go
@@ -245,11 +245,16 @@
 // attempt makes one attempt and waits for the head of its answer.
 func (f *flight) attempt(send *forwarding.Send) *engineconn.Answer {
 	f.send = send
-	left := f.record.Deadline.Since(f.Clock.Elapsed())
-	f.Dialect.Dress(&f.head, dialect.Dress{Engine: string(send.Engine), Left: left, Urgency: send.Urgency, LastEvent: send.LastEvent, Resumes: send.Resumes})
 	return f.pools.Send(engineconn.Attempt{
-		Engine: send.Engine, Address: send.Address, ID: f.record.Ask.Attempt, Head: &f.head, Body: f.body, Careful: send.Careful,
-		MostConnections: send.MostConnections, Left: left + f.Settings.DeadlineSlack, LastLook: f.lastLook, Cancel: &f.cancel,
+		Engine: send.Engine, Address: send.Address, ID: f.record.Ask.Attempt, Head: &f.head, Dress: f.dress, Body: f.body, Careful: send.Careful,
+		MostConnections: send.MostConnections, Until: f.record.Deadline + clock.Mark(f.Settings.DeadlineSlack), LastLook: f.lastLook, Cancel: &f.cancel,
+	})
+}
+
+// dress writes what is the attempt's own, as late as can be, since the time left goes by meanwhile.
+func (f *flight) dress() {
+	f.Dialect.Dress(&f.head, dialect.Dress{
+		Engine: string(f.send.Engine), Left: f.record.Deadline.Since(f.Clock.Elapsed()), Urgency: f.send.Urgency, LastEvent: f.send.LastEvent, Resumes: f.send.Resumes,
 	})
 }
 
