--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -453,6 +453,7 @@
 		request.Steps = append(request.Steps, &fellowapi.Step{Change: step.Change, Step: step.Step, UnixMs: step.At.UnixMilli()})
 	}
 	request.Draining = d.drainingEngines()
+	request.Plans = d.pools.condition().Held
 	return request
 }
 
@@ -520,6 +521,9 @@
 			reply.Seats = append(reply.Seats, &fellowapi.Seat{Engine: string(seat.Engine), Model: seat.Model, Adapter: seat.Adapter, Sessions: int64(seat.Sessions)})
 		}
 	}
+	if in.Plans {
+		reply.Demand = append(reply.Demand, d.poolDemand()...)
+	}
 	return reply, nil
 }
 
--- a/process/daemon/poolplanning.go
+++ b/process/daemon/poolplanning.go
@@ -100,28 +100,52 @@
 	if t := p.keeper.Table(); t != nil && t.Forward != nil {
 		in.Section = t.Forward.Section
 	}
-	p.fleetMutex.Lock()
-	defer p.fleetMutex.Unlock()
-	for _, wants := range p.fleetWants {
-		if now.Since(wants.heard) >= demandFresh {
+	in.Demand = p.heardDemand(now, p.poolDemand())
+	return in
+}
+
+// poolDemand is what is asked of pools through this daemon.
+func (d *Daemon) poolDemand() []*fellowapi.Demand {
+	var out []*fellowapi.Demand
+	for _, demand := range d.ForwardDemands() {
+		if demand.Model == "" {
 			continue
 		}
-		for _, demand := range wants.demand {
+		out = append(out, &fellowapi.Demand{Pool: demand.Pool, Model: demand.Model, Adapter: demand.Adapter, Held: int64(demand.Held), Running: int64(demand.Running),
+			Tokens: demand.Tokens, Arrivals: demand.Arrivals, OldestMs: demand.Oldest.Milliseconds(), Rank: int64(demand.Rank)})
+	}
+	return out
+}
+
+// heardDemand adds up what this daemon and all others were lately heard to ask for.
+func (d *Daemon) heardDemand(now clock.Mark, own []*fellowapi.Demand) []poolplacement.Demand {
+	var out []poolplacement.Demand
+	take := func(demands []*fellowapi.Demand, ago time.Duration) {
+		for _, demand := range demands {
 			if demand.Pool == "" {
 				continue
 			}
-			in.Demand = append(in.Demand, poolplacement.Demand{Pool: demand.Pool, Model: demand.Model, Adapter: demand.Adapter, Held: int(demand.Held), Running: int(demand.Running),
-				Tokens: demand.Tokens, Arrivals: demand.Arrivals, Oldest: time.Duration(demand.OldestMs)*time.Millisecond + oldestSince(demand, now.Since(wants.heard)), Rank: int(demand.Rank)})
+			one := poolplacement.Demand{Pool: demand.Pool, Model: demand.Model, Adapter: demand.Adapter, Held: int(demand.Held), Running: int(demand.Running),
+				Tokens: demand.Tokens, Arrivals: demand.Arrivals, Rank: int(demand.Rank)}
+			if demand.Held > 0 {
+				one.Oldest = time.Duration(demand.OldestMs)*time.Millisecond + ago
+			}
+			out = append(out, one)
 		}
 	}
-	return in
-}
-
-func oldestSince(demand *fellowapi.Demand, ago time.Duration) time.Duration {
-	if demand.Held == 0 {
-		return 0
+	take(own, 0)
+	d.fleetMutex.Lock()
+	defer d.fleetMutex.Unlock()
+	for node, wants := range d.fleetWants {
+		ago := now.Since(wants.heard)
+		if ago < demandFresh {
+			take(wants.demand, ago)
+		}
+		if ago > wantsKept {
+			delete(d.fleetWants, node)
+		}
 	}
-	return ago
+	return out
 }
 
 // Claim asks the group for the claim.
@@ -191,6 +215,14 @@
 // PoolLack is for how long something is not likely to be there, by the planner's newest word; the request
 // path asks it before it holds a request.
 func (d *Daemon) PoolLack(pool, model, adapter string) (wait time.Duration, lacking bool) {
+	if condition := d.pools.condition(); condition.Held {
+		for _, lack := range condition.Lacks {
+			if lack.Pool == pool && lack.Model == model && (lack.Adapter == "" || lack.Adapter == adapter) {
+				return lack.Wait, true
+			}
+		}
+		return 0, false
+	}
 	heard := d.poolLacks.Load()
 	if heard == nil || d.clock.Elapsed().Since(heard.heard) >= lacksFresh {
 		return 0, false
