--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -516,14 +516,13 @@
 		for _, demand := range snapshot.Demands {
 			reply.Demand = append(reply.Demand, &fellowapi.Demand{Model: demand.Model, Adapter: demand.Adapter, Worth: demand.Worth, Held: int64(demand.Held), Running: int64(demand.Running)})
 		}
-		reply.Demand = append(reply.Demand, d.forwardDemands()...)
+		if in.Plans {
+			reply.Demand = append(reply.Demand, d.forwardDemands()...)
+		}
 		for _, seat := range snapshot.Seats {
 			reply.Seats = append(reply.Seats, &fellowapi.Seat{Engine: string(seat.Engine), Model: seat.Model, Adapter: seat.Adapter, Sessions: int64(seat.Sessions)})
 		}
 	}
-	if in.Plans {
-		reply.Demand = append(reply.Demand, d.poolDemand()...)
-	}
 	return reply, nil
 }
 
--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -64,9 +64,6 @@
 	if side.view == nil {
 		side.view = d.registry.View
 	}
-	if side.lacks == nil {
-		side.lacks = d.PoolLack
-	}
 	side.pools = engineconn.New(d.clock, side.dialect)
 	side.actor = forwarding.NewActor(side.settings, d.forwardWorld)
 	side.gateway = gateway.New(gateway.Surroundings{
--- a/process/daemon/poolplanning.go
+++ b/process/daemon/poolplanning.go
@@ -100,23 +100,10 @@
 	if t := p.keeper.Table(); t != nil && t.Forward != nil {
 		in.Section = t.Forward.Section
 	}
-	in.Demand = p.heardDemand(now, p.poolDemand())
+	in.Demand = p.heardDemand(now, p.forwardDemands())
 	return in
 }
 
-// poolDemand is what is asked of pools through this daemon.
-func (d *Daemon) poolDemand() []*fellowapi.Demand {
-	var out []*fellowapi.Demand
-	for _, demand := range d.ForwardDemands() {
-		if demand.Model == "" {
-			continue
-		}
-		out = append(out, &fellowapi.Demand{Pool: demand.Pool, Model: demand.Model, Adapter: demand.Adapter, Held: int64(demand.Held), Running: int64(demand.Running),
-			Tokens: demand.Tokens, Arrivals: demand.Arrivals, OldestMs: demand.Oldest.Milliseconds(), Rank: int64(demand.Rank)})
-	}
-	return out
-}
-
 // heardDemand adds up what this daemon and all others were lately heard to ask for.
 func (d *Daemon) heardDemand(now clock.Mark, own []*fellowapi.Demand) []poolplacement.Demand {
 	var out []poolplacement.Demand
