Apply a bundle in one step, on the revision it builds on

An operator alone may put a bundle in force where the settings say oneStep. The state machine lets one order win on each revision; the same digest is acknowledged again whatever came after it; an order on a base that was never there is written down as refused, since a copy of it may still be under way.

--- /dev/null
+++ b/rehearsal/endtoend/bundle_test.go
@@ -0,0 +1,226 @@
+package endtoend
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/process/daemon"
+	"github.com/cresspond/cresspond/rehearsal/engine"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+// forwarding is a bundle on opaque requests alone.
+func forwarding(revision uint64, paths int) spec.Spec {
+	section := &forward.Section{Revision: revision, Pools: []forward.Pool{{Name: "p"}, {Name: "q"}}}
+	for i := range paths {
+		section.Paths = append(section.Paths, path(fmt.Sprint("r", i), "p"))
+	}
+	return spec.Spec{Name: "opaque", Forward: section}
+}
+
+func path(name, pool string) forward.Path {
+	return forward.Path{Name: name, Host: "a.example", Prefix: "/" + name + "/", Class: forward.Once, DeadlineMs: 1000, Attempts: 1,
+		Shares: []forward.Share{{Pool: pool, Weight: 1}}, Note: json.RawMessage(`{"kept":"` + name + `"}`)}
+}
+
+// together brings up a group of daemons without any bundle; each may have options of its own.
+func together(t *testing.T, size int, oneStep bool, options func(i int) []daemon.Option) []*bench {
+	t.Helper()
+	first := prepare(t, engine.Config{})
+	out, seeds := []*bench{}, []string{}
+	for i := range size {
+		b := first
+		if i > 0 {
+			b = &bench{t: t, platform: first.platform}
+			b.place()
+		}
+		b.name, b.oneStep = fmt.Sprint("d", i), oneStep
+		if options != nil {
+			b.options = options(i)
+		}
+		out, seeds = append(out, b), append(seeds, b.fellow)
+	}
+	for _, b := range out {
+		b.seeds = seeds
+		b.run()
+	}
+	first.await("the group has a leader", func() bool { return leaderOf(out) != nil })
+	return out
+}
+
+// bundleCall makes one call at a daemon's form for bundles.
+func (b *bench) bundleCall(method, query string, body []byte) (status int, word operatorapi.Error, data []byte, took time.Duration) {
+	b.t.Helper()
+	request, err := http.NewRequest(method, "http://"+b.address+operatorapi.PathBundle+query, strings.NewReader(string(body)))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	began := time.Now()
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, word, nil, time.Since(began)
+	}
+	defer response.Body.Close()
+	data, _ = io.ReadAll(response.Body)
+	_ = json.Unmarshal(data, &word)
+	return response.StatusCode, word, data, time.Since(began)
+}
+
+func (b *bench) apply(base uint64, bundle []byte) (int, operatorapi.Error) {
+	b.t.Helper()
+	status, word, _, _ := b.bundleCall("PUT", fmt.Sprintf("?operator=ana&base=%d", base), bundle)
+	return status, word
+}
+
+func (b *bench) patch(base uint64, patch forward.Patch) (int, operatorapi.Error) {
+	b.t.Helper()
+	status, word, _, _ := b.bundleCall("PATCH", fmt.Sprintf("?operator=ana&base=%d", base), encode(b.t, patch))
+	return status, word
+}
+
+func (b *bench) newest() (read spec.Spec) {
+	b.t.Helper()
+	status, _, data, _ := b.bundleCall("GET", "", nil)
+	if status != 200 {
+		b.t.Fatalf("the newest bundle cannot be read back: %d %s", status, data)
+	}
+	if err := json.Unmarshal(data, &read); err != nil {
+		b.t.Fatal(err)
+	}
+	return read
+}
+
+// same compares two sections by what they say; indenting a bundle indents the notes in it too.
+func same(t *testing.T, a, b *forward.Section) bool {
+	t.Helper()
+	first, err := json.Marshal(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := json.Marshal(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(first) == string(second)
+}
+
+// taken says whether a status says that the bundle is committed.
+func taken(status int) bool { return status == 200 || status == 202 }
+
+func TestBundlesInOneStep(t *testing.T) {
+	group := together(t, 3, true, nil)
+	if status, _, _, _ := group[0].bundleCall("GET", "", nil); status != 404 {
+		t.Error("before the first bundle:", status)
+	}
+	five, six, seven := encode(t, forwarding(5, 3)), encode(t, forwarding(6, 3)), encode(t, forwarding(7, 4))
+	if status, word := group[0].apply(3, five); status != 409 {
+		t.Error("a base that was never there:", status, word)
+	}
+	if status, word := group[1].apply(0, five); !taken(status) {
+		t.Fatal("the first bundle:", status, word)
+	}
+	for _, b := range group {
+		if status, word := b.apply(0, five); !taken(status) {
+			t.Error("the same call again:", status, word)
+		}
+		if status, word := b.apply(0, six); status != 409 || word.Revision != 5 {
+			t.Error("the loser:", status, word)
+		}
+		if status, word := b.apply(5, encode(t, forwarding(5, 2))); status != 400 {
+			t.Error("a revision that is not above:", status, word)
+		}
+		bad := forwarding(6, 3)
+		bad.Forward.Paths[1].Shares[0].Pool = "nowhere"
+		if status, word := b.apply(5, encode(t, bad)); status != 400 || len(word.Faults) != 1 || word.Faults[0].Path != "forward.paths[1].shares[0].pool" {
+			t.Error("a faulty bundle:", status, word)
+		}
+		if status, word := b.patch(5, forward.Patch{Revision: 6, Remove: forward.Names{Pools: []string{"p"}}}); status != 400 {
+			t.Error("a change that takes a pool from under its paths:", status, word)
+		}
+		if got := b.newest(); !same(t, got.Forward, forwarding(5, 3).Forward) {
+			t.Errorf("read back %+v", got.Forward)
+		}
+	}
+	change := forward.Patch{Revision: 6, Upsert: forward.Items{Paths: []forward.Path{path("new", "q"), path("r1", "q")}}, Remove: forward.Names{Paths: []string{"r0"}}}
+	for i, b := range group {
+		if status, word := b.patch(5, change); !taken(status) {
+			t.Error("a change:", i, status, word)
+		}
+	}
+	want := forwarding(6, 3)
+	want.Forward.Paths = []forward.Path{path("r1", "q"), path("r2", "p"), path("new", "q")}
+	if got := group[2].newest(); !same(t, got.Forward, want.Forward) {
+		t.Errorf("read back %+v", got.Forward)
+	}
+	if status, word := group[0].apply(6, seven); !taken(status) {
+		t.Error("a whole bundle on a changed one:", status, word)
+	}
+	// What was taken is acknowledged again, however much came after it; what lost has lost.
+	if status, word := group[1].patch(5, change); !taken(status) {
+		t.Error("an old change again:", status, word)
+	}
+	if status, word := group[1].apply(0, six); status != 409 {
+		t.Error("the loser again:", status, word)
+	}
+	for _, b := range group {
+		b.await("all have it in force", func() bool { return b.status().SpecEpoch == 3 })
+	}
+}
+
+// TestRacersInOneStep lets many operators build on one base at once.
+func TestRacersInOneStep(t *testing.T) {
+	group := together(t, 3, true, nil)
+	base := uint64(0)
+	for round := range uint64(5) {
+		var wait sync.WaitGroup
+		winners := make([]bool, 8)
+		for i := range winners {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				bundle := encode(t, forwarding(round*100+10+uint64(i), 1))
+				for range 60 {
+					status, _ := group[i%3].apply(base, bundle)
+					if status != 503 && status != 0 {
+						winners[i] = taken(status)
+						return
+					}
+				}
+				t.Error("no clear answer")
+			}()
+		}
+		wait.Wait()
+		won := -1
+		for i, winner := range winners {
+			if winner && won >= 0 {
+				t.Fatalf("round %d: %d and %d both won", round, won, i)
+			}
+			if winner {
+				won = i
+			}
+		}
+		if won < 0 {
+			t.Fatalf("round %d: nobody won", round)
+		}
+		base = round*100 + 10 + uint64(won)
+		if got := group[0].newest().Forward.Revision; got != base {
+			t.Fatalf("round %d: revision %d is in force, and %d was acknowledged", round, got, base)
+		}
+	}
+}
+
+// TestNoBundleInOneStep holds that an operator alone can do nothing where the fleet does not allow it.
+func TestNoBundleInOneStep(t *testing.T) {
+	group := together(t, 1, false, nil)
+	if status, word := group[0].apply(0, encode(t, forwarding(5, 1))); status != 403 {
+		t.Error(status, word)
+	}
+}
--- a/rehearsal/endtoend/harness_test.go
+++ b/rehearsal/endtoend/harness_test.go
@@ -51,6 +51,8 @@
 	name    string
 	seeds   []string
 	options []daemon.Option
+	// oneStep lets an operator alone put bundles in force.
+	oneStep bool
 	ran     bool
 }
 
@@ -214,7 +216,7 @@
 	settings := config.Default()
 	settings.Name, settings.Zone, settings.Listen, settings.FellowListen = b.name, "here", b.address, b.fellow
 	settings.Seeds, settings.Serve = b.seeds, []config.Role{config.Route, config.Control, config.Place}
-	settings.Data, settings.Platform = b.data, b.platform.Address()
+	settings.Data, settings.Platform, settings.OneStep = b.data, b.platform.Address(), b.oneStep
 	if faults := settings.Check(""); len(faults) > 0 {
 		b.t.Fatal(faults)
 	}
