Take the operator's configurations on the users' platform

The platform's program lets an operator alone put bundles in force, and passes the operator's calls to ApplyBundle and NewestBundle. Bodies of PUT and PATCH may be as large as a bundle.

--- a/cmd/cresspond-platform/main.go
+++ b/cmd/cresspond-platform/main.go
@@ -68,6 +68,7 @@
 		daemon.WithForwarding(platform.Dialect()),
 		daemon.WithControl(func(d *daemon.Daemon) daemon.Handler { return platform.NewEngines(d) }),
 		daemon.WithPoolPlanning(platform.NewEngineClient(), daemon.PoolSettings(settings)),
+		daemon.WithControl(func(d *daemon.Daemon) daemon.Handler { return platform.NewOperator(d) }),
 	)
 	go watch(*file, made.Reload)
 	if err := made.Run(stop, nil); err != nil {
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -340,8 +340,9 @@
 
 // bodyLimit lets only what holds a bundle be as large as a bundle may be.
 func bodyLimit(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
-	uri := string(header.RequestURI())
-	if path, _, _ := strings.Cut(uri, "?"); path == operatorapi.PathPropose || path == operatorapi.PathBundle {
+	// Bundles are put in force in one step by PUT and PATCH, whatever a deployment calls the path.
+	method := string(header.Method())
+	if string(header.RequestURI()) == operatorapi.PathPropose || method == http.MethodPut || method == http.MethodPatch {
 		return fasthttp.RequestConfig{MaxRequestBodySize: mostBundleBody}
 	}
 	return fasthttp.RequestConfig{}
