Keep parts of a long difference from being passed over; see that daemons converge

A property test over random histories found it: while a difference was told in pieces, an engine that changed again moved behind the cursor's reach and its earlier part (a plan) was never told.

--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -15,7 +15,6 @@
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/membership"
 	"github.com/cresspond/cresspond/process/raft"
-	"github.com/cresspond/cresspond/process/registry"
 	"github.com/cresspond/cresspond/process/replica"
 	"github.com/cresspond/cresspond/process/rollout"
 	"github.com/cresspond/cresspond/process/statemachine"
@@ -498,7 +497,7 @@
 		return nil, twirp.NewError(twirp.InvalidArgument, "a pull says who asks")
 	}
 	d.members.Served(in)
-	d.registry.Saw(ident.NodeID(in.NodeId), registry.Cursor{Life: in.RegistryLife, Seen: in.RegistrySeen})
+	d.registry.Saw(ident.NodeID(in.NodeId), cursorOf(in))
 	d.hearDraining(in.Draining)
 	now := d.clock.Elapsed()
 	leader, term := d.leaderAndTerm()
--- a/process/daemon/registry.go
+++ b/process/daemon/registry.go
@@ -150,15 +150,21 @@
 	}
 	// Only those who may have to judge an engine's silence need to hear of each beat.
 	beats := d.config.Serves(config.Control) && slices.Contains(in.Serve, string(config.Control))
-	difference := d.registry.Since(registry.Cursor{Life: in.RegistryLife, Seen: in.RegistrySeen}, wanted, beats)
-	reply.RegistryLife, reply.RegistrySeen, reply.RegistryWhole, reply.RegistryMore = difference.Life, difference.Seen, difference.Whole, difference.More
+	difference := d.registry.Since(cursorOf(in), wanted, beats)
+	reply.RegistryLife, reply.RegistrySeen, reply.RegistryWhole = difference.Life, difference.Seen, difference.Cursor.Whole
+	reply.RegistryAfresh, reply.RegistryMore = difference.Afresh, difference.More
 	reply.Engines = registry.Encode(d.clock.Elapsed(), difference.Records)
 }
 
+// cursorOf is how much of this daemon's changes an asker has.
+func cursorOf(in *fellowapi.PullRequest) registry.Cursor {
+	return registry.Cursor{Life: in.RegistryLife, Seen: in.RegistrySeen, Whole: in.RegistryWhole}
+}
+
 // PullFrom asks another daemon, and takes over what it tells of engines.
 func (d *Daemon) PullFrom(ctx context.Context, address string, request *fellowapi.PullRequest) (*fellowapi.PullReply, error) {
 	cursor, wanted := d.registry.Asked(address)
-	request.RegistryLife, request.RegistrySeen = cursor.Life, cursor.Seen
+	request.RegistryLife, request.RegistrySeen, request.RegistryWhole = cursor.Life, cursor.Seen, cursor.Whole
 	for _, id := range wanted {
 		request.RegistryWanted = append(request.RegistryWanted, string(id))
 	}
@@ -167,8 +173,8 @@
 	if err != nil || !d.ofOurs(reply) {
 		return reply, err
 	}
-	d.registry.Learn(address, registry.Difference{Cursor: registry.Cursor{Life: reply.RegistryLife, Seen: reply.RegistrySeen},
-		Whole: reply.RegistryWhole, More: reply.RegistryMore, Records: registry.Decode(d.clock.Elapsed(), reply.Engines)})
+	d.registry.Learn(address, registry.Difference{Cursor: registry.Cursor{Life: reply.RegistryLife, Seen: reply.RegistrySeen, Whole: reply.RegistryWhole},
+		Afresh: reply.RegistryAfresh, More: reply.RegistryMore, Records: registry.Decode(d.clock.Elapsed(), reply.Engines)})
 	if !reply.RegistryMore {
 		d.hearsay.note(address, asked)
 	}
--- /dev/null
+++ b/process/registry/converge_test.go
@@ -0,0 +1,180 @@
+package registry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// world is a few daemons, control and others, and engines whose words reach them in any order, or late, or not.
+type world struct {
+	random *rand.Rand
+	now    clock.Mark
+	cores  []*Core
+	names  []string
+	// engines are the newest words; late holds words that are still under way.
+	engines map[ident.EngineID]*Word
+	late    []Word
+	ended   map[ident.EngineID]bool
+	turn    uint64
+}
+
+const controls = 3
+
+func newWorld(seed uint64) *world {
+	w := &world{random: rand.New(rand.NewPCG(seed, 7)), engines: map[ident.EngineID]*Word{}, ended: map[ident.EngineID]bool{}}
+	for i := range controls + 3 {
+		w.names = append(w.names, fmt.Sprint("d", i))
+		w.cores = append(w.cores, NewCore(w.names[i], i < controls, time.Second, 0))
+	}
+	return w
+}
+
+func (w *world) step() {
+	w.now += clock.Mark(time.Duration(w.random.IntN(400)) * time.Millisecond)
+	at := w.random.IntN(controls)
+	id := ident.EngineID(fmt.Sprint("e", w.random.IntN(6)))
+	switch n := w.random.IntN(20); {
+	case n < 7:
+		word := w.engines[id]
+		if word == nil {
+			word = &Word{ID: id, Pool: "p", Slots: 4}
+			w.engines[id] = word
+		}
+		word.CallSeq += 1 + uint64(w.random.IntN(2))
+		if w.random.IntN(3) == 0 {
+			word.Slots = w.random.IntN(4) + 1
+		}
+		if word.Address == "" || w.random.IntN(6) == 0 {
+			word.Address = fmt.Sprint("a", w.random.IntN(4))
+		}
+		if w.random.IntN(25) == 0 {
+			word.Leaving = true
+		}
+		if w.random.IntN(4) == 0 {
+			w.late = append(w.late, *word)
+			return
+		}
+		w.cores[at].Hear(w.now, *word)
+	case n < 9:
+		if len(w.late) > 0 {
+			i := w.random.IntN(len(w.late))
+			w.cores[at].Hear(w.now, w.late[i])
+			if w.random.IntN(2) == 0 {
+				w.late = append(w.late[:i], w.late[i+1:]...)
+			}
+		}
+	case n == 9:
+		if w.random.IntN(6) == 0 {
+			w.cores[at].End(w.now, id)
+			w.ended[id] = true
+		}
+	case n == 10:
+		w.turn++
+		w.cores[at].TellPlan(w.now, map[ident.EngineID]Plan{id: {Claim: ident.ClaimNumber(w.turn / 5), Turn: w.turn, Active: w.random.IntN(9)}})
+	case n == 11:
+		// Now and then one judges that should not: that must be put right all the same.
+		w.cores[at].Judge(w.now, time.Second, Contact{May: true, Horizon: w.now})
+	case n == 12 && w.random.IntN(4) == 0:
+		// A daemon's next life knows nothing.
+		i := w.random.IntN(len(w.cores))
+		w.names[i] += "'"
+		w.cores[i] = NewCore(w.names[i], i < controls, time.Second, w.now)
+	default:
+		w.pull(w.random.IntN(len(w.cores)), w.random.IntN(len(w.cores)))
+	}
+}
+
+// pull has one daemon learn from another; it says whether anything came.
+func (w *world) pull(asker, asked int) bool {
+	if asker == asked {
+		return false
+	}
+	cursor, wanted := w.cores[asker].Asked(fmt.Sprint(asked))
+	difference := w.cores[asked].Since(cursor, wanted, asker < controls && asked < controls, 1+w.random.IntN(4))
+	if w.random.IntN(10) == 0 {
+		// The reply is lost.
+		return true
+	}
+	w.cores[asker].Learn(w.now, fmt.Sprint(asked), difference)
+	return len(difference.Records) > 0 || difference.More
+}
+
+// settle lets all daemons ask each other until nothing new comes.
+func (w *world) settle() bool {
+	for range 400 {
+		came := false
+		for asker := range w.cores {
+			for asked := range w.cores {
+				came = w.pull(asker, asked) || came
+			}
+		}
+		if !came {
+			return true
+		}
+	}
+	return false
+}
+
+// usable is what a daemon would send to, without what differs from daemon to daemon by nature.
+func usable(c *Core) map[ident.EngineID]Engine {
+	out := map[ident.EngineID]Engine{}
+	for id, engine := range c.View().Engines {
+		if !engine.Usable() {
+			continue
+		}
+		copied := *engine
+		copied.Heard, copied.Known, copied.CallSeq, copied.ColdMs = 0, 0, 0, 0
+		if copied.Plan != nil {
+			plan := *copied.Plan
+			plan.Told = 0
+			copied.Plan = &plan
+		}
+		out[id] = copied
+	}
+	return out
+}
+
+func TestDaemonsAgreeWhateverTheOrder(t *testing.T) {
+	parameters := gopter.DefaultTestParameters()
+	parameters.MinSuccessfulTests = 400
+	properties := gopter.NewProperties(parameters)
+	properties.Property("after any history, all daemons that talked come to the same", prop.ForAll(func(seed uint64, steps int) string {
+		w := newWorld(seed)
+		for range steps {
+			w.step()
+			for i, c := range w.cores {
+				for id, engine := range c.View().Engines {
+					if w.ended[id] && engine.Gone != c.left[id].gone {
+						return fmt.Sprintf("%s at d%d is gone in one way and not in the other", id, i)
+					}
+				}
+			}
+		}
+		if !w.settle() {
+			return "they talk for ever"
+		}
+		want := usable(w.cores[0])
+		for i, c := range w.cores {
+			if got := usable(c); !reflect.DeepEqual(got, want) {
+				return fmt.Sprintf("d%d knows\n%+v, d0\n%+v", i, got, want)
+			}
+			for id := range w.ended {
+				if engine := c.View().Engines[id]; engine != nil && engine.Usable() && c.left[id].gone {
+					return fmt.Sprintf("%s is back at d%d", id, i)
+				}
+			}
+		}
+		return ""
+	}, gen.UInt64(), gen.IntRange(1, 300)))
+	properties.TestingRun(t)
+}
--- a/process/registry/core.go
+++ b/process/registry/core.go
@@ -29,6 +29,9 @@
 	// Life tells one life of a peer from the next, which counts its changes anew.
 	Life string
 	Seen uint64
+	// Whole is the change up to which nothing is lacking. Between it and Seen, what changed again is told later,
+	// so while a long difference is under way Whole stays behind.
+	Whole uint64
 }
 
 // Record is what one daemon tells another of an engine.
@@ -48,9 +51,9 @@
 // Difference is what changed at a daemon since a cursor.
 type Difference struct {
 	Cursor
-	// Whole says that it begins anew; More, that it goes on in the next.
-	Whole, More bool
-	Records     []Record
+	// Afresh says that it tells of everything; More, that it goes on in the next.
+	Afresh, More bool
+	Records      []Record
 }
 
 // Contact is how well a control daemon hears what the others hear.
@@ -334,9 +337,9 @@
 // beats it tells beats too.
 func (c *Core) Since(cursor Cursor, wanted []ident.EngineID, beats bool, most int) Difference {
 	out := Difference{Cursor: Cursor{Life: c.life, Seen: c.changes}}
-	seen := cursor.Seen
+	seen, whole := cursor.Seen, min(cursor.Whole, cursor.Seen)
 	if cursor.Life != c.life || seen > c.changes {
-		seen, out.Whole = 0, true
+		seen, whole, out.Afresh = 0, 0, true
 	}
 	order, numberOf := c.byChange, func(e *entry) uint64 { return e.changed }
 	if beats {
@@ -356,8 +359,11 @@
 		changed = changed[:most]
 		out.More, out.Seen = true, numberOf(changed[most-1])
 	}
+	if out.Cursor.Whole = out.Seen; out.More {
+		out.Cursor.Whole = whole
+	}
 	for _, e := range changed {
-		out.Records = append(out.Records, e.record(e.wordAt > seen, e.planAt > seen))
+		out.Records = append(out.Records, e.record(e.wordAt > whole, e.planAt > whole))
 	}
 	for _, id := range wanted {
 		if e := c.entries[id]; e != nil {
@@ -381,7 +387,7 @@
 
 // Learn takes what a peer told.
 func (c *Core) Learn(now clock.Mark, peer string, difference Difference) {
-	if known := c.cursors[peer]; known.Life != difference.Life || known.Seen < difference.Seen {
+	if known := c.cursors[peer]; known.Life != difference.Life || known.Seen < difference.Seen || known.Whole < difference.Cursor.Whole {
 		c.cursors[peer] = difference.Cursor
 	}
 	delete(c.wants, peer)
--- a/process/registry/core_test.go
+++ b/process/registry/core_test.go
@@ -59,7 +59,7 @@
 
 func TestSilenceIsJudgedOnlyAfterListening(t *testing.T) {
 	c := NewCore("one", true, time.Second, 0)
-	c.Learn(second, "peer", Difference{Cursor: Cursor{"other", 1}, Whole: true, Records: []Record{func() Record {
+	c.Learn(second, "peer", Difference{Cursor: Cursor{Life: "other", Seen: 1}, Afresh: true, Records: []Record{func() Record {
 		word := engineWord("e1", 7)
 		return Record{ID: "e1", CallSeq: 7, Digest: digestOf(word), Heard: -100 * second, Word: &word}
 	}()}})
@@ -88,7 +88,7 @@
 func TestAnEdgeJudgesNobody(t *testing.T) {
 	c := NewCore("one", false, time.Second, 0)
 	word := engineWord("e1", 7)
-	c.Learn(second, "peer", Difference{Cursor: Cursor{"other", 1}, Records: []Record{{ID: "e1", CallSeq: 7, Digest: digestOf(word), Heard: second, Word: &word}}})
+	c.Learn(second, "peer", Difference{Cursor: Cursor{Life: "other", Seen: 1}, Records: []Record{{ID: "e1", CallSeq: 7, Digest: digestOf(word), Heard: second, Word: &word}}})
 	for now := second; now < 2000*second; now += second / 2 {
 		c.Judge(now, time.Second, soleControl(now))
 	}
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -160,7 +160,7 @@
 
 // Since answers a peer's question; beats says whether it needs to be told of beats.
 func (r *Registry) Since(cursor Cursor, wanted []ident.EngineID, beats bool) (difference Difference) {
-	if cursor.Life == r.life && !beats && len(wanted) == 0 && cursor.Seen >= r.newest.Load() {
+	if cursor.Life == r.life && !beats && len(wanted) == 0 && cursor.Whole >= r.newest.Load() {
 		// Nothing is new, so the actor need not be woken.
 		return Difference{Cursor: cursor}
 	}
@@ -170,7 +170,7 @@
 
 // Learn takes what a peer told, and returns when it is in the view.
 func (r *Registry) Learn(peer string, difference Difference) {
-	if len(difference.Records) == 0 && !difference.Whole {
+	if len(difference.Records) == 0 && !difference.Afresh {
 		r.box.Send(func(now clock.Mark) { r.core.Learn(now, peer, difference) })
 		return
 	}
@@ -180,7 +180,7 @@
 // Saw notes how much of this daemon's changes a peer has.
 func (r *Registry) Saw(peer ident.NodeID, cursor Cursor) {
 	if cursor.Life == r.life {
-		r.reach.saw(peer, cursor.Seen)
+		r.reach.saw(peer, cursor.Whole)
 	}
 }
 
