--- a/cmd/cresspond-platform/main.go
+++ b/cmd/cresspond-platform/main.go
@@ -70,7 +70,11 @@
 		daemon.WithPoolPlanning(platform.NewEngineClient(), daemon.PoolSettings(settings)),
 		daemon.WithControl(func(d *daemon.Daemon) daemon.Handler { return platform.NewOperator(d) }),
 	)
-	go watch(*file, made.Reload)
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGHUP)
+	looks := time.NewTicker(lookEvery)
+	defer looks.Stop()
+	go watch(*file, told, looks.C, made.Reload)
 	if err := made.Run(stop, nil); err != nil {
 		fmt.Fprintln(os.Stderr, "cresspond-platform: "+err.Error())
 		os.Exit(1)
@@ -91,27 +95,38 @@
 	return settings, faults
 }
 
+// lookEvery is how often the settings file is looked at: it may change without a signal.
+const lookEvery = 2 * time.Second
+
 // boundMemory keeps the heap well under what the machine kills for.
 func boundMemory(megabytes int64) {
-	const share = 85
+	const (
+		share = 85
+		// Memory is dearer here than the processor time that collecting sooner takes.
+		collectAt = 50
+	)
+	debug.SetGCPercent(collectAt)
 	if megabytes > 0 {
 		debug.SetMemoryLimit(megabytes << 20 / 100 * share)
 	}
 }
 
-// watch reads the settings again when it is told to, and when the file looks changed.
-func watch(file string, reload func(config.Config)) {
-	const lookEvery = 2 * time.Second
-	told := make(chan os.Signal, 1)
-	signal.Notify(told, syscall.SIGHUP)
-	ticker := time.NewTicker(lookEvery)
-	defer ticker.Stop()
-	read := stampOf(file)
-	for pending := false; ; {
+// watch reads the settings again when it is told to, and when the file looks changed at a look.
+func watch(file string, told <-chan os.Signal, looks <-chan time.Time, reload func(config.Config)) {
+	read, pending, said := stampOf(file), false, false
+	for told != nil || looks != nil {
 		select {
-		case <-told:
+		case _, more := <-told:
+			if !more {
+				told = nil
+				continue
+			}
 			pending = true
-		case <-ticker.C:
+		case _, more := <-looks:
+			if !more {
+				looks = nil
+				continue
+			}
 		}
 		stamp := stampOf(file)
 		if !pending && stamp == read {
@@ -119,14 +134,14 @@
 		}
 		settings, faults := platform.ReadSettings(file)
 		if len(faults) > 0 {
-			// It may be half written; what is in force stays, and the next beat looks again.
-			if !pending {
+			// It may be half written: what is in force stays, and the next look tries again.
+			if !said {
 				log.WithField("fault", faults[0].String()).Warn("the settings cannot be read again yet")
 			}
-			pending = true
+			pending, said = true, true
 			continue
 		}
-		pending, read = false, stamp
+		read, pending, said = stamp, false, false
 		reload(settings)
 	}
 }
--- a/process/daemon/attempts.go
+++ b/process/daemon/attempts.go
@@ -106,7 +106,10 @@
 // askHomes puts one question to all homes of an attempt at once, and weighs what they say.
 func (d *Daemon) askHomes(ask attempts.Ask) attempts.Verdict {
 	self := d.config.ReachedAt()
-	h := homesOf(ask.Attempt, d.members.View(), d.clock.Elapsed(), self)
+	h := homes{ask: []string{self}, knowers: map[string]string{self: ""}, alone: true}
+	if d.config.Attempts != config.LocalAttempts {
+		h = homesOf(ask.Attempt, d.members.View(), d.clock.Elapsed(), self)
+	}
 	type said struct {
 		home  string
 		reply *fellowapi.AttemptReply
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -110,6 +110,8 @@
 	// controlMakers and readyMakers make what stands before the desk, at the operators' and the readiness address.
 	controlMakers, readyMakers []func(*Daemon) Handler
 	control, ready             []Handler
+	// unreadyTold says that the platform was told while this daemon stops that it takes nothing new.
+	unreadyTold chan struct{}
 
 	forwardSide forwardSide
 
@@ -176,7 +178,7 @@
 		config: c, version: version, clock: clock.System{},
 		// Each life of a daemon is a holder of its own, so an earlier life's ids can't be minted again.
 		nodeID:        ident.NodeID(c.Name + "#" + hex.EncodeToString(life[:])),
-		replicaConfig: replica.DefaultConfig(), adopted: make(chan ident.GroupID, 1), broken: make(chan error, 4),
+		replicaConfig: replica.DefaultConfig(), adopted: make(chan ident.GroupID, 1), broken: make(chan error, 4), unreadyTold: make(chan struct{}, 8),
 		applying: make(chan struct{}, 1), applyLimit: applyLimit, applyReach: applyReach,
 		fleetWants: map[ident.NodeID]fleetWant{}, home: seats.NewHome(), aroundDisk: func(disk replica.Disk) replica.Disk { return disk }, stallLimit: stallLimit, runOver: runOver,
 	}
@@ -274,7 +276,9 @@
 	run(d.members.Run)
 	run(d.registry.Run)
 	run(d.attempts.Run)
-	run(d.runRehoming)
+	if d.config.Attempts != config.LocalAttempts {
+		run(d.runRehoming)
+	}
 	run(d.runHistory)
 	run(d.runTenancy)
 	if d.config.Serves(config.Route) {
@@ -465,6 +469,12 @@
 		return
 	}
 	d.desk.Handle(ctx, path)
+	if path == operatorapi.PathReady && ctx.Response.StatusCode() != fasthttp.StatusOK && d.draining.Load() {
+		select {
+		case d.unreadyTold <- struct{}{}:
+		default:
+		}
+	}
 }
 
 func (d *Daemon) poke() {
@@ -737,50 +747,3 @@
 	}
 	d.poke()
 }
-
-// drain stops taking new work, finishes what was read, hands over and lets go.
-func (d *Daemon) drain(servers []*fasthttp.Server, hurry <-chan struct{}) {
-	limit, cancel := context.WithTimeout(context.Background(), time.Duration(d.Config().DrainMs)*time.Millisecond)
-	defer cancel()
-	go func() {
-		select {
-		case <-hurry:
-			cancel()
-		case <-limit.Done():
-		}
-	}()
-	d.draining.Store(true)
-	d.log.Info("draining")
-	if d.config.Serves(config.Place) {
-		d.placer.StandDown()
-		d.pools.standDown()
-		bounded, done := context.WithTimeout(limit, time.Second)
-		d.submitOnce(bounded, statemachine.Command{Op: statemachine.OpDropClaim, NodeID: d.nodeID})
-		done()
-	}
-	if held := d.replica.Load(); held != nil && held.Condition().Leads {
-		held.HandOver()
-	}
-	// The platform needs a moment to see that this daemon is not ready; until then it may still hand connections over.
-	notice := time.NewTimer(noticeLag)
-	defer notice.Stop()
-	select {
-	case <-notice.C:
-	case <-limit.Done():
-	}
-	for _, server := range servers {
-		if err := server.ShutdownWithContext(limit); err != nil {
-			d.log.WithField("open", d.door.Open()).Warn("stopped before all answers were written")
-		}
-	}
-	d.handOver(limit)
-	bounded, done := context.WithTimeout(context.Background(), 2*time.Second)
-	defer done()
-	// Without a tenure too, the group hears that this life serves no more.
-	worker, last, _ := d.generator.Drop()
-	d.submit(bounded, statemachine.Command{Op: statemachine.OpRelease, NodeID: d.nodeID, WorkerID: worker, Last: last})
-	d.log.Info("stopped")
-}
-
-// noticeLag is how long a stopping daemon goes on taking connections that are still handed to it.
-const noticeLag = 1500 * time.Millisecond
--- /dev/null
+++ b/process/daemon/life.go
@@ -0,0 +1,103 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/statemachine"
+)
+
+const (
+	// noticeLag is how long a stopping daemon whose readiness nobody asks for at an address of its own goes on
+	// taking connections that are still handed to it.
+	noticeLag = 1500 * time.Millisecond
+	// mostNotice bounds that time where readiness is asked for: it is asked once a second, and counts twice.
+	mostNotice = 3500 * time.Millisecond
+	// missesSeen is how many answers of not being ready keep new connections away, and lastHandedOver how long
+	// a connection that was handed over before may be on its way.
+	missesSeen     = 2
+	lastHandedOver = 300 * time.Millisecond
+	// claimLimit bounds the word that the planner's claim is free, releaseLimit the release of the worker id.
+	claimLimit   = time.Second
+	releaseLimit = time.Second
+)
+
+// drain stops taking new work, finishes what was read, hands over and lets go.
+func (d *Daemon) drain(servers []*fasthttp.Server, hurry <-chan struct{}) {
+	limit, cancel := context.WithTimeout(context.Background(), time.Duration(d.Config().DrainMs)*time.Millisecond)
+	defer cancel()
+	go func() {
+		select {
+		case <-hurry:
+			cancel()
+		case <-limit.Done():
+		}
+	}()
+	d.draining.Store(true)
+	d.log.Info("draining")
+	var wait sync.WaitGroup
+	wait.Go(func() { d.handOffice(limit) })
+	d.awaitMoved(limit)
+	for _, server := range servers {
+		wait.Go(func() {
+			if err := server.ShutdownWithContext(limit); err != nil {
+				d.log.WithField("open", d.door.Open()).Warn("stopped before all answers were written")
+			}
+		})
+	}
+	wait.Wait()
+	if d.config.Attempts != config.LocalAttempts {
+		d.handOver(limit)
+	}
+	bounded, done := context.WithTimeout(context.Background(), releaseLimit)
+	defer done()
+	// Without a tenure too, the group hears that this life serves no more.
+	worker, last, _ := d.generator.Drop()
+	d.submit(bounded, statemachine.Command{Op: statemachine.OpRelease, NodeID: d.nodeID, WorkerID: worker, Last: last})
+	d.log.Info("stopped")
+}
+
+// handOffice gives up what this daemon does for the others: planning, then leading. The group keeps its
+// size: a machine that stops may come back.
+func (d *Daemon) handOffice(limit context.Context) {
+	if d.config.Serves(config.Place) {
+		d.placer.StandDown()
+		d.pools.standDown()
+		bounded, done := context.WithTimeout(limit, claimLimit)
+		d.submitOnce(bounded, statemachine.Command{Op: statemachine.OpDropClaim, NodeID: d.nodeID})
+		done()
+	}
+	if held := d.replica.Load(); held != nil && held.Condition().Leads {
+		held.HandOver()
+	}
+}
+
+// awaitMoved goes on taking new connections until the platform hands over no more of them.
+func (d *Daemon) awaitMoved(limit context.Context) {
+	most := noticeLag
+	if d.config.ReadyListen != "" {
+		// Half of the time that there is stays for what was taken last.
+		most = min(mostNotice, time.Duration(d.Config().DrainMs)*time.Millisecond/2)
+	}
+	longest := time.NewTimer(most)
+	defer longest.Stop()
+	var moved <-chan time.Time
+	for told := 0; ; {
+		select {
+		case <-d.unreadyTold:
+			if told++; told == missesSeen {
+				moved = time.After(lastHandedOver)
+			}
+		case <-moved:
+			return
+		case <-longest.C:
+			return
+		case <-limit.Done():
+			return
+		}
+	}
+}
--- a/rehearsal/endtoend/harness_test.go
+++ b/rehearsal/endtoend/harness_test.go
@@ -53,7 +53,9 @@
 	options []daemon.Option
 	// oneStep lets an operator alone put bundles in force.
 	oneStep bool
-	ran     bool
+	// settle changes the settings of a daemon that is not ordinary.
+	settle func(*config.Config)
+	ran    bool
 }
 
 var benches atomic.Int64
@@ -217,6 +219,9 @@
 	settings.Name, settings.Zone, settings.Listen, settings.FellowListen = b.name, "here", b.address, b.fellow
 	settings.Seeds, settings.Serve = b.seeds, []config.Role{config.Route, config.Control, config.Place}
 	settings.Data, settings.Platform, settings.OneStep = b.data, b.platform.Address(), b.oneStep
+	if b.settle != nil {
+		b.settle(&settings)
+	}
 	if faults := settings.Check(""); len(faults) > 0 {
 		b.t.Fatal(faults)
 	}
@@ -259,8 +264,10 @@
 
 var client = &http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
-func (b *bench) get(path string, into any) (int, []byte) {
-	response, err := client.Get("http://" + b.address + path)
+func (b *bench) get(path string, into any) (int, []byte) { return getAt(b.address, path, into) }
+
+func getAt(address, path string, into any) (int, []byte) {
+	response, err := client.Get("http://" + address + path)
 	if err != nil {
 		return 0, nil
 	}
