Choose among a prompt's homes, hold with a reason, and refuse when the wait is known

Cause: the thin path chose by one sum and held for half of the time whatever the reason. What: two homes by rendezvous on the last shared part, expected cost in tokens with reports that fade, engines that keep silent cost more; a lack is weighed by the planner's word.

--- a/request/forwarding/choose.go
+++ b/request/forwarding/choose.go
@@ -1,21 +1,19 @@
 package forwarding
 
 import (
-	"math"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/process/registry"
 )
 
-// lack is why nothing can take a record now.
+// lack is why nothing can take a record now; of several reasons the greatest counts.
 type lack uint8
 
 const (
-	// nothing lacks.
 	noLack lack = iota
 	// noEngines: the pool has no engine that may get anything new.
 	noEngines
@@ -27,52 +25,73 @@
 	allFull
 )
 
+// candidate is an engine that may be sent a record.
+type candidate struct {
+	engine *registry.Engine
+	state  *engineState
+	// order is its place by rendezvous: the higher first, the same at all daemons.
+	order uint64
+}
+
+// homes is how many engines, by rendezvous, a prompt's shared parts live on. Choosing between few keeps the
+// parts together, and keeps daemons that look at the same old report from all running to the same engine.
+const homes = 2
+
 // choose gives the best engine for a record, or why there is none.
 func (c *Core) choose(r *Record, w World) (*registry.Engine, lack) {
 	if w.View == nil {
 		return nil, noEngines
 	}
-	why := noEngines
-	var best *registry.Engine
-	bestScore := math.Inf(1)
 	pool, _ := w.Index.Pool(r.pool)
-	var fits []*registry.Engine
+	batching := pool != nil && pool.Catalogue != nil
+	why := noEngines
+	c.candidates = c.candidates[:0]
 	for _, engine := range w.View.Pools[r.pool] {
 		if !engine.Usable() {
 			continue
 		}
 		why = max(why, noModel)
-		if r.Ask.Model != "" && pool != nil && pool.Catalogue != nil && !engine.Holds(r.Ask.Model, r.Ask.Adapter) {
+		if batching && r.Ask.Model != "" && !engine.Holds(r.Ask.Model, r.Ask.Adapter) {
 			continue
 		}
 		why = max(why, allTried)
 		if slices.Contains(r.tried, engine.ID) {
 			continue
 		}
-		fits = append(fits, engine)
+		why = max(why, allFull)
+		state := c.engine(engine.ID)
+		if state.resting(w.Now) || state.inFlight >= most(engine, w, batching) {
+			continue
+		}
+		c.candidates = append(c.candidates, candidate{engine: engine, state: state})
 	}
-	if len(fits) == 0 {
+	if len(c.candidates) == 0 {
 		return nil, why
 	}
-	home := rendezvous(r, fits)
-	for _, engine := range fits {
-		state := c.engine(engine.ID)
-		if state.resting(w.Now) || state.inFlight >= c.most(engine, w, pool != nil && pool.Catalogue != nil) {
-			continue
+	near := c.candidates
+	if batching {
+		// Whoever rests or is full has left the list, so the next by rendezvous stands in.
+		near = c.nearest(r, c.candidates)
+	}
+	best, lowest := near[0].engine, 0.0
+	for place, one := range near {
+		score := c.plainScore(r, one, w)
+		if batching {
+			score = c.batchScore(r, one, w, place)
 		}
-		if score := c.score(r, engine, state, w, engine == home); score < bestScore {
-			best, bestScore = engine, score
+		if place == 0 || score < lowest {
+			best, lowest = one.engine, score
 		}
 	}
-	if best == nil {
-		return nil, allFull
+	if r.score = 0; batching {
+		r.score = lowest
 	}
 	return best, noLack
 }
 
 // most is how many attempts this daemon has at an engine at most. Small engines are shared out, since what
 // piles up there is turned away; batching ones take a queue, and order it by urgency over all daemons.
-func (c *Core) most(engine *registry.Engine, w World, batching bool) int {
+func most(engine *registry.Engine, w World, batching bool) int {
 	slots := max(engine.Slots, 1)
 	if batching {
 		return slots
@@ -81,80 +100,135 @@
 	return max(2, (2*slots+edges-1)/edges)
 }
 
-// rendezvous names the engine at which a prompt's shared parts are kept if all daemons choose alike.
-func rendezvous(r *Record, fits []*registry.Engine) *registry.Engine {
-	if len(r.Ask.Parts) == 0 {
-		return nil
-	}
-	// The last part is the request's own or its session's; the one before it is what others share.
-	part := r.Ask.Parts[max(0, len(r.Ask.Parts)-2)].ID
-	var home *registry.Engine
-	var highest uint64
-	for _, engine := range fits {
-		hash := xxhash.New()
-		_, _ = hash.WriteString(r.Ask.Model)
-		_, _ = hash.WriteString("/" + r.Ask.Adapter + "/" + part + "/")
-		_, _ = hash.WriteString(string(engine.ID))
-		if sum := hash.Sum64(); home == nil || sum > highest {
-			home, highest = engine, sum
+// nearest moves the engines that a prompt is looked for on to the front, and gives them: its homes by
+// rendezvous, in order, and behind them the one that this daemon knows to have kept most of it.
+func (c *Core) nearest(r *Record, all []candidate) []candidate {
+	c.scratch = append(c.scratch[:0], r.Ask.Model...)
+	c.scratch = append(append(append(append(c.scratch, '/'), r.Ask.Adapter...), '/'), affinity(r)...)
+	length := len(c.scratch)
+	for place := range all {
+		all[place].order = xxhash.Sum64(append(c.scratch[:length], all[place].engine.ID...))
+	}
+	found := min(homes, len(all))
+	for place := range found {
+		bring(all, place, func(a, b candidate) bool { return a.order > b.order })
+	}
+	if len(r.Ask.Parts) > 0 && len(all) > found {
+		most := 0
+		for _, one := range all[:found] {
+			most = max(most, one.state.kept.keptTokens(r))
+		}
+		bring(all, found, func(a, b candidate) bool { return a.state.kept.keptTokens(r) > b.state.kept.keptTokens(r) })
+		if all[found].state.kept.keptTokens(r) > most {
+			found++
 		}
 	}
-	return home
+	return all[:found]
+}
+
+// bring swaps the first of those from place on to place.
+func bring(all []candidate, place int, before func(a, b candidate) bool) {
+	first := place
+	for other := place + 1; other < len(all); other++ {
+		if before(all[other], all[first]) {
+			first = other
+		}
+	}
+	all[place], all[first] = all[first], all[place]
+}
+
+// affinity is what a prompt shares with others: the last part is its own or its session's, so the one before
+// that. Those of a session go where its shared parts are, and so meet its own there.
+func affinity(r *Record) string {
+	if len(r.Ask.Parts) == 0 {
+		// Nothing is shared, so each request goes its own way.
+		return r.Ask.Attempt
+	}
+	return r.Ask.Parts[max(0, len(r.Ask.Parts)-2)].ID
 }
 
 const (
 	// perRunning is what one more running request costs, in tokens that could be read meanwhile.
 	perRunning = 24
+	// perQuiet is what a millisecond of silence costs, in the same.
+	perQuiet = 20
 	// crowded is the cost of a prompt that does not fit into the memory left.
 	crowded = 4000
-	// homeShare is how much of the shared parts the home of a prompt is expected to have kept.
-	homeShare = 0.7
-	// farCost is what another zone costs.
-	farCost = 20
+	// farTokens and farPlaces are what another zone costs.
+	farTokens = 60
+	farPlaces = 0.06
 )
 
-// score is the expected wait at an engine, in tokens to be read before this request's first.
-func (c *Core) score(r *Record, engine *registry.Engine, state *engineState, w World, home bool) float64 {
-	edges := float64(max(w.Edges, 1))
-	active, queued := float64(state.inFlight), 0.0
-	memoryUsed, memory := 0.0, 0.0
-	if plan := engine.Plan; plan != nil && w.Now.Since(plan.Told) < c.settings.ReportFresh {
-		if state.told != plan.Told {
-			state.told, state.ownThen = plan.Told, state.inFlight
-		}
-		// What others do is known from the report, and what this daemon did since from itself.
-		since := float64(max(0, state.inFlight-state.ownThen))
-		active = max(active, float64(plan.Active+plan.Queued)+since)
-		queued = float64(plan.Queued)
-		memoryUsed, memory = float64(plan.MemoryUsed), float64(plan.Memory)
-	} else {
-		// Without a word of it, others are taken to do as much there as this daemon does.
-		active *= math.Min(edges, 4)
-	}
+// keptAtHome is how much of the shared parts the homes of a prompt are expected to have kept, by place.
+var keptAtHome = [homes]float64{0.8, 0.3}
+
+// batchScore is the expected wait at a batching engine, in tokens to be read before this request's first.
+func (c *Core) batchScore(r *Record, one candidate, w World, place int) float64 {
+	state, engine := one.state, one.engine
+	state.hear(engine.Plan)
 	kept := float64(state.kept.keptTokens(r))
-	if home {
-		for _, part := range r.Ask.Parts[:max(0, len(r.Ask.Parts)-1)] {
-			kept = max(kept, 0) + 0*float64(part.Tokens)
+	if place < homes {
+		kept = max(kept, keptAtHome[place]*float64(sharedTokens(r)))
+	}
+	score := max(0, float64(r.Ask.TokensIn)-kept) + float64(state.reading)
+	active := float64(state.inFlight)
+	if plan := engine.Plan; plan != nil {
+		if age := w.Now.Since(plan.Told); age < c.settings.ReportFresh {
+			// A queue is known to have been there; the older the word, the less of it is left. What this daemon
+			// has sent since it knows by itself.
+			left := float64(queueHalf) / float64(queueHalf+age)
+			score += left * float64(max(0, plan.Queued-state.readingThen)) * max(float64(r.Ask.TokensIn), c.meanTokens)
+			since := max(0, state.inFlight-state.ownThen)
+			active = max(active, float64(plan.Active+since))
+			if plan.Memory > 0 && plan.MemoryUsed+int64(r.needs+since*r.needs) > plan.Memory {
+				score += crowded
+			}
 		}
-		kept = max(kept, homeShare*float64(sharedTokens(r)))
-	}
-	score := max(0, float64(r.Ask.TokensIn)-kept) + float64(state.reading) + perRunning*active + float64(r.Ask.TokensIn)*queued
-	if r.Ask.TokensIn == 0 {
-		// Nothing is known of its size: places taken are all there is to go by.
-		score = 100 * active / float64(max(engine.Slots, 1)) * 10
 	}
-	if memory > 0 && memoryUsed+float64(r.needs) > memory {
-		score += crowded
+	score += perRunning * active
+	// An engine that has kept silent for long although it was asked is likely to go on so.
+	if quiet := state.quiet(w.Now) - 2*state.firstByte; quiet > 0 {
+		score += perQuiet * float64(quiet/time.Millisecond)
 	}
-	if left := engine.ColdMs - w.Now.Since(engine.Heard).Milliseconds(); left > 0 {
-		score = 2*score + 200
+	return c.common(one, score, w) + far(engine, w, farTokens)
+}
+
+// queueHalf is the age at which half of a queue that was told of counts.
+const queueHalf = 300 * time.Millisecond
+
+// plainScore is the share of an engine's places that are taken, as far as this daemon knows.
+func (c *Core) plainScore(r *Record, one candidate, w World) float64 {
+	score := float64(one.state.inFlight) / float64(max(one.engine.Slots, 1))
+	if quiet := one.state.quiet(w.Now) - 2*one.state.firstByte; quiet > 0 {
+		score += float64(quiet) / float64(time.Second)
+	}
+	score = 4*one.state.badness + score
+	if one.cold(w) {
+		score = 2*score + 0.5
+	}
+	// Among equals each request has an order of its own, so that not all go to the same.
+	c.scratch = append(append(c.scratch[:0], r.Ask.Attempt...), one.engine.ID...)
+	drawn := xxhash.Sum64(c.scratch)
+	return score + far(one.engine, w, farPlaces) + 0.1*float64(drawn>>40)/(1<<24)
+}
+
+// common is what counts for all batching engines alike.
+func (c *Core) common(one candidate, score float64, w World) float64 {
+	if one.cold(w) {
+		score = 2*score + 500
 	}
-	score *= 1 + 4*state.badness
-	if w.Zone != "" && engine.Zone != w.Zone {
-		score += farCost
+	return score * (1 + 6*one.state.badness)
+}
+
+func (c candidate) cold(w World) bool {
+	return c.engine.ColdMs > 0 && c.engine.ColdMs > w.Now.Since(c.engine.Heard).Milliseconds()
+}
+
+func far(engine *registry.Engine, w World, cost float64) float64 {
+	if w.Zone == "" || engine.Zone == w.Zone {
+		return 0
 	}
-	// Among equals each daemon and request has its own order, so that not all go to the same.
-	return score + float64(xxhash.Sum64String(r.Ask.Attempt+string(engine.ID))%1000)/1000*10
+	return cost
 }
 
 // sharedTokens counts the tokens of all parts but the last.
@@ -166,62 +240,10 @@
 	return tokens
 }
 
-// least is the time that an attempt needs at least to be worth sending.
-func (c *Core) least(r *Record) time.Duration {
-	if r.Path == nil {
+// connectionShare is this daemon's part of the connections that an engine takes.
+func connectionShare(pool *forward.Pool, edges int) int {
+	if pool == nil || pool.MostConnections == 0 {
 		return 0
 	}
-	return max(time.Duration(r.Path.TargetMs)*time.Millisecond/10, 5*time.Millisecond)
-}
-
-// comeBack is when asking again makes sense.
-func (c *Core) comeBack(r *Record, w World) time.Duration {
-	if r.Path == nil {
-		return time.Second
-	}
-	return max(time.Duration(r.Path.TargetMs)*time.Millisecond/4, 50*time.Millisecond)
-}
-
-// hopeless says whether it is known that nothing can serve a record in time, and when that may change.
-func (c *Core) hopeless(r *Record, w World, why lack) (time.Duration, bool) {
-	left := r.Deadline.Since(w.Now) - c.least(r)
-	switch why {
-	case noModel:
-		wait, known := c.loadWait(r, w)
-		return wait, known && wait > left
-	case allTried:
-		// Those that were tried won't do better for this one.
-		return c.comeBack(r, w), true
-	default:
-		// Half of its time is all that a request may wait without a word.
-		half := clock.Mark(r.Deadline.Since(r.Arrived)) / 2
-		return c.comeBack(r, w), w.Now >= r.Arrived+half
-	}
-}
-
-// loadWait is how long a model that no engine holds is likely to take to be there.
-func (c *Core) loadWait(r *Record, w World) (time.Duration, bool) {
-	soonest, coming := time.Duration(math.MaxInt64), false
-	for _, engine := range w.View.Pools[r.pool] {
-		if engine.Plan == nil || !engine.Usable() {
-			continue
-		}
-		for _, one := range engine.Plan.Coming {
-			if one.Model == r.Ask.Model && (r.Ask.Adapter == "" || one.Adapter == r.Ask.Adapter) {
-				soonest, coming = min(soonest, max(0, one.Ready.Since(w.Now))), true
-			}
-		}
-	}
-	if coming {
-		return soonest, true
-	}
-	if w.Lacks != nil {
-		if wait, lacks := w.Lacks(r.pool, r.Ask.Model, r.Ask.Adapter); lacks {
-			return wait, true
-		}
-	}
-	if model, known := w.Index.Model(r.pool, r.Ask.Model); known {
-		return time.Duration(model.LoadMs) * time.Millisecond, true
-	}
-	return 0, false
+	return max(1, pool.MostConnections/max(edges, 1))
 }
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -39,17 +39,24 @@
 	settings Settings
 	Counters Counters
 
-	sequence, token uint64
-	held            []*Record
-	engines         map[ident.EngineID]*engineState
-	budgets         map[string]*window
-	demands         map[demandKey]*demandState
-	running         int
+	sequence uint64
+	held     []*Record
+	engines  map[ident.EngineID]*engineState
+	budgets  map[string]*window
+	demands  map[demandKey]*demandState
+	paths    map[string]*pathState
+	// running counts the attempts under way by pool.
+	running map[string]int
+	// meanTokens is a smoothed size of prompts.
+	meanTokens float64
+	candidates []candidate
+	scratch    []byte
 }
 
 // NewCore makes an empty core.
 func NewCore(settings Settings) *Core {
-	return &Core{settings: settings, engines: map[ident.EngineID]*engineState{}, budgets: map[string]*window{}, demands: map[demandKey]*demandState{}}
+	return &Core{settings: settings, engines: map[ident.EngineID]*engineState{}, budgets: map[string]*window{},
+		demands: map[demandKey]*demandState{}, paths: map[string]*pathState{}, running: map[string]int{}}
 }
 
 // step gives a record's sender the next thing to do. A record has at most one that is not yet taken.
@@ -161,6 +168,11 @@
 		c.hold(r, w, why)
 		return
 	}
+	if !r.begun && c.path(r).expected(r.score, w.Now) > left-c.least(r) {
+		// It would only take the place of one that can still be served in time.
+		c.finish(r, w, NoRoom, c.comeBack(r, w))
+		return
+	}
 	c.send(r, w, chosen)
 }
 
@@ -187,10 +199,9 @@
 	r.move(Sending)
 	r.engine, r.sentAt = chosen.ID, w.Now
 	state := c.engine(chosen.ID)
-	r.unread = state.unread(r)
 	state.took(r, w)
 	c.demand(r).running++
-	c.running++
+	c.running[r.pool]++
 	pool, _ := w.Index.Pool(r.pool)
 	r.step(Step{Send: &Send{
 		Engine: chosen.ID, Address: chosen.Address, Zone: chosen.Zone, Pool: r.pool, Left: r.Deadline.Since(w.Now),
@@ -207,14 +218,6 @@
 	return r.Ask.LastEvent
 }
 
-// connectionShare is this daemon's part of the connections that an engine takes.
-func connectionShare(pool *forward.Pool, edges int) int {
-	if pool == nil || pool.MostConnections == 0 {
-		return 0
-	}
-	return max(1, pool.MostConnections/max(edges, 1))
-}
-
 // stamp mints an id for a record that is held or tried again; without a lease neither is allowed.
 func (c *Core) stamp(r *Record, w World) bool {
 	id, minted := w.Mint()
@@ -227,6 +230,10 @@
 // hold keeps a record until an engine can take it, or ends it if none will in time.
 func (c *Core) hold(r *Record, w World, why lack) {
 	if wait, hopeless := c.hopeless(r, w, why); hopeless {
+		if why == noModel && wait <= r.Deadline.Since(w.Now)/3 {
+			// It is still wanted: whoever plans must not forget it until the client has come back.
+			c.demand(r).returning(w.Now + clock.Mark(wait))
+		}
 		c.finish(r, w, NoRoom, wait)
 		return
 	}
@@ -272,10 +279,13 @@
 	r.step(Step{End: &answer})
 }
 
+// raisedBy is by how many ranks a record rises over all of its time; none is held for more than half of it.
+const raisedBy = 8
+
 // rankOf is the rank by which a record that waits is served; waiting raises it, so that none starves.
 func rankOf(r *Record, now clock.Mark) float64 {
 	span := max(r.Deadline.Since(r.Arrived), time.Millisecond)
-	return float64(r.Path.Rank) - 4*float64(now.Since(r.Arrived))/float64(span)
+	return float64(r.Path.Rank) - raisedBy*float64(now.Since(r.Arrived))/float64(span)
 }
 
 // Pass looks at all that are held, the most urgent first.
@@ -338,8 +348,8 @@
 	c.settle(r, outcome, w)
 	if outcome != HeldBack && outcome != NeverSent {
 		r.attempts++
-		if !r.first {
-			r.first = true
+		if !r.counted {
+			r.counted = true
 			c.Counters.Sent++
 			c.budget(r.pool).first(w.Now, c.settings.RetryWindow)
 		}
@@ -411,8 +421,14 @@
 // settle notes at the engine that an attempt has ended.
 func (c *Core) settle(r *Record, outcome Outcome, w World) {
 	c.demand(r).running--
-	c.running--
+	c.running[r.pool]--
 	c.engine(r.engine).ended(r, outcome, w)
+	if outcome == Whole {
+		if !r.begun {
+			c.path(r).began(r, w.Now)
+		}
+		smooth(&c.path(r).served, w.Now.Since(r.sentAt))
+	}
 }
 
 // Begun notes that bytes of the answer go on to the caller, up to and with this event.
@@ -423,6 +439,7 @@
 	if !r.begun {
 		r.begun = true
 		c.engine(r.engine).began(r, w)
+		c.path(r).began(r, w.Now)
 	}
 }
 
--- a/request/forwarding/demand.go
+++ b/request/forwarding/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cresspond/cresspond/process/clock"
@@ -25,6 +26,27 @@
 	tokens, arrivals float64
 	noted            clock.Mark
 	rank             int
+	// back is when clients come back that were refused because something is not loaded yet.
+	back []clock.Mark
+}
+
+// returning notes a client that was told to come back.
+func (d *demandState) returning(at clock.Mark) {
+	if len(d.back) < mostReturning {
+		d.back = append(d.back, at)
+	}
+}
+
+const (
+	mostReturning = 100
+	// returnSlack is how much later than told a client may be back.
+	returnSlack = 300 * time.Millisecond
+)
+
+// expecting counts those that are not back yet.
+func (d *demandState) expecting(now clock.Mark) int {
+	d.back = slices.DeleteFunc(d.back, func(at clock.Mark) bool { return now > at+clock.Mark(returnSlack) })
+	return len(d.back)
 }
 
 // demandHalf is the time after which an arrival counts half.
@@ -55,6 +77,9 @@
 	d.tokens += perSecond * float64(r.Ask.TokensIn+10*r.Ask.TokensOut)
 	d.arrivals += perSecond
 	d.rank = min(d.rank, r.Path.Rank)
+	if r.Ask.TokensIn > 0 {
+		c.meanTokens += (float64(r.Ask.TokensIn) - c.meanTokens) / 32
+	}
 }
 
 // Demands lists what is asked for now, and forgets what has not been for long.
@@ -69,11 +94,12 @@
 	out := make([]Demand, 0, len(c.demands))
 	for key, d := range c.demands {
 		d.fade(now)
-		if d.held == 0 && d.running == 0 && d.arrivals < 0.002 {
+		expecting := d.expecting(now)
+		if d.held+expecting == 0 && d.running == 0 && d.arrivals < 0.002 {
 			delete(c.demands, key)
 			continue
 		}
-		one := Demand{Pool: key.pool, Model: key.model, Adapter: key.adapter, Held: d.held, Running: d.running, Tokens: d.tokens, Arrivals: d.arrivals, Rank: d.rank}
+		one := Demand{Pool: key.pool, Model: key.model, Adapter: key.adapter, Held: d.held + expecting, Running: d.running, Tokens: d.tokens, Arrivals: d.arrivals, Rank: d.rank}
 		if at, known := oldest[key]; known {
 			one.Oldest = now.Since(at)
 		}
--- a/request/forwarding/engine.go
+++ b/request/forwarding/engine.go
@@ -13,16 +13,20 @@
 	// inFlight is its own attempts there, reading the tokens of prompts sent and not yet begun, memory the
 	// tokens that its attempts may take.
 	inFlight, reading, memory int
-	// told is the newest report taken into account, ownThen the attempts in flight when it came.
-	told    clock.Mark
-	ownThen int
+	// told is the newest report taken into account; ownThen the attempts in flight when it came, readingThen
+	// those of them that had not begun.
+	told                 clock.Mark
+	ownThen, readingThen int
+	// waiting counts the attempts whose answer has not begun; asked is when the first of them left, or when
+	// the engine last gave a sign since.
+	waiting int
+	asked   clock.Mark
 	// failures is how many attempts failed in a row, badness a smoothed share of them.
 	failures  int
 	badness   float64
 	restUntil clock.Mark
-	// took is a smoothed time from sending to the first byte.
+	// firstByte is a smoothed time from sending to the first byte.
 	firstByte time.Duration
-	used      clock.Mark
 	kept      *keptParts
 }
 
@@ -54,16 +58,34 @@
 // took notes an attempt that is about to leave.
 func (e *engineState) took(r *Record, w World) {
 	e.inFlight++
-	e.reading += r.unread
 	e.memory += r.needs
-	e.used = w.Now
+	r.unread = max(0, r.Ask.TokensIn-e.kept.keptTokens(r))
+	e.reading += r.unread
+	r.awaited = true
+	if e.waiting++; e.waiting == 1 {
+		e.asked = w.Now
+	}
 	e.kept.note(r)
 }
 
+// hear takes up a new report.
+func (e *engineState) hear(plan *registry.Plan) {
+	if plan != nil && plan.Told != e.told {
+		e.told, e.ownThen, e.readingThen = plan.Told, e.inFlight, e.waiting
+	}
+}
+
+// quiet is for how long it has given no sign although it was asked.
+func (e *engineState) quiet(now clock.Mark) time.Duration {
+	if e.waiting == 0 {
+		return 0
+	}
+	return now.Since(e.asked)
+}
+
 // began notes that an attempt's answer has begun, so that its prompt is read.
 func (e *engineState) began(r *Record, w World) {
-	e.reading -= r.unread
-	r.unread = 0
+	e.read(r, w)
 	waited := w.Now.Since(r.sentAt)
 	if e.firstByte == 0 {
 		e.firstByte = waited
@@ -72,6 +94,16 @@
 	e.well()
 }
 
+// read takes an attempt off those whose answer has not begun.
+func (e *engineState) read(r *Record, w World) {
+	if r.awaited {
+		r.awaited = false
+		e.waiting--
+		e.reading -= r.unread
+		e.asked = w.Now
+	}
+}
+
 func (e *engineState) well() {
 	e.failures = 0
 	e.restUntil = 0
@@ -96,21 +128,25 @@
 // ended notes how an attempt ended.
 func (e *engineState) ended(r *Record, outcome Outcome, w World) {
 	e.inFlight--
-	e.reading -= r.unread
 	e.memory -= r.needs
-	r.unread = 0
+	asked := e.asked
+	e.read(r, w)
 	switch outcome {
 	case Whole:
 		e.well()
 	case NeverSent, Junk:
 		e.ill(w, true)
 	case Lost, Cut, Failed:
-		// One that ran into its own deadline says little of the engine.
+		// One that ran into its own deadline says little of the engine, but it is no sign of life either.
 		if w.Now < r.Deadline {
 			e.ill(w, false)
+		} else if outcome == Lost {
+			e.asked = asked
 		}
+	case HeldBack, Left:
+		e.asked = asked
 	case EngineRefused:
-		// It is full, or about to be: a moment's rest spreads the rest over others.
+		// It is full, or about to be: a moment's rest spreads what comes over others.
 		e.restUntil = max(e.restUntil, w.Now+clock.Mark(fullRest))
 	}
 }
--- a/request/forwarding/kept.go
+++ b/request/forwarding/kept.go
@@ -44,8 +44,3 @@
 	}
 	return tokens
 }
-
-// unread counts the tokens of a prompt that the engine would have to read.
-func (e *engineState) unread(r *Record) int {
-	return max(0, r.Ask.TokensIn-e.kept.keptTokens(r))
-}
--- a/request/forwarding/record.go
+++ b/request/forwarding/record.go
@@ -79,15 +79,17 @@
 	begun bool
 	// lastEvent is the last event passed on, if any was.
 	lastEvent string
-	// offered says that an engine able to run it was asked.
-	offered bool
-	heldAt  clock.Mark
-	sentAt  clock.Mark
-	// needs is the tokens of memory, and unread those of its prompt that the engine chosen has not kept.
+	heldAt    clock.Mark
+	sentAt    clock.Mark
+	// needs is the tokens of memory, and unread those of its prompt that the engine chosen has not kept;
+	// awaited says that the answer has not begun.
 	needs, unread int
-	first         bool
-	steps         chan Step
-	token         uint64
+	awaited       bool
+	// score is what the engine chosen was expected to cost.
+	score float64
+	// counted says that its first arrival at an engine is in the budget.
+	counted bool
+	steps   chan Step
 }
 
 // Stage tells where the record stands.
--- /dev/null
+++ b/request/forwarding/wait.go
@@ -0,0 +1,192 @@
+package forwarding
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/registry"
+)
+
+// pathState is what this daemon has seen of one path's requests.
+type pathState struct {
+	// first is a smoothed time from sending to the first byte, served the same to the whole answer.
+	first, served time.Duration
+	// pace is a smoothed time to the first byte for each token of expected cost, paced when it was last seen.
+	pace  float64
+	paced clock.Mark
+}
+
+// began notes how long the first byte took.
+func (p *pathState) began(r *Record, now clock.Mark) {
+	waited := now.Since(r.sentAt)
+	smooth(&p.first, waited)
+	if r.score > 0 {
+		pace := float64(waited) / r.score
+		if p.pace == 0 {
+			p.pace = pace
+		}
+		p.pace += (pace - p.pace) / 8
+		p.paced = now
+	}
+}
+
+// expected is how long the first byte is likely to take. What was seen counts less the longer ago, or a path
+// that was given up on would never be tried again.
+func (p *pathState) expected(score float64, now clock.Mark) time.Duration {
+	return time.Duration(score * p.pace * float64(paceHalf) / float64(paceHalf+now.Since(p.paced)))
+}
+
+const paceHalf = time.Second
+
+func (c *Core) path(r *Record) *pathState {
+	state := c.paths[r.Path.Name]
+	if state == nil {
+		if len(c.paths) >= mostPaths {
+			// Paths come and go with the bundles; what is known of them is soon known again.
+			clear(c.paths)
+		}
+		state = &pathState{}
+		c.paths[r.Path.Name] = state
+	}
+	return state
+}
+
+const mostPaths = 10_000
+
+// smooth moves a smoothed time towards the newest.
+func smooth(into *time.Duration, newest time.Duration) {
+	if *into == 0 {
+		*into = newest
+		return
+	}
+	*into += (newest - *into) / 8
+}
+
+// least is the time that an attempt needs at least to be worth sending: what it took lately, but no more than
+// its target, or a bad hour would keep the next request from even being tried.
+func (c *Core) least(r *Record) time.Duration {
+	if r.Path == nil {
+		return 0
+	}
+	target := time.Duration(r.Path.TargetMs) * time.Millisecond
+	return max(target/10, min(c.path(r).first, target)/2, leastTime)
+}
+
+const leastTime = 5 * time.Millisecond
+
+// comeBack is when asking again makes sense: later than what holds it up now, and early enough to be served.
+func (c *Core) comeBack(r *Record, w World) time.Duration {
+	if r.Path == nil {
+		return time.Second
+	}
+	return max(r.Deadline.Since(w.Now)/4, leastComeBack)
+}
+
+const (
+	leastComeBack = 50 * time.Millisecond
+	// planTime is about how long a planner takes to hear of a lack and order a load.
+	planTime = 700 * time.Millisecond
+	// readyMargin is how much later than told something may come to be there.
+	readyMargin = 150 * time.Millisecond
+)
+
+// hopeless says whether a record that nothing can take now is to be given up, and when to come back. A
+// request is given up as soon as it is known that it can't be served in time, and never held for more than
+// half of the time it had without a word; while there is hope it is held.
+func (c *Core) hopeless(r *Record, w World, why lack) (comeBack time.Duration, hopeless bool) {
+	left := r.Deadline.Since(w.Now)
+	waited := w.Now.Since(r.Arrived)
+	target := time.Duration(r.Path.TargetMs) * time.Millisecond
+	half := r.Deadline.Since(r.Arrived) / 2
+	switch why {
+	case allTried:
+		// Those that were tried won't do better for this one.
+		return c.comeBack(r, w), true
+	case noModel:
+		wait, sure := c.loadWait(r, w)
+		switch {
+		case sure && wait > left-c.least(r):
+			return min(max(wait, leastComeBack), left), true
+		case sure && waited+wait > target && wait+readyMargin <= left/3:
+			// It will be late here, and in time for a client that comes back when it is there.
+			return wait + readyMargin, true
+		case sure:
+			return 0, false
+		case waited < target/4 && waited < half:
+			// The planner's word is on its way.
+			return 0, false
+		case waited+wait > half:
+			return c.comeBack(r, w), true
+		}
+		return 0, false
+	case allFull:
+		// Its turn comes when those before it have got theirs.
+		wait := time.Duration(c.before(r, w)+1) * c.path(r).served / time.Duration(max(c.running[r.pool], 1))
+		if wait > left-c.least(r) && waited >= min(target/4, half) {
+			return c.comeBack(r, w), true
+		}
+		return c.comeBack(r, w), waited >= half
+	}
+	// An engine may register at any moment, but nothing says that one will.
+	return c.comeBack(r, w), waited >= min(target/4, half)
+}
+
+// before counts those that are held for the same pool and are served first.
+func (c *Core) before(r *Record, w World) int {
+	count, rank := 0, rankOf(r, w.Now)
+	for _, other := range c.held {
+		if other != r && other.pool == r.pool && rankOf(other, w.Now) <= rank {
+			count++
+		}
+	}
+	return count
+}
+
+// loadWait is how long something that no engine holds is likely to take to be there, and whether that is
+// the planner's word.
+func (c *Core) loadWait(r *Record, w World) (time.Duration, bool) {
+	soonest := time.Duration(math.MaxInt64)
+	for _, engine := range w.View.Pools[r.pool] {
+		if engine.Plan == nil || !engine.Usable() {
+			continue
+		}
+		for _, one := range engine.Plan.Coming {
+			if one.Model != r.Ask.Model {
+				continue
+			}
+			ready := max(0, one.Ready.Since(w.Now))
+			switch one.Adapter {
+			case r.Ask.Adapter:
+				soonest = min(soonest, ready)
+			case "":
+				// The adapter can only be ordered once its model is there.
+				soonest = min(soonest, ready+planTime)
+			}
+		}
+	}
+	if soonest < math.MaxInt64 {
+		return soonest, true
+	}
+	if w.Lacks != nil {
+		if wait, lacks := w.Lacks(r.pool, r.Ask.Model, r.Ask.Adapter); lacks {
+			return wait, true
+		}
+	}
+	model, known := w.Index.Model(r.pool, r.Ask.Model)
+	if !known {
+		// Nobody can load what the catalogue does not have.
+		return time.Hour, true
+	}
+	since := time.Duration(0)
+	if r.stage == Held {
+		since = w.Now.Since(r.heldAt)
+	}
+	load := time.Duration(model.LoadMs) * time.Millisecond
+	if slices.ContainsFunc(w.View.Pools[r.pool], func(engine *registry.Engine) bool { return engine.Usable() && engine.Holds(r.Ask.Model, "") }) {
+		// An adapter alone comes in a moment.
+		load = 0
+	}
+	return max(0, planTime+load-since), false
+}
