Rehearse the scale: hollow daemons and engines beside real ones, and slopes through their cost

rehearse scale grows a fleet by steps and measures what control costs each kind of daemon at rest, by engines that beat, leavings, changes and restarts. A step that would not fit is refused beforehand with what it would need; one that keeps the machine too busy is cut short, and the run says that it is partial.

--- a/rehearsal/cmd/rehearse/main.go
+++ b/rehearsal/cmd/rehearse/main.go
@@ -76,6 +76,8 @@
 	standListen := stand.Flag("listen", "IP:port.").Required().String()
 	standJournal := stand.Flag("journal", "File to write down all that happens.").Required().String()
 
+	scaled := addScale(app)
+
 	chosenCommand, err := app.Parse(os.Args[1:])
 	if err != nil {
 		app.Fatalf("%s, try --help", err)
@@ -91,6 +93,8 @@
 		err = bringUp(*upName, *upProgram, *upFolder, *upOnce)
 	case stand.FullCommand():
 		err = beEngine(*standName, *standID, *standListen, *standJournal)
+	default:
+		err = scaled(chosenCommand)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "rehearse: "+err.Error())
--- /dev/null
+++ b/rehearsal/cmd/rehearse/scale.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/cresspond/cresspond/rehearsal/scale"
+)
+
+// addScale adds the verbs of the scale run; what it gives runs the one that was chosen.
+func addScale(app *kingpin.Application) func(chosen string) error {
+	run := app.Command("scale", "Grow a fleet of hollow daemons and engines beside real ones by steps, and draw slopes through what control costs.")
+	daemons := run.Flag("daemons", "A size of the fleet; give it once for each step.").Default("10", "30", "60", "100").Ints()
+	engines := run.Flag("engines", "A number of engines, tried in turn in each step.").Default("0", "350", "1400").Ints()
+	core := run.Flag("core", "Daemons of the core.").Default("3").Int()
+	paths := run.Flag("paths", "Paths in the bundle.").Default("200").Int()
+	beat := run.Flag("beat", "How often engines beat.").Default("1.2s").Duration()
+	windows := run.Flag("windows", "How many times each rest is measured.").Default("3").Int()
+	window := run.Flag("window", "How long each time.").Default("5s").Duration()
+	leaves := run.Flag("leaves", "Engines that leave in each step.").Default("10").Int()
+	changes := run.Flag("changes", "Bundles rolled in each step.").Default("3").Int()
+	restarts := run.Flag("restarts", "Daemons restarted in each step.").Default("5").Int()
+	limits := scale.DefaultLimits()
+	cores := run.Flag("most-cores", "How many processors the run may keep busy.").Default(fmt.Sprint(limits.Cores)).Float64()
+	program := run.Flag("cresspondd", "The daemon to run; by default the one beside this program.").String()
+	folder := run.Flag("folder", "Folder for logs and data; by default a new one, removed afterwards.").String()
+	result := run.Flag("result", "File to write each row to, as a line of JSON.").String()
+
+	fit := app.Command("scale-fit", "Draw the slopes again from the rows of earlier runs.")
+	fitFiles := fit.Arg("rows", "Files of rows.").Required().ExistingFiles()
+
+	hollow := app.Command("hollow", "Be a process of hollow daemons.").Hidden()
+
+	return func(chosen string) error {
+		switch chosen {
+		case hollow.FullCommand():
+			return scale.Host(os.Stdin, os.Stdout)
+		case fit.FullCommand():
+			rows, err := scale.ReadRows(*fitFiles)
+			if err != nil {
+				return err
+			}
+			scale.Report(os.Stdout, rows)
+			return nil
+		}
+		limits.Cores = *cores
+		machine, err := scale.ThisMachine()
+		if err != nil {
+			return err
+		}
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		o := scale.Options{Program: *program, Self: self, Build: version, Folder: *folder, Beat: *beat, Windows: *windows, Window: *window, Engines: *engines,
+			Leaves: *leaves, Changes: *changes, Restarts: *restarts, Limits: limits, Machine: machine, Say: sayer()}
+		if o.Program == "" {
+			o.Program = filepath.Join(filepath.Dir(self), "cresspondd")
+		}
+		if _, err := os.Stat(o.Program); err != nil {
+			return fmt.Errorf("the daemon cannot be run: %w", err)
+		}
+		if o.Folder == "" {
+			if o.Folder, err = os.MkdirTemp("", "rehearse-scale-"); err != nil {
+				return err
+			}
+			defer os.RemoveAll(o.Folder)
+		}
+		if *result != "" {
+			file, err := os.OpenFile(*result, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+			if err != nil {
+				return err
+			}
+			defer file.Close()
+			o.Result = file
+		}
+		var steps []scale.Size
+		for _, count := range *daemons {
+			size := scale.Full()
+			size.Daemons, size.Core, size.Paths = count, *core, *paths
+			for _, e := range *engines {
+				size.Engines = e
+			}
+			steps = append(steps, size)
+		}
+		ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		defer cancel()
+		began := time.Now()
+		rows, whole, err := scale.Run(ctx, steps, o)
+		if err != nil {
+			return err
+		}
+		scale.Report(os.Stdout, rows)
+		fmt.Printf("\nbuild %s, %s\n", version, time.Since(began).Round(time.Second))
+		if !whole {
+			return fmt.Errorf("this run is PARTIAL: some steps were refused or cut short, as said above")
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/rehearsal/scale/fleet.go
@@ -0,0 +1,342 @@
+package scale
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+// Kind says how a daemon runs.
+type Kind string
+
+const (
+	// Leader and Follower are of the core, each a process of its own.
+	Leader   Kind = "leader"
+	Follower Kind = "follower"
+	// Edge is a routing daemon in a process of its own, Hollow one that shares a process.
+	Edge   Kind = "edge"
+	Hollow Kind = "hollow"
+)
+
+// member is one daemon.
+type member struct {
+	name     string
+	address  string
+	settings config.Config
+	core     bool
+	process  *process
+}
+
+// process is one operating system process: a real daemon, or a host of hollow ones.
+type process struct {
+	members []*member
+	host    bool
+	cmd     *exec.Cmd
+	words   io.WriteCloser
+	mutex   sync.Mutex
+	// ended are the hollow daemons that ended of themselves or on the runner's word.
+	ended map[string]string
+	told  chan struct{}
+}
+
+// oneCore is how many processors each process of the fleet may use at once.
+const oneCore = 1
+
+// addresses gives out loopback addresses, an IP number for each, so that no outgoing connection can be given one.
+type addresses struct{ base, next int }
+
+func (a *addresses) free() (string, error) {
+	a.next++
+	host := fmt.Sprintf("127.%d.%d.%d", a.base, a.next/250, 1+a.next%250)
+	listener, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// fleet is all processes of one step.
+type fleet struct {
+	folder    string
+	program   string
+	self      string
+	addresses *addresses
+	members   []*member
+	processes []*process
+	client    *http.Client
+}
+
+func layFleet(size Size, folder, program, self string, beat time.Duration, base int) (*fleet, error) {
+	f := &fleet{folder: folder, program: program, self: self, addresses: &addresses{base: base},
+		client: &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	var seeds []string
+	for i := range size.Daemons {
+		m := &member{core: i < size.Core, name: fmt.Sprintf("edge-%d", i)}
+		if m.core {
+			m.name = fmt.Sprintf("core-%d", i)
+		}
+		s := config.Default()
+		s.Name, s.Zone, s.Log, s.Attempts, s.Trouble = m.name, zoneName(i%size.Zones), "warn", config.LocalAttempts, config.WaitOnTrouble
+		s.Serve = []config.Role{config.Route}
+		s.Bounds.BeatMs = beat.Milliseconds()
+		var err error
+		if s.Listen, err = f.addresses.free(); err != nil {
+			return nil, err
+		}
+		// The same IP number for both, so that a daemon is known by it.
+		host, _, _ := net.SplitHostPort(s.Listen)
+		listener, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			return nil, err
+		}
+		s.FellowListen = listener.Addr().String()
+		listener.Close()
+		if m.core {
+			s.Serve = []config.Role{config.Control, config.Place}
+			s.Data = filepath.Join(folder, m.name+".data")
+			seeds = append(seeds, s.FellowListen)
+		}
+		m.address, m.settings = s.Listen, s
+		f.members = append(f.members, m)
+	}
+	var host *process
+	for i, m := range f.members {
+		m.settings.Seeds = seeds
+		if i < size.Core+realEdges {
+			p := &process{members: []*member{m}}
+			m.process = p
+			f.processes = append(f.processes, p)
+			continue
+		}
+		if host == nil || len(host.members) == perHost {
+			host = &process{host: true, ended: map[string]string{}, told: make(chan struct{})}
+			f.processes = append(f.processes, host)
+		}
+		host.members = append(host.members, m)
+		m.process = host
+	}
+	return f, nil
+}
+
+func (f *fleet) start() error {
+	for i, p := range f.processes {
+		args := []string{"hollow"}
+		program, name := f.self, fmt.Sprintf("host-%d", i)
+		if !p.host {
+			m := p.members[0]
+			data, err := json.Marshal(m.settings)
+			if err != nil {
+				return err
+			}
+			path := filepath.Join(f.folder, m.name+".json")
+			if err := os.WriteFile(path, data, 0o600); err != nil {
+				return err
+			}
+			program, name, args = f.program, m.name, []string{"--config", path}
+		}
+		log, err := os.Create(filepath.Join(f.folder, name+".log"))
+		if err != nil {
+			return err
+		}
+		p.cmd = exec.Command(program, args...)
+		p.cmd.Stderr = log
+		// The deployments' machines show one core; with more, Go's scheduler looks for work on all of them at
+		// each wake-up, and an idle daemon costs several times as much.
+		p.cmd.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", oneCore))
+		// A runner that dies takes its fleet with it.
+		p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		if p.host {
+			if p.words, err = p.cmd.StdinPipe(); err != nil {
+				return err
+			}
+			echoes, err := p.cmd.StdoutPipe()
+			if err != nil {
+				return err
+			}
+			go p.listen(echoes)
+		}
+		err = p.cmd.Start()
+		log.Close()
+		if err != nil {
+			return err
+		}
+		if !p.host {
+			continue
+		}
+		for _, m := range p.members {
+			if err := p.tell(Word{Start: &m.settings}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (p *process) tell(word Word) error { return json.NewEncoder(p.words).Encode(word) }
+
+func (p *process) listen(echoes io.Reader) {
+	lines := bufio.NewScanner(echoes)
+	for lines.Scan() {
+		var echo Echo
+		if json.Unmarshal(lines.Bytes(), &echo) != nil {
+			continue
+		}
+		p.mutex.Lock()
+		p.ended[echo.Ended] = echo.Why
+		close(p.told)
+		p.told = make(chan struct{})
+		p.mutex.Unlock()
+	}
+}
+
+// restart stops a hollow daemon and starts the next life of it.
+func (p *process) restart(m *member, within time.Duration) error {
+	p.mutex.Lock()
+	delete(p.ended, m.name)
+	p.mutex.Unlock()
+	if err := p.tell(Word{Stop: m.name}); err != nil {
+		return err
+	}
+	limit := time.After(within)
+	for {
+		p.mutex.Lock()
+		_, ended := p.ended[m.name]
+		told := p.told
+		p.mutex.Unlock()
+		if ended {
+			return p.tell(Word{Start: &m.settings})
+		}
+		select {
+		case <-told:
+		case <-limit:
+			return fmt.Errorf("%s did not end", m.name)
+		}
+	}
+}
+
+// stop ends the processes that this fleet started.
+func (f *fleet) stop() {
+	for _, p := range f.processes {
+		if p.cmd != nil && p.cmd.Process != nil {
+			_ = p.cmd.Process.Kill()
+		}
+	}
+	for _, p := range f.processes {
+		if p.cmd != nil && p.cmd.Process != nil {
+			_ = p.cmd.Wait()
+		}
+	}
+}
+
+// dead says which process or hollow daemon has ended of itself; it is empty while none has.
+func (f *fleet) dead() string {
+	for _, p := range f.processes {
+		if _, resident := glance(p.cmd.Process.Pid); resident == 0 {
+			names := make([]string, 0, len(p.members))
+			for _, m := range p.members {
+				names = append(names, m.name)
+			}
+			return strings.Join(names, ", ")
+		}
+		p.mutex.Lock()
+		for name, why := range p.ended {
+			if why != "" {
+				p.mutex.Unlock()
+				return name + ": " + why
+			}
+		}
+		p.mutex.Unlock()
+	}
+	return ""
+}
+
+func (f *fleet) get(m *member, path string, into any) (int, error) {
+	response, err := f.client.Get("http://" + m.address + path)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err
+	}
+	if text, ok := into.(*string); ok {
+		*text = string(data)
+		return response.StatusCode, nil
+	}
+	if into == nil || response.StatusCode != http.StatusOK {
+		return response.StatusCode, nil
+	}
+	return response.StatusCode, json.Unmarshal(data, into)
+}
+
+func (f *fleet) post(path string, body, into any) (int, error) {
+	data, err := json.Marshal(body)
+	if propose, ok := body.(operatorapi.Propose); ok {
+		data, err = propose.Encode()
+	}
+	if err != nil {
+		return 0, err
+	}
+	response, err := f.client.Post("http://"+f.members[0].address+path, "application/json", bytes.NewReader(data))
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err
+	}
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusAccepted {
+		return response.StatusCode, fmt.Errorf("%s: status %d: %s", path, response.StatusCode, bytes.TrimSpace(answer))
+	}
+	if into == nil {
+		return response.StatusCode, nil
+	}
+	return response.StatusCode, json.Unmarshal(answer, into)
+}
+
+// leader is the member that leads the group; nil while none does.
+func (f *fleet) leader() *member {
+	for _, m := range f.members {
+		if !m.core {
+			break
+		}
+		var status operatorapi.Status
+		if _, err := f.get(m, operatorapi.PathStatus, &status); err == nil && status.Raft != nil && status.Raft.Role == "leader" {
+			return m
+		}
+	}
+	return nil
+}
+
+// forAll does something for all members, some at once.
+func (f *fleet) forAll(do func(at int, m *member)) {
+	gate := make(chan struct{}, 16)
+	var wait sync.WaitGroup
+	for at, m := range f.members {
+		wait.Add(1)
+		gate <- struct{}{}
+		go func() {
+			defer wait.Done()
+			do(at, m)
+			<-gate
+		}()
+	}
+	wait.Wait()
+}
--- /dev/null
+++ b/rehearsal/scale/run.go
@@ -0,0 +1,448 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+// Options say how a run goes.
+type Options struct {
+	// Program is the daemon, Self this program, Build names the build.
+	Program, Self, Build string
+	Folder               string
+	Beat                 time.Duration
+	Windows              int
+	Window               time.Duration
+	// Engines are the numbers of engines tried in turn in each step.
+	Engines []int
+	// Leaves, Changes and Restarts are how many of each are made in each step.
+	Leaves, Changes, Restarts int
+	Limits                    Limits
+	Machine                   Machine
+	// Result takes each row as a line of JSON.
+	Result io.Writer
+	Say    func(format string, args ...any)
+}
+
+// errCut says that a step was cut short.
+var errCut = errors.New("cut short")
+
+// Run plays all steps that fit, and gives their rows. whole is false where any was refused or cut short.
+func Run(ctx context.Context, steps []Size, o Options) (rows []Row, whole bool, err error) {
+	whole = true
+	note := func(row Row) {
+		row.Build = o.Build
+		rows = append(rows, row)
+		if o.Result != nil {
+			_ = json.NewEncoder(o.Result).Encode(row)
+		}
+	}
+	for i, size := range steps {
+		need := NeedOf(size, costBy(rows, size))
+		if why := Refusal(need, o.Machine, o.Limits); why != "" {
+			o.Say("refused: %v: %s", size, why)
+			note(Row{Size: size, Phase: PhaseRefused, Cut: why})
+			whole = false
+			continue
+		}
+		o.Say("step %d: %v; expected: %v", i+1, size, need)
+		s := &step{Options: o, size: size, note: note}
+		err := s.play(ctx, i)
+		switch {
+		case errors.Is(err, errCut):
+			whole = false
+			o.Say("this step is partial: %s", s.why())
+		case err != nil:
+			return rows, false, err
+		}
+		if ctx.Err() != nil {
+			return rows, false, nil
+		}
+	}
+	return rows, whole, nil
+}
+
+// costBy draws what the next step costs from those that were measured with the most engines; before that, from FirstCost.
+func costBy(rows []Row, next Size) Cost {
+	cost := FirstCost()
+	var cores, memory []Point
+	sizes := map[int]bool{}
+	for _, row := range rows {
+		hollow, measured := row.Kinds[Hollow]
+		if row.Phase != PhaseRest || !measured || row.Size.Engines == 0 {
+			continue
+		}
+		sizes[row.Size.Daemons] = true
+		cores = append(cores, Point{row.Size, hollow.Cores})
+		memory = append(memory, Point{row.Size, hollow.Resident * (1 << 20)})
+	}
+	if len(sizes) < 2 {
+		// One size tells of no slope: all of it is then taken to grow with the peers.
+		for _, point := range cores {
+			cost.PeerCores = max(cost.PeerCores, point.Value/float64(point.Size.Daemons))
+		}
+		return cost
+	}
+	if fit, err := Draw(cores, Constant, PerDaemon); err == nil {
+		value, within := fit.At(next)
+		cost.DaemonCores, cost.PeerCores = value+within, 0
+	}
+	if fit, err := Draw(memory, Constant, PerDaemon); err == nil {
+		value, within := fit.At(next)
+		cost.DaemonBytes, cost.PeerBytes, cost.ProcessBytes = value+within, 0, 0
+	}
+	return cost
+}
+
+// step is one size that is being played.
+type step struct {
+	Options
+	size    Size
+	fleet   *fleet
+	engines *hollowEngines
+	note    func(Row)
+	reason  atomic.Pointer[string]
+	// revision numbers the bundles.
+	revision uint64
+}
+
+func (s *step) why() string {
+	if reason := s.reason.Load(); reason != nil {
+		return *reason
+	}
+	return "interrupted"
+}
+
+func (s *step) cut(format string, args ...any) error {
+	why := fmt.Sprintf(format, args...)
+	s.reason.CompareAndSwap(nil, &why)
+	return errCut
+}
+
+func (s *step) play(outer context.Context, number int) error {
+	ctx, cancel := context.WithCancel(outer)
+	defer cancel()
+	folder := filepath.Join(s.Folder, fmt.Sprintf("step-%d", number))
+	// Daemons that remember an earlier run's group would wait for it.
+	if err := os.RemoveAll(folder); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return err
+	}
+	var err error
+	if s.fleet, err = layFleet(s.size, folder, s.Program, s.Self, s.Beat, 1+(os.Getpid()*7+number)%120); err != nil {
+		return err
+	}
+	defer s.fleet.stop()
+	began := time.Now()
+	if err := s.fleet.start(); err != nil {
+		return err
+	}
+	go s.watch(ctx, cancel)
+	err = s.phases(ctx, began)
+	if s.reason.Load() != nil {
+		s.note(Row{Size: s.size, Phase: PhaseRest, Cut: s.why()})
+		return errCut
+	}
+	return err
+}
+
+// watch cuts the step short where it keeps the machine too busy, or where a process has ended.
+func (s *step) watch(ctx context.Context, cancel func()) {
+	const span, every = 4, time.Second
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	type sample struct {
+		at    time.Time
+		total float64
+	}
+	var samples []sample
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if dead := s.fleet.dead(); dead != "" {
+			_ = s.cut("ended of itself: %s", dead)
+			cancel()
+			return
+		}
+		samples = append(samples, sample{time.Now(), s.fleet.total()})
+		if len(samples) <= span {
+			continue
+		}
+		first, last := samples[0], samples[len(samples)-1]
+		samples = samples[1:]
+		if busy := (last.total - first.total) / last.at.Sub(first.at).Seconds(); busy > s.Limits.Cores {
+			_ = s.cut("it kept %.1f cores busy over %d s, and %.1f may be", busy, span, s.Limits.Cores)
+			cancel()
+			return
+		}
+	}
+}
+
+// pause waits, unless the step is over.
+func (s *step) pause(ctx context.Context, span time.Duration) error {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return s.cut("interrupted")
+	}
+}
+
+// await waits until something holds; it gives false when it did not within the limit.
+func (s *step) await(ctx context.Context, limit, every time.Duration, holds func() bool) (bool, error) {
+	for until := time.Now().Add(limit); !holds(); {
+		if time.Now().After(until) {
+			return false, nil
+		}
+		if err := s.pause(ctx, every); err != nil {
+			return false, err
+		}
+	}
+	return true, nil
+}
+
+const settleFor = 4 * time.Second
+
+func (s *step) phases(ctx context.Context, began time.Time) error {
+	f := s.fleet
+	if ok, err := s.await(ctx, 30*time.Second, 200*time.Millisecond, func() bool { return f.leader() != nil }); err != nil {
+		return err
+	} else if !ok {
+		return s.cut("no leader within 30 s")
+	}
+	if _, _, err := s.roll(ctx, 20*time.Second); err != nil {
+		return err
+	}
+	ready := make([]bool, len(f.members))
+	allReady := func() bool {
+		all := true
+		f.forAll(func(at int, m *member) {
+			if !ready[at] {
+				status, err := f.get(m, operatorapi.PathReady, nil)
+				ready[at] = err == nil && status == http.StatusOK
+			}
+		})
+		for _, one := range ready {
+			all = all && one
+		}
+		return all
+	}
+	if ok, err := s.await(ctx, 60*time.Second, 500*time.Millisecond, allReady); err != nil {
+		return err
+	} else if !ok {
+		return s.cut("not all daemons were ready within 60 s")
+	}
+	s.note(Row{Size: s.size, Phase: PhaseStart, Times: []float64{time.Since(began).Seconds()}})
+	s.Say("all ready after %.1f s", time.Since(began).Seconds())
+
+	s.engines = &hollowEngines{beat: s.Beat, models: s.size.Models}
+	for _, m := range f.members[:s.size.Core] {
+		s.engines.control = append(s.engines.control, m.address)
+	}
+	defer s.engines.stop()
+	living, stop := context.WithCancel(context.Background())
+	defer stop()
+	for _, count := range s.Engines {
+		s.size.Engines = count
+		if err := s.engines.grow(living, count, s.size.Zones, f.addresses); err != nil {
+			return err
+		}
+		if ok, err := s.await(ctx, 30*time.Second, 500*time.Millisecond, func() bool { return s.known(count) }); err != nil {
+			return err
+		} else if !ok {
+			return s.cut("not all of %d engines were known everywhere within 30 s", count)
+		}
+		if err := s.pause(ctx, settleFor); err != nil {
+			return err
+		}
+		for range s.Windows {
+			if err := s.window(ctx, PhaseRest, func() ([]float64, int, error) { return nil, 0, s.pause(ctx, s.Window) }); err != nil {
+				return err
+			}
+		}
+	}
+	for _, phase := range []struct {
+		name string
+		do   func(context.Context) ([]float64, int, error)
+	}{{PhaseLeave, s.leaves}, {PhaseChange, s.changes}, {PhaseRestart, s.restarts}} {
+		if err := s.window(ctx, phase.name, func() ([]float64, int, error) { return phase.do(ctx) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// known looks at a few daemons for the engines.
+func (s *step) known(count int) bool {
+	members := s.fleet.members
+	for at := 0; at < len(members); at += max(1, len(members)/6) {
+		var list operatorapi.Engines
+		if _, err := s.fleet.get(members[at], operatorapi.PathEngines, &list); err != nil || usable(list) != count {
+			return false
+		}
+	}
+	return true
+}
+
+func usable(list operatorapi.Engines) int {
+	count := 0
+	for _, engine := range list.Engines {
+		if engine.Condition == operatorapi.EngineUsable {
+			count++
+		}
+	}
+	return count
+}
+
+// window measures what is spent while something is done.
+func (s *step) window(ctx context.Context, phase string, do func() ([]float64, int, error)) error {
+	before := s.fleet.open()
+	times, missed, err := do()
+	if err != nil {
+		return err
+	}
+	after := s.fleet.close()
+	leader := s.fleet.leader()
+	row := Row{Size: s.size, Phase: phase, Seconds: after.at.Sub(before.at).Seconds(), Kinds: s.fleet.between(before, after, leader), Times: times, Missed: missed}
+	s.note(row)
+	edge, hollow, lead := row.Kinds[Edge], row.Kinds[Hollow], row.Kinds[Leader]
+	s.Say("%-7s %4d engines %5.1f s: edge %.2f %% %.1f MB out %.1f in %.1f KB/s; hollow %.2f %% out %.1f in %.1f; leader %.2f %% %.1f MB out %.1f in %.1f; times %.2f missed %d",
+		phase, s.size.Engines, row.Seconds, 100*edge.Cores, edge.Resident, edge.Sent/1000, edge.Received/1000, 100*hollow.Cores, hollow.Sent/1000, hollow.Received/1000,
+		100*lead.Cores, lead.Resident, lead.Sent/1000, lead.Received/1000, middle(times), missed)
+	return nil
+}
+
+// leaves has engines leave one after the other.
+func (s *step) leaves(ctx context.Context) (times []float64, missed int, err error) {
+	for range s.Leaves {
+		if len(s.engines.all) == 0 {
+			return nil, 0, nil
+		}
+		_, took, err := s.engines.leave(ctx)
+		if err != nil {
+			missed++
+		} else {
+			times = append(times, took.Seconds())
+		}
+		if err := s.pause(ctx, 200*time.Millisecond); err != nil {
+			return nil, 0, err
+		}
+	}
+	return times, missed, nil
+}
+
+// changes rolls bundles one after the other, and gives how long each took to be in force everywhere.
+func (s *step) changes(ctx context.Context) (times []float64, missed int, err error) {
+	for range s.Changes {
+		took, all, err := s.roll(ctx, 15*time.Second)
+		if err != nil {
+			return nil, 0, err
+		}
+		if all {
+			times = append(times, took.Seconds())
+		} else {
+			missed++
+		}
+		if err := s.pause(ctx, time.Second); err != nil {
+			return nil, 0, err
+		}
+	}
+	return times, missed, nil
+}
+
+// roll takes a new bundle all the way; took is until the last daemon had it in force, by the daemons' own
+// steps, which one clock stamps.
+func (s *step) roll(ctx context.Context, limit time.Duration) (took time.Duration, all bool, err error) {
+	s.revision++
+	id := fmt.Sprintf("scale-%d", s.revision)
+	raw := bundle(s.size, s.revision)
+	attempt := func(path string, body, into any) error {
+		var last error
+		ok, err := s.await(ctx, 20*time.Second, 200*time.Millisecond, func() bool {
+			_, last = s.fleet.post(path, body, into)
+			return last == nil
+		})
+		if err == nil && !ok {
+			return s.cut("a bundle was not taken: %v", last)
+		}
+		return err
+	}
+	if err := attempt(operatorapi.PathPropose, operatorapi.Propose{ProposalID: id, Base: ident.Epoch(s.revision - 1), Operator: "ana", Spec: raw}, nil); err != nil {
+		return 0, false, err
+	}
+	if err := attempt(operatorapi.PathReview, operatorapi.Act{ProposalID: id, Operator: "berta"}, nil); err != nil {
+		return 0, false, err
+	}
+	if err := attempt(operatorapi.PathSign, operatorapi.Act{ProposalID: id, Operator: "chen"}, nil); err != nil {
+		return 0, false, err
+	}
+	began := time.Now()
+	if err := attempt(operatorapi.PathRoll, operatorapi.Act{ProposalID: id, Operator: "ana"}, nil); err != nil {
+		return 0, false, err
+	}
+	last := int64(0)
+	all, err = s.await(ctx, limit, 250*time.Millisecond, func() bool {
+		var trace operatorapi.Trace
+		if _, err := s.fleet.get(s.fleet.members[0], fmt.Sprintf("%s?change=spec:%d", operatorapi.PathTrace, s.revision), &trace); err != nil {
+			return false
+		}
+		have := 0
+		for _, row := range trace.Rows {
+			if row.InForceMs > 0 {
+				have++
+				last = max(last, row.InForceMs)
+			}
+		}
+		return have >= len(s.fleet.members)
+	})
+	return time.UnixMilli(last).Sub(began), all, err
+}
+
+// restarts stops hollow daemons and starts them again, and gives how long each took to be ready.
+func (s *step) restarts(ctx context.Context) (times []float64, missed int, err error) {
+	f := s.fleet
+	at := len(f.members) - 1
+	for range s.Restarts {
+		m := f.members[at]
+		if !m.process.host {
+			break
+		}
+		at--
+		if err := m.process.restart(m, 10*time.Second); err != nil {
+			missed++
+			continue
+		}
+		began := time.Now()
+		ok, err := s.await(ctx, 15*time.Second, 50*time.Millisecond, func() bool {
+			status, err := f.get(m, operatorapi.PathReady, nil)
+			return err == nil && status == http.StatusOK
+		})
+		if err != nil {
+			return nil, 0, err
+		}
+		if ok {
+			times = append(times, time.Since(began).Seconds())
+		} else {
+			missed++
+		}
+	}
+	return times, missed, nil
+}
