List engines with the tool, and cut a leader off at the moment it acknowledges a leaving

The test runs a group of three and three routing daemons with links that are cut: a leader that can't reach those that route, one cut off right after its acknowledgement, and one that must not acknowledge. All daemons with a way to a majority know within two seconds.

--- a/cmd/cresspond/main.go
+++ b/cmd/cresspond/main.go
@@ -93,6 +93,7 @@
 	daemonLostID := daemonLost.Arg("daemon", "Its full name with the mark of its life, as trace and status show it.").Required().String()
 
 	status := app.Command("status", "Show a daemon's own word on itself, its fellows and the engines.")
+	engines := app.Command("engines", "List the engines that register themselves, as a daemon knows them.")
 	counters := app.Command("counters", "Show a daemon's counters.")
 	trace := app.Command("trace", "Follow one change through all daemons.")
 	traceKind := trace.Arg("kind", "spec or closure.").Required().Enum("spec", "closure")
@@ -141,6 +142,8 @@
 		err = t.post(operatorapi.PathLost, operatorapi.Lost{Daemon: ident.NodeID(*daemonLostID), Operator: *operator})
 	case status.FullCommand():
 		err = t.page(operatorapi.PathStatus, t.showStatus)
+	case engines.FullCommand():
+		err = t.page(operatorapi.PathEngines, showEngines)
 	case counters.FullCommand():
 		err = t.page(operatorapi.PathCounters, func(data []byte) error { _, err := os.Stdout.Write(data); return err })
 	case trace.FullCommand():
@@ -379,6 +382,27 @@
 	return out.Flush()
 }
 
+func showEngines(data []byte) error {
+	var list operatorapi.Engines
+	if err := json.Unmarshal(data, &list); err != nil {
+		return err
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(out, "engine\tpool\taddress\tzone\tsoftware\tslots\tcondition\theard\tmodels")
+	for _, engine := range list.Engines {
+		var models []string
+		for _, held := range engine.Models {
+			models = append(models, held.Model)
+			if len(held.Adapters) > 0 {
+				models[len(models)-1] += fmt.Sprintf("+%d", len(held.Adapters))
+			}
+		}
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%d ms ago\t%s\n", engine.ID, engine.Pool, engine.Address, engine.Zone, engine.Software, engine.Slots,
+			engine.Condition, engine.HeardMsAgo, strings.Join(models, " "))
+	}
+	return out.Flush()
+}
+
 func (t *tool) showTrace(data []byte) error {
 	var trace operatorapi.Trace
 	if err := json.Unmarshal(data, &trace); err != nil {
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -136,10 +136,10 @@
 }
 
 type counters struct {
-	foreignGroup, garbage, held, acquired, renewed, tenureFailed atomic.Uint64
-	bytesOwnZone, bytesOtherZone, junkEngines, lastLookStops     atomic.Uint64
-	permitsUnasked, attemptCalls, attemptDoubts, attemptsMoved   atomic.Uint64
-	leavesUnknown                                                atomic.Uint64
+	foreignGroup, garbage, held, acquired, renewed, tenureFailed    atomic.Uint64
+	bytesOwnZone, bytesOtherZone, junkEngines, lastLookStops        atomic.Uint64
+	permitsUnasked, attemptCalls, attemptDoubts, attemptsMoved      atomic.Uint64
+	engineBeats, engineBeatsLate, leavesAcknowledged, leavesUnknown atomic.Uint64
 }
 
 // Option sets one thing of a daemon.
--- a/process/daemon/pages.go
+++ b/process/daemon/pages.go
@@ -94,6 +94,13 @@
 	say("engine_reports_junk", w.JunkReports.Load())
 	say("engine_lives", w.Lives.Load())
 	say("engine_set_aside", w.SetAsides.Load())
+	say("engines_registered", uint64(len(d.registry.View().Engines)))
+	if d.config.Serves(config.Control) {
+		say("engine_beats", c.engineBeats.Load())
+		say("engine_beats_late", c.engineBeatsLate.Load())
+		say("leaves_acknowledged", c.leavesAcknowledged.Load())
+		say("leaves_unknown", c.leavesUnknown.Load())
+	}
 	if d.config.Serves(config.Route) {
 		s := d.dispatch.Snapshot()
 		say("requests_invalid", d.door.Invalid.Load())
--- a/process/daemon/registry.go
+++ b/process/daemon/registry.go
@@ -38,6 +38,10 @@
 	if !ok {
 		return registry.Outcome{Verdict: registry.Unknown}
 	}
+	d.counters.engineBeats.Add(1)
+	if hearing.Late {
+		d.counters.engineBeatsLate.Add(1)
+	}
 	if !word.Leaving {
 		return registry.Outcome{Verdict: registry.Acknowledged}
 	}
@@ -64,6 +68,7 @@
 	if hearing.Left {
 		// Said again: it is written down, and need only have had the time to get about.
 		d.awaitReach(bounded, hearing.Change, leaveReach-d.clock.Elapsed().Since(hearing.LeftAt))
+		d.counters.leavesAcknowledged.Add(1)
 		return registry.Outcome{Verdict: registry.Acknowledged}
 	}
 	answer, ok := d.submit(bounded, statemachine.Command{Op: statemachine.OpLeave, Engine: id})
@@ -72,6 +77,7 @@
 		return registry.Outcome{Verdict: registry.Unknown}
 	}
 	d.registry.Leave([]ident.EngineID{id}, false, true)
+	d.counters.leavesAcknowledged.Add(1)
 	return registry.Outcome{Verdict: registry.Acknowledged}
 }
 
--- a/rehearsal/endtoend/harness_test.go
+++ b/rehearsal/endtoend/harness_test.go
@@ -56,6 +56,9 @@
 	// settle changes the settings of a daemon that is not ordinary.
 	settle func(*config.Config)
 	ran    bool
+	// reached is where others reach it, if something stands between; serve is what it serves, if not all.
+	reached string
+	serve   []config.Role
 }
 
 var benches atomic.Int64
@@ -217,7 +220,10 @@
 func (b *bench) run() {
 	settings := config.Default()
 	settings.Name, settings.Zone, settings.Listen, settings.FellowListen = b.name, "here", b.address, b.fellow
-	settings.Seeds, settings.Serve = b.seeds, []config.Role{config.Route, config.Control, config.Place}
+	settings.Seeds, settings.Serve, settings.FellowAddress = b.seeds, []config.Role{config.Route, config.Control, config.Place}, b.reached
+	if b.serve != nil {
+		settings.Serve = b.serve
+	}
 	settings.Data, settings.Platform, settings.OneStep = b.data, b.platform.Address(), b.oneStep
 	if b.settle != nil {
 		b.settle(&settings)
--- /dev/null
+++ b/rehearsal/endtoend/leaving_test.go
@@ -0,0 +1,156 @@
+package endtoend
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/rehearsal/fleet"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+// knownWithin is how soon after its acknowledgement a leaving must be known wherever there is a way to a
+// majority.
+const knownWithin = 2 * time.Second
+
+// parted is a group of three and some routing daemons, with links between them that can be cut.
+type parted struct {
+	t           *testing.T
+	links       *fleet.Links
+	core, edges []*bench
+}
+
+func part(t *testing.T, edges int) *parted {
+	t.Helper()
+	first := prepare(t)
+	p := &parted{t: t, links: fleet.NewLinks()}
+	var seeds []string
+	for i := range 3 + edges {
+		b := first
+		if i > 0 {
+			b = &bench{t: t, platform: first.platform}
+			b.place()
+		}
+		listener, err := net.Listen("tcp", free(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { listener.Close() })
+		b.name, b.reached = fmt.Sprint("core", i), listener.Addr().String()
+		if i < 3 {
+			b.serve, seeds = []config.Role{config.Control, config.Place}, append(seeds, b.reached)
+			p.core = append(p.core, b)
+		} else {
+			b.name, b.serve = fmt.Sprint("edge", i-3), []config.Role{config.Route}
+			p.edges = append(p.edges, b)
+		}
+		go p.links.Carry(listener, b.name, b.fellow)
+	}
+	for _, b := range p.all() {
+		b.seeds = seeds
+		// Engines here beat once, so that none is taken for silent where its leaving is looked for.
+		b.settle = func(c *config.Config) { c.Bounds.BeatMs = 600000 }
+		b.run()
+	}
+	first.await("the group has a leader", func() bool { return leaderOf(p.core) != nil })
+	first.roll("first", 0, encode(t, testSpec(1, 4)))
+	for _, b := range p.all() {
+		b.await("all are ready", func() bool { return b.status().Ready })
+	}
+	return p
+}
+
+func (p *parted) all() []*bench { return append(append([]*bench{}, p.core...), p.edges...) }
+
+// cut cuts a daemon off from some others, both ways.
+func (p *parted) cut(b *bench, others []*bench) {
+	for _, other := range others {
+		if other != b {
+			p.links.Cut(b.name, other.name)
+			p.links.Cut(other.name, b.name)
+		}
+	}
+}
+
+// register registers engines and waits until all daemons know them.
+func (p *parted) register(ids ...string) {
+	p.t.Helper()
+	for i, id := range ids {
+		if status, word := p.core[i%3].say("PUT", id, registration(i, 1)); status != 200 {
+			p.t.Fatal(status, word)
+		}
+	}
+	for _, b := range p.all() {
+		for _, id := range ids {
+			b.await(id+" is known", func() bool { return b.condition(id) != "" })
+		}
+	}
+}
+
+func leaves(i int) operatorapi.Registration {
+	r := registration(i, 100)
+	r.Leaving = true
+	return r
+}
+
+// knowBy checks that daemons know of a leaving by the time they must.
+func (p *parted) knowBy(acknowledged time.Time, id string, some []*bench) {
+	p.t.Helper()
+	for _, b := range some {
+		b.await("it knows that "+id+" leaves", func() bool { return b.condition(id) == operatorapi.EngineLeaving })
+		if after := time.Since(acknowledged); after > knownWithin {
+			p.t.Errorf("%s knew of %s only %v after the acknowledgement", b.name, id, after)
+		}
+	}
+}
+
+func TestALeaverIsKnownEverywhereThoughItsLeaderWasCutOff(t *testing.T) {
+	p := part(t, 3)
+	p.register("r0", "r1", "r2")
+	leader := leaderOf(p.core)
+	var followers []*bench
+	for _, b := range p.core {
+		if b != leader {
+			followers = append(followers, b)
+		}
+	}
+
+	// The one that takes the word can't tell those that route: the others of the core do.
+	p.cut(leader, p.edges)
+	if status, word := leader.say("PUT", "r0", leaves(0)); status != 200 {
+		t.Fatal(status, word)
+	}
+	p.knowBy(time.Now(), "r0", p.all())
+
+	// It is cut off altogether right after it has acknowledged, before it could tell anyone but the group.
+	if status, word := leader.say("PUT", "r1", leaves(1)); status != 200 {
+		t.Fatal(status, word)
+	}
+	p.cut(leader, p.core)
+	p.knowBy(time.Now(), "r1", append(append([]*bench{}, followers...), p.edges...))
+
+	// Cut off, it takes beats, and acknowledges no leaving.
+	if status, _ := leader.say("PUT", "r2", registration(2, 50)); status != 200 {
+		t.Error("a beat at one that is cut off:", status)
+	}
+	began := time.Now()
+	if status, _ := leader.say("PUT", "r2", leaves(2)); status != 503 {
+		t.Error("a leaving at one that is cut off:", status)
+	}
+	if took := time.Since(began); took > 950*time.Millisecond {
+		t.Errorf("it answered after %v", took)
+	}
+	// The others go on, and what is told them is acknowledged.
+	followers[0].await("another leads", func() bool { return leaderOf(followers) != nil })
+	followers[0].await("they acknowledge", func() bool {
+		status, _ := followers[0].say("PUT", "r2", leaves(2))
+		return status == 200
+	})
+	p.knowBy(time.Now(), "r2", append(append([]*bench{}, followers...), p.edges...))
+	p.links.Heal()
+	for _, id := range []string{"r0", "r1", "r2"} {
+		leader.await("it knows of "+id+" once it is back", func() bool { return leader.condition(id) == operatorapi.EngineLeaving })
+	}
+}
--- a/rehearsal/fleet/fleet.go
+++ b/rehearsal/fleet/fleet.go
@@ -62,7 +62,7 @@
 
 // New lays a fleet out in a folder; program is the cresspondd to run, self the rehearse program.
 func New(d deployment.Deployment, folder, program, self string) (*Fleet, error) {
-	f := &Fleet{Links: newLinks(), Deployment: d, Folder: folder, program: program, self: self, leaving: map[string]bool{}, gone: map[string]bool{},
+	f := &Fleet{Links: NewLinks(), Deployment: d, Folder: folder, program: program, self: self, leaving: map[string]bool{}, gone: map[string]bool{},
 		client: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, err
@@ -173,11 +173,7 @@
 	if err != nil {
 		return "", err
 	}
-	host, _, _ := net.SplitHostPort(p.Fellow)
-	f.Links.mutex.Lock()
-	f.Links.names[host] = p.Name
-	f.Links.mutex.Unlock()
-	go f.Links.carry(listener, p.Name, p.Fellow)
+	go f.Links.Carry(listener, p.Name, p.Fellow)
 	return reached, nil
 }
 
--- a/rehearsal/fleet/links.go
+++ b/rehearsal/fleet/links.go
@@ -16,7 +16,8 @@
 	Stopped int
 }
 
-func newLinks() *Links {
+// NewLinks makes links that are whole.
+func NewLinks() *Links {
 	l := &Links{cut: map[[2]string]bool{}, names: map[string]string{}}
 	l.heal = sync.NewCond(&l.mutex)
 	return l
@@ -51,8 +52,12 @@
 	return wasCut
 }
 
-// carry listens where others reach a daemon, and passes on to where it listens.
-func (l *Links) carry(listener net.Listener, to, address string) {
+// Carry listens where others reach a daemon, and passes on to where it listens; the daemon speaks from that IP number.
+func (l *Links) Carry(listener net.Listener, to, address string) {
+	host, _, _ := net.SplitHostPort(address)
+	l.mutex.Lock()
+	l.names[host] = to
+	l.mutex.Unlock()
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
