Answer honestly whatever an engine does: 503 of its own without its word is 502

Cause: an engine's 503 that does not say it has not run became our promise that it had not. Also: a foreign answer is skipped only while ours may still come (1 s), an engine has 400 ms to come up. Tests over raw sockets: refusals, resets, cuts, junk, streams cut at any point and taken up, pipelining, bodies in chunks, half-closed callers, callers that leave, slow readers, the last look.

--- a/connection/engineconn/engineconn.go
+++ b/connection/engineconn/engineconn.go
@@ -147,14 +147,17 @@
 }
 
 const (
-	// dialLimit bounds how long an engine may take to come up; a lost opening packet is sent again after a second.
-	dialLimit = 800 * time.Millisecond
+	// dialLimit bounds how long an engine may take to come up. A lost opening packet is sent again after a second,
+	// and by then another engine has the request.
+	dialLimit = 400 * time.Millisecond
 	// userTimeout is how long sent bytes may stay unacknowledged: a cut says nothing by itself.
 	userTimeout = 3 * time.Second
 	// readerSize bounds the head of an answer.
 	readerSize = 8 << 10
 	// mostSkipped is how many answers to earlier requests may stand before the one to this.
 	mostSkipped = 2
+	// skipWait is how long the one to this is waited for then, since it may never come.
+	skipWait = time.Second
 	// mostRefusal is how much of a refusal's body is read to keep the connection.
 	mostRefusal = 64 << 10
 	// keptUnsaid is how long a connection is kept whose engine said nothing of it.
@@ -354,7 +357,8 @@
 	}
 	// A failed write is no proof: what went before the failure may have been enough to run. The engine may
 	// also have said why it would not read the rest, so its answer is looked for all the same.
-	for skipped := 0; ; skipped++ {
+	skipped := 0
+	for ; ; skipped++ {
 		if outcome, reason := answer.readHead(a.Head.IsHead()); outcome != Answered {
 			answer.shut()
 			return answer.end(outcome, reason)
@@ -372,6 +376,10 @@
 		}
 		answer.release()
 		answer.whole, answer.failed = false, nil
+		_ = one.SetReadDeadline(time.Now().Add(min(skipWait, a.Until.Since(p.clock.Elapsed()))))
+	}
+	if skipped > 0 {
+		_ = one.SetReadDeadline(time.Now().Add(a.Until.Since(p.clock.Elapsed())))
 	}
 	if err != nil {
 		// The request did not go out whole, so the connection can't be told to be at its end.
--- /dev/null
+++ b/connection/gateway/answers_test.go
@@ -0,0 +1,415 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/request/forwarding"
+)
+
+// notRun is an engine's word that it has not run a request.
+func notRun(a arrival, status string) {
+	say(a, fmt.Sprintf("HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\nCresspond-Not-Run: full\r\nContent-Length: 2\r\n\r\nno", status, idOf(a)))
+}
+
+// chunks is a stream's head, and then each event as a chunk of its own.
+func chunks(a arrival, seal string, events ...string) {
+	say(a, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+idOf(a)+"\r\nCresspond-Seal: "+seal+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for _, event := range events {
+		say(a, fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
+	}
+}
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
+
+func events(from, to int) string {
+	var out strings.Builder
+	for n := from; n <= to; n++ {
+		out.WriteString(event(n))
+	}
+	return out.String()
+}
+
+const lastChunk = "0\r\n\r\n"
+
+// TestWhatAnEngineDoesBecomesOneHonestAnswer: for each way in which an engine may end an attempt, the answer
+// promises no more than is known, and what may not run twice arrives once.
+func TestWhatAnEngineDoesBecomesOneHonestAnswer(t *testing.T) {
+	well := func(a arrival) bool { say(a, wholeOf(a, "pong")); return true }
+	for name, c := range map[string]struct {
+		path     string
+		first    func(a arrival) bool
+		status   int
+		body     string
+		arrivals int
+	}{
+		"refused":       {"once", func(a arrival) bool { notRun(a, "503 Service Unavailable"); return true }, 200, "pong", 2},
+		"misdirected":   {"once", func(a arrival) bool { notRun(a, "421 Misdirected Request"); return true }, 200, "pong", 2},
+		"too many":      {"once", func(a arrival) bool { notRun(a, "429 Too Many Requests"); return true }, 200, "pong", 2},
+		"reset":         {"once", func(a arrival) bool { _ = a.conn.(*net.TCPConn).SetLinger(0); return false }, 502, "", 1},
+		"closed":        {"once", func(a arrival) bool { return false }, 502, "", 1},
+		"closed, again": {"again", func(a arrival) bool { return false }, 200, "pong", 2},
+		"junk":          {"once", func(a arrival) bool { say(a, "SSH-2.0-x\r\n\r\n"); return false }, 502, "", 1},
+		"foreign":       {"once", func(a arrival) bool { say(a, whole("other", "x")); return true }, 502, "", 1},
+		"unsealed": {"once", func(a arrival) bool {
+			say(a, strings.Replace(wholeOf(a, "x"), "Cresspond-Seal", "Other", 1))
+			return true
+		}, 502, "", 1},
+		"unsealed, again": {"again", func(a arrival) bool {
+			say(a, strings.Replace(wholeOf(a, "x"), "Cresspond-Seal", "Other", 1))
+			return true
+		}, 200, "pong", 2},
+		"cut body":             {"once", func(a arrival) bool { text := wholeOf(a, "ping"); say(a, text[:len(text)-1]); return false }, 502, "", 1},
+		"cut body, again":      {"again", func(a arrival) bool { text := wholeOf(a, "ping"); say(a, text[:len(text)-1]); return false }, 200, "pong", 2},
+		"own failure":          {"once", func(a arrival) bool { say(a, failed(a, "500 Internal Server Error")); return true }, 500, "oh", 1},
+		"own failure, again":   {"again", func(a arrival) bool { say(a, failed(a, "500 Internal Server Error")); return true }, 200, "pong", 2},
+		"own timeout":          {"stream", func(a arrival) bool { say(a, failed(a, "504 Gateway Timeout")); return true }, 504, "oh", 1},
+		"own 503":              {"once", func(a arrival) bool { say(a, failed(a, "503 Service Unavailable")); return true }, 502, "", 1},
+		"own 404":              {"once", func(a arrival) bool { say(a, failed(a, "404 Not Found")); return true }, 404, "oh", 1},
+		"cut before any event": {"stream", func(a arrival) bool { chunks(a, "s"); return false }, 502, "", 1},
+		"cut in first event":   {"stream", func(a arrival) bool { chunks(a, "s", "id: 1\nda"); return false }, 502, "", 1},
+		"empty stream":         {"stream", func(a arrival) bool { chunks(a, "s"); say(a, lastChunk); return true }, 200, "", 1},
+	} {
+		var came atomic.Int64
+		answer := func(a arrival) bool {
+			if came.Add(1) == 1 {
+				return c.first(a)
+			}
+			return well(a)
+		}
+		f := newFixture(t, newStandIn(t, "e1", answer), newStandIn(t, "e2", answer))
+		got := f.call(ask(c.path, "a1", "ping"))
+		if got.status != c.status || got.err != nil || c.body != "" && got.body != c.body || came.Load() != int64(c.arrivals) {
+			t.Errorf("%s: %d arrivals, %+v", name, came.Load(), got)
+		}
+		if promise := got.status == 503 || got.status == 429 || got.status == 421; promise && c.arrivals > 0 {
+			t.Errorf("%s: a promise for what may have run", name)
+		}
+		if got.status == 200 && got.head.Get("X-Attempt-Id") != "a1" {
+			t.Errorf("%s: %v", name, got.head)
+		}
+	}
+}
+
+func wholeOf(a arrival, body string) string { return whole(idOf(a), body) }
+
+func failed(a arrival, status string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\nContent-Length: 2\r\n\r\noh", status, idOf(a))
+}
+
+func TestWhatRanNowhereIsRefusedWithATimeToComeBack(t *testing.T) {
+	full := func(a arrival) bool { notRun(a, "503 Service Unavailable"); return true }
+	f := newFixture(t, newStandIn(t, "e1", full), newStandIn(t, "e2", full))
+	if got := f.call(ask("once", "a1", "ping")); got.status != 503 || got.head.Get("Retry-After") == "" || got.head.Get("Cresspond-Not-Run") != "" {
+		t.Errorf("%+v", got)
+	}
+	dead := newStandIn(t, "e3", full)
+	dead.listener.Close()
+	f.engines(dead)
+	if got := f.call(ask("once", "a2", "ping")); got.status != 503 {
+		t.Errorf("%+v", got)
+	}
+	if got := f.call(strings.Replace(ask("once", "a3", "ping"), "X-Attempt-Id", "X-Other", 1)); got.status != 400 {
+		t.Errorf("%+v", got)
+	}
+	if got := f.call(ask("nowhere", "a4", "ping")); got.status != 404 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// TestAStreamGoesOnAtAnotherEngine: cut at any point, a resumable stream reaches its client without a gap, a
+// repeat or a splice, under the head of its first engine.
+func TestAStreamGoesOnAtAnotherEngine(t *testing.T) {
+	const last = 5
+	body := events(1, last)
+	for at := len(event(1)); at < len(body); at += 3 {
+		var came atomic.Int64
+		serve := func(seal string) func(a arrival) bool {
+			return func(a arrival) bool {
+				if came.Add(1) == 1 {
+					chunks(a, seal, body[:at])
+					return false
+				}
+				from := 0
+				_, _ = fmt.Sscan(a.request.Header.Get("Last-Event-Id"), &from)
+				if from == 0 {
+					t.Error("taken up from the start")
+				}
+				chunks(a, seal, events(from+1, last))
+				say(a, lastChunk)
+				return true
+			}
+		}
+		f := newFixture(t, newStandIn(t, "e1", serve("one")), newStandIn(t, "e2", serve("two")))
+		got := f.call(ask("resume", "a1", "ping"))
+		if got.body != body || got.err != nil || came.Load() != 2 {
+			t.Fatalf("cut at %d: %q %v after %d", at, got.body, got.err, came.Load())
+		}
+		if f.gateway.Counters.Resumed.Load() != 1 {
+			t.Error("not counted")
+		}
+	}
+}
+
+// TestABrokenStreamNeverLooksWhole: gaps are the engine's to make, but what comes twice, out of order, cut or
+// from nobody ends the answer where it was last right.
+func TestABrokenStreamNeverLooksWhole(t *testing.T) {
+	for name, rest := range map[string]string{
+		"cut": "", "cut within an event": "id: 2\nda", "repeat": event(1), "older": event(0), "again": event(2) + event(2),
+	} {
+		engine := newStandIn(t, "e1", func(a arrival) bool {
+			chunks(a, "s", event(1))
+			if rest != "" {
+				say(a, fmt.Sprintf("%x\r\n%s\r\n", len(rest), rest))
+			}
+			if name != "cut" && name != "cut within an event" {
+				say(a, lastChunk)
+				return true
+			}
+			return false
+		})
+		f := newFixture(t, engine, newStandIn(t, "e2", func(a arrival) bool { t.Error("sent again"); return false }))
+		got := f.call(ask("stream", "a1", "ping"))
+		if got.err == nil || !strings.HasPrefix(event(1)+event(2), got.body) {
+			t.Errorf("%s: %q %v", name, got.body, got.err)
+		}
+	}
+}
+
+func TestALargeAnswerThatIsCutDoesNotLookWhole(t *testing.T) {
+	large := strings.Repeat("x", 3*mostWhole)
+	for _, chunked := range []bool{false, true} {
+		for _, cut := range []int{0, 1} {
+			engine := newStandIn(t, "e1", func(a arrival) bool {
+				text := wholeOf(a, large)
+				if chunked {
+					text = fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nCresspond-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", idOf(a), len(large), large)
+				}
+				say(a, text[:len(text)-cut])
+				return cut == 0
+			})
+			f := newFixture(t, engine)
+			got := f.call(ask("once", "a1", "ping"))
+			if (got.err == nil) != (cut == 0) || cut == 0 && got.body != large {
+				t.Errorf("chunked %t cut %d: %d bytes, %v", chunked, cut, len(got.body), got.err)
+			}
+		}
+	}
+}
+
+func TestASilentEngineGives504AtTheDeadline(t *testing.T) {
+	engine := newStandIn(t, "e1", func(a arrival) bool { _, _ = a.conn.Read(make([]byte, 1)); return false })
+	f := newFixture(t, engine)
+	if got := f.call(ask("once", "a1", "ping", "Cresspond-Deadline-Ms: 150")); got.status != 504 {
+		t.Errorf("%+v", got)
+	}
+	// Its end at the engine is seen, so that it stops work.
+	<-engine.closed
+}
+
+func TestPipelinedRequestsEachGetTheirOwnAnswer(t *testing.T) {
+	engine := newStandIn(t, "e1", func(a arrival) bool { say(a, wholeOf(a, "to "+idOf(a)+" "+a.body)); return true })
+	f := newFixture(t, engine)
+	conn := f.dial()
+	const count = 20
+	var text strings.Builder
+	for n := range count {
+		text.WriteString(ask("once", fmt.Sprint("a", n), fmt.Sprint("ping", n)))
+	}
+	_, _ = io.WriteString(conn, text.String())
+	reader := bufio.NewReader(conn)
+	for n := range count {
+		if got := read(reader); got.body != fmt.Sprintf("to a%d ping%d", n, n) {
+			t.Errorf("%d: %+v", n, got)
+		}
+	}
+	if reader.Buffered() > 0 {
+		t.Error("bytes where no request waits")
+	}
+}
+
+// TestAnAnswerDoesNotWaitForTheRequestBehindIt: the first of two pipelined answers goes out at once.
+func TestAnAnswerDoesNotWaitForTheRequestBehindIt(t *testing.T) {
+	let := make(chan struct{})
+	engine := newStandIn(t, "e1", func(a arrival) bool {
+		if idOf(a) == "a1" {
+			<-let
+		}
+		say(a, wholeOf(a, "pong"))
+		return true
+	})
+	f := newFixture(t, engine)
+	conn := f.dial()
+	_, _ = io.WriteString(conn, ask("once", "a0", "ping")+ask("once", "a1", "ping"))
+	reader := bufio.NewReader(conn)
+	if got := read(reader); got.status != 200 {
+		t.Errorf("%+v", got)
+	}
+	close(let)
+	if got := read(reader); got.status != 200 {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestBodiesInChunksAndAfterAnInterimAnswer(t *testing.T) {
+	engine := newStandIn(t, "e1", func(a arrival) bool { say(a, wholeOf(a, a.body)); return true })
+	f := newFixture(t, engine)
+	got := f.call("POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n")
+	if got.status != 200 || got.body != "abcdefg" {
+		t.Errorf("%+v", got)
+	}
+	conn := f.dial()
+	_, _ = io.WriteString(conn, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a2\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+	reader := bufio.NewReader(conn)
+	if line, err := reader.ReadString('\n'); !strings.HasPrefix(line, "HTTP/1.1 100") || err != nil {
+		t.Fatal(line, err)
+	}
+	_, _ = reader.ReadString('\n')
+	_, _ = io.WriteString(conn, "ping")
+	if got := read(reader); got.status != 200 || got.body != "ping" {
+		t.Errorf("%+v", got)
+	}
+	for _, a := range engine.arrivals() {
+		if a.request.Header.Get("Expect") != "" || len(a.request.TransferEncoding) > 0 {
+			t.Errorf("%+v", a.request.Header)
+		}
+	}
+	form := "--b\r\nContent-Disposition: form-data; name=\"x\"\r\n\r\ny\r\n--b--\r\n"
+	if got := f.call(ask("once", "a3", form, "Content-Type: multipart/form-data; boundary=b")); got.body != form {
+		t.Errorf("%+v", got)
+	}
+	if got := f.call("GET /again/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a4\r\n\r\n"); got.status != 200 || got.body != "" {
+		t.Errorf("%+v", got)
+	}
+	conn = f.dial()
+	_, _ = io.WriteString(conn, "HEAD /again/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a5\r\n\r\n"+ask("once", "a6", "ping"))
+	reader = bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, &http.Request{Method: "HEAD"})
+	if err != nil || response.StatusCode != 200 {
+		t.Fatal(err, response)
+	}
+	if got := read(reader); got.body != "ping" {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestACallerThatOnlySaidAllItHadToSayIsAnswered(t *testing.T) {
+	let := make(chan struct{})
+	engine := newStandIn(t, "e1", func(a arrival) bool { <-let; say(a, wholeOf(a, "pong")); return true })
+	f := newFixture(t, engine)
+	conn := f.dial()
+	_, _ = io.WriteString(conn, ask("once", "a1", "ping"))
+	_ = conn.(*net.TCPConn).CloseWrite()
+	time.AfterFunc(3*lookEvery, func() { close(let) })
+	if got := read(bufio.NewReader(conn)); got.status != 200 || got.body != "pong" {
+		t.Errorf("%+v", got)
+	}
+}
+
+// TestACallerThatLeavesEndsWhatRunsForIt: also one that is held, so that its place goes to another.
+func TestACallerThatLeavesEndsWhatRunsForIt(t *testing.T) {
+	come := make(chan struct{}, 1)
+	engine := newStandIn(t, "e1", func(a arrival) bool {
+		come <- struct{}{}
+		_, _ = a.conn.Read(make([]byte, 1))
+		return false
+	})
+	f := newFixture(t, engine)
+	conn := f.dial()
+	_, _ = io.WriteString(conn, ask("once", "a1", "ping"))
+	<-come
+	time.AfterFunc(2*lookEvery, func() { conn.Close() })
+	<-engine.closed
+	f.engines()
+	second := f.dial()
+	_, _ = io.WriteString(second, ask("once", "a2", "ping"))
+	held := func() (now int) {
+		f.actor.Ask(func(c *forwarding.Core, _ forwarding.World) { now = c.HeldNow() })
+		return now
+	}
+	for held() == 0 {
+		runtime.Gosched()
+	}
+	time.AfterFunc(2*lookEvery, func() { second.Close() })
+	for held() > 0 {
+		runtime.Gosched()
+	}
+}
+
+func TestASlowReaderHoldsOnlyItself(t *testing.T) {
+	engine := newStandIn(t, "e1", func(a arrival) bool {
+		if strings.HasPrefix(a.request.RequestURI, "/stream/") {
+			chunks(a, "s")
+			for n := 1; ; n++ {
+				piece := fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat("x", 1000))
+				if _, err := fmt.Fprintf(a.conn, "%x\r\n%s\r\n", len(piece), piece); err != nil {
+					return false
+				}
+			}
+		}
+		say(a, wholeOf(a, "pong"))
+		return true
+	})
+	f := newFixture(t, engine)
+	slow := f.dial()
+	_, _ = io.WriteString(slow, ask("stream", "slow", "go"))
+	if _, err := slow.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	for n := range 50 {
+		if got := f.call(ask("once", fmt.Sprint("a", n), "ping")); got.status != 200 {
+			t.Fatalf("%+v", got)
+		}
+	}
+	slow.Close()
+	// Nobody reads any more, so the engine's connection ends.
+	<-engine.closed
+}
+
+func TestTheLastLookReadsTheTableInForce(t *testing.T) {
+	let, dialled := make(chan struct{}), make(chan struct{})
+	engine := newStandIn(t, "e1", func(a arrival) bool { say(a, wholeOf(a, "pong")); return true })
+	f := newFixture(t, engine)
+	f.beforeLook = func() { close(dialled); <-let }
+	got := make(chan result)
+	go func() { got <- f.call(ask("once", "a1", "ping")) }()
+	<-dialled
+	f.beforeLook = func() {}
+	// Between the choice and the first byte the path moves to a pool without engines.
+	moved := path("once", forward.Once)
+	moved.Shares[0].Pool = "q"
+	moved.TargetMs = 10
+	f.index.Store(forward.NewIndex(&forward.Section{Revision: 2, Paths: []forward.Path{moved}, Pools: []forward.Pool{{Name: "p"}, {Name: "q"}}}))
+	close(let)
+	if got := <-got; got.status != 503 {
+		t.Errorf("%+v", got)
+	}
+	if came := engine.arrivals(); len(came) != 0 {
+		t.Error("it was sent where the table no longer leads")
+	}
+}
+
+func TestTooLargeABodyIsRefusedAndADrainingDaemonLetsGo(t *testing.T) {
+	engine := newStandIn(t, "e1", func(a arrival) bool { say(a, wholeOf(a, "pong")); return true })
+	f := newFixture(t, engine)
+	f.draining.Store(true)
+	if got := f.call(ask("once", "a1", "ping")); got.status != 200 || !got.closes {
+		t.Errorf("%+v", got)
+	}
+	f.draining.Store(false)
+	section := *f.index.Load().Section
+	section.Limits.MostBodyBytes = 3
+	f.index.Store(forward.NewIndex(&section))
+	if got := f.call(ask("once", "a2", "ping")); got.status != 413 {
+		t.Errorf("%+v", got)
+	}
+}
--- a/connection/gateway/gateway.go
+++ b/connection/gateway/gateway.go
@@ -289,6 +289,11 @@
 		answer.Close()
 		return nil, forwarding.Junk
 	}
+	if promises(status) {
+		// The engine did not say that it has not run, and from us this status would say so.
+		answer.Close()
+		return nil, forwarding.Lost
+	}
 	if answer.Head.Events {
 		return f.takeEvents(answer)
 	}
@@ -312,6 +317,15 @@
 	return nil, forwarding.Whole
 }
 
+// promises says whether a status tells a client that its request has not run.
+func promises(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // copyHead takes over the engine's head, but for what concerns its connection only.
 func (f *flight) copyHead(answer *engineconn.Answer) {
 	answer.Response().Header.CopyTo(&f.ctx.Response.Header)
--- a/connection/gateway/gateway_test.go
+++ b/connection/gateway/gateway_test.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"github.com/valyala/fasthttp/fasthttputil"
 
 	"github.com/cresspond/cresspond/connection/engineconn"
 	"github.com/cresspond/cresspond/epoch/forward"
@@ -25,8 +24,6 @@
 	"github.com/cresspond/cresspond/wire/dialect"
 )
 
-var _ = fasthttputil.NewInmemoryListener
-
 // arrival is one request as an engine read it.
 type arrival struct {
 	request *http.Request
@@ -121,6 +118,8 @@
 	draining atomic.Bool
 	actor    *forwarding.Actor
 	pools    *engineconn.Pools
+	// beforeLook is called when an engine is reached, right before the last look.
+	beforeLook func()
 }
 
 func path(name string, class forward.Class) forward.Path {
@@ -129,7 +128,7 @@
 
 func newFixture(t testing.TB, engines ...*standIn) *fixture {
 	t.Helper()
-	f := &fixture{t: t}
+	f := &fixture{t: t, beforeLook: func() {}}
 	f.held.Store(true)
 	resumable := path("resume", forward.Stream)
 	resumable.Resumable = true
@@ -147,8 +146,8 @@
 	t.Cleanup(cancel)
 	go f.actor.Run(ctx)
 	f.pools = engineconn.New(clock.System{}, dialect.Own())
-	f.gateway = New(Surroundings{Clock: clock.System{}, Dialect: dialect.Own(), Index: f.index.Load, View: f.view.Load,
-		Held: f.held.Load, Draining: f.draining.Load, Settings: settings}, f.actor, f.pools)
+	f.gateway = New(Surroundings{Clock: clock.System{}, Dialect: dressing{dialect.Own(), f}, Index: f.index.Load, View: f.view.Load,
+		Held: func() bool { return f.held.Load() }, Draining: f.draining.Load, Settings: settings}, f.actor, f.pools)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -160,6 +159,17 @@
 	return f
 }
 
+// dressing lets a test in between reaching an engine and the last look.
+type dressing struct {
+	dialect.Dialect
+	*fixture
+}
+
+func (d dressing) Dress(head *fasthttp.RequestHeader, dress dialect.Dress) {
+	d.Dialect.Dress(head, dress)
+	d.beforeLook()
+}
+
 type quiet struct{}
 
 func (quiet) Printf(string, ...any) {}
@@ -199,6 +209,8 @@
 	body   string
 	// err is why the answer does not look whole.
 	err error
+	// closes says that the daemon lets go of the connection.
+	closes bool
 }
 
 func read(reader *bufio.Reader) result {
@@ -207,7 +219,7 @@
 		return result{err: err}
 	}
 	body, err := io.ReadAll(response.Body)
-	return result{response.StatusCode, response.Header, string(body), err}
+	return result{response.StatusCode, response.Header, string(body), err, response.Close}
 }
 
 // call sends a request on a connection of its own.
