--- a/epoch/packed/packed.go
+++ b/epoch/packed/packed.go
@@ -39,3 +39,18 @@
 	raw, err := decoder().DecodeAll(data, nil)
 	return raw, eris.Wrap(err, "this cannot be unpacked")
 }
+
+// Bundle is a bundle as it travels.
+type Bundle struct {
+	Data []byte
+	// Packed says that Data is compressed.
+	Packed bool
+}
+
+// Raw gives the bundle as it was handed in.
+func (b Bundle) Raw() ([]byte, error) {
+	if !b.Packed || len(b.Data) == 0 {
+		return b.Data, nil
+	}
+	return Unpack(b.Data)
+}
--- a/epoch/spec/spec.go
+++ b/epoch/spec/spec.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/go-playground/validator/v10"
+	"github.com/rotisserie/eris"
+	fastjson "github.com/segmentio/encoding/json"
 
 	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/process/ident"
@@ -111,8 +113,10 @@
 	if len(data) > MostBytes {
 		return nil, []Fault{{"", fmt.Sprintf("larger than %d bytes", MostBytes)}}
 	}
-	if faults := duplicateKeys(data); len(faults) > 0 {
-		return nil, faults
+	if mayDuplicateKeys(data) {
+		if faults := duplicateKeys(data); len(faults) > 0 {
+			return nil, faults
+		}
 	}
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
@@ -127,14 +131,30 @@
 	if _, err := decoder.Token(); err != io.EOF {
 		return nil, []Fault{{"", "something follows the bundle"}}
 	}
-	faults := tagFaults(&s)
-	faults = append(faults, s.crossFaults()...)
-	if len(faults) > 0 {
+	if faults := s.Check(); len(faults) > 0 {
 		return nil, faults
 	}
 	return &s, nil
 }
 
+// Read takes a bundle that the group has committed, and so has been checked. It shares the memory of data,
+// which must stay as it is.
+func Read(data []byte) (*Spec, error) {
+	var s Spec
+	const flags = fastjson.ZeroCopy | fastjson.DisallowUnknownFields
+	rest, err := fastjson.Parse(data, &s, flags)
+	if err == nil && len(bytes.TrimSpace(rest)) > 0 {
+		err = eris.New("something follows the bundle")
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "the bundle cannot be read")
+	}
+	return &s, nil
+}
+
+// Check gives every fault of what the bundle says.
+func (s *Spec) Check() []Fault { return append(tagFaults(s), s.crossFaults()...) }
+
 // ServesSessions says whether the bundle says anything of sessions.
 func (s *Spec) ServesSessions() bool {
 	return len(s.Engines)+len(s.Models)+len(s.Adapters)+len(s.Routes) > 0 || s.Store != (Store{}) || s.Limits != (Limits{})
@@ -250,6 +270,58 @@
 	return faults
 }
 
+// manyKeys is how many keys of one object are compared one by one.
+const manyKeys = 24
+
+// mayDuplicateKeys says quickly whether any object may have a key twice: bundles of thousands of paths are
+// sound as a rule, and where they aren't, duplicateKeys tells the places.
+func mayDuplicateKeys(data []byte) bool {
+	type object struct {
+		few  [][]byte
+		many map[string]bool
+	}
+	var open []object
+	for t := fastjson.NewTokenizer(data); t.Next(); {
+		switch {
+		case t.Delim == '{':
+			if len(open) < cap(open) {
+				// The room of an object that was closed is used again.
+				open = open[:len(open)+1]
+				open[len(open)-1].few, open[len(open)-1].many = open[len(open)-1].few[:0], nil
+			} else {
+				open = append(open, object{})
+			}
+		case t.Delim == '}':
+			open = open[:max(0, len(open)-1)]
+		case t.IsKey && len(open) > 0:
+			key, in := []byte(t.Value), &open[len(open)-1]
+			if bytes.IndexByte(key, '\\') >= 0 {
+				key = []byte(`"` + string(t.String()) + `"`)
+			}
+			if in.many != nil {
+				folded := strings.ToLower(string(key))
+				if in.many[folded] {
+					return true
+				}
+				in.many[folded] = true
+				continue
+			}
+			for _, other := range in.few {
+				if bytes.EqualFold(other, key) {
+					return true
+				}
+			}
+			if in.few = append(in.few, key); len(in.few) > manyKeys {
+				in.many = make(map[string]bool, 2*manyKeys)
+				for _, one := range in.few {
+					in.many[strings.ToLower(string(one))] = true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // duplicateKeys walks the tokens, because the decoder would silently let the last of two keys win.
 func duplicateKeys(data []byte) []Fault {
 	decoder := json.NewDecoder(bytes.NewReader(data))
--- a/epoch/table/table.go
+++ b/epoch/table/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/epoch/packed"
 	"github.com/cresspond/cresspond/epoch/spec"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/statemachine"
@@ -26,6 +27,8 @@
 	Spec     *spec.Spec
 	// Raw is the bundle as it was proposed, byte for byte.
 	Raw []byte
+	// Bundle is the same in the form in which it travels.
+	Bundle packed.Bundle
 	// Forward is what the bundle says of opaque requests; nil where it says nothing.
 	Forward *forward.Index
 
--- a/process/daemon/apply.go
+++ b/process/daemon/apply.go
@@ -230,14 +230,18 @@
 	}
 	defer func() { <-d.applying }()
 	whole := call.Whole
+	var parsed *spec.Spec
+	var faults []spec.Fault
 	if call.Patch != nil {
-		merged, faults := mergeOnto(newest, call.Patch)
-		if len(faults) > 0 {
-			return statemachine.Command{}, faults, true
-		}
-		whole = merged
+		parsed, whole, faults = mergeOnto(newest, call.Patch)
+	} else if read, err := spec.Read(call.Whole); err != nil {
+		faults = []spec.Fault{{Reason: err.Error()}}
+	} else {
+		parsed = read
+	}
+	if len(faults) == 0 {
+		faults = parsed.Check()
 	}
-	parsed, faults := spec.Parse(whole)
 	if len(faults) == 0 && parsed.Forward == nil {
 		faults = []spec.Fault{{Path: "forward", Reason: "is missing: only bundles with this part are applied in one step"}}
 	}
@@ -252,24 +256,30 @@
 }
 
 // mergeOnto makes the whole bundle that a patch makes of the newest one.
-func mergeOnto(newest newestBundle, patch *forward.Patch) ([]byte, []spec.Fault) {
+func mergeOnto(newest newestBundle, patch *forward.Patch) (*spec.Spec, []byte, []spec.Fault) {
+	nothing := func(reason string) (*spec.Spec, []byte, []spec.Fault) {
+		return nil, nil, []spec.Fault{{Reason: reason}}
+	}
 	bundle, err := newest.unpack()
-	var before spec.Spec
-	if err != nil || len(bundle.Spec) == 0 || json.Unmarshal(bundle.Spec, &before) != nil || before.Forward == nil {
-		return nil, []spec.Fault{{Reason: "there is no bundle in force that this could change"}}
+	if err != nil || len(bundle.Spec) == 0 {
+		return nothing("there is no bundle in force that this could change")
+	}
+	before, err := spec.Read(bundle.Spec)
+	if err != nil || before.Forward == nil {
+		return nothing("the bundle in force has no part that this could change")
 	}
 	var faults []spec.Fault
 	patch.Check(func(path, reason string) { faults = append(faults, spec.Fault{Path: path, Reason: reason}) })
 	if len(faults) > 0 {
-		return nil, faults
+		return nil, nil, faults
 	}
 	merged := before.Forward.Merge(patch)
 	before.Forward = &merged
 	data, err := json.Marshal(before)
 	if err != nil {
-		return nil, []spec.Fault{{Reason: "the changed bundle cannot be encoded: " + err.Error()}}
+		return nothing("the changed bundle cannot be encoded: " + err.Error())
 	}
-	return data, nil
+	return before, data, nil
 }
 
 // acknowledge answers for a bundle that is committed, after a short wait for the daemons in contact.
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -567,13 +567,7 @@
 		inForce = *found
 	}
 	// Not waited for: unpacking a bundle and building its table must not hold up the group.
-	go func() {
-		raw, err := inForce.Bundle()
-		if err != nil {
-			d.log.WithError(err).WithField("epoch", uint64(epoch)).Error("the bundle in force cannot be unpacked")
-		}
-		d.keeper.Offer(epoch, raw, &closures)
-	}()
+	go d.keeper.Offer(epoch, inForce.Packing(), &closures)
 }
 
 func (d *Daemon) findGroup(ctx context.Context) (ident.GroupID, raft.Restored, error) {
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -9,6 +9,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"github.com/cresspond/cresspond/epoch/packed"
 	"github.com/cresspond/cresspond/epoch/spec"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/config"
@@ -461,7 +462,7 @@
 func (d *Daemon) Describe() *fellowapi.PullRequest {
 	request := &fellowapi.PullRequest{
 		Group: string(d.Group()), NodeId: string(d.nodeID), Address: d.config.ReachedAt(), Zone: string(d.config.Zone), Serve: d.serve(),
-		Ready: !d.draining.Load(),
+		Ready: !d.draining.Load(), TakesPacked: true,
 	}
 	spec, closure := d.InForce()
 	request.SpecEpoch, request.ClosureEpoch = uint64(spec), uint64(closure)
@@ -506,6 +507,9 @@
 		reply.SpecEpoch, reply.ClosureEpoch = uint64(t.Epoch), uint64(t.Closures.Epoch)
 		if in.SpecEpoch < uint64(t.Epoch) {
 			reply.Spec = t.Raw
+			if t.Bundle.Packed && in.TakesPacked {
+				reply.Spec, reply.SpecPacked = t.Bundle.Data, true
+			}
 		}
 		if in.ClosureEpoch < uint64(t.Closures.Epoch) {
 			reply.Closures = rollout.EncodeClosures(t.Closures)
@@ -562,7 +566,7 @@
 		return
 	}
 	if len(reply.Spec) > 0 || len(reply.Closures) > 0 {
-		d.keeper.Offer(ident.Epoch(reply.SpecEpoch), reply.Spec, rollout.DecodeClosures(reply.Closures))
+		d.keeper.Offer(ident.Epoch(reply.SpecEpoch), packed.Bundle{Data: reply.Spec, Packed: reply.SpecPacked}, rollout.DecodeClosures(reply.Closures))
 	}
 	d.hearDraining(reply.Draining)
 	if reply.Plans {
--- a/process/rollout/rollout.go
+++ b/process/rollout/rollout.go
@@ -11,6 +11,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"github.com/cresspond/cresspond/epoch/packed"
 	"github.com/cresspond/cresspond/epoch/spec"
 	"github.com/cresspond/cresspond/epoch/table"
 	"github.com/cresspond/cresspond/process/actor"
@@ -38,8 +41,12 @@
 // ClosureChange names one epoch of the closures.
 func ClosureChange(epoch ident.Epoch) string { return fmt.Sprintf("closure:%d", epoch) }
 
-// mostPastBytes bounds the bundles kept for recall.
-const mostPastBytes = 64 << 20
+// mostPastBytes bounds the bundles kept for recall, mostPackedBytes those among them that came packed: they
+// are put in force in one step, come often, and the group itself keeps the newest.
+const (
+	mostPastBytes   = 64 << 20
+	mostPackedBytes = 4 << 20
+)
 
 // mostSteps is how many steps are remembered.
 const mostSteps = 48
@@ -53,8 +60,8 @@
 	// early holds closures learned before any spec.
 	early statemachine.Closures
 	// past holds the bundles that were in force here, so that a lost group's can be recalled.
-	past      sync.Map
-	pastBytes int
+	past                   sync.Map
+	pastBytes, packedBytes int
 	// dropped is the newest epoch that was dropped for want of room: it and all before are not kept.
 	dropped atomic.Uint64
 	// Refused counts offers that were garbage or that differ from what has the same epoch.
@@ -64,7 +71,7 @@
 
 type offer struct {
 	epoch    ident.Epoch
-	raw      []byte
+	bundle   packed.Bundle
 	closures *statemachine.Closures
 	// past says that it was in force before, and is only to be remembered.
 	past bool
@@ -86,24 +93,25 @@
 
 // Recall gives a bundle that was in force here in this life.
 func (k *Keeper) Recall(epoch ident.Epoch) ([]byte, bool) {
-	raw, known := k.past.Load(epoch)
+	found, known := k.past.Load(epoch)
 	if !known {
 		return nil, false
 	}
-	return raw.([]byte), true
+	raw, err := found.(packed.Bundle).Raw()
+	return raw, err == nil
 }
 
 // Steps lists what was done lately.
 func (k *Keeper) Steps() []Step { return *k.steps.Load() }
 
 // Offer hands in what was learned; either part may be empty. It returns when the offer is in force or passed by.
-func (k *Keeper) Offer(epoch ident.Epoch, raw []byte, closures *statemachine.Closures) {
-	k.send(offer{epoch: epoch, raw: raw, closures: closures})
+func (k *Keeper) Offer(epoch ident.Epoch, bundle packed.Bundle, closures *statemachine.Closures) {
+	k.send(offer{epoch: epoch, bundle: bundle, closures: closures})
 }
 
 // Remember hands in a bundle that was in force before this life began.
 func (k *Keeper) Remember(epoch ident.Epoch, raw []byte) {
-	k.send(offer{epoch: epoch, raw: raw, past: true})
+	k.send(offer{epoch: epoch, bundle: packed.Bundle{Data: raw}, past: true})
 }
 
 // Lacks says whether an earlier bundle would be kept if it were handed in.
@@ -121,20 +129,31 @@
 }
 
 // keep remembers a bundle, and drops the oldest ones where they grow too many.
-func (k *Keeper) keep(epoch ident.Epoch, raw []byte) {
-	if _, known := k.past.LoadOrStore(epoch, raw); known {
+func (k *Keeper) keep(epoch ident.Epoch, bundle packed.Bundle) {
+	if _, known := k.past.LoadOrStore(epoch, bundle); known {
 		return
 	}
-	k.pastBytes += len(raw)
-	for k.pastBytes > mostPastBytes {
-		oldest := epoch
-		k.past.Range(func(key, _ any) bool { oldest = min(oldest, key.(ident.Epoch)); return true })
+	k.count(bundle, 1)
+	for k.pastBytes > mostPastBytes || k.packedBytes > mostPackedBytes && epoch > k.oldest(epoch) {
+		oldest := k.oldest(epoch)
 		dropped, _ := k.past.LoadAndDelete(oldest)
-		k.pastBytes -= len(dropped.([]byte))
+		k.count(dropped.(packed.Bundle), -1)
 		k.dropped.Store(max(k.dropped.Load(), uint64(oldest)))
 	}
 }
 
+func (k *Keeper) count(bundle packed.Bundle, sign int) {
+	k.pastBytes += sign * len(bundle.Data)
+	if bundle.Packed {
+		k.packedBytes += sign * len(bundle.Data)
+	}
+}
+
+func (k *Keeper) oldest(epoch ident.Epoch) ident.Epoch {
+	k.past.Range(func(key, _ any) bool { epoch = min(epoch, key.(ident.Epoch)); return true })
+	return epoch
+}
+
 func (k *Keeper) note(change, step string) {
 	old := *k.steps.Load()
 	if len(old) >= mostSteps {
@@ -147,24 +166,22 @@
 func (k *Keeper) take(o offer) {
 	defer close(o.done)
 	if o.past {
-		k.keep(o.epoch, o.raw)
+		k.keep(o.epoch, o.bundle)
 		return
 	}
 	held := k.table.Load()
 	next := held
 	var changes []string
-	if o.epoch > 0 && len(o.raw) > 0 {
+	if o.epoch > 0 && len(o.bundle.Data) > 0 {
 		switch {
 		case held != nil && o.epoch < held.Epoch:
 			// An older spec is never taken, whoever offers it.
 		case held != nil && o.epoch == held.Epoch:
-			if !bytes.Equal(held.Raw, o.raw) {
-				k.Refused.Add(1)
-			}
+			k.compare(held, o.bundle)
 		default:
 			change := SpecChange(o.epoch)
-			parsed, faults := spec.Parse(o.raw)
-			if len(faults) > 0 {
+			raw, parsed, err := read(o.bundle)
+			if err != nil {
 				k.Refused.Add(1)
 				return
 			}
@@ -173,7 +190,8 @@
 			if held != nil {
 				closures = held.Closures
 			}
-			next = table.Build(o.epoch, o.raw, parsed, closures)
+			next = table.Build(o.epoch, raw, parsed, closures)
+			next.Bundle = o.bundle
 			k.note(change, Built)
 			changes = append(changes, change)
 		}
@@ -192,7 +210,7 @@
 	}
 	k.table.Store(next)
 	if next.Raw != nil && (held == nil || held.Epoch != next.Epoch) {
-		k.keep(next.Epoch, next.Raw)
+		k.keep(next.Epoch, next.Bundle)
 	}
 	for _, change := range changes {
 		k.note(change, InForce)
@@ -200,6 +218,34 @@
 	k.onSwap()
 }
 
+// read makes a bundle of what was offered. One that is packed has been checked before it was committed; others
+// may be anything.
+func read(bundle packed.Bundle) ([]byte, *spec.Spec, error) {
+	raw, err := bundle.Raw()
+	if err != nil {
+		return nil, nil, err
+	}
+	if bundle.Packed {
+		parsed, err := spec.Read(raw)
+		return raw, parsed, err
+	}
+	parsed, faults := spec.Parse(raw)
+	if len(faults) > 0 {
+		return nil, nil, eris.Errorf("the bundle has faults: %v", faults)
+	}
+	return raw, parsed, nil
+}
+
+// compare counts an offer that differs from what has the same epoch.
+func (k *Keeper) compare(held *table.Table, offered packed.Bundle) {
+	if held.Bundle.Packed == offered.Packed && bytes.Equal(held.Bundle.Data, offered.Data) {
+		return
+	}
+	if raw, err := offered.Raw(); err != nil || !bytes.Equal(raw, held.Raw) {
+		k.Refused.Add(1)
+	}
+}
+
 func (k *Keeper) closureEpoch() ident.Epoch {
 	if held := k.table.Load(); held != nil {
 		return held.Closures.Epoch
--- a/process/statemachine/apply.go
+++ b/process/statemachine/apply.go
@@ -30,12 +30,12 @@
 
 // Bundle gives the bundle as it was handed in; nothing where it is no longer kept.
 func (p *Proposal) Bundle() ([]byte, error) {
-	if !p.Packed || len(p.Spec) == 0 {
-		return p.Spec, nil
-	}
-	return packed.Unpack(p.Spec)
+	return p.Packing().Raw()
 }
 
+// Packing gives the bundle as it travels.
+func (p *Proposal) Packing() packed.Bundle { return packed.Bundle{Data: p.Spec, Packed: p.Packed} }
+
 // applyBundle proposes, reviews, signs and rolls in one step, for fleets that let an operator alone do so.
 // The bundle stays packed as it came: nothing here depends on what a member makes of it.
 func (s *State) applyBundle(c Command) Result {
--- a/wire/operatorapi/bundle.go
+++ b/wire/operatorapi/bundle.go
@@ -24,7 +24,7 @@
 	// Digest tells this call from all others: the same call sent again finds itself.
 	Digest   string `json:"digest"`
 	Operator string `json:"operator"`
-	// Whole is a bundle as spec.Parse reads it.
+	// Whole is a bundle that spec.Read can read; whether it is sound, the leader checks.
 	Whole []byte         `json:"whole,omitempty"`
 	Patch *forward.Patch `json:"patch,omitempty"`
 }
