--- /dev/null
+++ b/process/registry/size_test.go
@@ -0,0 +1,165 @@
+package registry
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+)
+
+// What the registry costs by its engines, for docs/CAPACITY.md: go test -run - -bench Size ./process/registry
+
+var engineCounts = []int{12, 100, 350, 1400}
+
+const beatEvery = 1200 * time.Millisecond
+
+// wordOf is an engine's word with three models of two adapters each.
+func wordOf(number int, callSeq uint64) Word {
+	word := Word{ID: ident.EngineID(fmt.Sprintf("i-%08x", number)), Pool: "pool", Address: fmt.Sprintf("10.%d.%d.9:8080", number/250, number%250), Zone: "zone-7", Software: "v1", Slots: 96, Phase: "colocated", CallSeq: callSeq}
+	for at := range 3 {
+		word.Models = append(word.Models, Held{Model: fmt.Sprintf("model%04x", (number+at)%140), Generation: 1, Adapters: []string{fmt.Sprint("a", number%600), fmt.Sprint("b", number%600)}})
+	}
+	return word
+}
+
+func fullCore(engines int) *Core {
+	c := NewCore("life", true, beatEvery, 0)
+	for i := range engines {
+		c.Hear(0, wordOf(i, 1))
+	}
+	c.View()
+	return c
+}
+
+// BenchmarkSizeBeat is one beat that brings nothing new, and the look at the view that follows it.
+func BenchmarkSizeBeat(b *testing.B) {
+	for _, engines := range engineCounts {
+		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
+			c := fullCore(engines)
+			b.ReportAllocs()
+			turn := 0
+			for b.Loop() {
+				c.Hear(clock.Mark(turn), wordOf(turn%engines, 2+uint64(turn/engines)))
+				c.View()
+				turn++
+			}
+		})
+	}
+}
+
+// BenchmarkSizeChange is one change of one engine, and the view that it makes.
+func BenchmarkSizeChange(b *testing.B) {
+	for _, engines := range engineCounts {
+		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
+			c := fullCore(engines)
+			b.ReportAllocs()
+			turn := 0
+			for b.Loop() {
+				word := wordOf(turn%engines, 2+uint64(turn/engines))
+				word.Slots = 90 + turn%7 + turn/engines%3
+				c.Hear(clock.Mark(turn), word)
+				c.View()
+				turn++
+			}
+		})
+	}
+}
+
+// BenchmarkSizeJudge is one look at who has fallen silent.
+func BenchmarkSizeJudge(b *testing.B) {
+	for _, engines := range engineCounts {
+		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
+			c := fullCore(engines)
+			b.ReportAllocs()
+			now := clock.Mark(time.Second)
+			for b.Loop() {
+				c.Judge(now, beatEvery, Contact{May: true, Horizon: now})
+				now++
+			}
+		})
+	}
+}
+
+// BenchmarkSizeTell is what is told, in bytes for each engine: all of it to one that is new, and one change.
+func BenchmarkSizeTell(b *testing.B) {
+	encoded := func(b *testing.B, records []Record) int {
+		data, err := proto.Marshal(&fellowapi.PullReply{Engines: Encode(0, records)})
+		if err != nil {
+			b.Fatal(err)
+		}
+		return len(data)
+	}
+	for _, engines := range engineCounts {
+		b.Run(fmt.Sprint("all of ", engines, " engines"), func(b *testing.B) {
+			c := fullCore(engines)
+			b.ReportAllocs()
+			size := 0
+			for b.Loop() {
+				size = encoded(b, c.Since(Cursor{}, nil, false, engines).Records)
+			}
+			b.ReportMetric(float64(size)/float64(engines), "bytes/engine")
+		})
+		b.Run(fmt.Sprint("learn all of ", engines, " engines"), func(b *testing.B) {
+			all := fullCore(engines).Since(Cursor{}, nil, false, engines)
+			b.ReportAllocs()
+			for b.Loop() {
+				c := NewCore("other", false, beatEvery, 0)
+				c.Learn(1, "peer", all)
+				c.View()
+			}
+		})
+	}
+	for _, what := range []string{"word", "plan", "beat"} {
+		b.Run("one "+what, func(b *testing.B) {
+			c := fullCore(1400)
+			seen := c.Since(Cursor{}, nil, true, 1400).Cursor
+			switch what {
+			case "word":
+				word := wordOf(7, 2)
+				word.Slots = 12
+				c.Hear(1, word)
+			case "plan":
+				c.TellPlan(1, map[ident.EngineID]Plan{"i-00000007": {Claim: 3, Turn: 999, Models: wordOf(7, 1).Models, Active: 40, Queued: 1, MemoryUsed: 60000, Memory: 123322}})
+			case "beat":
+				c.Hear(1, wordOf(7, 2))
+			}
+			size := 0
+			for b.Loop() {
+				size = encoded(b, c.Since(seen, nil, what == "beat", 1400).Records)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
+
+// BenchmarkSizeMemory is what a core and its view keep, for each engine.
+func BenchmarkSizeMemory(b *testing.B) {
+	for _, engines := range engineCounts {
+		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
+			const cores = 8
+			for b.Loop() {
+				kept := make([]*Core, 0, cores)
+				before := heap()
+				for range cores {
+					kept = append(kept, fullCore(engines))
+				}
+				after := heap()
+				b.ReportMetric(float64(after-before)/cores/float64(engines), "bytes/engine")
+				runtime.KeepAlive(kept)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- /dev/null
+++ b/process/statemachine/size_test.go
@@ -0,0 +1,127 @@
+package statemachine
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// The sizes of the replicated state, for docs/CAPACITY.md: go test -run - -bench Size ./process/statemachine
+
+// apply takes a command, and fails the benchmark if it is not taken.
+func apply(b *testing.B, s *State, c Command) {
+	b.Helper()
+	data, err := json.Marshal(c)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if got := s.Apply(data); got.Verdict != Done {
+		b.Fatalf("%s: %s %s", c.Op, got.Verdict, got.Reason)
+	}
+}
+
+// grown makes a state of a size: daemons hold leases, engines have left and been ordered, bundles were applied.
+func grown(b *testing.B, daemons, engines, left, bundles, bundleBytes int) *State {
+	b.Helper()
+	s := New()
+	for i := range daemons {
+		node := ident.NodeID(fmt.Sprintf("edge-somewhere-%d#0123abcd", i))
+		apply(b, s, Command{Op: OpEnlist, At: 1, NodeID: node, Address: fmt.Sprintf("10.1.%d.%d:7660", i/250, i%250)})
+		apply(b, s, Command{Op: OpAcquire, At: 1, NodeID: node, SpanMs: 30000})
+	}
+	for i := range left {
+		s.Left = append(s.Left, Left{Engine: ident.EngineID(fmt.Sprintf("i-%08x", i)), At: 1})
+		s.Leaves++
+	}
+	told := &Told{Orders: map[ident.EngineID]uint64{}, Loads: 1, KeepMs: 20000}
+	for i := range engines {
+		told.Orders[ident.EngineID(fmt.Sprintf("i-%08x", i))] = uint64(i)
+	}
+	if engines > 0 {
+		apply(b, s, Command{Op: OpClaim, At: 2, NodeID: "core-0#0123abcd", SpanMs: 2000, GapMs: 3000, Told: told})
+	}
+	packed := make([]byte, bundleBytes)
+	for i := range packed {
+		packed[i] = byte(i * 31 >> 3)
+	}
+	for i := range bundles {
+		apply(b, s, Command{Op: OpApply, At: 3, Operator: "operator", Digest: fmt.Sprintf("%064x", i), BaseRevision: ident.Revision(i), Revision: ident.Revision(i + 1), Spec: packed, Packed: true})
+	}
+	return s
+}
+
+var stateSizes = []struct {
+	name                                           string
+	daemons, engines, left, bundles, packedBundles int
+}{
+	{"11 daemons, 12 engines, 1 bundle", 11, 12, 10, 1, 4 << 10},
+	{"100 daemons, 350 engines, 16 bundles", 100, 350, 500, 16, 32 << 10},
+	{"370 daemons, 1400 engines, 4096 left, 16 bundles of 32 KB", 370, 1400, 4096, 16, 32 << 10},
+	{"370 daemons, 1400 engines, 4096 left, 1400 bundles of 32 KB", 370, 1400, 4096, 1400, 32 << 10},
+}
+
+func BenchmarkSizeSnapshot(b *testing.B) {
+	for _, size := range stateSizes {
+		b.Run(size.name, func(b *testing.B) {
+			s := grown(b, size.daemons, size.engines, size.left, size.bundles, size.packedBundles)
+			b.ReportAllocs()
+			var data []byte
+			for b.Loop() {
+				data = s.Snapshot()
+			}
+			b.ReportMetric(float64(len(data)), "snapshot-bytes")
+		})
+	}
+}
+
+func BenchmarkSizeRestore(b *testing.B) {
+	for _, size := range stateSizes {
+		b.Run(size.name, func(b *testing.B) {
+			data := grown(b, size.daemons, size.engines, size.left, size.bundles, size.packedBundles).Snapshot()
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := Restore(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkSizeApply(b *testing.B) {
+	last := stateSizes[2]
+	for _, kind := range []struct {
+		name string
+		make func(turn int) Command
+	}{
+		{"renew", func(int) Command {
+			return Command{Op: OpRenew, At: 10, NodeID: "edge-somewhere-7#0123abcd", WorkerID: 7, SpanMs: 30000}
+		}},
+		{"leave", func(turn int) Command {
+			return Command{Op: OpLeave, At: 10, Engine: ident.EngineID(fmt.Sprintf("j-%08x", turn))}
+		}},
+		{"claim of one order", func(turn int) Command {
+			return Command{Op: OpClaim, At: 3, NodeID: "core-0#0123abcd", SpanMs: 2000, GapMs: 3000, Resume: true, Told: &Told{Orders: map[ident.EngineID]uint64{ident.EngineID(fmt.Sprintf("i-%08x", turn%1400)): uint64(turn)}, Loads: 1, KeepMs: 20000}}
+		}},
+	} {
+		b.Run(kind.name+" at "+last.name, func(b *testing.B) {
+			s := grown(b, last.daemons, last.engines, last.left, last.bundles, last.packedBundles)
+			b.ReportAllocs()
+			turn, size := 0, 0
+			for b.Loop() {
+				data, err := json.Marshal(kind.make(turn))
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+				if got := s.Apply(data); got.Verdict != Done {
+					b.Fatalf("%+v", got)
+				}
+				turn++
+			}
+			b.ReportMetric(float64(size), "entry-bytes")
+		})
+	}
+}
