--- /dev/null
+++ b/connection/gateway/size_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/cresspond/cresspond/process/clock"
+)
+
+// BenchmarkSizeStream is one stream of so many events over a kept connection: straight from the engine, and
+// through the gateway. Processor time is that of client, engine and gateway together, so the gateway's part is
+// the difference of both, for docs/CAPACITY.md: go test -run - -bench Size ./connection/gateway
+func BenchmarkSizeStream(b *testing.B) {
+	for _, events := range []int{1, 10, 100} {
+		engine := newStandIn(b, "e1", func(a arrival) bool {
+			say(a, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+idOf(a)+"\r\nCresspond-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+			for n := range events {
+				event := fmt.Sprintf("id: %d\ndata: %040d\n\n", n, n)
+				say(a, fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
+			}
+			say(a, "0\r\n\r\n")
+			return true
+		})
+		f := newFixture(b, engine)
+		for _, way := range []struct{ name, address string }{{"straight", engine.listener.Addr().String()}, {"through", f.address}} {
+			b.Run(fmt.Sprintf("%d events %s", events, way.name), func(b *testing.B) {
+				conn, err := net.Dial("tcp", way.address)
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				before, turn := processorTime(b), 0
+				for b.Loop() {
+					turn++
+					if _, err := io.WriteString(conn, ask("stream", fmt.Sprintf("%s-%d-%d-%d", way.name, events, turn, clock.System{}.Elapsed()), "go")); err != nil {
+						b.Fatal(err)
+					}
+					response, err := http.ReadResponse(reader, nil)
+					if err != nil {
+						b.Fatal(err)
+					}
+					if n, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK || n == 0 {
+						b.Fatalf("status %d, %d bytes, %v", response.StatusCode, n, err)
+					}
+				}
+				b.ReportMetric(float64(processorTime(b)-before)/float64(turn), "processor-ns/stream")
+			})
+		}
+	}
+}
+
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/request/forwarding/size_test.go
+++ b/request/forwarding/size_test.go
@@ -7,7 +7,9 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/registry"
 	"github.com/cresspond/cresspond/wire/fellowapi"
 )
 
@@ -39,3 +41,27 @@
 		})
 	}
 }
+
+// BenchmarkSizeChoose is one request let in, given an engine among so many, and ended; a tenth of the engines
+// hold the model that it asks for, each among three others.
+func BenchmarkSizeChoose(b *testing.B) {
+	for _, engines := range []int{12, 100, 350, 1400} {
+		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
+			bench := newBench(b, pathOf("p", forward.Stream, "batch"))
+			all := enginesOf("batch", engines, 96, "x", "y", "z")
+			for i := 0; i < len(all); i += 10 {
+				all[i].Word.Models = append(all[i].Word.Models, registry.Held{Model: "m"})
+			}
+			bench.register(all...)
+			b.ReportAllocs()
+			for b.Loop() {
+				r := bench.admit("p", prompt("m", 900, "shared", fmt.Sprint("own", bench.made)))
+				if step, _ := taken(r); step.Send == nil {
+					b.Fatalf("not sent: %+v", step.End)
+				}
+				bench.core.Attempted(r, Whole, bench.world())
+				bench.now += ms(1)
+			}
+		})
+	}
+}
