Decide on orders apart from sockets; bound what the state and the log hold of bundles

process/applying decides by what the state says; the daemon reads, submits and waits. The state keeps at most 16 whole applied bundles and 1 MB of them, since it goes whole to members who lag; the log is compacted after 8 MB as well as after 2,000 entries; one raft message carries at most 512 KB or one entry, since heartbeats wait behind it.

--- /dev/null
+++ b/process/applying/applying.go
@@ -0,0 +1,154 @@
+// Package applying decides what becomes of an operator's call to put a bundle in force in one step, by what
+// the group's state says. It sends and waits for nothing, so that every order of events can be tried.
+package applying
+
+import (
+	"encoding/json"
+
+	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/epoch/packed"
+	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+// Standing is what the state says at one moment that bears on a call. The moment must lie after the call
+// arrived: then whatever is decided by it is proved.
+type Standing struct {
+	Newest
+	// Taken is what an earlier copy of the call put in force.
+	Taken *statemachine.Proposal
+}
+
+// Newest is the newest bundle; the proposal is nil before the first.
+type Newest struct {
+	Revision ident.Revision         `json:"revision"`
+	Epoch    ident.Epoch            `json:"epoch"`
+	Proposal *statemachine.Proposal `json:"proposal,omitempty"`
+}
+
+// NewestOf reads it; the proposal is a copy, and its bundle is never changed.
+func NewestOf(state *statemachine.State) Newest {
+	out := Newest{Revision: state.Revision, Epoch: state.Epoch()}
+	if found, ok := state.InForce(); ok {
+		copied := *found
+		out.Proposal = &copied
+	}
+	return out
+}
+
+// Look reads where a call stands.
+func Look(state *statemachine.State, digest string) Standing {
+	out := Standing{Newest: NewestOf(state)}
+	if found, ok := state.Applied(digest); ok {
+		copied := *found
+		out.Taken = &copied
+	}
+	return out
+}
+
+// Bundle gives the bundle as it was handed in.
+func (n Newest) Bundle() (operatorapi.Bundle, error) {
+	out := operatorapi.Bundle{Revision: n.Revision, Epoch: n.Epoch}
+	if n.Proposal == nil {
+		return out, nil
+	}
+	var err error
+	out.Spec, err = n.Proposal.Bundle()
+	return out, err
+}
+
+// Decision is what to do about a call.
+type Decision struct {
+	// Answer is final where Submit is nil. One that says Applied is to be acknowledged.
+	Answer operatorapi.Applying
+	// Submit is the command that will decide.
+	Submit *statemachine.Command
+}
+
+// Decide looks for the call itself before anything else: an order that was taken is never refused.
+func (s Standing) Decide(call operatorapi.Apply) Decision {
+	switch {
+	case s.Taken != nil:
+		return Decision{Answer: operatorapi.Applying{Outcome: operatorapi.Applied, Revision: s.Revision, Epoch: s.Taken.Epoch}}
+	case call.Base < s.Revision:
+		// Revisions only rise, so no copy of this call can win any more.
+		return Decision{Answer: conflict(s.Revision, s.Epoch)}
+	case call.Base > s.Revision:
+		// This base may yet come in force, and another copy of the call with it. So the call goes through the
+		// log without its bundle, and is written down as refused.
+		return Decision{Submit: &statemachine.Command{Op: statemachine.OpApply, Operator: call.Operator, Digest: call.Digest, BaseRevision: call.Base}}
+	}
+	parsed, whole, faults := s.workOut(call)
+	if len(faults) > 0 {
+		// They rest on the call and on the one bundle that ever has this revision, so no copy can be taken.
+		return Decision{Answer: operatorapi.Applying{Outcome: operatorapi.Invalid, Revision: s.Revision, Epoch: s.Epoch, Faults: faults, Reason: "the bundle has faults"}}
+	}
+	return Decision{Submit: &statemachine.Command{Op: statemachine.OpApply, Operator: call.Operator, Digest: call.Digest, BaseRevision: call.Base,
+		Revision: ident.Revision(parsed.Forward.Revision), Spec: packed.Pack(whole), Packed: true}}
+}
+
+// After is the answer when the command was applied.
+func After(result statemachine.Result) operatorapi.Applying {
+	switch result.Verdict {
+	case statemachine.Done:
+		return operatorapi.Applying{Outcome: operatorapi.Applied, Revision: result.Revision, Epoch: result.Proposal.Epoch}
+	case statemachine.Conflict:
+		return conflict(result.Revision, result.Epoch)
+	}
+	return operatorapi.Applying{Outcome: operatorapi.Invalid, Reason: result.Reason}
+}
+
+func conflict(revision ident.Revision, epoch ident.Epoch) operatorapi.Applying {
+	return operatorapi.Applying{Outcome: operatorapi.Conflicted, Revision: revision, Epoch: epoch, Reason: "another bundle is in force than the one this call builds on"}
+}
+
+// workOut makes the whole bundle of a call that builds on the one in force, and finds its faults.
+func (s Standing) workOut(call operatorapi.Apply) (parsed *spec.Spec, whole []byte, faults []spec.Fault) {
+	if call.Patch != nil {
+		parsed, whole, faults = s.merge(call.Patch)
+	} else if read, err := spec.Read(call.Whole); err != nil {
+		faults = []spec.Fault{{Reason: err.Error()}}
+	} else {
+		parsed, whole = read, call.Whole
+	}
+	if len(faults) == 0 {
+		faults = parsed.Check()
+	}
+	switch {
+	case len(faults) > 0:
+	case parsed.Forward == nil:
+		faults = []spec.Fault{{Path: "forward", Reason: "is missing: only bundles with this part are applied in one step"}}
+	case ident.Revision(parsed.Forward.Revision) <= s.Revision:
+		faults = []spec.Fault{{Path: "forward.revision", Reason: "must be above the revision in force"}}
+	}
+	return parsed, whole, faults
+}
+
+// merge makes the whole bundle that a patch makes of the one in force.
+func (s Standing) merge(patch *forward.Patch) (*spec.Spec, []byte, []spec.Fault) {
+	nothing := func(reason string) (*spec.Spec, []byte, []spec.Fault) {
+		return nil, nil, []spec.Fault{{Reason: reason}}
+	}
+	bundle, err := s.Bundle()
+	if err != nil || len(bundle.Spec) == 0 {
+		return nothing("there is no bundle in force that this could change")
+	}
+	before, err := spec.Read(bundle.Spec)
+	if err != nil || before.Forward == nil {
+		return nothing("the bundle in force has no part that this could change")
+	}
+	var faults []spec.Fault
+	patch.Check(func(path, reason string) { faults = append(faults, spec.Fault{Path: path, Reason: reason}) })
+	if len(faults) > 0 {
+		return nil, nil, faults
+	}
+	merged := before.Forward.Merge(patch)
+	before.Forward = &merged
+	data, err := json.Marshal(before)
+	if err != nil {
+		return nothing("the changed bundle cannot be encoded: " + err.Error())
+	}
+	return before, data, nil
+}
--- a/process/daemon/apply.go
+++ b/process/daemon/apply.go
@@ -9,7 +9,7 @@
 
 	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/epoch/packed"
-	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/process/applying"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/replica"
 	"github.com/cresspond/cresspond/process/statemachine"
@@ -144,25 +144,7 @@
 	return &fellowapi.SubmitReply{Outcome: string(outcome), Result: data}, nil
 }
 
-// newestBundle is how the newest bundle is read from the state.
-type newestBundle struct {
-	Revision ident.Revision         `json:"revision"`
-	Epoch    ident.Epoch            `json:"epoch"`
-	Proposal *statemachine.Proposal `json:"proposal,omitempty"`
-}
-
-func (b newestBundle) unpack() (operatorapi.Bundle, error) {
-	out := operatorapi.Bundle{Revision: b.Revision, Epoch: b.Epoch}
-	if b.Proposal == nil {
-		return out, nil
-	}
-	var err error
-	out.Spec, err = b.Proposal.Bundle()
-	return out, err
-}
-
-// leadApply carries a call out as the leader. Whatever it answers but Unknown is proved by the state at a
-// moment after the call arrived: an order that was taken is found before anything else is looked at.
+// leadApply carries a call out as the leader. Whatever it answers but Unknown is proved by the state.
 func (d *Daemon) leadApply(ctx context.Context, call operatorapi.Apply) (operatorapi.Applying, replica.Outcome) {
 	held := d.replica.Load()
 	if held == nil || !held.Condition().Leads {
@@ -171,126 +153,49 @@
 	if !d.config.OneStep {
 		return operatorapi.Applying{Outcome: operatorapi.Forbidden, Reason: "this fleet's bundles are reviewed and signed off; propose it instead"}, replica.Applied
 	}
-	var newest newestBundle
-	var taken *statemachine.Proposal
-	outcome := held.Read(ctx, func(state *statemachine.State) {
-		newest.Revision, newest.Epoch = state.Revision, state.Epoch()
-		if found, ok := state.Applied(call.Digest); ok {
-			copied := *found
-			taken = &copied
-		}
-		if found, ok := state.InForce(); ok {
-			copied := *found
-			newest.Proposal = &copied
-		}
-	})
-	switch {
-	case outcome != replica.Applied:
+	var standing applying.Standing
+	if outcome := held.Read(ctx, func(state *statemachine.State) { standing = applying.Look(state, call.Digest) }); outcome != replica.Applied {
 		return operatorapi.Applying{}, outcome
-	case taken != nil:
-		return d.acknowledge(ctx, taken.Epoch, newest.Revision), replica.Applied
-	case newest.Revision > call.Base:
-		return conflict(newest.Revision, newest.Epoch), replica.Applied
 	}
-	// An order on a base that is not there yet goes through the log without its bundle: a refusal holds for ever.
-	command, faults, worked := statemachine.Command{Op: statemachine.OpApply, Operator: call.Operator, Digest: call.Digest, BaseRevision: call.Base}, []spec.Fault(nil), true
-	if newest.Revision == call.Base {
-		command, faults, worked = d.workOut(ctx, call, newest)
-	}
-	switch {
-	case !worked:
+	decision, inTime := d.decide(ctx, call, standing)
+	if !inTime {
 		return operatorapi.Applying{}, replica.Unknown
-	case len(faults) > 0:
-		// Faults rest on the call and on the one bundle that ever has this base, so it never can be taken.
-		return operatorapi.Applying{Outcome: operatorapi.Invalid, Revision: newest.Revision, Epoch: newest.Epoch, Faults: faults, Reason: "the bundle has faults"}, replica.Applied
 	}
-	got := held.Submit(ctx, command)
-	switch {
-	case got.Outcome != replica.Applied:
-		return operatorapi.Applying{}, got.Outcome
-	case got.Result.Verdict == statemachine.Done:
-		return d.acknowledge(ctx, got.Result.Proposal.Epoch, got.Result.Revision), replica.Applied
-	case got.Result.Verdict == statemachine.Conflict:
-		return conflict(got.Result.Revision, got.Result.Epoch), replica.Applied
+	answer := decision.Answer
+	if decision.Submit != nil {
+		got := held.Submit(ctx, *decision.Submit)
+		if got.Outcome != replica.Applied {
+			return operatorapi.Applying{}, got.Outcome
+		}
+		answer = applying.After(got.Result)
 	}
-	return operatorapi.Applying{Outcome: operatorapi.Invalid, Reason: got.Result.Reason}, replica.Applied
-}
-
-func conflict(revision ident.Revision, epoch ident.Epoch) operatorapi.Applying {
-	return operatorapi.Applying{Outcome: operatorapi.Conflicted, Revision: revision, Epoch: epoch, Reason: "another bundle is in force than the one this call builds on"}
+	if answer.Outcome == operatorapi.Applied {
+		d.awaitContacts(ctx, &answer)
+	}
+	return answer, replica.Applied
 }
 
-// workOut makes the command for a call; it says false when the time ran out. One call at a time: each may
-// hold some megabytes for some tenths of a second.
-func (d *Daemon) workOut(ctx context.Context, call operatorapi.Apply, newest newestBundle) (statemachine.Command, []spec.Fault, bool) {
+// decide works a call out, one at a time: each may hold some megabytes for some tenths of a second. It says
+// false when the time ran out.
+func (d *Daemon) decide(ctx context.Context, call operatorapi.Apply, standing applying.Standing) (applying.Decision, bool) {
 	select {
 	case d.applying <- struct{}{}:
 	case <-ctx.Done():
-		return statemachine.Command{}, nil, false
+		return applying.Decision{}, false
 	}
 	defer func() { <-d.applying }()
-	whole := call.Whole
-	var parsed *spec.Spec
-	var faults []spec.Fault
-	if call.Patch != nil {
-		parsed, whole, faults = mergeOnto(newest, call.Patch)
-	} else if read, err := spec.Read(call.Whole); err != nil {
-		faults = []spec.Fault{{Reason: err.Error()}}
-	} else {
-		parsed = read
-	}
-	if len(faults) == 0 {
-		faults = parsed.Check()
-	}
-	if len(faults) == 0 && parsed.Forward == nil {
-		faults = []spec.Fault{{Path: "forward", Reason: "is missing: only bundles with this part are applied in one step"}}
-	}
-	if len(faults) == 0 && ident.Revision(parsed.Forward.Revision) <= newest.Revision {
-		faults = []spec.Fault{{Path: "forward.revision", Reason: "must be above the revision in force"}}
-	}
-	if len(faults) > 0 {
-		return statemachine.Command{}, faults, true
-	}
-	return statemachine.Command{Op: statemachine.OpApply, Operator: call.Operator, Digest: call.Digest, BaseRevision: call.Base,
-		Revision: ident.Revision(parsed.Forward.Revision), Spec: packed.Pack(whole), Packed: true}, nil, true
-}
-
-// mergeOnto makes the whole bundle that a patch makes of the newest one.
-func mergeOnto(newest newestBundle, patch *forward.Patch) (*spec.Spec, []byte, []spec.Fault) {
-	nothing := func(reason string) (*spec.Spec, []byte, []spec.Fault) {
-		return nil, nil, []spec.Fault{{Reason: reason}}
-	}
-	bundle, err := newest.unpack()
-	if err != nil || len(bundle.Spec) == 0 {
-		return nothing("there is no bundle in force that this could change")
-	}
-	before, err := spec.Read(bundle.Spec)
-	if err != nil || before.Forward == nil {
-		return nothing("the bundle in force has no part that this could change")
-	}
-	var faults []spec.Fault
-	patch.Check(func(path, reason string) { faults = append(faults, spec.Fault{Path: path, Reason: reason}) })
-	if len(faults) > 0 {
-		return nil, nil, faults
-	}
-	merged := before.Forward.Merge(patch)
-	before.Forward = &merged
-	data, err := json.Marshal(before)
-	if err != nil {
-		return nothing("the changed bundle cannot be encoded: " + err.Error())
-	}
-	return before, data, nil
+	return standing.Decide(call), true
 }
 
-// acknowledge answers for a bundle that is committed, after a short wait for the daemons in contact.
-func (d *Daemon) acknowledge(ctx context.Context, epoch ident.Epoch, revision ident.Revision) operatorapi.Applying {
+// awaitContacts waits a short time until a bundle that is committed is in force at the daemons in contact.
+func (d *Daemon) awaitContacts(ctx context.Context, answer *operatorapi.Applying) {
 	limit := d.applyReach
 	if until, bounded := ctx.Deadline(); bounded {
 		limit = min(limit, time.Until(until)-applyMargin)
 	}
 	// Only those in contact are waited for: one that is gone must not hold up what is committed.
-	reach := d.members.AwaitReach(ctx, epoch, 0, limit, func() []ident.NodeID { return nil })
-	return operatorapi.Applying{Outcome: operatorapi.Applied, Revision: revision, Epoch: epoch, Acknowledged: reach.All, InForceAt: reach.Have, Missing: reach.Lack}
+	reach := d.members.AwaitReach(ctx, answer.Epoch, 0, limit, func() []ident.NodeID { return nil })
+	answer.Acknowledged, answer.InForceAt, answer.Missing = reach.All, reach.Have, reach.Lack
 }
 
 // NewestBundle reads the newest committed bundle through whoever leads. What this daemon itself has in force
@@ -298,11 +203,11 @@
 func (d *Daemon) NewestBundle(ctx context.Context) (operatorapi.Bundle, bool) {
 	bounded, cancel := context.WithTimeout(ctx, d.applyLimit-applyMargin)
 	defer cancel()
-	var newest newestBundle
+	var newest applying.Newest
 	data, known := d.Look(bounded, "bundle", "")
 	if !known || json.Unmarshal(data, &newest) != nil {
 		return operatorapi.Bundle{}, false
 	}
-	bundle, err := newest.unpack()
+	bundle, err := newest.Bundle()
 	return bundle, err == nil
 }
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -11,6 +11,7 @@
 
 	"github.com/cresspond/cresspond/epoch/packed"
 	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/process/applying"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/ident"
@@ -413,11 +414,7 @@
 			return encode(found)
 		}
 	case "bundle":
-		out := newestBundle{Revision: state.Revision, Epoch: state.Epoch()}
-		if found, ok := state.InForce(); ok {
-			out.Proposal = found
-		}
-		return encode(out)
+		return encode(applying.NewestOf(state))
 	case "closures":
 		return encode(state.Closures)
 	case "trace":
--- a/process/raft/core.go
+++ b/process/raft/core.go
@@ -74,7 +74,11 @@
 	Entries   []Entry
 }
 
-const mostEntriesPerAppend = 256
+// mostEntriesPerAppend and mostBytesPerAppend bound one message: a heartbeat waits behind it.
+const (
+	mostEntriesPerAppend = 256
+	mostBytesPerAppend   = 512 << 10
+)
 
 // New makes a member from what its disk holds.
 func New(id MemberID, timing Timing, restored Restored, random *rand.Rand) *Core {
@@ -560,7 +564,7 @@
 		}
 		return
 	}
-	entries := c.log.from(fellow.next, mostEntriesPerAppend)
+	entries := c.log.part(fellow.next, mostEntriesPerAppend, mostBytesPerAppend)
 	c.now(Message{Kind: MsgAppend, To: id, LogIndex: previous, LogTerm: previousTerm, Entries: entries, Commit: c.commit})
 	if !fellow.probing && len(entries) > 0 {
 		fellow.next = entries[len(entries)-1].Index + 1
--- a/process/raft/log.go
+++ b/process/raft/log.go
@@ -33,6 +33,17 @@
 	return term
 }
 
+// part gives entries from index on, up to most of them and to so many bytes, but at least one where there is any.
+func (l *replicaLog) part(index Index, most, bytes int) []Entry {
+	out := l.from(index, most)
+	for place, entry := range out {
+		if bytes -= len(entry.Data); bytes < 0 && place > 0 {
+			return out[:place]
+		}
+	}
+	return out
+}
+
 // from gives up to most entries from index on.
 func (l *replicaLog) from(index Index, most int) []Entry {
 	if len(l.entries) == 0 || index < l.entries[0].Index || index > l.last() {
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -23,6 +23,8 @@
 	ClaimSpan, ClaimGap time.Duration
 	// CompactEvery is how many entries are applied between snapshots, Keep how many stay before one.
 	CompactEvery, Keep int
+	// CompactBytes and KeepBytes bound the same by size: a few large bundles weigh as much as all else.
+	CompactBytes, KeepBytes int
 }
 
 // DefaultConfig gives the times of the design.
@@ -30,7 +32,7 @@
 	return Config{
 		Timing: raft.Timing{Heartbeat: 2, Election: 16},
 		Tenure: 30 * time.Second, ClaimSpan: 4 * time.Second, ClaimGap: 3 * time.Second,
-		CompactEvery: 2000, Keep: 200,
+		CompactEvery: 2000, Keep: 200, CompactBytes: 8 << 20, KeepBytes: 2 << 20,
 	}
 }
 
@@ -76,8 +78,11 @@
 
 	applied      raft.Index
 	sinceCompact int
-	pending      map[raft.Index]pending
-	reads        map[uint64]raft.Index
+	// sizes are those of the entries applied since the last snapshot, bytes their sum.
+	sizes   []int
+	bytes   int
+	pending map[raft.Index]pending
+	reads   map[uint64]raft.Index
 
 	// timeMark is when, on this machine's clock, the group's time was last seen to rise.
 	timeMark clock.Mark
@@ -206,7 +211,8 @@
 		if err != nil {
 			panic("broken invariant: a snapshot from the leader cannot be read: " + err.Error())
 		}
-		c.state, c.applied, c.sinceCompact, c.timeMark = state, effects.Install.Index, 0, now
+		c.state, c.applied, c.timeMark = state, effects.Install.Index, now
+		c.sinceCompact, c.sizes, c.bytes = 0, c.sizes[:0], 0
 	}
 	for _, entry := range effects.Committed {
 		c.apply(now, entry, &out)
@@ -226,16 +232,33 @@
 	}
 	c.noteLeading(now, &out)
 	out.Changed = c.state.Epoch() != specBefore || c.state.Closures.Epoch != closuresBefore || c.state.Leaves != leavesBefore
-	if c.sinceCompact >= c.config.CompactEvery {
-		c.sinceCompact = 0
-		out.merge(c.digest(now, c.raft.Step(raft.Compact{Index: c.applied, Data: c.state.Snapshot(), Keep: c.config.Keep})))
+	if c.sinceCompact >= c.config.CompactEvery || c.config.CompactBytes > 0 && c.bytes >= c.config.CompactBytes {
+		keep := c.keep()
+		c.sinceCompact, c.sizes, c.bytes = 0, c.sizes[:0], 0
+		out.merge(c.digest(now, c.raft.Step(raft.Compact{Index: c.applied, Data: c.state.Snapshot(), Keep: keep})))
 	}
 	return out
 }
 
+// keep is how many entries stay before a snapshot.
+func (c *Core) keep() int {
+	if c.config.KeepBytes == 0 {
+		return c.config.Keep
+	}
+	room := c.config.KeepBytes
+	for kept := 0; kept < min(c.config.Keep, len(c.sizes)); kept++ {
+		if room -= c.sizes[len(c.sizes)-1-kept]; room < 0 {
+			return kept
+		}
+	}
+	return c.config.Keep
+}
+
 func (c *Core) apply(now clock.Mark, entry raft.Entry, out *Effects) {
 	c.applied = entry.Index
 	c.sinceCompact++
+	c.sizes = append(c.sizes, len(entry.Data))
+	c.bytes += len(entry.Data)
 	var result statemachine.Result
 	if entry.Kind == raft.EntryCommand {
 		before := c.state.Now
--- a/process/statemachine/apply.go
+++ b/process/statemachine/apply.go
@@ -11,9 +11,12 @@
 const (
 	// appliedPrefix begins the ids of bundles that were applied in one step; no proposal may take such an id.
 	appliedPrefix = "apply:"
-	// keptBundles is how many of the newest applied bundles are kept whole, keptApplied how many are known by
-	// their digest: an order sent again after so many others were taken is not known any more.
+	// keptBundles is how many of the newest applied bundles are kept whole, keptBytes how much of them: the
+	// state goes whole to members who lag. The one in force is always kept.
 	keptBundles = 16
+	keptBytes   = 1 << 20
+	// keptApplied is how many are known by their digest: an order sent again after so many others were taken is
+	// not known any more.
 	keptApplied = 4096
 	// keptRefused is how many of the newest orders on a base that never was in force are known to be refused.
 	keptRefused = 256
@@ -85,13 +88,20 @@
 	s.forgetApplied()
 }
 
-// forgetApplied bounds what is kept of bundles applied in one step; each epoch passes each bound once.
+// forgetApplied bounds what is kept of bundles applied in one step.
 func (s *State) forgetApplied() {
-	if old, ok := s.At(epochBefore(s.Epoch(), keptBundles)); ok && old.Applied {
-		old.Spec = nil
+	room, newest := keptBytes, s.Epoch()
+	for back := uint64(0); back <= keptBundles; back++ {
+		old, ok := s.At(epochBefore(newest, back))
+		if !ok || !old.Applied || len(old.Spec) == 0 {
+			continue
+		}
+		if room -= len(old.Spec); back > 0 && (room < 0 || back == keptBundles) {
+			old.Spec = nil
+		}
 	}
-	// The first tells when the group's first bundle came, so it stays.
-	if old, ok := s.At(epochBefore(s.Epoch(), keptApplied)); ok && old.Applied && old.Epoch > 1 {
+	// Each epoch passes this bound once. The first tells when the group's first bundle came, so it stays.
+	if old, ok := s.At(epochBefore(newest, keptApplied)); ok && old.Applied && old.Epoch > 1 {
 		delete(s.Proposals, old.ID)
 	}
 }
--- /dev/null
+++ b/process/statemachine/apply_test.go
@@ -0,0 +1,214 @@
+package statemachine
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+func (s *State) do(t testing.TB, c Command) Result {
+	t.Helper()
+	data, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.Apply(data)
+}
+
+// order makes one of a few orders out of a byte: of each there may be many copies, and many share a base.
+func order(raw uint8) Command {
+	raw %= 64
+	base := ident.Revision(raw % 7)
+	return Command{Op: OpApply, Digest: fmt.Sprint("d", raw), BaseRevision: base, Revision: base + 1 + ident.Revision(raw/7%3), Operator: "ana", Spec: []byte{raw}}
+}
+
+// TestOrdersInOneStep lets copies of a few orders race, among bundles that are signed off and over snapshots.
+func TestOrdersInOneStep(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(41)
+	parameters.MinSuccessfulTests = 300
+	properties := gopter.NewProperties(parameters)
+	properties.Property("one wins on each base, for ever, and losers stay losers", prop.ForAll(func(steps []uint8, signed []bool) string {
+		state := New()
+		taken, refused := map[string]bool{}, map[string]bool{}
+		wonOn := map[ident.Revision]string{}
+		for i, raw := range steps {
+			if i%3 == 0 {
+				restored, err := Restore(state.Snapshot())
+				if err != nil {
+					return err.Error()
+				}
+				state = restored
+			}
+			before, epoch := state.Revision, state.Epoch()
+			if raw >= 250 && signed[i] {
+				id := fmt.Sprint("p", i)
+				state.do(t, Command{Op: OpPropose, ProposalID: id, Base: epoch, Operator: "ana", Spec: []byte{1}})
+				state.do(t, Command{Op: OpReview, ProposalID: id, Operator: "berta"})
+				state.do(t, Command{Op: OpSign, ProposalID: id, Operator: "chen"})
+				if r := state.do(t, Command{Op: OpRoll, ProposalID: id, Operator: "ana"}); r.Verdict != Done || state.Revision != before+1 {
+					return fmt.Sprintf("a signed bundle: %+v at revision %d after %d", r, state.Revision, before)
+				}
+				continue
+			}
+			c := order(raw)
+			r := state.do(t, c)
+			switch r.Verdict {
+			case Done:
+				if refused[c.Digest] {
+					return c.Digest + " was refused and then taken"
+				}
+				if !taken[c.Digest] {
+					if other, won := wonOn[c.BaseRevision]; won {
+						return fmt.Sprintf("%s and %s both won on %d", other, c.Digest, c.BaseRevision)
+					}
+					wonOn[c.BaseRevision] = c.Digest
+					if before != c.BaseRevision || state.Revision != c.Revision || state.Epoch() != epoch+1 {
+						return fmt.Sprintf("%s was taken on %d and led to %d", c.Digest, before, state.Revision)
+					}
+				} else if state.Revision != before || state.Epoch() != epoch {
+					return c.Digest + " was taken twice"
+				}
+				taken[c.Digest] = true
+				if r.Proposal == nil || r.Proposal.ID != AppliedID(c.Digest) || r.Proposal.Epoch == 0 {
+					return fmt.Sprintf("%s is acknowledged as %+v", c.Digest, r.Proposal)
+				}
+			case Conflict:
+				if taken[c.Digest] {
+					return c.Digest + " was taken and then refused"
+				}
+				if state.Revision != before || r.Revision != before {
+					return "a loser changed something"
+				}
+				refused[c.Digest] = true
+			default:
+				return fmt.Sprintf("%+v", r)
+			}
+		}
+		return ""
+	}, gen.SliceOfN(120, gen.UInt8()), gen.SliceOfN(120, gen.Bool())))
+	properties.TestingRun(t)
+}
+
+func TestAnOrderWithoutDigestOrBundleIsNone(t *testing.T) {
+	state := New()
+	if r := state.do(t, Command{Op: OpApply, Revision: 1, Spec: []byte("x")}); r.Verdict != Malformed {
+		t.Error("no digest:", r)
+	}
+	if r := state.do(t, Command{Op: OpApply, Digest: "d", Revision: 1}); r.Verdict != Malformed {
+		t.Error("no bundle:", r)
+	}
+	if r := state.do(t, Command{Op: OpApply, Digest: "d", Spec: []byte("x")}); r.Verdict != Conflict {
+		t.Error("no revision:", r)
+	}
+	if state.Epoch() != 0 {
+		t.Error("one of them is in force")
+	}
+}
+
+func TestNoProposalCanTakeTheIDOfAnOrder(t *testing.T) {
+	state := New()
+	if r := state.do(t, Command{Op: OpPropose, ProposalID: AppliedID("d"), Operator: "ana", Spec: []byte("x")}); r.Verdict != Malformed {
+		t.Error(r)
+	}
+	if r := state.do(t, Command{Op: OpApply, Digest: "d", Revision: 1, Spec: []byte("x")}); r.Verdict != Done {
+		t.Error(r)
+	}
+}
+
+// TestAProposalOnTheSameEpochLosesToAnOrder holds that the two ways to put a bundle in force see each other.
+func TestAProposalOnTheSameEpochLosesToAnOrder(t *testing.T) {
+	state := New()
+	for _, c := range []Command{
+		{Op: OpPropose, ProposalID: "p", Operator: "ana", Spec: []byte("x")}, {Op: OpReview, ProposalID: "p", Operator: "berta"}, {Op: OpSign, ProposalID: "p", Operator: "chen"},
+	} {
+		if r := state.do(t, c); r.Verdict != Done {
+			t.Fatal(r)
+		}
+	}
+	if r := state.do(t, Command{Op: OpApply, Digest: "d", Revision: 4, Spec: []byte("y")}); r.Verdict != Done || r.Epoch != 1 || r.Revision != 4 {
+		t.Fatal(r)
+	}
+	if r := state.do(t, Command{Op: OpRoll, ProposalID: "p", Operator: "ana"}); r.Verdict != Conflict || r.Winner != AppliedID("d") {
+		t.Error(r)
+	}
+}
+
+// TestWhatIsKeptOfOrdersIsBounded looks at what the state holds after many orders.
+func TestWhatIsKeptOfOrdersIsBounded(t *testing.T) {
+	for _, c := range []struct{ orders, bytes, whole int }{{100, 10, keptBundles}, {30, keptBytes / 4, 4}, {5, keptBytes * 2, 1}} {
+		state := New()
+		for i := range c.orders {
+			r := state.do(t, Command{Op: OpApply, Digest: fmt.Sprint("d", i), BaseRevision: ident.Revision(i), Revision: ident.Revision(i + 1), Spec: make([]byte, c.bytes)})
+			if r.Verdict != Done {
+				t.Fatal(r)
+			}
+		}
+		whole := 0
+		for epoch := ident.Epoch(1); epoch <= state.Epoch(); epoch++ {
+			if found, ok := state.At(epoch); ok && len(found.Spec) > 0 {
+				whole++
+				if epoch <= state.Epoch()-ident.Epoch(c.whole) {
+					t.Errorf("%d orders of %d bytes: epoch %d is kept whole", c.orders, c.bytes, epoch)
+				}
+			}
+		}
+		if whole != c.whole {
+			t.Errorf("%d orders of %d bytes: %d are kept whole, want %d", c.orders, c.bytes, whole, c.whole)
+		}
+		for i := range c.orders {
+			if r := state.do(t, Command{Op: OpApply, Digest: fmt.Sprint("d", i), BaseRevision: ident.Revision(i), Revision: ident.Revision(i + 1), Spec: []byte("x")}); r.Verdict != Done || r.Proposal.Epoch != ident.Epoch(i+1) {
+				t.Errorf("order %d again: %+v", i, r)
+			}
+		}
+	}
+	state := New()
+	for i := range keptApplied + 50 {
+		state.do(t, Command{Op: OpApply, Digest: fmt.Sprint("d", i), BaseRevision: ident.Revision(i), Revision: ident.Revision(i + 1), Spec: []byte("x")})
+	}
+	if len(state.Proposals) > keptApplied+2 {
+		t.Errorf("%d orders are known", len(state.Proposals))
+	}
+	if first, ok := state.At(1); !ok || first.Rolled == nil {
+		t.Error("nobody knows when the first bundle came")
+	}
+	for i := range 2 * keptRefused {
+		state.do(t, Command{Op: OpApply, Digest: fmt.Sprint("ahead", i), BaseRevision: 1 << 40, Revision: 1 << 41, Spec: []byte("x")})
+	}
+	if len(state.Refused) != keptRefused {
+		t.Errorf("%d refused orders are known", len(state.Refused))
+	}
+}
+
+// TestAStateOfAnEarlierBuildCountsItsBundles reads a snapshot that knows of no revisions.
+func TestAStateOfAnEarlierBuildCountsItsBundles(t *testing.T) {
+	state := New()
+	for i, id := range []string{"a", "b", "c"} {
+		for _, c := range []Command{
+			{Op: OpPropose, ProposalID: id, Base: ident.Epoch(i), Operator: "ana", Spec: []byte("x")}, {Op: OpReview, ProposalID: id, Operator: "berta"},
+			{Op: OpSign, ProposalID: id, Operator: "chen"}, {Op: OpRoll, ProposalID: id, Operator: "ana"},
+		} {
+			if r := state.do(t, c); r.Verdict != Done {
+				t.Fatal(r)
+			}
+		}
+	}
+	var old map[string]json.RawMessage
+	if err := json.Unmarshal(state.Snapshot(), &old); err != nil {
+		t.Fatal(err)
+	}
+	delete(old, "revision")
+	data, err := json.Marshal(old)
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored, err := Restore(data)
+	if err != nil || restored.Revision != state.Revision || state.Revision != 3 {
+		t.Errorf("revision %d, want %d; %v", restored.Revision, state.Revision, err)
+	}
+}
