Rehearse the users' platform: engines over sockets, clients, and the judge of its rules

Stand-ins by the platform's page: the engine serves, streams, resumes, takes orders, drains and misbehaves on demand; the client tries as the page allows and writes down each event and stray byte.

--- /dev/null
+++ b/rehearsal/platformkit/client/conn.go
@@ -0,0 +1,307 @@
+// Package client is a stand-in for the platform's clients: it tries as the platform's page says clients
+// try, and writes down each try and each byte that came back.
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/form"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/history"
+)
+
+// Conn is one connection of a client.
+type Conn struct {
+	book   *history.Book
+	conn   *net.TCPConn
+	reader *bufio.Reader
+	// Daemon names whom it leads to.
+	Daemon string
+
+	mutex sync.Mutex
+	// waiting is the try whose answer is due; last is the one before.
+	waiting, last *pending
+	used          int
+	// over says that nothing more is read.
+	over  bool
+	ended chan struct{}
+	// closes says that the daemon wants it closed, until is how long it may be idle.
+	closes bool
+	until  clock.Mark
+}
+
+// pending is a try under way.
+type pending struct {
+	try *history.Try
+	// method decides how an answer is framed.
+	method string
+	done   chan struct{}
+	// beats tells of each event, so that silence can be noticed.
+	beats chan struct{}
+}
+
+// Dial opens a connection; it gets as long as the page says.
+func Dial(ctx context.Context, book *history.Book, daemon, address string) (*Conn, error) {
+	dialer := net.Dialer{Timeout: time.Second}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{book: book, conn: raw.(*net.TCPConn), reader: bufio.NewReader(raw), Daemon: daemon, ended: make(chan struct{})}
+	go c.read()
+	return c, nil
+}
+
+// Close closes it.
+func (c *Conn) Close() { c.conn.Close() }
+
+// Raw is the socket itself, for those who write bytes of their own.
+func (c *Conn) Raw() *net.TCPConn { return c.conn }
+
+// Usable says whether another request may be sent on it.
+func (c *Conn) Usable() bool {
+	select {
+	case <-c.ended:
+		return false
+	default:
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return !c.over && !c.closes && c.waiting == nil && (c.until == 0 || c.book.Now() < c.until)
+}
+
+// read takes answers as they come, and bytes that nobody waits for.
+func (c *Conn) read() {
+	defer close(c.ended)
+	defer c.conn.Close()
+	for {
+		_, err := c.reader.Peek(1)
+		c.mutex.Lock()
+		due, last := c.waiting, c.last
+		c.over = c.over || err != nil || due == nil
+		c.mutex.Unlock()
+		if err != nil {
+			if due != nil {
+				c.book.Note(func(*history.History) { due.try.Err = "closed: " + err.Error() })
+				c.finish(due)
+			}
+			return
+		}
+		if due == nil {
+			stray, _ := c.reader.Peek(c.reader.Buffered())
+			if last != nil {
+				c.book.Note(func(*history.History) { last.try.Surplus += string(stray) })
+			}
+			return
+		}
+		if !c.take(due) {
+			return
+		}
+	}
+}
+
+func (c *Conn) finish(due *pending) {
+	c.book.Note(func(*history.History) { due.try.Ended = c.book.Now() })
+	c.mutex.Lock()
+	c.waiting, c.last = nil, due
+	c.mutex.Unlock()
+	close(due.done)
+}
+
+// end finishes a try after which nothing more is read; false.
+func (c *Conn) end(due *pending) bool {
+	c.mutex.Lock()
+	c.over = true
+	c.mutex.Unlock()
+	c.finish(due)
+	return false
+}
+
+// take reads one answer; false ends the connection.
+func (c *Conn) take(due *pending) bool {
+	c.book.Note(func(*history.History) {
+		if due.try.First == 0 {
+			due.try.First = c.book.Now()
+		}
+	})
+	beginning, _ := c.reader.Peek(c.reader.Buffered())
+	answers := strings.HasPrefix("HTTP/1.1 ", string(beginning[:min(9, len(beginning))]))
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: due.method})
+	if err != nil {
+		// The beginning of an answer, and then the end of the connection, is an answer cut short and no junk.
+		_, after := c.reader.Peek(1)
+		c.book.Note(func(*history.History) {
+			due.try.Err = err.Error()
+			if malformed(err) && !(answers && after != nil) {
+				due.try.Junk = err.Error()
+			}
+		})
+		return c.end(due)
+	}
+	if response.StatusCode >= 100 && response.StatusCode < 200 {
+		return true
+	}
+	try := due.try
+	c.book.Note(func(*history.History) {
+		try.Status, try.Attempted, try.Seal, try.Encoding = response.StatusCode, response.Header.Get(form.Attempt), response.Header.Get(form.Seal), response.Header.Get("Content-Encoding")
+		if after, err := strconv.ParseFloat(response.Header.Get(form.RetryAfter), 64); err == nil {
+			try.HasRetryAfter, try.RetryAfterMs = true, int64(after*1000)
+		}
+	})
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		err = c.events(due, response.Body)
+	} else {
+		var body []byte
+		body, err = io.ReadAll(response.Body)
+		c.book.Note(func(*history.History) { try.BodyOut = body })
+	}
+	c.mutex.Lock()
+	c.closes = c.closes || response.Close || err != nil
+	for _, field := range strings.Split(response.Header.Get(form.KeepAlive), ",") {
+		if value, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout="); ok {
+			if seconds, err := strconv.Atoi(value); err == nil {
+				c.until = c.book.Now() + clock.Mark(time.Duration(seconds)*time.Second)
+			}
+		}
+	}
+	closes := c.closes
+	c.mutex.Unlock()
+	c.book.Note(func(*history.History) {
+		try.Whole = err == nil
+		if err != nil {
+			try.Err = err.Error()
+			if malformed(err) {
+				try.Junk = err.Error()
+			}
+		}
+	})
+	if closes {
+		return c.end(due)
+	}
+	c.finish(due)
+	return true
+}
+
+// malformed tells bytes that are no answer from an answer that was cut.
+func malformed(err error) bool {
+	var network net.Error
+	var protocol textproto.ProtocolError
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &network):
+		return false
+	case errors.As(err, &protocol):
+		return true
+	}
+	return strings.Contains(err.Error(), "malformed") || strings.Contains(err.Error(), "invalid") || strings.Contains(err.Error(), "unsupported")
+}
+
+// events reads a series of events, each as it comes.
+func (c *Conn) events(due *pending, body io.Reader) error {
+	reader := bufio.NewReader(body)
+	var event history.Event
+	some := false
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			if err == io.EOF && (some || line != "") {
+				// A cut in the middle of an event, in an answer that ends as whole, is a piece of an event.
+				c.book.Note(func(*history.History) { due.try.Junk = "the answer ends inside an event" })
+			}
+			if err == io.EOF {
+				return nil
+			}
+			return err
+		}
+		line = strings.TrimRight(line, "\r\n")
+		switch {
+		case line == "" && some:
+			event.At = c.book.Now()
+			noted := event
+			c.book.Note(func(*history.History) { due.try.Events = append(due.try.Events, noted) })
+			event, some = history.Event{}, false
+			select {
+			case due.beats <- struct{}{}:
+			default:
+			}
+		case strings.HasPrefix(line, "id:"):
+			event.ID, some = strings.TrimSpace(line[3:]), true
+		case strings.HasPrefix(line, "data:"):
+			event.Data, some = strings.TrimSpace(line[5:]), true
+		case line != "":
+			some = true
+		}
+	}
+}
+
+// Wire writes a request as bytes.
+func Wire(r *Request, attempt string, left time.Duration, lastEvent string) []byte {
+	header := http.Header{form.Attempt: {attempt}, form.Deadline: {strconv.FormatInt(left.Milliseconds(), 10)}}
+	if r.Prompt.Model != "" {
+		header.Set(form.Model, r.Prompt.WriteModel())
+		header.Set(form.TokenCounts, r.Prompt.WriteCounts())
+		if len(r.Prompt.Parts) > 0 {
+			header.Set(form.PromptPrefix, r.Prompt.WriteParts())
+		}
+	}
+	if lastEvent != "" {
+		header.Set(form.LastEvent, lastEvent)
+	}
+	for name, value := range r.Header {
+		header.Set(name, value)
+	}
+	if r.Chunked {
+		header.Set("Transfer-Encoding", "chunked")
+	} else if len(r.Body) > 0 || r.Method == http.MethodPost {
+		header.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	var buffer bytes.Buffer
+	fmt.Fprintf(&buffer, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
+	if err := header.Write(&buffer); err != nil {
+		panic("broken invariant: a head cannot be written: " + err.Error())
+	}
+	buffer.WriteString("\r\n")
+	if !r.Chunked {
+		buffer.Write(r.Body)
+		return buffer.Bytes()
+	}
+	chunks := httputil.NewChunkedWriter(&buffer)
+	for from := 0; from < len(r.Body); from += 700 {
+		_, _ = chunks.Write(r.Body[from:min(len(r.Body), from+700)])
+	}
+	_ = chunks.Close()
+	buffer.WriteString("\r\n")
+	return buffer.Bytes()
+}
+
+// expect makes a try the one whose answer is due.
+func (c *Conn) expect(try *history.Try) *pending {
+	due := &pending{try: try, method: try.Method, done: make(chan struct{}), beats: make(chan struct{}, 1)}
+	c.mutex.Lock()
+	over := c.over
+	if !over {
+		c.waiting = due
+	}
+	c.used++
+	first := c.used == 1
+	c.mutex.Unlock()
+	c.book.Note(func(*history.History) { try.Connected, try.FirstOnConnection, try.Daemon = true, first, c.Daemon })
+	if over {
+		// It was closed before anything was sent.
+		c.book.Note(func(*history.History) { try.Connected, try.Err = false, "closed while it was idle" })
+		c.finish(due)
+	}
+	return due
+}
--- a/rehearsal/platformkit/engine/engine.go
+++ b/rehearsal/platformkit/engine/engine.go
@@ -81,6 +81,8 @@
 	mutex sync.Mutex
 	lives int
 	life  *life
+	// over is closed when the life before has wholly ended.
+	over chan struct{}
 }
 
 // New makes one; it is down until Start.
@@ -144,6 +146,9 @@
 	if e.life != nil {
 		return fmt.Errorf("%s lives already", e.Config.Name)
 	}
+	if e.over != nil {
+		<-e.over
+	}
 	listener, err := net.Listen("tcp", e.Config.Address)
 	if err != nil {
 		return err
@@ -210,7 +215,10 @@
 		return
 	}
 	e.life = nil
+	over := make(chan struct{})
+	e.over = over
 	e.mutex.Unlock()
+	defer close(over)
 	l.crashed.Store(crashed)
 	l.end()
 	l.listener.Close()
--- a/rehearsal/platformkit/engine/server.go
+++ b/rehearsal/platformkit/engine/server.go
@@ -157,7 +157,7 @@
 	if !o.gate.pass(o.ctx) {
 		return 0, errBroke
 	}
-	if o.fault != nil && (o.fault.Kind == Break || o.fault.Kind == Silence) && o.written+len(data) >= o.fault.At {
+	if o.fault != nil && (o.fault.Kind == Break || o.fault.Kind == Silence) && o.written+len(data) > o.fault.At {
 		part := data[:max(0, o.fault.At-o.written)]
 		if len(part) > 0 {
 			_, _ = o.conn.Write(part)
--- /dev/null
+++ b/rehearsal/platformkit/judge/judge_test.go
@@ -0,0 +1,427 @@
+package judge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/form"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/history"
+)
+
+func at(seconds float64) clock.Mark { return clock.Mark(seconds * float64(time.Second)) }
+
+func bounds() Bounds {
+	ms := time.Millisecond
+	return Bounds{Contact: 3000 * ms, Drain: 2000 * ms, Grace: 8000 * ms, LossSlack: 200 * ms, Apply: 2000 * ms, Revert: 250 * ms, StretchMax: 5000 * ms,
+		Recovery: 12 * time.Second, Ack: 4000 * ms, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 10, Lease: 3000 * ms, Unfreeze: 300 * ms,
+		OriginWindow: 5 * time.Second, OriginExcess: 1.1, Floor: 0.5}
+}
+
+func config(generation uint64, change func(*form.Config)) *form.Config {
+	c := &form.Config{Generation: generation, Backends: []form.Backend{
+		{Label: "lm", HealthPath: "/health", Engine: &form.EngineID{LoadsPerS: 1, WeightsMb: 100, Models: []form.CatalogModel{{Label: "m", WeightsMb: 10}}}},
+		{Label: "plain", HealthPath: "/health"}, {Label: "other", HealthPath: "/health"}},
+		Routes: []form.Route{
+			{Label: "r1", Authority: "h", PathPrefix: "/s/", Class: form.Streaming, DeadlineMs: 5000, Backend: "lm", Tries: 1},
+			{Label: "r2", Authority: "h", PathPrefix: "/p/", Class: form.Idempotent, DeadlineMs: 5000, Backend: "plain", Tries: 2},
+			{Label: "r3", Authority: "h", PathPrefix: "/m/", Class: form.Mutating, DeadlineMs: 5000, Backend: "plain", Tries: 2}}}
+	if change != nil {
+		change(c)
+	}
+	return c
+}
+
+func addNew(c *form.Config) {
+	c.Routes = append(c.Routes, form.Route{Label: "r4", Authority: "h", PathPrefix: "/new/", Class: form.Idempotent, DeadlineMs: 5000, Backend: "other", Tries: 1})
+}
+
+type day struct {
+	*history.History
+	number int
+}
+
+// stream adds a streamed request that is served whole.
+func (d *day) stream(began float64) (*history.Try, *history.Arrival) {
+	return d.request(began, form.Streaming, "/s/x", "lm", "e1")
+}
+
+func (d *day) request(began float64, class, uri, service, engine string) (*history.Try, *history.Arrival) {
+	d.number++
+	attempt, run := fmt.Sprintf("t%d", d.number), fmt.Sprintf("%s-%d", engine, d.number)
+	try := &history.Try{Request: attempt, Kind: "kind" + class, Session: fmt.Sprint("s", d.number%3), Attempt: attempt, Attempted: attempt, Daemon: "edge-0", Host: "h", Method: "POST", URI: uri, BodyDigest: "d",
+		Class: class, DeadlineMs: 5000, Began: at(began), Connected: true, FirstOnConnection: true, Sent: at(began + 0.01), First: at(began + 0.1), Ended: at(began + 0.2), Status: 200, Whole: true}
+	arrival := &history.Arrival{At: at(began + 0.02), Engine: engine, Service: service, Attempt: attempt, Method: "POST", URI: uri, Host: "h", BodyDigest: "d",
+		Began: at(began + 0.03), Run: run, Ended: at(began + 0.2), Whole: true, Status: 200}
+	stamp := form.Stamp{Engine: engine, Attempt: attempt, Run: run, Status: 200, Length: -1}
+	if class == form.Streaming {
+		try.Prompt = form.Prompt{Model: "m", TokensIn: 10, TokensOut: 3}
+		for n := 1; n <= 3; n++ {
+			try.Events = append(try.Events, history.Event{At: at(began + 0.1), ID: fmt.Sprint(n), Data: form.EventData(attempt, run, n, 3)})
+		}
+	} else {
+		try.BodyOut = form.Body(attempt, run, 20)
+		stamp.Length, stamp.Digest = 20, form.Digest(try.BodyOut)
+	}
+	try.Seal = stamp.Write()
+	d.Tries, d.Arrivals = append(d.Tries, try), append(d.Arrivals, arrival)
+	return try, arrival
+}
+
+// at gives the place of the first request on a path from a time on.
+func (d *day) at(uri string, from float64) int {
+	for place, try := range d.Tries {
+		if try.URI == uri && try.Began >= at(from) {
+			return place
+		}
+	}
+	panic("no such request")
+}
+
+// refuse makes an answer one of the system's own.
+func refuse(try *history.Try, status int) {
+	try.Status, try.Seal, try.BodyOut, try.Events = status, "", nil, nil
+}
+
+// unrun takes a request's work back.
+func unrun(arrival *history.Arrival) {
+	arrival.Began, arrival.Run, arrival.Status, arrival.NotRun = 0, "", 503, true
+}
+
+func fence(n uint64) *uint64 { return &n }
+
+func (d *day) order(seconds float64, owner string, number uint64) *history.Order {
+	order := &history.Order{At: at(seconds), Engine: "e1", Service: "lm", Order: form.Order{Operation: form.Load, Model: "m", Owner: owner, Fence: fence(number)}, Status: 202, Store: true}
+	d.Orders = append(d.Orders, order)
+	return order
+}
+
+// sound is a day in which every rule is checked and holds.
+func sound() *day {
+	first, second := config(1, nil), config(3, addNew)
+	d := &day{History: &history.History{Began: at(0), Ended: at(100), Cores: []string{"core-0"}, Edges: []string{"edge-0"},
+		Changes: []*history.Change{
+			{Operator: "a", Base: 0, Generation: 1, Whole: first, Began: at(0.1), Answered: at(0.3), Outcome: history.Acknowledged},
+			{Operator: "a", Base: 1, Generation: 3, Whole: second, Began: at(10), Answered: at(10.3), Outcome: history.Acknowledged},
+			{Operator: "b", Base: 1, Generation: 2, Whole: config(2, func(c *form.Config) { c.Routes[0].Backend = "plain" }), Began: at(10.1), Answered: at(10.4), Outcome: history.Refused},
+			{Operator: "a", Base: 3, Generation: 3, Whole: config(3, nil), Fault: "its generation is not above the current one", Began: at(12), Answered: at(12.1), Outcome: history.Refused},
+		},
+		Lives: []*history.Life{{Engine: "e1", Service: "lm", Began: at(0)}, {Engine: "p1", Service: "plain", Began: at(0)}, {Engine: "o1", Service: "other", Began: at(0)},
+			{Engine: "e2", Service: "lm", Began: at(0), DrainAsked: at(15), DrainAcked: at(15.1), Ended: at(18)}},
+		Troubles: []*history.Trouble{
+			{From: at(30), Until: at(31), Kind: history.Stopped, Machine: "edge-0", Planned: true},
+			{From: at(60), Until: at(61), Kind: history.Closing, Core: true}},
+		ReadBacks: []history.ReadBack{{At: at(99), Config: second}},
+	}}
+	for second := 1; second < 60; second++ {
+		d.stream(float64(second))
+		d.request(float64(second)+0.2, form.Idempotent, "/p/x", "plain", "p1")
+		_, arrival := d.request(float64(second)+0.3, form.Mutating, "/m/x", "plain", "p1")
+		arrival.DeadlineMs = 1
+		if second > 13 {
+			d.request(float64(second)+0.4, form.Idempotent, "/new/x", "other", "o1")
+		}
+		d.Looks = append(d.Looks, history.Look{At: at(float64(second)), Machine: "edge-0", Ready: true})
+	}
+	for second := 75; second < 95; second++ {
+		d.stream(float64(second))
+	}
+	// One that is refused and has not run.
+	try, arrival := d.request(20.5, form.Mutating, "/m/x", "plain", "p1")
+	refuse(try, 503)
+	unrun(arrival)
+	d.order(1, "core-0", 1)
+	d.order(20, "core-1", 2)
+	return d
+}
+
+func TestASoundDayPassesAndEveryRuleIsChecked(t *testing.T) {
+	for _, finding := range Judge(sound().History, bounds()) {
+		if finding.Checked == 0 || len(finding.Violations) > 0 {
+			t.Errorf("%s: %d checked, %v", finding.Rule, finding.Checked, finding.Violations)
+		}
+	}
+}
+
+func TestAnEmptyDayChecksNothing(t *testing.T) {
+	for _, finding := range Judge(&history.History{}, bounds()) {
+		if finding.Checked > 0 || len(finding.Violations) > 0 {
+			t.Errorf("%s: %d checked, %v", finding.Rule, finding.Checked, finding.Violations)
+		}
+	}
+}
+
+// breaks are ways to break one rule each; where another falls with it by its nature, it is named.
+var breaks = []struct {
+	rule, what string
+	also       []string
+	change     func(*day)
+}{
+	{"MIXED", "a success without a stamp", nil, func(d *day) { d.Tries[1].Seal = "" }},
+	{"MIXED", "a body cut short that looks whole", nil, func(d *day) { d.Tries[1].BodyOut = d.Tries[1].BodyOut[:7] }},
+	{"MIXED", "a failure passed as a success", nil, func(d *day) {
+		stamp, _ := form.ReadStamp(d.Tries[1].Seal)
+		stamp.Status = 500
+		d.Tries[1].Seal = stamp.Write()
+	}},
+	{"MIXED", "another's answer", nil, func(d *day) { d.Tries[1].Seal, d.Tries[1].BodyOut = d.Tries[5].Seal, d.Tries[5].BodyOut }},
+	{"MIXED", "another's refusal", nil, func(d *day) { refuse(d.Tries[1], 503); d.Tries[1].Attempted = "t9" }},
+	{"MIXED", "a success where no request waits", nil, func(d *day) { d.Tries[1].Surplus = "HTTP/1.1 200 OK\r\n" }},
+	{"MIXED", "bytes that are no answer", nil, func(d *day) {
+		try := d.Tries[d.at("/p/x", 25)]
+		try.Junk, try.Status, try.Whole = "malformed", 0, false
+	}},
+	{"MIXED", "an encoding", nil, func(d *day) { d.Tries[1].Encoding = "gzip" }},
+	{"MIXED", "an event of another", nil, func(d *day) { d.Tries[0].Events[1].Data = form.EventData("t77", "e1-1", 2, 3) }},
+	{"UNASKED", "an id nobody sent", nil, func(d *day) {
+		_, arrival := d.request(5, form.Idempotent, "/p/x", "plain", "p1")
+		arrival.Attempt = "smuggled"
+	}},
+	{"UNASKED", "another path", nil, func(d *day) { d.Arrivals[1].URI = "/p/y" }},
+	{"UNASKED", "another query", nil, func(d *day) { d.Arrivals[1].URI = "/p/x?q=1" }},
+	{"UNASKED", "another method", nil, func(d *day) { d.Arrivals[1].Method = "GET" }},
+	{"UNASKED", "another body", nil, func(d *day) { d.Arrivals[1].BodyDigest = "e" }},
+	{"TWICE", "a mutating request runs twice", nil, func(d *day) {
+		again := *d.Arrivals[2]
+		d.Arrivals = append(d.Arrivals, &again)
+	}},
+	{"TWICE", "a stream that may not be resumed runs twice", nil, func(d *day) {
+		again := *d.Arrivals[0]
+		d.Arrivals = append(d.Arrivals, &again)
+	}},
+	{"REFUSED", "a 503 for what ran", nil, func(d *day) { refuse(d.Tries[2], 503) }},
+	{"REFUSED", "a 421 for what runs later", nil, func(d *day) {
+		refuse(d.Tries[2], 421)
+		d.Arrivals[2].Began = at(40)
+	}},
+	{"DENIED", "many proper requests get a 400", nil, func(d *day) {
+		for n := range 7 {
+			refuse(d.Tries[1+4*n], 400)
+			unrun(d.Arrivals[1+4*n])
+		}
+	}},
+	{"ROUTE", "a service that no configuration names", nil, func(d *day) { d.Arrivals[1].Service = "lm" }},
+	{"DRAIN", "a request after the bound", nil, func(d *day) { d.request(17.4, form.Streaming, "/s/x", "lm", "e2") }},
+	{"LOST around planned work", "a cut while stopping", []string{"LOST around planned work"}, func(d *day) {
+		try, _ := d.request(30.1, form.Mutating, "/m/x", "plain", "p1")
+		try.Status, try.Whole, try.Seal = 0, false, ""
+	}},
+	{"LOST around planned work", "cuts around a change", nil, func(d *day) {
+		for n := range 3 {
+			try, _ := d.request(10.5+0.1*float64(n), form.Idempotent, "/p/x", "plain", "p1")
+			try.Status, try.Whole, try.Seal = 0, false, ""
+		}
+	}},
+	{"LOST after the closing fault", "an older version at the end", []string{"CONFIG read back"}, func(d *day) {
+		d.ReadBacks = []history.ReadBack{{At: at(99), Config: config(1, nil)}}
+	}},
+	{"CONFIG in force late", "a route 404s that is there", []string{"CONFIG goes back"}, func(d *day) {
+		try, arrival := d.request(25, form.Idempotent, "/new/x", "other", "o1")
+		refuse(try, 404)
+		unrun(arrival)
+	}},
+	{"CONFIG in force late", "an old service", []string{"CONFIG goes back"}, func(d *day) {
+		d.Changes[1].Whole = config(3, func(c *form.Config) { addNew(c); c.Routes[1].Backend = "lm" })
+		d.ReadBacks[0].Config = d.Changes[1].Whole
+		for _, arrival := range d.Arrivals {
+			if arrival.URI == "/p/x" && arrival.At > at(10) && arrival.At < at(50) {
+				arrival.Service = "lm"
+			}
+		}
+	}},
+	{"CONFIG later routes served", "later routes are refused", []string{"Starved kinds"}, func(d *day) {
+		for place, try := range d.Tries {
+			if try.URI == "/new/x" {
+				refuse(try, 503)
+				unrun(d.Arrivals[place])
+			}
+		}
+	}},
+	{"CONFIG goes back", "a 404 just after the effect of a version", nil, func(d *day) {
+		d.request(10.6, form.Idempotent, "/new/x", "other", "o1")
+		try, arrival := d.request(11.1, form.Idempotent, "/new/x", "other", "o1")
+		refuse(try, 404)
+		unrun(arrival)
+	}},
+	{"CONFIG refused or invalid in force", "the loser of a race", nil, func(d *day) { d.Arrivals[d.at("/s/x", 25)].Service = "plain" }},
+	{"CONFIG acknowledged wrongly", "an invalid one", nil, func(d *day) { d.Changes[3].Outcome = history.Acknowledged }},
+	{"CONFIG acknowledged wrongly", "two on one base", nil, func(d *day) {
+		d.Changes[2].Outcome = history.Acknowledged
+		d.Changes[2].Whole = config(2, nil)
+	}},
+	{"CONFIG read back", "it does not come", []string{"LOST after the closing fault"}, func(d *day) { d.ReadBacks[0] = history.ReadBack{Err: "no answer"} }},
+	{"CONFIG read back", "other content under its number", []string{"LOST after the closing fault"}, func(d *day) { d.ReadBacks[0].Config = config(3, nil) }},
+	{"BUDGET", "further arrivals past ratio and slack", nil, func(d *day) {
+		for n := range 40 {
+			_, first := d.request(40+0.1*float64(n), form.Idempotent, "/p/x", "plain", "p1")
+			again := *first
+			unrun(&again)
+			d.Arrivals = append(d.Arrivals, &again)
+			third := again
+			d.Arrivals = append(d.Arrivals, &third)
+		}
+	}},
+	{"ORDER", "an event is missing", nil, func(d *day) { d.Tries[0].Events = append(d.Tries[0].Events[:1:1], d.Tries[0].Events[2]) }},
+	{"ORDER", "an event comes twice", nil, func(d *day) {
+		d.Tries[0].Events = append(d.Tries[0].Events[:2:2], d.Tries[0].Events[1:]...)
+	}},
+	{"ORDER", "it ends early as complete", nil, func(d *day) { d.Tries[0].Events = d.Tries[0].Events[:2] }},
+	{"ORDER", "two runs are joined", nil, func(d *day) { d.Tries[0].Events[2].Data = form.EventData("t1", "e2-9", 3, 3) }},
+	{"RECOVER", "little is served after the closing fault", nil, func(d *day) {
+		for place, try := range d.Tries {
+			if try.Began > at(74) && try.Began < at(92) {
+				refuse(try, 503)
+				unrun(d.Arrivals[place])
+			}
+		}
+	}},
+	{"ONE", "two holders share a fence", nil, func(d *day) { d.order(40, "core-2", 2) }},
+	{"ONE", "a lower fence follows", nil, func(d *day) { d.order(40, "core-2", 1).Order.Owner = "core-0" }},
+	{"ONE", "holders take turns", nil, func(d *day) { d.order(22, "core-2", 3) }},
+	{"LIMIT", "a load over the room", nil, func(d *day) { d.Orders[0].Over = true }},
+	{"CEILING", "loads faster than the store allows", nil, func(d *day) {
+		for n := range 9 {
+			d.order(40+0.4*float64(n), "core-1", 2)
+		}
+	}},
+	{"Floor", "most is refused", []string{"Starved kinds", "Starved sessions", "CONFIG later routes served"}, func(d *day) {
+		for place, try := range d.Tries {
+			if place%3 != 0 {
+				refuse(try, 503)
+				unrun(d.Arrivals[place])
+			}
+		}
+	}},
+	{"Sizes", "the largest are refused", nil, func(d *day) {
+		for place, try := range d.Tries {
+			if try.Prompt.Model != "" && place%9 == 0 {
+				try.Prompt.TokensIn = 900
+				refuse(try, 503)
+				unrun(d.Arrivals[place])
+			}
+		}
+	}},
+	{"Starved sessions", "some sessions are never served", []string{"Starved kinds"}, func(d *day) {
+		for place, try := range d.Tries {
+			if place%4 == 1 {
+				try.Session = fmt.Sprint("poor", place%24)
+				refuse(try, 503)
+				unrun(d.Arrivals[place])
+			}
+		}
+	}},
+	{"Starved models", "some models are never served", nil, func(d *day) {
+		for place, try := range d.Tries {
+			if try.Prompt.Model != "" && place%5 == 0 {
+				try.Prompt.Model = fmt.Sprint("rare", place%3)
+				refuse(try, 503)
+				unrun(d.Arrivals[place])
+			}
+		}
+	}},
+	{"Starved kinds", "one kind is hardly served", []string{"Starved sessions"}, func(d *day) {
+		for place, try := range d.Tries {
+			if try.Class == form.Mutating {
+				refuse(try, 503)
+				unrun(d.Arrivals[place])
+			}
+		}
+	}},
+	{"Acks", "a valid change waits too long", nil, func(d *day) { d.Changes[1].Answered = at(16) }},
+	{"Acks of leaving", "an engine is never told", nil, func(d *day) { d.Lives[3].DrainAcked = 0 }},
+	{"Own ends", "a process ends by itself", nil, func(d *day) {
+		d.Troubles = append(d.Troubles, &history.Trouble{From: at(50), Until: at(50.1), Kind: history.OwnEnd, Machine: "core-0", Core: true})
+	}},
+	{"Duty", "an edge is not ready", nil, func(d *day) {
+		for place := range d.Looks {
+			d.Looks[place].Ready = place%4 != 0
+		}
+	}},
+}
+
+func TestEachRuleBites(t *testing.T) {
+	bitten := map[string]bool{}
+	for _, one := range breaks {
+		d := sound()
+		one.change(d)
+		bitten[one.rule] = true
+		for _, finding := range Judge(d.History, bounds()) {
+			may := false
+			for _, also := range one.also {
+				may = may || finding.Rule == also
+			}
+			switch {
+			case finding.Rule == one.rule && len(finding.Violations) == 0:
+				t.Errorf("%s: %s was not caught", one.rule, one.what)
+			case finding.Rule != one.rule && !may && len(finding.Violations) > 0:
+				t.Errorf("%s: %s was called a break of %s: %v", one.rule, one.what, finding.Rule, finding.Violations[:1])
+			}
+		}
+	}
+	for _, finding := range Judge(sound().History, bounds()) {
+		if !bitten[finding.Rule] {
+			t.Errorf("no break of %s is tried", finding.Rule)
+		}
+	}
+}
+
+// TestWhatTheRulesExcuseIsExcused brings about what looks like a break and is none.
+func TestWhatTheRulesExcuseIsExcused(t *testing.T) {
+	for _, one := range []struct {
+		what   string
+		change func(*day)
+	}{
+		{"an idempotent request runs twice", func(d *day) {
+			again := *d.Arrivals[1]
+			d.Arrivals = append(d.Arrivals, &again)
+		}},
+		{"a resumed stream goes on at another engine", func(d *day) {
+			try, first := d.Tries[0], d.Arrivals[0]
+			try.Resumable = true
+			second := *first
+			second.Run, second.Engine, second.LastEvent, second.From = "e3-9", "e3", "2", 2
+			first.Whole, first.Broke = false, true
+			d.Arrivals = append(d.Arrivals, &second)
+			try.Events[2].Data = form.EventData(try.Attempt, "e3-9", 3, 3)
+		}},
+		{"an engine breaks a stream off, and the cut shows", func(d *day) {
+			d.Tries[0].Whole, d.Tries[0].Events = false, d.Tries[0].Events[:1]
+			d.Arrivals[0].Whole, d.Arrivals[0].Broke = false, true
+		}},
+		{"a late arrival from a machine that was frozen", func(d *day) {
+			d.Troubles = append(d.Troubles, &history.Trouble{From: at(17), Until: at(18), Kind: history.Frozen, Machine: "edge-0"})
+			d.request(18.5, form.Streaming, "/s/x", "lm", "e2")
+		}},
+		{"an old route just after its change", func(d *day) {
+			try, arrival := d.request(11, form.Idempotent, "/new/x", "other", "o1")
+			refuse(try, 404)
+			unrun(arrival)
+		}},
+		{"an unclear change that came in force", func(d *day) {
+			d.Changes = append(d.Changes, &history.Change{Base: 3, Generation: 9, Whole: config(9, nil), Began: at(95), Outcome: history.Unclear})
+			d.ReadBacks[0].Config = config(9, nil)
+			d.Troubles = append(d.Troubles, &history.Trouble{From: at(94), Kind: history.Frozen, Machine: "core-0", Core: true})
+		}},
+		{"loads while the core is unsettled", func(d *day) {
+			d.Troubles = append(d.Troubles, &history.Trouble{From: at(39), Until: at(45), Kind: history.Frozen, Machine: "core-0", Core: true})
+			for n := range 9 {
+				d.order(40+0.4*float64(n), "core-1", 2)
+			}
+		}},
+		{"a few own 4xx", func(d *day) {
+			for n := range 5 {
+				refuse(d.Tries[1+4*n], 400)
+				unrun(d.Arrivals[1+4*n])
+			}
+		}},
+	} {
+		d := sound()
+		one.change(d)
+		for _, finding := range Judge(d.History, bounds()) {
+			if len(finding.Violations) > 0 {
+				t.Errorf("%s: %s: %v", one.what, finding.Rule, finding.Violations)
+			}
+		}
+	}
+}
