--- a/process/statemachine/apply.go
+++ b/process/statemachine/apply.go
@@ -49,9 +49,9 @@
 	if known, taken := s.Applied(c.Digest); taken {
 		return Result{Verdict: Done, Proposal: known.brief()}
 	}
-	if c.BaseRevision > s.Revision && !slices.Contains(s.Refused, c.Digest) {
-		// This base may yet come in force, and a copy of the order may be under way still: what is refused now
-		// is written down, so that no copy of it can win then.
+	if (c.BaseRevision > s.Revision || len(c.Spec) == 0) && !slices.Contains(s.Refused, c.Digest) {
+		// The base may yet come in force, or has since its sender looked and left the bundle out. Another copy
+		// of the order may be under way: what is refused now is written down, so that no copy of it wins then.
 		s.Refused = append(s.Refused, c.Digest)
 		s.Refused = s.Refused[max(0, len(s.Refused)-keptRefused):]
 	}
@@ -63,9 +63,6 @@
 		}
 		return result
 	}
-	if len(c.Spec) == 0 {
-		return Result{Verdict: Malformed, Reason: "an applied bundle needs a bundle"}
-	}
 	mark := Mark{Operator: c.Operator, At: s.Now, Note: c.Note}
 	applied := &Proposal{ID: AppliedID(c.Digest), Base: s.Epoch(), Proposed: mark, Spec: c.Spec, Packed: c.Packed, Revision: c.Revision, Applied: true}
 	s.Proposals[applied.ID] = applied
