Answer all that a stopping daemon still has before it lets go

What: 0.7 s before the limit all that is held is refused, and all whose answer has not begun gets its final one; nothing is held or tried again from then on. Test over sockets.

--- a/connection/gateway/answers_test.go
+++ b/connection/gateway/answers_test.go
@@ -413,3 +413,54 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// TestAStoppingDaemonAnswersAllItHas: what is held is refused, what may have run is not, and neither is left
+// without an answer.
+func TestAStoppingDaemonAnswersAllItHas(t *testing.T) {
+	come := make(chan struct{}, 10)
+	engine := newStandIn(t, "e1", func(a arrival) bool {
+		if strings.HasPrefix(a.request.RequestURI, "/stream/") {
+			chunks(a, "s", event(1))
+		}
+		come <- struct{}{}
+		_, _ = a.conn.Read(make([]byte, 1))
+		return false
+	})
+	f := newFixture(t, engine)
+	got := map[string]chan result{}
+	send := func(path, id string) {
+		answer := make(chan result, 1)
+		got[id] = answer
+		conn := f.dial()
+		_, _ = io.WriteString(conn, ask(path, id, "ping"))
+		go func() { answer <- read(bufio.NewReader(conn)) }()
+	}
+	send("once", "sent")
+	<-come
+	send("again", "repeatable")
+	<-come
+	send("stream", "begun")
+	<-come
+	for f.gateway.Counters.Streams.Load() == 0 {
+		runtime.Gosched()
+	}
+	f.engines()
+	send("once", "held")
+	held := 0
+	for held == 0 {
+		f.actor.Ask(func(c *forwarding.Core, _ forwarding.World) { held = c.HeldNow() })
+	}
+	f.gateway.Stop()
+	for id, status := range map[string]int{"sent": 502, "repeatable": 502, "held": 503} {
+		if answer := <-got[id]; answer.status != status || answer.err != nil {
+			t.Errorf("%s: %+v", id, answer)
+		}
+	}
+	if f.gateway.Open() != 1 {
+		t.Errorf("%d open", f.gateway.Open())
+	}
+	send("once", "late")
+	if answer := <-got["late"]; answer.status != 503 {
+		t.Errorf("%+v", answer)
+	}
+}
--- a/connection/gateway/gateway.go
+++ b/connection/gateway/gateway.go
@@ -55,8 +55,16 @@
 // Open counts the requests that were read and are not yet answered whole.
 func (g *Gateway) Open() int64 { return g.open.Load() }
 
-// CutAll ends whatever is under way: the daemon may wait no longer.
-func (g *Gateway) CutAll() { g.watcher.cutAll() }
+// Stop gives all that have no answer yet their final one, since the daemon may not wait much longer; answers
+// that have begun go on for as long as it does wait.
+func (g *Gateway) Stop() {
+	g.actor.Ask(func(c *forwarding.Core, w forwarding.World) { c.Stop(w) })
+	g.watcher.each(func(f *flight) {
+		if !f.begun.Load() {
+			f.cancel.Now()
+		}
+	})
+}
 
 const (
 	// mostWhole is how much of an answer is gathered before any of it goes on.
@@ -79,7 +87,7 @@
 	send   *forwarding.Send
 	// lastEvent is the last one passed on.
 	lastEvent string
-	begun     bool
+	begun     atomic.Bool
 }
 
 // Handle serves one request.
--- a/connection/gateway/stream.go
+++ b/connection/gateway/stream.go
@@ -38,8 +38,7 @@
 
 // begin notes that bytes of an answer go on from now.
 func (f *flight) begin() {
-	if !f.begun {
-		f.begun = true
+	if f.begun.CompareAndSwap(false, true) {
 		f.actor.Begun(f.record)
 	}
 }
--- a/connection/gateway/watch.go
+++ b/connection/gateway/watch.go
@@ -73,11 +73,16 @@
 	time.AfterFunc(lookEvery, w.tick)
 }
 
-func (w *watcher) cutAll() {
+// each calls do for all that wait or are being answered.
+func (w *watcher) each(do func(*flight)) {
 	w.mutex.Lock()
-	defer w.mutex.Unlock()
+	waiting := make([]*flight, 0, len(w.waiting))
 	for f := range w.waiting {
-		go f.leave()
+		waiting = append(waiting, f)
+	}
+	w.mutex.Unlock()
+	for _, f := range waiting {
+		do(f)
 	}
 }
 
--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -95,6 +95,22 @@
 	}
 }
 
+// answerMargin is how long before a stopping daemon lets go all that it still has must have its answer.
+const answerMargin = 700 * time.Millisecond
+
+// stopForwarding has all opaque requests answered in time before the limit; what it gives back calls that off.
+func (d *Daemon) stopForwarding(limit context.Context) func() {
+	if d.forwardSide.gateway == nil {
+		return func() {}
+	}
+	until, bounded := limit.Deadline()
+	if !bounded {
+		return func() {}
+	}
+	timer := time.AfterFunc(time.Until(until)-answerMargin, d.forwardSide.gateway.Stop)
+	return func() { timer.Stop() }
+}
+
 // forwardIndex is the bundle's section in force; nil is none.
 func (d *Daemon) forwardIndex() *forward.Index {
 	if t := d.keeper.Table(); t != nil {
--- a/process/daemon/life.go
+++ b/process/daemon/life.go
@@ -39,6 +39,7 @@
 	}()
 	d.draining.Store(true)
 	d.log.Info("draining")
+	defer d.stopForwarding(limit)()
 	var wait sync.WaitGroup
 	wait.Go(func() { d.handOffice(limit) })
 	d.awaitMoved(limit)
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -51,6 +51,8 @@
 	meanTokens float64
 	candidates []candidate
 	scratch    []byte
+	// stopping says that the daemon ends: nothing is held or tried again any more.
+	stopping bool
 }
 
 // NewCore makes an empty core.
@@ -163,6 +165,10 @@
 		c.finish(r, w, Spent, c.comeBack(r, w))
 		return
 	}
+	if c.stopping && r.stage != Admitted {
+		c.finish(r, w, Stopping, leastComeBack)
+		return
+	}
 	chosen, why := c.choose(r, w)
 	if chosen == nil {
 		c.hold(r, w, why)
@@ -229,6 +235,10 @@
 
 // hold keeps a record until an engine can take it, or ends it if none will in time.
 func (c *Core) hold(r *Record, w World, why lack) {
+	if c.stopping {
+		c.finish(r, w, Stopping, leastComeBack)
+		return
+	}
 	if wait, hopeless := c.hopeless(r, w, why); hopeless {
 		if why == noModel && wait <= r.Deadline.Since(w.Now)/3 {
 			// It is still wanted: whoever plans must not forget it until the client has come back.
@@ -450,10 +460,12 @@
 	}
 }
 
-// Stop ends all that wait.
+// Stop ends all that wait; whatever is under way ends with the attempt it makes now.
 func (c *Core) Stop(w World) {
+	c.stopping = true
 	for _, r := range slices.Clone(c.held) {
-		c.finish(r, w, Stopping, time.Second)
+		// Another daemon may take it at once.
+		c.finish(r, w, Stopping, leastComeBack)
 	}
 }
 
