Keep what is stopped at the last look from going round; hold to the share of connections

Cause: read in review: without a lease, or with all of an engine's connections taken, a request was chosen for and stopped again without end. Tests for both.

--- a/connection/gateway/gateway_test.go
+++ b/connection/gateway/gateway_test.go
@@ -139,7 +139,7 @@
 	settings.RetrySlack = 1000
 	var minted atomic.Int64
 	f.actor = forwarding.NewActor(settings, func() forwarding.World {
-		return forwarding.World{Now: clock.System{}.Elapsed(), Index: f.index.Load(), Current: true, View: f.view.Load(), Edges: 1,
+		return forwarding.World{Now: clock.System{}.Elapsed(), Index: f.index.Load(), Current: true, View: f.view.Load(), Edges: 1, Leased: f.held.Load(),
 			Mint: func() (ident.MintedID, bool) { return ident.MintedID(minted.Add(1)), f.held.Load() }}
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -125,7 +125,7 @@
 	current, _ := d.members.Ready()
 	return forwarding.World{
 		Now: now, Index: d.forwardIndex(), Current: current, View: d.forwardSide.view(), Zone: d.config.Zone,
-		Edges: d.edges(now), Lacks: d.PoolLack,
+		Edges: d.edges(now), Lacks: d.PoolLack, Leased: d.generator.Held(),
 		Mint: func() (ident.MintedID, bool) {
 			id, verdict := d.generator.Mint()
 			return id, verdict == snowflake.Minted
--- a/request/forwarding/choose.go
+++ b/request/forwarding/choose.go
@@ -60,7 +60,7 @@
 		}
 		why = max(why, allFull)
 		state := c.engine(engine.ID)
-		if state.resting(w.Now) || state.inFlight >= most(engine, w, batching) {
+		if state.resting(w.Now) || state.inFlight >= most(engine, pool, w) {
 			continue
 		}
 		c.candidates = append(c.candidates, candidate{engine: engine, state: state})
@@ -91,13 +91,17 @@
 
 // most is how many attempts this daemon has at an engine at most. Small engines are shared out, since what
 // piles up there is turned away; batching ones take a queue, and order it by urgency over all daemons.
-func most(engine *registry.Engine, w World, batching bool) int {
-	slots := max(engine.Slots, 1)
-	if batching {
-		return slots
+func most(engine *registry.Engine, pool *forward.Pool, w World) int {
+	slots, edges := max(engine.Slots, 1), max(w.Edges, 1)
+	bound := max(2, (2*slots+edges-1)/edges)
+	if pool != nil && pool.Catalogue != nil {
+		bound = slots
+	}
+	// Each attempt takes a connection of its own while it lasts.
+	if share := connectionShare(pool, edges); share > 0 {
+		bound = min(bound, share)
 	}
-	edges := max(w.Edges, 1)
-	return max(2, (2*slots+edges-1)/edges)
+	return bound
 }
 
 // nearest moves the engines to choose from to the front, and gives them: a prompt's homes by rendezvous, in
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -23,7 +23,9 @@
 	Zone    ident.ZoneID
 	// Edges is how many daemons route, this one included.
 	Edges int
-	Mint  func() (ident.MintedID, bool)
+	// Leased says whether a worker id is held, Mint mints under it.
+	Leased bool
+	Mint   func() (ident.MintedID, bool)
 	// Lacks says for how long a model or adapter is not likely to be loaded, where the planner said so.
 	Lacks func(pool, model, adapter string) (time.Duration, bool)
 }
@@ -184,6 +186,11 @@
 
 // send hands an attempt to the record's sender.
 func (c *Core) send(r *Record, w World, chosen *registry.Engine) {
+	if len(r.stamps) > 0 && !w.Leased {
+		// What was held under a lease does not leave without one.
+		c.finish(r, w, NoLease, c.comeBack(r, w))
+		return
+	}
 	again := r.attempts > 0
 	if again {
 		if !c.stamp(r, w) {
@@ -350,6 +357,10 @@
 	Left
 )
 
+// mostHeldBack is how often a request may be stopped at its last look, each time for a change since it was
+// chosen for.
+const mostHeldBack = 8
+
 // Attempted takes up how an attempt ended, and gives the next step unless the record is served.
 func (c *Core) Attempted(r *Record, outcome Outcome, w World) {
 	if r.stage != Sending && r.stage != Passing {
@@ -370,7 +381,11 @@
 	switch outcome {
 	case HeldBack:
 		c.Counters.HeldBack++
-		c.look(r, w)
+		if r.heldBack++; r.heldBack > mostHeldBack {
+			c.finish(r, w, NoRoom, c.comeBack(r, w))
+		} else {
+			c.look(r, w)
+		}
 	case NeverSent:
 		c.Counters.NeverSent++
 		c.look(r, w)
--- a/request/forwarding/core_test.go
+++ b/request/forwarding/core_test.go
@@ -56,7 +56,8 @@
 
 func (b *bench) world() World {
 	return World{Now: b.now, Index: b.index, Current: b.current, View: b.view, Edges: b.edges,
-		Mint: func() (ident.MintedID, bool) { b.minted++; return b.minted, b.lease },
+		Leased: b.lease,
+		Mint:   func() (ident.MintedID, bool) { b.minted++; return b.minted, b.lease },
 		Lacks: func(_, model, adapter string) (time.Duration, bool) {
 			wait, lacks := b.lacks[model+"/"+adapter]
 			return wait, lacks
@@ -580,3 +581,44 @@
 	}, gen.UInt64(), gen.IntRange(1, 12), gen.IntRange(1, 60)))
 	properties.TestingRun(t)
 }
+
+// TestWhatIsStoppedAtEveryLastLookComesToAnEnd: a sender and a core that disagree for good do not go round.
+func TestWhatIsStoppedAtEveryLastLookComesToAnEnd(t *testing.T) {
+	b := newBench(t, pathOf("p", forward.Once, "plain"))
+	b.register(enginesOf("plain", 3, 6)...)
+	r := b.admit("p")
+	rounds := 0
+	for step, there := taken(r); there && step.Send != nil; step, there = taken(r) {
+		if rounds++; rounds > 100 {
+			t.Fatal("it goes round")
+		}
+		b.core.Attempted(r, HeldBack, b.world())
+		if r.stage == Ended {
+			b.ended(r, fasthttp.StatusServiceUnavailable, NoRoom)
+			break
+		}
+	}
+	if r.stage != Ended || b.core.Counters.Sent != 0 {
+		t.Error(r.stage)
+	}
+}
+
+// TestAttemptsStayWithinTheShareOfConnections: what an engine takes from all daemons is divided over them.
+func TestAttemptsStayWithinTheShareOfConnections(t *testing.T) {
+	path := pathOf("p", forward.Once, "narrow")
+	b := newBench(t, path)
+	section := *b.index.Section
+	section.Pools = append(section.Pools, forward.Pool{Name: "narrow", MostConnections: 10, Catalogue: &forward.Catalogue{}})
+	b.index = forward.NewIndex(&section)
+	b.edges = 3
+	b.register(engineOf("narrow", 0, 64))
+	sent := 0
+	for range 10 {
+		if r := b.admit("p"); r.stage == Sending {
+			sent++
+		}
+	}
+	if sent != 3 {
+		t.Errorf("%d at once", sent)
+	}
+}
--- a/request/forwarding/record.go
+++ b/request/forwarding/record.go
@@ -80,7 +80,9 @@
 	// lastEvent is the last event passed on, if any was.
 	lastEvent string
 	heldAt    clock.Mark
-	sentAt    clock.Mark
+	// heldBack counts the attempts that were stopped at the last look.
+	heldBack int
+	sentAt   clock.Mark
 	// needs is the tokens of memory, and unread those of its prompt that the engine chosen has not kept;
 	// awaited says that the answer has not begun.
 	needs, unread int
--- a/request/forwarding/simulate_test.go
+++ b/request/forwarding/simulate_test.go
@@ -115,7 +115,7 @@
 	for range daemons {
 		d := &simulated{core: NewCore(DefaultSettings())}
 		d.world = func() World {
-			return World{Now: s.now, Index: s.index, Current: true, View: s.view, Edges: daemons, Mint: func() (ident.MintedID, bool) { return 1, true }}
+			return World{Now: s.now, Index: s.index, Current: true, View: s.view, Edges: daemons, Leased: true, Mint: func() (ident.MintedID, bool) { return 1, true }}
 		}
 		s.daemons = append(s.daemons, d)
 	}
