Count the planner's quiet time from the last order told of; keep the claim off the leader

Now every order is told to the group before it leaves, so the quiet time counts from the newest one told of; the claim lasts 3 s, longer than an election; a daemon that does not lead takes it first, so that the loss of one machine does not cost both. Tests: the simulated fleet checks ONE at the engines; one that tells nothing is caught.

--- a/process/daemon/poolplanning.go
+++ b/process/daemon/poolplanning.go
@@ -137,14 +137,14 @@
 
 // Claim asks the group for the claim.
 func (p poolPlanner) Claim(ctx context.Context, told *statemachine.Told, whole bool) poolplacement.ClaimAnswer {
-	answer, ok := p.submitOnce(ctx, statemachine.Command{Op: statemachine.OpClaim, NodeID: p.nodeID, Told: told, Whole: whole, Resume: true, Above: p.heardClaim()})
+	answer, ok := p.submitOnce(ctx, statemachine.Command{Op: statemachine.OpClaim, NodeID: p.nodeID, Told: told, TellsAll: true, Whole: whole, Resume: true, Above: p.heardClaim()})
 	switch {
 	case !ok || answer.Claim == nil:
 		return poolplacement.ClaimAnswer{}
 	case answer.Verdict == statemachine.Done:
 		return poolplacement.ClaimAnswer{Granted: answer.Claim}
 	}
-	return poolplacement.ClaimAnswer{Wait: time.Duration(answer.Claim.Until-answer.Claim.Now)*time.Millisecond + p.replicaConfig.ClaimGap}
+	return poolplacement.ClaimAnswer{Wait: time.Duration(answer.Claim.FreeAt(p.replicaConfig.ClaimGap)-answer.Claim.Now) * time.Millisecond}
 }
 
 // heardClaim is the highest claim number that this daemon has heard of, so that none is ever given out twice.
@@ -173,9 +173,9 @@
 	return ready && !p.draining.Load() && p.generator.Held() && p.config.Serves(config.Place)
 }
 
-// First says whether this daemon should have the claim before others: the leader renews it without a call,
-// and one loss less takes both away.
-func (p poolPlanner) First() bool { return p.Leads() }
+// First says whether this daemon should have the claim before others. One that does not lead: a claim outlasts
+// an election, so the loss of either machine alone costs less than the loss of one that is both.
+func (p poolPlanner) First() bool { return !p.Leads() }
 
 // Tell spreads the plan.
 func (p poolPlanner) Tell(plans map[ident.EngineID]registry.Plan) { p.registry.TellPlan(plans) }
--- a/process/poolplacement/actor.go
+++ b/process/poolplacement/actor.go
@@ -207,8 +207,8 @@
 	}
 }
 
-// send tells the group of the loads first, so that a successor counts them however this daemon ends, and
-// then sends all orders. An unload can only make room, so it needs no telling.
+// send tells the group of the orders first, so that a successor counts the loads and keeps quiet after the
+// last however this daemon ends, and then sends them.
 func (a *Actor) send(ctx context.Context, number ident.ClaimNumber, told *statemachine.Told, orders []Order, addresses map[ident.EngineID]string) {
 	mayLeave := func() bool { return a.claim.Commands(number) && a.around.LeaseHeld() }
 	asked := a.clock.Elapsed()
@@ -218,14 +218,6 @@
 		defer cancel()
 		a.box.Send(answered{order, a.client.Order(bounded, addresses[order.Engine], order, mayLeave)})
 	}
-	for _, order := range orders {
-		if order.Kind == Evict {
-			go give(order)
-		}
-	}
-	if told == nil {
-		return
-	}
 	bounded, cancel := context.WithTimeout(ctx, a.settings.OrderLimit)
 	answer := a.around.Claim(bounded, told, false)
 	cancel()
@@ -234,11 +226,9 @@
 		a.box.Send(claimed{asked, answer})
 	}
 	for _, order := range orders {
-		switch {
-		case order.Kind != Load:
-		case known:
+		if known {
 			go give(order)
-		default:
+		} else {
 			a.box.Send(answered{order, Unsent})
 		}
 	}
--- a/process/poolplacement/batch_test.go
+++ b/process/poolplacement/batch_test.go
@@ -89,6 +89,11 @@
 	lives      int
 	// noTelling loses what a planner told when the next one takes over, fresh reports show what they can't know.
 	noTelling, eager bool
+	// mute tells the group of no order.
+	mute bool
+	// newest is the claim of the newest order that reached an engine, newestAt when it did.
+	newest   ident.ClaimNumber
+	newestAt clock.Mark
 
 	faults                                       []string
 	starts                                       []clock.Mark
@@ -106,6 +111,9 @@
 
 type fakeRate struct{ arrivals, tokens float64 }
 
+// fakeLease is within which no two holders may order.
+const fakeLease = 3 * time.Second
+
 const (
 	fakeSlots   = 64
 	promptPace  = 25800.0
@@ -195,19 +203,28 @@
 	f.takeovers++
 }
 
+// drop has the holder give its claim up.
+func (f *fakeFleet) drop() {
+	data, err := json.Marshal(statemachine.Command{Op: statemachine.OpDropClaim, NodeID: f.holder, At: ident.GroupTime(time.Duration(f.now).Milliseconds())})
+	if err != nil {
+		panic(err)
+	}
+	f.state.Apply(data)
+}
+
 func (f *fakeFleet) fault(format string, args ...any) {
 	f.faults = append(f.faults, fmt.Sprintf("%v: ", time.Duration(f.now))+fmt.Sprintf(format, args...))
 }
 
 func (f *fakeFleet) settings() Settings {
-	return DefaultSettings("x", 3*time.Second)
+	return DefaultSettings("x", fakeLease)
 }
 
 // ask puts a claim to the group.
 func (f *fakeFleet) ask(told *statemachine.Told, whole bool) *statemachine.Claim {
 	s := f.settings()
 	data, err := json.Marshal(statemachine.Command{Op: statemachine.OpClaim, NodeID: f.holder, At: ident.GroupTime(time.Duration(f.now).Milliseconds()), SpanMs: s.Span.Milliseconds(),
-		GapMs: s.Gap.Milliseconds(), Told: told, Whole: whole, Resume: true})
+		GapMs: s.Gap.Milliseconds(), Told: told, TellsAll: true, Whole: whole, Resume: true})
 	if err != nil {
 		panic(err)
 	}
@@ -257,6 +274,10 @@
 
 // order is what an engine does with an order; the rules are held as it arrives.
 func (f *fakeFleet) order(order Order) Answer {
+	if ago := f.now.Since(f.newestAt); f.newest != 0 && f.newest != order.Claim && ago < fakeLease {
+		f.fault("ONE: claim %d ordered %v after claim %d", order.Claim, ago, f.newest)
+	}
+	f.newest, f.newestAt = order.Claim, f.now
 	e := f.engine(order.Engine)
 	if e == nil {
 		return Elsewhere
@@ -574,11 +595,9 @@
 		}
 		orders = append(orders, stamped)
 	}
-	if told := f.planner.Told(orders); told != nil && f.ask(told, false) == nil {
+	if len(orders) > 0 && !f.mute && f.ask(f.planner.Told(orders), false) == nil {
 		for _, order := range orders {
-			if order.Kind == Load {
-				f.planner.Answered(f.now, order, Unsent)
-			}
+			f.planner.Answered(f.now, order, Unsent)
 		}
 		return
 	}
--- a/process/poolplacement/plan.go
+++ b/process/poolplacement/plan.go
@@ -152,7 +152,8 @@
 	}
 }
 
-// Told is what the group must know of an order before it leaves; an unload can only make room.
+// Told is what the group must know of orders before they leave: that there are any, since a successor keeps
+// quiet for a time after the last, and what loads there are. An unload can only make room.
 func (p *Planner) Told(orders []Order) *statemachine.Told {
 	told := statemachine.Told{Orders: map[ident.EngineID]uint64{}, KeepMs: (p.settings.Window + p.settings.OrderLimit + oldLag).Milliseconds()}
 	for _, order := range orders {
@@ -164,9 +165,6 @@
 			told.Loads++
 		}
 	}
-	if len(told.Orders) == 0 {
-		return nil
-	}
 	return &told
 }
 
--- a/process/poolplacement/plan_test.go
+++ b/process/poolplacement/plan_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/registry"
 )
 
@@ -158,3 +159,31 @@
 		}
 	}
 }
+
+// turns has planners stop cleanly, one after the other, so that only the quiet time stands between them.
+func turns(seed uint64, mute bool) []string {
+	f := newFleet(seed, sharedCatalogue(), 9)
+	f.mute = mute
+	zipf(f, 45, func(now clock.Mark) int { return int(now/clock.Mark(15*time.Second)) * 5 })
+	for turn := 0; turn < 12 && len(f.faults) == 0; turn++ {
+		f.run(7 * time.Second)
+		f.drop()
+		f.takeOver(ident.NodeID(fmt.Sprintf("taker-%d", turn)))
+	}
+	return f.faults
+}
+
+// A successor keeps quiet after the last order told of. A planner that does not tell lets its successor order
+// too soon, and the check sees it.
+func TestASuccessorKeepsQuietAfterTheLastOrder(t *testing.T) {
+	seen := 0
+	for seed := range seeds(6) {
+		for _, fault := range turns(seed, false) {
+			t.Errorf("seed %d: %s", seed, fault)
+		}
+		seen += len(turns(seed, true))
+	}
+	if seen == 0 {
+		t.Fatal("no turn was seen although nothing was told of")
+	}
+}
--- a/process/poolplacement/types.go
+++ b/process/poolplacement/types.go
@@ -85,7 +85,7 @@
 	Owner string
 	// Window is the span over which loads from the store are counted.
 	Window time.Duration
-	// Span is how long a claim lasts, Gap the quiet time between two claims, Renew how often it is prolonged.
+	// Span is how long a claim lasts, longer than an election takes, Gap the quiet time between two claims, Renew how often it is prolonged.
 	Span, Gap, Renew time.Duration
 	// OrderLimit is how long an order may be on its way and its answer waited for.
 	OrderLimit time.Duration
@@ -99,7 +99,7 @@
 
 // DefaultSettings are for a deployment whose holders of the claim must not take turns within the lease.
 func DefaultSettings(owner string, lease time.Duration) Settings {
-	s := Settings{Owner: owner, Window: 5 * time.Second, Span: 2 * time.Second, Renew: 500 * time.Millisecond, OrderLimit: 800 * time.Millisecond,
+	s := Settings{Owner: owner, Window: 5 * time.Second, Span: 3 * time.Second, Renew: 500 * time.Millisecond, OrderLimit: 800 * time.Millisecond,
 		Notice: 400 * time.Millisecond, Rest: time.Second, Busy: 150 * time.Millisecond, Beat: 100 * time.Millisecond}
 	// An order may reach its engine as late as its limit after the claim was last looked at.
 	s.Gap = lease + s.OrderLimit
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -82,8 +82,10 @@
 	// OrdersTurn numbers the tellings of one claim, so that one that comes late changes nothing.
 	OrdersTurn uint64 `json:"ordersTurn,omitempty"`
 	// Told is, with CLAIM, what the planner of pools is about to order; Whole asks for all that was told before.
-	Told  *Told `json:"told,omitempty"`
-	Whole bool  `json:"whole,omitempty"`
+	Told *Told `json:"told,omitempty"`
+	// TellsAll is, with CLAIM, the asker's word that it tells of every order before the order leaves.
+	TellsAll bool `json:"tellsAll,omitempty"`
+	Whole    bool `json:"whole,omitempty"`
 	// Resume is, with CLAIM, the asker's word that it goes on where it stood, if its claim lapsed and nobody got another.
 	Resume bool `json:"resume,omitempty"`
 	// Above is, with CLAIM, the highest claim number that the asker has heard of; a fresh claim is above it.
@@ -219,6 +221,19 @@
 	OrdersTurn uint64                    `json:"ordersTurn,omitempty"`
 	// Pools is what the planners of pools told; a result has it where it was asked for.
 	Pools *History `json:"pools,omitempty"`
+	// TellsAll says that the holder tells of every order before it leaves, Ordered when it last did.
+	TellsAll bool            `json:"tellsAll,omitempty"`
+	Ordered  ident.GroupTime `json:"ordered,omitempty"`
+}
+
+// FreeAt is when a successor may have the claim, with this quiet time between the orders of two holders.
+// Where every order was told of, the quiet time counts from the newest and may have passed already when the
+// claim lapses; else any order may have left at the claim's very end.
+func (c Claim) FreeAt(gap time.Duration) ident.GroupTime {
+	if c.TellsAll {
+		return max(c.Until, c.Ordered.Add(gap))
+	}
+	return c.Until.Add(gap)
 }
 
 // Result is what a command gives back.
@@ -627,13 +642,14 @@
 		if c.OrdersTurn > s.Claim.OrdersTurn {
 			s.Claim.Orders, s.Claim.OrdersTurn = c.Orders, c.OrdersTurn
 		}
-	case live || s.Now < s.Claim.Until+ident.GroupTime(c.GapMs) && s.Claim.Number > 0:
+	case live || s.Claim.Number > 0 && s.Now < s.Claim.FreeAt(time.Duration(c.GapMs)*time.Millisecond):
 		// A successor waits out the old claim and the quiet gap, so no engine is commanded in quick turns.
 		return Result{Verdict: Waiting, Reason: "another claim is in force or has just ended", Claim: s.claimNow(false)}
 	default:
-		s.Claim = Claim{Number: max(s.Claim.Number, c.Above) + 1, NodeID: c.NodeID, Orders: s.Claim.Orders, Pools: s.Claim.Pools, Until: s.Now.Add(span)}
+		s.Claim = Claim{Number: max(s.Claim.Number, c.Above) + 1, NodeID: c.NodeID, Orders: s.Claim.Orders, Pools: s.Claim.Pools, Until: s.Now.Add(span), TellsAll: c.TellsAll}
 	}
 	if c.Told != nil {
+		s.Claim.Ordered = s.Now
 		s.Claim.Pools = s.Claim.Pools.add(s.Now, *c.Told)
 	}
 	return Result{Verdict: Done, Claim: s.claimNow(c.Whole)}
--- a/process/statemachine/statemachine_test.go
+++ b/process/statemachine/statemachine_test.go
@@ -118,3 +118,30 @@
 		t.Fatal(r)
 	}
 }
+
+// Where a holder tells of every order, its successor waits for the claim to lapse and for the quiet time after
+// the last order told of, whichever is later.
+func TestAClaimThatTellsIsFreeSooner(t *testing.T) {
+	state := New()
+	apply := func(node ident.NodeID, at ident.GroupTime, told *Told) Result {
+		data, err := json.Marshal(Command{Op: OpClaim, NodeID: node, At: at, SpanMs: 3000, GapMs: 3800, TellsAll: true, Told: told})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return state.Apply(data)
+	}
+	apply("a", 10_000, nil)
+	if r := apply("b", 12_999, nil); r.Verdict != Waiting {
+		t.Fatalf("got the claim while it was held: %+v", r)
+	}
+	if r := apply("b", 13_000, nil); r.Verdict != Done || r.Claim.Number != 2 {
+		t.Fatalf("nothing was ordered, so nothing has to be waited for: %+v", r)
+	}
+	apply("b", 14_000, &Told{})
+	if r := apply("c", 17_799, nil); r.Verdict != Waiting {
+		t.Fatalf("got the claim too soon after the last order: %+v", r)
+	}
+	if r := apply("c", 17_800, nil); r.Verdict != Done || r.Claim.Number != 3 {
+		t.Fatalf("the quiet time has passed: %+v", r)
+	}
+}
