--- a/cmd/cresspondd/main.go
+++ b/cmd/cresspondd/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/daemon"
+	"github.com/cresspond/cresspond/wire/dialect"
 )
 
 // version is set by the build.
@@ -108,7 +109,7 @@
 		<-signals
 		close(hurry)
 	}()
-	if err := daemon.New(settings, version, log.Log).Run(stop, hurry); err != nil {
+	if err := daemon.New(settings, version, log.Log, daemon.WithForwarding(dialect.Own())).Run(stop, hurry); err != nil {
 		fmt.Fprintln(os.Stderr, "cresspondd: "+err.Error())
 		os.Exit(1)
 	}
--- a/connection/gateway/gateway.go
+++ b/connection/gateway/gateway.go
@@ -101,7 +101,7 @@
 		g.plain(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
-	host, prefixed := string(ctx.Request.Header.Host()), pathOf(ctx.Request.Header.RequestURI())
+	host, prefixed := string(ctx.Request.Header.Host()), PathOf(ctx.Request.Header.RequestURI())
 	record := forwarding.Record{Ask: ask, Host: host, Prefixed: prefixed, Arrived: arrived, Deadline: arrived + clock.Mark(longestWait)}
 	if index := g.Index(); index != nil {
 		if most := index.Section.Limits.MostBodyBytes; most > 0 && int64(len(ctx.Request.Body())) > most {
@@ -144,8 +144,8 @@
 	f.open.Add(-1)
 }
 
-// pathOf is the path of a request's target as it was sent.
-func pathOf(target []byte) string {
+// PathOf is the path of a request's target as it was sent.
+func PathOf(target []byte) string {
 	if len(target) > 0 && target[0] != '/' {
 		// A target may name scheme and host too.
 		if at := bytes.Index(target, []byte("://")); at >= 0 {
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -291,16 +291,16 @@
 	serveFellows := serveFunc(func(listener net.Listener) error { return fellowServer.Serve(d.links.Traffic.Listen(listener)) })
 	go d.serveOn(ctx, serveFellows, fellowListener, "fellowListen", d.config.FellowListen)
 	defer fellowServer.Close()
-	servers := []*fasthttp.Server{d.server(d.handle)}
+	servers := []*fasthttp.Server{d.server(d.handle, d.callerLimits)}
 	go d.serveOn(ctx, servers[0], callerListener, "listen", d.config.Listen)
 	if operatorListener != nil {
-		operatorServer := d.server(d.handleOperator)
+		operatorServer := d.server(d.handleOperator, bodyLimit)
 		servers = append(servers, operatorServer)
 		go d.serveOn(ctx, operatorServer, operatorListener, "operatorListen", d.config.OperatorListen)
 	}
 	if readyListener != nil {
 		// It goes on answering to the very end, so it is none of those that are drained.
-		readyServer := d.server(d.handleReady)
+		readyServer := d.server(d.handleReady, bodyLimit)
 		go d.serveOn(ctx, readyServer, readyListener, "readyListen", d.config.ReadyListen)
 	}
 
@@ -343,6 +343,8 @@
 
 const (
 	mostCallerBody = 4 << 20
+	// mostHeader bounds a request's head; what bundles allow is less.
+	mostHeader = 32 << 10
 	// mostBundleBody leaves room for a bundle's largest size and what is said around it.
 	mostBundleBody = spec.MostBytes + 64<<10
 )
@@ -378,10 +380,10 @@
 }
 
 // server is one listener's server.
-func (d *Daemon) server(handle fasthttp.RequestHandler) *fasthttp.Server {
+func (d *Daemon) server(handle fasthttp.RequestHandler, limits func(*fasthttp.RequestHeader) fasthttp.RequestConfig) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: handle, Name: "cresspond", MaxRequestBodySize: mostCallerBody, HeaderReceived: bodyLimit, ReadTimeout: 20 * time.Second, WriteTimeout: 5 * time.Minute,
-		IdleTimeout: time.Minute, NoDefaultServerHeader: true, Concurrency: 8192, CloseOnShutdown: true, Logger: quiet{}, ReadBufferSize: 16 << 10,
+		Handler: handle, Name: "cresspond", MaxRequestBodySize: mostCallerBody, HeaderReceived: limits, ReadTimeout: 20 * time.Second, WriteTimeout: 5 * time.Minute,
+		IdleTimeout: time.Minute, NoDefaultServerHeader: true, Concurrency: 8192, CloseOnShutdown: true, Logger: quiet{}, ReadBufferSize: mostHeader,
 		// A form is some caller's body like any other, and goes on byte for byte.
 		ErrorHandler: badRequest, DisablePreParseMultipartForm: true,
 	}
--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -111,6 +111,72 @@
 	return func() { timer.Stop() }
 }
 
+// callerLimits lets a request be as large as the bundle in force allows on paths of opaque requests.
+func (d *Daemon) callerLimits(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	index := d.forwardIndex()
+	if !d.forwards() || index == nil {
+		return bodyLimit(header)
+	}
+	if !d.config.OpaqueOnly {
+		if _, found := index.Lookup(string(header.Host()), gateway.PathOf(header.RequestURI())); !found {
+			return bodyLimit(header)
+		}
+	}
+	return fasthttp.RequestConfig{MaxRequestBodySize: int(index.Section.Limits.MostBodyBytes)}
+}
+
+// countForwarding lists the counters of opaque requests.
+func (d *Daemon) countForwarding(say func(name string, value uint64)) {
+	side := &d.forwardSide
+	if side.gateway == nil {
+		return
+	}
+	var c forwarding.Counters
+	held := 0
+	side.actor.Ask(func(core *forwarding.Core, _ forwarding.World) { c, held = core.Counters, core.HeldNow() })
+	say("opaque_read", side.gateway.Counters.Read.Load())
+	say("opaque_unreadable", side.gateway.Counters.Unreadable.Load())
+	say("opaque_too_large", side.gateway.Counters.TooLarge.Load())
+	say("opaque_open", uint64(max(0, side.gateway.Open())))
+	say("opaque_no_path", c.NoPath)
+	say("opaque_held", c.Held)
+	say("opaque_held_now", uint64(held))
+	say("opaque_shed", c.Shed)
+	say("opaque_refused", c.Refused)
+	say("opaque_lost", c.Broken)
+	say("opaque_broken_off", c.BrokenOff)
+	say("opaque_whole", c.Whole)
+	say("opaque_engine_failures", c.Failed)
+	say("opaque_callers_left", c.CallersLeft)
+	say("opaque_streams", side.gateway.Counters.Streams.Load())
+	say("opaque_streams_resumed", c.Resumed)
+	say("opaque_events", side.gateway.Counters.Events.Load())
+	say("opaque_unsealed", side.gateway.Counters.Unsealed.Load())
+	say("attempts_first", c.Sent)
+	say("attempts_again", c.SentAgain)
+	say("attempts_again_denied", c.AgainDenied)
+	say("attempts_held_back", c.HeldBack)
+	say("attempts_never_sent", c.NeverSent)
+	say("attempts_refused_by_engine", c.EngineRefused)
+	say("attempts_misdirected", c.Misdirected)
+	say("attempts_lost", c.Lost)
+	say("attempts_junk", c.Junk)
+	say("attempts_cut", c.Cut)
+	p := &side.pools.Counters
+	busy, idle := side.pools.Open()
+	say("engine_connections_busy", uint64(max(0, busy)))
+	say("engine_connections_idle", uint64(idle))
+	say("engine_connections_dialled", p.Dialled.Load())
+	say("engine_connections_failed", p.DialsFailed.Load())
+	say("engine_connections_reused", p.Reused.Load())
+	say("engine_connections_found_stale", p.FoundStale.Load())
+	say("engine_answers_surplus", p.Surplus.Load())
+	say("engine_answers_foreign", p.Foreign.Load())
+	say("engine_answers_junk", p.Junk.Load())
+	say("engine_bytes_sent", p.BytesSent.Load())
+	say("engine_bytes_received", p.BytesReceived.Load())
+}
+
 // forwardIndex is the bundle's section in force; nil is none.
 func (d *Daemon) forwardIndex() *forward.Index {
 	if t := d.keeper.Table(); t != nil {
--- a/process/daemon/pages.go
+++ b/process/daemon/pages.go
@@ -133,6 +133,7 @@
 		say("bytes_other_zone", c.bytesOtherZone.Load())
 		say("engines_junk_streams", c.junkEngines.Load())
 	}
+	d.countForwarding(say)
 	if d.config.Serves(config.Place) {
 		p := d.placer.Condition().Counters
 		say("orders", p.Orders)
