Replace machines of the control group that are gone for good, and lead again sooner

A machine replaced at another address left a dead voter behind for ever: only the same name or address freed a place. The leader now lets go of a voter that was silent for 2 s, only if a caught-up learner stands ready and a majority holds without it; how many vote is a setting (from the fault budget on the platform). A member that was let go without its knowing asks again. A leader that stood still steps down at its first beat; one that hands over picks an heir that speaks, and asks again; a member that just began asks for votes sooner. Links give up silent connections, and a raft call held up no longer carries megabytes of repeats.

--- a/process/config/config.go
+++ b/process/config/config.go
@@ -55,6 +55,9 @@
 	Platform string  `json:"platform" validate:"omitempty,ipport"`
 	// JoinOnly daemons never form a group: theirs exists already, whatever their data folder remembers.
 	JoinOnly bool `json:"joinOnly,omitempty"`
+	// Voters is how many machines of the control group are to vote: three stand losing one, five two. It must be
+	// the same on all that serve control.
+	Voters int `json:"voters" validate:"oneof=1 3 5 7"`
 	// DrainMs is how long a stopping daemon may take to finish what it has read.
 	DrainMs int64 `json:"drainMs" validate:"gte=0,lte=600000"`
 	// OneStep lets an operator alone put a bundle in force in one step, without review and sign-off. It must
@@ -148,7 +151,7 @@
 
 // Default gives the settings that need not be said.
 func Default() Config {
-	return Config{DrainMs: 30000, Log: "info", Attempts: FleetAttempts, Trouble: EndOnTrouble, Bounds: DefaultBounds()}
+	return Config{Voters: 3, DrainMs: 30000, Log: "info", Attempts: FleetAttempts, Trouble: EndOnTrouble, Bounds: DefaultBounds()}
 }
 
 // Serves says whether the daemon has a role.
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -180,6 +180,7 @@
 		applying: make(chan struct{}, 1), applyLimit: applyLimit, applyReach: applyReach,
 		fleetWants: map[ident.NodeID]fleetWant{}, home: seats.NewHome(), aroundDisk: func(disk replica.Disk) replica.Disk { return disk }, stallLimit: stallLimit, runOver: runOver,
 	}
+	d.replicaConfig.Voters = c.Voters
 	d.log = logger.WithField("node", string(d.nodeID))
 	for _, option := range options {
 		option(d)
--- a/process/daemon/life.go
+++ b/process/daemon/life.go
@@ -21,6 +21,8 @@
 	// a connection that was handed over before may be on its way.
 	missesSeen     = 2
 	lastHandedOver = 300 * time.Millisecond
+	// handOverEvery is how often a stopping leader offers its office.
+	handOverEvery = 300 * time.Millisecond
 	// claimLimit bounds the word that the planner's claim is free, releaseLimit the release of the worker id.
 	claimLimit   = time.Second
 	releaseLimit = time.Second
@@ -72,8 +74,20 @@
 		d.submitOnce(bounded, statemachine.Command{Op: statemachine.OpDropClaim, NodeID: d.nodeID})
 		done()
 	}
-	if held := d.replica.Load(); held != nil && held.Condition().Leads {
+	ticker := time.NewTicker(handOverEvery)
+	defer ticker.Stop()
+	for {
+		held := d.replica.Load()
+		if held == nil || !held.Condition().Leads {
+			return
+		}
+		// An heir that does not take the office is asked again, or another is.
 		held.HandOver()
+		select {
+		case <-limit.Done():
+			return
+		case <-ticker.C:
+		}
 	}
 }
 
--- a/process/daemon/member.go
+++ b/process/daemon/member.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -228,39 +227,62 @@
 	return group, restored, err
 }
 
+// askSeeds asks all seeds who they are. Once one of them tells of a group nobody else is waited for: a seed
+// that is gone for good must not hold up a machine that comes in its place.
 func (d *Daemon) askSeeds(ctx context.Context) []formation.Seed {
 	seeds := d.Config().Seeds
 	out := make([]formation.Seed, len(seeds))
-	var wait sync.WaitGroup
+	type said struct {
+		place    int
+		identity *fellowapi.Identity
+	}
+	answers := make(chan said, len(seeds))
+	bounded, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
 	for place, address := range seeds {
 		out[place].Address = address
-		wait.Go(func() {
-			identity := d.identity()
-			if address != d.config.ReachedAt() {
-				bounded, cancel := context.WithTimeout(ctx, time.Second)
-				defer cancel()
-				answer, err := d.links.To(address).Identify(bounded, &fellowapi.Nothing{})
-				if err != nil {
-					return
-				}
-				identity = answer
+		go func() {
+			if address == d.config.ReachedAt() {
+				answers <- said{place, d.identity()}
+				return
 			}
-			out[place] = formation.Seed{Address: address, Answered: true, Member: raft.MemberID(identity.MemberId),
-				Name: ident.NodeID(identity.NodeId).Name(), Group: ident.GroupID(identity.Group), ServesControl: identity.ServesControl, JoinOnly: identity.JoinOnly}
-		})
+			// A seed that does not answer is told by its lack of an identity.
+			identity, err := d.links.To(address).Identify(bounded, &fellowapi.Nothing{})
+			if err != nil {
+				identity = nil
+			}
+			answers <- said{place, identity}
+		}()
+	}
+	for range seeds {
+		answer := <-answers
+		if answer.identity == nil {
+			continue
+		}
+		out[answer.place] = seedOf(out[answer.place].Address, answer.identity)
+		if answer.identity.Group != "" {
+			break
+		}
 	}
-	wait.Wait()
 	return out
 }
 
+func seedOf(address string, identity *fellowapi.Identity) formation.Seed {
+	return formation.Seed{Address: address, Answered: true, Member: raft.MemberID(identity.MemberId), Name: ident.NodeID(identity.NodeId).Name(),
+		Group: ident.GroupID(identity.Group), ServesControl: identity.ServesControl, JoinOnly: identity.JoinOnly}
+}
+
 // runJoin asks to be taken in until this member votes.
 func (d *Daemon) runJoin(ctx context.Context, made *replica.Replica, self raft.Member) {
 	ticker := time.NewTicker(joinEvery)
 	defer ticker.Stop()
 	for {
-		member, known := made.Condition().Members.Find(self.ID)
+		condition := made.Condition()
+		member, known := condition.Members.Find(self.ID)
 		leader := d.members.View().LeaderAddress
-		if (!known || !member.Voter) && leader != "" && leader != self.Address {
+		// One that hears no leader, while others do, may have been let go without its knowing.
+		outside := !known || !member.Voter || condition.Leader.ID == 0
+		if outside && leader != "" && leader != self.Address {
 			bounded, cancel := context.WithTimeout(ctx, time.Second)
 			// A lost call is made again on the next beat.
 			_, _ = d.links.To(leader).Join(bounded, &fellowapi.JoinRequest{Group: string(d.Group()), MemberId: uint64(self.ID), Name: self.Name, Address: self.Address})
--- a/process/fellows/fellows.go
+++ b/process/fellows/fellows.go
@@ -3,12 +3,16 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/raft"
 	"github.com/cresspond/cresspond/wire/fellowapi"
@@ -35,13 +39,35 @@
 
 const (
 	lineLength = 64
-	sendLimit  = time.Second
+	// sendLimit bounds one call with messages: one that a peer's silence holds up is better made anew. A whole
+	// state takes longer.
+	sendLimit      = 600 * time.Millisecond
+	sendStateLimit = 3 * time.Second
+	// mostLineBytes bounds what piled up for one call: raft sends what was dropped again.
+	mostLineBytes = 1 << 20
+	// largeLine is from where a call counts as large.
+	largeLine = 128 << 10
 )
 
+// A cut or a machine without power says nothing, so what stays unacknowledged ends a connection soon, and an
+// idle one is looked at.
+const unacknowledged = 1500 * time.Millisecond
+
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}
+
+// boundSilence is called on each socket before it connects.
+func boundSilence(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
 // New makes links that live as long as ctx.
 // It speaks from the IP number it listens at, so that others can tell who speaks by where from.
 func New(ctx context.Context, self, listen string) *Links {
-	dialer := &net.Dialer{Timeout: 500 * time.Millisecond}
+	dialer := &net.Dialer{Timeout: 500 * time.Millisecond, KeepAliveConfig: keepAlive, Control: boundSilence}
 	if host, _, err := net.SplitHostPort(listen); err == nil {
 		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
 			dialer.LocalAddr = &net.TCPAddr{IP: ip}
@@ -96,13 +122,18 @@
 			return
 		case next := <-line:
 			messages := next.messages
+			size, limit := weigh(messages)
 			// What piled up meanwhile goes along in one call.
 			for more := len(line); more > 0 && len(messages) < 256; more-- {
-				if following := <-line; following.group == next.group {
-					messages = append(messages, following.messages...)
+				following := <-line
+				weight, longer := weigh(following.messages)
+				if following.group != next.group || weight > 0 && size+weight > mostLineBytes {
+					l.Dropped.Add(1)
+					continue
 				}
+				messages, size, limit = append(messages, following.messages...), size+weight, max(limit, longer)
 			}
-			ctx, cancel := context.WithTimeout(l.ctx, sendLimit)
+			ctx, cancel := context.WithTimeout(l.ctx, limit)
 			_, err := client.Raft(ctx, &fellowapi.RaftBatch{Group: string(next.group), Address: l.self, Messages: fellowapi.FromRaft(messages)})
 			cancel()
 			if err != nil {
@@ -113,3 +144,20 @@
 		}
 	}
 }
+
+// weigh says how many bytes of entries and state messages carry, and how long their call may take.
+func weigh(messages []raft.Message) (int, time.Duration) {
+	size, limit := 0, sendLimit
+	for _, message := range messages {
+		for _, entry := range message.Entries {
+			size += len(entry.Data)
+		}
+		if message.Snapshot != nil {
+			size += len(message.Snapshot.Data)
+		}
+	}
+	if size > largeLine {
+		limit = sendStateLimit
+	}
+	return size, limit
+}
--- a/process/raft/core.go
+++ b/process/raft/core.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 )
 
 // Timing is counted in ticks.
@@ -12,6 +13,9 @@
 	Election int
 }
 
+// Span is the shortest wait for a leader in time, where a tick takes so long.
+func (t Timing) Span(tick time.Duration) time.Duration { return time.Duration(t.Election) * tick }
+
 // progress is what a leader knows of one member.
 type progress struct {
 	match, next Index
@@ -89,6 +93,9 @@
 	c.memberships = []membershipAt{{restored.Snapshot.Index, restored.Snapshot.Membership}}
 	c.noteMemberships(restored.Entries)
 	c.become(Follower, 0)
+	// One that has just begun asks sooner: where all were down at once nobody leads, and where somebody does the
+	// others refuse.
+	c.electionIn = max(1, c.electionIn/2)
 	return c
 }
 
@@ -121,7 +128,8 @@
 	return found
 }
 
-// Role, Term, LeaderID, CommitIndex, LastIndex and SnapshotIndex tell where this member stands.
+// ID, Role, Term, LeaderID, CommitIndex, LastIndex and SnapshotIndex tell where this member stands.
+func (c *Core) ID() MemberID         { return c.id }
 func (c *Core) Role() Role           { return c.role }
 func (c *Core) Term() Term           { return c.term }
 func (c *Core) LeaderID() MemberID   { return c.leader }
@@ -239,6 +247,11 @@
 			c.flushTransfer()
 			c.become(Follower, 0)
 		}
+	case StandDown:
+		// Whoever may have been followed by another asks anew, and does no harm until then.
+		if c.role == Leader {
+			c.become(Follower, 0)
+		}
 	case Transfer:
 		if c.role == Leader {
 			c.startTransfer()
@@ -759,13 +772,17 @@
 	return count
 }
 
-// startTransfer picks the voter whose log is furthest.
+// startTransfer picks the voter whose log is furthest, of those that speak if there are any.
 func (c *Core) startTransfer() {
-	for _, id := range c.Membership().Voters() {
-		if id == c.id {
-			continue
+	better := func(a, b *progress) bool {
+		if a.heard != b.heard {
+			return a.heard
 		}
-		if c.transferTo == 0 || c.fellows[id].match > c.fellows[c.transferTo].match {
+		return a.match > b.match
+	}
+	c.transferTo = 0
+	for _, id := range c.Membership().Voters() {
+		if id != c.id && (c.transferTo == 0 || better(c.fellows[id], c.fellows[c.transferTo])) {
 			c.transferTo, c.transferFor = id, 0
 		}
 	}
--- a/process/raft/types.go
+++ b/process/raft/types.go
@@ -222,6 +222,9 @@
 // Transfer asks the leader to hand over.
 type Transfer struct{}
 
+// StandDown says that this member stood still for so long that another may lead.
+type StandDown struct{}
+
 // Compact hands in a snapshot of the applied state; Keep entries stay before it.
 type Compact struct {
 	Index Index
@@ -237,4 +240,5 @@
 func (Persisted) raftEvent()         {}
 func (DiskStalled) raftEvent()       {}
 func (Transfer) raftEvent()          {}
+func (StandDown) raftEvent()         {}
 func (Compact) raftEvent()           {}
--- a/process/replica/actor.go
+++ b/process/replica/actor.go
@@ -71,7 +71,9 @@
 	outstanding []clock.Mark
 	stalled     bool
 	// failed says that a write failed, after which this member says nothing any more.
-	failed  bool
+	failed bool
+	// beaten is when the last beat came.
+	beaten  clock.Mark
 	joins   map[raft.MemberID]raft.Member
 	heardAt map[raft.MemberID]string
 }
@@ -309,9 +311,14 @@
 		r.stalled = true
 		r.carryOut(r.core.Step(now, raft.DiskStalled{Stalled: true}))
 	}
+	if late := now.Since(r.beaten); r.beaten > 0 && late > r.core.config.Timing.Span(Tick) {
+		// This process stood still for so long that the others may follow another by now.
+		r.carryOut(r.core.Step(now, raft.StandDown{}))
+	}
+	r.beaten = now
 	r.carryOut(r.core.Step(now, raft.Tick{}))
 	if r.core.Leads() {
-		if next, ok := NextMembership(r.core.Raft(), r.joins); ok {
+		if next, ok := r.core.Muster(now, r.joins).Next(); ok {
 			r.carryOut(r.core.Step(now, raft.ProposeMembership{Membership: next}))
 		}
 	} else {
@@ -372,40 +379,3 @@
 	condition.Leader, _ = condition.Members.Find(core.LeaderID())
 	r.condition.Store(&condition)
 }
-
-// NextMembership says the next single step by which those who asked to join are taken in: first as
-// learners, then, once they have caught up, in the place of the old identity of the same machine.
-func NextMembership(core *raft.Core, joins map[raft.MemberID]raft.Member) (raft.Membership, bool) {
-	current := core.Membership()
-	for id, wanted := range joins {
-		if member, known := current.Find(id); known {
-			if member.Voter {
-				delete(joins, id)
-			}
-			continue
-		}
-		wanted.Voter = false
-		return current.With(wanted), true
-	}
-	for _, learner := range current.Members {
-		if learner.Voter || core.MatchOf(learner.ID) == 0 || core.MatchOf(learner.ID)+8 < core.LastIndex() {
-			continue
-		}
-		replaced := false
-		for _, old := range current.Members {
-			if old.ID != learner.ID && (old.Name == learner.Name || old.Address == learner.Address) {
-				return current.Without(old.ID), true
-			}
-			replaced = replaced || old.Voter
-		}
-		// A learner becomes a voter only where a voter's place is free: the group stays at three.
-		if replaced && len(current.Voters()) < wantedVoters {
-			learner.Voter = true
-			return current.With(learner), true
-		}
-	}
-	return raft.Membership{}, false
-}
-
-// wantedVoters is how many machines vote.
-const wantedVoters = 3
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -21,6 +21,8 @@
 	Tenure time.Duration
 	// ClaimSpan is how long the planner's claim lasts, ClaimGap the quiet time between two claims.
 	ClaimSpan, ClaimGap time.Duration
+	// Voters is how many machines are to vote.
+	Voters int
 	// CompactEvery is how many entries are applied between snapshots, Keep how many stay before one.
 	CompactEvery, Keep int
 	// CompactBytes and KeepBytes bound the same by size: a few large bundles weigh as much as all else.
@@ -32,7 +34,7 @@
 	return Config{
 		Timing: raft.Timing{Heartbeat: 2, Election: 16},
 		Tenure: 30 * time.Second, ClaimSpan: 4 * time.Second, ClaimGap: 3 * time.Second,
-		CompactEvery: 2000, Keep: 200, CompactBytes: 8 << 20, KeepBytes: 2 << 20,
+		Voters: DefaultVoters, CompactEvery: 2000, Keep: 200, CompactBytes: 8 << 20, KeepBytes: 2 << 20,
 	}
 }
 
@@ -84,6 +86,9 @@
 	pending map[raft.Index]pending
 	reads   map[uint64]raft.Index
 
+	// heard is when each member last said something here.
+	heard map[raft.MemberID]clock.Mark
+
 	// timeMark is when, on this machine's clock, the group's time was last seen to rise.
 	timeMark clock.Mark
 	wall     func() time.Time
@@ -100,7 +105,7 @@
 		return nil, err
 	}
 	return &Core{config: config, raft: member, state: state, applied: member.SnapshotIndex(), timeMark: now, wall: wall,
-		pending: map[raft.Index]pending{}, reads: map[uint64]raft.Index{}}, nil
+		pending: map[raft.Index]pending{}, reads: map[uint64]raft.Index{}, heard: map[raft.MemberID]clock.Mark{}}, nil
 }
 
 // Raft gives the agreement core, for looking only.
@@ -162,6 +167,9 @@
 
 // Step passes an event on to the agreement core.
 func (c *Core) Step(now clock.Mark, event raft.Event) Effects {
+	if received, ok := event.(raft.Receive); ok {
+		c.heard[received.Message.From] = now
+	}
 	effects := c.raft.Step(event)
 	out := c.digest(now, effects)
 	if _, beat := event.(raft.Tick); beat {
@@ -170,6 +178,15 @@
 	return out
 }
 
+// Muster is what a leader's next change of the membership depends on.
+func (c *Core) Muster(now clock.Mark, joins map[raft.MemberID]raft.Member) Muster {
+	return Muster{Self: c.raft.ID(), Current: c.raft.Membership(), Last: c.raft.LastIndex(), Wanted: c.config.Voters, Joins: joins,
+		Standing: func(id raft.MemberID) Standing {
+			// Who was heard before this member led has had no reason to speak to it since.
+			return Standing{Match: c.raft.MatchOf(id), Silent: now.Since(max(c.heard[id], c.ledSince))}
+		}}
+}
+
 // reclaim is the leader's expiry check.
 func (c *Core) reclaim(now clock.Mark, out *Effects) {
 	// A new leader lets a full tenure pass first: holders may have renewed with one who is gone.
--- a/process/replica/simulation_test.go
+++ b/process/replica/simulation_test.go
@@ -78,8 +78,10 @@
 	// calm leaves time between troubles, so that a leader lasts long enough to reclaim what lapsed.
 	calm bool
 	// ended stops the operators, so that what they were told can spread before the end is looked at.
-	ended bool
-	wipes int
+	ended                   bool
+	wipes, replaced, losses int
+	// size is how many machines are to vote.
+	size int
 }
 
 type simDisk struct {
@@ -107,6 +109,9 @@
 	wallJump    time.Duration
 	joins       map[raft.MemberID]raft.Member
 	lastNow     ident.GroupTime
+	beaten      clock.Mark
+	// gone machines never come back.
+	gone bool
 }
 
 func (s *sim) after(d time.Duration, run func()) {
@@ -124,15 +129,16 @@
 	return time.Duration(from+s.random.IntN(to-from+1)) * time.Millisecond
 }
 
-func simConfig() Config {
+func simConfig(size int) Config {
 	config := DefaultConfig()
 	config.CompactEvery, config.Keep = 40, 10
+	config.Voters = size
 	return config
 }
 
 func newSim(t *testing.T, seed uint64, size int, broken brk) *sim {
 	s := &sim{t: t, random: rand.New(rand.NewPCG(seed, 99)), broken: broken, now: clock.Mark(time.Hour), cut: map[[2]int]bool{}, loss: 0.02, faults: true, calm: seed%2 == 1,
-		leaderOf: map[raft.Term]raft.MemberID{}, applied: map[raft.Index]string{}, minted: map[ident.MintedID]string{}, asked: map[uint64]func(Answer){}}
+		size: size, leaderOf: map[raft.Term]raft.MemberID{}, applied: map[raft.Index]string{}, minted: map[ident.MintedID]string{}, asked: map[uint64]func(Answer){}}
 	var members raft.Membership
 	for i := range size {
 		members.Members = append(members.Members, raft.Member{ID: raft.MemberID(i + 1), Name: fmt.Sprint("core-", i), Address: fmt.Sprint(i), Voter: true})
@@ -153,11 +159,11 @@
 
 func (n *simNode) start() {
 	n.life++
-	n.up, n.queue, n.since, n.stalled, n.lastNow, n.joins = true, nil, nil, false, 0, map[raft.MemberID]raft.Member{}
+	n.up, n.queue, n.since, n.stalled, n.lastNow, n.beaten, n.joins = true, nil, nil, false, 0, 0, map[raft.MemberID]raft.Member{}
 	restored := n.disk.state
 	restored.Entries = slices.Clone(restored.Entries)
-	member := raft.New(n.id, simConfig().Timing, restored, n.sim.random)
-	core, err := NewCore(simConfig(), member, restored.Snapshot.Data, n.sim.now, n.wall)
+	member := raft.New(n.id, simConfig(n.sim.size).Timing, restored, n.sim.random)
+	core, err := NewCore(simConfig(n.sim.size), member, restored.Snapshot.Data, n.sim.now, n.wall)
 	if err != nil {
 		n.sim.t.Fatal(err)
 	}
@@ -171,13 +177,17 @@
 			return
 		}
 		if n.sim.now >= n.frozenUntil {
+			if late := n.sim.now.Since(n.beaten); n.beaten > 0 && late > simConfig(n.sim.size).Timing.Span(Tick) {
+				n.carryOut(n.core.Step(n.sim.now, raft.StandDown{}))
+			}
+			n.beaten = n.sim.now
 			if !n.stalled && len(n.since) > 0 && n.sim.now.Since(n.since[0]) > stallAfter {
 				n.stalled = true
 				n.carryOut(n.core.Step(n.sim.now, raft.DiskStalled{Stalled: true}))
 			}
 			n.carryOut(n.core.Step(n.sim.now, raft.Tick{}))
 			if n.core.Leads() {
-				if next, ok := NextMembership(n.core.raft, n.joins); ok {
+				if next, ok := n.core.Muster(n.sim.now, n.joins).Next(); ok {
 					n.carryOut(n.core.Step(n.sim.now, raft.ProposeMembership{Membership: next}))
 				}
 			} else {
@@ -192,7 +202,8 @@
 // askToJoin does what a daemon does whose member does not vote yet.
 func (n *simNode) askToJoin() {
 	self, known := n.core.raft.Membership().Find(n.id)
-	if known && self.Voter || n.sim.random.IntN(20) != 0 {
+	// One that hears no leader may have been let go without its knowing.
+	if known && self.Voter && n.core.raft.LeaderID() != 0 || n.sim.random.IntN(5) != 0 {
 		return
 	}
 	wanted := raft.Member{ID: n.id, Name: fmt.Sprint("core-", n.place), Address: fmt.Sprint(n.place)}
@@ -206,23 +217,90 @@
 // wipe brings a machine back with an empty data folder: another member at the old address.
 func (n *simNode) wipe() {
 	s := n.sim
-	if len(s.nodes) < 3 {
-		return
-	}
 	// One loss at a time: the group stands losing one machine, and this is the one until it votes again.
-	for _, other := range s.nodes {
-		self, known := other.core.raft.Membership().Find(other.id)
-		if !other.up || !known || !self.Voter || len(other.core.raft.Membership().Voters()) != len(s.nodes) {
-			return
-		}
+	if s.size < 3 || n.gone || !s.whole() {
+		return
 	}
 	n.crash()
-	s.wipes++
-	n.id = raft.MemberID(100*s.wipes + n.place + 1)
-	n.disk.state = raft.Restored{}
+	n.empty()
 	s.after(s.ms(50, 3000), n.revive)
 }
 
+// empty is a new data folder: it makes another identity.
+func (n *simNode) empty() {
+	n.sim.wipes++
+	n.id = raft.MemberID(10000*n.sim.wipes + n.place + 1)
+	n.disk.state = raft.Restored{}
+}
+
+// replace takes a machine away for good; an empty one comes a little later, with another name at another address.
+func (n *simNode) replace() {
+	s := n.sim
+	if s.size < 3 || n.gone || !s.whole() {
+		return
+	}
+	n.leave()
+}
+
+// leave takes the machine away; another comes.
+func (n *simNode) leave() {
+	n.crash()
+	n.gone = true
+	n.sim.replaced++
+	n.sim.after(n.sim.ms(0, 2000), n.sim.add)
+}
+
+// some picks some of the machines that are there.
+func (s *sim) some(count int) []*simNode {
+	here := slices.DeleteFunc(slices.Clone(s.nodes), func(n *simNode) bool { return n.gone })
+	s.random.Shuffle(len(here), func(i, j int) { here[i], here[j] = here[j], here[i] })
+	return here[:min(count, len(here))]
+}
+
+// lose is the worst that the group must stand: as many disks as may be lost are, while all others lose power.
+func (s *sim) lose() {
+	if s.size < 3 || !s.whole() {
+		return
+	}
+	s.losses++
+	for i, n := range s.some(s.size) {
+		n.crash()
+		if i < (s.size-1)/2 {
+			n.empty()
+		}
+		s.after(s.ms(50, 2500), n.revive)
+	}
+}
+
+// add brings up a new machine with an empty disk.
+func (s *sim) add() {
+	n := &simNode{sim: s, place: len(s.nodes), id: raft.MemberID(1000 + len(s.nodes))}
+	s.nodes = append(s.nodes, n)
+	n.start()
+}
+
+// whole says that all machines that are to be there are up and vote, so that one of them may be lost.
+func (s *sim) whole() bool {
+	here := 0
+	for _, n := range s.nodes {
+		if n.gone {
+			continue
+		}
+		here++
+		members := n.core.raft.Membership()
+		if self, known := members.Find(n.id); !n.up || !known || !self.Voter || len(members.Voters()) != s.size {
+			return false
+		}
+		// Whoever was replaced must be out.
+		for _, other := range s.nodes {
+			if found, in := members.Find(other.id); other.gone && in && found.Voter {
+				return false
+			}
+		}
+	}
+	return here == s.size
+}
+
 // carryOut does what the actor does, with the simulator's disk and links.
 func (n *simNode) carryOut(effects Effects) {
 	s := n.sim
@@ -485,7 +563,7 @@
 			command = statemachine.Command{Op: statemachine.OpRenew, NodeID: h.node(), WorkerID: worker}
 		}
 		life := h.life
-		s.ask(s.nodes[s.random.IntN(len(s.nodes))], &command, func(a Answer) {
+		s.ask(s.some(1)[0], &command, func(a Answer) {
 			if h.life != life || a.Outcome != Applied || a.Result.Grant == nil {
 				return
 			}
@@ -530,7 +608,7 @@
 		if s.ended {
 			return
 		}
-		to := s.nodes[s.random.IntN(len(s.nodes))]
+		to := s.some(1)[0]
 		if s.random.IntN(2) == 0 {
 			command := statemachine.Command{Op: statemachine.OpClosure, Zone: ident.ZoneID(fmt.Sprint(s.random.IntN(3))), Closed: s.random.IntN(2) == 0}
 			s.ask(to, &command, func(a Answer) {
@@ -565,8 +643,8 @@
 		if !s.faults {
 			return
 		}
-		n := s.nodes[s.random.IntN(len(s.nodes))]
-		switch s.random.IntN(11) {
+		n := s.some(1)[0]
+		switch s.random.IntN(14) {
 		case 0, 1:
 			n.crash()
 			s.after(s.ms(50, 4000), n.revive)
@@ -602,6 +680,17 @@
 			h.frozen = s.now + clock.Mark(s.ms(1000, 45000))
 		case 10:
 			n.wipe()
+		case 11:
+			n.replace()
+		case 12:
+			s.lose()
+		case 13:
+			// As many as may be lost are replaced at once.
+			if s.size >= 3 && s.whole() {
+				for _, each := range s.some((s.size - 1) / 2) {
+					each.leave()
+				}
+			}
 		case 9:
 			// Back at once, over and over: what a vote was must not be forgotten in between.
 			for i := range 6 {
@@ -623,7 +712,7 @@
 }
 
 func (n *simNode) revive() {
-	if n.up {
+	if n.up || n.gone {
 		return
 	}
 	if n.sim.broken == wipedKeepsName && n.sim.random.IntN(2) == 0 {
@@ -675,7 +764,13 @@
 	}
 	s.ended = true
 	s.runFor(2 * time.Second)
+	if s.size >= 3 && !s.whole() {
+		s.fault("not all machines vote 14 s after the last trouble")
+	}
 	for _, n := range s.nodes {
+		if n.gone {
+			continue
+		}
 		if n.core.state.Closures.Epoch < s.ackedEpoch {
 			s.fault("member %d ends with closures at epoch %d, and %d was acknowledged", n.id, n.core.state.Closures.Epoch, s.ackedEpoch)
 		}
@@ -691,7 +786,7 @@
 	if wanted, err := strconv.ParseUint(os.Getenv("CRESSPOND_SEEDS"), 10, 64); err == nil {
 		seeds = wanted
 	}
-	mints, acks, reads, crashes, wipes := 0, 0, 0, 0, 0
+	mints, acks, reads, crashes, wipes, replaced, losses := 0, 0, 0, 0, 0, 0, 0
 	for seed := range seeds {
 		size := []int{3, 3, 1, 5, 3, 1}[seed%6]
 		s := newSim(t, seed, size, sound)
@@ -700,9 +795,9 @@
 			t.Errorf("seed %d, %d members: %s", seed, size, violation)
 		}
 		mints, acks, reads, crashes = mints+s.mints, acks+s.acks, reads+s.reads, crashes+s.crashes
-		wipes += s.wipes
+		wipes, replaced, losses = wipes+s.wipes, replaced+s.replaced, losses+s.losses
 	}
-	t.Logf("seeds 0 to %d: %d ids minted, %d closures acknowledged, %d reads checked, %d crashes, %d wiped disks", seeds-1, mints, acks, reads, crashes, wipes)
+	t.Logf("seeds 0 to %d: %d ids minted, %d closures acknowledged, %d reads checked, %d crashes, %d wiped disks, %d machines replaced, %d times the most at once", seeds-1, mints, acks, reads, crashes, wipes, replaced, losses)
 }
 
 // TestTheCheckerBites breaks the machinery on purpose: each break must be caught by some seed.
@@ -731,3 +826,156 @@
 	s.run(trouble)
 	return cmp.Or(append(s.violations, "")...)
 }
+
+// calmSim is a group without troubles of its own, that has been told something.
+func calmSim(t *testing.T, seed uint64, size int) *sim {
+	s := newSim(t, seed, size, sound)
+	s.faults, s.loss = false, 0
+	h := &simHolder{sim: s, name: "holder", rate: 1}
+	s.holders = append(s.holders, h)
+	h.begin()
+	s.operate()
+	s.runFor(5 * time.Second)
+	if s.acks == 0 {
+		t.Fatal("the group does not act")
+	}
+	return s
+}
+
+// until runs until something holds, and says how long that took.
+func (s *sim) until(most time.Duration, holds func() bool) time.Duration {
+	began := s.now
+	for s.now.Since(began) < most && !holds() {
+		s.runFor(10 * time.Millisecond)
+	}
+	return s.now.Since(began)
+}
+
+// leader finds who leads.
+func (s *sim) leader() *simNode {
+	for _, n := range s.nodes {
+		if n.up && s.now >= n.frozenUntil && n.core.Leads() {
+			return n
+		}
+	}
+	return nil
+}
+
+// TestAReplacedMachineVotesInTime: a machine of the group is gone for good, or stops after another stands
+// ready; the one that comes must vote within the few seconds that deployments allow, and the old one be out.
+func TestAReplacedMachineVotesInTime(t *testing.T) {
+	const allowed = 4 * time.Second
+	longest := time.Duration(0)
+	for seed := range uint64(60) {
+		size := []int{3, 5}[seed%2]
+		s := calmSim(t, seed, size)
+		victim := s.nodes[s.random.IntN(size)]
+		if seed%3 == 0 {
+			victim = s.leader()
+		}
+		planned := seed%4 < 2
+		if planned {
+			// The new one first, then the old one stops and hands over.
+			s.add()
+			s.runFor(time.Second)
+			victim.carryOut(victim.core.Step(s.now, raft.Transfer{}))
+			s.runFor(500 * time.Millisecond)
+		}
+		victim.crash()
+		victim.gone = true
+		if !planned {
+			s.runFor(time.Second)
+			s.add()
+		}
+		took := s.until(allowed, s.whole)
+		longest = max(longest, took)
+		if took >= allowed {
+			t.Errorf("seed %d, %d members, planned %t: not whole %v after the new machine's start", seed, size, planned, took)
+		}
+		for _, violation := range s.violations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+	}
+	t.Logf("at most %v", longest)
+}
+
+// TestAStopThatMayBeARestartDoesNotShrinkTheGroup: nobody is let go while nobody stands ready.
+func TestAStopThatMayBeARestartDoesNotShrinkTheGroup(t *testing.T) {
+	for seed := range uint64(20) {
+		size := []int{3, 5}[seed%2]
+		s := calmSim(t, seed, size)
+		stopped := s.some(1)[0]
+		stopped.crash()
+		s.runFor(30 * time.Second)
+		if voters := len(s.leader().core.raft.Membership().Voters()); voters != size {
+			t.Errorf("seed %d: %d of %d machines vote after one was away for 30 s", seed, voters, size)
+		}
+		stopped.revive()
+		if took := s.until(4*time.Second, s.whole); took >= 4*time.Second {
+			t.Errorf("seed %d: not whole %v after it came back", seed, took)
+		}
+	}
+}
+
+// TestTheGroupActsAgainSoon: after its leader was killed, frozen or cut off, and after all were killed at once.
+func TestTheGroupActsAgainSoon(t *testing.T) {
+	for name, c := range map[string]struct {
+		strike func(s *sim)
+		within time.Duration
+	}{
+		"the leader is killed": {func(s *sim) { s.leader().crash() }, 2500 * time.Millisecond},
+		"the leader freezes":   {func(s *sim) { s.leader().frozenUntil = s.now + clock.Mark(20*time.Second) }, 2500 * time.Millisecond},
+		"the leader is cut off": {func(s *sim) {
+			leader := s.leader()
+			for _, other := range s.nodes {
+				s.cut[[2]int{leader.place, other.place}], s.cut[[2]int{other.place, leader.place}] = true, true
+			}
+		}, 2500 * time.Millisecond},
+		"the leader stops as planned": {func(s *sim) {
+			leader := s.leader()
+			leader.carryOut(leader.core.Step(s.now, raft.Transfer{}))
+		}, 400 * time.Millisecond},
+		"all are killed": {func(s *sim) {
+			for _, n := range s.nodes {
+				n.crash()
+				s.after(s.ms(300, 900), n.revive)
+			}
+		}, 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var took []time.Duration
+			for seed := range uint64(60) {
+				s := calmSim(t, seed, []int{3, 5}[seed%2])
+				was := s.leader()
+				c.strike(s)
+				took = append(took, s.until(10*time.Second, func() bool {
+					now := s.leader()
+					return now != nil && (now != was || name == "all are killed")
+				}))
+				for _, violation := range s.violations {
+					t.Errorf("seed %d: %s", seed, violation)
+				}
+			}
+			slices.Sort(took)
+			t.Logf("median %v, longest %v", took[len(took)/2], took[len(took)-1])
+			// Two that ask at the same moment may have to ask again, now and then.
+			if at := took[len(took)*9/10]; at > c.within {
+				t.Errorf("nine of ten take up to %v, and %v is allowed", at, c.within)
+			}
+		})
+	}
+}
+
+// TestAThawedLeaderHasSteppedDownBeforeItActs: it was followed by another meanwhile.
+func TestAThawedLeaderHasSteppedDownBeforeItActs(t *testing.T) {
+	for seed := range uint64(20) {
+		s := calmSim(t, seed, 3)
+		frozen := s.leader()
+		frozen.frozenUntil = s.now + clock.Mark(4*time.Second)
+		s.runFor(4 * time.Second)
+		s.until(time.Second, func() bool { return frozen.beaten >= frozen.frozenUntil })
+		if frozen.core.Leads() {
+			t.Errorf("seed %d: it still believes that it leads after its first beat", seed)
+		}
+	}
+}
