--- a/connection/gateway/stream.go
+++ b/connection/gateway/stream.go
@@ -90,9 +90,7 @@
 			var n int
 			n, err = s.answer.Read(p)
 			if n > 0 {
-				if err != nil && err != io.EOF {
-					s.failed = true
-				}
+				// A failure shows again at the next read.
 				return n, nil
 			}
 		} else {
--- a/request/forwarding/choose.go
+++ b/request/forwarding/choose.go
@@ -45,7 +45,7 @@
 	pool, _ := w.Index.Pool(r.pool)
 	batching := pool != nil && pool.Catalogue != nil
 	why := noEngines
-	c.candidates = c.candidates[:0]
+	c.candidates, c.failing = c.candidates[:0], c.failing[:0]
 	for _, engine := range w.View.Pools[r.pool] {
 		if !engine.Usable() {
 			continue
@@ -63,15 +63,23 @@
 		if state.resting(w.Now) || state.inFlight >= most(engine, pool, w) {
 			continue
 		}
+		if state.failing(w.Now) {
+			c.failing = append(c.failing, candidate{engine: engine, state: state})
+			continue
+		}
 		c.candidates = append(c.candidates, candidate{engine: engine, state: state})
 	}
-	if len(c.candidates) == 0 {
+	near := c.candidates
+	if len(near) == 0 {
+		// An engine that fails some is better than none.
+		near = c.failing
+	}
+	if len(near) == 0 {
 		return nil, why
 	}
-	near := c.candidates
 	if batching {
 		// Whoever rests or is full has left the list, so the next by rendezvous stands in.
-		near = c.nearest(r, c.candidates)
+		near = c.nearest(r, near)
 	}
 	best, lowest := near[0].engine, 0.0
 	for place, one := range near {
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -51,8 +51,9 @@
 	running map[string]int
 	// meanTokens is a smoothed size of prompts.
 	meanTokens float64
-	candidates []candidate
-	scratch    []byte
+	// candidates and failing are of the choice in hand.
+	candidates, failing []candidate
+	scratch             []byte
 	// stopping says that the daemon ends: nothing is held or tried again any more.
 	stopping bool
 }
--- a/request/forwarding/engine.go
+++ b/request/forwarding/engine.go
@@ -21,11 +21,13 @@
 	// the engine last gave a sign since.
 	waiting int
 	asked   clock.Mark
-	// failures is how many attempts failed in a row, badness a smoothed share of them.
-	failures  int
-	badness   float64
-	failedAt  clock.Mark
-	restUntil clock.Mark
+	// failures is how many attempts failed in a row, unreached how many times it could not be reached, badness a
+	// smoothed share of both, failedAt the last of them.
+	failures, unreached int
+	badness             float64
+	failedAt            clock.Mark
+	// restUntil is until when it gets nothing, illUntil until when only what nothing else can take.
+	restUntil, illUntil clock.Mark
 	// firstByte is a smoothed time from sending to the first byte, firstAt when one was last seen.
 	firstByte time.Duration
 	firstAt   clock.Mark
@@ -105,8 +107,8 @@
 }
 
 func (e *engineState) well() {
-	e.failures = 0
-	e.restUntil = 0
+	e.failures, e.unreached = 0, 0
+	e.restUntil, e.illUntil = 0, 0
 	e.badness *= 0.8
 }
 
@@ -126,14 +128,24 @@
 	restMost  = 4 * time.Second
 )
 
-// ill notes a failure; an engine that fails again and again rests, and is then tried with one request.
+// restAfter is how long an engine rests after so many failures in a row.
+func restAfter(failures int) clock.Mark {
+	return clock.Mark(min(restFirst<<min(max(failures-1, 0), 4), restMost))
+}
+
+// unreachable notes that it could not be reached; it gets nothing for a while, and then one at a time.
+func (e *engineState) unreachable(w World) {
+	e.unreached++
+	e.failedAt, e.badness = w.Now, 0.8*e.worse(w.Now)+0.2
+	e.restUntil = w.Now + restAfter(e.unreached)
+}
+
+// ill notes a failure; one that fails again and again gets nothing for a while that another engine can take.
 func (e *engineState) ill(w World, atOnce bool) {
 	e.failures++
-	e.badness = 0.8*e.worse(w.Now) + 0.2
-	e.failedAt = w.Now
-	if atOnce || e.failures >= 3 || e.badness > 0.6 {
-		rest := restFirst << min(max(e.failures-1, 0), 4)
-		e.restUntil = w.Now + clock.Mark(min(rest, restMost))
+	e.failedAt, e.badness = w.Now, 0.8*e.worse(w.Now)+0.2
+	if atOnce || e.failures >= manyFailures || e.badness > 0.6 {
+		e.illUntil = w.Now + restAfter(e.failures)
 	}
 }
 
@@ -146,7 +158,9 @@
 	switch outcome {
 	case Whole:
 		e.well()
-	case NeverSent, Junk:
+	case NeverSent:
+		e.unreachable(w)
+	case Junk:
 		e.ill(w, true)
 	case Lost, Cut, Failed:
 		// One that ran into its own deadline says little of the engine, but it is no sign of life either.
@@ -165,7 +179,15 @@
 
 const fullRest = 50 * time.Millisecond
 
-// resting says whether it gets nothing new now; after a rest it gets one at a time until one went well.
+// manyFailures in a row are no chance.
+const manyFailures = 3
+
+// resting says whether it gets nothing now.
 func (e *engineState) resting(now clock.Mark) bool {
-	return now < e.restUntil || e.failures >= 3 && e.inFlight > 0
+	return now < e.restUntil || e.unreached >= manyFailures && e.waiting > 0
+}
+
+// failing says whether it gets something only where nothing else can take it.
+func (e *engineState) failing(now clock.Mark) bool {
+	return now < e.illUntil || e.failures >= manyFailures && e.waiting > 0
 }
