--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 .PHONY: build vet unit rehearsal test generate
 
 build:
-	go build $(LDFLAGS) -o bin/ ./cmd/cresspondd ./cmd/cresspond ./rehearsal/cmd/rehearse
+	go build $(LDFLAGS) -o bin/ ./cmd/cresspondd ./cmd/cresspond-platform ./cmd/cresspond ./rehearsal/cmd/rehearse
 
 vet:
 	@test -z "$$(gofmt -l . )" || { gofmt -l .; echo "these files are not formatted"; exit 1; }
--- a/process/daemon/member.go
+++ b/process/daemon/member.go
@@ -5,8 +5,10 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
+	"slices"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/rotisserie/eris"
 
 	"github.com/cresspond/cresspond/process/config"
@@ -163,7 +165,7 @@
 		group = ""
 	}
 	made, err := replica.New(self, group, restored, d.replicaConfig, d.clock, d.aroundDisk(life.store), d.links,
-		replica.WithChanged(d.stateChanged), replica.WithFatal(func(err error) { life.end(eris.Wrap(err, "the disk failed")) }))
+		replica.WithChanged(d.stateChanged), replica.WithTurned(d.groupTurned), replica.WithFatal(func(err error) { life.end(eris.Wrap(err, "the disk failed")) }))
 	if err != nil {
 		return eris.Wrap(err, "the data folder cannot be read")
 	}
@@ -175,6 +177,30 @@
 	return nil
 }
 
+// groupTurned writes down what changed in this member's part in the group.
+func (d *Daemon) groupTurned(before, after replica.Condition) {
+	line := d.log.WithField("term", uint64(after.Term))
+	switch {
+	case after.Leads && !before.Leads:
+		line.Info("leads the group")
+	case before.Leads && !after.Leads:
+		line.Info("leads the group no more")
+	case after.Stalled != before.Stalled:
+		line.WithField("stalled", after.Stalled).Info("the disk holds this member up, or does no more")
+	}
+	if after.Leads && !slices.Equal(before.Members.Members, after.Members.Members) {
+		var voters, learners []string
+		for _, member := range after.Members.Members {
+			if member.Voter {
+				voters = append(voters, member.Name)
+			} else {
+				learners = append(learners, member.Name)
+			}
+		}
+		line.WithFields(log.Fields{"voters": voters, "learners": learners}).Info("the group has other members")
+	}
+}
+
 // remembers says whether a data folder belongs to a group already.
 func remembers(held *store.Store) bool {
 	group, err := held.Group()
--- a/process/replica/actor.go
+++ b/process/replica/actor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -56,6 +57,7 @@
 	disk    Disk
 	links   Links
 	changed func(*statemachine.State)
+	turned  func(before, after Condition)
 	fatal   func(error)
 	box     *actor.Mailbox[any]
 
@@ -111,6 +113,11 @@
 	return func(r *Replica) { r.changed = changed }
 }
 
+// WithTurned calls back, on the actor, when this member's condition is another than before.
+func WithTurned(turned func(before, after Condition)) Option {
+	return func(r *Replica) { r.turned = turned }
+}
+
 // WithFatal is called when the disk failed; this member must then leave.
 func WithFatal(fatal func(error)) Option {
 	return func(r *Replica) { r.fatal = fatal }
@@ -126,7 +133,7 @@
 	}
 	r := &Replica{
 		self: self, core: core, clock: c, disk: disk, links: links, group: group,
-		changed: func(*statemachine.State) {}, fatal: func(error) {},
+		changed: func(*statemachine.State) {}, turned: func(_, _ Condition) {}, fatal: func(error) {},
 		box: actor.NewMailbox[any](1024), waiting: map[uint64]func(Answer){},
 		writes: make(chan write, 4096), joins: map[raft.MemberID]raft.Member{}, heardAt: map[raft.MemberID]string{},
 	}
@@ -377,5 +384,13 @@
 		Commit: core.CommitIndex(), Stalled: r.stalled, Now: r.core.State().Now, FirstRollAgo: r.core.FirstRollAgo(r.clock.Elapsed()), Serving: r.core.State().ServingNow(), Claim: r.core.State().Claim,
 	}
 	condition.Leader, _ = condition.Members.Find(core.LeaderID())
-	r.condition.Store(&condition)
+	before := r.condition.Swap(&condition)
+	if before != nil && before.otherThan(condition) {
+		r.turned(*before, condition)
+	}
+}
+
+// otherThan says whether what an operator would want to know is different.
+func (c *Condition) otherThan(next Condition) bool {
+	return c.Leads != next.Leads || c.Stalled != next.Stalled || !slices.Equal(c.Members.Members, next.Members.Members)
 }
