Let the group's time go on over a restart of all, and ask for votes sooner after one

Cause: after kill_all the planner's claim came back 5 s after the restart: a new leader took the group's time up from when it applied the old entries, so the time between its start and its election was lost. Entries that stood on its disk at its start were stamped before, so the time counts from its start; not for entries that took their place.

--- a/process/raft/core.go
+++ b/process/raft/core.go
@@ -95,7 +95,7 @@
 	c.become(Follower, 0)
 	// One that has just begun asks sooner: where all were down at once nobody leads, and where somebody does the
 	// others refuse.
-	c.electionIn = max(1, c.electionIn/2)
+	c.electionIn = max(1, timing.Election/4) + random.IntN(max(1, timing.Election/2))
 	return c
 }
 
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -91,6 +91,10 @@
 
 	// timeMark is when, on this machine's clock, the group's time was last seen to rise.
 	timeMark clock.Mark
+	// began is when this life did, and restored the last entry it found on its disk: whatever stands there was
+	// stamped before.
+	began    clock.Mark
+	restored raft.Index
 	wall     func() time.Time
 	// ledSince is when this member began to lead with all before it applied.
 	ledSince  clock.Mark
@@ -104,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Core{config: config, raft: member, state: state, applied: member.SnapshotIndex(), timeMark: now, wall: wall,
+	return &Core{config: config, raft: member, state: state, applied: member.SnapshotIndex(), timeMark: now, began: now, restored: member.LastIndex(), wall: wall,
 		pending: map[raft.Index]pending{}, reads: map[uint64]raft.Index{}, heard: map[raft.MemberID]clock.Mark{}}, nil
 }
 
@@ -222,6 +226,10 @@
 // digest applies what was committed and turns raft effects into the replica's.
 func (c *Core) digest(now clock.Mark, effects raft.Effects) Effects {
 	out := Effects{Save: effects.Save, Later: effects.Later, Now: effects.Now}
+	if effects.Save != nil && effects.Save.TruncateFrom > 0 && effects.Save.TruncateFrom <= c.restored {
+		// What takes the place of entries found on disk may have been stamped at any time since.
+		c.restored = effects.Save.TruncateFrom - 1
+	}
 	specBefore, closuresBefore, leavesBefore := c.state.Epoch(), c.state.Closures.Epoch, c.state.Leaves
 	if effects.Install != nil {
 		state, err := statemachine.Restore(effects.Install.Data)
@@ -280,7 +288,12 @@
 	if entry.Kind == raft.EntryCommand {
 		before := c.state.Now
 		result = c.state.Apply(entry.Data)
-		if c.state.Now > before {
+		switch {
+		case c.state.Now <= before:
+		case entry.Index <= c.restored:
+			// It was stamped before this life began, however late it is applied: the time since has passed.
+			c.timeMark = c.began
+		default:
 			c.timeMark = now
 		}
 	}
--- a/process/replica/simulation_test.go
+++ b/process/replica/simulation_test.go
@@ -71,6 +71,8 @@
 	minted      map[ident.MintedID]string
 	mints       int
 	ackedEpoch  ident.Epoch
+	firstNow    ident.GroupTime
+	firstAt     clock.Mark
 	acks, reads int
 	refs        uint64
 	asked       map[uint64]func(Answer)
@@ -443,6 +445,13 @@
 		s.fault("the group's time went back at member %d", n.id)
 	}
 	n.lastNow = n.core.state.Now
+	// Leases end by the group's time, so it must not run ahead of what has truly passed.
+	if s.firstNow == 0 {
+		s.firstNow, s.firstAt = n.core.state.Now, s.now
+	}
+	if ran, passed := time.Duration(n.core.state.Now-s.firstNow)*time.Millisecond, s.now.Since(s.firstAt); s.firstNow > 0 && ran > passed+passed/50+time.Second {
+		s.fault("the group's time ran %v ahead at member %d", ran-passed, n.id)
+	}
 	if term, ok := n.core.raft.EntryTerm(n.core.applied); ok {
 		digest := fmt.Sprint(term)
 		if known, seen := s.applied[n.core.applied]; seen && known != digest {
