--- /dev/null
+++ b/epoch/spec/forward_test.go
@@ -0,0 +1,195 @@
+package spec
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/cresspond/cresspond/epoch/forward"
+)
+
+// opaque builds a sound section on opaque requests.
+func opaque() *forward.Section {
+	return &forward.Section{Revision: 3, Pools: []forward.Pool{{Name: "p"}}, Paths: []forward.Path{
+		{Name: "a", Host: "h", Prefix: "/", Class: forward.Once, DeadlineMs: 5, Attempts: 1, Shares: []forward.Share{{Pool: "p", Weight: 1}}},
+	}}
+}
+
+func TestABundleOnOpaqueRequestsNeedSayNothingOfSessions(t *testing.T) {
+	alone := Spec{Name: "alone", Forward: opaque()}
+	if back, faults := parse(t, alone); len(faults) > 0 || !reflect.DeepEqual(*back, alone) {
+		t.Error(faults)
+	}
+	if _, faults := Parse([]byte(`{"name":"x","forward":{"revision":1,"paths":[],"pools":[],"limits":{}}}`)); len(faults) > 0 {
+		t.Error("parts left out of the text:", faults)
+	}
+	withZones := Spec{Name: "zones", Zones: []Zone{{Name: "z"}}, Forward: opaque()}
+	if _, faults := parse(t, withZones); len(faults) > 0 {
+		t.Error("zones to close:", faults)
+	}
+	both := made(2, 2, 2, 2)
+	both.Forward = opaque()
+	if _, faults := parse(t, both); len(faults) > 0 {
+		t.Error("both parts:", faults)
+	}
+}
+
+// TestWhatIsSaidOfSessionsIsSaidWhole holds that a bundle is as strict on sessions as without opaque requests,
+// as soon as it says anything of them, and that empty lists are no lists.
+func TestWhatIsSaidOfSessionsIsSaidWhole(t *testing.T) {
+	empties := []string{"zones", "engines", "models", "routes"}
+	for _, with := range []bool{false, true} {
+		for _, part := range append(empties, "store", "limits") {
+			for _, empty := range []string{"[]", "null", ""} {
+				s := made(2, 2, 2, 2)
+				if with {
+					s.Forward = opaque()
+				}
+				var text map[string]json.RawMessage
+				data, err := json.Marshal(s)
+				if err != nil || json.Unmarshal(data, &text) != nil {
+					t.Fatal(err)
+				}
+				if part == "store" || part == "limits" {
+					empty = strings.Replace(empty, "[]", "{}", 1)
+				}
+				text[part] = json.RawMessage(empty)
+				if empty == "" {
+					delete(text, part)
+				}
+				data, err = json.Marshal(text)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, faults := Parse(data); !strings.Contains(fmt.Sprint(faults), part) {
+					t.Errorf("with opaque requests %v: %s as %q passes: %v", with, part, empty, faults)
+				}
+			}
+		}
+	}
+	// A bundle that says nothing at all is no bundle.
+	if _, faults := Parse([]byte(`{"name":"x"}`)); len(faults) < len(empties) {
+		t.Error(faults)
+	}
+}
+
+// opaqueBreaks are ways to spoil a sound section, with where the fault must be told.
+var opaqueBreaks = []struct {
+	path  string
+	spoil func(*forward.Section)
+}{
+	{"forward.revision", func(s *forward.Section) { s.Revision = 0 }},
+	{"forward.paths[0].name", func(s *forward.Section) { s.Paths[0].Name = "" }},
+	{"forward.paths[0].host", func(s *forward.Section) { s.Paths[0].Host = "" }},
+	{"forward.paths[0].prefix", func(s *forward.Section) { s.Paths[0].Prefix = "a/" }},
+	{"forward.paths[0].prefix", func(s *forward.Section) { s.Paths[0].Prefix = "/a" }},
+	{"forward.paths[0].class", func(s *forward.Section) { s.Paths[0].Class = "twice" }},
+	{"forward.paths[0].deadlineMs", func(s *forward.Section) { s.Paths[0].DeadlineMs = 0 }},
+	{"forward.paths[0].targetMs", func(s *forward.Section) { s.Paths[0].TargetMs = -1 }},
+	{"forward.paths[0].attempts", func(s *forward.Section) { s.Paths[0].Attempts = 0 }},
+	{"forward.paths[0].shares", func(s *forward.Section) { s.Paths[0].Shares = nil }},
+	{"forward.paths[0].shares", func(s *forward.Section) { s.Paths[0].Shares[0].Weight = 0 }},
+	{"forward.paths[0].shares[0].weight", func(s *forward.Section) { s.Paths[0].Shares[0].Weight = -1 }},
+	{"forward.paths[0].shares[0].pool", func(s *forward.Section) { s.Paths[0].Shares[0].Pool = "none" }},
+	{"forward.paths[1].name", func(s *forward.Section) { s.Paths = append(s.Paths, s.Paths[0]) }},
+	{"forward.paths[1].prefix", func(s *forward.Section) { s.Paths = append(s.Paths, s.Paths[0]) }},
+	{"forward.pools[0].name", func(s *forward.Section) { s.Pools[0].Name = "" }},
+	{"forward.pools[0].mostConnections", func(s *forward.Section) { s.Pools[0].MostConnections = -1 }},
+	{"forward.pools[0].catalogue.models[0].sizeMb", func(s *forward.Section) {
+		s.Pools[0].Catalogue = &forward.Catalogue{Models: []forward.Model{{Name: "m"}}}
+	}},
+	{"forward.limits.mostBodyBytes", func(s *forward.Section) { s.Limits.MostBodyBytes = -1 }},
+}
+
+func TestFaultsOfOpaqueRequestsAreToldWithTheirPlaces(t *testing.T) {
+	for _, one := range opaqueBreaks {
+		s := Spec{Name: "x", Forward: opaque()}
+		one.spoil(s.Forward)
+		if _, faults := parse(t, s); !strings.Contains(fmt.Sprint(faults), one.path+": ") {
+			t.Errorf("%s is not told in %v", one.path, faults)
+		}
+	}
+}
+
+// TestQuickLooksForKeysThatStandTwiceMissNone holds the quick look against the slow walk.
+func TestQuickLooksForKeysThatStandTwiceMissNone(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(17)
+	parameters.MinSuccessfulTests = 2000
+	properties := gopter.NewProperties(parameters)
+	properties.Property("what the walk finds, the quick look suspects, and a sound bundle is not suspected", prop.ForAll(func(shape []uint8) string {
+		text, _ := jsonOf(shape, 0)
+		twice := len(duplicateKeys([]byte(text))) > 0
+		if mayDuplicateKeys([]byte(text)) != twice {
+			return fmt.Sprintf("%v in %s", twice, text)
+		}
+		return ""
+	}, gen.SliceOf(gen.UInt8())))
+	properties.TestingRun(t)
+	many := make([]string, 200)
+	for i := range many {
+		many[i] = fmt.Sprintf(`"k%d":{}`, i)
+	}
+	sound := "{" + strings.Join(many, ",") + "}"
+	spoilt := "{" + strings.Join(many, ",") + `,"K7":1}`
+	if mayDuplicateKeys([]byte(sound)) || !mayDuplicateKeys([]byte(spoilt)) {
+		t.Error("an object of many keys")
+	}
+	for _, text := range []string{`{"a":1,"\u0061":2}`, `{"a":1,"\u0041":2}`, `[{"x":{"y":1,"Y":2}}]`} {
+		if _, faults := Parse([]byte(text)); len(faults) == 0 || faults[0].Reason != "stands twice" {
+			t.Errorf("%s: %v", text, faults)
+		}
+	}
+}
+
+// jsonOf makes some JSON out of bytes, with keys that often meet.
+func jsonOf(shape []uint8, depth int) (text string, rest []uint8) {
+	if len(shape) == 0 || depth > 4 {
+		return "0", shape
+	}
+	kind, size := shape[0]%4, int(shape[0]/4%5)
+	rest = shape[1:]
+	var parts []string
+	for range size {
+		var value string
+		key := "k"
+		if len(rest) > 0 {
+			key = []string{"a", "A", `\u0061`, "b", "ab", "c", "d", "é", "É"}[rest[0]%9]
+			rest = rest[1:]
+		}
+		if value, rest = jsonOf(rest, depth+1); kind != 1 {
+			value = `"` + key + `": ` + value
+		}
+		parts = append(parts, value)
+	}
+	if kind == 1 {
+		return "[" + strings.Join(parts, ", ") + "]", rest
+	}
+	return "{" + strings.Join(parts, " ,") + "}", rest
+}
+
+// TestReadingWhatWasCommitted holds the quick reading against the strict one.
+func TestReadingWhatWasCommitted(t *testing.T) {
+	s := made(3, 4, 5, 6)
+	s.Forward = opaque()
+	s.Forward.Note, s.Forward.Paths[0].Note = json.RawMessage(`{"x":[1.50,"é"]}`), json.RawMessage(`"n"`)
+	data, err := json.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	strict, faults := Parse(data)
+	quick, err := Read(data)
+	if err != nil || len(faults) > 0 || !reflect.DeepEqual(strict, quick) {
+		t.Errorf("%v %v\n%+v\n%+v", err, faults, strict, quick)
+	}
+	for _, bad := range []string{"", "{", "[]", `{"name":1}`, `{"name":"x"} {`, `{"unheardOf":1}`, string(data[:len(data)-1])} {
+		if _, err := Read([]byte(bad)); err == nil {
+			t.Errorf("%q is read", bad)
+		}
+	}
+}
--- a/epoch/spec/spec.go
+++ b/epoch/spec/spec.go
@@ -276,24 +276,31 @@
 // mayDuplicateKeys says quickly whether any object may have a key twice: bundles of thousands of paths are
 // sound as a rule, and where they aren't, duplicateKeys tells the places.
 func mayDuplicateKeys(data []byte) bool {
-	type object struct {
-		few  [][]byte
-		many map[string]bool
+	type level struct {
+		object bool
+		few    [][]byte
+		many   map[string]bool
 	}
-	var open []object
+	var open []level
+	// last is the delimiter before the token: a key of an object follows its brace or a comma.
+	last := fastjson.Delim(0)
 	for t := fastjson.NewTokenizer(data); t.Next(); {
-		switch {
-		case t.Delim == '{':
+		switch t.Delim {
+		case '{', '[':
 			if len(open) < cap(open) {
-				// The room of an object that was closed is used again.
+				// The room of a level that was closed is used again.
 				open = open[:len(open)+1]
-				open[len(open)-1].few, open[len(open)-1].many = open[len(open)-1].few[:0], nil
 			} else {
-				open = append(open, object{})
+				open = append(open, level{})
 			}
-		case t.Delim == '}':
+			in := &open[len(open)-1]
+			in.object, in.few, in.many = t.Delim == '{', in.few[:0], nil
+		case '}', ']':
 			open = open[:max(0, len(open)-1)]
-		case t.IsKey && len(open) > 0:
+		case 0:
+			if len(open) == 0 || !open[len(open)-1].object || last != '{' && last != ',' {
+				break
+			}
 			key, in := []byte(t.Value), &open[len(open)-1]
 			if bytes.IndexByte(key, '\\') >= 0 {
 				key = []byte(`"` + string(t.String()) + `"`)
@@ -304,7 +311,7 @@
 					return true
 				}
 				in.many[folded] = true
-				continue
+				break
 			}
 			for _, other := range in.few {
 				if bytes.EqualFold(other, key) {
@@ -318,6 +325,7 @@
 				}
 			}
 		}
+		last = t.Delim
 	}
 	return false
 }
