--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -84,6 +84,7 @@
 	}
 	r.pool = drawPool(r.Path, r.Ask.Attempt)
 	r.needs = r.Ask.TokensIn + r.Ask.TokensOut
+	r.returned = r.Ask.Deadline > 0 && r.Ask.Deadline < time.Duration(r.Path.DeadlineMs)*time.Millisecond*19/20
 	c.arrived(r, w.Now)
 	c.look(r, w)
 }
@@ -248,7 +249,7 @@
 		return
 	}
 	if wait, hopeless := c.hopeless(r, w, why); hopeless {
-		if why == noModel && wait <= r.Deadline.Since(w.Now)/3 {
+		if why == noModel && wait <= r.Deadline.Since(w.Now)/comesBackBy {
 			// It is still wanted: whoever plans must not forget it until the client has come back.
 			c.demand(r).returning(w.Now + clock.Mark(wait))
 		}
--- a/request/forwarding/core_test.go
+++ b/request/forwarding/core_test.go
@@ -622,3 +622,57 @@
 		t.Errorf("%d at once", sent)
 	}
 }
+
+// TestHowLongAModelIsWaitedFor: what will be there in time or soon after is waited for, what comes back when
+// it is there is told when, and nothing is held for half of its time.
+func TestHowLongAModelIsWaitedFor(t *testing.T) {
+	for name, c := range map[string]struct {
+		// ready is when the planner says it is there, or when it says that it is not; left the client's time.
+		coming, lack, left int
+		held               bool
+		low, high          time.Duration
+	}{
+		"in time":              {coming: 400, left: 4000, held: true},
+		"soon after, told":     {coming: 1000, left: 4000, low: 1150 * time.Millisecond, high: 1150 * time.Millisecond},
+		"later, told":          {coming: 1500, left: 4000, low: 1333 * time.Millisecond, high: 1334 * time.Millisecond},
+		"late, held":           {coming: 1750, left: 4000, held: true},
+		"too late to be held":  {coming: 2000, left: 4000, low: 1333 * time.Millisecond, high: 1334 * time.Millisecond},
+		"never in time":        {lack: 9000, left: 4000, low: 1333 * time.Millisecond, high: 1334 * time.Millisecond},
+		"back, soon":           {coming: 1000, left: 2600, held: true},
+		"back, never in time":  {coming: 3000, left: 2600, low: 866 * time.Millisecond, high: 867 * time.Millisecond},
+		"nothing is known yet": {left: 4000, held: true},
+	} {
+		b := newBench(t, pathOf("p", forward.Stream, "batch"))
+		engine := engineOf("batch", 0, 64)
+		if c.coming > 0 {
+			engine.Plan = &registry.Plan{Coming: []registry.Coming{{Target: registry.Target{Model: "m"}, Ready: b.now + ms(c.coming)}}, Told: b.now}
+		}
+		if c.lack > 0 {
+			b.lacks["m/"] = time.Duration(c.lack) * time.Millisecond
+		}
+		b.register(engine)
+		r := b.admit("p", prompt("m", 100), func(r *Record) {
+			r.Ask.Deadline = time.Duration(c.left) * time.Millisecond
+			r.Deadline = b.now + ms(c.left)
+		})
+		if (r.stage == Held) != c.held {
+			t.Errorf("%s: %s", name, r.stage)
+			continue
+		}
+		if !c.held {
+			if answer := b.ended(r, 503, NoRoom); answer.ComeBack < c.low || answer.ComeBack > c.high {
+				t.Errorf("%s: %v", name, answer.ComeBack)
+			}
+			continue
+		}
+		// The planner's word never comes true.
+		for r.stage == Held {
+			b.now, _ = b.core.NextLook(b.now)
+			b.core.Pass(b.world())
+			if b.now.Since(r.Arrived) >= time.Duration(c.left)*time.Millisecond/2 {
+				t.Fatalf("%s: held for half of its time", name)
+			}
+		}
+		b.ended(r, 503, NoRoom)
+	}
+}
--- a/request/forwarding/record.go
+++ b/request/forwarding/record.go
@@ -65,6 +65,8 @@
 	stage Stage
 	// pool is drawn once, so that all attempts go to the same.
 	pool string
+	// returned says that the client seems to have been refused before: it has less time than it began with.
+	returned bool
 	// sequence orders those that wait by arrival.
 	sequence uint64
 	// Attempts is how many engines it was sent to, tried which; engine is the newest.
--- a/request/forwarding/simulate_test.go
+++ b/request/forwarding/simulate_test.go
@@ -175,6 +175,7 @@
 		s.after(wait, func() {
 			back := NewRecord(Record{Ask: again.Ask, Host: again.Host, Prefixed: again.Prefixed, Path: again.Path, Arrived: s.now, Deadline: again.Deadline})
 			back.Ask.Attempt += "b"
+			back.Ask.Deadline = back.Deadline.Since(back.Arrived)
 			s.returned[back] = true
 			other := s.daemons[s.random.IntN(len(s.daemons))]
 			other.core.Admit(back, other.world())
--- a/request/forwarding/wait.go
+++ b/request/forwarding/wait.go
@@ -58,8 +58,9 @@
 // sheds says whether a request is given up although an engine could be sent it: where its first byte is
 // likely to come too late, it would only make those behind it late as well. Between in time and far too late
 // a draw decides, since all daemons shedding and letting in by turns is worse than either. Nothing is shed
-// while first bytes come well in time, nor what went out before. What was seen counts less the longer ago, or
-// a path that was given up on would never be tried again.
+// while first bytes come well in time, nor what went out before. Those that come back are no exception: where
+// they were, each wave of refusals came back as the next flood. What was seen counts less the
+// longer ago, or a path that was given up on would never be tried again.
 func (p *pathState) sheds(r *Record, w World, s Settings, least time.Duration) bool {
 	expected := fading(time.Duration(r.score*p.pace), p.paced, w.Now)
 	if expected > r.Deadline.Since(w.Now)-least {
@@ -124,47 +125,60 @@
 	planTime = 700 * time.Millisecond
 	// readyMargin is how much later than told something may come to be there.
 	readyMargin = 150 * time.Millisecond
+	// comesBackBy is the share of the time left by which a client that is told to is back.
+	comesBackBy = 3
 )
 
+// mostHeld is how long a request may be held: under half of the time it had.
+func mostHeld(r *Record) time.Duration { return r.Deadline.Since(r.Arrived) * 9 / 20 }
+
 // hopeless says whether a record that nothing can take now is to be given up, and when to come back. A
-// request is given up as soon as it is known that it can't be served in time, and never held for more than
-// half of the time it had without a word; while there is hope it is held.
+// request is given up as soon as it is known that it can't be served in time, and never held for half of the
+// time it had; while there is hope it is held.
 func (c *Core) hopeless(r *Record, w World, why lack) (comeBack time.Duration, hopeless bool) {
-	left := r.Deadline.Since(w.Now)
-	waited := w.Now.Since(r.Arrived)
+	left, waited := r.Deadline.Since(w.Now), w.Now.Since(r.Arrived)
 	target := time.Duration(r.Path.TargetMs) * time.Millisecond
-	half := r.Deadline.Since(r.Arrived) / 2
-	switch why {
-	case allTried:
+	most := mostHeld(r)
+	switch {
+	case why == allTried:
 		// Those that were tried won't do better for this one.
 		return c.comeBack(r, w), true
-	case noModel:
+	case why == noModel:
 		wait, sure := c.loadWait(r, w)
-		switch {
-		case sure && wait > left-c.least(r):
-			return min(max(wait, leastComeBack), left), true
-		case sure && waited+wait > target && wait+readyMargin <= left/3:
-			// It will be late here, and in time for a client that comes back when it is there.
-			return wait + readyMargin, true
-		case sure:
-			return 0, false
-		case waited < target/4 && waited < half:
-			// The planner's word is on its way.
-			return 0, false
-		case waited+wait > half:
-			return c.comeBack(r, w), true
-		}
-		return 0, false
-	case allFull:
+		return c.untilLoaded(r, wait, sure, left, waited)
+	case waited >= most:
+		return c.comeBack(r, w), true
+	case why == allFull:
 		// Its turn comes when those before it have got theirs.
 		wait := time.Duration(c.before(r, w)+1) * c.path(r).served / time.Duration(max(c.running[r.pool], 1))
-		if wait > left-c.least(r) && waited >= min(target/4, half) {
-			return c.comeBack(r, w), true
-		}
-		return c.comeBack(r, w), waited >= half
+		return c.comeBack(r, w), wait > left-c.least(r) && waited >= target/4
 	}
 	// An engine may register at any moment, but nothing says that one will.
-	return c.comeBack(r, w), waited >= min(target/4, half)
+	return c.comeBack(r, w), waited >= target/4
+}
+
+// untilLoaded decides on a record whose model or adapter no engine holds, and which is there after a wait.
+func (c *Core) untilLoaded(r *Record, wait time.Duration, sure bool, left, waited time.Duration) (comeBack time.Duration, hopeless bool) {
+	target, most := time.Duration(r.Path.TargetMs)*time.Millisecond, mostHeld(r)
+	back := left / comesBackBy
+	told := min(wait+readyMargin, back)
+	switch {
+	case waited >= most:
+		return max(told, leastComeBack), true
+	case !sure && waited < min(target/4, most):
+		// The planner's word is on its way.
+		return 0, false
+	case wait > left-c.least(r):
+		return max(told, leastComeBack), true
+	case r.returned:
+		// It was refused before, and won't come a third time: it stays while there is time.
+		return 0, false
+	case waited+wait > target && wait <= back+target/2:
+		// It will be late here, and in time for a client that comes back when it is there.
+		return max(told, leastComeBack), true
+	}
+	// Held for as long as it may be, it would be given up before it is there.
+	return max(told, leastComeBack), waited+wait > most
 }
 
 // before counts those that are held for the same pool and are served first.
