--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -141,6 +141,12 @@
 	say("opaque_no_path", c.NoPath)
 	say("opaque_held", c.Held)
 	say("opaque_held_now", uint64(held))
+	for place, count := range c.HeldFor {
+		say("opaque_held_for_"+forwarding.LackNames[place], count)
+	}
+	for place, count := range c.EndedFor {
+		say("opaque_ended_"+strings.ReplaceAll(forwarding.CauseNames[place], "-", "_"), count)
+	}
 	say("opaque_shed", c.Shed)
 	say("opaque_refused", c.Refused)
 	say("opaque_lost", c.Broken)
--- a/request/forwarding/answer.go
+++ b/request/forwarding/answer.go
@@ -28,11 +28,13 @@
 	CallerLeft
 	// Stopping: the daemon ends.
 	Stopping
+	causes
 )
 
-func (c Cause) String() string {
-	return [...]string{"no-table", "no-path", "no-room", "no-lease", "spent", "late", "broken", "caller-left", "stopping"}[c]
-}
+func (c Cause) String() string { return CauseNames[c] }
+
+// CauseNames are the names of causes, in the order in which they are counted.
+var CauseNames = [causes]string{"no-table", "no-path", "no-room", "no-lease", "spent", "late", "broken", "caller-left", "stopping"}
 
 // Answer is the final word on a record that gets no engine's answer.
 type Answer struct {
--- a/request/forwarding/choose.go
+++ b/request/forwarding/choose.go
@@ -23,8 +23,12 @@
 	allTried
 	// allFull: all that fit have all that this daemon may send them, or rest.
 	allFull
+	lacks
 )
 
+// LackNames are the names of what may lack, in the order in which they are counted.
+var LackNames = [lacks]string{"nothing", "engines", "models", "untried", "room"}
+
 // candidate is an engine that may be sent a record.
 type candidate struct {
 	engine *registry.Engine
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -34,6 +34,9 @@
 type Counters struct {
 	Admitted, Held, Sent, SentAgain, AgainDenied, HeldBack, NeverSent, EngineRefused, Misdirected, Lost, Junk, Cut uint64
 	Whole, Failed, Shed, Refused, Broken, BrokenOff, CallersLeft, NoPath, Resumed                                  uint64
+	// HeldFor counts by what lacked, EndedFor by cause.
+	HeldFor  [lacks]uint64
+	EndedFor [causes]uint64
 }
 
 // Core decides what becomes of records. It belongs to one actor.
@@ -266,6 +269,7 @@
 	r.move(Held)
 	r.heldAt = w.Now
 	c.Counters.Held++
+	c.Counters.HeldFor[why]++
 	c.held = append(c.held, r)
 	c.demand(r).held++
 }
@@ -285,6 +289,7 @@
 	}
 	r.move(Ended)
 	answer := finalAnswer(r, cause, comeBack)
+	c.Counters.EndedFor[cause]++
 	switch {
 	case cause == CallerLeft:
 		c.Counters.CallersLeft++
