Hold no stream until its client has lost patience

What: the time to a first event is the deployment's patience, the longest of a time and of multiples of target and pause; holding, shedding and refusing go by it, and when to come back by all of the client's time. Test: a pure one.

--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -25,6 +25,7 @@
 type forwardSide struct {
 	dialect  dialect.Dialect
 	settings forwarding.Settings
+	patience forwarding.Patience
 	// view gives the registered engines.
 	view func() *registry.View
 
@@ -47,6 +48,11 @@
 	return s
 }
 
+// WithPatience says for how long the deployment's clients wait for a stream in silence.
+func WithPatience(patience forwarding.Patience) Option {
+	return func(d *Daemon) { d.forwardSide.patience = patience }
+}
+
 // WithEngineView replaces where the registered engines are looked up.
 func WithEngineView(view func() *registry.View) Option {
 	return func(d *Daemon) { d.forwardSide.view = view }
@@ -61,6 +67,7 @@
 func (d *Daemon) startForwarding(ctx context.Context) {
 	side := &d.forwardSide
 	side.settings = forwardSettings(d.config)
+	side.settings.Patience = side.patience
 	if side.view == nil {
 		side.view = d.registry.View
 	}
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -87,6 +87,7 @@
 	}
 	r.pool = drawPool(r.Path, r.Ask.Attempt)
 	r.needs = r.Ask.TokensIn + r.Ask.TokensOut
+	r.firstBy = min(r.Deadline, r.Arrived+clock.Mark(c.settings.patience(r.Path)))
 	r.returned = r.Ask.Deadline > 0 && r.Ask.Deadline < time.Duration(r.Path.DeadlineMs)*time.Millisecond*19/20
 	c.arrived(r, w.Now)
 	c.look(r, w)
@@ -163,7 +164,7 @@
 	if !c.rerouted(r, w) {
 		return
 	}
-	left := r.Deadline.Since(w.Now)
+	left := r.answerBy().Since(w.Now)
 	if left <= c.least(r) {
 		c.finish(r, w, Late, c.comeBack(r, w))
 		return
@@ -308,7 +309,7 @@
 
 // rankOf is the rank by which a record that waits is served; waiting raises it, so that none starves.
 func rankOf(r *Record, now clock.Mark) float64 {
-	span := max(r.Deadline.Since(r.Arrived), time.Millisecond)
+	span := max(r.answerBy().Since(r.Arrived), time.Millisecond)
 	return float64(r.Path.Rank) - raisedBy*float64(now.Since(r.Arrived))/float64(span)
 }
 
@@ -496,9 +497,9 @@
 	if len(c.held) == 0 {
 		return 0, false
 	}
-	next := c.held[0].Deadline
+	next := c.held[0].answerBy()
 	for _, r := range c.held {
-		next = min(next, r.Deadline-clock.Mark(c.least(r)))
+		next = min(next, r.answerBy()-clock.Mark(c.least(r)))
 	}
 	// What is about to come or to rest out can't be told in one moment, so there is an upper bound.
 	return max(min(next, now+clock.Mark(lookAgain)), now+clock.Mark(time.Millisecond)), true
--- a/request/forwarding/core_test.go
+++ b/request/forwarding/core_test.go
@@ -676,3 +676,33 @@
 		b.ended(r, 503, NoRoom)
 	}
 }
+
+// TestNothingIsHeldUntilItsCallerHasLostPatience: a stream's client leaves in silence long before its deadline.
+func TestNothingIsHeldUntilItsCallerHasLostPatience(t *testing.T) {
+	path := pathOf("p", forward.Stream, "batch")
+	path.DeadlineMs, path.TargetMs, path.GapTargetMs = 20_000, 800, 500
+	b := newBench(t, path)
+	b.core.settings.Patience = Patience{Least: 2 * time.Second, Targets: 4, Gaps: 8}
+	b.register(engineOf("batch", 0, 64))
+	long := func(r *Record) { r.Deadline = b.now + ms(20_000) }
+	// The model comes in 1.5 s and 0.7 s for the plan: a client that comes back then is in time.
+	r := b.admit("p", prompt("m", 100), long)
+	for r.stage == Held {
+		b.now, _ = b.core.NextLook(b.now)
+		b.core.Pass(b.world())
+	}
+	answer := b.ended(r, 503, NoRoom)
+	if waited := b.now.Since(r.Arrived); waited > 250*time.Millisecond || answer.ComeBack < 1500*time.Millisecond || answer.ComeBack > 3*time.Second {
+		t.Errorf("after %v, come back in %v", waited, answer.ComeBack)
+	}
+	// One that was refused before is held, but no longer than for half of its patience of 4 s.
+	r = b.admit("p", prompt("m", 100), long, func(r *Record) { r.Ask.Deadline = 15 * time.Second })
+	for r.stage == Held {
+		b.now, _ = b.core.NextLook(b.now)
+		b.core.Pass(b.world())
+	}
+	b.ended(r, 503, NoRoom)
+	if waited := b.now.Since(r.Arrived); waited >= 2*time.Second || waited < 1500*time.Millisecond {
+		t.Errorf("after %v", waited)
+	}
+}
--- a/request/forwarding/record.go
+++ b/request/forwarding/record.go
@@ -65,6 +65,8 @@
 	stage Stage
 	// pool is drawn once, so that all attempts go to the same.
 	pool string
+	// firstBy is when an answer must have begun, or its caller is likely to be gone.
+	firstBy clock.Mark
 	// returned says that the client seems to have been refused before: it has less time than it began with.
 	returned bool
 	// sequence orders those that wait by arrival.
@@ -99,6 +101,14 @@
 // Stage tells where the record stands.
 func (r *Record) Stage() Stage { return r.stage }
 
+// answerBy is until when the answer, or what follows of it, is worth waiting for.
+func (r *Record) answerBy() clock.Mark {
+	if r.begun || r.firstBy == 0 {
+		return r.Deadline
+	}
+	return r.firstBy
+}
+
 // repeatable says whether the request may run more than once.
 func (r *Record) repeatable() bool { return r.Path != nil && r.Path.Class == forward.Repeatable }
 
--- a/request/forwarding/settings.go
+++ b/request/forwarding/settings.go
@@ -1,6 +1,10 @@
 package forwarding
 
-import "time"
+import (
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/forward"
+)
 
 // Settings are what a deployment may set of forwarding.
 type Settings struct {
@@ -10,6 +14,8 @@
 	RetryWindow            time.Duration
 	// RetryUse is the part of both that is used, since daemons can't count together.
 	RetryUse float64
+	// Patience is for how long clients wait for a stream in silence.
+	Patience Patience
 	// DeadlineSlack is how long past the deadline the engine's own last word is waited for.
 	DeadlineSlack time.Duration
 	// ShedFrom and ShedOver are multiples of a path's target: from the first on, and surely from their sum on, a
@@ -25,3 +31,20 @@
 	return Settings{RetryRatio: 0.1, RetrySlack: 10, RetryWindow: 10 * time.Second, RetryUse: 0.5, DeadlineSlack: 50 * time.Millisecond, ReportFresh: 2 * time.Second,
 		ShedFrom: 0.6, ShedOver: 1, ShedCalm: 0.4}
 }
+
+// Patience is for how long clients wait for a stream in silence: the longest of a time and of multiples of the
+// path's target and of its longest pause. All zero is for as long as their deadline.
+type Patience struct {
+	Least         time.Duration
+	Targets, Gaps int64
+}
+
+// noPatience is for longer than any deadline.
+const noPatience = 24 * time.Hour
+
+func (s Settings) patience(path *forward.Path) time.Duration {
+	if path.Class != forward.Stream || s.Patience == (Patience{}) {
+		return noPatience
+	}
+	return max(s.Patience.Least, time.Duration(max(s.Patience.Targets*path.TargetMs, s.Patience.Gaps*path.GapTargetMs))*time.Millisecond)
+}
--- a/request/forwarding/wait.go
+++ b/request/forwarding/wait.go
@@ -63,7 +63,7 @@
 // longer ago, or a path that was given up on would never be tried again.
 func (p *pathState) sheds(r *Record, w World, s Settings, least time.Duration) bool {
 	expected := fading(time.Duration(r.score*p.pace), p.paced, w.Now)
-	if expected > r.Deadline.Since(w.Now)-least {
+	if expected > r.answerBy().Since(w.Now)-least {
 		return true
 	}
 	target := float64(r.Path.TargetMs) * float64(time.Millisecond)
@@ -130,13 +130,13 @@
 )
 
 // mostHeld is how long a request may be held: under half of the time it had.
-func mostHeld(r *Record) time.Duration { return r.Deadline.Since(r.Arrived) * 9 / 20 }
+func mostHeld(r *Record) time.Duration { return r.answerBy().Since(r.Arrived) * 9 / 20 }
 
 // hopeless says whether a record that nothing can take now is to be given up, and when to come back. A
 // request is given up as soon as it is known that it can't be served in time, and never held for half of the
 // time it had; while there is hope it is held.
 func (c *Core) hopeless(r *Record, w World, why lack) (comeBack time.Duration, hopeless bool) {
-	left, waited := r.Deadline.Since(w.Now), w.Now.Since(r.Arrived)
+	left, waited := r.answerBy().Since(w.Now), w.Now.Since(r.Arrived)
 	target := time.Duration(r.Path.TargetMs) * time.Millisecond
 	most := mostHeld(r)
 	switch {
@@ -145,7 +145,7 @@
 		return c.comeBack(r, w), true
 	case why == noModel:
 		wait, sure := c.loadWait(r, w)
-		return c.untilLoaded(r, wait, sure, left, waited)
+		return c.untilLoaded(r, wait, sure, w)
 	case waited >= most:
 		return c.comeBack(r, w), true
 	case why == allFull:
@@ -158,9 +158,11 @@
 }
 
 // untilLoaded decides on a record whose model or adapter no engine holds, and which is there after a wait.
-func (c *Core) untilLoaded(r *Record, wait time.Duration, sure bool, left, waited time.Duration) (comeBack time.Duration, hopeless bool) {
+func (c *Core) untilLoaded(r *Record, wait time.Duration, sure bool, w World) (comeBack time.Duration, hopeless bool) {
+	left, waited := r.answerBy().Since(w.Now), w.Now.Since(r.Arrived)
 	target, most := time.Duration(r.Path.TargetMs)*time.Millisecond, mostHeld(r)
-	back := left / comesBackBy
+	// A client counts from all of the time it has, whatever it waits for one answer to begin.
+	back := r.Deadline.Since(w.Now) / comesBackBy
 	told := min(wait+readyMargin, back)
 	switch {
 	case waited >= most:
