--- a/rehearsal/cmd/rehearse/scale.go
+++ b/rehearsal/cmd/rehearse/scale.go
@@ -30,6 +30,8 @@
 	limits := scale.DefaultLimits()
 	cores := run.Flag("most-cores", "How many processors the run may keep busy.").Default(fmt.Sprint(limits.Cores)).Float64()
 	program := run.Flag("cresspondd", "The daemon to run; by default the one beside this program.").String()
+	deployed := run.Flag("deployed", "Run the users' platform's program for the core and the edges that are processes of their own; engines are then polled too.").Bool()
+	moves := run.Flag("load-moves", "With --deployed, how often an engine's load is another; 0 never moves it.").Default("0s").Duration()
 	folder := run.Flag("folder", "Folder for logs and data; by default a new one, removed afterwards.").String()
 	result := run.Flag("result", "File to write each row to, as a line of JSON.").String()
 
@@ -60,9 +62,12 @@
 			return err
 		}
 		o := scale.Options{Program: *program, Self: self, Build: version, Folder: *folder, Beat: *beat, Windows: *windows, Window: *window, Engines: *engines,
-			Leaves: *leaves, Changes: *changes, Restarts: *restarts, Limits: limits, Machine: machine, Say: sayer()}
+			Deployed: *deployed, LoadMoves: *moves, Leaves: *leaves, Changes: *changes, Restarts: *restarts, Limits: limits, Machine: machine, Say: sayer()}
 		if o.Program == "" {
 			o.Program = filepath.Join(filepath.Dir(self), "cresspondd")
+			if o.Deployed {
+				o.Program = filepath.Join(filepath.Dir(self), "cresspond-platform")
+			}
 		}
 		if _, err := os.Stat(o.Program); err != nil {
 			return fmt.Errorf("the daemon cannot be run: %w", err)
--- a/rehearsal/scale/engines.go
+++ b/rehearsal/scale/engines.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/form"
 	"github.com/cresspond/cresspond/wire/operatorapi"
 )
 
@@ -25,19 +26,26 @@
 	control []string
 	beat    time.Duration
 	models  int
+	// deployed engines speak as on the users' platform, and answer when they are asked for a report or given an order.
+	deployed bool
+	// moves is how often their load is another.
+	moves time.Duration
 	// Acknowledged and Failed count beats.
 	Acknowledged, Failed atomic.Uint64
-	all                  []*hollowEngine
-	running              sync.WaitGroup
+	// polled counts reports asked for, ordered counts orders.
+	polled, ordered atomic.Uint64
+	all             []*hollowEngine
+	running         sync.WaitGroup
 }
 
 type hollowEngine struct {
-	id      ident.EngineID
-	address string
-	body    operatorapi.Registration
-	client  *http.Client
-	end     context.CancelFunc
-	turn    int
+	id       ident.EngineID
+	address  string
+	body     operatorapi.Registration
+	client   *http.Client
+	end      context.CancelFunc
+	turn     int
+	holdings holdings
 	// ended is closed when it beats no more.
 	ended chan struct{}
 }
@@ -46,10 +54,7 @@
 func (h *hollowEngines) grow(ctx context.Context, count, zones int, addresses *addresses) error {
 	for len(h.all) < count {
 		number := len(h.all)
-		address, err := addresses.free()
-		if err != nil {
-			return err
-		}
+		address := addresses.free()
 		host, _, _ := net.SplitHostPort(address)
 		e := &hollowEngine{id: ident.EngineID(fmt.Sprintf("hollow-%d", number)), address: address, turn: number, ended: make(chan struct{})}
 		e.body = operatorapi.Registration{Pool: poolName, Address: address, Zone: zoneName(number % zones), Software: "hollow", Slots: 96, Phase: "colocated"}
@@ -65,6 +70,12 @@
 		e.client = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
 		living, end := context.WithCancel(ctx)
 		e.end = end
+		if h.deployed {
+			if err := h.answer(living, e); err != nil {
+				end()
+				return err
+			}
+		}
 		h.all = append(h.all, e)
 		h.running.Add(1)
 		// They start at moments spread over a beat.
@@ -89,7 +100,7 @@
 		}
 		timer.Reset(h.beat)
 		e.body.CallSeq++
-		if status, err := h.call(ctx, e, http.MethodPut, e.body); err == nil && status < 300 {
+		if status, err := h.call(ctx, e, http.MethodPut, e.said(h.deployed)); err == nil && status < 300 {
 			h.Acknowledged.Add(1)
 			continue
 		}
@@ -105,7 +116,11 @@
 	if err != nil {
 		return 0, err
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+h.control[e.turn%len(h.control)]+operatorapi.PathEngines+"/"+string(e.id), bytes.NewReader(data))
+	path := operatorapi.PathEngines + "/"
+	if h.deployed {
+		path = form.PathEngines
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+h.control[e.turn%len(h.control)]+path+string(e.id), bytes.NewReader(data))
 	if err != nil {
 		return 0, err
 	}
--- a/rehearsal/scale/fleet.go
+++ b/rehearsal/scale/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -34,11 +35,12 @@
 
 // member is one daemon.
 type member struct {
-	name     string
-	address  string
-	settings config.Config
-	core     bool
-	process  *process
+	name string
+	// address serves pages for looking, control operators and engines where it is of the core.
+	address, control string
+	settings         config.Config
+	core             bool
+	process          *process
 }
 
 // process is one operating system process: a real daemon, or a host of hollow ones.
@@ -57,61 +59,86 @@
 const oneCore = 1
 
 // addresses gives out loopback addresses, an IP number for each, so that no outgoing connection can be given one.
-type addresses struct{ base, next int }
+type addresses struct{ base, next, first int }
 
-func (a *addresses) free() (string, error) {
+func (a *addresses) ip() string {
 	a.next++
-	host := fmt.Sprintf("127.%d.%d.%d", a.base, a.next/250, 1+a.next%250)
-	listener, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		return "", err
+	return fmt.Sprintf("127.%d.%d.%d", a.base, a.next/250, 1+a.next%250)
+}
+
+// ports finds the first of a few ports in a row that are free on the first address, and so on the others, since
+// no two runs share their numbers.
+func (a *addresses) ports() (int, error) {
+	const from, to, each = 21000, 31000, 10
+	for a.first = from + os.Getpid()%500*each; a.first < to; a.first += each {
+		listener, err := net.Listen("tcp", net.JoinHostPort(fmt.Sprintf("127.%d.0.1", a.base), strconv.Itoa(a.first)))
+		if err == nil {
+			return a.first, listener.Close()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return 0, fmt.Errorf("no ports are free")
 }
 
+// free is an address of its own, at the port of clients.
+func (a *addresses) free() string { return net.JoinHostPort(a.ip(), strconv.Itoa(a.first+portFront)) }
+
 // fleet is all processes of one step.
 type fleet struct {
-	folder    string
-	program   string
-	self      string
+	folder  string
+	program string
+	self    string
+	// deployed says that the processes of their own are the users' platform's program.
+	deployed  bool
+	beat      time.Duration
 	addresses *addresses
 	members   []*member
 	processes []*process
 	client    *http.Client
 }
 
-func layFleet(size Size, folder, program, self string, beat time.Duration, base int) (*fleet, error) {
-	f := &fleet{folder: folder, program: program, self: self, addresses: &addresses{base: base},
+// The ports of every daemon, as far behind the run's first one. They are the same on all addresses.
+const (
+	portFront = iota
+	portReady
+	portControl
+	portFellow
+)
+
+func layFleet(size Size, folder string, o Options, base int) (*fleet, error) {
+	f := &fleet{folder: folder, program: o.Program, self: o.Self, deployed: o.Deployed, beat: o.Beat, addresses: &addresses{base: base},
 		client: &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	first, err := f.addresses.ports()
+	if err != nil {
+		return nil, err
+	}
 	var seeds []string
 	for i := range size.Daemons {
 		m := &member{core: i < size.Core, name: fmt.Sprintf("edge-%d", i)}
 		if m.core {
 			m.name = fmt.Sprintf("core-%d", i)
 		}
+		ip := f.addresses.ip()
+		at := func(port int) string { return net.JoinHostPort(ip, strconv.Itoa(first+port)) }
 		s := config.Default()
 		s.Name, s.Zone, s.Log, s.Attempts, s.Trouble = m.name, zoneName(i%size.Zones), "warn", config.LocalAttempts, config.WaitOnTrouble
 		s.Serve = []config.Role{config.Route}
-		s.Bounds.BeatMs, s.OneStep = beat.Milliseconds(), true
-		var err error
-		if s.Listen, err = f.addresses.free(); err != nil {
-			return nil, err
-		}
-		// The same IP number for both, so that a daemon is known by it.
-		host, _, _ := net.SplitHostPort(s.Listen)
-		listener, err := net.Listen("tcp", host+":0")
-		if err != nil {
-			return nil, err
-		}
-		s.FellowListen = listener.Addr().String()
-		listener.Close()
+		s.Bounds.BeatMs, s.OneStep = o.Beat.Milliseconds(), true
+		s.Listen, s.FellowListen = at(portFront), at(portFellow)
+		m.address = s.Listen
 		if m.core {
 			s.Serve = []config.Role{config.Control, config.Place}
 			s.Data = filepath.Join(folder, m.name+".data")
 			seeds = append(seeds, s.FellowListen)
+			m.control = s.Listen
+			if f.deployed {
+				m.control, m.address = at(portControl), at(portControl)
+			}
+		} else if i < size.Core+realEdges {
+			// The address of clients may carry their requests alone.
+			s.ReadyListen = at(portReady)
+			m.address = s.ReadyListen
 		}
-		m.address, m.settings = s.Listen, s
+		m.settings = s
 		f.members = append(f.members, m)
 	}
 	var host *process
@@ -139,14 +166,10 @@
 		program, name := f.self, fmt.Sprintf("host-%d", i)
 		if !p.host {
 			m := p.members[0]
-			data, err := json.Marshal(m.settings)
+			path, err := f.settle(m)
 			if err != nil {
 				return err
 			}
-			path := filepath.Join(f.folder, m.name+".json")
-			if err := os.WriteFile(path, data, 0o600); err != nil {
-				return err
-			}
 			program, name, args = f.program, m.name, []string{"--config", path}
 		}
 		log, err := os.Create(filepath.Join(f.folder, name+".log"))
@@ -187,6 +210,20 @@
 	return nil
 }
 
+// settle writes the settings of a daemon that is a process of its own.
+func (f *fleet) settle(m *member) (path string, err error) {
+	path = filepath.Join(f.folder, m.name+".json")
+	data, err := json.Marshal(m.settings)
+	if f.deployed {
+		path = filepath.Join(f.folder, m.name+".toml")
+		data, err = bootFile(m, f.members)
+	}
+	if err != nil {
+		return "", err
+	}
+	return path, os.WriteFile(path, data, 0o600)
+}
+
 func (p *process) tell(word Word) error { return json.NewEncoder(p.words).Encode(word) }
 
 func (p *process) listen(echoes io.Reader) {
@@ -286,11 +323,14 @@
 }
 
 // call makes one call at the first member of the core.
-func (f *fleet) call(method, path string, body []byte) (int, error) {
-	request, err := http.NewRequest(method, "http://"+f.members[0].address+path, bytes.NewReader(body))
+func (f *fleet) call(method, path string, head map[string]string, body []byte) (int, error) {
+	request, err := http.NewRequest(method, "http://"+f.members[0].control+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, err
 	}
+	for name, value := range head {
+		request.Header.Set(name, value)
+	}
 	response, err := f.client.Do(request)
 	if err != nil {
 		return 0, err
--- a/rehearsal/scale/reading.go
+++ b/rehearsal/scale/reading.go
@@ -37,6 +37,10 @@
 	Phase   string        `json:"phase"`
 	Seconds float64       `json:"seconds"`
 	Kinds   map[Kind]Each `json:"kinds,omitempty"`
+	// Beats, Polls and Orders are what engines did and were asked, a second.
+	Beats  float64 `json:"beats,omitempty"`
+	Polls  float64 `json:"polls,omitempty"`
+	Orders float64 `json:"orders,omitempty"`
 	// Times are what was waited for, in seconds; Missed counts those that did not come.
 	Times  []float64 `json:"times,omitempty"`
 	Missed int       `json:"missed,omitempty"`
--- a/rehearsal/scale/run.go
+++ b/rehearsal/scale/run.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cresspond/cresspond/rehearsal/platformkit/form"
 	"github.com/cresspond/cresspond/wire/operatorapi"
 )
 
@@ -19,10 +20,14 @@
 type Options struct {
 	// Program is the daemon, Self this program, Build names the build.
 	Program, Self, Build string
-	Folder               string
-	Beat                 time.Duration
-	Windows              int
-	Window               time.Duration
+	// Deployed says that Program is the users' platform's, and that engines and operators speak as there.
+	Deployed bool
+	// LoadMoves is how often an engine's load in its reports is another; zero never moves it. It needs Deployed.
+	LoadMoves time.Duration
+	Folder    string
+	Beat      time.Duration
+	Windows   int
+	Window    time.Duration
 	// Engines are the numbers of engines tried in turn in each step.
 	Engines []int
 	// Leaves, Changes and Restarts are how many of each are made in each step.
@@ -141,7 +146,7 @@
 		return err
 	}
 	var err error
-	if s.fleet, err = layFleet(s.size, folder, s.Program, s.Self, s.Beat, 1+(os.Getpid()*7+number)%120); err != nil {
+	if s.fleet, err = layFleet(s.size, folder, s.Options, 1+(os.Getpid()*7+number)%120); err != nil {
 		return err
 	}
 	defer s.fleet.stop()
@@ -229,7 +234,9 @@
 	} else if !ok {
 		return s.cut("no leader within 30 s")
 	}
-	if _, _, err := s.roll(ctx, 20*time.Second); err != nil {
+	led := time.Since(began)
+	took, _, err := s.roll(ctx, 20*time.Second)
+	if err != nil {
 		return err
 	}
 	ready := make([]bool, len(f.members))
@@ -249,14 +256,21 @@
 	if ok, err := s.await(ctx, 60*time.Second, 500*time.Millisecond, allReady); err != nil {
 		return err
 	} else if !ok {
+		for at, m := range f.members {
+			if !ready[at] {
+				var why string
+				_, err := f.get(m, operatorapi.PathReady, &why)
+				return s.cut("not all daemons were ready within 60 s; %s at %s says %q, %v", m.name, m.address, why, err)
+			}
+		}
 		return s.cut("not all daemons were ready within 60 s")
 	}
 	s.note(Row{Size: s.size, Phase: PhaseStart, Times: []float64{time.Since(began).Seconds()}})
-	s.Say("all ready after %.1f s", time.Since(began).Seconds())
+	s.Say("a leader after %.1f s, a bundle in force everywhere %.1f s later, all ready after %.1f s", led.Seconds(), took.Seconds(), time.Since(began).Seconds())
 
-	s.engines = &hollowEngines{beat: s.Beat, models: s.size.Models}
+	s.engines = &hollowEngines{beat: s.Beat, models: s.size.Models, deployed: s.Deployed, moves: s.LoadMoves}
 	for _, m := range f.members[:s.size.Core] {
-		s.engines.control = append(s.engines.control, m.address)
+		s.engines.control = append(s.engines.control, m.control)
 	}
 	defer s.engines.stop()
 	living, stop := context.WithCancel(context.Background())
@@ -284,6 +298,9 @@
 		name string
 		do   func(context.Context) ([]float64, int, error)
 	}{{PhaseLeave, s.leaves}, {PhaseChange, s.changes}, {PhaseRestart, s.restarts}} {
+		if map[string]int{PhaseLeave: min(s.Leaves, len(s.engines.all)), PhaseChange: s.Changes, PhaseRestart: s.Restarts}[phase.name] == 0 {
+			continue
+		}
 		if err := s.window(ctx, phase.name, func() ([]float64, int, error) { return phase.do(ctx) }); err != nil {
 			return err
 		}
@@ -295,6 +312,10 @@
 func (s *step) known(count int) bool {
 	members := s.fleet.members
 	for at := 0; at < len(members); at += max(1, len(members)/6) {
+		if !members[at].core && !members[at].process.host {
+			// The readiness address lists no engines.
+			continue
+		}
 		var list operatorapi.Engines
 		if _, err := s.fleet.get(members[at], operatorapi.PathEngines, &list); err != nil || usable(list) != count {
 			return false
@@ -316,6 +337,7 @@
 // window measures what is spent while something is done.
 func (s *step) window(ctx context.Context, phase string, do func() ([]float64, int, error)) error {
 	before := s.fleet.open()
+	beats, polls, orders := s.engines.Acknowledged.Load(), s.engines.polled.Load(), s.engines.ordered.Load()
 	times, missed, err := do()
 	if err != nil {
 		return err
@@ -323,11 +345,12 @@
 	after := s.fleet.close()
 	leader := s.fleet.leader()
 	row := Row{Size: s.size, Phase: phase, Seconds: after.at.Sub(before.at).Seconds(), Kinds: s.fleet.between(before, after, leader), Times: times, Missed: missed}
+	row.Beats, row.Polls, row.Orders = float64(s.engines.Acknowledged.Load()-beats)/row.Seconds, float64(s.engines.polled.Load()-polls)/row.Seconds, float64(s.engines.ordered.Load()-orders)/row.Seconds
 	s.note(row)
 	edge, hollow, lead := row.Kinds[Edge], row.Kinds[Hollow], row.Kinds[Leader]
-	s.Say("%-7s %4d engines %5.1f s: edge %.2f %% %.1f MB out %.1f in %.1f KB/s; hollow %.2f %% out %.1f in %.1f; leader %.2f %% %.1f MB out %.1f in %.1f; times %.2f missed %d",
+	s.Say("%-7s %4d engines %5.1f s: edge %.2f %% %.1f MB out %.1f in %.1f KB/s; hollow %.2f %% out %.1f in %.1f; leader %.2f %% %.1f MB out %.1f in %.1f; times %.2f missed %d; beats %.0f polls %.0f orders %.1f /s",
 		phase, s.size.Engines, row.Seconds, 100*edge.Cores, edge.Resident, edge.Sent/1000, edge.Received/1000, 100*hollow.Cores, hollow.Sent/1000, hollow.Received/1000,
-		100*lead.Cores, lead.Resident, lead.Sent/1000, lead.Received/1000, middle(times), missed)
+		100*lead.Cores, lead.Resident, lead.Sent/1000, lead.Received/1000, middle(times), missed, row.Beats, row.Polls, row.Orders)
 	return nil
 }
 
@@ -373,12 +396,15 @@
 // own steps, which one clock stamps.
 func (s *step) roll(ctx context.Context, limit time.Duration) (took time.Duration, all bool, err error) {
 	s.revision++
-	raw, base := bundle(s.size, s.revision), s.revision-1
+	path, head, raw := fmt.Sprintf("%s?operator=ana&base=%d", operatorapi.PathBundle, s.revision-1), map[string]string(nil), bundle(s.size, s.revision)
+	if s.Deployed {
+		path, head, raw = form.PathConfig, map[string]string{"If-Match": fmt.Sprint(s.revision - 1)}, configuration(s.size, s.revision)
+	}
 	var last error
 	// An order whose answer was lost is sent again unchanged; it finds itself.
 	began := time.Now()
 	taken, err := s.await(ctx, 20*time.Second, 200*time.Millisecond, func() bool {
-		status, err := s.fleet.call(http.MethodPut, fmt.Sprintf("%s?operator=ana&base=%d", operatorapi.PathBundle, base), raw)
+		status, err := s.fleet.call(http.MethodPut, path, head, raw)
 		last = err
 		return err == nil && (status == http.StatusOK || status == http.StatusAccepted)
 	})
--- a/rehearsal/scale/scale_test.go
+++ b/rehearsal/scale/scale_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cresspond/cresspond/epoch/spec"
 )
@@ -135,7 +136,7 @@
 // A host runs the daemon's own code, tells when a daemon ends, and ends with its words.
 func TestHostRunsAndStopsDaemons(t *testing.T) {
 	size := Size{Daemons: 1 + realEdges + 1, Core: 1, Zones: 1}
-	f, err := layFleet(size, t.TempDir(), "", "", 1e9, 99)
+	f, err := layFleet(size, t.TempDir(), Options{Beat: time.Second}, 99)
 	if err != nil {
 		t.Fatal(err)
 	}
