--- a/process/poolplacement/demand.go
+++ b/process/poolplacement/demand.go
@@ -21,8 +21,8 @@
 type asks struct {
 	models   map[string]*ask
 	adapters map[registry.Target]*ask
-	// tokens is the whole pool's tokens a second.
-	tokens float64
+	// tokens is the whole pool's tokens a second, arrivals its requests.
+	tokens, arrivals float64
 }
 
 // ask is what is asked for of one model, or of one adapter.
@@ -58,7 +58,7 @@
 // hear takes up the newest demand of the fleet, and carries the longer past on.
 func (p *Planner) hear(in Input) {
 	for _, pool := range p.asks {
-		pool.tokens = 0
+		pool.tokens, pool.arrivals = 0, 0
 		for _, a := range pool.models {
 			a.held, a.running, a.tokens, a.arrivals, a.oldest = 0, 0, 0, 0, 0
 		}
@@ -77,6 +77,7 @@
 			p.asks[demand.Pool] = pool
 		}
 		pool.tokens += demand.Tokens
+		pool.arrivals += demand.Arrivals
 		model := pool.models[demand.Model]
 		if model == nil {
 			model = &ask{}
--- a/process/poolplacement/serve.go
+++ b/process/poolplacement/serve.go
@@ -154,6 +154,11 @@
 	return a.rate()*(0.02+s.over(a.tokens, rest, 0.7)*strain(heat)) + 0.1*float64(a.running)/float64(len(copies))
 }
 
+// light says whether something is asked for much less than an engine's share of all.
+func (s *survey) light(a *ask) bool {
+	return a.rate()+float64(a.held)/4 < s.asks.arrivals/float64(4*max(1, len(s.engines)))
+}
+
 // want is one model or adapter that should stand on one more engine.
 type want struct {
 	registry.Target
@@ -315,6 +320,11 @@
 // placeModel finds the engine on which one more copy costs least. It gives the order if there is room,
 // or notes that the engine is being made ready.
 func (s *survey) placeModel(w want) (order Order, ordered, placed bool) {
+	if s.light(w.ask) && s.loading+s.intents >= max(1, len(s.engines)/3) {
+		// An engine that loads can load nothing else for seconds. What few ask for takes its turn on some of
+		// them, so that one is free when many begin to ask for something that stands nowhere.
+		return Order{}, false, false
+	}
 	var best *engine
 	var bestVictims []registry.Target
 	bestCost := math.Inf(1)
