--- a/connection/gateway/gateway.go
+++ b/connection/gateway/gateway.go
@@ -90,6 +90,11 @@
 	begun     atomic.Bool
 }
 
+// headBytes is how long a request's head is, its first line with it.
+func headBytes(head *fasthttp.RequestHeader) int {
+	return len(head.Method()) + len(head.RequestURI()) + len(" ") + len(" HTTP/1.1\r\n") + len(head.RawHeaders())
+}
+
 // Handle serves one request.
 func (g *Gateway) Handle(ctx *fasthttp.RequestCtx) {
 	g.Counters.Read.Add(1)
@@ -104,6 +109,12 @@
 	host, prefixed := string(ctx.Request.Header.Host()), PathOf(ctx.Request.Header.RequestURI())
 	record := forwarding.Record{Ask: ask, Host: host, Prefixed: prefixed, Arrived: arrived, Deadline: arrived + clock.Mark(longestWait)}
 	if index := g.Index(); index != nil {
+		if most := index.Section.Limits.MostHeaderBytes; most > 0 && headBytes(&ctx.Request.Header) > most {
+			g.Counters.TooLarge.Add(1)
+			g.plain(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "the head is too large")
+			ctx.SetConnectionClose()
+			return
+		}
 		if most := index.Section.Limits.MostBodyBytes; most > 0 && int64(len(ctx.Request.Body())) > most {
 			g.Counters.TooLarge.Add(1)
 			g.plain(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is too large")
