--- a/request/forwarding/choose.go
+++ b/request/forwarding/choose.go
@@ -178,7 +178,7 @@
 	// memory left, of an engine that is slow from its start, of another zone.
 	crowded   = 2.0
 	coldCost  = 0.25
-	farTokens = 0.03
+	farTokens = 0.3
 	// farPlaces is another zone's cost as a share of an engine's places.
 	farPlaces = 0.06
 	// perBadness is how many times dearer an engine is that fails all it gets.
