--- a/request/forwarding/choose.go
+++ b/request/forwarding/choose.go
@@ -58,12 +58,15 @@
 		if batching && r.Ask.Model != "" && !engine.Holds(r.Ask.Model, r.Ask.Adapter) {
 			continue
 		}
+		state := c.engine(engine.ID)
+		if state.lacks(r, w.Now) {
+			continue
+		}
 		why = max(why, allTried)
 		if slices.Contains(r.tried, engine.ID) {
 			continue
 		}
 		why = max(why, allFull)
-		state := c.engine(engine.ID)
 		if state.resting(w.Now) || state.inFlight >= most(engine, pool, w) {
 			continue
 		}
@@ -180,7 +183,7 @@
 	coldCost  = 0.25
 	farTokens = 0.3
 	// farPlaces is another zone's cost as a share of an engine's places.
-	farPlaces = 0.06
+	farPlaces = 0.1
 	// perBadness is how many times dearer an engine is that fails all it gets.
 	perBadness = 6
 )
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -383,7 +383,8 @@
 			c.budget(r.pool).first(w.Now, c.settings.RetryWindow)
 		}
 	}
-	if outcome != HeldBack {
+	if outcome != HeldBack && outcome != Misdirected {
+		// What an engine lacked it may get; until then it is passed by for that.
 		r.tried = append(r.tried, r.engine)
 	}
 	switch outcome {
--- a/request/forwarding/core_test.go
+++ b/request/forwarding/core_test.go
@@ -706,3 +706,21 @@
 		t.Errorf("after %v", waited)
 	}
 }
+
+// TestWhatAnEngineSaysItLacksIsNotAskedOfItAgain: its report may lag behind.
+func TestWhatAnEngineSaysItLacksIsNotAskedOfItAgain(t *testing.T) {
+	b := newBench(t, pathOf("p", forward.Stream, "batch"))
+	b.register(enginesOf("batch", 1, 64, "m")...)
+	r := b.admit("p", prompt("m", 100))
+	b.sent(r)
+	b.core.Attempted(r, Misdirected, b.world())
+	if r.stage != Held {
+		t.Fatal(r.stage)
+	}
+	if other := b.admit("p", prompt("m", 100)); other.stage != Held {
+		t.Error(other.stage)
+	}
+	b.now += ms(1100)
+	later := b.admit("p", prompt("m", 100))
+	b.sent(later)
+}
--- a/request/forwarding/engine.go
+++ b/request/forwarding/engine.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -28,6 +29,8 @@
 	failedAt            clock.Mark
 	// restUntil is until when it gets nothing, illUntil until when only what nothing else can take.
 	restUntil, illUntil clock.Mark
+	// missing is until when something is taken not to be there, since the engine said so, whatever its report.
+	missing map[registry.Target]clock.Mark
 	// firstByte is a smoothed time from sending to the first byte, firstAt when one was last seen.
 	firstByte time.Duration
 	firstAt   clock.Mark
@@ -171,12 +174,26 @@
 		}
 	case HeldBack, Left:
 		e.asked = asked
+	case Misdirected:
+		if e.missing == nil {
+			e.missing = map[registry.Target]clock.Mark{}
+		}
+		maps.DeleteFunc(e.missing, func(_ registry.Target, until clock.Mark) bool { return w.Now >= until })
+		e.missing[registry.Target{Model: r.Ask.Model, Adapter: r.Ask.Adapter}] = w.Now + clock.Mark(missingFor)
 	case EngineRefused:
 		// It is full, or about to be: a moment's rest spreads what comes over others.
 		e.restUntil = max(e.restUntil, w.Now+clock.Mark(fullRest))
 	}
 }
 
+// lacks says whether it said lately that it does not hold what is asked for, or is not who it was taken for.
+func (e *engineState) lacks(r *Record, now clock.Mark) bool {
+	return len(e.missing) > 0 && now < e.missing[registry.Target{Model: r.Ask.Model, Adapter: r.Ask.Adapter}]
+}
+
+// missingFor is about how long a report takes to show what an engine has let go of.
+const missingFor = time.Second
+
 const fullRest = 50 * time.Millisecond
 
 // manyFailures in a row are no chance.
