--- a/connection/gateway/watch.go
+++ b/connection/gateway/watch.go
@@ -65,7 +65,8 @@
 		return
 	}
 	for f, one := range w.waiting {
-		if one.gone() {
+		// Who is being answered shows by itself that it has left: it can't be written to.
+		if !f.begun.Load() && one.gone() {
 			delete(w.waiting, f)
 			go f.leave()
 		}
--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -216,24 +216,24 @@
 	// edgesCounted is how long a count of the daemons that route is used.
 	edgesCounted = time.Second
 	// edgesHeard is how lately one must have been heard of to count; one that is only cut off still sends.
-	edgesHeard = 20 * time.Second
+	edgesHeard = time.Minute
 )
 
-// edges counts the daemons that route.
+// edges counts the daemons that route; another life of the same daemon is no other.
 func (d *Daemon) edges(now clock.Mark) int {
 	side := &d.forwardSide
 	if counted := side.edges.Load(); counted > 0 && now.Since(clock.Mark(side.edgesAt.Load())) < edgesCounted {
 		return int(counted)
 	}
-	count := 1
-	for _, fellow := range d.members.View().InContact(now, edgesHeard) {
-		if fellow.NodeID != d.nodeID && fellow.Serves(string(config.Route)) {
-			count++
+	names := map[string]bool{d.nodeID.Name(): true}
+	for _, fellow := range d.members.View().Fellows {
+		if now.Since(fellow.Heard) <= edgesHeard && fellow.Serves(string(config.Route)) {
+			names[fellow.NodeID.Name()] = true
 		}
 	}
-	side.edges.Store(int64(count))
+	side.edges.Store(int64(len(names)))
 	side.edgesAt.Store(int64(now))
-	return count
+	return len(names)
 }
 
 // isForwarded says whether a request is for the gateway: all that the product itself does not serve, and
