Learn how long a plan takes, and go by that when something is not loaded

Cause: 0.7 s was a guess for adapters and models alike, and a request that could have been served in time was told to come back, or the other way round. What: the time from the first lack to the thing's being known here, less its load, is smoothed over those that were held all the while; the same for what the planner had announced.

--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -52,6 +52,8 @@
 	paths    map[pathKey]*pathState
 	// running counts the attempts under way by pool.
 	running map[string]int
+	// planTook and spreadTook are smoothed times that a planner, and the word of what it did, took lately.
+	planTook, spreadTook time.Duration
 	// meanTokens is a smoothed size of prompts.
 	meanTokens float64
 	// candidates and failing are of the choice in hand.
@@ -178,6 +180,9 @@
 		return
 	}
 	chosen, why := c.choose(r, w)
+	if why != noModel && why != noEngines {
+		c.present(r, w)
+	}
 	if chosen == nil {
 		c.hold(r, w, why)
 		return
--- a/request/forwarding/demand.go
+++ b/request/forwarding/demand.go
@@ -26,6 +26,10 @@
 	tokens, arrivals float64
 	noted            clock.Mark
 	rank             int
+	// lackedAt is since when no engine holds it, readyAt when the planner last said that one would, load how long
+	// a load was to take.
+	lackedAt, readyAt clock.Mark
+	load              time.Duration
 	// back is when clients come back that were refused because something is not loaded yet.
 	back []clock.Mark
 }
--- a/request/forwarding/wait.go
+++ b/request/forwarding/wait.go
@@ -121,10 +121,14 @@
 
 const (
 	leastComeBack = 50 * time.Millisecond
-	// planTime is about how long a planner takes to hear of a lack and order a load.
-	planTime = 700 * time.Millisecond
+	// planTime is about how long a planner takes to hear of a lack and order a load, spreadTime how long after a
+	// load's end engines are known to hold it; both until it is known how long they took here.
+	planTime   = 500 * time.Millisecond
+	spreadTime = 250 * time.Millisecond
+	// leastPlan and mostPlan bound what is learned of both.
+	leastPlan, mostPlan = 50 * time.Millisecond, 3 * time.Second
 	// readyMargin is how much later than told something may come to be there.
-	readyMargin = 150 * time.Millisecond
+	readyMargin = 50 * time.Millisecond
 	// comesBackBy is the share of the time left by which a client that is told to is back.
 	comesBackBy = 3
 )
@@ -197,7 +201,13 @@
 // loadWait is how long something that no engine holds is likely to take to be there, and whether that is
 // the planner's word.
 func (c *Core) loadWait(r *Record, w World) (time.Duration, bool) {
-	soonest := time.Duration(math.MaxInt64)
+	d := c.demand(r)
+	load, catalogued := c.loadTime(r, w)
+	if d.lackedAt == 0 {
+		d.lackedAt, d.readyAt, d.load = w.Now, 0, load
+	}
+	plan, spread := known(c.planTook, planTime), known(c.spreadTook, spreadTime)
+	soonest := clock.Mark(math.MaxInt64)
 	for _, engine := range w.View.Pools[r.pool] {
 		if engine.Plan == nil || !engine.Usable() {
 			continue
@@ -206,37 +216,71 @@
 			if one.Model != r.Ask.Model {
 				continue
 			}
-			ready := max(0, one.Ready.Since(w.Now))
 			switch one.Adapter {
 			case r.Ask.Adapter:
-				soonest = min(soonest, ready)
+				soonest = min(soonest, one.Ready)
 			case "":
 				// The adapter can only be ordered once its model is there.
-				soonest = min(soonest, ready+planTime)
+				soonest = min(soonest, one.Ready+clock.Mark(plan))
 			}
 		}
 	}
 	if soonest < math.MaxInt64 {
-		return soonest, true
+		d.readyAt = soonest
+		return max(0, (soonest + clock.Mark(spread)).Since(w.Now)), true
 	}
 	if w.Lacks != nil {
 		if wait, lacks := w.Lacks(r.pool, r.Ask.Model, r.Ask.Adapter); lacks {
 			return wait, true
 		}
 	}
-	model, known := w.Index.Model(r.pool, r.Ask.Model)
-	if !known {
+	if !catalogued {
 		// Nobody can load what the catalogue does not have.
 		return time.Hour, true
 	}
-	since := time.Duration(0)
-	if r.stage == Held {
-		since = w.Now.Since(r.heldAt)
+	whole := plan + load + spread
+	since := w.Now.Since(d.lackedAt)
+	if since > 2*whole {
+		// Whoever plans has not done it so far, and may begin now at best.
+		since = 0
+	}
+	return max(0, whole-since), false
+}
+
+// loadTime is how long a load takes of what a record asks for; false where the catalogue does not have it.
+func (c *Core) loadTime(r *Record, w World) (time.Duration, bool) {
+	model, known := w.Index.Model(r.pool, r.Ask.Model)
+	if !known {
+		return 0, false
 	}
-	load := time.Duration(model.LoadMs) * time.Millisecond
-	if slices.ContainsFunc(w.View.Pools[r.pool], func(engine *registry.Engine) bool { return engine.Usable() && engine.Holds(r.Ask.Model, "") }) {
+	if r.Ask.Adapter != "" && slices.ContainsFunc(w.View.Pools[r.pool], func(engine *registry.Engine) bool { return engine.Usable() && engine.Holds(r.Ask.Model, "") }) {
 		// An adapter alone comes in a moment.
-		load = 0
+		return 0, true
+	}
+	return time.Duration(model.LoadMs) * time.Millisecond, true
+}
+
+// known takes what was learned, or else what is usual.
+func known(learned, usual time.Duration) time.Duration {
+	if learned == 0 {
+		return usual
+	}
+	return learned
+}
+
+// present learns how long it took something to be there, where somebody waited for it all the while.
+func (c *Core) present(r *Record, w World) {
+	d := c.demand(r)
+	if d.lackedAt == 0 {
+		return
+	}
+	if r.stage == Held {
+		if d.readyAt > 0 {
+			smooth(&c.spreadTook, min(max(w.Now.Since(d.readyAt), leastPlan), mostPlan))
+		} else {
+			took := w.Now.Since(d.lackedAt) - d.load - known(c.spreadTook, spreadTime)
+			smooth(&c.planTook, min(max(took, leastPlan), mostPlan))
+		}
 	}
-	return max(0, planTime+load-since), false
+	d.lackedAt, d.readyAt = 0, 0
 }
