--- a/connection/gateway/size_test.go
+++ b/connection/gateway/size_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
@@ -65,3 +66,56 @@
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// BenchmarkSizeOpenStream is the memory that one open stream keeps, heap and stacks of client, engine and
+// gateway together: straight from the engine, and through the gateway.
+func BenchmarkSizeOpenStream(b *testing.B) {
+	const streams = 60
+	begun, end := make(chan struct{}, streams), make(chan struct{})
+	engine := newStandIn(b, "e1", func(a arrival) bool {
+		say(a, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+idOf(a)+"\r\nCresspond-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n12\r\nid: 1\ndata: xxxx\n\n\r\n")
+		begun <- struct{}{}
+		<-end
+		return false
+	})
+	f := newFixture(b, engine)
+	defer close(end)
+	turn := 0
+	for _, way := range []struct{ name, address string }{{"straight", engine.listener.Addr().String()}, {"through", f.address}} {
+		b.Run(way.name, func(b *testing.B) {
+			for b.Loop() {
+				before := kept()
+				var open []net.Conn
+				for range streams {
+					turn++
+					conn, err := net.Dial("tcp", way.address)
+					if err != nil {
+						b.Fatal(err)
+					}
+					open = append(open, conn)
+					if _, err := io.WriteString(conn, ask("stream", fmt.Sprintf("open-%d", turn), "go")); err != nil {
+						b.Fatal(err)
+					}
+					<-begun
+					// Its first event has come through, so all that a stream keeps is there.
+					if _, err := io.ReadFull(conn, make([]byte, 40)); err != nil {
+						b.Fatal(err)
+					}
+				}
+				b.ReportMetric(float64(kept()-before)/streams, "bytes/stream")
+				for _, conn := range open {
+					conn.Close()
+				}
+			}
+		})
+	}
+}
+
+// kept is the heap in use and the stacks, after a collection.
+func kept() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc + stats.StackInuse)
+}
