--- a/process/daemon/attempts.go
+++ b/process/daemon/attempts.go
@@ -106,8 +106,10 @@
 // askHomes puts one question to all homes of an attempt at once, and weighs what they say.
 func (d *Daemon) askHomes(ask attempts.Ask) attempts.Verdict {
 	self := d.config.ReachedAt()
+	// Where each attempt arrives once, no other daemon and no earlier life can know of one.
+	local := d.config.Attempts == config.LocalAttempts
 	h := homes{ask: []string{self}, knowers: map[string]string{self: ""}, alone: true}
-	if d.config.Attempts != config.LocalAttempts {
+	if !local {
 		h = homesOf(ask.Attempt, d.members.View(), d.clock.Elapsed(), self)
 	}
 	type said struct {
@@ -140,7 +142,7 @@
 		}
 		heard.Words = append(heard.Words, attempts.Word(answer.reply.Word))
 		_, knows := h.knowers[answer.home]
-		heard.Knew = heard.Knew || knows && !answer.reply.Fresh
+		heard.Knew = heard.Knew || knows && (local || !answer.reply.Fresh)
 		// A daemon that may be cut off must not be the only one that knows.
 		heard.Written = heard.Written || answer.home != self || h.alone
 	}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -392,11 +392,25 @@
 	ctx.SetConnectionClose()
 }
 
+// mostConnections is how many connections a listener keeps open: what callers take must leave descriptors for
+// engines, peers and files.
+func mostConnections(descriptors int) int {
+	const (
+		most, least = 8192, 64
+		forFiles    = 200
+		share       = 60
+	)
+	if descriptors == 0 {
+		return most
+	}
+	return max(least, min(most, (descriptors-forFiles)*share/100))
+}
+
 // server is one listener's server.
 func (d *Daemon) server(handle fasthttp.RequestHandler, limits func(*fasthttp.RequestHeader) fasthttp.RequestConfig) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: handle, Name: "cresspond", MaxRequestBodySize: mostCallerBody, HeaderReceived: limits, ReadTimeout: 20 * time.Second, WriteTimeout: 5 * time.Minute,
-		IdleTimeout: time.Minute, NoDefaultServerHeader: true, Concurrency: 8192, CloseOnShutdown: true, Logger: quiet{}, ReadBufferSize: mostHeader,
+		IdleTimeout: time.Minute, NoDefaultServerHeader: true, Concurrency: mostConnections(d.config.Machine.MostFds), CloseOnShutdown: true, Logger: quiet{}, ReadBufferSize: mostHeader,
 		// A form is some caller's body like any other, and goes on byte for byte.
 		ErrorHandler: badRequest, DisablePreParseMultipartForm: true,
 	}
--- a/process/daemon/listener_test.go
+++ b/process/daemon/listener_test.go
@@ -34,3 +34,11 @@
 		t.Error("where a person is to look, the trouble was hidden:", err)
 	}
 }
+
+func TestCallersLeaveDescriptorsForTheRest(t *testing.T) {
+	for descriptors, want := range map[int]int{0: 8192, 4100: 2340, 100: 64, 1 << 20: 8192} {
+		if got := mostConnections(descriptors); got != want {
+			t.Errorf("of %d descriptors callers may take %d, and not %d", descriptors, got, want)
+		}
+	}
+}
--- a/rehearsal/endtoend/disk_test.go
+++ b/rehearsal/endtoend/disk_test.go
@@ -82,6 +82,39 @@
 	}
 }
 
+// TestADaemonWithoutItsFolderWaitsForIt: what needs no disk goes on meanwhile.
+func TestADaemonWithoutItsFolderWaitsForIt(t *testing.T) {
+	all := several(t, 3, func(int) []daemon.Option { return nil }, waiting)
+	lone := all[1]
+	close(lone.stop)
+	if err := <-lone.ended; err != nil {
+		t.Fatal(err)
+	}
+	kept := lone.data + ".kept"
+	if err := os.Rename(lone.data, kept); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(lone.data, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	lone.stop, lone.hurry = make(chan struct{}), make(chan struct{})
+	lone.run()
+	lone.await("it serves without a vote", func() bool { return lone.status().Ready && lone.counter("member_troubles") > 1 })
+	if raft := lone.status().Raft; raft != nil {
+		t.Errorf("it takes part in the group without a folder: %+v", raft)
+	}
+	if record := lone.call("without-a-folder", work()); !record.Whole() {
+		t.Errorf("%+v", record)
+	}
+	if err := os.Remove(lone.data); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(kept, lone.data); err != nil {
+		t.Fatal(err)
+	}
+	lone.await("it votes again, as who it was", func() bool { raft := lone.status().Raft; return raft != nil && raft.Voter })
+}
+
 // TestAMemberWhoseSeedsAreAllGoneFindsItsGroup: its disk remembers the others.
 func TestAMemberWhoseSeedsAreAllGoneFindsItsGroup(t *testing.T) {
 	all := several(t, 3, func(int) []daemon.Option { return nil }, waiting)
