--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -505,7 +505,10 @@
 	}
 	next := c.held[0].answerBy()
 	for _, r := range c.held {
-		next = min(next, r.answerBy()-clock.Mark(c.least(r)))
+		next = min(next, r.answerBy()-clock.Mark(c.least(r)), r.Arrived+clock.Mark(mostHeld(r)))
+		if word := r.Arrived + clock.Mark(firstWord(r)); word > now {
+			next = min(next, word)
+		}
 	}
 	// What is about to come or to rest out can't be told in one moment, so there is an upper bound.
 	return max(min(next, now+clock.Mark(lookAgain)), now+clock.Mark(time.Millisecond)), true
--- a/request/forwarding/wait.go
+++ b/request/forwarding/wait.go
@@ -136,12 +136,17 @@
 // mostHeld is how long a request may be held: under half of the time it had.
 func mostHeld(r *Record) time.Duration { return r.answerBy().Since(r.Arrived) * 9 / 20 }
 
+// firstWord is how long a request is held while nothing is known of when it can be served: well under the
+// quarter of its target within which a refusal does no harm.
+func firstWord(r *Record) time.Duration {
+	return time.Duration(r.Path.TargetMs) * time.Millisecond / 5
+}
+
 // hopeless says whether a record that nothing can take now is to be given up, and when to come back. A
 // request is given up as soon as it is known that it can't be served in time, and never held for half of the
 // time it had; while there is hope it is held.
 func (c *Core) hopeless(r *Record, w World, why lack) (comeBack time.Duration, hopeless bool) {
 	left, waited := r.answerBy().Since(w.Now), w.Now.Since(r.Arrived)
-	target := time.Duration(r.Path.TargetMs) * time.Millisecond
 	most := mostHeld(r)
 	switch {
 	case why == allTried:
@@ -155,10 +160,10 @@
 	case why == allFull:
 		// Its turn comes when those before it have got theirs.
 		wait := time.Duration(c.before(r, w)+1) * c.path(r).served / time.Duration(max(c.running[r.pool], 1))
-		return c.comeBack(r, w), wait > left-c.least(r) && waited >= target/4
+		return c.comeBack(r, w), wait > left-c.least(r) && waited >= firstWord(r)
 	}
 	// An engine may register at any moment, but nothing says that one will.
-	return c.comeBack(r, w), waited >= target/4
+	return c.comeBack(r, w), waited >= firstWord(r)
 }
 
 // untilLoaded decides on a record whose model or adapter no engine holds, and which is there after a wait.
@@ -171,7 +176,7 @@
 	switch {
 	case waited >= most:
 		return max(told, leastComeBack), true
-	case !sure && waited < min(target/4, most):
+	case !sure && waited < min(firstWord(r), most):
 		// The planner's word is on its way.
 		return 0, false
 	case wait > left-c.least(r):
