Tell registered engines in short where most is known, and loads now and then

Each link told an edge all changes, so all came twice; a leader's next life told everything anew. Now all but the leader are asked for what is urgent only (who came, leaves, is silent), and a life that another followed is told in short what there is: digests, and the asker asks for what it lacks. Of a plan the loads go without what is held, and of each engine so seldom that 1400 engines make 333 words a second.

--- a/process/daemon/held.go
+++ b/process/daemon/held.go
@@ -84,7 +84,7 @@
 		in.MembersLife != string(d.nodeID),
 		d.drainingNow.Load() && d.toldNews.draining.Load() != in.DrainingVersion:
 		return urgent
-	case d.registry.Newest() > in.RegistryWhole,
+	case !in.RegistryUrgent && d.registry.Newest() > in.RegistryWhole,
 		d.members.Changes() > in.MembersSeen,
 		plans != (in.PlannerAddress == self) || in.PlannerAddress == "" && planner != "",
 		plans && d.toldNews.lacks.Load() != in.LacksVersion:
--- a/process/daemon/registry.go
+++ b/process/daemon/registry.go
@@ -157,8 +157,15 @@
 	for _, id := range in.RegistryWanted {
 		wanted = append(wanted, ident.EngineID(id))
 	}
-	// Only those who may have to judge an engine's silence need to hear of each beat.
-	difference := d.registry.Since(cursorOf(in), wanted, in.Beats && d.config.Serves(config.Control))
+	question := registry.Question{Cursor: cursorOf(in), Wanted: wanted}
+	switch {
+	case in.RegistryUrgent:
+		question.Kind = registry.UrgentOnly
+	case in.Beats && d.config.Serves(config.Control):
+		// Only those who may have to judge an engine's silence need to hear of each beat.
+		question.Kind = registry.WithBeats
+	}
+	difference := d.registry.Since(question)
 	reply.RegistryLife, reply.RegistrySeen, reply.RegistryWhole = difference.Life, difference.Seen, difference.Cursor.Whole
 	reply.RegistryAfresh, reply.RegistryMore = difference.Afresh, difference.More
 	reply.Engines = registry.Encode(d.clock.Elapsed(), difference.Records)
@@ -178,7 +185,12 @@
 	if !followsRegistry(request) {
 		return d.links.To(address).Pull(ctx, request)
 	}
-	cursor, wanted := d.registry.Asked(address)
+	peer := address
+	if request.RegistryUrgent = d.isSecond(address); request.RegistryUrgent {
+		// What is heard in short is counted apart, so that all can be asked for when that is needed.
+		peer += " urgent"
+	}
+	cursor, wanted := d.registry.Asked(peer)
 	request.RegistryLife, request.RegistrySeen, request.RegistryWhole = cursor.Life, cursor.Seen, cursor.Whole
 	request.Beats = d.config.Serves(config.Control)
 	request.LacksVersion, request.DrainingVersion = d.heardNews.lacks.Load(), d.heardNews.draining.Load()
@@ -190,14 +202,23 @@
 	if err != nil || !d.ofOurs(reply) {
 		return reply, err
 	}
-	d.registry.Learn(address, registry.Difference{Cursor: registry.Cursor{Life: reply.RegistryLife, Seen: reply.RegistrySeen, Whole: reply.RegistryWhole},
-		Afresh: reply.RegistryAfresh, More: reply.RegistryMore, Records: registry.Decode(d.clock.Elapsed(), reply.Engines)})
+	d.registry.Learn(peer, registry.Difference{Cursor: registry.Cursor{Life: reply.RegistryLife, Seen: reply.RegistrySeen, Whole: reply.RegistryWhole},
+		Afresh: reply.RegistryAfresh, More: reply.RegistryMore, Records: registry.Decode(d.clock.Elapsed(), reply.Engines)}, wanted)
 	if !reply.RegistryMore {
 		d.hearsay.note(address, asked)
 	}
 	return reply, nil
 }
 
+// leaderFresh is how lately the leader must have told all for others to be asked for what is urgent only.
+const leaderFresh = 2500 * time.Millisecond
+
+// isSecond says whether an address is one of those of which only what is urgent is asked, because the leader tells the rest.
+func (d *Daemon) isSecond(address string) bool {
+	leader := d.members.View().LeaderAddress
+	return !d.config.Serves(config.Control) && leader != "" && leader != address && d.clock.Elapsed().Since(d.hearsay.of(leader)) <= leaderFresh
+}
+
 // ofOurs says whether a reply is of this daemon's group, or of one where neither knows a group yet.
 func (d *Daemon) ofOurs(reply *fellowapi.PullReply) bool {
 	known := d.Group()
--- a/process/registry/converge_test.go
+++ b/process/registry/converge_test.go
@@ -80,7 +80,8 @@
 		}
 	case n == 10:
 		w.turn++
-		w.cores[at].TellPlan(w.now, map[ident.EngineID]Plan{id: {Claim: ident.ClaimNumber(w.turn / 5), Turn: w.turn, Active: w.random.IntN(9)}})
+		w.cores[at].TellPlan(w.now, map[ident.EngineID]Plan{id: {Claim: ident.ClaimNumber(w.turn / 5), Turn: w.turn, Active: w.random.IntN(9),
+			Models: []Held{{Model: fmt.Sprint("m", w.random.IntN(2))}}, Coming: []Coming{{Target: Target{Model: fmt.Sprint("m", w.random.IntN(2))}}}}})
 	case n == 11:
 		// Now and then one judges that should not: that must be put right all the same.
 		w.cores[at].Judge(w.now, time.Second, Contact{May: true, Horizon: w.now})
@@ -99,20 +100,36 @@
 	if asker == asked {
 		return false
 	}
-	cursor, wanted := w.cores[asker].Asked(fmt.Sprint(asked))
-	difference := w.cores[asked].Since(cursor, wanted, asker < controls && asked < controls, 1+w.random.IntN(4))
+	peer, kind := fmt.Sprint(asked), Everything
+	switch {
+	case asker < controls && asked < controls:
+		kind = WithBeats
+	case asked < controls && (asker+asked)%controls == 1:
+		// One of the control daemons is asked for what is urgent only; the others tell all.
+		kind, peer = UrgentOnly, peer+" urgent"
+	}
+	cursor, wanted := w.cores[asker].Asked(peer)
+	difference := w.cores[asked].Since(Question{Cursor: cursor, Wanted: wanted, Kind: kind}, 1+w.random.IntN(4))
 	if w.random.IntN(10) == 0 {
 		// The reply is lost.
 		return true
 	}
-	w.cores[asker].Learn(w.now, fmt.Sprint(asked), difference)
-	return len(difference.Records) > 0 || difference.More
+	w.cores[asker].Learn(w.now, peer, difference, wanted)
+	_, more := w.cores[asker].Asked(peer)
+	return len(difference.Records) > 0 || difference.More || len(more) > 0
 }
 
 // settle lets all daemons ask each other until nothing new comes.
 func (w *world) settle() bool {
 	for range 400 {
+		// What is held of loads is told in time.
+		w.now += clock.Mark(time.Second)
 		came := false
+		for _, c := range w.cores {
+			before := c.Newest()
+			c.Judge(w.now, time.Second, Contact{})
+			came = came || c.Newest() != before
+		}
 		for asker := range w.cores {
 			for asked := range w.cores {
 				came = w.pull(asker, asked) || came
--- a/process/registry/core.go
+++ b/process/registry/core.go
@@ -20,6 +20,8 @@
 	// mostEnded bounds those, mostLeft the ids that are known to have left.
 	mostEnded = 4096
 	mostLeft  = 8192
+	// mostWanted is how many engines are asked for whole at once.
+	mostWanted = 256
 	// coldSlack is by how much the end of an engine's slow start may move before all are told.
 	coldSlack = time.Second
 )
@@ -44,8 +46,49 @@
 	// Word is nil where the hearer has it already.
 	Word                  *Word
 	Leaving, Silent, Gone bool
-	// Plan is nil where the hearer has it already, or there is none.
-	Plan *Plan
+	// Plan is nil where the hearer has it already, or there is none; Part says how much of it is told, and
+	// PlanDigest stands for the rest.
+	Plan       *Plan
+	Part       PlanPart
+	PlanDigest uint64
+}
+
+// PlanPart is how much of a plan is told.
+type PlanPart int
+
+const (
+	// WholePlan tells all of it.
+	WholePlan PlanPart = iota
+	// LoadsOnly leaves out what the engine holds, and what comes and goes.
+	LoadsOnly
+	// HeadOnly tells only which plan it is.
+	HeadOnly
+)
+
+// Kind is which changes are asked for.
+type Kind int
+
+const (
+	// Everything is all changes.
+	Everything Kind = iota
+	// WithBeats is every beat as well.
+	WithBeats
+	// UrgentOnly is who came, and who must not be sent to; the rest is heard from another peer.
+	UrgentOnly
+)
+
+// Question is what a peer asks.
+type Question struct {
+	Cursor
+	Wanted []ident.EngineID
+	Kind   Kind
+}
+
+// want is what is to be had of an engine that another told of in short.
+type want struct {
+	callSeq, digest uint64
+	claim           ident.ClaimNumber
+	turn            uint64
 }
 
 // Difference is what changed at a daemon since a cursor.
@@ -79,15 +122,22 @@
 type entry struct {
 	word Word
 	// worded is false for an engine of which only its leaving is known.
-	worded           bool
-	digest           uint64
-	heard, known     clock.Mark
-	leaving          bool
-	silent, gone     bool
-	plan             *Plan
-	wordAt, planAt   uint64
-	changed, beaten  uint64
-	byChange, byBeat *list.Element
+	worded         bool
+	digest         uint64
+	heard, known   clock.Mark
+	leaving        bool
+	silent, gone   bool
+	plan           *Plan
+	planDigest     uint64
+	wordAt, planAt uint64
+	// loadAt is when the plan's loads changed last, loadTold the moment when others were told. What came since
+	// is held until it is time to tell again.
+	loadAt   uint64
+	loadTold clock.Mark
+	loadHeld bool
+	// changed, beaten and urgent number its last change, that or its last beat here, and the last that must not wait.
+	changed, beaten, urgent     uint64
+	byChange, byBeat, byUrgency *list.Element
 	// coldTo is the end of its slow start, as all were last told.
 	coldTo clock.Mark
 }
@@ -113,14 +163,15 @@
 	changes, newest, urgent uint64
 	entries                 map[ident.EngineID]*entry
 	byAddress               map[string][]ident.EngineID
-	// byChange and byBeat list the engines by their last change, and by that or their last beat here.
-	byChange, byBeat *list.List
+	// byChange lists the engines by their last change, byBeat by that or their last beat here, byUrgency by the
+	// last change that must not wait.
+	byChange, byBeat, byUrgency *list.List
 
 	left      map[ident.EngineID]departure
 	leftOrder *list.List
 
 	cursors map[string]Cursor
-	wants   map[string]map[ident.EngineID]bool
+	wants   map[string]map[ident.EngineID]want
 
 	// listening is since when beats could be heard here without a break.
 	listening, judged clock.Mark
@@ -133,8 +184,8 @@
 func NewCore(life string, control bool, period time.Duration, now clock.Mark) *Core {
 	return &Core{
 		life: life, control: control, period: period, entries: map[ident.EngineID]*entry{}, byAddress: map[string][]ident.EngineID{},
-		byChange: list.New(), byBeat: list.New(), left: map[ident.EngineID]departure{}, leftOrder: list.New(),
-		cursors: map[string]Cursor{}, wants: map[string]map[ident.EngineID]bool{}, listening: now, judged: now,
+		byChange: list.New(), byBeat: list.New(), byUrgency: list.New(), left: map[ident.EngineID]departure{}, leftOrder: list.New(),
+		cursors: map[string]Cursor{}, wants: map[string]map[ident.EngineID]want{}, listening: now, judged: now,
 		view: &View{Engines: map[ident.EngineID]*Engine{}, Pools: map[string][]*Engine{}}, dirty: map[ident.EngineID]bool{},
 	}
 }
@@ -242,7 +293,7 @@
 	e := &entry{word: Word{ID: id}, known: now, heard: now}
 	departed, left := c.left[id]
 	e.leaving, e.gone = left, departed.gone
-	e.byChange, e.byBeat = c.byChange.PushBack(e), c.byBeat.PushBack(e)
+	e.byChange, e.byBeat, e.byUrgency = c.byChange.PushBack(e), c.byBeat.PushBack(e), c.byUrgency.PushBack(e)
 	c.entries[id] = e
 	c.changedAtOnce(e)
 	return e
@@ -269,8 +320,10 @@
 	if !changes {
 		return
 	}
-	if c.changedNow(e); !only {
-		c.urgent = c.changes
+	if only {
+		c.changedNow(e)
+	} else {
+		c.changedAtOnce(e)
 	}
 	if fresh {
 		e.wordAt, e.coldTo = e.changed, coldTo
@@ -303,7 +356,8 @@
 // changedAtOnce numbers a change that all are told of without delay.
 func (c *Core) changedAtOnce(e *entry) {
 	c.changedNow(e)
-	c.urgent = c.changes
+	e.urgent, c.urgent = c.changes, c.changes
+	c.byUrgency.MoveToBack(e.byUrgency)
 }
 
 // changedNow numbers a change that all are told of.
@@ -328,36 +382,74 @@
 		if e := c.entries[id]; e != nil {
 			plan := plans[id]
 			plan.Told = now
-			c.takePlan(e, &plan)
+			c.takePlan(now, e, &plan, digestOfPlan(&plan), true)
 		}
 	}
 }
 
-func (c *Core) takePlan(e *entry, plan *Plan) {
-	if e.gone || e.plan != nil && cmp.Or(cmp.Compare(plan.Claim, e.plan.Claim), cmp.Compare(plan.Turn, e.plan.Turn)) <= 0 {
+// older says whether a plan is older than another, or the same.
+func older(claim ident.ClaimNumber, turn uint64, than *Plan) bool {
+	return than != nil && cmp.Or(cmp.Compare(claim, than.Claim), cmp.Compare(turn, than.Turn)) <= 0
+}
+
+// takePlan is the one place where an engine's plan is replaced. first says that it comes from the planner here,
+// which bounds how often all are told of loads.
+func (c *Core) takePlan(now clock.Mark, e *entry, plan *Plan, digest uint64, first bool) {
+	if e.gone || older(plan.Claim, plan.Turn, e.plan) {
 		return
 	}
-	e.plan = plan
+	same := e.plan != nil && digest == e.planDigest
+	e.plan, e.planDigest = plan, digest
+	if same && first && now.Since(e.loadTold) < c.loadEvery() {
+		e.loadHeld, c.dirty[e.word.ID] = true, true
+		return
+	}
+	c.tellLoads(now, e)
+	if !same {
+		e.planAt = e.changed
+	}
+}
+
+func (c *Core) tellLoads(now clock.Mark, e *entry) {
 	c.changedNow(e)
-	e.planAt = e.changed
+	e.loadAt, e.loadTold, e.loadHeld = e.changed, now, false
+}
+
+// loadEvery is how often all are told of one engine's loads: all engines together make so many words a second.
+func (c *Core) loadEvery() time.Duration {
+	return max(500*time.Millisecond, time.Duration(len(c.entries))*3*time.Millisecond)
 }
 
 // Asked is the cursor to ask a peer with, and the engines of which its whole word is wanted.
 func (c *Core) Asked(peer string) (Cursor, []ident.EngineID) {
-	return c.cursors[peer], slices.Sorted(maps.Keys(c.wants[peer]))
+	wants := c.wants[peer]
+	for id, wanted := range wants {
+		// What came from elsewhere meanwhile is wanted no more.
+		if e := c.entries[id]; e != nil && e.has(wanted) {
+			delete(wants, id)
+		}
+	}
+	asked := slices.Sorted(maps.Keys(wants))
+	return c.cursors[peer], asked[:min(len(asked), mostWanted)]
+}
+
+func (e *entry) has(wanted want) bool {
+	return e.gone || e.worded && (e.word.CallSeq > wanted.callSeq || e.digest == wanted.digest) && (wanted.turn == 0 || older(wanted.claim, wanted.turn, e.plan))
 }
 
-// Since gives what changed here since a cursor, at most so many records, and what is wanted besides. With
-// beats it tells beats too.
-func (c *Core) Since(cursor Cursor, wanted []ident.EngineID, beats bool, most int) Difference {
+// Since gives what changed here since a cursor, at most so many records, and what is wanted besides.
+func (c *Core) Since(question Question, most int) Difference {
 	out := Difference{Cursor: Cursor{Life: c.life, Seen: c.changes}}
-	seen, whole := cursor.Seen, min(cursor.Whole, cursor.Seen)
-	if cursor.Life != c.life || seen > c.changes {
+	seen, whole := question.Seen, min(question.Cursor.Whole, question.Seen)
+	if question.Life != c.life || seen > c.changes {
 		seen, whole, out.Afresh = 0, 0, true
 	}
 	order, numberOf := c.byChange, func(e *entry) uint64 { return e.changed }
-	if beats {
+	switch question.Kind {
+	case WithBeats:
 		order, numberOf = c.byBeat, func(e *entry) uint64 { return e.beaten }
+	case UrgentOnly:
+		order, numberOf = c.byUrgency, func(e *entry) uint64 { return e.urgent }
 	}
 	var changed []*entry
 	for at := order.Back(); at != nil; at = at.Prev() {
@@ -376,46 +468,67 @@
 	if out.Cursor.Whole = out.Seen; out.More {
 		out.Cursor.Whole = whole
 	}
+	// An asker that knew another life of this daemon, or hears most from elsewhere, has nearly all of it: it is
+	// told in short what there is, and asks for what it lacks.
+	short := out.Afresh && question.Life != "" || question.Kind == UrgentOnly
 	for _, e := range changed {
-		out.Records = append(out.Records, e.record(e.wordAt > whole, e.planAt > whole))
+		out.Records = append(out.Records, e.record(whole, short))
 	}
-	for _, id := range wanted {
+	for _, id := range question.Wanted {
 		if e := c.entries[id]; e != nil {
-			out.Records = append(out.Records, e.record(true, true))
+			out.Records = append(out.Records, e.record(0, false))
 		}
 	}
 	return out
 }
 
-func (e *entry) record(word, plan bool) Record {
+// record tells what changed of an engine since a change.
+func (e *entry) record(since uint64, short bool) Record {
 	out := Record{ID: e.word.ID, CallSeq: e.word.CallSeq, Digest: e.digest, Heard: e.heard, Leaving: e.leaving, Silent: e.silent, Gone: e.gone}
-	if word && e.worded {
+	if !short && e.worded && e.wordAt > since {
 		copied := e.word
 		out.Word = &copied
 	}
-	if plan {
-		out.Plan = e.plan
+	if e.plan == nil {
+		return out
+	}
+	switch {
+	case short:
+		out.Plan, out.Part = e.plan, HeadOnly
+	case e.planAt > since:
+		out.Plan, out.PlanDigest = e.plan, e.planDigest
+	case e.loadAt > since:
+		out.Plan, out.Part, out.PlanDigest = e.plan, LoadsOnly, e.planDigest
 	}
 	return out
 }
 
-// Learn takes what a peer told.
-func (c *Core) Learn(now clock.Mark, peer string, difference Difference) {
+// Learn takes what a peer told; asked are the engines that were wanted of it.
+func (c *Core) Learn(now clock.Mark, peer string, difference Difference, asked []ident.EngineID) {
 	if known := c.cursors[peer]; known.Life != difference.Life || known.Seen < difference.Seen || known.Whole < difference.Cursor.Whole {
 		c.cursors[peer] = difference.Cursor
 	}
-	delete(c.wants, peer)
+	wants := c.wants[peer]
+	for _, id := range asked {
+		delete(wants, id)
+	}
 	for _, record := range difference.Records {
-		if !c.learn(now, record) {
-			if c.wants[peer] == nil {
-				c.wants[peer] = map[ident.EngineID]bool{}
-			}
-			c.wants[peer][record.ID] = true
+		if c.learn(now, record) {
+			continue
+		}
+		if wants == nil {
+			wants = map[ident.EngineID]want{}
+			c.wants[peer] = wants
+		}
+		wanted := want{callSeq: record.CallSeq, digest: record.Digest}
+		if record.Plan != nil {
+			wanted.claim, wanted.turn = record.Plan.Claim, record.Plan.Turn
 		}
+		wants[record.ID] = wanted
 	}
 }
 
-// learn joins a record with what is known; it says false where the whole word is wanted.
+// learn joins a record with what is known; it says false where all that the peer knows is wanted.
 func (c *Core) learn(now clock.Mark, r Record) bool {
 	e := c.entries[r.ID]
 	if e == nil && r.Word == nil && !r.Leaving && !r.Gone {
@@ -430,6 +543,7 @@
 	lacking := false
 	switch {
 	case !e.worded && r.Word == nil:
+		// Only of one that leaves nothing else need be known.
 		e.heard = min(e.heard, r.Heard)
 	case !e.worded || r.CallSeq > e.word.CallSeq || r.CallSeq == e.word.CallSeq && r.Digest > e.digest:
 		// Two contents under one number are an engine's slip; daemons then agree on one by its digest.
@@ -459,10 +573,26 @@
 	if r.Leaving || r.Gone {
 		c.leave(now, e, r.Gone)
 	}
-	if r.Plan != nil {
-		c.takePlan(e, r.Plan)
+	return c.learnPlan(now, e, r) && !lacking
+}
+
+// learnPlan joins what is told of a plan; it says false where more of it is wanted.
+func (c *Core) learnPlan(now clock.Mark, e *entry, r Record) bool {
+	if r.Plan == nil || e.gone || older(r.Plan.Claim, r.Plan.Turn, e.plan) {
+		return true
+	}
+	switch {
+	case r.Part == WholePlan:
+		c.takePlan(now, e, r.Plan, r.PlanDigest, false)
+	case r.Part == LoadsOnly && e.plan != nil && r.PlanDigest == e.planDigest:
+		next := *e.plan
+		next.Claim, next.Turn, next.Told = r.Plan.Claim, r.Plan.Turn, r.Plan.Told
+		next.Active, next.Queued, next.MemoryUsed, next.Memory = r.Plan.Active, r.Plan.Queued, r.Plan.MemoryUsed, r.Plan.Memory
+		c.takePlan(now, e, &next, e.planDigest, false)
+	default:
+		return false
 	}
-	return !lacking
+	return true
 }
 
 // Judge lets time pass, with engines beating every period: it decides who is silent, where this daemon can know, and forgets whom nobody needs.
@@ -476,7 +606,7 @@
 	limit := time.Duration(missedBeats * float64(c.period))
 	horizon := min(now, contact.Horizon)
 	mayJudge := c.control && contact.May && now.Since(c.listening) >= 2*c.period
-	var ended, quieted, followed, forgotten []*entry
+	var ended, quieted, followed, forgotten, loaded []*entry
 	for at := c.byChange.Front(); at != nil; at = at.Next() {
 		e := at.Value.(*entry)
 		// What was missed before this daemon listened, or knew the engine, says nothing.
@@ -489,6 +619,9 @@
 				followed = append(followed, e)
 			}
 		}
+		if e.loadHeld && now.Since(e.loadTold) >= c.loadEvery() {
+			loaded = append(loaded, e)
+		}
 		if e.gone || e.silent || !e.worded {
 			ended = append(ended, e)
 			if now.Since(e.heard) > forgetAfter {
@@ -496,6 +629,9 @@
 			}
 		}
 	}
+	for _, e := range loaded {
+		c.tellLoads(now, e)
+	}
 	for _, e := range quieted {
 		e.silent = true
 		c.changedAtOnce(e)
@@ -524,6 +660,7 @@
 	c.moveAddress(e.word.ID, e.word.Address, "")
 	c.byChange.Remove(e.byChange)
 	c.byBeat.Remove(e.byBeat)
+	c.byUrgency.Remove(e.byUrgency)
 	delete(c.entries, e.word.ID)
 	c.dirty[e.word.ID] = true
 }
--- a/process/registry/core_test.go
+++ b/process/registry/core_test.go
@@ -62,7 +62,7 @@
 	c.Learn(second, "peer", Difference{Cursor: Cursor{Life: "other", Seen: 1}, Afresh: true, Records: []Record{func() Record {
 		word := engineWord("e1", 7)
 		return Record{ID: "e1", CallSeq: 7, Digest: digestOf(word), Heard: -100 * second, Word: &word}
-	}()}})
+	}()}}, nil)
 	silentAt := clock.Mark(0)
 	for now := second; now < 20*second && silentAt == 0; now += second / 4 {
 		c.Judge(now, time.Second, soleControl(now))
@@ -78,8 +78,12 @@
 		t.Error("a beat ends silence")
 	}
 	// One that slept, or is out of touch, judges nobody.
-	c.Judge(60*second, time.Second, soleControl(60*second))
-	c.Judge(61*second, time.Second, Contact{Horizon: 61 * second})
+	for now := 60 * second; now < 63*second; now += second / 2 {
+		c.Judge(now, time.Second, soleControl(now))
+	}
+	for now := 63 * second; now < 70*second; now += second / 2 {
+		c.Judge(now, time.Second, Contact{Horizon: now})
+	}
 	if !c.View().Engines["e1"].Usable() {
 		t.Error("judged without having listened")
 	}
@@ -88,7 +92,7 @@
 func TestAnEdgeJudgesNobody(t *testing.T) {
 	c := NewCore("one", false, time.Second, 0)
 	word := engineWord("e1", 7)
-	c.Learn(second, "peer", Difference{Cursor: Cursor{Life: "other", Seen: 1}, Records: []Record{{ID: "e1", CallSeq: 7, Digest: digestOf(word), Heard: second, Word: &word}}})
+	c.Learn(second, "peer", Difference{Cursor: Cursor{Life: "other", Seen: 1}, Records: []Record{{ID: "e1", CallSeq: 7, Digest: digestOf(word), Heard: second, Word: &word}}}, nil)
 	for now := second; now < 2000*second; now += second / 2 {
 		c.Judge(now, time.Second, soleControl(now))
 	}
@@ -125,8 +129,12 @@
 	}
 	pull := func(beats bool, most int) Difference {
 		cursor, wanted := two.Asked("one")
-		difference := one.Since(cursor, wanted, beats, most)
-		two.Learn(second, "one", difference)
+		question := Question{Cursor: cursor, Wanted: wanted}
+		if beats {
+			question.Kind = WithBeats
+		}
+		difference := one.Since(question, most)
+		two.Learn(second, "one", difference, wanted)
 		return difference
 	}
 	told := 0
@@ -156,3 +164,114 @@
 		t.Errorf("%+v", d)
 	}
 }
+
+func TestOfWhatIsUrgentAllIsToldInShort(t *testing.T) {
+	control, edge := NewCore("one", true, time.Second, 0), NewCore("two", false, time.Second, 0)
+	pull := func() Difference {
+		cursor, wanted := edge.Asked("one urgent")
+		difference := control.Since(Question{Cursor: cursor, Wanted: wanted, Kind: UrgentOnly}, 100)
+		edge.Learn(second, "one urgent", difference, wanted)
+		return difference
+	}
+	control.Hear(second, engineWord("e1", 1))
+	if d := pull(); len(d.Records) != 1 || d.Records[0].Word != nil {
+		t.Errorf("%+v", d.Records)
+	}
+	// It knew nothing of that one, so it asks for it.
+	if pull(); !edge.View().Engines["e1"].Usable() {
+		t.Error("the engine that came is not known")
+	}
+	more := engineWord("e1", 2)
+	more.Models = append(more.Models, Held{Model: "n", Generation: 1})
+	control.Hear(2*second, more)
+	control.TellPlan(2*second, map[ident.EngineID]Plan{"e1": {Claim: 1, Turn: 1}})
+	if d := pull(); len(d.Records) != 0 {
+		t.Errorf("what is held is not urgent: %+v", d.Records)
+	}
+	control.Hear(3*second, engineWord("e2", 1))
+	if pull(); pull().More || !edge.View().Engines["e2"].Usable() {
+		t.Error("who came later is urgent too")
+	}
+	control.Leave(4*second, "e1", false, true)
+	if pull(); edge.View().Engines["e1"].Usable() {
+		t.Error("leaving is urgent")
+	}
+	control.Judge(4*second, time.Second, Contact{})
+	for now := 5 * second; now < 10*second; now += second / 2 {
+		control.Judge(now, time.Second, soleControl(now))
+	}
+	if pull(); edge.View().Engines["e2"].Usable() {
+		t.Error("silence is urgent")
+	}
+}
+
+func TestWhoHeardTheNewestBeatSaysSoToThoseWhoWereToldOfSilence(t *testing.T) {
+	judge, hearer, edge := NewCore("one", true, time.Second, 0), NewCore("two", true, time.Second, 0), NewCore("three", false, time.Second, 0)
+	tell := func(from, to *Core, name string) {
+		cursor, wanted := to.Asked(name)
+		to.Learn(20*second, name, from.Since(Question{Cursor: cursor, Wanted: wanted}, 100), wanted)
+	}
+	judge.Hear(second, engineWord("e1", 1))
+	tell(judge, hearer, "one")
+	tell(hearer, edge, "two")
+	hearer.Hear(2*second, engineWord("e1", 2))
+	for now := second; now < 10*second; now += second / 2 {
+		judge.Judge(now, time.Second, soleControl(now))
+	}
+	tell(judge, edge, "one")
+	if edge.View().Engines["e1"].Usable() {
+		t.Fatal("the edge was not told of the silence")
+	}
+	// The one that judged goes down; the one that heard the beat puts it right.
+	tell(judge, hearer, "one")
+	tell(hearer, edge, "two")
+	if !edge.View().Engines["e1"].Usable() {
+		t.Error("an engine that beat is still taken for silent")
+	}
+}
+
+func TestAnotherLifeOfAPeerIsToldInShortAndAskedForWhatIsLacking(t *testing.T) {
+	before, edge := NewCore("one", true, time.Second, 0), NewCore("two", false, time.Second, 0)
+	for i := range 8 {
+		before.Hear(second, engineWord(fmt.Sprint("e", i), 1))
+	}
+	pull := func(from *Core) Difference {
+		cursor, wanted := edge.Asked("one")
+		difference := from.Since(Question{Cursor: cursor, Wanted: wanted}, 100)
+		edge.Learn(second, "one", difference, wanted)
+		return difference
+	}
+	pull(before)
+	after := NewCore("one'", true, time.Second, 2*second)
+	for i := range 9 {
+		after.Hear(3*second, engineWord(fmt.Sprint("e", i), 2))
+	}
+	for _, record := range pull(after).Records {
+		if record.Word != nil {
+			t.Errorf("%s is told whole", record.ID)
+		}
+	}
+	if d := pull(after); len(d.Records) != 1 || len(edge.View().Engines) != 9 {
+		t.Errorf("%d records, %d engines", len(d.Records), len(edge.View().Engines))
+	}
+}
+
+func TestLoadsAreToldNowAndThen(t *testing.T) {
+	c := NewCore("one", true, time.Second, 0)
+	c.Hear(second, engineWord("e1", 1))
+	c.TellPlan(second, map[ident.EngineID]Plan{"e1": {Claim: 1, Turn: 1, Active: 1}})
+	seen := c.Since(Question{}, 100).Cursor
+	c.TellPlan(second+second/10, map[ident.EngineID]Plan{"e1": {Claim: 1, Turn: 2, Active: 2}})
+	if d := c.Since(Question{Cursor: seen}, 100); len(d.Records) != 0 || c.View().Engines["e1"].Plan.Active != 2 {
+		t.Errorf("%+v", d.Records)
+	}
+	c.Judge(2*second, time.Second, Contact{})
+	if d := c.Since(Question{Cursor: seen}, 100); len(d.Records) != 1 || d.Records[0].Part != LoadsOnly {
+		t.Errorf("%+v", d.Records)
+	}
+	// What it is to hold is told at once.
+	c.TellPlan(2*second+1, map[ident.EngineID]Plan{"e1": {Claim: 1, Turn: 3, Active: 2, Retiring: []Target{{Model: "m"}}}})
+	if d := c.Since(Question{Cursor: seen}, 100); len(d.Records) != 1 || d.Records[0].Part != WholePlan {
+		t.Errorf("%+v", d.Records)
+	}
+}
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -166,23 +166,27 @@
 	return cursor, wanted
 }
 
-// Since answers a peer's question; beats says whether it needs to be told of beats.
-func (r *Registry) Since(cursor Cursor, wanted []ident.EngineID, beats bool) (difference Difference) {
-	if cursor.Life == r.life && !beats && len(wanted) == 0 && cursor.Whole >= r.newest.Load() {
+// Since answers a peer's question.
+func (r *Registry) Since(question Question) (difference Difference) {
+	newest := r.newest.Load()
+	if question.Kind == UrgentOnly {
+		newest = r.urgent.Load()
+	}
+	if question.Life == r.life && question.Kind != WithBeats && len(question.Wanted) == 0 && question.Cursor.Whole >= newest {
 		// Nothing is new, so the actor need not be woken.
-		return Difference{Cursor: cursor}
+		return Difference{Cursor: question.Cursor}
 	}
-	r.ask(func(clock.Mark) { difference = r.core.Since(cursor, wanted, beats, mostRecords) })
+	r.ask(func(clock.Mark) { difference = r.core.Since(question, mostRecords) })
 	return difference
 }
 
 // Learn takes what a peer told, and returns when it is in the view.
-func (r *Registry) Learn(peer string, difference Difference) {
+func (r *Registry) Learn(peer string, difference Difference, asked []ident.EngineID) {
 	if len(difference.Records) == 0 && !difference.Afresh {
-		r.box.Send(func(now clock.Mark) { r.core.Learn(now, peer, difference) })
+		r.box.Send(func(now clock.Mark) { r.core.Learn(now, peer, difference, asked) })
 		return
 	}
-	r.ask(func(now clock.Mark) { r.core.Learn(now, peer, difference) })
+	r.ask(func(now clock.Mark) { r.core.Learn(now, peer, difference, asked) })
 }
 
 // Saw notes how much of this daemon's changes a peer has.
--- a/process/registry/size_test.go
+++ b/process/registry/size_test.go
@@ -101,16 +101,16 @@
 			b.ReportAllocs()
 			size := 0
 			for b.Loop() {
-				size = encoded(b, c.Since(Cursor{}, nil, false, engines).Records)
+				size = encoded(b, c.Since(Question{Cursor: Cursor{}}, engines).Records)
 			}
 			b.ReportMetric(float64(size)/float64(engines), "bytes/engine")
 		})
 		b.Run(fmt.Sprint("learn all of ", engines, " engines"), func(b *testing.B) {
-			all := fullCore(engines).Since(Cursor{}, nil, false, engines)
+			all := fullCore(engines).Since(Question{Cursor: Cursor{}}, engines)
 			b.ReportAllocs()
 			for b.Loop() {
 				c := NewCore("other", false, beatEvery, 0)
-				c.Learn(1, "peer", all)
+				c.Learn(1, "peer", all, nil)
 				c.View()
 			}
 		})
@@ -118,7 +118,11 @@
 	for _, what := range []string{"word", "plan", "beat"} {
 		b.Run("one "+what, func(b *testing.B) {
 			c := fullCore(1400)
-			seen := c.Since(Cursor{}, nil, true, 1400).Cursor
+			kind := Everything
+			if what == "beat" {
+				kind = WithBeats
+			}
+			seen := c.Since(Question{Cursor: Cursor{}, Kind: WithBeats}, 1400).Cursor
 			switch what {
 			case "word":
 				word := wordOf(7, 2)
@@ -131,7 +135,7 @@
 			}
 			size := 0
 			for b.Loop() {
-				size = encoded(b, c.Since(seen, nil, what == "beat", 1400).Records)
+				size = encoded(b, c.Since(Question{Cursor: seen, Kind: kind}, 1400).Records)
 			}
 			b.ReportMetric(float64(size), "bytes")
 		})
--- a/process/registry/wire.go
+++ b/process/registry/wire.go
@@ -28,14 +28,8 @@
 			row.LeaveMs, row.ColdMs, row.Phase, row.Models = word.LeaveMs, word.ColdMs, word.Phase, encodeHeld(word.Models)
 		}
 		if plan := r.Plan; plan != nil {
-			row.Plan = &fellowapi.EnginePlan{Claim: uint64(plan.Claim), Turn: plan.Turn, Models: encodeHeld(plan.Models), ModelsKnown: plan.Models != nil,
-				Active: int64(plan.Active), Queued: int64(plan.Queued), MemoryUsed: plan.MemoryUsed, Memory: plan.Memory, ToldMsAgo: msSince(now, plan.Told)}
-			for _, target := range plan.Retiring {
-				row.Plan.Retiring = append(row.Plan.Retiring, &fellowapi.PlanTarget{Model: target.Model, Adapter: target.Adapter})
-			}
-			for _, coming := range plan.Coming {
-				row.Plan.Coming = append(row.Plan.Coming, &fellowapi.PlanTarget{Model: coming.Model, Adapter: coming.Adapter, ReadyMs: -msSince(now, coming.Ready)})
-			}
+			row.Plan = encodePlan(now, plan, r.Part)
+			row.Plan.Digest = r.PlanDigest
 		}
 		out = append(out, row)
 	}
@@ -56,23 +50,47 @@
 				Leaving: row.Leaving, LeaveMs: row.LeaveMs, ColdMs: row.ColdMs, Phase: row.Phase, Models: decodeHeld(row.Models), CallSeq: row.CallSeq}
 		}
 		if plan := row.Plan; plan != nil {
-			r.Plan = &Plan{Claim: ident.ClaimNumber(plan.Claim), Turn: plan.Turn, Active: int(plan.Active), Queued: int(plan.Queued),
-				MemoryUsed: plan.MemoryUsed, Memory: plan.Memory, Told: msAgo(told, max(0, plan.ToldMsAgo))}
-			if plan.ModelsKnown {
-				r.Plan.Models = decodeHeld(plan.Models)
-			}
-			for _, target := range plan.Retiring {
-				r.Plan.Retiring = append(r.Plan.Retiring, Target{target.Model, target.Adapter})
-			}
-			for _, target := range plan.Coming {
-				r.Plan.Coming = append(r.Plan.Coming, Coming{Target{target.Model, target.Adapter}, msAgo(told, -target.ReadyMs)})
-			}
+			r.Plan, r.Part, r.PlanDigest = decodePlan(told, plan), PlanPart(plan.Part), plan.Digest
 		}
 		out = append(out, r)
 	}
 	return out
 }
 
+func encodePlan(now clock.Mark, plan *Plan, part PlanPart) *fellowapi.EnginePlan {
+	out := &fellowapi.EnginePlan{Claim: uint64(plan.Claim), Turn: plan.Turn, Part: int64(part)}
+	if part == HeadOnly {
+		return out
+	}
+	out.Active, out.Queued, out.MemoryUsed, out.Memory, out.ToldMsAgo = int64(plan.Active), int64(plan.Queued), plan.MemoryUsed, plan.Memory, msSince(now, plan.Told)
+	if part == LoadsOnly {
+		return out
+	}
+	out.Models, out.ModelsKnown = encodeHeld(plan.Models), plan.Models != nil
+	for _, target := range plan.Retiring {
+		out.Retiring = append(out.Retiring, &fellowapi.PlanTarget{Model: target.Model, Adapter: target.Adapter})
+	}
+	for _, coming := range plan.Coming {
+		out.Coming = append(out.Coming, &fellowapi.PlanTarget{Model: coming.Model, Adapter: coming.Adapter, ReadyMs: -msSince(now, coming.Ready)})
+	}
+	return out
+}
+
+func decodePlan(told clock.Mark, plan *fellowapi.EnginePlan) *Plan {
+	out := &Plan{Claim: ident.ClaimNumber(plan.Claim), Turn: plan.Turn, Active: int(plan.Active), Queued: int(plan.Queued),
+		MemoryUsed: plan.MemoryUsed, Memory: plan.Memory, Told: msAgo(told, max(0, plan.ToldMsAgo))}
+	if plan.ModelsKnown {
+		out.Models = decodeHeld(plan.Models)
+	}
+	for _, target := range plan.Retiring {
+		out.Retiring = append(out.Retiring, Target{target.Model, target.Adapter})
+	}
+	for _, target := range plan.Coming {
+		out.Coming = append(out.Coming, Coming{Target{target.Model, target.Adapter}, msAgo(told, -target.ReadyMs)})
+	}
+	return out
+}
+
 func encodeHeld(models []Held) []*fellowapi.HeldModel {
 	out := make([]*fellowapi.HeldModel, 0, len(models))
 	for _, held := range models {
--- a/process/registry/word.go
+++ b/process/registry/word.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"hash"
 	"hash/fnv"
 	"slices"
 )
@@ -26,22 +27,41 @@
 	return word
 }
 
-// digestOf stands for all of a word that is worth telling: not its number, nor the count-down of its slow start.
-func digestOf(word Word) uint64 {
-	sum := fnv.New64a()
+// digest sums up what is put into it.
+type digest struct{ hash.Hash64 }
+
+func newDigest() digest { return digest{fnv.New64a()} }
+
+func (d digest) count(n uint64) {
 	var number [8]byte
-	count := func(n uint64) {
-		binary.LittleEndian.PutUint64(number[:], n)
-		sum.Write(number[:])
-	}
-	text := func(s string) {
-		count(uint64(len(s)))
-		sum.Write([]byte(s))
+	binary.LittleEndian.PutUint64(number[:], n)
+	d.Write(number[:])
+}
+
+func (d digest) text(s string) {
+	d.count(uint64(len(s)))
+	d.Write([]byte(s))
+}
+
+func (d digest) held(models []Held) {
+	d.count(uint64(len(models)))
+	for _, held := range models {
+		d.text(held.Model)
+		d.count(held.Generation)
+		d.count(uint64(len(held.Adapters)))
+		for _, adapter := range held.Adapters {
+			d.text(adapter)
+		}
 	}
+}
+
+// digestOf stands for all of a word that is worth telling: not its number, nor the count-down of its slow start.
+func digestOf(word Word) uint64 {
+	d := newDigest()
 	for _, s := range []string{string(word.ID), word.Pool, word.Address, string(word.Zone), word.Software, word.Phase} {
-		text(s)
+		d.text(s)
 	}
-	count(uint64(word.Slots))
+	d.count(uint64(word.Slots))
 	leaving := uint64(0)
 	if word.Leaving {
 		leaving = 1
@@ -50,17 +70,30 @@
 		// The time left runs down with each beat; that there is so little is what counts.
 		leaving = 2
 	}
-	count(leaving)
-	count(uint64(len(word.Models)))
-	for _, held := range word.Models {
-		text(held.Model)
-		count(held.Generation)
-		count(uint64(len(held.Adapters)))
-		for _, adapter := range held.Adapters {
-			text(adapter)
-		}
+	d.count(leaving)
+	d.held(word.Models)
+	return d.Sum64()
+}
+
+// digestOfPlan stands for what a plan says that an engine holds, and what comes and goes.
+func digestOfPlan(plan *Plan) uint64 {
+	d := newDigest()
+	known := uint64(0)
+	if plan.Models != nil {
+		known = 1
+	}
+	d.count(known)
+	d.held(plan.Models)
+	d.count(uint64(len(plan.Retiring)))
+	for _, target := range plan.Retiring {
+		d.text(target.Model)
+		d.text(target.Adapter)
+	}
+	for _, coming := range plan.Coming {
+		d.text(coming.Model)
+		d.text(coming.Adapter)
 	}
-	return sum.Sum64()
+	return d.Sum64()
 }
 
 // sameButModels says whether two words differ at most in what is held, and in the count-down of a slow start.
