--- a/process/poolplacement/demand.go
+++ b/process/poolplacement/demand.go
@@ -33,7 +33,9 @@
 	rank             int
 	// slow is the rate of requests over a longer time, heldSlow the smoothed number held.
 	slow, heldSlow float64
-	last           clock.Mark
+	// debt is how many requests came while it stood nowhere.
+	debt float64
+	last clock.Mark
 }
 
 // rate is how often it is asked for, by the present or by the longer past.
@@ -123,3 +125,12 @@
 	}
 	return now.Since(a.last) > forgetAfter
 }
+
+// owe counts the requests that come while what they ask for stands nowhere; once it stands, nothing is owed.
+func (a *ask) owe(stands bool, since time.Duration) {
+	if stands {
+		a.debt = 0
+		return
+	}
+	a.debt += a.arrivals * since.Seconds()
+}
--- a/process/poolplacement/plan.go
+++ b/process/poolplacement/plan.go
@@ -176,11 +176,12 @@
 	p.adopt(in.Section)
 	p.meet(in)
 	p.hear(in)
+	since := in.Now.Since(p.stepped)
 	p.stepped = in.Now
 	p.Lacks = p.Lacks[:0]
 	var orders []Order
 	for _, name := range slices.Sorted(maps.Keys(p.pools)) {
-		s := p.survey(in.Now, p.pools[name])
+		s := p.survey(in.Now, since, p.pools[name])
 		orders = append(orders, s.advance()...)
 		orders = append(orders, s.serveAdapters()...)
 		orders = append(orders, s.serveModels()...)
--- a/process/poolplacement/plan_test.go
+++ b/process/poolplacement/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -30,11 +31,11 @@
 }
 
 // zipf asks for a few models much and for many little; which are which moves with the shift.
-func zipf(f *fakeFleet, perSecond float64, shift func(now clock.Mark) int) {
+func zipf(f *fakeFleet, perSecond, power float64, shift func(now clock.Mark) int) {
 	total := 0.0
 	weights := make([]float64, len(f.truth.Models))
 	for i := range weights {
-		weights[i] = 1 / float64(i+1)
+		weights[i] = math.Pow(float64(i+1), -power)
 		total += weights[i]
 	}
 	f.rate = func(now clock.Mark) (float64, func() (registry.Target, *fakeRequest)) {
@@ -94,7 +95,7 @@
 	for seed := range seeds(3) {
 		f := newFleet(seed, sharedCatalogue(), 9)
 		f.run(10 * time.Second)
-		zipf(f, 45, func(now clock.Mark) int { return int(now/clock.Mark(20*time.Second)) * 5 })
+		zipf(f, 45, 1, func(now clock.Mark) int { return int(now/clock.Mark(20*time.Second)) * 5 })
 		f.run(60 * time.Second)
 		t.Log(f.summary())
 		for _, fault := range f.faults {
@@ -140,7 +141,7 @@
 	if change != nil {
 		change(f)
 	}
-	zipf(f, 45, func(now clock.Mark) int { return int(now/clock.Mark(15*time.Second)) * 5 })
+	zipf(f, 45, 1, func(now clock.Mark) int { return int(now/clock.Mark(15*time.Second)) * 5 })
 	for end := f.now + clock.Mark(90*time.Second); f.now < end; {
 		f.trouble(random)
 		f.step()
--- a/process/poolplacement/serve.go
+++ b/process/poolplacement/serve.go
@@ -12,10 +12,24 @@
 )
 
 const (
-	// heldWeight is how many requests a second one held request counts for.
-	heldWeight = 0.5
-	// dearer is by how much something must be worth more than what makes way for it.
-	dearer = 1.3
+	// heldWeight is how many requests a second one held request counts for. It is little: what was held when a
+	// load began comes late, and a load pays by what comes after.
+	heldWeight = 0.05
+	// debtWeight is the same of each request that came while what it asks for stood nowhere, so that all get a turn.
+	debtWeight = 0.1
+	// useWeight is the same of each that runs, or waits, at what would have to go.
+	useWeight = 0.5
+	// queueWeight is the same of each that is held though what it asks for stands somewhere.
+	queueWeight = 0.25
+	// above is from which share of what is fair one copy counts as too much asked for; below is up to which
+	// the copies that stay must come out for one to count as too many.
+	above, below = 1.2, 0.7
+	// secondCopy is what a second copy is worth of all that is asked for, against the loss of an engine.
+	secondCopy = 0.02
+	// dearer is by how much something must be worth more than what makes way for it, loadPrice what it must be
+	// worth besides, in requests a second, since it may have to come back.
+	dearer    = 1.4
+	loadPrice = 0.15
 	// leastGain is what a load that nobody waits for must gain, in requests a second, to pay its price.
 	leastGain = 0.015
 	// leastAdapterGain is the same of an adapter, whose order is cheap.
@@ -28,8 +42,10 @@
 
 // survey is one pool as a step looks at it.
 type survey struct {
-	p       *Planner
-	now     clock.Mark
+	p   *Planner
+	now clock.Mark
+	// since is how long ago the step before was.
+	since   time.Duration
 	pool    *pool
 	asks    *asks
 	engines []*engine
@@ -39,13 +55,15 @@
 	adapterCopies map[registry.Target][]*engine
 	// fair is the tokens a second that each engine would have if all had the same.
 	fair float64
+	// running is the same of requests that run or wait.
+	running float64
 	// loading counts the loads of models under way, intents those that are being made ready for.
 	loading, intents int
 	meanHeat         float64
 }
 
-func (p *Planner) survey(now clock.Mark, made *pool) *survey {
-	s := &survey{p: p, now: now, pool: made, asks: p.asks[made.name], copies: map[string][]*engine{}, adapterCopies: map[registry.Target][]*engine{}}
+func (p *Planner) survey(now clock.Mark, since time.Duration, made *pool) *survey {
+	s := &survey{p: p, now: now, since: since, pool: made, asks: p.asks[made.name], copies: map[string][]*engine{}, adapterCopies: map[registry.Target][]*engine{}}
 	if s.asks == nil {
 		s.asks = &asks{}
 	}
@@ -69,6 +87,9 @@
 		s.meanHeat += e.heat
 		s.count(e)
 	}
+	for _, a := range s.asks.models {
+		s.running += float64(a.running+a.held) / float64(max(1, usable))
+	}
 	if usable > 0 {
 		s.fair, s.meanHeat = s.asks.tokens/float64(usable), s.meanHeat/float64(usable)
 	}
@@ -116,7 +137,9 @@
 }
 
 // strain says how much it matters that load is uneven: little while engines are mostly idle.
-func strain(heat float64) float64 { return math.Pow(min(1, heat/0.4), 1.5) }
+func strain(heat float64) float64 {
+	return math.Pow(min(1, heat/0.4), 1.5)
+}
 
 func meanHeat(copies []*engine) float64 {
 	total := 0.0
@@ -126,17 +149,36 @@
 	return total / float64(max(1, len(copies)))
 }
 
+// press says how hard a model's copies are pressed: the share of their places that are taken, by their
+// reports or, sooner, by what is known to run and wait there.
+func (s *survey) press(a *ask, copies []*engine) float64 {
+	slots := 0
+	for _, e := range copies {
+		slots += e.slots
+	}
+	return max(meanHeat(copies), float64(a.running+a.held)/float64(max(1, slots)))
+}
+
+// uneven says how far the share of one copy of so many is above what is fair, by what arrives and by what runs.
+func (s *survey) uneven(a *ask, copies int, from float64) float64 {
+	over := s.over(a.tokens, copies, from)
+	if s.running > 0 {
+		over = max(over, min(1, max(0, float64(a.running+a.held)/(float64(copies)*s.running)-from)))
+	}
+	return over
+}
+
 // gain is what one more copy would bring, in requests a second; urgent says that somebody waits for it.
 func (s *survey) gain(a *ask, copies []*engine) (gain float64, urgent bool) {
 	if len(copies) == 0 {
-		gain = a.rate() + heldWeight*float64(a.held)*(1+a.oldest.Seconds())
+		gain = a.rate() + heldWeight*float64(a.held) + debtWeight*a.debt
 		return gain, a.held > 0 || a.arrivals > 0.05
 	}
 	// Some copy stands or is on its way: one more helps as far as those are overloaded.
-	gain = a.rate()*s.over(a.tokens, len(copies), 1.1)*strain(meanHeat(copies)) + 0.5*heldWeight*max(0, a.heldSlow-1)*strain(meanHeat(copies))
+	gain = a.rate()*s.uneven(a, len(copies), above)*strain(s.press(a, copies)) + queueWeight*max(0, a.heldSlow-1)*strain(s.press(a, copies))
 	if len(copies) == 1 {
 		// With a second copy no crash of one engine leaves nobody.
-		gain = max(gain, 0.02*a.rate())
+		gain = max(gain, secondCopy*a.rate())
 	}
 	return gain, gain > 0.5
 }
@@ -147,11 +189,11 @@
 		return 0
 	}
 	if len(copies) <= 1 {
-		return a.rate() + heldWeight*float64(a.held+a.running)
+		return a.rate() + useWeight*float64(a.held+a.running)
 	}
 	rest := len(copies) - 1
-	heat := meanHeat(copies) * float64(len(copies)) / float64(rest)
-	return a.rate()*(0.02+s.over(a.tokens, rest, 0.7)*strain(heat)) + 0.1*float64(a.running)/float64(len(copies))
+	heat := s.press(a, copies) * float64(len(copies)) / float64(rest)
+	return a.rate()*(0.02+s.uneven(a, rest, below)*strain(heat)) + 0.1*float64(a.running)/float64(len(copies))
 }
 
 // light says whether something is asked for much less than an engine's share of all.
@@ -287,6 +329,7 @@
 	var wants []want
 	for name, a := range s.asks.models {
 		copies := s.copies[name]
+		a.owe(len(copies) > 0, s.since)
 		gain, urgent := s.gain(a, copies)
 		if gain < leastGain && !urgent {
 			continue
@@ -430,7 +473,7 @@
 	if !w.urgent {
 		factor = 2
 	}
-	if cost*factor+0.02 >= w.gain {
+	if cost*factor+loadPrice >= w.gain {
 		return nil, 0, false
 	}
 	// Making room takes time, and each unload is an order.
@@ -444,6 +487,7 @@
 		if target.Adapter == "" || len(s.copies[target.Model]) == 0 {
 			continue
 		}
+		a.owe(len(s.adapterCopies[target]) > 0, s.since)
 		gain, urgent := s.gain(a, s.adapterCopies[target])
 		if gain < leastAdapterGain || len(s.adapterCopies[target]) >= len(s.copies[target.Model]) {
 			continue
