--- a/rehearsal/cmd/rehearse/main.go
+++ b/rehearsal/cmd/rehearse/main.go
@@ -24,6 +24,7 @@
 	"github.com/cresspond/cresspond/rehearsal/engine"
 	"github.com/cresspond/cresspond/rehearsal/fleet"
 	"github.com/cresspond/cresspond/rehearsal/journal"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/day"
 	"github.com/cresspond/cresspond/rehearsal/scenario"
 	"github.com/cresspond/cresspond/wire/callerapi"
 )
@@ -42,11 +43,13 @@
 		os.Exit(status)
 	})
 
-	run := app.Command("run", "Run a deployment's day with failures and judge it: small, consortium or cooperativa.")
-	runName := run.Arg("deployment", "The deployment.").Required().Enum("small", "consortium", "cooperativa")
+	run := app.Command("run", "Run a deployment's day with failures and judge it: small, consortium, cooperativa, or platform for the users' platform.")
+	runName := run.Arg("deployment", "The deployment.").Required().Enum("small", "consortium", "cooperativa", "platform")
 	runScenario := run.Flag("scenario", "What happens: "+strings.Join(scenario.Names(), ", ")+".").Default("day").Enum(scenario.Names()...)
 	runSeed := run.Flag("seed", "Seed of the run.").Default("1").Uint64()
 	runScale := run.Flag("scale", "Share of the deployment's load.").Default("1").Float64()
+	runActs := run.Flag("act", "On the users' platform: a trouble that happens; give it once for each, in order. "+strings.Join(day.Names(), ", ")+".").Enums(day.Names()...)
+	runCount := run.Flag("acts", "On the users' platform: how many troubles are drawn from the seed, where none is named.").Default("8").Int()
 	runProgram := run.Flag("cresspondd", "The daemon to run; by default the one beside this program.").String()
 	runFolder := run.Flag("folder", "Folder for logs and journals; by default a new one, removed after a run without violations.").String()
 	runKeep := run.Flag("keep", "Keep the folder.").Bool()
@@ -84,6 +87,10 @@
 	}
 	switch chosenCommand {
 	case run.FullCommand():
+		if *runName == "platform" {
+			err = rehearsePlatform(day.Options{Seed: *runSeed, Program: *runProgram, Folder: *runFolder, Acts: *runActs, Count: *runCount, Scale: *runScale}, *runKeep)
+			break
+		}
 		err = rehearse(*runName, *runScenario, *runSeed, *runScale, *runProgram, *runFolder, *runKeep, *runResult)
 	case all.FullCommand():
 		err = rehearseAll(*allSeeds, *allScale, *allProgram, *allParallel, *allScenarios)
--- /dev/null
+++ b/rehearsal/cmd/rehearse/platform.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cresspond/cresspond/rehearsal/platformkit/day"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/history"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/judge"
+)
+
+// rehearsePlatform plays a short day on the users' platform, and judges it by their rules.
+func rehearsePlatform(options day.Options, keep bool) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	if options.Program == "" {
+		options.Program = filepath.Join(filepath.Dir(self), "cresspond-platform")
+	}
+	if _, err := os.Stat(options.Program); err != nil {
+		return fmt.Errorf("the daemon cannot be run: %w", err)
+	}
+	if options.Folder == "" {
+		if options.Folder, err = os.MkdirTemp("", "rehearse-"); err != nil {
+			return err
+		}
+	}
+	options.Say = sayer()
+	fmt.Printf("the users' platform, seed %d, scale %g, folder %s\n", options.Seed, options.Scale, options.Folder)
+	h, err := day.Play(context.Background(), options)
+	if err != nil {
+		return err
+	}
+	bad := judged(h)
+	for _, log := range day.Logs(options.Folder) {
+		bad++
+		fmt.Println("  a process says in its log that something broke:", log)
+	}
+	platformFigures(h)
+	if bad > 0 {
+		return fmt.Errorf("%d rules did not hold (seed %d, folder %s)", bad, options.Seed, options.Folder)
+	}
+	if !keep {
+		return os.RemoveAll(options.Folder)
+	}
+	return nil
+}
+
+// judged prints the judge's table and says how many rules were broken.
+func judged(h *history.History) int {
+	findings := judge.Judge(h, day.Bounds)
+	bad := 0
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(out, "\nrule\tchecked\tviolations")
+	for _, finding := range findings {
+		note := ""
+		if finding.Checked == 0 {
+			note = "  not part of this day"
+		}
+		if len(finding.Violations) > 0 {
+			bad++
+		}
+		fmt.Fprintf(out, "%s\t%d\t%d%s\n", finding.Rule, finding.Checked, len(finding.Violations), note)
+	}
+	out.Flush()
+	for _, finding := range findings {
+		for place, violation := range finding.Violations {
+			if place == 5 {
+				fmt.Printf("  ... and %d more\n", len(finding.Violations)-place)
+				break
+			}
+			fmt.Printf("  %s: %s\n", finding.Rule, violation)
+		}
+	}
+	return bad
+}
+
+// platformFigures prints what is not judged.
+func platformFigures(h *history.History) {
+	type tally struct {
+		tries, served, promised, failed, cut, gaveUp int
+		first                                        []time.Duration
+	}
+	kinds := map[string]*tally{}
+	for _, try := range h.Tries {
+		count := kinds[try.Kind]
+		if count == nil {
+			count = &tally{}
+			kinds[try.Kind] = count
+		}
+		count.tries++
+		switch {
+		case try.Success():
+			count.served++
+			count.first = append(count.first, try.First.Since(try.Began))
+		case try.GaveUp:
+			count.gaveUp++
+		case try.Promise():
+			count.promised++
+		case try.Status == 0 || !try.Whole:
+			count.cut++
+		default:
+			count.failed++
+		}
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(out, "\nkind\ttries\tserved\trefused with a promise\tfailed\tcut\tgiven up\tfirst byte, median / 99 %")
+	names := []string{}
+	for name := range kinds {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		count := kinds[name]
+		slices.Sort(count.first)
+		median, most := time.Duration(0), time.Duration(0)
+		if len(count.first) > 0 {
+			median, most = count.first[len(count.first)/2], count.first[len(count.first)*99/100]
+		}
+		fmt.Fprintf(out, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%v / %v\n", name, count.tries, count.served, count.promised, count.failed, count.cut, count.gaveUp, median.Round(time.Millisecond), most.Round(time.Millisecond))
+	}
+	out.Flush()
+	arrivals, again, probes, orders, loads := map[string]int{}, 0, 0, 0, 0
+	for _, arrival := range h.Arrivals {
+		if arrival.Probe {
+			probes++
+			continue
+		}
+		if arrivals[arrival.Attempt]++; arrivals[arrival.Attempt] > 1 {
+			again++
+		}
+	}
+	for _, order := range h.Orders {
+		orders++
+		if order.Store && order.Status == 202 {
+			loads++
+		}
+	}
+	fmt.Printf("arrivals at engines %d, further ones %d, probes %d, orders %d, loads from the store %d\n", len(h.Arrivals)-probes, again, probes, orders, loads)
+}
--- /dev/null
+++ b/rehearsal/platformkit/day/acts.go
@@ -0,0 +1,378 @@
+package day
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cresspond/cresspond/rehearsal/platformkit/engine"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/fleet"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/form"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/history"
+)
+
+// act is one trouble, or piece of planned work, and the rest after it.
+type act struct {
+	name string
+	rest time.Duration
+	play func(*Day, context.Context) error
+}
+
+// Names lists the acts.
+func Names() (out []string) {
+	for _, one := range acts {
+		out = append(out, one.name)
+	}
+	return out
+}
+
+// The rest after trouble with the core is longer than contact, so that rules that need calm get some.
+var acts = []act{
+	{"engine-crash", 2 * time.Second, func(d *Day, ctx context.Context) error {
+		for _, service := range []string{"lm", "notes"} {
+			e, err := d.anyEngine(service)
+			if err != nil {
+				return err
+			}
+			e.Crash()
+			d.pause(ctx, 700*ms)
+			if err := e.Start(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
+	{"release", time.Second, func(d *Day, ctx context.Context) error {
+		for _, e := range d.of("notes") {
+			if _, err := d.newPlain(e.Config.Zone, "notes", ""); err != nil {
+				return err
+			}
+			e.Leave(0)
+			if err := d.await(ctx, "the engine has left", func() bool { return e.Current() == "" }); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
+	{"short-notice", 2 * time.Second, func(d *Day, ctx context.Context) error {
+		e, err := d.anyEngine("lm")
+		if err != nil {
+			return err
+		}
+		if _, err := d.newModel(e.Config.Zone, nil, ""); err != nil {
+			return err
+		}
+		e.Leave(1200 * ms)
+		return d.await(ctx, "the engine is gone", func() bool { return e.Current() == "" })
+	}},
+	{"address-reuse", time.Second, func(d *Day, ctx context.Context) error {
+		e, err := d.anyEngine("notes")
+		if err != nil {
+			return err
+		}
+		if _, err := d.newPlain(e.Config.Zone, "notes", ""); err != nil {
+			return err
+		}
+		e.Crash()
+		d.pause(ctx, 2*time.Second)
+		_, err = d.newPlain(e.Config.Zone, "spare", e.Config.Address)
+		return err
+	}},
+	{"engine-freeze", 2 * time.Second, func(d *Day, ctx context.Context) error {
+		e, err := d.anyEngine("lm")
+		if err != nil {
+			return err
+		}
+		e.Freeze()
+		d.pause(ctx, 3*time.Second)
+		e.Thaw()
+		return nil
+	}},
+	{"engine-faults", time.Second, func(d *Day, ctx context.Context) error {
+		faults := []engine.Fault{{Kind: engine.Break, At: 20}, {Kind: engine.Break, At: 320, Reset: true}, {Kind: engine.Break, At: 500}, {Kind: engine.Surplus}, {Kind: engine.LateSurplus},
+			{Kind: engine.Junk}, {Kind: engine.Foreign}, {Kind: engine.NoID}, {Kind: engine.Own, Status: 500}, {Kind: engine.Unread}}
+		for _, service := range []string{"lm", "notes"} {
+			for _, e := range d.of(service) {
+				e.FaultEach(func(string) *engine.Fault {
+					if at := d.draw(12 * len(faults)); at < len(faults) {
+						return &faults[at]
+					}
+					return nil
+				})
+				defer e.FaultEach(nil)
+			}
+		}
+		d.pause(ctx, 4*time.Second)
+		return nil
+	}},
+	{"edge-kill", 2 * time.Second, func(d *Day, ctx context.Context) error { return d.bounce(ctx, d.any(fleet.Edge)) }},
+	{"edge-freeze", 2 * time.Second, func(d *Day, ctx context.Context) error { return d.freeze(ctx, d.any(fleet.Edge)) }},
+	{"edge-stop", time.Second, func(d *Day, ctx context.Context) error {
+		m := d.any(fleet.Edge)
+		if d.Fleet.Stop(m) {
+			return fmt.Errorf("%s did not end within its grace", m.Name)
+		}
+		d.pause(ctx, 300*ms)
+		return d.Fleet.Again(m)
+	}},
+	{"core-kill", 4 * time.Second, func(d *Day, ctx context.Context) error { return d.bounce(ctx, d.any(fleet.Core)) }},
+	{"core-freeze", 4 * time.Second, func(d *Day, ctx context.Context) error { return d.freeze(ctx, d.any(fleet.Core)) }},
+	{"core-roll", 4 * time.Second, func(d *Day, ctx context.Context) error {
+		for _, m := range d.Fleet.Of(fleet.Core) {
+			if d.Fleet.Stop(m) {
+				return fmt.Errorf("%s did not end within its grace", m.Name)
+			}
+			d.pause(ctx, 300*ms)
+			if err := d.Fleet.Again(m); err != nil {
+				return err
+			}
+			d.pause(ctx, 4*time.Second)
+		}
+		return nil
+	}},
+	{"core-wipe", 5 * time.Second, func(d *Day, ctx context.Context) error {
+		m := d.any(fleet.Core)
+		d.Fleet.Kill(m)
+		if err := d.Fleet.Wipe(m); err != nil {
+			return err
+		}
+		d.pause(ctx, 300*ms)
+		return d.Fleet.Again(m)
+	}},
+	{"core-replace", 5 * time.Second, func(d *Day, _ context.Context) error {
+		_, err := d.Fleet.Replace(d.any(fleet.Core))
+		return err
+	}},
+	{"core-herd", 5 * time.Second, func(d *Day, ctx context.Context) error {
+		for _, m := range d.Fleet.Of(fleet.Core) {
+			d.Fleet.Kill(m)
+		}
+		d.pause(ctx, 300*ms)
+		for _, m := range d.Fleet.Of(fleet.Core) {
+			if err := d.Fleet.Again(m); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
+	{"reload", time.Second, func(d *Day, _ context.Context) error {
+		for _, m := range append(d.Fleet.Of(fleet.Edge), d.Fleet.Of(fleet.Core)...) {
+			if err := d.Fleet.Reload(m); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
+	{"config-change", time.Second, func(d *Day, ctx context.Context) error { return d.change(ctx) }},
+	{"config-race", time.Second, func(d *Day, ctx context.Context) error { return d.race(ctx) }},
+	{"config-bad", 0, func(d *Day, ctx context.Context) error { return d.bad(ctx) }},
+	{"config-lost-answers", time.Second, func(d *Day, ctx context.Context) error {
+		d.one.LoseAnswers = 0.6
+		defer func() { d.one.LoseAnswers = 0 }()
+		return d.change(ctx)
+	}},
+	{"model-shift", 3 * time.Second, func(d *Day, _ context.Context) error {
+		d.mutex.Lock()
+		d.favourite += 3
+		d.mutex.Unlock()
+		return nil
+	}},
+	{"burst", 3 * time.Second, func(d *Day, ctx context.Context) error {
+		d.hurry(5)
+		defer d.hurry(1)
+		d.pause(ctx, 2*time.Second)
+		return nil
+	}},
+}
+
+func (d *Day) hurry(times float64) {
+	d.mutex.Lock()
+	d.rush = times
+	d.mutex.Unlock()
+}
+
+func (d *Day) bounce(ctx context.Context, m *fleet.Machine) error {
+	d.Fleet.Kill(m)
+	d.pause(ctx, 500*ms)
+	return d.Fleet.Again(m)
+}
+
+func (d *Day) freeze(ctx context.Context, m *fleet.Machine) error {
+	d.Fleet.Freeze(m)
+	d.pause(ctx, 2500*ms)
+	d.Fleet.Thaw(m)
+	return nil
+}
+
+// took makes a configuration the current one, as what later changes build on.
+func (d *Day) took(config *form.Config) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.current = config
+}
+
+// bounded is how long an operator follows one call before its outcome counts as unclear.
+const bounded = 20 * time.Second
+
+// change adds a route, removes an older one and moves one to another service, by a patch.
+func (d *Day) change(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, bounded)
+	defer cancel()
+	d.mutex.Lock()
+	on := d.current
+	d.mutex.Unlock()
+	patch := form.Patch{Generation: on.Generation + 1 + uint64(d.draw(3))}
+	label := fmt.Sprintf("added-%d", patch.Generation)
+	added := form.Route{Label: label, Authority: host, PathPrefix: "/" + label + "/", Class: form.Idempotent, DeadlineMs: 3000, TargetMs: 500, Urgency: 1, Backend: "notes", Tries: 2}
+	patch.Upsert.Routes = append(patch.Upsert.Routes, added)
+	removed := ""
+	for _, route := range on.Routes {
+		if len(route.Label) > 6 && route.Label[:6] == "added-" && removed == "" && d.draw(2) == 0 {
+			removed = route.PathPrefix
+			patch.Remove.Routes = append(patch.Remove.Routes, route.Label)
+		}
+	}
+	moved := *on.Named("note")
+	if moved.Backend != "" {
+		moved.Backend, moved.Shares = "", []form.Share{{Backend: "notes", Share: 80}, {Backend: "spare", Share: 20}}
+	} else {
+		moved.Backend, moved.Shares = "notes", nil
+	}
+	patch.Upsert.Routes = append(patch.Upsert.Routes, moved)
+	d.mutex.Lock()
+	if removed != "" {
+		// Clients stop using a route before it goes.
+		var left []string
+		for _, path := range d.added {
+			if path != removed {
+				left = append(left, path)
+			}
+		}
+		d.added, d.gone = left, append(d.gone, removed)
+	}
+	d.mutex.Unlock()
+	if removed != "" {
+		d.pause(ctx, 3*time.Second)
+	}
+	change := d.one.Patch(ctx, on, patch, "")
+	if change.Outcome != history.Acknowledged {
+		return d.resync(ctx)
+	}
+	d.took(change.Whole)
+	d.mutex.Lock()
+	d.added = append(d.added, added.PathPrefix)
+	gone := d.gone
+	d.mutex.Unlock()
+	d.pause(ctx, Bounds.Apply+100*ms)
+	d.probe(added.PathPrefix, false)
+	d.probe("/never/", true)
+	for _, path := range gone {
+		d.probe(path, true)
+	}
+	return nil
+}
+
+// resync finds out what is in force, where a change got no clear answer.
+func (d *Day) resync(ctx context.Context) error {
+	back := d.one.Get(ctx, false)
+	if back.Config == nil {
+		return errors.New("the configuration cannot be read: " + back.Err)
+	}
+	d.took(back.Config)
+	return nil
+}
+
+// race has two operators change the configuration on the same version at once.
+func (d *Day) race(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, bounded)
+	defer cancel()
+	d.mutex.Lock()
+	on := d.current
+	d.mutex.Unlock()
+	changes := make([]*history.Change, 2)
+	var done sync.WaitGroup
+	for n, o := range []interface {
+		Put(context.Context, uint64, *form.Config, string) *history.Change
+	}{d.one, d.two} {
+		next := on.Clone()
+		next.Generation = on.Generation + uint64(n) + 1
+		next.Named("mail").TargetMs = int64(500 + n)
+		// The loser's version would show: it sends notes where no other version does.
+		next.Routes = append(next.Routes, form.Route{Label: fmt.Sprintf("race-%d-%d", next.Generation, n), Authority: host, PathPrefix: fmt.Sprintf("/race-%d-%d/", next.Generation, n), Class: form.Idempotent,
+			DeadlineMs: 3000, TargetMs: 500, Urgency: 1, Backend: "spare", Tries: 2})
+		done.Add(1)
+		go func() { defer done.Done(); changes[n] = o.Put(ctx, on.Generation, next, "") }()
+	}
+	done.Wait()
+	won := 0
+	for _, change := range changes {
+		if change.Outcome == history.Acknowledged {
+			won++
+			d.took(change.Whole)
+		}
+	}
+	if won == 0 {
+		if err := d.resync(ctx); err != nil {
+			return err
+		}
+	}
+	d.pause(ctx, Bounds.Apply+100*ms)
+	for _, change := range changes {
+		route := change.Whole.Routes[len(change.Whole.Routes)-1]
+		d.probe(route.PathPrefix, change.Outcome == history.Refused)
+	}
+	return nil
+}
+
+// bad sends configurations that are invalid, one of each sort.
+func (d *Day) bad(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, bounded)
+	defer cancel()
+	d.mutex.Lock()
+	on := d.current
+	d.mutex.Unlock()
+	for _, spoil := range []func(*form.Config){
+		func(c *form.Config) { c.Generation = on.Generation },
+		func(c *form.Config) { c.Routes[0].Backend = "nobody" },
+		func(c *form.Config) { c.Routes[1].PathPrefix = c.Routes[0].PathPrefix },
+		func(c *form.Config) { c.Routes[2].DeadlineMs = 0 },
+		func(c *form.Config) {
+			c.Routes[2].Backend, c.Routes[2].Shares = "", []form.Share{{Backend: "notes"}, {Backend: "spare"}}
+		},
+	} {
+		next := on.Clone()
+		next.Generation++
+		spoil(next)
+		fault := next.Fault(on.Generation)
+		if fault == "" {
+			return errors.New("a spoilt configuration is sound")
+		}
+		d.one.Put(ctx, on.Generation, next, fault)
+	}
+	text := on.Clone().Encode()
+	d.one.PutRaw(ctx, on.Generation, on.Generation+1, text[:len(text)/2])
+	d.one.PutRaw(ctx, on.Generation, on.Generation+1, []byte("[]"))
+	return nil
+}
+
+// close acknowledges one more configuration, lets the closing fault come, and reads back what was acknowledged.
+func (d *Day) close(ctx context.Context) error {
+	d.Say("the closing fault")
+	if err := d.change(ctx); err != nil {
+		return err
+	}
+	var wiped []*fleet.Machine
+	if d.draw(2) == 0 {
+		wiped = append(wiped, d.any(fleet.Core))
+	}
+	if err := d.Fleet.CloseAll(wiped...); err != nil {
+		return err
+	}
+	d.pause(ctx, Bounds.Recovery+4*time.Second)
+	last, cancel := context.WithTimeout(ctx, bounded)
+	defer cancel()
+	d.one.Get(last, true)
+	return nil
+}
--- a/rehearsal/platformkit/engine/engine.go
+++ b/rehearsal/platformkit/engine/engine.go
@@ -617,3 +617,9 @@
 	}
 	return data
 }
+
+// Leaving says whether it has begun to leave, or is down.
+func (e *Engine) Leaving() bool {
+	l := e.living()
+	return l == nil || l.leaving.Load()
+}
