--- a/rehearsal/scale/run.go
+++ b/rehearsal/scale/run.go
@@ -98,17 +98,29 @@
 		}
 		return cost
 	}
-	if fit, err := Draw(cores, Constant, PerDaemon); err == nil {
-		value, within := fit.At(next)
-		cost.DaemonCores, cost.PeerCores = value+within, 0
+	if value, drawn := expect(cores, next); drawn {
+		cost.DaemonCores, cost.PeerCores = value, 0
 	}
-	if fit, err := Draw(memory, Constant, PerDaemon); err == nil {
-		value, within := fit.At(next)
-		cost.DaemonBytes, cost.PeerBytes, cost.ProcessBytes = value+within, 0, 0
+	if value, drawn := expect(memory, next); drawn {
+		cost.DaemonBytes, cost.PeerBytes, cost.ProcessBytes = value, 0, 0
 	}
 	return cost
 }
 
+// expect draws points on to the next step, and gives the upper end of what may be; never less than was measured.
+func expect(points []Point, next Size) (value float64, drawn bool) {
+	fit, err := Draw(points, Constant, PerDaemon)
+	if err != nil {
+		return 0, false
+	}
+	value, within := fit.At(next)
+	value += within
+	for _, point := range points {
+		value = max(value, point.Value)
+	}
+	return value, true
+}
+
 // step is one size that is being played.
 type step struct {
 	Options
--- a/rehearsal/scale/scale_test.go
+++ b/rehearsal/scale/scale_test.go
@@ -87,6 +87,12 @@
 	if got.DaemonCores < 0.1 || got.DaemonCores > 0.13 || got.PeerCores != 0 {
 		t.Errorf("two sizes give %g a daemon at 100", got.DaemonCores)
 	}
+	// Memory that seems to fall with the fleet is not drawn on to less than there was.
+	falling := append(two, row(60, 0.06))
+	falling[0].Kinds = map[Kind]Each{Hollow: {Cores: 0.01, Resident: 40}}
+	if least := costBy(falling, Size{Daemons: 370, Engines: 100}).DaemonBytes; least < 40<<20 {
+		t.Errorf("%g bytes a daemon are expected, and one took 40 MB", least)
+	}
 	cut := row(60, 9)
 	cut.Phase = PhaseRefused
 	if again := costBy(append(two, cut), Size{Daemons: 100, Engines: 100}); again != got {
