--- a/rehearsal/scale/run.go
+++ b/rehearsal/scale/run.go
@@ -26,6 +26,8 @@
 	LoadMoves time.Duration
 	Folder    string
 	Beat      time.Duration
+	// StartPace is how many hollow daemons are started a second; zero starts all at once.
+	StartPace float64
 	Windows   int
 	Window    time.Duration
 	// Engines are the numbers of engines tried in turn in each step.
