--- a/process/poolplacement/demand.go
+++ b/process/poolplacement/demand.go
@@ -11,6 +11,9 @@
 const (
 	// slowSpan is over how long the rate is smoothed by which something stays where it is.
 	slowSpan = 40 * time.Second
+	// rankWeight is how much more one rank counts than the next, for no more than mostBehind ranks.
+	rankWeight = 1.5
+	mostBehind = 3
 	// heldSpan is over how long held requests are smoothed where some engine could serve them.
 	heldSpan = 700 * time.Millisecond
 	// forgetAfter is how long after the last request something is forgotten.
@@ -31,6 +34,10 @@
 	tokens, arrivals float64
 	oldest           time.Duration
 	rank             int
+	// behind is by how many ranks it is less urgent than the most urgent path of the pool, heard that the newest
+	// demand named it.
+	behind int
+	heard  bool
 	// slow is the rate of requests over a longer time, heldSlow the smoothed number held.
 	slow, heldSlow float64
 	// debt is how many requests came while it stood nowhere.
@@ -38,18 +45,19 @@
 	last clock.Mark
 }
 
-// rate is how often it is asked for, by the present or by the longer past.
+// rate is how often it is asked for, by the present or by the longer past; what is more urgent counts for more.
 func (a *ask) rate() float64 {
 	if a == nil {
 		return 0
 	}
-	return max(a.slow, a.arrivals)
+	return max(a.slow, a.arrivals) * math.Pow(rankWeight, float64(1-min(a.behind, mostBehind)))
 }
 
 func (a *ask) add(d Demand) {
-	if d.Held > 0 && (a.held == 0 || d.Rank < a.rank) {
+	if !a.heard || d.Rank < a.rank {
 		a.rank = d.Rank
 	}
+	a.heard = true
 	a.held += d.Held
 	a.running += d.Running
 	a.tokens += d.Tokens
@@ -62,10 +70,10 @@
 	for _, pool := range p.asks {
 		pool.tokens, pool.arrivals = 0, 0
 		for _, a := range pool.models {
-			a.held, a.running, a.tokens, a.arrivals, a.oldest = 0, 0, 0, 0, 0
+			a.heard, a.held, a.running, a.tokens, a.arrivals, a.oldest = false, 0, 0, 0, 0, 0
 		}
 		for _, a := range pool.adapters {
-			a.held, a.running, a.tokens, a.arrivals, a.oldest = 0, 0, 0, 0, 0
+			a.heard, a.held, a.running, a.tokens, a.arrivals, a.oldest = false, 0, 0, 0, 0, 0
 		}
 	}
 	for _, demand := range in.Demand {
@@ -86,6 +94,7 @@
 			pool.models[demand.Model] = model
 		}
 		model.add(demand)
+		model.behind = model.rank - min(model.rank, made.urgent)
 		if demand.Adapter == "" {
 			continue
 		}
@@ -96,6 +105,7 @@
 			pool.adapters[target] = adapter
 		}
 		adapter.add(demand)
+		adapter.behind = adapter.rank - min(adapter.rank, made.urgent)
 	}
 	since := in.Now.Since(p.stepped)
 	slow, quick := share(since, slowSpan), share(since, heldSpan)
--- a/process/poolplacement/plan.go
+++ b/process/poolplacement/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -62,6 +63,8 @@
 	models    map[string]*forward.Model
 	// most is how many loads may begin within a window, atOnce how many the store serves at full speed.
 	most, atOnce int
+	// urgent is the rank of the most urgent path that leads here.
+	urgent int
 }
 
 // flight is an order that no report has settled yet.
@@ -189,6 +192,17 @@
 	return orders
 }
 
+// mostUrgent is the lowest rank of the paths that lead to a pool.
+func mostUrgent(section *forward.Section, pool string) int {
+	urgent := math.MaxInt
+	for i := range section.Paths {
+		if slices.ContainsFunc(section.Paths[i].Shares, func(share forward.Share) bool { return share.Pool == pool }) {
+			urgent = min(urgent, section.Paths[i].Rank)
+		}
+	}
+	return urgent
+}
+
 // adopt takes up a bundle's catalogues.
 func (p *Planner) adopt(section *forward.Section) {
 	if p.section == section {
@@ -211,6 +225,7 @@
 		}
 		// What the store keeps up with, by its pace and the time of a load, is what it serves at full speed.
 		made.atOnce = max(1, int(catalogue.LoadsPerSecond*total/float64(len(catalogue.Models))+0.5))
+		made.urgent = mostUrgent(section, made.name)
 		pools[made.name] = made
 		if slowest == 0 || catalogue.LoadsPerSecond < slowest {
 			slowest = catalogue.LoadsPerSecond
--- /dev/null
+++ b/process/poolplacement/rank_test.go
@@ -0,0 +1,30 @@
+package poolplacement
+
+import (
+	"testing"
+
+	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/process/registry"
+)
+
+// What is asked for by more urgent paths counts for more, and is never kept waiting for being rare.
+func TestUrgentDemandCountsForMore(t *testing.T) {
+	catalogue := &forward.Catalogue{RoomMb: 100, LoadsPerSecond: 1, Models: []forward.Model{{Name: "urgent", SizeMb: 10, LoadMs: 1000}, {Name: "patient", SizeMb: 10, LoadMs: 1000}}}
+	shares := []forward.Share{{Pool: "pool", Weight: 1}}
+	section := &forward.Section{Pools: []forward.Pool{{Name: "pool", Catalogue: catalogue}},
+		Paths: []forward.Path{{Name: "a", Rank: 3, Shares: shares}, {Name: "b", Rank: 5, Shares: shares}}}
+	planner := NewPlanner(DefaultSettings("x", fakeLease), 1)
+	in := Input{Now: 2, Section: section, View: &registry.View{}, Demand: []Demand{
+		{Pool: "pool", Model: "urgent", Arrivals: 1, Rank: 3}, {Pool: "pool", Model: "patient", Arrivals: 1, Rank: 5},
+		{Pool: "pool", Model: "patient", Arrivals: 0, Rank: 4}}}
+	planner.adopt(section)
+	planner.hear(in)
+	asked := planner.asks["pool"].models
+	if urgent, patient := asked["urgent"], asked["patient"]; urgent.behind != 0 || patient.behind != 1 || urgent.rate() <= patient.rate() {
+		t.Fatalf("the most urgent paths lead the pool by rank 3: %+v, %+v", urgent, patient)
+	}
+	s := &survey{asks: &asks{arrivals: 90}, engines: make([]*engine, 9)}
+	if s.light(asked["urgent"]) || !s.light(asked["patient"]) {
+		t.Fatal("of two that few ask for, only the less urgent one takes its turn")
+	}
+}
--- a/process/poolplacement/serve.go
+++ b/process/poolplacement/serve.go
@@ -196,9 +196,10 @@
 	return a.rate()*(0.02+s.uneven(a, rest, below)*strain(heat)) + 0.1*float64(a.running)/float64(len(copies))
 }
 
-// light says whether something is asked for much less than an engine's share of all.
+// light says whether something is asked for much less than an engine's share of all, and is not of the most
+// urgent kind.
 func (s *survey) light(a *ask) bool {
-	return a.rate()+float64(a.held)/4 < s.asks.arrivals/float64(4*max(1, len(s.engines)))
+	return a.behind > 0 && a.rate()+float64(a.held)/4 < s.asks.arrivals/float64(4*max(1, len(s.engines)))
 }
 
 // want is one model or adapter that should stand on one more engine.
