--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -37,6 +37,7 @@
 	"github.com/cresspond/cresspond/process/seats"
 	"github.com/cresspond/cresspond/process/snowflake"
 	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/process/wants"
 	"github.com/cresspond/cresspond/request/dispatch"
 	"github.com/cresspond/cresspond/wire/callerapi"
 	"github.com/cresspond/cresspond/wire/fellowapi"
@@ -103,7 +104,9 @@
 	heldLacks           atomic.Pointer[heldLacks]
 
 	fleetMutex sync.Mutex
-	fleetWants map[ident.NodeID]fleetWant
+	fleetWants map[ident.NodeID]*wants.Heard
+	// wants tells whoever plans what is asked for here.
+	wants wants.Teller
 
 	// stallLimit is how long the next piece of a stream is waited for, runOver how long one may outlast its deadline.
 	stallLimit, runOver time.Duration
@@ -129,13 +132,6 @@
 	Handle(ctx *fasthttp.RequestCtx) bool
 }
 
-// fleetWant is what another daemon last said it holds and has seated.
-type fleetWant struct {
-	heard  clock.Mark
-	demand []*fellowapi.Demand
-	seats  []*fellowapi.Seat
-}
-
 type heardLacks struct {
 	heard clock.Mark
 	waits map[dispatch.Wanted]time.Duration
@@ -187,7 +183,7 @@
 		nodeID:        ident.NodeID(c.Name + "#" + hex.EncodeToString(life[:])),
 		replicaConfig: replica.DefaultConfig(), adopted: make(chan ident.GroupID, 1), broken: make(chan error, 4), unreadyTold: make(chan struct{}, 8),
 		applying: make(chan struct{}, 1), applyLimit: applyLimit, applyReach: applyReach,
-		fleetWants: map[ident.NodeID]fleetWant{}, home: seats.NewHome(), aroundDisk: func(disk replica.Disk) replica.Disk { return disk }, stallLimit: stallLimit, runOver: runOver,
+		fleetWants: map[ident.NodeID]*wants.Heard{}, home: seats.NewHome(), aroundDisk: func(disk replica.Disk) replica.Disk { return disk }, stallLimit: stallLimit, runOver: runOver,
 	}
 	d.replicaConfig.Voters = c.Voters
 	d.log = logger.WithField("node", string(d.nodeID))
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -473,21 +473,29 @@
 	return request
 }
 
-// Wants adds what this daemon holds and asks for, for whoever plans; it says whether anything waits.
-func (d *Daemon) Wants(request *fellowapi.PullRequest) (waits bool) {
+// Wants adds what this daemon holds and asks for, for whoever plans; it says whether anything waits. Where only
+// what waits is worth a question, nothing is added if nothing does.
+func (d *Daemon) Wants(request *fellowapi.PullRequest, onlyWaiting bool) (waits bool) {
 	if !d.config.Serves(config.Route) {
 		return false
 	}
-	request.Wants = true
+	var all []*fellowapi.Demand
+	var seated []*fellowapi.Seat
 	snapshot := d.dispatch.Snapshot()
 	for _, demand := range snapshot.Demands {
-		request.Demand = append(request.Demand, &fellowapi.Demand{Model: demand.Model, Adapter: demand.Adapter, Worth: demand.Worth, Held: int64(demand.Held), Running: int64(demand.Running)})
+		all = append(all, &fellowapi.Demand{Model: demand.Model, Adapter: demand.Adapter, Worth: demand.Worth, Held: int64(demand.Held), Running: int64(demand.Running)})
 	}
-	request.Demand = append(request.Demand, d.forwardDemands()...)
+	all = append(all, d.forwardDemands()...)
 	for _, seat := range snapshot.Seats {
-		request.Seats = append(request.Seats, &fellowapi.Seat{Engine: string(seat.Engine), Model: seat.Model, Adapter: seat.Adapter, Sessions: int64(seat.Sessions)})
+		seated = append(seated, &fellowapi.Seat{Engine: string(seat.Engine), Model: seat.Model, Adapter: seat.Adapter, Sessions: int64(seat.Sessions)})
 	}
-	return slices.ContainsFunc(request.Demand, func(demand *fellowapi.Demand) bool { return demand.Held > 0 })
+	waits = slices.ContainsFunc(all, func(demand *fellowapi.Demand) bool { return demand.Held > 0 })
+	if onlyWaiting && !waits {
+		return false
+	}
+	message := d.wants.Tell(d.clock.Elapsed(), request.PlannerAddress, all, seated)
+	request.Wants, request.WantsBase, request.Demand, request.Seats = message.Seq, message.Base, message.Demand, message.Seats
+	return waits
 }
 
 func (d *Daemon) drainingEngines() []*fellowapi.DrainingEngine {
@@ -514,13 +522,15 @@
 		return nil, twirp.NewError(twirp.InvalidArgument, "a pull says who asks")
 	}
 	rowKnown := d.members.Served(in)
-	d.hearWants(in)
+	wantsLost := !d.hearWants(in)
 	d.registry.Saw(ident.NodeID(in.NodeId), cursorOf(in))
 	d.hearDraining(in.Draining)
-	d.holdBack(ctx, in)
+	if !wantsLost {
+		d.holdBack(ctx, in)
+	}
 	leader, term := d.leaderAndTerm()
 	reply := &fellowapi.PullReply{Group: string(d.Group()), NodeId: string(d.nodeID), LeaderAddress: leader, LeaderTerm: term, IsLeader: d.Leads(), FirstRollMsAgo: d.FirstRollAgo().Milliseconds(),
-		RowKnown: rowKnown, Plans: d.Plans(), PlannerAddress: d.members.View().PlannerAddress}
+		RowKnown: rowKnown, WantsLost: wantsLost, Plans: d.Plans(), PlannerAddress: d.members.View().PlannerAddress}
 	if t := d.keeper.Table(); t != nil {
 		reply.SpecEpoch, reply.ClosureEpoch = uint64(t.Epoch), uint64(t.Closures.Epoch)
 		if in.SpecEpoch < uint64(t.Epoch) {
--- a/process/daemon/held.go
+++ b/process/daemon/held.go
@@ -11,6 +11,7 @@
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/placement"
 	"github.com/cresspond/cresspond/process/poolplacement"
+	"github.com/cresspond/cresspond/process/wants"
 	"github.com/cresspond/cresspond/request/dispatch"
 	"github.com/cresspond/cresspond/wire/fellowapi"
 )
@@ -251,12 +252,17 @@
 	d.heardNews.lacks.Store(reply.LacksVersion)
 }
 
-// hearWants takes what an asker holds and asks for.
-func (d *Daemon) hearWants(in *fellowapi.PullRequest) {
-	if !in.Wants {
-		return
+// hearWants takes what an asker holds and asks for; it says false where what that builds on is not known.
+func (d *Daemon) hearWants(in *fellowapi.PullRequest) bool {
+	if in.Wants == 0 {
+		return true
 	}
 	d.fleetMutex.Lock()
 	defer d.fleetMutex.Unlock()
-	d.fleetWants[ident.NodeID(in.NodeId)] = fleetWant{heard: d.clock.Elapsed(), demand: in.Demand, seats: in.Seats}
+	heard := d.fleetWants[ident.NodeID(in.NodeId)]
+	if heard == nil {
+		heard = &wants.Heard{}
+		d.fleetWants[ident.NodeID(in.NodeId)] = heard
+	}
+	return heard.Take(d.clock.Elapsed(), wants.Message{Seq: in.Wants, Base: in.WantsBase, Demand: in.Demand, Seats: in.Seats})
 }
--- a/process/daemon/poolplanning.go
+++ b/process/daemon/poolplanning.go
@@ -107,26 +107,26 @@
 // heardDemand adds up what this daemon and all others were lately heard to ask for.
 func (d *Daemon) heardDemand(now clock.Mark, own []*fellowapi.Demand) []poolplacement.Demand {
 	var out []poolplacement.Demand
-	take := func(demands []*fellowapi.Demand, ago time.Duration) {
-		for _, demand := range demands {
-			if demand.Pool == "" {
-				continue
-			}
-			one := poolplacement.Demand{Pool: demand.Pool, Model: demand.Model, Adapter: demand.Adapter, Held: int(demand.Held), Running: int(demand.Running),
-				Tokens: demand.Tokens, Arrivals: demand.Arrivals, Rank: int(demand.Rank)}
-			if demand.Held > 0 {
-				one.Oldest = time.Duration(demand.OldestMs)*time.Millisecond + ago
-			}
-			out = append(out, one)
+	take := func(demand *fellowapi.Demand, ago time.Duration) {
+		if demand.Pool == "" {
+			return
 		}
+		one := poolplacement.Demand{Pool: demand.Pool, Model: demand.Model, Adapter: demand.Adapter, Held: int(demand.Held), Running: int(demand.Running),
+			Tokens: demand.Tokens, Arrivals: demand.Arrivals, Rank: int(demand.Rank)}
+		if demand.Held > 0 {
+			one.Oldest = time.Duration(demand.OldestMs)*time.Millisecond + ago
+		}
+		out = append(out, one)
+	}
+	for _, demand := range own {
+		take(demand, 0)
 	}
-	take(own, 0)
 	d.fleetMutex.Lock()
 	defer d.fleetMutex.Unlock()
-	for node, wants := range d.fleetWants {
-		ago := now.Since(wants.heard)
+	for node, heard := range d.fleetWants {
+		ago := now.Since(heard.At)
 		if ago < demandFresh {
-			take(wants.demand, ago)
+			heard.Each(now, take)
 		}
 		if ago > wantsKept {
 			delete(d.fleetWants, node)
--- a/process/daemon/registry.go
+++ b/process/daemon/registry.go
@@ -182,6 +182,14 @@
 
 // PullFrom asks another daemon, and takes over what it tells of engines.
 func (d *Daemon) PullFrom(ctx context.Context, address string, request *fellowapi.PullRequest) (*fellowapi.PullReply, error) {
+	reply, err := d.pullFrom(ctx, address, request)
+	if request.Wants > 0 && (err != nil || reply.WantsLost) {
+		d.wants.Lost()
+	}
+	return reply, err
+}
+
+func (d *Daemon) pullFrom(ctx context.Context, address string, request *fellowapi.PullRequest) (*fellowapi.PullReply, error) {
 	if !followsRegistry(request) {
 		return d.links.To(address).Pull(ctx, request)
 	}
--- a/process/daemon/routing.go
+++ b/process/daemon/routing.go
@@ -479,21 +479,20 @@
 	}
 	p.fleetMutex.Lock()
 	defer p.fleetMutex.Unlock()
-	for node, wants := range p.fleetWants {
+	for node, heard := range p.fleetWants {
 		// Demand goes stale soon; seats are believed for longer, so a daemon cut off keeps them.
-		if now.Since(wants.heard) > wantsKept {
+		if now.Since(heard.At) > wantsKept {
 			delete(p.fleetWants, node)
 			continue
 		}
-		if now.Since(wants.heard) < demandFresh {
-			for _, demand := range wants.demand {
-				if demand.Pool != "" {
-					continue
+		if now.Since(heard.At) < demandFresh {
+			heard.Each(now, func(demand *fellowapi.Demand, _ time.Duration) {
+				if demand.Pool == "" {
+					in.Demand = append(in.Demand, placement.Demand{Model: demand.Model, Adapter: demand.Adapter, Worth: demand.Worth, Held: int(demand.Held), Running: int(demand.Running)})
 				}
-				in.Demand = append(in.Demand, placement.Demand{Model: demand.Model, Adapter: demand.Adapter, Worth: demand.Worth, Held: int(demand.Held), Running: int(demand.Running)})
-			}
+			})
 		}
-		for _, seat := range wants.seats {
+		for _, seat := range heard.Seats {
 			in.Seats = append(in.Seats, placement.Seats{Engine: ident.EngineID(seat.Engine), Model: seat.Model, Adapter: seat.Adapter, Sessions: int(seat.Sessions)})
 		}
 	}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -93,8 +93,9 @@
 type Fleet interface {
 	// Describe is what this daemon says of itself, and what it has in force.
 	Describe() *fellowapi.PullRequest
-	// Wants adds what this daemon holds and asks for, for whoever plans; it says whether that is anything.
-	Wants(request *fellowapi.PullRequest) bool
+	// Wants adds what this daemon holds and asks for, for whoever plans, if that is asked for or something waits;
+	// it says whether anything does.
+	Wants(request *fellowapi.PullRequest, onlyWaiting bool) bool
 	// InForce is what this daemon has in force.
 	InForce() (spec, closure ident.Epoch)
 	// Learn takes over what a reply brought, and returns when it is in force.
@@ -370,7 +371,7 @@
 		}
 	}
 	go func() {
-		waits := q.address == planner && m.fleet.Wants(request)
+		waits := q.address == planner && m.fleet.Wants(request, q.pressing)
 		if q.pressing && !waits {
 			m.box.Send(pulled{question: q, skipped: true})
 			return
--- /dev/null
+++ b/process/wants/wants.go
@@ -0,0 +1,137 @@
+// Package wants carries what a daemon holds and asks for to whoever plans: once whole, then only what changed.
+package wants
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+)
+
+const (
+	// wholeEvery is how often all is told again. A part that is lost is noticed, so this is for what nobody thought of.
+	wholeEvery = 30 * time.Second
+	// oldestSlack is by how much the age of the oldest may differ from what it must have grown to.
+	oldestSlack = 300 * time.Millisecond
+)
+
+// Key is what is asked for.
+type Key struct{ Pool, Model, Adapter string }
+
+// KeyOf is what a demand is for.
+func KeyOf(demand *fellowapi.Demand) Key { return Key{demand.Pool, demand.Model, demand.Adapter} }
+
+// Message is one telling. Base is the one it builds on; zero is whole.
+type Message struct {
+	Seq, Base uint64
+	Demand    []*fellowapi.Demand
+	Seats     []*fellowapi.Seat
+}
+
+type told struct {
+	demand *fellowapi.Demand
+	at     clock.Mark
+}
+
+// Teller is the side that tells. It may be used by several at once.
+type Teller struct {
+	mutex   sync.Mutex
+	to      string
+	seq     uint64
+	known   map[Key]told
+	wholeAt clock.Mark
+	lost    bool
+}
+
+// Tell makes the next message to an address.
+func (t *Teller) Tell(now clock.Mark, to string, all []*fellowapi.Demand, seats []*fellowapi.Seat) Message {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	out := Message{Seq: t.seq + 1, Base: t.seq, Seats: seats}
+	if to != t.to || t.lost || t.known == nil || now.Since(t.wholeAt) >= wholeEvery {
+		t.to, t.lost, t.wholeAt, t.known, out.Base = to, false, now, map[Key]told{}, 0
+	}
+	t.seq++
+	present := make(map[Key]bool, len(all))
+	for _, demand := range all {
+		key := KeyOf(demand)
+		present[key] = true
+		if before, known := t.known[key]; known && near(before, demand, now) {
+			continue
+		}
+		t.known[key] = told{demand, now}
+		out.Demand = append(out.Demand, demand)
+	}
+	for key := range t.known {
+		if !present[key] {
+			delete(t.known, key)
+			// Nothing of it is asked for any more.
+			out.Demand = append(out.Demand, &fellowapi.Demand{Pool: key.Pool, Model: key.Model, Adapter: key.Adapter})
+		}
+	}
+	return out
+}
+
+// Lost notes that a message may not have come.
+func (t *Teller) Lost() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.lost = true
+}
+
+// near says whether a demand is so much like what was told that it need not be told anew.
+func near(before told, demand *fellowapi.Demand, now clock.Mark) bool {
+	was := before.demand
+	if was.Held > 0 != (demand.Held > 0) || was.Worth != demand.Worth || was.Held > 0 && was.Rank != demand.Rank {
+		return false
+	}
+	if demand.Held > 0 {
+		grown := time.Duration(was.OldestMs)*time.Millisecond + now.Since(before.at)
+		if off := time.Duration(demand.OldestMs)*time.Millisecond - grown; max(off, -off) > oldestSlack {
+			return false
+		}
+	}
+	like := func(a, b, least float64) bool { return math.Abs(a-b) <= max(least, a/4) }
+	return like(float64(was.Held), float64(demand.Held), 1) && like(float64(was.Running), float64(demand.Running), 2) &&
+		like(was.Tokens, demand.Tokens, 1) && like(was.Arrivals, demand.Arrivals, 0.1)
+}
+
+// Heard is what was heard of one life of a daemon.
+type Heard struct {
+	// At is when it last told anything.
+	At    clock.Mark
+	Seats []*fellowapi.Seat
+	seq   uint64
+	known map[Key]told
+}
+
+// Take takes a message; it says false where one before it is lacking, so that all must be told again.
+func (h *Heard) Take(now clock.Mark, m Message) bool {
+	switch {
+	case m.Seq <= h.seq:
+		// Overtaken by a newer one, which told it all or built on it.
+		return true
+	case m.Base == 0:
+		h.known = make(map[Key]told, len(m.Demand))
+	case m.Base != h.seq:
+		return false
+	}
+	h.seq, h.At, h.Seats = m.Seq, now, m.Seats
+	for _, demand := range m.Demand {
+		if demand.Held == 0 && demand.Running == 0 && demand.Tokens == 0 && demand.Arrivals == 0 {
+			delete(h.known, KeyOf(demand))
+			continue
+		}
+		h.known[KeyOf(demand)] = told{demand, now}
+	}
+	return true
+}
+
+// Each gives all that is asked for, with how long ago it was told.
+func (h *Heard) Each(now clock.Mark, give func(demand *fellowapi.Demand, ago time.Duration)) {
+	for _, one := range h.known {
+		give(one.demand, now.Since(one.at))
+	}
+}
