--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -242,7 +243,7 @@
 	if !d.forwards() {
 		return false
 	}
-	if d.config.OpaqueOnly || !strings.HasPrefix(path, "/v1/") {
+	if d.config.OpaqueOnly || !strings.HasPrefix(path, "/v1/") && !slices.Contains(readyPages, path) {
 		return true
 	}
 	index := d.forwardIndex()
--- a/process/membership/core.go
+++ b/process/membership/core.go
@@ -446,10 +446,13 @@
 		return address == leader || p != nil && p.failed > 0 && now.Since(p.failed) <= troubledFor
 	})
 	// Chosen by weight, so that the links of a fleet are spread, and stay where they are.
-	first, second := seats.Of("link "+c.address, sound)
+	first, _ := seats.Of("link "+c.address, sound)
 	add(first)
 	if leader == "" {
-		add(second)
+		// Only the leader's own word tells of it where it has failed to answer once.
+		for _, address := range control {
+			add(address)
+		}
 	}
 	return out
 }
--- a/rehearsal/endtoend/registering_test.go
+++ b/rehearsal/endtoend/registering_test.go
@@ -190,3 +190,12 @@
 		b.await("r0 is silent", func() bool { return b.condition("r0") == operatorapi.EngineSilent })
 	}
 }
+
+func TestTheDaemonsOwnPagesAreNotForwarded(t *testing.T) {
+	b := several(t, 1, func(int) []daemon.Option { return nil })[0]
+	for _, path := range []string{operatorapi.PathReady, operatorapi.PathLive, operatorapi.PathCounters, operatorapi.PathStatus, operatorapi.PathEngines} {
+		if status, page := b.get(path, nil); status != 200 {
+			t.Errorf("%s: %d %s", path, status, page)
+		}
+	}
+}
