--- a/rehearsal/endtoend/opaque_test.go
+++ b/rehearsal/endtoend/opaque_test.go
@@ -177,3 +177,19 @@
 	close(b.hurry)
 	b.ran = false
 }
+
+// TestADaemonThatForwardsServesItsOwnPages: what platforms and operators look at is no path of a bundle unless
+// a bundle says so.
+func TestADaemonThatForwardsServesItsOwnPages(t *testing.T) {
+	all := together(t, 1, true, func(int) []daemon.Option { return []daemon.Option{daemon.WithForwarding(dialect.Own())} })
+	b := all[0]
+	if status, word := b.applied(0, encode(t, forwarding(1, 1))); status != 200 {
+		t.Fatal(status, word)
+	}
+	b.await("it is ready", func() bool { status, _ := b.get(operatorapi.PathReady, nil); return status == 200 })
+	for _, page := range []string{operatorapi.PathLive, operatorapi.PathCounters, operatorapi.PathStatus} {
+		if status, body := b.get(page, nil); status != 200 {
+			t.Errorf("%s: %d %s", page, status, body)
+		}
+	}
+}
