Tell how busy far engines are more seldom; gather what is not urgent into one view

1400 engines whose load moves are 280 words a second to each daemon, 33 KB/s worked out, and a view copied for each. Loads go without the models, to the engine's own zone each second at most, to others each 8 s at that size (500 ms up to 80 engines); a view that brings nothing urgent is put off by 35 us for each engine in it.

--- a/process/daemon/registry.go
+++ b/process/daemon/registry.go
@@ -158,6 +158,10 @@
 		wanted = append(wanted, ident.EngineID(id))
 	}
 	question := registry.Question{Cursor: cursorOf(in), Wanted: wanted}
+	if !in.Beats {
+		// How busy far engines are is told seldom; control daemons pass it on, and so are told all.
+		question.Zone = d.members.ZoneOf(ident.NodeID(in.NodeId))
+	}
 	switch {
 	case in.RegistryUrgent:
 		question.Kind = registry.UrgentOnly
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -211,6 +211,9 @@
 // View gives the newest view.
 func (m *Membership) View() *View { return m.view.Load() }
 
+// ZoneOf is where a daemon stands; empty where that is not known yet.
+func (m *Membership) ZoneOf(node ident.NodeID) ident.ZoneID { return m.view.Load().Fellows[node].Zone }
+
 // Changes numbers the newest change of the list of members.
 func (m *Membership) Changes() uint64 { return m.changes.Load() }
 
--- a/process/registry/converge_test.go
+++ b/process/registry/converge_test.go
@@ -39,6 +39,14 @@
 	return w
 }
 
+// zone is where a daemon stands that only routes; control daemons are told all.
+func (w *world) zone(at int) ident.ZoneID {
+	if at < controls {
+		return ""
+	}
+	return ident.ZoneID(fmt.Sprint("z", at%2))
+}
+
 func (w *world) step() {
 	w.now += clock.Mark(time.Duration(w.random.IntN(400)) * time.Millisecond)
 	at := w.random.IntN(controls)
@@ -47,7 +55,7 @@
 	case n < 7:
 		word := w.engines[id]
 		if word == nil {
-			word = &Word{ID: id, Pool: "p", Slots: 4}
+			word = &Word{ID: id, Pool: "p", Slots: 4, Zone: ident.ZoneID(fmt.Sprint("z", id[1]%2))}
 			w.engines[id] = word
 		}
 		word.CallSeq += 1 + uint64(w.random.IntN(2))
@@ -109,7 +117,7 @@
 		kind, peer = UrgentOnly, peer+" urgent"
 	}
 	cursor, wanted := w.cores[asker].Asked(peer)
-	difference := w.cores[asked].Since(Question{Cursor: cursor, Wanted: wanted, Kind: kind}, 1+w.random.IntN(4))
+	difference := w.cores[asked].Since(Question{Cursor: cursor, Wanted: wanted, Kind: kind, Zone: w.zone(asker)}, 1+w.random.IntN(4))
 	if w.random.IntN(10) == 0 {
 		// The reply is lost.
 		return true
--- a/process/registry/core.go
+++ b/process/registry/core.go
@@ -82,6 +82,8 @@
 	Cursor
 	Wanted []ident.EngineID
 	Kind   Kind
+	// Zone is where the asker stands; empty is not told.
+	Zone ident.ZoneID
 }
 
 // want is what is to be had of an engine that another told of in short.
@@ -131,10 +133,11 @@
 	planDigest     uint64
 	wordAt, planAt uint64
 	// loadAt is when the plan's loads changed last, loadTold the moment when others were told. What came since
-	// is held until it is time to tell again.
-	loadAt   uint64
-	loadTold clock.Mark
-	loadHeld bool
+	// is held until it is time to tell again. farAt and farTold are the same for those of another zone, and
+	// solid is the last change of anything but loads.
+	loadAt, farAt, solid uint64
+	loadTold, farTold    clock.Mark
+	loadHeld, farHeld    bool
 	// changed, beaten and urgent number its last change, that or its last beat here, and the last that must not wait.
 	changed, beaten, urgent     uint64
 	byChange, byBeat, byUrgency *list.Element
@@ -362,6 +365,12 @@
 
 // changedNow numbers a change that all are told of.
 func (c *Core) changedNow(e *entry) {
+	c.number(e)
+	e.solid = c.changes
+}
+
+// number numbers a change.
+func (c *Core) number(e *entry) {
 	c.changes++
 	e.changed, e.beaten, c.newest = c.changes, c.changes, c.changes
 	c.byChange.MoveToBack(e.byChange)
@@ -400,24 +409,40 @@
 	}
 	same := e.plan != nil && digest == e.planDigest
 	e.plan, e.planDigest = plan, digest
-	if same && first && now.Since(e.loadTold) < c.loadEvery() {
-		e.loadHeld, c.dirty[e.word.ID] = true, true
-		return
-	}
-	c.tellLoads(now, e)
+	e.loadHeld, e.farHeld, c.dirty[e.word.ID] = true, true, true
 	if !same {
-		e.planAt = e.changed
+		c.changedNow(e)
+		e.planAt, e.loadAt, e.farAt, e.loadTold, e.farTold, e.loadHeld, e.farHeld = e.changed, e.changed, e.changed, now, now, false, false
+		return
 	}
+	c.tellLoads(now, e, first)
 }
 
-func (c *Core) tellLoads(now clock.Mark, e *entry) {
-	c.changedNow(e)
-	e.loadAt, e.loadTold, e.loadHeld = e.changed, now, false
+// tellLoads has others told of an engine's loads, if it is time. Only the first to hear of them bounds that for
+// its own zone; those of other zones hear of them more seldom still, wherever they are asked.
+func (c *Core) tellLoads(now clock.Mark, e *entry, first bool) {
+	near := e.loadHeld && (!first || now.Since(e.loadTold) >= c.loadEvery())
+	far := e.farHeld && now.Since(e.farTold) >= c.farEvery()
+	if !near && !far {
+		return
+	}
+	c.number(e)
+	if near {
+		e.loadAt, e.loadTold, e.loadHeld = e.changed, now, false
+	}
+	if far {
+		e.farAt, e.farTold, e.farHeld = e.changed, now, false
+	}
 }
 
-// loadEvery is how often all are told of one engine's loads: all engines together make so many words a second.
+// loadEvery is how often those of its zone are told of one engine's loads.
 func (c *Core) loadEvery() time.Duration {
-	return max(500*time.Millisecond, time.Duration(len(c.entries))*3*time.Millisecond)
+	return min(max(500*time.Millisecond, time.Duration(len(c.entries))*1500*time.Microsecond), time.Second)
+}
+
+// farEvery is how often those of other zones are: all engines together make so many words a second.
+func (c *Core) farEvery() time.Duration {
+	return max(c.loadEvery(), time.Duration(len(c.entries))*6*time.Millisecond)
 }
 
 // Asked is the cursor to ask a peer with, and the engines of which its whole word is wanted.
@@ -472,18 +497,30 @@
 	// told in short what there is, and asks for what it lacks.
 	short := out.Afresh && question.Life != "" || question.Kind == UrgentOnly
 	for _, e := range changed {
-		out.Records = append(out.Records, e.record(whole, short))
+		near := question.Zone == "" || e.word.Zone == question.Zone
+		if question.Kind == Everything && e.solid <= whole && e.loadsAt(near) <= whole {
+			continue
+		}
+		out.Records = append(out.Records, e.record(whole, near, short))
 	}
 	for _, id := range question.Wanted {
 		if e := c.entries[id]; e != nil {
-			out.Records = append(out.Records, e.record(0, false))
+			out.Records = append(out.Records, e.record(0, true, false))
 		}
 	}
 	return out
 }
 
-// record tells what changed of an engine since a change.
-func (e *entry) record(since uint64, short bool) Record {
+// loadsAt is when those of the engine's zone, or of others, were last told of its loads.
+func (e *entry) loadsAt(near bool) uint64 {
+	if near {
+		return e.loadAt
+	}
+	return e.farAt
+}
+
+// record tells what changed of an engine since a change, to one that is near or not.
+func (e *entry) record(since uint64, near, short bool) Record {
 	out := Record{ID: e.word.ID, CallSeq: e.word.CallSeq, Digest: e.digest, Heard: e.heard, Leaving: e.leaving, Silent: e.silent, Gone: e.gone}
 	if !short && e.worded && e.wordAt > since {
 		copied := e.word
@@ -497,7 +534,7 @@
 		out.Plan, out.Part = e.plan, HeadOnly
 	case e.planAt > since:
 		out.Plan, out.PlanDigest = e.plan, e.planDigest
-	case e.loadAt > since:
+	case e.loadsAt(near) > since:
 		out.Plan, out.Part, out.PlanDigest = e.plan, LoadsOnly, e.planDigest
 	}
 	return out
@@ -619,7 +656,7 @@
 				followed = append(followed, e)
 			}
 		}
-		if e.loadHeld && now.Since(e.loadTold) >= c.loadEvery() {
+		if e.loadHeld || e.farHeld {
 			loaded = append(loaded, e)
 		}
 		if e.gone || e.silent || !e.worded {
@@ -630,7 +667,7 @@
 		}
 	}
 	for _, e := range loaded {
-		c.tellLoads(now, e)
+		c.tellLoads(now, e, true)
 	}
 	for _, e := range quieted {
 		e.silent = true
@@ -674,6 +711,9 @@
 	return out
 }
 
+// Changed says whether the view is not what is known now.
+func (c *Core) Changed() bool { return len(c.dirty) > 0 }
+
 // View gives all engines as they are now; it is a new one only if something changed since the last.
 func (c *Core) View() *View {
 	if len(c.dirty) == 0 {
--- a/process/registry/core_test.go
+++ b/process/registry/core_test.go
@@ -269,6 +269,24 @@
 	if d := c.Since(Question{Cursor: seen}, 100); len(d.Records) != 1 || d.Records[0].Part != LoadsOnly {
 		t.Errorf("%+v", d.Records)
 	}
+	// Those of another zone hear of it more seldom, where there are many.
+	many := NewCore("many", true, time.Second, 0)
+	for i := range 200 {
+		many.Hear(second, engineWord(fmt.Sprint("e", i), 1))
+	}
+	many.TellPlan(second, map[ident.EngineID]Plan{"e1": {Claim: 1, Turn: 1, Active: 1}})
+	there := many.Since(Question{}, 1000).Cursor
+	many.TellPlan(2*second, map[ident.EngineID]Plan{"e1": {Claim: 1, Turn: 2, Active: 2}})
+	if d := many.Since(Question{Cursor: there, Zone: "z"}, 1000); len(d.Records) != 1 {
+		t.Errorf("its own zone is not told: %+v", d.Records)
+	}
+	if d := many.Since(Question{Cursor: there, Zone: "y"}, 1000); len(d.Records) != 0 {
+		t.Errorf("another zone is told at once: %+v", d.Records)
+	}
+	many.Judge(3*second, time.Second, Contact{})
+	if d := many.Since(Question{Cursor: there, Zone: "y"}, 1000); len(d.Records) != 1 || d.Records[0].Plan.Active != 2 {
+		t.Errorf("another zone is never told: %+v", d.Records)
+	}
 	// What it is to hold is told at once.
 	c.TellPlan(2*second+1, map[ident.EngineID]Plan{"e1": {Claim: 1, Turn: 3, Active: 2, Retiring: []Target{{Model: "m"}}}})
 	if d := c.Since(Question{Cursor: seen}, 100); len(d.Records) != 1 || d.Records[0].Part != WholePlan {
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -31,6 +31,9 @@
 	// unpublished are those who wait for what they brought to be in the view; putOff is since when.
 	unpublished []chan struct{}
 	putOff      clock.Mark
+	// published is when the view was last replaced; gathering says that what came since is waited for.
+	published clock.Mark
+	gathering bool
 
 	mutex       sync.Mutex
 	subscribers []func()
@@ -73,11 +76,17 @@
 	r.subscribers = append(r.subscribers, notify)
 }
 
-// publishWithin bounds how long a view is put off while events pile up.
-const publishWithin = 10 * time.Millisecond
+const (
+	// publishWithin bounds how long a view is put off while events pile up.
+	publishWithin = 10 * time.Millisecond
+	// gatherEach is how long a view that brings nothing urgent is put off for each engine in it, since that is
+	// what making it costs; gatherMost bounds it.
+	gatherEach = 35 * time.Microsecond
+	gatherMost = 50 * time.Millisecond
+)
 
 // publish is the one place where the view is replaced. While more is waiting it is put off, so that many
-// changes at once cost one view.
+// changes at once cost one view; what is not urgent, and what nobody waits for, is put off for longer.
 func (r *Registry) publish() {
 	now := r.clock.Elapsed()
 	if r.box.Waiting() > 0 && (r.putOff == 0 || now.Since(r.putOff) < publishWithin) {
@@ -87,6 +96,14 @@
 		return
 	}
 	r.putOff = 0
+	gather := min(time.Duration(len(r.view.Load().Engines))*gatherEach, gatherMost)
+	if passed := now.Since(r.published); passed < gather && len(r.unpublished) == 0 && r.core.Urgent() == r.urgent.Load() {
+		if r.core.Changed() && !r.gathering {
+			r.gathering = true
+			time.AfterFunc(gather-passed, func() { r.box.Send(func(clock.Mark) { r.gathering = false }) })
+		}
+		return
+	}
 	r.newest.Store(r.core.Newest())
 	r.urgent.Store(r.core.Urgent())
 	next := r.core.View()
@@ -99,6 +116,7 @@
 	if !changed {
 		return
 	}
+	r.published = now
 	r.mutex.Lock()
 	subscribers := r.subscribers
 	r.mutex.Unlock()
@@ -107,10 +125,20 @@
 	}
 }
 
-// ask has the actor do something, and waits until that is in the view; it says false when the actor has ended.
+// ask has the actor do something; it says false when the actor has ended.
 func (r *Registry) ask(do func(now clock.Mark)) bool {
 	done := make(chan struct{})
-	if !r.box.Send(func(now clock.Mark) { do(now); r.unpublished = append(r.unpublished, done) }) {
+	return r.await(done, func(now clock.Mark) { do(now); close(done) })
+}
+
+// change has the actor do something, and waits until that is in the view; it says false when the actor has ended.
+func (r *Registry) change(do func(now clock.Mark)) bool {
+	done := make(chan struct{})
+	return r.await(done, func(now clock.Mark) { do(now); r.unpublished = append(r.unpublished, done) })
+}
+
+func (r *Registry) await(done chan struct{}, event func(now clock.Mark)) bool {
+	if !r.box.Send(event) {
 		return false
 	}
 	select {
@@ -129,14 +157,14 @@
 
 // End takes an engine's word that it is gone.
 func (r *Registry) End(id ident.EngineID) (hearing Hearing, ok bool) {
-	ok = r.ask(func(now clock.Mark) { hearing = r.core.End(now, id) })
+	ok = r.change(func(now clock.Mark) { hearing = r.core.End(now, id) })
 	return hearing, ok
 }
 
 // Leave notes that engines leave, or are gone; committed, that the group has written it down. It gives the
 // number of the newest change that this made.
 func (r *Registry) Leave(ids []ident.EngineID, gone, committed bool) (change uint64) {
-	r.ask(func(now clock.Mark) {
+	r.change(func(now clock.Mark) {
 		for _, id := range ids {
 			change = max(change, r.core.Leave(now, id, gone, committed))
 		}
@@ -186,7 +214,7 @@
 		r.box.Send(func(now clock.Mark) { r.core.Learn(now, peer, difference, asked) })
 		return
 	}
-	r.ask(func(now clock.Mark) { r.core.Learn(now, peer, difference, asked) })
+	r.change(func(now clock.Mark) { r.core.Learn(now, peer, difference, asked) })
 }
 
 // Saw notes how much of this daemon's changes a peer has.
