Give daemons 250 ms notice of an unload, and forget old demand in half the time

Pushes now reach daemons at once, so 400 ms of notice only delayed what room was made for; demand shifts within seconds, so what was asked for 40 s ago says little.

--- a/process/poolplacement/demand.go
+++ b/process/poolplacement/demand.go
@@ -10,7 +10,7 @@
 
 const (
 	// slowSpan is over how long the rate is smoothed by which something stays where it is.
-	slowSpan = 40 * time.Second
+	slowSpan = 20 * time.Second
 	// rankWeight is how much more one rank counts than the next, for no more than mostBehind ranks.
 	rankWeight = 1.5
 	mostBehind = 3
--- a/process/poolplacement/types.go
+++ b/process/poolplacement/types.go
@@ -100,7 +100,7 @@
 // DefaultSettings are for a deployment whose holders of the claim must not take turns within the lease.
 func DefaultSettings(owner string, lease time.Duration) Settings {
 	s := Settings{Owner: owner, Window: 5 * time.Second, Span: 3 * time.Second, Renew: 500 * time.Millisecond, OrderLimit: 800 * time.Millisecond,
-		Notice: 400 * time.Millisecond, Rest: time.Second, Busy: 150 * time.Millisecond, Beat: 100 * time.Millisecond}
+		Notice: 250 * time.Millisecond, Rest: time.Second, Busy: 150 * time.Millisecond, Beat: 100 * time.Millisecond}
 	// An order may reach its engine as late as its limit after the claim was last looked at.
 	s.Gap = lease + s.OrderLimit
 	return s
