--- a/process/daemon/apply.go
+++ b/process/daemon/apply.go
@@ -134,14 +134,7 @@
 	bounded, cancel := context.WithTimeout(ctx, min(time.Duration(in.WithinMs)*time.Millisecond, d.applyLimit))
 	defer cancel()
 	answer, outcome := d.leadApply(bounded, call)
-	if outcome == replica.NotLeader {
-		return d.redirect(), nil
-	}
-	data, err := json.Marshal(answer)
-	if err != nil {
-		return nil, twirp.InternalErrorWith(err)
-	}
-	return &fellowapi.SubmitReply{Outcome: string(outcome), Result: data}, nil
+	return d.submitReply(answer, outcome)
 }
 
 // leadApply carries a call out as the leader. Whatever it answers but Unknown is proved by the state.
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -226,6 +226,11 @@
 		return nil, twirp.NewError(twirp.InvalidArgument, "this is no command")
 	}
 	answer, outcome := d.lead(ctx, command)
+	return d.submitReply(answer, outcome)
+}
+
+// submitReply tells another daemon what the leader answered, or who leads.
+func (d *Daemon) submitReply(answer any, outcome replica.Outcome) (*fellowapi.SubmitReply, error) {
 	if outcome == replica.NotLeader {
 		return d.redirect(), nil
 	}
