--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 rehearsal: build
 	bin/rehearse run small --seed $(SEED)
+	bin/rehearse run platform --seed $(SEED) --acts 7
 
 test: vet rehearsal unit
 
