Count first sends from when they left, not from when they ended

A stream's first send entered the retry window at its end. 200 streams sent 40 s ago and cut together were 200 first sends of now: 22 went again where the bound, with nothing asked for in 20 s, was 4 (ratio 0.2, slack 4, one daemon).

--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -385,7 +385,8 @@
 		if !r.counted {
 			r.counted = true
 			c.Counters.Sent++
-			c.budget(r.pool).first(w.Now, c.settings.RetryWindow)
+			// It counts from when it was sent: a stream that ends long after is no request of now.
+			c.budget(r.pool).first(r.sentAt, w.Now, c.settings.RetryWindow)
 		}
 	}
 	if outcome != HeldBack && outcome != Misdirected {
--- a/request/forwarding/core_test.go
+++ b/request/forwarding/core_test.go
@@ -558,7 +558,7 @@
 			daemon := &daemons[random.IntN(edges)]
 			// Storms send nothing but further ones for a while.
 			if storm := now/clock.Mark(7*time.Second)%2 == 0; !storm && random.IntN(2) == 0 {
-				daemon.first(now, settings.RetryWindow)
+				daemon.first(now, now, settings.RetryWindow)
 				firsts = append(firsts, now)
 			} else if daemon.allows(now, settings, edges) {
 				daemon.again(now)
--- a/request/forwarding/window.go
+++ b/request/forwarding/window.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cresspond/cresspond/process/clock"
@@ -23,9 +24,10 @@
 	return append(marks[:0], marks[gone:]...)
 }
 
-// first notes a first send.
-func (w *window) first(now clock.Mark, span time.Duration) {
-	w.firsts = append(prune(w.firsts, now, span), now)
+// first notes a first send, once it has ended; they end in another order than they were sent in.
+func (w *window) first(sent, now clock.Mark, span time.Duration) {
+	place, _ := slices.BinarySearch(w.firsts, sent)
+	w.firsts = prune(slices.Insert(w.firsts, place, sent), now, span)
 }
 
 // allows says whether one more may go now: in every span that ends now or later the share holds, since
