Hold opaque requests back from what operators have closed

Found by reading for the proof: a zone or engine closed by operators was still chosen for opaque requests, since nothing asked the table. The choice and the last look ask it now. Test: TestAClosedEngineGetsNothingNew (fails without the change).

--- a/connection/gateway/gateway.go
+++ b/connection/gateway/gateway.go
@@ -27,6 +27,8 @@
 	Index func() *forward.Index
 	View  func() *registry.View
 	Held  func() bool
+	// EngineOpen says whether operators let new requests go to an engine; nil is yes.
+	EngineOpen func(*registry.Engine) bool
 	// Draining says that whoever is answered should connect elsewhere next time.
 	Draining func() bool
 	Settings forwarding.Settings
@@ -286,6 +288,8 @@
 		reason = "the table in force no longer leads there"
 	case engine == nil || engine.Address != f.send.Address || engine.Pool != f.send.Pool || !engine.Usable():
 		reason = "the engine is leaving or gone"
+	case f.EngineOpen != nil && !f.EngineOpen(engine):
+		reason = "operators have closed the engine or its zone"
 	case f.Clock.Elapsed() >= f.record.Deadline:
 		reason = "the deadline has passed"
 	case f.left.Load():
--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -75,7 +75,7 @@
 	side.pools = engineconn.New(d.clock, side.dialect)
 	side.actor = forwarding.NewActor(side.settings, d.forwardWorld)
 	side.gateway = gateway.New(gateway.Surroundings{
-		Clock: d.clock, Dialect: side.dialect, Index: d.forwardIndex, View: side.view, Held: d.generator.Held,
+		Clock: d.clock, Dialect: side.dialect, Index: d.forwardIndex, View: side.view, Held: d.generator.Held, EngineOpen: d.engineOpen,
 		Draining: d.draining.Load, Settings: side.settings,
 	}, side.actor, side.pools)
 	go side.actor.Run(ctx)
@@ -191,6 +191,12 @@
 	say("engine_bytes_received", p.BytesReceived.Load())
 }
 
+// engineOpen says whether operators let new requests go to a registered engine.
+func (d *Daemon) engineOpen(engine *registry.Engine) bool {
+	t := d.keeper.Table()
+	return t == nil || t.OpenRegistered(engine.ID, engine.Zone)
+}
+
 // forwardIndex is the bundle's section in force; nil is none.
 func (d *Daemon) forwardIndex() *forward.Index {
 	if t := d.keeper.Table(); t != nil {
@@ -205,7 +211,7 @@
 	current, _ := d.members.Ready()
 	return forwarding.World{
 		Now: now, Index: d.forwardIndex(), Current: current, View: d.forwardSide.view(), Zone: d.config.Zone,
-		Edges: d.edges(now), Lacks: d.PoolLack, Leased: d.generator.Held(),
+		Edges: d.edges(now), Lacks: d.PoolLack, Open: d.engineOpen, Leased: d.generator.Held(),
 		Mint: func() (ident.MintedID, bool) {
 			id, verdict := d.generator.Mint()
 			return id, verdict == snowflake.Minted
--- a/request/forwarding/choose.go
+++ b/request/forwarding/choose.go
@@ -51,7 +51,7 @@
 	why := noEngines
 	c.candidates, c.failing = c.candidates[:0], c.failing[:0]
 	for _, engine := range w.View.Pools[r.pool] {
-		if !engine.Usable() {
+		if !engine.Usable() || w.Open != nil && !w.Open(engine) {
 			continue
 		}
 		why = max(why, noModel)
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -26,6 +26,8 @@
 	// Leased says whether a worker id is held, Mint mints under it.
 	Leased bool
 	Mint   func() (ident.MintedID, bool)
+	// Open says whether operators let new requests go to an engine: neither it nor its zone is closed. Nil is yes.
+	Open func(*registry.Engine) bool
 	// Lacks says for how long a model or adapter is not likely to be loaded, where the planner said so.
 	Lacks func(pool, model, adapter string) (time.Duration, bool)
 }
--- a/request/forwarding/core_test.go
+++ b/request/forwarding/core_test.go
@@ -157,6 +157,36 @@
 	b.ended(r, fasthttp.StatusServiceUnavailable, NoTable)
 }
 
+// What operators have closed gets nothing new, and what waits goes there as soon as it is open again.
+func TestAClosedEngineGetsNothingNew(t *testing.T) {
+	b := newBench(t, pathOf("p", forward.Repeatable, "plain"))
+	b.register(enginesOf("plain", 2, 6)...)
+	closed := map[ident.EngineID]bool{"plain-0": true}
+	world := func() World {
+		w := b.world()
+		w.Open = func(engine *registry.Engine) bool { return !closed[engine.ID] }
+		return w
+	}
+	for range 6 {
+		r := b.record("p")
+		b.core.Admit(r, world())
+		if send := b.sent(r); send.Engine != "plain-1" {
+			t.Fatalf("sent to %s, which is closed", send.Engine)
+		}
+	}
+	closed["plain-1"] = true
+	r := b.record("p")
+	b.core.Admit(r, world())
+	if step, there := taken(r); there {
+		t.Fatalf("all engines are closed: %+v", step)
+	}
+	closed["plain-0"] = false
+	b.core.Pass(world())
+	if send := b.sent(r); send.Engine != "plain-0" {
+		t.Fatalf("sent to %s, which is closed", send.Engine)
+	}
+}
+
 func TestWithoutALeaseNothingIsHeldOrTriedAgain(t *testing.T) {
 	b := newBench(t, pathOf("p", forward.Repeatable, "plain"))
 	b.lease = false
