--- a/rehearsal/scale/fleet.go
+++ b/rehearsal/scale/fleet.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,8 +49,10 @@
 	members []*member
 	host    bool
 	cmd     *exec.Cmd
-	words   io.WriteCloser
-	mutex   sync.Mutex
+	// up says that it was started.
+	up    atomic.Bool
+	words io.WriteCloser
+	mutex sync.Mutex
 	// ended are the hollow daemons that ended of themselves or on the runner's word.
 	ended map[string]string
 	told  chan struct{}
@@ -93,7 +96,9 @@
 	addresses *addresses
 	members   []*member
 	processes []*process
-	client    *http.Client
+	// started is how many members were started, the first of the list.
+	started int
+	client  *http.Client
 }
 
 // The ports of every daemon, as far behind the run's first one. They are the same on all addresses.
@@ -160,9 +165,13 @@
 	return f, nil
 }
 
-// start starts all, hollow daemons at most so many a second; a pace of zero starts all at once.
-func (f *fleet) start(pace float64, pause func(time.Duration) error) error {
+// start starts the daemons that are processes of their own, or the hollow ones, these at most so many a second;
+// a pace of zero starts all at once.
+func (f *fleet) start(hosts bool, pace float64, pause func(time.Duration) error) error {
 	for i, p := range f.processes {
+		if p.host != hosts {
+			continue
+		}
 		args := []string{"hollow"}
 		program, name := f.self, fmt.Sprintf("host-%d", i)
 		if !p.host {
@@ -199,6 +208,8 @@
 		if err != nil {
 			return err
 		}
+		p.up.Store(true)
+		f.started += len(p.members)
 		if !p.host {
 			continue
 		}
@@ -275,21 +286,28 @@
 
 // stop ends the processes that this fleet started.
 func (f *fleet) stop() {
-	for _, p := range f.processes {
-		if p.cmd != nil && p.cmd.Process != nil {
-			_ = p.cmd.Process.Kill()
-		}
+	for _, p := range f.running() {
+		_ = p.cmd.Process.Kill()
 	}
+	for _, p := range f.running() {
+		_ = p.cmd.Wait()
+	}
+}
+
+// running lists the processes that were started.
+func (f *fleet) running() []*process {
+	var out []*process
 	for _, p := range f.processes {
-		if p.cmd != nil && p.cmd.Process != nil {
-			_ = p.cmd.Wait()
+		if p.up.Load() {
+			out = append(out, p)
 		}
 	}
+	return out
 }
 
 // dead says which process or hollow daemon has ended of itself; it is empty while none has.
 func (f *fleet) dead() string {
-	for _, p := range f.processes {
+	for _, p := range f.running() {
 		if _, resident := glance(p.cmd.Process.Pid); resident == 0 {
 			names := make([]string, 0, len(p.members))
 			for _, m := range p.members {
--- a/rehearsal/scale/reading.go
+++ b/rehearsal/scale/reading.go
@@ -172,7 +172,7 @@
 // total is the processor time of all processes and the runner's own.
 func (f *fleet) total() float64 {
 	sum, _ := glance(os.Getpid())
-	for _, p := range f.processes {
+	for _, p := range f.running() {
 		seconds, _ := glance(p.cmd.Process.Pid)
 		sum += seconds
 	}
--- a/rehearsal/scale/run.go
+++ b/rehearsal/scale/run.go
@@ -165,7 +165,7 @@
 	}
 	defer s.fleet.stop()
 	began := time.Now()
-	if err := s.fleet.start(s.StartPace, func(span time.Duration) error { return s.pause(ctx, span) }); err != nil {
+	if err := s.fleet.start(false, 0, nil); err != nil {
 		return err
 	}
 	go s.watch(ctx, cancel)
@@ -253,6 +253,11 @@
 	if err != nil {
 		return err
 	}
+	// The others come to a fleet that has a bundle in force: before that all ask without rest.
+	if err := f.start(true, s.StartPace, func(span time.Duration) error { return s.pause(ctx, span) }); err != nil {
+		return err
+	}
+	hollow := time.Since(began)
 	ready := make([]bool, len(f.members))
 	allReady := func() bool {
 		all := true
@@ -279,8 +284,8 @@
 		}
 		return s.cut("not all daemons were ready within 60 s")
 	}
-	s.note(Row{Size: s.size, Phase: PhaseStart, Times: []float64{time.Since(began).Seconds()}})
-	s.Say("a leader after %.1f s, a bundle in force everywhere %.1f s later, all ready after %.1f s", led.Seconds(), took.Seconds(), time.Since(began).Seconds())
+	s.note(Row{Size: s.size, Phase: PhaseStart, Times: []float64{led.Seconds(), took.Seconds(), (time.Since(began) - hollow).Seconds()}})
+	s.Say("a leader after %.1f s, a bundle in force %.1f s later, all ready %.1f s after the last was started", led.Seconds(), took.Seconds(), (time.Since(began) - hollow).Seconds())
 
 	s.engines = &hollowEngines{beat: s.Beat, models: s.size.Models, deployed: s.Deployed, moves: s.LoadMoves}
 	for _, m := range f.members[:s.size.Core] {
@@ -441,7 +446,7 @@
 				lastMs = max(lastMs, row.InForceMs)
 			}
 		}
-		return have >= len(s.fleet.members)
+		return have >= s.fleet.started
 	})
 	return time.UnixMilli(lastMs).Sub(began), all, err
 }
--- a/rehearsal/scale/size.go
+++ b/rehearsal/scale/size.go
@@ -67,7 +67,7 @@
 // FirstCost is taken before anything was measured. It errs on the large side in memory and descriptors; of
 // processor time it assumes nothing, since the run is cut short where it takes too much.
 func FirstCost() Cost {
-	return Cost{DaemonBytes: 6 << 20, PeerBytes: 100 << 10, ProcessBytes: 24 << 20, PeerFiles: 2}
+	return Cost{DaemonBytes: 8 << 20, PeerBytes: 20 << 10, ProcessBytes: 24 << 20, PeerFiles: 1}
 }
 
 // Need is what a step takes.
