--- a/rehearsal/scale/run.go
+++ b/rehearsal/scale/run.go
@@ -279,7 +279,10 @@
 			if !ready[at] {
 				var why string
 				_, err := f.get(m, operatorapi.PathReady, &why)
-				return s.cut("not all daemons were ready within 60 s; %s at %s says %q, %v", m.name, m.address, why, err)
+				var status operatorapi.Status
+				_, _ = f.get(m, operatorapi.PathStatus, &status)
+				return s.cut("not all daemons were ready within 60 s; %s at %s says %q, %v; it takes %q for the leader, knows %d others, has a worker id: %t, and epoch %d in force",
+					m.name, m.address, why, err, status.Leader, len(status.Fellows), status.WorkerID != nil, status.SpecEpoch)
 			}
 		}
 		return s.cut("not all daemons were ready within 60 s")
