--- a/rehearsal/cmd/rehearse/scale.go
+++ b/rehearsal/cmd/rehearse/scale.go
@@ -34,17 +34,19 @@
 	deployed := run.Flag("deployed", "Run the users' platform's program for the core and the edges that are processes of their own; engines are then polled too.").Bool()
 	moves := run.Flag("load-moves", "With --deployed, how often an engine's load is another; 0 never moves it.").Default("0s").Duration()
 	folder := run.Flag("folder", "Folder for logs and data; by default a new one, removed afterwards.").String()
+	profiles := run.Flag("profiles", "Folder for profiles of the hosts' processor time, for go tool pprof.").ExistingDir()
 	result := run.Flag("result", "File to write each row to, as a line of JSON.").String()
 
 	fit := app.Command("scale-fit", "Draw the slopes again from the rows of earlier runs.")
 	fitFiles := fit.Arg("rows", "Files of rows.").Required().ExistingFiles()
 
 	hollow := app.Command("hollow", "Be a process of hollow daemons.").Hidden()
+	hollowProfile := hollow.Flag("profile", "File for what takes its processor time.").String()
 
 	return func(chosen string) error {
 		switch chosen {
 		case hollow.FullCommand():
-			return scale.Host(os.Stdin, os.Stdout)
+			return scale.Host(os.Stdin, os.Stdout, *hollowProfile)
 		case fit.FullCommand():
 			rows, err := scale.ReadRows(*fitFiles)
 			if err != nil {
@@ -62,7 +64,7 @@
 		if err != nil {
 			return err
 		}
-		o := scale.Options{Program: *program, Self: self, Build: version, Folder: *folder, Beat: *beat, StartPace: *pace, Windows: *windows, Window: *window, Engines: *engines,
+		o := scale.Options{Program: *program, Self: self, Build: version, Folder: *folder, Profiles: *profiles, Beat: *beat, StartPace: *pace, Windows: *windows, Window: *window, Engines: *engines,
 			Deployed: *deployed, LoadMoves: *moves, Leaves: *leaves, Changes: *changes, Restarts: *restarts, Limits: limits, Machine: machine, Say: sayer()}
 		if o.Program == "" {
 			o.Program = filepath.Join(filepath.Dir(self), "cresspondd")
--- a/rehearsal/scale/fleet.go
+++ b/rehearsal/scale/fleet.go
@@ -91,7 +91,9 @@
 	program string
 	self    string
 	// deployed says that the processes of their own are the users' platform's program.
-	deployed  bool
+	deployed bool
+	// profiles is where hosts write what takes their processor time; empty, nowhere.
+	profiles  string
 	beat      time.Duration
 	addresses *addresses
 	members   []*member
@@ -110,7 +112,7 @@
 )
 
 func layFleet(size Size, folder string, o Options, base int) (*fleet, error) {
-	f := &fleet{folder: folder, program: o.Program, self: o.Self, deployed: o.Deployed, beat: o.Beat, addresses: &addresses{base: base},
+	f := &fleet{folder: folder, program: o.Program, self: o.Self, deployed: o.Deployed, profiles: o.Profiles, beat: o.Beat, addresses: &addresses{base: base},
 		client: &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	first, err := f.addresses.ports()
 	if err != nil {
@@ -173,6 +175,9 @@
 			continue
 		}
 		args := []string{"hollow"}
+		if f.profiles != "" {
+			args = append(args, "--profile", filepath.Join(f.profiles, fmt.Sprintf("%d-daemons-host-%d.pprof", len(f.members), i)))
+		}
 		program, name := f.self, fmt.Sprintf("host-%d", i)
 		if !p.host {
 			m := p.members[0]
@@ -287,6 +292,11 @@
 // stop ends the processes that this fleet started.
 func (f *fleet) stop() {
 	for _, p := range f.running() {
+		if p.host && f.profiles != "" {
+			// Hosts end with their words, and then write what they have.
+			_ = p.words.Close()
+			continue
+		}
 		_ = p.cmd.Process.Kill()
 	}
 	for _, p := range f.running() {
--- a/rehearsal/scale/host.go
+++ b/rehearsal/scale/host.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"os"
+	"runtime/pprof"
 	"sync"
 
 	"github.com/apex/log"
@@ -27,7 +29,19 @@
 
 // Host runs hollow daemons: the daemon's own code, many in one process, with no clients. It ends when the
 // runner's words do.
-func Host(words io.Reader, echoes io.Writer) error {
+// Where profile names a file, what takes its processor time is written there at the end.
+func Host(words io.Reader, echoes io.Writer, profile string) error {
+	if profile != "" {
+		file, err := os.Create(profile)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		if err := pprof.StartCPUProfile(file); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
 	log.SetHandler(discard.New())
 	type running struct{ stop, hurry chan struct{} }
 	var mutex sync.Mutex
--- a/rehearsal/scale/run.go
+++ b/rehearsal/scale/run.go
@@ -25,7 +25,9 @@
 	// LoadMoves is how often an engine's load in its reports is another; zero never moves it. It needs Deployed.
 	LoadMoves time.Duration
 	Folder    string
-	Beat      time.Duration
+	// Profiles is a folder for what takes the hosts' processor time; empty writes none.
+	Profiles string
+	Beat     time.Duration
 	// StartPace is how many hollow daemons are started a second; zero starts all at once.
 	StartPace float64
 	Windows   int
--- a/rehearsal/scale/scale_test.go
+++ b/rehearsal/scale/scale_test.go
@@ -152,7 +152,7 @@
 	}
 	words, echoes := newPipe(), newPipe()
 	ended := make(chan error, 1)
-	go func() { ended <- Host(words.reader, echoes.writer) }()
+	go func() { ended <- Host(words.reader, echoes.writer, "") }()
 	say := json.NewEncoder(words.writer)
 	if err := say.Encode(Word{Start: &m.settings}); err != nil {
 		t.Fatal(err)
