Hold registrations, the operator's page and a change of weights to the platform's page

Late beats, ids that left, other services at old addresses, drains by their bound; configurations resent, raced by eight, invalid in fifteen ways, patched, with 3000 routes. A rehearsal's act for orders whose answers are lost while engines freeze and fall.

--- a/rehearsal/platformkit/client/conn.go
+++ b/rehearsal/platformkit/client/conn.go
@@ -240,6 +240,8 @@
 			event.ID, some = strings.TrimSpace(line[3:]), true
 		case strings.HasPrefix(line, "data:"):
 			event.Data, some = strings.TrimSpace(line[5:]), true
+		case strings.HasPrefix(line, strings.ToLower(form.WeightVersions)+":"):
+			event.Version, some = strings.TrimSpace(line[len(form.WeightVersions)+1:]), true
 		case line != "":
 			some = true
 		}
--- /dev/null
+++ b/rehearsal/platformkit/contract/operator_test.go
@@ -0,0 +1,172 @@
+package contract
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/rehearsal/platformkit/form"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/history"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/judge"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/operator"
+)
+
+// TestTheOperatorsPage goes through the page on the operator in one order, since all tests share one group.
+func TestTheOperatorsPage(t *testing.T) {
+	b := newBench(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	o := operator.New("contract", 7, b.book, shared.fleet.Controls)
+	current := config()
+	read := func() *form.Config {
+		t.Helper()
+		back := o.Get(ctx, false)
+		if back.Config == nil {
+			t.Fatal(back.Err)
+		}
+		return back.Config
+	}
+	if !judge.Same(read(), current) {
+		t.Fatal("what is read back is not what was sent")
+	}
+	put := func(base uint64, body []byte) int {
+		status, _ := b.call(http.MethodPut, form.PathConfig, map[string]string{"If-Match": fmt.Sprint(base), "Content-Type": "application/json"}, body)
+		return status
+	}
+	// The same again is acknowledged again.
+	if status := put(0, current.Encode()); status != 200 {
+		t.Errorf("the very same configuration: %d", status)
+	}
+	next := current.Clone()
+	next.Generation = 4
+	next.Routes = append(next.Routes, form.Route{Label: "later", Authority: host, PathPrefix: "/later/", Class: form.Idempotent, DeadlineMs: 1000, Backend: "plain-0", Tries: 1})
+	if status := put(0, next.Encode()); status != 412 {
+		t.Errorf("on an old version: %d", status)
+	}
+	for what, spoil := range map[string]func(*form.Config){
+		"an unknown service": func(c *form.Config) { c.Routes[0].Backend = "nobody" },
+		"an unknown share": func(c *form.Config) {
+			c.Routes[0].Shares = []form.Share{{Backend: "nobody", Share: 1}}
+			c.Routes[0].Backend = ""
+		},
+		"host and prefix": func(c *form.Config) { c.Routes[1].PathPrefix = c.Routes[0].PathPrefix },
+		"weights of 0": func(c *form.Config) {
+			c.Routes[0].Shares = []form.Share{{Backend: "plain-0"}}
+			c.Routes[0].Backend = ""
+		},
+		"a deadline of 0":     func(c *form.Config) { c.Routes[0].DeadlineMs = 0 },
+		"the same generation": func(c *form.Config) { c.Generation = 1; c.Routes[0].TargetMs++ },
+		"an older generation": func(c *form.Config) { c.Generation = 0 },
+		"host in capitals too": func(c *form.Config) {
+			c.Routes[1].PathPrefix, c.Routes[1].Authority = c.Routes[0].PathPrefix, "FRONT.example"
+		},
+	} {
+		bad := next.Clone()
+		spoil(bad)
+		if status := put(1, bad.Encode()); status < 400 || status > 499 {
+			t.Errorf("%s: %d", what, status)
+		}
+	}
+	for _, raw := range []string{"", "{", "[]", "null", `"x"`, string(next.Encode()[:400]), string(next.Encode()) + "}"} {
+		if status := put(1, []byte(raw)); status < 400 || status > 499 {
+			t.Errorf("%.20q: %d", raw, status)
+		}
+	}
+	if !judge.Same(read(), current) {
+		t.Fatal("something that was refused is in force")
+	}
+	if change := o.Put(ctx, 1, next, ""); change.Outcome != history.Acknowledged {
+		t.Fatalf("%+v", change)
+	}
+	current = next
+	// One that was taken is never refused, also when a newer one is in force.
+	if status := put(0, config().Encode()); status >= 400 && status < 500 {
+		t.Errorf("the first configuration, resent later: %d", status)
+	}
+	if status := put(1, current.Encode()); status != 200 {
+		t.Errorf("resent after a lost answer: %d", status)
+	}
+	// Two operators on one version: one wins.
+	var done sync.WaitGroup
+	changes := make([]*history.Change, 8)
+	for n := range changes {
+		racing := current.Clone()
+		racing.Generation = 10 + uint64(n)
+		racing.Routes[0].TargetMs = int64(1000 + n)
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			changes[n] = operator.New(fmt.Sprint("race", n), uint64(n), b.book, shared.fleet.Controls).Put(ctx, 4, racing, "")
+		}()
+	}
+	done.Wait()
+	won := 0
+	for _, change := range changes {
+		switch change.Outcome {
+		case history.Acknowledged:
+			won, current = won+1, change.Whole
+		case history.Refused:
+		default:
+			t.Errorf("%+v", change)
+		}
+	}
+	if won != 1 || !judge.Same(read(), current) {
+		t.Errorf("%d won", won)
+	}
+	for _, change := range changes {
+		if status := put(4, change.Whole.Encode()); (status == 200) != (change.Outcome == history.Acknowledged) {
+			t.Errorf("version %d, %s before, is answered %d", change.Generation, change.Outcome, status)
+		}
+	}
+	// Named items change, and all else stays as it was sent.
+	patch := form.Patch{Generation: 40}
+	moved := *current.Named("later")
+	moved.Backend, moved.Shares = "", []form.Share{{Backend: "plain-0", Share: 3}, {Backend: "plain-1", Share: 1}}
+	patch.Upsert.Routes = []form.Route{moved, {Label: "newer", Authority: host, PathPrefix: "/newer/", Class: form.Mutating, DeadlineMs: 700, Backend: "plain-0", Tries: 1}}
+	patch.Upsert.Backends = []form.Backend{{Label: "extra", HealthPath: "/h", MaxConns: 3, Protocol: "h1"}}
+	if change := o.Patch(ctx, current, patch, ""); change.Outcome != history.Acknowledged || !judge.Same(read(), change.Whole) {
+		t.Fatalf("%+v", change)
+	}
+	current = current.Apply(patch)
+	gone := form.Patch{Generation: 41}
+	gone.Remove.Routes, gone.Remove.Backends = []string{"newer", "later", "was-never-there"}, []string{"extra"}
+	if change := o.Patch(ctx, current, gone, ""); change.Outcome != history.Acknowledged || !judge.Same(read(), change.Whole) {
+		t.Errorf("%+v", change)
+	}
+	current = current.Apply(gone)
+	broken := form.Patch{Generation: 42}
+	broken.Remove.Backends = []string{"plain-0"}
+	if change := o.Patch(ctx, current, broken, "a route names an unknown service"); change.Outcome != history.Refused {
+		t.Errorf("a service that routes name was removed: %+v", change)
+	}
+	// Many routes at once, within the time that an acknowledgement may take.
+	large := current.Clone()
+	large.Generation = 50
+	for n := range 3000 {
+		large.Routes = append(large.Routes, form.Route{Label: fmt.Sprintf("many-%d", n), Authority: host, PathPrefix: fmt.Sprintf("/many/%d/", n), Class: form.Idempotent, DeadlineMs: 1000, Backend: "plain-0", Tries: 1})
+	}
+	if change := o.Put(ctx, 41, large, ""); change.Outcome != history.Acknowledged || !judge.Same(read(), large) {
+		t.Errorf("%+v", change)
+	}
+}
+
+// TestFieldsThatNobodyKnowsComeBack: an operator reads back what it sent, also what the product does not read.
+func TestFieldsThatNobodyKnowsComeBack(t *testing.T) {
+	b := newBench(t)
+	_, text := b.call(http.MethodGet, form.PathConfig, nil, nil)
+	var whole map[string]any
+	if err := json.Unmarshal(text, &whole); err != nil {
+		t.Fatal(err)
+	}
+	routes, _ := whole["route-table"].([]any)
+	first, _ := routes[0].(map[string]any)
+	for _, name := range []string{"label", "authority", "path-prefix", "route-class", "deadline-ms", "target-ms", "urgency", "tries", "affine", "resumable", "gap-target-ms"} {
+		if _, there := first[name]; !there {
+			t.Errorf("%s does not come back: %v", name, first)
+		}
+	}
+}
--- /dev/null
+++ b/rehearsal/platformkit/contract/registering_test.go
@@ -0,0 +1,189 @@
+package contract
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/rehearsal/platformkit/engine"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/fleet"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/form"
+)
+
+// call makes one call at the control daemon.
+func (b *bench) call(method, path string, header map[string]string, body []byte) (int, []byte) {
+	b.t.Helper()
+	request, err := http.NewRequest(method, "http://"+shared.fleet.Of(fleet.Core)[0].Control()+path, bytes.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return response.StatusCode, data
+}
+
+// register sends a beat in an engine's name.
+func (b *bench) register(id string, beat form.Registration) (int, []byte) {
+	data, _ := json.Marshal(beat)
+	return b.call(http.MethodPut, form.PathEngines+id, map[string]string{"Content-Type": "application/json"}, data)
+}
+
+// TestARegistrationIsAcknowledgedInShort: an acknowledgement is a 2xx of 4 KiB at most that can be read.
+func TestARegistrationIsAcknowledgedInShort(t *testing.T) {
+	b := newBench(t)
+	beat := form.Registration{Backend: fmt.Sprintf("plain-%d", b.number), Address: "127.0.0.1:9", Zone: "a", Generation: "v1", Slots: 1, State: form.StateReady, CallSeq: 1}
+	status, body := b.register("i-contract-a", beat)
+	var answer form.Registered
+	if status < 200 || status > 299 || len(body) > 4096 || len(body) > 0 && json.Unmarshal(body, &answer) != nil {
+		t.Errorf("%d %q", status, body)
+	}
+	for what, spoil := range map[string][]byte{"no JSON": []byte("{"), "another form": []byte("[]"), "nothing": nil} {
+		if status, _ := b.call(http.MethodPut, form.PathEngines+"i-contract-b", nil, spoil); status < 400 || status > 499 {
+			t.Errorf("%s: %d", what, status)
+		}
+	}
+	if status, _ := b.call(http.MethodDelete, form.PathEngines+"i-contract-a", nil, nil); status < 200 || status > 299 {
+		t.Errorf("leaving: %d", status)
+	}
+	// Leaving again, and of one that nobody knows, is no failure: the first answer may have been lost.
+	for _, id := range []string{"i-contract-a", "i-contract-never"} {
+		if status, _ := b.call(http.MethodDelete, form.PathEngines+id, nil, nil); status >= 500 {
+			t.Errorf("leaving of %s: %d", id, status)
+		}
+	}
+}
+
+// TestALateBeatOfOneThatDrainsChangesNothing: its call-seq is lower, or its id has left.
+func TestALateBeatOfOneThatDrainsChangesNothing(t *testing.T) {
+	b := newBench(t)
+	e := b.plain(func(c *engine.Config) { c.Controls = nil })
+	beat := form.Registration{Backend: e.Config.Service, Address: e.Config.Address, Zone: "a", Generation: "v1", Slots: 8, State: form.StateReady, CallSeq: 5}
+	b.register(e.Current(), beat)
+	b.known("once", 1)
+	draining := beat
+	draining.State, draining.CallSeq = form.StateDraining, 6
+	if status, _ := b.register(e.Current(), draining); status != 200 {
+		t.Fatal(status)
+	}
+	b.await("it gets nothing new", func() bool { return !b.ask(b.request("once")).Success() })
+	// A beat that was sent before, and comes after.
+	b.register(e.Current(), beat)
+	if status, _ := b.call(http.MethodDelete, form.PathEngines+e.Current(), nil, nil); status != 200 {
+		t.Fatal(status)
+	}
+	late := beat
+	late.CallSeq = 7
+	b.register(e.Current(), late)
+	before := len(b.arrivals())
+	for range 20 {
+		r := b.request("once")
+		r.Deadline = 300 * time.Millisecond
+		b.ask(r)
+	}
+	if after := len(b.arrivals()); after != before {
+		t.Errorf("%d requests reached an engine that has left", after-before)
+	}
+	b.sound()
+}
+
+// TestAnotherServiceAtAnOldAddressRunsNothing: an engine is gone without a word, and another has its address.
+func TestAnotherServiceAtAnOldAddressRunsNothing(t *testing.T) {
+	b := newBench(t)
+	e := b.plain(nil)
+	b.known("once", 1)
+	address := e.Config.Address
+	e.Crash()
+	other := b.start(engine.Config{Service: fmt.Sprintf("model-%d", b.number), Slots: 8, Waiting: 8, Work: time.Millisecond, AnswerBytes: 10}, func(c *engine.Config) { c.Address = address })
+	for range 30 {
+		r := b.request("once")
+		r.Deadline = 500 * time.Millisecond
+		if try := b.ask(r); try.Success() {
+			t.Errorf("%s was served, and no engine of its service lives", try.Attempt)
+		}
+	}
+	for _, arrival := range b.arrivals() {
+		if arrival.Engine == other.Current() && arrival.Ran() {
+			t.Errorf("%s ran at another service", arrival.Attempt)
+		}
+	}
+	b.sound()
+}
+
+// TestADrainingEngineGetsNothingLate: from its acknowledgement on it takes no longer than the bound.
+func TestADrainingEngineGetsNothingLate(t *testing.T) {
+	b := newBench(t)
+	b.plain(nil)
+	b.plain(nil)
+	b.known("again", 2)
+	leaving := b.engines[0]
+	id := leaving.Current()
+	leaving.Leave(0)
+	for leaving.Current() == id {
+		if try := b.ask(b.request("again")); !try.Success() {
+			t.Errorf("%d %s", try.Status, try.Err)
+		}
+	}
+	for _, life := range b.book.Read().Lives {
+		if life.Engine != id {
+			continue
+		}
+		if life.DrainAcked == 0 {
+			t.Fatal("its leaving was never acknowledged")
+		}
+		for _, arrival := range b.arrivals() {
+			if arrival.Engine == id && arrival.At.Since(life.DrainAcked) > bounds.Drain {
+				t.Errorf("%s came %v after the acknowledgement", arrival.Attempt, arrival.At.Since(life.DrainAcked))
+			}
+		}
+	}
+	b.sound()
+}
+
+// TestAChangeOfWeightsPassesInItsEvent: the line that tells of it belongs to the event and goes along.
+func TestAChangeOfWeightsPassesInItsEvent(t *testing.T) {
+	b := newBench(t)
+	e := b.model(func(c *engine.Config) { c.Pace.Step = 5 * time.Millisecond })
+	b.known("stream", 1)
+	r := b.request("stream")
+	r.Prompt.TokensOut = 120
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		b.await("it is under way", func() bool {
+			for _, arrival := range b.arrivals() {
+				if arrival.Prompt.TokensOut == 120 && arrival.Events > 5 {
+					return true
+				}
+			}
+			return false
+		})
+		e.Upgrade("m", 2)
+	}()
+	tries := b.newClient().Do(context.Background(), r)
+	<-done
+	told := 0
+	for _, event := range tries[0].Events {
+		if event.Version == "2" {
+			told++
+		}
+	}
+	if !tries[0].Success() || told != 1 {
+		t.Errorf("%d %s, told %d times", tries[0].Status, tries[0].Err, told)
+	}
+	b.sound()
+}
--- a/rehearsal/platformkit/day/acts.go
+++ b/rehearsal/platformkit/day/acts.go
@@ -107,6 +107,33 @@
 		d.pause(ctx, 4*time.Second)
 		return nil
 	}},
+	{"order-trouble", 2 * time.Second, func(d *Day, ctx context.Context) error {
+		// Demand moves, so that there are orders; their answers get lost, and engines freeze and fall over them.
+		d.mutex.Lock()
+		d.favourite += 2
+		d.mutex.Unlock()
+		for _, e := range d.of("lm") {
+			e.LoseOrders(1)
+		}
+		for range 3 {
+			e, err := d.anyEngine("lm")
+			if err != nil {
+				return err
+			}
+			e.Freeze()
+			d.pause(ctx, 600*ms)
+			e.Thaw()
+			if e, err = d.anyEngine("lm"); err != nil {
+				return err
+			}
+			e.Crash()
+			d.pause(ctx, 300*ms)
+			if err := e.Start(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
 	{"edge-kill", 2 * time.Second, func(d *Day, ctx context.Context) error { return d.bounce(ctx, d.any(fleet.Edge)) }},
 	{"edge-freeze", 2 * time.Second, func(d *Day, ctx context.Context) error { return d.freeze(ctx, d.any(fleet.Edge)) }},
 	{"edge-stop", time.Second, func(d *Day, ctx context.Context) error {
--- a/rehearsal/platformkit/engine/engine.go
+++ b/rehearsal/platformkit/engine/engine.go
@@ -108,6 +108,8 @@
 	conns   sync.WaitGroup
 	open    atomic.Int64
 	answers atomic.Int64
+	// upgrades counts changes of the weights of what is held.
+	upgrades atomic.Int64
 	queued  atomic.Int64
 	leaving atomic.Bool
 	crashed atomic.Bool
@@ -564,6 +566,21 @@
 	l.remember()
 }
 
+// Upgrade gives what is held of a model another version of its weights while it runs; streams tell of it.
+func (e *Engine) Upgrade(model string, version uint64) {
+	l := e.living()
+	if l == nil {
+		return
+	}
+	l.do(func() {
+		if held := l.holdings.Held(model); held != nil {
+			held.Generation = version
+			l.upgrades.Add(1)
+			l.remember()
+		}
+	})
+}
+
 // Renew gives the engine's loads a new version of the weights from now on; those held stay as they are.
 func (e *Engine) Renew(version uint64) {
 	if l := e.living(); l != nil {
--- a/rehearsal/platformkit/engine/server.go
+++ b/rehearsal/platformkit/engine/server.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httputil"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cresspond/cresspond/process/clock"
@@ -479,12 +480,8 @@
 		return k.send(o, arrival, run, max(500, o.fault.Status), []byte("a failure of the engine's own\n"))
 	}
 	stamp := form.Stamp{Engine: k.id, Attempt: arrival.Attempt, Run: run, Status: http.StatusOK, Length: -1}
-	generation := uint64(1)
-	k.do(func() {
-		if held := k.holdings.Held(arrival.Prompt.Model); held != nil {
-			generation = held.Generation
-		}
-	})
+	upgrades := k.upgrades.Load()
+	generation := k.generation(arrival.Prompt.Model)
 	header := http.Header{form.Seal: {stamp.Write()}, "Content-Type": {"text/event-stream"}, form.WeightVersions: {strconv.FormatUint(generation, 10)}}
 	if k.head(o, http.StatusOK, header, o.misname(arrival.Attempt), -1) != nil {
 		k.leave(job)
@@ -494,6 +491,14 @@
 	for {
 		if sign.Event > 0 {
 			event := fmt.Sprintf("id: %d\ndata: %s\n\n", sign.Event, form.EventData(arrival.Attempt, run, sign.Event, all))
+			if now := k.upgrades.Load(); now != upgrades {
+				// An event at which the version changes says so in its first line.
+				upgrades = now
+				if newer := k.generation(arrival.Prompt.Model); newer != generation {
+					generation = newer
+					event = fmt.Sprintf("%s: %d\n%s", strings.ToLower(form.WeightVersions), generation, event)
+				}
+			}
 			k.Book.Note(func(*history.History) { arrival.Events = sign.Event })
 			if _, err := io.WriteString(chunks, event); err != nil {
 				k.leave(job)
@@ -531,6 +536,16 @@
 	return true
 }
 
+// generation gives the version of what is held of a model.
+func (l *life) generation(model string) (generation uint64) {
+	l.do(func() {
+		if held := l.holdings.Held(model); held != nil {
+			generation = held.Generation
+		}
+	})
+	return generation
+}
+
 // answerOrder takes an order.
 func (k *link) answerOrder(in incoming) bool {
 	if target := in.request.Header.Get(form.Target); target != "" && target != k.id {
--- a/rehearsal/platformkit/history/history.go
+++ b/rehearsal/platformkit/history/history.go
@@ -79,6 +79,8 @@
 	At   clock.Mark
 	ID   string
 	Data string
+	// Version is there if the event told of another version of the weights.
+	Version string
 }
 
 // Try is one try of a client, as it saw it on its socket.
