--- a/rehearsal/platformkit/engine/engine.go
+++ b/rehearsal/platformkit/engine/engine.go
@@ -110,9 +110,9 @@
 	answers atomic.Int64
 	// upgrades counts changes of the weights of what is held.
 	upgrades atomic.Int64
-	queued  atomic.Int64
-	leaving atomic.Bool
-	crashed atomic.Bool
+	queued   atomic.Int64
+	leaving  atomic.Bool
+	crashed  atomic.Bool
 	// remaining is the time left to one taken away at short notice; zero is none told.
 	remaining atomic.Int64
 	hurry     chan struct{}
