--- a/rehearsal/proof/proof_test.go
+++ b/rehearsal/proof/proof_test.go
@@ -11,6 +11,9 @@
 	"testing"
 
 	"github.com/cresspond/cresspond/rehearsal/checker"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/day"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/history"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/judge"
 	"github.com/cresspond/cresspond/rehearsal/scenario"
 )
 
@@ -59,6 +62,16 @@
 			t.Errorf("there is no scenario %s", found[1])
 		}
 	}
+	for _, name := range day.Names() {
+		if !strings.Contains(page, "`"+name+"`") {
+			t.Errorf("act %s is not named", name)
+		}
+	}
+	for _, finding := range judge.Judge(&history.History{}, judge.Bounds{}) {
+		if rule, _, _ := strings.Cut(finding.Rule, " "); !strings.Contains(page, rule) {
+			t.Errorf("the rule %s is not named", finding.Rule)
+		}
+	}
 	flat := strings.Join(strings.Fields(page), " ")
 	for _, finding := range checker.Check(&checker.History{}) {
 		if !strings.Contains(flat, `"`+finding.Rule+`"`) {
