--- a/connection/gateway/size_test.go
+++ b/connection/gateway/size_test.go
@@ -71,6 +71,17 @@
 // gateway together: straight from the engine, and through the gateway.
 func BenchmarkSizeOpenStream(b *testing.B) {
 	const streams = 60
+	for _, way := range []string{"straight", "through"} {
+		b.Run(way, func(b *testing.B) {
+			for b.Loop() {
+				openStreams(b, way == "through", streams)
+			}
+		})
+	}
+}
+
+// openStreams opens streams before an engine of their own and reports what each keeps.
+func openStreams(b *testing.B, through bool, streams int) {
 	begun, end := make(chan struct{}, streams), make(chan struct{})
 	engine := newStandIn(b, "e1", func(a arrival) bool {
 		say(a, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+idOf(a)+"\r\nCresspond-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n12\r\nid: 1\ndata: xxxx\n\n\r\n")
@@ -80,35 +91,31 @@
 	})
 	f := newFixture(b, engine)
 	defer close(end)
-	turn := 0
-	for _, way := range []struct{ name, address string }{{"straight", engine.listener.Addr().String()}, {"through", f.address}} {
-		b.Run(way.name, func(b *testing.B) {
-			for b.Loop() {
-				before := kept()
-				var open []net.Conn
-				for range streams {
-					turn++
-					conn, err := net.Dial("tcp", way.address)
-					if err != nil {
-						b.Fatal(err)
-					}
-					open = append(open, conn)
-					if _, err := io.WriteString(conn, ask("stream", fmt.Sprintf("open-%d", turn), "go")); err != nil {
-						b.Fatal(err)
-					}
-					<-begun
-					// Its first event has come through, so all that a stream keeps is there.
-					if _, err := io.ReadFull(conn, make([]byte, 40)); err != nil {
-						b.Fatal(err)
-					}
-				}
-				b.ReportMetric(float64(kept()-before)/streams, "bytes/stream")
-				for _, conn := range open {
-					conn.Close()
-				}
-			}
-		})
+	address := engine.listener.Addr().String()
+	if through {
+		address = f.address
+	}
+	before := kept()
+	for n := range streams {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer conn.Close()
+		if _, err := io.WriteString(conn, ask("stream", fmt.Sprintf("open-%d", n), "go")); err != nil {
+			b.Fatal(err)
+		}
+		select {
+		case <-begun:
+		case <-b.Context().Done():
+			b.Fatal("a stream did not begin")
+		}
+		// Its first event has come through, so all that a stream keeps is there.
+		if _, err := io.ReadFull(conn, make([]byte, 40)); err != nil {
+			b.Fatal(err)
+		}
 	}
+	b.ReportMetric(float64(kept()-before)/float64(streams), "bytes/stream")
 }
 
 // kept is the heap in use and the stacks, after a collection.
