--- a/rehearsal/platformkit/judge/judge.go
+++ b/rehearsal/platformkit/judge/judge.go
@@ -110,7 +110,9 @@
 
 // steady says so of the machine alone.
 func (b *bench) steady(machine string, at clock.Mark) bool {
-	return !b.troubled(before(at, b.bounds.Contact), at, func(t *history.Trouble) bool { return t.Machine == machine || t.Kind == history.Closing || t.Kind == history.Machine })
+	return !b.troubled(before(at, b.bounds.Contact), at, func(t *history.Trouble) bool {
+		return t.Machine == machine || t.Kind == history.Closing || t.Kind == history.Machine
+	})
 }
 
 // calm says that nothing at all was wrong in the time of contact before a span, and in it.
