--- a/connection/gateway/answers_test.go
+++ b/connection/gateway/answers_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/request/forwarding"
 )
@@ -414,6 +416,53 @@
 	}
 }
 
+// TestOnlyACurrentTableSaysThatSomethingIsTooLarge: while a newer table may allow it, it is put off and not denied.
+func TestOnlyACurrentTableSaysThatSomethingIsTooLarge(t *testing.T) {
+	engine := newStandIn(t, "e1", func(a arrival) bool { say(a, wholeOf(a, "pong")); return true })
+	f := newFixture(t, engine)
+	limited := func(limits forward.Limits) {
+		section := *f.index.Load().Section
+		section.Limits = limits
+		f.index.Store(forward.NewIndex(&section))
+	}
+	for _, c := range []struct {
+		name   string
+		limits forward.Limits
+		final  int
+	}{
+		{"body", forward.Limits{MostBodyBytes: 3}, 413},
+		{"head", forward.Limits{MostHeaderBytes: 40}, 431},
+	} {
+		limited(c.limits)
+		f.old.Store(true)
+		got := f.call(ask("once", c.name+"1", "ping"))
+		if got.status != 503 || got.head.Get("Retry-After") == "" || !got.closes {
+			t.Errorf("%s by a table that may be old: %+v", c.name, got)
+		}
+		f.old.Store(false)
+		if got := f.call(ask("once", c.name+"2", "ping")); got.status != c.final || !got.closes {
+			t.Errorf("%s by a current table: %+v", c.name, got)
+		}
+		limited(forward.Limits{})
+		if got := f.call(ask("once", c.name+"1", "ping")); got.status != 200 {
+			t.Errorf("%s by a newer table: %+v", c.name, got)
+		}
+	}
+}
+
+// TestWhatWasNotReadWholeIsAnsweredByTheSameWord: also where the reader itself gave up at the limit in force.
+func TestWhatWasNotReadWholeIsAnsweredByTheSameWord(t *testing.T) {
+	f := newFixture(t)
+	for old, status := range map[bool]int{true: 503, false: 413} {
+		f.old.Store(old)
+		var ctx fasthttp.RequestCtx
+		f.gateway.Unread(&ctx, 413)
+		if got := ctx.Response.StatusCode(); got != status || !ctx.Response.ConnectionClose() {
+			t.Errorf("old %v: %d", old, got)
+		}
+	}
+}
+
 // TestAStoppingDaemonAnswersAllItHas: what is held is refused, what may have run is not, and neither is left
 // without an answer.
 func TestAStoppingDaemonAnswersAllItHas(t *testing.T) {
--- a/connection/gateway/gateway.go
+++ b/connection/gateway/gateway.go
@@ -26,7 +26,9 @@
 	// Index is the table in force, View the engines, Held whether a worker id is held.
 	Index func() *forward.Index
 	View  func() *registry.View
-	Held  func() bool
+	// Current says that the table in force is known to be new enough, so that what it does not allow is not allowed.
+	Current func() bool
+	Held    func() bool
 	// EngineOpen says whether operators let new requests go to an engine; nil is yes.
 	EngineOpen func(*registry.Engine) bool
 	// Draining says that whoever is answered should connect elsewhere next time.
@@ -112,15 +114,11 @@
 	record := forwarding.Record{Ask: ask, Host: host, Prefixed: prefixed, Arrived: arrived, Deadline: arrived + clock.Mark(longestWait)}
 	if index := g.Index(); index != nil {
 		if most := index.Section.Limits.MostHeaderBytes; most > 0 && headBytes(&ctx.Request.Header) > most {
-			g.Counters.TooLarge.Add(1)
-			g.plain(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "the head is too large")
-			ctx.SetConnectionClose()
+			g.tooLarge(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "the head is too large")
 			return
 		}
 		if most := index.Section.Limits.MostBodyBytes; most > 0 && int64(len(ctx.Request.Body())) > most {
-			g.Counters.TooLarge.Add(1)
-			g.plain(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is too large")
-			ctx.SetConnectionClose()
+			g.tooLarge(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is too large")
 			return
 		}
 		if path, found := index.Lookup(host, prefixed); found {
@@ -184,6 +182,25 @@
 	ctx.SetBodyString(reason + "\n")
 }
 
+// tooLarge answers what passes the limits in force. Only a table that is known to be new enough can say so for
+// good: a newer one may allow it, and a client never asks again after the final word.
+func (g *Gateway) tooLarge(ctx *fasthttp.RequestCtx, status int, reason string) {
+	g.Counters.TooLarge.Add(1)
+	if g.Current() {
+		g.plain(ctx, status, reason)
+	} else {
+		g.plain(ctx, fasthttp.StatusServiceUnavailable, "cresspond: "+forwarding.NoTable.String()+": "+reason)
+		g.Dialect.Refuse(&ctx.Response.Header, time.Second)
+	}
+	ctx.SetConnectionClose()
+}
+
+// Unread answers a request that the limits in force kept from being read whole, as Handle answers what was read.
+func (g *Gateway) Unread(ctx *fasthttp.RequestCtx, status int) {
+	ctx.Response.Header.SetNoDefaultContentType(true)
+	g.tooLarge(ctx, status, "the request is larger than was read")
+}
+
 // end writes our own final answer.
 func (f *flight) end(answer forwarding.Answer) {
 	if answer.Status == 0 {
--- a/connection/gateway/gateway_test.go
+++ b/connection/gateway/gateway_test.go
@@ -116,8 +116,10 @@
 	view     atomic.Pointer[registry.View]
 	held     atomic.Bool
 	draining atomic.Bool
-	actor    *forwarding.Actor
-	pools    *engineconn.Pools
+	// old says that the table in force may be old.
+	old   atomic.Bool
+	actor *forwarding.Actor
+	pools *engineconn.Pools
 	// beforeLook is called when an engine is reached, right before the last look.
 	beforeLook func()
 }
@@ -139,14 +141,14 @@
 	settings.RetrySlack = 1000
 	var minted atomic.Int64
 	f.actor = forwarding.NewActor(settings, func() forwarding.World {
-		return forwarding.World{Now: clock.System{}.Elapsed(), Index: f.index.Load(), Current: true, View: f.view.Load(), Edges: 1, Leased: f.held.Load(),
+		return forwarding.World{Now: clock.System{}.Elapsed(), Index: f.index.Load(), Current: !f.old.Load(), View: f.view.Load(), Edges: 1, Leased: f.held.Load(),
 			Mint: func() (ident.MintedID, bool) { return ident.MintedID(minted.Add(1)), f.held.Load() }}
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go f.actor.Run(ctx)
 	f.pools = engineconn.New(clock.System{}, dialect.Own())
-	f.gateway = New(Surroundings{Clock: clock.System{}, Dialect: dressing{dialect.Own(), f}, Index: f.index.Load, View: f.view.Load,
+	f.gateway = New(Surroundings{Clock: clock.System{}, Dialect: dressing{dialect.Own(), f}, Index: f.index.Load, View: f.view.Load, Current: func() bool { return !f.old.Load() },
 		Held: func() bool { return f.held.Load() }, Draining: f.draining.Load, Settings: settings}, f.actor, f.pools)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -300,8 +300,10 @@
 	serveFellows := serveFunc(func(listener net.Listener) error { return fellowServer.Serve(d.links.Traffic.Listen(listener)) })
 	go d.serveOn(ctx, serveFellows, fellowListener, "fellowListen", d.config.FellowListen)
 	defer fellowServer.Close()
-	servers := []*fasthttp.Server{d.server(d.handle, d.callerLimits)}
-	go d.serveOn(ctx, servers[0], callerListener, "listen", d.config.Listen)
+	callerServer := d.server(d.handle, d.callerLimits)
+	callerServer.ErrorHandler = d.badCall
+	servers := []*fasthttp.Server{callerServer}
+	go d.serveOn(ctx, callerServer, callerListener, "listen", d.config.Listen)
 	if operatorListener != nil {
 		operatorServer := d.server(d.handleOperator, bodyLimit)
 		servers = append(servers, operatorServer)
@@ -388,6 +390,16 @@
 	ctx.SetConnectionClose()
 }
 
+// badCall is badRequest where callers come in: how large a body is read there follows from the table in force, and
+// that may be old.
+func (d *Daemon) badCall(ctx *fasthttp.RequestCtx, err error) {
+	if err == fasthttp.ErrBodyTooLarge && d.isForwarded(ctx, string(ctx.Path())) {
+		d.forwardSide.gateway.Unread(ctx, fasthttp.StatusRequestEntityTooLarge)
+		return
+	}
+	badRequest(ctx, err)
+}
+
 // mostConnections is how many connections a listener keeps open: what callers take must leave descriptors for
 // engines, peers and files.
 func mostConnections(descriptors int) int {
--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -75,7 +75,7 @@
 	side.pools = engineconn.New(d.clock, side.dialect)
 	side.actor = forwarding.NewActor(side.settings, d.forwardWorld)
 	side.gateway = gateway.New(gateway.Surroundings{
-		Clock: d.clock, Dialect: side.dialect, Index: d.forwardIndex, View: side.view, Held: d.generator.Held, EngineOpen: d.engineOpen,
+		Clock: d.clock, Dialect: side.dialect, Index: d.forwardIndex, View: side.view, Current: d.tableIsCurrent, Held: d.generator.Held, EngineOpen: d.engineOpen,
 		Draining: d.draining.Load, Settings: side.settings,
 	}, side.actor, side.pools)
 	go side.actor.Run(ctx)
@@ -205,12 +205,17 @@
 	return nil
 }
 
+// tableIsCurrent says whether what is in force here is known to be new enough.
+func (d *Daemon) tableIsCurrent() bool {
+	current, _ := d.members.Ready()
+	return current
+}
+
 // forwardWorld is what forwarding may look at now.
 func (d *Daemon) forwardWorld() forwarding.World {
 	now := d.clock.Elapsed()
-	current, _ := d.members.Ready()
 	return forwarding.World{
-		Now: now, Index: d.forwardIndex(), Current: current, View: d.forwardSide.view(), Zone: d.config.Zone,
+		Now: now, Index: d.forwardIndex(), Current: d.tableIsCurrent(), View: d.forwardSide.view(), Zone: d.config.Zone,
 		Edges: d.edges(now), Lacks: d.PoolLack, Open: d.engineOpen, Leased: d.generator.Held(),
 		Mint: func() (ident.MintedID, bool) {
 			id, verdict := d.generator.Mint()
