Let what is asked for fade where it is heard, and tell exactly whether anything runs

Cause: rates fade by half in 5 s where they are counted, but not where they are heard, so each model asked for once was told again every 2 s for 31 s: some 20 rows a request. And a daemon's last request to end was not told of (2 more or less counted as alike), so one that asks for little of many models was heard to run 1 or 2 of each for half a minute; over 60 daemons that adds up. Now both sides fade alike; one request is three rows.

--- a/process/daemon/poolplanning.go
+++ b/process/daemon/poolplanning.go
@@ -107,19 +107,19 @@
 // heardDemand adds up what this daemon and all others were lately heard to ask for.
 func (d *Daemon) heardDemand(now clock.Mark, own []*fellowapi.Demand) []poolplacement.Demand {
 	var out []poolplacement.Demand
-	take := func(demand *fellowapi.Demand, ago time.Duration) {
+	take := func(demand *fellowapi.Demand, ago time.Duration, share float64) {
 		if demand.Pool == "" {
 			return
 		}
 		one := poolplacement.Demand{Pool: demand.Pool, Model: demand.Model, Adapter: demand.Adapter, Held: int(demand.Held), Running: int(demand.Running),
-			Tokens: demand.Tokens, Arrivals: demand.Arrivals, Rank: int(demand.Rank)}
+			Tokens: demand.Tokens * share, Arrivals: demand.Arrivals * share, Rank: int(demand.Rank)}
 		if demand.Held > 0 {
 			one.Oldest = time.Duration(demand.OldestMs)*time.Millisecond + ago
 		}
 		out = append(out, one)
 	}
 	for _, demand := range own {
-		take(demand, 0)
+		take(demand, 0, 1)
 	}
 	d.fleetMutex.Lock()
 	defer d.fleetMutex.Unlock()
--- a/process/daemon/routing.go
+++ b/process/daemon/routing.go
@@ -486,7 +486,7 @@
 			continue
 		}
 		if now.Since(heard.At) < demandFresh {
-			heard.Each(now, func(demand *fellowapi.Demand, _ time.Duration) {
+			heard.Each(now, func(demand *fellowapi.Demand, _ time.Duration, _ float64) {
 				if demand.Pool == "" {
 					in.Demand = append(in.Demand, placement.Demand{Model: demand.Model, Adapter: demand.Adapter, Worth: demand.Worth, Held: int(demand.Held), Running: int(demand.Running)})
 				}
--- a/process/wants/wants.go
+++ b/process/wants/wants.go
@@ -13,6 +13,12 @@
 const (
 	// wholeEvery is how often all is told again. A part that is lost is noticed, so this is for what nobody thought of.
 	wholeEvery = 30 * time.Second
+	// Half is the time after which rates count half where nothing new is asked for. Both sides let them fade, so that
+	// only what is asked for anew need be told.
+	Half = 5 * time.Second
+	// leastRate is the rate below which what neither waits nor runs is forgotten; leastTold is the same where it is
+	// told, and higher, so that whoever heard of it forgets it last.
+	leastRate, leastTold = 0.001, 0.01
 	// oldestSlack is by how much the age of the oldest may differ from what it must have grown to.
 	oldestSlack = 300 * time.Millisecond
 )
@@ -64,9 +70,13 @@
 		t.known[key] = told{demand, now}
 		out.Demand = append(out.Demand, demand)
 	}
-	for key := range t.known {
+	for key, before := range t.known {
 		if !present[key] {
 			delete(t.known, key)
+			if before.idle() && before.demand.Arrivals*left(now.Since(before.at)) < leastTold {
+				// It is forgotten there by itself.
+				continue
+			}
 			// Nothing of it is asked for any more.
 			out.Demand = append(out.Demand, &fellowapi.Demand{Pool: key.Pool, Model: key.Model, Adapter: key.Adapter})
 		}
@@ -81,10 +91,17 @@
 	t.lost = true
 }
 
+// idle says that nothing of it waited or ran.
+func (t told) idle() bool { return t.demand.Held == 0 && t.demand.Running == 0 }
+
+// left is the share of a rate that is left after a time.
+func left(since time.Duration) float64 { return math.Exp2(-float64(since) / float64(Half)) }
+
 // near says whether a demand is so much like what was told that it need not be told anew.
 func near(before told, demand *fellowapi.Demand, now clock.Mark) bool {
 	was := before.demand
-	if was.Held > 0 != (demand.Held > 0) || was.Worth != demand.Worth || was.Held > 0 && was.Rank != demand.Rank {
+	// Whether any runs is told exactly: of many daemons that each ask for little, the sum would be far off.
+	if was.Held > 0 != (demand.Held > 0) || was.Running > 0 != (demand.Running > 0) || was.Worth != demand.Worth || was.Held > 0 && was.Rank != demand.Rank {
 		return false
 	}
 	if demand.Held > 0 {
@@ -93,9 +110,10 @@
 			return false
 		}
 	}
+	share := left(now.Since(before.at))
 	like := func(a, b, least float64) bool { return math.Abs(a-b) <= max(least, a/4) }
 	return like(float64(was.Held), float64(demand.Held), 1) && like(float64(was.Running), float64(demand.Running), 2) &&
-		like(was.Tokens, demand.Tokens, 1) && like(was.Arrivals, demand.Arrivals, 0.1)
+		like(was.Tokens*share, demand.Tokens, 1) && like(was.Arrivals*share, demand.Arrivals, 0.1)
 }
 
 // Heard is what was heard of one life of a daemon.
@@ -129,9 +147,15 @@
 	return true
 }
 
-// Each gives all that is asked for, with how long ago it was told.
-func (h *Heard) Each(now clock.Mark, give func(demand *fellowapi.Demand, ago time.Duration)) {
-	for _, one := range h.known {
-		give(one.demand, now.Since(one.at))
+// Each gives all that is asked for, with how long ago it was told, and which share of its rates is left since.
+func (h *Heard) Each(now clock.Mark, give func(demand *fellowapi.Demand, ago time.Duration, share float64)) {
+	for key, one := range h.known {
+		ago := now.Since(one.at)
+		share := left(ago)
+		if one.idle() && one.demand.Arrivals*share < leastRate {
+			delete(h.known, key)
+			continue
+		}
+		give(one.demand, ago, share)
 	}
 }
--- a/request/forwarding/demand.go
+++ b/request/forwarding/demand.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/wants"
 )
 
 // Demand is what is asked of one pool for one model and adapter.
@@ -53,8 +54,8 @@
 	return len(d.back)
 }
 
-// demandHalf is the time after which an arrival counts half.
-const demandHalf = 5 * time.Second
+// demandHalf is the time after which an arrival counts half. Whoever plans lets rates fade alike.
+const demandHalf = wants.Half
 
 func (c *Core) demand(r *Record) *demandState {
 	key := demandKey{r.pool, r.Ask.Model, r.Ask.Adapter}
