Ask the store's pace once for each model, not for each engine beside it

Cause: each step asked, for each pair of a model that is wanted and an engine, whether the engine is ready and the store allows a load, which goes through all loads of the window. No decision changes.

--- a/process/poolplacement/serve.go
+++ b/process/poolplacement/serve.go
@@ -60,6 +60,8 @@
 	// loading counts the loads of models under way, intents those that are being made ready for.
 	loading, intents int
 	meanHeat         float64
+	// open lists the engines that could be given an order when the placing of models began.
+	open []*engine
 }
 
 func (p *Planner) survey(now clock.Mark, since time.Duration, made *pool) *survey {
@@ -290,9 +292,11 @@
 // mayLoad says whether the store allows another load now. What nobody waits for leaves half of its pace
 // for what somebody will.
 func (s *survey) mayLoad(e *engine, target registry.Target, urgent, fresh bool) bool {
-	if e.had[target.Model] {
-		return true
-	}
+	return e.had[target.Model] || s.storeAllows(urgent, fresh)
+}
+
+// storeAllows says so of a model that the engine has not had.
+func (s *survey) storeAllows(urgent, fresh bool) bool {
 	free := s.p.pace.free(s.now, s.pool.most)
 	if fresh {
 		free -= s.intents
@@ -338,6 +342,11 @@
 		wants = append(wants, want{registry.Target{Model: name}, gain, urgent, a})
 	}
 	sortWants(wants)
+	for _, e := range s.engines {
+		if e.ready(s.now) && e.intent == nil {
+			s.open = append(s.open, e)
+		}
+	}
 	var orders []Order
 	waiting := 0
 	for _, w := range wants {
@@ -373,8 +382,11 @@
 	var bestVictims []registry.Target
 	bestCost := math.Inf(1)
 	size := s.pool.size(w.Target)
-	for _, e := range s.engines {
-		if !e.ready(s.now) || e.intent != nil || e.holds(w.Target) || s.now < e.rests[w.Target] || !s.mayLoad(e, w.Target, w.urgent, true) {
+	// The store allows a load on all engines or on none, so it is asked once for each model and not for each pair.
+	allowed := s.storeAllows(w.urgent, true)
+	for _, e := range s.open {
+		// Within a step an engine closes only by what it was given in it.
+		if e.flight != nil || e.intent != nil || !allowed && !e.had[w.Model] || e.holds(w.Target) || s.now < e.rests[w.Target] {
 			continue
 		}
 		victims, cost, ok := s.wayFor(e, size, w)
