Hear all that is new from a control daemon of the own zone, and loads from the planner alone

Cause: every routing daemon asked the leader for all that is new, so the leader of 68 daemons sent 1.9 MB/s, most of it across zones, and control daemons passed on to each other the loads that each had from the planner already, four times over. As all control daemons know the same, the one of the own zone now tells all, and the leader and whoever plans what is urgent; loads go among control daemons from the planner alone, with the end of the hold. What counts as told all is only what was asked in full (before, an answer in short counted too).

--- a/process/daemon/held.go
+++ b/process/daemon/held.go
@@ -85,7 +85,9 @@
 		in.MembersLife != string(d.nodeID),
 		d.drainingNow.Load() && d.toldNews.draining.Load() != in.DrainingVersion:
 		return urgent
-	case !in.RegistryUrgent && d.registry.Newest() > in.RegistryWhole,
+	// Of how busy engines are there is always something new; control daemons, who tell it across zones, let it wait
+	// for the end of the hold.
+	case !in.RegistryUrgent && (d.registry.Solid() > in.RegistryWhole || !in.Beats && d.registry.Newest() > in.RegistryWhole),
 		d.members.Changes() > in.MembersSeen,
 		plans != (in.PlannerAddress == self) || in.PlannerAddress == "" && planner != "",
 		plans && d.toldNews.lacks.Load() != in.LacksVersion:
--- a/process/daemon/registry.go
+++ b/process/daemon/registry.go
@@ -216,19 +216,19 @@
 	}
 	d.registry.Learn(peer, registry.Difference{Cursor: registry.Cursor{Life: reply.RegistryLife, Seen: reply.RegistrySeen, Whole: reply.RegistryWhole},
 		Afresh: reply.RegistryAfresh, More: reply.RegistryMore, Records: registry.Decode(d.clock.Elapsed(), reply.Engines)}, wanted)
-	if !reply.RegistryMore {
+	if !reply.RegistryMore && !request.RegistryUrgent {
 		d.hearsay.note(address, asked)
 	}
 	return reply, nil
 }
 
-// leaderFresh is how lately the leader must have told all for others to be asked for what is urgent only.
-const leaderFresh = 2500 * time.Millisecond
+// tellerFresh is how lately the teller must have told all for others to be asked for what is urgent only.
+const tellerFresh = 2500 * time.Millisecond
 
-// isSecond says whether an address is one of those of which only what is urgent is asked, because the leader tells the rest.
+// isSecond says whether an address is one of those of which only what is urgent is asked, because the teller tells the rest.
 func (d *Daemon) isSecond(address string) bool {
-	leader := d.members.View().LeaderAddress
-	return !d.config.Serves(config.Control) && leader != "" && leader != address && d.clock.Elapsed().Since(d.hearsay.of(leader)) <= leaderFresh
+	teller := d.members.View().TellerAddress
+	return !d.config.Serves(config.Control) && teller != "" && teller != address && d.clock.Elapsed().Since(d.hearsay.of(teller)) <= tellerFresh
 }
 
 // ofOurs says whether a reply is of this daemon's group, or of one where neither knows a group yet.
@@ -237,7 +237,7 @@
 	return known == "" || reply.Group == "" || reply.Group == string(known) || ident.GroupID(reply.Group).Succeeds(known)
 }
 
-// hearsay is up to when each other control daemon has told what it heard.
+// hearsay is up to when each other control daemon has told all that it heard.
 type hearsay struct {
 	mutex sync.Mutex
 	upTo  map[string]clock.Mark
--- a/process/membership/core.go
+++ b/process/membership/core.go
@@ -421,13 +421,8 @@
 // together they know who lives and which engines are silent. Any other asks the leader, whoever plans, and one
 // more, so that news reaches it while the leader is frozen or cut off.
 func (c *Core) Links(now clock.Mark, leader, planner string) []string {
-	var out, control []string
-	for _, e := range c.entries {
-		if e.ended == 0 && e.row.Address != c.address && e.row.Serves(controlRole) && now.Since(c.heardOf(e)) <= linkWindow {
-			control = append(control, e.row.Address)
-		}
-	}
-	slices.Sort(control)
+	var out []string
+	control := c.control(now)
 	add := func(address string) {
 		if address != "" && address != c.address && !slices.Contains(out, address) {
 			out = append(out, address)
@@ -441,13 +436,7 @@
 		return out
 	}
 	add(planner)
-	sound := slices.DeleteFunc(slices.Clone(control), func(address string) bool {
-		p := c.peers[address]
-		return address == leader || p != nil && p.failed > 0 && now.Since(p.failed) <= troubledFor
-	})
-	// Chosen by weight, so that the links of a fleet are spread, and stay where they are.
-	first, _ := seats.Of("link "+c.address, sound)
-	add(first)
+	add(c.second(now, leader, control))
 	if leader == "" {
 		// Only the leader's own word tells of it where it has failed to answer once.
 		for _, address := range control {
@@ -457,6 +446,51 @@
 	return out
 }
 
+// control lists the addresses of the other control daemons that were heard of lately.
+func (c *Core) control(now clock.Mark) []string {
+	var out []string
+	for _, e := range c.entries {
+		if e.ended == 0 && e.row.Address != c.address && e.row.Serves(controlRole) && now.Since(c.heardOf(e)) <= linkWindow {
+			out = append(out, e.row.Address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// second is the control daemon beside the leader that is asked again and again: one of the own zone if there is
+// any. It is chosen by weight, so that the links of a fleet are spread, and stay where they are.
+func (c *Core) second(now clock.Mark, leader string, control []string) string {
+	sound := slices.DeleteFunc(slices.Clone(control), func(address string) bool {
+		p := c.peers[address]
+		return address == leader || p != nil && p.failed > 0 && now.Since(p.failed) <= troubledFor
+	})
+	if near := slices.DeleteFunc(slices.Clone(sound), func(address string) bool { return !c.near(address) }); len(near) > 0 {
+		sound = near
+	}
+	chosen, _ := seats.Of("link "+c.address, sound)
+	return chosen
+}
+
+// near says whether a daemon of this one's zone is at an address.
+func (c *Core) near(address string) bool {
+	own, other := c.entries[c.self], c.entryAt(address)
+	return own != nil && other != nil && own.row.Zone == other.row.Zone
+}
+
+// Teller is whom a daemon that only routes asks for all that is new; of others it asks what is urgent only. All
+// control daemons know the same, and what goes from zone to zone is dear: so it is the leader only where no
+// other control daemon is nearer.
+func (c *Core) Teller(now clock.Mark, leader string) string {
+	if leader != "" && c.near(leader) {
+		return leader
+	}
+	if second := c.second(now, leader, c.control(now)); second != "" && c.near(second) {
+		return second
+	}
+	return leader
+}
+
 // ControlHeard is when any control daemon last answered with its list.
 func (c *Core) ControlHeard() (heard clock.Mark) {
 	for _, p := range c.peers {
--- a/process/membership/core_test.go
+++ b/process/membership/core_test.go
@@ -248,3 +248,50 @@
 		t.Errorf("%+v", fellow)
 	}
 }
+
+// What goes from zone to zone is dear, and all control daemons know the same: all that is new is asked of one in
+// the own zone, while the leader and whoever plans are asked as well.
+func TestAllIsAskedOfAControlDaemonOfTheOwnZone(t *testing.T) {
+	now := clock.Mark(time.Minute)
+	core := NewCore("edge#1", "edge", false)
+	core.Describe(now, Row{Fellow: Fellow{NodeID: "edge#1", Address: "edge", Zone: "b", Serve: []string{"route"}}, Version: 1})
+	if teller := core.Teller(now, ""); teller != "" {
+		t.Errorf("nobody is known, yet %q tells all", teller)
+	}
+	hear := func(now clock.Mark, address string, zone ident.ZoneID, serve string) {
+		core.Hear(now, Row{Fellow: Fellow{NodeID: ident.NodeID(address + "#1"), Address: address, Zone: zone, Serve: []string{serve}}, Version: 1, Whole: true}, 0)
+	}
+	hear(now, "a1", "a", controlRole)
+	hear(now, "c1", "c", controlRole)
+	hear(now, "b9", "b", "route")
+	if teller := core.Teller(now, "a1"); teller != "a1" {
+		t.Errorf("with none in the own zone the leader tells all, not %q", teller)
+	}
+	if links := core.Links(now, "a1", "c1"); len(links) != 2 {
+		t.Errorf("the leader, and another: %q", links)
+	}
+	hear(now, "b1", "b", controlRole)
+	if teller, links := core.Teller(now, "a1"), core.Links(now, "a1", "c1"); teller != "b1" || len(links) != 3 {
+		t.Errorf("%q tells all, asked are %q", teller, links)
+	}
+	if teller, links := core.Teller(now, "b1"), core.Links(now, "b1", "b1"); teller != "b1" || len(links) != 2 {
+		t.Errorf("a near leader tells all, and another is asked: %q, %q", teller, links)
+	}
+	hear(now, "b2", "b", controlRole)
+	if teller := core.Teller(now, "b1"); teller != "b1" {
+		t.Errorf("a near leader comes first, not %q", teller)
+	}
+	near := core.Teller(now, "a1")
+	core.Failed(now, near)
+	if next := core.Teller(now, "a1"); next == near || next != "b1" && next != "b2" {
+		t.Errorf("%q failed, and then %q tells all", near, next)
+	}
+	core.Failed(now, "b1")
+	core.Failed(now, "b2")
+	if teller := core.Teller(now, "a1"); teller != "a1" {
+		t.Errorf("both near ones failed, and %q tells all", teller)
+	}
+	if teller := core.Teller(now+clock.Mark(2*troubledFor), "a1"); teller != "b1" && teller != "b2" {
+		t.Errorf("after a while they are tried again, not %q", teller)
+	}
+}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -52,6 +52,8 @@
 	Fellows map[ident.NodeID]Fellow
 	// LeaderAddress is where the group's leader was last known to be.
 	LeaderAddress string
+	// TellerAddress is whom a daemon that only routes asks for all that is new.
+	TellerAddress string
 	// LeaderTerm is the newest term in which a leader was heard of. Unreached is the term of one that could
 	// not be reached: hearsay of it counts for nothing, or stale words of it would go round among daemons.
 	LeaderTerm, Unreached uint64
@@ -501,6 +503,9 @@
 		m.planner = ""
 	}
 	m.next.PlannerAddress = m.planner
+	if !m.control {
+		m.next.TellerAddress = m.core.Teller(now, m.next.LeaderAddress)
+	}
 	if !m.next.Settled {
 		current := m.next.NewestSpec <= ownSpec && m.next.NewestClosure <= ownClosure && ownSpec > 0
 		// Only the leader's word counts, and only from after the group knew that this life may be serving:
--- a/process/registry/core.go
+++ b/process/registry/core.go
@@ -138,8 +138,12 @@
 	loadAt, farAt, solid uint64
 	loadTold, farTold    clock.Mark
 	loadHeld, farHeld    bool
-	// changed, beaten and urgent number its last change, that or its last beat here, and the last that must not wait.
+	// planned says that its plan is of the planner here.
+	planned bool
+	// changed, beaten and urgent number its last change, that or its last beat here, and the last that must not wait;
+	// heardAt its last beat here alone.
 	changed, beaten, urgent     uint64
+	heardAt                     uint64
 	byChange, byBeat, byUrgency *list.Element
 	// coldTo is the end of its slow start, as all were last told.
 	coldTo clock.Mark
@@ -163,9 +167,10 @@
 
 	// changes counts what happened here; newest is the number of the last change that all are told of.
 	// urgent is the newest that must not wait for others.
-	changes, newest, urgent uint64
-	entries                 map[ident.EngineID]*entry
-	byAddress               map[string][]ident.EngineID
+	// solid is the newest that tells of anything but loads.
+	changes, newest, urgent, solid uint64
+	entries                        map[ident.EngineID]*entry
+	byAddress                      map[string][]ident.EngineID
 	// byChange lists the engines by their last change, byBeat by that or their last beat here, byUrgency by the
 	// last change that must not wait.
 	byChange, byBeat, byUrgency *list.List
@@ -199,6 +204,9 @@
 // Urgent numbers the last change that must not wait for others: who came, and who must not be sent to.
 func (c *Core) Urgent() uint64 { return c.urgent }
 
+// Solid numbers the last change that tells of anything but loads.
+func (c *Core) Solid() uint64 { return c.solid }
+
 // Hear takes what an engine says of itself to this daemon.
 func (c *Core) Hear(now clock.Mark, word Word) Hearing {
 	word = tidy(word)
@@ -366,7 +374,7 @@
 // changedNow numbers a change that all are told of.
 func (c *Core) changedNow(e *entry) {
 	c.number(e)
-	e.solid = c.changes
+	e.solid, c.solid = c.changes, c.changes
 }
 
 // number numbers a change.
@@ -381,7 +389,7 @@
 // beat numbers a beat heard here, of which only control daemons are told.
 func (c *Core) beat(e *entry) {
 	c.changes++
-	e.beaten = c.changes
+	e.beaten, e.heardAt = c.changes, c.changes
 	c.byBeat.MoveToBack(e.byBeat)
 }
 
@@ -408,7 +416,7 @@
 		return
 	}
 	same := e.plan != nil && digest == e.planDigest
-	e.plan, e.planDigest = plan, digest
+	e.plan, e.planDigest, e.planned = plan, digest, first
 	e.loadHeld, e.farHeld, c.dirty[e.word.ID] = true, true, true
 	if !same {
 		c.changedNow(e)
@@ -501,7 +509,17 @@
 		if question.Kind == Everything && e.solid <= whole && e.loadsAt(near) <= whole {
 			continue
 		}
-		out.Records = append(out.Records, e.record(whole, near, short))
+		record := e.record(whole, near, short)
+		if question.Kind == WithBeats && !e.planned {
+			// Control daemons all hear loads from the planner itself; passed on, each would come once from every one.
+			if e.solid <= whole && e.heardAt <= whole {
+				continue
+			}
+			if record.Part == LoadsOnly {
+				record.Plan, record.Part, record.PlanDigest = nil, WholePlan, 0
+			}
+		}
+		out.Records = append(out.Records, record)
 	}
 	for _, id := range question.Wanted {
 		if e := c.entries[id]; e != nil {
--- a/process/registry/core_test.go
+++ b/process/registry/core_test.go
@@ -293,3 +293,46 @@
 		t.Errorf("%+v", d.Records)
 	}
 }
+
+// The planner alone tells other control daemons how busy engines are; whoever has it from there passes on what
+// stands where, and its own beats, but not that.
+func TestControlDaemonsHearLoadsFromThePlannerAlone(t *testing.T) {
+	planner, relay, third := NewCore("one", true, time.Second, 0), NewCore("two", true, time.Second, 0), NewCore("three", true, time.Second, 0)
+	tell := func(from, to *Core, now clock.Mark, peer string) []Record {
+		cursor, wanted := to.Asked(peer)
+		told := from.Since(Question{Cursor: cursor, Wanted: wanted, Kind: WithBeats}, 100)
+		to.Learn(now, peer, told, wanted)
+		return told.Records
+	}
+	planner.Hear(second, engineWord("e1", 1))
+	planner.TellPlan(second, map[ident.EngineID]Plan{"e1": {Claim: 1, Turn: 1, Active: 1, Models: []Held{{Model: "m"}}}})
+	tell(planner, relay, second, "planner")
+	if told := tell(relay, third, second, "relay"); len(told) != 1 || third.View().Engines["e1"].Plan.Active != 1 {
+		t.Fatalf("what stands where is passed on: %+v", told)
+	}
+	solid := relay.Solid()
+	planner.TellPlan(3*second, map[ident.EngineID]Plan{"e1": {Claim: 1, Turn: 2, Active: 9, Models: []Held{{Model: "m"}}}})
+	if told := tell(planner, relay, 3*second, "planner"); len(told) != 1 || told[0].Part != LoadsOnly || relay.View().Engines["e1"].Plan.Active != 9 {
+		t.Fatalf("the planner tells of loads: %+v", told)
+	}
+	if relay.Solid() != solid || relay.Newest() <= solid {
+		t.Errorf("loads alone are news of their own kind: %d, %d, %d", solid, relay.Solid(), relay.Newest())
+	}
+	if told := tell(relay, third, 3*second, "relay"); len(told) != 0 {
+		t.Errorf("loads are not passed on: %+v", told)
+	}
+	// A beat is told, without them.
+	relay.Hear(4*second, engineWord("e1", 2))
+	if told := tell(relay, third, 4*second, "relay"); len(told) != 1 || told[0].CallSeq != 2 || told[0].Plan != nil {
+		t.Errorf("%+v", told)
+	}
+	// Daemons that only route hear of them from any control daemon.
+	if told := relay.Since(Question{Zone: "z"}, 100); len(told.Records) != 1 || told.Records[0].Plan.Active != 9 {
+		t.Errorf("%+v", told)
+	}
+	// So does a control daemon from whoever plans next.
+	relay.TellPlan(6*second, map[ident.EngineID]Plan{"e1": {Claim: 2, Turn: 1, Active: 5, Models: []Held{{Model: "m"}}}})
+	if tell(relay, third, 6*second, "relay"); third.View().Engines["e1"].Plan.Active != 5 {
+		t.Errorf("%+v", third.View().Engines["e1"].Plan)
+	}
+}
--- a/process/registry/registry.go
+++ b/process/registry/registry.go
@@ -28,6 +28,7 @@
 	view    atomic.Pointer[View]
 	newest  atomic.Uint64
 	urgent  atomic.Uint64
+	solid   atomic.Uint64
 	// unpublished are those who wait for what they brought to be in the view; putOff is since when.
 	unpublished []chan struct{}
 	putOff      clock.Mark
@@ -69,6 +70,9 @@
 // Urgent numbers the newest change that must not wait for others: who came, and who must not be sent to.
 func (r *Registry) Urgent() uint64 { return r.urgent.Load() }
 
+// Solid numbers the last change that tells of anything but how busy engines are.
+func (r *Registry) Solid() uint64 { return r.solid.Load() }
+
 // Subscribe has notify called after each change of the view; it must not wait.
 func (r *Registry) Subscribe(notify func()) {
 	r.mutex.Lock()
@@ -106,6 +110,7 @@
 	}
 	r.newest.Store(r.core.Newest())
 	r.urgent.Store(r.core.Urgent())
+	r.solid.Store(r.core.Solid())
 	next := r.core.View()
 	changed := next != r.view.Load()
 	r.view.Store(next)
