Leave a new bundle to a daemon's teller, and tell it elsewhere only where that fails

Cause: a daemon asks three others, and each told it the new bundle whole: at 60 routing daemons and 1,600 paths (some 80 KB packed) that is 15 MB a change, most of it across zones, and a fifth of a second of each 10 Mbit/s link. Now the teller tells it at once, the others 0.4 s later where it is still lacking.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -95,13 +95,14 @@
 	poolLacks atomic.Pointer[heardPoolLacks]
 
 	// bell wakes those whose answers are held back. toldNews are the versions told from here, heardNews those
-	// heard; beatNews, urgentTold, drainingNow and heldLacks are what was last found new.
+	// heard; beatNews, urgentTold, drainingNow, heldLacks and bundleSeen are what was last found new.
 	bell                *bell
 	toldNews, heardNews versions
 	beatNews            beatNews
 	urgentTold          atomic.Uint64
 	drainingNow         atomic.Bool
 	heldLacks           atomic.Pointer[heldLacks]
+	bundleSeen          atomic.Pointer[bundleSeen]
 
 	fleetMutex sync.Mutex
 	fleetWants map[ident.NodeID]*wants.Heard
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -538,7 +538,7 @@
 		RowKnown: rowKnown, WantsLost: wantsLost, Plans: d.Plans(), PlannerAddress: d.members.View().PlannerAddress}
 	if t := d.keeper.Table(); t != nil {
 		reply.SpecEpoch, reply.ClosureEpoch = uint64(t.Epoch), uint64(t.Closures.Epoch)
-		if in.SpecEpoch < uint64(t.Epoch) {
+		if d.tellsBundle(t.Epoch, in) {
 			reply.Spec = t.Raw
 			if t.Bundle.Packed && in.TakesPacked {
 				reply.Spec, reply.SpecPacked = t.Bundle.Data, true
--- a/process/daemon/held.go
+++ b/process/daemon/held.go
@@ -70,13 +70,33 @@
 	pools []poolplacement.Lack
 }
 
+// bundleRest is for how long a new bundle is left to the teller of an asker that asks here for what is urgent only.
+const bundleRest = 400 * time.Millisecond
+
+// bundleSeen is since when a bundle is in force here, as far as was looked.
+type bundleSeen struct {
+	epoch ident.Epoch
+	at    clock.Mark
+}
+
+// tellsBundle says whether an asker is told the bundle in force here. A bundle is large, and who asks for what is
+// urgent only has it from its teller in a moment: it is told here only if it still lacks it after a while.
+func (d *Daemon) tellsBundle(epoch ident.Epoch, in *fellowapi.PullRequest) bool {
+	seen := d.bundleSeen.Load()
+	if seen == nil || seen.epoch != epoch {
+		seen = &bundleSeen{epoch, d.clock.Elapsed()}
+		d.bundleSeen.Store(seen)
+	}
+	return uint64(epoch) > in.SpecEpoch && (!in.RegistryUrgent || d.clock.Elapsed().Since(seen.at) >= bundleRest)
+}
+
 // newsFor says whether there is anything that an asker does not know.
 func (d *Daemon) newsFor(in *fellowapi.PullRequest) urgency {
 	spec, closure := d.InForce()
 	leader, term := d.leaderAndTerm()
 	planner, plans, self := d.members.View().PlannerAddress, d.Plans(), d.config.ReachedAt()
 	switch {
-	case uint64(spec) > in.SpecEpoch || uint64(closure) > in.ClosureEpoch,
+	case d.tellsBundle(spec, in) || uint64(closure) > in.ClosureEpoch,
 		// An asker that knows of a newer leader has no use for this one.
 		leader != "" && (term > in.LeaderTerm || in.LeaderAddress == ""),
 		in.Group == "" && d.Group() != "",
--- /dev/null
+++ b/process/daemon/held_test.go
@@ -0,0 +1,42 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+)
+
+// heldClock is moved by hand.
+type heldClock struct{ now clock.Mark }
+
+func (c *heldClock) Elapsed() clock.Mark { return c.now }
+func (c *heldClock) Wall() time.Time     { return time.Time{} }
+
+// A daemon asks its teller, the leader and whoever plans: three copies of a bundle of a thousand paths would take a
+// quarter of a second of a 10 Mbit/s link, and most of that goes from zone to zone.
+func TestABundleIsToldOnceUnlessItsTellerFails(t *testing.T) {
+	at := &heldClock{now: minute}
+	d := &Daemon{clock: at}
+	all := &fellowapi.PullRequest{SpecEpoch: 3}
+	inShort := &fellowapi.PullRequest{SpecEpoch: 3, RegistryUrgent: true}
+	tells := func(epoch ident.Epoch, in *fellowapi.PullRequest) bool { return d.tellsBundle(epoch, in) }
+	if tells(3, all) || tells(3, inShort) || tells(2, inShort) {
+		t.Error("what is known is told")
+	}
+	if !tells(4, all) {
+		t.Error("whoever asks for all is told at once")
+	}
+	if tells(4, inShort) {
+		t.Error("whoever has a teller is told at once too")
+	}
+	at.now += clock.Mark(bundleRest)
+	if !tells(4, inShort) {
+		t.Error("one whose teller failed is never told")
+	}
+	if tells(5, inShort) || !tells(5, all) {
+		t.Error("the next bundle is left to the teller again")
+	}
+}
