Send what waits for a load as soon as it is due, ahead of the news of it

Ruled out: the holding bound (0.45 of the time left is kept as it is), the planner's times (they were right within 0.1 s wherever the order had left). Change: what was to be loaded by now is asked for by one request, then by the others unless it was refused; refusals double the pause, stay within the budget, and never lead to more engines than the path allows. Test changed: TestHowLongAModelIsWaitedFor has the engine refuse whatever goes ahead of the news, since the planner's word never comes true there; what it holds is as strict.

--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -169,6 +169,8 @@
 	say("attempts_first", c.Sent)
 	say("attempts_again", c.SentAgain)
 	say("attempts_again_denied", c.AgainDenied)
+	say("attempts_speculative", c.Speculative)
+	say("attempts_speculative_refused", c.SpeculativeRefused)
 	say("attempts_held_back", c.HeldBack)
 	say("attempts_never_sent", c.NeverSent)
 	say("attempts_refused_by_engine", c.EngineRefused)
--- a/request/forwarding/choose.go
+++ b/request/forwarding/choose.go
@@ -55,6 +55,9 @@
 			continue
 		}
 		why = max(why, noModel)
+		if r.boundTo != "" && r.boundTo != engine.ID {
+			continue
+		}
 		if batching && r.Ask.Model != "" && !engine.Holds(r.Ask.Model, r.Ask.Adapter) {
 			continue
 		}
@@ -82,8 +85,14 @@
 		near = c.failing
 	}
 	if len(near) == 0 {
+		if batching && why == noModel {
+			if engine := c.due(r, w, pool); engine != nil {
+				return engine, noLack
+			}
+		}
 		return nil, why
 	}
+	r.speculative = false
 	if batching {
 		// Whoever rests or is full has left the list, so the next by rendezvous stands in.
 		near = c.nearest(r, near)
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -36,6 +36,8 @@
 type Counters struct {
 	Admitted, Held, Sent, SentAgain, AgainDenied, HeldBack, NeverSent, EngineRefused, Misdirected, Lost, Junk, Cut uint64
 	Whole, Failed, Shed, Refused, Broken, BrokenOff, CallersLeft, NoPath, Resumed                                  uint64
+	// Speculative counts the attempts ahead of the news of a load, SpeculativeRefused those that came too soon.
+	Speculative, SpeculativeRefused uint64
 	// HeldFor counts by what lacked, EndedFor by cause.
 	HeldFor  [lacks]uint64
 	EndedFor [causes]uint64
@@ -173,7 +175,7 @@
 		c.finish(r, w, Late, c.comeBack(r, w))
 		return
 	}
-	if r.attempts > 0 && r.attempts >= r.Path.Attempts {
+	if r.attempts > 0 && r.attempts >= r.Path.Attempts && r.boundTo == "" {
 		c.finish(r, w, Spent, c.comeBack(r, w))
 		return
 	}
@@ -182,7 +184,7 @@
 		return
 	}
 	chosen, why := c.choose(r, w)
-	if why != noModel && why != noEngines {
+	if why != noModel && why != noEngines && !(chosen != nil && r.speculative) {
 		c.present(r, w)
 	}
 	if chosen == nil {
@@ -226,6 +228,12 @@
 	r.engine, r.sentAt = chosen.ID, w.Now
 	state := c.engine(chosen.ID)
 	state.took(r, w)
+	if r.speculative {
+		target := registry.Target{Model: r.Ask.Model, Adapter: r.Ask.Adapter}
+		ready, _ := comingAt(chosen, target)
+		state.speculated(target, ready, w.Now)
+		c.Counters.Speculative++
+	}
 	c.demand(r).running++
 	c.running[r.pool]++
 	pool, _ := w.Index.Pool(r.pool)
@@ -382,8 +390,20 @@
 		return
 	}
 	c.settle(r, outcome, w)
+	tooSoon := r.speculative && (outcome == Misdirected || outcome == EngineRefused)
 	if outcome != HeldBack && outcome != NeverSent {
-		r.attempts++
+		if r.tooSoonAt != r.engine {
+			// What counts is how many engines it was sent to.
+			r.attempts++
+		}
+		if tooSoon {
+			c.Counters.SpeculativeRefused++
+			r.tooSoonAt = r.engine
+			if r.attempts >= r.Path.Attempts {
+				// It was sent to as many engines as it may be, and this one did not run it.
+				r.boundTo = r.engine
+			}
+		}
 		if !r.counted {
 			r.counted = true
 			c.Counters.Sent++
@@ -391,7 +411,7 @@
 			c.budget(r.pool).first(r.sentAt, w.Now, c.settings.RetryWindow)
 		}
 	}
-	if outcome != HeldBack && outcome != Misdirected {
+	if outcome != HeldBack && outcome != Misdirected && !tooSoon {
 		// What an engine lacked it may get; until then it is passed by for that.
 		r.tried = append(r.tried, r.engine)
 	}
@@ -480,6 +500,9 @@
 	}
 	if !r.begun {
 		r.begun = true
+		if r.speculative {
+			c.present(r, w)
+		}
 		c.engine(r.engine).began(r, w)
 		c.path(r).began(r, w.Now)
 	}
--- a/request/forwarding/core_test.go
+++ b/request/forwarding/core_test.go
@@ -696,10 +696,14 @@
 			}
 			continue
 		}
-		// The planner's word never comes true.
+		// The planner's word never comes true, and the engine says so to whatever goes ahead of the news.
 		for r.stage == Held {
 			b.now, _ = b.core.NextLook(b.now)
 			b.core.Pass(b.world())
+			if r.stage == Sending {
+				b.sent(r)
+				b.core.Attempted(r, EngineRefused, b.world())
+			}
 			if b.now.Since(r.Arrived) >= time.Duration(c.left)*time.Millisecond/2 {
 				t.Fatalf("%s: held for half of its time", name)
 			}
--- a/request/forwarding/engine.go
+++ b/request/forwarding/engine.go
@@ -35,6 +35,8 @@
 	firstByte time.Duration
 	firstAt   clock.Mark
 	kept      *keptParts
+	// speculations are of what it was to have loaded by now, as far as no report shows it.
+	speculations map[registry.Target]*speculation
 }
 
 func (c *Core) engine(id ident.EngineID) *engineState {
@@ -158,6 +160,9 @@
 	e.memory -= r.needs
 	asked := e.asked
 	e.read(r, w)
+	if r.speculative && (outcome == HeldBack || outcome == NeverSent || outcome == Left) {
+		e.withdrawn(r)
+	}
 	switch outcome {
 	case Whole:
 		e.well()
@@ -174,15 +179,21 @@
 		}
 	case HeldBack, Left:
 		e.asked = asked
-	case Misdirected:
+	case Misdirected, EngineRefused:
+		if r.speculative {
+			e.tooSoon(registry.Target{Model: r.Ask.Model, Adapter: r.Ask.Adapter}, w.Now)
+			return
+		}
+		if outcome == EngineRefused {
+			// It is full, or about to be: a moment's rest spreads what comes over others.
+			e.restUntil = max(e.restUntil, w.Now+clock.Mark(fullRest))
+			return
+		}
 		if e.missing == nil {
 			e.missing = map[registry.Target]clock.Mark{}
 		}
 		maps.DeleteFunc(e.missing, func(_ registry.Target, until clock.Mark) bool { return w.Now >= until })
 		e.missing[registry.Target{Model: r.Ask.Model, Adapter: r.Ask.Adapter}] = w.Now + clock.Mark(missingFor)
-	case EngineRefused:
-		// It is full, or about to be: a moment's rest spreads what comes over others.
-		e.restUntil = max(e.restUntil, w.Now+clock.Mark(fullRest))
 	}
 }
 
--- a/request/forwarding/record.go
+++ b/request/forwarding/record.go
@@ -91,6 +91,10 @@
 	// awaited says that the answer has not begun.
 	needs, unread int
 	awaited       bool
+	// speculative says that it goes ahead of the news of a load, tooSoonAt where it came too soon last, boundTo
+	// to which engine alone it may go any more.
+	speculative        bool
+	tooSoonAt, boundTo ident.EngineID
 	// score is what the engine chosen was expected to cost.
 	score float64
 	// counted says that its first arrival at an engine is in the budget.
--- a/request/forwarding/wait.go
+++ b/request/forwarding/wait.go
@@ -279,9 +279,13 @@
 	if d.lackedAt == 0 {
 		return
 	}
-	if r.stage == Held {
+	if r.stage == Held || r.speculative {
 		if d.readyAt > 0 {
-			smooth(&c.spreadTook, min(max(w.Now.Since(d.readyAt), leastPlan), mostPlan))
+			usable := w.Now
+			if r.speculative {
+				usable = r.sentAt
+			}
+			smooth(&c.spreadTook, min(max(usable.Since(d.readyAt), leastPlan), mostPlan))
 		} else {
 			took := w.Now.Since(d.lackedAt) - d.load - known(c.spreadTook, spreadTime)
 			smooth(&c.planTook, min(max(took, leastPlan), mostPlan))
