Tell what daemons have in force to control daemons and by the teller alone, and bundles among those by the log

Now the links on which what is urgent is asked leave such rows out, and a control daemon is told a bundle only where it lacks it 0.4 s later.

--- a/process/daemon/held.go
+++ b/process/daemon/held.go
@@ -70,7 +70,8 @@
 	pools []poolplacement.Lack
 }
 
-// bundleRest is for how long a new bundle is left to the teller of an asker that asks here for what is urgent only.
+// bundleRest is for how long a new bundle is left to the teller of an asker that asks here for what is urgent only,
+// and to the log of one that serves control.
 const bundleRest = 400 * time.Millisecond
 
 // bundleSeen is since when a bundle is in force here, as far as was looked.
@@ -80,14 +81,15 @@
 }
 
 // tellsBundle says whether an asker is told the bundle in force here. A bundle is large, and who asks for what is
-// urgent only has it from its teller in a moment: it is told here only if it still lacks it after a while.
+// urgent only has it from its teller in a moment, who serves control from the group's log: these are told here only if
+// they still lack it after a while.
 func (d *Daemon) tellsBundle(epoch ident.Epoch, in *fellowapi.PullRequest) bool {
 	seen := d.bundleSeen.Load()
 	if seen == nil || seen.epoch != epoch {
 		seen = &bundleSeen{epoch, d.clock.Elapsed()}
 		d.bundleSeen.Store(seen)
 	}
-	return uint64(epoch) > in.SpecEpoch && (!in.RegistryUrgent || d.clock.Elapsed().Since(seen.at) >= bundleRest)
+	return uint64(epoch) > in.SpecEpoch && (!in.RegistryUrgent && !in.Beats || d.clock.Elapsed().Since(seen.at) >= bundleRest)
 }
 
 // newsFor says whether there is anything that an asker does not know.
@@ -108,7 +110,7 @@
 	// Of how busy engines are there is always something new; control daemons, who tell it across zones, let it wait
 	// for the end of the hold.
 	case !in.RegistryUrgent && (d.registry.Solid() > in.RegistryWhole || !in.Beats && d.registry.Newest() > in.RegistryWhole),
-		d.members.Changes() > in.MembersSeen,
+		d.members.Solid() > in.MembersSeen || !in.RegistryUrgent && d.members.Changes() > in.MembersSeen,
 		plans != (in.PlannerAddress == self) || in.PlannerAddress == "" && planner != "",
 		plans && d.toldNews.lacks.Load() != in.LacksVersion:
 		return ordinary
--- a/process/membership/core.go
+++ b/process/membership/core.go
@@ -60,8 +60,9 @@
 	ended  clock.Mark
 	// late and second are as told: that it is late, and that this is known through others alone.
 	late, second bool
-	changed      uint64
-	place        *list.Element
+	// changed numbers its last change, solid the last of anything but what it has in force.
+	changed, solid uint64
+	place          *list.Element
 }
 
 // peer is what was learned at one address.
@@ -87,10 +88,11 @@
 	address string
 	relays  bool
 
-	changes uint64
-	entries map[ident.NodeID]*entry
-	order   *list.List
-	peers   map[string]*peer
+	// changes counts the changes of the list; solid is the newest that is of more than what daemons have in force.
+	changes, solid uint64
+	entries        map[ident.NodeID]*entry
+	order          *list.List
+	peers          map[string]*peer
 }
 
 // NewCore makes what a fresh daemon knows. relays says that it serves control.
@@ -101,6 +103,9 @@
 // Changes numbers the newest change of the list.
 func (c *Core) Changes() uint64 { return c.changes }
 
+// Solid numbers the newest change that is of more than what daemons have in force.
+func (c *Core) Solid() uint64 { return c.solid }
+
 // Describe takes what this daemon says of itself now.
 func (c *Core) Describe(now clock.Mark, row Row) {
 	row.Whole = true
@@ -151,8 +156,11 @@
 	if row.Whole && row.Version >= before.Version {
 		e.row.Version, e.row.Address, e.row.Zone, e.row.Serve = row.Version, row.Address, row.Zone, row.Serve
 	}
-	if e.row.Ready != before.Ready || e.row.SpecEpoch != before.SpecEpoch || e.row.ClosureEpoch != before.ClosureEpoch || e.row.Version != before.Version {
+	switch {
+	case e.row.Ready != before.Ready || e.row.Version != before.Version:
 		c.bump(e)
+	case e.row.SpecEpoch != before.SpecEpoch || e.row.ClosureEpoch != before.ClosureEpoch:
+		c.number(e)
 	}
 }
 
@@ -188,6 +196,11 @@
 }
 
 func (c *Core) bump(e *entry) {
+	c.number(e)
+	e.solid, c.solid = c.changes, c.changes
+}
+
+func (c *Core) number(e *entry) {
 	c.changes++
 	e.changed = c.changes
 	c.order.MoveToBack(e.place)
@@ -249,6 +262,16 @@
 
 // Since gives what changed since a cursor.
 func (c *Core) Since(now clock.Mark, cursor Cursor) (told []Told, next Cursor, afresh bool) {
+	return c.since(now, cursor, false)
+}
+
+// SolidSince leaves out who changed only in what it has in force: with each bundle that is everyone, and only
+// control daemons go by it.
+func (c *Core) SolidSince(now clock.Mark, cursor Cursor) (told []Told, next Cursor, afresh bool) {
+	return c.since(now, cursor, true)
+}
+
+func (c *Core) since(now clock.Mark, cursor Cursor, solid bool) (told []Told, next Cursor, afresh bool) {
 	seen := cursor.Seen
 	if cursor.Life != string(c.self) || seen > c.changes {
 		seen, afresh = 0, true
@@ -258,7 +281,7 @@
 		if e.changed <= seen {
 			break
 		}
-		if afresh && e.ended > 0 {
+		if afresh && e.ended > 0 || solid && e.solid <= seen {
 			continue
 		}
 		told = append(told, Told{Row: e.row, Age: now.Since(c.heardOf(e)), Late: e.late, Direct: !e.second, Ended: e.ended > 0})
--- a/process/membership/core_test.go
+++ b/process/membership/core_test.go
@@ -295,3 +295,33 @@
 		t.Errorf("after a while they are tried again, not %q", teller)
 	}
 }
+
+// With each bundle everyone's row changes; who is told of that by its teller must not be told by others as well.
+func TestWhatIsInForceIsNotSolidNews(t *testing.T) {
+	now := clock.Mark(time.Minute)
+	core := NewCore("core#1", "core", true)
+	row := Row{Fellow: Fellow{NodeID: "edge#1", Address: "edge", Serve: []string{"route"}, Ready: true, SpecEpoch: 1}, Version: 1, Whole: true}
+	core.Hear(now, row, time.Second)
+	_, cursor, _ := core.Since(now, Cursor{})
+	solid := core.Solid()
+	row.SpecEpoch, row.Whole = 2, false
+	core.Hear(now, row, time.Second)
+	if core.Solid() != solid || core.Changes() <= solid {
+		t.Errorf("%d and %d, before %d", core.Solid(), core.Changes(), solid)
+	}
+	if told, _, _ := core.Since(now, cursor); len(told) != 1 || told[0].SpecEpoch != 2 {
+		t.Errorf("%+v", told)
+	}
+	told, next, _ := core.SolidSince(now, cursor)
+	if len(told) != 0 || next.Seen != core.Changes() {
+		t.Errorf("%+v, up to %+v", told, next)
+	}
+	// Who comes to be late, or is ready no more, is told of by all, with all that is known of it.
+	core.Sweep(now+clock.Mark(10*time.Second), 0)
+	if told, _, _ := core.SolidSince(now, next); len(told) != 1 || !told[0].Late || told[0].SpecEpoch != 2 {
+		t.Errorf("%+v", told)
+	}
+	if told, _, afresh := core.SolidSince(now, Cursor{}); len(told) != 1 || !afresh {
+		t.Errorf("afresh: %+v", told)
+	}
+}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -155,6 +155,7 @@
 	next    View
 	view    atomic.Pointer[View]
 	changes atomic.Uint64
+	solid   atomic.Uint64
 	asking  map[question]bool
 	// waited says that the last question to the planner told of something that waits here.
 	waited   bool
@@ -219,6 +220,9 @@
 // Changes numbers the newest change of the list of members.
 func (m *Membership) Changes() uint64 { return m.changes.Load() }
 
+// Solid numbers the newest that is of more than what daemons have in force.
+func (m *Membership) Solid() uint64 { return m.solid.Load() }
+
 // Run runs the actor.
 func (m *Membership) Run(ctx context.Context) {
 	described := m.fleet.Describe()
@@ -440,7 +444,12 @@
 		reply.Contacts, reply.Everyone = encodeTold(m.core.Everyone(now, everyoneWindow)), true
 		return reply
 	}
-	told, next, afresh := m.core.Since(now, Cursor{Life: request.MembersLife, Seen: request.MembersSeen})
+	since := m.core.Since
+	if request.RegistryUrgent {
+		// The asker's teller tells it the rest.
+		since = m.core.SolidSince
+	}
+	told, next, afresh := since(now, Cursor{Life: request.MembersLife, Seen: request.MembersSeen})
 	reply.Contacts, reply.MembersLife, reply.MembersSeen, reply.MembersAfresh = encodeTold(told), next.Life, next.Seen, afresh
 	return reply
 }
@@ -483,6 +492,7 @@
 func (m *Membership) noteChanges() {
 	if changes := m.core.Changes(); changes != m.changes.Load() {
 		m.changes.Store(changes)
+		m.solid.Store(m.core.Solid())
 		m.fleet.News()
 	}
 }
