Tell that nothing runs any more only after 2 s

Before, a row was told again each 2 s, so what had just run counted for that long, and the planner let go of it no sooner. Now it does again, and a request that follows within 2 s needs no row.

--- a/process/wants/wants.go
+++ b/process/wants/wants.go
@@ -19,6 +19,8 @@
 	// leastRate is the rate below which what neither waits nor runs is forgotten; leastTold is the same where it is
 	// told, and higher, so that whoever heard of it forgets it last.
 	leastRate, leastTold = 0.001, 0.01
+	// endSlack is for how long at least after the last telling it is not told that nothing runs any more.
+	endSlack = 2 * time.Second
 	// oldestSlack is by how much the age of the oldest may differ from what it must have grown to.
 	oldestSlack = 300 * time.Millisecond
 )
@@ -100,8 +102,10 @@
 // near says whether a demand is so much like what was told that it need not be told anew.
 func near(before told, demand *fellowapi.Demand, now clock.Mark) bool {
 	was := before.demand
-	// Whether any runs is told exactly: of many daemons that each ask for little, the sum would be far off.
-	if was.Held > 0 != (demand.Held > 0) || was.Running > 0 != (demand.Running > 0) || was.Worth != demand.Worth || was.Held > 0 && was.Rank != demand.Rank {
+	// That nothing runs any more is told too, or the sum over many daemons that each ask for little would be far off;
+	// but not at once, since what was asked for a moment ago is likely to be asked for again.
+	begins, ends := was.Running == 0 && demand.Running > 0, was.Running > 0 && demand.Running == 0
+	if was.Held > 0 != (demand.Held > 0) || begins || ends && now.Since(before.at) >= endSlack || was.Worth != demand.Worth || was.Held > 0 && was.Rank != demand.Rank {
 		return false
 	}
 	if demand.Held > 0 {
