--- a/process/fellows/fellows.go
+++ b/process/fellows/fellows.go
@@ -64,9 +64,17 @@
 	return errors.Join(err, failed)
 }
 
+// Option sets one thing of links.
+type Option func(*Links)
+
+// WithTransport replaces what carries the calls.
+func WithTransport(transport http.RoundTripper) Option {
+	return func(l *Links) { l.http = &http.Client{Transport: transport} }
+}
+
 // New makes links that live as long as ctx.
 // It speaks from the IP number it listens at, so that others can tell who speaks by where from.
-func New(ctx context.Context, self, listen string) *Links {
+func New(ctx context.Context, self, listen string, options ...Option) *Links {
 	dialer := &net.Dialer{Timeout: 500 * time.Millisecond, KeepAliveConfig: keepAlive, Control: boundSilence}
 	if host, _, err := net.SplitHostPort(listen); err == nil {
 		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
@@ -79,6 +87,9 @@
 		MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 	}
 	l.http = &http.Client{Transport: countedCalls{transport, &l.Traffic}}
+	for _, option := range options {
+		option(l)
+	}
 	return l
 }
 
