--- a/process/replica/simulation_test.go
+++ b/process/replica/simulation_test.go
@@ -84,6 +84,8 @@
 	wipes, replaced, losses int
 	// size is how many machines are to vote.
 	size int
+	// diskTakes is how long each write takes beside the rest.
+	diskTakes time.Duration
 }
 
 type simDisk struct {
@@ -344,7 +346,7 @@
 
 func (n *simNode) writeNext(life int) {
 	s := n.sim
-	wait := s.ms(1, 8)
+	wait := s.diskTakes + s.ms(1, 8)
 	if n.stallUntil > s.now {
 		wait += n.stallUntil.Since(s.now)
 	}
@@ -999,3 +1001,30 @@
 		}
 	}
 }
+
+// TestSlowDisksCauseNoElection: with disks that take 150 ms for each write the group goes on under one leader.
+func TestSlowDisksCauseNoElection(t *testing.T) {
+	for seed := range uint64(40) {
+		s := newSim(t, seed, 3, sound)
+		s.faults, s.loss, s.diskTakes = false, 0, 150*time.Millisecond
+		s.runFor(10 * time.Second)
+		terms, acks := len(s.leaderOf), 0
+		var shut func(number int)
+		shut = func(number int) {
+			command := statemachine.Command{Op: statemachine.OpClosure, Zone: "z", Closed: acks%2 == 0}
+			s.ask(s.nodes[number%3], &command, func(a Answer) {
+				if a.Outcome == Applied {
+					acks++
+				}
+				if acks < 12 {
+					shut(number + 1)
+				}
+			})
+		}
+		shut(0)
+		s.runFor(30 * time.Second)
+		if acks != 12 || terms == 0 || len(s.leaderOf) != terms || len(s.violations) > 0 {
+			t.Errorf("seed %d: %d of 12 acknowledged, from %d to %d leaders, %v", seed, acks, terms, len(s.leaderOf), s.violations)
+		}
+	}
+}
