Ask for a report when it can show an order's end, and plan at once when it does

A rare model that needs room was there 3.3 s after its first request (0.13 s until known, 0.5 s for room, 2.3 s for a load of 2 s, then told), where its aim is 3 s.

How far reports lag is now learned from short orders. An engine is asked when its report should show the end, then in quick succession a few times; who is due is looked for each 50 ms; a report that settles an order has the plan made at once.

Ruled out: demand that comes late (known to the planner after 0.05 to 0.25 s), refused orders (0), lost answers.

--- a/process/poolplacement/actor.go
+++ b/process/poolplacement/actor.go
@@ -65,6 +65,8 @@
 	askNext   clock.Mark
 	stoodFrom clock.Mark
 	turn      uint64
+	// planNext is when the plan is made next.
+	planNext  clock.Mark
 	condition atomic.Pointer[Condition]
 	stopped   bool
 	// asks bounds how many engines are asked for their reports at once.
@@ -113,7 +115,7 @@
 
 // Run runs the actor until ctx ends.
 func (a *Actor) Run(ctx context.Context) {
-	a.box.Run(ctx, a.settings.Beat, func(event any) { a.take(event) }, func() { a.beat(ctx) })
+	a.box.Run(ctx, a.settings.Look, func(event any) { a.take(ctx, event) }, func() { a.look(ctx) })
 }
 
 // StandDown gives up planning for good; it returns when no further order can leave.
@@ -127,6 +129,20 @@
 	}
 }
 
+// look asks for the reports that are due, and makes the plan when its time has come.
+func (a *Actor) look(ctx context.Context) {
+	now := a.clock.Elapsed()
+	// A tick may come a little early.
+	if now+clock.Mark(a.settings.Look/4) >= a.planNext {
+		a.planNext = max(a.planNext+clock.Mark(a.settings.Beat), now)
+		a.beat(ctx)
+		return
+	}
+	if number, held := a.claim.Held(); held && number == a.plannerOf {
+		a.askForReports(ctx, now)
+	}
+}
+
 func (a *Actor) beat(ctx context.Context) {
 	now := a.clock.Elapsed()
 	a.askForClaim(ctx, now)
@@ -252,7 +268,7 @@
 	}
 }
 
-func (a *Actor) take(event any) {
+func (a *Actor) take(ctx context.Context, event any) {
 	now := a.clock.Elapsed()
 	switch e := event.(type) {
 	case claimed:
@@ -263,7 +279,13 @@
 		}
 		a.planner.Answered(now, e.order, e.answer)
 	case reported:
-		a.planner.Reported(now, e.asked, e.engine, e.report, e.ok)
+		if !a.planner.Reported(now, e.asked, e.engine, e.report, e.ok) {
+			return
+		}
+		if number, held := a.claim.Held(); held && number == a.plannerOf {
+			// An engine is free again: what waits for it is ordered, and what has come is told, without a beat's delay.
+			a.plan(ctx, now, number)
+		}
 	case standDown:
 		a.stopped = true
 		a.claim.Drop()
--- a/process/poolplacement/plan.go
+++ b/process/poolplacement/plan.go
@@ -27,6 +27,14 @@
 	oldLag = 6 * time.Second
 	// restAfter is how long what failed or was refused is not tried again on that engine.
 	restAfter = 2 * time.Second
+	// startLag is how far behind the truth reports are taken to be before any order was seen to end; it is learned
+	// within these bounds.
+	startLag, leastLag, mostLag = 200 * time.Millisecond, 50 * time.Millisecond, time.Second
+	// lagDown and lagUp are by how much it falls when the first report asked for shows the end, and rises when it
+	// doesn't: an ask too many costs less than a late one.
+	lagDown, lagUp = 5 * time.Millisecond, 15 * time.Millisecond
+	// quickAsks is how often what should show by now is looked for in quick succession.
+	quickAsks = 6
 	// darkAfter is how many reports in a row must fail for an engine to count as dark.
 	darkAfter = 2
 )
@@ -49,6 +57,8 @@
 	asks map[string]*asks
 	pace pace
 	keys uint64
+	// lag is how long after an order's end the reports are expected to show it, as far as is known by now.
+	lag time.Duration
 	// inherited is what earlier claims told of engines that have not been met yet.
 	inherited      map[ident.EngineID]uint64
 	began, stepped clock.Mark
@@ -76,6 +86,8 @@
 	ready clock.Mark
 	// key finds its load in the window; zero of an order that fetches nothing from the store.
 	key uint64
+	// asked counts the reports that were asked for when its end was expected to show.
+	asked int
 }
 
 type flightState uint8
@@ -128,7 +140,7 @@
 
 // NewPlanner makes the plan of a fresh claim. It knows no history of loads, so the window counts as full.
 func NewPlanner(settings Settings, now clock.Mark) *Planner {
-	return &Planner{settings: settings, pools: map[string]*pool{}, engines: map[ident.EngineID]*engine{}, asks: map[string]*asks{}, inherited: map[ident.EngineID]uint64{},
+	return &Planner{settings: settings, pools: map[string]*pool{}, engines: map[ident.EngineID]*engine{}, asks: map[string]*asks{}, inherited: map[ident.EngineID]uint64{}, lag: startLag,
 		pace: pace{window: settings.Window, unknownUntil: now + clock.Mark(settings.Window)}, began: now, stepped: now}
 }
 
@@ -431,10 +443,8 @@
 		f.ready += now - f.sent
 		p.pace.began(f.key, now, false)
 		e.taken, e.takenAt = f.Expected+1, now
-		if f.Kind == Load && f.Adapter == "" {
-			// Its end can be told beforehand, so reports before that would tell nothing.
-			e.askNext = max(e.askNext, now+(f.ready-now)*9/10)
-		}
+		// Its end can be told beforehand, and reports lag: those before that would tell nothing.
+		e.askNext = f.shows(p.lag)
 		return
 	case NoAnswer:
 		f.state = unsure
@@ -461,18 +471,19 @@
 	e.flight = nil
 }
 
-// Reported takes an engine's report, or the failure to get one; asked is when it was asked for.
-func (p *Planner) Reported(now, asked clock.Mark, id ident.EngineID, report Report, ok bool) {
+// Reported takes an engine's report, or the failure to get one; asked is when it was asked for. It says whether
+// an order was settled by it, so that the next can be given at once.
+func (p *Planner) Reported(now, asked clock.Mark, id ident.EngineID, report Report, ok bool) (settled bool) {
 	e := p.engines[id]
 	if e == nil {
-		return
+		return false
 	}
 	e.asking = false
 	if !ok {
 		p.Counters.FailedReports++
 		e.failures++
 		e.askNext = now + clock.Mark(min(p.settings.Rest, 2*p.settings.Busy*time.Duration(e.failures)))
-		return
+		return false
 	}
 	p.Counters.Reports++
 	e.failures = 0
@@ -483,20 +494,49 @@
 	e.heat += (load - e.heat) * 0.5
 	e.askNext = now + clock.Mark(p.interval(e))
 	if e.read && asked < e.asked {
-		return
+		return false
 	}
 	// A report from before orders that are known to have been taken tells nothing of what is held. What earlier
 	// claims told may never have left: only a report asked for later than any lag says so.
 	if report.Taken < e.taken && now.Since(e.takenAt) < oldLag || report.Taken < p.inherited[id] && asked.Since(p.began) < lagLimit {
 		p.Counters.StaleReports++
-		e.askNext = now + clock.Mark(p.settings.Busy)
-		return
+		if e.flight != nil {
+			p.learn(e.flight, asked, false)
+		}
+		e.askNext = now + clock.Mark(p.interval(e))
+		return false
 	}
 	delete(p.inherited, id)
 	e.read, e.asked, e.report, e.taken = true, asked, report, report.Taken
 	e.noteHeld(now)
-	p.settle(now, e)
+	settled = p.settle(now, e)
 	e.askNext = now + clock.Mark(p.interval(e))
+	return settled
+}
+
+// shows is when a report that is asked for then should show that an order has ended.
+func (f *flight) shows(lag time.Duration) clock.Mark {
+	if f.Kind == Load && f.Adapter == "" {
+		return f.ready + clock.Mark(lag)
+	}
+	// An adapter, and an unload that nothing runs on, takes some milliseconds.
+	return f.answered + clock.Mark(lag)
+}
+
+// learn corrects by one report what is known of how far reports lag. A load of a model tells nothing of it:
+// how long that takes depends on what runs there.
+func (p *Planner) learn(f *flight, asked clock.Mark, shown bool) {
+	if f.state != taken || asked < f.shows(p.lag) {
+		return
+	}
+	if f.asked++; f.asked > 1 || f.Kind == Load && f.Adapter == "" {
+		return
+	}
+	if shown {
+		p.lag = max(leastLag, p.lag-lagDown)
+	} else {
+		p.lag = min(mostLag, p.lag+lagUp)
+	}
 }
 
 // noteHeld keeps since when each thing has been there.
@@ -523,22 +563,24 @@
 }
 
 // settle compares the order under way with a report that was taken for true.
-func (p *Planner) settle(now clock.Mark, e *engine) {
+func (p *Planner) settle(now clock.Mark, e *engine) (settled bool) {
 	f := e.flight
 	if f == nil || f.state == sending {
-		return
+		return false
 	}
+	p.learn(f, e.asked, e.report.Taken > f.Expected && !e.report.Saturated)
 	if e.report.Taken <= f.Expected {
 		// The report can't reflect the order yet; only those asked for later than any lag can say that it never arrived.
 		if e.asked.Since(f.answered) > lagLimit {
 			p.Counters.NeverArrived++
 			p.pace.began(f.key, f.answered, false)
 			e.flight = nil
+			return true
 		}
-		return
+		return false
 	}
 	if e.report.Saturated {
-		return
+		return false
 	}
 	e.flight = nil
 	if e.holds(f.Target()) == (f.Kind == Load) {
@@ -546,15 +588,19 @@
 		if f.Kind == Load {
 			e.came[f.Target()] = now
 		}
-		return
+		return true
 	}
 	p.Counters.Failed++
 	e.rests[f.Target()] = now + clock.Mark(restAfter)
+	return true
 }
 
 // interval is how soon an engine is asked for its next report.
 func (p *Planner) interval(e *engine) time.Duration {
 	switch {
+	case e.flight != nil && e.flight.state == taken && e.flight.asked < quickAsks:
+		// What should show by now is looked for often, so that the next order needn't wait.
+		return p.settings.Look
 	case e.flight != nil || e.intent != nil || !e.read || e.report.Taken < e.taken || e.asked < e.waitFor:
 		return p.settings.Busy
 	case !e.usable:
--- a/process/poolplacement/types.go
+++ b/process/poolplacement/types.go
@@ -93,14 +93,14 @@
 	Notice time.Duration
 	// Rest and Busy are how often an engine is asked for its report, at rest and while an order is under way.
 	Rest, Busy time.Duration
-	// Beat is how often the plan is made.
-	Beat time.Duration
+	// Beat is how often the plan is made, Look how often it is seen whom to ask for a report.
+	Beat, Look time.Duration
 }
 
 // DefaultSettings are for a deployment whose holders of the claim must not take turns within the lease.
 func DefaultSettings(owner string, lease time.Duration) Settings {
 	s := Settings{Owner: owner, Window: 5 * time.Second, Span: 3 * time.Second, Renew: 500 * time.Millisecond, OrderLimit: 800 * time.Millisecond,
-		Notice: 250 * time.Millisecond, Rest: time.Second, Busy: 150 * time.Millisecond, Beat: 100 * time.Millisecond}
+		Notice: 250 * time.Millisecond, Rest: time.Second, Busy: 150 * time.Millisecond, Beat: 100 * time.Millisecond, Look: 50 * time.Millisecond}
 	// An order may reach its engine as late as its limit after the claim was last looked at.
 	s.Gap = lease + s.OrderLimit
 	return s
