Unload what hardly anybody uses without notice, and count loads by their end, not by their report

Cause: in the same trace, a rare model that made way for another was given 0.25 s of notice for up to 19 s after its last request, since the rate of one request fades slowly; and the store, which serves three loads at full speed, was taken to be busy until a report showed a load's end, 0.25 s after it.

Notice is now given where at least one in 25 unloads would meet a request within it. A load counts at the store until it is expected to end, and one from an engine's own disk not at all.

--- a/process/poolplacement/plan.go
+++ b/process/poolplacement/plan.go
@@ -523,6 +523,12 @@
 	return f.answered + clock.Mark(lag)
 }
 
+// burdensStore says whether an order's load is likely to be under way at the store. Reports show its end late, but
+// the store has long been free by then.
+func (f *flight) burdensStore(now clock.Mark) bool {
+	return f.key != 0 && (f.state != taken || now < f.ready)
+}
+
 // learn corrects by one report what is known of how far reports lag. A load of a model tells nothing of it:
 // how long that takes depends on what runs there.
 func (p *Planner) learn(f *flight, asked clock.Mark, shown bool) {
--- a/process/poolplacement/serve.go
+++ b/process/poolplacement/serve.go
@@ -34,6 +34,8 @@
 	leastGain = 0.015
 	// leastAdapterGain is the same of an adapter, whose order is cheap.
 	leastAdapterGain = 0.003
+	// unheard is how many requests may be expected within the notice of something that goes without one.
+	unheard = 0.04
 	// evictSpan is how long an unload is expected to take until a report shows it.
 	evictSpan = 500 * time.Millisecond
 	// adapterSpan is how long an adapter is expected to take.
@@ -74,7 +76,7 @@
 			continue
 		}
 		s.engines = append(s.engines, e)
-		if e.flight != nil && e.flight.Kind == Load && e.flight.Adapter == "" {
+		if e.flight != nil && e.flight.burdensStore(now) {
 			s.loading++
 		}
 		if e.intent != nil && e.intent.Adapter == "" {
@@ -275,13 +277,14 @@
 	return Order{}, false
 }
 
-// notice is how long all daemons must have had to hear that something goes: none where nobody uses it.
+// notice is how long all daemons must have had to hear that something goes: none where nobody uses it and hardly
+// anybody would ask meanwhile. Who does is told by the engine that it did not run, and waits like all others.
 func (s *survey) notice(victim registry.Target) time.Duration {
 	a := s.asks.models[victim.Model]
 	if victim.Adapter != "" {
 		a = s.asks.adapters[victim]
 	}
-	if a == nil || a.running+a.held == 0 && a.arrivals < 0.05 && s.now.Since(a.last) > 2*time.Second {
+	if a == nil || a.running+a.held == 0 && a.arrivals*s.p.settings.Notice.Seconds() < unheard {
 		return 0
 	}
 	return s.p.settings.Notice
