Have adapters in use take turns on a crowded engine, and prefer a free place to a trade

While an order is under way the engine takes no other, so a model's load waits. With two engines, which have places for all, 21 orders a minute were left: second copies of adapters displaced each other, and a trade on a cool engine was chosen before a free place on a warmer one.

An engine now trades an adapter in use for another at most once in 5 s; what nobody asks for goes at once as before. A free place comes before a trade.

--- a/process/poolplacement/plan.go
+++ b/process/poolplacement/plan.go
@@ -120,14 +120,16 @@
 	read  bool
 	asked clock.Mark
 	// taken is how many orders it has taken, as far as is known.
-	taken    uint64
-	takenAt  clock.Mark
-	waitFor  clock.Mark
-	flight   *flight
-	intent   *intent
-	rests    map[registry.Target]clock.Mark
-	had      map[string]bool
-	came     map[registry.Target]clock.Mark
+	taken   uint64
+	takenAt clock.Mark
+	waitFor clock.Mark
+	flight  *flight
+	intent  *intent
+	rests   map[registry.Target]clock.Mark
+	had     map[string]bool
+	came    map[registry.Target]clock.Mark
+	// traded is when an adapter in use last made way for another.
+	traded   clock.Mark
 	failures int
 	heat     float64
 	asking   bool
--- a/process/poolplacement/serve.go
+++ b/process/poolplacement/serve.go
@@ -38,6 +38,10 @@
 	unheard = 0.04
 	// evictSpan is how long an unload is expected to take until a report shows it.
 	evictSpan = 500 * time.Millisecond
+	// adapterTurn is how long an engine keeps its adapters in use between two trades of one for another.
+	adapterTurn = 5 * time.Second
+	// tradeCost is what a trade of adapters costs against a free place on a warmer engine.
+	tradeCost = 1.0
 	// adapterSpan is how long an adapter is expected to take.
 	adapterSpan = 60 * time.Millisecond
 )
@@ -61,7 +65,7 @@
 	running float64
 	// loading counts the loads of models under way, intents those that are being made ready for.
 	loading, intents int
-	meanHeat         float64
+	meanHeat     float64
 }
 
 func (p *Planner) survey(now clock.Mark, since time.Duration, made *pool) *survey {
@@ -525,6 +529,10 @@
 		if !ok {
 			continue
 		}
+		// A free place comes first, also on a warmer engine: what goes for another has to come back.
+		if len(victims) > 0 {
+			cost += tradeCost
+		}
 		if cost += e.heat; cost < bestCost {
 			best, bestVictims, bestCost = e, victims, cost
 		}
@@ -538,6 +546,9 @@
 	}
 	best.intent = &intent{Target: w.Target, victims: bestVictims, told: s.now, urgent: w.urgent}
 	for _, victim := range bestVictims {
+		if s.inUse(victim) {
+			best.traded = s.now
+		}
 		s.adapterCopies[victim] = slices.DeleteFunc(slices.Clone(s.adapterCopies[victim]), func(e *engine) bool { return e == best })
 	}
 	if order, ok := s.next(best); ok {
@@ -546,12 +557,24 @@
 	return Order{}, false, true
 }
 
-// wayForAdapter finds the adapter that makes way for another on an engine, if none of its places is free.
+// inUse says whether an adapter is asked for by more than a chance request.
+func (s *survey) inUse(adapter registry.Target) bool {
+	return s.cost(s.asks.adapters[adapter], nil) >= leastAdapterGain
+}
+
+// wayForAdapter finds the adapter that makes way for another on an engine, if none of its places is free. Where
+// more are asked for than there are places they take turns: each trade of one in use for another costs two orders
+// and gains nobody more than the other loses, so it must be worth a turn's length.
 func (s *survey) wayForAdapter(e *engine, w want) (victims []registry.Target, cost float64, ok bool) {
 	if e.fits(w.Target) {
 		return nil, 0, true
 	}
 	bestCost, found := math.Inf(1), false
+	stay, factor := minStay, dearer
+	if len(s.adapterCopies[w.Target]) > 0 && !w.urgent {
+		stay, factor = idleStay, 2
+	}
+	mayTrade := s.now.Since(e.traded) >= adapterTurn
 	var victim registry.Target
 	for _, held := range e.report.Models {
 		if s.pool.models[held.Model] == nil || s.pool.models[held.Model].AdapterSizeMb < s.pool.size(w.Target) {
@@ -562,7 +585,7 @@
 		}
 		for _, adapter := range held.Adapters {
 			target := registry.Target{Model: held.Model, Adapter: adapter}
-			if s.now.Since(e.came[target]) < minStay {
+			if s.now.Since(e.came[target]) < stay || !mayTrade && s.inUse(target) {
 				continue
 			}
 			if cost := s.cost(s.asks.adapters[target], s.adapterCopies[target]); cost < bestCost {
@@ -570,7 +593,7 @@
 			}
 		}
 	}
-	if !found || bestCost*dearer+leastAdapterGain >= w.gain {
+	if !found || bestCost*factor+leastAdapterGain >= w.gain {
 		return nil, 0, false
 	}
 	return []registry.Target{victim}, bestCost + 0.05, true
