Make room for a rare model while the store still serves other loads

Room is now made as soon as the loads under way will have ended by the time it is there; the load itself waits for the store as before.

--- a/process/poolplacement/serve.go
+++ b/process/poolplacement/serve.go
@@ -65,6 +65,8 @@
 	running float64
 	// loading counts the loads of models under way, intents those that are being made ready for.
 	loading, intents int
+	// stillLoading counts the loads that go on for longer than it takes to make room.
+	stillLoading int
 	meanHeat     float64
 }
 
@@ -82,6 +84,9 @@
 		s.engines = append(s.engines, e)
 		if e.flight != nil && e.flight.burdensStore(now) {
 			s.loading++
+			if e.flight.burdensStore(now + clock.Mark(evictSpan)) {
+				s.stillLoading++
+			}
 		}
 		if e.intent != nil && e.intent.Adapter == "" {
 			s.intents++
@@ -310,6 +315,12 @@
 	return free > s.pool.most/2 && s.loading < max(1, s.pool.atOnce/2)
 }
 
+// mayMakeRoom says whether room may be made for what somebody waits for: the store need not be free before there
+// is room for what it gives.
+func (s *survey) mayMakeRoom() bool {
+	return s.p.pace.free(s.now, s.pool.most) > s.intents && s.stillLoading+s.intents < s.pool.atOnce
+}
+
 // load orders a target onto an engine that has the room.
 func (s *survey) load(e *engine, target registry.Target) Order {
 	e.intent = nil
@@ -381,11 +392,11 @@
 	bestCost := math.Inf(1)
 	size := s.pool.size(w.Target)
 	for _, e := range s.engines {
-		if !e.ready(s.now) || e.intent != nil || e.holds(w.Target) || s.now < e.rests[w.Target] || !s.mayLoad(e, w.Target, w.urgent, true) {
+		if !e.ready(s.now) || e.intent != nil || e.holds(w.Target) || s.now < e.rests[w.Target] {
 			continue
 		}
 		victims, cost, ok := s.wayFor(e, size, w)
-		if !ok {
+		if !ok || !s.mayLoad(e, w.Target, w.urgent, true) && !(w.urgent && len(victims) > 0 && s.mayMakeRoom()) {
 			continue
 		}
 		// A cool engine, and one that has the weights on its disk, is better.
