Learn how long idle connections to engines last, and rehearse engines that drop them

Cause: an engine may drop an idle connection without a word, sooner than it says; nothing shows on it, and what is sent next is reset. A request that can't be made again is lost then, for nothing proves that it has not run. Kept connections were used for all of Keep-Alive (a third of it by such requests) however often that went wrong.

Change: a reset of a kept connection before a byte of an answer teaches its pool's idle lifetime; kept ones are used for half of it, for a quarter by requests that can't be made again. What was learned counts twice as long every 10 s.

Weighed: a fresh connection for all that can't be made again.

Test without the bench: TestAConnectionDroppedInSilenceIsLearnedFrom (one of ten requests lost; all after the first reuse before). The rehearsal's engines drop in silence (idle-drop), fail part of what they get while they beat (engine-grey) and go down and up (engine-flap).

--- a/connection/engineconn/engineconn.go
+++ b/connection/engineconn/engineconn.go
@@ -49,6 +49,8 @@
 type Attempt struct {
 	Engine  ident.EngineID
 	Address string
+	// Pool is whose engines it is one of, and so is like.
+	Pool string
 	// ID is the client's own id of its try, which the answer must bear.
 	ID string
 	// Head bears nothing that concerns one connection only; Dress writes what is this attempt's own, once the
@@ -103,7 +105,7 @@
 
 // Counters are counted over a daemon's life.
 type Counters struct {
-	Dialled, DialsFailed, Reused, FoundStale, Surplus, Foreign, Junk, BytesSent, BytesReceived atomic.Uint64
+	Dialled, DialsFailed, Reused, FoundStale, DroppedIdle, Surplus, Foreign, Junk, BytesSent, BytesReceived atomic.Uint64
 }
 
 // Pools keeps the connections to all engines.
@@ -115,6 +117,7 @@
 
 	mutex   sync.Mutex
 	engines map[engineKey]*pool
+	idle    lifetimes
 }
 
 // engineKey holds the address too, since an address may pass to another engine, and the other way round.
@@ -185,10 +188,12 @@
 }
 
 // take gives a kept connection that fits, or room for a fresh one.
-func (p *Pools) take(key engineKey, careful bool, most int) (kept *link, room bool) {
+func (p *Pools) take(key engineKey, a Attempt) (kept *link, room bool) {
 	now := p.clock.Elapsed()
+	careful, most := a.Careful, a.MostConnections
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	bound := p.idle.bound(a.Pool, careful, now)
 	connections := p.engines[key]
 	if connections == nil {
 		connections = &pool{}
@@ -198,7 +203,12 @@
 	// The one used last is the least likely to be closed by the engine.
 	for place := len(connections.idle) - 1; place >= 0; place-- {
 		candidate := connections.idle[place]
-		if careful && now.Since(candidate.idleSince) > candidate.carefulFor() {
+		idle := now.Since(candidate.idleSince)
+		if idle > bound {
+			// The rest has been idle for longer still.
+			break
+		}
+		if careful && idle > candidate.carefulFor() {
 			continue
 		}
 		connections.idle = append(connections.idle[:place], connections.idle[place+1:]...)
@@ -286,7 +296,7 @@
 func (p *Pools) Send(a Attempt) *Answer {
 	key := engineKey{a.Engine, a.Address}
 	for {
-		one, room := p.take(key, a.Careful, a.MostConnections)
+		one, room := p.take(key, a)
 		if !room {
 			return &Answer{Outcome: HeldBack, Reason: "no connection to the engine is free"}
 		}
@@ -308,10 +318,23 @@
 		if !fresh {
 			p.Counters.Reused.Add(1)
 		}
-		return p.over(one, a, key)
+		idle := p.clock.Elapsed().Since(one.idleSince)
+		answer := p.over(one, a, key)
+		if !fresh && answer.Outcome == Lost && broken(answer.lost) {
+			p.foundDropped(a.Pool, idle)
+		}
+		return answer
 	}
 }
 
+// foundDropped learns from a kept connection that was gone when it was used again.
+func (p *Pools) foundDropped(pool string, idle time.Duration) {
+	p.Counters.DroppedIdle.Add(1)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.idle.dropped(pool, idle, p.clock.Elapsed())
+}
+
 func (p *Pools) fresh(a Attempt, key engineKey) (*link, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), max(a.Until.Since(p.clock.Elapsed()), time.Millisecond))
 	defer cancel()
@@ -403,6 +426,7 @@
 	a.response.SkipBody = head
 	if err := a.response.ReadLimitBody(a.link.reader, 0); err != nil {
 		if isNetwork(err) {
+			a.lost = err
 			return Lost, "the engine gave no answer"
 		}
 		a.pools.Counters.Junk.Add(1)
@@ -430,6 +454,8 @@
 	// measured bodies say themselves where they end; whole ones have come to it.
 	measured, whole, tainted bool
 	failed                   error
+	// lost is why no head came.
+	lost error
 }
 
 var errUnmeasured = errors.New("the body does not say where it ends")
--- a/connection/engineconn/engineconn_test.go
+++ b/connection/engineconn/engineconn_test.go
@@ -459,3 +459,75 @@
 		}
 	}
 }
+
+// TestAConnectionDroppedInSilenceIsLearnedFrom: the engine says four seconds and drops after one, and shows nothing
+// before the next request is reset. One request is lost to find out, and none after; what is learned fades.
+func TestAConnectionDroppedInSilenceIsLearnedFrom(t *testing.T) {
+	for _, careful := range []bool{true, false} {
+		h := newHands()
+		pools := New(h, dialect.Own())
+		var mutex sync.Mutex
+		last := map[int]clock.Mark{}
+		e := listen(t, func(conn net.Conn, id string, connection, number int) bool {
+			mutex.Lock()
+			defer mutex.Unlock()
+			if number > 0 && h.Elapsed().Since(last[connection]) >= time.Second {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				return false
+			}
+			last[connection] = h.Elapsed()
+			say(conn, answerOf("200 OK", id, "Cresspond-Seal: s\r\nKeep-Alive: timeout=4\r\n", "pong"))
+			return true
+		})
+		lost, made := 0, 0
+		send := func(pause time.Duration) {
+			h.advance(pause)
+			a := attempt(h, e.address, fmt.Sprint("a", made))
+			a.Careful, a.Pool, made = careful, "p", made+1
+			if outcome, _, _ := carry(pools, a); outcome == Lost {
+				lost++
+			} else if outcome != Answered {
+				t.Fatal(outcome)
+			}
+		}
+		for range 10 {
+			send(1100 * time.Millisecond)
+		}
+		if lost != 1 || pools.Counters.DroppedIdle.Load() != 1 {
+			t.Errorf("careful %t: %d lost, %d learned", careful, lost, pools.Counters.DroppedIdle.Load())
+		}
+		// Well inside of what was learned a connection is used again; one of another pool is not held to it.
+		_, before := e.seen()
+		send(0)
+		send(200 * time.Millisecond)
+		if _, conns := e.seen(); conns > before+1 {
+			t.Errorf("careful %t: %d connections, %d before", careful, conns, before)
+		}
+		if bound := pools.idle.bound("other", careful, h.Elapsed()); bound < 10*time.Second {
+			t.Errorf("careful %t: %v elsewhere", careful, bound)
+		}
+		h.advance(2 * time.Minute)
+		if bound := pools.idle.bound("p", careful, h.Elapsed()); bound < 10*time.Second {
+			t.Errorf("careful %t: still %v after two minutes", careful, bound)
+		}
+	}
+}
+
+func TestADeadlineThatPassesTeachesNothing(t *testing.T) {
+	h := newHands()
+	pools := New(h, dialect.Own())
+	e := listen(t, func(conn net.Conn, id string, _, number int) bool {
+		if number == 0 {
+			say(conn, sealed(id, "pong"))
+		}
+		return true
+	})
+	if outcome, _, _ := carry(pools, attempt(h, e.address, "a0")); outcome != Answered {
+		t.Fatal(outcome)
+	}
+	a := attempt(h, e.address, "a1")
+	a.Until = h.Elapsed() + clock.Mark(30*time.Millisecond)
+	if outcome, _, _ := carry(pools, a); outcome != Lost && outcome != Junk || pools.Counters.Reused.Load() != 1 || pools.Counters.DroppedIdle.Load() != 0 {
+		t.Error(outcome, pools.Counters.Reused.Load(), pools.Counters.DroppedIdle.Load())
+	}
+}
--- a/connection/gateway/gateway.go
+++ b/connection/gateway/gateway.go
@@ -267,7 +267,7 @@
 func (f *flight) attempt(send *forwarding.Send) *engineconn.Answer {
 	f.send = send
 	return f.pools.Send(engineconn.Attempt{
-		Engine: send.Engine, Address: send.Address, ID: f.record.Ask.Attempt, Head: &f.head, Dress: f.dress, Body: f.body, Careful: send.Careful,
+		Engine: send.Engine, Address: send.Address, Pool: send.Pool, ID: f.record.Ask.Attempt, Head: &f.head, Dress: f.dress, Body: f.body, Careful: send.Careful,
 		MostConnections: send.MostConnections, Until: f.record.Deadline + clock.Mark(f.Settings.DeadlineSlack), LastLook: f.lastLook, Cancel: &f.cancel,
 	})
 }
--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -184,6 +184,7 @@
 	say("engine_connections_failed", p.DialsFailed.Load())
 	say("engine_connections_reused", p.Reused.Load())
 	say("engine_connections_found_stale", p.FoundStale.Load())
+	say("engine_connections_dropped_idle", p.DroppedIdle.Load())
 	say("engine_answers_surplus", p.Surplus.Load())
 	say("engine_answers_foreign", p.Foreign.Load())
 	say("engine_answers_junk", p.Junk.Load())
--- a/rehearsal/platformkit/day/acts.go
+++ b/rehearsal/platformkit/day/acts.go
@@ -107,6 +107,54 @@
 		d.pause(ctx, 4*time.Second)
 		return nil
 	}},
+	{"engine-grey", 2 * time.Second, func(d *Day, ctx context.Context) error {
+		// They beat, and say that they are well, and fail part of what they get: each in another way.
+		ways := []engine.Fault{{Kind: engine.Own, Status: 500}, {Kind: engine.Break, Reset: true}, {Kind: engine.Silence}, {Kind: engine.Silence, At: 400}}
+		for place, service := range []string{"lm", "notes"} {
+			e, err := d.anyEngine(service)
+			if err != nil {
+				return err
+			}
+			fault := ways[d.draw(len(ways)-2*place)]
+			e.FaultEach(func(string) *engine.Fault {
+				if d.draw(100) < 45 {
+					return &fault
+				}
+				return nil
+			})
+			defer e.FaultEach(nil)
+		}
+		d.pause(ctx, 6*time.Second)
+		return nil
+	}},
+	{"engine-flap", 2 * time.Second, func(d *Day, ctx context.Context) error {
+		for _, service := range []string{"lm", "notes"} {
+			e, err := d.anyEngine(service)
+			if err != nil {
+				return err
+			}
+			for range 3 {
+				e.Crash()
+				d.pause(ctx, 600*ms)
+				if err := e.Start(); err != nil {
+					return err
+				}
+				d.pause(ctx, 900*ms)
+			}
+		}
+		return nil
+	}},
+	{"idle-drop", time.Second, func(d *Day, ctx context.Context) error {
+		// Far sooner than they say, and nothing shows on the connections that daemons keep.
+		for _, service := range []string{"lm", "notes"} {
+			for _, e := range d.of(service) {
+				e.DropIdle(time.Duration(50+d.draw(250)) * ms)
+				defer e.DropIdle(0)
+			}
+		}
+		d.pause(ctx, 6*time.Second)
+		return nil
+	}},
 	{"order-trouble", 2 * time.Second, func(d *Day, ctx context.Context) error {
 		// Demand moves, so that there are orders; their answers get lost, and engines freeze and fall over them.
 		d.mutex.Lock()
--- a/rehearsal/platformkit/engine/engine.go
+++ b/rehearsal/platformkit/engine/engine.go
@@ -78,6 +78,8 @@
 	faults faults
 	// orderFaults lose answers to orders.
 	orderFaults faults
+	// dropIdle is after how long an idle connection is dropped in silence; zero is never.
+	dropIdle atomic.Int64
 
 	mutex sync.Mutex
 	lives int
--- a/rehearsal/platformkit/engine/engine_test.go
+++ b/rehearsal/platformkit/engine/engine_test.go
@@ -577,3 +577,25 @@
 		t.Errorf("%d connections for four requests", firsts)
 	}
 }
+
+func TestAConnectionDroppedInSilenceShowsNothingUntilItIsUsed(t *testing.T) {
+	t.Parallel()
+	s := start(t, plainConfig())
+	if try := s.once(plain()); try.Status != 200 {
+		t.Fatalf("%+v", try)
+	}
+	s.engine.DropIdle(time.Nanosecond)
+	arrivals := len(s.book.Read().Arrivals)
+	// The client looks at its connection, finds nothing on it, and has its request reset unread.
+	if try := s.once(plain()); try.Status != 0 || try.FirstOnConnection {
+		t.Errorf("%+v", try)
+	}
+	if now := len(s.book.Read().Arrivals); now != arrivals {
+		t.Errorf("%d arrivals on a dropped connection", now-arrivals)
+	}
+	s.engine.DropIdle(0)
+	if try := s.once(plain()); try.Status != 200 {
+		t.Errorf("%+v", try)
+	}
+	s.sound()
+}
--- a/rehearsal/platformkit/engine/faults.go
+++ b/rehearsal/platformkit/engine/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 )
 
 // Fault is one way to go wrong with one request.
@@ -47,6 +48,10 @@
 	each func(attempt string) *Fault
 }
 
+// DropIdle has connections that were idle for so long dropped in silence: nothing shows before something is sent on
+// one, and that is reset unread. Zero ends it.
+func (e *Engine) DropIdle(after time.Duration) { e.dropIdle.Store(int64(after)) }
+
 // Inject makes the next requests go wrong, one each.
 func (e *Engine) Inject(some ...Fault) {
 	e.faults.mutex.Lock()
--- a/rehearsal/platformkit/engine/server.go
+++ b/rehearsal/platformkit/engine/server.go
@@ -96,6 +96,7 @@
 	go k.read(done)
 	idle := time.NewTimer(time.Hour)
 	defer idle.Stop()
+	answered := clock.Mark(0)
 	for !k.broke {
 		if l.Config.IdleClose > 0 {
 			idle.Reset(l.Config.IdleClose)
@@ -114,9 +115,14 @@
 				<-ended
 				return
 			}
+			if after := time.Duration(l.dropIdle.Load()); after > 0 && answered > 0 && l.Book.Now().Since(answered) >= after {
+				reset(conn)
+				return
+			}
 			if !k.answer(in) {
 				return
 			}
+			answered = l.Book.Now()
 		}
 	}
 }
