--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -52,6 +52,8 @@
 	Fellows map[ident.NodeID]Fellow
 	// LeaderAddress is where the group's leader was last known to be.
 	LeaderAddress string
+	// TellerAddress is whom a daemon that only routes asks for all that is new.
+	TellerAddress string
 	// LeaderTerm is the newest term in which a leader was heard of. Unreached is the term of one that could
 	// not be reached: hearsay of it counts for nothing, or stale words of it would go round among daemons.
 	LeaderTerm, Unreached uint64
@@ -153,6 +155,7 @@
 	next    View
 	view    atomic.Pointer[View]
 	changes atomic.Uint64
+	solid   atomic.Uint64
 	asking  map[question]bool
 	// waited says that the last question to the planner told of something that waits here.
 	waited   bool
@@ -217,6 +220,9 @@
 // Changes numbers the newest change of the list of members.
 func (m *Membership) Changes() uint64 { return m.changes.Load() }
 
+// Solid numbers the newest that is of more than what daemons have in force.
+func (m *Membership) Solid() uint64 { return m.solid.Load() }
+
 // Run runs the actor.
 func (m *Membership) Run(ctx context.Context) {
 	described := m.fleet.Describe()
@@ -438,7 +444,12 @@
 		reply.Contacts, reply.Everyone = encodeTold(m.core.Everyone(now, everyoneWindow)), true
 		return reply
 	}
-	told, next, afresh := m.core.Since(now, Cursor{Life: request.MembersLife, Seen: request.MembersSeen})
+	since := m.core.Since
+	if request.RegistryUrgent {
+		// The asker's teller tells it the rest.
+		since = m.core.SolidSince
+	}
+	told, next, afresh := since(now, Cursor{Life: request.MembersLife, Seen: request.MembersSeen})
 	reply.Contacts, reply.MembersLife, reply.MembersSeen, reply.MembersAfresh = encodeTold(told), next.Life, next.Seen, afresh
 	return reply
 }
@@ -481,6 +492,7 @@
 func (m *Membership) noteChanges() {
 	if changes := m.core.Changes(); changes != m.changes.Load() {
 		m.changes.Store(changes)
+		m.solid.Store(m.core.Solid())
 		m.fleet.News()
 	}
 }
@@ -501,6 +513,9 @@
 		m.planner = ""
 	}
 	m.next.PlannerAddress = m.planner
+	if !m.control {
+		m.next.TellerAddress = m.core.Teller(now, m.next.LeaderAddress)
+	}
 	if !m.next.Settled {
 		current := m.next.NewestSpec <= ownSpec && m.next.NewestClosure <= ownClosure && ownSpec > 0
 		// Only the leader's word counts, and only from after the group knew that this life may be serving:
