Hear all from a near control daemon only while the leader hears from it

Cause, found by reading: a control daemon that is cut off from the others still answers the routing daemons of its zone, which would have gone on to ask it for all that is new: for as long as the cut lasted they heard of no plan and no load, since what the leader and the planner are asked for is urgent only.

--- a/process/membership/core.go
+++ b/process/membership/core.go
@@ -488,7 +488,7 @@
 		p := c.peers[address]
 		return address == leader || p != nil && p.failed > 0 && now.Since(p.failed) <= troubledFor
 	})
-	if near := slices.DeleteFunc(slices.Clone(sound), func(address string) bool { return !c.near(address) }); len(near) > 0 {
+	if near := slices.DeleteFunc(slices.Clone(sound), func(address string) bool { return !c.near(address) || !c.inTouch(leader, address) }); len(near) > 0 {
 		sound = near
 	}
 	chosen, _ := seats.Of("link "+c.address, sound)
@@ -501,14 +501,21 @@
 	return own != nil && other != nil && own.row.Zone == other.row.Zone
 }
 
+// inTouch says whether the leader hears from a control daemon. One that is cut off from the group answers as
+// well as before, and knows nothing new.
+func (c *Core) inTouch(leader, address string) bool {
+	p, other := c.peers[leader], c.entryAt(address)
+	return leader == "" || p != nil && other != nil && p.vouches[other.row.NodeID]
+}
+
 // Teller is whom a daemon that only routes asks for all that is new; of others it asks what is urgent only. All
-// control daemons know the same, and what goes from zone to zone is dear: so it is the leader only where no
-// other control daemon is nearer.
+// control daemons in touch with the leader know the same, and what goes from zone to zone is dear: so it is the
+// leader only where none of them is nearer.
 func (c *Core) Teller(now clock.Mark, leader string) string {
 	if leader != "" && c.near(leader) {
 		return leader
 	}
-	if second := c.second(now, leader, c.control(now)); second != "" && c.near(second) {
+	if second := c.second(now, leader, c.control(now)); second != "" && c.near(second) && c.inTouch(leader, second) {
 		return second
 	}
 	return leader
--- a/process/membership/core_test.go
+++ b/process/membership/core_test.go
@@ -249,53 +249,113 @@
 	}
 }
 
+// zoned is what a routing daemon in zone b knows, which can be told of others and by them.
+type zoned struct {
+	*Core
+	now clock.Mark
+}
+
+func newZoned() zoned {
+	z := zoned{Core: NewCore("edge#1", "edge", false), now: clock.Mark(time.Minute)}
+	z.Describe(z.now, Row{Fellow: Fellow{NodeID: "edge#1", Address: "edge", Zone: "b", Serve: []string{"route"}}, Version: 1})
+	return z
+}
+
+func (z zoned) hear(address string, zone ident.ZoneID, serve string) {
+	z.Hear(z.now, z.row(address, zone, serve), 0)
+}
+
+func (z zoned) row(address string, zone ident.ZoneID, serve string) Row {
+	return Row{Fellow: Fellow{NodeID: ident.NodeID(address + "#1"), Address: address, Zone: zone, Serve: []string{serve}}, Version: 1, Whole: true}
+}
+
+// tell has a control daemon say of others of zone b that they ask it in time, or are late.
+func (z zoned) tell(from string, late bool, of ...string) {
+	var told []Told
+	for _, address := range of {
+		told = append(told, Told{Row: z.row(address, "b", controlRole), Late: late, Direct: true})
+	}
+	z.Learn(z.now, from, Cursor{Life: from + "#1", Seen: 1}, false, told, z.now)
+}
+
 // What goes from zone to zone is dear, and all control daemons know the same: all that is new is asked of one in
 // the own zone, while the leader and whoever plans are asked as well.
 func TestAllIsAskedOfAControlDaemonOfTheOwnZone(t *testing.T) {
-	now := clock.Mark(time.Minute)
-	core := NewCore("edge#1", "edge", false)
-	core.Describe(now, Row{Fellow: Fellow{NodeID: "edge#1", Address: "edge", Zone: "b", Serve: []string{"route"}}, Version: 1})
-	if teller := core.Teller(now, ""); teller != "" {
+	z := newZoned()
+	if teller := z.Teller(z.now, ""); teller != "" {
 		t.Errorf("nobody is known, yet %q tells all", teller)
 	}
-	hear := func(now clock.Mark, address string, zone ident.ZoneID, serve string) {
-		core.Hear(now, Row{Fellow: Fellow{NodeID: ident.NodeID(address + "#1"), Address: address, Zone: zone, Serve: []string{serve}}, Version: 1, Whole: true}, 0)
-	}
-	hear(now, "a1", "a", controlRole)
-	hear(now, "c1", "c", controlRole)
-	hear(now, "b9", "b", "route")
-	if teller := core.Teller(now, "a1"); teller != "a1" {
+	z.hear("a1", "a", controlRole)
+	z.hear("c1", "c", controlRole)
+	z.hear("b9", "b", "route")
+	if teller := z.Teller(z.now, "a1"); teller != "a1" {
 		t.Errorf("with none in the own zone the leader tells all, not %q", teller)
 	}
-	if links := core.Links(now, "a1", "c1"); len(links) != 2 {
+	if links := z.Links(z.now, "a1", "c1"); len(links) != 2 {
 		t.Errorf("the leader, and another: %q", links)
 	}
-	hear(now, "b1", "b", controlRole)
-	if teller, links := core.Teller(now, "a1"), core.Links(now, "a1", "c1"); teller != "b1" || len(links) != 3 {
+	z.hear("b1", "b", controlRole)
+	if teller := z.Teller(z.now, "a1"); teller != "a1" {
+		t.Errorf("the leader has not said that it hears from it, and %q tells all", teller)
+	}
+	z.tell("a1", false, "b1")
+	if teller, links := z.Teller(z.now, "a1"), z.Links(z.now, "a1", "c1"); teller != "b1" || len(links) != 3 {
 		t.Errorf("%q tells all, asked are %q", teller, links)
 	}
-	if teller, links := core.Teller(now, "b1"), core.Links(now, "b1", "b1"); teller != "b1" || len(links) != 2 {
+	if teller, links := z.Teller(z.now, "b1"), z.Links(z.now, "b1", "b1"); teller != "b1" || len(links) != 2 {
 		t.Errorf("a near leader tells all, and another is asked: %q, %q", teller, links)
 	}
-	hear(now, "b2", "b", controlRole)
-	if teller := core.Teller(now, "b1"); teller != "b1" {
+	z.tell("a1", false, "b2")
+	z.tell("b1", false, "b2")
+	if teller := z.Teller(z.now, "b1"); teller != "b1" {
 		t.Errorf("a near leader comes first, not %q", teller)
 	}
-	near := core.Teller(now, "a1")
-	core.Failed(now, near)
-	if next := core.Teller(now, "a1"); next == near || next != "b1" && next != "b2" {
+	near := z.Teller(z.now, "a1")
+	z.Failed(z.now, near)
+	if next := z.Teller(z.now, "a1"); next == near || next != "b1" && next != "b2" {
 		t.Errorf("%q failed, and then %q tells all", near, next)
 	}
-	core.Failed(now, "b1")
-	core.Failed(now, "b2")
-	if teller := core.Teller(now, "a1"); teller != "a1" {
+	z.Failed(z.now, "b1")
+	z.Failed(z.now, "b2")
+	if teller := z.Teller(z.now, "a1"); teller != "a1" {
 		t.Errorf("both near ones failed, and %q tells all", teller)
 	}
-	if teller := core.Teller(now+clock.Mark(2*troubledFor), "a1"); teller != "b1" && teller != "b2" {
+	if teller := z.Teller(z.now+clock.Mark(2*troubledFor), "a1"); teller != "b1" && teller != "b2" {
 		t.Errorf("after a while they are tried again, not %q", teller)
 	}
 }
 
+// A control daemon that is cut off from the others goes on to answer the routing daemons of its zone: it hears of no
+// plan and of no engine elsewhere, so it must not be the one that tells them all.
+func TestWhoIsCutOffFromTheLeaderTellsNobodyAll(t *testing.T) {
+	z := newZoned()
+	z.hear("a1", "a", controlRole)
+	z.hear("b1", "b", controlRole)
+	z.hear("b2", "b", controlRole)
+	z.tell("a1", false, "b1", "b2")
+	cut := z.Teller(z.now, "a1")
+	z.tell(cut, false, "b1", "b2")
+	z.tell("a1", true, cut)
+	z.tell(cut, false, cut)
+	next := z.Teller(z.now, "a1")
+	if next == cut || next == "a1" || next == "" {
+		t.Errorf("%q is cut off, and %q tells all", cut, next)
+	}
+	z.tell("a1", true, next)
+	if teller := z.Teller(z.now, "a1"); teller != "a1" {
+		t.Errorf("both near ones are cut off, and %q tells all", teller)
+	}
+	// One that led before it was cut off is not in touch with who leads now.
+	z.tell("b1", false, "b1", "b2")
+	if teller := z.Teller(z.now, "a1"); teller != "a1" {
+		t.Errorf("%q tells all", teller)
+	}
+	z.tell("a1", false, cut)
+	if teller := z.Teller(z.now, "a1"); teller != cut {
+		t.Errorf("the cut has healed, and %q tells all", teller)
+	}
+}
+
 // With each bundle everyone's row changes; who is told of that by its teller must not be told by others as well.
 func TestWhatIsInForceIsNotSolidNews(t *testing.T) {
 	now := clock.Mark(time.Minute)
