Draw slopes of events too, and hold one scale run's slopes against another's

What one leaving, change or restart costs was printed by size only; its slopes by the daemons are drawn as well.

--- a/rehearsal/cmd/rehearse/scale.go
+++ b/rehearsal/cmd/rehearse/scale.go
@@ -39,6 +39,7 @@
 
 	fit := app.Command("scale-fit", "Draw the slopes again from the rows of earlier runs.")
 	fitFiles := fit.Arg("rows", "Files of rows.").Required().ExistingFiles()
+	fitAgainst := fit.Flag("against", "File of another run's rows; says which slopes differ by more than their errors.").ExistingFile()
 
 	hollow := app.Command("hollow", "Be a process of hollow daemons.").Hidden()
 	hollowProfile := hollow.Flag("profile", "File for what takes its processor time.").String()
@@ -52,8 +53,16 @@
 			if err != nil {
 				return err
 			}
-			scale.Report(os.Stdout, rows)
-			return nil
+			if *fitAgainst == "" {
+				scale.Report(os.Stdout, rows)
+				return nil
+			}
+			others, err := scale.ReadRows([]string{*fitAgainst})
+			if err != nil {
+				return err
+			}
+			_, err = scale.Against(os.Stdout, rows, others)
+			return err
 		}
 		limits.Cores = *cores
 		machine, err := scale.ThisMachine()
--- a/rehearsal/scale/report.go
+++ b/rehearsal/scale/report.go
@@ -94,9 +94,15 @@
 	events(to, rows)
 }
 
-// slopes draws what rest costs by daemons and engines.
-func slopes(to io.Writer, rows []Row) {
-	full := Full()
+// drawing is one measure with the plane through its points, or why there is none.
+type drawing struct {
+	measure
+	fit Fit
+	err error
+}
+
+// restTerms are what the rows of rest can tell of: a size that is the same in all rows has no slope.
+func restTerms(rows []Row) (terms []Term, curved bool) {
 	daemons, engines := map[int]bool{}, map[int]bool{}
 	for _, row := range rows {
 		if row.Phase == PhaseRest && row.Cut == "" {
@@ -104,22 +110,21 @@
 		}
 	}
 	if len(daemons) == 0 {
-		return
+		return nil, false
 	}
-	terms := []Term{Constant}
+	terms = []Term{Constant}
 	if len(daemons) > 1 {
 		terms = append(terms, PerDaemon)
 	}
 	if len(engines) > 1 {
 		terms = append(terms, PerEngine)
 	}
-	fmt.Fprintf(to, "\nslopes of rest, with their standard errors; at %d daemons and %d engines with the interval of 19 in 20\n", full.Daemons, full.Engines)
-	out := tabwriter.NewWriter(to, 0, 4, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprint(out, "what\t")
-	for _, term := range terms {
-		fmt.Fprintf(out, "%s\t", term.Name)
-	}
-	fmt.Fprintln(out, "per daemon squared\texplained\tat full size\tbound\t")
+	return terms, len(daemons) > 2
+}
+
+// drawRest draws every measure of rest through the rows.
+func drawRest(rows []Row, terms []Term, curved bool) []drawing {
+	var out []drawing
 	for _, m := range measures() {
 		var points []Point
 		for _, row := range rows {
@@ -127,9 +132,30 @@
 				points = append(points, Point{row.Size, m.of(each)})
 			}
 		}
-		fit, err := drawCurved(points, len(daemons) > 2, terms)
-		if err != nil {
-			fmt.Fprintf(out, "%s %s\t%v\n", m.kind, m.name, err)
+		fit, err := drawCurved(points, curved, terms)
+		out = append(out, drawing{m, fit, err})
+	}
+	return out
+}
+
+// slopes draws what rest costs by daemons and engines.
+func slopes(to io.Writer, rows []Row) {
+	full := Full()
+	terms, curved := restTerms(rows)
+	if len(terms) == 0 {
+		return
+	}
+	fmt.Fprintf(to, "\nslopes of rest, with their standard errors; at %d daemons and %d engines with the interval of 19 in 20\n", full.Daemons, full.Engines)
+	out := tabwriter.NewWriter(to, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(out, "what\t")
+	for _, term := range terms {
+		fmt.Fprintf(out, "%s\t", term.Name)
+	}
+	fmt.Fprintln(out, "per daemon squared\texplained\tat full size\tbound\t")
+	for _, m := range drawRest(rows, terms, curved) {
+		fit := m.fit
+		if m.err != nil {
+			fmt.Fprintf(out, "%s %s\t%v\n", m.kind, m.name, m.err)
 			continue
 		}
 		fmt.Fprintf(out, "%s %s, %s\t", m.kind, m.name, m.unit)
@@ -165,40 +191,88 @@
 	return Draw(points, terms...)
 }
 
-// events prints what one leaving, change or restart costs a daemon beyond rest.
-func events(to io.Writer, rows []Row) {
+// eventCost is what one leaving, change or restart cost a daemon of a kind beyond rest.
+type eventCost struct {
+	size   Size
+	phase  string
+	number float64
+	kind   Kind
+	// ms is processor time, sent and received are kilobytes.
+	ms, sent, received float64
+}
+
+// eventCosts reads them from the rows: the difference of two noisy rates, so a small one says little.
+func eventCosts(rows []Row) []eventCost {
 	type key struct {
 		daemons, engines int
 		kind             Kind
 	}
 	// The last window of rest is the one right before, in which least is left of what came earlier.
 	rest := map[key]Each{}
-	for _, row := range rows {
-		if row.Phase != PhaseRest || row.Cut != "" {
-			continue
-		}
-		for kind, each := range row.Kinds {
-			rest[key{row.Size.Daemons, row.Size.Engines, kind}] = each
-		}
-	}
-	fmt.Fprintln(to, "\nwhat one event costs a daemon beyond rest; the difference of two noisy rates, so a small one says little")
-	out := tabwriter.NewWriter(to, 0, 4, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(out, "daemons\tengines\tevent\tnumber\tkind\tms of processor\tKB sent\tKB received\t")
+	var out []eventCost
 	for _, row := range rows {
 		number := float64(len(row.Times) + row.Missed)
-		if row.Phase == PhaseRest || row.Phase == PhaseStart || number == 0 || len(row.Kinds) == 0 {
-			continue
-		}
 		for _, kind := range []Kind{Leader, Follower, Edge, Hollow} {
 			at := key{row.Size.Daemons, row.Size.Engines, kind}
 			each, known := row.Kinds[kind]
+			if known && row.Phase == PhaseRest && row.Cut == "" {
+				rest[at] = each
+			}
 			before, measured := rest[at]
-			if !known || !measured {
+			if !known || !measured || row.Phase == PhaseRest || row.Phase == PhaseStart || number == 0 {
 				continue
 			}
 			beyond := func(now, before float64) float64 { return (now - before) * row.Seconds / number }
-			fmt.Fprintf(out, "%d\t%d\t%s\t%.0f\t%s\t%.1f\t%.1f\t%.1f\t\n", row.Size.Daemons, row.Size.Engines, row.Phase, number, kind,
-				1000*beyond(each.Cores, before.Cores), beyond(each.Sent, before.Sent)/1000, beyond(each.Received, before.Received)/1000)
+			out = append(out, eventCost{row.Size, row.Phase, number, kind, 1000 * beyond(each.Cores, before.Cores),
+				beyond(each.Sent, before.Sent) / 1000, beyond(each.Received, before.Received) / 1000})
+		}
+	}
+	return out
+}
+
+// events prints what one leaving, change or restart costs a daemon beyond rest.
+func events(to io.Writer, rows []Row) {
+	costs := eventCosts(rows)
+	fmt.Fprintln(to, "\nwhat one event costs a daemon beyond rest; the difference of two noisy rates, so a small one says little")
+	out := tabwriter.NewWriter(to, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(out, "daemons\tengines\tevent\tnumber\tkind\tms of processor\tKB sent\tKB received\t")
+	for _, cost := range costs {
+		fmt.Fprintf(out, "%d\t%d\t%s\t%.0f\t%s\t%.1f\t%.1f\t%.1f\t\n", cost.size.Daemons, cost.size.Engines, cost.phase, cost.number, cost.kind, cost.ms, cost.sent, cost.received)
+	}
+	out.Flush()
+	eventSlopes(to, costs)
+}
+
+// eventSlopes draws what one event costs by the daemons, where there are enough sizes.
+func eventSlopes(to io.Writer, costs []eventCost) {
+	full := Full()
+	fmt.Fprintf(to, "\nslopes of one event's cost beyond rest, with their standard errors; at %d daemons with the interval of 19 in 20\n", full.Daemons)
+	out := tabwriter.NewWriter(to, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(out, "what\teach\tper daemon\texplained\tat full size\t")
+	for _, phase := range []string{PhaseLeave, PhaseChange, PhaseRestart} {
+		for _, kind := range []Kind{Leader, Follower, Edge, Hollow} {
+			for _, m := range []struct {
+				name string
+				of   func(eventCost) float64
+			}{
+				{"ms of processor", func(c eventCost) float64 { return c.ms }},
+				{"KB sent", func(c eventCost) float64 { return c.sent }},
+				{"KB received", func(c eventCost) float64 { return c.received }},
+			} {
+				var points []Point
+				for _, cost := range costs {
+					if cost.phase == phase && cost.kind == kind {
+						points = append(points, Point{cost.size, m.of(cost)})
+					}
+				}
+				fit, err := Draw(points, Constant, PerDaemon)
+				if err != nil {
+					// Too few sizes tell of no slope; the rows above stand for themselves.
+					continue
+				}
+				value, within := fit.At(full)
+				fmt.Fprintf(out, "%s, %s, %s\t%.3g ± %.1g\t%.3g ± %.1g\t%.3f\t%.3g ± %.2g\t\n", phase, kind, m.name, fit.Slopes[0], fit.Errors[0], fit.Slopes[1], fit.Errors[1], fit.Explained, value, within)
+			}
 		}
 	}
 	out.Flush()
