Make the map of the other daemons at most as often as the fleet is large

Cause: a daemon that only routes made the map of all others anew with each beat and each answer, 12 times a second, 0.28 to 1.07 ms and 67 KB each at 370 daemons (BenchmarkSizeMembers); that is what an edge's processor slope by the daemons was. Ruled out: the calls (5 to 6 a second at 10 and at 200 daemons) and the bytes (2 to 2.5 KB/s at both). Now what was made lasts 0.6 ms a daemon, 200 ms at most, as long as nothing but the moments of hearing can have changed; control daemons, which acknowledge by who is in contact, have it as exact as before.

--- a/process/membership/core.go
+++ b/process/membership/core.go
@@ -91,6 +91,10 @@
 	entries map[ident.NodeID]*entry
 	order   *list.List
 	peers   map[string]*peer
+	// gathered is all lives as they were made into a map last, gatheredChanges and gatheredAt as of when.
+	gathered        map[ident.NodeID]Fellow
+	gatheredChanges uint64
+	gatheredAt      clock.Mark
 }
 
 // NewCore makes what a fresh daemon knows. relays says that it serves control.
@@ -230,6 +234,7 @@
 		if c.heardOf(e) < forgetBefore && e.row.NodeID != c.self {
 			c.order.Remove(at)
 			delete(c.entries, e.row.NodeID)
+			c.gathered = nil
 			for _, p := range c.peers {
 				delete(p.vouches, e.row.NodeID)
 			}
@@ -481,6 +486,24 @@
 	return out
 }
 
+const (
+	// gatherEach is for how long, for each daemon of the fleet, a map of the others does on a daemon that only
+	// routes, since making it costs that much more; gatherMost bounds it.
+	gatherEach = 600 * time.Microsecond
+	gatherMost = 200 * time.Millisecond
+)
+
+// Gathered gives the same as Fellows, or what that gave lately if nothing but the moments at which others were
+// heard can have changed since. It must not be changed.
+func (c *Core) Gathered(now clock.Mark) map[ident.NodeID]Fellow {
+	lasts := min(time.Duration(len(c.entries))*gatherEach, gatherMost)
+	// Control daemons acknowledge by who is in contact, so they know it as exactly as they can.
+	if c.relays || c.gathered == nil || c.gatheredChanges != c.changes || now.Since(c.gatheredAt) >= lasts {
+		c.gathered, c.gatheredChanges, c.gatheredAt = c.Fellows(), c.changes, now
+	}
+	return c.gathered
+}
+
 // Known is what is known of one life; false where it is not known, or ended.
 func (c *Core) Known(id ident.NodeID) (Fellow, bool) {
 	e := c.entries[id]
--- a/process/membership/core_test.go
+++ b/process/membership/core_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -248,3 +250,85 @@
 		t.Errorf("%+v", fellow)
 	}
 }
+
+// What is gathered tells of the same lives as is known, at every moment, and of when they were heard as of lately;
+// at rest a daemon that only routes makes it seldom.
+func TestWhatIsGatheredIsWhatIsKnown(t *testing.T) {
+	const size = 100
+	f := newFleet(t, size, 600*time.Millisecond)
+	// earlier are the moments at which others were heard, as each daemon knew them some looks ago.
+	type look map[ident.NodeID]clock.Mark
+	earlier := map[*Core][]look{}
+	check := func() {
+		for at, d := range f.daemons {
+			// Some of them are enough: two of three control daemons, and every ninth other.
+			if d.down || at%9 > 1 {
+				continue
+			}
+			gathered, known := d.core.Gathered(f.now), d.core.Fellows()
+			if len(gathered) != len(known) {
+				t.Fatalf("%s has gathered %d lives and knows %d", d.name, len(gathered), len(known))
+			}
+			looks, heard := earlier[d.core], look{}
+			for id, now := range known {
+				was := gathered[id]
+				lately := slices.ContainsFunc(looks, func(l look) bool { return l[id] == was.Heard })
+				if was.Heard != now.Heard && (d.control || !lately) {
+					t.Fatalf("%s gathered %s as heard %v ago, and knows of %v ago", d.name, id, f.now.Since(was.Heard), f.now.Since(now.Heard))
+				}
+				heard[id], was.Heard = now.Heard, now.Heard
+				if !reflect.DeepEqual(was, now) {
+					t.Fatalf("%s gathered %+v and knows %+v", d.name, was, now)
+				}
+			}
+			if looks = append(looks, heard); len(looks) > int(gatherMost/tick) {
+				looks = looks[1:]
+			}
+			earlier[d.core] = looks
+		}
+	}
+	f.run(settles, check)
+	for turn := range 20 {
+		d := f.daemons[controls+turn]
+		switch turn % 4 {
+		case 0:
+			f.begin(d)
+		case 1:
+			d.down = true
+		case 2:
+			d.row.SpecEpoch, d.row.ClosureEpoch = d.row.SpecEpoch+1, d.row.ClosureEpoch+1
+		case 3:
+			d.row.Ready, d.row.Version = false, d.row.Version+1
+		}
+		f.run(300*time.Millisecond, check)
+	}
+	routing, made, last := f.daemons[size-1].core, 0, uintptr(0)
+	f.run(10*time.Second, func() {
+		if at := reflect.ValueOf(routing.Gathered(f.now)).Pointer(); at != last {
+			made, last = made+1, at
+		}
+	})
+	// Each 60 ms at a hundred daemons, looked at each 50.
+	if made > 101 {
+		t.Errorf("made %d times in 200 looks at rest", made)
+	}
+}
+
+func TestWhoIsForgottenIsGatheredNoMore(t *testing.T) {
+	now := clock.Mark(time.Hour)
+	one := NewCore("one#1", "a1", false)
+	for i := range 300 {
+		heard := now
+		if i%2 == 0 {
+			heard -= clock.Mark(2 * forgetAfter)
+		}
+		one.Hear(heard, Row{Fellow: Fellow{NodeID: ident.NodeID(fmt.Sprintf("d%d#1", i)), Address: fmt.Sprint("d", i)}, Version: 1, Whole: true}, 0)
+	}
+	if got := len(one.Gathered(now)); got != 300 {
+		t.Fatalf("%d lives", got)
+	}
+	one.Sweep(now, now-clock.Mark(forgetAfter))
+	if got := len(one.Gathered(now)); got != 150 {
+		t.Errorf("%d lives, and half of 300 were forgotten", got)
+	}
+}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -488,7 +488,7 @@
 // publish is the one place where the view is replaced.
 func (m *Membership) publish() {
 	now := m.clock.Elapsed()
-	m.next.Fellows = m.core.Fellows()
+	m.next.Fellows = m.core.Gathered(now)
 	m.noteChanges()
 	ownSpec, ownClosure := m.fleet.InForce()
 	if m.fleet.Leads() {
--- /dev/null
+++ b/process/membership/size_test.go
@@ -0,0 +1,102 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+)
+
+// What the list of members costs by the daemons, for docs/CAPACITY.md: go test -run - -bench Size ./process/membership
+
+var daemonCounts = []int{12, 60, 370}
+
+// sizeRow is what a routing daemon says of itself.
+func sizeRow(number int, version uint64) Row {
+	return Row{Fellow: Fellow{NodeID: ident.NodeID(fmt.Sprintf("edge-%d#%016x", number, number*7919)), Address: fmt.Sprintf("10.%d.%d.9:21003", number/250, number%250),
+		Zone: "zone-7", Serve: []string{"route"}, SpecEpoch: 5, Ready: true}, Version: version, Whole: true}
+}
+
+// fullList is a control daemon that has heard so many others.
+func fullList(daemons int) *Core {
+	c := NewCore("core-0#1", "10.9.9.9:21003", true)
+	for i := range daemons {
+		c.Hear(0, sizeRow(i, 1), time.Second)
+	}
+	return c
+}
+
+// BenchmarkSizeMembers is what the list of members costs: one question heard that says nothing new; a look at who is
+// late; the view for others; all of it told to a new daemon, and learnt there; one change told.
+func BenchmarkSizeMembers(b *testing.B) {
+	for _, daemons := range daemonCounts {
+		of := fmt.Sprint(" of ", daemons, " daemons")
+		b.Run("hear one"+of, func(b *testing.B) {
+			c := fullList(daemons)
+			b.ReportAllocs()
+			turn := 0
+			for b.Loop() {
+				row := sizeRow(turn%daemons, 1)
+				row.Whole = false
+				c.Hear(clock.Mark(turn), row, time.Second)
+				turn++
+			}
+		})
+		b.Run("sweep"+of, func(b *testing.B) {
+			c := fullList(daemons)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Sweep(clock.Mark(time.Millisecond), 0)
+			}
+		})
+		b.Run("view"+of, func(b *testing.B) {
+			c := fullList(daemons)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Fellows()
+			}
+		})
+		b.Run("tell all"+of, func(b *testing.B) {
+			c := fullList(daemons)
+			b.ReportAllocs()
+			size := 0
+			for b.Loop() {
+				told, _, _ := c.Since(1, Cursor{})
+				size = toldBytes(b, told)
+			}
+			b.ReportMetric(float64(size)/float64(daemons), "bytes/daemon")
+		})
+		b.Run("learn all"+of, func(b *testing.B) {
+			told, next, afresh := fullList(daemons).Since(1, Cursor{})
+			b.ReportAllocs()
+			for b.Loop() {
+				NewCore("edge-new#1", "10.8.8.8:21003", false).Learn(2, "10.9.9.9:21003", next, afresh, told, 2)
+			}
+		})
+	}
+	b.Run("tell one change", func(b *testing.B) {
+		c := fullList(370)
+		_, seen, _ := c.Since(1, Cursor{})
+		c.Hear(1, sizeRow(7, 2), time.Second)
+		size := 0
+		for b.Loop() {
+			told, _, _ := c.Since(1, seen)
+			size = toldBytes(b, told)
+		}
+		b.ReportMetric(float64(size), "bytes")
+	})
+}
+
+func toldBytes(b *testing.B, told []Told) int {
+	b.Helper()
+	data, err := proto.Marshal(&fellowapi.PullReply{Contacts: encodeTold(told)})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return len(data)
+}
