Don't go through the fleet at a daemon that only routes, to judge engines that it doesn't judge

Cause: contact() listed and sorted all daemons in contact five times a second at every daemon; only control daemons judge silence. A control daemon goes through the list unsorted.

--- a/process/daemon/registry.go
+++ b/process/daemon/registry.go
@@ -277,9 +277,13 @@
 func (d *Daemon) contact() registry.Contact {
 	now := d.clock.Elapsed()
 	out := registry.Contact{Horizon: now}
+	if !d.config.Serves(config.Control) {
+		// It judges nobody, so it need not look through the fleet for it.
+		return out
+	}
 	others := 0
-	for _, fellow := range d.members.View().InContact(now, membership.ContactWindow) {
-		if fellow.NodeID == d.nodeID || !fellow.Serves(string(config.Control)) {
+	for _, fellow := range d.members.View().Fellows {
+		if fellow.NodeID == d.nodeID || !fellow.Serves(string(config.Control)) || now.Since(fellow.Heard) > membership.ContactWindow {
 			continue
 		}
 		others++
