--- a/rehearsal/scale/against_test.go
+++ b/rehearsal/scale/against_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"os"
 	"strings"
 	"testing"
 )
@@ -123,3 +124,11 @@
 		t.Errorf("%+v does not say why it was cut short", rows)
 	}
 }
+
+// What a process has of its own is part of what it has resident, and not all of it: its program's file is no memory of its own.
+func TestOwnMemoryLeavesOutTheProgram(t *testing.T) {
+	usage := usageOf(os.Getpid())
+	if usage.Own == 0 || usage.Own >= usage.Resident || usage.Resident > usage.Peak {
+		t.Errorf("%+v", usage)
+	}
+}
--- a/rehearsal/scale/process.go
+++ b/rehearsal/scale/process.go
@@ -9,8 +9,8 @@
 type Usage struct {
 	// Seconds is processor time, in steps of ten milliseconds.
 	Seconds float64
-	// Resident is memory now, Peak the most there was.
-	Resident, Peak uint64
+	// Resident is memory now, Peak the most there was; Own is what of Resident is not the program's file.
+	Resident, Peak, Own uint64
 	Files          int
 }
 
@@ -26,7 +26,7 @@
 	}
 	out := Usage{Seconds: stat.CPUTime(), Resident: uint64(stat.ResidentMemory())}
 	if status, err := proc.NewStatus(); err == nil {
-		out.Peak = status.VmHWM
+		out.Peak, out.Own = status.VmHWM, status.RssAnon
 	}
 	if files, err := proc.FileDescriptorsLen(); err == nil {
 		out.Files = files
--- a/rehearsal/scale/reading.go
+++ b/rehearsal/scale/reading.go
@@ -24,8 +24,10 @@
 	Made   float64 `json:"made"`
 	Served float64 `json:"served"`
 	Opened float64 `json:"opened"`
-	// Resident and Peak are megabytes, Files descriptors; of hollow ones their processes' divided.
+	// Resident, Peak and Own are megabytes, Files descriptors; of hollow ones their processes' divided. Own leaves out
+	// the pages of the program's file, which processes share.
 	Resident float64 `json:"resident"`
+	Own      float64 `json:"own"`
 	Peak     float64 `json:"peak"`
 	Files    float64 `json:"files"`
 }
@@ -157,13 +159,14 @@
 		sum.Cores += (b.usage[at].Seconds - a.usage[at].Seconds) / seconds
 		sum.Resident += float64(b.usage[at].Resident) / (1 << 20)
 		sum.Peak += float64(b.usage[at].Peak) / (1 << 20)
+		sum.Own += float64(b.usage[at].Own) / (1 << 20)
 		sum.Files += float64(b.usage[at].Files)
 		sums[kind] = sum
 	}
 	for kind, sum := range sums {
 		n, c := float64(sum.Count), max(1, counted[kind])
 		sum.Sent, sum.Received, sum.Made, sum.Served, sum.Opened = sum.Sent/c, sum.Received/c, sum.Made/c, sum.Served/c, sum.Opened/c
-		sum.Cores, sum.Resident, sum.Peak, sum.Files = sum.Cores/n, sum.Resident/n, sum.Peak/n, sum.Files/n
+		sum.Cores, sum.Resident, sum.Peak, sum.Own, sum.Files = sum.Cores/n, sum.Resident/n, sum.Peak/n, sum.Own/n, sum.Files/n
 		sums[kind] = sum
 	}
 	return sums
--- a/rehearsal/scale/report.go
+++ b/rehearsal/scale/report.go
@@ -53,6 +53,7 @@
 		out = append(out,
 			measure{"processor", kind, "% of a core", func(e Each) float64 { return 100 * e.Cores }, 100 * b.Cores},
 			measure{"memory", kind, "MB", func(e Each) float64 { return e.Resident }, b.MemoryMB},
+			measure{"memory without the program", kind, "MB", func(e Each) float64 { return e.Own }, 0},
 			measure{"bytes sent", kind, "KB/s", func(e Each) float64 { return e.Sent / 1000 }, b.KBPerSecond},
 			measure{"bytes received", kind, "KB/s", func(e Each) float64 { return e.Received / 1000 }, 0},
 			measure{"calls made", kind, "/s", func(e Each) float64 { return e.Made }, 0},
