--- a/process/registry/size_test.go
+++ b/process/registry/size_test.go
@@ -115,13 +115,17 @@
 			}
 		})
 	}
-	for _, what := range []string{"word", "plan", "beat"} {
+	for _, what := range []string{"word", "plan", "load", "beat"} {
 		b.Run("one "+what, func(b *testing.B) {
 			c := fullCore(1400)
 			kind := Everything
 			if what == "beat" {
 				kind = WithBeats
 			}
+			planned := Plan{Claim: 3, Turn: 999, Models: wordOf(7, 1).Models, Active: 40, Queued: 1, MemoryUsed: 60000, Memory: 123322}
+			if what == "load" {
+				c.TellPlan(1, map[ident.EngineID]Plan{"i-00000007": planned})
+			}
 			seen := c.Since(Question{Cursor: Cursor{}, Kind: WithBeats}, 1400).Cursor
 			switch what {
 			case "word":
@@ -129,7 +133,11 @@
 				word.Slots = 12
 				c.Hear(1, word)
 			case "plan":
-				c.TellPlan(1, map[ident.EngineID]Plan{"i-00000007": {Claim: 3, Turn: 999, Models: wordOf(7, 1).Models, Active: 40, Queued: 1, MemoryUsed: 60000, Memory: 123322}})
+				c.TellPlan(1, map[ident.EngineID]Plan{"i-00000007": planned})
+			case "load":
+				// What it holds is as before, and so long after that all are told.
+				planned.Turn, planned.Active, planned.MemoryUsed = 1050, 71, 90000
+				c.TellPlan(clock.Mark(time.Minute), map[ident.EngineID]Plan{"i-00000007": planned})
 			case "beat":
 				c.Hear(1, wordOf(7, 2))
 			}
--- a/rehearsal/scale/against_test.go
+++ b/rehearsal/scale/against_test.go
@@ -132,3 +132,21 @@
 		t.Errorf("%+v", usage)
 	}
 }
+
+// Rows of an earlier build, which did not measure something, are not taken for having measured nothing of it.
+func TestWhatWasNotMeasuredIsNotHeldAgainst(t *testing.T) {
+	var out bytes.Buffer
+	with := planeRows(1, 0.0001)
+	for _, row := range with {
+		for kind, each := range row.Kinds {
+			each.Own = 10
+			row.Kinds[kind] = each
+		}
+	}
+	if got, err := Against(&out, planeRows(2, 0.0001), with); err != nil || got.Apart > 2 {
+		t.Errorf("%+v, %v:\n%s", got, err, out.String())
+	}
+	if !strings.Contains(out.String(), "not drawn") {
+		t.Error("what one run did not measure is not said")
+	}
+}
--- a/rehearsal/scale/report.go
+++ b/rehearsal/scale/report.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -134,6 +135,10 @@
 			}
 		}
 		fit, err := drawCurved(points, curved, terms)
+		if !slices.ContainsFunc(points, func(p Point) bool { return p.Value != 0 }) {
+			// Rows of earlier builds lack what was not measured then.
+			err = errors.New("not measured")
+		}
 		out = append(out, drawing{m, fit, err})
 	}
 	return out
