--- a/process/poolplacement/serve.go
+++ b/process/poolplacement/serve.go
@@ -34,8 +34,14 @@
 	leastGain = 0.015
 	// leastAdapterGain is the same of an adapter, whose order is cheap.
 	leastAdapterGain = 0.003
+	// unheard is how many requests may be expected within the notice of something that goes without one.
+	unheard = 0.04
 	// evictSpan is how long an unload is expected to take until a report shows it.
 	evictSpan = 500 * time.Millisecond
+	// adapterTurn is how long an engine keeps its adapters in use between two trades of one for another.
+	adapterTurn = 5 * time.Second
+	// tradeCost is what a trade of adapters costs against a free place on a warmer engine.
+	tradeCost = 1.0
 	// adapterSpan is how long an adapter is expected to take.
 	adapterSpan = 60 * time.Millisecond
 )
@@ -59,7 +65,9 @@
 	running float64
 	// loading counts the loads of models under way, intents those that are being made ready for.
 	loading, intents int
-	meanHeat         float64
+	// stillLoading counts the loads that go on for longer than it takes to make room.
+	stillLoading int
+	meanHeat     float64
 	// open lists the engines that could be given an order when the placing of models began.
 	open []*engine
 }
@@ -76,8 +84,11 @@
 			continue
 		}
 		s.engines = append(s.engines, e)
-		if e.flight != nil && e.flight.Kind == Load && e.flight.Adapter == "" {
+		if e.flight != nil && e.flight.burdensStore(now) {
 			s.loading++
+			if e.flight.burdensStore(now + clock.Mark(evictSpan)) {
+				s.stillLoading++
+			}
 		}
 		if e.intent != nil && e.intent.Adapter == "" {
 			s.intents++
@@ -277,13 +288,14 @@
 	return Order{}, false
 }
 
-// notice is how long all daemons must have had to hear that something goes: none where nobody uses it.
+// notice is how long all daemons must have had to hear that something goes: none where nobody uses it and hardly
+// anybody would ask meanwhile. Who does is told by the engine that it did not run, and waits like all others.
 func (s *survey) notice(victim registry.Target) time.Duration {
 	a := s.asks.models[victim.Model]
 	if victim.Adapter != "" {
 		a = s.asks.adapters[victim]
 	}
-	if a == nil || a.running+a.held == 0 && a.arrivals < 0.05 && s.now.Since(a.last) > 2*time.Second {
+	if a == nil || a.running+a.held == 0 && a.arrivals*s.p.settings.Notice.Seconds() < unheard {
 		return 0
 	}
 	return s.p.settings.Notice
@@ -307,6 +319,12 @@
 	return free > s.pool.most/2 && s.loading < max(1, s.pool.atOnce/2)
 }
 
+// mayMakeRoom says whether room may be made for what somebody waits for: the store need not be free before there
+// is room for what it gives.
+func (s *survey) mayMakeRoom() bool {
+	return s.p.pace.free(s.now, s.pool.most) > s.intents && s.stillLoading+s.intents < s.pool.atOnce
+}
+
 // load orders a target onto an engine that has the room.
 func (s *survey) load(e *engine, target registry.Target) Order {
 	e.intent = nil
@@ -384,13 +402,14 @@
 	size := s.pool.size(w.Target)
 	// The store allows a load on all engines or on none, so it is asked once for each model and not for each pair.
 	allowed := s.storeAllows(w.urgent, true)
+	roomAllowed := allowed || w.urgent && s.mayMakeRoom()
 	for _, e := range s.open {
 		// Within a step an engine closes only by what it was given in it.
-		if e.flight != nil || e.intent != nil || !allowed && !e.had[w.Model] || e.holds(w.Target) || s.now < e.rests[w.Target] {
+		if e.flight != nil || e.intent != nil || !roomAllowed && !e.had[w.Model] || e.holds(w.Target) || s.now < e.rests[w.Target] {
 			continue
 		}
 		victims, cost, ok := s.wayFor(e, size, w)
-		if !ok {
+		if !ok || !allowed && !e.had[w.Model] && len(victims) == 0 {
 			continue
 		}
 		// A cool engine, and one that has the weights on its disk, is better.
@@ -534,6 +553,10 @@
 		if !ok {
 			continue
 		}
+		// A free place comes first, also on a warmer engine: what goes for another has to come back.
+		if len(victims) > 0 {
+			cost += tradeCost
+		}
 		if cost += e.heat; cost < bestCost {
 			best, bestVictims, bestCost = e, victims, cost
 		}
@@ -547,6 +570,9 @@
 	}
 	best.intent = &intent{Target: w.Target, victims: bestVictims, told: s.now, urgent: w.urgent}
 	for _, victim := range bestVictims {
+		if s.inUse(victim) {
+			best.traded = s.now
+		}
 		s.adapterCopies[victim] = slices.DeleteFunc(slices.Clone(s.adapterCopies[victim]), func(e *engine) bool { return e == best })
 	}
 	if order, ok := s.next(best); ok {
@@ -555,12 +581,24 @@
 	return Order{}, false, true
 }
 
-// wayForAdapter finds the adapter that makes way for another on an engine, if none of its places is free.
+// inUse says whether an adapter is asked for by more than a chance request.
+func (s *survey) inUse(adapter registry.Target) bool {
+	return s.cost(s.asks.adapters[adapter], nil) >= leastAdapterGain
+}
+
+// wayForAdapter finds the adapter that makes way for another on an engine, if none of its places is free. Where
+// more are asked for than there are places they take turns: each trade of one in use for another costs two orders
+// and gains nobody more than the other loses, so it must be worth a turn's length.
 func (s *survey) wayForAdapter(e *engine, w want) (victims []registry.Target, cost float64, ok bool) {
 	if e.fits(w.Target) {
 		return nil, 0, true
 	}
 	bestCost, found := math.Inf(1), false
+	stay, factor := minStay, dearer
+	if len(s.adapterCopies[w.Target]) > 0 && !w.urgent {
+		stay, factor = idleStay, 2
+	}
+	mayTrade := s.now.Since(e.traded) >= adapterTurn
 	var victim registry.Target
 	for _, held := range e.report.Models {
 		if s.pool.models[held.Model] == nil || s.pool.models[held.Model].AdapterSizeMb < s.pool.size(w.Target) {
@@ -571,7 +609,7 @@
 		}
 		for _, adapter := range held.Adapters {
 			target := registry.Target{Model: held.Model, Adapter: adapter}
-			if s.now.Since(e.came[target]) < minStay {
+			if s.now.Since(e.came[target]) < stay || !mayTrade && s.inUse(target) {
 				continue
 			}
 			if cost := s.cost(s.asks.adapters[target], s.adapterCopies[target]); cost < bestCost {
@@ -579,7 +617,7 @@
 			}
 		}
 	}
-	if !found || bestCost*dearer+leastAdapterGain >= w.gain {
+	if !found || bestCost*factor+leastAdapterGain >= w.gain {
 		return nil, 0, false
 	}
 	return []registry.Target{victim}, bestCost + 0.05, true
