Take a model whose engine can't be reached for one that must be loaded elsewhere

The planner's word on the load was not looked at, since the lack counted as "all tried". Ruled out: trying the engine again sooner (it comes back as another one), and resting it longer (it rests already).

--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -184,6 +184,10 @@
 		return
 	}
 	chosen, why := c.choose(r, w)
+	if why == allTried && r.mayHaveRun {
+		// It broke off, and none but the engine that it broke off at holds its model: it goes on once another does.
+		why = noModel
+	}
 	if why != noModel && why != noEngines && !(chosen != nil && r.speculative) {
 		c.present(r, w)
 	}
--- a/request/forwarding/wait.go
+++ b/request/forwarding/wait.go
@@ -181,8 +181,8 @@
 		return 0, false
 	case wait > left-c.least(r):
 		return max(told, leastComeBack), true
-	case r.returned:
-		// It was refused before, and won't come a third time: it stays while there is time.
+	case r.returned || r.mayHaveRun:
+		// It was refused before, and won't come a third time, or can't be refused any more: it stays while there is time.
 		return 0, false
 	case waited+wait > target && wait <= back+target/2:
 		// It will be late here, and in time for a client that comes back when it is there.
