Accept callers of a fresh daemon once it has a table, a worker id and an engine

Change: a fresh daemon listens, but accepts nobody before it can serve and hold, or for 0.9 s at most; who connects meanwhile waits unread in the system's queue. It looks each 50 ms for a leader to ask for its worker id, not 250 ms. Ruled out: holding without a worker id (what is held is stamped), not listening (a reset costs clients a try), and another pause in the refusal (the mean is earned whenever they come back).

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -85,6 +85,8 @@
 	// enlistedAt is when the group wrote this life down as one that may be serving; zero before.
 	enlistedAt atomic.Int64
 	broken     chan error
+	// callers is shut until callers are accepted.
+	callers *gate
 
 	// pools plans for engines that register themselves, where the daemon was put together so.
 	pools *poolPlanning
@@ -194,7 +196,7 @@
 	d.group.Store(&none)
 	d.generator = snowflake.New(d.clock, tenureMargin)
 	d.current.Store(&c)
-	d.bell = newBell()
+	d.bell, d.callers = newBell(), newGate()
 	d.toldNews.beginAnywhere()
 	return d
 }
@@ -233,6 +235,10 @@
 	if err != nil {
 		return err
 	}
+	if d.forwards() && d.config.OpaqueOnly {
+		callerListener = &gatedListener{Listener: callerListener, gate: d.callers}
+		time.AfterFunc(acceptLimit, d.callers.open)
+	}
 	defer callerListener.Close()
 	var operatorListener, readyListener net.Listener
 	if d.config.OperatorListen != "" {
@@ -534,9 +540,10 @@
 
 // runTenancy acquires a worker id and renews it.
 func (d *Daemon) runTenancy(ctx context.Context) {
-	const beat = 250 * time.Millisecond
+	// Nothing can be held before a worker id is, so a fresh daemon looks often whether there is a leader to ask yet.
+	const beat, freshBeat = 250 * time.Millisecond, 50 * time.Millisecond
 	renewEvery := d.replicaConfig.Tenure / 3
-	ticker := time.NewTicker(beat)
+	ticker := time.NewTicker(freshBeat)
 	defer ticker.Stop()
 	var renewed clock.Mark
 	for {
@@ -552,8 +559,10 @@
 			if ok && result.Grant != nil {
 				d.generator.Take(*result.Grant, asked)
 				renewed = asked
+				ticker.Reset(beat)
 				d.counters.acquired.Add(1)
 				d.log.WithField("workerId", int64(result.Grant.WorkerID)).Info("worker id acquired")
+				d.admitCallers()
 			}
 		case asked.Since(renewed) >= renewEvery:
 			result, ok := d.submitOnce(ctx, statemachine.Command{Op: statemachine.OpRenew, NodeID: d.nodeID, WorkerID: worker})
@@ -609,4 +618,5 @@
 	}
 	d.bell.ring(urgent)
 	d.poke()
+	d.admitCallers()
 }
--- a/process/daemon/held.go
+++ b/process/daemon/held.go
@@ -144,6 +144,7 @@
 		how = urgent
 	}
 	d.bell.ring(how)
+	d.admitCallers()
 }
 
 // Beat looks for news that nobody else tells of. Only the actor of members calls it.
--- a/process/daemon/listener.go
+++ b/process/daemon/listener.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -95,3 +96,44 @@
 		<-time.After(pause)
 	}
 }
+
+// acceptLimit is how long a fresh daemon lets callers wait to be accepted at most: less than the second that they
+// wait for their request to be read.
+const acceptLimit = 900 * time.Millisecond
+
+// gate is shut until it is opened, once and for all.
+type gate struct {
+	once   sync.Once
+	opened chan struct{}
+}
+
+func newGate() *gate { return &gate{opened: make(chan struct{})} }
+
+// open opens it.
+func (g *gate) open() { g.once.Do(func() { close(g.opened) }) }
+
+// gatedListener accepts nothing before its gate is open. Whoever connects meanwhile waits in the queue of the
+// system with a request that nobody has read: a daemon that has nothing to serve by could only refuse it.
+type gatedListener struct {
+	net.Listener
+	gate *gate
+}
+
+// Accept takes the next connection.
+func (l *gatedListener) Accept() (net.Conn, error) {
+	<-l.gate.opened
+	return l.Listener.Accept()
+}
+
+// Close ends the listener, also for who waits at the gate.
+func (l *gatedListener) Close() error {
+	l.gate.open()
+	return l.Listener.Close()
+}
+
+// admitCallers opens the door to callers once there is what it takes to serve and to hold their requests.
+func (d *Daemon) admitCallers() {
+	if d.forwardIndex() != nil && d.generator.Held() && len(d.registry.View().Engines) > 0 {
+		d.callers.open()
+	}
+}
--- a/process/daemon/listener_test.go
+++ b/process/daemon/listener_test.go
@@ -42,3 +42,51 @@
 		}
 	}
 }
+
+// guarded says whether its gate was open when a connection was taken.
+type guarded struct {
+	net.Listener
+	gate   *gate
+	early  bool
+	closed chan struct{}
+}
+
+func (g *guarded) Accept() (net.Conn, error) {
+	select {
+	case <-g.gate.opened:
+	default:
+		g.early = true
+	}
+	return nil, net.ErrClosed
+}
+
+func (g *guarded) Close() error { close(g.closed); return nil }
+
+// TestCallersWaitUnreadUntilThereIsWhatTheyAreServedBy: nobody is accepted before the gate is open, and the end of
+// the listener frees who waits at it.
+func TestCallersWaitUnreadUntilThereIsWhatTheyAreServedBy(t *testing.T) {
+	for _, end := range []func(*gatedListener){
+		func(l *gatedListener) { l.gate.open() },
+		func(l *gatedListener) { _ = l.Close() },
+	} {
+		shut := newGate()
+		under := &guarded{gate: shut, closed: make(chan struct{})}
+		listener := &gatedListener{Listener: under, gate: shut}
+		began, accepted := make(chan struct{}), make(chan error)
+		go func() {
+			close(began)
+			_, err := listener.Accept()
+			accepted <- err
+		}()
+		<-began
+		end(listener)
+		if err := <-accepted; !errors.Is(err, net.ErrClosed) || under.early {
+			t.Errorf("%v, early %t", err, under.early)
+		}
+		// It stays open, whoever else opens it.
+		shut.open()
+		if _, err := listener.Accept(); !errors.Is(err, net.ErrClosed) || under.early {
+			t.Errorf("%v, early %t", err, under.early)
+		}
+	}
+}
