--- a/request/forwarding/choose.go
+++ b/request/forwarding/choose.go
@@ -65,7 +65,7 @@
 		if state.lacks(r, w.Now) {
 			continue
 		}
-		if batching && state.unreached > 0 && (slices.Contains(r.tried, engine.ID) || state.resting(w.Now)) {
+		if batching && state.gone() && (slices.Contains(r.tried, engine.ID) || state.resting(w.Now)) {
 			// What holds it can't be reached, so it counts for no more than one that does not hold it: the model must
 			// be loaded elsewhere, and that is what is to be waited for.
 			continue
--- a/request/forwarding/engine.go
+++ b/request/forwarding/engine.go
@@ -210,6 +210,12 @@
 // manyFailures in a row are no chance.
 const manyFailures = 3
 
+// gone says whether it seems to be there no more: it can't be reached, and has nothing of this daemon under way
+// either. One that only resets what is too much for it goes on with what it has.
+func (e *engineState) gone() bool {
+	return e.unreached >= manyFailures || e.unreached > 0 && e.inFlight == 0
+}
+
 // resting says whether it gets nothing now.
 func (e *engineState) resting(now clock.Mark) bool {
 	return now < e.restUntil || e.unreached >= manyFailures && e.waiting > 0
