--- a/request/forwarding/core_test.go
+++ b/request/forwarding/core_test.go
@@ -375,6 +375,9 @@
 	class    forward.Class
 	ran      int
 	arrivals int
+	// sends counts arrivals and those that were refused ahead of the news of a load, engines where they were.
+	sends    int
+	engines  []ident.EngineID
 	send     *Send
 	left     bool
 	ended    bool
@@ -385,6 +388,12 @@
 // TestNoInterleavingBreaksAPromise drives the core through random orders of arrivals, outcomes, tables,
 // engines, leases and times, and checks what must hold in each.
 func TestNoInterleavingBreaksAPromise(t *testing.T) {
+	tooSoon := 0
+	defer func() {
+		if tooSoon < 100 {
+			t.Errorf("only %d attempts came before a load had ended", tooSoon)
+		}
+	}()
 	for seed := range uint64(400) {
 		random := rand.New(rand.NewPCG(seed, 7))
 		resumable := pathOf("resume", forward.Stream, "plain")
@@ -403,6 +412,10 @@
 		moved.Attempts = paths[0].Attempts
 		elsewhere := sectionOf(append([]forward.Path{moved}, paths[1:]...)...)
 		all := append(append(enginesOf("plain", 3, 2), enginesOf("other", 2, 2)...), enginesOf("batch", 2, 3, "m")...)
+		// One more is to hold the model at some time, and no report says so.
+		loading := engineOf("batch", 2, 3)
+		loading.Plan = &registry.Plan{Coming: []registry.Coming{{Target: registry.Target{Model: "m"}, Ready: b.now + ms(random.IntN(3000))}}}
+		all = append(all, loading)
 		b.register(all...)
 		runs := []*run{}
 		type mark struct {
@@ -480,8 +493,16 @@
 					outcome = Lost
 				}
 				if outcome != HeldBack && outcome != NeverSent {
-					r.arrivals++
-					marks = append(marks, mark{b.now, r.arrivals > 1, send.Pool})
+					if !slices.Contains(r.engines, send.Engine) {
+						r.engines = append(r.engines, send.Engine)
+					}
+					if r.record.speculative && (outcome == EngineRefused || outcome == Misdirected) {
+						tooSoon++
+					} else {
+						r.arrivals++
+					}
+					r.sends++
+					marks = append(marks, mark{b.now, r.sends > 1, send.Pool})
 				}
 				if outcome == Lost || outcome == Junk || outcome == Cut || outcome == Failed || outcome == Whole {
 					r.ran++
@@ -507,6 +528,10 @@
 				b.core.Pass(b.world())
 			case kind < 18:
 				some := slices.DeleteFunc(slices.Clone(all), func(*registry.Engine) bool { return random.IntN(3) == 0 })
+				if random.IntN(2) == 0 {
+					// Nobody else holds it.
+					some = slices.DeleteFunc(some, func(engine *registry.Engine) bool { return engine.Holds("m", "") })
+				}
 				b.register(some...)
 				b.core.Pass(b.world())
 				b.core.Forget(b.view)
@@ -525,7 +550,7 @@
 						fail(r, "held past its deadline")
 					}
 				}
-				if r.arrivals > r.path.Attempts {
+				if r.arrivals > r.path.Attempts || len(r.engines) > r.path.Attempts {
 					fail(r, "went to more engines than the path allows")
 				}
 				if r.record.stage == Held && len(r.record.stamps) == 0 {
@@ -554,7 +579,7 @@
 			}
 		}
 		for id, state := range b.core.engines {
-			if state.inFlight != 0 || state.waiting != 0 || state.reading != 0 || state.memory != 0 {
+			if state.inFlight != 0 || state.waiting != 0 || state.reading != 0 || state.memory != 0 || len(state.awaiting) != 0 {
 				t.Fatalf("seed %d: %s: %+v", seed, id, state)
 			}
 		}
