Let the plan rest for nine times as long as a long step took

As docs/design/scale.md had decided and nobody built: after a step whose rest is longer than a beat, the next waits for it, at most 4 s. Of the last two steps the shorter counts, so that a moment in which the machine stood still delays nothing. Reports of engines under order are asked for all the same.

--- a/process/poolplacement/actor.go
+++ b/process/poolplacement/actor.go
@@ -66,7 +66,9 @@
 	stoodFrom clock.Mark
 	turn      uint64
 	// planNext is when the plan is made next.
-	planNext  clock.Mark
+	planNext clock.Mark
+	// rest is how long the plan gives way after a step that took long.
+	rest      stepRest
 	condition atomic.Pointer[Condition]
 	stopped   bool
 	// asks bounds how many engines are asked for their reports at once.
@@ -192,7 +194,14 @@
 
 // plan asks for reports, tells what is planned, and sends the orders.
 func (a *Actor) plan(ctx context.Context, now clock.Mark, number ident.ClaimNumber) {
+	if !a.rest.over(now) {
+		// Whoever has an order is still asked, so that its end is seen.
+		a.askForReports(ctx, now)
+		return
+	}
+	began := a.clock.Elapsed()
 	given := a.planner.Step(a.around.Input())
+	a.rest.stepped(began, a.clock.Elapsed(), a.settings.Beat)
 	a.askForReports(ctx, now)
 	if plans := a.planner.Plans(now); len(plans) > 0 {
 		a.turn++
