--- a/process/membership/core.go
+++ b/process/membership/core.go
@@ -60,8 +60,9 @@
 	ended  clock.Mark
 	// late and second are as told: that it is late, and that this is known through others alone.
 	late, second bool
-	changed      uint64
-	place        *list.Element
+	// changed numbers its last change, solid the last of anything but what it has in force.
+	changed, solid uint64
+	place          *list.Element
 }
 
 // peer is what was learned at one address.
@@ -87,10 +88,15 @@
 	address string
 	relays  bool
 
-	changes uint64
-	entries map[ident.NodeID]*entry
-	order   *list.List
-	peers   map[string]*peer
+	// changes counts the changes of the list; solid is the newest that is of more than what daemons have in force.
+	changes, solid uint64
+	entries        map[ident.NodeID]*entry
+	order          *list.List
+	peers          map[string]*peer
+	// gathered is all lives as they were made into a map last, gatheredChanges and gatheredAt as of when.
+	gathered        map[ident.NodeID]Fellow
+	gatheredChanges uint64
+	gatheredAt      clock.Mark
 }
 
 // NewCore makes what a fresh daemon knows. relays says that it serves control.
@@ -101,6 +107,9 @@
 // Changes numbers the newest change of the list.
 func (c *Core) Changes() uint64 { return c.changes }
 
+// Solid numbers the newest change that is of more than what daemons have in force.
+func (c *Core) Solid() uint64 { return c.solid }
+
 // Describe takes what this daemon says of itself now.
 func (c *Core) Describe(now clock.Mark, row Row) {
 	row.Whole = true
@@ -151,8 +160,11 @@
 	if row.Whole && row.Version >= before.Version {
 		e.row.Version, e.row.Address, e.row.Zone, e.row.Serve = row.Version, row.Address, row.Zone, row.Serve
 	}
-	if e.row.Ready != before.Ready || e.row.SpecEpoch != before.SpecEpoch || e.row.ClosureEpoch != before.ClosureEpoch || e.row.Version != before.Version {
+	switch {
+	case e.row.Ready != before.Ready || e.row.Version != before.Version:
 		c.bump(e)
+	case e.row.SpecEpoch != before.SpecEpoch || e.row.ClosureEpoch != before.ClosureEpoch:
+		c.number(e)
 	}
 }
 
@@ -188,6 +200,11 @@
 }
 
 func (c *Core) bump(e *entry) {
+	c.number(e)
+	e.solid, c.solid = c.changes, c.changes
+}
+
+func (c *Core) number(e *entry) {
 	c.changes++
 	e.changed = c.changes
 	c.order.MoveToBack(e.place)
@@ -230,6 +247,7 @@
 		if c.heardOf(e) < forgetBefore && e.row.NodeID != c.self {
 			c.order.Remove(at)
 			delete(c.entries, e.row.NodeID)
+			c.gathered = nil
 			for _, p := range c.peers {
 				delete(p.vouches, e.row.NodeID)
 			}
@@ -249,6 +267,16 @@
 
 // Since gives what changed since a cursor.
 func (c *Core) Since(now clock.Mark, cursor Cursor) (told []Told, next Cursor, afresh bool) {
+	return c.since(now, cursor, false)
+}
+
+// SolidSince leaves out who changed only in what it has in force: with each bundle that is everyone, and only
+// control daemons go by it.
+func (c *Core) SolidSince(now clock.Mark, cursor Cursor) (told []Told, next Cursor, afresh bool) {
+	return c.since(now, cursor, true)
+}
+
+func (c *Core) since(now clock.Mark, cursor Cursor, solid bool) (told []Told, next Cursor, afresh bool) {
 	seen := cursor.Seen
 	if cursor.Life != string(c.self) || seen > c.changes {
 		seen, afresh = 0, true
@@ -258,7 +286,7 @@
 		if e.changed <= seen {
 			break
 		}
-		if afresh && e.ended > 0 {
+		if afresh && e.ended > 0 || solid && e.solid <= seen {
 			continue
 		}
 		told = append(told, Told{Row: e.row, Age: now.Since(c.heardOf(e)), Late: e.late, Direct: !e.second, Ended: e.ended > 0})
@@ -465,7 +493,7 @@
 		p := c.peers[address]
 		return address == leader || p != nil && p.failed > 0 && now.Since(p.failed) <= troubledFor
 	})
-	if near := slices.DeleteFunc(slices.Clone(sound), func(address string) bool { return !c.near(address) }); len(near) > 0 {
+	if near := slices.DeleteFunc(slices.Clone(sound), func(address string) bool { return !c.near(address) || !c.inTouch(leader, address) }); len(near) > 0 {
 		sound = near
 	}
 	chosen, _ := seats.Of("link "+c.address, sound)
@@ -478,14 +506,21 @@
 	return own != nil && other != nil && own.row.Zone == other.row.Zone
 }
 
+// inTouch says whether the leader hears from a control daemon. One that is cut off from the group answers as
+// well as before, and knows nothing new.
+func (c *Core) inTouch(leader, address string) bool {
+	p, other := c.peers[leader], c.entryAt(address)
+	return leader == "" || p != nil && other != nil && p.vouches[other.row.NodeID]
+}
+
 // Teller is whom a daemon that only routes asks for all that is new; of others it asks what is urgent only. All
-// control daemons know the same, and what goes from zone to zone is dear: so it is the leader only where no
-// other control daemon is nearer.
+// control daemons in touch with the leader know the same, and what goes from zone to zone is dear: so it is the
+// leader only where none of them is nearer.
 func (c *Core) Teller(now clock.Mark, leader string) string {
 	if leader != "" && c.near(leader) {
 		return leader
 	}
-	if second := c.second(now, leader, c.control(now)); second != "" && c.near(second) {
+	if second := c.second(now, leader, c.control(now)); second != "" && c.near(second) && c.inTouch(leader, second) {
 		return second
 	}
 	return leader
@@ -515,6 +550,24 @@
 	return out
 }
 
+const (
+	// gatherEach is for how long, for each daemon of the fleet, a map of the others does on a daemon that only
+	// routes, since making it costs that much more; gatherMost bounds it.
+	gatherEach = 600 * time.Microsecond
+	gatherMost = 200 * time.Millisecond
+)
+
+// Gathered gives the same as Fellows, or what that gave lately if nothing but the moments at which others were
+// heard can have changed since. It must not be changed.
+func (c *Core) Gathered(now clock.Mark) map[ident.NodeID]Fellow {
+	lasts := min(time.Duration(len(c.entries))*gatherEach, gatherMost)
+	// Control daemons acknowledge by who is in contact, so they know it as exactly as they can.
+	if c.relays || c.gathered == nil || c.gatheredChanges != c.changes || now.Since(c.gatheredAt) >= lasts {
+		c.gathered, c.gatheredChanges, c.gatheredAt = c.Fellows(), c.changes, now
+	}
+	return c.gathered
+}
+
 // Known is what is known of one life; false where it is not known, or ended.
 func (c *Core) Known(id ident.NodeID) (Fellow, bool) {
 	e := c.entries[id]
