Judge engines by what becomes of the attempts of all daemons, and count it

Change: daemons tell whoever plans, in the question that goes out anyway, what became of their attempts at each engine (attempts, failures, refusals, overdue first bytes). process/soundness weighs it by Page's cumulative sum against the better engines of the pool: ejection with a bound, return by trial and ramp, rests that double. Shares travel with the plan.

--- a/connection/engineconn/engineconn.go
+++ b/connection/engineconn/engineconn.go
@@ -320,6 +320,8 @@
 		}
 		idle := p.clock.Elapsed().Since(one.idleSince)
 		answer := p.over(one, a, key)
+		answer.Connect = one.connect
+		one.connect = 0
 		if !fresh && answer.Outcome == Lost && broken(answer.lost) {
 			p.foundDropped(a.Pool, idle)
 		}
@@ -342,6 +344,7 @@
 		p.gone(key)
 		return nil, "the caller has left"
 	}
+	began := p.clock.Elapsed()
 	raw, err := p.dial(ctx, a.Address)
 	if err != nil {
 		p.Counters.DialsFailed.Add(1)
@@ -351,6 +354,7 @@
 	p.Counters.Dialled.Add(1)
 	made := newLink(raw, &p.Counters)
 	made.idleSince = p.clock.Elapsed()
+	made.connect = made.idleSince.Since(began)
 	return made, ""
 }
 
@@ -444,6 +448,8 @@
 	Outcome Outcome
 	Reason  string
 	Head    dialect.Head
+	// Connect is how long a fresh connection took; zero is a kept one.
+	Connect time.Duration
 
 	pools    *Pools
 	key      engineKey
--- a/connection/engineconn/link.go
+++ b/connection/engineconn/link.go
@@ -20,6 +20,8 @@
 	raw       syscall.RawConn
 	reader    *bufio.Reader
 	idleSince clock.Mark
+	// connect is how long it took to come up, until that is told.
+	connect time.Duration
 	// keepFor is how long the engine said that it keeps it; zero is unsaid.
 	keepFor  time.Duration
 	counters *Counters
--- a/connection/gateway/gateway.go
+++ b/connection/gateway/gateway.go
@@ -283,10 +283,12 @@
 // attempt makes one attempt and waits for the head of its answer.
 func (f *flight) attempt(send *forwarding.Send) *engineconn.Answer {
 	f.send = send
-	return f.pools.Send(engineconn.Attempt{
+	answer := f.pools.Send(engineconn.Attempt{
 		Engine: send.Engine, Address: send.Address, Pool: send.Pool, ID: f.record.Ask.Attempt, Head: &f.head, Dress: f.dress, Body: f.body, Careful: send.Careful,
 		MostConnections: send.MostConnections, Until: f.record.Deadline + clock.Mark(f.Settings.DeadlineSlack), LastLook: f.lastLook, Cancel: &f.cancel,
 	})
+	f.record.Seen.Connect = answer.Connect
+	return answer
 }
 
 // dress writes what is the attempt's own, as late as can be, since the time left goes by meanwhile.
--- a/connection/gateway/stream.go
+++ b/connection/gateway/stream.go
@@ -94,7 +94,9 @@
 				return n, nil
 			}
 		} else {
+			asked := s.Clock.Elapsed()
 			err = s.nextEvent()
+			s.record.Seen.LongestGap = max(s.record.Seen.LongestGap, s.Clock.Elapsed().Since(asked))
 		}
 		switch {
 		case err == io.EOF:
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -36,6 +36,7 @@
 	"github.com/cresspond/cresspond/process/rollout"
 	"github.com/cresspond/cresspond/process/seats"
 	"github.com/cresspond/cresspond/process/snowflake"
+	"github.com/cresspond/cresspond/process/soundness"
 	"github.com/cresspond/cresspond/process/statemachine"
 	"github.com/cresspond/cresspond/process/wants"
 	"github.com/cresspond/cresspond/request/dispatch"
@@ -106,6 +107,8 @@
 
 	fleetMutex sync.Mutex
 	fleetWants map[ident.NodeID]*wants.Heard
+	// fleetOutcomes is what others saw of engines, until the planner takes it.
+	fleetOutcomes []soundness.Told
 	// wants tells whoever plans what is asked for here.
 	wants wants.Teller
 
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -500,6 +500,10 @@
 	}
 	message := d.wants.Tell(d.clock.Elapsed(), request.PlannerAddress, all, seated)
 	request.Wants, request.WantsBase, request.Demand, request.Seats = message.Seq, message.Base, message.Demand, message.Seats
+	for _, one := range d.forwardOutcomes() {
+		request.Outcomes = append(request.Outcomes, &fellowapi.EngineOutcomes{Engine: string(one.Engine), Attempts: int64(one.Attempts), Failures: int64(one.Failures),
+			Refusals: int64(one.Refusals), Overdue: int64(one.Overdue)})
+	}
 	return waits
 }
 
@@ -528,6 +532,7 @@
 	}
 	rowKnown := d.members.Served(in)
 	wantsLost := !d.hearWants(in)
+	d.hearOutcomes(in)
 	d.registry.Saw(ident.NodeID(in.NodeId), cursorOf(in))
 	d.hearDraining(in.Draining)
 	if !wantsLost {
--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -17,6 +17,7 @@
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/registry"
 	"github.com/cresspond/cresspond/process/snowflake"
+	"github.com/cresspond/cresspond/process/soundness"
 	"github.com/cresspond/cresspond/request/forwarding"
 	"github.com/cresspond/cresspond/wire/dialect"
 	"github.com/cresspond/cresspond/wire/fellowapi"
@@ -178,6 +179,7 @@
 	say("attempts_lost", c.Lost)
 	say("attempts_junk", c.Junk)
 	say("attempts_cut", c.Cut)
+	say("choices_of_last_resort", c.LastResort)
 	p := &side.pools.Counters
 	busy, idle := side.pools.Open()
 	say("engine_connections_busy", uint64(max(0, busy)))
@@ -268,6 +270,14 @@
 	return found
 }
 
+// forwardOutcomes gives what became of attempts at engines since it was last asked for.
+func (d *Daemon) forwardOutcomes() []soundness.Digest {
+	if d.forwardSide.actor == nil {
+		return nil
+	}
+	return d.forwardSide.actor.Outcomes()
+}
+
 // forwardDemands lists what opaque requests ask for here, for whoever plans.
 func (d *Daemon) forwardDemands() []*fellowapi.Demand {
 	if d.forwardSide.actor == nil {
--- a/process/daemon/poolplanning.go
+++ b/process/daemon/poolplanning.go
@@ -10,6 +10,7 @@
 	"github.com/cresspond/cresspond/process/poolplacement"
 	"github.com/cresspond/cresspond/process/registry"
 	"github.com/cresspond/cresspond/process/snowflake"
+	"github.com/cresspond/cresspond/process/soundness"
 	"github.com/cresspond/cresspond/process/statemachine"
 	"github.com/cresspond/cresspond/wire/fellowapi"
 )
@@ -88,6 +89,15 @@
 	say("pool_reports", c.Reports)
 	say("pool_reports_failed", c.FailedReports)
 	say("pool_reports_stale", c.StaleReports)
+	judged := p.condition().Judged
+	say("engine_outcomes_heard", judged.Attempts)
+	say("engine_outcomes_wrong", judged.Wrong)
+	say("engine_outcomes_dropped", judged.DigestsDropped)
+	say("engines_ejected", judged.Ejections)
+	say("engines_ejected_again", judged.Relapses)
+	say("engines_slowed", judged.Slowed)
+	say("engines_returned", judged.Returns)
+	say("engines_spared", judged.Spared)
 }
 
 // poolPlanner is the daemon as the planner of pools sees it.
@@ -101,9 +111,43 @@
 		in.Section = t.Forward.Section
 	}
 	in.Demand = p.heardDemand(now, p.forwardDemands())
+	in.Outcomes = p.heardOutcomes()
 	return in
 }
 
+// heardOutcomes gives what this daemon and others saw of engines since it was last asked for.
+func (d *Daemon) heardOutcomes() []soundness.Told {
+	own := d.forwardOutcomes()
+	d.fleetMutex.Lock()
+	defer d.fleetMutex.Unlock()
+	out := d.fleetOutcomes
+	d.fleetOutcomes = nil
+	if len(own) > 0 {
+		out = append(out, soundness.Told{Zone: d.config.Zone, Digests: own})
+	}
+	return out
+}
+
+// mostOutcomes bounds what is kept of others' outcomes until the planner takes them.
+const mostOutcomes = 2000
+
+// hearOutcomes takes what an asker saw of engines, where this daemon plans.
+func (d *Daemon) hearOutcomes(in *fellowapi.PullRequest) {
+	if len(in.Outcomes) == 0 || !d.Plans() {
+		return
+	}
+	told := soundness.Told{Zone: ident.ZoneID(in.Zone)}
+	for _, one := range in.Outcomes {
+		told.Digests = append(told.Digests, soundness.Digest{Engine: ident.EngineID(one.Engine), Attempts: int(one.Attempts), Failures: int(one.Failures),
+			Refusals: int(one.Refusals), Overdue: int(one.Overdue)})
+	}
+	d.fleetMutex.Lock()
+	defer d.fleetMutex.Unlock()
+	if len(d.fleetOutcomes) < mostOutcomes {
+		d.fleetOutcomes = append(d.fleetOutcomes, told)
+	}
+}
+
 // heardDemand adds up what this daemon and all others were lately heard to ask for.
 func (d *Daemon) heardDemand(now clock.Mark, own []*fellowapi.Demand) []poolplacement.Demand {
 	var out []poolplacement.Demand
--- a/process/poolplacement/actor.go
+++ b/process/poolplacement/actor.go
@@ -13,6 +13,7 @@
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/registry"
 	"github.com/cresspond/cresspond/process/snowflake"
+	"github.com/cresspond/cresspond/process/soundness"
 	"github.com/cresspond/cresspond/process/statemachine"
 )
 
@@ -46,6 +47,7 @@
 	InFlight int
 	Lacks    []Lack
 	Counters Counters
+	Judged   soundness.Counters
 }
 
 // Actor plans while it holds the claim.
@@ -161,6 +163,7 @@
 	} else {
 		next.Counters = a.planner.Counters
 	}
+	next.Judged = a.planner.judge.Counters
 	a.condition.Store(next)
 }
 
--- a/process/poolplacement/batch_test.go
+++ b/process/poolplacement/batch_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -12,6 +13,7 @@
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/registry"
+	"github.com/cresspond/cresspond/process/soundness"
 	"github.com/cresspond/cresspond/process/statemachine"
 )
 
@@ -81,6 +83,9 @@
 	heldBy   []*fakeRequest
 	rates    map[registry.Target]*fakeRate
 	demand   []Demand
+	// outcomes is what daemons tell at the next step, spoken the newest plan of each engine as its planner tells it.
+	outcomes []soundness.Told
+	spoken   map[ident.EngineID]registry.Plan
 	pulled   clock.Mark
 	rate     func(now clock.Mark) (perSecond float64, pick func() (registry.Target, *fakeRequest))
 	// lose is the share of answers to orders that are lost, fail that of reports that fail.
@@ -125,7 +130,7 @@
 
 // newFleet makes engines that hold, room permitting, the first models more than once and each other one once.
 func newFleet(seed uint64, catalogue forward.Catalogue, engines int) *fakeFleet {
-	f := &fakeFleet{random: rand.New(rand.NewPCG(seed, 7)), now: clock.Mark(time.Hour), truth: &catalogue, disks: map[string]map[string]bool{}, state: statemachine.New(),
+	f := &fakeFleet{spoken: map[ident.EngineID]registry.Plan{}, random: rand.New(rand.NewPCG(seed, 7)), now: clock.Mark(time.Hour), truth: &catalogue, disks: map[string]map[string]bool{}, state: statemachine.New(),
 		told: map[ident.EngineID]registry.Plan{}, rates: map[registry.Target]*fakeRate{}, servedBy: map[registry.Target]int{}, askedBy: map[registry.Target]int{}}
 	shown := catalogue
 	f.section = &forward.Section{Revision: 1, Pools: []forward.Pool{{Name: "p", Catalogue: &shown}, {Name: "plain"}}}
@@ -581,8 +586,10 @@
 	for _, ask := range f.planner.Due(f.now) {
 		f.askReport(ask)
 	}
-	given := f.planner.Step(Input{Now: f.now, Section: f.section, View: f.view(), Demand: f.demand})
+	given := f.planner.Step(Input{Now: f.now, Section: f.section, View: f.view(), Demand: f.demand, Outcomes: f.outcomes})
+	f.outcomes = nil
 	if plans := f.planner.Plans(f.now); len(plans) > 0 {
+		maps.Copy(f.spoken, plans)
 		f.onTheWay = append(f.onTheWay, spoken{f.now + clock.Mark(time.Duration(100+f.random.IntN(200))*time.Millisecond), plans})
 	}
 	var orders []Order
--- /dev/null
+++ b/process/poolplacement/judge.go
@@ -0,0 +1,43 @@
+package poolplacement
+
+import (
+	"time"
+
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// fullFrom is the share of its slots from which an engine may turn requests away, and let them wait.
+const fullFrom = 0.75
+
+// fullLately is for how long after that it counts as full: reports are about a second apart, and what waited is told
+// when it has begun.
+const fullLately = 2 * time.Second
+
+// judgeEngines takes up what daemons saw of engines. The planner does so since it alone reads their reports: a full
+// engine's refusals and late first bytes say nothing of its health.
+func (p *Planner) judgeEngines(in Input) {
+	ids := map[string][]ident.EngineID{}
+	for _, id := range p.ids {
+		if e := p.engines[id]; e.usable {
+			ids[e.pool.name] = append(ids[e.pool.name], id)
+		}
+	}
+	p.judge.Meet(ids)
+	full := func(id ident.EngineID) bool {
+		e := p.engines[id]
+		if e == nil || !e.read {
+			return false
+		}
+		if e.report.Queued > 0 || float64(e.report.Active) >= fullFrom*float64(e.slots) {
+			e.fullAt = in.Now
+		}
+		return e.fullAt > 0 && in.Now.Since(e.fullAt) <= fullLately
+	}
+	for _, told := range in.Outcomes {
+		p.judge.Hear(in.Now, told, full)
+	}
+	p.judge.Step(in.Now)
+	for id, e := range p.engines {
+		e.lost = p.settings.LeaveIll && p.judge.Lost(in.Now, id)
+	}
+}
--- /dev/null
+++ b/process/poolplacement/judge_test.go
@@ -0,0 +1,122 @@
+package poolplacement
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/registry"
+	"github.com/cresspond/cresspond/process/soundness"
+)
+
+// TestThePlanTellsWhatShareAnIllEngineGetsAgainAndAgain: what daemons saw ends in the plan of the engine that stands
+// out, is told anew before it is no longer believed, and ends when the engine is well.
+func TestThePlanTellsWhatShareAnIllEngineGetsAgainAndAgain(t *testing.T) {
+	f := newFleet(1, sharedCatalogue(), 9)
+	f.run(5 * time.Second)
+	ill := f.engines[3].id
+	wrong := true
+	told, toldAt, worst := 1.0, clock.Mark(0), 1.0
+	for end := f.now + clock.Mark(40*time.Second); f.now < end; {
+		var digests []soundness.Digest
+		for _, e := range f.engines {
+			one := soundness.Digest{Engine: e.id, Attempts: 1}
+			if e.id == ill && wrong {
+				one.Failures = 1
+			}
+			digests = append(digests, one)
+		}
+		f.outcomes = []soundness.Told{{Zone: "z", Digests: digests}}
+		f.step()
+		if plan, spoken := f.spoken[ill]; spoken {
+			plan.Told = f.now
+			told, toldAt = plan.Weight("z", f.now), f.now
+			delete(f.spoken, ill)
+		}
+		worst = min(worst, told)
+		if told < 1 && f.now.Since(toldAt) > 3*time.Second {
+			t.Fatalf("a share of %.2f was told %v ago", told, f.now.Since(toldAt))
+		}
+		if f.now > end-clock.Mark(30*time.Second) {
+			wrong = false
+		}
+	}
+	if worst != 0 || told != 1 {
+		t.Errorf("down to %.2f, at last %.2f", worst, told)
+	}
+	for _, e := range f.engines {
+		if e.id != ill && len(f.planner.judge.Weights(f.now, e.id)) > 0 {
+			t.Errorf("%s is well", e.id)
+		}
+	}
+}
+
+// TestASharePassesWithThePlanAndFadesWithIt: nothing believes a share that nobody has told for long.
+func TestASharePassesWithThePlanAndFadesWithIt(t *testing.T) {
+	plan := &registry.Plan{Told: clock.Mark(time.Hour), Weights: []soundness.Weight{{Share: 0.5}, {Zone: "a", Share: 0}}}
+	shares := func(at clock.Mark) (out []float64) {
+		for _, zone := range []ident.ZoneID{"a", "b"} {
+			out = append(out, plan.Weight(zone, at))
+		}
+		return out
+	}
+	if got := shares(plan.Told); !slices.Equal(got, []float64{0, 0.5}) {
+		t.Error(got)
+	}
+	if got := shares(plan.Told + clock.Mark(10*time.Second)); !slices.Equal(got, []float64{1, 1}) {
+		t.Error(got)
+	}
+	if (*registry.Plan)(nil).Weight("a", 0) != 1 {
+		t.Error("nothing is known")
+	}
+}
+
+// TestWhatOnlyAnEjectedEngineHoldsIsLoadedElsewhere: somebody asks for a model that stands on one engine, and all that
+// is sent there fails.
+func TestWhatOnlyAnEjectedEngineHoldsIsLoadedElsewhere(t *testing.T) {
+	f := newFleet(2, sharedCatalogue(), 9)
+	f.run(10 * time.Second)
+	f.planner.settings.LeaveIll = true
+	zipf(f, 45, 1, func(clock.Mark) int { return 0 })
+	f.run(15 * time.Second)
+	// One that holds something alone which is asked for now and then.
+	var ill *fakeEngine
+	alone := ""
+	holders := func(model string) (out []*fakeEngine) {
+		for _, e := range f.engines {
+			if _, held := e.models[model]; held {
+				out = append(out, e)
+			}
+		}
+		return out
+	}
+	for _, model := range f.truth.Models[8:25] {
+		if at := holders(model.Name); len(at) == 1 {
+			ill, alone = at[0], model.Name
+			break
+		}
+	}
+	if ill == nil {
+		t.Fatal("no model stands alone")
+	}
+	for end := f.now + clock.Mark(12*time.Second); f.now < end && len(holders(alone)) < 2; {
+		var digests []soundness.Digest
+		for _, e := range f.engines {
+			one := soundness.Digest{Engine: e.id, Attempts: 1}
+			if e == ill {
+				one.Failures = 1
+			}
+			digests = append(digests, one)
+		}
+		f.outcomes = []soundness.Told{{Zone: "z", Digests: digests}}
+		f.step()
+	}
+	if len(holders(alone)) < 2 {
+		t.Errorf("%s stands on the ejected engine alone", alone)
+	}
+	for _, fault := range f.faults {
+		t.Error(fault)
+	}
+}
--- a/process/poolplacement/plan.go
+++ b/process/poolplacement/plan.go
@@ -11,6 +11,7 @@
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/registry"
+	"github.com/cresspond/cresspond/process/soundness"
 	"github.com/cresspond/cresspond/process/statemachine"
 )
 
@@ -59,6 +60,8 @@
 	keys uint64
 	// lag is how long after an order's end the reports are expected to show it, as far as is known by now.
 	lag time.Duration
+	// judge weighs what daemons saw of engines.
+	judge *soundness.Judge
 	// inherited is what earlier claims told of engines that have not been met yet.
 	inherited      map[ident.EngineID]uint64
 	began, stepped clock.Mark
@@ -134,6 +137,10 @@
 	heat     float64
 	asking   bool
 	askNext  clock.Mark
+	// fullAt is when a report last showed it full.
+	fullAt clock.Mark
+	// lost says that daemons get on so badly with it that what it holds had better stand elsewhere too.
+	lost bool
 	// told is what was last told of it, toldAt when.
 	told   registry.Plan
 	toldAt clock.Mark
@@ -142,7 +149,7 @@
 
 // NewPlanner makes the plan of a fresh claim. It knows no history of loads, so the window counts as full.
 func NewPlanner(settings Settings, now clock.Mark) *Planner {
-	return &Planner{settings: settings, pools: map[string]*pool{}, engines: map[ident.EngineID]*engine{}, asks: map[string]*asks{}, inherited: map[ident.EngineID]uint64{}, lag: startLag,
+	return &Planner{settings: settings, judge: soundness.NewJudge(soundness.DefaultSettings()), pools: map[string]*pool{}, engines: map[ident.EngineID]*engine{}, asks: map[string]*asks{}, inherited: map[ident.EngineID]uint64{}, lag: startLag,
 		pace: pace{window: settings.Window, unknownUntil: now + clock.Mark(settings.Window)}, began: now, stepped: now}
 }
 
@@ -193,6 +200,7 @@
 	p.adopt(in.Section)
 	p.meet(in)
 	p.hear(in)
+	p.judgeEngines(in)
 	since := in.Now.Since(p.stepped)
 	p.stepped = in.Now
 	p.Lacks = p.Lacks[:0]
@@ -298,7 +306,7 @@
 func (e *engine) dark() bool { return e.failures >= darkAfter }
 
 // counts says whether what it holds can be used.
-func (e *engine) counts() bool { return e.usable && !e.dark() }
+func (e *engine) counts() bool { return e.usable && !e.dark() && !e.lost }
 
 // ready says whether an engine may be given an order now.
 func (e *engine) ready(now clock.Mark) bool {
--- a/process/poolplacement/serve.go
+++ b/process/poolplacement/serve.go
@@ -654,6 +654,7 @@
 			plan.Coming = append(plan.Coming, registry.Coming{Target: f.Target(), Ready: f.ready})
 		}
 	}
+	plan.Weights = p.judge.Weights(now, e.id)
 	if e.intent != nil {
 		for _, victim := range e.intent.victims {
 			if !slices.Contains(plan.Retiring, victim) {
@@ -669,6 +670,9 @@
 	return plan
 }
 
+// weightsAgain is how often shares that are not all are told.
+const weightsAgain = 2 * time.Second
+
 // differs says whether something is worth telling anew.
 func differs(e *engine, next registry.Plan, since time.Duration) bool {
 	told := &e.told
@@ -678,6 +682,10 @@
 		}) {
 		return true
 	}
+	// A share that is not told again in time is no longer believed.
+	if !slices.Equal(told.Weights, next.Weights) || len(next.Weights) > 0 && since > weightsAgain {
+		return true
+	}
 	moved := func(a, b, of float64) bool { return math.Abs(a-b) > of/8 }
 	return (told.Queued > 0) != (next.Queued > 0) || moved(float64(told.Active), float64(next.Active), float64(e.slots)) ||
 		moved(float64(told.MemoryUsed), float64(next.MemoryUsed), float64(next.Memory)) ||
--- a/process/poolplacement/types.go
+++ b/process/poolplacement/types.go
@@ -11,6 +11,7 @@
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/registry"
+	"github.com/cresspond/cresspond/process/soundness"
 )
 
 // Kind says what an order wants done.
@@ -93,6 +94,8 @@
 	Notice time.Duration
 	// Rest and Busy are how often an engine is asked for its report, at rest and while an order is under way.
 	Rest, Busy time.Duration
+	// LeaveIll has what an engine holds that nearly always fails stand elsewhere too.
+	LeaveIll bool
 	// Beat is how often the plan is made, Look how often it is seen whom to ask for a report.
 	Beat, Look time.Duration
 }
@@ -124,6 +127,8 @@
 	Section *forward.Section
 	View    *registry.View
 	Demand  []Demand
+	// Outcomes is what daemons told of their attempts since the last step.
+	Outcomes []soundness.Told
 }
 
 // Lack is something that is asked for, stands nowhere, and is not likely to be there before Wait has passed.
--- a/process/registry/types.go
+++ b/process/registry/types.go
@@ -4,9 +4,11 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/soundness"
 )
 
 // Held is one model that an engine holds, with its adapters.
@@ -56,10 +58,23 @@
 	// Active, Queued and the memory in tokens are as reported.
 	Active, Queued     int
 	MemoryUsed, Memory int64
+	// Weights are the shares of its usual requests that it is to get, where they are not all.
+	Weights []soundness.Weight
 	// Told is when this daemon heard it.
 	Told clock.Mark
 }
 
+// weightsBelieved is for how long a share is believed; a planner that still goes by it tells it anew well before.
+const weightsBelieved = 8 * time.Second
+
+// Weight is the share of its usual requests that an engine is to get from daemons of a zone.
+func (p *Plan) Weight(zone ident.ZoneID, now clock.Mark) float64 {
+	if p == nil || len(p.Weights) == 0 || now.Since(p.Told) > weightsBelieved {
+		return 1
+	}
+	return soundness.WeightFor(p.Weights, zone)
+}
+
 // Engine is one registered engine as this daemon knows it. It is never changed once it is in a view.
 type Engine struct {
 	Word
--- a/process/registry/wire.go
+++ b/process/registry/wire.go
@@ -5,6 +5,7 @@
 
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/soundness"
 	"github.com/cresspond/cresspond/wire/fellowapi"
 )
 
@@ -73,6 +74,9 @@
 	for _, coming := range plan.Coming {
 		out.Coming = append(out.Coming, &fellowapi.PlanTarget{Model: coming.Model, Adapter: coming.Adapter, ReadyMs: -msSince(now, coming.Ready)})
 	}
+	for _, weight := range plan.Weights {
+		out.Weights = append(out.Weights, &fellowapi.EngineWeight{Zone: string(weight.Zone), Percent: int64(percent(weight.Share))})
+	}
 	return out
 }
 
@@ -88,6 +92,9 @@
 	for _, target := range plan.Coming {
 		out.Coming = append(out.Coming, Coming{Target{target.Model, target.Adapter}, msAgo(told, -target.ReadyMs)})
 	}
+	for _, weight := range plan.Weights {
+		out.Weights = append(out.Weights, soundness.Weight{Zone: ident.ZoneID(weight.Zone), Share: float64(weight.Percent) / 100})
+	}
 	return out
 }
 
--- a/process/registry/word.go
+++ b/process/registry/word.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"hash"
 	"hash/fnv"
+	"math"
 	"slices"
 )
 
@@ -75,7 +76,10 @@
 	return d.Sum64()
 }
 
-// digestOfPlan stands for what a plan says that an engine holds, and what comes and goes.
+// percent is a share as it travels.
+func percent(share float64) uint64 { return uint64(math.Round(100 * share)) }
+
+// digestOfPlan stands for what a plan says that an engine holds, what comes and goes, and what it is to get.
 func digestOfPlan(plan *Plan) uint64 {
 	d := newDigest()
 	known := uint64(0)
@@ -93,6 +97,10 @@
 		d.text(coming.Model)
 		d.text(coming.Adapter)
 	}
+	for _, weight := range plan.Weights {
+		d.text(string(weight.Zone))
+		d.count(percent(weight.Share))
+	}
 	return d.Sum64()
 }
 
--- /dev/null
+++ b/process/soundness/soundness_test.go
@@ -0,0 +1,324 @@
+package soundness
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// fleet is daemons of four zones that tell a judge what they see, each fifth of a second some of them.
+type fleet struct {
+	judge   *Judge
+	now     clock.Mark
+	engines []ident.EngineID
+	random  *rand.Rand
+	// rate is the attempts that each engine gets a second at its full share.
+	rate float64
+	// wrong says how an attempt at an engine from a zone ends.
+	wrong func(engine int, zone ident.ZoneID) Outcome
+	busy  func(ident.EngineID) bool
+	count []int
+}
+
+func newFleet(engines int, rate float64) *fleet {
+	f := &fleet{judge: NewJudge(DefaultSettings()), now: clock.Mark(time.Hour), random: rand.New(rand.NewPCG(7, uint64(engines))), rate: rate,
+		wrong: func(int, ident.ZoneID) Outcome { return Well }, busy: func(ident.EngineID) bool { return false }, count: make([]int, engines)}
+	for n := range engines {
+		f.engines = append(f.engines, ident.EngineID(fmt.Sprintf("e%02d", n)))
+	}
+	f.judge.Meet(map[string][]ident.EngineID{"p": f.engines})
+	return f
+}
+
+func zone(n int) ident.ZoneID { return ident.ZoneID(fmt.Sprint("z", n%4)) }
+
+// run lets time pass; look is called after each step.
+func (f *fleet) run(span time.Duration, look func()) {
+	for end := f.now + clock.Mark(span); f.now < end; f.now += clock.Mark(100 * time.Millisecond) {
+		for z := range 4 {
+			ledger := NewLedger()
+			for n, id := range f.engines {
+				share := WeightFor(f.judge.Weights(f.now, id), zone(z))
+				if f.random.Float64() < f.rate*share/40 {
+					f.count[n]++
+					ledger.Note(id, f.wrong(n, zone(z)))
+				}
+			}
+			f.judge.Hear(f.now, Told{Zone: zone(z), Digests: ledger.Take()}, f.busy)
+		}
+		f.judge.Step(f.now)
+		if look != nil {
+			look()
+		}
+	}
+}
+
+// out counts the engines that get less than their share from some zone, other than those on the ramp.
+func (f *fleet) out() (out int) {
+	for _, id := range f.engines {
+		if f.judge.engines[id].ejected() {
+			out++
+		}
+	}
+	return out
+}
+
+func (f *fleet) often(share float64, outcome Outcome) Outcome {
+	if f.random.Float64() < share {
+		return outcome
+	}
+	return Well
+}
+
+func TestAnEngineThatFailsSomeIsEjectedInSecondsAndReturnsByTrialAndRamp(t *testing.T) {
+	for _, outcome := range []Outcome{Failure, Refusal, Overdue} {
+		f := newFleet(20, 3)
+		f.wrong = func(engine int, _ ident.ZoneID) Outcome {
+			if engine == 4 {
+				return f.often(0.45, outcome)
+			}
+			return Well
+		}
+		ejectedAt := clock.Mark(0)
+		began := f.now
+		f.run(10*time.Second, func() {
+			if ejectedAt == 0 && f.judge.Stage("e04", "") == Ejected {
+				ejectedAt = f.now
+			}
+		})
+		if ejectedAt == 0 || ejectedAt.Since(began) > 6*time.Second {
+			t.Errorf("%d: ejected after %v", outcome, ejectedAt.Since(began))
+		}
+		// Well again: it comes back, in steps none of which more than doubles its share.
+		f.wrong = func(int, ident.ZoneID) Outcome { return Well }
+		last := 0.0
+		f.run(40*time.Second, func() {
+			share := WeightFor(f.judge.Weights(f.now, "e04"), "z0")
+			if last > 0 && share > 2*last+1e-9 || last == 0 && share > DefaultSettings().TrialWeight {
+				t.Errorf("%d: from %.2f to %.2f at once", outcome, last, share)
+			}
+			last = share
+		})
+		if last != 1 {
+			t.Errorf("%d: still at %.2f", outcome, last)
+		}
+		if c := f.judge.Counters; c.Returns == 0 || c.Ejections == 0 {
+			t.Errorf("%+v", c)
+		}
+	}
+}
+
+// What goes wrong everywhere, now and then, or at a full engine, ejects nobody.
+func TestChanceLoadAndCommonTroubleEjectNobody(t *testing.T) {
+	for name, c := range map[string]struct {
+		wrong func(f *fleet) func(int, ident.ZoneID) Outcome
+		busy  bool
+	}{
+		"one in a hundred": {func(f *fleet) func(int, ident.ZoneID) Outcome {
+			return func(int, ident.ZoneID) Outcome { return f.often(0.01, Failure) }
+		}, false},
+		"three in a hundred of half": {func(f *fleet) func(int, ident.ZoneID) Outcome {
+			return func(engine int, _ ident.ZoneID) Outcome {
+				if engine%2 == 0 {
+					return f.often(0.03, Failure)
+				}
+				return Well
+			}
+		}, false},
+		"all full": {func(f *fleet) func(int, ident.ZoneID) Outcome {
+			return func(int, ident.ZoneID) Outcome { return f.often(0.6, Refusal) }
+		}, true},
+	} {
+		f := newFleet(30, 5)
+		f.wrong = c.wrong(f)
+		f.busy = func(ident.EngineID) bool { return c.busy }
+		out := 0
+		f.run(60*time.Second, func() { out = max(out, f.out()) })
+		// Thirty engines for a minute, 9,000 attempts, of which some 130 go wrong in the second case: a few are bad luck.
+		if out > 1 || f.judge.Counters.Ejections > 4 {
+			t.Errorf("%s: %d out at once, %+v", name, out, f.judge.Counters)
+		}
+	}
+}
+
+// A full engine that is late gets half, and half of that, and never nothing; one that is late alone, since it is slow,
+// ends with what it can do.
+func TestALateEngineWithMuchToDoIsSlowedAndNotEjected(t *testing.T) {
+	f := newFleet(20, 5)
+	f.busy = func(id ident.EngineID) bool { return id == "e03" }
+	f.wrong = func(engine int, _ ident.ZoneID) Outcome {
+		if engine == 3 {
+			return f.often(0.9, Overdue)
+		}
+		return Well
+	}
+	least := 1.0
+	f.run(20*time.Second, func() { least = min(least, WeightFor(f.judge.Weights(f.now, "e03"), "z0")) })
+	if c := f.judge.Counters; c.Ejections > 0 || c.Slowed < 2 || least > 0.5 || least < leastCut {
+		t.Errorf("down to %.3f, %+v", least, c)
+	}
+	f.wrong = func(int, ident.ZoneID) Outcome { return Well }
+	f.run(10*time.Second, nil)
+	if share := WeightFor(f.judge.Weights(f.now, "e03"), "z0"); share != 1 {
+		t.Errorf("still at %.2f", share)
+	}
+}
+
+func TestAnEngineIllForOneZoneIsEjectedForThatZoneAlone(t *testing.T) {
+	f := newFleet(20, 12)
+	f.wrong = func(engine int, z ident.ZoneID) Outcome {
+		if engine == 2 && z == "z1" {
+			return f.often(0.6, Failure)
+		}
+		return Well
+	}
+	there, elsewhere := 0, 0
+	f.run(12*time.Second, func() {
+		if WeightFor(f.judge.Weights(f.now, "e02"), "z1") < 1 {
+			there++
+		}
+		if WeightFor(f.judge.Weights(f.now, "e02"), "z2") < 1 {
+			elsewhere++
+		}
+	})
+	if there < 60 || elsewhere > 0 {
+		t.Errorf("ejected for %d steps there and %d elsewhere", there, elsewhere)
+	}
+}
+
+// A daemon that is cut off finds everybody ill, and is not believed; each that flaps rests longer.
+func TestADaemonInTroubleIsNotBelieved(t *testing.T) {
+	f := newFleet(20, 1)
+	for range 50 {
+		ledger := NewLedger()
+		for _, id := range f.engines[:6] {
+			ledger.Note(id, Failure)
+		}
+		f.judge.Hear(f.now, Told{Zone: "z0", Digests: ledger.Take()}, f.busy)
+		f.judge.Step(f.now)
+		f.now += clock.Mark(100 * time.Millisecond)
+	}
+	if f.out() > 0 || f.judge.Counters.DigestsDropped != 50 {
+		t.Errorf("%d out, %+v", f.out(), f.judge.Counters)
+	}
+}
+
+func TestOneThatFlapsRestsLongerEachTimeAndAWhileSoundIsForgiven(t *testing.T) {
+	f := newFleet(20, 5)
+	ill := true
+	f.wrong = func(engine int, _ ident.ZoneID) Outcome {
+		if engine == 1 && ill {
+			return Failure
+		}
+		return Well
+	}
+	f.run(60*time.Second, nil)
+	s := f.judge.engines["e01"].in("")
+	if s.rest != DefaultSettings().RestMost || f.judge.Counters.Relapses < 3 {
+		t.Errorf("rests %v, %+v", s.rest, f.judge.Counters)
+	}
+	before := f.count[1]
+	f.run(60*time.Second, nil)
+	if spent := f.count[1] - before; spent > 25 {
+		t.Errorf("%d attempts in a minute at an engine that fails all", spent)
+	}
+	ill = false
+	f.run(60*time.Second, nil)
+	if f.judge.Stage("e01", "") != Sound {
+		t.Error(f.judge.Stage("e01", ""))
+	}
+	ill = true
+	rest := s.rest
+	f.run(5*time.Second, nil)
+	if s.rest > rest {
+		t.Errorf("rests %v after a minute, before %v", s.rest, rest)
+	}
+}
+
+// Whatever daemons tell, no more than the bound are out, never all, and shares are shares; once nothing goes wrong any
+// more all come back.
+func TestTheBoundHoldsAndAllComeBackWhateverIsTold(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(11)
+	parameters.MinSuccessfulTests = 40
+	properties := gopter.NewProperties(parameters)
+	properties.Property("bound and return", prop.ForAll(func(engines int, seed int64, shares []int) string {
+		f := newFleet(engines, 8)
+		f.random = rand.New(rand.NewPCG(uint64(seed), 3))
+		f.busy = func(id ident.EngineID) bool { return f.random.IntN(3) == 0 }
+		f.wrong = func(engine int, _ ident.ZoneID) Outcome {
+			outcome := Outcome(1 + (engine+int(seed))%3)
+			if len(shares) == 0 {
+				return Well
+			}
+			return f.often(float64(shares[engine%len(shares)])/100, outcome)
+		}
+		failed := ""
+		look := func() {
+			if out, most := f.out(), f.judge.mostEjected(engines); out > most || out >= engines && engines > 0 {
+				failed = fmt.Sprintf("%d of %d out, %d may be", out, engines, most)
+			}
+			for _, id := range f.engines {
+				for _, one := range f.judge.Weights(f.now, id) {
+					if one.Share < 0 || one.Share >= 1 {
+						failed = fmt.Sprintf("a share of %f", one.Share)
+					}
+				}
+			}
+		}
+		f.run(15*time.Second, look)
+		f.wrong = func(int, ident.ZoneID) Outcome { return Well }
+		f.run(90*time.Second, look)
+		for _, id := range f.engines {
+			if weights := f.judge.Weights(f.now, id); len(weights) > 0 {
+				failed += fmt.Sprintf("; %s has not come back: %v", id, weights)
+			}
+		}
+		return failed
+	}, gen.IntRange(1, 40), gen.Int64Range(0, 1<<40), gen.SliceOf(gen.IntRange(0, 100))))
+	properties.TestingRun(t)
+}
+
+func TestALedgerTellsEachAttemptOnceAndRemembersWhatRanksEngines(t *testing.T) {
+	l := NewLedger()
+	l.Note("a", Well)
+	l.Note("a", Failure)
+	l.Note("b", Overdue)
+	l.Worse("a")
+	told := l.Take()
+	if len(told) != 2 || told[0] != (Digest{Engine: "a", Attempts: 2, Failures: 2}) || told[1] != (Digest{Engine: "b", Attempts: 1, Overdue: 1}) {
+		t.Errorf("%+v", told)
+	}
+	if l.Take() != nil {
+		t.Error("told twice")
+	}
+	// One that was told as well and then broke off is an attempt told anew, since no more is left to correct.
+	l.Worse("b")
+	if told := l.Take(); len(told) != 1 || told[0] != (Digest{Engine: "b", Attempts: 1, Failures: 1}) {
+		t.Errorf("%+v", told)
+	}
+	for range 100 {
+		l.First("a", 80*time.Millisecond)
+		l.Gap("a", 40*time.Millisecond)
+		l.Connected("a", 3*time.Millisecond)
+	}
+	l.First("b", -time.Second)
+	near := func(a, b time.Duration) bool { return max(a-b, b-a) < time.Millisecond }
+	if a := l.Of("a"); a.Attempts != 2 || a.Failures != 2 || a.Cut != 1 || !near(a.FirstExcess, 80*time.Millisecond) || !near(a.GapExcess, 40*time.Millisecond) || !near(a.Connect, 3*time.Millisecond) {
+		t.Errorf("%+v", a)
+	}
+	if b := l.Of("b"); b.FirstExcess != 0 {
+		t.Errorf("%+v", b)
+	}
+	l.Forget(func(id ident.EngineID) bool { return id == "a" })
+	if b := l.Of("b"); b != (Reading{}) || l.Of("a") == (Reading{}) {
+		t.Errorf("%+v", b)
+	}
+}
--- a/request/forwarding/actor.go
+++ b/request/forwarding/actor.go
@@ -7,6 +7,7 @@
 
 	"github.com/cresspond/cresspond/process/actor"
 	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/soundness"
 )
 
 // Actor runs the core over events, one after the other.
@@ -129,6 +130,13 @@
 	}
 }
 
+// Outcomes gives what became of attempts at engines since it was last asked for.
+func (a *Actor) Outcomes() []soundness.Digest {
+	var out []soundness.Digest
+	a.Ask(func(c *Core, w World) { out = c.Outcomes(w.Now) })
+	return out
+}
+
 // Demands lists what is asked for now.
 func (a *Actor) Demands() []Demand {
 	var out []Demand
--- a/request/forwarding/choose.go
+++ b/request/forwarding/choose.go
@@ -49,7 +49,7 @@
 	pool, _ := w.Index.Pool(r.pool)
 	batching := pool != nil && pool.Catalogue != nil
 	why := noEngines
-	c.candidates, c.failing = c.candidates[:0], c.failing[:0]
+	c.candidates, c.weighedOut, c.failing = c.candidates[:0], c.weighedOut[:0], c.failing[:0]
 	for _, engine := range w.View.Pools[r.pool] {
 		if !engine.Usable() || w.Open != nil && !w.Open(engine) {
 			continue
@@ -77,9 +77,19 @@
 			c.failing = append(c.failing, candidate{engine: engine, state: state})
 			continue
 		}
+		if c.settings.HoldBack && !weighedIn(r, engine, w) {
+			c.weighedOut = append(c.weighedOut, candidate{engine: engine, state: state})
+			continue
+		}
 		c.candidates = append(c.candidates, candidate{engine: engine, state: state})
 	}
 	near := c.candidates
+	if len(near) == 0 {
+		near = c.weighedOut
+		if len(near) > 0 {
+			c.Counters.LastResort++
+		}
+	}
 	if len(near) == 0 {
 		// An engine that fails some is better than none.
 		near = c.failing
@@ -97,20 +107,50 @@
 		// Whoever rests or is full has left the list, so the next by rendezvous stands in.
 		near = c.nearest(r, near)
 	}
-	best, lowest := near[0].engine, 0.0
+	best, lowest := c.cheapest(r, near, batching, w)
+	if len(c.candidates) > 0 && len(c.weighedOut) > 0 {
+		// One that is held back is better than a sound one that has far too much to do.
+		near = c.weighedOut
+		if batching {
+			near = c.nearest(r, near)
+		}
+		if other, score := c.cheapest(r, near, batching, w); heldBackCost*score < lowest {
+			c.Counters.LastResort++
+			best, lowest = other, score
+		}
+	}
+	if r.score = 0; batching {
+		r.score = lowest
+	}
+	return best, noLack
+}
+
+// heldBackCost is how many times dearer an engine is that the fleet holds back, to a request that is not of its share.
+const heldBackCost = 8
+
+// cheapest gives the engine that costs least, and what it costs.
+func (c *Core) cheapest(r *Record, near []candidate, batching bool, w World) (best *registry.Engine, lowest float64) {
 	for place, one := range near {
 		score := c.plainScore(r, one, w)
 		if batching {
 			score = c.batchScore(r, one, w, place)
 		}
-		if place == 0 || score < lowest {
+		if best == nil || score < lowest {
 			best, lowest = one.engine, score
 		}
 	}
-	if r.score = 0; batching {
-		r.score = lowest
+	return best, lowest
+}
+
+// weighedIn says whether a request is of the share that an engine is to get: less than all where the fleet has found
+// it ill. The same request draws the same, or a second look would let in what the first left out.
+func weighedIn(r *Record, engine *registry.Engine, w World) bool {
+	share := engine.Plan.Weight(w.Zone, w.Now)
+	if share >= 1 {
+		return true
 	}
-	return best, noLack
+	drawn := float64(xxhash.Sum64String(r.Ask.Attempt+string(engine.ID))>>40) / (1 << 24)
+	return drawn < share
 }
 
 // most is how many attempts this daemon has at an engine at most. Small engines are shared out, since what
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -11,6 +11,7 @@
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/registry"
+	"github.com/cresspond/cresspond/process/soundness"
 )
 
 // World is what the passes may look at; it is gathered anew for each event.
@@ -38,6 +39,8 @@
 	Whole, Failed, Shed, Refused, Broken, BrokenOff, CallersLeft, NoPath, Resumed                                  uint64
 	// Speculative counts the attempts ahead of the news of a load, SpeculativeRefused those that came too soon.
 	Speculative, SpeculativeRefused uint64
+	// LastResort counts choices of an engine that is held back, since no other could take the request, or only late.
+	LastResort uint64
 	// HeldFor counts by what lacked, EndedFor by cause.
 	HeldFor  [lacks]uint64
 	EndedFor [causes]uint64
@@ -56,13 +59,17 @@
 	paths    map[pathKey]*pathState
 	// running counts the attempts under way by pool.
 	running map[string]int
+	// ledger is what became of attempts; awaited are those whose answer has not begun.
+	ledger  *soundness.Ledger
+	awaited []*Record
+	usuals  map[string]*usual
 	// planTook and spreadTook are smoothed times that a planner, and the word of what it did, took lately.
 	planTook, spreadTook time.Duration
 	// meanTokens is a smoothed size of prompts.
 	meanTokens float64
-	// candidates and failing are of the choice in hand.
-	candidates, failing []candidate
-	scratch             []byte
+	// candidates, weighedOut and failing are of the choice in hand.
+	candidates, weighedOut, failing []candidate
+	scratch                         []byte
 	// stopping says that the daemon ends: nothing is held or tried again any more.
 	stopping bool
 }
@@ -70,7 +77,7 @@
 // NewCore makes an empty core.
 func NewCore(settings Settings) *Core {
 	return &Core{settings: settings, engines: map[ident.EngineID]*engineState{}, budgets: map[string]*window{},
-		demands: map[demandKey]*demandState{}, paths: map[pathKey]*pathState{}, running: map[string]int{}}
+		demands: map[demandKey]*demandState{}, paths: map[pathKey]*pathState{}, running: map[string]int{}, ledger: soundness.NewLedger(), usuals: map[string]*usual{}}
 }
 
 // step gives a record's sender the next thing to do. A record has at most one that is not yet taken.
@@ -234,6 +241,11 @@
 		state.speculated(target, ready, w.Now)
 		c.Counters.Speculative++
 	}
+	r.noted, r.wasOverdue, r.overdueAfter = false, false, c.overdueAfter(r)
+	if !r.begun && !r.speculative {
+		// An answer that goes on at another engine has no first byte to be late, and what went ahead of a load waits.
+		c.awaited = append(c.awaited, r)
+	}
 	c.demand(r).running++
 	c.running[r.pool]++
 	pool, _ := w.Index.Pool(r.pool)
@@ -485,6 +497,7 @@
 	c.demand(r).running--
 	c.running[r.pool]--
 	c.engine(r.engine).ended(r, outcome, w)
+	c.noteEnd(r, outcome, w)
 	if outcome == Whole {
 		if !r.begun {
 			c.path(r).began(r, w.Now)
@@ -504,6 +517,7 @@
 			c.present(r, w)
 		}
 		c.engine(r.engine).began(r, w)
+		c.noteFirst(r, w.Now)
 		c.path(r).began(r, w.Now)
 	}
 }
--- a/request/forwarding/record.go
+++ b/request/forwarding/record.go
@@ -62,6 +62,9 @@
 	Arrived        clock.Mark
 	Deadline       clock.Mark
 
+	// Seen is what the sender saw of the attempt under way; it is the sender's until it reports how that ended.
+	Seen Seen
+
 	stage Stage
 	// pool is drawn once, so that all attempts go to the same.
 	pool string
@@ -95,6 +98,10 @@
 	// to which engine alone it may go any more.
 	speculative        bool
 	tooSoonAt, boundTo ident.EngineID
+	// overdueAfter is how long its first byte may take; noted says that the attempt is counted in the ledger,
+	// wasOverdue that it was when its first byte had not come.
+	overdueAfter      time.Duration
+	noted, wasOverdue bool
 	// score is what the engine chosen was expected to cost.
 	score float64
 	// counted says that its first arrival at an engine is in the budget.
@@ -102,6 +109,12 @@
 	steps   chan Step
 }
 
+// Seen is what a sender sees of an attempt besides how it ends.
+type Seen struct {
+	// Connect is how long a fresh connection took; zero is a kept one. LongestGap is the longest wait for a next event.
+	Connect, LongestGap time.Duration
+}
+
 // Stage tells where the record stands.
 func (r *Record) Stage() Stage { return r.stage }
 
--- a/request/forwarding/settings.go
+++ b/request/forwarding/settings.go
@@ -22,6 +22,9 @@
 	// request is refused whose first byte is expected that late. Nothing is while first bytes come within
 	// ShedCalm of it. ShedOver of zero sheds only what can't be served before its deadline.
 	ShedFrom, ShedOver, ShedCalm float64
+	// HoldBack has engines that the fleet finds ill get no more than the share that is told of them; without it the
+	// judgement is only counted.
+	HoldBack bool
 	// ReportFresh is for how long a report on an engine is believed.
 	ReportFresh time.Duration
 }
--- a/request/forwarding/simulate_test.go
+++ b/request/forwarding/simulate_test.go
@@ -13,6 +13,7 @@
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/registry"
+	"github.com/cresspond/cresspond/process/soundness"
 )
 
 // timeline runs what is due in order of time.
@@ -64,8 +65,10 @@
 	active     int
 	kept       map[string]bool
 	dead       bool
-	read       int
-	arrivals   int
+	// ill says what becomes of an attempt from a daemon, nil that the engine is well.
+	ill      func(d *simulated) illness
+	read     int
+	arrivals int
 }
 
 type job struct {
@@ -79,6 +82,7 @@
 type simulated struct {
 	core  *Core
 	world func() World
+	zone  ident.ZoneID
 }
 
 // simulation is daemons before engines.
@@ -101,6 +105,9 @@
 	returns            bool
 	tail               time.Duration
 	returned           map[*Record]bool
+	// judge weighs what daemons tell, where they do; broken counts requests that an engine's trouble cost.
+	judge  *soundness.Judge
+	broken int
 }
 
 func newSimulation(seed uint64, daemons, engines int) *simulation {
@@ -115,7 +122,7 @@
 	for range daemons {
 		d := &simulated{core: NewCore(DefaultSettings())}
 		d.world = func() World {
-			return World{Now: s.now, Index: s.index, Current: true, View: s.view, Edges: daemons, Leased: true, Mint: func() (ident.MintedID, bool) { return 1, true }}
+			return World{Now: s.now, Zone: d.zone, Index: s.index, Current: true, View: s.view, Edges: daemons, Leased: true, Mint: func() (ident.MintedID, bool) { return 1, true }}
 		}
 		s.daemons = append(s.daemons, d)
 	}
@@ -133,6 +140,9 @@
 				copied := *engine.registered
 				if plan := plans[copied.ID]; plan != nil {
 					plan.Told = s.now
+					if s.judge != nil {
+						plan.Weights = s.judge.Weights(s.now, copied.ID)
+					}
 					copied.Plan = plan
 				}
 				engine.registered = &copied
@@ -160,6 +170,10 @@
 	if !there {
 		return
 	}
+	if step.Pass || step.Send == nil && step.End.Status != 503 {
+		s.broken++
+		return
+	}
 	if step.Send == nil {
 		s.failed++
 		if s.returned[r] {
@@ -193,6 +207,9 @@
 		})
 		return
 	}
+	if s.falls(d, r, engine) {
+		return
+	}
 	engine.queue = append(engine.queue, &job{daemon: d, record: r, taken: s.now, events: 8 + s.random.IntN(8)})
 	s.read(engine)
 }
@@ -212,7 +229,11 @@
 	}
 	engine.read += tokens
 	engine.reading = true
-	s.after(time.Duration(tokens)*s.perToken+8*time.Millisecond, func() {
+	span := time.Duration(tokens)*s.perToken + 8*time.Millisecond
+	if engine.ill != nil && engine.ill(one.daemon) == slows {
+		span *= 8
+	}
+	s.after(span, func() {
 		engine.reading = false
 		engine.queue = engine.queue[1:]
 		engine.active++
