Refuse to draw slopes that points don't tell apart but for rounding

Cause: a square of the daemons, drawn through rows of two sizes as the run held against them had three, gave slopes of 1e14: the matrix was singular but for rounding, and only an infinite condition was refused. Each run now decides for itself, and beyond a condition of 1e12 nothing is drawn.

--- a/rehearsal/scale/against.go
+++ b/rehearsal/scale/against.go
@@ -18,13 +18,13 @@
 func Against(to io.Writer, first, second []Row) (Comparison, error) {
 	var sum Comparison
 	terms, curved := restTerms(first)
-	others, _ := restTerms(second)
+	others, otherCurved := restTerms(second)
 	if len(terms) == 0 || len(terms) != len(others) {
 		return sum, fmt.Errorf("the runs do not tell of the same slopes")
 	}
 	out := tabwriter.NewWriter(to, 0, 4, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(out, "what\tslope\tfirst\tsecond\tapart by\t")
-	a, b := drawRest(first, terms, curved), drawRest(second, terms, curved)
+	a, b := drawRest(first, terms, curved), drawRest(second, terms, otherCurved)
 	for at, one := range a {
 		other := b[at]
 		if one.err != nil || other.err != nil {
--- a/rehearsal/scale/against_test.go
+++ b/rehearsal/scale/against_test.go
@@ -150,3 +150,24 @@
 		t.Error("what one run did not measure is not said")
 	}
 }
+
+// Two sizes tell of no square of the daemons: rounding alone would make one up, of any steepness.
+func TestTwoSizesTellOfNoSquare(t *testing.T) {
+	var few []Row
+	for _, row := range planeRows(3, 0.0001) {
+		if row.Size.Daemons <= 30 {
+			few = append(few, row)
+		}
+	}
+	var points []Point
+	for _, row := range few {
+		points = append(points, Point{row.Size, row.Kinds[Edge].Resident})
+	}
+	if fit, err := Draw(points, Constant, PerDaemon, PerEngine, PerDaemonSquared); err == nil {
+		t.Errorf("slopes %v were drawn", fit.Slopes)
+	}
+	var out bytes.Buffer
+	if got, err := Against(&out, planeRows(1, 0.0001), few); err != nil || got.Apart > 4 {
+		t.Errorf("%+v, %v:\n%s", got, err, out.String())
+	}
+}
--- a/rehearsal/scale/fit.go
+++ b/rehearsal/scale/fit.go
@@ -42,6 +42,9 @@
 	covariance          *mat.Dense
 }
 
+// mostCondition is how near each other terms may be for points to tell them apart; beyond it rounding makes up slopes.
+const mostCondition = 1e12
+
 // Draw fits the terms to the points. There must be more points than terms, and they must tell the terms apart.
 func Draw(points []Point, terms ...Term) (Fit, error) {
 	n, k := len(points), len(terms)
@@ -59,7 +62,7 @@
 	}
 	var qr mat.QR
 	qr.Factorize(x)
-	if cond := qr.Cond(); math.IsInf(cond, 1) || math.IsNaN(cond) {
+	if cond := qr.Cond(); cond > mostCondition || math.IsNaN(cond) {
 		return Fit{}, fmt.Errorf("the points do not tell the slopes apart")
 	}
 	var slopes mat.VecDense
