--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -36,6 +36,7 @@
 	"github.com/cresspond/cresspond/process/rollout"
 	"github.com/cresspond/cresspond/process/seats"
 	"github.com/cresspond/cresspond/process/snowflake"
+	"github.com/cresspond/cresspond/process/soundness"
 	"github.com/cresspond/cresspond/process/statemachine"
 	"github.com/cresspond/cresspond/process/wants"
 	"github.com/cresspond/cresspond/request/dispatch"
@@ -85,6 +86,8 @@
 	// enlistedAt is when the group wrote this life down as one that may be serving; zero before.
 	enlistedAt atomic.Int64
 	broken     chan error
+	// callers is shut until callers are accepted.
+	callers *gate
 
 	// pools plans for engines that register themselves, where the daemon was put together so.
 	pools *poolPlanning
@@ -106,6 +109,8 @@
 
 	fleetMutex sync.Mutex
 	fleetWants map[ident.NodeID]*wants.Heard
+	// fleetOutcomes is what others saw of engines, until the planner takes it.
+	fleetOutcomes []soundness.Told
 	// wants tells whoever plans what is asked for here.
 	wants wants.Teller
 
@@ -195,7 +200,7 @@
 	d.group.Store(&none)
 	d.generator = snowflake.New(d.clock, tenureMargin)
 	d.current.Store(&c)
-	d.bell = newBell()
+	d.bell, d.callers = newBell(), newGate()
 	d.toldNews.beginAnywhere()
 	return d
 }
@@ -234,6 +239,10 @@
 	if err != nil {
 		return err
 	}
+	if d.forwards() && d.config.OpaqueOnly {
+		callerListener = &gatedListener{Listener: callerListener, gate: d.callers}
+		time.AfterFunc(acceptLimit, d.callers.open)
+	}
 	defer callerListener.Close()
 	var operatorListener, readyListener net.Listener
 	if d.config.OperatorListen != "" {
@@ -547,9 +556,10 @@
 
 // runTenancy acquires a worker id and renews it.
 func (d *Daemon) runTenancy(ctx context.Context) {
-	const beat = 250 * time.Millisecond
+	// Nothing can be held before a worker id is, so a fresh daemon looks often whether there is a leader to ask yet.
+	const beat, freshBeat = 250 * time.Millisecond, 50 * time.Millisecond
 	renewEvery := d.replicaConfig.Tenure / 3
-	ticker := time.NewTicker(beat)
+	ticker := time.NewTicker(freshBeat)
 	defer ticker.Stop()
 	var renewed clock.Mark
 	for {
@@ -565,8 +575,10 @@
 			if ok && result.Grant != nil {
 				d.generator.Take(*result.Grant, asked)
 				renewed = asked
+				ticker.Reset(beat)
 				d.counters.acquired.Add(1)
 				d.log.WithField("workerId", int64(result.Grant.WorkerID)).Info("worker id acquired")
+				d.admitCallers()
 			}
 		case asked.Since(renewed) >= renewEvery:
 			result, ok := d.submitOnce(ctx, statemachine.Command{Op: statemachine.OpRenew, NodeID: d.nodeID, WorkerID: worker})
@@ -622,4 +634,5 @@
 	}
 	d.bell.ring(urgent)
 	d.poke()
+	d.admitCallers()
 }
