--- /dev/null
+++ b/process/ranking/bounds.go
@@ -0,0 +1,173 @@
+package ranking
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// Target names a model, or one adapter of it.
+type Target struct{ Model, Adapter string }
+
+// Engine is one engine as far as draining goes. There is nothing in it of who asks for what.
+type Engine struct {
+	ID   ident.EngineID
+	Pool string
+	Zone ident.ZoneID
+	// Open says that new requests may go to it. Ranked says that the ranking shut it, Kept that an operator forbids it to.
+	Open, Ranked, Kept bool
+	Held               []Target
+}
+
+// Fleet is all registered engines, by id.
+type Fleet map[ident.EngineID]Engine
+
+// Refusal is why an engine may not be drained now.
+type Refusal uint8
+
+const (
+	// Allowed: nothing speaks against it.
+	Allowed Refusal = iota
+	// Unknown: no such engine is registered.
+	Unknown
+	// ShutAlready: nothing new goes to it anyhow.
+	ShutAlready
+	// KeptOpen: an operator keeps it.
+	KeptOpen
+	// PastPool, PastZone, PastHolders: too many of its pool, of its zone, or of the holders of what it holds are shut.
+	PastPool
+	PastZone
+	PastHolders
+	// LastHolder: something stands there alone, and must be loaded elsewhere first.
+	LastHolder
+	refusals
+)
+
+func (r Refusal) String() string {
+	return [...]string{"allowed", "unknown", "shut-already", "kept", "past-pool", "past-zone", "past-holders", "last-holder"}[r]
+}
+
+// Reason puts a refusal into words.
+func (r Refusal) Reason() string {
+	return [...]string{"nothing speaks against it", "no such engine is registered", "nothing new goes to this engine already",
+		"an operator keeps this engine", "too many engines of its pool are shut", "too many engines of its zone are shut",
+		"too many holders of a model or adapter that it holds are shut", "it alone holds a model or adapter, which must be loaded elsewhere first"}[r]
+}
+
+// refusal is one rule; it gives Allowed where it has nothing to say.
+type refusal func(s Settings, fleet Fleet, engine Engine) Refusal
+
+func usualRefusals() []refusal {
+	return []refusal{refuseShut, refuseKept, refusePool, refuseZone, refuseHolders, refuseLast}
+}
+
+func (r rules) refuse(s Settings, fleet Fleet, id ident.EngineID) Refusal {
+	engine, known := fleet[id]
+	if !known {
+		return Unknown
+	}
+	for _, rule := range r.refusals {
+		if why := rule(s, fleet, engine); why != Allowed {
+			return why
+		}
+	}
+	return Allowed
+}
+
+func refuseShut(_ Settings, _ Fleet, engine Engine) Refusal {
+	if !engine.Open {
+		return ShutAlready
+	}
+	return Allowed
+}
+
+func refuseKept(_ Settings, _ Fleet, engine Engine) Refusal {
+	if engine.Kept {
+		return KeptOpen
+	}
+	return Allowed
+}
+
+// shut counts, of the engines that are meant, all and those that nothing new goes to, whoever shut them.
+func (f Fleet) shut(meant func(Engine) bool) (shut, all int) {
+	for _, engine := range f {
+		if meant(engine) {
+			all++
+			if !engine.Open {
+				shut++
+			}
+		}
+	}
+	return shut, all
+}
+
+func refusePool(s Settings, fleet Fleet, engine Engine) Refusal {
+	shut, all := fleet.shut(func(e Engine) bool { return e.Pool == engine.Pool })
+	if shut+1 > int(s.MostOfPool*float64(all)) {
+		return PastPool
+	}
+	return Allowed
+}
+
+func refuseZone(s Settings, fleet Fleet, engine Engine) Refusal {
+	shut, all := fleet.shut(func(e Engine) bool { return e.Pool == engine.Pool && e.Zone == engine.Zone })
+	most := int(s.MostOfZone * float64(all))
+	if most == 0 && s.MostOfZone > 0 {
+		// A lone engine of a zone may go where other zones have some; how many go at all the pool's bound says.
+		if _, pool := fleet.shut(func(e Engine) bool { return e.Pool == engine.Pool }); pool > all {
+			most = 1
+		}
+	}
+	if shut+1 > most {
+		return PastZone
+	}
+	return Allowed
+}
+
+// holders counts the engines of a pool that hold something.
+func (f Fleet) holders(pool string, target Target) (shut, all int) {
+	return f.shut(func(e Engine) bool { return e.Pool == pool && slices.Contains(e.Held, target) })
+}
+
+func refuseHolders(s Settings, fleet Fleet, engine Engine) Refusal {
+	for _, target := range engine.Held {
+		shut, all := fleet.holders(engine.Pool, target)
+		// Of two or three one may go; a lone one is a case of its own.
+		if all > 1 && shut > 0 && shut+1 > int(s.MostOfHolders*float64(all)) {
+			return PastHolders
+		}
+	}
+	return Allowed
+}
+
+func refuseLast(_ Settings, fleet Fleet, engine Engine) Refusal {
+	if len(fleet.alone(engine)) > 0 {
+		return LastHolder
+	}
+	return Allowed
+}
+
+// alone lists what no other open engine of the pool holds.
+func (f Fleet) alone(engine Engine) []Target {
+	var out []Target
+	for _, target := range engine.Held {
+		if shut, all := f.holders(engine.Pool, target); all-shut <= 1 {
+			out = append(out, target)
+		}
+	}
+	slices.SortFunc(out, func(a, b Target) int { return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter)) })
+	return out
+}
+
+// shutting gives a fleet in which one more engine is shut.
+func (f Fleet) shutting(id ident.EngineID) Fleet {
+	out := make(Fleet, len(f))
+	for other, engine := range f {
+		if other == id {
+			engine.Open = false
+		}
+		out[other] = engine
+	}
+	return out
+}
--- /dev/null
+++ b/process/ranking/ranking_test.go
@@ -0,0 +1,759 @@
+package ranking
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// node is one engine of a test, by how its node behaves.
+type node struct {
+	id    ident.EngineID
+	zone  ident.ZoneID
+	model string
+	// load is how many requests it has, prompt how many tokens are read before a first byte.
+	load, prompt int
+	// slow makes its pauses longer, late its first bytes, lateFrom those on the path from one zone only.
+	slow     float64
+	late     time.Duration
+	lateFrom map[ident.ZoneID]time.Duration
+	held     []Target
+	shut     bool
+	kept     bool
+	ranked   bool
+}
+
+// site is a fleet of nodes and the daemons' zones.
+type site struct {
+	nodes []*node
+	zones []ident.ZoneID
+	now   clock.Mark
+	// noise spreads what is measured.
+	noise  float64
+	random *rand.Rand
+	ranker *Ranker
+	drains []ident.EngineID
+	opened []ident.EngineID
+	last   Decision
+}
+
+func newSite(engines int, change func(*Settings)) *site {
+	settings := DefaultSettings()
+	settings.On = true
+	if change != nil {
+		change(&settings)
+	}
+	s := &site{zones: []ident.ZoneID{"a", "b", "c"}, now: clock.Mark(time.Hour), noise: 0.1, random: rand.New(rand.NewPCG(1, 2)), ranker: NewRanker(settings)}
+	for place := range engines {
+		s.nodes = append(s.nodes, &node{id: ident.EngineID(fmt.Sprintf("engine-%02d", place)), zone: s.zones[place%3], model: "model", load: 8, prompt: 2000, slow: 1,
+			held: []Target{{Model: "model"}}})
+	}
+	return s
+}
+
+func (s *site) near(value float64) float64 {
+	return value * (1 + s.noise*(2*s.random.Float64()-1))
+}
+
+// pause is how long a node takes for an event: more with more requests at once.
+func (n *node) pause() float64 { return 10 * (1 + float64(n.load)/16) * n.slow }
+
+// first is how long a node takes for a first byte, in ms.
+func (n *node) first(from ident.ZoneID) float64 {
+	return 5 + float64(n.prompt)/25 + float64(n.late+n.lateFrom[from])/float64(time.Millisecond)
+}
+
+const targetMs = 100
+
+// measure has daemons of all zones measure all engines that are open for a second.
+func (s *site) measure() {
+	for _, zone := range s.zones {
+		recorder := NewRecorder()
+		for _, n := range s.nodes {
+			if n.shut {
+				continue
+			}
+			stalls := recorder.Cell(n.id, Class{Kind: Stall, Pool: "pool", Model: n.model, TargetMs: targetMs, Load: LoadBand(n.load)})
+			for range 20 {
+				stalls.Pause(time.Duration(s.near(n.pause()) * float64(time.Millisecond)))
+			}
+			firsts := recorder.Cell(n.id, Class{Kind: Transfer, Pool: "pool", Model: n.model, Load: LoadBand(n.load), Size: SizeBand(n.prompt)})
+			for range 4 {
+				firsts.Delay(time.Duration(s.near(n.first(zone)) * float64(time.Millisecond)))
+			}
+		}
+		s.ranker.Take(s.now, zone, recorder.Take())
+	}
+}
+
+func (s *site) fleet() Fleet {
+	out := Fleet{}
+	for _, n := range s.nodes {
+		out[n.id] = Engine{ID: n.id, Pool: "pool", Zone: n.zone, Open: !n.shut, Ranked: n.ranked, Kept: n.kept, Held: n.held}
+	}
+	return out
+}
+
+func (s *site) node(id ident.EngineID) *node {
+	for _, n := range s.nodes {
+		if n.id == id {
+			return n
+		}
+	}
+	return nil
+}
+
+// run lets seconds go by, and carries out what is decided.
+func (s *site) run(seconds int) {
+	for range seconds {
+		s.second()
+	}
+}
+
+func (s *site) second() {
+	s.measure()
+	s.now += clock.Mark(time.Second)
+	s.last = s.ranker.Step(s.now, s.fleet())
+	for _, act := range s.last.Acts {
+		n := s.node(act.Engine)
+		n.shut, n.ranked = act.Drain, act.Drain
+		if act.Drain {
+			s.drains = append(s.drains, act.Engine)
+		} else {
+			s.opened = append(s.opened, act.Engine)
+		}
+	}
+}
+
+// seenDraining runs for a while and gives who was drained, in order.
+func (s *site) seenDraining(seconds int) []ident.EngineID {
+	s.run(seconds)
+	return s.drains
+}
+
+func TestSoundEnginesAreLeftAlone(t *testing.T) {
+	for _, noise := range []float64{0, 0.1, 0.9} {
+		s := newSite(9, nil)
+		s.noise = noise
+		if got := s.seenDraining(60); len(got) > 0 {
+			t.Fatalf("with noise %v nobody is sick, and %v was drained", noise, got)
+		}
+	}
+}
+
+func TestWorstGoesFirst(t *testing.T) {
+	sick := func() *site {
+		s := newSite(9, nil)
+		s.nodes[2].slow, s.nodes[4].slow, s.nodes[6].slow = 20, 60, 25
+		return s
+	}
+	s := sick()
+	if got := s.seenDraining(12); len(got) != 2 || got[0] != "engine-04" || got[1] != "engine-06" {
+		t.Fatalf("a quarter of nine may go, the slowest first: %v", got)
+	}
+	// Broken: by name.
+	s = sick()
+	s.ranker.rules.worse = func(a, b Standing) int { return cmp.Compare(a.Engine, b.Engine) }
+	if got := s.seenDraining(12); got[0] == "engine-04" {
+		t.Fatal("an order that does not go by the score must show")
+	}
+}
+
+// An engine that shows all its pauses but a few as they should be, and a long one now and then, stalls.
+func TestSeldomButLongPausesAreSeen(t *testing.T) {
+	s := newSite(5, nil)
+	stutter := func() {
+		recorder := NewRecorder()
+		cell := recorder.Cell("engine-03", Class{Kind: Stall, Pool: "pool", Model: "model", TargetMs: targetMs, Load: LoadBand(8)})
+		for range 60 {
+			cell.Pause(15 * time.Millisecond)
+		}
+		cell.Pause(2 * time.Second)
+		s.ranker.Take(s.now, "a", recorder.Take())
+		s.ranker.Take(s.now, "b", []Digest{{"engine-03", Class{Kind: Stall, Pool: "pool", Model: "model", TargetMs: targetMs, Load: LoadBand(8)}, []Bucket{{150, 60}, {20000, 1}}}})
+		s.ranker.Take(s.now, "c", []Digest{{"engine-03", Class{Kind: Stall, Pool: "pool", Model: "model", TargetMs: targetMs, Load: LoadBand(8)}, []Bucket{{150, 60}, {20000, 1}}}})
+	}
+	for range 10 {
+		stutter()
+		s.second()
+	}
+	if len(s.drains) != 1 || s.drains[0] != "engine-03" {
+		t.Fatalf("one pause of two seconds in sixty events is most of the time: %v", s.drains)
+	}
+}
+
+func TestFullBatchIsNoSickness(t *testing.T) {
+	busy := func() *site {
+		s := newSite(9, func(s *Settings) { s.StallFloor, s.DrainAt, s.ClearAt = 0.1, 2, 1.5 })
+		// With 64 at once it takes more than three times as long as with 8.
+		s.nodes[3].load = 64
+		return s
+	}
+	s := busy()
+	if got := s.seenDraining(30); len(got) > 0 {
+		t.Fatalf("a full batch explains it: %v", got)
+	}
+	s = busy()
+	s.ranker.rules.explained = func(int) float64 { return 1 }
+	if got := s.seenDraining(30); len(got) == 0 {
+		t.Fatal("a rule that explains nothing by the batch must show")
+	}
+	// A sick one can't hide behind the batch that its slowness makes.
+	s = busy()
+	s.nodes[3].slow = 20
+	if got := s.seenDraining(12); len(got) != 1 || got[0] != "engine-03" {
+		t.Fatalf("twenty times slower is more than eight times the batch explains: %v", got)
+	}
+}
+
+func TestBigPromptIsNoSickness(t *testing.T) {
+	big := func() *site {
+		s := newSite(9, nil)
+		s.nodes[5].prompt = 15_000
+		return s
+	}
+	s := big()
+	if got := s.seenDraining(30); len(got) > 0 {
+		t.Fatalf("a big prompt explains it: %v", got)
+	}
+	s = big()
+	s.ranker.rules.explained = func(int) float64 { return 1 }
+	if got := s.seenDraining(30); len(got) == 0 {
+		t.Fatal("a rule that explains nothing by the prompt must show")
+	}
+	s = big()
+	s.nodes[5].late = 4 * time.Second
+	if got := s.seenDraining(12); len(got) != 1 || got[0] != "engine-05" {
+		t.Fatalf("four seconds more than its prompt takes is late: %v", got)
+	}
+}
+
+func TestOnePathIsNotItsEngine(t *testing.T) {
+	one := func() *site {
+		s := newSite(9, nil)
+		s.nodes[5].lateFrom = map[ident.ZoneID]time.Duration{"b": 2 * time.Second}
+		return s
+	}
+	s := one()
+	if got := s.seenDraining(30); len(got) > 0 {
+		t.Fatalf("two of three zones reach it well: %v", got)
+	}
+	paths := []ident.ZoneID(nil)
+	for _, row := range s.ranker.Rows() {
+		if row.Engine == "engine-05" {
+			paths = row.Paths
+		}
+	}
+	if !slices.Equal(paths, []ident.ZoneID{"b"}) {
+		t.Fatalf("the path is named: %v", paths)
+	}
+	s = one()
+	s.ranker.rules.across = func(scores []float64) float64 { return scores[len(scores)-1] }
+	if got := s.seenDraining(30); len(got) == 0 {
+		t.Fatal("a rule that believes one zone alone must show")
+	}
+	// Most paths: then it is the engine, or all of its paths.
+	s = one()
+	s.nodes[5].lateFrom["c"] = 2 * time.Second
+	if got := s.seenDraining(12); len(got) != 1 || got[0] != "engine-05" {
+		t.Fatalf("two of three zones see it late: %v", got)
+	}
+}
+
+func TestOneMadEngineDoesNotHideAnother(t *testing.T) {
+	two := func() *site {
+		s := newSite(9, nil)
+		s.nodes[1].slow, s.nodes[6].slow = 20, 500
+		return s
+	}
+	score := func(s *site) float64 {
+		s.run(2)
+		for _, row := range s.ranker.Rows() {
+			if row.Engine == "engine-01" {
+				return row.Score
+			}
+		}
+		return 0
+	}
+	if got := score(two()); got < 3 {
+		t.Fatalf("the middle of the others is sound: %v", got)
+	}
+	s := two()
+	s.ranker.rules.others = func(values []float64) float64 {
+		sum := 0.0
+		for _, value := range values {
+			sum += value
+		}
+		return sum / float64(len(values))
+	}
+	if got := score(s); got >= 3 {
+		t.Fatalf("a mean is dragged along, and that must show: %v", got)
+	}
+}
+
+// Where all differ widely, one that differs no more than they do is one of them.
+func TestWideFleetsAreComparedWidely(t *testing.T) {
+	wide := func() *site {
+		s := newSite(9, func(s *Settings) { s.MostOfPool = 0.5 })
+		for place, n := range s.nodes {
+			n.slow = 4 + 4*float64(place)
+		}
+		return s
+	}
+	s := wide()
+	if got := s.seenDraining(20); len(got) > 0 {
+		t.Fatalf("they are spread evenly: %v", got)
+	}
+	s = wide()
+	s.ranker.rules.outside = func(value, others, _ float64) bool { return value > others }
+	s.ranker.settings.DrainAt = 1.7
+	if got := s.seenDraining(20); len(got) == 0 {
+		t.Fatal("a rule without the spread must show")
+	}
+}
+
+func TestFlappingIsNotFollowed(t *testing.T) {
+	flap := func(change func(*Settings)) []ident.EngineID {
+		s := newSite(9, change)
+		for turn := range 60 {
+			// Two seconds slow, nine sound: within the span it counts as slow only for a moment.
+			s.nodes[3].slow = 1
+			if turn%11 < 1 {
+				s.nodes[3].slow = 30
+			}
+			s.second()
+		}
+		return s.drains
+	}
+	if got := flap(func(s *Settings) { s.ConfirmMs, s.SpanMs = 10_000, 8000 }); len(got) > 0 {
+		t.Fatalf("it is sound again before it is confirmed: %v", got)
+	}
+	if got := flap(func(s *Settings) { s.ConfirmMs, s.SpanMs = 0, 8000 }); len(got) == 0 {
+		t.Fatal("a rule that confirms nothing must show")
+	}
+}
+
+// What lies between the two limits neither confirms anew nor clears.
+func TestBetweenTheLimitsTheCountGoesOn(t *testing.T) {
+	r := NewRanker(DefaultSettings())
+	fleet := Fleet{"x": {ID: "x", Open: true}}
+	var out Decision
+	r.meet(1, fleet, &out)
+	s := r.engines["x"]
+	for place, score := range []float64{5, 2, 2, 5, 1.2} {
+		s.standing.Score = score
+		r.judge(clock.Mark(place+1)*clock.Mark(time.Second), "x", &out)
+		want := Suspect
+		if place == 4 {
+			want = Sound
+		}
+		if s.stage != want {
+			t.Fatalf("at %v it is %v", score, s.stage)
+		}
+	}
+}
+
+// without takes one rule away.
+func without(s *site, name string) {
+	kept := []refusal{}
+	for place, rule := range usualRefusals() {
+		if []string{"shut", "kept", "pool", "zone", "holders", "last"}[place] != name {
+			kept = append(kept, rule)
+		}
+	}
+	s.ranker.rules.refusals = kept
+}
+
+func TestBoundsHold(t *testing.T) {
+	cases := []struct {
+		rule    string
+		refusal Refusal
+		site    func() *site
+		most    int
+	}{
+		{"pool", PastPool, func() *site {
+			s := newSite(9, func(s *Settings) { s.MostOfPool, s.MostOfZone = 0.12, 0.5 })
+			s.nodes[0].slow, s.nodes[1].slow = 30, 40
+			return s
+		}, 1},
+		{"zone", PastZone, func() *site {
+			s := newSite(9, func(s *Settings) { s.MostOfPool, s.MostOfZone = 0.5, 0.34 })
+			s.nodes[0].slow, s.nodes[3].slow = 30, 40
+			return s
+		}, 1},
+		{"holders", PastHolders, func() *site {
+			s := newSite(9, func(s *Settings) { s.MostOfPool = 0.5 })
+			for _, place := range []int{0, 1, 2} {
+				s.nodes[place].held = append(s.nodes[place].held, Target{"rare", "adapter"})
+			}
+			s.nodes[0].slow, s.nodes[1].slow = 30, 40
+			return s
+		}, 1},
+		{"last", LastHolder, func() *site {
+			s := newSite(9, nil)
+			s.nodes[4].slow = 30
+			s.nodes[4].held = append(s.nodes[4].held, Target{Model: "lone"})
+			return s
+		}, 0},
+		{"kept", KeptOpen, func() *site {
+			s := newSite(9, nil)
+			s.nodes[4].slow, s.nodes[4].kept = 30, true
+			return s
+		}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.rule, func(t *testing.T) {
+			s := c.site()
+			if got := s.seenDraining(12); len(got) != c.most {
+				t.Fatalf("%d may go: %v", c.most, got)
+			}
+			if s.ranker.Counters.Refused[c.refusal] == 0 {
+				t.Fatalf("the refusal is counted: %v", s.ranker.Counters.Refused)
+			}
+			s = c.site()
+			without(s, c.rule)
+			if got := s.seenDraining(12); len(got) <= c.most {
+				t.Fatal("without the rule more go, and that must show")
+			}
+		})
+	}
+}
+
+func TestOperatorsClosuresCountForTheBound(t *testing.T) {
+	s := newSite(9, nil)
+	s.nodes[0].shut, s.nodes[1].shut = true, true
+	s.nodes[2].slow = 30
+	if got := s.seenDraining(12); len(got) > 0 {
+		t.Fatalf("two of nine are shut already: %v", got)
+	}
+}
+
+func TestLastHolderGoesWhenAnotherHasIt(t *testing.T) {
+	s := newSite(9, nil)
+	lone := Target{"lone", "adapter"}
+	s.nodes[4].held = append(s.nodes[4].held, lone)
+	s.nodes[4].slow, s.nodes[5].slow, s.nodes[8].slow = 40, 30, 25
+	s.run(12)
+	if len(s.last.Moves) != 1 || s.last.Moves[0] != (Move{"engine-04", "pool", lone}) {
+		t.Fatalf("what it holds alone is to be loaded elsewhere: %v", s.last.Moves)
+	}
+	if !slices.Equal(s.drains, []ident.EngineID{"engine-05"}) {
+		t.Fatalf("the place of the worst is not given to the third: %v", s.drains)
+	}
+	s.nodes[0].held = append(s.nodes[0].held, lone)
+	s.run(3)
+	if !slices.Equal(s.drains, []ident.EngineID{"engine-05", "engine-04"}) || len(s.last.Moves) > 0 {
+		t.Fatalf("now it goes: %v, %v", s.drains, s.last.Moves)
+	}
+}
+
+func TestReturnIsByTrial(t *testing.T) {
+	s := newSite(9, nil)
+	s.nodes[3].slow = 30
+	s.run(30)
+	first := len(s.drains)
+	if first != 2 || len(s.opened) != 1 {
+		t.Fatalf("it rests, is tried, and is drained again since it is as slow as ever: %v, %v", s.drains, s.opened)
+	}
+	s.run(20)
+	if len(s.opened) != 1 {
+		t.Fatalf("the second rest is twice as long: %v", s.opened)
+	}
+	s.nodes[3].slow = 1
+	s.run(30)
+	if len(s.opened) != 2 || len(s.drains) != 2 {
+		t.Fatalf("it is well now: %v, %v", s.drains, s.opened)
+	}
+	if stage := s.ranker.engines["engine-03"].stage; stage != Sound {
+		t.Fatalf("it passed its trial: %v", stage)
+	}
+}
+
+func TestOneOfAPoolIsTriedAtATime(t *testing.T) {
+	s := newSite(12, nil)
+	s.nodes[0].slow, s.nodes[4].slow, s.nodes[8].slow = 30, 30, 30
+	for range 120 {
+		s.second()
+		trying := 0
+		for _, state := range s.ranker.engines {
+			if state.stage == Trial {
+				trying++
+			}
+		}
+		if trying > 1 {
+			t.Fatal("two are tried at once")
+		}
+	}
+	if len(s.opened) < 3 {
+		t.Fatalf("each has its turn: %v", s.opened)
+	}
+}
+
+func TestSuccessorTakesUpDrains(t *testing.T) {
+	s := newSite(9, nil)
+	s.nodes[3].slow = 30
+	s.run(8)
+	if len(s.drains) != 1 {
+		t.Fatalf("drained by the first: %v", s.drains)
+	}
+	// The planner is lost; another begins with what the fleet shows.
+	s.ranker = NewRanker(s.ranker.settings)
+	s.nodes[3].slow = 1
+	s.run(10)
+	if s.ranker.engines["engine-03"].stage != Drained || len(s.drains) != 1 || len(s.opened) != 0 {
+		t.Fatalf("it rests on: %v, %v", s.drains, s.opened)
+	}
+	s.run(30)
+	if len(s.opened) != 1 || s.ranker.engines["engine-03"].stage != Sound {
+		t.Fatalf("and is tried by the second: %v", s.opened)
+	}
+}
+
+func TestSwitchedOffNothingIsDrainedAndAllIsOpened(t *testing.T) {
+	s := newSite(9, func(s *Settings) { s.On = false })
+	s.nodes[3].slow = 30
+	s.nodes[5].shut, s.nodes[5].ranked = true, true
+	s.run(10)
+	if len(s.drains) != 0 || !slices.Equal(s.opened, []ident.EngineID{"engine-05"}) {
+		t.Fatalf("%v, %v", s.drains, s.opened)
+	}
+	if rows := s.ranker.Rows(); rows[0].Engine != "engine-03" || rows[0].Score < 3 {
+		t.Fatalf("it is ranked all the same: %+v", rows[0])
+	}
+}
+
+func TestADrainThatDoesNotComeAboutIsAskedForAnew(t *testing.T) {
+	s := newSite(9, nil)
+	s.nodes[3].slow = 30
+	asked := 0
+	for range 12 {
+		s.measure()
+		s.now += clock.Mark(time.Second)
+		asked += len(s.ranker.Step(s.now, s.fleet()).Acts)
+	}
+	if asked < 3 || asked > 5 {
+		t.Fatalf("asked for %d times", asked)
+	}
+}
+
+func TestTwoEnginesCantBeTold(t *testing.T) {
+	s := newSite(2, func(s *Settings) { s.MostOfPool = 0.5 })
+	s.nodes[1].slow = 100
+	if got := s.seenDraining(20); len(got) > 0 {
+		t.Fatalf("of two nobody can say which one is slow: %v", got)
+	}
+}
+
+func TestFewWithAModelAreComparedWithThePool(t *testing.T) {
+	s := newSite(9, nil)
+	for place, n := range s.nodes {
+		n.model = fmt.Sprintf("model-%d", place)
+	}
+	s.nodes[3].slow = 30
+	if got := s.seenDraining(10); len(got) != 1 || got[0] != "engine-03" {
+		t.Fatalf("each has a model of its own: %v", got)
+	}
+}
+
+func TestWholeZoneSlow(t *testing.T) {
+	s := newSite(12, nil)
+	for _, n := range s.nodes {
+		if n.zone == "a" {
+			n.slow = 30
+		}
+	}
+	s.run(14)
+	if len(s.drains) > 2 {
+		t.Fatalf("half of a zone's engines stay: %v", s.drains)
+	}
+}
+
+// Random fleets with random sicknesses: bounds hold at all times, and who goes is the worst of those that may.
+func TestBoundsHoldInRandomFleets(t *testing.T) {
+	parameters := gopter.DefaultTestParameters()
+	parameters.MinSuccessfulTests = 40
+	properties := gopter.NewProperties(parameters)
+	properties.Property("bounds hold", prop.ForAll(func(seed uint64) string {
+		random := rand.New(rand.NewPCG(seed, 7))
+		s := newSite(4+random.IntN(14), func(s *Settings) { s.RestMs = 4000 })
+		s.random = random
+		for _, n := range s.nodes {
+			for _, model := range []string{"m1", "m2", "m3"} {
+				if random.IntN(3) == 0 {
+					n.held = append(n.held, Target{Model: model})
+				}
+			}
+		}
+		for range 40 {
+			if random.IntN(4) == 0 {
+				s.nodes[random.IntN(len(s.nodes))].slow = []float64{1, 1, 20, 60}[random.IntN(4)]
+			}
+			before := s.fleet()
+			s.second()
+			for _, act := range s.last.Acts {
+				if !act.Drain {
+					continue
+				}
+				if len(before.alone(before[act.Engine])) > 0 {
+					return fmt.Sprintf("%v was drained as a last holder", act.Engine)
+				}
+				for _, row := range s.ranker.Rows() {
+					if row.Engine != act.Engine && row.Score > act.Standing.Score && s.ranker.confirmed(s.now, s.ranker.engines[row.Engine]) && row.Refusal == Allowed {
+						return fmt.Sprintf("%v was drained before %v", act.Engine, row.Engine)
+					}
+				}
+			}
+			shut, all := s.fleet().shut(func(Engine) bool { return true })
+			if shut > all/4 {
+				return fmt.Sprintf("%d of %d are shut", shut, all)
+			}
+		}
+		return ""
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+// request is one request as its caller and its route see it. Only what its node does is recorded.
+type request struct {
+	house, route string
+	worth        float64
+	engine       int
+	pauses       []time.Duration
+	first        time.Duration
+	load, prompt int
+}
+
+// record is how a daemon records a request: of whose it is there is nothing to go by.
+func record(recorder *Recorder, r request) {
+	id := ident.EngineID(fmt.Sprintf("engine-%02d", r.engine))
+	stalls := recorder.Cell(id, Class{Kind: Stall, Pool: "pool", Model: "model", TargetMs: targetMs, Load: LoadBand(r.load)})
+	for _, pause := range r.pauses {
+		stalls.Pause(pause)
+	}
+	recorder.Cell(id, Class{Kind: Transfer, Pool: "pool", Model: "model", Load: LoadBand(r.load), Size: SizeBand(r.prompt)}).Delay(r.first)
+}
+
+// partial is a broken way: it takes the first house's word only.
+func partial(recorder *Recorder, r request) {
+	if r.house == "house-0" {
+		record(recorder, r)
+	}
+}
+
+// order gives the ranks after so many requests.
+func order(requests []request, record func(*Recorder, request)) string {
+	settings := DefaultSettings()
+	settings.StallFloor, settings.DelayFloorMs = 0, 1
+	ranker := NewRanker(settings)
+	fleet := Fleet{}
+	recorder := NewRecorder()
+	for _, r := range requests {
+		id := ident.EngineID(fmt.Sprintf("engine-%02d", r.engine))
+		fleet[id] = Engine{ID: id, Pool: "pool", Open: true}
+		record(recorder, r)
+	}
+	now := clock.Mark(time.Hour)
+	ranker.Take(now, "a", recorder.Take())
+	ranker.Step(now+1, fleet)
+	var out strings.Builder
+	for _, row := range ranker.Rows() {
+		fmt.Fprintf(&out, "%s %.6f %v\n", row.Engine, row.Score, row.Stage)
+	}
+	return out.String()
+}
+
+// Houses and routes may be changed about at will: the order stays the same.
+func TestOrderFollowsNodesAlone(t *testing.T) {
+	differed := false
+	parameters := gopter.DefaultTestParameters()
+	parameters.MinSuccessfulTests = 60
+	properties := gopter.NewProperties(parameters)
+	properties.Property("the order is the same", prop.ForAll(func(seed uint64) bool {
+		random := rand.New(rand.NewPCG(seed, 3))
+		slow := make([]float64, 8)
+		for place := range slow {
+			slow[place] = 1 + 20*random.Float64()*float64(random.IntN(2))
+		}
+		var requests []request
+		for range 400 {
+			r := request{house: fmt.Sprintf("house-%d", random.IntN(4)), route: fmt.Sprintf("route-%d", random.IntN(4)), worth: random.Float64(), engine: random.IntN(8),
+				load: 1 + random.IntN(60), prompt: random.IntN(9000)}
+			r.first = time.Duration(float64(r.prompt)*slow[r.engine]) * 40 * time.Microsecond
+			for range 1 + random.IntN(8) {
+				r.pauses = append(r.pauses, time.Duration(float64(10*time.Millisecond)*slow[r.engine]*(1+random.Float64()/5)))
+			}
+			requests = append(requests, r)
+		}
+		houses, routes := random.Perm(4), random.Perm(4)
+		changed := slices.Clone(requests)
+		for place, r := range changed {
+			var house, route int
+			fmt.Sscanf(r.house, "house-%d", &house)
+			fmt.Sscanf(r.route, "route-%d", &route)
+			changed[place].house, changed[place].route = fmt.Sprintf("house-%d", houses[house]), fmt.Sprintf("route-%d", routes[route])
+			changed[place].worth = 1 - r.worth
+		}
+		random.Shuffle(len(changed), func(i, j int) { changed[i], changed[j] = changed[j], changed[i] })
+		differed = differed || order(requests, partial) != order(changed, partial)
+		return order(requests, record) == order(changed, record)
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+	if !differed {
+		t.Fatal("a way that hears one house only must show")
+	}
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	if faults := DefaultSettings().Check(); len(faults) > 0 {
+		t.Fatalf("the usual ones are good: %v", faults)
+	}
+	if DefaultSettings().On {
+		t.Fatal("draining is off unless it is asked for")
+	}
+	for field, change := range map[string]func(*Settings){
+		"drainAt":       func(s *Settings) { s.DrainAt, s.ClearAt = 1.2, 1.1 },
+		"clearAt":       func(s *Settings) { s.ClearAt = s.DrainAt },
+		"spanMs":        func(s *Settings) { s.SpanMs = 0 },
+		"confirmMs":     func(s *Settings) { s.ConfirmMs = 0 },
+		"restMs":        func(s *Settings) { s.RestMs = 0 },
+		"restMostMs":    func(s *Settings) { s.RestMostMs = s.RestMs - 1 },
+		"trialMs":       func(s *Settings) { s.TrialMs = -1 },
+		"stallFloor":    func(s *Settings) { s.StallFloor = -0.1 },
+		"delayFloorMs":  func(s *Settings) { s.DelayFloorMs = 0 },
+		"mostOfPool":    func(s *Settings) { s.MostOfPool = 0.6 },
+		"mostOfZone":    func(s *Settings) { s.MostOfZone = 1 },
+		"mostOfHolders": func(s *Settings) { s.MostOfHolders = -1 },
+	} {
+		settings := DefaultSettings()
+		change(&settings)
+		if faults := settings.Check(); len(faults) != 1 || faults[0].Field != field {
+			t.Errorf("%s: %v", field, faults)
+		}
+	}
+}
+
+func TestRefusalsHaveWords(t *testing.T) {
+	fleet := newSite(9, nil).fleet()
+	if why := Refuse(DefaultSettings(), fleet, "nobody"); why != Unknown {
+		t.Fatal(why)
+	}
+	if why := Refuse(DefaultSettings(), fleet, "engine-00"); why != Allowed {
+		t.Fatal(why)
+	}
+	for why := Allowed; why < refusals; why++ {
+		if why.String() == "" || why.Reason() == "" {
+			t.Fatal(uint8(why))
+		}
+	}
+}
--- /dev/null
+++ b/process/ranking/recorder.go
@@ -0,0 +1,137 @@
+package ranking
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// Recorder keeps what a daemon measures of engines until it is told. It may be used by several at once.
+type Recorder struct {
+	mutex sync.Mutex
+	cells map[cellKey]*Cell
+	most  int
+	// Dropped counts measurements for which there was no more room.
+	dropped uint64
+}
+
+type cellKey struct {
+	engine ident.EngineID
+	class  Class
+}
+
+// Cell records one engine at one class of work. A nil one records nothing.
+type Cell struct {
+	mutex     sync.Mutex
+	histogram *hdrhistogram.Histogram
+	targetMs  int64
+	// idle counts the tellings since it last had anything to tell, held who may still record into it.
+	idle int
+}
+
+const (
+	// mostCells bounds a recorder's memory: 1.5 kB each.
+	mostCells = 2000
+	// idleTellings is for how many tellings a cell is kept that has nothing to tell.
+	idleTellings = 10
+)
+
+// NewRecorder makes an empty recorder.
+func NewRecorder() *Recorder { return &Recorder{cells: map[cellKey]*Cell{}, most: mostCells} }
+
+// Cell gives where an engine's measurements at a class of work go; nil if there is no more room.
+func (r *Recorder) Cell(engine ident.EngineID, class Class) *Cell {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	key := cellKey{engine, class}
+	cell := r.cells[key]
+	switch {
+	case cell != nil:
+		cell.idle = 0
+	case len(r.cells) >= r.most:
+		r.dropped++
+		return nil
+	default:
+		cell = &Cell{histogram: newHistogram(), targetMs: class.TargetMs}
+		r.cells[key] = cell
+	}
+	return cell
+}
+
+// Pause records the time between two events of a stream.
+func (c *Cell) Pause(pause time.Duration) {
+	if c != nil {
+		c.record(stallValue(pause, c.targetMs))
+	}
+}
+
+// Delay records the time that a first byte or a connection took.
+func (c *Cell) Delay(delay time.Duration) {
+	if c != nil {
+		c.record(clamp(delay.Milliseconds()))
+	}
+}
+
+func (c *Cell) record(value int64) {
+	c.mutex.Lock()
+	// A value within the bounds is always taken.
+	_ = c.histogram.RecordValue(value)
+	c.mutex.Unlock()
+}
+
+// take empties a cell.
+func (c *Cell) take() []Bucket {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.histogram.TotalCount() == 0 {
+		return nil
+	}
+	var out []Bucket
+	for _, bar := range c.histogram.Distribution() {
+		if bar.Count > 0 {
+			out = append(out, Bucket{Value: uint32(bar.To), Count: uint32(bar.Count)})
+		}
+	}
+	c.histogram.Reset()
+	return out
+}
+
+// Take gives what was measured since it was last asked for, and forgets it.
+func (r *Recorder) Take() []Digest {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var out []Digest
+	for key, cell := range r.cells {
+		buckets := cell.take()
+		if buckets == nil {
+			if cell.idle++; cell.idle > idleTellings {
+				// Whoever still holds it records for nobody; a stream that long at rest says nothing either.
+				delete(r.cells, key)
+			}
+			continue
+		}
+		cell.idle = 0
+		out = append(out, Digest{Engine: key.engine, Class: key.class, Buckets: buckets})
+	}
+	slices.SortFunc(out, func(a, b Digest) int {
+		return cmp.Or(cmp.Compare(a.Engine, b.Engine), compareClasses(a.Class, b.Class))
+	})
+	return out
+}
+
+// Dropped counts the measurements that found no room.
+func (r *Recorder) Dropped() uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.dropped
+}
+
+func compareClasses(a, b Class) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Model, b.Model), cmp.Compare(a.TargetMs, b.TargetMs),
+		cmp.Compare(a.Load, b.Load), cmp.Compare(a.Size, b.Size))
+}
--- /dev/null
+++ b/process/ranking/recorder_test.go
@@ -0,0 +1,132 @@
+package ranking
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+func TestRecorderTellsOnce(t *testing.T) {
+	r := NewRecorder()
+	class := Class{Kind: Stall, Pool: "p", TargetMs: 400, Load: 3}
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			cell := r.Cell("e", class)
+			for range 1000 {
+				cell.Pause(40 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+	told := r.Take()
+	if len(told) != 1 || told[0].Samples() != 8000 || len(told[0].Buckets) != 1 {
+		t.Fatalf("all of it, in one bucket: %v", told)
+	}
+	if value := told[0].Buckets[0].Value; value < 94 || value > 107 {
+		t.Fatalf("a tenth of the longest pause aimed at, within a sixteenth: %d", value)
+	}
+	if again := r.Take(); len(again) != 0 {
+		t.Fatalf("told once: %v", again)
+	}
+}
+
+func TestRecorderIsBounded(t *testing.T) {
+	r := NewRecorder()
+	r.most = 3
+	for place := range 5 {
+		r.Cell(ident.EngineID(fmt.Sprint(place)), Class{}).Delay(time.Second)
+	}
+	if len(r.Take()) != 3 || r.Dropped() != 2 {
+		t.Fatal(r.Dropped())
+	}
+	for range idleTellings + 1 {
+		r.Take()
+	}
+	if r.Cell("new", Class{}) == nil {
+		t.Fatal("what is not used any more gives way")
+	}
+}
+
+func TestRecordingAllocatesNothing(t *testing.T) {
+	r := NewRecorder()
+	cell := r.Cell("e", Class{Kind: Stall})
+	if n := testing.AllocsPerRun(1000, func() { cell.Pause(10 * time.Millisecond) }); n != 0 {
+		t.Fatalf("%v allocations an event", n)
+	}
+	var none *Cell
+	none.Pause(time.Second)
+	none.Delay(time.Second)
+	if n := testing.AllocsPerRun(1000, func() { r.Cell("e", Class{Kind: Stall}) }); n != 0 {
+		t.Fatalf("%v allocations an attempt", n)
+	}
+}
+
+// Values beyond any bound are taken as the bound.
+func TestOddValuesAreClamped(t *testing.T) {
+	r := NewRecorder()
+	cell := r.Cell("e", Class{Kind: Transfer})
+	for _, delay := range []time.Duration{-time.Hour, 0, 1000 * time.Hour} {
+		cell.Delay(delay)
+	}
+	if told := r.Take(); told[0].Samples() != 3 {
+		t.Fatal(told)
+	}
+	e := newEvidence(8 * time.Second)
+	e.take("a", []Digest{{"e", Class{Kind: Connect}, []Bucket{{Value: 4_000_000_000, Count: 9}}}})
+	if m := e.measures(false); len(m) != 1 || m[0].value < mostValue/2 {
+		t.Fatal(m)
+	}
+}
+
+func BenchmarkPause(b *testing.B) {
+	cell := NewRecorder().Cell("e", Class{Kind: Stall, TargetMs: 400})
+	b.ReportAllocs()
+	for b.Loop() {
+		cell.Pause(20 * time.Millisecond)
+	}
+}
+
+func BenchmarkCell(b *testing.B) {
+	r := NewRecorder()
+	for place := range 1000 {
+		r.Cell(ident.EngineID(fmt.Sprint("engine-", place)), Class{Kind: Stall, TargetMs: 400, Pool: "pool", Model: "model"})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Cell("engine-500", Class{Kind: Stall, TargetMs: 400, Pool: "pool", Model: "model"})
+	}
+}
+
+// A step of the size to design for: 1,400 engines in seven pools seen from 16 zones.
+func BenchmarkStep(b *testing.B) {
+	for _, engines := range []int{9, 200, 1400} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			settings := DefaultSettings()
+			ranker := NewRanker(settings)
+			fleet := Fleet{}
+			now := clock.Mark(time.Hour)
+			for place := range engines {
+				id := ident.EngineID(fmt.Sprintf("engine-%04d", place))
+				pool := fmt.Sprint("pool-", place*7/max(engines, 8))
+				fleet[id] = Engine{ID: id, Pool: pool, Zone: ident.ZoneID(fmt.Sprint(place % 16)), Open: true, Held: []Target{{Model: "a"}, {Model: "b"}}}
+				for zone := range 4 {
+					var digests []Digest
+					for load := range 2 {
+						digests = append(digests, Digest{id, Class{Kind: Stall, Pool: pool, Model: "a", TargetMs: 400, Load: uint8(4 + load)}, []Bucket{{20, 40}, {25, 30}, {30, 4}, {60, 1}}})
+						digests = append(digests, Digest{id, Class{Kind: Transfer, Pool: pool, Model: "a", Load: uint8(4 + load), Size: 4}, []Bucket{{60, 4}, {90, 3}, {120, 1}}})
+					}
+					ranker.Take(now, ident.ZoneID(fmt.Sprint((place+zone)%16)), digests)
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				ranker.Step(now, fleet)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/process/ranking/score.go
@@ -0,0 +1,306 @@
+package ranking
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// Standing is how one engine stands against others with like work.
+type Standing struct {
+	Engine ident.EngineID
+	// Score is how many times slower it is than others: 1 is as they are, 0 not enough is known.
+	Score float64
+	// Kind is what it is slow in, Value and Peers what was measured of it and of the others there.
+	Kind         Kind
+	Value, Peers float64
+	Samples      int
+	// Observers is from how many zones it is seen, Paths from which ones alone it is slow.
+	Observers int
+	Paths     []ident.ZoneID
+}
+
+// rules are the ways of judging. Each is a function, so that a test can show what a broken one would do.
+type rules struct {
+	// others is what an engine is held against, from the values of all others, sorted.
+	others func(values []float64) float64
+	// explained is by how many times more work can slow an engine down, by so many powers of two.
+	explained func(powers int) float64
+	// across makes one score of those seen from several zones, sorted.
+	across func(scores []float64) float64
+	// outside says whether a value is beyond how much the others differ among themselves.
+	outside func(value, others, spread float64) bool
+	// worse orders the engines that are to be drained.
+	worse func(a, b Standing) int
+	// refusals say why an engine may not be drained now, the gravest first.
+	refusals []refusal
+}
+
+func usualRules() rules {
+	return rules{others: median, explained: explained, across: mostSee, outside: outside, worse: worse, refusals: usualRefusals()}
+}
+
+const (
+	// leastPeers is how many others an engine is held against at least: of two nobody can say which one is slow.
+	leastPeers = 2
+	// mostApart is how many powers of two of work may lie between what is compared.
+	mostApart = 3
+)
+
+// median of sorted values.
+func median(values []float64) float64 {
+	n := len(values)
+	return (values[(n-1)/2] + values[n/2]) / 2
+}
+
+// explained: a batch of twice as many, or a prompt twice as long, takes twice as long at most.
+func explained(powers int) float64 { return float64(uint64(1) << powers) }
+
+// mostSee: an engine is as slow as more than half of the zones see it, or it is the path that is slow.
+func mostSee(scores []float64) float64 { return scores[(len(scores)-1)/2] }
+
+// outside by three deviations, and never within a quarter of the others' value, however alike they are.
+func outside(value, others, spread float64) bool {
+	return value > others+max(3*1.4826*spread, others/4)
+}
+
+// worse puts the slowest first; equals go by id, so that all planners agree.
+func worse(a, b Standing) int {
+	return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.Engine, b.Engine))
+}
+
+// base is what is the same of all that is compared with each other, but for how much work it was.
+type base struct {
+	observer    ident.ZoneID
+	kind        Kind
+	pool, model string
+	targetMs    int64
+}
+
+type band struct{ load, size uint8 }
+
+// apart is by how many powers of two the work at b was more than at other; false where they are too far apart. Where
+// the other had more work it is taken as it is: with less it could only have been quicker.
+func (b band) apart(other band) (more, distance int, near bool) {
+	load, size := int(b.load)-int(other.load), int(b.size)-int(other.size)
+	more, distance = max(0, load)+max(0, size), max(load, -load)+max(size, -size)
+	return more, distance, distance <= mostApart
+}
+
+type view struct {
+	score, value, others float64
+	samples              int
+}
+
+// compare holds each engine against the others of its base.
+func (r rules) compare(s Settings, kind Kind, members map[ident.EngineID]map[band]measure) map[ident.EngineID][]view {
+	out := map[ident.EngineID][]view{}
+	if len(members) <= leastPeers {
+		return out
+	}
+	ids := make([]ident.EngineID, 0, len(members))
+	bands := map[band]bool{}
+	for id, list := range members {
+		ids = append(ids, id)
+		for b := range list {
+			bands[b] = true
+		}
+	}
+	slices.Sort(ids)
+	type peer struct {
+		id    ident.EngineID
+		value float64
+	}
+	for b := range bands {
+		// What each engine would show at this much work, by what it showed at the nearest.
+		var peers []peer
+		for _, id := range ids {
+			best, bestValue := mostApart+1, 0.0
+			for other, m := range members[id] {
+				more, distance, near := b.apart(other)
+				if value := m.value * r.explained(more); near && (distance < best || distance == best && value > bestValue) {
+					best, bestValue = distance, value
+				}
+			}
+			if best <= mostApart {
+				peers = append(peers, peer{id, bestValue})
+			}
+		}
+		if len(peers) <= leastPeers {
+			continue
+		}
+		slices.SortFunc(peers, func(a, b peer) int { return cmp.Or(cmp.Compare(a.value, b.value), cmp.Compare(a.id, b.id)) })
+		others := make([]float64, 0, len(peers))
+		for _, p := range peers {
+			others = append(others, p.value)
+		}
+		spread := deviation(others)
+		for place, p := range peers {
+			m, own := members[p.id][b]
+			if !own {
+				continue
+			}
+			rest := make([]float64, 0, len(others)-1)
+			if len(others) <= 64 {
+				rest = append(append(rest, others[:place]...), others[place+1:]...)
+			} else {
+				// Among so many one more or less does not move the middle.
+				rest = others
+			}
+			against := r.others(rest)
+			v := view{score: 1, value: m.value, others: against, samples: m.samples}
+			if m.value >= s.floor(kind) && r.outside(m.value, against, spread) {
+				// What lies below the floor is as good as the floor's half: from 1 ms to 20 is nobody's pain.
+				v.score = m.value / max(against, s.floor(kind)/4, 1)
+			}
+			out[p.id] = append(out[p.id], v)
+		}
+	}
+	return out
+}
+
+// floor is the value below which nothing counts as slow.
+func (s Settings) floor(kind Kind) float64 {
+	if kind == Stall {
+		return 1000 * s.StallFloor
+	}
+	return float64(s.DelayFloorMs)
+}
+
+// deviation is the median of how far values lie from their own median.
+func deviation(sorted []float64) float64 {
+	middle := median(sorted)
+	off := make([]float64, 0, len(sorted))
+	for _, value := range sorted {
+		off = append(off, math.Abs(value-middle))
+	}
+	slices.Sort(off)
+	return median(off)
+}
+
+// joint is the middle of several views, each counted by its measurements.
+func joint(views []view) view {
+	slices.SortFunc(views, func(a, b view) int {
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.value, b.value), cmp.Compare(a.samples, b.samples))
+	})
+	total := 0
+	for _, v := range views {
+		total += v.samples
+	}
+	reached := 0
+	for _, v := range views {
+		if reached += v.samples; 2*reached >= total {
+			v.samples = total
+			return v
+		}
+	}
+	return view{}
+}
+
+// seen is one engine from one zone, in one kind of measurement.
+type seen struct {
+	engine   ident.EngineID
+	observer ident.ZoneID
+	kind     Kind
+}
+
+// views compares all that was measured; overall puts all models of a pool together.
+func (r rules) views(s Settings, measures []measure) map[seen][]view {
+	bases := map[base]map[ident.EngineID]map[band]measure{}
+	for _, m := range measures {
+		c := m.class
+		at := base{m.observer, c.Kind, c.Pool, c.Model, c.TargetMs}
+		if bases[at] == nil {
+			bases[at] = map[ident.EngineID]map[band]measure{}
+		}
+		if bases[at][m.engine] == nil {
+			bases[at][m.engine] = map[band]measure{}
+		}
+		bases[at][m.engine][band{c.Load, c.Size}] = m
+	}
+	out := map[seen][]view{}
+	for at, members := range bases {
+		for engine, views := range r.compare(s, at.kind, members) {
+			key := seen{engine, at.observer, at.kind}
+			out[key] = append(out[key], views...)
+		}
+	}
+	return out
+}
+
+func samplesOf(views []view) int {
+	total := 0
+	for _, v := range views {
+		total += v.samples
+	}
+	return total
+}
+
+// rank gives how each engine stands, the worst first.
+func (r rules) rank(s Settings, e *evidence) []Standing {
+	// Engines with the same model are compared first. Where too few have it, all models count together.
+	alike, overall := r.views(s, e.measures(false)), r.views(s, e.measures(true))
+	type zoned struct {
+		view
+		kind Kind
+	}
+	byZone := map[ident.EngineID]map[ident.ZoneID]zoned{}
+	for key, views := range overall {
+		if same := alike[key]; 2*samplesOf(same) >= samplesOf(views) {
+			views = same
+		}
+		one := joint(views)
+		if byZone[key.engine] == nil {
+			byZone[key.engine] = map[ident.ZoneID]zoned{}
+		}
+		// The kind in which it is slowest says how slow it is.
+		if known, any := byZone[key.engine][key.observer]; !any || one.score > known.score || one.score == known.score && key.kind < known.kind {
+			byZone[key.engine][key.observer] = zoned{one, key.kind}
+		}
+	}
+	zones := map[ident.ZoneID]bool{}
+	for _, list := range byZone {
+		for zone := range list {
+			zones[zone] = true
+		}
+	}
+	out := make([]Standing, 0, len(byZone))
+	for engine, list := range byZone {
+		standing := Standing{Engine: engine, Observers: len(list)}
+		scores := make([]float64, 0, len(list))
+		for _, one := range list {
+			scores = append(scores, one.score)
+			standing.Samples += one.samples
+		}
+		slices.Sort(scores)
+		if len(list) >= min(2, len(zones)) {
+			// One zone alone can't tell an engine from the path to it, where there are more to ask.
+			standing.Score = r.across(scores)
+		}
+		nearest := math.Inf(1)
+		for _, zone := range sortedZones(list) {
+			one := list[zone]
+			if off := math.Abs(one.score - standing.Score); off < nearest {
+				nearest = off
+				standing.Kind, standing.Value, standing.Peers = one.kind, one.value, one.others
+			}
+			if one.score >= s.DrainAt && standing.Score < s.DrainAt {
+				standing.Paths = append(standing.Paths, zone)
+			}
+		}
+		out = append(out, standing)
+	}
+	slices.SortFunc(out, r.worse)
+	return out
+}
+
+func sortedZones[V any](list map[ident.ZoneID]V) []ident.ZoneID {
+	out := make([]ident.ZoneID, 0, len(list))
+	for zone := range list {
+		out = append(out, zone)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/process/ranking/settings.go
@@ -0,0 +1,70 @@
+package ranking
+
+import (
+	"fmt"
+	"time"
+)
+
+// Settings say when an engine counts as sick, and how many may be drained for it.
+type Settings struct {
+	// On has the worst drained; otherwise they are ranked only.
+	On bool `json:"on"`
+	// DrainAt is how many times slower than like work elsewhere an engine is drained, ClearAt below what it counts as
+	// sound again.
+	DrainAt float64 `json:"drainAt"`
+	ClearAt float64 `json:"clearAt"`
+	// ConfirmMs is for how long it must have been that slow, SpanMs the time over which it is measured.
+	ConfirmMs int64 `json:"confirmMs"`
+	SpanMs    int64 `json:"spanMs"`
+	// RestMs is how long a drained engine rests before it is tried, doubled each time up to RestMostMs; TrialMs is
+	// for how long it must then be sound.
+	RestMs     int64 `json:"restMs"`
+	RestMostMs int64 `json:"restMostMs"`
+	TrialMs    int64 `json:"trialMs"`
+	// StallFloor is the pause, as a share of the longest one aimed at, below which nothing counts as slow;
+	// DelayFloorMs the same of first bytes and connections.
+	StallFloor   float64 `json:"stallFloor"`
+	DelayFloorMs int64   `json:"delayFloorMs"`
+	// MostOfPool, MostOfZone and MostOfHolders are the shares of a pool, of a zone's engines in it, and of the holders
+	// of a model that may be shut at once, whatever shut them.
+	MostOfPool    float64 `json:"mostOfPool"`
+	MostOfZone    float64 `json:"mostOfZone"`
+	MostOfHolders float64 `json:"mostOfHolders"`
+}
+
+// DefaultSettings rank and drain nothing.
+func DefaultSettings() Settings {
+	return Settings{DrainAt: 3, ClearAt: 1.6, ConfirmMs: 3000, SpanMs: 8000, RestMs: 15000, RestMostMs: 240000, TrialMs: 8000,
+		StallFloor: 0.5, DelayFloorMs: 150, MostOfPool: 0.25, MostOfZone: 0.5, MostOfHolders: 0.5}
+}
+
+// Fault is one limit that makes no sense.
+type Fault struct{ Field, Reason string }
+
+// Check gives every fault at once.
+func (s Settings) Check() []Fault {
+	var faults []Fault
+	say := func(wrong bool, field, reason string, values ...any) {
+		if wrong {
+			faults = append(faults, Fault{field, fmt.Sprintf(reason, values...)})
+		}
+	}
+	say(!(s.DrainAt >= 1.5 && s.DrainAt <= 1000), "drainAt", "must be 1.5 to 1000: engines with like work differ by less than that when all are sound")
+	say(!(s.ClearAt >= 1 && s.ClearAt < s.DrainAt), "clearAt", "must be at least 1 and below drainAt, or an engine would go and come by turns")
+	say(s.SpanMs < 2000 || s.SpanMs > 600_000, "spanMs", "must be 2000 to 600000")
+	say(s.ConfirmMs < 500 || s.ConfirmMs > 600_000, "confirmMs", "must be 500 to 600000")
+	say(s.RestMs < 1000 || s.RestMs > 3_600_000, "restMs", "must be 1000 to 3600000")
+	say(s.RestMostMs < s.RestMs, "restMostMs", "must be at least restMs (%d)", s.RestMs)
+	say(s.TrialMs < 500 || s.TrialMs > 600_000, "trialMs", "must be 500 to 600000")
+	say(!(s.StallFloor >= 0 && s.StallFloor <= 100), "stallFloor", "must be 0 to 100")
+	say(s.DelayFloorMs < 1 || s.DelayFloorMs > mostValue, "delayFloorMs", "must be 1 to %d", mostValue)
+	for _, share := range []struct {
+		field string
+		value float64
+	}{{"mostOfPool", s.MostOfPool}, {"mostOfZone", s.MostOfZone}, {"mostOfHolders", s.MostOfHolders}} {
+		say(!(share.value >= 0 && share.value <= 0.5), share.field, "must be 0 to 0.5: more than half can't be the exception")
+	}
+	return faults
+}
+
+func ms(value int64) time.Duration { return time.Duration(value) * time.Millisecond }
