--- a/cmd/cresspond/main.go
+++ b/cmd/cresspond/main.go
@@ -73,6 +73,7 @@
 	showID := show.Arg("id", "The proposal's id.").Required().String()
 
 	bundles := addBundleCommands(app)
+	ranks := addNodeCommands(app)
 
 	zones := app.Command("zone", "Close or open a zone.")
 	zoneClose := zones.Command("close", "Send nothing more to a zone's engines.")
@@ -157,6 +158,9 @@
 		if done, err = bundles.run(t, chosenCommand, *operator, needsOperator); done {
 			break
 		}
+		if done, err = ranks.run(t, chosenCommand, *operator, needsOperator); done {
+			break
+		}
 		needsOperator()
 		err = t.post(paths[chosenCommand], operatorapi.Act{ProposalID: *acts[chosenCommand], Operator: *operator})
 	}
--- a/connection/engineconn/engineconn.go
+++ b/connection/engineconn/engineconn.go
@@ -72,7 +72,9 @@
 type Cancel struct {
 	mutex sync.Mutex
 	done  bool
-	stop  func()
+	// interrupted says that what is under way was stopped, and that only.
+	interrupted bool
+	stop        func()
 }
 
 // Now ends it, and whatever begins after.
@@ -93,12 +95,24 @@
 	return c.done
 }
 
-// set names what to stop; it says false when it has already ended.
+// Interrupt ends what is under way now, and nothing that begins after. It stops under the lock, so that a connection
+// is never closed that was given back meanwhile.
+func (c *Cancel) Interrupt() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.stop != nil {
+		c.stop()
+		c.stop, c.interrupted = nil, true
+	}
+}
+
+// set names what to stop; it says false when that has already ended.
 func (c *Cancel) set(stop func()) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.stop = stop
-	return !c.done
+	going := !c.done && (stop != nil || !c.interrupted)
+	c.stop, c.interrupted = stop, false
+	return going
 }
 
 // Counters are counted over a daemon's life.
@@ -291,12 +305,14 @@
 			return &Answer{Outcome: HeldBack, Reason: "no connection to the engine is free"}
 		}
 		fresh := one == nil
+		var connected time.Duration
 		if fresh {
+			asked := p.clock.Elapsed()
 			made, reason := p.fresh(a, key)
 			if made == nil {
 				return &Answer{Outcome: NeverSent, Reason: reason}
 			}
-			one = made
+			one, connected = made, max(made.idleSince.Since(asked), 1)
 		}
 		// Bytes or an end on a kept connection belong to no request of ours, so another one is taken.
 		if !fresh && one.stirs() {
@@ -308,7 +324,9 @@
 		if !fresh {
 			p.Counters.Reused.Add(1)
 		}
-		return p.over(one, a, key)
+		answer := p.over(one, a, key)
+		answer.Connected = connected
+		return answer
 	}
 }
 
@@ -418,8 +436,10 @@
 // Answer is what became of an attempt and, where it was answered, the answer.
 type Answer struct {
 	Outcome Outcome
-	Reason  string
-	Head    dialect.Head
+	// Connected is how long its connection took to make; zero is one that was kept.
+	Connected time.Duration
+	Reason    string
+	Head      dialect.Head
 
 	pools    *Pools
 	key      engineKey
--- a/connection/gateway/gateway.go
+++ b/connection/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/cresspond/cresspond/connection/engineconn"
 	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ranking"
 	"github.com/cresspond/cresspond/process/registry"
 	"github.com/cresspond/cresspond/request/forwarding"
 	"github.com/cresspond/cresspond/wire/dialect"
@@ -32,6 +33,8 @@
 	// Draining says that whoever is answered should connect elsewhere next time.
 	Draining func() bool
 	Settings forwarding.Settings
+	// Recorder takes what is measured of engines' nodes; nil measures nothing.
+	Recorder *ranking.Recorder
 }
 
 // Counters are counted over a daemon's life.
@@ -87,9 +90,32 @@
 	head   fasthttp.RequestHeader
 	body   []byte
 	send   *forwarding.Send
+	node   nodeWatch
 	// lastEvent is the last one passed on.
 	lastEvent string
 	begun     atomic.Bool
+	// named says that an event with an id went on, after which another engine can go on.
+	named atomic.Bool
+}
+
+// MoveOff stops what is under way at engines that are emptied, where it can go on elsewhere.
+func (g *Gateway) MoveOff() {
+	var flights []*flight
+	g.watcher.each(func(f *flight) { flights = append(flights, f) })
+	if len(flights) == 0 {
+		return
+	}
+	// Between the core's decision and the stop no next attempt can begin, since only the core begins one.
+	g.actor.Ask(func(c *forwarding.Core, w forwarding.World) {
+		for _, f := range flights {
+			if f.begun.Load() && !f.named.Load() || f.left.Load() {
+				continue
+			}
+			if c.MoveOff(f.record, w) {
+				f.cancel.Interrupt()
+			}
+		}
+	})
 }
 
 // headBytes is how long a request's head is, its first line with it.
@@ -266,10 +292,12 @@
 // attempt makes one attempt and waits for the head of its answer.
 func (f *flight) attempt(send *forwarding.Send) *engineconn.Answer {
 	f.send = send
-	return f.pools.Send(engineconn.Attempt{
+	answer := f.pools.Send(engineconn.Attempt{
 		Engine: send.Engine, Address: send.Address, ID: f.record.Ask.Attempt, Head: &f.head, Dress: f.dress, Body: f.body, Careful: send.Careful,
 		MostConnections: send.MostConnections, Until: f.record.Deadline + clock.Mark(f.Settings.DeadlineSlack), LastLook: f.lastLook, Cancel: &f.cancel,
 	})
+	f.connected(answer)
+	return answer
 }
 
 // dress writes what is the attempt's own, as late as can be, since the time left goes by meanwhile.
@@ -299,6 +327,8 @@
 	}
 	if reason != "" {
 		f.Counters.LastLookStops.Add(1)
+	} else {
+		f.leaves()
 	}
 	return reason
 }
@@ -325,6 +355,7 @@
 		answer.Close()
 		return nil, forwarding.Lost
 	}
+	f.firstByte(status)
 	f.copyHead(answer)
 	if !answer.Whole() && len(body) == mostWhole {
 		return f.takeLong(answer, body), forwarding.Whole
--- a/connection/gateway/gateway_test.go
+++ b/connection/gateway/gateway_test.go
@@ -118,6 +118,8 @@
 	draining atomic.Bool
 	actor    *forwarding.Actor
 	pools    *engineconn.Pools
+	// emptied says which engines were shut by rank.
+	emptied atomic.Pointer[func(*registry.Engine) bool]
 	// beforeLook is called when an engine is reached, right before the last look.
 	beforeLook func()
 }
@@ -139,7 +141,11 @@
 	settings.RetrySlack = 1000
 	var minted atomic.Int64
 	f.actor = forwarding.NewActor(settings, func() forwarding.World {
-		return forwarding.World{Now: clock.System{}.Elapsed(), Index: f.index.Load(), Current: true, View: f.view.Load(), Edges: 1, Leased: f.held.Load(),
+		emptied := func(engine *registry.Engine) bool {
+			isEmptied := f.emptied.Load()
+			return isEmptied != nil && (*isEmptied)(engine)
+		}
+		return forwarding.World{Now: clock.System{}.Elapsed(), Emptied: emptied, Open: func(engine *registry.Engine) bool { return !emptied(engine) }, Index: f.index.Load(), Current: true, View: f.view.Load(), Edges: 1, Leased: f.held.Load(),
 			Mint: func() (ident.MintedID, bool) { return ident.MintedID(minted.Add(1)), f.held.Load() }}
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/connection/gateway/node.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"io"
+	"time"
+
+	"github.com/cresspond/cresspond/connection/engineconn"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ranking"
+)
+
+// nodeWatch is what is measured of the engine that an attempt is at. Of the request itself nothing goes along but
+// how much work it is.
+type nodeWatch struct {
+	// left is when the attempt's first byte was about to leave, last when its newest event came, awaited since when
+	// the next is waited for.
+	left, last, awaited clock.Mark
+	stalls              *ranking.Cell
+}
+
+func (f *flight) class(kind ranking.Kind) ranking.Class {
+	class := ranking.Class{Kind: kind, Pool: f.send.Pool}
+	if kind == ranking.Connect {
+		return class
+	}
+	class.Model, class.Load = f.record.Ask.Model, ranking.LoadBand(f.send.Running)
+	switch kind {
+	case ranking.Stall:
+		class.TargetMs = f.send.GapTargetMs
+	case ranking.Transfer:
+		class.Size = ranking.SizeBand(f.send.Reading)
+	}
+	return class
+}
+
+// connected records how long a fresh connection took.
+func (f *flight) connected(answer *engineconn.Answer) {
+	if f.Recorder != nil && answer.Connected > 0 {
+		f.Recorder.Cell(f.send.Engine, f.class(ranking.Connect)).Delay(answer.Connected)
+	}
+}
+
+// leaves notes that an attempt's first byte is about to leave.
+func (f *flight) leaves() {
+	if f.Recorder != nil {
+		f.node = nodeWatch{left: f.Clock.Elapsed()}
+	}
+}
+
+// firstByte records how long the first byte of an answer took. Only what went well took the time that its work takes.
+func (f *flight) firstByte(status int) {
+	if f.Recorder == nil || status < 200 || status >= 300 {
+		return
+	}
+	now := f.Clock.Elapsed()
+	f.Recorder.Cell(f.send.Engine, f.class(ranking.Transfer)).Delay(now.Since(f.node.left))
+	f.node.last = now
+}
+
+// awaits notes that the next event is waited for.
+func (s *stream) awaits() {
+	if s.Recorder != nil {
+		s.node.awaited = s.Clock.Elapsed()
+	}
+}
+
+// came records the pause before an event, or before the failure that came in its place.
+func (s *stream) came(err error) {
+	if s.Recorder == nil || err == io.EOF || s.left.Load() {
+		return
+	}
+	now, before := s.Clock.Elapsed(), s.node.last
+	s.node.last = now
+	// Where the caller was slow to take what went before, the pause is the caller's and not the engine's.
+	if before == 0 || s.node.awaited.Since(before) > now.Since(before)/2 && now.Since(before) > time.Millisecond {
+		return
+	}
+	if s.node.stalls == nil {
+		s.node.stalls = s.Recorder.Cell(s.send.Engine, s.class(ranking.Stall))
+	}
+	s.node.stalls.Pause(now.Since(before))
+}
--- /dev/null
+++ b/connection/gateway/node_test.go
@@ -0,0 +1,235 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ranking"
+	"github.com/cresspond/cresspond/process/registry"
+	"github.com/cresspond/cresspond/request/forwarding"
+	"github.com/cresspond/cresspond/wire/dialect"
+)
+
+// tester is a clock that goes on only when told to.
+type tester struct{ now clock.Mark }
+
+func (c *tester) Elapsed() clock.Mark { return c.now }
+func (c *tester) Wall() time.Time     { return time.Time{} }
+
+// paused gives one event a read, each after a pause of its own.
+type paused struct {
+	clock  *tester
+	pauses []time.Duration
+	next   int
+}
+
+func (p *paused) Read(into []byte) (int, error) {
+	if p.next == len(p.pauses) {
+		return 0, io.EOF
+	}
+	p.clock.now += clock.Mark(p.pauses[p.next])
+	p.next++
+	return copy(into, fmt.Sprintf("id: %d\ndata: x\n\n", p.next)), nil
+}
+
+// measured is a stream whose engine pauses so; slow is how long its caller takes before each read.
+func measured(pauses []time.Duration, slow time.Duration, change func(*forwarding.Record, *forwarding.Send)) []ranking.Digest {
+	watch := &tester{now: clock.Mark(time.Hour)}
+	recorder := ranking.NewRecorder()
+	record := forwarding.Record{Ask: dialect.Ask{Model: "m", Attempt: "a"}, Path: &forward.Path{Name: "one", Host: "h", Rank: 1}}
+	send := forwarding.Send{Engine: "e", Pool: "p", Running: 9, Reading: 1000, GapTargetMs: 100}
+	if change != nil {
+		change(&record, &send)
+	}
+	f := &flight{Gateway: &Gateway{Surroundings: Surroundings{Clock: watch, Recorder: recorder}}, record: &record, send: &send}
+	s := &stream{flight: f, events: bufio.NewReaderSize(&paused{clock: watch, pauses: pauses}, eventBuffer)}
+	f.leaves()
+	if err := s.nextEvent(); err != nil {
+		panic(err)
+	}
+	f.firstByte(200)
+	for {
+		if len(s.pending) == 0 {
+			watch.now += clock.Mark(slow)
+		}
+		if _, err := s.Read(make([]byte, 4096)); err != nil {
+			break
+		}
+	}
+	return recorder.Take()
+}
+
+func values(digests []ranking.Digest, kind ranking.Kind) (out []uint32) {
+	for _, digest := range digests {
+		if digest.Class.Kind == kind {
+			for _, bucket := range digest.Buckets {
+				for range bucket.Count {
+					out = append(out, bucket.Value)
+				}
+			}
+		}
+	}
+	return out
+}
+
+func about(got []uint32, want ...uint32) bool {
+	return slices.EqualFunc(got, want, func(a, b uint32) bool { return a >= b-b/8 && a <= b+b/8 })
+}
+
+func TestPausesAreMeasured(t *testing.T) {
+	told := measured([]time.Duration{300 * time.Millisecond, 20 * time.Millisecond, 20 * time.Millisecond, time.Second}, 0, nil)
+	if got := values(told, ranking.Transfer); !about(got, 300) {
+		t.Fatalf("the first event came after 300 ms: %v", got)
+	}
+	if got := values(told, ranking.Stall); !about(got, 200, 200, 10_000) {
+		t.Fatalf("two pauses of a fifth of the longest aimed at, one of ten times: %v", got)
+	}
+	for _, digest := range told {
+		if digest.Engine != "e" || digest.Class.Pool != "p" || digest.Class.Model != "m" || digest.Class.Load != ranking.LoadBand(9) {
+			t.Fatalf("%+v", digest)
+		}
+	}
+}
+
+// A caller that takes its time makes the engine wait, so that what it then shows is the caller's pause.
+func TestSlowCallersPausesAreNotTheEngines(t *testing.T) {
+	if got := values(measured([]time.Duration{1e6, 1e6, 1e6, 1e6}, 2*time.Second, nil), ranking.Stall); len(got) > 0 {
+		t.Fatalf("the caller was slow: %v", got)
+	}
+	if got := values(measured([]time.Duration{1e6, 3e9, 3e9}, time.Second, nil), ranking.Stall); len(got) != 2 {
+		t.Fatalf("the engine was slower than its caller: %v", got)
+	}
+}
+
+// Nothing of a request's house or route changes what is recorded.
+func TestNothingOfTheRouteIsRecorded(t *testing.T) {
+	pauses := []time.Duration{3e8, 2e7, 1e9}
+	usual := fmt.Sprint(measured(pauses, 0, nil))
+	for name, change := range map[string]func(*forwarding.Record, *forwarding.Send){
+		"route": func(r *forwarding.Record, _ *forwarding.Send) {
+			r.Path = &forward.Path{Name: "other", Host: "else", Prefix: "/x/", Rank: 7}
+		},
+		"host":    func(r *forwarding.Record, _ *forwarding.Send) { r.Host, r.Prefixed = "house-7", "/y/" },
+		"attempt": func(r *forwarding.Record, _ *forwarding.Send) { r.Ask.Attempt = "another" },
+		"parts": func(r *forwarding.Record, _ *forwarding.Send) {
+			r.Ask.Parts = []dialect.Part{{ID: "session-of-house-3"}}
+		},
+		"urgency": func(_ *forwarding.Record, s *forwarding.Send) { s.Urgency, s.Careful, s.Stamped = 5, true, true },
+	} {
+		if got := fmt.Sprint(measured(pauses, 0, change)); got != usual {
+			t.Errorf("%s: %s\nwas %s", name, got, usual)
+		}
+	}
+}
+
+// readUntil reads up to and with a text.
+func readUntil(t *testing.T, reader *bufio.Reader, text string) string {
+	t.Helper()
+	var got []byte
+	for !bytes.Contains(got, []byte(text)) {
+		next, err := reader.ReadByte()
+		if err != nil {
+			t.Fatalf("%v after %q", err, got)
+		}
+		got = append(got, next)
+	}
+	return string(got)
+}
+
+func TestWholeAnswersAndConnectionsAreMeasured(t *testing.T) {
+	engine := newStandIn(t, "e1", func(a arrival) bool { say(a, whole(idOf(a), "fine")); return true })
+	f := newFixture(t, engine)
+	f.gateway.Recorder = ranking.NewRecorder()
+	f.call(ask("once", "a1", "x"))
+	f.call(ask("once", "a2", "x"))
+	told := f.gateway.Recorder.Take()
+	if len(values(told, ranking.Transfer)) != 2 || len(values(told, ranking.Connect)) == 0 || len(values(told, ranking.Stall)) != 0 {
+		t.Fatalf("two answers: %v", told)
+	}
+}
+
+// A resumable stream under way at an engine that is emptied goes on at another one, each event once; one that may not
+// run twice stays to its end.
+func TestStreamsMoveOffAnEmptiedEngine(t *testing.T) {
+	release := make(chan struct{})
+	head := func(a arrival) string {
+		return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + idOf(a) + "\r\nCresspond-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	}
+	piece := func(n int) string {
+		text := fmt.Sprintf("id: %d\ndata: x\n\n", n)
+		return fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+	}
+	var first string
+	serve := func() func(a arrival) bool {
+		return func(a arrival) bool {
+			from := 1
+			if after := a.request.Header.Get("Last-Event-Id"); after != "" {
+				_, _ = fmt.Sscan(after, &from)
+				from++
+			}
+			say(a, head(a)+piece(from))
+			if from == 1 {
+				// It stalls here, until it is let go on.
+				select {
+				case <-release:
+				case <-t.Context().Done():
+				}
+			}
+			for n := from + 1; n <= 4; n++ {
+				say(a, piece(n))
+			}
+			say(a, lastChunk)
+			return true
+		}
+	}
+	one, two := newStandIn(t, "e1", serve()), newStandIn(t, "e2", serve())
+	f := newFixture(t, one, two)
+	emptied := func(engine *registry.Engine) bool { return string(engine.ID) == first }
+	f.emptied.Store(&emptied)
+	for _, c := range []struct {
+		path  string
+		moves bool
+	}{{"resume", true}, {"stream", false}} {
+		first = ""
+		conn := f.dial()
+		_, _ = io.WriteString(conn, ask(c.path, "id-"+c.path, "x"))
+		reader := bufio.NewReader(conn)
+		response := readUntil(t, reader, "id: 1")
+		for _, s := range []*standIn{one, two} {
+			for _, a := range s.arrivals() {
+				if idOf(a) == "id-"+c.path {
+					first = string(s.id)
+				}
+			}
+		}
+		f.gateway.MoveOff()
+		if !c.moves {
+			close(release)
+		}
+		response += readUntil(t, reader, "0\r\n\r\n")
+		for n := 1; n <= 4; n++ {
+			if got := strings.Count(response, fmt.Sprintf("id: %d\n", n)); got != 1 {
+				t.Fatalf("%s: event %d came %d times: %s", c.path, n, got, response)
+			}
+		}
+		arrived := 0
+		for _, s := range []*standIn{one, two} {
+			for _, a := range s.arrivals() {
+				if idOf(a) == "id-"+c.path {
+					arrived++
+				}
+			}
+		}
+		if want := map[bool]int{true: 2, false: 1}[c.moves]; arrived != want {
+			t.Fatalf("%s arrived %d times", c.path, arrived)
+		}
+	}
+}
--- a/connection/gateway/stream.go
+++ b/connection/gateway/stream.go
@@ -56,6 +56,9 @@
 	s := &stream{flight: f, answer: answer, length: -1, events: eventReaders.Get().(*bufio.Reader)}
 	s.events.Reset(answer)
 	err := s.nextEvent()
+	if err == nil {
+		f.firstByte(answer.Response().StatusCode())
+	}
 	if err != nil && !(err == io.EOF && len(s.pending) == 0 && answer.Whole()) {
 		s.release()
 		answer.Close()
@@ -94,7 +97,9 @@
 				return n, nil
 			}
 		} else {
+			s.awaits()
 			err = s.nextEvent()
+			s.came(err)
 		}
 		switch {
 		case err == io.EOF:
@@ -175,6 +180,9 @@
 			}
 		}
 		s.pending, s.lastEvent = s.buffer, last
+		if last != "" && !s.named.Load() {
+			s.named.Store(true)
+		}
 		return nil
 	}
 }
--- /dev/null
+++ b/connection/operators/nodes.go
@@ -0,0 +1,111 @@
+package operators
+
+import (
+	"context"
+	"slices"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/ranking"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+// Ranker ranks engines by how their nodes behave.
+type Ranker interface {
+	// Nodes gives the ranks by whoever plans, and whether one engine may be drained; false where nobody plans now.
+	Nodes(ctx context.Context, engine ident.EngineID) (operatorapi.Nodes, bool)
+}
+
+// nodes serves the ranks, and takes what operators say of one engine.
+func (d *Desk) nodes(ctx *fasthttp.RequestCtx) {
+	switch {
+	case ctx.IsGet() || ctx.IsHead():
+		if page, known := d.ranks(ctx, ident.EngineID(ctx.QueryArgs().Peek("engine"))); known {
+			answer(ctx, fasthttp.StatusOK, page)
+		}
+	case ctx.IsPost():
+		d.nodeAct(ctx)
+	default:
+		fail(ctx, fasthttp.StatusMethodNotAllowed, operatorapi.Error{Outcome: "invalid", Reason: "this path takes another method"})
+	}
+}
+
+func (d *Desk) ranks(ctx *fasthttp.RequestCtx, engine ident.EngineID) (operatorapi.Nodes, bool) {
+	bounded, cancel := context.WithTimeout(context.Background(), commandLimit)
+	defer cancel()
+	page, known := d.daemon.Nodes(bounded, engine)
+	if !known {
+		fail(ctx, fasthttp.StatusServiceUnavailable, operatorapi.Error{Outcome: "unknown", Reason: "nobody who plans could be asked; ask again"})
+	}
+	return page, known
+}
+
+func (d *Desk) nodeAct(ctx *fasthttp.RequestCtx) {
+	var body operatorapi.NodeAct
+	if !read(ctx, &body) || !needs(ctx, [2]string{"engine", string(body.Engine)}, [2]string{"operator", body.Operator}) {
+		return
+	}
+	if body.Act != operatorapi.NodeDrain && body.Act != operatorapi.NodeKeep && body.Act != operatorapi.NodeRelease {
+		fail(ctx, fasthttp.StatusBadRequest, operatorapi.Error{Outcome: "invalid", Reason: "must be drain, keep or release", Field: "act"})
+		return
+	}
+	page, known := d.ranks(ctx, body.Engine)
+	if !known {
+		return
+	}
+	place := slices.IndexFunc(page.Nodes, func(node operatorapi.Node) bool { return node.Engine == body.Engine })
+	refuse := func(why ranking.Refusal) {
+		status := fasthttp.StatusConflict
+		if why == ranking.Unknown {
+			status = fasthttp.StatusNotFound
+		}
+		fail(ctx, status, operatorapi.Error{Outcome: why.String(), Reason: why.Reason(), Field: "engine"})
+	}
+	command := statemachine.Command{Op: statemachine.OpKeep, Engine: body.Engine, Operator: body.Operator, Closed: body.Act == operatorapi.NodeKeep}
+	shutByRank := place >= 0 && page.Nodes[place].ShutFor != ""
+	switch {
+	case place < 0 && body.Act != operatorapi.NodeRelease:
+		refuse(ranking.Unknown)
+		return
+	case body.Act == operatorapi.NodeDrain:
+		// What the ranking shut an operator may shut for good: nothing more goes by that.
+		if why := refusalNamed(page.Asked); why != ranking.Allowed && !(why == ranking.ShutAlready && shutByRank) {
+			refuse(why)
+			return
+		}
+		// It builds on the closures it was checked against: another drain meanwhile has it checked anew.
+		command.Op, command.Closed, command.Base, command.Based = statemachine.OpClosure, true, page.ClosureEpoch, true
+	case body.Act == operatorapi.NodeKeep && place >= 0 && page.Nodes[place].Shut && page.Nodes[place].ShutBy != "" && !shutByRank:
+		fail(ctx, fasthttp.StatusConflict, operatorapi.Error{Outcome: "drained", Reason: "an operator drains this engine; release it first", Field: "engine"})
+		return
+	case body.Act == operatorapi.NodeRelease && place >= 0 && page.Nodes[place].Kept == "" && page.Nodes[place].ShutBy == "":
+		fail(ctx, fasthttp.StatusConflict, operatorapi.Error{Outcome: "neither", Reason: "this engine is neither drained nor kept", Field: "engine"})
+		return
+	case body.Act == operatorapi.NodeRelease && (place < 0 || page.Nodes[place].ShutBy != ""):
+		command.Op = statemachine.OpClosure
+	}
+	if body.Act == operatorapi.NodeRelease && place >= 0 && page.Nodes[place].Kept != "" && command.Op == statemachine.OpClosure {
+		// Both are taken back, the keeping first: then the ranking decides.
+		unkeep := statemachine.Command{Op: statemachine.OpKeep, Engine: body.Engine, Operator: body.Operator}
+		bounded, cancel := context.WithTimeout(context.Background(), commandLimit)
+		_, done := d.daemon.Command(bounded, unkeep)
+		cancel()
+		if !done {
+			fail(ctx, fasthttp.StatusServiceUnavailable, operatorapi.Error{Outcome: "unknown", Reason: "the control group gave no answer in time; ask again"})
+			return
+		}
+	}
+	d.command(ctx, command)
+}
+
+// refusalNamed reads a refusal by its name.
+func refusalNamed(name string) ranking.Refusal {
+	for why := ranking.Allowed; why <= ranking.LastHolder; why++ {
+		if why.String() == name {
+			return why
+		}
+	}
+	return ranking.Unknown
+}
--- a/connection/operators/operators.go
+++ b/connection/operators/operators.go
@@ -27,6 +27,7 @@
 	Counters() string
 	Registrar
 	Bundles
+	Ranker
 }
 
 // Bundles puts bundles in force in one step, and gives back the newest.
@@ -72,6 +73,10 @@
 		operatorapi.PathLive:     func(c *fasthttp.RequestCtx) { answer(c, fasthttp.StatusOK, map[string]bool{"live": true}) },
 		operatorapi.PathCounters: func(c *fasthttp.RequestCtx) { c.SetContentType("text/plain"); c.SetBodyString(d.daemon.Counters()) },
 	}
+	if path == operatorapi.PathNodes {
+		d.nodes(ctx)
+		return
+	}
 	if path == operatorapi.PathBundle {
 		d.bundle(ctx)
 		return
--- a/process/config/config.go
+++ b/process/config/config.go
@@ -15,6 +15,7 @@
 	"github.com/go-playground/validator/v10"
 
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/ranking"
 )
 
 // Role is one thing a daemon can do.
@@ -68,6 +69,9 @@
 	// Machine is what this daemon may use, Bounds the times and amounts that the deployment holds it to.
 	Machine Machine `json:"machine"`
 	Bounds  Bounds  `json:"bounds"`
+	// Ranking says whether engines are ranked by how their nodes behave, and the worst drained. It should be the same
+	// on all daemons: those that route measure, those that place decide.
+	Ranking ranking.Settings `json:"ranking"`
 }
 
 // AttemptScope says how far attempts are known.
@@ -151,7 +155,7 @@
 
 // Default gives the settings that need not be said.
 func Default() Config {
-	return Config{Voters: 3, DrainMs: 30000, Log: "info", Attempts: FleetAttempts, Trouble: EndOnTrouble, Bounds: DefaultBounds()}
+	return Config{Voters: 3, DrainMs: 30000, Log: "info", Attempts: FleetAttempts, Trouble: EndOnTrouble, Bounds: DefaultBounds(), Ranking: ranking.DefaultSettings()}
 }
 
 // Serves says whether the daemon has a role.
@@ -227,15 +231,21 @@
 	if file == "" {
 		file = "flags"
 	}
+	var faults []Fault
+	if c.Ranking != (ranking.Settings{}) {
+		// Settings put together without any are those of a daemon that ranks nothing.
+		for _, one := range c.Ranking.Check() {
+			faults = append(faults, Fault{file, "ranking." + one.Field, one.Reason})
+		}
+	}
 	err := check.Struct(c)
 	if err == nil {
-		return nil
+		return faults
 	}
 	found, ok := err.(validator.ValidationErrors)
 	if !ok {
-		return []Fault{{file, "", err.Error()}}
+		return append(faults, Fault{file, "", err.Error()})
 	}
-	var faults []Fault
 	for _, one := range found {
 		reason := map[string]string{
 			"required": "is missing", "ipport": "must be an IP number and a port", "unique": "holds something twice",
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -123,6 +123,8 @@
 	unreadyTold chan struct{}
 
 	forwardSide forwardSide
+	// nodes ranks engines by how their nodes behave.
+	nodes *nodeRanking
 
 	counters counters
 }
@@ -259,6 +261,7 @@
 	d.slots = permits.NewKeeper(d.yard)
 	d.placer = placement.NewActor(planning{d}, d.clock)
 	d.pools.make(d)
+	d.nodes = newNodeRanking(d)
 	d.attempts = attempts.NewHome(d.clock)
 	streams, cutStreams := context.WithCancel(context.Background())
 	defer cutStreams()
@@ -294,6 +297,7 @@
 	if d.config.Serves(config.Place) {
 		run(d.placer.Run)
 		d.pools.run(run)
+		d.nodes.run(run)
 	}
 
 	fellowServer := &http.Server{Handler: d.links.Traffic.Serve(fellowapi.NewFellowServer(d)), ReadHeaderTimeout: 5 * time.Second}
@@ -609,4 +613,5 @@
 	}
 	d.bell.ring(urgent)
 	d.poke()
+	d.moveOff()
 }
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -360,6 +360,9 @@
 	if err := d.ours(in.Group); err != nil {
 		return nil, err
 	}
+	if in.What == nodesRead {
+		return d.readNodes(ctx, in.Key), nil
+	}
 	result, outcome := d.look(ctx, in.What, in.Key)
 	return &fellowapi.ReadReply{Outcome: string(outcome), Result: result, LeaderAddress: d.leaderAddress()}, nil
 }
@@ -500,6 +503,9 @@
 	}
 	message := d.wants.Tell(d.clock.Elapsed(), request.PlannerAddress, all, seated)
 	request.Wants, request.WantsBase, request.Demand, request.Seats = message.Seq, message.Base, message.Demand, message.Seats
+	if !onlyWaiting {
+		request.Nodes = d.nodes.tell()
+	}
 	return waits
 }
 
@@ -528,6 +534,7 @@
 	}
 	rowKnown := d.members.Served(in)
 	wantsLost := !d.hearWants(in)
+	d.nodes.hear(in)
 	d.registry.Saw(ident.NodeID(in.NodeId), cursorOf(in))
 	d.hearDraining(in.Draining)
 	if !wantsLost {
--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -76,7 +76,7 @@
 	side.actor = forwarding.NewActor(side.settings, d.forwardWorld)
 	side.gateway = gateway.New(gateway.Surroundings{
 		Clock: d.clock, Dialect: side.dialect, Index: d.forwardIndex, View: side.view, Held: d.generator.Held, EngineOpen: d.engineOpen,
-		Draining: d.draining.Load, Settings: side.settings,
+		Draining: d.draining.Load, Settings: side.settings, Recorder: d.nodes.recorder,
 	}, side.actor, side.pools)
 	go side.actor.Run(ctx)
 	go d.runSweeps(ctx)
@@ -164,6 +164,8 @@
 	say("opaque_callers_left", c.CallersLeft)
 	say("opaque_streams", side.gateway.Counters.Streams.Load())
 	say("opaque_streams_resumed", c.Resumed)
+	say("attempts_moved_off", c.Moved)
+	say("attempts_stayed_at_emptied", c.Stayed)
 	say("opaque_events", side.gateway.Counters.Events.Load())
 	say("opaque_unsealed", side.gateway.Counters.Unsealed.Load())
 	say("attempts_first", c.Sent)
@@ -197,6 +199,26 @@
 	return t == nil || t.OpenRegistered(engine.ID, engine.Zone)
 }
 
+// engineEmptied says whether the ranking shut a registered engine.
+func (d *Daemon) engineEmptied(engine *registry.Engine) bool {
+	t := d.keeper.Table()
+	return t != nil && t.Closures.Engines[engine.ID].Ranking != nil
+}
+
+// moveOff has what is under way at engines that the ranking shut go on elsewhere.
+func (d *Daemon) moveOff() {
+	t := d.keeper.Table()
+	if t == nil || d.forwardSide.gateway == nil {
+		return
+	}
+	for _, mark := range t.Closures.Engines {
+		if mark.Ranking != nil {
+			go d.forwardSide.gateway.MoveOff()
+			return
+		}
+	}
+}
+
 // forwardIndex is the bundle's section in force; nil is none.
 func (d *Daemon) forwardIndex() *forward.Index {
 	if t := d.keeper.Table(); t != nil {
@@ -211,7 +233,7 @@
 	current, _ := d.members.Ready()
 	return forwarding.World{
 		Now: now, Index: d.forwardIndex(), Current: current, View: d.forwardSide.view(), Zone: d.config.Zone,
-		Edges: d.edges(now), Lacks: d.PoolLack, Open: d.engineOpen, Leased: d.generator.Held(),
+		Edges: d.edges(now), Lacks: d.PoolLack, Open: d.engineOpen, Emptied: d.engineEmptied, Leased: d.generator.Held(),
 		Mint: func() (ident.MintedID, bool) {
 			id, verdict := d.generator.Mint()
 			return id, verdict == snowflake.Minted
--- /dev/null
+++ b/process/daemon/nodes.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/ranking"
+	"github.com/cresspond/cresspond/process/replica"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+// nodesRead is what the ranks are read by; only whoever plans has them.
+const nodesRead = "nodes"
+
+// nodesAsked is a question for the ranks.
+type nodesAsked struct {
+	engine ident.EngineID
+	reply  chan operatorapi.Nodes
+}
+
+// Nodes gives the ranks by whoever plans.
+func (d *Daemon) Nodes(ctx context.Context, engine ident.EngineID) (operatorapi.Nodes, bool) {
+	if page, held := d.nodes.page(ctx, engine); held {
+		return page, true
+	}
+	address := d.members.View().PlannerAddress
+	if address == "" || address == d.config.ReachedAt() {
+		return operatorapi.Nodes{}, false
+	}
+	bounded, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	reply, err := d.links.To(address).Read(bounded, &fellowapi.ReadRequest{Group: string(d.Group()), What: nodesRead, Key: string(engine)})
+	var page operatorapi.Nodes
+	if err != nil || reply.Outcome != string(replica.Applied) || json.Unmarshal(reply.Result, &page) != nil {
+		return operatorapi.Nodes{}, false
+	}
+	return page, true
+}
+
+// readNodes answers another daemon that asks for the ranks.
+func (d *Daemon) readNodes(ctx context.Context, engine string) *fellowapi.ReadReply {
+	page, held := d.nodes.page(ctx, ident.EngineID(engine))
+	if !held {
+		return &fellowapi.ReadReply{Outcome: string(replica.NotLeader)}
+	}
+	data, err := json.Marshal(page)
+	if err != nil {
+		panic("broken invariant: the ranks cannot be encoded: " + err.Error())
+	}
+	return &fellowapi.ReadReply{Outcome: string(replica.Applied), Result: data}
+}
+
+// page asks this daemon's own ranker; false where it does not plan now.
+func (n *nodeRanking) page(ctx context.Context, engine ident.EngineID) (operatorapi.Nodes, bool) {
+	if !n.plans() || !n.pools.condition().Held {
+		return operatorapi.Nodes{}, false
+	}
+	asked := nodesAsked{engine, make(chan operatorapi.Nodes, 1)}
+	if !n.box.Send(asked) {
+		return operatorapi.Nodes{}, false
+	}
+	select {
+	case page := <-asked.reply:
+		return page, true
+	case <-n.box.Done():
+	case <-ctx.Done():
+	}
+	return operatorapi.Nodes{}, false
+}
+
+// answer makes the page, in the ranker's own turn.
+func (n *nodeRanking) answer(asked nodesAsked) {
+	out := operatorapi.Nodes{Mode: string(n.mode()), Claim: n.claim, Nodes: []operatorapi.Node{}}
+	table := n.keeper.Table()
+	if table == nil {
+		asked.reply <- out
+		return
+	}
+	out.ClosureEpoch = table.Closures.Epoch
+	fleet := n.fleet(n.clock.Elapsed(), n.registry.View(), table.Closures, table.OpenRegistered)
+	rows := map[ident.EngineID]ranking.Row{}
+	ranked := n.state.Load().rows
+	for _, row := range ranked {
+		rows[row.Engine] = row
+	}
+	add := func(id ident.EngineID) {
+		engine, known := fleet[id]
+		if !known {
+			return
+		}
+		row := rows[id]
+		node := operatorapi.Node{Engine: id, Pool: engine.Pool, Zone: engine.Zone, Stage: row.Stage.String(), SinceMs: row.Since.Milliseconds(), Score: round(row.Score),
+			Value: row.Value, Others: row.Peers, Samples: row.Samples, Observers: row.Observers, SlowPaths: row.Paths, Shut: !engine.Open}
+		if row.Samples > 0 {
+			node.Kind = row.Kind.String()
+		}
+		if row.Refusal != ranking.Allowed {
+			node.Refusal = row.Refusal.String()
+		}
+		if mark, shut := table.Closures.Engines[id]; shut {
+			node.ShutBy = mark.Operator
+			if mark.Ranking != nil {
+				node.ShutFor = mark.Ranking.Reason
+			}
+		}
+		if mark, kept := table.Closures.Kept[id]; kept {
+			node.Kept = mark.Operator
+		}
+		out.Nodes = append(out.Nodes, node)
+	}
+	for _, row := range ranked {
+		add(row.Engine)
+	}
+	for _, id := range sortedIDs(fleet) {
+		if _, already := rows[id]; !already {
+			add(id)
+		}
+	}
+	if asked.engine != "" {
+		why := ranking.Refuse(n.limits(), fleet, asked.engine)
+		out.Asked, out.AskedReason = why.String(), why.Reason()
+	}
+	asked.reply <- out
+}
+
+// mode is what ranking is used for here; settings put together without any are those of a daemon that ranks nothing.
+func (n *nodeRanking) mode() ranking.Mode {
+	if n.settings.Mode == "" {
+		return ranking.Off
+	}
+	return n.settings.Mode
+}
+
+// limits are the bounds that operators' drains are held to.
+func (n *nodeRanking) limits() ranking.Settings {
+	if n.settings == (ranking.Settings{}) {
+		return ranking.DefaultSettings()
+	}
+	return n.settings
+}
--- a/process/daemon/pages.go
+++ b/process/daemon/pages.go
@@ -134,6 +134,7 @@
 		say("engines_junk_streams", c.junkEngines.Load())
 	}
 	d.countForwarding(say)
+	d.nodes.count(say)
 	if d.config.Serves(config.Place) {
 		p := d.placer.Condition().Counters
 		say("orders", p.Orders)
--- a/process/daemon/poolplanning.go
+++ b/process/daemon/poolplanning.go
@@ -101,6 +101,7 @@
 		in.Section = t.Forward.Section
 	}
 	in.Demand = p.heardDemand(now, p.forwardDemands())
+	in.Shut, in.Emptying = func(engine *registry.Engine) bool { return !p.engineOpen(engine) }, p.nodes.emptying()
 	return in
 }
 
--- /dev/null
+++ b/process/daemon/ranking.go
@@ -0,0 +1,421 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/cresspond/cresspond/process/actor"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/ranking"
+	"github.com/cresspond/cresspond/process/registry"
+	"github.com/cresspond/cresspond/process/snowflake"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+)
+
+// nodeRanking is a daemon's part in ranking engines: where it routes it measures and tells, where it plans it ranks
+// and decides, under the planner's claim.
+type nodeRanking struct {
+	*Daemon
+	settings ranking.Settings
+	// recorder is there where requests are forwarded and ranking is not off.
+	recorder *ranking.Recorder
+	// toldAt is when digests were last told.
+	toldMutex sync.Mutex
+	toldAt    clock.Mark
+	told      atomic.Uint64
+
+	box *actor.Mailbox[any]
+	// ranker is there while the claim is held; claim is the one it was made for.
+	ranker *ranking.Ranker
+	claim  ident.ClaimNumber
+	// asked says that an act is under way, stepNext when the next step is due.
+	asked    bool
+	stepNext clock.Mark
+	// vanished is since when an engine that the ranking shut is not registered.
+	vanished map[ident.EngineID]clock.Mark
+	// asked for lately: only that must not lose its last holder.
+	wanted map[wantedKey]clock.Mark
+	state  atomic.Pointer[rankingState]
+	acts   rankingActs
+}
+
+type wantedKey struct {
+	pool   string
+	target ranking.Target
+}
+
+// rankingState is what others may see of the ranker.
+type rankingState struct {
+	claim    ident.ClaimNumber
+	rows     []ranking.Row
+	counters ranking.Counters
+	emptying map[ident.EngineID]bool
+	took     time.Duration
+}
+
+// rankingActs counts what became of what was decided.
+type rankingActs struct{ done, refused, unknown, unleased atomic.Uint64 }
+
+type (
+	heardNodes struct {
+		zone    ident.ZoneID
+		digests []ranking.Digest
+	}
+	actedOn struct {
+		act     ranking.Act
+		verdict statemachine.Verdict
+		reason  string
+		known   bool
+	}
+)
+
+const (
+	// rankEvery is how often engines are ranked, where a step takes less than a tenth of that.
+	rankEvery = time.Second
+	// tellNodesEvery is how often a daemon tells what it measured.
+	tellNodesEvery = time.Second
+	// wantedFor is for how long something counts as asked for.
+	wantedFor = 30 * time.Second
+	// vanishedFor is after what time the mark of an engine that is gone is taken away.
+	vanishedFor = 30 * time.Second
+	// actLimit bounds how long an act is waited for.
+	actLimit = 5 * time.Second
+	// rankingName is who shuts engines by rank.
+	rankingName = "ranking"
+)
+
+func newNodeRanking(d *Daemon) *nodeRanking {
+	n := &nodeRanking{Daemon: d, settings: d.config.Ranking, box: actor.NewMailbox[any](1024), vanished: map[ident.EngineID]clock.Mark{}, wanted: map[wantedKey]clock.Mark{}}
+	if n.on() && d.forwards() {
+		n.recorder = ranking.NewRecorder()
+	}
+	n.state.Store(&rankingState{})
+	return n
+}
+
+func (n *nodeRanking) on() bool {
+	return n.settings.Mode == ranking.Watch || n.settings.Mode == ranking.Drain
+}
+
+// plans says whether this daemon may ever rank. One that never was put together to plan pools can't.
+func (n *nodeRanking) plans() bool { return n.pools != nil && n.config.Serves(config.Place) }
+
+// run starts the ranker. It runs where ranking is off too, to open what was shut before it was switched off.
+func (n *nodeRanking) run(run func(func(context.Context))) {
+	if n.plans() {
+		run(func(ctx context.Context) { n.box.Run(ctx, rankEvery/4, n.take, func() { n.beat(ctx) }) })
+	}
+}
+
+// tell gives what was measured since it was last told, for whoever plans.
+func (n *nodeRanking) tell() []*fellowapi.NodeDigest {
+	if n.recorder == nil {
+		return nil
+	}
+	now := n.clock.Elapsed()
+	n.toldMutex.Lock()
+	defer n.toldMutex.Unlock()
+	if now.Since(n.toldAt) < tellNodesEvery {
+		return nil
+	}
+	n.toldAt = now
+	digests := n.recorder.Take()
+	n.told.Add(uint64(len(digests)))
+	return encodeDigests(digests)
+}
+
+// encodeDigests puts the digests of one engine together. Its pool is known to whoever plans.
+func encodeDigests(digests []ranking.Digest) []*fellowapi.NodeDigest {
+	var out []*fellowapi.NodeDigest
+	for _, digest := range digests {
+		if len(out) == 0 || out[len(out)-1].Engine != string(digest.Engine) {
+			out = append(out, &fellowapi.NodeDigest{Engine: string(digest.Engine)})
+		}
+		class := &fellowapi.NodeClass{Kind: uint32(digest.Class.Kind), Model: digest.Class.Model, TargetMs: digest.Class.TargetMs,
+			Load: uint32(digest.Class.Load), Size: uint32(digest.Class.Size)}
+		for _, bucket := range digest.Buckets {
+			class.Values, class.Counts = append(class.Values, bucket.Value), append(class.Counts, bucket.Count)
+		}
+		last := out[len(out)-1]
+		last.Classes = append(last.Classes, class)
+	}
+	return out
+}
+
+const (
+	// mostClasses and mostBuckets bound what one telling may hold of an engine.
+	mostClasses = 500
+	mostBuckets = 300
+)
+
+// decodeDigests reads what another daemon measured; what makes no sense, or is of no engine that is known, is left out.
+func decodeDigests(view *registry.View, nodes []*fellowapi.NodeDigest) []ranking.Digest {
+	var out []ranking.Digest
+	for _, node := range nodes {
+		engine := view.Engines[ident.EngineID(node.Engine)]
+		if engine == nil || len(node.Classes) > mostClasses {
+			continue
+		}
+		for _, class := range node.Classes {
+			if class.Kind > uint32(ranking.Connect) || class.Load > 64 || class.Size > 64 || len(class.Values) != len(class.Counts) || len(class.Values) > mostBuckets {
+				continue
+			}
+			digest := ranking.Digest{Engine: engine.ID, Class: ranking.Class{Kind: ranking.Kind(class.Kind), Pool: engine.Pool, Model: class.Model,
+				TargetMs: class.TargetMs, Load: uint8(class.Load), Size: uint8(class.Size)}}
+			for place, value := range class.Values {
+				digest.Buckets = append(digest.Buckets, ranking.Bucket{Value: value, Count: class.Counts[place]})
+			}
+			out = append(out, digest)
+		}
+	}
+	return out
+}
+
+// hear takes what an asker measured, where this daemon plans.
+func (n *nodeRanking) hear(in *fellowapi.PullRequest) {
+	if len(in.Nodes) == 0 || !n.on() || !n.plans() || !n.pools.condition().Held {
+		return
+	}
+	// What finds no room is lost: the next telling brings as much again.
+	n.box.Offer(heardNodes{ident.ZoneID(in.Zone), decodeDigests(n.registry.View(), in.Nodes)})
+}
+
+func (n *nodeRanking) take(event any) {
+	switch e := event.(type) {
+	case heardNodes:
+		if n.ranker != nil {
+			n.ranker.Take(n.clock.Elapsed(), e.zone, e.digests)
+		}
+	case nodesAsked:
+		n.answer(e)
+	case actedOn:
+		n.asked = false
+		n.noteActed(e)
+	}
+}
+
+func (n *nodeRanking) noteActed(e actedOn) {
+	logged := n.log.WithFields(log.Fields{"engine": string(e.act.Engine), "drain": e.act.Drain, "score": round(e.act.Standing.Score)})
+	switch {
+	case !e.known:
+		n.acts.unknown.Add(1)
+		logged.Warn("ranking: the group gave no answer")
+	case e.verdict != statemachine.Done:
+		n.acts.refused.Add(1)
+		logged.WithField("reason", e.reason).Warn("ranking: the group refused")
+	default:
+		n.acts.done.Add(1)
+		logged.WithFields(log.Fields{"kind": e.act.Standing.Kind.String(), "value": e.act.Standing.Value, "others": e.act.Standing.Peers}).Info("ranking: carried out")
+	}
+}
+
+func round(score float64) float64 { return float64(int(100*score)) / 100 }
+
+// beat ranks, while this daemon holds the claim.
+func (n *nodeRanking) beat(ctx context.Context) {
+	condition := n.pools.condition()
+	if !condition.Held {
+		if n.ranker != nil {
+			// Whoever has the claim next begins with what the fleet shows.
+			n.ranker = nil
+			n.state.Store(&rankingState{})
+		}
+		return
+	}
+	now := n.clock.Elapsed()
+	if n.ranker == nil || n.claim != condition.Claim {
+		n.ranker, n.claim = ranking.NewRanker(n.settings), condition.Claim
+	}
+	if now < n.stepNext {
+		return
+	}
+	table := n.keeper.Table()
+	if table == nil || !n.on() && !anyRanked(table.Closures) {
+		return
+	}
+	if n.recorder != nil {
+		n.ranker.Take(now, n.config.Zone, n.recorder.Take())
+	}
+	view := n.registry.View()
+	fleet := n.fleet(now, view, table.Closures, table.OpenRegistered)
+	decision := n.ranker.Step(now, fleet)
+	took := n.clock.Elapsed().Since(now)
+	// A large fleet is ranked less often: it takes a tenth of this daemon's time at most.
+	n.stepNext = now + clock.Mark(max(rankEvery, 10*took))
+	for _, change := range decision.Changes {
+		n.log.WithFields(log.Fields{"engine": string(change.Engine), "from": change.From.String(), "to": change.To.String(), "score": round(change.Standing.Score),
+			"kind": change.Standing.Kind.String()}).Info("ranking: another stage")
+	}
+	state := &rankingState{claim: n.claim, rows: n.ranker.Rows(), counters: n.ranker.Counters, took: took, emptying: map[ident.EngineID]bool{}}
+	for _, move := range decision.Moves {
+		state.emptying[move.Engine] = true
+	}
+	n.state.Store(state)
+	acts := append(decision.Acts, n.forgotten(now, view, table.Closures)...)
+	if len(acts) > 0 && !n.asked {
+		n.act(ctx, acts[0])
+	}
+}
+
+func anyRanked(closures statemachine.Closures) bool {
+	for _, mark := range closures.Engines {
+		if mark.Ranking != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// forgotten lists the openings of engines that were shut by rank and are gone, so that their marks don't pile up.
+func (n *nodeRanking) forgotten(now clock.Mark, view *registry.View, closures statemachine.Closures) []ranking.Act {
+	var out []ranking.Act
+	for id := range n.vanished {
+		if _, shut := closures.Engines[id]; !shut {
+			delete(n.vanished, id)
+		}
+	}
+	for id, mark := range closures.Engines {
+		if engine := view.Engines[id]; mark.Ranking == nil || engine != nil && !engine.Gone {
+			delete(n.vanished, id)
+			continue
+		}
+		if n.vanished[id] == 0 {
+			n.vanished[id] = now
+		}
+		if now.Since(n.vanished[id]) >= vanishedFor {
+			out = append(out, ranking.Act{Engine: id})
+		}
+	}
+	slices.SortFunc(out, func(a, b ranking.Act) int { return cmp.Compare(a.Engine, b.Engine) })
+	return out
+}
+
+func sortedIDs(fleet ranking.Fleet) []ident.EngineID { return slices.Sorted(maps.Keys(fleet)) }
+
+// act has the group shut or open an engine, stamped and under the claim that was ranked under.
+func (n *nodeRanking) act(ctx context.Context, act ranking.Act) {
+	stamp, verdict := n.generator.Mint()
+	if verdict != snowflake.Minted {
+		// Without a lease of a worker id nothing is decided.
+		n.acts.unleased.Add(1)
+		return
+	}
+	command := statemachine.Command{Op: statemachine.OpClosure, NodeID: n.nodeID, Operator: rankingName, Engine: act.Engine, Closed: act.Drain,
+		Ranking: &statemachine.RankingMark{Claim: n.claim, Stamp: stamp, Reason: reasonOf(act)}}
+	n.asked = true
+	go func() {
+		bounded, cancel := context.WithTimeout(ctx, actLimit)
+		defer cancel()
+		answer, known := n.submitOnce(bounded, command)
+		n.box.Send(actedOn{act, answer.Verdict, answer.Reason, known})
+	}()
+}
+
+func reasonOf(act ranking.Act) string {
+	if !act.Drain {
+		return ""
+	}
+	unit := "ms"
+	if act.Standing.Kind == ranking.Stall {
+		unit = "thousandths of the longest pause aimed at"
+	}
+	return fmt.Sprintf("%s %.1f times that of others: %.0f against %.0f %s", act.Standing.Kind, act.Standing.Score, act.Standing.Value, act.Standing.Peers, unit)
+}
+
+// fleet is what the ranker may know of the registered engines. Of who asks for what, only whether anyone does.
+func (n *nodeRanking) fleet(now clock.Mark, view *registry.View, closures statemachine.Closures, open func(ident.EngineID, ident.ZoneID) bool) ranking.Fleet {
+	for _, demand := range n.heardDemand(now, n.forwardDemands()) {
+		n.wanted[wantedKey{demand.Pool, ranking.Target{Model: demand.Model}}] = now
+		if demand.Adapter != "" {
+			n.wanted[wantedKey{demand.Pool, ranking.Target{Model: demand.Model, Adapter: demand.Adapter}}] = now
+		}
+	}
+	for key, at := range n.wanted {
+		if now.Since(at) > wantedFor {
+			delete(n.wanted, key)
+		}
+	}
+	out := ranking.Fleet{}
+	for id, engine := range view.Engines {
+		if engine.Gone {
+			continue
+		}
+		one := ranking.Engine{ID: id, Pool: engine.Pool, Zone: engine.Zone, Open: engine.Usable() && open(id, engine.Zone)}
+		mark, shut := closures.Engines[id]
+		one.Ranked = shut && mark.Ranking != nil
+		_, one.Kept = closures.Kept[id]
+		for _, held := range engine.Models() {
+			for _, target := range append([]ranking.Target{{Model: held.Model}}, adaptersOf(held)...) {
+				if _, asked := n.wanted[wantedKey{engine.Pool, target}]; asked && engine.Holds(target.Model, target.Adapter) {
+					one.Held = append(one.Held, target)
+				}
+			}
+		}
+		out[id] = one
+	}
+	return out
+}
+
+func adaptersOf(held registry.Held) []ranking.Target {
+	out := make([]ranking.Target, 0, len(held.Adapters))
+	for _, adapter := range held.Adapters {
+		out = append(out, ranking.Target{Model: held.Model, Adapter: adapter})
+	}
+	return out
+}
+
+// emptying lists the engines whose models are to be loaded elsewhere before they are drained.
+func (n *nodeRanking) emptying() map[ident.EngineID]bool { return n.state.Load().emptying }
+
+// count lists the counters of the ranking.
+func (n *nodeRanking) count(say func(name string, value uint64)) {
+	if !n.on() {
+		return
+	}
+	if n.recorder != nil {
+		say("ranking_digests_told", n.told.Load())
+		say("ranking_measurements_dropped", n.recorder.Dropped())
+	}
+	if !n.plans() {
+		return
+	}
+	state := n.state.Load()
+	c := state.counters
+	say("ranking_digests_heard", c.Digests)
+	say("ranking_digests_dropped", c.DigestsDropped)
+	say("ranking_steps", c.Steps)
+	say("ranking_step_us", uint64(state.took.Microseconds()))
+	say("ranking_suspected", c.Suspected)
+	say("ranking_cleared", c.Cleared)
+	say("ranking_drains", c.Drains)
+	say("ranking_releases", c.Releases)
+	say("ranking_relapses", c.Relapses)
+	say("ranking_sounded", c.Sounded)
+	for place, count := range c.Refused {
+		if why := ranking.Refusal(place); why != ranking.Allowed {
+			say("ranking_refused_"+why.Name(), count)
+		}
+	}
+	say("ranking_acts_done", n.acts.done.Load())
+	say("ranking_acts_refused", n.acts.refused.Load())
+	say("ranking_acts_unknown", n.acts.unknown.Load())
+	say("ranking_acts_unleased", n.acts.unleased.Load())
+	drained := uint64(0)
+	for _, row := range state.rows {
+		if row.Stage == ranking.Drained {
+			drained++
+		}
+	}
+	say("ranking_drained_now", drained)
+}
--- a/process/poolplacement/plan.go
+++ b/process/poolplacement/plan.go
@@ -103,7 +103,9 @@
 	pool    *pool
 	slots   int
 	usable  bool
-	report  Report
+	// emptying says that what it holds is to stand elsewhere before it is shut.
+	emptying bool
+	report   Report
 	// read says that a report was read; asked is when the newest one was asked for.
 	read  bool
 	asked clock.Mark
@@ -262,7 +264,8 @@
 			if e.slots <= 0 {
 				e.slots = max(1, made.catalogue.Slots)
 			}
-			e.usable = listed.Usable()
+			e.usable = listed.Usable() && (in.Shut == nil || !in.Shut(listed))
+			e.emptying = in.Emptying[listed.ID]
 		}
 	}
 	for id, e := range p.engines {
@@ -288,7 +291,7 @@
 
 // ready says whether an engine may be given an order now.
 func (e *engine) ready(now clock.Mark) bool {
-	return e.counts() && e.read && e.flight == nil && !e.report.Saturated && now.Since(e.asked) < freshReport && e.asked >= e.waitFor && e.report.Taken >= e.taken
+	return e.counts() && !e.emptying && e.read && e.flight == nil && !e.report.Saturated && now.Since(e.asked) < freshReport && e.asked >= e.waitFor && e.report.Taken >= e.taken
 }
 
 // held finds a model that the newest report shows.
--- a/process/poolplacement/serve.go
+++ b/process/poolplacement/serve.go
@@ -85,6 +85,9 @@
 		}
 		usable++
 		s.meanHeat += e.heat
+		if e.emptying {
+			continue
+		}
 		s.count(e)
 	}
 	for _, a := range s.asks.models {
--- a/process/poolplacement/types.go
+++ b/process/poolplacement/types.go
@@ -124,6 +124,10 @@
 	Section *forward.Section
 	View    *registry.View
 	Demand  []Demand
+	// Shut says that nothing new may go to an engine, so that what it holds is no copy; nil is never. Emptying are
+	// those whose copies don't count any more, since they are to be shut.
+	Shut     func(*registry.Engine) bool
+	Emptying map[ident.EngineID]bool
 }
 
 // Lack is something that is asked for, stands nowhere, and is not likely to be there before Wait has passed.
--- a/process/ranking/bounds.go
+++ b/process/ranking/bounds.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/cresspond/cresspond/process/ident"
 )
@@ -48,6 +49,9 @@
 	return [...]string{"allowed", "unknown", "shut-already", "kept", "past-pool", "past-zone", "past-holders", "last-holder"}[r]
 }
 
+// Name is the refusal as counters name it.
+func (r Refusal) Name() string { return strings.ReplaceAll(r.String(), "-", "_") }
+
 // Reason puts a refusal into words.
 func (r Refusal) Reason() string {
 	return [...]string{"nothing speaks against it", "no such engine is registered", "nothing new goes to this engine already",
--- a/process/ranking/ranker.go
+++ b/process/ranking/ranker.go
@@ -238,7 +238,7 @@
 
 // drain chooses, the worst first, who is drained. One goes at a time: the next when this one is seen to be shut.
 func (r *Ranker) drain(now clock.Mark, fleet Fleet, out *Decision) {
-	if !r.settings.On {
+	if r.settings.Mode != Drain {
 		return
 	}
 	var slow []Standing
@@ -294,7 +294,7 @@
 		case s.stage != Drained:
 		case s.asked > 0 && now.Since(s.asked) < againAfter:
 			trying[pool] = true
-		case fleet[id].Kept || !r.settings.On || now.Since(s.since) >= r.rest(s.relapses):
+		case fleet[id].Kept || r.settings.Mode != Drain || now.Since(s.since) >= r.rest(s.relapses):
 			rested = append(rested, id)
 		}
 	}
--- a/process/ranking/ranking_test.go
+++ b/process/ranking/ranking_test.go
@@ -50,7 +50,7 @@
 
 func newSite(engines int, change func(*Settings)) *site {
 	settings := DefaultSettings()
-	settings.On = true
+	settings.Mode = Drain
 	if change != nil {
 		change(&settings)
 	}
@@ -521,7 +521,7 @@
 }
 
 func TestSwitchedOffNothingIsDrainedAndAllIsOpened(t *testing.T) {
-	s := newSite(9, func(s *Settings) { s.On = false })
+	s := newSite(9, func(s *Settings) { s.Mode = Watch })
 	s.nodes[3].slow = 30
 	s.nodes[5].shut, s.nodes[5].ranked = true, true
 	s.run(10)
@@ -718,10 +718,11 @@
 	if faults := DefaultSettings().Check(); len(faults) > 0 {
 		t.Fatalf("the usual ones are good: %v", faults)
 	}
-	if DefaultSettings().On {
+	if DefaultSettings().Mode != Off {
 		t.Fatal("draining is off unless it is asked for")
 	}
 	for field, change := range map[string]func(*Settings){
+		"mode":          func(s *Settings) { s.Mode = "on" },
 		"drainAt":       func(s *Settings) { s.DrainAt, s.ClearAt = 1.2, 1.1 },
 		"clearAt":       func(s *Settings) { s.ClearAt = s.DrainAt },
 		"spanMs":        func(s *Settings) { s.SpanMs = 0 },
--- a/process/ranking/settings.go
+++ b/process/ranking/settings.go
@@ -5,10 +5,19 @@
 	"time"
 )
 
+// Mode is what ranking is used for.
+type Mode string
+
+const (
+	// Off measures nothing. Watch ranks only. Drain has the worst drained, too.
+	Off   Mode = "off"
+	Watch Mode = "watch"
+	Drain Mode = "drain"
+)
+
 // Settings say when an engine counts as sick, and how many may be drained for it.
 type Settings struct {
-	// On has the worst drained; otherwise they are ranked only.
-	On bool `json:"on"`
+	Mode Mode `json:"mode"`
 	// DrainAt is how many times slower than like work elsewhere an engine is drained, ClearAt below what it counts as
 	// sound again.
 	DrainAt float64 `json:"drainAt"`
@@ -34,7 +43,7 @@
 
 // DefaultSettings rank and drain nothing.
 func DefaultSettings() Settings {
-	return Settings{DrainAt: 3, ClearAt: 1.6, ConfirmMs: 3000, SpanMs: 8000, RestMs: 15000, RestMostMs: 240000, TrialMs: 8000,
+	return Settings{Mode: Off, DrainAt: 3, ClearAt: 1.6, ConfirmMs: 3000, SpanMs: 8000, RestMs: 15000, RestMostMs: 240000, TrialMs: 8000,
 		StallFloor: 0.5, DelayFloorMs: 150, MostOfPool: 0.25, MostOfZone: 0.5, MostOfHolders: 0.5}
 }
 
@@ -49,6 +58,7 @@
 			faults = append(faults, Fault{field, fmt.Sprintf(reason, values...)})
 		}
 	}
+	say(s.Mode != Off && s.Mode != Watch && s.Mode != Drain, "mode", "must be off, watch or drain")
 	say(!(s.DrainAt >= 1.5 && s.DrainAt <= 1000), "drainAt", "must be 1.5 to 1000: engines with like work differ by less than that when all are sound")
 	say(!(s.ClearAt >= 1 && s.ClearAt < s.DrainAt), "clearAt", "must be at least 1 and below drainAt, or an engine would go and come by turns")
 	say(s.SpanMs < 2000 || s.SpanMs > 600_000, "spanMs", "must be 2000 to 600000")
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -21,12 +21,14 @@
 	OpRenew   Op = "RENEW"
 	OpRelease Op = "RELEASE"
 	// OpReclaim ends lapsed tenures; the leader's expiry check proposes it.
-	OpReclaim   Op = "RECLAIM"
-	OpPropose   Op = "PROPOSE"
-	OpReview    Op = "REVIEW"
-	OpSign      Op = "SIGN"
-	OpRoll      Op = "ROLL"
-	OpClosure   Op = "CLOSURE"
+	OpReclaim Op = "RECLAIM"
+	OpPropose Op = "PROPOSE"
+	OpReview  Op = "REVIEW"
+	OpSign    Op = "SIGN"
+	OpRoll    Op = "ROLL"
+	OpClosure Op = "CLOSURE"
+	// OpKeep has an operator forbid, or allow again, that the ranking shuts an engine.
+	OpKeep      Op = "KEEP"
 	OpClaim     Op = "CLAIM"
 	OpDropClaim Op = "DROP-CLAIM"
 	// OpEnlist says that a life of a daemon is about to serve.
@@ -40,7 +42,9 @@
 )
 
 // Spreads says whether a command changes what must be in force everywhere.
-func (op Op) Spreads() bool { return op == OpRoll || op == OpClosure || op == OpLost || op == OpApply }
+func (op Op) Spreads() bool {
+	return op == OpRoll || op == OpClosure || op == OpKeep || op == OpLost || op == OpApply
+}
 
 // Command is the form of an entry in the log.
 type Command struct {
@@ -71,6 +75,8 @@
 	Closed bool           `json:"closed,omitempty"`
 	// Based says that a closure names in Base the closure epoch it builds on; earlier builds did not.
 	Based bool `json:"based,omitempty"`
+	// Ranking is, with CLOSURE, the word of whoever plans that it ranks the engine so; no operator's closure has it.
+	Ranking *RankingMark `json:"ranking,omitempty"`
 	// Address is where a daemon that enlists is reached, Lost which one is declared lost.
 	Address string       `json:"address,omitempty"`
 	Lost    ident.NodeID `json:"lost,omitempty"`
@@ -177,6 +183,8 @@
 	Epoch   ident.Epoch                    `json:"epoch"`
 	Zones   map[ident.ZoneID]ClosureMark   `json:"zones"`
 	Engines map[ident.EngineID]ClosureMark `json:"engines"`
+	// Kept lists the engines that the ranking may not shut.
+	Kept map[ident.EngineID]ClosureMark `json:"kept,omitempty"`
 	// Lost lists the lives of daemons that an operator declared lost: one that hears of itself here stops.
 	Lost map[ident.NodeID]ClosureMark `json:"lost,omitempty"`
 }
@@ -207,6 +215,15 @@
 	Operator string          `json:"operator"`
 	At       ident.GroupTime `json:"at"`
 	Epoch    ident.Epoch     `json:"epoch"`
+	// Ranking is there where the ranking closed it.
+	Ranking *RankingMark `json:"ranking,omitempty"`
+}
+
+// RankingMark says under which claim an engine was ranked, by which stamped record, and why.
+type RankingMark struct {
+	Claim  ident.ClaimNumber `json:"claim"`
+	Stamp  ident.MintedID    `json:"stamp"`
+	Reason string            `json:"reason,omitempty"`
 }
 
 // Claim is the right to plan and to command engines.
@@ -375,6 +392,8 @@
 		return s.applyBundle(c)
 	case OpClosure:
 		return s.close(c)
+	case OpKeep:
+		return s.keep(c)
 	case OpEnlist:
 		return s.enlist(c)
 	case OpLost:
@@ -504,9 +523,18 @@
 	if c.Based && c.Base != s.Closures.Epoch {
 		return s.closureLost(c)
 	}
-	mark := ClosureMark{Operator: c.Operator, At: s.Now, Epoch: s.Closures.Epoch + 1}
+	if c.Ranking != nil {
+		if verdict, reason := s.mayRank(c); verdict != Done {
+			return Result{Verdict: verdict, Reason: reason}
+		}
+	}
+	mark := ClosureMark{Operator: c.Operator, At: s.Now, Epoch: s.Closures.Epoch + 1, Ranking: c.Ranking}
 	next := s.Closures.Clone()
 	changed := false
+	if before, shut := next.Engines[c.Engine]; shut && c.Closed && before.Ranking != nil && c.Ranking == nil {
+		// What the ranking shut an operator may shut too; then only an operator opens it.
+		delete(next.Engines, c.Engine)
+	}
 	if c.Zone != "" {
 		changed = setClosure(next.Zones, c.Zone, c.Closed, mark)
 	}
@@ -523,6 +551,47 @@
 	return s.closuresNow()
 }
 
+// mayRank says whether whoever plans may shut or open an engine: it holds the claim, operators don't keep the engine,
+// and it opens only what the ranking shut.
+func (s *State) mayRank(c Command) (Verdict, string) {
+	_, kept := s.Closures.Kept[c.Engine]
+	before, shut := s.Closures.Engines[c.Engine]
+	switch {
+	case c.Engine == "" || c.Zone != "":
+		return Malformed, "the ranking shuts engines alone"
+	case s.Claim.Number != c.Ranking.Claim || s.Claim.NodeID != c.NodeID || s.Claim.Until <= s.Now:
+		return Forbidden, "the claim under which this was ranked is no longer held"
+	case c.Closed && kept:
+		return Forbidden, "an operator keeps this engine"
+	case !c.Closed && shut && before.Ranking == nil:
+		return Forbidden, "an operator drains this engine"
+	}
+	return Done, ""
+}
+
+// mostKept is how many engines may be kept at once: an engine's id is new with each start, so old ones go first.
+const mostKept = 1024
+
+// keep has an engine kept from the ranking, or no longer.
+func (s *State) keep(c Command) Result {
+	if c.Engine == "" {
+		return Result{Verdict: Malformed, Reason: "no engine is named"}
+	}
+	next := s.Closures.Clone()
+	mark := ClosureMark{Operator: c.Operator, At: s.Now, Epoch: next.Epoch + 1}
+	if setClosure(next.Kept, c.Engine, c.Closed, mark) {
+		next.Epoch++
+		for len(next.Kept) > mostKept {
+			oldest := slices.MinFunc(slices.Sorted(maps.Keys(next.Kept)), func(a, b ident.EngineID) int {
+				return cmp.Compare(next.Kept[a].Epoch, next.Kept[b].Epoch)
+			})
+			delete(next.Kept, oldest)
+		}
+		s.Closures = next
+	}
+	return s.closuresNow()
+}
+
 func (s *State) closuresNow() Result {
 	out := s.Closures.Clone()
 	return Result{Verdict: Done, Closures: &out}
@@ -620,7 +689,10 @@
 
 // Clone copies the closures, so that readers keep what they hold.
 func (c Closures) Clone() Closures {
-	out := Closures{Epoch: c.Epoch, Zones: map[ident.ZoneID]ClosureMark{}, Engines: map[ident.EngineID]ClosureMark{}, Lost: map[ident.NodeID]ClosureMark{}}
+	out := Closures{Epoch: c.Epoch, Zones: map[ident.ZoneID]ClosureMark{}, Engines: map[ident.EngineID]ClosureMark{}, Lost: map[ident.NodeID]ClosureMark{}, Kept: map[ident.EngineID]ClosureMark{}}
+	for engine, mark := range c.Kept {
+		out.Kept[engine] = mark
+	}
 	for zone, mark := range c.Zones {
 		out.Zones[zone] = mark
 	}
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -28,6 +28,8 @@
 	Mint   func() (ident.MintedID, bool)
 	// Open says whether operators let new requests go to an engine: neither it nor its zone is closed. Nil is yes.
 	Open func(*registry.Engine) bool
+	// Emptied says that an engine is shut because its node is sick, so that what can go on elsewhere does. Nil is never.
+	Emptied func(*registry.Engine) bool
 	// Lacks says for how long a model or adapter is not likely to be loaded, where the planner said so.
 	Lacks func(pool, model, adapter string) (time.Duration, bool)
 }
@@ -35,7 +37,7 @@
 // Counters are counted over a daemon's life.
 type Counters struct {
 	Admitted, Held, Sent, SentAgain, AgainDenied, HeldBack, NeverSent, EngineRefused, Misdirected, Lost, Junk, Cut uint64
-	Whole, Failed, Shed, Refused, Broken, BrokenOff, CallersLeft, NoPath, Resumed                                  uint64
+	Whole, Failed, Shed, Refused, Broken, BrokenOff, CallersLeft, NoPath, Resumed, Moved, Stayed                   uint64
 	// HeldFor counts by what lacked, EndedFor by cause.
 	HeldFor  [lacks]uint64
 	EndedFor [causes]uint64
@@ -210,13 +212,16 @@
 			c.finish(r, w, NoLease, c.comeBack(r, w))
 			return
 		}
-		if !c.budget(r.pool).allows(w.Now, c.settings, w.Edges) {
+		if !r.paid && !c.budget(r.pool).allows(w.Now, c.settings, w.Edges) {
 			c.Counters.AgainDenied++
 			c.finish(r, w, Spent, c.comeBack(r, w))
 			return
 		}
 		// The attempt is counted before it leaves, since it can't be called back.
-		c.budget(r.pool).again(w.Now)
+		if !r.paid {
+			c.budget(r.pool).again(w.Now)
+		}
+		r.paid = false
 		c.Counters.SentAgain++
 	}
 	if r.stage == Held {
@@ -233,6 +238,7 @@
 		Engine: chosen.ID, Address: chosen.Address, Zone: chosen.Zone, Pool: r.pool, Left: r.Deadline.Since(w.Now),
 		Urgency: r.Path.Rank, Careful: !r.mayRepeat(), LastEvent: r.resumeAt(), Resumes: r.resumeAt() != "",
 		MostConnections: connectionShare(pool, w.Edges), Stamped: len(r.stamps) > 0,
+		Running: state.running(chosen, w, c.settings), Reading: state.reading, GapTargetMs: r.Path.GapTargetMs,
 	}})
 }
 
@@ -464,7 +470,13 @@
 func (c *Core) settle(r *Record, outcome Outcome, w World) {
 	c.demand(r).running--
 	c.running[r.pool]--
-	c.engine(r.engine).ended(r, outcome, w)
+	judged := outcome
+	if r.moving && outcome != Whole && outcome != Failed {
+		// We ended it ourselves, which says nothing of the engine.
+		judged = HeldBack
+	}
+	r.moving = false
+	c.engine(r.engine).ended(r, judged, w)
 	if outcome == Whole {
 		if !r.begun {
 			c.path(r).began(r, w.Now)
--- a/request/forwarding/engine.go
+++ b/request/forwarding/engine.go
@@ -82,6 +82,16 @@
 	}
 }
 
+// running is how many requests run and wait there, this daemon's newest included.
+func (e *engineState) running(engine *registry.Engine, w World, s Settings) int {
+	running := e.inFlight
+	if plan := engine.Plan; plan != nil && w.Now.Since(plan.Told) < s.ReportFresh {
+		e.hear(plan)
+		running = max(running, plan.Active+plan.Queued+max(0, e.inFlight-e.ownThen))
+	}
+	return running
+}
+
 // quiet is for how long it has given no sign although it was asked.
 func (e *engineState) quiet(now clock.Mark) time.Duration {
 	if e.waiting == 0 {
--- a/request/forwarding/record.go
+++ b/request/forwarding/record.go
@@ -93,6 +93,8 @@
 	awaited       bool
 	// score is what the engine chosen was expected to cost.
 	score float64
+	// moving says that the attempt under way was stopped to be made elsewhere, paid that the next one is in the budget.
+	moving, paid bool
 	// counted says that its first arrival at an engine is in the budget.
 	counted bool
 	steps   chan Step
@@ -144,4 +146,8 @@
 	MostConnections int
 	// Stamped says that it was held or tried before, which only a lease allows.
 	Stamped bool
+	// Running is how many requests run and wait there, Reading how many tokens are to be read before its first
+	// byte, both as far as this daemon knows; GapTargetMs is the path's.
+	Running, Reading int
+	GapTargetMs      int64
 }
--- /dev/null
+++ b/wire/operatorapi/nodes.go
@@ -0,0 +1,60 @@
+package operatorapi
+
+import "github.com/cresspond/cresspond/process/ident"
+
+// PathNodes lists the engines by how their nodes behave, the worst first, and takes what operators say of one.
+const PathNodes = "/v1/nodes"
+
+// Node is one row of the ranks.
+type Node struct {
+	Engine ident.EngineID `json:"engine"`
+	Pool   string         `json:"pool"`
+	Zone   ident.ZoneID   `json:"zone"`
+	Stage  string         `json:"stage"`
+	// SinceMs is for how long it has been in its stage.
+	SinceMs int64 `json:"sinceMs"`
+	// Score is how many times slower it is than others with like work; 0 is that not enough is known.
+	Score float64 `json:"score"`
+	// Kind is what it is slowest in, Value what was measured there, Others the same of the others.
+	Kind    string  `json:"kind,omitempty"`
+	Value   float64 `json:"value,omitempty"`
+	Others  float64 `json:"others,omitempty"`
+	Samples int     `json:"samples,omitempty"`
+	// Observers is from how many zones it is seen, SlowPaths from which alone it is slow.
+	Observers int            `json:"observers,omitempty"`
+	SlowPaths []ident.ZoneID `json:"slowPaths,omitempty"`
+	// Shut says that nothing new goes to it, ShutBy who shut it and ShutFor why, Kept who keeps it from the ranking.
+	Shut    bool   `json:"shut,omitempty"`
+	ShutBy  string `json:"shutBy,omitempty"`
+	ShutFor string `json:"shutFor,omitempty"`
+	Kept    string `json:"kept,omitempty"`
+	// Refusal is why the ranking does not drain it though it is slow.
+	Refusal string `json:"refusal,omitempty"`
+}
+
+// Nodes is the list.
+type Nodes struct {
+	// Mode is what ranking is used for: off, watch or drain.
+	Mode  string            `json:"mode"`
+	Claim ident.ClaimNumber `json:"claim"`
+	// ClosureEpoch is the one that the list was made under, and that what operators say builds on.
+	ClosureEpoch ident.Epoch `json:"closureEpoch"`
+	Nodes        []Node      `json:"nodes"`
+	// Asked is whether the engine that was asked about may be drained: allowed, or why not.
+	Asked       string `json:"asked,omitempty"`
+	AskedReason string `json:"askedReason,omitempty"`
+}
+
+// What operators may say of a node.
+const (
+	NodeDrain   = "drain"
+	NodeKeep    = "keep"
+	NodeRelease = "release"
+)
+
+// NodeAct drains an engine, keeps it from the ranking, or takes both back.
+type NodeAct struct {
+	Engine   ident.EngineID `json:"engine"`
+	Act      string         `json:"act"`
+	Operator string         `json:"operator"`
+}
