Take little evidence of several zones together, and let silence clear nobody

Cause (rehearsal, node-stall): an engine that everybody avoids is seen too seldom by each zone alone, and quick connections made it look sound again.

--- a/cmd/cresspond-platform/main.go
+++ b/cmd/cresspond-platform/main.go
@@ -18,6 +18,7 @@
 	"github.com/cresspond/cresspond/platform"
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/daemon"
+	"github.com/cresspond/cresspond/process/ranking"
 )
 
 // version is set by the build.
@@ -35,6 +36,8 @@
 		os.Exit(status)
 	})
 	file := app.Flag("config", "Settings file, TOML.").Short('c').Envar(platform.SettingsVariable).String()
+	ranks := app.Flag("ranking", "What engines are ranked for by how their nodes behave: off, watch, or drain the worst.").Default(string(ranking.Off)).Envar("CRESSPOND_RANKING").
+		Enum(string(ranking.Off), string(ranking.Watch), string(ranking.Drain))
 	checkOnly := app.Flag("check", "Check the settings, say what is wrong, and end.").Bool()
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		app.Fatalf("%s, try --help", err)
@@ -46,6 +49,7 @@
 		}
 		os.Exit(2)
 	}
+	settings.Ranking.Mode = ranking.Mode(*ranks)
 	if *checkOnly {
 		fmt.Println("the settings are sound")
 		return
--- a/process/daemon/ranking.go
+++ b/process/daemon/ranking.go
@@ -44,6 +44,8 @@
 	stepNext clock.Mark
 	// vanished is since when an engine that the ranking shut is not registered.
 	vanished map[ident.EngineID]clock.Mark
+	// refusals is why slow engines were not drained at the newest step.
+	refusals map[ident.EngineID]ranking.Refusal
 	// asked for lately: only that must not lose its last holder.
 	wanted map[wantedKey]clock.Mark
 	state  atomic.Pointer[rankingState]
@@ -96,7 +98,7 @@
 )
 
 func newNodeRanking(d *Daemon) *nodeRanking {
-	n := &nodeRanking{Daemon: d, settings: d.config.Ranking, box: actor.NewMailbox[any](1024), vanished: map[ident.EngineID]clock.Mark{}, wanted: map[wantedKey]clock.Mark{}}
+	n := &nodeRanking{Daemon: d, settings: d.config.Ranking, box: actor.NewMailbox[any](1024), vanished: map[ident.EngineID]clock.Mark{}, refusals: map[ident.EngineID]ranking.Refusal{}, wanted: map[wantedKey]clock.Mark{}}
 	if n.on() && d.forwards() {
 		n.recorder = ranking.NewRecorder()
 	}
@@ -257,6 +259,7 @@
 		n.log.WithFields(log.Fields{"engine": string(change.Engine), "from": change.From.String(), "to": change.To.String(), "score": round(change.Standing.Score),
 			"kind": change.Standing.Kind.String()}).Info("ranking: another stage")
 	}
+	n.logRefusals()
 	state := &rankingState{claim: n.claim, rows: n.ranker.Rows(), counters: n.ranker.Counters, took: took, emptying: map[ident.EngineID]bool{}}
 	for _, move := range decision.Moves {
 		state.emptying[move.Engine] = true
@@ -268,6 +271,20 @@
 	}
 }
 
+// logRefusals logs why slow engines are not drained, where that has changed.
+func (n *nodeRanking) logRefusals() {
+	for _, row := range n.ranker.Rows() {
+		if row.Refusal == n.refusals[row.Engine] {
+			continue
+		}
+		if n.refusals[row.Engine] = row.Refusal; row.Refusal == ranking.Allowed {
+			delete(n.refusals, row.Engine)
+			continue
+		}
+		n.log.WithFields(log.Fields{"engine": string(row.Engine), "score": round(row.Score), "reason": row.Refusal.Reason()}).Info("ranking: not drained")
+	}
+}
+
 func anyRanked(closures statemachine.Closures) bool {
 	for _, mark := range closures.Engines {
 		if mark.Ranking != nil {
--- a/process/ranking/evidence.go
+++ b/process/ranking/evidence.go
@@ -116,6 +116,17 @@
 	samples int
 }
 
+// enough says whether so many measurements say something. Of an engine that stalls there are few events, so of
+// pauses their time counts too, in multiples of the longest one aimed at.
+func enough(kind Kind, samples int, time int64) bool {
+	return samples >= leastSamples[kind] || kind == Stall && samples >= fewSamples && time >= longTime
+}
+
+const (
+	fewSamples = 4
+	longTime   = 5000
+)
+
 // leastSamples is how many measurements say something.
 var leastSamples = [kinds]int{Stall: 20, Transfer: 5, Connect: 3}
 
@@ -134,27 +145,59 @@
 	}
 	out := make([]measure, 0, len(joined))
 	for key, list := range joined {
-		samples := 0
-		for _, s := range list {
-			samples += s.total()
-		}
-		if samples < leastSamples[key.class.Kind] {
-			continue
+		value, samples, time := e.value(key.class.Kind, list)
+		if enough(key.class.Kind, samples, time) {
+			out = append(out, measure{key, value, samples})
 		}
-		e.scratch.Reset()
-		for _, s := range list {
-			for _, part := range s.parts {
-				for _, bucket := range part {
-					weight := int64(bucket.Count)
-					if key.class.Kind == Stall {
-						weight *= int64(bucket.Value)
-					}
-					// What was told comes from elsewhere, so it is clamped anew.
-					_ = e.scratch.RecordValues(clamp(int64(bucket.Value)), weight)
+	}
+	return out
+}
+
+// value takes one value of several series, with how many measurements it stands on and what time they sum up to.
+func (e *evidence) value(kind Kind, list []*series) (value float64, samples int, time int64) {
+	e.scratch.Reset()
+	for _, s := range list {
+		samples += s.total()
+		for _, part := range s.parts {
+			for _, bucket := range part {
+				// What was told comes from elsewhere, so it is clamped anew.
+				one, weight := clamp(int64(bucket.Value)), int64(bucket.Count)
+				time += one * weight
+				if kind == Stall {
+					weight *= one
 				}
+				_ = e.scratch.RecordValues(one, weight)
 			}
 		}
-		out = append(out, measure{key, float64(e.scratch.ValueAtQuantile(valueAt[key.class.Kind])), samples})
 	}
-	return out
+	return float64(e.scratch.ValueAtQuantile(valueAt[kind])), samples, time
+}
+
+// together takes one value of each engine and class of work over all zones, for engines of which no zone alone sees
+// enough. It is the value that more than half of the zones see, each by the little it has.
+func (e *evidence) together(across func([]float64) float64) (out []measure, zones map[ident.EngineID]int) {
+	joined := map[seriesKey]map[ident.ZoneID][]*series{}
+	for key, s := range e.series {
+		zone := key.observer
+		key.observer, key.class.Model = "", ""
+		if joined[key] == nil {
+			joined[key] = map[ident.ZoneID][]*series{}
+		}
+		joined[key][zone] = append(joined[key][zone], s)
+	}
+	zones = map[ident.EngineID]int{}
+	for key, byZone := range joined {
+		var values []float64
+		samples, time := 0, int64(0)
+		for _, list := range byZone {
+			value, some, long := e.value(key.class.Kind, list)
+			values, samples, time = append(values, value), samples+some, time+long
+		}
+		if len(values) > 1 && enough(key.class.Kind, samples, time) {
+			slices.Sort(values)
+			out = append(out, measure{key, across(values), samples})
+			zones[key.engine] = max(zones[key.engine], len(values))
+		}
+	}
+	return out, zones
 }
--- a/process/ranking/ranker.go
+++ b/process/ranking/ranker.go
@@ -43,8 +43,10 @@
 	// relapses is how often it was drained without having been sound for long.
 	relapses int
 	// asked is when its draining or opening was last asked for.
-	asked    clock.Mark
+	asked clock.Mark
+	// standing is the newest that says something, measured when.
 	standing Standing
+	measured clock.Mark
 	refusal  Refusal
 }
 
@@ -137,12 +139,16 @@
 	var out Decision
 	r.meet(now, fleet, &out)
 	standings := r.rules.rank(r.settings, r.evidence)
-	for _, s := range r.engines {
-		s.standing = Standing{}
-	}
 	for _, standing := range standings {
-		if s := r.engines[standing.Engine]; s != nil {
-			s.standing = standing
+		// Who is quick to connect to and was not seen at work has shown nothing: one that nobody sends to any more.
+		says := standing.Score > 0 && (standing.Worked || standing.Score >= r.settings.DrainAt)
+		if s := r.engines[standing.Engine]; s != nil && says {
+			s.standing, s.measured = standing, now
+		}
+	}
+	for _, s := range r.engines {
+		if now.Since(s.measured) > ms(r.settings.SpanMs) {
+			s.standing = Standing{}
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.engines)) {
@@ -186,6 +192,9 @@
 	out.Changes = append(out.Changes, Change{id, s.stage, to, s.standing})
 	s.move(to, now)
 	s.asked, s.refusal = 0, Allowed
+	if to == Drained || to == Trial {
+		s.standing, s.measured = Standing{Engine: id}, 0
+	}
 }
 
 // trialsMost is how many times its span a trial lasts for one that gets no requests.
@@ -198,8 +207,8 @@
 	switch {
 	case score >= r.settings.DrainAt && s.slowSince == 0:
 		s.slowSince = now
-	case score < r.settings.ClearAt:
-		// Only what is clearly sound ends the count; what lies between keeps it.
+	case score > 0 && score < r.settings.ClearAt:
+		// Only what is clearly sound ends the count; what lies between, or shows nothing, keeps it.
 		s.slowSince = 0
 	}
 	switch s.stage {
@@ -213,7 +222,8 @@
 			s.relapses = 0
 		}
 	case Suspect:
-		if s.slowSince == 0 {
+		// One that shows nothing for long is no longer suspected either.
+		if s.slowSince == 0 || score == 0 && now.Since(s.measured) > trialsMost*ms(r.settings.SpanMs) {
 			r.Counters.Cleared++
 			r.change(now, id, Sound, out)
 		}
--- a/process/ranking/ranking_test.go
+++ b/process/ranking/ranking_test.go
@@ -758,3 +758,92 @@
 		}
 	}
 }
+
+// Who is avoided since it is slow shows little, and connections to it are quick: that clears nobody.
+func TestSilenceClearsNobody(t *testing.T) {
+	s := newSite(9, nil)
+	sick := s.nodes[3]
+	sick.shut = true
+	stalls := func() {
+		for _, zone := range s.zones {
+			recorder := NewRecorder()
+			cell := recorder.Cell(sick.id, Class{Kind: Stall, Pool: "pool", Model: "model", TargetMs: targetMs, Load: LoadBand(2)})
+			for range 2 {
+				cell.Pause(700 * time.Millisecond)
+			}
+			for _, n := range s.nodes {
+				connects := recorder.Cell(n.id, Class{Kind: Connect, Pool: "pool"})
+				for range 4 {
+					connects.Delay(time.Millisecond)
+				}
+			}
+			s.ranker.Take(s.now, zone, recorder.Take())
+		}
+	}
+	fleet := func() Fleet {
+		out := s.fleet()
+		one := out[sick.id]
+		one.Open = true
+		out[sick.id] = one
+		return out
+	}
+	var drained []ident.EngineID
+	for second := range 8 {
+		s.measure()
+		if second < 3 {
+			stalls()
+		}
+		s.now += clock.Mark(time.Second)
+		for _, act := range s.ranker.Step(s.now, fleet()).Acts {
+			drained = append(drained, act.Engine)
+		}
+	}
+	if len(drained) == 0 || drained[0] != sick.id {
+		t.Fatalf("six pauses of seven times the longest aimed at, and then nothing: %v", drained)
+	}
+	// After long silence it is suspected no more.
+	for range 50 {
+		s.measure()
+		s.now += clock.Mark(time.Second)
+		s.ranker.Step(s.now, fleet())
+	}
+	if stage := s.ranker.engines[sick.id].stage; stage != Sound {
+		t.Fatal(stage)
+	}
+}
+
+// Where no zone alone sees enough, they see together; still it takes more than half of them.
+func TestZonesThatSeeLittleSeeTogether(t *testing.T) {
+	sparse := func(slowFrom int) *site {
+		s := newSite(5, func(s *Settings) { s.MostOfPool = 0.5 })
+		s.zones = []ident.ZoneID{"a", "b", "c"}
+		for range 10 {
+			for place, zone := range s.zones {
+				recorder := NewRecorder()
+				for at, n := range s.nodes {
+					cell := recorder.Cell(n.id, Class{Kind: Transfer, Pool: "pool", Model: n.model, Load: LoadBand(8), Size: SizeBand(2000)})
+					delay := 80 * time.Millisecond
+					if at == 2 && place < slowFrom {
+						delay = 3 * time.Second
+					}
+					if int(s.now/clock.Mark(time.Second))%4 == 0 {
+						cell.Delay(delay)
+					}
+				}
+				s.ranker.Take(s.now, zone, recorder.Take())
+			}
+			s.now += clock.Mark(time.Second)
+			s.last = s.ranker.Step(s.now, s.fleet())
+			for _, act := range s.last.Acts {
+				s.drains = append(s.drains, act.Engine)
+			}
+		}
+		return s
+	}
+	if s := sparse(3); len(s.drains) == 0 || s.drains[0] != "engine-02" {
+		t.Fatalf("two of each zone within the span: %v", s.drains)
+	}
+	if s := sparse(1); len(s.drains) > 0 {
+		t.Fatalf("one zone of three alone: %v", s.drains)
+	}
+}
--- a/process/ranking/score.go
+++ b/process/ranking/score.go
@@ -17,6 +17,8 @@
 	Kind         Kind
 	Value, Peers float64
 	Samples      int
+	// Worked says that it was measured at work, and not only connected to.
+	Worked bool
 	// Observers is from how many zones it is seen, Paths from which ones alone it is slow.
 	Observers int
 	Paths     []ident.ZoneID
@@ -238,14 +240,27 @@
 	return total
 }
 
+// zoned is one engine as one zone sees it, or all together.
+type zoned struct {
+	view
+	kind   Kind
+	worked bool
+}
+
+// with adds another kind of measurement: the one in which an engine is slowest says how slow it is.
+func (z zoned) with(one view, kind Kind) zoned {
+	worked := z.worked || kind != Connect
+	if z.samples == 0 || one.score > z.score || one.score == z.score && kind < z.kind {
+		z = zoned{view: one, kind: kind}
+	}
+	z.worked = worked
+	return z
+}
+
 // rank gives how each engine stands, the worst first.
 func (r rules) rank(s Settings, e *evidence) []Standing {
 	// Engines with the same model are compared first. Where too few have it, all models count together.
 	alike, overall := r.views(s, e.measures(false)), r.views(s, e.measures(true))
-	type zoned struct {
-		view
-		kind Kind
-	}
 	byZone := map[ident.EngineID]map[ident.ZoneID]zoned{}
 	for key, views := range overall {
 		if same := alike[key]; 2*samplesOf(same) >= samplesOf(views) {
@@ -255,9 +270,16 @@
 		if byZone[key.engine] == nil {
 			byZone[key.engine] = map[ident.ZoneID]zoned{}
 		}
-		// The kind in which it is slowest says how slow it is.
-		if known, any := byZone[key.engine][key.observer]; !any || one.score > known.score || one.score == known.score && key.kind < known.kind {
-			byZone[key.engine][key.observer] = zoned{one, key.kind}
+		byZone[key.engine][key.observer] = byZone[key.engine][key.observer].with(one, key.kind)
+	}
+	few, together := e.together(r.across)
+	jointly := map[ident.EngineID]zoned{}
+	for key, views := range r.views(s, few) {
+		jointly[key.engine] = jointly[key.engine].with(joint(views), key.kind)
+	}
+	for engine := range jointly {
+		if byZone[engine] == nil {
+			byZone[engine] = map[ident.ZoneID]zoned{}
 		}
 	}
 	zones := map[ident.ZoneID]bool{}
@@ -273,11 +295,17 @@
 		for _, one := range list {
 			scores = append(scores, one.score)
 			standing.Samples += one.samples
+			standing.Worked = standing.Worked || one.worked
 		}
 		slices.Sort(scores)
-		if len(list) >= min(2, len(zones)) {
+		if len(list) > 0 && len(list) >= min(2, len(zones)) {
 			// One zone alone can't tell an engine from the path to it, where there are more to ask.
 			standing.Score = r.across(scores)
+		} else if one, any := jointly[engine]; any {
+			standing.Score, standing.Kind, standing.Value, standing.Peers, standing.Samples = one.score, one.kind, one.value, one.others, one.samples
+			standing.Observers, standing.Worked = together[engine], one.worked
+			out = append(out, standing)
+			continue
 		}
 		nearest := math.Inf(1)
 		for _, zone := range sortedZones(list) {
--- /dev/null
+++ b/process/statemachine/ranking_test.go
@@ -0,0 +1,125 @@
+package statemachine
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// do applies a command at a time.
+func do(t *testing.T, s *State, at ident.GroupTime, c Command) Result {
+	t.Helper()
+	c.At = at
+	data, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.Apply(data)
+}
+
+func ranked(node ident.NodeID, claim ident.ClaimNumber, engine ident.EngineID, closed bool) Command {
+	return Command{Op: OpClosure, NodeID: node, Operator: "ranking", Engine: engine, Closed: closed, Ranking: &RankingMark{Claim: claim, Stamp: 7, Reason: "stall"}}
+}
+
+func withClaim(t *testing.T, node ident.NodeID) *State {
+	s := New()
+	if got := do(t, s, 1000, Command{Op: OpClaim, NodeID: node, SpanMs: 3000, GapMs: 3800}); got.Claim == nil || got.Claim.Number != 1 {
+		t.Fatalf("%+v", got)
+	}
+	return s
+}
+
+func TestOnlyTheClaimRanks(t *testing.T) {
+	for name, c := range map[string]struct {
+		node  ident.NodeID
+		claim ident.ClaimNumber
+		at    ident.GroupTime
+		want  Verdict
+	}{
+		"the holder":            {"p", 1, 2000, Done},
+		"another daemon":        {"q", 1, 2000, Forbidden},
+		"an earlier claim":      {"p", 0, 2000, Forbidden},
+		"a claim never granted": {"p", 2, 2000, Forbidden},
+		"a claim that lapsed":   {"p", 1, 4000, Forbidden},
+	} {
+		s := withClaim(t, "p")
+		got := do(t, s, c.at, ranked(c.node, c.claim, "e", true))
+		if _, shut := s.Closures.Engines["e"]; got.Verdict != c.want || shut != (c.want == Done) {
+			t.Errorf("%s: %+v, shut %t", name, got, shut)
+		}
+	}
+	s := withClaim(t, "p")
+	if got := do(t, s, 2000, Command{Op: OpClosure, NodeID: "p", Zone: "z", Engine: "e", Closed: true, Ranking: &RankingMark{Claim: 1}}); got.Verdict != Malformed {
+		t.Fatalf("the ranking shuts no zones: %+v", got)
+	}
+	// The mark says by what, and outlasts a snapshot.
+	do(t, s, 2000, ranked("p", 1, "e", true))
+	restored, err := Restore(s.Snapshot())
+	if err != nil || restored.Closures.Engines["e"].Ranking == nil || *restored.Closures.Engines["e"].Ranking != (RankingMark{1, 7, "stall"}) {
+		t.Fatalf("%+v %v", restored.Closures, err)
+	}
+}
+
+func TestOperatorsStandAboveTheRanking(t *testing.T) {
+	s := withClaim(t, "p")
+	// Who is kept is not drained.
+	do(t, s, 1500, Command{Op: OpKeep, Engine: "e", Operator: "ana", Closed: true})
+	if got := do(t, s, 1600, ranked("p", 1, "e", true)); got.Verdict != Forbidden {
+		t.Fatalf("%+v", got)
+	}
+	// Kept twice changes nothing, and is let go again.
+	epoch := s.Closures.Epoch
+	do(t, s, 1600, Command{Op: OpKeep, Engine: "e", Operator: "ana", Closed: true})
+	if s.Closures.Epoch != epoch {
+		t.Fatal("said again it is no change")
+	}
+	do(t, s, 1600, Command{Op: OpKeep, Engine: "e", Operator: "ana"})
+	if got := do(t, s, 1700, ranked("p", 1, "e", true)); got.Verdict != Done {
+		t.Fatalf("%+v", got)
+	}
+	// An operator makes the ranking's drain their own: then the ranking does not open it.
+	do(t, s, 1800, Command{Op: OpClosure, Engine: "e", Operator: "ana", Closed: true})
+	if mark := s.Closures.Engines["e"]; mark.Operator != "ana" || mark.Ranking != nil {
+		t.Fatalf("%+v", mark)
+	}
+	if got := do(t, s, 1900, ranked("p", 1, "e", false)); got.Verdict != Forbidden {
+		t.Fatalf("%+v", got)
+	}
+	if got := do(t, s, 1900, ranked("p", 1, "e", true)); got.Verdict != Done || s.Closures.Engines["e"].Operator != "ana" {
+		t.Fatalf("nor does it take the mark over: %+v", s.Closures.Engines["e"])
+	}
+	// And what the ranking drained an operator opens.
+	do(t, s, 2000, ranked("p", 1, "f", true))
+	if got := do(t, s, 2000, Command{Op: OpClosure, Engine: "f", Operator: "ana"}); got.Verdict != Done || len(s.Closures.Engines) != 1 {
+		t.Fatalf("%+v", s.Closures)
+	}
+	if got := do(t, s, 2000, Command{Op: OpKeep, Operator: "ana", Closed: true}); got.Verdict != Malformed {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestWhoIsKeptIsBounded(t *testing.T) {
+	s := New()
+	for n := range mostKept + 50 {
+		do(t, s, 1000, Command{Op: OpKeep, Engine: ident.EngineID(fmt.Sprint("e", n)), Operator: "ana", Closed: true})
+	}
+	if len(s.Closures.Kept) != mostKept {
+		t.Fatal(len(s.Closures.Kept))
+	}
+	if _, kept := s.Closures.Kept["e49"]; kept {
+		t.Fatal("the oldest went")
+	}
+}
+
+// Closures of earlier builds hold none of this.
+func TestOlderClosuresAreRead(t *testing.T) {
+	s, err := Restore([]byte(`{"closures":{"epoch":3,"zones":{},"engines":{"e":{"operator":"ana","at":1,"epoch":3}}}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := do(t, s, 1000, Command{Op: OpKeep, Engine: "x", Operator: "ana", Closed: true}); got.Verdict != Done || got.Closures.Epoch != 4 {
+		t.Fatalf("%+v", got)
+	}
+}
--- a/rehearsal/platformkit/day/acts.go
+++ b/rehearsal/platformkit/day/acts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,11 +19,13 @@
 	name string
 	rest time.Duration
 	play func(*Day, context.Context) error
+	// ranking is what engines are ranked for on a day with this act; empty is the processes' default.
+	ranking string
 }
 
 // Names lists the acts.
 func Names() (out []string) {
-	for _, one := range acts {
+	for _, one := range append(slices.Clone(acts), rankingActs...) {
 		out = append(out, one.name)
 	}
 	return out
@@ -30,7 +33,7 @@
 
 // The rest after trouble with the core is longer than contact, so that rules that need calm get some.
 var acts = []act{
-	{"engine-crash", 2 * time.Second, func(d *Day, ctx context.Context) error {
+	{name: "engine-crash", rest: 2 * time.Second, play: func(d *Day, ctx context.Context) error {
 		for _, service := range []string{"lm", "notes"} {
 			e, err := d.anyEngine(service)
 			if err != nil {
@@ -44,7 +47,7 @@
 		}
 		return nil
 	}},
-	{"release", time.Second, func(d *Day, ctx context.Context) error {
+	{name: "release", rest: time.Second, play: func(d *Day, ctx context.Context) error {
 		for _, e := range d.of("notes") {
 			if _, err := d.newPlain(e.Config.Zone, "notes", ""); err != nil {
 				return err
@@ -56,7 +59,7 @@
 		}
 		return nil
 	}},
-	{"short-notice", 2 * time.Second, func(d *Day, ctx context.Context) error {
+	{name: "short-notice", rest: 2 * time.Second, play: func(d *Day, ctx context.Context) error {
 		e, err := d.anyEngine("lm")
 		if err != nil {
 			return err
@@ -67,7 +70,7 @@
 		e.Leave(1200 * ms)
 		return d.await(ctx, "the engine is gone", func() bool { return e.Current() == "" })
 	}},
-	{"address-reuse", time.Second, func(d *Day, ctx context.Context) error {
+	{name: "address-reuse", rest: time.Second, play: func(d *Day, ctx context.Context) error {
 		e, err := d.anyEngine("notes")
 		if err != nil {
 			return err
@@ -80,7 +83,7 @@
 		_, err = d.newPlain(e.Config.Zone, "spare", e.Config.Address)
 		return err
 	}},
-	{"engine-freeze", 2 * time.Second, func(d *Day, ctx context.Context) error {
+	{name: "engine-freeze", rest: 2 * time.Second, play: func(d *Day, ctx context.Context) error {
 		e, err := d.anyEngine("lm")
 		if err != nil {
 			return err
@@ -90,7 +93,7 @@
 		e.Thaw()
 		return nil
 	}},
-	{"engine-faults", time.Second, func(d *Day, ctx context.Context) error {
+	{name: "engine-faults", rest: time.Second, play: func(d *Day, ctx context.Context) error {
 		faults := []engine.Fault{{Kind: engine.Break, At: 20}, {Kind: engine.Break, At: 320, Reset: true}, {Kind: engine.Break, At: 500}, {Kind: engine.Surplus}, {Kind: engine.LateSurplus},
 			{Kind: engine.Junk}, {Kind: engine.Foreign}, {Kind: engine.NoID}, {Kind: engine.Own, Status: 500}, {Kind: engine.Unread}}
 		for _, service := range []string{"lm", "notes"} {
@@ -107,7 +110,7 @@
 		d.pause(ctx, 4*time.Second)
 		return nil
 	}},
-	{"order-trouble", 2 * time.Second, func(d *Day, ctx context.Context) error {
+	{name: "order-trouble", rest: 2 * time.Second, play: func(d *Day, ctx context.Context) error {
 		// Demand moves, so that there are orders; their answers get lost, and engines freeze and fall over them.
 		d.mutex.Lock()
 		d.favourite += 2
@@ -134,9 +137,9 @@
 		}
 		return nil
 	}},
-	{"edge-kill", 2 * time.Second, func(d *Day, ctx context.Context) error { return d.bounce(ctx, d.any(fleet.Edge)) }},
-	{"edge-freeze", 2 * time.Second, func(d *Day, ctx context.Context) error { return d.freeze(ctx, d.any(fleet.Edge)) }},
-	{"edge-stop", time.Second, func(d *Day, ctx context.Context) error {
+	{name: "edge-kill", rest: 2 * time.Second, play: func(d *Day, ctx context.Context) error { return d.bounce(ctx, d.any(fleet.Edge)) }},
+	{name: "edge-freeze", rest: 2 * time.Second, play: func(d *Day, ctx context.Context) error { return d.freeze(ctx, d.any(fleet.Edge)) }},
+	{name: "edge-stop", rest: time.Second, play: func(d *Day, ctx context.Context) error {
 		m := d.any(fleet.Edge)
 		if d.Fleet.Stop(m) {
 			d.Say("%s did not end within its grace", m.Name)
@@ -144,7 +147,7 @@
 		d.pause(ctx, 300*ms)
 		return d.Fleet.Again(m)
 	}},
-	{"edge-roll", time.Second, func(d *Day, ctx context.Context) error {
+	{name: "edge-roll", rest: time.Second, play: func(d *Day, ctx context.Context) error {
 		// All in turn, with much under way.
 		d.hurry(4)
 		defer d.hurry(1)
@@ -161,7 +164,7 @@
 		}
 		return nil
 	}},
-	{"stop-in-need", 2 * time.Second, func(d *Day, ctx context.Context) error {
+	{name: "stop-in-need", rest: 2 * time.Second, play: func(d *Day, ctx context.Context) error {
 		// No engine of one service lives, and those of another say nothing, while a router is told to end.
 		notes, lm := d.of("notes"), d.of("lm")
 		for _, e := range notes {
@@ -186,9 +189,9 @@
 		}
 		return d.Fleet.Again(m)
 	}},
-	{"core-kill", 4 * time.Second, func(d *Day, ctx context.Context) error { return d.bounce(ctx, d.any(fleet.Core)) }},
-	{"core-freeze", 4 * time.Second, func(d *Day, ctx context.Context) error { return d.freeze(ctx, d.any(fleet.Core)) }},
-	{"core-roll", 4 * time.Second, func(d *Day, ctx context.Context) error {
+	{name: "core-kill", rest: 4 * time.Second, play: func(d *Day, ctx context.Context) error { return d.bounce(ctx, d.any(fleet.Core)) }},
+	{name: "core-freeze", rest: 4 * time.Second, play: func(d *Day, ctx context.Context) error { return d.freeze(ctx, d.any(fleet.Core)) }},
+	{name: "core-roll", rest: 4 * time.Second, play: func(d *Day, ctx context.Context) error {
 		for _, m := range d.Fleet.Of(fleet.Core) {
 			if d.Fleet.Stop(m) {
 				d.Say("%s did not end within its grace", m.Name)
@@ -201,7 +204,7 @@
 		}
 		return nil
 	}},
-	{"core-wipe", 5 * time.Second, func(d *Day, ctx context.Context) error {
+	{name: "core-wipe", rest: 5 * time.Second, play: func(d *Day, ctx context.Context) error {
 		m := d.any(fleet.Core)
 		d.Fleet.Kill(m)
 		if err := d.Fleet.Wipe(m); err != nil {
@@ -210,11 +213,11 @@
 		d.pause(ctx, 300*ms)
 		return d.Fleet.Again(m)
 	}},
-	{"core-replace", 5 * time.Second, func(d *Day, _ context.Context) error {
+	{name: "core-replace", rest: 5 * time.Second, play: func(d *Day, _ context.Context) error {
 		_, err := d.Fleet.Replace(d.any(fleet.Core))
 		return err
 	}},
-	{"core-herd", 5 * time.Second, func(d *Day, ctx context.Context) error {
+	{name: "core-herd", rest: 5 * time.Second, play: func(d *Day, ctx context.Context) error {
 		for _, m := range d.Fleet.Of(fleet.Core) {
 			d.Fleet.Kill(m)
 		}
@@ -226,7 +229,7 @@
 		}
 		return nil
 	}},
-	{"reload", time.Second, func(d *Day, _ context.Context) error {
+	{name: "reload", rest: time.Second, play: func(d *Day, _ context.Context) error {
 		for _, m := range append(d.Fleet.Of(fleet.Edge), d.Fleet.Of(fleet.Core)...) {
 			if err := d.Fleet.Reload(m); err != nil {
 				return err
@@ -234,16 +237,16 @@
 		}
 		return nil
 	}},
-	{"config-change", time.Second, func(d *Day, ctx context.Context) error { return d.change(ctx) }},
-	{"config-race", time.Second, func(d *Day, ctx context.Context) error { return d.race(ctx) }},
-	{"ack-kill", 4 * time.Second, func(d *Day, ctx context.Context) error {
+	{name: "config-change", rest: time.Second, play: func(d *Day, ctx context.Context) error { return d.change(ctx) }},
+	{name: "config-race", rest: time.Second, play: func(d *Day, ctx context.Context) error { return d.race(ctx) }},
+	{name: "ack-kill", rest: 4 * time.Second, play: func(d *Day, ctx context.Context) error {
 		m, err := d.acknowledged(ctx)
 		if err != nil || m == nil {
 			return err
 		}
 		return d.bounce(ctx, m)
 	}},
-	{"ack-wipe", 5 * time.Second, func(d *Day, ctx context.Context) error {
+	{name: "ack-wipe", rest: 5 * time.Second, play: func(d *Day, ctx context.Context) error {
 		m, err := d.acknowledged(ctx)
 		if err != nil || m == nil {
 			return err
@@ -255,19 +258,19 @@
 		d.pause(ctx, 300*ms)
 		return d.Fleet.Again(m)
 	}},
-	{"config-bad", 0, func(d *Day, ctx context.Context) error { return d.bad(ctx) }},
-	{"config-lost-answers", time.Second, func(d *Day, ctx context.Context) error {
+	{name: "config-bad", rest: 0, play: func(d *Day, ctx context.Context) error { return d.bad(ctx) }},
+	{name: "config-lost-answers", rest: time.Second, play: func(d *Day, ctx context.Context) error {
 		d.one.LoseAnswers = 0.6
 		defer func() { d.one.LoseAnswers = 0 }()
 		return d.change(ctx)
 	}},
-	{"model-shift", 3 * time.Second, func(d *Day, _ context.Context) error {
+	{name: "model-shift", rest: 3 * time.Second, play: func(d *Day, _ context.Context) error {
 		d.mutex.Lock()
 		d.favourite += 3
 		d.mutex.Unlock()
 		return nil
 	}},
-	{"burst", 3 * time.Second, func(d *Day, ctx context.Context) error {
+	{name: "burst", rest: 3 * time.Second, play: func(d *Day, ctx context.Context) error {
 		d.hurry(5)
 		defer d.hurry(1)
 		d.pause(ctx, 2*time.Second)
--- a/rehearsal/platformkit/day/day.go
+++ b/rehearsal/platformkit/day/day.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,7 +39,9 @@
 	Count int
 	// Scale is the share of the usual requests.
 	Scale float64
-	Say   func(format string, args ...any)
+	// Ranking is what the processes rank engines for; empty is their default.
+	Ranking string
+	Say     func(format string, args ...any)
 }
 
 // Day is one day under way.
@@ -83,7 +86,16 @@
 	if err != nil {
 		return nil, err
 	}
-	if d.Fleet, err = fleet.New(fleet.Plan{Program: options.Program, Folder: options.Folder, Zones: zones, Cores: 3, Edges: 3, Bounds: Bounds, CatchUp: 4 * time.Second,
+	var environment []string
+	for _, one := range plan {
+		if one.ranking != "" && options.Ranking == "" {
+			options.Ranking = one.ranking
+		}
+	}
+	if options.Ranking != "" {
+		environment = append(environment, "CRESSPOND_RANKING="+options.Ranking)
+	}
+	if d.Fleet, err = fleet.New(fleet.Plan{Environment: environment, Program: options.Program, Folder: options.Folder, Zones: zones, Cores: 3, Edges: 3, Bounds: Bounds, CatchUp: 4 * time.Second,
 		BeatPeriod: 1200 * ms, Staleness: 3 * time.Second, Book: d.Book}); err != nil {
 		return nil, err
 	}
@@ -124,7 +136,7 @@
 	if len(d.Acts) > 0 {
 		for _, name := range d.Acts {
 			found := false
-			for _, one := range acts {
+			for _, one := range append(slices.Clone(acts), rankingActs...) {
 				if one.name == name {
 					plan, found = append(plan, one), true
 				}
--- /dev/null
+++ b/rehearsal/platformkit/day/nodes.go
@@ -0,0 +1,220 @@
+package day
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/ranking"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/engine"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/fleet"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+// rankingActs are played only where they are named: they last long, and engines are ranked and drained meanwhile.
+// Whether anything is lost or run twice the judge says, as on any day.
+var rankingActs = []act{
+	{name: "node-stall", rest: time.Second, ranking: string(ranking.Drain), play: func(d *Day, ctx context.Context) error {
+		// Two are slow, and a quarter of four may go: the worse one, though the other is slow too.
+		list, err := d.ranked(ctx)
+		if err != nil {
+			return err
+		}
+		worse, other := list[d.draw(len(list))], list[0]
+		for _, one := range list {
+			if one != worse {
+				other = one
+			}
+		}
+		worse.Slow(80)
+		began := d.Book.Now()
+		// What the worse one does not show yet can't be ranked by, so the other one follows when it has shown it.
+		if err := d.awaitStage(ctx, worse, ranking.Suspect); err != nil {
+			return err
+		}
+		other.Slow(45)
+		if err := d.awaitDrained(ctx, worse, other); err != nil {
+			return err
+		}
+		d.Say("drained after %v", d.Book.Now().Since(began).Round(10*ms))
+		other.Slow(1)
+		// What is left there goes on elsewhere or ends, and it returns by trial.
+		d.pause(ctx, 3*time.Second)
+		worse.Slow(1)
+		return d.awaitStage(ctx, worse, ranking.Sound)
+	}},
+	{name: "node-planner-lost", rest: 4 * time.Second, ranking: string(ranking.Drain), play: func(d *Day, ctx context.Context) error {
+		list, err := d.ranked(ctx)
+		if err != nil {
+			return err
+		}
+		worse := list[d.draw(len(list))]
+		worse.Slow(100)
+		if err := d.awaitStage(ctx, worse, ranking.Suspect); err != nil {
+			return err
+		}
+		// Whoever plans falls while it makes up its mind.
+		planner, err := d.planner(ctx)
+		if err != nil {
+			return err
+		}
+		if err := d.bounce(ctx, planner); err != nil {
+			return err
+		}
+		if err := d.awaitDrained(ctx, worse, nil); err != nil {
+			return err
+		}
+		worse.Slow(1)
+		return d.awaitStage(ctx, worse, ranking.Sound)
+	}},
+	{name: "node-flap", rest: time.Second, ranking: string(ranking.Drain), play: func(d *Day, ctx context.Context) error {
+		list, err := d.ranked(ctx)
+		if err != nil {
+			return err
+		}
+		flaps := list[d.draw(len(list))]
+		for range 8 {
+			flaps.Slow(100)
+			d.pause(ctx, 700*ms)
+			flaps.Slow(1)
+			d.pause(ctx, 1800*ms)
+			if err := d.onlyShut(ctx, flaps); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
+	{name: "node-loaded", rest: time.Second, ranking: string(ranking.Drain), play: func(d *Day, ctx context.Context) error {
+		// Much traffic, and nobody is sick.
+		if _, err := d.ranked(ctx); err != nil {
+			return err
+		}
+		d.hurry(4)
+		defer d.hurry(1)
+		for range 10 {
+			d.pause(ctx, time.Second)
+			if err := d.onlyShut(ctx, nil); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
+}
+
+// ranked waits until enough is known of the engines that are ranked.
+func (d *Day) ranked(ctx context.Context) ([]*engine.Engine, error) {
+	list := d.of("lm")
+	err := d.await(ctx, "engines are ranked", func() bool {
+		page, err := d.nodes(ctx)
+		known := 0
+		for _, node := range page.Nodes {
+			if node.Pool == "lm" && node.Score > 0 {
+				known++
+			}
+		}
+		return err == nil && known >= len(list)-1
+	})
+	return list, err
+}
+
+// nodes reads the ranks from any core machine, as an operator would.
+func (d *Day) nodes(ctx context.Context) (operatorapi.Nodes, error) {
+	last := errors.New("no core machine runs")
+	for _, m := range d.Fleet.Of(fleet.Core) {
+		var page operatorapi.Nodes
+		if last = get(ctx, m, operatorapi.PathNodes, &page); last == nil {
+			return page, nil
+		}
+	}
+	return operatorapi.Nodes{}, last
+}
+
+func get(ctx context.Context, m *fleet.Machine, path string, into any) error {
+	bounded, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(bounded, http.MethodGet, "http://"+m.Control()+path, nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered with status %d", m.Name, response.StatusCode)
+	}
+	return json.NewDecoder(response.Body).Decode(into)
+}
+
+// planner finds the core machine that plans.
+func (d *Day) planner(ctx context.Context) (*fleet.Machine, error) {
+	for _, m := range d.Fleet.Of(fleet.Core) {
+		var status operatorapi.Status
+		if err := get(ctx, m, operatorapi.PathStatus, &status); err == nil && status.Planner != nil && status.Planner.Held {
+			return m, nil
+		}
+	}
+	return d.any(fleet.Core), nil
+}
+
+// awaitDrained waits until an engine is drained by rank, and fails where another was.
+func (d *Day) awaitDrained(ctx context.Context, worse, not *engine.Engine) error {
+	id, wrong := worse.Current(), ""
+	err := d.await(ctx, "the worst engine is drained", func() bool {
+		page, err := d.nodes(ctx)
+		if err != nil {
+			return false
+		}
+		drained := false
+		for _, node := range page.Nodes {
+			if node.ShutFor == "" {
+				continue
+			}
+			drained = drained || node.Engine == ident.EngineID(id)
+			if not != nil && node.Engine == ident.EngineID(not.Current()) {
+				wrong = fmt.Sprintf("%s was drained, and %s is worse", node.Engine, id)
+			}
+		}
+		return drained || wrong != ""
+	})
+	if err == nil && wrong != "" {
+		return errors.New(wrong)
+	}
+	return err
+}
+
+func (d *Day) awaitStage(ctx context.Context, of *engine.Engine, stage ranking.Stage) error {
+	id := ident.EngineID(of.Current())
+	return d.await(ctx, "the engine's stage is "+stage.String(), func() bool {
+		page, err := d.nodes(ctx)
+		if err != nil {
+			return false
+		}
+		for _, node := range page.Nodes {
+			if node.Engine == id {
+				return node.Stage == stage.String()
+			}
+		}
+		return false
+	})
+}
+
+// onlyShut fails where the ranking shut any engine but one.
+func (d *Day) onlyShut(ctx context.Context, allowed *engine.Engine) error {
+	page, err := d.nodes(ctx)
+	if err != nil {
+		// Nobody plans for a moment.
+		return nil
+	}
+	for _, node := range page.Nodes {
+		if node.ShutFor != "" && (allowed == nil || node.Engine != ident.EngineID(allowed.Current())) {
+			return fmt.Errorf("%s was drained, and is not sick: %s", node.Engine, node.ShutFor)
+		}
+	}
+	return nil
+}
--- a/rehearsal/platformkit/engine/engine.go
+++ b/rehearsal/platformkit/engine/engine.go
@@ -78,6 +78,8 @@
 	faults faults
 	// orderFaults lose answers to orders.
 	orderFaults faults
+	// slowed is how many times as long each step takes.
+	slowed atomic.Int64
 
 	mutex sync.Mutex
 	lives int
@@ -387,6 +389,9 @@
 	if l.cold() {
 		took *= 2
 	}
+	if times := l.slowed.Load(); times > 1 {
+		took *= time.Duration(times)
+	}
 	l.stepping = true
 	l.later(took, func() {
 		l.stepping = false
--- a/rehearsal/platformkit/engine/faults.go
+++ b/rehearsal/platformkit/engine/faults.go
@@ -54,6 +54,9 @@
 	e.faults.next = append(e.faults.next, some...)
 }
 
+// Slow makes each step take so many times as long, however little there is to do; one is as usual.
+func (e *Engine) Slow(times int64) { e.slowed.Store(times) }
+
 // LoseOrders takes the next orders without an answer.
 func (e *Engine) LoseOrders(count int) {
 	e.orderFaults.mutex.Lock()
