--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -211,7 +211,7 @@
 var ops = map[statemachine.Op]bool{
 	statemachine.OpAcquire: true, statemachine.OpRenew: true, statemachine.OpRelease: true,
 	statemachine.OpPropose: true, statemachine.OpReview: true, statemachine.OpSign: true, statemachine.OpRoll: true,
-	statemachine.OpClosure: true, statemachine.OpEnlist: true, statemachine.OpLost: true, statemachine.OpClaim: true, statemachine.OpDropClaim: true,
+	statemachine.OpClosure: true, statemachine.OpKeep: true, statemachine.OpEnlist: true, statemachine.OpLost: true, statemachine.OpClaim: true, statemachine.OpDropClaim: true,
 	statemachine.OpLeave: true,
 }
 
@@ -288,7 +288,7 @@
 	switch command.Op {
 	case statemachine.OpRoll:
 		specEpoch = got.Result.Proposal.Epoch
-	case statemachine.OpClosure, statemachine.OpLost:
+	case statemachine.OpClosure, statemachine.OpKeep, statemachine.OpLost:
 		closureEpoch = got.Result.Closures.Epoch
 	default:
 		return answer, got.Outcome
--- a/process/daemon/ranking.go
+++ b/process/daemon/ranking.go
@@ -228,11 +228,8 @@
 func (n *nodeRanking) beat(ctx context.Context) {
 	condition := n.pools.condition()
 	if !condition.Held {
-		if n.ranker != nil {
-			// Whoever has the claim next begins with what the fleet shows.
-			n.ranker = nil
-			n.state.Store(&rankingState{})
-		}
+		// Whoever has the claim next begins with what the fleet shows. One that lapsed and goes on is no other.
+		n.state.Store(&rankingState{})
 		return
 	}
 	now := n.clock.Elapsed()
--- a/process/ranking/score.go
+++ b/process/ranking/score.go
@@ -29,7 +29,7 @@
 	// others is what an engine is held against, from the values of all others, sorted.
 	others func(values []float64) float64
 	// explained is by how many times more work can slow an engine down, by so many powers of two.
-	explained func(powers int) float64
+	explained func(kind Kind, powers int) float64
 	// across makes one score of those seen from several zones, sorted.
 	across func(scores []float64) float64
 	// outside says whether a value is beyond how much the others differ among themselves.
@@ -57,8 +57,14 @@
 	return (values[(n-1)/2] + values[n/2]) / 2
 }
 
-// explained: a batch of twice as many, or a prompt twice as long, takes twice as long at most.
-func explained(powers int) float64 { return float64(uint64(1) << powers) }
+// explained: a batch of twice as many, or a prompt twice as long, has its first byte twice as late at most. Steps of
+// twice as many take less than twice as long, since most of a step is the same for all that are in it.
+func explained(kind Kind, powers int) float64 {
+	if kind == Stall {
+		return math.Pow(1.5, float64(powers))
+	}
+	return float64(uint64(1) << powers)
+}
 
 // mostSee: an engine is as slow as more than half of the zones see it, or it is the path that is slow.
 func mostSee(scores []float64) float64 { return scores[(len(scores)-1)/2] }
@@ -122,7 +128,7 @@
 			best, bestValue := mostApart+1, 0.0
 			for other, m := range members[id] {
 				more, distance, near := b.apart(other)
-				if value := m.value * r.explained(more); near && (distance < best || distance == best && value > bestValue) {
+				if value := m.value * r.explained(kind, more); near && (distance < best || distance == best && value > bestValue) {
 					best, bestValue = distance, value
 				}
 			}
