--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -95,13 +95,14 @@
 	poolLacks atomic.Pointer[heardPoolLacks]
 
 	// bell wakes those whose answers are held back. toldNews are the versions told from here, heardNews those
-	// heard; beatNews, urgentTold, drainingNow and heldLacks are what was last found new.
+	// heard; beatNews, urgentTold, drainingNow, heldLacks and bundleSeen are what was last found new.
 	bell                *bell
 	toldNews, heardNews versions
 	beatNews            beatNews
 	urgentTold          atomic.Uint64
 	drainingNow         atomic.Bool
 	heldLacks           atomic.Pointer[heldLacks]
+	bundleSeen          atomic.Pointer[bundleSeen]
 
 	fleetMutex sync.Mutex
 	fleetWants map[ident.NodeID]*wants.Heard
@@ -304,8 +305,10 @@
 	serveFellows := serveFunc(func(listener net.Listener) error { return fellowServer.Serve(d.links.Traffic.Listen(listener)) })
 	go d.serveOn(ctx, serveFellows, fellowListener, "fellowListen", d.config.FellowListen)
 	defer fellowServer.Close()
-	servers := []*fasthttp.Server{d.server(d.handle, d.callerLimits)}
-	go d.serveOn(ctx, servers[0], callerListener, "listen", d.config.Listen)
+	callerServer := d.server(d.handle, d.callerLimits)
+	callerServer.ErrorHandler = d.badCall
+	servers := []*fasthttp.Server{callerServer}
+	go d.serveOn(ctx, callerServer, callerListener, "listen", d.config.Listen)
 	if operatorListener != nil {
 		operatorServer := d.server(d.handleOperator, bodyLimit)
 		servers = append(servers, operatorServer)
@@ -392,6 +395,16 @@
 	ctx.SetConnectionClose()
 }
 
+// badCall is badRequest where callers come in: how large a body is read there follows from the table in force, and
+// that may be old.
+func (d *Daemon) badCall(ctx *fasthttp.RequestCtx, err error) {
+	if err == fasthttp.ErrBodyTooLarge && d.isForwarded(ctx, string(ctx.Path())) {
+		d.forwardSide.gateway.Unread(ctx, fasthttp.StatusRequestEntityTooLarge)
+		return
+	}
+	badRequest(ctx, err)
+}
+
 // mostConnections is how many connections a listener keeps open: what callers take must leave descriptors for
 // engines, peers and files.
 func mostConnections(descriptors int) int {
--- a/request/forwarding/move.go
+++ b/request/forwarding/move.go
@@ -37,8 +37,13 @@
 		return false
 	}
 	// What the choice made now cost must still be known when its first byte comes.
-	score := r.score
+	score, speculative := r.score, r.speculative
 	chosen, _ := c.choose(r, w)
-	r.score = score
+	ahead := r.speculative
+	r.score, r.speculative = score, speculative
+	if ahead {
+		// Where the next one only may have it by then, what runs had better stay.
+		return false
+	}
 	return chosen != nil && chosen.ID != r.engine
 }
--- a/request/forwarding/record.go
+++ b/request/forwarding/record.go
@@ -91,6 +91,10 @@
 	// awaited says that the answer has not begun.
 	needs, unread int
 	awaited       bool
+	// speculative says that it goes ahead of the news of a load, tooSoonAt where it came too soon last, boundTo
+	// to which engine alone it may go any more.
+	speculative        bool
+	tooSoonAt, boundTo ident.EngineID
 	// score is what the engine chosen was expected to cost.
 	score float64
 	// moving says that the attempt under way was stopped to be made elsewhere, paid that the next one is in the budget.
