--- a/process/daemon/ranking.go
+++ b/process/daemon/ranking.go
@@ -258,8 +258,8 @@
 	}
 	n.logRefusals()
 	state := &rankingState{claim: n.claim, rows: n.ranker.Rows(), counters: n.ranker.Counters, took: took, emptying: map[ident.EngineID]bool{}}
-	for _, move := range decision.Moves {
-		state.emptying[move.Engine] = true
+	for _, id := range n.ranker.Emptying() {
+		state.emptying[id] = true
 	}
 	n.state.Store(state)
 	acts := append(decision.Acts, n.forgotten(now, view, table.Closures)...)
--- a/process/ranking/ranker.go
+++ b/process/ranking/ranker.go
@@ -48,6 +48,8 @@
 	standing Standing
 	measured clock.Mark
 	refusal  Refusal
+	// emptying says that it was to be drained and is a last holder; it stays so for as long as it is suspected.
+	emptying bool
 }
 
 // move is the one function by which an engine changes its stage.
@@ -191,7 +193,7 @@
 	s := r.engines[id]
 	out.Changes = append(out.Changes, Change{id, s.stage, to, s.standing})
 	s.move(to, now)
-	s.asked, s.refusal = 0, Allowed
+	s.asked, s.refusal, s.emptying = 0, Allowed, false
 	if to == Drained || to == Trial {
 		s.standing, s.measured = Standing{Engine: id}, 0
 	}
@@ -259,15 +261,13 @@
 		}
 	}
 	slices.SortFunc(slow, r.rules.worse)
+	defer r.moves(fleet, out)
 	for _, standing := range slow {
 		s := r.engines[standing.Engine]
 		if s.refusal = r.rules.refuse(r.settings, fleet, standing.Engine); s.refusal != Allowed {
 			r.Counters.Refused[s.refusal]++
 			if s.refusal == LastHolder {
-				engine := fleet[standing.Engine]
-				for _, target := range fleet.alone(engine) {
-					out.Moves = append(out.Moves, Move{engine.ID, engine.Pool, target})
-				}
+				s.emptying = true
 				// It goes as soon as it can, so a better one must not take its place meanwhile.
 				fleet = fleet.shutting(standing.Engine)
 			}
@@ -286,6 +286,19 @@
 	}
 }
 
+// moves lists what is to be loaded elsewhere, of all that are to be drained as soon as they can.
+func (r *Ranker) moves(fleet Fleet, out *Decision) {
+	for _, id := range slices.Sorted(maps.Keys(r.engines)) {
+		if !r.engines[id].emptying {
+			continue
+		}
+		engine := fleet[id]
+		for _, target := range fleet.alone(engine) {
+			out.Moves = append(out.Moves, Move{id, engine.Pool, target})
+		}
+	}
+}
+
 // rest is how long a drained engine stays away: twice as long each time it comes back slow.
 func (r *Ranker) rest(relapses int) time.Duration {
 	rest := float64(r.settings.RestMs) * math.Exp2(float64(min(max(relapses-1, 0), 30)))
@@ -342,6 +355,17 @@
 	slices.SortFunc(r.rows, func(a, b Row) int { return r.rules.worse(a.Standing, b.Standing) })
 }
 
+// Emptying lists the engines of which nothing counts as held any more, since they are to be drained: also when all of it
+// stands elsewhere by now, or it would seem to be needed here again.
+func (r *Ranker) Emptying() (out []ident.EngineID) {
+	for id, s := range r.engines {
+		if s.emptying {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Rows lists the engines as the newest step saw them, the worst first; the list is never changed.
 func (r *Ranker) Rows() []Row { return r.rows }
 
