--- a/process/ranking/settings.go
+++ b/process/ranking/settings.go
@@ -44,7 +44,7 @@
 // DefaultSettings rank and drain nothing.
 func DefaultSettings() Settings {
 	return Settings{Mode: Off, DrainAt: 3, ClearAt: 1.6, ConfirmMs: 3000, SpanMs: 8000, RestMs: 15000, RestMostMs: 240000, TrialMs: 8000,
-		StallFloor: 0.5, DelayFloorMs: 150, MostOfPool: 0.25, MostOfZone: 0.5, MostOfHolders: 0.5}
+		StallFloor: 1, DelayFloorMs: 400, MostOfPool: 0.25, MostOfZone: 0.5, MostOfHolders: 0.5}
 }
 
 // Fault is one limit that makes no sense.
