--- a/process/ranking/evidence.go
+++ b/process/ranking/evidence.go
@@ -18,6 +18,8 @@
 	turn   int64
 	// scratch is where quantiles are taken.
 	scratch *hdrhistogram.Histogram
+	// slow lists, by engine, the turns in which anything came that is above its floor.
+	slow map[ident.EngineID][]int64
 	// dropped counts digests for which there was no more room.
 	dropped uint64
 }
@@ -41,7 +43,7 @@
 const mostSeries = 30_000
 
 func newEvidence(span time.Duration) *evidence {
-	return &evidence{series: map[seriesKey]*series{}, span: span, scratch: newHistogram()}
+	return &evidence{series: map[seriesKey]*series{}, slow: map[ident.EngineID][]int64{}, span: span, scratch: newHistogram()}
 }
 
 // advance lets go of what is older than the span.
@@ -70,9 +72,12 @@
 }
 
 // take notes what a daemon in a zone measured.
-func (e *evidence) take(observer ident.ZoneID, digests []Digest) {
+func (e *evidence) take(observer ident.ZoneID, digests []Digest, floor func(Kind) float64) {
 	place := e.turn % turns
 	for _, digest := range digests {
+		if last := digest.Buckets; len(last) > 0 && float64(last[len(last)-1].Value) >= floor(digest.Class.Kind) {
+			e.noteSlow(digest.Engine)
+		}
 		key := seriesKey{observer, digest.Engine, digest.Class}
 		s := e.series[key]
 		if s == nil {
@@ -90,6 +95,27 @@
 	}
 }
 
+// noteSlow notes that something slow came of an engine in this turn.
+func (e *evidence) noteSlow(engine ident.EngineID) {
+	list := e.slow[engine]
+	if len(list) > 0 && list[len(list)-1] == e.turn {
+		return
+	}
+	// Older than two spans counts for nothing.
+	list = slices.DeleteFunc(list, func(turn int64) bool { return turn <= e.turn-2*turns })
+	e.slow[engine] = append(list, e.turn)
+}
+
+// slowTurns counts the turns, within two spans, in which something slow came of an engine.
+func (e *evidence) slowTurns(engine ident.EngineID) (count int) {
+	for _, turn := range e.slow[engine] {
+		if turn > e.turn-2*turns {
+			count++
+		}
+	}
+	return count
+}
+
 // add counts a bucket in a sorted list, so that it grows with the values and not with how often is told.
 func add(list []Bucket, bucket Bucket) []Bucket {
 	place, found := slices.BinarySearchFunc(list, bucket, func(a, b Bucket) int { return cmp.Compare(a.Value, b.Value) })
@@ -102,6 +128,7 @@
 
 // forget drops what is known of one engine.
 func (e *evidence) forget(engine ident.EngineID) {
+	delete(e.slow, engine)
 	for key := range e.series {
 		if key.engine == engine {
 			delete(e.series, key)
--- a/process/ranking/ranker.go
+++ b/process/ranking/ranker.go
@@ -127,7 +127,7 @@
 func (r *Ranker) Take(now clock.Mark, observer ident.ZoneID, digests []Digest) {
 	r.evidence.advance(now)
 	r.Counters.Digests += uint64(len(digests))
-	r.evidence.take(observer, digests)
+	r.evidence.take(observer, digests, r.settings.floor)
 	r.Counters.DigestsDropped = r.evidence.dropped
 }
 
@@ -239,13 +239,18 @@
 	}
 }
 
-// confirmed says whether an engine has been slow for long enough. One on trial has half as long.
-func (r *Ranker) confirmed(now clock.Mark, s *state) bool {
-	wait := ms(r.settings.ConfirmMs)
+// incidents is in how many turns something slow must have come: one long pause shows for a whole span, in all streams
+// of its engine, and is one incident all the same. Told late it may fall into two turns.
+const incidents = 3
+
+// confirmed says whether an engine has been slow for long enough, and again and again. One on trial has half as long.
+func (r *Ranker) confirmed(now clock.Mark, id ident.EngineID) bool {
+	s := r.engines[id]
+	wait, again := ms(r.settings.ConfirmMs), r.rules.incidents
 	if s.stage == Trial {
-		wait /= 2
+		wait, again = wait/2, min(again, incidents-1)
 	}
-	return (s.stage == Suspect || s.stage == Trial) && s.slowSince > 0 && now.Since(s.slowSince) >= wait && s.standing.Score >= r.settings.DrainAt
+	return r.evidence.slowTurns(id) >= again && (s.stage == Suspect || s.stage == Trial) && s.slowSince > 0 && now.Since(s.slowSince) >= wait && s.standing.Score >= r.settings.DrainAt
 }
 
 // drain chooses, the worst first, who is drained. One goes at a time: the next when this one is seen to be shut.
@@ -254,9 +259,9 @@
 		return
 	}
 	var slow []Standing
-	for _, s := range r.engines {
+	for id, s := range r.engines {
 		s.refusal = Allowed
-		if r.confirmed(now, s) {
+		if r.confirmed(now, id) {
 			slow = append(slow, s.standing)
 		}
 	}
--- a/process/ranking/score.go
+++ b/process/ranking/score.go
@@ -34,6 +34,8 @@
 	across func(scores []float64) float64
 	// outside says whether a value is beyond how much the others differ among themselves.
 	outside func(value, others, spread float64) bool
+	// incidents is in how many turns something slow must have come.
+	incidents int
 	// worse orders the engines that are to be drained.
 	worse func(a, b Standing) int
 	// refusals say why an engine may not be drained now, the gravest first.
@@ -41,7 +43,7 @@
 }
 
 func usualRules() rules {
-	return rules{others: median, explained: explained, across: mostSee, outside: outside, worse: worse, refusals: usualRefusals()}
+	return rules{others: median, explained: explained, across: mostSee, outside: outside, incidents: incidents, worse: worse, refusals: usualRefusals()}
 }
 
 const (
