--- a/process/membership/core.go
+++ b/process/membership/core.go
@@ -93,6 +93,10 @@
 	entries        map[ident.NodeID]*entry
 	order          *list.List
 	peers          map[string]*peer
+	// gathered is all lives as they were made into a map last, gatheredChanges and gatheredAt as of when.
+	gathered        map[ident.NodeID]Fellow
+	gatheredChanges uint64
+	gatheredAt      clock.Mark
 }
 
 // NewCore makes what a fresh daemon knows. relays says that it serves control.
@@ -243,6 +247,7 @@
 		if c.heardOf(e) < forgetBefore && e.row.NodeID != c.self {
 			c.order.Remove(at)
 			delete(c.entries, e.row.NodeID)
+			c.gathered = nil
 			for _, p := range c.peers {
 				delete(p.vouches, e.row.NodeID)
 			}
@@ -488,7 +493,7 @@
 		p := c.peers[address]
 		return address == leader || p != nil && p.failed > 0 && now.Since(p.failed) <= troubledFor
 	})
-	if near := slices.DeleteFunc(slices.Clone(sound), func(address string) bool { return !c.near(address) }); len(near) > 0 {
+	if near := slices.DeleteFunc(slices.Clone(sound), func(address string) bool { return !c.near(address) || !c.inTouch(leader, address) }); len(near) > 0 {
 		sound = near
 	}
 	chosen, _ := seats.Of("link "+c.address, sound)
@@ -501,14 +506,21 @@
 	return own != nil && other != nil && own.row.Zone == other.row.Zone
 }
 
+// inTouch says whether the leader hears from a control daemon. One that is cut off from the group answers as
+// well as before, and knows nothing new.
+func (c *Core) inTouch(leader, address string) bool {
+	p, other := c.peers[leader], c.entryAt(address)
+	return leader == "" || p != nil && other != nil && p.vouches[other.row.NodeID]
+}
+
 // Teller is whom a daemon that only routes asks for all that is new; of others it asks what is urgent only. All
-// control daemons know the same, and what goes from zone to zone is dear: so it is the leader only where no
-// other control daemon is nearer.
+// control daemons in touch with the leader know the same, and what goes from zone to zone is dear: so it is the
+// leader only where none of them is nearer.
 func (c *Core) Teller(now clock.Mark, leader string) string {
 	if leader != "" && c.near(leader) {
 		return leader
 	}
-	if second := c.second(now, leader, c.control(now)); second != "" && c.near(second) {
+	if second := c.second(now, leader, c.control(now)); second != "" && c.near(second) && c.inTouch(leader, second) {
 		return second
 	}
 	return leader
@@ -538,6 +550,24 @@
 	return out
 }
 
+const (
+	// gatherEach is for how long, for each daemon of the fleet, a map of the others does on a daemon that only
+	// routes, since making it costs that much more; gatherMost bounds it.
+	gatherEach = 600 * time.Microsecond
+	gatherMost = 200 * time.Millisecond
+)
+
+// Gathered gives the same as Fellows, or what that gave lately if nothing but the moments at which others were
+// heard can have changed since. It must not be changed.
+func (c *Core) Gathered(now clock.Mark) map[ident.NodeID]Fellow {
+	lasts := min(time.Duration(len(c.entries))*gatherEach, gatherMost)
+	// Control daemons acknowledge by who is in contact, so they know it as exactly as they can.
+	if c.relays || c.gathered == nil || c.gatheredChanges != c.changes || now.Since(c.gatheredAt) >= lasts {
+		c.gathered, c.gatheredChanges, c.gatheredAt = c.Fellows(), c.changes, now
+	}
+	return c.gathered
+}
+
 // Known is what is known of one life; false where it is not known, or ended.
 func (c *Core) Known(id ident.NodeID) (Fellow, bool) {
 	e := c.entries[id]
--- a/rehearsal/platformkit/engine/engine.go
+++ b/rehearsal/platformkit/engine/engine.go
@@ -80,6 +80,8 @@
 	orderFaults faults
 	// slowed is how many times as long each step takes.
 	slowed atomic.Int64
+	// dropIdle is after how long an idle connection is dropped in silence; zero is never.
+	dropIdle atomic.Int64
 
 	mutex sync.Mutex
 	lives int
