--- a/connection/gateway/cost_test.go
+++ b/connection/gateway/cost_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/ranking"
 	"github.com/cresspond/cresspond/process/registry"
 )
 
@@ -93,34 +94,42 @@
 // BenchmarkStream is one request of a model's kind, and its events as they come, each in a write of its own.
 func BenchmarkStream(b *testing.B) {
 	for _, count := range []int{1, 60} {
-		b.Run(fmt.Sprint(count), func(b *testing.B) {
-			answers := []string{"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nCresspond-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"}
-			for n := 1; n <= count; n++ {
-				piece := fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat("x", 45))
-				answers = append(answers, fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece))
+		b.Run(fmt.Sprint(count), func(b *testing.B) { streamOf(b, count, nil) })
+	}
+}
+
+// BenchmarkStreamMeasured is the same with the engine's node measured.
+func BenchmarkStreamMeasured(b *testing.B) {
+	streamOf(b, 60, ranking.NewRecorder())
+}
+
+func streamOf(b *testing.B, count int, recorder *ranking.Recorder) {
+	answers := []string{"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nCresspond-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"}
+	for n := 1; n <= count; n++ {
+		piece := fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat("x", 45))
+		answers = append(answers, fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece))
+	}
+	answers = append(answers, lastChunk)
+	listener := plainEngine(b, '!', answers...)
+	f := newFixture(b)
+	f.gateway.Recorder = recorder
+	registerAt(f, listener)
+	conn := f.dial()
+	request := []byte(ask("resume", "a1", strings.Repeat("y", 4699)+"!", "Cresspond-Model: m", "Cresspond-Tokens: 2368,80", "Cresspond-Parts: 5c1e07a2:341,91bd3f06:227,e4402b7d:1800"))
+	buffer := make([]byte, 64<<10)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := conn.Write(request); err != nil {
+			b.Fatal(err)
+		}
+		for {
+			n, err := conn.Read(buffer)
+			if err != nil {
+				b.Fatal(err)
 			}
-			answers = append(answers, lastChunk)
-			listener := plainEngine(b, '!', answers...)
-			f := newFixture(b)
-			registerAt(f, listener)
-			conn := f.dial()
-			request := []byte(ask("resume", "a1", strings.Repeat("y", 4699)+"!", "Cresspond-Model: m", "Cresspond-Tokens: 2368,80", "Cresspond-Parts: 5c1e07a2:341,91bd3f06:227,e4402b7d:1800"))
-			buffer := make([]byte, 64<<10)
-			b.ReportAllocs()
-			for b.Loop() {
-				if _, err := conn.Write(request); err != nil {
-					b.Fatal(err)
-				}
-				for {
-					n, err := conn.Read(buffer)
-					if err != nil {
-						b.Fatal(err)
-					}
-					if bytes.HasSuffix(buffer[:n], []byte(lastChunk)) {
-						break
-					}
-				}
+			if bytes.HasSuffix(buffer[:n], []byte(lastChunk)) {
+				break
 			}
-		})
+		}
 	}
 }
