--- a/connection/engineconn/engineconn.go
+++ b/connection/engineconn/engineconn.go
@@ -315,14 +315,12 @@
 			return &Answer{Outcome: HeldBack, Reason: "no connection to the engine is free"}
 		}
 		fresh := one == nil
-		var connected time.Duration
 		if fresh {
-			asked := p.clock.Elapsed()
 			made, reason := p.fresh(a, key)
 			if made == nil {
 				return &Answer{Outcome: NeverSent, Reason: reason}
 			}
-			one, connected = made, max(made.idleSince.Since(asked), 1)
+			one = made
 		}
 		// Bytes or an end on a kept connection belong to no request of ours, so another one is taken.
 		if !fresh && one.stirs() {
@@ -336,10 +334,11 @@
 		}
 		idle := p.clock.Elapsed().Since(one.idleSince)
 		answer := p.over(one, a, key)
+		answer.Connect = one.connect
+		one.connect = 0
 		if !fresh && answer.Outcome == Lost && broken(answer.lost) {
 			p.foundDropped(a.Pool, idle)
 		}
-		answer.Connected = connected
 		return answer
 	}
 }
@@ -359,6 +358,7 @@
 		p.gone(key)
 		return nil, "the caller has left"
 	}
+	began := p.clock.Elapsed()
 	raw, err := p.dial(ctx, a.Address)
 	if err != nil {
 		p.Counters.DialsFailed.Add(1)
@@ -368,6 +368,7 @@
 	p.Counters.Dialled.Add(1)
 	made := newLink(raw, &p.Counters)
 	made.idleSince = p.clock.Elapsed()
+	made.connect = made.idleSince.Since(began)
 	return made, ""
 }
 
@@ -459,10 +460,10 @@
 // Answer is what became of an attempt and, where it was answered, the answer.
 type Answer struct {
 	Outcome Outcome
-	// Connected is how long its connection took to make; zero is one that was kept.
-	Connected time.Duration
-	Reason    string
-	Head      dialect.Head
+	Reason  string
+	Head    dialect.Head
+	// Connect is how long a fresh connection took; zero is a kept one.
+	Connect time.Duration
 
 	pools    *Pools
 	key      engineKey
--- a/connection/gateway/gateway.go
+++ b/connection/gateway/gateway.go
@@ -313,6 +313,7 @@
 		Engine: send.Engine, Address: send.Address, Pool: send.Pool, ID: f.record.Ask.Attempt, Head: &f.head, Dress: f.dress, Body: f.body, Careful: send.Careful,
 		MostConnections: send.MostConnections, Until: f.record.Deadline + clock.Mark(f.Settings.DeadlineSlack), LastLook: f.lastLook, Cancel: &f.cancel,
 	})
+	f.record.Seen.Connect = answer.Connect
 	f.connected(answer)
 	return answer
 }
--- a/connection/gateway/node.go
+++ b/connection/gateway/node.go
@@ -12,10 +12,9 @@
 // nodeWatch is what is measured of the engine that an attempt is at. Of the request itself nothing goes along but
 // how much work it is.
 type nodeWatch struct {
-	// left is when the attempt's first byte was about to leave, last when its newest event came, awaited since when
-	// the next is waited for.
-	left, last, awaited clock.Mark
-	stalls              *ranking.Cell
+	// left is when the attempt's first byte was about to leave, last when its newest event came.
+	left, last clock.Mark
+	stalls     *ranking.Cell
 }
 
 func (f *flight) class(kind ranking.Kind) ranking.Class {
@@ -35,8 +34,8 @@
 
 // connected records how long a fresh connection took.
 func (f *flight) connected(answer *engineconn.Answer) {
-	if f.Recorder != nil && answer.Connected > 0 {
-		f.Recorder.Cell(f.send.Engine, f.class(ranking.Connect)).Delay(answer.Connected)
+	if f.Recorder != nil && answer.Connect > 0 {
+		f.Recorder.Cell(f.send.Engine, f.class(ranking.Connect)).Delay(answer.Connect)
 	}
 }
 
@@ -57,22 +56,15 @@
 	f.node.last = now
 }
 
-// awaits notes that the next event is waited for.
-func (s *stream) awaits() {
-	if s.Recorder != nil {
-		s.node.awaited = s.Clock.Elapsed()
-	}
-}
-
-// came records the pause before an event, or before the failure that came in its place.
-func (s *stream) came(err error) {
+// came records the pause before an event, or before the failure that came in its place; it was waited for since asked.
+func (s *stream) came(asked, now clock.Mark, err error) {
 	if s.Recorder == nil || err == io.EOF || s.left.Load() {
 		return
 	}
-	now, before := s.Clock.Elapsed(), s.node.last
+	before := s.node.last
 	s.node.last = now
 	// Where the caller was slow to take what went before, the pause is the caller's and not the engine's.
-	if before == 0 || s.node.awaited.Since(before) > now.Since(before)/2 && now.Since(before) > time.Millisecond {
+	if before == 0 || asked.Since(before) > now.Since(before)/2 && now.Since(before) > time.Millisecond {
 		return
 	}
 	if s.node.stalls == nil {
--- a/connection/gateway/stream.go
+++ b/connection/gateway/stream.go
@@ -97,9 +97,11 @@
 				return n, nil
 			}
 		} else {
-			s.awaits()
+			asked := s.Clock.Elapsed()
 			err = s.nextEvent()
-			s.came(err)
+			now := s.Clock.Elapsed()
+			s.record.Seen.LongestGap = max(s.record.Seen.LongestGap, now.Since(asked))
+			s.came(asked, now, err)
 		}
 		switch {
 		case err == io.EOF:
