--- a/connection/gateway/stream.go
+++ b/connection/gateway/stream.go
@@ -56,6 +56,9 @@
 	s := &stream{flight: f, answer: answer, length: -1, events: eventReaders.Get().(*bufio.Reader)}
 	s.events.Reset(answer)
 	err := s.nextEvent()
+	if err == nil {
+		f.firstByte(answer.Response().StatusCode())
+	}
 	if err != nil && !(err == io.EOF && len(s.pending) == 0 && answer.Whole()) {
 		s.release()
 		answer.Close()
@@ -96,7 +99,9 @@
 		} else {
 			asked := s.Clock.Elapsed()
 			err = s.nextEvent()
-			s.record.Seen.LongestGap = max(s.record.Seen.LongestGap, s.Clock.Elapsed().Since(asked))
+			now := s.Clock.Elapsed()
+			s.record.Seen.LongestGap = max(s.record.Seen.LongestGap, now.Since(asked))
+			s.came(asked, now, err)
 		}
 		switch {
 		case err == io.EOF:
@@ -177,6 +182,9 @@
 			}
 		}
 		s.pending, s.lastEvent = s.buffer, last
+		if last != "" && !s.named.Load() {
+			s.named.Store(true)
+		}
 		return nil
 	}
 }
