--- a/process/fellows/traffic.go
+++ b/process/fellows/traffic.go
@@ -22,6 +22,8 @@
 func (t *Traffic) Serve(inner http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		t.Answered.Add(1)
+		// Peers share no clock, and read no date.
+		w.Header()["Date"] = nil
 		inner.ServeHTTP(w, r)
 	})
 }
@@ -65,8 +67,12 @@
 }
 
 func (c countedConn) Write(from []byte) (int, error) {
+	// Counted before it leaves: whoever has received it and looks here must find it counted.
+	c.traffic.Sent.Add(uint64(len(from)))
 	n, err := c.Conn.Write(from)
-	c.traffic.Sent.Add(uint64(n))
+	if unsent := len(from) - n; unsent > 0 {
+		c.traffic.Sent.Add(-uint64(unsent))
+	}
 	return n, err
 }
 
