--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -129,6 +129,8 @@
 	unreadyTold chan struct{}
 
 	forwardSide forwardSide
+	// nodes ranks engines by how their nodes behave.
+	nodes *nodeRanking
 
 	counters counters
 }
@@ -269,6 +271,7 @@
 	d.slots = permits.NewKeeper(d.yard)
 	d.placer = placement.NewActor(planning{d}, d.clock)
 	d.pools.make(d)
+	d.nodes = newNodeRanking(d)
 	d.attempts = attempts.NewHome(d.clock)
 	streams, cutStreams := context.WithCancel(context.Background())
 	defer cutStreams()
@@ -304,6 +307,7 @@
 	if d.config.Serves(config.Place) {
 		run(d.placer.Run)
 		d.pools.run(run)
+		d.nodes.run(run)
 	}
 
 	fellowServer := &http.Server{Handler: d.links.Traffic.Serve(fellowapi.NewFellowServer(d)), ReadHeaderTimeout: 5 * time.Second}
@@ -634,5 +638,6 @@
 	}
 	d.bell.ring(urgent)
 	d.poke()
+	d.moveOff()
 	d.admitCallers()
 }
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -211,7 +211,7 @@
 var ops = map[statemachine.Op]bool{
 	statemachine.OpAcquire: true, statemachine.OpRenew: true, statemachine.OpRelease: true,
 	statemachine.OpPropose: true, statemachine.OpReview: true, statemachine.OpSign: true, statemachine.OpRoll: true,
-	statemachine.OpClosure: true, statemachine.OpEnlist: true, statemachine.OpLost: true, statemachine.OpClaim: true, statemachine.OpDropClaim: true,
+	statemachine.OpClosure: true, statemachine.OpKeep: true, statemachine.OpEnlist: true, statemachine.OpLost: true, statemachine.OpClaim: true, statemachine.OpDropClaim: true,
 	statemachine.OpLeave: true,
 }
 
@@ -288,7 +288,7 @@
 	switch command.Op {
 	case statemachine.OpRoll:
 		specEpoch = got.Result.Proposal.Epoch
-	case statemachine.OpClosure, statemachine.OpLost:
+	case statemachine.OpClosure, statemachine.OpKeep, statemachine.OpLost:
 		closureEpoch = got.Result.Closures.Epoch
 	default:
 		return answer, got.Outcome
@@ -360,6 +360,9 @@
 	if err := d.ours(in.Group); err != nil {
 		return nil, err
 	}
+	if in.What == nodesRead {
+		return d.readNodes(ctx, in.Key), nil
+	}
 	result, outcome := d.look(ctx, in.What, in.Key)
 	return &fellowapi.ReadReply{Outcome: string(outcome), Result: result, LeaderAddress: d.leaderAddress()}, nil
 }
@@ -504,6 +507,9 @@
 		request.Outcomes = append(request.Outcomes, &fellowapi.EngineOutcomes{Engine: string(one.Engine), Attempts: int64(one.Attempts), Failures: int64(one.Failures),
 			Refusals: int64(one.Refusals), Overdue: int64(one.Overdue)})
 	}
+	if !onlyWaiting {
+		request.Nodes = d.nodes.tell()
+	}
 	return waits
 }
 
@@ -532,6 +538,7 @@
 	}
 	rowKnown := d.members.Served(in)
 	wantsLost := !d.hearWants(in)
+	d.nodes.hear(in)
 	d.hearOutcomes(in)
 	d.registry.Saw(ident.NodeID(in.NodeId), cursorOf(in))
 	d.hearDraining(in.Draining)
--- a/process/daemon/poolplanning.go
+++ b/process/daemon/poolplanning.go
@@ -111,6 +111,7 @@
 		in.Section = t.Forward.Section
 	}
 	in.Demand = p.heardDemand(now, p.forwardDemands())
+	in.Shut, in.Emptying = func(engine *registry.Engine) bool { return !p.engineOpen(engine) }, p.nodes.emptying()
 	in.Outcomes = p.heardOutcomes()
 	return in
 }
