Tell daemons an ill engine's share only where they go by it

Cause: with holding back off, shares were told all the same, every 2 s for each engine that stood out: news for nobody.

TestThePlanTellsWhatShareAnIllEngineGetsAgainAndAgain now sets TellShares, and asks the same.

--- a/process/poolplacement/judge_test.go
+++ b/process/poolplacement/judge_test.go
@@ -16,6 +16,7 @@
 func TestThePlanTellsWhatShareAnIllEngineGetsAgainAndAgain(t *testing.T) {
 	f := newFleet(1, sharedCatalogue(), 9)
 	f.run(5 * time.Second)
+	f.planner.settings.TellShares = true
 	ill := f.engines[3].id
 	wrong := true
 	told, toldAt, worst := 1.0, clock.Mark(0), 1.0
--- a/process/poolplacement/serve.go
+++ b/process/poolplacement/serve.go
@@ -654,7 +654,9 @@
 			plan.Coming = append(plan.Coming, registry.Coming{Target: f.Target(), Ready: f.ready})
 		}
 	}
-	plan.Weights = p.judge.Weights(now, e.id)
+	if p.settings.TellShares {
+		plan.Weights = p.judge.Weights(now, e.id)
+	}
 	if e.intent != nil {
 		for _, victim := range e.intent.victims {
 			if !slices.Contains(plan.Retiring, victim) {
--- a/process/poolplacement/types.go
+++ b/process/poolplacement/types.go
@@ -94,6 +94,9 @@
 	Notice time.Duration
 	// Rest and Busy are how often an engine is asked for its report, at rest and while an order is under way.
 	Rest, Busy time.Duration
+	// TellShares has daemons told what share of its usual requests an ill engine is to get; where none goes by it, it
+	// would only be more news.
+	TellShares bool
 	// LeaveIll has what an engine holds that nearly always fails stand elsewhere too.
 	LeaveIll bool
 	// Beat is how often the plan is made, Look how often it is seen whom to ask for a report.
