Leave a connection alone once its answer has given it back

Cause: a run of all tests found a data race: after a whole answer Send read and cleared on the connection how long it took to make, when another request might have it already; it could have told a time twice or not at all, no more. Ruled out: the answer itself and its head, which are read before the connection goes back. Test: TestAConnectionThatWasGivenBackIsLeftAlone, which fails before under the race detector.

--- a/connection/engineconn/engineconn.go
+++ b/connection/engineconn/engineconn.go
@@ -333,9 +333,11 @@
 			p.Counters.Reused.Add(1)
 		}
 		idle := p.clock.Elapsed().Since(one.idleSince)
-		answer := p.over(one, a, key)
-		answer.Connect = one.connect
+		// An answer that is whole gives its connection back, to whoever needs it next: nothing of it is looked at then.
+		connect := one.connect
 		one.connect = 0
+		answer := p.over(one, a, key)
+		answer.Connect = connect
 		if !fresh && answer.Outcome == Lost && broken(answer.lost) {
 			p.foundDropped(a.Pool, idle)
 		}
--- a/connection/engineconn/engineconn_test.go
+++ b/connection/engineconn/engineconn_test.go
@@ -565,3 +565,35 @@
 		t.Error(outcome, rounds, pools.Counters.Reused.Load(), pools.Counters.DroppedIdle.Load())
 	}
 }
+
+// TestAConnectionThatWasGivenBackIsLeftAlone: several callers share few connections, and how long each took to make is
+// told once, to who had it made. Under the race detector nothing of a connection is touched by who gave it back.
+func TestAConnectionThatWasGivenBackIsLeftAlone(t *testing.T) {
+	const callers, each = 8, 100
+	pools := New(clock.System{}, dialect.Own())
+	e := listen(t, func(conn net.Conn, id string, _, _ int) bool {
+		say(conn, refusal("503 Busy", id))
+		return true
+	})
+	var told atomic.Int64
+	var wait sync.WaitGroup
+	for caller := range callers {
+		wait.Go(func() {
+			for number := range each {
+				a := attempt(newHands(), e.address, fmt.Sprintf("c%dn%d", caller, number))
+				a.Until = clock.System{}.Elapsed() + clock.Mark(20*time.Second)
+				answer := pools.Send(a)
+				if answer.Outcome != Refused {
+					t.Errorf("%v %s", answer.Outcome, answer.Reason)
+				}
+				if answer.Connect > 0 {
+					told.Add(1)
+				}
+			}
+		})
+	}
+	wait.Wait()
+	if made := pools.Counters.Dialled.Load(); uint64(told.Load()) != made || made >= callers*each {
+		t.Errorf("%d connections were made, and %d times one was told of", made, told.Load())
+	}
+}
