--- a/rehearsal/platformkit/contract/registering_test.go
+++ b/rehearsal/platformkit/contract/registering_test.go
@@ -26,6 +26,7 @@
 	return status, data
 }
 
+// callOnce makes one call.
 func (b *bench) callOnce(method, path string, header map[string]string, body []byte) (int, []byte) {
 	b.t.Helper()
 	request, err := http.NewRequest(method, "http://"+shared.fleet.Of(fleet.Core)[0].Control()+path, bytes.NewReader(body))
