--- a/connection/engineconn/engineconn.go
+++ b/connection/engineconn/engineconn.go
@@ -74,7 +74,9 @@
 type Cancel struct {
 	mutex sync.Mutex
 	done  bool
-	stop  func()
+	// interrupted says that what is under way was stopped, and that only.
+	interrupted bool
+	stop        func()
 }
 
 // Now ends it, and whatever begins after.
@@ -95,12 +97,24 @@
 	return c.done
 }
 
-// set names what to stop; it says false when it has already ended.
+// Interrupt ends what is under way now, and nothing that begins after. It stops under the lock, so that a connection
+// is never closed that was given back meanwhile.
+func (c *Cancel) Interrupt() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.stop != nil {
+		c.stop()
+		c.stop, c.interrupted = nil, true
+	}
+}
+
+// set names what to stop; it says false when that has already ended.
 func (c *Cancel) set(stop func()) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.stop = stop
-	return !c.done
+	going := !c.done && (stop != nil || !c.interrupted)
+	c.stop, c.interrupted = stop, false
+	return going
 }
 
 // Counters are counted over a daemon's life.
--- a/connection/gateway/gateway.go
+++ b/connection/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/cresspond/cresspond/connection/engineconn"
 	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ranking"
 	"github.com/cresspond/cresspond/process/registry"
 	"github.com/cresspond/cresspond/request/forwarding"
 	"github.com/cresspond/cresspond/wire/dialect"
@@ -34,6 +35,8 @@
 	// Draining says that whoever is answered should connect elsewhere next time.
 	Draining func() bool
 	Settings forwarding.Settings
+	// Recorder takes what is measured of engines' nodes; nil measures nothing.
+	Recorder *ranking.Recorder
 }
 
 // Counters are counted over a daemon's life.
@@ -89,9 +92,32 @@
 	head   fasthttp.RequestHeader
 	body   []byte
 	send   *forwarding.Send
+	node   nodeWatch
 	// lastEvent is the last one passed on.
 	lastEvent string
 	begun     atomic.Bool
+	// named says that an event with an id went on, after which another engine can go on.
+	named atomic.Bool
+}
+
+// MoveOff stops what is under way at engines that are emptied, where it can go on elsewhere.
+func (g *Gateway) MoveOff() {
+	var flights []*flight
+	g.watcher.each(func(f *flight) { flights = append(flights, f) })
+	if len(flights) == 0 {
+		return
+	}
+	// Between the core's decision and the stop no next attempt can begin, since only the core begins one.
+	g.actor.Ask(func(c *forwarding.Core, w forwarding.World) {
+		for _, f := range flights {
+			if f.begun.Load() && !f.named.Load() || f.left.Load() {
+				continue
+			}
+			if c.MoveOff(f.record, w) {
+				f.cancel.Interrupt()
+			}
+		}
+	})
 }
 
 // headBytes is how long a request's head is, its first line with it.
@@ -288,6 +314,7 @@
 		MostConnections: send.MostConnections, Until: f.record.Deadline + clock.Mark(f.Settings.DeadlineSlack), LastLook: f.lastLook, Cancel: &f.cancel,
 	})
 	f.record.Seen.Connect = answer.Connect
+	f.connected(answer)
 	return answer
 }
 
@@ -318,6 +345,8 @@
 	}
 	if reason != "" {
 		f.Counters.LastLookStops.Add(1)
+	} else {
+		f.leaves()
 	}
 	return reason
 }
@@ -344,6 +373,7 @@
 		answer.Close()
 		return nil, forwarding.Lost
 	}
+	f.firstByte(status)
 	f.copyHead(answer)
 	if !answer.Whole() && len(body) == mostWhole {
 		return f.takeLong(answer, body), forwarding.Whole
