--- a/process/raft/core.go
+++ b/process/raft/core.go
@@ -62,7 +62,8 @@
 	c.log.stable = c.log.last()
 	c.commit, c.handed = restored.Snapshot.Index, restored.Snapshot.Index
 	c.memberships = []membershipAt{{restored.Snapshot.Index, restored.Snapshot.Membership}}
-	c.noteMemberships(restored.Entries)
+	// Entries kept before the snapshot hold memberships that the snapshot's own has replaced.
+	c.noteMemberships(c.log.from(restored.Snapshot.Index+1, len(restored.Entries)))
 	c.become(Follower, 0)
 	// One that has just begun asks sooner: where all were down at once nobody leads, and where somebody does the
 	// others refuse.
