--- a/process/raft/core.go
+++ b/process/raft/core.go
@@ -45,6 +45,10 @@
 	transferTo  MemberID
 	transferFor int
 
+	// incoming is what has come of a leader's snapshot, checkSnapshot what looks at it before it is installed.
+	incoming      *incoming
+	checkSnapshot func(Snapshot) error
+
 	out Effects
 }
 
@@ -58,8 +62,7 @@
 // New makes a member from what its disk holds.
 func New(id MemberID, timing Timing, restored Restored, random *rand.Rand) *Core {
 	c := &Core{id: id, timing: timing, random: random, term: restored.HardState.Term, vote: restored.HardState.Vote}
-	c.log = replicaLog{snapshot: restored.Snapshot, entries: restored.Entries}
-	c.log.stable = c.log.last()
+	c.log = newLog(restored.Snapshot, restored.Entries)
 	c.commit, c.handed = restored.Snapshot.Index, restored.Snapshot.Index
 	c.memberships = []membershipAt{{restored.Snapshot.Index, restored.Snapshot.Membership}}
 	// Entries kept before the snapshot hold memberships that the snapshot's own has replaced.
@@ -150,6 +153,10 @@
 		}
 		c.handed = c.commit
 	}
+	if c.incoming != nil && c.incoming.index <= c.commit {
+		// The log got there before the snapshot was whole.
+		c.incoming = nil
+	}
 }
 
 func (c *Core) tick() {
@@ -181,10 +188,41 @@
 	c.out.Now = append(c.out.Now, message)
 }
 
+func (c *Core) notice(notice Notice) { c.out.Notices = append(c.out.Notices, notice) }
+
+// refuse notes a message that can't be of a sound member; it changes nothing.
+func (c *Core) refuse(m Message, err error) {
+	c.notice(Notice{Kind: NoticeMessageRefused, Peer: m.From, Index: m.LogIndex, Err: err})
+}
+
+// validate says what is wrong with a message, by itself and against what this member knows for sure.
+func (c *Core) validate(m Message) error {
+	if err := m.Validate(); err != nil {
+		return err
+	}
+	fromLeader := m.Kind == MsgAppend || m.Kind == MsgHeartbeat || m.Kind == MsgSnapshot
+	switch {
+	case m.Term > c.term && m.Term-c.term > mostTermStep:
+		return MalformedError{Kind: m.Kind, Reason: "term far beyond this member's"}
+	case fromLeader && m.Term == c.term && c.role == Leader:
+		return MalformedError{Kind: m.Kind, Reason: "another leads in this leader's term"}
+	case m.Kind == MsgAppend && m.Term >= c.term && m.LogIndex == c.commit && m.LogIndex > 0:
+		if term, held := c.log.term(c.commit); held && term != m.LogTerm {
+			return MalformedError{Kind: m.Kind, Reason: "contradicts a committed entry"}
+		}
+	}
+	return nil
+}
+
+// receive takes a message, unless it is for another member or can't be of a sound one.
 func (c *Core) receive(m Message) {
 	if m.To != c.id {
 		return
 	}
+	if err := c.validate(m); err != nil {
+		c.refuse(m, err)
+		return
+	}
 	if m.Kind == MsgPreVote || m.Kind == MsgVote {
 		// While a leader is heard, a voter cut off from it can't force an election; only a hand-over may.
 		heardLeader := c.role == Leader || (c.leader != 0 && c.sinceLeader < c.timing.Election)
@@ -209,7 +247,7 @@
 		// One who lags hears the term, so that it stops leading or asking.
 		switch m.Kind {
 		case MsgAppend, MsgHeartbeat, MsgSnapshot:
-			c.later(Message{Kind: MsgAppendReply, To: m.From, Term: c.term, Reject: true, Hint: c.log.last()})
+			c.later(Message{Kind: MsgAppendReply, To: m.From, Term: c.term, Reject: true, Hint: c.log.last(), TakesParts: true})
 		case MsgPreVote:
 			c.later(Message{Kind: MsgPreVoteReply, To: m.From, Term: c.term, Reject: true})
 		}
@@ -241,7 +279,7 @@
 		c.followLeader(m.From)
 		// Heartbeats say how much is committed of what this member surely holds.
 		c.commitTo(min(m.Commit, c.log.last()))
-		c.now(Message{Kind: MsgHeartbeatReply, To: m.From, ReadMark: m.ReadMark})
+		c.now(Message{Kind: MsgHeartbeatReply, To: m.From, ReadMark: m.ReadMark, TakesParts: true})
 	case MsgSnapshot:
 		c.followLeader(m.From)
 		c.takeSnapshot(m)
@@ -249,6 +287,8 @@
 		c.takeAppendReply(m)
 	case MsgHeartbeatReply:
 		c.takeHeartbeatReply(m)
+	case MsgSnapshotReply:
+		c.takeSnapshotReply(m)
 	case MsgTimeoutNow:
 		if c.isVoter() && !c.stalled {
 			c.enterTerm(c.term+1, c.id)
--- a/process/raft/log.go
+++ b/process/raft/log.go
@@ -5,6 +5,24 @@
 	snapshot Snapshot
 	entries  []Entry
 	stable   Index
+	// base is the place right before the first entry, where it is known.
+	base place
+}
+
+// place is an index and the term of its entry.
+type place struct {
+	index Index
+	term  Term
+}
+
+// newLog makes a log of a snapshot and what is kept of the entries around it.
+func newLog(snapshot Snapshot, entries []Entry) replicaLog {
+	l := replicaLog{snapshot: snapshot, entries: entries}
+	if len(entries) == 0 || entries[0].Index == snapshot.Index+1 {
+		l.base = place{snapshot.Index, snapshot.Term}
+	}
+	l.stable = l.last()
+	return l
 }
 
 func (l *replicaLog) last() Index {
@@ -22,6 +40,9 @@
 	if index == l.snapshot.Index {
 		return l.snapshot.Term, true
 	}
+	if index == l.base.index {
+		return l.base.term, true
+	}
 	if len(l.entries) == 0 || index < l.entries[0].Index || index > l.last() {
 		return 0, false
 	}
@@ -70,11 +91,31 @@
 	}
 }
 
+// continuesAt says whether the log holds everything behind index.
+func (l *replicaLog) continuesAt(index Index) bool {
+	_, held := l.term(index)
+	return held && (len(l.entries) == 0 || l.entries[0].Index <= index+1)
+}
+
+// bytesBetween counts the bytes of entries behind first, up to and with last.
+func (l *replicaLog) bytesBetween(first, last Index) int {
+	sum := 0
+	for _, entry := range l.entries {
+		if entry.Index > first && entry.Index <= last {
+			sum += len(entry.Data)
+		}
+	}
+	return sum
+}
+
 // compactTo drops entries up to and with index.
 func (l *replicaLog) compactTo(index Index) {
 	if len(l.entries) == 0 || index < l.entries[0].Index {
 		return
 	}
+	if term, held := l.term(index); held {
+		l.base = place{index, term}
+	}
 	at := int(index) - int(l.entries[0].Index) + 1
 	if at > len(l.entries) {
 		at = len(l.entries)
--- a/process/raft/replication.go
+++ b/process/raft/replication.go
@@ -11,8 +11,10 @@
 	heard bool
 	// probing sends one append at a time until the logs are known to meet.
 	probing bool
-	// snapshotWait counts ticks until a snapshot may be sent again.
-	snapshotWait int
+	// takesParts says that the member takes snapshots in parts.
+	takesParts bool
+	// sending is the snapshot on its way to the member, if there is one.
+	sending *outgoing
 }
 
 // mostEntriesPerAppend and mostBytesPerAppend bound one message: a heartbeat waits behind it.
@@ -44,8 +46,8 @@
 		}
 	}
 	for _, peer := range c.peers {
-		if peer.snapshotWait > 0 {
-			peer.snapshotWait--
+		if peer.sending != nil && peer.sending.wait > 0 {
+			peer.sending.wait--
 		}
 	}
 	if c.sinceCheck >= c.timing.Election {
@@ -56,6 +58,10 @@
 			return
 		}
 		for _, peer := range c.peers {
+			if !peer.heard {
+				// Nothing is kept for one that says nothing; it tells how much it holds when it is back.
+				peer.sending = nil
+			}
 			peer.heard = false
 		}
 	}
@@ -161,13 +167,10 @@
 	previousTerm, ok := c.log.term(previous)
 	if !ok || (peer.next <= c.log.last() && len(c.log.from(peer.next, 1)) == 0) {
 		// What the member lacks is gone from the log, so it gets the whole state, and not on every beat.
-		if peer.snapshotWait == 0 && c.log.snapshot.Index > 0 {
-			peer.snapshotWait = c.timing.Election
-			snapshot := c.log.snapshot
-			c.now(Message{Kind: MsgSnapshot, To: id, Snapshot: &snapshot})
-		}
+		c.sendSnapshot(id, peer)
 		return
 	}
+	peer.sending = nil
 	entries := c.log.part(peer.next, mostEntriesPerAppend, mostBytesPerAppend)
 	c.now(Message{Kind: MsgAppend, To: id, LogIndex: previous, LogTerm: previousTerm, Entries: entries, Commit: c.commit})
 	if !peer.probing && len(entries) > 0 {
@@ -178,11 +181,11 @@
 func (c *Core) takeAppend(m Message) {
 	if m.LogIndex < c.commit {
 		// What is committed here can't be other than what the leader has.
-		c.later(Message{Kind: MsgAppendReply, To: m.From, Term: c.term, LogIndex: c.commit})
+		c.acknowledge(m.From, c.commit)
 		return
 	}
 	if term, ok := c.log.term(m.LogIndex); !ok || term != m.LogTerm {
-		c.later(Message{Kind: MsgAppendReply, To: m.From, Term: c.term, Reject: true, LogIndex: m.LogIndex, Hint: min(c.log.last(), m.LogIndex-1)})
+		c.later(Message{Kind: MsgAppendReply, To: m.From, Term: c.term, Reject: true, LogIndex: m.LogIndex, Hint: min(c.log.last(), m.LogIndex-1), TakesParts: true})
 		return
 	}
 	fresh := m.Entries
@@ -210,7 +213,12 @@
 	}
 	agreed := m.LogIndex + Index(len(m.Entries))
 	c.commitTo(min(m.Commit, agreed))
-	c.later(Message{Kind: MsgAppendReply, To: m.From, Term: c.term, LogIndex: agreed})
+	c.acknowledge(m.From, agreed)
+}
+
+// acknowledge tells the leader that the log agrees with its own up to index, once that is on disk.
+func (c *Core) acknowledge(leader MemberID, index Index) {
+	c.later(Message{Kind: MsgAppendReply, To: leader, Term: c.term, LogIndex: index, TakesParts: true})
 }
 
 func (c *Core) takeAppendReply(m Message) {
@@ -218,7 +226,7 @@
 	if c.role != Leader || peer == nil {
 		return
 	}
-	peer.heard = true
+	peer.heard, peer.takesParts = true, m.TakesParts
 	if m.Reject {
 		// Fall back to where the logs may meet, never before what is known to agree.
 		peer.probing = true
@@ -231,7 +239,9 @@
 	}
 	if m.LogIndex > peer.match {
 		peer.match = m.LogIndex
-		peer.snapshotWait = 0
+	}
+	if peer.sending != nil && peer.match >= peer.sending.snapshot.Index {
+		peer.sending = nil
 	}
 	wasProbing := peer.probing
 	peer.probing = false
@@ -251,7 +261,7 @@
 	if c.role != Leader || peer == nil {
 		return
 	}
-	peer.heard = true
+	peer.heard, peer.takesParts = true, m.TakesParts
 	// Appends may have been lost on the way; a heartbeat's answer is the time to look again.
 	if peer.match < c.log.last() {
 		peer.next = peer.match + 1
--- a/process/raft/types.go
+++ b/process/raft/types.go
@@ -113,6 +113,8 @@
 	MsgHeartbeatReply
 	MsgSnapshot
 	MsgTimeoutNow
+	// MsgSnapshotReply says how much of a snapshot that comes in parts is held, or that it was refused.
+	MsgSnapshotReply
 )
 
 // Message is what members say to each other.
@@ -127,7 +129,24 @@
 	Hint     Index
 	ReadMark uint64
 	Entries  []Entry
+	// Snapshot is, in a MsgSnapshot, a part of the leader's snapshot: its Data begins at Offset of Size bytes. A Size
+	// of zero says that Data is the whole, as earlier builds send it.
 	Snapshot *Snapshot
+	// Offset is, in a MsgSnapshotReply, how many bytes are held of the snapshot at LogIndex and LogTerm.
+	Offset, Size uint64
+	// TakesParts says that the sender of a reply takes snapshots in parts.
+	TakesParts bool
+	// StateDigest travels with heartbeats and their replies. The core does not look at it.
+	StateDigest *StateDigest
+}
+
+// StateDigest is a digest of the replicated state up to one entry.
+type StateDigest struct {
+	Index Index
+	// Form tells builds apart that keep another state: only digests of one form can be compared.
+	Form, Sum uint64
+	// Differs says that a majority's digest is this one, and the receiver's another.
+	Differs bool
 }
 
 // Snapshot is the whole replicated state up to one entry.
@@ -136,6 +155,8 @@
 	Term       Term
 	Membership Membership
 	Data       []byte
+	// Checksum is over Index, Term and Data; snapshots of earlier builds travel without one.
+	Checksum []byte
 }
 
 // HardState is what must be on disk before anything that depends on it is said.
@@ -190,6 +211,47 @@
 	// Proposed says where a proposal was put; zero when it was refused.
 	Proposed     Index
 	ProposedTerm Term
+	// Notices tell what an operator may want to know.
+	Notices []Notice
+}
+
+// NoticeKind tells what a notice is about.
+type NoticeKind uint8
+
+const (
+	// NoticeSnapshotSent says that a leader began to send its snapshot to a peer.
+	NoticeSnapshotSent NoticeKind = iota + 1
+	// NoticeSnapshotTaken says that a leader's snapshot took the place of the own state.
+	NoticeSnapshotTaken
+	// NoticeSnapshotRefused says that a snapshot could not be used, so that the own state was kept.
+	NoticeSnapshotRefused
+	// NoticeMessageRefused says that a message can't be of a sound member, so that it changed nothing.
+	NoticeMessageRefused
+)
+
+func (k NoticeKind) String() string {
+	switch k {
+	case NoticeSnapshotSent:
+		return "snapshot sent"
+	case NoticeSnapshotTaken:
+		return "snapshot taken"
+	case NoticeSnapshotRefused:
+		return "snapshot refused"
+	case NoticeMessageRefused:
+		return "message refused"
+	}
+	return "unknown notice"
+}
+
+// Notice is one event for logs and counters.
+type Notice struct {
+	Kind NoticeKind
+	// Peer is the member that sent what was taken or refused, or is sent it.
+	Peer  MemberID
+	Index Index
+	Bytes int
+	// Err says why something was refused.
+	Err error
 }
 
 // Event is what steps the core.
--- a/wire/fellowapi/raft.go
+++ b/wire/fellowapi/raft.go
@@ -12,54 +12,64 @@
 			Kind: uint32(m.Kind), From: uint64(m.From), To: uint64(m.To), Term: uint64(m.Term),
 			LogIndex: uint64(m.LogIndex), LogTerm: uint64(m.LogTerm), Commit: uint64(m.Commit),
 			Reject: m.Reject, Hint: uint64(m.Hint), ReadMark: m.ReadMark,
+			SnapshotOffset: m.Offset, SnapshotSize: m.Size, TakesParts: m.TakesParts,
+		}
+		if digest := m.StateDigest; digest != nil {
+			wire.StateDigest = &RaftStateDigest{Index: uint64(digest.Index), Form: digest.Form, Sum: digest.Sum, Differs: digest.Differs}
 		}
 		for _, entry := range m.Entries {
 			wire.Entries = append(wire.Entries, &RaftEntry{Term: uint64(entry.Term), Index: uint64(entry.Index), Kind: uint32(entry.Kind), Data: entry.Data})
 		}
 		if m.Snapshot != nil {
 			wire.Snapshot = &RaftSnapshot{Index: uint64(m.Snapshot.Index), Term: uint64(m.Snapshot.Term),
-				Membership: m.Snapshot.Membership.Encode(), Data: m.Snapshot.Data}
+				Membership: m.Snapshot.Membership.Encode(), Data: m.Snapshot.Data, Checksum: m.Snapshot.Checksum}
 		}
 		out = append(out, wire)
 	}
 	return out
 }
 
-// ToRaft reads the wire form; it says false where a message is garbage.
+// ToRaft reads the wire form; it says false where a message can't be of a sound member.
 func ToRaft(wires []*RaftMessage) ([]raft.Message, bool) {
 	out := make([]raft.Message, 0, len(wires))
 	for _, w := range wires {
-		if w == nil || w.Kind < uint32(raft.MsgPreVote) || w.Kind > uint32(raft.MsgTimeoutNow) || w.From == 0 || w.To == 0 || w.Term == 0 {
-			return nil, false
-		}
-		m := raft.Message{
-			Kind: raft.MessageKind(w.Kind), From: raft.MemberID(w.From), To: raft.MemberID(w.To), Term: raft.Term(w.Term),
-			LogIndex: raft.Index(w.LogIndex), LogTerm: raft.Term(w.LogTerm), Commit: raft.Index(w.Commit),
-			Reject: w.Reject, Hint: raft.Index(w.Hint), ReadMark: w.ReadMark,
-		}
-		for place, entry := range w.Entries {
-			// Entries follow the place they are appended to without a hole, and none is of a later term than its sender's.
-			if entry == nil || entry.Index != w.LogIndex+uint64(place)+1 || entry.Term > w.Term || entry.Kind > uint32(raft.EntryMembership) {
-				return nil, false
-			}
-			if raft.EntryKind(entry.Kind) == raft.EntryMembership {
-				if _, err := raft.DecodeMembership(entry.Data); err != nil {
-					return nil, false
-				}
-			}
-			m.Entries = append(m.Entries, raft.Entry{Term: raft.Term(entry.Term), Index: raft.Index(entry.Index), Kind: raft.EntryKind(entry.Kind), Data: entry.Data})
-		}
-		if w.Snapshot != nil {
-			membership, err := raft.DecodeMembership(w.Snapshot.Membership)
-			if err != nil {
-				return nil, false
-			}
-			m.Snapshot = &raft.Snapshot{Index: raft.Index(w.Snapshot.Index), Term: raft.Term(w.Snapshot.Term), Membership: membership, Data: w.Snapshot.Data}
-		}
-		if (m.Kind == raft.MsgSnapshot) != (m.Snapshot != nil) {
+		m, readable := w.toRaft()
+		// A member speaks to itself without the wire.
+		if !readable || m.From == m.To || m.Validate() != nil {
 			return nil, false
 		}
 		out = append(out, m)
 	}
 	return out, true
 }
+
+func (w *RaftMessage) toRaft() (raft.Message, bool) {
+	if w == nil || w.Kind > uint32(raft.MsgSnapshotReply) {
+		return raft.Message{}, false
+	}
+	m := raft.Message{
+		Kind: raft.MessageKind(w.Kind), From: raft.MemberID(w.From), To: raft.MemberID(w.To), Term: raft.Term(w.Term),
+		LogIndex: raft.Index(w.LogIndex), LogTerm: raft.Term(w.LogTerm), Commit: raft.Index(w.Commit),
+		Reject: w.Reject, Hint: raft.Index(w.Hint), ReadMark: w.ReadMark,
+		Offset: w.SnapshotOffset, Size: w.SnapshotSize, TakesParts: w.TakesParts,
+	}
+	if digest := w.StateDigest; digest != nil {
+		m.StateDigest = &raft.StateDigest{Index: raft.Index(digest.Index), Form: digest.Form, Sum: digest.Sum, Differs: digest.Differs}
+	}
+	for _, entry := range w.Entries {
+		if entry == nil || entry.Kind > uint32(raft.EntryMembership) {
+			return raft.Message{}, false
+		}
+		m.Entries = append(m.Entries, raft.Entry{Term: raft.Term(entry.Term), Index: raft.Index(entry.Index), Kind: raft.EntryKind(entry.Kind), Data: entry.Data})
+	}
+	if w.Snapshot == nil {
+		return m, true
+	}
+	membership, err := raft.DecodeMembership(w.Snapshot.Membership)
+	if err != nil {
+		return raft.Message{}, false
+	}
+	m.Snapshot = &raft.Snapshot{Index: raft.Index(w.Snapshot.Index), Term: raft.Term(w.Snapshot.Term), Membership: membership,
+		Data: w.Snapshot.Data, Checksum: w.Snapshot.Checksum}
+	return m, true
+}
