--- /dev/null
+++ b/process/statemachine/digest.go
@@ -0,0 +1,81 @@
+package statemachine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"hash/fnv"
+	"reflect"
+)
+
+// outcomes numbers what commands do to the state. Raise it where a command's outcome changes though no field does:
+// members of builds that apply alike must hold equal states, and only theirs are compared.
+const outcomes = 1
+
+// ErrIncomplete says that a snapshot lacks a part of the state that every state has.
+var ErrIncomplete = errors.New("the snapshot lacks a part of the state")
+
+// Digest is a sum over the whole state: equal for all members that applied the same entries, whether one by one or
+// by way of a snapshot. It takes as long as a snapshot does; Bytes is how long that is.
+type Digest struct {
+	Sum   uint64
+	Bytes int
+}
+
+// Digest sums up the state.
+func (s *State) Digest() Digest {
+	data := s.Snapshot()
+	sum := sha256.Sum256(data)
+	return Digest{Sum: binary.BigEndian.Uint64(sum[:8]), Bytes: len(data)}
+}
+
+// Form tells builds apart whose digests can't be compared, by the fields of the state and by outcomes. A build that
+// may differ in other ways says so by its name.
+func Form(build string) uint64 {
+	sum := fnv.New64a()
+	_ = binary.Write(sum, binary.BigEndian, uint64(outcomes))
+	_, _ = sum.Write([]byte(build))
+	describe(reflect.TypeFor[State](), map[reflect.Type]bool{}, func(word string) { _, _ = sum.Write([]byte(word + ";")) })
+	return sum.Sum64()
+}
+
+// describe says of which fields a type is made.
+func describe(of reflect.Type, seen map[reflect.Type]bool, say func(string)) {
+	say(of.String())
+	if seen[of] {
+		return
+	}
+	seen[of] = true
+	switch of.Kind() {
+	case reflect.Pointer, reflect.Slice, reflect.Array:
+		describe(of.Elem(), seen, say)
+	case reflect.Map:
+		describe(of.Key(), seen, say)
+		describe(of.Elem(), seen, say)
+	case reflect.Struct:
+		for place := range of.NumField() {
+			field := of.Field(place)
+			if !field.IsExported() {
+				continue
+			}
+			say(field.Name + " " + string(field.Tag))
+			describe(field.Type, seen, say)
+		}
+	}
+}
+
+// complete says whether a state that was read can be applied to: JSON's null takes a map or table away.
+func (s *State) complete() error {
+	if s.Workers == nil || s.Workers.Tenures == nil || s.Workers.Nodes == nil || s.Workers.Floors == nil {
+		return ErrIncomplete
+	}
+	if s.Proposals == nil || s.Serving == nil || s.Closures.Zones == nil || s.Closures.Engines == nil {
+		return ErrIncomplete
+	}
+	for _, proposal := range s.Proposals {
+		if proposal == nil {
+			return ErrIncomplete
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/process/statemachine/digest_test.go
@@ -0,0 +1,141 @@
+package statemachine
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// randomCommand makes any command, over few names, so that they meet.
+func randomCommand(random *rand.Rand, at ident.GroupTime, revision ident.Revision) Command {
+	name := func(kind string, count int) string { return fmt.Sprint(kind, random.IntN(count)) }
+	ops := []Op{OpAcquire, OpRenew, OpRelease, OpReclaim, OpPropose, OpReview, OpSign, OpRoll, OpClosure, OpKeep, OpClaim, OpDropClaim, OpEnlist, OpLost, OpLeave, OpApply}
+	command := Command{
+		Op: ops[random.IntN(len(ops))], At: at, NodeID: ident.NodeID(name("node#", 6)), WorkerID: ident.WorkerID(random.IntN(4)), SpanMs: 3000, GapMs: 1000,
+		ProposalID: name("proposal-", 8), Operator: name("operator-", 3), Spec: []byte("{}"), Digest: name("digest-", 40),
+		BaseRevision: revision, Revision: revision + 1, Zone: ident.ZoneID(name("zone-", 3)), Engine: ident.EngineID(name("engine-", 9)), Closed: random.IntN(2) == 0,
+		Address: "address", Lost: ident.NodeID(name("node#", 6)), TellsAll: random.IntN(2) == 0, Whole: random.IntN(2) == 0,
+		Told: &Told{Orders: map[ident.EngineID]uint64{ident.EngineID(name("engine-", 9)): random.Uint64N(9)}, Loads: random.IntN(3), KeepMs: 5000},
+	}
+	if command.Op == OpClosure && random.IntN(2) == 0 {
+		command.Engine = ""
+	} else {
+		command.Zone = ""
+	}
+	return command
+}
+
+// A member that restarted from a snapshot anywhere on the way holds the state of one that never did, now and after
+// all that follows: else the digests of sound members would differ.
+func TestDigestIsEqualAfterRestoring(t *testing.T) {
+	for seed := range uint64(40) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		straight, restored := New(), New()
+		for number := range 400 {
+			command, err := json.Marshal(randomCommand(random, ident.GroupTime(1000+number*300), straight.Revision))
+			if err != nil {
+				t.Fatal(err)
+			}
+			straight.Apply(command)
+			restored.Apply(command)
+			if random.IntN(20) == 0 {
+				if restored, err = Restore(restored.Snapshot()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if straight.Digest() != restored.Digest() {
+				t.Fatalf("seed %d: states differ after command %d\n%s\n%s", seed, number, straight.Snapshot(), restored.Snapshot())
+			}
+		}
+		if straight.Epoch() == 0 || len(straight.Left) == 0 || straight.Claim.Number == 0 {
+			t.Errorf("seed %d: the commands changed too little", seed)
+		}
+	}
+}
+
+// The broken variant: any part of the state that is another makes another digest.
+func TestDigestTellsEachPartOfTheState(t *testing.T) {
+	for name, change := range map[string]func(*State){
+		"time":     func(s *State) { s.Now++ },
+		"workers":  func(s *State) { s.Workers.Floors[3] = 4 },
+		"history":  func(s *State) { s.History = append(s.History, "x") },
+		"revision": func(s *State) { s.Revision++ },
+		"closures": func(s *State) { s.Closures.Zones["z"] = ClosureMark{} },
+		"claim":    func(s *State) { s.Claim.Number++ },
+		"serving":  func(s *State) { s.Serving["n"] = Serving{} },
+		"left":     func(s *State) { s.Leaves++ },
+	} {
+		one, other := New(), New()
+		change(other)
+		if one.Digest().Sum == other.Digest().Sum {
+			t.Errorf("another %s makes no other digest", name)
+		}
+	}
+	if Form("a") == Form("b") || Form("a") != Form("a") {
+		t.Error("the form does not tell builds apart")
+	}
+}
+
+// A snapshot without a part of the state is refused: applying to it would end the process.
+func TestIncompleteSnapshotIsRefused(t *testing.T) {
+	whole := string(New().Snapshot())
+	if _, err := Restore([]byte(whole)); err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{`"workers":{`, `"proposals":{}`, `"zones":{}`, `"engines":{}`, `"tenures":{}`, `"floors":{}`} {
+		key := part[:strings.Index(part, ":")]
+		var broken map[string]any
+		if err := json.Unmarshal([]byte(whole), &broken); err != nil {
+			t.Fatal(err)
+		}
+		if !removePart(broken, strings.Trim(key, `"`)) {
+			t.Fatalf("no %s in %s", key, whole)
+		}
+		data, err := json.Marshal(broken)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Restore(data); !errors.Is(err, ErrIncomplete) {
+			t.Errorf("without %s: %v", key, err)
+		}
+	}
+	for _, junk := range []string{`{`, `[]`, `{"proposals":{"p":null}}`} {
+		if _, err := Restore([]byte(junk)); err == nil {
+			t.Errorf("%s was taken", junk)
+		}
+	}
+}
+
+// removePart sets a part of a state to null, wherever it stands.
+func removePart(in map[string]any, key string) bool {
+	if _, found := in[key]; found {
+		in[key] = nil
+		return true
+	}
+	for _, inner := range in {
+		if deeper, isMap := inner.(map[string]any); isMap && removePart(deeper, key) {
+			return true
+		}
+	}
+	return false
+}
+
+// BenchmarkSizeDigest is what a digest costs, for docs/CAPACITY.md.
+func BenchmarkSizeDigest(b *testing.B) {
+	for _, size := range stateSizes {
+		b.Run(size.name, func(b *testing.B) {
+			s := grown(b, size.daemons, size.engines, size.left, size.bundles, size.packedBundles)
+			b.ReportAllocs()
+			bytes := 0
+			for b.Loop() {
+				bytes = s.Digest().Bytes
+			}
+			b.ReportMetric(float64(bytes), "state-bytes")
+		})
+	}
+}
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -329,6 +329,9 @@
 	if err := json.Unmarshal(data, s); err != nil {
 		return nil, err
 	}
+	if err := s.complete(); err != nil {
+		return nil, err
+	}
 	s.Workers.Rebuild()
 	if s.Revision == 0 {
 		// Earlier builds counted no revisions, and each bundle that they put in force would have made one.
