Know at a leader up to when a majority has confirmed it

Cause: nothing told how fresh a leader's news is. The check of a majority every sixteen ticks looks at who answered since the check before, so a leader that is cut off says that it leads for up to 1.6 s, and one that was frozen says so until its next beat.

Each round of heartbeats now has a number of its own. A round that a majority replied to confirms the leader up to the moment at which it was sent; replies out of a frozen machine's buffers vouch for no later one.

--- a/process/raft/core.go
+++ b/process/raft/core.go
@@ -25,6 +25,8 @@
 	probing bool
 	// snapshotWait counts ticks until a snapshot may be sent again.
 	snapshotWait int
+	// answered is the newest round of heartbeats that the member replied to.
+	answered uint64
 }
 
 type pendingRead struct {
@@ -317,6 +319,8 @@
 	}
 	if c.sinceBeat >= c.timing.Heartbeat {
 		c.sinceBeat = 0
+		// Each round has a number of its own, so that its replies can't be taken for those to an earlier one.
+		c.readMark++
 		c.sendHeartbeats()
 		c.sendAppends()
 	}
@@ -667,6 +671,7 @@
 		return
 	}
 	fellow.heard = true
+	fellow.answered = max(fellow.answered, m.ReadMark)
 	// Appends may have been lost on the way; a heartbeat's answer is the time to look again.
 	if fellow.match < c.log.last() {
 		fellow.next = fellow.match + 1
@@ -686,6 +691,30 @@
 	c.reads = kept
 }
 
+// HeartbeatRound numbers the newest round of heartbeats that this member sent as the leader.
+func (c *Core) HeartbeatRound() uint64 { return c.readMark }
+
+// QuorumRound is the newest round of heartbeats that a majority replied to in this leader's term; zero where
+// there is none, or where this member does not lead.
+func (c *Core) QuorumRound() uint64 {
+	if c.role != Leader {
+		return 0
+	}
+	var answered []uint64
+	for _, id := range c.Membership().Voters() {
+		if id == c.id {
+			answered = append(answered, c.readMark)
+			continue
+		}
+		answered = append(answered, c.fellows[id].answered)
+	}
+	if len(answered) == 0 {
+		return 0
+	}
+	slices.Sort(answered)
+	return answered[(len(answered)-1)/2]
+}
+
 // read is answered once a majority has said, after it was asked, that this member still leads.
 func (c *Core) read(ref uint64) {
 	if c.role != Leader || !c.CommittedInTerm() {
--- a/process/replica/actor.go
+++ b/process/replica/actor.go
@@ -47,6 +47,10 @@
 	Serving []ident.NodeID
 	// Claim is the planner's claim by the state applied so far.
 	Claim statemachine.Claim
+	// ConfirmedUntil is, where this member leads, up to when a majority has confirmed that; Spec and Closures are what
+	// is committed by the state applied so far.
+	ConfirmedUntil clock.Mark
+	Spec, Closures ident.Epoch
 }
 
 // Replica is the actor around a core.
@@ -388,6 +392,7 @@
 	condition := Condition{
 		Group: r.group, Role: core.Role(), Term: core.Term(), Leads: r.core.Leads(), Members: core.Membership(),
 		Commit: core.CommitIndex(), Stalled: r.stalled, Now: r.core.State().Now, FirstRollAgo: r.core.FirstRollAgo(r.clock.Elapsed()), Serving: r.core.State().ServingNow(), Claim: r.core.State().Claim,
+		ConfirmedUntil: r.core.ConfirmedUntil(), Spec: r.core.State().Epoch(), Closures: r.core.State().Closures.Epoch,
 	}
 	condition.Leader, _ = condition.Members.Find(core.LeaderID())
 	before := r.condition.Swap(&condition)
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -102,6 +102,8 @@
 	ledSince  clock.Mark
 	leads     bool
 	reclaimAt raft.Index
+	// confirmed is up to when a majority has confirmed that this member leads.
+	confirmed confirmation
 }
 
 // NewCore makes a member from what its disk holds.
@@ -123,6 +125,15 @@
 // Leads says whether this member leads and has applied all that was committed before.
 func (c *Core) Leads() bool { return c.leads }
 
+// ConfirmedUntil is the latest moment at which a majority is known to have followed this member as the leader: all
+// that was acknowledged before it, by whichever leader, is applied here. Zero where this member does not lead.
+func (c *Core) ConfirmedUntil() clock.Mark {
+	if !c.leads {
+		return 0
+	}
+	return c.confirmed.until
+}
+
 // groupNow is the group's time as the leader stamps it: the last in the log, carried on by elapsed
 // time. The time of day is asked once, when the group is new.
 func (c *Core) groupNow(now clock.Mark) ident.GroupTime {
@@ -262,6 +273,7 @@
 		}
 	}
 	c.noteLeading(now, &out)
+	c.confirmed.observe(now, c.raft)
 	out.Changed = c.state.Epoch() != specBefore || c.state.Closures.Epoch != closuresBefore || c.state.Leaves != leavesBefore
 	if c.sinceCompact >= c.config.CompactEvery || c.config.CompactBytes > 0 && c.bytes >= c.config.CompactBytes {
 		keep := c.keep()
