Carry the confirmation of a source of news, and leave a stale one

Cause: a daemon that routes judged its sources by whether they answer. Control daemons that are cut off from the others together answer as well as before: with the old leader and the second link both on their side nothing but a probe every 1.5 s at one seed and one peer told of the new leader. A leader that had been followed by another could also make a fresh daemon ready, since its word counted as long as it called itself the leader; and it could say that no bundle was ever in force, by which an attempt is taken for one that never ran.

Each reply now tells up to when a majority confirmed what it announces, beside the arrival of the question, so that whoever passes it on can only take it for older. A source whose confirmation is older than 1.2 s is neither leader nor relay, and answers what it holds back at once when it comes to be so; a daemon without a confirmed source for 2 s asks all control daemons, and a seed and a peer with each beat. A fresh daemon is ready only by a confirmation later than its enlisting and no older than 1.2 s, of something that it has in force. The decisions moved from the actor to a pure Tracker.

The test of which relay is chosen now begins with a confirmed daemon: an unconfirmed one asks all. Builds before tell no confirmation: their leader's word counts from the question, as before.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -150,7 +150,7 @@
 	bytesOwnZone, bytesOtherZone, junkEngines, lastLookStops        atomic.Uint64
 	permitsUnasked, attemptCalls, attemptDoubts, attemptsMoved      atomic.Uint64
 	engineBeats, engineBeatsLate, leavesAcknowledged, leavesUnknown atomic.Uint64
-	memberTroubles, listenerTroubles                                atomic.Uint64
+	memberTroubles, listenerTroubles, turnedStale                   atomic.Uint64
 }
 
 // Option sets one thing of a daemon.
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -15,6 +15,7 @@
 	"github.com/cresspond/cresspond/process/applying"
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/membership"
 	"github.com/cresspond/cresspond/process/raft"
 	"github.com/cresspond/cresspond/process/replica"
 	"github.com/cresspond/cresspond/process/rollout"
@@ -536,6 +537,7 @@
 		d.counters.garbage.Add(1)
 		return nil, twirp.NewError(twirp.InvalidArgument, "a pull says who asks")
 	}
+	arrived := d.clock.Elapsed()
 	rowKnown := d.members.Served(in)
 	wantsLost := !d.hearWants(in)
 	d.nodes.hear(in)
@@ -546,7 +548,9 @@
 		d.holdBack(ctx, in)
 	}
 	leader, term := d.leaderAndTerm()
-	reply := &fellowapi.PullReply{Group: string(d.Group()), NodeId: string(d.nodeID), LeaderAddress: leader, LeaderTerm: term, IsLeader: d.Leads(), FirstRollMsAgo: d.FirstRollAgo().Milliseconds(),
+	// The confirmation is read before what it vouches for, which can only be newer.
+	confirmation := membership.ConfirmationOf(d.confirmed(), arrived)
+	reply := &fellowapi.PullReply{Confirmation: confirmation, Group: string(d.Group()), NodeId: string(d.nodeID), LeaderAddress: leader, LeaderTerm: term, IsLeader: d.Leads(), FirstRollMsAgo: d.FirstRollAgo().Milliseconds(),
 		RowKnown: rowKnown, WantsLost: wantsLost, Plans: d.Plans(), PlannerAddress: d.members.View().PlannerAddress}
 	if t := d.keeper.Table(); t != nil {
 		reply.SpecEpoch, reply.ClosureEpoch = uint64(t.Epoch), uint64(t.Closures.Epoch)
@@ -576,6 +580,8 @@
 // Learn takes over what a reply brought.
 func (d *Daemon) Learn(reply *fellowapi.PullReply) {
 	if !d.learnGroup(ident.GroupID(reply.Group)) {
+		// What another group confirmed proves nothing here.
+		reply.Confirmation = &fellowapi.Confirmation{}
 		return
 	}
 	if len(reply.Spec) > 0 || len(reply.Closures) > 0 {
--- /dev/null
+++ b/process/daemon/freshness.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"github.com/apex/log"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/membership"
+)
+
+// ConfirmedAsLeader is, where this daemon leads, up to when a majority has confirmed that, if all that was committed
+// by then is in force here; zero elsewhere.
+func (d *Daemon) ConfirmedAsLeader() clock.Mark {
+	held := d.replica.Load()
+	if held == nil {
+		return 0
+	}
+	// The condition is read first: what is in force is looked at later, so it can only be newer.
+	condition := held.Condition()
+	if !condition.Leads {
+		return 0
+	}
+	table := d.keeper.Table()
+	switch {
+	case table == nil && condition.Spec > 0:
+		return 0
+	case table != nil && (table.Epoch < condition.Spec || table.Closures.Epoch < condition.Closures):
+		// It is committed and its table is still being built.
+		return 0
+	}
+	return condition.ConfirmedUntil
+}
+
+// confirmed is up to when a majority has confirmed that what is in force here is all that was acknowledged; zero is
+// never.
+func (d *Daemon) confirmed() clock.Mark {
+	return max(d.members.View().Confirmed, d.ConfirmedAsLeader())
+}
+
+// stale says whether this daemon's news is not to be relied on by others.
+func (d *Daemon) stale() bool {
+	confirmed := d.confirmed()
+	return confirmed == 0 || d.clock.Elapsed().Since(confirmed) > membership.StaleAfter
+}
+
+// SourceTurned writes down that a source of news came to be stale, or is so no more.
+func (d *Daemon) SourceTurned(turned membership.Turned) {
+	line := d.log.WithField("address", turned.Address)
+	if turned.Stale {
+		line.Warn("a source of news is left: no majority of the control group has confirmed it lately")
+		return
+	}
+	line.Info("a source of news is confirmed by a majority of the control group")
+}
+
+// noteStale writes down that what is in force here came to be unconfirmed, or is so no more.
+func (d *Daemon) noteStale(stale bool) {
+	if stale {
+		d.counters.turnedStale.Add(1)
+	}
+	line := d.log.WithFields(log.Fields{"stale": stale})
+	if stale {
+		line.Warn("no majority of the control group has confirmed lately what is in force here")
+		return
+	}
+	line.Info("what is in force here is confirmed by a majority of the control group")
+}
--- a/process/daemon/held.go
+++ b/process/daemon/held.go
@@ -102,6 +102,9 @@
 		// An asker that knows of a newer leader has no use for this one.
 		leader != "" && (term > in.LeaderTerm || in.LeaderAddress == ""),
 		in.Group == "" && d.Group() != "",
+		// Whoever relies on this daemon must hear at once that it can't any more, or can again.
+		in.SourceSeen == fellowapi.SourceSeen_SOURCE_CONFIRMED && d.stale(),
+		in.SourceSeen == fellowapi.SourceSeen_SOURCE_STALE && !d.stale(),
 		// Numbers of another life count for nothing.
 		in.RegistryLife != string(d.nodeID) || d.registry.Urgent() > in.RegistryWhole || len(in.RegistryWanted) > 0,
 		in.MembersLife != string(d.nodeID),
@@ -174,7 +177,7 @@
 // Beat looks for news that nobody else tells of. Only the actor of members calls it.
 func (d *Daemon) Beat() {
 	leader, term := d.leaderAndTerm()
-	now := beatNews{leader: leader, term: term, leads: d.Leads()}
+	now := beatNews{leader: leader, term: term, leads: d.Leads(), stale: d.stale()}
 	for id, engine := range d.watcher.View().Engines {
 		if engine.Draining {
 			now.draining++
@@ -187,6 +190,9 @@
 		d.toldNews.draining.Add(1)
 	}
 	d.drainingNow.Store(now.draining > 0)
+	if now.stale != before.stale {
+		d.noteStale(now.stale)
+	}
 	if now != before {
 		d.bell.ring(urgent)
 	}
@@ -206,6 +212,7 @@
 	leader     string
 	term       uint64
 	leads      bool
+	stale      bool
 	draining   int
 	drainKnown clock.Mark
 }
--- a/process/daemon/pages.go
+++ b/process/daemon/pages.go
@@ -86,6 +86,11 @@
 	say("mint_refused", d.generator.Refusals())
 	say("pulls", d.members.Pulls.Load())
 	say("pulls_failed", d.members.Failed.Load())
+	say("sources_left_as_stale", d.members.StaleSources.Load())
+	say("turned_stale", c.turnedStale.Load())
+	if confirmed := d.confirmed(); confirmed > 0 {
+		say("confirmed_ms_ago", uint64(max(0, d.clock.Elapsed().Since(confirmed).Milliseconds())))
+	}
 	say("raft_sent", d.links.Sent.Load())
 	say("raft_dropped", d.links.Dropped.Load())
 	say("raft_failed", d.links.Failed.Load())
--- a/process/membership/core.go
+++ b/process/membership/core.go
@@ -75,6 +75,9 @@
 	control  bool
 	rowKnown uint64
 	failed   clock.Mark
+	// told says that it tells up to when its news is confirmed, stale that this was too long ago when it last
+	// answered, wasConfirmed that it ever was not.
+	told, stale, wasConfirmed bool
 }
 
 // Core is what one daemon knows of the others, and how it comes to know it.
@@ -97,6 +100,8 @@
 	gathered        map[ident.NodeID]Fellow
 	gatheredChanges uint64
 	gatheredAt      clock.Mark
+	// confirmed is up to when what is in force here is confirmed to be all that was acknowledged.
+	confirmed clock.Mark
 }
 
 // NewCore makes what a fresh daemon knows. relays says that it serves control.
@@ -465,8 +470,9 @@
 	}
 	add(planner)
 	add(c.second(now, leader, control))
-	if leader == "" {
-		// Only the leader's own word tells of it where it has failed to answer once.
+	if leader == "" || c.Unconfirmed(now) {
+		// Only the leader's own word tells of it where it has failed to answer once; and sources that answer as well
+		// as before may all be cut off from the group.
 		for _, address := range control {
 			add(address)
 		}
@@ -491,7 +497,7 @@
 func (c *Core) second(now clock.Mark, leader string, control []string) string {
 	sound := slices.DeleteFunc(slices.Clone(control), func(address string) bool {
 		p := c.peers[address]
-		return address == leader || p != nil && p.failed > 0 && now.Since(p.failed) <= troubledFor
+		return address == leader || p != nil && (p.stale || p.failed > 0 && now.Since(p.failed) <= troubledFor)
 	})
 	if near := slices.DeleteFunc(slices.Clone(sound), func(address string) bool { return !c.near(address) || !c.inTouch(leader, address) }); len(near) > 0 {
 		sound = near
--- a/process/membership/core_test.go
+++ b/process/membership/core_test.go
@@ -259,6 +259,8 @@
 
 func newZoned() zoned {
 	z := zoned{Core: NewCore("edge#1", "edge", false), now: clock.Mark(time.Minute)}
+	// One that nobody has confirmed asks all control daemons; which of them it chooses is looked at in calm.
+	z.Confirm(z.now)
 	z.Describe(z.now, Row{Fellow: Fellow{NodeID: "edge#1", Address: "edge", Zone: "b", Serve: []string{"route"}}, Version: 1})
 	return z
 }
--- /dev/null
+++ b/process/membership/freshness_test.go
@@ -0,0 +1,161 @@
+package membership
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+)
+
+// ms is a span of made-up time.
+func ms(n int) clock.Mark { return clock.Mark(time.Duration(n) * time.Millisecond) }
+
+// tracked is a routing daemon that has been answered by three control daemons, of which l1 leads in term 3.
+func tracked() (*Tracker, clock.Mark) {
+	now := clock.Mark(time.Minute)
+	t := NewTracker(now-clock.Mark(time.Second), "edge#1", "edge", false)
+	t.members.Describe(now, Row{Fellow: Fellow{NodeID: "edge#1", Address: "edge", Serve: []string{"route"}}, Version: 1})
+	for _, address := range []string{"l1", "c2", "c3"} {
+		t.members.Hear(now, Row{Fellow: Fellow{NodeID: ident.NodeID(address + "#1"), Address: address, Serve: []string{controlRole}}, Version: 1, Whole: true}, 0)
+	}
+	return t, now
+}
+
+// answerFrom is a reply that took 10 ms each way, whose source was confirmed so long before the question arrived.
+func answerFrom(address string, now clock.Mark, before time.Duration, change func(*fellowapi.PullReply)) Answer {
+	reply := &fellowapi.PullReply{Group: "g", NodeId: address + "#1", LeaderAddress: "l1", LeaderTerm: 3, IsLeader: address == "l1", SpecEpoch: 7,
+		Confirmation: ConfirmationOf(ms(3600000)-clock.Mark(before), ms(3600000))}
+	if change != nil {
+		change(reply)
+	}
+	return Answer{Question: Question{Address: address, Linked: true}, Asked: now - ms(20), Heard: now, Reply: reply}
+}
+
+var force = InForce{Spec: 7}
+
+// Wherever the two clocks stand, and however long a reply was on its way, a confirmation never grows younger.
+func TestAConfirmationOnlyAgesAsItIsPassedOn(t *testing.T) {
+	for _, before := range []time.Duration{-700 * time.Millisecond, -time.Microsecond, 0, time.Microsecond, 300 * time.Millisecond, time.Hour} {
+		confirmed, arrived := clock.Mark(2*time.Hour)-clock.Mark(before), clock.Mark(2*time.Hour)
+		asked, way := clock.Mark(5*time.Minute), 40*time.Millisecond
+		reply := &fellowapi.PullReply{Confirmation: ConfirmationOf(confirmed, arrived)}
+		// In the asker's time the question arrived after its way there.
+		actual := asked + clock.Mark(way) - clock.Mark(before)
+		word := wordOf(reply, asked, max(actual, asked)+clock.Mark(time.Minute))
+		if word.confirmed > max(0, actual) || word.confirmed < actual-clock.Mark(way)-ms(2) {
+			t.Errorf("%v before: taken for %v, and it lay at %v", before, word.confirmed, actual)
+		}
+	}
+	if word := wordOf(&fellowapi.PullReply{Confirmation: ConfirmationOf(0, ms(5000))}, ms(1), ms(2)); !word.told || word.confirmed != 0 || !word.stale(ms(2)) {
+		t.Errorf("never confirmed: %+v", word)
+	}
+}
+
+// A daemon that two control daemons cut off from the others go on answering must not stay with them.
+func TestAStaleLeaderIsLeft(t *testing.T) {
+	tracker, now := tracked()
+	tracker.Take(now, answerFrom("l1", now, 100*time.Millisecond, nil), force)
+	if view := tracker.View(); view.LeaderAddress != "l1" || view.HeardLeader == 0 {
+		t.Fatalf("%+v", view)
+	}
+	heard := tracker.View().HeardLeader
+	now += ms(1500)
+	turned := tracker.Take(now, answerFrom("l1", now, StaleAfter, nil), force)
+	if turned == nil || !turned.Stale || turned.Address != "l1" {
+		t.Errorf("turned: %+v", turned)
+	}
+	if view := tracker.View(); view.LeaderAddress != "" || view.HeardLeader != heard {
+		t.Errorf("it is still taken for the leader: %+v", view)
+	}
+	links := tracker.Links(now)
+	if !slices.Contains(links, "c2") || !slices.Contains(links, "c3") {
+		t.Errorf("only %q are asked", links)
+	}
+	// Hearsay of the leader that was left does not bring it back; its own confirmed word does.
+	tracker.Take(now, answerFrom("c2", now, 100*time.Millisecond, nil), force)
+	if view := tracker.View(); view.LeaderAddress != "" {
+		t.Errorf("hearsay made %q the leader", view.LeaderAddress)
+	}
+	if turned = tracker.Take(now, answerFrom("l1", now, 50*time.Millisecond, nil), force); turned == nil || turned.Stale || tracker.View().LeaderAddress != "l1" {
+		t.Errorf("turned %+v, leader %q", turned, tracker.View().LeaderAddress)
+	}
+}
+
+func TestAStaleRelayIsNotChosen(t *testing.T) {
+	tracker, now := tracked()
+	tracker.Take(now, answerFrom("l1", now, 0, nil), force)
+	relay := tracker.members.second(now, "l1", tracker.members.control(now))
+	other := map[string]string{"c2": "c3", "c3": "c2"}[relay]
+	tracker.Take(now, answerFrom(relay, now, 0, nil), force)
+	if next := tracker.members.second(now, "l1", tracker.members.control(now)); next != relay {
+		t.Errorf("a confirmed relay is kept, not %q for %q", next, relay)
+	}
+	tracker.Take(now, answerFrom(relay, now, StaleAfter, nil), force)
+	if next := tracker.members.second(now, "l1", tracker.members.control(now)); next != other {
+		t.Errorf("%q is stale, and %q is asked", relay, next)
+	}
+}
+
+// A fresh daemon is ready neither by a source that was never confirmed, nor by one confirmed too long ago, nor before
+// the group wrote it down, nor by one that announces more than is in force here.
+func TestAFreshDaemonIsReadyByAConfirmedSourceOnly(t *testing.T) {
+	for name, c := range map[string]struct {
+		before   time.Duration
+		enlisted time.Duration
+		force    InForce
+		change   func(*fellowapi.PullReply)
+		settles  bool
+	}{
+		"confirmed":                {before: 100 * time.Millisecond, enlisted: time.Second, force: force, settles: true},
+		"by a relay":               {before: 600 * time.Millisecond, enlisted: time.Second, force: force, change: func(r *fellowapi.PullReply) { r.IsLeader = false }, settles: true},
+		"too old":                  {before: StaleAfter, enlisted: 5 * time.Second, force: force},
+		"before the enlisting":     {before: 500 * time.Millisecond, enlisted: 400 * time.Millisecond, force: force},
+		"never confirmed":          {enlisted: time.Second, force: force, change: func(r *fellowapi.PullReply) { r.Confirmation = &fellowapi.Confirmation{} }},
+		"announces more":           {before: 100 * time.Millisecond, enlisted: time.Second, force: InForce{Spec: 6}},
+		"not written down":         {before: 100 * time.Millisecond, force: force},
+		"leader of a build before": {enlisted: time.Second, force: force, change: func(r *fellowapi.PullReply) { r.Confirmation = nil }, settles: true},
+		"relay of a build before":  {enlisted: time.Second, force: force, change: func(r *fellowapi.PullReply) { r.Confirmation, r.IsLeader = nil, false }},
+	} {
+		tracker, now := tracked()
+		tracker.Take(now, answerFrom("l1", now, c.before, c.change), c.force)
+		own := Own{InForce: c.force}
+		if c.enlisted > 0 {
+			own.Enlisted = now - clock.Mark(c.enlisted)
+		}
+		if view := tracker.Refresh(now, own); view.Settled != c.settles {
+			t.Errorf("%s: settled %t", name, view.Settled)
+		}
+	}
+}
+
+// A leader that no longer leads must not send askers to itself for ever.
+func TestOneThatLeadsNoMoreNamesItselfNoMore(t *testing.T) {
+	tracker, now := tracked()
+	tracker.Refresh(now, Own{InForce: force, Leads: true, Confirmed: now})
+	if tracker.View().LeaderAddress != "edge" {
+		t.Fatal(tracker.View().LeaderAddress)
+	}
+	if view := tracker.Refresh(now, Own{InForce: force}); view.LeaderAddress != "" {
+		t.Errorf("the leader is %q", view.LeaderAddress)
+	}
+	tracker.Take(now, answerFrom("l1", now, 0, nil), force)
+	tracker.Take(now, Answer{Question: Question{Address: "l1", Linked: true}, Asked: now, Heard: now, Err: errors.New("silence")}, force)
+	if view := tracker.View(); view.LeaderAddress != "" || view.Unreached != 3 {
+		t.Errorf("%+v", view)
+	}
+}
+
+// That no bundle was ever in force is believed only of a leader that was confirmed in this daemon's life.
+func TestAStaleLeaderCantSayThatNothingEverRan(t *testing.T) {
+	for before, wanted := range map[time.Duration]bool{100 * time.Millisecond: true, 1100 * time.Millisecond: false} {
+		tracker, now := tracked()
+		tracker.Take(now, answerFrom("l1", now, before, func(r *fellowapi.PullReply) { r.FirstRollMsAgo = -1 }), force)
+		if view := tracker.Refresh(now, Own{InForce: force}); view.BeforeAll != wanted {
+			t.Errorf("confirmed %v ago: %t", before, view.BeforeAll)
+		}
+	}
+}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -69,6 +69,9 @@
 	Started   clock.Mark
 	// PlannerAddress is where whoever plans is, as far as is known.
 	PlannerAddress string
+	// Confirmed is up to when a majority has confirmed that what is in force here is all that was acknowledged; zero
+	// is never.
+	Confirmed clock.Mark
 }
 
 // InContact lists the fellows heard within the window.
@@ -112,6 +115,11 @@
 	EnlistedAt() clock.Mark
 	// Plans says whether this daemon plans.
 	Plans() bool
+	// ConfirmedAsLeader is, where this daemon leads, up to when a majority has confirmed that, for what is in force
+	// here; zero elsewhere.
+	ConfirmedAsLeader() clock.Mark
+	// SourceTurned is called when a source of news came to be stale, or is so no more.
+	SourceTurned(Turned)
 	// News is called when the list of members changed, so that those whose answers are held back hear of it.
 	News()
 	// Beat is called with each beat.
@@ -151,8 +159,7 @@
 	self    string
 	pace    Pace
 	box     *actor.Mailbox[any]
-	core    *Core
-	next    View
+	tracker *Tracker
 	view    atomic.Pointer[View]
 	changes atomic.Uint64
 	solid   atomic.Uint64
@@ -163,10 +170,11 @@
 	seedTurn int
 	beats    int
 	row      Row
-	planner  string
 	control  bool
 	Pulls    atomic.Uint64
 	Failed   atomic.Uint64
+	// StaleSources counts how often a source of news was left because no majority had confirmed it lately.
+	StaleSources atomic.Uint64
 }
 
 type (
@@ -205,9 +213,7 @@
 // New makes the actor; self is this daemon's own fellow address.
 func New(c clock.Clock, fleet Fleet, seeds func() []string, self string, pace Pace) *Membership {
 	m := &Membership{clock: c, fleet: fleet, seeds: seeds, self: self, pace: pace, box: actor.NewMailbox[any](512), asking: map[question]bool{}}
-	m.next = View{Fellows: map[ident.NodeID]Fellow{}, Started: c.Elapsed()}
-	first := m.next
-	m.view.Store(&first)
+	m.view.Store(&View{Fellows: map[ident.NodeID]Fellow{}, Started: c.Elapsed()})
 	return m
 }
 
@@ -227,7 +233,7 @@
 func (m *Membership) Run(ctx context.Context) {
 	described := m.fleet.Describe()
 	m.control = slices.Contains(described.Serve, controlRole)
-	m.core = NewCore(ident.NodeID(described.NodeId), m.self, m.control)
+	m.tracker = NewTracker(m.view.Load().Started, ident.NodeID(described.NodeId), m.self, m.control)
 	m.box.Run(ctx, pullEvery, func(event any) { m.take(ctx, event) }, func() { m.beat(ctx) })
 }
 
@@ -292,20 +298,20 @@
 	m.describe()
 	now := m.clock.Elapsed()
 	forgetBefore := now - clock.Mark(forgetAfter)
-	if now.Since(m.next.HeardLeader) > ContactWindow {
+	if now.Since(m.tracker.view.HeardLeader) > ContactWindow {
 		// Out of the leader's sight nobody is forgotten: those who fell silent may be on the other side of a split.
 		forgetBefore = 0
 	}
-	m.core.Sweep(now, forgetBefore)
+	m.tracker.members.Sweep(now, forgetBefore)
 	for _, address := range m.links(now) {
 		m.ask(ctx, question{address: address, linked: true})
 	}
 	if !m.waited {
 		// The answer to the last question may be held back for long; what has come to wait since must be heard of sooner.
-		m.ask(ctx, question{address: m.planner, pressing: true})
+		m.ask(ctx, question{address: m.tracker.planner, pressing: true})
 	}
-	troubled := now.Since(m.core.ControlHeard()) > lostControl
-	if m.beats++; troubled || m.beats%probeBeats == 0 {
+	troubled := m.tracker.Lost(now)
+	if m.beats++; troubled || m.tracker.Members().Unconfirmed(now) || m.beats%probeBeats == 0 {
 		if seeds := m.seeds(); len(seeds) > 0 {
 			m.ask(ctx, question{address: seeds[m.seedTurn%len(seeds)], everyone: troubled})
 			m.seedTurn++
@@ -321,7 +327,7 @@
 
 // links lists whom to ask again and again; before any control daemon is known, the seeds in turn.
 func (m *Membership) links(now clock.Mark) []string {
-	links := m.core.Links(now, m.next.LeaderAddress, m.planner)
+	links := m.tracker.Links(now)
 	if seeds := m.seeds(); len(links) == 0 && len(seeds) > 0 {
 		m.seedTurn++
 		return []string{seeds[m.seedTurn%len(seeds)]}
@@ -339,7 +345,7 @@
 		row.Version++
 	}
 	m.row = row
-	m.core.Describe(m.clock.Elapsed(), row)
+	m.tracker.members.Describe(m.clock.Elapsed(), row)
 }
 
 // question is one question to one address.
@@ -359,19 +365,14 @@
 		return
 	}
 	m.asking[q] = true
-	now, daemons, planner := m.clock.Elapsed(), len(m.view.Load().Fellows), m.planner
+	now, daemons, planner := m.clock.Elapsed(), len(m.view.Load().Fellows), m.tracker.planner
 	request := m.fleet.Describe()
 	request.RowVersion, request.Row, request.Everyone = m.row.Version, true, q.everyone
-	request.LeaderAddress, request.LeaderTerm, request.PlannerAddress = m.next.LeaderAddress, m.next.LeaderTerm, planner
+	m.tracker.Fill(request, Question{Address: q.address, Linked: q.linked})
 	hold := time.Duration(0)
 	if q.linked {
-		cursor, tellRow := m.core.Asked(q.address)
-		request.MembersLife, request.MembersSeen, request.Row = cursor.Life, cursor.Seen, tellRow
-		if !tellRow {
-			request.Zone, request.Serve, request.Steps = "", nil, nil
-		}
 		switch {
-		case !m.next.Settled:
+		case !m.tracker.view.Settled:
 			// It is not ready before it has heard all there is, so nothing is held back.
 		case m.control:
 			hold = min(m.pace.holdFor(daemons), controlHold)
@@ -410,7 +411,7 @@
 		if e.skipped {
 			return
 		}
-		if e.address == m.planner {
+		if e.address == m.tracker.planner {
 			m.waited = e.waits
 		}
 		m.Pulls.Add(1)
@@ -418,13 +419,13 @@
 		m.publish()
 		m.tellWaiters()
 		// One that answered is asked on at once; one that did not, or had nothing to hold back for, with the next beat.
-		if e.err == nil && e.linked && e.hold > 0 && now.Since(e.asked) >= soonest && slices.Contains(m.core.Links(now, m.next.LeaderAddress, m.planner), e.address) {
+		if e.err == nil && e.linked && e.hold > 0 && now.Since(e.asked) >= soonest && slices.Contains(m.tracker.Links(now), e.address) {
 			m.ask(ctx, e.question)
 		}
 	case served:
 		row := rowOf(e.request)
 		row.Version, row.Whole = e.request.RowVersion, e.request.Row
-		e.known <- m.core.Hear(now, row, time.Duration(e.request.EveryMs)*time.Millisecond)
+		e.known <- m.tracker.members.Hear(now, row, time.Duration(e.request.EveryMs)*time.Millisecond)
 		m.noteChanges()
 		if len(m.waiters) > 0 {
 			m.tellWaiters()
@@ -441,13 +442,13 @@
 func (m *Membership) tell(now clock.Mark, request *fellowapi.PullRequest) *fellowapi.PullReply {
 	reply := &fellowapi.PullReply{}
 	if request.Everyone {
-		reply.Contacts, reply.Everyone = encodeTold(m.core.Everyone(now, everyoneWindow)), true
+		reply.Contacts, reply.Everyone = encodeTold(m.tracker.members.Everyone(now, everyoneWindow)), true
 		return reply
 	}
-	since := m.core.Since
+	since := m.tracker.members.Since
 	if request.RegistryUrgent {
 		// The asker's teller tells it the rest.
-		since = m.core.SolidSince
+		since = m.tracker.members.SolidSince
 	}
 	told, next, afresh := since(now, Cursor{Life: request.MembersLife, Seen: request.MembersSeen})
 	reply.Contacts, reply.MembersLife, reply.MembersSeen, reply.MembersAfresh = encodeTold(told), next.Life, next.Seen, afresh
@@ -490,9 +491,9 @@
 
 // noteChanges lets others know that the list of members changed.
 func (m *Membership) noteChanges() {
-	if changes := m.core.Changes(); changes != m.changes.Load() {
+	if changes := m.tracker.members.Changes(); changes != m.changes.Load() {
 		m.changes.Store(changes)
-		m.solid.Store(m.core.Solid())
+		m.solid.Store(m.tracker.members.Solid())
 		m.fleet.News()
 	}
 }
@@ -500,103 +501,45 @@
 // publish is the one place where the view is replaced.
 func (m *Membership) publish() {
 	now := m.clock.Elapsed()
-	m.next.Fellows = m.core.Gathered(now)
 	m.noteChanges()
-	ownSpec, ownClosure := m.fleet.InForce()
-	if m.fleet.Leads() {
-		m.next.LeaderAddress, m.next.HeardLeader, m.next.HeardAny = m.self, now, now
-		m.next.BeforeAll = m.next.BeforeAll || beforeAll(m.fleet.FirstRollAgo(), now.Since(m.next.Started))
-	}
-	if m.fleet.Plans() {
-		m.planner = m.self
-	} else if m.planner == m.self {
-		m.planner = ""
-	}
-	m.next.PlannerAddress = m.planner
-	if !m.control {
-		m.next.TellerAddress = m.core.Teller(now, m.next.LeaderAddress)
-	}
-	if !m.next.Settled {
-		current := m.next.NewestSpec <= ownSpec && m.next.NewestClosure <= ownClosure && ownSpec > 0
-		// Only the leader's word counts, and only from after the group knew that this life may be serving:
-		// what is acknowledged later waits for it, and what was acknowledged before the leader had.
-		enlisted := m.fleet.EnlistedAt()
-		m.next.Settled = current && enlisted > 0 && m.next.HeardLeader > enlisted
-	}
-	view := m.next
+	view := m.tracker.Refresh(now, m.own())
 	m.view.Store(&view)
 }
 
+// own is what this daemon knows of itself now. The confirmation comes first: what it vouches for is then in force.
+func (m *Membership) own() Own {
+	own := Own{Confirmed: m.fleet.ConfirmedAsLeader(), Leads: m.fleet.Leads(), Enlisted: m.fleet.EnlistedAt(), Plans: m.fleet.Plans()}
+	if own.Leads {
+		own.FirstRollAgo = m.fleet.FirstRollAgo()
+	}
+	own.Spec, own.Closure = m.fleet.InForce()
+	return own
+}
+
 func (m *Membership) takeReply(now clock.Mark, e pulled) {
 	if e.err != nil {
 		m.Failed.Add(1)
-		if e.linked {
-			m.core.Failed(now, e.address)
-		}
-		if m.next.LeaderAddress == e.address {
-			m.next.LeaderAddress, m.next.Unreached = "", m.next.LeaderTerm
-		}
-		if m.planner == e.address {
-			m.planner = ""
-		}
-		return
 	}
-	next, reply := &m.next, e.reply
-	// A reply may have waited in a frozen machine's buffers: it vouches for the moment it was asked for.
-	next.HeardAny = max(next.HeardAny, e.asked)
-	if group := ident.GroupID(reply.Group); group != "" {
-		if group != next.Group {
-			// Another generation counts its terms anew.
-			next.LeaderTerm, next.Unreached = 0, 0
+	var force InForce
+	force.Spec, force.Closure = m.fleet.InForce()
+	question := Question{Address: e.address, Linked: e.linked, Hold: e.hold}
+	if turned := m.tracker.Take(now, Answer{Question: question, Asked: e.asked, Heard: e.heard, Reply: e.reply, Err: e.err}, force); turned != nil {
+		if turned.Stale {
+			m.StaleSources.Add(1)
 		}
-		next.Group = group
-	}
-	switch {
-	case reply.IsLeader && reply.LeaderTerm < next.LeaderTerm:
-		// One that was followed by another and has not noticed yet.
-	case reply.IsLeader:
-		next.HeardLeader, next.LeaderAddress, next.LeaderTerm = max(next.HeardLeader, e.asked), e.address, reply.LeaderTerm
-		next.BeforeAll = next.BeforeAll || beforeAll(time.Duration(reply.FirstRollMsAgo)*time.Millisecond, e.asked.Since(next.Started))
-	case reply.LeaderAddress != "" && (reply.LeaderTerm > max(next.LeaderTerm, next.Unreached) ||
-		next.LeaderAddress == "" && reply.LeaderTerm == next.LeaderTerm && next.Unreached < next.LeaderTerm || reply.LeaderTerm == 0):
-		next.LeaderAddress, next.LeaderTerm = reply.LeaderAddress, max(next.LeaderTerm, reply.LeaderTerm)
-	}
-	m.hearOfPlanner(e)
-	next.NewestSpec = max(next.NewestSpec, ident.Epoch(reply.SpecEpoch))
-	next.NewestClosure = max(next.NewestClosure, ident.Epoch(reply.ClosureEpoch))
-	told := decodeTold(reply.Contacts)
-	switch {
-	case reply.Everyone:
-		m.core.LearnEveryone(now, told)
-	case e.linked:
-		m.core.RowKnown(e.address, reply.RowKnown)
-		// It vouches for the moment of the answer, unless that lay about for long.
-		until := min(e.heard, e.asked+clock.Mark(e.hold+answerSlack))
-		m.core.Learn(now, e.address, Cursor{Life: reply.MembersLife, Seen: reply.MembersSeen}, reply.MembersAfresh, told, until)
+		m.fleet.SourceTurned(*turned)
 	}
 }
 
 // answerSlack is how much later than it was held back for an answer may come and still count as fresh.
 const answerSlack = 300 * time.Millisecond
 
-// hearOfPlanner takes a word on who plans. Who plans says so; others have it from there.
-func (m *Membership) hearOfPlanner(e pulled) {
-	switch {
-	case e.reply.Plans:
-		m.planner = e.address
-	case m.planner == e.address:
-		m.planner = ""
-	case m.planner == "" && e.reply.PlannerAddress != m.self:
-		m.planner = e.reply.PlannerAddress
-	}
-}
-
 func (m *Membership) tellWaiters() {
 	if len(m.waiters) == 0 {
 		return
 	}
 	now := m.clock.Elapsed()
-	fellows := m.core.Fellows()
+	fellows := m.tracker.members.Fellows()
 	m.waiters = slices.DeleteFunc(m.waiters, func(w *waiter) bool {
 		asked := w.serving()
 		for id, fellow := range fellows {
@@ -626,16 +569,8 @@
 // Ready says whether this daemon may take new work, and if not, why.
 func (m *Membership) Ready() (bool, string) {
 	view, now := m.view.Load(), m.clock.Elapsed()
-	ownSpec, ownClosure := m.fleet.InForce()
-	switch {
-	case ownSpec == 0:
-		return false, "no spec is in force here yet"
-	case !view.Settled:
-		return false, "it is not yet sure that the spec here is the newest"
-	case view.NewestSpec > ownSpec || view.NewestClosure > ownClosure:
-		return false, "a newer spec or closure is known and not yet in force here"
-	case now.Since(view.HeardAny) > aloneAfter:
-		return false, "neither the leader nor any fellow has been heard lately"
-	}
-	return true, ""
+	var force InForce
+	force.Spec, force.Closure = m.fleet.InForce()
+	why := view.Unready(now, force)
+	return why == "", why
 }
--- a/process/membership/pace_test.go
+++ b/process/membership/pace_test.go
@@ -42,6 +42,8 @@
 func (l *lone) FirstRollAgo() time.Duration             { return 0 }
 func (l *lone) EnlistedAt() clock.Mark                  { return 1 }
 func (l *lone) Plans() bool                             { return false }
+func (l *lone) ConfirmedAsLeader() clock.Mark           { return 0 }
+func (l *lone) SourceTurned(Turned)                     {}
 func (l *lone) News()                                   {}
 func (l *lone) Beat()                                   {}
 func (l *lone) PullFrom(ctx context.Context, address string, request *fellowapi.PullRequest) (*fellowapi.PullReply, error) {
