Judge no engine silent without a leader that a majority follows

Cause: a control daemon may judge silence while it hears all other control daemons that it counts as in contact. Two of five that are cut off together count only each other, so 1.5 s into the cut they called engines silent whose beats went to the other three, and daemons that still reached them heard it. The silence is taken back by the next beat told on, but until then a sound engine gets nothing.

Ruled out: to ask how fresh the configuration is, since that may come by way of a routing daemon while the beats don't. Now the leader must have been heard, confirmed by a majority, within 1.5 s.

--- a/process/daemon/contact_test.go
+++ b/process/daemon/contact_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/membership"
 )
 
 // contactClock stands still.
@@ -24,3 +26,27 @@
 		t.Errorf("%+v", contact)
 	}
 }
+
+// Two control daemons of five that are cut off together hear each other as well as before, and not the beats that go
+// to the other three: they judge no engine silent. One in touch with the leader does, and so does the leader.
+func TestWhoIsCutOffTogetherJudgesNobody(t *testing.T) {
+	const now, period = clock.Mark(time.Hour), time.Second
+	ago := func(span time.Duration) clock.Mark { return now - clock.Mark(span) }
+	for name, c := range map[string]struct {
+		heardLeader, heardPeer time.Duration
+		alone, may             bool
+	}{
+		"in touch":                       {heardLeader: 300 * time.Millisecond, heardPeer: 200 * time.Millisecond, may: true},
+		"cut off together":               {heardLeader: 2 * time.Second, heardPeer: 200 * time.Millisecond},
+		"the peer told long ago":         {heardLeader: 300 * time.Millisecond, heardPeer: 1200 * time.Millisecond},
+		"nobody else, and not the group": {heardLeader: 0, heardPeer: time.Minute},
+		"the whole group":                {heardLeader: 0, heardPeer: time.Minute, alone: true, may: true},
+	} {
+		peer := membership.Fellow{NodeID: "peer#1", Address: "peer", Serve: []string{string(config.Control)}, Heard: ago(c.heardPeer)}
+		view := &membership.View{Fellows: map[ident.NodeID]membership.Fellow{"peer#1": peer}, HeardLeader: ago(c.heardLeader)}
+		got := contactOf(view, "self#1", now, func(string) clock.Mark { return ago(c.heardPeer) }, period, func() bool { return c.alone })
+		if got.May != c.may {
+			t.Errorf("%s: may judge %t", name, got.May)
+		}
+	}
+}
--- a/process/daemon/registry.go
+++ b/process/daemon/registry.go
@@ -273,23 +273,27 @@
 }
 
 // contact says how well this daemon hears what other control daemons hear. One that is cut off from any that
-// lives can't tell an engine's silence from its own deafness.
+// lives can't tell an engine's silence from its own deafness; nor can several that were cut off from a majority together.
 func (d *Daemon) contact() registry.Contact {
 	now := d.clock.Elapsed()
-	out := registry.Contact{Horizon: now}
 	if !d.config.Serves(config.Control) {
 		// It judges nobody, so it need not look through the fleet for it.
-		return out
+		return registry.Contact{Horizon: now}
 	}
-	others := 0
-	for _, fellow := range d.members.View().Fellows {
-		if fellow.NodeID == d.nodeID || !fellow.Serves(string(config.Control)) || now.Since(fellow.Heard) > membership.ContactWindow {
+	return contactOf(d.members.View(), d.nodeID, now, d.hearsay.of, d.beatPeriod(), d.alone)
+}
+
+// contactOf is contact for a view; heard is up to when a control daemon at an address has told all that it heard.
+func contactOf(view *membership.View, self ident.NodeID, now clock.Mark, heard func(address string) clock.Mark, period time.Duration, alone func() bool) registry.Contact {
+	out, others := registry.Contact{Horizon: now}, 0
+	for _, fellow := range view.Fellows {
+		if fellow.NodeID == self || !fellow.Serves(string(config.Control)) || now.Since(fellow.Heard) > membership.ContactWindow {
 			continue
 		}
 		others++
-		out.Horizon = min(out.Horizon, d.hearsay.of(fellow.Address))
+		out.Horizon = min(out.Horizon, heard(fellow.Address))
 	}
-	out.May = now.Since(out.Horizon) <= d.beatPeriod() && (others > 0 || d.alone())
+	out.May = now.Since(out.Horizon) <= period && (others > 0 || alone()) && now.Since(view.HeardLeader) <= membership.ContactWindow
 	return out
 }
 
