Let no leader refuse for good by what a majority has not confirmed

Cause: a closure of a zone or engine that the table here does not know was refused with 404, and a lost daemon that was heard lately with 409, by whoever took itself for the leader. A leader that had been cut off from the others answered so by its own old table until it stepped down, up to 1.6 s later.

The refusal now rests on a read that a majority confirms, and on a table that is not older than what was read; otherwise nothing is said and the call goes on to whoever leads.

--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -258,22 +258,8 @@
 			command.Revision = ident.Revision(parsed.Forward.Revision)
 		}
 	}
-	if t := d.keeper.Table(); command.Op == statemachine.OpClosure && command.Closed && t != nil {
-		// A name that the bundle does not know is a slip: called closed, it would shut nothing. Engines that
-		// register themselves stand in no bundle, and a bundle on them need not name zones.
-		_, engineKnown := t.Engine(command.Engine)
-		engineKnown = engineKnown || t.Forward != nil
-		zoneKnown := t.HasZone(command.Zone) || t.Forward != nil && len(t.Spec.Zones) == 0
-		if command.Engine != "" && !engineKnown || command.Zone != "" && !zoneKnown {
-			return operatorapi.Answer{Result: statemachine.Result{Verdict: statemachine.Missing, Reason: "the bundle in force has no such zone or engine"}}, replica.Applied
-		}
-	}
-	if fellow, known := d.members.View().Fellows[command.Lost]; command.Op == statemachine.OpLost && known {
-		// One that speaks is not lost: it can be stopped as planned, and then needs no such word.
-		if ago := d.clock.Elapsed().Since(fellow.Heard); ago < lostAfter {
-			return operatorapi.Answer{Result: statemachine.Result{Verdict: statemachine.Conflict,
-				Reason: fmt.Sprintf("%s was heard %d ms ago; stop it instead", command.Lost, ago.Milliseconds())}}, replica.Applied
-		}
+	if _, refused := d.refusal(command); refused {
+		return d.refuseAsLeader(ctx, held, command)
 	}
 	began := d.clock.Elapsed()
 	got := held.Submit(ctx, command)
@@ -301,6 +287,48 @@
 	return answer, got.Outcome
 }
 
+// refusal says why a command is refused by what this daemon knows beside the log, if it is.
+func (d *Daemon) refusal(command statemachine.Command) (operatorapi.Answer, bool) {
+	refuse := func(verdict statemachine.Verdict, reason string) (operatorapi.Answer, bool) {
+		return operatorapi.Answer{Result: statemachine.Result{Verdict: verdict, Reason: reason}}, true
+	}
+	switch t := d.keeper.Table(); {
+	case command.Op == statemachine.OpClosure && command.Closed && t != nil:
+		// A name that the bundle does not know is a slip: called closed, it would shut nothing. Engines that
+		// register themselves stand in no bundle, and a bundle on them need not name zones.
+		_, engineKnown := t.Engine(command.Engine)
+		engineKnown = engineKnown || t.Forward != nil
+		zoneKnown := t.HasZone(command.Zone) || t.Forward != nil && len(t.Spec.Zones) == 0
+		if command.Engine != "" && !engineKnown || command.Zone != "" && !zoneKnown {
+			return refuse(statemachine.Missing, "the bundle in force has no such zone or engine")
+		}
+	case command.Op == statemachine.OpLost:
+		fellow, known := d.members.View().Fellows[command.Lost]
+		if !known {
+			break
+		}
+		// One that speaks is not lost: it can be stopped as planned, and then needs no such word.
+		if ago := d.clock.Elapsed().Since(fellow.Heard); ago < lostAfter {
+			return refuse(statemachine.Conflict, fmt.Sprintf("%s was heard %d ms ago; stop it instead", command.Lost, ago.Milliseconds()))
+		}
+	}
+	return operatorapi.Answer{}, false
+}
+
+// refuseAsLeader refuses a command for good, if a majority confirms that this daemon leads and what it knows is not
+// older than what is committed. Otherwise nothing is said: whoever leads by now may take the command.
+func (d *Daemon) refuseAsLeader(ctx context.Context, held *replica.Replica, command statemachine.Command) (operatorapi.Answer, replica.Outcome) {
+	var committed ident.Epoch
+	if outcome := held.Read(ctx, func(state *statemachine.State) { committed = state.Epoch() }); outcome != replica.Applied {
+		return operatorapi.Answer{}, outcome
+	}
+	answer, refused := d.refusal(command)
+	if inForce, _ := d.InForce(); !refused || inForce < committed {
+		return operatorapi.Answer{}, replica.Unknown
+	}
+	return answer, replica.Applied
+}
+
 // submitOnce brings a command to the leader, following one redirect.
 func (d *Daemon) submitOnce(ctx context.Context, command statemachine.Command) (operatorapi.Answer, bool) {
 	if answer, outcome := d.lead(ctx, command); outcome != replica.NotLeader {
