--- /dev/null
+++ b/rehearsal/cmd/rehearse/days_test.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// siteFile is a made-up site.
+var siteFile = filepath.Join("..", "..", "days", "testdata", "small.toml")
+
+func TestDaysAreWrittenToTheFolder(t *testing.T) {
+	folder := t.TempDir()
+	if err := writeDays(daysOptions{Site: siteFile, Seed: 4, Count: 6, Out: folder}); err != nil {
+		t.Fatal(err)
+	}
+	files, err := filepath.Glob(filepath.Join(folder, "s4-*.toml"))
+	if err != nil || len(files) != 6 {
+		t.Errorf("%d files, %v", len(files), err)
+	}
+}
+
+func TestWrongOptionsOfDaysAreRefusedAndNothingIsWritten(t *testing.T) {
+	folder := t.TempDir()
+	right := daysOptions{Site: siteFile, Seed: 1, Count: 1, Out: folder}
+	for name, wrong := range map[string]func(*daysOptions){
+		"no site file":       func(o *daysOptions) { o.Site = "" },
+		"a site file gone":   func(o *daysOptions) { o.Site = filepath.Join(folder, "none.toml") },
+		"seed 0":             func(o *daysOptions) { o.Seed = 0 },
+		"no days":            func(o *daysOptions) { o.Count = 0 },
+		"too many days":      func(o *daysOptions) { o.Count = 1001 },
+		"no folder":          func(o *daysOptions) { o.Out = "" },
+		"a folder not there": func(o *daysOptions) { o.Out = filepath.Join(folder, "none") },
+	} {
+		options := right
+		wrong(&options)
+		if err := writeDays(options); err == nil {
+			t.Errorf("%s is taken", name)
+		}
+	}
+	if entries, err := os.ReadDir(folder); err != nil || len(entries) != 0 {
+		t.Errorf("written: %v, %v", entries, err)
+	}
+}
--- a/rehearsal/cmd/rehearse/main.go
+++ b/rehearsal/cmd/rehearse/main.go
@@ -79,6 +79,7 @@
 	standListen := stand.Flag("listen", "IP:port.").Required().String()
 	standJournal := stand.Flag("journal", "File to write down all that happens.").Required().String()
 
+	daysVerb, writeDays := addDays(app)
 	scaled := addScale(app)
 
 	chosenCommand, err := app.Parse(os.Args[1:])
@@ -100,6 +101,8 @@
 		err = bringUp(*upName, *upProgram, *upFolder, *upOnce)
 	case stand.FullCommand():
 		err = beEngine(*standName, *standID, *standListen, *standJournal)
+	case daysVerb.FullCommand():
+		err = writeDays()
 	default:
 		err = scaled(chosenCommand)
 	}
--- /dev/null
+++ b/rehearsal/days/days_test.go
@@ -0,0 +1,366 @@
+package days
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// seeds is how many seeds the properties of days are looked at over, and daysOfASeed how many days of each.
+const (
+	seeds       = 12
+	daysOfASeed = 25
+)
+
+func readTestSite(t *testing.T, name string) Site {
+	t.Helper()
+	site, err := ReadSite(filepath.Join("testdata", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return site
+}
+
+// eachDay calls a function with many days of both made-up sites.
+func eachDay(t *testing.T, check func(site Site, day Day)) {
+	t.Helper()
+	for _, name := range []string{"small.toml", "large.toml"} {
+		site := readTestSite(t, name)
+		for seed := range uint64(seeds) {
+			for _, day := range Generate(site, seed, daysOfASeed) {
+				check(site, day)
+			}
+		}
+	}
+}
+
+func all(day Day) []Trouble {
+	return slices.Concat(day.Plan, day.Faults)
+}
+
+func TestTheSameSeedGivesTheSameDays(t *testing.T) {
+	site := readTestSite(t, "small.toml")
+	files := func(seed uint64) []byte {
+		var joined []byte
+		for _, day := range Generate(site, seed, daysOfASeed) {
+			file, err := day.File()
+			if err != nil {
+				t.Fatal(err)
+			}
+			joined = append(joined, file...)
+		}
+		return joined
+	}
+	if !bytes.Equal(files(7), files(7)) {
+		t.Error("one seed gave two series of days")
+	}
+	if bytes.Equal(files(7), files(8)) {
+		t.Error("two seeds gave the same days")
+	}
+}
+
+func TestALongerSeriesBeginsWithTheShorterOne(t *testing.T) {
+	site := readTestSite(t, "large.toml")
+	if short, long := Generate(site, 3, 4), Generate(site, 3, 9); !reflect.DeepEqual(short, long[:4]) {
+		t.Error("a day depends on how many follow it")
+	}
+}
+
+func TestEachKindThatIsOpenReachesTheDaysAndNoOther(t *testing.T) {
+	for _, name := range []string{"small.toml", "large.toml"} {
+		site := readTestSite(t, name)
+		reached := map[Kind]bool{}
+		for seed := range uint64(seeds) {
+			for _, day := range Generate(site, seed, daysOfASeed) {
+				for _, trouble := range all(day) {
+					reached[trouble.Kind] = true
+				}
+			}
+		}
+		open := site.Kinds()
+		for _, kind := range open {
+			if !reached[kind] {
+				t.Errorf("%s: %s never comes", name, kind)
+			}
+		}
+		for kind := range reached {
+			if !slices.Contains(open, kind) {
+				t.Errorf("%s: %s comes, but is not open there", name, kind)
+			}
+		}
+	}
+}
+
+func TestKindsThatNeedAContractAreClosedWithoutIt(t *testing.T) {
+	small, large := readTestSite(t, "small.toml").Kinds(), readTestSite(t, "large.toml").Kinds()
+	for _, kind := range []Kind{ServerFlap, ServerLying, IdleRace} {
+		if slices.Contains(small, kind) || !slices.Contains(large, kind) {
+			t.Errorf("%s is open without its contract, or closed with it", kind)
+		}
+	}
+}
+
+func TestEachVariantAndEachClosingFaultReachesTheDays(t *testing.T) {
+	reached := map[Kind]map[string]bool{}
+	note := func(kind Kind, variant string) {
+		if reached[kind] == nil {
+			reached[kind] = map[string]bool{}
+		}
+		for word := range strings.FieldsSeq(variant) {
+			reached[kind][word] = true
+		}
+	}
+	eachDay(t, func(_ Site, day Day) {
+		for _, trouble := range all(day) {
+			note(trouble.Kind, trouble.Variant)
+		}
+		if day.Closing != nil {
+			note(day.Closing.Kind, day.Closing.Variant)
+		}
+	})
+	for _, spec := range slices.Concat(catalogue, closingKinds) {
+		for _, variant := range spec.variants {
+			for word := range strings.FieldsSeq(variant) {
+				if !reached[spec.kind][word] {
+					t.Errorf("%s never comes as %q", spec.kind, word)
+				}
+			}
+		}
+	}
+	for _, word := range []string{"leader", "seed", "reader", "turn", "meet", "race", "drain", "hard", "reset", "refuse"} {
+		if !reached[CoreCut][word] {
+			t.Errorf("no cut says %q", word)
+		}
+	}
+}
+
+func TestTroublesStandWhereTheirKindBelongs(t *testing.T) {
+	eachDay(t, func(_ Site, day Day) {
+		for _, trouble := range day.Plan {
+			if spec, known := specified(trouble.Kind); !known || !spec.planned {
+				t.Errorf("%s: %s is planned", day.Name, trouble.Kind)
+			}
+		}
+		for _, trouble := range day.Faults {
+			if spec, known := specified(trouble.Kind); !known || spec.planned {
+				t.Errorf("%s: %s is a fault", day.Name, trouble.Kind)
+			}
+		}
+		for _, trouble := range all(day) {
+			if trouble.At < firstMoment || trouble.Share < 0 || trouble.Share > 1 || trouble.Count > 0 && trouble.Share > 0 {
+				t.Errorf("%s: %+v", day.Name, trouble)
+			}
+		}
+	})
+}
+
+// lossesOver gives how many counted machines a day loses at most at once, worked out anew from its entries by looking
+// at twenty moments of each second, and whether one is lost while all are taken or all have still to recover.
+func lossesOver(site Site, day Day) (most int, overlapped bool) {
+	type span struct {
+		from, settled float64
+		whole         bool
+	}
+	var spans []span
+	for _, trouble := range all(day) {
+		lasts := trouble.DurationSeconds
+		switch trouble.Kind {
+		case NodeKill, NodeFreeze, NodeSlow:
+			if trouble.Machines != Counted {
+				continue
+			}
+		case HerdKill:
+			if trouble.Machines != Counted {
+				continue
+			}
+			lasts += site.Bounds.RecoverSeconds
+		case RollTerm:
+			machines := 0
+			for _, group := range site.Machines {
+				machines += group.Count
+			}
+			lasts = float64(machines)*trouble.Share*trouble.GapSeconds + site.Bounds.GraceSeconds
+		case ReplaceCore:
+			lasts = trouble.Strength
+			if strings.Contains(trouble.Variant, "planned") {
+				lasts += site.Bounds.GraceSeconds
+			}
+		case AfterAckKill, AfterAckWipe, CoreCut, DiskFull, DiskSlow, DiskStall:
+		default:
+			continue
+		}
+		if trouble.Kind != HerdKill {
+			lasts += site.Timing.CatchUpSeconds
+		}
+		spans = append(spans, span{trouble.At, trouble.At + lasts, trouble.Kind == HerdKill})
+	}
+	for moment := 0.0; moment < day.LengthSeconds+60; moment += 0.05 {
+		lost, whole := 0, 0
+		for _, s := range spans {
+			if moment < s.from || moment >= s.settled {
+				continue
+			}
+			if s.whole {
+				whole++
+			} else {
+				lost++
+			}
+		}
+		most = max(most, lost)
+		overlapped = overlapped || whole > 1 || whole > 0 && lost > 0
+	}
+	return most, overlapped
+}
+
+func TestLossesStayInsideTheBudget(t *testing.T) {
+	used := map[string]int{}
+	eachDay(t, func(site Site, day Day) {
+		most, overlapped := lossesOver(site, day)
+		if most > site.Tolerate.Machines {
+			t.Errorf("%s, %s: %d machines are lost at once, %d may be", site.Name, day.Name, most, site.Tolerate.Machines)
+		}
+		if overlapped {
+			t.Errorf("%s, %s: all counted machines go while one is lost", site.Name, day.Name)
+		}
+		used[site.Name] = max(used[site.Name], most)
+	})
+	if used["three-rooms"] != 1 || used["many-halls"] != 2 {
+		t.Errorf("the budgets of 1 and 2 are not used up: %v", used)
+	}
+}
+
+// TestTheCheckOfLossesBites shows the check days that break the budget.
+func TestTheCheckOfLossesBites(t *testing.T) {
+	small, large := readTestSite(t, "small.toml"), readTestSite(t, "large.toml")
+	caught := 0
+	for _, day := range Generate(large, 1, daysOfASeed) {
+		if most, _ := lossesOver(large, day); most > small.Tolerate.Machines {
+			caught++
+		}
+	}
+	if caught == 0 {
+		t.Error("days made for a budget of two machines all pass for one")
+	}
+	inRecovery := Day{LengthSeconds: 30, Faults: []Trouble{
+		{At: 10, Kind: NodeKill, Machines: Counted, Count: 1, DurationSeconds: 2},
+		{At: 15, Kind: CoreCut, Count: 1, DurationSeconds: 5},
+	}}
+	if most, _ := lossesOver(small, inRecovery); most != 2 {
+		t.Errorf("a loss in the recovery from another counts as %d", most)
+	}
+	during := Day{LengthSeconds: 30, Faults: []Trouble{
+		{At: 10, Kind: NodeFreeze, Machines: Counted, Count: 1, DurationSeconds: 5},
+		{At: 12, Kind: HerdKill, Machines: Counted, DurationSeconds: 1},
+	}}
+	if _, overlapped := lossesOver(small, during); !overlapped {
+		t.Error("a loss of all while one is frozen is not seen")
+	}
+}
+
+func TestASiteThatToleratesNoLossHasNone(t *testing.T) {
+	site := readTestSite(t, "small.toml")
+	site.Tolerate.Machines = 0
+	for _, day := range Generate(site, 5, daysOfASeed) {
+		for _, trouble := range all(day) {
+			if strikesCounted(trouble) {
+				t.Errorf("%s has %s", day.Name, trouble.Kind)
+			}
+		}
+	}
+}
+
+func TestTheSameTroubleComesAgainJustAfterItsRecovery(t *testing.T) {
+	site := readTestSite(t, "small.toml")
+	for seed := range uint64(seeds) {
+		line := newTimeline(site, rand.New(rand.NewPCG(seed, 1)))
+		sameTroubleAgain(line, firstScene)
+		faults := slices.DeleteFunc(slices.Clone(line.faults), func(one Trouble) bool { return !strikesCounted(one) })
+		if len(faults) < 2 {
+			t.Fatalf("seed %d: the trouble comes %d times", seed, len(faults))
+		}
+		for place := 1; place < len(faults); place++ {
+			before, again := faults[place-1], faults[place]
+			pause := again.At - line.recovered(before)
+			if again.Kind != before.Kind || again.Variant != before.Variant || pause < 0 || pause > repeatSlack+0.05 {
+				t.Errorf("seed %d: %+v comes %.2f s after the recovery from %+v", seed, again, pause, before)
+			}
+		}
+	}
+}
+
+func TestChangesAreInFlightAtBothEdgesOfACut(t *testing.T) {
+	site := readTestSite(t, "small.toml")
+	shortest, longest := longestCut, 0.0
+	for seed := range uint64(seeds * daysOfASeed) {
+		line := newTimeline(site, rand.New(rand.NewPCG(seed, 2)))
+		changesAtTheEdgesOfACut(line, firstScene)
+		cut := line.faults[0]
+		near := func(moment float64) bool {
+			return slices.ContainsFunc(line.plan, func(one Trouble) bool { return one.At > moment-edge-0.05 && one.At <= moment })
+		}
+		if cut.Kind != CoreCut || !near(cut.At) || !near(cut.At+cut.DurationSeconds) {
+			t.Errorf("seed %d: %+v with %+v", seed, cut, line.plan)
+		}
+		shortest, longest = min(shortest, cut.DurationSeconds), max(longest, cut.DurationSeconds)
+	}
+	if shortest > 6 || longest < 29 {
+		t.Errorf("cuts last from %.1f to %.1f s", shortest, longest)
+	}
+}
+
+func TestALongDayHasHundredsOfChanges(t *testing.T) {
+	line := newTimeline(readTestSite(t, "small.toml"), rand.New(rand.NewPCG(1, 3)))
+	hundredsOfChanges(line, firstScene)
+	if !slices.ContainsFunc(line.plan, func(one Trouble) bool { return one.Kind == ConfigStorm && one.Count >= 150 }) {
+		t.Errorf("planned: %+v", line.plan)
+	}
+}
+
+func TestADayReadsBackAsItWasWritten(t *testing.T) {
+	folder := t.TempDir()
+	for _, day := range Generate(readTestSite(t, "large.toml"), 9, daysOfASeed) {
+		path, err := day.Write(folder)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var read dayFile
+		if err := toml.Unmarshal(data, &read); err != nil {
+			t.Fatal(err)
+		}
+		if len(read.Days) != 1 || !reflect.DeepEqual(read.Days[0], day) {
+			t.Errorf("%s reads back as %+v", day.Name, read.Days)
+		}
+	}
+}
+
+func TestASiteFileWithoutWhatDaysAreBuiltOnIsRefused(t *testing.T) {
+	whole, err := os.ReadFile(filepath.Join("testdata", "small.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, left := range []string{"name = \"three-rooms\"", "contracts", "length_s", "catch_up_s"} {
+		var kept []string
+		for line := range strings.Lines(string(whole)) {
+			if !strings.HasPrefix(line, left) {
+				kept = append(kept, line)
+			}
+		}
+		if _, err := ParseSite([]byte(strings.Join(kept, ""))); err == nil {
+			t.Errorf("a site file without %s is taken", left)
+		}
+	}
+	if _, err := ParseSite([]byte("name = ")); err == nil {
+		t.Error("what is no TOML is taken")
+	}
+}
--- /dev/null
+++ b/rehearsal/days/scenes.go
@@ -0,0 +1,149 @@
+package days
+
+// scene is a group of troubles that belong together.
+type scene struct {
+	name string
+	// play puts its troubles on a day from a time on, and gives when the last one ends.
+	play func(t *timeline, at float64) float64
+}
+
+// scenes are all that days are made of.
+var scenes = []scene{
+	{"crossed", crossedTroubles},
+	{"again", sameTroubleAgain},
+	{"edges", changesAtTheEdgesOfACut},
+	{"acks", lostAcknowledgements},
+	{"replaced", replacedThenLost},
+	{"herd", wholeCoreLost},
+	{"afterack", lostRightAfterAnAcknowledgement},
+	{"disks", illDisks},
+	{"clocks", wrongClocks},
+	{"seeds", otherSeedsDuringCuts},
+	{"spoiled", spoiledAnswers},
+	{"engines", enginesCutOffAndLeaving},
+	{"changes", hundredsOfChanges},
+	{"clients", impatientClients},
+	{"fronts", lostFronts},
+	{"fleet", changingFleet},
+}
+
+const (
+	// shortestCut and longestCut bound how long a cut lasts.
+	shortestCut, longestCut = 5.0, 30.0
+	// edge is how far from the edge of a trouble changes are sent.
+	edge = 0.6
+	// repeatSlack is how long after the recovery from a trouble the same one may come again.
+	repeatSlack = 1.0
+)
+
+// counted draws a trouble that takes one counted machine.
+func (t *timeline) counted(at float64) Trouble {
+	switch t.number(0, 5) {
+	case 0:
+		return t.kill(at)
+	case 1:
+		return t.freeze(at)
+	case 2:
+		return t.cut(at, t.between(shortestCut, 9))
+	case 3:
+		return t.replacement(at)
+	case 4:
+		return t.wipe(at)
+	default:
+		return t.illDisk(at)
+	}
+}
+
+func (t *timeline) kill(at float64) Trouble {
+	how := words(t.variant(NodeKill), t.target(), t.met())
+	return Trouble{At: at, Kind: NodeKill, Machines: Counted, Count: 1, DurationSeconds: t.between(0.5, 4), Variant: how}
+}
+
+func (t *timeline) freeze(at float64) Trouble {
+	how := words(t.target(), t.met())
+	return Trouble{At: at, Kind: NodeFreeze, Machines: Counted, Count: 1, DurationSeconds: t.between(1, 6), Variant: how}
+}
+
+func (t *timeline) cut(at, duration float64) Trouble {
+	how := words(t.variant(CoreCut), t.target(), t.met())
+	if t.chance(0.3) {
+		how = words(how, pick(t, "reset", "refuse"))
+	}
+	return Trouble{At: at, Kind: CoreCut, Count: 1, DurationSeconds: duration, Variant: how}
+}
+
+func (t *timeline) replacement(at float64) Trouble {
+	return Trouble{At: at, Kind: ReplaceCore, Strength: t.between(0.5, 3), Variant: words(t.variant(ReplaceCore), pick(t, "", "leader", "seed"))}
+}
+
+func (t *timeline) wipe(at float64) Trouble {
+	return Trouble{At: at, Kind: AfterAckWipe, DurationSeconds: t.between(1, 4), Variant: words(t.variant(AfterAckWipe), t.met())}
+}
+
+func (t *timeline) illDisk(at float64) Trouble {
+	disk := Trouble{At: at, Kind: pick(t, DiskSlow, DiskFull, DiskStall), Count: 1, DurationSeconds: t.between(3, 6), Variant: words(t.target(), t.met())}
+	if disk.Kind == DiskSlow {
+		disk.Strength = t.between(10, 60)
+	}
+	return disk
+}
+
+// race sends pairs of changes on the same version.
+func (t *timeline) race(at float64) {
+	t.add(Trouble{At: at, Kind: ConfigRace, Count: t.number(1, 6), GapSeconds: t.between(0.2, 1.2)})
+}
+
+// storm sends a change after another.
+func (t *timeline) storm(at, duration, gap float64) {
+	t.add(Trouble{At: at, Kind: ConfigStorm, DurationSeconds: duration, GapSeconds: gap})
+}
+
+// change sends changes of the configuration in one of the ways that there are.
+func (t *timeline) change(at float64) {
+	switch t.number(0, 4) {
+	case 0, 1:
+		t.race(at)
+	case 2:
+		t.storm(at, t.between(1, 5), t.between(0.1, 0.4))
+	case 3:
+		t.add(Trouble{At: at, Kind: ConfigChange, Variant: t.variant(ConfigChange)})
+	default:
+		t.add(Trouble{At: at, Kind: BadConfig, Count: t.number(1, 4), GapSeconds: t.between(0.2, 1), Variant: t.variant(BadConfig)})
+	}
+}
+
+// besideLosses draws a trouble of control that takes no counted machine.
+func (t *timeline) besideLosses(at float64) float64 {
+	switch t.number(0, 4) {
+	case 0:
+		t.change(at)
+		return at + 2
+	case 1:
+		return t.loseAcknowledgements(at, t.between(3, 8))
+	case 2:
+		return t.stepClocks(at, t.between(2, 6))
+	case 3:
+		t.add(Trouble{At: at, Kind: SeedTurnover})
+		return at + 2
+	default:
+		return t.killFronts(at)
+	}
+}
+
+func (t *timeline) loseAcknowledgements(at, duration float64) float64 {
+	t.add(Trouble{At: at, Kind: AckLost, Share: t.between(0.4, 1), Strength: t.between(0.3, 0.9), DurationSeconds: duration})
+	return at + duration
+}
+
+func (t *timeline) stepClocks(at, duration float64) float64 {
+	step := Trouble{At: at, Kind: ClockStep, Share: t.between(0.2, 1), Strength: t.between(500, 30000), DurationSeconds: duration}
+	step.Variant = words(t.variant(ClockStep), pick(t, "", "leader"))
+	t.add(step)
+	return at + duration
+}
+
+func (t *timeline) killFronts(at float64) float64 {
+	down := t.between(0.5, 3)
+	t.add(Trouble{At: at, Kind: HerdKill, Share: t.between(0.3, 0.9), DurationSeconds: down, Variant: pick(t, "", "power")})
+	return at + down
+}
