--- /dev/null
+++ b/process/placement/adapter.go
@@ -0,0 +1,53 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/cresspond/cresspond/process/engines"
+	"github.com/cresspond/cresspond/wire/engineapi"
+)
+
+func (p *Planner) serveAdapter(in Input, w wanted) (Directed, bool) {
+	var full *engines.Engine
+	for _, id := range sortedIDs(in.Engines) {
+		engine := in.Engines.Engines[id]
+		held, present := find(engine, w.model)
+		if !p.free(in, engine, w) || !present || held.State != engineapi.Loaded || slices.Contains(held.Adapters, w.adapter) {
+			continue
+		}
+		allowed, _ := in.Table.Engine(id)
+		if adapters(engine) < allowed.AdapterPlaces {
+			return p.give(in, engine, engineapi.Order{Kind: engineapi.LoadAdapter, Model: w.model, Adapter: w.adapter}), true
+		}
+		if full == nil {
+			full = engine
+		}
+	}
+	if full == nil {
+		return Directed{}, false
+	}
+	// All places are taken: the adapter that is worth least makes way, unless someone sits with it.
+	var bestModel, bestAdapter string
+	var bestCost int64 = -1
+	for _, held := range full.Report.Models {
+		for _, adapter := range held.Adapters {
+			cost := p.cost(in, want{held.Model, adapter})
+			if p.seated(in, full.ID, held.Model, adapter) || cost >= w.worth || bestCost >= 0 && cost >= bestCost {
+				continue
+			}
+			bestModel, bestAdapter, bestCost = held.Model, adapter, cost
+		}
+	}
+	if bestCost < 0 {
+		return Directed{}, false
+	}
+	return p.give(in, full, engineapi.Order{Kind: engineapi.UnloadAdapter, Model: bestModel, Adapter: bestAdapter}), true
+}
+
+func adapters(engine *engines.Engine) int {
+	count := 0
+	for _, held := range engine.Report.Models {
+		count += len(held.Adapters)
+	}
+	return count
+}
--- /dev/null
+++ b/process/placement/input.go
@@ -0,0 +1,31 @@
+package placement
+
+import (
+	"github.com/cresspond/cresspond/epoch/table"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/engines"
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// Demand is what the whole fleet holds or runs for one model and adapter.
+type Demand struct {
+	Model, Adapter string
+	Worth          int64
+	Held, Running  int
+}
+
+// Seats counts the sessions that sit on an engine with a model and adapter.
+type Seats struct {
+	Engine         ident.EngineID
+	Model, Adapter string
+	Sessions       int
+}
+
+// Input is what one step looks at.
+type Input struct {
+	Now     clock.Mark
+	Table   *table.Table
+	Engines *engines.View
+	Demand  []Demand
+	Seats   []Seats
+}
