--- /dev/null
+++ b/process/soundness/eject.go
@@ -0,0 +1,176 @@
+package soundness
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// candidate is an engine that stands out for the daemons of a zone.
+type candidate struct {
+	engine *judged
+	id     ident.EngineID
+	zone   ident.ZoneID
+	score  float64
+}
+
+func (j *Judge) stepPool(now clock.Mark, ids []ident.EngineID) {
+	out := 0
+	var alarmed []candidate
+	for _, id := range ids {
+		e := j.engines[id]
+		if e == nil {
+			continue
+		}
+		for _, zone := range slices.Sorted(maps.Keys(e.zones)) {
+			if one := e.zones[zone]; j.advance(now, one) {
+				alarmed = append(alarmed, candidate{e, id, zone, one.score})
+			}
+		}
+		if e.ejected() {
+			out++
+		}
+	}
+	// The worst first, since not all may go.
+	slices.SortFunc(alarmed, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id), cmp.Compare(a.zone, b.zone))
+	})
+	most := j.mostEjected(len(ids))
+	for _, one := range alarmed {
+		if !one.engine.ejected() && out >= most {
+			j.Counters.Spared++
+			continue
+		}
+		if !one.engine.ejected() {
+			out++
+		}
+		if s := one.engine.zones[one.zone]; s.score < j.settings.Alarm && s.late >= j.settings.LateAlarm && s.stage != Trial {
+			j.slow(now, one)
+		} else {
+			j.eject(now, one)
+		}
+	}
+}
+
+// mostEjected is how many of a pool may be ejected or on trial at once: never all.
+func (j *Judge) mostEjected(engines int) int {
+	return min(engines-1, max(1, int(j.settings.MostEjected*float64(engines))))
+}
+
+// advance moves a standing that time or its trial moves; it says whether it is to be ejected.
+func (j *Judge) advance(now clock.Mark, s *standing) (alarmed bool) {
+	switch s.stage {
+	case Ejected:
+		if now.Since(s.since) >= s.rest {
+			s.move(Trial, now)
+		}
+	case Trial:
+		switch {
+		case s.passes < 0:
+			return true
+		case s.passes >= j.settings.TrialPasses, now.Since(s.since) >= j.settings.TrialMost:
+			s.move(Ramp, now)
+			// Half of the way to the alarm: one that is only well at times needs less to fall out again.
+			s.score, s.late = j.settings.Alarm/2, 0
+		}
+	case Ramp:
+		if s.score >= j.settings.Alarm || s.late >= j.settings.LateAlarm {
+			return true
+		}
+		if share := j.share(now, s); share >= 1 {
+			s.move(Sound, now)
+			j.Counters.Returns++
+		}
+	case Slowed:
+		if s.score >= j.settings.Alarm || s.late >= j.settings.LateAlarm {
+			return true
+		}
+		if now.Since(s.since) >= slowedStep {
+			s.since = now
+			if s.cut *= 2; s.cut >= 1 {
+				s.move(Sound, now)
+				j.Counters.Returns++
+			}
+		}
+	case Sound:
+		return s.score >= j.settings.Alarm || s.late >= j.settings.LateAlarm
+	}
+	return false
+}
+
+const (
+	// slowedStep is how long a slowed engine must be in time for its share to double, leastCut its least share.
+	slowedStep = 2 * time.Second
+	leastCut   = 0.125
+)
+
+// slow halves an engine's share.
+func (j *Judge) slow(now clock.Mark, one candidate) {
+	s := one.engine.in(one.zone)
+	if s.stage != Slowed {
+		s.cut = j.share(now, s)
+	}
+	s.cut = max(leastCut, s.cut/2)
+	s.move(Slowed, now)
+	for _, other := range one.engine.zones {
+		other.late = 0
+	}
+	j.Counters.Slowed++
+}
+
+// eject puts an engine out for those that see it ill: for the daemons of some zones where others get on with it.
+func (j *Judge) eject(now clock.Mark, one candidate) {
+	zones := []ident.ZoneID{one.zone}
+	if one.zone == "" && one.engine.zones[""].stage == Sound {
+		zones = j.where(now, one.engine)
+	}
+	for _, zone := range zones {
+		s := one.engine.in(zone)
+		if s.stage == Ejected {
+			continue
+		}
+		if s.stage == Sound && now.Since(s.since) >= j.settings.Forgiven {
+			s.rest /= 2
+		}
+		if s.rest >= j.settings.RestFirst {
+			j.Counters.Relapses++
+			s.rest = min(2*s.rest, j.settings.RestMost)
+		} else {
+			s.rest = j.settings.RestFirst
+		}
+		j.Counters.Ejections++
+		s.move(Ejected, now)
+		s.score, s.late = 0, 0
+	}
+	// What was seen is in the judgement of its zone and in that of all, and must not be held against it twice.
+	for _, s := range one.engine.zones {
+		s.score, s.late = 0, 0
+	}
+}
+
+// where lists the zones whose daemons see an engine ill, if those of another get on with it; else all.
+func (j *Judge) where(now clock.Mark, e *judged) []ident.ZoneID {
+	const enough = 3
+	var ill []ident.ZoneID
+	well := false
+	for _, zone := range slices.Sorted(maps.Keys(e.zones)) {
+		if zone == "" {
+			continue
+		}
+		all, wrong := e.zones[zone].all.value(now, j.settings.Half), e.zones[zone].wrong.value(now, j.settings.Half)
+		switch {
+		case wrong > 0 && wrong/all > j.settings.Sick/2:
+			ill = append(ill, zone)
+		case all >= enough:
+			well = true
+		}
+	}
+	if !well || len(ill) == 0 {
+		return []ident.ZoneID{""}
+	}
+	return ill
+}
--- /dev/null
+++ b/process/soundness/settings.go
@@ -0,0 +1,35 @@
+package soundness
+
+import (
+	"time"
+)
+
+// Settings are what a judgement goes by.
+type Settings struct {
+	// Sick is the share of attempts that go wrong at an engine worth ejecting, Noise what may go wrong at any.
+	Sick, Noise float64
+	// Alarm is how much likelier it must be, as a logarithm, that an engine is sick than that it is like the others.
+	Alarm float64
+	// LateAlarm is the same of being late with much to do, which load brings about as well.
+	LateAlarm float64
+	// MostEjected is the share of a pool that may be ejected, or on trial, at once. One engine of two or more may be.
+	MostEjected float64
+	// RestFirst and RestMost bound how long an ejected engine gets nothing that another can take; it doubles with
+	// each relapse, and halves with each Forgiven spent sound.
+	RestFirst, RestMost, Forgiven time.Duration
+	// TrialWeight is the share of its usual requests that one on trial gets, TrialPasses how many must go well.
+	TrialWeight float64
+	TrialPasses int
+	// TrialMost is how long a trial takes at most, where hardly anything comes and nothing goes wrong.
+	TrialMost time.Duration
+	// RampStep is how long each doubling of the weight takes after a trial.
+	RampStep time.Duration
+	// Half is the time after which an outcome counts half towards what is usual in the pool.
+	Half time.Duration
+}
+
+// DefaultSettings eject after three failures among six attempts or four among fourteen, where others fail none.
+func DefaultSettings() Settings {
+	return Settings{Sick: 0.3, Noise: 0.02, Alarm: 7, LateAlarm: 14, MostEjected: 0.3, RestFirst: 2 * time.Second, RestMost: 16 * time.Second, Forgiven: 20 * time.Second,
+		TrialWeight: 0.25, TrialPasses: 3, TrialMost: 5 * time.Second, RampStep: time.Second, Half: 5 * time.Second}
+}
--- /dev/null
+++ b/process/soundness/stage.go
@@ -0,0 +1,83 @@
+package soundness
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// Stage is where an engine stands with the daemons of a zone, or with all.
+type Stage uint8
+
+const (
+	// Sound: it gets what is its due.
+	Sound Stage = iota
+	// Ejected: it gets only what no other can take.
+	Ejected
+	// Trial: it gets a small share, until enough has gone well.
+	Trial
+	// Ramp: its share doubles with each step, so that no burst meets cold caches and an engine barely well.
+	Ramp
+	// Slowed: it is late and no more than that. Its share is halved with each alarm and doubles again while there is
+	// none: where it is slow it gets what it can do, and where it only had too much no harm is done.
+	Slowed
+)
+
+func (s Stage) String() string {
+	return [...]string{"sound", "ejected", "trial", "ramp", "slowed"}[s]
+}
+
+// ways lists the ways from each stage to the next.
+var ways = map[Stage][]Stage{Sound: {Ejected, Slowed}, Ejected: {Trial}, Trial: {Ejected, Ramp}, Ramp: {Ejected, Slowed, Sound}, Slowed: {Ejected, Slowed, Sound}}
+
+// standing is an engine seen from one zone, or from all.
+type standing struct {
+	stage Stage
+	since clock.Mark
+	// score is Page's cumulative sum: the logarithm of how much likelier what was seen since it was last zero is
+	// with a sick engine than with a sound one.
+	score float64
+	// late is the same of what came too late at an engine that has much to do.
+	late float64
+	rest time.Duration
+	// cut is the share of a slowed one.
+	cut float64
+	// passes counts what went well on trial.
+	passes int
+	// wrong, lates and all are what was seen lately.
+	wrong, lates, all faded
+}
+
+// move is the one function that changes a stage.
+func (s *standing) move(to Stage, now clock.Mark) {
+	if !slices.Contains(ways[s.stage], to) {
+		panic("broken invariant: an engine may not go from " + s.stage.String() + " to " + to.String())
+	}
+	s.stage, s.since, s.passes = to, now, 0
+}
+
+// judged is one engine; the standing of the empty zone is with all.
+type judged struct {
+	pool  string
+	zones map[ident.ZoneID]*standing
+}
+
+func (e *judged) in(zone ident.ZoneID) *standing {
+	one := e.zones[zone]
+	if one == nil {
+		one = &standing{}
+		e.zones[zone] = one
+	}
+	return one
+}
+
+func (e *judged) ejected() bool {
+	for _, one := range e.zones {
+		if one.stage == Ejected || one.stage == Trial || one.stage == Slowed {
+			return true
+		}
+	}
+	return false
+}
