--- /dev/null
+++ b/rehearsal/checker/configuration.go
@@ -0,0 +1,153 @@
+package checker
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/rehearsal/journal"
+)
+
+type service struct{ engine, route, model, adapter string }
+
+// services lists what one bundle allows.
+func services(body []byte) map[service]bool {
+	parsed, faults := spec.Parse(body)
+	out := map[service]bool{}
+	if len(faults) > 0 {
+		return out
+	}
+	modelOf := map[string]string{}
+	for _, adapter := range parsed.Adapters {
+		modelOf[adapter.Name] = adapter.Model
+	}
+	for _, engine := range parsed.Engines {
+		for _, route := range parsed.Routes {
+			for _, model := range route.Models {
+				out[service{string(engine.ID), route.Name, model, ""}] = true
+			}
+			for _, adapter := range route.Adapters {
+				out[service{string(engine.ID), route.Name, modelOf[adapter], adapter}] = true
+			}
+		}
+	}
+	return out
+}
+
+func allowedOnly(h *History) Finding {
+	f := Finding{Rule: "no request reaches a service no bundle allowed"}
+	ever := map[service]bool{}
+	for _, act := range h.Acts {
+		if act.Kind == Rolled || act.Kind == Committed {
+			for one := range services(act.Body) {
+				ever[one] = true
+			}
+		}
+	}
+	for _, line := range h.Journals {
+		if line.Kind != journal.Arrive {
+			continue
+		}
+		f.Checked++
+		if !ever[service{line.Engine, line.Route, line.Model, line.Adapter}] {
+			f.fault("%s reached %s with route %s, model %s, adapter %s", line.Attempt, line.Engine, line.Route, line.Model, line.Adapter)
+		}
+	}
+	return f
+}
+
+func specInForce(h *History) Finding {
+	f := Finding{Rule: "an acknowledged bundle is in force within 2 s"}
+	rolls := h.rolls()
+	allowed := make([]map[service]bool, len(rolls))
+	for i, roll := range rolls {
+		allowed[i] = services(roll.Body)
+	}
+	for _, line := range h.Journals {
+		if line.Kind != journal.Arrive {
+			continue
+		}
+		// What arrives must be allowed by some bundle in force within the last two seconds.
+		newest := -1
+		for i, roll := range rolls {
+			if roll.At+specLimit <= line.At {
+				newest = i
+			}
+		}
+		if newest < 1 {
+			continue
+		}
+		f.Checked++
+		if !slices.ContainsFunc(allowed[newest:], func(set map[service]bool) bool {
+			return set[service{line.Engine, line.Route, line.Model, line.Adapter}]
+		}) {
+			f.fault("%s reached %s on route %s %v after epoch %d was acknowledged", line.Attempt, line.Engine, line.Route,
+				(line.At - rolls[newest].At).Round(time.Millisecond), rolls[newest].Epoch)
+		}
+	}
+	for _, sight := range h.Sights {
+		for _, roll := range rolls {
+			if sight.At >= roll.At+specLimit && sight.Ready {
+				f.Checked++
+				if sight.SpecEpoch < roll.Epoch {
+					f.fault("%s had epoch %d in force %v after epoch %d was acknowledged", sight.Daemon, sight.SpecEpoch, (sight.At - roll.At).Round(time.Millisecond), roll.Epoch)
+				}
+			}
+		}
+	}
+	return f
+}
+
+func neverOlder(h *History) Finding {
+	f := Finding{Rule: "no daemon falls back to an older bundle"}
+	newest := map[string]Sight{}
+	for _, sight := range h.Sights {
+		before, known := newest[sight.Life]
+		if known {
+			f.Checked++
+			if sight.SpecEpoch < before.SpecEpoch || sight.ClosureEpoch < before.ClosureEpoch {
+				f.fault("%s went from epoch %d/%d to %d/%d", sight.Daemon, before.SpecEpoch, before.ClosureEpoch, sight.SpecEpoch, sight.ClosureEpoch)
+			}
+		}
+		newest[sight.Life] = sight
+	}
+	return f
+}
+
+func readBack(h *History) Finding {
+	f := Finding{Rule: "acknowledged bundles and closures read back whole"}
+	wanted := map[uint64][]byte{}
+	refused := map[string]bool{}
+	for _, act := range h.Acts {
+		switch act.Kind {
+		case Rolled, Committed:
+			wanted[act.Epoch] = act.Body
+		case Refused:
+			refused[string(act.Body)] = true
+		}
+	}
+	seen := map[uint64]bool{}
+	for _, back := range h.ReadBacks {
+		f.Checked++
+		seen[back.Epoch] = true
+		switch want, acknowledged := wanted[back.Epoch]; {
+		case back.Err != "":
+			f.fault("epoch %d could not be read back: %s", back.Epoch, back.Err)
+		case acknowledged && !bytes.Equal(want, back.Body):
+			f.fault("epoch %d read back other than it was acknowledged", back.Epoch)
+		case refused[string(back.Body)]:
+			f.fault("epoch %d is a bundle that was refused or lost its race", back.Epoch)
+		}
+	}
+	for epoch := range wanted {
+		if !seen[epoch] {
+			f.fault("epoch %d was not read back", epoch)
+		}
+	}
+	f.Checked += len(h.ClosureWanted)
+	if !slices.Equal(h.ClosureWanted, h.ClosureSeen) {
+		f.fault("closures acknowledged are %v, and %v were read back", h.ClosureWanted, h.ClosureSeen)
+	}
+	return f
+}
--- /dev/null
+++ b/rehearsal/checker/history.go
@@ -0,0 +1,162 @@
+package checker
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cresspond/cresspond/rehearsal/caller"
+	"github.com/cresspond/cresspond/rehearsal/journal"
+)
+
+// Act is one thing done to the fleet.
+type Act struct {
+	At      time.Duration
+	Kind    string
+	Subject string
+	// Asked is when it was begun, where that differs: its effects may show from then on.
+	Asked time.Duration
+	// Epoch and Body belong to a roll or a closure that was acknowledged.
+	Epoch uint64
+	Body  []byte
+}
+
+// The kinds of acts.
+const (
+	// Rolled: acknowledged as in force everywhere. Committed: in force where it got to, and no more than that.
+	Rolled    = "rolled"
+	Committed = "committed"
+	// ZoneClosing: committed, and not yet acknowledged.
+	ZoneClosing   = "zone-closing"
+	ZoneClosed    = "zone-closed"
+	ZoneOpened    = "zone-opened"
+	EngineLeaving = "engine-leaving"
+	EngineKilled  = "engine-killed"
+	EngineStarted = "engine-started"
+	Crashed       = "crashed"
+	StopAsked     = "stop-asked"
+	Stopped       = "stopped"
+	Refused       = "refused-bundle"
+	Split         = "split"
+	Healed        = "healed"
+)
+
+// Sight is one look at what a daemon has in force.
+type Sight struct {
+	At           time.Duration
+	Daemon       string
+	Life         string
+	SpecEpoch    uint64
+	ClosureEpoch uint64
+	// Ready says that it took new work: what it has is in force only then.
+	Ready bool
+}
+
+// ReadBack is what reading an acknowledged change back gave.
+type ReadBack struct {
+	Epoch uint64
+	Body  []byte
+	Err   string
+}
+
+// Exit is how a daemon that was asked to stop ended.
+type Exit struct {
+	Daemon string
+	Code   int
+}
+
+// History is all that is known of a run.
+type History struct {
+	Journals  []journal.Line
+	Calls     []caller.Record
+	Acts      []Act
+	Sights    []Sight
+	ReadBacks []ReadBack
+	Exits     []Exit
+	// ClosureWanted and ClosureSeen are the closures acknowledged and read back at the end.
+	ClosureWanted, ClosureSeen []string
+	// ZoneOf tells where engines stand; EndOf, to which address a stopped daemon belonged.
+	ZoneOf map[string]string
+	// LoadsAtOnce, LoadGap, Slots and RetryShare are what the bundle set.
+	LoadsAtOnce int
+	LoadGap     time.Duration
+	Slots       int
+	RetryShare  float64
+	// Contest lists the classes that bid for the same room at the same time, where the scenario makes one.
+	Contest []Class
+}
+
+// Class is one kind of request in a contest.
+type Class struct {
+	Name  string
+	House string
+	Worth int64
+	// Burst says that this class asks for far more than its usual.
+	Burst bool
+	// Prefix begins the attempt ids of the class.
+	Prefix string
+}
+
+// Share is the part of a class that was served whole.
+func (h *History) Share(c Class) (share float64, count int) {
+	whole := 0
+	for _, call := range h.Calls {
+		if strings.HasPrefix(call.Attempt, c.Prefix) {
+			count++
+			if call.Whole() {
+				whole++
+			}
+		}
+	}
+	if count == 0 {
+		return 0, 0
+	}
+	return float64(whole) / float64(count), count
+}
+
+// never is the time of what did not happen.
+const never = time.Duration(1<<62 - 1)
+
+// rolls lists the bundles that came in force, by epoch, each with the moment it was acknowledged, if it was.
+func (h *History) rolls() []Act {
+	var out []Act
+	for _, act := range h.Acts {
+		if act.Kind != Rolled && act.Kind != Committed {
+			continue
+		}
+		if act.Kind == Committed {
+			act.At = never
+		}
+		if at := slices.IndexFunc(out, func(other Act) bool { return other.Epoch == act.Epoch }); at < 0 {
+			out = append(out, act)
+		} else if act.At < out[at].At {
+			out[at] = act
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Act) int { return cmp.Compare(a.Epoch, b.Epoch) })
+	return out
+}
+
+// splitEcho is how long after a split has healed the two sides may still differ on seats.
+const splitEcho = 3 * time.Second
+
+// split says whether daemons were split at some time between two moments. A session whose requests come
+// in on both sides then has a seat on each.
+func (h *History) split(from, to time.Duration) bool {
+	began, apart := time.Duration(0), false
+	for _, act := range h.Acts {
+		switch act.Kind {
+		case Split:
+			if !apart {
+				began, apart = act.At, true
+			}
+		case Healed:
+			if apart && began <= to && from <= act.At+splitEcho {
+				return true
+			}
+			apart = false
+		}
+	}
+	return apart && began <= to
+}
--- /dev/null
+++ b/rehearsal/checker/recovery.go
@@ -0,0 +1,51 @@
+package checker
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Recovery gives, for each crash, how long it took until a request that began after it got a whole answer.
+func Recovery(h *History) []time.Duration {
+	var out []time.Duration
+	for _, act := range h.Acts {
+		if act.Kind != Crashed && act.Kind != EngineKilled {
+			continue
+		}
+		best := time.Duration(-1)
+		for _, call := range h.Calls {
+			if call.Began >= act.At && call.Whole() && (best < 0 || call.End-act.At < best) {
+				best = call.End - act.At
+			}
+		}
+		out = append(out, best)
+	}
+	return out
+}
+
+func recovery(h *History) Finding {
+	f := Finding{Rule: "service is back within 12 s of a crash"}
+	for i, took := range Recovery(h) {
+		f.Checked++
+		if took < 0 || took > recoverLimit {
+			f.fault("crash %d: back after %v", i+1, took.Round(time.Millisecond))
+		}
+	}
+	// The control group too must act again: a change asked for right after its leader died is acknowledged in time.
+	for i, act := range h.Acts {
+		if act.Kind != Crashed || !strings.HasPrefix(act.Subject, "core") {
+			continue
+		}
+		for _, later := range h.Acts[i:] {
+			if slices.Contains([]string{Rolled, Committed, ZoneClosing, ZoneClosed, ZoneOpened}, later.Kind) {
+				f.Checked++
+				if later.At-act.At > recoverLimit {
+					f.fault("the group acknowledged nothing for %v after %s died", (later.At - act.At).Round(time.Millisecond), act.Subject)
+				}
+				break
+			}
+		}
+	}
+	return f
+}
--- /dev/null
+++ b/rehearsal/checker/refusals.go
@@ -0,0 +1,57 @@
+package checker
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cresspond/cresspond/rehearsal/journal"
+	"github.com/cresspond/cresspond/wire/callerapi"
+)
+
+// Refusals says how long the refused had waited, shortest first, and how many of them could have been
+// served: their model stood loaded on some engine between the refusal and their deadline.
+func Refusals(h *History) (waited []time.Duration, couldHave int) {
+	type span struct{ from, to time.Duration }
+	stood := map[string][]span{}
+	open := map[string]time.Duration{}
+	shut := func(engine, model string, at time.Duration) {
+		if from, known := open[engine+"/"+model]; known {
+			stood[model] = append(stood[model], span{from, at})
+			delete(open, engine+"/"+model)
+		}
+	}
+	for _, line := range h.Journals {
+		switch {
+		case line.Kind == journal.LoadEnd:
+			open[line.Engine+"/"+line.Model] = line.At
+		case line.Kind == journal.Order && line.Order == "unload":
+			shut(line.Engine, line.Model, line.At)
+		case line.Kind == journal.Start:
+			for key := range open {
+				if engine, model, _ := strings.Cut(key, "/"); engine == line.Engine {
+					shut(engine, model, line.At)
+				}
+			}
+		}
+	}
+	for key := range open {
+		engine, model, _ := strings.Cut(key, "/")
+		shut(engine, model, never)
+	}
+	for _, call := range h.Calls {
+		if call.Outcome != callerapi.Refused || call.Status == 403 {
+			continue
+		}
+		waited = append(waited, call.End-call.Began)
+		deadline := call.Began + time.Duration(call.Request.DeadlineMs)*time.Millisecond
+		for _, one := range stood[call.Request.Model] {
+			if one.from < deadline && one.to > call.End {
+				couldHave++
+				break
+			}
+		}
+	}
+	slices.Sort(waited)
+	return waited, couldHave
+}
