--- /dev/null
+++ b/rehearsal/scenario/bundles.go
@@ -0,0 +1,119 @@
+package scenario
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/rehearsal/checker"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+// Roll takes a bundle all the way, and notes it as acknowledged.
+func (r *Run) Roll(note string, base uint64) error {
+	return r.rollBody(note, base, r.Fleet.Deployment.Spec(note, r.without))
+}
+
+func (r *Run) rollBody(note string, base uint64, body []byte) error {
+	id := fmt.Sprintf("%s-%d", note, r.Seed)
+	if _, err := r.Ask(operatorapi.PathPropose, operatorapi.Propose{ProposalID: id, Base: ident.Epoch(base), Operator: "ana", Spec: body}, nil); err != nil {
+		return err
+	}
+	return r.finishRoll(id, body)
+}
+
+func (r *Run) finishRoll(id string, body []byte) error {
+	for _, step := range []struct{ path, operator string }{{operatorapi.PathReview, "berta"}, {operatorapi.PathSign, "chen"}, {operatorapi.PathRoll, "ana"}} {
+		var answer operatorapi.Answer
+		status, err := r.Ask(step.path, operatorapi.Act{ProposalID: id, Operator: step.operator}, &answer)
+		if err != nil {
+			return err
+		}
+		if step.path == operatorapi.PathRoll {
+			r.rolled(id, status, answer, body)
+		}
+	}
+	return nil
+}
+
+// rolled notes what a roll was answered with, and follows one that is not acknowledged until it is.
+func (r *Run) rolled(id string, status int, answer operatorapi.Answer, body []byte) {
+	act := checker.Act{Kind: checker.Rolled, Subject: fmt.Sprintf("epoch %d (%s), in force at %d daemons", answer.Proposal.Epoch, id, len(answer.InForceAt)),
+		Epoch: uint64(answer.Proposal.Epoch), Body: body}
+	if status == http.StatusOK {
+		r.Act(act)
+		return
+	}
+	committed := act
+	committed.Kind, committed.Subject = checker.Committed, fmt.Sprintf("epoch %d (%s), lacking at %v", act.Epoch, id, answer.Missing)
+	r.Act(committed)
+	r.follow(operatorapi.PathRoll, operatorapi.Act{ProposalID: id, Operator: "ana"}, func() { act.At = 0; r.Act(act) })
+}
+
+// Race lets two operators take different bundles to the same base: one must lose.
+func (r *Run) Race(base uint64) error {
+	bodies := map[string][]byte{}
+	for _, name := range []string{"race-a", "race-b"} {
+		id := fmt.Sprintf("%s-%d", name, r.Seed)
+		bodies[id] = r.Fleet.Deployment.Spec(name, r.without)
+		if _, err := r.Ask(operatorapi.PathPropose, operatorapi.Propose{ProposalID: id, Base: ident.Epoch(base), Operator: "ana", Spec: bodies[id]}, nil); err != nil {
+			return err
+		}
+		for _, step := range []struct{ path, operator string }{{operatorapi.PathReview, "berta"}, {operatorapi.PathSign, "chen"}} {
+			if _, err := r.Ask(step.path, operatorapi.Act{ProposalID: id, Operator: step.operator}, nil); err != nil {
+				return err
+			}
+		}
+	}
+	type outcome struct {
+		id     string
+		status int
+		answer operatorapi.Answer
+	}
+	outcomes := make(chan outcome, len(bodies))
+	for id := range bodies {
+		go func() {
+			o := outcome{id: id}
+			o.status, _ = r.Ask(operatorapi.PathRoll, operatorapi.Act{ProposalID: id, Operator: "ana"}, &o.answer)
+			outcomes <- o
+		}()
+	}
+	for range bodies {
+		o := <-outcomes
+		switch o.status {
+		case http.StatusOK, http.StatusAccepted:
+			r.rolled(o.id, o.status, o.answer, bodies[o.id])
+		case http.StatusConflict:
+			r.Act(checker.Act{Kind: checker.Refused, Subject: "the loser of a race", Body: bodies[o.id]})
+		default:
+			return fmt.Errorf("a racing roll ended with status %d", o.status)
+		}
+	}
+	return nil
+}
+
+// RefuseOnes hands in bundles that must never be in force: one with faults, one signed by its author.
+func (r *Run) RefuseOnes(base uint64) error {
+	bad := []byte(strings.Replace(string(r.Fleet.Deployment.Spec("bad", nil)), `"zones"`, `"zonen"`, 1))
+	status, err := r.Ask(operatorapi.PathPropose, operatorapi.Propose{ProposalID: "bad", Base: ident.Epoch(base), Operator: "ana", Spec: bad}, nil)
+	if status != http.StatusBadRequest {
+		return fmt.Errorf("a bundle with faults was answered with %d: %w", status, err)
+	}
+	r.Act(checker.Act{Kind: checker.Refused, Subject: "a bundle with faults", Body: bad})
+	own := r.Fleet.Deployment.Spec("own", r.without)
+	if _, err := r.Ask(operatorapi.PathPropose, operatorapi.Propose{ProposalID: "own", Base: ident.Epoch(base), Operator: "ana", Spec: own}, nil); err != nil {
+		return err
+	}
+	if _, err := r.Ask(operatorapi.PathReview, operatorapi.Act{ProposalID: "own", Operator: "berta"}, nil); err != nil {
+		return err
+	}
+	if status, err := r.Ask(operatorapi.PathSign, operatorapi.Act{ProposalID: "own", Operator: "ana"}, nil); status != http.StatusForbidden {
+		return fmt.Errorf("an author's own sign-off was answered with %d: %w", status, err)
+	}
+	if status, err := r.Ask(operatorapi.PathRoll, operatorapi.Act{ProposalID: "own", Operator: "ana"}, nil); status != http.StatusForbidden {
+		return fmt.Errorf("an unsigned roll was answered with %d: %w", status, err)
+	}
+	r.Act(checker.Act{Kind: checker.Refused, Subject: "an unsigned bundle", Body: own})
+	return nil
+}
--- /dev/null
+++ b/rehearsal/scenario/operators.go
@@ -0,0 +1,119 @@
+package scenario
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/rehearsal/checker"
+	"github.com/cresspond/cresspond/rehearsal/fleet"
+	"github.com/cresspond/cresspond/rehearsal/journal"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+// anyDaemon gives daemons to ask, in a seeded order, running ones only.
+func (r *Run) anyDaemon() []*fleet.Process {
+	var running []*fleet.Process
+	for _, p := range r.Fleet.Daemons {
+		if p.Running() {
+			running = append(running, p)
+		}
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.random.Shuffle(len(running), func(i, j int) { running[i], running[j] = running[j], running[i] })
+	// As an operator would, one that gave no answer a moment ago is tried last.
+	slices.SortStableFunc(running, func(a, b *fleet.Process) int { return r.silent[a].Compare(r.silent[b]) })
+	return running
+}
+
+// Ask posts an act until some daemon gives a known outcome, as an operator would.
+func (r *Run) Ask(path string, body, into any) (int, error) {
+	var last error
+	guard := time.Now().Add(hangGuard)
+	for time.Now().Before(guard) {
+		for _, p := range r.anyDaemon() {
+			status, err := r.Fleet.Post(p, path, body, into)
+			if status != 0 && status != http.StatusServiceUnavailable {
+				return status, err
+			}
+			last = err
+			r.mutex.Lock()
+			r.silent[p] = time.Now()
+			r.mutex.Unlock()
+		}
+	}
+	return 0, fmt.Errorf("no daemon gave an outcome: %w", last)
+}
+
+// follow asks for a committed change again and again until it is acknowledged.
+func (r *Run) follow(path string, body any, acknowledged func()) {
+	r.acks.Add(1)
+	go func() {
+		defer r.acks.Done()
+		// It ends with the run, if not before: a daemon that never comes back keeps a change from being acknowledged.
+		for r.following.Err() == nil {
+			if status, _ := r.Ask(path, body, nil); status == http.StatusOK {
+				acknowledged()
+				return
+			}
+		}
+	}()
+}
+
+// closureEpoch reads the epoch that a closure would build on.
+func (r *Run) closureEpoch() (base ident.Epoch, err error) {
+	err = r.Await("the closures can be read", func() bool {
+		for _, p := range r.anyDaemon() {
+			var closures statemachine.Closures
+			if _, err := r.Fleet.Get(p, operatorapi.PathClosures, &closures); err == nil {
+				base = closures.Epoch
+				return true
+			}
+		}
+		return false
+	})
+	return base, err
+}
+
+// Zone closes or opens a zone and notes it.
+func (r *Run) Zone(zone ident.ZoneID, closed bool) error {
+	base, err := r.closureEpoch()
+	if err != nil {
+		return err
+	}
+	asked := journal.Now()
+	body := operatorapi.Zone{Zone: zone, Closed: &closed, Base: &base, Operator: "ana"}
+	status, err := r.Ask(operatorapi.PathZone, body, nil)
+	if err != nil {
+		return err
+	}
+	r.mutex.Lock()
+	r.shut[string(zone)] = closed
+	r.mutex.Unlock()
+	act := checker.Act{Kind: checker.ZoneClosed, Subject: string(zone), Asked: asked}
+	switch {
+	case !closed:
+		// An opening may be in force before its word comes back, so it counts from when it was asked for.
+		act.Kind, act.At = checker.ZoneOpened, asked
+		r.Act(act)
+	case status == http.StatusOK:
+		r.Act(act)
+	default:
+		closing := act
+		closing.Kind = checker.ZoneClosing
+		r.Act(closing)
+		r.follow(operatorapi.PathZone, body, func() {
+			r.mutex.Lock()
+			still := r.shut[string(zone)]
+			r.mutex.Unlock()
+			if still {
+				r.Act(act)
+			}
+		})
+	}
+	return nil
+}
