--- /dev/null
+++ b/cmd/cresspond/show.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+func at(t ident.GroupTime) string { return time.UnixMilli(int64(t)).UTC().Format(time.RFC3339) }
+
+func (t *tool) showHistory(data []byte) error {
+	var list []statemachine.Proposal
+	if err := json.Unmarshal(data, &list); err != nil {
+		return err
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(out, "epoch\tproposal\tauthor\treviewed by\tsigned by\trolled by\tat")
+	for _, proposal := range list {
+		fmt.Fprintf(out, "%d\t%s\t%s\t%s\t%s\t%s\t%s\n", proposal.Epoch, proposal.ID, proposal.Proposed.Operator, names(proposal.Reviews), names(proposal.Signs), proposal.Rolled.Operator, at(proposal.Rolled.At))
+	}
+	return out.Flush()
+}
+
+func names(marks []statemachine.Mark) string {
+	var out []string
+	for _, mark := range marks {
+		out = append(out, mark.Operator)
+	}
+	return strings.Join(out, ", ")
+}
+
+func showProposal(data []byte) error {
+	var proposal statemachine.Proposal
+	if err := json.Unmarshal(data, &proposal); err != nil {
+		return err
+	}
+	fmt.Printf("%s is %s, on base epoch %d, by %s at %s\nreviewed by %s, signed by %s\n", proposal.ID, proposal.Stage, proposal.Base,
+		proposal.Proposed.Operator, at(proposal.Proposed.At), names(proposal.Reviews), names(proposal.Signs))
+	return nil
+}
+
+func (t *tool) showStatus(data []byte) error {
+	var status operatorapi.Status
+	if err := json.Unmarshal(data, &status); err != nil {
+		return err
+	}
+	ready := "ready"
+	if !status.Ready {
+		ready = "not ready: " + status.NotReady
+	}
+	fmt.Printf("%s in zone %s serves %s, %s\nspec epoch %d, closure epoch %d, group %s, leader at %s\n", status.NodeID, status.Zone, strings.Join(status.Serve, ", "), ready,
+		status.SpecEpoch, status.ClosureEpoch, status.Group, status.Leader)
+	if status.WorkerID != nil {
+		fmt.Printf("worker id %d\n", *status.WorkerID)
+	}
+	if status.Raft != nil {
+		votes := "votes"
+		if !status.Raft.Voter {
+			votes = "does not vote yet"
+		}
+		fmt.Printf("%s in term %d, %s, committed to %d, %d members\n", status.Raft.Role, status.Raft.Term, votes, status.Raft.Commit, len(status.Raft.Members))
+	}
+	if status.Planner != nil && status.Planner.Held {
+		fmt.Printf("plans under claim %d, %d orders under way\n", status.Planner.Claim, status.Planner.InFlight)
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(out, "\ndaemon\taddress\tzone\tserves\tspec\tclosures\theard")
+	for _, fellow := range status.Fellows {
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%d\t%d\t%d ms ago\n", fellow.NodeID, fellow.Address, fellow.Zone, strings.Join(fellow.Serve, ","), fellow.SpecEpoch, fellow.ClosureEpoch, fellow.HeardMsAgo)
+	}
+	fmt.Fprintln(out, "\nengine\taddress\tzone\tcondition\topen\tdraining\tmodels")
+	for _, engine := range status.Engines {
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%t\t%t\t%s\n", engine.ID, engine.Address, engine.Zone, engine.Condition, engine.Open, engine.Draining, strings.Join(engine.Models, " "))
+	}
+	return out.Flush()
+}
+
+func showEngines(data []byte) error {
+	var list operatorapi.Engines
+	if err := json.Unmarshal(data, &list); err != nil {
+		return err
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(out, "engine\tpool\taddress\tzone\tsoftware\tslots\tcondition\theard\tmodels")
+	for _, engine := range list.Engines {
+		var models []string
+		for _, held := range engine.Models {
+			models = append(models, held.Model)
+			if len(held.Adapters) > 0 {
+				models[len(models)-1] += fmt.Sprintf("+%d", len(held.Adapters))
+			}
+		}
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%d ms ago\t%s\n", engine.ID, engine.Pool, engine.Address, engine.Zone, engine.Software, engine.Slots,
+			engine.Condition, engine.HeardMsAgo, strings.Join(models, " "))
+	}
+	return out.Flush()
+}
+
+func (t *tool) showTrace(data []byte) error {
+	var trace operatorapi.Trace
+	if err := json.Unmarshal(data, &trace); err != nil {
+		return err
+	}
+	if !trace.Known {
+		return fmt.Errorf("there is no change %s; the newest is %d", trace.Change, trace.Epoch)
+	}
+	var first int64
+	for _, row := range trace.Rows {
+		if row.LearnedMs > 0 && (first == 0 || row.LearnedMs < first) {
+			first = row.LearnedMs
+		}
+	}
+	step := func(ms int64) string {
+		if ms == 0 {
+			return "-"
+		}
+		return fmt.Sprintf("+%d ms", ms-first)
+	}
+	missing := 0
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(out, "daemon\tzone\tlearned\tbuilt\tin force\theard")
+	for _, row := range trace.Rows {
+		inForce := step(row.InForceMs)
+		switch {
+		case row.Missing:
+			inForce = "MISSING"
+			missing++
+		case row.InForceMs == 0:
+			// A daemon that came later, or that went straight to a newer epoch, has no steps of its own for this one.
+			inForce = "holds it or a later one"
+		}
+		heard := fmt.Sprintf("%d ms ago", row.HeardMsAgo)
+		if row.HeardMsAgo < 0 {
+			heard = "not for a minute or more"
+		}
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%s\n", row.NodeID, row.Zone, step(row.LearnedMs), step(row.BuiltMs), inForce, heard)
+	}
+	if err := out.Flush(); err != nil {
+		return err
+	}
+	if trace.Acknowledged {
+		fmt.Println("in force at every daemon that may be serving")
+	} else {
+		fmt.Println("NOT yet in force at every daemon that may be serving")
+	}
+	if first > 0 {
+		fmt.Printf("first learned at %s by that daemon's clock; %d daemons lack it\n", time.UnixMilli(first).UTC().Format(time.RFC3339Nano), missing)
+	}
+	return nil
+}
