End the work of callers that leave early, in silence, or before they are read

Cause: a caller whose side was closed at the first look, up to 0.2 s after its request, was taken for one that has no more to say, and was never found to have left: its engine worked on to the deadline. One that left a stream whose engine said nothing was found only by writing to it. One that had given up before its request was read had it sent all the same.

Now the system's own dates tell the two apart: an end within 50 ms behind the caller's last data is a half-closed caller that waits, a later one has left. Callers that are being answered are looked at too, and each is looked at once more right before the first byte to an engine.

Ruled out: a look at fixed times behind the request, which needs a timer for each; and taking every end for a leaving, since half-closed callers wait.

--- a/connection/gateway/gateway.go
+++ b/connection/gateway/gateway.go
@@ -88,6 +88,7 @@
 	ctx    *fasthttp.RequestCtx
 	record *forwarding.Record
 	cancel engineconn.Cancel
+	caller *watched
 	left   atomic.Bool
 	head   fasthttp.RequestHeader
 	body   []byte
@@ -156,7 +157,7 @@
 			record.Deadline = arrived + clock.Mark(limit)
 		}
 	}
-	f := &flight{Gateway: g, ctx: ctx, record: forwarding.NewRecord(record), body: ctx.Request.Body()}
+	f := &flight{Gateway: g, ctx: ctx, record: forwarding.NewRecord(record), caller: newWatched(ctx.Conn()), body: ctx.Request.Body()}
 	ctx.Request.Header.CopyTo(&f.head)
 	engineconn.HopByHop(&f.head)
 	g.open.Add(1)
@@ -325,6 +326,14 @@
 	})
 }
 
+// callerLeft says whether the caller has left by now, and notes it.
+func (f *flight) callerLeft() bool {
+	if !f.left.Load() && f.caller.gone() {
+		f.left.Store(true)
+	}
+	return f.left.Load()
+}
+
 // lastLook is the last check before the first byte: what it reads is what is in force at that moment.
 func (f *flight) lastLook() string {
 	reason := ""
@@ -338,7 +347,7 @@
 		reason = "operators have closed the engine or its zone"
 	case f.Clock.Elapsed() >= f.record.Deadline:
 		reason = "the deadline has passed"
-	case f.left.Load():
+	case f.callerLeft():
 		reason = "the caller has left"
 	case f.send.Stamped && !f.Held():
 		reason = "the worker id has lapsed"
--- /dev/null
+++ b/connection/gateway/leave_test.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cresspond/cresspond/request/forwarding"
+)
+
+// soon is when the callers of these tests leave: after the request, but before the first look of the watcher.
+const soon = lookEvery / 2
+
+// leaves closes a connection soon, or only the sending side of it.
+func leaves(conn net.Conn, half bool) {
+	time.AfterFunc(soon, func() {
+		if half {
+			_ = conn.(*net.TCPConn).CloseWrite()
+		} else {
+			conn.Close()
+		}
+	})
+}
+
+// silent is an engine that says when it has read a request, and answers nothing until its connection ends.
+func silent(t *testing.T) (engine *standIn, came chan string) {
+	came = make(chan string, 16)
+	return newStandIn(t, "e1", func(a arrival) bool {
+		came <- idOf(a)
+		_, _ = a.conn.Read(make([]byte, 1))
+		return false
+	}), came
+}
+
+// TestACallerThatLeavesSoonEndsWhatRunsForIt: a connection that ends a while after the request is no request of a
+// caller that had no more to say, also where nobody has looked at it before. No other engine gets it either.
+func TestACallerThatLeavesSoonEndsWhatRunsForIt(t *testing.T) {
+	for _, class := range []string{"once", "again", "stream", "resume"} {
+		for _, half := range []bool{false, true} {
+			engine, came := silent(t)
+			other := newStandIn(t, "e2", engine.answer)
+			f := newFixture(t, engine, other)
+			conn := f.dial()
+			_, _ = io.WriteString(conn, ask(class, "a1", "ping"))
+			<-came
+			leaves(conn, half)
+			ended := make(chan struct{})
+			go func() {
+				select {
+				case <-engine.closed:
+				case <-other.closed:
+				}
+				close(ended)
+			}()
+			select {
+			case <-ended:
+			case <-time.After(3 * time.Second):
+				t.Errorf("%s: its engine still works on it", class)
+			}
+			for f.gateway.Open() > 0 {
+				runtime.Gosched()
+			}
+			if all := len(engine.arrivals()) + len(other.arrivals()); all != 1 {
+				t.Errorf("%s: it was sent %d times", class, all)
+			}
+		}
+	}
+}
+
+// TestACallerThatLeavesAStreamEndsItThoughNothingComes: an engine that says nothing gives no occasion to write to
+// a caller that has left, so that alone must not be waited for.
+func TestACallerThatLeavesAStreamEndsItThoughNothingComes(t *testing.T) {
+	for _, class := range []string{"stream", "resume"} {
+		engine := newStandIn(t, "e1", func(a arrival) bool {
+			chunks(a, "s", event(1))
+			_, _ = a.conn.Read(make([]byte, 1))
+			return false
+		})
+		f := newFixture(t, engine)
+		conn := f.dial()
+		_, _ = io.WriteString(conn, ask(class, "a1", "ping"))
+		readUntil(t, bufio.NewReader(conn), "piece 1")
+		time.AfterFunc(2*lookEvery, func() { conn.Close() })
+		select {
+		case <-engine.closed:
+		case <-time.After(3 * time.Second):
+			t.Errorf("%s: its engine still works on it", class)
+		}
+		for f.gateway.Open() > 0 {
+			runtime.Gosched()
+		}
+		if len(engine.arrivals()) != 1 {
+			t.Errorf("%s: it was sent again", class)
+		}
+	}
+}
+
+// late is a listener that accepts nothing before it is let.
+type late struct {
+	net.Listener
+	let chan struct{}
+}
+
+func (l late) Accept() (net.Conn, error) {
+	<-l.let
+	return l.Listener.Accept()
+}
+
+// TestNothingIsSentForACallerThatLeftUnread: a request that was read only after its caller had given up reaches no
+// engine.
+func TestNothingIsSentForACallerThatLeftUnread(t *testing.T) {
+	engine := newStandIn(t, "e1", func(a arrival) bool { say(a, wholeOf(a, "pong")); return true })
+	f := newFixture(t, engine)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	gated := late{listener, make(chan struct{})}
+	server := &fasthttp.Server{Handler: f.gateway.Handle, Logger: quiet{}}
+	go func() { _ = server.Serve(gated) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(conn, ask("again", "a1", "ping"))
+	time.AfterFunc(soon, func() { conn.Close(); close(gated.let) })
+	for f.gateway.Counters.Read.Load() == 0 || f.gateway.Open() > 0 {
+		runtime.Gosched()
+	}
+	if all := len(engine.arrivals()); all != 0 {
+		t.Errorf("it was sent %d times", all)
+	}
+}
+
+// TestCallersThatHaveNoMoreToSayGetAllTheirAnswers: their side ends right behind several requests, the first of
+// which is answered slowly.
+func TestCallersThatHaveNoMoreToSayGetAllTheirAnswers(t *testing.T) {
+	engine := newStandIn(t, "e1", func(a arrival) bool {
+		if strings.HasPrefix(a.request.RequestURI, "/once/") {
+			say(a, wholeOf(a, "pong"))
+			return true
+		}
+		chunks(a, "s")
+		ticker := time.NewTicker(lookEvery / 4)
+		defer ticker.Stop()
+		for n := 1; n <= 12; n++ {
+			<-ticker.C
+			fmt.Fprintf(a.conn, "%x\r\n%s\r\n", len(event(n)), event(n))
+		}
+		say(a, "0\r\n\r\n")
+		return true
+	})
+	f := newFixture(t, engine)
+	conn := f.dial()
+	_, _ = io.WriteString(conn, ask("stream", "a1", "ping")+ask("once", "a2", "ping")+ask("stream", "a3", "ping")+ask("once", "a4", "ping"))
+	_ = conn.(*net.TCPConn).CloseWrite()
+	reader := bufio.NewReader(conn)
+	for n := 1; n <= 4; n++ {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(n, err)
+		}
+		if _, err := io.ReadAll(response.Body); err != nil || response.StatusCode != http.StatusOK || response.Header.Get("X-Attempt-Id") != fmt.Sprint("a", n) {
+			t.Errorf("answer %d: %d %v", n, response.StatusCode, err)
+		}
+	}
+}
+
+// TestCallersAreLookedAtWellWithinHalfASecond: a deployment may allow work for a caller that has left for no longer.
+func TestCallersAreLookedAtWellWithinHalfASecond(t *testing.T) {
+	if lookEvery > 250*time.Millisecond {
+		t.Error(lookEvery)
+	}
+	if forwarding.DefaultSettings().DeadlineSlack+lookEvery > 300*time.Millisecond {
+		t.Error("a deadline and a look together take too long")
+	}
+}
--- a/connection/gateway/watch.go
+++ b/connection/gateway/watch.go
@@ -9,30 +9,44 @@
 	"golang.org/x/sys/unix"
 )
 
-// lookEvery is how often the callers that wait are looked at.
-const lookEvery = 200 * time.Millisecond
+const (
+	// lookEvery is how often the callers of open requests are looked at.
+	lookEvery = 200 * time.Millisecond
+	// halfCloseWithin is how soon after its request a caller that only has no more to say closes its side.
+	halfCloseWithin = 50 * time.Millisecond
+)
 
-// watcher looks whether callers that wait are still there. It looks only while any are.
+// watcher looks whether the callers of open requests are still there. It looks only while any are open.
 type watcher struct {
 	mutex   sync.Mutex
 	waiting map[*flight]*watched
 	ticking bool
 }
 
-// watched is one waiting caller.
+// watched is the caller of one open request.
 type watched struct {
 	raw syscall.RawConn
-	// looked says that it was looked at before, half that it had said all it had to say by then.
-	looked, half bool
+	// began is when the request was read.
+	began time.Time
+
+	mutex sync.Mutex
+	// open is when the caller's side was last seen open; half says that it was closed right behind the request,
+	// by a caller that waits for its answer.
+	open time.Time
+	half bool
 }
 
 func newWatcher() *watcher { return &watcher{waiting: map[*flight]*watched{}} }
 
+func newWatched(conn net.Conn) *watched {
+	now := time.Now()
+	return &watched{raw: rawOf(conn), began: now, open: now}
+}
+
 func (w *watcher) add(f *flight) {
-	one := &watched{raw: rawOf(f.ctx.Conn())}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.waiting[f] = one
+	w.waiting[f] = f.caller
 	if !w.ticking {
 		w.ticking = true
 		time.AfterFunc(lookEvery, w.tick)
@@ -57,16 +71,16 @@
 	delete(w.waiting, f)
 }
 
-// tick looks at all that wait.
+// tick looks at the callers of all open requests.
 func (w *watcher) tick() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.ticking = len(w.waiting) > 0; !w.ticking {
 		return
 	}
-	for f, one := range w.waiting {
-		// Who is being answered shows by itself that it has left: it can't be written to.
-		if !f.begun.Load() && one.gone() {
+	for f, caller := range w.waiting {
+		// Also one that is being answered: it is written to only when its engine has something to say.
+		if caller.gone() {
 			delete(w.waiting, f)
 			go f.leave()
 		}
@@ -94,23 +108,50 @@
 	f.actor.CallerLeft(f.record)
 }
 
-// gone says whether the caller has left. One that said from the start that it has no more to say still
-// waits for its answer; one that says so only after waiting has given up.
-func (o *watched) gone() bool {
-	if o.raw == nil {
+// gone says whether the caller has left. One whose side was closed right behind its request still waits for the
+// answer; one that closes it only after waiting has given up.
+func (c *watched) gone() bool {
+	if c.raw == nil {
 		return false
 	}
-	var seen int16
-	if o.raw.Control(func(fd uintptr) {
-		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		if _, err := unix.Poll(poll, 0); err == nil {
-			seen = poll[0].Revents
-		}
-	}) != nil {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	events, err := c.poll()
+	switch {
+	case err != nil || events&(unix.POLLERR|unix.POLLHUP) != 0:
 		return true
+	case events&unix.POLLRDHUP == 0:
+		c.open = time.Now()
+		return false
+	case c.half:
+		return false
 	}
-	if !o.looked {
-		o.looked, o.half = true, seen&unix.POLLRDHUP != 0
+	c.half = c.closedBehindRequest()
+	return !c.half
+}
+
+// poll gives what the system knows of the connection without waiting.
+func (c *watched) poll() (events int16, err error) {
+	err = c.raw.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		if _, failed := unix.Poll(poll, 0); failed == nil {
+			events = poll[0].Revents
+		}
+	})
+	return events, err
+}
+
+// closedBehindRequest says whether the caller's side, which is seen closed for the first time, was closed right
+// behind its request. The system dates the caller's last data and its last packet of any kind, which is the end as
+// long as nothing was sent that the caller acknowledged since. Else the looks before have to tell.
+func (c *watched) closedBehindRequest() bool {
+	var info *unix.TCPInfo
+	err := c.raw.Control(func(fd uintptr) {
+		info, _ = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || info == nil || info.Last_data_sent < info.Last_data_recv {
+		return c.open.Sub(c.began) < halfCloseWithin
 	}
-	return seen&(unix.POLLERR|unix.POLLHUP) != 0 || seen&unix.POLLRDHUP != 0 && !o.half
+	between := time.Duration(int64(info.Last_data_recv)-int64(info.Last_ack_recv)) * time.Millisecond
+	return between < halfCloseWithin
 }
