Tell callers that leave from half-closed ones where the system dates nothing

Cause: the dates of a connection's last packets are there on TCP of a usual system only. Elsewhere, or where they go by another clock, an end that was first seen 0.2 s after the request still counted as closed right behind it.

Each caller is looked at once 50 ms after its request, and every 0.2 s after; one timer serves all, and none is set while no request is open. Dates that are younger than the request itself are not believed.

--- a/connection/gateway/leave_test.go
+++ b/connection/gateway/leave_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path/filepath"
 	"runtime"
 	"strings"
 	"testing"
@@ -16,20 +17,70 @@
 	"github.com/cresspond/cresspond/request/forwarding"
 )
 
-// soon is when the callers of these tests leave: after the request, but before the first look of the watcher.
+// soon is when the callers of these tests leave: well after the request, but sooner than they are all looked at.
 const soon = lookEvery / 2
 
+// halfCloser is a connection of which one side can be closed.
+type halfCloser interface {
+	net.Conn
+	CloseWrite() error
+}
+
 // leaves closes a connection soon, or only the sending side of it.
-func leaves(conn net.Conn, half bool) {
+func leaves(conn halfCloser, half bool) {
 	time.AfterFunc(soon, func() {
 		if half {
-			_ = conn.(*net.TCPConn).CloseWrite()
+			_ = conn.CloseWrite()
 		} else {
 			conn.Close()
 		}
 	})
 }
 
+// networks are a kind of connection on which the system dates what comes, and one on which it does not.
+var networks = []string{"tcp", "unix"}
+
+// over serves the fixture's gateway on a network, and connects to it there; nothing is accepted before let is closed.
+func (f *fixture) over(network string, let chan struct{}) halfCloser {
+	f.t.Helper()
+	address := "127.0.0.1:0"
+	if network == "unix" {
+		address = filepath.Join(f.t.TempDir(), "socket")
+	}
+	listener, err := net.Listen(network, address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { listener.Close() })
+	server := &fasthttp.Server{Handler: f.gateway.Handle, Logger: quiet{}}
+	go func() { _ = server.Serve(late{listener, let}) }()
+	conn, err := net.Dial(network, listener.Addr().String())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	return conn.(halfCloser)
+}
+
+// opened lets connections be accepted at once.
+func opened() chan struct{} {
+	let := make(chan struct{})
+	close(let)
+	return let
+}
+
+// late is a listener that accepts nothing before it is let.
+type late struct {
+	net.Listener
+	let chan struct{}
+}
+
+func (l late) Accept() (net.Conn, error) {
+	<-l.let
+	return l.Listener.Accept()
+}
+
 // silent is an engine that says when it has read a request, and answers nothing until its connection ends.
 func silent(t *testing.T) (engine *standIn, came chan string) {
 	came = make(chan string, 16)
@@ -44,11 +95,11 @@
 // caller that had no more to say, also where nobody has looked at it before. No other engine gets it either.
 func TestACallerThatLeavesSoonEndsWhatRunsForIt(t *testing.T) {
 	for _, class := range []string{"once", "again", "stream", "resume"} {
-		for _, half := range []bool{false, true} {
+		for way := range 2 * len(networks) {
 			engine, came := silent(t)
 			other := newStandIn(t, "e2", engine.answer)
 			f := newFixture(t, engine, other)
-			conn := f.dial()
+			conn, half := f.over(networks[way/2], opened()), way%2 == 0
 			_, _ = io.WriteString(conn, ask(class, "a1", "ping"))
 			<-came
 			leaves(conn, half)
@@ -63,7 +114,7 @@
 			select {
 			case <-ended:
 			case <-time.After(3 * time.Second):
-				t.Errorf("%s: its engine still works on it", class)
+				t.Errorf("%s over %s, half closed %t: its engine still works on it", class, networks[way/2], half)
 			}
 			for f.gateway.Open() > 0 {
 				runtime.Gosched()
@@ -103,36 +154,15 @@
 	}
 }
 
-// late is a listener that accepts nothing before it is let.
-type late struct {
-	net.Listener
-	let chan struct{}
-}
-
-func (l late) Accept() (net.Conn, error) {
-	<-l.let
-	return l.Listener.Accept()
-}
-
 // TestNothingIsSentForACallerThatLeftUnread: a request that was read only after its caller had given up reaches no
 // engine.
 func TestNothingIsSentForACallerThatLeftUnread(t *testing.T) {
 	engine := newStandIn(t, "e1", func(a arrival) bool { say(a, wholeOf(a, "pong")); return true })
 	f := newFixture(t, engine)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	gated := late{listener, make(chan struct{})}
-	server := &fasthttp.Server{Handler: f.gateway.Handle, Logger: quiet{}}
-	go func() { _ = server.Serve(gated) }()
-	conn, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	let := make(chan struct{})
+	conn := f.over("tcp", let)
 	_, _ = io.WriteString(conn, ask("again", "a1", "ping"))
-	time.AfterFunc(soon, func() { conn.Close(); close(gated.let) })
+	time.AfterFunc(soon, func() { conn.Close(); close(let) })
 	for f.gateway.Counters.Read.Load() == 0 || f.gateway.Open() > 0 {
 		runtime.Gosched()
 	}
@@ -144,33 +174,35 @@
 // TestCallersThatHaveNoMoreToSayGetAllTheirAnswers: their side ends right behind several requests, the first of
 // which is answered slowly.
 func TestCallersThatHaveNoMoreToSayGetAllTheirAnswers(t *testing.T) {
-	engine := newStandIn(t, "e1", func(a arrival) bool {
-		if strings.HasPrefix(a.request.RequestURI, "/once/") {
-			say(a, wholeOf(a, "pong"))
+	for _, network := range networks {
+		engine := newStandIn(t, "e1", func(a arrival) bool {
+			if strings.HasPrefix(a.request.RequestURI, "/once/") {
+				say(a, wholeOf(a, "pong"))
+				return true
+			}
+			chunks(a, "s")
+			ticker := time.NewTicker(lookEvery / 4)
+			defer ticker.Stop()
+			for n := 1; n <= 12; n++ {
+				<-ticker.C
+				fmt.Fprintf(a.conn, "%x\r\n%s\r\n", len(event(n)), event(n))
+			}
+			say(a, "0\r\n\r\n")
 			return true
-		}
-		chunks(a, "s")
-		ticker := time.NewTicker(lookEvery / 4)
-		defer ticker.Stop()
-		for n := 1; n <= 12; n++ {
-			<-ticker.C
-			fmt.Fprintf(a.conn, "%x\r\n%s\r\n", len(event(n)), event(n))
-		}
-		say(a, "0\r\n\r\n")
-		return true
-	})
-	f := newFixture(t, engine)
-	conn := f.dial()
-	_, _ = io.WriteString(conn, ask("stream", "a1", "ping")+ask("once", "a2", "ping")+ask("stream", "a3", "ping")+ask("once", "a4", "ping"))
-	_ = conn.(*net.TCPConn).CloseWrite()
-	reader := bufio.NewReader(conn)
-	for n := 1; n <= 4; n++ {
-		response, err := http.ReadResponse(reader, nil)
-		if err != nil {
-			t.Fatal(n, err)
-		}
-		if _, err := io.ReadAll(response.Body); err != nil || response.StatusCode != http.StatusOK || response.Header.Get("X-Attempt-Id") != fmt.Sprint("a", n) {
-			t.Errorf("answer %d: %d %v", n, response.StatusCode, err)
+		})
+		f := newFixture(t, engine)
+		conn := f.over(network, opened())
+		_, _ = io.WriteString(conn, ask("stream", "a1", "ping")+ask("once", "a2", "ping")+ask("stream", "a3", "ping")+ask("once", "a4", "ping"))
+		_ = conn.CloseWrite()
+		reader := bufio.NewReader(conn)
+		for n := 1; n <= 4; n++ {
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				t.Fatal(network, n, err)
+			}
+			if _, err := io.ReadAll(response.Body); err != nil || response.StatusCode != http.StatusOK || response.Header.Get("X-Attempt-Id") != fmt.Sprint("a", n) {
+				t.Errorf("answer %d over %s: %d %v", n, network, response.StatusCode, err)
+			}
 		}
 	}
 }
--- a/connection/gateway/watch.go
+++ b/connection/gateway/watch.go
@@ -12,22 +12,29 @@
 const (
 	// lookEvery is how often the callers of open requests are looked at.
 	lookEvery = 200 * time.Millisecond
-	// halfCloseWithin is how soon after its request a caller that only has no more to say closes its side.
+	// halfCloseWithin is how soon after its request a caller that only has no more to say closes its side; a first
+	// look right behind that time tells it from one that leaves.
 	halfCloseWithin = 50 * time.Millisecond
+	// looksApart lets one look serve callers that are due at about the same time.
+	looksApart = 25 * time.Millisecond
+	// dateSlack is by how much the system's dates may differ from the clock here.
+	dateSlack = 20 * time.Millisecond
 )
 
 // watcher looks whether the callers of open requests are still there. It looks only while any are open.
 type watcher struct {
 	mutex   sync.Mutex
 	waiting map[*flight]*watched
-	ticking bool
+	// timer is set for due while any are open.
+	timer *time.Timer
+	due   time.Time
 }
 
 // watched is the caller of one open request.
 type watched struct {
 	raw syscall.RawConn
-	// began is when the request was read.
-	began time.Time
+	// began is when the request was read, due when the caller is looked at next; due is the watcher's.
+	began, due time.Time
 
 	mutex sync.Mutex
 	// open is when the caller's side was last seen open; half says that it was closed right behind the request,
@@ -40,16 +47,25 @@
 
 func newWatched(conn net.Conn) *watched {
 	now := time.Now()
-	return &watched{raw: rawOf(conn), began: now, open: now}
+	return &watched{raw: rawOf(conn), began: now, open: now, due: now.Add(halfCloseWithin)}
 }
 
 func (w *watcher) add(f *flight) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.waiting[f] = f.caller
-	if !w.ticking {
-		w.ticking = true
-		time.AfterFunc(lookEvery, w.tick)
+	if w.due.IsZero() || f.caller.due.Before(w.due) {
+		w.wakeAt(f.caller.due)
+	}
+}
+
+// wakeAt has tick called at a time, and at no other.
+func (w *watcher) wakeAt(at time.Time) {
+	w.due = at
+	if w.timer == nil {
+		w.timer = time.AfterFunc(time.Until(at), w.tick)
+	} else {
+		w.timer.Reset(time.Until(at))
 	}
 }
 
@@ -71,21 +87,33 @@
 	delete(w.waiting, f)
 }
 
-// tick looks at the callers of all open requests.
+// tick looks at the callers that are due.
 func (w *watcher) tick() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.ticking = len(w.waiting) > 0; !w.ticking {
-		return
-	}
+	now := time.Now()
+	w.due = time.Time{}
+	next := now.Add(lookEvery)
 	for f, caller := range w.waiting {
-		// Also one that is being answered: it is written to only when its engine has something to say.
-		if caller.gone() {
-			delete(w.waiting, f)
-			go f.leave()
+		if !caller.due.After(now) {
+			// Also one that is being answered: it is written to only when its engine has something to say.
+			if caller.gone() {
+				delete(w.waiting, f)
+				go f.leave()
+				continue
+			}
+			caller.due = now.Add(lookEvery)
+		}
+		if caller.due.Before(next) {
+			next = caller.due
 		}
 	}
-	time.AfterFunc(lookEvery, w.tick)
+	if len(w.waiting) > 0 {
+		if soonest := now.Add(looksApart); next.Before(soonest) {
+			next = soonest
+		}
+		w.wakeAt(next)
+	}
 }
 
 // each calls do for all that wait or are being answered.
@@ -142,16 +170,30 @@
 }
 
 // closedBehindRequest says whether the caller's side, which is seen closed for the first time, was closed right
-// behind its request. The system dates the caller's last data and its last packet of any kind, which is the end as
-// long as nothing was sent that the caller acknowledged since. Else the looks before have to tell.
+// behind its request. Where the system can't date that, the looks before have to tell.
 func (c *watched) closedBehindRequest() bool {
+	if behind, dated := c.dateOfEnd(); dated {
+		return behind < halfCloseWithin
+	}
+	return c.open.Sub(c.began) < halfCloseWithin
+}
+
+// dateOfEnd gives how long after the caller's last data its side was closed. The system dates the last data and the
+// last packet of any kind, which is the end as long as the caller has had nothing to acknowledge since.
+func (c *watched) dateOfEnd() (behind time.Duration, dated bool) {
 	var info *unix.TCPInfo
 	err := c.raw.Control(func(fd uintptr) {
 		info, _ = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	if err != nil || info == nil || info.Last_data_sent < info.Last_data_recv {
-		return c.open.Sub(c.began) < halfCloseWithin
+	if err != nil || info == nil {
+		return 0, false
+	}
+	data, packet, sent := ago(info.Last_data_recv), ago(info.Last_ack_recv), ago(info.Last_data_sent)
+	if data+dateSlack < time.Since(c.began) {
+		// The request was here by then, so these dates go by another clock, or there are none.
+		return 0, false
 	}
-	between := time.Duration(int64(info.Last_data_recv)-int64(info.Last_ack_recv)) * time.Millisecond
-	return between < halfCloseWithin
+	return data - packet, sent >= data
 }
+
+func ago(milliseconds uint32) time.Duration { return time.Duration(milliseconds) * time.Millisecond }
