Neither hold nor send again what its caller left while an attempt ended

Cause: the word that a caller left was dropped for a record under way, since its sender ends the attempt. If the sender had just reported another end, the record was held, or another attempt was made ready and counted in the budget, for nobody.

The record now keeps the word, and the next look ends it. The last look kept such attempts from engines before as well, so no request arrived too late by it.

--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -176,6 +176,10 @@
 
 // look sends a record, holds it, or ends it.
 func (c *Core) look(r *Record, w World) {
+	if r.callerLeft {
+		c.finish(r, w, CallerLeft, 0)
+		return
+	}
 	if !c.rerouted(r, w) {
 		return
 	}
@@ -491,7 +495,7 @@
 // failed lets an engine's own failure go on, unless the request may be repeated and another engine can take it now.
 func (c *Core) failed(r *Record, w World) {
 	r.mayHaveRun = true
-	if r.repeatable() && r.attempts < r.Path.Attempts && r.Deadline.Since(w.Now) > c.least(r) && Leads(w.Index, r.Host, r.Prefixed, r.pool) {
+	if r.repeatable() && !r.callerLeft && r.attempts < r.Path.Attempts && r.Deadline.Since(w.Now) > c.least(r) && Leads(w.Index, r.Host, r.Prefixed, r.pool) {
 		if chosen, _ := c.choose(r, w); chosen != nil && c.budget(r.pool).allows(w.Now, c.settings, w.Edges) {
 			c.send(r, w, chosen)
 			return
@@ -538,8 +542,9 @@
 	}
 }
 
-// CallerLeft drops a record that waits; one under way is ended by its sender.
+// CallerLeft drops a record that waits; one under way is ended by its sender, and goes nowhere after.
 func (c *Core) CallerLeft(r *Record, w World) {
+	r.callerLeft = true
 	if r.stage == Held || r.stage == Admitted {
 		c.finish(r, w, CallerLeft, 0)
 	}
--- a/request/forwarding/core_test.go
+++ b/request/forwarding/core_test.go
@@ -819,3 +819,22 @@
 		}
 	}
 }
+
+// TestNothingIsHeldOrTriedAgainForACallerThatLeftMeanwhile: that the caller left may be heard while an attempt is
+// under way whose sender has just reported how it ended.
+func TestNothingIsHeldOrTriedAgainForACallerThatLeftMeanwhile(t *testing.T) {
+	for _, class := range []forward.Class{forward.Once, forward.Repeatable, forward.Stream} {
+		for outcome := HeldBack; outcome <= Failed; outcome++ {
+			b := newBench(t, pathOf("p", class, "plain"))
+			b.register(enginesOf("plain", 3, 4)...)
+			r := b.admit("p")
+			b.sent(r)
+			b.core.CallerLeft(r, b.world())
+			b.core.Attempted(r, outcome, b.world())
+			step, _ := taken(r)
+			if step.End == nil && !step.Pass || r.Stage() != Ended || b.core.HeldNow() != 0 {
+				t.Errorf("class %v, outcome %d: it is %v, with %+v to do", class, outcome, r.Stage(), step)
+			}
+		}
+	}
+}
--- a/request/forwarding/record.go
+++ b/request/forwarding/record.go
@@ -82,8 +82,8 @@
 	stamps []ident.MintedID
 	// mayHaveRun says that an attempt may have run, so no refusal may be promised.
 	mayHaveRun bool
-	// begun says that the caller has bytes of an answer.
-	begun bool
+	// begun says that the caller has bytes of an answer, callerLeft that it waits for none any more.
+	begun, callerLeft bool
 	// lastEvent is the last event passed on, if any was.
 	lastEvent string
 	heldAt    clock.Mark
