A beat that comes late does not put out who follows at its address

Cause: an engine's beat may come seconds late, and its address is given on after two. The late beat had a higher call-seq than any before, so the engine that had ended counted as there again, and the one that had followed it as silent until its own next beat: requests went to the one with a name that is answered 421, which draws on the budget, or were held.

An engine that was put out by one that is known later, and that is not silent, is not heard again while that holds. Ruled out: to let the higher call-seq decide, since each engine counts for itself.

Also held now by a test: engines that say first that they are gone, and beat on.

--- a/process/registry/core.go
+++ b/process/registry/core.go
@@ -218,7 +218,7 @@
 		return hearing
 	}
 	e := c.entry(now, word.ID)
-	hearing.Late = e.worded && word.CallSeq <= e.word.CallSeq
+	hearing.Late = e.worded && word.CallSeq <= e.word.CallSeq || c.replaced(e, word.Address)
 	if !hearing.Late {
 		c.takeWord(e, word, digestOf(word), now, false)
 		c.beat(e)
@@ -232,6 +232,15 @@
 	return hearing
 }
 
+// replaced says whether an engine was put out of use by one that came after it and beats at its address: what still
+// comes of it was sent before, and must not put that one out of use in turn.
+func (c *Core) replaced(e *entry, address string) bool {
+	return e.silent && slices.ContainsFunc(c.byAddress[address], func(id ident.EngineID) bool {
+		other := c.entries[id]
+		return other != e && other.known > e.known && !other.silent && !other.gone
+	})
+}
+
 // End takes an engine's word to this daemon that it is gone.
 func (c *Core) End(now clock.Mark, id ident.EngineID) Hearing {
 	change := c.Leave(now, id, true, false)
--- a/process/registry/core_test.go
+++ b/process/registry/core_test.go
@@ -122,6 +122,56 @@
 	}
 }
 
+// TestALateBeatDoesNotDisplaceWhoFollowed: beats may come seconds late, and an address is given on sooner.
+func TestALateBeatDoesNotDisplaceWhoFollowed(t *testing.T) {
+	c := NewCore("one", true, time.Second, 0)
+	first, next := engineWord("e1", 7), engineWord("e2", 1)
+	next.Address = first.Address
+	c.Hear(second, first)
+	c.Hear(4*second, next)
+	first.CallSeq++
+	if hearing := c.Hear(5*second, first); !hearing.Late {
+		t.Error("it is taken for one that still lives")
+	}
+	if e1, e2 := c.View().Engines["e1"], c.View().Engines["e2"]; e1.Usable() || !e2.Usable() {
+		t.Errorf("%+v %+v", e1, e2)
+	}
+	// Where the one that followed has fallen silent, there is nobody to protect.
+	for now := 5 * second; now < 12*second; now += second / 4 {
+		c.Judge(now, time.Second, soleControl(now))
+	}
+	first.CallSeq++
+	c.Hear(12*second, first)
+	if c.View().Engines["e2"].Usable() {
+		t.Error("one that is silent is in use")
+	}
+}
+
+// TestWhoSaysItIsGoneAndServesOnStaysOut: some engines say first that they are gone, and serve and beat on for a
+// while. Whatever comes after, late or not, at that daemon or at one that has it from the group alone, none uses them.
+func TestWhoSaysItIsGoneAndServesOnStaysOut(t *testing.T) {
+	told, heard := NewCore("one", true, time.Second, 0), NewCore("two", true, time.Second, 0)
+	for _, c := range []*Core{told, heard} {
+		c.Hear(second, engineWord("e1", 5))
+		c.Hear(second, engineWord("e2", 5))
+	}
+	told.End(2*second, "e1")
+	heard.Leave(2*second, "e1", false, true)
+	for at, callSeq := range []uint64{6, 3, 9, 7, 12, 4} {
+		now := 2*second + clock.Mark(at)*second/2
+		for _, c := range []*Core{told, heard} {
+			hearing := c.Hear(now, engineWord("e1", callSeq))
+			c.Judge(now, time.Second, soleControl(now))
+			if c.View().Engines["e1"].Usable() {
+				t.Errorf("it is back by beat %d: %+v", callSeq, hearing)
+			}
+			if hearing.Left != (c == heard) {
+				t.Errorf("beat %d: %+v", callSeq, hearing)
+			}
+		}
+	}
+}
+
 func TestOnlyWhatAPeerLacksIsTold(t *testing.T) {
 	one, two := NewCore("one", true, time.Second, 0), NewCore("two", false, time.Second, 0)
 	for i := range 10 {
