--- /dev/null
+++ b/connection/gateway/deadline_test.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// TestEveryAttemptBearsWhatIsLeft: by the client's own time or its path's, whichever is shorter, and also where the
+// client said none; an attempt that is made later bears less by what went by.
+func TestEveryAttemptBearsWhatIsLeft(t *testing.T) {
+	const work = 150 * time.Millisecond
+	for _, c := range []struct {
+		field string
+		most  int
+	}{{"", 5000}, {"Cresspond-Deadline-Ms: 2000", 2000}, {"Cresspond-Deadline-Ms: 60000", 5000}, {"Cresspond-Deadline-Ms: soon", 5000}} {
+		for _, class := range []string{"once", "again", "stream", "resume"} {
+			var mutex sync.Mutex
+			var left []int
+			answer := func(a arrival) bool {
+				said := a.request.Header.Values("Cresspond-Deadline-Ms")
+				milliseconds, err := strconv.Atoi(fmt.Sprint(said)[1 : len(fmt.Sprint(said))-1])
+				if err != nil {
+					t.Errorf("%s, %q: an attempt bears %v", class, c.field, said)
+				}
+				mutex.Lock()
+				defer mutex.Unlock()
+				if left = append(left, milliseconds); len(left) == 1 {
+					<-time.After(work)
+					notRun(a, "503 Service Unavailable")
+				} else {
+					say(a, wholeOf(a, "pong"))
+				}
+				return true
+			}
+			var engines []*standIn
+			for _, id := range []ident.EngineID{"e1", "e2"} {
+				engines = append(engines, newStandIn(t, id, answer))
+			}
+			fields := []string{"X-Own: 1"}
+			if c.field != "" {
+				fields = append(fields, c.field)
+			}
+			if got := newFixture(t, engines...).call(ask(class, "a1", "ping", fields...)); got.status != 200 {
+				t.Errorf("%s, %q: %+v", class, c.field, got)
+			}
+			if len(left) != 2 || left[0] > c.most || left[0] < c.most/2 || left[1] > left[0]-int(work.Milliseconds()) {
+				t.Errorf("%s, %q: the attempts bear %v", class, c.field, left)
+			}
+		}
+	}
+}
+
+// TestAStreamThatOutlastsItsPathsDeadlineIsBrokenOff: it must not look whole, and its engine's work ends.
+func TestAStreamThatOutlastsItsPathsDeadlineIsBrokenOff(t *testing.T) {
+	for _, class := range []string{"stream", "resume"} {
+		engine := newStandIn(t, "e1", func(a arrival) bool {
+			chunks(a, "s")
+			ticker := time.NewTicker(20 * time.Millisecond)
+			defer ticker.Stop()
+			for n := 1; ; n++ {
+				<-ticker.C
+				if _, err := io.WriteString(a.conn, fmt.Sprintf("%x\r\n%s\r\n", len(event(n)), event(n))); err != nil {
+					return false
+				}
+			}
+		})
+		f := newFixture(t, engine)
+		short := path(class, forward.Stream)
+		short.DeadlineMs, short.Resumable = 300, class == "resume"
+		f.index.Store(forward.NewIndex(&forward.Section{Revision: 2, Pools: []forward.Pool{{Name: "p"}}, Paths: []forward.Path{short}}))
+		began := time.Now()
+		got := f.call(ask(class, "a1", "ping", "Cresspond-Deadline-Ms: 60000"))
+		if got.status != 200 || got.err == nil || time.Since(began) < 300*time.Millisecond {
+			t.Errorf("%s after %v: %+v", class, time.Since(began), got)
+		}
+		<-engine.closed
+		if len(engine.arrivals()) != 1 {
+			t.Errorf("%s: it was sent %d times", class, len(engine.arrivals()))
+		}
+	}
+}
+
+// TestWhatClientsSayOfTheirWorkGoesUnchanged: the fields that say how much work a request is are read, and left.
+func TestWhatClientsSayOfTheirWorkGoesUnchanged(t *testing.T) {
+	for _, fields := range [][3]string{
+		{"m/a1", "1460,80", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+		{"m", "1460 , 80", "5c:800, 91:410"},
+		{"M/", "x", "5c"},
+		{"m/a/b", "1e3,5", ","},
+	} {
+		engine := newStandIn(t, "e1", func(a arrival) bool { say(a, wholeOf(a, "pong")); return true })
+		f := newFixture(t, engine)
+		names := [3]string{"Cresspond-Model", "Cresspond-Tokens", "Cresspond-Parts"}
+		var said []string
+		for place, name := range names {
+			said = append(said, name+": "+fields[place])
+		}
+		f.call(ask("again", "a1", "ping", said...))
+		for _, a := range engine.arrivals() {
+			for place, name := range names {
+				if got := a.request.Header.Values(name); len(got) != 1 || got[0] != fields[place] {
+					t.Errorf("%s: %q came as %q", name, fields[place], got)
+				}
+			}
+		}
+		if len(engine.arrivals()) == 0 && fields[0] == "m/a1" {
+			t.Error("it was not sent")
+		}
+	}
+}
