--- /dev/null
+++ b/process/statemachine/closures.go
@@ -0,0 +1,177 @@
+package statemachine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// Closures is which zones are shut and which engines an operator is draining.
+type Closures struct {
+	Epoch   ident.Epoch                    `json:"epoch"`
+	Zones   map[ident.ZoneID]ClosureMark   `json:"zones"`
+	Engines map[ident.EngineID]ClosureMark `json:"engines"`
+	// Kept lists the engines that the ranking may not shut.
+	Kept map[ident.EngineID]ClosureMark `json:"kept,omitempty"`
+	// Lost lists the lives of daemons that an operator declared lost: one that hears of itself here stops.
+	Lost map[ident.NodeID]ClosureMark `json:"lost,omitempty"`
+}
+
+// ClosureAct is one closure or opening, so that one sent again finds itself.
+type ClosureAct struct {
+	Epoch    ident.Epoch    `json:"epoch"`
+	Operator string         `json:"operator"`
+	Zone     ident.ZoneID   `json:"zone,omitempty"`
+	Engine   ident.EngineID `json:"engine,omitempty"`
+	Closed   bool           `json:"closed"`
+}
+
+// mostActs is how many closures and openings are remembered, mostLost how many lost daemons.
+const (
+	mostActs = 64
+	mostLost = 64
+)
+
+// ClosureMark says who closed what, and when.
+type ClosureMark struct {
+	Operator string          `json:"operator"`
+	At       ident.GroupTime `json:"at"`
+	Epoch    ident.Epoch     `json:"epoch"`
+	// Ranking is there where the ranking closed it.
+	Ranking *RankingMark `json:"ranking,omitempty"`
+}
+
+// RankingMark says under which claim an engine was ranked, by which stamped record, and why.
+type RankingMark struct {
+	Claim  ident.ClaimNumber `json:"claim"`
+	Stamp  ident.MintedID    `json:"stamp"`
+	Reason string            `json:"reason,omitempty"`
+}
+
+func (s *State) close(c Command) Result {
+	if c.Based && c.Base != s.Closures.Epoch {
+		return s.closureLost(c)
+	}
+	if c.Ranking != nil {
+		if verdict, reason := s.mayRank(c); verdict != Done {
+			return Result{Verdict: verdict, Reason: reason}
+		}
+	}
+	mark := ClosureMark{Operator: c.Operator, At: s.Now, Epoch: s.Closures.Epoch + 1, Ranking: c.Ranking}
+	next := s.Closures.Clone()
+	changed := false
+	if before, shut := next.Engines[c.Engine]; shut && c.Closed && before.Ranking != nil && c.Ranking == nil {
+		// What the ranking shut an operator may shut too; then only an operator opens it.
+		delete(next.Engines, c.Engine)
+	}
+	if c.Zone != "" {
+		changed = setClosure(next.Zones, c.Zone, c.Closed, mark)
+	}
+	if c.Engine != "" {
+		changed = setClosure(next.Engines, c.Engine, c.Closed, mark) || changed
+	}
+	// What is closed already stays as it was, so a repeated order changes nothing.
+	if changed {
+		next.Epoch++
+		s.Closures = next
+		s.Acts = append(s.Acts, ClosureAct{Epoch: next.Epoch, Operator: c.Operator, Zone: c.Zone, Engine: c.Engine, Closed: c.Closed})
+		s.Acts = s.Acts[max(0, len(s.Acts)-mostActs):]
+	}
+	return s.closuresNow()
+}
+
+// mayRank says whether whoever plans may shut or open an engine: it holds the claim, operators don't keep the engine,
+// and it opens only what the ranking shut.
+func (s *State) mayRank(c Command) (Verdict, string) {
+	_, kept := s.Closures.Kept[c.Engine]
+	before, shut := s.Closures.Engines[c.Engine]
+	switch {
+	case c.Engine == "" || c.Zone != "":
+		return Malformed, "the ranking shuts engines alone"
+	case s.Claim.Number != c.Ranking.Claim || s.Claim.NodeID != c.NodeID || s.Claim.Until <= s.Now:
+		return Forbidden, "the claim under which this was ranked is no longer held"
+	case c.Closed && kept:
+		return Forbidden, "an operator keeps this engine"
+	case !c.Closed && shut && before.Ranking == nil:
+		return Forbidden, "an operator drains this engine"
+	}
+	return Done, ""
+}
+
+// mostKept is how many engines may be kept at once: an engine's id is new with each start, so old ones go first.
+const mostKept = 1024
+
+// keep has an engine kept from the ranking, or no longer.
+func (s *State) keep(c Command) Result {
+	if c.Engine == "" {
+		return Result{Verdict: Malformed, Reason: "no engine is named"}
+	}
+	next := s.Closures.Clone()
+	mark := ClosureMark{Operator: c.Operator, At: s.Now, Epoch: next.Epoch + 1}
+	if setClosure(next.Kept, c.Engine, c.Closed, mark) {
+		next.Epoch++
+		for len(next.Kept) > mostKept {
+			oldest := slices.MinFunc(slices.Sorted(maps.Keys(next.Kept)), func(a, b ident.EngineID) int {
+				return cmp.Compare(next.Kept[a].Epoch, next.Kept[b].Epoch)
+			})
+			delete(next.Kept, oldest)
+		}
+		s.Closures = next
+	}
+	return s.closuresNow()
+}
+
+func (s *State) closuresNow() Result {
+	out := s.Closures.Clone()
+	return Result{Verdict: Done, Closures: &out}
+}
+
+// closureLost answers a closure whose base is not the closures in force: it may be one that was asked
+// for already and lost its answer, else another operator was first.
+func (s *State) closureLost(c Command) Result {
+	result := s.closuresNow()
+	for _, act := range s.Acts {
+		if act.Epoch != c.Base+1 {
+			continue
+		}
+		if act == (ClosureAct{Epoch: act.Epoch, Operator: c.Operator, Zone: c.Zone, Engine: c.Engine, Closed: c.Closed}) {
+			return result
+		}
+		result.Winner = act.Operator
+	}
+	result.Verdict, result.Reason = Conflict, "the base is not the closure epoch in force"
+	return result
+}
+
+func setClosure[K comparable](marks map[K]ClosureMark, key K, closed bool, mark ClosureMark) bool {
+	_, already := marks[key]
+	if already == closed {
+		return false
+	}
+	if closed {
+		marks[key] = mark
+	} else {
+		delete(marks, key)
+	}
+	return true
+}
+
+// Clone copies the closures, so that readers keep what they hold.
+func (c Closures) Clone() Closures {
+	out := Closures{Epoch: c.Epoch, Zones: map[ident.ZoneID]ClosureMark{}, Engines: map[ident.EngineID]ClosureMark{}, Lost: map[ident.NodeID]ClosureMark{}, Kept: map[ident.EngineID]ClosureMark{}}
+	for engine, mark := range c.Kept {
+		out.Kept[engine] = mark
+	}
+	for zone, mark := range c.Zones {
+		out.Zones[zone] = mark
+	}
+	for engine, mark := range c.Engines {
+		out.Engines[engine] = mark
+	}
+	for node, mark := range c.Lost {
+		out.Lost[node] = mark
+	}
+	return out
+}
--- /dev/null
+++ b/process/statemachine/command.go
@@ -0,0 +1,100 @@
+package statemachine
+
+import (
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// Op names a command.
+type Op string
+
+const (
+	OpAcquire Op = "ACQUIRE"
+	OpRenew   Op = "RENEW"
+	OpRelease Op = "RELEASE"
+	// OpReclaim ends lapsed tenures; the leader's expiry check proposes it.
+	OpReclaim Op = "RECLAIM"
+	OpPropose Op = "PROPOSE"
+	OpReview  Op = "REVIEW"
+	OpSign    Op = "SIGN"
+	OpRoll    Op = "ROLL"
+	OpClosure Op = "CLOSURE"
+	// OpKeep has an operator forbid, or allow again, that the ranking shuts an engine.
+	OpKeep      Op = "KEEP"
+	OpClaim     Op = "CLAIM"
+	OpDropClaim Op = "DROP-CLAIM"
+	// OpEnlist says that a life of a daemon is about to serve.
+	OpEnlist Op = "ENLIST"
+	// OpLost is an operator's word that a daemon will never serve again.
+	OpLost Op = "LOST"
+	// OpLeave says that an engine that registered itself is about to end, or has.
+	OpLeave Op = "LEAVE"
+	// OpApply puts a bundle in force in one step, on the revision it builds on.
+	OpApply Op = "APPLY"
+)
+
+// Spreads says whether a command changes what must be in force everywhere.
+func (op Op) Spreads() bool {
+	return op == OpRoll || op == OpClosure || op == OpKeep || op == OpLost || op == OpApply
+}
+
+// Command is the form of an entry in the log.
+type Command struct {
+	Op Op `json:"op"`
+	// At is the group's time, stamped by the leader; whatever a sender wrote there is replaced.
+	At       ident.GroupTime `json:"at"`
+	NodeID   ident.NodeID    `json:"nodeId,omitempty"`
+	WorkerID ident.WorkerID  `json:"workerId,omitempty"`
+	// Last is the last timestamp minted, handed in with RELEASE.
+	Last ident.GroupTime `json:"last,omitempty"`
+	// SpanMs is how long a tenure or a claim lasts, stamped by the leader from its config.
+	SpanMs int64 `json:"spanMs,omitempty"`
+
+	ProposalID string      `json:"proposalId,omitempty"`
+	Base       ident.Epoch `json:"base,omitempty"`
+	Operator   string      `json:"operator,omitempty"`
+	Note       string      `json:"note,omitempty"`
+	Spec       []byte      `json:"spec,omitempty"`
+	// Packed says that Spec is compressed. Revision is the operator's own number of the bundle, BaseRevision
+	// the one it builds on, and Digest tells one operator's call from all others.
+	Packed       bool           `json:"packed,omitempty"`
+	Revision     ident.Revision `json:"revision,omitempty"`
+	BaseRevision ident.Revision `json:"baseRevision,omitempty"`
+	Digest       string         `json:"digest,omitempty"`
+
+	Zone   ident.ZoneID   `json:"zone,omitempty"`
+	Engine ident.EngineID `json:"engine,omitempty"`
+	Closed bool           `json:"closed,omitempty"`
+	// Based says that a closure names in Base the closure epoch it builds on; earlier builds did not.
+	Based bool `json:"based,omitempty"`
+	// Ranking is, with CLOSURE, the word of whoever plans that it ranks the engine so; no operator's closure has it.
+	Ranking *RankingMark `json:"ranking,omitempty"`
+	// Address is where a daemon that enlists is reached, Lost which one is declared lost.
+	Address string       `json:"address,omitempty"`
+	Lost    ident.NodeID `json:"lost,omitempty"`
+
+	// GapMs is the quiet time between one claim's end and the next claim, stamped by the leader.
+	GapMs int64 `json:"gapMs,omitempty"`
+	// Orders is, with CLAIM, the call-seq each engine must show before its reports tell of all orders given.
+	Orders map[ident.EngineID]uint64 `json:"orders,omitempty"`
+	// OrdersTurn numbers the tellings of one claim, so that one that comes late changes nothing.
+	OrdersTurn uint64 `json:"ordersTurn,omitempty"`
+	// Told is, with CLAIM, what the planner of pools is about to order; Whole asks for all that was told before.
+	Told *Told `json:"told,omitempty"`
+	// TellsAll is, with CLAIM, the asker's word that it tells of every order before the order leaves.
+	TellsAll bool `json:"tellsAll,omitempty"`
+	Whole    bool `json:"whole,omitempty"`
+	// Resume is, with CLAIM, the asker's word that it goes on where it stood, if its claim lapsed and nobody got another.
+	Resume bool `json:"resume,omitempty"`
+	// Above is, with CLAIM, the highest claim number that the asker has heard of; a fresh claim is above it.
+	Above ident.ClaimNumber `json:"above,omitempty"`
+}
+
+// Told is what a planner of pools tells the group before its orders leave.
+type Told struct {
+	// Orders is, by engine, how many orders it must show to have taken before its reports tell of these.
+	Orders map[ident.EngineID]uint64 `json:"orders,omitempty"`
+	// Loads is how many of the orders may fetch weights from the store.
+	Loads int `json:"loads,omitempty"`
+	// KeepMs is for how long a load counts, and an order may be missing from reports.
+	KeepMs int64 `json:"keepMs,omitempty"`
+}
