Refuse an order only where the state proves that it never was in force

Two faults, found by reading. An order that was taken, and sent again after 4,096 others, was told that it had lost (the new test: order 1 of 4,396 got a conflict). An order that was refused on a base to come could win once 256 others had been refused after it (the new test: the first of 600 won). A third showed beside them: the list of epochs grew by some 73 bytes with each change for ever.

Now one function tells what is proved of an order. The state notes the lowest base from which on all winners are remembered; an order below it that is not known has no clear answer. A refusal on a base to come is kept until the revision in force has passed that base; while 256 wait, another such order has no clear answer rather than a refusal that could be forgotten. Revisions end at 2^53, so a base above that is refused without being written down. A history that was recovered from daemons proves nothing of orders before it.

Ruled out: no clear answer for any base ahead (the operator would send for ever what is plainly on the wrong version), and a floor that bans whole bases (it would refuse sound orders). In TestWhatIsKeptOfOrdersIsBounded the bound on refusals is held by the answers too: beyond it nothing may be refused, where the earlier check let the oldest be forgotten.

--- a/process/applying/applying.go
+++ b/process/applying/applying.go
@@ -17,6 +17,8 @@
 // arrived: then whatever is decided by it is proved.
 type Standing struct {
 	Newest
+	// Order is what the state proves of the call.
+	Order statemachine.OrderStanding
 	// Taken is what an earlier copy of the call put in force.
 	Taken *statemachine.Proposal
 }
@@ -39,9 +41,9 @@
 }
 
 // Look reads where a call stands.
-func Look(state *statemachine.State, digest string) Standing {
-	out := Standing{Newest: NewestOf(state)}
-	if found, ok := state.Applied(digest); ok {
+func Look(state *statemachine.State, call operatorapi.Apply) Standing {
+	out := Standing{Newest: NewestOf(state), Order: state.Standing(call.Digest, call.Base)}
+	if found, ok := state.Applied(call.Digest); ok {
 		copied := *found
 		out.Taken = &copied
 	}
@@ -67,15 +69,20 @@
 	Submit *statemachine.Command
 }
 
-// Decide looks for the call itself before anything else: an order that was taken is never refused.
+// Decide goes by what the state proves of the call before it looks at the bundle: an order that was taken is never
+// refused, and one that may have been taken neither.
 func (s Standing) Decide(call operatorapi.Apply) Decision {
-	switch {
-	case s.Taken != nil:
+	switch s.Order {
+	case statemachine.OrderTaken:
 		return Decision{Answer: operatorapi.Applying{Outcome: operatorapi.Applied, Revision: s.Revision, Epoch: s.Taken.Epoch}}
-	case call.Base < s.Revision:
-		// Revisions only rise, so no copy of this call can win any more.
+	case statemachine.OrderMalformed:
+		return Decision{Answer: s.invalid(spec.Fault{Path: "base", Reason: "is no revision that a bundle can have"})}
+	case statemachine.OrderUnproven:
+		return Decision{Answer: unproven(s.Revision, s.Epoch)}
+	case statemachine.OrderLost:
+		// Revisions only rise and refusals are kept, so no copy of this call can win any more.
 		return Decision{Answer: conflict(s.Revision, s.Epoch)}
-	case call.Base > s.Revision:
+	case statemachine.OrderAhead:
 		// This base may yet come in force, and another copy of the call with it. So the call goes through the
 		// log without its bundle, and is written down as refused.
 		return Decision{Submit: &statemachine.Command{Op: statemachine.OpApply, Operator: call.Operator, Digest: call.Digest, BaseRevision: call.Base}}
@@ -83,7 +90,7 @@
 	parsed, whole, faults := s.workOut(call)
 	if len(faults) > 0 {
 		// They rest on the call and on the one bundle that ever has this revision, so no copy can be taken.
-		return Decision{Answer: operatorapi.Applying{Outcome: operatorapi.Invalid, Revision: s.Revision, Epoch: s.Epoch, Faults: faults, Reason: "the bundle has faults"}}
+		return Decision{Answer: s.invalid(faults...)}
 	}
 	return Decision{Submit: &statemachine.Command{Op: statemachine.OpApply, Operator: call.Operator, Digest: call.Digest, BaseRevision: call.Base,
 		Revision: ident.Revision(parsed.Forward.Revision), Spec: packed.Pack(whole), Packed: true}}
@@ -96,6 +103,8 @@
 		return operatorapi.Applying{Outcome: operatorapi.Applied, Revision: result.Revision, Epoch: result.Proposal.Epoch}
 	case statemachine.Conflict:
 		return conflict(result.Revision, result.Epoch)
+	case statemachine.Unproven:
+		return unproven(result.Revision, result.Epoch)
 	}
 	return operatorapi.Applying{Outcome: operatorapi.Invalid, Reason: result.Reason}
 }
@@ -104,6 +113,15 @@
 	return operatorapi.Applying{Outcome: operatorapi.Conflicted, Revision: revision, Epoch: epoch, Reason: "another bundle is in force than the one this call builds on"}
 }
 
+// unproven is no clear answer: neither an acknowledgement nor a refusal could be proved.
+func unproven(revision ident.Revision, epoch ident.Epoch) operatorapi.Applying {
+	return operatorapi.Applying{Outcome: operatorapi.Unknown, Revision: revision, Epoch: epoch, Reason: "whether this call was taken is not known any more: read the bundle in force and build on that"}
+}
+
+func (s Standing) invalid(faults ...spec.Fault) operatorapi.Applying {
+	return operatorapi.Applying{Outcome: operatorapi.Invalid, Revision: s.Revision, Epoch: s.Epoch, Faults: faults, Reason: "the bundle has faults"}
+}
+
 // workOut makes the whole bundle of a call that builds on the one in force, and finds its faults.
 func (s Standing) workOut(call operatorapi.Apply) (parsed *spec.Spec, whole []byte, faults []spec.Fault) {
 	if call.Patch != nil {
@@ -122,6 +140,8 @@
 		faults = []spec.Fault{{Path: "forward", Reason: "is missing: only bundles with this part are applied in one step"}}
 	case ident.Revision(parsed.Forward.Revision) <= s.Revision:
 		faults = []spec.Fault{{Path: "forward.revision", Reason: "must be above the revision in force"}}
+	case ident.Revision(parsed.Forward.Revision) > statemachine.MostRevision:
+		faults = []spec.Fault{{Path: "forward.revision", Reason: "is higher than any revision may be"}}
 	}
 	return parsed, whole, faults
 }
--- a/process/daemon/apply.go
+++ b/process/daemon/apply.go
@@ -27,6 +27,8 @@
 	applyReach = 600 * time.Millisecond
 	// applyMargin is left for the answer's way back.
 	applyMargin = 60 * time.Millisecond
+	// mostDigest bounds the digest of a call that another daemon passes on.
+	mostDigest = 256
 	// applyAgain is how soon a leader is looked for again.
 	applyAgain = 50 * time.Millisecond
 )
@@ -128,7 +130,7 @@
 			return nil, garbage()
 		}
 	}
-	if call.Digest == "" || in.WithinMs <= 0 {
+	if call.Digest == "" || len(call.Digest) > mostDigest || in.WithinMs <= 0 {
 		return nil, garbage()
 	}
 	bounded, cancel := context.WithTimeout(ctx, min(time.Duration(in.WithinMs)*time.Millisecond, d.applyLimit))
@@ -137,7 +139,8 @@
 	return d.submitReply(answer, outcome)
 }
 
-// leadApply carries a call out as the leader. Whatever it answers but Unknown is proved by the state.
+// leadApply carries a call out as the leader. Whatever it answers but Unknown is proved by the state. An answer that
+// says Unknown is final all the same: no other leader could prove more.
 func (d *Daemon) leadApply(ctx context.Context, call operatorapi.Apply) (operatorapi.Applying, replica.Outcome) {
 	held := d.replica.Load()
 	if held == nil || !held.Condition().Leads {
@@ -147,7 +150,7 @@
 		return operatorapi.Applying{Outcome: operatorapi.Forbidden, Reason: "this fleet's bundles are reviewed and signed off; propose it instead"}, replica.Applied
 	}
 	var standing applying.Standing
-	if outcome := held.Read(ctx, func(state *statemachine.State) { standing = applying.Look(state, call.Digest) }); outcome != replica.Applied {
+	if outcome := held.Read(ctx, func(state *statemachine.State) { standing = applying.Look(state, call) }); outcome != replica.Applied {
 		return operatorapi.Applying{}, outcome
 	}
 	decision, inTime := d.decide(ctx, call, standing)
@@ -162,8 +165,11 @@
 		}
 		answer = applying.After(got.Result)
 	}
-	if answer.Outcome == operatorapi.Applied {
+	switch answer.Outcome {
+	case operatorapi.Applied:
 		d.awaitContacts(ctx, &answer)
+	case operatorapi.Unknown:
+		d.counters.ordersUnproven.Add(1)
 	}
 	return answer, replica.Applied
 }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -151,6 +151,8 @@
 	permitsUnasked, attemptCalls, attemptDoubts, attemptsMoved      atomic.Uint64
 	engineBeats, engineBeatsLate, leavesAcknowledged, leavesUnknown atomic.Uint64
 	memberTroubles, listenerTroubles                                atomic.Uint64
+	// ordersUnproven counts operators' calls whose fate the replicated state could not prove any more.
+	ordersUnproven atomic.Uint64
 }
 
 // Option sets one thing of a daemon.
--- a/process/recovery/recovery.go
+++ b/process/recovery/recovery.go
@@ -142,12 +142,10 @@
 		if parsed, _ := spec.Parse(proposal.Spec); parsed != nil && parsed.Forward != nil {
 			proposal.Revision = ident.Revision(parsed.Forward.Revision)
 		}
-		p.State.Revision = max(p.State.Revision+1, proposal.Revision)
 		if proposal.Spec == nil {
 			p.Lost = append(p.Lost, epoch)
 		}
-		p.State.Proposals[id] = proposal
-		p.State.History = append(p.State.History, id)
+		p.State.Recovered(proposal)
 	}
 	for _, proposal := range p.State.Proposals {
 		if proposal.Stage != statemachine.Rolled && proposal.Base < p.State.Epoch() {
--- a/process/recovery/recovery_test.go
+++ b/process/recovery/recovery_test.go
@@ -107,3 +107,16 @@
 		t.Error("a group that nobody remembers was recovered")
 	}
 }
+
+// TestOrdersOfALostMajorityAreNotRefused: which orders brought the bundles that only daemons remember is not known.
+func TestOrdersOfALostMajorityAreNotRefused(t *testing.T) {
+	plan, err := Make("g", survivor(t), []Witness{witness(t)}, wall)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for base := ident.Revision(0); base < plan.State.Revision; base++ {
+		if standing := plan.State.Standing("taken by the lost majority", base); standing != statemachine.OrderUnproven {
+			t.Errorf("an order on base %d of %d is %s", base, plan.State.Revision, standing)
+		}
+	}
+}
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -27,6 +27,8 @@
 	CompactEvery, Keep int
 	// CompactBytes and KeepBytes bound the same by size: a few large bundles weigh as much as all else.
 	CompactBytes, KeepBytes int
+	// Orders bounds what is remembered of operators' orders; all members must have the same.
+	Orders statemachine.Limits
 }
 
 // DefaultConfig gives the times of the design.
@@ -35,6 +37,7 @@
 		Timing: raft.Timing{Heartbeat: 2, Election: 16},
 		Tenure: 30 * time.Second, ClaimSpan: 4 * time.Second, ClaimGap: 3 * time.Second,
 		Voters: DefaultVoters, CompactEvery: 2000, Keep: 200, CompactBytes: 8 << 20, KeepBytes: 2 << 20,
+		Orders: statemachine.DefaultLimits(),
 	}
 }
 
@@ -106,7 +109,7 @@
 
 // NewCore makes a member from what its disk holds.
 func NewCore(config Config, member *raft.Core, snapshot []byte, now clock.Mark, wall func() time.Time) (*Core, error) {
-	state, err := statemachine.Restore(snapshot)
+	state, err := statemachine.Restore(snapshot, statemachine.WithLimits(config.Orders))
 	if err != nil {
 		return nil, err
 	}
@@ -238,7 +241,7 @@
 	}
 	specBefore, closuresBefore, leavesBefore := c.state.Epoch(), c.state.Closures.Epoch, c.state.Leaves
 	if effects.Install != nil {
-		state, err := statemachine.Restore(effects.Install.Data)
+		state, err := statemachine.Restore(effects.Install.Data, statemachine.WithLimits(c.config.Orders))
 		if err != nil {
 			panic("broken invariant: a snapshot from the leader cannot be read: " + err.Error())
 		}
--- a/process/replica/orders_test.go
+++ b/process/replica/orders_test.go
@@ -60,7 +60,7 @@
 				back(unknown)
 				return
 			}
-			standing := applying.Look(a.State, call.Digest)
+			standing := applying.Look(a.State, call)
 			// Working it out takes a while, in which anything may happen.
 			o.after(o.ms(1, 60), func() {
 				if to.life != life || !to.up || o.now < to.frozenUntil {
--- a/process/statemachine/apply_test.go
+++ b/process/statemachine/apply_test.go
@@ -180,11 +180,21 @@
 	if first, ok := state.At(1); !ok || first.Rolled == nil {
 		t.Error("nobody knows when the first bundle came")
 	}
-	for i := range 2 * keptRefused {
-		state.do(t, Command{Op: OpApply, Digest: fmt.Sprint("ahead", i), BaseRevision: 1 << 40, Revision: 1 << 41, Spec: []byte("x")})
+	known := 0
+	for i := range 2 * mostRefused {
+		r := state.do(t, Command{Op: OpApply, Digest: fmt.Sprint("ahead", i), BaseRevision: 1 << 40, Revision: 1 << 41, Spec: []byte("x")})
+		switch {
+		case r.Verdict == Conflict:
+			known++
+		case r.Verdict != Unproven || known < mostRefused:
+			t.Fatalf("order %d on a base to come: %+v", i, r)
+		}
+	}
+	if known != mostRefused || len(state.RefusedAhead) != mostRefused {
+		t.Errorf("%d were refused, and %d are known", known, len(state.RefusedAhead))
 	}
-	if len(state.Refused) != keptRefused {
-		t.Errorf("%d refused orders are known", len(state.Refused))
+	if len(state.History) > keptApplied {
+		t.Errorf("%d epochs are listed", len(state.History))
 	}
 }
 
--- /dev/null
+++ b/process/statemachine/bundles.go
@@ -0,0 +1,127 @@
+package statemachine
+
+import "github.com/cresspond/cresspond/process/ident"
+
+const (
+	// keptBundles is how many of the newest applied bundles are kept whole, keptBytes how much of them: the
+	// state goes whole to members who lag. The one in force is always kept.
+	keptBundles = 16
+	keptBytes   = 1 << 20
+)
+
+// Epoch is the spec epoch in force; zero before the first roll.
+func (s *State) Epoch() ident.Epoch { return s.Dropped + ident.Epoch(len(s.History)) }
+
+// InForce gives the proposal that is in force.
+func (s *State) InForce() (*Proposal, bool) { return s.At(s.Epoch()) }
+
+// At gives the proposal that was put in force with this epoch.
+func (s *State) At(epoch ident.Epoch) (*Proposal, bool) {
+	var id string
+	switch {
+	case epoch == 0 || epoch > s.Epoch():
+		return nil, false
+	case epoch <= s.Dropped:
+		id = s.Lasting[epoch]
+	default:
+		id = s.History[epoch-s.Dropped-1]
+	}
+	found := s.Proposals[id]
+	return found, found != nil
+}
+
+// putInForce is the one place where a bundle comes in force; all others on its base have lost.
+func (s *State) putInForce(p *Proposal, mark Mark) {
+	p.Stage, p.Epoch, p.Rolled = Rolled, s.Epoch()+1, &mark
+	s.History = append(s.History, p.ID)
+	// Each bundle raises the revision, also one that names none or an old one: so an order that builds on an
+	// earlier one can't pass over it unseen.
+	s.Revision = max(s.Revision+1, p.Revision)
+	for _, other := range s.Proposals {
+		if other.Base == p.Base && other.Stage != Rolled {
+			other.Stage = Lost
+		}
+	}
+	s.forgetRefused()
+	s.forgetWhole()
+	s.forgetEpochs()
+}
+
+// Recovered takes a bundle that living daemons hold into a history that was lost with its majority.
+func (s *State) Recovered(p *Proposal) {
+	s.Proposals[p.ID] = p
+	s.History = append(s.History, p.ID)
+	s.Revision = max(s.Revision+1, p.Revision)
+	// Which order brought this bundle is not known, so none on an earlier base can be refused for certain.
+	s.ProvenFrom = s.Revision
+}
+
+// forgetWhole bounds how many of the applied bundles are kept whole.
+func (s *State) forgetWhole() {
+	room, newest := keptBytes, s.Epoch()
+	for back := uint64(0); back <= keptBundles; back++ {
+		old, ok := s.At(epochBefore(newest, back))
+		if !ok || !old.Applied || len(old.Spec) == 0 {
+			continue
+		}
+		if room -= len(old.Spec); back > 0 && (room < 0 || back == keptBundles) {
+			old.Spec = nil
+		}
+	}
+}
+
+// forgetEpochs bounds how many epochs are remembered one by one.
+func (s *State) forgetEpochs() {
+	forgotten := false
+	for len(s.History) > s.limits.Taken {
+		forgotten = s.dropOldest() || forgotten
+	}
+	if forgotten {
+		s.raiseProvenFrom(0)
+	}
+}
+
+// dropOldest takes the oldest epoch out of the history; it says whether an order was forgotten with it.
+func (s *State) dropOldest() bool {
+	id := s.History[0]
+	s.History = s.History[1:]
+	s.Dropped++
+	old, known := s.Proposals[id]
+	// The first epoch tells when the group's first bundle came, so it stays.
+	if known && (!old.Applied || old.Epoch <= 1) {
+		if s.Lasting == nil {
+			s.Lasting = map[ident.Epoch]string{}
+		}
+		s.Lasting[s.Dropped] = id
+		return false
+	}
+	delete(s.Proposals, id)
+	return true
+}
+
+// raiseProvenFrom notes that orders were forgotten, and that all since a place in the history are remembered. Of
+// those forgotten each led to a revision at most as high as the base of the oldest one remembered.
+func (s *State) raiseProvenFrom(place int) {
+	for _, id := range s.History[place:] {
+		if oldest := s.Proposals[id]; oldest != nil && oldest.Applied {
+			s.ProvenFrom = max(s.ProvenFrom, oldest.Revision)
+			return
+		}
+	}
+	s.ProvenFrom = s.Revision
+}
+
+// adoptHistory brings the state of an earlier build, which noted nowhere what it had forgotten, to today's form.
+func (s *State) adoptHistory() {
+	for place := len(s.History) - 1; place >= 0 && s.ProvenFrom == 0; place-- {
+		if s.Proposals[s.History[place]] == nil {
+			s.raiseProvenFrom(place + 1)
+		}
+	}
+	s.forgetEpochs()
+}
+
+// epochBefore is the epoch that lies so far back; zero where there is none.
+func epochBefore(epoch ident.Epoch, back uint64) ident.Epoch {
+	return epoch - min(epoch, ident.Epoch(back))
+}
--- /dev/null
+++ b/process/statemachine/memory_test.go
@@ -0,0 +1,332 @@
+package statemachine
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// win applies order number i of a chain in which each builds on the one before: order i leads from revision i to i+1.
+func (s *State) win(t testing.TB, i int) Result {
+	t.Helper()
+	return s.do(t, Command{Op: OpApply, Digest: fmt.Sprint("d", i), BaseRevision: ident.Revision(i), Revision: ident.Revision(i + 1), Spec: []byte("x")})
+}
+
+// TestAnOldWinnerSentAgainIsNeverRefused sends every order of a long chain again at its end.
+func TestAnOldWinnerSentAgainIsNeverRefused(t *testing.T) {
+	const orders = 4096 + 300
+	state := New()
+	for i := range orders {
+		if r := state.win(t, i); r.Verdict != Done {
+			t.Fatal(i, r)
+		}
+	}
+	for i := range orders {
+		if r := state.win(t, i); r.Verdict == Conflict || r.Verdict == Malformed || r.Revision != orders {
+			t.Fatalf("order %d was taken, and sent again: %+v", i, r)
+		}
+	}
+}
+
+// TestARefusedOrderNeverWins refuses many orders on one base to come, and sends them all again once it has come.
+func TestARefusedOrderNeverWins(t *testing.T) {
+	state := New()
+	refused := map[string]bool{}
+	ahead := func(i int) Command {
+		return Command{Op: OpApply, Digest: fmt.Sprint("ahead", i), BaseRevision: 1, Revision: 2, Spec: []byte("x")}
+	}
+	for i := range 600 {
+		if r := state.do(t, ahead(i)); r.Verdict == Conflict {
+			refused[ahead(i).Digest] = true
+		}
+	}
+	if len(refused) == 0 {
+		t.Error("nothing was refused")
+	}
+	state.win(t, 0)
+	for i := range 600 {
+		if r := state.do(t, ahead(i)); r.Verdict == Done && refused[ahead(i).Digest] {
+			t.Fatalf("%s was refused and won", ahead(i).Digest)
+		}
+	}
+}
+
+// memoryModel is what an operator may rest on: what it was told of each order, for ever.
+type memoryModel struct {
+	taken, refused map[string]bool
+	// wonOn is who won each base.
+	wonOn map[ident.Revision]string
+}
+
+// judge notes one answer, and says what is wrong with it.
+func (m *memoryModel) judge(c Command, before ident.Revision, r Result) string {
+	switch r.Verdict {
+	case Done:
+		if m.refused[c.Digest] {
+			return "was refused and is taken"
+		}
+		if other, won := m.wonOn[c.BaseRevision]; won && other != c.Digest {
+			return "is taken on the base that " + other + " won"
+		}
+		if !m.taken[c.Digest] && c.BaseRevision != before {
+			return "is taken for the first time on a base that is not in force"
+		}
+		m.taken[c.Digest], m.wonOn[c.BaseRevision] = true, c.Digest
+	case Conflict:
+		if m.taken[c.Digest] {
+			return "was taken and is refused"
+		}
+		m.refused[c.Digest] = true
+	case Unproven:
+		if c.BaseRevision == before {
+			return "is on the base in force, and has no clear answer"
+		}
+	default:
+		return fmt.Sprintf("%+v", r)
+	}
+	return ""
+}
+
+// rememberingBreak names a way to break what is remembered of orders.
+type rememberingBreak string
+
+const (
+	rememberingSound rememberingBreak = ""
+	takenForgotten   rememberingBreak = "an order that is forgotten is refused"
+	refusedForgotten rememberingBreak = "a refusal is forgotten to make room"
+	refusedTooSoon   rememberingBreak = "a refusal is forgotten when its base comes in force"
+)
+
+// breakState does to a state what a broken rule would have done.
+func (b rememberingBreak) breakState(s *State) {
+	switch b {
+	case takenForgotten:
+		s.ProvenFrom = 0
+	case refusedForgotten:
+		s.RefusedAhead = s.RefusedAhead[max(0, len(s.RefusedAhead)-1):]
+	case refusedTooSoon:
+		kept := s.RefusedAhead[:0:0]
+		for _, o := range s.RefusedAhead {
+			if o.Base > s.Revision {
+				kept = append(kept, o)
+			}
+		}
+		s.RefusedAhead = kept
+	}
+}
+
+// playMemory sends orders of two operators, new ones and old ones again, to a state that remembers little, with
+// bundles that are signed off between them, and through snapshots.
+func playMemory(t *testing.T, seed uint64, broken rememberingBreak) (fault string, clear, unproven int) {
+	random := rand.New(rand.NewPCG(seed, 18))
+	tiny := Limits{Taken: 4, Refused: 3}
+	state := New(WithLimits(tiny))
+	model := memoryModel{taken: map[string]bool{}, refused: map[string]bool{}, wonOn: map[ident.Revision]string{}}
+	var sent []Command
+	for step := range 400 {
+		var c Command
+		if len(sent) > 0 && random.IntN(2) == 0 {
+			// The newest are sent again more often than the old ones.
+			c = sent[len(sent)-1-min(random.IntN(len(sent)), random.IntN(len(sent)))]
+		} else {
+			base := state.Revision
+			if random.IntN(3) == 0 {
+				base += ident.Revision(1 + random.IntN(4))
+			} else if random.IntN(5) == 0 {
+				base -= min(base, ident.Revision(random.IntN(12)))
+			}
+			c = Command{Op: OpApply, Digest: fmt.Sprint("d", step), BaseRevision: base, Revision: base + 1 + ident.Revision(random.IntN(3)), Operator: fmt.Sprint(step % 2), Spec: []byte("x")}
+			sent = append(sent, c)
+		}
+		before := state.Revision
+		sending := c
+		if c.BaseRevision > before && random.IntN(2) == 0 {
+			sending.Spec, sending.Revision = nil, 0
+		}
+		r := state.do(t, sending)
+		if fault := model.judge(c, before, r); fault != "" {
+			return fmt.Sprintf("step %d: %s on base %d, at revision %d, %s", step, c.Digest, c.BaseRevision, before, fault), clear, unproven
+		}
+		if r.Verdict == Unproven {
+			unproven++
+		} else {
+			clear++
+		}
+		if random.IntN(20) == 0 {
+			rollSigned(t, state, fmt.Sprint("signed", step))
+		}
+		if len(state.History) > tiny.Taken || len(state.RefusedAhead) > tiny.Refused {
+			return fmt.Sprintf("%d epochs and %d refusals are remembered", len(state.History), len(state.RefusedAhead)), clear, unproven
+		}
+		if random.IntN(8) == 0 {
+			restored, err := Restore(state.Snapshot(), WithLimits(tiny))
+			if err != nil || string(restored.Snapshot()) != string(state.Snapshot()) {
+				return fmt.Sprintf("step %d: a snapshot changed something: %v", step, err), clear, unproven
+			}
+			state = restored
+		}
+		broken.breakState(state)
+	}
+	return "", clear, unproven
+}
+
+// rollSigned puts a bundle in force by the four steps.
+func rollSigned(t *testing.T, state *State, id string) {
+	for _, c := range []Command{
+		{Op: OpPropose, ProposalID: id, Base: state.Epoch(), Operator: "ana", Spec: []byte{1}}, {Op: OpReview, ProposalID: id, Operator: "berta"},
+		{Op: OpSign, ProposalID: id, Operator: "chen"}, {Op: OpRoll, ProposalID: id, Operator: "ana"},
+	} {
+		if r := state.do(t, c); r.Verdict != Done {
+			t.Fatal(r)
+		}
+	}
+}
+
+// TestWhatIsForgottenHasNoClearAnswer holds the rule with bounds so small that forgetting is met all the time.
+func TestWhatIsForgottenHasNoClearAnswer(t *testing.T) {
+	clear, unproven := 0, 0
+	for seed := range uint64(100) {
+		fault, c, u := playMemory(t, seed, rememberingSound)
+		if fault != "" {
+			t.Errorf("seed %d: %s", seed, fault)
+		}
+		clear, unproven = clear+c, unproven+u
+	}
+	t.Logf("seeds 0 to 99: %d clear answers, %d without", clear, unproven)
+	if unproven == 0 {
+		t.Error("nothing was forgotten")
+	}
+}
+
+// TestTheMemoryCheckerBites breaks the rule on purpose.
+func TestTheMemoryCheckerBites(t *testing.T) {
+	for _, broken := range []rememberingBreak{takenForgotten, refusedForgotten, refusedTooSoon} {
+		t.Run(string(broken), func(t *testing.T) {
+			for seed := range uint64(300) {
+				if fault, _, _ := playMemory(t, seed, broken); fault != "" {
+					t.Logf("seed %d: %s", seed, fault)
+					return
+				}
+			}
+			t.Error("no seed caught it")
+		})
+	}
+}
+
+// TestTheFirstAndTheSignedStayKnown looks at what is left of epochs that were dropped.
+func TestTheFirstAndTheSignedStayKnown(t *testing.T) {
+	state := New(WithLimits(Limits{Taken: 4, Refused: 3}))
+	state.win(t, 0)
+	rollSigned(t, state, "signed")
+	for i := 2; i < 20; i++ {
+		state.win(t, i)
+	}
+	for epoch, want := range map[ident.Epoch]string{1: AppliedID("d0"), 2: "signed", 20: AppliedID("d19"), 17: AppliedID("d16")} {
+		if found, ok := state.At(epoch); !ok || found.ID != want || found.Epoch != epoch {
+			t.Errorf("epoch %d is %+v, want %s", epoch, found, want)
+		}
+	}
+	if _, ok := state.At(10); ok {
+		t.Error("epoch 10 is still known")
+	}
+	if state.Epoch() != 20 || len(state.History) != 4 || len(state.Proposals) != 6 {
+		t.Errorf("epoch %d, %d listed, %d known", state.Epoch(), len(state.History), len(state.Proposals))
+	}
+}
+
+// TestTheSnapshotStopsGrowing measures the snapshot after many orders and after many more.
+func TestTheSnapshotStopsGrowing(t *testing.T) {
+	state := New(WithLimits(Limits{Taken: 50, Refused: 3}))
+	size := map[int]int{}
+	for i := range 2001 {
+		// The same number of digits throughout.
+		base := ident.Revision(1000 + i)
+		if i == 0 {
+			base = 0
+		}
+		state.do(t, Command{Op: OpApply, Digest: fmt.Sprint("d", 1000+i), BaseRevision: base, Revision: ident.Revision(1001 + i), Spec: []byte("x")})
+		size[i] = len(state.Snapshot())
+	}
+	if state.Revision != 3001 || size[2000] > size[200]+200 {
+		t.Errorf("revision %d: %d bytes after 200 orders, %d after 2,000", state.Revision, size[200], size[2000])
+	}
+}
+
+// TestAStateOfAnEarlierBuildProvesNoMoreThanItKnows reads a snapshot whose oldest orders an earlier build forgot
+// without a note, and which lists refusals without their base.
+func TestAStateOfAnEarlierBuildProvesNoMoreThanItKnows(t *testing.T) {
+	state := New()
+	for i := range 30 {
+		state.win(t, i)
+	}
+	for i := 1; i < 10; i++ {
+		delete(state.Proposals, AppliedID(fmt.Sprint("d", i)))
+	}
+	var old map[string]json.RawMessage
+	if err := json.Unmarshal(state.Snapshot(), &old); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"dropped", "lasting", "provenFrom", "refusedAhead"} {
+		delete(old, name)
+	}
+	old["refused"] = json.RawMessage(`["ahead"]`)
+	data, err := json.Marshal(old)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, limits := range []Limits{DefaultLimits(), {Taken: 20, Refused: 3}, {Taken: 8, Refused: 3}} {
+		restored, err := Restore(data, WithLimits(limits))
+		if err != nil || restored.Epoch() != 30 || restored.Revision != 30 {
+			t.Fatalf("epoch %d, revision %d: %v", restored.Epoch(), restored.Revision, err)
+		}
+		for i := range 30 {
+			if r := restored.win(t, i); r.Verdict == Conflict {
+				t.Errorf("%+v: order %d was taken and is refused", limits, i)
+			}
+		}
+		if r := restored.win(t, 29); r.Verdict != Done {
+			t.Errorf("%+v: the newest order again: %+v", limits, r)
+		}
+		if r := restored.do(t, Command{Op: OpApply, Digest: "rival", BaseRevision: 29, Revision: 31, Spec: []byte("x")}); r.Verdict != Conflict {
+			t.Errorf("%+v: the newest order's rival: %+v", limits, r)
+		}
+		if r := restored.do(t, Command{Op: OpApply, Digest: "ahead", BaseRevision: 30, Revision: 31, Spec: []byte("x")}); r.Verdict != Conflict {
+			t.Errorf("%+v: an order that an earlier build refused: %+v", limits, r)
+		}
+	}
+}
+
+// TestAbsurdOrdersChangeNothing sends what no operator's call can be.
+func TestAbsurdOrdersChangeNothing(t *testing.T) {
+	state := New()
+	state.win(t, 0)
+	before := string(state.Snapshot())
+	for name, c := range map[string]Command{
+		"no digest":           {BaseRevision: 1, Revision: 2, Spec: []byte("x")},
+		"a digest too long":   {Digest: string(make([]byte, 300)), BaseRevision: 1, Revision: 2, Spec: []byte("x")},
+		"an absurd base":      {Digest: "a", BaseRevision: 1<<64 - 1, Revision: 2, Spec: []byte("x")},
+		"the same, no bundle": {Digest: "a", BaseRevision: MostRevision + 1},
+		"an absurd revision":  {Digest: "b", BaseRevision: 1, Revision: 1<<64 - 1, Spec: []byte("x")},
+	} {
+		c.Op = OpApply
+		if r := state.do(t, c); r.Verdict != Malformed || string(state.Snapshot()) != before {
+			t.Errorf("%s: %+v", name, r)
+		}
+	}
+	if r := state.do(t, Command{Op: OpPropose, ProposalID: "p", Base: 1, Operator: "ana", Revision: MostRevision + 1, Spec: []byte("x")}); r.Verdict != Malformed {
+		t.Errorf("a proposal with an absurd revision: %+v", r)
+	}
+	// At the highest revision nothing can follow, by neither way.
+	if r := state.do(t, Command{Op: OpApply, Digest: "last", BaseRevision: 1, Revision: MostRevision, Spec: []byte("x")}); r.Verdict != Done {
+		t.Fatal(r)
+	}
+	for _, c := range []Command{{Op: OpPropose, ProposalID: "q", Base: 2, Operator: "ana", Spec: []byte("x")}, {Op: OpReview, ProposalID: "q", Operator: "berta"}, {Op: OpSign, ProposalID: "q", Operator: "chen"}} {
+		state.do(t, c)
+	}
+	if r := state.do(t, Command{Op: OpRoll, ProposalID: "q", Operator: "ana"}); r.Verdict != Exhausted || state.Revision != MostRevision {
+		t.Errorf("a bundle after the last revision: %+v", r)
+	}
+}
--- a/process/statemachine/proposals.go
+++ b/process/statemachine/proposals.go
@@ -56,6 +56,9 @@
 	if c.Base != s.Epoch() {
 		return s.lostTo(c.Base)
 	}
+	if c.Revision > MostRevision {
+		return Result{Verdict: Malformed, Reason: "the revision is higher than any may be"}
+	}
 	made := &Proposal{ID: c.ProposalID, Base: c.Base, Stage: Proposed, Spec: c.Spec, Revision: c.Revision,
 		Proposed: Mark{Operator: c.Operator, At: s.Now, Note: c.Note}}
 	s.Proposals[c.ProposalID] = made
@@ -122,6 +125,8 @@
 		result := s.lostTo(proposal.Base)
 		result.Proposal = proposal.brief()
 		return result
+	case s.Revision >= MostRevision:
+		return Result{Verdict: Exhausted, Reason: "no revision is left", Proposal: proposal.brief()}
 	case proposal.Stage != Signed:
 		return Result{Verdict: Forbidden, Reason: "the bundle has not been signed off", Proposal: proposal.brief()}
 	}
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -22,6 +22,8 @@
 	Mismatch  Verdict = "mismatch"
 	Exhausted Verdict = "exhausted"
 	Malformed Verdict = "malformed"
+	// Unproven says that the state can't tell what became of the command's earlier copies; nothing was changed.
+	Unproven Verdict = "unproven"
 )
 
 // Result is what a command gives back.
@@ -44,13 +46,20 @@
 	Now       ident.GroupTime      `json:"now"`
 	Workers   *workerid.Table      `json:"workers"`
 	Proposals map[string]*Proposal `json:"proposals"`
-	// History lists the proposals in force, by epoch, from 1.
-	History []string `json:"history"`
+	// History lists the proposals in force by epoch, the newest last; it begins after the Dropped oldest ones.
+	History []string    `json:"history"`
+	Dropped ident.Epoch `json:"dropped,omitempty"`
+	// Lasting holds, of the dropped epochs, the proposals that stay known: the first, and all that were signed off.
+	Lasting map[ident.Epoch]string `json:"lasting,omitempty"`
 	// Revision is the operators' own number of the bundle in force: it rises with each bundle.
 	Revision ident.Revision `json:"revision,omitempty"`
-	// Refused lists the newest orders to apply a bundle that named a base above the revision in force.
-	Refused  []string `json:"refused,omitempty"`
-	Closures Closures `json:"closures"`
+	// ProvenFrom is the lowest base on which an order that is not remembered is proved never to have been taken.
+	ProvenFrom ident.Revision `json:"provenFrom,omitempty"`
+	// RefusedAhead lists the orders that were refused while their base was above the revision in force, until
+	// the revision in force has passed that base. Refused holds those that an earlier build wrote down without it.
+	RefusedAhead []RefusedOrder `json:"refusedAhead,omitempty"`
+	Refused      []string       `json:"refused,omitempty"`
+	Closures     Closures       `json:"closures"`
 	// Acts lists the newest closures and openings.
 	Acts  []ClosureAct `json:"acts,omitempty"`
 	Claim Claim        `json:"claim"`
@@ -60,16 +69,31 @@
 	// Left lists the engines that said they leave, the newest last; Leaves counts all there ever were.
 	Left   []Left `json:"left,omitempty"`
 	Leaves uint64 `json:"leaves,omitempty"`
+
+	limits Limits
+}
+
+// Option changes how a state is made.
+type Option func(*State)
+
+// WithLimits replaces how much is remembered of orders. All members of a group must have the same limits.
+func WithLimits(limits Limits) Option {
+	return func(s *State) { s.limits = limits }
 }
 
 // New makes the state before the first entry.
-func New() *State {
-	return &State{
+func New(options ...Option) *State {
+	s := &State{
 		Workers:   workerid.New(),
 		Proposals: map[string]*Proposal{},
 		Closures:  Closures{Zones: map[ident.ZoneID]ClosureMark{}, Engines: map[ident.EngineID]ClosureMark{}},
 		Serving:   map[ident.NodeID]Serving{},
+		limits:    DefaultLimits(),
+	}
+	for _, option := range options {
+		option(s)
 	}
+	return s
 }
 
 // Snapshot gives the form that is kept on disk and sent to members who lag.
@@ -82,8 +106,8 @@
 }
 
 // Restore reads a snapshot.
-func Restore(data []byte) (*State, error) {
-	s := New()
+func Restore(data []byte, options ...Option) (*State, error) {
+	s := New(options...)
 	if len(data) == 0 {
 		return s, nil
 	}
@@ -95,24 +119,10 @@
 		// Earlier builds counted no revisions, and each bundle that they put in force would have made one.
 		s.Revision = ident.Revision(s.Epoch())
 	}
+	s.adoptHistory()
 	return s, nil
 }
 
-// Epoch is the spec epoch in force; zero before the first roll.
-func (s *State) Epoch() ident.Epoch { return ident.Epoch(len(s.History)) }
-
-// InForce gives the proposal that is in force.
-func (s *State) InForce() (*Proposal, bool) { return s.At(s.Epoch()) }
-
-// At gives the proposal that was put in force with this epoch.
-func (s *State) At(epoch ident.Epoch) (*Proposal, bool) {
-	if epoch == 0 || int(epoch) > len(s.History) {
-		return nil, false
-	}
-	found := s.Proposals[s.History[epoch-1]]
-	return found, found != nil
-}
-
 // Apply takes one committed command.
 func (s *State) Apply(data []byte) Result {
 	var command Command
--- a/rehearsal/interleave/orders_test.go
+++ b/rehearsal/interleave/orders_test.go
@@ -64,10 +64,11 @@
 	bundle            string
 	digest            string
 	base              ident.Revision
+	order             statemachine.OrderStanding
 }
 
 func keyOf(standing applying.Standing, call operatorapi.Apply) standingKey {
-	key := standingKey{revision: standing.Revision, epoch: standing.Epoch, digest: call.Digest, base: call.Base}
+	key := standingKey{revision: standing.Revision, epoch: standing.Epoch, digest: call.Digest, base: call.Base, order: standing.Order}
 	if standing.Proposal != nil {
 		key.newest, key.bundle = standing.Proposal.ID, string(standing.Proposal.Spec)
 	}
@@ -111,7 +112,7 @@
 func carry(l *orderLog, known decisions, call operatorapi.Apply, broken string, out *operatorapi.Applying) func(func()) {
 	return func(yield func()) {
 		out.Outcome = operatorapi.Unknown
-		standing := applying.Look(l.state, call.Digest)
+		standing := applying.Look(l.state, call)
 		yield()
 		decision := known.of(standing, call)
 		switch {
