--- a/process/replica/simulation_test.go
+++ b/process/replica/simulation_test.go
@@ -86,6 +86,8 @@
 	size int
 	// diskTakes is how long each write takes beside the rest.
 	diskTakes time.Duration
+	// adjust changes the members' settings.
+	adjust func(*Config)
 }
 
 type simDisk struct {
@@ -140,8 +142,21 @@
 	return config
 }
 
+// config gives the settings of this group's members.
+func (s *sim) config() Config {
+	config := simConfig(s.size)
+	if s.adjust != nil {
+		s.adjust(&config)
+	}
+	return config
+}
+
 func newSim(t *testing.T, seed uint64, size int, broken brk) *sim {
-	s := &sim{t: t, random: rand.New(rand.NewPCG(seed, 99)), broken: broken, now: clock.Mark(time.Hour), cut: map[[2]int]bool{}, loss: 0.02, faults: true, calm: seed%2 == 1,
+	return newAdjustedSim(t, seed, size, broken, nil)
+}
+
+func newAdjustedSim(t *testing.T, seed uint64, size int, broken brk, adjust func(*Config)) *sim {
+	s := &sim{adjust: adjust, t: t, random: rand.New(rand.NewPCG(seed, 99)), broken: broken, now: clock.Mark(time.Hour), cut: map[[2]int]bool{}, loss: 0.02, faults: true, calm: seed%2 == 1,
 		size: size, leaderOf: map[raft.Term]raft.MemberID{}, applied: map[raft.Index]string{}, minted: map[ident.MintedID]string{}, asked: map[uint64]func(Answer){}}
 	var members raft.Membership
 	for i := range size {
@@ -166,8 +181,8 @@
 	n.up, n.queue, n.since, n.stalled, n.lastNow, n.beaten, n.joins = true, nil, nil, false, 0, 0, map[raft.MemberID]raft.Member{}
 	restored := n.disk.state
 	restored.Entries = slices.Clone(restored.Entries)
-	member := raft.New(n.id, simConfig(n.sim.size).Timing, restored, n.sim.random)
-	core, err := NewCore(simConfig(n.sim.size), member, restored.Snapshot.Data, n.sim.now, n.wall)
+	member := raft.New(n.id, n.sim.config().Timing, restored, n.sim.random)
+	core, err := NewCore(n.sim.config(), member, restored.Snapshot.Data, n.sim.now, n.wall)
 	if err != nil {
 		n.sim.t.Fatal(err)
 	}
@@ -181,7 +196,7 @@
 			return
 		}
 		if n.sim.now >= n.frozenUntil {
-			if late := n.sim.now.Since(n.beaten); n.beaten > 0 && late > simConfig(n.sim.size).Timing.Span(Tick) {
+			if late := n.sim.now.Since(n.beaten); n.beaten > 0 && late > n.sim.config().Timing.Span(Tick) {
 				n.carryOut(n.core.Step(n.sim.now, raft.StandDown{}))
 			}
 			n.beaten = n.sim.now
