Take an engine's early answer while its request is still being written

An engine may answer before it has read a long body and read on later. The write of head and body came before the reading of the answer, so such an answer was waited for until the write failed, and by then its deadline had passed too: a refusal was counted as lost.

Ruled out: reuse with a body due did not happen before either, since a failed write spoiled the connection. A change of protocol (101) counts as no answer now; other interim answers are passed over by the library. An attempt may allow an answer without an id where its connection carried no request before: at most one answer can be due there.

Test: 16 MiB bodies, refused, answered and foreign; a client that reuses the connection is the broken variant.

--- /dev/null
+++ b/connection/engineconn/early_test.go
@@ -0,0 +1,172 @@
+package engineconn
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/wire/dialect"
+)
+
+// earlyEngine answers each request when it has read its head, and reads on only when told to.
+type earlyEngine struct {
+	address string
+	readOn  chan struct{}
+	// due is, for each connection in order, what came behind its first head.
+	due chan []byte
+}
+
+func listenEarly(t *testing.T, answer func(id string) string) *earlyEngine {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	e := &earlyEngine{address: listener.Addr().String(), readOn: make(chan struct{}), due: make(chan []byte, 8)}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(conn, answer)
+		}
+	}()
+	return e
+}
+
+func (e *earlyEngine) serve(conn net.Conn, answer func(id string) string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	say(conn, answer(request.Header.Get("X-Attempt-Id")))
+	<-e.readOn
+	behind, _ := io.ReadAll(reader)
+	e.due <- behind
+}
+
+// strayBytes counts what is not of the body that is due.
+func strayBytes(behind []byte, filler byte) int {
+	return len(behind) - bytes.Count(behind, []byte{filler})
+}
+
+// largeBody passes all that connections take without being read.
+const largeBody = 16 << 20
+
+// TestAnEarlyAnswerIsTakenAndNothingElseComesWhereItsBodyIsDue: the engine answers before it has read a long body,
+// keeps the connection and reads on later. Its answer is not held up by that, and the next request goes elsewhere.
+func TestAnEarlyAnswerIsTakenAndNothingElseComesWhereItsBodyIsDue(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer func(id string) string
+		want   []Outcome
+	}{
+		"refused":  {func(id string) string { return refusal("503 Service Unavailable", id) }, []Outcome{Refused}},
+		"answered": {func(id string) string { return sealed(id, "pong") }, []Outcome{Answered}},
+		"foreign":  {func(string) string { return sealed("other", "pong") }, []Outcome{Lost, Junk}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHands()
+			pools := New(h, dialect.Own())
+			e := listenEarly(t, c.answer)
+			first := attempt(h, e.address, "a")
+			first.Body = bytes.Repeat([]byte{'x'}, largeBody)
+			// The engine reads on only once this has come back.
+			if outcome, _, err := carry(pools, first); !slices.Contains(c.want, outcome) || err != nil {
+				t.Fatal(outcome, err)
+			}
+			if busy, idle := pools.Open(); busy+idle != 0 {
+				t.Errorf("%d busy and %d idle connections are left with a body due", busy, idle)
+			}
+			carry(pools, attempt(h, e.address, "b"))
+			h.advance(time.Minute)
+			pools.Sweep(nil)
+			close(e.readOn)
+			for range 2 {
+				behind := <-e.due
+				// The second request has a short body of its own.
+				if stray := strayBytes(behind, 'x'); stray != 0 && string(behind) != "body" {
+					t.Errorf("%d bytes where the rest of a body was due", stray)
+				}
+				if len(behind) >= largeBody {
+					t.Error("the body fitted whole, so nothing was tried")
+				}
+			}
+		})
+	}
+}
+
+// TestTheCheckOfEarlyAnswersSeesAReusedConnection is the broken variant: a client that uses the connection again.
+func TestTheCheckOfEarlyAnswersSeesAReusedConnection(t *testing.T) {
+	e := listenEarly(t, func(id string) string { return refusal("503 Service Unavailable", id) })
+	conn, err := net.Dial("tcp", e.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	say(conn, fmt.Sprintf("POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nContent-Length: %d\r\n\r\n", 100))
+	say(conn, "xxxxxxxxxx")
+	if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+		t.Fatal(err)
+	}
+	say(conn, "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: b\r\nContent-Length: 0\r\n\r\n")
+	conn.Close()
+	close(e.readOn)
+	if strayBytes(<-e.due, 'x') == 0 {
+		t.Error("a request in place of a body was not seen")
+	}
+}
+
+// TestAnAnswerWithoutAnIDIsTakenOnAFreshConnectionOnly: on one that was used it may be a late answer to another.
+func TestAnAnswerWithoutAnIDIsTakenOnAFreshConnectionOnly(t *testing.T) {
+	unnamed := "HTTP/1.1 200 OK\r\nCresspond-Seal: s\r\nContent-Length: 4\r\n\r\npong"
+	h := newHands()
+	pools := New(h, dialect.Own())
+	e := listen(t, func(conn net.Conn, id string, _, number int) bool {
+		if id == "named" {
+			say(conn, sealed(id, "ping"))
+		} else {
+			say(conn, unnamed)
+		}
+		return true
+	})
+	for n, c := range []struct {
+		id    string
+		allow bool
+		want  Outcome
+		conns int
+	}{
+		{"a", false, Junk, 1}, {"b", true, Answered, 2}, {"c", true, Answered, 3}, {"named", true, Answered, 4}, {"d", true, Junk, 4}, {"e", true, Answered, 5},
+	} {
+		a := attempt(h, e.address, c.id)
+		a.AllowUnnamed = c.allow
+		outcome, _, err := carry(pools, a)
+		if _, conns := e.seen(); outcome != c.want || err != nil || conns != c.conns {
+			t.Errorf("%d: %s after %d connections, %v", n, outcome, conns, err)
+		}
+	}
+}
+
+// TestAnInterimAnswerIsNotTheAnswer: what 1xx announces is passed over, and a change of protocol is no answer at all.
+func TestAnInterimAnswerIsNotTheAnswer(t *testing.T) {
+	for status, want := range map[string]Outcome{"101 Switching Protocols": Junk, "102 Processing": Answered, "103 Early Hints": Answered, "199 Odd": Answered} {
+		h := newHands()
+		pools := New(h, dialect.Own())
+		e := listen(t, func(conn net.Conn, id string, _, _ int) bool {
+			say(conn, "HTTP/1.1 "+status+"\r\nX-Attempt-Id: "+id+"\r\n\r\n"+sealed(id, "pong"))
+			return true
+		})
+		outcome, body, err := carry(pools, attempt(h, e.address, "a"))
+		if outcome != want || outcome == Answered && (body != "pong" || err != nil) {
+			t.Errorf("%s: %s %q %v", status, outcome, body, err)
+		}
+	}
+}
--- a/connection/engineconn/engineconn.go
+++ b/connection/engineconn/engineconn.go
@@ -68,6 +68,9 @@
 	LastLook func() string
 	// Cancel ends the attempt from elsewhere by closing its connection.
 	Cancel *Cancel
+	// AllowUnnamed accepts an answer without an attempt id on a connection that no request was sent on before: it
+	// can answer no other request. That connection is not used again.
+	AllowUnnamed bool
 }
 
 // Cancel ends whatever a request has under way.
@@ -384,16 +387,17 @@
 	_ = one.SetDeadline(time.Now().Add(a.Until.Since(p.clock.Elapsed())))
 	a.Dress()
 	buffer := bytebufferpool.Get()
-	defer bytebufferpool.Put(buffer)
 	buffer.B = append(appendHead(buffer.B[:0], a.Head, len(a.Body)), a.Body...)
 	if reason := a.LastLook(); reason != "" {
+		bytebufferpool.Put(buffer)
 		// Nothing was said on it, so it is as good as before.
 		answer.giveBack()
 		return answer.end(HeldBack, reason)
 	}
-	sent, err := one.Write(buffer.B)
-	p.Counters.BytesSent.Add(uint64(sent))
-	if err != nil && sent == 0 {
+	first := !one.used
+	one.used = true
+	answer.sending = startSending(one, buffer)
+	if answer.sending.nothingLeft() {
 		// Not one byte was taken, which no engine can run.
 		answer.shut()
 		return answer.end(NeverSent, "the connection to the engine was broken")
@@ -404,11 +408,19 @@
 	for ; ; skipped++ {
 		if outcome, reason := answer.readHead(a.Head.IsHead()); outcome != Answered {
 			answer.shut()
+			answer.sending.wait()
+			if answer.sending.nothingLeft() {
+				return answer.end(NeverSent, "the connection to the engine was broken")
+			}
 			return answer.end(outcome, reason)
 		}
 		if answer.Head.Attempt == a.ID {
 			break
 		}
+		if answer.Head.Attempt == "" && a.AllowUnnamed && first && skipped == 0 {
+			answer.tainted = true
+			break
+		}
 		// Not a byte of another request's answer may go on. It may be one too many to an earlier request, with
 		// ours behind it; then it says itself whose it is and where it ends.
 		p.Counters.Foreign.Add(1)
@@ -424,10 +436,6 @@
 	if skipped > 0 {
 		_ = one.SetReadDeadline(time.Now().Add(a.Until.Since(p.clock.Elapsed())))
 	}
-	if err != nil {
-		// The request did not go out whole, so the connection can't be told to be at its end.
-		answer.tainted = true
-	}
 	if answer.Head.NotRun {
 		answer.drain()
 		if answer.Head.Misdirected {
@@ -452,6 +460,11 @@
 		a.pools.Counters.Junk.Add(1)
 		return Junk, "the engine sent what is no answer"
 	}
+	if a.response.StatusCode() < fasthttp.StatusOK {
+		// Interim answers were passed over, so it is a change of protocol, which nobody asked for.
+		a.pools.Counters.Junk.Add(1)
+		return Junk, "the engine changed the protocol"
+	}
 	a.Head = a.pools.dialect.ReadHead(&a.response.Header)
 	a.body = a.response.BodyStream()
 	a.measured = a.body == nil || a.response.Header.ContentLength() >= -1
@@ -478,6 +491,8 @@
 	failed                   error
 	// lost is why no head came.
 	lost error
+	// sending is the request on its way out; nil is none.
+	sending *sending
 }
 
 var errUnmeasured = errors.New("the body does not say where it ends")
@@ -524,7 +539,7 @@
 		a.release()
 		return
 	}
-	if a.whole && a.failed == nil && !a.tainted && !a.Head.Closes && a.link.reader.Buffered() == 0 {
+	if a.whole && a.failed == nil && !a.tainted && a.sending.complete() && !a.Head.Closes && a.link.reader.Buffered() == 0 {
 		a.link.keepFor, a.link.idleSince = a.Head.KeepFor, a.pools.clock.Elapsed()
 		a.giveBack()
 	} else {
--- a/connection/engineconn/link.go
+++ b/connection/engineconn/link.go
@@ -23,7 +23,9 @@
 	// connect is how long it took to come up, until that is told.
 	connect time.Duration
 	// keepFor is how long the engine said that it keeps it; zero is unsaid.
-	keepFor  time.Duration
+	keepFor time.Duration
+	// used says that a request was sent on it.
+	used     bool
 	counters *Counters
 }
 
