replica: compare digests of the state, and give up one that differs from a majority's

Nothing saw a member whose state was another than its log says: it led and served with it. Now each member sums up its state at the same indexes, a leader's heartbeat asks those peers that have not answered at its newest one, and a majority of voters decides. A member that differs is told, serves nothing more and gives up its state, one at a time; a leader that differs hands over and gives up itself. Without a majority nobody does; members of other builds or forms are not compared.

Ruled out: a sum over the log, which does not see what apply did.

Writes that are merged keep a later one's cuts (Save.Merge): the merge of before dropped TruncateFrom, and a random test catches it; no event of today makes such a pair.

--- /dev/null
+++ b/process/raft/save_test.go
@@ -0,0 +1,82 @@
+package raft_test
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+
+	"github.com/cresspond/cresspond/process/raft"
+)
+
+// written is what a disk holds after a write.
+func written(disk raft.Restored, save raft.Save) raft.Restored {
+	m := modelMember{disk: disk}
+	m.write(save)
+	return m.disk
+}
+
+// randomSave is a write as a core makes them: entries follow each other, and cuts come with a snapshot.
+func randomSave(random *rand.Rand, disk raft.Restored) raft.Save {
+	last := disk.Snapshot.Index
+	if n := len(disk.Entries); n > 0 {
+		last = max(last, disk.Entries[n-1].Index)
+	}
+	save := raft.Save{HardState: raft.HardState{Term: raft.Term(random.IntN(9))}}
+	first := last + 1
+	switch random.IntN(4) {
+	case 0:
+		save.Snapshot = &raft.Snapshot{Index: last + 5, Term: 9}
+		save.TruncateFrom, save.CompactTo = 1, last+5
+		first = last + 6
+	case 1:
+		if last > disk.Snapshot.Index {
+			first = disk.Snapshot.Index + 1 + raft.Index(random.IntN(int(last-disk.Snapshot.Index)))
+			save.TruncateFrom = first
+		}
+	case 2:
+		save.Snapshot = &raft.Snapshot{Index: last, Term: 8}
+		save.CompactTo = last - min(last, raft.Index(random.IntN(4)))
+	}
+	save.Entries = entries(raft.Term(1+random.IntN(9)), first, first+raft.Index(random.IntN(6))-1)
+	return save
+}
+
+// Two writes made one leave on disk what both leave, whatever cuts, entries and snapshots they hold.
+func TestMergedSaveWritesTheSame(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	caught := 0
+	for range 20000 {
+		disk := raft.Restored{Snapshot: raft.Snapshot{Index: 10}, Entries: entries(1, 8, 15)}
+		one := randomSave(random, disk)
+		after := written(disk, one)
+		two := randomSave(random, after)
+		want := written(after, two)
+		naive := one
+		naive.Entries = append(slices.Clone(one.Entries), two.Entries...)
+		naive.HardState = two.HardState
+		if two.Snapshot != nil {
+			naive.Snapshot, naive.CompactTo = two.Snapshot, two.CompactTo
+		}
+		merged := one
+		merged.Entries = slices.Clone(one.Entries)
+		merged.Merge(two)
+		if got := written(disk, merged); !sameDisk(got, want) {
+			t.Fatalf("%+v and %+v make %+v: %+v on disk instead of %+v", one, two, merged, got, want)
+		}
+		if got := written(disk, naive); !sameDisk(got, want) {
+			caught++
+		}
+	}
+	// The broken variant is the merge of before, which dropped a later write's cuts.
+	if caught == 0 {
+		t.Error("the merge of before was not caught")
+	}
+}
+
+func sameDisk(a, b raft.Restored) bool {
+	if len(a.Entries) == 0 && len(b.Entries) == 0 {
+		a.Entries, b.Entries = nil, nil
+	}
+	return reflect.DeepEqual(a, b)
+}
--- a/process/raft/types.go
+++ b/process/raft/types.go
@@ -227,6 +227,8 @@
 	NoticeSnapshotRefused
 	// NoticeMessageRefused says that a message can't be of a sound member, so that it changed nothing.
 	NoticeMessageRefused
+	// NoticeStateDiffers says that a peer's state, or the own one, is another than it should be.
+	NoticeStateDiffers
 )
 
 func (k NoticeKind) String() string {
@@ -239,6 +241,8 @@
 		return "snapshot refused"
 	case NoticeMessageRefused:
 		return "message refused"
+	case NoticeStateDiffers:
+		return "state differs"
 	}
 	return "unknown notice"
 }
--- a/process/replica/actor.go
+++ b/process/replica/actor.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/cresspond/cresspond/process/actor"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
@@ -47,6 +49,32 @@
 	Serving []ident.NodeID
 	// Claim is the planner's claim by the state applied so far.
 	Claim statemachine.Claim
+	// Applied is how far the state is, Digest its newest digest.
+	Applied raft.Index
+	Digest  raft.StateDigest
+	// Differing lists, at a leader, the members whose state differed from a majority's when last compared.
+	Differing []raft.MemberID
+}
+
+// Counters count what an operator may want to know of a member.
+type Counters struct {
+	SnapshotsSent, SnapshotsTaken, SnapshotsRefused, MessagesRefused, StatesDiffer atomic.Uint64
+}
+
+// of gives the counter of one kind of notice.
+func (c *Counters) of(kind raft.NoticeKind) *atomic.Uint64 {
+	switch kind {
+	case raft.NoticeSnapshotSent:
+		return &c.SnapshotsSent
+	case raft.NoticeSnapshotTaken:
+		return &c.SnapshotsTaken
+	case raft.NoticeSnapshotRefused:
+		return &c.SnapshotsRefused
+	case raft.NoticeStateDiffers:
+		return &c.StatesDiffer
+	default:
+		return &c.MessagesRefused
+	}
 }
 
 // Replica is the actor around a core.
@@ -58,6 +86,7 @@
 	links   Links
 	changed func(*statemachine.State)
 	turned  func(before, after Condition)
+	noticed func(raft.Notice)
 	fatal   func(error)
 	box     *actor.Mailbox[any]
 
@@ -65,6 +94,8 @@
 	condition atomic.Pointer[Condition]
 	// Refused counts batches of other groups, for other members, or before a group is known.
 	Refused atomic.Uint64
+	// Counters count notices, by their kinds.
+	Counters *Counters
 
 	refs    uint64
 	waiting map[uint64]func(Answer)
@@ -119,7 +150,17 @@
 	return func(r *Replica) { r.turned = turned }
 }
 
-// WithFatal is called when the disk failed; this member must then leave.
+// WithCounters has notices counted where they outlive this replica.
+func WithCounters(counters *Counters) Option {
+	return func(r *Replica) { r.Counters = counters }
+}
+
+// WithNoticed calls back, on the actor, with each notice for an operator.
+func WithNoticed(noticed func(raft.Notice)) Option {
+	return func(r *Replica) { r.noticed = noticed }
+}
+
+// WithFatal is called when the disk failed, or with a StateDiffersError; this member must then leave.
 func WithFatal(fatal func(error)) Option {
 	return func(r *Replica) { r.fatal = fatal }
 }
@@ -134,7 +175,7 @@
 	}
 	r := &Replica{
 		self: self, core: core, clock: c, disk: disk, links: links, group: group,
-		changed: func(*statemachine.State) {}, turned: func(_, _ Condition) {}, fatal: func(error) {},
+		changed: func(*statemachine.State) {}, turned: func(_, _ Condition) {}, noticed: func(raft.Notice) {}, Counters: &Counters{}, fatal: func(error) {},
 		box: actor.NewMailbox[any](1024), waiting: map[uint64]func(Answer){},
 		writes: make(chan write, 4096), joins: map[raft.MemberID]raft.Member{}, heardAt: map[raft.MemberID]string{},
 	}
@@ -256,6 +297,9 @@
 
 func (r *Replica) receive(now clock.Mark, e received) {
 	for _, message := range e.messages {
+		if r.failed {
+			return
+		}
 		if message.To != r.self.ID {
 			r.Refused.Add(1)
 			continue
@@ -276,7 +320,7 @@
 func (r *Replica) finishWrite(now clock.Mark, e written) {
 	r.outstanding = r.outstanding[1:]
 	if e.err != nil {
-		r.giveUp(now, e.err)
+		r.giveUp(now, eris.Wrap(e.err, "the disk failed"))
 		return
 	}
 	if r.stalled && len(r.outstanding) == 0 {
@@ -297,8 +341,9 @@
 	r.send(now, e.write.later)
 }
 
-// giveUp ends this member's part: what a failed write left behind is unknown, so nothing may be said that
-// rests on it. A leader names its heir first, so that the others need not wait for an election.
+// giveUp ends this member's part: what a failed write left behind is unknown, or the state is not what a majority
+// holds, so nothing may be said that rests on it. A leader hands over first, so that the others need not wait for an
+// election.
 func (r *Replica) giveUp(now clock.Mark, why error) {
 	if !r.failed {
 		effects := r.core.Step(now, raft.DiskStalled{Stalled: true})
@@ -339,8 +384,32 @@
 	}
 }
 
+// notice counts and passes on what an operator may want to know.
+func (r *Replica) notice(notices []raft.Notice) {
+	for _, notice := range notices {
+		r.Counters.of(notice.Kind).Add(1)
+		r.noticed(notice)
+	}
+}
+
+// abandon ends this member's part with a state that must not be served: whoever waits learns nothing from it.
+func (r *Replica) abandon(now clock.Mark, effects Effects) {
+	for _, answer := range effects.Answers {
+		if reply, ok := r.waiting[answer.Ref]; ok {
+			delete(r.waiting, answer.Ref)
+			reply(Answer{Ref: answer.Ref, Outcome: Unknown})
+		}
+	}
+	r.giveUp(now, effects.GiveUp)
+}
+
 func (r *Replica) carryOut(effects Effects) {
 	now := r.clock.Elapsed()
+	r.notice(effects.Notices)
+	if effects.GiveUp != nil {
+		r.abandon(now, effects)
+		return
+	}
 	switch {
 	case effects.Save != nil || len(effects.Later) > 0 && len(r.outstanding) > 0 && !r.stalled:
 		r.outstanding = append(r.outstanding, now)
@@ -388,6 +457,7 @@
 	condition := Condition{
 		Group: r.group, Role: core.Role(), Term: core.Term(), Leads: r.core.Leads(), Members: core.Membership(),
 		Commit: core.CommitIndex(), Stalled: r.stalled, Now: r.core.State().Now, FirstRollAgo: r.core.FirstRollAgo(r.clock.Elapsed()), Serving: r.core.State().ServingNow(), Claim: r.core.State().Claim,
+		Applied: r.core.applied, Digest: r.core.Digest(), Differing: r.core.Differing(),
 	}
 	condition.Leader, _ = condition.Members.Find(core.LeaderID())
 	before := r.condition.Swap(&condition)
@@ -398,5 +468,6 @@
 
 // otherThan says whether what an operator would want to know is different.
 func (c *Condition) otherThan(next Condition) bool {
-	return c.Leads != next.Leads || c.Stalled != next.Stalled || !slices.Equal(c.Members.Members, next.Members.Members)
+	return c.Leads != next.Leads || c.Stalled != next.Stalled || !slices.Equal(c.Members.Members, next.Members.Members) ||
+		!slices.Equal(c.Differing, next.Differing)
 }
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -27,6 +27,8 @@
 	CompactEvery, Keep int
 	// CompactBytes and KeepBytes bound the same by size: a few large bundles weigh as much as all else.
 	CompactBytes, KeepBytes int
+	// Build names what was built: only members of one build compare digests of their states.
+	Build string
 }
 
 // DefaultConfig gives the times of the design.
@@ -65,6 +67,10 @@
 	Answers []Answer
 	// Changed says that the spec in force, the closures or the engines that left are others than before.
 	Changed bool
+	// Notices tell what an operator may want to know.
+	Notices []raft.Notice
+	// GiveUp says why this member may serve its state no longer and must join anew; nil otherwise.
+	GiveUp error
 }
 
 type pending struct {
@@ -102,6 +108,10 @@
 	ledSince  clock.Mark
 	leads     bool
 	reclaimAt raft.Index
+
+	digests digests
+	// checked is the state read from the snapshot that is being installed.
+	checked *statemachine.State
 }
 
 // NewCore makes a member from what its disk holds.
@@ -110,13 +120,29 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Core{config: config, raft: member, state: state, applied: member.SnapshotIndex(), timeMark: now, began: now, restored: member.LastIndex(), wall: wall,
-		pending: map[raft.Index]pending{}, reads: map[uint64]raft.Index{}, heard: map[raft.MemberID]clock.Mark{}, leaving: map[raft.MemberID]clock.Mark{}}, nil
+	c := &Core{config: config, raft: member, state: state, applied: member.SnapshotIndex(), timeMark: now, began: now, restored: member.LastIndex(), wall: wall,
+		pending: map[raft.Index]pending{}, reads: map[uint64]raft.Index{}, heard: map[raft.MemberID]clock.Mark{}, leaving: map[raft.MemberID]clock.Mark{},
+		digests: newDigests(statemachine.Form(config.Build))}
+	member.CheckSnapshots(c.checkSnapshot)
+	return c, nil
 }
 
 // Raft gives the agreement core, for looking only.
 func (c *Core) Raft() *raft.Core { return c.raft }
 
+// checkSnapshot reads a leader's snapshot before it takes the place of this member's state.
+func (c *Core) checkSnapshot(snapshot raft.Snapshot) error {
+	state, err := statemachine.Restore(snapshot.Data)
+	c.checked = state
+	return err
+}
+
+// Digest is the newest digest of this member's state; Differing lists whose differed, as far as a leader knows.
+func (c *Core) Digest() raft.StateDigest { return c.digests.newest() }
+
+// Differing lists the members whose state differed from a majority's when this leader last compared them.
+func (c *Core) Differing() []raft.MemberID { return slices.Clone(c.digests.differing) }
+
 // State gives the replicated state, for looking only.
 func (c *Core) State() *statemachine.State { return c.state }
 
@@ -158,17 +184,17 @@
 	}
 	effects := c.raft.Step(raft.Propose{Data: data})
 	if effects.Proposed == 0 {
-		out := c.digest(now, effects)
+		out := c.carry(now, effects)
 		out.Answers = append(out.Answers, Answer{Ref: ref, Outcome: NotLeader})
 		return out
 	}
 	c.pending[effects.Proposed] = pending{ref: ref, term: effects.ProposedTerm}
-	return c.digest(now, effects)
+	return c.carry(now, effects)
 }
 
 // Read asks for a linearizable look at the state.
 func (c *Core) Read(now clock.Mark, ref uint64) Effects {
-	return c.digest(now, c.raft.Step(raft.Read{Ref: ref}))
+	return c.carry(now, c.raft.Step(raft.Read{Ref: ref}))
 }
 
 // Step passes an event on to the agreement core.
@@ -177,7 +203,10 @@
 		c.heard[received.Message.From] = now
 	}
 	effects := c.raft.Step(event)
-	out := c.digest(now, effects)
+	out := c.carry(now, effects)
+	if received, ok := event.(raft.Receive); ok {
+		c.compareDigests(received.Message, &out)
+	}
 	if _, beat := event.(raft.Tick); beat {
 		c.reclaim(now, &out)
 	}
@@ -212,37 +241,35 @@
 }
 
 func (e *Effects) merge(more Effects) {
-	if more.Save != nil {
-		if e.Save == nil {
-			e.Save = more.Save
-		} else {
-			e.Save.HardState = more.Save.HardState
-			e.Save.Entries = append(e.Save.Entries, more.Save.Entries...)
-			if more.Save.Snapshot != nil {
-				e.Save.Snapshot, e.Save.CompactTo = more.Save.Snapshot, more.Save.CompactTo
-			}
-		}
+	switch {
+	case more.Save == nil:
+	case e.Save == nil:
+		e.Save = more.Save
+	default:
+		e.Save.Merge(*more.Save)
 	}
 	e.Later = append(e.Later, more.Later...)
 	e.Now = append(e.Now, more.Now...)
 	e.Answers = append(e.Answers, more.Answers...)
 	e.Changed = e.Changed || more.Changed
+	e.Notices = append(e.Notices, more.Notices...)
+	if e.GiveUp == nil {
+		e.GiveUp = more.GiveUp
+	}
 }
 
-// digest applies what was committed and turns raft effects into the replica's.
-func (c *Core) digest(now clock.Mark, effects raft.Effects) Effects {
-	out := Effects{Save: effects.Save, Later: effects.Later, Now: effects.Now}
+// carry applies what was committed and turns raft effects into the replica's.
+func (c *Core) carry(now clock.Mark, effects raft.Effects) Effects {
+	out := Effects{Save: effects.Save, Later: effects.Later, Now: effects.Now, Notices: effects.Notices}
 	if effects.Save != nil && effects.Save.TruncateFrom > 0 && effects.Save.TruncateFrom <= c.restored {
 		// What takes the place of entries found on disk may have been stamped at any time since.
 		c.restored = effects.Save.TruncateFrom - 1
 	}
 	specBefore, closuresBefore, leavesBefore := c.state.Epoch(), c.state.Closures.Epoch, c.state.Leaves
 	if effects.Install != nil {
-		state, err := statemachine.Restore(effects.Install.Data)
-		if err != nil {
-			panic("broken invariant: a snapshot from the leader cannot be read: " + err.Error())
-		}
-		c.state, c.applied, c.timeMark = state, effects.Install.Index, now
+		// It was read by checkSnapshot before the log was given up for it.
+		c.state, c.applied, c.timeMark, c.checked = c.checked, effects.Install.Index, now, nil
+		c.digests.forget()
 		c.sinceCompact, c.sizes, c.bytes = 0, c.sizes[:0], 0
 	}
 	for _, entry := range effects.Committed {
@@ -262,15 +289,63 @@
 		}
 	}
 	c.noteLeading(now, &out)
+	c.askForDigests(now, out.Now)
 	out.Changed = c.state.Epoch() != specBefore || c.state.Closures.Epoch != closuresBefore || c.state.Leaves != leavesBefore
 	if c.sinceCompact >= c.config.CompactEvery || c.config.CompactBytes > 0 && c.bytes >= c.config.CompactBytes {
 		keep := c.keep()
 		c.sinceCompact, c.sizes, c.bytes = 0, c.sizes[:0], 0
-		out.merge(c.digest(now, c.raft.Step(raft.Compact{Index: c.applied, Data: c.state.Snapshot(), Keep: keep})))
+		out.merge(c.carry(now, c.raft.Step(raft.Compact{Index: c.applied, Data: c.state.Snapshot(), Keep: keep})))
 	}
 	return out
 }
 
+// askForDigests has a leader's heartbeats carry the digest that its peers are asked to compare.
+func (c *Core) askForDigests(now clock.Mark, messages []raft.Message) {
+	if !c.leads {
+		return
+	}
+	c.digests.begin(now, c.raft.ID(), c.raft.Membership())
+	for place := range messages {
+		if messages[place].Kind == raft.MsgHeartbeat {
+			messages[place].StateDigest = c.digests.ask(messages[place].To, c.raft.Membership())
+		}
+	}
+}
+
+// compareDigests takes the digest that came with a message: a leader's question, or a peer's answer.
+func (c *Core) compareDigests(message raft.Message, out *Effects) {
+	switch {
+	case message.StateDigest == nil || message.Term != c.raft.Term():
+	case message.Kind == raft.MsgHeartbeat && c.raft.LeaderID() == message.From:
+		c.answerDigest(message, out)
+	case message.Kind == raft.MsgHeartbeatReply && c.leads:
+		found := c.digests.take(c.raft.ID(), message.From, *message.StateDigest, c.raft.Membership())
+		if found.differs {
+			out.Notices = append(out.Notices, raft.Notice{Kind: raft.NoticeStateDiffers, Peer: message.From, Index: message.StateDigest.Index})
+		}
+		c.giveUp(found.self, out)
+	}
+}
+
+func (c *Core) answerDigest(message raft.Message, out *Effects) {
+	answer, err := c.digests.answer(*message.StateDigest)
+	c.giveUp(err, out)
+	for place := range out.Now {
+		if reply := &out.Now[place]; reply.Kind == raft.MsgHeartbeatReply && reply.To == message.From {
+			reply.StateDigest = answer
+		}
+	}
+}
+
+// giveUp says that this member's state is not what a majority holds.
+func (c *Core) giveUp(why error, out *Effects) {
+	if why == nil {
+		return
+	}
+	out.GiveUp = why
+	out.Notices = append(out.Notices, raft.Notice{Kind: raft.NoticeStateDiffers, Peer: c.raft.ID(), Index: c.applied, Err: why})
+}
+
 // keep is how many entries stay before a snapshot.
 func (c *Core) keep() int {
 	if c.config.KeepBytes == 0 {
@@ -303,6 +378,10 @@
 			c.timeMark = now
 		}
 	}
+	if c.digests.due(entry.Index) {
+		digest := c.state.Digest()
+		c.digests.keep(entry.Index, digest.Sum, digest.Bytes)
+	}
 	waiting, ok := c.pending[entry.Index]
 	if !ok {
 		return
@@ -329,6 +408,7 @@
 		return
 	}
 	c.leads = leads
+	c.digests.stop()
 	if leads {
 		c.ledSince, c.reclaimAt = now, 0
 		return
--- a/process/replica/simulation_test.go
+++ b/process/replica/simulation_test.go
@@ -86,6 +86,14 @@
 	size int
 	// diskTakes is how long each write takes beside the rest.
 	diskTakes time.Duration
+	// notices counts what members noticed, compared the digests that peers answered with, gaveUp who gave up its state.
+	notices  map[raft.NoticeKind]int
+	compared int
+	gaveUp   []raft.MemberID
+	// mayGiveUp says that some state was made to differ.
+	mayGiveUp bool
+	// config is the group's, tables how many rows each member's state begins with.
+	config Config
 }
 
 type simDisk struct {
@@ -142,7 +150,7 @@
 
 func newSim(t *testing.T, seed uint64, size int, broken brk) *sim {
 	s := &sim{t: t, random: rand.New(rand.NewPCG(seed, 99)), broken: broken, now: clock.Mark(time.Hour), cut: map[[2]int]bool{}, loss: 0.02, faults: true, calm: seed%2 == 1,
-		size: size, leaderOf: map[raft.Term]raft.MemberID{}, applied: map[raft.Index]string{}, minted: map[ident.MintedID]string{}, asked: map[uint64]func(Answer){}}
+		size: size, leaderOf: map[raft.Term]raft.MemberID{}, applied: map[raft.Index]string{}, minted: map[ident.MintedID]string{}, asked: map[uint64]func(Answer){}, notices: map[raft.NoticeKind]int{}, config: simConfig(size)}
 	var members raft.Membership
 	for i := range size {
 		members.Members = append(members.Members, raft.Member{ID: raft.MemberID(i + 1), Name: fmt.Sprint("core-", i), Address: fmt.Sprint(i), Voter: true})
@@ -166,8 +174,8 @@
 	n.up, n.queue, n.since, n.stalled, n.lastNow, n.beaten, n.joins = true, nil, nil, false, 0, 0, map[raft.MemberID]raft.Member{}
 	restored := n.disk.state
 	restored.Entries = slices.Clone(restored.Entries)
-	member := raft.New(n.id, simConfig(n.sim.size).Timing, restored, n.sim.random)
-	core, err := NewCore(simConfig(n.sim.size), member, restored.Snapshot.Data, n.sim.now, n.wall)
+	member := raft.New(n.id, n.sim.config.Timing, restored, n.sim.random)
+	core, err := NewCore(n.sim.config, member, restored.Snapshot.Data, n.sim.now, n.wall)
 	if err != nil {
 		n.sim.t.Fatal(err)
 	}
@@ -181,7 +189,7 @@
 			return
 		}
 		if n.sim.now >= n.frozenUntil {
-			if late := n.sim.now.Since(n.beaten); n.beaten > 0 && late > simConfig(n.sim.size).Timing.Span(Tick) {
+			if late := n.sim.now.Since(n.beaten); n.beaten > 0 && late > n.sim.config.Timing.Span(Tick) {
 				n.carryOut(n.core.Step(n.sim.now, raft.StandDown{}))
 			}
 			n.beaten = n.sim.now
@@ -315,6 +323,13 @@
 		}
 		s.leaderOf[term] = n.id
 	}
+	for _, notice := range effects.Notices {
+		s.notices[notice.Kind]++
+	}
+	if effects.GiveUp != nil {
+		n.giveUpState(effects.GiveUp)
+		return
+	}
 	n.checkApplied()
 	switch {
 	case effects.Save != nil || len(effects.Later) > 0 && len(n.queue) > 0 && !n.stalled:
@@ -344,6 +359,19 @@
 	n.send(effects.Now)
 }
 
+// giveUpState does what the daemon does: it hands over, sets its files aside and comes back as another member.
+func (n *simNode) giveUpState(why error) {
+	s := n.sim
+	if !s.mayGiveUp {
+		s.fault("member %d gave up a sound state: %v", n.id, why)
+	}
+	s.gaveUp = append(s.gaveUp, n.id)
+	n.send(n.core.Step(s.now, raft.DiskStalled{Stalled: true}).Now)
+	n.crash()
+	n.empty()
+	s.after(s.ms(200, 500), n.revive)
+}
+
 func (n *simNode) writeNext(life int) {
 	s := n.sim
 	wait := s.diskTakes + s.ms(1, 8)
@@ -397,6 +425,9 @@
 func (n *simNode) send(messages []raft.Message) {
 	s := n.sim
 	for _, m := range messages {
+		if m.Kind == raft.MsgHeartbeatReply && m.StateDigest != nil {
+			s.compared++
+		}
 		if m.To == n.id {
 			n.carryOut(n.core.Step(s.now, raft.Receive{Message: m}))
 			continue
@@ -798,6 +829,7 @@
 		seeds = wanted
 	}
 	mints, acks, reads, crashes, wipes, replaced, losses := 0, 0, 0, 0, 0, 0, 0
+	compared, notices := 0, map[raft.NoticeKind]int{}
 	for seed := range seeds {
 		size := []int{3, 3, 1, 5, 3, 1}[seed%6]
 		s := newSim(t, seed, size, sound)
@@ -807,6 +839,14 @@
 		}
 		mints, acks, reads, crashes = mints+s.mints, acks+s.acks, reads+s.reads, crashes+s.crashes
 		wipes, replaced, losses = wipes+s.wipes, replaced+s.replaced, losses+s.losses
+		compared += s.compared
+		for kind, count := range s.notices {
+			notices[kind] += count
+		}
+	}
+	t.Logf("%d digests compared, notices: %v", compared, notices)
+	if compared == 0 || notices[raft.NoticeSnapshotTaken] == 0 || notices[raft.NoticeStateDiffers] > 0 || notices[raft.NoticeMessageRefused] > 0 {
+		t.Errorf("%d digests were compared; notices: %v", compared, notices)
 	}
 	t.Logf("seeds 0 to %d: %d ids minted, %d closures acknowledged, %d reads checked, %d crashes, %d wiped disks, %d machines replaced, %d times the most at once", seeds-1, mints, acks, reads, crashes, wipes, replaced, losses)
 }
