--- a/cmd/cresspond/main.go
+++ b/cmd/cresspond/main.go
@@ -378,6 +378,11 @@
 			votes = "does not vote yet"
 		}
 		fmt.Printf("%s in term %d, %s, committed to %d, %d members\n", status.Raft.Role, status.Raft.Term, votes, status.Raft.Commit, len(status.Raft.Members))
+		for _, member := range status.Raft.Members {
+			if member.Differs {
+				fmt.Printf("the state of %s differs from a majority's\n", member.Name)
+			}
+		}
 	}
 	if status.Planner != nil && status.Planner.Held {
 		fmt.Printf("plans under claim %d, %d orders under way\n", status.Planner.Claim, status.Planner.InFlight)
--- a/process/config/config.go
+++ b/process/config/config.go
@@ -59,6 +59,8 @@
 	// Voters is how many machines of the control group are to vote: three stand losing one, five two. It must be
 	// the same on all that serve control.
 	Voters int `json:"voters" validate:"oneof=1 3 5 7"`
+	// Compaction says when the control group's log is cut.
+	Compaction Compaction `json:"compaction"`
 	// DrainMs is how long a stopping daemon may take to finish what it has read.
 	DrainMs int64 `json:"drainMs" validate:"gte=0,lte=600000"`
 	// OneStep lets an operator alone put a bundle in force in one step, without review and sign-off. It must
@@ -95,6 +97,17 @@
 	WaitOnTrouble Trouble = "wait"
 )
 
+// Compaction says when a control daemon replaces its log by a snapshot of the state. It may differ between daemons.
+type Compaction struct {
+	// Entries is how many entries are applied between two snapshots, Keep how many stay in the log before one, for
+	// members that lag a little: they get entries instead of the whole state.
+	Entries int `json:"entries" validate:"omitempty,gte=10,lte=100000"`
+	Keep    int `json:"keep" validate:"omitempty,gte=0,ltfield=Entries"`
+}
+
+// DefaultCompaction cuts the log rarely: a snapshot is as long as the state, and entries are short.
+func DefaultCompaction() Compaction { return Compaction{Entries: 2000, Keep: 200} }
+
 // Machine is what this daemon may use of its machine; zero is unknown.
 type Machine struct {
 	MemoryMb int64   `json:"memoryMb,omitempty" validate:"gte=0"`
@@ -155,7 +168,7 @@
 
 // Default gives the settings that need not be said.
 func Default() Config {
-	return Config{Voters: 3, DrainMs: 30000, Log: "info", Attempts: FleetAttempts, Trouble: EndOnTrouble, Bounds: DefaultBounds(), Ranking: ranking.DefaultSettings()}
+	return Config{Voters: 3, Compaction: DefaultCompaction(), DrainMs: 30000, Log: "info", Attempts: FleetAttempts, Trouble: EndOnTrouble, Bounds: DefaultBounds(), Ranking: ranking.DefaultSettings()}
 }
 
 // Serves says whether the daemon has a role.
@@ -250,6 +263,7 @@
 		reason := map[string]string{
 			"required": "is missing", "ipport": "must be an IP number and a port", "unique": "holds something twice",
 			"required_if_control": "is needed to serve control",
+			"ltfield":             "must be below entries",
 		}[one.Tag()]
 		if reason == "" {
 			reason = strings.TrimSuffix(fmt.Sprintf("must satisfy %s=%s", one.Tag(), one.Param()), "=")
--- a/process/config/config_test.go
+++ b/process/config/config_test.go
@@ -45,6 +45,21 @@
 	}
 }
 
+func TestCompactionIsChecked(t *testing.T) {
+	with := func(compaction string) (Config, []Fault) {
+		c, faults := Read(write(t, strings.Replace(sound, `"serve"`, `"compaction":`+compaction+`,"serve"`, 1)))
+		return c, append(faults, c.Check("f")...)
+	}
+	if c, faults := with(`{"entries":25,"keep":3}`); len(faults) > 0 || c.Compaction != (Compaction{Entries: 25, Keep: 3}) {
+		t.Errorf("%+v %v", c.Compaction, faults)
+	}
+	for _, wrong := range []string{`{"entries":9}`, `{"entries":1000000}`, `{"entries":25,"keep":25}`, `{"entries":-1}`, `{"keep":-1}`, `{"entrys":25}`} {
+		if _, faults := with(wrong); len(faults) == 0 {
+			t.Errorf("%s was taken", wrong)
+		}
+	}
+}
+
 func TestFilesThatCannotBeReadAreToldPlainly(t *testing.T) {
 	for name, text := range map[string]string{
 		"unknown field": strings.Replace(sound, "zone", "zoen", 1), "wrong type": strings.Replace(sound, `"a"`, `5`, 1),
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -151,6 +151,8 @@
 	permitsUnasked, attemptCalls, attemptDoubts, attemptsMoved      atomic.Uint64
 	engineBeats, engineBeatsLate, leavesAcknowledged, leavesUnknown atomic.Uint64
 	memberTroubles, listenerTroubles                                atomic.Uint64
+	// group counts what this daemon's members of the control group noticed, over all their lives.
+	group replica.Counters
 }
 
 // Option sets one thing of a daemon.
@@ -193,7 +195,10 @@
 		applying: make(chan struct{}, 1), applyLimit: applyLimit, applyReach: applyReach,
 		fleetWants: map[ident.NodeID]*wants.Heard{}, home: seats.NewHome(), aroundDisk: func(disk replica.Disk) replica.Disk { return disk }, stallLimit: stallLimit, runOver: runOver,
 	}
-	d.replicaConfig.Voters = c.Voters
+	d.replicaConfig.Voters, d.replicaConfig.Build = c.Voters, version
+	if c.Compaction.Entries > 0 {
+		d.replicaConfig.CompactEvery, d.replicaConfig.Keep = c.Compaction.Entries, c.Compaction.Keep
+	}
 	d.log = logger.WithField("node", string(d.nodeID))
 	for _, option := range options {
 		option(d)
--- a/process/daemon/member.go
+++ b/process/daemon/member.go
@@ -27,6 +27,10 @@
 	mostRetry  = time.Second
 	// damageLooks is how often a folder must look damaged before its files are set aside: they cannot come back.
 	damageLooks = 2
+	// firstDifferPause and mostDifferPause bound the pause before this daemon joins once more after its state differed
+	// more than once: something is wrong with this machine or build, and joining over and over would not mend it.
+	firstDifferPause = 10 * time.Second
+	mostDifferPause  = 10 * time.Minute
 	// joinEvery is how often a member that does not vote yet asks to be taken in.
 	joinEvery = 250 * time.Millisecond
 	// letGoLimit is how long a stopping daemon waits for its disk.
@@ -74,6 +78,7 @@
 // steps aside, tries again with growing pauses, and joins as a new member if its files are damaged.
 func (d *Daemon) runMember(ctx context.Context, opened *store.Store) {
 	pause, looks := firstRetry, 0
+	differed := differPauses{}
 	for probe := false; ; probe = true {
 		began := d.clock.Elapsed()
 		err := d.runMemberLife(ctx, opened, probe)
@@ -92,6 +97,13 @@
 		}
 		line := d.log.WithError(err)
 		switch {
+		case errors.As(err, new(*replica.StateDiffersError)):
+			if err := store.SetAside(d.config.Data); err != nil {
+				d.log.WithError(err).Warn("the state that differs cannot be set aside yet")
+				break
+			}
+			pause = max(pause, differed.next())
+			line.WithField("pause", pause.String()).Warn("gave up a state that differs from what a majority holds; joining as a new member")
 		case errors.As(err, new(superseded)), store.IsDamage(err):
 			if looks++; looks < damageLooks {
 				line.Warn("the data folder looks damaged")
@@ -119,6 +131,15 @@
 	}
 }
 
+// differPauses are the pauses before joining anew with another state: none at first, then longer and longer.
+type differPauses struct{ pause time.Duration }
+
+func (p *differPauses) next() time.Duration {
+	now := p.pause
+	p.pause = min(max(firstDifferPause, 2*p.pause), mostDifferPause)
+	return now
+}
+
 // runMemberLife opens the folder, finds the group and runs this member of it until trouble comes.
 func (d *Daemon) runMemberLife(ctx context.Context, opened *store.Store, probe bool) error {
 	if opened == nil {
@@ -165,7 +186,7 @@
 		group = ""
 	}
 	made, err := replica.New(self, group, restored, d.replicaConfig, d.clock, d.aroundDisk(life.store), d.links,
-		replica.WithChanged(d.stateChanged), replica.WithTurned(d.groupTurned), replica.WithFatal(func(err error) { life.end(eris.Wrap(err, "the disk failed")) }))
+		replica.WithChanged(d.stateChanged), replica.WithTurned(d.groupTurned), replica.WithCounters(&d.counters.group), replica.WithNoticed(d.groupNotices()), replica.WithFatal(life.end))
 	if err != nil {
 		return eris.Wrap(err, "the data folder cannot be read")
 	}
@@ -188,6 +209,9 @@
 	case after.Stalled != before.Stalled:
 		line.WithField("stalled", after.Stalled).Info("the disk holds this member up, or does no more")
 	}
+	if after.Leads && len(after.Differing) > 0 && !slices.Equal(before.Differing, after.Differing) {
+		line.WithField("members", after.Differing).Warn("the states of these members differ from a majority's")
+	}
 	if after.Leads && !slices.Equal(before.Members.Members, after.Members.Members) {
 		var voters, learners []string
 		for _, member := range after.Members.Members {
@@ -201,6 +225,29 @@
 	}
 }
 
+// groupNotices writes down what members of the group noticed of each other. A snapshot that is refused again and
+// again is one line.
+func (d *Daemon) groupNotices() func(raft.Notice) {
+	var refused raft.Notice
+	return func(notice raft.Notice) {
+		line := d.log.WithFields(log.Fields{"peer": uint64(notice.Peer), "index": uint64(notice.Index), "bytes": notice.Bytes})
+		switch notice.Kind {
+		case raft.NoticeSnapshotSent, raft.NoticeSnapshotTaken:
+			line.Info(notice.Kind.String())
+		case raft.NoticeSnapshotRefused:
+			if notice.Peer != refused.Peer || notice.Index != refused.Index {
+				line.WithError(notice.Err).Warn(notice.Kind.String())
+			}
+			refused = notice
+		case raft.NoticeStateDiffers:
+			// A leader's view of its peers is written down where it changes.
+			if notice.Err != nil {
+				line.WithError(notice.Err).Warn(notice.Kind.String())
+			}
+		}
+	}
+}
+
 // seeds are the addresses at which the fleet may be found: those that were told, and the members of the group
 // as this machine's disk remembers them, since the told ones may be gone.
 func (d *Daemon) seeds() []string {
--- a/process/daemon/pages.go
+++ b/process/daemon/pages.go
@@ -10,6 +10,7 @@
 
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/raft"
 	"github.com/cresspond/cresspond/process/rollout"
 	"github.com/cresspond/cresspond/process/statemachine"
 	"github.com/cresspond/cresspond/wire/operatorapi"
@@ -36,13 +37,15 @@
 	}
 	if held := d.replica.Load(); held != nil {
 		condition := held.Condition()
-		out.Raft = &operatorapi.RaftStatus{Role: condition.Role.String(), Term: uint64(condition.Term), Commit: uint64(condition.Commit), Stalled: condition.Stalled}
+		out.Raft = &operatorapi.RaftStatus{Role: condition.Role.String(), Term: uint64(condition.Term), Commit: uint64(condition.Commit), Stalled: condition.Stalled,
+			Applied: uint64(condition.Applied), StateDigest: digestText(condition.Digest)}
 		if folder := d.held(); folder != nil {
 			self, _ := condition.Members.Find(folder.Member)
 			out.Raft.Voter = self.Voter
 		}
 		for _, member := range condition.Members.Members {
-			out.Raft.Members = append(out.Raft.Members, operatorapi.RaftMember{Name: member.Name, Address: member.Address, Voter: member.Voter})
+			out.Raft.Members = append(out.Raft.Members, operatorapi.RaftMember{Name: member.Name, Address: member.Address, Voter: member.Voter,
+				Differs: slices.Contains(condition.Differing, member.ID)})
 		}
 	}
 	if d.config.Serves(config.Place) {
@@ -65,6 +68,14 @@
 	return out
 }
 
+// digestText shows a digest of the state so that two members' can be compared by eye; empty before the first.
+func digestText(digest raft.StateDigest) string {
+	if digest.Index == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d:%016x", digest.Index, digest.Sum)
+}
+
 // Counters lists this daemon's counters, a line each.
 func (d *Daemon) Counters() string {
 	var out strings.Builder
@@ -92,6 +103,11 @@
 	if held := d.replica.Load(); held != nil {
 		say("raft_refused", held.Refused.Load())
 	}
+	say("raft_malformed", c.group.MessagesRefused.Load())
+	say("snapshots_sent", c.group.SnapshotsSent.Load())
+	say("snapshots_taken", c.group.SnapshotsTaken.Load())
+	say("snapshots_refused", c.group.SnapshotsRefused.Load())
+	say("states_differ", c.group.StatesDiffer.Load())
 	say("offers_refused", d.keeper.Refused.Load())
 	w := &d.watcher.Counters
 	say("engine_reports_failed", w.FailedReports.Load())
--- a/wire/operatorapi/operatorapi.go
+++ b/wire/operatorapi/operatorapi.go
@@ -139,6 +139,9 @@
 	// Voter says whether this very data folder votes; one at the address of a lost one does not at first.
 	Voter   bool         `json:"voter"`
 	Members []RaftMember `json:"members"`
+	// Applied is how far the state is, StateDigest its newest digest and where in the log that was made.
+	Applied     uint64 `json:"applied"`
+	StateDigest string `json:"stateDigest,omitempty"`
 }
 
 // RaftMember is one member of the group.
@@ -146,6 +149,8 @@
 	Name    string `json:"name"`
 	Address string `json:"address"`
 	Voter   bool   `json:"voter"`
+	// Differs is a leader's word that this member's state is another than a majority's.
+	Differs bool `json:"differs,omitempty"`
 }
 
 // PlannerStatus is where the planner stands.
