--- /dev/null
+++ b/process/replica/actor_test.go
@@ -0,0 +1,124 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/raft"
+	"github.com/cresspond/cresspond/process/statemachine"
+)
+
+type stillClock struct{}
+
+func (stillClock) Elapsed() clock.Mark { return clock.Mark(time.Hour) }
+func (stillClock) Wall() time.Time     { return time.UnixMilli(1790000000000) }
+
+// sentMessages is links that remember.
+type sentMessages struct{ all []raft.Message }
+
+func (s *sentMessages) Send(_ ident.GroupID, _ raft.Member, messages []raft.Message) {
+	s.all = append(s.all, messages...)
+}
+
+type noDisk struct{}
+
+func (noDisk) Write(ident.GroupID, raft.Save) error { return nil }
+
+func follower(t *testing.T, links Links, options ...Option) *Replica {
+	t.Helper()
+	members := raft.Membership{Members: []raft.Member{{ID: 1, Voter: true}, {ID: 2, Voter: true}, {ID: 3, Voter: true}}}
+	restored := raft.Restored{HardState: raft.HardState{Term: 2}, Snapshot: raft.Snapshot{Index: 10, Term: 1, Membership: members, Data: statemachine.New().Snapshot()}}
+	made, err := New(members.Members[0], "group", restored, DefaultConfig(), stillClock{}, noDisk{}, links, options...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return made
+}
+
+func (r *Replica) told(messages ...raft.Message) {
+	for place := range messages {
+		messages[place].From, messages[place].To = 2, 1
+	}
+	r.take(received{group: "group", address: "127.0.0.1:2", messages: messages})
+}
+
+// A member that is told that a majority holds another state ends its part: nothing that follows is answered by it.
+func TestMemberThatIsToldThatItDiffersServesNothingMore(t *testing.T) {
+	var fatal error
+	var noticed []raft.Notice
+	links := &sentMessages{}
+	r := follower(t, links, WithFatal(func(err error) { fatal = err }), WithNoticed(func(n raft.Notice) { noticed = append(noticed, n) }))
+	r.core.digests.keep(10, 7, 0)
+	asks := raft.Message{Kind: raft.MsgHeartbeat, Term: 2, Commit: 10, StateDigest: &raft.StateDigest{Index: 10, Form: r.core.digests.form, Sum: 8}}
+	r.told(asks)
+	if len(links.all) != 1 || links.all[0].StateDigest == nil || links.all[0].StateDigest.Sum != 7 {
+		t.Fatalf("the question was answered by %+v", links.all)
+	}
+	if fatal != nil {
+		t.Fatalf("a question alone ended it: %v", fatal)
+	}
+	// Another form, an index that was not summed up and an equal sum end nothing.
+	for _, change := range []func(*raft.StateDigest){
+		func(d *raft.StateDigest) { d.Form++ }, func(d *raft.StateDigest) { d.Index-- }, func(d *raft.StateDigest) { d.Sum = 7 },
+	} {
+		told := *asks.StateDigest
+		told.Differs = true
+		change(&told)
+		r.told(raft.Message{Kind: raft.MsgHeartbeat, Term: 2, Commit: 10, StateDigest: &told})
+	}
+	if fatal != nil {
+		t.Fatalf("it gave up a state that may be sound: %v", fatal)
+	}
+	told := *asks.StateDigest
+	told.Differs = true
+	before := len(links.all)
+	r.told(raft.Message{Kind: raft.MsgHeartbeat, Term: 2, Commit: 10, StateDigest: &told}, raft.Message{Kind: raft.MsgHeartbeat, Term: 2, Commit: 10})
+	if !errors.As(fatal, new(*StateDiffersError)) || len(noticed) != 1 || r.Counters.StatesDiffer.Load() != 1 {
+		t.Errorf("%v, noticed %+v", fatal, noticed)
+	}
+	if len(links.all) != before {
+		t.Errorf("it went on: %+v", links.all[before:])
+	}
+}
+
+// Malformed messages and unreadable snapshots are counted, and the member goes on.
+func TestBadInputIsCountedAndTheMemberGoesOn(t *testing.T) {
+	links := &sentMessages{}
+	r := follower(t, links)
+	members := r.core.raft.Membership()
+	for _, junk := range []string{"", "{", "[]", `{"workers":null}`, `{"proposals":{"p":null}}`} {
+		r.told(raft.Message{Kind: raft.MsgSnapshot, Term: 2, Size: uint64(len(junk)), Snapshot: &raft.Snapshot{Index: 50, Term: 2, Membership: members, Data: []byte(junk)}})
+	}
+	r.told(raft.Message{Kind: raft.MsgAppend, Term: 2, LogIndex: 10, LogTerm: 1, Entries: []raft.Entry{{Term: 2, Index: 12}}})
+	if r.Counters.SnapshotsRefused.Load() != 5 || r.Counters.MessagesRefused.Load() != 1 {
+		t.Errorf("%d snapshots and %d messages refused", r.Counters.SnapshotsRefused.Load(), r.Counters.MessagesRefused.Load())
+	}
+	state := statemachine.New()
+	state.Revision = 5
+	whole := state.Snapshot()
+	r.told(raft.Message{Kind: raft.MsgSnapshot, Term: 2, Size: uint64(len(whole)), Snapshot: &raft.Snapshot{Index: 50, Term: 2, Membership: members, Data: whole}})
+	if r.core.State().Revision != 5 || r.Counters.SnapshotsTaken.Load() != 1 {
+		t.Errorf("a sound one was not taken after that: revision %d", r.core.State().Revision)
+	}
+}
+
+// A disk that failed ends the member's part as before.
+func TestFailedWriteEndsTheMember(t *testing.T) {
+	var fatal error
+	r := follower(t, &sentMessages{}, WithFatal(func(err error) { fatal = err }))
+	r.outstanding = append(r.outstanding, r.clock.Elapsed())
+	broken := errors.New("no space")
+	r.take(written{err: broken})
+	if !errors.Is(fatal, broken) {
+		t.Errorf("%v", fatal)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if answer := r.Submit(ctx, statemachine.Command{}); answer.Outcome == Applied {
+		t.Error("it answers")
+	}
+}
