--- a/process/store/store.go
+++ b/process/store/store.go
@@ -365,7 +365,38 @@
 		}
 		out.Entries = append(out.Entries, raft.Entry{Term: raft.Term(entryTerm), Index: raft.Index(entryIndex), Kind: raft.EntryKind(kind), Data: entryData})
 	}
-	return out, eris.Wrap(rows.Err(), "the log cannot be read")
+	if err := rows.Err(); err != nil {
+		return out, eris.Wrap(err, "the log cannot be read")
+	}
+	return out, checkLog(out)
+}
+
+// checkLog makes sure that snapshot and entries are one history: the log goes on where the snapshot ends, and holds
+// nothing that a member can't read.
+func checkLog(found raft.Restored) error {
+	if len(found.Entries) == 0 {
+		return nil
+	}
+	first, last := found.Entries[0], found.Entries[len(found.Entries)-1]
+	if first.Index > found.Snapshot.Index+1 {
+		return damaged("the log has a hole between the snapshot at %d and entry %d", found.Snapshot.Index, first.Index)
+	}
+	if last.Index < found.Snapshot.Index {
+		return damaged("the log ends at %d, before the snapshot at %d", last.Index, found.Snapshot.Index)
+	}
+	for _, entry := range found.Entries {
+		if entry.Kind != raft.EntryMembership {
+			continue
+		}
+		membership, err := raft.DecodeMembership(entry.Data)
+		if err == nil {
+			err = membership.Validate()
+		}
+		if err != nil {
+			return damaged("the membership at %d cannot be read: %v", entry.Index, err)
+		}
+	}
+	return nil
 }
 
 // Write puts one save on disk, whole or not at all, and returns when it is synced.
@@ -375,38 +406,55 @@
 		return eris.Wrap(err, "a write cannot begin")
 	}
 	defer tx.Rollback()
-	if err := put(tx, "group", []byte(group)); err != nil {
-		return err
-	}
-	if err := putNumber(tx, "term", uint64(save.HardState.Term)); err != nil {
-		return err
+	for _, step := range stepsOf(group, save) {
+		if err := step(tx); err != nil {
+			return err
+		}
 	}
-	if err := putNumber(tx, "vote", uint64(save.HardState.Vote)); err != nil {
-		return err
+	return eris.Wrap(tx.Commit(), "a write cannot be synced")
+}
+
+// writeStep is one statement of a write. All of a write are one transaction: a power loss between two leaves what was
+// before the first.
+type writeStep func(tx *sql.Tx) error
+
+// stepsOf lists the statements of a write in their order.
+func stepsOf(group ident.GroupID, save raft.Save) []writeStep {
+	steps := []writeStep{
+		func(tx *sql.Tx) error { return put(tx, "group", []byte(group)) },
+		func(tx *sql.Tx) error { return putNumber(tx, "term", uint64(save.HardState.Term)) },
+		func(tx *sql.Tx) error { return putNumber(tx, "vote", uint64(save.HardState.Vote)) },
 	}
 	if save.Snapshot != nil {
-		_, err := tx.Exec("INSERT OR REPLACE INTO snapshot (one, idx, term, membership, data, sum) VALUES (1, ?, ?, ?, ?, ?)",
-			uint64(save.Snapshot.Index), uint64(save.Snapshot.Term), save.Snapshot.Membership.Encode(), save.Snapshot.Data,
-			sumOf(uint64(save.Snapshot.Index), uint64(save.Snapshot.Term), save.Snapshot.Membership.Encode(), save.Snapshot.Data))
-		if err != nil {
-			return eris.Wrap(err, "the snapshot cannot be written")
-		}
+		steps = append(steps, func(tx *sql.Tx) error { return putSnapshot(tx, *save.Snapshot) })
 	}
 	if save.CompactTo > 0 {
-		if _, err := tx.Exec("DELETE FROM log WHERE idx <= ?", uint64(save.CompactTo)); err != nil {
+		steps = append(steps, func(tx *sql.Tx) error {
+			_, err := tx.Exec("DELETE FROM log WHERE idx <= ?", uint64(save.CompactTo))
 			return eris.Wrap(err, "the log cannot be shortened")
-		}
+		})
 	}
 	if save.TruncateFrom > 0 {
-		if _, err := tx.Exec("DELETE FROM log WHERE idx >= ?", uint64(save.TruncateFrom)); err != nil {
+		steps = append(steps, func(tx *sql.Tx) error {
+			_, err := tx.Exec("DELETE FROM log WHERE idx >= ?", uint64(save.TruncateFrom))
 			return eris.Wrap(err, "the log cannot be cut")
-		}
+		})
 	}
 	for _, entry := range save.Entries {
-		if _, err := tx.Exec("INSERT INTO log (idx, term, kind, data, sum) VALUES (?, ?, ?, ?, ?)",
-			uint64(entry.Index), uint64(entry.Term), uint8(entry.Kind), entry.Data, sumOf(uint64(entry.Index), uint64(entry.Term), uint8(entry.Kind), entry.Data)); err != nil {
-			return eris.Wrap(err, "the log cannot be written")
-		}
+		steps = append(steps, func(tx *sql.Tx) error { return putEntry(tx, entry) })
 	}
-	return eris.Wrap(tx.Commit(), "a write cannot be synced")
+	return steps
+}
+
+func putSnapshot(tx *sql.Tx, snapshot raft.Snapshot) error {
+	index, term, membership := uint64(snapshot.Index), uint64(snapshot.Term), snapshot.Membership.Encode()
+	_, err := tx.Exec("INSERT OR REPLACE INTO snapshot (one, idx, term, membership, data, sum) VALUES (1, ?, ?, ?, ?, ?)",
+		index, term, membership, snapshot.Data, sumOf(index, term, membership, snapshot.Data))
+	return eris.Wrap(err, "the snapshot cannot be written")
+}
+
+func putEntry(tx *sql.Tx, entry raft.Entry) error {
+	index, term, kind := uint64(entry.Index), uint64(entry.Term), uint8(entry.Kind)
+	_, err := tx.Exec("INSERT INTO log (idx, term, kind, data, sum) VALUES (?, ?, ?, ?, ?)", index, term, kind, entry.Data, sumOf(index, term, kind, entry.Data))
+	return eris.Wrap(err, "the log cannot be written")
 }
