--- a/process/replica/simulation_test.go
+++ b/process/replica/simulation_test.go
@@ -92,8 +92,10 @@
 	gaveUp   []raft.MemberID
 	// mayGiveUp says that some state was made to differ.
 	mayGiveUp bool
-	// config is the group's, tables how many rows each member's state begins with.
+	// config is the group's.
 	config Config
+	// damage changes snapshots on their way, while there is trouble.
+	damage func(*raft.Message)
 }
 
 type simDisk struct {
@@ -149,8 +151,13 @@
 }
 
 func newSim(t *testing.T, seed uint64, size int, broken brk) *sim {
+	return newSimWith(t, seed, simConfig(size), broken)
+}
+
+func newSimWith(t *testing.T, seed uint64, config Config, broken brk) *sim {
+	size := config.Voters
 	s := &sim{t: t, random: rand.New(rand.NewPCG(seed, 99)), broken: broken, now: clock.Mark(time.Hour), cut: map[[2]int]bool{}, loss: 0.02, faults: true, calm: seed%2 == 1,
-		size: size, leaderOf: map[raft.Term]raft.MemberID{}, applied: map[raft.Index]string{}, minted: map[ident.MintedID]string{}, asked: map[uint64]func(Answer){}, notices: map[raft.NoticeKind]int{}, config: simConfig(size)}
+		size: size, leaderOf: map[raft.Term]raft.MemberID{}, applied: map[raft.Index]string{}, minted: map[ident.MintedID]string{}, asked: map[uint64]func(Answer){}, notices: map[raft.NoticeKind]int{}, config: config}
 	var members raft.Membership
 	for i := range size {
 		members.Members = append(members.Members, raft.Member{ID: raft.MemberID(i + 1), Name: fmt.Sprint("core-", i), Address: fmt.Sprint(i), Voter: true})
@@ -436,6 +443,9 @@
 		if to == nil || s.cut[[2]int{n.place, to.place}] || s.random.Float64() < s.loss {
 			continue
 		}
+		if m.Snapshot != nil && s.damage != nil {
+			s.damage(&m)
+		}
 		copies := 1
 		if s.faults && s.random.IntN(50) == 0 {
 			copies = 2
@@ -777,7 +787,7 @@
 
 // heal ends all trouble.
 func (s *sim) heal() {
-	s.faults, s.loss = false, 0
+	s.faults, s.loss, s.damage = false, 0, nil
 	clear(s.cut)
 	for _, n := range s.nodes {
 		n.frozenUntil, n.stallUntil = 0, 0
