--- a/process/raft/parts_test.go
+++ b/process/raft/parts_test.go
@@ -174,3 +174,20 @@
 	}
 	t.Error("not sent again")
 }
+
+// A peer that is away is sent no snapshot, however long that takes; once it answers it is.
+func TestPeerThatIsAwayIsSentNoSnapshot(t *testing.T) {
+	core := leading(t, largeState)
+	lags(core, true)
+	sent := 0
+	for range 400 {
+		sent += len(snapshotsOf(core.Step(raft.Tick{})))
+		core.Step(raft.Receive{Message: raft.Message{Kind: raft.MsgHeartbeatReply, From: leader, To: self, Term: core.Term(), TakesParts: true}})
+	}
+	if sent > 2 {
+		t.Errorf("%d parts were sent to a peer that says nothing", sent)
+	}
+	if again := snapshotsOf(lags(core, true)); len(again) != 1 {
+		t.Errorf("%d parts are sent once it is back", len(again))
+	}
+}
--- a/process/raft/replication.go
+++ b/process/raft/replication.go
@@ -9,6 +9,8 @@
 	match, next Index
 	// heard says that the member answered since the last quorum check.
 	heard bool
+	// silent counts the quorum checks since the member last answered.
+	silent int
 	// probing sends one append at a time until the logs are known to meet.
 	probing bool
 	// takesParts says that the member takes snapshots in parts.
@@ -17,6 +19,9 @@
 	sending *outgoing
 }
 
+// spoke notes that the member answered.
+func (p *progress) spoke(m Message) { p.heard, p.silent, p.takesParts = true, 0, m.TakesParts }
+
 // mostEntriesPerAppend and mostBytesPerAppend bound one message: a heartbeat waits behind it.
 const (
 	mostEntriesPerAppend = 256
@@ -60,6 +65,7 @@
 		for _, peer := range c.peers {
 			if !peer.heard {
 				// Nothing is kept for one that says nothing; it tells how much it holds when it is back.
+				peer.silent++
 				peer.sending = nil
 			}
 			peer.heard = false
@@ -226,7 +232,7 @@
 	if c.role != Leader || peer == nil {
 		return
 	}
-	peer.heard, peer.takesParts = true, m.TakesParts
+	peer.spoke(m)
 	if m.Reject {
 		// Fall back to where the logs may meet, never before what is known to agree.
 		peer.probing = true
@@ -261,7 +267,7 @@
 	if c.role != Leader || peer == nil {
 		return
 	}
-	peer.heard, peer.takesParts = true, m.TakesParts
+	peer.spoke(m)
 	// Appends may have been lost on the way; a heartbeat's answer is the time to look again.
 	if peer.match < c.log.last() {
 		peer.next = peer.match + 1
--- a/process/raft/snapshot.go
+++ b/process/raft/snapshot.go
@@ -50,7 +50,8 @@
 
 // sendSnapshot sends the next part of a snapshot to a peer that lacks what is gone from the log.
 func (c *Core) sendSnapshot(id MemberID, peer *progress) {
-	if c.log.snapshot.Index == 0 {
+	if c.log.snapshot.Index == 0 || peer.silent > 0 {
+		// One that says nothing is asked by heartbeats alone.
 		return
 	}
 	if peer.sending == nil || !c.log.continuesAt(peer.sending.snapshot.Index) {
@@ -81,7 +82,7 @@
 	if c.role != Leader || peer == nil {
 		return
 	}
-	peer.heard, peer.takesParts = true, true
+	peer.spoke(m)
 	sending := peer.sending
 	if sending == nil || sending.snapshot.Index != m.LogIndex || sending.snapshot.Term != m.LogTerm {
 		return
@@ -169,7 +170,7 @@
 	if c.incoming.isOf(m) {
 		held = uint64(len(c.incoming.data))
 	}
-	c.now(Message{Kind: MsgSnapshotReply, To: m.From, LogIndex: m.Snapshot.Index, LogTerm: m.Snapshot.Term, Offset: held, Reject: refused})
+	c.now(Message{Kind: MsgSnapshotReply, To: m.From, LogIndex: m.Snapshot.Index, LogTerm: m.Snapshot.Term, Offset: held, Reject: refused, TakesParts: true})
 }
 
 // verify says why a whole snapshot can't be used.
--- a/process/replica/simulation_test.go
+++ b/process/replica/simulation_test.go
@@ -126,6 +126,8 @@
 	beaten      clock.Mark
 	// gone machines never come back.
 	gone bool
+	// written is told of each write that reached the disk.
+	written func(raft.Save)
 }
 
 func (s *sim) after(d time.Duration, run func()) {
@@ -393,6 +395,9 @@
 		n.queue, n.since = n.queue[1:], n.since[1:]
 		if done.save != nil {
 			n.disk.write(*done.save, s.broken)
+			if n.written != nil {
+				n.written(*done.save)
+			}
 		}
 		if len(n.queue) > 0 {
 			n.writeNext(life)
@@ -517,6 +522,9 @@
 	n.life++
 	if len(n.queue) > 0 && n.queue[0].save != nil && n.sim.random.IntN(2) == 0 {
 		n.disk.write(*n.queue[0].save, n.sim.broken)
+		if n.written != nil {
+			n.written(*n.queue[0].save)
+		}
 	}
 }
 
