--- a/process/replica/simulation_test.go
+++ b/process/replica/simulation_test.go
@@ -94,6 +94,11 @@
 	mayGiveUp bool
 	// config is the group's.
 	config Config
+	// link, where it is set, is how many bytes a second go from one machine to another, one message after the other;
+	// busyUntil says until when each way is taken. wholeSnapshots has members say that they take no parts.
+	link           int
+	busyUntil      map[[2]int]clock.Mark
+	wholeSnapshots bool
 	// damage changes snapshots on their way, while there is trouble.
 	damage func(*raft.Message)
 }
@@ -451,6 +456,9 @@
 		if m.Snapshot != nil && s.damage != nil {
 			s.damage(&m)
 		}
+		if s.wholeSnapshots {
+			m.TakesParts = false
+		}
 		copies := 1
 		if s.faults && s.random.IntN(50) == 0 {
 			copies = 2
@@ -460,11 +468,37 @@
 			if s.faults && s.random.IntN(40) == 0 {
 				delay += s.ms(0, 400)
 			}
+			carried := s.carrying(n.place, to.place, m)
+			if carried > callLimit {
+				continue
+			}
+			delay += carried
 			s.after(delay, func() { to.receive(m) })
 		}
 	}
 }
 
+// callLimit is how long a call with messages may take before it is given up.
+const callLimit = 3 * time.Second
+
+// carrying is how long a message waits for its link and takes on it.
+func (s *sim) carrying(from, to int, m raft.Message) time.Duration {
+	if s.link == 0 {
+		return 0
+	}
+	size := 100
+	for _, entry := range m.Entries {
+		size += len(entry.Data)
+	}
+	if m.Snapshot != nil {
+		size += len(m.Snapshot.Data)
+	}
+	way := [2]int{from, to}
+	takes := time.Duration(size) * time.Second / time.Duration(s.link)
+	s.busyUntil[way] = max(s.busyUntil[way], s.now) + clock.Mark(takes)
+	return s.busyUntil[way].Since(s.now)
+}
+
 func (s *sim) nodeOf(id raft.MemberID) *simNode {
 	for _, n := range s.nodes {
 		if n.id == id {
--- a/process/replica/soak_test.go
+++ b/process/replica/soak_test.go
@@ -223,7 +223,7 @@
 		sizes = append(sizes, s.reopen(t, member))
 	}
 	// The file is as long as it ever had to be: an old and a new snapshot, and a log just before it is cut.
-	most := 2 * int64(len(member.core.state.Snapshot())+(25+3+1)*packedRoutes*4/3) + 256<<10
+	most := 2*int64(len(member.core.state.Snapshot())+(25+3+1)*packedRoutes*4/3) + 256<<10
 	if got := sizes[len(sizes)-1]; got > most {
 		t.Errorf("the folder's file is %d bytes long, and %d are enough", got, most)
 	}
@@ -263,3 +263,56 @@
 	t.Logf("%d changes, %d writes: file %d bytes, opened, read and restored in %v", s.changes, s.writes, info.Size(), took.Round(time.Millisecond))
 	return info.Size()
 }
+
+// catchUpOverASlowLink has a wiped member catch up over 10 Mbit/s, and says how long that took and how often others
+// began to lead meanwhile.
+func catchUpOverASlowLink(t *testing.T, seed uint64, whole bool) (time.Duration, int) {
+	s := newSoak(t, seed, 25, 3)
+	s.run(300, func() {})
+	// A state that takes longer than one call may, beside the bundles.
+	for _, n := range s.nodes {
+		n.core.state.Left = nil
+		for number := range 130000 {
+			n.core.state.Left = append(n.core.state.Left, statemachine.Left{Engine: ident.EngineID(fmt.Sprintf("i-%08x", number)), At: 1})
+		}
+	}
+	s.run(330, func() {})
+	s.link, s.busyUntil, s.wholeSnapshots = 10_000_000/8, map[[2]int]clock.Mark{}, whole
+	s.until(10*time.Second, s.whole)
+	terms := len(s.leaderOf)
+	victim := s.nodes[(s.leader().place+1)%3]
+	victim.crash()
+	victim.empty()
+	victim.start()
+	// Small changes go on beside it.
+	s.operate()
+	took := s.until(time.Minute, s.whole)
+	if seed == 0 {
+		t.Logf("a state of %d bytes", len(s.nodes[0].core.state.Snapshot()))
+	}
+	for _, violation := range s.violations {
+		t.Errorf("seed %d: %s", seed, violation)
+	}
+	return took, len(s.leaderOf) - terms
+}
+
+// Over 10 Mbit/s a wiped member votes again within a few seconds, and nobody takes the leader for silent. The broken
+// variant is the snapshot in one message, as a member of the build before gets it.
+func TestCatchUpOverASlowLink(t *testing.T) {
+	longest, longestWhole, terms := time.Duration(0), time.Duration(0), 0
+	for seed := range uint64(4) {
+		took, others := catchUpOverASlowLink(t, seed, false)
+		longest, terms = max(longest, took), terms+others
+		if seed < 2 {
+			took, _ = catchUpOverASlowLink(t, seed, true)
+			longestWhole = max(longestWhole, took)
+		}
+	}
+	t.Logf("at most %v in parts, %v whole; %d leaders more", longest, longestWhole, terms)
+	if longestWhole < time.Minute {
+		t.Errorf("the snapshot in one message arrived in %v, and is longer than a call may take", longestWhole)
+	}
+	if longest > 8*time.Second || terms > 0 {
+		t.Errorf("%v, and %d began to lead meanwhile", longest, terms)
+	}
+}
