--- /dev/null
+++ b/rehearsal/endtoend/snapshot_test.go
@@ -0,0 +1,145 @@
+package endtoend
+
+import (
+	"encoding/json"
+	"os"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/daemon"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/raft"
+	"github.com/cresspond/cresspond/process/replica"
+	"github.com/cresspond/cresspond/process/statemachine"
+)
+
+// shortLogs has each daemon cut its log so often that an absence of seconds ends with a snapshot.
+func shortLogs(c *config.Config) {
+	waiting(c)
+	c.Compaction = config.Compaction{Entries: 10, Keep: 1}
+}
+
+// restart ends a daemon, lets something happen, and starts it on the same folder.
+func restart(t *testing.T, b *bench, meanwhile func()) {
+	t.Helper()
+	close(b.stop)
+	if err := <-b.ended; err != nil {
+		t.Fatal(err)
+	}
+	meanwhile()
+	b.stop, b.hurry = make(chan struct{}), make(chan struct{})
+	b.run()
+}
+
+// One that was away while the log was cut is sent a snapshot, and so is one that lost its folder.
+func TestOneThatWasAwayWhileTheLogWasCutTakesASnapshot(t *testing.T) {
+	all := several(t, 3, func(int) []daemon.Option { return nil }, shortLogs)
+	for round, wiped := range []bool{false, true} {
+		away := all[round+1]
+		restart(t, away, func() {
+			for change := range 12 {
+				shut(all[0], change%2 == 0)
+			}
+			if wiped {
+				if err := os.RemoveAll(away.data); err != nil {
+					t.Fatal(err)
+				}
+			}
+		})
+		away.await("it votes with all that came meanwhile", func() bool {
+			status := away.status()
+			return status.Raft != nil && status.Raft.Voter && status.ClosureEpoch == all[0].status().ClosureEpoch
+		})
+		if away.counter("snapshots_taken") == 0 {
+			t.Errorf("it took no snapshot (wiped: %t)", wiped)
+		}
+	}
+	sent := uint64(0)
+	for _, b := range all {
+		sent += b.counter("snapshots_sent")
+		if refused := b.counter("snapshots_refused") + b.counter("raft_malformed") + b.counter("states_differ"); refused > 0 {
+			t.Errorf("%s counted %d refusals or differences", b.name, refused)
+		}
+	}
+	if sent == 0 {
+		t.Error("no snapshot is counted as sent")
+	}
+	all[0].await("all tell the same digest", func() bool {
+		digests := map[string]bool{}
+		for _, b := range all {
+			if raft := b.status().Raft; raft != nil {
+				digests[raft.StateDigest] = true
+			}
+		}
+		return len(digests) == 1 && !digests[""]
+	})
+}
+
+// altering is a disk that writes another command than it was given, once.
+type altering struct {
+	under replica.Disk
+	due   *atomic.Bool
+}
+
+func (a altering) Write(group ident.GroupID, save raft.Save) error {
+	for place, entry := range save.Entries {
+		var command statemachine.Command
+		if entry.Kind != raft.EntryCommand || json.Unmarshal(entry.Data, &command) != nil || command.Op != statemachine.OpClosure || !a.due.CompareAndSwap(true, false) {
+			continue
+		}
+		command.Zone = "elsewhere"
+		data, err := json.Marshal(command)
+		if err != nil {
+			return err
+		}
+		save.Entries = slices.Clone(save.Entries)
+		save.Entries[place].Data = data
+	}
+	return a.under.Write(group, save)
+}
+
+// A daemon whose disk kept another command than was committed holds another state after its restart. Its digest
+// gives it away: it sets the folder aside and joins as a new member, with the state of the others, while they go on.
+func TestADaemonWhoseStateDiffersGivesItUpAndJoinsAnew(t *testing.T) {
+	due := &atomic.Bool{}
+	all := several(t, 3, func(i int) []daemon.Option {
+		if i != 1 {
+			return nil
+		}
+		return []daemon.Option{daemon.WithDisk(func(under replica.Disk) replica.Disk { return altering{under, due} })}
+	}, waiting)
+	odd := all[1]
+	due.Store(true)
+	shut(all[0], true)
+	odd.await("it wrote another command", func() bool { return !due.Load() })
+	restart(t, odd, func() {})
+	odd.await("its state is seen to differ", func() bool { return odd.status().Version != "" && odd.counter("states_differ") > 0 })
+	odd.await("it votes again", func() bool {
+		raft := odd.status().Raft
+		return raft != nil && raft.Voter && odd.counter("member_troubles") > 0
+	})
+	entries, err := os.ReadDir(odd.data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !slices.ContainsFunc(entries, func(entry os.DirEntry) bool { return strings.HasPrefix(entry.Name(), "aside-1.") }) {
+		t.Errorf("the state that differed is gone: %v", entries)
+	}
+	odd.await("all tell the same digest", func() bool {
+		digests := map[string]bool{}
+		for _, b := range all {
+			if raft := b.status().Raft; raft != nil {
+				digests[raft.StateDigest] = true
+			}
+		}
+		return len(digests) == 1 && !digests[""]
+	})
+	for _, b := range all {
+		if b != odd && b.counter("member_troubles") > 0 {
+			t.Errorf("%s left the group", b.name)
+		}
+	}
+}
--- /dev/null
+++ b/wire/fellowapi/raft_test.go
@@ -0,0 +1,121 @@
+package fellowapi
+
+import (
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cresspond/cresspond/process/raft"
+)
+
+func members() raft.Membership {
+	return raft.Membership{Members: []raft.Member{{ID: 1, Name: "a", Address: "x", Voter: true}, {ID: 2, Name: "b", Address: "y", Voter: true}}}
+}
+
+// overTheWire is what the receiver reads of messages.
+func overTheWire(t *testing.T, messages []raft.Message) ([]raft.Message, bool) {
+	t.Helper()
+	data, err := proto.Marshal(&RaftBatch{Group: "g", Messages: FromRaft(messages)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var batch RaftBatch
+	if err := proto.Unmarshal(data, &batch); err != nil {
+		t.Fatal(err)
+	}
+	return ToRaft(batch.Messages)
+}
+
+func TestMessagesArriveAsTheyWereSent(t *testing.T) {
+	sent := []raft.Message{
+		{Kind: raft.MsgSnapshot, From: 1, To: 2, Term: 4, Offset: 5, Size: 9, Snapshot: &raft.Snapshot{Index: 7, Term: 3, Membership: members(), Data: []byte("part"), Checksum: make([]byte, 32)}},
+		{Kind: raft.MsgSnapshotReply, From: 2, To: 1, Term: 4, LogIndex: 7, LogTerm: 3, Offset: 9, Reject: true, TakesParts: true},
+		{Kind: raft.MsgHeartbeat, From: 1, To: 2, Term: 4, Commit: 9, ReadMark: 3, StateDigest: &raft.StateDigest{Index: 8, Form: 1 << 63, Sum: 5, Differs: true}},
+		{Kind: raft.MsgAppend, From: 1, To: 2, Term: 4, LogIndex: 7, LogTerm: 3, Entries: []raft.Entry{{Term: 4, Index: 8, Kind: raft.EntryMembership, Data: members().Encode()}, {Term: 4, Index: 9, Data: []byte("x")}}},
+	}
+	got, readable := overTheWire(t, sent)
+	if !readable || !reflect.DeepEqual(got, sent) {
+		t.Errorf("%t\n%+v\n%+v", readable, got, sent)
+	}
+}
+
+// What can't be of a sound member is refused with all that came beside it.
+func TestMessagesThatCannotBeSoundAreRefused(t *testing.T) {
+	sound := raft.Message{Kind: raft.MsgHeartbeat, From: 1, To: 2, Term: 4}
+	if _, readable := overTheWire(t, []raft.Message{sound}); !readable {
+		t.Fatal("a sound one is refused")
+	}
+	for name, change := range map[string]func(*RaftMessage){
+		"unknown kind":      func(m *RaftMessage) { m.Kind = 12 },
+		"a kind that wraps": func(m *RaftMessage) { m.Kind = 256 + uint32(raft.MsgHeartbeat) },
+		"no sender":         func(m *RaftMessage) { m.From = 0 },
+		"its own sender":    func(m *RaftMessage) { m.From = m.To },
+		"no term":           func(m *RaftMessage) { m.Term = 0 },
+		"absurd term":       func(m *RaftMessage) { m.Term = math.MaxUint64 },
+		"absurd commit":     func(m *RaftMessage) { m.Commit = math.MaxUint64 },
+		"entries":           func(m *RaftMessage) { m.Entries = []*RaftEntry{{Term: 4, Index: 1}} },
+		"no entry":          func(m *RaftMessage) { m.Kind, m.Entries = uint32(raft.MsgAppend), []*RaftEntry{nil} },
+		"an entry that wraps": func(m *RaftMessage) {
+			m.Kind, m.Entries = uint32(raft.MsgAppend), []*RaftEntry{{Term: 4, Index: 1, Kind: 256}}
+		},
+		"a snapshot": func(m *RaftMessage) { m.Snapshot = &RaftSnapshot{Index: 1, Term: 1, Membership: members().Encode()} },
+		"snapshot's membership": func(m *RaftMessage) {
+			m.Kind, m.Snapshot = uint32(raft.MsgSnapshot), &RaftSnapshot{Index: 1, Term: 1, Membership: []byte("{")}
+		},
+		"snapshot's checksum": func(m *RaftMessage) {
+			m.Kind, m.Snapshot = uint32(raft.MsgSnapshot), &RaftSnapshot{Index: 1, Term: 1, Membership: members().Encode(), Data: []byte("x"), Checksum: []byte("short")}
+		},
+		"a part beyond the whole": func(m *RaftMessage) {
+			m.Kind, m.SnapshotOffset, m.SnapshotSize = uint32(raft.MsgSnapshot), 9, 9
+			m.Snapshot = &RaftSnapshot{Index: 1, Term: 1, Membership: members().Encode(), Data: []byte("x")}
+		},
+	} {
+		messages := FromRaft([]raft.Message{sound, sound})
+		change(messages[1])
+		if _, readable := ToRaft(messages); readable {
+			t.Errorf("%s: taken", name)
+		}
+	}
+	if _, readable := ToRaft([]*RaftMessage{nil}); readable {
+		t.Error("nothing was taken for a message")
+	}
+}
+
+// FuzzToRaft: whatever comes over the wire is refused or can be taken by a member without ending it.
+func FuzzToRaft(f *testing.F) {
+	whole := raft.Snapshot{Index: 7, Term: 3, Membership: members(), Data: []byte("{}")}
+	for _, message := range []raft.Message{
+		{Kind: raft.MsgAppend, From: 1, To: 2, Term: 4, LogIndex: 7, LogTerm: 3, Entries: []raft.Entry{{Term: 4, Index: 8}}},
+		{Kind: raft.MsgSnapshot, From: 1, To: 2, Term: 4, Snapshot: &whole, Size: 2},
+		{Kind: raft.MsgHeartbeat, From: 1, To: 2, Term: 4, Commit: 9, StateDigest: &raft.StateDigest{Index: 8, Form: 1, Sum: 5}},
+		{Kind: raft.MsgVote, From: 1, To: 2, Term: 4, LogIndex: 9, LogTerm: 3},
+	} {
+		data, err := proto.Marshal(&RaftBatch{Group: "g", Messages: FromRaft([]raft.Message{message})})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var batch RaftBatch
+		if proto.Unmarshal(data, &batch) != nil {
+			return
+		}
+		messages, readable := ToRaft(batch.Messages)
+		if !readable {
+			return
+		}
+		core := raft.New(2, raft.Timing{Heartbeat: 2, Election: 16}, raft.Restored{HardState: raft.HardState{Term: 3},
+			Snapshot: raft.Snapshot{Index: 5, Term: 3, Membership: members(), Data: []byte("{}")}, Entries: []raft.Entry{{Term: 3, Index: 6}}}, rand.New(rand.NewPCG(1, 1)))
+		for _, message := range messages {
+			before := core.CommitIndex()
+			core.Step(raft.Receive{Message: message})
+			if core.CommitIndex() < before {
+				t.Fatalf("commit went back from %d to %d", before, core.CommitIndex())
+			}
+		}
+	})
+}
