--- a/rehearsal/platformkit/day/acts.go
+++ b/rehearsal/platformkit/day/acts.go
@@ -12,6 +12,7 @@
 	"github.com/cresspond/cresspond/rehearsal/platformkit/fleet"
 	"github.com/cresspond/cresspond/rehearsal/platformkit/form"
 	"github.com/cresspond/cresspond/rehearsal/platformkit/history"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/operator"
 )
 
 // act is one trouble, or piece of planned work, and the rest after it.
@@ -307,6 +308,7 @@
 		return d.Fleet.Again(m)
 	}},
 	{name: "config-bad", rest: 0, play: func(d *Day, ctx context.Context) error { return d.bad(ctx) }},
+	{name: "config-again", rest: 0, play: func(d *Day, ctx context.Context) error { return d.again(ctx) }},
 	{name: "config-lost-answers", rest: time.Second, play: func(d *Day, ctx context.Context) error {
 		d.one.LoseAnswers = 0.6
 		defer func() { d.one.LoseAnswers = 0 }()
@@ -458,13 +460,15 @@
 	d.mutex.Lock()
 	on := d.current
 	d.mutex.Unlock()
+	// Half of the races are for one and the same number.
+	apart := uint64(d.draw(2))
 	changes := make([]*history.Change, 2)
 	var done sync.WaitGroup
 	for n, o := range []interface {
 		Put(context.Context, uint64, *form.Config, string) *history.Change
 	}{d.one, d.two} {
 		next := on.Clone()
-		next.Generation = on.Generation + uint64(n) + 1
+		next.Generation = on.Generation + 1 + uint64(n)*apart
 		next.Named("mail").TargetMs = int64(500 + n)
 		// The loser's version would show: it sends notes where no other version does.
 		next.Routes = append(next.Routes, form.Route{Label: fmt.Sprintf("race-%d-%d", next.Generation, n), Authority: host, PathPrefix: fmt.Sprintf("/race-%d-%d/", next.Generation, n), Class: form.Idempotent,
@@ -491,6 +495,34 @@
 	return nil
 }
 
+// again sends orders that were answered before once more, to three machines at once: the newest that was acknowledged
+// with no other change since, and one of any age and outcome, by either operator.
+func (d *Day) again(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, bounded)
+	defer cancel()
+	var answered []history.Change
+	newest := -1
+	d.Book.Note(func(h *history.History) {
+		for _, change := range h.Changes {
+			if change.Outcome == history.Unclear || change.Again {
+				continue
+			}
+			if answered = append(answered, *change); change.Outcome == history.Acknowledged {
+				newest = len(answered) - 1
+			}
+		}
+	})
+	if newest < 0 {
+		return nil
+	}
+	d.one.Again(ctx, answered[newest], 2)
+	for _, who := range []*operator.Operator{d.one, d.two} {
+		who.Again(ctx, answered[d.draw(len(answered))], 2)
+		who.Get(ctx, false)
+	}
+	return nil
+}
+
 // bad sends configurations that are invalid, one of each sort.
 func (d *Day) bad(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, bounded)
--- a/rehearsal/platformkit/history/history.go
+++ b/rehearsal/platformkit/history/history.go
@@ -2,6 +2,8 @@
 package history
 
 import (
+	"crypto/sha256"
+	"fmt"
 	"slices"
 	"sync"
 
@@ -161,10 +163,22 @@
 	Status          int
 	Sendings        int
 	By              string
+	// Method and Body are what was sent; the same with the same base is the same order.
+	Method string
+	Body   []byte
+	// Again says that an order was sent again that had been answered before.
+	Again bool
 }
 
-// ReadBack is the configuration as read at the end.
+// Digest names the order in a change: the same bytes on the same base are the same order, whoever sent them.
+func (c *Change) Digest() string {
+	sum := sha256.Sum256(c.Body)
+	return fmt.Sprintf("%s %d %x", c.Method, c.Base, sum)
+}
+
+// ReadBack is the configuration as it was read. Began is when it was asked for, At when it came.
 type ReadBack struct {
+	Began  clock.Mark
 	At     clock.Mark
 	Config *form.Config
 	Raw    []byte
@@ -212,9 +226,11 @@
 	Orders       []*Order
 	Lives        []*Life
 	Changes      []*Change
-	ReadBacks    []ReadBack
-	Troubles     []*Trouble
-	Looks        []Look
+	// Reads are all readings of the configuration, ReadBacks those at the end.
+	Reads     []ReadBack
+	ReadBacks []ReadBack
+	Troubles  []*Trouble
+	Looks     []Look
 	// Cores and Edges name the machines.
 	Cores, Edges []string
 }
@@ -261,6 +277,7 @@
 	out.Lives = copies(out.Lives)
 	out.Changes = copies(out.Changes)
 	out.Troubles = copies(out.Troubles)
+	out.Reads = slices.Clone(out.Reads)
 	out.ReadBacks = slices.Clone(out.ReadBacks)
 	out.Looks = slices.Clone(out.Looks)
 	return &out
--- a/rehearsal/platformkit/judge/configuration.go
+++ b/rehearsal/platformkit/judge/configuration.go
@@ -200,7 +200,7 @@
 			f.fault("%d is invalid (%s) and was acknowledged by %s", change.Generation, change.Fault, change.By)
 			continue
 		}
-		if other := byBase[change.Base]; other != nil && other.Generation != change.Generation {
+		if other := byBase[change.Base]; other != nil && (other.Generation != change.Generation || other.Digest() != change.Digest()) {
 			f.fault("%d and %d both build on %d and were acknowledged", other.Generation, change.Generation, change.Base)
 		}
 		byBase[change.Base] = change
--- a/rehearsal/platformkit/judge/judge.go
+++ b/rehearsal/platformkit/judge/judge.go
@@ -70,6 +70,10 @@
 		b.lives[life.Engine] = life
 	}
 	for _, change := range h.Changes {
+		if change.Again {
+			// Its first sending is there already.
+			continue
+		}
 		if change.Fault == "" && change.Outcome != history.Refused && change.Whole != nil {
 			b.versions = append(b.versions, change)
 		} else if change.Whole != nil {
@@ -79,7 +83,7 @@
 	slices.SortStableFunc(b.versions, func(x, y *history.Change) int { return cmp.Compare(x.Generation, y.Generation) })
 	return []Finding{
 		b.mixed(), b.unasked(), b.twice(), b.refused(), b.denied(), b.route(), b.drain(), b.lostPlanned(), b.lostClosing(),
-		b.configLate(), b.configUnserved(), b.configBack(), b.configForeign(), b.configAcks(), b.configRead(),
+		b.configLate(), b.configUnserved(), b.configBack(), b.configForeign(), b.configAcks(), b.configLinearizable(), b.configRead(),
 		b.budget(), b.order(), b.recover(), b.one(), b.limit(), b.ceiling(),
 		b.floor(), b.sizes(), b.starvedSessions(), b.starvedModels(), b.starvedKinds(), b.acks(), b.leavingAcks(), b.ends(), b.duty(),
 	}
--- a/rehearsal/platformkit/judge/judge_test.go
+++ b/rehearsal/platformkit/judge/judge_test.go
@@ -97,6 +97,20 @@
 	return order
 }
 
+// rival acknowledges another change under a number that is taken, on the same version.
+func (d *day) rival(generation uint64) {
+	whole := config(generation, func(c *form.Config) { addNew(c); c.Routes[0].Urgency = 4 })
+	d.Changes = append(d.Changes, &history.Change{Operator: "b", Base: 1, Generation: generation, Whole: whole, Method: "PUT", Body: whole.Encode(), Began: at(10.2), Answered: at(10.5), Outcome: history.Acknowledged})
+}
+
+// again sends one of the day's changes again, with the answer that it had.
+func (d *day) again(place int, seconds float64) *history.Change {
+	change := *d.Changes[place]
+	change.Operator, change.Again, change.Began, change.Answered = "b", true, at(seconds), at(seconds+0.1)
+	d.Changes = append(d.Changes, &change)
+	return &change
+}
+
 // sound is a day in which every rule is checked and holds.
 func sound() *day {
 	first, second := config(1, nil), config(3, addNew)
@@ -112,8 +126,12 @@
 		Troubles: []*history.Trouble{
 			{From: at(30), Until: at(31), Kind: history.Stopped, Machine: "edge-0", Planned: true},
 			{From: at(60), Until: at(61), Kind: history.Closing, Core: true}},
-		ReadBacks: []history.ReadBack{{At: at(99), Config: second}},
+		ReadBacks: []history.ReadBack{{Began: at(98.9), At: at(99), Config: second}},
 	}}
+	for _, change := range d.Changes {
+		change.Method, change.Body = "PUT", change.Whole.Encode()
+	}
+	d.Reads = []history.ReadBack{{Began: at(5), At: at(5.1), Config: first}, {Began: at(20), At: at(20.1), Config: second}, {Began: at(21), At: at(21.1), Err: "no answer"}, d.ReadBacks[0]}
 	for second := 1; second < 60; second++ {
 		d.stream(float64(second))
 		d.request(float64(second)+0.2, form.Idempotent, "/p/x", "plain", "p1")
@@ -221,7 +239,7 @@
 		refuse(try, 404)
 		unrun(arrival)
 	}},
-	{"CONFIG in force late", "an old service", []string{"CONFIG goes back"}, func(d *day) {
+	{"CONFIG in force late", "an old service", []string{"CONFIG goes back", "CONFIG linearizable"}, func(d *day) {
 		d.Changes[1].Whole = config(3, func(c *form.Config) { addNew(c); c.Routes[1].Backend = "lm" })
 		d.ReadBacks[0].Config = d.Changes[1].Whole
 		for _, arrival := range d.Arrivals {
@@ -245,11 +263,25 @@
 		unrun(arrival)
 	}},
 	{"CONFIG refused or invalid in force", "the loser of a race", nil, func(d *day) { d.Arrivals[d.at("/s/x", 25)].Service = "plain" }},
-	{"CONFIG acknowledged wrongly", "an invalid one", nil, func(d *day) { d.Changes[3].Outcome = history.Acknowledged }},
-	{"CONFIG acknowledged wrongly", "two on one base", nil, func(d *day) {
+	{"CONFIG acknowledged wrongly", "an invalid one", []string{"CONFIG linearizable"}, func(d *day) { d.Changes[3].Outcome = history.Acknowledged }},
+	{"CONFIG acknowledged wrongly", "two on one base", []string{"CONFIG linearizable"}, func(d *day) {
 		d.Changes[2].Outcome = history.Acknowledged
 		d.Changes[2].Whole = config(2, nil)
 	}},
+	{"CONFIG acknowledged wrongly", "two under one number", []string{"CONFIG linearizable"}, func(d *day) {
+		d.rival(3)
+	}},
+	{"CONFIG linearizable", "two under one number", []string{"CONFIG acknowledged wrongly"}, func(d *day) {
+		d.rival(3)
+	}},
+	{"CONFIG linearizable", "an acknowledged change is sent again and refused", nil, func(d *day) { d.again(1, 13).Outcome = history.Refused }},
+	{"CONFIG linearizable", "a refused change is sent again and acknowledged", []string{"CONFIG acknowledged wrongly"}, func(d *day) { d.again(2, 13).Outcome = history.Acknowledged }},
+	{"CONFIG linearizable", "a valid change on the newest is refused", nil, func(d *day) {
+		whole := config(8, addNew)
+		d.Changes = append(d.Changes, &history.Change{Operator: "b", Base: 3, Generation: 8, Whole: whole, Method: "PUT", Body: whole.Encode(), Began: at(13), Answered: at(13.1), Outcome: history.Refused})
+	}},
+	{"CONFIG linearizable", "a reading goes back", nil, func(d *day) { d.Reads[1].Config = d.Changes[0].Whole }},
+	{"CONFIG linearizable", "a reading sees other content", nil, func(d *day) { d.Reads[1].Config = config(3, nil) }},
 	{"CONFIG read back", "it does not come", []string{"LOST after the closing fault"}, func(d *day) { d.ReadBacks[0] = history.ReadBack{Err: "no answer"} }},
 	{"CONFIG read back", "other content under its number", []string{"LOST after the closing fault"}, func(d *day) { d.ReadBacks[0].Config = config(3, nil) }},
 	{"BUDGET", "further arrivals past ratio and slack", nil, func(d *day) {
--- /dev/null
+++ b/rehearsal/platformkit/judge/linearizable.go
@@ -0,0 +1,88 @@
+package judge
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cresspond/cresspond/process/linearizability"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/form"
+	"github.com/cresspond/cresspond/rehearsal/platformkit/history"
+)
+
+// judgeWithin is how long an explanation of a day's answers is looked for.
+const judgeWithin = time.Minute
+
+// configLinearizable looks for one order of effects that explains all that operators were answered and have read.
+func (b *bench) configLinearizable() Finding {
+	f := Finding{Rule: "CONFIG linearizable"}
+	calls := b.operatorCalls()
+	f.Checked = len(calls)
+	if got := linearizability.Check(calls, judgeWithin); got.Verdict != linearizability.Linearizable {
+		f.fault("%s: %s", got.Verdict, got.Reason)
+	}
+	return f
+}
+
+// operatorCalls gives the day's calls as the model takes them. Calls of one operator may overlap, so each is a
+// client of its own.
+func (b *bench) operatorCalls() (calls []linearizability.Call) {
+	rivals := b.rivals()
+	for _, change := range b.Changes {
+		call := linearizability.Call{Client: len(calls), Start: int64(change.Began), End: int64(change.Answered), Order: orderOf(change), Outcome: outcomes[change.Outcome]}
+		if change.Patch && rivals[change.Base] > 1 {
+			// Which of them it changed is not known, so neither is what it makes.
+			call.Order.Content, call.Order.Validity = "", linearizability.Uncertain
+		}
+		calls = append(calls, call)
+	}
+	for _, read := range b.Reads {
+		if read.Config != nil {
+			calls = append(calls, linearizability.Call{Client: len(calls), Start: int64(read.Began), End: int64(read.At), Outcome: linearizability.Acknowledged,
+				Read: &linearizability.Read{Revision: read.Config.Generation, Content: content(read.Config)}})
+		}
+	}
+	return calls
+}
+
+// rivals counts the orders by the version that each leads to, without those that were refused.
+func (b *bench) rivals() map[uint64]int {
+	digests := map[uint64]map[string]bool{}
+	for _, change := range b.Changes {
+		if change.Outcome == history.Refused {
+			continue
+		}
+		if digests[change.Generation] == nil {
+			digests[change.Generation] = map[string]bool{}
+		}
+		digests[change.Generation][change.Digest()] = true
+	}
+	counts := map[uint64]int{}
+	for generation, of := range digests {
+		counts[generation] = len(of)
+	}
+	return counts
+}
+
+var outcomes = map[history.Outcome]linearizability.Outcome{
+	history.Acknowledged: linearizability.Acknowledged, history.Refused: linearizability.Refused, history.Unclear: linearizability.Unanswered,
+}
+
+func orderOf(change *history.Change) *linearizability.Order {
+	order := &linearizability.Order{Digest: change.Digest(), Base: change.Base, Revision: change.Generation, Validity: linearizability.Sound}
+	if change.Fault != "" {
+		order.Validity = linearizability.Invalid
+	}
+	if change.Whole != nil {
+		order.Content = content(change.Whole)
+	}
+	return order
+}
+
+// content is equal for configurations that mean the same.
+func content(config *form.Config) string {
+	data, err := json.Marshal(canonical(config))
+	if err != nil {
+		panic("broken invariant: a configuration cannot be written: " + err.Error())
+	}
+	return string(data)
+}
--- a/rehearsal/platformkit/operator/operator.go
+++ b/rehearsal/platformkit/operator/operator.go
@@ -119,7 +119,7 @@
 
 // change sends a change and notes what became of it.
 func (o *Operator) change(ctx context.Context, method string, change history.Change, body []byte) *history.Change {
-	change.Operator, change.Began, change.Outcome = o.Name, o.Book.Now(), history.Unclear
+	change.Operator, change.Began, change.Outcome, change.Method, change.Body = o.Name, o.Book.Now(), history.Unclear, method, body
 	noted := &change
 	o.Book.Note(func(h *history.History) { h.Changes = append(h.Changes, noted) })
 	last, sendings := o.call(ctx, method, change.Base, body)
@@ -154,10 +154,21 @@
 	return o.change(ctx, http.MethodPatch, history.Change{Base: on.Generation, Generation: patch.Generation, Whole: on.Apply(patch), Fault: fault, Patch: true}, body)
 }
 
+// Again sends an order that was answered before once more, byte for byte; the same goes to as many other daemons at
+// the same time, whose answers nobody waits for.
+func (o *Operator) Again(ctx context.Context, before history.Change, others int) *history.Change {
+	list := o.Controls()
+	for n := range min(others, len(list)) {
+		go o.send(ctx, list[n], before.Method, before.Base, before.Body)
+	}
+	return o.change(ctx, before.Method, history.Change{Base: before.Base, Generation: before.Generation, Whole: before.Whole, Fault: before.Fault, Patch: before.Patch, Again: true}, before.Body)
+}
+
 // Get reads the newest configuration, and notes what came as read back if it is for the day's end.
 func (o *Operator) Get(ctx context.Context, end bool) history.ReadBack {
+	began := o.Book.Now()
 	last, _ := o.call(ctx, http.MethodGet, 0, nil)
-	back := history.ReadBack{At: o.Book.Now(), Raw: last.body}
+	back := history.ReadBack{Began: began, At: o.Book.Now(), Raw: last.body}
 	switch {
 	case last.err != nil:
 		back.Err = last.err.Error()
@@ -171,8 +182,11 @@
 			back.Config = config
 		}
 	}
-	if end {
-		o.Book.Note(func(h *history.History) { h.ReadBacks = append(h.ReadBacks, back) })
-	}
+	o.Book.Note(func(h *history.History) {
+		h.Reads = append(h.Reads, back)
+		if end {
+			h.ReadBacks = append(h.ReadBacks, back)
+		}
+	})
 	return back
 }
