Refuse a closure only where the state proves that it never took effect

Now what is older than the oldest act known has no clear answer (503), and a refusal on a base to come is kept until the closures in force have passed that base; while 64 wait, another such closure has no clear answer.

--- a/connection/operators/operators.go
+++ b/connection/operators/operators.go
@@ -150,7 +150,7 @@
 	status := map[statemachine.Verdict]int{
 		statemachine.Done: fasthttp.StatusOK, statemachine.Conflict: fasthttp.StatusConflict, statemachine.Forbidden: fasthttp.StatusForbidden,
 		statemachine.Missing: fasthttp.StatusNotFound, statemachine.Malformed: fasthttp.StatusBadRequest,
-		statemachine.Exhausted: fasthttp.StatusConflict,
+		statemachine.Exhausted: fasthttp.StatusConflict, statemachine.Unproven: fasthttp.StatusServiceUnavailable,
 	}[got.Verdict]
 	if status == fasthttp.StatusOK {
 		if command.Op.Spreads() && !got.Acknowledged {
--- a/process/statemachine/closures.go
+++ b/process/statemachine/closures.go
@@ -51,8 +51,10 @@
 }
 
 func (s *State) close(c Command) Result {
-	if c.Based && c.Base != s.Closures.Epoch {
-		return s.closureLost(c)
+	if c.Based {
+		if result, settled := s.closureSettled(c); settled {
+			return result
+		}
 	}
 	if c.Ranking != nil {
 		if verdict, reason := s.mayRank(c); verdict != Done {
@@ -75,7 +77,7 @@
 	// What is closed already stays as it was, so a repeated order changes nothing.
 	if changed {
 		next.Epoch++
-		s.Closures = next
+		s.raiseClosures(next)
 		s.Acts = append(s.Acts, ClosureAct{Epoch: next.Epoch, Operator: c.Operator, Zone: c.Zone, Engine: c.Engine, Closed: c.Closed})
 		s.Acts = s.Acts[max(0, len(s.Acts)-mostActs):]
 	}
@@ -118,7 +120,7 @@
 			})
 			delete(next.Kept, oldest)
 		}
-		s.Closures = next
+		s.raiseClosures(next)
 	}
 	return s.closuresNow()
 }
@@ -128,23 +130,66 @@
 	return Result{Verdict: Done, Closures: &out}
 }
 
-// closureLost answers a closure whose base is not the closures in force: it may be one that was asked
-// for already and lost its answer, else another operator was first.
-func (s *State) closureLost(c Command) Result {
-	result := s.closuresNow()
-	for _, act := range s.Acts {
-		if act.Epoch != c.Base+1 {
-			continue
-		}
-		if act == (ClosureAct{Epoch: act.Epoch, Operator: c.Operator, Zone: c.Zone, Engine: c.Engine, Closed: c.Closed}) {
-			return result
+// act is a closure as it stands among those remembered, if its base is the closures in force.
+func (c Command) act() ClosureAct {
+	return ClosureAct{Epoch: c.Base + 1, Operator: c.Operator, Zone: c.Zone, Engine: c.Engine, Closed: c.Closed}
+}
+
+// closureSettled answers a closure that can't be carried out: its base is not the closures in force, or it was
+// refused before. It may be one that was carried out already and lost its answer.
+func (s *State) closureSettled(c Command) (Result, bool) {
+	act := c.act()
+	switch {
+	case c.Base < s.Closures.Epoch:
+		return s.closurePassed(act), true
+	case slices.Contains(s.RefusedActs, act):
+		return s.closureRefused(), true
+	case c.Base == s.Closures.Epoch:
+		return Result{}, false
+	case len(s.RefusedActs) >= mostActs:
+		return s.closureUnproven(), true
+	}
+	// The base may yet come in force, and a copy of this closure with it: so the refusal is written down.
+	s.RefusedActs = append(slices.Clone(s.RefusedActs), act)
+	return s.closureRefused(), true
+}
+
+// closurePassed answers a closure whose base has passed. Each change of the closures leaves one act or, where a
+// daemon is declared lost or an engine kept, none: so only the acts before the oldest one known were forgotten.
+func (s *State) closurePassed(act ClosureAct) Result {
+	if slices.Contains(s.Acts, act) {
+		return s.closuresNow()
+	}
+	if len(s.Acts) == mostActs && act.Epoch < s.Acts[0].Epoch {
+		return s.closureUnproven()
+	}
+	result := s.closureRefused()
+	for _, other := range s.Acts {
+		if other.Epoch == act.Epoch {
+			result.Winner = other.Operator
 		}
-		result.Winner = act.Operator
 	}
+	return result
+}
+
+func (s *State) closureRefused() Result {
+	result := s.closuresNow()
 	result.Verdict, result.Reason = Conflict, "the base is not the closure epoch in force"
 	return result
 }
 
+func (s *State) closureUnproven() Result {
+	result := s.closuresNow()
+	result.Verdict, result.Reason = Unproven, "what became of this closure is not known any more"
+	return result
+}
+
+// raiseClosures puts the next closures in force. Refusals on bases that have passed need not be known any more.
+func (s *State) raiseClosures(next Closures) {
+	s.Closures = next
+	s.RefusedActs = slices.DeleteFunc(s.RefusedActs, func(act ClosureAct) bool { return act.Epoch <= next.Epoch })
+}
+
 func setClosure[K comparable](marks map[K]ClosureMark, key K, closed bool, mark ClosureMark) bool {
 	_, already := marks[key]
 	if already == closed {
--- /dev/null
+++ b/process/statemachine/closures_test.go
@@ -0,0 +1,73 @@
+package statemachine
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// closure is the closure or opening number i of a chain in which each builds on the one before.
+func closure(i int) Command {
+	return Command{Op: OpClosure, Operator: "ana", Zone: ident.ZoneID(fmt.Sprint("z", i/2)), Closed: i%2 == 0, Base: ident.Epoch(i), Based: true}
+}
+
+// TestAnOldClosureSentAgainIsNeverRefused sends every closure of a long chain again at its end.
+func TestAnOldClosureSentAgainIsNeverRefused(t *testing.T) {
+	const closures = 3 * mostActs
+	state := New()
+	for i := range closures {
+		if r := state.do(t, closure(i)); r.Verdict != Done {
+			t.Fatal(i, r)
+		}
+	}
+	for i := range closures {
+		want := Done
+		if i < closures-mostActs {
+			want = Unproven
+		}
+		if r := state.do(t, closure(i)); r.Verdict != want || state.Closures.Epoch != closures {
+			t.Errorf("closure %d was taken, and sent again: %s %s", i, r.Verdict, r.Reason)
+		}
+	}
+	rival := closure(closures - 1)
+	rival.Operator = "berta"
+	if r := state.do(t, rival); r.Verdict != Conflict || r.Winner != "ana" {
+		t.Errorf("the newest closure's rival: %+v", r)
+	}
+}
+
+// TestARefusedClosureNeverTakesEffect refuses closures on a base to come, and sends them again once it has come.
+func TestARefusedClosureNeverTakesEffect(t *testing.T) {
+	state := New()
+	ahead := func(i int) Command {
+		return Command{Op: OpClosure, Operator: fmt.Sprint("operator-", i), Zone: "z9", Closed: true, Base: 1, Based: true}
+	}
+	refused := map[int]bool{}
+	for i := range 2 * mostActs {
+		switch r := state.do(t, ahead(i)); r.Verdict {
+		case Conflict:
+			refused[i] = true
+		case Unproven:
+		default:
+			t.Fatal(i, r)
+		}
+	}
+	if len(refused) != mostActs || state.Closures.Epoch != 0 {
+		t.Errorf("%d were refused, epoch %d", len(refused), state.Closures.Epoch)
+	}
+	state.do(t, closure(0))
+	for i := range 2 * mostActs {
+		restored, err := Restore(state.Snapshot())
+		if err != nil {
+			t.Fatal(err)
+		}
+		state = restored
+		if r := state.do(t, ahead(i)); refused[i] && r.Verdict != Conflict {
+			t.Fatalf("closure %d was refused, and sent again: %s", i, r.Verdict)
+		}
+	}
+	if len(state.RefusedActs) != 0 {
+		t.Errorf("%d refusals are still kept", len(state.RefusedActs))
+	}
+}
--- a/process/statemachine/serving.go
+++ b/process/statemachine/serving.go
@@ -58,7 +58,7 @@
 		})
 		delete(next.Lost, oldest)
 	}
-	s.Closures = next
+	s.raiseClosures(next)
 	return s.closuresNow()
 }
 
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -61,8 +61,11 @@
 	Refused      []string       `json:"refused,omitempty"`
 	Closures     Closures       `json:"closures"`
 	// Acts lists the newest closures and openings.
-	Acts  []ClosureAct `json:"acts,omitempty"`
-	Claim Claim        `json:"claim"`
+	Acts []ClosureAct `json:"acts,omitempty"`
+	// RefusedActs lists the closures that were refused while their base was above the closures in force, until
+	// those have passed it.
+	RefusedActs []ClosureAct `json:"refusedActs,omitempty"`
+	Claim       Claim        `json:"claim"`
 	// Serving holds every daemon that may be serving: it has enlisted, and has neither stopped as planned,
 	// nor been followed by another life of its name, nor been declared lost.
 	Serving map[ident.NodeID]Serving `json:"serving,omitempty"`
