Try all orders of calls with a state that remembers one

A state that forgets its refusals and one that forgets that it forgot winners are caught. Which order won is noted as it wins, since the state may have forgotten it when the check looks; with the design's bounds the check is the same.

--- a/rehearsal/interleave/orders_test.go
+++ b/rehearsal/interleave/orders_test.go
@@ -20,6 +20,8 @@
 	state   *statemachine.State
 	entries []*orderEntry
 	applied int
+	// taken is told the digest of each order that wins.
+	taken func(digest string)
 }
 
 type orderEntry struct {
@@ -42,7 +44,11 @@
 		if err != nil {
 			panic(err)
 		}
+		before := l.state.Epoch()
 		result := l.state.Apply(data)
+		if l.taken != nil && l.state.Epoch() > before {
+			l.taken(next.command.Digest)
+		}
 		next.result, l.applied = &result, l.applied+1
 	}
 	return !entry.dropped
@@ -159,10 +165,15 @@
 // orderCase: copies of a few calls race on a group that has revision 5 in force; where crash is set, what is
 // not committed may be lost at any moment.
 func orderCase(t *testing.T, crash bool, broken string, calls ...operatorapi.Apply) func() Case {
+	return limitedOrderCase(t, statemachine.DefaultLimits(), crash, broken, calls...)
+}
+
+// limitedOrderCase does so with a state that remembers only so much.
+func limitedOrderCase(t *testing.T, limits statemachine.Limits, crash bool, broken string, calls ...operatorapi.Apply) func() Case {
 	known := decisions{}
 	t.Cleanup(func() { known.same(t) })
 	return func() Case {
-		l := &orderLog{state: statemachine.New()}
+		l := &orderLog{state: statemachine.New(statemachine.WithLimits(limits))}
 		var first operatorapi.Applying
 		carry(l, known, wholeCall(0, 5), "", &first)(func() {})
 		answers := make([]operatorapi.Applying, len(calls))
@@ -173,6 +184,16 @@
 		if crash {
 			c.Threads = append(c.Threads, func(func()) { l.drop() })
 		}
+		if broken == "refusals forgotten" {
+			// At any moment all refusals are forgotten.
+			c.Threads = append(c.Threads, func(func()) { l.state.RefusedAhead = nil })
+		}
+		if broken == "winners forgotten" {
+			// The state forgets that it forgot.
+			c.Threads = append(c.Threads, func(func()) { l.state.ProvenFrom = 0 })
+		}
+		won := map[string]bool{}
+		l.taken = func(digest string) { won[digest] = true }
 		c.Check = func() error {
 			// What is still in the log may be committed later.
 			for _, entry := range l.entries {
@@ -180,10 +201,11 @@
 			}
 			wonOn := map[ident.Revision]string{}
 			for i, call := range calls {
-				proposal, inForce := l.state.Applied(call.Digest)
+				proposal, known := l.state.Applied(call.Digest)
+				inForce := won[call.Digest]
 				switch answers[i].Outcome {
 				case operatorapi.Applied:
-					if !inForce || answers[i].Epoch != proposal.Epoch {
+					if !inForce || known && answers[i].Epoch != proposal.Epoch {
 						return fmt.Errorf("call %d was acknowledged and is not there", i)
 					}
 				case operatorapi.Conflicted, operatorapi.Invalid:
@@ -224,6 +246,19 @@
 	bites(t, orderCase(t, false, "hasty", y, z, z))
 }
 
+// TestOrdersThatAreForgotten has a state remember one order and one refusal, so that both are forgotten within a few
+// steps.
+func TestOrdersThatAreForgotten(t *testing.T) {
+	t.Parallel()
+	tiny := statemachine.Limits{Taken: 1, Refused: 1}
+	y, x, z := wholeCall(5, 8), wholeCall(8, 9), patchCall(8, 10)
+	holds(t, limitedOrderCase(t, tiny, false, "", y, x, z))
+	holds(t, limitedOrderCase(t, tiny, true, "", y, x, y))
+	holds(t, limitedOrderCase(t, tiny, true, "", x, z, y))
+	bites(t, limitedOrderCase(t, tiny, false, "refusals forgotten", y, x, x))
+	bites(t, limitedOrderCase(t, tiny, false, "winners forgotten", y, x, y))
+}
+
 func TestFaultyOrders(t *testing.T) {
 	t.Parallel()
 	unknownPool := &forward.Patch{Revision: 7, Remove: forward.Names{Pools: []string{"p"}}}
