Ask engines for reports under an id, once, over connections that are checked

The client of reports was fasthttp's, with its own repeats left on (a GET counts as idempotent: up to five sends on a reset), and it kept a connection whose surplus bytes it had dropped with its reader. A report bore no id, so a late or surplus answer to one question was read as the answer to the next.

Once any engine has named a report, one without the id is believed on an unused connection only; before, engines that name none are served as until now, so they cost no connection a report.

The stand-in engines echo the id as the platform's engines do.

--- a/connection/engineconn/early_test.go
+++ b/connection/engineconn/early_test.go
@@ -139,15 +139,18 @@
 		return true
 	})
 	for n, c := range []struct {
-		id    string
-		allow bool
-		want  Outcome
-		conns int
+		id     string
+		policy UnnamedPolicy
+		want   Outcome
+		conns  int
 	}{
-		{"a", false, Junk, 1}, {"b", true, Answered, 2}, {"c", true, Answered, 3}, {"named", true, Answered, 4}, {"d", true, Junk, 4}, {"e", true, Answered, 5},
+		{"a", RejectUnnamed, Junk, 1}, {"b", UnnamedOnUnused, Answered, 2}, {"c", UnnamedOnUnused, Answered, 3},
+		{"named", UnnamedOnUnused, Answered, 4}, {"d", UnnamedOnUnused, Junk, 4}, {"e", UnnamedOnUnused, Answered, 5},
+		// The broken variant: whoever takes it on a kept connection is seen by the same count.
+		{"f", UnnamedOnClean, Answered, 6}, {"g", UnnamedOnClean, Answered, 6},
 	} {
 		a := attempt(h, e.address, c.id)
-		a.AllowUnnamed = c.allow
+		a.Unnamed = c.policy
 		outcome, _, err := carry(pools, a)
 		if _, conns := e.seen(); outcome != c.want || err != nil || conns != c.conns {
 			t.Errorf("%d: %s after %d connections, %v", n, outcome, conns, err)
--- a/connection/engineconn/engineconn.go
+++ b/connection/engineconn/engineconn.go
@@ -68,11 +68,24 @@
 	LastLook func() string
 	// Cancel ends the attempt from elsewhere by closing its connection.
 	Cancel *Cancel
-	// AllowUnnamed accepts an answer without an attempt id on a connection that no request was sent on before: it
-	// can answer no other request. That connection is not used again.
-	AllowUnnamed bool
+	// Unnamed says what an answer without an attempt id is taken for.
+	Unnamed UnnamedPolicy
 }
 
+// UnnamedPolicy says where an answer without an attempt id counts as the answer to an attempt.
+type UnnamedPolicy uint8
+
+const (
+	// RejectUnnamed: nowhere.
+	RejectUnnamed UnnamedPolicy = iota
+	// UnnamedOnUnused: on a connection that no request was sent on before, where it can answer no other request.
+	// The connection is not used again.
+	UnnamedOnUnused
+	// UnnamedOnClean: also on a kept connection, which was whole and silent when the request was sent. It is for
+	// engines that name none of their answers, and for requests where a stale answer does no harm.
+	UnnamedOnClean
+)
+
 // Cancel ends whatever a request has under way.
 type Cancel struct {
 	mutex sync.Mutex
@@ -417,8 +430,8 @@
 		if answer.Head.Attempt == a.ID {
 			break
 		}
-		if answer.Head.Attempt == "" && a.AllowUnnamed && first && skipped == 0 {
-			answer.tainted = true
+		if answer.Head.Attempt == "" && skipped == 0 && (a.Unnamed == UnnamedOnClean || a.Unnamed == UnnamedOnUnused && first) {
+			answer.tainted = answer.tainted || a.Unnamed == UnnamedOnUnused
 			break
 		}
 		// Not a byte of another request's answer may go on. It may be one too many to an earlier request, with
--- a/rehearsal/platformkit/engine/server.go
+++ b/rehearsal/platformkit/engine/server.go
@@ -242,7 +242,7 @@
 func (k *link) answer(in incoming) bool {
 	switch in.request.URL.Path {
 	case form.PathReport:
-		return k.short(k.conn, http.StatusOK, http.Header{"Content-Type": {"application/json"}}, "", encode(k.report()))
+		return k.short(k.conn, http.StatusOK, http.Header{"Content-Type": {"application/json"}}, in.request.Header.Get(form.Attempt), encode(k.report()))
 	case form.PathOrder:
 		return k.answerOrder(in)
 	}
--- a/rehearsal/scale/deployed.go
+++ b/rehearsal/scale/deployed.go
@@ -158,6 +158,10 @@
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 		}
 		ctx.Response.Header.Set(form.Instance, string(e.id))
+		if attempt := ctx.Request.Header.Peek(form.Attempt); len(attempt) > 0 {
+			// Every engine answer carries back the id that it was asked under.
+			ctx.Response.Header.SetBytesV(form.Attempt, attempt)
+		}
 	}}
 	go func() { _ = server.Serve(listener) }()
 	context.AfterFunc(ctx, func() { _ = listener.Close() })
