Believe only a peer's whole answer: its type, and a length that was said

The encoding of answers between daemons can't tell a cut body from a whole one: one that ends between two fields, or before the first, reads as a message. net/http ends a body without a length cleanly at the end of the connection, and twirp looks at no content type, so whatever listens at an address that a daemon had could be read as a daemon.

Ruled out: repeats by net/http. A POST is sent again by the transport only where not one byte of it was taken by a kept connection, and never once one was; calls carry no Idempotency-Key. A surplus answer on an idle connection ends it.

--- a/process/fellows/fellows.go
+++ b/process/fellows/fellows.go
@@ -87,7 +87,7 @@
 		DialContext:         l.Traffic.dial(dialer.DialContext),
 		MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 	}
-	l.http = &http.Client{Transport: countedCalls{transport, &l.Traffic}}
+	l.http = &http.Client{Transport: checkedAnswers{countedCalls{transport, &l.Traffic}}}
 	for _, option := range options {
 		option(l)
 	}
