Have the operators' tool send each call once to each daemon, and follow nothing

Its client was the library's: it kept connections, on which a repeatable method is sent again after a reset, and it followed redirects, where a 302 turns a change into a reading whose 200 was then shown as the change's answer. A body without a length ends cleanly wherever its connection does, so a part of a bundle would have been printed as whole.

Connections are used once now, redirects are answers (none of our daemons sends one to operators), and an answer that doesn't say its length counts as broken off, after which the next daemon is asked.

--- a/cmd/cresspond/main.go
+++ b/cmd/cresspond/main.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -35,6 +36,19 @@
 	seen func(http.Header)
 }
 
+// askLimit is how long one daemon's answer is waited for.
+const askLimit = 12 * time.Second
+
+// newClient makes the client of daemons. It uses no connection twice, so that the library has no reason to send
+// anything again by itself, and follows no redirect, which would turn one call into another.
+func newClient() *http.Client {
+	return &http.Client{
+		Timeout:       askLimit,
+		Transport:     &http.Transport{Proxy: http.ProxyFromEnvironment, DisableKeepAlives: true, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
 func main() {
 	app := kingpin.New("cresspond", "Operate a cresspond fleet.")
 	app.Version(version)
@@ -108,7 +122,7 @@
 	if err != nil {
 		app.Fatalf("%s, try --help", err)
 	}
-	t := &tool{asJSON: *asJSON, client: &http.Client{Timeout: 12 * time.Second}}
+	t := &tool{asJSON: *asJSON, client: newClient()}
 	for _, daemon := range *daemons {
 		t.daemons = append(t.daemons, strings.FieldsFunc(daemon, func(r rune) bool { return r == ',' || r == ' ' || r == '\n' })...)
 	}
@@ -181,6 +195,8 @@
 	return &epoch
 }
 
+var errNoLength = errors.New("it does not say where it ends")
+
 // ask goes from daemon to daemon until one gives an outcome; all acts may be asked again.
 func (t *tool) ask(method, path string, body []byte) ([]byte, error) {
 	last := fmt.Errorf("no daemon was named")
@@ -197,6 +213,10 @@
 		}
 		data, err := io.ReadAll(response.Body)
 		response.Body.Close()
+		if err == nil && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+			// It ends wherever its connection does, so a part of it would look whole.
+			err = errNoLength
+		}
 		if err != nil {
 			last = fmt.Errorf("%s broke off its answer: %w", daemon, err)
 			continue
