Ask the product's own engines for reports over checked connections too

Their watcher used fasthttp's client, with repeats off, but with connections kept though bytes of a surplus answer had been dropped with its reader: the rest came where the next report was due. Questions go over engineconn now, each under an id; engines that name no report are believed on a connection that was whole and silent before.

--- a/process/engines/engines.go
+++ b/process/engines/engines.go
@@ -6,15 +6,19 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/cresspond/cresspond/connection/engineconn"
 	"github.com/cresspond/cresspond/process/actor"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/wire/dialect"
 	"github.com/cresspond/cresspond/wire/engineapi"
 	"github.com/cresspond/cresspond/wire/platformapi"
 )
@@ -124,7 +128,9 @@
 	platform string
 	box      *actor.Mailbox[any]
 	view     atomic.Pointer[View]
-	client   *fasthttp.Client
+	reports  *engineconn.Pools
+	asked    atomic.Uint64
+	swept    clock.Mark
 	onChange func()
 	asking   map[ident.EngineID]bool
 	listing  bool
@@ -140,6 +146,8 @@
 	asideFor      = 3 * time.Second
 	forgetAfter   = 30 * time.Second
 	mostReport    = 1 << 20
+	// sweepEvery is how often idle connections are looked through.
+	sweepEvery = 5 * time.Second
 )
 
 type (
@@ -170,8 +178,7 @@
 // New makes a watcher; onChange is called after each new view.
 func New(c clock.Clock, platform string, onChange func()) *Watcher {
 	w := &Watcher{clock: c, platform: platform, box: actor.NewMailbox[any](256), onChange: onChange, asking: map[ident.EngineID]bool{},
-		client: &fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxResponseBodySize: mostReport, MaxConnsPerHost: 8,
-			ReadTimeout: askTimeout, WriteTimeout: askTimeout, MaxIdleConnDuration: 2 * time.Second, NoDefaultUserAgentHeader: true}}
+		reports: engineconn.New(c, dialect.Own())}
 	w.view.Store(&View{Engines: map[ident.EngineID]*Engine{}})
 	return w
 }
@@ -194,11 +201,15 @@
 func (w *Watcher) SetAside(id ident.EngineID) { w.box.Offer(setAside{id}) }
 
 func (w *Watcher) beat() {
+	if now := w.clock.Elapsed(); now.Since(w.swept) >= sweepEvery {
+		w.swept = now
+		w.reports.Sweep(nil)
+	}
 	if w.platform != "" && !w.listing {
 		w.listing = true
 		go func() {
 			var read listRead
-			read.err = w.get(w.platform, platformapi.PathEngines, &read.list)
+			read.err = w.get("", w.platform, platformapi.PathEngines, &read.list)
 			w.box.Send(read)
 		}()
 	}
@@ -210,7 +221,7 @@
 		asked, address := w.clock.Elapsed(), engine.Address
 		go func() {
 			read := reportRead{id: id, address: address, asked: asked}
-			read.err = w.get(address, engineapi.PathReport, &read.report)
+			read.err = w.get(id, address, engineapi.PathReport, &read.report)
 			_, read.junk = read.err.(junk)
 			read.junk = read.junk || read.err == nil && !plausible(read.report)
 			w.box.Send(read)
@@ -233,18 +244,29 @@
 	return report.Busy >= 0
 }
 
-func (w *Watcher) get(address, path string, into any) error {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + address + path)
-	if err := w.client.DoTimeout(request, response, askTimeout); err != nil {
-		return err
+// get asks once, over a connection that is kept only if all of an answer and nothing more came on it. The question
+// bears an id; an answer that bears another is not taken.
+func (w *Watcher) get(id ident.EngineID, address, path string, into any) error {
+	head := &fasthttp.RequestHeader{}
+	head.SetMethod(fasthttp.MethodGet)
+	head.SetRequestURI(path)
+	head.SetHost(address)
+	asked := "report-" + strconv.FormatUint(w.asked.Add(1), 16)
+	head.Set(engineapi.HeaderAttempt, asked)
+	answer := w.reports.Send(engineconn.Attempt{Engine: id, Address: address, ID: asked, Head: head, Dress: func() {}, LastLook: func() string { return "" },
+		Until: w.clock.Elapsed() + clock.Mark(askTimeout), Cancel: &engineconn.Cancel{}, Unnamed: engineconn.UnnamedOnClean})
+	if answer.Outcome != engineconn.Answered {
+		return fmt.Errorf("%s: %s", answer.Outcome, answer.Reason)
 	}
-	if response.StatusCode() != fasthttp.StatusOK {
-		return fmt.Errorf("status %d", response.StatusCode())
+	defer answer.Close()
+	if status := answer.Response().StatusCode(); status != fasthttp.StatusOK {
+		return fmt.Errorf("status %d", status)
+	}
+	body, err := io.ReadAll(io.LimitReader(answer, mostReport))
+	if err != nil {
+		return err
 	}
-	if err := json.Unmarshal(response.Body(), into); err != nil {
+	if err := json.Unmarshal(body, into); err != nil {
 		return junk{err}
 	}
 	return nil
