Let no late copy of KEEP, ENLIST or a ranking's order undo what came after

A command that got no answer is sent again, and its first copy may wait in a frozen leader's sockets and be applied on the thaw. Three commands were not proof against that. KEEP named no base, so a late copy undid another operator's release. A late ENLIST of a life that had stopped or been followed took it up again, and put the life that followed out of the list that acknowledgements wait for. An order of the ranking was found by nothing, so a late copy shut an engine that an operator had opened meanwhile.

KEEP now carries the closure epoch that it was looked up in, as CLOSURE does, and is written among the acts; the state remembers the newest 256 ended lives; and the ranking's newest order is known by its claim and minted stamp. Entries of earlier builds apply as before.

All members must run this build before operators rely on it, since older ones apply KEEP without looking at its base.

--- /dev/null
+++ b/connection/operators/based_test.go
@@ -0,0 +1,28 @@
+package operators
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cresspond/cresspond/process/ranking"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+// TestEachActOnANodeNamesTheClosuresItWasLookedUpIn: so that a copy of it which comes late finds itself or is refused.
+func TestEachActOnANodeNamesTheClosuresItWasLookedUpIn(t *testing.T) {
+	for act, page := range map[string]operatorapi.Nodes{
+		"drain": ranks(ranking.Allowed, operatorapi.Node{}), "keep": ranks(ranking.Allowed, operatorapi.Node{}),
+		"release": ranks(ranking.ShutAlready, operatorapi.Node{Shut: true, ShutBy: "ana", Kept: "ana"}),
+	} {
+		p := &planning{page: page}
+		status, word := post(p, fmt.Sprintf(`{"engine":"e","act":%q,"operator":"ana"}`, act))
+		if status != 200 || len(p.commands) == 0 {
+			t.Fatalf("%s: %d %+v", act, status, word)
+		}
+		for _, command := range p.commands {
+			if !command.Based || command.Base != 9 {
+				t.Errorf("%s: %+v builds on nothing", act, command)
+			}
+		}
+	}
+}
--- a/connection/operators/nodes.go
+++ b/connection/operators/nodes.go
@@ -63,7 +63,10 @@
 		}
 		fail(ctx, status, operatorapi.Error{Outcome: why.String(), Reason: why.Reason(), Field: "engine"})
 	}
-	command := statemachine.Command{Op: statemachine.OpKeep, Engine: body.Engine, Operator: body.Operator, Closed: body.Act == operatorapi.NodeKeep}
+	command := statemachine.Command{Op: statemachine.OpKeep, Engine: body.Engine, Operator: body.Operator, Closed: body.Act == operatorapi.NodeKeep,
+		// Each act builds on the closures that it was looked up in: a copy of it that comes late finds itself, or others
+		// have acted since, and then it must not undo what they did.
+		Base: page.ClosureEpoch, Based: true}
 	shutByRank := place >= 0 && page.Nodes[place].ShutFor != ""
 	switch {
 	case place < 0 && body.Act != operatorapi.NodeRelease:
@@ -76,7 +79,7 @@
 			return
 		}
 		// It builds on the closures it was checked against: another drain meanwhile has it checked anew.
-		command.Op, command.Closed, command.Base, command.Based = statemachine.OpClosure, true, page.ClosureEpoch, true
+		command.Op, command.Closed = statemachine.OpClosure, true
 	case body.Act == operatorapi.NodeKeep && place >= 0 && page.Nodes[place].Shut && page.Nodes[place].ShutBy != "" && !shutByRank:
 		fail(ctx, fasthttp.StatusConflict, operatorapi.Error{Outcome: "drained", Reason: "an operator drains this engine; release it first", Field: "engine"})
 		return
@@ -88,14 +91,17 @@
 	}
 	if body.Act == operatorapi.NodeRelease && place >= 0 && page.Nodes[place].Kept != "" && command.Op == statemachine.OpClosure {
 		// Both are taken back, the keeping first: then the ranking decides.
-		unkeep := statemachine.Command{Op: statemachine.OpKeep, Engine: body.Engine, Operator: body.Operator}
+		unkeep := statemachine.Command{Op: statemachine.OpKeep, Engine: body.Engine, Operator: body.Operator, Base: page.ClosureEpoch, Based: true}
 		bounded, cancel := context.WithTimeout(context.Background(), commandLimit)
-		_, done := d.daemon.Command(bounded, unkeep)
+		got, done := d.daemon.Command(bounded, unkeep)
 		cancel()
 		if !done {
 			fail(ctx, fasthttp.StatusServiceUnavailable, operatorapi.Error{Outcome: "unknown", Reason: "the control group gave no answer in time; ask again"})
 			return
 		}
+		if got.Verdict == statemachine.Done && got.Closures != nil {
+			command.Base = got.Closures.Epoch
+		}
 	}
 	d.command(ctx, command)
 }
--- /dev/null
+++ b/process/statemachine/repeats_test.go
@@ -0,0 +1,199 @@
+package statemachine
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+
+	"github.com/cresspond/cresspond/process/ident"
+)
+
+// repeat is one command of which a second copy comes late: after others have acted, and after a snapshot.
+type repeat struct {
+	name string
+	// before leads to the state in which the command comes; meanwhile happens between it and its late copy.
+	before    []Command
+	command   Command
+	meanwhile []Command
+	// grows says that the late copy may move ends of leases to later, which holds their successors back and no more.
+	grows func(state *State)
+}
+
+const repeatSpanMs = 30000
+
+func repeats() []repeat {
+	const (
+		operator  = "ana"
+		bundle    = "{}"
+		secondSet = 5000
+	)
+	acquire := func(node ident.NodeID) Command { return Command{Op: OpAcquire, NodeID: node, SpanMs: repeatSpanMs} }
+	propose := Command{Op: OpPropose, ProposalID: "p", Operator: operator, Spec: []byte(bundle)}
+	review := Command{Op: OpReview, ProposalID: "p", Operator: "berta"}
+	sign := Command{Op: OpSign, ProposalID: "p", Operator: "chen"}
+	roll := Command{Op: OpRoll, ProposalID: "p", Operator: operator}
+	apply := func(digest string, base, revision ident.Revision) Command {
+		return Command{Op: OpApply, Digest: digest, BaseRevision: base, Revision: revision, Spec: []byte(bundle), Operator: operator}
+	}
+	closure := func(base ident.Epoch, closed bool, by string) Command {
+		return Command{Op: OpClosure, Engine: "e", Closed: closed, Base: base, Based: true, Operator: by}
+	}
+	keep := func(base ident.Epoch, kept bool, by string) Command {
+		return Command{Op: OpKeep, Engine: "e", Closed: kept, Base: base, Based: true, Operator: by}
+	}
+	claim := Command{Op: OpClaim, NodeID: "a#1", SpanMs: 3000, TellsAll: true, Orders: map[ident.EngineID]uint64{"e": 4}, OrdersTurn: 2}
+	ranking := func(stamp ident.MintedID, closed bool) Command {
+		return Command{Op: OpClosure, NodeID: "a#1", Engine: "e", Closed: closed, Operator: "ranking", Ranking: &RankingMark{Claim: 1, Stamp: stamp}}
+	}
+	enlist := func(node ident.NodeID) Command { return Command{Op: OpEnlist, NodeID: node, Address: "x:1"} }
+	release := Command{Op: OpRelease, NodeID: "a#1", WorkerID: 0, Last: 1500}
+	leases := func(state *State) {
+		for worker, tenure := range state.Workers.Tenures {
+			tenure.LeaseExpiry = 0
+			state.Workers.Tenures[worker] = tenure
+		}
+	}
+	claims := func(state *State) { state.Claim.Until, state.Claim.Ordered, state.Claim.Pools = 0, 0, nil }
+	return []repeat{
+		{"ACQUIRE", nil, acquire("a#1"), []Command{acquire("b#1")}, nil},
+		{"RENEW", []Command{acquire("a#1")}, Command{Op: OpRenew, NodeID: "a#1", SpanMs: repeatSpanMs}, []Command{acquire("b#1")}, leases},
+		{"RELEASE", []Command{acquire("a#1")}, release, []Command{acquire("b#1")}, nil},
+		{"RECLAIM", []Command{acquire("a#1")}, Command{Op: OpReclaim, At: 1100 + repeatSpanMs}, []Command{acquire("b#1")}, nil},
+		{"PROPOSE", nil, propose, []Command{review, sign, roll}, nil},
+		{"PROPOSE that lost", nil, propose, []Command{apply("d", 0, 1)}, nil},
+		{"REVIEW", []Command{propose}, review, []Command{sign, roll}, nil},
+		{"SIGN", []Command{propose, review}, sign, []Command{roll}, nil},
+		{"ROLL", []Command{propose, review, sign}, roll, []Command{apply("d", 1, 2)}, nil},
+		{"APPLY", nil, apply("d", 0, 1), []Command{apply("d2", 1, 2), apply("d3", 2, 3)}, nil},
+		{"APPLY that lost", []Command{apply("d2", 0, 1)}, apply("d", 0, 1), []Command{apply("d3", 1, 2)}, nil},
+		{"APPLY on a base to come", []Command{apply("d1", 0, 1)}, apply("d", 2, 3), []Command{apply("d2", 1, 2)}, nil},
+		{"CLOSURE", nil, closure(0, true, operator), []Command{closure(1, false, "berta")}, nil},
+		{"CLOSURE, opening", []Command{closure(0, true, operator)}, closure(1, false, operator), []Command{closure(2, true, "berta")}, nil},
+		{"CLOSURE by the ranking", []Command{claim}, ranking(7, true), []Command{closure(1, false, operator)}, nil},
+		{"CLOSURE by the ranking, overtaken", []Command{claim}, ranking(7, true), []Command{ranking(8, false)}, nil},
+		{"KEEP", nil, keep(0, true, operator), []Command{keep(1, false, "berta")}, nil},
+		{"KEEP taken back", []Command{keep(0, true, operator)}, keep(1, false, operator), []Command{keep(2, true, "berta")}, nil},
+		{"ENLIST", nil, enlist("a#1"), []Command{enlist("b#1")}, nil},
+		{"ENLIST of a life that was followed", nil, enlist("a#1"), []Command{enlist("a#2")}, nil},
+		{"ENLIST of a life that stopped", []Command{acquire("a#1")}, enlist("a#1"), []Command{release}, nil},
+		{"LOST", []Command{enlist("a#1")}, Command{Op: OpLost, Lost: "a#1", Operator: operator}, []Command{enlist("a#2")}, nil},
+		{"LEAVE", nil, Command{Op: OpLeave, Engine: "e"}, []Command{{Op: OpLeave, Engine: "f"}}, nil},
+		{"CLAIM, fresh", nil, Command{Op: OpClaim, NodeID: "a#1", SpanMs: 3000}, nil, claims},
+		{"CLAIM", []Command{claim}, claim, nil, claims},
+		{"CLAIM, overtaken", []Command{claim}, claim, []Command{{Op: OpClaim, NodeID: "a#1", SpanMs: 3000, Orders: map[ident.EngineID]uint64{"e": 5}, OrdersTurn: 3}}, claims},
+		{"CLAIM of another", []Command{claim}, Command{Op: OpClaim, NodeID: "b#1", SpanMs: 3000}, nil, nil},
+		{"DROP-CLAIM", []Command{claim}, Command{Op: OpDropClaim, NodeID: "a#1"}, []Command{{Op: OpClaim, NodeID: "b#1", SpanMs: 3000, At: secondSet + repeatSpanMs}}, nil},
+	}
+}
+
+// lateCopyChanges says whether the late copy of a command changes anything; broken spoils the state first.
+func lateCopyChanges(t *testing.T, r repeat, command Command, broken func(*State)) bool {
+	t.Helper()
+	state := New()
+	now := ident.GroupTime(1000)
+	take := func(c Command) Result {
+		now++
+		c.At = max(c.At, now)
+		now = c.At
+		data, err := json.Marshal(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return state.Apply(data)
+	}
+	for _, c := range r.before {
+		if result := take(c); result.Verdict != Done {
+			t.Fatalf("%s: %s came to %+v", r.name, c.Op, result)
+		}
+	}
+	take(command)
+	for _, c := range r.meanwhile {
+		if result := take(c); result.Verdict != Done {
+			t.Fatalf("%s: %s meanwhile came to %+v", r.name, c.Op, result)
+		}
+	}
+	restored, err := Restore(state.Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	state = restored
+	broken(state)
+	before, err := Restore(state.Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Copies come in one form and many.
+	take(command)
+	take(command)
+	after, err := Restore(state.Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, one := range []*State{before, after} {
+		one.Now = 0
+		if r.grows != nil {
+			r.grows(one)
+		}
+	}
+	return !reflect.DeepEqual(before.comparable(t), after.comparable(t))
+}
+
+// comparable is a state as plain values.
+func (s *State) comparable(t *testing.T) (out map[string]any) {
+	t.Helper()
+	if err := json.Unmarshal(s.Snapshot(), &out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// TestALateCopyOfACommandChangesNothing: each command of the group may be applied again at any later time, also after a
+// snapshot, and then does what it did before, or nothing.
+func TestALateCopyOfACommandChangesNothing(t *testing.T) {
+	covered := map[Op]bool{}
+	for _, r := range repeats() {
+		covered[r.command.Op] = true
+		if lateCopyChanges(t, r, r.command, func(*State) {}) {
+			t.Errorf("%s: the late copy changed the state", r.name)
+		}
+	}
+	for _, op := range []Op{OpAcquire, OpRenew, OpRelease, OpReclaim, OpPropose, OpReview, OpSign, OpRoll, OpClosure, OpKeep, OpClaim, OpDropClaim, OpEnlist, OpLost, OpLeave, OpApply} {
+		if !covered[op] {
+			t.Errorf("%s is not tried", op)
+		}
+	}
+}
+
+// TestTheCheckOfLateCopiesSeesThem is the broken variant: commands without what a copy is known by, and a state that has
+// forgotten it.
+func TestTheCheckOfLateCopiesSeesThem(t *testing.T) {
+	unbased := func(c Command) Command { c.Based = false; return c }
+	unstamped := func(c Command) Command { mark := *c.Ranking; mark.Stamp = 0; c.Ranking = &mark; return c }
+	same := func(c Command) Command { return c }
+	whole := func(*State) {}
+	seen := 0
+	for _, broken := range []struct {
+		name    string
+		command func(Command) Command
+		state   func(*State)
+	}{
+		{"CLOSURE", unbased, whole}, {"CLOSURE, opening", unbased, whole}, {"KEEP", unbased, whole}, {"KEEP taken back", unbased, whole},
+		{"CLOSURE by the ranking", unstamped, whole}, {"CLOSURE by the ranking", same, func(s *State) { s.Ranked = RankingOrder{} }},
+		{"ENLIST of a life that was followed", same, func(s *State) { s.Ended = nil }}, {"ENLIST of a life that stopped", same, func(s *State) { s.Ended = nil }},
+		{"CLAIM, overtaken", same, func(s *State) { s.Claim.OrdersTurn = 0 }}, {"LEAVE", same, func(s *State) { s.Left = nil }},
+		{"APPLY on a base to come", same, func(s *State) { s.Refused = nil }},
+	} {
+		for _, r := range repeats() {
+			if r.name != broken.name {
+				continue
+			}
+			seen++
+			if !lateCopyChanges(t, r, broken.command(r.command), broken.state) {
+				t.Errorf("%s: broken, and not seen", broken.name)
+			}
+		}
+	}
+	if seen != 11 {
+		t.Errorf("%d variants were tried", seen)
+	}
+}
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -73,7 +73,8 @@
 	Zone   ident.ZoneID   `json:"zone,omitempty"`
 	Engine ident.EngineID `json:"engine,omitempty"`
 	Closed bool           `json:"closed,omitempty"`
-	// Based says that a closure names in Base the closure epoch it builds on; earlier builds did not.
+	// Based says that CLOSURE or KEEP names in Base the closure epoch it builds on, so that a copy which comes late
+	// is found or refused; earlier builds did not.
 	Based bool `json:"based,omitempty"`
 	// Ranking is, with CLOSURE, the word of whoever plans that it ranks the engine so; no operator's closure has it.
 	Ranking *RankingMark `json:"ranking,omitempty"`
@@ -196,6 +197,8 @@
 	Zone     ident.ZoneID   `json:"zone,omitempty"`
 	Engine   ident.EngineID `json:"engine,omitempty"`
 	Closed   bool           `json:"closed"`
+	// Keep says that it was no closure but a KEEP.
+	Keep bool `json:"keep,omitempty"`
 }
 
 // mostActs is how many closures and openings are remembered, mostLost how many lost daemons.
@@ -226,6 +229,20 @@
 	Reason string            `json:"reason,omitempty"`
 }
 
+// RankingOrder is the newest order of the ranking that was taken. Its stamp is minted, so that a copy of it, or of an
+// earlier one, is known.
+type RankingOrder struct {
+	Claim  ident.ClaimNumber `json:"claim"`
+	Stamp  ident.MintedID    `json:"stamp"`
+	Engine ident.EngineID    `json:"engine,omitempty"`
+	Closed bool              `json:"closed,omitempty"`
+}
+
+// rankingOrder is what tells one order of the ranking from all others.
+func (c Command) rankingOrder() RankingOrder {
+	return RankingOrder{Claim: c.Ranking.Claim, Stamp: c.Ranking.Stamp, Engine: c.Engine, Closed: c.Closed}
+}
+
 // Claim is the right to plan and to command engines.
 type Claim struct {
 	Number ident.ClaimNumber `json:"number"`
@@ -281,11 +298,15 @@
 	Refused  []string `json:"refused,omitempty"`
 	Closures Closures `json:"closures"`
 	// Acts lists the newest closures and openings.
-	Acts  []ClosureAct `json:"acts,omitempty"`
-	Claim Claim        `json:"claim"`
+	Acts []ClosureAct `json:"acts,omitempty"`
+	// Ranked is the newest order of the ranking.
+	Ranked RankingOrder `json:"ranked,omitzero"`
+	Claim  Claim        `json:"claim"`
 	// Serving holds every daemon that may be serving: it has enlisted, and has neither stopped as planned,
 	// nor been followed by another life of its name, nor been declared lost.
 	Serving map[ident.NodeID]Serving `json:"serving,omitempty"`
+	// Ended lists the newest lives that have stopped or were followed, so that no late ENLIST takes one up again.
+	Ended []ident.NodeID `json:"ended,omitempty"`
 	// Left lists the engines that said they leave, the newest last; Leaves counts all there ever were.
 	Left   []Left `json:"left,omitempty"`
 	Leaves uint64 `json:"leaves,omitempty"`
@@ -374,7 +395,7 @@
 		return grantResult(s.Workers.Renew(c.NodeID, c.WorkerID, s.Now, span))
 	case OpRelease:
 		// Whoever lets go of its worker id has stopped serving.
-		delete(s.Serving, c.NodeID)
+		s.endLife(c.NodeID)
 		if s.Workers.Release(c.NodeID, c.WorkerID, c.Last) == workerid.Mismatch {
 			return Result{Verdict: Mismatch}
 		}
@@ -524,9 +545,14 @@
 		return s.closureLost(c)
 	}
 	if c.Ranking != nil {
+		if order := c.rankingOrder(); order.Stamp != 0 && order == s.Ranked {
+			// This very order was taken, and operators may have acted since.
+			return s.closuresNow()
+		}
 		if verdict, reason := s.mayRank(c); verdict != Done {
 			return Result{Verdict: verdict, Reason: reason}
 		}
+		s.Ranked = c.rankingOrder()
 	}
 	mark := ClosureMark{Operator: c.Operator, At: s.Now, Epoch: s.Closures.Epoch + 1, Ranking: c.Ranking}
 	next := s.Closures.Clone()
@@ -545,12 +571,22 @@
 	if changed {
 		next.Epoch++
 		s.Closures = next
-		s.Acts = append(s.Acts, ClosureAct{Epoch: next.Epoch, Operator: c.Operator, Zone: c.Zone, Engine: c.Engine, Closed: c.Closed})
-		s.Acts = s.Acts[max(0, len(s.Acts)-mostActs):]
+		s.noteAct(c)
 	}
 	return s.closuresNow()
 }
 
+// noteAct writes down the closure, opening or keeping that made the newest closure epoch.
+func (s *State) noteAct(c Command) {
+	s.Acts = append(s.Acts, c.act(s.Closures.Epoch))
+	s.Acts = s.Acts[max(0, len(s.Acts)-mostActs):]
+}
+
+// act is what a CLOSURE or KEEP leaves behind if it makes this closure epoch.
+func (c Command) act(epoch ident.Epoch) ClosureAct {
+	return ClosureAct{Epoch: epoch, Operator: c.Operator, Zone: c.Zone, Engine: c.Engine, Closed: c.Closed, Keep: c.Op == OpKeep}
+}
+
 // mayRank says whether whoever plans may shut or open an engine: it holds the claim, operators don't keep the engine,
 // and it opens only what the ranking shut.
 func (s *State) mayRank(c Command) (Verdict, string) {
@@ -561,6 +597,8 @@
 		return Malformed, "the ranking shuts engines alone"
 	case s.Claim.Number != c.Ranking.Claim || s.Claim.NodeID != c.NodeID || s.Claim.Until <= s.Now:
 		return Forbidden, "the claim under which this was ranked is no longer held"
+	case s.Ranked.Claim == c.Ranking.Claim && c.Ranking.Stamp < s.Ranked.Stamp:
+		return Forbidden, "a later order of this claim's ranking was taken"
 	case c.Closed && kept:
 		return Forbidden, "an operator keeps this engine"
 	case !c.Closed && shut && before.Ranking == nil:
@@ -577,6 +615,9 @@
 	if c.Engine == "" {
 		return Result{Verdict: Malformed, Reason: "no engine is named"}
 	}
+	if c.Based && c.Base != s.Closures.Epoch {
+		return s.closureLost(c)
+	}
 	next := s.Closures.Clone()
 	mark := ClosureMark{Operator: c.Operator, At: s.Now, Epoch: next.Epoch + 1}
 	if setClosure(next.Kept, c.Engine, c.Closed, mark) {
@@ -588,6 +629,7 @@
 			delete(next.Kept, oldest)
 		}
 		s.Closures = next
+		s.noteAct(c)
 	}
 	return s.closuresNow()
 }
@@ -605,7 +647,7 @@
 		if act.Epoch != c.Base+1 {
 			continue
 		}
-		if act == (ClosureAct{Epoch: act.Epoch, Operator: c.Operator, Zone: c.Zone, Engine: c.Engine, Closed: c.Closed}) {
+		if act == c.act(act.Epoch) {
 			return result
 		}
 		result.Winner = act.Operator
@@ -619,9 +661,13 @@
 	if _, lost := s.Closures.Lost[c.NodeID]; lost {
 		return Result{Verdict: Forbidden, Reason: "this daemon was declared lost"}
 	}
+	if slices.Contains(s.Ended, c.NodeID) {
+		// A copy that comes late: taken, it would put the life that followed out of sight.
+		return Result{Verdict: Forbidden, Reason: "this life of the daemon has ended"}
+	}
 	for other := range s.Serving {
 		if other != c.NodeID && other.Name() == c.NodeID.Name() {
-			delete(s.Serving, other)
+			s.endLife(other)
 		}
 	}
 	if _, known := s.Serving[c.NodeID]; !known {
@@ -630,6 +676,19 @@
 	return Result{Verdict: Done}
 }
 
+// mostEnded is how many ended lives are remembered, the newest: a copy of a call stays on its way for seconds.
+const mostEnded = 256
+
+// endLife takes a life off those that may be serving, for good.
+func (s *State) endLife(node ident.NodeID) {
+	if _, serving := s.Serving[node]; !serving {
+		return
+	}
+	delete(s.Serving, node)
+	// A new list, so that whoever holds the old one may go on reading it.
+	s.Ended = append(slices.Clone(s.Ended[max(0, len(s.Ended)-mostEnded+1):]), node)
+}
+
 // lose takes an operator's word that a daemon will never serve again.
 func (s *State) lose(c Command) Result {
 	if _, already := s.Closures.Lost[c.Lost]; already {
