--- a/cmd/cresspond/client.go
+++ b/cmd/cresspond/client.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/wire/operatorapi"
@@ -31,6 +33,21 @@
 	return &epoch
 }
 
+// askLimit is how long one daemon's answer is waited for.
+const askLimit = 12 * time.Second
+
+// newClient makes the client of daemons. It uses no connection twice, so that the library has no reason to send
+// anything again by itself, and follows no redirect, which would turn one call into another.
+func newClient() *http.Client {
+	return &http.Client{
+		Timeout:       askLimit,
+		Transport:     &http.Transport{Proxy: http.ProxyFromEnvironment, DisableKeepAlives: true, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+var errNoLength = errors.New("it does not say where it ends")
+
 // ask goes from daemon to daemon until one gives an outcome; all acts may be asked again.
 func (t *tool) ask(method, path string, body []byte) ([]byte, error) {
 	last := fmt.Errorf("no daemon was named")
@@ -47,6 +64,10 @@
 		}
 		data, err := io.ReadAll(response.Body)
 		response.Body.Close()
+		if err == nil && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+			// It ends wherever its connection does, so a part of it would look whole.
+			err = errNoLength
+		}
 		if err != nil {
 			last = fmt.Errorf("%s broke off its answer: %w", daemon, err)
 			continue
--- a/cmd/cresspond/main.go
+++ b/cmd/cresspond/main.go
@@ -4,11 +4,9 @@
 
 import (
 	"fmt"
-	"net/http"
 	"net/url"
 	"os"
 	"strings"
-	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -92,7 +90,7 @@
 	if err != nil {
 		app.Fatalf("%s, try --help", err)
 	}
-	t := &tool{asJSON: *asJSON, client: &http.Client{Timeout: 12 * time.Second}}
+	t := &tool{asJSON: *asJSON, client: newClient()}
 	for _, daemon := range *daemons {
 		t.daemons = append(t.daemons, strings.FieldsFunc(daemon, func(r rune) bool { return r == ',' || r == ' ' || r == '\n' })...)
 	}
--- a/process/statemachine/closures.go
+++ b/process/statemachine/closures.go
@@ -26,6 +26,8 @@
 	Zone     ident.ZoneID   `json:"zone,omitempty"`
 	Engine   ident.EngineID `json:"engine,omitempty"`
 	Closed   bool           `json:"closed"`
+	// Keep says that it was no closure but a KEEP.
+	Keep bool `json:"keep,omitempty"`
 }
 
 // mostActs is how many closures and openings are remembered, mostLost how many lost daemons.
@@ -50,6 +52,20 @@
 	Reason string            `json:"reason,omitempty"`
 }
 
+// RankingOrder is the newest order of the ranking that was taken. Its stamp is minted, so that a copy of it, or of an
+// earlier one, is known.
+type RankingOrder struct {
+	Claim  ident.ClaimNumber `json:"claim"`
+	Stamp  ident.MintedID    `json:"stamp"`
+	Engine ident.EngineID    `json:"engine,omitempty"`
+	Closed bool              `json:"closed,omitempty"`
+}
+
+// rankingOrder is what tells one order of the ranking from all others.
+func (c Command) rankingOrder() RankingOrder {
+	return RankingOrder{Claim: c.Ranking.Claim, Stamp: c.Ranking.Stamp, Engine: c.Engine, Closed: c.Closed}
+}
+
 func (s *State) close(c Command) Result {
 	if c.Based {
 		if result, settled := s.closureSettled(c); settled {
@@ -57,9 +73,14 @@
 		}
 	}
 	if c.Ranking != nil {
+		if order := c.rankingOrder(); order.Stamp != 0 && order == s.Ranked {
+			// This very order was taken, and operators may have acted since.
+			return s.closuresNow()
+		}
 		if verdict, reason := s.mayRank(c); verdict != Done {
 			return Result{Verdict: verdict, Reason: reason}
 		}
+		s.Ranked = c.rankingOrder()
 	}
 	mark := ClosureMark{Operator: c.Operator, At: s.Now, Epoch: s.Closures.Epoch + 1, Ranking: c.Ranking}
 	next := s.Closures.Clone()
@@ -78,12 +99,17 @@
 	if changed {
 		next.Epoch++
 		s.raiseClosures(next)
-		s.Acts = append(s.Acts, ClosureAct{Epoch: next.Epoch, Operator: c.Operator, Zone: c.Zone, Engine: c.Engine, Closed: c.Closed})
-		s.Acts = s.Acts[max(0, len(s.Acts)-mostActs):]
+		s.noteAct(c)
 	}
 	return s.closuresNow()
 }
 
+// noteAct writes down the closure, opening or keeping that made the newest closure epoch.
+func (s *State) noteAct(c Command) {
+	s.Acts = append(s.Acts, c.act(s.Closures.Epoch))
+	s.Acts = s.Acts[max(0, len(s.Acts)-mostActs):]
+}
+
 // mayRank says whether whoever plans may shut or open an engine: it holds the claim, operators don't keep the engine,
 // and it opens only what the ranking shut.
 func (s *State) mayRank(c Command) (Verdict, string) {
@@ -94,6 +120,8 @@
 		return Malformed, "the ranking shuts engines alone"
 	case s.Claim.Number != c.Ranking.Claim || s.Claim.NodeID != c.NodeID || s.Claim.Until <= s.Now:
 		return Forbidden, "the claim under which this was ranked is no longer held"
+	case s.Ranked.Claim == c.Ranking.Claim && c.Ranking.Stamp < s.Ranked.Stamp:
+		return Forbidden, "a later order of this claim's ranking was taken"
 	case c.Closed && kept:
 		return Forbidden, "an operator keeps this engine"
 	case !c.Closed && shut && before.Ranking == nil:
@@ -110,6 +138,11 @@
 	if c.Engine == "" {
 		return Result{Verdict: Malformed, Reason: "no engine is named"}
 	}
+	if c.Based {
+		if result, settled := s.closureSettled(c); settled {
+			return result
+		}
+	}
 	next := s.Closures.Clone()
 	mark := ClosureMark{Operator: c.Operator, At: s.Now, Epoch: next.Epoch + 1}
 	if setClosure(next.Kept, c.Engine, c.Closed, mark) {
@@ -121,6 +154,7 @@
 			delete(next.Kept, oldest)
 		}
 		s.raiseClosures(next)
+		s.noteAct(c)
 	}
 	return s.closuresNow()
 }
@@ -130,15 +164,15 @@
 	return Result{Verdict: Done, Closures: &out}
 }
 
-// act is a closure as it stands among those remembered, if its base is the closures in force.
-func (c Command) act() ClosureAct {
-	return ClosureAct{Epoch: c.Base + 1, Operator: c.Operator, Zone: c.Zone, Engine: c.Engine, Closed: c.Closed}
+// act is what a CLOSURE or KEEP leaves behind if it makes this closure epoch.
+func (c Command) act(epoch ident.Epoch) ClosureAct {
+	return ClosureAct{Epoch: epoch, Operator: c.Operator, Zone: c.Zone, Engine: c.Engine, Closed: c.Closed, Keep: c.Op == OpKeep}
 }
 
 // closureSettled answers a closure that can't be carried out: its base is not the closures in force, or it was
 // refused before. It may be one that was carried out already and lost its answer.
 func (s *State) closureSettled(c Command) (Result, bool) {
-	act := c.act()
+	act := c.act(c.Base + 1)
 	switch {
 	case c.Base < s.Closures.Epoch:
 		return s.closurePassed(act), true
@@ -155,7 +189,7 @@
 }
 
 // closurePassed answers a closure whose base has passed. Each change of the closures leaves one act or, where a
-// daemon is declared lost or an engine kept, none: so only the acts before the oldest one known were forgotten.
+// daemon is declared lost, none: so only the acts before the oldest one known were forgotten.
 func (s *State) closurePassed(act ClosureAct) Result {
 	if slices.Contains(s.Acts, act) {
 		return s.closuresNow()
--- a/process/statemachine/command.go
+++ b/process/statemachine/command.go
@@ -64,7 +64,8 @@
 	Zone   ident.ZoneID   `json:"zone,omitempty"`
 	Engine ident.EngineID `json:"engine,omitempty"`
 	Closed bool           `json:"closed,omitempty"`
-	// Based says that a closure names in Base the closure epoch it builds on; earlier builds did not.
+	// Based says that CLOSURE or KEEP names in Base the closure epoch it builds on, so that a copy which comes late
+	// is found or refused; earlier builds did not.
 	Based bool `json:"based,omitempty"`
 	// Ranking is, with CLOSURE, the word of whoever plans that it ranks the engine so; no operator's closure has it.
 	Ranking *RankingMark `json:"ranking,omitempty"`
--- a/process/statemachine/serving.go
+++ b/process/statemachine/serving.go
@@ -29,9 +29,13 @@
 	if _, lost := s.Closures.Lost[c.NodeID]; lost {
 		return Result{Verdict: Forbidden, Reason: "this daemon was declared lost"}
 	}
-	for other := range s.Serving {
+	if slices.Contains(s.Ended, c.NodeID) {
+		// A copy that comes late: taken, it would put the life that followed out of sight.
+		return Result{Verdict: Forbidden, Reason: "this life of the daemon has ended"}
+	}
+	for _, other := range slices.Sorted(maps.Keys(s.Serving)) {
 		if other != c.NodeID && other.Name() == c.NodeID.Name() {
-			delete(s.Serving, other)
+			s.endLife(other)
 		}
 	}
 	if _, known := s.Serving[c.NodeID]; !known {
@@ -40,6 +44,19 @@
 	return Result{Verdict: Done}
 }
 
+// mostEnded is how many ended lives are remembered, the newest: a copy of a call stays on its way for seconds.
+const mostEnded = 256
+
+// endLife takes a life off those that may be serving, for good.
+func (s *State) endLife(node ident.NodeID) {
+	if _, serving := s.Serving[node]; !serving {
+		return
+	}
+	delete(s.Serving, node)
+	// A new list, so that whoever holds the old one may go on reading it.
+	s.Ended = append(slices.Clone(s.Ended[max(0, len(s.Ended)-mostEnded+1):]), node)
+}
+
 // lose takes an operator's word that a daemon will never serve again.
 func (s *State) lose(c Command) Result {
 	if _, already := s.Closures.Lost[c.Lost]; already {
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -65,10 +65,14 @@
 	// RefusedActs lists the closures that were refused while their base was above the closures in force, until
 	// those have passed it.
 	RefusedActs []ClosureAct `json:"refusedActs,omitempty"`
-	Claim       Claim        `json:"claim"`
+	// Ranked is the newest order of the ranking.
+	Ranked RankingOrder `json:"ranked,omitzero"`
+	Claim  Claim        `json:"claim"`
 	// Serving holds every daemon that may be serving: it has enlisted, and has neither stopped as planned,
 	// nor been followed by another life of its name, nor been declared lost.
 	Serving map[ident.NodeID]Serving `json:"serving,omitempty"`
+	// Ended lists the newest lives that have stopped or were followed, so that no late ENLIST takes one up again.
+	Ended []ident.NodeID `json:"ended,omitempty"`
 	// Left lists the engines that said they leave, the newest last; Leaves counts all there ever were.
 	Left   []Left `json:"left,omitempty"`
 	Leaves uint64 `json:"leaves,omitempty"`
@@ -151,7 +155,7 @@
 		return grantResult(s.Workers.Renew(c.NodeID, c.WorkerID, s.Now, span))
 	case OpRelease:
 		// Whoever lets go of its worker id has stopped serving.
-		delete(s.Serving, c.NodeID)
+		s.endLife(c.NodeID)
 		if s.Workers.Release(c.NodeID, c.WorkerID, c.Last) == workerid.Mismatch {
 			return Result{Verdict: Mismatch}
 		}
