A stopping daemon takes no connection later than what it may leave unfinished

Cause: requests that were sent up to three seconds after the signal may be cut at the end of the grace, if their engines are still at work in its second half. Where the platform did not ask for readiness twice, as where a zone has no other daemon, connections were taken for 3.5 s, and a stream that came in the last half second would have had to end within the grace.

Connections are taken for 2.7 s at most. A platform that asks once a second has been told twice after 2 s, and 0.3 s more were left before too. Ruled out: to refuse late requests one by one, which costs their worth without need.

--- a/process/daemon/life.go
+++ b/process/daemon/life.go
@@ -15,8 +15,9 @@
 	// noticeLag is how long a stopping daemon whose readiness nobody asks for at an address of its own goes on
 	// taking connections that are still handed to it.
 	noticeLag = 1500 * time.Millisecond
-	// mostNotice bounds that time where readiness is asked for: it is asked once a second, and counts twice.
-	mostNotice = 3500 * time.Millisecond
+	// mostNotice bounds that time where readiness is asked for: it is asked once a second, and counts twice. What
+	// is sent within three seconds of the signal may outlast the daemon; what comes later would have to be finished.
+	mostNotice = 2700 * time.Millisecond
 	// missesSeen is how many answers of not being ready keep new connections away, and lastHandedOver how long
 	// a connection that was handed over before may be on its way.
 	missesSeen     = 2
--- a/process/daemon/listener_test.go
+++ b/process/daemon/listener_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // scarce is a listener that has no descriptor left for some accepts.
@@ -90,3 +91,15 @@
 		}
 	}
 }
+
+// TestAStoppingDaemonTakesNothingTooLateToBeExcused: a platform that asks once a second has moved on by then, and what
+// was sent later than three seconds after the signal must be answered whole, however long its engine takes.
+func TestAStoppingDaemonTakesNothingTooLateToBeExcused(t *testing.T) {
+	const askedEvery, excusedUntil, onTheWay = time.Second, 3 * time.Second, 200 * time.Millisecond
+	if least := missesSeen*askedEvery + lastHandedOver; mostNotice < least {
+		t.Errorf("connections are taken for %v only, and are handed over for %v", mostNotice, least)
+	}
+	if mostNotice+onTheWay > excusedUntil {
+		t.Errorf("connections are taken for %v, and what comes after %v is not excused", mostNotice, excusedUntil)
+	}
+}
