--- a/rehearsal/platformkit/day/acts.go
+++ b/rehearsal/platformkit/day/acts.go
@@ -59,6 +59,18 @@
 		}
 		return nil
 	}},
+	{name: "delete-first", rest: time.Second, play: func(d *Day, ctx context.Context) error {
+		for _, e := range d.of("notes") {
+			if _, err := d.newPlain(e.Config.Zone, "notes", ""); err != nil {
+				return err
+			}
+			e.Delete()
+			if err := d.await(ctx, "the engine has left", func() bool { return e.Current() == "" }); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
 	{name: "short-notice", rest: 2 * time.Second, play: func(d *Day, ctx context.Context) error {
 		e, err := d.anyEngine("lm")
 		if err != nil {
--- a/rehearsal/platformkit/day/day.go
+++ b/rehearsal/platformkit/day/day.go
@@ -285,6 +285,9 @@
 	c.Name, c.Zone, c.Address, c.Software, c.HealthPath = fmt.Sprintf("e%d", number), zone, address, "v1", "/health"
 	c.IdleClose, c.TellIdle, c.CloseEach, c.ReportLag, c.Seed = 5*time.Second, number%2 == 0, 40, 300*ms, d.Seed*1000+uint64(number)
 	c.BeatPeriod, c.Controls, c.DrainBound, c.DrainPatience, c.Cold = 1200*ms, d.Fleet.Controls, Bounds.Drain, 6*time.Second, 500*ms
+	if number%3 == 0 {
+		c.LateEach, c.LateBy = 4, 2500*ms
+	}
 	e := engine.New(c, d.Book)
 	if err := e.Start(); err != nil {
 		return nil, err
--- a/rehearsal/platformkit/day/traffic.go
+++ b/rehearsal/platformkit/day/traffic.go
@@ -36,6 +36,9 @@
 
 const host = "ci.example"
 
+// leaverEach is of how many requests one is left by its client before long.
+const leaverEach = 19
+
 // send starts all kinds of requests; they come at random times whatever becomes of those before.
 func (d *Day) send(ctx context.Context) {
 	for n, k := range kinds {
@@ -70,6 +73,9 @@
 	r := &client.Request{ID: fmt.Sprintf("r%d", number), Kind: k.name, Zone: zones[random.IntN(len(zones))], Host: host, Method: http.MethodPost, URI: fmt.Sprintf("%sx?n=%d", path, number),
 		Body: bytes.Repeat([]byte{byte('a' + number%26)}, 20+random.IntN(3000)), Chunked: random.IntN(2) == 0, Class: k.class, Resumable: k.resumable, Deadline: k.deadline, Aim: k.aim, Gap: 400 * ms, Tries: k.tries,
 		Impatient: random.IntN(20) == 0}
+	if number%leaverEach == 0 {
+		r.LeavesAfter = 100*ms + time.Duration(number*37%1400)*ms
+	}
 	if k.out > 0 {
 		// Few models are asked for often, and more seldom.
 		model := (int(float64(models)*random.Float64()*random.Float64()) + favourite) % models
--- a/rehearsal/platformkit/engine/beat.go
+++ b/rehearsal/platformkit/engine/beat.go
@@ -101,6 +101,12 @@
 			beat.RemainingMs = max(0, time.Duration(by-int64(c.Book.Now())).Milliseconds())
 		}
 	}
+	if each := c.Config.LateEach; each > 0 && c.seq%each == 0 {
+		c.sendLate(encode(beat))
+		c.target = ""
+		c.turn++
+		return false
+	}
 	asked := c.Book.Now()
 	status, body, err := call(c.ctx, c.client, http.MethodPut, daemon, form.PathEngines+c.id, encode(beat))
 	if err != nil || status < 200 || status > 299 || len(body) > mostAnswer || c.Book.Now().Since(asked) > time.Second {
@@ -121,12 +127,25 @@
 	return true
 }
 
-// depart says that the life ends; it is tried at a few daemons.
-func (l *life) depart() {
+// sendLate has a beat be under way for long, behind later ones, and past the engine's end.
+func (c *caller) sendLate(beat []byte) {
+	list := c.Config.Controls()
+	if len(list) == 0 {
+		return
+	}
+	daemon := list[c.seq%uint64(len(list))]
+	time.AfterFunc(c.Config.LateBy, func() {
+		// Whatever the answer is, nobody waits for it any more.
+		_, _, _ = call(context.Background(), c.client, http.MethodPut, daemon, form.PathEngines+c.id, beat)
+	})
+}
+
+// depart says that the life ends; it is tried at each daemon. It says whether one acknowledged it.
+func (l *life) depart() bool {
 	client := controlClient(time.Second)
 	list := l.Config.Controls
 	if list == nil {
-		return
+		return true
 	}
 	for _, daemon := range list() {
 		status, _, err := call(l.ctx, client, http.MethodDelete, daemon, form.PathEngines+l.id, nil)
@@ -136,9 +155,10 @@
 					l.record.DrainAcked, l.record.DrainBy = l.Book.Now(), daemon
 				}
 			})
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // call makes one call to a control daemon.
--- a/rehearsal/platformkit/engine/engine_test.go
+++ b/rehearsal/platformkit/engine/engine_test.go
@@ -599,3 +599,61 @@
 	}
 	s.sound()
 }
+
+// TestAnEngineIsDeletedFirstAndServesOn: it never says that it drains, beats on, and ends after its bound.
+func TestAnEngineIsDeletedFirstAndServesOn(t *testing.T) {
+	t.Parallel()
+	hold := make(chan struct{})
+	c := newControls(t, func(_ int, w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-hold:
+		default:
+			if r.Method == http.MethodDelete {
+				w.WriteHeader(503)
+			}
+		}
+	})
+	config := modelConfig()
+	config.BeatPeriod, config.DrainBound, config.DrainPatience = 3*time.Millisecond, 50*time.Millisecond, time.Hour
+	config.Controls = func() []string { return []string{c.address()} }
+	s := start(t, config)
+	s.engine.Delete()
+	await(t, "it is said to be gone twice", func() bool { _, gone := c.heard(); return len(gone) > 1 })
+	before, _ := c.heard()
+	await(t, "it beats on", func() bool { now, _ := c.heard(); return len(now) > len(before)+2 })
+	if try := s.once(streamed(4)); try.Status != 200 || !s.engine.Leaving() {
+		t.Errorf("%+v", try)
+	}
+	close(hold)
+	await(t, "it has ended", func() bool { return s.book.Read().Lives[0].Ended != 0 })
+	life := s.book.Read().Lives[0]
+	if life.DrainAsked == 0 || life.DrainAcked == 0 || life.Ended.Since(life.DrainAcked) < config.DrainBound || life.Crashed {
+		t.Errorf("%+v", life)
+	}
+	beats, _ := c.heard()
+	for _, beat := range beats {
+		if beat.State != form.StateReady {
+			t.Fatalf("%+v", beat)
+		}
+	}
+}
+
+func TestSomeBeatsComeBehindLaterOnes(t *testing.T) {
+	t.Parallel()
+	c := newControls(t, nil)
+	config := modelConfig()
+	config.BeatPeriod, config.LateEach, config.LateBy = 3*time.Millisecond, 3, 30*time.Millisecond
+	config.Controls = func() []string { return []string{c.address()} }
+	start(t, config)
+	await(t, "one came late", func() bool {
+		beats, _ := c.heard()
+		highest := uint64(0)
+		for _, beat := range beats {
+			if beat.CallSeq < highest && beat.CallSeq%3 == 0 {
+				return true
+			}
+			highest = max(highest, beat.CallSeq)
+		}
+		return false
+	})
+}
--- a/rehearsal/platformkit/history/history.go
+++ b/rehearsal/platformkit/history/history.go
@@ -118,8 +118,9 @@
 	Events            []Event
 	// Whole says that by its framing the answer came whole.
 	Whole bool
-	// GaveUp: the client closed first.
-	GaveUp bool
+	// GaveUp: the client closed first, at LeftAt. Early: it did so by its own will, and is owed no answer.
+	GaveUp, Early bool
+	LeftAt        clock.Mark
 	// Junk is what came that is no answer in the protocol, Surplus what came while no request waited.
 	Junk, Surplus string
 	Err           string
