--- a/rehearsal/days/catalogue.go
+++ b/rehearsal/days/catalogue.go
@@ -76,7 +76,7 @@
 
 // catalogue lists every kind that days are made of.
 var catalogue = []specification{
-	{kind: AfterAckKill, variants: []string{"", "kill", "timed", "kill timed", "taken"}},
+	{kind: AfterAckKill, variants: []string{"", "kill", "timed", "kill timed", "taken", "taken gone"}},
 	{kind: AfterAckWipe, variants: []string{"", "oldest", "timed", "timed oldest", "taken"}},
 	{kind: AckLost},
 	{kind: AnswerLost, variants: []string{"", "reset"}},
@@ -93,7 +93,7 @@
 	{kind: DiskStall},
 	{kind: Garble, variants: []string{"", "extra", "unframed", "early", "extra late"}},
 	{kind: GiveUp},
-	{kind: HerdKill, variants: []string{"", "power", "taken", "power taken"}},
+	{kind: HerdKill, variants: []string{"", "power", "taken", "power taken", "taken all"}},
 	{kind: HangUp, planned: true},
 	{kind: IdleRace, contract: poolContract},
 	{kind: Lossy},
--- a/rehearsal/days/days_test.go
+++ b/rehearsal/days/days_test.go
@@ -166,6 +166,7 @@
 func lossesOver(site Site, day Day) (most int, overlapped bool) {
 	type span struct {
 		from, settled float64
+		machines      int
 		whole         bool
 	}
 	var spans []span
@@ -199,7 +200,7 @@
 		if trouble.Kind != HerdKill {
 			lasts += site.Timing.CatchUpSeconds
 		}
-		spans = append(spans, span{trouble.At, trouble.At + lasts, trouble.Kind == HerdKill})
+		spans = append(spans, span{trouble.At, trouble.At + lasts, max(1, trouble.Count), trouble.Kind == HerdKill})
 	}
 	for moment := 0.0; moment < day.LengthSeconds+60; moment += 0.05 {
 		lost, whole := 0, 0
@@ -210,7 +211,7 @@
 			if s.whole {
 				whole++
 			} else {
-				lost++
+				lost += s.machines
 			}
 		}
 		most = max(most, lost)
@@ -303,7 +304,7 @@
 		changesAtTheEdgesOfACut(line, firstScene)
 		cut := line.faults[0]
 		near := func(moment float64) bool {
-			return slices.ContainsFunc(line.plan, func(one Trouble) bool { return one.At > moment-edge-0.05 && one.At <= moment })
+			return slices.ContainsFunc(line.plan, func(one Trouble) bool { return one.At > moment-edge-0.05 && round(one.At-moment) <= 0 })
 		}
 		if cut.Kind != CoreCut || !near(cut.At) || !near(cut.At+cut.DurationSeconds) {
 			t.Errorf("seed %d: %+v with %+v", seed, cut, line.plan)
--- a/rehearsal/days/scenes.go
+++ b/rehearsal/days/scenes.go
@@ -36,9 +36,9 @@
 	repeatSlack = 1.0
 )
 
-// counted draws a trouble that takes one counted machine.
+// counted draws a trouble that takes counted machines, mostly one.
 func (t *timeline) counted(at float64) Trouble {
-	switch t.number(0, 5) {
+	switch t.number(0, 6) {
 	case 0:
 		return t.kill(at)
 	case 1:
@@ -49,19 +49,34 @@
 		return t.replacement(at)
 	case 4:
 		return t.wipe(at)
+	case 5:
+		return t.slow(at)
 	default:
 		return t.illDisk(at)
 	}
 }
 
+// machines draws how many counted machines go at once: mostly one, at times as many as the site tolerates.
+func (t *timeline) machines() int {
+	if t.chance(0.3) {
+		return max(1, t.site.Tolerate.Machines)
+	}
+	return 1
+}
+
 func (t *timeline) kill(at float64) Trouble {
 	how := words(t.variant(NodeKill), t.target(), t.met())
-	return Trouble{At: at, Kind: NodeKill, Machines: Counted, Count: 1, DurationSeconds: t.between(0.5, 4), Variant: how}
+	return Trouble{At: at, Kind: NodeKill, Machines: Counted, Count: t.machines(), DurationSeconds: t.between(0.5, 4), Variant: how}
 }
 
 func (t *timeline) freeze(at float64) Trouble {
 	how := words(t.target(), t.met())
-	return Trouble{At: at, Kind: NodeFreeze, Machines: Counted, Count: 1, DurationSeconds: t.between(1, 6), Variant: how}
+	return Trouble{At: at, Kind: NodeFreeze, Machines: Counted, Count: t.machines(), DurationSeconds: t.between(1, 6), Variant: how}
+}
+
+func (t *timeline) slow(at float64) Trouble {
+	how := words(t.target(), t.met())
+	return Trouble{At: at, Kind: NodeSlow, Machines: Counted, Count: t.machines(), Strength: t.between(2, 10), DurationSeconds: t.between(2, 6), Variant: how}
 }
 
 func (t *timeline) cut(at, duration float64) Trouble {
@@ -69,7 +84,7 @@
 	if t.chance(0.3) {
 		how = words(how, pick(t, "reset", "refuse"))
 	}
-	return Trouble{At: at, Kind: CoreCut, Count: 1, DurationSeconds: duration, Variant: how}
+	return Trouble{At: at, Kind: CoreCut, Count: t.machines(), DurationSeconds: duration, Variant: how}
 }
 
 func (t *timeline) replacement(at float64) Trouble {
@@ -81,7 +96,7 @@
 }
 
 func (t *timeline) illDisk(at float64) Trouble {
-	disk := Trouble{At: at, Kind: pick(t, DiskSlow, DiskFull, DiskStall), Count: 1, DurationSeconds: t.between(3, 6), Variant: words(t.target(), t.met())}
+	disk := Trouble{At: at, Kind: pick(t, DiskSlow, DiskFull, DiskStall), Count: t.machines(), DurationSeconds: t.between(3, 6), Variant: words(t.target(), t.met())}
 	if disk.Kind == DiskSlow {
 		disk.Strength = t.between(10, 60)
 	}
--- a/rehearsal/days/scenes_control.go
+++ b/rehearsal/days/scenes_control.go
@@ -65,7 +65,7 @@
 		end = t.recovered(t.lose(t.counted(at)))
 	}
 	t.change(end + t.between(0, 0.5))
-	how := pick(t, "power", "taken", "power taken", "")
+	how := t.variant(HerdKill)
 	all := t.lose(Trouble{At: end + t.between(0, repeatSlack), Kind: HerdKill, Machines: Counted, DurationSeconds: t.between(0.3, 2.5), Variant: how})
 	if t.chance(0.4) {
 		t.killFronts(all.At + t.between(-0.5, 0.5))
