--- a/process/daemon/poolplanning.go
+++ b/process/daemon/poolplanning.go
@@ -207,7 +207,7 @@
 }
 
 // Mint stamps an order, LeaseHeld says whether the lease it was minted under still holds.
-func (p poolPlanner) Mint() (ident.MintedID, snowflake.Verdict) { return p.generator.Mint() }
+func (p poolPlanner) Mint() (ident.MintedID, snowflake.Outcome) { return p.generator.Mint() }
 
 // LeaseHeld says whether the lease of the worker id still holds.
 func (p poolPlanner) LeaseHeld() bool { return p.generator.Held() }
--- a/process/placement/actor.go
+++ b/process/placement/actor.go
@@ -21,7 +21,7 @@
 	// Claim asks the group for the claim, or for more time under it, and tells what was ordered.
 	Claim(ctx context.Context, orders map[ident.EngineID]uint64, turn uint64) (*statemachine.Claim, bool)
 	// Mint stamps an order.
-	Mint() (ident.MintedID, snowflake.Verdict)
+	Mint() (ident.MintedID, snowflake.Outcome)
 	// Order sends an order; see enginelink.Order.
 	Order(ctx context.Context, address string, order engineapi.Order, limit time.Duration, mayLeave func() bool) (*engineapi.OrderAnswer, bool)
 	// MayStand says whether this daemon should try for the claim.
--- a/process/poolplacement/actor.go
+++ b/process/poolplacement/actor.go
@@ -24,7 +24,7 @@
 	// Claim asks the group for the claim, or for more time under it, and tells what is about to be ordered.
 	Claim(ctx context.Context, told *statemachine.Told, whole bool) ClaimAnswer
 	// Mint stamps an order; LeaseHeld says whether what was minted may still be used.
-	Mint() (ident.MintedID, snowflake.Verdict)
+	Mint() (ident.MintedID, snowflake.Outcome)
 	LeaseHeld() bool
 	// MayStand says whether this daemon should try for the claim, First whether it should before others.
 	MayStand() bool
--- a/process/poolplacement/actor_test.go
+++ b/process/poolplacement/actor_test.go
@@ -66,7 +66,7 @@
 	at := ident.GroupTime(w.now / clock.Mark(time.Millisecond))
 	return ClaimAnswer{Granted: &statemachine.Claim{Number: w.holder, Now: at, Until: at.Add(3 * time.Second)}}
 }
-func (w *frozenWorld) Mint() (ident.MintedID, snowflake.Verdict) { return 1, snowflake.Minted }
+func (w *frozenWorld) Mint() (ident.MintedID, snowflake.Outcome) { return 1, snowflake.Minted }
 func (w *frozenWorld) LeaseHeld() bool                           { return true }
 func (w *frozenWorld) MayStand() bool                            { return true }
 func (w *frozenWorld) First() bool                               { return true }
--- a/process/snowflake/snowflake.go
+++ b/process/snowflake/snowflake.go
@@ -19,23 +19,24 @@
 	Epoch ident.GroupTime = 1704067200000
 )
 
-// Verdict is the outcome of one minting.
-type Verdict string
+// Outcome is the outcome of one minting.
+type Outcome string
 
 const (
-	Minted Verdict = "minted"
-	// NoTenure says that no tenure is held, or that it has lapsed.
-	NoTenure Verdict = "no-tenure"
+	// Minted says that an id was given.
+	Minted Outcome = "minted"
+	// NoLease says that no lease is held, or that it has lapsed.
+	NoLease Outcome = "no-tenure"
 	// Backward says that the clock went back or stands at or below the floor.
-	Backward Verdict = "backward"
+	Backward Outcome = "backward"
 	// OutOfBits says that the time no longer fits.
-	OutOfBits Verdict = "out-of-bits"
+	OutOfBits Outcome = "out-of-bits"
 )
 
 // window is what a grant allows; it is replaced whole.
 type window struct {
 	worker ident.WorkerID
-	// base is the group's time at mark, as told by the grant.
+	// base is the group's time at mark, as given by the grant.
 	base ident.GroupTime
 	mark clock.Mark
 	// floor and ceiling bound the timestamps; both ends are shut.
@@ -49,7 +50,7 @@
 	return w.base + ident.GroupTime(now.Since(w.mark)/time.Millisecond)
 }
 
-// Generator mints ids while a tenure lasts. Its clock is the group's time carried on by the
+// Generator mints ids while a lease lasts. Its clock is the group's time carried on by the
 // machine's boot-time clock, so that a jump of the time of day moves nothing.
 type Generator struct {
 	clock  clock.Clock
@@ -60,13 +61,13 @@
 	refusals atomic.Uint64
 }
 
-// New makes a generator; margin is taken off the end of each tenure for clock-rate error.
+// New makes a generator; margin is taken off the end of each lease for clock-rate error.
 func New(c clock.Clock, margin time.Duration) *Generator {
 	return &Generator{clock: c, margin: margin}
 }
 
 // Take takes up a grant. asked is read from the clock before the request was sent, so the
-// holder's tenure never outlasts the group's.
+// holder's lease never outlasts the group's.
 func (g *Generator) Take(grant workerid.Grant, asked clock.Mark) {
 	span := time.Duration(grant.LeaseExpiry-grant.Now) * time.Millisecond
 	next := &window{
@@ -85,7 +86,7 @@
 	g.window.Store(next)
 }
 
-// Drop forgets the tenure and gives the last timestamp minted under it.
+// Drop forgets the lease and gives the last timestamp minted under it.
 func (g *Generator) Drop() (ident.WorkerID, ident.GroupTime, bool) {
 	held := g.window.Swap(nil)
 	if held == nil {
@@ -94,7 +95,7 @@
 	return held.worker, ident.GroupTime(g.last.Load()>>sequenceBits) + Epoch, true
 }
 
-// Held says whether a tenure is held that has not lapsed on this machine's clock.
+// Held says whether a lease is held that has not lapsed on this machine's clock.
 func (g *Generator) Held() bool {
 	held := g.window.Load()
 	return held != nil && g.clock.Elapsed() < held.until
@@ -109,7 +110,7 @@
 	return held.worker, true
 }
 
-// Ceiling is the latest timestamp that may be minted under the tenure held.
+// Ceiling is the latest timestamp that may be minted under the lease held.
 func (g *Generator) Ceiling() ident.GroupTime {
 	if held := g.window.Load(); held != nil {
 		return held.ceiling
@@ -121,13 +122,13 @@
 func (g *Generator) Refusals() uint64 { return g.refusals.Load() }
 
 // Mint gives the next id, or why there is none.
-func (g *Generator) Mint() (ident.MintedID, Verdict) {
+func (g *Generator) Mint() (ident.MintedID, Outcome) {
 	for {
 		held := g.window.Load()
 		now := g.clock.Elapsed()
 		if held == nil || now >= held.until {
 			g.refusals.Add(1)
-			return 0, NoTenure
+			return 0, NoLease
 		}
 		at := held.at(now)
 		// Outside the window an id could meet one of another holder, so that is an error and not a wait.
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -415,7 +415,7 @@
 	return Result{Verdict: Malformed, Reason: "unknown op " + string(c.Op)}
 }
 
-func grantResult(grant workerid.Grant, verdict workerid.Verdict) Result {
+func grantResult(grant workerid.Grant, verdict workerid.Outcome) Result {
 	switch verdict {
 	case workerid.Granted:
 		return Result{Verdict: Done, Grant: &grant}
--- a/process/workerid/workerid.go
+++ b/process/workerid/workerid.go
@@ -1,4 +1,4 @@
-// Package workerid is the replicated table of worker-id tenures: which daemon may mint ids
+// Package workerid is the replicated table of worker-id leases: which daemon may mint ids
 // under which worker id, until when, and above which floor.
 package workerid
 
@@ -12,34 +12,38 @@
 // MaxWorkerID is the largest number that ten bits hold.
 const MaxWorkerID ident.WorkerID = 1<<10 - 1
 
-// Tenure is one row of the table.
-type Tenure struct {
+// Lease is one row of the table.
+type Lease struct {
 	WorkerID    ident.WorkerID  `json:"workerId"`
 	NodeID      ident.NodeID    `json:"nodeId"`
 	LeaseExpiry ident.GroupTime `json:"leaseExpiry"`
 }
 
-// Grant is what a holder is told: its tenure, the group's time, and the floor it must mint above.
+// Grant is what a holder receives: its lease, the group's time, and the floor it must mint above.
 type Grant struct {
-	Tenure
+	Lease
 	Now   ident.GroupTime `json:"now"`
 	Floor ident.GroupTime `json:"floor"`
 }
 
-// Verdict is the outcome of a command on the table.
-type Verdict string
+// Outcome is the outcome of a command on the table.
+type Outcome string
 
 const (
-	Granted   Verdict = "granted"
-	Mismatch  Verdict = "mismatch"
-	Exhausted Verdict = "exhausted"
-	Released  Verdict = "released"
+	// Granted: the daemon holds the lease that is given with it.
+	Granted Outcome = "granted"
+	// Mismatch: the daemon does not hold a lease on that worker id.
+	Mismatch Outcome = "mismatch"
+	// Exhausted: all worker ids are taken.
+	Exhausted Outcome = "exhausted"
+	// Released: the lease has ended before its expiry.
+	Released Outcome = "released"
 )
 
 // Table is the replicated state. Its zero value is not usable; make it with New.
 type Table struct {
-	Tenures map[ident.WorkerID]Tenure       `json:"tenures"`
-	Nodes   map[ident.NodeID]ident.WorkerID `json:"nodes"`
+	Leases map[ident.WorkerID]Lease        `json:"tenures"`
+	Nodes  map[ident.NodeID]ident.WorkerID `json:"nodes"`
 	// Floors outlive release and reclaim: no id at or below them may be minted again.
 	Floors map[ident.WorkerID]ident.GroupTime `json:"floors"`
 
@@ -49,73 +53,73 @@
 // New makes an empty table.
 func New() *Table {
 	return &Table{
-		Tenures: map[ident.WorkerID]Tenure{},
-		Nodes:   map[ident.NodeID]ident.WorkerID{},
-		Floors:  map[ident.WorkerID]ident.GroupTime{},
+		Leases: map[ident.WorkerID]Lease{},
+		Nodes:  map[ident.NodeID]ident.WorkerID{},
+		Floors: map[ident.WorkerID]ident.GroupTime{},
 	}
 }
 
 // Rebuild remakes the expiry heap after the table was read from a snapshot.
 func (t *Table) Rebuild() {
 	t.expiries = t.expiries[:0]
-	for _, tenure := range t.Tenures {
-		t.expiries = append(t.expiries, expiry{tenure.LeaseExpiry, tenure.WorkerID})
+	for _, lease := range t.Leases {
+		t.expiries = append(t.expiries, expiry{lease.LeaseExpiry, lease.WorkerID})
 	}
 	heap.Init(&t.expiries)
 }
 
-// Acquire gives the daemon its unexpired tenure, or the lowest free worker id.
-func (t *Table) Acquire(node ident.NodeID, now ident.GroupTime, span time.Duration) (Grant, Verdict) {
+// Acquire gives the daemon its unexpired lease, or the lowest free worker id.
+func (t *Table) Acquire(node ident.NodeID, now ident.GroupTime, span time.Duration) (Grant, Outcome) {
 	if worker, known := t.Nodes[node]; known {
-		tenure := t.Tenures[worker]
-		if tenure.LeaseExpiry > now {
-			return Grant{Tenure: tenure, Now: now, Floor: t.Floors[worker]}, Granted
+		lease := t.Leases[worker]
+		if lease.LeaseExpiry > now {
+			return Grant{Lease: lease, Now: now, Floor: t.Floors[worker]}, Granted
 		}
-		// Its tenure lapsed before the scan found it: it counts as reclaimed, so the floor holds for its next holder.
-		t.end(tenure, tenure.LeaseExpiry)
+		// Its lease lapsed before the scan found it: it counts as reclaimed, so the floor holds for its next holder.
+		t.end(lease, lease.LeaseExpiry)
 	}
 	for worker := ident.WorkerID(0); worker <= MaxWorkerID; worker++ {
 		// A floor ahead of the group's time would leave the holder unable to mint, so such an id is passed by.
-		if _, taken := t.Tenures[worker]; taken || t.Floors[worker] >= now {
+		if _, taken := t.Leases[worker]; taken || t.Floors[worker] >= now {
 			continue
 		}
-		tenure := Tenure{WorkerID: worker, NodeID: node, LeaseExpiry: now.Add(span)}
-		t.put(tenure)
-		return Grant{Tenure: tenure, Now: now, Floor: t.Floors[worker]}, Granted
+		lease := Lease{WorkerID: worker, NodeID: node, LeaseExpiry: now.Add(span)}
+		t.put(lease)
+		return Grant{Lease: lease, Now: now, Floor: t.Floors[worker]}, Granted
 	}
 	return Grant{}, Exhausted
 }
 
-// Renew moves the expiry of a tenure that this daemon holds.
-func (t *Table) Renew(node ident.NodeID, worker ident.WorkerID, now ident.GroupTime, span time.Duration) (Grant, Verdict) {
-	tenure, held := t.holder(node, worker)
-	if !held || tenure.LeaseExpiry <= now {
+// Renew moves the expiry of a lease that this daemon holds.
+func (t *Table) Renew(node ident.NodeID, worker ident.WorkerID, now ident.GroupTime, span time.Duration) (Grant, Outcome) {
+	lease, held := t.holder(node, worker)
+	if !held || lease.LeaseExpiry <= now {
 		return Grant{}, Mismatch
 	}
-	tenure.LeaseExpiry = max(tenure.LeaseExpiry, now.Add(span))
-	t.put(tenure)
-	return Grant{Tenure: tenure, Now: now, Floor: t.Floors[worker]}, Granted
+	lease.LeaseExpiry = max(lease.LeaseExpiry, now.Add(span))
+	t.put(lease)
+	return Grant{Lease: lease, Now: now, Floor: t.Floors[worker]}, Granted
 }
 
-// Release ends a tenure early; last is the last timestamp that was minted under it.
-func (t *Table) Release(node ident.NodeID, worker ident.WorkerID, last ident.GroupTime) Verdict {
-	tenure, held := t.holder(node, worker)
+// Release ends a lease early; last is the last timestamp that was minted under it.
+func (t *Table) Release(node ident.NodeID, worker ident.WorkerID, last ident.GroupTime) Outcome {
+	lease, held := t.holder(node, worker)
 	if !held {
 		return Mismatch
 	}
-	t.end(tenure, min(last, tenure.LeaseExpiry))
+	t.end(lease, min(last, lease.LeaseExpiry))
 	return Released
 }
 
-// Reclaim ends all tenures that lapsed by now, and says how many.
+// Reclaim ends all leases that lapsed by now, and says how many.
 func (t *Table) Reclaim(now ident.GroupTime) int {
 	count := 0
 	for len(t.expiries) > 0 && t.expiries[0].at <= now {
 		due := heap.Pop(&t.expiries).(expiry)
-		tenure, held := t.Tenures[due.worker]
-		// A renewed or released tenure leaves its old expiry in the heap; only the row decides.
-		if held && tenure.LeaseExpiry <= now {
-			t.end(tenure, tenure.LeaseExpiry)
+		lease, held := t.Leases[due.worker]
+		// A renewed or released lease leaves its old expiry in the heap; only the row decides.
+		if held && lease.LeaseExpiry <= now {
+			t.end(lease, lease.LeaseExpiry)
 			count++
 		}
 	}
@@ -127,24 +131,24 @@
 	return len(t.expiries) > 0 && t.expiries[0].at <= now
 }
 
-func (t *Table) holder(node ident.NodeID, worker ident.WorkerID) (Tenure, bool) {
+func (t *Table) holder(node ident.NodeID, worker ident.WorkerID) (Lease, bool) {
 	known, ok := t.Nodes[node]
 	if !ok || known != worker {
-		return Tenure{}, false
+		return Lease{}, false
 	}
-	return t.Tenures[worker], true
+	return t.Leases[worker], true
 }
 
-func (t *Table) put(tenure Tenure) {
-	t.Tenures[tenure.WorkerID] = tenure
-	t.Nodes[tenure.NodeID] = tenure.WorkerID
-	heap.Push(&t.expiries, expiry{tenure.LeaseExpiry, tenure.WorkerID})
+func (t *Table) put(lease Lease) {
+	t.Leases[lease.WorkerID] = lease
+	t.Nodes[lease.NodeID] = lease.WorkerID
+	heap.Push(&t.expiries, expiry{lease.LeaseExpiry, lease.WorkerID})
 }
 
-func (t *Table) end(tenure Tenure, floor ident.GroupTime) {
-	delete(t.Tenures, tenure.WorkerID)
-	delete(t.Nodes, tenure.NodeID)
-	t.Floors[tenure.WorkerID] = max(t.Floors[tenure.WorkerID], floor)
+func (t *Table) end(lease Lease, floor ident.GroupTime) {
+	delete(t.Leases, lease.WorkerID)
+	delete(t.Nodes, lease.NodeID)
+	t.Floors[lease.WorkerID] = max(t.Floors[lease.WorkerID], floor)
 }
 
 type expiry struct {
@@ -160,7 +164,6 @@
 }
 func (h expiryHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 
-// Push and Pop serve container/heap.
 func (h *expiryHeap) Push(x any) { *h = append(*h, x.(expiry)) }
 func (h *expiryHeap) Pop() any {
 	old := *h
--- a/process/workerid/workerid_test.go
+++ b/process/workerid/workerid_test.go
@@ -18,16 +18,16 @@
 func TestAcquireGivesTheLowestFreeIDAndTheSameOneAgain(t *testing.T) {
 	table := New()
 	for want := range ident.WorkerID(5) {
-		grant, verdict := table.Acquire(ident.NodeID(fmt.Sprint("node", want)), 1000, span)
-		if verdict != Granted || grant.WorkerID != want || grant.LeaseExpiry != 31000 {
-			t.Fatalf("got %+v, %s", grant, verdict)
+		grant, outcome := table.Acquire(ident.NodeID(fmt.Sprint("node", want)), 1000, span)
+		if outcome != Granted || grant.WorkerID != want || grant.LeaseExpiry != 31000 {
+			t.Fatalf("got %+v, %s", grant, outcome)
 		}
 	}
 	if grant, _ := table.Acquire("node3", 2000, span); grant.WorkerID != 3 || grant.LeaseExpiry != 31000 {
-		t.Fatalf("an unexpired tenure must be given again as it is, got %+v", grant)
+		t.Fatalf("an unexpired lease must be given again as it is, got %+v", grant)
 	}
-	if verdict := table.Release("node1", 1, 1500); verdict != Released {
-		t.Fatal(verdict)
+	if outcome := table.Release("node1", 1, 1500); outcome != Released {
+		t.Fatal(outcome)
 	}
 	if grant, _ := table.Acquire("other", 3000, span); grant.WorkerID != 1 || grant.Floor != 1500 {
 		t.Fatalf("the lowest free id and its floor must be given, got %+v", grant)
@@ -38,35 +38,35 @@
 	table := New()
 	table.Acquire("a", 1000, span)
 	table.Acquire("b", 1000, span)
-	if _, verdict := table.Renew("a", 1, 2000, span); verdict != Mismatch {
-		t.Fatal("a renewed b's id:", verdict)
+	if _, outcome := table.Renew("a", 1, 2000, span); outcome != Mismatch {
+		t.Fatal("a renewed b's id:", outcome)
 	}
-	if verdict := table.Release("a", 1, 2000); verdict != Mismatch {
-		t.Fatal("a released b's id:", verdict)
+	if outcome := table.Release("a", 1, 2000); outcome != Mismatch {
+		t.Fatal("a released b's id:", outcome)
 	}
-	if _, verdict := table.Renew("a", 0, 31000, span); verdict != Mismatch {
-		t.Fatal("a lapsed tenure was renewed:", verdict)
+	if _, outcome := table.Renew("a", 0, 31000, span); outcome != Mismatch {
+		t.Fatal("a lapsed lease was renewed:", outcome)
 	}
-	if grant, verdict := table.Renew("b", 1, 20000, span); verdict != Granted || grant.LeaseExpiry != 50000 {
-		t.Fatal(grant, verdict)
+	if grant, outcome := table.Renew("b", 1, 20000, span); outcome != Granted || grant.LeaseExpiry != 50000 {
+		t.Fatal(grant, outcome)
 	}
 }
 
 func TestAnExhaustedPoolIsAnError(t *testing.T) {
 	table := New()
 	for i := range MaxWorkerID + 1 {
-		if _, verdict := table.Acquire(ident.NodeID(fmt.Sprint(i)), 1000, span); verdict != Granted {
-			t.Fatal(i, verdict)
+		if _, outcome := table.Acquire(ident.NodeID(fmt.Sprint(i)), 1000, span); outcome != Granted {
+			t.Fatal(i, outcome)
 		}
 	}
-	if _, verdict := table.Acquire("one more", 1000, span); verdict != Exhausted {
-		t.Fatal(verdict)
+	if _, outcome := table.Acquire("one more", 1000, span); outcome != Exhausted {
+		t.Fatal(outcome)
 	}
 	if n := table.Reclaim(31000); n != int(MaxWorkerID)+1 {
 		t.Fatal(n, "were reclaimed")
 	}
-	if grant, verdict := table.Acquire("one more", 31001, span); verdict != Granted || grant.Floor != 31000 {
-		t.Fatal(grant, verdict)
+	if grant, outcome := table.Acquire("one more", 31001, span); outcome != Granted || grant.Floor != 31000 {
+		t.Fatal(grant, outcome)
 	}
 }
 
@@ -76,9 +76,9 @@
 	Wait       uint16
 }
 
-// TestTenuresNeverOverlap runs made-up histories, and holds that no timestamp can be minted twice
+// TestLeasesNeverOverlap runs made-up histories, and holds that no timestamp can be minted twice
 // under one worker id: each grant's window lies above the floor left by all before it.
-func TestTenuresNeverOverlap(t *testing.T) {
+func TestLeasesNeverOverlap(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(7)
 	parameters.MinSuccessfulTests = 300
 	properties := gopter.NewProperties(parameters)
@@ -94,8 +94,8 @@
 			node := ident.NodeID(fmt.Sprint(d.Node))
 			switch d.Kind % 4 {
 			case 0:
-				grant, verdict := table.Acquire(node, now, span)
-				if verdict != Granted {
+				grant, outcome := table.Acquire(node, now, span)
+				if outcome != Granted {
 					return false
 				}
 				fresh := holders[grant.WorkerID] != node
@@ -107,7 +107,7 @@
 				ceilings[grant.WorkerID] = max(ceilings[grant.WorkerID], grant.LeaseExpiry)
 			case 1:
 				if worker, ok := held[node]; ok {
-					if grant, verdict := table.Renew(node, worker, now, span); verdict == Granted {
+					if grant, outcome := table.Renew(node, worker, now, span); outcome == Granted {
 						ceilings[worker] = max(ceilings[worker], grant.LeaseExpiry)
 					}
 				}
@@ -120,19 +120,19 @@
 			case 3:
 				table.Reclaim(now)
 			}
-			if len(table.Tenures) != len(table.Nodes) {
+			if len(table.Leases) != len(table.Nodes) {
 				return false
 			}
-			for worker, tenure := range table.Tenures {
-				if table.Nodes[tenure.NodeID] != worker {
+			for worker, lease := range table.Leases {
+				if table.Nodes[lease.NodeID] != worker {
 					return false
 				}
-				if tenure.LeaseExpiry <= now {
+				if lease.LeaseExpiry <= now {
 					holders[worker] = ""
 				}
 			}
 			for worker, node := range holders {
-				if _, stands := table.Tenures[worker]; !stands && node != "" {
+				if _, stands := table.Leases[worker]; !stands && node != "" {
 					holders[worker] = ""
 				}
 			}
--- a/rehearsal/interleave/interleave_test.go
+++ b/rehearsal/interleave/interleave_test.go
@@ -249,7 +249,7 @@
 }
 
 func (r *router) step(event dispatch.Event) {
-	effects := r.core.Step(dispatch.World{Now: r.now, Table: r.table, Engines: engineView(), Zone: "z", Mint: func() (ident.MintedID, snowflake.Verdict) {
+	effects := r.core.Step(dispatch.World{Now: r.now, Table: r.table, Engines: engineView(), Zone: "z", Mint: func() (ident.MintedID, snowflake.Outcome) {
 		r.stamp++
 		return r.stamp, snowflake.Minted
 	}}, event)
--- a/request/dispatch/actor.go
+++ b/request/dispatch/actor.go
@@ -262,4 +262,4 @@
 }
 
 // MintFunc is how the core gets stamps.
-type MintFunc func() (ident.MintedID, snowflake.Verdict)
+type MintFunc func() (ident.MintedID, snowflake.Outcome)
--- a/request/dispatch/core_test.go
+++ b/request/dispatch/core_test.go
@@ -23,11 +23,11 @@
 	return World{Now: now, Table: table.Build(1, nil, s, statemachine.Closures{}), Zone: "z",
 		Engines: &engines.View{Engines: map[ident.EngineID]*engines.Engine{"e": {ID: "e", Zone: "z", Condition: engines.Sound, Asked: now,
 			Report: engineapi.Report{Models: []engineapi.ModelReport{{Model: "m", State: engineapi.Loaded}}}}}},
-		Mint: func() (ident.MintedID, snowflake.Verdict) {
+		Mint: func() (ident.MintedID, snowflake.Outcome) {
 			if minted {
 				return 1, snowflake.Minted
 			}
-			return 0, snowflake.NoTenure
+			return 0, snowflake.NoLease
 		}}
 }
 
