Name process/wants process/demand, and its sides sender and receiver

Fields of the wire stay. Tests of the package and of request/forwarding pass; process/daemon builds.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/cresspond/cresspond/process/attempts"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/demand"
 	"github.com/cresspond/cresspond/process/engines"
 	"github.com/cresspond/cresspond/process/fellows"
 	"github.com/cresspond/cresspond/process/ident"
@@ -38,7 +39,6 @@
 	"github.com/cresspond/cresspond/process/snowflake"
 	"github.com/cresspond/cresspond/process/soundness"
 	"github.com/cresspond/cresspond/process/statemachine"
-	"github.com/cresspond/cresspond/process/wants"
 	"github.com/cresspond/cresspond/request/dispatch"
 	"github.com/cresspond/cresspond/wire/callerapi"
 	"github.com/cresspond/cresspond/wire/fellowapi"
@@ -108,11 +108,11 @@
 	bundleSeen          atomic.Pointer[bundleSeen]
 
 	fleetMutex sync.Mutex
-	fleetWants map[ident.NodeID]*wants.Heard
+	fleetWants map[ident.NodeID]*demand.Receiver
 	// fleetOutcomes is what others saw of engines, until the planner takes it.
 	fleetOutcomes []soundness.Told
 	// wants tells whoever plans what is asked for here.
-	wants wants.Teller
+	wants demand.Sender
 
 	// stallLimit is how long the next piece of a stream is waited for, runOver how long one may outlast its deadline.
 	stallLimit, runOver time.Duration
@@ -191,7 +191,7 @@
 		nodeID:        ident.NodeID(c.Name + "#" + hex.EncodeToString(life[:])),
 		replicaConfig: replica.DefaultConfig(), adopted: make(chan ident.GroupID, 1), broken: make(chan error, 4), unreadyTold: make(chan struct{}, 8),
 		applying: make(chan struct{}, 1), applyLimit: applyLimit, applyReach: applyReach,
-		fleetWants: map[ident.NodeID]*wants.Heard{}, home: seats.NewHome(), aroundDisk: func(disk replica.Disk) replica.Disk { return disk }, stallLimit: stallLimit, runOver: runOver,
+		fleetWants: map[ident.NodeID]*demand.Receiver{}, home: seats.NewHome(), aroundDisk: func(disk replica.Disk) replica.Disk { return disk }, stallLimit: stallLimit, runOver: runOver,
 	}
 	d.replicaConfig.Voters = c.Voters
 	d.log = logger.WithField("node", string(d.nodeID))
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -501,7 +501,7 @@
 	if onlyWaiting && !waits {
 		return false
 	}
-	message := d.wants.Tell(d.clock.Elapsed(), request.PlannerAddress, all, seated)
+	message := d.wants.Next(d.clock.Elapsed(), request.PlannerAddress, all, seated)
 	request.Wants, request.WantsBase, request.Demand, request.Seats = message.Seq, message.Base, message.Demand, message.Seats
 	for _, one := range d.forwardOutcomes() {
 		request.Outcomes = append(request.Outcomes, &fellowapi.EngineOutcomes{Engine: string(one.Engine), Attempts: int64(one.Attempts), Failures: int64(one.Failures),
--- a/process/daemon/held.go
+++ b/process/daemon/held.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/demand"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/placement"
 	"github.com/cresspond/cresspond/process/poolplacement"
-	"github.com/cresspond/cresspond/process/wants"
 	"github.com/cresspond/cresspond/request/dispatch"
 	"github.com/cresspond/cresspond/wire/fellowapi"
 )
@@ -286,8 +286,8 @@
 	defer d.fleetMutex.Unlock()
 	heard := d.fleetWants[ident.NodeID(in.NodeId)]
 	if heard == nil {
-		heard = &wants.Heard{}
+		heard = &demand.Receiver{}
 		d.fleetWants[ident.NodeID(in.NodeId)] = heard
 	}
-	return heard.Take(d.clock.Elapsed(), wants.Message{Seq: in.Wants, Base: in.WantsBase, Demand: in.Demand, Seats: in.Seats})
+	return heard.Take(d.clock.Elapsed(), demand.Message{Seq: in.Wants, Base: in.WantsBase, Demand: in.Demand, Seats: in.Seats})
 }
--- a/process/wants/wants.go
+++ b/process/demand/demand.go
@@ -1,5 +1,5 @@
 // Package wants carries what a daemon holds and asks for to whoever plans: once whole, then only what changed.
-package wants
+package demand
 
 import (
 	"math"
@@ -11,15 +11,15 @@
 )
 
 const (
-	// wholeEvery is how often all is told again. A part that is lost is noticed, so this is for what nobody thought of.
+	// wholeEvery is how often all is announced again. A part that is lost is noticed, so this is for what nobody thought of.
 	wholeEvery = 30 * time.Second
 	// Half is the time after which rates count half where nothing new is asked for. Both sides let them fade, so that
-	// only what is asked for anew need be told.
+	// only what is asked for anew need be announced.
 	Half = 5 * time.Second
-	// leastRate is the rate below which what neither waits nor runs is forgotten; leastTold is the same where it is
-	// told, and higher, so that whoever heard of it forgets it last.
-	leastRate, leastTold = 0.001, 0.01
-	// endSlack is for how long at least after the last telling it is not told that nothing runs any more.
+	// leastRate is the rate below which what neither waits nor runs is forgotten; leastAnnounced is the same where it is
+	// announced, and higher, so that whoever heard of it forgets it last.
+	leastRate, leastAnnounced = 0.001, 0.01
+	// endSlack is for how long at least after the last announcement it is not announced that nothing runs any more.
 	endSlack = 2 * time.Second
 	// oldestSlack is by how much the age of the oldest may differ from what it must have grown to.
 	oldestSlack = 300 * time.Millisecond
@@ -31,51 +31,51 @@
 // KeyOf is what a demand is for.
 func KeyOf(demand *fellowapi.Demand) Key { return Key{demand.Pool, demand.Model, demand.Adapter} }
 
-// Message is one telling. Base is the one it builds on; zero is whole.
+// Message is one announcement. Base is the one it builds on; zero is whole.
 type Message struct {
 	Seq, Base uint64
 	Demand    []*fellowapi.Demand
 	Seats     []*fellowapi.Seat
 }
 
-type told struct {
+type announced struct {
 	demand *fellowapi.Demand
 	at     clock.Mark
 }
 
-// Teller is the side that tells. It may be used by several at once.
-type Teller struct {
+// Sender is the side of the daemon that announces its demand. It may be used by several at once.
+type Sender struct {
 	mutex   sync.Mutex
 	to      string
 	seq     uint64
-	known   map[Key]told
+	known   map[Key]announced
 	wholeAt clock.Mark
 	lost    bool
 }
 
-// Tell makes the next message to an address.
-func (t *Teller) Tell(now clock.Mark, to string, all []*fellowapi.Demand, seats []*fellowapi.Seat) Message {
+// Next makes the next message to an address.
+func (t *Sender) Next(now clock.Mark, to string, all []*fellowapi.Demand, seats []*fellowapi.Seat) Message {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	out := Message{Seq: t.seq + 1, Base: t.seq, Seats: seats}
 	if to != t.to || t.lost || t.known == nil || now.Since(t.wholeAt) >= wholeEvery {
-		t.to, t.lost, t.wholeAt, t.known, out.Base = to, false, now, map[Key]told{}, 0
+		t.to, t.lost, t.wholeAt, t.known, out.Base = to, false, now, map[Key]announced{}, 0
 	}
 	t.seq++
 	present := make(map[Key]bool, len(all))
 	for _, demand := range all {
 		key := KeyOf(demand)
 		present[key] = true
-		if before, known := t.known[key]; known && near(before, demand, now) {
+		if before, known := t.known[key]; known && unchanged(before, demand, now) {
 			continue
 		}
-		t.known[key] = told{demand, now}
+		t.known[key] = announced{demand, now}
 		out.Demand = append(out.Demand, demand)
 	}
 	for key, before := range t.known {
 		if !present[key] {
 			delete(t.known, key)
-			if before.idle() && before.demand.Arrivals*left(now.Since(before.at)) < leastTold {
+			if before.idle() && before.demand.Arrivals*left(now.Since(before.at)) < leastAnnounced {
 				// It is forgotten there by itself.
 				continue
 			}
@@ -87,22 +87,22 @@
 }
 
 // Lost notes that a message may not have come.
-func (t *Teller) Lost() {
+func (t *Sender) Lost() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.lost = true
 }
 
 // idle says that nothing of it waited or ran.
-func (t told) idle() bool { return t.demand.Held == 0 && t.demand.Running == 0 }
+func (t announced) idle() bool { return t.demand.Held == 0 && t.demand.Running == 0 }
 
 // left is the share of a rate that is left after a time.
 func left(since time.Duration) float64 { return math.Exp2(-float64(since) / float64(Half)) }
 
-// near says whether a demand is so much like what was told that it need not be told anew.
-func near(before told, demand *fellowapi.Demand, now clock.Mark) bool {
+// unchanged says whether a demand is so much like what was announced that it need not be announced anew.
+func unchanged(before announced, demand *fellowapi.Demand, now clock.Mark) bool {
 	was := before.demand
-	// That nothing runs any more is told too, or the sum over many daemons that each ask for little would be far off;
+	// That nothing runs any more is announced too, or the sum over many daemons that each ask for little would be far off;
 	// but not at once, since what was asked for a moment ago is likely to be asked for again.
 	begins, ends := was.Running == 0 && demand.Running > 0, was.Running > 0 && demand.Running == 0
 	if was.Held > 0 != (demand.Held > 0) || begins || ends && now.Since(before.at) >= endSlack || was.Worth != demand.Worth || was.Held > 0 && was.Rank != demand.Rank {
@@ -120,23 +120,23 @@
 		like(was.Tokens*share, demand.Tokens, 1) && like(was.Arrivals*share, demand.Arrivals, 0.1)
 }
 
-// Heard is what was heard of one life of a daemon.
-type Heard struct {
-	// At is when it last told anything.
+// Receiver is what one incarnation of a daemon has announced.
+type Receiver struct {
+	// At is when it last announced anything.
 	At    clock.Mark
 	Seats []*fellowapi.Seat
 	seq   uint64
-	known map[Key]told
+	known map[Key]announced
 }
 
-// Take takes a message; it says false where one before it is lacking, so that all must be told again.
-func (h *Heard) Take(now clock.Mark, m Message) bool {
+// Take takes a message; it says false where one before it is lacking, so that all must be announced again.
+func (h *Receiver) Take(now clock.Mark, m Message) bool {
 	switch {
 	case m.Seq <= h.seq:
-		// Overtaken by a newer one, which told it all or built on it.
+		// Overtaken by a newer one, which held it all or built on it.
 		return true
 	case m.Base == 0:
-		h.known = make(map[Key]told, len(m.Demand))
+		h.known = make(map[Key]announced, len(m.Demand))
 	case m.Base != h.seq:
 		return false
 	}
@@ -146,13 +146,13 @@
 			delete(h.known, KeyOf(demand))
 			continue
 		}
-		h.known[KeyOf(demand)] = told{demand, now}
+		h.known[KeyOf(demand)] = announced{demand, now}
 	}
 	return true
 }
 
-// Each gives all that is asked for, with how long ago it was told, and which share of its rates is left since.
-func (h *Heard) Each(now clock.Mark, give func(demand *fellowapi.Demand, ago time.Duration, share float64)) {
+// Each gives all that is asked for, with how long ago it was announced, and which share of its rates is left since.
+func (h *Receiver) Each(now clock.Mark, give func(demand *fellowapi.Demand, ago time.Duration, share float64)) {
 	for key, one := range h.known {
 		ago := now.Since(one.at)
 		share := left(ago)
--- a/process/wants/wants_test.go
+++ b/process/demand/demand_test.go
@@ -1,4 +1,4 @@
-package wants
+package demand
 
 import (
 	"fmt"
@@ -17,7 +17,7 @@
 	return &fellowapi.Demand{Pool: "p", Model: model, Held: held, Running: running, OldestMs: oldest.Milliseconds(), Tokens: float64(running) * 10, Arrivals: 1}
 }
 
-func gather(h *Heard, now clock.Mark) map[string]*fellowapi.Demand {
+func gather(h *Receiver, now clock.Mark) map[string]*fellowapi.Demand {
 	out := map[string]*fellowapi.Demand{}
 	h.Each(now, func(one *fellowapi.Demand, ago time.Duration, share float64) {
 		copied := proto.Clone(one).(*fellowapi.Demand)
@@ -30,11 +30,11 @@
 	return out
 }
 
-func TestWhatIsToldInPartsIsNearWhatIsAskedFor(t *testing.T) {
+func TestIncrementsAreNearTheFullDemand(t *testing.T) {
 	for seed := range uint64(50) {
 		random := rand.New(rand.NewPCG(seed, 3))
-		var teller Teller
-		var heard Heard
+		var sender Sender
+		var receiver Receiver
 		now := clock.Mark(time.Minute)
 		since := map[string]clock.Mark{}
 		asked := map[string]*fellowapi.Demand{}
@@ -59,31 +59,31 @@
 				}
 				all = append(all, one)
 			}
-			message := teller.Tell(now, "a", all, nil)
+			message := sender.Next(now, "a", all, nil)
 			switch random.IntN(10) {
 			case 0:
-				teller.Lost()
+				sender.Lost()
 				continue
 			case 1:
 				// It comes late, after the next.
 				late = append(late, message)
 				continue
 			}
-			taken := heard.Take(now, message)
+			taken := receiver.Take(now, message)
 			for _, old := range late {
-				heard.Take(now, old)
+				receiver.Take(now, old)
 			}
 			late = nil
 			if !taken {
-				teller.Lost()
+				sender.Lost()
 				continue
 			}
-			got := gather(&heard, now)
+			got := gather(&receiver, now)
 			if len(got) != len(all) {
 				t.Fatalf("seed %d, step %d: %d are known, %d asked for", seed, step, len(got), len(all))
 			}
 			for _, one := range all {
-				if !near(told{got[one.Model], now}, one, now) {
+				if !unchanged(announced{got[one.Model], now}, one, now) {
 					t.Fatalf("seed %d, step %d: %v is known as %v", seed, step, one, got[one.Model])
 				}
 			}
@@ -98,29 +98,29 @@
 	return out
 }
 
-func TestWhatDoesNotChangeIsNotToldAgain(t *testing.T) {
-	var teller Teller
+func TestUnchangedDemandIsNotAnnouncedAgain(t *testing.T) {
+	var sender Sender
 	now := clock.Mark(time.Minute)
-	if m := teller.Tell(now, "a", []*fellowapi.Demand{demand("m", 1, 4, 0), demand("n", 0, 4, 0)}, nil); m.Base != 0 || len(m.Demand) != 2 {
+	if m := sender.Next(now, "a", []*fellowapi.Demand{demand("m", 1, 4, 0), demand("n", 0, 4, 0)}, nil); m.Base != 0 || len(m.Demand) != 2 {
 		t.Errorf("%+v", m)
 	}
 	now += clock.Mark(time.Second)
-	if m := teller.Tell(now, "a", []*fellowapi.Demand{fadedDemand("m", 1, 4, time.Second, time.Second), fadedDemand("n", 0, 5, 0, time.Second)}, nil); m.Base == 0 || len(m.Demand) != 0 {
+	if m := sender.Next(now, "a", []*fellowapi.Demand{fadedDemand("m", 1, 4, time.Second, time.Second), fadedDemand("n", 0, 5, 0, time.Second)}, nil); m.Base == 0 || len(m.Demand) != 0 {
 		t.Errorf("%+v", m)
 	}
-	if m := teller.Tell(now, "b", []*fellowapi.Demand{fadedDemand("m", 1, 4, time.Second, time.Second)}, nil); m.Base != 0 || len(m.Demand) != 1 {
-		t.Errorf("another planner is told all: %+v", m)
+	if m := sender.Next(now, "b", []*fellowapi.Demand{fadedDemand("m", 1, 4, time.Second, time.Second)}, nil); m.Base != 0 || len(m.Demand) != 1 {
+		t.Errorf("another planner gets all: %+v", m)
 	}
-	if m := teller.Tell(now+clock.Mark(wholeEvery), "b", []*fellowapi.Demand{demand("m", 1, 4, time.Second+wholeEvery)}, nil); m.Base != 0 || len(m.Demand) != 1 {
-		t.Errorf("all is told again in time: %+v", m)
+	if m := sender.Next(now+clock.Mark(wholeEvery), "b", []*fellowapi.Demand{demand("m", 1, 4, time.Second+wholeEvery)}, nil); m.Base != 0 || len(m.Demand) != 1 {
+		t.Errorf("all is sent again in time: %+v", m)
 	}
 }
 
-// One request for each of many models: as its rates fade on both sides alike, it is told of when it begins to run,
+// One request for each of many models: as its rates fade on both sides alike, it is announced when it begins to run,
 // and when it has ended.
-func TestOneRequestIsToldOfTwice(t *testing.T) {
-	var teller Teller
-	var heard Heard
+func TestOneRequestIsAnnouncedTwice(t *testing.T) {
+	var sender Sender
+	var receiver Receiver
 	now, rows, half := clock.Mark(time.Minute), 0, float64(time.Second)*5
 	for step := range 50 {
 		var all []*fellowapi.Demand
@@ -132,14 +132,14 @@
 		if running > 0 || rate >= 0.002 {
 			all = append(all, &fellowapi.Demand{Pool: "p", Model: "m", Running: running, Tokens: 3000 * rate, Arrivals: rate})
 		}
-		message := teller.Tell(now, "a", all, nil)
+		message := sender.Next(now, "a", all, nil)
 		rows += len(message.Demand)
-		if !heard.Take(now, message) {
+		if !receiver.Take(now, message) {
 			t.Fatal("a message was not taken")
 		}
-		got := gather(&heard, now)["m"]
+		got := gather(&receiver, now)["m"]
 		switch {
-		case len(all) == 0 && got != nil && got.Arrivals > leastTold:
+		case len(all) == 0 && got != nil && got.Arrivals > leastAnnounced:
 			t.Fatalf("second %d: %v is known of what nobody asks for", step, got)
 		case len(all) > 0 && (got == nil || got.Running != running && step != 1 || math.Abs(got.Arrivals-rate) > 0.001):
 			t.Fatalf("second %d: %v of %v", step, got, all[0])
@@ -147,32 +147,32 @@
 		now += clock.Mark(time.Second)
 	}
 	if rows != 3 {
-		// The third is the whole that is told again in time.
+		// The third is the whole that is announced again in time.
 		t.Errorf("%d rows", rows)
 	}
-	if got := gather(&heard, now); len(got) != 0 {
+	if got := gather(&receiver, now); len(got) != 0 {
 		t.Errorf("%v is kept for ever", got)
 	}
 }
 
 // What runs at few places each adds up: a daemon's last request to end must be heard of.
-func TestNothingThatRunsIsNotTakenForSomething(t *testing.T) {
-	var teller Teller
+func TestTheEndOfTheLastRequestIsAnnounced(t *testing.T) {
+	var sender Sender
 	now := clock.Mark(time.Minute)
-	teller.Tell(now, "a", []*fellowapi.Demand{demand("m", 0, 1, 0)}, nil)
+	sender.Next(now, "a", []*fellowapi.Demand{demand("m", 0, 1, 0)}, nil)
 	ended := fadedDemand("m", 0, 1, 0, 100*time.Millisecond)
 	ended.Running = 0
-	if m := teller.Tell(now+clock.Mark(100*time.Millisecond), "a", []*fellowapi.Demand{ended}, nil); len(m.Demand) != 0 {
+	if m := sender.Next(now+clock.Mark(100*time.Millisecond), "a", []*fellowapi.Demand{ended}, nil); len(m.Demand) != 0 {
 		t.Errorf("it may be asked for again: %+v", m)
 	}
 	ended = fadedDemand("m", 0, 1, 0, endSlack)
 	ended.Running = 0
-	if m := teller.Tell(now+clock.Mark(endSlack), "a", []*fellowapi.Demand{ended}, nil); len(m.Demand) != 1 || m.Demand[0].Running != 0 {
+	if m := sender.Next(now+clock.Mark(endSlack), "a", []*fellowapi.Demand{ended}, nil); len(m.Demand) != 1 || m.Demand[0].Running != 0 {
 		t.Errorf("%+v", m)
 	}
-	// What begins is told at once.
+	// What begins is announced at once.
 	begun := fadedDemand("m", 0, 1, 0, endSlack)
-	if m := teller.Tell(now+clock.Mark(endSlack), "a", []*fellowapi.Demand{begun}, nil); len(m.Demand) != 1 || m.Demand[0].Running != 1 {
+	if m := sender.Next(now+clock.Mark(endSlack), "a", []*fellowapi.Demand{begun}, nil); len(m.Demand) != 1 || m.Demand[0].Running != 1 {
 		t.Errorf("%+v", m)
 	}
 }
--- a/request/forwarding/demand.go
+++ b/request/forwarding/demand.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cresspond/cresspond/process/clock"
-	"github.com/cresspond/cresspond/process/wants"
+	"github.com/cresspond/cresspond/process/demand"
 )
 
 // Demand is what is asked of one pool for one model and adapter.
@@ -55,7 +55,7 @@
 }
 
 // demandHalf is the time after which an arrival counts half. Whoever plans lets rates fade alike.
-const demandHalf = wants.Half
+const demandHalf = demand.Half
 
 func (c *Core) demand(r *Record) *demandState {
 	key := demandKey{r.pool, r.Ask.Model, r.Ask.Adapter}
