--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/cresspond/cresspond/process/fellows"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/membership"
+	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/process/permits"
 	"github.com/cresspond/cresspond/process/placement"
 	"github.com/cresspond/cresspond/process/raft"
@@ -37,7 +38,6 @@
 	"github.com/cresspond/cresspond/process/rollout"
 	"github.com/cresspond/cresspond/process/seats"
 	"github.com/cresspond/cresspond/process/snowflake"
-	"github.com/cresspond/cresspond/process/soundness"
 	"github.com/cresspond/cresspond/process/statemachine"
 	"github.com/cresspond/cresspond/request/dispatch"
 	"github.com/cresspond/cresspond/wire/callerapi"
@@ -110,7 +110,7 @@
 	fleetMutex sync.Mutex
 	fleetWants map[ident.NodeID]*demand.Receiver
 	// fleetOutcomes is what others saw of engines, until the planner takes it.
-	fleetOutcomes []soundness.Told
+	fleetOutcomes []outlier.Observation
 	// wants tells whoever plans what is asked for here.
 	wants demand.Sender
 
--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -15,9 +15,9 @@
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/process/registry"
 	"github.com/cresspond/cresspond/process/snowflake"
-	"github.com/cresspond/cresspond/process/soundness"
 	"github.com/cresspond/cresspond/request/forwarding"
 	"github.com/cresspond/cresspond/wire/dialect"
 	"github.com/cresspond/cresspond/wire/fellowapi"
@@ -293,7 +293,7 @@
 }
 
 // forwardOutcomes gives what became of attempts at engines since it was last asked for.
-func (d *Daemon) forwardOutcomes() []soundness.Digest {
+func (d *Daemon) forwardOutcomes() []outlier.Digest {
 	if d.forwardSide.actor == nil {
 		return nil
 	}
--- a/process/daemon/poolplanning.go
+++ b/process/daemon/poolplanning.go
@@ -7,10 +7,10 @@
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/process/poolplacement"
 	"github.com/cresspond/cresspond/process/registry"
 	"github.com/cresspond/cresspond/process/snowflake"
-	"github.com/cresspond/cresspond/process/soundness"
 	"github.com/cresspond/cresspond/process/statemachine"
 	"github.com/cresspond/cresspond/wire/fellowapi"
 )
@@ -117,14 +117,14 @@
 }
 
 // heardOutcomes gives what this daemon and others saw of engines since it was last asked for.
-func (d *Daemon) heardOutcomes() []soundness.Told {
+func (d *Daemon) heardOutcomes() []outlier.Observation {
 	own := d.forwardOutcomes()
 	d.fleetMutex.Lock()
 	defer d.fleetMutex.Unlock()
 	out := d.fleetOutcomes
 	d.fleetOutcomes = nil
 	if len(own) > 0 {
-		out = append(out, soundness.Told{Zone: d.config.Zone, Digests: own})
+		out = append(out, outlier.Observation{Zone: d.config.Zone, Digests: own})
 	}
 	return out
 }
@@ -137,9 +137,9 @@
 	if len(in.Outcomes) == 0 || !d.Plans() {
 		return
 	}
-	told := soundness.Told{Zone: ident.ZoneID(in.Zone)}
+	told := outlier.Observation{Zone: ident.ZoneID(in.Zone)}
 	for _, one := range in.Outcomes {
-		told.Digests = append(told.Digests, soundness.Digest{Engine: ident.EngineID(one.Engine), Attempts: int(one.Attempts), Failures: int(one.Failures),
+		told.Digests = append(told.Digests, outlier.Digest{Engine: ident.EngineID(one.Engine), Attempts: int(one.Attempts), Failures: int(one.Failures),
 			Refusals: int(one.Refusals), Overdue: int(one.Overdue)})
 	}
 	d.fleetMutex.Lock()
--- a/process/soundness/judge.go
+++ b/process/outlier/detector.go
@@ -1,4 +1,4 @@
-package soundness
+package outlier
 
 import (
 	"maps"
@@ -8,46 +8,46 @@
 	"github.com/cresspond/cresspond/process/ident"
 )
 
-// Counters are counted over a judge's life.
+// Counters are counted over a detector's lifetime.
 type Counters struct {
 	Attempts, Wrong, Ejections, Relapses, Slowed, Returns, DigestsDropped uint64
 	// Spared counts the steps in which an engine stood out that the bound left in.
 	Spared uint64
 }
 
-// Judge weighs what all daemons saw. It belongs to whoever plans.
-type Judge struct {
+// Detector weighs what all daemons saw. It belongs to whoever plans.
+type Detector struct {
 	settings Settings
 	Counters Counters
-	engines  map[ident.EngineID]*judged
+	engines  map[ident.EngineID]*observed
 	pools    map[string][]ident.EngineID
 	sums     map[string]poolSum
 }
 
-// NewJudge makes one that knows nothing yet, and so finds all sound.
-func NewJudge(settings Settings) *Judge {
-	return &Judge{settings: settings, engines: map[ident.EngineID]*judged{}, sums: map[string]poolSum{}}
+// NewDetector makes one that knows nothing yet, and so takes all engines for healthy.
+func NewDetector(settings Settings) *Detector {
+	return &Detector{settings: settings, engines: map[ident.EngineID]*observed{}, sums: map[string]poolSum{}}
 }
 
-// Meet takes up which engines each pool has that may be sent to.
-func (j *Judge) Meet(pools map[string][]ident.EngineID) {
+// SetPools takes up which engines each pool has that may be sent to.
+func (j *Detector) SetPools(pools map[string][]ident.EngineID) {
 	j.pools = pools
 	known := map[ident.EngineID]bool{}
 	for pool, engines := range pools {
 		for _, id := range engines {
 			known[id] = true
 			if j.engines[id] == nil || j.engines[id].pool != pool {
-				j.engines[id] = &judged{pool: pool, zones: map[ident.ZoneID]*standing{}}
+				j.engines[id] = &observed{pool: pool, zones: map[ident.ZoneID]*standing{}}
 			}
 		}
 	}
 	// One that left the list and comes back keeps its standing only while it is remembered elsewhere: it does not
-	// pay to remember lives that never come back.
-	maps.DeleteFunc(j.engines, func(id ident.EngineID, _ *judged) bool { return !known[id] })
+	// pay to remember engines that never come back.
+	maps.DeleteFunc(j.engines, func(id ident.EngineID, _ *observed) bool { return !known[id] })
 }
 
 // Step moves engines between stages; it is to be called about each tenth of a second.
-func (j *Judge) Step(now clock.Mark) {
+func (j *Detector) Step(now clock.Mark) {
 	for _, pool := range slices.Sorted(maps.Keys(j.pools)) {
 		j.stepPool(now, j.pools[pool])
 	}
--- a/process/soundness/eject.go
+++ b/process/outlier/eject.go
@@ -1,4 +1,4 @@
-package soundness
+package outlier
 
 import (
 	"cmp"
@@ -12,13 +12,13 @@
 
 // candidate is an engine that stands out for the daemons of a zone.
 type candidate struct {
-	engine *judged
+	engine *observed
 	id     ident.EngineID
 	zone   ident.ZoneID
 	score  float64
 }
 
-func (j *Judge) stepPool(now clock.Mark, ids []ident.EngineID) {
+func (j *Detector) stepPool(now clock.Mark, ids []ident.EngineID) {
 	out := 0
 	var alarmed []candidate
 	for _, id := range ids {
@@ -57,12 +57,12 @@
 }
 
 // mostEjected is how many of a pool may be ejected or on trial at once: never all.
-func (j *Judge) mostEjected(engines int) int {
+func (j *Detector) mostEjected(engines int) int {
 	return min(engines-1, max(1, int(j.settings.MostEjected*float64(engines))))
 }
 
 // advance moves a standing that time or its trial moves; it says whether it is to be ejected.
-func (j *Judge) advance(now clock.Mark, s *standing) (alarmed bool) {
+func (j *Detector) advance(now clock.Mark, s *standing) (alarmed bool) {
 	switch s.stage {
 	case Ejected:
 		if now.Since(s.since) >= s.rest {
@@ -82,7 +82,7 @@
 			return true
 		}
 		if share := j.share(now, s); share >= 1 {
-			s.move(Sound, now)
+			s.move(Healthy, now)
 			j.Counters.Returns++
 		}
 	case Slowed:
@@ -92,11 +92,11 @@
 		if now.Since(s.since) >= slowedStep {
 			s.since = now
 			if s.cut *= 2; s.cut >= 1 {
-				s.move(Sound, now)
+				s.move(Healthy, now)
 				j.Counters.Returns++
 			}
 		}
-	case Sound:
+	case Healthy:
 		return s.score >= j.settings.Alarm || s.late >= j.settings.LateAlarm
 	}
 	return false
@@ -109,7 +109,7 @@
 )
 
 // slow halves an engine's share.
-func (j *Judge) slow(now clock.Mark, one candidate) {
+func (j *Detector) slow(now clock.Mark, one candidate) {
 	s := one.engine.in(one.zone)
 	if s.stage != Slowed {
 		s.cut = j.share(now, s)
@@ -122,18 +122,18 @@
 	j.Counters.Slowed++
 }
 
-// eject puts an engine out for those that see it ill: for the daemons of some zones where others get on with it.
-func (j *Judge) eject(now clock.Mark, one candidate) {
+// eject puts an engine out for those that see it fail: for the daemons of some zones where others get on with it.
+func (j *Detector) eject(now clock.Mark, one candidate) {
 	zones := []ident.ZoneID{one.zone}
-	if one.zone == "" && one.engine.zones[""].stage == Sound {
-		zones = j.where(now, one.engine)
+	if one.zone == "" && one.engine.zones[""].stage == Healthy {
+		zones = j.affectedZones(now, one.engine)
 	}
 	for _, zone := range zones {
 		s := one.engine.in(zone)
 		if s.stage == Ejected {
 			continue
 		}
-		if s.stage == Sound && now.Since(s.since) >= j.settings.Forgiven {
+		if s.stage == Healthy && now.Since(s.since) >= j.settings.Forgiven {
 			s.rest /= 2
 		}
 		if s.rest >= j.settings.RestFirst {
@@ -146,16 +146,16 @@
 		s.move(Ejected, now)
 		s.score, s.late = 0, 0
 	}
-	// What was seen is in the judgement of its zone and in that of all, and must not be held against it twice.
+	// What was seen is in the score of its zone and in that of all, and must not be held against it twice.
 	for _, s := range one.engine.zones {
 		s.score, s.late = 0, 0
 	}
 }
 
-// where lists the zones whose daemons see an engine ill, if those of another get on with it; else all.
-func (j *Judge) where(now clock.Mark, e *judged) []ident.ZoneID {
+// affectedZones lists the zones whose daemons see an engine fail, if those of another get on with it; else all.
+func (j *Detector) affectedZones(now clock.Mark, e *observed) []ident.ZoneID {
 	const enough = 3
-	var ill []ident.ZoneID
+	var affected []ident.ZoneID
 	well := false
 	for _, zone := range slices.Sorted(maps.Keys(e.zones)) {
 		if zone == "" {
@@ -164,13 +164,13 @@
 		all, wrong := e.zones[zone].all.value(now, j.settings.Half), e.zones[zone].wrong.value(now, j.settings.Half)
 		switch {
 		case wrong > 0 && wrong/all > j.settings.Sick/2:
-			ill = append(ill, zone)
+			affected = append(affected, zone)
 		case all >= enough:
 			well = true
 		}
 	}
-	if !well || len(ill) == 0 {
+	if !well || len(affected) == 0 {
 		return []ident.ZoneID{""}
 	}
-	return ill
+	return affected
 }
--- a/process/soundness/evidence.go
+++ b/process/outlier/evidence.go
@@ -1,4 +1,4 @@
-package soundness
+package outlier
 
 import (
 	"cmp"
@@ -10,17 +10,17 @@
 	"github.com/cresspond/cresspond/process/ident"
 )
 
-// faded is a number of which what was added before counts less.
-type faded struct {
+// decaying is a number of which what was added before counts less.
+type decaying struct {
 	sum float64
 	at  clock.Mark
 }
 
-func (f *faded) value(now clock.Mark, half time.Duration) float64 {
+func (f *decaying) value(now clock.Mark, half time.Duration) float64 {
 	return f.sum * math.Exp2(-float64(now.Since(f.at))/float64(half))
 }
 
-func (f *faded) add(now clock.Mark, half time.Duration, more float64) {
+func (f *decaying) add(now clock.Mark, half time.Duration, more float64) {
 	f.sum, f.at = f.value(now, half)+more, now
 }
 
@@ -33,8 +33,8 @@
 // share is a part of all attempts.
 type share struct{ part, all float64 }
 
-// Told is what one daemon told.
-type Told struct {
+// Observation is what one daemon reported.
+type Observation struct {
 	Zone    ident.ZoneID
 	Digests []Digest
 }
@@ -46,11 +46,11 @@
 	ownEngines = 3
 )
 
-// Hear takes up what a daemon saw. busy says whether an engine is full by its own report, so that it may turn
+// Observe takes up what a daemon saw. busy says whether an engine is full by its own report, so that it may turn
 // requests away.
-func (j *Judge) Hear(now clock.Mark, told Told, busy func(ident.EngineID) bool) {
+func (j *Detector) Observe(now clock.Mark, observation Observation, busy func(ident.EngineID) bool) {
 	attempts, wrong, engines := 0, 0, 0
-	for _, digest := range told.Digests {
+	for _, digest := range observation.Digests {
 		attempts += digest.Attempts
 		if bad := digest.Failures + digest.Overdue; bad > 0 {
 			wrong += bad
@@ -58,18 +58,18 @@
 		}
 	}
 	if engines >= ownEngines && float64(wrong) > ownTrouble*float64(attempts) {
-		// A daemon that is cut off finds everybody ill.
+		// A daemon that is cut off sees all engines fail.
 		j.Counters.DigestsDropped++
 		return
 	}
-	for _, digest := range told.Digests {
+	for _, digest := range observation.Digests {
 		e := j.engines[digest.Engine]
 		if e == nil || digest.Attempts <= 0 {
 			continue
 		}
 		bad, late := digest.Failures, 0
 		if busy(digest.Engine) {
-			// Who has much to do may turn away, and be late, without being ill.
+			// Who has much to do may turn away, and be late, without failing.
 			late = digest.Overdue
 		} else {
 			bad += digest.Refusals + digest.Overdue
@@ -80,27 +80,27 @@
 		j.Counters.Wrong += uint64(bad)
 		sum := j.sum(now, e.pool)
 		j.weigh(now, e.in(""), digest.Attempts, bad, late, sum)
-		if told.Zone != "" {
-			j.weigh(now, e.in(told.Zone), digest.Attempts, bad, late, sum)
+		if observation.Zone != "" {
+			j.weigh(now, e.in(observation.Zone), digest.Attempts, bad, late, sum)
 		}
 	}
 }
 
 // usual is the share that goes wrong of so many, with room for chance.
-func (j *Judge) usual(seen share) float64 {
+func (j *Detector) usual(seen share) float64 {
 	if seen.all < 1 {
 		return j.settings.Noise
 	}
 	return min(0.5, j.settings.Noise+2*seen.part/seen.all)
 }
 
-// likeMost is the share of a pool's engines, the best ones, that say what is usual: in a mean over all, those that are
-// ill hide each other.
-const likeMost = 0.6
+// betterShare is the share of a pool's engines, the best ones, that say what is usual: in a mean over all, those that are
+// failing hide each other.
+const betterShare = 0.6
 
 // sum adds up what was seen lately of the pool's better engines, once for each moment. Where all fail, or all are
 // late, these do too, and none stands out.
-func (j *Judge) sum(now clock.Mark, pool string) poolSum {
+func (j *Detector) sum(now clock.Mark, pool string) poolSum {
 	if sum, known := j.sums[pool]; known && sum.at == now {
 		return sum
 	}
@@ -114,13 +114,13 @@
 			}
 		}
 	}
-	sum := poolSum{at: now, wrong: better(wrongs, likeMost), late: better(lates, likeMost)}
+	sum := poolSum{at: now, wrong: sumOfBest(wrongs, betterShare), late: sumOfBest(lates, betterShare)}
 	j.sums[pool] = sum
 	return sum
 }
 
-// better adds up the shares of so many of the engines, the best first.
-func better(shares []share, most float64) (sum share) {
+// sumOfBest adds up the shares of so many of the engines, the best first.
+func sumOfBest(shares []share, most float64) (sum share) {
 	slices.SortFunc(shares, func(a, b share) int { return cmp.Compare(a.part/a.all, b.part/b.all) })
 	for _, one := range shares[:max(min(1, len(shares)), int(most*float64(len(shares))))] {
 		sum.part += one.part
@@ -130,7 +130,7 @@
 }
 
 // weigh moves a standing's scores by what went wrong and what went well.
-func (j *Judge) weigh(now clock.Mark, s *standing, all, bad, late int, pool poolSum) {
+func (j *Detector) weigh(now clock.Mark, s *standing, all, bad, late int, pool poolSum) {
 	s.wrong.add(now, j.settings.Half, float64(bad))
 	s.lates.add(now, j.settings.Half, float64(late))
 	s.all.add(now, j.settings.Half, float64(all))
@@ -147,9 +147,9 @@
 }
 
 // count is one step of a cumulative sum. It is bounded above too, or what has recovered would need as long as it
-// was ill.
-func (j *Judge) count(score *float64, bad, well int, usual, alarm float64) {
-	sick := min(0.95, max(j.settings.Sick, 1.8*usual))
-	*score += float64(bad)*math.Log(sick/usual) + float64(well)*math.Log((1-sick)/(1-usual))
+// was failing.
+func (j *Detector) count(score *float64, bad, well int, usual, alarm float64) {
+	failing := min(0.95, max(j.settings.Sick, 1.8*usual))
+	*score += float64(bad)*math.Log(failing/usual) + float64(well)*math.Log((1-failing)/(1-usual))
 	*score = min(max(0, *score), 2*alarm)
 }
--- a/process/soundness/ledger.go
+++ b/process/outlier/ledger.go
@@ -1,6 +1,4 @@
-// Package soundness tells ill engines from sound ones by what becomes of the attempts made there. A Ledger is what
-// one daemon has seen, a Judge weighs what all daemons have seen against engines of the same pool. Both are pure.
-package soundness
+package outlier
 
 import (
 	"slices"
@@ -10,7 +8,7 @@
 	"github.com/cresspond/cresspond/process/ident"
 )
 
-// Digest is what one daemon saw of one engine since it last told.
+// Digest is what one daemon saw of one engine since its last report.
 type Digest struct {
 	Engine ident.EngineID
 	// Attempts are those that have ended, or whose first byte has come or is overdue; each counts once, and so does
@@ -35,12 +33,12 @@
 // Ledger is one daemon's own account. It belongs to one actor.
 type Ledger struct {
 	readings map[ident.EngineID]*Reading
-	untold   map[ident.EngineID]*Digest
+	pending  map[ident.EngineID]*Digest
 }
 
 // NewLedger makes an empty one.
 func NewLedger() *Ledger {
-	return &Ledger{readings: map[ident.EngineID]*Reading{}, untold: map[ident.EngineID]*Digest{}}
+	return &Ledger{readings: map[ident.EngineID]*Reading{}, pending: map[ident.EngineID]*Digest{}}
 }
 
 // Outcome is what became of one attempt.
@@ -57,10 +55,10 @@
 
 // Note counts an attempt. One is noted once, by the worst that is known of it at that time.
 func (l *Ledger) Note(engine ident.EngineID, outcome Outcome) {
-	reading, digest := l.reading(engine), l.untold[engine]
+	reading, digest := l.reading(engine), l.pending[engine]
 	if digest == nil {
 		digest = &Digest{Engine: engine}
-		l.untold[engine] = digest
+		l.pending[engine] = digest
 	}
 	reading.Attempts++
 	digest.Attempts++
@@ -81,10 +79,10 @@
 func (l *Ledger) Worse(engine ident.EngineID) {
 	l.reading(engine).Failures++
 	l.reading(engine).Cut++
-	digest := l.untold[engine]
+	digest := l.pending[engine]
 	if digest == nil {
 		digest = &Digest{Engine: engine, Attempts: 1}
-		l.untold[engine] = digest
+		l.pending[engine] = digest
 	}
 	digest.Failures = min(digest.Failures+1, digest.Attempts)
 }
@@ -112,17 +110,17 @@
 	return Reading{}
 }
 
-// Take gives what was not told yet, by engine, and counts it as told: what gets lost on its way stays lost, since
+// Take gives what was not reported yet, by engine, and counts it as reported: what gets lost on its way stays lost, since
 // more comes.
 func (l *Ledger) Take() []Digest {
-	if len(l.untold) == 0 {
+	if len(l.pending) == 0 {
 		return nil
 	}
-	out := make([]Digest, 0, len(l.untold))
-	for _, digest := range l.untold {
+	out := make([]Digest, 0, len(l.pending))
+	for _, digest := range l.pending {
 		out = append(out, *digest)
 	}
-	clear(l.untold)
+	clear(l.pending)
 	slices.SortFunc(out, func(a, b Digest) int { return strings.Compare(string(a.Engine), string(b.Engine)) })
 	return out
 }
@@ -132,7 +130,7 @@
 	for engine := range l.readings {
 		if !keep(engine) {
 			delete(l.readings, engine)
-			delete(l.untold, engine)
+			delete(l.pending, engine)
 		}
 	}
 }
--- a/process/soundness/soundness_test.go
+++ b/process/outlier/outlier_test.go
@@ -1,4 +1,4 @@
-package soundness
+package outlier
 
 import (
 	"fmt"
@@ -16,10 +16,10 @@
 
 // fleet is daemons of four zones that tell a judge what they see, each fifth of a second some of them.
 type fleet struct {
-	judge   *Judge
-	now     clock.Mark
-	engines []ident.EngineID
-	random  *rand.Rand
+	detector *Detector
+	now      clock.Mark
+	engines  []ident.EngineID
+	random   *rand.Rand
 	// rate is the attempts that each engine gets a second at its full share.
 	rate float64
 	// wrong says how an attempt at an engine from a zone ends.
@@ -29,12 +29,12 @@
 }
 
 func newFleet(engines int, rate float64) *fleet {
-	f := &fleet{judge: NewJudge(DefaultSettings()), now: clock.Mark(time.Hour), random: rand.New(rand.NewPCG(7, uint64(engines))), rate: rate,
+	f := &fleet{detector: NewDetector(DefaultSettings()), now: clock.Mark(time.Hour), random: rand.New(rand.NewPCG(7, uint64(engines))), rate: rate,
 		wrong: func(int, ident.ZoneID) Outcome { return Well }, busy: func(ident.EngineID) bool { return false }, count: make([]int, engines)}
 	for n := range engines {
 		f.engines = append(f.engines, ident.EngineID(fmt.Sprintf("e%02d", n)))
 	}
-	f.judge.Meet(map[string][]ident.EngineID{"p": f.engines})
+	f.detector.SetPools(map[string][]ident.EngineID{"p": f.engines})
 	return f
 }
 
@@ -46,15 +46,15 @@
 		for z := range 4 {
 			ledger := NewLedger()
 			for n, id := range f.engines {
-				share := WeightFor(f.judge.Weights(f.now, id), zone(z))
+				share := WeightFor(f.detector.Weights(f.now, id), zone(z))
 				if f.random.Float64() < f.rate*share/40 {
 					f.count[n]++
 					ledger.Note(id, f.wrong(n, zone(z)))
 				}
 			}
-			f.judge.Hear(f.now, Told{Zone: zone(z), Digests: ledger.Take()}, f.busy)
+			f.detector.Observe(f.now, Observation{Zone: zone(z), Digests: ledger.Take()}, f.busy)
 		}
-		f.judge.Step(f.now)
+		f.detector.Step(f.now)
 		if look != nil {
 			look()
 		}
@@ -64,7 +64,7 @@
 // out counts the engines that get less than their share from some zone, other than those on the ramp.
 func (f *fleet) out() (out int) {
 	for _, id := range f.engines {
-		if f.judge.engines[id].ejected() {
+		if f.detector.engines[id].ejected() {
 			out++
 		}
 	}
@@ -90,7 +90,7 @@
 		ejectedAt := clock.Mark(0)
 		began := f.now
 		f.run(10*time.Second, func() {
-			if ejectedAt == 0 && f.judge.Stage("e04", "") == Ejected {
+			if ejectedAt == 0 && f.detector.Stage("e04", "") == Ejected {
 				ejectedAt = f.now
 			}
 		})
@@ -101,7 +101,7 @@
 		f.wrong = func(int, ident.ZoneID) Outcome { return Well }
 		last := 0.0
 		f.run(40*time.Second, func() {
-			share := WeightFor(f.judge.Weights(f.now, "e04"), "z0")
+			share := WeightFor(f.detector.Weights(f.now, "e04"), "z0")
 			if last > 0 && share > 2*last+1e-9 || last == 0 && share > DefaultSettings().TrialWeight {
 				t.Errorf("%d: from %.2f to %.2f at once", outcome, last, share)
 			}
@@ -110,7 +110,7 @@
 		if last != 1 {
 			t.Errorf("%d: still at %.2f", outcome, last)
 		}
-		if c := f.judge.Counters; c.Returns == 0 || c.Ejections == 0 {
+		if c := f.detector.Counters; c.Returns == 0 || c.Ejections == 0 {
 			t.Errorf("%+v", c)
 		}
 	}
@@ -143,8 +143,8 @@
 		out := 0
 		f.run(60*time.Second, func() { out = max(out, f.out()) })
 		// Thirty engines for a minute, 9,000 attempts, of which some 130 go wrong in the second case: a few are bad luck.
-		if out > 1 || f.judge.Counters.Ejections > 4 {
-			t.Errorf("%s: %d out at once, %+v", name, out, f.judge.Counters)
+		if out > 1 || f.detector.Counters.Ejections > 4 {
+			t.Errorf("%s: %d out at once, %+v", name, out, f.detector.Counters)
 		}
 	}
 }
@@ -161,13 +161,13 @@
 		return Well
 	}
 	least := 1.0
-	f.run(20*time.Second, func() { least = min(least, WeightFor(f.judge.Weights(f.now, "e03"), "z0")) })
-	if c := f.judge.Counters; c.Ejections > 0 || c.Slowed < 2 || least > 0.5 || least < leastCut {
+	f.run(20*time.Second, func() { least = min(least, WeightFor(f.detector.Weights(f.now, "e03"), "z0")) })
+	if c := f.detector.Counters; c.Ejections > 0 || c.Slowed < 2 || least > 0.5 || least < leastCut {
 		t.Errorf("down to %.3f, %+v", least, c)
 	}
 	f.wrong = func(int, ident.ZoneID) Outcome { return Well }
 	f.run(10*time.Second, nil)
-	if share := WeightFor(f.judge.Weights(f.now, "e03"), "z0"); share != 1 {
+	if share := WeightFor(f.detector.Weights(f.now, "e03"), "z0"); share != 1 {
 		t.Errorf("still at %.2f", share)
 	}
 }
@@ -182,10 +182,10 @@
 	}
 	there, elsewhere := 0, 0
 	f.run(12*time.Second, func() {
-		if WeightFor(f.judge.Weights(f.now, "e02"), "z1") < 1 {
+		if WeightFor(f.detector.Weights(f.now, "e02"), "z1") < 1 {
 			there++
 		}
-		if WeightFor(f.judge.Weights(f.now, "e02"), "z2") < 1 {
+		if WeightFor(f.detector.Weights(f.now, "e02"), "z2") < 1 {
 			elsewhere++
 		}
 	})
@@ -194,48 +194,48 @@
 	}
 }
 
-// A daemon that is cut off finds everybody ill, and is not believed; each that flaps rests longer.
-func TestADaemonInTroubleIsNotBelieved(t *testing.T) {
+// A daemon that is cut off sees all engines fail, and is not believed; each that flaps rests longer.
+func TestObservationsOfADaemonInTroubleAreDropped(t *testing.T) {
 	f := newFleet(20, 1)
 	for range 50 {
 		ledger := NewLedger()
 		for _, id := range f.engines[:6] {
 			ledger.Note(id, Failure)
 		}
-		f.judge.Hear(f.now, Told{Zone: "z0", Digests: ledger.Take()}, f.busy)
-		f.judge.Step(f.now)
+		f.detector.Observe(f.now, Observation{Zone: "z0", Digests: ledger.Take()}, f.busy)
+		f.detector.Step(f.now)
 		f.now += clock.Mark(100 * time.Millisecond)
 	}
-	if f.out() > 0 || f.judge.Counters.DigestsDropped != 50 {
-		t.Errorf("%d out, %+v", f.out(), f.judge.Counters)
+	if f.out() > 0 || f.detector.Counters.DigestsDropped != 50 {
+		t.Errorf("%d out, %+v", f.out(), f.detector.Counters)
 	}
 }
 
-func TestOneThatFlapsRestsLongerEachTimeAndAWhileSoundIsForgiven(t *testing.T) {
+func TestEjectionBacksOffForFlappingEnginesAndRecoversWithTime(t *testing.T) {
 	f := newFleet(20, 5)
-	ill := true
+	affected := true
 	f.wrong = func(engine int, _ ident.ZoneID) Outcome {
-		if engine == 1 && ill {
+		if engine == 1 && affected {
 			return Failure
 		}
 		return Well
 	}
 	f.run(60*time.Second, nil)
-	s := f.judge.engines["e01"].in("")
-	if s.rest != DefaultSettings().RestMost || f.judge.Counters.Relapses < 3 {
-		t.Errorf("rests %v, %+v", s.rest, f.judge.Counters)
+	s := f.detector.engines["e01"].in("")
+	if s.rest != DefaultSettings().RestMost || f.detector.Counters.Relapses < 3 {
+		t.Errorf("rests %v, %+v", s.rest, f.detector.Counters)
 	}
 	before := f.count[1]
 	f.run(60*time.Second, nil)
 	if spent := f.count[1] - before; spent > 25 {
 		t.Errorf("%d attempts in a minute at an engine that fails all", spent)
 	}
-	ill = false
+	affected = false
 	f.run(60*time.Second, nil)
-	if f.judge.Stage("e01", "") != Sound {
-		t.Error(f.judge.Stage("e01", ""))
+	if f.detector.Stage("e01", "") != Healthy {
+		t.Error(f.detector.Stage("e01", ""))
 	}
-	ill = true
+	affected = true
 	rest := s.rest
 	f.run(5*time.Second, nil)
 	if s.rest > rest {
@@ -245,7 +245,7 @@
 
 // Whatever daemons tell, no more than the bound are out, never all, and shares are shares; once nothing goes wrong any
 // more all come back.
-func TestTheBoundHoldsAndAllComeBackWhateverIsTold(t *testing.T) {
+func TestEjectedShareIsBoundedAndAllReturn(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(11)
 	parameters.MinSuccessfulTests = 40
 	properties := gopter.NewProperties(parameters)
@@ -262,11 +262,11 @@
 		}
 		failed := ""
 		look := func() {
-			if out, most := f.out(), f.judge.mostEjected(engines); out > most || out >= engines && engines > 0 {
+			if out, most := f.out(), f.detector.mostEjected(engines); out > most || out >= engines && engines > 0 {
 				failed = fmt.Sprintf("%d of %d out, %d may be", out, engines, most)
 			}
 			for _, id := range f.engines {
-				for _, one := range f.judge.Weights(f.now, id) {
+				for _, one := range f.detector.Weights(f.now, id) {
 					if one.Share < 0 || one.Share >= 1 {
 						failed = fmt.Sprintf("a share of %f", one.Share)
 					}
@@ -277,7 +277,7 @@
 		f.wrong = func(int, ident.ZoneID) Outcome { return Well }
 		f.run(90*time.Second, look)
 		for _, id := range f.engines {
-			if weights := f.judge.Weights(f.now, id); len(weights) > 0 {
+			if weights := f.detector.Weights(f.now, id); len(weights) > 0 {
 				failed += fmt.Sprintf("; %s has not come back: %v", id, weights)
 			}
 		}
@@ -286,23 +286,23 @@
 	properties.TestingRun(t)
 }
 
-func TestALedgerTellsEachAttemptOnceAndRemembersWhatRanksEngines(t *testing.T) {
+func TestLedgerReportsEachAttemptOnceAndKeepsReadings(t *testing.T) {
 	l := NewLedger()
 	l.Note("a", Well)
 	l.Note("a", Failure)
 	l.Note("b", Overdue)
 	l.Worse("a")
-	told := l.Take()
-	if len(told) != 2 || told[0] != (Digest{Engine: "a", Attempts: 2, Failures: 2}) || told[1] != (Digest{Engine: "b", Attempts: 1, Overdue: 1}) {
-		t.Errorf("%+v", told)
+	observation := l.Take()
+	if len(observation) != 2 || observation[0] != (Digest{Engine: "a", Attempts: 2, Failures: 2}) || observation[1] != (Digest{Engine: "b", Attempts: 1, Overdue: 1}) {
+		t.Errorf("%+v", observation)
 	}
 	if l.Take() != nil {
 		t.Error("told twice")
 	}
 	// One that was told as well and then broke off is an attempt told anew, since no more is left to correct.
 	l.Worse("b")
-	if told := l.Take(); len(told) != 1 || told[0] != (Digest{Engine: "b", Attempts: 1, Failures: 1}) {
-		t.Errorf("%+v", told)
+	if observation := l.Take(); len(observation) != 1 || observation[0] != (Digest{Engine: "b", Attempts: 1, Failures: 1}) {
+		t.Errorf("%+v", observation)
 	}
 	for range 100 {
 		l.First("a", 80*time.Millisecond)
--- a/process/soundness/settings.go
+++ b/process/outlier/settings.go
@@ -1,21 +1,21 @@
-package soundness
+package outlier
 
 import (
 	"time"
 )
 
-// Settings are what a judgement goes by.
+// Settings are what the detector goes by.
 type Settings struct {
 	// Sick is the share of attempts that go wrong at an engine worth ejecting, Noise what may go wrong at any.
 	Sick, Noise float64
-	// Alarm is how much likelier it must be, as a logarithm, that an engine is sick than that it is like the others.
+	// Alarm is how much likelier it must be, as a logarithm, that an engine is failing than that it is like the others.
 	Alarm float64
 	// LateAlarm is the same of being late with much to do, which load brings about as well.
 	LateAlarm float64
 	// MostEjected is the share of a pool that may be ejected, or on trial, at once. One engine of two or more may be.
 	MostEjected float64
 	// RestFirst and RestMost bound how long an ejected engine gets nothing that another can take; it doubles with
-	// each relapse, and halves with each Forgiven spent sound.
+	// each relapse, and halves with each Forgiven spent healthy.
 	RestFirst, RestMost, Forgiven time.Duration
 	// TrialWeight is the share of its usual requests that one on trial gets, TrialPasses how many must go well.
 	TrialWeight float64
--- a/process/soundness/stage.go
+++ b/process/outlier/stage.go
@@ -1,4 +1,4 @@
-package soundness
+package outlier
 
 import (
 	"slices"
@@ -12,8 +12,8 @@
 type Stage uint8
 
 const (
-	// Sound: it gets what is its due.
-	Sound Stage = iota
+	// Healthy: it gets what is its due.
+	Healthy Stage = iota
 	// Ejected: it gets only what no other can take.
 	Ejected
 	// Trial: it gets a small share, until enough has gone well.
@@ -29,15 +29,15 @@
 	return [...]string{"sound", "ejected", "trial", "ramp", "slowed"}[s]
 }
 
-// ways lists the ways from each stage to the next.
-var ways = map[Stage][]Stage{Sound: {Ejected, Slowed}, Ejected: {Trial}, Trial: {Ejected, Ramp}, Ramp: {Ejected, Slowed, Sound}, Slowed: {Ejected, Slowed, Sound}}
+// transitions lists the transitions from each stage to the next.
+var transitions = map[Stage][]Stage{Healthy: {Ejected, Slowed}, Ejected: {Trial}, Trial: {Ejected, Ramp}, Ramp: {Ejected, Slowed, Healthy}, Slowed: {Ejected, Slowed, Healthy}}
 
 // standing is an engine seen from one zone, or from all.
 type standing struct {
 	stage Stage
 	since clock.Mark
 	// score is Page's cumulative sum: the logarithm of how much likelier what was seen since it was last zero is
-	// with a sick engine than with a sound one.
+	// with a failing engine than with a healthy one.
 	score float64
 	// late is the same of what came too late at an engine that has much to do.
 	late float64
@@ -47,24 +47,24 @@
 	// passes counts what went well on trial.
 	passes int
 	// wrong, lates and all are what was seen lately.
-	wrong, lates, all faded
+	wrong, lates, all decaying
 }
 
 // move is the one function that changes a stage.
 func (s *standing) move(to Stage, now clock.Mark) {
-	if !slices.Contains(ways[s.stage], to) {
+	if !slices.Contains(transitions[s.stage], to) {
 		panic("broken invariant: an engine may not go from " + s.stage.String() + " to " + to.String())
 	}
 	s.stage, s.since, s.passes = to, now, 0
 }
 
-// judged is one engine; the standing of the empty zone is with all.
-type judged struct {
+// observed is one engine; the standing of the empty zone is with all.
+type observed struct {
 	pool  string
 	zones map[ident.ZoneID]*standing
 }
 
-func (e *judged) in(zone ident.ZoneID) *standing {
+func (e *observed) in(zone ident.ZoneID) *standing {
 	one := e.zones[zone]
 	if one == nil {
 		one = &standing{}
@@ -73,7 +73,7 @@
 	return one
 }
 
-func (e *judged) ejected() bool {
+func (e *observed) ejected() bool {
 	for _, one := range e.zones {
 		if one.stage == Ejected || one.stage == Trial || one.stage == Slowed {
 			return true
--- a/process/soundness/weight.go
+++ b/process/outlier/weight.go
@@ -1,4 +1,4 @@
-package soundness
+package outlier
 
 import (
 	"maps"
@@ -27,7 +27,7 @@
 }
 
 // share is the share of its usual requests that an engine gets.
-func (j *Judge) share(now clock.Mark, s *standing) float64 {
+func (j *Detector) share(now clock.Mark, s *standing) float64 {
 	switch s.stage {
 	case Ejected:
 		return 0
@@ -42,8 +42,8 @@
 	return 1
 }
 
-// Weights gives an engine's weights below one, by zone; none is sound everywhere.
-func (j *Judge) Weights(now clock.Mark, id ident.EngineID) []Weight {
+// Weights gives an engine's weights below one, by zone; none means healthy everywhere.
+func (j *Detector) Weights(now clock.Mark, id ident.EngineID) []Weight {
 	e := j.engines[id]
 	if e == nil {
 		return nil
@@ -59,7 +59,7 @@
 
 // Lost says whether what an engine holds had better stand elsewhere too: nearly all goes wrong there, or it was ejected
 // again soon after it came back. For less a load, and what makes way for it, costs more than it saves.
-func (j *Judge) Lost(now clock.Mark, id ident.EngineID) bool {
+func (j *Detector) Lost(now clock.Mark, id ident.EngineID) bool {
 	const nearlyAll = 0.7
 	e := j.engines[id]
 	if e == nil || e.zones[""] == nil {
@@ -73,9 +73,9 @@
 }
 
 // Stage is where an engine stands with the daemons of a zone.
-func (j *Judge) Stage(id ident.EngineID, zone ident.ZoneID) Stage {
+func (j *Detector) Stage(id ident.EngineID, zone ident.ZoneID) Stage {
 	if e := j.engines[id]; e != nil && e.zones[zone] != nil {
 		return e.zones[zone].stage
 	}
-	return Sound
+	return Healthy
 }
--- a/process/poolplacement/actor.go
+++ b/process/poolplacement/actor.go
@@ -11,9 +11,9 @@
 	"github.com/cresspond/cresspond/process/claim"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/process/registry"
 	"github.com/cresspond/cresspond/process/snowflake"
-	"github.com/cresspond/cresspond/process/soundness"
 	"github.com/cresspond/cresspond/process/statemachine"
 )
 
@@ -47,7 +47,7 @@
 	InFlight int
 	Lacks    []Lack
 	Counters Counters
-	Judged   soundness.Counters
+	Judged   outlier.Counters
 }
 
 // Actor plans while it holds the claim.
--- a/process/poolplacement/batch_test.go
+++ b/process/poolplacement/batch_test.go
@@ -12,8 +12,8 @@
 	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/process/registry"
-	"github.com/cresspond/cresspond/process/soundness"
 	"github.com/cresspond/cresspond/process/statemachine"
 )
 
@@ -84,7 +84,7 @@
 	rates    map[registry.Target]*fakeRate
 	demand   []Demand
 	// outcomes is what daemons tell at the next step, spoken the newest plan of each engine as its planner tells it.
-	outcomes []soundness.Told
+	outcomes []outlier.Observation
 	spoken   map[ident.EngineID]registry.Plan
 	pulled   clock.Mark
 	rate     func(now clock.Mark) (perSecond float64, pick func() (registry.Target, *fakeRequest))
--- a/process/poolplacement/judge.go
+++ b/process/poolplacement/judge.go
@@ -22,7 +22,7 @@
 			ids[e.pool.name] = append(ids[e.pool.name], id)
 		}
 	}
-	p.judge.Meet(ids)
+	p.judge.SetPools(ids)
 	full := func(id ident.EngineID) bool {
 		e := p.engines[id]
 		if e == nil || !e.read {
@@ -34,7 +34,7 @@
 		return e.fullAt > 0 && in.Now.Since(e.fullAt) <= fullLately
 	}
 	for _, told := range in.Outcomes {
-		p.judge.Hear(in.Now, told, full)
+		p.judge.Observe(in.Now, told, full)
 	}
 	p.judge.Step(in.Now)
 	for id, e := range p.engines {
--- a/process/poolplacement/judge_test.go
+++ b/process/poolplacement/judge_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/process/registry"
-	"github.com/cresspond/cresspond/process/soundness"
 )
 
 // TestThePlanTellsWhatShareAnIllEngineGetsAgainAndAgain: what daemons saw ends in the plan of the engine that stands
@@ -21,15 +21,15 @@
 	wrong := true
 	told, toldAt, worst := 1.0, clock.Mark(0), 1.0
 	for end := f.now + clock.Mark(40*time.Second); f.now < end; {
-		var digests []soundness.Digest
+		var digests []outlier.Digest
 		for _, e := range f.engines {
-			one := soundness.Digest{Engine: e.id, Attempts: 1}
+			one := outlier.Digest{Engine: e.id, Attempts: 1}
 			if e.id == ill && wrong {
 				one.Failures = 1
 			}
 			digests = append(digests, one)
 		}
-		f.outcomes = []soundness.Told{{Zone: "z", Digests: digests}}
+		f.outcomes = []outlier.Observation{{Zone: "z", Digests: digests}}
 		f.step()
 		if plan, spoken := f.spoken[ill]; spoken {
 			plan.Told = f.now
@@ -56,7 +56,7 @@
 
 // TestASharePassesWithThePlanAndFadesWithIt: nothing believes a share that nobody has told for long.
 func TestASharePassesWithThePlanAndFadesWithIt(t *testing.T) {
-	plan := &registry.Plan{Told: clock.Mark(time.Hour), Weights: []soundness.Weight{{Share: 0.5}, {Zone: "a", Share: 0}}}
+	plan := &registry.Plan{Told: clock.Mark(time.Hour), Weights: []outlier.Weight{{Share: 0.5}, {Zone: "a", Share: 0}}}
 	shares := func(at clock.Mark) (out []float64) {
 		for _, zone := range []ident.ZoneID{"a", "b"} {
 			out = append(out, plan.Weight(zone, at))
@@ -103,15 +103,15 @@
 		t.Fatal("no model stands alone")
 	}
 	for end := f.now + clock.Mark(12*time.Second); f.now < end && len(holders(alone)) < 2; {
-		var digests []soundness.Digest
+		var digests []outlier.Digest
 		for _, e := range f.engines {
-			one := soundness.Digest{Engine: e.id, Attempts: 1}
+			one := outlier.Digest{Engine: e.id, Attempts: 1}
 			if e == ill {
 				one.Failures = 1
 			}
 			digests = append(digests, one)
 		}
-		f.outcomes = []soundness.Told{{Zone: "z", Digests: digests}}
+		f.outcomes = []outlier.Observation{{Zone: "z", Digests: digests}}
 		f.step()
 	}
 	if len(holders(alone)) < 2 {
--- a/process/poolplacement/plan.go
+++ b/process/poolplacement/plan.go
@@ -10,8 +10,8 @@
 	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/process/registry"
-	"github.com/cresspond/cresspond/process/soundness"
 	"github.com/cresspond/cresspond/process/statemachine"
 )
 
@@ -61,7 +61,7 @@
 	// lag is how long after an order's end the reports are expected to show it, as far as is known by now.
 	lag time.Duration
 	// judge weighs what daemons saw of engines.
-	judge *soundness.Judge
+	judge *outlier.Detector
 	// inherited is what earlier claims told of engines that have not been met yet.
 	inherited      map[ident.EngineID]uint64
 	began, stepped clock.Mark
@@ -151,7 +151,7 @@
 
 // NewPlanner makes the plan of a fresh claim. It knows no history of loads, so the window counts as full.
 func NewPlanner(settings Settings, now clock.Mark) *Planner {
-	return &Planner{settings: settings, judge: soundness.NewJudge(soundness.DefaultSettings()), pools: map[string]*pool{}, engines: map[ident.EngineID]*engine{}, asks: map[string]*asks{}, inherited: map[ident.EngineID]uint64{}, lag: startLag,
+	return &Planner{settings: settings, judge: outlier.NewDetector(outlier.DefaultSettings()), pools: map[string]*pool{}, engines: map[ident.EngineID]*engine{}, asks: map[string]*asks{}, inherited: map[ident.EngineID]uint64{}, lag: startLag,
 		pace: pace{window: settings.Window, unknownUntil: now + clock.Mark(settings.Window)}, began: now, stepped: now}
 }
 
--- a/process/poolplacement/types.go
+++ b/process/poolplacement/types.go
@@ -10,8 +10,8 @@
 	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/process/registry"
-	"github.com/cresspond/cresspond/process/soundness"
 )
 
 // Kind says what an order wants done.
@@ -135,7 +135,7 @@
 	Shut     func(*registry.Engine) bool
 	Emptying map[ident.EngineID]bool
 	// Outcomes is what daemons told of their attempts since the last step.
-	Outcomes []soundness.Told
+	Outcomes []outlier.Observation
 }
 
 // Lack is something that is asked for, stands nowhere, and is not likely to be there before Wait has passed.
--- a/process/registry/types.go
+++ b/process/registry/types.go
@@ -8,7 +8,7 @@
 
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
-	"github.com/cresspond/cresspond/process/soundness"
+	"github.com/cresspond/cresspond/process/outlier"
 )
 
 // Held is one model that an engine holds, with its adapters.
@@ -59,7 +59,7 @@
 	Active, Queued     int
 	MemoryUsed, Memory int64
 	// Weights are the shares of its usual requests that it is to get, where they are not all.
-	Weights []soundness.Weight
+	Weights []outlier.Weight
 	// Told is when this daemon heard it.
 	Told clock.Mark
 }
@@ -72,7 +72,7 @@
 	if p == nil || len(p.Weights) == 0 || now.Since(p.Told) > weightsBelieved {
 		return 1
 	}
-	return soundness.WeightFor(p.Weights, zone)
+	return outlier.WeightFor(p.Weights, zone)
 }
 
 // Engine is one registered engine as this daemon knows it. It is never changed once it is in a view.
--- a/process/registry/wire.go
+++ b/process/registry/wire.go
@@ -5,7 +5,7 @@
 
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
-	"github.com/cresspond/cresspond/process/soundness"
+	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/wire/fellowapi"
 )
 
@@ -93,7 +93,7 @@
 		out.Coming = append(out.Coming, Coming{Target{target.Model, target.Adapter}, msAgo(told, -target.ReadyMs)})
 	}
 	for _, weight := range plan.Weights {
-		out.Weights = append(out.Weights, soundness.Weight{Zone: ident.ZoneID(weight.Zone), Share: float64(weight.Percent) / 100})
+		out.Weights = append(out.Weights, outlier.Weight{Zone: ident.ZoneID(weight.Zone), Share: float64(weight.Percent) / 100})
 	}
 	return out
 }
--- a/request/forwarding/actor.go
+++ b/request/forwarding/actor.go
@@ -7,7 +7,7 @@
 
 	"github.com/cresspond/cresspond/process/actor"
 	"github.com/cresspond/cresspond/process/clock"
-	"github.com/cresspond/cresspond/process/soundness"
+	"github.com/cresspond/cresspond/process/outlier"
 )
 
 // Actor runs the core over events, one after the other.
@@ -131,8 +131,8 @@
 }
 
 // Outcomes gives what became of attempts at engines since it was last asked for.
-func (a *Actor) Outcomes() []soundness.Digest {
-	var out []soundness.Digest
+func (a *Actor) Outcomes() []outlier.Digest {
+	var out []outlier.Digest
 	a.Ask(func(c *Core, w World) { out = c.Outcomes(w.Now) })
 	return out
 }
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -10,8 +10,8 @@
 	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/process/registry"
-	"github.com/cresspond/cresspond/process/soundness"
 )
 
 // World is what the passes may look at; it is gathered anew for each event.
@@ -62,7 +62,7 @@
 	// running counts the attempts under way by pool.
 	running map[string]int
 	// ledger is what became of attempts; awaited are those whose answer has not begun.
-	ledger  *soundness.Ledger
+	ledger  *outlier.Ledger
 	awaited []*Record
 	usuals  map[string]*usual
 	// planTook and spreadTook are smoothed times that a planner, and the word of what it did, took lately.
@@ -79,7 +79,7 @@
 // NewCore makes an empty core.
 func NewCore(settings Settings) *Core {
 	return &Core{settings: settings, engines: map[ident.EngineID]*engineState{}, budgets: map[string]*window{},
-		demands: map[demandKey]*demandState{}, paths: map[pathKey]*pathState{}, running: map[string]int{}, ledger: soundness.NewLedger(), usuals: map[string]*usual{}}
+		demands: map[demandKey]*demandState{}, paths: map[pathKey]*pathState{}, running: map[string]int{}, ledger: outlier.NewLedger(), usuals: map[string]*usual{}}
 }
 
 // step gives a record's sender the next thing to do. A record has at most one that is not yet taken.
--- a/request/forwarding/outcomes.go
+++ b/request/forwarding/outcomes.go
@@ -6,7 +6,7 @@
 
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
-	"github.com/cresspond/cresspond/process/soundness"
+	"github.com/cresspond/cresspond/process/outlier"
 )
 
 const (
@@ -78,7 +78,7 @@
 }
 
 // noteOutcome counts an attempt in the ledger, once.
-func (c *Core) noteOutcome(r *Record, outcome soundness.Outcome) {
+func (c *Core) noteOutcome(r *Record, outcome outlier.Outcome) {
 	if r.noted {
 		return
 	}
@@ -90,9 +90,9 @@
 func (c *Core) noteEnd(r *Record, outcome Outcome, w World) {
 	switch outcome {
 	case Whole:
-		c.noteOutcome(r, soundness.Well)
+		c.noteOutcome(r, outlier.Well)
 	case NeverSent:
-		c.noteOutcome(r, soundness.Failure)
+		c.noteOutcome(r, outlier.Failure)
 	case Failed, Lost, Junk, Cut:
 		switch {
 		case w.Now >= r.Deadline && outcome != Failed:
@@ -100,12 +100,12 @@
 		case r.noted && !r.wasOverdue:
 			c.ledger.Worse(r.engine)
 		default:
-			c.noteOutcome(r, soundness.Failure)
+			c.noteOutcome(r, outlier.Failure)
 		}
 	case EngineRefused:
 		if !r.speculative {
 			// One that went ahead of the news of a load may well come too soon.
-			c.noteOutcome(r, soundness.Refusal)
+			c.noteOutcome(r, outlier.Refusal)
 		}
 	}
 	if r.Seen.Connect > 0 {
@@ -123,9 +123,9 @@
 	waited, u := now.Since(r.sentAt), c.usual(r)
 	c.ledger.First(r.engine, waited-u.first.Duration)
 	if waited > r.overdueAfter {
-		c.noteOutcome(r, soundness.Overdue)
+		c.noteOutcome(r, outlier.Overdue)
 	} else {
-		c.noteOutcome(r, soundness.Well)
+		c.noteOutcome(r, outlier.Well)
 	}
 	u.note(waited, r.score)
 	c.forgetAwaited(r)
@@ -142,15 +142,15 @@
 
 // Outcomes gives what became of attempts since it was last asked for. Attempts that wait for far longer than like
 // ones count now: an engine that hangs would else be known only when deadlines pass.
-func (c *Core) Outcomes(now clock.Mark) []soundness.Digest {
+func (c *Core) Outcomes(now clock.Mark) []outlier.Digest {
 	for _, r := range c.awaited {
 		if !r.noted && now.Since(r.sentAt) > r.overdueAfter {
 			r.wasOverdue = true
-			c.noteOutcome(r, soundness.Overdue)
+			c.noteOutcome(r, outlier.Overdue)
 		}
 	}
 	return c.ledger.Take()
 }
 
 // Reading gives what this daemon saw of an engine lately.
-func (c *Core) Reading(engine ident.EngineID) soundness.Reading { return c.ledger.Of(engine) }
+func (c *Core) Reading(engine ident.EngineID) outlier.Reading { return c.ledger.Of(engine) }
--- a/request/forwarding/outcomes_test.go
+++ b/request/forwarding/outcomes_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/process/registry"
-	"github.com/cresspond/cresspond/process/soundness"
 )
 
 // TestEachAttemptIsToldOnceByWhatTheEngineDid: what its own deadline, the caller or this daemon ended says nothing of
@@ -19,24 +19,24 @@
 		// look asks for the outcomes before the end.
 		look      bool
 		outcome   Outcome
-		want      soundness.Digest
+		want      outlier.Digest
 		resumable bool
 	}{
-		"whole":                     {true, 50, false, Whole, soundness.Digest{Attempts: 1}, false},
-		"never sent":                {false, 5, false, NeverSent, soundness.Digest{Attempts: 1, Failures: 1}, false},
-		"lost":                      {false, 5, false, Lost, soundness.Digest{Attempts: 1, Failures: 1}, false},
-		"junk":                      {false, 5, false, Junk, soundness.Digest{Attempts: 1, Failures: 1}, false},
-		"its own failure":           {false, 5, false, Failed, soundness.Digest{Attempts: 1, Failures: 1}, false},
-		"refused":                   {false, 5, false, EngineRefused, soundness.Digest{Attempts: 1, Refusals: 1}, false},
-		"cut after it began":        {true, 50, false, Cut, soundness.Digest{Attempts: 1, Failures: 1}, false},
-		"held back":                 {false, 5, false, HeldBack, soundness.Digest{}, false},
-		"misdirected":               {false, 5, false, Misdirected, soundness.Digest{}, false},
-		"left":                      {false, 5, false, Left, soundness.Digest{}, false},
-		"lost at its deadline":      {false, 4000, false, Lost, soundness.Digest{}, false},
-		"overdue, and then lost":    {false, 4000, true, Lost, soundness.Digest{Attempts: 1, Overdue: 1}, false},
-		"overdue, and then whole":   {true, 3000, true, Whole, soundness.Digest{Attempts: 1, Overdue: 1}, false},
-		"late and nobody looked":    {true, 3000, false, Whole, soundness.Digest{Attempts: 1, Overdue: 1}, false},
-		"overdue, then its failure": {false, 3500, true, Failed, soundness.Digest{Attempts: 1, Overdue: 1}, false},
+		"whole":                     {true, 50, false, Whole, outlier.Digest{Attempts: 1}, false},
+		"never sent":                {false, 5, false, NeverSent, outlier.Digest{Attempts: 1, Failures: 1}, false},
+		"lost":                      {false, 5, false, Lost, outlier.Digest{Attempts: 1, Failures: 1}, false},
+		"junk":                      {false, 5, false, Junk, outlier.Digest{Attempts: 1, Failures: 1}, false},
+		"its own failure":           {false, 5, false, Failed, outlier.Digest{Attempts: 1, Failures: 1}, false},
+		"refused":                   {false, 5, false, EngineRefused, outlier.Digest{Attempts: 1, Refusals: 1}, false},
+		"cut after it began":        {true, 50, false, Cut, outlier.Digest{Attempts: 1, Failures: 1}, false},
+		"held back":                 {false, 5, false, HeldBack, outlier.Digest{}, false},
+		"misdirected":               {false, 5, false, Misdirected, outlier.Digest{}, false},
+		"left":                      {false, 5, false, Left, outlier.Digest{}, false},
+		"lost at its deadline":      {false, 4000, false, Lost, outlier.Digest{}, false},
+		"overdue, and then lost":    {false, 4000, true, Lost, outlier.Digest{Attempts: 1, Overdue: 1}, false},
+		"overdue, and then whole":   {true, 3000, true, Whole, outlier.Digest{Attempts: 1, Overdue: 1}, false},
+		"late and nobody looked":    {true, 3000, false, Whole, outlier.Digest{Attempts: 1, Overdue: 1}, false},
+		"overdue, then its failure": {false, 3500, true, Failed, outlier.Digest{Attempts: 1, Overdue: 1}, false},
 	} {
 		b := newBench(t, pathOf("p", forward.Stream, "batch"))
 		b.register(enginesOf("batch", 1, 64, "m")...)
@@ -44,7 +44,7 @@
 		if send := b.sent(r); send.Engine != engine {
 			t.Fatal(send.Engine)
 		}
-		var told []soundness.Digest
+		var told []outlier.Digest
 		if c.look {
 			b.now += ms(c.after / 2)
 			told = append(told, b.core.Outcomes(b.now)...)
@@ -57,7 +57,7 @@
 		}
 		b.core.Attempted(r, c.outcome, b.world())
 		told = append(told, b.core.Outcomes(b.now)...)
-		sum := soundness.Digest{}
+		sum := outlier.Digest{}
 		for _, one := range told {
 			sum.Attempts, sum.Failures, sum.Refusals, sum.Overdue = sum.Attempts+one.Attempts, sum.Failures+one.Failures, sum.Refusals+one.Refusals, sum.Overdue+one.Overdue
 		}
@@ -107,5 +107,5 @@
 }
 
 func planWith(b *bench, share float64) *registry.Plan {
-	return &registry.Plan{Told: b.now, Weights: []soundness.Weight{{Share: share}}}
+	return &registry.Plan{Told: b.now, Weights: []outlier.Weight{{Share: share}}}
 }
--- a/request/forwarding/outliers_test.go
+++ b/request/forwarding/outliers_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/process/registry"
-	"github.com/cresspond/cresspond/process/soundness"
 )
 
 // illness is what becomes of an attempt at an engine.
@@ -56,12 +56,12 @@
 	for _, d := range s.daemons {
 		d.core.settings.HoldBack = true
 	}
-	s.judge = soundness.NewJudge(soundness.DefaultSettings())
+	s.judge = outlier.NewDetector(outlier.DefaultSettings())
 	var ids []ident.EngineID
 	for _, engine := range s.engines {
 		ids = append(ids, engine.registered.ID)
 	}
-	s.judge.Meet(map[string][]ident.EngineID{"batch": ids})
+	s.judge.SetPools(map[string][]ident.EngineID{"batch": ids})
 	fullAt := map[ident.EngineID]clock.Mark{}
 	full := func(id ident.EngineID) bool {
 		if plan := s.view.Engines[id].Plan; plan != nil && (plan.Queued > 0 || plan.Active >= 48) {
@@ -72,8 +72,8 @@
 	for place, d := range s.daemons {
 		var tell func()
 		tell = func() {
-			told := soundness.Told{Zone: d.zone, Digests: d.core.Outcomes(s.now)}
-			s.after(20*time.Millisecond, func() { s.judge.Hear(s.now, told, full) })
+			told := outlier.Observation{Zone: d.zone, Digests: d.core.Outcomes(s.now)}
+			s.after(20*time.Millisecond, func() { s.judge.Observe(s.now, told, full) })
 			s.after(750*time.Millisecond, tell)
 		}
 		s.after(time.Duration(place)*750*time.Millisecond/time.Duration(len(s.daemons)), tell)
@@ -81,7 +81,7 @@
 	var step func()
 	step = func() {
 		s.judge.Step(s.now)
-		weights := map[ident.EngineID][]soundness.Weight{}
+		weights := map[ident.EngineID][]outlier.Weight{}
 		for _, id := range ids {
 			weights[id] = s.judge.Weights(s.now, id)
 		}
--- a/request/forwarding/simulate_test.go
+++ b/request/forwarding/simulate_test.go
@@ -12,8 +12,8 @@
 	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/process/registry"
-	"github.com/cresspond/cresspond/process/soundness"
 )
 
 // timeline runs what is due in order of time.
@@ -106,7 +106,7 @@
 	tail               time.Duration
 	returned           map[*Record]bool
 	// judge weighs what daemons tell, where they do; broken counts requests that an engine's trouble cost.
-	judge  *soundness.Judge
+	judge  *outlier.Detector
 	broken int
 }
 
