Name seats affinity and permits admission, and owners in process/attempts

String values on the wire stay. Tests of admission, membership and interleave pass; process/daemon builds.

--- a/process/permits/permits_test.go
+++ b/process/admission/admission_test.go
@@ -1,4 +1,4 @@
-package permits
+package admission
 
 import (
 	"fmt"
@@ -26,9 +26,9 @@
 	return &stand{core: NewCore(), now: clock.Mark(time.Hour), capacity: capacity, dead: map[ident.NodeID]bool{}, answers: map[string]bool{}, running: map[string]clock.Mark{}}
 }
 
-func (s *stand) yard() Yard {
-	return Yard{Now: s.now, Capacity: func(ident.EngineID) int { return s.capacity }, Busy: func(ident.EngineID) int { return 0 },
-		Asked: func(ident.EngineID) clock.Mark { return s.asked }, Lives: func(n ident.NodeID) bool { return !s.dead[n] }}
+func (s *stand) view() View {
+	return View{Now: s.now, Capacity: func(ident.EngineID) int { return s.capacity }, Busy: func(ident.EngineID) int { return 0 },
+		Asked: func(ident.EngineID) clock.Mark { return s.asked }, Alive: func(n ident.NodeID) bool { return !s.dead[n] }}
 }
 
 func (s *stand) hear(answers []Answer) {
@@ -41,7 +41,7 @@
 }
 
 func (s *stand) ask(id string, node ident.NodeID, worth int64, house string) {
-	s.hear(s.core.Ask(s.yard(), Ask{ID: id, Node: node, Engine: "e", Bid: bid.Bid{Worth: worth, House: house}, Until: s.now + clock.Mark(150*time.Millisecond)}))
+	s.hear(s.core.Ask(s.view(), Ask{ID: id, Node: node, Engine: "e", Bid: bid.Bid{Worth: worth, House: house}, Until: s.now + clock.Mark(150*time.Millisecond)}))
 }
 
 func TestNeverMoreThanTheCapacityAndNothingLeaks(t *testing.T) {
@@ -58,10 +58,10 @@
 			for id, since := range s.running {
 				if s.now.Since(since) > 30*time.Millisecond {
 					delete(s.running, id)
-					s.hear(s.core.Release(s.yard(), "e", id, random.IntN(50) == 0))
+					s.hear(s.core.Release(s.view(), "e", id, random.IntN(50) == 0))
 				}
 			}
-			s.hear(s.core.Beat(s.yard()))
+			s.hear(s.core.Tick(s.view()))
 			if len(s.running) > s.capacity {
 				t.Fatalf("seed %d: %d run at once", seed, len(s.running))
 			}
@@ -74,9 +74,9 @@
 		// Whoever waits is denied in time, and all that was given is given back: nothing may be left.
 		s.capacity = 0
 		s.now += clock.Mark(time.Second)
-		s.hear(s.core.Beat(s.yard()))
+		s.hear(s.core.Tick(s.view()))
 		for id := range s.running {
-			s.hear(s.core.Release(s.yard(), "e", id, false))
+			s.hear(s.core.Release(s.view(), "e", id, false))
 		}
 		if desk := s.core.engines["e"]; len(desk.granted) != 0 || len(desk.waiting) != 0 {
 			t.Errorf("seed %d: %d slots leaked, %d still wait", seed, len(desk.granted), len(desk.waiting))
@@ -99,7 +99,7 @@
 	last := "first"
 	for range 6 {
 		s.running = map[string]clock.Mark{}
-		s.hear(s.core.Release(s.yard(), "e", last, false))
+		s.hear(s.core.Release(s.view(), "e", last, false))
 		if len(s.running) != 1 {
 			t.Fatalf("%d were granted one slot after %v", len(s.running), order)
 		}
@@ -117,7 +117,7 @@
 	s := newStand(1)
 	s.ask("gone", "n", 1, "a")
 	s.dead["n"] = true
-	s.hear(s.core.Beat(s.yard()))
+	s.hear(s.core.Tick(s.view()))
 	s.ask("next", "m", 1, "a")
 	if !s.answers["next"] {
 		t.Error("the dead daemon's slot was kept")
@@ -129,14 +129,14 @@
 	s.asked = s.now
 	s.ask("one", "n", 1, "a")
 	s.now += clock.Mark(time.Millisecond)
-	s.hear(s.core.Release(s.yard(), "e", "one", true))
+	s.hear(s.core.Release(s.view(), "e", "one", true))
 	s.ask("two", "n", 1, "a")
 	if s.answers["two"] {
 		t.Fatal("a slot was given on the word of an old report")
 	}
 	s.now += clock.Mark(20 * time.Millisecond)
 	s.asked = s.now
-	s.hear(s.core.Beat(s.yard()))
+	s.hear(s.core.Tick(s.view()))
 	if !s.answers["two"] {
 		t.Error("the later report did not open the engine")
 	}
--- a/process/attempts/attempts.go
+++ b/process/attempts/attempts.go
@@ -1,4 +1,4 @@
-// Package attempts is the fleet's memory of callers' attempts. Each attempt has homes among the daemons;
+// Package attempts is the fleet's memory of callers' attempts. Each attempt has two owners among the daemons;
 // whoever wants to send or to refuse it asks them first, so that one sent again through another daemon
 // is known, and neither runs twice nor runs after it was refused.
 package attempts
@@ -11,32 +11,33 @@
 	"github.com/cresspond/cresspond/process/clock"
 )
 
-// Act is what is asked of a home.
+// Act is what is asked of an owner.
 type Act string
 
 const (
 	// Claim: the asker is about to send the first byte.
 	Claim Act = "claim"
-	// Refuse: the asker is about to give its word that the work never runs.
+	// Refuse: the asker is about to promise that the work never runs.
 	Refuse Act = "refuse"
-	// Free: the go provably never ran.
+	// Free: the attempt provably never ran.
 	Free Act = "free"
 )
 
-// Word is a home's answer.
-type Word string
+// Answer is an owner's answer.
+type Answer string
 
 const (
-	Granted Word = "granted"
+	// Granted: the asker may go ahead.
+	Granted Answer = "granted"
 	// Taken: another record claimed it.
-	Taken Word = "taken"
+	Taken Answer = "taken"
 	// RefusedSince: another daemon refused it after this record had arrived.
-	RefusedSince Word = "refused-since"
+	RefusedSince Answer = "refused-since"
 	// OtherBody: it stands for another request.
-	OtherBody Word = "other-body"
+	OtherBody Answer = "other-body"
 )
 
-// Ask is one question. Owner is one record of one daemon's life; Age is how long ago it arrived there.
+// Ask is one question. Owner is one record of one incarnation of a daemon; Age is how long ago it arrived there.
 type Ask struct {
 	Attempt, Owner string
 	Digest         uint64
@@ -56,8 +57,8 @@
 const (
 	// Kept is how long an attempt is remembered; callers are told.
 	Kept = 10 * time.Minute
-	// most bounds how many are remembered; the oldest are forgotten first.
-	most = 200_000
+	// maxRemembered bounds how many are remembered; the oldest are forgotten first.
+	maxRemembered = 200_000
 )
 
 type past struct {
@@ -65,23 +66,23 @@
 	at      clock.Mark
 }
 
-// Memory is the pure state of one home.
+// Memory is the pure state of one owner.
 type Memory struct {
 	entries map[string]Entry
 	// order lists what was remembered from the oldest on.
 	order []past
-	most  int
-	// wholeFrom lists the daemons that told this life all that they share with it.
+	limit int
+	// wholeFrom lists the daemons that have sent this incarnation all that they share with it.
 	wholeFrom map[string]bool
 }
 
 // NewMemory makes an empty memory.
 func NewMemory() *Memory {
-	return &Memory{entries: map[string]Entry{}, most: most, wholeFrom: map[string]bool{}}
+	return &Memory{entries: map[string]Entry{}, limit: maxRemembered, wholeFrom: map[string]bool{}}
 }
 
 // Take answers one question.
-func (m *Memory) Take(now clock.Mark, ask Ask) Word {
+func (m *Memory) Take(now clock.Mark, ask Ask) Answer {
 	m.forget(now)
 	held, known := m.entries[ask.Attempt]
 	own := held.Owner == ask.Owner
@@ -94,7 +95,7 @@
 	case Refuse:
 		// A tombstone may be set on what nobody has claimed, and on the asker's own claim.
 		if known && !own && !held.Refused {
-			return taken(held, ask)
+			return takenBy(held, ask)
 		}
 		m.put(ask.Attempt, Entry{Owner: ask.Owner, Digest: ask.Digest, At: now, Refused: true})
 		return Granted
@@ -104,14 +105,14 @@
 		// This record was in hand somewhere when the caller was told that it never runs.
 		return RefusedSince
 	case known && !held.Refused && !own:
-		return taken(held, ask)
+		return takenBy(held, ask)
 	case !known || held.Refused:
 		m.put(ask.Attempt, Entry{Owner: ask.Owner, Digest: ask.Digest, At: now})
 	}
 	return Granted
 }
 
-func taken(held Entry, ask Ask) Word {
+func takenBy(held Entry, ask Ask) Answer {
 	if held.Digest != ask.Digest {
 		return OtherBody
 	}
@@ -125,7 +126,7 @@
 
 // forget drops what is too old, and the oldest of what is too much.
 func (m *Memory) forget(now clock.Mark) {
-	for len(m.order) > 0 && (now.Since(m.order[0].at) > Kept || len(m.order) > m.most) {
+	for len(m.order) > 0 && (now.Since(m.order[0].at) > Kept || len(m.order) > m.limit) {
 		oldest := m.order[0]
 		m.order = m.order[1:]
 		// One that came again since stands further back in the line.
@@ -135,7 +136,7 @@
 	}
 }
 
-// Learn takes over what another home remembers, unless something is known here already. A claim
+// Learn takes over what another owner remembers, unless something is known here already. A claim
 // stands above a refusal, since only the claim may have run.
 func (m *Memory) Learn(now clock.Mark, attempt string, entry Entry) {
 	held, known := m.entries[attempt]
@@ -145,10 +146,10 @@
 	m.forget(now)
 }
 
-// LearnWhole notes that a daemon told this life all that they share.
+// LearnWhole notes that a daemon has sent this incarnation all that they share.
 func (m *Memory) LearnWhole(from string) { m.wholeFrom[from] = true }
 
-// Whole says whether a daemon told this life all that they share.
+// Whole says whether a daemon has sent this incarnation all that they share.
 func (m *Memory) Whole(from string) bool { return m.wholeFrom[from] }
 
 // Each lists what is remembered.
@@ -161,69 +162,73 @@
 // Len counts what is remembered.
 func (m *Memory) Len() int { return len(m.entries) }
 
-// Home is the actor around a memory.
-type Home struct {
-	clock  clock.Clock
-	memory *Memory
-	box    *actor.Mailbox[func()]
+// Actor runs a memory on one goroutine.
+type Actor struct {
+	clock   clock.Clock
+	memory  *Memory
+	mailbox *actor.Mailbox[func()]
 }
 
-// NewHome makes a home.
-func NewHome(c clock.Clock) *Home {
-	return &Home{clock: c, memory: NewMemory(), box: actor.NewMailbox[func()](1024)}
+// NewActor makes an actor with an empty memory.
+func NewActor(c clock.Clock) *Actor {
+	return &Actor{clock: c, memory: NewMemory(), mailbox: actor.NewMailbox[func()](1024)}
 }
 
 // Run runs the actor until ctx ends.
-func (h *Home) Run(ctx context.Context) { h.box.Run(ctx, 0, func(do func()) { do() }, nil) }
+func (h *Actor) Run(ctx context.Context) { h.mailbox.Run(ctx, 0, func(do func()) { do() }, nil) }
 
 // Do runs something on the memory, and says false when the actor has ended.
-func (h *Home) Do(do func(now clock.Mark, memory *Memory)) bool {
+func (h *Actor) Do(do func(now clock.Mark, memory *Memory)) bool {
 	done := make(chan struct{})
-	if !h.box.Send(func() { do(h.clock.Elapsed(), h.memory); close(done) }) {
+	if !h.mailbox.Send(func() { do(h.clock.Elapsed(), h.memory); close(done) }) {
 		return false
 	}
 	select {
 	case <-done:
 		return true
-	case <-h.box.Done():
+	case <-h.mailbox.Done():
 		return false
 	}
 }
 
-// Answers tells what several homes said of one question.
+// Answers is what several owners said of one question.
 type Answers struct {
-	// Knew says that a home answered that would know of every earlier claim; Written, that another daemon wrote it down.
+	// Knew says that an owner answered that would know of every earlier claim; Written, that another daemon wrote it down.
 	Knew, Written bool
-	Words         []Word
+	Given         []Answer
 }
 
-// Verdict is what the asker may do.
-type Verdict string
+// Decision is what the asker may do, given all answers.
+type Decision string
 
 const (
-	May     Verdict = "may"
-	Replay  Verdict = "replay"
-	Other   Verdict = "other-body"
-	Refused Verdict = "refused"
+	// May: the asker may go ahead.
+	May Decision = "may"
+	// Replay: the attempt is claimed elsewhere.
+	Replay Decision = "replay"
+	// Other: the attempt's id stands for another request.
+	Other Decision = "other-body"
+	// Refused: the attempt was refused elsewhere.
+	Refused Decision = "refused"
 	// Doubt: nobody who would know could be asked.
-	Doubt Verdict = "doubt"
+	Doubt Decision = "doubt"
 )
 
-// Weigh makes one verdict of the answers. Any home that knows of a claim stands above all that do not.
-func Weigh(answers Answers) Verdict {
-	verdict := May
+// Decide makes one decision of the answers. Any owner that knows of a claim stands above all that do not.
+func Decide(answers Answers) Decision {
+	decision := May
 	if !answers.Knew || !answers.Written {
-		verdict = Doubt
+		decision = Doubt
 	}
-	for _, word := range answers.Words {
-		switch word {
+	for _, answer := range answers.Given {
+		switch answer {
 		case Taken:
 			return Replay
 		case OtherBody:
 			return Other
 		case RefusedSince:
-			verdict = Refused
+			decision = Refused
 		}
 	}
-	return verdict
+	return decision
 }
--- a/process/daemon/attempts.go
+++ b/process/daemon/attempts.go
@@ -9,12 +9,12 @@
 
 	"github.com/twitchtv/twirp"
 
+	"github.com/cresspond/cresspond/process/affinity"
 	"github.com/cresspond/cresspond/process/attempts"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/membership"
-	"github.com/cresspond/cresspond/process/seats"
 	"github.com/cresspond/cresspond/request/dispatch"
 	"github.com/cresspond/cresspond/wire/fellowapi"
 )
@@ -80,7 +80,7 @@
 	key := "attempt " + attempt
 	add := func(from []string, knows bool) {
 		slices.Sort(from)
-		first, second := seats.Of(key, from)
+		first, second := affinity.Owners(key, from)
 		for home, partner := range map[string]string{first: second, second: first} {
 			if home == "" {
 				continue
@@ -104,7 +104,7 @@
 }
 
 // askHomes puts one question to all homes of an attempt at once, and weighs what they say.
-func (d *Daemon) askHomes(ask attempts.Ask) attempts.Verdict {
+func (d *Daemon) askHomes(ask attempts.Ask) attempts.Decision {
 	self := d.config.ReachedAt()
 	// Where each attempt arrives once, no other daemon and no earlier life can know of one.
 	local := d.config.Attempts == config.LocalAttempts
@@ -140,14 +140,14 @@
 		if answer.reply == nil {
 			continue
 		}
-		heard.Words = append(heard.Words, attempts.Word(answer.reply.Word))
+		heard.Given = append(heard.Given, attempts.Answer(answer.reply.Word))
 		_, knows := h.knowers[answer.home]
 		heard.Knew = heard.Knew || knows && (local || !answer.reply.Fresh)
 		// A daemon that may be cut off must not be the only one that knows.
 		heard.Written = heard.Written || answer.home != self || h.alone
 	}
 	heard.Knew = heard.Knew && !h.fewInSight
-	verdict := attempts.Weigh(heard)
+	verdict := attempts.Decide(heard)
 	if verdict == attempts.Doubt {
 		d.counters.attemptDoubts.Add(1)
 	}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -21,6 +21,8 @@
 	"github.com/cresspond/cresspond/connection/frontdoor"
 	"github.com/cresspond/cresspond/connection/operators"
 	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/process/admission"
+	"github.com/cresspond/cresspond/process/affinity"
 	"github.com/cresspond/cresspond/process/attempts"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/config"
@@ -30,13 +32,11 @@
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/membership"
 	"github.com/cresspond/cresspond/process/outlier"
-	"github.com/cresspond/cresspond/process/permits"
 	"github.com/cresspond/cresspond/process/placement"
 	"github.com/cresspond/cresspond/process/raft"
 	"github.com/cresspond/cresspond/process/registry"
 	"github.com/cresspond/cresspond/process/replica"
 	"github.com/cresspond/cresspond/process/rollout"
-	"github.com/cresspond/cresspond/process/seats"
 	"github.com/cresspond/cresspond/process/snowflake"
 	"github.com/cresspond/cresspond/process/statemachine"
 	"github.com/cresspond/cresspond/request/dispatch"
@@ -71,9 +71,9 @@
 	door        *frontdoor.Door
 	desk        *operators.Desk
 	placer      *placement.Actor
-	home        *seats.Home
-	slots       *permits.Keeper
-	attempts    *attempts.Home
+	home        *affinity.Table
+	slots       *admission.Keeper
+	attempts    *attempts.Actor
 	permitIDs   atomic.Uint64
 
 	replicaConfig replica.Config
@@ -191,7 +191,7 @@
 		nodeID:        ident.NodeID(c.Name + "#" + hex.EncodeToString(life[:])),
 		replicaConfig: replica.DefaultConfig(), adopted: make(chan ident.GroupID, 1), broken: make(chan error, 4), unreadyTold: make(chan struct{}, 8),
 		applying: make(chan struct{}, 1), applyLimit: applyLimit, applyReach: applyReach,
-		fleetWants: map[ident.NodeID]*demand.Receiver{}, home: seats.NewHome(), aroundDisk: func(disk replica.Disk) replica.Disk { return disk }, stallLimit: stallLimit, runOver: runOver,
+		fleetWants: map[ident.NodeID]*demand.Receiver{}, home: affinity.NewTable(), aroundDisk: func(disk replica.Disk) replica.Disk { return disk }, stallLimit: stallLimit, runOver: runOver,
 	}
 	d.replicaConfig.Voters = c.Voters
 	d.log = logger.WithField("node", string(d.nodeID))
@@ -268,11 +268,11 @@
 	d.registry.Subscribe(d.poke)
 	d.registry.Subscribe(d.registryNews)
 	d.dispatch = dispatch.NewActor(routing{d})
-	d.slots = permits.NewKeeper(d.yard)
+	d.slots = admission.NewKeeper(d.yard)
 	d.placer = placement.NewActor(planning{d}, d.clock)
 	d.pools.make(d)
 	d.nodes = newNodeRanking(d)
-	d.attempts = attempts.NewHome(d.clock)
+	d.attempts = attempts.NewActor(d.clock)
 	streams, cutStreams := context.WithCancel(context.Background())
 	defer cutStreams()
 	d.door = frontdoor.New(streams, d.clock, d.keeper.Table, d.dispatch)
--- a/process/daemon/routing.go
+++ b/process/daemon/routing.go
@@ -10,14 +10,14 @@
 	"github.com/cresspond/cresspond/connection/enginelink"
 	"github.com/twitchtv/twirp"
 
+	"github.com/cresspond/cresspond/process/admission"
+	"github.com/cresspond/cresspond/process/affinity"
 	"github.com/cresspond/cresspond/process/attempts"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/membership"
-	"github.com/cresspond/cresspond/process/permits"
 	"github.com/cresspond/cresspond/process/placement"
-	"github.com/cresspond/cresspond/process/seats"
 	"github.com/cresspond/cresspond/process/snowflake"
 	"github.com/cresspond/cresspond/process/statemachine"
 	"github.com/cresspond/cresspond/request/bid"
@@ -117,9 +117,9 @@
 	refused := false
 	defer func() { giveBack(refused) }()
 	// The homes are asked while the engine is dialled; the first byte waits for both.
-	claimed := make(chan attempts.Verdict, 1)
+	claimed := make(chan attempts.Decision, 1)
 	go func() { claimed <- d.askHomes(d.askFor(attempts.Claim, flight.ID, flight.Request, flight.Arrived)) }()
-	var claim attempts.Verdict
+	var claim attempts.Decision
 	departed := false
 	left := send.Deadline.Since(d.clock.Elapsed())
 	began := false
@@ -184,13 +184,13 @@
 
 // mayGo says whether a go may leave on what the homes said. Where they can't be asked, only the caller's
 // own word that the work may run twice lets it go.
-func mayGo(claim attempts.Verdict, repeatable bool) bool {
+func mayGo(claim attempts.Decision, repeatable bool) bool {
 	return claim == attempts.May || claim == attempts.Doubt && repeatable
 }
 
 // afterClaim frees the claim of a go that provably never ran, so that the same attempt may come again
 // anywhere, and says what becomes of one that the homes held back.
-func (d *Daemon) afterClaim(flight *dispatch.Flight, outcome dispatch.GoOutcome, claim attempts.Verdict, claimed <-chan attempts.Verdict, departed bool) (dispatch.GoOutcome, string) {
+func (d *Daemon) afterClaim(flight *dispatch.Flight, outcome dispatch.GoOutcome, claim attempts.Decision, claimed <-chan attempts.Decision, departed bool) (dispatch.GoOutcome, string) {
 	if departed && outcome != dispatch.EngineRefused {
 		return outcome, ""
 	}
@@ -231,7 +231,7 @@
 // keeperOf is the address of the daemon that keeps an engine's slots.
 func (d *Daemon) keeperOf(engine ident.EngineID) string {
 	routers := d.fellowsFor(keeperWindow, func(f membership.Fellow) bool { return f.Serves(string(config.Route)) })
-	keeper, _ := seats.Of("engine "+string(engine), routers)
+	keeper, _ := affinity.Owners("engine "+string(engine), routers)
 	return keeper
 }
 
@@ -287,15 +287,15 @@
 		d.slots.Release(ident.EngineID(in.Engine), in.Id, in.Refused)
 		return &fellowapi.PermitReply{}, nil
 	}
-	granted := d.slots.Ask(ctx, permits.Ask{ID: in.Id, Node: ident.NodeID(in.NodeId), Engine: ident.EngineID(in.Engine),
+	granted := d.slots.Ask(ctx, admission.Ask{ID: in.Id, Node: ident.NodeID(in.NodeId), Engine: ident.EngineID(in.Engine),
 		Bid: bid.Bid{Seated: in.Seated, Worth: in.Worth, Rank: int(in.Rank), House: in.House}, Until: d.clock.Elapsed() + clock.Mark(permitWait)})
 	return &fellowapi.PermitReply{Granted: granted}, nil
 }
 
 // yard is what the keeper of slots may look at.
-func (d *Daemon) yard() permits.Yard {
+func (d *Daemon) yard() admission.View {
 	now, t, view := d.clock.Elapsed(), d.keeper.Table(), d.watcher.View()
-	return permits.Yard{
+	return admission.View{
 		Now: now,
 		Capacity: func(id ident.EngineID) int {
 			engine, known := view.Engines[id]
@@ -317,7 +317,7 @@
 			}
 			return 0
 		},
-		Lives: func(node ident.NodeID) bool {
+		Alive: func(node ident.NodeID) bool {
 			fellow, known := d.members.View().Fellows[node]
 			return node == d.nodeID || known && now.Since(fellow.Heard) < 3*time.Second
 		},
@@ -328,7 +328,7 @@
 // Any daemon can be a home, whatever it serves, so that the restart of a lone routing daemon loses none.
 func (d *Daemon) seatHomes(session string) (first, second string) {
 	// A daemon that is stopping hands its seats over, and takes no more.
-	return seats.Of(session, d.fellowsFor(3*time.Second, func(membership.Fellow) bool { return true }))
+	return affinity.Owners(session, d.fellowsFor(3*time.Second, func(membership.Fellow) bool { return true }))
 }
 
 // rehomeSeats gives the seats whose home this daemon was to the homes that have come to be.
@@ -337,7 +337,7 @@
 	oldAddresses, newAddresses := addressesOf(before), addressesOf(after)
 	unreached := map[string]bool{}
 	for session, engine := range d.home.All() {
-		oldFirst, oldSecond := seats.Of(session, oldAddresses)
+		oldFirst, oldSecond := affinity.Owners(session, oldAddresses)
 		if ctx.Err() != nil || oldFirst != self && oldSecond != self {
 			continue
 		}
@@ -351,8 +351,8 @@
 
 // newcomers lists the homes that something has now, and did not have before in the same life.
 func newcomers(key string, before, after map[string]ident.NodeID, oldAddresses, newAddresses []string) []string {
-	oldFirst, oldSecond := seats.Of(key, oldAddresses)
-	newFirst, newSecond := seats.Of(key, newAddresses)
+	oldFirst, oldSecond := affinity.Owners(key, oldAddresses)
+	newFirst, newSecond := affinity.Owners(key, newAddresses)
 	var out []string
 	for _, home := range []string{newFirst, newSecond} {
 		if home != "" && ((home != oldFirst && home != oldSecond) || before[home] != after[home]) {
--- a/process/membership/core.go
+++ b/process/membership/core.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/cresspond/cresspond/process/affinity"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
-	"github.com/cresspond/cresspond/process/seats"
 )
 
 const (
@@ -496,7 +496,7 @@
 	if near := slices.DeleteFunc(slices.Clone(sound), func(address string) bool { return !c.near(address) || !c.inTouch(leader, address) }); len(near) > 0 {
 		sound = near
 	}
-	chosen, _ := seats.Of("link "+c.address, sound)
+	chosen, _ := affinity.Owners("link "+c.address, sound)
 	return chosen
 }
 
--- a/rehearsal/interleave/attempts_test.go
+++ b/rehearsal/interleave/attempts_test.go
@@ -19,14 +19,14 @@
 				heard := attempts.Answers{Knew: true, Written: true}
 				for _, home := range order {
 					yield()
-					heard.Words = append(heard.Words, homes[home].Take(10, attempts.Ask{Attempt: "x", Owner: owner, Age: clock.Mark(10).Since(arrived), Act: act}))
+					heard.Given = append(heard.Given, homes[home].Take(10, attempts.Ask{Attempt: "x", Owner: owner, Age: clock.Mark(10).Since(arrived), Act: act}))
 					if lax {
 						break
 					}
 				}
 				yield()
 				switch {
-				case attempts.Weigh(heard) != attempts.May:
+				case attempts.Decide(heard) != attempts.May:
 				case act == attempts.Claim:
 					ran++
 				default:
