--- a/connection/enginelink/enginelink.go
+++ b/connection/enginelink/enginelink.go
@@ -34,7 +34,7 @@
 
 // Result is how a go ended.
 type Result struct {
-	Outcome dispatch.GoOutcome
+	Outcome dispatch.AttemptOutcome
 	Reason  string
 	// Junk says that the engine broke the rules and should rest.
 	Junk bool
@@ -135,7 +135,7 @@
 	end := time.Now().Add(g.Limit)
 	if reason := g.MayLeave(); reason != "" {
 		fasthttp.ReleaseResponse(response)
-		return Result{Outcome: dispatch.HeldBack, Reason: reason}
+		return Result{Outcome: dispatch.Withdrawn, Reason: reason}
 	}
 	_ = raw.SetDeadline(time.Now().Add(g.FirstLimit))
 	writer := bufio.NewWriter(conn)
--- a/connection/enginelink/enginelink_test.go
+++ b/connection/enginelink/enginelink_test.go
@@ -84,7 +84,7 @@
 				t.Errorf("%s: %d %s", name, result.Outcome, result.Reason)
 			case !strings.HasPrefix(pieces, got):
 				t.Errorf("%s: the caller got %q", name, got)
-			case result.Outcome == dispatch.NeverSent || result.Outcome == dispatch.HeldBack:
+			case result.Outcome == dispatch.NeverSent || result.Outcome == dispatch.Withdrawn:
 				t.Errorf("%s: what was sent was called never sent", name)
 			}
 		}
--- a/connection/frontdoor/frontdoor.go
+++ b/connection/frontdoor/frontdoor.go
@@ -64,9 +64,9 @@
 		return
 	}
 	d.served.Add(1)
-	flight := dispatch.NewFlight(d.ctx, request, prompt)
+	flight := dispatch.NewCall(d.ctx, request, prompt)
 	flight.Arrived = d.clock.Elapsed()
-	if !d.actor.Let(flight) {
+	if !d.actor.Admit(flight) {
 		flight.Cancel()
 		d.served.Add(-1)
 		Fail(ctx, fasthttp.StatusServiceUnavailable, callerapi.Error{Outcome: callerapi.Unknown, Reason: "this daemon is stopping, and cannot tell whether another has this attempt", RetryAfterMs: 1000})
@@ -82,7 +82,7 @@
 	case verdict != nil:
 		flight.Cancel()
 		d.served.Add(-1)
-		Fail(ctx, verdict.Status, callerapi.Error{Outcome: callerapi.Outcome(verdict.Kind), Reason: verdict.Reason, RetryAfterMs: verdict.ComeBack.Milliseconds()})
+		Fail(ctx, verdict.Status, callerapi.Error{Outcome: callerapi.Outcome(verdict.Kind), Reason: verdict.Reason, RetryAfterMs: verdict.RetryAfter.Milliseconds()})
 	default:
 		ctx.SetContentType("application/x-ndjson")
 		ctx.Response.Header.Set(callerapi.HeaderAttempt, request.Attempt)
@@ -93,14 +93,14 @@
 }
 
 // await waits for the verdict or the stream of a flight; neither means that the caller left meanwhile.
-func (d *Door) await(ctx *fasthttp.RequestCtx, flight *dispatch.Flight) (*dispatch.Verdict, *dispatch.Stream) {
+func (d *Door) await(ctx *fasthttp.RequestCtx, flight *dispatch.Call) (*dispatch.Answer, *dispatch.Stream) {
 	// Callers older than HTTP/1.1 know of no interim answers.
 	caller := newWatch(ctx.Conn(), ctx.Request.Header.IsHTTP11())
 	look := time.NewTicker(lookEvery)
 	defer look.Stop()
 	for {
 		select {
-		case verdict := <-flight.Told:
+		case verdict := <-flight.Answered:
 			return &verdict, nil
 		case stream := <-flight.Started:
 			return nil, stream
@@ -220,9 +220,9 @@
 		return none, "", &fault{fasthttp.StatusForbidden, "adapter", "is not allowed on this route with this model"}
 	}
 	return dispatch.Request{
-		Attempt: attempt, Route: g.Route, House: g.House, Worth: route.Worth, Rank: route.Rank, Model: g.Model, Adapter: g.Adapter,
+		Attempt: attempt, Route: g.Route, Tenant: g.House, Worth: route.Worth, Rank: route.Rank, Model: g.Model, Adapter: g.Adapter,
 		Prefix: g.Prefix, Session: g.Session, Bytes: len(body), Digest: digestOf(body), Deadline: d.clock.Elapsed() + clock.Mark(max(deadline, leastPortion)),
-		Repeatable: g.Repeatable, EndSession: g.EndSession, MostHeld: route.MostHeld,
+		Repeatable: g.Repeatable, EndSession: g.EndSession, MaxQueued: route.MostHeld,
 	}, g.Prompt, nil
 }
 
--- a/process/admission/admission.go
+++ b/process/admission/admission.go
@@ -150,7 +150,7 @@
 		best := slots.waiting[0]
 		slots.waiting = slots.waiting[1:]
 		slots.granted[best.ID] = grant{best.Node, view.Now}
-		slots.countTurn(best.House)
+		slots.countTurn(best.Tenant)
 		c.Granted++
 		out = append(out, Answer{ID: best.ID, Granted: true})
 		free--
@@ -159,13 +159,13 @@
 }
 
 // countTurn counts a tenant's turn.
-func (d *engineSlots) countTurn(house string) {
+func (d *engineSlots) countTurn(tenant string) {
 	if len(d.turns) > maxTenants {
 		clear(d.turns)
 	}
-	d.turns.Serve(house, func(yield func(string) bool) {
+	d.turns.Serve(tenant, func(yield func(string) bool) {
 		for _, ask := range d.waiting {
-			if !yield(ask.House) {
+			if !yield(ask.Tenant) {
 				return
 			}
 		}
--- a/process/admission/admission_test.go
+++ b/process/admission/admission_test.go
@@ -40,8 +40,8 @@
 	}
 }
 
-func (s *stand) ask(id string, node ident.NodeID, worth int64, house string) {
-	s.hear(s.core.Ask(s.view(), Ask{ID: id, Node: node, Engine: "e", Bid: bid.Bid{Worth: worth, House: house}, Until: s.now + clock.Mark(150*time.Millisecond)}))
+func (s *stand) ask(id string, node ident.NodeID, worth int64, tenant string) {
+	s.hear(s.core.Ask(s.view(), Ask{ID: id, Node: node, Engine: "e", Bid: bid.Bid{Worth: worth, Tenant: tenant}, Until: s.now + clock.Mark(150*time.Millisecond)}))
 }
 
 func TestNeverMoreThanTheCapacityAndNothingLeaks(t *testing.T) {
--- a/process/daemon/attempts.go
+++ b/process/daemon/attempts.go
@@ -162,12 +162,12 @@
 
 // Refuse makes sure, before a caller is told that its work never runs, that no other daemon has sent it
 // or will: the word that may be given comes back.
-func (r routing) Refuse(flight *dispatch.Flight, wanted dispatch.Verdict) dispatch.Verdict {
+func (r routing) Refuse(flight *dispatch.Call, wanted dispatch.Answer) dispatch.Answer {
 	switch r.askHomes(r.askFor(attempts.Refuse, flight.ID, flight.Request, flight.Arrived)) {
 	case attempts.Replay, attempts.Other:
-		return dispatch.Verdict{Kind: dispatch.Replay, Status: 409, Reason: "this attempt id was taken by another daemon and is not run again"}
+		return dispatch.Answer{Kind: dispatch.Replay, Status: 409, Reason: "this attempt id was taken by another daemon and is not run again"}
 	case attempts.Doubt:
-		return dispatch.Verdict{Kind: dispatch.Unknown, Status: wanted.Status, Reason: wanted.Reason + "; whether another daemon has this attempt cannot be told now", ComeBack: max(wanted.ComeBack, time.Second)}
+		return dispatch.Answer{Kind: dispatch.Unknown, Status: wanted.Status, Reason: wanted.Reason + "; whether another daemon has this attempt cannot be told now", RetryAfter: max(wanted.RetryAfter, time.Second)}
 	}
 	return wanted
 }
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -491,7 +491,7 @@
 	var seated []*fellowapi.Seat
 	snapshot := d.dispatch.Snapshot()
 	for _, demand := range snapshot.Demands {
-		all = append(all, &fellowapi.Demand{Model: demand.Model, Adapter: demand.Adapter, Worth: demand.Worth, Held: int64(demand.Held), Running: int64(demand.Running)})
+		all = append(all, &fellowapi.Demand{Model: demand.Model, Adapter: demand.Adapter, Worth: demand.Worth, Held: int64(demand.Queued), Running: int64(demand.Running)})
 	}
 	all = append(all, d.forwardDemands()...)
 	for _, seat := range snapshot.Seats {
--- a/process/daemon/routing.go
+++ b/process/daemon/routing.go
@@ -59,7 +59,7 @@
 	return dispatch.World{
 		Lacks: d.lacksNow(),
 		Now:   d.clock.Elapsed(), Table: d.keeper.Table(), Engines: d.watcher.View(), NotReady: notReady, Mint: d.generator.Mint,
-		Zone: d.config.Zone, ShareSeats: true, Permits: true,
+		Zone: d.config.Zone, ShareAssignments: true, Admission: true,
 	}
 }
 
@@ -82,7 +82,7 @@
 }
 
 // lastLook is the last check before the first byte: what it reads is what is in force at that moment.
-func (d *Daemon) lastLook(flight *dispatch.Flight, send dispatch.Send) string {
+func (d *Daemon) lastLook(flight *dispatch.Call, send dispatch.Send) string {
 	t := d.keeper.Table()
 	engine := d.watcher.View().Engines[send.Engine]
 	switch {
@@ -109,10 +109,10 @@
 var errBroken = errors.New("the answer is not whole")
 
 // Carry runs one go to its end.
-func (d *Daemon) Carry(flight *dispatch.Flight, send dispatch.Send, firstPiece func()) (dispatch.GoOutcome, string) {
+func (d *Daemon) Carry(flight *dispatch.Call, send dispatch.Send, firstPiece func()) (dispatch.AttemptOutcome, string) {
 	giveBack, granted := d.askPermit(flight, send)
 	if !granted {
-		return dispatch.HeldBack, "no slot of the engine is free"
+		return dispatch.Withdrawn, "no slot of the engine is free"
 	}
 	refused := false
 	defer func() { giveBack(refused) }()
@@ -190,7 +190,7 @@
 
 // afterClaim frees the claim of a go that provably never ran, so that the same attempt may come again
 // anywhere, and says what becomes of one that the homes held back.
-func (d *Daemon) afterClaim(flight *dispatch.Flight, outcome dispatch.GoOutcome, claim attempts.Decision, claimed <-chan attempts.Decision, departed bool) (dispatch.GoOutcome, string) {
+func (d *Daemon) afterClaim(flight *dispatch.Call, outcome dispatch.AttemptOutcome, claim attempts.Decision, claimed <-chan attempts.Decision, departed bool) (dispatch.AttemptOutcome, string) {
 	if departed && outcome != dispatch.EngineRefused {
 		return outcome, ""
 	}
@@ -246,10 +246,10 @@
 
 // askPermit asks the engine's keeper for a slot. A keeper that can't be reached must not hold up the go:
 // the engine's own refusal then bounds what it gets.
-func (d *Daemon) askPermit(flight *dispatch.Flight, send dispatch.Send) (giveBack func(refused bool), granted bool) {
+func (d *Daemon) askPermit(flight *dispatch.Call, send dispatch.Send) (giveBack func(refused bool), granted bool) {
 	keeper := d.keeperOf(send.Engine)
 	request := &fellowapi.PermitRequest{Engine: string(send.Engine), Id: string(d.nodeID) + "/" + strconv.FormatUint(d.permitIDs.Add(1), 10),
-		NodeId: string(d.nodeID), Seated: send.Seated, Worth: send.Worth, Rank: int64(send.Rank), House: send.House}
+		NodeId: string(d.nodeID), Seated: send.Assigned, Worth: send.Worth, Rank: int64(send.Rank), House: send.Tenant}
 	client := fellowapi.Fellow(d)
 	if keeper != "" && keeper != d.config.ReachedAt() {
 		client = d.links.To(keeper)
@@ -288,7 +288,7 @@
 		return &fellowapi.PermitReply{}, nil
 	}
 	granted := d.slots.Ask(ctx, admission.Ask{ID: in.Id, Node: ident.NodeID(in.NodeId), Engine: ident.EngineID(in.Engine),
-		Bid: bid.Bid{Seated: in.Seated, Worth: in.Worth, Rank: int(in.Rank), House: in.House}, Until: d.clock.Elapsed() + clock.Mark(permitWait)})
+		Bid: bid.Bid{Assigned: in.Seated, Worth: in.Worth, Rank: int(in.Rank), Tenant: in.House}, Until: d.clock.Elapsed() + clock.Mark(permitWait)})
 	return &fellowapi.PermitReply{Granted: granted}, nil
 }
 
@@ -383,8 +383,8 @@
 // routing is the daemon as the dispatch actor sees it.
 type routing struct{ *Daemon }
 
-// Seat asks for a session's seat, and remembers it here too, so that it outlives its homes.
-func (r routing) Seat(ask dispatch.AskSeat) (ident.EngineID, bool) {
+// Assignment asks for a session's seat, and remembers it here too, so that it outlives its homes.
+func (r routing) Assignment(ask dispatch.AskAssignment) (ident.EngineID, bool) {
 	engine, found := r.seatOf(ask)
 	if found {
 		r.home.Note(r.clock.Elapsed(), ask.Session, engine)
@@ -395,7 +395,7 @@
 // seatOf asks a session's homes. The first decides; the second keeps a copy, and knows better where the
 // first is gone or has just come back with nothing. Where neither knew of it, and daemons were lost
 // lately, all are asked.
-func (r routing) seatOf(ask dispatch.AskSeat) (ident.EngineID, bool) {
+func (r routing) seatOf(ask dispatch.AskAssignment) (ident.EngineID, bool) {
 	if ask.Engine != "" && ask.Replaces == "" && r.lostLately() {
 		if engine, known := r.askAllForSeat(ask.Session); known {
 			ask.Engine = engine
@@ -452,8 +452,8 @@
 	return ident.EngineID(newest.Engine), true
 }
 
-// EndSeat tells a session's homes that it has ended.
-func (r routing) EndSeat(session string) {
+// EndAssignment tells a session's homes that it has ended.
+func (r routing) EndAssignment(session string) {
 	first, second := r.seatHomes(session)
 	// A home that misses this forgets the seat when it has been idle long enough.
 	for _, home := range []string{first, second} {
@@ -488,7 +488,7 @@
 		if now.Since(heard.At) < demandFresh {
 			heard.Each(now, func(demand *fellowapi.Demand, _ time.Duration, _ float64) {
 				if demand.Pool == "" {
-					in.Demand = append(in.Demand, placement.Demand{Model: demand.Model, Adapter: demand.Adapter, Worth: demand.Worth, Held: int(demand.Held), Running: int(demand.Running)})
+					in.Demand = append(in.Demand, placement.Demand{Model: demand.Model, Adapter: demand.Adapter, Worth: demand.Worth, Queued: int(demand.Held), Running: int(demand.Running)})
 				}
 			})
 		}
--- a/process/placement/demand.go
+++ b/process/placement/demand.go
@@ -30,7 +30,7 @@
 			if key.adapter == "" && demand.Adapter == "" && key != (want{demand.Model, demand.Adapter}) {
 				continue
 			}
-			held[key] += demand.Held
+			held[key] += demand.Queued
 			running[key] += demand.Running
 			worth[key] = max(worth[key], demand.Worth)
 			if demand.Adapter == "" {
--- a/process/placement/input.go
+++ b/process/placement/input.go
@@ -9,9 +9,9 @@
 
 // Demand is what the whole fleet holds or runs for one model and adapter.
 type Demand struct {
-	Model, Adapter string
-	Worth          int64
-	Held, Running  int
+	Model, Adapter  string
+	Worth           int64
+	Queued, Running int
 }
 
 // Seats counts the sessions that sit on an engine with a model and adapter.
--- a/process/placement/memory.go
+++ b/process/placement/memory.go
@@ -18,7 +18,7 @@
 		}
 	}
 	for _, demand := range in.Demand {
-		if demand.Held+demand.Running == 0 {
+		if demand.Queued+demand.Running == 0 {
 			continue
 		}
 		for _, key := range []want{{demand.Model, ""}, {demand.Model, demand.Adapter}} {
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -254,7 +254,7 @@
 				y.demand = nil
 				for range 1 + y.random.IntN(4) {
 					m := y.random.IntN(modelCount)
-					y.demand = append(y.demand, Demand{Model: fmt.Sprint("m", m), Adapter: []string{"", fmt.Sprint("x", m)}[y.random.IntN(2)], Worth: int64(10 * (m + 1)), Held: y.random.IntN(9)})
+					y.demand = append(y.demand, Demand{Model: fmt.Sprint("m", m), Adapter: []string{"", fmt.Sprint("x", m)}[y.random.IntN(2)], Worth: int64(10 * (m + 1)), Queued: y.random.IntN(9)})
 				}
 			case 1:
 				for _, id := range sortedIDs(y.view()) {
@@ -296,7 +296,7 @@
 		loads, unloads = loads+y.loads, unloads+y.unloads
 		// In quiet, with one demand of the highest worth, that model and adapter must come to stand.
 		y.lose, y.seats = 0, nil
-		y.demand = []Demand{{Model: "m7", Adapter: "x7", Worth: 80, Held: 3}}
+		y.demand = []Demand{{Model: "m7", Adapter: "x7", Worth: 80, Queued: 3}}
 		for range 150 {
 			y.beat()
 		}
@@ -315,7 +315,7 @@
 	y.demand = nil
 	// Eight models of one worth are asked for all the time, and not all have room.
 	for m := range modelCount {
-		y.demand = append(y.demand, Demand{Model: fmt.Sprint("m", m), Worth: 50, Held: 1})
+		y.demand = append(y.demand, Demand{Model: fmt.Sprint("m", m), Worth: 50, Queued: 1})
 	}
 	seen := map[string]bool{}
 	room := 0
@@ -341,7 +341,7 @@
 
 func TestHighestWorthIsLoadedFirstAndIdleModelsDoNotPushOut(t *testing.T) {
 	y := newYard(1)
-	y.demand = []Demand{{Model: "m1", Worth: 20, Held: 9}, {Model: "m6", Worth: 70, Held: 1}}
+	y.demand = []Demand{{Model: "m1", Worth: 20, Queued: 9}, {Model: "m6", Worth: 70, Queued: 1}}
 	y.beat()
 	y.beat()
 	y.beat()
@@ -392,10 +392,10 @@
 	}
 	y.demand = nil
 	for m := range modelCount {
-		y.demand = append(y.demand, Demand{Model: fmt.Sprint("m", m), Worth: 50, Running: 50, Held: 50})
+		y.demand = append(y.demand, Demand{Model: fmt.Sprint("m", m), Worth: 50, Running: 50, Queued: 50})
 	}
 	// The low bid asks for what the others leave no room for.
-	y.demand[modelCount-1] = Demand{Model: fmt.Sprint("m", modelCount-1), Worth: 5, Held: 1}
+	y.demand[modelCount-1] = Demand{Model: fmt.Sprint("m", modelCount-1), Worth: 5, Queued: 1}
 	low := y.demand[modelCount-1].Model
 	for range 300 {
 		y.beat()
@@ -428,7 +428,7 @@
 		e := y.engines["e0"]
 		y.engines = map[ident.EngineID]*fakeEngine{"e0": e}
 		e.shown.CallSeq, e.asked = 5, y.now
-		y.demand = []Demand{{Model: "m7", Worth: 80, Held: 1}}
+		y.demand = []Demand{{Model: "m7", Worth: 80, Queued: 1}}
 		step := func() []Directed {
 			y.now += clock.Mark(200 * time.Millisecond)
 			return y.planner.Step(Input{Now: y.now, Table: y.table, Engines: y.view(), Demand: y.demand})
--- a/rehearsal/interleave/interleave_test.go
+++ b/rehearsal/interleave/interleave_test.go
@@ -253,8 +253,8 @@
 		r.stamp++
 		return r.stamp, snowflake.Minted
 	}}, event)
-	for _, tell := range effects.Tells {
-		r.refused[tell.ID] = r.refused[tell.ID] || tell.Verdict.Kind == dispatch.Refused
+	for _, tell := range effects.Replies {
+		r.refused[tell.ID] = r.refused[tell.ID] || tell.Answer.Kind == dispatch.Refused
 	}
 	r.sends = append(r.sends, effects.Sends...)
 }
@@ -266,14 +266,14 @@
 		yield()
 		late := r.now >= send.Deadline || !r.table.Open(send.Engine)
 		if late && !r.blind {
-			r.step(dispatch.Went{ID: send.ID, Outcome: dispatch.HeldBack, Reason: "late"})
+			r.step(dispatch.AttemptEnded{ID: send.ID, Outcome: dispatch.Withdrawn, Reason: "late"})
 			continue
 		}
 		r.lookedAfter = r.lookedAfter || r.swapped
 		yield()
 		r.written[send.ID] = true
 		yield()
-		r.step(dispatch.Went{ID: send.ID, Outcome: dispatch.Whole})
+		r.step(dispatch.AttemptEnded{ID: send.ID, Outcome: dispatch.Whole})
 	}
 }
 
@@ -290,15 +290,15 @@
 	return func() Case {
 		r := newRouter()
 		r.hasty = hasty
-		r.step(dispatch.Arrive{ID: 1, Request: dispatch.Request{Attempt: "a", Route: "r", House: "h", Model: "m", Deadline: r.now + second}})
-		r.step(dispatch.Arrive{ID: 2, Request: dispatch.Request{Attempt: "b", Route: "r", House: "h", Model: "m", Deadline: r.now + 2*second}})
+		r.step(dispatch.Arrive{ID: 1, Request: dispatch.Request{Attempt: "a", Route: "r", Tenant: "h", Model: "m", Deadline: r.now + second}})
+		r.step(dispatch.Arrive{ID: 2, Request: dispatch.Request{Attempt: "b", Route: "r", Tenant: "h", Model: "m", Deadline: r.now + 2*second}})
 		sender := func(yield func()) { r.send(yield); yield(); r.send(yield) }
 		ticker := func(yield func()) {
 			for range 2 {
 				yield()
 				r.now += second
 				yield()
-				r.step(dispatch.Beat{})
+				r.step(dispatch.Tick{})
 				if r.now >= 101*second {
 					r.late()
 				}
@@ -326,9 +326,9 @@
 	return func() Case {
 		r := newRouter()
 		r.blind = blind
-		r.step(dispatch.Arrive{ID: 1, Request: dispatch.Request{Attempt: "a", Route: "r", House: "h", Model: "m", Deadline: r.now + 9*second}})
+		r.step(dispatch.Arrive{ID: 1, Request: dispatch.Request{Attempt: "a", Route: "r", Tenant: "h", Model: "m", Deadline: r.now + 9*second}})
 		sender := func(yield func()) { r.send(yield) }
-		swapper := func(yield func()) { yield(); r.table = bench(true); r.swapped = true; yield(); r.step(dispatch.Beat{}) }
+		swapper := func(yield func()) { yield(); r.table = bench(true); r.swapped = true; yield(); r.step(dispatch.Tick{}) }
 		return Case{Threads: []func(func()){sender, swapper}, Check: func() error {
 			if r.lookedAfter && r.written[1] {
 				return errors.New("a record whose last look came after the swap was sent under the old table")
--- a/request/budget/budget.go
+++ b/request/budget/budget.go
@@ -1,4 +1,4 @@
-// Package budget keeps retries a modest share of first goes.
+// Package budget keeps retries a modest share of first attempts.
 package budget
 
 import (
@@ -9,16 +9,16 @@
 	"github.com/cresspond/cresspond/process/clock"
 )
 
-// Budget is a bucket that first goes fill and further goes empty, with a trickle beside it, so that a
-// record that never ran is not kept waiting for good where no first goes come. It belongs to one actor.
+// Budget is a token bucket that first attempts fill and retries empty, with a trickle beside it, so that a
+// record that never ran is not kept waiting for good where no first attempts come. It belongs to one actor.
 type Budget struct {
-	share, most, tokens float64
-	trickle             *rate.Limiter
-	FirstGoes, Retries  uint64
-	Denied              uint64
+	share, most, tokens    float64
+	trickle                *rate.Limiter
+	FirstAttempts, Retries uint64
+	Denied                 uint64
 }
 
-// tricklePerSecond is how many goes a second the trickle allows.
+// tricklePerSecond is how many retries a second the trickle allows.
 const tricklePerSecond = 0.2
 
 // New makes a budget; a few tokens are there at first, so that a quiet daemon may retry at all.
@@ -29,13 +29,13 @@
 // SetShare takes up the share of a new spec.
 func (b *Budget) SetShare(share float64) { b.share = share }
 
-// First notes a first go.
+// First notes a first attempt.
 func (b *Budget) First() {
-	b.FirstGoes++
+	b.FirstAttempts++
 	b.tokens = min(b.most, b.tokens+b.share)
 }
 
-// Retry asks for one more go.
+// Retry asks for one retry.
 func (b *Budget) Retry(now clock.Mark) bool {
 	switch {
 	case b.share == 0:
--- a/request/dispatch/actor.go
+++ b/request/dispatch/actor.go
@@ -10,11 +10,10 @@
 	"github.com/cresspond/cresspond/process/actor"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
-	"github.com/cresspond/cresspond/process/snowflake"
 )
 
-// Flight is a request on its way through this daemon, as the caller's side sees it.
-type Flight struct {
+// Call is a request on its way through this daemon, as the caller's side sees it.
+type Call struct {
 	ID      RecordID
 	Request Request
 	// Arrived is when it was read.
@@ -22,39 +21,39 @@
 	// Prompt and the rest of the work are kept here, so the records stay small.
 	Prompt string
 
-	ctx     context.Context
-	cancel  context.CancelFunc
-	settled sync.Once
-	Told    chan Verdict
-	Started chan *Stream
-	stream  *Stream
+	ctx      context.Context
+	cancel   context.CancelFunc
+	settled  sync.Once
+	Answered chan Answer
+	Started  chan *Stream
+	stream   *Stream
 }
 
-// NewFlight makes a flight; cancel it when the caller is gone.
-func NewFlight(parent context.Context, request Request, prompt string) *Flight {
-	f := &Flight{Request: request, Prompt: prompt, Told: make(chan Verdict, 1), Started: make(chan *Stream, 1)}
+// NewNewCall makes a call; cancel it when the caller is gone.
+func NewCall(parent context.Context, request Request, prompt string) *Call {
+	f := &Call{Request: request, Prompt: prompt, Answered: make(chan Answer, 1), Started: make(chan *Stream, 1)}
 	f.ctx, f.cancel = context.WithCancel(parent)
 	f.stream = newStream(f.ctx, f.cancel)
 	return f
 }
 
 // Context ends when the caller is gone.
-func (f *Flight) Context() context.Context { return f.ctx }
+func (f *Call) Context() context.Context { return f.ctx }
 
 // Cancel says that the caller is gone.
-func (f *Flight) Cancel() { f.cancel() }
+func (f *Call) Cancel() { f.cancel() }
 
 // Piece hands a checked line to the caller; the first one starts the stream.
-func (f *Flight) Piece(line []byte) bool {
+func (f *Call) Piece(line []byte) bool {
 	f.settled.Do(func() { f.Started <- f.stream })
 	return f.stream.put(line)
 }
 
-// Finish ends the stream; a broken one ends with its last words and an error.
-func (f *Flight) Finish(lastWords []byte, broken error) { f.stream.finish(lastWords, broken) }
+// Finish ends the stream; a broken one ends with its final answers and an error.
+func (f *Call) Finish(lastWords []byte, broken error) { f.stream.finish(lastWords, broken) }
 
-func (f *Flight) tell(v Verdict) {
-	f.settled.Do(func() { f.Told <- v })
+func (f *Call) answer(v Answer) {
+	f.settled.Do(func() { f.Answered <- v })
 }
 
 // Stream is what the caller's connection reads. It gives an error, and never a clean end, where the
@@ -69,11 +68,11 @@
 	broken error
 }
 
-// mostAhead is how many lines an engine may be ahead of a slow caller.
-const mostAhead = 32
+// maxAhead is how many lines an engine may be ahead of a slow caller.
+const maxAhead = 32
 
 func newStream(ctx context.Context, cancel context.CancelFunc) *Stream {
-	return &Stream{ctx: ctx, cancel: cancel, lines: make(chan []byte, mostAhead)}
+	return &Stream{ctx: ctx, cancel: cancel, lines: make(chan []byte, maxAhead)}
 }
 
 func (s *Stream) put(line []byte) bool {
@@ -120,22 +119,22 @@
 type Surroundings interface {
 	// World gives what may be looked at now.
 	World() World
-	// Carry runs a go to its end, and reports its outcome; it is called on a goroutine of its own.
-	Carry(flight *Flight, send Send, firstPiece func()) (GoOutcome, string)
-	// Seat asks the home of a session.
-	Seat(ask AskSeat) (ident.EngineID, bool)
-	// Refuse makes sure that a refusal will be true, and gives the word that may be told.
-	Refuse(flight *Flight, wanted Verdict) Verdict
-	// EndSeat tells the home of a session that it has ended.
-	EndSeat(session string)
+	// Carry runs an attempt to its end, and reports its outcome; it is called on a goroutine of its own.
+	Carry(call *Call, send Send, firstPiece func()) (AttemptOutcome, string)
+	// Assignment asks the owner of a session for its assignment.
+	Assignment(ask AskAssignment) (ident.EngineID, bool)
+	// Refuse makes sure that a refusal will be true, and gives the answer that may be sent.
+	Refuse(call *Call, wanted Answer) Answer
+	// EndAssignment tells the owner of a session that it has ended.
+	EndAssignment(session string)
 }
 
 // Actor runs the core.
 type Actor struct {
 	around  Surroundings
 	core    *Core
-	box     *actor.Mailbox[any]
-	flights map[RecordID]*Flight
+	mailbox *actor.Mailbox[any]
+	calls   map[RecordID]*Call
 	next    RecordID
 	// Snapshot is the newest count of things, for pages and planners.
 	snapshot atomic.Pointer[Snapshot]
@@ -144,31 +143,31 @@
 
 // Snapshot is what others may see of the actor.
 type Snapshot struct {
-	Counters  Counters
-	Demands   []Demand
-	Seats     []SeatCount
-	Live      int
-	Held      int
-	FirstGoes uint64
-	Retries   uint64
-	Denied    uint64
+	Counters      Counters
+	Demands       []Demand
+	Seats         []AssignmentCount
+	Live          int
+	Queued        int
+	FirstAttempts uint64
+	Retries       uint64
+	Denied        uint64
 }
 
-type arrival struct{ flight *Flight }
+type arrival struct{ call *Call }
 
-const beatEvery = 50 * time.Millisecond
+const tickPeriod = 50 * time.Millisecond
 
 // NewActor makes the actor.
 func NewActor(around Surroundings) *Actor {
-	a := &Actor{around: around, core: NewCore(), box: actor.NewMailbox[any](4096), flights: map[RecordID]*Flight{}}
+	a := &Actor{around: around, core: NewCore(), mailbox: actor.NewMailbox[any](4096), calls: map[RecordID]*Call{}}
 	a.snapshot.Store(&Snapshot{})
 	return a
 }
 
 // Run runs the actor until ctx ends.
 func (a *Actor) Run(ctx context.Context) {
-	a.box.Run(ctx, beatEvery, a.take, func() {
-		a.step(Beat{})
+	a.mailbox.Run(ctx, tickPeriod, a.take, func() {
+		a.step(Tick{})
 		a.publish()
 	})
 }
@@ -179,24 +178,24 @@
 // Poke says that engines or the spec changed.
 func (a *Actor) Poke() {
 	// One poke in the mailbox is enough, however many changes there were.
-	if a.pokes.CompareAndSwap(false, true) && !a.box.Offer(Beat{}) {
+	if a.pokes.CompareAndSwap(false, true) && !a.mailbox.Offer(Tick{}) {
 		a.pokes.Store(false)
 	}
 }
 
-// Let hands a flight in; false means that this daemon can't take any.
-func (a *Actor) Let(flight *Flight) bool { return a.box.Send(arrival{flight}) }
+// Admit hands a call in; false means that this daemon can't take any.
+func (a *Actor) Admit(call *Call) bool { return a.mailbox.Send(arrival{call}) }
 
 func (a *Actor) take(event any) {
 	switch e := event.(type) {
 	case arrival:
 		a.next++
-		e.flight.ID = a.next
-		a.flights[a.next] = e.flight
+		e.call.ID = a.next
+		a.calls[a.next] = e.call
 		id := a.next
-		context.AfterFunc(e.flight.ctx, func() { a.box.Send(CallerGone{id}) })
-		a.step(Arrive{ID: id, Request: e.flight.Request})
-	case Beat:
+		context.AfterFunc(e.call.ctx, func() { a.mailbox.Send(CallerGone{id}) })
+		a.step(Arrive{ID: id, Request: e.call.Request})
+	case Tick:
 		a.pokes.Store(false)
 		a.step(e)
 	case Event:
@@ -206,60 +205,70 @@
 
 func (a *Actor) publish() {
 	a.snapshot.Store(&Snapshot{
-		Counters: a.core.Counters, Demands: a.core.Demands(), Seats: a.core.SeatCounts(), Live: a.core.Live(), Held: a.core.HeldNow(),
-		FirstGoes: a.core.Budget.FirstGoes, Retries: a.core.Budget.Retries, Denied: a.core.Budget.Denied,
+		Counters: a.core.Counters, Demands: a.core.Demands(), Seats: a.core.AssignmentCounts(), Live: a.core.Live(), Queued: a.core.QueueLength(),
+		FirstAttempts: a.core.Budget.FirstAttempts, Retries: a.core.Budget.Retries, Denied: a.core.Budget.Denied,
 	})
 }
 
+// step runs the core on one event and carries out the effects.
 func (a *Actor) step(event Event) {
 	effects := a.core.Step(a.around.World(), event)
-	for _, tell := range effects.Tells {
-		flight := a.flights[tell.ID]
-		switch {
-		case flight == nil:
-		case tell.Verdict.Kind == Refused:
-			// A refusal is a promise for the whole fleet, so the attempt's homes hear of it first.
-			go func() { flight.tell(a.around.Refuse(flight, tell.Verdict)) }()
-		default:
-			flight.tell(tell.Verdict)
-		}
+	for _, reply := range effects.Replies {
+		a.reply(reply)
 	}
 	for _, send := range effects.Sends {
-		flight := a.flights[send.ID]
-		go func() {
-			outcome, reason := a.around.Carry(flight, send, func() { a.box.Send(FirstPiece{send.ID}) })
-			a.box.Send(Went{ID: send.ID, Outcome: outcome, Reason: reason})
-		}()
+		a.send(send)
 	}
-	for _, ask := range effects.AskSeats {
-		go func() {
-			engine, found := a.around.Seat(ask)
-			if !found {
-				engine = ""
-			}
-			a.box.Send(SeatTold{ID: ask.ID, Session: ask.Session, Engine: engine})
-		}()
+	for _, ask := range effects.AskAssignments {
+		a.askAssignment(ask)
 	}
-	for _, session := range effects.EndSeats {
-		go a.around.EndSeat(session)
+	for _, session := range effects.EndAssignments {
+		go a.around.EndAssignment(session)
 	}
-	// A flight whose record is gone has had its last word.
+	// A call whose record is gone has had its final answer.
 	switch e := event.(type) {
-	case Went:
+	case AttemptEnded:
 		a.drop(e.ID)
 	case CallerGone:
 		a.drop(e.ID)
 	}
-	for _, tell := range effects.Tells {
-		a.drop(tell.ID)
+	for _, reply := range effects.Replies {
+		a.drop(reply.ID)
+	}
+}
+
+func (a *Actor) reply(reply Reply) {
+	call := a.calls[reply.ID]
+	switch {
+	case call == nil:
+	case reply.Answer.Kind == Refused:
+		// A refusal is a promise for the whole fleet, so the attempt's owners are asked first.
+		go func() { call.answer(a.around.Refuse(call, reply.Answer)) }()
+	default:
+		call.answer(reply.Answer)
 	}
 }
 
+func (a *Actor) send(send Send) {
+	call := a.calls[send.ID]
+	go func() {
+		outcome, reason := a.around.Carry(call, send, func() { a.mailbox.Send(FirstPiece{send.ID}) })
+		a.mailbox.Send(AttemptEnded{ID: send.ID, Outcome: outcome, Reason: reason})
+	}()
+}
+
+func (a *Actor) askAssignment(ask AskAssignment) {
+	go func() {
+		engine, found := a.around.Assignment(ask)
+		if !found {
+			engine = ""
+		}
+		a.mailbox.Send(AssignmentFound{ID: ask.ID, Session: ask.Session, Engine: engine})
+	}()
+}
+
 func (a *Actor) drop(id RecordID) {
 	if _, alive := a.core.records[id]; !alive {
-		delete(a.flights, id)
+		delete(a.calls, id)
 	}
 }
-
-// MintFunc is how the core gets stamps.
-type MintFunc func() (ident.MintedID, snowflake.Outcome)
--- a/request/dispatch/choose.go
+++ b/request/dispatch/choose.go
@@ -11,16 +11,16 @@
 	return engine.Usable() && c.world.Table.Open(engine.ID) && engine.Holds(record.Model, record.Adapter)
 }
 
-// pick finds the engine: the seat if there is one that may still be used, else the best that fits.
+// pick finds the engine: the assigned one if it may still be used, else the best that fits.
 func (c *Core) pick(record *Record) (*engines.Engine, bool) {
-	if record.seatOf != "" {
-		seated := c.world.Engines.Engines[record.seatOf]
-		// A seat is kept even when it means waiting, unless the engine may not or cannot be used any more.
-		if seated != nil && c.fit(seated, record) {
-			return seated, c.room(seated) > 0
-		}
-		// An engine in doubt for a moment is not gone: its sessions wait a little before they are seated elsewhere.
-		if seated != nil && !seated.Draining && c.world.Table.Open(seated.ID) && seated.Condition != engines.Sound && c.world.Now.Since(seated.Turned) < seatPatience {
+	if record.assigned != "" {
+		assigned := c.world.Engines.Engines[record.assigned]
+		// An assignment is kept even when it means waiting, unless the engine may not or cannot be used any more.
+		if assigned != nil && c.fit(assigned, record) {
+			return assigned, c.room(assigned) > 0
+		}
+		// An engine in doubt for a moment is not gone: its sessions wait a little before they are assigned elsewhere.
+		if assigned != nil && !assigned.Draining && c.world.Table.Open(assigned.ID) && assigned.Condition != engines.Sound && c.world.Now.Since(assigned.Turned) < assignmentPatience {
 			return nil, false
 		}
 	}
--- a/request/dispatch/core.go
+++ b/request/dispatch/core.go
@@ -19,20 +19,20 @@
 	attempts map[string]RecordID
 	past     map[string]pastAttempt
 	// pastOrder lists the past attempts from the oldest on, so that the oldest are forgotten first.
-	pastOrder []pastAttempt
-	seats     map[string]*Seat
-	running   map[ident.EngineID]int
+	pastOrder   []pastAttempt
+	assignments map[string]*Assignment
+	running     map[ident.EngineID]int
 	// history is how many ran here on each engine since its newest report was asked for.
 	history map[ident.EngineID][]ranSince
 	// refusedAt is when an engine last refused, or could not be reached.
-	refusedAt map[ident.EngineID]clock.Mark
-	prefixes  map[string]ident.EngineID
-	turns     bid.Turns
-	heldBytes int64
-	heldCount int
-	heldBy    map[string]int
-	Budget    *budget.Budget
-	Counters  Counters
+	refusedAt     map[ident.EngineID]clock.Mark
+	prefixes      map[string]ident.EngineID
+	turns         bid.Turns
+	queuedBytes   int64
+	queuedCount   int
+	queuedByRoute map[string]int
+	Budget        *budget.Budget
+	Counters      Counters
 
 	world World
 	out   Effects
@@ -41,25 +41,25 @@
 // NewCore makes an empty core.
 func NewCore() *Core {
 	return &Core{
-		records: map[RecordID]*Record{}, attempts: map[string]RecordID{}, past: map[string]pastAttempt{}, seats: map[string]*Seat{},
+		records: map[RecordID]*Record{}, attempts: map[string]RecordID{}, past: map[string]pastAttempt{}, assignments: map[string]*Assignment{},
 		running: map[ident.EngineID]int{}, history: map[ident.EngineID][]ranSince{}, refusedAt: map[ident.EngineID]clock.Mark{},
-		prefixes: map[string]ident.EngineID{}, turns: bid.Turns{}, heldBy: map[string]int{}, Budget: budget.New(0.1),
+		prefixes: map[string]ident.EngineID{}, turns: bid.Turns{}, queuedByRoute: map[string]int{}, Budget: budget.New(0.1),
 	}
 }
 
 const (
-	mostPast     = 100000
-	pastKept     = 10 * time.Minute
-	mostPrefixes = 10000
-	refusalRest  = 250 * time.Millisecond
-	// seatPatience is how long a seat is kept at an engine in doubt; it outlasts the rest of one set aside.
-	seatPatience = 4 * time.Second
-	// leastLeft is how much time a held record must have left to be sent.
+	maxPast     = 100000
+	pastKept    = 10 * time.Minute
+	maxPrefixes = 10000
+	refusalRest = 250 * time.Millisecond
+	// assignmentPatience is how long an assignment to an engine in doubt is kept; it outlasts the rest of one set aside.
+	assignmentPatience = 4 * time.Second
+	// leastLeft is how much time a queued record must have left to be sent.
 	leastLeft = 150 * time.Millisecond
-	// pauseBeforeNext keeps a record that came back from going out again in the same breath.
+	// pauseBeforeNext keeps a record whose attempt failed from being sent again at once.
 	pauseBeforeNext = 20 * time.Millisecond
-	// longestComeBack bounds what a refused caller is told to wait.
-	longestComeBack = 30 * time.Second
+	// maxRetryAfter bounds what a refused caller is asked to wait.
+	maxRetryAfter = 30 * time.Second
 	// doubtRest is when to come back with an attempt of which nobody could be asked.
 	doubtRest = 2 * time.Second
 )
@@ -73,26 +73,15 @@
 	switch e := event.(type) {
 	case Arrive:
 		c.arrive(e)
-	case Went:
-		c.went(e)
+	case AttemptEnded:
+		c.attemptEnded(e)
 	case FirstPiece:
-		if record := c.records[e.ID]; record != nil && record.stage == Going {
-			record.move(Streaming)
-		}
+		c.firstPiece(e.ID)
 	case CallerGone:
-		if record := c.records[e.ID]; record != nil && (record.stage == Held || record.stage == LetIn) {
-			c.Counters.CallersLeft++
-			c.end(record)
-		}
-	case SeatTold:
-		if record := c.records[e.ID]; record != nil && !record.seatKnown {
-			record.seatKnown, record.seatOf = true, e.Engine
-		}
-		// The home's word on a seat stands above what was taken here meanwhile.
-		if seat := c.seats[e.Session]; seat != nil && e.Engine != "" && seat.Running == 0 {
-			seat.Engine = e.Engine
-		}
-	case Beat:
+		c.callerGone(e.ID)
+	case AssignmentFound:
+		c.assignmentFound(e)
+	case Tick:
 		c.forget()
 	}
 	c.passLate()
@@ -101,10 +90,34 @@
 	return c.out
 }
 
+func (c *Core) firstPiece(id RecordID) {
+	if record := c.records[id]; record != nil && record.stage == Attempting {
+		record.move(Streaming)
+	}
+}
+
+// callerGone ends a record that waits; one that was sent ends with its attempt.
+func (c *Core) callerGone(id RecordID) {
+	if record := c.records[id]; record != nil && (record.stage == Queued || record.stage == Admitted) {
+		c.Counters.CallersLeft++
+		c.end(record)
+	}
+}
+
+func (c *Core) assignmentFound(e AssignmentFound) {
+	if record := c.records[e.ID]; record != nil && !record.assignmentKnown {
+		record.assignmentKnown, record.assigned = true, e.Engine
+	}
+	// The owner's answer stands above what was assigned here meanwhile.
+	if assignment := c.assignments[e.Session]; assignment != nil && e.Engine != "" && assignment.Running == 0 {
+		assignment.Engine = e.Engine
+	}
+}
+
 func (c *Core) arrive(e Arrive) {
 	request := e.Request
 	if c.world.Now >= request.Deadline {
-		c.out.Tells = append(c.out.Tells, Tell{e.ID, Verdict{Kind: Refused, Status: 503, Reason: "the deadline has passed"}})
+		c.out.Replies = append(c.out.Replies, Reply{e.ID, Answer{Kind: Refused, Status: 503, Reason: "the deadline has passed"}})
 		return
 	}
 	earlier, known := c.past[request.Attempt]
@@ -117,18 +130,18 @@
 		if earlier.digest != request.Digest {
 			reason = "this attempt id stands for another request"
 		}
-		c.out.Tells = append(c.out.Tells, Tell{e.ID, Verdict{Kind: Replay, Status: 409, Reason: reason}})
+		c.out.Replies = append(c.out.Replies, Reply{e.ID, Answer{Kind: Replay, Status: 409, Reason: reason}})
 		return
 	}
 	record := &Record{ID: e.ID, Request: request, Arrived: c.world.Now}
-	c.Counters.LetIn++
+	c.Counters.Admitted++
 	c.records[e.ID] = record
 	c.attempts[request.Attempt] = e.ID
 	if c.world.NotReady != "" {
 		c.refuse(record, 503, c.world.NotReady, time.Second)
 		return
 	}
-	if request.Session == "" || !c.world.ShareSeats {
-		record.seatKnown = true
+	if request.Session == "" || !c.world.ShareAssignments {
+		record.assignmentKnown = true
 	}
 }
--- a/request/dispatch/core_test.go
+++ b/request/dispatch/core_test.go
@@ -32,41 +32,41 @@
 }
 
 func arrive(id RecordID, deadline clock.Mark) Arrive {
-	return Arrive{ID: id, Request: Request{Attempt: fmt.Sprint("a", id), Route: "r", House: "h", Model: "m", Deadline: deadline}}
+	return Arrive{ID: id, Request: Request{Attempt: fmt.Sprint("a", id), Route: "r", Tenant: "h", Model: "m", Deadline: deadline}}
 }
 
 const start = clock.Mark(time.Hour)
 
-func TestWithoutATenureDirectFirstGoesContinueAndNothingIsHeldOrRepeated(t *testing.T) {
+func TestWithoutALeaseOnlyFirstAttemptsAreSent(t *testing.T) {
 	c := NewCore()
 	w := world(start, false)
 	first := c.Step(w, arrive(1, start+clock.Mark(10*time.Second)))
 	if len(first.Sends) != 1 || first.Sends[0].Stamped {
-		t.Fatalf("a direct first go needs no tenure: %+v", first)
+		t.Fatalf("a direct first attempt needs no lease: %+v", first)
 	}
 	second := c.Step(w, arrive(2, start+clock.Mark(10*time.Second)))
-	if len(second.Sends) != 0 || len(second.Tells) != 1 || second.Tells[0].Verdict.Kind != Refused {
-		t.Fatalf("what would have to be held must be refused at once: %+v", second)
+	if len(second.Sends) != 0 || len(second.Replies) != 1 || second.Replies[0].Answer.Kind != Refused {
+		t.Fatalf("what would have to be queued must be refused at once: %+v", second)
 	}
-	after := c.Step(w, Went{ID: 1, Outcome: EngineRefused})
-	if len(after.Sends) != 0 || len(after.Tells) != 1 || after.Tells[0].Verdict.Kind != Refused {
-		t.Fatalf("a second go needs a stamp: %+v", after)
+	after := c.Step(w, AttemptEnded{ID: 1, Outcome: EngineRefused})
+	if len(after.Sends) != 0 || len(after.Replies) != 1 || after.Replies[0].Answer.Kind != Refused {
+		t.Fatalf("a second attempt needs a stamp: %+v", after)
 	}
 }
 
-func TestWhatMayHaveRunIsNeverCalledRefused(t *testing.T) {
+func TestRequestThatMayHaveRunIsNeverCalledRefused(t *testing.T) {
 	for _, repeatable := range []bool{false, true} {
 		c := NewCore()
 		event := arrive(1, start+clock.Mark(2*time.Second))
 		event.Request.Repeatable = repeatable
 		c.Step(world(start, true), event)
-		effects := c.Step(world(start, true), Went{ID: 1, Outcome: Lost, Reason: "gone"})
-		for later := start; len(effects.Tells) == 0 && later < start+clock.Mark(5*time.Second); later += clock.Mark(100 * time.Millisecond) {
+		effects := c.Step(world(start, true), AttemptEnded{ID: 1, Outcome: Lost, Reason: "gone"})
+		for later := start; len(effects.Replies) == 0 && later < start+clock.Mark(5*time.Second); later += clock.Mark(100 * time.Millisecond) {
 			w := world(later, true)
 			w.Engines = &engines.View{}
-			effects = c.Step(w, Beat{})
+			effects = c.Step(w, Tick{})
 		}
-		if len(effects.Tells) != 1 || effects.Tells[0].Verdict.Kind != Unknown {
+		if len(effects.Replies) != 1 || effects.Replies[0].Answer.Kind != Unknown {
 			t.Errorf("repeatable %t: %+v", repeatable, effects)
 		}
 	}
@@ -75,32 +75,32 @@
 func TestPastAttemptsAreKnownAndTheOldestForgottenFirst(t *testing.T) {
 	c := NewCore()
 	now := start
-	for i := range RecordID(mostPast + 10) {
+	for i := range RecordID(maxPast + 10) {
 		now++
 		c.Step(world(now, true), arrive(i, now+clock.Mark(time.Minute)))
-		c.Step(world(now, true), Went{ID: i, Outcome: Whole})
+		c.Step(world(now, true), AttemptEnded{ID: i, Outcome: Whole})
 		if i > 100 {
 			// Filling the rest one by one through the passes takes long; the book-keeping is the same.
-			for j := i + 1; j < mostPast+10; j++ {
+			for j := i + 1; j < maxPast+10; j++ {
 				now++
-				c.end(&Record{ID: j, Request: Request{Attempt: fmt.Sprint("a", j)}, stage: Going})
+				c.end(&Record{ID: j, Request: Request{Attempt: fmt.Sprint("a", j)}, stage: Attempting})
 			}
 			break
 		}
 	}
 	replayed := func(id RecordID) bool {
 		effects := c.Step(world(now, true), arrive(id, now+clock.Mark(time.Minute)))
-		return len(effects.Tells) == 1 && effects.Tells[0].Verdict.Kind == Replay
+		return len(effects.Replies) == 1 && effects.Replies[0].Answer.Kind == Replay
 	}
-	if !replayed(mostPast+9) || !replayed(50) || replayed(3) {
+	if !replayed(maxPast+9) || !replayed(50) || replayed(3) {
 		t.Error("the newest must be known, and the oldest forgotten")
 	}
-	if len(c.past) > mostPast+1 || len(c.pastOrder) > mostPast+1 {
+	if len(c.past) > maxPast+1 || len(c.pastOrder) > maxPast+1 {
 		t.Errorf("%d attempts are kept", len(c.past))
 	}
 }
 
-func TestWhatWillNotBeLoadedInTimeIsRefusedAtOnceAndNothingElse(t *testing.T) {
+func TestOnlyRequestsWhoseModelComesTooLateAreRefusedAtOnce(t *testing.T) {
 	lacking := func(wait time.Duration, adapter string) World {
 		w := world(start, true)
 		w.Engines.Engines["e"].Report.Models = nil
@@ -120,52 +120,52 @@
 	} {
 		c := NewCore()
 		out := c.Step(one.world, arrive(1, deadline))
-		if len(out.Tells) == 0 {
-			// It is held first; the next event finds it.
-			out = c.Step(one.world, Beat{})
+		if len(out.Replies) == 0 {
+			// It is queued first; the next event finds it.
+			out = c.Step(one.world, Tick{})
 		}
-		refused := len(out.Tells) == 1 && out.Tells[0].Verdict.Kind == Refused
+		refused := len(out.Replies) == 1 && out.Replies[0].Answer.Kind == Refused
 		if refused != one.refused {
 			t.Errorf("%s: %+v", name, out)
 		}
-		if refused && (out.Tells[0].Verdict.ComeBack < 10*time.Second || out.Tells[0].Verdict.ComeBack > longestComeBack) {
-			t.Errorf("%s: come back after %v", name, out.Tells[0].Verdict.ComeBack)
+		if refused && (out.Replies[0].Answer.RetryAfter < 10*time.Second || out.Replies[0].Answer.RetryAfter > maxRetryAfter) {
+			t.Errorf("%s: come back after %v", name, out.Replies[0].Answer.RetryAfter)
 		}
 	}
-	// A session that must be reseated waits to the end.
+	// A session that must be reassigned waits to the end.
 	c := NewCore()
 	w := lacking(time.Minute, "")
 	event := arrive(1, deadline)
 	event.Request.Session = "s"
-	c.seats["s"] = &Seat{Engine: "gone"}
+	c.assignments["s"] = &Assignment{Engine: "gone"}
 	c.Step(w, event)
-	if out := c.Step(w, Beat{}); len(out.Tells) != 0 {
-		t.Errorf("a seated session was given up: %+v", out)
+	if out := c.Step(w, Tick{}); len(out.Replies) != 0 {
+		t.Errorf("a session with an assignment was given up: %+v", out)
 	}
 }
 
-// TestALostSeatIsAskedForBeforeItIsReplaced: this daemon remembers a seat on an engine that is gone; another
-// daemon has given the session a new one since, and the home's word on that stands.
-func TestALostSeatIsAskedForBeforeItIsReplaced(t *testing.T) {
+// TestOwnerIsAskedBeforeALostAssignmentIsReplaced: this daemon remembers an assignment to an engine that is gone; another
+// daemon has given the session a new one since, and the owner's answer on that stands.
+func TestOwnerIsAskedBeforeALostAssignmentIsReplaced(t *testing.T) {
 	c := NewCore()
 	w := world(start, true)
-	w.ShareSeats = true
-	// Two engines hold the model; the home says that the session sits on the one that would not be picked.
+	w.ShareAssignments = true
+	// Two engines hold the model; the owner says that the session is assigned to the one that would not be picked.
 	s := w.Table.Spec
 	s.Engines = append(s.Engines, spec.Engine{ID: "f", Zone: "z", Room: 10, Slots: 1})
 	w.Table = table.Build(1, nil, s, statemachine.Closures{})
 	other := *w.Engines.Engines["e"]
 	other.ID = "f"
 	w.Engines.Engines["f"] = &other
-	c.seats["s"] = &Seat{Engine: "gone"}
+	c.assignments["s"] = &Assignment{Engine: "gone"}
 	event := arrive(1, start+clock.Mark(10*time.Second))
 	event.Request.Session = "s"
 	out := c.Step(w, event)
-	if len(out.Sends) != 0 || len(out.AskSeats) != 1 || out.AskSeats[0].Replaces != "gone" || out.AskSeats[0].Engine != "e" {
-		t.Fatalf("the home was not asked first: %+v", out)
+	if len(out.Sends) != 0 || len(out.AskAssignments) != 1 || out.AskAssignments[0].Replaces != "gone" || out.AskAssignments[0].Engine != "e" {
+		t.Fatalf("the owner was not asked first: %+v", out)
 	}
-	out = c.Step(w, SeatTold{ID: 1, Session: "s", Engine: "f"})
+	out = c.Step(w, AssignmentFound{ID: 1, Session: "s", Engine: "f"})
 	if len(out.Sends) != 1 || out.Sends[0].Engine != "f" {
-		t.Fatalf("the home's word did not stand: %+v", out)
+		t.Fatalf("the owner's answer did not stand: %+v", out)
 	}
 }
--- a/request/dispatch/effects.go
+++ b/request/dispatch/effects.go
@@ -5,40 +5,40 @@
 	"github.com/cresspond/cresspond/process/ident"
 )
 
-// Send tells the actor to start a go.
+// Send tells the actor to start an attempt.
 type Send struct {
 	ID      RecordID
 	Engine  ident.EngineID
 	Address string
 	Zone    ident.ZoneID
-	// Stamped says that the record was held or retried, so the tenure must still be held as it leaves.
+	// Stamped says that the record was queued or retried, so the lease on the worker id must still be held as it leaves.
 	Stamped  bool
 	Deadline clock.Mark
 	// The bid, for the engine's keeper.
-	Seated bool
-	House  string
-	Worth  int64
-	Rank   int
+	Assigned bool
+	Tenant   string
+	Worth    int64
+	Rank     int
 }
 
-// AskSeat tells the actor to ask the session's home for its seat; Engine is the seat wished for.
-type AskSeat struct {
+// AskAssignment tells the actor to ask the session's owner for its assignment; Engine is the one wished for.
+type AskAssignment struct {
 	ID                      RecordID
 	Session, Model, Adapter string
 	Engine, Replaces        ident.EngineID
 }
 
-// Tell tells the caller the final word.
-type Tell struct {
-	ID      RecordID
-	Verdict Verdict
+// Reply gives the caller the final answer.
+type Reply struct {
+	ID     RecordID
+	Answer Answer
 }
 
-// Effects is what a step wants done.
+// Effects is what the actor has to do after a step.
 type Effects struct {
-	Sends    []Send
-	Tells    []Tell
-	AskSeats []AskSeat
-	// EndSeats lists sessions whose home should forget them.
-	EndSeats []string
+	Sends          []Send
+	Replies        []Reply
+	AskAssignments []AskAssignment
+	// EndAssignments lists sessions whose owners should forget them.
+	EndAssignments []string
 }
--- a/request/dispatch/ending.go
+++ b/request/dispatch/ending.go
@@ -7,32 +7,32 @@
 	"github.com/cresspond/cresspond/process/clock"
 )
 
-// tell ends a record with its last word.
-func (c *Core) tell(record *Record, verdict Verdict) {
-	c.out.Tells = append(c.out.Tells, Tell{record.ID, verdict})
+// reply ends a record with its final answer.
+func (c *Core) reply(record *Record, answer Answer) {
+	c.out.Replies = append(c.out.Replies, Reply{record.ID, answer})
 	c.end(record)
 }
 
 // refuse ends a record that never ran; from here on it can't be sent, since an ended record has no way on.
-func (c *Core) refuse(record *Record, status int, reason string, comeBack time.Duration) {
+func (c *Core) refuse(record *Record, status int, reason string, retryAfter time.Duration) {
 	if record.mayHaveRun {
-		// An earlier go may have run, so a refusal would be a false promise.
-		c.tell(record, Verdict{Kind: Unknown, Status: 502, Reason: record.lastReason})
+		// An earlier attempt may have run, so a refusal would be a false promise.
+		c.reply(record, Answer{Kind: Unknown, Status: 502, Reason: record.lastReason})
 		return
 	}
 	c.Counters.RefusedHere++
-	c.tell(record, Verdict{Kind: Refused, Status: status, Reason: reason, ComeBack: comeBack})
+	c.reply(record, Answer{Kind: Refused, Status: status, Reason: reason, RetryAfter: retryAfter})
 	// A refused attempt has not run, so its id may be used again.
 	delete(c.past, record.Attempt)
 }
 
 func (c *Core) end(record *Record) {
-	c.unhold(record)
-	if seat := c.seats[record.Session]; record.Session != "" && seat != nil {
-		seat.Used = c.world.Now
-		if record.EndSession && seat.Running == 0 {
-			delete(c.seats, record.Session)
-			c.out.EndSeats = append(c.out.EndSeats, record.Session)
+	c.dequeue(record)
+	if assignment := c.assignments[record.Session]; record.Session != "" && assignment != nil {
+		assignment.Used = c.world.Now
+		if record.EndSession && assignment.Running == 0 {
+			delete(c.assignments, record.Session)
+			c.out.EndAssignments = append(c.out.EndAssignments, record.Session)
 		}
 	}
 	record.move(Ended)
@@ -40,7 +40,7 @@
 	delete(c.attempts, record.Attempt)
 	c.past[record.Attempt] = pastAttempt{record.Attempt, c.world.Now, record.Digest}
 	c.pastOrder = append(c.pastOrder, c.past[record.Attempt])
-	if len(c.pastOrder) > mostPast {
+	if len(c.pastOrder) > maxPast {
 		c.forgetOldest()
 	}
 }
@@ -66,13 +66,13 @@
 		return
 	}
 	idle := c.world.Table.SeatIdle()
-	for session, seat := range c.seats {
-		if seat.Running == 0 && c.world.Now.Since(seat.Used) > idle {
-			delete(c.seats, session)
-			c.out.EndSeats = append(c.out.EndSeats, session)
+	for session, assignment := range c.assignments {
+		if assignment.Running == 0 && c.world.Now.Since(assignment.Used) > idle {
+			delete(c.assignments, session)
+			c.out.EndAssignments = append(c.out.EndAssignments, session)
 		}
 	}
-	slices.Sort(c.out.EndSeats)
+	slices.Sort(c.out.EndAssignments)
 	for len(c.pastOrder) > 0 && c.world.Now.Since(c.pastOrder[0].at) > pastKept {
 		c.forgetOldest()
 	}
--- a/request/dispatch/events.go
+++ b/request/dispatch/events.go
@@ -7,6 +7,7 @@
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/engines"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/snowflake"
 )
 
 // World is what the core may look at during one step.
@@ -14,22 +15,22 @@
 	Now     clock.Mark
 	Table   *table.Table
 	Engines *engines.View
-	// Ready is empty, or why this daemon takes no new work.
+	// NotReady is empty, or why this daemon takes no new work.
 	NotReady string
 	Mint     MintFunc
 	Zone     ident.ZoneID
-	// Fellows says whether seats are shared with other routing daemons.
-	ShareSeats bool
+	// ShareAssignments says whether assignments are shared with other routing daemons.
+	ShareAssignments bool
 	// Lacks is for how long what is asked for is not likely to be loaded anywhere.
 	Lacks map[Wanted]time.Duration
-	// Permits says that a keeper is asked before each go leaves.
-	Permits bool
+	// Admission says that a keeper is asked before each attempt is sent.
+	Admission bool
 }
 
 // Wanted is one model, or one adapter of it.
 type Wanted struct{ Model, Adapter string }
 
-// Event is what steps the core.
+// Event is an input of the core.
 type Event interface{ dispatchEvent() }
 
 // Arrive brings a new request.
@@ -38,11 +39,11 @@
 	Request Request
 }
 
-// Went tells how a go ended.
-type Went struct {
+// AttemptEnded says how an attempt ended.
+type AttemptEnded struct {
 	ID      RecordID
-	Outcome GoOutcome
-	// Reason says why a go was never sent or was refused.
+	Outcome AttemptOutcome
+	// Reason says why an attempt was never sent or was refused.
 	Reason string
 }
 
@@ -52,19 +53,22 @@
 // CallerGone says that the caller closed its side while the record was waiting.
 type CallerGone struct{ ID RecordID }
 
-// SeatTold brings the answer of the session's home.
-type SeatTold struct {
+// AssignmentFound brings the answer of the session's owner.
+type AssignmentFound struct {
 	ID      RecordID
 	Session string
 	Engine  ident.EngineID
 }
 
-// Beat is a beat of the clock, or word that engines or the spec changed.
-type Beat struct{}
+// Tick lets time pass, or says that engines or the spec changed.
+type Tick struct{}
 
-func (Arrive) dispatchEvent()     {}
-func (Went) dispatchEvent()       {}
-func (FirstPiece) dispatchEvent() {}
-func (CallerGone) dispatchEvent() {}
-func (SeatTold) dispatchEvent()   {}
-func (Beat) dispatchEvent()       {}
+func (Arrive) dispatchEvent()          {}
+func (AttemptEnded) dispatchEvent()    {}
+func (FirstPiece) dispatchEvent()      {}
+func (CallerGone) dispatchEvent()      {}
+func (AssignmentFound) dispatchEvent() {}
+func (Tick) dispatchEvent()            {}
+
+// MintFunc mints the ids by which queued and retried requests are stamped.
+type MintFunc func() (ident.MintedID, snowflake.Outcome)
--- a/request/dispatch/queue.go
+++ b/request/dispatch/queue.go
@@ -8,66 +8,66 @@
 	"github.com/cresspond/cresspond/process/snowflake"
 )
 
-func (c *Core) hold(record *Record) bool {
+func (c *Core) enqueue(record *Record) bool {
 	limits := c.world.Table.Spec.Limits
-	full := c.heldCount >= limits.MostHeld || c.heldBytes+int64(record.Bytes) > limits.MostHeldBytes ||
-		record.MostHeld > 0 && c.heldBy[record.Route] >= record.MostHeld
+	full := c.queuedCount >= limits.MostHeld || c.queuedBytes+int64(record.Bytes) > limits.MostHeldBytes ||
+		record.MaxQueued > 0 && c.queuedByRoute[record.Route] >= record.MaxQueued
 	if full && !c.giveWay(record) {
-		c.refuse(record, 429, "too much is held already", c.comeBack())
+		c.refuse(record, 429, "too much is held already", c.retryAfter())
 		return false
 	}
-	// One stamp for the holding, and one for each go after the first.
-	if len(record.Stamps) <= record.Goes {
-		stamp, verdict := c.world.Mint()
-		// Holding needs a tenure: without a stamp a replay could not be told from a fresh attempt.
-		if verdict != snowflake.Minted {
+	// One stamp for the queueing, and one for each attempt after the first.
+	if len(record.Stamps) <= record.Attempts {
+		stamp, answer := c.world.Mint()
+		// Queueing needs a lease on a worker id: without a stamp a replay could not be told from a fresh attempt.
+		if answer != snowflake.Minted {
 			c.refuse(record, 503, "no worker id is held here, so nothing can be held", time.Second)
 			return false
 		}
 		record.Stamps = append(record.Stamps, stamp)
 	}
-	record.move(Held)
-	c.heldCount++
-	c.heldBy[record.Route]++
-	c.heldBytes += int64(record.Bytes)
-	c.Counters.Held++
+	record.move(Queued)
+	c.queuedCount++
+	c.queuedByRoute[record.Route]++
+	c.queuedBytes += int64(record.Bytes)
+	c.Counters.Queued++
 	return true
 }
 
-// giveWay makes room for a higher bid by refusing the lowest one held, if that one is lower.
+// giveWay makes room for a higher bid by refusing the lowest one queued, if that one is lower.
 func (c *Core) giveWay(record *Record) bool {
-	if record.MostHeld > 0 && c.heldBy[record.Route] >= record.MostHeld {
+	if record.MaxQueued > 0 && c.queuedByRoute[record.Route] >= record.MaxQueued {
 		return false
 	}
 	var lowest *Record
-	for _, held := range c.records {
-		if held.stage != Held || held.seatOf != "" || c.seats[held.Session] != nil && held.Session != "" || held.Bytes < record.Bytes {
+	for _, queued := range c.records {
+		if queued.stage != Queued || queued.assigned != "" || c.assignments[queued.Session] != nil && queued.Session != "" || queued.Bytes < record.Bytes {
 			continue
 		}
-		if lowest == nil || held.Worth < lowest.Worth || held.Worth == lowest.Worth && (held.Rank > lowest.Rank || held.Rank == lowest.Rank && held.ID > lowest.ID) {
-			lowest = held
+		if lowest == nil || queued.Worth < lowest.Worth || queued.Worth == lowest.Worth && (queued.Rank > lowest.Rank || queued.Rank == lowest.Rank && queued.ID > lowest.ID) {
+			lowest = queued
 		}
 	}
 	if lowest == nil || lowest.Worth >= record.Worth {
 		return false
 	}
-	c.refuse(lowest, 429, "a higher bid took its place", c.comeBack())
+	c.refuse(lowest, 429, "a higher bid took its place", c.retryAfter())
 	return true
 }
 
-// comeBack says when room is likely: the longer the holding, the later.
-func (c *Core) comeBack() time.Duration {
-	return time.Second + time.Duration(min(c.heldCount, 500))*20*time.Millisecond
+// retryAfter says when room is likely: the longer the queue, the later.
+func (c *Core) retryAfter() time.Duration {
+	return time.Second + time.Duration(min(c.queuedCount, 500))*20*time.Millisecond
 }
 
-func (c *Core) unhold(record *Record) {
-	if record.stage != Held {
+func (c *Core) dequeue(record *Record) {
+	if record.stage != Queued {
 		return
 	}
-	c.heldCount--
-	c.heldBytes -= int64(record.Bytes)
-	if c.heldBy[record.Route]--; c.heldBy[record.Route] == 0 {
-		delete(c.heldBy, record.Route)
+	c.queuedCount--
+	c.queuedBytes -= int64(record.Bytes)
+	if c.queuedByRoute[record.Route]--; c.queuedByRoute[record.Route] == 0 {
+		delete(c.queuedByRoute, record.Route)
 	}
 }
 
@@ -77,13 +77,13 @@
 	for _, record := range c.records {
 		// One with hardly any time left would most likely run and be cut off: its refusal is at least certain.
 		least := min(leastLeft, record.Deadline.Since(record.Arrived)/8)
-		if record.stage == Held && record.Deadline.Since(c.world.Now) <= least {
+		if record.stage == Queued && record.Deadline.Since(c.world.Now) <= least {
 			late = append(late, record)
 		}
 	}
 	// A seed replays only if no effect follows a map's order.
 	for _, record := range inOrder(late) {
-		c.refuse(record, 503, "no room was found before the deadline", c.comeBack())
+		c.refuse(record, 503, "no room was found before the deadline", c.retryAfter())
 	}
 }
 
@@ -93,14 +93,14 @@
 }
 
 // passHopeless refuses at once what nothing can serve before its deadline: what it asks for stands nowhere,
-// and the plan is not likely to load it in time. Whoever has a seat waits to be reseated.
+// and the plan is not likely to load it in time. A session with an assignment waits to be reassigned.
 func (c *Core) passHopeless() {
 	if len(c.world.Lacks) == 0 || c.world.Table == nil {
 		return
 	}
 	var hopeless []*Record
 	for _, record := range c.records {
-		if record.stage == Held && record.seatOf == "" && c.hopeless(record) {
+		if record.stage == Queued && record.assigned == "" && c.hopeless(record) {
 			hopeless = append(hopeless, record)
 		}
 	}
@@ -112,7 +112,7 @@
 
 // waitFor is how long what a record asks for is likely to be lacking.
 func (c *Core) waitFor(record *Record) time.Duration {
-	return min(longestComeBack, max(time.Second, c.world.Lacks[Wanted{record.Model, ""}], c.world.Lacks[Wanted{record.Model, record.Adapter}]))
+	return min(maxRetryAfter, max(time.Second, c.world.Lacks[Wanted{record.Model, ""}], c.world.Lacks[Wanted{record.Model, record.Adapter}]))
 }
 
 func (c *Core) hopeless(record *Record) bool {
--- a/request/dispatch/record.go
+++ b/request/dispatch/record.go
@@ -1,5 +1,3 @@
-// Package dispatch is the way of requests through a routing daemon: a table of records that passes
-// are run over, one after the other, on every event. The core is pure; the actor beside it does the I/O.
 package dispatch
 
 import (
@@ -9,19 +7,19 @@
 	"github.com/cresspond/cresspond/process/ident"
 )
 
-// RecordID numbers the records of one daemon's life.
+// RecordID numbers the records of one incarnation of a daemon.
 type RecordID uint64
 
 // Stage is where a record stands.
 type Stage uint8
 
 const (
-	// LetIn: checked, and not yet looked at by the passes.
-	LetIn Stage = iota
-	// Held: waiting for room, stamped with a minted id.
-	Held
-	// Going: handed to a sender; the bytes may be on their way.
-	Going
+	// Admitted: checked, and not yet looked at by the passes.
+	Admitted Stage = iota
+	// Queued: waiting for room, stamped with a minted id.
+	Queued
+	// Attempting: handed to a sender; the bytes may be on their way.
+	Attempting
 	// Streaming: at least one piece went to the caller.
 	Streaming
 	// Ended: nothing more will happen.
@@ -29,14 +27,14 @@
 )
 
 func (s Stage) String() string {
-	return [...]string{"let-in", "held", "going", "streaming", "ended"}[s]
+	return [...]string{"admitted", "queued", "attempting", "streaming", "ended"}[s]
 }
 
 // Request is what a caller asked for, already checked against the spec.
 type Request struct {
 	Attempt string
 	Route   string
-	House   string
+	Tenant  string
 	Worth   int64
 	Rank    int
 	Model   string
@@ -49,8 +47,8 @@
 	Deadline   clock.Mark
 	Repeatable bool
 	EndSession bool
-	// MostHeld bounds what this route may hold here; zero leaves it to the bound for all.
-	MostHeld int
+	// MaxQueued bounds how many requests of this route may be queued here; zero leaves it to the bound for all.
+	MaxQueued int
 }
 
 // Record is one row of the table.
@@ -59,22 +57,22 @@
 	Request
 	Arrived clock.Mark
 	stage   Stage
-	// Engine is where the go in hand, or the last one, went.
-	Engine ident.EngineID
-	Goes   int
-	// Stamps are the minted ids of its holding and of each retry.
+	// Engine is where the current attempt, or the last one, was sent.
+	Engine   ident.EngineID
+	Attempts int
+	// Stamps are the minted ids of its queueing and of each retry.
 	Stamps []ident.MintedID
-	// seatOf is the engine that must be used, found at this daemon or at the session's home.
-	seatOf    ident.EngineID
-	seatAsked bool
-	seatKnown bool
-	notBefore clock.Mark
-	// mayHaveRun says that an earlier go was lost, so no refusal may be promised.
+	// assigned is the engine that must be used, found at this daemon or by the session's owner.
+	assigned        ident.EngineID
+	assignmentAsked bool
+	assignmentKnown bool
+	notBefore       clock.Mark
+	// mayHaveRun says that an earlier attempt was lost, so no refusal may be promised.
 	mayHaveRun bool
-	// needsToken says that the retry budget was empty: it waits for its next go until there is a token.
+	// needsToken says that the retry budget was empty: it waits for its next attempt until there is a token.
 	needsToken bool
 	counted    bool
-	// failed lists engines that this record went to in vain; they are passed by while another fits.
+	// failed lists engines at which attempts of this record failed; they are skipped while another fits.
 	failed     []ident.EngineID
 	lastReason string
 }
@@ -82,17 +80,17 @@
 // Stage tells where the record stands.
 func (r *Record) Stage() Stage { return r.stage }
 
-// allowed lists the ways from each stage to the next.
-var allowed = map[Stage][]Stage{
-	LetIn:     {Held, Going, Ended},
-	Held:      {Going, Ended},
-	Going:     {Held, Streaming, Ended},
-	Streaming: {Ended},
+// transitions lists the ways from each stage to the next.
+var transitions = map[Stage][]Stage{
+	Admitted:   {Queued, Attempting, Ended},
+	Queued:     {Attempting, Ended},
+	Attempting: {Queued, Streaming, Ended},
+	Streaming:  {Ended},
 }
 
 // move is the one function by which a record changes its stage.
 func (r *Record) move(to Stage) {
-	for _, way := range allowed[r.stage] {
+	for _, way := range transitions[r.stage] {
 		if way == to {
 			r.stage = to
 			return
@@ -101,23 +99,23 @@
 	panic("broken invariant: a record may not go from " + r.stage.String() + " to " + to.String())
 }
 
-// Seat is a session's place.
-type Seat struct {
+// Assignment is the engine that a session is bound to.
+type Assignment struct {
 	Engine         ident.EngineID
 	Model, Adapter string
 	Used           clock.Mark
 	Running        int
 }
 
-// GoOutcome is how one go ended, as far as this daemon can know.
-type GoOutcome uint8
+// AttemptOutcome is how one attempt ended, as far as this daemon can know.
+type AttemptOutcome uint8
 
 const (
-	// HeldBack: the last look before the first byte found a reason not to send.
-	HeldBack GoOutcome = iota
+	// Withdrawn: the last check before the first byte found a reason not to send.
+	Withdrawn AttemptOutcome = iota
 	// NeverSent: the engine could not be reached, so no byte of the request left this daemon.
 	NeverSent
-	// EngineRefused: the engine gave its word that it did not and will not run.
+	// EngineRefused: the engine stated that it did not and will not run.
 	EngineRefused
 	// Whole: the final piece came.
 	Whole
@@ -125,30 +123,33 @@
 	Cut
 	// Lost: the request went out, and no piece came.
 	Lost
-	// CallerLeft: the caller went away, and the go was cancelled.
+	// CallerLeft: the caller went away, and the attempt was cancelled.
 	CallerLeft
 	// KnownElsewhere: another daemon has this attempt, so nothing was sent.
 	KnownElsewhere
-	// RefusedElsewhere: another daemon refused this attempt while it was held here, so nothing was sent.
+	// RefusedElsewhere: another daemon refused this attempt while it was queued here, so nothing was sent.
 	RefusedElsewhere
 	// Doubted: nobody could tell whether another daemon has this attempt, so nothing was sent.
 	Doubted
 )
 
-// VerdictKind is what a caller is told when no stream is handed over.
-type VerdictKind string
+// AnswerKind is what a caller gets when no stream is handed over.
+type AnswerKind string
 
 const (
-	Refused VerdictKind = "refused"
-	Unknown VerdictKind = "unknown"
-	Replay  VerdictKind = "replay"
+	// Refused: it has not run and never will.
+	Refused AnswerKind = "refused"
+	// Unknown: it may have run.
+	Unknown AnswerKind = "unknown"
+	// Replay: its attempt id is known already, so it was not run again.
+	Replay AnswerKind = "replay"
 )
 
-// Verdict is the final word on a record that got no stream.
-type Verdict struct {
-	Kind   VerdictKind
+// Answer is the final answer to a record that got no stream.
+type Answer struct {
+	Kind   AnswerKind
 	Status int
 	Reason string
-	// ComeBack is when asking again makes sense.
-	ComeBack time.Duration
+	// RetryAfter is when asking again makes sense.
+	RetryAfter time.Duration
 }
--- a/request/dispatch/report.go
+++ b/request/dispatch/report.go
@@ -7,16 +7,16 @@
 	"github.com/cresspond/cresspond/process/ident"
 )
 
-// Counters count what happened.
+// Counters count events since the start of the actor.
 type Counters struct {
-	LetIn, Held, Sent, Whole, CutOff, Lost, RefusedHere, EngineRefusals, Replays, Reseated, CallersLeft, HeldBack, Hopeless uint64
+	Admitted, Queued, Sent, Whole, CutOff, Lost, RefusedHere, EngineRefusals, Replays, Reseated, CallersLeft, Withdrawn, Hopeless uint64
 }
 
-// Demand is what is held and what runs for one model and adapter.
+// Demand is how many requests are queued and running for one model and adapter.
 type Demand struct {
-	Model, Adapter string
-	Worth          int64
-	Held, Running  int
+	Model, Adapter  string
+	Worth           int64
+	Queued, Running int
 }
 
 // Demands lists what the planner should know.
@@ -30,8 +30,8 @@
 			byKey[key] = demand
 		}
 		demand.Worth = max(demand.Worth, record.Worth)
-		if record.stage == Held || record.stage == LetIn {
-			demand.Held++
+		if record.stage == Queued || record.stage == Admitted {
+			demand.Queued++
 		} else {
 			demand.Running++
 		}
@@ -46,25 +46,25 @@
 	return out
 }
 
-// SeatCount is how many sessions sit on one engine with one model and adapter.
-type SeatCount struct {
+// AssignmentCount is how many sessions are assigned to one engine with one model and adapter.
+type AssignmentCount struct {
 	Engine         ident.EngineID
 	Model, Adapter string
 	Sessions       int
 }
 
-// SeatCounts lists the seats given here.
-func (c *Core) SeatCounts() []SeatCount {
-	counts := map[SeatCount]int{}
-	for _, seat := range c.seats {
-		counts[SeatCount{Engine: seat.Engine, Model: seat.Model, Adapter: seat.Adapter}]++
+// AssignmentCounts lists the assignments known here.
+func (c *Core) AssignmentCounts() []AssignmentCount {
+	counts := map[AssignmentCount]int{}
+	for _, assignment := range c.assignments {
+		counts[AssignmentCount{Engine: assignment.Engine, Model: assignment.Model, Adapter: assignment.Adapter}]++
 	}
-	out := make([]SeatCount, 0, len(counts))
+	out := make([]AssignmentCount, 0, len(counts))
 	for key, sessions := range counts {
 		key.Sessions = sessions
 		out = append(out, key)
 	}
-	slices.SortFunc(out, func(a, b SeatCount) int {
+	slices.SortFunc(out, func(a, b AssignmentCount) int {
 		return cmp.Or(cmp.Compare(a.Engine, b.Engine), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
 	})
 	return out
@@ -73,5 +73,5 @@
 // Live counts the records that are not ended.
 func (c *Core) Live() int { return len(c.records) }
 
-// HeldNow counts the held records.
-func (c *Core) HeldNow() int { return c.heldCount }
+// QueueLength counts the queued records.
+func (c *Core) QueueLength() int { return c.queuedCount }
--- a/request/dispatch/room.go
+++ b/request/dispatch/room.go
@@ -6,7 +6,7 @@
 	"github.com/cresspond/cresspond/process/ident"
 )
 
-// room is how many more goes an engine may get from here now.
+// room is how many more attempts an engine may get from here now.
 func (c *Core) room(engine *engines.Engine) int {
 	allowedEngine, ok := c.world.Table.Engine(engine.ID)
 	if !ok {
@@ -15,12 +15,12 @@
 	if at, refused := c.refusedAt[engine.ID]; refused && engines.StillRefuses(at, engine.Asked, c.world.Now) {
 		return 0
 	}
-	if !c.world.Permits && engine.Report.Saturated && engine.Asked > 0 && c.running[engine.ID] > 0 {
+	if !c.world.Admission && engine.Report.Saturated && engine.Asked > 0 && c.running[engine.ID] > 0 {
 		return 0
 	}
 	slots := engine.Capacity(c.world.Now, allowedEngine.Slots)
 	own := c.running[engine.ID]
-	if c.world.Permits {
+	if c.world.Admission {
 		// The engine's keeper counts for all daemons; here only the asking is bounded.
 		return slots - own
 	}
@@ -35,7 +35,7 @@
 	count int
 }
 
-// run counts a go in or out.
+// run counts an attempt in or out.
 func (c *Core) run(engine ident.EngineID, by int) {
 	c.running[engine] += by
 	history := append(c.history[engine], ranSince{c.world.Now, c.running[engine]})
--- a/request/dispatch/schedule.go
+++ b/request/dispatch/schedule.go
@@ -15,16 +15,16 @@
 	}
 	var waiting []*Record
 	for _, record := range c.records {
-		if record.stage == LetIn || record.stage == Held {
+		if record.stage == Admitted || record.stage == Queued {
 			waiting = append(waiting, record)
 		}
 	}
-	// Among equal bids the house that was served least goes first; its turn is counted as each is sent.
+	// Among equal bids the tenant that was served least goes first; its turn is counted as each is sent.
 	for len(waiting) > 0 {
 		slices.SortFunc(waiting, c.compareBids)
 		sentHouse := false
 		for place, record := range waiting {
-			if c.try(record) {
+			if c.tryToSend(record) {
 				waiting = slices.Delete(waiting, place, place+1)
 				sentHouse = true
 				break
@@ -35,8 +35,8 @@
 		}
 	}
 	for _, record := range waiting {
-		if record.stage == LetIn && c.records[record.ID] != nil {
-			c.hold(record)
+		if record.stage == Admitted && c.records[record.ID] != nil {
+			c.enqueue(record)
 		}
 	}
 }
@@ -47,12 +47,12 @@
 }
 
 func (c *Core) bidOf(r *Record) bid.Bid {
-	seated := r.Session != "" && (c.seats[r.Session] != nil || r.seatOf != "")
-	return bid.Bid{Seated: seated, Worth: r.Worth, Rank: r.Rank, House: r.House}
+	assigned := r.Session != "" && (c.assignments[r.Session] != nil || r.assigned != "")
+	return bid.Bid{Assigned: assigned, Worth: r.Worth, Rank: r.Rank, Tenant: r.Tenant}
 }
 
-// try sends a record if there is room for it now.
-func (c *Core) try(record *Record) bool {
+// tryToSend sends a record if there is room for it now.
+func (c *Core) tryToSend(record *Record) bool {
 	if c.world.Now < record.notBefore {
 		return false
 	}
@@ -61,7 +61,7 @@
 		c.refuse(record, 403, "the spec in force no longer allows this", 0)
 		return true
 	}
-	if !c.findSeat(record) {
+	if !c.findAssignment(record) {
 		return false
 	}
 	picked, ok := c.pick(record)
@@ -75,35 +75,35 @@
 		}
 		record.needsToken = false
 	}
-	c.unhold(record)
-	record.move(Going)
+	c.dequeue(record)
+	record.move(Attempting)
 	record.Engine = picked.ID
-	record.Goes++
-	if record.Goes == 1 && !record.counted {
-		// A go that was held back and comes again is still the first one.
+	record.Attempts++
+	if record.Attempts == 1 && !record.counted {
+		// An attempt that was withdrawn and is made again is still the first one.
 		record.counted = true
 		c.Budget.First()
 	}
 	c.Counters.Sent++
 	c.run(picked.ID, 1)
-	c.serveTurn(record.House)
+	c.countTurn(record.Tenant)
 	if record.Session != "" {
-		c.takeSeat(record, picked.ID)
+		c.assign(record, picked.ID)
 	}
-	if record.Prefix != "" && len(c.prefixes) < mostPrefixes {
+	if record.Prefix != "" && len(c.prefixes) < maxPrefixes {
 		c.prefixes[record.Model+"\x00"+record.Prefix] = picked.ID
 	}
 	c.out.Sends = append(c.out.Sends, Send{ID: record.ID, Engine: picked.ID, Address: picked.Address, Zone: picked.Zone,
-		Stamped: len(record.Stamps) > 0, Deadline: record.Deadline, Seated: record.seatOf == picked.ID,
-		House: record.House, Worth: record.Worth, Rank: record.Rank})
+		Stamped: len(record.Stamps) > 0, Deadline: record.Deadline, Assigned: record.assigned == picked.ID,
+		Tenant: record.Tenant, Worth: record.Worth, Rank: record.Rank})
 	return true
 }
 
-// serveTurn counts a house's turn among those whose records wait.
-func (c *Core) serveTurn(house string) {
-	c.turns.Serve(house, func(yield func(string) bool) {
+// countTurn counts a tenant's turn among those whose records wait.
+func (c *Core) countTurn(tenant string) {
+	c.turns.Serve(tenant, func(yield func(string) bool) {
 		for _, record := range c.records {
-			if (record.stage == Held || record.stage == LetIn) && !yield(record.House) {
+			if (record.stage == Queued || record.stage == Admitted) && !yield(record.Tenant) {
 				return
 			}
 		}
--- a/request/forwarding/answer.go
+++ b/request/forwarding/answer.go
@@ -36,7 +36,7 @@
 // CauseNames are the names of causes, in the order in which they are counted.
 var CauseNames = [causes]string{"no-table", "no-path", "no-room", "no-lease", "spent", "late", "broken", "caller-left", "stopping"}
 
-// Answer is the final word on a record that gets no engine's answer.
+// Answer is the final answer to a record that gets no engine's answer.
 type Answer struct {
 	// Status is zero where the answer that has begun is broken off, or nobody waits for one.
 	Status int
--- a/request/forwarding/record.go
+++ b/request/forwarding/record.go
@@ -78,7 +78,7 @@
 	attempts int
 	tried    []ident.EngineID
 	engine   ident.EngineID
-	// stamps are the minted ids of its holding and of each retry.
+	// stamps are the minted ids of its queueing and of each retry.
 	stamps []ident.MintedID
 	// mayHaveRun says that an attempt may have run, so no refusal may be promised.
 	mayHaveRun bool
