--- a/process/poolplacement/actor.go
+++ b/process/poolplacement/actor.go
@@ -11,9 +11,9 @@
 	"github.com/cresspond/cresspond/process/claim"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/process/registry"
 	"github.com/cresspond/cresspond/process/snowflake"
-	"github.com/cresspond/cresspond/process/soundness"
 	"github.com/cresspond/cresspond/process/statemachine"
 )
 
@@ -24,7 +24,7 @@
 	// Claim asks the group for the claim, or for more time under it, and tells what is about to be ordered.
 	Claim(ctx context.Context, told *statemachine.Told, whole bool) ClaimAnswer
 	// Mint stamps an order; LeaseHeld says whether what was minted may still be used.
-	Mint() (ident.MintedID, snowflake.Verdict)
+	Mint() (ident.MintedID, snowflake.Outcome)
 	LeaseHeld() bool
 	// MayStand says whether this daemon should try for the claim, First whether it should before others.
 	MayStand() bool
@@ -47,7 +47,7 @@
 	InFlight int
 	Lacks    []Lack
 	Counters Counters
-	Judged   soundness.Counters
+	Judged   outlier.Counters
 }
 
 // Actor plans while it holds the claim.
