--- a/process/statemachine/digest.go
+++ b/process/statemachine/digest.go
@@ -66,7 +66,7 @@
 
 // complete says whether a state that was read can be applied to: JSON's null takes a map or table away.
 func (s *State) complete() error {
-	if s.Workers == nil || s.Workers.Tenures == nil || s.Workers.Nodes == nil || s.Workers.Floors == nil {
+	if s.Workers == nil || s.Workers.Leases == nil || s.Workers.Nodes == nil || s.Workers.Floors == nil {
 		return ErrIncomplete
 	}
 	if s.Proposals == nil || s.Serving == nil || s.Closures.Zones == nil || s.Closures.Engines == nil {
--- a/process/statemachine/repeats_test.go
+++ b/process/statemachine/repeats_test.go
@@ -48,9 +48,9 @@
 	enlist := func(node ident.NodeID) Command { return Command{Op: OpEnlist, NodeID: node, Address: "x:1"} }
 	release := Command{Op: OpRelease, NodeID: "a#1", WorkerID: 0, Last: 1500}
 	leases := func(state *State) {
-		for worker, tenure := range state.Workers.Tenures {
+		for worker, tenure := range state.Workers.Leases {
 			tenure.LeaseExpiry = 0
-			state.Workers.Tenures[worker] = tenure
+			state.Workers.Leases[worker] = tenure
 		}
 	}
 	claims := func(state *State) { state.Claim.Until, state.Claim.Ordered, state.Claim.Pools = 0, 0, nil }
