--- a/process/raft/core.go
+++ b/process/raft/core.go
@@ -200,11 +200,10 @@
 	if err := m.Validate(); err != nil {
 		return err
 	}
-	fromLeader := m.Kind == MsgAppend || m.Kind == MsgHeartbeat || m.Kind == MsgSnapshot
 	switch {
 	case m.Term > c.term && m.Term-c.term > mostTermStep:
 		return MalformedError{Kind: m.Kind, Reason: "term far beyond this member's"}
-	case fromLeader && m.Term == c.term && c.role == Leader:
+	case m.fromLeader() && m.Term == c.term && c.role == Leader:
 		return MalformedError{Kind: m.Kind, Reason: "another leads in this leader's term"}
 	case m.Kind == MsgAppend && m.Term >= c.term && m.LogIndex == c.commit && m.LogIndex > 0:
 		if term, held := c.log.term(c.commit); held && term != m.LogTerm {
@@ -223,65 +222,79 @@
 		c.refuse(m, err)
 		return
 	}
-	if m.Kind == MsgPreVote || m.Kind == MsgVote {
-		// While a leader is heard, a voter cut off from it can't force an election; only a hand-over may.
-		heardLeader := c.role == Leader || (c.leader != 0 && c.sinceLeader < c.timing.Election)
-		if heardLeader && m.Hint == 0 && m.From != c.id {
-			if m.Kind == MsgPreVote {
-				c.later(Message{Kind: MsgPreVoteReply, To: m.From, Term: c.term, Reject: true})
-			}
-			return
-		}
+	if c.ignoresCandidate(m) {
+		return
 	}
 	switch {
-	case m.Term > c.term:
-		if m.Kind != MsgPreVote && !(m.Kind == MsgPreVoteReply && !m.Reject) {
-			c.enterTerm(m.Term, 0)
-			leader := MemberID(0)
-			if m.Kind == MsgAppend || m.Kind == MsgHeartbeat || m.Kind == MsgSnapshot {
-				leader = m.From
-			}
-			c.become(Follower, leader)
-		}
 	case m.Term < c.term:
-		// One who lags hears the term, so that it stops leading or asking.
-		switch m.Kind {
-		case MsgAppend, MsgHeartbeat, MsgSnapshot:
-			c.later(Message{Kind: MsgAppendReply, To: m.From, Term: c.term, Reject: true, Hint: c.log.last(), TakesParts: true})
-		case MsgPreVote:
-			c.later(Message{Kind: MsgPreVoteReply, To: m.From, Term: c.term, Reject: true})
-		}
+		c.answerOldTerm(m)
+		return
+	case m.Term > c.term:
+		c.learnTerm(m)
+	}
+	c.dispatch(m)
+}
+
+// fromLeader says whether only a leader sends messages of this kind to its followers.
+func (m Message) fromLeader() bool {
+	return m.Kind == MsgAppend || m.Kind == MsgHeartbeat || m.Kind == MsgSnapshot
+}
+
+// ignoresCandidate says whether a request for a vote is passed over. While a leader is heard, a voter cut off from it
+// can't force an election; only a leadership transfer may.
+func (c *Core) ignoresCandidate(m Message) bool {
+	if m.Kind != MsgPreVote && m.Kind != MsgVote || m.Hint != 0 || m.From == c.id {
+		return false
+	}
+	heardLeader := c.role == Leader || (c.leader != 0 && c.sinceLeader < c.timing.Election)
+	if heardLeader && m.Kind == MsgPreVote {
+		c.later(Message{Kind: MsgPreVoteReply, To: m.From, Term: c.term, Reject: true})
+	}
+	return heardLeader
+}
+
+// learnTerm follows a later term. A pre-vote round names one that nobody has entered yet.
+func (c *Core) learnTerm(m Message) {
+	if m.Kind == MsgPreVote || m.Kind == MsgPreVoteReply && !m.Reject {
 		return
 	}
+	leader := MemberID(0)
+	if m.fromLeader() {
+		leader = m.From
+	}
+	c.enterTerm(m.Term, 0)
+	c.become(Follower, leader)
+}
+
+// answerOldTerm tells one who lags the term, so that it stops leading or asking.
+func (c *Core) answerOldTerm(m Message) {
+	switch {
+	case m.fromLeader():
+		c.later(Message{Kind: MsgAppendReply, To: m.From, Term: c.term, Reject: true, Hint: c.log.last(), TakesParts: true})
+	case m.Kind == MsgPreVote:
+		c.later(Message{Kind: MsgPreVoteReply, To: m.From, Term: c.term, Reject: true})
+	}
+}
+
+// dispatch takes a message of this member's term, or a pre-vote round's.
+func (c *Core) dispatch(m Message) {
+	if m.fromLeader() {
+		c.followLeader(m.From)
+	}
 	switch m.Kind {
 	case MsgPreVote:
-		grant := m.Term > c.term && c.log.upToDate(m.LogIndex, m.LogTerm) && !c.stalled
-		reply := Message{Kind: MsgPreVoteReply, To: m.From, Term: m.Term, Reject: !grant}
-		if !grant {
-			reply.Term = c.term
-		}
-		c.later(reply)
+		c.takePreVote(m)
 	case MsgVote:
-		free := c.vote == 0 || c.vote == m.From
-		if free && c.role != Leader && c.log.upToDate(m.LogIndex, m.LogTerm) {
-			c.enterTerm(c.term, m.From)
-			c.sinceLeader = 0
-			c.later(Message{Kind: MsgVoteReply, To: m.From, Term: c.term})
-			return
-		}
-		c.later(Message{Kind: MsgVoteReply, To: m.From, Term: c.term, Reject: true})
+		c.takeVote(m)
 	case MsgPreVoteReply, MsgVoteReply:
 		c.countVote(m)
 	case MsgAppend:
-		c.followLeader(m.From)
 		c.takeAppend(m)
 	case MsgHeartbeat:
-		c.followLeader(m.From)
 		// Heartbeats say how much is committed of what this member surely holds.
 		c.commitTo(min(m.Commit, c.log.last()))
 		c.now(Message{Kind: MsgHeartbeatReply, To: m.From, ReadMark: m.ReadMark, TakesParts: true})
 	case MsgSnapshot:
-		c.followLeader(m.From)
 		c.takeSnapshot(m)
 	case MsgAppendReply:
 		c.takeAppendReply(m)
@@ -290,16 +303,6 @@
 	case MsgSnapshotReply:
 		c.takeSnapshotReply(m)
 	case MsgTimeoutNow:
-		if c.isVoter() && !c.stalled {
-			c.enterTerm(c.term+1, c.id)
-			c.become(Candidate, 0)
-			for _, id := range c.Membership().Voters() {
-				message := Message{Kind: MsgVote, To: id, Term: c.term, LogIndex: c.log.last(), LogTerm: c.log.lastTerm(), Hint: 1}
-				if id == c.id {
-					message.Kind = MsgVoteReply
-				}
-				c.later(message)
-			}
-		}
+		c.takeTimeoutNow()
 	}
 }
--- a/process/raft/election.go
+++ b/process/raft/election.go
@@ -55,6 +55,29 @@
 	}
 }
 
+// takePreVote says whether this member would vote for the sender in the term it names.
+func (c *Core) takePreVote(m Message) {
+	grant := m.Term > c.term && c.log.upToDate(m.LogIndex, m.LogTerm) && !c.stalled
+	reply := Message{Kind: MsgPreVoteReply, To: m.From, Term: m.Term, Reject: !grant}
+	if !grant {
+		reply.Term = c.term
+	}
+	c.later(reply)
+}
+
+// takeVote gives this term's vote once, to a candidate whose log holds all that this one does.
+func (c *Core) takeVote(m Message) {
+	free := c.vote == 0 || c.vote == m.From
+	if !free || c.role == Leader || !c.log.upToDate(m.LogIndex, m.LogTerm) {
+		c.later(Message{Kind: MsgVoteReply, To: m.From, Term: c.term, Reject: true})
+		return
+	}
+	c.enterTerm(c.term, m.From)
+	c.sinceLeader = 0
+	c.later(Message{Kind: MsgVoteReply, To: m.From, Term: c.term})
+}
+
+// countVote counts a reply, and leads once a majority has granted.
 func (c *Core) countVote(m Message) {
 	wanted := Candidate
 	if m.Kind == MsgPreVoteReply {
--- a/process/raft/transfer.go
+++ b/process/raft/transfer.go
@@ -25,3 +25,19 @@
 		c.now(Message{Kind: MsgTimeoutNow, To: c.transferTo})
 	}
 }
+
+// takeTimeoutNow has the heir of a transfer stand at once: others vote for it though they hear a leader.
+func (c *Core) takeTimeoutNow() {
+	if !c.isVoter() || c.stalled {
+		return
+	}
+	c.enterTerm(c.term+1, c.id)
+	c.become(Candidate, 0)
+	for _, id := range c.Membership().Voters() {
+		message := Message{Kind: MsgVote, To: id, Term: c.term, LogIndex: c.log.last(), LogTerm: c.log.lastTerm(), Hint: 1}
+		if id == c.id {
+			message.Kind = MsgVoteReply
+		}
+		c.later(message)
+	}
+}
