--- a/process/raft/group_test.go
+++ b/process/raft/group_test.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"os"
 	"slices"
+	"strconv"
 	"testing"
 
 	"github.com/cresspond/cresspond/process/raft"
@@ -396,9 +398,13 @@
 }
 
 func TestGroupWithSnapshotsInParts(t *testing.T) {
-	const seeds = 200
+	seeds := uint64(200)
+	// More seeds for a search: CRESSPOND_SEEDS=5000 go test ./process/raft
+	if wanted, err := strconv.ParseUint(os.Getenv("CRESSPOND_SEEDS"), 10, 64); err == nil {
+		seeds = wanted
+	}
 	installs, refusals, cuts, crashes, parts := 0, 0, 0, 0, 0
-	for seed := range uint64(seeds) {
+	for seed := range seeds {
 		g := newModelGroup(seed, sound)
 		g.run(6000)
 		for _, fault := range g.faults {
--- a/process/replica/snapshots_test.go
+++ b/process/replica/snapshots_test.go
@@ -1,7 +1,9 @@
 package replica
 
 import (
+	"os"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -19,8 +21,11 @@
 // The same troubles with logs cut after a few entries: every restart, cut and wipe meets snapshots.
 func TestGroupUnderTroubleWithShortLogs(t *testing.T) {
 	notices, compared := map[raft.NoticeKind]int{}, 0
-	const seeds = 60
-	for seed := range uint64(seeds) {
+	seeds := uint64(60)
+	if wanted, err := strconv.ParseUint(os.Getenv("CRESSPOND_SEEDS"), 10, 64); err == nil {
+		seeds = wanted
+	}
+	for seed := range seeds {
 		size := []int{3, 5, 3}[seed%3]
 		shape := [][2]int{{25, 3}, {5, 1}, {12, 0}}[seed%3]
 		s := cutOften(t, seed, size, shape[0], shape[1])
@@ -34,7 +39,7 @@
 		}
 	}
 	t.Logf("%d seeds: %d digests compared, notices: %v", seeds, compared, notices)
-	if notices[raft.NoticeSnapshotTaken] < seeds || notices[raft.NoticeStateDiffers] > 0 {
+	if uint64(notices[raft.NoticeSnapshotTaken]) < seeds || notices[raft.NoticeStateDiffers] > 0 {
 		t.Errorf("notices: %v", notices)
 	}
 }
