Hold in made-up time what a cut-off control daemon must never do

Control and routing daemons in made-up time, without sockets: the agreement and the replicated state, the list of members, the choice of leader, relay and source and what is in force are the daemon's own; disk, links and the answers to pulls are played. Cuts of 5 to 30 s both ways and each way alone, from the other voters, from all but the routing daemons of the own zone, of a whole zone, from routing daemons only; of the leader, a relay, any other, or two of five; freezes; refusal, reset and silence; restarts inside the cut with seeds that name only the cut-off side; two operators, one who closes zones and one who reads back, all along.

Two holes that reading had not shown: a routing daemon whose only seed was cut off and had just started found nobody else for 5 s, so a source that is not confirmed now tells of the members that its log knows; and a cut-off control daemon took itself for confirmed when it heard of the newest configuration through a routing daemon, and was a relay again, though it heard of no engine elsewhere. A control daemon is confirmed within the group only.

Eight broken variants, each caught by the rule that is meant for it.

--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -592,6 +592,9 @@
 			reply.Closures = rollout.EncodeClosures(t.Closures)
 		}
 	}
+	if in.SourceSeen != fellowapi.SourceSeen_SOURCE_CONFIRMED {
+		reply.MemberAddresses = d.memberAddresses()
+	}
 	d.members.Tell(in, reply)
 	reply.Draining, reply.DrainingVersion = d.drainingEngines(), d.toldNews.draining.Load()
 	d.tellRegistry(in, reply)
--- a/process/daemon/freshness.go
+++ b/process/daemon/freshness.go
@@ -42,6 +42,20 @@
 	return confirmed == 0 || d.clock.Elapsed().Since(confirmed) > membership.StaleAfter
 }
 
+// memberAddresses are where the group's members are, by the log of this one.
+func (d *Daemon) memberAddresses() (out []string) {
+	held := d.replica.Load()
+	if held == nil {
+		return nil
+	}
+	for _, member := range held.Condition().Members.Members {
+		if member.Address != "" {
+			out = append(out, member.Address)
+		}
+	}
+	return out
+}
+
 // SourceTurned writes down that a source of news came to be stale, or is so no more.
 func (d *Daemon) SourceTurned(turned membership.Turned) {
 	line := d.log.WithField("address", turned.Address)
--- a/process/membership/core.go
+++ b/process/membership/core.go
@@ -102,6 +102,8 @@
 	gatheredAt      clock.Mark
 	// confirmed is up to when what is in force here is confirmed to be all that was acknowledged.
 	confirmed clock.Mark
+	// memberAddresses are where the group's members are by the word of a source that could not be relied on.
+	memberAddresses []string
 }
 
 // NewCore makes what a fresh daemon knows. relays says that it serves control.
@@ -476,6 +478,9 @@
 		for _, address := range control {
 			add(address)
 		}
+		for _, address := range c.memberAddresses {
+			add(address)
+		}
 	}
 	return out
 }
--- a/process/membership/freshness.go
+++ b/process/membership/freshness.go
@@ -81,6 +81,16 @@
 	return stale, turned
 }
 
+// mostMemberAddresses bounds the addresses of members that are believed of one source.
+const mostMemberAddresses = 32
+
+// hearMembers notes where a source says that the group's members are.
+func (c *Core) hearMembers(addresses []string) {
+	if len(addresses) > 0 {
+		c.memberAddresses = addresses[:min(len(addresses), mostMemberAddresses)]
+	}
+}
+
 // Confirm notes up to when what is in force here is confirmed to be all that was acknowledged.
 func (c *Core) Confirm(mark clock.Mark) { c.confirmed = max(c.confirmed, mark) }
 
--- a/process/membership/freshness_test.go
+++ b/process/membership/freshness_test.go
@@ -132,6 +132,37 @@
 	}
 }
 
+// A control daemon that hears of the newest configuration only through one that routes is not in touch with the group.
+func TestAControlDaemonIsConfirmedWithinTheGroupOnly(t *testing.T) {
+	for _, control := range []bool{true, false} {
+		edge, now := tracked()
+		tracker := NewTracker(now-clock.Mark(time.Second), "c9#1", "c9", control)
+		tracker.members, edge.members.relays = edge.members, control
+		tracker.members.Hear(now, Row{Fellow: Fellow{NodeID: "r1#1", Address: "r1", Serve: []string{"route"}}, Version: 1, Whole: true}, 0)
+		tracker.Take(now, answerFrom("r1", now, 0, nil), force)
+		if got := tracker.members.Confirmed() > 0; got == control {
+			t.Errorf("control %t: confirmed by a routing daemon: %t", control, got)
+		}
+		tracker.Take(now, answerFrom("c2", now, 0, nil), force)
+		if tracker.members.Confirmed() == 0 {
+			t.Errorf("control %t: not confirmed by a control daemon", control)
+		}
+	}
+}
+
+// Where all sources are stale the members that one of them remembers are asked as well.
+func TestAStaleSourceTellsOfTheOtherMembers(t *testing.T) {
+	tracker, now := tracked()
+	tracker.Take(now, answerFrom("c2", now, 3*time.Second, func(r *fellowapi.PullReply) { r.MemberAddresses = []string{"c7", "c8"} }), force)
+	if links := tracker.Links(now); !slices.Contains(links, "c7") || !slices.Contains(links, "c8") {
+		t.Errorf("only %q are asked", links)
+	}
+	tracker.Take(now, answerFrom("l1", now, 0, nil), force)
+	if links := tracker.Links(now); slices.Contains(links, "c7") {
+		t.Errorf("confirmed, it asks %q", links)
+	}
+}
+
 // A leader that no longer leads must not send askers to itself for ever.
 func TestOneThatLeadsNoMoreNamesItselfNoMore(t *testing.T) {
 	tracker, now := tracked()
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -423,38 +423,19 @@
 			m.ask(ctx, e.question)
 		}
 	case served:
-		row := rowOf(e.request)
-		row.Version, row.Whole = e.request.RowVersion, e.request.Row
-		e.known <- m.tracker.members.Hear(now, row, time.Duration(e.request.EveryMs)*time.Millisecond)
+		e.known <- m.tracker.Hear(now, e.request)
 		m.noteChanges()
 		if len(m.waiters) > 0 {
 			m.tellWaiters()
 		}
 	case telling:
-		e.told <- m.tell(now, e.request)
+		e.told <- m.tracker.Tell(now, e.request)
 	case *waiter:
 		m.waiters = append(m.waiters, e)
 		m.tellWaiters()
 	}
 }
 
-// tell gives what an asker lacks of the list of members.
-func (m *Membership) tell(now clock.Mark, request *fellowapi.PullRequest) *fellowapi.PullReply {
-	reply := &fellowapi.PullReply{}
-	if request.Everyone {
-		reply.Contacts, reply.Everyone = encodeTold(m.tracker.members.Everyone(now, everyoneWindow)), true
-		return reply
-	}
-	since := m.tracker.members.Since
-	if request.RegistryUrgent {
-		// The asker's teller tells it the rest.
-		since = m.tracker.members.SolidSince
-	}
-	told, next, afresh := since(now, Cursor{Life: request.MembersLife, Seen: request.MembersSeen})
-	reply.Contacts, reply.MembersLife, reply.MembersSeen, reply.MembersAfresh = encodeTold(told), next.Life, next.Seen, afresh
-	return reply
-}
-
 // everyoneWindow is how lately those must have been heard that are told of to one that has lost the control daemons.
 const everyoneWindow = 5 * time.Second
 
--- a/process/membership/tracker.go
+++ b/process/membership/tracker.go
@@ -112,9 +112,10 @@
 	if changed {
 		turned = &Turned{answer.Address, stale}
 	}
-	if word.confirmed > 0 && force.covers(ident.Epoch(reply.SpecEpoch), ident.Epoch(reply.ClosureEpoch)) {
+	if word.confirmed > 0 && t.mayConfirm(answer) && force.covers(ident.Epoch(reply.SpecEpoch), ident.Epoch(reply.ClosureEpoch)) {
 		t.members.Confirm(word.confirmed)
 	}
+	t.members.hearMembers(reply.MemberAddresses)
 	t.hearOfLeader(answer, word, stale)
 	t.hearOfPlanner(answer.Address, reply)
 	t.view.NewestSpec = max(t.view.NewestSpec, ident.Epoch(reply.SpecEpoch))
@@ -123,6 +124,17 @@
 	return turned
 }
 
+// mayConfirm says whether an answer may confirm what is in force here. Others rely on a control daemon for more than
+// the configuration, so it must hear its confirmation within the group: one that is cut off from the other members,
+// and hears of the newest configuration through daemons that only route, is no source for all that is new.
+func (t *Tracker) mayConfirm(answer Answer) bool {
+	if !t.control || answer.Reply.IsLeader {
+		return true
+	}
+	source := t.members.entryAt(answer.Address)
+	return source != nil && source.row.Serves(controlRole)
+}
+
 // fail takes the lack of an answer.
 func (t *Tracker) fail(now clock.Mark, question Question) {
 	if question.Linked {
@@ -202,6 +214,30 @@
 	}
 }
 
+// Hear notes a question that was asked here, and gives the version of the asker's row that is known here.
+func (t *Tracker) Hear(now clock.Mark, request *fellowapi.PullRequest) (known uint64) {
+	row := rowOf(request)
+	row.Version, row.Whole = request.RowVersion, request.Row
+	return t.members.Hear(now, row, time.Duration(request.EveryMs)*time.Millisecond)
+}
+
+// Tell gives what an asker lacks of the list of members.
+func (t *Tracker) Tell(now clock.Mark, request *fellowapi.PullRequest) *fellowapi.PullReply {
+	reply := &fellowapi.PullReply{}
+	if request.Everyone {
+		reply.Contacts, reply.Everyone = encodeTold(t.members.Everyone(now, everyoneWindow)), true
+		return reply
+	}
+	since := t.members.Since
+	if request.RegistryUrgent {
+		// The asker's relay tells it the rest.
+		since = t.members.SolidSince
+	}
+	told, next, afresh := since(now, Cursor{Life: request.MembersLife, Seen: request.MembersSeen})
+	reply.Contacts, reply.MembersLife, reply.MembersSeen, reply.MembersAfresh = encodeTold(told), next.Life, next.Seen, afresh
+	return reply
+}
+
 // Refresh is the one place where the view takes up what this daemon knows of itself; it gives the new view.
 func (t *Tracker) Refresh(now clock.Mark, own Own) View {
 	view := &t.view
--- /dev/null
+++ b/rehearsal/cutoff/node_test.go
@@ -0,0 +1,593 @@
+package cutoff
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/membership"
+	"github.com/cresspond/cresspond/process/raft"
+	"github.com/cresspond/cresspond/process/replica"
+	"github.com/cresspond/cresspond/process/rollout"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+)
+
+const (
+	beatEvery = 150 * time.Millisecond
+	// controlHold and edgeHold are how long answers are held back while nothing is new.
+	controlHold, edgeHold = 250 * time.Millisecond, 600 * time.Millisecond
+	// bundleRest and relayFresh are as in the daemon: a bundle is left to the relay for a while, and others are asked
+	// for what is urgent only while the relay has told lately.
+	bundleRest, relayFresh = 400 * time.Millisecond, 2500 * time.Millisecond
+	submitLimit            = 1200 * time.Millisecond
+	group                  = "g"
+)
+
+// node is one machine of the fleet and the life that runs on it.
+type node struct {
+	w       *world
+	place   int
+	name    string
+	zone    ident.ZoneID
+	control bool
+	// offset is by how much its clock is off.
+	offset clock.Mark
+
+	life        int
+	up          bool
+	frozenUntil clock.Mark
+
+	core   *replica.Core
+	disk   raft.Restored
+	writes []write
+	beaten clock.Mark
+	refs   uint64
+	asked  map[uint64]func(replica.Answer)
+	// offered is the newest that was handed to the keeper by the log.
+	offeredSpec, offeredClosure ident.Epoch
+
+	keeper   *rollout.Keeper
+	stop     context.CancelFunc
+	tracker  *membership.Tracker
+	view     membership.View
+	rowTold  bool
+	seeds    []string
+	seedTurn int
+	beats    int
+	enlisted clock.Mark
+	asking   map[question]bool
+	held     []*heldPull
+	// toldAll is when each address last told all.
+	toldAll  map[string]clock.Mark
+	seenAt   clock.Mark
+	seenSpec ident.Epoch
+	stale    bool
+
+	// checked is what the checker saw of this life.
+	checked seenOfLife
+}
+
+type write struct {
+	save  *raft.Save
+	later []raft.Message
+}
+
+type question struct {
+	address          string
+	linked, everyone bool
+}
+
+type heldPull struct {
+	in       *fellowapi.PullRequest
+	arrived  clock.Mark
+	gap, end clock.Mark
+	answer   func(*fellowapi.PullReply)
+}
+
+func firstState(members raft.Membership) raft.Restored {
+	return raft.Restored{HardState: raft.HardState{Term: 1}, Snapshot: raft.Snapshot{Index: 1, Term: 1, Membership: members, Data: statemachine.New().Snapshot()}}
+}
+
+func (n *node) id() ident.NodeID { return ident.NodeID(fmt.Sprintf("%s#%d", n.name, n.life)) }
+
+// clock is the machine's own.
+func (n *node) clock() clock.Mark { return n.w.now + n.offset }
+
+// do runs something on this node, in the life that it is for; a frozen one does it some time after its thaw.
+func (n *node) do(life int, run func()) {
+	switch {
+	case !n.up || n.life != life:
+	case n.w.now < n.frozenUntil:
+		n.w.after(n.frozenUntil.Since(n.w.now)+n.w.ms(0, 30), func() { n.do(life, run) })
+	default:
+		run()
+	}
+}
+
+// every runs something again and again in this life; frozen, it runs once soon after the thaw.
+func (n *node) every(span time.Duration, run func()) {
+	life := n.life
+	var again func()
+	again = func() {
+		n.do(life, func() {
+			run()
+			n.w.after(span+n.w.ms(0, 3), again)
+		})
+	}
+	n.w.after(n.w.ms(0, int(span.Milliseconds())), again)
+}
+
+func (n *node) start() {
+	n.life++
+	n.up, n.writes, n.beaten, n.asked, n.asking, n.held, n.toldAll = true, nil, 0, map[uint64]func(replica.Answer){}, map[question]bool{}, nil, map[string]clock.Mark{}
+	n.enlisted, n.beats, n.rowTold, n.offeredSpec, n.offeredClosure, n.seenSpec, n.stale, n.checked = 0, 0, false, 0, 0, 0, false, seenOfLife{}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	n.keeper = rollout.New(func() time.Time { return time.UnixMilli(0) }, func() {})
+	go n.keeper.Run(ctx)
+	n.tracker = membership.NewTracker(n.clock(), n.id(), n.name, n.control)
+	n.view = n.tracker.View()
+	if n.control {
+		n.startCore()
+	}
+	n.every(beatEvery, n.beat)
+	n.every(beatEvery+100*time.Millisecond, n.enlist)
+	n.w.troubled(n)
+}
+
+func (n *node) startCore() {
+	config := replica.DefaultConfig()
+	restored := n.disk
+	restored.Entries = slices.Clone(restored.Entries)
+	member := raft.New(raft.MemberID(n.place+1), config.Timing, restored, n.w.random)
+	core, err := replica.NewCore(config, member, restored.Snapshot.Data, n.clock(), func() time.Time { return time.UnixMilli(1790000000000).Add(time.Duration(n.w.now)) })
+	if err != nil {
+		n.w.t.Fatal(err)
+	}
+	n.core = core
+	n.every(replica.Tick, func() {
+		if late := n.clock().Since(n.beaten); n.beaten > 0 && late > config.Timing.Span(replica.Tick) {
+			n.carryOut(n.core.Step(n.clock(), raft.StandDown{}))
+		}
+		n.beaten = n.clock()
+		n.carryOut(n.core.Step(n.clock(), raft.Tick{}))
+	})
+}
+
+// crash ends a life.
+func (n *node) crash() {
+	n.up = false
+	n.core = nil
+	n.stop()
+	n.w.troubled(n)
+}
+
+func (n *node) freeze(span time.Duration) {
+	n.frozenUntil = n.w.now + clock.Mark(span)
+	n.w.troubled(n)
+	n.w.after(span, func() { n.w.troubled(n) })
+}
+
+// carryOut does what a step of the core wants done.
+func (n *node) carryOut(effects replica.Effects) {
+	switch {
+	case effects.Save != nil || len(effects.Later) > 0 && len(n.writes) > 0:
+		n.writes = append(n.writes, write{effects.Save, effects.Later})
+		if len(n.writes) == 1 {
+			n.writeNext()
+		}
+	default:
+		defer n.sendRaft(effects.Later)
+	}
+	for _, answer := range effects.Answers {
+		if taken := n.asked[answer.Ref]; taken != nil {
+			delete(n.asked, answer.Ref)
+			taken(answer)
+		}
+	}
+	n.offer()
+	n.sendRaft(effects.Now)
+}
+
+func (n *node) writeNext() {
+	life := n.life
+	n.w.after(n.w.ms(1, 5), func() {
+		n.do(life, func() {
+			done := n.writes[0]
+			n.writes = n.writes[1:]
+			if done.save != nil {
+				n.keep(*done.save)
+			}
+			if len(n.writes) > 0 {
+				n.writeNext()
+			}
+			if done.save != nil {
+				if count := len(done.save.Entries); count > 0 {
+					last := done.save.Entries[count-1]
+					n.carryOut(n.core.Step(n.clock(), raft.Persisted{Index: last.Index, Term: last.Term}))
+				}
+			}
+			n.sendRaft(done.later)
+		})
+	})
+}
+
+// keep is what the disk does with a save.
+func (n *node) keep(save raft.Save) {
+	n.disk.HardState = save.HardState
+	if save.Snapshot != nil {
+		n.disk.Snapshot = *save.Snapshot
+	}
+	n.disk.Entries = slices.DeleteFunc(slices.Clone(n.disk.Entries), func(e raft.Entry) bool {
+		return save.CompactTo > 0 && e.Index <= save.CompactTo || save.TruncateFrom > 0 && e.Index >= save.TruncateFrom
+	})
+	n.disk.Entries = append(n.disk.Entries, save.Entries...)
+}
+
+func (n *node) sendRaft(messages []raft.Message) {
+	for _, message := range messages {
+		to := n.w.nodes[int(message.To)-1]
+		if to == n {
+			n.carryOut(n.core.Step(n.clock(), raft.Receive{Message: message}))
+			continue
+		}
+		n.w.send(n, to, func() { to.carryOut(to.core.Step(to.clock(), raft.Receive{Message: message})) }, nil)
+	}
+}
+
+// offer hands what the log put in force to the keeper; the table takes a while to build.
+func (n *node) offer() {
+	state := n.core.State()
+	if state.Epoch() == n.offeredSpec && state.Closures.Epoch == n.offeredClosure {
+		return
+	}
+	n.offeredSpec, n.offeredClosure = state.Epoch(), state.Closures.Epoch
+	epoch, closures, inForce := state.Epoch(), state.Closures.Clone(), statemachine.Proposal{}
+	if found, ok := state.InForce(); ok {
+		inForce = *found
+	}
+	life := n.life
+	n.w.after(n.w.ms(0, 60), func() {
+		n.do(life, func() {
+			n.keeper.Offer(epoch, inForce.Packing(), &closures)
+			n.news()
+		})
+	})
+}
+
+// force is what is in force here.
+func (n *node) force() (force membership.InForce) {
+	if table := n.keeper.Table(); table != nil {
+		force.Spec, force.Closure = table.Epoch, table.Closures.Epoch
+	}
+	return force
+}
+
+// leads says whether this node takes itself for the leader.
+func (n *node) leads() bool { return n.core != nil && n.core.Leads() }
+
+func (n *node) confirmedAsLeader() clock.Mark {
+	if !n.leads() {
+		return 0
+	}
+	force, state := n.force(), n.core.State()
+	if force.Spec < state.Epoch() || force.Spec > 0 && force.Closure < state.Closures.Epoch {
+		return 0
+	}
+	return n.core.ConfirmedUntil()
+}
+
+func (n *node) confirmed() clock.Mark { return max(n.view.Confirmed, n.confirmedAsLeader()) }
+
+func (n *node) isStale() bool {
+	confirmed := n.confirmed()
+	return confirmed == 0 || n.clock().Since(confirmed) > membership.StaleAfter
+}
+
+func (n *node) leader() (address string, term uint64) {
+	if n.core != nil {
+		if leader, known := n.core.Raft().Membership().Find(n.core.Raft().LeaderID()); known {
+			return leader.Address, uint64(n.core.Raft().Term())
+		}
+	}
+	return n.view.LeaderAddress, n.view.LeaderTerm
+}
+
+func (n *node) beat() {
+	now := n.clock()
+	force := n.force()
+	n.tracker.Members().Describe(now, membership.Row{Version: 1, Fellow: membership.Fellow{NodeID: n.id(), Address: n.name, Zone: n.zone, Serve: n.serve(),
+		SpecEpoch: force.Spec, ClosureEpoch: force.Closure, Ready: true}})
+	n.tracker.Members().Sweep(now, 0)
+	if n.w.variant == keepsStale {
+		// Then nothing but a probe now and then looks for another source.
+		n.tracker.Members().Confirm(now)
+	}
+	for _, address := range n.links(now) {
+		n.ask(question{address: address, linked: true})
+	}
+	lost := n.tracker.Lost(now)
+	if n.beats++; lost || n.tracker.Members().Unconfirmed(now) || n.beats%10 == 0 {
+		n.ask(question{address: n.seeds[n.seedTurn%len(n.seeds)], everyone: lost})
+		n.seedTurn++
+		if contacts := n.view.InContact(now, 10*time.Second); len(contacts) > 0 {
+			n.ask(question{address: contacts[n.w.random.IntN(len(contacts))].Address, everyone: lost})
+		}
+	}
+	n.publish()
+	if stale := n.isStale(); stale != n.stale {
+		n.stale = stale
+	}
+	n.news()
+}
+
+func (n *node) links(now clock.Mark) []string {
+	links := n.tracker.Links(now)
+	if len(links) == 0 {
+		n.seedTurn++
+		return []string{n.seeds[n.seedTurn%len(n.seeds)]}
+	}
+	return links
+}
+
+func (n *node) serve() []string {
+	if n.control {
+		return []string{"control"}
+	}
+	return []string{"route"}
+}
+
+func (n *node) publish() {
+	own := membership.Own{Confirmed: n.confirmedAsLeader(), Leads: n.leads(), Enlisted: n.enlisted}
+	own.InForce = n.force()
+	if n.w.variant == readyByAnyone {
+		own.Enlisted = 1
+	}
+	n.view = n.tracker.Refresh(n.clock(), own)
+	n.w.sawView(n)
+}
+
+// urgentOnly says whether an address is asked for what is urgent only, because the relay tells the rest.
+func (n *node) urgentOnly(address string) bool {
+	relay := n.view.TellerAddress
+	return !n.control && relay != "" && relay != address && n.toldAll[relay] > 0 && n.clock().Since(n.toldAll[relay]) <= relayFresh
+}
+
+// ask puts a question, if it is not being asked already.
+func (n *node) ask(q question) {
+	to := n.w.at(q.address)
+	if to == nil || to == n || n.asking[q] {
+		return
+	}
+	n.asking[q] = true
+	asked, force := n.clock(), n.force()
+	in := &fellowapi.PullRequest{Group: group, NodeId: string(n.id()), Address: n.name, Zone: string(n.zone), Serve: n.serve(), Ready: true,
+		SpecEpoch: uint64(force.Spec), ClosureEpoch: uint64(force.Closure), RowVersion: 1, Row: true, Everyone: q.everyone, TakesPacked: true, Beats: n.control}
+	hold := time.Duration(0)
+	if q.linked && n.view.Settled {
+		hold = edgeHold
+		if n.control {
+			hold = controlHold
+		}
+	}
+	about := membership.Question{Address: q.address, Linked: q.linked, Hold: hold}
+	n.tracker.Fill(in, about)
+	if q.linked {
+		in.HoldMs, in.GapMs, in.EveryMs = hold.Milliseconds(), 50, max(hold, beatEvery).Milliseconds()
+		in.RegistryUrgent = n.urgentOnly(q.address)
+	}
+	n.call(to, hold+membership.PullTimeout, func(answer func(func())) {
+		to.pulled(in, func(reply *fellowapi.PullReply) {
+			answer(func() {
+				n.take(q, membership.Answer{Question: about, Asked: asked, Heard: n.clock(), Reply: reply}, in.RegistryUrgent)
+			})
+		})
+	}, func() {
+		n.take(q, membership.Answer{Question: about, Asked: asked, Heard: n.clock(), Err: context.DeadlineExceeded}, false)
+	})
+}
+
+// take takes an answer.
+func (n *node) take(q question, answer membership.Answer, urgentOnly bool) {
+	delete(n.asking, q)
+	now := n.clock()
+	if answer.Err == nil {
+		answer.Reply = n.distort(answer)
+		reply := answer.Reply
+		before := n.force()
+		if len(reply.Spec) > 0 || len(reply.Closures) > 0 {
+			n.keeper.Offer(ident.Epoch(reply.SpecEpoch), bundleOf(reply), rollout.DecodeClosures(reply.Closures))
+		}
+		if q.linked && !urgentOnly {
+			n.toldAll[q.address] = max(n.toldAll[q.address], answer.Asked)
+		}
+		if before != n.force() {
+			n.news()
+		}
+	}
+	force := n.force()
+	if n.w.variant == aheadOfForce && answer.Err == nil {
+		force.Spec, force.Closure = max(force.Spec, ident.Epoch(answer.Reply.SpecEpoch)), max(force.Closure, ident.Epoch(answer.Reply.ClosureEpoch))
+	}
+	if turned := n.tracker.Take(now, answer, force); turned != nil && turned.Stale {
+		n.w.left++
+	}
+	n.publish()
+	if answer.Err == nil && q.linked && answer.Hold > 0 && now.Since(answer.Asked) >= 50*time.Millisecond && slices.Contains(n.tracker.Links(now), q.address) {
+		n.ask(q)
+	}
+}
+
+// distort breaks what an answer says of its confirmation, where a variant wants that.
+func (n *node) distort(answer membership.Answer) *fellowapi.PullReply {
+	reply := &fellowapi.PullReply{}
+	// The parts are shared, and nothing is written to them.
+	copyReply(reply, answer.Reply)
+	sinceAsked := answer.Heard.Since(answer.Asked).Milliseconds()
+	switch n.w.variant {
+	case keepsStale:
+		reply.Confirmation = nil
+	case staysWithRelay:
+		if answer.Address == n.view.LeaderAddress || answer.Address == n.view.TellerAddress {
+			reply.Confirmation = &fellowapi.Confirmation{Known: true, AfterQuestionMs: sinceAsked}
+		}
+	case readyByAnyone:
+		if !n.view.Settled {
+			reply.Confirmation = &fellowapi.Confirmation{Known: true, AfterQuestionMs: sinceAsked}
+		}
+	case byReceipt:
+		if reply.Confirmation.Known {
+			reply.Confirmation = &fellowapi.Confirmation{Known: true, AfterQuestionMs: sinceAsked}
+		}
+	}
+	return reply
+}
+
+// pulled serves a question, as the daemon does.
+func (n *node) pulled(in *fellowapi.PullRequest, answer func(*fellowapi.PullReply)) {
+	now := n.clock()
+	known := n.tracker.Hear(now, in)
+	held := &heldPull{in: in, arrived: now, gap: now + clock.Mark(time.Duration(in.GapMs)*time.Millisecond), end: now + clock.Mark(time.Duration(in.HoldMs)*time.Millisecond)}
+	held.answer = func(reply *fellowapi.PullReply) { reply.RowKnown = known; answer(reply) }
+	n.held = append(n.held, held)
+	life := n.life
+	n.w.after(time.Duration(in.HoldMs)*time.Millisecond, func() { n.do(life, n.news) })
+	n.news()
+}
+
+// news answers those questions that were held back and for which there is anything new, or whose time is over.
+func (n *node) news() {
+	now := n.clock()
+	waiting := n.held
+	n.held = nil
+	for _, held := range waiting {
+		if now < held.end && !n.urgentFor(held.in) && !(now >= held.gap && n.ordinaryFor(held.in)) {
+			n.held = append(n.held, held)
+			continue
+		}
+		held.answer(n.reply(held))
+	}
+}
+
+func (n *node) tellsBundle(in *fellowapi.PullRequest) bool {
+	force := n.force()
+	if n.seenSpec != force.Spec || n.seenAt == 0 {
+		n.seenSpec, n.seenAt = force.Spec, n.clock()
+	}
+	return uint64(force.Spec) > in.SpecEpoch && (!in.RegistryUrgent && !in.Beats || n.clock().Since(n.seenAt) >= bundleRest)
+}
+
+func (n *node) urgentFor(in *fellowapi.PullRequest) bool {
+	leader, term := n.leader()
+	return n.tellsBundle(in) || uint64(n.force().Closure) > in.ClosureEpoch || leader != "" && (term > in.LeaderTerm || in.LeaderAddress == "") ||
+		in.SourceSeen == fellowapi.SourceSeen_SOURCE_CONFIRMED && n.isStale() || in.SourceSeen == fellowapi.SourceSeen_SOURCE_STALE && !n.isStale() ||
+		in.MembersLife != string(n.id())
+}
+
+func (n *node) ordinaryFor(in *fellowapi.PullRequest) bool {
+	members := n.tracker.Members()
+	return members.Solid() > in.MembersSeen || !in.RegistryUrgent && members.Changes() > in.MembersSeen
+}
+
+func (n *node) reply(held *heldPull) *fellowapi.PullReply {
+	in := held.in
+	confirmed := n.confirmed()
+	if n.w.variant == relayVouches && n.control {
+		confirmed = n.clock()
+	}
+	leader, term := n.leader()
+	reply := &fellowapi.PullReply{Group: group, NodeId: string(n.id()), LeaderAddress: leader, LeaderTerm: term, IsLeader: n.leads(),
+		Confirmation: membership.ConfirmationOf(confirmed, held.arrived)}
+	if table := n.keeper.Table(); table != nil {
+		reply.SpecEpoch, reply.ClosureEpoch = uint64(table.Epoch), uint64(table.Closures.Epoch)
+		if n.tellsBundle(in) {
+			reply.Spec, reply.SpecPacked = table.Bundle.Data, table.Bundle.Packed
+		}
+		if in.ClosureEpoch < uint64(table.Closures.Epoch) {
+			reply.Closures = rollout.EncodeClosures(table.Closures)
+		}
+	}
+	if n.core != nil && in.SourceSeen != fellowapi.SourceSeen_SOURCE_CONFIRMED {
+		for _, member := range n.core.Raft().Membership().Members {
+			reply.MemberAddresses = append(reply.MemberAddresses, member.Address)
+		}
+	}
+	if in.Everyone || in.EveryMs > 0 {
+		told := n.tracker.Tell(n.clock(), in)
+		reply.Contacts, reply.Everyone = told.Contacts, told.Everyone
+		reply.MembersLife, reply.MembersSeen, reply.MembersAfresh = told.MembersLife, told.MembersSeen, told.MembersAfresh
+	}
+	return reply
+}
+
+// enlist has the group write this life down.
+func (n *node) enlist() {
+	if n.enlisted > 0 {
+		return
+	}
+	n.submit(statemachine.Command{Op: statemachine.OpEnlist, NodeID: n.id(), Address: n.name}, func(result statemachine.Result) {
+		if n.enlisted == 0 && result.Verdict == statemachine.Done {
+			n.enlisted = n.clock()
+		}
+	})
+}
+
+// submit brings a command to the leader, following one redirect; done is called where it was applied.
+func (n *node) submit(command statemachine.Command, done func(statemachine.Result)) {
+	if n.leads() {
+		n.submitHere(command, func(answer replica.Answer) {
+			if answer.Outcome == replica.Applied {
+				done(answer.Result)
+			}
+		})
+		return
+	}
+	address, _ := n.leader()
+	n.submitTo(address, command, done, true)
+}
+
+func (n *node) submitTo(address string, command statemachine.Command, done func(statemachine.Result), follow bool) {
+	to := n.w.at(address)
+	if to == nil || to == n {
+		return
+	}
+	n.call(to, submitLimit, func(answer func(func())) {
+		if !to.leads() {
+			told, _ := to.leader()
+			answer(func() {
+				if follow {
+					n.submitTo(told, command, done, false)
+				}
+			})
+			return
+		}
+		to.submitHere(command, func(got replica.Answer) {
+			answer(func() {
+				if got.Outcome == replica.Applied {
+					done(got.Result)
+				}
+			})
+		})
+	}, func() {})
+}
+
+func (n *node) submitHere(command statemachine.Command, answer func(replica.Answer)) {
+	n.refs++
+	n.asked[n.refs] = answer
+	n.carryOut(n.core.Submit(n.clock(), n.refs, command))
+}
+
+// read looks at the state as the leader does.
+func (n *node) read(look func(answer replica.Answer)) {
+	if n.w.variant == readsUnasked {
+		look(replica.Answer{Outcome: replica.Applied, State: n.core.State()})
+		return
+	}
+	n.refs++
+	n.asked[n.refs] = look
+	n.carryOut(n.core.Read(n.clock(), n.refs))
+}
--- /dev/null
+++ b/rehearsal/cutoff/operators_test.go
@@ -0,0 +1,243 @@
+package cutoff
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/epoch/packed"
+	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/process/applying"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/replica"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+	"github.com/cresspond/cresspond/wire/operatorapi"
+)
+
+const (
+	// applyLimit, applyAgain and readLimit are the daemon's bounds on operators' calls.
+	applyLimit, applyAgain = 850 * time.Millisecond, 50 * time.Millisecond
+	readLimit              = 700 * time.Millisecond
+	// operatorPatience is how long an operator waits for an answer before it asks another daemon.
+	operatorPatience = time.Second
+)
+
+func bundleOf(reply *fellowapi.PullReply) packed.Bundle {
+	return packed.Bundle{Data: reply.Spec, Packed: reply.SpecPacked}
+}
+
+// copyReply copies what is distorted, and shares the rest.
+func copyReply(to, from *fellowapi.PullReply) {
+	to.Group, to.NodeId, to.LeaderAddress, to.LeaderTerm, to.IsLeader, to.Confirmation = from.Group, from.NodeId, from.LeaderAddress, from.LeaderTerm, from.IsLeader, from.Confirmation
+	to.SpecEpoch, to.ClosureEpoch, to.Spec, to.SpecPacked, to.Closures = from.SpecEpoch, from.ClosureEpoch, from.Spec, from.SpecPacked, from.Closures
+	to.MemberAddresses = from.MemberAddresses
+	to.Contacts, to.Everyone, to.MembersLife, to.MembersSeen, to.MembersAfresh, to.RowKnown = from.Contacts, from.Everyone, from.MembersLife, from.MembersSeen, from.MembersAfresh, from.RowKnown
+}
+
+// operator changes the configuration again and again, and sends each call until it has a clear answer.
+func (w *world) operator(who, turn int, base ident.Revision) {
+	if w.ended {
+		return
+	}
+	if w.random.IntN(4) == 0 {
+		base += ident.Revision(1 + w.random.IntN(3))
+	}
+	revision := uint64(base) + 1 + w.random.Uint64N(3)
+	call := operatorapi.Apply{Base: base, Digest: fmt.Sprintf("%d-%d", who, turn), Operator: fmt.Sprint(who)}
+	if base > 0 && w.random.IntN(2) == 0 {
+		call.Patch = &forward.Patch{Revision: revision, Upsert: forward.Items{Pools: []forward.Pool{{Name: fmt.Sprint("p", turn%5)}}}}
+	} else {
+		whole, err := json.Marshal(spec.Spec{Name: call.Digest, Forward: &forward.Section{Revision: revision, Pools: []forward.Pool{{Name: "p"}}}})
+		if err != nil {
+			panic(err)
+		}
+		call.Whole = whole
+	}
+	w.order(who, turn, call)
+}
+
+// order sends one call to some control daemon, and again to another where there is no clear answer.
+func (w *world) order(who, turn int, call operatorapi.Apply) {
+	if w.ended {
+		return
+	}
+	to, done := w.core()[w.random.IntN(w.controls)], false
+	next := func(revision ident.Revision) {
+		w.after(w.ms(50, 400), func() { w.operator(who, turn+1, revision) })
+	}
+	w.after(w.ms(1, 6), func() {
+		life, asked := to.life, w.now
+		to.do(life, func() {
+			arrived := w.now
+			to.apply(call, func(got operatorapi.Applying) {
+				w.sawAnswer(to, asked, arrived, call, got)
+				lost := w.random.IntN(8) == 0
+				w.after(w.ms(1, 6), func() {
+					if done || lost || got.Outcome == operatorapi.Unknown {
+						return
+					}
+					done = true
+					next(got.Revision)
+				})
+			})
+		})
+	})
+	w.after(operatorPatience, func() {
+		if !done {
+			done = true
+			w.after(w.ms(10, 300), func() { w.order(who, turn, call) })
+		}
+	})
+}
+
+// apply is a control daemon's way of a call: to the leader, again and again until the time is over.
+func (n *node) apply(call operatorapi.Apply, answer func(operatorapi.Applying)) {
+	until, life, done := n.clock()+clock.Mark(applyLimit), n.life, false
+	finish := func(got operatorapi.Applying) {
+		if !done {
+			done = true
+			answer(got)
+		}
+	}
+	var try func(told string)
+	again := func(told string) func() {
+		return func() { n.do(life, func() { try(told) }) }
+	}
+	try = func(told string) {
+		if done || n.clock() >= until {
+			return
+		}
+		if n.leads() {
+			n.lead(call, func(got operatorapi.Applying, outcome replica.Outcome) {
+				if outcome == replica.Applied {
+					finish(got)
+					return
+				}
+				n.w.after(applyAgain, again(""))
+			})
+			return
+		}
+		if n.w.variant == refusesByOwnState && n.core.State().Revision != call.Base {
+			finish(operatorapi.Applying{Outcome: operatorapi.Conflicted, Revision: n.core.State().Revision})
+			return
+		}
+		address := told
+		if address == "" {
+			address, _ = n.leader()
+		}
+		to := n.w.at(address)
+		if to == nil || to == n {
+			n.w.after(applyAgain, again(""))
+			return
+		}
+		n.call(to, until.Since(n.clock()), func(back func(func())) {
+			if !to.leads() {
+				named, _ := to.leader()
+				back(func() { n.w.after(applyAgain, again(named)) })
+				return
+			}
+			to.lead(call, func(got operatorapi.Applying, outcome replica.Outcome) {
+				back(func() {
+					if outcome == replica.Applied {
+						finish(got)
+						return
+					}
+					n.w.after(applyAgain, again(""))
+				})
+			})
+		}, func() { n.w.after(applyAgain, again("")) })
+	}
+	n.w.after(applyLimit, func() { n.do(life, func() { finish(operatorapi.Applying{Outcome: operatorapi.Unknown}) }) })
+	try("")
+}
+
+// lead carries a call out at whoever takes itself for the leader.
+func (n *node) lead(call operatorapi.Apply, answer func(operatorapi.Applying, replica.Outcome)) {
+	life := n.life
+	n.read(func(read replica.Answer) {
+		if read.Outcome != replica.Applied {
+			answer(operatorapi.Applying{}, read.Outcome)
+			return
+		}
+		standing := applying.Look(read.State, call.Digest)
+		// Working it out takes a while, in which anything may happen.
+		n.w.after(n.w.ms(0, 30), func() {
+			n.do(life, func() {
+				decision := standing.Decide(call)
+				if decision.Submit == nil {
+					answer(decision.Answer, replica.Applied)
+					return
+				}
+				n.submitHere(*decision.Submit, func(got replica.Answer) {
+					answer(applying.After(got.Result), got.Outcome)
+				})
+			})
+		})
+	})
+}
+
+// closer closes and opens a zone again and again.
+func (w *world) closer(closed bool) {
+	if w.ended {
+		return
+	}
+	to := w.core()[w.random.IntN(w.controls)]
+	to.do(to.life, func() {
+		to.submit(statemachine.Command{Op: statemachine.OpClosure, Zone: "zone0", Closed: closed, Operator: "chen"}, func(result statemachine.Result) {
+			if result.Verdict == statemachine.Done {
+				w.acknowledged(0, result.Closures.Epoch)
+			}
+		})
+	})
+	w.after(w.ms(300, 900), func() { w.closer(!closed) })
+}
+
+// reader reads the newest configuration back again and again.
+func (w *world) reader() {
+	if w.ended {
+		return
+	}
+	to, asked := w.core()[w.random.IntN(w.controls)], w.now
+	newest := w.newestAcked(asked).Spec
+	to.do(to.life, func() {
+		arrived := w.now
+		seen := func(source *node) func(replica.Answer) {
+			return func(answer replica.Answer) {
+				if answer.Outcome == replica.Applied {
+					w.sawRead(to, source, asked, arrived, newest, answer.State.Epoch())
+				}
+			}
+		}
+		if to.leads() {
+			to.read(seen(to))
+			return
+		}
+		address, _ := to.leader()
+		leader := w.at(address)
+		if leader == nil || leader == to {
+			return
+		}
+		to.call(leader, readLimit, func(back func(func())) {
+			if !leader.leads() {
+				back(func() {})
+				return
+			}
+			leader.read(func(answer replica.Answer) {
+				got := answer
+				epoch := ident.Epoch(0)
+				if got.Outcome == replica.Applied {
+					epoch = got.State.Epoch()
+				}
+				back(func() {
+					if got.Outcome == replica.Applied {
+						w.sawRead(to, leader, asked, arrived, newest, epoch)
+					}
+				})
+			})
+		}, func() {})
+	})
+	w.after(w.ms(100, 300), w.reader)
+}
