Write down what a cut-off control daemon answers, and on what proof

The status names confirmedMsAgo. Of a source that is only asked now and then nothing is kept, and the members' addresses are told to an asker's first linked question and where the source is stale: told with each probe they would have cost at rest.

--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -592,7 +592,7 @@
 			reply.Closures = rollout.EncodeClosures(t.Closures)
 		}
 	}
-	if in.SourceSeen != fellowapi.SourceSeen_SOURCE_CONFIRMED {
+	if membership.WantsMembers(in) {
 		reply.MemberAddresses = d.memberAddresses()
 	}
 	d.members.Tell(in, reply)
--- a/process/daemon/pages.go
+++ b/process/daemon/pages.go
@@ -30,6 +30,10 @@
 	if t != nil {
 		out.SpecEpoch, out.ClosureEpoch = t.Epoch, t.Closures.Epoch
 	}
+	if confirmed := d.confirmed(); confirmed > 0 {
+		ago := max(0, now.Since(confirmed).Milliseconds())
+		out.ConfirmedMsAgo = &ago
+	}
 	if worker, held := d.generator.Worker(); held {
 		number := int64(worker)
 		out.WorkerID = &number
--- a/process/membership/freshness.go
+++ b/process/membership/freshness.go
@@ -71,16 +71,26 @@
 	return fellowapi.SourceSeen_SOURCE_CONFIRMED
 }
 
-// hearSource notes a source's word. turned says that it was relied on before and is so no more, or the other way.
-func (c *Core) hearSource(address string, word sourceWord, heard clock.Mark) (stale, turned bool) {
-	p := c.peer(address)
+// hearSource notes a source's word; of one that is only asked now and then nothing is kept. turned says that it was
+// relied on before and is so no more, or the other way.
+func (c *Core) hearSource(address string, linked bool, word sourceWord, heard clock.Mark) (stale, turned bool) {
 	stale = word.stale(heard)
+	if c.peers[address] == nil && !linked {
+		return stale, false
+	}
+	p := c.peer(address)
 	turned = p.told && p.stale != stale && (p.wasConfirmed || !stale)
 	p.told, p.stale = word.told, stale
 	p.wasConfirmed = p.wasConfirmed || word.told && !stale
 	return stale, turned
 }
 
+// WantsMembers says whether an asker is to be told where the group's members are: one that asks again and again, and to
+// whom the answering daemon's news is not confirmed. In calm that is its first question alone.
+func WantsMembers(request *fellowapi.PullRequest) bool {
+	return request.SourceSeen == fellowapi.SourceSeen_SOURCE_STALE || request.SourceSeen == fellowapi.SourceSeen_SOURCE_NOT_SEEN && request.EveryMs > 0
+}
+
 // mostMemberAddresses bounds the addresses of members that are believed of one source.
 const mostMemberAddresses = 32
 
--- a/process/membership/tracker.go
+++ b/process/membership/tracker.go
@@ -108,7 +108,7 @@
 	t.view.HeardAny = max(t.view.HeardAny, answer.Asked)
 	t.follow(ident.GroupID(reply.Group))
 	word := wordOf(reply, answer.Asked, answer.Heard)
-	stale, changed := t.members.hearSource(answer.Address, word, answer.Heard)
+	stale, changed := t.members.hearSource(answer.Address, answer.Linked, word, answer.Heard)
 	if changed {
 		turned = &Turned{answer.Address, stale}
 	}
--- a/wire/operatorapi/operatorapi.go
+++ b/wire/operatorapi/operatorapi.go
@@ -113,21 +113,24 @@
 
 // Status is one daemon's own word.
 type Status struct {
-	NodeID       ident.NodeID   `json:"nodeId"`
-	Version      string         `json:"version"`
-	Zone         ident.ZoneID   `json:"zone"`
-	Serve        []string       `json:"serve"`
-	Ready        bool           `json:"ready"`
-	NotReady     string         `json:"notReady,omitempty"`
-	Group        ident.GroupID  `json:"group,omitempty"`
-	Leader       string         `json:"leader,omitempty"`
-	SpecEpoch    ident.Epoch    `json:"specEpoch"`
-	ClosureEpoch ident.Epoch    `json:"closureEpoch"`
-	WorkerID     *int64         `json:"workerId,omitempty"`
-	Raft         *RaftStatus    `json:"raft,omitempty"`
-	Planner      *PlannerStatus `json:"planner,omitempty"`
-	Fellows      []Fellow       `json:"fellows"`
-	Engines      []Engine       `json:"engines"`
+	NodeID       ident.NodeID  `json:"nodeId"`
+	Version      string        `json:"version"`
+	Zone         ident.ZoneID  `json:"zone"`
+	Serve        []string      `json:"serve"`
+	Ready        bool          `json:"ready"`
+	NotReady     string        `json:"notReady,omitempty"`
+	Group        ident.GroupID `json:"group,omitempty"`
+	Leader       string        `json:"leader,omitempty"`
+	SpecEpoch    ident.Epoch   `json:"specEpoch"`
+	ClosureEpoch ident.Epoch   `json:"closureEpoch"`
+	// ConfirmedMsAgo is how long ago a majority of the control group confirmed that no newer epochs had been
+	// acknowledged; it is missing where that never was.
+	ConfirmedMsAgo *int64         `json:"confirmedMsAgo,omitempty"`
+	WorkerID       *int64         `json:"workerId,omitempty"`
+	Raft           *RaftStatus    `json:"raft,omitempty"`
+	Planner        *PlannerStatus `json:"planner,omitempty"`
+	Fellows        []Fellow       `json:"fellows"`
+	Engines        []Engine       `json:"engines"`
 }
 
 // RaftStatus is a member's place in the group.
