--- a/process/statemachine/memory_test.go
+++ b/process/statemachine/memory_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"testing"
 
 	"github.com/cresspond/cresspond/process/ident"
@@ -330,3 +331,36 @@
 		t.Errorf("a bundle after the last revision: %+v", r)
 	}
 }
+
+// TestASnapshotOfTheBuildBeforeIsRestored reads what the build before this rule wrote: six orders, each two
+// revisions on, one bundle that was signed off, and one order that was refused on revision 14.
+func TestASnapshotOfTheBuildBeforeIsRestored(t *testing.T) {
+	data, err := os.ReadFile("testdata/snapshot-before-proven-from.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	state, err := Restore(data)
+	if err != nil || state.Epoch() != 7 || state.Revision != 13 || state.ProvenFrom != 0 || state.Closures.Epoch != 1 || len(state.Serving) != 1 || state.Leaves != 1 {
+		t.Fatalf("%+v, %v", state, err)
+	}
+	order := func(digest string, base ident.Revision) Verdict {
+		return state.do(t, Command{Op: OpApply, Digest: digest, BaseRevision: base, Revision: base + 1, Spec: []byte("x")}).Verdict
+	}
+	for i := range 6 {
+		if got := order(fmt.Sprint("d", i), ident.Revision(2*i)); got != Done {
+			t.Errorf("order %d again: %s", i, got)
+		}
+		if got := order("rival", ident.Revision(2*i)); got != Conflict {
+			t.Errorf("a rival of order %d: %s", i, got)
+		}
+	}
+	if got := order("next", 13); got != Done || state.Revision != 14 {
+		t.Errorf("the next order: %s, revision %d", got, state.Revision)
+	}
+	if got := order("ahead", 14); got != Conflict {
+		t.Errorf("an order that the build before refused: %s", got)
+	}
+	if got := order("other", 14); got != Done {
+		t.Errorf("another on the same base: %s", got)
+	}
+}
