Send absurd orders to a whole daemon

A base or revision above any, none, no operator, 40 MB: each is refused and changes nothing. A refusal on a base to come holds once that base is there, and another order wins on it.

--- a/rehearsal/endtoend/linearizable_test.go
+++ b/rehearsal/endtoend/linearizable_test.go
@@ -256,3 +256,45 @@
 		}
 	}
 }
+
+// TestAbsurdOrdersAreRefusedAndChangeNothing sends orders that no operator means.
+func TestAbsurdOrdersAreRefusedAndChangeNothing(t *testing.T) {
+	b := together(t, 1, true, nil)[0]
+	if status, word := b.applied(0, encode(t, forwarding(5, 1))); !taken(status) {
+		t.Fatal(status, word)
+	}
+	const absurd = uint64(1) << 60
+	for name, c := range map[string]struct {
+		query string
+		body  []byte
+	}{
+		"a base that none can have":       {fmt.Sprintf("?operator=ana&base=%d", absurd), encode(t, forwarding(absurd+1, 1))},
+		"a base that is no number":        {"?operator=ana&base=-1", encode(t, forwarding(6, 1))},
+		"no base":                         {"?operator=ana", encode(t, forwarding(6, 1))},
+		"no operator":                     {"?base=5", encode(t, forwarding(6, 1))},
+		"a revision that none can have":   {"?operator=ana&base=5", encode(t, forwarding(absurd, 1))},
+		"more bytes than a bundle may be": {"?operator=ana&base=5", make([]byte, 40<<20)},
+	} {
+		// A daemon that closes on a body that is too long leaves no answer to a caller that still writes.
+		if status, _, _, _ := b.bundleCall("PUT", c.query, c.body); status != 400 && status != 413 && !(status == 0 && len(c.body) > 16<<20) {
+			t.Errorf("%s: %d", name, status)
+		}
+	}
+	if got := b.newest(); b.status().SpecEpoch != 1 || !same(t, got.Forward, forwarding(5, 1).Forward) {
+		t.Errorf("one of them changed something: epoch %d", b.status().SpecEpoch)
+	}
+	// One on a base to come is refused, and stays so once that base is there.
+	ahead := encode(t, forwarding(12, 2))
+	if status, word := b.applied(9, ahead); status != 409 {
+		t.Errorf("a base to come: %d %+v", status, word)
+	}
+	if status, word := b.applied(5, encode(t, forwarding(9, 1))); !taken(status) {
+		t.Fatal(status, word)
+	}
+	if status, word := b.applied(9, ahead); status != 409 {
+		t.Errorf("the refused one again: %d %+v", status, word)
+	}
+	if status, word := b.applied(9, encode(t, forwarding(13, 2))); !taken(status) {
+		t.Errorf("another on the same base: %d %+v", status, word)
+	}
+}
