--- a/process/replica/actor.go
+++ b/process/replica/actor.go
@@ -331,7 +331,7 @@
 	r.beaten = now
 	r.carryOut(r.core.Step(now, raft.Tick{}))
 	if r.core.Leads() {
-		if next, ok := r.core.Muster(now, r.joins).Next(); ok {
+		if next, ok := r.core.MembershipPlan(now, r.joins).Next(); ok {
 			r.carryOut(r.core.Step(now, raft.ProposeMembership{Membership: next}))
 		}
 	} else {
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -184,13 +184,18 @@
 	return out
 }
 
-// Muster is what a leader's next change of the membership depends on.
-func (c *Core) Muster(now clock.Mark, joins map[raft.MemberID]raft.Member) Muster {
-	return Muster{Self: c.raft.ID(), Current: c.raft.Membership(), Last: c.raft.LastIndex(), Wanted: c.config.Voters, Joins: joins,
+// MembershipPlan is what a leader's next change of the membership depends on.
+func (c *Core) MembershipPlan(now clock.Mark, joins map[raft.MemberID]raft.Member) MembershipPlan {
+	return MembershipPlan{Self: c.raft.ID(), Current: c.raft.Membership(), Last: c.raft.LastIndex(), Wanted: c.config.Voters, Joins: joins,
 		Standing: func(id raft.MemberID) Standing {
 			// Who was heard before this member led has had no reason to speak to it since.
 			said, leaves := c.leaving[id]
-			return Standing{Match: c.raft.MatchOf(id), Silent: now.Since(max(c.heard[id], c.ledSince)), Leaving: leaves && now.Since(said) < leavingFor}
+			match, missing := c.raft.MatchOf(id), 0
+			if match+caughtUpWithin >= c.raft.LastIndex() {
+				// Who lacks more is not ready whatever that holds.
+				missing = c.raft.BytesAfter(match)
+			}
+			return Standing{Match: match, Missing: missing, Silent: now.Since(max(c.heard[id], c.ledSince)), Leaving: leaves && now.Since(said) < leavingFor}
 		}}
 }
 
--- a/process/replica/members.go
+++ b/process/replica/members.go
@@ -22,6 +22,11 @@
 	leavingFor = 2 * time.Second
 	// caughtUpWithin is how many entries a member may lack and still count as caught up.
 	caughtUpWithin = 8
+	// caughtUpBytes is how many bytes those entries may hold: a twentieth of a second on a link of 10 Mbit/s.
+	caughtUpBytes = 64 << 10
+	// identityGone is how long an identity must have been silent before another of the same machine takes its place.
+	// Who lives answers every heartbeat.
+	identityGone = 500 * time.Millisecond
 	// DefaultVoters is how many machines vote where nothing else is said: the group stands losing one.
 	DefaultVoters = 3
 )
@@ -30,14 +35,16 @@
 type Standing struct {
 	// Match is how far its log is known to agree with the leader's.
 	Match raft.Index
+	// Missing is how many bytes the entries hold that it lacks.
+	Missing int
 	// Silent is how long it has said nothing.
 	Silent time.Duration
 	// Leaving says that it stops, for a while or for good.
 	Leaving bool
 }
 
-// Muster is all that a leader's next change of the membership depends on.
-type Muster struct {
+// MembershipPlan is all that a leader's next change of the membership depends on.
+type MembershipPlan struct {
 	Self    raft.MemberID
 	Current raft.Membership
 	Last    raft.Index
@@ -51,68 +58,145 @@
 // Next says the next single step by which those who asked are taken in: first as learners; then, once they
 // have caught up, in the place of the old identity of the same machine, of a voter that fell silent or stops,
 // or where a place is free. A voter is let go only if another stands ready and a majority holds without it, so that a
-// machine that may only be restarting never shrinks the group.
-func (m Muster) Next() (raft.Membership, bool) {
-	if next, ok := m.admit(); ok {
-		return next, true
+// machine that may only be restarting never shrinks the group. Every step differs in one voter from the one before.
+func (p MembershipPlan) Next() (raft.Membership, bool) {
+	ready := p.ready()
+	steps := []func() (raft.Membership, bool){
+		p.admit,
+		func() (raft.Membership, bool) { return p.removeOldIdentity(ready) },
+		p.removeSurplus,
+		func() (raft.Membership, bool) { return p.fillFreePlace(ready) },
+		func() (raft.Membership, bool) { return p.promoteForLeaving(ready) },
+		func() (raft.Membership, bool) { return p.removeAbsent(ready) },
+		p.forgetSilentLearner,
 	}
-	ready := m.ready()
+	for _, step := range steps {
+		if next, ok := step(); ok {
+			return next, true
+		}
+	}
+	return raft.Membership{}, false
+}
+
+// removeOldIdentity lets go of what a machine was before its disk was lost: its new identity says that it is gone.
+func (p MembershipPlan) removeOldIdentity(ready []raft.Member) (raft.Membership, bool) {
 	for _, learner := range ready {
-		for _, old := range m.Current.Members {
-			// The machine itself says that its old identity is gone.
-			if old.ID != learner.ID && old.ID != m.Self && (old.Name == learner.Name || old.Address == learner.Address) && m.holdsWithout(old.ID) {
-				return m.Current.Without(old.ID), true
+		for _, old := range p.Current.Members {
+			sameMachine := old.Name == learner.Name || old.Address == learner.Address
+			if !sameMachine || old.ID == learner.ID || old.ID == p.Self {
+				continue
+			}
+			// One that still speaks is not gone: two machines may have been given one name, and a learner that has
+			// just ended may be the older of two.
+			if p.Standing(old.ID).Silent > identityGone && p.holdsWithout(old.ID) {
+				return p.Current.Without(old.ID), true
 			}
 		}
 	}
-	if voters := len(m.Current.Voters()); voters < m.Wanted && (voters%2 == 0 && len(ready) > 0 || len(ready) > 1) {
-		// An even number of voters stands losing no more than one less would, so they come to be two at a time.
-		learner := ready[0]
-		learner.Voter = true
-		return m.Current.With(learner), true
+	return raft.Membership{}, false
+}
+
+// removeSurplus ends what promoteForLeaving began: the voter that leaves goes, or, if it stays after all, the one that
+// came last.
+func (p MembershipPlan) removeSurplus() (raft.Membership, bool) {
+	voters := p.Current.Voters()
+	if len(voters) <= p.Wanted || len(voters)%2 != 0 {
+		return raft.Membership{}, false
+	}
+	surplus, found := p.mostAbsent()
+	for place := len(voters) - 1; place >= 0 && !found; place-- {
+		surplus, found = voters[place], voters[place] != p.Self
+	}
+	if !found || !p.holdsWithout(surplus) {
+		return raft.Membership{}, false
+	}
+	return p.Current.Without(surplus), true
+}
+
+// fillFreePlace gives a vote where there are too few.
+func (p MembershipPlan) fillFreePlace(ready []raft.Member) (raft.Membership, bool) {
+	voters := len(p.Current.Voters())
+	// An even number of voters stands losing no more than one less would, so they come to be two at a time.
+	if voters < p.Wanted && (voters%2 == 0 && len(ready) > 0 || len(ready) > 1) {
+		return p.promote(ready[0]), true
+	}
+	return raft.Membership{}, false
+}
+
+// promoteForLeaving gives a vote to a learner before the voter that stops loses its own, while that one still
+// answers: so at each moment between any one machine may be lost. Where the voter is silent that order is the worse one,
+// as four voters of whom one is gone need all others.
+func (p MembershipPlan) promoteForLeaving(ready []raft.Member) (raft.Membership, bool) {
+	leaving, found := p.mostAbsent()
+	voters := len(p.Current.Voters())
+	if !found || len(ready) == 0 || p.Standing(leaving).Silent >= aliveWithin || voters < p.Wanted || voters%2 == 0 {
+		return raft.Membership{}, false
 	}
-	if silent, found := m.mostAbsent(); found && len(ready) > 0 && m.holdsWithout(silent) {
-		return m.Current.Without(silent), true
+	return p.promote(ready[0]), true
+}
+
+// removeAbsent lets go of a voter that is silent or stops, to make room for one that stands ready.
+func (p MembershipPlan) removeAbsent(ready []raft.Member) (raft.Membership, bool) {
+	absent, found := p.mostAbsent()
+	if !found || len(ready) == 0 || !p.holdsWithout(absent) {
+		return raft.Membership{}, false
 	}
-	for _, member := range m.Current.Members {
-		if !member.Voter && m.Standing(member.ID).Silent > forgetLearner {
-			return m.Current.Without(member.ID), true
+	return p.Current.Without(absent), true
+}
+
+// forgetSilentLearner lets go of a learner that has long said nothing.
+func (p MembershipPlan) forgetSilentLearner() (raft.Membership, bool) {
+	for _, member := range p.Current.Members {
+		if !member.Voter && p.Standing(member.ID).Silent > forgetLearner {
+			return p.Current.Without(member.ID), true
 		}
 	}
 	return raft.Membership{}, false
 }
 
+func (p MembershipPlan) promote(learner raft.Member) raft.Membership {
+	learner.Voter = true
+	return p.Current.With(learner)
+}
+
 // admit takes in the next of those who asked.
-func (m Muster) admit() (raft.Membership, bool) {
-	for _, id := range slices.Sorted(maps.Keys(m.Joins)) {
-		wanted := m.Joins[id]
-		if _, known := m.Current.Find(id); known {
-			delete(m.Joins, id)
+func (p MembershipPlan) admit() (raft.Membership, bool) {
+	for _, id := range slices.Sorted(maps.Keys(p.Joins)) {
+		wanted := p.Joins[id]
+		if _, known := p.Current.Find(id); known {
+			delete(p.Joins, id)
 			continue
 		}
 		wanted.Voter = false
-		return m.Current.With(wanted), true
+		return p.Current.With(wanted), true
 	}
 	return raft.Membership{}, false
 }
 
 // ready lists the learners that have caught up and speak, the longest in the group first.
-func (m Muster) ready() []raft.Member {
+func (p MembershipPlan) ready() []raft.Member {
 	var out []raft.Member
-	for _, member := range m.Current.Members {
-		standing := m.Standing(member.ID)
-		if !member.Voter && !standing.Leaving && standing.Match > 0 && standing.Match+caughtUpWithin >= m.Last && standing.Silent < aliveWithin {
+	for _, member := range p.Current.Members {
+		standing := p.Standing(member.ID)
+		if !member.Voter && !standing.Leaving && p.caughtUp(standing) && standing.Silent < aliveWithin {
 			out = append(out, member)
 		}
 	}
 	return out
 }
 
+// caughtUp says whether a member lacks no more than one message holds. It need not hold all: the entry that makes it
+// a voter is committed only when a majority of the new voters holds that entry and all before it, so no majority can
+// lack what was acknowledged. What it lacks only holds up the next commit if another is lost at this very moment.
+func (p MembershipPlan) caughtUp(standing Standing) bool {
+	return standing.Match > 0 && standing.Match+caughtUpWithin >= p.Last && standing.Missing <= caughtUpBytes
+}
+
 // mostAbsent finds the voter that has been silent for longest, and for too long, or else one that stops.
-func (m Muster) mostAbsent() (raft.MemberID, bool) {
+func (p MembershipPlan) mostAbsent() (raft.MemberID, bool) {
 	var absent []raft.MemberID
-	for _, id := range m.Current.Voters() {
-		if standing := m.Standing(id); id != m.Self && (standing.Leaving || standing.Silent > silentVoter) {
+	for _, id := range p.Current.Voters() {
+		if standing := p.Standing(id); id != p.Self && (standing.Leaving || standing.Silent > silentVoter) {
 			absent = append(absent, id)
 		}
 	}
@@ -120,19 +204,19 @@
 		return 0, false
 	}
 	return slices.MaxFunc(absent, func(a, b raft.MemberID) int {
-		return cmp.Or(cmp.Compare(m.Standing(a).Silent, m.Standing(b).Silent), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(p.Standing(a).Silent, p.Standing(b).Silent), cmp.Compare(a, b))
 	}), true
 }
 
 // holdsWithout says whether the voters that speak are a majority of those who are left without one.
-func (m Muster) holdsWithout(leaving raft.MemberID) bool {
+func (p MembershipPlan) holdsWithout(leaving raft.MemberID) bool {
 	left, alive := 0, 0
-	for _, id := range m.Current.Voters() {
+	for _, id := range p.Current.Voters() {
 		if id == leaving {
 			continue
 		}
 		left++
-		if id == m.Self || m.Standing(id).Silent < aliveWithin {
+		if id == p.Self || p.Standing(id).Silent < aliveWithin {
 			alive++
 		}
 	}
--- a/process/replica/simulation_test.go
+++ b/process/replica/simulation_test.go
@@ -86,6 +86,11 @@
 	size int
 	// diskTakes is how long each write takes beside the rest.
 	diskTakes time.Duration
+	// plan decides on the next membership; nil stands for the real plan.
+	plan func(MembershipPlan) (raft.Membership, bool)
+	// bytesPerSecond bounds what each machine sends; zero does not. lineFree is when a machine's link is free again.
+	bytesPerSecond int
+	lineFree       map[int]clock.Mark
 }
 
 type simDisk struct {
@@ -191,7 +196,7 @@
 			}
 			n.carryOut(n.core.Step(n.sim.now, raft.Tick{}))
 			if n.core.Leads() {
-				if next, ok := n.core.Muster(n.sim.now, n.joins).Next(); ok {
+				if next, ok := n.sim.nextMembership(n.core.MembershipPlan(n.sim.now, n.joins)); ok {
 					n.carryOut(n.core.Step(n.sim.now, raft.ProposeMembership{Membership: next}))
 				}
 			} else {
@@ -414,11 +419,40 @@
 			if s.faults && s.random.IntN(40) == 0 {
 				delay += s.ms(0, 400)
 			}
-			s.after(delay, func() { to.receive(m) })
+			s.after(delay+n.lineTime(m), func() { to.receive(m) })
 		}
 	}
 }
 
+// nextMembership asks the plan.
+func (s *sim) nextMembership(plan MembershipPlan) (raft.Membership, bool) {
+	if s.plan != nil {
+		return s.plan(plan)
+	}
+	return plan.Next()
+}
+
+// lineTime is how long a message waits for a machine's link, and takes on it.
+func (n *simNode) lineTime(m raft.Message) time.Duration {
+	s := n.sim
+	if s.bytesPerSecond == 0 {
+		return 0
+	}
+	const headBytes = 300
+	size := headBytes
+	for _, entry := range m.Entries {
+		size += len(entry.Data)
+	}
+	if m.Snapshot != nil {
+		size += len(m.Snapshot.Data)
+	}
+	if s.lineFree == nil {
+		s.lineFree = map[int]clock.Mark{}
+	}
+	s.lineFree[n.place] = max(s.lineFree[n.place], s.now) + clock.Mark(time.Duration(size)*time.Second/time.Duration(s.bytesPerSecond))
+	return s.lineFree[n.place].Since(s.now)
+}
+
 func (s *sim) nodeOf(id raft.MemberID) *simNode {
 	for _, n := range s.nodes {
 		if n.id == id {
