--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 LDFLAGS = -ldflags "-X main.version=$(VERSION)"
 
-.PHONY: build vet unit rehearsal test generate
+.PHONY: build vet unit rehearsal test fuzz generate
 
 build:
 	go build $(LDFLAGS) -o bin/ ./cmd/cresspondd ./cmd/cresspond-platform ./cmd/cresspond ./rehearsal/cmd/rehearse
@@ -31,6 +31,17 @@
 
 test: vet rehearsal unit
 
+# How long each fuzz target runs on. Their corpora under testdata/fuzz run with the unit tests.
+FUZZTIME ?= 60s
+
+fuzz:
+	@for package in $$(grep -rl --include='*_test.go' '^func Fuzz' . | xargs -n1 dirname | sort -u); do \
+		for target in $$(grep -h '^func Fuzz' $$package/*_test.go | sed 's/^func \(Fuzz[A-Za-z0-9_]*\).*/\1/'); do \
+			echo "$$package $$target"; \
+			go test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) $$package || exit 1; \
+		done; \
+	done
+
 # Needs protoc, protoc-gen-go and protoc-gen-twirp; what they make is committed.
 generate:
 	protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative wire/fellowapi/fellow.proto
--- /dev/null
+++ b/process/registry/fuzz_test.go
@@ -0,0 +1,60 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/wire/fellowapi"
+)
+
+// FuzzRecords: whatever a peer tells of engines, nothing was heard later than it was told, and it can be learned,
+// judged and told on.
+func FuzzRecords(f *testing.F) {
+	now := clock.Mark(time.Hour)
+	word := tidy(Word{ID: "e", Pool: "p", Address: "10.0.0.1:1", Zone: "z", Slots: 4, Models: []Held{{Model: "m", Adapters: []string{"a"}}}, CallSeq: 3})
+	for _, records := range [][]Record{
+		{{ID: "e", Word: &word, CallSeq: 3, Digest: digestOf(word), Heard: now - clock.Mark(time.Second)}},
+		{{ID: "e", CallSeq: 3, Digest: 7, Leaving: true, Gone: true, Heard: now}},
+		{{ID: "e", Word: &word, CallSeq: 4, Plan: &Plan{Claim: 2, Turn: 3, Retiring: []Target{{"m", ""}}, Coming: []Coming{{Target{"n", ""}, now}}}}},
+	} {
+		data, err := proto.Marshal(&fellowapi.PullReply{RegistryLife: "l", RegistrySeen: 3, Engines: Encode(now, records)})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	// A time so long ago that it does not fit.
+	far, err := proto.Marshal(&fellowapi.PullReply{Engines: []*fellowapi.RegisteredEngine{{Id: "e", HeardMsAgo: 1 << 62, Worded: true, Plan: &fellowapi.EnginePlan{ToldMsAgo: 1 << 61, Coming: []*fellowapi.PlanTarget{{Model: "m", ReadyMs: -1 << 62}}}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(far)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var reply fellowapi.PullReply
+		if proto.Unmarshal(data, &reply) != nil {
+			return
+		}
+		records := Decode(now, reply.Engines)
+		for _, r := range records {
+			if r.ID == "" || r.Heard > now || r.Plan != nil && r.Plan.Told > now {
+				t.Fatalf("%+v was heard later than it was told", r)
+			}
+			if r.Word != nil && (r.Word.Slots < 0 || r.Word.LeaveMs < 0 || r.Word.ColdMs < 0) {
+				t.Fatalf("%+v says less than nothing", r.Word)
+			}
+		}
+		core := NewCore("life", true, time.Second, now)
+		core.Learn(now, "peer", Difference{Cursor: Cursor{Life: reply.RegistryLife, Seen: reply.RegistrySeen}, Records: records}, nil)
+		core.Judge(now, time.Second, Contact{})
+		for id, e := range core.View().Engines {
+			if id == "" || e.ID != ident.EngineID(id) {
+				t.Fatalf("%q is known as %+v", id, e)
+			}
+		}
+		Encode(now, core.Since(Question{}, 1<<20).Records)
+	})
+}
--- /dev/null
+++ b/process/statemachine/sound.go
@@ -0,0 +1,48 @@
+package statemachine
+
+import (
+	"github.com/rotisserie/eris"
+
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/workerid"
+)
+
+// sound says what is wrong with a state that was read; one that is wrong must not be served, nor may it end the
+// process later, when a command first touches what is wrong.
+func (s *State) sound() error {
+	if s.Workers == nil || s.Workers.Tenures == nil || s.Workers.Nodes == nil || s.Workers.Floors == nil || s.Proposals == nil || s.Serving == nil {
+		return eris.New("a part of the state is missing")
+	}
+	if err := soundWorkers(s.Workers); err != nil {
+		return err
+	}
+	for id, proposal := range s.Proposals {
+		switch {
+		case proposal == nil || proposal.ID != id:
+			return eris.Errorf("proposal %q is another or none", id)
+		case proposal.Stage == Rolled && (proposal.Rolled == nil || proposal.Epoch == 0 || proposal.Epoch > s.Epoch()):
+			return eris.Errorf("proposal %q is in force at no epoch", id)
+		}
+	}
+	for place, id := range s.History {
+		// The oldest bundles are forgotten, but not their places.
+		if proposal := s.Proposals[id]; proposal != nil && (proposal.Stage != Rolled || proposal.Epoch != ident.Epoch(place)+1) {
+			return eris.Errorf("epoch %d is proposal %q, which was not put in force with it", place+1, id)
+		}
+	}
+	return nil
+}
+
+// soundWorkers checks that both ways of looking up a worker id lead to each other.
+func soundWorkers(table *workerid.Table) error {
+	if len(table.Tenures) != len(table.Nodes) {
+		return eris.New("the table of worker ids has another number of daemons than of ids")
+	}
+	for worker, tenure := range table.Tenures {
+		back, known := table.Nodes[tenure.NodeID]
+		if worker < 0 || worker > workerid.MaxWorkerID || tenure.WorkerID != worker || !known || back != worker {
+			return eris.Errorf("worker id %d is held by nobody", worker)
+		}
+	}
+	return nil
+}
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/workerid"
 )
@@ -350,6 +352,9 @@
 	if err := json.Unmarshal(data, s); err != nil {
 		return nil, err
 	}
+	if err := s.sound(); err != nil {
+		return nil, eris.Wrap(err, "a snapshot is not sound")
+	}
 	s.Workers.Rebuild()
 	if s.Revision == 0 {
 		// Earlier builds counted no revisions, and each bundle that they put in force would have made one.
--- a/wire/fellowapi/raft.go
+++ b/wire/fellowapi/raft.go
@@ -38,8 +38,9 @@
 			Reject: w.Reject, Hint: raft.Index(w.Hint), ReadMark: w.ReadMark,
 		}
 		for place, entry := range w.Entries {
-			// Entries follow the place they are appended to without a hole, and none is of a later term than its sender's.
-			if entry == nil || entry.Index != w.LogIndex+uint64(place)+1 || entry.Term > w.Term || entry.Kind > uint32(raft.EntryMembership) {
+			// Entries follow the place they are appended to without a hole, and none is of a later term than its sender's,
+			// nor of the term before the first.
+			if entry == nil || entry.Index == 0 || entry.Index != w.LogIndex+uint64(place)+1 || entry.Term == 0 || entry.Term > w.Term || entry.Kind > uint32(raft.EntryMembership) {
 				return nil, false
 			}
 			if raft.EntryKind(entry.Kind) == raft.EntryMembership {
