Fuzz callers' requests, and keep make fuzz from minimizing for a minute

Minimizing an interesting input took up to a minute in which nothing new was tried; it looked like a hang, and a watchdog of two seconds an input showed that none is.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 	@for package in $$(grep -rl --include='*_test.go' '^func Fuzz' . | xargs -n1 dirname | sort -u); do \
 		for target in $$(grep -h '^func Fuzz' $$package/*_test.go | sed 's/^func \(Fuzz[A-Za-z0-9_]*\).*/\1/'); do \
 			echo "$$package $$target"; \
-			go test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) $$package || exit 1; \
+			go test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) -fuzzminimizetime 2s $$package || exit 1; \
 		done; \
 	done
 
--- /dev/null
+++ b/connection/frontdoor/fuzz_test.go
@@ -0,0 +1,48 @@
+package frontdoor
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/epoch/table"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/statemachine"
+	"github.com/cresspond/cresspond/wire/callerapi"
+)
+
+// FuzzGenerate: a caller's request is refused with a status of its own fault, or is one that the table allows, under the
+// attempt id that came.
+func FuzzGenerate(f *testing.F) {
+	bundle := &spec.Spec{Name: "s", Models: []spec.Model{{Name: "m"}}, Routes: []spec.Route{{Name: "r", House: "h", Models: []string{"m"}}},
+		Limits: spec.Limits{MostBodyBytes: 1 << 16, MostDeadlineMs: 60000}}
+	tables := table.Build(1, nil, bundle, statemachine.Closures{})
+	door := New(context.Background(), clock.System{}, func() *table.Table { return tables }, nil)
+	whole, err := json.Marshal(callerapi.Generate{Route: "r", House: "h", Model: "m", Prompt: "p", DeadlineMs: 1000})
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, body := range []string{string(whole), string(whole) + "{}", `null`, `{"route":"r","house":"x","model":"m","prompt":"p","deadlineMs":1}`, `{"deadlineMs":-1}`, `{"unknown":1}`} {
+		f.Add("a1", []byte(body))
+		f.Add("", []byte(body))
+	}
+	f.Fuzz(func(t *testing.T, attempt string, body []byte) {
+		var ctx fasthttp.RequestCtx
+		ctx.Request.Header.SetMethod(fasthttp.MethodPost)
+		ctx.Request.Header.Set(callerapi.HeaderAttempt, attempt)
+		ctx.Request.SetBody(body)
+		request, prompt, wrong := door.read(&ctx)
+		if wrong != nil {
+			if wrong.status < 400 || wrong.status > 413 || wrong.reason == "" {
+				t.Fatalf("%+v", wrong)
+			}
+			return
+		}
+		if request.Attempt != attempt || prompt == "" || request.Route != "r" || request.House != "h" || request.Model != "m" || request.Deadline <= 0 {
+			t.Fatalf("%+v", request)
+		}
+	})
+}
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -682,7 +682,7 @@
 }
 
 // mostEnded is how many ended lives are remembered, the newest: a copy of a call stays on its way for seconds.
-const mostEnded = 256
+const mostEnded = 1024
 
 // endLife takes a life off those that may be serving, for good.
 func (s *State) endLife(node ident.NodeID) {
