--- a/connection/engineconn/early_test.go
+++ b/connection/engineconn/early_test.go
@@ -173,3 +173,21 @@
 		}
 	}
 }
+
+// TestALargeRequestThatWasReadKeepsItsConnection: only what is still due spoils a connection.
+func TestALargeRequestThatWasReadKeepsItsConnection(t *testing.T) {
+	h := newHands()
+	pools := New(h, dialect.Own())
+	e := listen(t, func(conn net.Conn, id string, _, _ int) bool { say(conn, sealed(id, "pong")); return true })
+	for n := range 50 {
+		a := attempt(h, e.address, fmt.Sprint("a", n))
+		a.Body = bytes.Repeat([]byte{'x'}, 1<<20)
+		if outcome, body, err := carry(pools, a); outcome != Answered || body != "pong" || err != nil {
+			t.Fatal(outcome, body, err)
+		}
+	}
+	// On a busy machine the writer may wait for its turn; a connection is lost then, and nothing else.
+	if _, conns := e.seen(); conns > 10 {
+		t.Errorf("%d connections for 50 requests, one after the other", conns)
+	}
+}
--- a/connection/engineconn/sending.go
+++ b/connection/engineconn/sending.go
@@ -1,6 +1,8 @@
 package engineconn
 
 import (
+	"time"
+
 	"github.com/valyala/bytebufferpool"
 )
 
@@ -57,6 +59,24 @@
 // nothingLeft says whether the write failed before any byte was taken.
 func (s *sending) nothingLeft() bool { return s.over() && s.err != nil && s.sent == 0 }
 
+// writeEnds is how long the end of a write is waited for once the answer has come: where the engine has read all of a
+// request, only the writer's turn of the processor is still missing.
+const writeEnds = 5 * time.Millisecond
+
 // complete says whether all of the request was taken; only then may another follow on its connection. No request
 // at all leaves nothing due.
-func (s *sending) complete() bool { return s == nil || s.over() && s.err == nil }
+func (s *sending) complete() bool {
+	if s == nil {
+		return true
+	}
+	if !s.over() {
+		timer := time.NewTimer(writeEnds)
+		defer timer.Stop()
+		select {
+		case <-s.done:
+		case <-timer.C:
+			return false
+		}
+	}
+	return s.err == nil
+}
