Take no engine's answer in a version of HTTP other than 1.0 and 1.1

Found by FuzzEngineAnswer after 31 s: an HTTP/1.2 head with a length and with chunks was read by its length, where the standard library reads chunks, so a body of other bytes counted as whole. In 1.1 both read chunks.

--- a/connection/engineconn/engineconn.go
+++ b/connection/engineconn/engineconn.go
@@ -473,6 +473,11 @@
 		a.pools.Counters.Junk.Add(1)
 		return Junk, "the engine sent what is no answer"
 	}
+	if protocol := string(a.response.Header.Protocol()); protocol != "HTTP/1.1" && protocol != "HTTP/1.0" {
+		// Readers differ on where a body of any other version ends.
+		a.pools.Counters.Junk.Add(1)
+		return Junk, "the engine answered in another protocol"
+	}
 	if a.response.StatusCode() < fasthttp.StatusOK {
 		// Interim answers were passed over, so it is a change of protocol, which nobody asked for.
 		a.pools.Counters.Junk.Add(1)
