Know by its lease which life of a daemon serves, when calls to enlist come late

Remembering every followed life as over had a fault of its own: where a follower's call had overtaken its forerunner's, a copy of it was refused, and a sound process would have stepped aside. Names of lives have no order, so of two calls either may be the late one; but a life that is over renews no lease of its worker id. A call of a life that was followed is passed over where the follower has the later lease; a life that was taken to be followed serves again as soon as its lease is granted or renewed and is the later one. One that released its id has stopped, and stays so.

--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -308,7 +308,7 @@
 	// nor been followed by another life of its name, nor been declared lost.
 	Serving map[ident.NodeID]Serving `json:"serving,omitempty"`
 	// Ended lists the newest lives that have stopped or were followed, so that no late ENLIST takes one up again.
-	Ended []ident.NodeID `json:"ended,omitempty"`
+	Ended []EndedLife `json:"ended,omitempty"`
 	// Left lists the engines that said they leave, the newest last; Leaves counts all there ever were.
 	Left   []Left `json:"left,omitempty"`
 	Leaves uint64 `json:"leaves,omitempty"`
@@ -395,12 +395,16 @@
 	span := time.Duration(c.SpanMs) * time.Millisecond
 	switch c.Op {
 	case OpAcquire:
-		return grantResult(s.Workers.Acquire(c.NodeID, s.Now, span))
+		grant, verdict := s.Workers.Acquire(c.NodeID, s.Now, span)
+		s.confirmLife(c.NodeID, verdict)
+		return grantResult(grant, verdict)
 	case OpRenew:
-		return grantResult(s.Workers.Renew(c.NodeID, c.WorkerID, s.Now, span))
+		grant, verdict := s.Workers.Renew(c.NodeID, c.WorkerID, s.Now, span)
+		s.confirmLife(c.NodeID, verdict)
+		return grantResult(grant, verdict)
 	case OpRelease:
 		// Whoever lets go of its worker id has stopped serving.
-		s.endLife(c.NodeID)
+		s.endLife(c.NodeID, true)
 		if s.Workers.Release(c.NodeID, c.WorkerID, c.Last) == workerid.Mismatch {
 			return Result{Verdict: Mismatch}
 		}
@@ -666,34 +670,17 @@
 	if _, lost := s.Closures.Lost[c.NodeID]; lost {
 		return Result{Verdict: Forbidden, Reason: "this daemon was declared lost"}
 	}
-	if slices.Contains(s.Ended, c.NodeID) {
-		// A copy that comes late: taken, it would put the life that followed out of sight.
-		return Result{Verdict: Forbidden, Reason: "this life of the daemon has ended"}
-	}
-	for other := range s.Serving {
-		if other != c.NodeID && other.Name() == c.NodeID.Name() {
-			s.endLife(other)
-		}
-	}
-	if _, known := s.Serving[c.NodeID]; !known {
-		s.Serving[c.NodeID] = Serving{Address: c.Address, Since: s.Now}
+	if ended, found := s.endedLife(c.NodeID); found && ended.Stopped {
+		// A copy that comes late.
+		return Result{Verdict: Forbidden, Reason: "this life of the daemon has stopped"}
+	} else if found && s.outlived(c.NodeID) {
+		// Taken, it would put the life that followed out of sight.
+		return Result{Verdict: Done}
 	}
+	s.serve(c.NodeID, c.Address)
 	return Result{Verdict: Done}
 }
 
-// mostEnded is how many ended lives are remembered, the newest: a copy of a call stays on its way for seconds.
-const mostEnded = 1024
-
-// endLife takes a life off those that may be serving, for good.
-func (s *State) endLife(node ident.NodeID) {
-	if _, serving := s.Serving[node]; !serving {
-		return
-	}
-	delete(s.Serving, node)
-	// A new list, so that whoever holds the old one may go on reading it.
-	s.Ended = append(slices.Clone(s.Ended[max(0, len(s.Ended)-mostEnded+1):]), node)
-}
-
 // lose takes an operator's word that a daemon will never serve again.
 func (s *State) lose(c Command) Result {
 	if _, already := s.Closures.Lost[c.Lost]; already {
