--- a/rehearsal/platformkit/day/traffic.go
+++ b/rehearsal/platformkit/day/traffic.go
@@ -36,8 +36,13 @@
 
 const host = "ci.example"
 
-// leaverEach is of how many requests one is left by its client before long.
-const leaverEach = 19
+const (
+	// leaverEach is of how many requests one is left by its client before long, leaverTokens how many it asks for.
+	leaverEach, leaverTokens = 19, 600
+	// outlastEach is of how many requests one outlasts its route's deadline, where its kind can: the client waits for
+	// longer, and asks for more than an engine says by then.
+	outlastEach, outlastTokens = 37, 9000
+)
 
 // send starts all kinds of requests; they come at random times whatever becomes of those before.
 func (d *Day) send(ctx context.Context) {
@@ -74,7 +79,7 @@
 		Body: bytes.Repeat([]byte{byte('a' + number%26)}, 20+random.IntN(3000)), Chunked: random.IntN(2) == 0, Class: k.class, Resumable: k.resumable, Deadline: k.deadline, Aim: k.aim, Gap: 400 * ms, Tries: k.tries,
 		Impatient: random.IntN(20) == 0}
 	if number%leaverEach == 0 {
-		r.LeavesAfter = 100*ms + time.Duration(number*37%1400)*ms
+		r.LeavesAfter = 60*ms + time.Duration(number*37%800)*ms
 	}
 	if k.out > 0 {
 		// Few models are asked for often, and more seldom.
@@ -83,6 +88,12 @@
 		r.Session = fmt.Sprintf("%s-%d-%d", k.name, model, session)
 		r.Prompt = form.Prompt{Model: modelName(model), TokensIn: k.in, TokensOut: 2 + random.IntN(2*k.out-2),
 			Parts: []form.Part{{ID: fmt.Sprintf("%x", 0xa000+model), Tokens: k.in / 3}, {ID: fmt.Sprintf("%x", 0xb0000+model*100+session), Tokens: k.in - k.in/3}}}
+		switch {
+		case r.LeavesAfter > 0:
+			r.Prompt.TokensOut = leaverTokens
+		case number%outlastEach == 0 && k.resumable:
+			r.Prompt.TokensOut, r.Deadline = outlastTokens, 2*k.deadline
+		}
 		if random.IntN(8) == 0 {
 			r.Prompt.Adapter = fmt.Sprintf("a%d", 1+random.IntN(2))
 		}
