Ask every seed in turn, also where their number is even

Cause: a daemon that knows no control daemon asks a seed in place of a link, and one more since it is in trouble, and both went by one count. It rose by two each beat, so that of two seeds always the same was asked, and of four or six every other one: with that one down, a fresh daemon never found the fleet.

Each way has a count of its own. Before, of two seeds the first was never asked within 3 s; after, each place of one to six seeds is found (21 cases).

--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -160,7 +160,9 @@
 	// waited says that the last question to the planner told of something that waits here.
 	waited   bool
 	waiters  []*waiter
+	// seedTurn and linkTurn count the seeds asked, now and then and in place of links.
 	seedTurn int
+	linkTurn int
 	beats    int
 	row      Row
 	planner  string
@@ -323,8 +325,9 @@
 func (m *Membership) links(now clock.Mark) []string {
 	links := m.core.Links(now, m.next.LeaderAddress, m.planner)
 	if seeds := m.seeds(); len(links) == 0 && len(seeds) > 0 {
-		m.seedTurn++
-		return []string{seeds[m.seedTurn%len(seeds)]}
+		// A turn of its own: two of one count would pass by every other seed of an even number.
+		m.linkTurn++
+		return []string{seeds[m.linkTurn%len(seeds)]}
 	}
 	return links
 }
