Let callers' connections rest for as long as the bundle in force allows

Cause: kept connections were closed after a minute of rest, whatever the bundle said. Clients may take one up after four fifths of its idle time, so where that is over 75 s they met closed ones.

The end of a rest is put off by what the bundle in force allows beyond the minute, ten minutes at most, each time a connection comes to rest. A request still has 20 s to be read. Ruled out: a longer limit for all, since each connection at rest keeps its buffers.

Also: an engine that answers before it has read the body is held by a test to get the rest of it, and the next request behind that.

--- a/connection/gateway/deadline_test.go
+++ b/connection/gateway/deadline_test.go
@@ -1,9 +1,15 @@
 package gateway
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
+	"runtime"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -87,6 +93,69 @@
 	}
 }
 
+// TestAnEngineThatAnswersEarlyGetsTheRestOfTheBody: it reads on behind its answer, and finds there what is due, and
+// then the next request from its beginning.
+func TestAnEngineThatAnswersEarlyGetsTheRestOfTheBody(t *testing.T) {
+	const size = 1 << 20
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	var mutex sync.Mutex
+	ran := map[string]string{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.CopyN(io.Discard, request.Body, size/8)
+					id := request.Header.Get("X-Attempt-Id")
+					_, _ = io.WriteString(conn, whole(id, "early"))
+					// It reads on later, when the answer is long with the caller.
+					<-time.After(20 * time.Millisecond)
+					rest, err := io.ReadAll(request.Body)
+					mutex.Lock()
+					ran[id] = fmt.Sprintf("%s %d %v %v", request.RequestURI, len(rest), len(bytes.Trim(rest, id[:1])), err)
+					mutex.Unlock()
+				}
+			}()
+		}
+	}()
+	engine := &standIn{id: "e1", listener: listener}
+	f := newFixture(t, engine)
+	for n := range 8 {
+		id := string(rune('a'+n)) + "1"
+		if got := f.call(ask("again", id, strings.Repeat(id[:1], size))); got.status != 200 || got.body != "early" || got.head.Get("X-Attempt-Id") != id {
+			t.Errorf("%s: %+v", id, got)
+		}
+	}
+	f.pools.Sweep(func(ident.EngineID) bool { return false })
+	for {
+		mutex.Lock()
+		done := len(ran) == 8
+		mutex.Unlock()
+		if done {
+			break
+		}
+		runtime.Gosched()
+	}
+	for id, saw := range ran {
+		if saw != fmt.Sprintf("/again/x?q=%%41 %d 0 <nil>", size-size/8) {
+			t.Errorf("%s: %s", id, saw)
+		}
+	}
+}
+
 // TestWhatClientsSayOfTheirWorkGoesUnchanged: the fields that say how much work a request is are read, and left.
 func TestWhatClientsSayOfTheirWorkGoesUnchanged(t *testing.T) {
 	for _, fields := range [][3]string{
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -245,6 +245,9 @@
 		callerListener = &gatedListener{Listener: callerListener, gate: d.callers}
 		time.AfterFunc(acceptLimit, d.callers.open)
 	}
+	if d.forwards() {
+		callerListener = &restingListener{Listener: callerListener, read: callerReadLimit, usual: restLimit, rest: d.callerRest}
+	}
 	defer callerListener.Close()
 	var operatorListener, readyListener net.Listener
 	if d.config.OperatorListen != "" {
@@ -431,8 +434,8 @@
 // server is one listener's server.
 func (d *Daemon) server(handle fasthttp.RequestHandler, limits func(*fasthttp.RequestHeader) fasthttp.RequestConfig) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: handle, Name: "cresspond", MaxRequestBodySize: mostCallerBody, HeaderReceived: limits, ReadTimeout: 20 * time.Second, WriteTimeout: 5 * time.Minute,
-		IdleTimeout: time.Minute, NoDefaultServerHeader: true, Concurrency: mostConnections(d.config.Machine.MostFds), CloseOnShutdown: true, Logger: quiet{}, ReadBufferSize: mostHeader,
+		Handler: handle, Name: "cresspond", MaxRequestBodySize: mostCallerBody, HeaderReceived: limits, ReadTimeout: callerReadLimit, WriteTimeout: 5 * time.Minute,
+		IdleTimeout: restLimit, NoDefaultServerHeader: true, Concurrency: mostConnections(d.config.Machine.MostFds), CloseOnShutdown: true, Logger: quiet{}, ReadBufferSize: mostHeader,
 		// A form is some caller's body like any other, and goes on byte for byte.
 		ErrorHandler: badRequest, DisablePreParseMultipartForm: true,
 	}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -158,8 +158,8 @@
 	solid   atomic.Uint64
 	asking  map[question]bool
 	// waited says that the last question to the planner told of something that waits here.
-	waited   bool
-	waiters  []*waiter
+	waited  bool
+	waiters []*waiter
 	// seedTurn and linkTurn count the seeds asked, now and then and in place of links.
 	seedTurn int
 	linkTurn int
