--- a/process/daemon/routing.go
+++ b/process/daemon/routing.go
@@ -474,7 +474,7 @@
 			in.Demand = append(in.Demand, placement.Demand(demand))
 		}
 		for _, seat := range snapshot.Seats {
-			in.Seats = append(in.Seats, placement.Seats(seat))
+			in.Assignments = append(in.Assignments, placement.Assignments(seat))
 		}
 	}
 	p.fleetMutex.Lock()
@@ -493,7 +493,7 @@
 			})
 		}
 		for _, seat := range heard.Seats {
-			in.Seats = append(in.Seats, placement.Seats{Engine: ident.EngineID(seat.Engine), Model: seat.Model, Adapter: seat.Adapter, Sessions: int(seat.Sessions)})
+			in.Assignments = append(in.Assignments, placement.Assignments{Engine: ident.EngineID(seat.Engine), Model: seat.Model, Adapter: seat.Adapter, Sessions: int(seat.Sessions)})
 		}
 	}
 	return in
--- a/process/placement/actor.go
+++ b/process/placement/actor.go
@@ -18,7 +18,7 @@
 type Surroundings interface {
 	// Input gives what the plan looks at.
 	Input() Input
-	// Claim asks the group for the claim, or for more time under it, and tells what was ordered.
+	// Claim asks the group for the claim, or for more time under it, and reports what was ordered.
 	Claim(ctx context.Context, orders map[ident.EngineID]uint64, turn uint64) (*statemachine.Claim, bool)
 	// Mint stamps an order.
 	Mint() (ident.MintedID, snowflake.Outcome)
@@ -41,14 +41,14 @@
 type Actor struct {
 	around    Surroundings
 	clock     clock.Clock
-	box       *actor.Mailbox[any]
+	mailbox   *actor.Mailbox[any]
 	planner   *Planner
 	claim     *claim.Holder
 	asking    bool
 	askedAt   clock.Mark
 	condition atomic.Pointer[Condition]
 	stopped   bool
-	// turn numbers what the group is told of the orders.
+	// turn numbers what the group has been sent of the orders.
 	turn uint64
 }
 
@@ -76,7 +76,7 @@
 
 // NewActor makes the actor.
 func NewActor(around Surroundings, c clock.Clock) *Actor {
-	a := &Actor{around: around, clock: c, box: actor.NewMailbox[any](64), planner: NewPlanner(), claim: claim.NewHolder(c, claimMargin)}
+	a := &Actor{around: around, clock: c, mailbox: actor.NewMailbox[any](64), planner: NewPlanner(), claim: claim.NewHolder(c, claimMargin)}
 	a.condition.Store(&Condition{})
 	return a
 }
@@ -86,31 +86,31 @@
 
 // Run runs the actor until ctx ends.
 func (a *Actor) Run(ctx context.Context) {
-	a.box.Run(ctx, planEvery, func(event any) { a.take(event) }, func() { a.beat(ctx) })
+	a.mailbox.Run(ctx, planEvery, func(event any) { a.take(event) }, func() { a.tick(ctx) })
 }
 
 // StandDown gives up planning for good; it returns when no further order can leave.
 func (a *Actor) StandDown() {
 	done := make(chan struct{})
-	if a.box.Send(standDown{done}) {
+	if a.mailbox.Send(standDown{done}) {
 		select {
 		case <-done:
-		case <-a.box.Done():
+		case <-a.mailbox.Done():
 		}
 	}
 }
 
-func (a *Actor) beat(ctx context.Context) {
+func (a *Actor) tick(ctx context.Context) {
 	now := a.clock.Elapsed()
 	number, held := a.claim.Held()
 	if !a.stopped && !a.asking && now.Since(a.askedAt) >= renewEvery && a.around.MayStand() {
 		a.asking, a.askedAt = true, now
-		orders, turn := a.tell(held)
+		orders, turn := a.announce(held)
 		go func() {
 			bounded, cancel := context.WithTimeout(ctx, renewEvery)
 			defer cancel()
 			claim, ok := a.around.Claim(bounded, orders, turn)
-			a.box.Send(claimed{now, claim, ok})
+			a.mailbox.Send(claimed{now, claim, ok})
 		}()
 	}
 	if held {
@@ -120,8 +120,8 @@
 	a.condition.Store(&Condition{Claim: number, Held: held, InFlight: len(a.planner.inFlight), Lacks: a.planner.Lacks, Counters: a.planner.Counters})
 }
 
-// tell is what the group is told of the orders given so far.
-func (a *Actor) tell(held bool) (orders map[ident.EngineID]uint64, turn uint64) {
+// announce is what the group has been sent of the orders given so far.
+func (a *Actor) announce(held bool) (orders map[ident.EngineID]uint64, turn uint64) {
 	if !held {
 		return nil, 0
 	}
@@ -129,8 +129,8 @@
 	return a.planner.Ordered(), a.turn
 }
 
-// tellLimit bounds the wait until the group has written down that orders are about to leave.
-const tellLimit = 1500 * time.Millisecond
+// announceLimit bounds the wait until the group has written down that orders are about to leave.
+const announceLimit = 1500 * time.Millisecond
 
 func (a *Actor) plan(ctx context.Context, number ident.ClaimNumber) {
 	given := a.planner.Step(a.around.Input())
@@ -139,21 +139,21 @@
 	}
 	// The group knows of an order before it leaves: a successor whose reports lag behind must not order as if
 	// it had not been given, however this daemon ends.
-	orders, turn := a.tell(true)
-	told := make(chan bool, len(given))
+	orders, turn := a.announce(true)
+	announced := make(chan bool, len(given))
 	go func() {
-		bounded, cancel := context.WithTimeout(ctx, tellLimit)
+		bounded, cancel := context.WithTimeout(ctx, announceLimit)
 		defer cancel()
 		claim, ok := a.around.Claim(bounded, orders, turn)
 		ok = ok && claim.Number == number
 		for range given {
-			told <- ok
+			announced <- ok
 		}
 	}()
 	for _, directed := range given {
-		stamp, verdict := a.around.Mint()
-		if verdict != snowflake.Minted {
-			// Without a tenure nothing may be ordered.
+		stamp, outcome := a.around.Mint()
+		if outcome != snowflake.Minted {
+			// Without a lease on a worker id nothing may be ordered.
 			a.planner.Withdraw(directed.Engine)
 			continue
 		}
@@ -162,12 +162,12 @@
 			continue
 		}
 		go func() {
-			if !<-told {
-				a.box.Send(answered{directed.Engine, order, nil, false})
+			if !<-announced {
+				a.mailbox.Send(answered{directed.Engine, order, nil, false})
 				return
 			}
 			answer, sent := a.around.Order(ctx, directed.Address, order, orderLimit, func() bool { return a.claim.Commands(number) })
-			a.box.Send(answered{directed.Engine, order, answer, sent})
+			a.mailbox.Send(answered{directed.Engine, order, answer, sent})
 		}()
 	}
 }
--- a/process/placement/adapter.go
+++ b/process/placement/adapter.go
@@ -7,7 +7,7 @@
 	"github.com/cresspond/cresspond/wire/engineapi"
 )
 
-func (p *Planner) serveAdapter(in Input, w wanted) (Directed, bool) {
+func (p *Planner) serveAdapter(in Input, w shortage) (Directed, bool) {
 	var full *engines.Engine
 	for _, id := range sortedIDs(in.Engines) {
 		engine := in.Engines.Engines[id]
@@ -17,7 +17,7 @@
 		}
 		allowed, _ := in.Table.Engine(id)
 		if adapters(engine) < allowed.AdapterPlaces {
-			return p.give(in, engine, engineapi.Order{Kind: engineapi.LoadAdapter, Model: w.model, Adapter: w.adapter}), true
+			return p.issue(in, engine, engineapi.Order{Kind: engineapi.LoadAdapter, Model: w.model, Adapter: w.adapter}), true
 		}
 		if full == nil {
 			full = engine
@@ -26,13 +26,13 @@
 	if full == nil {
 		return Directed{}, false
 	}
-	// All places are taken: the adapter that is worth least makes way, unless someone sits with it.
+	// All places are taken: the adapter that is worth least makes way, unless a session is assigned to it.
 	var bestModel, bestAdapter string
 	var bestCost int64 = -1
 	for _, held := range full.Report.Models {
 		for _, adapter := range held.Adapters {
-			cost := p.cost(in, want{held.Model, adapter})
-			if p.seated(in, full.ID, held.Model, adapter) || cost >= w.worth || bestCost >= 0 && cost >= bestCost {
+			cost := p.cost(in, item{held.Model, adapter})
+			if p.assigned(in, full.ID, held.Model, adapter) || cost >= w.worth || bestCost >= 0 && cost >= bestCost {
 				continue
 			}
 			bestModel, bestAdapter, bestCost = held.Model, adapter, cost
@@ -41,7 +41,7 @@
 	if bestCost < 0 {
 		return Directed{}, false
 	}
-	return p.give(in, full, engineapi.Order{Kind: engineapi.UnloadAdapter, Model: bestModel, Adapter: bestAdapter}), true
+	return p.issue(in, full, engineapi.Order{Kind: engineapi.UnloadAdapter, Model: bestModel, Adapter: bestAdapter}), true
 }
 
 func adapters(engine *engines.Engine) int {
--- a/process/placement/input.go
+++ b/process/placement/input.go
@@ -7,15 +7,15 @@
 	"github.com/cresspond/cresspond/process/ident"
 )
 
-// Demand is what the whole fleet holds or runs for one model and adapter.
+// Demand is what the whole fleet queues or runs for one model and adapter.
 type Demand struct {
 	Model, Adapter  string
 	Worth           int64
 	Queued, Running int
 }
 
-// Seats counts the sessions that sit on an engine with a model and adapter.
-type Seats struct {
+// Assignments counts the sessions that are assigned to an engine with a model and adapter.
+type Assignments struct {
 	Engine         ident.EngineID
 	Model, Adapter string
 	Sessions       int
@@ -23,9 +23,9 @@
 
 // Input is what one step looks at.
 type Input struct {
-	Now     clock.Mark
-	Table   *table.Table
-	Engines *engines.View
-	Demand  []Demand
-	Seats   []Seats
+	Now         clock.Mark
+	Table       *table.Table
+	Engines     *engines.View
+	Demand      []Demand
+	Assignments []Assignments
 }
--- a/process/placement/lack.go
+++ b/process/placement/lack.go
@@ -20,8 +20,8 @@
 const longestWait = time.Minute
 
 // lack notes how long something wanted will have to wait. Of all that could make way for it, the one that
-// is soonest free counts; but each want that is served before it takes one of those.
-func (p *Planner) lack(in Input, w wanted) {
+// is soonest free counts; but each shortage that is served before it takes one of those.
+func (p *Planner) lack(in Input, w shortage) {
 	ahead := 0
 	for _, other := range p.Lacks {
 		if (other.Adapter == "") == (w.adapter == "") {
@@ -38,7 +38,7 @@
 }
 
 // waysFor lists, for each thing that could make way, after how long it may.
-func (p *Planner) waysFor(in Input, w wanted) []time.Duration {
+func (p *Planner) waysFor(in Input, w shortage) []time.Duration {
 	var out []time.Duration
 	model, _ := in.Table.Model(w.model)
 	for _, id := range sortedIDs(in.Engines) {
@@ -68,10 +68,10 @@
 			out = append(out, 0)
 		default:
 			for _, other := range engine.Report.Models {
-				stayed := in.Now.Since(p.since[place{engine: id, model: other.Model}])
+				stayed := in.Now.Since(p.since[placed{engine: id, model: other.Model}])
 				way := max(p.wayOf(in, w, id, other.Model, ""), minStay-stayed)
-				if p.cost(in, want{model: other.Model}) == w.worth {
-					way = max(way, turnStay-stayed, turnAfter-in.Now.Since(p.lackSince[w.want]))
+				if p.cost(in, item{model: other.Model}) == w.worth {
+					way = max(way, turnStay-stayed, turnAfter-in.Now.Since(p.lackingSince[w.item]))
 				}
 				out = append(out, way)
 			}
@@ -80,14 +80,14 @@
 	return out
 }
 
-func (p *Planner) waysOfAdapters(in Input, engine *engines.Engine, w wanted) []time.Duration {
+func (p *Planner) waysOfAdapters(in Input, engine *engines.Engine, w shortage) []time.Duration {
 	var out []time.Duration
 	for _, held := range engine.Report.Models {
 		for _, adapter := range held.Adapters {
 			way := p.wayOf(in, w, engine.ID, held.Model, adapter)
-			if p.cost(in, want{held.Model, adapter}) == w.worth {
+			if p.cost(in, item{held.Model, adapter}) == w.worth {
 				// Adapters of equal bids take no turns; the one there stays while it is asked for.
-				way = max(way, half(in.Now, p.wantedSince[want{held.Model, adapter}]))
+				way = max(way, half(in.Now, p.requestedSince[item{held.Model, adapter}]))
 			}
 			out = append(out, way)
 		}
@@ -95,14 +95,14 @@
 	return out
 }
 
-// wayOf says for how long a higher bid or a seat is likely to keep something where it is. What has lasted
+// wayOf says for how long a higher bid or a session is likely to keep something where it is. What has lasted
 // for a while is taken to last half as long again: then two in three do.
-func (p *Planner) wayOf(in Input, w wanted, engine ident.EngineID, model, adapter string) time.Duration {
+func (p *Planner) wayOf(in Input, w shortage, engine ident.EngineID, model, adapter string) time.Duration {
 	way := time.Duration(0)
-	if key := (want{model, adapter}); p.cost(in, key) > w.worth {
-		way = half(in.Now, p.wantedSince[key])
+	if key := (item{model, adapter}); p.cost(in, key) > w.worth {
+		way = half(in.Now, p.requestedSince[key])
 	}
-	if since, sat := p.seatedSince[place{engine, model, adapter}]; sat {
+	if since, assigned := p.assignedSince[placed{engine, model, adapter}]; assigned {
 		way = max(way, half(in.Now, since))
 	}
 	return way
--- a/process/placement/load.go
+++ b/process/placement/load.go
@@ -15,50 +15,58 @@
 }
 
 // serve finds the one order that brings what is wanted nearer.
-func (p *Planner) serve(in Input, w wanted) (Directed, bool) {
+func (p *Planner) serve(in Input, w shortage) (Directed, bool) {
 	if w.adapter != "" {
 		return p.serveAdapter(in, w)
 	}
 	model, _ := in.Table.Model(w.model)
-	zones := map[ident.ZoneID]int{}
-	for id, engine := range in.Engines.Engines {
-		if _, present := find(engine, w.model); present {
-			allowed, _ := in.Table.Engine(id)
-			zones[allowed.Zone]++
+	if target := p.loadTarget(in, w, model.Size); target != nil {
+		if !p.storeAllows(in, w.idle) {
+			return Directed{}, false
 		}
+		p.lastLoad, p.loaded = in.Now, true
+		return p.issue(in, target, engineapi.Order{Kind: engineapi.Load, Model: w.model}), true
 	}
+	if w.idle || p.unloading(in) {
+		return Directed{}, false
+	}
+	return p.evict(in, w, model.Size)
+}
+
+// loadTarget picks the engine that is to load a model: one in a zone with the fewest replicas, then the one with the
+// most room. It gives nil where no engine has the room.
+func (p *Planner) loadTarget(in Input, w shortage, size int64) *engines.Engine {
+	replicas := replicasByZone(in, w.model)
 	var best *engines.Engine
-	var bestKey [3]int64
+	var bestKey [2]int64
 	for _, id := range sortedIDs(in.Engines) {
 		engine := in.Engines.Engines[id]
-		if !p.free(in, engine, w) {
-			continue
-		}
-		if _, present := find(engine, w.model); present {
+		if _, present := find(engine, w.model); present || !p.free(in, engine, w) {
 			continue
 		}
-		allowed, _ := in.Table.Engine(id)
 		room := p.room(in, engine)
-		// A zone that has no replica yet goes first, then the engine with the most room.
-		key := [3]int64{int64(zones[allowed.Zone]), -room, 0}
-		if room < model.Size {
+		if room < size {
 			continue
 		}
+		allowed, _ := in.Table.Engine(id)
+		key := [2]int64{int64(replicas[allowed.Zone]), -room}
 		if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
 			best, bestKey = engine, key
 		}
 	}
-	if best != nil {
-		if !p.storeAllows(in, w.idle) {
-			return Directed{}, false
+	return best
+}
+
+// replicasByZone counts the engines of each zone that hold a model.
+func replicasByZone(in Input, model string) map[ident.ZoneID]int {
+	replicas := map[ident.ZoneID]int{}
+	for id, engine := range in.Engines.Engines {
+		if _, present := find(engine, model); present {
+			allowed, _ := in.Table.Engine(id)
+			replicas[allowed.Zone]++
 		}
-		p.lastLoad, p.loaded = in.Now, true
-		return p.give(in, best, engineapi.Order{Kind: engineapi.Load, Model: w.model}), true
-	}
-	if w.idle || p.unloading(in) {
-		return Directed{}, false
 	}
-	return p.evict(in, w, model.Size)
+	return replicas
 }
 
 func sortedIDs(view *engines.View) []ident.EngineID {
@@ -71,10 +79,10 @@
 }
 
 // free says whether this engine could be given an order about what is wanted.
-func (p *Planner) free(in Input, engine *engines.Engine, w wanted) bool {
-	_, resting := p.restful[place{engine.ID, w.model, w.adapter}]
-	_, untold := p.inherited[engine.ID]
-	return p.commandable(in, engine) && p.inFlight[engine.ID] == nil && !resting && !untold
+func (p *Planner) free(in Input, engine *engines.Engine, w shortage) bool {
+	_, resting := p.blockedUntil[placed{engine.ID, w.model, w.adapter}]
+	_, inherited := p.inherited[engine.ID]
+	return p.commandable(in, engine) && p.inFlight[engine.ID] == nil && !resting && !inherited
 }
 
 // room is what is left on an engine, counting all that is loaded, coming, or not yet surely gone.
@@ -89,9 +97,9 @@
 			return 0
 		}
 	}
-	if flight := p.inFlight[engine.ID]; flight != nil && flight.Kind == engineapi.Load {
-		if _, shown := find(engine, flight.Model); !shown {
-			model, _ := in.Table.Model(flight.Model)
+	if inFlight := p.inFlight[engine.ID]; inFlight != nil && inFlight.Kind == engineapi.Load {
+		if _, shown := find(engine, inFlight.Model); !shown {
+			model, _ := in.Table.Model(inFlight.Model)
 			left -= model.Size
 		}
 	}
@@ -110,8 +118,8 @@
 				shown = held.Model
 			}
 		}
-		_, untold := p.inherited[id]
-		if flight := p.inFlight[id]; flight != nil && flight.Kind == engineapi.Load && flight.Model != shown || untold && shown == "" {
+		_, inherited := p.inherited[id]
+		if inFlight := p.inFlight[id]; inFlight != nil && inFlight.Kind == engineapi.Load && inFlight.Model != shown || inherited && shown == "" {
 			loading++
 		}
 	}
--- a/process/placement/memory.go
+++ b/process/placement/memory.go
@@ -1,11 +1,19 @@
 package placement
 
-// remember keeps when models came and when they were wanted.
+// remember keeps when models came, when they were asked for and when sessions were assigned to them.
 func (p *Planner) remember(in Input) {
-	seen := map[place]bool{}
+	p.rememberModels(in)
+	p.rememberRequests(in)
+	p.rememberAssignments(in)
+	p.unblock(in)
+}
+
+// rememberModels keeps since when each model has been seen on each engine.
+func (p *Planner) rememberModels(in Input) {
+	seen := map[placed]bool{}
 	for id, engine := range in.Engines.Engines {
 		for _, held := range engine.Report.Models {
-			key := place{engine: id, model: held.Model}
+			key := placed{engine: id, model: held.Model}
 			seen[key] = true
 			if _, known := p.since[key]; !known {
 				p.since[key] = in.Now
@@ -17,39 +25,51 @@
 			delete(p.since, key)
 		}
 	}
+}
+
+// rememberRequests keeps when each item was last asked for, for what worth, and since when without a quiet spell.
+func (p *Planner) rememberRequests(in Input) {
 	for _, demand := range in.Demand {
 		if demand.Queued+demand.Running == 0 {
 			continue
 		}
-		for _, key := range []want{{demand.Model, ""}, {demand.Model, demand.Adapter}} {
-			old := p.wantedAt[key]
+		for _, key := range itemsOf(demand) {
+			old := p.requestedAt[key]
 			worth := demand.Worth
 			if in.Now.Since(old.at) < quietFor {
 				worth = max(worth, old.worth)
 			}
-			if _, known := p.wantedSince[key]; !known || in.Now.Since(old.at) >= quietFor {
-				p.wantedSince[key] = in.Now
+			if _, known := p.requestedSince[key]; !known || in.Now.Since(old.at) >= quietFor {
+				p.requestedSince[key] = in.Now
 			}
-			p.wantedAt[key] = wish{in.Now, worth}
+			p.requestedAt[key] = lastRequest{in.Now, worth}
 		}
 	}
-	sat := map[place]bool{}
-	for _, seat := range in.Seats {
-		for _, key := range []place{{seat.Engine, seat.Model, ""}, {seat.Engine, seat.Model, seat.Adapter}} {
-			sat[key] = sat[key] || seat.Sessions > 0
-			if _, known := p.seatedSince[key]; !known && sat[key] {
-				p.seatedSince[key] = in.Now
+}
+
+// rememberAssignments keeps since when sessions have been assigned to what stands on an engine.
+func (p *Planner) rememberAssignments(in Input) {
+	assigned := map[placed]bool{}
+	for _, one := range in.Assignments {
+		for _, key := range []placed{{one.Engine, one.Model, ""}, {one.Engine, one.Model, one.Adapter}} {
+			assigned[key] = assigned[key] || one.Sessions > 0
+			if _, known := p.assignedSince[key]; !known && assigned[key] {
+				p.assignedSince[key] = in.Now
 			}
 		}
 	}
-	for key := range p.seatedSince {
-		if !sat[key] {
-			delete(p.seatedSince, key)
+	for key := range p.assignedSince {
+		if !assigned[key] {
+			delete(p.assignedSince, key)
 		}
 	}
-	for key, at := range p.restful {
+}
+
+// unblock lets failed orders be tried again whose rest is over.
+func (p *Planner) unblock(in Input) {
+	for key, at := range p.blockedUntil {
 		if in.Now >= at {
-			delete(p.restful, key)
+			delete(p.blockedUntil, key)
 		}
 	}
 }
--- a/process/placement/orders.go
+++ b/process/placement/orders.go
@@ -17,23 +17,23 @@
 	Sending OrderState = iota
 	// Taken: the engine said that it took it.
 	Taken
-	// Unsure: the answer was lost; only reports can tell.
-	Unsure
+	// Unknown: the answer was lost; only reports can tell.
+	Unknown
 )
 
-// InFlight is one order that no report has settled yet.
-type InFlight struct {
+// OrderInFlight is one order that no report has settled yet.
+type OrderInFlight struct {
 	engineapi.Order
 	State OrderState
 	Sent  clock.Mark
 	// Expect is the call-seq that a report must show to say anything about this order.
-	Expect uint64
-	Life   int
+	Expect      uint64
+	Incarnation int
 	// address is where it was sent, answered when its answer came.
 	address  string
 	answered clock.Mark
-	// ofThisLife says that the life it was noted under was still seen after the answer, so it took the order.
-	ofThisLife bool
+	// confirmed says that the incarnation it was noted under was still seen after the answer, so it took the order.
+	confirmed bool
 }
 
 // Inherit takes over what earlier claims ordered. An engine gets no order before its report can tell of that.
@@ -51,9 +51,9 @@
 	return out
 }
 
-// meet forgets what was inherited for engines whose reports tell of it by now, or were asked for so long
-// after the claim began that the engine must be another life.
-func (p *Planner) meet(in Input) {
+// forgetInherited forgets what was inherited for engines whose reports tell of it by now, or were asked for so long
+// after the claim began that the engine must be another incarnation.
+func (p *Planner) forgetInherited(in Input) {
 	for id, seq := range p.inherited {
 		engine := in.Engines.Engines[id]
 		if engine != nil && (engine.Report.CallSeq >= seq || engine.Asked.Since(p.began) > reportLagLimit) {
@@ -71,48 +71,48 @@
 
 // Answered takes an engine's answer to an order, or the lack of one.
 func (p *Planner) Answered(now clock.Mark, engine ident.EngineID, order engineapi.Order, answer *engineapi.OrderAnswer) {
-	flight := p.inFlight[engine]
-	if flight == nil || flight.Order.Stamp != order.Stamp {
+	inFlight := p.inFlight[engine]
+	if inFlight == nil || inFlight.Order.Stamp != order.Stamp {
 		return
 	}
-	flight.answered = now
+	inFlight.answered = now
 	switch {
 	case answer == nil:
-		flight.State = Unsure
+		inFlight.State = Unknown
 	case answer.Taken:
-		flight.State = Taken
+		inFlight.State = Taken
 	default:
 		p.Counters.Refused++
-		p.restful[place{engine, order.Model, order.Adapter}] = now + clock.Mark(failedRest)
+		p.blockedUntil[placed{engine, order.Model, order.Adapter}] = now + clock.Mark(failedRest)
 		delete(p.inFlight, engine)
 	}
 }
 
 // Stamp notes the id an order was sent under.
 func (p *Planner) Stamp(engine ident.EngineID, stamp ident.MintedID, claim ident.ClaimNumber) (engineapi.Order, bool) {
-	flight := p.inFlight[engine]
-	if flight == nil {
+	inFlight := p.inFlight[engine]
+	if inFlight == nil {
 		return engineapi.Order{}, false
 	}
-	flight.Order.Stamp, flight.Order.Claim = stamp, claim
-	return flight.Order, true
+	inFlight.Order.Stamp, inFlight.Order.Claim = stamp, claim
+	return inFlight.Order, true
 }
 
 // Withdraw forgets an order that never left.
 func (p *Planner) Withdraw(engine ident.EngineID) {
-	if flight := p.inFlight[engine]; flight != nil {
-		if flight.Kind == engineapi.Load {
+	if inFlight := p.inFlight[engine]; inFlight != nil {
+		if inFlight.Kind == engineapi.Load {
 			p.loaded = false
 		}
-		p.ordered[engine] = flight.Expect - 1
+		p.ordered[engine] = inFlight.Expect - 1
 		delete(p.inFlight, engine)
 	}
 }
 
-// give notes an order as under way; from now on the engine gets no other until this one is settled.
-func (p *Planner) give(in Input, engine *engines.Engine, order engineapi.Order) Directed {
+// issue notes an order as under way; from now on the engine gets no other until this one is settled.
+func (p *Planner) issue(in Input, engine *engines.Engine, order engineapi.Order) Directed {
 	p.Counters.Orders++
 	p.ordered[engine.ID] = engine.Report.CallSeq + 1
-	p.inFlight[engine.ID] = &InFlight{Order: order, State: Sending, Sent: in.Now, Expect: engine.Report.CallSeq + 1, Life: engine.Life, address: engine.Address}
+	p.inFlight[engine.ID] = &OrderInFlight{Order: order, State: Sending, Sent: in.Now, Expect: engine.Report.CallSeq + 1, Incarnation: engine.Life, address: engine.Address}
 	return Directed{Engine: engine.ID, Address: engine.Address, Order: order}
 }
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -44,7 +44,7 @@
 	planner  *Planner
 	engines  map[ident.EngineID]*fakeEngine
 	demand   []Demand
-	seats    []Seats
+	seats    []Assignments
 	stamp    ident.MintedID
 	lastLoad clock.Mark
 	faults   []string
@@ -133,7 +133,7 @@
 		if held == nil || held.state != engineapi.Loaded {
 			return engineapi.OrderAnswer{Reason: "not loaded"}
 		}
-		if slices.ContainsFunc(y.seats, func(s Seats) bool { return s.Engine == id && s.Model == order.Model }) {
+		if slices.ContainsFunc(y.seats, func(s Assignments) bool { return s.Engine == id && s.Model == order.Model }) {
 			y.fault("%s was unloaded from %s under a seated session", order.Model, id)
 		}
 		y.unloads++
@@ -144,7 +144,7 @@
 			places += len(m.adapters)
 		}
 		if held == nil || held.state != engineapi.Loaded {
-			// The engine is another life than the planner could know, so this says nothing of its places.
+			// The engine is another incarnation than the planner could know, so this says nothing of its places.
 			return engineapi.OrderAnswer{Reason: "its model is not loaded"}
 		}
 		if places >= 2 {
@@ -153,7 +153,7 @@
 		}
 		held.adapters = append(held.adapters, order.Adapter)
 	case engineapi.UnloadAdapter:
-		if slices.ContainsFunc(y.seats, func(s Seats) bool { return s.Engine == id && s.Adapter == order.Adapter }) {
+		if slices.ContainsFunc(y.seats, func(s Assignments) bool { return s.Engine == id && s.Adapter == order.Adapter }) {
 			y.fault("%s was unloaded from %s under a seated session", order.Adapter, id)
 		}
 		if held != nil {
@@ -200,7 +200,7 @@
 			return 1
 		})
 	}
-	in := Input{Now: y.now, Table: y.table, Engines: y.view(), Demand: y.demand, Seats: y.seats}
+	in := Input{Now: y.now, Table: y.table, Engines: y.view(), Demand: y.demand, Assignments: y.seats}
 	for _, directed := range y.planner.Step(in) {
 		y.stamp++
 		order, ok := y.planner.Stamp(directed.Engine, y.stamp, 1)
@@ -224,9 +224,9 @@
 
 func (y *yard) restart(id ident.EngineID) {
 	e := y.engines[id]
-	// The new life shows only when a report is read in which the counter has gone back, if it has by then.
+	// The new incarnation shows only when a report is read in which the counter has gone back, if it has by then.
 	e.models, e.seq, e.staleUntil = map[string]*fakeModel{}, 0, 0
-	y.seats = slices.DeleteFunc(y.seats, func(s Seats) bool { return s.Engine == id })
+	y.seats = slices.DeleteFunc(y.seats, func(s Assignments) bool { return s.Engine == id })
 }
 
 func (y *yard) holds(model, adapter string) bool {
@@ -242,8 +242,8 @@
 	loads, unloads := 0, 0
 	// More seeds for a search: CRESSPOND_SEEDS=2000 go test ./process/placement
 	seeds := uint64(40)
-	if wanted, err := strconv.ParseUint(os.Getenv("CRESSPOND_SEEDS"), 10, 32); err == nil {
-		seeds = wanted
+	if short, err := strconv.ParseUint(os.Getenv("CRESSPOND_SEEDS"), 10, 32); err == nil {
+		seeds = short
 	}
 	for seed := range seeds {
 		y := newYard(seed)
@@ -261,9 +261,9 @@
 					// In the order of their names, so that a seed replays.
 					for _, name := range slices.Sorted(maps.Keys(y.engines[id].models)) {
 						if y.engines[id].models[name].state == engineapi.Loaded && len(y.seats) < 2 {
-							// A seat is only taken where the planner has not already ordered the model away.
-							if flight := y.planner.inFlight[id]; flight == nil {
-								y.seats = append(y.seats, Seats{Engine: id, Model: name, Sessions: 1})
+							// An assignment is only made where the planner has not already ordered the model away.
+							if inFlight := y.planner.inFlight[id]; inFlight == nil {
+								y.seats = append(y.seats, Assignments{Engine: id, Model: name, Sessions: 1})
 							}
 						}
 						break
@@ -274,13 +274,13 @@
 			case 4:
 				y.engines[ident.EngineID(fmt.Sprint("e", y.random.IntN(engineCount)))].staleUntil = y.now + clock.Mark(time.Duration(y.random.IntN(8000))*time.Millisecond)
 			case 5:
-				// Another daemon takes the claim up: all it knows is what was told with the last renewal.
+				// Another daemon takes the claim up: all it knows is what was reported with the last renewal.
 				if y.now.Since(y.tookOver) > 8*time.Second {
-					told := y.planner.Ordered()
+					announced := y.planner.Ordered()
 					counters := y.planner.Counters
 					y.planner = NewPlanner()
 					y.planner.Counters = counters
-					y.planner.Inherit(y.now, told)
+					y.planner.Inherit(y.now, announced)
 					// The old claim's end and the gap pass before the next may order.
 					y.now += clock.Mark(7 * time.Second)
 					y.tookOver = y.now
@@ -419,10 +419,10 @@
 	}
 }
 
-// TestAnOrderThatMetALifeNotYetKnownStillCounts: an engine starts anew, is ordered before a report tells,
-// and the next report shows the counter at its beginning. The order was taken by the new life, so its load
+// TestAnOrderTakenByANewIncarnationStillCounts: an engine starts anew, is ordered before a report tells,
+// and the next report shows the counter at its beginning. The order was taken by the new incarnation, so its load
 // goes on, and nothing else may be loaded in its place.
-func TestAnOrderThatMetALifeNotYetKnownStillCounts(t *testing.T) {
+func TestAnOrderTakenByANewIncarnationStillCounts(t *testing.T) {
 	for _, seenBefore := range []bool{false, true} {
 		y := newYard(1)
 		e := y.engines["e0"]
@@ -440,7 +440,7 @@
 		order, _ := y.planner.Stamp("e0", 1, 1)
 		y.planner.Answered(y.now, "e0", order, &engineapi.OrderAnswer{Taken: true})
 		if seenBefore {
-			// The old life is heard once more after its answer: it was that one that took the order.
+			// The old incarnation is heard once more after its answer: it was that one that took the order.
 			e.asked = y.now + 1
 			step()
 		}
--- a/process/placement/plan.go
+++ b/process/placement/plan.go
@@ -1,6 +1,3 @@
-// Package placement decides which engine holds which model and adapter, and orders it. The plan is
-// a pure step over the spec, the demand, the seats and the engines' reports; the actor beside it
-// holds the claim, stamps the orders and sends them.
 package placement
 
 import (
@@ -10,26 +7,26 @@
 	"github.com/cresspond/cresspond/process/ident"
 )
 
-// Counters count what happened.
+// Counters count the fates of orders under all claims of this daemon.
 type Counters struct {
 	Orders, Done, Refused, Void, NeverArrived, Failed uint64
 }
 
 // Planner is the state of the plan under one claim.
 type Planner struct {
-	inFlight map[ident.EngineID]*InFlight
+	inFlight map[ident.EngineID]*OrderInFlight
 	lastLoad clock.Mark
 	loaded   bool
-	// since is when each model was first seen on each engine; wantedAt when each was last asked for.
-	since    map[place]clock.Mark
-	wantedAt map[want]wish
-	restful  map[place]clock.Mark
-	// lackSince is since when something has been asked for that stands nowhere.
-	lackSince map[want]clock.Mark
-	// wantedSince is since when something has been asked for without a quiet spell, seatedSince since when
-	// somebody has sat on it.
-	wantedSince map[want]clock.Mark
-	seatedSince map[place]clock.Mark
+	// since is when each model was first seen on each engine; requestedAt when each was last asked for.
+	since        map[placed]clock.Mark
+	requestedAt  map[item]lastRequest
+	blockedUntil map[placed]clock.Mark
+	// lackingSince is since when something has been asked for that stands nowhere.
+	lackingSince map[item]clock.Mark
+	// requestedSince is since when something has been asked for without a quiet spell, assignedSince since when
+	// a session has been assigned to it.
+	requestedSince map[item]clock.Mark
+	assignedSince  map[placed]clock.Mark
 	// ordered is the call-seq each engine must show before its reports tell of all that this claim ordered,
 	// inherited the same of the claims before, began when this claim did.
 	ordered, inherited map[ident.EngineID]uint64
@@ -39,17 +36,17 @@
 	Counters Counters
 }
 
-type place struct {
+type placed struct {
 	engine         ident.EngineID
 	model, adapter string
 }
 
-type want struct{ model, adapter string }
+type item struct{ model, adapter string }
 
 // NewPlanner makes the plan of a fresh claim: it knows of no order, and reads what is under way from reports.
 func NewPlanner() *Planner {
-	return &Planner{inFlight: map[ident.EngineID]*InFlight{}, since: map[place]clock.Mark{}, wantedAt: map[want]wish{}, restful: map[place]clock.Mark{}, lackSince: map[want]clock.Mark{},
-		wantedSince: map[want]clock.Mark{}, seatedSince: map[place]clock.Mark{},
+	return &Planner{inFlight: map[ident.EngineID]*OrderInFlight{}, since: map[placed]clock.Mark{}, requestedAt: map[item]lastRequest{}, blockedUntil: map[placed]clock.Mark{}, lackingSince: map[item]clock.Mark{},
+		requestedSince: map[item]clock.Mark{}, assignedSince: map[placed]clock.Mark{},
 		ordered: map[ident.EngineID]uint64{}, inherited: map[ident.EngineID]uint64{}}
 }
 
@@ -75,15 +72,15 @@
 		return nil
 	}
 	p.settle(in)
-	p.meet(in)
+	p.forgetInherited(in)
 	p.remember(in)
 	var orders []Directed
 	p.Lacks = nil
-	for _, wanted := range p.wants(in) {
-		if order, ok := p.serve(in, wanted); ok {
+	for _, short := range p.shortages(in) {
+		if order, ok := p.serve(in, short); ok {
 			orders = append(orders, order)
-		} else if standing, _ := p.standing(in, wanted.want); standing == 0 && !wanted.idle {
-			p.lack(in, wanted)
+		} else if standing, _ := p.standing(in, short.item); standing == 0 && !short.idle {
+			p.lack(in, short)
 		}
 	}
 	return orders
--- a/process/placement/settle.go
+++ b/process/placement/settle.go
@@ -11,44 +11,44 @@
 
 // settle compares each order under way with the newest report that can reflect it.
 func (p *Planner) settle(in Input) {
-	for id, flight := range p.inFlight {
+	for id, inFlight := range p.inFlight {
 		engine := in.Engines.Engines[id]
 		switch {
-		case engine == nil || engine.Address != flight.address || engine.Life != flight.Life && flight.ofThisLife:
-			// A new life of the engine: what was ordered before is void.
+		case engine == nil || engine.Address != inFlight.address || engine.Life != inFlight.Incarnation && inFlight.confirmed:
+			// A new incarnation of the engine: what was ordered before is void.
 			p.Counters.Void++
 			delete(p.inFlight, id)
 			delete(p.ordered, id)
 			continue
-		case engine.Life != flight.Life:
-			// The new life was not known of when the order left, so it may be the one that got it: only its
+		case engine.Life != inFlight.Incarnation:
+			// The new incarnation was not known of when the order left, so it may be the one that got it: only its
 			// reports can tell, and its counter began anew.
-			flight.Life, flight.Expect = engine.Life, 1
+			inFlight.Incarnation, inFlight.Expect = engine.Life, 1
 			p.ordered[id] = 1
-		case flight.answered > 0 && engine.Asked > flight.answered:
-			flight.ofThisLife = true
+		case inFlight.answered > 0 && engine.Asked > inFlight.answered:
+			inFlight.confirmed = true
 		}
-		if engine.Asked <= flight.Sent || flight.State == Sending {
+		if engine.Asked <= inFlight.Sent || inFlight.State == Sending {
 			continue
 		}
-		if engine.Report.CallSeq < flight.Expect {
+		if engine.Report.CallSeq < inFlight.Expect {
 			// The report can't yet reflect the order. Only when reports asked for longer after than any lag still lack it, it never arrived.
-			// One that was taken and never shows was taken by a life that has ended unseen.
-			if engine.Asked.Since(flight.Sent) > reportLagLimit {
+			// One that was taken and never shows was taken by an incarnation that has ended unseen.
+			if engine.Asked.Since(inFlight.Sent) > reportLagLimit {
 				p.Counters.NeverArrived++
 				delete(p.inFlight, id)
 			}
 			continue
 		}
-		p.settleShown(in.Now, id, engine, flight)
+		p.settleShown(in.Now, id, engine, inFlight)
 	}
 }
 
-func (p *Planner) settleShown(now clock.Mark, id ident.EngineID, engine *engines.Engine, flight *InFlight) {
-	held, present := find(engine, flight.Model)
-	hasAdapter := present && slices.Contains(held.Adapters, flight.Adapter)
+func (p *Planner) settleShown(now clock.Mark, id ident.EngineID, engine *engines.Engine, inFlight *OrderInFlight) {
+	held, present := find(engine, inFlight.Model)
+	hasAdapter := present && slices.Contains(held.Adapters, inFlight.Adapter)
 	var done, waiting bool
-	switch flight.Kind {
+	switch inFlight.Kind {
 	case engineapi.Load:
 		done, waiting = present && held.State == engineapi.Loaded, present && held.State == engineapi.Loading
 	case engineapi.Unload:
@@ -63,12 +63,12 @@
 		p.Counters.Done++
 	case waiting:
 		return
-	case now.Since(flight.Sent) < 2*orderLimit:
+	case now.Since(inFlight.Sent) < 2*orderLimit:
 		// The effect may need a moment to show.
 		return
 	default:
 		p.Counters.Failed++
-		p.restful[place{id, flight.Model, flight.Adapter}] = now + clock.Mark(failedRest)
+		p.blockedUntil[placed{id, inFlight.Model, inFlight.Adapter}] = now + clock.Mark(failedRest)
 	}
 	delete(p.inFlight, id)
 }
