--- a/rehearsal/caller/caller.go
+++ b/rehearsal/caller/caller.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		panic("broken invariant: a request cannot be encoded: " + err.Error())
 	}
-	// A guard against a hang; no verdict rests on it.
+	// A guard against a hang; no finding rests on it.
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Minute))
 	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n%s: %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
 		callerapi.PathGenerate, daemon, callerapi.HeaderAttempt, attempt, len(body), body); err != nil {
--- a/rehearsal/checker/checker.go
+++ b/rehearsal/checker/checker.go
@@ -43,7 +43,7 @@
 	return []Finding{
 		onceOnly(h, begins), refusedNeverRuns(h, begins), ownAnswers(h), wholeOnly(h), oneRun(h), allowedOnly(h),
 		specInForce(h), neverOlder(h), readBack(h), drained(h), zoneClosed(h), plannedStops(h, begins),
-		oneCommander(h), withinRoom(h), storePace(h), retryShare(h), coldEngines(h), recovery(h), seatsKept(h), stampsUnique(h), noFlapping(h), worthFirst(h), noHouseFavoured(h),
+		oneCommander(h), withinRoom(h), storePace(h), retryShare(h), coldEngines(h), recovery(h), assignmentsKept(h), stampsUnique(h), noFlapping(h), worthFirst(h), noTenantFavoured(h),
 	}
 }
 
--- a/rehearsal/checker/checker_test.go
+++ b/rehearsal/checker/checker_test.go
@@ -13,8 +13,8 @@
 
 const ms = time.Millisecond
 
-// soundHistory is a short run in which every rule is checked and holds.
-func soundHistory() *History {
+// validHistory is a short run in which every rule is checked and holds.
+func validHistory() *History {
 	d, _ := deployment.Named("small")
 	first, second := d.Spec("first", nil), d.Spec("second", map[string]bool{"other": true})
 	at := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -45,17 +45,17 @@
 			{At: at(7), Kind: EngineLeaving, Subject: "engine-1"}, {At: at(7), Kind: ZoneClosed, Subject: "c"},
 			{At: at(11), Kind: StopAsked, Subject: "d"}, {At: at(13), Kind: Stopped, Subject: "d"},
 		},
-		Sights:    []Sight{{At: at(1), Daemon: "d", Life: "d#1", SpecEpoch: 1, Ready: true}, {At: at(9), Daemon: "d", Life: "d#1", SpecEpoch: 2, ClosureEpoch: 1, Ready: true}},
-		ReadBacks: []ReadBack{{Epoch: 1, Body: first}, {Epoch: 2, Body: second}},
-		Exits:     []Exit{{Daemon: "d"}}, ClosureWanted: []string{"c"}, ClosureSeen: []string{"c"},
-		Contest:     []Class{{Name: "high", House: "x", Worth: 9, Prefix: "four"}, {Name: "calm", House: "y", Worth: 5, Prefix: "five"}, {Name: "burst", House: "x", Worth: 5, Burst: true, Prefix: "three"}},
+		Observations: []Observation{{At: at(1), Daemon: "d", Incarnation: "d#1", SpecEpoch: 1, Ready: true}, {At: at(9), Daemon: "d", Incarnation: "d#1", SpecEpoch: 2, ClosureEpoch: 1, Ready: true}},
+		ReadBacks:    []ReadBack{{Epoch: 1, Body: first}, {Epoch: 2, Body: second}},
+		Exits:        []Exit{{Daemon: "d"}}, ClosureWanted: []string{"c"}, ClosureSeen: []string{"c"},
+		Contest:     []Class{{Name: "high", Tenant: "x", Worth: 9, Prefix: "four"}, {Name: "calm", Tenant: "y", Worth: 5, Prefix: "five"}, {Name: "burst", Tenant: "x", Worth: 5, Burst: true, Prefix: "three"}},
 		ZoneOf:      map[string]string{"engine-0": "a", "engine-1": "b", "engine-2": "c"},
 		LoadsAtOnce: 1, LoadGap: 150 * ms, Slots: 4, RetryShare: 0.1,
 	}
 }
 
-func TestASoundHistoryPasses(t *testing.T) {
-	for _, finding := range Check(soundHistory()) {
+func TestValidHistoryPasses(t *testing.T) {
+	for _, finding := range Check(validHistory()) {
 		if !finding.OK() {
 			t.Errorf("%s: %d checked, %v", finding.Rule, finding.Checked, finding.Violations)
 		}
@@ -92,7 +92,7 @@
 			arrive(h, 9.5, func(l *journal.Line) { l.Route, l.Model = "other", "model-01" })
 		},
 		"no daemon falls back to an older bundle": func(h *History) {
-			h.Sights = append(h.Sights, Sight{At: 9500 * ms, Daemon: "d", Life: "d#1", SpecEpoch: 2})
+			h.Observations = append(h.Observations, Observation{At: 9500 * ms, Daemon: "d", Incarnation: "d#1", SpecEpoch: 2})
 		},
 		"acknowledged bundles and closures read back whole": func(h *History) { h.ReadBacks[1].Body = []byte("{}") },
 		"nothing to a draining engine after 3 s":            func(h *History) { arrive(h, 10.1, func(l *journal.Line) { l.Engine = "engine-1" }) },
@@ -129,12 +129,12 @@
 		},
 		"no two orders bear one minted id": func(h *History) { h.Journals[4].Stamp = "4096" },
 	}
-	findings := Check(soundHistory())
+	findings := Check(validHistory())
 	if len(breaks) != len(findings) {
 		t.Fatalf("%d rules and %d ways to break them", len(findings), len(breaks))
 	}
 	for rule, breakIt := range breaks {
-		h := soundHistory()
+		h := validHistory()
 		breakIt(h)
 		for _, finding := range Check(h) {
 			switch {
--- a/rehearsal/checker/configuration.go
+++ b/rehearsal/checker/configuration.go
@@ -86,12 +86,12 @@
 				(line.At - rolls[newest].At).Round(time.Millisecond), rolls[newest].Epoch)
 		}
 	}
-	for _, sight := range h.Sights {
+	for _, observation := range h.Observations {
 		for _, roll := range rolls {
-			if sight.At >= roll.At+specLimit && sight.Ready {
+			if observation.At >= roll.At+specLimit && observation.Ready {
 				f.Checked++
-				if sight.SpecEpoch < roll.Epoch {
-					f.fault("%s had epoch %d in force %v after epoch %d was acknowledged", sight.Daemon, sight.SpecEpoch, (sight.At - roll.At).Round(time.Millisecond), roll.Epoch)
+				if observation.SpecEpoch < roll.Epoch {
+					f.fault("%s had epoch %d in force %v after epoch %d was acknowledged", observation.Daemon, observation.SpecEpoch, (observation.At - roll.At).Round(time.Millisecond), roll.Epoch)
 				}
 			}
 		}
@@ -101,16 +101,16 @@
 
 func neverOlder(h *History) Finding {
 	f := Finding{Rule: "no daemon falls back to an older bundle"}
-	newest := map[string]Sight{}
-	for _, sight := range h.Sights {
-		before, known := newest[sight.Life]
+	newest := map[string]Observation{}
+	for _, observation := range h.Observations {
+		before, known := newest[observation.Incarnation]
 		if known {
 			f.Checked++
-			if sight.SpecEpoch < before.SpecEpoch || sight.ClosureEpoch < before.ClosureEpoch {
-				f.fault("%s went from epoch %d/%d to %d/%d", sight.Daemon, before.SpecEpoch, before.ClosureEpoch, sight.SpecEpoch, sight.ClosureEpoch)
+			if observation.SpecEpoch < before.SpecEpoch || observation.ClosureEpoch < before.ClosureEpoch {
+				f.fault("%s went from epoch %d/%d to %d/%d", observation.Daemon, before.SpecEpoch, before.ClosureEpoch, observation.SpecEpoch, observation.ClosureEpoch)
 			}
 		}
-		newest[sight.Life] = sight
+		newest[observation.Incarnation] = observation
 	}
 	return f
 }
--- a/rehearsal/checker/contest.go
+++ b/rehearsal/checker/contest.go
@@ -21,11 +21,11 @@
 	return f
 }
 
-func noHouseFavoured(h *History) Finding {
+func noTenantFavoured(h *History) Finding {
 	f := Finding{Rule: "in a contest no house's burst takes a rival's room"}
 	for _, calm := range h.Contest {
 		for _, burst := range h.Contest {
-			if calm.Burst || !burst.Burst || calm.Worth != burst.Worth || calm.House == burst.House {
+			if calm.Burst || !burst.Burst || calm.Worth != burst.Worth || calm.Tenant == burst.Tenant {
 				continue
 			}
 			share, n := h.Share(calm)
--- a/rehearsal/checker/history.go
+++ b/rehearsal/checker/history.go
@@ -24,29 +24,41 @@
 
 // The kinds of acts.
 const (
-	// Rolled: acknowledged as in force everywhere. Committed: in force where it got to, and no more than that.
-	Rolled    = "rolled"
+	// Rolled: a bundle was acknowledged as in force everywhere.
+	Rolled = "rolled"
+	// Committed: a bundle is in force where it got to, and not acknowledged.
 	Committed = "committed"
-	// ZoneClosing: committed, and not yet acknowledged.
-	ZoneClosing   = "zone-closing"
-	ZoneClosed    = "zone-closed"
-	ZoneOpened    = "zone-opened"
+	// Refused: a bundle was refused, or lost its race.
+	Refused = "refused-bundle"
+	// ZoneClosing: a closure is committed, and not yet acknowledged.
+	ZoneClosing = "zone-closing"
+	// ZoneClosed: a closure was acknowledged.
+	ZoneClosed = "zone-closed"
+	// ZoneOpened: an opening was asked for.
+	ZoneOpened = "zone-opened"
+	// EngineLeaving: an engine was asked to leave, or drained.
 	EngineLeaving = "engine-leaving"
-	EngineKilled  = "engine-killed"
+	// EngineKilled: an engine's process was killed.
+	EngineKilled = "engine-killed"
+	// EngineStarted: an engine's process was started.
 	EngineStarted = "engine-started"
-	Crashed       = "crashed"
-	StopAsked     = "stop-asked"
-	Stopped       = "stopped"
-	Refused       = "refused-bundle"
-	Split         = "split"
-	Healed        = "healed"
+	// Crashed: a daemon was killed.
+	Crashed = "crashed"
+	// StopAsked: a daemon was asked to stop.
+	StopAsked = "stop-asked"
+	// Stopped: a daemon that was asked to stop has ended.
+	Stopped = "stopped"
+	// Split: links between daemons were cut.
+	Split = "split"
+	// Healed: cut links work again.
+	Healed = "healed"
 )
 
-// Sight is one look at what a daemon has in force.
-type Sight struct {
+// Observation is one look at what a daemon has in force.
+type Observation struct {
 	At           time.Duration
 	Daemon       string
-	Life         string
+	Incarnation  string
 	SpecEpoch    uint64
 	ClosureEpoch uint64
 	// Ready says that it took new work: what it has is in force only then.
@@ -68,12 +80,12 @@
 
 // History is all that is known of a run.
 type History struct {
-	Journals  []journal.Line
-	Calls     []caller.Record
-	Acts      []Act
-	Sights    []Sight
-	ReadBacks []ReadBack
-	Exits     []Exit
+	Journals     []journal.Line
+	Calls        []caller.Record
+	Acts         []Act
+	Observations []Observation
+	ReadBacks    []ReadBack
+	Exits        []Exit
 	// ClosureWanted and ClosureSeen are the closures acknowledged and read back at the end.
 	ClosureWanted, ClosureSeen []string
 	// ZoneOf tells where engines stand; EndOf, to which address a stopped daemon belonged.
@@ -89,9 +101,9 @@
 
 // Class is one kind of request in a contest.
 type Class struct {
-	Name  string
-	House string
-	Worth int64
+	Name   string
+	Tenant string
+	Worth  int64
 	// Burst says that this class asks for far more than its usual.
 	Burst bool
 	// Prefix begins the attempt ids of the class.
@@ -138,11 +150,11 @@
 	return out
 }
 
-// splitEcho is how long after a split has healed the two sides may still differ on seats.
-const splitEcho = 3 * time.Second
+// splitAftermath is how long after a split has healed the two sides may still differ on assignments.
+const splitAftermath = 3 * time.Second
 
 // split says whether daemons were split at some time between two moments. A session whose requests come
-// in on both sides then has a seat on each.
+// in on both sides then has an assignment on each.
 func (h *History) split(from, to time.Duration) bool {
 	began, apart := time.Duration(0), false
 	for _, act := range h.Acts {
@@ -152,7 +164,7 @@
 				began, apart = act.At, true
 			}
 		case Healed:
-			if apart && began <= to && from <= act.At+splitEcho {
+			if apart && began <= to && from <= act.At+splitAftermath {
 				return true
 			}
 			apart = false
--- a/rehearsal/checker/load.go
+++ b/rehearsal/checker/load.go
@@ -48,7 +48,7 @@
 	return f
 }
 
-// ColdPeak is the most requests that any engine got in the first second of a life.
+// ColdPeak is the most requests that any engine got in the first second of an incarnation.
 func ColdPeak(h *History) int {
 	most := 0
 	for _, counts := range coldFirsts(h) {
@@ -57,14 +57,14 @@
 	return most
 }
 
-// coldFirsts counts, for each life of each engine that was sent anything, what came in its first second.
+// coldFirsts counts, for each incarnation of each engine that was sent anything, what came in its first second.
 func coldFirsts(h *History) map[string][]int {
 	out := map[string][]int{}
 	for _, start := range h.Journals {
 		if start.Kind != journal.Start {
 			continue
 		}
-		// The first second after an engine's first arrival in this life.
+		// The first second after an engine's first arrival in this incarnation.
 		var first time.Duration
 		count := 0
 		for _, line := range h.Journals {
--- a/rehearsal/checker/requests.go
+++ b/rehearsal/checker/requests.go
@@ -101,13 +101,13 @@
 			}
 		}
 		for _, call := range h.Calls {
-			// Those that were in hand at some time between the word to stop and the end.
+			// Those that were in hand at some time between the signal to stop and the end.
 			if call.Daemon != act.Subject || call.End < act.At || call.Began > stopped || !call.Sent || call.GaveUp {
 				continue
 			}
 			f.Checked++
 			answered := call.Status != 0 && (call.Whole() || call.Outcome == callerapi.Refused || call.Outcome == callerapi.Invalid || call.Outcome == callerapi.Replay)
-			// One that was never read shows no answer and no run; one whose engine failed is told so.
+			// One that was never read shows no answer and no run; one whose engine failed is answered accordingly.
 			unread := call.Status == 0 && len(begins[call.Attempt]) == 0
 			engineFailed := call.Outcome == callerapi.Unknown || call.Outcome == callerapi.BrokenOff
 			if !answered && !unread && !engineFailed {
@@ -124,7 +124,7 @@
 	return f
 }
 
-func seatsKept(h *History) Finding {
+func assignmentsKept(h *History) Finding {
 	f := Finding{Rule: "a seated session keeps its engine while it may"}
 	last := map[string]journal.Line{}
 	for _, line := range h.Journals {
@@ -137,15 +137,15 @@
 			continue
 		}
 		f.Checked++
-		if before.Engine != line.Engine && !h.seatLost(before, line) {
+		if before.Engine != line.Engine && !h.assignmentLost(before, line) {
 			f.fault("session %s moved from %s to %s without need", line.Session, before.Engine, line.Engine)
 		}
 	}
 	return f
 }
 
-// seatLost says whether the engine a session left was dead, leaving or closed, or doubted after a crash, since it was last used.
-func (h *History) seatLost(before, now journal.Line) bool {
+// assignmentLost says whether the engine that a session left was dead, leaving or closed, or doubted after a crash, since it was last used.
+func (h *History) assignmentLost(before, now journal.Line) bool {
 	if h.split(before.At, now.At) {
 		return true
 	}
--- a/rehearsal/engine/engine.go
+++ b/rehearsal/engine/engine.go
@@ -19,7 +19,7 @@
 	"github.com/cresspond/cresspond/wire/engineapi"
 )
 
-// Config is what a stand-in is told.
+// Config is how a stand-in behaves.
 type Config struct {
 	ID            string
 	Room          int64
@@ -144,71 +144,6 @@
 	answer(w, http.StatusAccepted, engineapi.OrderAnswer{Taken: true})
 }
 
-// take starts an order, or says why not. The mutex is held.
-func (e *Engine) take(order engineapi.Order) string {
-	held := e.models[order.Model]
-	switch order.Kind {
-	case engineapi.Load:
-		if held != nil {
-			return "held already"
-		}
-		used := int64(0)
-		for name := range e.models {
-			used += e.config.Sizes[name]
-		}
-		if used+e.config.Sizes[order.Model] > e.config.Room {
-			return "no room"
-		}
-		loading := &model{state: engineapi.Loading}
-		e.models[order.Model] = loading
-		e.journal.Write(journal.Line{Kind: journal.LoadBegin, Model: order.Model})
-		time.AfterFunc(e.config.LoadTime, func() {
-			e.mutex.Lock()
-			loading.state = engineapi.Loaded
-			e.mutex.Unlock()
-			e.journal.Write(journal.Line{Kind: journal.LoadEnd, Model: order.Model})
-		})
-	case engineapi.Unload:
-		if held == nil || held.state != engineapi.Loaded {
-			return "not loaded"
-		}
-		held.state = engineapi.Unloading
-		time.AfterFunc(e.config.LoadTime/4, func() {
-			e.mutex.Lock()
-			delete(e.models, order.Model)
-			e.mutex.Unlock()
-		})
-	case engineapi.LoadAdapter:
-		places := 0
-		for _, other := range e.models {
-			places += len(other.adapters) + len(other.pending)
-		}
-		switch {
-		case held == nil || held.state != engineapi.Loaded:
-			return "its model is not loaded"
-		case slices.Contains(held.adapters, order.Adapter) || slices.Contains(held.pending, order.Adapter):
-			return "held already"
-		case places >= e.config.AdapterPlaces:
-			return "no adapter place"
-		}
-		held.pending = append(held.pending, order.Adapter)
-		time.AfterFunc(e.config.AdapterTime, func() {
-			e.mutex.Lock()
-			defer e.mutex.Unlock()
-			held.pending = slices.DeleteFunc(held.pending, func(name string) bool { return name == order.Adapter })
-			held.adapters = append(held.adapters, order.Adapter)
-		})
-	case engineapi.UnloadAdapter:
-		if held == nil || !slices.Contains(held.adapters, order.Adapter) {
-			return "not held"
-		}
-		held.adapters = slices.DeleteFunc(slices.Clone(held.adapters), func(name string) bool { return name == order.Adapter })
-	default:
-		return "no such kind of order"
-	}
-	return ""
-}
-
 // PiecesFor is how many pieces an attempt's answer has; it follows from its id, so that the checker knows it too.
 func PiecesFor(attempt string) int {
 	hash := fnv.New32a()
@@ -226,28 +161,7 @@
 	route, _, _ := strings.Cut(strings.TrimPrefix(work.Prompt, "route="), ";")
 	line := journal.Line{Kind: journal.Arrive, Attempt: attempt, Route: route, Model: work.Model, Adapter: work.Adapter, Session: work.Session}
 	e.journal.Write(line)
-	e.mutex.Lock()
-	e.arrived++
-	held := e.models[work.Model]
-	reason := ""
-	switch {
-	case held == nil || held.state != engineapi.Loaded:
-		reason = "the model is not loaded"
-	case work.Adapter != "" && !slices.Contains(held.adapters, work.Adapter):
-		reason = "the adapter is not loaded"
-	case e.busy >= e.config.Slots:
-		reason = "all slots are taken"
-	}
-	fault := ""
-	if e.arrived > e.config.FaultFrom {
-		fault = e.config.Fault
-	}
-	if reason == "" {
-		e.busy++
-		e.runs++
-	}
-	run := fmt.Sprintf("%s-%d-%d", e.config.ID, journal.Now(), e.runs)
-	e.mutex.Unlock()
+	run, fault, reason := e.begin(work)
 	if reason != "" {
 		line.Kind, line.Reason = journal.Refuse, reason
 		e.journal.Write(line)
@@ -269,6 +183,28 @@
 	e.journal.Write(line)
 }
 
+// begin takes a slot and names the run, with the fault that it is to show, or says why the work is refused.
+func (e *Engine) begin(work engineapi.Generate) (run, fault, refusal string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.arrived++
+	if e.arrived > e.config.FaultFrom {
+		fault = e.config.Fault
+	}
+	held := e.models[work.Model]
+	switch {
+	case held == nil || held.state != engineapi.Loaded:
+		return "", fault, "the model is not loaded"
+	case work.Adapter != "" && !slices.Contains(held.adapters, work.Adapter):
+		return "", fault, "the adapter is not loaded"
+	case e.busy >= e.config.Slots:
+		return "", fault, "all slots are taken"
+	}
+	e.busy++
+	e.runs++
+	return fmt.Sprintf("%s-%d-%d", e.config.ID, journal.Now(), e.runs), fault, ""
+}
+
 // stream writes the pieces; it says false when the stream did not reach its end.
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, attempt, run, fault string) bool {
 	switch fault {
--- a/rehearsal/journal/journal.go
+++ b/rehearsal/journal/journal.go
@@ -1,4 +1,4 @@
-// Package journal is what the stand-ins write down, so that the checker can judge a run by its history.
+// Package journal is what the stand-in engines write down, so that the checker can judge a run by its history.
 package journal
 
 import (
@@ -15,20 +15,27 @@
 type Kind string
 
 const (
-	// Start: an engine's process came up. Begin: work began to run. End: it ran to its end. Cancel: its caller closed.
-	Start  Kind = "start"
-	Begin  Kind = "begin"
-	End    Kind = "end"
-	Cancel Kind = "cancel"
-	// Refuse: the engine refused work. Arrive: a request came, whatever became of it.
+	// Start: an engine's process came up.
+	Start Kind = "start"
+	// Arrive: a request came, whatever became of it.
 	Arrive Kind = "arrive"
+	// Refuse: the engine refused work.
 	Refuse Kind = "refuse"
-	// Order: an order came and was taken. OrderRefused: it was refused.
-	Order        Kind = "order"
+	// Begin: work began to run.
+	Begin Kind = "begin"
+	// End: work ran to its end.
+	End Kind = "end"
+	// Cancel: the caller of running work closed its connection.
+	Cancel Kind = "cancel"
+	// Order: an order came and was taken.
+	Order Kind = "order"
+	// OrderRefused: an order came and was refused.
 	OrderRefused Kind = "order-refused"
-	LoadBegin    Kind = "load-begin"
-	LoadEnd      Kind = "load-end"
-	// Leaving: the engine was told to empty itself.
+	// LoadBegin: a model began to load.
+	LoadBegin Kind = "load-begin"
+	// LoadEnd: a model is loaded.
+	LoadEnd Kind = "load-end"
+	// Leaving: the engine was asked to empty itself.
 	Leaving Kind = "leaving"
 )
 
--- a/rehearsal/scenario/market.go
+++ b/rehearsal/scenario/market.go
@@ -50,14 +50,14 @@
 			}
 		}
 		classes = []checker.Class{
-			{Name: "the highest bid", House: d.Kinds[highest].House, Worth: d.Kinds[highest].Worth, Prefix: "contest-high-"},
-			{Name: "the burst", House: d.Kinds[burst].House, Worth: d.Kinds[burst].Worth, Burst: true, Prefix: "contest-burst-"},
+			{Name: "the highest bid", Tenant: d.Kinds[highest].House, Worth: d.Kinds[highest].Worth, Prefix: "contest-high-"},
+			{Name: "the burst", Tenant: d.Kinds[burst].House, Worth: d.Kinds[burst].Worth, Burst: true, Prefix: "contest-burst-"},
 		}
 		rival := -1
 		for k, kind := range d.Kinds {
 			if kind.Worth == d.Kinds[burst].Worth && kind.House != d.Kinds[burst].House {
 				rival = k
-				classes = append(classes, checker.Class{Name: "the rival", House: kind.House, Worth: kind.Worth, Prefix: "contest-rival-"})
+				classes = append(classes, checker.Class{Name: "the rival", Tenant: kind.House, Worth: kind.Worth, Prefix: "contest-rival-"})
 			}
 		}
 		r.history.Contest = classes
--- a/rehearsal/scenario/scenario.go
+++ b/rehearsal/scenario/scenario.go
@@ -52,7 +52,7 @@
 	return r
 }
 
-// hangGuard ends a wait that will never end; no verdict rests on shorter times.
+// hangGuard ends a wait that will never end; no finding rests on shorter times.
 const hangGuard = 60 * time.Second
 
 // Await waits until something holds.
--- a/rehearsal/scenario/watch.go
+++ b/rehearsal/scenario/watch.go
@@ -36,7 +36,7 @@
 				r.setReady(p, err == nil && status.Ready && !p.Core)
 				if err == nil {
 					r.mutex.Lock()
-					r.history.Sights = append(r.history.Sights, checker.Sight{At: at, Daemon: p.Name, Life: string(status.NodeID),
+					r.history.Observations = append(r.history.Observations, checker.Observation{At: at, Daemon: p.Name, Incarnation: string(status.NodeID),
 						SpecEpoch: uint64(status.SpecEpoch), ClosureEpoch: uint64(status.ClosureEpoch), Ready: status.Ready})
 					r.mutex.Unlock()
 				}
