--- a/cmd/cresspond-platform/main.go
+++ b/cmd/cresspond-platform/main.go
@@ -11,10 +11,10 @@
 	"syscall"
 	"time"
 
-	"github.com/alecthomas/kingpin/v2"
 	"github.com/apex/log"
 	jsonlog "github.com/apex/log/handlers/json"
 
+	"github.com/cresspond/cresspond/cmd/internal/application"
 	"github.com/cresspond/cresspond/platform"
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/daemon"
@@ -25,16 +25,7 @@
 var version = "0.1.0-dev"
 
 func main() {
-	app := kingpin.New("cresspond-platform", "The cresspond daemon on a users' platform.")
-	app.Version(version)
-	app.HelpFlag.Short('h')
-	app.Terminate(func(status int) {
-		// kingpin ends with 1 on wrong flags; wrong settings of any kind end with 2 here.
-		if status != 0 {
-			status = 2
-		}
-		os.Exit(status)
-	})
+	app := application.New("cresspond-platform", "The cresspond daemon on a users' platform.", version)
 	file := app.Flag("config", "Settings file, TOML.").Short('c').Envar(platform.SettingsVariable).String()
 	ranks := app.Flag("ranking", "What engines are ranked for by how their nodes behave: off, watch, or drain the worst.").Default(string(ranking.Off)).Envar("CRESSPOND_RANKING").
 		Enum(string(ranking.Off), string(ranking.Watch), string(ranking.Drain))
@@ -47,7 +38,7 @@
 		for _, fault := range faults {
 			fmt.Fprintln(os.Stderr, "cresspond-platform: "+fault.String())
 		}
-		os.Exit(2)
+		os.Exit(application.ExitWrongUsage)
 	}
 	settings.Ranking.Mode = ranking.Mode(*ranks)
 	if *checkOnly {
@@ -57,28 +48,26 @@
 	log.SetHandler(jsonlog.New(os.Stderr))
 	log.SetLevel(log.MustParseLevel(settings.Log))
 	boundMemory(settings.Machine.MemoryMb)
+	run(settings, *file)
+}
 
+// run runs the daemon until a signal asks it to stop. An incarnation that may not go on, since its group declared it
+// lost, is followed by another with a name of its own.
+func run(settings config.Config, file string) {
 	// A client, an engine or a log's reader that went away must not end the daemon.
 	signal.Ignore(syscall.SIGPIPE)
-	stop := make(chan struct{})
-	stops := make(chan os.Signal, 2)
-	signal.Notify(stops, syscall.SIGTERM, os.Interrupt)
-	go func() {
-		// A second signal changes nothing: what was read is finished within the grace all the same.
-		<-stops
-		close(stop)
-	}()
+	stop := stopSignal()
 	var current atomic.Pointer[daemon.Daemon]
 	reload := func(next config.Config) {
 		if running := current.Load(); running != nil {
 			running.Reload(next)
 		}
 	}
-	told := make(chan os.Signal, 1)
-	signal.Notify(told, syscall.SIGHUP)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	looks := time.NewTicker(lookEvery)
 	defer looks.Stop()
-	go watch(*file, told, looks.C, reload)
+	go watch(file, hangups, looks.C, reload)
 	for {
 		made := build(settings)
 		current.Store(made)
@@ -86,7 +75,6 @@
 		if err == nil {
 			return
 		}
-		// This life may not go on (its group declared it lost); another one, with a name of its own, may.
 		log.WithError(err).Error("starting again")
 		settings = made.Config()
 		select {
@@ -97,7 +85,20 @@
 	}
 }
 
-// startAgain is the pause between one life of the daemon and the next within this process.
+// stopSignal gives a channel that closes at the first signal to stop. A second one changes nothing: what was read is
+// finished within the grace period all the same.
+func stopSignal() <-chan struct{} {
+	stop := make(chan struct{})
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		close(stop)
+	}()
+	return stop
+}
+
+// startAgain is the pause between one incarnation of the daemon and the next within this process.
 const startAgain = 500 * time.Millisecond
 
 // build puts the daemon and the platform's forms together.
@@ -143,14 +144,14 @@
 	}
 }
 
-// watch reads the settings again when it is told to, and when the file looks changed at a look.
-func watch(file string, told <-chan os.Signal, looks <-chan time.Time, reload func(config.Config)) {
+// watch reads the settings again at each signal, and when the file looks changed at a look.
+func watch(file string, signals <-chan os.Signal, looks <-chan time.Time, reload func(config.Config)) {
 	read, pending, said := stampOf(file), false, false
-	for told != nil || looks != nil {
+	for signals != nil || looks != nil {
 		select {
-		case _, more := <-told:
+		case _, more := <-signals:
 			if !more {
-				told = nil
+				signals = nil
 				continue
 			}
 			pending = true
--- a/cmd/cresspond/bundle.go
+++ b/cmd/cresspond/bundle.go
@@ -13,43 +13,18 @@
 	"github.com/cresspond/cresspond/wire/operatorapi"
 )
 
-// bundleCommands put bundles in force in one step, for fleets that let an operator alone do so.
-type bundleCommands struct {
-	apply, patch, show   *kingpin.CmdClause
-	applyFile, patchFile *string
-	applyBase, patchBase *uint64
+// addBundleCommands adds the commands that put bundles in force in one step, for fleets that let an operator alone do so.
+func (c *commandLine) addBundleCommands() {
+	bundles := c.app.Command("bundle", "Put bundles in force in one step, where the fleet's settings let an operator alone do so.")
+	c.onApply(bundles.Command("apply", "Put a whole bundle in force."), "The bundle", http.MethodPut)
+	c.onApply(bundles.Command("patch", "Change named paths, pools and limits of the bundle in force."), "The changes", http.MethodPatch)
+	c.on(bundles.Command("show", "Print the newest bundle, and its revision on standard error."), (*tool).showBundle)
 }
 
-func addBundleCommands(app *kingpin.Application) bundleCommands {
-	const (
-		baseHelp = "The revision in force that this builds on; 0 for the first. bundle show tells it."
-		fileHelp = "JSON; - for standard input."
-	)
-	bundles := app.Command("bundle", "Put bundles in force in one step, where the fleet's settings let an operator alone do so.")
-	var c bundleCommands
-	c.apply = bundles.Command("apply", "Put a whole bundle in force.")
-	c.applyFile = c.apply.Arg("file", "The bundle, "+fileHelp).Required().String()
-	c.applyBase = c.apply.Flag("base", baseHelp).Required().Uint64()
-	c.patch = bundles.Command("patch", "Change named paths, pools and limits of the bundle in force.")
-	c.patchFile = c.patch.Arg("file", "The changes, "+fileHelp).Required().String()
-	c.patchBase = c.patch.Flag("base", baseHelp).Required().Uint64()
-	c.show = bundles.Command("show", "Print the newest bundle, and its revision on standard error.")
-	return c
-}
-
-// run carries out a chosen command; it says false of another.
-func (c bundleCommands) run(t *tool, chosen, operator string, needsOperator func()) (bool, error) {
-	switch chosen {
-	case c.apply.FullCommand():
-		needsOperator()
-		return true, t.applyBundle(http.MethodPut, *c.applyFile, *c.applyBase, operator)
-	case c.patch.FullCommand():
-		needsOperator()
-		return true, t.applyBundle(http.MethodPatch, *c.patchFile, *c.patchBase, operator)
-	case c.show.FullCommand():
-		return true, t.showBundle()
-	}
-	return false, nil
+func (c *commandLine) onApply(command *kingpin.CmdClause, what, method string) {
+	file := command.Arg("file", what+", JSON; - for standard input.").Required().String()
+	base := command.Flag("base", "The revision in force that this builds on; 0 for the first. bundle show tells it.").Required().Uint64()
+	c.onAs(command, func(t *tool, operator string) error { return t.applyBundle(method, *file, *base, operator) })
 }
 
 func readFile(file string) ([]byte, error) {
--- a/cmd/cresspond/client.go
+++ b/cmd/cresspond/client.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 
-	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/wire/operatorapi"
 )
 
@@ -23,14 +23,6 @@
 	seen func(http.Header)
 }
 
-// exitNotEverywhere says that a change is committed, and not yet in force at all daemons that may be serving.
-const exitNotEverywhere = 3
-
-func epochOf(number *uint64) *ident.Epoch {
-	epoch := ident.Epoch(*number)
-	return &epoch
-}
-
 // ask goes from daemon to daemon until one gives an outcome; all acts may be asked again.
 func (t *tool) ask(method, path string, body []byte) ([]byte, error) {
 	last := fmt.Errorf("no daemon was named")
@@ -107,6 +99,12 @@
 	return show(data)
 }
 
+// showAsIs prints a page byte for byte.
+func showAsIs(data []byte) error {
+	_, err := os.Stdout.Write(data)
+	return err
+}
+
 func showIndented(data []byte) error {
 	var out bytes.Buffer
 	if err := json.Indent(&out, bytes.TrimSpace(data), "", "  "); err != nil {
@@ -152,6 +150,12 @@
 	if err := json.Unmarshal(data, &answer); err != nil {
 		return err
 	}
+	showAnswer(answer)
+	return nil
+}
+
+// showAnswer prints what a change of an operator came to.
+func showAnswer(answer operatorapi.Answer) {
 	if proposal := answer.Proposal; proposal != nil {
 		fmt.Printf("%s is %s", proposal.ID, proposal.Stage)
 		if proposal.Epoch > 0 {
@@ -172,5 +176,4 @@
 		}
 		fmt.Println("give the same command again to see whether it has got there; a daemon that is gone for good: daemon lost NAME")
 	}
-	return nil
 }
--- a/cmd/cresspond/nodes.go
+++ b/cmd/cresspond/nodes.go
@@ -7,44 +7,25 @@
 	"strings"
 	"text/tabwriter"
 
-	"github.com/alecthomas/kingpin/v2"
-
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/wire/operatorapi"
 )
 
-// nodeCommands rank engines by how their nodes behave.
-type nodeCommands struct {
-	rank *kingpin.CmdClause
-	acts map[string]*string
-}
-
-func addNodeCommands(app *kingpin.Application) *nodeCommands {
-	nodes := app.Command("nodes", "Rank engines by how their nodes behave.")
-	c := &nodeCommands{rank: nodes.Command("rank", "List the engines, the worst first."), acts: map[string]*string{}}
+// addNodeCommands adds the commands on the ranking of engines by how their nodes behave.
+func (c *commandLine) addNodeCommands() {
+	nodes := c.app.Command("nodes", "Rank engines by how their nodes behave.")
+	c.onPage(nodes.Command("rank", "List the engines, the worst first."), operatorapi.PathNodes, showNodes)
 	for _, act := range []struct{ name, help string }{
 		{operatorapi.NodeDrain, "Send nothing more to an engine; refused where it is the last holder of something, or too many are shut."},
 		{operatorapi.NodeKeep, "Have the ranking not drain an engine; one that it has drained is tried again."},
 		{operatorapi.NodeRelease, "Take a drain, or a keeping, back."},
 	} {
 		command := nodes.Command(act.name, act.help)
-		c.acts[command.FullCommand()] = command.Arg("engine", "The engine.").Required().String()
-	}
-	return c
-}
-
-// run runs the command if it is one of these; it says whether it was.
-func (c *nodeCommands) run(t *tool, chosen, operator string, needsOperator func()) (bool, error) {
-	if chosen == c.rank.FullCommand() {
-		return true, t.page(operatorapi.PathNodes, showNodes)
-	}
-	engine, own := c.acts[chosen]
-	if !own {
-		return false, nil
+		engine := command.Arg("engine", "The engine.").Required().String()
+		c.onAs(command, func(t *tool, operator string) error {
+			return t.post(operatorapi.PathNodes, operatorapi.NodeAct{Engine: ident.EngineID(*engine), Act: act.name, Operator: operator})
+		})
 	}
-	needsOperator()
-	_, act, _ := strings.Cut(chosen, " ")
-	return true, t.post(operatorapi.PathNodes, operatorapi.NodeAct{Engine: ident.EngineID(*engine), Act: act, Operator: operator})
 }
 
 func showNodes(data []byte) error {
--- a/cmd/cresspond/show.go
+++ b/cmd/cresspond/show.go
@@ -15,7 +15,7 @@
 
 func at(t ident.GroupTime) string { return time.UnixMilli(int64(t)).UTC().Format(time.RFC3339) }
 
-func (t *tool) showHistory(data []byte) error {
+func showHistory(data []byte) error {
 	var list []statemachine.Proposal
 	if err := json.Unmarshal(data, &list); err != nil {
 		return err
@@ -46,11 +46,26 @@
 	return nil
 }
 
-func (t *tool) showStatus(data []byte) error {
+func showStatus(data []byte) error {
 	var status operatorapi.Status
 	if err := json.Unmarshal(data, &status); err != nil {
 		return err
 	}
+	showDaemon(status)
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(out, "\ndaemon\taddress\tzone\tserves\tspec\tclosures\theard")
+	for _, peer := range status.Fellows {
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%d\t%d\t%d ms ago\n", peer.NodeID, peer.Address, peer.Zone, strings.Join(peer.Serve, ","), peer.SpecEpoch, peer.ClosureEpoch, peer.HeardMsAgo)
+	}
+	fmt.Fprintln(out, "\nengine\taddress\tzone\tcondition\topen\tdraining\tmodels")
+	for _, engine := range status.Engines {
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%t\t%t\t%s\n", engine.ID, engine.Address, engine.Zone, engine.Condition, engine.Open, engine.Draining, strings.Join(engine.Models, " "))
+	}
+	return out.Flush()
+}
+
+// showDaemon prints what a daemon says of itself.
+func showDaemon(status operatorapi.Status) {
 	ready := "ready"
 	if !status.Ready {
 		ready = "not ready: " + status.NotReady
@@ -70,16 +85,6 @@
 	if status.Planner != nil && status.Planner.Held {
 		fmt.Printf("plans under claim %d, %d orders under way\n", status.Planner.Claim, status.Planner.InFlight)
 	}
-	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(out, "\ndaemon\taddress\tzone\tserves\tspec\tclosures\theard")
-	for _, fellow := range status.Fellows {
-		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%d\t%d\t%d ms ago\n", fellow.NodeID, fellow.Address, fellow.Zone, strings.Join(fellow.Serve, ","), fellow.SpecEpoch, fellow.ClosureEpoch, fellow.HeardMsAgo)
-	}
-	fmt.Fprintln(out, "\nengine\taddress\tzone\tcondition\topen\tdraining\tmodels")
-	for _, engine := range status.Engines {
-		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%t\t%t\t%s\n", engine.ID, engine.Address, engine.Zone, engine.Condition, engine.Open, engine.Draining, strings.Join(engine.Models, " "))
-	}
-	return out.Flush()
 }
 
 func showEngines(data []byte) error {
@@ -103,7 +108,7 @@
 	return out.Flush()
 }
 
-func (t *tool) showTrace(data []byte) error {
+func showTrace(data []byte) error {
 	var trace operatorapi.Trace
 	if err := json.Unmarshal(data, &trace); err != nil {
 		return err
@@ -111,19 +116,41 @@
 	if !trace.Known {
 		return fmt.Errorf("there is no change %s; the newest is %d", trace.Change, trace.Epoch)
 	}
+	first := firstLearned(trace)
+	missing, err := showTraceRows(trace, first)
+	if err != nil {
+		return err
+	}
+	if trace.Acknowledged {
+		fmt.Println("in force at every daemon that may be serving")
+	} else {
+		fmt.Println("NOT yet in force at every daemon that may be serving")
+	}
+	if first > 0 {
+		fmt.Printf("first learned at %s by that daemon's clock; %d daemons lack it\n", time.UnixMilli(first).UTC().Format(time.RFC3339Nano), missing)
+	}
+	return nil
+}
+
+// firstLearned is when the first daemon learned of a change, in milliseconds; zero where none says so.
+func firstLearned(trace operatorapi.Trace) int64 {
 	var first int64
 	for _, row := range trace.Rows {
 		if row.LearnedMs > 0 && (first == 0 || row.LearnedMs < first) {
 			first = row.LearnedMs
 		}
 	}
+	return first
+}
+
+// showTraceRows prints one row a daemon, with times after the first, and counts the daemons that lack the change.
+func showTraceRows(trace operatorapi.Trace, first int64) (missing int, err error) {
 	step := func(ms int64) string {
 		if ms == 0 {
 			return "-"
 		}
 		return fmt.Sprintf("+%d ms", ms-first)
 	}
-	missing := 0
 	out := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(out, "daemon\tzone\tlearned\tbuilt\tin force\theard")
 	for _, row := range trace.Rows {
@@ -142,16 +169,5 @@
 		}
 		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%s\n", row.NodeID, row.Zone, step(row.LearnedMs), step(row.BuiltMs), inForce, heard)
 	}
-	if err := out.Flush(); err != nil {
-		return err
-	}
-	if trace.Acknowledged {
-		fmt.Println("in force at every daemon that may be serving")
-	} else {
-		fmt.Println("NOT yet in force at every daemon that may be serving")
-	}
-	if first > 0 {
-		fmt.Printf("first learned at %s by that daemon's clock; %d daemons lack it\n", time.UnixMilli(first).UTC().Format(time.RFC3339Nano), missing)
-	}
-	return nil
+	return missing, out.Flush()
 }
