--- a/cmd/cresspond/client.go
+++ b/cmd/cresspond/client.go
@@ -7,10 +7,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
-	"time"
 
-	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/wire/operatorapi"
 )
 
@@ -25,17 +24,6 @@
 	seen func(http.Header)
 }
 
-// exitNotEverywhere says that a change is committed, and not yet in force at all daemons that may be serving.
-const exitNotEverywhere = 3
-
-func epochOf(number *uint64) *ident.Epoch {
-	epoch := ident.Epoch(*number)
-	return &epoch
-}
-
-// askLimit is how long one daemon's answer is waited for.
-const askLimit = 12 * time.Second
-
 // newClient makes the client of daemons. It uses no connection twice, so that the library has no reason to send
 // anything again by itself, and follows no redirect, which would turn one call into another.
 func newClient() *http.Client {
@@ -128,6 +116,12 @@
 	return show(data)
 }
 
+// showAsIs prints a page byte for byte.
+func showAsIs(data []byte) error {
+	_, err := os.Stdout.Write(data)
+	return err
+}
+
 func showIndented(data []byte) error {
 	var out bytes.Buffer
 	if err := json.Indent(&out, bytes.TrimSpace(data), "", "  "); err != nil {
@@ -173,6 +167,12 @@
 	if err := json.Unmarshal(data, &answer); err != nil {
 		return err
 	}
+	showAnswer(answer)
+	return nil
+}
+
+// showAnswer prints what a change of an operator came to.
+func showAnswer(answer operatorapi.Answer) {
 	if proposal := answer.Proposal; proposal != nil {
 		fmt.Printf("%s is %s", proposal.ID, proposal.Stage)
 		if proposal.Epoch > 0 {
@@ -193,5 +193,4 @@
 		}
 		fmt.Println("give the same command again to see whether it has got there; a daemon that is gone for good: daemon lost NAME")
 	}
-	return nil
 }
