--- a/connection/frontdoor/fuzz_test.go
+++ b/connection/frontdoor/fuzz_test.go
@@ -41,7 +41,7 @@
 			}
 			return
 		}
-		if request.Attempt != attempt || prompt == "" || request.Route != "r" || request.House != "h" || request.Model != "m" || request.Deadline <= 0 {
+		if request.Attempt != attempt || prompt == "" || request.Route != "r" || request.Tenant != "h" || request.Model != "m" || request.Deadline <= 0 {
 			t.Fatalf("%+v", request)
 		}
 	})
--- a/process/raft/membership_model_test.go
+++ b/process/raft/membership_model_test.go
@@ -131,11 +131,11 @@
 	out.votes = maps.Clone(c.votes)
 	out.reads = slices.Clone(c.reads)
 	out.out = Effects{}
-	if c.fellows != nil {
-		out.fellows = map[MemberID]*progress{}
-		for id, known := range c.fellows {
+	if c.peers != nil {
+		out.peers = map[MemberID]*progress{}
+		for id, known := range c.peers {
 			copied := *known
-			out.fellows[id] = &copied
+			out.peers[id] = &copied
 		}
 	}
 	return &out
@@ -179,7 +179,7 @@
 	out.number(uint64(c.id), uint64(c.term), uint64(c.vote), uint64(c.role), uint64(c.leader), uint64(c.commit), uint64(c.log.stable))
 	out.entries(c.log.entries)
 	for id := MemberID(1); id <= modelMembers; id++ {
-		peer := c.fellows[id]
+		peer := c.peers[id]
 		out.flag(peer != nil)
 		if peer != nil {
 			out.number(uint64(peer.match), uint64(peer.next))
@@ -299,7 +299,7 @@
 			c.memberships = append(c.memberships, membershipAt{entry.Index, membership})
 		}
 	}
-	c.fitFellows()
+	c.fitPeers()
 }
 
 // uncheckedPropose is proposeMembership without the rules that the variant lacks.
--- a/rehearsal/cutoff/operators_test.go
+++ b/rehearsal/cutoff/operators_test.go
@@ -162,7 +162,7 @@
 			answer(operatorapi.Applying{}, read.Outcome)
 			return
 		}
-		standing := applying.Look(read.State, call.Digest)
+		standing := applying.Look(read.State, call)
 		// Working it out takes a while, in which anything may happen.
 		n.w.after(n.w.ms(0, 30), func() {
 			n.do(life, func() {
