--- a/process/raft/membership_model_test.go
+++ b/process/raft/membership_model_test.go
@@ -391,7 +391,7 @@
 	out.spent.elections++
 	var requests []int
 	out.nodes[place], requests = m.run(out.nodes[place], "stand", 0, func(c *Core) Effects {
-		return c.Step(Receive{Message{Kind: MsgTimeoutNow, To: c.id, Term: c.term}})
+		return c.Step(Receive{Message{Kind: MsgTimeoutNow, From: c.id%modelMembers + 1, To: c.id, Term: max(c.term, 1)}})
 	})
 	for _, request := range requests {
 		message := m.messages[request]
