--- a/rehearsal/platformkit/history/history.go
+++ b/rehearsal/platformkit/history/history.go
@@ -121,6 +121,8 @@
 	// GaveUp: the client closed first, at LeftAt. Early: it did so by its own will, and is owed no answer.
 	GaveUp, Early bool
 	LeftAt        clock.Mark
+	// Outlasts: its work takes longer than its route's deadline, so nobody can serve it whole.
+	Outlasts bool
 	// Junk is what came that is no answer in the protocol, Surplus what came while no request waited.
 	Junk, Surplus string
 	Err           string
