--- a/process/statemachine/size_test.go
+++ b/process/statemachine/size_test.go
@@ -60,6 +60,8 @@
 	{"100 daemons, 350 engines, 16 bundles", 100, 350, 500, 16, 32 << 10},
 	{"370 daemons, 1400 engines, 4096 left, 16 bundles of 32 KB", 370, 1400, 4096, 16, 32 << 10},
 	{"370 daemons, 1400 engines, 4096 left, 1400 bundles of 32 KB", 370, 1400, 4096, 1400, 32 << 10},
+	{"11 daemons, 12 engines, 4096 bundles of 4 KB", 11, 12, 10, 4096, 4 << 10},
+	{"11 daemons, 12 engines, 12000 bundles of 4 KB", 11, 12, 10, 12000, 4 << 10},
 }
 
 func BenchmarkSizeSnapshot(b *testing.B) {
