--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -3,6 +3,7 @@
 package statemachine
 
 import (
+	"cmp"
 	"encoding/json"
 	"time"
 
@@ -79,9 +80,13 @@
 // Option changes how a state is made.
 type Option func(*State)
 
-// WithLimits replaces how much is remembered of orders. All members of a group must have the same limits.
+// WithLimits replaces how much is remembered of orders; what is not given stays. All members of a group must have
+// the same limits.
 func WithLimits(limits Limits) Option {
-	return func(s *State) { s.limits = limits }
+	return func(s *State) {
+		s.limits.Taken = cmp.Or(limits.Taken, s.limits.Taken)
+		s.limits.Refused = cmp.Or(limits.Refused, s.limits.Refused)
+	}
 }
 
 // New makes the state before the first entry.
