--- /dev/null
+++ b/epoch/packed/fuzz_test.go
@@ -0,0 +1,26 @@
+package packed
+
+import (
+	"bytes"
+	"testing"
+)
+
+// FuzzUnpack: any bytes are refused, or come to no more than is allowed and come back when they are packed again.
+func FuzzUnpack(f *testing.F) {
+	f.Add([]byte(nil))
+	f.Add(Pack([]byte(`{"name":"n"}`)))
+	f.Add(Pack(bytes.Repeat([]byte("path"), 10_000)))
+	f.Add(append(Pack([]byte("a")), Pack([]byte("b"))...))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		raw, err := Unpack(data)
+		if err != nil {
+			return
+		}
+		if len(raw) > mostUnpacked {
+			t.Fatalf("%d bytes came of %d", len(raw), len(data))
+		}
+		if again, err := Unpack(Pack(raw)); err != nil || !bytes.Equal(again, raw) {
+			t.Fatalf("%d bytes did not come back: %v", len(raw), err)
+		}
+	})
+}
--- a/process/registry/fuzz_test.go
+++ b/process/registry/fuzz_test.go
@@ -33,6 +33,11 @@
 		f.Fatal(err)
 	}
 	f.Add(far)
+	below, err := proto.Marshal(&fellowapi.PullReply{Engines: []*fellowapi.RegisteredEngine{{Id: "e", Worded: true, Slots: -1, LeaveMs: -2, ColdMs: -3, Plan: &fellowapi.EnginePlan{Active: -1, Queued: -1, Memory: -1, MemoryUsed: -1, Weights: []*fellowapi.EngineWeight{{Percent: -4}, {Percent: 400}}}}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(below)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var reply fellowapi.PullReply
 		if proto.Unmarshal(data, &reply) != nil {
@@ -46,6 +51,17 @@
 			if r.Word != nil && (r.Word.Slots < 0 || r.Word.LeaveMs < 0 || r.Word.ColdMs < 0) {
 				t.Fatalf("%+v says less than nothing", r.Word)
 			}
+			if r.Plan == nil {
+				continue
+			}
+			if r.Plan.Active < 0 || r.Plan.Queued < 0 || r.Plan.Memory < 0 || r.Plan.MemoryUsed < 0 {
+				t.Fatalf("%+v says less than nothing", r.Plan)
+			}
+			for _, weight := range r.Plan.Weights {
+				if weight.Share < 0 || weight.Share > 1 {
+					t.Fatalf("a share of %v", weight.Share)
+				}
+			}
 		}
 		core := NewCore("life", true, time.Second, now)
 		core.Learn(now, "peer", Difference{Cursor: Cursor{Life: reply.RegistryLife, Seen: reply.RegistrySeen}, Records: records}, nil)
--- a/process/registry/wire.go
+++ b/process/registry/wire.go
@@ -13,10 +13,20 @@
 
 func msSince(now, earlier clock.Mark) int64 { return now.Since(earlier).Milliseconds() }
 
+// mostAgo bounds what is read of moments: more would not fit into a duration, and turn the past into the future.
+const mostAgo = 365 * 24 * time.Hour
+
 func msAgo(now clock.Mark, ms int64) clock.Mark {
-	return now - clock.Mark(time.Duration(ms)*time.Millisecond)
+	most := mostAgo.Milliseconds()
+	return now - clock.Mark(time.Duration(min(max(ms, -most), most))*time.Millisecond)
 }
 
+// counted is a count or a time left as it was told; there is none below zero.
+func counted(told int64) int64 { return min(max(told, 0), mostCounted) }
+
+// mostCounted keeps sums of counts far from overflow.
+const mostCounted = 1 << 53
+
 // Encode gives the wire form of records, as told now.
 func Encode(now clock.Mark, records []Record) []*fellowapi.RegisteredEngine {
 	out := make([]*fellowapi.RegisteredEngine, 0, len(records))
@@ -47,8 +57,8 @@
 		r := Record{ID: ident.EngineID(row.Id), CallSeq: row.CallSeq, Digest: row.Digest, Heard: msAgo(told, max(0, row.HeardMsAgo)),
 			Leaving: row.Ends, Silent: row.Silent, Gone: row.Gone}
 		if row.Worded {
-			r.Word = &Word{ID: r.ID, Pool: row.Pool, Address: row.Address, Zone: ident.ZoneID(row.Zone), Software: row.Software, Slots: int(row.Slots),
-				Leaving: row.Leaving, LeaveMs: row.LeaveMs, ColdMs: row.ColdMs, Phase: row.Phase, Models: decodeHeld(row.Models), CallSeq: row.CallSeq}
+			r.Word = &Word{ID: r.ID, Pool: row.Pool, Address: row.Address, Zone: ident.ZoneID(row.Zone), Software: row.Software, Slots: int(counted(row.Slots)),
+				Leaving: row.Leaving, LeaveMs: counted(row.LeaveMs), ColdMs: min(counted(row.ColdMs), mostAgo.Milliseconds()), Phase: row.Phase, Models: decodeHeld(row.Models), CallSeq: row.CallSeq}
 		}
 		if plan := row.Plan; plan != nil {
 			r.Plan, r.Part, r.PlanDigest = decodePlan(told, plan), PlanPart(plan.Part), plan.Digest
@@ -81,8 +91,8 @@
 }
 
 func decodePlan(told clock.Mark, plan *fellowapi.EnginePlan) *Plan {
-	out := &Plan{Claim: ident.ClaimNumber(plan.Claim), Turn: plan.Turn, Active: int(plan.Active), Queued: int(plan.Queued),
-		MemoryUsed: plan.MemoryUsed, Memory: plan.Memory, Told: msAgo(told, max(0, plan.ToldMsAgo))}
+	out := &Plan{Claim: ident.ClaimNumber(plan.Claim), Turn: plan.Turn, Active: int(counted(plan.Active)), Queued: int(counted(plan.Queued)),
+		MemoryUsed: counted(plan.MemoryUsed), Memory: counted(plan.Memory), Told: msAgo(told, max(0, plan.ToldMsAgo))}
 	if plan.ModelsKnown {
 		out.Models = decodeHeld(plan.Models)
 	}
@@ -93,7 +103,7 @@
 		out.Coming = append(out.Coming, Coming{Target{target.Model, target.Adapter}, msAgo(told, -target.ReadyMs)})
 	}
 	for _, weight := range plan.Weights {
-		out.Weights = append(out.Weights, soundness.Weight{Zone: ident.ZoneID(weight.Zone), Share: float64(weight.Percent) / 100})
+		out.Weights = append(out.Weights, soundness.Weight{Zone: ident.ZoneID(weight.Zone), Share: float64(min(counted(weight.Percent), 100)) / 100})
 	}
 	return out
 }
