A stopping daemon says what it could not hand over, its copy of the log first

A voter that stops may hold the second copy of the newest committed entries while the third voter lags; a loss right after its end left one that lacked them. It now ends its member first and asks the leader until that says that a majority holds all that is committed without it (HeldWithout), for at most 0.4 s.

What must be left is one line with the things by name, and the counter stop_not_handed_over: leadership, planner's claim, worker id, open answers, memory of attempts, news of engines that no other control daemon has seen, log entries.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -83,6 +83,8 @@
 	adopted       chan ident.GroupID
 	forming       atomic.Bool
 	draining      atomic.Bool
+	// memberEnds says that this daemon's member of the group ends before the daemon does, and no other life follows.
+	memberEnds atomic.Bool
 	// enlistedAt is when the group wrote this life down as one that may be serving; zero before.
 	enlistedAt atomic.Int64
 	broken     chan error
@@ -150,7 +152,7 @@
 	bytesOwnZone, bytesOtherZone, junkEngines, lastLookStops        atomic.Uint64
 	permitsUnasked, attemptCalls, attemptDoubts, attemptsMoved      atomic.Uint64
 	engineBeats, engineBeatsLate, leavesAcknowledged, leavesUnknown atomic.Uint64
-	memberTroubles, listenerTroubles                                atomic.Uint64
+	memberTroubles, listenerTroubles, notHandedOver                 atomic.Uint64
 }
 
 // Option sets one thing of a daemon.
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -141,7 +141,7 @@
 }
 
 // Join takes a new data folder into the group, if this daemon leads.
-func (d *Daemon) Join(_ context.Context, in *fellowapi.JoinRequest) (*fellowapi.SubmitReply, error) {
+func (d *Daemon) Join(ctx context.Context, in *fellowapi.JoinRequest) (*fellowapi.SubmitReply, error) {
 	if err := d.ours(in.Group); err != nil {
 		return nil, err
 	}
@@ -153,8 +153,11 @@
 		return nil, twirp.NewError(twirp.InvalidArgument, "a member needs an identity, a name and an address")
 	}
 	if in.Leaving {
-		held.Leave(raft.MemberID(in.MemberId))
-		return &fellowapi.SubmitReply{Outcome: string(replica.Applied)}, nil
+		if held.Leave(ctx, raft.MemberID(in.MemberId)) {
+			return &fellowapi.SubmitReply{Outcome: string(replica.Applied)}, nil
+		}
+		// It was heard, and is not to end yet.
+		return &fellowapi.SubmitReply{Outcome: string(replica.Unknown)}, nil
 	}
 	held.Join(raft.Member{ID: raft.MemberID(in.MemberId), Name: in.Name, Address: in.Address})
 	return &fellowapi.SubmitReply{Outcome: string(replica.Applied)}, nil
--- /dev/null
+++ b/process/daemon/leaving.go
@@ -0,0 +1,134 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/membership"
+	"github.com/cresspond/cresspond/process/raft"
+)
+
+// keptThing names what a stopping daemon alone holds.
+type keptThing string
+
+const (
+	// leadership ends by an election instead, plannersClaim and workerID by their time.
+	leadership    keptThing = "leadership"
+	plannersClaim keptThing = "planner's claim"
+	workerID      keptThing = "worker id"
+	// openAnswers are calls of callers and operators that were not answered.
+	openAnswers keptThing = "open answers"
+	// attemptMemory is what is remembered for attempts whose home this daemon is.
+	attemptMemory keptThing = "memory of attempts"
+	// engineNews is what engines said here of themselves that no other control daemon has seen.
+	engineNews keptThing = "news of engines"
+	// logEntries are committed entries that too few other voters hold.
+	logEntries keptThing = "log entries"
+)
+
+const (
+	// tellLimit bounds the wait for another control daemon to see the newest that engines said here.
+	tellLimit = 300 * time.Millisecond
+	// elsewhereLimit bounds the wait for the leader's word that the log is held without this member.
+	elsewhereLimit = 400 * time.Millisecond
+	// elsewhereEvery is how often the leader is asked for it.
+	elsewhereEvery = 25 * time.Millisecond
+)
+
+// keptThings collects what could not be handed over before the end.
+type keptThings struct {
+	mutex  sync.Mutex
+	things []keptThing
+}
+
+func (k *keptThings) add(thing keptThing) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if !slices.Contains(k.things, thing) {
+		k.things = append(k.things, thing)
+	}
+}
+
+func (k *keptThings) list() []keptThing {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return slices.Clone(k.things)
+}
+
+// tellBeats waits until another control daemon has seen all that engines said here, except for how busy they are.
+func (d *Daemon) tellBeats(kept *keptThings) {
+	if !d.config.Serves(config.Control) || len(d.registry.View().Engines) == 0 {
+		return
+	}
+	var peers []ident.NodeID
+	for _, peer := range d.members.View().InContact(d.clock.Elapsed(), membership.ContactWindow) {
+		if peer.NodeID != d.nodeID && peer.Serves(string(config.Control)) {
+			peers = append(peers, peer.NodeID)
+		}
+	}
+	if len(peers) == 0 {
+		return
+	}
+	bounded, cancel := context.WithTimeout(context.Background(), tellLimit)
+	defer cancel()
+	seen := make(chan bool, len(peers))
+	change := d.registry.Solid()
+	for _, peer := range peers {
+		go func() {
+			seen <- d.registry.AwaitReach(bounded, change, tellLimit, func() []ident.NodeID { return []ident.NodeID{peer} })
+		}()
+	}
+	for range peers {
+		if <-seen {
+			return
+		}
+	}
+	kept.add(engineNews)
+}
+
+// endMember ends this daemon's member of the group, after which nothing more can come to rest on its disk, and waits
+// for the leader's word that the voters hold all that is committed without it.
+func (d *Daemon) endMember(kept *keptThings) {
+	held, life := d.replica.Load(), d.memberLife.Load()
+	if held == nil || life == nil {
+		return
+	}
+	condition := held.Condition()
+	self, known := condition.Members.Find(life.store.Member)
+	if !known || !self.Voter || len(condition.Members.Voters()) == 1 {
+		return
+	}
+	if condition.Leads {
+		// Nobody took the office, so nobody can say.
+		kept.add(logEntries)
+		return
+	}
+	d.memberEnds.Store(true)
+	life.cancel()
+	bounded, cancel := context.WithTimeout(context.Background(), elsewhereLimit)
+	defer cancel()
+	if !d.heldElsewhere(bounded, self) {
+		kept.add(logEntries)
+	}
+}
+
+// heldElsewhere asks whoever leads until that one says so.
+func (d *Daemon) heldElsewhere(ctx context.Context, self raft.Member) bool {
+	ticker := time.NewTicker(elsewhereEvery)
+	defer ticker.Stop()
+	for {
+		leader := d.leaderAddress()
+		if leader != "" && leader != self.Address && d.askToJoin(ctx, leader, self, true) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+}
--- a/process/daemon/life.go
+++ b/process/daemon/life.go
@@ -42,12 +42,14 @@
 	d.draining.Store(true)
 	d.log.Info("draining")
 	defer d.stopForwarding(limit)()
+	var kept keptThings
 	var wait sync.WaitGroup
-	wait.Go(func() { d.handOffice(limit) })
+	wait.Go(func() { d.handOffice(limit, &kept) })
 	d.awaitMoved(limit)
 	for _, server := range servers {
 		wait.Go(func() {
 			if err := server.ShutdownWithContext(limit); err != nil {
+				kept.add(openAnswers)
 				d.log.WithField("open", d.door.Open()).Warn("stopped before all answers were written")
 			}
 		})
@@ -55,23 +57,38 @@
 	wait.Wait()
 	if d.config.Attempts != config.LocalAttempts {
 		d.handOver(limit)
+		if limit.Err() != nil {
+			kept.add(attemptMemory)
+		}
 	}
+	d.tellBeats(&kept)
 	bounded, done := context.WithTimeout(context.Background(), releaseLimit)
 	defer done()
 	// Without a tenure too, the group hears that this life serves no more.
 	worker, last, _ := d.generator.Drop()
-	d.submit(bounded, statemachine.Command{Op: statemachine.OpRelease, NodeID: d.nodeID, WorkerID: worker, Last: last})
+	if _, ok := d.submit(bounded, statemachine.Command{Op: statemachine.OpRelease, NodeID: d.nodeID, WorkerID: worker, Last: last}); !ok {
+		kept.add(workerID)
+	}
+	d.endMember(&kept)
+	if things := kept.list(); len(things) > 0 {
+		d.counters.notHandedOver.Add(uint64(len(things)))
+		d.log.WithField("kept", things).Warn("stopped without handing all over")
+		return
+	}
 	d.log.Info("stopped")
 }
 
 // handOffice gives up what this daemon does for the others: planning, then leading. The group keeps its
 // size: a machine that stops may come back.
-func (d *Daemon) handOffice(limit context.Context) {
+func (d *Daemon) handOffice(limit context.Context, kept *keptThings) {
 	if d.config.Serves(config.Place) {
+		plans := d.Plans()
 		d.placer.StandDown()
 		d.pools.standDown()
 		bounded, done := context.WithTimeout(limit, claimLimit)
-		d.submitOnce(bounded, statemachine.Command{Op: statemachine.OpDropClaim, NodeID: d.nodeID})
+		if _, ok := d.submitOnce(bounded, statemachine.Command{Op: statemachine.OpDropClaim, NodeID: d.nodeID}); !ok && plans {
+			kept.add(plannersClaim)
+		}
 		done()
 	}
 	ticker := time.NewTicker(handOverEvery)
@@ -85,6 +102,7 @@
 		held.HandOver()
 		select {
 		case <-limit.Done():
+			kept.add(leadership)
 			return
 		case <-ticker.C:
 		}
--- a/process/daemon/member.go
+++ b/process/daemon/member.go
@@ -78,7 +78,7 @@
 		began := d.clock.Elapsed()
 		err := d.runMemberLife(ctx, opened, probe)
 		opened = nil
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || d.memberEnds.Load() {
 			return
 		}
 		if d.config.Trouble != config.WaitOnTrouble {
@@ -343,10 +343,11 @@
 	}
 }
 
-// askToJoin tells the leader that this member wants to be taken in, or that it stops.
-func (d *Daemon) askToJoin(ctx context.Context, leader string, self raft.Member, leaving bool) {
+// askToJoin tells the leader that this member wants to be taken in, or that it stops. It says whether the leader
+// agreed: to one that stops, that nothing rests on its copy of the log. A lost call is made again on the next beat.
+func (d *Daemon) askToJoin(ctx context.Context, leader string, self raft.Member, leaving bool) bool {
 	bounded, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	// A lost call is made again on the next beat.
-	_, _ = d.links.To(leader).Join(bounded, &fellowapi.JoinRequest{Group: string(d.Group()), MemberId: uint64(self.ID), Name: self.Name, Address: self.Address, Leaving: leaving})
+	reply, err := d.links.To(leader).Join(bounded, &fellowapi.JoinRequest{Group: string(d.Group()), MemberId: uint64(self.ID), Name: self.Name, Address: self.Address, Leaving: leaving})
+	return err == nil && reply.Outcome == string(replica.Applied)
 }
--- a/process/daemon/pages.go
+++ b/process/daemon/pages.go
@@ -80,6 +80,7 @@
 	say("fellow_connections_opened", t.Opened.Load())
 	say("member_troubles", c.memberTroubles.Load())
 	say("listener_troubles", c.listenerTroubles.Load())
+	say("stop_not_handed_over", c.notHandedOver.Load())
 	say("tenure_acquired", c.acquired.Load())
 	say("tenure_renewed", c.renewed.Load())
 	say("tenure_lost", c.tenureFailed.Load())
--- a/process/replica/actor.go
+++ b/process/replica/actor.go
@@ -103,7 +103,11 @@
 	readAsked struct{ answer func(Answer) }
 	handOver  struct{}
 	joinAsked struct{ member raft.Member }
-	leaveSaid struct{ member raft.MemberID }
+	leaveSaid struct {
+		member raft.MemberID
+		// held is told whether a majority holds all that is committed without this member.
+		held chan bool
+	}
 )
 
 // Option sets one thing of a replica.
@@ -221,8 +225,21 @@
 // Join asks a leader to take a member into the group, first as a learner.
 func (r *Replica) Join(member raft.Member) { r.box.Send(joinAsked{member}) }
 
-// Leave tells a leader that a member stops.
-func (r *Replica) Leave(member raft.MemberID) { r.box.Send(leaveSaid{member}) }
+// Leave tells a leader that a member stops. It says whether this member leads, and a majority of the voters holds all
+// that is committed without the one that stops, so that it may end.
+func (r *Replica) Leave(ctx context.Context, member raft.MemberID) bool {
+	held := make(chan bool, 1)
+	if !r.box.Send(leaveSaid{member, held}) {
+		return false
+	}
+	select {
+	case answer := <-held:
+		return answer
+	case <-ctx.Done():
+	case <-r.box.Done():
+	}
+	return false
+}
 
 func (r *Replica) take(event any) {
 	if r.failed {
@@ -247,6 +264,7 @@
 		r.carryOut(r.core.Step(now, raft.Transfer{}))
 	case leaveSaid:
 		r.core.Leave(now, e.member)
+		e.held <- r.core.HeldWithout(e.member)
 	case joinAsked:
 		if r.core.Leads() {
 			r.joins[e.member.ID] = e.member
