Send one large append at a time to a member that is behind

Each heartbeat's answer, ten a second, had a leader fall back to what it knew to agree and send the same half megabyte again.

--- a/process/raft/core.go
+++ b/process/raft/core.go
@@ -25,6 +25,9 @@
 	probing bool
 	// snapshotWait counts ticks until a snapshot may be sent again.
 	snapshotWait int
+	// awaited is the last entry of a large append under way, awaitedFor how many ticks it may still take.
+	awaited    Index
+	awaitedFor int
 }
 
 type pendingRead struct {
@@ -300,9 +303,7 @@
 		}
 	}
 	for _, fellow := range c.fellows {
-		if fellow.snapshotWait > 0 {
-			fellow.snapshotWait--
-		}
+		fellow.tick()
 	}
 	if c.sinceCheck >= c.timing.Election {
 		c.sinceCheck = 0
@@ -577,7 +578,11 @@
 		}
 		return
 	}
+	if fellow.awaits() {
+		return
+	}
 	entries := c.log.part(fellow.next, mostEntriesPerAppend, mostBytesPerAppend)
+	fellow.sentAppend(entries)
 	c.now(Message{Kind: MsgAppend, To: id, LogIndex: previous, LogTerm: previousTerm, Entries: entries, Commit: c.commit})
 	if !fellow.probing && len(entries) > 0 {
 		fellow.next = entries[len(entries)-1].Index + 1
@@ -634,6 +639,7 @@
 		return
 	}
 	fellow.heard = true
+	awaited := fellow.answered(m)
 	if m.Reject {
 		// Fall back to where the logs may meet, never before what is known to agree.
 		fellow.probing = true
@@ -655,7 +661,7 @@
 	if c.role != Leader {
 		return
 	}
-	if wasProbing && fellow.next <= c.log.last() {
+	if (wasProbing || awaited) && fellow.next <= c.log.last() {
 		c.sendAppend(m.From, fellow)
 	}
 	c.flushTransfer()
@@ -668,7 +674,7 @@
 	}
 	fellow.heard = true
 	// Appends may have been lost on the way; a heartbeat's answer is the time to look again.
-	if fellow.match < c.log.last() {
+	if fellow.match < c.log.last() && !fellow.awaits() {
 		fellow.next = fellow.match + 1
 		fellow.probing = true
 	}
--- /dev/null
+++ b/process/raft/flow_test.go
@@ -0,0 +1,70 @@
+package raft
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+)
+
+// largeLeader leads two members and has just sent the second a large entry.
+func largeLeader(t *testing.T) (leader *Core, sent Message) {
+	t.Helper()
+	members := Membership{Members: []Member{{ID: 1, Voter: true}, {ID: 2}}}
+	leader = New(1, Timing{Heartbeat: 2, Election: 16}, Restored{HardState: HardState{Term: 1}, Snapshot: Snapshot{Index: 1, Term: 1, Membership: members}}, rand.New(rand.NewPCG(1, 1)))
+	for leader.Role() != Leader {
+		effects := leader.Step(Tick{})
+		for len(effects.Later) > 0 {
+			effects = leader.Step(Receive{effects.Later[0]})
+		}
+	}
+	leader.Step(Receive{Message{Kind: MsgAppendReply, From: 2, To: 1, Term: leader.Term(), LogIndex: leader.LastIndex()}})
+	for _, message := range leader.Step(Propose{Data: bytes.Repeat([]byte{'x'}, 200<<10)}).Now {
+		if message.Kind == MsgAppend {
+			sent = message
+		}
+	}
+	if len(sent.Entries) != 1 {
+		t.Fatalf("no append was sent: %+v", sent)
+	}
+	return leader, sent
+}
+
+// appends counts the entries that effects send to the second member.
+func appends(effects Effects) (entries int) {
+	for _, message := range effects.Now {
+		if message.Kind == MsgAppend {
+			entries += len(message.Entries)
+		}
+	}
+	return entries
+}
+
+func TestALargeAppendIsSentOnceWhileItIsUnderWay(t *testing.T) {
+	leader, _ := largeLeader(t)
+	again, after := 0, 0
+	for tick := 1; again == 0 && tick < 40; tick++ {
+		effects := leader.Step(Tick{})
+		again += appends(effects)
+		again += appends(leader.Step(Receive{Message{Kind: MsgHeartbeatReply, From: 2, To: 1, Term: leader.Term()}}))
+		after = tick
+	}
+	// 200 kB take 3.3 ticks of 50 ms at 10 Mbit/s.
+	if again == 0 || after < 6 || after > 12 {
+		t.Errorf("%d entries were sent again after %d ticks", again, after)
+	}
+}
+
+func TestTheNextIsSentAtOnceWhenALargeAppendIsAnswered(t *testing.T) {
+	leader, sent := largeLeader(t)
+	if count := appends(leader.Step(Propose{Data: []byte("next")})); count != 0 {
+		t.Errorf("%d entries were sent behind a large append under way", count)
+	}
+	answer := Message{Kind: MsgAppendReply, From: 2, To: 1, Term: leader.Term(), LogIndex: sent.LogIndex}
+	if count := appends(leader.Step(Receive{answer})); count != 0 {
+		t.Errorf("%d entries were sent upon the answer to an earlier append", count)
+	}
+	answer.LogIndex = sent.Entries[0].Index
+	if count := appends(leader.Step(Receive{answer})); count != 1 {
+		t.Errorf("%d entries were sent upon the answer", count)
+	}
+}
--- a/process/replica/simulation_test.go
+++ b/process/replica/simulation_test.go
@@ -92,6 +92,7 @@
 	endsUnheld bool
 	// bytesPerSecond bounds what each machine sends; zero does not. lineFree is when a machine's link is free again.
 	bytesPerSecond int
+	sentBytes      int
 	lineFree       map[int]clock.Mark
 }
 
@@ -421,7 +422,11 @@
 			if s.faults && s.random.IntN(40) == 0 {
 				delay += s.ms(0, 400)
 			}
-			s.after(delay+n.lineTime(m), func() { to.receive(m) })
+			line, sent := n.lineTime(m)
+			if !sent {
+				continue
+			}
+			s.after(delay+line, func() { to.receive(m) })
 		}
 	}
 }
@@ -434,13 +439,14 @@
 	return plan.Next()
 }
 
-// lineTime is how long a message waits for a machine's link, and takes on it.
-func (n *simNode) lineTime(m raft.Message) time.Duration {
+// lineTime is how long a message waits for a machine's link, and takes on it. As between daemons, what is large is
+// dropped where a megabyte waits already.
+func (n *simNode) lineTime(m raft.Message) (time.Duration, bool) {
 	s := n.sim
 	if s.bytesPerSecond == 0 {
-		return 0
+		return 0, true
 	}
-	const headBytes = 300
+	const headBytes, mostWaiting, large = 300, 1 << 20, 4 << 10
 	size := headBytes
 	for _, entry := range m.Entries {
 		size += len(entry.Data)
@@ -451,8 +457,16 @@
 	if s.lineFree == nil {
 		s.lineFree = map[int]clock.Mark{}
 	}
-	s.lineFree[n.place] = max(s.lineFree[n.place], s.now) + clock.Mark(time.Duration(size)*time.Second/time.Duration(s.bytesPerSecond))
-	return s.lineFree[n.place].Since(s.now)
+	takes := func(bytes int) time.Duration {
+		return time.Duration(bytes) * time.Second / time.Duration(s.bytesPerSecond)
+	}
+	free := max(s.lineFree[n.place], s.now)
+	if size > large && free.Since(s.now) > takes(mostWaiting) {
+		return 0, false
+	}
+	s.lineFree[n.place] = free + clock.Mark(takes(size))
+	s.sentBytes += size
+	return s.lineFree[n.place].Since(s.now), true
 }
 
 func (s *sim) nodeOf(id raft.MemberID) *simNode {
--- /dev/null
+++ b/process/replica/slow_link_test.go
@@ -0,0 +1,59 @@
+package replica
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/process/statemachine"
+)
+
+const (
+	// tenMegabits is a link's speed in bytes a second, thirtySyncs a disk that is thirty times slower than one of 1 ms.
+	tenMegabits = 10_000_000 / 8
+	thirtySyncs = 30 * time.Millisecond
+)
+
+// fill puts so many commands of so many bytes into the log, over links that take no time.
+func (s *sim) fill(t *testing.T, count, size int) {
+	for range count {
+		answered := false
+		s.ask(s.leader(), &statemachine.Command{Op: statemachine.OpReview, Spec: bytes.Repeat([]byte{'x'}, size*3/4)}, func(Answer) { answered = true })
+		if s.until(5*time.Second, func() bool { return answered }); !answered {
+			t.Fatal("a command was not answered")
+		}
+	}
+}
+
+// TestAMachineComesBackInTimeOverASlowLink: a machine is replaced while the log is full of large entries, the disks are
+// slow, and all links carry 10 Mbit/s. It must vote within catchUp of its start wherever the link could carry the log
+// twice in that time.
+func TestAMachineComesBackInTimeOverASlowLink(t *testing.T) {
+	for _, c := range []struct {
+		count, size int
+		bounded     bool
+	}{{5, 200 << 10, true}, {10, 200 << 10, true}, {20, 200 << 10, false}, {35, 200 << 10, false}} {
+		for _, first := range []trouble{replacedAnew, returnsEmpty} {
+			for victim := range 3 {
+				s := calmSim(t, 1, 3)
+				s.ended, s.diskTakes = true, thirtySyncs
+				s.runFor(time.Second)
+				s.fill(t, c.count, c.size)
+				s.bytesPerSecond, s.sentBytes = tenMegabits, 0
+				s.strike(first, s.here()[victim])
+				s.runFor(first.over())
+				took := s.until(60*time.Second, s.whole)
+				t.Logf("%d kB of log, %s at %d: votes %v after its start, %d kB sent", c.count*c.size>>10, first, victim, took.Round(10*time.Millisecond), s.sentBytes>>10)
+				if c.bounded && took > catchUp {
+					t.Errorf("%d kB of log, %s at %d: it votes only %v after its start", c.count*c.size>>10, first, victim, took)
+				}
+				if log := c.count * c.size; s.sentBytes > 2*log {
+					t.Errorf("%d kB of log, %s at %d: %d kB were sent for it", log>>10, first, victim, s.sentBytes>>10)
+				}
+				if len(s.violations) > 0 {
+					t.Error(s.violations)
+				}
+			}
+		}
+	}
+}
