--- a/process/replica/simulation_test.go
+++ b/process/replica/simulation_test.go
@@ -88,6 +88,8 @@
 	diskTakes time.Duration
 	// plan decides on the next membership; nil stands for the real plan.
 	plan func(MembershipPlan) (raft.Membership, bool)
+	// onlyPower has all machines lose power over and over, and nothing else happen.
+	onlyPower bool
 	// endsUnheld has those that stop end though nobody said that they may.
 	endsUnheld bool
 	// bytesPerSecond bounds what each machine sends; zero does not. lineFree is when a machine's link is free again.
@@ -694,6 +696,9 @@
 	})
 }
 
+// powerOfAll is the trouble in which all machines lose power.
+const powerOfAll = 2
+
 // trouble makes one failure after the other happen.
 func (s *sim) trouble() {
 	wait := s.ms(200, 2500)
@@ -705,11 +710,15 @@
 			return
 		}
 		n := s.some(1)[0]
-		switch s.random.IntN(14) {
+		kind := s.random.IntN(14)
+		if s.onlyPower {
+			kind = powerOfAll
+		}
+		switch kind {
 		case 0, 1:
 			n.crash()
 			s.after(s.ms(50, 4000), n.revive)
-		case 2:
+		case powerOfAll:
 			// All at once.
 			for _, each := range s.nodes {
 				each.crash()
@@ -867,6 +876,9 @@
 		t.Run(string(broken), func(t *testing.T) {
 			for seed := range uint64(80) {
 				s := newSim(t, seed, 3, broken)
+				if broken == diskLies {
+					s.losePowerWhileWriting()
+				}
 				if caught := s.tryRun(90 * time.Second); caught != "" {
 					t.Logf("seed %d: %s", seed, caught)
 					return
@@ -877,6 +889,20 @@
 	}
 }
 
+// losePowerWhileWriting has disks take long, and all machines lose power over and over.
+func (s *sim) losePowerWhileWriting() { s.onlyPower, s.diskTakes = true, 100*time.Millisecond }
+
+// TestPowerLostWhileWriting: what catches a disk that lies finds nothing where none does.
+func TestPowerLostWhileWriting(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(t, seed, 3, sound)
+		s.losePowerWhileWriting()
+		if fault := s.tryRun(90 * time.Second); fault != "" {
+			t.Errorf("seed %d: %s", seed, fault)
+		}
+	}
+}
+
 // tryRun takes a broken invariant's panic for a catch too.
 func (s *sim) tryRun(trouble time.Duration) (caught string) {
 	defer func() {
