--- a/process/raft/replication.go
+++ b/process/raft/replication.go
@@ -15,8 +15,11 @@
 	probing bool
 	// takesParts says that the member takes snapshots in parts.
 	takesParts bool
-	// answered is the newest round of heartbeats that the member replied to.
-	answered uint64
+	// repliedRound is the newest round of heartbeats that the member replied to.
+	repliedRound uint64
+	// awaited is the last entry of a large append under way, awaitedFor how many ticks it may still take.
+	awaited    Index
+	awaitedFor int
 	// sending is the snapshot on its way to the member, if there is one.
 	sending *outgoing
 }
@@ -53,9 +56,7 @@
 		}
 	}
 	for _, peer := range c.peers {
-		if peer.sending != nil && peer.sending.wait > 0 {
-			peer.sending.wait--
-		}
+		peer.tick()
 	}
 	if c.sinceCheck >= c.timing.Election {
 		c.sinceCheck = 0
@@ -181,7 +182,11 @@
 		return
 	}
 	peer.sending = nil
+	if peer.awaits() {
+		return
+	}
 	entries := c.log.part(peer.next, mostEntriesPerAppend, mostBytesPerAppend)
+	peer.sentAppend(entries)
 	c.now(Message{Kind: MsgAppend, To: id, LogIndex: previous, LogTerm: previousTerm, Entries: entries, Commit: c.commit})
 	if !peer.probing && len(entries) > 0 {
 		peer.next = entries[len(entries)-1].Index + 1
@@ -237,6 +242,7 @@
 		return
 	}
 	peer.spoke(m)
+	awaited := peer.answered(m)
 	if m.Reject {
 		// Fall back to where the logs may meet, never before what is known to agree.
 		peer.probing = true
@@ -260,7 +266,7 @@
 	if c.role != Leader {
 		return
 	}
-	if wasProbing && peer.next <= c.log.last() {
+	if (wasProbing || awaited) && peer.next <= c.log.last() {
 		c.sendAppend(m.From, peer)
 	}
 	c.flushTransfer()
@@ -272,9 +278,9 @@
 		return
 	}
 	peer.spoke(m)
-	peer.answered = max(peer.answered, m.ReadMark)
+	peer.repliedRound = max(peer.repliedRound, m.ReadMark)
 	// Appends may have been lost on the way; a heartbeat's answer is the time to look again.
-	if peer.match < c.log.last() {
+	if peer.match < c.log.last() && !peer.awaits() {
 		peer.next = peer.match + 1
 		peer.probing = true
 	}
--- a/process/replica/simulation_test.go
+++ b/process/replica/simulation_test.go
@@ -103,6 +103,12 @@
 	damage func(*raft.Message)
 	// plan decides on the next membership; nil stands for the real plan.
 	plan func(MembershipPlan) (raft.Membership, bool)
+	// onlyPower has all machines lose power over and over, and nothing else happen.
+	onlyPower bool
+	// endsUnheld has those that stop end though nobody said that they may.
+	endsUnheld bool
+	// sentBytes is how much all machines sent.
+	sentBytes int
 }
 
 type simDisk struct {
@@ -479,12 +485,11 @@
 			if s.faults && s.random.IntN(40) == 0 {
 				delay += s.ms(0, 400)
 			}
-			carried := s.carrying(n.place, m)
-			if carried > callLimit {
+			line, sent := n.lineTime(m)
+			if !sent {
 				continue
 			}
-			delay += carried
-			s.after(delay, func() { to.receive(m) })
+			s.after(delay+line, func() { to.receive(m) })
 		}
 	}
 }
@@ -500,12 +505,14 @@
 // callLimit is how long a call with messages may take before it is given up.
 const callLimit = 3 * time.Second
 
-// carrying is how long a message waits for its link and takes on it.
-func (s *sim) carrying(from int, m raft.Message) time.Duration {
+// lineTime is how long a message waits for a machine's link, and takes on it. As between daemons, what is large is
+// dropped where a megabyte waits already, and a call that takes too long is given up.
+func (n *simNode) lineTime(m raft.Message) (time.Duration, bool) {
+	s := n.sim
 	if s.link == 0 {
-		return 0
+		return 0, true
 	}
-	const headBytes = 300
+	const headBytes, mostWaiting, large = 300, 1 << 20, 4 << 10
 	size := headBytes
 	for _, entry := range m.Entries {
 		size += len(entry.Data)
@@ -513,9 +520,20 @@
 	if m.Snapshot != nil {
 		size += len(m.Snapshot.Data)
 	}
-	takes := time.Duration(size) * time.Second / time.Duration(s.link)
-	s.busyUntil[from] = max(s.busyUntil[from], s.now) + clock.Mark(takes)
-	return s.busyUntil[from].Since(s.now)
+	if s.busyUntil == nil {
+		s.busyUntil = map[int]clock.Mark{}
+	}
+	takes := func(bytes int) time.Duration {
+		return time.Duration(bytes) * time.Second / time.Duration(s.link)
+	}
+	free := max(s.busyUntil[n.place], s.now)
+	if size > large && free.Since(s.now) > takes(mostWaiting) {
+		return 0, false
+	}
+	s.busyUntil[n.place] = free + clock.Mark(takes(size))
+	s.sentBytes += size
+	line := s.busyUntil[n.place].Since(s.now)
+	return line, line <= callLimit
 }
 
 func (s *sim) nodeOf(id raft.MemberID) *simNode {
@@ -746,6 +764,9 @@
 	})
 }
 
+// powerOfAll is the trouble in which all machines lose power.
+const powerOfAll = 2
+
 // trouble makes one failure after the other happen.
 func (s *sim) trouble() {
 	wait := s.ms(200, 2500)
@@ -757,11 +778,15 @@
 			return
 		}
 		n := s.some(1)[0]
-		switch s.random.IntN(14) {
+		kind := s.random.IntN(14)
+		if s.onlyPower {
+			kind = powerOfAll
+		}
+		switch kind {
 		case 0, 1:
 			n.crash()
 			s.after(s.ms(50, 4000), n.revive)
-		case 2:
+		case powerOfAll:
 			// All at once.
 			for _, each := range s.nodes {
 				each.crash()
@@ -928,6 +953,9 @@
 		t.Run(string(broken), func(t *testing.T) {
 			for seed := range uint64(80) {
 				s := newSim(t, seed, 3, broken)
+				if broken == diskLies {
+					s.losePowerWhileWriting()
+				}
 				if caught := s.tryRun(90 * time.Second); caught != "" {
 					t.Logf("seed %d: %s", seed, caught)
 					return
@@ -938,6 +966,20 @@
 	}
 }
 
+// losePowerWhileWriting has disks take long, and all machines lose power over and over.
+func (s *sim) losePowerWhileWriting() { s.onlyPower, s.diskTakes = true, 100*time.Millisecond }
+
+// TestPowerLostWhileWriting: what catches a disk that lies finds nothing where none does.
+func TestPowerLostWhileWriting(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(t, seed, 3, sound)
+		s.losePowerWhileWriting()
+		if fault := s.tryRun(90 * time.Second); fault != "" {
+			t.Errorf("seed %d: %s", seed, fault)
+		}
+	}
+}
+
 // tryRun takes a broken invariant's panic for a catch too.
 func (s *sim) tryRun(trouble time.Duration) (caught string) {
 	defer func() {
