--- a/rehearsal/scale/fleet.go
+++ b/rehearsal/scale/fleet.go
@@ -50,12 +50,12 @@
 	host    bool
 	cmd     *exec.Cmd
 	// up says that it was started.
-	up    atomic.Bool
-	words io.WriteCloser
-	mutex sync.Mutex
-	// ended are the hollow daemons that ended of themselves or on the runner's word.
-	ended map[string]string
-	told  chan struct{}
+	up       atomic.Bool
+	commands io.WriteCloser
+	mutex    sync.Mutex
+	// ended are the hollow daemons that ended of themselves or on the runner's command.
+	ended   map[string]string
+	changed chan struct{}
 }
 
 // oneCore is how many processors each process of the fleet may use at once.
@@ -158,7 +158,7 @@
 			continue
 		}
 		if host == nil || len(host.members) == perHost {
-			host = &process{host: true, ended: map[string]string{}, told: make(chan struct{})}
+			host = &process{host: true, ended: map[string]string{}, changed: make(chan struct{})}
 			f.processes = append(f.processes, host)
 		}
 		host.members = append(host.members, m)
@@ -174,52 +174,14 @@
 		if p.host != hosts {
 			continue
 		}
-		args := []string{"hollow"}
-		if f.profiles != "" {
-			args = append(args, "--profile", filepath.Join(f.profiles, fmt.Sprintf("%d-daemons-host-%d.pprof", len(f.members), i)))
-		}
-		program, name := f.self, fmt.Sprintf("host-%d", i)
-		if !p.host {
-			m := p.members[0]
-			path, err := f.settle(m)
-			if err != nil {
-				return err
-			}
-			program, name, args = f.program, m.name, []string{"--config", path}
-		}
-		log, err := os.Create(filepath.Join(f.folder, name+".log"))
-		if err != nil {
-			return err
-		}
-		p.cmd = exec.Command(program, args...)
-		p.cmd.Stderr = log
-		// The deployments' machines show one core; with more, Go's scheduler looks for work on all of them at
-		// each wake-up, and an idle daemon costs several times as much.
-		p.cmd.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", oneCore))
-		// A runner that dies takes its fleet with it.
-		p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		if p.host {
-			if p.words, err = p.cmd.StdinPipe(); err != nil {
-				return err
-			}
-			echoes, err := p.cmd.StdoutPipe()
-			if err != nil {
-				return err
-			}
-			go p.listen(echoes)
-		}
-		err = p.cmd.Start()
-		log.Close()
-		if err != nil {
+		if err := f.startProcess(i, p); err != nil {
 			return err
 		}
-		p.up.Store(true)
-		f.started += len(p.members)
 		if !p.host {
 			continue
 		}
 		for _, m := range p.members {
-			if err := p.tell(Word{Start: &m.settings}); err != nil {
+			if err := p.command(HostCommand{Start: &m.settings}); err != nil {
 				return err
 			}
 			if pace <= 0 {
@@ -233,6 +195,55 @@
 	return nil
 }
 
+func (f *fleet) startProcess(number int, p *process) error {
+	program, name, args, err := f.command(number, p)
+	if err != nil {
+		return err
+	}
+	log, err := os.Create(filepath.Join(f.folder, name+".log"))
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	p.cmd = exec.Command(program, args...)
+	p.cmd.Stderr = log
+	// The deployments' machines show one core; with more, Go's scheduler looks for work on all of them at
+	// each wake-up, and an idle daemon costs several times as much.
+	p.cmd.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", oneCore))
+	// A runner that dies takes its fleet with it.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if p.host {
+		if p.commands, err = p.cmd.StdinPipe(); err != nil {
+			return err
+		}
+		events, err := p.cmd.StdoutPipe()
+		if err != nil {
+			return err
+		}
+		go p.listen(events)
+	}
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	p.up.Store(true)
+	f.started += len(p.members)
+	return nil
+}
+
+// command is the program of a process, the name of its log and its arguments.
+func (f *fleet) command(number int, p *process) (program, name string, args []string, err error) {
+	if !p.host {
+		m := p.members[0]
+		path, err := f.settle(m)
+		return f.program, m.name, []string{"--config", path}, err
+	}
+	args = []string{"hollow"}
+	if f.profiles != "" {
+		args = append(args, "--profile", filepath.Join(f.profiles, fmt.Sprintf("%d-daemons-host-%d.pprof", len(f.members), number)))
+	}
+	return f.self, fmt.Sprintf("host-%d", number), args, nil
+}
+
 // settle writes the settings of a daemon that is a process of its own.
 func (f *fleet) settle(m *member) (path string, err error) {
 	path = filepath.Join(f.folder, m.name+".json")
@@ -247,19 +258,21 @@
 	return path, os.WriteFile(path, data, 0o600)
 }
 
-func (p *process) tell(word Word) error { return json.NewEncoder(p.words).Encode(word) }
+func (p *process) command(command HostCommand) error {
+	return json.NewEncoder(p.commands).Encode(command)
+}
 
-func (p *process) listen(echoes io.Reader) {
-	lines := bufio.NewScanner(echoes)
+func (p *process) listen(events io.Reader) {
+	lines := bufio.NewScanner(events)
 	for lines.Scan() {
-		var echo Echo
-		if json.Unmarshal(lines.Bytes(), &echo) != nil {
+		var event HostEvent
+		if json.Unmarshal(lines.Bytes(), &event) != nil {
 			continue
 		}
 		p.mutex.Lock()
-		p.ended[echo.Ended] = echo.Why
-		close(p.told)
-		p.told = make(chan struct{})
+		p.ended[event.Ended] = event.Why
+		close(p.changed)
+		p.changed = make(chan struct{})
 		p.mutex.Unlock()
 	}
 }
@@ -269,20 +282,20 @@
 	p.mutex.Lock()
 	delete(p.ended, m.name)
 	p.mutex.Unlock()
-	if err := p.tell(Word{Stop: m.name}); err != nil {
+	if err := p.command(HostCommand{Stop: m.name}); err != nil {
 		return err
 	}
 	limit := time.After(within)
 	for {
 		p.mutex.Lock()
 		_, ended := p.ended[m.name]
-		told := p.told
+		changed := p.changed
 		p.mutex.Unlock()
 		if ended {
-			return p.tell(Word{Start: &m.settings})
+			return p.command(HostCommand{Start: &m.settings})
 		}
 		select {
-		case <-told:
+		case <-changed:
 		case <-limit:
 			return fmt.Errorf("%s did not end", m.name)
 		}
@@ -293,8 +306,8 @@
 func (f *fleet) stop() {
 	for _, p := range f.running() {
 		if p.host && f.profiles != "" {
-			// Hosts end with their words, and then write what they have.
-			_ = p.words.Close()
+			// Hosts end with their commands, and then write what they have.
+			_ = p.commands.Close()
 			continue
 		}
 		_ = p.cmd.Process.Kill()
--- a/rehearsal/scale/host.go
+++ b/rehearsal/scale/host.go
@@ -15,22 +15,21 @@
 	"github.com/cresspond/cresspond/process/daemon"
 )
 
-// Word is what the runner tells a host: a daemon to start, or the name of one to stop.
-type Word struct {
+// HostCommand is what the runner sends to a host: a daemon to start, or the name of one to stop.
+type HostCommand struct {
 	Start *config.Config `json:"start,omitempty"`
 	Stop  string         `json:"stop,omitempty"`
 }
 
-// Echo is what a host tells back when a daemon has ended.
-type Echo struct {
+// HostEvent is what a host sends back when a daemon has ended.
+type HostEvent struct {
 	Ended string `json:"ended"`
 	Why   string `json:"why,omitempty"`
 }
 
-// Host runs hollow daemons: the daemon's own code, many in one process, with no clients. It ends when the
-// runner's words do.
-// Where profile names a file, what takes its processor time is written there at the end.
-func Host(words io.Reader, echoes io.Writer, profile string) error {
+// Host runs hollow daemons: the daemon's own code, many in one process, with no clients. It ends when the runner's
+// commands do. Where profile names a file, what takes its processor time is written there at the end.
+func Host(commands io.Reader, events io.Writer, profile string) error {
 	if profile != "" {
 		file, err := os.Create(profile)
 		if err != nil {
@@ -43,57 +42,74 @@
 		defer pprof.StopCPUProfile()
 	}
 	log.SetHandler(discard.New())
-	type running struct{ stop, hurry chan struct{} }
-	var mutex sync.Mutex
-	all := map[string]running{}
-	say := json.NewEncoder(echoes)
-	decoder := json.NewDecoder(words)
-	var ends sync.WaitGroup
+	h := &host{daemons: map[string]hostedDaemon{}, events: json.NewEncoder(events)}
+	decoder := json.NewDecoder(commands)
 	for {
-		var word Word
-		if err := decoder.Decode(&word); err != nil {
-			mutex.Lock()
-			for _, one := range all {
-				close(one.stop)
-				close(one.hurry)
-			}
-			mutex.Unlock()
+		var command HostCommand
+		if err := decoder.Decode(&command); err != nil {
+			h.stopAll()
 			if errors.Is(err, io.EOF) {
 				// Nobody waits for hollow daemons to drain.
 				return nil
 			}
 			return err
 		}
-		if word.Stop != "" {
-			mutex.Lock()
-			if one, known := all[word.Stop]; known {
-				delete(all, word.Stop)
-				close(one.stop)
-				close(one.hurry)
-			}
-			mutex.Unlock()
+		if command.Stop != "" {
+			h.stop(command.Stop)
 		}
-		if word.Start == nil {
-			continue
+		if command.Start != nil {
+			h.start(*command.Start)
 		}
-		one := running{make(chan struct{}), make(chan struct{})}
-		mutex.Lock()
-		all[word.Start.Name] = one
-		mutex.Unlock()
-		settings := *word.Start
-		ends.Add(1)
-		go func() {
-			defer ends.Done()
-			echo := Echo{Ended: settings.Name}
-			if err := daemon.New(settings, "hollow", log.Log).Run(one.stop, one.hurry); err != nil {
-				echo.Why = err.Error()
-			}
-			mutex.Lock()
-			defer mutex.Unlock()
-			if all[settings.Name] == one {
-				delete(all, settings.Name)
-			}
-			_ = say.Encode(echo)
-		}()
 	}
 }
+
+// hostedDaemon holds the channels that stop a daemon of a host.
+type hostedDaemon struct{ stop, hurry chan struct{} }
+
+func (d hostedDaemon) end() {
+	close(d.stop)
+	close(d.hurry)
+}
+
+// host is the state of Host. The mutex guards all of it.
+type host struct {
+	mutex   sync.Mutex
+	daemons map[string]hostedDaemon
+	events  *json.Encoder
+}
+
+func (h *host) stopAll() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for _, one := range h.daemons {
+		one.end()
+	}
+}
+
+func (h *host) stop(name string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if one, known := h.daemons[name]; known {
+		delete(h.daemons, name)
+		one.end()
+	}
+}
+
+func (h *host) start(settings config.Config) {
+	one := hostedDaemon{make(chan struct{}), make(chan struct{})}
+	h.mutex.Lock()
+	h.daemons[settings.Name] = one
+	h.mutex.Unlock()
+	go func() {
+		event := HostEvent{Ended: settings.Name}
+		if err := daemon.New(settings, "hollow", log.Log).Run(one.stop, one.hurry); err != nil {
+			event.Why = err.Error()
+		}
+		h.mutex.Lock()
+		defer h.mutex.Unlock()
+		if h.daemons[settings.Name] == one {
+			delete(h.daemons, settings.Name)
+		}
+		_ = h.events.Encode(event)
+	}()
+}
--- a/rehearsal/scale/scale_test.go
+++ b/rehearsal/scale/scale_test.go
@@ -154,13 +154,13 @@
 	ended := make(chan error, 1)
 	go func() { ended <- Host(words.reader, echoes.writer, "") }()
 	say := json.NewEncoder(words.writer)
-	if err := say.Encode(Word{Start: &m.settings}); err != nil {
+	if err := say.Encode(HostCommand{Start: &m.settings}); err != nil {
 		t.Fatal(err)
 	}
-	if err := say.Encode(Word{Stop: m.name}); err != nil {
+	if err := say.Encode(HostCommand{Stop: m.name}); err != nil {
 		t.Fatal(err)
 	}
-	var echo Echo
+	var echo HostEvent
 	if err := json.NewDecoder(echoes.reader).Decode(&echo); err != nil || echo.Ended != m.name || echo.Why != "" {
 		t.Fatalf("%+v, %v", echo, err)
 	}
