--- a/rehearsal/scenario/loss.go
+++ b/rehearsal/scenario/loss.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"fmt"
+	"errors"
 	"os"
 	"time"
 
@@ -39,138 +39,148 @@
 
 // Loss loses disks and machines in every way that the brief names.
 func (r *Run) Loss(ctx context.Context, scale float64) (map[string]uint64, error) {
+	l := &losses{Run: r, cores: r.cores(), epoch: 1}
 	return r.underLoad(ctx, scale, func() error {
-		cores := r.cores()
-		epoch := uint64(1)
-		roll := func(note string) error {
-			err := r.Roll(note, epoch)
-			epoch++
-			return err
-		}
+		return inTurn(l.wipeOne, l.replaceOne, l.wipeOthersInTurn, l.killAll, l.loseMajority)
+	})
+}
 
-		r.Say("a core machine's disk is wiped right after an acknowledgement, and it is back at the old address")
-		if err := roll("before-wipe"); err != nil {
-			return err
-		}
-		if err := r.lose(cores[0]); err != nil {
-			return err
-		}
-		if err := cores[0].Start(); err != nil {
-			return err
-		}
-		if err := roll("after-wipe"); err != nil {
-			return err
-		}
-		if err := r.awaitWhole(); err != nil {
+// inTurn takes steps until one fails.
+func inTurn(steps ...func() error) error {
+	for _, step := range steps {
+		if err := step(); err != nil {
 			return err
 		}
+	}
+	return nil
+}
 
-		r.Say("a core machine is replaced by an empty one at a new address")
-		if err := r.lose(cores[1]); err != nil {
-			return err
-		}
-		if err := r.Fleet.Move(cores[1]); err != nil {
-			return err
-		}
-		if err := cores[1].Start(); err != nil {
-			return err
-		}
-		if err := roll("after-move"); err != nil {
-			return err
-		}
-		if err := r.awaitWhole(); err != nil {
-			return err
-		}
+// losses is the scenario of lost disks and machines.
+type losses struct {
+	*Run
+	cores []*fleet.Process
+	// epoch is the one that the next bundle builds on.
+	epoch uint64
+}
 
-		r.Say("the other two are wiped in turn, so that no disk is left that formed the group")
-		for _, p := range []*fleet.Process{cores[2], cores[0]} {
-			if err := r.lose(p); err != nil {
-				return err
-			}
-			if err := p.Start(); err != nil {
-				return err
-			}
-			if err := r.awaitWhole(); err != nil {
-				return err
-			}
-		}
-		if err := r.Zone(r.Fleet.Deployment.Zones[0], true); err != nil {
-			return err
-		}
-		if err := roll("after-turns"); err != nil {
-			return err
-		}
+func (l *losses) roll(note string) error {
+	err := l.Roll(note, l.epoch)
+	l.epoch++
+	return err
+}
 
-		r.Say("all daemons are killed at once, right after an acknowledgement")
-		for _, p := range r.Fleet.Daemons {
-			p.Kill()
-		}
-		r.Act(checker.Act{Kind: checker.Crashed, Subject: "core, all at once"})
-		for _, p := range r.Fleet.Daemons {
-			if err := p.Start(); err != nil {
-				return err
-			}
-		}
-		if err := roll("after-all"); err != nil {
-			return err
-		}
-		if err := r.Await("all edges are ready", r.AllReady); err != nil {
-			return err
-		}
-		if err := r.awaitWhole(); err != nil {
-			return err
-		}
-		r.Pause(2 * time.Second)
+func (l *losses) wipeOne() error {
+	l.Say("a core machine's disk is wiped right after an acknowledgement, and it is back at the old address")
+	return inTurn(
+		func() error { return l.roll("before-wipe") },
+		func() error { return l.lose(l.cores[0]) },
+		l.cores[0].Start,
+		func() error { return l.roll("after-wipe") },
+		l.awaitWhole,
+	)
+}
 
-		// With every other seed no disk is left at all: the living daemons, none older than the last epochs, hold all that was.
-		noneLeft := r.Seed%2 == 1
-		r.Say("two disks are lost for good, and the third too: %t; the group is recovered from what is left and the living daemons", noneLeft)
-		for _, p := range cores {
-			p.Kill()
-		}
-		for _, p := range cores[1:] {
-			if err := r.Fleet.Wipe(p); err != nil {
-				return err
-			}
-		}
-		kept := r.Fleet.DataOf(cores[0]) + ".kept"
-		if err := os.Rename(r.Fleet.DataOf(cores[0]), kept); err != nil {
-			return err
-		}
-		if noneLeft {
-			kept = ""
-		}
-		refused := 0
-		if err := r.Await("the recovery is let in", func() bool {
-			said, err := r.Fleet.Recover(cores[0], kept)
-			if err != nil {
-				refused++
-				return false
-			}
-			r.Say("%s", said)
-			return true
-		}); err != nil {
+func (l *losses) replaceOne() error {
+	l.Say("a core machine is replaced by an empty one at a new address")
+	return inTurn(
+		func() error { return l.lose(l.cores[1]) },
+		func() error { return l.Fleet.Move(l.cores[1]) },
+		l.cores[1].Start,
+		func() error { return l.roll("after-move") },
+		l.awaitWhole,
+	)
+}
+
+func (l *losses) wipeOthersInTurn() error {
+	l.Say("the other two are wiped in turn, so that no disk is left that formed the group")
+	for _, p := range []*fleet.Process{l.cores[2], l.cores[0]} {
+		if err := inTurn(func() error { return l.lose(p) }, p.Start, l.awaitWhole); err != nil {
 			return err
 		}
-		// Right after the loss a leader was still heard lately, and a recovery must be refused for that.
-		if refused == 0 {
-			return fmt.Errorf("the group was recovered though it had been alive a moment before")
-		}
-		for _, p := range cores {
-			if err := p.Start(); err != nil {
-				return err
-			}
-		}
-		if err := roll("after-recovery"); err != nil {
+	}
+	return inTurn(
+		func() error { return l.Zone(l.Fleet.Deployment.Zones[0], true) },
+		func() error { return l.roll("after-turns") },
+	)
+}
+
+func (l *losses) killAll() error {
+	l.Say("all daemons are killed at once, right after an acknowledgement")
+	for _, p := range l.Fleet.Daemons {
+		p.Kill()
+	}
+	l.Act(checker.Act{Kind: checker.Crashed, Subject: "core, all at once"})
+	if err := startAll(l.Fleet.Daemons); err != nil {
+		return err
+	}
+	if err := inTurn(func() error { return l.roll("after-all") }, l.awaitAllReady, l.awaitWhole); err != nil {
+		return err
+	}
+	l.Pause(2 * time.Second)
+	return nil
+}
+
+// loseMajority loses two disks for good and recovers the group. With every other seed no disk is left at all: the
+// living daemons, none older than the last epochs, hold all that was.
+func (l *losses) loseMajority() error {
+	noneLeft := l.Seed%2 == 1
+	l.Say("two disks are lost for good, and the third too: %t; the group is recovered from what is left and the living daemons", noneLeft)
+	for _, p := range l.cores {
+		p.Kill()
+	}
+	for _, p := range l.cores[1:] {
+		if err := l.Fleet.Wipe(p); err != nil {
 			return err
 		}
-		if err := r.awaitWhole(); err != nil {
-			return err
+	}
+	kept := l.Fleet.DataOf(l.cores[0]) + ".kept"
+	if err := os.Rename(l.Fleet.DataOf(l.cores[0]), kept); err != nil {
+		return err
+	}
+	if noneLeft {
+		kept = ""
+	}
+	if err := l.recover(kept); err != nil {
+		return err
+	}
+	if err := startAll(l.cores); err != nil {
+		return err
+	}
+	if err := inTurn(func() error { return l.roll("after-recovery") }, l.awaitWhole, l.awaitAllReady); err != nil {
+		return err
+	}
+	l.Pause(4 * time.Second)
+	return nil
+}
+
+// recover recovers the group from a kept disk, if there is one, and the living daemons. Right after the loss a leader
+// was still heard lately, and a recovery must be refused for that.
+func (l *losses) recover(kept string) error {
+	refused := 0
+	if err := l.Await("the recovery is admitted", func() bool {
+		said, err := l.Fleet.Recover(l.cores[0], kept)
+		if err != nil {
+			refused++
+			return false
 		}
-		if err := r.Await("all edges are ready", r.AllReady); err != nil {
+		l.Say("%s", said)
+		return true
+	}); err != nil {
+		return err
+	}
+	if refused == 0 {
+		return errors.New("the group was recovered though it had been alive a moment before")
+	}
+	return nil
+}
+
+func startAll(processes []*fleet.Process) error {
+	for _, p := range processes {
+		if err := p.Start(); err != nil {
 			return err
 		}
-		r.Pause(4 * time.Second)
-		return nil
-	})
+	}
+	return nil
 }
+
+func (r *Run) awaitAllReady() error { return r.Await("all edges are ready", r.AllReady) }
