--- a/process/outlier/ledger.go
+++ b/process/outlier/ledger.go
@@ -47,9 +47,11 @@
 const (
 	// Well: an answer came, or began to come, in time.
 	Well Outcome = iota
-	// Failure, Refusal and Overdue are as in a digest.
+	// Failure: no whole answer came though the engine had the time, or it failed by its own account.
 	Failure
+	// Refusal: the engine stated that it did not run the attempt.
 	Refusal
+	// Overdue: the first byte came far later than for like requests, or has not come yet.
 	Overdue
 )
 
--- a/process/ranking/bounds.go
+++ b/process/ranking/bounds.go
@@ -36,9 +36,11 @@
 	ShutAlready
 	// KeptOpen: an operator keeps it.
 	KeptOpen
-	// PastPool, PastZone, PastHolders: too many of its pool, of its zone, or of the holders of what it holds are shut.
+	// PastPool: too many of its pool are shut.
 	PastPool
+	// PastZone: too many of its zone are shut.
 	PastZone
+	// PastHolders: too many of the holders of something that it holds are shut.
 	PastHolders
 	// LastHolder: something stands there alone, and must be loaded elsewhere first.
 	LastHolder
--- a/process/ranking/settings.go
+++ b/process/ranking/settings.go
@@ -9,9 +9,11 @@
 type Mode string
 
 const (
-	// Off measures nothing. Watch ranks only. Drain has the worst drained, too.
-	Off   Mode = "off"
+	// Off measures nothing.
+	Off Mode = "off"
+	// Watch ranks engines, and does no more.
 	Watch Mode = "watch"
+	// Drain ranks engines, and has the worst drained.
 	Drain Mode = "drain"
 )
 
--- a/rehearsal/scale/fleet.go
+++ b/rehearsal/scale/fleet.go
@@ -26,11 +26,13 @@
 type Kind string
 
 const (
-	// Leader and Follower are of the core, each a process of its own.
-	Leader   Kind = "leader"
+	// Leader is the core daemon that leads, in a process of its own.
+	Leader Kind = "leader"
+	// Follower is any other daemon of the core.
 	Follower Kind = "follower"
-	// Edge is a routing daemon in a process of its own, Hollow one that shares a process.
-	Edge   Kind = "edge"
+	// Edge is a routing daemon in a process of its own.
+	Edge Kind = "edge"
+	// Hollow is a routing daemon that shares a process with others.
 	Hollow Kind = "hollow"
 )
 
--- a/wire/callerapi/callerapi.go
+++ b/wire/callerapi/callerapi.go
@@ -2,6 +2,7 @@
 package callerapi
 
 const (
+	// PathGenerate is where a daemon takes requests.
 	PathGenerate = "/v1/generate"
 	// HeaderAttempt is the caller's own id of the attempt.
 	HeaderAttempt = "X-Attempt-Id"
--- a/wire/engineapi/engineapi.go
+++ b/wire/engineapi/engineapi.go
@@ -4,10 +4,12 @@
 import "github.com/cresspond/cresspond/process/ident"
 
 const (
-	// PathGenerate, PathOrder and PathReport are where an engine answers.
+	// PathGenerate is where an engine takes requests.
 	PathGenerate = "/api/generate"
-	PathOrder    = "/api/order"
-	PathReport   = "/api/report"
+	// PathOrder is where an engine takes orders.
+	PathOrder = "/api/order"
+	// PathReport is where an engine reports what it holds.
+	PathReport = "/api/report"
 	// HeaderAttempt carries the caller's attempt id, unchanged.
 	HeaderAttempt = "X-Attempt-Id"
 )
@@ -42,9 +44,13 @@
 type OrderKind string
 
 const (
-	Load          OrderKind = "load"
-	Unload        OrderKind = "unload"
-	LoadAdapter   OrderKind = "load-adapter"
+	// Load: load a model from the store.
+	Load OrderKind = "load"
+	// Unload: drop a model.
+	Unload OrderKind = "unload"
+	// LoadAdapter: load an adapter of a loaded model.
+	LoadAdapter OrderKind = "load-adapter"
+	// UnloadAdapter: drop an adapter.
 	UnloadAdapter OrderKind = "unload-adapter"
 )
 
@@ -68,8 +74,11 @@
 type ModelState string
 
 const (
-	Loading   ModelState = "loading"
-	Loaded    ModelState = "loaded"
+	// Loading: it can't run requests yet.
+	Loading ModelState = "loading"
+	// Loaded: it can run requests.
+	Loaded ModelState = "loaded"
+	// Unloading: it takes no new requests, and still takes room.
 	Unloading ModelState = "unloading"
 )
 
--- a/wire/operatorapi/operatorapi.go
+++ b/wire/operatorapi/operatorapi.go
@@ -12,21 +12,37 @@
 )
 
 const (
-	PathPropose  = "/v1/spec/propose"
-	PathReview   = "/v1/spec/review"
-	PathSign     = "/v1/spec/sign"
-	PathRoll     = "/v1/spec/roll"
-	PathSpec     = "/v1/spec"
-	PathHistory  = "/v1/spec/history"
+	// PathPropose takes a proposal.
+	PathPropose = "/v1/spec/propose"
+	// PathReview notes a review of a proposal.
+	PathReview = "/v1/spec/review"
+	// PathSign notes a sign-off of a reviewed proposal.
+	PathSign = "/v1/spec/sign"
+	// PathRoll puts a signed proposal in force.
+	PathRoll = "/v1/spec/roll"
+	// PathSpec gives the bundle of an epoch, byte for byte.
+	PathSpec = "/v1/spec"
+	// PathHistory lists the proposals that came in force.
+	PathHistory = "/v1/spec/history"
+	// PathProposal gives one proposal.
 	PathProposal = "/v1/spec/proposal"
-	PathZone     = "/v1/zone"
-	PathDrain    = "/v1/engine"
+	// PathZone closes or opens a zone.
+	PathZone = "/v1/zone"
+	// PathDrain drains an engine or takes it up again.
+	PathDrain = "/v1/engine"
+	// PathClosures lists what is closed.
 	PathClosures = "/v1/closures"
-	PathLost     = "/v1/daemon/lost"
-	PathStatus   = "/v1/status"
-	PathTrace    = "/v1/trace"
-	PathReady    = "/ready"
-	PathLive     = "/live"
+	// PathLost takes an operator's statement that a daemon will never serve again.
+	PathLost = "/v1/daemon/lost"
+	// PathStatus shows what a daemon knows.
+	PathStatus = "/v1/status"
+	// PathTrace follows one change through all daemons.
+	PathTrace = "/v1/trace"
+	// PathReady says whether the daemon takes requests.
+	PathReady = "/ready"
+	// PathLive says that the process answers.
+	PathLive = "/live"
+	// PathCounters lists the daemon's counters as text.
 	PathCounters = "/counters"
 	// HeaderEpoch carries the epoch of a bundle that is read back.
 	HeaderEpoch = "X-Spec-Epoch"
