Join what stood twice in the checker and in the plan's memory

The search for the next act on a subject, the count of faulty pieces and the dropping of old marks stood two or three times each. Tests of checker (each rule still finds its broken history) and placement pass.

--- a/process/placement/memory.go
+++ b/process/placement/memory.go
@@ -1,5 +1,11 @@
 package placement
 
+import (
+	"maps"
+
+	"github.com/cresspond/cresspond/process/clock"
+)
+
 // remember keeps when models came, when they were asked for and when sessions were assigned to them.
 func (p *Planner) remember(in Input) {
 	p.rememberModels(in)
@@ -20,11 +26,7 @@
 			}
 		}
 	}
-	for key := range p.since {
-		if !seen[key] {
-			delete(p.since, key)
-		}
-	}
+	maps.DeleteFunc(p.since, func(key placed, _ clock.Mark) bool { return !seen[key] })
 }
 
 // rememberRequests keeps when each item was last asked for, for what worth, and since when without a quiet spell.
@@ -58,18 +60,10 @@
 			}
 		}
 	}
-	for key := range p.assignedSince {
-		if !assigned[key] {
-			delete(p.assignedSince, key)
-		}
-	}
+	maps.DeleteFunc(p.assignedSince, func(key placed, _ clock.Mark) bool { return !assigned[key] })
 }
 
 // unblock lets failed orders be tried again whose rest is over.
 func (p *Planner) unblock(in Input) {
-	for key, at := range p.blockedUntil {
-		if in.Now >= at {
-			delete(p.blockedUntil, key)
-		}
-	}
+	maps.DeleteFunc(p.blockedUntil, func(_ placed, until clock.Mark) bool { return in.Now >= until })
 }
--- a/rehearsal/checker/draining.go
+++ b/rehearsal/checker/draining.go
@@ -14,7 +14,7 @@
 		}
 		f.Checked++
 		// Another engine in its place is not leaving.
-		replaced := time.Duration(1<<63 - 1)
+		replaced := never
 		for _, later := range h.Acts {
 			if later.Kind == EngineStarted && later.Subject == act.Subject && later.At > act.At {
 				replaced = min(replaced, later.At)
@@ -35,13 +35,7 @@
 		if act.Kind != ZoneClosed {
 			continue
 		}
-		opened := time.Duration(1<<63 - 1)
-		for _, later := range h.Acts[i:] {
-			if later.Kind == ZoneOpened && later.Subject == act.Subject {
-				opened = later.At
-				break
-			}
-		}
+		opened := h.next(i, ZoneOpened, act.Subject)
 		f.Checked++
 		for _, line := range h.Journals {
 			if line.Kind == journal.Arrive && h.ZoneOf[line.Engine] == act.Subject && line.At > act.At+closureLimit && line.At < opened {
--- a/rehearsal/checker/history.go
+++ b/rehearsal/checker/history.go
@@ -172,3 +172,13 @@
 	}
 	return apart && began <= to
 }
+
+// next is when the first act of a kind on a subject was done at or after the act of this index; never if there was none.
+func (h *History) next(from int, kind, subject string) time.Duration {
+	for _, act := range h.Acts[from:] {
+		if act.Kind == kind && act.Subject == subject {
+			return act.At
+		}
+	}
+	return never
+}
--- a/rehearsal/checker/requests.go
+++ b/rehearsal/checker/requests.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"github.com/cresspond/cresspond/rehearsal/journal"
 	"github.com/cresspond/cresspond/wire/callerapi"
@@ -39,11 +38,16 @@
 }
 
 func ownAnswers(h *History) Finding {
-	f := Finding{Rule: "no caller gets another's answer"}
+	return pieceFaults(h, "no caller gets another's answer", isForeign)
+}
+
+// pieceFaults counts the pieces that callers got, and finds the faults in them that count.
+func pieceFaults(h *History, rule string, counts func(fault string) bool) Finding {
+	f := Finding{Rule: rule}
 	for _, call := range h.Calls {
 		f.Checked += call.Pieces
 		for _, fault := range call.Faults {
-			if strings.HasPrefix(fault, "foreign") {
+			if counts(fault) {
 				f.fault("%s: %s", call.Attempt, fault)
 			}
 		}
@@ -51,6 +55,9 @@
 	return f
 }
 
+// isForeign says whether a fault of a piece is that it belongs to another's answer.
+func isForeign(fault string) bool { return strings.HasPrefix(fault, "foreign") }
+
 func wholeOnly(h *History) Finding {
 	f := Finding{Rule: "no cut-off answer looks whole"}
 	ends := map[string]int{}
@@ -75,16 +82,7 @@
 }
 
 func oneRun(h *History) Finding {
-	f := Finding{Rule: "no stream skips, repeats or splices"}
-	for _, call := range h.Calls {
-		f.Checked += call.Pieces
-		for _, fault := range call.Faults {
-			if !strings.HasPrefix(fault, "foreign") {
-				f.fault("%s: %s", call.Attempt, fault)
-			}
-		}
-	}
-	return f
+	return pieceFaults(h, "no stream skips, repeats or splices", func(fault string) bool { return !isForeign(fault) })
 }
 
 func plannedStops(h *History, begins map[string][]journal.Line) Finding {
@@ -93,13 +91,7 @@
 		if act.Kind != StopAsked {
 			continue
 		}
-		stopped := time.Duration(1<<63 - 1)
-		for _, later := range h.Acts[i:] {
-			if later.Kind == Stopped && later.Subject == act.Subject {
-				stopped = later.At
-				break
-			}
-		}
+		stopped := h.next(i, Stopped, act.Subject)
 		for _, call := range h.Calls {
 			// Those that were in hand at some time between the signal to stop and the end.
 			if call.Daemon != act.Subject || call.End < act.At || call.Began > stopped || !call.Sent || call.GaveUp {
