--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	bin/rehearse run small --seed $(SEED)
 	bin/rehearse run platform --seed $(SEED) --acts 7
 
-test: vet rehearsal unit
+test: vet lint rehearsal unit
 
 # Needs protoc, protoc-gen-go and protoc-gen-twirp; what they make is committed.
 generate:
--- a/connection/enginelink/enginelink.go
+++ b/connection/enginelink/enginelink.go
@@ -139,10 +139,10 @@
 	}
 	_ = raw.SetDeadline(time.Now().Add(g.FirstLimit))
 	writer := bufio.NewWriter(conn)
-	if err := request.Write(writer); err == nil {
-		err = writer.Flush()
-	}
 	// A failed write is no proof: what went before the failure may have been enough to run.
+	if request.Write(writer) == nil {
+		_ = writer.Flush()
+	}
 	response.StreamBody = true
 	reader := bufio.NewReaderSize(conn, 4096)
 	if err := response.ReadLimitBody(reader, 0); err != nil {
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -81,7 +81,6 @@
 	replica       atomic.Pointer[replica.Replica]
 	group         atomic.Pointer[ident.GroupID]
 	adopted       chan ident.GroupID
-	forming       atomic.Bool
 	draining      atomic.Bool
 	// enlistedAt is when the group wrote this life down as one that may be serving; zero before.
 	enlistedAt atomic.Int64
@@ -146,7 +145,7 @@
 }
 
 type counters struct {
-	foreignGroup, garbage, held, acquired, renewed, tenureFailed    atomic.Uint64
+	foreignGroup, garbage, acquired, renewed, tenureFailed          atomic.Uint64
 	bytesOwnZone, bytesOtherZone, junkEngines, lastLookStops        atomic.Uint64
 	permitsUnasked, attemptCalls, attemptDoubts, attemptsMoved      atomic.Uint64
 	engineBeats, engineBeatsLate, leavesAcknowledged, leavesUnknown atomic.Uint64
--- a/process/demand/demand.go
+++ b/process/demand/demand.go
@@ -1,4 +1,5 @@
-// Package wants carries what a daemon holds and asks for to whoever plans: once whole, then only what changed.
+// Package demand carries what a daemon queues and runs for each model to the planner: once whole, then only what
+// changed.
 package demand
 
 import (
--- a/process/poolplacement/batch_test.go
+++ b/process/poolplacement/batch_test.go
@@ -22,15 +22,14 @@
 
 // fakeRequest is one request of a client.
 type fakeRequest struct {
-	target         registry.Target
-	tokensIn       float64
-	tokensOut      float64
-	arrived        clock.Mark
-	deadline       clock.Mark
-	aim            clock.Mark
-	first          bool
-	notBefore      clock.Mark
-	refusedByOwner bool
+	target    registry.Target
+	tokensIn  float64
+	tokensOut float64
+	arrived   clock.Mark
+	deadline  clock.Mark
+	aim       clock.Mark
+	first     bool
+	notBefore clock.Mark
 }
 
 // fakeOrder is an order that an engine carries out.
@@ -73,10 +72,8 @@
 	state   *statemachine.State
 	holder  ident.NodeID
 	claim   *statemachine.Claim
-	// idleUntil is until when nobody plans.
-	idleUntil clock.Mark
-	stamp     ident.MintedID
-	version   uint64
+	stamp   ident.MintedID
+	version uint64
 	// told is what daemons hear of engines, some time after it was told.
 	told     map[ident.EngineID]registry.Plan
 	onTheWay []spoken
--- a/process/poolplacement/plan.go
+++ b/process/poolplacement/plan.go
@@ -107,8 +107,6 @@
 	victims []registry.Target
 	told    clock.Mark
 	urgent  bool
-	// paced says that its load may come from the store.
-	paced bool
 }
 
 // engine is what is known of one life of an engine.
@@ -343,11 +341,6 @@
 	return e.intent != nil && slices.ContainsFunc(e.intent.victims, covers)
 }
 
-// coming says whether a target has been ordered, or is meant to be.
-func (e *engine) coming(target registry.Target) bool {
-	return e.flight != nil && e.flight.Kind == Load && e.flight.Target() == target || e.intent != nil && e.intent.Target == target
-}
-
 // left is the room and the adapter places that are left, counting all that is reported, ordered or
 // perhaps ordered; what goes counts until a report shows that it has gone.
 func (e *engine) left() (room float64, places int) {
--- a/process/poolplacement/types.go
+++ b/process/poolplacement/types.go
@@ -18,7 +18,9 @@
 type Kind string
 
 const (
-	Load  Kind = "load"
+	// Load: load what the order names from the store.
+	Load Kind = "load"
+	// Evict: drop what the order names.
 	Evict Kind = "evict"
 )
 
--- a/process/raft/core.go
+++ b/process/raft/core.go
@@ -128,13 +128,25 @@
 	return found
 }
 
-// ID, Role, Term, LeaderID, CommitIndex, LastIndex and SnapshotIndex tell where this member stands.
-func (c *Core) ID() MemberID         { return c.id }
-func (c *Core) Role() Role           { return c.role }
-func (c *Core) Term() Term           { return c.term }
-func (c *Core) LeaderID() MemberID   { return c.leader }
-func (c *Core) CommitIndex() Index   { return c.commit }
-func (c *Core) LastIndex() Index     { return c.log.last() }
+// ID is this member's id.
+func (c *Core) ID() MemberID { return c.id }
+
+// Role is what this member is in its term.
+func (c *Core) Role() Role { return c.role }
+
+// Term is the newest term that this member knows.
+func (c *Core) Term() Term { return c.term }
+
+// LeaderID is the leader of the term, or zero where none is known.
+func (c *Core) LeaderID() MemberID { return c.leader }
+
+// CommitIndex is the last entry that is known to be committed.
+func (c *Core) CommitIndex() Index { return c.commit }
+
+// LastIndex is the last entry of this member's log.
+func (c *Core) LastIndex() Index { return c.log.last() }
+
+// SnapshotIndex is the last entry that the newest snapshot covers.
 func (c *Core) SnapshotIndex() Index { return c.log.snapshot.Index }
 
 // EntryTerm gives the term of a place in the log while it is kept.
--- a/process/raft/types.go
+++ b/process/raft/types.go
@@ -103,15 +103,25 @@
 type MessageKind uint8
 
 const (
+	// MsgPreVote asks whether a vote would be granted, and changes no term (Raft thesis, section 9.6).
 	MsgPreVote MessageKind = iota + 1
+	// MsgPreVoteReply answers MsgPreVote.
 	MsgPreVoteReply
+	// MsgVote asks for a vote in a term.
 	MsgVote
+	// MsgVoteReply answers MsgVote.
 	MsgVoteReply
+	// MsgAppend carries entries of the leader's log.
 	MsgAppend
+	// MsgAppendReply says up to where the log matches, or where to try next.
 	MsgAppendReply
+	// MsgHeartbeat shows that the leader still leads, and carries its commit index.
 	MsgHeartbeat
+	// MsgHeartbeatReply answers MsgHeartbeat, and confirms reads.
 	MsgHeartbeatReply
+	// MsgSnapshot carries a snapshot to a member that is behind the kept log.
 	MsgSnapshot
+	// MsgTimeoutNow has a member stand for election at once, for a transfer of leadership.
 	MsgTimeoutNow
 )
 
@@ -159,9 +169,13 @@
 type Role uint8
 
 const (
+	// Follower takes entries from a leader.
 	Follower Role = iota
+	// PreCandidate asks whether it would be elected.
 	PreCandidate
+	// Candidate stands for election.
 	Candidate
+	// Leader orders the entries of its term.
 	Leader
 )
 
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -42,7 +42,9 @@
 type Outcome string
 
 const (
-	Applied   Outcome = "applied"
+	// Applied says that the command or read took effect; the answer holds its result.
+	Applied Outcome = "applied"
+	// NotLeader says that this daemon does not lead, and that the command has not been proposed.
 	NotLeader Outcome = "not-leader"
 	// Unknown says that the command may still be applied, or not.
 	Unknown Outcome = "unknown"
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -17,19 +17,29 @@
 type Op string
 
 const (
+	// OpAcquire asks for a lease on a worker id.
 	OpAcquire Op = "ACQUIRE"
-	OpRenew   Op = "RENEW"
+	// OpRenew extends a lease on a worker id.
+	OpRenew Op = "RENEW"
+	// OpRelease ends a lease on a worker id.
 	OpRelease Op = "RELEASE"
 	// OpReclaim ends lapsed tenures; the leader's expiry check proposes it.
 	OpReclaim Op = "RECLAIM"
+	// OpPropose hands in a bundle.
 	OpPropose Op = "PROPOSE"
-	OpReview  Op = "REVIEW"
-	OpSign    Op = "SIGN"
-	OpRoll    Op = "ROLL"
+	// OpReview notes a review of a proposal.
+	OpReview Op = "REVIEW"
+	// OpSign notes a sign-off of a reviewed proposal.
+	OpSign Op = "SIGN"
+	// OpRoll puts a signed proposal in force.
+	OpRoll Op = "ROLL"
+	// OpClosure closes or opens a zone, or drains an engine or takes it up again.
 	OpClosure Op = "CLOSURE"
 	// OpKeep has an operator forbid, or allow again, that the ranking shuts an engine.
-	OpKeep      Op = "KEEP"
-	OpClaim     Op = "CLAIM"
+	OpKeep Op = "KEEP"
+	// OpClaim asks for the claim to order engines, or renews it.
+	OpClaim Op = "CLAIM"
+	// OpDropClaim gives the claim back.
 	OpDropClaim Op = "DROP-CLAIM"
 	// OpEnlist says that a life of a daemon is about to serve.
 	OpEnlist Op = "ENLIST"
@@ -132,13 +142,21 @@
 type Verdict string
 
 const (
-	Done      Verdict = "done"
-	Conflict  Verdict = "conflict"
+	// Done: the command took effect, now or when it was first sent.
+	Done Verdict = "done"
+	// Conflict: it builds on something that is no longer current.
+	Conflict Verdict = "conflict"
+	// Forbidden: this operator may not do it.
 	Forbidden Verdict = "forbidden"
-	Missing   Verdict = "missing"
-	Waiting   Verdict = "waiting"
-	Mismatch  Verdict = "mismatch"
+	// Missing: what it names does not exist.
+	Missing Verdict = "missing"
+	// Waiting: it can't take effect yet.
+	Waiting Verdict = "waiting"
+	// Mismatch: the sender does not hold what it names.
+	Mismatch Verdict = "mismatch"
+	// Exhausted: nothing is left to give.
 	Exhausted Verdict = "exhausted"
+	// Malformed: it can't be read, or a field is wrong.
 	Malformed Verdict = "malformed"
 )
 
@@ -146,11 +164,16 @@
 type Stage string
 
 const (
+	// Proposed: handed in, not reviewed yet.
 	Proposed Stage = "proposed"
+	// Reviewed: reviewed, not signed off yet.
 	Reviewed Stage = "reviewed"
-	Signed   Stage = "signed"
-	Rolled   Stage = "rolled"
-	Lost     Stage = "lost"
+	// Signed: signed off, not in force yet.
+	Signed Stage = "signed"
+	// Rolled: it came in force as an epoch.
+	Rolled Stage = "rolled"
+	// Lost: another proposal on the same base came in force first.
+	Lost Stage = "lost"
 )
 
 // Mark is one operator's act on a proposal.
--- a/rehearsal/endtoend/machine_test.go
+++ b/rehearsal/endtoend/machine_test.go
@@ -194,7 +194,7 @@
 	var closures statemachine.Closures
 	all[0].get(operatorapi.PathClosures, &closures)
 	for _, mark := range closures.Zones {
-		if off := time.UnixMilli(int64(mark.At)).Sub(time.Now()); off > time.Since(began)+time.Minute || off < -time.Since(began)-time.Minute {
+		if off := time.Until(time.UnixMilli(int64(mark.At))); off > time.Since(began)+time.Minute || off < -time.Since(began)-time.Minute {
 			t.Errorf("the group's time is off by %v", off)
 		}
 	}
--- a/rehearsal/platformkit/engine/batch.go
+++ b/rehearsal/platformkit/engine/batch.go
@@ -58,7 +58,6 @@
 // kept is one part of a prompt that the engine keeps; it stands for all parts before it too.
 type kept struct {
 	key    string
-	before *kept
 	tokens int64
 	// users are running requests, used is when it last was.
 	users int
--- a/rehearsal/platformkit/engine/faults.go
+++ b/rehearsal/platformkit/engine/faults.go
@@ -22,14 +22,16 @@
 const (
 	// Break closes the connection after At bytes of the answer.
 	Break FaultKind = "break"
-	// Surplus writes a whole answer more behind a whole answer; LateSurplus does so before the next answer.
-	Surplus     FaultKind = "surplus"
+	// Surplus writes a whole answer more behind a whole answer.
+	Surplus FaultKind = "surplus"
+	// LateSurplus writes a whole answer more before the next answer.
 	LateSurplus FaultKind = "late-surplus"
 	// Junk writes bytes that are no answer.
 	Junk FaultKind = "junk"
-	// Foreign answers with another's attempt id, NoID with none.
+	// Foreign answers with another's attempt id.
 	Foreign FaultKind = "foreign"
-	NoID    FaultKind = "no-id"
+	// NoID answers without an attempt id.
+	NoID FaultKind = "no-id"
 	// Silence runs the request and says nothing more after At bytes, until the caller closes.
 	Silence FaultKind = "silence"
 	// Hang runs a plain request for ever, in its slot, until the caller closes.
--- a/rehearsal/platformkit/engine/server.go
+++ b/rehearsal/platformkit/engine/server.go
@@ -154,7 +154,6 @@
 	*link
 	fault   *Fault
 	written int
-	whole   bool
 	arrival *history.Arrival
 }
 
--- a/rehearsal/platformkit/fleet/fleet.go
+++ b/rehearsal/platformkit/fleet/fleet.go
@@ -156,7 +156,7 @@
 	return out
 }
 
-// Control, Front and Readiness are a machine's addresses.
+// Control is the machine's address for engines and operators.
 func (m *Machine) Control() string { return fmt.Sprintf("%s:%d", m.IP, controlPort) }
 
 // Front takes clients.
--- a/rehearsal/platformkit/history/history.go
+++ b/rehearsal/platformkit/history/history.go
@@ -141,9 +141,12 @@
 type Outcome string
 
 const (
+	// Acknowledged: the call was answered with 200.
 	Acknowledged Outcome = "acknowledged"
-	Refused      Outcome = "refused"
-	Unclear      Outcome = "unclear"
+	// Refused: the call was refused.
+	Refused Outcome = "refused"
+	// Unclear: no call of this change had a clear answer.
+	Unclear Outcome = "unclear"
 )
 
 // Change is one change of the configuration, with all its sendings.
--- a/rehearsal/platformkit/judge/fleet.go
+++ b/rehearsal/platformkit/judge/fleet.go
@@ -108,7 +108,6 @@
 	began, ended         clock.Mark
 	served               bool
 	size                 int
-	held                 bool
 }
 
 func (b *bench) answers() []answer {
--- a/request/dispatch/actor.go
+++ b/request/dispatch/actor.go
@@ -29,7 +29,7 @@
 	stream   *Stream
 }
 
-// NewNewCall makes a call; cancel it when the caller is gone.
+// NewCall makes a call; cancel it when the caller is gone.
 func NewCall(parent context.Context, request Request, prompt string) *Call {
 	f := &Call{Request: request, Prompt: prompt, Answered: make(chan Answer, 1), Started: make(chan *Stream, 1)}
 	f.ctx, f.cancel = context.WithCancel(parent)
--- a/request/forwarding/core_test.go
+++ b/request/forwarding/core_test.go
@@ -379,7 +379,6 @@
 	sends    int
 	engines  []ident.EngineID
 	send     *Send
-	left     bool
 	ended    bool
 	promised bool
 	deadline clock.Mark
@@ -418,12 +417,6 @@
 		all = append(all, loading)
 		b.register(all...)
 		runs := []*run{}
-		type mark struct {
-			at    clock.Mark
-			again bool
-			pool  string
-		}
-		var marks []mark
 		fail := func(r *run, what string) {
 			t.Fatalf("seed %d: %s: %+v of %s", seed, what, r, r.class)
 		}
@@ -502,7 +495,6 @@
 						r.arrivals++
 					}
 					r.sends++
-					marks = append(marks, mark{b.now, r.sends > 1, send.Pool})
 				}
 				if outcome == Lost || outcome == Junk || outcome == Cut || outcome == Failed || outcome == Whole {
 					r.ran++
