--- a/rehearsal/scenario/day.go
+++ b/rehearsal/scenario/day.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"fmt"
+	"errors"
 	"sync"
 	"time"
 
@@ -38,83 +38,109 @@
 func (r *Run) Day(ctx context.Context, scale float64) (map[string]uint64, error) {
 	return r.underLoad(ctx, scale, func() error {
 		r.Pause(3 * time.Second)
+		killed := r.Fleet.Engines[r.random.IntN(len(r.Fleet.Engines))]
+		return inTurn(
+			func() error { return r.killEngine(killed) },
+			r.killLeaderAndRoll,
+			r.refuseAndRace,
+			r.crashEdge,
+			func() error { return r.closeZoneAndEmptyEngine(killed) },
+			r.stopEdge,
+		)
+	})
+}
 
-		engines, edges := r.Fleet.Engines, r.Fleet.Edges()
-		killed := engines[r.random.IntN(len(engines))]
-		asked := journal.Now()
-		killed.Kill()
-		r.Act(checker.Act{Kind: checker.EngineKilled, Subject: killed.Name, Asked: asked})
-		r.Pause(2 * time.Second)
-		r.Act(checker.Act{Kind: checker.EngineStarted, Subject: killed.Name})
-		if err := killed.Start(); err != nil {
-			return err
-		}
-		r.Pause(2 * time.Second)
+func (r *Run) killEngine(engine *fleet.Process) error {
+	asked := journal.Now()
+	engine.Kill()
+	r.Act(checker.Act{Kind: checker.EngineKilled, Subject: engine.Name, Asked: asked})
+	r.Pause(2 * time.Second)
+	r.Act(checker.Act{Kind: checker.EngineStarted, Subject: engine.Name})
+	if err := engine.Start(); err != nil {
+		return err
+	}
+	r.Pause(2 * time.Second)
+	return nil
+}
 
-		leader := r.Fleet.Leader()
-		if leader == nil {
-			return fmt.Errorf("no leader was found")
-		}
-		r.Crash(leader)
-		// The last route goes away: from two seconds after the word on, nothing of it may reach an engine.
-		last := r.Fleet.Deployment.Kinds[len(r.Fleet.Deployment.Kinds)-1].Route
-		r.without[last] = true
-		if err := r.Roll("second", 1); err != nil {
-			return err
-		}
-		r.Pause(4 * time.Second)
-		if err := leader.Start(); err != nil {
-			return err
-		}
-		delete(r.without, last)
-		if err := r.RefuseOnes(2); err != nil {
-			return err
-		}
-		if err := r.Race(2); err != nil {
-			return err
-		}
-		r.Pause(2 * time.Second)
+// killLeaderAndRoll takes the last route away while the leader is down: from two seconds after the acknowledgement on,
+// nothing of it may reach an engine.
+func (r *Run) killLeaderAndRoll() error {
+	leader := r.Fleet.Leader()
+	if leader == nil {
+		return errors.New("no leader was found")
+	}
+	r.Crash(leader)
+	last := r.Fleet.Deployment.Kinds[len(r.Fleet.Deployment.Kinds)-1].Route
+	r.without[last] = true
+	if err := r.Roll("second", 1); err != nil {
+		return err
+	}
+	r.Pause(4 * time.Second)
+	if err := leader.Start(); err != nil {
+		return err
+	}
+	delete(r.without, last)
+	return nil
+}
 
-		if len(edges) > 1 {
-			crashed := edges[r.random.IntN(len(edges))]
-			r.Crash(crashed)
-			r.Pause(2 * time.Second)
-			if err := crashed.Start(); err != nil {
-				return err
-			}
-		}
-		shut := r.Fleet.Deployment.Zones[r.random.IntN(len(r.Fleet.Deployment.Zones))]
-		if err := r.Zone(shut, true); err != nil {
-			return err
-		}
-		r.Pause(7 * time.Second)
-		if err := r.Zone(shut, false); err != nil {
-			return err
-		}
-		r.Pause(2 * time.Second)
-		leaving := r.pickOther(engines, killed)
-		r.Act(checker.Act{Kind: checker.EngineLeaving, Subject: leaving.Name})
-		r.Fleet.Leave(leaving)
-		r.Pause(5 * time.Second)
-		leaving.Kill()
-		if err := r.Zone(shut, true); err != nil {
-			return err
-		}
+func (r *Run) refuseAndRace() error {
+	if err := r.RefuseOnes(2); err != nil {
+		return err
+	}
+	if err := r.Race(2); err != nil {
+		return err
+	}
+	r.Pause(2 * time.Second)
+	return nil
+}
 
-		if err := r.Await("all edges are ready", r.AllReady); err != nil {
-			return err
-		}
-		stopping := edges[r.random.IntN(len(edges))]
-		r.StopGracefully(stopping)
-		if err := stopping.Start(); err != nil {
-			return err
-		}
-		if err := r.Await("all edges are ready", r.AllReady); err != nil {
-			return err
-		}
-		r.Pause(2 * time.Second)
+// crashEdge kills an edge and starts it again, where there is more than one.
+func (r *Run) crashEdge() error {
+	edges := r.Fleet.Edges()
+	if len(edges) <= 1 {
 		return nil
-	})
+	}
+	crashed := edges[r.random.IntN(len(edges))]
+	r.Crash(crashed)
+	r.Pause(2 * time.Second)
+	return crashed.Start()
+}
+
+// closeZoneAndEmptyEngine closes a zone, opens it, has an engine other than the one killed before leave, and closes
+// the zone again.
+func (r *Run) closeZoneAndEmptyEngine(killed *fleet.Process) error {
+	zones := r.Fleet.Deployment.Zones
+	shut := zones[r.random.IntN(len(zones))]
+	if err := r.Zone(shut, true); err != nil {
+		return err
+	}
+	r.Pause(7 * time.Second)
+	if err := r.Zone(shut, false); err != nil {
+		return err
+	}
+	r.Pause(2 * time.Second)
+	leaving := r.pickOther(r.Fleet.Engines, killed)
+	r.Act(checker.Act{Kind: checker.EngineLeaving, Subject: leaving.Name})
+	r.Fleet.Leave(leaving)
+	r.Pause(5 * time.Second)
+	leaving.Kill()
+	return r.Zone(shut, true)
+}
+
+// stopEdge stops an edge as planned and starts it again.
+func (r *Run) stopEdge() error {
+	if err := r.awaitAllReady(); err != nil {
+		return err
+	}
+	edges := r.Fleet.Edges()
+	stopping := edges[r.random.IntN(len(edges))]
+	r.StopGracefully(stopping)
+	if err := inTurn(stopping.Start, r.awaitAllReady); err != nil {
+		return err
+	}
+	r.Pause(2 * time.Second)
+	return nil
 }
 
 // underLoad brings the fleet up, sends the deployment's mix while body makes things happen, and winds the day up.
