--- a/process/daemon/pages.go
+++ b/process/daemon/pages.go
@@ -31,6 +31,10 @@
 	if t != nil {
 		out.SpecEpoch, out.ClosureEpoch = t.Epoch, t.Closures.Epoch
 	}
+	if confirmed := d.confirmed(); confirmed > 0 {
+		ago := max(0, now.Since(confirmed).Milliseconds())
+		out.ConfirmedMsAgo = &ago
+	}
 	if worker, held := d.generator.Worker(); held {
 		number := int64(worker)
 		out.WorkerID = &number
@@ -91,12 +95,18 @@
 	say("fellow_connections_opened", t.Opened.Load())
 	say("member_troubles", c.memberTroubles.Load())
 	say("listener_troubles", c.listenerTroubles.Load())
+	say("orders_unproven", c.ordersUnproven.Load())
 	say("tenure_acquired", c.acquired.Load())
 	say("tenure_renewed", c.renewed.Load())
 	say("tenure_lost", c.tenureFailed.Load())
 	say("mint_refused", d.generator.Refusals())
 	say("pulls", d.members.Pulls.Load())
 	say("pulls_failed", d.members.Failed.Load())
+	say("sources_left_as_stale", d.members.StaleSources.Load())
+	say("turned_stale", c.turnedStale.Load())
+	if confirmed := d.confirmed(); confirmed > 0 {
+		say("confirmed_ms_ago", uint64(max(0, d.clock.Elapsed().Since(confirmed).Milliseconds())))
+	}
 	say("raft_sent", d.links.Sent.Load())
 	say("raft_dropped", d.links.Dropped.Load())
 	say("raft_failed", d.links.Failed.Load())
@@ -124,9 +134,9 @@
 	if d.config.Serves(config.Route) {
 		s := d.dispatch.Snapshot()
 		say("requests_invalid", d.door.Invalid.Load())
-		say("requests_let_in", s.Counters.LetIn)
-		say("requests_held", s.Counters.Held)
-		say("requests_held_now", uint64(s.Held))
+		say("requests_let_in", s.Counters.Admitted)
+		say("requests_held", s.Counters.Queued)
+		say("requests_held_now", uint64(s.Queued))
 		say("requests_refused", s.Counters.RefusedHere)
 		say("requests_refused_as_hopeless", s.Counters.Hopeless)
 		say("requests_replayed", s.Counters.Replays)
@@ -135,11 +145,11 @@
 		say("requests_lost", s.Counters.Lost)
 		say("callers_left", s.Counters.CallersLeft)
 		say("sessions_reseated", s.Counters.Reseated)
-		say("goes_first", s.FirstGoes)
+		say("goes_first", s.FirstAttempts)
 		say("goes_again", s.Retries)
 		say("goes_again_denied", s.Denied)
 		say("goes_refused_by_engine", s.Counters.EngineRefusals)
-		say("goes_held_back", s.Counters.HeldBack)
+		say("goes_held_back", s.Counters.Withdrawn)
 		say("attempt_calls", c.attemptCalls.Load())
 		say("attempt_doubts", c.attemptDoubts.Load())
 		say("attempts_moved", c.attemptsMoved.Load())
--- a/process/raft/reads.go
+++ b/process/raft/reads.go
@@ -1,5 +1,7 @@
 package raft
 
+import "slices"
+
 // Linearizable reads by read index.
 
 type pendingRead struct {
@@ -24,3 +26,27 @@
 	}
 	c.sendHeartbeats()
 }
+
+// HeartbeatRound numbers the newest round of heartbeats that this member sent as the leader.
+func (c *Core) HeartbeatRound() uint64 { return c.readMark }
+
+// QuorumRound is the newest round of heartbeats that a majority replied to in this leader's term; zero where
+// there is none, or where this member does not lead.
+func (c *Core) QuorumRound() uint64 {
+	if c.role != Leader {
+		return 0
+	}
+	var answered []uint64
+	for _, id := range c.Membership().Voters() {
+		if id == c.id {
+			answered = append(answered, c.readMark)
+			continue
+		}
+		answered = append(answered, c.peers[id].answered)
+	}
+	if len(answered) == 0 {
+		return 0
+	}
+	slices.Sort(answered)
+	return answered[(len(answered)-1)/2]
+}
--- a/process/raft/replication.go
+++ b/process/raft/replication.go
@@ -15,6 +15,8 @@
 	probing bool
 	// takesParts says that the member takes snapshots in parts.
 	takesParts bool
+	// answered is the newest round of heartbeats that the member replied to.
+	answered uint64
 	// sending is the snapshot on its way to the member, if there is one.
 	sending *outgoing
 }
@@ -73,6 +75,8 @@
 	}
 	if c.sinceBeat >= c.timing.Heartbeat {
 		c.sinceBeat = 0
+		// Each round has a number of its own, so that its replies can't be taken for those to an earlier one.
+		c.readMark++
 		c.sendHeartbeats()
 		c.sendAppends()
 	}
@@ -268,6 +272,7 @@
 		return
 	}
 	peer.spoke(m)
+	peer.answered = max(peer.answered, m.ReadMark)
 	// Appends may have been lost on the way; a heartbeat's answer is the time to look again.
 	if peer.match < c.log.last() {
 		peer.next = peer.match + 1
--- a/process/replica/actor.go
+++ b/process/replica/actor.go
@@ -49,6 +49,10 @@
 	Serving []ident.NodeID
 	// Claim is the planner's claim by the state applied so far.
 	Claim statemachine.Claim
+	// ConfirmedUntil is, where this member leads, up to when a majority has confirmed that; Spec and Closures are what
+	// is committed by the state applied so far.
+	ConfirmedUntil clock.Mark
+	Spec, Closures ident.Epoch
 	// Applied is how far the state is, Digest its newest digest.
 	Applied raft.Index
 	Digest  raft.StateDigest
@@ -376,7 +380,7 @@
 	r.beaten = now
 	r.carryOut(r.core.Step(now, raft.Tick{}))
 	if r.core.Leads() {
-		if next, ok := r.core.Muster(now, r.joins).Next(); ok {
+		if next, ok := r.core.MembershipPlan(now, r.joins).Next(); ok {
 			r.carryOut(r.core.Step(now, raft.ProposeMembership{Membership: next}))
 		}
 	} else {
@@ -457,6 +461,7 @@
 	condition := Condition{
 		Group: r.group, Role: core.Role(), Term: core.Term(), Leads: r.core.Leads(), Members: core.Membership(),
 		Commit: core.CommitIndex(), Stalled: r.stalled, Now: r.core.State().Now, FirstRollAgo: r.core.FirstRollAgo(r.clock.Elapsed()), Serving: r.core.State().ServingNow(), Claim: r.core.State().Claim,
+		ConfirmedUntil: r.core.ConfirmedUntil(), Spec: r.core.State().Epoch(), Closures: r.core.State().Closures.Epoch,
 		Applied: r.core.applied, Digest: r.core.Digest(), Differing: r.core.Differing(),
 	}
 	condition.Leader, _ = condition.Members.Find(core.LeaderID())
--- a/process/replica/core.go
+++ b/process/replica/core.go
@@ -27,6 +27,8 @@
 	CompactEvery, Keep int
 	// CompactBytes and KeepBytes bound the same by size: a few large bundles weigh as much as all else.
 	CompactBytes, KeepBytes int
+	// Orders bounds what is remembered of operators' orders; all members must have the same.
+	Orders statemachine.Limits
 	// Build names what was built: only members of one build compare digests of their states.
 	Build string
 }
@@ -37,6 +39,7 @@
 		Timing: raft.Timing{Heartbeat: 2, Election: 16},
 		Tenure: 30 * time.Second, ClaimSpan: 4 * time.Second, ClaimGap: 3 * time.Second,
 		Voters: DefaultVoters, CompactEvery: 2000, Keep: 200, CompactBytes: 8 << 20, KeepBytes: 2 << 20,
+		Orders: statemachine.DefaultLimits(),
 	}
 }
 
@@ -108,6 +111,8 @@
 	ledSince  clock.Mark
 	leads     bool
 	reclaimAt raft.Index
+	// confirmed is up to when a majority has confirmed that this member leads.
+	confirmed confirmation
 
 	digests digests
 	// checked is the state read from the snapshot that is being installed.
@@ -116,7 +121,7 @@
 
 // NewCore makes a member from what its disk holds.
 func NewCore(config Config, member *raft.Core, snapshot []byte, now clock.Mark, wall func() time.Time) (*Core, error) {
-	state, err := statemachine.Restore(snapshot)
+	state, err := statemachine.Restore(snapshot, statemachine.WithLimits(config.Orders))
 	if err != nil {
 		return nil, err
 	}
@@ -132,7 +137,7 @@
 
 // checkSnapshot reads a leader's snapshot before it takes the place of this member's state.
 func (c *Core) checkSnapshot(snapshot raft.Snapshot) error {
-	state, err := statemachine.Restore(snapshot.Data)
+	state, err := statemachine.Restore(snapshot.Data, statemachine.WithLimits(c.config.Orders))
 	c.checked = state
 	return err
 }
@@ -149,6 +154,15 @@
 // Leads says whether this member leads and has applied all that was committed before.
 func (c *Core) Leads() bool { return c.leads }
 
+// ConfirmedUntil is the latest moment at which a majority is known to have followed this member as the leader: all
+// that was acknowledged before it, by whichever leader, is applied here. Zero where this member does not lead.
+func (c *Core) ConfirmedUntil() clock.Mark {
+	if !c.leads {
+		return 0
+	}
+	return c.confirmed.until
+}
+
 // groupNow is the group's time as the leader stamps it: the last in the log, carried on by elapsed
 // time. The time of day is asked once, when the group is new.
 func (c *Core) groupNow(now clock.Mark) ident.GroupTime {
@@ -213,13 +227,18 @@
 	return out
 }
 
-// Muster is what a leader's next change of the membership depends on.
-func (c *Core) Muster(now clock.Mark, joins map[raft.MemberID]raft.Member) Muster {
-	return Muster{Self: c.raft.ID(), Current: c.raft.Membership(), Last: c.raft.LastIndex(), Wanted: c.config.Voters, Joins: joins,
+// MembershipPlan is what a leader's next change of the membership depends on.
+func (c *Core) MembershipPlan(now clock.Mark, joins map[raft.MemberID]raft.Member) MembershipPlan {
+	return MembershipPlan{Self: c.raft.ID(), Current: c.raft.Membership(), Last: c.raft.LastIndex(), Wanted: c.config.Voters, Joins: joins,
 		Standing: func(id raft.MemberID) Standing {
 			// Who was heard before this member led has had no reason to speak to it since.
 			said, leaves := c.leaving[id]
-			return Standing{Match: c.raft.MatchOf(id), Silent: now.Since(max(c.heard[id], c.ledSince)), Leaving: leaves && now.Since(said) < leavingFor}
+			match, missing := c.raft.MatchOf(id), 0
+			if match+caughtUpWithin >= c.raft.LastIndex() {
+				// Who lacks more is not ready whatever that holds.
+				missing = c.raft.BytesAfter(match)
+			}
+			return Standing{Match: match, Missing: missing, Silent: now.Since(max(c.heard[id], c.ledSince)), Leaving: leaves && now.Since(said) < leavingFor}
 		}}
 }
 
@@ -289,6 +308,7 @@
 		}
 	}
 	c.noteLeading(now, &out)
+	c.confirmed.observe(now, c.raft)
 	c.askForDigests(now, out.Now)
 	out.Changed = c.state.Epoch() != specBefore || c.state.Closures.Epoch != closuresBefore || c.state.Leaves != leavesBefore
 	if c.sinceCompact >= c.config.CompactEvery || c.config.CompactBytes > 0 && c.bytes >= c.config.CompactBytes {
--- a/process/replica/soak_test.go
+++ b/process/replica/soak_test.go
@@ -277,7 +277,7 @@
 		}
 	}
 	s.run(330, func() {})
-	s.link, s.busyUntil, s.wholeSnapshots = 10_000_000/8, map[[2]int]clock.Mark{}, whole
+	s.link, s.busyUntil, s.wholeSnapshots = 10_000_000/8, map[int]clock.Mark{}, whole
 	s.until(10*time.Second, s.whole)
 	terms := len(s.leaderOf)
 	victim := s.nodes[(s.leader().place+1)%3]
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -10,8 +10,8 @@
 	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/process/registry"
-	"github.com/cresspond/cresspond/process/soundness"
 )
 
 // World is what the passes may look at; it is gathered anew for each event.
@@ -62,7 +62,7 @@
 	// running counts the attempts under way by pool.
 	running map[string]int
 	// ledger is what became of attempts; awaited are those whose answer has not begun.
-	ledger  *soundness.Ledger
+	ledger  *outlier.Ledger
 	awaited []*Record
 	usuals  map[string]*usual
 	// planTook and spreadTook are smoothed times that a planner, and the word of what it did, took lately.
@@ -79,7 +79,7 @@
 // NewCore makes an empty core.
 func NewCore(settings Settings) *Core {
 	return &Core{settings: settings, engines: map[ident.EngineID]*engineState{}, budgets: map[string]*window{},
-		demands: map[demandKey]*demandState{}, paths: map[pathKey]*pathState{}, running: map[string]int{}, ledger: soundness.NewLedger(), usuals: map[string]*usual{}}
+		demands: map[demandKey]*demandState{}, paths: map[pathKey]*pathState{}, running: map[string]int{}, ledger: outlier.NewLedger(), usuals: map[string]*usual{}}
 }
 
 // step gives a record's sender the next thing to do. A record has at most one that is not yet taken.
@@ -176,6 +176,10 @@
 
 // look sends a record, holds it, or ends it.
 func (c *Core) look(r *Record, w World) {
+	if r.callerLeft {
+		c.finish(r, w, CallerLeft, 0)
+		return
+	}
 	if !c.rerouted(r, w) {
 		return
 	}
@@ -491,7 +495,7 @@
 // failed lets an engine's own failure go on, unless the request may be repeated and another engine can take it now.
 func (c *Core) failed(r *Record, w World) {
 	r.mayHaveRun = true
-	if r.repeatable() && r.attempts < r.Path.Attempts && r.Deadline.Since(w.Now) > c.least(r) && Leads(w.Index, r.Host, r.Prefixed, r.pool) {
+	if r.repeatable() && !r.callerLeft && r.attempts < r.Path.Attempts && r.Deadline.Since(w.Now) > c.least(r) && Leads(w.Index, r.Host, r.Prefixed, r.pool) {
 		if chosen, _ := c.choose(r, w); chosen != nil && c.budget(r.pool).allows(w.Now, c.settings, w.Edges) {
 			c.send(r, w, chosen)
 			return
@@ -538,8 +542,9 @@
 	}
 }
 
-// CallerLeft drops a record that waits; one under way is ended by its sender.
+// CallerLeft drops a record that waits; one under way is ended by its sender, and goes nowhere after.
 func (c *Core) CallerLeft(r *Record, w World) {
+	r.callerLeft = true
 	if r.stage == Held || r.stage == Admitted {
 		c.finish(r, w, CallerLeft, 0)
 	}
