--- a/process/daemon/member.go
+++ b/process/daemon/member.go
@@ -237,8 +237,8 @@
 	ticker := time.NewTicker(200 * time.Millisecond)
 	defer ticker.Stop()
 	for {
-		verdict, group, members := formation.Decide(held.Member, d.askSeeds(ctx))
-		switch verdict {
+		decision, group, members := formation.Decide(held.Member, d.askSeeds(ctx))
+		switch decision {
 		case formation.Join:
 			return group, none, nil
 		case formation.Form:
--- a/process/formation/formation.go
+++ b/process/formation/formation.go
@@ -22,12 +22,12 @@
 	JoinOnly bool
 }
 
-// Verdict says what to do.
-type Verdict uint8
+// Decision says what to do.
+type Decision uint8
 
 const (
 	// Wait and ask again.
-	Wait Verdict = iota
+	Wait Decision = iota
 	// Join the group that somebody remembers.
 	Join
 	// Form a group of all seeds that serve control.
@@ -36,7 +36,7 @@
 
 // Decide looks at what all seeds answered. Only when every one answers and none remembers a group
 // may one form, and only the one with the lowest identity of those that may forms it.
-func Decide(self raft.MemberID, seeds []Seed) (Verdict, ident.GroupID, raft.Membership) {
+func Decide(self raft.MemberID, seeds []Seed) (Decision, ident.GroupID, raft.Membership) {
 	newest := ident.GroupID("")
 	for _, seed := range seeds {
 		if seed.Answered && (newest == "" || seed.Group.Succeeds(newest)) {
--- a/process/formation/formation_test.go
+++ b/process/formation/formation_test.go
@@ -17,10 +17,10 @@
 }
 
 func TestOnlyOneOfTheSeedsForms(t *testing.T) {
-	for self, want := range map[raft.MemberID]Verdict{10: Form, 20: Wait, 30: Wait, 5: Wait} {
-		verdict, _, members := Decide(self, seeds())
-		if verdict != want || want == Form && (len(members.Voters()) != 3 || members.Members[0].ID != 10) {
-			t.Errorf("member %d: %v %+v", self, verdict, members)
+	for self, want := range map[raft.MemberID]Decision{10: Form, 20: Wait, 30: Wait, 5: Wait} {
+		decision, _, members := Decide(self, seeds())
+		if decision != want || want == Form && (len(members.Voters()) != 3 || members.Members[0].ID != 10) {
+			t.Errorf("member %d: %v %+v", self, decision, members)
 		}
 	}
 }
@@ -29,20 +29,20 @@
 	for i := range 3 {
 		silent := seeds()
 		silent[i].Answered = false
-		if verdict, _, _ := Decide(10, silent); verdict != Wait {
-			t.Errorf("seed %d is silent: %v", i, verdict)
+		if decision, _, _ := Decide(10, silent); decision != Wait {
+			t.Errorf("seed %d is silent: %v", i, decision)
 		}
 		remembers := seeds()
 		remembers[i].Group = "g"
-		if verdict, group, _ := Decide(10, remembers); verdict != Join || group != "g" {
-			t.Errorf("seed %d remembers: %v %s", i, verdict, group)
+		if decision, group, _ := Decide(10, remembers); decision != Join || group != "g" {
+			t.Errorf("seed %d remembers: %v %s", i, decision, group)
 		}
 		// Even with all others silent, one that remembers is enough to know that a group exists.
 		for j := range remembers {
 			remembers[j].Answered = j == i
 		}
-		if verdict, _, _ := Decide(10, remembers); verdict != Join {
-			t.Errorf("only seed %d answers, and remembers: %v", i, verdict)
+		if decision, _, _ := Decide(10, remembers); decision != Join {
+			t.Errorf("only seed %d answers, and remembers: %v", i, decision)
 		}
 	}
 }
@@ -50,28 +50,28 @@
 func TestFewerControlDaemonsFormASmallerGroup(t *testing.T) {
 	some := seeds()
 	some[0].ServesControl, some[1].ServesControl = false, false
-	if verdict, _, members := Decide(20, some); verdict != Form || len(members.Members) != 1 {
-		t.Errorf("%v %+v", verdict, members)
+	if decision, _, members := Decide(20, some); decision != Form || len(members.Members) != 1 {
+		t.Errorf("%v %+v", decision, members)
 	}
 	some[2].ServesControl = false
-	if verdict, _, _ := Decide(20, some); verdict != Wait {
-		t.Errorf("nobody serves control: %v", verdict)
+	if decision, _, _ := Decide(20, some); decision != Wait {
+		t.Errorf("nobody serves control: %v", decision)
 	}
 }
 
 func TestTheLatestGenerationIsJoinedAndOneProcessIsNotTwoVoters(t *testing.T) {
 	generations := seeds()
 	generations[0].Group, generations[1].Group, generations[2].Group = "g", "g.2", "g.1"
-	if verdict, group, _ := Decide(10, generations); verdict != Join || group != "g.2" {
-		t.Errorf("%v %s", verdict, group)
+	if decision, group, _ := Decide(10, generations); decision != Join || group != "g.2" {
+		t.Errorf("%v %s", decision, group)
 	}
 	if ident.GroupID("h.9").Succeeds("g") || ident.GroupID("g").Succeeds("g") || !ident.GroupID("g").Next().Succeeds("g") {
 		t.Error("generations are told apart wrongly")
 	}
 	twice := seeds()
 	twice[2].Member = twice[1].Member
-	if verdict, _, _ := Decide(10, twice); verdict != Wait {
-		t.Errorf("one process under two addresses: %v", verdict)
+	if decision, _, _ := Decide(10, twice); decision != Wait {
+		t.Errorf("one process under two addresses: %v", decision)
 	}
 }
 
@@ -81,7 +81,7 @@
 		{Address: "b", Answered: true, Member: 2, Name: "b", ServesControl: true},
 		{Address: "c", Answered: true, Member: 3, Name: "c", ServesControl: true},
 	}
-	for self, wants := range map[raft.MemberID]Verdict{1: Wait, 2: Form, 3: Wait} {
+	for self, wants := range map[raft.MemberID]Decision{1: Wait, 2: Form, 3: Wait} {
 		if got, _, members := Decide(self, seeds); got != wants || got == Form && len(members.Members) != 3 {
 			t.Errorf("member %d: %v with %v", self, got, members)
 		}
--- a/process/replica/slow_link_test.go
+++ b/process/replica/slow_link_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/raft"
 	"github.com/cresspond/cresspond/process/statemachine"
 )
 
@@ -57,3 +59,53 @@
 		}
 	}
 }
+
+// promoteWhateverTheLag takes a learner for ready as soon as it is known.
+func promoteWhateverTheLag(p MembershipPlan) (raft.Membership, bool) {
+	known := p.Standing
+	p.Standing = func(id raft.MemberID) Standing {
+		standing := known(id)
+		standing.Match, standing.Missing = p.Last, 0
+		return standing
+	}
+	return p.Next()
+}
+
+// lossBesideALearnerBehind freezes a follower while a new machine is far behind, loses the other as soon as the first is
+// back, and says how long the group takes to act.
+func lossBesideALearnerBehind(t *testing.T, seed uint64, rule membershipRule) time.Duration {
+	s := calmSim(t, seed, 3)
+	s.plan, s.ended, s.diskTakes = rule, true, thirtySyncs
+	s.runFor(time.Second)
+	s.fill(t, 16, 380<<10)
+	s.bytesPerSecond = tenMegabits
+	here := s.here()
+	s.add()
+	here[1].frozenUntil = s.now + clock.Mark(2500*time.Millisecond)
+	s.runFor(2700 * time.Millisecond)
+	here[2].loseForGood()
+	s.closeAndOpen(true)
+	return s.acts(20 * time.Second)
+}
+
+// TestALearnerFarBehindTakesNoPlace: a vote given to one that lacks megabytes would leave the group waiting for them over
+// the next loss.
+func TestALearnerFarBehindTakesNoPlace(t *testing.T) {
+	const soon = time.Second
+	caught := 0
+	var longest, broken time.Duration
+	for seed := range uint64(4) {
+		took := lossBesideALearnerBehind(t, seed, nil)
+		if longest = max(longest, took); took > soon {
+			t.Errorf("seed %d: the group acts only after %v", seed, took)
+		}
+		worse := lossBesideALearnerBehind(t, seed, promoteWhateverTheLag)
+		if broken = max(broken, worse); worse > soon {
+			caught++
+		}
+	}
+	t.Logf("at most %v; with the lag left out %v, caught in %d of 4 seeds", longest, broken, caught)
+	if caught == 0 {
+		t.Error("giving the vote whatever the lag was not caught")
+	}
+}
