--- a/rehearsal/endtoend/harness_test.go
+++ b/rehearsal/endtoend/harness_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/memory"
 
 	"github.com/cresspond/cresspond/epoch/spec"
 	"github.com/cresspond/cresspond/process/config"
@@ -36,6 +37,8 @@
 
 // bench is one daemon with its stand-ins.
 type bench struct {
+	// logs keeps the daemon's lines, where it is set before the start.
+	logs     *memory.Handler
 	t        *testing.T
 	address  string
 	fellow   string
@@ -249,11 +252,19 @@
 	if faults := settings.Check(""); len(faults) > 0 {
 		b.t.Fatal(faults)
 	}
-	d := daemon.New(settings, "test", &log.Logger{Handler: discard.Default}, append([]daemon.Option{daemon.WithClock(machine)}, b.options...)...)
+	d := daemon.New(settings, "test", &log.Logger{Handler: b.logHandler()}, append([]daemon.Option{daemon.WithClock(machine)}, b.options...)...)
 	b.ran = true
 	go func() { b.ended <- d.Run(b.stop, b.hurry) }()
 }
 
+// logHandler takes the daemon's lines; they are dropped where nobody looks for them.
+func (b *bench) logHandler() log.Handler {
+	if b.logs != nil {
+		return b.logs
+	}
+	return discard.Default
+}
+
 func (b *bench) end() {
 	if b.ran {
 		select {
--- a/rehearsal/endtoend/leaving_test.go
+++ b/rehearsal/endtoend/leaving_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log/handlers/memory"
+
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/rehearsal/fleet"
 	"github.com/cresspond/cresspond/wire/operatorapi"
@@ -42,6 +44,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { listener.Close() })
+		b.logs = memory.New()
 		b.name, b.reached = fmt.Sprint("core", i), listener.Addr().String()
 		if i < 3 {
 			b.serve, seeds = []config.Role{config.Control, config.Place}, append(seeds, b.reached)
