--- a/process/replica/second_loss_test.go
+++ b/process/replica/second_loss_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -304,12 +305,15 @@
 	return k.over()
 }
 
-// thorough asks for every case; otherwise one of so many is played.
-func thorough() bool { return os.Getenv("CRESSPOND_SECOND_LOSS") == "all" }
+// thorough asks for all cases to be listed, and one of so many of them to be played: CRESSPOND_SECOND_LOSS=1 plays all.
+func thorough() (every int, asked bool) {
+	every, err := strconv.Atoi(os.Getenv("CRESSPOND_SECOND_LOSS"))
+	return every, err == nil && every > 0
+}
 
 // disks lists how long a write takes: with disks of 30 ms there are more steps to lose a machine at.
 func disks() []time.Duration {
-	if thorough() {
+	if _, asked := thorough(); asked {
 		return []time.Duration{0, thirtySyncs}
 	}
 	return []time.Duration{thirtySyncs}
@@ -365,8 +369,8 @@
 
 // playAll plays one of so many cases, or all where that is asked for.
 func playAll(t *testing.T, cases []lossCase, every int, rule membershipRule) (out tally) {
-	if thorough() {
-		every = 1
+	if wanted, asked := thorough(); asked {
+		every = wanted
 	}
 	for place := 0; place < len(cases); place += every {
 		fault, took := cases[place].play(t, rule)
@@ -403,7 +407,7 @@
 		firsts      []trouble
 	}{{3, 41, repaired}, {5, 97, []trouble{replacedBefore}}} {
 		firsts := group.firsts
-		if thorough() {
+		if _, asked := thorough(); asked {
 			firsts = repaired
 		}
 		cases := amidRepair(t, group.size, firsts, nil)
