--- a/process/replica/slow_link_test.go
+++ b/process/replica/slow_link_test.go
@@ -78,7 +78,7 @@
 	s.plan, s.ended, s.diskTakes = rule, true, thirtySyncs
 	s.runFor(time.Second)
 	s.fill(t, 16, 380<<10)
-	s.bytesPerSecond = tenMegabits
+	s.link = tenMegabits
 	here := s.here()
 	s.add()
 	here[1].frozenUntil = s.now + clock.Mark(2500*time.Millisecond)
