--- a/process/replica/simulation_test.go
+++ b/process/replica/simulation_test.go
@@ -90,6 +90,9 @@
 	notices  map[raft.NoticeKind]int
 	compared int
 	gaveUp   []raft.MemberID
+	// highest is the last entry that any leader applied, lostDisks what identities held whose disks were wiped.
+	highest   raft.Index
+	lostDisks map[raft.MemberID]raft.Restored
 	// mayGiveUp says that some state was made to differ.
 	mayGiveUp bool
 	// config is the group's.
@@ -175,7 +178,7 @@
 func newSimWith(t *testing.T, seed uint64, config Config, broken brk) *sim {
 	size := config.Voters
 	s := &sim{t: t, random: rand.New(rand.NewPCG(seed, 99)), broken: broken, now: clock.Mark(time.Hour), cut: map[[2]int]bool{}, loss: 0.02, faults: true, calm: seed%2 == 1,
-		size: size, leaderOf: map[raft.Term]raft.MemberID{}, applied: map[raft.Index]string{}, minted: map[ident.MintedID]string{}, asked: map[uint64]func(Answer){}, notices: map[raft.NoticeKind]int{}, config: config}
+		size: size, leaderOf: map[raft.Term]raft.MemberID{}, applied: map[raft.Index]string{}, minted: map[ident.MintedID]string{}, asked: map[uint64]func(Answer){}, notices: map[raft.NoticeKind]int{}, lostDisks: map[raft.MemberID]raft.Restored{}, config: config}
 	var members raft.Membership
 	for i := range size {
 		members.Members = append(members.Members, raft.Member{ID: raft.MemberID(i + 1), Name: fmt.Sprint("core-", i), Address: fmt.Sprint(i), Voter: true})
@@ -266,6 +269,7 @@
 // empty is a new data folder: it makes another identity.
 func (n *simNode) empty() {
 	n.sim.wipes++
+	n.sim.lostDisks[n.id] = n.disk.state
 	n.id = raft.MemberID(10000*n.sim.wipes + n.place + 1)
 	n.disk.state = raft.Restored{}
 }
@@ -350,12 +354,16 @@
 	}
 	for _, notice := range effects.Notices {
 		s.notices[notice.Kind]++
+		if notice.Kind == raft.NoticeMessageRefused {
+			s.fault("member %d refused a message of %d, as if it were not sound: %v", n.id, notice.Peer, notice.Err)
+		}
 	}
 	if effects.GiveUp != nil {
 		n.giveUpState(effects.GiveUp)
 		return
 	}
 	n.checkApplied()
+	n.checkDurable()
 	switch {
 	case effects.Save != nil || len(effects.Later) > 0 && len(n.queue) > 0 && !n.stalled:
 		n.queue = append(n.queue, simWrite{effects.Save, effects.Later})
@@ -539,6 +547,32 @@
 	n.carryOut(n.core.Step(n.sim.now, raft.Receive{Message: m}))
 }
 
+// checkDurable holds that what a leader applies is on the disks of a majority, or was on those that were lost since.
+func (n *simNode) checkDurable() {
+	s := n.sim
+	if n.core.raft.Role() != raft.Leader || n.core.applied <= s.highest {
+		return
+	}
+	s.highest = n.core.applied
+	voters, holding := n.core.raft.Membership().Voters(), 0
+	for _, id := range voters {
+		disk := s.lostDisks[id]
+		if other := s.nodeOf(id); other != nil {
+			disk = other.disk.state
+		}
+		last := disk.Snapshot.Index
+		if count := len(disk.Entries); count > 0 {
+			last = max(last, disk.Entries[count-1].Index)
+		}
+		if last >= n.core.applied {
+			holding++
+		}
+	}
+	if holding <= len(voters)/2 {
+		s.fault("member %d applied %d, and it is on the disks of %d of %d voters", n.id, n.core.applied, holding, len(voters))
+	}
+}
+
 // checkApplied holds that all members apply the same entries, and that the group's time never goes back.
 func (n *simNode) checkApplied() {
 	s := n.sim
