--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 LDFLAGS = -ldflags "-X main.version=$(VERSION)"
 
-.PHONY: build vet unit rehearsal test generate
+.PHONY: build vet lint unit rehearsal test fuzz generate
 
 build:
 	go build $(LDFLAGS) -o bin/ ./cmd/cresspondd ./cmd/cresspond-platform ./cmd/cresspond ./rehearsal/cmd/rehearse
@@ -13,6 +13,10 @@
 	@test -z "$$(gofmt -l . )" || { gofmt -l .; echo "these files are not formatted"; exit 1; }
 	go vet ./... ./rehearsal/...
 
+# Pinned as a tool in go.mod, configured by staticcheck.conf, without exclusions.
+lint:
+	go tool staticcheck ./... ./rehearsal/...
+
 # What runs daemons over sockets goes by real time: beside simulations that take every core, waits that are
 # ample fail. So those packages run after all others, one at a time, and few of their tests at once.
 LIVE = rehearsal/endtoend|rehearsal/platformkit|rehearsal/scale
@@ -31,6 +35,22 @@
 
 test: vet rehearsal unit
 
+# How long each fuzz target runs on, and a pattern of those to run. Their corpora under testdata/fuzz run with the
+# unit tests. Where the time ends in the middle of an input the go tool calls that a failure without an input; all
+# else that fails is a finding.
+FUZZTIME ?= 60s
+FUZZ ?= .
+
+fuzz:
+	@found=0; for package in $$(grep -rl --include='*_test.go' '^func Fuzz' . | xargs -n1 dirname | sort -u); do \
+		for target in $$(grep -h '^func Fuzz' $$package/*_test.go | sed 's/^func \(Fuzz[A-Za-z0-9_]*\).*/\1/' | grep -E '$(FUZZ)'); do \
+			echo "$$package $$target"; \
+			out=$$(go test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) -fuzzminimizetime 2s $$package 2>&1) && { echo "$$out" | tail -n 3; continue; }; \
+			echo "$$out" | tail -n 40; \
+			echo "$$out" | grep -q 'context deadline exceeded' && ! echo "$$out" | grep -q -E 'Failing input|hung or terminated|panic' || found=1; \
+		done; \
+	done; exit $$found
+
 # Needs protoc, protoc-gen-go and protoc-gen-twirp; what they make is committed.
 generate:
 	protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative wire/fellowapi/fellow.proto
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -21,24 +21,24 @@
 	"github.com/cresspond/cresspond/connection/frontdoor"
 	"github.com/cresspond/cresspond/connection/operators"
 	"github.com/cresspond/cresspond/epoch/spec"
+	"github.com/cresspond/cresspond/process/admission"
+	"github.com/cresspond/cresspond/process/affinity"
 	"github.com/cresspond/cresspond/process/attempts"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/config"
+	"github.com/cresspond/cresspond/process/demand"
 	"github.com/cresspond/cresspond/process/engines"
 	"github.com/cresspond/cresspond/process/fellows"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/membership"
-	"github.com/cresspond/cresspond/process/permits"
+	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/process/placement"
 	"github.com/cresspond/cresspond/process/raft"
 	"github.com/cresspond/cresspond/process/registry"
 	"github.com/cresspond/cresspond/process/replica"
 	"github.com/cresspond/cresspond/process/rollout"
-	"github.com/cresspond/cresspond/process/seats"
 	"github.com/cresspond/cresspond/process/snowflake"
-	"github.com/cresspond/cresspond/process/soundness"
 	"github.com/cresspond/cresspond/process/statemachine"
-	"github.com/cresspond/cresspond/process/wants"
 	"github.com/cresspond/cresspond/request/dispatch"
 	"github.com/cresspond/cresspond/wire/callerapi"
 	"github.com/cresspond/cresspond/wire/fellowapi"
@@ -71,9 +71,9 @@
 	door        *frontdoor.Door
 	desk        *operators.Desk
 	placer      *placement.Actor
-	home        *seats.Home
-	slots       *permits.Keeper
-	attempts    *attempts.Home
+	home        *affinity.Table
+	slots       *admission.Keeper
+	attempts    *attempts.Actor
 	permitIDs   atomic.Uint64
 
 	replicaConfig replica.Config
@@ -108,11 +108,11 @@
 	bundleSeen          atomic.Pointer[bundleSeen]
 
 	fleetMutex sync.Mutex
-	fleetWants map[ident.NodeID]*wants.Heard
+	fleetWants map[ident.NodeID]*demand.Receiver
 	// fleetOutcomes is what others saw of engines, until the planner takes it.
-	fleetOutcomes []soundness.Told
+	fleetOutcomes []outlier.Observation
 	// wants tells whoever plans what is asked for here.
-	wants wants.Teller
+	wants demand.Sender
 
 	// stallLimit is how long the next piece of a stream is waited for, runOver how long one may outlast its deadline.
 	stallLimit, runOver time.Duration
@@ -150,7 +150,11 @@
 	bytesOwnZone, bytesOtherZone, junkEngines, lastLookStops        atomic.Uint64
 	permitsUnasked, attemptCalls, attemptDoubts, attemptsMoved      atomic.Uint64
 	engineBeats, engineBeatsLate, leavesAcknowledged, leavesUnknown atomic.Uint64
-	memberTroubles, listenerTroubles                                atomic.Uint64
+	memberTroubles, listenerTroubles, turnedStale                   atomic.Uint64
+	// ordersUnproven counts operators' calls whose fate the replicated state could not prove any more.
+	ordersUnproven atomic.Uint64
+	// group counts what this daemon's members of the control group noticed, over all their lives.
+	group replica.Counters
 }
 
 // Option sets one thing of a daemon.
@@ -191,9 +195,12 @@
 		nodeID:        ident.NodeID(c.Name + "#" + hex.EncodeToString(life[:])),
 		replicaConfig: replica.DefaultConfig(), adopted: make(chan ident.GroupID, 1), broken: make(chan error, 4), unreadyTold: make(chan struct{}, 8),
 		applying: make(chan struct{}, 1), applyLimit: applyLimit, applyReach: applyReach,
-		fleetWants: map[ident.NodeID]*wants.Heard{}, home: seats.NewHome(), aroundDisk: func(disk replica.Disk) replica.Disk { return disk }, stallLimit: stallLimit, runOver: runOver,
+		fleetWants: map[ident.NodeID]*demand.Receiver{}, home: affinity.NewTable(), aroundDisk: func(disk replica.Disk) replica.Disk { return disk }, stallLimit: stallLimit, runOver: runOver,
+	}
+	d.replicaConfig.Voters, d.replicaConfig.Build = c.Voters, version
+	if c.Compaction.Entries > 0 {
+		d.replicaConfig.CompactEvery, d.replicaConfig.Keep = c.Compaction.Entries, c.Compaction.Keep
 	}
-	d.replicaConfig.Voters = c.Voters
 	d.log = logger.WithField("node", string(d.nodeID))
 	for _, option := range options {
 		option(d)
@@ -245,6 +252,9 @@
 		callerListener = &gatedListener{Listener: callerListener, gate: d.callers}
 		time.AfterFunc(acceptLimit, d.callers.open)
 	}
+	if d.forwards() {
+		callerListener = &restingListener{Listener: callerListener, read: callerReadLimit, usual: restLimit, rest: d.callerRest}
+	}
 	defer callerListener.Close()
 	var operatorListener, readyListener net.Listener
 	if d.config.OperatorListen != "" {
@@ -268,11 +278,11 @@
 	d.registry.Subscribe(d.poke)
 	d.registry.Subscribe(d.registryNews)
 	d.dispatch = dispatch.NewActor(routing{d})
-	d.slots = permits.NewKeeper(d.yard)
+	d.slots = admission.NewKeeper(d.yard)
 	d.placer = placement.NewActor(planning{d}, d.clock)
 	d.pools.make(d)
 	d.nodes = newNodeRanking(d)
-	d.attempts = attempts.NewHome(d.clock)
+	d.attempts = attempts.NewActor(d.clock)
 	streams, cutStreams := context.WithCancel(context.Background())
 	defer cutStreams()
 	d.door = frontdoor.New(streams, d.clock, d.keeper.Table, d.dispatch)
@@ -431,8 +441,8 @@
 // server is one listener's server.
 func (d *Daemon) server(handle fasthttp.RequestHandler, limits func(*fasthttp.RequestHeader) fasthttp.RequestConfig) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: handle, Name: "cresspond", MaxRequestBodySize: mostCallerBody, HeaderReceived: limits, ReadTimeout: 20 * time.Second, WriteTimeout: 5 * time.Minute,
-		IdleTimeout: time.Minute, NoDefaultServerHeader: true, Concurrency: mostConnections(d.config.Machine.MostFds), CloseOnShutdown: true, Logger: quiet{}, ReadBufferSize: mostHeader,
+		Handler: handle, Name: "cresspond", MaxRequestBodySize: mostCallerBody, HeaderReceived: limits, ReadTimeout: callerReadLimit, WriteTimeout: 5 * time.Minute,
+		IdleTimeout: restLimit, NoDefaultServerHeader: true, Concurrency: mostConnections(d.config.Machine.MostFds), CloseOnShutdown: true, Logger: quiet{}, ReadBufferSize: mostHeader,
 		// A form is some caller's body like any other, and goes on byte for byte.
 		ErrorHandler: badRequest, DisablePreParseMultipartForm: true,
 	}
--- a/process/daemon/fellow.go
+++ b/process/daemon/fellow.go
@@ -15,6 +15,7 @@
 	"github.com/cresspond/cresspond/process/applying"
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/membership"
 	"github.com/cresspond/cresspond/process/raft"
 	"github.com/cresspond/cresspond/process/replica"
 	"github.com/cresspond/cresspond/process/rollout"
@@ -257,22 +258,8 @@
 			command.Revision = ident.Revision(parsed.Forward.Revision)
 		}
 	}
-	if t := d.keeper.Table(); command.Op == statemachine.OpClosure && command.Closed && t != nil {
-		// A name that the bundle does not know is a slip: called closed, it would shut nothing. Engines that
-		// register themselves stand in no bundle, and a bundle on them need not name zones.
-		_, engineKnown := t.Engine(command.Engine)
-		engineKnown = engineKnown || t.Forward != nil
-		zoneKnown := t.HasZone(command.Zone) || t.Forward != nil && len(t.Spec.Zones) == 0
-		if command.Engine != "" && !engineKnown || command.Zone != "" && !zoneKnown {
-			return operatorapi.Answer{Result: statemachine.Result{Verdict: statemachine.Missing, Reason: "the bundle in force has no such zone or engine"}}, replica.Applied
-		}
-	}
-	if fellow, known := d.members.View().Fellows[command.Lost]; command.Op == statemachine.OpLost && known {
-		// One that speaks is not lost: it can be stopped as planned, and then needs no such word.
-		if ago := d.clock.Elapsed().Since(fellow.Heard); ago < lostAfter {
-			return operatorapi.Answer{Result: statemachine.Result{Verdict: statemachine.Conflict,
-				Reason: fmt.Sprintf("%s was heard %d ms ago; stop it instead", command.Lost, ago.Milliseconds())}}, replica.Applied
-		}
+	if _, refused := d.refusal(command); refused {
+		return d.refuseAsLeader(ctx, held, command)
 	}
 	began := d.clock.Elapsed()
 	got := held.Submit(ctx, command)
@@ -300,6 +287,48 @@
 	return answer, got.Outcome
 }
 
+// refusal says why a command is refused by what this daemon knows beside the log, if it is.
+func (d *Daemon) refusal(command statemachine.Command) (operatorapi.Answer, bool) {
+	refuse := func(verdict statemachine.Verdict, reason string) (operatorapi.Answer, bool) {
+		return operatorapi.Answer{Result: statemachine.Result{Verdict: verdict, Reason: reason}}, true
+	}
+	switch t := d.keeper.Table(); {
+	case command.Op == statemachine.OpClosure && command.Closed && t != nil:
+		// A name that the bundle does not know is a slip: called closed, it would shut nothing. Engines that
+		// register themselves stand in no bundle, and a bundle on them need not name zones.
+		_, engineKnown := t.Engine(command.Engine)
+		engineKnown = engineKnown || t.Forward != nil
+		zoneKnown := t.HasZone(command.Zone) || t.Forward != nil && len(t.Spec.Zones) == 0
+		if command.Engine != "" && !engineKnown || command.Zone != "" && !zoneKnown {
+			return refuse(statemachine.Missing, "the bundle in force has no such zone or engine")
+		}
+	case command.Op == statemachine.OpLost:
+		fellow, known := d.members.View().Fellows[command.Lost]
+		if !known {
+			break
+		}
+		// One that speaks is not lost: it can be stopped as planned, and then needs no such word.
+		if ago := d.clock.Elapsed().Since(fellow.Heard); ago < lostAfter {
+			return refuse(statemachine.Conflict, fmt.Sprintf("%s was heard %d ms ago; stop it instead", command.Lost, ago.Milliseconds()))
+		}
+	}
+	return operatorapi.Answer{}, false
+}
+
+// refuseAsLeader refuses a command for good, if a majority confirms that this daemon leads and what it knows is not
+// older than what is committed. Otherwise nothing is said: whoever leads by now may take the command.
+func (d *Daemon) refuseAsLeader(ctx context.Context, held *replica.Replica, command statemachine.Command) (operatorapi.Answer, replica.Outcome) {
+	var committed ident.Epoch
+	if outcome := held.Read(ctx, func(state *statemachine.State) { committed = state.Epoch() }); outcome != replica.Applied {
+		return operatorapi.Answer{}, outcome
+	}
+	answer, refused := d.refusal(command)
+	if inForce, _ := d.InForce(); !refused || inForce < committed {
+		return operatorapi.Answer{}, replica.Unknown
+	}
+	return answer, replica.Applied
+}
+
 // submitOnce brings a command to the leader, following one redirect.
 func (d *Daemon) submitOnce(ctx context.Context, command statemachine.Command) (operatorapi.Answer, bool) {
 	if answer, outcome := d.lead(ctx, command); outcome != replica.NotLeader {
@@ -491,7 +520,7 @@
 	var seated []*fellowapi.Seat
 	snapshot := d.dispatch.Snapshot()
 	for _, demand := range snapshot.Demands {
-		all = append(all, &fellowapi.Demand{Model: demand.Model, Adapter: demand.Adapter, Worth: demand.Worth, Held: int64(demand.Held), Running: int64(demand.Running)})
+		all = append(all, &fellowapi.Demand{Model: demand.Model, Adapter: demand.Adapter, Worth: demand.Worth, Held: int64(demand.Queued), Running: int64(demand.Running)})
 	}
 	all = append(all, d.forwardDemands()...)
 	for _, seat := range snapshot.Seats {
@@ -501,7 +530,7 @@
 	if onlyWaiting && !waits {
 		return false
 	}
-	message := d.wants.Tell(d.clock.Elapsed(), request.PlannerAddress, all, seated)
+	message := d.wants.Next(d.clock.Elapsed(), request.PlannerAddress, all, seated)
 	request.Wants, request.WantsBase, request.Demand, request.Seats = message.Seq, message.Base, message.Demand, message.Seats
 	for _, one := range d.forwardOutcomes() {
 		request.Outcomes = append(request.Outcomes, &fellowapi.EngineOutcomes{Engine: string(one.Engine), Attempts: int64(one.Attempts), Failures: int64(one.Failures),
@@ -536,6 +565,7 @@
 		d.counters.garbage.Add(1)
 		return nil, twirp.NewError(twirp.InvalidArgument, "a pull says who asks")
 	}
+	arrived := d.clock.Elapsed()
 	rowKnown := d.members.Served(in)
 	wantsLost := !d.hearWants(in)
 	d.nodes.hear(in)
@@ -546,7 +576,9 @@
 		d.holdBack(ctx, in)
 	}
 	leader, term := d.leaderAndTerm()
-	reply := &fellowapi.PullReply{Group: string(d.Group()), NodeId: string(d.nodeID), LeaderAddress: leader, LeaderTerm: term, IsLeader: d.Leads(), FirstRollMsAgo: d.FirstRollAgo().Milliseconds(),
+	// The confirmation is read before what it vouches for, which can only be newer.
+	confirmation := membership.ConfirmationOf(d.confirmed(), arrived)
+	reply := &fellowapi.PullReply{Confirmation: confirmation, Group: string(d.Group()), NodeId: string(d.nodeID), LeaderAddress: leader, LeaderTerm: term, IsLeader: d.Leads(), FirstRollMsAgo: d.FirstRollAgo().Milliseconds(),
 		RowKnown: rowKnown, WantsLost: wantsLost, Plans: d.Plans(), PlannerAddress: d.members.View().PlannerAddress}
 	if t := d.keeper.Table(); t != nil {
 		reply.SpecEpoch, reply.ClosureEpoch = uint64(t.Epoch), uint64(t.Closures.Epoch)
@@ -560,6 +592,9 @@
 			reply.Closures = rollout.EncodeClosures(t.Closures)
 		}
 	}
+	if membership.WantsMembers(in) {
+		reply.MemberAddresses = d.memberAddresses()
+	}
 	d.members.Tell(in, reply)
 	reply.Draining, reply.DrainingVersion = d.drainingEngines(), d.toldNews.draining.Load()
 	d.tellRegistry(in, reply)
@@ -576,6 +611,8 @@
 // Learn takes over what a reply brought.
 func (d *Daemon) Learn(reply *fellowapi.PullReply) {
 	if !d.learnGroup(ident.GroupID(reply.Group)) {
+		// What another group confirmed proves nothing here.
+		reply.Confirmation = &fellowapi.Confirmation{}
 		return
 	}
 	if len(reply.Spec) > 0 || len(reply.Closures) > 0 {
--- a/process/daemon/pages.go
+++ b/process/daemon/pages.go
@@ -10,6 +10,7 @@
 
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/raft"
 	"github.com/cresspond/cresspond/process/rollout"
 	"github.com/cresspond/cresspond/process/statemachine"
 	"github.com/cresspond/cresspond/wire/operatorapi"
@@ -30,19 +31,25 @@
 	if t != nil {
 		out.SpecEpoch, out.ClosureEpoch = t.Epoch, t.Closures.Epoch
 	}
+	if confirmed := d.confirmed(); confirmed > 0 {
+		ago := max(0, now.Since(confirmed).Milliseconds())
+		out.ConfirmedMsAgo = &ago
+	}
 	if worker, held := d.generator.Worker(); held {
 		number := int64(worker)
 		out.WorkerID = &number
 	}
 	if held := d.replica.Load(); held != nil {
 		condition := held.Condition()
-		out.Raft = &operatorapi.RaftStatus{Role: condition.Role.String(), Term: uint64(condition.Term), Commit: uint64(condition.Commit), Stalled: condition.Stalled}
+		out.Raft = &operatorapi.RaftStatus{Role: condition.Role.String(), Term: uint64(condition.Term), Commit: uint64(condition.Commit), Stalled: condition.Stalled,
+			Applied: uint64(condition.Applied), StateDigest: digestText(condition.Digest)}
 		if folder := d.held(); folder != nil {
 			self, _ := condition.Members.Find(folder.Member)
 			out.Raft.Voter = self.Voter
 		}
 		for _, member := range condition.Members.Members {
-			out.Raft.Members = append(out.Raft.Members, operatorapi.RaftMember{Name: member.Name, Address: member.Address, Voter: member.Voter})
+			out.Raft.Members = append(out.Raft.Members, operatorapi.RaftMember{Name: member.Name, Address: member.Address, Voter: member.Voter,
+				Differs: slices.Contains(condition.Differing, member.ID)})
 		}
 	}
 	if d.config.Serves(config.Place) {
@@ -65,6 +72,14 @@
 	return out
 }
 
+// digestText shows a digest of the state so that two members' can be compared by eye; empty before the first.
+func digestText(digest raft.StateDigest) string {
+	if digest.Index == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d:%016x", digest.Index, digest.Sum)
+}
+
 // Counters lists this daemon's counters, a line each.
 func (d *Daemon) Counters() string {
 	var out strings.Builder
@@ -80,18 +95,29 @@
 	say("fellow_connections_opened", t.Opened.Load())
 	say("member_troubles", c.memberTroubles.Load())
 	say("listener_troubles", c.listenerTroubles.Load())
+	say("orders_unproven", c.ordersUnproven.Load())
 	say("tenure_acquired", c.acquired.Load())
 	say("tenure_renewed", c.renewed.Load())
 	say("tenure_lost", c.tenureFailed.Load())
 	say("mint_refused", d.generator.Refusals())
 	say("pulls", d.members.Pulls.Load())
 	say("pulls_failed", d.members.Failed.Load())
+	say("sources_left_as_stale", d.members.StaleSources.Load())
+	say("turned_stale", c.turnedStale.Load())
+	if confirmed := d.confirmed(); confirmed > 0 {
+		say("confirmed_ms_ago", uint64(max(0, d.clock.Elapsed().Since(confirmed).Milliseconds())))
+	}
 	say("raft_sent", d.links.Sent.Load())
 	say("raft_dropped", d.links.Dropped.Load())
 	say("raft_failed", d.links.Failed.Load())
 	if held := d.replica.Load(); held != nil {
 		say("raft_refused", held.Refused.Load())
 	}
+	say("raft_malformed", c.group.MessagesRefused.Load())
+	say("snapshots_sent", c.group.SnapshotsSent.Load())
+	say("snapshots_taken", c.group.SnapshotsTaken.Load())
+	say("snapshots_refused", c.group.SnapshotsRefused.Load())
+	say("states_differ", c.group.StatesDiffer.Load())
 	say("offers_refused", d.keeper.Refused.Load())
 	w := &d.watcher.Counters
 	say("engine_reports_failed", w.FailedReports.Load())
@@ -108,9 +134,9 @@
 	if d.config.Serves(config.Route) {
 		s := d.dispatch.Snapshot()
 		say("requests_invalid", d.door.Invalid.Load())
-		say("requests_let_in", s.Counters.LetIn)
-		say("requests_held", s.Counters.Held)
-		say("requests_held_now", uint64(s.Held))
+		say("requests_let_in", s.Counters.Admitted)
+		say("requests_held", s.Counters.Queued)
+		say("requests_held_now", uint64(s.Queued))
 		say("requests_refused", s.Counters.RefusedHere)
 		say("requests_refused_as_hopeless", s.Counters.Hopeless)
 		say("requests_replayed", s.Counters.Replays)
@@ -119,11 +145,11 @@
 		say("requests_lost", s.Counters.Lost)
 		say("callers_left", s.Counters.CallersLeft)
 		say("sessions_reseated", s.Counters.Reseated)
-		say("goes_first", s.FirstGoes)
+		say("goes_first", s.FirstAttempts)
 		say("goes_again", s.Retries)
 		say("goes_again_denied", s.Denied)
 		say("goes_refused_by_engine", s.Counters.EngineRefusals)
-		say("goes_held_back", s.Counters.HeldBack)
+		say("goes_held_back", s.Counters.Withdrawn)
 		say("attempt_calls", c.attemptCalls.Load())
 		say("attempt_doubts", c.attemptDoubts.Load())
 		say("attempts_moved", c.attemptsMoved.Load())
--- a/process/daemon/routing.go
+++ b/process/daemon/routing.go
@@ -10,14 +10,14 @@
 	"github.com/cresspond/cresspond/connection/enginelink"
 	"github.com/twitchtv/twirp"
 
+	"github.com/cresspond/cresspond/process/admission"
+	"github.com/cresspond/cresspond/process/affinity"
 	"github.com/cresspond/cresspond/process/attempts"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/membership"
-	"github.com/cresspond/cresspond/process/permits"
 	"github.com/cresspond/cresspond/process/placement"
-	"github.com/cresspond/cresspond/process/seats"
 	"github.com/cresspond/cresspond/process/snowflake"
 	"github.com/cresspond/cresspond/process/statemachine"
 	"github.com/cresspond/cresspond/request/bid"
@@ -59,7 +59,7 @@
 	return dispatch.World{
 		Lacks: d.lacksNow(),
 		Now:   d.clock.Elapsed(), Table: d.keeper.Table(), Engines: d.watcher.View(), NotReady: notReady, Mint: d.generator.Mint,
-		Zone: d.config.Zone, ShareSeats: true, Permits: true,
+		Zone: d.config.Zone, ShareAssignments: true, Admission: true,
 	}
 }
 
@@ -82,7 +82,7 @@
 }
 
 // lastLook is the last check before the first byte: what it reads is what is in force at that moment.
-func (d *Daemon) lastLook(flight *dispatch.Flight, send dispatch.Send) string {
+func (d *Daemon) lastLook(flight *dispatch.Call, send dispatch.Send) string {
 	t := d.keeper.Table()
 	engine := d.watcher.View().Engines[send.Engine]
 	switch {
@@ -109,17 +109,17 @@
 var errBroken = errors.New("the answer is not whole")
 
 // Carry runs one go to its end.
-func (d *Daemon) Carry(flight *dispatch.Flight, send dispatch.Send, firstPiece func()) (dispatch.GoOutcome, string) {
+func (d *Daemon) Carry(flight *dispatch.Call, send dispatch.Send, firstPiece func()) (dispatch.AttemptOutcome, string) {
 	giveBack, granted := d.askPermit(flight, send)
 	if !granted {
-		return dispatch.HeldBack, "no slot of the engine is free"
+		return dispatch.Withdrawn, "no slot of the engine is free"
 	}
 	refused := false
 	defer func() { giveBack(refused) }()
 	// The homes are asked while the engine is dialled; the first byte waits for both.
-	claimed := make(chan attempts.Verdict, 1)
+	claimed := make(chan attempts.Decision, 1)
 	go func() { claimed <- d.askHomes(d.askFor(attempts.Claim, flight.ID, flight.Request, flight.Arrived)) }()
-	var claim attempts.Verdict
+	var claim attempts.Decision
 	departed := false
 	left := send.Deadline.Since(d.clock.Elapsed())
 	began := false
@@ -184,13 +184,13 @@
 
 // mayGo says whether a go may leave on what the homes said. Where they can't be asked, only the caller's
 // own word that the work may run twice lets it go.
-func mayGo(claim attempts.Verdict, repeatable bool) bool {
+func mayGo(claim attempts.Decision, repeatable bool) bool {
 	return claim == attempts.May || claim == attempts.Doubt && repeatable
 }
 
 // afterClaim frees the claim of a go that provably never ran, so that the same attempt may come again
 // anywhere, and says what becomes of one that the homes held back.
-func (d *Daemon) afterClaim(flight *dispatch.Flight, outcome dispatch.GoOutcome, claim attempts.Verdict, claimed <-chan attempts.Verdict, departed bool) (dispatch.GoOutcome, string) {
+func (d *Daemon) afterClaim(flight *dispatch.Call, outcome dispatch.AttemptOutcome, claim attempts.Decision, claimed <-chan attempts.Decision, departed bool) (dispatch.AttemptOutcome, string) {
 	if departed && outcome != dispatch.EngineRefused {
 		return outcome, ""
 	}
@@ -231,7 +231,7 @@
 // keeperOf is the address of the daemon that keeps an engine's slots.
 func (d *Daemon) keeperOf(engine ident.EngineID) string {
 	routers := d.fellowsFor(keeperWindow, func(f membership.Fellow) bool { return f.Serves(string(config.Route)) })
-	keeper, _ := seats.Of("engine "+string(engine), routers)
+	keeper, _ := affinity.Owners("engine "+string(engine), routers)
 	return keeper
 }
 
@@ -246,10 +246,10 @@
 
 // askPermit asks the engine's keeper for a slot. A keeper that can't be reached must not hold up the go:
 // the engine's own refusal then bounds what it gets.
-func (d *Daemon) askPermit(flight *dispatch.Flight, send dispatch.Send) (giveBack func(refused bool), granted bool) {
+func (d *Daemon) askPermit(flight *dispatch.Call, send dispatch.Send) (giveBack func(refused bool), granted bool) {
 	keeper := d.keeperOf(send.Engine)
 	request := &fellowapi.PermitRequest{Engine: string(send.Engine), Id: string(d.nodeID) + "/" + strconv.FormatUint(d.permitIDs.Add(1), 10),
-		NodeId: string(d.nodeID), Seated: send.Seated, Worth: send.Worth, Rank: int64(send.Rank), House: send.House}
+		NodeId: string(d.nodeID), Seated: send.Assigned, Worth: send.Worth, Rank: int64(send.Rank), House: send.Tenant}
 	client := fellowapi.Fellow(d)
 	if keeper != "" && keeper != d.config.ReachedAt() {
 		client = d.links.To(keeper)
@@ -287,15 +287,15 @@
 		d.slots.Release(ident.EngineID(in.Engine), in.Id, in.Refused)
 		return &fellowapi.PermitReply{}, nil
 	}
-	granted := d.slots.Ask(ctx, permits.Ask{ID: in.Id, Node: ident.NodeID(in.NodeId), Engine: ident.EngineID(in.Engine),
-		Bid: bid.Bid{Seated: in.Seated, Worth: in.Worth, Rank: int(in.Rank), House: in.House}, Until: d.clock.Elapsed() + clock.Mark(permitWait)})
+	granted := d.slots.Ask(ctx, admission.Ask{ID: in.Id, Node: ident.NodeID(in.NodeId), Engine: ident.EngineID(in.Engine),
+		Bid: bid.Bid{Assigned: in.Seated, Worth: in.Worth, Rank: int(in.Rank), Tenant: in.House}, Until: d.clock.Elapsed() + clock.Mark(permitWait)})
 	return &fellowapi.PermitReply{Granted: granted}, nil
 }
 
 // yard is what the keeper of slots may look at.
-func (d *Daemon) yard() permits.Yard {
+func (d *Daemon) yard() admission.View {
 	now, t, view := d.clock.Elapsed(), d.keeper.Table(), d.watcher.View()
-	return permits.Yard{
+	return admission.View{
 		Now: now,
 		Capacity: func(id ident.EngineID) int {
 			engine, known := view.Engines[id]
@@ -317,7 +317,7 @@
 			}
 			return 0
 		},
-		Lives: func(node ident.NodeID) bool {
+		Alive: func(node ident.NodeID) bool {
 			fellow, known := d.members.View().Fellows[node]
 			return node == d.nodeID || known && now.Since(fellow.Heard) < 3*time.Second
 		},
@@ -328,7 +328,7 @@
 // Any daemon can be a home, whatever it serves, so that the restart of a lone routing daemon loses none.
 func (d *Daemon) seatHomes(session string) (first, second string) {
 	// A daemon that is stopping hands its seats over, and takes no more.
-	return seats.Of(session, d.fellowsFor(3*time.Second, func(membership.Fellow) bool { return true }))
+	return affinity.Owners(session, d.fellowsFor(3*time.Second, func(membership.Fellow) bool { return true }))
 }
 
 // rehomeSeats gives the seats whose home this daemon was to the homes that have come to be.
@@ -337,7 +337,7 @@
 	oldAddresses, newAddresses := addressesOf(before), addressesOf(after)
 	unreached := map[string]bool{}
 	for session, engine := range d.home.All() {
-		oldFirst, oldSecond := seats.Of(session, oldAddresses)
+		oldFirst, oldSecond := affinity.Owners(session, oldAddresses)
 		if ctx.Err() != nil || oldFirst != self && oldSecond != self {
 			continue
 		}
@@ -351,8 +351,8 @@
 
 // newcomers lists the homes that something has now, and did not have before in the same life.
 func newcomers(key string, before, after map[string]ident.NodeID, oldAddresses, newAddresses []string) []string {
-	oldFirst, oldSecond := seats.Of(key, oldAddresses)
-	newFirst, newSecond := seats.Of(key, newAddresses)
+	oldFirst, oldSecond := affinity.Owners(key, oldAddresses)
+	newFirst, newSecond := affinity.Owners(key, newAddresses)
 	var out []string
 	for _, home := range []string{newFirst, newSecond} {
 		if home != "" && ((home != oldFirst && home != oldSecond) || before[home] != after[home]) {
@@ -383,8 +383,8 @@
 // routing is the daemon as the dispatch actor sees it.
 type routing struct{ *Daemon }
 
-// Seat asks for a session's seat, and remembers it here too, so that it outlives its homes.
-func (r routing) Seat(ask dispatch.AskSeat) (ident.EngineID, bool) {
+// Assignment asks for a session's seat, and remembers it here too, so that it outlives its homes.
+func (r routing) Assignment(ask dispatch.AskAssignment) (ident.EngineID, bool) {
 	engine, found := r.seatOf(ask)
 	if found {
 		r.home.Note(r.clock.Elapsed(), ask.Session, engine)
@@ -395,7 +395,7 @@
 // seatOf asks a session's homes. The first decides; the second keeps a copy, and knows better where the
 // first is gone or has just come back with nothing. Where neither knew of it, and daemons were lost
 // lately, all are asked.
-func (r routing) seatOf(ask dispatch.AskSeat) (ident.EngineID, bool) {
+func (r routing) seatOf(ask dispatch.AskAssignment) (ident.EngineID, bool) {
 	if ask.Engine != "" && ask.Replaces == "" && r.lostLately() {
 		if engine, known := r.askAllForSeat(ask.Session); known {
 			ask.Engine = engine
@@ -452,8 +452,8 @@
 	return ident.EngineID(newest.Engine), true
 }
 
-// EndSeat tells a session's homes that it has ended.
-func (r routing) EndSeat(session string) {
+// EndAssignment tells a session's homes that it has ended.
+func (r routing) EndAssignment(session string) {
 	first, second := r.seatHomes(session)
 	// A home that misses this forgets the seat when it has been idle long enough.
 	for _, home := range []string{first, second} {
@@ -474,7 +474,7 @@
 			in.Demand = append(in.Demand, placement.Demand(demand))
 		}
 		for _, seat := range snapshot.Seats {
-			in.Seats = append(in.Seats, placement.Seats(seat))
+			in.Assignments = append(in.Assignments, placement.Assignments(seat))
 		}
 	}
 	p.fleetMutex.Lock()
@@ -488,12 +488,12 @@
 		if now.Since(heard.At) < demandFresh {
 			heard.Each(now, func(demand *fellowapi.Demand, _ time.Duration, _ float64) {
 				if demand.Pool == "" {
-					in.Demand = append(in.Demand, placement.Demand{Model: demand.Model, Adapter: demand.Adapter, Worth: demand.Worth, Held: int(demand.Held), Running: int(demand.Running)})
+					in.Demand = append(in.Demand, placement.Demand{Model: demand.Model, Adapter: demand.Adapter, Worth: demand.Worth, Queued: int(demand.Held), Running: int(demand.Running)})
 				}
 			})
 		}
 		for _, seat := range heard.Seats {
-			in.Seats = append(in.Seats, placement.Seats{Engine: ident.EngineID(seat.Engine), Model: seat.Model, Adapter: seat.Adapter, Sessions: int(seat.Sessions)})
+			in.Assignments = append(in.Assignments, placement.Assignments{Engine: ident.EngineID(seat.Engine), Model: seat.Model, Adapter: seat.Adapter, Sessions: int(seat.Sessions)})
 		}
 	}
 	return in
@@ -514,7 +514,7 @@
 }
 
 // Mint stamps an order.
-func (p planning) Mint() (ident.MintedID, snowflake.Verdict) { return p.generator.Mint() }
+func (p planning) Mint() (ident.MintedID, snowflake.Outcome) { return p.generator.Mint() }
 
 // Order sends an order.
 func (p planning) Order(ctx context.Context, address string, order engineapi.Order, limit time.Duration, mayLeave func() bool) (*engineapi.OrderAnswer, bool) {
--- a/process/replica/simulation_test.go
+++ b/process/replica/simulation_test.go
@@ -86,6 +86,23 @@
 	size int
 	// diskTakes is how long each write takes beside the rest.
 	diskTakes time.Duration
+	// notices counts what members noticed, compared the digests that peers answered with, gaveUp who gave up its state.
+	notices  map[raft.NoticeKind]int
+	compared int
+	gaveUp   []raft.MemberID
+	// mayGiveUp says that some state was made to differ.
+	mayGiveUp bool
+	// config is the group's.
+	config Config
+	// link, where it is set, is how many bytes a second each machine sends, one message after the other; busyUntil
+	// says until when a machine's link is taken. wholeSnapshots has members say that they take no parts.
+	link           int
+	busyUntil      map[int]clock.Mark
+	wholeSnapshots bool
+	// damage changes snapshots on their way, while there is trouble.
+	damage func(*raft.Message)
+	// plan decides on the next membership; nil stands for the real plan.
+	plan func(MembershipPlan) (raft.Membership, bool)
 }
 
 type simDisk struct {
@@ -116,6 +133,8 @@
 	beaten      clock.Mark
 	// gone machines never come back.
 	gone bool
+	// written is told of each write that reached the disk.
+	written func(raft.Save)
 }
 
 func (s *sim) after(d time.Duration, run func()) {
@@ -141,8 +160,22 @@
 }
 
 func newSim(t *testing.T, seed uint64, size int, broken brk) *sim {
+	return newAdjustedSim(t, seed, size, broken, nil)
+}
+
+// newAdjustedSim makes a simulated group with its members' settings changed by adjust.
+func newAdjustedSim(t *testing.T, seed uint64, size int, broken brk, adjust func(*Config)) *sim {
+	config := simConfig(size)
+	if adjust != nil {
+		adjust(&config)
+	}
+	return newSimWith(t, seed, config, broken)
+}
+
+func newSimWith(t *testing.T, seed uint64, config Config, broken brk) *sim {
+	size := config.Voters
 	s := &sim{t: t, random: rand.New(rand.NewPCG(seed, 99)), broken: broken, now: clock.Mark(time.Hour), cut: map[[2]int]bool{}, loss: 0.02, faults: true, calm: seed%2 == 1,
-		size: size, leaderOf: map[raft.Term]raft.MemberID{}, applied: map[raft.Index]string{}, minted: map[ident.MintedID]string{}, asked: map[uint64]func(Answer){}}
+		size: size, leaderOf: map[raft.Term]raft.MemberID{}, applied: map[raft.Index]string{}, minted: map[ident.MintedID]string{}, asked: map[uint64]func(Answer){}, notices: map[raft.NoticeKind]int{}, config: config}
 	var members raft.Membership
 	for i := range size {
 		members.Members = append(members.Members, raft.Member{ID: raft.MemberID(i + 1), Name: fmt.Sprint("core-", i), Address: fmt.Sprint(i), Voter: true})
@@ -166,8 +199,8 @@
 	n.up, n.queue, n.since, n.stalled, n.lastNow, n.beaten, n.joins = true, nil, nil, false, 0, 0, map[raft.MemberID]raft.Member{}
 	restored := n.disk.state
 	restored.Entries = slices.Clone(restored.Entries)
-	member := raft.New(n.id, simConfig(n.sim.size).Timing, restored, n.sim.random)
-	core, err := NewCore(simConfig(n.sim.size), member, restored.Snapshot.Data, n.sim.now, n.wall)
+	member := raft.New(n.id, n.sim.config.Timing, restored, n.sim.random)
+	core, err := NewCore(n.sim.config, member, restored.Snapshot.Data, n.sim.now, n.wall)
 	if err != nil {
 		n.sim.t.Fatal(err)
 	}
@@ -181,7 +214,7 @@
 			return
 		}
 		if n.sim.now >= n.frozenUntil {
-			if late := n.sim.now.Since(n.beaten); n.beaten > 0 && late > simConfig(n.sim.size).Timing.Span(Tick) {
+			if late := n.sim.now.Since(n.beaten); n.beaten > 0 && late > n.sim.config.Timing.Span(Tick) {
 				n.carryOut(n.core.Step(n.sim.now, raft.StandDown{}))
 			}
 			n.beaten = n.sim.now
@@ -191,7 +224,7 @@
 			}
 			n.carryOut(n.core.Step(n.sim.now, raft.Tick{}))
 			if n.core.Leads() {
-				if next, ok := n.core.Muster(n.sim.now, n.joins).Next(); ok {
+				if next, ok := n.sim.nextMembership(n.core.MembershipPlan(n.sim.now, n.joins)); ok {
 					n.carryOut(n.core.Step(n.sim.now, raft.ProposeMembership{Membership: next}))
 				}
 			} else {
@@ -315,6 +348,13 @@
 		}
 		s.leaderOf[term] = n.id
 	}
+	for _, notice := range effects.Notices {
+		s.notices[notice.Kind]++
+	}
+	if effects.GiveUp != nil {
+		n.giveUpState(effects.GiveUp)
+		return
+	}
 	n.checkApplied()
 	switch {
 	case effects.Save != nil || len(effects.Later) > 0 && len(n.queue) > 0 && !n.stalled:
@@ -344,6 +384,19 @@
 	n.send(effects.Now)
 }
 
+// giveUpState does what the daemon does: it hands over, sets its files aside and comes back as another member.
+func (n *simNode) giveUpState(why error) {
+	s := n.sim
+	if !s.mayGiveUp {
+		s.fault("member %d gave up a sound state: %v", n.id, why)
+	}
+	s.gaveUp = append(s.gaveUp, n.id)
+	n.send(n.core.Step(s.now, raft.DiskStalled{Stalled: true}).Now)
+	n.crash()
+	n.empty()
+	s.after(s.ms(200, 500), n.revive)
+}
+
 func (n *simNode) writeNext(life int) {
 	s := n.sim
 	wait := s.diskTakes + s.ms(1, 8)
@@ -358,6 +411,9 @@
 		n.queue, n.since = n.queue[1:], n.since[1:]
 		if done.save != nil {
 			n.disk.write(*done.save, s.broken)
+			if n.written != nil {
+				n.written(*done.save)
+			}
 		}
 		if len(n.queue) > 0 {
 			n.writeNext(life)
@@ -397,6 +453,9 @@
 func (n *simNode) send(messages []raft.Message) {
 	s := n.sim
 	for _, m := range messages {
+		if m.Kind == raft.MsgHeartbeatReply && m.StateDigest != nil {
+			s.compared++
+		}
 		if m.To == n.id {
 			n.carryOut(n.core.Step(s.now, raft.Receive{Message: m}))
 			continue
@@ -405,6 +464,12 @@
 		if to == nil || s.cut[[2]int{n.place, to.place}] || s.random.Float64() < s.loss {
 			continue
 		}
+		if m.Snapshot != nil && s.damage != nil {
+			s.damage(&m)
+		}
+		if s.wholeSnapshots {
+			m.TakesParts = false
+		}
 		copies := 1
 		if s.faults && s.random.IntN(50) == 0 {
 			copies = 2
@@ -414,11 +479,45 @@
 			if s.faults && s.random.IntN(40) == 0 {
 				delay += s.ms(0, 400)
 			}
+			carried := s.carrying(n.place, m)
+			if carried > callLimit {
+				continue
+			}
+			delay += carried
 			s.after(delay, func() { to.receive(m) })
 		}
 	}
 }
 
+// nextMembership asks the plan.
+func (s *sim) nextMembership(plan MembershipPlan) (raft.Membership, bool) {
+	if s.plan != nil {
+		return s.plan(plan)
+	}
+	return plan.Next()
+}
+
+// callLimit is how long a call with messages may take before it is given up.
+const callLimit = 3 * time.Second
+
+// carrying is how long a message waits for its link and takes on it.
+func (s *sim) carrying(from int, m raft.Message) time.Duration {
+	if s.link == 0 {
+		return 0
+	}
+	const headBytes = 300
+	size := headBytes
+	for _, entry := range m.Entries {
+		size += len(entry.Data)
+	}
+	if m.Snapshot != nil {
+		size += len(m.Snapshot.Data)
+	}
+	takes := time.Duration(size) * time.Second / time.Duration(s.link)
+	s.busyUntil[from] = max(s.busyUntil[from], s.now) + clock.Mark(takes)
+	return s.busyUntil[from].Since(s.now)
+}
+
 func (s *sim) nodeOf(id raft.MemberID) *simNode {
 	for _, n := range s.nodes {
 		if n.id == id {
@@ -476,6 +575,9 @@
 	n.life++
 	if len(n.queue) > 0 && n.queue[0].save != nil && n.sim.random.IntN(2) == 0 {
 		n.disk.write(*n.queue[0].save, n.sim.broken)
+		if n.written != nil {
+			n.written(*n.queue[0].save)
+		}
 	}
 }
 
@@ -746,7 +848,7 @@
 
 // heal ends all trouble.
 func (s *sim) heal() {
-	s.faults, s.loss = false, 0
+	s.faults, s.loss, s.damage = false, 0, nil
 	clear(s.cut)
 	for _, n := range s.nodes {
 		n.frozenUntil, n.stallUntil = 0, 0
@@ -798,6 +900,7 @@
 		seeds = wanted
 	}
 	mints, acks, reads, crashes, wipes, replaced, losses := 0, 0, 0, 0, 0, 0, 0
+	compared, notices := 0, map[raft.NoticeKind]int{}
 	for seed := range seeds {
 		size := []int{3, 3, 1, 5, 3, 1}[seed%6]
 		s := newSim(t, seed, size, sound)
@@ -807,6 +910,14 @@
 		}
 		mints, acks, reads, crashes = mints+s.mints, acks+s.acks, reads+s.reads, crashes+s.crashes
 		wipes, replaced, losses = wipes+s.wipes, replaced+s.replaced, losses+s.losses
+		compared += s.compared
+		for kind, count := range s.notices {
+			notices[kind] += count
+		}
+	}
+	t.Logf("%d digests compared, notices: %v", compared, notices)
+	if compared == 0 || notices[raft.NoticeSnapshotTaken] == 0 || notices[raft.NoticeStateDiffers] > 0 || notices[raft.NoticeMessageRefused] > 0 {
+		t.Errorf("%d digests were compared; notices: %v", compared, notices)
 	}
 	t.Logf("seeds 0 to %d: %d ids minted, %d closures acknowledged, %d reads checked, %d crashes, %d wiped disks, %d machines replaced, %d times the most at once", seeds-1, mints, acks, reads, crashes, wipes, replaced, losses)
 }
--- /dev/null
+++ b/request/dispatch/events.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/table"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/engines"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/snowflake"
+)
+
+// World is what the core may look at during one step.
+type World struct {
+	Now     clock.Mark
+	Table   *table.Table
+	Engines *engines.View
+	// NotReady is empty, or why this daemon takes no new work.
+	NotReady string
+	Mint     MintFunc
+	Zone     ident.ZoneID
+	// ShareAssignments says whether assignments are shared with other routing daemons.
+	ShareAssignments bool
+	// Lacks is for how long what is asked for is not likely to be loaded anywhere.
+	Lacks map[Wanted]time.Duration
+	// Admission says that a keeper is asked before each attempt is sent.
+	Admission bool
+}
+
+// Wanted is one model, or one adapter of it.
+type Wanted struct{ Model, Adapter string }
+
+// Event is an input of the core.
+type Event interface{ dispatchEvent() }
+
+// Arrive brings a new request.
+type Arrive struct {
+	ID      RecordID
+	Request Request
+}
+
+// AttemptEnded says how an attempt ended.
+type AttemptEnded struct {
+	ID      RecordID
+	Outcome AttemptOutcome
+	// Reason says why an attempt was never sent or was refused.
+	Reason string
+}
+
+// FirstPiece says that a piece is about to go to the caller.
+type FirstPiece struct{ ID RecordID }
+
+// CallerGone says that the caller closed its side while the record was waiting.
+type CallerGone struct{ ID RecordID }
+
+// AssignmentFound brings the answer of the session's owner.
+type AssignmentFound struct {
+	ID      RecordID
+	Session string
+	Engine  ident.EngineID
+}
+
+// Tick lets time pass, or says that engines or the spec changed.
+type Tick struct{}
+
+func (Arrive) dispatchEvent()          {}
+func (AttemptEnded) dispatchEvent()    {}
+func (FirstPiece) dispatchEvent()      {}
+func (CallerGone) dispatchEvent()      {}
+func (AssignmentFound) dispatchEvent() {}
+func (Tick) dispatchEvent()            {}
+
+// MintFunc mints the ids by which queued and retried requests are stamped.
+type MintFunc func() (ident.MintedID, snowflake.Outcome)
