Give tests of whole daemons more than 254 addresses; a foreign message is a sound one

Cause: the whole package now starts more listeners than the last byte of an address counts (TestBundlesInOneStep and others could not listen on .256 and above). TestGarbageFromFellowsIsRefusedAndCounted sent as another group's a heartbeat from a member to itself, which is malformed since members' messages are checked when they are read, and so was counted as garbage. It now sends one that is sound but for its group, and the malformed one stands among the garbage, which must be refused and counted as before.

--- a/rehearsal/endtoend/harness_test.go
+++ b/rehearsal/endtoend/harness_test.go
@@ -69,7 +69,7 @@
 	t.Helper()
 	// An address of its own for each listener: no other test and no outgoing connection can be given its port.
 	number := int(benches.Add(1))
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 130+os.Getpid()>>8&0x3f, os.Getpid()&0xff, number))
+	listener, err := net.Listen("tcp", loopbackAddress(os.Getpid(), number))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -77,6 +77,37 @@
 	return listener.Addr().String()
 }
 
+const (
+	// hostsPerBlock is how many addresses share their first three bytes: 1 to 254.
+	hostsPerBlock = 254
+	// blockSpan is how many second bytes the blocks of one number have, one for each upper part of a process id.
+	blockSpan = 64
+	// firstBlock is the second byte from which the first block goes up; each further block lies below the one before.
+	firstBlock = 130
+)
+
+// loopbackAddress is the number-th address of a process's own, counted from 1, with any free port.
+func loopbackAddress(process, number int) string {
+	block, host := (number-1)/hostsPerBlock, (number-1)%hostsPerBlock+1
+	second := firstBlock - block*blockSpan + process>>8&(blockSpan-1)
+	return fmt.Sprintf("127.%d.%d.%d:0", second, process&0xff, host)
+}
+
+// TestLoopbackAddressesDiffer: no two listeners of a run share an address, and all are loopback addresses.
+func TestLoopbackAddressesDiffer(t *testing.T) {
+	const mostListeners = 3 * hostsPerBlock
+	for _, process := range []int{1, 255, 0x3fff, 4194303} {
+		known := map[string]bool{}
+		for number := 1; number <= mostListeners; number++ {
+			address := loopbackAddress(process, number)
+			if parsed, err := net.ResolveTCPAddr("tcp", address); err != nil || !parsed.IP.IsLoopback() || known[address] {
+				t.Fatalf("listener %d of process %d: %s, %v", number, process, address, err)
+			}
+			known[address] = true
+		}
+	}
+}
+
 func testSpec(engines, slots int) spec.Spec {
 	s := spec.Spec{
 		Name: "bench", Zones: []spec.Zone{{Name: "here"}, {Name: "there"}},
--- a/rehearsal/endtoend/operator_test.go
+++ b/rehearsal/endtoend/operator_test.go
@@ -214,6 +214,7 @@
 		{Group: group, Messages: []*fellowapi.RaftMessage{{Kind: uint32(raft.MsgAppend), From: 1, To: 1, Term: 1, LogIndex: 5, Entries: []*fellowapi.RaftEntry{{Index: 9, Term: 1}}}}},
 		{Group: group, Messages: []*fellowapi.RaftMessage{{Kind: uint32(raft.MsgAppend), From: 1, To: 1, Term: 1, Entries: []*fellowapi.RaftEntry{{Index: 1, Term: 1, Kind: uint32(raft.EntryMembership), Data: []byte("{")}}}}},
 		{Group: "", Messages: nil},
+		{Group: group, Messages: []*fellowapi.RaftMessage{{Kind: uint32(raft.MsgHeartbeat), From: 1, To: 1, Term: 99}}},
 	}
 	for i, batch := range garbage {
 		if _, err := fellow.Raft(ctx, batch); err == nil {
@@ -224,7 +225,7 @@
 		t.Errorf("%d were counted", n)
 	}
 	before := b.counter("fellow_foreign_group")
-	if _, err := fellow.Raft(ctx, &fellowapi.RaftBatch{Group: "another", Messages: []*fellowapi.RaftMessage{{Kind: uint32(raft.MsgHeartbeat), From: 1, To: 1, Term: 99}}}); err == nil {
+	if _, err := fellow.Raft(ctx, &fellowapi.RaftBatch{Group: "another", Messages: []*fellowapi.RaftMessage{{Kind: uint32(raft.MsgHeartbeat), From: 1, To: 2, Term: 99}}}); err == nil {
 		t.Error("another group's message was taken")
 	}
 	if _, err := fellow.Submit(ctx, &fellowapi.SubmitRequest{Group: "another", Command: []byte(`{"op":"CLOSURE","zone":"here","closed":true}`)}); err == nil {
