--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -165,9 +165,11 @@
 	solid   atomic.Uint64
 	asking  map[question]bool
 	// waited says that the last question to the planner told of something that waits here.
-	waited   bool
-	waiters  []*waiter
+	waited  bool
+	waiters []*waiter
+	// seedTurn and linkTurn count the seeds asked, now and then and in place of links.
 	seedTurn int
+	linkTurn int
 	beats    int
 	row      Row
 	control  bool
@@ -329,8 +331,9 @@
 func (m *Membership) links(now clock.Mark) []string {
 	links := m.tracker.Links(now)
 	if seeds := m.seeds(); len(links) == 0 && len(seeds) > 0 {
-		m.seedTurn++
-		return []string{seeds[m.seedTurn%len(seeds)]}
+		// A turn of its own: two of one count would pass by every other seed of an even number.
+		m.linkTurn++
+		return []string{seeds[m.linkTurn%len(seeds)]}
 	}
 	return links
 }
@@ -423,38 +426,19 @@
 			m.ask(ctx, e.question)
 		}
 	case served:
-		row := rowOf(e.request)
-		row.Version, row.Whole = e.request.RowVersion, e.request.Row
-		e.known <- m.tracker.members.Hear(now, row, time.Duration(e.request.EveryMs)*time.Millisecond)
+		e.known <- m.tracker.Hear(now, e.request)
 		m.noteChanges()
 		if len(m.waiters) > 0 {
 			m.tellWaiters()
 		}
 	case telling:
-		e.told <- m.tell(now, e.request)
+		e.told <- m.tracker.Tell(now, e.request)
 	case *waiter:
 		m.waiters = append(m.waiters, e)
 		m.tellWaiters()
 	}
 }
 
-// tell gives what an asker lacks of the list of members.
-func (m *Membership) tell(now clock.Mark, request *fellowapi.PullRequest) *fellowapi.PullReply {
-	reply := &fellowapi.PullReply{}
-	if request.Everyone {
-		reply.Contacts, reply.Everyone = encodeTold(m.tracker.members.Everyone(now, everyoneWindow)), true
-		return reply
-	}
-	since := m.tracker.members.Since
-	if request.RegistryUrgent {
-		// The asker's teller tells it the rest.
-		since = m.tracker.members.SolidSince
-	}
-	told, next, afresh := since(now, Cursor{Life: request.MembersLife, Seen: request.MembersSeen})
-	reply.Contacts, reply.MembersLife, reply.MembersSeen, reply.MembersAfresh = encodeTold(told), next.Life, next.Seen, afresh
-	return reply
-}
-
 // everyoneWindow is how lately those must have been heard that are told of to one that has lost the control daemons.
 const everyoneWindow = 5 * time.Second
 
--- a/process/replica/simulation_test.go
+++ b/process/replica/simulation_test.go
@@ -94,13 +94,15 @@
 	mayGiveUp bool
 	// config is the group's.
 	config Config
-	// link, where it is set, is how many bytes a second go from one machine to another, one message after the other;
-	// busyUntil says until when each way is taken. wholeSnapshots has members say that they take no parts.
+	// link, where it is set, is how many bytes a second each machine sends, one message after the other; busyUntil
+	// says until when a machine's link is taken. wholeSnapshots has members say that they take no parts.
 	link           int
-	busyUntil      map[[2]int]clock.Mark
+	busyUntil      map[int]clock.Mark
 	wholeSnapshots bool
 	// damage changes snapshots on their way, while there is trouble.
 	damage func(*raft.Message)
+	// plan decides on the next membership; nil stands for the real plan.
+	plan func(MembershipPlan) (raft.Membership, bool)
 }
 
 type simDisk struct {
@@ -222,7 +224,7 @@
 			}
 			n.carryOut(n.core.Step(n.sim.now, raft.Tick{}))
 			if n.core.Leads() {
-				if next, ok := n.core.Muster(n.sim.now, n.joins).Next(); ok {
+				if next, ok := n.sim.nextMembership(n.core.MembershipPlan(n.sim.now, n.joins)); ok {
 					n.carryOut(n.core.Step(n.sim.now, raft.ProposeMembership{Membership: next}))
 				}
 			} else {
@@ -477,7 +479,7 @@
 			if s.faults && s.random.IntN(40) == 0 {
 				delay += s.ms(0, 400)
 			}
-			carried := s.carrying(n.place, to.place, m)
+			carried := s.carrying(n.place, m)
 			if carried > callLimit {
 				continue
 			}
@@ -487,25 +489,33 @@
 	}
 }
 
+// nextMembership asks the plan.
+func (s *sim) nextMembership(plan MembershipPlan) (raft.Membership, bool) {
+	if s.plan != nil {
+		return s.plan(plan)
+	}
+	return plan.Next()
+}
+
 // callLimit is how long a call with messages may take before it is given up.
 const callLimit = 3 * time.Second
 
 // carrying is how long a message waits for its link and takes on it.
-func (s *sim) carrying(from, to int, m raft.Message) time.Duration {
+func (s *sim) carrying(from int, m raft.Message) time.Duration {
 	if s.link == 0 {
 		return 0
 	}
-	size := 100
+	const headBytes = 300
+	size := headBytes
 	for _, entry := range m.Entries {
 		size += len(entry.Data)
 	}
 	if m.Snapshot != nil {
 		size += len(m.Snapshot.Data)
 	}
-	way := [2]int{from, to}
 	takes := time.Duration(size) * time.Second / time.Duration(s.link)
-	s.busyUntil[way] = max(s.busyUntil[way], s.now) + clock.Mark(takes)
-	return s.busyUntil[way].Since(s.now)
+	s.busyUntil[from] = max(s.busyUntil[from], s.now) + clock.Mark(takes)
+	return s.busyUntil[from].Since(s.now)
 }
 
 func (s *sim) nodeOf(id raft.MemberID) *simNode {
--- a/process/statemachine/serving.go
+++ b/process/statemachine/serving.go
@@ -29,34 +29,17 @@
 	if _, lost := s.Closures.Lost[c.NodeID]; lost {
 		return Result{Verdict: Forbidden, Reason: "this daemon was declared lost"}
 	}
-	if slices.Contains(s.Ended, c.NodeID) {
-		// A copy that comes late: taken, it would put the life that followed out of sight.
-		return Result{Verdict: Forbidden, Reason: "this life of the daemon has ended"}
-	}
-	for _, other := range slices.Sorted(maps.Keys(s.Serving)) {
-		if other != c.NodeID && other.Name() == c.NodeID.Name() {
-			s.endLife(other)
-		}
-	}
-	if _, known := s.Serving[c.NodeID]; !known {
-		s.Serving[c.NodeID] = Serving{Address: c.Address, Since: s.Now}
+	if ended, found := s.endedLife(c.NodeID); found && ended.Stopped {
+		// A copy that comes late.
+		return Result{Verdict: Forbidden, Reason: "this life of the daemon has stopped"}
+	} else if found && s.outlived(c.NodeID) {
+		// Taken, it would put the life that followed out of sight.
+		return Result{Verdict: Done}
 	}
+	s.serve(c.NodeID, c.Address)
 	return Result{Verdict: Done}
 }
 
-// mostEnded is how many ended lives are remembered, the newest: a copy of a call stays on its way for seconds.
-const mostEnded = 256
-
-// endLife takes a life off those that may be serving, for good.
-func (s *State) endLife(node ident.NodeID) {
-	if _, serving := s.Serving[node]; !serving {
-		return
-	}
-	delete(s.Serving, node)
-	// A new list, so that whoever holds the old one may go on reading it.
-	s.Ended = append(slices.Clone(s.Ended[max(0, len(s.Ended)-mostEnded+1):]), node)
-}
-
 // lose takes an operator's word that a daemon will never serve again.
 func (s *State) lose(c Command) Result {
 	if _, already := s.Closures.Lost[c.Lost]; already {
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/cresspond/cresspond/process/ident"
 	"github.com/cresspond/cresspond/process/workerid"
 )
@@ -72,7 +74,7 @@
 	// nor been followed by another life of its name, nor been declared lost.
 	Serving map[ident.NodeID]Serving `json:"serving,omitempty"`
 	// Ended lists the newest lives that have stopped or were followed, so that no late ENLIST takes one up again.
-	Ended []ident.NodeID `json:"ended,omitempty"`
+	Ended []EndedLife `json:"ended,omitempty"`
 	// Left lists the engines that said they leave, the newest last; Leaves counts all there ever were.
 	Left   []Left `json:"left,omitempty"`
 	Leaves uint64 `json:"leaves,omitempty"`
@@ -124,6 +126,9 @@
 	if err := s.complete(); err != nil {
 		return nil, err
 	}
+	if err := s.sound(); err != nil {
+		return nil, eris.Wrap(err, "a snapshot is not sound")
+	}
 	s.Workers.Rebuild()
 	if s.Revision == 0 {
 		// Earlier builds counted no revisions, and each bundle that they put in force would have made one.
@@ -150,12 +155,16 @@
 	span := time.Duration(c.SpanMs) * time.Millisecond
 	switch c.Op {
 	case OpAcquire:
-		return grantResult(s.Workers.Acquire(c.NodeID, s.Now, span))
+		grant, verdict := s.Workers.Acquire(c.NodeID, s.Now, span)
+		s.confirmLife(c.NodeID, verdict)
+		return grantResult(grant, verdict)
 	case OpRenew:
-		return grantResult(s.Workers.Renew(c.NodeID, c.WorkerID, s.Now, span))
+		grant, verdict := s.Workers.Renew(c.NodeID, c.WorkerID, s.Now, span)
+		s.confirmLife(c.NodeID, verdict)
+		return grantResult(grant, verdict)
 	case OpRelease:
 		// Whoever lets go of its worker id has stopped serving.
-		s.endLife(c.NodeID)
+		s.endLife(c.NodeID, true)
 		if s.Workers.Release(c.NodeID, c.WorkerID, c.Last) == workerid.Mismatch {
 			return Result{Verdict: Mismatch}
 		}
