--- a/process/raft/reads.go
+++ b/process/raft/reads.go
@@ -42,7 +42,7 @@
 			answered = append(answered, c.readMark)
 			continue
 		}
-		answered = append(answered, c.peers[id].answered)
+		answered = append(answered, c.peers[id].repliedRound)
 	}
 	if len(answered) == 0 {
 		return 0
