--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -81,7 +81,6 @@
 	replica       atomic.Pointer[replica.Replica]
 	group         atomic.Pointer[ident.GroupID]
 	adopted       chan ident.GroupID
-	forming       atomic.Bool
 	draining      atomic.Bool
 	// memberEnds says that this daemon's member of the group ends before the daemon does, and no other life follows.
 	memberEnds atomic.Bool
@@ -148,7 +147,7 @@
 }
 
 type counters struct {
-	foreignGroup, garbage, held, acquired, renewed, tenureFailed    atomic.Uint64
+	foreignGroup, garbage, acquired, renewed, tenureFailed          atomic.Uint64
 	bytesOwnZone, bytesOtherZone, junkEngines, lastLookStops        atomic.Uint64
 	permitsUnasked, attemptCalls, attemptDoubts, attemptsMoved      atomic.Uint64
 	engineBeats, engineBeatsLate, leavesAcknowledged, leavesUnknown atomic.Uint64
--- a/process/statemachine/command.go
+++ b/process/statemachine/command.go
@@ -8,19 +8,29 @@
 type Op string
 
 const (
+	// OpAcquire asks for a lease on a worker id.
 	OpAcquire Op = "ACQUIRE"
-	OpRenew   Op = "RENEW"
+	// OpRenew extends a lease on a worker id.
+	OpRenew Op = "RENEW"
+	// OpRelease ends a lease on a worker id.
 	OpRelease Op = "RELEASE"
 	// OpReclaim ends lapsed tenures; the leader's expiry check proposes it.
 	OpReclaim Op = "RECLAIM"
+	// OpPropose hands in a bundle.
 	OpPropose Op = "PROPOSE"
-	OpReview  Op = "REVIEW"
-	OpSign    Op = "SIGN"
-	OpRoll    Op = "ROLL"
+	// OpReview notes a review of a proposal.
+	OpReview Op = "REVIEW"
+	// OpSign notes a sign-off of a reviewed proposal.
+	OpSign Op = "SIGN"
+	// OpRoll puts a signed proposal in force.
+	OpRoll Op = "ROLL"
+	// OpClosure closes or opens a zone, or drains an engine or takes it up again.
 	OpClosure Op = "CLOSURE"
 	// OpKeep has an operator forbid, or allow again, that the ranking shuts an engine.
-	OpKeep      Op = "KEEP"
-	OpClaim     Op = "CLAIM"
+	OpKeep Op = "KEEP"
+	// OpClaim asks for the claim to order engines, or renews it.
+	OpClaim Op = "CLAIM"
+	// OpDropClaim gives the claim back.
 	OpDropClaim Op = "DROP-CLAIM"
 	// OpEnlist says that a life of a daemon is about to serve.
 	OpEnlist Op = "ENLIST"
--- a/process/statemachine/proposals.go
+++ b/process/statemachine/proposals.go
@@ -10,11 +10,16 @@
 type Stage string
 
 const (
+	// Proposed: handed in, not reviewed yet.
 	Proposed Stage = "proposed"
+	// Reviewed: reviewed, not signed off yet.
 	Reviewed Stage = "reviewed"
-	Signed   Stage = "signed"
-	Rolled   Stage = "rolled"
-	Lost     Stage = "lost"
+	// Signed: signed off, not in force yet.
+	Signed Stage = "signed"
+	// Rolled: it came in force as an epoch.
+	Rolled Stage = "rolled"
+	// Lost: another proposal on the same base came in force first.
+	Lost Stage = "lost"
 )
 
 // Mark is one operator's act on a proposal.
--- a/process/statemachine/statemachine.go
+++ b/process/statemachine/statemachine.go
@@ -17,13 +17,21 @@
 type Verdict string
 
 const (
-	Done      Verdict = "done"
-	Conflict  Verdict = "conflict"
+	// Done: the command took effect, now or when it was first sent.
+	Done Verdict = "done"
+	// Conflict: it builds on something that is no longer current.
+	Conflict Verdict = "conflict"
+	// Forbidden: this operator may not do it.
 	Forbidden Verdict = "forbidden"
-	Missing   Verdict = "missing"
-	Waiting   Verdict = "waiting"
-	Mismatch  Verdict = "mismatch"
+	// Missing: what it names does not exist.
+	Missing Verdict = "missing"
+	// Waiting: it can't take effect yet.
+	Waiting Verdict = "waiting"
+	// Mismatch: the sender does not hold what it names.
+	Mismatch Verdict = "mismatch"
+	// Exhausted: nothing is left to give.
 	Exhausted Verdict = "exhausted"
+	// Malformed: it can't be read, or a field is wrong.
 	Malformed Verdict = "malformed"
 	// Unproven says that the state can't tell what became of the command's earlier copies; nothing was changed.
 	Unproven Verdict = "unproven"
