--- a/cmd/cresspond-platform/main.go
+++ b/cmd/cresspond-platform/main.go
@@ -18,6 +18,7 @@
 	"github.com/cresspond/cresspond/platform"
 	"github.com/cresspond/cresspond/process/config"
 	"github.com/cresspond/cresspond/process/daemon"
+	"github.com/cresspond/cresspond/process/mechanism"
 	"github.com/cresspond/cresspond/process/ranking"
 )
 
@@ -29,11 +30,20 @@
 	file := app.Flag("config", "Settings file, TOML.").Short('c').Envar(platform.SettingsVariable).String()
 	ranks := app.Flag("ranking", "What engines are ranked for by how their nodes behave: off, watch, or drain the worst.").Default(string(ranking.Off)).Envar("CRESSPOND_RANKING").
 		Enum(string(ranking.Off), string(ranking.Watch), string(ranking.Drain))
+	without := app.Flag("without", "For experiments: a mechanism to go without; once for each.").Enums(mechanism.Names()...)
+	logLevel := app.Flag("log", "The least level that is logged.").Default(log.InfoLevel.String()).Enum("debug", "info", "warn", "error")
+	metrics := app.Flag("metrics", "Where metrics are served, PORT/PATH as in the deploy file.").String()
 	checkOnly := app.Flag("check", "Check the settings, say what is wrong, and end.").Bool()
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		app.Fatalf("%s, try --help", err)
 	}
 	settings, faults := readAtStart(*file)
+	if len(faults) == 0 {
+		faults = platform.ServeMetrics(&settings, *metrics)
+	}
+	if len(faults) == 0 && *checkOnly {
+		faults = settings.CheckAddresses(*file)
+	}
 	if len(faults) > 0 {
 		for _, fault := range faults {
 			fmt.Fprintln(os.Stderr, "cresspond-platform: "+fault.String())
@@ -41,6 +51,7 @@
 		os.Exit(application.ExitWrongUsage)
 	}
 	settings.Ranking.Mode = ranking.Mode(*ranks)
+	settings.Log, settings.Experiments.Without = *logLevel, *without
 	if *checkOnly {
 		fmt.Println("the settings are sound")
 		return
--- a/cmd/cresspond/daemons.go
+++ b/cmd/cresspond/daemons.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/mechanism"
 	"github.com/cresspond/cresspond/wire/operatorapi"
 )
 
@@ -20,6 +21,15 @@
 	c.onPage(c.app.Command("engines", "List the engines that register themselves, as a daemon knows them."), operatorapi.PathEngines, showEngines)
 	c.onPage(c.app.Command("counters", "Show a daemon's counters."), operatorapi.PathCounters, showAsIs)
 
+	mechanisms := c.app.Command("mechanisms", "List the mechanisms that an experiment can go without.")
+	c.offline[mechanisms.FullCommand()] = true
+	c.on(mechanisms, func(t *tool) error {
+		for _, one := range mechanism.Descriptions() {
+			fmt.Printf("%-18s %s\n", one.Name, one.Purpose)
+		}
+		return nil
+	})
+
 	trace := c.app.Command("trace", "Follow one change through all daemons.")
 	kind := trace.Arg("kind", "spec or closure.").Required().Enum("spec", "closure")
 	epoch := trace.Arg("epoch", "Its epoch.").Required().Uint64()
--- a/cmd/cresspond/main.go
+++ b/cmd/cresspond/main.go
@@ -32,6 +32,9 @@
 		commands.app.Fatalf("%s, try --help", err)
 	}
 	t := commands.tool()
+	if len(t.daemons) == 0 && !commands.offline[chosen] {
+		commands.app.Fatalf("required flag(s) '--daemon' not provided, try --help")
+	}
 	if err := commands.run[chosen](t); err != nil {
 		fmt.Fprintln(os.Stderr, "cresspond: "+err.Error())
 		os.Exit(exitFailed)
@@ -49,12 +52,14 @@
 	operator *string
 	// run holds what each command does, by its full name.
 	run map[string]func(*tool) error
+	// offline holds the full names of the commands that ask no daemon.
+	offline map[string]bool
 }
 
 func newCommandLine() *commandLine {
 	app := application.New("cresspond", "Operate a cresspond fleet.", version)
-	c := &commandLine{app: app, run: map[string]func(*tool) error{}}
-	c.daemons = app.Flag("daemon", "IP:port of a daemon; give it once for each to try.").Envar("CRESSPOND_DAEMONS").Required().Strings()
+	c := &commandLine{app: app, run: map[string]func(*tool) error{}, offline: map[string]bool{}}
+	c.daemons = app.Flag("daemon", "IP:port of a daemon; give it once for each to try.").Envar("CRESSPOND_DAEMONS").Strings()
 	c.asJSON = app.Flag("json", "Print answers as JSON.").Bool()
 	c.operator = app.Flag("operator", "Who you are.").Envar("CRESSPOND_OPERATOR").String()
 	c.addProposalCommands()
--- a/cmd/cresspondd/main.go
+++ b/cmd/cresspondd/main.go
@@ -28,6 +28,9 @@
 		app.Fatalf("%s, try --help", err)
 	}
 	settings, faults := flags.settings()
+	if len(faults) == 0 && *flags.checkOnly {
+		faults = settings.CheckAddresses("flags")
+	}
 	if len(faults) > 0 {
 		for _, fault := range faults {
 			fmt.Fprintln(os.Stderr, "cresspondd: "+fault.String())
--- /dev/null
+++ b/connection/metrics/metrics_test.go
@@ -0,0 +1,32 @@
+package metrics
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+type fixed struct{}
+
+func (fixed) EachCounter(say func(string, uint64)) {
+	say("pulls", 7)
+	say("opaque_held_now", 2)
+}
+
+func (fixed) Losses() []Loss { return []Loss{{"plan", "m-1", "model_absent", 3}} }
+
+// TestHandlerServesCountersAndLosses: each counter stands under the project's name, each loss under its reason.
+func TestHandlerServesCountersAndLosses(t *testing.T) {
+	answer := httptest.NewRecorder()
+	Handler(fixed{}).ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
+	body := answer.Body.String()
+	for _, want := range []string{"cresspond_pulls 7\n", "cresspond_opaque_held_now 2\n",
+		`cresspond_requests_lost_total{model="m-1",path="plan",reason="model_absent"} 3` + "\n"} {
+		if !strings.Contains(body, want) {
+			t.Errorf("%q is not in\n%s", want, body)
+		}
+	}
+	if answer.Code != 200 || !strings.HasPrefix(answer.Header().Get("Content-Type"), "text/plain") {
+		t.Errorf("%d, %s", answer.Code, answer.Header())
+	}
+}
--- a/process/config/config.go
+++ b/process/config/config.go
@@ -15,6 +15,7 @@
 	"github.com/go-playground/validator/v10"
 
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/mechanism"
 	"github.com/cresspond/cresspond/process/ranking"
 )
 
@@ -47,6 +48,10 @@
 	ReadyListen string `json:"readyListen,omitempty" validate:"omitempty,ipport"`
 	// OperatorListen is an address of its own for operators and engines; empty leaves them on Listen.
 	OperatorListen string `json:"operatorListen,omitempty" validate:"omitempty,ipport"`
+	// MetricsListen is an address of its own for metrics, in the text form that Prometheus reads, at MetricsPath; empty
+	// serves none.
+	MetricsListen string `json:"metricsListen,omitempty" validate:"omitempty,ipport"`
+	MetricsPath   string `json:"metricsPath,omitempty" validate:"required_with=MetricsListen,omitempty,startswith=/"`
 	// OpaqueOnly says that Listen carries the clients' opaque requests and nothing else.
 	OpaqueOnly bool `json:"opaqueOnly,omitempty"`
 	// Attempts says how far attempts are known: over the fleet, or by the daemon they came to.
@@ -74,8 +79,25 @@
 	// Ranking says whether engines are ranked by how their nodes behave, and the worst drained. It should be the same
 	// on all daemons: those that route measure, those that place decide.
 	Ranking ranking.Settings `json:"ranking"`
+	// Experiments are for measurements only.
+	Experiments Experiments `json:"experiments,omitzero"`
 }
 
+// Experiments changes how daemons decide, for measurements only. It should be the same on all daemons.
+type Experiments struct {
+	// Without names the mechanisms that are switched off; package mechanism lists them.
+	Without []string `json:"without,omitempty" validate:"omitempty,unique,dive,mechanism"`
+}
+
+// Off gives the mechanisms that are switched off. Names that Check refuses are passed over.
+func (e Experiments) Off() mechanism.Set {
+	off, _ := mechanism.Parse(e.Without)
+	return off
+}
+
+// MetricsKey is the settings key of the address that metrics are served at.
+const MetricsKey = "metricsListen"
+
 // AttemptScope says how far attempts are known.
 type AttemptScope string
 
@@ -166,9 +188,24 @@
 		ThawSlackMs: 300, OriginWindowMs: 5000, OriginExcess: 1}
 }
 
+const defaultMetricsPath = "/metrics"
+
+// CheckAddresses says which addresses of the settings cannot be used now, by trying them.
+func (c Config) CheckAddresses(file string) []Fault {
+	if c.MetricsListen == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", c.MetricsListen)
+	if err != nil {
+		return []Fault{{file, MetricsKey, err.Error()}}
+	}
+	listener.Close()
+	return nil
+}
+
 // Default gives the settings that need not be said.
 func Default() Config {
-	return Config{Voters: 3, Compaction: DefaultCompaction(), DrainMs: 30000, Log: "info", Attempts: FleetAttempts, Trouble: EndOnTrouble, Bounds: DefaultBounds(), Ranking: ranking.DefaultSettings()}
+	return Config{Voters: 3, Compaction: DefaultCompaction(), DrainMs: 30000, Log: "info", Attempts: FleetAttempts, Trouble: EndOnTrouble, Bounds: DefaultBounds(), Ranking: ranking.DefaultSettings(), MetricsPath: defaultMetricsPath}
 }
 
 // Serves says whether the daemon has a role.
@@ -221,7 +258,10 @@
 
 func newCheck() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(field reflect.StructField) string { return field.Tag.Get("json") })
+	v.RegisterTagNameFunc(func(field reflect.StructField) string {
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		return name
+	})
 	must := func(err error) {
 		if err != nil {
 			panic("broken invariant: a check cannot be registered: " + err.Error())
@@ -232,6 +272,10 @@
 		// Processes find each other by IP number alone; names would bring in an outside service.
 		return err == nil && net.ParseIP(host) != nil && port != ""
 	}))
+	must(v.RegisterValidation("mechanism", func(level validator.FieldLevel) bool {
+		_, err := mechanism.Parse([]string{level.Field().String()})
+		return err == nil
+	}))
 	must(v.RegisterValidation("required_if_control", func(level validator.FieldLevel) bool {
 		c, ok := level.Parent().Interface().(Config)
 		return !ok || !c.Serves(Control) || c.Data != ""
@@ -264,6 +308,7 @@
 			"required": "is missing", "ipport": "must be an IP number and a port", "unique": "holds something twice",
 			"required_if_control": "is needed to serve control",
 			"ltfield":             "must be below entries",
+			"mechanism":           "names no mechanism; known are " + strings.Join(mechanism.Names(), ", "),
 		}[one.Tag()]
 		if reason == "" {
 			reason = strings.TrimSuffix(fmt.Sprintf("must satisfy %s=%s", one.Tag(), one.Param()), "=")
--- a/process/config/config_test.go
+++ b/process/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -96,3 +97,33 @@
 		t.Errorf("nothing said is off: %v", c.Ranking)
 	}
 }
+
+// TestExperimentsNameMechanisms: an unknown one is refused by the key, and what is known is listed.
+func TestExperimentsNameMechanisms(t *testing.T) {
+	c, _ := Read(write(t, strings.Replace(sound, `"zone"`, `"experiments":{"without":["homes","magic"]},"zone"`, 1)))
+	faults := c.Check("f")
+	if len(faults) != 1 || faults[0].Field != "experiments.without[1]" || !strings.Contains(faults[0].Reason, "shedding") {
+		t.Errorf("%v", faults)
+	}
+	c, _ = Read(write(t, strings.Replace(sound, `"zone"`, `"experiments":{"without":["homes"]},"zone"`, 1)))
+	if faults := c.Check("f"); len(faults) > 0 || c.Experiments.Off().String() != "homes" {
+		t.Errorf("%v, %v", faults, c.Experiments.Off())
+	}
+}
+
+// TestCheckAddressesNamesAPortInUse: by the key that holds it.
+func TestCheckAddressesNamesAPortInUse(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := Default()
+	c.MetricsListen = taken.Addr().String()
+	if faults := c.CheckAddresses("f"); len(faults) != 1 || faults[0].Field != MetricsKey {
+		t.Errorf("%v", faults)
+	}
+	taken.Close()
+	if faults := c.CheckAddresses("f"); len(faults) > 0 {
+		t.Errorf("%v", faults)
+	}
+}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -340,6 +340,9 @@
 		go d.serveOn(ctx, readyServer, readyListener, "readyListen", d.config.ReadyListen)
 	}
 
+	if err := d.startMetrics(ctx); err != nil {
+		return err
+	}
 	if d.config.Serves(config.Control) {
 		left := make(chan struct{})
 		go func() {
--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 
 	"github.com/cresspond/cresspond/connection/engineconn"
@@ -47,6 +48,7 @@
 func forwardSettings(c config.Config) forwarding.Settings {
 	s := forwarding.DefaultSettings()
 	s.RetryRatio, s.RetrySlack, s.RetryWindow = c.Bounds.RetryRatio, c.Bounds.RetrySlack, time.Duration(c.Bounds.RetryWindowMs)*time.Millisecond
+	s.Off = c.Experiments.Off()
 	return s
 }
 
@@ -70,6 +72,9 @@
 	side := &d.forwardSide
 	side.settings = forwardSettings(d.config)
 	side.settings.Patience = side.patience
+	if d.config.Log == log.DebugLevel.String() {
+		side.settings.ObserveLoss = d.logLoss
+	}
 	if side.view == nil {
 		side.view = d.registry.View
 	}
@@ -83,6 +88,12 @@
 	go d.runSweeps(ctx)
 }
 
+// logLoss writes a line for a request that was not served, or late.
+func (d *Daemon) logLoss(loss forwarding.Loss) {
+	d.log.WithFields(log.Fields{"path": loss.Path, "model": loss.Model, "reason": loss.Reason.String(), "lack": loss.Lack, "returned": loss.Returned,
+		"waitedMs": loss.Waited.Milliseconds(), "heldMs": loss.Held.Milliseconds(), "attempts": loss.Attempts}).Debug("request lost or late")
+}
+
 // sweepEvery is how often connections that engines have let go of are closed here too.
 const sweepEvery = 5 * time.Second
 
--- a/process/daemon/pages.go
+++ b/process/daemon/pages.go
@@ -83,7 +83,15 @@
 // Counters lists this daemon's counters, a line each.
 func (d *Daemon) Counters() string {
 	var out strings.Builder
-	say := func(name string, value uint64) { fmt.Fprintf(&out, "%s %d\n", name, value) }
+	d.EachCounter(func(name string, value uint64) { fmt.Fprintf(&out, "%s %d\n", name, value) })
+	for _, loss := range d.Losses() {
+		fmt.Fprintf(&out, "opaque_losses{path=%q,model=%q,reason=%q} %d\n", loss.Path, loss.Model, loss.Reason, loss.Count)
+	}
+	return out.String()
+}
+
+// EachCounter gives this daemon's counters and levels by name.
+func (d *Daemon) EachCounter(say func(name string, value uint64)) {
 	c := &d.counters
 	say("fellow_foreign_group", c.foreignGroup.Load())
 	say("fellow_garbage", c.garbage.Load())
@@ -172,7 +180,6 @@
 		say("orders_failed", p.Failed)
 		d.pools.count(say)
 	}
-	return out.String()
 }
 
 // trace gathers every daemon's steps for one change; state tells the newest epochs of the group.
--- a/process/daemon/poolplanning.go
+++ b/process/daemon/poolplanning.go
@@ -25,6 +25,7 @@
 // PoolSettings are the planner's settings for a deployment with these bounds.
 func PoolSettings(c config.Config) poolplacement.Settings {
 	settings := poolplacement.DefaultSettings("", time.Duration(c.Bounds.LeaseMs)*time.Millisecond)
+	settings.Off = c.Experiments.Off()
 	settings.Window = time.Duration(c.Bounds.OriginWindowMs) * time.Millisecond
 	return settings
 }
--- a/process/poolplacement/demand.go
+++ b/process/poolplacement/demand.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/mechanism"
 	"github.com/cresspond/cresspond/process/registry"
 )
 
@@ -94,7 +95,7 @@
 			pool.models[demand.Model] = model
 		}
 		model.add(demand)
-		model.behind = model.rank - min(model.rank, made.urgent)
+		model.behind = p.behind(model.rank, made)
 		if demand.Adapter == "" {
 			continue
 		}
@@ -105,7 +106,7 @@
 			pool.adapters[target] = adapter
 		}
 		adapter.add(demand)
-		adapter.behind = adapter.rank - min(adapter.rank, made.urgent)
+		adapter.behind = p.behind(adapter.rank, made)
 	}
 	since := in.Now.Since(p.stepped)
 	slow, quick := share(since, slowSpan), share(since, heldSpan)
@@ -123,6 +124,14 @@
 	}
 }
 
+// behind is by how many ranks something is less urgent than the most urgent path of its pool.
+func (p *Planner) behind(rank int, made *pool) int {
+	if p.settings.Off.Has(mechanism.RankWeight) {
+		return 0
+	}
+	return rank - min(rank, made.urgent)
+}
+
 // share is how much of the newest value a smoothed one takes up after a while.
 func share(since, span time.Duration) float64 { return 1 - math.Exp(-float64(since)/float64(span)) }
 
--- a/process/poolplacement/serve.go
+++ b/process/poolplacement/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/mechanism"
 	"github.com/cresspond/cresspond/process/registry"
 )
 
@@ -187,12 +188,17 @@
 // gain is what one more copy would bring, in requests a second; urgent says that somebody waits for it.
 func (s *survey) gain(a *ask, copies []*engine) (gain float64, urgent bool) {
 	if len(copies) == 0 {
-		gain = a.rate() + heldWeight*float64(a.held) + debtWeight*a.debt
+		gain = a.rate() + heldWeight*float64(a.held)
+		if !s.off(mechanism.Debt) {
+			gain += debtWeight * a.debt
+		}
 		return gain, a.held > 0 || a.arrivals > 0.05
 	}
 	// Some copy stands or is on its way: one more helps as far as those are overloaded.
-	gain = a.rate()*s.uneven(a, len(copies), above)*strain(s.press(a, copies)) + queueWeight*max(0, a.heldSlow-1)*strain(s.press(a, copies))
-	if len(copies) == 1 {
+	if !s.off(mechanism.CopiesByDemand) {
+		gain = a.rate()*s.uneven(a, len(copies), above)*strain(s.press(a, copies)) + queueWeight*max(0, a.heldSlow-1)*strain(s.press(a, copies))
+	}
+	if len(copies) == 1 && !s.off(mechanism.SecondCopies) {
 		// With a second copy no crash of one engine leaves nobody.
 		gain = max(gain, secondCopy*a.rate())
 	}
@@ -294,6 +300,9 @@
 // notice is how long all daemons must have had to hear that something goes: none where nobody uses it and hardly
 // anybody would ask meanwhile. Who does is told by the engine that it did not run, and waits like all others.
 func (s *survey) notice(victim registry.Target) time.Duration {
+	if s.off(mechanism.Notice) {
+		return 0
+	}
 	a := s.asks.models[victim.Model]
 	if victim.Adapter != "" {
 		a = s.asks.adapters[victim]
@@ -443,6 +452,17 @@
 	return Order{}, false, true
 }
 
+// off says whether an experiment goes without a mechanism.
+func (s *survey) off(m mechanism.Mechanism) bool { return s.p.settings.Off.Has(m) }
+
+// dearer is by how much something must be worth more than what makes way for it.
+func (s *survey) dearer() float64 {
+	if s.off(mechanism.Hysteresis) {
+		return 1
+	}
+	return dearer
+}
+
 // wayFor lists what must go from an engine so that a model fits, and what that costs.
 func (s *survey) wayFor(e *engine, size float64, w want) (victims []registry.Target, cost float64, ok bool) {
 	if size > e.pool.catalogue.RoomMb {
@@ -483,7 +503,7 @@
 		if room >= size {
 			break
 		}
-		if t.cost*dearer >= w.gain {
+		if t.cost*s.dearer() >= w.gain {
 			continue
 		}
 		chosen = append(chosen, t)
@@ -504,8 +524,8 @@
 		victims = append(victims, t.target)
 		cost += t.cost
 	}
-	factor := dearer
-	if !w.urgent {
+	factor := s.dearer()
+	if !w.urgent && !s.off(mechanism.Hysteresis) {
 		factor = 2
 	}
 	if cost*factor+loadPrice >= w.gain {
@@ -597,11 +617,11 @@
 		return nil, 0, true
 	}
 	bestCost, found := math.Inf(1), false
-	stay, factor := minStay, dearer
+	stay, factor := minStay, s.dearer()
 	if len(s.adapterCopies[w.Target]) > 0 && !w.urgent {
 		stay, factor = idleStay, 2
 	}
-	mayTrade := s.now.Since(e.traded) >= adapterTurn
+	mayTrade := s.now.Since(e.traded) >= adapterTurn || s.off(mechanism.AdapterTurns)
 	var victim registry.Target
 	for _, held := range e.report.Models {
 		if s.pool.models[held.Model] == nil || s.pool.models[held.Model].AdapterSizeMb < s.pool.size(w.Target) {
--- a/process/poolplacement/types.go
+++ b/process/poolplacement/types.go
@@ -10,6 +10,7 @@
 	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/mechanism"
 	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/process/registry"
 )
@@ -101,6 +102,8 @@
 	TellShares bool
 	// LeaveIll has what an engine holds that nearly always fails stand elsewhere too.
 	LeaveIll bool
+	// Off are the mechanisms that an experiment goes without.
+	Off mechanism.Set
 	// Beat is how often the plan is made, Look how often it is seen whom to ask for a report.
 	Beat, Look time.Duration
 }
--- a/request/forwarding/choose.go
+++ b/request/forwarding/choose.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/process/mechanism"
 	"github.com/cresspond/cresspond/process/registry"
 )
 
@@ -183,10 +184,13 @@
 		all[place].order = xxhash.Sum64(append(c.scratch[:length], all[place].engine.ID...))
 	}
 	found := min(homes, len(all))
+	if c.settings.Off.Has(mechanism.Homes) {
+		found = 0
+	}
 	for place := range found {
 		bring(all, place, func(a, b candidate) bool { return a.order > b.order })
 	}
-	if len(r.Ask.Parts) > 0 && len(all) > found {
+	if len(r.Ask.Parts) > 0 && len(all) > found && !c.settings.Off.Has(mechanism.KeptPrefixes) {
 		most := 0
 		for _, one := range all[:found] {
 			most = max(most, one.state.kept.keptTokens(r))
@@ -254,8 +258,11 @@
 func (c *Core) batchScore(r *Record, one candidate, w World, place int) float64 {
 	state, engine := one.state, one.engine
 	state.hear(engine.Plan)
-	kept := float64(state.kept.keptTokens(r))
-	if place < homes {
+	kept := 0.0
+	if !c.settings.Off.Has(mechanism.KeptPrefixes) {
+		kept = float64(state.kept.keptTokens(r))
+	}
+	if place < homes && !c.settings.Off.Has(mechanism.Homes) {
 		kept = max(kept, keptAtHome[place]*float64(sharedTokens(r)))
 	}
 	score := max(0, float64(r.Ask.TokensIn)-kept) + float64(state.reading)
@@ -270,13 +277,15 @@
 	score += perRunning * active
 	path := c.path(r)
 	score += lately * path.tokens(fading(state.firstByte, state.firstAt, w.Now))
-	score += awaited * path.tokens(state.oldest(w.Now))
+	if !c.settings.Off.Has(mechanism.Awaiting) {
+		score += awaited * path.tokens(state.oldest(w.Now))
+	}
 	// An engine that has kept silent for long although it was asked is likely to go on so.
 	score += path.tokens(state.quiet(w.Now)-2*state.firstByte) / 2
-	if one.cold(w) {
+	if one.cold(w) && !c.settings.Off.Has(mechanism.SlowStart) {
 		score = 2*score + coldCost*c.meanTokens
 	}
-	return score*(1+perBadness*state.worse(w.Now)) + far(engine, w, farTokens*c.meanTokens)
+	return score*(1+perBadness*c.worse(state, w)) + c.far(engine, w, farTokens*c.meanTokens)
 }
 
 // plainScore is the share of an engine's places that are taken, as far as this daemon knows.
@@ -285,22 +294,31 @@
 	if quiet := one.state.quiet(w.Now) - 2*one.state.firstByte; quiet > 0 {
 		score += float64(quiet) / float64(time.Second)
 	}
-	score = 4*one.state.worse(w.Now) + score
-	if one.cold(w) {
+	score = 4*c.worse(one.state, w) + score
+	if one.cold(w) && !c.settings.Off.Has(mechanism.SlowStart) {
 		score = 2*score + 0.5
 	}
 	// Among equals each request has an order of its own, so that not all go to the same.
 	c.scratch = append(append(c.scratch[:0], r.Ask.Attempt...), one.engine.ID...)
 	drawn := xxhash.Sum64(c.scratch)
-	return score + far(one.engine, w, farPlaces) + 0.1*float64(drawn>>40)/(1<<24)
+	return score + c.far(one.engine, w, farPlaces) + 0.1*float64(drawn>>40)/(1<<24)
 }
 
 func (c candidate) cold(w World) bool {
 	return c.engine.ColdMs > 0 && c.engine.ColdMs > w.Now.Since(c.engine.Heard).Milliseconds()
 }
 
-func far(engine *registry.Engine, w World, cost float64) float64 {
-	if w.Zone == "" || engine.Zone == w.Zone {
+// worse is the smoothed share of an engine's failures that its choice goes by.
+func (c *Core) worse(state *engineState, w World) float64 {
+	if c.settings.Off.Has(mechanism.Badness) {
+		return 0
+	}
+	return state.worse(w.Now)
+}
+
+// far is the cost of an engine that stands in another zone.
+func (c *Core) far(engine *registry.Engine, w World, cost float64) float64 {
+	if c.settings.Off.Has(mechanism.ZoneCost) || w.Zone == "" || engine.Zone == w.Zone {
 		return 0
 	}
 	return cost
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -10,6 +10,7 @@
 	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/process/clock"
 	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/mechanism"
 	"github.com/cresspond/cresspond/process/outlier"
 	"github.com/cresspond/cresspond/process/registry"
 )
@@ -72,6 +73,8 @@
 	// candidates, weighedOut and failing are of the choice in hand.
 	candidates, weighedOut, failing []candidate
 	scratch                         []byte
+	// losses counts the requests that were not served, or late.
+	losses map[LossKey]uint64
 	// stopping says that the daemon ends: nothing is held or tried again any more.
 	stopping bool
 }
@@ -79,7 +82,7 @@
 // NewCore makes an empty core.
 func NewCore(settings Settings) *Core {
 	return &Core{settings: settings, engines: map[ident.EngineID]*engineState{}, budgets: map[string]*window{},
-		demands: map[demandKey]*demandState{}, paths: map[pathKey]*pathState{}, running: map[string]int{}, ledger: outlier.NewLedger(), usuals: map[string]*usual{}}
+		demands: map[demandKey]*demandState{}, paths: map[pathKey]*pathState{}, running: map[string]int{}, ledger: outlier.NewLedger(), usuals: map[string]*usual{}, losses: map[LossKey]uint64{}}
 }
 
 // step gives a record's sender the next thing to do. A record has at most one that is not yet taken.
@@ -188,7 +191,7 @@
 		c.finish(r, w, Late, c.comeBack(r, w))
 		return
 	}
-	if r.attempts > 0 && r.attempts >= r.Path.Attempts && r.boundTo == "" {
+	if r.attempts > 0 && (r.attempts >= r.Path.Attempts || c.settings.Off.Has(mechanism.Retries) && !r.mayHaveRun) && r.boundTo == "" {
 		c.finish(r, w, Spent, c.comeBack(r, w))
 		return
 	}
@@ -201,6 +204,7 @@
 		// It broke off, and none but the engine that it broke off at holds its model: it goes on once another does.
 		why = noModel
 	}
+	r.lack = why
 	if why != noModel && why != noEngines && !(chosen != nil && r.speculative) {
 		c.present(r, w)
 	}
@@ -210,6 +214,7 @@
 	}
 	if r.attempts == 0 && c.path(r).sheds(r, w, c.settings, c.least(r)) {
 		c.Counters.Shed++
+		r.shed = true
 		c.finish(r, w, NoRoom, c.comeBack(r, w))
 		return
 	}
@@ -243,6 +248,7 @@
 	}
 	if r.stage == Held {
 		c.unhold(r)
+		r.heldFor += w.Now.Since(r.heldAt)
 	}
 	r.move(Sending)
 	r.engine, r.sentAt = chosen.ID, w.Now
@@ -309,7 +315,7 @@
 		return
 	}
 	r.move(Held)
-	r.heldAt = w.Now
+	r.heldAt, r.heldLack = w.Now, why
 	c.Counters.Held++
 	c.Counters.HeldFor[why]++
 	c.held = append(c.held, r)
@@ -328,7 +334,9 @@
 func (c *Core) finish(r *Record, w World, cause Cause, comeBack time.Duration) {
 	if r.stage == Held {
 		c.unhold(r)
+		r.heldFor += w.Now.Since(r.heldAt)
 	}
+	c.lost(r, c.reasonOf(r, cause, w), w.Now)
 	r.move(Ended)
 	answer := finalAnswer(r, cause, comeBack)
 	c.Counters.EndedFor[cause]++
@@ -469,7 +477,7 @@
 		}
 		r.mayHaveRun = true
 		switch {
-		case !r.mayRepeat() || r.begun && r.lastEvent == "":
+		case !r.mayRepeat() || r.begun && (r.lastEvent == "" || c.settings.Off.Has(mechanism.Resumption)):
 			cause := Broken
 			if w.Now >= r.Deadline {
 				cause = Late
@@ -502,6 +510,7 @@
 		}
 	}
 	c.Counters.Failed++
+	c.lost(r, ReasonEngineFailure, w.Now)
 	r.move(Ended)
 	r.step(Step{Pass: true})
 }
@@ -520,6 +529,7 @@
 	c.noteEnd(r, judged, w)
 	if outcome == Whole {
 		if !r.begun {
+			c.lost(r, c.lateReason(r, w.Now), w.Now)
 			c.path(r).began(r, w.Now)
 		}
 		smooth(&c.path(r).served, w.Now.Since(r.sentAt))
@@ -536,6 +546,7 @@
 		if r.speculative {
 			c.present(r, w)
 		}
+		c.lost(r, c.lateReason(r, w.Now), w.Now)
 		c.engine(r.engine).began(r, w)
 		c.noteFirst(r, w.Now)
 		c.path(r).began(r, w.Now)
--- a/request/forwarding/record.go
+++ b/request/forwarding/record.go
@@ -86,7 +86,14 @@
 	begun, callerLeft bool
 	// lastEvent is the last event passed on, if any was.
 	lastEvent string
-	heldAt    clock.Mark
+	// heldAt is since when it is held, heldFor how long it was held before, heldLack what it lacked when it was.
+	heldAt   clock.Mark
+	heldFor  time.Duration
+	heldLack lack
+	// lack is what it lacked when it last could not be sent, shed that it was refused by an estimate.
+	lack        lack
+	shed        bool
+	lossCounted bool
 	// heldBack counts the attempts that were stopped at the last look.
 	heldBack int
 	sentAt   clock.Mark
--- a/request/forwarding/settings.go
+++ b/request/forwarding/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/process/mechanism"
 )
 
 // Settings are what a deployment may set of forwarding.
@@ -25,6 +26,10 @@
 	// HoldBack has engines that the fleet finds ill get no more than the share that is told of them; without it the
 	// judgement is only counted.
 	HoldBack bool
+	// Off are the mechanisms that an experiment goes without.
+	Off mechanism.Set
+	// ObserveLoss is told of each request that is not served, or late, on the core's own goroutine; nil tells nobody.
+	ObserveLoss func(Loss)
 	// ReportFresh is for how long a report on an engine is believed.
 	ReportFresh time.Duration
 }
--- a/request/forwarding/speculate.go
+++ b/request/forwarding/speculate.go
@@ -7,6 +7,7 @@
 
 	"github.com/cresspond/cresspond/epoch/forward"
 	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/mechanism"
 	"github.com/cresspond/cresspond/process/registry"
 )
 
@@ -37,6 +38,9 @@
 // loaded it says truthfully that it did not run the request. One request goes first, and the others once it
 // was not refused.
 func (c *Core) due(r *Record, w World, pool *forward.Pool) *registry.Engine {
+	if c.settings.Off.Has(mechanism.Speculation) {
+		return nil
+	}
 	target := registry.Target{Model: r.Ask.Model, Adapter: r.Ask.Adapter}
 	for _, engine := range w.View.Pools[r.pool] {
 		if !engine.Usable() || w.Open != nil && !w.Open(engine) || r.boundTo != "" && r.boundTo != engine.ID || slices.Contains(r.tried, engine.ID) {
--- a/request/forwarding/wait.go
+++ b/request/forwarding/wait.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/mechanism"
 	"github.com/cresspond/cresspond/process/registry"
 )
 
@@ -67,6 +68,9 @@
 		return true
 	}
 	target := float64(r.Path.TargetMs) * float64(time.Millisecond)
+	if s.Off.Has(mechanism.Shedding) {
+		return false
+	}
 	if s.ShedOver <= 0 || target <= 0 || float64(fading(p.first, p.paced, w.Now)) < s.ShedCalm*target {
 		return false
 	}
@@ -154,6 +158,9 @@
 		return c.comeBack(r, w), true
 	case why == noModel:
 		wait, sure := c.loadWait(r, w)
+		if c.settings.Off.Has(mechanism.LoadEstimates) {
+			return c.comeBack(r, w), waited >= most
+		}
 		return c.untilLoaded(r, wait, sure, w)
 	case waited >= most:
 		return c.comeBack(r, w), true
