--- a/process/daemon/poolplanning.go
+++ b/process/daemon/poolplanning.go
@@ -90,6 +90,9 @@
 	say("pool_reports", c.Reports)
 	say("pool_reports_failed", c.FailedReports)
 	say("pool_reports_stale", c.StaleReports)
+	for obstacle, count := range c.Unplaced {
+		say("pool_unplaced_for_"+poolplacement.ObstacleNames[obstacle], count)
+	}
 	judged := p.condition().Judged
 	say("engine_outcomes_heard", judged.Attempts)
 	say("engine_outcomes_wrong", judged.Wrong)
--- a/process/poolplacement/actor.go
+++ b/process/poolplacement/actor.go
@@ -72,6 +72,7 @@
 	// rest is how long the plan gives way after a step that took long.
 	rest      stepRest
 	condition atomic.Pointer[Condition]
+	steps     stepLog
 	stopped   bool
 	// asks bounds how many engines are asked for their reports at once.
 	asks chan struct{}
@@ -205,6 +206,7 @@
 	began := a.clock.Elapsed()
 	given := a.planner.Step(a.around.Input())
 	a.rest.stepped(began, a.clock.Elapsed(), a.settings.Beat)
+	a.logSteps(now, a.clock.Elapsed().Since(began))
 	a.askForReports(ctx, now)
 	if plans := a.planner.Plans(now); len(plans) > 0 {
 		a.turn++
--- a/process/poolplacement/plan.go
+++ b/process/poolplacement/plan.go
@@ -45,8 +45,31 @@
 	Orders, Loads, Evicts, AdapterLoads, AdapterEvicts    uint64
 	Done, Already, Refused, NeverArrived, Failed, Unsent  uint64
 	Reports, FailedReports, StaleReports, Cancelled, Void uint64
+	// Unplaced counts, over all steps, the models that somebody waits for, that stand nowhere and that a step could
+	// not place, by what was in the way.
+	Unplaced [obstacles]uint64
 }
 
+// obstacle is why a step does not place a model that somebody waits for.
+type obstacle uint8
+
+const (
+	// noObstacle: it is placed.
+	noObstacle obstacle = iota
+	// obstacleTurn: few ask for it, and it waits until fewer engines load.
+	obstacleTurn
+	// obstacleEngines: each engine that could take it has an order, or is to get one.
+	obstacleEngines
+	// obstacleStore: the store allows no further load now.
+	obstacleStore
+	// obstacleWorth: nothing that is worth clearly less could make way.
+	obstacleWorth
+	obstacles
+)
+
+// ObstacleNames are the names of obstacles, in the order in which they are counted.
+var ObstacleNames = [obstacles]string{"none", "turn", "engines", "store", "worth"}
+
 // Planner is the state of the plan under one claim. It is not safe for use by many threads.
 type Planner struct {
 	settings Settings
--- a/process/poolplacement/serve.go
+++ b/process/poolplacement/serve.go
@@ -380,7 +380,11 @@
 	var orders []Order
 	waiting := 0
 	for _, w := range wants {
-		order, ordered, placed := s.placeModel(w)
+		order, ordered, obstacle := s.placeModel(w)
+		placed := obstacle == noObstacle
+		if !placed && len(s.copies[w.Model]) == 0 && w.ask.held > 0 {
+			s.p.Counters.Unplaced[obstacle]++
+		}
 		switch {
 		case ordered:
 			orders = append(orders, order)
@@ -402,26 +406,36 @@
 
 // placeModel finds the engine on which one more copy costs least. It gives the order if there is room,
 // or notes that the engine is being made ready.
-func (s *survey) placeModel(w want) (order Order, ordered, placed bool) {
+func (s *survey) placeModel(w want) (order Order, ordered bool, inTheWay obstacle) {
 	if s.light(w.ask) && s.loading+s.intents >= max(1, len(s.engines)/3) {
 		// An engine that loads can load nothing else for seconds. What few ask for takes its turn on some of
 		// them, so that one is free when many begin to ask for something that stands nowhere.
-		return Order{}, false, false
+		return Order{}, false, obstacleTurn
 	}
 	var best *engine
 	var bestVictims []registry.Target
 	bestCost := math.Inf(1)
+	inTheWay = obstacleEngines
 	size := s.pool.size(w.Target)
 	// The store allows a load on all engines or on none, so it is asked once for each model and not for each pair.
 	allowed := s.storeAllows(w.urgent, true)
 	roomAllowed := allowed || w.urgent && s.mayMakeRoom()
 	for _, e := range s.open {
 		// Within a step an engine closes only by what it was given in it.
-		if e.flight != nil || e.intent != nil || !roomAllowed && !e.had[w.Model] || e.holds(w.Target) || s.now < e.rests[w.Target] {
+		if e.flight != nil || e.intent != nil || e.holds(w.Target) || s.now < e.rests[w.Target] {
+			continue
+		}
+		if !roomAllowed && !e.had[w.Model] {
+			inTheWay = max(inTheWay, obstacleStore)
 			continue
 		}
 		victims, cost, ok := s.wayFor(e, size, w)
-		if !ok || !allowed && !e.had[w.Model] && len(victims) == 0 {
+		if !ok {
+			inTheWay = max(inTheWay, obstacleWorth)
+			continue
+		}
+		if !allowed && !e.had[w.Model] && len(victims) == 0 {
+			inTheWay = max(inTheWay, obstacleStore)
 			continue
 		}
 		// A cool engine, and one that has the weights on its disk, is better.
@@ -434,11 +448,11 @@
 		}
 	}
 	if best == nil {
-		return Order{}, false, false
+		return Order{}, false, inTheWay
 	}
 	s.copies[w.Model] = append(s.copies[w.Model], best)
 	if len(bestVictims) == 0 {
-		return s.load(best, w.Target), true, true
+		return s.load(best, w.Target), true, noObstacle
 	}
 	best.intent = &intent{Target: w.Target, victims: bestVictims, told: s.now, urgent: w.urgent}
 	s.intents++
@@ -447,9 +461,9 @@
 		s.copies[victim.Model] = slices.DeleteFunc(slices.Clone(s.copies[victim.Model]), func(e *engine) bool { return e == best })
 	}
 	if order, ok := s.next(best); ok {
-		return order, true, true
+		return order, true, noObstacle
 	}
-	return Order{}, false, true
+	return Order{}, false, noObstacle
 }
 
 // off says whether an experiment goes without a mechanism.
--- a/rehearsal/cmd/rehearse/main.go
+++ b/rehearsal/cmd/rehearse/main.go
@@ -81,6 +81,7 @@
 
 	daysVerb, writeDays := addDays(app)
 	scaled := addScale(app)
+	compareVerb, comparison := addCompare(app)
 
 	chosenCommand, err := app.Parse(os.Args[1:])
 	if err != nil {
@@ -103,6 +104,8 @@
 		err = beEngine(*standName, *standID, *standListen, *standJournal)
 	case daysVerb.FullCommand():
 		err = writeDays()
+	case compareVerb.FullCommand():
+		err = comparison.run(os.Stdout, os.Stderr)
 	default:
 		err = scaled(chosenCommand)
 	}
