Place what is waited for first, and free it from copies that are too many

Change: a model's only copy is worth a part of its rate where it can come back within the target of those that ask (more the busier the store and the engines are); a held request counts for more where a load ends in time for it; a copy beyond the second costs what it carries; what stands nowhere and is waited for, and what has far too few copies, comes before adapters; further copies take turns on a part of the engines, larger the more they are needed; requests that wait for an adapter ask for no further copy of its model. What is in the way of a model is counted.

--- /dev/null
+++ b/process/poolplacement/catalogue.go
@@ -0,0 +1,100 @@
+package poolplacement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/process/registry"
+)
+
+// pool is a pool's catalogue, ready for the plan.
+type pool struct {
+	name      string
+	catalogue *forward.Catalogue
+	models    map[string]*forward.Model
+	// most is how many loads may begin within a window, atOnce how many the store serves at full speed.
+	most, atOnce int
+	// urgent is the rank of the most urgent path that leads here.
+	urgent int
+	// targets are the shortest targets of the paths that lead here, by rank.
+	targets map[int]time.Duration
+}
+
+// mostUrgent is the lowest rank of the paths that lead to a pool.
+func mostUrgent(section *forward.Section, pool string) int {
+	urgent := math.MaxInt
+	for i := range section.Paths {
+		if slices.ContainsFunc(section.Paths[i].Shares, func(share forward.Share) bool { return share.Pool == pool }) {
+			urgent = min(urgent, section.Paths[i].Rank)
+		}
+	}
+	return urgent
+}
+
+// targetsOf gives the shortest target of the paths of each rank that lead to a pool.
+func targetsOf(section *forward.Section, pool string) map[int]time.Duration {
+	targets := map[int]time.Duration{}
+	for i := range section.Paths {
+		path := &section.Paths[i]
+		if !slices.ContainsFunc(path.Shares, func(share forward.Share) bool { return share.Pool == pool }) {
+			continue
+		}
+		target := time.Duration(path.TargetMs) * time.Millisecond
+		if known, found := targets[path.Rank]; !found || target < known {
+			targets[path.Rank] = target
+		}
+	}
+	return targets
+}
+
+// adopt takes up a bundle's catalogues.
+func (p *Planner) adopt(section *forward.Section) {
+	if p.section == section {
+		return
+	}
+	p.section = section
+	pools := map[string]*pool{}
+	slowest := 0.0
+	for i := range section.Pools {
+		catalogue := section.Pools[i].Catalogue
+		if catalogue == nil || len(catalogue.Models) == 0 {
+			continue
+		}
+		made := &pool{name: section.Pools[i].Name, catalogue: catalogue, models: make(map[string]*forward.Model, len(catalogue.Models))}
+		total := 0.0
+		for at := range catalogue.Models {
+			model := &catalogue.Models[at]
+			made.models[model.Name] = model
+			total += float64(model.LoadMs) / 1000
+		}
+		// What the store keeps up with, by its pace and the time of a load, is what it serves at full speed.
+		made.atOnce = max(1, int(catalogue.LoadsPerSecond*total/float64(len(catalogue.Models))+0.5))
+		made.urgent, made.targets = mostUrgent(section, made.name), targetsOf(section, made.name)
+		pools[made.name] = made
+		if slowest == 0 || catalogue.LoadsPerSecond < slowest {
+			slowest = catalogue.LoadsPerSecond
+		}
+	}
+	for _, made := range pools {
+		// There may be one store behind all pools: its pace is that of the slowest.
+		made.most = max(1, int(slowest*p.settings.Window.Seconds()))
+	}
+	p.pools = pools
+	for _, e := range p.engines {
+		e.pool = pools[e.pool.name]
+		if e.pool == nil {
+			delete(p.engines, e.id)
+		}
+	}
+}
+
+// size is the room that a target takes.
+func (p *pool) size(target registry.Target) float64 {
+	model := p.models[target.Model]
+	if target.Adapter == "" {
+		return model.SizeMb
+	}
+	return model.AdapterSizeMb
+}
--- a/process/poolplacement/demand.go
+++ b/process/poolplacement/demand.go
@@ -31,7 +31,9 @@
 
 // ask is what is asked for of one model, or of one adapter.
 type ask struct {
-	held, running    int
+	held, running int
+	// heldForAdapter counts those of the held that ask for an adapter of this model.
+	heldForAdapter   int
 	tokens, arrivals float64
 	oldest           time.Duration
 	rank             int
@@ -39,6 +41,9 @@
 	// demand named it.
 	behind int
 	heard  bool
+	// load is how long it takes to load, target the longest time within which its path's requests earn most; zero of an
+	// adapter.
+	load, target time.Duration
 	// slow is the rate of requests over a longer time, heldSlow the smoothed number held.
 	slow, heldSlow float64
 	// debt is how many requests came while it stood nowhere.
@@ -71,6 +76,7 @@
 	for _, pool := range p.asks {
 		pool.tokens, pool.arrivals = 0, 0
 		for _, a := range pool.models {
+			a.heldForAdapter = 0
 			a.heard, a.held, a.running, a.tokens, a.arrivals, a.oldest = false, 0, 0, 0, 0, 0
 		}
 		for _, a := range pool.adapters {
@@ -95,7 +101,11 @@
 			pool.models[demand.Model] = model
 		}
 		model.add(demand)
+		if demand.Adapter != "" {
+			model.heldForAdapter += demand.Held
+		}
 		model.behind = p.behind(model.rank, made)
+		model.load, model.target = time.Duration(made.models[demand.Model].LoadMs)*time.Millisecond, made.targets[model.rank]
 		if demand.Adapter == "" {
 			continue
 		}
@@ -135,10 +145,14 @@
 // share is how much of the newest value a smoothed one takes up after a while.
 func share(since, span time.Duration) float64 { return 1 - math.Exp(-float64(since)/float64(span)) }
 
+// pressing is how many requests keep the copies of something busy, or wait for one of them: those that wait for an adapter
+// would not be served by a further copy of the model.
+func (a *ask) pressing() float64 { return float64(a.running + a.held - a.heldForAdapter) }
+
 // carry says whether it is forgotten.
 func (a *ask) carry(now clock.Mark, slow, quick float64) bool {
 	a.slow += (a.arrivals - a.slow) * slow
-	a.heldSlow += (float64(a.held) - a.heldSlow) * quick
+	a.heldSlow += (float64(a.held-a.heldForAdapter) - a.heldSlow) * quick
 	if a.held+a.running > 0 || a.arrivals > 0.01 {
 		a.last = now
 	}
--- /dev/null
+++ b/process/poolplacement/missing_test.go
@@ -0,0 +1,208 @@
+package poolplacement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/epoch/forward"
+	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/ident"
+	"github.com/cresspond/cresspond/process/registry"
+)
+
+// scarce is a pool whose engines hold one model each, asked for by one path of the most urgent rank and one of another.
+type scarce struct {
+	t       *testing.T
+	planner *Planner
+	section *forward.Section
+	view    *registry.View
+	now     clock.Mark
+}
+
+const (
+	urgentRank, usualRank = 0, 1
+	scarceLoad            = 4 * time.Second
+)
+
+// newScarce makes a pool of so many engines; each holds the model that placed gives it. The target is of the urgent path.
+func newScarce(t *testing.T, target time.Duration, placed ...string) *scarce {
+	catalogue := &forward.Catalogue{Slots: 64, MemoryTokens: 100_000, RoomMb: 10, AdapterPlaces: 8, LoadsPerSecond: 100}
+	seen := map[string]bool{}
+	for _, name := range append([]string{"wanted"}, placed...) {
+		if !seen[name] {
+			seen[name] = true
+			catalogue.Models = append(catalogue.Models, forward.Model{Name: name, SizeMb: 10, LoadMs: scarceLoad.Milliseconds()})
+		}
+	}
+	shares := []forward.Share{{Pool: "pool", Weight: 1}}
+	s := &scarce{t: t, now: clock.Mark(time.Hour), view: sizeView(len(placed)), section: &forward.Section{Revision: 1, Pools: []forward.Pool{{Name: "pool", Catalogue: catalogue}},
+		Paths: []forward.Path{{Name: "urgent", Rank: urgentRank, TargetMs: target.Milliseconds(), Shares: shares}, {Name: "usual", Rank: usualRank, TargetMs: 800, Shares: shares}}}}
+	s.planner = NewPlanner(DefaultSettings("owner", 3*time.Second), s.now)
+	s.step(nil)
+	// Since nothing is known of loads before, the window counts as full at first.
+	s.now += clock.Mark(s.planner.settings.Window)
+	s.step(nil)
+	for n, model := range placed {
+		s.report(n, model)
+	}
+	return s
+}
+
+func (s *scarce) report(n int, model string) {
+	s.planner.Reported(s.now, s.now, ident.EngineID(fmt.Sprintf("i-%08x", n)), Report{Active: 6, Models: []registry.Held{{Model: model, Generation: 1}}}, true)
+}
+
+func (s *scarce) step(demand []Demand) []Order {
+	return s.planner.Step(Input{Now: s.now, Section: s.section, View: s.view, Demand: demand})
+}
+
+// idle are requests for a model of the urgent path that come now and then, none of them waiting or running.
+func idle(model string) Demand {
+	return Demand{Pool: "pool", Model: model, Arrivals: 0.14, Tokens: 250, Rank: urgentRank}
+}
+
+func waiting(model string) Demand {
+	demand := idle(model)
+	demand.Held, demand.Oldest = 1, 50*time.Millisecond
+	return demand
+}
+
+// settleDown lets the longer past of a demand build up.
+func (s *scarce) settleDown(demand []Demand) {
+	for range 300 {
+		s.now += clock.Mark(100 * time.Millisecond)
+		s.step(demand)
+	}
+}
+
+// TestAModelThatIsWaitedForTakesTheRoomOfOneThatCanComeBackInTime: all are asked for alike, but only one is waited for.
+func TestAModelThatIsWaitedForTakesTheRoomOfOneThatCanComeBackInTime(t *testing.T) {
+	others := []string{"a", "b", "c", "d", "e", "f"}
+	for _, one := range []struct {
+		target time.Duration
+		placed bool
+	}{{6 * time.Second, true}, {scarceLoad, false}} {
+		s := newScarce(t, one.target, others...)
+		var demand []Demand
+		for _, model := range others {
+			demand = append(demand, idle(model))
+		}
+		s.settleDown(demand)
+		for n, model := range others {
+			s.report(n, model)
+		}
+		orders := s.step(append(demand, waiting("wanted")))
+		if placed := len(orders) == 1 && orders[0].Kind == Evict; placed != one.placed {
+			t.Errorf("with a target of %v and loads of %v: %+v", one.target, scarceLoad, orders)
+		}
+		if !one.placed && s.planner.Counters.Unplaced[obstacleWorth] == 0 {
+			t.Errorf("what was in the way is not counted: %v", s.planner.Counters.Unplaced)
+		}
+	}
+}
+
+// TestACopyTooManyGivesWay: of a model much asked for, whose copies have little to do, one more or less is no loss.
+func TestACopyTooManyGivesWay(t *testing.T) {
+	s := newScarce(t, 6*time.Second, "much", "much", "much", "much", "much", "much", "a", "b")
+	demand := []Demand{{Pool: "pool", Model: "much", Arrivals: 100, Tokens: 1000, Running: 1, Rank: usualRank}, {Pool: "pool", Model: "a", Arrivals: 2, Tokens: 4000, Running: 1, Rank: urgentRank},
+		{Pool: "pool", Model: "b", Arrivals: 2, Tokens: 4000, Running: 1, Rank: urgentRank}}
+	s.settleDown(demand)
+	for n, model := range []string{"much", "much", "much", "much", "much", "much", "a", "b"} {
+		s.report(n, model)
+	}
+	s.step(append(demand, waiting("wanted")))
+	given := 0
+	for _, e := range s.planner.engines {
+		if e.flight != nil || e.intent != nil {
+			given++
+			if !e.holds(registry.Target{Model: "much"}) {
+				t.Errorf("%s gives way", e.report.Models[0].Model)
+			}
+		}
+	}
+	if given != 1 {
+		t.Errorf("%d engines are made ready", given)
+	}
+}
+
+// TestFurtherCopiesLeaveEnginesForWhatStandsNowhere: many models whose copies have a little too much to do don't take
+// all engines for a load's time.
+func TestFurtherCopiesLeaveEnginesForWhatStandsNowhere(t *testing.T) {
+	var placed []string
+	const engines = 40
+	for n := range engines {
+		placed = append(placed, []string{"x", "y", "idle"}[n%3])
+	}
+	s := newScarce(t, 6*time.Second, placed...)
+	demand := []Demand{{Pool: "pool", Model: "x", Arrivals: 200, Tokens: 300_000, Running: 400, Rank: usualRank}, {Pool: "pool", Model: "y", Arrivals: 200, Tokens: 300_000, Running: 400, Rank: usualRank}}
+	s.now += clock.Mark(2 * time.Second)
+	for n, model := range placed {
+		s.report(n, model)
+	}
+	s.step(demand)
+	ordered := 0
+	for _, e := range s.planner.engines {
+		if e.intent != nil || e.flight != nil {
+			ordered++
+		}
+	}
+	if most := engines * mostCopying; ordered == 0 || float64(ordered) > most {
+		t.Errorf("%d of %d engines are to load further copies", ordered, engines)
+	}
+}
+
+// TestWhatWaitsForAnAdapterAsksForNoFurtherCopyOfItsModel: more copies would take the engines that could load it.
+func TestWhatWaitsForAnAdapterAsksForNoFurtherCopyOfItsModel(t *testing.T) {
+	for _, one := range []struct {
+		adapter string
+		copies  bool
+	}{{"", true}, {"a1", false}} {
+		placed := []string{"x", "x", "idle", "idle", "idle", "idle"}
+		s := newScarce(t, 6*time.Second, placed...)
+		demand := []Demand{{Pool: "pool", Model: "x", Arrivals: 20, Tokens: 100, Rank: usualRank},
+			{Pool: "pool", Model: "x", Adapter: one.adapter, Held: 40, Rank: usualRank}, {Pool: "pool", Model: "idle", Arrivals: 1, Tokens: 10_000, Running: 1, Rank: usualRank}}
+		s.settleDown(demand)
+		for n, model := range placed {
+			s.report(n, model)
+		}
+		s.step(demand)
+		further := 0
+		for _, e := range s.planner.engines {
+			if e.intent != nil && e.intent.Target == (registry.Target{Model: "x"}) || e.flight != nil && e.flight.Target() == (registry.Target{Model: "x"}) {
+				further++
+			}
+		}
+		if (further > 0) != one.copies {
+			t.Errorf("of those that ask for adapter %q 40 wait: %d further copies", one.adapter, further)
+		}
+	}
+}
+
+// TestFarTooFewCopiesComeBeforeAdapters: an engine takes one order at a time, and adapters would take them all.
+func TestFarTooFewCopiesComeBeforeAdapters(t *testing.T) {
+	placed := []string{"x", "y", "y", "y", "y", "y"}
+	s := newScarce(t, 6*time.Second, placed...)
+	s.section.Pools[0].Catalogue.Models[2].Adapters, s.section.Pools[0].Catalogue.Models[2].AdapterSizeMb = 40, 0
+	demand := []Demand{{Pool: "pool", Model: "x", Arrivals: 50, Tokens: 50_000, Running: 60, Rank: usualRank}}
+	for n := range 40 {
+		demand = append(demand, Demand{Pool: "pool", Model: "y", Adapter: fmt.Sprint("a", n+1), Arrivals: 0.5, Tokens: 10, Held: 1, Rank: usualRank})
+	}
+	s.now += clock.Mark(2 * time.Second)
+	for n, model := range placed {
+		s.report(n, model)
+	}
+	s.step(demand)
+	copies, adapters := 0, 0
+	for _, e := range s.planner.engines {
+		switch {
+		case e.intent != nil && e.intent.Model == "x" || e.flight != nil && e.flight.Model == "x":
+			copies++
+		case e.flight != nil && e.flight.Adapter != "":
+			adapters++
+		}
+	}
+	if copies == 0 || adapters == 0 {
+		t.Errorf("%d engines get the model, %d adapters", copies, adapters)
+	}
+}
--- a/process/poolplacement/steplog.go
+++ b/process/poolplacement/steplog.go
@@ -1,11 +1,15 @@
 package poolplacement
 
 import (
+	"cmp"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/registry"
 )
 
 // logStepsEvery is how often a debug line sums up the steps of the plan.
@@ -35,13 +39,54 @@
 	for obstacle, count := range counters.Unplaced {
 		fields["unplaced_"+ObstacleNames[obstacle]] = count - s.before.Unplaced[obstacle]
 	}
+	fields["busiest"] = a.planner.busiest()
 	a.log.WithFields(fields).Debug("steps of the plan")
 	*s = stepLog{told: now, before: counters}
 }
 
+// busiestShown is how many models a debug line shows.
+const busiestShown = 4
+
+// busiest describes the models most asked for: how many engines hold and get each, and what runs and waits.
+func (p *Planner) busiest() []string {
+	type row struct {
+		name string
+		a    *ask
+	}
+	var rows []row
+	for _, asks := range p.asks {
+		for name, a := range asks.models {
+			rows = append(rows, row{name, a})
+		}
+	}
+	slices.SortFunc(rows, func(x, y row) int {
+		return cmp.Or(cmp.Compare(y.a.tokens, x.a.tokens), cmp.Compare(x.name, y.name))
+	})
+	var out []string
+	for _, one := range rows[:min(busiestShown, len(rows))] {
+		holding, getting, active, queued := 0, 0, 0, 0
+		for _, e := range p.engines {
+			if !e.counts() {
+				continue
+			}
+			if _, held := e.held(one.name); held {
+				holding++
+				active += e.report.Active
+				queued += e.report.Queued
+			}
+			if e.flight != nil && e.flight.Kind == Load && e.flight.Target() == (registry.Target{Model: one.name}) {
+				getting++
+			}
+		}
+		out = append(out, fmt.Sprintf("%s: %d hold, %d get, %.0f/s, %d run, %d held, engines run %d and queue %d", one.name, holding, getting, one.a.arrivals, one.a.running, one.a.held, active, queued))
+	}
+	return out
+}
+
 // occupation counts what the engines of all pools are doing.
 func (p *Planner) occupation(now clock.Mark) log.Fields {
 	loading, adapting, unloading, preparing, ready, lacking, standing := 0, 0, 0, 0, 0, 0, 0
+	distinct := map[string]int{}
 	for _, e := range p.engines {
 		switch {
 		case e.flight != nil && e.flight.Kind == Evict:
@@ -57,6 +102,9 @@
 		}
 		if e.counts() {
 			standing += len(e.report.Models)
+			for _, held := range e.report.Models {
+				distinct[held.Model]++
+			}
 		}
 	}
 	for _, asks := range p.asks {
@@ -67,5 +115,5 @@
 		}
 	}
 	return log.Fields{"engines": len(p.engines), "loading": loading, "adapting": adapting, "unloading": unloading, "preparing": preparing,
-		"ready": ready, "standing": standing, "lacking": lacking, "lagMs": p.lag.Milliseconds()}
+		"ready": ready, "standing": standing, "distinct": len(distinct), "lacking": lacking, "lagMs": p.lag.Milliseconds()}
 }
