Prefer engines that a connection is kept to, and use kept connections for longer

Change: one of the engines to choose from is one that a connection is kept to, a connection that must be made costs 0.3 of a usual prompt (0.15 of an engine's places on plain engines), and a request that can't be made again may take a kept connection for three quarters of its time. What an engine drops without a word sooner is still learned by pool.

--- a/connection/engineconn/engineconn.go
+++ b/connection/engineconn/engineconn.go
@@ -311,6 +311,20 @@
 	}
 }
 
+// Warm says whether an idle connection to an engine of a pool would serve an attempt now.
+func (p *Pools) Warm(id ident.EngineID, address, pool string, careful bool) bool {
+	now := p.clock.Elapsed()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	connections := p.engines[engineKey{id, address}]
+	if connections == nil || len(connections.idle) == 0 {
+		return false
+	}
+	newest := connections.idle[len(connections.idle)-1]
+	idle := now.Since(newest.idleSince)
+	return idle <= p.idle.bound(pool, careful, now) && idle < newest.keptFor() && (!careful || idle <= newest.carefulFor())
+}
+
 // Open counts the connections, busy and idle.
 func (p *Pools) Open() (busy, idle int) {
 	p.mutex.Lock()
--- a/connection/engineconn/link.go
+++ b/connection/engineconn/link.go
@@ -54,12 +54,16 @@
 	return min(l.keepFor-keptMargin, mostKept)
 }
 
+// carefulShare is the share, in hundredths, of the time that an engine keeps a connection in which it may be used for an
+// attempt that can't be made again. An engine that drops them sooner is found out by lifetimes.
+const carefulShare = 75
+
 // carefulFor is how long it may have been idle for an attempt that can't be made again.
 func (l *link) carefulFor() time.Duration {
 	if l.keepFor <= 0 {
 		return carefulUnsaid
 	}
-	return l.keptFor() / 3
+	return l.keptFor() * carefulShare / 100
 }
 
 // stirs says whether anything can be read from an idle connection: bytes that nobody asked for, or its end.
--- a/process/daemon/forward.go
+++ b/process/daemon/forward.go
@@ -254,6 +254,9 @@
 	now := d.clock.Elapsed()
 	return forwarding.World{
 		Now: now, Index: d.forwardIndex(), Current: d.tableIsCurrent(), View: d.forwardSide.view(), Zone: d.config.Zone,
+		Warm: func(engine *registry.Engine, pool string, careful bool) bool {
+			return d.forwardSide.pools.Warm(engine.ID, engine.Address, pool, careful)
+		},
 		Edges: d.edges(now), Lacks: d.PoolLack, Open: d.engineOpen, Emptied: d.engineEmptied, Leased: d.generator.Held(),
 		Mint: func() (ident.MintedID, bool) {
 			id, verdict := d.generator.Mint()
--- a/process/mechanism/mechanism.go
+++ b/process/mechanism/mechanism.go
@@ -22,6 +22,8 @@
 	Homes
 	// ZoneCost makes an engine in another zone dearer.
 	ZoneCost
+	// WarmConnections prefers engines that a connection is kept to.
+	WarmConnections
 	// Awaiting weighs for how long an engine's oldest first byte has been awaited.
 	Awaiting
 	// Speculation sends one request ahead of the news that a load is done.
@@ -59,24 +61,25 @@
 type Description struct{ Name, Purpose string }
 
 var descriptions = [count]Description{
-	KeptPrefixes:   {"kept-prefixes", "weigh which parts of a prompt an engine has kept"},
-	Homes:          {"homes", "send prompts with the same shared parts to few engines"},
-	ZoneCost:       {"zone-cost", "prefer engines of the own zone"},
-	Awaiting:       {"awaiting", "weigh for how long an engine's oldest first byte has been awaited"},
-	Speculation:    {"speculation", "send one request ahead of the news that a load is done"},
-	Shedding:       {"shedding", "refuse by a draw what is expected long after its target"},
-	LoadEstimates:  {"load-estimates", "refuse at once what a load will come too late for"},
-	Badness:        {"badness", "prefer engines that did not fail lately"},
-	SlowStart:      {"slow-start", "send less to engines that are slow from their start"},
-	Resumption:     {"resumption", "take broken streams up at another engine"},
-	Retries:        {"retries", "send again what provably did not run"},
-	Notice:         {"notice", "tell all daemons of an unload before it is ordered"},
-	RankWeight:     {"rank-weight", "place models of urgent paths before others"},
-	CopiesByDemand: {"copies-by-demand", "place further copies of models that have too much to do"},
-	SecondCopies:   {"second-copies", "place a second copy of what stands on one engine"},
-	Debt:           {"debt", "count requests that came in vain for the model they asked for"},
-	AdapterTurns:   {"adapter-turns", "keep adapters in use for a while before one is exchanged"},
-	Hysteresis:     {"hysteresis", "load only what is worth clearly more than what makes way"},
+	KeptPrefixes:    {"kept-prefixes", "weigh which parts of a prompt an engine has kept"},
+	Homes:           {"homes", "send prompts with the same shared parts to few engines"},
+	ZoneCost:        {"zone-cost", "prefer engines of the own zone"},
+	WarmConnections: {"warm-connections", "prefer engines that a connection is kept to"},
+	Awaiting:        {"awaiting", "weigh for how long an engine's oldest first byte has been awaited"},
+	Speculation:     {"speculation", "send one request ahead of the news that a load is done"},
+	Shedding:        {"shedding", "refuse by a draw what is expected long after its target"},
+	LoadEstimates:   {"load-estimates", "refuse at once what a load will come too late for"},
+	Badness:         {"badness", "prefer engines that did not fail lately"},
+	SlowStart:       {"slow-start", "send less to engines that are slow from their start"},
+	Resumption:      {"resumption", "take broken streams up at another engine"},
+	Retries:         {"retries", "send again what provably did not run"},
+	Notice:          {"notice", "tell all daemons of an unload before it is ordered"},
+	RankWeight:      {"rank-weight", "place models of urgent paths before others"},
+	CopiesByDemand:  {"copies-by-demand", "place further copies of models that have too much to do"},
+	SecondCopies:    {"second-copies", "place a second copy of what stands on one engine"},
+	Debt:            {"debt", "count requests that came in vain for the model they asked for"},
+	AdapterTurns:    {"adapter-turns", "keep adapters in use for a while before one is exchanged"},
+	Hysteresis:      {"hysteresis", "load only what is worth clearly more than what makes way"},
 }
 
 // Descriptions lists all mechanisms.
--- a/request/forwarding/choose.go
+++ b/request/forwarding/choose.go
@@ -111,14 +111,14 @@
 	r.speculative = false
 	if batching {
 		// Whoever rests or is full has left the list, so the next by rendezvous stands in.
-		near = c.nearest(r, near)
+		near = c.nearest(r, near, w)
 	}
 	best, lowest := c.cheapest(r, near, batching, w)
 	if len(c.candidates) > 0 && len(c.weighedOut) > 0 {
 		// One that is held back is better than a sound one that has far too much to do.
 		near = c.weighedOut
 		if batching {
-			near = c.nearest(r, near)
+			near = c.nearest(r, near, w)
 		}
 		if other, score := c.cheapest(r, near, batching, w); heldBackCost*score < lowest {
 			c.Counters.LastResort++
@@ -175,8 +175,9 @@
 }
 
 // nearest moves the engines to choose from to the front, and gives them: a prompt's homes by rendezvous, in
-// order, then the one that this daemon knows to have kept most of it, and one drawn by the request.
-func (c *Core) nearest(r *Record, all []candidate) []candidate {
+// order, then the one that this daemon knows to have kept most of it, one that a connection is kept to, and one drawn by
+// the request.
+func (c *Core) nearest(r *Record, all []candidate, w World) []candidate {
 	c.scratch = append(c.scratch[:0], r.Ask.Model...)
 	c.scratch = append(append(append(append(c.scratch, '/'), r.Ask.Adapter...), '/'), affinity(r)...)
 	length := len(c.scratch)
@@ -200,6 +201,10 @@
 			found++
 		}
 	}
+	if warm := slices.IndexFunc(all[found:], func(one candidate) bool { return c.warm(r, one.engine, w) }); warm >= 0 {
+		all[found], all[found+warm] = all[found+warm], all[found]
+		found++
+	}
 	if len(all) > found {
 		// Any one besides: where many ask about one thing, its homes are not enough, and all must not run to the same.
 		at := found + int(xxhash.Sum64String(r.Ask.Attempt)%uint64(len(all)-found))
@@ -209,6 +214,11 @@
 	return all[:found]
 }
 
+// warm says whether a connection to an engine is kept that a record's attempt could use.
+func (c *Core) warm(r *Record, engine *registry.Engine, w World) bool {
+	return w.Warm != nil && !c.settings.Off.Has(mechanism.WarmConnections) && w.Warm(engine, r.pool, !r.mayRepeat())
+}
+
 // bring swaps the first of those from place on to place.
 func bring(all []candidate, place int, before func(a, b candidate) bool) {
 	first := place
@@ -243,6 +253,9 @@
 	crowded   = 2.0
 	coldCost  = 0.25
 	farTokens = 0.3
+	// connectTokens is the same of a connection that must be made, connectPlaces its cost as a share of an engine's places.
+	connectTokens = 0.3
+	connectPlaces = 0.15
 	// farPlaces is another zone's cost as a share of an engine's places.
 	farPlaces = 0.1
 	// perBadness is how many times dearer an engine is that fails all it gets.
@@ -285,6 +298,9 @@
 	if one.cold(w) && !c.settings.Off.Has(mechanism.SlowStart) {
 		score = 2*score + coldCost*c.meanTokens
 	}
+	if w.Warm != nil && !c.warm(r, engine, w) {
+		score += connectTokens * c.meanTokens
+	}
 	return score*(1+perBadness*c.worse(state, w)) + c.far(engine, w, farTokens*c.meanTokens)
 }
 
@@ -298,6 +314,9 @@
 	if one.cold(w) && !c.settings.Off.Has(mechanism.SlowStart) {
 		score = 2*score + 0.5
 	}
+	if w.Warm != nil && !c.warm(r, one.engine, w) {
+		score += connectPlaces
+	}
 	// Among equals each request has an order of its own, so that not all go to the same.
 	c.scratch = append(append(c.scratch[:0], r.Ask.Attempt...), one.engine.ID...)
 	drawn := xxhash.Sum64(c.scratch)
