Foresee how much a model will be asked for once a load that begins now has ended

Change: what is asked for is extrapolated by its smoothed growth over the smoothing's lag and the load's time, where the change is beyond two standard deviations of chance, by no more than three times. Mechanism "trend".

--- a/process/mechanism/mechanism.go
+++ b/process/mechanism/mechanism.go
@@ -46,6 +46,8 @@
 	RankWeight
 	// CopiesByDemand places further copies of models whose copies have too much to do.
 	CopiesByDemand
+	// Trend foresees from how demand grows what will be asked for once a load has ended.
+	Trend
 	// SecondCopies places a second copy of what stands on one engine only.
 	SecondCopies
 	// Debt lets requests that came in vain count for the model they asked for.
@@ -76,6 +78,7 @@
 	Notice:          {"notice", "tell all daemons of an unload before it is ordered"},
 	RankWeight:      {"rank-weight", "place models of urgent paths before others"},
 	CopiesByDemand:  {"copies-by-demand", "place further copies of models that have too much to do"},
+	Trend:           {"trend", "foresee what will be asked for once a load has ended"},
 	SecondCopies:    {"second-copies", "place a second copy of what stands on one engine"},
 	Debt:            {"debt", "count requests that came in vain for the model they asked for"},
 	AdapterTurns:    {"adapter-turns", "keep adapters in use for a while before one is exchanged"},
--- a/process/poolplacement/demand.go
+++ b/process/poolplacement/demand.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cresspond/cresspond/process/clock"
+	"github.com/cresspond/cresspond/process/demand"
 	"github.com/cresspond/cresspond/process/mechanism"
 	"github.com/cresspond/cresspond/process/registry"
 )
@@ -46,6 +47,8 @@
 	load, target time.Duration
 	// slow is the rate of requests over a longer time, heldSlow the smoothed number held.
 	slow, heldSlow float64
+	// slope is by how much arrivals grow in a second, smoothed, before the arrivals that it was last told by.
+	slope, before float64
 	// debt is how many requests came while it stood nowhere.
 	debt float64
 	last clock.Mark
@@ -122,10 +125,14 @@
 	slow, quick := share(since, slowSpan), share(since, heldSpan)
 	for _, pool := range p.asks {
 		for name, a := range pool.models {
+			a.follow(since)
 			if a.carry(in.Now, slow, quick) {
 				delete(pool.models, name)
 			}
 		}
+		if !p.settings.Off.Has(mechanism.Trend) {
+			pool.foresee()
+		}
 		for target, a := range pool.adapters {
 			if a.carry(in.Now, slow, quick) {
 				delete(pool.adapters, target)
@@ -145,6 +152,49 @@
 // share is how much of the newest value a smoothed one takes up after a while.
 func share(since, span time.Duration) float64 { return 1 - math.Exp(-float64(since)/float64(span)) }
 
+const (
+	// slopeSpan is over how long the growth of arrivals is smoothed.
+	slopeSpan = 1500 * time.Millisecond
+	// mostGrowth is by how many times more, or less, than now may be foreseen to be asked for.
+	mostGrowth = 3
+	// trendNoise is how many times the square root of arrivals a change must be to be no chance: two standard deviations
+	// of what is foreseen, for arrivals that are independent.
+	trendNoise = 1.85
+)
+
+// follow takes up how arrivals grow.
+func (a *ask) follow(since time.Duration) {
+	if since <= 0 {
+		return
+	}
+	a.slope += ((a.arrivals-a.before)/since.Seconds() - a.slope) * share(since, slopeSpan)
+	a.before = a.arrivals
+}
+
+// growth is by how many times more will be asked for once a load that begins now has ended. Arrivals are smoothed and
+// so lag by the smoothing's time constant, which is made up for too.
+func (a *ask) growth() float64 {
+	lag := demand.Half.Seconds() / math.Ln2
+	change := a.slope * (lag + a.load.Seconds())
+	noise := trendNoise * math.Sqrt(a.arrivals)
+	switch {
+	case a.arrivals <= 0 || math.Abs(change) <= noise:
+		return 1
+	case change > 0:
+		return min(mostGrowth, 1+(change-noise)/a.arrivals)
+	}
+	return max(1/float64(mostGrowth), 1+(change+noise)/a.arrivals)
+}
+
+// foresee replaces what is asked for now by what is likely to be once a load that begins now has ended.
+func (a *asks) foresee() {
+	a.tokens = 0
+	for _, model := range a.models {
+		model.tokens *= model.growth()
+		a.tokens += model.tokens
+	}
+}
+
 // pressing is how many requests keep the copies of something busy, or wait for one of them: those that wait for an adapter
 // would not be served by a further copy of the model.
 func (a *ask) pressing() float64 { return float64(a.running + a.held - a.heldForAdapter) }
--- a/process/poolplacement/missing_test.go
+++ b/process/poolplacement/missing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -206,3 +207,30 @@
 		t.Errorf("%d engines get the model, %d adapters", copies, adapters)
 	}
 }
+
+// TestAGrowingDemandIsForeseen: arrivals that grow steadily ask for the copies that they will need once a load has ended;
+// chance does not.
+func TestAGrowingDemandIsForeseen(t *testing.T) {
+	const step = 100 * time.Millisecond
+	for _, one := range []struct {
+		name    string
+		arrival func(second float64) float64
+		least   float64
+		most    float64
+	}{
+		{"steady", func(float64) float64 { return 50 }, 1, 1},
+		{"a wave of a tenth", func(s float64) float64 { return 50 + 5*math.Sin(s) }, 0.7, 1.4},
+		{"growing", func(s float64) float64 { return 20 + 8*s }, 1.5, mostGrowth},
+		{"falling", func(s float64) float64 { return 100 - 8*s }, 1 / float64(mostGrowth), 0.7},
+		{"nothing", func(float64) float64 { return 0 }, 1, 1},
+	} {
+		a := &ask{load: scarceLoad, before: one.arrival(0)}
+		for n := range 50 {
+			a.arrivals = one.arrival(float64(n) * step.Seconds())
+			a.follow(step)
+		}
+		if growth := a.growth(); growth < one.least || growth > one.most {
+			t.Errorf("%s: foreseen to be %.2f times as much", one.name, growth)
+		}
+	}
+}
