--- a/deploy/packages_test.go
+++ b/deploy/packages_test.go
@@ -111,3 +111,18 @@
 		}
 	}
 }
+
+// TestMetricsAreDeclaredWhereTheyAreServed: what a role's program is told and what the platform is told are the same.
+func TestMetricsAreDeclaredWhereTheyAreServed(t *testing.T) {
+	var file struct {
+		Roles map[string]struct{ Run, Metrics string } `toml:"roles"`
+	}
+	if err := toml.Unmarshal([]byte(read(t, "deploy/system.toml")), &file); err != nil {
+		t.Fatal(err)
+	}
+	for name, role := range file.Roles {
+		if role.Metrics == "" || !slices.Contains(strings.Fields(role.Run), role.Metrics) {
+			t.Errorf("role %s declares metrics at %q and runs %q", name, role.Metrics, role.Run)
+		}
+	}
+}
