--- /dev/null
+++ b/process/daemon/metrics_test.go
@@ -0,0 +1,37 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/cresspond/cresspond/process/config"
+)
+
+// TestAMetricsPortInUseIsNamedByItsKey: it ends the start where troubles end a daemon, and holds nothing up where they
+// are waited for.
+func TestAMetricsPortInUseIsNamedByItsKey(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	for _, one := range []struct {
+		trouble config.Trouble
+		refused bool
+	}{{config.EndOnTrouble, true}, {config.WaitOnTrouble, false}} {
+		settings := config.Default()
+		settings.Name, settings.Trouble, settings.MetricsListen = "edge-1", one.trouble, taken.Addr().String()
+		d := New(settings, "test", &log.Logger{Handler: discard.Default})
+		ctx, cancel := context.WithCancel(context.Background())
+		err := d.startMetrics(ctx)
+		cancel()
+		if refused := err != nil && strings.Contains(err.Error(), config.MetricsKey); refused != one.refused {
+			t.Errorf("%s: %v", one.trouble, err)
+		}
+	}
+}
--- /dev/null
+++ b/request/forwarding/routes_test.go
@@ -0,0 +1,33 @@
+package forwarding
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/cresspond/cresspond/epoch/forward"
+)
+
+// TestWeightsAreKeptOverManyTries: each pool of a path gets about what its weight says, and the same try always the same.
+func TestWeightsAreKeptOverManyTries(t *testing.T) {
+	path := pathOf("p", forward.Repeatable, "plain", "other", "batch")
+	weights := map[string]int64{"plain": 90, "other": 10, "batch": 0}
+	for place := range path.Shares {
+		path.Shares[place].Weight = weights[path.Shares[place].Pool]
+	}
+	const tries = 20_000
+	drawn := map[string]int{}
+	for n := range tries {
+		attempt := fmt.Sprintf("%016x", n*7919)
+		pool := drawPool(&path, attempt)
+		if again := drawPool(&path, attempt); again != pool {
+			t.Fatalf("%s is drawn to %s and %s", attempt, pool, again)
+		}
+		drawn[pool]++
+	}
+	for pool, weight := range weights {
+		if got, want := float64(drawn[pool])/tries, float64(weight)/100; math.Abs(got-want) > 0.02 {
+			t.Errorf("%s got %.3f of the tries and not %.2f", pool, got, want)
+		}
+	}
+}
