Have the contract tests' engines known by several requests at once

Cause: they asked one request after the other, and since connections have a price those keep to the engine that a connection is kept to while it has nothing else to do. That both serve is where these tests begin and not what they hold; it is brought about by requests at once now, each assertion stays.

--- a/rehearsal/platformkit/contract/fixture_test.go
+++ b/rehearsal/platformkit/contract/fixture_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -223,17 +224,25 @@
 	return try
 }
 
+// atOnce is how many requests for each further engine known sends at once.
+const atOnce = 8
+
 // known waits until the router sends requests of a class to that many engines.
 func (b *bench) known(class string, count int) {
 	b.t.Helper()
 	asked := 0
 	b.await(fmt.Sprintf("%d engines serve %s", count, class), func() bool {
-		r := b.request(class)
-		if asked++; count > 1 && len(r.Prompt.Parts) > 0 {
-			// What begins in the same way would go to the same engine.
-			r.Prompt.Parts[0].ID, r.Prompt.Parts[1].ID = fmt.Sprintf("a%x", asked), fmt.Sprintf("%x%x", b.number, asked)
+		// Several at once: one after the other they would keep to the engine that a connection is kept to.
+		var batch sync.WaitGroup
+		for range atOnce*(count-1) + 1 {
+			r := b.request(class)
+			if asked++; count > 1 && len(r.Prompt.Parts) > 0 {
+				// What begins in the same way would go to the same engine.
+				r.Prompt.Parts[0].ID, r.Prompt.Parts[1].ID = fmt.Sprintf("a%x", asked), fmt.Sprintf("%x%x", b.number, asked)
+			}
+			batch.Go(func() { b.newClient().Do(context.Background(), r) })
 		}
-		b.ask(r)
+		batch.Wait()
 		served := map[string]bool{}
 		for _, arrival := range b.arrivals() {
 			if arrival.Ran() {
