membership: rollout steps travel apart from a member's attributes

Cause: each change of the configuration brings a daemon three steps (learned, built, in force) for the tracer, and each of them raised the version of its attributes. A new version is a change of status, forwarded to every other daemon over all its links: with 94 daemons 1.3 MB between zones for each change. Change: steps no longer count as attributes. They go to the peers that a daemon pulls from itself, each once; a peer that restarted is sent all again. Builds before this one take steps with attributes only: their traces lack the newer ones.

--- a/process/cluster/membership/events.go
+++ b/process/cluster/membership/events.go
@@ -17,6 +17,8 @@
 	sentAt, receivedAt clock.Mark
 	// maxWait is how long the peer was allowed to delay its reply.
 	maxWait time.Duration
+	// newestStep is the newest rollout step that the peer has with this pull; nil is none.
+	newestStep *peerapi.RolloutStep
 	// reportsDemand says that the request reported demand to the planner.
 	reportsDemand bool
 	// skipped says that nothing was sent, since there was no demand to report.
--- a/process/cluster/membership/memberlist.go
+++ b/process/cluster/membership/memberlist.go
@@ -96,8 +96,9 @@
 		entry.lastPull, entry.pullInterval = now, interval
 	}
 	if record.HasAttributes {
-		// Steps are known at first hand only.
 		entry.record.Steps, entry.reportedVersion = record.Steps, record.Version
+	} else {
+		entry.record.Steps = appendSteps(entry.record.Steps, record.Steps)
 	}
 	l.mergeRecord(entry, record)
 	l.updateLiveness(now, entry)
--- a/process/cluster/membership/pull.go
+++ b/process/cluster/membership/pull.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cresspond/cresspond/clock"
-	"github.com/cresspond/cresspond/wire/peerapi"
 )
 
 const (
@@ -83,21 +82,13 @@
 	described := m.host.DescribeSelf()
 	record := recordOf(described)
 	record.Version = m.self.Version
-	if record.Version == 0 || record.Ready != m.self.Ready || !slices.Equal(record.Roles, m.self.Roles) || !sameSteps(record.Steps, m.self.Steps) {
+	if record.Version == 0 || record.Ready != m.self.Ready || !slices.Equal(record.Roles, m.self.Roles) {
 		record.Version++
 	}
 	m.self = record
 	m.tracker.memberList.SetSelf(m.clock.Elapsed(), record)
 }
 
-// sameSteps compares the number of steps and the time of the newest.
-func sameSteps(a, b []*peerapi.RolloutStep) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	return len(a) == 0 || a[len(a)-1].UnixMs == b[len(b)-1].UnixMs
-}
-
 // startPull starts a pull in a goroutine of its own unless it is in flight. The goroutine applies the reply before it
 // sends pullCompleted, so that the tracker sees the reply's versions in force when it handles it.
 func (m *Membership) startPull(ctx context.Context, key pullKey) {
@@ -108,6 +99,7 @@
 	sentAt, fleetSize, planner := m.clock.Elapsed(), len(m.view.Load().Members), m.tracker.planner
 	request := m.host.DescribeSelf()
 	request.AttributesVersion, request.HasAttributes, request.AllMembers = m.self.Version, true, key.allMembers
+	newestStep := newestStepOf(request.Steps)
 	m.tracker.FillRequest(request, PullTarget{Address: key.address, Linked: key.linked})
 	maxWait := m.maxWait(key, fleetSize)
 	go func() {
@@ -132,7 +124,7 @@
 			m.host.ApplyReply(reply)
 		}
 		m.mailbox.Send(pullCompleted{
-			pullKey: key, sentAt: sentAt, receivedAt: receivedAt, maxWait: maxWait,
+			pullKey: key, sentAt: sentAt, receivedAt: receivedAt, maxWait: maxWait, newestStep: newestStep,
 			reportsDemand: reportsDemand, reply: reply, err: err,
 		})
 	}()
@@ -178,7 +170,8 @@
 	inForce := m.inForce()
 	target := PullTarget{Address: result.address, Linked: result.linked, MaxWait: result.maxWait}
 	change := m.tracker.HandleResult(now, PullResult{
-		PullTarget: target, SentAt: result.sentAt, ReceivedAt: result.receivedAt, Reply: result.reply, Err: result.err,
+		PullTarget: target, SentAt: result.sentAt, ReceivedAt: result.receivedAt, NewestStep: result.newestStep,
+		Reply: result.reply, Err: result.err,
 	}, inForce)
 	if change == nil {
 		return
--- a/process/cluster/membership/source.go
+++ b/process/cluster/membership/source.go
@@ -19,6 +19,8 @@
 	servesControl bool
 	// knownAttributesVersion is the version of this daemon's own attributes that it knows.
 	knownAttributesVersion uint64
+	// acknowledgedStep is this daemon's newest rollout step that the peer is known to have; nil is none.
+	acknowledgedStep *peerapi.RolloutStep
 	// failedAt is when the last pull failed; zero if it was answered.
 	failedAt clock.Mark
 	// freshness is that of its last reply. It is unknown also of builds that do not report confirmations.
--- a/process/cluster/membership/tracker.go
+++ b/process/cluster/membership/tracker.go
@@ -44,6 +44,8 @@
 type PullResult struct {
 	PullTarget
 	SentAt, ReceivedAt clock.Mark
+	// NewestStep is this daemon's newest rollout step that the peer has with this pull; nil is none.
+	NewestStep *peerapi.RolloutStep
 	// Reply is nil if Err is not.
 	Reply *peerapi.PullReply
 	Err   error
@@ -108,7 +110,8 @@
 	cursor, sendAttributes := t.memberList.PullCursor(target.Address)
 	request.MembersIncarnation, request.MembersSeen, request.HasAttributes = cursor.Incarnation, cursor.Seen, sendAttributes
 	if !sendAttributes {
-		request.Zone, request.Roles, request.Steps = "", nil, nil
+		request.Zone, request.Roles = "", nil
+		request.Steps = stepsAfter(request.Steps, t.memberList.AcknowledgedStep(target.Address))
 	}
 }
 
@@ -179,6 +182,7 @@
 		t.memberList.MergeAll(now, updates)
 	case result.Linked:
 		t.memberList.SetKnownAttributes(result.Address, reply.KnownAttributesVersion)
+		t.memberList.AcknowledgeStep(result.Address, result.NewestStep)
 		// It vouches for its time of arrival, unless it was buffered for longer than the wait explains.
 		vouchedUntil := min(result.ReceivedAt, result.SentAt+clock.Mark(result.MaxWait+replySlack))
 		next := Cursor{Incarnation: reply.MembersIncarnation, Seen: reply.MembersSeen}
