daemon, cresspond: operators learn within a second that a daemon is cut off, and traces keep to what was acknowledged

Cause: an operator's call at a member without a majority was tried for 8 s. A trace read the leader's view, which was published with the next tick and not with the report that completed a change, so that it could deny what had just been acknowledged. The view is published before an acknowledgement leaves, and a trace waits up to 0.5 s for daemons that a new leader has not heard of. Answers read from the group bear X-Read-From; the tool prints it, a status page says how old its own view is, and the tool asks all daemons in rounds for 8 s while none knows the outcome, with a second to connect to each.

--- a/cmd/cresspond/client.go
+++ b/cmd/cresspond/client.go
@@ -6,9 +6,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/cresspond/cresspond/process/rollout"
 	"github.com/cresspond/cresspond/wire/operatorapi"
@@ -19,6 +21,8 @@
 	daemons []string
 	client  *http.Client
 	asJSON  bool
+	// patience is for how long all daemons are asked again and again while none knows the outcome; zero is once.
+	patience time.Duration
 	// notEverywhere says that the answer was no acknowledgement.
 	notEverywhere bool
 	// seen, where set, is shown the head of an answer.
@@ -29,17 +33,42 @@
 // anything again by itself, and follows no redirect, which would turn one call into another.
 func newClient() *http.Client {
 	return &http.Client{
-		Timeout:       askLimit,
-		Transport:     &http.Transport{Proxy: http.ProxyFromEnvironment, DisableKeepAlives: true, DisableCompression: true},
+		Timeout: askLimit,
+		Transport: &http.Transport{
+			Proxy: http.ProxyFromEnvironment, DisableKeepAlives: true, DisableCompression: true,
+			DialContext: (&net.Dialer{Timeout: dialLimit}).DialContext,
+		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
 var errNoLength = errors.New("it does not say where it ends")
 
-// ask goes from daemon to daemon until one gives an outcome; all acts may be asked again.
+// unknownOutcome is the answer of a daemon that can't tell what became of a call: it is cut off, or the control group has
+// no leader. The same call may be made again, since all are known by their ids and bases.
+type unknownOutcome struct{ reason error }
+
+func (e unknownOutcome) Error() string { return e.reason.Error() }
+
+// ask makes a call until a daemon gives an outcome, or until none has for as long as patience lasts: while a leader is
+// elected, each of them answers within a second that it can't tell.
 func (t *tool) ask(method, path string, body []byte) ([]byte, error) {
+	until := time.Now().Add(t.patience)
+	for {
+		data, err := t.askEach(method, path, body)
+		var unknown unknownOutcome
+		if !errors.As(err, &unknown) || time.Now().After(until) {
+			return data, err
+		}
+		time.Sleep(roundPause)
+	}
+}
+
+// askEach goes from daemon to daemon until one gives an outcome. It fails with unknownOutcome where one of them answered
+// that it can't tell, and none gave an outcome.
+func (t *tool) askEach(method, path string, body []byte) ([]byte, error) {
 	last := fmt.Errorf("no daemon was named")
+	var unknown error
 	for _, daemon := range t.daemons {
 		request, err := http.NewRequest(method, "http://"+daemon+path, bytes.NewReader(body))
 		if err != nil {
@@ -73,6 +102,10 @@
 		if response.StatusCode != http.StatusServiceUnavailable {
 			return nil, last
 		}
+		unknown = unknownOutcome{last}
+	}
+	if unknown != nil {
+		return nil, unknown
 	}
 	return nil, last
 }
@@ -107,10 +140,16 @@
 }
 
 func (t *tool) page(path string, show func([]byte) error) error {
+	var leader string
+	t.seen = func(header http.Header) { leader = header.Get(operatorapi.HeaderReadFrom) }
 	data, err := t.ask(http.MethodGet, path, nil)
 	if err != nil {
 		return err
 	}
+	if leader != "" {
+		// Beside the page, which may be read by a program.
+		fmt.Fprintf(os.Stderr, "as the leader of the control group at %s knows it, confirmed by a majority when it was asked\n", leader)
+	}
 	if t.asJSON {
 		return showIndented(data)
 	}
--- a/cmd/cresspond/main.go
+++ b/cmd/cresspond/main.go
@@ -22,8 +22,15 @@
 	exitNotEverywhere = 3
 )
 
-// askLimit bounds one request to a daemon.
-const askLimit = 12 * time.Second
+const (
+	// askLimit bounds one request to a daemon, and dialLimit the time until it is connected.
+	askLimit  = 12 * time.Second
+	dialLimit = time.Second
+	// askPatience is for how long the daemons are asked in rounds while none of them knows the outcome; roundPause is
+	// between two rounds.
+	askPatience = 8 * time.Second
+	roundPause  = 200 * time.Millisecond
+)
 
 func main() {
 	commands := newCommandLine()
@@ -92,7 +99,7 @@
 
 // tool makes the client from the flags.
 func (c *commandLine) tool() *tool {
-	t := &tool{asJSON: *c.asJSON, client: newClient()}
+	t := &tool{asJSON: *c.asJSON, client: newClient(), patience: askPatience}
 	for _, daemon := range *c.daemons {
 		t.daemons = append(t.daemons, strings.FieldsFunc(daemon, func(r rune) bool { return r == ',' || r == ' ' || r == '\n' })...)
 	}
--- a/cmd/cresspond/main_test.go
+++ b/cmd/cresspond/main_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // daemonEnd answers each request with a text and closes, or resets where there is none; it counts what arrives.
@@ -69,3 +71,26 @@
 		t.Errorf("%v, %d elsewhere", err, followed.Load())
 	}
 }
+
+// While no daemon knows the outcome all are asked in rounds, and the first that does is believed. Daemons that can't be
+// reached at all are not asked again.
+func TestDaemonsAreAskedInRoundsUntilOneKnowsTheOutcome(t *testing.T) {
+	var arrivals atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if arrivals.Add(1) < 3 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ok")
+	}))
+	defer server.Close()
+	gone, unanswered := daemonEnd(t, "")
+	asked := &tool{daemons: []string{gone, server.Listener.Addr().String()}, client: newClient(), patience: time.Minute}
+	if data, err := asked.ask(http.MethodPost, "/v1/x", nil); err != nil || string(data) != "ok" || arrivals.Load() != 3 || unanswered.Load() != 3 {
+		t.Errorf("%q %v after %d and %d calls", data, err, arrivals.Load(), unanswered.Load())
+	}
+	alone := &tool{daemons: []string{gone}, client: newClient(), patience: time.Minute}
+	if _, err := alone.ask(http.MethodPost, "/v1/x", nil); err == nil || unanswered.Load() != 4 {
+		t.Errorf("%v after %d calls", err, unanswered.Load())
+	}
+}
--- a/cmd/cresspond/show.go
+++ b/cmd/cresspond/show.go
@@ -70,7 +70,7 @@
 	if !status.Ready {
 		ready = "not ready: " + status.NotReady
 	}
-	fmt.Printf("%s in zone %s serves %s, %s\nspec epoch %d, closure epoch %d, group %s, leader at %s\n", status.NodeID, status.Zone, strings.Join(status.Serve, ", "), ready,
+	fmt.Printf("%s in zone %s serves %s, %s\n%s\nspec epoch %d, closure epoch %d, group %s, leader at %s\n", status.NodeID, status.Zone, strings.Join(status.Serve, ", "), ready, ageOf(status),
 		status.ConfigurationVersion, status.ClosureVersion, status.Group, status.Leader)
 	if status.WorkerID != nil {
 		fmt.Printf("worker id %d\n", *status.WorkerID)
@@ -92,6 +92,14 @@
 	}
 }
 
+// ageOf says whose knowledge a status page is, and how old.
+func ageOf(status operatorapi.Status) string {
+	if status.ConfirmedMsAgo == nil {
+		return "this is its own view, which no majority of the control group has confirmed yet"
+	}
+	return fmt.Sprintf("this is its own view, confirmed by a majority of the control group %d ms ago", *status.ConfirmedMsAgo)
+}
+
 func showEngines(data []byte) error {
 	var list operatorapi.Engines
 	if err := json.Unmarshal(data, &list); err != nil {
--- a/connection/adminapi/fuzz_test.go
+++ b/connection/adminapi/fuzz_test.go
@@ -25,9 +25,9 @@
 	return registry.Response{Outcome: registry.Acknowledged}
 }
 
-func (n *noting) Command(_ context.Context, command statemachine.Command) (rollout.Response, bool) {
+func (n *noting) Command(_ context.Context, command statemachine.Command) (rollout.Response, error) {
 	n.commands = append(n.commands, command)
-	return rollout.Response{Result: statemachine.Result{Outcome: statemachine.Done}}, true
+	return rollout.Response{Result: statemachine.Result{Outcome: statemachine.Done}}, nil
 }
 
 func (n *noting) Nodes(context.Context, ident.EngineID) (operatorapi.Nodes, bool) {
--- a/connection/adminapi/nodes.go
+++ b/connection/adminapi/nodes.go
@@ -105,10 +105,10 @@
 func (d *Server) endProtection(ctx *fasthttp.RequestCtx, action operatorapi.NodeAction, base ident.Version) (ident.Version, bool) {
 	bounded, cancel := context.WithTimeout(context.Background(), commandTimeout)
 	defer cancel()
-	got, known := d.daemon.Command(bounded, statemachine.Command{Op: statemachine.OpProtect, Engine: action.Engine, Operator: action.Operator, Base: base, HasBase: true})
+	got, err := d.daemon.Command(bounded, statemachine.Command{Op: statemachine.OpProtect, Engine: action.Engine, Operator: action.Operator, Base: base, HasBase: true})
 	switch {
-	case !known:
-		fail(ctx, fasthttp.StatusServiceUnavailable, operatorapi.Error{Outcome: "unknown", Reason: "the control group gave no answer in time; ask again"})
+	case err != nil:
+		fail(ctx, fasthttp.StatusServiceUnavailable, operatorapi.Error{Outcome: "unknown", Reason: err.Error() + "; ask again, here or elsewhere"})
 		return 0, false
 	case got.Outcome == statemachine.Done && got.Closures != nil:
 		return got.Closures.Version, true
--- a/connection/adminapi/nodes_test.go
+++ b/connection/adminapi/nodes_test.go
@@ -27,9 +27,9 @@
 	return p.page, !p.unreachable
 }
 
-func (p *planning) Command(_ context.Context, command statemachine.Command) (rollout.Response, bool) {
+func (p *planning) Command(_ context.Context, command statemachine.Command) (rollout.Response, error) {
 	p.commands = append(p.commands, command)
-	return rollout.Response{Result: statemachine.Result{Outcome: statemachine.Done}, Acknowledged: true}, true
+	return rollout.Response{Result: statemachine.Result{Outcome: statemachine.Done}, Acknowledged: true}, nil
 }
 
 func post(p *planning, body string) (int, operatorapi.Error) {
--- a/connection/adminapi/operators.go
+++ b/connection/adminapi/operators.go
@@ -22,8 +22,9 @@
 
 // Daemon is what the server needs of its daemon.
 type Daemon interface {
-	Command(ctx context.Context, command statemachine.Command) (rollout.Response, bool)
-	Query(ctx context.Context, what, key string) ([]byte, bool)
+	// Command and Query fail with an error that says why the outcome is unknown.
+	Command(ctx context.Context, command statemachine.Command) (rollout.Response, error)
+	Query(ctx context.Context, what, key string) (operatorapi.Reading, error)
 	Ready() (bool, string)
 	Status() operatorapi.Status
 	Counters() string
@@ -143,10 +144,10 @@
 func (d *Server) command(ctx *fasthttp.RequestCtx, command statemachine.Command) {
 	bounded, cancel := context.WithTimeout(context.Background(), commandTimeout)
 	defer cancel()
-	got, known := d.daemon.Command(bounded, command)
-	if !known {
+	got, err := d.daemon.Command(bounded, command)
+	if err != nil {
 		// The command may still be applied: whoever asks again with the same ids finds out.
-		fail(ctx, fasthttp.StatusServiceUnavailable, operatorapi.Error{Outcome: "unknown", Reason: "the control group gave no answer in time; ask again with the same ids"})
+		fail(ctx, fasthttp.StatusServiceUnavailable, operatorapi.Error{Outcome: "unknown", Reason: err.Error() + "; ask again, here or elsewhere, with the same ids"})
 		return
 	}
 	status := map[statemachine.Outcome]int{
@@ -234,16 +235,17 @@
 func (d *Server) find(ctx *fasthttp.RequestCtx, what, key string) ([]byte, bool) {
 	bounded, cancel := context.WithTimeout(context.Background(), commandTimeout)
 	defer cancel()
-	result, known := d.daemon.Query(bounded, what, key)
-	if !known {
-		fail(ctx, fasthttp.StatusServiceUnavailable, operatorapi.Error{Outcome: "unknown", Reason: "the control group gave no answer in time"})
+	reading, err := d.daemon.Query(bounded, what, key)
+	if err != nil {
+		fail(ctx, fasthttp.StatusServiceUnavailable, operatorapi.Error{Outcome: "unknown", Reason: err.Error()})
 		return nil, false
 	}
-	if len(result) == 0 {
+	if len(reading.Data) == 0 {
 		fail(ctx, fasthttp.StatusNotFound, operatorapi.Error{Outcome: "missing", Reason: "there is no such " + what})
 		return nil, false
 	}
-	return result, true
+	ctx.Response.Header.Set(operatorapi.HeaderReadFrom, reading.Leader)
+	return reading.Data, true
 }
 
 func (d *Server) query(ctx *fasthttp.RequestCtx, what, key string) {
--- a/daemon/applybundle.go
+++ b/daemon/applybundle.go
@@ -219,8 +219,8 @@
 	bounded, cancel := context.WithTimeout(ctx, d.applyLimit-applyMargin)
 	defer cancel()
 	var newest directapply.Latest
-	data, known := d.Query(bounded, "bundle", "")
-	if !known || json.Unmarshal(data, &newest) != nil {
+	reading, err := d.Query(bounded, "bundle", "")
+	if err != nil || json.Unmarshal(reading.Data, &newest) != nil {
 		return operatorapi.Bundle{}, false
 	}
 	bundle, err := newest.Bundle()
--- a/daemon/calllimits_test.go
+++ b/daemon/calllimits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync/atomic"
@@ -23,6 +24,7 @@
 	"github.com/cresspond/cresspond/process/consensus/statemachine"
 	"github.com/cresspond/cresspond/process/daemonconfig"
 	"github.com/cresspond/cresspond/process/engines/registry"
+	"github.com/cresspond/cresspond/process/rollout"
 	"github.com/cresspond/cresspond/wire/operatorapi"
 )
 
@@ -125,6 +127,7 @@
 		d.members = membership.New(now, d, d.seeds, settings.PeerAddress, d.pace())
 		d.registry = registry.New(now, string(d.nodeID), true, d.heartbeatPeriod, d.controlContact)
 		go d.registry.Run(ctx)
+		d.rollout = rollout.New(now.Wall, func() {})
 		d.replica.Store(all[self])
 		if got := d.leaderAddress(); got != fmt.Sprint("core-", leader) {
 			t.Fatalf("%s takes %s for the leader, not core-%d", settings.Name, got, leader)
@@ -170,6 +173,14 @@
 					if took := measure(func() { _, known = d.NewestBundle(t.Context()) }); took > applyLimit-applyMargin || known {
 						t.Errorf("reading back: %t after %v", known, took)
 					}
+					closing := statemachine.Command{Op: statemachine.OpClosure, Zone: "a", Operator: "ana", HasBase: true}
+					var err error
+					if took := measure(func() { _, err = d.Command(t.Context(), closing) }); took > time.Second || !errors.Is(err, ErrNoContact) {
+						t.Errorf("an operator's command: %v after %v", err, took)
+					}
+					if took := measure(func() { _, err = d.Query(t.Context(), "closures", "") }); took > time.Second || !errors.Is(err, ErrNoContact) {
+						t.Errorf("an operator's query: %v after %v", err, took)
+					}
 					var outcome registry.Response
 					if took := measure(func() { outcome = d.Register(t.Context(), registration) }); took > departureLimit || outcome.Outcome != registry.Unknown {
 						t.Errorf("a departure: %s after %v", outcome.Outcome, took)
--- a/daemon/changetrace.go
+++ b/daemon/changetrace.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -14,9 +15,13 @@
 	"github.com/cresspond/cresspond/wire/operatorapi"
 )
 
+// traceReachLimit is how long a trace waits for the daemons that lack the change: a leader that was elected after the
+// change was acknowledged may not have heard of all of them yet.
+const traceReachLimit = 500 * time.Millisecond
+
 // changeTrace gathers the steps of each daemon for one change, named "spec:N" or "closure:N"; state is an encoded
 // traceState.
-func (d *Daemon) changeTrace(change string, state []byte) []byte {
+func (d *Daemon) changeTrace(ctx context.Context, change string, state []byte) []byte {
 	var newest traceState
 	_ = json.Unmarshal(state, &newest)
 	kind, number := "", uint64(0)
@@ -24,9 +29,12 @@
 		kind = before
 		_, _ = fmt.Sscanf(after, "%d", &number)
 	}
-	version := newest.Configuration
+	version, configuration, closure := newest.Configuration, ident.Version(number), ident.Version(0)
 	if kind == "closure" {
-		version = newest.Closure
+		version, configuration, closure = newest.Closure, 0, ident.Version(number)
+	}
+	if number <= version {
+		d.members.AwaitRollout(ctx, configuration, closure, traceReachLimit, func() []ident.NodeID { return newest.Serving })
 	}
 	out := operatorapi.Trace{
 		Change:  change,
--- a/daemon/commands.go
+++ b/daemon/commands.go
@@ -44,9 +44,16 @@
 	statemachine.OpEngineDeparted: true,
 }
 
-// Command submits an operator's command to the leader, and gives up when ctx ends.
-func (d *Daemon) Command(ctx context.Context, command statemachine.Command) (rollout.Response, bool) {
-	return d.submit(ctx, command)
+// Command submits an operator's command to the leader. It fails with ErrNoAnswer when ctx ends, and with ErrNoContact
+// once this daemon turns out to be cut off from a majority of the control group.
+func (d *Daemon) Command(ctx context.Context, command statemachine.Command) (rollout.Response, error) {
+	bounded, cancel := d.whileInContact(ctx)
+	defer cancel()
+	answer, ok := d.submit(bounded, command)
+	if !ok {
+		return rollout.Response{}, outcomeUnknown(bounded)
+	}
+	return answer, nil
 }
 
 // submit submits a command to the leader over and over until it is answered or ctx ends. All commands are idempotent:
--- a/daemon/configurationhistory.go
+++ b/daemon/configurationhistory.go
@@ -60,7 +60,7 @@
 	defer cancel()
 	if d.leaderAddress() != "" {
 		var proposal statemachine.Proposal
-		if found, ok := d.Query(bounded, "spec", fmt.Sprint(version)); ok && json.Unmarshal(found, &proposal) == nil {
+		if found, err := d.Query(bounded, "spec", fmt.Sprint(version)); err == nil && json.Unmarshal(found.Data, &proposal) == nil {
 			raw, err := proposal.Decompress()
 			if err != nil {
 				return nil
--- a/daemon/reads.go
+++ b/daemon/reads.go
@@ -10,41 +10,55 @@
 	"github.com/cresspond/cresspond/process/consensus/replica"
 	"github.com/cresspond/cresspond/process/consensus/statemachine"
 	"github.com/cresspond/cresspond/process/rollout/directapply"
+	"github.com/cresspond/cresspond/wire/operatorapi"
 	"github.com/cresspond/cresspond/wire/peerapi"
 )
 
 // readLimit is how long a leader's answer to a read is waited for.
 const readLimit = 700 * time.Millisecond
 
-// Query reads part of the replicated state from the leader, over and over until it is answered or ctx ends.
-func (d *Daemon) Query(ctx context.Context, what, key string) ([]byte, bool) {
+// Query reads part of the replicated state from the leader, over and over until it is answered. It fails with ErrNoAnswer
+// when ctx ends, and with ErrNoContact once this daemon turns out to be cut off from a majority of the control group.
+func (d *Daemon) Query(ctx context.Context, what, key string) (operatorapi.Reading, error) {
+	bounded, cancel := d.whileInContact(ctx)
+	defer cancel()
 	ticker := time.NewTicker(100 * time.Millisecond)
 	defer ticker.Stop()
 	for {
-		result, outcome := d.readAsLeader(ctx, what, key)
-		if outcome == replica.Applied {
-			return result, true
-		}
-		if address := d.leaderAddress(); address != "" && address != d.config.AdvertisedPeerAddress() {
-			bounded, cancel := d.whileLeader(ctx, address, readLimit)
-			reply, err := d.links.Client(address).Read(bounded, &peerapi.ReadRequest{
-				Group: string(d.Group()),
-				What:  what,
-				Key:   key,
-			})
-			cancel()
-			if err == nil && reply.Outcome == string(replica.Applied) {
-				return reply.Result, true
-			}
+		if reading, ok := d.queryOnce(bounded, what, key); ok {
+			return reading, nil
 		}
 		select {
-		case <-ctx.Done():
-			return nil, false
+		case <-bounded.Done():
+			return operatorapi.Reading{}, outcomeUnknown(bounded)
 		case <-ticker.C:
 		}
 	}
 }
 
+// queryOnce reads from the leader that is known now.
+func (d *Daemon) queryOnce(ctx context.Context, what, key string) (operatorapi.Reading, bool) {
+	self := d.config.AdvertisedPeerAddress()
+	if result, outcome := d.readAsLeader(ctx, what, key); outcome == replica.Applied {
+		return operatorapi.Reading{Data: result, Leader: self}, true
+	}
+	address := d.leaderAddress()
+	if address == "" || address == self {
+		return operatorapi.Reading{}, false
+	}
+	bounded, cancel := d.whileLeader(ctx, address, readLimit)
+	defer cancel()
+	reply, err := d.links.Client(address).Read(bounded, &peerapi.ReadRequest{
+		Group: string(d.Group()),
+		What:  what,
+		Key:   key,
+	})
+	if err != nil || reply.Outcome != string(replica.Applied) {
+		return operatorapi.Reading{}, false
+	}
+	return operatorapi.Reading{Data: reply.Result, Leader: address}, true
+}
+
 // Read serves a linearizable read, if this daemon leads. It is part of the peer protocol.
 func (d *Daemon) Read(ctx context.Context, in *peerapi.ReadRequest) (*peerapi.ReadReply, error) {
 	if err := d.checkGroup(in.Group); err != nil {
@@ -66,7 +80,7 @@
 	var result []byte
 	outcome := groupMember.Read(ctx, func(state *statemachine.State) { result = encodeRead(state, what, key) })
 	if what == "trace" && outcome == replica.Applied {
-		result = d.changeTrace(key, result)
+		result = d.changeTrace(ctx, key, result)
 	}
 	return result, outcome
 }
--- a/process/cluster/membership/rollout.go
+++ b/process/cluster/membership/rollout.go
@@ -34,35 +34,57 @@
 	return RolloutReach{}
 }
 
-// notifyWaiters replies to the waiters whose rollout is complete or whose deadline has passed, and keeps the others.
+// notifyWaiters replies to the waiters whose rollout is complete or whose deadline has passed, and keeps the others. The
+// view is published before the replies: whoever looks at it after an acknowledgement must find what that rests on.
 func (m *Membership) notifyWaiters() {
 	if len(m.waiters) == 0 {
 		return
 	}
-	now := m.clock.Elapsed()
-	members := m.tracker.memberList.Members()
-	m.waiters = slices.DeleteFunc(m.waiters, func(waiting *rolloutWaiter) bool {
-		required := waiting.serving()
-		for id, member := range members {
-			if now.Since(member.LastContact) <= ContactWindow && !slices.Contains(required, id) {
-				required = append(slices.Clip(required), id)
-			}
+	now, members := m.clock.Elapsed(), m.tracker.memberList.Members()
+	pending := m.waiters[:0]
+	var finished []finishedWaiter
+	for _, waiting := range m.waiters {
+		reach := reachOf(now, members, waiting)
+		if !reach.Complete && now < waiting.deadline {
+			pending = append(pending, waiting)
+			continue
 		}
-		slices.Sort(required)
-		var reach RolloutReach
-		for _, node := range required {
-			// Versions never decrease, so an old report that it has them still holds.
-			if member, known := members[node]; known && member.ConfigurationVersion >= waiting.configuration && member.ClosureVersion >= waiting.closure {
-				reach.Applied = append(reach.Applied, node)
-			} else {
-				reach.Missing = append(reach.Missing, node)
-			}
+		finished = append(finished, finishedWaiter{waiting, reach})
+	}
+	clear(m.waiters[len(pending):])
+	m.waiters = pending
+	if len(finished) == 0 {
+		return
+	}
+	m.publish()
+	for _, each := range finished {
+		each.waiter.done <- each.reach
+	}
+}
+
+// finishedWaiter is a waiter with its reply.
+type finishedWaiter struct {
+	waiter *rolloutWaiter
+	reach  RolloutReach
+}
+
+// reachOf tells how far the rollout that is waited for has come.
+func reachOf(now clock.Mark, members map[ident.NodeID]Member, waiting *rolloutWaiter) (reach RolloutReach) {
+	required := slices.Clone(waiting.serving())
+	for id, member := range members {
+		if now.Since(member.LastContact) <= ContactWindow && !slices.Contains(required, id) {
+			required = append(required, id)
 		}
-		reach.Complete = len(reach.Missing) == 0
-		if !reach.Complete && now < waiting.deadline {
-			return false
+	}
+	slices.Sort(required)
+	for _, node := range required {
+		// Versions never decrease, so an old report that it has them still holds.
+		if member, known := members[node]; known && member.ConfigurationVersion >= waiting.configuration && member.ClosureVersion >= waiting.closure {
+			reach.Applied = append(reach.Applied, node)
+		} else {
+			reach.Missing = append(reach.Missing, node)
 		}
-		waiting.done <- reach
-		return true
-	})
+	}
+	reach.Complete = len(reach.Missing) == 0
+	return reach
 }
--- a/testbed/endtoend/cutoff_test.go
+++ b/testbed/endtoend/cutoff_test.go
@@ -49,8 +49,17 @@
 		{"a closure of a zone that it does not know", operatorapi.PathZone, operatorapi.ZoneClosure{Zone: "nowhere", Closed: &yes, Base: &base, Operator: "ana"}},
 		{"a closure of one that it knows", operatorapi.PathZone, operatorapi.ZoneClosure{Zone: "there", Closed: &yes, Base: &base, Operator: "ana"}},
 	} {
-		if status, reply, _ := leader.post(call.path, encode(t, call.body)); status != 503 {
-			t.Errorf("%s: %d %+v", call.name, status, reply)
+		asked := begin()
+		status, reply, _ := leader.post(call.path, encode(t, call.body))
+		if took, _ := asked.took(); status != 503 || took > answeredWithin {
+			t.Errorf("%s: %d %+v after %v", call.name, status, reply, took)
+		}
+	}
+	for _, path := range []string{operatorapi.PathClosures, operatorapi.PathTrace + "?change=spec:1", operatorapi.PathHistory} {
+		asked := begin()
+		status, reply := leader.get(path, nil)
+		if took, _ := asked.took(); status != 503 || took > answeredWithin {
+			t.Errorf("%s: %d %s after %v", path, status, reply, took)
 		}
 	}
 	first := encode(t, forwarding(3, 2))
--- a/wire/operatorapi/operatorapi.go
+++ b/wire/operatorapi/operatorapi.go
@@ -46,6 +46,9 @@
 	PathCounters = "/counters"
 	// HeaderVersion carries the version of a configuration that is read back.
 	HeaderVersion = "X-Spec-Epoch"
+	// HeaderReadFrom carries the peer address of the leader that an answer was read from: a majority confirmed it while
+	// it was asked. Answers without it are the answering daemon's own view.
+	HeaderReadFrom = "X-Read-From"
 )
 
 // Propose submits a configuration, which is retained byte for byte.
@@ -115,6 +118,14 @@
 	Closures *closure.Set `json:"closures,omitempty"`
 }
 
+// Reading is part of the replicated state, as a leader read it that a majority confirmed after the call came.
+type Reading struct {
+	// Data is the encoded part; empty where it does not exist.
+	Data []byte
+	// Leader is the peer address of the leader.
+	Leader string
+}
+
 // Status is what one daemon reports about itself.
 type Status struct {
 	NodeID               ident.NodeID  `json:"nodeId"`
