daemon: heartbeats are not acknowledged without contact to a majority for two seconds

Cause: a control daemon that was cut off acknowledged heartbeats, so engines went on sending them there, and the side that judges silence took them for gone. Change: such a daemon takes the heartbeat, tells others of it once there is contact, and answers 503 after 2 s without a majority's confirmation (counted from its start where there was none), so that the engine calls another daemon before 3.5 periods are over. An election is shorter than that. Counter engine_beats_unacknowledged. In fake time: acknowledged up to 1.9 s after the loss, 503 from 2.1 s on, and counted all along.

--- a/daemon/calllimits_test.go
+++ b/daemon/calllimits_test.go
@@ -193,3 +193,28 @@
 		}
 	}
 }
+
+// An engine that reports only to a daemon that is cut off is silent for all others, so it is sent on before they judge
+// its silence; a short loss of contact, as in an election, sends nobody away.
+func TestHeartbeatsAreAcknowledgedOnlyWithRecentContact(t *testing.T) {
+	for _, leads := range []bool{true, false} {
+		t.Run(fmt.Sprintf("leads %t", leads), func(t *testing.T) {
+			inGroup(t, leads, func(t *testing.T, d *Daemon, _ func(func()) time.Duration) {
+				heartbeat := registry.Registration{ID: "e", Pool: "p", Address: "a:1", Slots: 1}
+				for _, c := range []struct {
+					wait time.Duration
+					want registry.Outcome
+				}{{0, registry.Acknowledged}, {membership.UnconfirmedAfter - 100*time.Millisecond, registry.Acknowledged}, {200 * time.Millisecond, registry.Unknown}, {20 * time.Second, registry.Unknown}} {
+					<-time.After(c.wait)
+					heartbeat.CallSeq++
+					if got := d.Register(t.Context(), heartbeat); got.Outcome != c.want {
+						t.Errorf("heartbeat %d: %s, not %s", heartbeat.CallSeq, got.Outcome, c.want)
+					}
+				}
+				if last := d.registry.LastHeartbeats()["e"].CallSeq; last != heartbeat.CallSeq {
+					t.Errorf("heartbeat %d counts, not %d", last, heartbeat.CallSeq)
+				}
+			})
+		})
+	}
+}
--- a/daemon/counters.go
+++ b/daemon/counters.go
@@ -18,11 +18,12 @@
 
 // counters are what this daemon itself counts; its actors count the rest.
 type counters struct {
-	foreignGroup, malformedMessages, leasesAcquired, leasesRenewed, leasesLost        atomic.Uint64
-	bytesOwnZone, bytesOtherZone, malformedStreams, finalCheckStops                   atomic.Uint64
-	slotRequestsFailed, attemptQueries, attemptsUncertain, attemptsTransferred        atomic.Uint64
-	engineHeartbeats, engineHeartbeatsLate, departuresAcknowledged, departuresUnknown atomic.Uint64
-	memberFaults, listenerFaults, notHandedOver, turnedStale                          atomic.Uint64
+	foreignGroup, malformedMessages, leasesAcquired, leasesRenewed, leasesLost atomic.Uint64
+	bytesOwnZone, bytesOtherZone, malformedStreams, finalCheckStops            atomic.Uint64
+	slotRequestsFailed, attemptQueries, attemptsUncertain, attemptsTransferred atomic.Uint64
+	engineHeartbeats, engineHeartbeatsLate, engineHeartbeatsUnacknowledged     atomic.Uint64
+	departuresAcknowledged, departuresUnknown                                  atomic.Uint64
+	memberFaults, listenerFaults, notHandedOver, turnedStale                   atomic.Uint64
 	// appliesUnproven counts operators' calls whose outcome the replicated state could not prove any more.
 	appliesUnproven atomic.Uint64
 	// group counts what this daemon's members of the control group noticed, over all their incarnations.
@@ -112,6 +113,7 @@
 	if d.config.Serves(daemonconfig.Control) {
 		report("engine_beats", counts.engineHeartbeats.Load())
 		report("engine_beats_late", counts.engineHeartbeatsLate.Load())
+		report("engine_beats_unacknowledged", counts.engineHeartbeatsUnacknowledged.Load())
 		report("leaves_acknowledged", counts.departuresAcknowledged.Load())
 		report("leaves_unknown", counts.departuresUnknown.Load())
 	}
--- a/daemon/engineregistration.go
+++ b/daemon/engineregistration.go
@@ -37,10 +37,24 @@
 	if hearing.Stale {
 		d.counters.engineHeartbeatsLate.Add(1)
 	}
-	if !registration.Draining {
-		return registry.Response{Outcome: registry.Acknowledged}
+	if registration.Draining {
+		return d.commitDeparture(ctx, registration.ID, hearing)
+	}
+	if d.lostGroupContact() {
+		// It counts here, and others learn of it once there is contact. The engine calls another daemon meanwhile, which
+		// may be on the side that judges its silence.
+		d.counters.engineHeartbeatsUnacknowledged.Add(1)
+		return registry.Response{Outcome: registry.Unknown}
 	}
-	return d.commitDeparture(ctx, registration.ID, hearing)
+	return registry.Response{Outcome: registry.Acknowledged}
+}
+
+// lostGroupContact reports whether a majority of the control group has confirmed nothing here for
+// membership.UnconfirmedAfter. A daemon that never was in contact counts from its start, so that the engines of a fleet
+// that starts are not sent away before there is a leader.
+func (d *Daemon) lostGroupContact() bool {
+	now := d.clock.Elapsed()
+	return now.Since(max(d.lastGroupContact(now), d.members.View().Started)) > membership.UnconfirmedAfter
 }
 
 // Deregister takes an engine's notice that it is gone.
