operators: what became of a call is asked before what can't be read in it is refused

Cause: a body that could not be parsed was refused where it arrived, before its digest was looked for, so a build that reads more strictly would refuse a call that an earlier one took and the operator sends again. Change: such a call goes to the leader with its digest alone. What is committed is acknowledged, what lost is refused as lost; only then are the faults named, which write nothing.

--- a/connection/adminapi/bundle.go
+++ b/connection/adminapi/bundle.go
@@ -55,15 +55,13 @@
 	call := operatorapi.ApplyRequest{Base: ident.Revision(base), Operator: operator, Digest: operatorapi.RequestDigest(string(ctx.Method()), ident.Revision(base), ctx.PostBody())}
 	if ctx.IsPut() {
 		// What an operator wrote is parsed strictly here; the leader gets what is valid in itself.
-		if _, faults := document.Parse(ctx.PostBody()); len(faults) > 0 {
-			fail(ctx, fasthttp.StatusBadRequest, operatorapi.Error{Outcome: string(operatorapi.Invalid), Reason: "the bundle has faults", Faults: faults})
-			return
+		if _, call.Faults = document.Parse(ctx.PostBody()); len(call.Faults) == 0 {
+			call.Configuration = ctx.PostBody()
 		}
-		call.Configuration = ctx.PostBody()
 	} else {
 		call.Patch = &upstream.Patch{}
-		if !decodeBody(ctx, call.Patch) {
-			return
+		if fault := decodeStrictly(ctx.PostBody(), call.Patch); fault != nil {
+			call.Patch, call.Faults = nil, []document.Fault{*fault}
 		}
 	}
 	respondApply(ctx, d.daemon.ApplyBundle(context.Background(), call))
--- a/connection/adminapi/operators.go
+++ b/connection/adminapi/operators.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"strconv"
@@ -14,6 +15,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/cresspond/cresspond/configuration/document"
 	"github.com/cresspond/cresspond/ident"
 	"github.com/cresspond/cresspond/process/consensus/statemachine"
 	"github.com/cresspond/cresspond/process/rollout"
@@ -110,24 +112,32 @@
 
 func fail(ctx *fasthttp.RequestCtx, status int, body operatorapi.Error) { respond(ctx, status, body) }
 
-// decodeBody takes a body strictly; it says false when it has answered with what is wrong.
+// decodeBody decodes a body strictly; it says false when it has answered with what is wrong.
 func decodeBody(ctx *fasthttp.RequestCtx, into any) bool {
-	decoder := json.NewDecoder(bytes.NewReader(ctx.PostBody()))
+	fault := decodeStrictly(ctx.PostBody(), into)
+	if fault == nil {
+		return true
+	}
+	fail(ctx, fasthttp.StatusBadRequest, operatorapi.Error{Outcome: "invalid", Reason: fault.Reason, Field: fault.Path})
+	return false
+}
+
+// decodeStrictly decodes one JSON value without unknown fields, or says what is wrong and in which field.
+func decodeStrictly(body []byte, into any) *document.Fault {
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(into)
 	if err == nil {
 		if _, after := decoder.Token(); after == io.EOF {
-			return true
+			return nil
 		}
-		fail(ctx, fasthttp.StatusBadRequest, operatorapi.Error{Outcome: "invalid", Reason: "something follows the JSON body"})
-		return false
+		return &document.Fault{Reason: "something follows the JSON body"}
 	}
-	field, reason := "", "the body cannot be read: "+strings.TrimPrefix(err.Error(), "json: ")
-	if typed, ok := err.(*json.UnmarshalTypeError); ok {
-		field, reason = typed.Field, "a "+typed.Value+" does not fit here"
+	var mistyped *json.UnmarshalTypeError
+	if errors.As(err, &mistyped) {
+		return &document.Fault{Path: mistyped.Field, Reason: "a " + mistyped.Value + " does not fit here"}
 	}
-	fail(ctx, fasthttp.StatusBadRequest, operatorapi.Error{Outcome: "invalid", Reason: reason, Field: field})
-	return false
+	return &document.Fault{Reason: "the body cannot be read: " + strings.TrimPrefix(err.Error(), "json: ")}
 }
 
 // checkRequired answers with the first empty field, if there is one.
--- a/daemon/applybundle.go
+++ b/daemon/applybundle.go
@@ -8,6 +8,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/cresspond/cresspond/configuration/compression"
+	"github.com/cresspond/cresspond/configuration/document"
 	"github.com/cresspond/cresspond/configuration/upstream"
 	"github.com/cresspond/cresspond/ident"
 	"github.com/cresspond/cresspond/process/consensus/replica"
@@ -58,7 +59,7 @@
 				request = d.applyRequest(call)
 			}
 			if answer, redirected, outcome = d.sendApply(bounded, address, request); outcome == replica.Applied {
-				return answer
+				return withOwnFaults(answer, call)
 			}
 		}
 		select {
@@ -72,6 +73,15 @@
 	}
 }
 
+// withOwnFaults names what this daemon found where the operator's bytes can't be read: the leader was sent nothing to read
+// but the digest.
+func withOwnFaults(answer operatorapi.ApplyResponse, call operatorapi.ApplyRequest) operatorapi.ApplyResponse {
+	if answer.Outcome == operatorapi.Invalid && len(call.Faults) > 0 {
+		answer.Faults = call.Faults
+	}
+	return answer
+}
+
 func (d *Daemon) applyRequest(call operatorapi.ApplyRequest) *peerapi.ApplyRequest {
 	request := &peerapi.ApplyRequest{
 		Group:       string(d.Group()),
@@ -143,6 +153,10 @@
 			return nil, garbage()
 		}
 	}
+	if len(call.Configuration) == 0 && call.Patch == nil {
+		// The daemon that was called could not read what the operator sent, and names the faults itself.
+		call.Faults = []document.Fault{{Reason: "there is nothing to read"}}
+	}
 	if call.Digest == "" || len(call.Digest) > maxDigestBytes || in.TimeoutMs <= 0 {
 		return nil, garbage()
 	}
--- a/process/rollout/directapply/directapply.go
+++ b/process/rollout/directapply/directapply.go
@@ -72,7 +72,8 @@
 }
 
 // Decide goes by what the state proves about the request before it looks at the configuration: a request that took effect
-// is never refused, nor is one that may have.
+// is never refused, nor is one that may have, also where this build reads configurations more strictly than the one that
+// took it.
 func (v View) Decide(request operatorapi.ApplyRequest) Decision {
 	switch v.Status {
 	case statemachine.ApplyCommitted:
@@ -84,7 +85,11 @@
 	case statemachine.ApplyConflicted:
 		// Revisions only rise and refusals are remembered, so no copy of this request can take effect any more.
 		return Decision{Response: conflict(v.Revision, v.Version)}
-	case statemachine.ApplyAhead:
+	}
+	if len(request.Faults) > 0 {
+		return Decision{Response: v.invalid(request.Faults...)}
+	}
+	if v.Status == statemachine.ApplyAhead {
 		// This base may yet come in force, and another copy of the request with it. So the request goes through the
 		// log without its configuration, and is remembered as refused.
 		return Decision{Submit: &statemachine.Command{Op: statemachine.OpApply, Operator: request.Operator, Digest: request.Digest, BaseRevision: request.Base}}
--- a/wire/operatorapi/bundle.go
+++ b/wire/operatorapi/bundle.go
@@ -17,7 +17,7 @@
 	HeaderRevision = "X-Bundle-Revision"
 )
 
-// ApplyRequest is one operator's call to put a bundle in force in one step. Either Whole or Patch is there.
+// ApplyRequest is one operator's call to put a bundle in force in one step. One of Configuration, Patch and Faults is there.
 type ApplyRequest struct {
 	// Base is the revision in force that the request builds on; 0 for the first.
 	Base ident.Revision `json:"base"`
@@ -27,6 +27,9 @@
 	// Configuration is a bundle that spec.Read can read; whether it is sound, the leader checks.
 	Configuration []byte          `json:"whole,omitempty"`
 	Patch         *upstream.Patch `json:"patch,omitempty"`
+	// Faults say why what the operator sent can't be read here. Such a request can't take effect, but an earlier copy may
+	// have, with a build that read it: it is still asked for by its digest.
+	Faults []document.Fault `json:"-"`
 }
 
 // RequestDigest makes a request's digest of all that its sender sent, byte for byte.
