consensus: a feature level in the replicated state, and operators' calls remembered by their ids from level 1 on

Cause: members of two builds could apply a command differently. And a late copy of an operator's call took effect though the call had been refused (a roll before its signature), or had changed nothing (a closure). Change: members say in their replies to heartbeats which level of commands they understand; the leader raises the group's level (LEVEL) once all voters and learners understand it, and never lowers it. Commands have a newer meaning only from then on. CalledAt, the group's time when the call came, tells them apart. A leader that raises without asking is caught.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -73,6 +73,8 @@
 	// memberRetired says that this daemon's member of the group ends before the daemon does, and no other incarnation
 	// follows.
 	memberRetired atomic.Bool
+	// joinRefused is the feature level of the group that last refused to admit this build.
+	joinRefused atomic.Uint32
 	// enlistedAt is when the group recorded this incarnation as one that may be serving; zero before.
 	enlistedAt atomic.Int64
 	fatal      chan error
--- a/daemon/joingroup.go
+++ b/daemon/joingroup.go
@@ -5,9 +5,11 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
+	"encoding/json"
 	"slices"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/twitchtv/twirp"
 
 	"github.com/cresspond/cresspond/ident"
@@ -19,8 +21,12 @@
 	"github.com/cresspond/cresspond/wire/peerapi"
 )
 
-// joinEvery is how often a member that does not vote yet asks the leader to join.
-const joinEvery = 250 * time.Millisecond
+const (
+	// joinEvery is how often a member that does not vote yet asks the leader to join.
+	joinEvery = 250 * time.Millisecond
+	// outcomeRefused answers a member that the group does not admit; the result says why.
+	outcomeRefused = "refused"
+)
 
 // NewMember returns a random identity for a new data folder.
 func NewMember() raft.MemberID {
@@ -188,15 +194,28 @@
 	bounded, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	reply, err := d.links.Client(leader).Join(bounded, &peerapi.JoinRequest{
-		Group:    string(d.Group()),
-		MemberId: uint64(self.ID),
-		Name:     self.Name,
-		Address:  self.Address,
-		Leaving:  draining,
+		Group:        string(d.Group()),
+		MemberId:     uint64(self.ID),
+		Name:         self.Name,
+		Address:      self.Address,
+		Leaving:      draining,
+		FeatureLevel: uint32(d.replicaConfig.FeatureLevel),
 	})
+	if err == nil && reply.Outcome == outcomeRefused {
+		d.logJoinRefused(reply.Result)
+	}
 	return err == nil && reply.Outcome == string(replica.Applied)
 }
 
+// logJoinRefused logs, once for each refusal, that the group does not admit this build.
+func (d *Daemon) logJoinRefused(refusal []byte) {
+	var why statemachine.FeatureLevelError
+	if json.Unmarshal(refusal, &why) != nil || d.joinRefused.Swap(uint32(why.Found)) == uint32(why.Found) {
+		return
+	}
+	d.log.WithError(why).WithFields(log.Fields{"level": why.Found, "supported": why.Supported}).Error("this build is too old for the control group: it is not admitted")
+}
+
 // Join adds a member to the group or lets one leave, if this daemon leads. It is part of the peer protocol.
 func (d *Daemon) Join(ctx context.Context, in *peerapi.JoinRequest) (*peerapi.SubmitReply, error) {
 	if err := d.checkGroup(in.Group); err != nil {
@@ -216,6 +235,14 @@
 		// The member must not end yet.
 		return &peerapi.SubmitReply{Outcome: string(replica.Unknown)}, nil
 	}
-	groupMember.Join(raft.Member{ID: raft.MemberID(in.MemberId), Name: in.Name, Address: in.Address})
+	level := statemachine.FeatureLevel(in.FeatureLevel)
+	if required := groupMember.Status().FeatureLevel; level < required {
+		refusal, err := json.Marshal(statemachine.FeatureLevelError{Found: required, Supported: level})
+		if err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+		return &peerapi.SubmitReply{Outcome: outcomeRefused, Result: refusal}, nil
+	}
+	groupMember.Join(raft.Member{ID: raft.MemberID(in.MemberId), Name: in.Name, Address: in.Address}, level)
 	return &peerapi.SubmitReply{Outcome: string(replica.Applied)}, nil
 }
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -9,6 +9,7 @@
 
 	"github.com/cresspond/cresspond/process/consensus/raft"
 	"github.com/cresspond/cresspond/process/consensus/replica"
+	"github.com/cresspond/cresspond/process/consensus/statemachine"
 	"github.com/cresspond/cresspond/process/consensus/store"
 	"github.com/cresspond/cresspond/process/daemonconfig"
 )
@@ -91,6 +92,8 @@
 		}
 		entry := d.log.WithError(err)
 		switch {
+		case errors.As(err, new(statemachine.FeatureLevelError)):
+			entry.Error("this build is too old for its data folder or group, and stays out of the control group")
 		case errors.As(err, new(*replica.StateDivergedError)):
 			if err := store.Quarantine(d.config.DataDir); err != nil {
 				d.log.WithError(err).Warn("files of the diverged state cannot be moved aside yet")
--- a/process/cluster/raftcodec/raftcodec.go
+++ b/process/cluster/raftcodec/raftcodec.go
@@ -38,6 +38,7 @@
 		SnapshotOffset: message.SnapshotOffset,
 		SnapshotSize:   message.SnapshotSize,
 		AcceptsChunks:  message.AcceptsChunks,
+		FeatureLevel:   message.FeatureLevel,
 	}
 	if digest := message.StateDigest; digest != nil {
 		encoded.StateDigest = &peerapi.RaftStateDigest{Index: uint64(digest.Index), Format: digest.Format, Sum: digest.Sum, Differs: digest.Differs}
@@ -97,6 +98,7 @@
 		SnapshotOffset: encoded.SnapshotOffset,
 		SnapshotSize:   encoded.SnapshotSize,
 		AcceptsChunks:  encoded.AcceptsChunks,
+		FeatureLevel:   encoded.FeatureLevel,
 	}
 	if digest := encoded.StateDigest; digest != nil {
 		message.StateDigest = &raft.StateDigest{Index: raft.Index(digest.Index), Format: digest.Format, Sum: digest.Sum, Differs: digest.Differs}
--- a/process/consensus/raft/message.go
+++ b/process/consensus/raft/message.go
@@ -53,6 +53,9 @@
 	SnapshotOffset, SnapshotSize uint64
 	// AcceptsChunks says that the sender of a reply accepts snapshots in chunks.
 	AcceptsChunks bool
+	// FeatureLevel travels with replies to heartbeats, for the driver: the highest level of commands that the sender
+	// understands. The core does not look at it.
+	FeatureLevel uint32
 	// StateDigest travels with heartbeats and their replies, for the driver. The core does not look at it.
 	StateDigest *StateDigest
 }
--- a/process/consensus/replica/actor.go
+++ b/process/consensus/replica/actor.go
@@ -82,8 +82,11 @@
 	}
 	readRequested     struct{ respond func(Response) }
 	transferRequested struct{}
-	joinRequested     struct{ member raft.Member }
-	leavingAnnounced  struct {
+	joinRequested     struct {
+		member raft.Member
+		level  statemachine.FeatureLevel
+	}
+	leavingAnnounced struct {
 		member raft.MemberID
 		// safeToStop receives whether the member may end.
 		safeToStop chan bool
@@ -155,7 +158,8 @@
 		r.core.MarkLeaving(now, e.member)
 		e.safeToStop <- r.core.SafeToStop(now, e.member)
 	case joinRequested:
-		if r.core.IsLeader() {
+		// The same goroutine raises the level, so nobody is admitted below it meanwhile.
+		if r.core.IsLeader() && e.level >= r.core.RequiredFeatureLevel() {
 			r.joinRequests[e.member.ID] = e.member
 		}
 	}
@@ -209,6 +213,9 @@
 	if next, ok := r.core.MembershipPlan(now, r.joinRequests).Next(); ok {
 		r.execute(r.core.Step(now, raft.ProposeMembership{Membership: next}))
 	}
+	if len(r.joinRequests) == 0 {
+		r.execute(r.core.RaiseFeatureLevel(now))
+	}
 }
 
 // execute carries out the effects of a step of the core.
--- a/process/consensus/replica/config.go
+++ b/process/consensus/replica/config.go
@@ -7,7 +7,7 @@
 	"github.com/cresspond/cresspond/process/consensus/statemachine"
 )
 
-// Config holds the times and sizes of the group. All members must be configured alike.
+// Config holds the times and sizes of the group. All members must be configured alike, but for the last two fields.
 type Config struct {
 	Timing raft.Timing
 	// WorkerLease is how long a worker id is leased for.
@@ -25,6 +25,8 @@
 	CompactBytes, RetainBytes int
 	// HistoryLimits bounds what the state machine remembers of operators' changes.
 	HistoryLimits statemachine.Limits
+	// FeatureLevel is the highest level of commands that this member understands. Members may differ in it.
+	FeatureLevel statemachine.FeatureLevel
 	// Build identifies the build: only members of one build compare digests of their states.
 	Build string
 }
@@ -35,6 +37,6 @@
 		Timing:      raft.Timing{HeartbeatTicks: 2, ElectionTicks: 16},
 		WorkerLease: 30 * time.Second, PlannerLease: 4 * time.Second, PlannerLeaseGap: 3 * time.Second,
 		Voters: DefaultVoters, CompactEntries: 2000, RetainEntries: 200, CompactBytes: 8 << 20, RetainBytes: 2 << 20,
-		HistoryLimits: statemachine.DefaultLimits(),
+		HistoryLimits: statemachine.DefaultLimits(), FeatureLevel: statemachine.SupportedFeatureLevel,
 	}
 }
--- a/process/consensus/replica/core.go
+++ b/process/consensus/replica/core.go
@@ -48,6 +48,10 @@
 	leadership   leadershipConfirmation
 
 	digests digestTracker
+	// memberLevels is, at a leader, the feature level that each member last said it understands; proposedLevel is the one
+	// that it raises the group to.
+	memberLevels  map[raft.MemberID]statemachine.FeatureLevel
+	proposedLevel statemachine.FeatureLevel
 	// validated is the state read from the leader's snapshot that is about to be installed.
 	validated *statemachine.State
 }
@@ -59,12 +63,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := state.CheckFeatureLevel(config.FeatureLevel); err != nil {
+		return nil, err
+	}
 	c := &Core{
 		config: config, raft: member, state: state, appliedIndex: member.SnapshotIndex(),
 		groupTimeAt: now, startedAt: now, lastRestored: member.LastIndex(), wallClock: wallClock,
 		proposals: map[raft.Index]proposal{}, reads: map[uint64]raft.Index{},
 		lastContact: map[raft.MemberID]clock.Mark{}, leaving: map[raft.MemberID]clock.Mark{},
-		digests: newDigestTracker(statemachine.DigestSchema(config.Build)),
+		memberLevels: map[raft.MemberID]statemachine.FeatureLevel{},
+		digests:      newDigestTracker(statemachine.DigestSchema(config.Build)),
 	}
 	member.SetSnapshotCheck(c.validateSnapshot)
 	return c, nil
@@ -85,6 +93,7 @@
 	out := c.processRaftEffects(now, c.raft.Step(event))
 	if isMessage {
 		c.handleDigest(received.Message, &out)
+		c.recordFeatureLevel(received.Message)
 	}
 	if _, isTick := event.(raft.Tick); isTick {
 		c.reclaimExpiredLeases(now, &out)
@@ -108,6 +117,10 @@
 	c.updateLeadership(now, &out)
 	c.leadership.observe(now, c.raft)
 	c.attachDigests(now, out.Messages)
+	c.attachFeatureLevel(out.Messages)
+	if err := c.state.CheckFeatureLevel(c.config.FeatureLevel); err != nil {
+		out.Fatal = err
+	}
 	out.ConfigurationChanged = c.visibleVersions() != before
 	if c.compactionDue() {
 		out.merge(c.compact(now))
--- a/process/consensus/replica/leadership.go
+++ b/process/consensus/replica/leadership.go
@@ -26,10 +26,12 @@
 	case c.isLeader && !elected:
 		c.isLeader = false
 		c.digests.stopComparing()
+		c.forgetFeatureLevels()
 		c.abandonProposals(out)
 	case !c.isLeader && elected && c.raft.CommittedInTerm() && c.appliedIndex == c.raft.CommitIndex():
 		c.isLeader = true
 		c.digests.stopComparing()
+		c.forgetFeatureLevels()
 		c.leaderSince, c.reclaimIndex = now, 0
 	}
 }
--- a/process/consensus/replica/requests.go
+++ b/process/consensus/replica/requests.go
@@ -53,8 +53,11 @@
 func (r *Replica) TransferLeadership() { r.mailbox.Send(transferRequested{}) }
 
 // Join asks a leader to take a member into the group, first as a learner. Members repeat it until they vote; only a
-// leader that has applied all that was committed takes note of it.
-func (r *Replica) Join(member raft.Member) { r.mailbox.Send(joinRequested{member}) }
+// leader that has applied all that was committed takes note of it, and only if the member understands the group's feature
+// level.
+func (r *Replica) Join(member raft.Member, level statemachine.FeatureLevel) {
+	r.mailbox.Send(joinRequested{member, level})
+}
 
 // AnnounceLeaving tells a leader that a member shuts down. It reports whether that member may end now: this one leads,
 // and a majority of the voters holds all that is committed without the one that leaves.
--- a/process/consensus/replica/simulated_node_test.go
+++ b/process/consensus/replica/simulated_node_test.go
@@ -45,7 +45,9 @@
 	restored := n.disk.state
 	restored.Entries = slices.Clone(restored.Entries)
 	member := raft.New(n.id, n.sim.config.Timing, restored, n.sim.random)
-	core, err := NewCore(n.sim.config, member, restored.Snapshot.Data, n.sim.now, n.wall)
+	config := n.sim.config
+	config.FeatureLevel = n.sim.featureLevel(n)
+	core, err := NewCore(config, member, restored.Snapshot.Data, n.sim.now, n.wall)
 	if err != nil {
 		n.sim.t.Fatal(err)
 	}
@@ -72,6 +74,9 @@
 				if next, ok := n.sim.nextMembership(n.core.MembershipPlan(n.sim.now, n.joins)); ok {
 					n.execute(n.core.Step(n.sim.now, raft.ProposeMembership{Membership: next}))
 				}
+				if len(n.joins) == 0 && n.core.IsLeader() {
+					n.execute(n.sim.raiseFeatureLevel(n))
+				}
 			} else {
 				clear(n.joins)
 			}
@@ -90,7 +95,7 @@
 	}
 	wanted := raft.Member{ID: n.id, Name: fmt.Sprint("core-", n.index), Address: fmt.Sprint(n.index)}
 	for _, other := range n.sim.nodes {
-		if other.up && other.core.IsLeader() && !n.sim.partitioned[[2]int{n.index, other.index}] {
+		if other.up && other.core.IsLeader() && !n.sim.partitioned[[2]int{n.index, other.index}] && n.sim.featureLevel(n) >= other.core.RequiredFeatureLevel() {
 			other.joins[n.id] = wanted
 		}
 	}
--- a/process/consensus/replica/simulation_test.go
+++ b/process/consensus/replica/simulation_test.go
@@ -114,6 +114,10 @@
 	damageSnapshot func(*raft.Message)
 	// membershipRule decides on the next membership; nil stands for MembershipPlan.Next.
 	membershipRule func(MembershipPlan) (raft.Membership, bool)
+	// levels is the feature level of each machine's build; nil stands for this build's on all.
+	levels func(*simulatedNode) statemachine.FeatureLevel
+	// raisesAtOnce is a defect: a leader raises the feature level without asking the members.
+	raisesAtOnce bool
 	// powerLossOnly restricts the faults to power losses of all machines.
 	powerLossOnly bool
 	// stopsUnsafely has machines that stop end before they may.
@@ -204,6 +208,22 @@
 	return here == s.voters
 }
 
+// featureLevel is the level that a machine's build understands.
+func (s *simulation) featureLevel(n *simulatedNode) statemachine.FeatureLevel {
+	if s.levels == nil {
+		return statemachine.SupportedFeatureLevel
+	}
+	return s.levels(n)
+}
+
+// raiseFeatureLevel does what a leader's actor does with each tick.
+func (s *simulation) raiseFeatureLevel(leader *simulatedNode) Effects {
+	if s.raisesAtOnce && leader.core.state.FeatureLevel < s.featureLevel(leader) {
+		return leader.core.Submit(s.now, 0, statemachine.Command{Op: statemachine.OpRaiseFeatureLevel, FeatureLevel: s.featureLevel(leader)})
+	}
+	return leader.core.RaiseFeatureLevel(s.now)
+}
+
 // nextMembership applies the membership rule of this simulation.
 func (s *simulation) nextMembership(plan MembershipPlan) (raft.Membership, bool) {
 	if s.membershipRule != nil {
--- a/process/consensus/replica/snapshots.go
+++ b/process/consensus/replica/snapshots.go
@@ -11,7 +11,10 @@
 func (c *Core) validateSnapshot(snapshot raft.Snapshot) error {
 	state, err := statemachine.Restore(snapshot.Data, statemachine.WithLimits(c.config.HistoryLimits))
 	c.validated = state
-	return err
+	if err != nil {
+		return err
+	}
+	return state.CheckFeatureLevel(c.config.FeatureLevel)
 }
 
 // installValidated replaces the state by the one that validateSnapshot read.
--- a/process/consensus/replica/status.go
+++ b/process/consensus/replica/status.go
@@ -37,6 +37,8 @@
 	// AppliedIndex is the index of the last applied entry, Digest the newest digest of the state.
 	AppliedIndex raft.Index
 	Digest       raft.StateDigest
+	// FeatureLevel is the level of commands that the group may use.
+	FeatureLevel statemachine.FeatureLevel
 	// DivergentMembers lists, at a leader, the members whose state differed from a majority's when last compared.
 	DivergentMembers []raft.MemberID
 }
@@ -59,7 +61,7 @@
 		GroupTime: state.Now, SinceFirstRollout: r.core.SinceFirstRollout(r.clock.Elapsed()),
 		ServingDaemons: state.ServingDaemons(), PlannerLease: state.PlannerLease, ConfirmedUntil: r.core.ConfirmedUntil(),
 		ConfigurationVersion: state.Version(), ClosuresVersion: state.Closures.Version,
-		AppliedIndex: r.core.appliedIndex, Digest: r.core.Digest(), DivergentMembers: r.core.DivergentMembers(),
+		AppliedIndex: r.core.appliedIndex, Digest: r.core.Digest(), FeatureLevel: state.FeatureLevel, DivergentMembers: r.core.DivergentMembers(),
 	}
 	status.Leader, _ = status.Membership.Find(core.LeaderID())
 	before := r.status.Swap(&status)
--- a/process/consensus/statemachine/apply.go
+++ b/process/consensus/statemachine/apply.go
@@ -20,6 +20,8 @@
 	OpEngineDeparted: (*State).recordDeparture,
 	OpAcquirePlanner: (*State).acquirePlannerLease,
 	OpReleasePlanner: (*State).releasePlannerLease,
+
+	OpRaiseFeatureLevel: (*State).raiseFeatureLevel,
 }
 
 // Apply applies one committed command, in its encoded form. A command that cannot be read, or has an unknown Op, is
@@ -31,7 +33,7 @@
 	}
 	// The group's time never goes back, whatever a leader stamped.
 	s.Now = max(s.Now, command.At)
-	result := s.dispatch(command)
+	result := s.applyCall(command)
 	result.Version, result.Revision = s.Version(), s.Revision
 	return result
 }
--- a/process/consensus/statemachine/command.go
+++ b/process/consensus/statemachine/command.go
@@ -41,6 +41,8 @@
 	OpDeclareLost Op = "LOST"
 	// OpEngineDeparted says that an engine that registered itself is about to shut down, or has.
 	OpEngineDeparted Op = "LEAVE"
+	// OpRaiseFeatureLevel raises the level of the commands that the group may use; a leader submits it.
+	OpRaiseFeatureLevel Op = "LEVEL"
 	// OpApply puts a configuration in force in one step, on the revision it builds on.
 	OpApply Op = "APPLY"
 )
@@ -89,6 +91,13 @@
 	Address    string       `json:"address,omitempty"`
 	LostDaemon ident.NodeID `json:"lost,omitempty"`
 
+	// FeatureLevel is the level that OpRaiseFeatureLevel raises the group to.
+	FeatureLevel FeatureLevel `json:"level,omitempty"`
+	// CallID distinguishes one call of an operator from all others, and CalledAt is the group's time as it was known when
+	// the call arrived; see calls.go. Both are empty where a daemon sends the command.
+	CallID   string          `json:"callId,omitempty"`
+	CalledAt ident.GroupTime `json:"calledAt,omitempty"`
+
 	// The fields below belong to OpAcquirePlanner.
 
 	// HandoverGapMs is the quiet period between one planner's lease and the next, stamped by the leader.
--- a/process/consensus/statemachine/doc.go
+++ b/process/consensus/statemachine/doc.go
@@ -10,6 +10,7 @@
 //   - closed zones and draining engines (configuration/closure; closures.go, closureretry.go, ranking.go)
 //   - the daemons that may be serving, and their incarnations that ended (incarnations.go)
 //   - the engines that announced their shutdown (departures.go)
+//   - the feature level of the group (featurelevel.go), and the outcomes of operators' calls (calls.go)
 //   - the lease of the planner (plannerlease.go) and the orders that planners announced (announcements.go)
 //
 // # Invariants
--- a/process/consensus/statemachine/state.go
+++ b/process/consensus/statemachine/state.go
@@ -53,6 +53,12 @@
 	// ever were.
 	DepartedEngines []DepartedEngine `json:"left,omitempty"`
 	Departures      uint64           `json:"leaves,omitempty"`
+	// FeatureLevel is the level of the commands that the group may use.
+	FeatureLevel FeatureLevel `json:"level,omitempty"`
+	// Calls lists the newest calls of operators with their outcomes, the newest last. CallsKnownFrom is the group's time
+	// up to which some were forgotten.
+	Calls          []RememberedCall `json:"calls,omitempty"`
+	CallsKnownFrom ident.GroupTime  `json:"callsKnownFrom,omitempty"`
 
 	limits Limits
 }
