operators' calls bear an id from the tool to the log

Cause: nothing told one call of an operator from another, so a copy that was held up could act after its refusal. Change: the tool sends X-Call-Id with each change, the same at every daemon and in every round (--call-id sets it); a daemon makes one up where there is none, and notes the group's time at which the call came, asking the leader where it is no member. Counter feature_level.

--- a/cmd/cresspond/client.go
+++ b/cmd/cresspond/client.go
@@ -21,6 +21,8 @@
 	daemons []string
 	client  *http.Client
 	asJSON  bool
+	// callID is the id of the call, the same at each daemon and in each round.
+	callID string
 	// patience is for how long all daemons are asked again and again while none knows the outcome; zero is once.
 	patience time.Duration
 	// notEverywhere says that the answer was no acknowledgement.
@@ -75,6 +77,7 @@
 			return nil, err
 		}
 		request.Header.Set("Content-Type", "application/json")
+		request.Header.Set(operatorapi.HeaderCallID, t.callID)
 		response, err := t.client.Do(request)
 		if err != nil {
 			last = fmt.Errorf("%s cannot be reached: %w", daemon, err)
--- a/cmd/cresspond/main.go
+++ b/cmd/cresspond/main.go
@@ -3,6 +3,8 @@
 package main
 
 import (
+	"cmp"
+	"crypto/rand"
 	"fmt"
 	"os"
 	"strings"
@@ -57,6 +59,7 @@
 	daemons  *[]string
 	asJSON   *bool
 	operator *string
+	callID   *string
 	// run holds what each command does, by its full name.
 	run map[string]func(*tool) error
 	// offline holds the full names of the commands that ask no daemon.
@@ -69,6 +72,7 @@
 	c.daemons = app.Flag("daemon", "IP:port of a daemon; give it once for each to try.").Envar("CRESSPOND_DAEMONS").Strings()
 	c.asJSON = app.Flag("json", "Print answers as JSON.").Bool()
 	c.operator = app.Flag("operator", "Who you are.").Envar("CRESSPOND_OPERATOR").String()
+	c.callID = app.Flag("call-id", "The id of a change; the same change with the same id finds what became of it. Made up where it is not given.").String()
 	c.addProposalCommands()
 	c.addBundleCommands()
 	c.addNodeCommands()
@@ -99,7 +103,7 @@
 
 // tool makes the client from the flags.
 func (c *commandLine) tool() *tool {
-	t := &tool{asJSON: *c.asJSON, client: newClient(), patience: askPatience}
+	t := &tool{asJSON: *c.asJSON, client: newClient(), patience: askPatience, callID: cmp.Or(*c.callID, rand.Text())}
 	for _, daemon := range *c.daemons {
 		t.daemons = append(t.daemons, strings.FieldsFunc(daemon, func(r rune) bool { return r == ',' || r == ' ' || r == '\n' })...)
 	}
--- a/connection/adminapi/nodes.go
+++ b/connection/adminapi/nodes.go
@@ -103,9 +103,16 @@
 // endProtection ends the protection of an engine, on a version of the closures. It gives the version to build on next;
 // false where the outcome is unknown, which it has responded.
 func (d *Server) endProtection(ctx *fasthttp.RequestCtx, action operatorapi.NodeAction, base ident.Version) (ident.Version, bool) {
+	id, ok := callID(ctx)
+	if !ok {
+		return 0, false
+	}
 	bounded, cancel := context.WithTimeout(context.Background(), commandTimeout)
 	defer cancel()
-	got, err := d.daemon.Command(bounded, statemachine.Command{Op: statemachine.OpProtect, Engine: action.Engine, Operator: action.Operator, Base: base, HasBase: true})
+	// One call of the operator becomes two commands, each with an id of its own.
+	got, err := d.daemon.Command(bounded, statemachine.Command{
+		Op: statemachine.OpProtect, Engine: action.Engine, Operator: action.Operator, Base: base, HasBase: true, CallID: id + " protection",
+	})
 	switch {
 	case err != nil:
 		fail(ctx, fasthttp.StatusServiceUnavailable, operatorapi.Error{Outcome: "unknown", Reason: err.Error() + "; ask again, here or elsewhere"})
--- a/connection/adminapi/operators.go
+++ b/connection/adminapi/operators.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -151,7 +152,28 @@
 	return true
 }
 
+// maxCallIDBytes bounds the id of a call.
+const maxCallIDBytes = 100
+
+// callID reads the id of an operator's call, or makes one up; it says false when it has answered that it is too long.
+func callID(ctx *fasthttp.RequestCtx) (string, bool) {
+	id := string(ctx.Request.Header.Peek(operatorapi.HeaderCallID))
+	switch {
+	case id == "":
+		return rand.Text(), true
+	case len(id) > maxCallIDBytes:
+		fail(ctx, fasthttp.StatusBadRequest, operatorapi.Error{Outcome: "invalid", Reason: fmt.Sprintf("must be 1 to %d bytes long", maxCallIDBytes), Field: operatorapi.HeaderCallID})
+		return "", false
+	}
+	return id, true
+}
+
 func (d *Server) command(ctx *fasthttp.RequestCtx, command statemachine.Command) {
+	id, ok := callID(ctx)
+	if !ok {
+		return
+	}
+	command.CallID = id
 	bounded, cancel := context.WithTimeout(context.Background(), commandTimeout)
 	defer cancel()
 	got, err := d.daemon.Command(bounded, command)
--- a/daemon/commands.go
+++ b/daemon/commands.go
@@ -49,9 +49,27 @@
 func (d *Daemon) Command(ctx context.Context, command statemachine.Command) (rollout.Response, error) {
 	bounded, cancel := d.whileInContact(ctx)
 	defer cancel()
-	answer, ok := d.submit(bounded, command)
+	answer, err := d.submitCall(bounded, command)
+	if err == nil && answer.Outcome == statemachine.Unproven {
+		// Nothing was changed. The group's time that is known here may have been that of the oldest call remembered, as it
+		// is at rest right after the group began to remember calls; the command itself has moved it on.
+		answer, err = d.submitCall(bounded, command)
+	}
+	return answer, err
+}
+
+// submitCall submits an operator's command with the group's time of its arrival, if it bears a call's id.
+func (d *Daemon) submitCall(ctx context.Context, command statemachine.Command) (rollout.Response, error) {
+	if command.CallID != "" {
+		calledAt, err := d.groupTime(ctx)
+		if err != nil {
+			return rollout.Response{}, err
+		}
+		command.CalledAt = calledAt
+	}
+	answer, ok := d.submit(ctx, command)
 	if !ok {
-		return rollout.Response{}, outcomeUnknown(bounded)
+		return rollout.Response{}, outcomeUnknown(ctx)
 	}
 	return answer, nil
 }
--- a/daemon/counters.go
+++ b/daemon/counters.go
@@ -92,6 +92,7 @@
 	report("raft_failed", d.links.FailedBatches.Load())
 	if groupMember := d.replica.Load(); groupMember != nil {
 		report("raft_refused", groupMember.Rejected.Load())
+		report("feature_level", uint64(groupMember.Status().FeatureLevel))
 	}
 	report("raft_malformed", group.MessagesRejected.Load())
 	report("snapshots_sent", group.SnapshotsSent.Load())
--- a/daemon/reads.go
+++ b/daemon/reads.go
@@ -71,6 +71,21 @@
 	return &peerapi.ReadReply{Outcome: string(outcome), Result: result, LeaderAddress: d.leaderAddress()}, nil
 }
 
+// groupTime returns the group's time as it is known here; one that is no member asks the leader. It is zero where the
+// leader is of a build that does not tell it.
+func (d *Daemon) groupTime(ctx context.Context) (ident.GroupTime, error) {
+	if groupMember := d.replica.Load(); groupMember != nil {
+		return groupMember.Status().GroupTime, nil
+	}
+	reading, err := d.Query(ctx, "time", "")
+	if err != nil || len(reading.Data) == 0 {
+		return 0, err
+	}
+	var now ident.GroupTime
+	err = json.Unmarshal(reading.Data, &now)
+	return now, err
+}
+
 // readAsLeader reads part of the state at a linearizable point; a nil result means that it doesn't exist.
 func (d *Daemon) readAsLeader(ctx context.Context, what, key string) ([]byte, replica.Outcome) {
 	groupMember := d.replica.Load()
@@ -127,6 +142,8 @@
 		if found := state.Proposals[key]; found != nil {
 			return encode(found)
 		}
+	case "time":
+		return encode(state.Now)
 	case "bundle":
 		return encode(directapply.LatestOf(state))
 	case "closures":
--- a/wire/operatorapi/operatorapi.go
+++ b/wire/operatorapi/operatorapi.go
@@ -46,6 +46,9 @@
 	PathCounters = "/counters"
 	// HeaderVersion carries the version of a configuration that is read back.
 	HeaderVersion = "X-Spec-Epoch"
+	// HeaderCallID carries the id of an operator's call, 1 to 100 bytes: the same call with the same id finds what became
+	// of it. A daemon makes one up where there is none.
+	HeaderCallID = "X-Call-Id"
 	// HeaderReadFrom carries the peer address of the leader that an answer was read from: a majority confirmed it while
 	// it was asked. Answers without it are the answering daemon's own view.
 	HeaderReadFrom = "X-Read-From"
