replica: the test of planned replacements waits until the replacement stands ready

TestReplacementBecomesVoterInTime gave the new machine one second to become a learner. The test now waits until it stands ready, two seconds at most, as its message says; what comes after is held to the same times.

--- a/process/consensus/replica/availability_test.go
+++ b/process/consensus/replica/availability_test.go
@@ -9,6 +9,16 @@
 	"github.com/cresspond/cresspond/process/consensus/raft"
 )
 
+// standsReady reports whether a machine is a learner that holds all that is committed.
+func standsReady(sim *simulation, n *simulatedNode) bool {
+	leader := sim.leader()
+	if leader == nil {
+		return false
+	}
+	member, known := leader.core.raft.Membership().Find(n.id)
+	return known && !member.Voter && leader.core.raft.MatchIndex(n.id) >= leader.core.raft.CommitIndex()
+}
+
 // A machine of the group is removed for good, or stops after its replacement is ready. The replacement must become a
 // voter within the few seconds that deployments allow, and the old one must be out.
 func TestReplacementBecomesVoterInTime(t *testing.T) {
@@ -26,6 +36,11 @@
 			// The replacement starts first, then the old one transfers its leadership and stops.
 			sim.addMachine()
 			sim.runFor(time.Second)
+			// A machine asks to join at random ticks: now and then it takes a little longer until it stands ready.
+			replacement := sim.nodes[len(sim.nodes)-1]
+			if sim.runUntil(time.Second, func() bool { return standsReady(sim, replacement) }) >= time.Second {
+				t.Fatalf("seed %d: the replacement does not stand ready after two seconds", seed)
+			}
 			victim.execute(victim.core.Step(sim.now, raft.TransferLeadership{}))
 			sim.runUntil(time.Second, func() bool { leader := sim.leader(); return leader != nil && leader != victim })
 			sim.leader().core.MarkLeaving(sim.now, victim.id)
