--- a/daemon/counters.go
+++ b/daemon/counters.go
@@ -99,6 +99,7 @@
 	report("snapshots_taken", group.SnapshotsInstalled.Load())
 	report("snapshots_refused", group.SnapshotsRejected.Load())
 	report("states_differ", group.StateDivergences.Load())
+	report("states_invalid", group.InvalidStates.Load())
 	report("offers_refused", d.rollout.Rejected.Load())
 }
 
--- a/daemon/membernotices.go
+++ b/daemon/membernotices.go
@@ -57,6 +57,8 @@
 				entry.WithError(notice.Err).Warn(notice.Kind.String())
 			}
 			refused = notice
+		case raft.NoticeStateInvalid:
+			entry.WithError(notice.Err).Error(notice.Kind.String())
 		case raft.NoticeStateDiffers:
 			// A leader's view of its peers is logged by logMemberChange.
 			if notice.Err != nil {
--- a/process/consensus/raft/notice.go
+++ b/process/consensus/raft/notice.go
@@ -14,6 +14,8 @@
 	NoticeMessageRejected
 	// NoticeStateDiffers says that a peer's replicated state, or this member's, differs from the majority's.
 	NoticeStateDiffers
+	// NoticeStateInvalid says that this member's replicated state contradicts itself, so that no snapshot of it is taken.
+	NoticeStateInvalid
 )
 
 // String is the text of the log line.
@@ -29,6 +31,8 @@
 		return "message rejected"
 	case NoticeStateDiffers:
 		return "state differs"
+	case NoticeStateInvalid:
+		return "state contradicts itself, no snapshot of it is taken"
 	}
 	return "unknown notice"
 }
--- a/process/consensus/replica/core.go
+++ b/process/consensus/replica/core.go
@@ -135,14 +135,14 @@
 	c.entrySizes = append(c.entrySizes, len(entry.Data))
 	c.bytesSinceSnapshot += len(entry.Data)
 	var result statemachine.Result
+	before := c.state.Now
 	if entry.Kind == raft.EntryCommand {
-		before := c.state.Now
 		result = c.state.Apply(entry.Data)
 		if c.state.Now > before {
 			c.groupTimeAt = c.stampedAt(now, entry.Index)
 		}
 	}
-	if c.digests.due(entry.Index) {
+	if c.digests.due(before, c.state.Now) {
 		digest := c.state.Digest()
 		c.digests.record(entry.Index, digest.Sum, digest.SnapshotBytes)
 	}
--- a/process/consensus/replica/digests.go
+++ b/process/consensus/replica/digests.go
@@ -7,15 +7,16 @@
 	"time"
 
 	"github.com/cresspond/cresspond/clock"
+	"github.com/cresspond/cresspond/ident"
 	"github.com/cresspond/cresspond/process/consensus/raft"
 )
 
 const (
-	// minDigestInterval is the least number of entries between two digests of the state. A larger state is digested less
-	// often: the interval is at least one entry for each stateBytesPerEntry of it, so that a digest costs little beside
-	// what its entries did.
-	minDigestInterval  raft.Index = 16
-	stateBytesPerEntry            = 4 << 10
+	// minDigestPeriod is how often the state is digested, by the group's time, as long as entries are applied: so a state
+	// that differs is found within the three seconds that operators allow. A larger state is digested less often, in
+	// proportion to stateBytesPerPeriod, since a digest costs some 10 ms for each megabyte.
+	minDigestPeriod     = time.Second
+	stateBytesPerPeriod = 512 << 10
 	// retainedDigests is how many digests a member keeps, so that a leader can request one that is a little older.
 	retainedDigests = 8
 	// comparisonTimeout is how long a leader waits for its peers' digests at one index before it goes on to a newer one.
@@ -35,15 +36,16 @@
 
 // digestTracker keeps a member's digests of its state and, while the member leads, compares its peers' with its own.
 //
-// Every member digests its state at the same indexes. A leader's heartbeats carry its newest digest to those peers that
+// Every member digests its state at the same entries: the first in each period of the group's time, which is part of the
+// state. A leader's heartbeats carry its newest digest to those peers that
 // have not replied to it yet, and they reply with theirs at that index. A majority of the voters decides which digest is
 // right. One divergent member at a time is ordered to resign: it gives up its state and joins anew. A leader whose own
 // state diverged resigns by itself.
 type digestTracker struct {
 	// format identifies the build and encoding; digests of different formats can't be compared.
 	format uint64
-	// interval is the number of entries between two digests.
-	interval raft.Index
+	// period is the group's time between two digests.
+	period time.Duration
 	// recent are this member's last digests, the newest last.
 	recent []raft.StateDigest
 
@@ -60,27 +62,32 @@
 }
 
 func newDigestTracker(format uint64) digestTracker {
-	return digestTracker{format: format, interval: minDigestInterval}
+	return digestTracker{format: format, period: minDigestPeriod}
 }
 
-// due reports whether the state is to be digested at this index.
-func (d *digestTracker) due(index raft.Index) bool { return index%d.interval == 0 }
+// due reports whether the state is to be digested after an entry that moved the group's time on.
+func (d *digestTracker) due(before, after ident.GroupTime) bool {
+	period := ident.GroupTime(d.period.Milliseconds())
+	return before/period != after/period
+}
 
-// record keeps this member's digest at an index. stateBytes is the size of the state, which decides on the interval.
+// record keeps this member's digest at an index. stateBytes is the size of the state, which decides on the period.
 func (d *digestTracker) record(index raft.Index, sum uint64, stateBytes int) {
 	d.recent = append(d.recent, raft.StateDigest{Index: index, Format: d.format, Sum: sum})
 	d.recent = d.recent[max(0, len(d.recent)-retainedDigests):]
-	// Intervals are powers of two, so that members whose intervals differ still digest some of the same indexes.
-	for d.interval = minDigestInterval; int(d.interval)*stateBytesPerEntry < stateBytes; d.interval *= 2 {
+	// Periods double, so that members whose periods differ still digest at some of the same entries.
+	limit := stateBytesPerPeriod
+	for d.period = minDigestPeriod; limit < stateBytes; d.period *= 2 {
+		limit *= 2
 	}
 }
 
 // reset forgets all digests, since the state was replaced.
-func (d *digestTracker) reset() { *d = digestTracker{format: d.format, interval: d.interval} }
+func (d *digestTracker) reset() { *d = digestTracker{format: d.format, period: d.period} }
 
 // stopComparing ends the comparison, since this member began or ceased to lead.
 func (d *digestTracker) stopComparing() {
-	*d = digestTracker{format: d.format, interval: d.interval, recent: d.recent}
+	*d = digestTracker{format: d.format, period: d.period, recent: d.recent}
 }
 
 // newest returns the last digest; zero before the first.
--- a/process/consensus/replica/digests_test.go
+++ b/process/consensus/replica/digests_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cresspond/cresspond/process/consensus/raft"
+	"github.com/cresspond/cresspond/process/consensus/statemachine"
 )
 
 // diverge makes a member's state differ from what its log says.
@@ -30,6 +31,16 @@
 	return true
 }
 
+// submitSteadily has the leader submit two commands a second, as the planner's lease does in a fleet at rest.
+func submitSteadily(sim *simulation) {
+	sim.schedule(500*time.Millisecond, func() {
+		if leader := sim.leader(); leader != nil {
+			leader.execute(leader.core.Submit(sim.now, 0, statemachine.Command{Op: statemachine.OpReclaim}))
+		}
+		submitSteadily(sim)
+	})
+}
+
 // A member whose state diverges, leader or not, is detected by its digest, gives up its state and votes again with a
 // correct one; no other member resigns.
 func TestDivergentMemberResignsAndRejoins(t *testing.T) {
@@ -42,6 +53,7 @@
 			victim = sim.nodes[(victim.index+1)%size]
 		}
 		id := victim.id
+		submitSteadily(sim)
 		diverge(victim, 1)
 		longest = max(longest, sim.runUntil(time.Minute, func() bool { return len(sim.resigned) > 0 }))
 		if len(sim.resigned) != 1 || sim.resigned[0] != id {
@@ -63,6 +75,9 @@
 		}
 	}
 	t.Logf("found within %v", longest)
+	if longest > 3*time.Second {
+		t.Errorf("a state that differs was served for %v", longest)
+	}
 }
 
 // Of two divergent members in a group of five one resigns at a time: the next only once the first is replaced.
@@ -125,7 +140,7 @@
 func TestDivergentStateStaysWithoutDigests(t *testing.T) {
 	sim := newFaultlessSimulation(t, 1, 3)
 	for _, n := range sim.nodes {
-		n.core.digests.interval = 1 << 40
+		n.core.digests.period = 1 << 60
 	}
 	diverge(sim.nodes[(sim.leader().index+1)%3], 1)
 	sim.runFor(time.Minute)
--- a/process/consensus/replica/notices.go
+++ b/process/consensus/replica/notices.go
@@ -8,7 +8,7 @@
 
 // Counters count the notices of a member by kind. They may be read from any goroutine.
 type Counters struct {
-	SnapshotsSent, SnapshotsInstalled, SnapshotsRejected, MessagesRejected, StateDivergences atomic.Uint64
+	SnapshotsSent, SnapshotsInstalled, SnapshotsRejected, MessagesRejected, StateDivergences, InvalidStates atomic.Uint64
 }
 
 // forNotice returns the counter of one kind of notice.
@@ -22,6 +22,8 @@
 		return &c.SnapshotsRejected
 	case raft.NoticeStateDiffers:
 		return &c.StateDivergences
+	case raft.NoticeStateInvalid:
+		return &c.InvalidStates
 	default:
 		return &c.MessagesRejected
 	}
--- a/process/consensus/replica/snapshots.go
+++ b/process/consensus/replica/snapshots.go
@@ -30,10 +30,15 @@
 		c.config.CompactBytes > 0 && c.bytesSinceSnapshot >= c.config.CompactBytes
 }
 
-// compact takes a snapshot of the state and has the Raft core drop the entries before it.
+// compact takes a snapshot of the state and has the Raft core drop the entries before it. Entries that a majority applied
+// wrongly alike leave equal digests, so the state is checked by itself: one that contradicts itself could not be restored,
+// and the log that led to it is kept.
 func (c *Core) compact(now clock.Mark) Effects {
 	keep := c.retainedEntries()
 	c.resetSinceSnapshot()
+	if err := c.state.Validate(); err != nil {
+		return Effects{Notices: []raft.Notice{{Kind: raft.NoticeStateInvalid, Peer: c.raft.ID(), Index: c.appliedIndex, Err: err}}}
+	}
 	return c.processRaftEffects(now, c.raft.Step(raft.Compact{Index: c.appliedIndex, Data: c.state.Snapshot(), RetainEntries: keep}))
 }
 
--- a/process/consensus/statemachine/snapshot.go
+++ b/process/consensus/statemachine/snapshot.go
@@ -1,8 +1,10 @@
 package statemachine
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
+	"slices"
 
 	"github.com/rotisserie/eris"
 
@@ -36,10 +38,7 @@
 	if err := json.Unmarshal(data, s); err != nil {
 		return nil, err
 	}
-	if err := s.checkComplete(); err != nil {
-		return nil, err
-	}
-	if err := s.checkConsistent(); err != nil {
+	if err := s.Validate(); err != nil {
 		return nil, eris.Wrap(err, "a snapshot cannot be used")
 	}
 	s.Workers.RebuildExpiries()
@@ -51,6 +50,15 @@
 	return s, nil
 }
 
+// Validate says what is missing in a state or contradicts itself; nil if nothing does. The error is ErrIncomplete or wraps
+// ErrInconsistent.
+func (s *State) Validate() error {
+	if err := s.checkComplete(); err != nil {
+		return err
+	}
+	return s.checkConsistent()
+}
+
 // checkComplete says whether commands can be applied to a state that was decoded: JSON's null removes a map or table.
 func (s *State) checkComplete() error {
 	if s.Workers == nil || s.Workers.Leases == nil || s.Workers.Nodes == nil || s.Workers.Floors == nil {
@@ -81,6 +89,15 @@
 			return eris.Wrapf(ErrInconsistent, "proposal %q is rolled out as no version", id)
 		}
 	}
+	if len(s.Calls) > maxRememberedCalls {
+		return eris.Wrapf(ErrInconsistent, "%d calls are remembered, and %d are the most", len(s.Calls), maxRememberedCalls)
+	}
+	if !slices.IsSortedFunc(s.ClosureChanges, func(a, b ClosureChange) int { return cmp.Compare(a.Version, b.Version) }) {
+		return eris.Wrap(ErrInconsistent, "the changes of closures are not in the order of their versions")
+	}
+	if newest := len(s.ClosureChanges) - 1; newest >= 0 && s.ClosureChanges[newest].Version > s.Closures.Version {
+		return eris.Wrapf(ErrInconsistent, "a change made version %d of the closures, and %d is in force", s.ClosureChanges[newest].Version, s.Closures.Version)
+	}
 	for index, id := range s.History {
 		version := s.Dropped + ident.Version(index) + 1
 		// The oldest proposals are forgotten, but not their versions.
