--- a/process/consensus/store/load.go
+++ b/process/consensus/store/load.go
@@ -92,13 +92,20 @@
 	return entries, nil
 }
 
-// checkHistory checks that snapshot and entries are one history: the log goes on where the snapshot ends, and its
-// memberships are valid.
+// checkHistory checks that hard state, snapshot and entries are one history: the member was in the term of everything that
+// it holds, the log goes on where the snapshot ends, and its memberships are valid.
 func checkHistory(state raft.PersistentState) error {
+	if state.HardState.Term < state.Snapshot.Term {
+		return damagef("the term %d is before that of the snapshot, %d", state.HardState.Term, state.Snapshot.Term)
+	}
 	if len(state.Entries) == 0 {
 		return nil
 	}
 	first, last := state.Entries[0], state.Entries[len(state.Entries)-1]
+	if state.HardState.Term < last.Term {
+		// An older page of the file: a member that forgot its vote could vote twice in a term.
+		return damagef("the term %d is before that of entry %d, %d", state.HardState.Term, last.Index, last.Term)
+	}
 	if first.Index > state.Snapshot.Index+1 {
 		return damagef("the log has a gap between the snapshot at %d and entry %d", state.Snapshot.Index, first.Index)
 	}
