--- a/daemon/groupcontact.go
+++ b/daemon/groupcontact.go
@@ -31,22 +31,31 @@
 // whileInContact ends a call with ErrNoContact once this daemon turns out to be cut off from a majority of the control
 // group. Its goroutine ends with the context that it returns.
 func (d *Daemon) whileInContact(ctx context.Context) (context.Context, context.CancelFunc) {
-	bounded, cancel := context.WithCancelCause(ctx)
 	arrived := d.clock.Elapsed()
 	maxAge := membership.StaleAfter
 	if d.replica.Load() != nil {
 		maxAge = memberContactAge
 	}
+	return cancelWhen(ctx, contactCheckEvery, ErrNoContact, func() bool {
+		now := d.clock.Elapsed()
+		return isOutOfContact(now, arrived, d.lastGroupContact(now), maxAge)
+	})
+}
+
+// cancelWhen ends a context for a cause as soon as a condition holds, which it checks at intervals. Its goroutine ends with
+// the context that it returns.
+func cancelWhen(ctx context.Context, every time.Duration, cause error, holds func() bool) (context.Context, context.CancelFunc) {
+	bounded, cancel := context.WithCancelCause(ctx)
 	go func() {
-		ticker := time.NewTicker(contactCheckEvery)
+		ticker := time.NewTicker(every)
 		defer ticker.Stop()
 		for {
 			select {
 			case <-bounded.Done():
 				return
 			case <-ticker.C:
-				if now := d.clock.Elapsed(); isOutOfContact(now, arrived, d.lastGroupContact(now), maxAge) {
-					cancel(ErrNoContact)
+				if holds() {
+					cancel(cause)
 				}
 			}
 		}
--- a/daemon/leader.go
+++ b/daemon/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cresspond/cresspond/process/consensus/replica"
@@ -35,25 +36,20 @@
 	return &peerapi.SubmitReply{Outcome: string(replica.NotLeader), LeaderAddress: d.leaderAddress()}
 }
 
-// whileLeader bounds a request to the leader by a limit, and ends it once another daemon is known to lead. Its
-// goroutine ends with the context that it returns.
+// leaderCheckEvery is how often a request to the leader checks that no other is known.
+const leaderCheckEvery = 100 * time.Millisecond
+
+// errOtherLeader ends a request to a daemon that another one is known to have followed as the leader.
+var errOtherLeader = errors.New("another daemon leads the control group")
+
+// whileLeader bounds a request to the leader by a limit, and ends it once another daemon is known to lead.
 func (d *Daemon) whileLeader(ctx context.Context, address string, limit time.Duration) (context.Context, context.CancelFunc) {
-	bounded, cancel := context.WithTimeout(ctx, limit)
-	go func() {
-		ticker := time.NewTicker(100 * time.Millisecond)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-bounded.Done():
-				return
-			case <-ticker.C:
-				if leader := d.leaderAddress(); leader != "" && leader != address {
-					cancel()
-				}
-			}
-		}
-	}()
-	return bounded, cancel
+	limited, cancelLimit := context.WithTimeout(ctx, limit)
+	bounded, cancel := cancelWhen(limited, leaderCheckEvery, errOtherLeader, func() bool {
+		leader := d.leaderAddress()
+		return leader != "" && leader != address
+	})
+	return bounded, func() { cancel(); cancelLimit() }
 }
 
 // FirstRolloutAge returns, if this daemon leads, how long any configuration has been in force: negative while none
--- a/process/consensus/raft/inflight.go
+++ b/process/consensus/raft/inflight.go
@@ -41,7 +41,7 @@
 // tick counts the peer's silence, and the time-outs of chunk and append down. A transfer to a peer that fell silent is
 // given up; the peer says how much it has received when it is back.
 func (p *progress) tick(timing Timing) {
-	p.silentTicks++
+	p.ticksSinceReply++
 	if !p.isActive(timing) {
 		p.outgoing = nil
 	}
--- a/process/consensus/raft/progress.go
+++ b/process/consensus/raft/progress.go
@@ -4,8 +4,8 @@
 type progress struct {
 	// match is the last index known to be replicated and synced; next is the first index to send.
 	match, next Index
-	// silentTicks counts the ticks since the peer's newest reply, or since this member became the leader.
-	silentTicks int
+	// ticksSinceReply counts the ticks since the peer's newest reply, or since this member became the leader.
+	ticksSinceReply int
 	// probing says that the match is unknown: next does not advance until the peer acknowledges an append.
 	probing bool
 	// acceptsChunks says that the peer accepts snapshots in chunks; earlier builds do not.
--- a/process/consensus/raft/quorumcheck.go
+++ b/process/consensus/raft/quorumcheck.go
@@ -10,9 +10,9 @@
 }
 
 // isActive says that the peer replied within the last election time-out.
-func (p *progress) isActive(timing Timing) bool { return p.silentTicks < timing.ElectionTicks }
+func (p *progress) isActive(timing Timing) bool { return p.ticksSinceReply < timing.ElectionTicks }
 
 // recordReply records that the peer replied, and whether it accepts chunks.
 func (p *progress) recordReply(message Message) {
-	p.silentTicks, p.acceptsChunks = 0, message.AcceptsChunks
+	p.ticksSinceReply, p.acceptsChunks = 0, message.AcceptsChunks
 }
--- a/process/consensus/raft/quorumcheck_test.go
+++ b/process/consensus/raft/quorumcheck_test.go
@@ -6,16 +6,16 @@
 	"testing"
 )
 
-// cutGroup is a group in simulated ticks: messages take a few ticks, disks are instant, and links can be cut.
-type cutGroup struct {
-	random   *rand.Rand
-	timing   Timing
-	cores    []*Core
-	inFlight []delayedMessage
-	now      int
-	maxDelay int
-	// isCut says whether messages from one member to another are dropped.
-	isCut func(from, to MemberID) bool
+// partitionedGroup is a group in simulated ticks: messages take a few ticks, disks are instant, and links can be cut.
+type partitionedGroup struct {
+	random      *rand.Rand
+	timing      Timing
+	cores       []*Core
+	undelivered []delayedMessage
+	now         int
+	maxDelay    int
+	// isPartitioned says whether messages from one member to another are dropped.
+	isPartitioned func(from, to MemberID) bool
 	// lastReplyAt is when each peer's newest reply arrived at the leader that is watched.
 	lastReplyAt map[MemberID]int
 	watched     MemberID
@@ -27,9 +27,9 @@
 	at      int
 }
 
-func newCutGroup(seed uint64, size, maxDelay int) *cutGroup {
-	g := &cutGroup{random: rand.New(rand.NewPCG(seed, 3)), timing: Timing{HeartbeatTicks: 2, ElectionTicks: 16}, maxDelay: maxDelay,
-		isCut: func(MemberID, MemberID) bool { return false }, lastReplyAt: map[MemberID]int{}}
+func newPartitionedGroup(seed uint64, size, maxDelay int) *partitionedGroup {
+	g := &partitionedGroup{random: rand.New(rand.NewPCG(seed, 3)), timing: Timing{HeartbeatTicks: 2, ElectionTicks: 16}, maxDelay: maxDelay,
+		isPartitioned: func(MemberID, MemberID) bool { return false }, lastReplyAt: map[MemberID]int{}}
 	var membership Membership
 	for id := MemberID(1); id <= MemberID(size); id++ {
 		membership.Members = append(membership.Members, Member{ID: id, Name: fmt.Sprint("m", id), Address: fmt.Sprint("a", id), Voter: true})
@@ -41,7 +41,7 @@
 	return g
 }
 
-func (g *cutGroup) step(core *Core, event Event) {
+func (g *partitionedGroup) step(core *Core, event Event) {
 	wasLeader := core.Role() == Leader
 	effects := core.Step(event)
 	if !wasLeader && core.Role() == Leader {
@@ -52,22 +52,22 @@
 		g.step(core, Persisted{Index: last.Index, Term: last.Term})
 	}
 	for _, message := range append(effects.Immediate, effects.AfterSync...) {
-		if !g.isCut(message.From, message.To) {
-			g.inFlight = append(g.inFlight, delayedMessage{message, g.now + g.random.IntN(g.maxDelay+1)})
+		if !g.isPartitioned(message.From, message.To) {
+			g.undelivered = append(g.undelivered, delayedMessage{message, g.now + g.random.IntN(g.maxDelay+1)})
 		}
 	}
 }
 
 // deliver hands over the messages that are due, those that are sent meanwhile too.
-func (g *cutGroup) deliver() {
-	for i := 0; i < len(g.inFlight); i++ {
-		due := g.inFlight[i]
+func (g *partitionedGroup) deliver() {
+	for i := 0; i < len(g.undelivered); i++ {
+		due := g.undelivered[i]
 		if due.at > g.now {
 			continue
 		}
-		g.inFlight = append(g.inFlight[:i], g.inFlight[i+1:]...)
+		g.undelivered = append(g.undelivered[:i], g.undelivered[i+1:]...)
 		i--
-		if g.isCut(due.message.From, due.message.To) {
+		if g.isPartitioned(due.message.From, due.message.To) {
 			continue
 		}
 		if due.message.To == g.watched && (due.message.Kind == MsgHeartbeatReply || due.message.Kind == MsgAppendReply) {
@@ -77,7 +77,7 @@
 	}
 }
 
-func (g *cutGroup) tick() {
+func (g *partitionedGroup) tick() {
 	g.now++
 	for _, core := range g.cores {
 		g.step(core, Tick{})
@@ -85,7 +85,7 @@
 	g.deliver()
 }
 
-func (g *cutGroup) leader() *Core {
+func (g *partitionedGroup) leader() *Core {
 	for _, core := range g.cores {
 		if core.Role() == Leader {
 			return core
@@ -95,7 +95,7 @@
 }
 
 // lastMajorityContact is when a majority had last answered the watched leader.
-func (g *cutGroup) lastMajorityContact() int {
+func (g *partitionedGroup) lastMajorityContact() int {
 	for at := g.now; at > 0; at-- {
 		answered := 1
 		for _, reply := range g.lastReplyAt {
@@ -110,8 +110,8 @@
 	return 0
 }
 
-// randomCut cuts a leader off from enough peers that no majority is left, each link both ways or one way alone.
-func (g *cutGroup) randomCut(leader MemberID) func(from, to MemberID) bool {
+// randomPartition cuts a leader off from enough peers that no majority is left, each link both ways or one way alone.
+func (g *partitionedGroup) randomPartition(leader MemberID) func(from, to MemberID) bool {
 	type link struct{ from, to MemberID }
 	dropped := map[link]bool{}
 	others := g.random.Perm(len(g.cores))
@@ -134,7 +134,7 @@
 
 // ticksToStepDown cuts a group's leader off, and gives how long after the last contact with a majority it led.
 func ticksToStepDown(seed uint64) (ticks int, steppedDown bool) {
-	g := newCutGroup(seed, []int{3, 5}[seed%2], 1+int(seed%4))
+	g := newPartitionedGroup(seed, []int{3, 5}[seed%2], 1+int(seed%4))
 	for g.now < 200 || g.leader() == nil {
 		g.tick()
 	}
@@ -146,7 +146,7 @@
 	if leader.Role() != Leader {
 		return 0, false
 	}
-	g.isCut = g.randomCut(leader.ID())
+	g.isPartitioned = g.randomPartition(leader.ID())
 	for range 4 * g.timing.ElectionTicks {
 		g.tick()
 		if leader.Role() != Leader {
@@ -167,8 +167,8 @@
 		played++
 		worst = max(worst, ticks)
 	}
-	t.Logf("%d cuts: at most %d ticks after the last contact, of %d", played, worst, newCutGroup(0, 3, 1).timing.ElectionTicks)
-	if limit := newCutGroup(0, 3, 1).timing.ElectionTicks; worst > limit {
+	t.Logf("%d cuts: at most %d ticks after the last contact, of %d", played, worst, newPartitionedGroup(0, 3, 1).timing.ElectionTicks)
+	if limit := newPartitionedGroup(0, 3, 1).timing.ElectionTicks; worst > limit {
 		t.Errorf("a leader led for %d ticks after its last contact with a majority, of %d", worst, limit)
 	}
 }
@@ -176,7 +176,7 @@
 // The stricter check costs no election where links are slow but whole: replies arrive up to six ticks late each way.
 func TestSlowLinksCauseNoElection(t *testing.T) {
 	for seed := range uint64(50) {
-		g := newCutGroup(seed, []int{3, 5}[seed%2], 6)
+		g := newPartitionedGroup(seed, []int{3, 5}[seed%2], 6)
 		for g.now < 200 || g.leader() == nil {
 			g.tick()
 		}
--- a/process/consensus/replica/feature_level_test.go
+++ b/process/consensus/replica/feature_level_test.go
@@ -110,7 +110,7 @@
 
 // The broken variant: a leader that asks nobody. The member that does not understand the level notices, and serves
 // nothing more.
-func TestLevelRaisedWithoutAskingEndsTheMemberThatLacksIt(t *testing.T) {
+func TestLevelRaisedWithoutAskingEndsMembersBelowIt(t *testing.T) {
 	g := newMixedGroup(t, 2)
 	g.raisesAtOnce = true
 	leader := g.leader()
--- a/testbed/endtoend/callid_test.go
+++ b/testbed/endtoend/callid_test.go
@@ -36,26 +36,26 @@
 	if status, reply := leader.propose("second", 1, "ana", encode(t, testConfiguration(1, 4))); status != 200 {
 		t.Fatalf("proposing: %d %+v", status, reply)
 	}
-	act := func(operator string) []byte {
+	action := func(operator string) []byte {
 		return encode(t, operatorapi.ProposalAction{ProposalID: "second", Operator: operator})
 	}
-	if status := leader.calledAs("early", operatorapi.PathRoll, act("ana")); status != 403 {
+	if status := leader.calledAs("early", operatorapi.PathRoll, action("ana")); status != 403 {
 		t.Fatalf("rolled out unsigned: %d", status)
 	}
 	for _, step := range []struct{ id, path, operator string }{{"review", operatorapi.PathReview, "berta"}, {"sign", operatorapi.PathSign, "chen"}} {
-		if status := leader.calledAs(step.id, step.path, act(step.operator)); status != 200 {
+		if status := leader.calledAs(step.id, step.path, action(step.operator)); status != 200 {
 			t.Fatalf("%s: %d", step.id, status)
 		}
 	}
 	for _, b := range p.all() {
-		if status := b.calledAs("early", operatorapi.PathRoll, act("ana")); status != 403 {
+		if status := b.calledAs("early", operatorapi.PathRoll, action("ana")); status != 403 {
 			t.Errorf("%s took the copy of a refused call: %d", b.name, status)
 		}
-		if status := b.calledAs("sign", operatorapi.PathRoll, act("ana")); status != 409 {
+		if status := b.calledAs("sign", operatorapi.PathRoll, action("ana")); status != 409 {
 			t.Errorf("%s took another call under an id in use: %d", b.name, status)
 		}
 	}
-	if status := p.edges[0].calledAs("later", operatorapi.PathRoll, act("ana")); !taken(status) {
+	if status := p.edges[0].calledAs("later", operatorapi.PathRoll, action("ana")); !taken(status) {
 		t.Errorf("rolling out: %d", status)
 	}
 }
