--- a/process/consensus/statemachine/digest_test.go
+++ b/process/consensus/statemachine/digest_test.go
@@ -63,14 +63,17 @@
 // The broken variant: any part of the state that is another makes another digest.
 func TestDigestDependsOnEachFieldOfTheState(t *testing.T) {
 	for name, change := range map[string]func(*State){
-		"time":     func(s *State) { s.Now++ },
-		"workers":  func(s *State) { s.Workers.Floors[3] = 4 },
-		"history":  func(s *State) { s.History = append(s.History, "x") },
-		"revision": func(s *State) { s.Revision++ },
-		"closures": func(s *State) { s.Closures.Zones["z"] = closure.Record{} },
-		"claim":    func(s *State) { s.PlannerLease.Token++ },
-		"serving":  func(s *State) { s.Serving["n"] = ServingDaemon{} },
-		"left":     func(s *State) { s.Departures++ },
+		"time":            func(s *State) { s.Now++ },
+		"workers":         func(s *State) { s.Workers.Floors[3] = 4 },
+		"history":         func(s *State) { s.History = append(s.History, "x") },
+		"revision":        func(s *State) { s.Revision++ },
+		"closures":        func(s *State) { s.Closures.Zones["z"] = closure.Record{} },
+		"claim":           func(s *State) { s.PlannerLease.Token++ },
+		"serving":         func(s *State) { s.Serving["n"] = ServingDaemon{} },
+		"left":            func(s *State) { s.Departures++ },
+		"level":           func(s *State) { s.FeatureLevel++ },
+		"calls":           func(s *State) { s.Calls = append(s.Calls, RememberedCall{ID: "x"}) },
+		"forgotten calls": func(s *State) { s.CallsKnownFrom++ },
 	} {
 		one, other := New(), New()
 		change(other)
