statemachine: incarnations of a daemon are ordered by when they started, from feature level 2 on

Cause: the ids of incarnations have no order, so a late ENLIST of an earlier one could make it count as serving until the later one's lease was granted or renewed, 10 s at most, and an acknowledgement might not wait for the right one. Change: a daemon reads the group's time from the leader once after its start and registers with it. Of two incarnations of a name the one with the later time counts, also where the later one has stopped; equal or unknown times go by leases as before. The read costs each start one call to the leader.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -74,6 +74,9 @@
 	// memberRetired says that this daemon's member of the group ends before the daemon does, and no other incarnation
 	// follows.
 	memberRetired atomic.Bool
+	// startedAt is the group's time as it was read after this incarnation started; only the goroutine of the worker's lease
+	// uses it.
+	startedAt ident.GroupTime
 	// joinRefused is the feature level of the group that last refused to admit this build.
 	joinRefused atomic.Uint32
 	// enlistedAt is when the group recorded this incarnation as one that may be serving; zero before.
--- a/daemon/workerlease.go
+++ b/daemon/workerlease.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/cresspond/cresspond/clock"
+	"github.com/cresspond/cresspond/ident"
 	"github.com/cresspond/cresspond/process/consensus/statemachine"
 )
 
@@ -69,10 +71,15 @@
 // registerServing has the group record that this incarnation may be serving, so that no change counts as in force
 // everywhere without it.
 func (d *Daemon) registerServing(ctx context.Context) {
+	startedAt, known := d.readStartedAt(ctx)
+	if !known {
+		return
+	}
 	answer, ok := d.submitOnce(ctx, statemachine.Command{
-		Op:      statemachine.OpRegister,
-		NodeID:  d.nodeID,
-		Address: d.config.AdvertisedPeerAddress(),
+		Op:        statemachine.OpRegister,
+		NodeID:    d.nodeID,
+		Address:   d.config.AdvertisedPeerAddress(),
+		StartedAt: startedAt,
 	})
 	switch {
 	case ok && answer.Outcome == statemachine.Done:
@@ -82,5 +89,19 @@
 	}
 }
 
+// readStartedAt reads the group's time, once in this incarnation: it orders the incarnations of this daemon, since each
+// reads it from the leader after it has started. It is zero where the leader is of a build that does not tell it.
+func (d *Daemon) readStartedAt(ctx context.Context) (ident.GroupTime, bool) {
+	if d.startedAt > 0 {
+		return d.startedAt, true
+	}
+	reading, ok := d.queryOnce(ctx, "time", "")
+	if !ok || len(reading.Data) == 0 {
+		return 0, ok
+	}
+	err := json.Unmarshal(reading.Data, &d.startedAt)
+	return d.startedAt, err == nil
+}
+
 // EnlistedAt is when the group recorded this incarnation as one that may be serving; zero before.
 func (d *Daemon) EnlistedAt() clock.Mark { return clock.Mark(d.enlistedAt.Load()) }
--- a/process/consensus/statemachine/command.go
+++ b/process/consensus/statemachine/command.go
@@ -87,6 +87,9 @@
 	HasBase bool `json:"based,omitempty"`
 	// Ranking is set where the planner's ranking sends OpClosure, never for an operator's.
 	Ranking *closure.RankingDecision `json:"ranking,omitempty"`
+	// StartedAt is, for OpRegister, the group's time as a leader read it after the incarnation had started; zero is not
+	// known. A later incarnation of the daemon never has an earlier one.
+	StartedAt ident.GroupTime `json:"startedAt,omitempty"`
 	// Address is where a daemon that registers is reached, LostDaemon which one is declared lost.
 	Address    string       `json:"address,omitempty"`
 	LostDaemon ident.NodeID `json:"lost,omitempty"`
--- a/process/consensus/statemachine/featurelevel.go
+++ b/process/consensus/statemachine/featurelevel.go
@@ -12,10 +12,12 @@
 	BaseLevel FeatureLevel = iota
 	// CallMemoryLevel: the outcomes of operators' calls are remembered by the calls' ids.
 	CallMemoryLevel
+	// IncarnationOrderLevel: incarnations of a daemon are ordered by when they started.
+	IncarnationOrderLevel
 )
 
 // SupportedFeatureLevel is the highest level that this build understands.
-const SupportedFeatureLevel = CallMemoryLevel
+const SupportedFeatureLevel = IncarnationOrderLevel
 
 // FeatureLevelError says that a group, or the state in a data folder, is at a level that this build does not understand.
 // A newer build must be used.
--- a/process/consensus/statemachine/incarnations.go
+++ b/process/consensus/statemachine/incarnations.go
@@ -21,6 +21,8 @@
 type ServingDaemon struct {
 	Address string          `json:"address"`
 	Since   ident.GroupTime `json:"since"`
+	// StartedAt orders the incarnations of one name; zero is not known.
+	StartedAt ident.GroupTime `json:"startedAt,omitempty"`
 }
 
 // EndedIncarnation is one incarnation of a daemon that served and is taken to have ended.
@@ -29,6 +31,8 @@
 	Address string       `json:"address"`
 	// Stopped says that the daemon itself reported its end; else another incarnation of its name followed it.
 	Stopped bool `json:"stopped,omitempty"`
+	// StartedAt is as in ServingDaemon.
+	StartedAt ident.GroupTime `json:"startedAt,omitempty"`
 }
 
 // ServingDaemons lists the daemons that may be serving, sorted.
@@ -43,14 +47,29 @@
 	if ended, found := s.endedIncarnation(command.NodeID); found && ended.Stopped {
 		// A retry that arrives late.
 		return Result{Outcome: Forbidden, Reason: "this incarnation of the daemon has stopped"}
-	} else if found && s.superseded(command.NodeID) {
+	} else if found && s.superseded(command.NodeID) || s.laterStarted(command.NodeID, command.StartedAt) {
 		// Registered again, it would end the incarnation that followed it.
 		return Result{Outcome: Done}
 	}
-	s.startServing(command.NodeID, command.Address)
+	s.startServing(command.NodeID, command.Address, command.StartedAt)
 	return Result{Outcome: Done}
 }
 
+// laterStarted says whether an incarnation of the same name is known that started later.
+func (s *State) laterStarted(node ident.NodeID, startedAt ident.GroupTime) bool {
+	if startedAt == 0 || s.FeatureLevel < IncarnationOrderLevel {
+		return false
+	}
+	for other, serving := range s.Serving {
+		if other != node && other.Name() == node.Name() && serving.StartedAt > startedAt {
+			return true
+		}
+	}
+	return slices.ContainsFunc(s.EndedIncarnations, func(ended EndedIncarnation) bool {
+		return ended.Node != node && ended.Node.Name() == node.Name() && ended.StartedAt > startedAt
+	})
+}
+
 // declareLost records an operator's statement that a daemon will never serve again.
 func (s *State) declareLost(command Command) Result {
 	if _, already := s.Closures.Lost[command.LostDaemon]; already {
@@ -77,14 +96,14 @@
 }
 
 // startServing is the one function that adds an incarnation to those that may be serving; all others of its name end.
-func (s *State) startServing(node ident.NodeID, address string) {
+func (s *State) startServing(node ident.NodeID, address string, startedAt ident.GroupTime) {
 	for _, other := range slices.Sorted(maps.Keys(s.Serving)) {
 		if other != node && other.Name() == node.Name() {
 			s.endIncarnation(other, false)
 		}
 	}
 	if _, known := s.Serving[node]; !known {
-		s.Serving[node] = ServingDaemon{Address: address, Since: s.Now}
+		s.Serving[node] = ServingDaemon{Address: address, Since: s.Now, StartedAt: startedAt}
 	}
 	if _, ended := s.endedIncarnation(node); ended {
 		s.EndedIncarnations = slices.DeleteFunc(slices.Clone(s.EndedIncarnations), func(ended EndedIncarnation) bool { return ended.Node == node })
@@ -100,7 +119,7 @@
 	delete(s.Serving, node)
 	// A new slice, so that readers may keep the old one.
 	retained := s.EndedIncarnations[max(0, len(s.EndedIncarnations)-maxEndedIncarnations+1):]
-	s.EndedIncarnations = append(slices.Clone(retained), EndedIncarnation{Node: node, Address: serving.Address, Stopped: stopped})
+	s.EndedIncarnations = append(slices.Clone(retained), EndedIncarnation{Node: node, Address: serving.Address, Stopped: stopped, StartedAt: serving.StartedAt})
 }
 
 // leaseEnd is when an incarnation's lease of its worker id expires; zero where it has none.
@@ -127,7 +146,7 @@
 // where it was taken to have ended, since its successor's registration arrived before its own or its predecessor's
 // arrived late, it serves all the same.
 func (s *State) confirmServing(node ident.NodeID, outcome workerid.LeaseOutcome) {
-	if ended, found := s.endedIncarnation(node); outcome == workerid.Granted && found && !ended.Stopped && !s.superseded(node) {
-		s.startServing(node, ended.Address)
+	if ended, found := s.endedIncarnation(node); outcome == workerid.Granted && found && !ended.Stopped && !s.superseded(node) && !s.laterStarted(node, ended.StartedAt) {
+		s.startServing(node, ended.Address, ended.StartedAt)
 	}
 }
