replica: two losses one to five seconds apart, in each order, are played

The second losses were played at the end of the repair and at its steps, by event and not by time. Now also each half second from one to five after the first, for three and five voters, in each order of the machines; of power where a second loss for good is more than three voters survive. Nothing in the code needed a change.

--- a/process/consensus/replica/second_loss_cases_test.go
+++ b/process/consensus/replica/second_loss_cases_test.go
@@ -18,15 +18,17 @@
 	size          int
 	first, second faultKind
 	victim, next  int
-	// events is how many events after the first fault the second comes; zero stands for the end of catchUpTime.
+	// events is how many events after the first fault the second comes, gap how long after it; where both are zero it comes
+	// at the end of catchUpTime.
 	events        int
+	gap           time.Duration
 	writeDuration time.Duration
 	// stopsUnsafely injects a defect: a member that stops does not wait for an up-to-date majority.
 	stopsUnsafely bool
 }
 
 func (c secondLossCase) String() string {
-	return fmt.Sprintf("%d members, disk %v, first %q at %d, then %q at %d after %d events", c.size, c.writeDuration, c.first, c.victim, c.second, c.next, c.events)
+	return fmt.Sprintf("%d members, disk %v, first %q at %d, then %q at %d after %d events and %v", c.size, c.writeDuration, c.first, c.victim, c.second, c.next, c.events, c.gap)
 }
 
 type membershipRule func(MembershipPlan) (raft.Membership, bool)
@@ -64,9 +66,12 @@
 func (c secondLossCase) play(t *testing.T, rule membershipRule) (string, time.Duration) {
 	sim := c.begin(t, rule)
 	back := sim.now + clock.Mark(c.first.repairTime())
-	if c.events > 0 {
+	switch {
+	case c.events > 0:
 		sim.runEvents(c.events)
-	} else {
+	case c.gap > 0:
+		sim.runFor(c.gap)
+	default:
 		sim.runFor(c.first.repairTime() + catchUpTime)
 	}
 	here := sim.presentMachines()
@@ -75,7 +80,8 @@
 	}
 	victim := here[c.next]
 	sim.inject(c.second, victim)
-	if c.events > 0 && c.size == 3 && c.first != replacedBeforehand {
+	duringRepair := c.events > 0 || c.gap > 0 && c.gap < c.first.repairTime()+catchUpTime
+	if duringRepair && c.size == 3 && c.first != replacedBeforehand {
 		// Two of three are away: the group recovers once one is back.
 		sim.runFor(max(back.Since(sim.now), c.second.downtimeAsSecond()))
 	}
@@ -158,6 +164,31 @@
 	return out
 }
 
+// casesAtGap lists every pair of losses one to five seconds apart, in each order of the machines: the second for good
+// where the group must survive that, and of power only elsewhere.
+func casesAtGap(size int) []secondLossCase {
+	var out []secondLossCase
+	for gap := time.Second; gap <= 5*time.Second; gap += 500 * time.Millisecond {
+		for _, first := range repairedFaults {
+			seconds := []faultKind{returnsWithDisk}
+			if first.keepsDisk() || first == replacedBeforehand {
+				seconds = append(seconds, lostForever)
+			}
+			if size == 5 {
+				seconds = append(slices.Clone(repairedFaults), lostForever)
+			}
+			for _, second := range seconds {
+				for victim := range size {
+					for next := range size {
+						out = append(out, secondLossCase{size: size, first: first, second: second, victim: victim, next: next, gap: gap, writeDuration: slowWriteDuration})
+					}
+				}
+			}
+		}
+	}
+	return out
+}
+
 // tally sums up the cases that were played.
 type tally struct {
 	played, failed int
--- a/process/consensus/replica/second_loss_test.go
+++ b/process/consensus/replica/second_loss_test.go
@@ -30,6 +30,14 @@
 	}
 }
 
+// The same with two losses one to five seconds apart, whatever the repair of the first has come to by then.
+func TestGroupSurvivesTwoLossesOneToFiveSecondsApart(t *testing.T) {
+	for _, group := range []struct{ size, every int }{{3, 7}, {5, 211}} {
+		cases := casesAtGap(group.size)
+		playAll(t, cases, group.every, nil).report(t, group.size, len(cases))
+	}
+}
+
 // removeBeforePromote is the plan without promoteForLeaving: the member that leaves is removed before another is promoted.
 func removeBeforePromote(p MembershipPlan) (raft.Membership, bool) {
 	ready := p.readyLearners()
