--- a/process/consensus/raft/membership_invariants_test.go
+++ b/process/consensus/raft/membership_invariants_test.go
@@ -44,8 +44,9 @@
 				history.leaders[node.core.term] = node.id
 			}
 		}
+		held := appliedEntries(node.core)
 		for index := Index(2); index <= node.core.commitIndex; index++ {
-			entry := node.core.raftLog.entries[index-2]
+			entry := held[index-2]
 			if int(index)-2 < len(history.committed) {
 				if known := history.committed[index-2]; known.entry.Term != entry.Term || string(known.entry.Data) != string(entry.Data) {
 					return fmt.Errorf("state machine safety: %d commits another entry than was committed at %d", node.id, index)
@@ -92,11 +93,13 @@
 func (m *model) checkLeader(node *modelNode, history modelHistory, highest Term) error {
 	core := node.core
 	inForce := core.memberships[0].membership
+	held := appliedEntries(core)
 	for _, known := range history.committed {
 		if known.entry.Kind == EntryMembership {
 			inForce = m.membership(known.entry.Data)
 		}
-		if term, present := core.raftLog.term(known.entry.Index); core.term > known.term && (!present || term != known.entry.Term) {
+		present := int(known.entry.Index)-2 < len(held)
+		if core.term > known.term && (!present || held[known.entry.Index-2].Term != known.entry.Term) {
 			return fmt.Errorf("leader completeness: %d leads term %d and lacks entry %d, committed in term %d", node.id, core.term, known.entry.Index, known.term)
 		}
 	}
@@ -105,7 +108,7 @@
 	}
 	uncommitted, before := 0, core.memberships[0].membership
 	for _, entry := range core.raftLog.entries {
-		if entry.Kind != EntryMembership {
+		if entry.Kind != EntryMembership || entry.Index <= core.raftLog.snapshot.Index {
 			continue
 		}
 		membership := m.membership(entry.Data)
@@ -129,9 +132,10 @@
 // matching checks log matching: two logs that agree in one entry agree in all before it.
 func matching(a, b *Core) error {
 	agree := false
-	for position := min(len(a.raftLog.entries), len(b.raftLog.entries)) - 1; position >= 0; position-- {
-		same := a.raftLog.entries[position].Term == b.raftLog.entries[position].Term
-		if same && string(a.raftLog.entries[position].Data) != string(b.raftLog.entries[position].Data) || agree && !same {
+	first, second := appliedEntries(a), appliedEntries(b)
+	for position := min(len(first), len(second)) - 1; position >= 0; position-- {
+		same := first[position].Term == second[position].Term
+		if same && string(first[position].Data) != string(second[position].Data) || agree && !same {
 			return fmt.Errorf("log matching: %d and %d differ at %d", a.id, b.id, position+2)
 		}
 		agree = agree || same
--- a/process/consensus/raft/membership_model_test.go
+++ b/process/consensus/raft/membership_model_test.go
@@ -17,11 +17,13 @@
 // has voted in a term takes no part in an earlier one, so a vote may be moved to the moment at which it is counted,
 // and a late answer is equivalent to a lost one that is repeated. Followers write at once (a write that is lost in a crash
 // is equivalent to a lost message); a leader's own writes need an event of their own, so that others may sync an entry
-// before it does. Elections need no time to pass, so nothing here rests on timers, leases or pre-votes.
+// before it does. Elections need no time to pass, so nothing here rests on timers, leases or pre-votes. Pre-votes only
+// hold elections back: a pre-vote round changes no term, vote, log or commit index, so each history with such rounds is one
+// of those without them that are searched here. A snapshot holds the entries that it stands for, and fits into one chunk.
 
 // modelBudget bounds what happens in one history.
 type modelBudget struct {
-	elections, changes, commands, crashes, losses, resends uint8
+	elections, changes, commands, crashes, losses, resends, compactions uint8
 	// depth bounds the number of events; zero means until no new state is found.
 	depth int
 	// states bounds the search.
@@ -37,6 +39,7 @@
 	twoUncommitted       modelVariant = "a change is proposed while another is not committed"
 	twoVotersAtOnce      modelVariant = "two voters are changed by one entry"
 	inForceWhenCommitted modelVariant = "a membership is in force only when it is committed"
+	compactedUncommitted modelVariant = "a snapshot holds entries that are not committed"
 )
 
 const modelMembers = 4
@@ -139,10 +142,18 @@
 	cloned.votes = maps.Clone(c.votes)
 	cloned.pendingReads = slices.Clone(c.pendingReads)
 	cloned.effects = Effects{}
+	if c.incoming != nil {
+		incoming := *c.incoming
+		cloned.incoming = &incoming
+	}
 	if c.peers != nil {
 		cloned.peers = map[MemberID]*progress{}
 		for id, known := range c.peers {
 			copied := *known
+			if known.outgoing != nil {
+				outgoing := *known.outgoing
+				copied.outgoing = &outgoing
+			}
 			cloned.peers[id] = &copied
 		}
 	}
@@ -213,8 +224,11 @@
 	write := node.pendingWrites[0]
 	node.pendingWrites = node.pendingWrites[1:]
 	node.disk.HardState = write.save.HardState
+	if write.save.Snapshot != nil {
+		node.disk.Snapshot = *write.save.Snapshot
+	}
 	node.disk.Entries = slices.DeleteFunc(slices.Clone(node.disk.Entries), func(e Entry) bool {
-		return write.save.TruncateFrom > 0 && e.Index >= write.save.TruncateFrom
+		return e.Index <= write.save.CompactTo || write.save.TruncateFrom > 0 && e.Index >= write.save.TruncateFrom
 	})
 	node.disk.Entries = append(node.disk.Entries, write.save.Entries...)
 	if count := len(write.save.Entries); count > 0 {
@@ -382,6 +396,14 @@
 				}
 			}
 		}
+		if upTo := m.compactable(node.core); state.spent.compactions < m.budget.compactions && upTo > node.core.raftLog.snapshot.Index {
+			compacted := state.next(fmt.Sprintf("%d compacts to %d", member+1, upTo))
+			compacted.spent.compactions++
+			var messages []int
+			compacted.nodes[member], messages = m.run(nodeID, "compact", 0, func(c *Core) Effects { return compactTo(c, upTo) })
+			m.put(compacted, messages)
+			successors = append(successors, compacted)
+		}
 		if state.spent.crashes < m.budget.crashes {
 			crashed := state.next(fmt.Sprintf("%d crashes", member+1))
 			crashed.spent.crashes++
@@ -474,7 +496,7 @@
 		key = binary.AppendUvarint(key, uint64(nodeID))
 	}
 	key = binary.AppendUvarint(key, uint64(state.history))
-	key = append(key, state.spent.elections, state.spent.changes, state.spent.commands, state.spent.crashes, state.spent.losses, state.spent.resends)
+	key = append(key, state.spent.elections, state.spent.changes, state.spent.commands, state.spent.crashes, state.spent.losses, state.spent.resends, state.spent.compactions)
 	for from := range state.links {
 		for _, queue := range state.links[from] {
 			key = binary.AppendUvarint(key, uint64(len(queue)))
--- a/process/consensus/raft/membership_modelkeys_test.go
+++ b/process/consensus/raft/membership_modelkeys_test.go
@@ -33,6 +33,10 @@
 	k.number(uint64(message.Kind), uint64(message.From), uint64(message.To), uint64(message.Term), uint64(message.LogIndex), uint64(message.LogTerm), uint64(message.Commit), uint64(message.Hint))
 	k.flag(message.Reject)
 	k.entries(message.Entries)
+	k.flag(message.Snapshot != nil)
+	if message.Snapshot != nil {
+		k.snapshot(*message.Snapshot)
+	}
 }
 
 // key identifies a member's state; timers are left out.
@@ -41,12 +45,15 @@
 	core := n.core
 	key.number(uint64(core.id), uint64(core.term), uint64(core.vote), uint64(core.role), uint64(core.leader), uint64(core.commitIndex), uint64(core.raftLog.stableIndex))
 	key.entries(core.raftLog.entries)
+	key.snapshot(core.raftLog.snapshot)
+	key.snapshot(n.disk.Snapshot)
 	for id := MemberID(1); id <= modelMembers; id++ {
 		peer := core.peers[id]
 		key.flag(peer != nil)
 		if peer != nil {
 			key.number(uint64(peer.match), uint64(peer.next))
 			key.flag(peer.probing)
+			key.transfer(peer.outgoing)
 		}
 		granted, answered := core.votes[id]
 		key.flag(answered)
@@ -57,6 +64,8 @@
 	for _, write := range n.pendingWrites {
 		key.number(uint64(write.save.HardState.Term), uint64(write.save.HardState.Vote), uint64(write.save.TruncateFrom), uint64(len(write.afterSync)))
 		key.entries(write.save.Entries)
+		key.number(uint64(write.save.CompactTo))
+		key.flag(write.save.Snapshot != nil)
 		for _, message := range write.afterSync {
 			key.message(message)
 		}
--- a/process/consensus/raft/membership_search_test.go
+++ b/process/consensus/raft/membership_search_test.go
@@ -72,6 +72,10 @@
 		{voters: 3, budget: modelBudget{elections: 2, changes: 2, commands: 1, crashes: 1, losses: 1, resends: 1, depth: 4}},
 		{voters: 4, budget: modelBudget{elections: 2, changes: 2, commands: 1, crashes: 1, losses: 1, resends: 1, depth: 4}},
 		{voters: 3, budget: modelBudget{elections: 1, changes: 2, crashes: 1, losses: 1, depth: 5}},
+		// Logs are compacted, and members that lag are sent snapshots.
+		{voters: 3, budget: modelBudget{elections: 1, commands: 1, compactions: 2, losses: 1, depth: 7}},
+		{voters: 3, budget: modelBudget{elections: 1, changes: 1, commands: 1, compactions: 1, crashes: 1, resends: 1, depth: 5}},
+		{voters: 3, budget: modelBudget{elections: 2, commands: 2, compactions: 2, losses: 1, crashes: 1, resends: 1, depth: 9}, long: true},
 		{voters: 3, budget: modelBudget{elections: 2, changes: 2}, long: true},
 		{voters: 4, budget: modelBudget{elections: 2, changes: 1}, long: true},
 		{voters: 4, budget: modelBudget{elections: 2, changes: 2, depth: 11}, long: true},
@@ -108,6 +112,7 @@
 		{twoUncommitted, 3, modelBudget{elections: 1, changes: 2}},
 		{twoVotersAtOnce, 3, modelBudget{elections: 1, changes: 1}},
 		{inForceWhenCommitted, 3, modelBudget{elections: 1, changes: 2, commands: 1}},
+		{compactedUncommitted, 3, modelBudget{elections: 1, commands: 1, compactions: 1, crashes: 1}},
 	} {
 		t.Run(string(broken.variant), func(t *testing.T) {
 			broken.budget.states = modelStates
