--- a/process/consensus/raft/membership_invariants_test.go
+++ b/process/consensus/raft/membership_invariants_test.go
@@ -44,9 +44,9 @@
 				history.leaders[node.core.term] = node.id
 			}
 		}
-		held := appliedEntries(node.core)
+		applied := appliedEntries(node.core)
 		for index := Index(2); index <= node.core.commitIndex; index++ {
-			entry := held[index-2]
+			entry := applied[index-2]
 			if int(index)-2 < len(history.committed) {
 				if known := history.committed[index-2]; known.entry.Term != entry.Term || string(known.entry.Data) != string(entry.Data) {
 					return fmt.Errorf("state machine safety: %d commits another entry than was committed at %d", node.id, index)
@@ -93,13 +93,13 @@
 func (m *model) checkLeader(node *modelNode, history modelHistory, highest Term) error {
 	core := node.core
 	inForce := core.memberships[0].membership
-	held := appliedEntries(core)
+	applied := appliedEntries(core)
 	for _, known := range history.committed {
 		if known.entry.Kind == EntryMembership {
 			inForce = m.membership(known.entry.Data)
 		}
-		present := int(known.entry.Index)-2 < len(held)
-		if core.term > known.term && (!present || held[known.entry.Index-2].Term != known.entry.Term) {
+		present := int(known.entry.Index)-2 < len(applied)
+		if core.term > known.term && (!present || applied[known.entry.Index-2].Term != known.entry.Term) {
 			return fmt.Errorf("leader completeness: %d leads term %d and lacks entry %d, committed in term %d", node.id, core.term, known.entry.Index, known.term)
 		}
 	}
