configuration, platform: tenants with keys, urgency and limits are part of a configuration

Cause: `clients` of the platform was kept as an uninterpreted note. A PATCH of them went into the note as "upsert", so nothing of it came into the list, and nothing was checked.

Now upstream.Section has tenants, checked (a name twice, a key of two tenants, empty keys, negative rates), merged item by item by patches, and given back as sent. New settings of the deployment: the window, excess and margin of limits, and whether keys are accepted by a daemon that can't know of their withdrawal.

--- a/configuration/upstream/patch.go
+++ b/configuration/upstream/patch.go
@@ -18,22 +18,25 @@
 	Note json.RawMessage `json:"note,omitempty"`
 }
 
-// Items are paths and pools.
+// Items are paths, pools and tenants.
 type Items struct {
-	Paths []Path `json:"paths,omitempty"`
-	Pools []Pool `json:"pools,omitempty"`
+	Paths   []Path   `json:"paths,omitempty"`
+	Pools   []Pool   `json:"pools,omitempty"`
+	Tenants []Tenant `json:"tenants,omitempty"`
 }
 
-// Names name paths and pools.
+// Names name paths, pools and tenants.
 type Names struct {
-	Paths []string `json:"paths,omitempty"`
-	Pools []string `json:"pools,omitempty"`
+	Paths   []string `json:"paths,omitempty"`
+	Pools   []string `json:"pools,omitempty"`
+	Tenants []string `json:"tenants,omitempty"`
 }
 
 // Validate reports what is wrong with the patch by itself; its result is validated as a section.
 func (p *Patch) Validate(report func(path, reason string)) {
 	checkDuplicates(p.Upsert.Paths, pathName, "upsert.paths", report)
 	checkDuplicates(p.Upsert.Pools, poolName, "upsert.pools", report)
+	checkDuplicates(p.Upsert.Tenants, tenantName, "upsert.tenants", report)
 }
 
 func checkDuplicates[T any](items []T, name func(T) string, where string, report func(path, reason string)) {
@@ -46,8 +49,9 @@
 	}
 }
 
-func pathName(p Path) string { return p.Name }
-func poolName(p Pool) string { return p.Name }
+func pathName(p Path) string     { return p.Name }
+func poolName(p Pool) string     { return p.Name }
+func tenantName(t Tenant) string { return t.Name }
 
 // Merge gives the section that the patch makes of this one, which stays as it is. An item that is named both
 // in Remove and in Upsert is there afterwards, in its old position.
@@ -56,10 +60,11 @@
 	out.Revision = p.Revision
 	out.Paths = merge(s.Paths, p.Upsert.Paths, p.Remove.Paths, pathName)
 	out.Pools = merge(s.Pools, p.Upsert.Pools, p.Remove.Pools, poolName)
+	out.Tenants = merge(s.Tenants, p.Upsert.Tenants, p.Remove.Tenants, tenantName)
 	if p.Limits != nil {
 		out.Limits = *p.Limits
 	}
-	out.Note = mergeNotes(s.Note, p.Note)
+	out.Note = MergeNotes(s.Note, p.Note)
 	return out
 }
 
@@ -89,7 +94,8 @@
 	return out
 }
 
-func mergeNotes(old, changes json.RawMessage) json.RawMessage {
+// MergeNotes gives a note with the members of another one, which replace those of the same name.
+func MergeNotes(old, changes json.RawMessage) json.RawMessage {
 	if len(changes) == 0 {
 		return old
 	}
--- a/configuration/upstream/section.go
+++ b/configuration/upstream/section.go
@@ -23,7 +23,9 @@
 	Revision uint64 `json:"revision" validate:"gt=0"`
 	Paths    []Path `json:"paths" validate:"dive"`
 	Pools    []Pool `json:"pools" validate:"dive"`
-	Limits   Limits `json:"limits"`
+	// Tenants are the operators' customers. Where there are any, a request needs the key of one, except on public paths.
+	Tenants []Tenant `json:"tenants,omitempty" validate:"dive"`
+	Limits  Limits   `json:"limits"`
 	// Note is retained and given back, and not interpreted.
 	Note json.RawMessage `json:"note,omitempty"`
 }
@@ -39,6 +41,8 @@
 	Resumable bool `json:"resumable,omitempty"`
 	// Affine requests name a model, and share prefixes of prompts that engines cache.
 	Affine bool `json:"affine,omitempty"`
+	// Public paths serve requests without a tenant's key.
+	Public bool `json:"public,omitempty"`
 	// DeadlineMs is the longest time a request is queued and run, TargetMs the latency target (SLO) of its first byte,
 	// GapTargetMs the target for the longest pause between events of a stream.
 	DeadlineMs  int64 `json:"deadlineMs" validate:"gt=0,lte=86400000"`
--- a/configuration/upstream/validate.go
+++ b/configuration/upstream/validate.go
@@ -11,6 +11,7 @@
 // Validate reports what is wrong with the section beyond the bounds of its single fields: names that repeat,
 // references to names that nothing has, and paths that a request could not choose between.
 func (s *Section) Validate(report func(path, reason string)) {
+	s.validateTenants(report)
 	pools := make(map[string]bool, len(s.Pools))
 	for i, pool := range s.Pools {
 		if pools[pool.Name] {
--- a/process/daemonconfig/bounds.go
+++ b/process/daemonconfig/bounds.go
@@ -41,6 +41,15 @@
 	// its rate within it.
 	OriginWindowMs int64   `json:"originWindowMs" validate:"gt=0"`
 	OriginExcess   float64 `json:"originExcess" validate:"gte=0"`
+	// QuotaWindowMs, QuotaExcess and QuotaMargin say how far the fleet may exceed a tenant's limit: in any such window by a
+	// fraction of what the limit allows there, plus a number of requests.
+	QuotaWindowMs int64   `json:"quotaWindowMs,omitempty" validate:"gt=0"`
+	QuotaExcess   float64 `json:"quotaExcess,omitempty" validate:"gte=0"`
+	QuotaMargin   float64 `json:"quotaMargin,omitempty" validate:"gte=0"`
+	// RevocationClosed says that a daemon that may not know of a withdrawn key accepts none: after RevokeMs without a
+	// majority's confirmation of its configuration it rejects requests that need a key.
+	RevocationClosed bool  `json:"revocationClosed,omitempty"`
+	RevokeMs         int64 `json:"revokeMs,omitempty" validate:"gt=0"`
 }
 
 // DefaultBounds are the limits of a deployment that sets none.
@@ -64,5 +73,8 @@
 		ThawSlackMs:    300,
 		OriginWindowMs: 5000,
 		OriginExcess:   1,
+		QuotaWindowMs:  5000,
+		QuotaExcess:    0.1,
+		RevokeMs:       5000,
 	}
 }
