gateway, forwarding: a tenant's key is withheld from engines, its tenant named, and an unknown key unauthorized

Cause: the product knew no keys. Now a request's tenant is looked up by its key in the table in force, at admission, at each dispatch out of the queue, and right before the first byte is written, so that a withdrawn key ends requests that are queued or on their way, and a key that was passed on names its new tenant. An unknown key is answered 401 only by a table that is known to be new enough, as an unknown path is. Public paths need no key; a tenant's urgency goes before the path's.

--- a/connection/gateway/exchange.go
+++ b/connection/gateway/exchange.go
@@ -26,6 +26,12 @@
 	body        []byte
 	attempt     *forwarding.Attempt
 	measurement attemptMeasurement
+	// tenant is the tenant named to the engine; token is the one taken of its limit.
+	tenant string
+	token  quotaToken
+	// mayHaveRun reports that the request is counted for its tenant's limit already; overQuota that the attempt was withheld
+	// because that limit no longer allows it.
+	mayHaveRun, overQuota bool
 	// lastEvent is the id of the last event passed on.
 	lastEvent string
 	hasBegun  atomic.Bool
@@ -51,7 +57,7 @@
 			return nil
 		}
 		result := f.sendAttempt(step.Attempt)
-		outcome := outcomeOf(result.Outcome)
+		outcome := f.outcomeOf(result.Outcome)
 		if result.Outcome == connectionpool.OutcomeAnswered {
 			var stream *stream
 			if stream, outcome = f.handleResponse(result); stream != nil {
@@ -81,6 +87,7 @@
 	if f.callerGone.Load() && outcome != forwarding.OutcomeCompleted {
 		outcome = forwarding.OutcomeCallerLeft
 	}
+	f.mayHaveRun = f.mayHaveRun || outcome.MayHaveRun()
 	f.actor.AttemptEnded(f.request, outcome, f.lastEvent)
 	if outcome == forwarding.OutcomeCompleted {
 		return forwarding.Step{}
@@ -89,9 +96,12 @@
 }
 
 // outcomeOf maps the connection pool's outcome to forwarding's.
-func outcomeOf(outcome connectionpool.Outcome) forwarding.Outcome {
+func (f *exchange) outcomeOf(outcome connectionpool.Outcome) forwarding.Outcome {
 	switch outcome {
 	case connectionpool.OutcomeWithheld:
+		if f.overQuota {
+			return forwarding.OutcomeQuotaExceeded
+		}
 		return forwarding.OutcomeWithheld
 	case connectionpool.OutcomeUnreachable:
 		return forwarding.OutcomeUnreachable
@@ -119,8 +129,11 @@
 
 // prepareHeader writes the attempt's own header fields, as late as possible, since the time left is among them.
 func (f *exchange) prepareHeader() {
+	index := f.Index()
+	f.tenant, _ = f.tenantInForce()
 	f.Dialect.Dress(&f.header, dialect.Dress{
 		Engine: string(f.attempt.Engine), Left: f.request.Deadline.Since(f.Clock.Elapsed()), Urgency: f.attempt.Urgency, LastEvent: f.attempt.LastEvent, Resumes: f.attempt.Resume,
+		HideKey: index != nil && index.HasTenants(), Tenant: f.tenant,
 	})
 }
 
@@ -137,6 +150,7 @@
 func (f *exchange) checkBeforeSend() string {
 	reason := ""
 	engine := f.View().Engines[f.attempt.Engine]
+	tenant, allowed := f.tenantInForce()
 	switch {
 	case !forwarding.RoutesTo(f.Index(), f.request.Host, f.request.URLPath, f.attempt.Pool):
 		reason = "the table in force no longer leads there"
@@ -150,6 +164,11 @@
 		reason = "the caller has left"
 	case f.attempt.NeedsWorkerID && !f.HasWorkerID():
 		reason = "the worker id has lapsed"
+	case !allowed || tenant != f.tenant:
+		reason = "the key is another tenant's, or nobody's any more"
+	case !f.mayHaveRun && !f.takeQuota():
+		f.overQuota = true
+		reason = "the tenant's limit no longer allows the request"
 	}
 	if reason != "" {
 		f.Counters.Withheld.Add(1)
--- a/connection/gateway/gateway.go
+++ b/connection/gateway/gateway.go
@@ -35,6 +35,8 @@
 	HasWorkerID func() bool
 	// EngineOpen reports whether operators let new requests go to an engine; nil is always.
 	EngineOpen func(*registry.Engine) bool
+	// TakeQuota takes a token of a limited tenant's limit; nil limits nobody.
+	TakeQuota func(tenant string) QuotaDecision
 	// Draining reports whether callers should connect elsewhere, so that connections are closed after a response.
 	Draining func() bool
 	Settings forwarding.Settings
@@ -143,6 +145,7 @@
 	connectionpool.RemoveHopByHop(&f.header)
 	g.openRequests.Add(1)
 	g.monitor.add(f)
+	f.takeQuota()
 	if !g.actor.Admit(f.request) {
 		f.sendAnswer(forwarding.Answer{Status: fasthttp.StatusServiceUnavailable, Cause: forwarding.CauseShuttingDown, RetryAfter: time.Second})
 		f.finish()
--- a/connection/gateway/stream.go
+++ b/connection/gateway/stream.go
@@ -140,7 +140,7 @@
 			return false
 		}
 		result := s.sendAttempt(step.Attempt)
-		outcome = outcomeOf(result.Outcome)
+		outcome = s.outcomeOf(result.Outcome)
 		if result.Outcome != connectionpool.OutcomeAnswered {
 			continue
 		}
--- a/daemon/counters.go
+++ b/daemon/counters.go
@@ -186,6 +186,7 @@
 	report("opaque_too_large", side.gateway.Counters.TooLarge.Load())
 	report("opaque_open", uint64(max(0, side.gateway.OpenRequests())))
 	report("opaque_no_path", counts.NoPath)
+	report("opaque_unknown_keys", counts.UnknownKeys)
 	report("opaque_held", counts.Queued)
 	report("opaque_held_now", uint64(queued))
 	for index, count := range counts.QueuedBy {
--- a/daemon/forwarding.go
+++ b/daemon/forwarding.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/cresspond/cresspond/clock"
 	"github.com/cresspond/cresspond/configuration/upstream"
 	"github.com/cresspond/cresspond/connection/gateway"
 	"github.com/cresspond/cresspond/ident"
@@ -147,6 +148,16 @@
 	return nil
 }
 
+// keysOutdated says whether keys may have been withdrawn that the table in force still holds, and the deployment wants
+// none accepted then.
+func (d *Daemon) keysOutdated(now clock.Mark) bool {
+	if !d.config.Bounds.RevocationClosed {
+		return false
+	}
+	confirmed := d.confirmed()
+	return confirmed == 0 || now.Since(confirmed) > time.Duration(d.config.Bounds.RevokeMs)*time.Millisecond
+}
+
 // forwardWorld returns what forwarding decides by.
 func (d *Daemon) forwardWorld() forwarding.Environment {
 	now := d.clock.Elapsed()
@@ -154,6 +165,7 @@
 		Now:          now,
 		Index:        d.forwardIndex(),
 		IndexCurrent: d.tableIsCurrent(),
+		KeysOutdated: d.keysOutdated(now),
 		View:         d.forwarding.view(),
 		Zone:         d.config.Zone,
 		HasIdleConnection: func(engine *registry.Engine, pool string, careful bool) bool {
--- a/request/forwarding/answer.go
+++ b/request/forwarding/answer.go
@@ -28,6 +28,10 @@
 	CauseCallerLeft
 	// CauseShuttingDown: the daemon shuts down.
 	CauseShuttingDown
+	// CauseUnknownKey: the path needs the key of a tenant, and the request bears none that is known.
+	CauseUnknownKey
+	// CauseQuotaExceeded: the tenant's limit allows no further request now.
+	CauseQuotaExceeded
 	causeCount
 )
 
@@ -35,7 +39,7 @@
 func (c Cause) String() string { return CauseNames[c] }
 
 // CauseNames are the names used in answers and metrics, indexed by Cause.
-var CauseNames = [causeCount]string{"no-table", "no-path", "no-room", "no-lease", "spent", "late", "broken", "caller-left", "stopping"}
+var CauseNames = [causeCount]string{"no-table", "no-path", "no-room", "no-lease", "spent", "late", "broken", "caller-left", "stopping", "unknown-key", "over-quota"}
 
 // Answer is this daemon's own final answer to a request.
 type Answer struct {
@@ -82,6 +86,10 @@
 		answer.Status = fasthttp.StatusBadGateway
 	case cause == CauseNoPath:
 		answer.Status = fasthttp.StatusNotFound
+	case cause == CauseUnknownKey:
+		answer.Status = fasthttp.StatusUnauthorized
+	case cause == CauseQuotaExceeded:
+		answer.Status, answer.RetryAfter = fasthttp.StatusTooManyRequests, retryAfter
 	default:
 		answer.Status, answer.RetryAfter = fasthttp.StatusServiceUnavailable, retryAfter
 	}
--- a/request/forwarding/attempt.go
+++ b/request/forwarding/attempt.go
@@ -70,7 +70,7 @@
 		Zone:           chosen.Zone,
 		Pool:           request.pool,
 		TimeLeft:       request.Deadline.Since(env.Now),
-		Urgency:        request.Path.Rank,
+		Urgency:        request.rank(),
 		NotRepeatable:  !request.mayRepeat(),
 		LastEvent:      lastEvent,
 		Resume:         lastEvent != "",
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -76,6 +76,13 @@
 		c.finish(request, env, CauseNoPath, 0)
 		return
 	}
+	if !c.authenticate(request, env) {
+		return
+	}
+	if request.QuotaRetryAfter > 0 {
+		c.finish(request, env, CauseQuotaExceeded, request.QuotaRetryAfter)
+		return
+	}
 	request.pool = selectPool(request.Path, request.Attributes.Attempt)
 	request.memoryTokens = request.Attributes.TokensIn + request.Attributes.TokensOut
 	request.firstByteDeadline = min(request.Deadline, request.ArrivedAt+clock.Mark(c.settings.clientTimeout(request.Path)))
--- a/request/forwarding/counters.go
+++ b/request/forwarding/counters.go
@@ -19,6 +19,8 @@
 	Rejected, EndedAfterLoss, Truncated uint64
 	// CallersLeft counts requests whose callers disconnected; NoPath those for which the routing table has no path.
 	CallersLeft, NoPath uint64
+	// UnknownKeys counts requests without the key of a tenant on paths that need one.
+	UnknownKeys uint64
 	// Resumed counts streams that broke off and were resumed, or queued for it.
 	Resumed uint64
 	// Migrated counts attempts stopped at an evacuated engine to be made elsewhere, MigrationsDeclined those left there.
--- a/request/forwarding/environment.go
+++ b/request/forwarding/environment.go
@@ -17,6 +17,9 @@
 	Index *upstream.Index
 	// IndexCurrent reports whether the table is known to be recent enough to say that a path does not exist.
 	IndexCurrent bool
+	// KeysOutdated reports that the table may hold keys that were withdrawn, and that the deployment wants none accepted
+	// then.
+	KeysOutdated bool
 	// View is the registered engines.
 	View *registry.View
 	// Zone is this daemon's own zone; empty is unknown.
--- a/request/forwarding/outcome.go
+++ b/request/forwarding/outcome.go
@@ -8,6 +8,8 @@
 const (
 	// OutcomeWithheld: the check right before sending found a reason not to send; no byte left.
 	OutcomeWithheld Outcome = iota
+	// OutcomeQuotaExceeded: as OutcomeWithheld, because the tenant's limit no longer allows the request.
+	OutcomeQuotaExceeded
 	// OutcomeUnreachable: the engine could not be reached; no byte left.
 	OutcomeUnreachable
 	// OutcomeRejected: the engine rejected the request and guarantees that it has not run.
@@ -29,7 +31,15 @@
 )
 
 // reachedEngine reports whether the engine got the request.
-func (o Outcome) reachedEngine() bool { return o != OutcomeWithheld && o != OutcomeUnreachable }
+func (o Outcome) reachedEngine() bool { return !o.withheld() && o != OutcomeUnreachable }
+
+// MayHaveRun reports whether the engine may have run the request.
+func (o Outcome) MayHaveRun() bool {
+	return o.reachedEngine() && o != OutcomeRejected && o != OutcomeMisdirected
+}
+
+// withheld reports whether this daemon itself did not send the request.
+func (o Outcome) withheld() bool { return o == OutcomeWithheld || o == OutcomeQuotaExceeded }
 
 // maxWithheld bounds how often one request may be withheld. Each time something changed since its engine was chosen.
 const maxWithheld = 8
@@ -46,7 +56,7 @@
 		c.countEngine(request, tooSoon)
 		c.countFirstSend(request, env)
 	}
-	if outcome != OutcomeWithheld && outcome != OutcomeMisdirected && !tooSoon {
+	if !outcome.withheld() && outcome != OutcomeMisdirected && !tooSoon {
 		// An engine that lacks the model may load it; until then engineState.missingUntil excludes it.
 		request.triedEngines = append(request.triedEngines, request.engine)
 	}
@@ -85,7 +95,7 @@
 // countOutcome counts an outcome; those that end a request in a way of their own are counted there.
 func (c *Core) countOutcome(outcome Outcome) {
 	switch outcome {
-	case OutcomeWithheld:
+	case OutcomeWithheld, OutcomeQuotaExceeded:
 		c.Counters.Withheld++
 	case OutcomeUnreachable:
 		c.Counters.Unreachable++
@@ -113,6 +123,8 @@
 			return
 		}
 		c.dispatch(request, env)
+	case OutcomeQuotaExceeded:
+		c.finish(request, env, CauseQuotaExceeded, request.QuotaRetryAfter)
 	case OutcomeUnreachable, OutcomeRejected, OutcomeMisdirected:
 		c.dispatch(request, env)
 	case OutcomeResponseLost, OutcomeProtocolError, OutcomeStreamBroken:
@@ -172,6 +184,9 @@
 	c.demandState(request).running--
 	c.attemptsByPool[request.pool]--
 	attributed := outcome
+	if outcome.withheld() {
+		attributed = OutcomeWithheld
+	}
 	if request.migrating && outcome != OutcomeCompleted && outcome != OutcomeEngineError {
 		// This daemon stopped the attempt itself, which says nothing about the engine.
 		attributed = OutcomeWithheld
--- a/request/forwarding/queue.go
+++ b/request/forwarding/queue.go
@@ -52,7 +52,7 @@
 // effectiveRank is the rank by which queued requests are ordered. It rises with waiting, so that no rank starves.
 func effectiveRank(request *Request, now clock.Mark) float64 {
 	duration := max(request.responseDeadline().Since(request.ArrivedAt), time.Millisecond)
-	return float64(request.Path.Rank) - agingRanks*float64(now.Since(request.ArrivedAt))/float64(duration)
+	return float64(request.rank()) - agingRanks*float64(now.Since(request.ArrivedAt))/float64(duration)
 }
 
 // DispatchQueued dispatches all queued requests, those of the lowest effective rank first.
--- a/request/forwarding/reason.go
+++ b/request/forwarding/reason.go
@@ -55,6 +55,10 @@
 	ReasonCallerLeftQueued
 	// ReasonCallerLeftAtEngine: its caller disconnected after it was sent.
 	ReasonCallerLeftAtEngine
+	// ReasonUnknownKey: its path needs the key of a tenant, and it bore none that is known.
+	ReasonUnknownKey
+	// ReasonQuotaExceeded: its tenant's limit allowed no further request.
+	ReasonQuotaExceeded
 	// ReasonLateResubmission: late, and most of the time had passed before the client's retry arrived.
 	ReasonLateResubmission
 	// ReasonLateLoad: late, and for most of the time it was queued for a model or adapter.
@@ -72,7 +76,7 @@
 var reasonNames = [reasonCount]string{"none", "no_table", "no_path", "no_lease", "stopping", "no_engine", "model_absent", "model_loading",
 
 	"adapter_absent", "adapter_loading", "engines_tried", "engines_full", "shed", "attempts_spent", "budget_spent", "deadline", "held_back",
-	"engine_failure", "engine_lost", "caller_left_held", "caller_left_at_engine", "late_return", "late_load", "late_held", "late_attempts", "late_engine"}
+	"engine_failure", "engine_lost", "caller_left_held", "caller_left_at_engine", "unknown_key", "over_quota", "late_return", "late_load", "late_held", "late_attempts", "late_engine"}
 
 // String gives the reason's name in metrics and logs.
 func (r Reason) String() string { return reasonNames[r] }
@@ -95,6 +99,10 @@
 		return ReasonDeadline
 	case CauseResponseLost:
 		return ReasonResponseLost
+	case CauseUnknownKey:
+		return ReasonUnknownKey
+	case CauseQuotaExceeded:
+		return ReasonQuotaExceeded
 	case CauseCallerLeft:
 		if request.enginesTried == 0 && request.sentAt == 0 {
 			return ReasonCallerLeftQueued
--- a/request/forwarding/request.go
+++ b/request/forwarding/request.go
@@ -22,10 +22,15 @@
 	// ArrivedAt is when it was read, Deadline until when its whole response is worth anything.
 	ArrivedAt, Deadline clock.Mark
 
+	// QuotaRetryAfter is set for a request that its tenant's limit does not allow now, to when it may.
+	QuotaRetryAfter time.Duration
+
 	// Observed is the sender's until it reports how the attempt ended.
 	Observed AttemptObservation
 
 	stage Stage
+	// tenant is whose key it bears, by the routing table of its last look-up; nil is nobody's.
+	tenant *upstream.Tenant
 	// pool is selected once, so that all attempts go to the same pool while the table allows it.
 	pool string
 	// firstByteDeadline is when the client is expected to give up if no response has begun.
--- a/request/forwarding/routes.go
+++ b/request/forwarding/routes.go
@@ -58,6 +58,9 @@
 		return false
 	}
 	request.Path = path
+	if !c.authenticate(request, env) {
+		return false
+	}
 	if request.mayHaveRun && (!request.mayRepeat() || !pathRoutesTo(path, request.pool)) {
 		// A request that may have run continues only where the current table allows it.
 		c.finish(request, env, CauseResponseLost, 0)
--- a/wire/dialect/dialect.go
+++ b/wire/dialect/dialect.go
@@ -25,6 +25,8 @@
 	Parts []Part
 	// Deadline is how long the client will wait; zero is unknown.
 	Deadline time.Duration
+	// Key is the secret that tells whose request it is; empty is none. It is never logged.
+	Key string
 	// LastEvent is the id of the last event the client has, where it takes a stream up; Resumes says that it does.
 	LastEvent string
 	Resumes   bool
@@ -41,6 +43,10 @@
 	// LastEvent takes a stream up after this event, if Resumes.
 	LastEvent string
 	Resumes   bool
+	// HideKey withholds the client's key, and whatever the client says of its tenant, from the engine; Tenant is the name of
+	// the tenant instead, if there is one.
+	HideKey bool
+	Tenant  string
 }
 
 // Head is what the head of an engine's answer says.
--- a/wire/dialect/fields.go
+++ b/wire/dialect/fields.go
@@ -23,6 +23,8 @@
 	// ComeBack is written into refusals, in seconds; Fractions says that a part of a second may be named.
 	ComeBack  string
 	Fractions bool
+	// Credential holds a client's key behind CredentialScheme and a space; Tenant is written into attempts.
+	Credential, CredentialScheme, Tenant string
 }
 
 var _ Dialect = Fields{}
@@ -63,9 +65,26 @@
 		last := head.Peek(f.LastEvent)
 		ask.LastEvent, ask.Resumes = string(last), len(last) > 0
 	}
+	ask.Key = f.key(head)
 	return ask, nil
 }
 
+// key reads the client's key; empty where there is none, or more than one.
+func (f Fields) key(head *fasthttp.RequestHeader) string {
+	if f.Credential == "" {
+		return ""
+	}
+	credentials := head.PeekAll(f.Credential)
+	if len(credentials) != 1 {
+		return ""
+	}
+	scheme, key, _ := bytes.Cut(bytes.TrimSpace(credentials[0]), []byte{' '})
+	if !bytes.EqualFold(scheme, []byte(f.CredentialScheme)) {
+		return ""
+	}
+	return string(bytes.TrimSpace(key))
+}
+
 // mostParts bounds what is read of a prompt's parts; whoever names more is served without the hint.
 const mostParts = 256
 
@@ -123,6 +142,23 @@
 	if f.LastEvent != "" && dress.Resumes {
 		head.Set(f.LastEvent, dress.LastEvent)
 	}
+	if dress.HideKey {
+		f.hideKey(head, dress.Tenant)
+	}
+}
+
+// hideKey removes the key and the client's own word on its tenant, and writes the tenant's name.
+func (f Fields) hideKey(head *fasthttp.RequestHeader, tenant string) {
+	if f.Credential != "" {
+		head.Del(f.Credential)
+	}
+	if f.Tenant == "" {
+		return
+	}
+	head.Del(f.Tenant)
+	if tenant != "" {
+		head.Set(f.Tenant, tenant)
+	}
 }
 
 // ReadHead reads the head of an engine's answer.
