quota: pure cores that count a tenant's requests over a fleet

Tokens are made by an allocator at the leader and taken by a limiter on each daemon, which spends on credit while the leader doesn't answer and reports the deficit afterwards. Neither does I/O nor reads a clock; nothing calls them yet.

--- /dev/null
+++ b/process/quota/limiter_test.go
@@ -0,0 +1,169 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cresspond/cresspond/clock"
+)
+
+// second and millisecond are marks.
+const (
+	second      = clock.Mark(time.Second)
+	millisecond = clock.Mark(time.Millisecond)
+)
+
+// twenty is a usual limit.
+var twenty = Limit{RatePerSecond: 20, Burst: 20}
+
+// replyTo returns a reply of a term that answers each claim alike.
+func replyTo(request Request, term uint64, allotment Allotment) Reply {
+	reply := Reply{Sequence: request.Sequence, Term: term, LeaderFor: time.Hour}
+	for _, claim := range request.Claims {
+		allotment.Tenant = claim.Tenant
+		reply.Allotments = append(reply.Allotments, allotment)
+	}
+	return reply
+}
+
+// mustRequest returns the request that is due.
+func mustRequest(t *testing.T, l *Limiter, now clock.Mark) Request {
+	t.Helper()
+	request, due := l.NextRequest(now)
+	if !due {
+		t.Fatal("no request is due")
+	}
+	return request
+}
+
+func TestTakeIsPendingUntilTheLeaderGrants(t *testing.T) {
+	l := NewLimiter("a#1")
+	decision := l.Take("t", twenty, second)
+	if decision.Outcome != Pending {
+		t.Fatalf("got %+v", decision)
+	}
+	request := mustRequest(t, l, second)
+	if _, due := l.NextRequest(second); due {
+		t.Error("a second request is sent while one is in progress")
+	}
+	resolutions := l.Replied(replyTo(request, 1, Allotment{Count: 2}), second+millisecond)
+	if len(resolutions) != 1 || resolutions[0].Waiter != decision.Waiter || resolutions[0].Decision.Outcome != Granted {
+		t.Fatalf("got %+v", resolutions)
+	}
+	if next := l.Take("t", twenty, second+2*millisecond); next.Outcome != Granted {
+		t.Errorf("the second token isn't spent: %+v", next)
+	}
+	if next := l.Take("t", twenty, second+3*millisecond); next.Outcome != Pending {
+		t.Errorf("a third token is spent: %+v", next)
+	}
+}
+
+func TestTokensLapseByTheTimeSinceTheRequest(t *testing.T) {
+	l := NewLimiter("a#1")
+	l.Take("t", twenty, second)
+	request := mustRequest(t, l, second)
+	resolutions := l.Replied(replyTo(request, 1, Allotment{Count: 2}), second+200*millisecond)
+	token := resolutions[0].Decision.Token
+	if !token.Valid(second+249*millisecond) || token.Valid(second+250*millisecond) {
+		t.Error("the validity of a token isn't counted from when the request was sent")
+	}
+	if next := l.Take("t", twenty, second+250*millisecond); next.Outcome != Pending {
+		t.Errorf("a lapsed token is spent: %+v", next)
+	}
+}
+
+func TestReplyIsUsedOnce(t *testing.T) {
+	l := NewLimiter("a#1")
+	l.Take("t", twenty, second)
+	reply := replyTo(mustRequest(t, l, second), 1, Allotment{Count: 1})
+	l.Replied(reply, second)
+	l.Take("t", twenty, second)
+	if resolutions := l.Replied(reply, second); len(resolutions) > 0 {
+		t.Errorf("a copy of a reply is used: %+v", resolutions)
+	}
+	mustRequest(t, l, second)
+	if resolutions := l.Replied(reply, second); len(resolutions) > 0 {
+		t.Errorf("a reply to an earlier request is used: %+v", resolutions)
+	}
+}
+
+func TestDenialHoldsUntilRetryAfter(t *testing.T) {
+	l := NewLimiter("a#1")
+	l.Take("t", twenty, second)
+	resolutions := l.Replied(replyTo(mustRequest(t, l, second), 1, Allotment{RetryAfter: 100 * time.Millisecond}), second)
+	if len(resolutions) != 1 || resolutions[0].Decision.Outcome != Denied {
+		t.Fatalf("got %+v", resolutions)
+	}
+	decision := l.Take("t", twenty, second+40*millisecond)
+	if decision.Outcome != Denied || decision.RetryAfter != 60*time.Millisecond {
+		t.Errorf("got %+v", decision)
+	}
+	if decision := l.Take("t", twenty, second+100*millisecond); decision.Outcome != Pending {
+		t.Errorf("got %+v", decision)
+	}
+}
+
+func TestCancelledRequestIsNotResolved(t *testing.T) {
+	l := NewLimiter("a#1")
+	first := l.Take("t", twenty, second)
+	second1 := l.Take("t", twenty, second)
+	request := mustRequest(t, l, second)
+	if !l.Cancel("t", first.Waiter) || l.Cancel("t", first.Waiter) || l.Cancel("other", first.Waiter) {
+		t.Error("a request is cancelled other than once")
+	}
+	resolutions := l.Replied(replyTo(request, 1, Allotment{Count: 1}), second)
+	if len(resolutions) != 1 || resolutions[0].Waiter != second1.Waiter {
+		t.Errorf("got %+v", resolutions)
+	}
+}
+
+func TestCreditIsSpentAtTheStandingRateAndReported(t *testing.T) {
+	l := NewLimiter("a#1")
+	l.Take("t", twenty, second)
+	l.Replied(replyTo(mustRequest(t, l, second), 1, Allotment{Count: 1, StandingRate: 10}), second)
+	granted := 0
+	now := second
+	for now < 3*second {
+		now += 10 * millisecond
+		decision := l.Take("t", twenty, now)
+		if decision.Outcome == Granted && decision.OnCredit {
+			granted++
+		}
+		l.NextRequest(now)
+		for _, resolution := range l.Unanswered(now + millisecond) {
+			if resolution.Decision.Outcome == Granted {
+				granted++
+			}
+		}
+	}
+	if granted < 19 || granted > 21 {
+		t.Errorf("%d requests are granted in 2 s at 10 a second", granted)
+	}
+	if !l.Unreachable() {
+		t.Error("the leader counts as reachable")
+	}
+	request := mustRequest(t, l, now+second)
+	if got := request.Claims[0].CreditTo - request.Claims[0].CreditFrom; got != uint64(granted) {
+		t.Errorf("a deficit of %d is reported after %d requests on credit", got, granted)
+	}
+	l.Replied(replyTo(request, 1, Allotment{}), now+second)
+	if status := l.Status(now + second); status[0].Deficit != 0 || status[0].OnCredit != uint64(granted) {
+		t.Errorf("got %+v", status)
+	}
+}
+
+func TestIdleTenantsAreForgotten(t *testing.T) {
+	l := NewLimiter("a#1")
+	l.Take("t", twenty, second)
+	l.Replied(replyTo(mustRequest(t, l, second), 1, Allotment{Count: 5, StandingRate: 5}), second)
+	if at, due := l.NextRequestAt(second); !due || at != second+clock.Mark(KeepaliveInterval) {
+		t.Errorf("the leader is next asked at %v, %v", at, due)
+	}
+	later := second + clock.Mark(idleTimeout) + second
+	if request, due := l.NextRequest(later); due {
+		t.Errorf("an idle daemon sends %+v", request)
+	}
+	if status := l.Status(later); len(status) != 0 {
+		t.Errorf("got %+v", status)
+	}
+}
