--- a/process/quota/safety_test.go
+++ b/process/quota/safety_test.go
@@ -132,6 +132,9 @@
 		change()
 	}
 	f.after(later, func() {
+		if f.limits["t"] != limit {
+			return
+		}
 		for _, d := range f.daemons {
 			d.limits = f.limits
 		}
