platformtest: keys and tenants on the wire of the stand-ins

Callers of the shared deployments saw work at engines that nobody had sent, and keys served that no configuration held. The stand-ins could not show it: they knew neither keys nor tenants. The configuration and its patches have `clients`, routes have `public`; clients send a key, none, or a forged X-Tenant; what reached an engine is recorded. A configuration without clients is encoded as before.

--- a/testbed/platformtest/client/client.go
+++ b/testbed/platformtest/client/client.go
@@ -18,7 +18,11 @@
 	Zone              string
 	Host, Method, URI string
 	Header            map[string]string
-	Body              []byte
+	// Key is the API key that is sent, and Tenant the tenant that holds it; empty is none. ForgedTenants are sent as
+	// X-Tenant headers, which a client has no right to.
+	Key, Tenant   string
+	ForgedTenants []string
+	Body          []byte
 	// Chunked sends the body in chunks.
 	Chunked bool
 	Prompt  protocol.Prompt
@@ -174,7 +178,7 @@
 // attempt makes one attempt.
 func (c *Client) attempt(ctx context.Context, r *Request, left time.Duration, lastEvent string, fresh bool) *history.Attempt {
 	attempt := &history.Attempt{Request: r.ID, Kind: r.Kind, Session: r.Session, Zone: r.Zone, AttemptID: c.NextAttemptID(), Host: r.Host, Method: r.Method, URI: r.URI,
-		BodyDigest: protocol.Digest(r.Body), BodyBytes: len(r.Body), Prompt: r.Prompt, LastEvent: lastEvent, DeadlineMs: left.Milliseconds(), TargetMs: r.Target.Milliseconds(),
+		BodyDigest: protocol.Digest(r.Body), BodyBytes: len(r.Body), Prompt: r.Prompt, LastEvent: lastEvent, Key: r.Key, Tenant: r.Tenant, DeadlineMs: left.Milliseconds(), TargetMs: r.Target.Milliseconds(),
 		Class: r.Class, Resumable: r.Resumable, Probe: r.Probe, Absent: r.Absent, ExceedsDeadline: r.ExceedsDeadline, Began: c.Recorder.Now()}
 	c.Recorder.Record(func(h *history.History) { h.Attempts = append(h.Attempts, attempt) })
 	conn, daemon, err := c.connect(ctx, r, fresh)
--- a/testbed/platformtest/client/conn.go
+++ b/testbed/platformtest/client/conn.go
@@ -258,6 +258,12 @@
 	if lastEvent != "" {
 		header.Set(protocol.LastEvent, lastEvent)
 	}
+	if r.Key != "" {
+		header.Set(protocol.Authorization, protocol.AuthorizationValue(r.Key))
+	}
+	for _, tenant := range r.ForgedTenants {
+		header.Add(protocol.TenantName, tenant)
+	}
 	for name, value := range r.Header {
 		header.Set(name, value)
 	}
--- a/testbed/platformtest/engine/answer.go
+++ b/testbed/platformtest/engine/answer.go
@@ -27,6 +27,8 @@
 	probe := in.request.Method == http.MethodGet && in.request.URL.Path == c.Config.HealthPath
 	arrival := &history.Arrival{At: c.Recorder.Now(), Engine: c.id, Service: c.Config.Service, AttemptID: attempt, Method: in.request.Method, URI: in.request.RequestURI,
 		Host: in.request.Host, BodyDigest: protocol.Digest(in.body), Target: in.request.Header.Get(protocol.Target), LastEvent: in.request.Header.Get(protocol.LastEvent), HealthCheck: probe}
+	arrival.Tenants, arrival.Urgency = in.request.Header.Values(protocol.TenantName), in.request.Header.Get(protocol.Urgency)
+	_, arrival.Authorized = in.request.Header[protocol.Authorization]
 	arrival.DeadlineMs, _ = strconv.ParseInt(in.request.Header.Get(protocol.Deadline), 10, 64)
 	prompt, err := protocol.ReadPrompt(in.request.Header.Get(protocol.Model), in.request.Header.Get(protocol.TokenCounts), in.request.Header.Get(protocol.PromptPrefix))
 	arrival.Prompt = prompt
--- a/testbed/platformtest/history/history.go
+++ b/testbed/platformtest/history/history.go
@@ -25,6 +25,10 @@
 	LastEvent       string
 	DeadlineMs      int64
 	Prompt          protocol.Prompt
+	// Tenants are the values of X-Tenant, Urgency that of X-Urgency. Authorized: an Authorization header came along.
+	Tenants    []string
+	Urgency    string
+	Authorized bool
 	// HealthCheck is a request for the health page.
 	HealthCheck bool
 	// Status is the engine's answer; zero is none. Rejected: the engine answered that it has not executed it.
@@ -98,6 +102,8 @@
 	BodyBytes              int
 	Prompt                 protocol.Prompt
 	LastEvent              string
+	// Key is the API key that was sent, Tenant the tenant that holds it as the client knows; empty is none.
+	Key, Tenant string
 	// DeadlineMs is the attempt's; TargetMs and Class are the route's, where the client knows.
 	DeadlineMs int64
 	TargetMs   int64
--- a/testbed/platformtest/protocol/form.go
+++ b/testbed/platformtest/protocol/form.go
@@ -24,6 +24,8 @@
 	LastEvent      = "Last-Event-Id"
 	RetryAfter     = "Retry-After"
 	KeepAlive      = "Keep-Alive"
+	Authorization  = "Authorization"
+	TenantName     = "X-Tenant"
 )
 
 // Paths of the platform's own interfaces.
@@ -110,6 +112,7 @@
 	Routes     []Route   `json:"route-table"`
 	Backends   []Backend `json:"backends"`
 	Limits     Limits    `json:"limits"`
+	Tenants    []Tenant  `json:"clients,omitempty"`
 }
 
 // Route is one route of a configuration.
@@ -124,6 +127,7 @@
 	Backend     string  `json:"backend,omitempty"`
 	Shares      []Share `json:"shares,omitempty"`
 	Tries       int     `json:"tries"`
+	Public      bool    `json:"public,omitempty"`
 	Affine      bool    `json:"affine"`
 	Resumable   bool    `json:"resumable"`
 	GapTargetMs int64   `json:"gap-target-ms,omitempty"`
@@ -181,10 +185,12 @@
 	Upsert     struct {
 		Routes   []Route   `json:"route-table,omitempty"`
 		Backends []Backend `json:"backends,omitempty"`
+		Tenants  []Tenant  `json:"clients,omitempty"`
 	} `json:"upsert"`
 	Remove struct {
 		Routes   []string `json:"route-table,omitempty"`
 		Backends []string `json:"backends,omitempty"`
+		Tenants  []string `json:"clients,omitempty"`
 	} `json:"remove"`
 }
 
@@ -273,7 +279,7 @@
 			return "a route names an unknown service"
 		}
 	}
-	return ""
+	return c.tenantFault()
 }
 
 // Clone copies a configuration deeply.
@@ -318,6 +324,7 @@
 			out.Backends = append(out.Backends, backend)
 		}
 	}
+	out.applyTenants(patch)
 	return out
 }
 
