checker: keys, tenants and quotas are judged

UNASKED: a request runs without the tenant of its key, under another, or with the key. ROUTE: it runs with a key that no configuration held. CONFIG: in force late and going back see keys that go, move and come, and answers 401 and 403. QUOTA: a tenant runs more than its limit within a window; a lower limit counts one window after all front machines were in touch past the bound. Tenants may not starve. What is asked beyond a limit is not owed; refusals under it are a figure. 21 broken histories are caught and 14 allowed ones pass; without clients nothing changes.

--- a/testbed/platformtest/checker/checker.go
+++ b/testbed/platformtest/checker/checker.go
@@ -23,6 +23,11 @@
 	FenceChecked                                                               bool
 	OriginWindow                                                               time.Duration
 	OriginExcess                                                               float64
+	// QuotaWindow is the span in which a tenant's requests are counted, QuotaExcess the fraction and QuotaMargin the number
+	// by which they may exceed its limit.
+	QuotaWindow time.Duration
+	QuotaExcess float64
+	QuotaMargin int
 	// Floor is the least fraction of requests that must be served.
 	Floor float64
 }
@@ -49,12 +54,14 @@
 	incarnations map[string]*history.Incarnation
 	// versions may be in force, sorted by generation; rejected were sent and must never be in force.
 	versions, rejected []*history.Change
-	versionCache       map[string][]int
+	versionCache       map[effectKey][]int
+	// underLimit marks the attempts that tenants made under their limits, by attempt id.
+	underLimit map[string]bool
 }
 
-// CheckAll runs all rules.
-func CheckAll(h *history.History, bounds Bounds) []Finding {
-	b := &index{History: h, versionCache: map[string][]int{}, bounds: bounds, attempts: map[string]*history.Attempt{}, arrivals: map[string][]*history.Arrival{}, incarnations: map[string]*history.Incarnation{}}
+// newIndex sorts and indexes a history.
+func newIndex(h *history.History, bounds Bounds) *index {
+	b := &index{History: h, versionCache: map[effectKey][]int{}, underLimit: map[string]bool{}, bounds: bounds, attempts: map[string]*history.Attempt{}, arrivals: map[string][]*history.Arrival{}, incarnations: map[string]*history.Incarnation{}}
 	slices.SortStableFunc(h.Attempts, func(x, y *history.Attempt) int { return cmp.Compare(x.Began, y.Began) })
 	slices.SortStableFunc(h.Arrivals, func(x, y *history.Arrival) int { return cmp.Compare(x.At, y.At) })
 	slices.SortStableFunc(h.Orders, func(x, y *history.Order) int { return cmp.Compare(x.At, y.At) })
@@ -82,10 +89,17 @@
 		}
 	}
 	slices.SortStableFunc(b.versions, func(x, y *history.Change) int { return cmp.Compare(x.Generation, y.Generation) })
+	b.markUnderLimit()
+	return b
+}
+
+// CheckAll runs all rules.
+func CheckAll(h *history.History, bounds Bounds) []Finding {
+	b := newIndex(h, bounds)
 	return []Finding{
 		b.mixedAnswers(), b.unrequested(), b.executedTwice(), b.executedAfterRefusal(), b.deniedRequests(), b.routing(), b.drainedEngines(), b.lostPlanned(), b.lostOnKeepAlive(), b.routeShares(), b.lostClosing(),
 		b.configInForceLate(), b.configLaterRoutes(), b.configReverts(), b.configRejectedInForce(), b.configAcknowledgedWrongly(), b.configLinearizable(), b.configReadBack(),
-		b.retryBudget(), b.engineAttempts(), b.deadlines(), b.finalAnswers(), b.afterClientClosed(), b.drainReadiness(), b.streamOrder(), b.recovery(), b.singleOwner(), b.capacityLimit(), b.loadRate(),
-		b.servedFloor(), b.servedBySize(), b.starvedSessions(), b.starvedModels(), b.starvedKinds(), b.acknowledgementsInTime(), b.drainAcknowledgements(), b.unexpectedExits(), b.ready(),
+		b.retryBudget(), b.quotas(), b.engineAttempts(), b.deadlines(), b.finalAnswers(), b.afterClientClosed(), b.drainReadiness(), b.streamOrder(), b.recovery(), b.singleOwner(), b.capacityLimit(), b.loadRate(),
+		b.servedFloor(), b.servedBySize(), b.starvedSessions(), b.starvedModels(), b.starvedKinds(), b.starvedTenants(), b.acknowledgementsInTime(), b.drainAcknowledgements(), b.unexpectedExits(), b.ready(),
 	}
 }
--- a/testbed/platformtest/checker/checker_test.go
+++ b/testbed/platformtest/checker/checker_test.go
@@ -16,7 +16,7 @@
 	ms := time.Millisecond
 	return Bounds{Contact: 3000 * ms, Drain: 2000 * ms, Grace: 8000 * ms, LossSlack: 200 * ms, Apply: 2000 * ms, Revert: 250 * ms, StretchMax: 5000 * ms,
 		Recovery: 12 * time.Second, Ack: 4000 * ms, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 10, Lease: 3000 * ms, Unfreeze: 300 * ms,
-		OriginWindow: 5 * time.Second, OriginExcess: 1.1, Floor: 0.5}
+		OriginWindow: 5 * time.Second, OriginExcess: 1.1, QuotaWindow: 5 * time.Second, QuotaExcess: 0.1, QuotaMargin: 20, Floor: 0.5}
 }
 
 func config(generation uint64, change func(*protocol.Config)) *protocol.Config {
@@ -27,15 +27,25 @@
 			{Label: "r1", Authority: "h", PathPrefix: "/s/", Class: protocol.Streaming, DeadlineMs: 5000, Backend: "lm", Tries: 1},
 			{Label: "r2", Authority: "h", PathPrefix: "/p/", Class: protocol.Idempotent, DeadlineMs: 5000, Backend: "plain", Tries: 2},
 			{Label: "r3", Authority: "h", PathPrefix: "/m/", Class: protocol.Mutating, DeadlineMs: 5000, Backend: "plain", Tries: 2},
-			{Label: "r5", Authority: "h", PathPrefix: "/split/", Class: protocol.Idempotent, DeadlineMs: 5000, Shares: []protocol.Share{{Backend: "plain", Share: 7}, {Backend: "other", Share: 3}}, Tries: 2}}}
+			{Label: "r5", Authority: "h", PathPrefix: "/split/", Class: protocol.Idempotent, DeadlineMs: 5000, Shares: []protocol.Share{{Backend: "plain", Share: 7}, {Backend: "other", Share: 3}}, Tries: 2},
+			{Label: "r6", Authority: "h", PathPrefix: "/open/", Class: protocol.Idempotent, DeadlineMs: 5000, Backend: "plain", Tries: 2, Public: true}},
+		Tenants: []protocol.Tenant{
+			{Label: "alpha", APIKeys: []string{"key-alpha", "key-moved", "key-dropped"}, RatePerS: 100, Burst: 100},
+			{Label: "beta", APIKeys: []string{"key-beta"}, RatePerS: 20, Burst: 20},
+			{Label: "gamma", APIKeys: []string{"key-gamma"}}}}
 	if change != nil {
 		change(c)
 	}
 	return c
 }
 
-func addNew(c *protocol.Config) {
+// amend makes of the first version the second one: a new route, a new key, a key that moves, one that goes, and a lower
+// limit.
+func amend(c *protocol.Config) {
 	c.Routes = append(c.Routes, protocol.Route{Label: "r4", Authority: "h", PathPrefix: "/new/", Class: protocol.Idempotent, DeadlineMs: 5000, Backend: "other", Tries: 1})
+	c.Tenants[0].APIKeys = []string{"key-alpha"}
+	c.Tenants[1] = protocol.Tenant{Label: "beta", APIKeys: []string{"key-beta", "key-moved"}, RatePerS: 4, Burst: 4}
+	c.Tenants[2].APIKeys = []string{"key-gamma", "key-added"}
 }
 
 type day struct {
@@ -52,9 +62,9 @@
 	d.number++
 	id, run := fmt.Sprintf("t%d", d.number), fmt.Sprintf("%s-%d", engine, d.number)
 	attempt := &history.Attempt{Request: id, Kind: "kind" + class, Session: fmt.Sprint("s", d.number%3), AttemptID: id, AnsweredID: id, Daemon: "edge-0", Host: "h", Method: "POST", URI: uri, BodyDigest: "d",
-		Class: class, DeadlineMs: 5000, Began: at(began), Connected: true, FirstOnConnection: true, Sent: at(began + 0.01), First: at(began + 0.1), Ended: at(began + 0.2), Status: 200, Complete: true}
+		Class: class, Key: "key-alpha", Tenant: "alpha", DeadlineMs: 5000, Began: at(began), Connected: true, FirstOnConnection: true, Sent: at(began + 0.01), First: at(began + 0.1), Ended: at(began + 0.2), Status: 200, Complete: true}
 	arrival := &history.Arrival{At: at(began + 0.02), Engine: engine, Service: service, AttemptID: id, Method: "POST", URI: uri, Host: "h", BodyDigest: "d",
-		DeadlineMs: 4980, Began: at(began + 0.03), Run: run, Ended: at(began + 0.2), Complete: true, Status: 200}
+		DeadlineMs: 4980, Tenants: []string{"alpha"}, Began: at(began + 0.03), Run: run, Ended: at(began + 0.2), Complete: true, Status: 200}
 	stamp := protocol.Stamp{Engine: engine, Attempt: id, Run: run, Status: 200, Length: -1}
 	if class == protocol.Streaming {
 		attempt.Prompt = protocol.Prompt{Model: "m", TokensIn: 10, TokensOut: 3, Parts: []protocol.Part{{ID: "aa", Tokens: 10}}}
@@ -71,6 +81,28 @@
 	return attempt, arrival
 }
 
+// keyed adds a request with a key that runs under the name of a tenant.
+func (d *day) keyed(began float64, key, tenant string) (*history.Attempt, *history.Arrival) {
+	attempt, arrival := d.request(began, protocol.Idempotent, "/p/x", "plain", "p1")
+	attempt.Key, attempt.Tenant, arrival.Tenants = key, tenant, []string{tenant}
+	return attempt, arrival
+}
+
+// refusedKey adds a request whose key is refused.
+func (d *day) refusedKey(began float64, key string, status int) *history.Attempt {
+	attempt, arrival := d.keyed(began, key, "")
+	refuse(attempt, status)
+	unrun(arrival)
+	return attempt
+}
+
+// burst adds requests of a tenant within three seconds.
+func (d *day) burst(began float64, count int, key, tenant string) {
+	for n := range count {
+		d.keyed(began+3*float64(n)/float64(count), key, tenant)
+	}
+}
+
 // at gives the place of the first request on a path from a time on.
 func (d *day) at(uri string, from float64) int {
 	for i, attempt := range d.Attempts {
@@ -128,7 +160,7 @@
 
 // rival acknowledges another change under a number that is taken, on the same version.
 func (d *day) rival(generation uint64) {
-	overall := config(generation, func(c *protocol.Config) { addNew(c); c.Routes[0].Urgency = 4 })
+	overall := config(generation, func(c *protocol.Config) { amend(c); c.Routes[0].Urgency = 4 })
 	d.Changes = append(d.Changes, &history.Change{Operator: "b", Base: 1, Generation: generation, Config: overall, Method: "PUT", Body: overall.Encode(), Began: at(10.2), Answered: at(10.5), Outcome: history.Acknowledged})
 }
 
@@ -142,7 +174,7 @@
 
 // sound is a day in which every rule is checked and holds.
 func sound() *day {
-	first, second := config(1, nil), config(3, addNew)
+	first, second := config(1, nil), config(3, amend)
 	d := &day{History: &history.History{Began: at(0), Ended: at(100), Cores: []string{"core-0"}, Edges: []string{"edge-0"},
 		Changes: []*history.Change{
 			{Operator: "a", Base: 0, Generation: 1, Config: first, Began: at(0.1), Answered: at(0.3), Outcome: history.Acknowledged},
@@ -262,6 +294,61 @@
 	{"UNASKED", "another query", nil, func(d *day) { d.Arrivals[1].URI = "/p/x?q=1" }},
 	{"UNASKED", "another method", nil, func(d *day) { d.Arrivals[1].Method = "GET" }},
 	{"UNASKED", "another body", nil, func(d *day) { d.Arrivals[1].BodyDigest = "e" }},
+	{"UNASKED", "no tenant is named", nil, func(d *day) { d.Arrivals[1].Tenants = nil }},
+	{"UNASKED", "another tenant is named", nil, func(d *day) { d.Arrivals[1].Tenants = []string{"beta"} }},
+	{"UNASKED", "two tenants are named", nil, func(d *day) { d.Arrivals[1].Tenants = []string{"alpha", "beta"} }},
+	{"UNASKED", "a tenant is named before the key is passed on to it", nil, func(d *day) { d.keyed(5, "key-moved", "beta") }},
+	{"UNASKED", "a key reaches an engine", nil, func(d *day) { d.Arrivals[1].Authorized = true }},
+	{"UNASKED", "a public route passes a forged tenant on", nil, func(d *day) {
+		attempt, arrival := d.request(5, protocol.Idempotent, "/open/x", "plain", "p1")
+		attempt.Key, attempt.Tenant, arrival.Tenants = "", "", []string{"beta"}
+	}},
+	{"UNASKED", "a public route passes a key on", nil, func(d *day) {
+		_, arrival := d.request(5, protocol.Idempotent, "/open/x", "plain", "p1")
+		arrival.Authorized = true
+	}},
+	{"ROUTE", "an unknown key is served", []string{"UNASKED"}, func(d *day) {
+		attempt, arrival := d.request(25, protocol.Idempotent, "/p/x", "plain", "p1")
+		attempt.Key, attempt.Tenant, arrival.Tenants = "key-unknown", "", nil
+	}},
+	{"ROUTE", "no key is served where one is needed", []string{"UNASKED"}, func(d *day) {
+		attempt, arrival := d.request(25, protocol.Idempotent, "/p/x", "plain", "p1")
+		attempt.Key, attempt.Tenant, arrival.Tenants = "", "", nil
+	}},
+	{"CONFIG in force late", "a dropped key runs", []string{"CONFIG goes back"}, func(d *day) { d.keyed(25, "key-dropped", "alpha") }},
+	{"CONFIG in force late", "a dropped key runs, and no tenant is named", []string{"CONFIG goes back", "UNASKED"}, func(d *day) {
+		_, arrival := d.keyed(25, "key-dropped", "alpha")
+		arrival.Tenants = nil
+	}},
+	{"CONFIG in force late", "a key runs under the tenant that held it before", []string{"CONFIG goes back"}, func(d *day) { d.keyed(25, "key-moved", "alpha") }},
+	{"CONFIG in force late", "an added key is refused with 401", []string{"CONFIG goes back"}, func(d *day) { d.refusedKey(25, "key-added", 401) }},
+	{"CONFIG in force late", "an added key is refused with 403", []string{"CONFIG goes back"}, func(d *day) { d.refusedKey(25, "key-added", 403) }},
+	{"CONFIG goes back", "a dropped key runs just after the effect of its removal", nil, func(d *day) {
+		d.request(10.6, protocol.Idempotent, "/new/x", "other", "o1")
+		d.keyed(11.1, "key-dropped", "alpha")
+	}},
+	{"DENIED", "many known keys get a 401", nil, func(d *day) {
+		for n := range 8 {
+			d.refusedKey(20+float64(n), "key-alpha", 401)
+		}
+	}},
+	{"QUOTA", "a tenant runs more than its limit", nil, func(d *day) { d.burst(5, 160, "key-beta", "beta") }},
+	{"QUOTA", "a tenant runs more than its lowered limit", nil, func(d *day) { d.burst(40, 60, "key-beta", "beta") }},
+	{"QUOTA", "two keys of a tenant together run more than its limit", nil, func(d *day) {
+		d.burst(40, 30, "key-beta", "beta")
+		d.burst(40, 30, "key-moved", "beta")
+	}},
+	{"QUOTA", "the tenant is not named", []string{"UNASKED"}, func(d *day) {
+		d.burst(40, 60, "key-beta", "beta")
+		for _, arrival := range d.Arrivals[len(d.Arrivals)-60:] {
+			arrival.Tenants = nil
+		}
+	}},
+	{"Starved tenants", "one tenant is hardly served", nil, func(d *day) {
+		for n := range 12 {
+			d.refusedKey(40+float64(n), "key-gamma", 503).Tenant = "gamma"
+		}
+	}},
 	{"TWICE", "a mutating request runs twice", nil, func(d *day) {
 		again := *d.Arrivals[2]
 		d.Arrivals = append(d.Arrivals, &again)
@@ -373,7 +460,7 @@
 		unrun(arrival)
 	}},
 	{"CONFIG in force late", "an old service", []string{"CONFIG goes back", "CONFIG linearizable"}, func(d *day) {
-		d.Changes[1].Config = config(3, func(c *protocol.Config) { addNew(c); c.Routes[1].Backend = "lm" })
+		d.Changes[1].Config = config(3, func(c *protocol.Config) { amend(c); c.Routes[1].Backend = "lm" })
 		d.ReadBacks[0].Config = d.Changes[1].Config
 		for _, arrival := range d.Arrivals {
 			if arrival.URI == "/p/x" && arrival.At > at(10) && arrival.At < at(50) {
@@ -410,7 +497,7 @@
 	{"CONFIG linearizable", "an acknowledged change is sent again and refused", nil, func(d *day) { d.again(1, 13).Outcome = history.Refused }},
 	{"CONFIG linearizable", "a refused change is sent again and acknowledged", []string{"CONFIG acknowledged wrongly"}, func(d *day) { d.again(2, 13).Outcome = history.Acknowledged }},
 	{"CONFIG linearizable", "a valid change on the newest is refused", nil, func(d *day) {
-		overall := config(8, addNew)
+		overall := config(8, amend)
 		d.Changes = append(d.Changes, &history.Change{Operator: "b", Base: 3, Generation: 8, Config: overall, Method: "PUT", Body: overall.Encode(), Began: at(13), Answered: at(13.1), Outcome: history.Refused})
 	}},
 	{"CONFIG linearizable", "a reading goes back", nil, func(d *day) { d.Reads[1].Config = d.Changes[0].Config }},
@@ -610,6 +697,43 @@
 			attempt, arrival := d.request(40.5, protocol.Idempotent, "/p/x", "plain", "p1")
 			leave(attempt, arrival, 5.2, 5.3)
 		}},
+		{"an unknown key is refused", func(d *day) {
+			for n := range 30 {
+				d.refusedKey(20+float64(n), "key-unknown", 401)
+			}
+		}},
+		{"no key is refused", func(d *day) { d.refusedKey(20, "", 401) }},
+		{"a dropped key is refused", func(d *day) { d.refusedKey(20, "key-dropped", 401) }},
+		{"a dropped key runs just after its removal", func(d *day) { d.keyed(11, "key-dropped", "alpha") }},
+		{"a dropped key runs at a machine that was frozen", func(d *day) {
+			d.Disruptions = append(d.Disruptions, &history.Disruption{From: at(10), Until: at(13), Kind: history.Frozen, Machine: "edge-0"})
+			d.keyed(13.4, "key-dropped", "alpha")
+		}},
+		{"a key runs under the tenant that it is passed on to", func(d *day) { d.keyed(25, "key-moved", "beta") }},
+		{"an added key is refused just after its version", func(d *day) { d.refusedKey(11, "key-added", 401) }},
+		{"a public route needs no key", func(d *day) {
+			attempt, arrival := d.request(25, protocol.Idempotent, "/open/x", "plain", "p1")
+			attempt.Key, attempt.Tenant, arrival.Tenants = "", "", nil
+		}},
+		{"a public route names the tenant of a key", func(d *day) { d.request(25, protocol.Idempotent, "/open/x", "plain", "p1") }},
+		{"a tenant without a limit runs many", func(d *day) { d.burst(40, 400, "key-gamma", "gamma") }},
+		{"a tenant runs up to its limit and the margins", func(d *day) { d.burst(40, 46, "key-beta", "beta") }},
+		{"a lowered limit is exceeded just after its version", func(d *day) { d.burst(9, 100, "key-beta", "beta") }},
+		{"a lowered limit is exceeded while a front machine is out of touch", func(d *day) {
+			d.Disruptions = append(d.Disruptions, &history.Disruption{From: at(11.5), Until: at(37), Kind: history.Frozen, Machine: "edge-1"})
+			d.Edges = append(d.Edges, "edge-1")
+			d.burst(36.5, 60, "key-beta", "beta")
+		}},
+		{"a configuration without clients passes on what it is sent", func(d *day) {
+			for _, change := range d.Changes {
+				change.Config.Tenants = nil
+				change.Body = change.Config.Encode()
+			}
+			for i, attempt := range d.Attempts {
+				attempt.Key, attempt.Tenant = "of an application", ""
+				d.Arrivals[i].Tenants, d.Arrivals[i].Authorized = []string{"a", "b"}, true
+			}
+		}},
 		{"a few own 4xx", func(d *day) {
 			for n := range 5 {
 				refuse(d.Attempts[1+4*n], 400)
@@ -626,3 +750,33 @@
 		}
 	}
 }
+
+func TestRefusalsUnderTheLimitAreCounted(t *testing.T) {
+	d := sound()
+	before := RefusedUnderLimit(d.History, bounds())
+	if before.Attempts == 0 || before.Refused != 0 {
+		t.Fatalf("%+v", before)
+	}
+	for n := range 10 {
+		d.refusedKey(40+float64(n), "key-beta", 429).Tenant = "beta"
+	}
+	if after := RefusedUnderLimit(d.History, bounds()); after.Refused != 10 || after.Attempts != before.Attempts+10 {
+		t.Errorf("%+v", after)
+	}
+}
+
+func TestRefusalsBeyondTheLimitAreNotOwed(t *testing.T) {
+	d := sound()
+	owed := len(newIndex(d.History, bounds()).answers())
+	for n := range 300 {
+		d.refusedKey(40+float64(n)/100, "key-beta", 429).Tenant = "beta"
+	}
+	h := newIndex(d.History, bounds())
+	// The limit of beta is 4 a second and a burst of 4.
+	if more := len(h.answers()) - owed; more < 4 || more > 4+4*3 {
+		t.Errorf("%d of 300 requests in 3 s are owed", more)
+	}
+	if figure := RefusedUnderLimit(d.History, bounds()); figure.Refused > 4+4*3 {
+		t.Errorf("%+v", figure)
+	}
+}
--- a/testbed/platformtest/checker/configuration.go
+++ b/testbed/platformtest/checker/configuration.go
@@ -19,7 +19,7 @@
 	type tally struct{ served, all int }
 	var early, late tally
 	for _, attempt := range b.Attempts {
-		if attempt.Absent || attempt.Ended == 0 || !b.undisturbed(attempt.Began, attempt.Ended) {
+		if attempt.Absent || attempt.Ended == 0 || !b.owed(attempt) || !b.undisturbed(attempt.Began, attempt.Ended) {
 			continue
 		}
 		count := &late
@@ -38,7 +38,7 @@
 	return f
 }
 
-// Same says whether two configurations are equivalent: the order of their routes and services does not matter.
+// Same says whether two configurations are equivalent: the order of their routes, services and tenants does not matter.
 func Same(x, y *protocol.Config) bool {
 	return reflect.DeepEqual(canonical(x), canonical(y))
 }
@@ -49,7 +49,7 @@
 	if err := json.Unmarshal(config.Encode(), &out); err != nil {
 		panic("broken invariant: a configuration cannot be read: " + err.Error())
 	}
-	for _, name := range []string{"route-table", "backends"} {
+	for _, name := range []string{"route-table", "backends", "clients"} {
 		byLabel := map[string]any{}
 		items, _ := out[name].([]any)
 		for _, item := range items {
--- a/testbed/platformtest/checker/effects.go
+++ b/testbed/platformtest/checker/effects.go
@@ -2,40 +2,70 @@
 
 import (
 	"cmp"
+	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
 	"github.com/cresspond/cresspond/clock"
 	"github.com/cresspond/cresspond/testbed/platformtest/history"
+	"github.com/cresspond/cresspond/testbed/platformtest/protocol"
 )
 
-// versionsAllowing lists the versions, as indexes, that allow the outcome of a request: an execution at a service, or a
-// 404 where service is empty.
-func (b *index) versionsAllowing(host, uri, service string) (places []int) {
-	key := host + " " + pathOf(uri) + " " + service
-	if known, ok := b.versionCache[key]; ok {
+// effect is one outcome that shows which version of the configuration a machine used.
+type effect struct {
+	attempt *history.Attempt
+	at      clock.Mark
+	effectKey
+}
+
+// effectKey is what decides which versions allow an outcome.
+type effectKey struct {
+	host, path, key string
+	// service is where it ran; empty for a refusal.
+	service string
+	// tenant is the name under which it ran; anyTenant: the name shows nothing, as no version allows it.
+	tenant    string
+	anyTenant bool
+	// status is that of a refusal.
+	status int
+}
+
+// ran says whether the outcome is an execution.
+func (k effectKey) ran() bool { return k.service != "" }
+
+// allowedBy says whether a configuration allows the outcome.
+func (k effectKey) allowedBy(config *protocol.Config) bool {
+	route := config.Find(k.host, k.path)
+	switch {
+	case !k.ran() && k.status == http.StatusNotFound:
+		return route == nil
+	case !k.ran():
+		return config.HasTenants() && (route == nil || !config.Admits(route, k.key))
+	case route == nil || !slices.Contains(route.Services(), k.service):
+		return false
+	case k.anyTenant:
+		return config.Admits(route, k.key)
+	}
+	return config.Names(route, k.key, k.tenant)
+}
+
+// versionsAllowing lists the versions, as indexes, that allow an outcome.
+func (b *index) versionsAllowing(k effectKey) (places []int) {
+	if known, ok := b.versionCache[k]; ok {
 		return known
 	}
-	defer func() { b.versionCache[key] = places }()
 	for i, version := range b.versions {
-		if service == "" {
-			if version.Config.Find(host, pathOf(uri)) == nil {
-				places = append(places, i)
-			}
-		} else if allows(version.Config, host, uri, service) {
+		if k.allowedBy(version.Config) {
 			places = append(places, i)
 		}
 	}
+	b.versionCache[k] = places
 	return places
 }
 
-// effect is one outcome that shows which version of the configuration a machine used.
-type effect struct {
-	attempt *history.Attempt
-	at      clock.Mark
-	// service is empty for a 404.
-	service string
-}
+// showsVersion lists the statuses of refusals that show a version: no route, or no key.
+var showsVersion = []int{http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound}
 
 // effects lists the effects of all attempts.
 func (b *index) effects() []effect {
@@ -43,21 +73,35 @@
 	for _, attempt := range b.Attempts {
 		for _, arrival := range b.arrivals[attempt.AttemptID] {
 			if arrival.Ran() {
-				out = append(out, effect{attempt, arrival.At, arrival.Service})
+				out = append(out, b.execution(attempt, arrival))
 			}
 		}
-		if answeredByDaemon(attempt) && attempt.Status == 404 {
-			out = append(out, effect{attempt, attempt.Ended, ""})
+		if answeredByDaemon(attempt) && slices.Contains(showsVersion, attempt.Status) {
+			out = append(out, effect{attempt, attempt.Ended, effectKey{host: attempt.Host, path: pathOf(attempt.URI), key: attempt.Key, status: attempt.Status}})
 		}
 	}
 	return out
 }
 
-func (d effect) what() string {
-	if d.service == "" {
-		return "was answered 404"
+// execution is the effect of an execution. A tenant that no version names shows nothing of the version.
+func (b *index) execution(attempt *history.Attempt, arrival *history.Arrival) effect {
+	k := effectKey{host: attempt.Host, path: pathOf(attempt.URI), key: attempt.Key, service: arrival.Service}
+	k.anyTenant = len(arrival.Tenants) != 1 || !b.hasKeyInAnyVersion(arrival.Tenants[0], attempt.Key)
+	if !k.anyTenant {
+		k.tenant = arrival.Tenants[0]
+	}
+	return effect{attempt, arrival.At, k}
+}
+
+// what describes the outcome.
+func (k effectKey) what() string {
+	if !k.ran() {
+		return fmt.Sprintf("was answered %d", k.status)
+	}
+	if k.key == "" {
+		return "ran at " + k.service
 	}
-	return "ran at " + d.service
+	return fmt.Sprintf("ran at %s with the key %s", k.service, k.key)
 }
 
 // configInForceLate checks that an acknowledged configuration is in force within its bound.
@@ -66,7 +110,7 @@
 	for _, effect := range b.effects() {
 		f.Checked++
 		oldest := b.oldestValid(effect.attempt.Began, b.applyBound(effect.attempt.Began))
-		places := b.versionsAllowing(effect.attempt.Host, effect.attempt.URI, effect.service)
+		places := b.versionsAllowing(effect.effectKey)
 		if len(places) == 0 || places[len(places)-1] >= oldest || !b.machineSettled(effect.attempt.Daemon, effect.at) {
 			continue
 		}
@@ -125,12 +169,12 @@
 		if i > 0 {
 			newest[i], by[i] = newest[i-1], by[i-1]
 		}
-		if places := b.versionsAllowing(one.attempt.Host, one.attempt.URI, one.service); one.service != "" && len(places) > 0 && places[0] > newest[i] {
+		if places := b.versionsAllowing(one.effectKey); one.service != "" && len(places) > 0 && places[0] > newest[i] {
 			newest[i], by[i] = places[0], i
 		}
 	}
 	for _, later := range items {
-		places := b.versionsAllowing(later.attempt.Host, later.attempt.URI, later.service)
+		places := b.versionsAllowing(later.effectKey)
 		known, _ := slices.BinarySearchFunc(items, later.attempt.Began-clock.Mark(b.bounds.Revert), func(one effect, at clock.Mark) int { return cmp.Compare(one.at, at) })
 		if len(places) == 0 || known == 0 {
 			continue
@@ -148,11 +192,11 @@
 	f := Finding{Rule: "CONFIG refused or invalid in force"}
 	f.Checked = len(b.rejected)
 	for _, effect := range b.effects() {
-		if effect.service == "" || len(b.versionsAllowing(effect.attempt.Host, effect.attempt.URI, effect.service)) > 0 {
+		if effect.service == "" || len(b.versionsAllowing(effect.effectKey)) > 0 {
 			continue
 		}
 		for _, other := range b.rejected {
-			if allows(other.Config, effect.attempt.Host, effect.attempt.URI, effect.service) {
+			if effect.allowedBy(other.Config) {
 				f.violation("%s %s, which only %d allows, and that was refused", effect.attempt.AttemptID, effect.what(), other.Generation)
 				break
 			}
--- a/testbed/platformtest/checker/requests.go
+++ b/testbed/platformtest/checker/requests.go
@@ -84,6 +84,10 @@
 			f.violation("%s ran with another body", attempt.AttemptID)
 		case arrival.Prompt.WriteModel() != attempt.Prompt.WriteModel() || arrival.Prompt.WriteCounts() != attempt.Prompt.WriteCounts() || arrival.Prompt.WriteParts() != attempt.Prompt.WriteParts():
 			f.violation("%s was sent as %+v and ran as %+v", attempt.AttemptID, attempt.Prompt, arrival.Prompt)
+		default:
+			if fault := b.tenantFault(attempt, arrival); fault != "" {
+				f.violation("%s %s", attempt.AttemptID, fault)
+			}
 		}
 	}
 	return f
@@ -151,13 +155,7 @@
 			}
 			continue
 		}
-		proper := true
-		for _, version := range b.versions[b.oldestValid(attempt.Began, b.applyBound(attempt.Began)):] {
-			if version.Began <= attempt.Ended && version.Config.Find(attempt.Host, pathOf(attempt.URI)) == nil {
-				proper = false
-			}
-		}
-		if proper {
+		if b.alwaysAdmitted(attempt) {
 			denied = append(denied, fmt.Sprintf("%s was answered %d by %s", attempt.AttemptID, attempt.Status, attempt.Daemon))
 		}
 	}
@@ -170,14 +168,14 @@
 	return f
 }
 
-// alwaysAllowed says whether all configurations of the run have a route for a request.
+// alwaysAllowed says whether all configurations of the run have a route for a request and admit its key.
 func (b *index) alwaysAllowed(attempt *history.Attempt) bool {
 	return !slices.ContainsFunc(b.versions, func(version *history.Change) bool {
-		return version.Config.Find(attempt.Host, pathOf(attempt.URI)) == nil
+		return !admits(version.Config, attempt)
 	})
 }
 
-// routing checks that each request ran at a service that some configuration allowed.
+// routing checks that each request ran at a service, and with a key, that some configuration allowed.
 func (b *index) routing() Finding {
 	f := Finding{Rule: "ROUTE"}
 	for _, arrival := range b.Arrivals {
@@ -190,6 +188,12 @@
 		}
 		if !ever(b.versions) && !ever(b.rejected) {
 			f.violation("%s ran at %s of %s, which no configuration ever allowed", arrival.AttemptID, arrival.Engine, arrival.Service)
+			continue
+		}
+		if attempt := b.attempts[arrival.AttemptID]; attempt != nil {
+			if fault := b.keyFault(attempt); fault != "" {
+				f.violation("%s %s", arrival.AttemptID, fault)
+			}
 		}
 	}
 	return f
--- a/testbed/platformtest/checker/served.go
+++ b/testbed/platformtest/checker/served.go
@@ -14,6 +14,7 @@
 // requestOutcome is the outcome of one request over all its attempts.
 type requestOutcome struct {
 	kind, session, model string
+	tenant               string
 	began, ended         clock.Mark
 	served               bool
 	size                 int
@@ -24,12 +25,12 @@
 	byRequest := map[string]*requestOutcome{}
 	var order []string
 	for _, attempt := range b.Attempts {
-		if attempt.Probe || attempt.Absent || attempt.Early || attempt.ExceedsDeadline {
+		if attempt.Probe || attempt.Absent || attempt.Early || attempt.ExceedsDeadline || !b.owed(attempt) {
 			continue
 		}
 		one := byRequest[attempt.Request]
 		if one == nil {
-			one = &requestOutcome{kind: attempt.Kind, session: attempt.Session, model: attempt.Prompt.WriteModel(), began: attempt.Began, size: attempt.Prompt.TokensIn + 10*attempt.Prompt.TokensOut}
+			one = &requestOutcome{kind: attempt.Kind, session: attempt.Session, model: attempt.Prompt.WriteModel(), tenant: attempt.Tenant, began: attempt.Began, size: attempt.Prompt.TokensIn + 10*attempt.Prompt.TokensOut}
 			byRequest[attempt.Request] = one
 			order = append(order, attempt.Request)
 		}
@@ -43,6 +44,14 @@
 	return out
 }
 
+// owed says whether an attempt is owed an answer: its route and key are there, and its tenant asks under its limit.
+func (b *index) owed(attempt *history.Attempt) bool {
+	if attempt.Tenant == "" && attempt.Key == "" {
+		return true
+	}
+	return b.alwaysAdmitted(attempt) && !b.beyondLimit(attempt)
+}
+
 // served says whether an attempt got a complete answer.
 func (b *index) served(attempt *history.Attempt) bool { return attempt.Success() }
 
@@ -167,12 +176,22 @@
 
 // starvedKinds checks that no kind of request is served far less than all.
 func (b *index) starvedKinds() Finding {
-	f := Finding{Rule: "Starved kinds"}
+	return b.starvedGroups("Starved kinds", func(a requestOutcome) string { return a.kind })
+}
+
+// starvedTenants checks that no tenant is served far less than all.
+func (b *index) starvedTenants() Finding {
+	return b.starvedGroups("Starved tenants", func(a requestOutcome) string { return a.tenant })
+}
+
+// starvedGroups checks that the requests of no group are served far less than all.
+func (b *index) starvedGroups(rule string, key func(requestOutcome) string) Finding {
+	f := Finding{Rule: rule}
 	all := b.answers()
-	for kind, items := range grouped(all, func(a requestOutcome) string { return a.kind }) {
+	for name, items := range grouped(all, key) {
 		f.Checked++
 		if len(items) >= 10 && servedShare(items) < servedShare(all)/4 {
-			f.violation("%s: %.0f %% were served, and %.0f %% of all", kind, 100*servedShare(items), 100*servedShare(all))
+			f.violation("%s: %.0f %% were served, and %.0f %% of all", name, 100*servedShare(items), 100*servedShare(all))
 		}
 	}
 	slices.Sort(f.Violations)
