--- a/testbed/platformtest/contract/fixture_test.go
+++ b/testbed/platformtest/contract/fixture_test.go
@@ -34,14 +34,25 @@
 // services is the number of tests that can have engines of their own.
 const services = 40
 
-// shared is the one fleet of all tests of this package; each test has a service of its own on it.
-var shared struct {
-	fleet *fleet.Fleet
-	book  *history.Recorder
-	entry *fleet.Entry
-	taken atomic.Int64
+// testFleet is a fleet that many tests share; each has a service of its own on it.
+type testFleet struct {
+	name     string
+	fleet    *fleet.Fleet
+	recorder *history.Recorder
+	taken    atomic.Int64
 }
 
+// shared serves tests of configurations without tenants, tenants those with. Tests on tenants change the configuration;
+// they take turns by change, and each changes only its own tenants.
+var (
+	shared  = &testFleet{name: "shared"}
+	tenants = struct {
+		*testFleet
+		change  sync.Mutex
+		current *protocol.Config
+	}{testFleet: &testFleet{name: "tenants"}, current: tenantConfig()}
+)
+
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
 func run(m *testing.M) int {
@@ -53,47 +64,63 @@
 	if out, err := exec.Command("go", "build", "-race", "-o", program, "github.com/cresspond/cresspond/cmd/cresspond-platform").CombinedOutput(); err != nil {
 		panic(fmt.Sprintf("%v: %s", err, out))
 	}
-	shared.book = history.NewRecorder(clock.System{})
-	f, err := fleet.New(fleet.Plan{Program: program, Folder: filepath.Join(folder, "fleet"), Zones: []string{"a"}, Cores: 1, Edges: 1, Bounds: bounds, CatchUp: 4 * time.Second,
-		HeartbeatPeriod: 200 * time.Millisecond, Staleness: 0, Recorder: shared.book})
+	all := []*testFleet{shared, tenants.testFleet}
+	shared.start(program, folder, config(), false)
+	tenants.start(program, folder, tenants.current, true)
+	code := m.Run()
+	for _, one := range all {
+		code = max(code, one.end())
+	}
+	if code == 0 {
+		os.RemoveAll(folder)
+	} else {
+		fmt.Println("logs in", folder)
+	}
+	return code
+}
+
+// start starts the fleet with its first configuration and waits until its router is ready.
+func (s *testFleet) start(program, folder string, first *protocol.Config, withTenants bool) {
+	s.recorder = history.NewRecorder(clock.System{})
+	f, err := fleet.New(fleet.Plan{Program: program, Folder: filepath.Join(folder, s.name), Zones: []string{"a"}, Cores: 1, Edges: 1, Bounds: bounds, CatchUp: 4 * time.Second,
+		HeartbeatPeriod: 200 * time.Millisecond, Staleness: 0, Tenants: withTenants, Recorder: s.recorder})
 	if err != nil {
 		panic(err)
 	}
-	shared.fleet, shared.entry = f, fleet.NewEntry(f, time.Second)
+	s.fleet = f
 	if err := f.Start(); err != nil {
 		panic(err)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	o := operator.New("first", 1, shared.book, f.Controls)
-	if change := o.Put(ctx, 0, config(), ""); change.Outcome != history.Acknowledged {
+	o := operator.New("first", 1, s.recorder, f.Controls)
+	if change := o.Put(ctx, 0, first, ""); change.Outcome != history.Acknowledged {
 		f.KillAll()
 		panic(fmt.Sprintf("the first configuration was not accepted: %+v; logs in %s", change, folder))
 	}
-	for !shared.entry.Ready(ctx, f.OfClass(fleet.Edge)[0]) {
+	entry := fleet.NewEntry(f, time.Second)
+	for !entry.Ready(ctx, f.OfClass(fleet.Edge)[0]) {
 		if ctx.Err() != nil {
 			f.KillAll()
 			panic("the router was never ready; logs in " + folder)
 		}
 	}
-	code := m.Run()
-	f.KillAll()
-	for _, machine := range f.Machines {
+}
+
+// end stops the fleet; it returns 1 if its processes raced, panicked or ended by themselves.
+func (s *testFleet) end() (code int) {
+	s.fleet.KillAll()
+	for _, machine := range s.fleet.Machines {
 		log, _ := os.ReadFile(machine.Log())
 		if bytes.Contains(log, []byte("DATA RACE")) || bytes.Contains(log, []byte("panic:")) {
 			fmt.Printf("%s:\n%s\n", machine.Name, log)
 			code = 1
 		}
 	}
-	if ends := f.Plan.Recorder.Snapshot().Disruptions; len(ends) > 0 {
-		fmt.Println("processes ended by themselves; logs in", folder)
+	if ends := s.recorder.Snapshot().Disruptions; len(ends) > 0 {
+		fmt.Println("processes ended by themselves")
 		return 1
 	}
-	if code == 0 {
-		os.RemoveAll(folder)
-	} else {
-		fmt.Println("logs in", folder)
-	}
 	return code
 }
 
@@ -101,7 +128,7 @@
 
 var bounds = checker.Bounds{Contact: 3000 * ms, Drain: 2000 * ms, Grace: 8000 * ms, LossSlack: 200 * ms, Apply: 2000 * ms, Revert: 250 * ms, StretchMax: 5000 * ms,
 	Recovery: 12 * time.Second, Ack: 4000 * ms, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 100000, Lease: 3000 * ms, Unfreeze: 300 * ms,
-	OriginWindow: 5 * time.Second, OriginExcess: 1.1}
+	OriginWindow: 5 * time.Second, OriginExcess: 1.1, QuotaWindow: 5 * time.Second, QuotaExcess: 0.1, QuotaMargin: 10}
 
 // config has a plain pool, a model pool and a route of each class for each service.
 func config() *protocol.Config {
@@ -128,17 +155,26 @@
 	t        *testing.T
 	number   int
 	engines  []*engine.Engine
+	fleet    *fleet.Fleet
 	recorder *history.Recorder
+	// key and tenant are what the test's requests carry; empty is none.
+	key, tenant string
 }
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	t.Parallel()
-	number := int(shared.taken.Add(1)) - 1
+	return shared.newFixture(t)
+}
+
+// newFixture gives a test the next service of the fleet.
+func (s *testFleet) newFixture(t *testing.T) *fixture {
+	t.Helper()
+	number := int(s.taken.Add(1)) - 1
 	if number >= services {
 		t.Fatal("there are more tests than services")
 	}
-	return &fixture{t: t, number: number, recorder: shared.book}
+	return &fixture{t: t, number: number, fleet: s.fleet, recorder: s.recorder}
 }
 
 // plain starts a plain engine of the test's service, model one that has loaded the model m.
@@ -158,7 +194,7 @@
 	f.t.Helper()
 	c.Name, c.Zone, c.Software, c.HealthPath, c.MaxConns = fmt.Sprintf("%s-%d", c.Service, len(f.engines)), "a", "v1", "/health", 60
 	c.Address, c.IdleClose, c.ReportLag, c.Seed = loopback.Host()+":0", 20*time.Second, 50*ms, uint64(f.number)
-	c.HeartbeatPeriod, c.Controls, c.DrainBound, c.DrainPatience = 200*ms, shared.fleet.Controls, bounds.Drain, 10*time.Second
+	c.HeartbeatPeriod, c.Controls, c.DrainBound, c.DrainPatience = 200*ms, f.fleet.Controls, bounds.Drain, 10*time.Second
 	if change != nil {
 		change(&c)
 	}
@@ -177,9 +213,9 @@
 // request makes a request of a class: again (idempotent), once, stream or resume.
 func (f *fixture) request(class string) *client.Request {
 	r := &client.Request{ID: fmt.Sprintf("%s-%d", class, f.number), Kind: class, Zone: "a", Host: host, Method: http.MethodPost, URI: f.path(class), Body: []byte("the body"),
-		Deadline: 15 * time.Second, Target: 2 * time.Second, Gap: time.Second}
+		Deadline: 15 * time.Second, Target: 2 * time.Second, Gap: time.Second, Key: f.key, Tenant: f.tenant}
 	switch class {
-	case "again":
+	case "again", "open":
 		r.Class = protocol.Idempotent
 	case "once":
 		r.Class = protocol.Mutating
@@ -201,7 +237,7 @@
 	return c
 }
 
-func (f *fixture) front() string { return shared.fleet.OfClass(fleet.Edge)[0].Front() }
+func (f *fixture) front() string { return f.fleet.OfClass(fleet.Edge)[0].Front() }
 
 // ask sends a request once and returns the attempt.
 func (f *fixture) ask(r *client.Request) *history.Attempt {
@@ -282,8 +318,8 @@
 // answerRules are the rules that hold whatever an engine does.
 var answerRules = []string{"MIXED", "UNASKED", "TWICE", "REFUSED", "ROUTE", "ORDER", "CONFIG refused or invalid in force"}
 
-// checkRules holds what this test's engines and clients saw against the rules on answers.
-func (f *fixture) checkRules() {
+// checkRules holds what this test's engines and clients saw against the rules on answers, and others by name.
+func (f *fixture) checkRules(others ...string) {
 	f.t.Helper()
 	h := f.recorder.Snapshot()
 	mine := fmt.Sprintf("/%d/", f.number)
@@ -291,7 +327,7 @@
 	h.Arrivals = slices.DeleteFunc(h.Arrivals, func(a *history.Arrival) bool { return !strings.Contains(a.URI, mine) })
 	checked := 0
 	for _, finding := range checker.CheckAll(h, bounds) {
-		if slices.Contains(answerRules, finding.Rule) {
+		if slices.Contains(answerRules, finding.Rule) || slices.Contains(others, finding.Rule) {
 			checked += finding.Checked
 			for _, violation := range finding.Violations {
 				f.t.Errorf("%s: %s", finding.Rule, violation)
@@ -329,7 +365,7 @@
 func (f *fixture) wire(r *client.Request) (attempt string, data []byte) {
 	attempt = nextAttemptID()
 	f.recorder.Record(func(h *history.History) {
-		h.Attempts = append(h.Attempts, &history.Attempt{Request: r.ID, Kind: r.Kind, AttemptID: attempt, Host: r.Host, Method: r.Method, URI: r.URI, BodyDigest: protocol.Digest(r.Body), Prompt: r.Prompt, Class: r.Class, Resumable: r.Resumable,
+		h.Attempts = append(h.Attempts, &history.Attempt{Request: r.ID, Kind: r.Kind, AttemptID: attempt, Host: r.Host, Method: r.Method, URI: r.URI, BodyDigest: protocol.Digest(r.Body), Prompt: r.Prompt, Class: r.Class, Resumable: r.Resumable, Key: r.Key, Tenant: r.Tenant,
 			Daemon: "edge-0", Began: f.recorder.Now()})
 	})
 	return attempt, client.Wire(r, attempt, r.Deadline, "")
--- a/testbed/platformtest/contract/operator_test.go
+++ b/testbed/platformtest/contract/operator_test.go
@@ -20,7 +20,7 @@
 	f := newFixture(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
-	o := operator.New("contract", 7, f.recorder, shared.fleet.Controls)
+	o := operator.New("contract", 7, f.recorder, f.fleet.Controls)
 	current := config()
 	read := func() *protocol.Config {
 		t.Helper()
@@ -100,7 +100,7 @@
 		done.Add(1)
 		go func() {
 			defer done.Done()
-			changes[n] = operator.New(fmt.Sprint("race", n), uint64(n), f.recorder, shared.fleet.Controls).Put(ctx, 4, racing, "")
+			changes[n] = operator.New(fmt.Sprint("race", n), uint64(n), f.recorder, f.fleet.Controls).Put(ctx, 4, racing, "")
 		}()
 	}
 	done.Wait()
--- a/testbed/platformtest/contract/registering_test.go
+++ b/testbed/platformtest/contract/registering_test.go
@@ -29,7 +29,7 @@
 // callOnce makes one call.
 func (f *fixture) callOnce(method, path string, header map[string]string, body []byte) (int, []byte) {
 	f.t.Helper()
-	request, err := http.NewRequest(method, "http://"+shared.fleet.OfClass(fleet.Core)[0].Control()+path, bytes.NewReader(body))
+	request, err := http.NewRequest(method, "http://"+f.fleet.OfClass(fleet.Core)[0].Control()+path, bytes.NewReader(body))
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/testbed/platformtest/fleet/fleet.go
+++ b/testbed/platformtest/fleet/fleet.go
@@ -49,11 +49,25 @@
 	CatchUp         time.Duration
 	HeartbeatPeriod time.Duration
 	Staleness       time.Duration
+	// Tenants says that the rules on tenants and quotas count.
+	Tenants bool
 	// Environment is added to the environment of each process.
 	Environment []string
 	Recorder    *history.Recorder
 }
 
+// revokeBound is in the settings of all deployments with tenants; no rule counts by it.
+const revokeBound = 5 * time.Second
+
+// invariants names the groups of rules that count.
+func (p *Plan) invariants() []string {
+	names := []string{"base", "drain", "config", "cost", "retry", "recover", "fleet", "stream", "engine"}
+	if p.Tenants {
+		names = append(names, "pool", "tenants", "quota")
+	}
+	return names
+}
+
 // Machine is one machine.
 type Machine struct {
 	Name, Class, Zone, IP string
@@ -190,7 +204,7 @@
 	settings := map[string]any{
 		"node-name": m.Name, "role": "my-" + m.Class, "machine-class": m.Class, "serves": []string{"edge"}, "ip": m.IP, "zone": m.Zone, "region": "region",
 		"port-range": []int{firstPort, lastPort}, "seeds": seeds, "bootstrap": bootstrap, "counts-loss": m.Class == Core, "discovery": "self_register",
-		"entry": "virtual_ip", "beat-period-ms": f.Plan.HeartbeatPeriod.Milliseconds(), "invariants": []string{"base", "drain", "config", "cost", "retry", "recover", "fleet", "stream", "engine"},
+		"entry": "virtual_ip", "beat-period-ms": f.Plan.HeartbeatPeriod.Milliseconds(), "invariants": f.Plan.invariants(),
 		"a-field-of-later": "passed over", "zones": zones,
 		"bind-addrs":   map[string]string{"front": m.Front(), "readiness": m.Readiness()},
 		"limits":       map[string]any{"cpu-share": 1.0, "cores": 1, "memory-mb": 284, "max-fds": 4100, "link-mbps": 1000.0, "disk-mb": 0},
@@ -200,7 +214,8 @@
 			"drain-bound-ms": b.Drain.Milliseconds(), "grace-period-s": b.Grace.Seconds(), "loss-slack-ms": b.LossSlack.Milliseconds(), "apply-bound-ms": b.Apply.Milliseconds(),
 			"revert-slack-ms": b.Revert.Milliseconds(), "stretch-max-ms": b.StretchMax.Milliseconds(), "retry-ratio": b.RetryRatio, "retry-window-s": b.RetryWindow.Seconds(),
 			"retry-slack": b.RetrySlack, "recovery-s": b.Recovery.Seconds(), "pass-time-ms": 120, "retry-after-s": 0, "fence-checked": b.FenceChecked,
-			"lease-ms": b.Lease.Milliseconds(), "unfreeze-slack-ms": b.Unfreeze.Milliseconds(), "origin-window-s": b.OriginWindow.Seconds(), "origin-excess": b.OriginExcess},
+			"lease-ms": b.Lease.Milliseconds(), "unfreeze-slack-ms": b.Unfreeze.Milliseconds(), "origin-window-s": b.OriginWindow.Seconds(), "origin-excess": b.OriginExcess,
+			"revocation-closed": false, "revoke-bound-ms": revokeBound.Milliseconds(), "quota-period-s": b.QuotaWindow.Seconds(), "quota-excess": b.QuotaExcess, "quota-margin": b.QuotaMargin},
 	}
 	if m.Class == Core {
 		settings["serves"], settings["data-dir"] = []string{"control"}, m.data()
