daemon, quota: a tenant's limit holds over the whole fleet

Now each request of a limited tenant takes a token: at hand on its daemon, or from the leader of the control group by the new peer call Quota, one call at a time for all that waits on a daemon. A leader allots only while a majority has confirmed it within half a second, begins to lead when its term does (what accrues counts from then on), and the first leader of a fleet starts with full buckets. Without a leader the daemons go on by credit and settle it afterwards (package quota).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/cresspond/cresspond/daemon/listener"
 	"github.com/cresspond/cresspond/daemon/longpoll"
 	"github.com/cresspond/cresspond/daemon/noderanking"
+	"github.com/cresspond/cresspond/daemon/tenantquota"
 	"github.com/cresspond/cresspond/ident"
 	"github.com/cresspond/cresspond/process/cluster/affinity"
 	"github.com/cresspond/cresspond/process/cluster/deduplication"
@@ -129,6 +130,9 @@
 	unreadyAnswered chan struct{}
 
 	forwarding forwardingPath
+	// quotaLimiter counts the requests of limited tenants here; quotaAllotter allots tokens while this daemon leads.
+	quotaLimiter  *tenantquota.Limiter
+	quotaAllotter *tenantquota.Allotter
 	// nodeRanking ranks engines by the health of their nodes.
 	nodeRanking *noderanking.Ranking
 
@@ -163,6 +167,7 @@
 		applyReach:      applyReach,
 		peerDemand:      map[ident.NodeID]*demand.Receiver{},
 		affinityTable:   affinity.NewTable(),
+		quotaAllotter:   tenantquota.NewAllotter(quotaSettings(config.Bounds)),
 		wrapDisk:        func(disk replica.Disk) replica.Disk { return disk },
 		stallLimit:      stallLimit,
 		overrunLimit:    overrunLimit,
--- a/daemon/forwarding.go
+++ b/daemon/forwarding.go
@@ -72,6 +72,7 @@
 	}
 	side.pools = connectionpool.New(d.clock, side.dialect)
 	side.actor = forwarding.NewActor(side.settings, d.forwardWorld)
+	d.quotaLimiter = d.newQuotaLimiter()
 	side.gateway = gateway.New(gateway.Dependencies{
 		Clock:        d.clock,
 		Dialect:      side.dialect,
@@ -80,11 +81,13 @@
 		IndexCurrent: d.tableIsCurrent,
 		HasWorkerID:  d.generator.HasLease,
 		EngineOpen:   d.engineOpen,
+		TakeQuota:    d.takeQuota,
 		Draining:     d.draining.Load,
 		Settings:     side.settings,
 		Recorder:     d.nodeRanking.Recorder(),
 	}, side.actor, side.pools)
 	go side.actor.Run(ctx)
+	go d.quotaLimiter.Run(ctx)
 	go d.runSweeps(ctx)
 }
 
@@ -151,11 +154,12 @@
 // keysOutdated says whether keys may have been withdrawn that the table in force still holds, and the deployment wants
 // none accepted then.
 func (d *Daemon) keysOutdated(now clock.Mark) bool {
-	if !d.config.Bounds.RevocationClosed {
+	bounds := d.Bounds()
+	if !bounds.RevocationClosed {
 		return false
 	}
 	confirmed := d.confirmed()
-	return confirmed == 0 || now.Since(confirmed) > time.Duration(d.config.Bounds.RevokeMs)*time.Millisecond
+	return confirmed == 0 || now.Since(confirmed) > time.Duration(bounds.RevokeMs)*time.Millisecond
 }
 
 // forwardWorld returns what forwarding decides by.
--- a/daemon/member.go
+++ b/daemon/member.go
@@ -184,7 +184,7 @@
 	}
 	made, err := replica.New(self, group, restored, d.replicaConfig, d.clock, d.wrapDisk(incarnation.store), d.links,
 		replica.WithConfigurationChangeHandler(d.stateChanged),
-		replica.WithStatusChangeHandler(d.logMemberChange),
+		replica.WithStatusChangeHandler(d.memberStatusChanged),
 		replica.WithCounters(&d.counters.group),
 		replica.WithNoticeHandler(d.noticeLogger()),
 		replica.WithFatalHandler(incarnation.fail))
--- a/daemon/membernotices.go
+++ b/daemon/membernotices.go
@@ -9,6 +9,14 @@
 	"github.com/cresspond/cresspond/process/consensus/replica"
 )
 
+// memberStatusChanged is called when this member's part in the group has changed.
+func (d *Daemon) memberStatusChanged(before, after replica.Status) {
+	if after.IsLeader {
+		d.quotaAllotter.Lead(leadershipOf(after), d.clock.Elapsed())
+	}
+	d.logMemberChange(before, after)
+}
+
 // logMemberChange logs what changed in this member's part in the group.
 func (d *Daemon) logMemberChange(before, after replica.Status) {
 	entry := d.log.WithField("term", uint64(after.Term))
--- /dev/null
+++ b/daemon/tenantquota/allotter.go
@@ -0,0 +1,65 @@
+package tenantquota
+
+import (
+	"sync"
+
+	"github.com/cresspond/cresspond/clock"
+	"github.com/cresspond/cresspond/ident"
+	"github.com/cresspond/cresspond/process/quota"
+)
+
+// Leadership is a moment of this daemon's leadership of the control group.
+type Leadership struct {
+	Term uint64
+	// Members are the daemons that may be serving.
+	Members []ident.NodeID
+	// First reports that no configuration was in force before, so that nobody can have been allotted anything.
+	First bool
+}
+
+// Allotter owns the quota.Allocator of a daemon that may lead the control group. It is safe for concurrent use.
+type Allotter struct {
+	mutex     sync.Mutex
+	allocator *quota.Allocator
+	term      uint64
+}
+
+// NewAllotter makes an allotter that has not allotted anything.
+func NewAllotter(settings quota.Settings) *Allotter {
+	return &Allotter{allocator: quota.NewAllocator(settings)}
+}
+
+// Lead begins a leadership, without knowledge of the one before. It is called as soon as this daemon leads, since what
+// accrues to tenants counts from then on; once more for the same term does nothing.
+func (a *Allotter) Lead(leadership Leadership, now clock.Mark) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.lead(leadership, now)
+}
+
+func (a *Allotter) lead(leadership Leadership, now clock.Mark) {
+	if leadership.Term == a.term {
+		return
+	}
+	a.term = leadership.Term
+	if leadership.First {
+		a.allocator.LeadFirst(leadership.Term, now)
+		return
+	}
+	a.allocator.Lead(leadership.Term, leadership.Members, now)
+}
+
+// Allot answers one request under a leadership that is confirmed at the moment.
+func (a *Allotter) Allot(leadership Leadership, request quota.Request, limitOf quota.LimitOf, now clock.Mark) (quota.Reply, error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.lead(leadership, now)
+	return a.allocator.Allot(request, limitOf, now)
+}
+
+// Status gives the tenants in use; nothing where this daemon has not led.
+func (a *Allotter) Status(now clock.Mark) []quota.TenantBucket {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.allocator.Status(now)
+}
--- /dev/null
+++ b/daemon/tenantquota/limiter.go
@@ -0,0 +1,159 @@
+package tenantquota
+
+import (
+	"context"
+	"time"
+
+	"github.com/cresspond/cresspond/actor"
+	"github.com/cresspond/cresspond/clock"
+	"github.com/cresspond/cresspond/ident"
+	"github.com/cresspond/cresspond/process/quota"
+)
+
+const (
+	// mailboxSize is how many events wait for the actor before a sender has to.
+	mailboxSize = 256
+	// callTimeout bounds a call to the leader. A leader that takes longer is no help to a request that waits: the daemon
+	// goes on by credit.
+	callTimeout = 150 * time.Millisecond
+	// stoppedRetryAfter is when a client should retry after a daemon that has stopped.
+	stoppedRetryAfter = 200 * time.Millisecond
+)
+
+// Leader is what a limiter knows of the fleet.
+type Leader struct {
+	// Term is that of the newest leader known, Daemons the number of daemons that route.
+	Term    uint64
+	Daemons int
+	// Contact is up to when a majority of the control group is known to have been in contact; zero is never.
+	Contact clock.Mark
+}
+
+// Dependencies are what a limiter depends on. Functions must be safe for concurrent use.
+type Dependencies struct {
+	Clock clock.Clock
+	// Ask makes one call to the leader.
+	Ask func(context.Context, quota.Request) (quota.Reply, error)
+	// Leader gives what is known of the leader now.
+	Leader func() Leader
+}
+
+// Limiter is the actor that owns a daemon's quota.Limiter. Its methods are safe for concurrent use.
+type Limiter struct {
+	Dependencies
+	core    *quota.Limiter
+	mailbox *actor.Mailbox[func()]
+	waiters map[quota.WaiterID]chan quota.Decision
+	// wakeAt is when the timer that was set last wakes the actor.
+	wakeAt clock.Mark
+	ctx    context.Context
+}
+
+// NewLimiter makes the limiter of one incarnation of a daemon.
+func NewLimiter(daemon ident.NodeID, dependencies Dependencies) *Limiter {
+	return &Limiter{
+		Dependencies: dependencies,
+		core:         quota.NewLimiter(daemon),
+		mailbox:      actor.NewMailbox[func()](mailboxSize),
+		waiters:      map[quota.WaiterID]chan quota.Decision{},
+	}
+}
+
+// Run owns the limiter until ctx ends.
+func (l *Limiter) Run(ctx context.Context) {
+	l.ctx = ctx
+	l.mailbox.Run(ctx, 0, func(event func()) {
+		event()
+		l.proceed()
+	}, nil)
+}
+
+// Take decides on one request of a limited tenant, and waits for the leader where that is needed.
+func (l *Limiter) Take(tenant string, limit quota.Limit) quota.Decision {
+	decided := make(chan quota.Decision, 1)
+	if !l.mailbox.Send(func() { l.take(tenant, limit, decided) }) {
+		return stopped()
+	}
+	select {
+	case decision := <-decided:
+		return decision
+	case <-l.mailbox.Done():
+		return stopped()
+	}
+}
+
+// stopped is the decision of a daemon that has stopped.
+func stopped() quota.Decision {
+	return quota.Decision{Outcome: quota.Denied, RetryAfter: stoppedRetryAfter}
+}
+
+func (l *Limiter) take(tenant string, limit quota.Limit, decided chan quota.Decision) {
+	leader := l.Leader()
+	l.core.ObserveLeader(leader.Term, leader.Daemons, leader.Contact)
+	decision := l.core.Take(tenant, limit, l.Clock.Elapsed())
+	if decision.Outcome != quota.Pending {
+		decided <- decision
+		return
+	}
+	l.waiters[decision.Waiter] = decided
+}
+
+// proceed calls the leader if there is something to ask or to report, or sets a timer for when there will be.
+func (l *Limiter) proceed() {
+	now := l.Clock.Elapsed()
+	if request, due := l.core.NextRequest(now); due {
+		go l.ask(request)
+		return
+	}
+	at, due := l.core.NextRequestAt(now)
+	if !due || l.wakeAt > now && l.wakeAt <= at {
+		return
+	}
+	l.wakeAt = at
+	time.AfterFunc(max(at.Since(now), time.Millisecond), func() { l.mailbox.Send(l.observe) })
+}
+
+// observe tells the core what is known of the leader by now.
+func (l *Limiter) observe() {
+	leader := l.Leader()
+	l.core.ObserveLeader(leader.Term, leader.Daemons, leader.Contact)
+}
+
+// ask makes one call to the leader, on a goroutine of its own that ends with the actor's context.
+func (l *Limiter) ask(request quota.Request) {
+	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
+	defer cancel()
+	reply, err := l.Ask(ctx, request)
+	l.mailbox.Send(func() {
+		now := l.Clock.Elapsed()
+		if err != nil {
+			l.resolve(l.core.Unanswered(now))
+			return
+		}
+		l.resolve(l.core.Replied(reply, now))
+	})
+}
+
+// resolve hands decisions to those that wait for them.
+func (l *Limiter) resolve(resolutions []quota.Resolution) {
+	for _, resolution := range resolutions {
+		if decided, waits := l.waiters[resolution.Waiter]; waits {
+			delete(l.waiters, resolution.Waiter)
+			decided <- resolution.Decision
+		}
+	}
+}
+
+// Status gives the tenants in use on this daemon; nothing once it has stopped.
+func (l *Limiter) Status() []quota.TenantUse {
+	uses := make(chan []quota.TenantUse, 1)
+	if !l.mailbox.Send(func() { uses <- l.core.Status(l.Clock.Elapsed()) }) {
+		return nil
+	}
+	select {
+	case status := <-uses:
+		return status
+	case <-l.mailbox.Done():
+		return nil
+	}
+}
--- /dev/null
+++ b/daemon/tenantquota/limiter_test.go
@@ -0,0 +1,99 @@
+package tenantquota
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cresspond/cresspond/clock"
+	"github.com/cresspond/cresspond/process/quota"
+)
+
+var (
+	settings = quota.Settings{Window: 5_000_000_000, Excess: 0.1, Margin: 20}
+	limit    = quota.Limit{RatePerSecond: 50, Burst: 100}
+)
+
+// newTestLimiter makes a limiter whose leader is reached through ask.
+func newTestLimiter(t *testing.T, ask func(context.Context, quota.Request) (quota.Reply, error)) *Limiter {
+	t.Helper()
+	limiter := NewLimiter("edge#1", Dependencies{
+		Clock:  clock.System{},
+		Ask:    ask,
+		Leader: func() Leader { return Leader{Term: 1, Daemons: 1, Contact: clock.System{}.Elapsed()} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go limiter.Run(ctx)
+	return limiter
+}
+
+// leader answers as the first leader of a fleet does.
+func leader() func(context.Context, quota.Request) (quota.Reply, error) {
+	allotter := NewAllotter(settings)
+	return func(_ context.Context, request quota.Request) (quota.Reply, error) {
+		limitOf := func(string) (quota.Limit, bool) { return limit, true }
+		return allotter.Allot(Leadership{Term: 1, First: true}, request, limitOf, clock.System{}.Elapsed())
+	}
+}
+
+// takeMany has many requests ask at once, and counts those that were granted.
+func takeMany(limiter *Limiter, count int) int {
+	var granted atomic.Int64
+	var group sync.WaitGroup
+	for range count {
+		group.Go(func() {
+			if limiter.Take("acme", limit).Outcome == quota.Granted {
+				granted.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	return int(granted.Load())
+}
+
+// Guards against a tenant that gets more than its limit through requests that ask at the same moment.
+func TestConcurrentRequestsGetNoMoreThanBurst(t *testing.T) {
+	limiter := newTestLimiter(t, leader())
+	if granted := takeMany(limiter, 400); granted < int(limit.Burst) || granted > int(limit.Burst)+40 {
+		t.Errorf("%d of 400 were granted under a burst of %v", granted, limit.Burst)
+	}
+}
+
+// Guards against a call to the leader for each request: those that wait share one.
+func TestRequestsThatWaitShareCalls(t *testing.T) {
+	var calls atomic.Int64
+	answer, held := leader(), make(chan struct{})
+	limiter := newTestLimiter(t, func(ctx context.Context, request quota.Request) (quota.Reply, error) {
+		if calls.Add(1) == 1 {
+			<-held
+		}
+		return answer(ctx, request)
+	})
+	var group sync.WaitGroup
+	for range 20 {
+		group.Go(func() { limiter.Take("acme", limit) })
+	}
+	for waiting := 0; waiting < 20; {
+		for _, use := range limiter.Status() {
+			waiting = use.Waiting
+		}
+	}
+	close(held)
+	group.Wait()
+	if calls.Load() > 3 {
+		t.Errorf("%d calls for 20 requests", calls.Load())
+	}
+}
+
+// Guards against requests that hang, or pass without a limit, while no leader answers.
+func TestRequestsAreDecidedWithoutLeader(t *testing.T) {
+	limiter := newTestLimiter(t, func(context.Context, quota.Request) (quota.Reply, error) {
+		return quota.Reply{}, errors.New("no leader")
+	})
+	if granted := takeMany(limiter, 200); granted > 20 {
+		t.Errorf("%d of 200 were granted without a leader", granted)
+	}
+}
--- a/process/quota/allocator.go
+++ b/process/quota/allocator.go
@@ -25,6 +25,8 @@
 	settings Settings
 	leading  bool
 	term     uint64
+	// first reports that no earlier term can have granted anything.
+	first bool
 	// since is when the allocator began to lead.
 	since    clock.Mark
 	tenants  map[string]*tenantBucket
@@ -70,6 +72,7 @@
 // standing rates of a predecessor, as far as is known.
 func (a *Allocator) Lead(term uint64, members []ident.NodeID, now clock.Mark) {
 	a.leading = true
+	a.first = false
 	a.term = term
 	a.since = now
 	a.expireAt = now
@@ -83,6 +86,12 @@
 	}
 }
 
+// LeadFirst is Lead for a term before which no tenant can have been granted anything, so that buckets start full.
+func (a *Allocator) LeadFirst(term uint64, now clock.Mark) {
+	a.Lead(term, nil, now)
+	a.first = true
+}
+
 // Resign stops allotting and forgets all state.
 func (a *Allocator) Resign() {
 	*a = Allocator{settings: a.settings}
@@ -234,6 +243,9 @@
 	tenant.lastClaim = a.since
 	tenant.bucket.configure(limit, a.settings)
 	tenant.bucket.level = a.settings.initialLevel(limit)
+	if a.first {
+		tenant.bucket.level = tenant.bucket.capacity
+	}
 	return tenant
 }
 
--- a/process/quota/allocator_test.go
+++ b/process/quota/allocator_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/cresspond/cresspond/clock"
 	"github.com/cresspond/cresspond/ident"
@@ -200,3 +201,25 @@
 		t.Errorf("%d tenants and %d daemons are kept", len(a.tenants), len(a.daemons))
 	}
 }
+
+// Guards against requests denied under a limit right after the fleet's first start: nobody can have spent anything then.
+func TestFirstLeaderStartsWithFullBuckets(t *testing.T) {
+	limit := Limit{RatePerSecond: 10, Burst: 100}
+	limitOf := func(string) (Limit, bool) { return limit, true }
+	settings := Settings{Window: 5 * time.Second, Excess: 0.1, Margin: 20}
+	granted := func(lead func(*Allocator)) int {
+		a := NewAllocator(settings)
+		lead(a)
+		reply, err := a.Allot(Request{Daemon: "a#1", Sequence: 1, Claims: []Claim{{Tenant: "t", Waiting: 1000}}}, limitOf, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return reply.Allotments[0].Count
+	}
+	if first := granted(func(a *Allocator) { a.LeadFirst(1, 0) }); first < int(limit.Burst) {
+		t.Errorf("the first leader granted %d", first)
+	}
+	if later := granted(func(a *Allocator) { a.LeadFirst(1, 0); a.Lead(2, nil, 0) }); later >= int(limit.Burst) {
+		t.Errorf("a later leader granted %d", later)
+	}
+}
--- a/process/quota/limiter.go
+++ b/process/quota/limiter.go
@@ -106,6 +106,9 @@
 // with a token that has lapsed takes another one.
 func (t Token) Valid(now clock.Mark) bool { return now < t.expires }
 
+// Expires returns when the token lapses.
+func (t Token) Expires() clock.Mark { return t.expires }
+
 // Decision is the answer to a request for a token.
 type Decision struct {
 	Outcome Outcome
