connectionpool: the test of truncated answers connects without a time-out

Nothing had been sent: connecting is given up after 400 ms, and then no byte was. A connection refused by a time-out, drawn at 1 in 200, gives the same words.

The test's subject is what is made of bytes that came, so it now connects without that limit, and checks as before that no attempt is called never sent. Time-outs of connecting have their own test (TestUnreachableEngineReceivesNothing).

--- a/process/engines/connectionpool/connectionpool_test.go
+++ b/process/engines/connectionpool/connectionpool_test.go
@@ -1,6 +1,7 @@
 package connectionpool
 
 import (
+	"context"
 	"bufio"
 	"fmt"
 	"io"
@@ -120,6 +121,12 @@
 	return answer.Outcome, string(body), err
 }
 
+// dialWithoutTimeout connects however long a busy machine takes to, so that an attempt that is called never sent is
+// one whose request was written.
+func dialWithoutTimeout(_ context.Context, address string) (net.Conn, error) {
+	return net.Dial("tcp", address)
+}
+
 // TestTruncatedResponseIsNeverComplete: in each form that an answer may have, nothing but all of its bytes is
 // complete, and only a complete header guarantees that the request did not run. Where an answer has no length its bytes are
 // all that came before its connection ended in order; a reset ends none.
@@ -133,6 +140,7 @@
 	} {
 		h := newFakeClock()
 		pools := New(h, dialect.Own())
+		pools.dial = dialWithoutTimeout
 		var cut atomic.Int64
 		e := listen(t, func(conn net.Conn, _ string, _, _ int) bool {
 			at := int(cut.Load())
