--- a/process/engines/connectionpool/connectionpool_test.go
+++ b/process/engines/connectionpool/connectionpool_test.go
@@ -1,8 +1,8 @@
 package connectionpool
 
 import (
-	"context"
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
