forwarding: a request is admitted by the newest table, also where the gateway found no path in an older one

A request for a route that was just added got 404, a final answer, from a daemon that had the new table in force.

Cause: the gateway looks the path up when it has read a request, and the core judges much later, behind its mailbox, whether the table is current. A table that was replaced in between made the older table's 'no such path' final. forwardWorld had the same order on a smaller scale: table first, then whether it is current.

Fix: what is found missing is looked up again in the table that is judged to be current; the deadline follows from the path then (an hour before, which the engine would have been told). Whether the table is current is read before the table.

Evidence: TestRequestReadByAnOlderTableIsAdmittedByTheNewest gave 404 before, and passes now; go test ./request/forwarding ./connection/gateway passes.

--- a/connection/gateway/gateway.go
+++ b/connection/gateway/gateway.go
@@ -130,12 +130,7 @@
 			return
 		}
 		if path, found := index.Lookup(host, prefixed); found {
-			record.Path = path
-			limit := time.Duration(path.DeadlineMs) * time.Millisecond
-			if attributes.Deadline > 0 {
-				limit = min(limit, attributes.Deadline)
-			}
-			record.Deadline = arrived + clock.Mark(limit)
+			record.SetPath(path)
 		}
 	}
 	f := &exchange{Gateway: g, ctx: ctx, request: forwarding.NewRequest(record), caller: newCallerConn(ctx.Conn()), body: ctx.Request.Body()}
--- a/daemon/forwarding.go
+++ b/daemon/forwarding.go
@@ -150,10 +150,12 @@
 // forwardWorld returns what forwarding decides by.
 func (d *Daemon) forwardWorld() forwarding.Environment {
 	now := d.clock.Elapsed()
+	// Whether the table is current is read first: the table read after it can only be newer than the one judged.
+	indexCurrent := d.tableIsCurrent()
 	return forwarding.Environment{
 		Now:          now,
 		Index:        d.forwardIndex(),
-		IndexCurrent: d.tableIsCurrent(),
+		IndexCurrent: indexCurrent,
 		View:         d.forwarding.view(),
 		Zone:         d.config.Zone,
 		HasIdleConnection: func(engine *registry.Engine, pool string, careful bool) bool {
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -66,6 +66,12 @@
 	c.Counters.Admitted++
 	c.sequence++
 	request.sequence = c.sequence
+	if request.Path == nil && env.Index != nil {
+		// The table may have been replaced since the gateway read the request by it.
+		if path, found := env.Index.Lookup(request.Host, request.URLPath); found {
+			request.SetPath(path)
+		}
+	}
 	switch {
 	case env.Index == nil || request.Path == nil && !env.IndexCurrent:
 		// Only a table that is known to be new enough can say that there is no such path.
--- a/request/forwarding/core_test.go
+++ b/request/forwarding/core_test.go
@@ -157,6 +157,27 @@
 	fixture.ended(request, fasthttp.StatusServiceUnavailable, CauseNoTable)
 }
 
+// TestRequestReadByAnOlderTableIsAdmittedByTheNewest guards against a 404 for a route that is in force: the gateway found
+// no path in the table that was in force when the request was read, and a newer one has it by the time of its admission.
+func TestRequestReadByAnOlderTableIsAdmittedByTheNewest(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		client, expect clock.Mark
+	}{{"the path's deadline", 0, ms(4000)}, {"the client's deadline", ms(700), ms(700)}, {"a client that waits longer than the path", ms(9000), ms(4000)}} {
+		fixture := newCoreFixture(t)
+		fixture.register(enginesOf("plain", 1, 6)...)
+		request := fixture.record("p", func(request *Request) {
+			request.Attributes.Deadline = time.Duration(c.client)
+			request.Deadline = request.ArrivedAt + ms(3_600_000)
+		})
+		fixture.index = routingTable(pathOf("p", upstream.Once, "plain"))
+		fixture.core.Admit(request, fixture.world())
+		if attempt := fixture.sent(request); attempt.TimeLeft != time.Duration(c.expect) {
+			t.Errorf("%s: %v left, want %v", c.name, attempt.TimeLeft, time.Duration(c.expect))
+		}
+	}
+}
+
 // TestClosedEngineReceivesNoNewRequests: a queued request is sent there as soon as operators open the engine again.
 func TestClosedEngineReceivesNoNewRequests(t *testing.T) {
 	fixture := newCoreFixture(t, pathOf("p", upstream.Idempotent, "plain"))
--- a/request/forwarding/request.go
+++ b/request/forwarding/request.go
@@ -99,6 +99,16 @@
 	LongestEventGap time.Duration
 }
 
+// SetPath sets the path that serves the request, and with it the deadline: the path's, or the client's where it is
+// earlier.
+func (r *Request) SetPath(path *upstream.Path) {
+	limit := time.Duration(path.DeadlineMs) * time.Millisecond
+	if r.Attributes.Deadline > 0 {
+		limit = min(limit, r.Attributes.Deadline)
+	}
+	r.Path, r.Deadline = path, r.ArrivedAt+clock.Mark(limit)
+}
+
 // Stage gives the request's state.
 func (r *Request) Stage() Stage { return r.stage }
 
