cresspond-platform: a hangup while a machine starts ends no process

A machine that was told of changed settings while it still started ended, as by a kill, and its connections with it.

Cause: SIGHUP was handled only once the settings had been read, which may take a second where the file is half written; until then the signal's default ends the process.

Fix: it is handled before all else. A signal that comes while the settings are read is kept, and they are read again.

Evidence: TestHangupWhileTheSettingsAreReadEndsNoProcess gave 'signal: hangup' before, and passes now. Between the start of the program and main a hangup still ends it.

--- a/cmd/cresspond-platform/run.go
+++ b/cmd/cresspond-platform/run.go
@@ -15,8 +15,8 @@
 )
 
 // run runs the daemon until a signal asks it to stop. An incarnation that may not continue, since its group declared it
-// lost, is succeeded by another with a new identity.
-func run(settings daemonconfig.Config, file string) {
+// lost, is succeeded by another with a new identity. hangups come when the settings are to be read again.
+func run(settings daemonconfig.Config, file string, hangups <-chan os.Signal) {
 	// A client, an engine or a log's reader that disconnects must not end the daemon.
 	signal.Ignore(syscall.SIGPIPE)
 	stop := stopSignal()
@@ -26,8 +26,6 @@
 			running.Reload(next)
 		}
 	}
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	polls := time.NewTicker(settingsPollInterval)
 	defer polls.Stop()
 	go watchSettings(file, hangups, polls.C, reload)
@@ -48,6 +46,13 @@
 	}
 }
 
+// hangupSignals returns the channel of the signals to read the settings again. From then on they don't end the process.
+func hangupSignals() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 // restartDelay is the pause between one incarnation of the daemon and the next within this process.
 const restartDelay = 500 * time.Millisecond
 
