cresspond-platform: settings that change around a daemon's start reach it

Cause: two gaps. The version of the file that counts as loaded was taken after the file had been read, so a change in between passed for the one read. Settings that were read again before the daemon was built, or after one had ended and before its successor, were given to nobody, or to the one that had ended.

Fix: the version is taken before the file is read; settings that were read again are kept, and given to each daemon that begins.

--- a/cmd/cresspond-platform/main.go
+++ b/cmd/cresspond-platform/main.go
@@ -33,7 +33,7 @@
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		app.Fatalf("%s, try --help", err)
 	}
-	settings, faults := readSettingsAtStart(*settingsFile)
+	settings, read, faults := readSettingsAtStart(*settingsFile)
 	if len(faults) == 0 {
 		faults = platform.ServeMetrics(&settings, *metricsEndpoint)
 	}
@@ -55,5 +55,5 @@
 	log.SetHandler(jsonlog.New(os.Stderr))
 	log.SetLevel(log.MustParseLevel(settings.Log))
 	boundMemory(settings.Machine.MemoryMb)
-	run(settings, *settingsFile, hangups)
+	run(settings, *settingsFile, read, hangups)
 }
--- a/cmd/cresspond-platform/run.go
+++ b/cmd/cresspond-platform/run.go
@@ -3,7 +3,7 @@
 import (
 	"os"
 	"os/signal"
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"time"
 
@@ -15,23 +15,19 @@
 )
 
 // run runs the daemon until a signal asks it to stop. An incarnation that may not continue, since its group declared it
-// lost, is succeeded by another with a new identity. hangups come when the settings are to be read again.
-func run(settings daemonconfig.Config, file string, hangups <-chan os.Signal) {
+// lost, is succeeded by another with a new identity. read is the version of the settings file that the settings are from,
+// hangups come when they are to be read again.
+func run(settings daemonconfig.Config, file string, read fileVersion, hangups <-chan os.Signal) {
 	// A client, an engine or a log's reader that disconnects must not end the daemon.
 	signal.Ignore(syscall.SIGPIPE)
 	stop := stopSignal()
-	var current atomic.Pointer[daemon.Daemon]
-	reload := func(next daemonconfig.Config) {
-		if running := current.Load(); running != nil {
-			running.Reload(next)
-		}
-	}
+	var current reloadTarget
 	polls := time.NewTicker(settingsPollInterval)
 	defer polls.Stop()
-	go watchSettings(file, hangups, polls.C, reload)
+	go watchSettings(file, read, hangups, polls.C, current.reload)
 	for {
 		instance := build(settings)
-		current.Store(instance)
+		current.set(instance)
 		err := instance.Run(stop, nil)
 		if err == nil {
 			return
@@ -46,6 +42,37 @@
 	}
 }
 
+// reloadable takes over settings that were read again.
+type reloadable interface {
+	Reload(daemonconfig.Config)
+}
+
+// reloadTarget passes settings that were read again on to the daemon that runs, and to each that succeeds it: they may
+// come before the first one is built, and between two. Its zero value is ready for use.
+type reloadTarget struct {
+	mutex  sync.Mutex
+	daemon reloadable
+	newest *daemonconfig.Config
+}
+
+func (r *reloadTarget) set(daemon reloadable) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.daemon = daemon
+	if r.newest != nil {
+		daemon.Reload(*r.newest)
+	}
+}
+
+func (r *reloadTarget) reload(settings daemonconfig.Config) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.newest = &settings
+	if r.daemon != nil {
+		r.daemon.Reload(settings)
+	}
+}
+
 // hangupSignals returns the channel of the signals to read the settings again. From then on they don't end the process.
 func hangupSignals() <-chan os.Signal {
 	hangups := make(chan os.Signal, 1)
--- a/cmd/cresspond-platform/settings_file.go
+++ b/cmd/cresspond-platform/settings_file.go
@@ -13,24 +13,27 @@
 // settingsPollInterval is how often the settings file is checked for changes: it may change without a signal.
 const settingsPollInterval = 2 * time.Second
 
-// readSettingsAtStart retries for a second, since the file may be half written.
-func readSettingsAtStart(file string) (daemonconfig.Config, []daemonconfig.Fault) {
+// readSettingsAtStart retries for a second, since the file may be half written. The version is that of the file before it
+// was read, so that no later change is taken for one that was read.
+func readSettingsAtStart(file string) (daemonconfig.Config, fileVersion, []daemonconfig.Fault) {
 	const retries, retryInterval = 5, 200 * time.Millisecond
+	read := fileVersionOf(file)
 	settings, faults := platform.ReadSettings(file)
 	for range retries {
 		if len(faults) == 0 {
 			break
 		}
 		<-time.After(retryInterval)
+		read = fileVersionOf(file)
 		settings, faults = platform.ReadSettings(file)
 	}
-	return settings, faults
+	return settings, read, faults
 }
 
-// watchSettings reloads the settings at each signal, and at a poll that finds the file changed. It returns once both
-// channels are closed.
-func watchSettings(file string, signals <-chan os.Signal, polls <-chan time.Time, reload func(daemonconfig.Config)) {
-	loaded, reloadPending, warned := fileVersionOf(file), false, false
+// watchSettings reloads the settings at each signal, and at a poll that finds another version of the file than was loaded.
+// It returns once both channels are closed.
+func watchSettings(file string, loaded fileVersion, signals <-chan os.Signal, polls <-chan time.Time, reload func(daemonconfig.Config)) {
+	reloadPending, warned := false, false
 	for signals != nil || polls != nil {
 		select {
 		case _, more := <-signals:
