forwarding: a request whose caller left before it is admitted stays ended

Cause: the gateway watches a caller from before it waits for a token of the request's tenant, and admits the request after. A caller that disconnects in between ends the request first; its admission then broke the invariant that an ended request stays ended. The gap was there before, a few instructions wide.

Now admission passes over a request whose caller has left. TestRequestWhoseCallerLeftBeforeItsAdmissionStaysEnded gave "panic: broken invariant: a request may not go from ended to ended" before.

--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -66,6 +66,10 @@
 	c.Counters.Admitted++
 	c.sequence++
 	request.sequence = c.sequence
+	if request.callerLeft {
+		// The caller disconnected while the gateway waited for its tenant's token, and the request has ended.
+		return
+	}
 	if request.Path == nil && env.Index != nil {
 		// The table may have been replaced since the gateway read the request by it.
 		if path, found := env.Index.Lookup(request.Host, request.URLPath); found {
--- a/request/forwarding/core_test.go
+++ b/request/forwarding/core_test.go
@@ -853,3 +853,16 @@
 		}
 	}
 }
+
+// Guards against a daemon that ends when a caller disconnects before its request is admitted.
+func TestRequestWhoseCallerLeftBeforeItsAdmissionStaysEnded(t *testing.T) {
+	fixture := newCoreFixture(t, pathOf("again", upstream.Idempotent, "plain"))
+	fixture.register(engineOf("plain", 0, 8))
+	request := fixture.record("again")
+	fixture.core.CallerLeft(request, fixture.world())
+	fixture.core.Admit(request, fixture.world())
+	fixture.ended(request, 0, CauseCallerLeft)
+	if _, more := pendingStep(request); more {
+		t.Error("the request was given another step")
+	}
+}
