daemon: operators' calls and configurations put in force are logged

The incident's logs could not tell a change that was dropped when it was applied from one that a daemon lacked: daemons wrote no line of an operator's call, and none of a configuration that came in force. Both have one now, without keys.

--- a/daemon/applybundle.go
+++ b/daemon/applybundle.go
@@ -39,6 +39,14 @@
 // call is idempotent, and may reach several leaders: the first one to be committed counts, and the others find it by
 // its digest.
 func (d *Daemon) ApplyBundle(ctx context.Context, call operatorapi.ApplyRequest) operatorapi.ApplyResponse {
+	arrived := d.clock.Elapsed()
+	answer := d.applyThroughLeader(ctx, call)
+	d.logApply(call, answer, arrived)
+	return answer
+}
+
+// applyThroughLeader is ApplyBundle without its log line.
+func (d *Daemon) applyThroughLeader(ctx context.Context, call operatorapi.ApplyRequest) operatorapi.ApplyResponse {
 	bounded, cancel := context.WithTimeout(ctx, d.applyLimit)
 	defer cancel()
 	ticker := time.NewTicker(applyRetryEvery)
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -28,6 +28,7 @@
 		if closure, lost := table.Closures.Lost[d.nodeID]; lost {
 			d.abort(eris.Errorf("this daemon was declared lost by operator %s and must not serve any more; start it again", closure.Operator))
 		}
+		d.logInForce(table)
 	}
 	d.notifier.Notify(longpoll.Urgent)
 	d.wakeRequestPath()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -130,6 +130,8 @@
 	unreadyAnswered chan struct{}
 
 	forwarding forwardingPath
+	// loggedVersion is the version of the configuration that was last logged as in force.
+	loggedVersion atomic.Uint64
 	// quotaLimiter counts the requests of limited tenants here; quotaAllotter allots tokens while this daemon leads.
 	quotaLimiter  *tenantquota.Limiter
 	quotaAllotter *tenantquota.Allotter
