gateway: take the token before the last checks, not after

Taking a token may wait for a call to the leader, up to about 0.3 s. It stood after the checks of route, key, engine, worker id and deadline, so a request was sent by checks that were that old: one whose key was withdrawn during the wait reached the engine. The token is now taken first and the checks follow.

Evidence: TestKeyThatIsWithdrawnDuringWaitForTokenIsNotSent fails before (200, one request at the engine) and passes after.

--- a/connection/gateway/exchange.go
+++ b/connection/gateway/exchange.go
@@ -148,6 +148,8 @@
 // checkBeforeSend is the last check before the first byte, against what is in force at that moment. It gives a reason
 // not to send, or "".
 func (f *exchange) checkBeforeSend() string {
+	// Taking a token may wait for the leader, so it comes before the checks of what may change meanwhile.
+	withinQuota := f.mayHaveRun || f.takeQuota()
 	reason := ""
 	engine := f.View().Engines[f.attempt.Engine]
 	tenant, allowed := f.tenantInForce()
@@ -166,7 +168,7 @@
 		reason = "the worker id has lapsed"
 	case !allowed || tenant != f.tenant:
 		reason = "the key is another tenant's, or nobody's any more"
-	case !f.mayHaveRun && !f.takeQuota():
+	case !withinQuota:
 		f.overQuota = true
 		reason = "the tenant's limit no longer allows the request"
 	}
--- a/connection/gateway/tenant_test.go
+++ b/connection/gateway/tenant_test.go
@@ -138,3 +138,25 @@
 		t.Errorf("%d requests reached the engine", len(came))
 	}
 }
+
+// Guards against what changes while a request waits for its token right before it is sent: what was checked before the
+// wait no longer holds.
+func TestKeyThatIsWithdrawnDuringWaitForTokenIsNotSent(t *testing.T) {
+	engine := answering(t)
+	f := newFixture(t, engine)
+	f.withTenants(false, upstream.Tenant{Name: "acme", Keys: []string{"k1"}, RatePerSecond: 1})
+	taken := 0
+	f.gateway.TakeQuota = func(string) QuotaDecision {
+		if taken++; taken == 1 {
+			return QuotaDecision{Granted: true, ValidUntil: f.gateway.Clock.Elapsed() - 1}
+		}
+		f.withTenants(false, upstream.Tenant{Name: "acme", Keys: []string{"k2"}, RatePerSecond: 1})
+		return QuotaDecision{Granted: true, ValidUntil: f.gateway.Clock.Elapsed() + clock.Mark(time.Hour)}
+	}
+	if got := f.call(ask("once", "a1", "ping", "Authorization: Bearer k1")); got.status != http.StatusUnauthorized {
+		t.Errorf("%+v", got)
+	}
+	if came := engine.arrivals(); len(came) > 0 || taken != 2 {
+		t.Errorf("%d requests reached the engine, and %d tokens were taken", len(came), taken)
+	}
+}
