quota: five holes between the cores and their daemon

- A call for tokens that was let in under an earlier term and handled after the next one had begun started the buckets of the earlier term anew, and the next call those of the later one: each gave a new leader's first tokens again.
Earlier terms are refused, and the allocator's time no longer goes backwards where calls overtake each other.
- The leader read the clock again after it had checked its lease; a stop in between allotted what accrued in it.
Both go by one reading.
- A timer that woke the limiter before the clock had reached the moment was not set again: a request could wait for ever.
- A daemon that is just started, or cut off for a minute, counts itself only, and took the whole fleet's credit for tenants not served lately: 60 daemons granted 60 requests at once under a limit of 2 a second.
The count is taken only while contact advances, and a new tenant's first credit falls off like other credit.
- A leader denied claims for a tenant whose limit was lifted, as if there were no such tenant.

The reading of the clock has no test of its own.

--- a/daemon/quota.go
+++ b/daemon/quota.go
@@ -83,6 +83,19 @@
 	return quota.Limit{RatePerSecond: tenant.RatePerSecond, Burst: tenant.Burst}, true
 }
 
+// allottedLimitOf returns the limit by which a leader allots to a tenant: a rate of 0 where the tenant has no limit any more,
+// though the daemon that asks has yet to learn that; false where there is no such tenant.
+func allottedLimitOf(index *upstream.Index, name string) (quota.Limit, bool) {
+	if index == nil {
+		return quota.Limit{}, false
+	}
+	if _, known := index.Tenant(name); !known {
+		return quota.Limit{}, false
+	}
+	limit, _ := limitOf(index, name)
+	return limit, true
+}
+
 // askForTokens makes one call to the leader.
 func (d *Daemon) askForTokens(ctx context.Context, request quota.Request) (quota.Reply, error) {
 	address := d.leaderAddress()
@@ -110,13 +123,16 @@
 		d.counters.malformedMessages.Add(1)
 		return nil, twirp.NewError(twirp.InvalidArgument, "a request for tokens needs the node id of its sender")
 	}
-	leadership, leads := d.quotaLeadership()
+	// The clock is read once: what is allotted is allotted at a moment at which the leadership was confirmed, also if this
+	// process is stopped in between.
+	now := d.clock.Elapsed()
+	leadership, leads := d.quotaLeadership(now)
 	if !leads {
 		return &peerapi.QuotaReply{LeaderAddress: d.leaderAddress()}, nil
 	}
 	index := d.forwardIndex()
-	inForce := func(tenant string) (quota.Limit, bool) { return limitOf(index, tenant) }
-	reply, err := d.quotaAllotter.Allot(leadership, decodeQuotaRequest(in), inForce, d.clock.Elapsed())
+	inForce := func(tenant string) (quota.Limit, bool) { return allottedLimitOf(index, tenant) }
+	reply, err := d.quotaAllotter.Allot(leadership, decodeQuotaRequest(in), inForce, now)
 	if err != nil {
 		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
 	}
@@ -124,13 +140,13 @@
 }
 
 // quotaLeadership returns this daemon's leadership; false unless a majority has confirmed it just now.
-func (d *Daemon) quotaLeadership() (tenantquota.Leadership, bool) {
+func (d *Daemon) quotaLeadership(now clock.Mark) (tenantquota.Leadership, bool) {
 	groupMember := d.replica.Load()
 	if groupMember == nil {
 		return tenantquota.Leadership{}, false
 	}
 	condition := groupMember.Status()
-	if !condition.IsLeader || d.clock.Elapsed().Since(condition.ConfirmedUntil) > leaderLease {
+	if !condition.IsLeader || now.Since(condition.ConfirmedUntil) > leaderLease {
 		return tenantquota.Leadership{}, false
 	}
 	return leadershipOf(condition), true
--- a/daemon/tenantquota/allotter.go
+++ b/daemon/tenantquota/allotter.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/cresspond/cresspond/clock"
 	"github.com/cresspond/cresspond/ident"
 	"github.com/cresspond/cresspond/process/quota"
@@ -22,6 +24,9 @@
 	mutex     sync.Mutex
 	allocator *quota.Allocator
 	term      uint64
+	// latest is the latest moment that the allocator was told. Calls may overtake each other between reading the clock and
+	// being handled, and the allocator's time never goes backwards.
+	latest clock.Mark
 }
 
 // NewAllotter makes an allotter that has not allotted anything.
@@ -30,15 +35,21 @@
 }
 
 // Lead begins a leadership, without knowledge of the one before. It is called as soon as this daemon leads, since what
-// accrues to tenants counts from then on; once more for the same term does nothing.
+// accrues to tenants counts from then on; once more for the same term, or for an earlier one, does nothing.
 func (a *Allotter) Lead(leadership Leadership, now clock.Mark) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.lead(leadership, now)
+	a.lead(leadership, a.advance(now))
+}
+
+// advance gives the allocator's time for a moment at which a caller read the clock.
+func (a *Allotter) advance(now clock.Mark) clock.Mark {
+	a.latest = max(a.latest, now)
+	return a.latest
 }
 
 func (a *Allotter) lead(leadership Leadership, now clock.Mark) {
-	if leadership.Term == a.term {
+	if leadership.Term <= a.term {
 		return
 	}
 	a.term = leadership.Term
@@ -49,11 +60,17 @@
 	a.allocator.Lead(leadership.Term, leadership.Members, now)
 }
 
-// Allot answers one request under a leadership that is confirmed at the moment.
+// Allot answers one request under a leadership that was confirmed at a moment. It returns quota.ErrNotLeading if this daemon
+// has led in a later term since, and the errors of quota.Allocator.
 func (a *Allotter) Allot(leadership Leadership, request quota.Request, limitOf quota.LimitOf, now clock.Mark) (quota.Reply, error) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	now = a.advance(now)
 	a.lead(leadership, now)
+	if leadership.Term < a.term {
+		return quota.Reply{}, eris.Wrapf(quota.ErrNotLeading, "the call was let in under term %d, and this is %d",
+			leadership.Term, a.term)
+	}
 	return a.allocator.Allot(request, limitOf, now)
 }
 
@@ -61,5 +78,5 @@
 func (a *Allotter) Status(now clock.Mark) []quota.TenantBucket {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return a.allocator.Status(now)
+	return a.allocator.Status(a.advance(now))
 }
--- a/daemon/tenantquota/limiter.go
+++ b/daemon/tenantquota/limiter.go
@@ -110,7 +110,15 @@
 		return
 	}
 	l.wakeAt = at
-	time.AfterFunc(max(at.Since(now), time.Millisecond), func() { l.mailbox.Send(l.observe) })
+	time.AfterFunc(max(at.Since(now), time.Millisecond), func() { l.mailbox.Send(func() { l.wake(at) }) })
+}
+
+// wake ends the timer that was set for a moment. The core's clock may not have reached that yet: then another is set.
+func (l *Limiter) wake(at clock.Mark) {
+	if l.wakeAt == at {
+		l.wakeAt = 0
+	}
+	l.observe()
 }
 
 // observe tells the core what is known of the leader by now.
--- a/daemon/tenantquota/limiter_test.go
+++ b/daemon/tenantquota/limiter_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cresspond/cresspond/clock"
 	"github.com/cresspond/cresspond/process/quota"
@@ -97,3 +98,30 @@
 		t.Errorf("%d of 200 were granted without a leader", granted)
 	}
 }
+
+// slowClock runs at half the speed of the timers.
+type slowClock struct{ clock.System }
+
+func (c slowClock) Elapsed() clock.Mark { return c.System.Elapsed() / 2 }
+
+// Guards against requests that wait for ever because a timer woke the actor before the clock had reached the moment.
+func TestRequestIsDecidedThoughTimerIsEarly(t *testing.T) {
+	limiter := NewLimiter("edge#1", Dependencies{
+		Clock: slowClock{},
+		Ask: func(context.Context, quota.Request) (quota.Reply, error) {
+			return quota.Reply{}, errors.New("no leader")
+		},
+		Leader: func() Leader { return Leader{} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go limiter.Run(ctx)
+	limiter.Take("acme", limit)
+	decided := make(chan quota.Decision, 1)
+	go func() { decided <- limiter.Take("other", limit) }()
+	select {
+	case <-decided:
+	case <-time.After(20 * time.Second):
+		t.Error("the request is not decided")
+	}
+}
--- a/process/quota/limiter.go
+++ b/process/quota/limiter.go
@@ -46,8 +46,10 @@
 	sentAt clock.Mark
 	// retryAt is when an unreachable leader is asked again.
 	retryAt clock.Mark
-	// daemons is the number of routing daemons in the fleet, or 0 if it isn't known.
-	daemons int
+	// daemons is the number of routing daemons in the fleet, or 0 if it isn't known. It was counted while the leader was
+	// in contact, last at countedAt: a daemon that is cut off comes to count only itself.
+	daemons   int
+	countedAt clock.Mark
 }
 
 // requestInProgress is the request to the leader that has no reply yet.
@@ -138,7 +140,10 @@
 // fleet, and the latest moment from which the leader is known to have been in contact, 0 if none.
 func (l *Limiter) ObserveLeader(term uint64, daemons int, contact clock.Mark) {
 	l.contact.knownTerm = max(l.contact.knownTerm, term)
-	l.contact.daemons = daemons
+	if contact > l.contact.countedAt {
+		l.contact.countedAt = contact
+		l.contact.daemons = daemons
+	}
 	l.contact.last = max(l.contact.last, contact)
 }
 
@@ -204,18 +209,18 @@
 	tenant = &tenantTokens{}
 	tenant.credit.spentTo = l.creditSpent
 	tenant.credit.updatedAt = now
-	tenant.credit.balance = creditPhase(l.daemon, name) + l.unservedBalance(limit)
+	tenant.credit.balance = creditPhase(l.daemon, name) + l.unservedBalance(limit, now)
 	l.tenants[name] = tenant
 	return tenant
 }
 
-// unservedBalance is the credit that a tenant begins with on this daemon.
-func (l *Limiter) unservedBalance(limit Limit) float64 {
+// unservedBalance is the credit that a tenant begins with on this daemon. It falls off like all credit.
+func (l *Limiter) unservedBalance(limit Limit, now clock.Mark) float64 {
 	if l.contact.daemons == 0 {
 		return 0
 	}
 	tokens := unservedTokens + unservedFraction*limit.RatePerSecond
-	return min(1, tokens/float64(l.contact.daemons))
+	return creditFraction(now.Since(l.contact.last)) * min(1, tokens/float64(l.contact.daemons))
 }
 
 // spendCredit takes one token on credit, or reports that there is none.
--- a/process/quota/limiter_test.go
+++ b/process/quota/limiter_test.go
@@ -1,10 +1,12 @@
 package quota
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/cresspond/cresspond/clock"
+	"github.com/cresspond/cresspond/ident"
 )
 
 // second and millisecond are marks.
@@ -167,3 +169,41 @@
 		t.Errorf("got %+v", status)
 	}
 }
+
+// grantedWithoutLeader counts the daemons that grant a request at a moment though no leader answers; each was told what
+// observe tells.
+func grantedWithoutLeader(daemons int, limit Limit, now clock.Mark, observe func(*Limiter)) int {
+	granted := 0
+	for i := range daemons {
+		l := NewLimiter(ident.NodeID(fmt.Sprintf("daemon-%d#1", i)))
+		observe(l)
+		l.Take("t", limit, now)
+		l.NextRequest(now)
+		for _, resolution := range l.Unanswered(now + millisecond) {
+			if resolution.Decision.Outcome == Granted {
+				granted++
+			}
+		}
+	}
+	return granted
+}
+
+// Guards against daemons that each take themselves for the only one: just started, or cut off for so long that they count
+// no others any more.
+func TestDaemonsThatCountNoOthersGrantNothingOnCredit(t *testing.T) {
+	const now = 100 * second
+	tests := map[string]func(*Limiter){
+		"just started":                func(l *Limiter) { l.ObserveLeader(0, 1, 0) },
+		"cut off for long":            func(l *Limiter) { l.ObserveLeader(3, 60, second); l.ObserveLeader(3, 1, second) },
+		"started at the clock's zero": func(l *Limiter) { l.ObserveLeader(0, 1, 0); l.Take("t", twenty, second) },
+	}
+	for name, observe := range tests {
+		if granted := grantedWithoutLeader(60, Limit{RatePerSecond: 2}, now, observe); granted > 0 {
+			t.Errorf("%s: %d requests at once under a limit of 2 a second", name, granted)
+		}
+	}
+	counted := func(l *Limiter) { l.ObserveLeader(3, 60, now-second); l.ObserveLeader(3, 1, now-second) }
+	if granted := grantedWithoutLeader(60, Limit{RatePerSecond: 2}, now, counted); granted > 2*unservedTokens {
+		t.Errorf("%d requests at once of 60 daemons that lost contact just now", granted)
+	}
+}
