gateway, quota: a request that waits for an engine returns its token

A request took its token on arrival and, where it had to wait for an engine for over 0.25 s, a second one right before it was sent; the first lapsed. A tenant well under its limit was denied for it wherever requests queue. After 10 ms in the queue the token now goes back to the daemon's limiter, where the tenant's next request spends it, still before the same moment. A request that ends unsent returns its token too. One that was sent keeps it for its own next attempt only.

--- a/connection/gateway/exchange.go
+++ b/connection/gateway/exchange.go
@@ -41,12 +41,23 @@
 
 // finish stops monitoring the caller and counting the request as open.
 func (f *exchange) finish() {
+	f.returnToken()
 	f.monitor.remove(f)
 	f.openRequests.Add(-1)
 }
 
-// next waits for the next step.
-func (f *exchange) next() forwarding.Step { return f.actor.NextStep(f.request) }
+// next waits for the next step, before long without the token of a limited tenant.
+func (f *exchange) next() forwarding.Step {
+	if f.token.tenant == "" {
+		return f.actor.NextStep(f.request)
+	}
+	step, came := f.actor.NextStepWithin(f.request, queuedTokenTime)
+	if !came {
+		f.returnToken()
+		step = f.actor.NextStep(f.request)
+	}
+	return step
+}
 
 // serve makes attempts until there is a response. It gives a stream where the response is passed on as it comes.
 func (f *exchange) serve() *stream {
@@ -175,6 +186,7 @@
 	if reason != "" {
 		f.Counters.Withheld.Add(1)
 	} else {
+		f.token.spent = true
 		f.recordSend()
 	}
 	return reason
--- a/connection/gateway/gateway.go
+++ b/connection/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/cresspond/cresspond/process/engines/connectionpool"
 	"github.com/cresspond/cresspond/process/engines/nodehealth"
 	"github.com/cresspond/cresspond/process/engines/registry"
+	"github.com/cresspond/cresspond/process/quota"
 	"github.com/cresspond/cresspond/request/forwarding"
 	"github.com/cresspond/cresspond/wire/dialect"
 )
@@ -37,6 +38,8 @@
 	EngineOpen func(*registry.Engine) bool
 	// TakeQuota takes a token of a limited tenant's limit; nil limits nobody.
 	TakeQuota func(tenant string) QuotaDecision
+	// ReturnQuota returns a token of a tenant that was not spent; nil lets tokens lapse.
+	ReturnQuota func(tenant string, token quota.Token)
 	// Draining reports whether callers should connect elsewhere, so that connections are closed after a response.
 	Draining func() bool
 	Settings forwarding.Settings
--- a/connection/gateway/tenant_test.go
+++ b/connection/gateway/tenant_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cresspond/cresspond/clock"
 	"github.com/cresspond/cresspond/configuration/upstream"
+	"github.com/cresspond/cresspond/process/quota"
 )
 
 // withTenants replaces the tenants of the fixture's routing table; the path "again" is public if asked.
@@ -120,7 +121,7 @@
 			return QuotaDecision{RetryAfter: 400 * time.Millisecond}
 		}
 		granted--
-		return QuotaDecision{Granted: true, ValidUntil: f.gateway.Clock.Elapsed() + clock.Mark(validFor)}
+		return QuotaDecision{Granted: true, Token: quota.TokenUntil(f.gateway.Clock.Elapsed() + clock.Mark(validFor))}
 	}
 	for _, c := range []struct {
 		key    string
@@ -148,10 +149,10 @@
 	taken := 0
 	f.gateway.TakeQuota = func(string) QuotaDecision {
 		if taken++; taken == 1 {
-			return QuotaDecision{Granted: true, ValidUntil: f.gateway.Clock.Elapsed() - 1}
+			return QuotaDecision{Granted: true, Token: quota.TokenUntil(f.gateway.Clock.Elapsed() - 1)}
 		}
 		f.withTenants(false, upstream.Tenant{Name: "acme", Keys: []string{"k2"}, RatePerSecond: 1})
-		return QuotaDecision{Granted: true, ValidUntil: f.gateway.Clock.Elapsed() + clock.Mark(time.Hour)}
+		return QuotaDecision{Granted: true, Token: quota.TokenUntil(f.gateway.Clock.Elapsed() + clock.Mark(time.Hour))}
 	}
 	if got := f.call(ask("once", "a1", "ping", "Authorization: Bearer k1")); got.status != http.StatusUnauthorized {
 		t.Errorf("%+v", got)
@@ -160,3 +161,38 @@
 		t.Errorf("%d requests reached the engine, and %d tokens were taken", len(came), taken)
 	}
 }
+
+// Guards against a tenant under its limit that pays twice for requests that wait for an engine: their tokens lapse
+// meanwhile, unless others spend them.
+func TestTokenOfQueuedRequestIsReturned(t *testing.T) {
+	f := newFixture(t)
+	f.withTenants(false, upstream.Tenant{Name: "acme", Keys: []string{"k1"}, RatePerSecond: 1})
+	token := quota.TokenUntil(f.gateway.Clock.Elapsed() + clock.Mark(time.Hour))
+	f.gateway.TakeQuota = func(string) QuotaDecision { return QuotaDecision{Granted: true, Token: token} }
+	returned := make(chan quota.Token, 2)
+	f.gateway.ReturnQuota = func(_ string, token quota.Token) { returned <- token }
+	f.call(ask("once", "a1", "ping", "Authorization: Bearer k1", "X-Deadline-Ms: 300"))
+	if got := <-returned; got != token || len(returned) > 0 {
+		t.Errorf("%+v was returned, and %d more", got, len(returned))
+	}
+}
+
+// Guards against a token that two requests spend: one that was sent keeps its token.
+func TestTokenOfSentRequestIsNotReturned(t *testing.T) {
+	engine := answering(t)
+	f := newFixture(t, engine)
+	f.withTenants(false, upstream.Tenant{Name: "acme", Keys: []string{"k1"}, RatePerSecond: 1})
+	f.gateway.TakeQuota = func(string) QuotaDecision {
+		return QuotaDecision{Granted: true, Token: quota.TokenUntil(f.gateway.Clock.Elapsed() + clock.Mark(time.Hour))}
+	}
+	returned := make(chan quota.Token, 8)
+	f.gateway.ReturnQuota = func(_ string, token quota.Token) { returned <- token }
+	for range 8 {
+		if got := f.call(ask("once", "a1", "ping", "Authorization: Bearer k1")); got.status != http.StatusOK {
+			t.Errorf("%+v", got)
+		}
+	}
+	if len(returned) > 0 {
+		t.Errorf("%d tokens of sent requests were returned", len(returned))
+	}
+}
--- a/daemon/forwarding.go
+++ b/daemon/forwarding.go
@@ -82,6 +82,7 @@
 		HasWorkerID:  d.generator.HasLease,
 		EngineOpen:   d.engineOpen,
 		TakeQuota:    d.takeQuota,
+		ReturnQuota:  d.quotaLimiter.Return,
 		Draining:     d.draining.Load,
 		Settings:     side.settings,
 		Recorder:     d.nodeRanking.Recorder(),
--- a/daemon/quota.go
+++ b/daemon/quota.go
@@ -62,13 +62,13 @@
 func (d *Daemon) takeQuota(name string) gateway.QuotaDecision {
 	limit, limited := limitOf(d.forwardIndex(), name)
 	if !limited {
-		return gateway.QuotaDecision{Granted: true, ValidUntil: d.clock.Elapsed() + clock.Mark(quota.TokenValidity)}
+		return gateway.QuotaDecision{Granted: true}
 	}
 	decision := d.quotaLimiter.Take(name, limit)
 	if decision.Outcome != quota.Granted {
 		return gateway.QuotaDecision{RetryAfter: decision.RetryAfter}
 	}
-	return gateway.QuotaDecision{Granted: true, ValidUntil: decision.Token.Expires()}
+	return gateway.QuotaDecision{Granted: true, Token: decision.Token}
 }
 
 // limitOf returns a tenant's limit by a routing table; false where it has none.
--- a/daemon/tenantquota/limiter.go
+++ b/daemon/tenantquota/limiter.go
@@ -82,6 +82,11 @@
 	}
 }
 
+// Return takes back the token of a request that is not sent now. A token that finds the mailbox full lapses.
+func (l *Limiter) Return(tenant string, token quota.Token) {
+	l.mailbox.Offer(func() { l.core.Return(tenant, token, l.Clock.Elapsed()) })
+}
+
 // stopped is the decision of a daemon that has stopped.
 func stopped() quota.Decision {
 	return quota.Decision{Outcome: quota.Denied, RetryAfter: stoppedRetryAfter}
--- a/process/quota/fleet_test.go
+++ b/process/quota/fleet_test.go
@@ -95,7 +95,11 @@
 	holding time.Duration
 	// sendEvery has granted requests queued until its next multiple, if it isn't 0.
 	sendEvery time.Duration
-	defects   defects
+	// queueing is the longest time for which a request that was granted a token waits for an engine. It then takes another
+	// one if that has lapsed; keepsTokens has it keep the first one instead of returning it.
+	queueing    time.Duration
+	keepsTokens bool
+	defects     defects
 	// trace receives the faults.
 	trace func(format string, values ...any)
 	tally map[string]*tally
@@ -135,6 +139,8 @@
 // simulatedRequest is one client's request.
 type simulatedRequest struct {
 	tenant string
+	// queued reports that the request has waited for an engine.
+	queued bool
 }
 
 func newFleet(seed uint64, daemons int, limits map[string]Limit) *fleet {
@@ -284,15 +290,37 @@
 		}
 		f.tally[request.tenant].sent = append(f.tally[request.tenant].sent, f.now)
 	}
-	if delay := f.queueing(); delay > 0 {
+	if f.queueing > 0 && !request.queued {
+		d.queue(request, decision)
+		return
+	}
+	if delay := f.holdingTime(); delay > 0 {
 		f.after(delay, func() { d.do(send) })
 		return
 	}
 	send()
 }
 
-// queueing is how long a granted request is queued.
-func (f *fleet) queueing() time.Duration {
+// queue has a granted request wait for an engine, without its token, and then take one to be sent at once.
+func (d *simulatedDaemon) queue(request *simulatedRequest, decision Decision) {
+	f := d.fleet
+	request.queued = true
+	if !f.keepsTokens {
+		d.limiter.Return(request.tenant, decision.Token, d.mark())
+	}
+	f.after(time.Duration(f.random.Int64N(int64(f.queueing))), func() {
+		d.do(func() {
+			if f.keepsTokens && decision.Token.Valid(d.mark()) {
+				d.decided(request, decision)
+				return
+			}
+			d.take(request)
+		})
+	})
+}
+
+// holdingTime is how long a granted request is held back with its token.
+func (f *fleet) holdingTime() time.Duration {
 	if f.sendEvery > 0 {
 		return f.sendEvery - f.now%f.sendEvery
 	}
--- a/process/quota/limiter.go
+++ b/process/quota/limiter.go
@@ -108,8 +108,8 @@
 // with a token that has lapsed takes another one.
 func (t Token) Valid(now clock.Mark) bool { return now < t.expires }
 
-// Expires returns when the token lapses.
-func (t Token) Expires() clock.Mark { return t.expires }
+// TokenUntil returns a token that lapses at a moment, for tests of what spends tokens.
+func TokenUntil(expires clock.Mark) Token { return Token{expires: expires} }
 
 // Decision is the answer to a request for a token.
 type Decision struct {
@@ -191,6 +191,17 @@
 	return false
 }
 
+// Return takes back the token of a request that was granted one and isn't sent now: it is queued, or ended. The next request
+// spends it, if that comes before it lapses.
+func (l *Limiter) Return(name string, token Token, now clock.Mark) {
+	l.observeTime(now)
+	tenant, found := l.tenants[name]
+	if !found || !token.Valid(now) {
+		return
+	}
+	tenant.tokens = slices.Insert(tenant.tokens, 0, tokenLease{count: 1, expires: token.expires})
+}
+
 // observeTime notices when the daemon was stopped, or had nothing to do, for a time. No credit accrues for that: the
 // leader may have been in reach, and what was reserved for the daemon is released when it is back.
 func (l *Limiter) observeTime(now clock.Mark) {
--- a/process/quota/limiter_test.go
+++ b/process/quota/limiter_test.go
@@ -207,3 +207,22 @@
 		t.Errorf("%d requests at once of 60 daemons that lost contact just now", granted)
 	}
 }
+
+func TestReturnedTokenIsSpentOnceUntilItLapses(t *testing.T) {
+	l := NewLimiter("a#1")
+	l.Take("t", twenty, second)
+	resolutions := l.Replied(replyTo(mustRequest(t, l, second), 1, Allotment{Count: 1}), second)
+	token := resolutions[0].Decision.Token
+	l.Return("t", token, second+millisecond)
+	l.Return("unknown", token, second+millisecond)
+	if next := l.Take("t", twenty, second+2*millisecond); next.Outcome != Granted || next.Token != token {
+		t.Errorf("the returned token isn't spent: %+v", next)
+	}
+	if next := l.Take("t", twenty, second+2*millisecond); next.Outcome != Pending {
+		t.Errorf("the returned token is spent again: %+v", next)
+	}
+	l.Return("t", token, second+clock.Mark(TokenValidity))
+	if got := l.Status(second + clock.Mark(TokenValidity))[0].Tokens; got > 0 {
+		t.Errorf("%d lapsed tokens are taken back", got)
+	}
+}
--- a/process/quota/liveness_test.go
+++ b/process/quota/liveness_test.go
@@ -23,6 +23,9 @@
 			pick: func(f *fleet) func() *simulatedDaemon { return func() *simulatedDaemon { return f.daemons[0] } }},
 		"60 daemons": {daemons: 60, limit: Limit{RatePerSecond: 60, Burst: 60}, clump: 3,
 			pick: func(f *fleet) func() *simulatedDaemon { return f.anyDaemon }},
+		"requests that wait for engines": {daemons: 20, limit: Limit{RatePerSecond: 100, Burst: 100}, clump: 1,
+			pick: func(f *fleet) func() *simulatedDaemon { return f.anyDaemon }, denied: 0.01,
+			faults: func(f *fleet) { f.queueing = 600 * time.Millisecond }},
 		"leader change": {daemons: 60, limit: Limit{RatePerSecond: 60, Burst: 60}, clump: 3,
 			pick: func(f *fleet) func() *simulatedDaemon { return f.anyDaemon }, denied: 0.1,
 			faults: func(f *fleet) {
--- a/process/quota/safety_test.go
+++ b/process/quota/safety_test.go
@@ -36,6 +36,7 @@
 	f.holding = []time.Duration{0, 50 * time.Millisecond, time.Second}[random.IntN(3)]
 	f.randomFaults(random)
 	f.randomTraffic(random, limit)
+	f.queueing = []time.Duration{0, 300 * time.Millisecond, 3 * time.Second}[random.IntN(3)]
 	f.runUntil(historyLength)
 	return f
 }
--- a/request/forwarding/actor.go
+++ b/request/forwarding/actor.go
@@ -73,6 +73,18 @@
 	}
 }
 
+// NextStepWithin waits for the request's next step for a limited time; false if none came.
+func (a *Actor) NextStepWithin(request *Request, limit time.Duration) (Step, bool) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case step := <-request.steps:
+		return step, true
+	case <-timer.C:
+		return Step{}, false
+	}
+}
+
 // Admit hands in a request; false if the actor has stopped.
 func (a *Actor) Admit(request *Request) bool {
 	return a.mailbox.Send(func(c *Core, env Environment) { c.Admit(request, env) })
