quota: neighbours lend while the leader is out of reach

A thinly spread tenant has accounts under one whole token, so a daemon denied while its neighbours had a token each that nobody asked for. A daemon whose credit is spent now asks up to four neighbours for a loan, one after another. The lender spends its own credit and has it in its own deficit, which it settles with the leader: a loan needs no account between the two and moves nothing out of the bounds. Each loss of contact also adds, over all daemons together, as many tokens as daemons that do not serve a tenant have at once (3 and a twentieth of the rate).

The daemon does not call NextLoanRequest yet: the peer protocol has no such call. With no neighbours observed, requests are decided as before.

--- a/process/quota/credit.go
+++ b/process/quota/credit.go
@@ -28,7 +28,8 @@
 
 	// unservedFraction is the part of a tenant's rate that all daemons without a standing rate together may spend.
 	unservedFraction = 0.05
-	// unservedTokens is the number of tokens that they may spend at once, beside unservedFraction of a second's tokens.
+	// unservedTokens is the number of tokens that they may spend at once, beside unservedFraction of a second's tokens. All
+	// daemons together get as much again whenever they lose contact.
 	unservedTokens = 3
 
 	// deficitBin is the precision in time with which spending on credit is remembered.
--- a/process/quota/fleet_test.go
+++ b/process/quota/fleet_test.go
@@ -89,6 +89,10 @@
 	daemons  []*simulatedDaemon
 	leader   *simulatedLeader
 	term     uint64
+	// zones is the number of zones whose daemons lend to each other; 0 means no lending.
+	zones int
+	// loans counts loan requests and their answers.
+	loans int
 	// loss is the probability that a message is lost, duplication that a reply arrives twice.
 	loss, duplication float64
 	// holding is the longest time for which a granted request is queued before it is sent.
@@ -333,6 +337,7 @@
 // pump sends the next request to the leader, or sees to it when it is due.
 func (d *simulatedDaemon) pump() {
 	now := d.mark()
+	d.borrow()
 	if request, due := d.limiter.NextRequest(now); due {
 		d.call(request)
 		return
@@ -352,6 +357,68 @@
 	})
 }
 
+// borrow asks daemons of the zone for loans. Those that are cut off from the leader reach each other.
+func (d *simulatedDaemon) borrow() {
+	f := d.fleet
+	zone := f.zoneOf(d)
+	d.limiter.ObserveNeighbours(len(zone))
+	for {
+		request, due := d.limiter.NextLoanRequest(d.mark())
+		if !due {
+			return
+		}
+		answered := false
+		answer := func(lent int) {
+			d.do(func() {
+				if !answered {
+					answered = true
+					d.resolved(d.limiter.LoanAnswered(request, lent, d.mark()))
+				}
+			})
+		}
+		f.after(LoanTimeout, func() { answer(0) })
+		lender := zone[f.random.IntN(len(zone))]
+		f.loans++
+		if f.random.Float64() >= f.loss {
+			f.after(f.delay(), func() { lender.lend(d, request, answer) })
+		}
+	}
+}
+
+// zoneOf gives the other daemons of a daemon's zone.
+func (f *fleet) zoneOf(d *simulatedDaemon) []*simulatedDaemon {
+	if f.zones == 0 {
+		return nil
+	}
+	at := slices.Index(f.daemons, d)
+	var zone []*simulatedDaemon
+	for i, other := range f.daemons {
+		if i != at && i%f.zones == at%f.zones {
+			zone = append(zone, other)
+		}
+	}
+	return zone
+}
+
+// lend handles a neighbour's request for a loan.
+func (d *simulatedDaemon) lend(borrower *simulatedDaemon, request LoanRequest, answer func(int)) {
+	f := d.fleet
+	d.do(func() {
+		if d.isolated != borrower.isolated || d.limits[request.Tenant].RatePerSecond == 0 {
+			return
+		}
+		lent := d.limiter.Lend(request, d.limits[request.Tenant], d.mark())
+		if f.defects.loansNotCounted {
+			lent = request.Count
+		}
+		d.pump()
+		f.loans++
+		if f.random.Float64() >= f.loss {
+			f.after(f.delay(), func() { answer(lent) })
+		}
+	})
+}
+
 // call carries a request to the leader and its reply back.
 func (d *simulatedDaemon) call(request Request) {
 	f := d.fleet
--- a/process/quota/limiter.go
+++ b/process/quota/limiter.go
@@ -29,7 +29,10 @@
 	activeAt clock.Mark
 	// standingEnd is when the last standing rate will have fallen off.
 	standingEnd clock.Mark
-	expireAt    clock.Mark
+	// neighbours is how many daemons may be asked for loans.
+	neighbours   int
+	loanSequence uint64
+	expireAt     clock.Mark
 }
 
 // leaderContact is what a Limiter knows of the leader.
@@ -69,8 +72,11 @@
 	standing    creditRate
 	credit      creditAccount
 	deniedUntil clock.Mark
-	lastUsed    clock.Mark
-	counters    counters
+	// loan is the loan request without an answer, loanAttempts the neighbours that were asked for those that wait.
+	loan         *loanInProgress
+	loanAttempts int
+	lastUsed     clock.Mark
+	counters     counters
 }
 
 // tokenLease is a number of tokens that lapse together.
@@ -81,7 +87,7 @@
 
 // counters count decisions for operators.
 type counters struct {
-	granted, onCredit, denied, lapsed uint64
+	granted, onCredit, denied, lapsed, lent, borrowed uint64
 }
 
 // WaiterID identifies a request that waits for a token, on one Limiter.
@@ -220,13 +226,14 @@
 	tenant = &tenantTokens{}
 	tenant.credit.spentTo = l.creditSpent
 	tenant.credit.updatedAt = now
-	tenant.credit.balance = creditPhase(l.daemon, name) + l.unservedBalance(limit, now)
+	tenant.credit.balance = creditPhase(l.daemon, name) + l.smallCredit(limit, now)
 	l.tenants[name] = tenant
 	return tenant
 }
 
-// unservedBalance is the credit that a tenant begins with on this daemon. It falls off like all credit.
-func (l *Limiter) unservedBalance(limit Limit, now clock.Mark) float64 {
+// smallCredit is the credit with which a tenant begins on this daemon, and that each loss of contact adds, so that tenants
+// thinly spread over many daemons find some at once. It falls off like all credit.
+func (l *Limiter) smallCredit(limit Limit, now clock.Mark) float64 {
 	if l.contact.daemons == 0 {
 		return 0
 	}
@@ -236,6 +243,9 @@
 
 // spendCredit takes one token on credit, or reports that there is none.
 func (l *Limiter) spendCredit(tenant *tenantTokens, now clock.Mark) bool {
+	if l.contact.answeredAt > tenant.credit.updatedAt {
+		tenant.credit.balance += l.smallCredit(tenant.limit, now)
+	}
 	tenant.credit.accrue(l.creditRate(tenant, now), l.contact.answeredAt, now)
 	if !tenant.credit.spend(now) {
 		return false
--- a/process/quota/limiter_requests.go
+++ b/process/quota/limiter_requests.go
@@ -214,10 +214,7 @@
 		for len(tenant.waiting) > 0 && l.spendCredit(tenant, now) {
 			resolutions = append(resolutions, tenant.resolveFirst(name, tenant.grantedOnCredit(now)))
 		}
-		if len(tenant.waiting) > 0 {
-			tenant.deniedUntil = now + clock.Mark(unreachableRetryAfter)
-			resolutions = append(resolutions, tenant.denyWaiting(name, now)...)
-		}
+		resolutions = append(resolutions, l.denyWithoutCredit(name, tenant, now)...)
 		l.updatePending(name, tenant)
 	}
 	slices.SortFunc(resolutions, func(a, b Resolution) int { return cmp.Compare(a.Waiter, b.Waiter) })
--- a/process/quota/liveness_test.go
+++ b/process/quota/liveness_test.go
@@ -33,6 +33,14 @@
 					f.after(time.Duration(i)*10*time.Second, func() { f.changeLeader(1500 * time.Millisecond) })
 				}
 			}},
+		"leader change, a thinly spread tenant and zones that lend": {daemons: 60, limit: Limit{RatePerSecond: 20, Burst: 10},
+			clump: 3, denied: 0.08, pick: func(f *fleet) func() *simulatedDaemon { return f.anyDaemon },
+			faults: func(f *fleet) {
+				f.zones = 4
+				for i := 1; i < 6; i++ {
+					f.after(time.Duration(i)*10*time.Second, func() { f.changeLeader(1500 * time.Millisecond) })
+				}
+			}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/process/quota/safety_test.go
+++ b/process/quota/safety_test.go
@@ -37,6 +37,7 @@
 	f.randomFaults(random)
 	f.randomTraffic(random, limit)
 	f.queueing = []time.Duration{0, 300 * time.Millisecond, 3 * time.Second}[random.IntN(3)]
+	f.zones = []int{0, 1, 4}[random.IntN(3)]
 	f.runUntil(historyLength)
 	return f
 }
--- a/process/quota/status.go
+++ b/process/quota/status.go
@@ -16,6 +16,8 @@
 	// Denied those that were not allowed, and Lapsed the number of tokens that lapsed unspent. They count from when the
 	// tenant came into use on the daemon.
 	Granted, OnCredit, Denied, Lapsed uint64
+	// Lent is the number of tokens lent to neighbours, which are in the deficit, Borrowed of those that they lent.
+	Lent, Borrowed uint64
 	// Waiting is the number of requests that wait for a token.
 	Waiting int
 	// Tokens is the number of valid tokens.
@@ -39,6 +41,8 @@
 			OnCredit:      tenant.counters.onCredit,
 			Denied:        tenant.counters.denied,
 			Lapsed:        tenant.counters.lapsed,
+			Lent:          tenant.counters.lent,
+			Borrowed:      tenant.counters.borrowed,
 			Waiting:       len(tenant.waiting),
 			Tokens:        tenant.validTokens(now),
 			RatePerSecond: tenant.rate.at(now),
--- a/process/quota/variants_test.go
+++ b/process/quota/variants_test.go
@@ -25,6 +25,8 @@
 	creditNeverFallsOff bool
 	// standingRatesUnbounded has the leader give each daemon a standing rate of the tenant's full rate.
 	standingRatesUnbounded bool
+	// loansNotCounted has daemons lend without spending their own credit.
+	loansNotCounted bool
 }
 
 // breakRequest changes a request on its way to the leader, as the defects have it.
@@ -122,6 +124,12 @@
 	hotOnAll(f)
 }
 
+// lendingInPartition takes most of the daemons out of contact for long, and has them lend to each other.
+func lendingInPartition(f *fleet) {
+	f.zones = 1
+	longPartition(f)
+}
+
 // duplicatedReplies has each reply arrive twice.
 func duplicatedReplies(f *fleet) {
 	f.duplication = 1
@@ -150,6 +158,7 @@
 		"a reply spent twice":                      {duplicatedReplies, defects{repliesAcceptedTwice: true}},
 		"credit that doesn't fall off":             {longPartition, defects{creditNeverFallsOff: true}},
 		"standing rates without a bound":           {longPartition, defects{standingRatesUnbounded: true}},
+		"loans that the lender doesn't count":      {lendingInPartition, defects{loansNotCounted: true}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
