--- a/connection/gateway/exchange.go
+++ b/connection/gateway/exchange.go
@@ -41,12 +41,23 @@
 
 // finish stops monitoring the caller and counting the request as open.
 func (f *exchange) finish() {
+	f.returnToken()
 	f.monitor.remove(f)
 	f.openRequests.Add(-1)
 }
 
-// next waits for the next step.
-func (f *exchange) next() forwarding.Step { return f.actor.NextStep(f.request) }
+// next waits for the next step, before long without the token of a limited tenant.
+func (f *exchange) next() forwarding.Step {
+	if f.token.tenant == "" {
+		return f.actor.NextStep(f.request)
+	}
+	step, came := f.actor.NextStepWithin(f.request, queuedTokenTime)
+	if !came {
+		f.returnToken()
+		step = f.actor.NextStep(f.request)
+	}
+	return step
+}
 
 // serve makes attempts until there is a response. It gives a stream where the response is passed on as it comes.
 func (f *exchange) serve() *stream {
@@ -148,6 +159,8 @@
 // checkBeforeSend is the last check before the first byte, against what is in force at that moment. It gives a reason
 // not to send, or "".
 func (f *exchange) checkBeforeSend() string {
+	// Taking a token may wait for the leader, so it comes before the checks of what may change meanwhile.
+	withinQuota := f.mayHaveRun || f.takeQuota()
 	reason := ""
 	engine := f.View().Engines[f.attempt.Engine]
 	tenant, allowed := f.tenantInForce()
@@ -166,13 +179,14 @@
 		reason = "the worker id has lapsed"
 	case !allowed || tenant != f.tenant:
 		reason = "the key is another tenant's, or nobody's any more"
-	case !f.mayHaveRun && !f.takeQuota():
+	case !withinQuota:
 		f.overQuota = true
 		reason = "the tenant's limit no longer allows the request"
 	}
 	if reason != "" {
 		f.Counters.Withheld.Add(1)
 	} else {
+		f.token.spent = true
 		f.recordSend()
 	}
 	return reason
--- a/daemon/tenantquota/limiter.go
+++ b/daemon/tenantquota/limiter.go
@@ -82,6 +82,11 @@
 	}
 }
 
+// Return takes back the token of a request that is not sent now. A token that finds the mailbox full lapses.
+func (l *Limiter) Return(tenant string, token quota.Token) {
+	l.mailbox.Offer(func() { l.core.Return(tenant, token, l.Clock.Elapsed()) })
+}
+
 // stopped is the decision of a daemon that has stopped.
 func stopped() quota.Decision {
 	return quota.Decision{Outcome: quota.Denied, RetryAfter: stoppedRetryAfter}
@@ -110,7 +115,15 @@
 		return
 	}
 	l.wakeAt = at
-	time.AfterFunc(max(at.Since(now), time.Millisecond), func() { l.mailbox.Send(l.observe) })
+	time.AfterFunc(max(at.Since(now), time.Millisecond), func() { l.mailbox.Send(func() { l.wake(at) }) })
+}
+
+// wake ends the timer that was set for a moment. The core's clock may not have reached that yet: then another is set.
+func (l *Limiter) wake(at clock.Mark) {
+	if l.wakeAt == at {
+		l.wakeAt = 0
+	}
+	l.observe()
 }
 
 // observe tells the core what is known of the leader by now.
--- a/process/quota/limiter.go
+++ b/process/quota/limiter.go
@@ -29,7 +29,10 @@
 	activeAt clock.Mark
 	// standingEnd is when the last standing rate will have fallen off.
 	standingEnd clock.Mark
-	expireAt    clock.Mark
+	// neighbours is how many daemons may be asked for loans.
+	neighbours   int
+	loanSequence uint64
+	expireAt     clock.Mark
 }
 
 // leaderContact is what a Limiter knows of the leader.
@@ -46,8 +49,10 @@
 	sentAt clock.Mark
 	// retryAt is when an unreachable leader is asked again.
 	retryAt clock.Mark
-	// daemons is the number of routing daemons in the fleet, or 0 if it isn't known.
-	daemons int
+	// daemons is the number of routing daemons in the fleet, or 0 if it isn't known. It was counted while the leader was
+	// in contact, last at countedAt: a daemon that is cut off comes to count only itself.
+	daemons   int
+	countedAt clock.Mark
 }
 
 // requestInProgress is the request to the leader that has no reply yet.
@@ -67,8 +72,11 @@
 	standing    creditRate
 	credit      creditAccount
 	deniedUntil clock.Mark
-	lastUsed    clock.Mark
-	counters    counters
+	// loan is the loan request without an answer, loanAttempts the neighbours that were asked for those that wait.
+	loan         *loanInProgress
+	loanAttempts int
+	lastUsed     clock.Mark
+	counters     counters
 }
 
 // tokenLease is a number of tokens that lapse together.
@@ -79,7 +87,7 @@
 
 // counters count decisions for operators.
 type counters struct {
-	granted, onCredit, denied, lapsed uint64
+	granted, onCredit, denied, lapsed, lent, borrowed uint64
 }
 
 // WaiterID identifies a request that waits for a token, on one Limiter.
@@ -106,8 +114,8 @@
 // with a token that has lapsed takes another one.
 func (t Token) Valid(now clock.Mark) bool { return now < t.expires }
 
-// Expires returns when the token lapses.
-func (t Token) Expires() clock.Mark { return t.expires }
+// TokenUntil returns a token that lapses at a moment, for tests of what spends tokens.
+func TokenUntil(expires clock.Mark) Token { return Token{expires: expires} }
 
 // Decision is the answer to a request for a token.
 type Decision struct {
@@ -138,7 +146,10 @@
 // fleet, and the latest moment from which the leader is known to have been in contact, 0 if none.
 func (l *Limiter) ObserveLeader(term uint64, daemons int, contact clock.Mark) {
 	l.contact.knownTerm = max(l.contact.knownTerm, term)
-	l.contact.daemons = daemons
+	if contact > l.contact.countedAt {
+		l.contact.countedAt = contact
+		l.contact.daemons = daemons
+	}
 	l.contact.last = max(l.contact.last, contact)
 }
 
@@ -186,6 +197,17 @@
 	return false
 }
 
+// Return takes back the token of a request that was granted one and isn't sent now: it is queued, or ended. The next request
+// spends it, if that comes before it lapses.
+func (l *Limiter) Return(name string, token Token, now clock.Mark) {
+	l.observeTime(now)
+	tenant, found := l.tenants[name]
+	if !found || !token.Valid(now) {
+		return
+	}
+	tenant.tokens = slices.Insert(tenant.tokens, 0, tokenLease{count: 1, expires: token.expires})
+}
+
 // observeTime notices when the daemon was stopped, or had nothing to do, for a time. No credit accrues for that: the
 // leader may have been in reach, and what was reserved for the daemon is released when it is back.
 func (l *Limiter) observeTime(now clock.Mark) {
@@ -204,22 +226,26 @@
 	tenant = &tenantTokens{}
 	tenant.credit.spentTo = l.creditSpent
 	tenant.credit.updatedAt = now
-	tenant.credit.balance = creditPhase(l.daemon, name) + l.unservedBalance(limit)
+	tenant.credit.balance = creditPhase(l.daemon, name) + l.smallCredit(limit, now)
 	l.tenants[name] = tenant
 	return tenant
 }
 
-// unservedBalance is the credit that a tenant begins with on this daemon.
-func (l *Limiter) unservedBalance(limit Limit) float64 {
+// smallCredit is the credit with which a tenant begins on this daemon, and that each loss of contact adds, so that tenants
+// thinly spread over many daemons find some at once. It falls off like all credit.
+func (l *Limiter) smallCredit(limit Limit, now clock.Mark) float64 {
 	if l.contact.daemons == 0 {
 		return 0
 	}
 	tokens := unservedTokens + unservedFraction*limit.RatePerSecond
-	return min(1, tokens/float64(l.contact.daemons))
+	return creditFraction(now.Since(l.contact.last)) * min(1, tokens/float64(l.contact.daemons))
 }
 
 // spendCredit takes one token on credit, or reports that there is none.
 func (l *Limiter) spendCredit(tenant *tenantTokens, now clock.Mark) bool {
+	if l.contact.answeredAt > tenant.credit.updatedAt {
+		tenant.credit.balance += l.smallCredit(tenant.limit, now)
+	}
 	tenant.credit.accrue(l.creditRate(tenant, now), l.contact.answeredAt, now)
 	if !tenant.credit.spend(now) {
 		return false
