contract: the request whose key goes while it is queued is held in the router

TestRequestQueuedWhenItsKeyIsRemovedDoesNotRun timed out waiting until the request is sent. The test was wrong: its engine had one slot and no place behind it, and the router sends such an engine two requests at once. So the request reached the engine, was rejected there and answered 503 after 5 ms, as no other engine was left to try; it was never queued.

Now a request takes the slot and another the place behind it, so that the router keeps the third. The test also holds that the request reaches no engine at all and that it is answered after the change of its key was sent.

--- a/testbed/platformtest/contract/keychanges_test.go
+++ b/testbed/platformtest/contract/keychanges_test.go
@@ -61,7 +61,7 @@
 // Guards against a request that runs because it was read before its key was taken away, however long it has waited.
 func TestRequestQueuedWhenItsKeyIsRemovedDoesNotRun(t *testing.T) {
 	f := newTenantFixture(t)
-	f.plain(func(c *engine.Config) { c.Slots, c.Waiting = 1, 0 })
+	f.plain(func(c *engine.Config) { c.Slots, c.Waiting = 1, 1 })
 	f.awaitEngines("once", 1)
 	first, second := f.tenantOf("first"), f.tenantOf("second")
 	busy, free := f.occupy(f.keyed("once", second.APIKeys[0], second.Label))
@@ -75,48 +75,58 @@
 	f.awaitQueued(second)
 	rest := *first
 	rest.APIKeys = first.APIKeys[1:]
+	changed := f.recorder.Now()
 	f.mustChangeTenants([]protocol.Tenant{rest})
 	f.awaitInForce("the key is refused", f.keptClient(), func() *client.Request { return f.request("once") }, unauthorized)
 	free()
 	busy.Wait()
 	attempt := <-queued
-	names, _ := f.ranAs(attempt.AttemptID)
-	if len(names) > 0 || attempt.Status != http.StatusUnauthorized {
-		t.Errorf("the queued request was answered %d %s and ran as %q; it should be 401 and not run", attempt.Status, attempt.Err, names)
+	if attempt.Ended < changed {
+		t.Errorf("the request was answered %d before its key was taken away, so it was not queued", attempt.Status)
+	}
+	if arrivals := f.arrivalsOf(attempt.AttemptID); len(arrivals) > 0 || attempt.Status != http.StatusUnauthorized {
+		t.Errorf("the queued request was answered %d %s and reached engines %d times; it should be 401 and reach none", attempt.Status, attempt.Err, len(arrivals))
 	}
 	f.checkTenantRules()
 }
 
-// occupy has a request take the only engine until free is called; free may be called again.
+// occupy has a request take the slot of the only engine until free is called, and another the place behind it, so that the
+// router sends no more there; free may be called again.
 func (f *fixture) occupy(r *client.Request) (busy *sync.WaitGroup, free func()) {
 	f.t.Helper()
 	f.engines[0].Inject(engine.Fault{Kind: engine.Hang})
 	ctx, cancel := context.WithCancel(context.Background())
 	busy = new(sync.WaitGroup)
-	busy.Go(func() { f.newClient().Do(ctx, r) })
-	f.await("the engine is taken", func() bool {
+	last := func() *history.Arrival {
 		arrivals := f.arrivals()
-		last := arrivals[len(arrivals)-1]
-		return last.Ran() && last.Ended == 0
-	})
+		return arrivals[len(arrivals)-1]
+	}
+	busy.Go(func() { f.newClient().Do(ctx, r) })
+	f.await("the engine's slot is taken", func() bool { return last().Ran() && last().Ended == 0 })
+	busy.Go(func() { f.newClient().Do(ctx, r) })
+	f.await("the place behind it is taken", func() bool { return !last().Ran() && last().Ended == 0 })
 	return busy, cancel
 }
 
 // awaitQueued waits until a request of the first tenant has been sent, and for the refusal of a later one: by then the
-// router has read the former.
+// router has read the former. No engine may have it.
 func (f *fixture) awaitQueued(other *protocol.Tenant) {
 	f.t.Helper()
+	queued := ""
 	f.await("the request is sent", func() bool {
 		for _, attempt := range f.recorder.Snapshot().Attempts {
 			if attempt.URI == f.path("once") && attempt.Tenant == f.tenant && attempt.Sent != 0 && attempt.Ended == 0 {
-				return true
+				queued = attempt.AttemptID
 			}
 		}
-		return false
+		return queued != ""
 	})
 	later := f.keyed("once", other.APIKeys[0], other.Label)
 	later.Deadline = 500 * time.Millisecond
 	f.ask(later)
+	if arrivals := f.arrivalsOf(queued); len(arrivals) > 0 {
+		f.t.Fatalf("the request is not queued in the router: it has reached engine %s", arrivals[0].Engine)
+	}
 }
 
 // Guards against a key that works for its old tenant, or not at all, after it was passed on.
