--- a/daemon/forwarding.go
+++ b/daemon/forwarding.go
@@ -165,10 +165,12 @@
 // forwardWorld returns what forwarding decides by.
 func (d *Daemon) forwardWorld() forwarding.Environment {
 	now := d.clock.Elapsed()
+	// Whether the table is current is read first: the table read after it can only be newer than the one judged.
+	indexCurrent := d.tableIsCurrent()
 	return forwarding.Environment{
 		Now:          now,
 		Index:        d.forwardIndex(),
-		IndexCurrent: d.tableIsCurrent(),
+		IndexCurrent: indexCurrent,
 		KeysOutdated: d.keysOutdated(now),
 		View:         d.forwarding.view(),
 		Zone:         d.config.Zone,
