gateway: callers that leave 10 to 50 ms after their request are found

What callers saw: nothing; engines worked on to the end for clients that had left.

Cause: a close within 50 ms of the request was taken for a client that has no more to say and waits. That is as long as impatient clients of a quick path wait. Where the system dates no packets the first look decided, and came 50 to 75 ms after the request.

Fix: a client that merely has no more to say closes right behind its request; the window is two of the system's longest ticks, 20 ms, and the first look comes after 10 to 20 ms where nothing is dated.

Evidence: TestDisconnectRightAfterTheRequestEndsItsAttempt and TestCallersAreFirstPolledSoonAfterTheirRequest failed before (the engine worked on after 3 s; 75 ms) and pass now. Half-closed callers: go test -race -count 15 -run 'HalfClosed|DisconnectRight' passes at a load of 15. A client that pauses for more than 10 to 20 ms between its request and the end of its side now counts as gone.

--- a/connection/gateway/callerconn.go
+++ b/connection/gateway/callerconn.go
@@ -24,7 +24,7 @@
 
 func newCallerConn(conn net.Conn) *callerConn {
 	now := time.Now()
-	return &callerConn{raw: rawConn(conn), readAt: now, lastOpen: now, due: now.Add(halfCloseWindow)}
+	return &callerConn{raw: rawConn(conn), readAt: now, lastOpen: now, due: now.Add(firstPollAfter)}
 }
 
 func rawConn(conn net.Conn) syscall.RawConn {
@@ -78,7 +78,7 @@
 	if behind, dated := c.closeDelay(); dated {
 		return behind < halfCloseWindow
 	}
-	return c.lastOpen.Sub(c.readAt) < halfCloseWindow
+	return c.lastOpen.Sub(c.readAt) < firstPollAfter
 }
 
 // closeDelay gives how long after the caller's last data its side was closed; false if unknown. The system dates the
--- a/connection/gateway/callermonitor.go
+++ b/connection/gateway/callermonitor.go
@@ -8,11 +8,15 @@
 const (
 	// pollInterval is how often the connections of open requests are polled.
 	pollInterval = 200 * time.Millisecond
-	// halfCloseWindow is how soon after its request a caller closes its side that merely has nothing more to send. A
-	// first poll right after it tells such a caller from one that disconnects.
-	halfCloseWindow = 50 * time.Millisecond
-	// minPollSpacing lets one poll serve callers that are due at about the same time.
-	minPollSpacing = 25 * time.Millisecond
+	// halfCloseWindow is how soon after its request a caller closes its side that merely has nothing more to send: it does
+	// so right behind its request, and the system dates both by ticks of up to 10 ms. Callers that leave within it are
+	// found only once something is written to them, so it is no longer than that.
+	halfCloseWindow = 20 * time.Millisecond
+	// firstPollAfter is how long after its request a caller is polled first. Where the system does not date the end of a
+	// caller's side, one that ended before this poll counts as ended right behind the request, and any other does not.
+	firstPollAfter = 10 * time.Millisecond
+	// minPollSpacing lets one poll serve callers that are due at about the same time. It adds to firstPollAfter.
+	minPollSpacing = 10 * time.Millisecond
 	// clockTolerance is by how much the system's times may differ from the clock used here.
 	clockTolerance = 20 * time.Millisecond
 )
--- a/connection/gateway/leave_test.go
+++ b/connection/gateway/leave_test.go
@@ -126,6 +126,34 @@
 	}
 }
 
+// TestDisconnectRightAfterTheRequestEndsItsAttempt guards against work for callers that leave tens of milliseconds after
+// their request, as impatient ones of a quick path do: they were taken for callers that have nothing more to say.
+func TestDisconnectRightAfterTheRequestEndsItsAttempt(t *testing.T) {
+	const after = 30 * time.Millisecond
+	for _, class := range []string{"again", "resume"} {
+		engine, came := newUnresponsiveEngine(t)
+		f := newFixture(t, engine)
+		// A later close than this only makes it easier, since the system dates it.
+		conn := f.over("tcp", opened())
+		_, _ = io.WriteString(conn, ask(class, "a1", "ping"))
+		time.AfterFunc(after, func() { conn.Close() })
+		<-came
+		select {
+		case <-engine.closed:
+		case <-time.After(3 * time.Second):
+			t.Errorf("%s: its engine still works on it", class)
+		}
+	}
+}
+
+// TestCallersAreFirstPolledSoonAfterTheirRequest: where the system does not date the end of a caller's side, only a look
+// before it tells a caller that leaves from one that has nothing more to say.
+func TestCallersAreFirstPolledSoonAfterTheirRequest(t *testing.T) {
+	if most := firstPollAfter + minPollSpacing; most > 20*time.Millisecond {
+		t.Error(most)
+	}
+}
+
 // TestDisconnectEndsIdleStream: an engine that says nothing gives no occasion to write to
 // a disconnected caller, so its disconnect must be found by polling.
 func TestDisconnectEndsIdleStream(t *testing.T) {
