--- a/configuration/upstream/section_test.go
+++ b/configuration/upstream/section_test.go
@@ -138,3 +138,30 @@
 		}
 	}
 }
+
+// TestPathsAddedLaterAreFoundAsTheFirstOnes guards against routes that are acknowledged and answered with 404, or led
+// elsewhere: fifteen hundred come one change after the other, under hosts of their own and under those of the first.
+func TestPathsAddedLaterAreFoundAsTheFirstOnes(t *testing.T) {
+	const first, changes, eachChange, hosts = 8, 30, 50, 12
+	section := Section{Pools: []Pool{{Name: "p"}}}
+	made := func(number int) Path {
+		return named(fmt.Sprint("route-", number), fmt.Sprintf("h%d.example", number%hosts), fmt.Sprintf("/r%d/", number))
+	}
+	for number := range first {
+		section.Paths = append(section.Paths, made(number))
+	}
+	for change := range changes {
+		patch := Patch{Revision: uint64(change + 2)}
+		for number := range eachChange {
+			patch.Upsert.Paths = append(patch.Upsert.Paths, made(first+change*eachChange+number))
+		}
+		section = section.Merge(&patch)
+		index := NewIndex(&section)
+		for number := range first + (change+1)*eachChange {
+			want := made(number)
+			if found, ok := index.Lookup(want.Host, want.Prefix+"x?y=1"); !ok || found.Name != want.Name {
+				t.Fatalf("after %d changes %s%s leads to %+v", change+1, want.Host, want.Prefix, found)
+			}
+		}
+	}
+}
