--- a/configuration/upstream/tenant_test.go
+++ b/configuration/upstream/tenant_test.go
@@ -12,10 +12,10 @@
 		tenants []Tenant
 		want    []string
 	}{
-		"sound":                      {[]Tenant{{Name: "a", Keys: []string{"k", "l"}}, {Name: "b", Keys: []string{"m"}}, {Name: "c"}}, nil},
-		"a key twice with one":       {[]Tenant{{Name: "a", Keys: []string{"k", "k"}}}, nil},
-		"a key of two":               {[]Tenant{{Name: "a", Keys: []string{"k"}}, {Name: "b", Keys: []string{"m", "k"}}}, []string{"tenants[1].keys[1]: tenant a has the same key"}},
-		"a name that stands twice":   {[]Tenant{{Name: "a"}, {Name: "a"}}, []string{"tenants[1].name: stands twice"}},
+		"sound":                    {[]Tenant{{Name: "a", Keys: []string{"k", "l"}}, {Name: "b", Keys: []string{"m"}}, {Name: "c"}}, nil},
+		"a key twice with one":     {[]Tenant{{Name: "a", Keys: []string{"k", "k"}}}, nil},
+		"a key of two":             {[]Tenant{{Name: "a", Keys: []string{"k"}}, {Name: "b", Keys: []string{"m", "k"}}}, []string{"tenants[1].keys[1]: tenant a has the same key"}},
+		"a name that stands twice": {[]Tenant{{Name: "a"}, {Name: "a"}}, []string{"tenants[1].name: stands twice"}},
 		"keys that differ in case": {[]Tenant{{Name: "a", Keys: []string{"k"}}, {Name: "b", Keys: []string{"K"}}}, nil},
 	} {
 		section := Section{Tenants: c.tenants}
