--- a/daemon/server.go
+++ b/daemon/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -56,19 +57,25 @@
 
 // badRequest answers a request that could not be parsed as HTTP.
 func badRequest(ctx *fasthttp.RequestCtx, err error) {
-	status := fasthttp.StatusBadRequest
+	status, reason := unreadable(err)
+	sessionapi.Fail(ctx, status, callerapi.Error{
+		Outcome: callerapi.Invalid,
+		Reason:  "the request cannot be read: " + reason,
+	})
+	ctx.SetConnectionClose()
+}
+
+// unreadable returns the status and the reason for a request that could not be parsed. The library's own text is not given
+// on: it quotes the request, and with it the client's key.
+func unreadable(err error) (status int, reason string) {
 	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case err == fasthttp.ErrBodyTooLarge:
-		status = fasthttp.StatusRequestEntityTooLarge
+		return fasthttp.StatusRequestEntityTooLarge, "its body is larger than is allowed here"
 	case errors.As(err, &small):
-		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+		return fasthttp.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("its header is larger than %d bytes", maxHeader)
 	}
-	sessionapi.Fail(ctx, status, callerapi.Error{
-		Outcome: callerapi.Invalid,
-		Reason:  "the request cannot be read: " + err.Error(),
-	})
-	ctx.SetConnectionClose()
+	return fasthttp.StatusBadRequest, "its header or its framing is malformed, or it did not come in full"
 }
 
 // badCallerRequest is badRequest for callers. The body limit there follows from the table in force, so the gateway
