daemon/tenantquota: decisions are counted and changes of state logged

Operators could not see what became of requests under a limit. Limiter counts requests granted, on credit and denied and tokens that lapsed, by tenant, and calls to the leader. The core forgets tenants that are idle, and with them its counters; these are kept beside it and only rise. A token has lapsed where it was received, and is neither spent nor valid any longer.

Log lines: a routing daemon goes on by credit, and all of that is settled; a leader begins to allot; credit that daemons reported is charged; tokens are reserved for daemons out of contact, and no more.

Evidence: tests of the package under the race detector.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -167,7 +167,6 @@
 		applyReach:      applyReach,
 		peerDemand:      map[ident.NodeID]*demand.Receiver{},
 		affinityTable:   affinity.NewTable(),
-		quotaAllotter:   tenantquota.NewAllotter(quotaSettings(config.Bounds)),
 		wrapDisk:        func(disk replica.Disk) replica.Disk { return disk },
 		stallLimit:      stallLimit,
 		overrunLimit:    overrunLimit,
@@ -178,6 +177,7 @@
 		d.replicaConfig.CompactEntries, d.replicaConfig.RetainEntries = config.Compaction.Entries, config.Compaction.Keep
 	}
 	d.log = logger.WithField("node", string(d.nodeID))
+	d.quotaAllotter = tenantquota.NewAllotter(quotaSettings(config.Bounds), d.log)
 	for _, option := range options {
 		option(d)
 	}
--- a/daemon/quota.go
+++ b/daemon/quota.go
@@ -44,6 +44,7 @@
 		Clock:  d.clock,
 		Ask:    d.askForTokens,
 		Leader: d.quotaLeader,
+		Log:    d.log,
 	})
 }
 
--- a/daemon/tenantquota/allotter.go
+++ b/daemon/tenantquota/allotter.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 
+	"github.com/apex/log"
+
 	"github.com/cresspond/cresspond/clock"
 	"github.com/cresspond/cresspond/ident"
 	"github.com/cresspond/cresspond/process/quota"
@@ -22,11 +24,23 @@
 	mutex     sync.Mutex
 	allocator *quota.Allocator
 	term      uint64
+	log       log.Interface
+	changes   leaderLog
+	counts    AllotterCounts
+}
+
+// AllotterCounts count since the daemon started. They only rise.
+type AllotterCounts struct {
+	// Calls is the number of daemons' calls that were answered.
+	Calls uint64
+	// CreditReported is the number of requests that daemons reported to have sent on credit. A report whose answer was
+	// lost comes again and counts again; it is charged once.
+	CreditReported uint64
 }
 
-// NewAllotter makes an allotter that has not allotted anything.
-func NewAllotter(settings quota.Settings) *Allotter {
-	return &Allotter{allocator: quota.NewAllocator(settings)}
+// NewAllotter makes an allotter that has not allotted anything. It logs its changes of state.
+func NewAllotter(settings quota.Settings, logger log.Interface) *Allotter {
+	return &Allotter{allocator: quota.NewAllocator(settings), log: logger, changes: newLeaderLog(logger)}
 }
 
 // Lead begins a leadership, without knowledge of the one before. It is called as soon as this daemon leads, since what
@@ -42,6 +56,7 @@
 		return
 	}
 	a.term = leadership.Term
+	a.changes = newLeaderLog(a.log)
 	if leadership.First {
 		a.allocator.LeadFirst(leadership.Term, now)
 		return
@@ -54,7 +69,44 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.lead(leadership, now)
-	return a.allocator.Allot(request, limitOf, now)
+	reply, err := a.allocator.Allot(request, limitOf, now)
+	if err != nil {
+		return reply, err
+	}
+	a.noteCall(leadership, request, now)
+	return reply, nil
+}
+
+// noteCall counts a call that was answered, and logs what it changed.
+func (a *Allotter) noteCall(leadership Leadership, request quota.Request, now clock.Mark) {
+	credit := uint64(0)
+	if request.Term == a.term {
+		// What was sent on credit in an earlier term is not charged.
+		credit = creditOf(request)
+	}
+	a.counts.Calls++
+	a.counts.CreditReported += credit
+	a.changes.begin(leadership)
+	a.changes.noteCredit(request.Daemon, credit, now)
+	a.changes.noteContact(request.Daemon, now, func() []quota.TenantBucket { return a.allocator.Status(now) })
+}
+
+// creditOf is how many requests a daemon reports to have sent on credit.
+func creditOf(request quota.Request) uint64 {
+	total := uint64(0)
+	for _, claim := range request.Claims {
+		if claim.CreditTo > claim.CreditFrom {
+			total += claim.CreditTo - claim.CreditFrom
+		}
+	}
+	return total
+}
+
+// Counts gives what was counted.
+func (a *Allotter) Counts() AllotterCounts {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.counts
 }
 
 // Status gives the tenants in use; nothing where this daemon has not led.
--- a/daemon/tenantquota/limiter.go
+++ b/daemon/tenantquota/limiter.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/cresspond/cresspond/actor"
 	"github.com/cresspond/cresspond/clock"
 	"github.com/cresspond/cresspond/ident"
@@ -36,6 +38,8 @@
 	Ask func(context.Context, quota.Request) (quota.Reply, error)
 	// Leader gives what is known of the leader now.
 	Leader func() Leader
+	// Log takes the changes of state.
+	Log log.Interface
 }
 
 // Limiter is the actor that owns a daemon's quota.Limiter. Its methods are safe for concurrent use.
@@ -47,6 +51,8 @@
 	// wakeAt is when the timer that was set last wakes the actor.
 	wakeAt clock.Mark
 	ctx    context.Context
+	counts counter
+	credit creditLog
 }
 
 // NewLimiter makes the limiter of one incarnation of a daemon.
@@ -56,6 +62,8 @@
 		core:         quota.NewLimiter(daemon),
 		mailbox:      actor.NewMailbox[func()](mailboxSize),
 		waiters:      map[quota.WaiterID]chan quota.Decision{},
+		counts:       newCounter(),
+		credit:       creditLog{log: dependencies.Log},
 	}
 }
 
@@ -92,6 +100,7 @@
 	l.core.ObserveLeader(leader.Term, leader.Daemons, leader.Contact)
 	decision := l.core.Take(tenant, limit, l.Clock.Elapsed())
 	if decision.Outcome != quota.Pending {
+		l.counts.countDecision(tenant, decision)
 		decided <- decision
 		return
 	}
@@ -124,14 +133,41 @@
 	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
 	defer cancel()
 	reply, err := l.Ask(ctx, request)
-	l.mailbox.Send(func() {
-		now := l.Clock.Elapsed()
-		if err != nil {
-			l.resolve(l.core.Unanswered(now))
-			return
-		}
+	l.mailbox.Send(func() { l.answered(reply, err) })
+}
+
+// answered takes in how a call to the leader ended.
+func (l *Limiter) answered(reply quota.Reply, err error) {
+	now := l.Clock.Elapsed()
+	onCreditBefore := l.counts.onCredit
+	l.counts.calls++
+	if err != nil {
+		l.counts.unanswered++
+		l.resolve(l.core.Unanswered(now))
+	} else {
+		l.counts.countTokens(reply)
 		l.resolve(l.core.Replied(reply, now))
-	})
+	}
+	l.noteCredit(err, onCreditBefore, now)
+}
+
+// noteCredit logs where the daemon now begins or ends to decide on credit.
+func (l *Limiter) noteCredit(cause error, onCreditBefore uint64, now clock.Mark) {
+	switch {
+	case l.core.Unreachable():
+		l.credit.begin(cause, onCreditBefore, now)
+	case l.credit.open && openDeficit(l.core.Status(now)) == 0:
+		l.credit.end(l.counts.onCredit, now)
+	}
+}
+
+// openDeficit is what was spent on credit and no leader has acknowledged.
+func openDeficit(uses []quota.TenantUse) uint64 {
+	total := uint64(0)
+	for _, use := range uses {
+		total += use.Deficit
+	}
+	return total
 }
 
 // resolve hands decisions to those that wait for them.
@@ -139,6 +175,7 @@
 	for _, resolution := range resolutions {
 		if decided, waits := l.waiters[resolution.Waiter]; waits {
 			delete(l.waiters, resolution.Waiter)
+			l.counts.countDecision(resolution.Tenant, resolution.Decision)
 			decided <- resolution.Decision
 		}
 	}
@@ -146,14 +183,32 @@
 
 // Status gives the tenants in use on this daemon; nothing once it has stopped.
 func (l *Limiter) Status() []quota.TenantUse {
-	uses := make(chan []quota.TenantUse, 1)
-	if !l.mailbox.Send(func() { uses <- l.core.Status(l.Clock.Elapsed()) }) {
-		return nil
+	uses, _ := read(l, func() []quota.TenantUse { return l.core.Status(l.Clock.Elapsed()) })
+	return uses
+}
+
+// OnCredit reports whether the leader did not answer the last call, so that requests are decided on credit.
+func (l *Limiter) OnCredit() bool {
+	onCredit, _ := read(l, l.core.Unreachable)
+	return onCredit
+}
+
+// Counts gives what was counted; false once it has stopped.
+func (l *Limiter) Counts() (Snapshot, bool) {
+	return read(l, func() Snapshot { return l.counts.snapshot(l.core.Status(l.Clock.Elapsed())) })
+}
+
+// read runs a function on the limiter's actor; false once it has stopped.
+func read[T any](l *Limiter, function func() T) (T, bool) {
+	var none T
+	results := make(chan T, 1)
+	if !l.mailbox.Send(func() { results <- function() }) {
+		return none, false
 	}
 	select {
-	case status := <-uses:
-		return status
+	case result := <-results:
+		return result, true
 	case <-l.mailbox.Done():
-		return nil
+		return none, false
 	}
 }
--- a/daemon/tenantquota/limiter_test.go
+++ b/daemon/tenantquota/limiter_test.go
@@ -7,6 +7,9 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
 	"github.com/cresspond/cresspond/clock"
 	"github.com/cresspond/cresspond/process/quota"
 )
@@ -16,6 +19,9 @@
 	limit    = quota.Limit{RatePerSecond: 50, Burst: 100}
 )
 
+// discarded is a logger whose lines nobody reads.
+func discarded() log.Interface { return &log.Logger{Handler: discard.Default} }
+
 // newTestLimiter makes a limiter whose leader is reached through ask.
 func newTestLimiter(t *testing.T, ask func(context.Context, quota.Request) (quota.Reply, error)) *Limiter {
 	t.Helper()
@@ -23,6 +29,7 @@
 		Clock:  clock.System{},
 		Ask:    ask,
 		Leader: func() Leader { return Leader{Term: 1, Daemons: 1, Contact: clock.System{}.Elapsed()} },
+		Log:    discarded(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -32,7 +39,7 @@
 
 // leader answers as the first leader of a fleet does.
 func leader() func(context.Context, quota.Request) (quota.Reply, error) {
-	allotter := NewAllotter(settings)
+	allotter := NewAllotter(settings, discarded())
 	return func(_ context.Context, request quota.Request) (quota.Reply, error) {
 		limitOf := func(string) (quota.Limit, bool) { return limit, true }
 		return allotter.Allot(Leadership{Term: 1, First: true}, request, limitOf, clock.System{}.Elapsed())
