cresspond tenants: limits of tenants, their use and their buckets

GET /v1/tenants and the command list the tenants in force with their limits, their use at the daemon that is asked, at one that is named or at each that routes, and the leader's buckets. Others are asked by the peers' Read, as for the ranking; a build that does not know the kind of read counts as one that did not answer. No page holds a key, only how many there are.

--- a/cmd/cresspond/main.go
+++ b/cmd/cresspond/main.go
@@ -78,6 +78,7 @@
 	c.addNodeCommands()
 	c.addClosureCommands()
 	c.addDaemonCommands()
+	c.addTenantCommands()
 	return c
 }
 
--- a/connection/adminapi/operators.go
+++ b/connection/adminapi/operators.go
@@ -34,6 +34,7 @@
 	Registrar
 	Bundles
 	Ranker
+	TenantLister
 }
 
 // Bundles puts configurations in force in one step, and gives back the newest.
@@ -74,6 +75,7 @@
 		operatorapi.PathProposal:      func(c *fasthttp.RequestCtx) { d.query(c, "proposal", string(c.QueryArgs().Peek("id"))) },
 		operatorapi.PathClosures:      func(c *fasthttp.RequestCtx) { d.query(c, "closures", "") },
 		operatorapi.PathTrace:         d.trace,
+		operatorapi.PathTenants:       d.tenants,
 		operatorapi.PathStatus:        func(c *fasthttp.RequestCtx) { respond(c, fasthttp.StatusOK, d.daemon.Status()) },
 		operatorapi.PathReady:         d.ready,
 		operatorapi.PathLive:          func(c *fasthttp.RequestCtx) { respond(c, fasthttp.StatusOK, map[string]bool{"live": true}) },
--- a/connection/metrics/metrics_test.go
+++ b/connection/metrics/metrics_test.go
@@ -15,6 +15,12 @@
 
 func (fixedSource) Losses() []Loss { return []Loss{{"plan", "m-1", "model_absent", 3}} }
 
+func (fixedSource) TenantCounts() []TenantCounts {
+	return []TenantCounts{{Granted: 1}, {Tenant: "acme", Granted: 9, OnCredit: 4, Refused: 5, Lapsed: 6}}
+}
+
+func (fixedSource) UnknownKeys() uint64 { return 8 }
+
 // TestHandlerServesCountersAndLosses: each counter stands under the project's name, each loss under its reason.
 func TestHandlerServesCountersAndLosses(t *testing.T) {
 	answer := httptest.NewRecorder()
@@ -30,3 +36,23 @@
 		t.Errorf("%d, %s", answer.Code, answer.Header())
 	}
 }
+
+// Guards against an operator who can't see whose requests are refused, and why.
+func TestHandlerServesCountsOfTenants(t *testing.T) {
+	answer := httptest.NewRecorder()
+	Handler(fixedSource{}).ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
+	body := answer.Body.String()
+	for _, want := range []string{
+		`cresspond_tenant_requests_granted_total{tenant="acme"} 9`,
+		`cresspond_tenant_requests_granted_total{tenant=""} 1`,
+		`cresspond_tenant_requests_on_credit_total{tenant="acme"} 4`,
+		`cresspond_tenant_tokens_lapsed_total{tenant="acme"} 6`,
+		`cresspond_tenant_requests_refused_total{reason="over_quota",tenant="acme"} 5`,
+		`cresspond_tenant_requests_refused_total{reason="unknown_key",tenant=""} 8`,
+		"# TYPE cresspond_tenant_requests_refused_total counter",
+	} {
+		if !strings.Contains(body, want+"\n") {
+			t.Errorf("%q is not in\n%s", want, body)
+		}
+	}
+}
--- a/daemon/counters.go
+++ b/daemon/counters.go
@@ -37,6 +37,9 @@
 	for _, loss := range d.Losses() {
 		fmt.Fprintf(&out, "opaque_losses{path=%q,model=%q,reason=%q} %d\n", loss.Path, loss.Model, loss.Reason, loss.Count)
 	}
+	for _, tenant := range d.TenantCounts() {
+		writeTenantCounts(&out, tenant)
+	}
 	return out.String()
 }
 
@@ -49,6 +52,7 @@
 		d.eachSessionCounter(report)
 	}
 	d.eachForwardingCounter(report)
+	d.eachQuotaCounter(report)
 	d.nodeRanking.EachCounter(report)
 	if d.config.Serves(daemonconfig.Placement) {
 		d.eachSessionPlanningCounter(report)
--- a/daemon/reads.go
+++ b/daemon/reads.go
@@ -67,6 +67,9 @@
 	if in.What == nodesRead {
 		return d.readNodes(ctx, in.Key), nil
 	}
+	if reply, answered := d.readTenantPage(in.What, in.Key); answered {
+		return reply, nil
+	}
 	result, outcome := d.readAsLeader(ctx, in.What, in.Key)
 	return &peerapi.ReadReply{Outcome: string(outcome), Result: result, LeaderAddress: d.leaderAddress()}, nil
 }
