--- a/daemon/tenantquota/allotter_test.go
+++ b/daemon/tenantquota/allotter_test.go
@@ -22,7 +22,7 @@
 // Guards against buckets that start anew each time a call which was let in under an earlier term is handled late.
 func TestCallOfEarlierTermIsRefusedAndLeavesBuckets(t *testing.T) {
 	const now = clock.Mark(100 * time.Second)
-	allotter := NewAllotter(settings)
+	allotter := NewAllotter(settings, discarded())
 	allotter.Lead(Leadership{Term: 7}, now)
 	first, err := allotOne(allotter, Leadership{Term: 7}, 1, 1000, now)
 	if err != nil || first == 0 {
@@ -40,7 +40,7 @@
 // being handled.
 func TestCallsThatOvertakeEachOtherAccrueOnce(t *testing.T) {
 	const now = clock.Mark(100 * time.Second)
-	allotter, leadership := NewAllotter(settings), Leadership{Term: 1, First: true}
+	allotter, leadership := NewAllotter(settings, discarded()), Leadership{Term: 1, First: true}
 	total := 0
 	for i, at := range []clock.Mark{now, now + clock.Mark(time.Second), now, now + clock.Mark(time.Second)} {
 		count, err := allotOne(allotter, leadership, uint64(i+1), 1000, at)
