scenario: tenants, their faults and a soak of them in runs of the users' platform

The runs had neither keys nor tenants, so they could not show what callers of shared deployments saw (UNASKED, ROUTE, CONFIG, QUOTA). Now twelve tenants send, three of them large, one without a limit; a route is public; some requests carry a key that nobody held, one that was taken away, or a forged X-Tenant. The judge has the quota's bounds, and the share of requests that were refused under their limits is printed as a figure.

Faults hot-tenant, revoke, retry-abuse and change-quota are drawn from a stream of their own and played beside every second drawn fault, so that they overlap with kills, freezes, stops and changes of the configuration; a seed plays the other faults that it played before. tenant-soak plays all of them at once while routers and leaders are killed and frozen. Changes of the configuration that overlap take turns, except those that race on purpose.

--- a/testbed/cmd/testbed/platform.go
+++ b/testbed/cmd/testbed/platform.go
@@ -150,5 +150,7 @@
 			loads++
 		}
 	}
+	limits := platformchecker.RefusedUnderLimit(h, platformscenario.Bounds)
+	fmt.Printf("attempts of tenants under their limits %d, of these answered 429 %d (%.2f %%)\n", limits.Attempts, limits.Refused, 100*limits.Share())
 	fmt.Printf("arrivals at engines %d, further ones %d, probes %d, orders %d, loads from the store %d\n", len(h.Arrivals)-probes, again, probes, orders, loads)
 }
--- a/testbed/platformtest/scenario/configchange.go
+++ b/testbed/platformtest/scenario/configchange.go
@@ -57,6 +57,8 @@
 
 // patchConfig adds a route, removes an older one and moves one to another service.
 func (r *Run) patchConfig(ctx context.Context) (*history.Change, string, error) {
+	r.changing.Lock()
+	defer r.changing.Unlock()
 	outer := ctx
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
@@ -121,6 +123,19 @@
 
 // raceConfigs has two operators change the configuration on the same version at once.
 func (r *Run) raceConfigs(ctx context.Context) error {
+	changes := r.sendRival(ctx)
+	r.pause(ctx, Bounds.Apply+100*ms)
+	for _, change := range changes {
+		route := change.Config.Routes[len(change.Config.Routes)-1]
+		r.probe(route.PathPrefix, change.Outcome == history.Refused)
+	}
+	return nil
+}
+
+// sendRival sends the two changes of a race.
+func (r *Run) sendRival(ctx context.Context) []*history.Change {
+	r.changing.Lock()
+	defer r.changing.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
 	r.mutex.Lock()
@@ -153,17 +168,14 @@
 	if won == 0 {
 		r.resync(ctx)
 	}
-	r.pause(ctx, Bounds.Apply+100*ms)
-	for _, change := range changes {
-		route := change.Config.Routes[len(change.Config.Routes)-1]
-		r.probe(route.PathPrefix, change.Outcome == history.Refused)
-	}
-	return nil
+	return changes
 }
 
 // resendConfigs resends changes that were answered before, each to three machines at once: the newest that was acknowledged
 // with no other change since, and one of any age and outcome, by either operator.
 func (r *Run) resendConfigs(ctx context.Context) error {
+	r.changing.Lock()
+	defer r.changing.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
 	var answered []history.Change
@@ -191,6 +203,8 @@
 
 // sendInvalidConfigs sends invalid configurations, one of each sort.
 func (r *Run) sendInvalidConfigs(ctx context.Context) error {
+	r.changing.Lock()
+	defer r.changing.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
 	r.mutex.Lock()
--- a/testbed/platformtest/scenario/faults.go
+++ b/testbed/platformtest/scenario/faults.go
@@ -24,7 +24,9 @@
 }
 
 // allFaults are those that may be named; only drawnFaults are drawn.
-func allFaults() []fault { return slices.Concat(drawnFaults, rankingFaults, buildFaults) }
+func allFaults() []fault {
+	return slices.Concat(drawnFaults, tenantFaults, soakFaults, rankingFaults, buildFaults)
+}
 
 // drawnFaults are those that a seed draws from. Their order decides which seed plays which faults.
 var drawnFaults = slices.Concat(engineFaults, edgeFaults, coreFaults, configFaults, loadFaults)
--- a/testbed/platformtest/scenario/run.go
+++ b/testbed/platformtest/scenario/run.go
@@ -25,7 +25,7 @@
 // Bounds are those of the users' deployments.
 var Bounds = checker.Bounds{Contact: 3000 * ms, Drain: 2000 * ms, Grace: 8000 * ms, LossSlack: 200 * ms, Apply: 2000 * ms, Revert: 250 * ms, StretchMax: 5000 * ms,
 	Recovery: 12 * time.Second, Ack: 4000 * ms, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 58, Lease: 3000 * ms, Unfreeze: 300 * ms,
-	OriginWindow: 5 * time.Second, OriginExcess: 1.1, Floor: 0.5}
+	OriginWindow: 5 * time.Second, OriginExcess: 1.1, QuotaWindow: 5 * time.Second, QuotaExcess: 0.1, QuotaMargin: 20, Floor: 0.5}
 
 // Options select a run.
 type Options struct {
@@ -52,10 +52,13 @@
 	Fleet    *fleet.Fleet
 	Entry    *fleet.Entry
 	random   *rand.Rand
-	// rival sends configurations that conflict with those of operator.
-	operator, rival *operator.Operator
-	nextAttemptID   func() string
-	store           *engine.Store
+	// rival sends configurations that conflict with those of operator, tenantOperator changes tenants only.
+	operator, rival, tenantOperator *operator.Operator
+	nextAttemptID                   func() string
+	store                           *engine.Store
+
+	// changing is held while a configuration is changed on the newest one, so that changes only conflict where they mean to.
+	changing sync.Mutex
 
 	mutex     sync.Mutex
 	engines   []*engine.Engine
@@ -64,6 +67,8 @@
 	current *protocol.Config
 	// addedPaths and removedPaths are of routes that were added to, or removed from, the first configuration.
 	addedPaths, removedPaths []string
+	// revoked are the keys that were taken away, in order.
+	revoked []tenantKey
 	// modelOffset shifts which models are requested most, loadFactor multiplies the rate of requests.
 	modelOffset  int
 	loadFactor   float64
@@ -96,6 +101,7 @@
 	traffic, stopTraffic := context.WithCancel(ctx)
 	defer stopTraffic()
 	r.startTraffic(traffic)
+	r.startOpenTraffic(traffic)
 	r.pause(ctx, 4*time.Second)
 	for _, planned := range plan {
 		r.Say("%s", planned.name)
@@ -126,12 +132,16 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if len(options.Faults) == 0 && r.hasTenants() {
+		plan = withTenantFaults(plan, rand.New(rand.NewPCG(options.Seed, 11)))
+	}
 	if r.Fleet, err = fleet.New(fleet.Plan{Environment: environment(options.Ranking, plan), Program: options.Program, OtherProgram: options.OtherProgram, Folder: options.Folder, Zones: zones, Cores: 3, Edges: 3, Bounds: Bounds, CatchUp: catchUp,
-		HeartbeatPeriod: 1200 * ms, Staleness: 3 * time.Second, Recorder: r.Recorder}); err != nil {
+		HeartbeatPeriod: 1200 * ms, Staleness: 3 * time.Second, Tenants: r.hasTenants(), Recorder: r.Recorder}); err != nil {
 		return nil, nil, err
 	}
 	r.Entry = fleet.NewEntry(r.Fleet, time.Second)
 	r.operator, r.rival = operator.New("one", options.Seed, r.Recorder, r.Fleet.Controls), operator.New("two", options.Seed+1, r.Recorder, r.Fleet.Controls)
+	r.tenantOperator = operator.New("three", options.Seed+2, r.Recorder, r.Fleet.Controls)
 	return r, plan, nil
 }
 
@@ -196,6 +206,9 @@
 	first, cancel := context.WithTimeout(ctx, waitTimeout)
 	defer cancel()
 	config := firstConfig()
+	if r.hasTenants() {
+		config = withTenants(config)
+	}
 	if change := r.operator.Put(first, 0, config, ""); change.Outcome != history.Acknowledged {
 		return fmt.Errorf("the first configuration was not accepted: status %d", change.Status)
 	}
--- a/testbed/platformtest/scenario/traffic.go
+++ b/testbed/platformtest/scenario/traffic.go
@@ -96,10 +96,16 @@
 			request.Prompt.Adapter = fmt.Sprintf("a%d", 1+random.IntN(2))
 		}
 	}
+	r.identify(request, number, random)
+	r.dispatch(request, number%3 != 0)
+}
+
+// dispatch sends a request from a client of its zone; keeps says whether the client keeps its connection.
+func (r *Run) dispatch(request *client.Request, keeps bool) {
 	r.sending.Add(1)
 	go func() {
 		defer r.sending.Done()
-		c := r.takeClient(request.Zone, number%3 != 0)
+		c := r.takeClient(request.Zone, keeps)
 		// A request that was sent is completed even when the traffic stops.
 		c.Do(context.Background(), request)
 		r.returnClient(request.Zone, c)
@@ -134,6 +140,18 @@
 
 // probe sends a request directly to each eligible router, on a path that shows the configuration in force.
 func (r *Run) probe(path string, absent bool) {
+	credential := tenantKey{}
+	if r.hasTenants() {
+		credential = r.currentKey(unlimitedTenant)
+	}
+	r.probeAs(credential, path, absent)
+}
+
+// probeKey does so with a key that was taken away.
+func (r *Run) probeKey(removed tenantKey) { r.probeAs(removed, "/note/", true) }
+
+// probeAs does so with a key.
+func (r *Run) probeAs(credential tenantKey, path string, absent bool) {
 	for _, m := range r.Fleet.OfClass(fleet.Edge) {
 		if !r.Entry.Eligible(m) {
 			continue
@@ -143,7 +161,7 @@
 		id := fmt.Sprintf("p%d", r.requestCount)
 		r.mutex.Unlock()
 		c := &client.Client{Recorder: r.Recorder, NextAttemptID: r.nextAttemptID}
-		request := &client.Request{ID: id, Kind: "probe", Host: host, Method: http.MethodPost, URI: path + "probe", Class: protocol.Idempotent, Deadline: 2 * time.Second, MaxAttempts: 1, Probe: true, Absent: absent,
+		request := &client.Request{ID: id, Kind: "probe", Host: host, Method: http.MethodPost, URI: path + "probe", Class: protocol.Idempotent, Deadline: 2 * time.Second, MaxAttempts: 1, Key: credential.key, Tenant: credential.tenant, Probe: true, Absent: absent,
 			Only: &client.Daemon{Name: m.Name, Address: m.Front()}}
 		r.sending.Add(1)
 		go func() { defer r.sending.Done(); c.Do(context.Background(), request) }()
