daemon/tenantquota: a leader's log lines cost nothing by tenant

Evidence: TestReservationsInLogAreThoseOfTheCore compares with Status for daemons that are lost, replaced and back.

--- a/daemon/tenantquota/allotter.go
+++ b/daemon/tenantquota/allotter.go
@@ -73,12 +73,12 @@
 	if err != nil {
 		return reply, err
 	}
-	a.noteCall(leadership, request, now)
+	a.noteCall(leadership, request, reply, now)
 	return reply, nil
 }
 
 // noteCall counts a call that was answered, and logs what it changed.
-func (a *Allotter) noteCall(leadership Leadership, request quota.Request, now clock.Mark) {
+func (a *Allotter) noteCall(leadership Leadership, request quota.Request, reply quota.Reply, now clock.Mark) {
 	credit := uint64(0)
 	if request.Term == a.term {
 		// What was sent on credit in an earlier term is not charged.
@@ -88,7 +88,7 @@
 	a.counts.CreditReported += credit
 	a.changes.begin(leadership)
 	a.changes.noteCredit(request.Daemon, credit, now)
-	a.changes.noteContact(request.Daemon, now, func() []quota.TenantBucket { return a.allocator.Status(now) })
+	a.changes.noteContact(request.Daemon, reply, now)
 }
 
 // creditOf is how many requests a daemon reports to have sent on credit.
--- a/daemon/tenantquota/changelog_test.go
+++ b/daemon/tenantquota/changelog_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -147,13 +148,54 @@
 	if got := messages(l.handler); !slices.Equal(got, []string{beginsAllotting, beginsReservation, endsReservation}) {
 		t.Fatalf("%q", got)
 	}
-	for _, entry := range l.handler.Entries[1:] {
+	for _, entry := range l.handler.Entries[1:3] {
 		if named := fmt.Sprint(entry.Fields.Get("daemons")); named != "[lost#1]" || entry.Fields.Get("count") != 1 {
 			t.Errorf("%v", entry.Fields)
 		}
 	}
 }
 
+// reservedDaemons are the daemons out of contact for which the core reserves tokens.
+func (l *leading) reservedDaemons(elapsed time.Duration) map[ident.NodeID]bool {
+	reserved := map[ident.NodeID]bool{}
+	for _, bucket := range l.allotter.Status(at(elapsed)) {
+		for _, allowance := range bucket.Daemons {
+			if allowance.Overdue && allowance.StandingRate > 0 {
+				reserved[allowance.Daemon] = true
+			}
+		}
+	}
+	return reserved
+}
+
+// Guards against lines that say another thing than the core does: for daemons that are lost, replaced or back.
+func TestReservationsInLogAreThoseOfTheCore(t *testing.T) {
+	l := newLeading(t)
+	serving := quota.Claim{Tenant: "acme", Waiting: 1, RatePerSecond: 5}
+	for _, daemon := range []ident.NodeID{"lost#1", "replaced#1", "back#1"} {
+		l.call(daemon, 0, serving)
+	}
+	seen := map[int]int{}
+	for second := range 20 {
+		elapsed := time.Duration(second) * time.Second
+		switch second {
+		case 4:
+			l.call("replaced#2", elapsed-time.Millisecond, serving)
+		case 7:
+			l.call("back#1", elapsed-time.Millisecond, serving)
+		}
+		l.call("edge#1", elapsed, serving)
+		core := l.reservedDaemons(elapsed)
+		if !maps.Equal(core, l.allotter.changes.reserved) {
+			t.Errorf("after %d s the core reserves for %v, the log says %v", second, core, l.allotter.changes.reserved)
+		}
+		seen[len(core)]++
+	}
+	if seen[0] == 0 || seen[3] == 0 {
+		t.Errorf("the sequence shows too little: %v", seen)
+	}
+}
+
 // Guards against a line that names a whole fleet.
 func TestLogLineNamesFewDaemonsAndCountsAll(t *testing.T) {
 	l := newLeading(t)
--- a/daemon/tenantquota/leaderlog.go
+++ b/daemon/tenantquota/leaderlog.go
@@ -14,8 +14,9 @@
 const (
 	// contactCheckInterval is the shortest time between two searches for daemons out of contact.
 	contactCheckInterval = time.Second
-	// contactForgottenAfter is when a daemon that makes no calls is no longer looked at: its credit has ended by then.
-	contactForgottenAfter = 30 * time.Second
+	// standingPeriod is how long a standing rate lasts from the reply that gave it, in package quota. The allocator's
+	// Status tells the same, and costs time with each tenant.
+	standingPeriod = 12 * time.Second
 	// maxNamedDaemons bounds the daemons that one log line names.
 	maxNamedDaemons = 10
 )
@@ -29,17 +30,30 @@
 	credit        uint64
 	creditDaemons map[ident.NodeID]bool
 	creditAt      clock.Mark
-	// contacts are the last calls of daemons, reserved the daemons for which tokens are reserved.
-	contacts  map[ident.NodeID]clock.Mark
+	// contacts are the daemons with a standing rate, reserved those of them for which tokens are reserved.
+	contacts  map[ident.NodeID]contact
 	reserved  map[ident.NodeID]bool
 	checkedAt clock.Mark
 }
 
+// contact is when a daemon made its last call, and until when it may send on credit.
+type contact struct {
+	last, standingUntil clock.Mark
+}
+
+// ended reports whether the daemon may no longer send on credit.
+func (c contact) ended(now clock.Mark) bool { return now >= c.standingUntil }
+
+// overdue reports whether the leader reserves tokens for the daemon.
+func (c contact) overdue(now clock.Mark) bool {
+	return now.Since(c.last) > quota.ContactTimeout && !c.ended(now)
+}
+
 func newLeaderLog(logger log.Interface) leaderLog {
 	return leaderLog{
 		log:           logger,
 		creditDaemons: map[ident.NodeID]bool{},
-		contacts:      map[ident.NodeID]clock.Mark{},
+		contacts:      map[ident.NodeID]contact{},
 		reserved:      map[ident.NodeID]bool{},
 	}
 }
@@ -75,18 +89,14 @@
 	clear(l.creditDaemons)
 }
 
-// noteContact logs for which daemons out of contact tokens begin or end to be reserved. status is called only if a daemon
-// may be one of them.
-func (l *leaderLog) noteContact(daemon ident.NodeID, now clock.Mark, status func() []quota.TenantBucket) {
-	l.contacts[daemon] = now
+// noteContact logs for which daemons out of contact tokens begin or end to be reserved.
+func (l *leaderLog) noteContact(daemon ident.NodeID, reply quota.Reply, now clock.Mark) {
+	l.renewContact(daemon, reply, now)
 	if l.checkedAt != 0 && now.Since(l.checkedAt) < contactCheckInterval {
 		return
 	}
 	l.checkedAt = now
-	if !l.anyOverdue(now) && len(l.reserved) == 0 {
-		return
-	}
-	reserved := reservedDaemons(status())
+	reserved := l.overdueDaemons(now)
 	if begun := without(reserved, l.reserved); len(begun) > 0 {
 		l.of(begun).Warn("quota: tokens are reserved for daemons out of contact")
 	}
@@ -96,14 +106,40 @@
 	l.reserved = reserved
 }
 
-// anyOverdue reports whether a daemon has made no call for longer than it may, and forgets those that ended long ago.
-func (l *leaderLog) anyOverdue(now clock.Mark) bool {
-	overdue := false
-	for daemon, last := range l.contacts {
-		if now.Since(last) > contactForgottenAfter {
+// renewContact notes a call of a daemon, and whether its reply gave a standing rate.
+func (l *leaderLog) renewContact(daemon ident.NodeID, reply quota.Reply, now clock.Mark) {
+	renewed, known := l.contacts[daemon]
+	if !known {
+		l.retireEarlier(daemon)
+	}
+	renewed.last = now
+	for _, allotment := range reply.Allotments {
+		if allotment.StandingRate > 0 {
+			renewed.standingUntil = now + clock.Mark(standingPeriod)
+		}
+	}
+	l.contacts[daemon] = renewed
+}
+
+// retireEarlier forgets the incarnations that a daemon replaces.
+func (l *leaderLog) retireEarlier(daemon ident.NodeID) {
+	for other := range l.contacts {
+		if other.Name() == daemon.Name() {
+			delete(l.contacts, other)
+		}
+	}
+}
+
+// overdueDaemons returns the daemons for which tokens are reserved, and forgets those that may no longer send on credit.
+func (l *leaderLog) overdueDaemons(now clock.Mark) map[ident.NodeID]bool {
+	overdue := map[ident.NodeID]bool{}
+	for daemon, contact := range l.contacts {
+		if contact.ended(now) {
 			delete(l.contacts, daemon)
 		}
-		overdue = overdue || now.Since(last) > quota.ContactTimeout
+		if contact.overdue(now) {
+			overdue[daemon] = true
+		}
 	}
 	return overdue
 }
@@ -116,19 +152,6 @@
 	})
 }
 
-// reservedDaemons returns the daemons out of contact that may still spend on credit.
-func reservedDaemons(buckets []quota.TenantBucket) map[ident.NodeID]bool {
-	reserved := map[ident.NodeID]bool{}
-	for _, bucket := range buckets {
-		for _, allowance := range bucket.Daemons {
-			if allowance.Overdue && allowance.StandingRate > 0 {
-				reserved[allowance.Daemon] = true
-			}
-		}
-	}
-	return reserved
-}
-
 // without returns what is in one set and not in the other, sorted.
 func without(some, others map[ident.NodeID]bool) []ident.NodeID {
 	var left []ident.NodeID
