testbed/endtoend: the search for keys covers sign-off and encoded bundles

A proposal holds its bundle as bytes, which pages encode in base64, so a key in it was not found as text. The answers to propose, review, sign and roll are searched too. The pages that give a bundle back must each show a key, so that the search is known to work on all of their forms.

Evidence: TestKeysAppearInNoOutputOfADaemon under the race detector.

--- a/testbed/endtoend/tenants_test.go
+++ b/testbed/endtoend/tenants_test.go
@@ -1,6 +1,7 @@
 package endtoend
 
 import (
+	"encoding/base64"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/cresspond/cresspond/configuration/document"
 	"github.com/cresspond/cresspond/configuration/upstream"
 	"github.com/cresspond/cresspond/daemon"
+	"github.com/cresspond/cresspond/ident"
 	"github.com/cresspond/cresspond/process/daemonconfig"
 	"github.com/cresspond/cresspond/testbed/engine"
 	"github.com/cresspond/cresspond/wire/dialect"
@@ -99,6 +101,36 @@
 	}
 }
 
+// signOff takes a bundle with other keys through its stages.
+func (o outputs) signOff(b *bench, base uint64) {
+	b.t.Helper()
+	next := tenantBundle()
+	next.Forward.Revision, next.Forward.Tenants = 9, next.Forward.Tenants[:1]
+	body, err := operatorapi.Propose{ProposalID: "next", Base: ident.Version(base), Operator: "ana", Configuration: encode(b.t, next)}.Encode()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	_, o["proposed"] = b.rawUntilClear(operatorapi.PathPropose, string(body))
+	for _, step := range []struct{ path, operator string }{{operatorapi.PathReview, "berta"}, {operatorapi.PathSign, "chen"}, {operatorapi.PathRoll, "ana"}} {
+		action := encode(b.t, operatorapi.ProposalAction{ProposalID: "next", Operator: step.operator})
+		status, answer := b.rawUntilClear(step.path, string(action))
+		if status != http.StatusOK {
+			b.t.Errorf("%s: %d %s", step.path, status, answer)
+		}
+		o["answer of "+step.path] = answer
+	}
+}
+
+// rawUntilClear makes an operator's call until its outcome is known.
+func (b *bench) rawUntilClear(path, body string) (status int, answer string) {
+	b.t.Helper()
+	b.await("there is a clear answer at "+path, func() bool {
+		status, answer = b.raw("POST", path, body)
+		return status != http.StatusServiceUnavailable && status != http.StatusAccepted && status != 0
+	})
+	return status, answer
+}
+
 // raw makes one call of an operator, and gives the whole answer.
 func (b *bench) raw(method, path, body string) (int, string) {
 	b.t.Helper()
@@ -161,12 +193,22 @@
 	}
 }
 
+// formsOf gives a key as it is, and as it looks within bytes that a page encodes.
+func formsOf(key string) []string {
+	forms := []string{key}
+	for shift := range 3 {
+		encoded := base64.StdEncoding.EncodeToString([]byte("xyz"[:shift] + key))
+		forms = append(forms, encoded[4:len(encoded)-4])
+	}
+	return forms
+}
+
 // search gives the outputs that hold a key.
 func (o outputs) search() []string {
 	var found []string
 	for name, text := range o {
 		for _, key := range []string{acmeKey, otherKey, wrongKey} {
-			if strings.Contains(text, key) {
+			if slices.ContainsFunc(formsOf(key), func(form string) bool { return strings.Contains(text, form) }) {
 				found = append(found, fmt.Sprintf("%s: %s", name, text))
 			}
 		}
@@ -212,6 +254,7 @@
 	}
 	b.await("the key is withdrawn", func() bool { status, _ := b.askAs(acmeKey, "late"); return status == http.StatusUnauthorized })
 	_, seen["a withdrawn key"] = b.askAs(acmeKey, "late")
+	seen.signOff(b, 2)
 	seen.readPages(b, metricsAddress)
 	seen.readLog(b.logs)
 	if found := seen.search(); len(found) > 0 {
@@ -220,7 +263,8 @@
 	readBack := outputs{}
 	_, readBack["bundle"] = b.raw("GET", operatorapi.PathBundle, "")
 	_, readBack["spec"] = b.raw("GET", operatorapi.PathConfiguration, "")
-	if found := readBack.search(); len(found) < 2 {
+	_, readBack["proposal"] = b.raw("GET", operatorapi.PathProposal+"?id=next", "")
+	if found := readBack.search(); len(found) < len(readBack) {
 		t.Errorf("the search does not find the keys of a bundle that is read back: %q", readBack)
 	}
 }
