daemon, tenantquota: neighbours lend tokens while the leader is out of reach

The lender spends its own credit and settles it with the leader.

No run of whole daemons shows it yet.

--- a/daemon/quota.go
+++ b/daemon/quota.go
@@ -29,6 +29,13 @@
 // before it has ended.
 const leaderLease = 500 * time.Millisecond
 
+const (
+	// neighbourContactWindow is how recent the last contact must be for a daemon to be asked for a loan.
+	neighbourContactWindow = 3 * time.Second
+	// maxLoan is the most tokens that one loan is of.
+	maxLoan = 64
+)
+
 // quotaSettings returns how far the fleet may exceed a tenant's limit.
 func quotaSettings(bounds daemonconfig.Bounds) quota.Settings {
 	return quota.Settings{
@@ -44,7 +51,11 @@
 		Clock:  d.clock,
 		Ask:    d.askForTokens,
 		Leader: d.quotaLeader,
-		Log:    d.log,
+		Neighbours: tenantquota.Neighbours{
+			Addresses: d.quotaNeighbours,
+			Borrow:    d.borrowTokens,
+		},
+		Log: d.log,
 	})
 }
 
@@ -115,6 +126,43 @@
 	return decodeQuotaReply(reply), nil
 }
 
+// quotaNeighbours returns the addresses of the routing daemons of this zone that are in contact.
+func (d *Daemon) quotaNeighbours() []string {
+	var addresses []string
+	for _, peer := range d.members.View().InContact(d.clock.Elapsed(), neighbourContactWindow) {
+		if peer.Zone == d.config.Zone && peer.NodeID != d.nodeID && peer.Serves(string(daemonconfig.Route)) {
+			addresses = append(addresses, peer.Address)
+		}
+	}
+	return addresses
+}
+
+// borrowTokens asks one neighbour for tokens.
+func (d *Daemon) borrowTokens(ctx context.Context, address string, request quota.LoanRequest) (int, error) {
+	reply, err := d.links.Client(address).Lend(ctx, &peerapi.LendRequest{
+		Group:  string(d.Group()),
+		Tenant: request.Tenant,
+		Count:  int64(request.Count),
+	})
+	if err != nil {
+		return 0, eris.Wrapf(err, "tokens could not be borrowed at %s", address)
+	}
+	return int(reply.Count), nil
+}
+
+// Lend lends tokens to a neighbour that reaches no leader. It is part of the peer protocol.
+func (d *Daemon) Lend(_ context.Context, in *peerapi.LendRequest) (*peerapi.LendReply, error) {
+	if err := d.checkGroup(in.Group); err != nil {
+		return nil, err
+	}
+	limit, limited := limitOf(d.forwardIndex(), in.Tenant)
+	if d.quotaLimiter == nil || !limited || in.Count <= 0 {
+		return &peerapi.LendReply{}, nil
+	}
+	request := quota.LoanRequest{Tenant: in.Tenant, Count: int(min(in.Count, maxLoan))}
+	return &peerapi.LendReply{Count: int64(d.quotaLimiter.Lend(request, limit))}, nil
+}
+
 // Quota allots tokens, if this daemon leads. It is part of the peer protocol.
 func (d *Daemon) Quota(_ context.Context, in *peerapi.QuotaRequest) (*peerapi.QuotaReply, error) {
 	if err := d.checkGroup(in.Group); err != nil {
--- a/daemon/tenantquota/limiter.go
+++ b/daemon/tenantquota/limiter.go
@@ -38,6 +38,8 @@
 	Ask func(context.Context, quota.Request) (quota.Reply, error)
 	// Leader gives what is known of the leader now.
 	Leader func() Leader
+	// Neighbours are asked for loans while no leader answers.
+	Neighbours Neighbours
 	// Log takes the changes of state.
 	Log log.Interface
 }
@@ -50,9 +52,11 @@
 	waiters map[quota.WaiterID]chan quota.Decision
 	// wakeAt is when the timer that was set last wakes the actor.
 	wakeAt clock.Mark
-	ctx    context.Context
-	counts counter
-	credit creditLog
+	// addresses are the neighbours as of the last call that the leader did not answer.
+	addresses []string
+	ctx       context.Context
+	counts    counter
+	credit    creditLog
 }
 
 // NewLimiter makes the limiter of one incarnation of a daemon.
@@ -115,6 +119,7 @@
 // proceed calls the leader if there is something to ask or to report, or sets a timer for when there will be.
 func (l *Limiter) proceed() {
 	now := l.Clock.Elapsed()
+	l.borrow(now)
 	if request, due := l.core.NextRequest(now); due {
 		go l.ask(request)
 		return
@@ -156,6 +161,7 @@
 	l.counts.calls++
 	if err != nil {
 		l.counts.unanswered++
+		l.observeNeighbours()
 		l.resolve(l.core.Unanswered(now))
 	} else {
 		l.counts.countTokens(reply)
