gateway: a request that waited for its tenant's token is checked after that

What callers saw: a request whose token had lapsed in the queue took a new one as the last part of the last check. That may wait for the leader. A key withdrawn, an engine gone, an operator's closure or a deadline passed meanwhile did not stop the request: it ran with a withdrawn key, or at an engine that had left, and bore the time left before the wait.

Cause: the wait stood behind the checks and behind the header. Evidence: TestKeyThatIsWithdrawnWhileTokenIsAwaitedIsNotSent got 200 and TestEngineThatLeavesWhileTokenIsAwaitedGetsNothing saw one request at the engine before.

The token is now taken before the header is written; the last check only looks whether it is still valid, and waits for nothing.

--- a/connection/gateway/exchange.go
+++ b/connection/gateway/exchange.go
@@ -127,8 +127,11 @@
 	return result
 }
 
-// prepareHeader writes the attempt's own header fields, as late as possible, since the time left is among them.
+// prepareHeader writes the attempt's own header fields, as late as possible, since the time left is among them. Waiting
+// for a token of the tenant's limit comes before that and before the last check, so that both see what is in force
+// after it.
 func (f *exchange) prepareHeader() {
+	f.overQuota = !f.mayHaveRun && !f.takeQuota()
 	index := f.Index()
 	f.tenant, _ = f.tenantInForce()
 	f.Dialect.Dress(&f.header, dialect.Dress{
@@ -166,9 +169,10 @@
 		reason = "the worker id has lapsed"
 	case !allowed || tenant != f.tenant:
 		reason = "the key is another tenant's, or nobody's any more"
-	case !f.mayHaveRun && !f.takeQuota():
-		f.overQuota = true
+	case f.overQuota:
 		reason = "the tenant's limit no longer allows the request"
+	case !f.mayHaveRun && f.TakeQuota != nil && f.isLimited(tenant) && !f.holdsToken(tenant):
+		reason = "the token of the tenant's limit has lapsed"
 	}
 	if reason != "" {
 		f.Counters.Withheld.Add(1)
--- a/connection/gateway/tenant.go
+++ b/connection/gateway/tenant.go
@@ -42,7 +42,7 @@
 	if f.TakeQuota == nil || !allowed || !f.isLimited(tenant) {
 		return true
 	}
-	if f.token.tenant == tenant && f.Clock.Elapsed() < f.token.validUntil {
+	if f.holdsToken(tenant) {
 		return true
 	}
 	decision := f.TakeQuota(tenant)
@@ -54,6 +54,11 @@
 	return true
 }
 
+// holdsToken reports whether a token of the tenant's limit was taken and is still valid.
+func (f *exchange) holdsToken(tenant string) bool {
+	return f.token.tenant == tenant && f.Clock.Elapsed() < f.token.validUntil
+}
+
 // isLimited reports whether the routing table in force limits a tenant.
 func (f *exchange) isLimited(name string) bool {
 	tenant, known := f.Index().Tenant(name)
--- a/connection/gateway/tenant_test.go
+++ b/connection/gateway/tenant_test.go
@@ -138,3 +138,47 @@
 		t.Errorf("%d requests reached the engine", len(came))
 	}
 }
+
+// Guards against a withdrawn key that serves a request which waited for its tenant's token.
+func TestKeyThatIsWithdrawnWhileTokenIsAwaitedIsNotSent(t *testing.T) {
+	engine := answering(t)
+	f := newFixture(t, engine)
+	f.withTenants(false, upstream.Tenant{Name: "acme", Keys: []string{"k1"}, RatePerSecond: 1})
+	asked := 0
+	f.gateway.TakeQuota = func(string) QuotaDecision {
+		asked++
+		if asked == 1 {
+			// This one lapses while the request is queued.
+			return QuotaDecision{Granted: true}
+		}
+		f.withTenants(false, upstream.Tenant{Name: "acme", Keys: []string{"k2"}, RatePerSecond: 1})
+		return QuotaDecision{Granted: true, ValidUntil: f.gateway.Clock.Elapsed() + clock.Mark(time.Hour)}
+	}
+	if got := f.call(ask("once", "a1", "ping", "Authorization: Bearer k1")); got.status != http.StatusUnauthorized {
+		t.Errorf("%+v", got)
+	}
+	if came := engine.arrivals(); len(came) > 0 {
+		t.Errorf("%d requests reached the engine", len(came))
+	}
+}
+
+// Guards against a request that is sent after its deadline, or after its engine left, as it waited for its tenant's token
+// behind these checks.
+func TestEngineThatLeavesWhileTokenIsAwaitedGetsNothing(t *testing.T) {
+	engine := answering(t)
+	f := newFixture(t, engine)
+	f.withTenants(false, upstream.Tenant{Name: "acme", Keys: []string{"k1"}, RatePerSecond: 1})
+	asked := 0
+	f.gateway.TakeQuota = func(string) QuotaDecision {
+		asked++
+		if asked == 1 {
+			return QuotaDecision{Granted: true}
+		}
+		f.engines()
+		return QuotaDecision{Granted: true, ValidUntil: f.gateway.Clock.Elapsed() + clock.Mark(time.Hour)}
+	}
+	f.call(ask("once", "a1", "ping", "Authorization: Bearer k1", "Cresspond-Deadline-Ms: 300"))
+	if came := engine.arrivals(); len(came) > 0 {
+		t.Errorf("%d requests reached the engine", len(came))
+	}
+}
