gateway: a request's tenant is told by one reading of the routing table

A process would end if the table of a limited tenant were withdrawn between two readings.

Cause: the header, the last check and the limit each read the table in force two or three times.

Now each step reads the table once, and the last check compares all that the header was written by. Where there are no tenants no path is looked up for them, as before there were any.

--- a/connection/gateway/exchange.go
+++ b/connection/gateway/exchange.go
@@ -26,9 +26,9 @@
 	body        []byte
 	attempt     *forwarding.Attempt
 	measurement attemptMeasurement
-	// tenant is the tenant named to the engine; token is the one taken of its limit.
-	tenant string
-	token  quotaToken
+	// tenancy is what the header of the attempt was written by; token is the one taken of the tenant's limit.
+	tenancy tenancy
+	token   quotaToken
 	// mayHaveRun reports that the request is counted for its tenant's limit already; overQuota that the attempt was withheld
 	// because that limit no longer allows it.
 	mayHaveRun, overQuota bool
@@ -131,12 +131,11 @@
 // for a token of the tenant's limit comes before that and before the last check, so that both see what is in force
 // after it.
 func (f *exchange) prepareHeader() {
-	f.overQuota = !f.mayHaveRun && !f.takeQuota()
-	index := f.Index()
-	f.tenant, _ = f.tenantInForce()
+	f.overQuota = !f.takeQuota()
+	f.tenancy = f.tenancyBy(f.Index())
 	f.Dialect.Dress(&f.header, dialect.Dress{
 		Engine: string(f.attempt.Engine), Left: f.request.Deadline.Since(f.Clock.Elapsed()), Urgency: f.attempt.Urgency, LastEvent: f.attempt.LastEvent, Resumes: f.attempt.Resume,
-		HideKey: index != nil && index.HasTenants(), Tenant: f.tenant,
+		HideKey: f.tenancy.hidesKey, Tenant: f.tenancy.tenant,
 	})
 }
 
@@ -153,9 +152,10 @@
 func (f *exchange) checkBeforeSend() string {
 	reason := ""
 	engine := f.View().Engines[f.attempt.Engine]
-	tenant, allowed := f.tenantInForce()
+	index := f.Index()
+	tenancy := f.tenancyBy(index)
 	switch {
-	case !forwarding.RoutesTo(f.Index(), f.request.Host, f.request.URLPath, f.attempt.Pool):
+	case !forwarding.RoutesTo(index, f.request.Host, f.request.URLPath, f.attempt.Pool):
 		reason = "the table in force no longer leads there"
 	case engine == nil || engine.Address != f.attempt.Address || engine.Pool != f.attempt.Pool || !engine.Usable():
 		reason = "the engine is leaving or gone"
@@ -167,11 +167,11 @@
 		reason = "the caller has left"
 	case f.attempt.NeedsWorkerID && !f.HasWorkerID():
 		reason = "the worker id has lapsed"
-	case !allowed || tenant != f.tenant:
+	case !tenancy.allowed || tenancy.tenant != f.tenancy.tenant || tenancy.hidesKey != f.tenancy.hidesKey:
 		reason = "the key is another tenant's, or nobody's any more"
 	case f.overQuota:
 		reason = "the tenant's limit no longer allows the request"
-	case !f.mayHaveRun && f.TakeQuota != nil && f.isLimited(tenant) && !f.holdsToken(tenant):
+	case f.needsToken(tenancy):
 		reason = "the token of the tenant's limit has lapsed"
 	}
 	if reason != "" {
--- a/connection/gateway/tenant.go
+++ b/connection/gateway/tenant.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cresspond/cresspond/clock"
+	"github.com/cresspond/cresspond/configuration/upstream"
 	"github.com/cresspond/cresspond/request/forwarding"
 )
 
@@ -21,46 +22,53 @@
 	validUntil clock.Mark
 }
 
-// tenantInForce gives the tenant whose key the request bears, by the routing table in force; false where the request may
-// not be sent under that table.
-func (f *exchange) tenantInForce() (name string, allowed bool) {
-	index := f.Index()
+// tenancy is whose request it is by one routing table, and what an engine is told of that.
+type tenancy struct {
+	// tenant is the name of the tenant whose key the request bears; empty is nobody's.
+	tenant string
+	// allowed reports that the table lets the request be sent, limited that the tenant's limit counts it, and hidesKey
+	// that the engine gets the tenant's name in place of the key.
+	allowed, limited, hidesKey bool
+}
+
+// tenancyBy gives the request's tenancy by a routing table, which its callers read once: the next read may find another
+// one.
+func (f *exchange) tenancyBy(index *upstream.Index) tenancy {
 	if index == nil {
-		return "", false
+		return tenancy{}
+	}
+	if !index.HasTenants() {
+		return tenancy{allowed: true}
 	}
 	path, found := index.Lookup(f.request.Host, f.request.URLPath)
 	if !found {
-		return "", false
+		return tenancy{hidesKey: true}
 	}
-	return forwarding.TenantName(index, path, f.request.Attributes.Key)
+	name, allowed := forwarding.TenantName(index, path, f.request.Attributes.Key)
+	tenant, _ := index.Tenant(name)
+	return tenancy{tenant: name, allowed: allowed, limited: tenant.Limited(), hidesKey: true}
 }
 
 // takeQuota takes a token for a limited tenant's request, or notes when there may be one. It reports whether the request
 // may be sent. A token taken before counts for as long as it is valid.
 func (f *exchange) takeQuota() bool {
-	tenant, allowed := f.tenantInForce()
-	if f.TakeQuota == nil || !allowed || !f.isLimited(tenant) {
-		return true
-	}
-	if f.holdsToken(tenant) {
+	tenancy := f.tenancyBy(f.Index())
+	if !f.needsToken(tenancy) {
 		return true
 	}
-	decision := f.TakeQuota(tenant)
+	decision := f.TakeQuota(tenancy.tenant)
 	if !decision.Granted {
 		f.request.QuotaRetryAfter = max(decision.RetryAfter, time.Millisecond)
 		return false
 	}
-	f.token = quotaToken{tenant: tenant, validUntil: decision.ValidUntil}
+	f.token = quotaToken{tenant: tenancy.tenant, validUntil: decision.ValidUntil}
 	return true
 }
 
-// holdsToken reports whether a token of the tenant's limit was taken and is still valid.
-func (f *exchange) holdsToken(tenant string) bool {
-	return f.token.tenant == tenant && f.Clock.Elapsed() < f.token.validUntil
-}
-
-// isLimited reports whether the routing table in force limits a tenant.
-func (f *exchange) isLimited(name string) bool {
-	tenant, known := f.Index().Tenant(name)
-	return known && tenant.Limited()
+// needsToken reports whether the request can't be sent without another token of its tenant's limit.
+func (f *exchange) needsToken(tenancy tenancy) bool {
+	if f.TakeQuota == nil || !tenancy.limited || f.mayHaveRun {
+		return false
+	}
+	return f.token.tenant != tenancy.tenant || f.Clock.Elapsed() >= f.token.validUntil
 }
--- a/connection/gateway/tenant_test.go
+++ b/connection/gateway/tenant_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -182,3 +183,56 @@
 		t.Errorf("%d requests reached the engine", len(came))
 	}
 }
+
+// switchedIndex gives one routing table for a number of calls and another from then on.
+type switchedIndex struct {
+	before, after *upstream.Index
+	left          atomic.Int64
+	switched      atomic.Bool
+}
+
+func (s *switchedIndex) load() *upstream.Index {
+	if s.left.Add(-1) >= 0 {
+		return s.before
+	}
+	s.switched.Store(true)
+	return s.after
+}
+
+// Guards against a client's key that reaches an engine, since the first tenants come in force while a request's header is
+// written.
+func TestKeyIsWithheldWhenTenantsComeInForceBetweenAnyTwoSteps(t *testing.T) {
+	for calls := range 20 {
+		engine := answering(t)
+		f := newFixture(t, engine)
+		index := &switchedIndex{before: f.index.Load()}
+		f.withTenants(true, upstream.Tenant{Name: "acme", Keys: []string{"k1"}})
+		index.after = f.index.Load()
+		index.left.Store(int64(calls))
+		f.gateway.Index = index.load
+		if got := f.call(ask("again", "a1", "ping", "Authorization: Bearer k1", "Cresspond-Tenant: mine")); got.status != http.StatusOK {
+			t.Errorf("after %d look-ups: %+v", calls, got)
+		}
+		header := engine.arrivals()[0].request.Header
+		if index.switched.Load() && (header.Get("Authorization") != "" || header.Get("Cresspond-Tenant") != "acme") {
+			t.Errorf("after %d look-ups: credentials %q, tenant %q", calls, header.Get("Authorization"), header.Get("Cresspond-Tenant"))
+		}
+	}
+}
+
+// Guards against a process that ends, since the routing table of a limited tenant is withdrawn while a request is read.
+func TestTableThatIsWithdrawnBetweenAnyTwoStepsEndsNoProcess(t *testing.T) {
+	for calls := range 20 {
+		f := newFixture(t, answering(t))
+		f.withTenants(false, upstream.Tenant{Name: "acme", Keys: []string{"k1"}, RatePerSecond: 1})
+		index := &switchedIndex{before: f.index.Load()}
+		index.left.Store(int64(calls))
+		f.gateway.Index = index.load
+		f.gateway.TakeQuota = func(string) QuotaDecision {
+			return QuotaDecision{Granted: true, ValidUntil: f.gateway.Clock.Elapsed() + clock.Mark(time.Hour)}
+		}
+		if got := f.call(ask("once", "a1", "ping", "Authorization: Bearer k1")); got.err != nil {
+			t.Errorf("after %d look-ups: %+v", calls, got)
+		}
+	}
+}
