daemon, tenantquota: a new leader waits for no daemon that can't send on credit

Cause: a new leader reserves seven tenths of each rate for daemons that may go on by the standing rates of its predecessor, until they have reported, 12 s at most. Among them were the control machines, which route nothing and never report, and routing daemons without traffic, which reported only with their next request.

Now the leader counts only daemons that may route, and each routing daemon looks for a new leader every 0.4 s and reports to it. TestIdleDaemonReportsToNewLeader got no report in 10 s before.

--- a/daemon/membernotices.go
+++ b/daemon/membernotices.go
@@ -12,7 +12,7 @@
 // memberStatusChanged is called when this member's part in the group has changed.
 func (d *Daemon) memberStatusChanged(before, after replica.Status) {
 	if after.IsLeader {
-		d.quotaAllotter.Lead(leadershipOf(after), d.clock.Elapsed())
+		d.quotaAllotter.Lead(d.leadershipOf(after), d.clock.Elapsed())
 	}
 	d.logMemberChange(before, after)
 }
--- a/daemon/quota.go
+++ b/daemon/quota.go
@@ -198,18 +198,35 @@
 	if !condition.IsLeader || now.Since(condition.ConfirmedUntil) > leaderLease {
 		return tenantquota.Leadership{}, false
 	}
-	return leadershipOf(condition), true
+	return d.leadershipOf(condition), true
 }
 
 // leadershipOf describes the leadership of a member that leads.
-func leadershipOf(condition replica.Status) tenantquota.Leadership {
+func (d *Daemon) leadershipOf(condition replica.Status) tenantquota.Leadership {
 	return tenantquota.Leadership{
 		Term:    uint64(condition.Term),
-		Members: condition.ServingDaemons,
+		Members: func() []ident.NodeID { return d.possiblyRouting(condition.ServingDaemons) },
 		First:   condition.SinceFirstRollout < 0 && !condition.Group.Recovered(),
 	}
 }
 
+// possiblyRouting returns those of the daemons that may be serving that may route: all but those that are known, in this
+// incarnation or another one, not to.
+func (d *Daemon) possiblyRouting(serving []ident.NodeID) []ident.NodeID {
+	route := string(daemonconfig.Route)
+	notRouting := map[string]bool{d.nodeID.Name(): !d.config.Serves(daemonconfig.Route)}
+	for _, peer := range d.members.View().Members {
+		notRouting[peer.NodeID.Name()] = !peer.Serves(route)
+	}
+	var out []ident.NodeID
+	for _, id := range serving {
+		if !notRouting[id.Name()] {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 func encodeQuotaRequest(request quota.Request) *peerapi.QuotaRequest {
 	out := &peerapi.QuotaRequest{NodeId: string(request.Daemon), Sequence: request.Sequence, Term: request.Term}
 	for _, claim := range request.Claims {
--- a/daemon/tenantquota/allotter.go
+++ b/daemon/tenantquota/allotter.go
@@ -14,8 +14,8 @@
 // Leadership is a moment of this daemon's leadership of the control group.
 type Leadership struct {
 	Term uint64
-	// Members are the daemons that may be serving.
-	Members []ident.NodeID
+	// Members gives the daemons that may route; it is called once in a term, and nil is none.
+	Members func() []ident.NodeID
 	// First reports that no configuration was in force before, so that nobody can have been allotted anything.
 	First bool
 }
@@ -71,7 +71,12 @@
 		a.allocator.LeadFirst(leadership.Term, now)
 		return
 	}
-	a.allocator.Lead(leadership.Term, leadership.Members, now)
+	var members []ident.NodeID
+	if leadership.Members != nil {
+		members = leadership.Members()
+	}
+	a.changes.members = len(members)
+	a.allocator.Lead(leadership.Term, members, now)
 }
 
 // Allot answers one request under a leadership that was confirmed at a moment. It returns quota.ErrNotLeading if this daemon
--- a/daemon/tenantquota/leaderlog.go
+++ b/daemon/tenantquota/leaderlog.go
@@ -23,6 +23,8 @@
 
 // leaderLog logs the changes of state of a leader's buckets, from its calls. It starts anew in each term.
 type leaderLog struct {
+	// members is how many daemons may still send on credit of the leader before.
+	members int
 	log log.Interface
 	// begun says that the term's first call was answered.
 	begun bool
@@ -66,7 +68,7 @@
 	l.begun = true
 	l.log.WithFields(log.Fields{
 		"term":    leadership.Term,
-		"members": len(leadership.Members),
+		"members": l.members,
 		"first":   leadership.First,
 	}).Info("quota: the leader begins to allot tokens")
 }
--- a/daemon/tenantquota/limiter.go
+++ b/daemon/tenantquota/limiter.go
@@ -18,6 +18,9 @@
 	// callTimeout bounds a call to the leader. A leader that takes longer is no help to a request that waits: the daemon
 	// goes on by credit.
 	callTimeout = 150 * time.Millisecond
+	// observePeriod is how often the limiter looks for a new leader while no request asks for a token. A leader reserves what
+	// daemons may spend until they have reported to it.
+	observePeriod = 400 * time.Millisecond
 	// stoppedRetryAfter is when a client should retry after a daemon that has stopped.
 	stoppedRetryAfter = 200 * time.Millisecond
 )
@@ -74,10 +77,13 @@
 // Run owns the limiter until ctx ends.
 func (l *Limiter) Run(ctx context.Context) {
 	l.ctx = ctx
-	l.mailbox.Run(ctx, 0, func(event func()) {
+	l.mailbox.Run(ctx, observePeriod, func(event func()) {
 		event()
 		l.proceed()
-	}, nil)
+	}, func() {
+		l.observe()
+		l.proceed()
+	})
 }
 
 // Take decides on one request of a limited tenant, and waits for the leader where that is needed.
--- a/daemon/tenantquota/limiter_test.go
+++ b/daemon/tenantquota/limiter_test.go
@@ -133,3 +133,24 @@
 		t.Error("the request is not decided")
 	}
 }
+
+// Guards against requests refused under their tenants' limits after a new leader began: it reserves what daemons may spend
+// until they have reported, so that one without any traffic has to report too.
+func TestIdleDaemonReportsToNewLeader(t *testing.T) {
+	asked := make(chan quota.Request, 1)
+	newTestLimiter(t, func(_ context.Context, request quota.Request) (quota.Reply, error) {
+		select {
+		case asked <- request:
+		default:
+		}
+		return quota.Reply{Sequence: request.Sequence, Term: 1}, nil
+	})
+	select {
+	case request := <-asked:
+		if request.Daemon != "edge#1" {
+			t.Errorf("%+v", request)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the daemon did not report")
+	}
+}
