--- a/daemon/tenantquota/leaderlog.go
+++ b/daemon/tenantquota/leaderlog.go
@@ -25,7 +25,7 @@
 type leaderLog struct {
 	// members is how many daemons may still send on credit of the leader before.
 	members int
-	log log.Interface
+	log     log.Interface
 	// begun says that the term's first call was answered.
 	begun bool
 	// credit is what daemons reported to have sent on credit since the last line on it, which was at creditAt.
