--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 scenarios: build
 	bin/testbed run small --seed $(SEED)
 	bin/testbed run platform --seed $(SEED) --faults 7
+	bin/testbed run platform --seed $(SEED) --fault tenant-soak
 
 test: vet lint scenarios unit
 
