--- a/connection/gateway/tenant_test.go
+++ b/connection/gateway/tenant_test.go
@@ -3,11 +3,13 @@
 import (
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cresspond/cresspond/clock"
 	"github.com/cresspond/cresspond/configuration/upstream"
+	"github.com/cresspond/cresspond/process/quota"
 )
 
 // withTenants replaces the tenants of the fixture's routing table; the path "again" is public if asked.
@@ -120,7 +122,7 @@
 			return QuotaDecision{RetryAfter: 400 * time.Millisecond}
 		}
 		granted--
-		return QuotaDecision{Granted: true, ValidUntil: f.gateway.Clock.Elapsed() + clock.Mark(validFor)}
+		return QuotaDecision{Granted: true, Token: quota.TokenUntil(f.gateway.Clock.Elapsed() + clock.Mark(validFor))}
 	}
 	for _, c := range []struct {
 		key    string
@@ -138,3 +140,134 @@
 		t.Errorf("%d requests reached the engine", len(came))
 	}
 }
+
+// Guards against what changes while a request waits for its token right before it is sent: what was checked before the
+// wait no longer holds.
+func TestKeyThatIsWithdrawnDuringWaitForTokenIsNotSent(t *testing.T) {
+	engine := answering(t)
+	f := newFixture(t, engine)
+	f.withTenants(false, upstream.Tenant{Name: "acme", Keys: []string{"k1"}, RatePerSecond: 1})
+	taken := 0
+	f.gateway.TakeQuota = func(string) QuotaDecision {
+		if taken++; taken == 1 {
+			return QuotaDecision{Granted: true, Token: quota.TokenUntil(f.gateway.Clock.Elapsed() - 1)}
+		}
+		f.withTenants(false, upstream.Tenant{Name: "acme", Keys: []string{"k2"}, RatePerSecond: 1})
+		return QuotaDecision{Granted: true, Token: quota.TokenUntil(f.gateway.Clock.Elapsed() + clock.Mark(time.Hour))}
+	}
+	if got := f.call(ask("once", "a1", "ping", "Authorization: Bearer k1")); got.status != http.StatusUnauthorized {
+		t.Errorf("%+v", got)
+	}
+	if came := engine.arrivals(); len(came) > 0 || taken != 2 {
+		t.Errorf("%d requests reached the engine, and %d tokens were taken", len(came), taken)
+	}
+}
+
+// Guards against a tenant under its limit that pays twice for requests that wait for an engine: their tokens lapse
+// meanwhile, unless others spend them.
+func TestTokenOfQueuedRequestIsReturned(t *testing.T) {
+	f := newFixture(t)
+	f.withTenants(false, upstream.Tenant{Name: "acme", Keys: []string{"k1"}, RatePerSecond: 1})
+	token := quota.TokenUntil(f.gateway.Clock.Elapsed() + clock.Mark(time.Hour))
+	f.gateway.TakeQuota = func(string) QuotaDecision { return QuotaDecision{Granted: true, Token: token} }
+	returned := make(chan quota.Token, 2)
+	f.gateway.ReturnQuota = func(_ string, token quota.Token) { returned <- token }
+	f.call(ask("once", "a1", "ping", "Authorization: Bearer k1", "X-Deadline-Ms: 300"))
+	if got := <-returned; got != token || len(returned) > 0 {
+		t.Errorf("%+v was returned, and %d more", got, len(returned))
+	}
+}
+
+// Guards against a token that two requests spend: one that was sent keeps its token.
+func TestTokenOfSentRequestIsNotReturned(t *testing.T) {
+	engine := answering(t)
+	f := newFixture(t, engine)
+	f.withTenants(false, upstream.Tenant{Name: "acme", Keys: []string{"k1"}, RatePerSecond: 1})
+	f.gateway.TakeQuota = func(string) QuotaDecision {
+		return QuotaDecision{Granted: true, Token: quota.TokenUntil(f.gateway.Clock.Elapsed() + clock.Mark(time.Hour))}
+	}
+	returned := make(chan quota.Token, 8)
+	f.gateway.ReturnQuota = func(_ string, token quota.Token) { returned <- token }
+	for range 8 {
+		if got := f.call(ask("once", "a1", "ping", "Authorization: Bearer k1")); got.status != http.StatusOK {
+			t.Errorf("%+v", got)
+		}
+	}
+	if len(returned) > 0 {
+		t.Errorf("%d tokens of sent requests were returned", len(returned))
+	}
+}
+
+// Guards against a request that is sent after its deadline, or after its engine left, as it waited for its tenant's token
+// behind these checks.
+func TestEngineThatLeavesWhileTokenIsAwaitedGetsNothing(t *testing.T) {
+	engine := answering(t)
+	f := newFixture(t, engine)
+	f.withTenants(false, upstream.Tenant{Name: "acme", Keys: []string{"k1"}, RatePerSecond: 1})
+	asked := 0
+	f.gateway.TakeQuota = func(string) QuotaDecision {
+		asked++
+		if asked == 1 {
+			return QuotaDecision{Granted: true}
+		}
+		f.engines()
+		return QuotaDecision{Granted: true, Token: quota.TokenUntil(f.gateway.Clock.Elapsed() + clock.Mark(time.Hour))}
+	}
+	f.call(ask("once", "a1", "ping", "Authorization: Bearer k1", "Cresspond-Deadline-Ms: 300"))
+	if came := engine.arrivals(); len(came) > 0 {
+		t.Errorf("%d requests reached the engine", len(came))
+	}
+}
+
+// switchedIndex gives one routing table for a number of calls and another from then on.
+type switchedIndex struct {
+	before, after *upstream.Index
+	left          atomic.Int64
+	switched      atomic.Bool
+}
+
+func (s *switchedIndex) load() *upstream.Index {
+	if s.left.Add(-1) >= 0 {
+		return s.before
+	}
+	s.switched.Store(true)
+	return s.after
+}
+
+// Guards against a client's key that reaches an engine, since the first tenants come in force while a request's header is
+// written.
+func TestKeyIsWithheldWhenTenantsComeInForceBetweenAnyTwoSteps(t *testing.T) {
+	for calls := range 20 {
+		engine := answering(t)
+		f := newFixture(t, engine)
+		index := &switchedIndex{before: f.index.Load()}
+		f.withTenants(true, upstream.Tenant{Name: "acme", Keys: []string{"k1"}})
+		index.after = f.index.Load()
+		index.left.Store(int64(calls))
+		f.gateway.Index = index.load
+		if got := f.call(ask("again", "a1", "ping", "Authorization: Bearer k1", "Cresspond-Tenant: mine")); got.status != http.StatusOK {
+			t.Errorf("after %d look-ups: %+v", calls, got)
+		}
+		header := engine.arrivals()[0].request.Header
+		if index.switched.Load() && (header.Get("Authorization") != "" || header.Get("Cresspond-Tenant") != "acme") {
+			t.Errorf("after %d look-ups: credentials %q, tenant %q", calls, header.Get("Authorization"), header.Get("Cresspond-Tenant"))
+		}
+	}
+}
+
+// Guards against a process that ends, since the routing table of a limited tenant is withdrawn while a request is read.
+func TestTableThatIsWithdrawnBetweenAnyTwoStepsEndsNoProcess(t *testing.T) {
+	for calls := range 20 {
+		f := newFixture(t, answering(t))
+		f.withTenants(false, upstream.Tenant{Name: "acme", Keys: []string{"k1"}, RatePerSecond: 1})
+		index := &switchedIndex{before: f.index.Load()}
+		index.left.Store(int64(calls))
+		f.gateway.Index = index.load
+		f.gateway.TakeQuota = func(string) QuotaDecision {
+			return QuotaDecision{Granted: true, Token: quota.TokenUntil(f.gateway.Clock.Elapsed() + clock.Mark(time.Hour))}
+		}
+		if got := f.call(ask("once", "a1", "ping", "Authorization: Bearer k1")); got.err != nil {
+			t.Errorf("after %d look-ups: %+v", calls, got)
+		}
+	}
+}
--- a/daemon/quota.go
+++ b/daemon/quota.go
@@ -29,6 +29,13 @@
 // before it has ended.
 const leaderLease = 500 * time.Millisecond
 
+const (
+	// neighbourContactWindow is how recent the last contact must be for a daemon to be asked for a loan.
+	neighbourContactWindow = 3 * time.Second
+	// maxLoan is the most tokens that one loan is of.
+	maxLoan = 64
+)
+
 // quotaSettings returns how far the fleet may exceed a tenant's limit.
 func quotaSettings(bounds daemonconfig.Bounds) quota.Settings {
 	return quota.Settings{
@@ -44,6 +51,11 @@
 		Clock:  d.clock,
 		Ask:    d.askForTokens,
 		Leader: d.quotaLeader,
+		Neighbours: tenantquota.Neighbours{
+			Addresses: d.quotaNeighbours,
+			Borrow:    d.borrowTokens,
+		},
+		Log: d.log,
 	})
 }
 
@@ -62,13 +74,13 @@
 func (d *Daemon) takeQuota(name string) gateway.QuotaDecision {
 	limit, limited := limitOf(d.forwardIndex(), name)
 	if !limited {
-		return gateway.QuotaDecision{Granted: true, ValidUntil: d.clock.Elapsed() + clock.Mark(quota.TokenValidity)}
+		return gateway.QuotaDecision{Granted: true}
 	}
 	decision := d.quotaLimiter.Take(name, limit)
 	if decision.Outcome != quota.Granted {
 		return gateway.QuotaDecision{RetryAfter: decision.RetryAfter}
 	}
-	return gateway.QuotaDecision{Granted: true, ValidUntil: decision.Token.Expires()}
+	return gateway.QuotaDecision{Granted: true, Token: decision.Token}
 }
 
 // limitOf returns a tenant's limit by a routing table; false where it has none.
@@ -83,6 +95,19 @@
 	return quota.Limit{RatePerSecond: tenant.RatePerSecond, Burst: tenant.Burst}, true
 }
 
+// allottedLimitOf returns the limit by which a leader allots to a tenant: a rate of 0 where the tenant has no limit any more,
+// though the daemon that asks has yet to learn that; false where there is no such tenant.
+func allottedLimitOf(index *upstream.Index, name string) (quota.Limit, bool) {
+	if index == nil {
+		return quota.Limit{}, false
+	}
+	if _, known := index.Tenant(name); !known {
+		return quota.Limit{}, false
+	}
+	limit, _ := limitOf(index, name)
+	return limit, true
+}
+
 // askForTokens makes one call to the leader.
 func (d *Daemon) askForTokens(ctx context.Context, request quota.Request) (quota.Reply, error) {
 	address := d.leaderAddress()
@@ -101,6 +126,43 @@
 	return decodeQuotaReply(reply), nil
 }
 
+// quotaNeighbours returns the addresses of the routing daemons of this zone that are in contact.
+func (d *Daemon) quotaNeighbours() []string {
+	var addresses []string
+	for _, peer := range d.members.View().InContact(d.clock.Elapsed(), neighbourContactWindow) {
+		if peer.Zone == d.config.Zone && peer.NodeID != d.nodeID && peer.Serves(string(daemonconfig.Route)) {
+			addresses = append(addresses, peer.Address)
+		}
+	}
+	return addresses
+}
+
+// borrowTokens asks one neighbour for tokens.
+func (d *Daemon) borrowTokens(ctx context.Context, address string, request quota.LoanRequest) (int, error) {
+	reply, err := d.links.Client(address).Lend(ctx, &peerapi.LendRequest{
+		Group:  string(d.Group()),
+		Tenant: request.Tenant,
+		Count:  int64(request.Count),
+	})
+	if err != nil {
+		return 0, eris.Wrapf(err, "tokens could not be borrowed at %s", address)
+	}
+	return int(reply.Count), nil
+}
+
+// Lend lends tokens to a neighbour that reaches no leader. It is part of the peer protocol.
+func (d *Daemon) Lend(_ context.Context, in *peerapi.LendRequest) (*peerapi.LendReply, error) {
+	if err := d.checkGroup(in.Group); err != nil {
+		return nil, err
+	}
+	limit, limited := limitOf(d.forwardIndex(), in.Tenant)
+	if d.quotaLimiter == nil || !limited || in.Count <= 0 {
+		return &peerapi.LendReply{}, nil
+	}
+	request := quota.LoanRequest{Tenant: in.Tenant, Count: int(min(in.Count, maxLoan))}
+	return &peerapi.LendReply{Count: int64(d.quotaLimiter.Lend(request, limit))}, nil
+}
+
 // Quota allots tokens, if this daemon leads. It is part of the peer protocol.
 func (d *Daemon) Quota(_ context.Context, in *peerapi.QuotaRequest) (*peerapi.QuotaReply, error) {
 	if err := d.checkGroup(in.Group); err != nil {
@@ -110,13 +172,16 @@
 		d.counters.malformedMessages.Add(1)
 		return nil, twirp.NewError(twirp.InvalidArgument, "a request for tokens needs the node id of its sender")
 	}
-	leadership, leads := d.quotaLeadership()
+	// The clock is read once: what is allotted is allotted at a moment at which the leadership was confirmed, also if this
+	// process is stopped in between.
+	now := d.clock.Elapsed()
+	leadership, leads := d.quotaLeadership(now)
 	if !leads {
 		return &peerapi.QuotaReply{LeaderAddress: d.leaderAddress()}, nil
 	}
 	index := d.forwardIndex()
-	inForce := func(tenant string) (quota.Limit, bool) { return limitOf(index, tenant) }
-	reply, err := d.quotaAllotter.Allot(leadership, decodeQuotaRequest(in), inForce, d.clock.Elapsed())
+	inForce := func(tenant string) (quota.Limit, bool) { return allottedLimitOf(index, tenant) }
+	reply, err := d.quotaAllotter.Allot(leadership, decodeQuotaRequest(in), inForce, now)
 	if err != nil {
 		return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
 	}
@@ -124,13 +189,13 @@
 }
 
 // quotaLeadership returns this daemon's leadership; false unless a majority has confirmed it just now.
-func (d *Daemon) quotaLeadership() (tenantquota.Leadership, bool) {
+func (d *Daemon) quotaLeadership(now clock.Mark) (tenantquota.Leadership, bool) {
 	groupMember := d.replica.Load()
 	if groupMember == nil {
 		return tenantquota.Leadership{}, false
 	}
 	condition := groupMember.Status()
-	if !condition.IsLeader || d.clock.Elapsed().Since(condition.ConfirmedUntil) > leaderLease {
+	if !condition.IsLeader || now.Since(condition.ConfirmedUntil) > leaderLease {
 		return tenantquota.Leadership{}, false
 	}
 	return leadershipOf(condition), true
--- a/daemon/tenantquota/limiter_test.go
+++ b/daemon/tenantquota/limiter_test.go
@@ -6,6 +6,10 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 
 	"github.com/cresspond/cresspond/clock"
 	"github.com/cresspond/cresspond/process/quota"
@@ -16,6 +20,9 @@
 	limit    = quota.Limit{RatePerSecond: 50, Burst: 100}
 )
 
+// discarded is a logger whose lines nobody reads.
+func discarded() log.Interface { return &log.Logger{Handler: discard.Default} }
+
 // newTestLimiter makes a limiter whose leader is reached through ask.
 func newTestLimiter(t *testing.T, ask func(context.Context, quota.Request) (quota.Reply, error)) *Limiter {
 	t.Helper()
@@ -23,6 +30,7 @@
 		Clock:  clock.System{},
 		Ask:    ask,
 		Leader: func() Leader { return Leader{Term: 1, Daemons: 1, Contact: clock.System{}.Elapsed()} },
+		Log:    discarded(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -32,7 +40,7 @@
 
 // leader answers as the first leader of a fleet does.
 func leader() func(context.Context, quota.Request) (quota.Reply, error) {
-	allotter := NewAllotter(settings)
+	allotter := NewAllotter(settings, discarded())
 	return func(_ context.Context, request quota.Request) (quota.Reply, error) {
 		limitOf := func(string) (quota.Limit, bool) { return limit, true }
 		return allotter.Allot(Leadership{Term: 1, First: true}, request, limitOf, clock.System{}.Elapsed())
@@ -97,3 +105,31 @@
 		t.Errorf("%d of 200 were granted without a leader", granted)
 	}
 }
+
+// slowClock runs at half the speed of the timers.
+type slowClock struct{ clock.System }
+
+func (c slowClock) Elapsed() clock.Mark { return c.System.Elapsed() / 2 }
+
+// Guards against requests that wait for ever because a timer woke the actor before the clock had reached the moment.
+func TestRequestIsDecidedThoughTimerIsEarly(t *testing.T) {
+	limiter := NewLimiter("edge#1", Dependencies{
+		Log:   discarded(),
+		Clock: slowClock{},
+		Ask: func(context.Context, quota.Request) (quota.Reply, error) {
+			return quota.Reply{}, errors.New("no leader")
+		},
+		Leader: func() Leader { return Leader{} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go limiter.Run(ctx)
+	limiter.Take("acme", limit)
+	decided := make(chan quota.Decision, 1)
+	go func() { decided <- limiter.Take("other", limit) }()
+	select {
+	case <-decided:
+	case <-time.After(20 * time.Second):
+		t.Error("the request is not decided")
+	}
+}
--- a/process/quota/fleet_test.go
+++ b/process/quota/fleet_test.go
@@ -89,13 +89,21 @@
 	daemons  []*simulatedDaemon
 	leader   *simulatedLeader
 	term     uint64
+	// zones is the number of zones whose daemons lend to each other; 0 means no lending.
+	zones int
+	// loans counts loan requests and their answers.
+	loans int
 	// loss is the probability that a message is lost, duplication that a reply arrives twice.
 	loss, duplication float64
 	// holding is the longest time for which a granted request is queued before it is sent.
 	holding time.Duration
 	// sendEvery has granted requests queued until its next multiple, if it isn't 0.
 	sendEvery time.Duration
-	defects   defects
+	// queueing is the longest time for which a request that was granted a token waits for an engine. It then takes another
+	// one if that has lapsed; keepsTokens has it keep the first one instead of returning it.
+	queueing    time.Duration
+	keepsTokens bool
+	defects     defects
 	// trace receives the faults.
 	trace func(format string, values ...any)
 	tally map[string]*tally
@@ -135,6 +143,8 @@
 // simulatedRequest is one client's request.
 type simulatedRequest struct {
 	tenant string
+	// queued reports that the request has waited for an engine.
+	queued bool
 }
 
 func newFleet(seed uint64, daemons int, limits map[string]Limit) *fleet {
@@ -284,15 +294,37 @@
 		}
 		f.tally[request.tenant].sent = append(f.tally[request.tenant].sent, f.now)
 	}
-	if delay := f.queueing(); delay > 0 {
+	if f.queueing > 0 && !request.queued {
+		d.queue(request, decision)
+		return
+	}
+	if delay := f.holdingTime(); delay > 0 {
 		f.after(delay, func() { d.do(send) })
 		return
 	}
 	send()
 }
 
-// queueing is how long a granted request is queued.
-func (f *fleet) queueing() time.Duration {
+// queue has a granted request wait for an engine, without its token, and then take one to be sent at once.
+func (d *simulatedDaemon) queue(request *simulatedRequest, decision Decision) {
+	f := d.fleet
+	request.queued = true
+	if !f.keepsTokens {
+		d.limiter.Return(request.tenant, decision.Token, d.mark())
+	}
+	f.after(time.Duration(f.random.Int64N(int64(f.queueing))), func() {
+		d.do(func() {
+			if f.keepsTokens && decision.Token.Valid(d.mark()) {
+				d.decided(request, decision)
+				return
+			}
+			d.take(request)
+		})
+	})
+}
+
+// holdingTime is how long a granted request is held back with its token.
+func (f *fleet) holdingTime() time.Duration {
 	if f.sendEvery > 0 {
 		return f.sendEvery - f.now%f.sendEvery
 	}
@@ -305,6 +337,7 @@
 // pump sends the next request to the leader, or sees to it when it is due.
 func (d *simulatedDaemon) pump() {
 	now := d.mark()
+	d.borrow()
 	if request, due := d.limiter.NextRequest(now); due {
 		d.call(request)
 		return
@@ -324,6 +357,68 @@
 	})
 }
 
+// borrow asks daemons of the zone for loans. Those that are cut off from the leader reach each other.
+func (d *simulatedDaemon) borrow() {
+	f := d.fleet
+	zone := f.zoneOf(d)
+	d.limiter.ObserveNeighbours(len(zone))
+	for {
+		request, due := d.limiter.NextLoanRequest(d.mark())
+		if !due {
+			return
+		}
+		answered := false
+		answer := func(lent int) {
+			d.do(func() {
+				if !answered {
+					answered = true
+					d.resolved(d.limiter.LoanAnswered(request, lent, d.mark()))
+				}
+			})
+		}
+		f.after(LoanTimeout, func() { answer(0) })
+		lender := zone[f.random.IntN(len(zone))]
+		f.loans++
+		if f.random.Float64() >= f.loss {
+			f.after(f.delay(), func() { lender.lend(d, request, answer) })
+		}
+	}
+}
+
+// zoneOf gives the other daemons of a daemon's zone.
+func (f *fleet) zoneOf(d *simulatedDaemon) []*simulatedDaemon {
+	if f.zones == 0 {
+		return nil
+	}
+	at := slices.Index(f.daemons, d)
+	var zone []*simulatedDaemon
+	for i, other := range f.daemons {
+		if i != at && i%f.zones == at%f.zones {
+			zone = append(zone, other)
+		}
+	}
+	return zone
+}
+
+// lend handles a neighbour's request for a loan.
+func (d *simulatedDaemon) lend(borrower *simulatedDaemon, request LoanRequest, answer func(int)) {
+	f := d.fleet
+	d.do(func() {
+		if d.isolated != borrower.isolated || d.limits[request.Tenant].RatePerSecond == 0 {
+			return
+		}
+		lent := d.limiter.Lend(request, d.limits[request.Tenant], d.mark())
+		if f.defects.loansNotCounted {
+			lent = request.Count
+		}
+		d.pump()
+		f.loans++
+		if f.random.Float64() >= f.loss {
+			f.after(f.delay(), func() { answer(lent) })
+		}
+	})
+}
+
 // call carries a request to the leader and its reply back.
 func (d *simulatedDaemon) call(request Request) {
 	f := d.fleet
