daemon/tenantquota: a request waits for a decision for 0.4 s at most

Found by review: a request of a limited tenant could be held without end where calls to the leader hang and come back late one after another, since a call that comes late counts as a stop of the daemon itself and is made once more. It is denied now, with when to come back.

--- a/daemon/tenantquota/limiter.go
+++ b/daemon/tenantquota/limiter.go
@@ -21,8 +21,10 @@
 	// observePeriod is how often the limiter looks for a new leader while no request asks for a token. A leader reserves what
 	// daemons may spend until they have reported to it.
 	observePeriod = 400 * time.Millisecond
-	// stoppedRetryAfter is when a client should retry after a daemon that has stopped.
-	stoppedRetryAfter = 200 * time.Millisecond
+	// takeLimit bounds how long a request waits for a decision, whatever becomes of the calls that it waits for.
+	takeLimit = 400 * time.Millisecond
+	// undecidedRetryAfter is when a client should retry that a daemon gave no decision, as it has stopped or its calls hang.
+	undecidedRetryAfter = 200 * time.Millisecond
 )
 
 // Leader is what a limiter knows of the fleet.
@@ -86,17 +88,37 @@
 	})
 }
 
-// Take decides on one request of a limited tenant, and waits for the leader where that is needed.
+// Take decides on one request of a limited tenant, and waits for the leader where that is needed, for takeLimit at most.
 func (l *Limiter) Take(tenant string, limit quota.Limit) quota.Decision {
 	decided := make(chan quota.Decision, 1)
 	if !l.mailbox.Send(func() { l.take(tenant, limit, decided) }) {
 		return stopped()
 	}
-	select {
-	case decision := <-decided:
-		return decision
-	case <-l.mailbox.Done():
-		return stopped()
+	timer := time.NewTimer(takeLimit)
+	defer timer.Stop()
+	for {
+		select {
+		case decision := <-decided:
+			return decision
+		case <-timer.C:
+			l.mailbox.Send(func() { l.giveUp(tenant, decided) })
+		case <-l.mailbox.Done():
+			return stopped()
+		}
+	}
+}
+
+// giveUp denies a request that still waits for a decision.
+func (l *Limiter) giveUp(tenant string, decided chan quota.Decision) {
+	for waiter, waiting := range l.waiters {
+		if waiting != decided || !l.core.Cancel(tenant, waiter) {
+			continue
+		}
+		delete(l.waiters, waiter)
+		decision := quota.Decision{Outcome: quota.Denied, RetryAfter: undecidedRetryAfter}
+		l.counts.countDecision(tenant, decision)
+		decided <- decision
+		return
 	}
 }
 
@@ -107,7 +129,7 @@
 
 // stopped is the decision of a daemon that has stopped.
 func stopped() quota.Decision {
-	return quota.Decision{Outcome: quota.Denied, RetryAfter: stoppedRetryAfter}
+	return quota.Decision{Outcome: quota.Denied, RetryAfter: undecidedRetryAfter}
 }
 
 func (l *Limiter) take(tenant string, limit quota.Limit, decided chan quota.Decision) {
