configuration/upstream: paths stay closed once a patch has removed the last tenant

Found by review: after a PATCH removed the last tenant no path needed a key, so keys that were withdrawn long ago would have run again. Now keys stay required until a complete configuration without tenants opens the paths. TestKeysAreRequiredAfterLastTenantIsRemoved failed before.

--- a/configuration/upstream/index.go
+++ b/configuration/upstream/index.go
@@ -97,7 +97,7 @@
 }
 
 // HasTenants reports whether the section has tenants, so that requests need a key and engines are told whose they are.
-func (i *Index) HasTenants() bool { return len(i.tenants) > 0 }
+func (i *Index) HasTenants() bool { return len(i.tenants) > 0 || i.Section.KeysRequired }
 
 // TenantOf gives the tenant that holds a key.
 func (i *Index) TenantOf(key string) (*Tenant, bool) {
--- a/configuration/upstream/patch.go
+++ b/configuration/upstream/patch.go
@@ -61,6 +61,7 @@
 	out.Paths = merge(s.Paths, p.Upsert.Paths, p.Remove.Paths, pathName)
 	out.Pools = merge(s.Pools, p.Upsert.Pools, p.Remove.Pools, poolName)
 	out.Tenants = merge(s.Tenants, p.Upsert.Tenants, p.Remove.Tenants, tenantName)
+	out.KeysRequired = s.KeysRequired || len(s.Tenants) > 0 && len(out.Tenants) == 0
 	if p.Limits != nil {
 		out.Limits = *p.Limits
 	}
--- a/configuration/upstream/section.go
+++ b/configuration/upstream/section.go
@@ -25,7 +25,10 @@
 	Pools    []Pool `json:"pools" validate:"dive"`
 	// Tenants are the operators' customers. Where there are any, a request needs the key of one, except on public paths.
 	Tenants []Tenant `json:"tenants,omitempty" validate:"dive"`
-	Limits  Limits   `json:"limits"`
+	// KeysRequired says that a patch removed the last tenant. Paths that are not public then serve nobody, until a complete
+	// section without tenants opens them.
+	KeysRequired bool   `json:"keysRequired,omitempty"`
+	Limits       Limits `json:"limits"`
 	// Note is retained and given back, and not interpreted.
 	Note json.RawMessage `json:"note,omitempty"`
 }
--- a/configuration/upstream/tenant_test.go
+++ b/configuration/upstream/tenant_test.go
@@ -62,3 +62,19 @@
 		t.Error("a key is needed where there are tenants, except on public paths")
 	}
 }
+
+// Guards against paths that are open to everyone once a patch has removed the last tenant, so that withdrawn keys serve again.
+func TestKeysAreRequiredAfterLastTenantIsRemoved(t *testing.T) {
+	section := Section{Revision: 1, Paths: []Path{named("closed", "h", "/")}, Tenants: []Tenant{{Name: "a", Keys: []string{"k"}}}}
+	removed := section.Merge(&Patch{Revision: 2, Remove: Names{Tenants: []string{"a"}}})
+	later := removed.Merge(&Patch{Revision: 3})
+	for name, merged := range map[string]*Section{"removed": &removed, "later": &later} {
+		if index := NewIndex(merged); !index.RequiresKey(&merged.Paths[0]) {
+			t.Errorf("%s: the path is open", name)
+		}
+	}
+	never := (&Section{Paths: section.Paths}).Merge(&Patch{Revision: 2})
+	if NewIndex(&never).RequiresKey(&never.Paths[0]) {
+		t.Error("a section that never had tenants requires a key")
+	}
+}
