daemon, forwarding: who has no limit any more is not refused by it

Found by review: a leader without a table in force yet answered that a tenant has no limit, which denied its requests for 0.1 s; it now says that it does not allot, and the daemon that asked goes on by credit. A request that was denied by the limit of an older table is admitted where the newest has none. Both by reading; no run showed them.

--- a/daemon/quota.go
+++ b/daemon/quota.go
@@ -180,6 +180,10 @@
 		return &peerapi.QuotaReply{LeaderAddress: d.leaderAddress()}, nil
 	}
 	index := d.forwardIndex()
+	if index == nil {
+		// The daemon that asks has a table, and knows better whether its tenants have limits.
+		return &peerapi.QuotaReply{LeaderAddress: d.leaderAddress()}, nil
+	}
 	inForce := func(tenant string) (quota.Limit, bool) { return allottedLimitOf(index, tenant) }
 	reply, err := d.quotaAllotter.Allot(leadership, decodeQuotaRequest(in), inForce, now)
 	if err != nil {
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -89,7 +89,7 @@
 	if !c.authenticate(request, env) {
 		return
 	}
-	if request.QuotaRetryAfter > 0 {
+	if request.QuotaRetryAfter > 0 && request.tenant.Limited() {
 		c.finish(request, env, CauseQuotaExceeded, request.QuotaRetryAfter)
 		return
 	}
