forwarding: demand is weighed by the path's urgency, whoever asks

Cause suspected: tenants' urgencies replaced the path's also in the demand that the planner weighs, so rare models of the urgent kind weighed as little as the tenant that asked. A tenant's urgency decides which of its requests go first, in the queue and at the engine; which models are loaded is decided by kinds of requests again, as before there were tenants.

--- a/request/forwarding/demand.go
+++ b/request/forwarding/demand.go
@@ -84,7 +84,8 @@
 	const perSecond = math.Ln2 / float64(demandHalfLife/time.Second)
 	state.tokensPerSecond += perSecond * float64(request.Attributes.TokensIn+10*request.Attributes.TokensOut)
 	state.arrivalsPerSecond += perSecond
-	state.rank = min(state.rank, request.rank())
+	// Models are placed by kinds of requests, whoever sends them.
+	state.rank = min(state.rank, request.Path.Rank)
 	if request.Attributes.TokensIn > 0 {
 		c.meanPromptTokens += (float64(request.Attributes.TokensIn) - c.meanPromptTokens) / 32
 	}
