--- a/daemon/tenantquota/counts_test.go
+++ b/daemon/tenantquota/counts_test.go
@@ -74,7 +74,7 @@
 // Guards against a limiter whose page and metrics miss decisions, or calls to the leader.
 func TestLimiterCountsDecisionsAndCalls(t *testing.T) {
 	limiter := newTestLimiter(t, leader(limit))
-	passed := takeMany(limiter, 200)
+	passed := takeMany(limiter, limit, 200)
 	snapshot, running := limiter.Counts()
 	total := snapshot.Total()
 	if !running || total.Granted != uint64(passed) || total.Denied != uint64(200-passed) || snapshot.Calls == 0 || snapshot.Unanswered != 0 {
@@ -87,7 +87,7 @@
 	limiter := newTestLimiter(t, func(context.Context, quota.Request) (quota.Reply, error) {
 		return quota.Reply{}, errors.New("no leader")
 	})
-	passed := takeMany(limiter, 20)
+	passed := takeMany(limiter, limit, 20)
 	snapshot, _ := limiter.Counts()
 	if !limiter.OnCredit() || snapshot.Unanswered == 0 || snapshot.Total().OnCredit != uint64(passed) {
 		t.Errorf("on credit %t, %d passed, %+v", limiter.OnCredit(), passed, snapshot)
