--- a/process/quota/allocator.go
+++ b/process/quota/allocator.go
@@ -262,14 +262,12 @@
 }
 
 // reserveUnreported returns what daemons that have not reported since the allocator began to lead may have spent since
-// the last call: their standing rates are what the reported ones leave of all there can be, and no more than one daemon may
-// have for each of them.
+// the last call: their standing rates are what the reported ones leave of all there can be.
 func (a *Allocator) reserveUnreported(tenant *tenantBucket, now clock.Mark) float64 {
 	if len(a.unreported) == 0 {
 		return 0
 	}
-	limit := tenant.bucket.limit
-	standing := min(standingFraction*limit.RatePerSecond-tenant.reportedStanding, float64(len(a.unreported))*limit.daemonStandingRate())
+	standing := standingFraction*tenant.bucket.limit.RatePerSecond - tenant.reportedStanding
 	unreported := creditRate{perSecond: max(0, standing), start: a.since}
 	return unreported.between(tenant.bucket.updatedAt, now)
 }
