--- a/daemon/quota.go
+++ b/daemon/quota.go
@@ -209,21 +209,24 @@
 func (d *Daemon) leadershipOf(condition replica.Status) tenantquota.Leadership {
 	return tenantquota.Leadership{
 		Term:    uint64(condition.Term),
-		Members: func() []ident.NodeID { return d.possiblyRouting(condition.ServingDaemons) },
+		Members: func() []ident.NodeID { return d.possiblyRouting(condition) },
 		First:   condition.SinceFirstRollout < 0 && !condition.Group.Recovered(),
 	}
 }
 
 // possiblyRouting returns those of the daemons that may be serving that may route: all but those that are known, in this
-// incarnation or another one, not to.
-func (d *Daemon) possiblyRouting(serving []ident.NodeID) []ident.NodeID {
-	route := string(daemonconfig.Route)
-	notRouting := map[string]bool{d.nodeID.Name(): !d.config.Serves(daemonconfig.Route)}
+// incarnation or another one, not to. Members of the group that were not heard yet route if this one does.
+func (d *Daemon) possiblyRouting(condition replica.Status) []ident.NodeID {
+	routes := d.config.Serves(daemonconfig.Route)
+	notRouting := map[string]bool{d.nodeID.Name(): !routes}
+	for _, member := range condition.Membership.Members {
+		notRouting[member.Name] = !routes
+	}
 	for _, peer := range d.members.View().Members {
-		notRouting[peer.NodeID.Name()] = !peer.Serves(route)
+		notRouting[peer.NodeID.Name()] = !peer.Serves(string(daemonconfig.Route))
 	}
 	var out []ident.NodeID
-	for _, id := range serving {
+	for _, id := range condition.ServingDaemons {
 		if !notRouting[id.Name()] {
 			out = append(out, id)
 		}
--- a/process/quota/allocator.go
+++ b/process/quota/allocator.go
@@ -262,12 +262,14 @@
 }
 
 // reserveUnreported returns what daemons that have not reported since the allocator began to lead may have spent since
-// the last call: their standing rates are what the reported ones leave of all there can be.
+// the last call: their standing rates are what the reported ones leave of all there can be, and no more than one daemon may
+// have for each of them.
 func (a *Allocator) reserveUnreported(tenant *tenantBucket, now clock.Mark) float64 {
 	if len(a.unreported) == 0 {
 		return 0
 	}
-	standing := standingFraction*tenant.bucket.limit.RatePerSecond - tenant.reportedStanding
+	limit := tenant.bucket.limit
+	standing := min(standingFraction*limit.RatePerSecond-tenant.reportedStanding, float64(len(a.unreported))*limit.daemonStandingRate())
 	unreported := creditRate{perSecond: max(0, standing), start: a.since}
 	return unreported.between(tenant.bucket.updatedAt, now)
 }
--- a/process/quota/allowance.go
+++ b/process/quota/allowance.go
@@ -125,13 +125,14 @@
 
 // renew gives a standing rate by the daemon's own rate, within what the other daemons' leave.
 func (a *allowance) renew(ownRate float64, now clock.Mark) float64 {
-	available := standingFraction * a.tenant.bucket.limit.RatePerSecond
+	limit := a.tenant.bucket.limit
+	available := standingFraction * limit.RatePerSecond
 	for _, other := range a.tenant.allowances {
 		if other != a {
 			available -= other.at(now)
 		}
 	}
-	granted := min(standingIncrease*ownRate, max(0, available))
+	granted := min(standingIncrease*ownRate, limit.daemonStandingRate(), max(0, available))
 	a.offer(granted, now)
 	return granted
 }
--- a/process/quota/credit.go
+++ b/process/quota/credit.go
@@ -14,6 +14,9 @@
 	// standingFraction is the part of a tenant's rate that all standing rates together may take. The rest pays for the
 	// time until the leader notices that a daemon is out of contact.
 	standingFraction = 0.7
+	// daemonStandingFraction is the part that the standing rate of one daemon may take, so that a new leader need not reserve
+	// much for the few daemons that it has not heard.
+	daemonStandingFraction = 0.25
 	// standingIncrease is the ratio of a standing rate to the rate spent, so that clumps and estimates that are too low
 	// find credit as well.
 	standingIncrease = 1.25
--- a/process/quota/limiter.go
+++ b/process/quota/limiter.go
@@ -258,7 +258,7 @@
 // a tenant that the daemon has not served lately.
 func (l *Limiter) creditRate(tenant *tenantTokens, now clock.Mark) creditRate {
 	standing := tenant.standing
-	standing.perSecond = min(standing.perSecond, standingFraction*tenant.limit.RatePerSecond)
+	standing.perSecond = min(standing.perSecond, tenant.limit.daemonStandingRate())
 	if l.contact.daemons == 0 {
 		return standing
 	}
--- a/process/quota/settings.go
+++ b/process/quota/settings.go
@@ -56,6 +56,9 @@
 	Burst float64
 }
 
+// daemonStandingRate is the highest standing rate of one daemon, in requests a second.
+func (l Limit) daemonStandingRate() float64 { return daemonStandingFraction * l.RatePerSecond }
+
 // Settings are the bounds of the fleet: in each Window a tenant's requests may number at most
 // (RatePerSecond x Window + Burst) x (1 + Excess) + Margin.
 type Settings struct {
