quota: a call that fails denies nobody yet

A daemon without credit for a tenant denied its requests as soon as one call to the leader failed. They now wait for one more call, while those for which there is credit are granted at once as before. The wait in an outage is one call's time-out longer, and over at once where no leader is known.

--- a/process/quota/lending.go
+++ b/process/quota/lending.go
@@ -106,7 +106,7 @@
 		tenant.loanAttempts = 0
 		return nil
 	}
-	if tenant.loan != nil || l.mayBorrow(tenant) {
+	if l.contact.askingAgain || tenant.loan != nil || l.mayBorrow(tenant) {
 		return nil
 	}
 	tenant.loanAttempts = 0
--- a/process/quota/lending_test.go
+++ b/process/quota/lending_test.go
@@ -90,6 +90,10 @@
 	borrower := withoutLeader(noCredit)
 	beActive(borrower)
 	first := mustBorrow(t, borrower)
+	mustRequest(t, borrower, lentAt)
+	if early := borrower.Unanswered(lentAt); len(early) > 0 {
+		t.Errorf("denied before the neighbours have answered: %+v", early)
+	}
 	if early := borrower.LoanAnswered(first, 0, lentAt); len(early) > 0 {
 		t.Errorf("denied before the second neighbour was asked: %+v", early)
 	}
--- a/process/quota/limiter.go
+++ b/process/quota/limiter.go
@@ -41,6 +41,8 @@
 	term, knownTerm uint64
 	// unreachable holds from a request without a reply to the next reply.
 	unreachable bool
+	// askingAgain holds from the first request without a reply to the reply to the next one, or its failure.
+	askingAgain bool
 	// answeredAt is when the last request was sent that was answered. Credit accrues from then on.
 	answeredAt clock.Mark
 	// last is the latest moment from which the leader is known to have been in contact.
--- a/process/quota/limiter_requests.go
+++ b/process/quota/limiter_requests.go
@@ -117,6 +117,7 @@
 	l.progress = nil
 	l.observeTerm(reply, progress)
 	l.contact.unreachable = false
+	l.contact.askingAgain = false
 	l.contact.answeredAt = progress.sentAt
 	l.contact.last = max(l.contact.last, progress.sentAt)
 	var resolutions []Resolution
@@ -195,7 +196,8 @@
 }
 
 // Unanswered notes that the request in progress failed or timed out. Until the leader replies again, requests are
-// decided by credit; it returns the decisions on those that waited. If it comes after MaximumCallTimeout, the daemon was
+// decided by credit; it returns the decisions on those that waited. Those for which there is no credit wait for one more
+// request, in case only a message was lost, before they are denied. If it comes after MaximumCallTimeout, the daemon was
 // stopped meanwhile, and the leader is asked once more first.
 func (l *Limiter) Unanswered(now clock.Mark) []Resolution {
 	if l.progress == nil {
@@ -207,8 +209,12 @@
 	if late && !l.contact.unreachable {
 		return nil
 	}
+	l.contact.askingAgain = !l.contact.unreachable
 	l.contact.unreachable = true
-	l.contact.retryAt = now + clock.Mark(RetryInterval)
+	l.contact.retryAt = now
+	if !l.contact.askingAgain {
+		l.contact.retryAt += clock.Mark(RetryInterval)
+	}
 	var resolutions []Resolution
 	for name, tenant := range l.pending {
 		for len(tenant.waiting) > 0 && l.spendCredit(tenant, now) {
--- a/process/quota/limiter_test.go
+++ b/process/quota/limiter_test.go
@@ -226,3 +226,27 @@
 		t.Errorf("%d lapsed tokens are taken back", got)
 	}
 }
+
+// Guards against a tenant denied under its limit for one lost message: a daemon without credit asks once more.
+func TestRequestIsDeniedOnlyOnceTheLeaderWasAskedTwice(t *testing.T) {
+	l := NewLimiter("a#1")
+	l.Take("t", twenty, second)
+	mustRequest(t, l, second)
+	if early := l.Unanswered(second + clock.Mark(callTimeout)); len(early) > 0 {
+		t.Errorf("decided after one request: %+v", early)
+	}
+	request := mustRequest(t, l, second+clock.Mark(callTimeout))
+	granted := l.Replied(replyTo(request, 1, Allotment{Count: 1}), second+clock.Mark(callTimeout)+millisecond)
+	if len(granted) != 1 || granted[0].Decision.Outcome != Granted {
+		t.Errorf("got %+v", granted)
+	}
+	now := 2 * second
+	l.Take("t", twenty, now)
+	mustRequest(t, l, now)
+	l.Unanswered(now + clock.Mark(callTimeout))
+	mustRequest(t, l, now+clock.Mark(callTimeout))
+	denied := l.Unanswered(now + 2*clock.Mark(callTimeout))
+	if len(denied) != 1 || denied[0].Decision.Outcome != Denied {
+		t.Errorf("got %+v after two requests", denied)
+	}
+}
