--- a/daemon/quotalimit_test.go
+++ b/daemon/quotalimit_test.go
@@ -8,7 +8,7 @@
 )
 
 // Guards against requests that are denied because their tenant's limit was lifted, on daemons that have yet to learn it.
-func TestLeaderTellsTenantsWithoutLimitFromUnknownOnes(t *testing.T) {
+func TestLeaderDistinguishesTenantsWithoutLimitFromUnknownOnes(t *testing.T) {
 	index := upstream.NewIndex(&upstream.Section{Tenants: []upstream.Tenant{
 		{Name: "limited", Keys: []string{"k1"}, RatePerSecond: 2, Burst: 3},
 		{Name: "free", Keys: []string{"k2"}},
--- a/daemon/tenantquota/limiter_test.go
+++ b/daemon/tenantquota/limiter_test.go
@@ -75,10 +75,10 @@
 // Guards against a call to the leader for each request: those that wait share one.
 func TestRequestsThatWaitShareCalls(t *testing.T) {
 	var calls atomic.Int64
-	answer, held := leader(limit), make(chan struct{})
+	answer, release := leader(limit), make(chan struct{})
 	limiter := newTestLimiter(t, func(ctx context.Context, request quota.Request) (quota.Reply, error) {
 		if calls.Add(1) == 1 {
-			<-held
+			<-release
 		}
 		return answer(ctx, request)
 	})
@@ -91,7 +91,7 @@
 			waiting = use.Waiting
 		}
 	}
-	close(held)
+	close(release)
 	group.Wait()
 	if calls.Load() > 3 {
 		t.Errorf("%d calls for 20 requests", calls.Load())
@@ -161,9 +161,9 @@
 func TestRequestIsDeniedWhenCallsHang(t *testing.T) {
 	limiter := newTestLimiter(t, func(ctx context.Context, _ quota.Request) (quota.Reply, error) {
 		<-ctx.Done()
-		held := make(chan struct{})
-		time.AfterFunc(2*takeLimit, func() { close(held) })
-		<-held
+		release := make(chan struct{})
+		time.AfterFunc(2*takeLimit, func() { close(release) })
+		<-release
 		return quota.Reply{}, ctx.Err()
 	})
 	began := time.Now()
