--- a/connection/gateway/tenant_test.go
+++ b/connection/gateway/tenant_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -196,3 +197,77 @@
 		t.Errorf("%d tokens of sent requests were returned", len(returned))
 	}
 }
+
+// Guards against a request that is sent after its deadline, or after its engine left, as it waited for its tenant's token
+// behind these checks.
+func TestEngineThatLeavesWhileTokenIsAwaitedGetsNothing(t *testing.T) {
+	engine := answering(t)
+	f := newFixture(t, engine)
+	f.withTenants(false, upstream.Tenant{Name: "acme", Keys: []string{"k1"}, RatePerSecond: 1})
+	asked := 0
+	f.gateway.TakeQuota = func(string) QuotaDecision {
+		asked++
+		if asked == 1 {
+			return QuotaDecision{Granted: true}
+		}
+		f.engines()
+		return QuotaDecision{Granted: true, Token: quota.TokenUntil(f.gateway.Clock.Elapsed() + clock.Mark(time.Hour))}
+	}
+	f.call(ask("once", "a1", "ping", "Authorization: Bearer k1", "Cresspond-Deadline-Ms: 300"))
+	if came := engine.arrivals(); len(came) > 0 {
+		t.Errorf("%d requests reached the engine", len(came))
+	}
+}
+
+// switchedIndex gives one routing table for a number of calls and another from then on.
+type switchedIndex struct {
+	before, after *upstream.Index
+	left          atomic.Int64
+	switched      atomic.Bool
+}
+
+func (s *switchedIndex) load() *upstream.Index {
+	if s.left.Add(-1) >= 0 {
+		return s.before
+	}
+	s.switched.Store(true)
+	return s.after
+}
+
+// Guards against a client's key that reaches an engine, since the first tenants come in force while a request's header is
+// written.
+func TestKeyIsWithheldWhenTenantsComeInForceBetweenAnyTwoSteps(t *testing.T) {
+	for calls := range 20 {
+		engine := answering(t)
+		f := newFixture(t, engine)
+		index := &switchedIndex{before: f.index.Load()}
+		f.withTenants(true, upstream.Tenant{Name: "acme", Keys: []string{"k1"}})
+		index.after = f.index.Load()
+		index.left.Store(int64(calls))
+		f.gateway.Index = index.load
+		if got := f.call(ask("again", "a1", "ping", "Authorization: Bearer k1", "Cresspond-Tenant: mine")); got.status != http.StatusOK {
+			t.Errorf("after %d look-ups: %+v", calls, got)
+		}
+		header := engine.arrivals()[0].request.Header
+		if index.switched.Load() && (header.Get("Authorization") != "" || header.Get("Cresspond-Tenant") != "acme") {
+			t.Errorf("after %d look-ups: credentials %q, tenant %q", calls, header.Get("Authorization"), header.Get("Cresspond-Tenant"))
+		}
+	}
+}
+
+// Guards against a process that ends, since the routing table of a limited tenant is withdrawn while a request is read.
+func TestTableThatIsWithdrawnBetweenAnyTwoStepsEndsNoProcess(t *testing.T) {
+	for calls := range 20 {
+		f := newFixture(t, answering(t))
+		f.withTenants(false, upstream.Tenant{Name: "acme", Keys: []string{"k1"}, RatePerSecond: 1})
+		index := &switchedIndex{before: f.index.Load()}
+		index.left.Store(int64(calls))
+		f.gateway.Index = index.load
+		f.gateway.TakeQuota = func(string) QuotaDecision {
+			return QuotaDecision{Granted: true, Token: quota.TokenUntil(f.gateway.Clock.Elapsed() + clock.Mark(time.Hour))}
+		}
+		if got := f.call(ask("once", "a1", "ping", "Authorization: Bearer k1")); got.err != nil {
+			t.Errorf("after %d look-ups: %+v", calls, got)
+		}
+	}
+}
--- a/daemon/tenantquota/limiter.go
+++ b/daemon/tenantquota/limiter.go
@@ -18,8 +18,13 @@
 	// callTimeout bounds a call to the leader. A leader that takes longer is no help to a request that waits: the daemon
 	// goes on by credit.
 	callTimeout = 150 * time.Millisecond
-	// stoppedRetryAfter is when a client should retry after a daemon that has stopped.
-	stoppedRetryAfter = 200 * time.Millisecond
+	// observePeriod is how often the limiter looks for a new leader while no request asks for a token. A leader reserves what
+	// daemons may spend until they have reported to it.
+	observePeriod = 400 * time.Millisecond
+	// takeLimit bounds how long a request waits for a decision, whatever becomes of the calls that it waits for.
+	takeLimit = 400 * time.Millisecond
+	// undecidedRetryAfter is when a client should retry that a daemon gave no decision, as it has stopped or its calls hang.
+	undecidedRetryAfter = 200 * time.Millisecond
 )
 
 // Leader is what a limiter knows of the fleet.
@@ -38,6 +43,8 @@
 	Ask func(context.Context, quota.Request) (quota.Reply, error)
 	// Leader gives what is known of the leader now.
 	Leader func() Leader
+	// Neighbours are asked for loans while no leader answers.
+	Neighbours Neighbours
 	// Log takes the changes of state.
 	Log log.Interface
 }
@@ -50,9 +57,11 @@
 	waiters map[quota.WaiterID]chan quota.Decision
 	// wakeAt is when the timer that was set last wakes the actor.
 	wakeAt clock.Mark
-	ctx    context.Context
-	counts counter
-	credit creditLog
+	// addresses are the neighbours as of the last call that the leader did not answer.
+	addresses []string
+	ctx       context.Context
+	counts    counter
+	credit    creditLog
 }
 
 // NewLimiter makes the limiter of one incarnation of a daemon.
@@ -70,23 +79,46 @@
 // Run owns the limiter until ctx ends.
 func (l *Limiter) Run(ctx context.Context) {
 	l.ctx = ctx
-	l.mailbox.Run(ctx, 0, func(event func()) {
+	l.mailbox.Run(ctx, observePeriod, func(event func()) {
 		event()
 		l.proceed()
-	}, nil)
+	}, func() {
+		l.observe()
+		l.proceed()
+	})
 }
 
-// Take decides on one request of a limited tenant, and waits for the leader where that is needed.
+// Take decides on one request of a limited tenant, and waits for the leader where that is needed, for takeLimit at most.
 func (l *Limiter) Take(tenant string, limit quota.Limit) quota.Decision {
 	decided := make(chan quota.Decision, 1)
 	if !l.mailbox.Send(func() { l.take(tenant, limit, decided) }) {
 		return stopped()
 	}
-	select {
-	case decision := <-decided:
-		return decision
-	case <-l.mailbox.Done():
-		return stopped()
+	timer := time.NewTimer(takeLimit)
+	defer timer.Stop()
+	for {
+		select {
+		case decision := <-decided:
+			return decision
+		case <-timer.C:
+			l.mailbox.Send(func() { l.giveUp(tenant, decided) })
+		case <-l.mailbox.Done():
+			return stopped()
+		}
+	}
+}
+
+// giveUp denies a request that still waits for a decision.
+func (l *Limiter) giveUp(tenant string, decided chan quota.Decision) {
+	for waiter, waiting := range l.waiters {
+		if waiting != decided || !l.core.Cancel(tenant, waiter) {
+			continue
+		}
+		delete(l.waiters, waiter)
+		decision := quota.Decision{Outcome: quota.Denied, RetryAfter: undecidedRetryAfter}
+		l.counts.countDecision(tenant, decision)
+		decided <- decision
+		return
 	}
 }
 
@@ -97,7 +129,7 @@
 
 // stopped is the decision of a daemon that has stopped.
 func stopped() quota.Decision {
-	return quota.Decision{Outcome: quota.Denied, RetryAfter: stoppedRetryAfter}
+	return quota.Decision{Outcome: quota.Denied, RetryAfter: undecidedRetryAfter}
 }
 
 func (l *Limiter) take(tenant string, limit quota.Limit, decided chan quota.Decision) {
@@ -115,6 +147,7 @@
 // proceed calls the leader if there is something to ask or to report, or sets a timer for when there will be.
 func (l *Limiter) proceed() {
 	now := l.Clock.Elapsed()
+	l.borrow(now)
 	if request, due := l.core.NextRequest(now); due {
 		go l.ask(request)
 		return
@@ -156,6 +189,7 @@
 	l.counts.calls++
 	if err != nil {
 		l.counts.unanswered++
+		l.observeNeighbours()
 		l.resolve(l.core.Unanswered(now))
 	} else {
 		l.counts.countTokens(reply)
