--- a/process/quota/limiter.go
+++ b/process/quota/limiter.go
@@ -41,6 +41,8 @@
 	term, knownTerm uint64
 	// unreachable holds from a request without a reply to the next reply.
 	unreachable bool
+	// askingAgain holds from the first request without a reply to the reply to the next one, or its failure.
+	askingAgain bool
 	// answeredAt is when the last request was sent that was answered. Credit accrues from then on.
 	answeredAt clock.Mark
 	// last is the latest moment from which the leader is known to have been in contact.
@@ -258,7 +260,7 @@
 // a tenant that the daemon has not served lately.
 func (l *Limiter) creditRate(tenant *tenantTokens, now clock.Mark) creditRate {
 	standing := tenant.standing
-	standing.perSecond = min(standing.perSecond, standingFraction*tenant.limit.RatePerSecond)
+	standing.perSecond = min(standing.perSecond, tenant.limit.daemonStandingRate())
 	if l.contact.daemons == 0 {
 		return standing
 	}
