--- a/review/testdata/standin/lateanswer.go
+++ b/review/testdata/standin/lateanswer.go
@@ -20,9 +20,9 @@
 	garbleEngines = 0.5
 
 	lateAnswerEngines = 6
-	lateAnswerRounds  = 9
-	roundLength       = 8 * time.Second
-	backgroundEvery   = 8 * time.Millisecond
+	lateAnswerRounds  = 15
+	roundLength       = 6500 * time.Millisecond
+	backgroundEvery   = 5 * time.Millisecond
 )
 
 // answered is what a client got.
