--- a/review/testdata/standin/engine.go
+++ b/review/testdata/standin/engine.go
@@ -168,6 +168,9 @@
 				_, _ = conn.Write(late)
 				late = nil
 			}
+			if e.f.onRequest != nil {
+				e.f.onRequest(request.Header)
+			}
 			refused, ok := e.work(conn, reader, attempt, request.Header.Get("X-Model"), request.Header.Get("Last-Event-Id"))
 			if !ok {
 				return
--- a/review/testdata/standin/fleet.go
+++ b/review/testdata/standin/fleet.go
@@ -56,6 +56,9 @@
 	cores       []*machine
 	edges       []*machine
 	client      *http.Client
+	// program is what machines run in place of the program under review; onRequest is called with each request's header.
+	program   string
+	onRequest func(http.Header)
 	// bounds are the lines of [bounds] of the settings files.
 	bounds string
 }
@@ -116,6 +119,20 @@
 	return f, nil
 }
 
+// moveTo gives the machines other addresses, before any of them runs.
+func (f *fleet) moveTo(prefix string) error {
+	for _, m := range append(append([]*machine{}, f.cores...), f.edges...) {
+		m.ip = prefix + strings.TrimPrefix(m.ip, f.prefix)
+	}
+	f.prefix = prefix
+	for _, m := range append(append([]*machine{}, f.cores...), f.edges...) {
+		if err := f.writeSettings(m, true); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // writeSettings writes a machine's settings file.
 func (f *fleet) writeSettings(m *machine, bootstrap bool) error {
 	m.settings = filepath.Join(f.folder, m.name+".toml")
@@ -149,7 +166,11 @@
 	if err != nil {
 		return err
 	}
-	m.process = exec.Command(filepath.Join(f.top, "target", "cresspond-platform"), "--metrics", "9464/metrics")
+	program := f.program
+	if program == "" {
+		program = filepath.Join(f.top, "target", "cresspond-platform")
+	}
+	m.process = exec.Command(program, "--metrics", "9464/metrics")
 	m.process.Dir = f.top
 	m.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "CRESSPOND_CONFIG=" + m.settings}
 	m.process.Stdout, m.process.Stderr = output, output
--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -21,7 +21,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(folder string, trouble bool) (broken bool, err error){"late-answer": lateAnswer, "withdrawn-model": withdrawnModel, "long-line": longLines}
+	cases := map[string]func(folder string, trouble bool) (broken bool, err error){"late-answer": lateAnswer, "withdrawn-model": withdrawnModel, "long-line": longLines, "upgrade": upgrade, "store-before": storeBefore}
 	play, known := cases[os.Args[1]]
 	if !known {
 		fmt.Fprintln(os.Stderr, "no such case")
