--- a/review/testdata/standin/withdrawnmodel.go
+++ b/review/testdata/standin/withdrawnmodel.go
@@ -18,7 +18,7 @@
 	// askEvery is the pause between two requests of the whole traffic, which goes to all models by turns.
 	askEvery = 8 * time.Millisecond
 	// restartAfter is how long after its end a process is started again.
-	restartAfter = 500 * time.Millisecond
+	restartAfter = 3 * time.Second
 	// endsThatCount is how often processes of a machine end by themselves until the machine counts, machinesThatCount
 	// how many such machines are half of the core.
 	endsThatCount, machinesThatCount = 3, 2
