--- a/daemon/counters.go
+++ b/daemon/counters.go
@@ -244,6 +244,7 @@
 	report("engine_connections_dropped_idle", connections.DroppedWhileIdle.Load())
 	report("engine_answers_surplus", connections.SurplusBytes.Load())
 	report("engine_answers_foreign", connections.ForeignResponses.Load())
+	report("engine_connections_same_id_avoided", connections.SameIDAvoided.Load())
 	report("engine_answers_junk", connections.ProtocolErrors.Load())
 	report("engine_bytes_sent", connections.BytesSent.Load())
 	report("engine_bytes_received", connections.BytesReceived.Load())
--- a/process/engines/connectionpool/connection.go
+++ b/process/engines/connectionpool/connection.go
@@ -34,8 +34,8 @@
 	connectTime time.Duration
 	// announcedIdleTimeout is how long the engine announced to keep it idle; zero is unknown.
 	announcedIdleTimeout time.Duration
-	// used reports that a request was sent on it.
-	used     bool
+	// sent holds the ids of the requests that were sent on it.
+	sent     sentIDs
 	counters *Counters
 }
 
--- a/process/engines/connectionpool/doc.go
+++ b/process/engines/connectionpool/doc.go
@@ -10,6 +10,8 @@
 //     OutcomeMisdirected that the engine guarantees not to have run it. After any other outcome it may have run.
 //   - No byte of another request's response is passed on: a response must bear the attempt's id, or MissingIDPolicy must
 //     allow that it bears none.
+//   - No id is sent twice on one connection. A response there can then belong to one attempt only, also where a request is
+//     sent again after a rejection.
 //   - A connection is reused only if the last request was written and its response read completely, and nothing more came.
 //
 // Pools owns all state under its mutex; a connection taken from it belongs to one Result until that is closed. Packages
--- a/process/engines/connectionpool/pools.go
+++ b/process/engines/connectionpool/pools.go
@@ -13,9 +13,10 @@
 
 // Counters count events since the daemon started. FoundStale counts idle connections that the engine had closed or
 // written to, DroppedWhileIdle those that turned out closed after a request was sent, SurplusBytes responses followed by
-// further bytes, ForeignResponses responses to other requests.
+// further bytes, ForeignResponses responses to other requests, SameIDAvoided idle connections that were not used because
+// the request had been sent on them before.
 type Counters struct {
-	Dialed, DialsFailed, Reused, FoundStale, DroppedWhileIdle, SurplusBytes, ForeignResponses, ProtocolErrors, BytesSent, BytesReceived atomic.Uint64
+	Dialed, DialsFailed, Reused, FoundStale, DroppedWhileIdle, SurplusBytes, ForeignResponses, SameIDAvoided, ProtocolErrors, BytesSent, BytesReceived atomic.Uint64
 }
 
 // Pools holds the connections to all engines. It is safe for concurrent use.
@@ -60,7 +61,8 @@
 }
 
 // acquire gives an idle connection that the attempt may use; or nil and true if it may dial one, which then counts as
-// open; or false if the bound is reached.
+// open; or false if the bound is reached. A connection on which the attempt's id was sent before is not used: a late
+// response to the earlier attempt would bear the same id.
 func (p *Pools) acquire(key engineKey, attempt Attempt) (reused *connection, available bool) {
 	now := p.clock.Elapsed()
 	notRepeatable, most := attempt.NotRepeatable, attempt.MaxConnections
@@ -84,6 +86,10 @@
 		if notRepeatable && idle > candidate.notRepeatableIdleTimeout() {
 			continue
 		}
+		if candidate.sent.contains(attempt.ID) {
+			p.Counters.SameIDAvoided.Add(1)
+			continue
+		}
 		connections.idle = append(connections.idle[:index], connections.idle[index+1:]...)
 		return candidate, true
 	}
@@ -91,7 +97,7 @@
 		if len(connections.idle) == 0 {
 			return nil, false
 		}
-		// The idle ones are too old for an attempt that can't be repeated; the oldest is closed for it.
+		// This attempt may use none of the idle ones; the oldest is closed for it.
 		p.closeIdle(connections, 0)
 	}
 	connections.open++
@@ -125,8 +131,13 @@
 	}
 }
 
-// release makes a connection idle.
+// release makes a connection idle, or closes it once it has carried as many requests as it may.
 func (p *Pools) release(key engineKey, conn *connection) {
+	if conn.sent.full() {
+		_ = conn.Close()
+		p.forget(key)
+		return
+	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	connections := p.engines[key]
