--- a/connection/gateway/events.go
+++ b/connection/gateway/events.go
@@ -30,11 +30,8 @@
 	complete := 0
 	last := s.lastEvent
 	for {
-		line, err := s.events.ReadSlice('\n')
-		s.buffer = append(s.buffer, line...)
+		blank, err := s.readLine(complete + maxEvent)
 		switch {
-		case err == bufio.ErrBufferFull && len(s.buffer) <= maxEvent:
-			continue
 		case len(s.buffer)-complete > maxEvent:
 			return errEventTooLarge
 		case err == io.EOF && len(s.buffer) == complete:
@@ -44,7 +41,7 @@
 		case err != nil:
 			return err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+		if !blank {
 			continue
 		}
 		id, found := eventID(s.buffer[complete:])
@@ -71,6 +68,20 @@
 	}
 }
 
+// readLine appends one line to the buffer, in as many parts as the reader gives it, and reports whether the whole line is
+// blank, which ends an event. It stops behind a part with which the buffer is longer than limit.
+func (s *stream) readLine(limit int) (blank bool, err error) {
+	began := len(s.buffer)
+	for {
+		part, err := s.events.ReadSlice('\n')
+		s.buffer = append(s.buffer, part...)
+		if err == bufio.ErrBufferFull && len(s.buffer) <= limit {
+			continue
+		}
+		return len(bytes.TrimRight(s.buffer[began:], "\r\n")) == 0, err
+	}
+}
+
 // eventID gives an event's id.
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.Lines(event) {
--- a/connection/gateway/fuzz_test.go
+++ b/connection/gateway/fuzz_test.go
@@ -16,6 +16,9 @@
 	} {
 		f.Add([]byte(text))
 	}
+	for _, length := range longLines {
+		f.Add([]byte(eventWithLine(1, length) + eventWithLine(2, length)))
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s := &stream{exchange: &exchange{Gateway: &Gateway{}}, events: bufio.NewReaderSize(bytes.NewReader(data), eventBufferSize)}
 		var passed []byte
@@ -30,7 +33,7 @@
 				break
 			}
 			passed = append(passed, s.pending...)
-			if len(s.pending) == 0 || !bytes.HasSuffix(s.pending, []byte("\n")) {
+			if !endsWithEvent(passed) {
 				t.Fatalf("%q is no whole event", s.pending)
 			}
 			if number, err := strconv.ParseUint(s.lastEvent, 10, 64); err == nil {
@@ -45,3 +48,12 @@
 		}
 	})
 }
+
+// endsWithEvent reports whether a text ends behind a blank line, as events do.
+func endsWithEvent(text []byte) bool {
+	if !bytes.HasSuffix(text, []byte("\n")) {
+		return false
+	}
+	last := text[bytes.LastIndexByte(text[:len(text)-1], '\n')+1:]
+	return len(bytes.TrimRight(last, "\r\n")) == 0
+}
