--- a/request/forwarding/baseline.go
+++ b/request/forwarding/baseline.go
@@ -64,7 +64,7 @@
 // overdueAfter is how long an attempt's first byte may take before it is overdue: a multiple of the usual time, more for
 // a request of more than the usual cost, since full batches and large prompts take their time.
 func (c *Core) overdueAfter(request *Request) time.Duration {
-	baseline, target := c.baseline(request), time.Duration(request.Path.TargetMs)*time.Millisecond
+	baseline, target := c.baseline(request), request.Path.Target()
 	if baseline.samples < minBaselineSamples {
 		return max(unknownBaselineFactor*target, time.Second)
 	}
--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -96,7 +96,7 @@
 	request.pool = selectPool(request.Path, request.Attributes.Attempt)
 	request.memoryTokens = request.Attributes.TokensIn + request.Attributes.TokensOut
 	request.firstByteDeadline = min(request.Deadline, request.ArrivedAt+clock.Mark(c.settings.clientTimeout(request.Path)))
-	request.resubmitted = request.Attributes.Deadline > 0 && request.Attributes.Deadline < time.Duration(request.Path.DeadlineMs)*time.Millisecond*19/20
+	request.resubmitted = request.Attributes.Deadline > 0 && request.Attributes.Deadline < request.Path.Deadline()*19/20
 	c.recordArrival(request, env.Now)
 	c.dispatch(request, env)
 }
--- a/request/forwarding/giveup.go
+++ b/request/forwarding/giveup.go
@@ -61,7 +61,7 @@
 // loaded after wait, by the planner's word if announced.
 func (c *Core) shouldGiveUpLoad(request *Request, wait time.Duration, announced bool, env Environment) (retryAfter time.Duration, giveUp bool) {
 	left, waited := request.responseDeadline().Since(env.Now), env.Now.Since(request.ArrivedAt)
-	target, most := time.Duration(request.Path.TargetMs)*time.Millisecond, maxQueueTime(request)
+	target, most := request.Path.Target(), maxQueueTime(request)
 	// Clients retry within their whole deadline, however long they wait for one response to begin.
 	back := request.Deadline.Since(env.Now) / retryAfterDivisor
 	retryAfter = min(wait+readyMargin, back)
--- a/request/forwarding/loadwait.go
+++ b/request/forwarding/loadwait.go
@@ -70,7 +70,7 @@
 		// An adapter alone comes in a moment.
 		return 0, true
 	}
-	return time.Duration(model.LoadMs) * time.Millisecond, true
+	return model.LoadTime(), true
 }
 
 // learnedOr gives a measured time, or the usual one while there is none.
--- a/request/forwarding/outlierreport.go
+++ b/request/forwarding/outlierreport.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/cresspond/cresspond/clock"
 	"github.com/cresspond/cresspond/ident"
@@ -55,7 +54,7 @@
 		c.outcomes.RecordConnect(request.engine, request.Observed.ConnectTime)
 	}
 	if request.Path.GapTargetMs > 0 && request.Observed.LongestEventGap > 0 {
-		c.outcomes.RecordGapExcess(request.engine, request.Observed.LongestEventGap-time.Duration(request.Path.GapTargetMs)*time.Millisecond)
+		c.outcomes.RecordGapExcess(request.engine, request.Observed.LongestEventGap-request.Path.GapTarget())
 	}
 	request.Observed = AttemptObservation{}
 	c.stopAwaiting(request)
--- a/request/forwarding/pathstate.go
+++ b/request/forwarding/pathstate.go
@@ -76,7 +76,7 @@
 	if expected > request.responseDeadline().Since(env.Now)-least {
 		return true
 	}
-	target := float64(request.Path.TargetMs) * float64(time.Millisecond)
+	target := float64(request.Path.Target())
 	if settings.Disabled.Has(featuregates.Shedding) {
 		return false
 	}
@@ -96,7 +96,7 @@
 	if request.Path == nil {
 		return 0
 	}
-	target := time.Duration(request.Path.TargetMs) * time.Millisecond
+	target := request.Path.Target()
 	return max(target/10, min(c.pathState(request).firstByteTime, target)/2, minAttemptFloor)
 }
 
--- a/request/forwarding/queue.go
+++ b/request/forwarding/queue.go
@@ -119,5 +119,5 @@
 // initialQueueTime is how long a request is queued while nothing tells when it can be served: less than the quarter of
 // its target within which a rejection does no harm.
 func initialQueueTime(request *Request) time.Duration {
-	return time.Duration(request.Path.TargetMs) * time.Millisecond / 5
+	return request.Path.Target() / 5
 }
--- a/request/forwarding/reason.go
+++ b/request/forwarding/reason.go
@@ -167,10 +167,10 @@
 // lateReason gives what took most of the time of a response that begins after its path's target; ReasonNone if it does
 // not.
 func (c *Core) lateReason(request *Request, now clock.Mark) Reason {
-	target := time.Duration(request.Path.TargetMs) * time.Millisecond
+	target := request.Path.Target()
 	before := time.Duration(0)
 	if request.resubmitted {
-		before = time.Duration(request.Path.DeadlineMs)*time.Millisecond - request.Attributes.Deadline
+		before = request.Path.Deadline() - request.Attributes.Deadline
 	}
 	here, engine := now.Since(request.ArrivedAt), now.Since(request.sentAt)
 	if target <= 0 || before+here <= target {
--- a/request/forwarding/request.go
+++ b/request/forwarding/request.go
@@ -107,7 +107,7 @@
 // SetPath sets the path that serves the request, and with it the deadline: the path's, or the client's where it is
 // earlier.
 func (r *Request) SetPath(path *upstream.Path) {
-	limit := time.Duration(path.DeadlineMs) * time.Millisecond
+	limit := path.Deadline()
 	if r.Attributes.Deadline > 0 {
 		limit = min(limit, r.Attributes.Deadline)
 	}
--- a/request/forwarding/settings.go
+++ b/request/forwarding/settings.go
@@ -55,5 +55,5 @@
 	if path.Class != upstream.Stream || s.ClientTimeout == (ClientTimeout{}) {
 		return noClientTimeout
 	}
-	return max(s.ClientTimeout.Minimum, time.Duration(max(s.ClientTimeout.TargetFactor*path.TargetMs, s.ClientTimeout.GapFactor*path.GapTargetMs))*time.Millisecond)
+	return max(s.ClientTimeout.Minimum, time.Duration(s.ClientTimeout.TargetFactor)*path.Target(), time.Duration(s.ClientTimeout.GapFactor)*path.GapTarget())
 }
