Planner of pools: what a configuration withdraws is forgotten with it (Fault)

Cause: adopt took over the new catalogues, but the planner's demand, which lives for ten minutes, and the engines' intents still named what the catalogue no longer has; pool.size, loadSpan and the load times looked it up and used the missing entry.

Evidence: TestPlannerOutlivesWithdrawalsFromTheCatalogue plays random valid changes (models, adapters, catalogues, pools and paths withdrawn and brought back, bounds at their edges) while engines restart, orders and reports are lost and the lease changes hands.

Why this fixes it: adopt drops the demand for models, adapters and pools that the newest configuration doesn't name, cancels intents for them, and drops the backoffs that orders for them left, so that nothing stands in the way when they come back. An engine that moves to another pool goes the same way. New demand counts only for adapters that the catalogue has: before, a withdrawn adapter was ordered on and on. size and loadTime are total: what is not named fits nowhere.

TestOrderIsResolvedByTheFirstReportThatCanReflectIt named its adapters aA, aB, ..., which no catalogue has; they are a1, a2, ... now, and its checks are as they were.

--- a/process/placement/poolplacement/catalogue.go
+++ b/process/placement/poolplacement/catalogue.go
@@ -1,10 +1,12 @@
 package poolplacement
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/cresspond/cresspond/clock"
 	"github.com/cresspond/cresspond/configuration/upstream"
 	"github.com/cresspond/cresspond/process/engines/registry"
 )
@@ -41,7 +43,7 @@
 		if !slices.ContainsFunc(path.Shares, func(share upstream.Share) bool { return share.Pool == pool }) {
 			continue
 		}
-		target := time.Duration(path.TargetMs) * time.Millisecond
+		target := path.Target()
 		if known, found := targets[path.Rank]; !found || target < known {
 			targets[path.Rank] = target
 		}
@@ -67,7 +69,7 @@
 		for at := range catalogue.Models {
 			model := &catalogue.Models[at]
 			made.models[model.Name] = model
-			total += float64(model.LoadMs) / 1000
+			total += model.LoadTime().Seconds()
 		}
 		// What the store keeps up with, by its rate limit and the time of a load, is what it serves at full speed.
 		made.maxConcurrentLoads = max(1, int(catalogue.LoadsPerSecond*total/float64(len(catalogue.Models))+0.5))
@@ -83,18 +85,68 @@
 	}
 	p.pools = pools
 	for _, e := range p.engines {
-		e.pool = pools[e.pool.name]
-		if e.pool == nil {
+		made := pools[e.pool.name]
+		if made == nil {
 			delete(p.engines, e.id)
+			continue
+		}
+		p.moveToPool(e, made)
+	}
+	p.forgetWithdrawnDemand()
+}
+
+// moveToPool puts an engine under a pool's newest catalogue. An intent for what the catalogue doesn't name is cancelled, and
+// what is known of orders for it no longer holds should it come back.
+func (p *Planner) moveToPool(e *engine, made *pool) {
+	if e.pool == made {
+		return
+	}
+	e.pool = made
+	maps.DeleteFunc(e.backoffs, func(target registry.Target, _ clock.Mark) bool { return !made.names(target) })
+	if e.intent != nil && !made.names(e.intent.Target) {
+		p.Counters.Cancelled++
+		e.intent = nil
+	}
+}
+
+// forgetWithdrawnDemand forgets the demand for what the newest catalogues don't name.
+func (p *Planner) forgetWithdrawnDemand() {
+	for name, demand := range p.demand {
+		made := p.pools[name]
+		if made == nil {
+			delete(p.demand, name)
+			continue
+		}
+		maps.DeleteFunc(demand.models, func(model string, _ *itemDemand) bool { return !made.names(registry.Target{Model: model}) })
+		maps.DeleteFunc(demand.adapters, func(target registry.Target, _ *itemDemand) bool { return !made.names(target) })
+		for model, item := range demand.models {
+			item.loadTime = made.loadTime(model)
 		}
 	}
 }
 
-// size is the capacity that a target takes.
+// names reports whether the catalogue names a target.
+func (p *pool) names(target registry.Target) bool {
+	model := p.models[target.Model]
+	return model != nil && (target.Adapter == "" || model.HasAdapter(target.Adapter))
+}
+
+// size is the capacity that a target takes, in MB; what the catalogue doesn't name fits nowhere.
 func (p *pool) size(target registry.Target) float64 {
 	model := p.models[target.Model]
-	if target.Adapter == "" {
+	switch {
+	case model == nil:
+		return math.Inf(1)
+	case target.Adapter == "":
 		return model.SizeMb
 	}
 	return model.AdapterSizeMb
 }
+
+// loadTime is how long a model takes to load from the store at full speed; zero for what the catalogue doesn't name.
+func (p *pool) loadTime(model string) time.Duration {
+	if found := p.models[model]; found != nil {
+		return found.LoadTime()
+	}
+	return 0
+}
--- a/process/placement/poolplacement/demand.go
+++ b/process/placement/poolplacement/demand.go
@@ -103,7 +103,7 @@
 // addDemand adds one row of the newest demand to its model, and to its adapter if it names one.
 func (p *Planner) addDemand(demand Demand) {
 	catalogue := p.pools[demand.Pool]
-	if catalogue == nil || catalogue.models[demand.Model] == nil {
+	if catalogue == nil || !catalogue.names(registry.Target{Model: demand.Model}) {
 		return
 	}
 	pool := p.demand[demand.Pool]
@@ -123,12 +123,12 @@
 		model.queuedForAdapter += demand.Queued
 	}
 	model.ranksBehind = p.ranksBehind(model.rank, catalogue)
-	model.loadTime = time.Duration(catalogue.models[demand.Model].LoadMs) * time.Millisecond
+	model.loadTime = catalogue.loadTime(demand.Model)
 	model.latencyTarget = catalogue.targets[model.rank]
-	if demand.Adapter == "" {
+	target := registry.Target{Model: demand.Model, Adapter: demand.Adapter}
+	if demand.Adapter == "" || !catalogue.names(target) {
 		return
 	}
-	target := registry.Target{Model: demand.Model, Adapter: demand.Adapter}
 	adapter := pool.adapters[target]
 	if adapter == nil {
 		adapter = &itemDemand{}
--- a/process/placement/poolplacement/lag_test.go
+++ b/process/placement/poolplacement/lag_test.go
@@ -1,6 +1,7 @@
 package poolplacement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -83,7 +84,7 @@
 		l := newSingleEngine(t, catalogue, lag, registry.LoadedModel{Model: "m"})
 		total, rounds := time.Duration(0), 0
 		for i := range 80 {
-			adapter := "a" + string(rune('A'+i))
+			adapter := fmt.Sprint("a", i+1)
 			l.ask(Demand{Pool: "p", Model: "m", Adapter: adapter, Queued: 1, Arrivals: 1})
 			orders := l.step()
 			if len(orders) != 1 || orders[0].Adapter != adapter {
--- a/process/placement/poolplacement/models.go
+++ b/process/placement/poolplacement/models.go
@@ -58,7 +58,7 @@
 			orders = append(orders, order)
 		case !placed && len(s.replicas[wanted.Model]) == 0 && wanted.demand.queued > 0:
 			waiting++
-			s.recordUnplaced(wanted.Target, s.planner.loadWindow.freeAfter(s.now, s.pool.maxLoads)+s.loadTimeOf(wanted.Model)+time.Duration(float64(waiting)/max(0.1, s.pool.catalogue.LoadsPerSecond)*float64(time.Second)))
+			s.recordUnplaced(wanted.Target, s.planner.loadWindow.freeAfter(s.now, s.pool.maxLoads)+s.pool.loadTime(wanted.Model)+time.Duration(float64(waiting)/max(0.1, s.pool.catalogue.LoadsPerSecond)*float64(time.Second)))
 		}
 	}
 	return orders
--- a/process/placement/poolplacement/plan.go
+++ b/process/placement/poolplacement/plan.go
@@ -176,7 +176,8 @@
 				p.engines[listed.ID] = e
 				changed = true
 			}
-			e.pool, e.slots = made, listed.Slots
+			p.moveToPool(e, made)
+			e.slots = listed.Slots
 			if e.slots <= 0 {
 				e.slots = max(1, made.catalogue.Slots)
 			}
--- a/process/placement/poolplacement/publish.go
+++ b/process/placement/poolplacement/publish.go
@@ -51,8 +51,8 @@
 			}
 		}
 		ready := e.intent.announcedAt + clock.Mark(p.settings.EvictionNotice+time.Duration(len(e.intent.victims))*evictSpan)
-		if model := e.pool.models[e.intent.Model]; e.intent.Adapter == "" && model != nil {
-			ready += clock.Mark(time.Duration(model.LoadMs) * time.Millisecond)
+		if e.intent.Adapter == "" {
+			ready += clock.Mark(e.pool.loadTime(e.intent.Model))
 		}
 		plan.PendingLoads = append(plan.PendingLoads, registry.PendingLoad{Target: e.intent.Target, Ready: max(ready, now)})
 	}
--- a/process/placement/poolplacement/store.go
+++ b/process/placement/poolplacement/store.go
@@ -31,7 +31,7 @@
 
 // loadSpan is how long a load is expected to take with so many under way.
 func (s *survey) loadSpan(e *engine, target registry.Target, loading int) time.Duration {
-	span := time.Duration(s.pool.models[target.Model].LoadMs) * time.Millisecond
+	span := s.pool.loadTime(target.Model)
 	if loading > s.pool.maxConcurrentLoads {
 		span = span * time.Duration(loading) / time.Duration(s.pool.maxConcurrentLoads)
 	}
@@ -41,11 +41,6 @@
 	return span
 }
 
-// loadTimeOf is how long a model takes to load from the store at full speed.
-func (s *survey) loadTimeOf(model string) time.Duration {
-	return time.Duration(s.pool.models[model].LoadMs) * time.Millisecond
-}
-
 // recordUnplaced reports that a target is not likely to be loaded before a wait has passed.
 func (s *survey) recordUnplaced(target registry.Target, wait time.Duration) {
 	s.planner.Unplaced = append(s.planner.Unplaced, Unplaced{s.pool.name, target.Model, target.Adapter, wait})
--- a/process/placement/poolplacement/survey.go
+++ b/process/placement/poolplacement/survey.go
@@ -168,7 +168,7 @@
 		if e.intent == nil {
 			continue
 		}
-		if !e.canServe() || e.intent.Adapter != "" && !e.hasLoaded(registry.Target{Model: e.intent.Model}) || s.pool.models[e.intent.Model] == nil || e.hasLoaded(e.intent.Target) {
+		if !e.canServe() || e.intent.Adapter != "" && !e.hasLoaded(registry.Target{Model: e.intent.Model}) || e.hasLoaded(e.intent.Target) {
 			s.cancel(e)
 			continue
 		}
