--- a/cmd/cresspond-platform/run.go
+++ b/cmd/cresspond-platform/run.go
@@ -103,6 +103,7 @@
 		daemon.WithForwarding(platform.Dialect()),
 		daemon.WithPatience(platform.ClientTimeout()),
 		daemon.WithControl(func(d *daemon.Daemon) daemon.Handler { return platform.NewEngines(d) }),
+		daemon.WithSectionUpgrade(platform.UpgradeSection),
 		daemon.WithPoolPlanning(platform.NewEngineClient(), daemon.PoolSettings(settings)),
 		daemon.WithControl(func(d *daemon.Daemon) daemon.Handler { return platform.NewOperator(d) }),
 	)
--- a/configuration/upstream/section.go
+++ b/configuration/upstream/section.go
@@ -33,6 +33,17 @@
 	Note json.RawMessage `json:"note,omitempty"`
 }
 
+// Upgrade completes a section that an earlier build stored with what that build kept in notes and the present one reads. It
+// changes nothing in a section of the present build, and gives the same on all daemons.
+type Upgrade func(*Section)
+
+// Apply applies the upgrade to a section, if there are both.
+func (u Upgrade) Apply(section *Section) {
+	if u != nil && section != nil {
+		u(section)
+	}
+}
+
 // Path is one route of opaque requests.
 type Path struct {
 	Name string `json:"name" validate:"required,max=200"`
--- a/daemon/applybundle.go
+++ b/daemon/applybundle.go
@@ -191,6 +191,7 @@
 	if outcome := groupMember.Read(ctx, func(state *statemachine.State) { standing = directapply.ViewOf(state, call) }); outcome != replica.Applied {
 		return operatorapi.ApplyResponse{}, outcome
 	}
+	standing.Upgrade = d.sectionUpgrade
 	decision, inTime := d.decideApply(ctx, call, standing)
 	if !inTime {
 		return operatorapi.ApplyResponse{}, replica.Unknown
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 
 	"github.com/cresspond/cresspond/clock"
+	"github.com/cresspond/cresspond/configuration/upstream"
 	"github.com/cresspond/cresspond/connection/adminapi"
 	"github.com/cresspond/cresspond/connection/sessionapi"
 	"github.com/cresspond/cresspond/daemon/listener"
@@ -122,6 +123,8 @@
 	// wrapDisk wraps the data folder that the member writes to; tests inject faults by it.
 	wrapDisk func(replica.Disk) replica.Disk
 
+	// sectionUpgrade completes configurations that an earlier build stored; nil is none.
+	sectionUpgrade upstream.Upgrade
 	// controlMakers and readinessMakers make the handlers that come before the admin API, at the operators' and the
 	// readiness address.
 	controlMakers, readinessMakers     []func(*Daemon) Handler
--- a/daemon/options.go
+++ b/daemon/options.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/cresspond/cresspond/clock"
+	"github.com/cresspond/cresspond/configuration/upstream"
 	"github.com/cresspond/cresspond/process/consensus/replica"
 )
 
@@ -30,6 +31,12 @@
 	return func(d *Daemon) { d.wrapDisk = around }
 }
 
+// WithSectionUpgrade has configurations that an earlier build stored completed where they are put in force and where a patch
+// builds on them.
+func WithSectionUpgrade(upgrade upstream.Upgrade) Option {
+	return func(d *Daemon) { d.sectionUpgrade = upgrade }
+}
+
 // WithControl puts a handler before the admin API, for operators and engines.
 func WithControl(make func(*Daemon) Handler) Option {
 	return func(d *Daemon) { d.controlMakers = append(d.controlMakers, make) }
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -160,7 +160,7 @@
 // buildActors makes all actors; none runs yet. Connections to peers end with ctx, streams to callers with streams.
 func (d *Daemon) buildActors(ctx, streams context.Context) {
 	d.links = peerclient.New(ctx, d.config.AdvertisedPeerAddress(), d.config.PeerListen)
-	d.rollout = rollout.New(d.clock.Wall, d.configurationChanged)
+	d.rollout = rollout.New(d.clock.Wall, d.configurationChanged, rollout.WithUpgrade(d.sectionUpgrade))
 	d.watcher = discovery.New(d.clock, d.config.Platform, d.wakeRequestPath)
 	d.members = membership.New(d.clock, d, d.seeds, d.config.AdvertisedPeerAddress(), d.pace())
 	d.registry = registry.New(d.clock, string(d.nodeID), d.config.Serves(daemonconfig.Control), d.heartbeatPeriod, d.controlContact)
--- a/process/consensus/compatibility/stored_test.go
+++ b/process/consensus/compatibility/stored_test.go
@@ -119,7 +119,7 @@
 }
 
 // storedFolders lists the data folders in testdata.
-var storedFolders = []string{"log-since-formation", "snapshot-and-log", "applied-bundles"}
+var storedFolders = []string{"log-since-formation", "snapshot-and-log", "applied-bundles", "clients-in-note", "tenants-and-quotas"}
 
 func TestFolderOfEarlierBuildIsReadCompletely(t *testing.T) {
 	for _, name := range storedFolders {
@@ -148,6 +148,7 @@
 		"log-since-formation": {version: 2, closuresVersion: 1, closedZones: 1},
 		"snapshot-and-log":    {version: 2, closuresVersion: 1, closedZones: 1, compacted: true},
 		"applied-bundles":     {version: 3},
+		"tenants-and-quotas":  {version: 9},
 	} {
 		t.Run(name, func(t *testing.T) {
 			stored := expectedMember(t, filepath.Join("testdata", name))
--- a/process/rollout/directapply/directapply.go
+++ b/process/rollout/directapply/directapply.go
@@ -23,6 +23,8 @@
 	Status statemachine.ApplyStatus
 	// Committed is what an earlier copy of the request put in force.
 	Committed *statemachine.Proposal
+	// Upgrade completes a section that an earlier build stored before a patch is applied to it; nil is none.
+	Upgrade upstream.Upgrade
 }
 
 // Latest is the newest configuration; the proposal is nil before the first.
@@ -171,6 +173,7 @@
 	if len(faults) > 0 {
 		return nil, nil, faults
 	}
+	v.Upgrade.Apply(before.Forward)
 	merged := before.Forward.Merge(patch)
 	before.Forward = &merged
 	data, err := json.Marshal(before)
--- a/process/rollout/rollout.go
+++ b/process/rollout/rollout.go
@@ -21,6 +21,7 @@
 	"github.com/cresspond/cresspond/configuration/compression"
 	"github.com/cresspond/cresspond/configuration/document"
 	"github.com/cresspond/cresspond/configuration/routingtable"
+	"github.com/cresspond/cresspond/configuration/upstream"
 	"github.com/cresspond/cresspond/ident"
 )
 
@@ -40,6 +41,15 @@
 	// Rejected counts offers that could not be read, or differ from what has the same version.
 	Rejected atomic.Uint64
 	onSwap   func()
+	upgrade  upstream.Upgrade
+}
+
+// Option configures a Manager.
+type Option func(*Manager)
+
+// WithUpgrade has sections that an earlier build stored completed before they are put in force.
+func WithUpgrade(upgrade upstream.Upgrade) Option {
+	return func(m *Manager) { m.upgrade = upgrade }
 }
 
 // offer is a message to the actor.
@@ -54,9 +64,12 @@
 }
 
 // New makes a manager; onSwap is called by its goroutine after each change that is in force.
-func New(wall func() time.Time, onSwap func()) *Manager {
+func New(wall func() time.Time, onSwap func(), options ...Option) *Manager {
 	m := &Manager{mailbox: actor.NewMailbox[offer](mailboxSize), wall: wall, onSwap: onSwap}
 	m.steps.Store(&[]Step{})
+	for _, option := range options {
+		option(m)
+	}
 	return m
 }
 
@@ -161,6 +174,7 @@
 	}
 	change := ConfigurationChange(version)
 	m.recordStep(change, Learned)
+	m.upgrade.Apply(parsed.Forward)
 	table := routingtable.Build(version, raw, parsed, m.newestClosures)
 	table.Bundle = bundle
 	m.recordStep(change, Built)
