Requests: what one table allows to run once is never repeated under a newer one (TWICE)

What callers would see: a request that came, or was sent, on a route that may run it once was sent again after its answer was lost, because a newer configuration made the route repeatable meanwhile; and one that got an engine's own error was sent to another engine by the route of an older table, though the table in force allowed one run.

Cause: whether a request may be repeated was asked of its newest path alone, and for retries after an engine's error and for migrations of an older one.

Why this fixes it: a request remembers that a path by which it came or was dispatched allows one run, and each later decision asks that too. Retries after an engine's error, and migrations, go by the table in force.

--- a/request/forwarding/core.go
+++ b/request/forwarding/core.go
@@ -86,6 +86,7 @@
 		c.finish(request, env, CauseNoPath, 0)
 		return
 	}
+	request.usePath(request.Path)
 	if !c.authenticate(request, env) {
 		return
 	}
--- a/request/forwarding/migrate.go
+++ b/request/forwarding/migrate.go
@@ -27,7 +27,7 @@
 	switch {
 	case !found || !pathRoutesTo(path, request.pool):
 		return false
-	case !request.mayRepeat() || request.responseBegun && !request.resumable():
+	case !request.mayRepeat() || !allowsRepeat(path) || request.responseBegun && !request.resumable():
 		return false
 	case request.enginesTried+1 >= path.Attempts:
 		return false
--- a/request/forwarding/outcome.go
+++ b/request/forwarding/outcome.go
@@ -1,6 +1,9 @@
 package forwarding
 
-import "github.com/cresspond/cresspond/process/featuregates"
+import (
+	"github.com/cresspond/cresspond/configuration/upstream"
+	"github.com/cresspond/cresspond/process/featuregates"
+)
 
 // Outcome is how an attempt ended, as the sender saw it.
 type Outcome uint8
@@ -174,9 +177,13 @@
 
 // mayRetryError reports whether a request that got an engine's error may be sent to another engine.
 func (c *Core) mayRetryError(request *Request, env Environment) bool {
-	return request.repeatable() && !request.callerLeft && request.enginesTried < request.Path.Attempts &&
-		request.Deadline.Since(env.Now) > c.minAttemptTime(request) &&
-		RoutesTo(env.Index, request.Host, request.URLPath, request.pool)
+	if !RoutesTo(env.Index, request.Host, request.URLPath, request.pool) {
+		return false
+	}
+	path, _ := env.Index.Lookup(request.Host, request.URLPath)
+	request.usePath(path)
+	return request.mayRepeat() && path.Class == upstream.Idempotent && !request.callerLeft && request.enginesTried < request.Path.Attempts &&
+		request.Deadline.Since(env.Now) > c.minAttemptTime(request)
 }
 
 // closeAttempt takes an attempt off the engine's and the pool's counts, and records its outcome.
--- a/request/forwarding/request.go
+++ b/request/forwarding/request.go
@@ -44,8 +44,9 @@
 	triedEngines []ident.EngineID
 	// mintedIDs are the ids of its queueing and of each retry.
 	mintedIDs []ident.SnowflakeID
-	// mayHaveRun reports that an attempt may have run, so that no rejection may be answered.
-	mayHaveRun bool
+	// mayHaveRun reports that an attempt may have run, so that no rejection may be answered. atMostOnce reports that a path
+	// by which it came or was dispatched allows it to run once only, whatever the path of a newer table allows.
+	mayHaveRun, atMostOnce bool
 	// responseBegun reports that the caller has bytes of a response; callerLeft that the caller disconnected.
 	responseBegun, callerLeft bool
 	// lastEvent is the id of the last event passed on.
@@ -130,9 +131,15 @@
 	return r.firstByteDeadline
 }
 
-// repeatable reports whether the request may run more than once.
-func (r *Request) repeatable() bool {
-	return r.Path != nil && r.Path.Class == upstream.Idempotent
+// usePath replaces the path that serves the request by that of the table in force.
+func (r *Request) usePath(path *upstream.Path) {
+	r.Path = path
+	r.atMostOnce = r.atMostOnce || !allowsRepeat(path)
+}
+
+// allowsRepeat reports whether a path allows another attempt although an earlier one may have run.
+func allowsRepeat(path *upstream.Path) bool {
+	return path.Class == upstream.Idempotent || path.Class == upstream.Stream && path.Resumable
 }
 
 // resumable reports whether a response that broke off may be resumed at another engine.
@@ -141,7 +148,7 @@
 }
 
 // mayRepeat reports whether another attempt may be made although an earlier one may have run.
-func (r *Request) mayRepeat() bool { return r.repeatable() || r.resumable() }
+func (r *Request) mayRepeat() bool { return r.Path != nil && !r.atMostOnce && allowsRepeat(r.Path) }
 
 // resumeAfter is the id of the event after which the next attempt resumes; empty starts anew.
 func (r *Request) resumeAfter() string {
--- a/request/forwarding/routes.go
+++ b/request/forwarding/routes.go
@@ -57,7 +57,7 @@
 		c.finish(request, env, CauseNoTable, time.Second)
 		return false
 	}
-	request.Path = path
+	request.usePath(path)
 	if !c.authenticate(request, env) {
 		return false
 	}
