Duties under a lease: a panic gives the lease up and not the process

What it does: actor.Guard runs the tasks of a duty that another daemon can take over. After a panic the planners of pools and of sessions give their lease up, so that no order of the broken plan leaves, drop the plan, and ask for the lease again after 10 s at the earliest, twice as long after each further panic, up to 5 minutes; the ranking of nodes begins anew after the same time. The value and the stack are logged as an error, and pool_planner_panics counts.

Weighed: the request path and the state machine stay as they are. A request's state belongs to its own goroutines, and a replica whose Apply panics must not go on with half of a command applied.

--- a/daemon/counters.go
+++ b/daemon/counters.go
@@ -268,6 +268,7 @@
 	report("pool_orders_unsent", counts.NotSent)
 	report("pool_orders_void", counts.Void)
 	report("pool_plans_cancelled", counts.Cancelled)
+	report("pool_planner_panics", p.condition().Panics)
 	report("pool_reports", counts.Reports)
 	report("pool_reports_failed", counts.FailedReports)
 	report("pool_reports_stale", counts.StaleReports)
--- a/daemon/noderanking/ranking.go
+++ b/daemon/noderanking/ranking.go
@@ -67,6 +67,8 @@
 	digestsSent atomic.Uint64
 
 	mailbox *actor.Mailbox[any]
+	// guard keeps a panic of the ranker from ending the process.
+	guard *actor.Guard
 	// ranker is set while the planner's lease is held; token is the fencing token that it was made for.
 	ranker *nodehealth.Ranker
 	token  ident.FencingToken
@@ -137,6 +139,7 @@
 		refusals:     map[ident.EngineID]nodehealth.Refusal{},
 		recentDemand: map[demandKey]clock.Mark{},
 	}
+	r.guard = actor.NewGuard(config.Clock, r.abandon)
 	if r.enabled() && config.Measures {
 		r.recorder = nodehealth.NewRecorder()
 	}
@@ -155,10 +158,20 @@
 // was drained before that.
 func (r *Ranking) Start(run func(func(context.Context))) {
 	if r.config.Plans {
-		run(func(ctx context.Context) { r.mailbox.Run(ctx, rankEvery/4, r.take, func() { r.step(ctx) }) })
+		take := func(event any) { r.guard.Run(func() { r.take(event) }) }
+		run(func(ctx context.Context) {
+			r.mailbox.Run(ctx, rankEvery/4, take, func() { r.guard.Run(func() { r.step(ctx) }) })
+		})
 	}
 }
 
+// abandon drops the ranker after a panic, since its state may be inconsistent.
+func (r *Ranking) abandon(cause any, stack []byte) {
+	r.config.Log.WithFields(log.Fields{"cause": fmt.Sprint(cause), "stack": string(stack)}).Error("node ranking panicked and begins anew")
+	r.ranker, r.token = nil, 0
+	r.published.Store(&publishedState{})
+}
+
 func (r *Ranking) take(event any) {
 	switch e := event.(type) {
 	case receivedDigests:
@@ -176,7 +189,7 @@
 // step ranks, while this daemon holds the planner's lease.
 func (r *Ranking) step(ctx context.Context) {
 	token, leased := r.host.PlannerLease()
-	if !leased {
+	if !leased || r.guard.Barred() {
 		// The next planner begins anew with what the fleet shows. A lease that lapsed and is resumed keeps the same
 		// ranker.
 		r.published.Store(&publishedState{})
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -168,7 +168,7 @@
 	d.registry.Subscribe(d.registryChanged)
 	d.dispatch = dispatch.NewActor(requestPath{d})
 	d.engineSlots = admission.NewController(d.slotView)
-	d.sessionPlacer = sessionplacement.NewActor(sessionPlanner{d}, d.clock)
+	d.sessionPlacer = sessionplacement.NewActor(sessionPlanner{d}, d.clock, d.log)
 	d.poolPlanning.build(d)
 	d.nodeRanking = newNodeRanking(d)
 	d.attempts = deduplication.NewActor(d.clock)
--- a/process/placement/poolplacement/actor.go
+++ b/process/placement/poolplacement/actor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +49,8 @@
 	Unplaced      []Unplaced
 	Counters      Counters
 	Outliers      outlier.Counters
+	// Panics counts the panics of the plan, after each of which the lease was given up.
+	Panics uint64
 }
 
 // Actor runs the [Planner] while this daemon holds the planner's lease, and sends its orders.
@@ -60,6 +63,8 @@
 	mailbox     *actor.Mailbox[any]
 	lease       *plannerlease.Lease
 	planner     *Planner
+	// guard keeps a panic of the plan from ending the process.
+	guard *actor.Guard
 	// plannerToken is the fencing token of the lease that the planner was made for.
 	plannerToken   ident.FencingToken
 	leaseRequested bool
@@ -111,6 +116,7 @@
 func NewActor(environment Environment, client EngineClient, settings Settings, c clock.Clock, logger log.Interface) *Actor {
 	a := &Actor{environment: environment, client: client, settings: settings, clock: c, log: logger, mailbox: actor.NewMailbox[any](1024),
 		lease: plannerlease.New(c, leaseMargin), planner: NewPlanner(settings, c.Elapsed()), reportSlots: make(chan struct{}, maxConcurrentReports)}
+	a.guard = actor.NewGuard(c, a.abandon)
 	a.status.Store(&Status{})
 	return a
 }
@@ -120,7 +126,17 @@
 
 // Run runs the actor until ctx ends.
 func (a *Actor) Run(ctx context.Context) {
-	a.mailbox.Run(ctx, a.settings.PollInterval, func(event any) { a.handle(ctx, event) }, func() { a.poll(ctx) })
+	handle := func(event any) { a.guard.Run(func() { a.handle(ctx, event) }) }
+	a.mailbox.Run(ctx, a.settings.PollInterval, handle, func() { a.guard.Run(func() { a.poll(ctx) }) })
+}
+
+// abandon gives the lease up after a panic, so that another daemon plans, and drops the plan, whose state may be inconsistent.
+func (a *Actor) abandon(cause any, stack []byte) {
+	a.log.WithFields(log.Fields{"token": uint64(a.plannerToken), "cause": fmt.Sprint(cause), "stack": string(stack)}).Error("planner of pools panicked and gives up its lease")
+	a.lease.Release()
+	counters := a.planner.Counters
+	a.planner, a.plannerToken = NewPlanner(a.settings, a.clock.Elapsed()), 0
+	a.planner.Counters = counters
 }
 
 // Resign ends planning for good; when it returns no further order can be sent.
@@ -166,13 +182,13 @@
 	} else {
 		next.Counters = a.planner.Counters
 	}
-	next.Outliers = a.planner.outliers.Counters
+	next.Outliers, next.Panics = a.planner.outliers.Counters, a.guard.Panics()
 	a.status.Store(next)
 }
 
 // requestLease acquires or renews the lease when it is due. A daemon that is not preferred first waits for a while.
 func (a *Actor) requestLease(ctx context.Context, now clock.Mark) {
-	if a.stopped || a.leaseRequested || now < a.nextLeaseRequest {
+	if a.stopped || a.leaseRequested || now < a.nextLeaseRequest || a.guard.Barred() {
 		return
 	}
 	_, leased := a.lease.Token()
@@ -320,7 +336,7 @@
 		a.nextLeaseRequest = max(a.nextLeaseRequest, now+clock.Mark(wait))
 		return
 	}
-	if a.stopped {
+	if a.stopped || a.guard.Barred() {
 		return
 	}
 	a.nextLeaseRequest = e.asked + clock.Mark(a.settings.RenewInterval)
--- a/process/placement/sessionplacement/actor.go
+++ b/process/placement/sessionplacement/actor.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/cresspond/cresspond/actor"
 	"github.com/cresspond/cresspond/clock"
 	"github.com/cresspond/cresspond/ident"
@@ -36,15 +39,20 @@
 	PendingOrders int
 	Unplaced      []Unplaced
 	Counters      Counters
+	// Panics counts the panics of the plan, after each of which the lease was given up.
+	Panics uint64
 }
 
 // Actor runs the [Planner] while this daemon holds the planner's lease, and sends its orders.
 type Actor struct {
-	environment      Environment
-	clock            clock.Clock
-	mailbox          *actor.Mailbox[any]
-	planner          *Planner
-	lease            *plannerlease.Lease
+	environment Environment
+	clock       clock.Clock
+	mailbox     *actor.Mailbox[any]
+	log         log.Interface
+	planner     *Planner
+	lease       *plannerlease.Lease
+	// guard keeps a panic of the plan from ending the process.
+	guard            *actor.Guard
 	leaseRequested   bool
 	leaseRequestedAt clock.Mark
 	status           atomic.Pointer[Status]
@@ -76,8 +84,9 @@
 )
 
 // NewActor makes the actor.
-func NewActor(environment Environment, c clock.Clock) *Actor {
-	a := &Actor{environment: environment, clock: c, mailbox: actor.NewMailbox[any](64), planner: NewPlanner(), lease: plannerlease.New(c, leaseMargin)}
+func NewActor(environment Environment, c clock.Clock, logger log.Interface) *Actor {
+	a := &Actor{environment: environment, clock: c, log: logger, mailbox: actor.NewMailbox[any](64), planner: NewPlanner(), lease: plannerlease.New(c, leaseMargin)}
+	a.guard = actor.NewGuard(c, a.abandon)
 	a.status.Store(&Status{})
 	return a
 }
@@ -87,7 +96,17 @@
 
 // Run runs the actor until ctx ends.
 func (a *Actor) Run(ctx context.Context) {
-	a.mailbox.Run(ctx, planInterval, func(event any) { a.handle(event) }, func() { a.tick(ctx) })
+	handle := func(event any) { a.guard.Run(func() { a.handle(event) }) }
+	a.mailbox.Run(ctx, planInterval, handle, func() { a.guard.Run(func() { a.tick(ctx) }) })
+}
+
+// abandon gives the lease up after a panic, so that another daemon plans, and drops the plan, whose state may be inconsistent.
+func (a *Actor) abandon(cause any, stack []byte) {
+	a.log.WithFields(log.Fields{"cause": fmt.Sprint(cause), "stack": string(stack)}).Error("planner of sessions panicked and gives up its lease")
+	a.lease.Release()
+	counters := a.planner.Counters
+	a.planner = NewPlanner()
+	a.planner.Counters = counters
 }
 
 // Resign ends planning for good; when it returns no further order can be sent.
@@ -104,7 +123,7 @@
 func (a *Actor) tick(ctx context.Context) {
 	now := a.clock.Elapsed()
 	number, leased := a.lease.Token()
-	if !a.stopped && !a.leaseRequested && now.Since(a.leaseRequestedAt) >= renewInterval && a.environment.MayPlan() {
+	if !a.stopped && !a.guard.Barred() && !a.leaseRequested && now.Since(a.leaseRequestedAt) >= renewInterval && a.environment.MayPlan() {
 		a.leaseRequested, a.leaseRequestedAt = true, now
 		orders, sequence := a.announce(leased)
 		go func() {
@@ -118,7 +137,7 @@
 		a.plan(ctx, number)
 	}
 	number, leased = a.lease.Token()
-	a.status.Store(&Status{Token: number, HasLease: leased, PendingOrders: len(a.planner.pending), Unplaced: a.planner.Unplaced, Counters: a.planner.Counters})
+	a.status.Store(&Status{Token: number, HasLease: leased, PendingOrders: len(a.planner.pending), Unplaced: a.planner.Unplaced, Counters: a.planner.Counters, Panics: a.guard.Panics()})
 }
 
 // announce is what the group has been sent of the orders given so far.
@@ -196,7 +215,7 @@
 
 // adoptLease is the one place where a lease is taken over.
 func (a *Actor) adoptLease(e leaseReply) {
-	if !e.ok || a.stopped {
+	if !e.ok || a.stopped || a.guard.Barred() {
 		return
 	}
 	if a.lease.Renew(e.asked, e.lease) {
