Dialect: a success is no proof that a request did not run

An answer counted as "not run" by the field alone, whatever its status; a 2xx that bears it, as an engine in trouble may send, was taken for the promise that the request never ran, so that it was sent again. PROTOCOL.md names 503, 429, 421 and 400 for it; now only a status from 400 on can say it. TestWhatTheHeadOfAnAnswerSays fails before for 200 and 307.

--- a/wire/dialect/dialect.go
+++ b/wire/dialect/dialect.go
@@ -53,7 +53,7 @@
 type Head struct {
 	// Attempt is the id that it answers.
 	Attempt string
-	// NotRun is the engine's word that the request has not run and never will.
+	// NotRun is the engine's word that the request has not run and never will; only a status from 400 on can say it.
 	NotRun bool
 	// Misdirected says that it is another engine, or does not hold what was asked for.
 	Misdirected bool
--- a/wire/dialect/fields.go
+++ b/wire/dialect/fields.go
@@ -172,7 +172,8 @@
 		// An answer under two ids is nobody's.
 		out.Attempt = string(ids[0])
 	}
-	out.NotRun = out.Misdirected || f.NotRun != "" && len(head.Peek(f.NotRun)) > 0
+	// Only a refusal can say that the request did not run: a success shows that it did.
+	out.NotRun = out.Misdirected || head.StatusCode() >= fasthttp.StatusBadRequest && f.NotRun != "" && len(head.Peek(f.NotRun)) > 0
 	out.Sealed = f.Seal == "" || len(head.Peek(f.Seal)) > 0
 	for word := range bytes.SplitSeq(head.Peek(fasthttp.HeaderKeepAlive), []byte{','}) {
 		if name, value, found := bytes.Cut(bytes.TrimSpace(word), []byte{'='}); found && bytes.EqualFold(name, []byte("timeout")) {
--- a/wire/dialect/fields_test.go
+++ b/wire/dialect/fields_test.go
@@ -77,6 +77,8 @@
 		"plain":       {200, []string{"X-Attempt-Id: a", "Cresspond-Seal: s"}, Head{Attempt: "a", Sealed: true}},
 		"two ids":     {200, []string{"X-Attempt-Id: a", "X-Attempt-Id: b"}, Head{}},
 		"not run":     {503, []string{"X-Attempt-Id: a", "Cresspond-Not-Run: full"}, Head{Attempt: "a", NotRun: true}},
+		"success":     {200, []string{"X-Attempt-Id: a", "Cresspond-Not-Run: 1", "Cresspond-Seal: s"}, Head{Attempt: "a", Sealed: true}},
+		"redirect":    {307, []string{"X-Attempt-Id: a", "Cresspond-Not-Run: 1"}, Head{Attempt: "a"}},
 		"misdirected": {421, []string{"X-Attempt-Id: a"}, Head{Attempt: "a", NotRun: true, Misdirected: true}},
 		"own 503":     {503, []string{"X-Attempt-Id: a"}, Head{Attempt: "a"}},
 		"events":      {200, []string{"Content-Type: text/event-stream; charset=utf-8"}, Head{Events: true}},
