--- a/configuration/upstream/durations_test.go
+++ b/configuration/upstream/durations_test.go
@@ -19,3 +19,11 @@
 		}
 	}
 }
+
+// Guards against requests that are all refused at once, since a share of their target is longer than their deadline.
+func TestTargetsAreNoLongerThanTheDeadline(t *testing.T) {
+	path := Path{DeadlineMs: 4000, TargetMs: 86_400_000, GapTargetMs: 86_400_000}
+	if path.Target() != 4*time.Second || path.GapTarget() != 4*time.Second {
+		t.Errorf("%v and %v", path.Target(), path.GapTarget())
+	}
+}
--- a/request/forwarding/configchange_test.go
+++ b/request/forwarding/configchange_test.go
@@ -272,3 +272,14 @@
 		}
 	})
 }
+
+// Guards against a valid target beyond the deadline, by which each request was refused at once as too late.
+func TestTargetBeyondTheDeadlineRefusesNothing(t *testing.T) {
+	for _, target := range []int64{4000, 40_000, 86_400_000, math.MaxInt64} {
+		path := pathOf("a", upstream.Stream, "plain")
+		path.TargetMs, path.GapTargetMs = target, target
+		fixture := newCoreFixture(t, path)
+		fixture.register(enginesOf("plain", 1, 2)...)
+		fixture.sent(fixture.admit("a"))
+	}
+}
