Start: a hangup is caught before the libraries are initialized

Cause: the signal was registered as the first statement of main, which comes after the initialization of all packages. The new package hangup imports next to nothing, so it is initialized before most of them.

TestHangupWhileTheSettingsAreReadEndsNoProcess holds as before.

--- a/cmd/cresspond-platform/main.go
+++ b/cmd/cresspond-platform/main.go
@@ -11,6 +11,7 @@
 	jsonlog "github.com/apex/log/handlers/json"
 
 	"github.com/cresspond/cresspond/cmd/internal/application"
+	"github.com/cresspond/cresspond/cmd/internal/hangup"
 	"github.com/cresspond/cresspond/platform"
 	"github.com/cresspond/cresspond/process/engines/nodehealth"
 	"github.com/cresspond/cresspond/process/featuregates"
@@ -20,8 +21,6 @@
 var version = "0.1.0-dev"
 
 func main() {
-	// Before all else, since a machine may be told of changed settings while it is still starting.
-	hangups := hangupSignals()
 	app := application.New("cresspond-platform", "The cresspond daemon on a users' platform.", version)
 	settingsFile := app.Flag("config", "Settings file, TOML.").Short('c').Envar(platform.SettingsVariable).String()
 	rankingMode := app.Flag("ranking", "What the ranking of engines by the health of their nodes is used for: off, watch, or drain the worst.").Default(string(nodehealth.Off)).Envar("CRESSPOND_RANKING").
@@ -55,5 +54,5 @@
 	log.SetHandler(jsonlog.New(os.Stderr))
 	log.SetLevel(log.MustParseLevel(settings.Log))
 	boundMemory(settings.Machine.MemoryMb)
-	run(settings, *settingsFile, read, hangups)
+	run(settings, *settingsFile, read, hangup.Signals())
 }
--- a/cmd/cresspond-platform/run.go
+++ b/cmd/cresspond-platform/run.go
@@ -73,13 +73,6 @@
 	}
 }
 
-// hangupSignals returns the channel of the signals to read the settings again. From then on they don't end the process.
-func hangupSignals() <-chan os.Signal {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	return hangups
-}
-
 // restartDelay is the pause between one incarnation of the daemon and the next within this process.
 const restartDelay = 500 * time.Millisecond
 
