--- a/actor/guard.go
+++ b/actor/guard.go
@@ -9,23 +9,24 @@
 )
 
 const (
-	// initialBar is for how long a duty is barred after its first panic; it doubles with each further one up to maxBar.
-	initialBar = 10 * time.Second
-	maxBar     = 5 * time.Minute
+	// initialPanicBackoff is for how long a role is not taken up after its first panic; it doubles with each further one up
+	// to maxPanicBackoff.
+	initialPanicBackoff = 10 * time.Second
+	maxPanicBackoff     = 5 * time.Minute
 )
 
-// Guard runs the tasks of a duty that another process can take over, such as planning under a lease. A panic ends the task and
-// bars the duty here for a time; the process, which may be a member of the consensus group, goes on. Its methods except Panics
-// belong to the duty's goroutine.
+// Guard runs the tasks of a singleton role, such as planning under a lease, which another process can take over. A panic ends
+// the task and keeps the role from being taken up here for a time; the process, which may be a member of the consensus group,
+// goes on. Its methods except Panics belong to the role's goroutine.
 type Guard struct {
-	clock   clock.Clock
-	abandon func(cause any, stack []byte)
-	panics  atomic.Uint64
-	until   clock.Mark
+	clock        clock.Clock
+	abandon      func(cause any, stack []byte)
+	panics       atomic.Uint64
+	backoffUntil clock.Mark
 }
 
-// NewGuard makes a guard; abandon is called after a panic, with its value and stack. It must log both, give up whatever right the
-// duty is done by, and drop the duty's state, which may be inconsistent.
+// NewGuard makes a guard; abandon is called after a panic, with its value and stack. It must log both, give up the lease under
+// which the role runs, and drop the role's state, which may be inconsistent.
 func NewGuard(c clock.Clock, abandon func(cause any, stack []byte)) *Guard {
 	return &Guard{clock: c, abandon: abandon}
 }
@@ -38,14 +39,14 @@
 			return
 		}
 		earlier := g.panics.Add(1) - 1
-		g.until = g.clock.Elapsed() + clock.Mark(min(initialBar<<min(earlier, 10), maxBar))
+		g.backoffUntil = g.clock.Elapsed() + clock.Mark(min(initialPanicBackoff<<min(earlier, 10), maxPanicBackoff))
 		g.abandon(cause, debug.Stack())
 	}()
 	task()
 }
 
-// Barred reports whether the duty must not be taken up now.
-func (g *Guard) Barred() bool { return g.clock.Elapsed() < g.until }
+// InBackoff reports whether the role must not be taken up now.
+func (g *Guard) InBackoff() bool { return g.clock.Elapsed() < g.backoffUntil }
 
 // Panics counts the panics since the process started.
 func (g *Guard) Panics() uint64 { return g.panics.Load() }
--- a/daemon/noderanking/ranking.go
+++ b/daemon/noderanking/ranking.go
@@ -189,7 +189,7 @@
 // step ranks, while this daemon holds the planner's lease.
 func (r *Ranking) step(ctx context.Context) {
 	token, leased := r.host.PlannerLease()
-	if !leased || r.guard.Barred() {
+	if !leased || r.guard.InBackoff() {
 		// The next planner begins anew with what the fleet shows. A lease that lapsed and is resumed keeps the same
 		// ranker.
 		r.published.Store(&publishedState{})
--- a/process/placement/poolplacement/actor.go
+++ b/process/placement/poolplacement/actor.go
@@ -188,7 +188,7 @@
 
 // requestLease acquires or renews the lease when it is due. A daemon that is not preferred first waits for a while.
 func (a *Actor) requestLease(ctx context.Context, now clock.Mark) {
-	if a.stopped || a.leaseRequested || now < a.nextLeaseRequest || a.guard.Barred() {
+	if a.stopped || a.leaseRequested || now < a.nextLeaseRequest || a.guard.InBackoff() {
 		return
 	}
 	_, leased := a.lease.Token()
@@ -336,7 +336,7 @@
 		a.nextLeaseRequest = max(a.nextLeaseRequest, now+clock.Mark(wait))
 		return
 	}
-	if a.stopped || a.guard.Barred() {
+	if a.stopped || a.guard.InBackoff() {
 		return
 	}
 	a.nextLeaseRequest = e.asked + clock.Mark(a.settings.RenewInterval)
--- a/process/placement/sessionplacement/actor.go
+++ b/process/placement/sessionplacement/actor.go
@@ -123,7 +123,7 @@
 func (a *Actor) tick(ctx context.Context) {
 	now := a.clock.Elapsed()
 	number, leased := a.lease.Token()
-	if !a.stopped && !a.guard.Barred() && !a.leaseRequested && now.Since(a.leaseRequestedAt) >= renewInterval && a.environment.MayPlan() {
+	if !a.stopped && !a.guard.InBackoff() && !a.leaseRequested && now.Since(a.leaseRequestedAt) >= renewInterval && a.environment.MayPlan() {
 		a.leaseRequested, a.leaseRequestedAt = true, now
 		orders, sequence := a.announce(leased)
 		go func() {
@@ -215,7 +215,7 @@
 
 // adoptLease is the one place where a lease is taken over.
 func (a *Actor) adoptLease(e leaseReply) {
-	if !e.ok || a.stopped || a.guard.Barred() {
+	if !e.ok || a.stopped || a.guard.InBackoff() {
 		return
 	}
 	if a.lease.Renew(e.asked, e.lease) {
--- a/testbed/platformtest/fleet/fleet.go
+++ b/testbed/platformtest/fleet/fleet.go
@@ -81,9 +81,14 @@
 	// endDowntime and endFreeze record the end of the present disruption.
 	endDowntime, endFreeze func()
 	started                bool
+	startedAt              clock.Mark
 	removed                bool
 }
 
+// signalable is how long after its start a process is not signalled: until its runtime has begun, a hangup ends any process, and
+// the platform's rules excuse that within a second of the start.
+const signalable = 250 * time.Millisecond
+
 // Fleet is a set of machines.
 type Fleet struct {
 	Plan     Plan
@@ -263,7 +268,7 @@
 	}
 	ended := make(chan struct{})
 	m.mutex.Lock()
-	m.cmd, m.exited, m.exitExpected, m.started = cmd, ended, false, true
+	m.cmd, m.exited, m.exitExpected, m.started, m.startedAt = cmd, ended, false, true, f.Plan.Recorder.Now()
 	end := m.endDowntime
 	m.endDowntime = nil
 	m.mutex.Unlock()
@@ -422,6 +427,12 @@
 	if err := f.writeSettings(m, false); err != nil {
 		return err
 	}
+	m.mutex.Lock()
+	age := f.Plan.Recorder.Now().Since(m.startedAt)
+	m.mutex.Unlock()
+	if age < signalable {
+		return nil
+	}
 	end := f.Plan.Recorder.BeginDisruption(history.Disruption{Kind: history.Reload, Machine: m.Name, Planned: true})
 	m.signal(syscall.SIGHUP, false)
 	end()
--- a/testbed/platformtest/scenario/engines.go
+++ b/testbed/platformtest/scenario/engines.go
@@ -35,7 +35,7 @@
 }
 
 func (r *Run) newModel(zone string, holds []protocol.Holding, address string) (*engine.Engine, error) {
-	models := catalogue()
+	models := engineCatalogue()
 	return r.newEngine(engine.Config{Service: "lm", MaxConns: 100, Model: true, InitialModels: holds, Store: r.store,
 		Pace:     engine.Pace{Slots: models.Slots, Waiting: 6, Memory: models.KVCapacity, StepTime: 3 * ms, PerRequest: 300 * time.Microsecond, PrefillPerMs: 20, PrefillAtOnce: 400, Stride: models.Stride},
 		Capacity: engine.Capacity{Catalogue: models, DiskShare: 0.4, AdapterTime: 30 * ms}}, zone, address)
--- a/testbed/platformtest/scenario/run.go
+++ b/testbed/platformtest/scenario/run.go
@@ -4,9 +4,11 @@
 package scenario
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,6 +62,9 @@
 	// changing is held while a configuration is changed on the newest one, so that changes only conflict where they mean to.
 	changing sync.Mutex
 
+	// heldMachines has a lock for each machine that something was done to.
+	heldMachines sync.Map
+
 	mutex     sync.Mutex
 	engines   []*engine.Engine
 	nameCount int
@@ -280,6 +285,25 @@
 	return r.random.IntN(n)
 }
 
+// holdMachines keeps all else from killing, stopping or freezing machines until release is called, so that what is done to
+// one follows one after the other. Signals that end nothing go on.
+func (r *Run) holdMachines(machines ...*fleet.Machine) (release func()) {
+	var held []*sync.Mutex
+	for _, m := range slices.SortedFunc(slices.Values(machines), func(a, b *fleet.Machine) int { return cmp.Compare(a.Name, b.Name) }) {
+		lock, _ := r.heldMachines.LoadOrStore(m, &sync.Mutex{})
+		held = append(held, lock.(*sync.Mutex))
+	}
+	held = slices.Compact(held)
+	for _, lock := range held {
+		lock.Lock()
+	}
+	return func() {
+		for _, lock := range held {
+			lock.Unlock()
+		}
+	}
+}
+
 // anyMachine draws a machine of a class.
 func (r *Run) anyMachine(class string) *fleet.Machine {
 	machines := r.Fleet.OfClass(class)
--- a/testbed/platformtest/scenario/tenantsoak.go
+++ b/testbed/platformtest/scenario/tenantsoak.go
@@ -13,6 +13,7 @@
 // soakFaults are played only where they are named: each is a run of its own.
 var soakFaults = []fault{
 	{name: "tenant-soak", rest: 4 * time.Second, play: (*Run).tenantSoak},
+	{name: "config-soak", rest: 4 * time.Second, play: (*Run).configSoak},
 }
 
 // tenantSoak plays all tenant faults over and over, at the same time, while routers and leaders are lost.
@@ -78,6 +79,7 @@
 		}
 	}
 	router := r.anyMachine(fleet.Edge)
+	defer r.holdMachines(leader, other, router)()
 	r.Fleet.Kill(leader)
 	r.Fleet.Freeze(other)
 	r.Fleet.Kill(router)
@@ -96,9 +98,9 @@
 // leaderFreezeKill freezes the leader until another one leads, thaws it and kills it at once.
 func (r *Run) leaderFreezeKill(ctx context.Context) error {
 	leader := r.leader(ctx)
-	r.Fleet.Freeze(leader)
-	r.pause(ctx, 2500*ms)
-	r.Fleet.Thaw(leader)
+	if err := r.freeze(ctx, leader); err != nil {
+		return err
+	}
 	r.pause(ctx, 50*ms)
 	return r.killAndRestart(ctx, leader)
 }
