Soak of the configuration: all of it changes while machines are lost and signalled

Two things that end or stop one machine follow one after the other now (Run.lockMachines): a process that was started twice would be nobody's fault.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 	bin/testbed run small --seed $(SEED)
 	bin/testbed run platform --seed $(SEED) --faults 7
 	bin/testbed run platform --seed $(SEED) --fault tenant-soak
+	bin/testbed run platform --seed $(SEED) --fault config-soak
 
 test: vet lint scenarios unit
 
--- a/testbed/platformtest/scenario/buildfaults.go
+++ b/testbed/platformtest/scenario/buildfaults.go
@@ -78,7 +78,7 @@
 
 // restart stops a machine's process gracefully and starts it again.
 func (r *Run) restart(ctx context.Context, machine *fleet.Machine) error {
-	defer r.holdMachines(machine)()
+	defer r.lockMachines(machine)()
 	if r.Fleet.Stop(machine) {
 		r.Say("%s did not end within its grace", machine.Name)
 	}
--- a/testbed/platformtest/scenario/changingconfig_test.go
+++ b/testbed/platformtest/scenario/changingconfig_test.go
@@ -9,7 +9,7 @@
 
 // Guards against a soak of the configuration that changes little, or sends what is invalid.
 func TestChangesOfAConfigurationSoakAreValidAndReachAllOfIt(t *testing.T) {
-	routes, services, tenants, models, emptied := map[string]bool{}, map[string]bool{}, map[string]bool{}, map[string]bool{}, 0
+	routes, services, tenants, models, withdrawals := map[string]bool{}, map[string]bool{}, map[string]bool{}, map[string]bool{}, 0
 	for seed := range uint64(40) {
 		soak := &changingItems{random: rand.New(rand.NewPCG(seed, 43))}
 		config := withTenants(firstConfig())
@@ -38,7 +38,7 @@
 				models[model.Label] = true
 			}
 			if len(next.Routes) < len(config.Routes) && len(next.Tenants) < len(config.Tenants) {
-				emptied++
+				withdrawals++
 			}
 			config = next
 		}
@@ -48,7 +48,7 @@
 			t.Errorf("seed %d: the soak leaves something behind", seed)
 		}
 	}
-	if len(routes) != 5+changingRoutes || len(services) != 3+changingServices || len(tenants) != tenantCount+changingTenants || len(models) != 6+changingModels || emptied == 0 {
-		t.Errorf("%d routes, %d services, %d tenants and %d models came and went, %d changes withdrew several kinds", len(routes), len(services), len(tenants), len(models), emptied)
+	if len(routes) != 5+changingRoutes || len(services) != 3+changingServices || len(tenants) != tenantCount+changingTenants || len(models) != 6+changingModels || withdrawals == 0 {
+		t.Errorf("%d routes, %d services, %d tenants and %d models came and went, %d changes withdrew several kinds", len(routes), len(services), len(tenants), len(models), withdrawals)
 	}
 }
--- a/testbed/platformtest/scenario/configsoak.go
+++ b/testbed/platformtest/scenario/configsoak.go
@@ -100,9 +100,9 @@
 	soak.set(r.newestConfig())
 }
 
-// sendChange sends a configuration whole, or as the patch that makes it of the one before.
-func (r *Run) sendChange(ctx context.Context, before, next *protocol.Config, whole bool) *history.Change {
-	if whole {
+// sendChange sends a complete configuration, or the patch that makes it of the one before.
+func (r *Run) sendChange(ctx context.Context, before, next *protocol.Config, complete bool) *history.Change {
+	if complete {
 		return r.operator.Put(ctx, before.Generation, next, next.Fault(before.Generation))
 	}
 	patch := patchBetween(before, next)
--- a/testbed/platformtest/scenario/machinefaults.go
+++ b/testbed/platformtest/scenario/machinefaults.go
@@ -148,14 +148,14 @@
 }
 
 func (r *Run) killAndRestart(ctx context.Context, m *fleet.Machine) error {
-	defer r.holdMachines(m)()
+	defer r.lockMachines(m)()
 	r.Fleet.Kill(m)
 	r.pause(ctx, 500*ms)
 	return r.Fleet.Restart(m)
 }
 
 func (r *Run) freeze(ctx context.Context, m *fleet.Machine) error {
-	defer r.holdMachines(m)()
+	defer r.lockMachines(m)()
 	r.Fleet.Freeze(m)
 	r.pause(ctx, 2500*ms)
 	r.Fleet.Thaw(m)
--- a/testbed/platformtest/scenario/run.go
+++ b/testbed/platformtest/scenario/run.go
@@ -62,8 +62,8 @@
 	// changing is held while a configuration is changed on the newest one, so that changes only conflict where they mean to.
 	changing sync.Mutex
 
-	// heldMachines has a lock for each machine that something was done to.
-	heldMachines sync.Map
+	// machineLocks has a mutex for each machine that something was done to.
+	machineLocks sync.Map
 
 	mutex     sync.Mutex
 	engines   []*engine.Engine
@@ -285,20 +285,20 @@
 	return r.random.IntN(n)
 }
 
-// holdMachines keeps all else from killing, stopping or freezing machines until release is called, so that what is done to
+// lockMachines keeps all else from killing, stopping or freezing machines until unlock is called, so that what is done to
 // one follows one after the other. Signals that end nothing go on.
-func (r *Run) holdMachines(machines ...*fleet.Machine) (release func()) {
-	var held []*sync.Mutex
+func (r *Run) lockMachines(machines ...*fleet.Machine) (unlock func()) {
+	var locks []*sync.Mutex
 	for _, m := range slices.SortedFunc(slices.Values(machines), func(a, b *fleet.Machine) int { return cmp.Compare(a.Name, b.Name) }) {
-		lock, _ := r.heldMachines.LoadOrStore(m, &sync.Mutex{})
-		held = append(held, lock.(*sync.Mutex))
+		lock, _ := r.machineLocks.LoadOrStore(m, &sync.Mutex{})
+		locks = append(locks, lock.(*sync.Mutex))
 	}
-	held = slices.Compact(held)
-	for _, lock := range held {
+	locks = slices.Compact(locks)
+	for _, lock := range locks {
 		lock.Lock()
 	}
 	return func() {
-		for _, lock := range held {
+		for _, lock := range locks {
 			lock.Unlock()
 		}
 	}
--- a/testbed/platformtest/scenario/tenantsoak.go
+++ b/testbed/platformtest/scenario/tenantsoak.go
@@ -79,7 +79,7 @@
 		}
 	}
 	router := r.anyMachine(fleet.Edge)
-	defer r.holdMachines(leader, other, router)()
+	defer r.lockMachines(leader, other, router)()
 	r.Fleet.Kill(leader)
 	r.Fleet.Freeze(other)
 	r.Fleet.Kill(router)
