Checker: a stop that cuts what an engine still works on excuses it around changes too

The part on stops and signals left such requests out, and the part on changes counted them.

A history in which the engine had finished long before is still a violation; both have a row in the checker's tests, and the row of the excuse fails before.

--- a/testbed/platformtest/checker/checker_test.go
+++ b/testbed/platformtest/checker/checker_test.go
@@ -137,6 +137,16 @@
 	attempt.First, attempt.Complete, attempt.Ended, arrival.Ended = 0, false, attempt.Began+at(ended), attempt.Began+at(ended+1)
 }
 
+// cutByStopOverChange has a machine stop while the configuration changes, and cut a stream that was sent to it soon after; the
+// stream's engine works on it for so many seconds.
+func cutByStopOverChange(d *day, worked float64) {
+	const stopped = 8
+	d.Disruptions = append(d.Disruptions, &history.Disruption{From: at(stopped), Until: at(stopped + 8), Kind: history.Stopped, Machine: "edge-0", Planned: true})
+	attempt, arrival := d.request(stopped+0.1, protocol.Mutating, "/m/x", "plain", "p1")
+	cutAfter(attempt, arrival, 4.9)
+	attempt.DeadlineMs, arrival.Ended = 20000, arrival.At+at(worked)
+}
+
 // further adds an arrival of the same request at another engine.
 func (d *day) further(first *history.Arrival, engine string, seconds float64) *history.Arrival {
 	again := *first
@@ -451,6 +461,9 @@
 			attempt.Status, attempt.Complete, attempt.Seal = 0, false, ""
 		}
 	}},
+	{"LOST around planned work", "a cut around a change and a stop, long after its engine has finished", nil, func(d *day) {
+		cutByStopOverChange(d, 1)
+	}},
 	{"LOST after the closing fault", "an older version at the end", []string{"CONFIG read back"}, func(d *day) {
 		d.ReadBacks = []history.ReadBack{{At: at(99), Config: config(1, nil)}}
 	}},
@@ -665,6 +678,9 @@
 			attempt, arrival := d.request(32.9, protocol.Mutating, "/m/x", "plain", "p1")
 			cutAfter(attempt, arrival, 4.9)
 		}},
+		{"a stop cuts a stream that its engine works on, while the configuration changes", func(d *day) {
+			cutByStopOverChange(d, 4.9)
+		}},
 		{"a few are not found by one that was out of touch", func(d *day) {
 			d.Disruptions = append(d.Disruptions, &history.Disruption{From: at(10), Until: at(12), Kind: history.Frozen, Machine: "edge-0"})
 			for n := range 5 {
