Connections to engines: ids that no other attempt bears are not kept

Attempts say that their id is unique; then it is neither kept nor looked for, and the connection is not closed for its number of requests.

TestIDsThatAreUniqueAreNotRemembered; the tests of ids that may come again are unchanged.

--- a/process/engines/connectionpool/attempt.go
+++ b/process/engines/connectionpool/attempt.go
@@ -37,8 +37,10 @@
 	Address string
 	// Pool is the engine's pool. Idle lifetimes are learned by pool.
 	Pool string
-	// ID is the client's id of the request, which the response must bear.
-	ID string
+	// ID is the client's id of the request, which the response must bear. UniqueID says that no other attempt bears it, so
+	// that the connection need not remember it.
+	ID       string
+	UniqueID bool
 	// Header is the request's header without hop-by-hop fields. PrepareHeader adds the fields of this attempt right
 	// before it is written.
 	Header        *fasthttp.RequestHeader
--- a/process/engines/connectionpool/connection.go
+++ b/process/engines/connectionpool/connection.go
@@ -34,7 +34,8 @@
 	connectTime time.Duration
 	// announcedIdleTimeout is how long the engine announced to keep it idle; zero is unknown.
 	announcedIdleTimeout time.Duration
-	// sent holds the ids of the requests that were sent on it.
+	// used reports that a request was sent on it; sent holds the ids of those whose id another attempt may bear.
+	used     bool
 	sent     sentIDs
 	counters *Counters
 }
--- a/process/engines/connectionpool/exchange.go
+++ b/process/engines/connectionpool/exchange.go
@@ -78,8 +78,11 @@
 		result.releaseConnection()
 		return result.finish(OutcomeWithheld, reason)
 	}
-	firstRequest := conn.sent.empty()
-	conn.sent.add(attempt.ID)
+	firstRequest := !conn.used
+	conn.used = true
+	if !attempt.UniqueID {
+		conn.sent.add(attempt.ID)
+	}
 	result.sending = startWrite(conn, buffer)
 	if result.sending.nothingSent() {
 		// An engine can't run a request of which it got no byte.
--- a/process/engines/connectionpool/pools.go
+++ b/process/engines/connectionpool/pools.go
@@ -86,7 +86,7 @@
 		if notRepeatable && idle > candidate.notRepeatableIdleTimeout() {
 			continue
 		}
-		if candidate.sent.contains(attempt.ID) {
+		if !attempt.UniqueID && candidate.sent.contains(attempt.ID) {
 			p.Counters.SameIDAvoided.Add(1)
 			continue
 		}
--- a/process/engines/connectionpool/sameid_test.go
+++ b/process/engines/connectionpool/sameid_test.go
@@ -89,3 +89,30 @@
 		t.Error("no connection is kept")
 	}
 }
+
+// Guards against connections for reports that are closed, or grow, for ids that are never sent again.
+func TestIDsThatAreUniqueAreNotRemembered(t *testing.T) {
+	h := newFakeClock()
+	pools := New(h, dialect.Own())
+	e := listen(t, func(conn net.Conn, id string, _, _ int) bool {
+		writeText(conn, sealedResponse(id, "report"))
+		return true
+	})
+	for number := range maxRequestsPerConnection + 10 {
+		a := attempt(h, e.address, fmt.Sprint("report-", number))
+		a.UniqueID = true
+		if outcome, _, err := sendAndRead(pools, a); outcome != OutcomeAnswered || err != nil {
+			t.Fatal(outcome, err)
+		}
+	}
+	if _, connections := e.seen(); connections != 1 {
+		t.Errorf("%d connections", connections)
+	}
+	for _, connections := range pools.engines {
+		for _, conn := range connections.idle {
+			if len(conn.sent) > 0 || !conn.used {
+				t.Errorf("%d ids are kept", len(conn.sent))
+			}
+		}
+	}
+}
--- a/process/engines/discovery/fetch.go
+++ b/process/engines/discovery/fetch.go
@@ -35,7 +35,7 @@
 	head.SetRequestURI(path)
 	head.SetHost(address)
 	head.Set(engineapi.HeaderAttempt, requestID)
-	response := w.connections.Send(connectionpool.Attempt{Engine: id, Address: address, ID: requestID, Header: head, PrepareHeader: func() {}, CheckBeforeSend: func() string { return "" },
+	response := w.connections.Send(connectionpool.Attempt{Engine: id, Address: address, ID: requestID, UniqueID: true, Header: head, PrepareHeader: func() {}, CheckBeforeSend: func() string { return "" },
 		Deadline: w.clock.Elapsed() + clock.Mark(requestTimeout), Cancel: &connectionpool.Canceller{}, MissingID: connectionpool.AllowMissingIDOnIdle})
 	if response.Outcome != connectionpool.OutcomeAnswered {
 		return eris.Errorf("no answer: %s: %s", response.Outcome, response.Reason)
