--- a/process/placement/poolplacement/unplaced_test.go
+++ b/process/placement/poolplacement/unplaced_test.go
@@ -24,6 +24,7 @@
 const (
 	urgentRank, usualRank = 0, 1
 	scarceLoad            = 4 * time.Second
+	scarceDeadline        = 30 * time.Second
 )
 
 // newScarceFleet makes a pool of so many engines; each holds the model that placed gives it. The target is of the urgent path.
@@ -38,7 +39,10 @@
 	}
 	shares := []upstream.Share{{Pool: "pool", Weight: 1}}
 	s := &scarceFleet{t: t, now: clock.Mark(time.Hour), view: sizeView(len(placed)), section: &upstream.Section{Revision: 1, Pools: []upstream.Pool{{Name: "pool", Catalogue: catalogue}},
-		Paths: []upstream.Path{{Name: "urgent", Rank: urgentRank, TargetMs: target.Milliseconds(), Shares: shares}, {Name: "usual", Rank: usualRank, TargetMs: 800, Shares: shares}}}}
+		Paths: []upstream.Path{
+			{Name: "urgent", Rank: urgentRank, DeadlineMs: scarceDeadline.Milliseconds(), TargetMs: target.Milliseconds(), Shares: shares},
+			{Name: "usual", Rank: usualRank, DeadlineMs: scarceDeadline.Milliseconds(), TargetMs: 800, Shares: shares},
+		}}}
 	s.planner = NewPlanner(DefaultSettings("owner", 3*time.Second), s.now)
 	s.step(nil)
 	// Since nothing is known of loads before, the window counts as full at first.
--- a/process/placement/poolplacement/withdrawal_test.go
+++ b/process/placement/poolplacement/withdrawal_test.go
@@ -64,7 +64,8 @@
 	if random.IntN(8) > 0 {
 		section.Pools = append(section.Pools, pool)
 		for number := range random.IntN(3) {
-			section.Paths = append(section.Paths, upstream.Path{Name: fmt.Sprint("path", number), Rank: random.IntN(4), TargetMs: []int64{0, 1, 600, math.MaxInt64}[random.IntN(4)],
+			section.Paths = append(section.Paths, upstream.Path{Name: fmt.Sprint("path", number), Rank: random.IntN(4),
+				DeadlineMs: []int64{1, 600, 30_000, 86_400_000}[random.IntN(4)], TargetMs: []int64{0, 1, 600, math.MaxInt64}[random.IntN(4)],
 				Shares: []upstream.Share{{Pool: "p", Weight: 1}, {Pool: "plain"}}})
 		}
 	}
