partitionsim: control daemons plan under the planner's lease while they are cut off and frozen

Each control daemon now asks for the lease, announces and sends orders as poolplacement.Actor does, over the real lease, state machine and agreement, to engines that all planners reach at all times. Held: one holder at most, orders of two planners an engine's lease (3 s) apart and in the order of their tokens, none twice, somebody plans again in time. Off by default, so the histories without planners are the same as before.

--- a/testbed/partitionsim/node_test.go
+++ b/testbed/partitionsim/node_test.go
@@ -67,6 +67,9 @@
 	seenConfiguration ident.Version
 	stale             bool
 
+	// planner is set where the history has planners.
+	planner *planner
+
 	// checked is what the checker has seen of this incarnation.
 	checked seenByChecker
 }
@@ -136,11 +139,15 @@
 	}
 	n.every(heartbeatInterval, n.heartbeat)
 	n.every(heartbeatInterval+100*time.Millisecond, n.enlist)
+	if n.planner = nil; n.control && n.world.hasPlanners {
+		n.startPlanner()
+	}
 	n.world.troubled(n)
 }
 
 func (n *node) startCore() {
 	config := replica.DefaultConfig()
+	n.world.setPlannerLease(&config)
 	restored := n.disk
 	restored.Entries = slices.Clone(restored.Entries)
 	member := raft.New(raft.MemberID(n.index+1), config.Timing, restored, n.world.random)
--- a/testbed/partitionsim/world_test.go
+++ b/testbed/partitionsim/world_test.go
@@ -1,7 +1,7 @@
 // Package partitionsim plays control and routing daemons in made-up time, without sockets, while control daemons are cut
 // off, frozen and started anew, and holds what must then never happen. The agreement, the replicated state, the list of
-// members, the choice of leader, relay and source, and what is in force are the daemon's own; the disk, the links and
-// the answers to pulls are played.
+// members, the choice of leader, relay and source, what is in force and the planner's lease are the daemon's own; the disk,
+// the links, the answers to pulls and the planners' steps are played.
 package partitionsim
 
 import (
@@ -80,6 +80,9 @@
 	shape    shape
 	// calls are those under way, so that a reset can end them.
 	calls map[*call]bool
+	// hasPlanners says that the control daemons plan, which fencing checks.
+	hasPlanners bool
+	fencing     *fencingChecker
 
 	checker
 }
@@ -91,7 +94,7 @@
 
 func newWorld(t *testing.T, seed uint64, controls, edges int, v variant) *world {
 	w := &world{t: t, random: rand.New(rand.NewPCG(seed, 18)), variant: v, now: clock.Mark(time.Hour), controls: controls,
-		blocked: map[[2]int]bool{}, calls: map[*call]bool{}, checker: newChecker()}
+		blocked: map[[2]int]bool{}, calls: map[*call]bool{}, fencing: newFencingChecker(), checker: newChecker()}
 	var members raft.Membership
 	for i := range controls {
 		members.Members = append(members.Members, raft.Member{ID: raft.MemberID(i + 1), Name: fmt.Sprint("core", i), Address: fmt.Sprint("core", i), Voter: true})
