--- a/testbed/partitionsim/cutoff_test.go
+++ b/testbed/partitionsim/cutoff_test.go
@@ -267,8 +267,27 @@
 
 // The same seed is the same history, or a finding could not be looked into.
 func TestASeedIsOneHistory(t *testing.T) {
-	a, b := play(t, 4, sound, ""), play(t, 4, sound, "")
-	if a.seq != b.seq || len(a.acks) != len(b.acks) || a.now != b.now {
-		t.Errorf("%d and %d events, %d and %d acknowledgements", a.seq, b.seq, len(a.acks), len(b.acks))
+	for _, play := range []func(*testing.T, uint64, variant, string) *world{play, playPlanners} {
+		a, b := play(t, 4, sound, ""), play(t, 4, sound, "")
+		if a.seq != b.seq || len(a.acks) != len(b.acks) || a.now != b.now {
+			t.Errorf("%d and %d events, %d and %d acknowledgements", a.seq, b.seq, len(a.acks), len(b.acks))
+		}
+	}
+}
+
+// TestCallsOfTheSameNodesEndInTheOrderInWhichTheyWereMade: several calls from one node to another that a cut resets at once.
+func TestCallsOfTheSameNodesEndInTheOrderInWhichTheyWereMade(t *testing.T) {
+	w := newWorld(t, 1, 3, 1, sound)
+	defer w.end()
+	from, to := w.core()[0], w.core()[1]
+	for range 8 {
+		from.call(to, time.Minute, func(func(func())) {}, func() {})
+	}
+	w.cut([]*node{from}, []*node{to}, true, true)
+	for range 50 {
+		calls := w.callsCut()
+		if len(calls) != 8 || !slices.IsSortedFunc(calls, func(a, b *call) int { return a.number - b.number }) {
+			t.Fatalf("%d calls, in another order than they were made", len(calls))
+		}
 	}
 }
--- a/testbed/partitionsim/world_test.go
+++ b/testbed/partitionsim/world_test.go
@@ -88,6 +88,8 @@
 }
 
 type call struct {
+	// number tells calls apart: two nodes may have several under way.
+	number   int
 	from, to *node
 	fail     func()
 }
@@ -194,14 +196,15 @@
 	}
 }
 
-// callsCut are the calls under way over cut links, in the order of nodes: a map's own order would not be the same again.
+// callsCut are the calls under way over cut links, in the order in which they were made: a map's own order would not be the
+// same again.
 func (w *world) callsCut() (out []*call) {
 	for c := range w.calls {
 		if !w.path(c.from, c.to) {
 			out = append(out, c)
 		}
 	}
-	slices.SortFunc(out, func(a, b *call) int { return (a.from.index-b.from.index)*100 + a.to.index - b.to.index })
+	slices.SortFunc(out, func(a, b *call) int { return a.number - b.number })
 	return out
 }
 
@@ -242,7 +245,8 @@
 			}
 		}
 	}
-	c := &call{from: n, to: to, fail: func() { n.do(incarnation, finish(failed)) }}
+	w.seq++
+	c := &call{number: w.seq, from: n, to: to, fail: func() { n.do(incarnation, finish(failed)) }}
 	w.calls[c] = true
 	over := func(run func()) func() {
 		return finish(func() { delete(w.calls, c); run() })
