partitionsim: names of the field

trouble is a disruption, aside isolated, a shape a failure mode, a held pull pending, an epoch a version; carryOut is perform, lacks isOlder, leads isLeader.

--- a/testbed/partitionsim/checker_test.go
+++ b/testbed/partitionsim/checker_test.go
@@ -49,20 +49,20 @@
 	acks []acknowledgement
 	// taken and refused are the calls that had a clear answer, by digest.
 	taken, refused map[string]bool
-	// coreTrouble is when the control daemons or the links between them last had trouble, ownTrouble each node's.
-	coreTrouble clock.Mark
-	ownTrouble  map[int]clock.Mark
-	// aside are the control daemons that are cut off from all others, since asideSince.
-	aside      []*node
-	asideSince clock.Mark
-	ended      bool
+	// coreDisruptedAt is when the control daemons or the links between them were last disrupted, disruptedAt each node's.
+	coreDisruptedAt clock.Mark
+	disruptedAt     map[int]clock.Mark
+	// isolated are the control daemons that are cut off from all others, since isolatedSince.
+	isolated      []*node
+	isolatedSince clock.Mark
+	ended         bool
 	// What was checked.
-	looked, settled, clear, unclearAside, reads, left, stayed int
-	slowest                                                   time.Duration
+	looked, settled, clear, unclearIsolated, reads, left, stayed int
+	slowest                                                      time.Duration
 }
 
 func newChecker() checker {
-	return checker{rules: map[string]int{}, taken: map[string]bool{}, refused: map[string]bool{}, ownTrouble: map[int]clock.Mark{}}
+	return checker{rules: map[string]int{}, taken: map[string]bool{}, refused: map[string]bool{}, disruptedAt: map[int]clock.Mark{}}
 }
 
 func (w *world) fault(rule, format string, args ...any) {
@@ -77,32 +77,32 @@
 
 // The rules.
 const (
-	ruleOld     = "one in touch serves what was replaced"
-	ruleReady   = "one becomes ready on old state"
-	ruleConfirm = "one takes for confirmed what was replaced"
-	ruleBack    = "one goes back"
-	ruleAside   = "one that is cut off answers for good"
-	ruleAnswer  = "an answer is contradicted"
-	ruleRead    = "an old configuration is read back"
-	ruleLate    = "a call gets no answer in time"
-	ruleUnready = "one in touch is not ready"
-	ruleStays   = "one stays with a source that is cut off"
+	ruleOld      = "one in touch serves what was replaced"
+	ruleReady    = "one becomes ready on old state"
+	ruleConfirm  = "one takes for confirmed what was replaced"
+	ruleBack     = "one goes back"
+	ruleIsolated = "one that is cut off answers for good"
+	ruleAnswer   = "an answer is contradicted"
+	ruleRead     = "an old configuration is read back"
+	ruleLate     = "a call gets no answer in time"
+	ruleUnready  = "one in touch is not ready"
+	ruleStays    = "one stays with a source that is cut off"
 )
 
-// troubled notes trouble of nodes; between two of the core, or of one of them, it is the core's.
-func (w *world) troubled(some ...*node) {
+// disrupted records a disruption of nodes; between two of the core, or of one of them, it is the core's.
+func (w *world) disrupted(some ...*node) {
 	core := true
 	for _, n := range some {
-		w.ownTrouble[n.index] = w.now
+		w.disruptedAt[n.index] = w.now
 		core = core && n.control
 	}
 	if core {
-		w.coreTrouble = w.now
+		w.coreDisruptedAt = w.now
 	}
 }
 
-func (w *world) acknowledged(spec, closure ident.Version) {
-	w.acks = append(w.acks, acknowledgement{w.now, membership.InForce{Configuration: spec, Closure: closure}})
+func (w *world) acknowledged(configuration, closure ident.Version) {
+	w.acks = append(w.acks, acknowledgement{w.now, membership.InForce{Configuration: configuration, Closure: closure}})
 }
 
 // newestAcked is the newest that had been acknowledged by a moment.
@@ -115,8 +115,8 @@
 	return out
 }
 
-// lacks says whether something in force is older than something else.
-func lacks(force, wanted membership.InForce) bool {
+// isOlder reports whether something in force is older than something else.
+func isOlder(force, wanted membership.InForce) bool {
 	// Closures count where there is a configuration.
 	return force.Configuration < wanted.Configuration || force.Configuration > 0 && force.Closure < wanted.Closure
 }
@@ -144,7 +144,7 @@
 
 // inTouch says whether a node is bound by times now.
 func (w *world) inTouch(n *node, majority []*node) bool {
-	if !n.running() || len(majority) <= w.controls/2 || w.now.Since(w.coreTrouble) < inTouchAfter || w.now.Since(w.ownTrouble[n.index]) < inTouchAfter {
+	if !n.running() || len(majority) <= w.controls/2 || w.now.Since(w.coreDisruptedAt) < inTouchAfter || w.now.Since(w.disruptedAt[n.index]) < inTouchAfter {
 		return false
 	}
 	return !slices.ContainsFunc(majority, func(other *node) bool { return !w.path(n, other) })
@@ -175,7 +175,7 @@
 			n.checked.servesSince = w.now
 		}
 		wanted := w.newestAcked(w.now - clock.Mark(applyBound))
-		if ready && lacks(force, wanted) {
+		if ready && isOlder(force, wanted) {
 			w.fault(ruleOld, "%s has %+v in force, and %+v was acknowledged %v ago", n.name, force, wanted, applyBound)
 		}
 		if len(w.acks) > 0 && w.now.Since(n.checked.servesSince) > readyBound {
@@ -191,30 +191,30 @@
 // lookAtSources checks that a node takes none that is cut off from the group for its leader or its relay, from the time
 // on within which it must have left it.
 func (w *world) lookAtSources(n *node) {
-	if !n.running() || w.now.Since(w.asideSince) <= membership.SwitchSourceWithin+inFlight || w.now.Since(w.ownTrouble[n.index]) <= membership.SwitchSourceWithin+inFlight {
+	if !n.running() || w.now.Since(w.isolatedSince) <= membership.SwitchSourceWithin+inFlight || w.now.Since(w.disruptedAt[n.index]) <= membership.SwitchSourceWithin+inFlight {
 		return
 	}
-	for _, aside := range w.aside {
-		if aside == n || !aside.running() || !w.path(n, aside) {
+	for _, source := range w.isolated {
+		if source == n || !source.running() || !w.path(n, source) {
 			continue
 		}
 		w.stayed++
-		if n.view.LeaderAddress != aside.name && n.view.RelayAddress != aside.name {
-			delete(n.checked.names, aside.name)
+		if n.view.LeaderAddress != source.name && n.view.RelayAddress != source.name {
+			delete(n.checked.names, source.name)
 			continue
 		}
 		if n.checked.names == nil {
 			n.checked.names = map[string]clock.Mark{}
 		}
-		since, named := n.checked.names[aside.name]
+		since, named := n.checked.names[source.name]
 		if !named {
 			since = w.now
-			n.checked.names[aside.name] = since
+			n.checked.names[source.name] = since
 		}
 		// One that was named already when it had to be left was not chosen anew.
-		first := w.asideSince + clock.Mark(membership.SwitchSourceWithin+inFlight)
+		first := w.isolatedSince + clock.Mark(membership.SwitchSourceWithin+inFlight)
 		if since < first+2*clock.Mark(lookEvery) || w.now.Since(since) > rechosen {
-			w.fault(ruleStays, "%s with %s after %v", n.name, aside.name, w.now.Since(w.asideSince))
+			w.fault(ruleStays, "%s with %s after %v", n.name, source.name, w.now.Since(w.isolatedSince))
 		}
 	}
 }
@@ -224,7 +224,7 @@
 	force := n.force()
 	if n.view.ConfirmedAt > 0 {
 		wanted := w.newestAcked(n.view.ConfirmedAt - n.offset - 1)
-		if lacks(force, wanted) {
+		if isOlder(force, wanted) {
 			w.fault(ruleConfirm, "%s has %+v in force and takes it for all there was %v ago, when %+v was acknowledged", n.name, force, n.clock().Since(n.view.ConfirmedAt), wanted)
 		}
 	}
@@ -232,15 +232,15 @@
 		n.checked.ready = true
 		w.settled++
 		wanted := w.newestAcked(w.now - clock.Mark(membership.StaleAfter) - 1)
-		if lacks(force, wanted) {
+		if isOlder(force, wanted) {
 			w.fault(ruleReady, "%s with %+v in force, and %+v was acknowledged %v ago", n.name, force, wanted, membership.StaleAfter)
 		}
 	}
 }
 
-// cutAside says whether a control daemon was cut off from all others from before a call until now.
-func (w *world) cutAside(n *node, since clock.Mark) bool {
-	return slices.Contains(w.aside, n) && since > w.asideSince+clock.Mark(inFlight)
+// wasIsolated reports whether a control daemon was cut off from all others from before a call until now.
+func (w *world) wasIsolated(n *node, since clock.Mark) bool {
+	return slices.Contains(w.isolated, n) && since > w.isolatedSince+clock.Mark(inFlight)
 }
 
 // sawAnswer checks a control daemon's answer to an operator's call.
@@ -256,14 +256,14 @@
 		}
 	}
 	if got.Outcome == operatorapi.Unknown {
-		if w.cutAside(n, asked) {
-			w.unclearAside++
+		if w.wasIsolated(n, asked) {
+			w.unclearIsolated++
 		}
 		return
 	}
 	w.clear++
-	if w.cutAside(n, asked) {
-		w.fault(ruleAside, "%s answers %s with %s", n.name, call.Digest, got.Outcome)
+	if w.wasIsolated(n, asked) {
+		w.fault(ruleIsolated, "%s answers %s with %s", n.name, call.Digest, got.Outcome)
 	}
 	if got.Outcome == operatorapi.Applied {
 		w.taken[call.Digest] = true
@@ -280,10 +280,10 @@
 func (w *world) sawRead(n, source *node, asked, arrived clock.Mark, newest, got ident.Version) {
 	w.reads++
 	if got < newest {
-		w.fault(ruleRead, "%s gives epoch %d by the word of %s, and %d was acknowledged before it was asked", n.name, got, source.name, newest)
+		w.fault(ruleRead, "%s gives version %d by the word of %s, and %d was acknowledged before it was asked", n.name, got, source.name, newest)
 	}
-	if w.cutAside(n, asked) {
-		w.fault(ruleAside, "%s reads back epoch %d", n.name, got)
+	if w.wasIsolated(n, asked) {
+		w.fault(ruleIsolated, "%s reads back version %d", n.name, got)
 	}
 }
 
@@ -308,7 +308,7 @@
 	}
 	newest := w.newestAcked(w.now)
 	for _, n := range w.nodes {
-		if lacks(n.force(), newest) {
+		if isOlder(n.force(), newest) {
 			w.fault(ruleOld, "%s ends with %+v, and %+v was acknowledged", n.name, n.force(), newest)
 		}
 	}
--- a/testbed/partitionsim/cutoff_test.go
+++ b/testbed/partitionsim/cutoff_test.go
@@ -19,7 +19,7 @@
 func (w *world) targets() []*node {
 	var leader, relay *node
 	for _, n := range w.core() {
-		if n.leads() {
+		if n.isLeader() {
 			leader = n
 		}
 	}
@@ -54,31 +54,31 @@
 	return slices.DeleteFunc(slices.Clone(some), func(n *node) bool { return slices.Contains(others, n) })
 }
 
-// trouble brings one trouble about, and restarts inside of it; it gives how long it lasts.
-func (w *world) trouble() time.Duration {
+// disrupt brings one disruption about, and restarts inside of it; it gives how long it lasts.
+func (w *world) disrupt() time.Duration {
 	lasts := w.ms(5000, 30000)
 	targets := w.targets()
-	w.shape = shape(w.random.IntN(3))
+	w.failureMode = failureMode(w.random.IntN(3))
 	way := directions[w.random.IntN(len(directions))]
 	switch w.random.IntN(6) {
 	case 0, 1:
 		// From the other voters only: all others still reach them.
 		w.cut(targets, without(w.core(), targets), way.out, way.in)
-		w.setAside(targets)
+		w.setIsolated(targets)
 	case 2:
 		// From everyone but the routing daemons of their own zones.
 		outside := slices.DeleteFunc(slices.Clone(w.nodes), func(n *node) bool {
 			return !n.control && slices.ContainsFunc(targets, func(one *node) bool { return one.zone == n.zone })
 		})
 		w.cut(targets, without(outside, targets), way.out, way.in)
-		w.setAside(targets)
+		w.setIsolated(targets)
 	case 3:
 		// A whole zone from all others.
 		zone := slices.DeleteFunc(slices.Clone(w.nodes), func(n *node) bool { return n.zone != targets[0].zone })
 		w.cut(zone, without(w.nodes, zone), way.out, way.in)
 		inside := without(w.core(), without(w.nodes, zone))
 		if len(inside) <= (w.controls-1)/2 {
-			w.setAside(inside)
+			w.setIsolated(inside)
 		}
 	case 4:
 		// From the routing daemons only.
@@ -93,8 +93,8 @@
 	return lasts
 }
 
-// setAside notes who is cut off from all other control daemons.
-func (w *world) setAside(some []*node) { w.aside, w.asideSince = some, w.now }
+// setIsolated records who is cut off from all other control daemons.
+func (w *world) setIsolated(some []*node) { w.isolated, w.isolatedSince = some, w.now }
 
 // restarts starts some routing daemons anew within a trouble, some with seeds that name only those in trouble; and
 // sometimes a control daemon that is in no trouble.
@@ -136,9 +136,9 @@
 	w.reader()
 	w.run(4 * time.Second)
 	for range 2 {
-		lasts := w.trouble()
+		lasts := w.disrupt()
 		w.run(lasts)
-		w.aside = nil
+		w.isolated = nil
 		w.heal()
 		w.run(w.ms(4000, 9000))
 		for _, n := range w.nodes {
@@ -166,10 +166,10 @@
 	w.closer(true)
 	w.reader()
 	w.run(4 * time.Second)
-	w.shape = shape(seed % 3)
+	w.failureMode = failureMode(seed % 3)
 	var pair []*node
 	for _, n := range w.core() {
-		if n.leads() {
+		if n.isLeader() {
 			pair = []*node{n, w.core()[(n.index+1+int(seed/3)%4)%5]}
 		}
 	}
@@ -177,12 +177,12 @@
 		t.Fatalf("seed %d: nobody leads in calm", seed)
 	}
 	w.cut(pair, without(w.core(), pair), true, true)
-	w.setAside(pair)
+	w.setIsolated(pair)
 	for _, n := range w.nodes[w.controls:] {
 		n.seeds = []string{pair[0].name, pair[1].name}
 	}
 	w.run(15 * time.Second)
-	w.aside = nil
+	w.isolated = nil
 	w.heal()
 	w.run(4 * time.Second)
 	w.ended = true
@@ -212,12 +212,12 @@
 			t.Errorf("seed %d: %s", seed, violation)
 		}
 		acks += len(w.acks)
-		sum.looked, sum.settled, sum.clear, sum.unclearAside = sum.looked+w.looked, sum.settled+w.settled, sum.clear+w.clear, sum.unclearAside+w.unclearAside
+		sum.looked, sum.settled, sum.clear, sum.unclearIsolated = sum.looked+w.looked, sum.settled+w.settled, sum.clear+w.clear, sum.unclearIsolated+w.unclearIsolated
 		sum.reads, sum.left, sum.stayed, sum.slowest = sum.reads+w.reads, sum.left+w.left, sum.stayed+w.stayed, max(sum.slowest, w.slowest)
 	}
 	t.Logf("%d histories: %d acknowledged, %d looks at daemons in touch, %d became ready, %d clear answers, %d unclear by who was cut off, %d read back, %d stale sources left, %d looks at who might stay, slowest answer %v",
-		seeds(usualSeeds), acks, sum.looked, sum.settled, sum.clear, sum.unclearAside, sum.reads, sum.left, sum.stayed, sum.slowest)
-	if sum.looked == 0 || sum.settled == 0 || sum.clear == 0 || sum.unclearAside == 0 || sum.reads == 0 || sum.left == 0 || sum.stayed == 0 {
+		seeds(usualSeeds), acks, sum.looked, sum.settled, sum.clear, sum.unclearIsolated, sum.reads, sum.left, sum.stayed, sum.slowest)
+	if sum.looked == 0 || sum.settled == 0 || sum.clear == 0 || sum.unclearIsolated == 0 || sum.reads == 0 || sum.left == 0 || sum.stayed == 0 {
 		t.Error("nothing was checked")
 	}
 }
@@ -251,7 +251,7 @@
 		relayVouches:      {ruleConfirm, play},
 		aheadOfForce:      {ruleConfirm, play},
 		readsUnasked:      {ruleRead, play},
-		refusesByOwnState: {ruleAside, play},
+		refusesByOwnState: {ruleIsolated, play},
 	} {
 		t.Run(string(v), func(t *testing.T) {
 			for seed := range uint64(60) {
--- a/testbed/partitionsim/fencing_test.go
+++ b/testbed/partitionsim/fencing_test.go
@@ -126,7 +126,7 @@
 		w.fault(ruleHolders, "%v", holders)
 	}
 	f := w.fencing
-	if len(holders) > 0 || w.now.Since(w.coreTrouble) < inTouchAfter {
+	if len(holders) > 0 || w.now.Since(w.coreDisruptedAt) < inTouchAfter {
 		f.idleSince = w.now
 	}
 	idle := w.now.Since(f.idleSince)
@@ -157,10 +157,10 @@
 		if holder != nil && turn != 1 {
 			lasts = w.disruptHolder(holder)
 		} else {
-			lasts = w.trouble()
+			lasts = w.disrupt()
 		}
 		w.run(lasts)
-		w.aside = nil
+		w.isolated = nil
 		w.heal()
 		w.run(w.ms(2000, 9000))
 	}
@@ -178,9 +178,9 @@
 		return lasts
 	}
 	others := without(w.core(), []*node{holder})
-	w.shape = shape(w.random.IntN(3))
+	w.failureMode = failureMode(w.random.IntN(3))
 	w.cut([]*node{holder}, others, true, true)
-	w.setAside([]*node{holder})
+	w.setIsolated([]*node{holder})
 	return w.ms(300, 12000)
 }
 
--- a/testbed/partitionsim/node_test.go
+++ b/testbed/partitionsim/node_test.go
@@ -60,7 +60,7 @@
 	heartbeats   int
 	enlisted     clock.Mark
 	asking       map[question]bool
-	heldPulls    []*heldPull
+	pendingPulls []*pendingPull
 	// fullUpdateAt is when each address last sent a complete update.
 	fullUpdateAt      map[string]clock.Mark
 	seenAt            clock.Mark
@@ -84,7 +84,7 @@
 	linked, everyone bool
 }
 
-type heldPull struct {
+type pendingPull struct {
 	in       *peerapi.PullRequest
 	arrived  clock.Mark
 	gap, end clock.Mark
@@ -126,7 +126,7 @@
 
 func (n *node) start() {
 	n.incarnation++
-	n.up, n.writes, n.lastHeartbeat, n.pendingRequests, n.asking, n.heldPulls, n.fullUpdateAt = true, nil, 0, map[uint64]func(replica.Response){}, map[question]bool{}, nil, map[string]clock.Mark{}
+	n.up, n.writes, n.lastHeartbeat, n.pendingRequests, n.asking, n.pendingPulls, n.fullUpdateAt = true, nil, 0, map[uint64]func(replica.Response){}, map[question]bool{}, nil, map[string]clock.Mark{}
 	n.enlisted, n.heartbeats, n.rowAnnounced, n.offeredConfiguration, n.offeredClosure, n.seenConfiguration, n.stale, n.checked = 0, 0, false, 0, 0, 0, false, seenByChecker{}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
@@ -142,7 +142,7 @@
 	if n.planner = nil; n.control && n.world.hasPlanners {
 		n.startPlanner()
 	}
-	n.world.troubled(n)
+	n.world.disrupted(n)
 }
 
 func (n *node) startCore() {
@@ -158,10 +158,10 @@
 	n.core = core
 	n.every(replica.TickInterval, func() {
 		if late := n.clock().Since(n.lastHeartbeat); n.lastHeartbeat > 0 && late > config.Timing.ElectionTimeout(replica.TickInterval) {
-			n.carryOut(n.core.Step(n.clock(), raft.StepDown{}))
+			n.perform(n.core.Step(n.clock(), raft.StepDown{}))
 		}
 		n.lastHeartbeat = n.clock()
-		n.carryOut(n.core.Step(n.clock(), raft.Tick{}))
+		n.perform(n.core.Step(n.clock(), raft.Tick{}))
 	})
 }
 
@@ -170,17 +170,17 @@
 	n.up = false
 	n.core = nil
 	n.stop()
-	n.world.troubled(n)
+	n.world.disrupted(n)
 }
 
 func (n *node) freeze(span time.Duration) {
 	n.frozenUntil = n.world.now + clock.Mark(span)
-	n.world.troubled(n)
-	n.world.after(span, func() { n.world.troubled(n) })
+	n.world.disrupted(n)
+	n.world.after(span, func() { n.world.disrupted(n) })
 }
 
-// carryOut does what a step of the core wants done.
-func (n *node) carryOut(effects replica.Effects) {
+// perform carries out the effects of a step of the core.
+func (n *node) perform(effects replica.Effects) {
 	switch {
 	case effects.Save != nil || len(effects.MessagesAfterSave) > 0 && len(n.writes) > 0:
 		n.writes = append(n.writes, write{effects.Save, effects.MessagesAfterSave})
@@ -215,7 +215,7 @@
 			if done.save != nil {
 				if count := len(done.save.Entries); count > 0 {
 					last := done.save.Entries[count-1]
-					n.carryOut(n.core.Step(n.clock(), raft.Persisted{Index: last.Index, Term: last.Term}))
+					n.perform(n.core.Step(n.clock(), raft.Persisted{Index: last.Index, Term: last.Term}))
 				}
 			}
 			n.sendRaft(done.later)
@@ -239,10 +239,10 @@
 	for _, message := range messages {
 		to := n.world.nodes[int(message.To)-1]
 		if to == n {
-			n.carryOut(n.core.Step(n.clock(), raft.Receive{Message: message}))
+			n.perform(n.core.Step(n.clock(), raft.Receive{Message: message}))
 			continue
 		}
-		n.world.send(n, to, func() { to.carryOut(to.core.Step(to.clock(), raft.Receive{Message: message})) }, nil)
+		n.world.send(n, to, func() { to.perform(to.core.Step(to.clock(), raft.Receive{Message: message})) }, nil)
 	}
 }
 
@@ -253,14 +253,14 @@
 		return
 	}
 	n.offeredConfiguration, n.offeredClosure = state.Version(), state.Closures.Version
-	epoch, closures, inForce := state.Version(), state.Closures.Clone(), statemachine.Proposal{}
+	version, closures, inForce := state.Version(), state.Closures.Clone(), statemachine.Proposal{}
 	if found, ok := state.InForce(); ok {
 		inForce = *found
 	}
 	incarnation := n.incarnation
 	n.world.after(n.world.ms(0, 60), func() {
 		n.do(incarnation, func() {
-			n.rollout.Offer(epoch, inForce.Bundle(), &closures)
+			n.rollout.Offer(version, inForce.Bundle(), &closures)
 			n.news()
 		})
 	})
@@ -274,11 +274,11 @@
 	return force
 }
 
-// leads says whether this node takes itself for the leader.
-func (n *node) leads() bool { return n.core != nil && n.core.IsLeader() }
+// isLeader reports whether this node takes itself for the leader.
+func (n *node) isLeader() bool { return n.core != nil && n.core.IsLeader() }
 
 func (n *node) confirmedAsLeader() clock.Mark {
-	if !n.leads() {
+	if !n.isLeader() {
 		return 0
 	}
 	force, state := n.force(), n.core.State()
@@ -349,7 +349,7 @@
 }
 
 func (n *node) publish() {
-	own := membership.LocalState{ConfirmedAt: n.confirmedAsLeader(), IsLeader: n.leads(), EnlistedAt: n.enlisted}
+	own := membership.LocalState{ConfirmedAt: n.confirmedAsLeader(), IsLeader: n.isLeader(), EnlistedAt: n.enlisted}
 	own.InForce = n.force()
 	if n.world.variant == readyByAnyone {
 		own.EnlistedAt = 1
@@ -458,9 +458,9 @@
 func (n *node) pulled(in *peerapi.PullRequest, answer func(*peerapi.PullReply)) {
 	now := n.clock()
 	known := n.tracker.RecordPull(now, in)
-	held := &heldPull{in: in, arrived: now, gap: now + clock.Mark(time.Duration(in.BatchDelayMs)*time.Millisecond), end: now + clock.Mark(time.Duration(in.MaxWaitMs)*time.Millisecond)}
+	held := &pendingPull{in: in, arrived: now, gap: now + clock.Mark(time.Duration(in.BatchDelayMs)*time.Millisecond), end: now + clock.Mark(time.Duration(in.MaxWaitMs)*time.Millisecond)}
 	held.answer = func(reply *peerapi.PullReply) { reply.KnownAttributesVersion = known; answer(reply) }
-	n.heldPulls = append(n.heldPulls, held)
+	n.pendingPulls = append(n.pendingPulls, held)
 	incarnation := n.incarnation
 	n.world.after(time.Duration(in.MaxWaitMs)*time.Millisecond, func() { n.do(incarnation, n.news) })
 	n.news()
@@ -469,18 +469,18 @@
 // news answers those questions that were held back and for which there is anything new, or whose time is over.
 func (n *node) news() {
 	now := n.clock()
-	waiting := n.heldPulls
-	n.heldPulls = nil
+	waiting := n.pendingPulls
+	n.pendingPulls = nil
 	for _, held := range waiting {
 		if now < held.end && !n.urgentFor(held.in) && !(now >= held.gap && n.ordinaryFor(held.in)) {
-			n.heldPulls = append(n.heldPulls, held)
+			n.pendingPulls = append(n.pendingPulls, held)
 			continue
 		}
 		held.answer(n.reply(held))
 	}
 }
 
-func (n *node) tellsBundle(in *peerapi.PullRequest) bool {
+func (n *node) includesBundle(in *peerapi.PullRequest) bool {
 	force := n.force()
 	if n.seenConfiguration != force.Configuration || n.seenAt == 0 {
 		n.seenConfiguration, n.seenAt = force.Configuration, n.clock()
@@ -490,7 +490,7 @@
 
 func (n *node) urgentFor(in *peerapi.PullRequest) bool {
 	leader, term := n.leader()
-	return n.tellsBundle(in) || uint64(n.force().Closure) > in.ClosureVersion || leader != "" && (term > in.LeaderTerm || in.LeaderAddress == "") ||
+	return n.includesBundle(in) || uint64(n.force().Closure) > in.ClosureVersion || leader != "" && (term > in.LeaderTerm || in.LeaderAddress == "") ||
 		in.SourceFreshness == peerapi.SourceFreshness_SOURCE_CONFIRMED && n.isStale() || in.SourceFreshness == peerapi.SourceFreshness_SOURCE_STALE && !n.isStale() ||
 		in.MembersIncarnation != string(n.id())
 }
@@ -500,18 +500,18 @@
 	return members.StatusChangeIndex() > in.MembersSeen || !in.RegistryUrgentOnly && members.ChangeIndex() > in.MembersSeen
 }
 
-func (n *node) reply(held *heldPull) *peerapi.PullReply {
+func (n *node) reply(held *pendingPull) *peerapi.PullReply {
 	in := held.in
 	confirmed := n.confirmed()
 	if n.world.variant == relayVouches && n.control {
 		confirmed = n.clock()
 	}
 	leader, term := n.leader()
-	reply := &peerapi.PullReply{Group: group, NodeId: string(n.id()), LeaderAddress: leader, LeaderTerm: term, IsLeader: n.leads(),
+	reply := &peerapi.PullReply{Group: group, NodeId: string(n.id()), LeaderAddress: leader, LeaderTerm: term, IsLeader: n.isLeader(),
 		Confirmation: membership.EncodeConfirmation(confirmed, held.arrived)}
 	if table := n.rollout.Table(); table != nil {
 		reply.ConfigurationVersion, reply.ClosureVersion = uint64(table.Version), uint64(table.Closures.Version)
-		if n.tellsBundle(in) {
+		if n.includesBundle(in) {
 			reply.Configuration, reply.ConfigurationCompressed = table.Bundle.Data, table.Bundle.Compressed
 		}
 		if in.ClosureVersion < uint64(table.Closures.Version) {
@@ -545,7 +545,7 @@
 
 // submit brings a command to the leader, following one redirect; done is called where it was applied.
 func (n *node) submit(command statemachine.Command, done func(statemachine.Result)) {
-	if n.leads() {
+	if n.isLeader() {
 		n.submitHere(command, func(answer replica.Response) {
 			if answer.Outcome == replica.Applied {
 				done(answer.Result)
@@ -563,7 +563,7 @@
 		return
 	}
 	n.call(to, submitLimit, func(answer func(func())) {
-		if !to.leads() {
+		if !to.isLeader() {
 			told, _ := to.leader()
 			answer(func() {
 				if follow {
@@ -585,7 +585,7 @@
 func (n *node) submitHere(command statemachine.Command, answer func(replica.Response)) {
 	n.refs++
 	n.pendingRequests[n.refs] = answer
-	n.carryOut(n.core.Submit(n.clock(), n.refs, command))
+	n.perform(n.core.Submit(n.clock(), n.refs, command))
 }
 
 // read looks at the state as the leader does.
@@ -596,5 +596,5 @@
 	}
 	n.refs++
 	n.pendingRequests[n.refs] = look
-	n.carryOut(n.core.Read(n.clock(), n.refs))
+	n.perform(n.core.Read(n.clock(), n.refs))
 }
--- a/testbed/partitionsim/operators_test.go
+++ b/testbed/partitionsim/operators_test.go
@@ -110,7 +110,7 @@
 		if done || n.clock() >= until {
 			return
 		}
-		if n.leads() {
+		if n.isLeader() {
 			n.lead(call, func(got operatorapi.ApplyResponse, outcome replica.Outcome) {
 				if outcome == replica.Applied {
 					finish(got)
@@ -134,7 +134,7 @@
 			return
 		}
 		n.call(to, until.Since(n.clock()), func(back func(func())) {
-			if !to.leads() {
+			if !to.isLeader() {
 				named, _ := to.leader()
 				back(func() { n.world.after(applyAgain, again(named)) })
 				return
@@ -211,7 +211,7 @@
 				}
 			}
 		}
-		if to.leads() {
+		if to.isLeader() {
 			to.read(seen(to))
 			return
 		}
@@ -221,19 +221,19 @@
 			return
 		}
 		to.call(leader, readLimit, func(back func(func())) {
-			if !leader.leads() {
+			if !leader.isLeader() {
 				back(func() {})
 				return
 			}
 			leader.read(func(answer replica.Response) {
 				got := answer
-				epoch := ident.Version(0)
+				version := ident.Version(0)
 				if got.Outcome == replica.Applied {
-					epoch = got.State.Version()
+					version = got.State.Version()
 				}
 				back(func() {
 					if got.Outcome == replica.Applied {
-						w.sawRead(to, leader, asked, arrived, newest, epoch)
+						w.sawRead(to, leader, asked, arrived, newest, version)
 					}
 				})
 			})
--- a/testbed/partitionsim/planner_test.go
+++ b/testbed/partitionsim/planner_test.go
@@ -89,7 +89,7 @@
 		if p.freeSince == 0 {
 			p.freeSince = now
 		}
-		if p.node.leads() && now.Since(p.freeSince) < nonPreferredWait {
+		if p.node.isLeader() && now.Since(p.freeSince) < nonPreferredWait {
 			return
 		}
 	}
@@ -105,7 +105,7 @@
 	granted := reply.Granted
 	if granted == nil {
 		wait := max(p.settings.RenewInterval, reply.Wait)
-		if p.node.leads() {
+		if p.node.isLeader() {
 			wait += nonPreferredWait
 		}
 		p.nextRequest = max(p.nextRequest, p.node.clock()+clock.Mark(wait))
--- a/testbed/partitionsim/world_test.go
+++ b/testbed/partitionsim/world_test.go
@@ -40,11 +40,11 @@
 	refusesByOwnState variant = "a member that refuses orders by its own old state"
 )
 
-// shape is what becomes of a call over a cut link.
-type shape int
+// failureMode is what becomes of a call over a cut link.
+type failureMode int
 
 const (
-	silence shape = iota
+	silent failureMode = iota
 	refuse
 	reset
 )
@@ -75,9 +75,9 @@
 	seq     int
 	nodes   []*node
 	// controls is how many of the nodes, the first ones, serve control.
-	controls int
-	blocked  map[[2]int]bool
-	shape    shape
+	controls    int
+	blocked     map[[2]int]bool
+	failureMode failureMode
 	// calls are those under way, so that a reset can end them.
 	calls map[*call]bool
 	// hasPlanners says that the control daemons plan, which fencing checks.
@@ -184,10 +184,10 @@
 			if in {
 				w.blocked[[2]int{b.index, a.index}] = true
 			}
-			w.troubled(a, b)
+			w.disrupted(a, b)
 		}
 	}
-	if w.shape != reset {
+	if w.failureMode != reset {
 		return
 	}
 	for _, c := range w.callsCut() {
@@ -213,7 +213,7 @@
 	for a := range w.nodes {
 		for b := range w.nodes {
 			if w.blocked[[2]int{a, b}] {
-				w.troubled(w.nodes[a], w.nodes[b])
+				w.disrupted(w.nodes[a], w.nodes[b])
 			}
 		}
 	}
@@ -224,7 +224,7 @@
 // there is cut and says so.
 func (w *world) send(from, to *node, take, lost func()) {
 	if !w.reaches(from, to) {
-		if w.shape != silence && lost != nil {
+		if w.failureMode != silent && lost != nil {
 			w.after(w.ms(1, 10), lost)
 		}
 		return
