partitionsim: readiness is due from the first configuration on

Before a fleet has a configuration no daemon can be ready; the rule that one in touch is ready within 4 s counted from the start of the history all the same. It now counts from the first acknowledgement, with the same bound.

--- a/testbed/partitionsim/checker_test.go
+++ b/testbed/partitionsim/checker_test.go
@@ -171,14 +171,15 @@
 		ready := n.view.NotReadyReason(n.clock(), force) == ""
 		// One that starts while all its seeds stand still or are cut off from it can know of nobody else.
 		lone := !n.view.CaughtUp && !slices.ContainsFunc(n.seeds, func(seed string) bool { return w.at(seed).running() && w.path(n, w.at(seed)) })
-		if ready || lone || n.checked.servesSince == 0 {
+		// Before the first configuration nobody can be ready.
+		if ready || lone || len(w.acks) == 0 || n.checked.servesSince == 0 {
 			n.checked.servesSince = w.now
 		}
 		wanted := w.newestAcked(w.now - clock.Mark(applyBound))
 		if ready && isOlder(force, wanted) {
 			w.fault(ruleOld, "%s has %+v in force, and %+v was acknowledged %v ago", n.name, force, wanted, applyBound)
 		}
-		if len(w.acks) > 0 && w.now.Since(n.checked.servesSince) > readyBound {
+		if w.now.Since(n.checked.servesSince) > readyBound {
 			w.fault(ruleUnready, "%s for %v: %s", n.name, w.now.Since(n.checked.servesSince), n.view.NotReadyReason(n.clock(), force))
 		}
 	}
