--- a/testbed/partitionsim/planner_test.go
+++ b/testbed/partitionsim/planner_test.go
@@ -18,7 +18,7 @@
 	leaseMargin, nonPreferredWait = 300 * time.Millisecond, 500 * time.Millisecond
 	// orderPeriod is how often a planner issues an order.
 	orderPeriod = 200 * time.Millisecond
-	// one connection of slowDialEach takes up to the order's whole time.
+	// slowDialEach is the number of connections of which one takes up to the whole time of its order.
 	slowDialEach = 3
 	engineCount  = 2
 )
