--- a/testbed/partitionsim/fencing_test.go
+++ b/testbed/partitionsim/fencing_test.go
@@ -113,17 +113,9 @@
 
 // lookAtPlanners checks who holds the planner's lease, again and again.
 func (w *world) lookAtPlanners() {
-	var holders []string
-	for _, n := range w.core() {
-		if !n.up || n.planner == nil {
-			continue
-		}
-		if token, leased := n.planner.lease.Token(); leased {
-			holders = append(holders, fmt.Sprintf("%s by token %d", n.id(), token))
-		}
-	}
+	holders := w.leaseHolders()
 	if len(holders) > 1 {
-		w.fault(ruleHolders, "%v", holders)
+		w.fault(ruleHolders, "%s by token %d, %s by token %d", holders[0].id(), holders[0].planner.token, holders[1].id(), holders[1].planner.token)
 	}
 	f := w.fencing
 	if len(holders) > 0 || w.now.Since(w.coreDisruptedAt) < inTouchAfter {
@@ -153,9 +145,9 @@
 	w.operator(0, 0, 0)
 	w.run(6 * time.Second)
 	for turn := range 3 {
-		holder, lasts := w.leaseHolder(), time.Duration(0)
-		if holder != nil && turn != 1 {
-			lasts = w.disruptHolder(holder)
+		lasts := time.Duration(0)
+		if holders := w.leaseHolders(); len(holders) > 0 && turn != 1 {
+			lasts = w.disruptHolder(holders[0])
 		} else {
 			lasts = w.disrupt()
 		}
@@ -191,16 +183,17 @@
 	}
 }
 
-// leaseHolder is the control node that holds the planner's lease.
-func (w *world) leaseHolder() *node {
+// leaseHolders are the control nodes that hold the planner's lease by their own clocks.
+func (w *world) leaseHolders() (out []*node) {
 	for _, n := range w.core() {
-		if n.up && n.planner != nil {
-			if _, leased := n.planner.lease.Token(); leased {
-				return n
-			}
+		if !n.up {
+			continue
+		}
+		if _, leased := n.planner.lease.Token(); leased {
+			out = append(out, n)
 		}
 	}
-	return nil
+	return out
 }
 
 // TestPlannersUnderPartitions holds that one planner at most holds the lease, that the orders of two are an engine's lease
